Settle patches by their immutable rows; history, revert, audit

Cause: a lost reply was settled by code that believed a conflict after its own first try, told 'nothing was written' when only the resend failed, resent writes without conditions, and called a transaction of deletes a conflict although it had been applied. An operator who repeated a submission after an unknown answer was told a false race.

Change: settling reads rows back and tells applied, never, pending or unknown; only a transaction that excludes its own second application is sent again; a witness row (written once, never deleted) decides for good. A patch row is such a witness, and since a submission from base N can only become N+1, its id in that row settles a repeat. Whole contents moved from one table row to objects named by version and digest, which the head and patch rows refer to, so that any version is read by one object and at most 50 patches. New calls: show at a version, log by pages, diff, revert, audit by pages with refused tries, confirmations. Job cancels by operators are audited in their own transaction.

The state machine alone does not notice a settle that believes conflicts, since the submission id then still tells the truth.

--- /dev/null
+++ b/primroselock/audit.py
@@ -0,0 +1,78 @@
+"""The audit trail: who changed or tried what, when, from where.
+
+An accepted change writes its entry in its own transaction.  A refused
+try is written by itself; when the platform does not take it, the entry
+goes to the log, so that a refusal never waits for the platform twice.
+Keys sort by the wall time of the gateway that wrote them; the order of
+accepted patches is that of their versions.
+"""
+
+import dataclasses
+import typing
+
+import msgspec
+import result
+
+from primroselock import logs
+from primroselock.platform import keys
+from primroselock.platform import table
+
+_log: typing.Final = logs.get('audit')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """One change or refused try; ``at`` is in Unix seconds."""
+
+    at: float
+    author: str
+    origin: str
+    action: str
+    outcome: str
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listed:
+    """An entry with its id, which pages are read after."""
+
+    id: str
+    at: float
+    author: str
+    origin: str
+    action: str
+    outcome: str
+    detail: str
+
+
+def build_put(entry: Entry, token: str) -> table.Put:
+    """Return the write of an entry; ``token`` is its transaction's."""
+    key = f'{keys.AUDIT}{int(entry.at * 1000):015d}-{token}'
+    return table.Put(key, msgspec.json.encode(entry))
+
+
+async def write(store: table.Table, entry: Entry) -> None:
+    """Write an entry by itself; log it where the platform does not."""
+    token = table.new_token()
+    put = build_put(entry, token)
+    transaction = table.Transaction(
+        (table.Condition(put.key, table.ABSENT),), (put,), token=token
+    )
+    written = await store.transact(transaction)
+    if isinstance(written, result.Err):
+        _log.warning('audit entry not kept', **dataclasses.asdict(entry))
+
+
+async def list_entries(
+    store: table.Table, after: str, limit: int
+) -> result.Result[list[Listed], table.Unavailable]:
+    """Return up to ``limit`` entries past the id ``after``, by time."""
+    page = await store.scan(keys.AUDIT, keys.AUDIT + after, limit)
+    if isinstance(page, result.Err):
+        return page
+    listed = []
+    for row in page.ok_value:
+        entry = msgspec.json.decode(row.value, type=Entry)
+        entry_id = row.key.removeprefix(keys.AUDIT)
+        listed.append(Listed(entry_id, **dataclasses.asdict(entry)))
+    return result.Ok(listed)
--- a/primroselock/configuration.py
+++ b/primroselock/configuration.py
@@ -158,11 +158,43 @@
     lines: list[str] = []
     for name, values in sorted(sections.items()):
         lines.append(f'[{name}]')
-        lines.extend(f'{key} = {values[key]}' for key in sorted(values))
+        for key in sorted(values):
+            # An indented line continues a value.
+            value = values[key].replace('\n', '\n    ')
+            lines.append(f'{key} = {value}')
         lines.append('')
     return '\n'.join(lines)
 
 
+def find_warnings(checked: Configuration) -> tuple[str, ...]:
+    """Return what zones out of service do to guarantees, for operators."""
+    warnings: list[str] = []
+    zones = checked.zones_by_name
+    for account in checked.accounts_by_name.values():
+        promised = {
+            zone: counts
+            for zone, counts in account.guarantees_by_zone.items()
+            if any(counts.values())
+        }
+        out = [zone for zone in promised if not zones[zone].is_in]
+        for zone in out:
+            cells = ', '.join(
+                f'{size}:{count}'
+                for size, count in promised[zone].items()
+                if count
+            )
+            warnings.append(
+                f'zone {zone} is out: the guarantee of account '
+                f'{account.name} there ({cells}) cannot be reclaimed'
+            )
+        if out and len(out) == len(promised):
+            warnings.append(
+                f'account {account.name} has no guarantee in any zone '
+                'that is in service'
+            )
+    return tuple(warnings)
+
+
 class _Reader:
     """Collects a configuration and its problems section by section."""
 
--- /dev/null
+++ b/primroselock/confirmations.py
@@ -0,0 +1,117 @@
+"""Which processes have a configuration version in force, for operators.
+
+It is put together from beacons and the VM list.  A process is
+``confirmed``, ``behind`` (heard, with an older version) or ``silent``
+(listed or heard before, but not lately).  Ages are lower bounds: how
+long a beacon travelled is not known.
+"""
+
+from collections import abc
+import dataclasses
+import typing
+
+from primroselock.mesh import membership
+from primroselock.mesh import messages
+from primroselock.platform import vmlist
+
+OWN_ROLES: typing.Final = frozenset({'gateway', 'scheduler'})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProcessState:
+    """One process; ``config_age_s`` negative: never confirmed."""
+
+    vm_id: str
+    role: str
+    zone: str
+    state: str
+    config_version: int
+    config_age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZoneState:
+    """One zone: the lowest version and highest age of those heard.
+
+    ``not_confirmed`` names the processes that were heard with an older
+    version, ``silent`` those that were not heard.
+    """
+
+    zone: str
+    config_version: int
+    config_age_s: float
+    confirmed: int
+    not_confirmed: tuple[str, ...]
+    silent: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Confirmations:
+    """Who has ``version``; ``complete`` when each process heard has it."""
+
+    version: int
+    complete: bool
+    zones: tuple[ZoneState, ...]
+    processes: tuple[ProcessState, ...]
+
+
+def collect(
+    version: int,
+    own: messages.Beacon,
+    members: membership.Members,
+    vms: abc.Iterable[vmlist.Vm],
+    now: float,
+) -> Confirmations:
+    """Return who has ``version`` in force at ``now``."""
+    states = {
+        (own.vm_id, own.role): _describe(
+            membership.Heard(own, now), version, now
+        )
+    }
+    for key, heard in members.heard_by_process.items():
+        states[key] = _describe(heard, version, now)
+        if not members.is_live(heard, now):
+            states[key] = dataclasses.replace(states[key], state='silent')
+    for vm in vms:
+        key = (vm.id, vm.role)
+        if vm.role in OWN_ROLES and not vm.leaving and key not in states:
+            states[key] = ProcessState(
+                vm.id, vm.role, vm.zone, 'silent', 0, -1.0
+            )
+    processes = tuple(states[key] for key in sorted(states))
+    names = sorted({process.zone for process in processes})
+    zones = tuple(_summarize(name, processes) for name in names)
+    complete = all(not zone.not_confirmed for zone in zones)
+    return Confirmations(version, complete, zones, processes)
+
+
+def _describe(
+    heard: membership.Heard, version: int, now: float
+) -> ProcessState:
+    beacon = heard.beacon
+    return ProcessState(
+        beacon.vm_id,
+        beacon.role,
+        beacon.zone,
+        'confirmed' if beacon.config_version >= version else 'behind',
+        beacon.config_version,
+        round(heard.config_age_s(now), 3),
+    )
+
+
+def _summarize(zone: str, processes: tuple[ProcessState, ...]) -> ZoneState:
+    inside = [process for process in processes if process.zone == zone]
+    heard = [process for process in inside if process.state != 'silent']
+    ages = [process.config_age_s for process in heard]
+    return ZoneState(
+        zone,
+        min((process.config_version for process in heard), default=0),
+        -1.0 if not ages or min(ages) < 0 else max(ages),
+        sum(process.state == 'confirmed' for process in heard),
+        _names(process for process in heard if process.state == 'behind'),
+        _names(process for process in inside if process.state == 'silent'),
+    )
+
+
+def _names(processes: abc.Iterable[ProcessState]) -> tuple[str, ...]:
+    return tuple(f'{process.role} {process.vm_id}' for process in processes)
--- a/primroselock/daemon.py
+++ b/primroselock/daemon.py
@@ -16,9 +16,11 @@
 import result
 
 from primroselock import clock
+from primroselock import confirmations
 from primroselock import errors
 from primroselock import follower
 from primroselock import logs
+from primroselock.mesh import membership
 from primroselock.mesh import messages
 from primroselock.mesh import node
 from primroselock import metrics
@@ -27,7 +29,6 @@
 from primroselock.platform import vmlist
 
 _log: typing.Final = logs.get('daemon')
-_OWN_ROLES: typing.Final = frozenset({'gateway', 'scheduler'})
 
 VmHandler = abc.Callable[[list[vmlist.Vm]], None]
 
@@ -46,7 +47,7 @@
         self.stopping = asyncio.Event()
         self.vms: list[vmlist.Vm] = []
         self.vms_read_at: float | None = None
-        self.beacons_by_vm_id: dict[str, messages.Beacon] = {}
+        self.members = membership.Members(settings)
         self.slots_by_upstream: dict[str, int] = {}
         self._vm_handlers: list[VmHandler] = []
         self._sequence = 0
@@ -96,38 +97,45 @@
             await asyncio.sleep(interval_s)
 
     def _use_vms(self) -> None:
-        own = [vm.mesh for vm in self.vms if vm.role in _OWN_ROLES]
+        own = [
+            vm.mesh for vm in self.vms if vm.role in confirmations.OWN_ROLES
+        ]
         self.mesh.set_peers([*self.settings.mesh.peers, *own])
         for handler in self._vm_handlers:
             handler(self.vms)
 
     async def _send_beacons(self) -> None:
         while True:
-            self._sequence += 1
-            now = clock.monotonic()
-            await self.mesh.publish(
-                messages.Beacon(
-                    self.settings.process.vm_id,
-                    self.incarnation,
-                    self._sequence,
-                    self.role,
-                    self.settings.process.zone,
-                    self.follower.current.version,
-                    self.follower.age_s(now),
-                    self.stopping.is_set(),
-                    dict(self.slots_by_upstream),
-                )
-            )
+            await self.mesh.publish(self.build_beacon(clock.monotonic()))
             await asyncio.sleep(self.settings.mesh.beacon_interval_s)
 
+    def build_beacon(self, now: float) -> messages.Beacon:
+        """Return this process's next word about itself."""
+        self._sequence += 1
+        return messages.Beacon(
+            self.settings.process.vm_id,
+            self.incarnation,
+            self._sequence,
+            self.role,
+            self.settings.process.zone,
+            self.follower.current.version,
+            round(self.follower.age_s(now), 3),
+            self.stopping.is_set(),
+            dict(self.slots_by_upstream),
+            self.mesh.address,
+        )
+
+    def confirmations(
+        self, version: int, now: float
+    ) -> confirmations.Confirmations:
+        """Return who has ``version`` in force, as heard here."""
+        return confirmations.collect(
+            version, self.build_beacon(now), self.members, self.vms, now
+        )
+
     def _record_beacon(self, message: messages.Message) -> None:
-        if not isinstance(message, messages.Beacon):
-            return
-        old = self.beacons_by_vm_id.get(message.vm_id)
-        if old is not None and old.incarnation == message.incarnation:
-            if message.sequence <= old.sequence:
-                return
-        self.beacons_by_vm_id[message.vm_id] = message
+        if isinstance(message, messages.Beacon):
+            self.members.record(message, clock.monotonic())
 
 
 def bind_socket(address: str) -> socket.socket:
--- a/primroselock/follower.py
+++ b/primroselock/follower.py
@@ -15,7 +15,7 @@
 from primroselock import logs
 from primroselock import options
 from primroselock import patches
-from primroselock.platform import table
+from primroselock.platform import objects
 
 _log: typing.Final = logs.get('configuration')
 
@@ -23,10 +23,12 @@
 class ConfigurationFollower:
     """The newest configuration known here and when it was confirmed."""
 
-    def __init__(self, settings: options.Settings, store: table.Table) -> None:
+    def __init__(
+        self, settings: options.Settings, store: objects.Store
+    ) -> None:
         self._settings = settings.configuration
         self._store = store
-        self._content: patches.Content | None = None
+        self._content = patches.EMPTY
         self.current = configuration.EMPTY
         self.confirmed_at: float | None = None
         self.changed = asyncio.Event()
@@ -56,11 +58,11 @@
     async def poll(self) -> None:
         """Read the head once and move forward where it is newer."""
         before = clock.monotonic()
-        loaded = await patches.load_content(self._store, self._content)
+        loaded = await patches.load_present(self._store, self._content)
         if isinstance(loaded, result.Err):
             _log.warning('platform not read', detail=loaded.err_value.detail)
             return
-        content = loaded.ok_value
+        content = loaded.ok_value.content
         if content.version < self.current.version:
             _log.error('head went back', version=content.version)
             return
--- a/primroselock/gateway.py
+++ b/primroselock/gateway.py
@@ -60,22 +60,16 @@
         """Return what this gateway knows."""
         now = clock.monotonic()
         follower = self._shared.follower
-        beacons = self._shared.beacons_by_vm_id
+        version = follower.current.version
+        known = self._shared.confirmations(version, now)
         return answers.json_answer(
             {
                 'vm_id': self._shared.settings.process.vm_id,
                 'zone': self._shared.settings.process.zone,
-                'config_version': follower.current.version,
+                'config_version': version,
                 'config_age_s': round(follower.age_s(now), 3),
-                'peers': [
-                    {
-                        'vm_id': beacon.vm_id,
-                        'role': beacon.role,
-                        'zone': beacon.zone,
-                        'config_version': beacon.config_version,
-                    }
-                    for beacon in beacons.values()
-                ],
+                'zones': known.zones,
+                'peers': known.processes,
             }
         )
 
@@ -96,6 +90,9 @@
         ('DELETE', '/v1/jobs/{job_id}', jobs_api.cancel),
         ('POST', '/v1/config/patches', config.submit),
         ('GET', '/v1/config/patches', config.list_patches),
+        ('POST', '/v1/config/revert', config.revert),
+        ('GET', '/v1/config/diff', config.show_difference),
+        ('GET', '/v1/config/confirmations', config.confirmations),
         ('GET', '/v1/config', config.show),
         ('GET', '/v1/audit', config.list_audit),
         ('GET', '/healthz', status.health),
--- /dev/null
+++ b/primroselock/history.py
@@ -0,0 +1,103 @@
+"""Older versions of the configuration: show, log, diff and revert.
+
+The content of any version is its patch row's snapshot with the patches
+since.  A revert is an ordinary patch: the difference between the content
+that it starts from and that of an older version.
+"""
+
+import dataclasses
+
+import msgspec
+import result
+
+from primroselock import configuration
+from primroselock import patches
+from primroselock.platform import keys
+from primroselock.platform import objects
+from primroselock.platform import table
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoVersion:
+    """There is no such version."""
+
+    version: int
+
+
+ReadError = NoVersion | table.Unavailable
+
+
+async def load(
+    store: objects.Store, version: int
+) -> result.Result[patches.Content, ReadError]:
+    """Return the content of ``version``."""
+    if version == 0:
+        return result.Ok(patches.EMPTY)
+    read = await patches.read_patch(store, version)
+    if isinstance(read, result.Err):
+        return read
+    if read.ok_value is None:
+        return result.Err(NoVersion(version))
+    snapshot = read.ok_value.snapshot
+    return await patches.load_version(store, version, snapshot)
+
+
+async def list_patches(
+    store: table.Table, after: int, limit: int
+) -> result.Result[list[patches.Patch], table.Unavailable]:
+    """Return up to ``limit`` patches past version ``after``, in order."""
+    page = await store.scan(
+        keys.CONFIG_PATCHES, keys.config_patch(after), limit
+    )
+    if isinstance(page, result.Err):
+        return page
+    return result.Ok(
+        [
+            msgspec.json.decode(row.value, type=patches.Patch)
+            for row in page.ok_value
+        ]
+    )
+
+
+async def find_difference(
+    store: objects.Store, from_version: int, to_version: int
+) -> result.Result[str, ReadError]:
+    """Return the patch text that turns one version into another."""
+    old = await load(store, from_version)
+    if isinstance(old, result.Err):
+        return old
+    new = await load(store, to_version)
+    if isinstance(new, result.Err):
+        return new
+    changes = configuration.difference(
+        old.ok_value.sections, new.ok_value.sections
+    )
+    return result.Ok(configuration.to_text(changes))
+
+
+async def revert(
+    store: objects.Store,
+    submission: patches.Submission,
+    to_version: int,
+    now: float,
+) -> result.Result[patches.Accepted, patches.SubmitError | NoVersion]:
+    """Submit the patch that restores the content of ``to_version``.
+
+    The text of ``submission`` is made here from its base version, so
+    that a repeated one has the same text.
+    """
+    found = await find_difference(store, submission.base_version, to_version)
+    if isinstance(found, result.Err):
+        error = found.err_value
+        if isinstance(error, NoVersion):
+            return result.Err(error)
+        return result.Err(patches.StoreFailed(error.detail))
+    complete = dataclasses.replace(
+        submission,
+        text=found.ok_value,
+        action=f'patch revert to {to_version}',
+    )
+    outcome = await patches.submit(store, complete, now)
+    if isinstance(outcome, result.Err):
+        return result.Err(outcome.err_value)
+    return outcome
--- a/primroselock/ini.py
+++ b/primroselock/ini.py
@@ -138,6 +138,13 @@
     return digests
 
 
+@kind('curve_key', 'a CURVE key of 40 Z85 characters')
+def _curve_key(value: str) -> str:
+    if not re.fullmatch(r'[0-9a-zA-Z.:+=^!/*?&<>()\[\]{}@%$#-]{40}', value):
+        raise ValueError(value)
+    return value
+
+
 @kind('log_format', 'json or console')
 def _log_format(value: str) -> str:
     if value not in ('json', 'console'):
--- a/primroselock/jobsapi.py
+++ b/primroselock/jobsapi.py
@@ -10,6 +10,7 @@
 from starlette import responses
 
 from primroselock import answers
+from primroselock import audit
 from primroselock import auth
 from primroselock import clock
 from primroselock import configuration
@@ -108,7 +109,9 @@
                 return found
             if found.job.state.is_final or found.job.cancel_requested:
                 return answers.json_answer(describe(found.job))
-            marked = await self._store.request_cancel(found)
+            marked = await self._store.request_cancel(
+                found, self._cancel_entry(request, found.job)
+            )
             if isinstance(marked, result.Ok):
                 await self._shared.mesh.publish(
                     messages.JobHint(found.job.shard, found.job.id)
@@ -121,6 +124,22 @@
             503, 'busy', 'the job keeps changing', retry_after_s=1.0
         )
 
+    def _cancel_entry(
+        self, request: requests.Request, job: jobs.Job
+    ) -> audit.Entry | None:
+        """Return the audit entry of an operator's cancellation."""
+        digests = self._shared.settings.gateway.operator_digests
+        if not auth.is_operator(request, digests):
+            return None
+        return audit.Entry(
+            clock.wall(),
+            request.headers.get('primroselock-author', 'operator'),
+            request.client.host if request.client else '',
+            'job cancel',
+            'accepted',
+            f'job {job.id} of account {job.account}',
+        )
+
     async def _find(
         self, request: requests.Request
     ) -> jobstore.Stored | responses.Response:
--- a/primroselock/jobstore.py
+++ b/primroselock/jobstore.py
@@ -10,6 +10,7 @@
 
 import result
 
+from primroselock import audit
 from primroselock import jobs
 from primroselock.platform import keys
 from primroselock.platform import table
@@ -72,16 +73,24 @@
         return result.Ok(row.value.decode() if row else None)
 
     async def request_cancel(
-        self, stored: Stored
+        self, stored: Stored, entry: audit.Entry | None = None
     ) -> result.Result[table.Committed, table.TransactError]:
-        """Mark a job as to be cancelled and tell its shard."""
+        """Mark a job as to be cancelled and tell its shard.
+
+        ``entry`` goes to the audit trail in the same transaction.
+        """
         job = dataclasses.replace(stored.job, cancel_requested=True)
+        token = table.new_token()
+        puts = [
+            table.Put(keys.job(job.id), jobs.encode(job)),
+            table.Put(keys.inbox(job.shard) + job.id, b'cancel'),
+        ]
+        if entry is not None:
+            puts.append(audit.build_put(entry, token))
         transaction = table.Transaction(
             (table.Condition(keys.job(job.id), stored.row_version),),
-            (
-                table.Put(keys.job(job.id), jobs.encode(job)),
-                table.Put(keys.inbox(job.shard) + job.id, b'cancel'),
-            ),
+            tuple(puts),
+            token=token,
         )
         return await table.transact_settled(self._store, transaction)
 
--- /dev/null
+++ b/primroselock/mesh/membership.py
@@ -0,0 +1,143 @@
+"""Who is alive, as this process hears it; every entry is only a hint.
+
+Beacons may be lost, doubled, late or out of order.  Within one
+incarnation only a higher sequence number counts.  A beacon of another
+incarnation replaces the known one at once, so that a VM that was
+replaced at the same address is known by its new process; the earlier
+incarnation is then heard again only after the present one was silent
+for ``peer_expiry_s``.  A process that was silent for that long is not
+live; it is forgotten after ``FORGET_S``.
+
+Peers are chosen alike by all processes from the same addresses: half are
+neighbours on a ring of the own zone, the rest on a ring of all, at
+distances of powers of two, so that news crosses the mesh in a number of
+steps that grows with the logarithm of its size.
+"""
+
+from collections import abc
+import dataclasses
+import hashlib
+import typing
+
+from primroselock.mesh import messages
+from primroselock import options
+
+FORGET_S: typing.Final = 60.0
+
+ProcessKey = tuple[str, str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heard:
+    """The newest beacon of a process and when it came.
+
+    ``retired`` is the incarnation that it replaced, if any.
+    """
+
+    beacon: messages.Beacon
+    heard_at: float
+    retired: str = ''
+
+    def config_age_s(self, now: float) -> float:
+        """Return a lower bound of the confirmation's age, for people."""
+        if self.beacon.config_age_s < 0:
+            return -1.0
+        return self.beacon.config_age_s + now - self.heard_at
+
+
+class Members:
+    """The processes that were heard, by VM id and role."""
+
+    def __init__(self, settings: options.Settings) -> None:
+        self._expiry_s = settings.mesh.peer_expiry_s
+        self.heard_by_process: dict[ProcessKey, Heard] = {}
+
+    def record(self, beacon: messages.Beacon, now: float) -> bool:
+        """Take a beacon over unless a newer one is known; say whether."""
+        key = (beacon.vm_id, beacon.role)
+        known = self.heard_by_process.get(key)
+        retired = ''
+        if known is not None:
+            if known.beacon.incarnation == beacon.incarnation:
+                if beacon.sequence <= known.beacon.sequence:
+                    return False
+                retired = known.retired
+            else:
+                silent_s = now - known.heard_at
+                if beacon.incarnation == known.retired and (
+                    silent_s <= self._expiry_s
+                ):
+                    return False
+                retired = known.beacon.incarnation
+        self.heard_by_process[key] = Heard(beacon, now, retired)
+        return True
+
+    def is_live(self, heard: Heard, now: float) -> bool:
+        """Whether a process was heard lately."""
+        return now - heard.heard_at <= self._expiry_s
+
+    def list_live(self, now: float) -> list[Heard]:
+        """Return the processes that were heard lately; forget old ones."""
+        for key, heard in list(self.heard_by_process.items()):
+            if now - heard.heard_at > FORGET_S:
+                del self.heard_by_process[key]
+        return [
+            heard
+            for heard in self.heard_by_process.values()
+            if self.is_live(heard, now)
+        ]
+
+
+def choose_peers(
+    own_address: str,
+    zones_by_address: abc.Mapping[str, str],
+    limit: int,
+) -> set[str]:
+    """Return up to ``limit`` addresses to exchange messages with.
+
+    ``zones_by_address`` holds every known process; a zone may be empty.
+    """
+    others = {a for a in zones_by_address if a and a != own_address}
+    if len(others) <= limit:
+        return others
+    own_zone = zones_by_address.get(own_address, '')
+    near = {a for a in others if zones_by_address[a] == own_zone}
+    chosen = _ring_neighbours(own_address, near, limit // 2)
+    for address in _ring_neighbours(own_address, others, len(others)):
+        if len(chosen) >= limit:
+            break
+        if address not in chosen:
+            chosen.append(address)
+    return set(chosen)
+
+
+def _ring_neighbours(own: str, others: set[str], limit: int) -> list[str]:
+    """Return neighbours at distances 1, 2, 4, ... to both sides."""
+    ring = sorted({own, *others}, key=_digest)
+    place = ring.index(own)
+    found: list[str] = []
+    distance = 1
+    while distance <= len(ring) // 2 and len(found) < limit:
+        for step in (distance, -distance):
+            address = ring[(place + step) % len(ring)]
+            if address not in found and len(found) < limit:
+                found.append(address)
+        distance *= 2
+    return found
+
+
+def choose_poller(
+    incarnations: abc.Iterable[str], wall_now: float, rotation_s: float
+) -> str:
+    """Return the incarnation that reads the head row for its zone.
+
+    The turn goes round every ``rotation_s``.  Processes that do not see
+    the same incarnations or time choose several pollers or a silent one,
+    which costs reads, never a promise.
+    """
+    turn = int(wall_now // rotation_s)
+    return min(incarnations, key=lambda own: _digest(f'{turn}:{own}'))
+
+
+def _digest(text: str) -> bytes:
+    return hashlib.sha256(text.encode()).digest()
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -10,6 +10,7 @@
 import typing
 
 import result
+import zmq
 
 from primroselock import errors
 from primroselock import ini
@@ -41,8 +42,10 @@
     bind: str = ini.key('address', '127.0.0.1:0')
     peers: tuple[str, ...] = ini.key('addresses', ())
     beacon_interval_s: float = ini.key('seconds', 0.5)
-    public_key: str = ini.key('text', '')
-    secret_key: str = ini.key('text', '')
+    peer_expiry_s: float = ini.key('seconds', 2.5)
+    max_peers: int = ini.key('positive', 16)
+    public_key: str = ini.key('curve_key', '')
+    secret_key: str = ini.key('curve_key', '')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +53,8 @@
     """How the configuration is followed and when it permits starts."""
 
     poll_interval_s: float = ini.key('seconds', 0.5)
+    poller_rotation_s: float = ini.key('seconds', 30.0)
+    cold_start_wait_s: float = ini.key('seconds', 2.0)
     start_permit_ttl_s: float = ini.key('seconds', 3.0)
 
 
@@ -139,7 +144,7 @@
 ) -> list[ini.Problem]:
     """Check the rules that hold between several keys."""
     scheduler: SchedulerSettings = built['scheduler']
-    problems: list[ini.Problem] = []
+    problems = _check_mesh(built['mesh'], source)
     if scheduler.shard_renew_interval_s * 3 > scheduler.shard_lease_s:
         problems.append(
             ini.Problem(
@@ -163,6 +168,31 @@
     return problems
 
 
+def _check_mesh(mesh: MeshSettings, source: str) -> list[ini.Problem]:
+    problems: list[ini.Problem] = []
+    if mesh.beacon_interval_s * 3 > mesh.peer_expiry_s:
+        problems.append(
+            ini.Problem(
+                source,
+                'mesh',
+                'beacon_interval_s',
+                str(mesh.beacon_interval_s),
+                'at most a third of peer_expiry_s',
+            )
+        )
+    public_key = ''
+    if mesh.secret_key:
+        public_key = zmq.curve_public(mesh.secret_key.encode()).decode()
+    if mesh.public_key != public_key:
+        expected = 'the public key of secret_key, or neither key'
+        problems.append(
+            ini.Problem(
+                source, 'mesh', 'public_key', mesh.public_key, expected
+            )
+        )
+    return problems
+
+
 def load(path: str) -> Settings:
     """Read the settings file at ``path``.
 
--- a/primroselock/platform/keys.py
+++ b/primroselock/platform/keys.py
@@ -8,7 +8,6 @@
 
 CONFIG_HEAD: typing.Final = 'config/head'
 CONFIG_PATCHES: typing.Final = 'config/patch/'
-CONFIG_SNAPSHOT: typing.Final = 'config/snapshot'
 AUDIT: typing.Final = 'audit/'
 
 
@@ -17,6 +16,11 @@
     return f'{CONFIG_PATCHES}{version:012d}'
 
 
+def config_snapshot(version: int, digest: str) -> str:
+    """Return the object's name of a snapshot, by version and content."""
+    return f'config-snapshot-{version:012d}-{digest}'
+
+
 def shard_lease(shard: str) -> str:
     """Return the key of a shard's lease, rewritten by each renewal."""
     return f'shard/{shard}/lease'
--- a/primroselock/platform/table.py
+++ b/primroselock/platform/table.py
@@ -3,11 +3,14 @@
 Rows are found by a string key.  A transaction checks conditions on row
 versions, then writes all its rows or none.  Each row carries the token
 of the transaction that wrote it, so that a transaction whose reply was
-lost can be settled by reading its rows back: see :func:`settle`.
+lost can be settled by reading its rows back: see :func:`read_back`.
 """
 
+import asyncio
 from collections import abc
 import dataclasses
+import enum
+import random
 import typing
 import uuid
 
@@ -16,6 +19,8 @@
 ABSENT: typing.Final = 0
 """Row version that stands for a row that does not exist."""
 
+_SETTLE_BACKOFF_S: typing.Final = 0.05
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Row:
@@ -109,57 +114,120 @@
         """Apply ``transaction`` whole, or not at all."""
 
 
-async def settle(
-    table: Table, transaction: Transaction
-) -> result.Result[Committed, TransactError]:
-    """Find out whether an unsettled transaction took effect.
+class Evidence(enum.Enum):
+    """What reading rows back tells of an unsettled transaction."""
+
+    APPLIED = 'applied'
+    PENDING = 'not applied so far'
+    NEVER = 'not applied and never will be'
+    UNKNOWN = 'its rows were overwritten since'
+
+
+async def read_back(
+    table: Table, transaction: Transaction, witness: str = ''
+) -> result.Result[tuple[Evidence, int], Unavailable]:
+    """Read a transaction's rows and tell whether it took effect.
 
-    A written row that carries the token proves that it did.  A
-    conditioned row that is still at its old version proves that it has
-    not so far, but it still might; the caller then sends the same
-    transaction again, which its conditions make harmless.
+    A row that carries the token proves that it did; the row's version
+    comes with the answer.  ``witness`` is the key of a put to a row that
+    is written once and never deleted: another token in it proves that
+    the transaction never will take effect.  A written row that is still
+    at its conditioned version proves that it has not so far.  Rows that
+    moved on without the token prove nothing: the transaction may have
+    been applied and then overwritten.
     """
-    keys = [put.key for put in transaction.puts]
-    read = await table.read(keys)
+    versions_by_key = {c.key: c.version for c in transaction.conditions}
+    written = [put.key for put in transaction.puts]
+    written.extend(transaction.deletes)
+    read = await table.read(written)
     if isinstance(read, result.Err):
-        return result.Err(Unsettled(read.err_value.detail))
-    for row in read.ok_value.values():
+        return read
+    rows = read.ok_value
+    for row in rows.values():
         if row.token == transaction.token:
-            return result.Ok(Committed(row.version))
-    return await table.transact(transaction)
+            return result.Ok((Evidence.APPLIED, row.version))
+    if witness and witness in rows:
+        return result.Ok((Evidence.NEVER, ABSENT))
+    for key in written:
+        present = rows[key].version if key in rows else ABSENT
+        if versions_by_key.get(key) != present:
+            continue
+        if present != ABSENT or key not in transaction.deletes:
+            return result.Ok((Evidence.PENDING, ABSENT))
+    return result.Ok((Evidence.UNKNOWN, ABSENT))
+
+
+def excludes_itself(transaction: Transaction) -> bool:
+    """Whether a second application would fail on the first one's rows."""
+    put_keys = {put.key for put in transaction.puts}
+    return any(
+        condition.key in put_keys
+        or (
+            condition.key in transaction.deletes
+            and condition.version != ABSENT
+        )
+        for condition in transaction.conditions
+    )
 
 
 async def transact_settled(
-    table: Table, transaction: Transaction, tries: int = 3
+    table: Table, transaction: Transaction, tries: int = 3, witness: str = ''
 ) -> result.Result[Committed, TransactError]:
     """Apply ``transaction``; settle a lost reply in up to ``tries`` tries.
 
-    After a lost reply a conflict may be with the transaction's own first
-    try, so the rows are read back before a conflict is believed.
+    After a lost reply nothing is believed but rows that were read back:
+    a conflict may be with the transaction's own first try, and a second
+    try that did not arrive says nothing about the first.  It is sent
+    again only if it has not been applied so far and its conditions
+    exclude a second application.  ``witness``: see :func:`read_back`.
     """
     outcome = await table.transact(transaction)
-    for _ in range(tries):
-        if isinstance(outcome, result.Ok):
-            return outcome
-        if not isinstance(outcome.err_value, Unsettled):
+    for attempt in range(tries):
+        if not _is_unsettled(outcome):
             return outcome
-        outcome = await settle(table, transaction)
-        if isinstance(outcome, result.Err) and isinstance(
-            outcome.err_value, Conflict
-        ):
-            return await _settle_conflict(table, transaction, outcome)
+        if attempt:
+            longest_s = _SETTLE_BACKOFF_S * 2**attempt
+            await asyncio.sleep(random.uniform(0, longest_s))
+        outcome = await _settle(table, transaction, witness)
     return outcome
 
 
-async def _settle_conflict(
-    table: Table,
-    transaction: Transaction,
-    conflict: result.Err[TransactError],
+def _is_unsettled(outcome: result.Result[Committed, TransactError]) -> bool:
+    return isinstance(outcome, result.Err) and isinstance(
+        outcome.err_value, Unsettled
+    )
+
+
+async def _settle(
+    table: Table, transaction: Transaction, witness: str
 ) -> result.Result[Committed, TransactError]:
-    read = await table.read([put.key for put in transaction.puts])
+    settled = await _judge(table, transaction, witness)
+    if settled is not None:
+        return settled
+    if not excludes_itself(transaction):
+        return result.Err(Unsettled('not applied so far'))
+    again = await table.transact(transaction)
+    if isinstance(again, result.Ok):
+        return again
+    if not isinstance(again.err_value, Conflict):
+        return result.Err(Unsettled(again.err_value.detail))
+    settled = await _judge(table, transaction, witness)
+    # Still not applied, and its conditions no longer hold.
+    return settled if settled is not None else again
+
+
+async def _judge(
+    table: Table, transaction: Transaction, witness: str
+) -> result.Result[Committed, TransactError] | None:
+    """Return the settled outcome, or None where it was not applied yet."""
+    read = await read_back(table, transaction, witness)
     if isinstance(read, result.Err):
         return result.Err(Unsettled(read.err_value.detail))
-    for row in read.ok_value.values():
-        if row.token == transaction.token:
-            return result.Ok(Committed(row.version))
-    return conflict
+    evidence, version = read.ok_value
+    if evidence is Evidence.APPLIED:
+        return result.Ok(Committed(version))
+    if evidence is Evidence.NEVER:
+        return result.Err(Conflict((witness,)))
+    if evidence is Evidence.UNKNOWN:
+        return result.Err(Unsettled(evidence.value))
+    return None
--- /dev/null
+++ b/primroselock/test/testpatches.py
@@ -0,0 +1,358 @@
+"""Patches under races, lost replies, late duplicates and restarts."""
+
+import asyncio
+import contextlib
+import logging
+import typing
+import unittest
+from unittest import mock
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import msgspec
+import result
+import structlog
+
+from primroselock import audit
+from primroselock import configuration
+from primroselock import follower
+from primroselock import history
+from primroselock import ini
+from primroselock import patches
+from primroselock.platform import table
+from primroselock.test import builders
+from primroselock.test import fakestore
+
+TEXTS: typing.Final = (
+    '[zone a]\nstate = out\n',
+    '[zone a]\nstate = in\nracks = 2\n',
+    '[zone b]\nracks = 1\n',
+    '[zone b]\nremove = true\n',
+    '[account signs]\nweight = 3\nguarantee.a = 8:1\n',
+    '[account signs]\nguarantee.a = unset\n',
+    '[account signs]\nguarantee.a = 64:9\n',
+)
+FAULTS: typing.Final = st.lists(st.sampled_from(fakestore.Fault), max_size=4)
+
+
+def setUpModule() -> None:
+    """Log nothing: faults are the rule here."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+    )
+
+
+def tearDownModule() -> None:
+    """Log as before."""
+    structlog.reset_defaults()
+
+
+def build_submission(
+    base: int, text: str = TEXTS[2], submission_id: str = ''
+) -> patches.Submission:
+    """Return a submission by one operator."""
+    return patches.Submission(
+        base, text, 'why', 'ann', '10.0.0.9', submission_id
+    )
+
+
+class PatchMachine(stateful.RuleBasedStateMachine):
+    """Operators and processes against one store with faults."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.runner = asyncio.Runner()
+        self.undo = contextlib.ExitStack()
+        self.undo.enter_context(self.runner)
+        for module, name, value in (
+            (table, '_SETTLE_BACKOFF_S', 0.0),
+            (patches, 'SNAPSHOT_INTERVAL', 3),
+        ):
+            self.undo.enter_context(mock.patch.object(module, name, value))
+        self.store = fakestore.FakeStore()
+        self.sent: list[patches.Submission] = []
+        self.accepted: dict[str, int] = {}
+        self.refused: set[str] = set()
+        self.followers = [self._start_follower() for _ in range(2)]
+        self.seen = [0, 0]
+
+    def teardown(self) -> None:
+        self.undo.close()
+
+    def _start_follower(self) -> follower.ConfigurationFollower:
+        settings = builders.build_settings()
+        return follower.ConfigurationFollower(settings, self.store)
+
+    def _rows(self) -> list[patches.Patch]:
+        rows = self.store.inner.scan('config/patch/', '', 1000)
+        return [msgspec.json.decode(r.value, type=patches.Patch) for r in rows]
+
+    def _submit(
+        self, submission: patches.Submission, faults: list[fakestore.Fault]
+    ) -> None:
+        self.store.faults = list(faults)
+        outcome = self.runner.run(patches.submit(self.store, submission, 1.0))
+        self.store.faults = []
+        if isinstance(outcome, result.Ok):
+            version = outcome.ok_value.version
+            known = self.accepted.setdefault(submission.id, version)
+            assert known == version == submission.base_version + 1
+            return
+        error = outcome.err_value
+        if isinstance(error, patches.Raced):
+            assert error.present_version != submission.base_version
+        if isinstance(error, patches.Raced | patches.Invalid):
+            self.refused.add(submission.id)
+
+    @stateful.rule(
+        text=st.sampled_from(TEXTS),
+        behind=st.integers(0, 2),
+        faults=FAULTS,
+    )
+    def submit(
+        self, text: str, behind: int, faults: list[fakestore.Fault]
+    ) -> None:
+        base = max(0, len(self._rows()) - behind)
+        new = build_submission(base, text, f's{len(self.sent)}')
+        self.sent.append(new)
+        self._submit(new, faults)
+
+    @stateful.precondition(lambda self: self.sent)
+    @stateful.rule(data=st.data(), faults=FAULTS)
+    def repeat(
+        self, data: st.DataObject, faults: list[fakestore.Fault]
+    ) -> None:
+        self._submit(data.draw(st.sampled_from(self.sent)), faults)
+
+    @stateful.rule(
+        text=st.sampled_from(TEXTS), faults=FAULTS, after=st.booleans()
+    )
+    def race(
+        self, text: str, faults: list[fakestore.Fault], after: bool
+    ) -> None:
+        """Another's patch is accepted just before or after the write."""
+        base = len(self._rows())
+        new = build_submission(base, text, f's{len(self.sent)}')
+        self.sent.append(new)
+        beside = fakestore.FakeStore()
+        beside.inner = self.store.inner
+
+        def interfere() -> None:
+            self.store.on_write = self.store.after_write = lambda: None
+            present = len(self._rows())
+            rival = build_submission(present, TEXTS[2], f'r{len(self.sent)}')
+            coroutine = patches.submit(beside, rival, 1.0)
+            try:
+                # Runs to its end at once: the store never waits.
+                coroutine.send(None)
+            except StopIteration as done:
+                if isinstance(done.value, result.Ok):
+                    self.accepted[rival.id] = done.value.ok_value.version
+
+        if after:
+            self.store.after_write = interfere
+        else:
+            self.store.on_write = interfere
+        self._submit(new, faults)
+        self.store.on_write = self.store.after_write = lambda: None
+
+    @stateful.rule(
+        data=st.data(),
+        faults=FAULTS,
+    )
+    def revert(
+        self, data: st.DataObject, faults: list[fakestore.Fault]
+    ) -> None:
+        present = len(self._rows())
+        target = data.draw(st.integers(0, present))
+        self.store.faults = list(faults)
+        outcome = self.runner.run(
+            history.revert(
+                self.store, build_submission(present, ''), target, 1.0
+            )
+        )
+        self.store.faults = []
+        if isinstance(outcome, result.Ok):
+            old = self.runner.run(history.load(self.store, target))
+            new = self.runner.run(history.load(self.store, present + 1))
+            assert old.unwrap().sections == new.unwrap().sections
+
+    @stateful.rule()
+    def deliver_late(self) -> None:
+        self.store.apply_late()
+
+    @stateful.rule(up=st.booleans())
+    def switch_objects(self, up: bool) -> None:
+        self.store.objects_up = up
+
+    @stateful.rule(index=st.integers(0, 1), readable=st.booleans())
+    def poll(self, index: int, readable: bool) -> None:
+        self.store.readable = readable
+        self.runner.run(self.followers[index].poll())
+        self.store.readable = True
+
+    @stateful.rule(index=st.integers(0, 1))
+    def restart(self, index: int) -> None:
+        self.followers[index] = self._start_follower()
+        self.seen[index] = 0
+
+    @stateful.invariant()
+    def history_is_linear(self) -> None:
+        rows = self._rows()
+        versions = [row.version for row in rows]
+        assert versions == list(range(1, len(rows) + 1))
+        ids = [row.submission_id for row in rows if row.submission_id]
+        assert len(ids) == len(set(ids)), 'a submission was applied twice'
+        for submission_id, version in self.accepted.items():
+            assert rows[version - 1].submission_id == submission_id
+        assert not self.refused & set(ids), 'a refused one was applied'
+
+    @stateful.invariant()
+    def no_process_goes_back(self) -> None:
+        for index, process in enumerate(self.followers):
+            version = process.current.version
+            assert version >= self.seen[index]
+            self.seen[index] = version
+            content = patches.EMPTY
+            for row in self._rows()[:version]:
+                content = patches.apply_text(content, row.text)
+            read = configuration.read(content.sections, version, 'model')
+            expected = read.unwrap() if version else configuration.EMPTY
+            assert process.current == expected
+
+
+class PatchMachineTest(unittest.TestCase):
+    """History is linear and nothing accepted is lost."""
+
+    def test_machine(self) -> None:
+        stateful.run_state_machine_as_test(
+            PatchMachine,
+            settings=hypothesis.settings(
+                max_examples=80, stateful_step_count=25, deadline=None
+            ),
+        )
+
+
+NAMES: typing.Final = st.sampled_from(['zone a', 'zone b', 'jobs', 'x y'])
+LINES: typing.Final = st.text('ab:%=[1 ', min_size=1, max_size=4).map(
+    lambda text: f'a{text}'.strip()
+)
+VALUES: typing.Final = st.lists(LINES, max_size=3).map('\n'.join)
+SECTIONS: typing.Final = st.dictionaries(
+    NAMES, st.dictionaries(st.sampled_from(['p', 'q', 'r']), VALUES)
+)
+
+
+class DifferenceTest(unittest.TestCase):
+    """The difference of two contents is a patch that leads to the other."""
+
+    @hypothesis.given(SECTIONS, SECTIONS)
+    def test_difference_restores(
+        self, old: ini.Sections, new: ini.Sections
+    ) -> None:
+        changes = configuration.difference(old, new)
+        patch = ini.parse(configuration.to_text(changes), 'patch').unwrap()
+        self.assertEqual(new, configuration.merge(old, patch))
+
+
+class SettleTest(unittest.IsolatedAsyncioTestCase):
+    """A lost reply is settled by rows that were read back only."""
+
+    def setUp(self) -> None:
+        self.store = fakestore.FakeStore()
+
+    def put(self, key: str, token: str = 'other') -> int:
+        """Write a row beside; return its version."""
+        write = table.Transaction(puts=(table.Put(key, b''),), token=token)
+        self.store.inner.transact(write)
+        return self.store.inner.version
+
+    async def assert_unsettled(
+        self, transaction: table.Transaction, *faults: fakestore.Fault
+    ) -> None:
+        """Apply a transaction under faults; its outcome must stay open."""
+        self.store.faults = list(faults)
+        outcome = await table.transact_settled(self.store, transaction)
+        assert isinstance(outcome, result.Err)
+        self.assertIsInstance(outcome.err_value, table.Unsettled)
+
+    async def test_deletes_only_is_not_told_as_a_conflict(self) -> None:
+        condition = table.Condition('inbox', self.put('inbox'))
+        await self.assert_unsettled(
+            table.Transaction((condition,), deletes=('inbox',)),
+            fakestore.Fault.REPLY_LOST,
+        )
+
+    async def test_resend_that_fails_stays_unsettled(self) -> None:
+        condition = table.Condition('k', table.ABSENT)
+        await self.assert_unsettled(
+            table.Transaction((condition,), (table.Put('k', b''),)),
+            fakestore.Fault.LATE,
+            *[fakestore.Fault.UNAVAILABLE] * 3,
+        )
+
+    async def test_unconditioned_write_is_not_sent_twice(self) -> None:
+        writes: list[int] = []
+        self.store.on_write = lambda: writes.append(1)
+        await self.assert_unsettled(
+            table.Transaction(puts=(table.Put('k', b''),)),
+            fakestore.Fault.NOT_ARRIVED,
+        )
+        self.assertEqual(1, len(writes))
+
+    async def test_overwritten_row_is_not_told_as_a_conflict(self) -> None:
+        condition = table.Condition('job', self.put('job'))
+        original = self.store.read
+
+        async def overwrite_then_read(keys: typing.Any) -> typing.Any:
+            self.put('job')
+            return await original(keys)
+
+        with mock.patch.object(self.store, 'read', overwrite_then_read):
+            await self.assert_unsettled(
+                table.Transaction((condition,), (table.Put('job', b''),)),
+                fakestore.Fault.REPLY_LOST,
+            )
+
+
+class HistoryTest(unittest.IsolatedAsyncioTestCase):
+    """Cold reads stay small; refused tries are audited."""
+
+    async def test_cold_process_reads_little(self) -> None:
+        store = fakestore.FakeStore()
+        versions = 4 * patches.SNAPSHOT_INTERVAL + 7
+        for version in range(versions):
+            submission = build_submission(version)
+            done = await patches.submit(store, submission, float(version))
+            self.assertEqual(version + 1, done.unwrap().version)
+        for load in (
+            patches.load_present(store),
+            history.load(store, versions // 2),
+        ):
+            store.reads = store.rows_read = 0
+            await load
+            self.assertLessEqual(store.reads, 3)
+            self.assertLessEqual(
+                store.rows_read, patches.SNAPSHOT_INTERVAL + 1
+            )
+
+    async def test_refused_tries_are_audited(self) -> None:
+        store = fakestore.FakeStore()
+        await patches.submit(store, build_submission(0), 1.0)
+        await patches.submit(store, build_submission(0), 2.0)
+        await patches.submit(store, build_submission(1, '[x'), 3.0)
+        listed = (await audit.list_entries(store, '', 10)).unwrap()
+        told = [(e.author, e.origin, e.outcome) for e in listed]
+        self.assertEqual(
+            [('ann', '10.0.0.9', 'accepted')]
+            + [('ann', '10.0.0.9', 'refused')] * 2,
+            told,
+        )
+        self.assertIn('the present version is 1', listed[1].detail)
+        rest = await audit.list_entries(store, listed[0].id, 10)
+        self.assertEqual(listed[1:], rest.unwrap())
+
+
+if __name__ == '__main__':
+    unittest.main()
