Relay confirmations by questions; members, peers, keys, cold start

Cause: each process polled the platform by itself, so a zone cut from it had no fresh configuration and no permit, a cold process could not start in an outage, and beacons carried an age that a receiver could not trust: a message may wait in a buffer while its receiver is frozen.

Change: a ROUTER and DEALERs replace PUB and SUB. A process notes the time, asks a peer, and counts the answer from then, less the age that the peer told; content that the asker lacks comes with the answer. One poller a zone by beacons and time; a process with an old confirmation reads by itself and asks the freshest peers. A beacon with a newer version makes its receiver ask at once. Members by VM and role with incarnation and sequence; bounded peers on two rings; one key pair for a deployment, checked in the settings. A listening socket now listens before its address is told: a caller met a refused connection.

Ruled out: a one-way age (wrong by the time in a buffer); echoes of sequence numbers in beacons (no way to ask peers that have not heard of a new process); topics on PUB and SUB (the same).

Before: no relay; after: testinforce and testmesh pass.

--- a/primroselock/daemon.py
+++ b/primroselock/daemon.py
@@ -27,6 +27,7 @@
 from primroselock import options
 from primroselock.platform import client
 from primroselock.platform import vmlist
+from primroselock import relay
 
 _log: typing.Final = logs.get('daemon')
 
@@ -52,6 +53,13 @@
         self._vm_handlers: list[VmHandler] = []
         self._sequence = 0
         self.mesh.add_handler(self._record_beacon)
+        self.relay = relay.Relay(
+            settings,
+            self.follower,
+            self.mesh,
+            self.members,
+            self.incarnation,
+        )
 
     def add_vm_handler(self, handler: VmHandler) -> None:
         """Call ``handler`` with each VM list that is read."""
@@ -74,7 +82,8 @@
     ) -> list[asyncio.Task[None]]:
         """Start the shared loops; the caller cancels them when it leaves."""
         return [
-            group.create_task(self.follower.run()),
+            group.create_task(self.relay.run_polls()),
+            group.create_task(self.relay.run_questions()),
             group.create_task(self._follow_vms()),
             group.create_task(self.mesh.run()),
             group.create_task(self._send_beacons()),
@@ -97,17 +106,40 @@
             await asyncio.sleep(interval_s)
 
     def _use_vms(self) -> None:
-        own = [
-            vm.mesh for vm in self.vms if vm.role in confirmations.OWN_ROLES
-        ]
-        self.mesh.set_peers([*self.settings.mesh.peers, *own])
+        self._choose_peers(clock.monotonic())
         for handler in self._vm_handlers:
             handler(self.vms)
 
+    def _choose_peers(self, now: float) -> None:
+        """Take peers from the settings, the VM list and beacons."""
+        zones = {address: '' for address in self.settings.mesh.peers}
+        for vm in self.vms:
+            if vm.role in confirmations.OWN_ROLES and not vm.leaving:
+                zones[vm.mesh] = vm.zone
+        for heard in self.members.list_live(now):
+            zones[heard.beacon.address] = heard.beacon.zone
+        zones[self.mesh.address] = self.settings.process.zone
+        self.mesh.set_peers(
+            membership.choose_peers(
+                self.mesh.address, zones, self.settings.mesh.max_peers
+            )
+        )
+
     async def _send_beacons(self) -> None:
+        """Send a beacon at an interval, and at once after a change."""
+        interval_s = self.settings.mesh.beacon_interval_s
         while True:
-            await self.mesh.publish(self.build_beacon(clock.monotonic()))
-            await asyncio.sleep(self.settings.mesh.beacon_interval_s)
+            now = clock.monotonic()
+            self._choose_peers(now)
+            await self.mesh.publish(self.build_beacon(now))
+            try:
+                await asyncio.wait_for(
+                    self.follower.changed.wait(), interval_s
+                )
+            except TimeoutError:
+                continue
+            finally:
+                self.follower.changed.clear()
 
     def build_beacon(self, now: float) -> messages.Beacon:
         """Return this process's next word about itself."""
@@ -122,7 +154,7 @@
             round(self.follower.age_s(now), 3),
             self.stopping.is_set(),
             dict(self.slots_by_upstream),
-            self.mesh.address,
+            self.mesh.reachable_address,
         )
 
     def confirmations(
@@ -150,6 +182,7 @@
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         listener.bind((host, int(port)))
+        listener.listen()
     except OSError as error:
         listener.close()
         raise errors.CommandError(
--- a/primroselock/gateway.py
+++ b/primroselock/gateway.py
@@ -48,7 +48,7 @@
         """Tell the balancer whether to send requests here."""
         if self._shared.stopping.is_set():
             return answers.error(503, 'leaving', 'this VM is leaving')
-        if self._shared.follower.confirmed_at is None:
+        if not self._shared.follower.serving:
             return answers.error(503, 'starting', 'no configuration yet')
         return answers.json_answer({'state': 'ready'})
 
@@ -68,6 +68,7 @@
                 'zone': self._shared.settings.process.zone,
                 'config_version': version,
                 'config_age_s': round(follower.age_s(now), 3),
+                'config_source': follower.source,
                 'zones': known.zones,
                 'peers': known.processes,
             }
--- a/primroselock/mesh/node.py
+++ b/primroselock/mesh/node.py
@@ -1,8 +1,14 @@
-"""One process's socket pair on the mesh: it publishes, and hears its peers.
+"""One process's sockets on the mesh.
 
-Each process binds one PUB socket and connects one SUB socket to the PUB
-sockets of its peers.  Messages may be lost; nothing that must hold rests
-on them.
+Each process binds one ROUTER socket and connects a DEALER socket to each
+of its peers.  Beacons and hints go out on the DEALERs; a question goes
+out on one of them, and its answer comes back on the same connection, so
+that a process can ask peers that have not heard of it yet.  Messages may
+be lost: a socket that cannot take one at once drops it, and nothing that
+must hold rests on them.
+
+With keys in the settings every connection is encrypted, and a process is
+heard only with the deployment's own key pair.
 """
 
 import asyncio
@@ -12,70 +18,200 @@
 import msgspec
 import zmq
 import zmq.asyncio
+import zmq.auth.asyncio
 
 from primroselock import logs
 from primroselock.mesh import messages
 from primroselock import options
 
-_HIGH_WATER_MESSAGES: typing.Final = 1000
+_HIGH_WATER_MESSAGES: typing.Final = 64
+_MAX_MESSAGE_BYTES: typing.Final = 4 * 1024 * 1024
+_RECONNECT_MS: typing.Final = 100
+_MAX_RECONNECT_MS: typing.Final = 2000
+_HEARTBEAT_MS: typing.Final = 5000
+_ANY_HOSTS: typing.Final = ('0.0.0.0', '[::]')
 _log: typing.Final = logs.get('mesh')
 
 Handler = abc.Callable[[messages.Message], None]
+Responder = abc.Callable[
+    [messages.ConfigQuestion], messages.ConfigAnswer | None
+]
+
+
+class _DeploymentKey:
+    """Accepts connections with the deployment's public key only."""
+
+    def __init__(self, public_key: str) -> None:
+        self._public_key = public_key.encode()
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Whether ``key``, in Z85, is the deployment's."""
+        return key == self._public_key
 
 
 class MeshNode:
-    """Publishes this process's messages and hears those of its peers."""
+    """Sends this process's messages and hears those of its peers."""
 
     def __init__(self, settings: options.Settings) -> None:
+        self._settings = settings.mesh
         self._context = zmq.asyncio.Context()
-        self._publisher = self._open(zmq.PUB)
-        self._subscriber = self._open(zmq.SUB)
-        self._subscriber.setsockopt(zmq.SUBSCRIBE, b'')
-        self._publisher.bind(f'tcp://{settings.mesh.bind}')
-        endpoint = self._publisher.getsockopt_string(zmq.LAST_ENDPOINT)
-        self.address = endpoint.removeprefix('tcp://')
-        self._peers: set[str] = set()
+        self._authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None
+        self._authenticator = self._start_authenticator()
+        self._router = self._open(zmq.ROUTER)
+        if settings.mesh.secret_key:
+            self._router.curve_server = True
+        self._router.bind(f'tcp://{settings.mesh.bind}')
+        endpoint = self._router.getsockopt_string(zmq.LAST_ENDPOINT)
+        bound = endpoint.removeprefix('tcp://')
+        self.address = bound
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self._dealers_by_address: dict[str, zmq.asyncio.Socket] = {}
+        self._readers_by_address: dict[str, asyncio.Task[None]] = {}
         self._handlers: list[Handler] = []
+        self._responder: Responder | None = None
         self.set_peers(settings.mesh.peers)
 
+    def _start_authenticator(
+        self,
+    ) -> zmq.auth.asyncio.AsyncioAuthenticator | None:
+        if not self._settings.secret_key:
+            return None
+        authenticator = zmq.auth.asyncio.AsyncioAuthenticator(self._context)
+        authenticator.start()
+        authenticator.configure_curve_callback(
+            '*', _DeploymentKey(self._settings.public_key)
+        )
+        return authenticator
+
     def _open(self, kind: int) -> zmq.asyncio.Socket:
         socket = self._context.socket(kind)
         socket.setsockopt(zmq.LINGER, 0)
         socket.setsockopt(zmq.SNDHWM, _HIGH_WATER_MESSAGES)
         socket.setsockopt(zmq.RCVHWM, _HIGH_WATER_MESSAGES)
+        socket.setsockopt(zmq.MAXMSGSIZE, _MAX_MESSAGE_BYTES)
+        socket.setsockopt(zmq.HEARTBEAT_IVL, _HEARTBEAT_MS)
+        if self._settings.secret_key:
+            socket.curve_publickey = self._settings.public_key.encode()
+            socket.curve_secretkey = self._settings.secret_key.encode()
         return socket
 
+    @property
+    def peers(self) -> frozenset[str]:
+        """The addresses that messages are sent to."""
+        return frozenset(self._dealers_by_address)
+
+    @property
+    def reachable_address(self) -> str:
+        """The bound address; empty where it names no single host."""
+        host = self.address.rpartition(':')[0]
+        return '' if host in _ANY_HOSTS else self.address
+
     def set_peers(self, addresses: abc.Iterable[str]) -> None:
-        """Hear exactly the processes at ``addresses``."""
+        """Send to exactly the processes at ``addresses``."""
         wanted = {address for address in addresses if address}
         wanted.discard(self.address)
-        for address in wanted - self._peers:
-            self._subscriber.connect(f'tcp://{address}')
-        for address in self._peers - wanted:
-            self._subscriber.disconnect(f'tcp://{address}')
-        self._peers = wanted
+        for address in wanted - self._dealers_by_address.keys():
+            self._connect(address)
+        for address in self._dealers_by_address.keys() - wanted:
+            self._readers_by_address.pop(address).cancel()
+            self._dealers_by_address.pop(address).close()
+
+    def _connect(self, address: str) -> None:
+        dealer = self._open(zmq.DEALER)
+        dealer.setsockopt(zmq.IMMEDIATE, 1)
+        dealer.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
+        dealer.setsockopt(zmq.RECONNECT_IVL_MAX, _MAX_RECONNECT_MS)
+        if self._settings.secret_key:
+            dealer.curve_serverkey = self._settings.public_key.encode()
+        dealer.connect(f'tcp://{address}')
+        self._dealers_by_address[address] = dealer
+        self._readers_by_address[address] = asyncio.create_task(
+            self._read_answers(dealer)
+        )
 
     def add_handler(self, handler: Handler) -> None:
         """Call ``handler`` with each message that is heard."""
         self._handlers.append(handler)
 
+    def set_responder(self, responder: Responder) -> None:
+        """Let ``responder`` answer the questions of others."""
+        self._responder = responder
+
     async def publish(self, message: messages.Message) -> None:
-        """Send ``message`` to whoever hears this process."""
-        await self._publisher.send(msgspec.msgpack.encode(message))
+        """Send ``message`` to every peer that can take it now."""
+        frame = msgspec.msgpack.encode(message)
+        for dealer in list(self._dealers_by_address.values()):
+            await self._send(dealer, [frame])
+
+    async def ask(
+        self, address: str, question: messages.ConfigQuestion
+    ) -> None:
+        """Send a question to the peer at ``address``, if it is one."""
+        dealer = self._dealers_by_address.get(address)
+        if dealer is not None:
+            await self._send(dealer, [msgspec.msgpack.encode(question)])
+
+    async def _send(
+        self, socket: zmq.asyncio.Socket, frames: list[bytes]
+    ) -> None:
+        try:
+            await socket.send_multipart(frames, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            # Not connected or full: dropped, as any message may be.
+            return
+        self.sent_bytes += len(frames[-1])
 
     async def run(self) -> None:
         """Hear messages until cancelled."""
         while True:
-            frame = await self._subscriber.recv()
-            try:
-                message = msgspec.msgpack.decode(frame, type=messages.Message)
-            except msgspec.MsgspecError as error:
-                _log.warning('message not understood', error=str(error))
-                continue
-            for handler in self._handlers:
-                handler(message)
+            identity, frame = await self._receive(self._router)
+            message = self._decode(frame)
+            if isinstance(message, messages.ConfigQuestion):
+                await self._answer(identity, message)
+            elif message is not None:
+                self._handle(message)
+
+    async def _read_answers(self, dealer: zmq.asyncio.Socket) -> None:
+        while True:
+            _, frame = await self._receive(dealer)
+            message = self._decode(frame)
+            if message is not None:
+                self._handle(message)
+
+    async def _receive(
+        self, socket: zmq.asyncio.Socket
+    ) -> tuple[bytes, bytes]:
+        frames = await socket.recv_multipart()
+        self.received_bytes += len(frames[-1])
+        return frames[0], frames[-1]
+
+    async def _answer(
+        self, identity: bytes, question: messages.ConfigQuestion
+    ) -> None:
+        if self._responder is None:
+            return
+        answer = self._responder(question)
+        if answer is not None:
+            frame = msgspec.msgpack.encode(answer)
+            await self._send(self._router, [identity, frame])
+
+    def _decode(self, frame: bytes) -> messages.Message | None:
+        try:
+            return msgspec.msgpack.decode(frame, type=messages.Message)
+        except msgspec.MsgspecError as error:
+            _log.warning('message not understood', error=str(error))
+            return None
+
+    def _handle(self, message: messages.Message) -> None:
+        for handler in self._handlers:
+            handler(message)
 
     async def aclose(self) -> None:
         """Close the sockets."""
+        for reader in self._readers_by_address.values():
+            reader.cancel()
         await asyncio.sleep(0)
+        if self._authenticator is not None:
+            self._authenticator.stop()
         self._context.destroy(linger=0)
--- /dev/null
+++ b/primroselock/relay.py
@@ -0,0 +1,183 @@
+"""Keeps the configuration confirmed: by the platform, or through peers.
+
+In each availability zone one process reads the head row at an interval;
+the turn rotates among those that beacons tell of (see
+:func:`membership.choose_poller`).  The others ask it.  A process whose
+confirmation stays old reads the platform itself and asks the freshest
+peers of any zone, so a wrong view of the members costs reads only, and a
+zone that is cut from the platform is confirmed through its neighbours.
+
+A beacon's age is never taken as a confirmation: a message may have
+waited in a buffer while its receiver was frozen.  The asker notes the
+time before it sends a question, and an answer counts from then, less
+the age that the peer told, however long either side slept.  A beacon
+that names a newer version makes the receiver ask its sender at once.
+
+A process that starts while the platform is out asks every peer it knows
+and, after ``cold_start_wait_s``, serves by the newest version it got.
+"""
+
+import asyncio
+import dataclasses
+import random
+import typing
+
+from primroselock import clock
+from primroselock import follower
+from primroselock import logs
+from primroselock.mesh import membership
+from primroselock.mesh import messages
+from primroselock.mesh import node
+from primroselock import options
+
+_QUESTION_LIFE_S: typing.Final = 10.0
+_ASKED_AT_ONCE: typing.Final = 2
+_JITTER: typing.Final = 0.1
+_log: typing.Final = logs.get('relay')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Question:
+    address: str
+    asked_at: float
+
+
+class Relay:
+    """Polls, asks and answers on behalf of one process's follower."""
+
+    def __init__(
+        self,
+        settings: options.Settings,
+        follow: follower.ConfigurationFollower,
+        mesh: node.MeshNode,
+        members: membership.Members,
+        incarnation: str,
+    ) -> None:
+        self._settings = settings.configuration
+        self._zone = settings.process.zone
+        self._follower = follow
+        self._mesh = mesh
+        self._members = members
+        self._incarnation = incarnation
+        self._questions_by_number: dict[int, _Question] = {}
+        self._last_number = 0
+        self._urgent: set[asyncio.Task[None]] = set()
+        self._generator = random.Random(incarnation)
+        mesh.add_handler(self._record)
+        mesh.set_responder(self._answer)
+
+    async def run_polls(self) -> None:
+        """Read the platform when it is this process's turn."""
+        while True:
+            if self._should_poll(clock.monotonic()):
+                await self._follower.poll()
+            await self._pause()
+
+    async def run_questions(self) -> None:
+        """Ask peers while the confirmation is not of this process's own."""
+        started_at = clock.monotonic()
+        while True:
+            now = clock.monotonic()
+            for address in self._choose_targets(now):
+                await self._ask(address)
+            if now - started_at > self._settings.cold_start_wait_s:
+                self._follower.serve_unconfirmed()
+            await self._pause()
+
+    async def _pause(self) -> None:
+        spread = self._generator.uniform(1 - _JITTER, 1 + _JITTER)
+        await asyncio.sleep(self._settings.poll_interval_s * spread)
+
+    def _is_poller(self, now: float) -> bool:
+        return self._find_poller(now) is None
+
+    def _find_poller(self, now: float) -> membership.Heard | None:
+        """Return the zone's poller, or None when it is this process."""
+        near = {
+            heard.beacon.incarnation: heard
+            for heard in self._members.list_live(now)
+            if heard.beacon.zone == self._zone and not heard.beacon.leaving
+        }
+        chosen = membership.choose_poller(
+            [self._incarnation, *near],
+            clock.wall(),
+            self._settings.poller_rotation_s,
+        )
+        return near.get(chosen)
+
+    def _is_late(self, now: float) -> bool:
+        age_s = self._follower.age_s(now)
+        return age_s < 0 or age_s > 2 * self._settings.poll_interval_s
+
+    def _should_poll(self, now: float) -> bool:
+        return self._is_poller(now) or self._is_late(now)
+
+    def _choose_targets(self, now: float) -> list[str]:
+        """Return the addresses to ask now."""
+        if not self._follower.serving:
+            return list(self._mesh.peers)
+        poller = self._find_poller(now)
+        targets = [] if poller is None else [poller.beacon.address]
+        if self._is_late(now):
+            targets += self._freshest(now)
+        return list(dict.fromkeys(targets))
+
+    def _freshest(self, now: float) -> list[str]:
+        """Return peers whose beacons tell of the newest confirmation.
+
+        One more is drawn at random, since beacons may be wrong.
+        """
+        confirmed = [
+            heard
+            for heard in self._members.list_live(now)
+            if heard.beacon.config_age_s >= 0
+        ]
+        if not confirmed:
+            return []
+        confirmed.sort(key=lambda heard: heard.config_age_s(now))
+        drawn = self._generator.choice(confirmed)
+        return [
+            heard.beacon.address
+            for heard in [*confirmed[:_ASKED_AT_ONCE], drawn]
+        ]
+
+    async def _ask(self, address: str) -> None:
+        now = clock.monotonic()
+        self._last_number += 1
+        number = self._last_number
+        self._questions_by_number[number] = _Question(address, now)
+        self._forget_questions(now)
+        version = self._follower.current.version
+        await self._mesh.ask(address, messages.ConfigQuestion(number, version))
+
+    def _forget_questions(self, now: float) -> None:
+        for number, question in list(self._questions_by_number.items()):
+            if now - question.asked_at <= _QUESTION_LIFE_S:
+                return
+            del self._questions_by_number[number]
+
+    def _answer(
+        self, question: messages.ConfigQuestion
+    ) -> messages.ConfigAnswer | None:
+        return self._follower.answer(question, clock.monotonic())
+
+    def _record(self, message: messages.Message) -> None:
+        if isinstance(message, messages.ConfigAnswer):
+            question = self._questions_by_number.pop(message.number, None)
+            if question is not None:
+                self._follower.record_answer(
+                    message, question.asked_at, clock.monotonic()
+                )
+        elif isinstance(message, messages.Beacon):
+            if message.config_version > self._follower.current.version:
+                self._ask_soon(message.address)
+
+    def _ask_soon(self, address: str) -> None:
+        """Ask at once, unless a question to the peer is open already."""
+        since = clock.monotonic() - self._settings.poll_interval_s
+        for question in self._questions_by_number.values():
+            if question.address == address and question.asked_at > since:
+                return
+        task = asyncio.create_task(self._ask(address))
+        self._urgent.add(task)
+        task.add_done_callback(self._urgent.discard)
--- /dev/null
+++ b/primroselock/test/testinforce.py
@@ -0,0 +1,212 @@
+"""Patches come into force, and zones stay out, over real processes."""
+
+import functools
+import hashlib
+import signal
+import time
+import typing
+import unittest
+
+import zmq
+
+from standins import launch
+
+TOKEN: typing.Final = 'signs-token'
+PATCH: typing.Final = f"""
+[zone a]
+racks = 1
+[zone b]
+racks = 1
+[account signs]
+token_digests = {hashlib.sha256(TOKEN.encode()).hexdigest()}
+guarantee.b = 8:1
+"""
+IN_FORCE_TARGET_S: typing.Final = 3.0
+START_PERMIT_TTL_S: typing.Final = 1.0
+"""As set below; a start later than that breaks the promise."""
+
+CONFIGURATION: typing.Final = {
+    'start_permit_ttl_s': str(START_PERMIT_TTL_S),
+    'poll_interval_s': '0.25',
+    'cold_start_wait_s': '1.0',
+}
+Settings = dict[str, dict[str, str]]
+
+
+def build_keys() -> Settings:
+    """Return settings with a key pair of their own."""
+    public_key, secret_key = zmq.curve_keypair()
+    keys = {'public_key': public_key, 'secret_key': secret_key}
+    mesh = {name: key.decode() for name, key in keys.items()}
+    return {'mesh': mesh}
+
+
+class ClusterTest(unittest.TestCase):
+    """Two zones; subclasses start what they need."""
+
+    def setUp(self) -> None:
+        self.cluster = launch.Cluster(['a', 'b'])
+        self.addCleanup(self.cluster.close)
+        self.cluster.start_platform()
+
+    def get(self, gateway: str, path: str) -> typing.Any:
+        """Return a gateway's answer to an operator."""
+        address = self.cluster.addresses_by_name[gateway]
+        return launch.call(
+            address, 'GET', path, token=launch.OPERATOR_TOKEN
+        ).json()
+
+    def is_ready(self, gateway: str) -> bool:
+        """Whether the balancer may use a gateway."""
+        address = self.cluster.addresses_by_name[gateway]
+        return launch.call(address, 'GET', '/readyz').status == 200
+
+    def start_gateway(self, name: str, zone: str, **mesh: str) -> None:
+        """Start a gateway and wait until it is ready."""
+        settings = {'mesh': mesh, 'configuration': CONFIGURATION}
+        self.cluster.start_daemon(name, 'gateway', zone, settings)
+        launch.wait_for(
+            functools.partial(self.is_ready, name), f'{name} is ready'
+        )
+
+    def patch(self, gateway: str, text: str) -> int:
+        """Submit a patch and return its version."""
+        accepted = self.cluster.submit_patch(gateway, text)
+        self.assertEqual(201, accepted.status, accepted)
+        version: int = accepted.json()['version']
+        return version
+
+    def states(self, gateway: str, version: int) -> dict[str, str]:
+        """Return each process's state towards a version, by VM."""
+        path = f'/v1/config/confirmations?version={version}'
+        answer = self.get(gateway, path)
+        return {p['vm_id']: p['state'] for p in answer['processes']}
+
+
+class RelayTest(ClusterTest):
+    """Peers carry the configuration where the platform does not."""
+
+    def test_zone_cut_from_the_platform_and_cold_start(self) -> None:
+        self.start_gateway('gateway-a', 'a')
+        self.start_gateway('gateway-b', 'b')
+        launch.wait_for(
+            lambda: (
+                self.states('gateway-a', 0).get('gateway-b') == 'confirmed'
+            ),
+            'the gateways hear each other',
+        )
+        self.cluster.set_fault('b', 'down')
+        version = self.patch('gateway-a', PATCH)
+        launch.wait_for(
+            lambda: (
+                self.states('gateway-a', version)['gateway-b'] == 'confirmed'
+            ),
+            'zone b has the patch',
+            IN_FORCE_TARGET_S,
+        )
+        # Its confirmation stays young, so its permit holds.
+        time.sleep(2 * START_PERMIT_TTL_S)
+        status = self.get('gateway-b', '/v1/status')
+        self.assertEqual('peer', status['config_source'])
+        self.assertLess(status['config_age_s'], START_PERMIT_TTL_S)
+        self.check_cold_starts(version)
+
+    def check_cold_starts(self, version: int) -> None:
+        """Start gateways that have no platform and one peer to ask."""
+        peer = self.cluster.mesh_by_name['gateway-a']
+        self.start_gateway('gateway-b2', 'b', peers=peer)
+        status = self.get('gateway-b2', '/v1/status')
+        self.assertEqual(version, status['config_version'])
+        self.assertLess(status['config_age_s'], START_PERMIT_TTL_S)
+        self.cluster.set_fault('a', 'down')
+        launch.wait_for(
+            lambda: (
+                self.get('gateway-a', '/v1/status')['config_age_s']
+                > START_PERMIT_TTL_S
+            ),
+            "gateway-a's confirmation is old",
+        )
+        self.start_gateway('gateway-b3', 'b', peers=peer)
+        status = self.get('gateway-b3', '/v1/status')
+        self.assertEqual(version, status['config_version'])
+        self.assertGreater(status['config_age_s'], START_PERMIT_TTL_S)
+
+
+class ZoneOutTest(ClusterTest):
+    """No task starts in a zone that has been out longer than the bound."""
+
+    def test_zone_cut_frozen_and_late(self) -> None:
+        self.cluster.start_worker('worker-b', 'b', 'rack-b', 0)
+        self.start_gateway('gateway-a', 'a')
+        # A key of its own cuts the scheduler from every peer.
+        settings = {
+            **build_keys(),
+            'configuration': CONFIGURATION,
+            'scheduler': {'heartbeat_interval_s': '0.1'},
+        }
+        scheduler = self.cluster.start_daemon(
+            'scheduler-b', 'scheduler', 'b', settings
+        )
+        self.patch('gateway-a', PATCH)
+        launch.wait_for(
+            lambda: self.states('gateway-a', 0).get('scheduler-b') == 'silent',
+            'a process with another key is not heard',
+        )
+        for pause_s in (0.5, 1.5):
+            with self.subTest(pause_s=pause_s):
+                self.check_zone_out(scheduler, pause_s * START_PERMIT_TTL_S)
+
+    def check_zone_out(
+        self, scheduler: launch.Process, pause_s: float
+    ) -> None:
+        """Take the zone out while its scheduler cannot learn of it.
+
+        Its own writes pass, so that only the permit can end its starts;
+        it is frozen and woken, and the worker's reports are lost at
+        first and come late.
+        """
+        self.patch('gateway-a', '[zone b]\nstate = in\n')
+        started = len(self.starts())
+        for _ in range(40):
+            self.submit_job()
+        launch.wait_for(
+            lambda: len(self.starts()) > started + 2, 'tasks start in b'
+        )
+        self.cluster.set_fault('b', 'reads_down')
+        self.patch('gateway-a', '[zone b]\nstate = out\n')
+        out_at = time.monotonic()
+        scheduler.send_signal(signal.SIGSTOP)
+        self.lose_reports(True)
+        time.sleep(pause_s)
+        scheduler.send_signal(signal.SIGCONT)
+        time.sleep(START_PERMIT_TTL_S / 4)
+        self.lose_reports(False)
+        time.sleep(2 * START_PERMIT_TTL_S)
+        late = [at for at in self.starts() if at > out_at + START_PERMIT_TTL_S]
+        self.cluster.set_fault('b', 'none')
+        self.assertEqual([], late)
+
+    def submit_job(self) -> None:
+        """Submit a job that fills the worker for a moment."""
+        spec = {
+            'name': 'proof',
+            'accelerators': 8,
+            'command': ['sleep', '0.1'],
+        }
+        address = self.cluster.addresses_by_name['gateway-a']
+        launch.call(address, 'POST', '/v1/jobs', spec, TOKEN)
+
+    def starts(self) -> list[float]:
+        """Return when tasks started, on the machine's monotonic clock."""
+        address = self.cluster.addresses_by_name['worker-b']
+        history = launch.call(address, 'GET', '/admin/history').json()
+        return [e['at'] for e in history if e['state'] == 'running']
+
+    def lose_reports(self, lose: bool) -> None:
+        """Let the worker's answers get lost, or not."""
+        address = self.cluster.addresses_by_name['worker-b']
+        launch.call(address, 'POST', '/admin/faults', {'lose_reply': lose})
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/primroselock/test/testmesh.py
@@ -0,0 +1,195 @@
+"""Members, peers, relayed confirmations and keys."""
+
+import asyncio
+import contextlib
+import math
+import typing
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+import msgspec
+import zmq
+
+from primroselock import follower
+from primroselock.mesh import membership
+from primroselock.mesh import messages
+from primroselock.mesh import node
+from primroselock import patches
+from primroselock.test import builders
+from primroselock.test import fakestore
+
+EXPIRY_S: typing.Final = builders.build_settings().mesh.peer_expiry_s
+
+
+def build_beacon(
+    incarnation: str = 'i1', sequence: int = 1, vm_id: str = 'vm-1'
+) -> messages.Beacon:
+    """Return a beacon of a gateway."""
+    return messages.Beacon(
+        vm_id, incarnation, sequence, 'gateway', 'a', 1, 0.1
+    )
+
+
+class MembersTest(unittest.TestCase):
+    """Members follow beacons that are lost, doubled or out of order."""
+
+    @hypothesis.given(st.lists(st.integers(1, 20), min_size=1))
+    def test_newest_beacon_counts(self, arrivals: list[int]) -> None:
+        members = membership.Members(builders.build_settings())
+        for at, sequence in enumerate(arrivals):
+            members.record(build_beacon(sequence=sequence), float(at))
+        heard = members.heard_by_process[('vm-1', 'gateway')]
+        self.assertEqual(max(arrivals), heard.beacon.sequence)
+        first = arrivals.index(max(arrivals))
+        self.assertEqual(float(first), heard.heard_at)
+
+    def test_replaced_vm_is_known_by_its_new_process(self) -> None:
+        members = membership.Members(builders.build_settings())
+        members.record(build_beacon('old', 50), 0.0)
+        self.assertTrue(members.record(build_beacon('new', 1), 0.1))
+        self.assertFalse(members.record(build_beacon('old', 51), 0.2))
+        heard = members.heard_by_process[('vm-1', 'gateway')]
+        self.assertEqual('new', heard.beacon.incarnation)
+
+    def test_silent_member_is_not_live_and_later_forgotten(self) -> None:
+        members = membership.Members(builders.build_settings())
+        members.record(build_beacon(), 0.0)
+        self.assertEqual(1, len(members.list_live(EXPIRY_S)))
+        self.assertEqual([], members.list_live(EXPIRY_S + 0.1))
+        self.assertEqual(1, len(members.heard_by_process))
+        members.list_live(membership.FORGET_S + 0.1)
+        self.assertEqual({}, members.heard_by_process)
+
+
+class PeersTest(unittest.TestCase):
+    """Peers are few, and news still reaches everybody in few steps."""
+
+    def test_mesh_is_bounded_and_connected(self) -> None:
+        for size in (2, 14, 40, 150, 600):
+            zones = {f'10.0.{i}:1': f'z{i % 6}' for i in range(size)}
+            limit = 16
+            peers = {
+                own: membership.choose_peers(own, zones, limit)
+                for own in zones
+            }
+            self.assertLessEqual(max(map(len, peers.values())), limit)
+            reached, steps = {'10.0.0:1'}, 0
+            while len(reached) < size:
+                wider = reached.union(*(peers[own] for own in reached))
+                self.assertNotEqual(reached, wider, size)
+                reached, steps = wider, steps + 1
+            self.assertLessEqual(steps, math.ceil(math.log2(size)))
+
+    def test_the_turn_to_poll_goes_round(self) -> None:
+        names = ['i1', 'i2', 'i3']
+        turns = {
+            membership.choose_poller(names, 30.0 * turn, 30.0)
+            for turn in range(60)
+        }
+        self.assertEqual(set(names), turns)
+
+
+class RelayedAgeTest(unittest.IsolatedAsyncioTestCase):
+    """A relayed confirmation never seems younger than it is."""
+
+    @hypothesis.given(
+        delays=st.lists(st.floats(0, 100), min_size=4, max_size=4),
+        offsets=st.tuples(st.floats(-1e3, 1e3), st.floats(-1e3, 1e3)),
+    )
+    def test_however_long_either_side_slept(
+        self, delays: list[float], offsets: tuple[float, float]
+    ) -> None:
+        settings = builders.build_settings()
+        store = fakestore.FakeStore()
+        asker = follower.ConfigurationFollower(settings, store)
+        peer = follower.ConfigurationFollower(settings, store)
+        confirmed_at = 0.0
+        asked_at = delays[0]
+        answered_at = asked_at + delays[1]
+        arrived_at = answered_at + delays[2] + delays[3]
+        peer.confirmed_at = confirmed_at + offsets[0]
+        answer = peer.answer(
+            messages.ConfigQuestion(1, 0), answered_at + offsets[0]
+        )
+        asker.record_answer(
+            answer, asked_at + offsets[1], arrived_at + offsets[1]
+        )
+        assert asker.confirmed_at is not None
+        believed = asker.confirmed_at - offsets[1]
+        self.assertLessEqual(believed, confirmed_at + 1e-6)
+
+    async def test_peer_brings_content_and_older_news_changes_nothing(
+        self,
+    ) -> None:
+        settings = builders.build_settings()
+        store = fakestore.FakeStore()
+        ahead = follower.ConfigurationFollower(settings, store)
+        behind = follower.ConfigurationFollower(settings, store)
+        cold = follower.ConfigurationFollower(settings, store)
+        for base in range(3):
+            text = f'[zone a]\nracks = {base}\n'
+            submission = patches.Submission(base, text, '', 'ann', '')
+            await patches.submit(store, submission, 0.0)
+            await ahead.poll()
+            if base == 0:
+                await behind.poll()
+        for process, held in ((behind, 1), (cold, 0)):
+            now = process.confirmed_at or 0.0
+            question = messages.ConfigQuestion(1, held)
+            process.record_answer(ahead.answer(question, now), now, now)
+            self.assertEqual(ahead.current, process.current)
+        before = cold.confirmed_at
+        stale = messages.ConfigAnswer(2, 1, 0.0, sections={})
+        cold.record_answer(stale, 1e9, 1e9)
+        self.assertEqual(3, cold.current.version)
+        self.assertEqual(before, cold.confirmed_at)
+
+
+class KeysTest(unittest.IsolatedAsyncioTestCase):
+    """A process without the deployment's key pair is not heard."""
+
+    async def test_only_the_key_pair_is_heard(self) -> None:
+        public_key, secret_key = (k.decode() for k in zmq.curve_keypair())
+        keys = f'[mesh]\npublic_key = {public_key}\nsecret_key = {secret_key}'
+        settings = builders.build_settings(keys)
+        hearing = node.MeshNode(settings)
+        heard: list[str] = []
+        hearing.add_handler(lambda m: heard.append(getattr(m, 'vm_id')))
+        running = asyncio.create_task(hearing.run())
+        friend = node.MeshNode(settings)
+        plain = node.MeshNode(builders.build_settings())
+        context = zmq.Context()
+        self.addCleanup(context.destroy, 0)
+        stranger = _build_stranger(context, public_key)
+        for sender in (friend, plain):
+            sender.set_peers([hearing.address])
+        stranger.connect(f'tcp://{hearing.address}')
+        frame = msgspec.msgpack.encode(build_beacon(vm_id='stranger'))
+        async with asyncio.timeout(20):
+            while heard.count('friend') < 10:
+                await plain.publish(build_beacon(vm_id='plain'))
+                with contextlib.suppress(zmq.Again):
+                    stranger.send(frame, zmq.NOBLOCK)
+                await friend.publish(build_beacon(vm_id='friend'))
+                await asyncio.sleep(0.02)
+        self.assertEqual({'friend'}, set(heard))
+        running.cancel()
+        for each in (hearing, friend, plain):
+            await each.aclose()
+
+
+def _build_stranger(
+    context: zmq.Context[zmq.Socket[bytes]], public_key: str
+) -> zmq.Socket[bytes]:
+    """Return a socket that knows the public key alone."""
+    own_public, own_secret = zmq.curve_keypair()
+    stranger = context.socket(zmq.DEALER)
+    stranger.curve_serverkey = public_key.encode()
+    stranger.curve_publickey = own_public
+    stranger.curve_secretkey = own_secret
+    return stranger
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -3,10 +3,12 @@
 One process listens on one port a zone, so that each zone can be cut off
 alone.  ``POST /admin/faults`` sets a zone's fault:
 
-    {"zone": "a", "mode": "none" | "down" | "slow" | "lose_reply",
+    {"zone": "a",
+     "mode": "none" | "down" | "reads_down" | "slow" | "lose_reply",
      "delay_s": 1.0, "count": 1}
 
-``down`` answers 503, ``slow`` waits, and ``lose_reply`` applies a
+``down`` answers 503, ``reads_down`` does so for all but transactions,
+``slow`` waits, and ``lose_reply`` applies a
 transaction, then closes the connection without an answer; with
 ``count``, only that many times.  ``POST /admin/vms`` adds, replaces or
 removes VMs; the list that is served lags behind by ``--lag-s``.
@@ -133,11 +135,13 @@
             ]
         )
 
-    async def _suffer(self) -> bool:
+    async def _suffer(self, is_write: bool = False) -> bool:
         """Apply the fault; return whether the call is served."""
         fault = self.fault
         if fault.mode == 'slow':
             await asyncio.sleep(fault.delay_s)
+        if fault.mode == 'reads_down':
+            return is_write
         return fault.mode != 'down'
 
     async def table_call(
@@ -145,9 +149,9 @@
     ) -> responses.Response:
         """Serve a read, a scan or a transaction."""
         body = await request.body()
-        if not await self._suffer():
-            return responses.Response(status_code=503)
         call = request.path_params['call']
+        if not await self._suffer(call == 'transact'):
+            return responses.Response(status_code=503)
         if call == 'read':
             self.store.reads += 1
             keys = msgspec.json.decode(body)['keys']
