Gangs: fences, conservative deadlines, and a holder that outlasts an outage

A commit whose reply was late could take effect after its attempt was dropped, and the number of the attempt was used again for another placement. Reservations of one number on the same worker were taken for the new ones. A scheduler whose lease ran out in an outage stopped its heartbeats, so every running task ended by its lease. Commands that waited in a queue through a pause of the process went out afterwards. Deadlines computed for one incarnation of a worker reached the next. A worker that dropped out of the lagging VM list ended its gangs at once.

Job writes go many to a transaction.

The bounds (heartbeat window, partial running, takeover) are properties of the scheduler's settings; the settings check refuses a task lease that a takeover could outlast. Ruled out: reusing the number with the placement in the key, which makes keys as long as placements.

--- a/primroselock/decisions/blackboard.py
+++ b/primroselock/decisions/blackboard.py
@@ -15,13 +15,26 @@
 from collections import abc
 import dataclasses
 import enum
+import typing
 
 from primroselock import configuration
+from primroselock.decisions import budgets
+from primroselock.decisions import evidence
 from primroselock import jobs
 from primroselock.platform import vmlist
 from primroselock.workers import protocol
 
 
+RETRIES_PER_S: typing.Final = 5.0
+MAX_RETRY_TOKENS: typing.Final = 50.0
+
+
+def _new_retry_budget() -> budgets.TokenBudget:
+    return budgets.TokenBudget(
+        RETRIES_PER_S, MAX_RETRY_TOKENS, MAX_RETRY_TOKENS
+    )
+
+
 class Phase(enum.Enum):
     """Phases of an attempt."""
 
@@ -42,6 +55,7 @@
     NOT_STARTED = 'not started in time'
     PREEMPTED = 'preempted'
     CANCELLED = 'cancelled'
+    RESIZED = 'used more than declared'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,7 +83,10 @@
     def clock_at(self, moment: float) -> float:
         """Return a lower bound of the worker's clock at ``moment``.
 
-        The report was made no later than it was heard.
+        The report was made no later than it was heard, so the worker's
+        clock had reached at least ``clock_s`` then.  A deadline computed
+        from it comes, by the worker's clock, no later than meant, however
+        long the report was on its way or the sender paused.
         """
         assert self.report is not None
         return self.report.clock_s + (moment - self.heard_at)
@@ -77,7 +94,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptView:
-    """A running attempt and its phase, entered at ``phase_since``."""
+    """A running attempt and its phase, entered at ``phase_since``.
+
+    ``commit_sent`` says that a write of the placement was decided, which
+    may take effect late.  ``failed_member`` is the one that failed;
+    ``corrected_memory_mb`` is what each member needs after all.
+    """
 
     job_id: str
     attempt: jobs.Attempt
@@ -85,12 +107,20 @@
     phase_since: float
     ending: Ending | None = None
     detail: str = ''
+    commit_sent: bool = False
+    failed_member: int | None = None
+    corrected_memory_mb: int | None = None
 
     def tasks(self) -> list[tuple[protocol.TaskKey, jobs.Placement]]:
         """Return each member's task with its placement."""
         return [
             (
-                protocol.TaskKey(self.job_id, self.attempt.number, member),
+                protocol.TaskKey(
+                    self.job_id,
+                    self.attempt.number,
+                    member,
+                    self.attempt.epoch,
+                ),
                 placement,
             )
             for member, placement in enumerate(self.attempt.placements)
@@ -112,6 +142,8 @@
 
     ``reasons_by_job_id`` says in one sentence why a job waits, and
     ``quarantined_worker_ids`` names workers that get no new work.
+    ``listening_since`` is when this process last began to listen without
+    a pause; silence of a worker counts from there at the earliest.
     """
 
     shard: str
@@ -128,23 +160,44 @@
     )
     reasons_by_job_id: dict[str, str] = dataclasses.field(default_factory=dict)
     quarantined_worker_ids: set[str] = dataclasses.field(default_factory=set)
+    listening_since: float = 0.0
+    reasons_written_at: float = 0.0
+    failure_evidence: evidence.Evidence = dataclasses.field(
+        default_factory=evidence.Evidence
+    )
+    retry_budget: budgets.TokenBudget = dataclasses.field(
+        default_factory=_new_retry_budget
+    )
 
     def record_vms(self, vms: abc.Iterable[vmlist.Vm]) -> None:
-        """Take over the zone's workers from the VM list."""
+        """Take over the zone's workers from the VM list.
+
+        The list lags: a worker that is gone from it but still has members
+        of an attempt is kept as leaving, until it is silent.
+        """
         listed = {
             vm.id: vm
             for vm in vms
             if vm.role == 'worker' and vm.zone == self.zone
         }
+        used = {
+            placement.worker_id
+            for view in self.attempts_by_job_id.values()
+            for placement in view.attempt.placements
+        }
         for worker_id in self.workers_by_id.keys() - listed.keys():
-            del self.workers_by_id[worker_id]
+            view = self.workers_by_id.pop(worker_id)
+            if worker_id in used:
+                leaving = dataclasses.replace(view.vm, leaving=True)
+                listed[worker_id] = leaving
+                self.workers_by_id[worker_id] = view
         for worker_id, vm in listed.items():
-            view = self.workers_by_id.get(worker_id)
-            if view is None or view.vm.address != vm.address:
+            known = self.workers_by_id.get(worker_id)
+            if known is None:
                 self.workers_by_id[worker_id] = WorkerView(vm)
-            elif view.vm != vm:
+            elif known.vm != vm:
                 self.workers_by_id[worker_id] = dataclasses.replace(
-                    view, vm=vm
+                    known, vm=vm
                 )
 
     def record_report(
--- /dev/null
+++ b/primroselock/decisions/feasibility.py
@@ -0,0 +1,62 @@
+"""Fails waiting jobs that no worker of the shard can ever hold.
+
+Judged only when every listed worker was heard, and against the whole
+size of each worker, busy or not.  A worker that joins later might have
+held the job; the reason says what was there, so that the caller can
+submit it again.
+"""
+
+import dataclasses
+
+from primroselock.decisions import blackboard
+from primroselock.decisions import commands
+from primroselock.decisions import registry
+from primroselock import jobs
+from primroselock import options
+from primroselock.workers import protocol
+
+
+@registry.controller('feasibility', order=45)
+def fail_never_runnable(
+    board: blackboard.Blackboard, settings: options.Settings, now: float
+) -> list[commands.Command]:
+    """Fail the waiting jobs whose members fit no worker."""
+    workers = [view.report for view in board.workers_by_id.values()]
+    reports = [report for report in workers if report is not None]
+    if not reports or len(reports) < len(workers):
+        return []
+    decided: list[commands.Command] = []
+    for view in board.jobs_by_id.values():
+        job = view.job
+        if job.state is not jobs.JobState.WAITING or job.cancel_requested:
+            continue
+        if job.id in board.attempts_by_job_id:
+            continue
+        reason = find_obstacle(job.spec, reports)
+        if reason:
+            failed = dataclasses.replace(
+                job, state=jobs.JobState.FAILED, reason=reason
+            )
+            decided.append(commands.WriteJob(failed, view.row_version))
+    return decided
+
+
+def find_obstacle(spec: jobs.JobSpec, reports: list[protocol.Report]) -> str:
+    """Return why no worker can hold a member; empty when one can."""
+    if any(_fits(spec, report) for report in reports):
+        return ''
+    largest = max(reports, key=lambda r: (r.accelerators, r.memory_mb, r.cpus))
+    return (
+        f'never runnable: a member asks for {spec.accelerators} '
+        f'accelerators, {spec.cpus} cpus and {spec.memory_mb} MB; the '
+        f'largest worker has {largest.accelerators}, {largest.cpus} and '
+        f'{largest.memory_mb} MB'
+    )
+
+
+def _fits(spec: jobs.JobSpec, report: protocol.Report) -> bool:
+    return (
+        spec.accelerators <= report.accelerators
+        and spec.cpus <= report.cpus
+        and spec.memory_mb <= report.memory_mb
+    )
--- /dev/null
+++ b/primroselock/decisions/reasons.py
@@ -0,0 +1,47 @@
+"""Keeps in the job's row why it waits, so that status calls tell it.
+
+Placement fills ``board.reasons_by_job_id`` each round.  The row is
+written only when the sentence changed, for at most a few jobs a second,
+oldest first; the writer groups these writes.
+"""
+
+import dataclasses
+import typing
+
+from primroselock.decisions import blackboard
+from primroselock.decisions import commands
+from primroselock.decisions import registry
+from primroselock import jobs
+from primroselock import options
+
+INTERVAL_S: typing.Final = 1.0
+MAX_ROWS_EACH_TIME: typing.Final = 100
+
+
+@registry.controller('reasons', order=90)
+def write_reasons(
+    board: blackboard.Blackboard, settings: options.Settings, now: float
+) -> list[commands.Command]:
+    """Write the changed reasons of waiting jobs."""
+    if now - board.reasons_written_at < INTERVAL_S:
+        return []
+    board.reasons_written_at = now
+    changed = [
+        view
+        for view in board.jobs_by_id.values()
+        if view.job.state is jobs.JobState.WAITING
+        and not view.job.cancel_requested
+        and view.job.id not in board.attempts_by_job_id
+        and board.reasons_by_job_id.get(view.job.id, view.job.reason)
+        != view.job.reason
+    ]
+    changed.sort(key=lambda view: view.job.submitted_at)
+    return [
+        commands.WriteJob(
+            dataclasses.replace(
+                view.job, reason=board.reasons_by_job_id[view.job.id]
+            ),
+            view.row_version,
+        )
+        for view in changed[:MAX_ROWS_EACH_TIME]
+    ]
--- /dev/null
+++ b/primroselock/decisions/retries.py
@@ -0,0 +1,81 @@
+"""Retries of failed attempts: count, delay and whose fault it was.
+
+A failed member is evidence against its job and against its worker (see
+``evidence``).  A job that fails on several distinct workers fails.
+Until then it is tried again after a delay that doubles with each
+failure, spread by a generator seeded from the job, up to the configured
+number of attempts.  A failure on a worker that is quarantined does not
+count against the job.
+
+All retries of the shard also spend from one budget that fills at a fixed
+rate, so that failures everywhere do not become a storm of starts.
+"""
+
+import dataclasses
+import random
+
+from primroselock.decisions import blackboard
+from primroselock.decisions import evidence
+from primroselock import jobs
+
+
+def count_failure(
+    board: blackboard.Blackboard,
+    ended: jobs.Job,
+    view: blackboard.AttemptView,
+) -> jobs.Job:
+    """Return the job's row after a member failed."""
+    worker_id = failed_worker_id(view)
+    waiting = dataclasses.replace(
+        ended, state=jobs.JobState.WAITING, reason=view.detail
+    )
+    if worker_id in board.quarantined_worker_ids:
+        return waiting
+    failed_on = tuple(sorted({*ended.failed_worker_ids, worker_id}))
+    counted = dataclasses.replace(
+        waiting, failures=ended.failures + 1, failed_worker_ids=failed_on
+    )
+    rules = board.config.job_rules
+    if len(failed_on) >= evidence.WORKERS_TO_BLAME_JOB:
+        reason = f'failed on {len(failed_on)} workers; last: {view.detail}'
+    elif counted.failures >= rules.max_attempts:
+        reason = f'failed {counted.failures} times; last: {view.detail}'
+    else:
+        return counted
+    return dataclasses.replace(
+        counted, state=jobs.JobState.FAILED, reason=reason
+    )
+
+
+def failed_worker_id(view: blackboard.AttemptView) -> str:
+    """Return the worker of the member that failed."""
+    assert view.failed_member is not None
+    return view.attempt.placements[view.failed_member].worker_id
+
+
+def retry_delay_s(job: jobs.Job, first_s: float, longest_s: float) -> float:
+    """Return the delay before the next attempt, with jitter.
+
+    Between half and the whole of ``first_s`` doubled with each failure.
+    """
+    exponent = min(max(job.failures - 1, 0), 30)
+    full_s = min(first_s * 2.0**exponent, longest_s)
+    generator = random.Random(f'{job.id}/{job.attempts}')
+    return full_s * generator.uniform(0.5, 1.0)
+
+
+def plan_retry(
+    board: blackboard.Blackboard, view: blackboard.AttemptView, now: float
+) -> None:
+    """Delay the next attempt of a job whose attempt failed."""
+    job_view = board.jobs_by_id[view.job_id]
+    if view.ending is not blackboard.Ending.MEMBER_FAILED:
+        return
+    rules = board.config.job_rules
+    delay_s = retry_delay_s(
+        job_view.job, rules.retry_delay_s, rules.max_retry_delay_s
+    )
+    delay_s = max(delay_s, board.retry_budget.spend(now))
+    board.jobs_by_id[view.job_id] = dataclasses.replace(
+        job_view, not_before=now + delay_s
+    )
--- /dev/null
+++ b/primroselock/decisions/workerhealth.py
@@ -0,0 +1,72 @@
+"""Quarantines workers that fail what they start, and probes them back.
+
+A suspected worker gets no new work for a time that doubles with each
+quarantine in a row.  Then it is on probation: it gets work again, one
+failure renews the quarantine, one success clears the worker.  What runs
+on a quarantined worker runs on.  The evidence lives with the holder of
+the shard; a new holder collects it anew.
+"""
+
+import typing
+
+from primroselock.decisions import blackboard
+from primroselock.decisions import commands
+from primroselock.decisions import evidence
+from primroselock.decisions import members
+from primroselock.decisions import registry
+from primroselock.decisions import retries
+from primroselock import options
+from primroselock.workers import protocol
+
+FIRST_QUARANTINE_S: typing.Final = 60.0
+LONGEST_QUARANTINE_S: typing.Final = 3600.0
+
+
+@registry.controller('worker_health', order=65)
+def judge_workers(
+    board: blackboard.Blackboard, settings: options.Settings, now: float
+) -> list[commands.Command]:
+    """Collect evidence from ending attempts; name the quarantined."""
+    for view in board.attempts_by_job_id.values():
+        if view.phase is not blackboard.Phase.STOPPING:
+            continue
+        if view.ending is blackboard.Ending.MEMBER_FAILED:
+            _record_failure(board, view, now)
+        elif view.ending is blackboard.Ending.DONE:
+            _record_successes(board, view)
+    quarantines = board.failure_evidence.quarantines_by_worker_id
+    board.quarantined_worker_ids = {
+        worker_id
+        for worker_id, entry in quarantines.items()
+        if now < entry.until
+    }
+    return []
+
+
+def _record_failure(
+    board: blackboard.Blackboard, view: blackboard.AttemptView, now: float
+) -> None:
+    worker_id = retries.failed_worker_id(view)
+    known = board.failure_evidence
+    if not known.record_failure(worker_id, view.job_id, view.attempt.number):
+        return
+    last = known.quarantines_by_worker_id.get(worker_id)
+    if last is not None and now < last.until:
+        return
+    if last is None and not known.is_suspect(worker_id):
+        return
+    times = last.times + 1 if last is not None else 1
+    lasts_s = min(
+        FIRST_QUARANTINE_S * 2 ** min(times - 1, 30), LONGEST_QUARANTINE_S
+    )
+    known.quarantines_by_worker_id[worker_id] = evidence.Quarantine(
+        now + lasts_s, times
+    )
+
+
+def _record_successes(
+    board: blackboard.Blackboard, view: blackboard.AttemptView
+) -> None:
+    for member in members.find(board, view):
+        if member.is_in(protocol.TaskState.DONE):
+            board.failure_evidence.record_success(member.placement.worker_id)
--- a/primroselock/jobs.py
+++ b/primroselock/jobs.py
@@ -92,6 +92,7 @@
     """The row of a job; times are seconds since the Unix epoch.
 
     ``failures`` counts attempts that ended other than by preemption;
+    ``failed_worker_ids`` names the workers where members failed;
     ``checkpoint_s`` is the run time that every member has saved.
     """
 
@@ -108,6 +109,7 @@
     attempt: Attempt | None = None
     checkpoint_s: float = 0.0
     ended_at: float | None = None
+    failed_worker_ids: tuple[str, ...] = ()
 
 
 def new_job_id() -> str:
--- a/primroselock/jobstore.py
+++ b/primroselock/jobstore.py
@@ -108,7 +108,7 @@
         if not page.ok_value:
             return result.Ok([])
         job_ids = [row.key.removeprefix(prefix) for row in page.ok_value]
-        loaded = await self._read_many(job_ids)
+        loaded = await self.read_many(job_ids)
         if isinstance(loaded, result.Err):
             return loaded
         puts = tuple(
@@ -130,21 +130,35 @@
             return outcome
         return loaded
 
-    async def write(
-        self, job: jobs.Job, row_version: int, epoch_row_version: int
+    async def write_many(
+        self,
+        shard: str,
+        written: list[Stored],
+        epoch_row_version: int,
     ) -> result.Result[table.Committed, table.TransactError]:
-        """Replace a job's row on behalf of the shard's holder."""
-        conditions = (
-            table.Condition(keys.job(job.id), row_version),
-            table.Condition(keys.shard_epoch(job.shard), epoch_row_version),
+        """Replace rows of jobs on behalf of the shard's holder.
+
+        Each entry names the version that its row must have now.  All
+        rows are written or none.
+        """
+        conditions = [
+            table.Condition(keys.job(entry.job.id), entry.row_version)
+            for entry in written
+        ]
+        conditions.append(
+            table.Condition(keys.shard_epoch(shard), epoch_row_version)
         )
-        deletes: tuple[str, ...] = ()
-        if job.state.is_final:
-            deletes = (keys.active(job.shard) + job.id,)
+        puts = [
+            table.Put(keys.job(entry.job.id), jobs.encode(entry.job))
+            for entry in written
+        ]
+        deletes = [
+            keys.active(shard) + entry.job.id
+            for entry in written
+            if entry.job.state.is_final
+        ]
         transaction = table.Transaction(
-            conditions,
-            (table.Put(keys.job(job.id), jobs.encode(job)),),
-            deletes,
+            tuple(conditions), tuple(puts), tuple(deletes)
         )
         return await table.transact_settled(self._store, transaction)
 
@@ -169,14 +183,15 @@
                 return result.Ok(found)
             after = page.ok_value[-1].key
             job_ids = [row.key.removeprefix(prefix) for row in page.ok_value]
-            loaded = await self._read_many(job_ids)
+            loaded = await self.read_many(job_ids)
             if isinstance(loaded, result.Err):
                 return loaded
             found.extend(loaded.ok_value)
 
-    async def _read_many(
+    async def read_many(
         self, job_ids: list[str]
     ) -> result.Result[list[Stored], table.Unavailable]:
+        """Return the jobs that exist among ``job_ids``."""
         read = await self._store.read([keys.job(job_id) for job_id in job_ids])
         if isinstance(read, result.Err):
             return read
--- /dev/null
+++ b/primroselock/jobwriter.py
@@ -0,0 +1,115 @@
+"""Writes job rows for a shard's holder, many in one transaction.
+
+Decisions are made again each round until their rows show them, so the
+writer keeps only the latest write of each job, one transaction runs at a
+time, and what comes meanwhile goes together into the next.  When rows of
+a transaction were changed by others, those are read again and the rest
+goes into the next transaction.
+"""
+
+import asyncio
+from collections import abc
+import typing
+
+import result
+
+from primroselock.decisions import commands
+from primroselock import jobstore
+from primroselock import logs
+from primroselock.platform import keys
+from primroselock.platform import table
+from primroselock import shards
+
+_MAX_ROWS: typing.Final = 200
+_OUTAGE_PAUSE_S: typing.Final = 0.5
+_log: typing.Final = logs.get('jobwriter')
+
+Record = abc.Callable[[list[jobstore.Stored]], None]
+
+
+class JobWriter:
+    """Groups the writes of one shard's holder.
+
+    ``record`` is called with rows as the table holds them now.
+    """
+
+    def __init__(
+        self,
+        store: jobstore.JobStore,
+        lease: shards.ShardLease,
+        record: Record,
+    ) -> None:
+        self._store = store
+        self._lease = lease
+        self._record = record
+        self._writes_by_job_id: dict[str, commands.WriteJob] = {}
+        self._in_flight_ids: frozenset[str] = frozenset()
+        self._wake = asyncio.Event()
+
+    def add(self, command: commands.WriteJob) -> None:
+        """Queue a write, unless one of the same job is on its way."""
+        if command.job.id in self._in_flight_ids:
+            return
+        self._writes_by_job_id[command.job.id] = command
+        self._wake.set()
+
+    def clear(self) -> None:
+        """Drop what waits: it was decided under an earlier epoch."""
+        self._writes_by_job_id.clear()
+
+    async def run(self) -> None:
+        """Write until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._writes_by_job_id:
+                await self._write_some()
+
+    async def _write_some(self) -> None:
+        taken = list(self._writes_by_job_id.values())[:_MAX_ROWS]
+        self._in_flight_ids = frozenset(write.job.id for write in taken)
+        for job_id in self._in_flight_ids:
+            del self._writes_by_job_id[job_id]
+        try:
+            if not await self._write(taken):
+                await asyncio.sleep(_OUTAGE_PAUSE_S)
+        finally:
+            self._in_flight_ids = frozenset()
+
+    async def _write(self, taken: list[commands.WriteJob]) -> bool:
+        """Write one transaction; return whether the table answered."""
+        stored = [
+            jobstore.Stored(write.job, write.row_version) for write in taken
+        ]
+        epoch_row_version = self._lease.epoch_row_version
+        written = await self._store.write_many(
+            self._lease.shard, stored, epoch_row_version
+        )
+        if isinstance(written, result.Ok):
+            version = written.ok_value.version
+            self._record([jobstore.Stored(s.job, version) for s in stored])
+            return True
+        if isinstance(written.err_value, table.Conflict):
+            return await self._resolve(taken, written.err_value)
+        _log.warning('jobs not written', detail=written.err_value.detail)
+        return False
+
+    async def _resolve(
+        self, taken: list[commands.WriteJob], conflict: table.Conflict
+    ) -> bool:
+        if keys.shard_epoch(self._lease.shard) in conflict.keys:
+            self._lease.drop('the epoch row has changed')
+            return True
+        changed_ids = {
+            write.job.id
+            for write in taken
+            if keys.job(write.job.id) in conflict.keys
+        }
+        for write in taken:
+            if write.job.id not in changed_ids:
+                self._writes_by_job_id.setdefault(write.job.id, write)
+        read = await self._store.read_many(sorted(changed_ids))
+        if isinstance(read, result.Err):
+            return False
+        self._record(read.ok_value)
+        return True
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -15,6 +15,10 @@
 from primroselock import ini
 
 
+HEARTBEATS_IN_WINDOW: typing.Final = 3
+"""Heartbeat intervals after which a worker counts as silent."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProcessSettings:
     """Who this process is."""
@@ -82,6 +86,47 @@
     checkpoint_grace_s: float = ini.key('seconds', 1.0)
     freeze_gap_s: float = ini.key('seconds', 1.0)
 
+    @property
+    def heartbeat_window_s(self) -> float:
+        """Return how old a worker's last word may be for a renewal."""
+        return self.heartbeat_interval_s * HEARTBEATS_IN_WINDOW
+
+    @property
+    def partial_run_s(self) -> float:
+        """Return how long members may run after one of them ended.
+
+        The last renewal is decided within the heartbeat window after the
+        ended member was last heard, and ends a task lease after that.
+        """
+        return self.heartbeat_window_s + self.task_lease_s
+
+    @property
+    def lease_lapse_s(self) -> float:
+        """Return after which time no lease granted before still holds.
+
+        An earlier holder of the shard may renew until the next exchange
+        with a worker that has heard of the new holder.
+        """
+        overlap_s = self.heartbeat_interval_s + self.worker_timeout_s
+        return self.task_lease_s + overlap_s
+
+    @property
+    def takeover_s(self) -> float:
+        """Return the longest time without renewals around a takeover.
+
+        From the last renewal of a holder that died to the first of the
+        next: the last heartbeat, a standby's two polls around the shard
+        lease, the load of the jobs, and one exchange that is heard.
+        """
+        return (
+            self.heartbeat_interval_s
+            + self.shard_lease_s
+            + self.shard_renew_interval_s * 2
+            + self.job_poll_interval_s
+            + self.tick_interval_s * 2
+            + self.worker_timeout_s
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
@@ -160,6 +205,17 @@
                 'at most a third of task_lease_s',
             )
         )
+    longest_s = scheduler.takeover_s + built['platform'].timeout_s
+    if scheduler.task_lease_s < longest_s:
+        problems.append(
+            ini.Problem(
+                source,
+                'scheduler',
+                'task_lease_s',
+                str(scheduler.task_lease_s),
+                f'at least {longest_s:g}, so that tasks outlive a takeover',
+            )
+        )
     return problems
 
 
--- a/primroselock/scheduler.py
+++ b/primroselock/scheduler.py
@@ -4,7 +4,8 @@
 the blackboard (job rows, worker reports, VM list, configuration) and
 carries out the commands that a round returns.  It decides only while it
 holds the shard's lease; whatever it writes is conditional on the shard's
-epoch, and workers refuse older epochs.
+epoch, and workers refuse older epochs.  When the lease runs out without
+another holder, it starts nothing but goes on with what runs.
 """
 
 import asyncio
@@ -18,14 +19,14 @@
 from primroselock.decisions import commands
 from primroselock.decisions import controllers
 from primroselock.decisions import registry
-from primroselock import jobs
 from primroselock import jobstore
+from primroselock import jobwriter
 from primroselock import logs
 from primroselock.mesh import messages
 from primroselock import options
-from primroselock.platform import table
 from primroselock.platform import vmlist
 from primroselock import shards
+from primroselock.workers import channels
 from primroselock.workers import link
 from primroselock.workers import protocol
 
@@ -34,30 +35,6 @@
 _MIN_ROUND_INTERVAL_S: typing.Final = 0.01
 
 
-class WorkerChannel:
-    """Commands that wait for one worker, and its next heartbeat."""
-
-    def __init__(self, vm: vmlist.Vm) -> None:
-        self.vm = vm
-        self.wake = asyncio.Event()
-        self._commands: dict[
-            tuple[type, protocol.TaskKey], protocol.Command
-        ] = {}
-
-    def add(self, command: protocol.Command, urgent: bool) -> None:
-        """Queue ``command``; a later one of its kind and task replaces it."""
-        self._commands[(type(command), command.task)] = command
-        if urgent:
-            self.wake.set()
-
-    def take(self) -> tuple[protocol.Command, ...]:
-        """Return the queued commands and empty the queue."""
-        self.wake.clear()
-        taken = tuple(self._commands.values())
-        self._commands.clear()
-        return taken
-
-
 class ShardRunner:
     """Runs one shard while its lease is held."""
 
@@ -66,11 +43,13 @@
         self.shared = shared
         self.store = jobstore.JobStore(shared.platform)
         self.lease = shards.ShardLease(self.settings, shared.platform, shard)
+        self.writer = jobwriter.JobWriter(
+            self.store, self.lease, self._record_jobs
+        )
         self.link = link.HttpLink(self.settings.scheduler.worker_timeout_s)
         self.board = self._new_board()
-        self.channels_by_id: dict[str, WorkerChannel] = {}
+        self.channels_by_id: dict[str, channels.Channel] = {}
         self._heartbeats_by_id: dict[str, asyncio.Task[None]] = {}
-        self._writes_by_job_id: dict[str, asyncio.Task[None]] = {}
         self._loaded_epoch = 0
         self._poll_jobs = asyncio.Event()
         self._round = asyncio.Event()
@@ -90,6 +69,7 @@
                 group.create_task(self._follow_lease())
                 group.create_task(self._follow_jobs())
                 group.create_task(self._decide())
+                group.create_task(self.writer.run())
         finally:
             self._end_heartbeats()
             await self.link.aclose()
@@ -102,6 +82,8 @@
         interval_s = self.settings.scheduler.shard_renew_interval_s
         while not self.shared.stopping.is_set():
             await self.lease.step(clock.monotonic())
+            if self.lease.has_shard and not self._leads():
+                self._poll_jobs.set()
             await asyncio.sleep(interval_s)
 
     async def _follow_jobs(self) -> None:
@@ -130,30 +112,32 @@
         )
         if isinstance(accepted, result.Err):
             return
-        for stored in accepted.ok_value:
-            self.board.record_job(stored.job, stored.row_version)
         if accepted.ok_value:
-            self._round.set()
+            self._record_jobs(accepted.ok_value)
 
     def _take_over(self, epoch: int, stored: list[jobstore.Stored]) -> None:
+        self._end_heartbeats()
+        self.writer.clear()
         self.board = self._new_board()
         self.board.epoch = epoch
+        self.board.listening_since = clock.monotonic()
         self.board.record_vms(self.shared.vms)
         for entry in stored:
             self.board.record_job(entry.job, entry.row_version)
         self._loaded_epoch = epoch
         _log.info('shard loaded', epoch=epoch, jobs=len(stored))
 
-    def _ready(self, now: float) -> bool:
-        return self.lease.holds(now) and self._loaded_epoch == self.lease.epoch
+    def _leads(self) -> bool:
+        """Whether decisions are made here; starts need the lease too."""
+        return self.lease.has_shard and self._loaded_epoch == self.lease.epoch
 
     async def _decide(self) -> None:
         tick_s = self.settings.scheduler.tick_interval_s
         while True:
             now = clock.monotonic()
             self._check_freeze(now)
-            self._match_heartbeats(now)
-            if self._ready(now):
+            self._match_heartbeats()
+            if self._leads():
                 self._run_round(now)
             await asyncio.sleep(_MIN_ROUND_INTERVAL_S)
             try:
@@ -164,52 +148,31 @@
                 self._round.clear()
 
     def _check_freeze(self, now: float) -> None:
-        """Distrust the permit after a pause of this process."""
+        """After a pause of this process, distrust what it knew before."""
         gap_s = now - self._last_tick
         self._last_tick = now
         if gap_s > self.settings.scheduler.freeze_gap_s:
             _log.warning('process was paused', gap_s=round(gap_s, 3))
             self.shared.follower.drop_confirmation()
+            self.board.listening_since = now
 
     def _run_round(self, now: float) -> None:
         self.board.config = self.shared.follower.current
-        self.board.permit_until = self.shared.follower.permit_until()
+        self.board.permit_until = min(
+            self.shared.follower.permit_until(), self.lease.valid_until
+        )
         for command in registry.run_round(self.board, self.settings, now):
             if isinstance(command, commands.SendToWorker):
                 channel = self.channels_by_id.get(command.worker_id)
                 if channel is not None:
-                    channel.add(command.command, command.urgent)
+                    channel.add(command.command, command.urgent, now)
             else:
-                self._write_job(command)
-
-    def _write_job(self, command: commands.WriteJob) -> None:
-        if command.job.id in self._writes_by_job_id:
-            return
-        task = asyncio.create_task(self._write(command, self.board))
-        self._writes_by_job_id[command.job.id] = task
+                self.writer.add(command)
 
-    async def _write(
-        self, command: commands.WriteJob, board: blackboard.Blackboard
-    ) -> None:
-        try:
-            written = await self.store.write(
-                command.job, command.row_version, self.lease.epoch_row_version
-            )
-            if isinstance(written, result.Ok):
-                board.record_job(command.job, written.ok_value.version)
-            elif isinstance(written.err_value, table.Conflict):
-                await self._reread(command.job, board)
-        finally:
-            del self._writes_by_job_id[command.job.id]
-            self._round.set()
-
-    async def _reread(
-        self, job: jobs.Job, board: blackboard.Blackboard
-    ) -> None:
-        read = await self.store.read(job.id)
-        if isinstance(read, result.Ok) and read.ok_value is not None:
-            stored = read.ok_value
-            board.record_job(stored.job, stored.row_version)
+    def _record_jobs(self, stored: list[jobstore.Stored]) -> None:
+        for entry in stored:
+            self.board.record_job(entry.job, entry.row_version)
+        self._round.set()
 
     def _record_vms(self, vms: list[vmlist.Vm]) -> None:
         self.board.record_vms(vms)
@@ -219,9 +182,9 @@
             if message.shard == self.lease.shard:
                 self._poll_jobs.set()
 
-    def _match_heartbeats(self, now: float) -> None:
+    def _match_heartbeats(self) -> None:
         """Run one heartbeat loop for each worker while the shard is held."""
-        if not self._ready(now):
+        if not self._leads():
             self._end_heartbeats()
             return
         workers = self.board.workers_by_id
@@ -233,7 +196,7 @@
                 continue
             if channel is not None:
                 self._end_heartbeat(worker_id)
-            channel = WorkerChannel(view.vm)
+            channel = channels.Channel(view.vm)
             self.channels_by_id[worker_id] = channel
             self._heartbeats_by_id[worker_id] = asyncio.create_task(
                 self._heartbeat(channel)
@@ -247,7 +210,7 @@
         del self.channels_by_id[worker_id]
         self._heartbeats_by_id.pop(worker_id).cancel()
 
-    async def _heartbeat(self, channel: WorkerChannel) -> None:
+    async def _heartbeat(self, channel: channels.Channel) -> None:
         while True:
             await self._exchange(channel)
             try:
@@ -258,31 +221,68 @@
             except TimeoutError:
                 continue
 
-    async def _exchange(self, channel: WorkerChannel) -> None:
+    async def _exchange(self, channel: channels.Channel) -> None:
         sent_at = clock.monotonic()
-        if not self._ready(sent_at):
+        board = self.board
+        view = board.workers_by_id.get(channel.vm.id)
+        if view is None or not self._leads():
             return
-        batch = protocol.Batch(
-            self.lease.shard, self.lease.epoch, channel.take()
-        )
-        answer = await self.link.exchange(channel.vm.address, batch)
-        heard_at = clock.monotonic()
+        batch = self._build_batch(channel, view, sent_at)
+        try:
+            answer = await self.link.exchange(channel.vm.address, batch)
+        finally:
+            channel.settle()
         if isinstance(answer, result.Ok):
-            self.board.record_report(answer.ok_value, sent_at, heard_at)
-            for refusal in answer.ok_value.refusals:
-                _log.warning(
-                    'worker refused a command',
-                    worker=channel.vm.id,
-                    job=refusal.task.job_id,
-                    reason=refusal.reason,
-                )
+            report = answer.ok_value
+            board.record_report(report, sent_at, clock.monotonic())
+            _log_refusals(report)
             if batch.commands:
                 self._round.set()
         elif isinstance(answer.err_value, link.StaleEpoch):
             self.lease.drop('a worker knows a newer epoch')
         else:
-            # A short pause keeps a dead worker from being asked in a loop.
-            await asyncio.sleep(self.settings.scheduler.tick_interval_s)
+            await self._pause_after_loss(batch, sent_at)
+
+    def _build_batch(
+        self,
+        channel: channels.Channel,
+        view: blackboard.WorkerView,
+        sent_at: float,
+    ) -> protocol.Batch:
+        epoch = self.lease.epoch
+        if view.report is None:
+            return protocol.Batch(self.lease.shard, epoch)
+        scheduler = self.settings.scheduler
+        return protocol.Batch(
+            self.lease.shard,
+            epoch,
+            channel.take(sent_at, scheduler.freeze_gap_s),
+            view.report.boot_id,
+            view.clock_at(sent_at + scheduler.worker_timeout_s),
+        )
+
+    async def _pause_after_loss(
+        self, batch: protocol.Batch, sent_at: float
+    ) -> None:
+        """Wait until lost commands can have no effect any more.
+
+        Also keeps a dead worker from being asked in a loop.
+        """
+        pause_s = self.settings.scheduler.tick_interval_s
+        if batch.commands:
+            over_at = sent_at + self.settings.scheduler.worker_timeout_s
+            pause_s = max(pause_s, over_at - clock.monotonic())
+        await asyncio.sleep(pause_s)
+
+
+def _log_refusals(report: protocol.Report) -> None:
+    for refusal in report.refusals:
+        _log.warning(
+            'worker refused a command',
+            worker=report.worker_id,
+            job=refusal.task.job_id,
+            reason=refusal.reason,
+        )
 
 
 async def run(settings: options.Settings) -> None:
--- a/primroselock/shards.py
+++ b/primroselock/shards.py
@@ -5,6 +5,12 @@
 standby takes over when the lease row has not changed for the lease's
 time on the standby's own clock, so that no two VMs' clocks are compared.
 The holder counts its lease from before a renewal was sent.
+
+A holder whose lease ran out starts nothing, but it stays the holder until
+another took the shard: the rows tell, or a worker that knows a newer
+epoch.  In an outage of the table it goes on renewing the leases of what
+runs already.  A standby that could not read the table either counts the
+lease's time anew, so that the old holder may renew first.
 """
 
 import dataclasses
@@ -74,8 +80,13 @@
         )
 
     def holds(self, now: float) -> bool:
-        """Whether decisions may be made now."""
-        return self.state == 'holder' and now < self.valid_until
+        """Whether the lease is valid, so that tasks may be started."""
+        return self.has_shard and now < self.valid_until
+
+    @property
+    def has_shard(self) -> bool:
+        """Whether nobody is known to have taken the shard since."""
+        return self.state == 'holder'
 
     def drop(self, why: str) -> None:
         """Stop holding without a word to the table."""
@@ -102,9 +113,6 @@
         self.drop('released')
 
     async def _renew(self, now: float) -> None:
-        if now >= self.valid_until:
-            self.drop('lease ran out')
-            return
         self._renewal += 1
         row = LeaseRow(self._holder_id, self._renewal)
         outcome = await table.transact_settled(
@@ -114,7 +122,29 @@
             self._lease_row_version = outcome.ok_value.version
             self.valid_until = now + self._settings.shard_lease_s
         elif isinstance(outcome.err_value, table.Conflict):
+            await self._check_taken()
+
+    async def _check_taken(self) -> None:
+        """Drop the shard if it was taken; else find the row's version.
+
+        A renewal whose reply was lost for good may have changed the lease
+        row; only a takeover changes the epoch row.
+        """
+        lease_key = keys.shard_lease(self.shard)
+        epoch_key = keys.shard_epoch(self.shard)
+        read = await self._store.read([lease_key, epoch_key])
+        if isinstance(read, result.Err):
+            return
+        epoch_row = read.ok_value.get(epoch_key)
+        lease_row = read.ok_value.get(lease_key)
+        if (
+            epoch_row is None
+            or lease_row is None
+            or epoch_row.version != self.epoch_row_version
+        ):
             self.drop('another process took it')
+            return
+        self._lease_row_version = lease_row.version
 
     def _lease_write(self, row: LeaseRow) -> table.Transaction:
         key = keys.shard_lease(self.shard)
@@ -128,6 +158,7 @@
         epoch_key = keys.shard_epoch(self.shard)
         read = await self._store.read([lease_key, epoch_key])
         if isinstance(read, result.Err):
+            self._seen_version = -1
             return
         lease_row = read.ok_value.get(lease_key)
         epoch_row = read.ok_value.get(epoch_key)
--- /dev/null
+++ b/primroselock/workers/channels.py
@@ -0,0 +1,67 @@
+"""Commands that wait for one worker, until its next exchange.
+
+Of one kind for one task only the latest command waits.  A stop or a
+forget supersedes whatever else waits for its task.  A command that waited
+longer than a bound is dropped: the sender was paused, and what still
+holds is decided again.
+"""
+
+import asyncio
+import dataclasses
+
+from primroselock.platform import vmlist
+from primroselock.workers import protocol
+
+_Kind = tuple[type[protocol.Command], protocol.TaskKey]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Waiting:
+    command: protocol.Command
+    decided_at: float
+
+
+class Channel:
+    """The commands for one worker; ``wake`` asks for an exchange at once."""
+
+    def __init__(self, vm: vmlist.Vm) -> None:
+        self.vm = vm
+        self.wake = asyncio.Event()
+        self._waiting: dict[_Kind, _Waiting] = {}
+        self._in_flight: frozenset[_Kind] = frozenset()
+
+    def add(self, command: protocol.Command, urgent: bool, now: float) -> None:
+        """Queue ``command``, unless its like is on the way already."""
+        kind: _Kind = (type(command), command.task)
+        if kind in self._in_flight:
+            return
+        if isinstance(command, (protocol.Stop, protocol.Forget)):
+            self._supersede(command.task)
+        self._waiting.pop(kind, None)
+        self._waiting[kind] = _Waiting(command, now)
+        if urgent:
+            self.wake.set()
+
+    def _supersede(self, task: protocol.TaskKey) -> None:
+        for kind in [kind for kind in self._waiting if kind[1] == task]:
+            del self._waiting[kind]
+
+    def take(
+        self, now: float, max_age_s: float
+    ) -> tuple[protocol.Command, ...]:
+        """Return the commands to send now and empty the queue."""
+        self.wake.clear()
+        taken = tuple(
+            waiting.command
+            for waiting in self._waiting.values()
+            if now - waiting.decided_at <= max_age_s
+        )
+        self._waiting.clear()
+        self._in_flight = frozenset(
+            (type(command), command.task) for command in taken
+        )
+        return taken
+
+    def settle(self) -> None:
+        """Note that the exchange is over, however it ended."""
+        self._in_flight = frozenset()
--- a/primroselock/workers/protocol.py
+++ b/primroselock/workers/protocol.py
@@ -2,7 +2,10 @@
 
 Each exchange carries a batch of commands under the shard's epoch and
 brings back the worker's report.  A worker refuses a batch whose epoch is
-older than one it has seen.  Every deadline is on the worker's own clock.
+older than one it has seen.  Every deadline is on the worker's own clock,
+so it means something to one incarnation of the worker only: a batch names
+the boot id that its deadlines were computed for, and another incarnation
+obeys none of its commands.
 """
 
 import enum
@@ -11,11 +14,16 @@
 
 
 class TaskKey(msgspec.Struct, frozen=True, order=True):
-    """One member of one attempt of a job."""
+    """One member of one attempt of a job.
+
+    ``epoch`` is that of the holder which placed the attempt, so that two
+    holders never give one key to two placements.
+    """
 
     job_id: str
     attempt: int
     member: int
+    epoch: int = 0
 
 
 class Reserve(msgspec.Struct, frozen=True, tag='reserve'):
@@ -79,11 +87,18 @@
 
 
 class Batch(msgspec.Struct, frozen=True):
-    """Commands of one shard's holder to one worker."""
+    """Commands of one shard's holder to one worker.
+
+    The worker obeys the commands only as the incarnation ``boot_id`` and
+    not after ``obey_by``.  The sender gives up an exchange no earlier
+    than that, so that a late batch never takes effect after the next.
+    """
 
     shard: str
     epoch: int
     commands: tuple[Command, ...] = ()
+    boot_id: str = ''
+    obey_by: float = 0.0
 
 
 class TaskState(enum.Enum):
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -101,11 +101,18 @@
         refusals = []
         for command in batch.commands:
             try:
+                self._check_batch(batch)
                 self._obey(command)
             except Refused as refused:
                 refusals.append(protocol.Refusal(command.task, str(refused)))
         return refusals
 
+    def _check_batch(self, batch: protocol.Batch) -> None:
+        if batch.boot_id != self.boot_id:
+            raise Refused('the worker has restarted')
+        if self.clock() > batch.obey_by:
+            raise Refused('the batch came too late')
+
     def _obey(self, command: protocol.Command) -> None:
         if isinstance(command, protocol.Reserve):
             self._reserve(command)
