--- a/primroselock/scheduler.py
+++ b/primroselock/scheduler.py
@@ -224,10 +224,9 @@
     async def _exchange(self, channel: channels.Channel) -> None:
         sent_at = clock.monotonic()
         board = self.board
-        view = board.workers_by_id.get(channel.vm.id)
-        if view is None or not self._leads():
+        if channel.vm.id not in board.workers_by_id or not self._leads():
             return
-        batch = self._build_batch(channel, view, sent_at)
+        batch = channel.build_batch(board, self.settings, sent_at)
         try:
             answer = await self.link.exchange(channel.vm.address, batch)
         finally:
@@ -243,24 +242,6 @@
         else:
             await self._pause_after_loss(batch, sent_at)
 
-    def _build_batch(
-        self,
-        channel: channels.Channel,
-        view: blackboard.WorkerView,
-        sent_at: float,
-    ) -> protocol.Batch:
-        epoch = self.lease.epoch
-        if view.report is None:
-            return protocol.Batch(self.lease.shard, epoch)
-        scheduler = self.settings.scheduler
-        return protocol.Batch(
-            self.lease.shard,
-            epoch,
-            channel.take(sent_at, scheduler.freeze_gap_s),
-            view.report.boot_id,
-            view.clock_at(sent_at + scheduler.worker_timeout_s),
-        )
-
     async def _pause_after_loss(
         self, batch: protocol.Batch, sent_at: float
     ) -> None:
--- /dev/null
+++ b/primroselock/test/testgangmachine.py
@@ -0,0 +1,305 @@
+"""Random faults on the decision core: gangs stay whole, grants single."""
+
+import dataclasses
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from primroselock import jobs
+from primroselock.test import builders
+from primroselock.test import fakeshard
+from primroselock.workers import protocol
+
+WORKERS = 3
+PERMIT_TTL_S = 3.0
+SETTLING_STEPS = 150
+STEP_S = 0.5
+
+_NOT_WHOLE = (
+    protocol.TaskState.RESERVED,
+    protocol.TaskState.FAILED,
+    protocol.TaskState.STOPPED,
+)
+_workers = strategies.integers(0, WORKERS - 1)
+
+
+class GangMachine(stateful.RuleBasedStateMachine):
+    """Holders, workers and a table under faults of every kind."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.settings = builders.build_settings()
+        self.clock = fakeshard.Clock()
+        self.table = fakeshard.FakeTable()
+        self.workers = [
+            fakeshard.FakeWorker(f'w{slot}', slot, self.clock)
+            for slot in range(WORKERS)
+        ]
+        self.out_since: float | None = None
+        self.late_batches: list[tuple[int, protocol.Batch]] = []
+        self.late_writes: list[fakeshard.Transaction] = []
+        self.holders: list[fakeshard.Holder] = []
+        self.take_over()
+
+    @stateful.rule()
+    def take_over(self) -> None:
+        """Let another process take the shard; the old one lives on."""
+        holder = fakeshard.Holder(
+            self.settings, self.table, self.workers, self.clock.now
+        )
+        self.holders = [holder, *self.holders[:1]]
+        for slot in range(WORKERS):
+            self.exchange(slot, 'whole', 0)
+        self.confirm(0)
+
+    @stateful.rule(steps=strategies.integers(1, 5))
+    def work(self, steps: int) -> None:
+        """Let the newest holder work without faults for a while."""
+        for _ in range(steps):
+            self.advance(STEP_S)
+            self.confirm(0)
+            self.decide(0)
+            for slot in range(WORKERS):
+                self.exchange(slot, 'whole', 0)
+            self.write('done')
+
+    @stateful.precondition(lambda self: len(self.table.stored_by_id) < 5)
+    @stateful.rule(
+        members=strategies.integers(1, 3),
+        accelerators=strategies.sampled_from([4, 8]),
+        run_s=strategies.sampled_from([3.0, 1000.0]),
+    )
+    def submit(self, members: int, accelerators: int, run_s: float) -> None:
+        """Submit a job."""
+        job = builders.build_job(
+            f'job-{len(self.table.stored_by_id)}',
+            members=members,
+            accelerators=accelerators,
+            command=('sleep', str(run_s)),
+        )
+        self.table.put(job)
+        self.holders[0].reload()
+
+    @stateful.rule(pick=strategies.integers(0, 9))
+    def cancel(self, pick: int) -> None:
+        """Mark a job as to be cancelled, as a gateway does."""
+        running = [
+            stored.job
+            for stored in self.table.stored_by_id.values()
+            if not stored.job.state.is_final
+        ]
+        if pick < len(running):
+            job = running[pick]
+            self.table.put(dataclasses.replace(job, cancel_requested=True))
+
+    @stateful.rule(which=strategies.integers(0, 1))
+    def confirm(self, which: int) -> None:
+        """Let a holder confirm the configuration."""
+        if which < len(self.holders) and self.out_since is None:
+            board = self.holders[which].board
+            board.permit_until = self.clock.now + PERMIT_TTL_S
+
+    @stateful.rule()
+    def take_zone_out(self) -> None:
+        """Take the zone out of service: no permit is given any more."""
+        if self.out_since is None:
+            self.out_since = self.clock.now
+
+    @stateful.rule(which=strategies.sampled_from([0, 0, 0, 1]))
+    def decide(self, which: int) -> None:
+        """Run one round of a holder."""
+        if which < len(self.holders):
+            self.holders[which].run_round(self.clock.now)
+
+    @stateful.rule(
+        slot=_workers,
+        fate=strategies.sampled_from(
+            ['whole', 'whole', 'whole', 'no reply', 'late', 'lost']
+        ),
+        which=strategies.sampled_from([0, 0, 0, 1]),
+    )
+    def exchange(self, slot: int, fate: str, which: int) -> None:
+        """Exchange a batch for a report, or lose part of it."""
+        if which >= len(self.holders):
+            return
+        holder, worker = self.holders[which], self.workers[slot]
+        sent_at = self.clock.now
+        batch = holder.take_batch(worker.parsed.id, sent_at)
+        if batch is None:
+            return
+        if worker.is_frozen and fate != 'lost':
+            fate = 'late'
+        if fate == 'whole':
+            holder.hear(worker.handle(batch), sent_at, sent_at)
+            return
+        timeout_s = self.settings.scheduler.worker_timeout_s
+        holder.free_at[worker.parsed.id] = sent_at + timeout_s
+        if fate == 'no reply':
+            worker.handle(batch)
+        elif fate == 'late':
+            self.late_batches.append((slot, batch))
+
+    @stateful.rule()
+    def deliver_late_batch(self) -> None:
+        """Deliver a batch whose sender gave up on it, or is about to."""
+        if self.late_batches:
+            slot, batch = self.late_batches.pop(0)
+            if not self.workers[slot].is_frozen:
+                self.workers[slot].handle(batch)
+
+    @stateful.rule(fate=strategies.sampled_from(['done', 'done', 'late']))
+    def write(self, fate: str) -> None:
+        """Carry out the holders' writes, or leave them under way."""
+        for holder in self.holders:
+            for transaction in holder.writes:
+                if fate == 'late':
+                    self.late_writes.append(transaction)
+                else:
+                    self.table.apply(transaction)
+            holder.writes.clear()
+        self.holders[0].reload()
+
+    @stateful.rule()
+    def finish_late_write(self) -> None:
+        """Let a write take effect whose reply nobody waits for."""
+        if self.late_writes:
+            self.table.apply(self.late_writes.pop(0))
+
+    @stateful.rule(seconds=strategies.sampled_from([0.3, 1.0, 4.0, 16.0]))
+    def advance(self, seconds: float) -> None:
+        """Let time pass; workers that are not frozen check their leases."""
+        for _ in range(int(seconds / 0.1)):
+            self.clock.now += 0.1
+            self.tick_workers()
+
+    def tick_workers(self) -> None:
+        for worker in self.workers:
+            if not worker.is_frozen:
+                worker.tick()
+
+    @stateful.rule(slot=_workers)
+    def freeze_or_wake(self, slot: int) -> None:
+        """Pause a worker, or let it go on."""
+        worker = self.workers[slot]
+        worker.is_frozen = not worker.is_frozen
+        self.tick_workers()
+
+    @stateful.rule(slot=_workers)
+    def restart(self, slot: int) -> None:
+        """Restart a worker under the same id and address."""
+        self.workers[slot].restart()
+
+    @stateful.invariant()
+    def no_start_without_permit_or_commit(self) -> None:
+        """A start had a permit, and a row that holds its placement."""
+        for worker in self.workers:
+            fresh = worker.history[worker.checked_starts :]
+            worker.checked_starts = len(worker.history)
+            for entry in fresh:
+                if entry['state'] != 'running':
+                    continue
+                if self.out_since is not None:
+                    assert entry['at'] <= self.out_since + PERMIT_TTL_S
+                number = (entry['job'], entry['attempt'])
+                (attempt,) = self.table.attempts_by_number[number]
+                placed = attempt.placements[entry['member']]
+                assert placed.worker_id == worker.parsed.id
+
+    @stateful.invariant()
+    def one_placement_per_attempt(self) -> None:
+        """No number of an attempt is ever committed with two placements."""
+        for attempts in self.table.attempts_by_number.values():
+            assert len(attempts) == 1
+
+    @stateful.invariant()
+    def no_accelerator_is_granted_twice(self) -> None:
+        """Neither a worker nor the holder grants one twice."""
+        for worker in self.workers:
+            live = [t for t in worker.tasks.values() if not t.state.is_final]
+            granted = [a for task in live for a in task.accelerators]
+            assert len(granted) == len(set(granted))
+        attempts = self.holders[0].board.attempts_by_job_id.values()
+        held = [
+            (placement.worker_id, accelerator)
+            for view in attempts
+            for placement in view.attempt.placements
+            for accelerator in placement.accelerators
+        ]
+        assert len(held) == len(set(held))
+
+    @stateful.invariant()
+    def partial_running_is_bounded(self) -> None:
+        """Members run without one that ended for a bounded time only."""
+        oldest = self.clock.now - self.settings.scheduler.partial_run_s - 0.2
+        awake = [worker for worker in self.workers if not worker.is_frozen]
+        last = [
+            (key[:2], entry)
+            for worker in awake
+            for key, entry in worker.last_by_task.items()
+        ]
+        running = {
+            attempt
+            for attempt, entry in last
+            if entry.state is protocol.TaskState.RUNNING
+        }
+        for attempt, entry in last:
+            if attempt in running and entry.state in _NOT_WHOLE:
+                assert entry.since >= oldest, (attempt, entry)
+
+    @stateful.invariant()
+    def done_means_that_every_member_was_done(self) -> None:
+        """A result counts only for a complete attempt."""
+        for stored in self.table.stored_by_id.values():
+            if stored.job.state is not jobs.JobState.DONE:
+                continue
+            done = {
+                entry['member']
+                for worker in self.workers
+                for entry in worker.history
+                if entry['job'] == stored.job.id
+                and entry['state'] == 'done'
+                and entry['attempt'] == stored.job.attempts
+            }
+            assert done == set(range(stored.job.spec.members))
+
+    def teardown(self) -> None:
+        """After the faults, every job ends and every task is forgotten."""
+        self.out_since = None
+        self.late_batches.clear()
+        for worker in self.workers:
+            worker.is_frozen = False
+        for stored in list(self.table.stored_by_id.values()):
+            if not stored.job.state.is_final and stored.job.spec.command[
+                -1
+            ] == str(1000.0):
+                self.table.put(
+                    dataclasses.replace(stored.job, cancel_requested=True)
+                )
+        for _ in range(SETTLING_STEPS):
+            if self.is_settled():
+                return
+            self.work(2)
+        raise AssertionError((self.table.stored_by_id, self.holders[0].board))
+
+    def is_settled(self) -> bool:
+        """Whether every job has ended and no worker keeps a task."""
+        if any(worker.tasks for worker in self.workers):
+            return False
+        stored = self.table.stored_by_id.values()
+        return all(entry.job.state.is_final for entry in stored)
+
+
+class GangMachineTest(unittest.TestCase):
+    """Runs the machine."""
+
+    def test_machine(self) -> None:
+        settings = hypothesis.settings(
+            max_examples=60, stateful_step_count=40, deadline=None
+        )
+        stateful.run_state_machine_as_test(GangMachine, settings=settings)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/primroselock/workers/channels.py
+++ b/primroselock/workers/channels.py
@@ -9,6 +9,8 @@
 import asyncio
 import dataclasses
 
+from primroselock.decisions import blackboard
+from primroselock import options
 from primroselock.platform import vmlist
 from primroselock.workers import protocol
 
@@ -62,6 +64,29 @@
         )
         return taken
 
+    def build_batch(
+        self,
+        board: blackboard.Blackboard,
+        settings: options.Settings,
+        sent_at: float,
+    ) -> protocol.Batch:
+        """Return the batch to send at ``sent_at``.
+
+        No command goes to a worker that was not heard, as its clock is
+        not known.
+        """
+        view = board.workers_by_id[self.vm.id]
+        if view.report is None:
+            return protocol.Batch(board.shard, board.epoch)
+        scheduler = settings.scheduler
+        return protocol.Batch(
+            board.shard,
+            board.epoch,
+            self.take(sent_at, scheduler.freeze_gap_s),
+            view.report.boot_id,
+            view.clock_at(sent_at + scheduler.worker_timeout_s),
+        )
+
     def settle(self) -> None:
         """Note that the exchange is over, however it ended."""
         self._in_flight = frozenset()
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -46,6 +46,8 @@
     started_at: float = 0.0
     resumed_s: float = 0.0
     checkpoint_s: float = 0.0
+    saving_s: float = 0.0
+    saved_at: float | None = None
     used_cpus: float = 0.0
     used_memory_mb: int = 0
 
@@ -77,7 +79,11 @@
 
     def clock(self) -> float:
         """Return the worker's own clock, unlike any other's."""
-        return time.monotonic() + self.clock_offset_s
+        return self.monotonic() + self.clock_offset_s
+
+    def monotonic(self) -> float:
+        """Return the time that the history is told in."""
+        return time.monotonic()
 
     def set_state(
         self, task: Task, state: protocol.TaskState, detail: str = ''
@@ -92,7 +98,7 @@
                 'member': task.key.member,
                 'state': state.value,
                 'detail': detail,
-                'at': time.monotonic(),
+                'at': self.monotonic(),
             }
         )
 
@@ -201,12 +207,10 @@
     def _checkpoint(self, task: Task) -> None:
         if task.state is not protocol.TaskState.RUNNING:
             raise Refused(f'the task is {task.state.value}')
-        loop = asyncio.get_running_loop()
-        progress_s = self.clock() - task.started_at + task.resumed_s
-        loop.call_later(
-            self.faults.slow_checkpoint_s,
-            lambda: setattr(task, 'checkpoint_s', progress_s),
-        )
+        if task.saved_at is None:
+            now = self.clock()
+            task.saving_s = now - task.started_at + task.resumed_s
+            task.saved_at = now + self.faults.slow_checkpoint_s
 
     def tick(self) -> None:
         """End tasks that are done and those whose lease ran out."""
@@ -214,6 +218,8 @@
         for task in list(self.tasks.values()):
             if task.state.is_final:
                 continue
+            if task.saved_at is not None and now >= task.saved_at:
+                task.checkpoint_s, task.saved_at = task.saving_s, None
             if now >= task.expires_at:
                 if task.state is protocol.TaskState.RESERVED:
                     del self.tasks[task.key]
@@ -254,18 +260,27 @@
             tuple(refusals),
         )
 
-    async def exchange(self, request: requests.Request) -> responses.Response:
-        """Serve one exchange with a scheduler."""
-        batch = msgspec.json.decode(await request.body(), type=protocol.Batch)
+    def handle(
+        self, batch: protocol.Batch
+    ) -> protocol.Report | protocol.EpochRefused:
+        """Obey a batch and report, unless a newer epoch is known."""
         known = self.epochs_by_shard.get(batch.shard, 0)
         if batch.epoch < known:
-            return platform.json_answer(protocol.EpochRefused(known), 409)
+            return protocol.EpochRefused(known)
         self.epochs_by_shard[batch.shard] = batch.epoch
         self.tick()
         refusals = self.obey(batch)
+        self.tick()
+        return self.report(refusals)
+
+    async def exchange(self, request: requests.Request) -> responses.Response:
+        """Serve one exchange with a scheduler."""
+        batch = msgspec.json.decode(await request.body(), type=protocol.Batch)
+        answer = self.handle(batch)
         if self.faults.lose_reply:
             raise platform.Lost
-        return platform.json_answer(self.report(refusals))
+        status = 409 if isinstance(answer, protocol.EpochRefused) else 200
+        return platform.json_answer(answer, status)
 
     async def set_faults(
         self, request: requests.Request
