Slopes of what each role costs, rerun by one command

Processor time and memory come from /proc of the measured process (schedstat, since the clock ticks of /proc/PID/stat are 10 ms and too coarse for 4.2% of a core). Bytes are counted by TCP relays in the measuring process.

Ruled out: /proc/PID/io, which counts no socket calls of asyncio; the loopback counters of /proc/net/dev, which other processes share; counters in the stand-ins, which miss the mesh. A fleet stand-in serves many workers from one process, so that the number of processes stays small.

--- a/standins/worker.py
+++ b/standins/worker.py
@@ -299,8 +299,8 @@
     ticking.cancel()
 
 
-def main() -> None:
-    """Run the stand-in from the command line."""
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of one worker's options."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--id', required=True)
     parser.add_argument('--bind', default='127.0.0.1:0')
@@ -310,7 +310,12 @@
     parser.add_argument('--cpus', type=int, default=64)
     parser.add_argument('--memory-mb', type=int, default=262144)
     parser.add_argument('--clock-offset-s', type=float, default=0.0)
-    asyncio.run(run(parser.parse_args()))
+    return parser
+
+
+def main() -> None:
+    """Run the stand-in from the command line."""
+    asyncio.run(run(build_parser().parse_args()))
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/tools/slopes/bench.py
@@ -0,0 +1,151 @@
+"""The system on stand-ins, with relays around the measured processes."""
+
+from collections import abc
+import dataclasses
+import hashlib
+import time
+import typing
+
+from standins import launch
+from tools.slopes import processes
+from tools.slopes import relay
+
+ZONE: typing.Final = 'a'
+CALLER_TOKEN: typing.Final = 'slopes-caller-token'
+_SETTLE_S: typing.Final = 1.5
+_FIRST_PATCH: typing.Final = f"""
+[zone a]
+racks = 16
+[account signs]
+token_digests = {hashlib.sha256(CALLER_TOKEN.encode()).hexdigest()}
+guarantee.a = 64:2
+[service quote-desk]
+slots = 64
+"""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rates:
+    """What one process used a second within a window, and its memory."""
+
+    cpu: float
+    rss_mb: float
+    table_bytes: float
+    table_reads: float
+    table_writes: float
+    vm_list_reads: float
+    link_bytes: float = 0.0
+    link_chunks: float = 0.0
+
+
+class Bench:
+    """One zone with a gateway; parts start what else they measure."""
+
+    def __init__(self, window_s: float) -> None:
+        self.window_s = window_s
+        self.cluster = launch.Cluster([ZONE])
+        self.relays = relay.RelayHost()
+        self.links: list[relay.Relay] = []
+        self.platform_relays: dict[str, relay.Relay] = {}
+
+    def __enter__(self) -> 'Bench':
+        self.cluster.start_platform()
+        self.start_daemon('gateway-a', 'gateway')
+        launch.wait_for(self._is_ready, 'the gateway is ready')
+        accepted = self.cluster.submit_patch('gateway-a', _FIRST_PATCH)
+        if accepted.status != 201:
+            raise RuntimeError(f'the first patch is refused: {accepted}')
+        return self
+
+    def _is_ready(self) -> bool:
+        try:
+            return self.call('GET', '/readyz').status == 200
+        except ConnectionError:
+            return False
+
+    def __exit__(self, *_: object) -> None:
+        self.cluster.close()
+        self.relays.close()
+
+    def start_daemon(
+        self,
+        name: str,
+        role: str,
+        settings: dict[str, dict[str, str]] | None = None,
+    ) -> launch.Process:
+        """Start a daemon that reaches the platform through a relay."""
+        wire = self.relays.open(self.cluster.platform_by_zone[ZONE])
+        self.platform_relays[name] = wire
+        changes = {'platform': {'address': wire.address}, **(settings or {})}
+        return self.cluster.start_daemon(name, role, ZONE, changes)
+
+    def call(
+        self, method: str, path: str, body: typing.Any = None
+    ) -> launch.Answer:
+        """Call the gateway as the client account."""
+        address = self.cluster.addresses_by_name['gateway-a']
+        return launch.call(address, method, path, body, CALLER_TOKEN)
+
+    def start_fleet(self, workers: int) -> list[dict[str, str]]:
+        """Start workers behind relays; return their VM entries."""
+        arguments = ['standins.fleet', '--workers', str(workers)]
+        fleet = self.cluster.start('fleet', arguments)
+
+        def all_listen() -> list[dict[str, typing.Any]] | None:
+            found = [e for e in fleet.events if e['event'] == 'listening']
+            return found if len(found) == workers else None
+
+        entries = []
+        for event in launch.wait_for(all_listen, 'the workers listen'):
+            wire = self.relays.open(event['address'])
+            self.links.append(wire)
+            index = int(event['id'].rpartition('-')[2])
+            entries.append(
+                {
+                    'id': event['id'],
+                    'role': 'worker',
+                    'zone': ZONE,
+                    'address': wire.address,
+                    'rack': f'worker-rack-{index // 8}',
+                }
+            )
+        return sorted(entries, key=lambda entry: int(entry['id'][7:]))
+
+    def list_vms(self, entries: list[dict[str, str]]) -> None:
+        """Put VMs on the platform's list."""
+        self.cluster.platform_call('/admin/vms', {'put': entries})
+
+    def settle(self) -> None:
+        """Let a change reach every process."""
+        time.sleep(_SETTLE_S)
+
+    def measure(
+        self, name: str, load: abc.Callable[[float], None] | None = None
+    ) -> Rates:
+        """Return what a process uses while ``load`` runs for a window."""
+        pid = self.cluster.processes_by_name[name].pid
+        wire = self.platform_relays[name]
+        before, began = self._totals(pid, wire), time.monotonic()
+        if load is None:
+            time.sleep(self.window_s)
+        else:
+            load(self.window_s)
+        taken_s = time.monotonic() - began
+        after = self._totals(pid, wire)
+        cpu, *rest = (
+            (new - old) / taken_s
+            for new, old in zip(after, before, strict=True)
+        )
+        rss_mb = processes.read_usage(pid).rss_bytes / 1e6
+        return Rates(cpu, rss_mb, *rest)
+
+    def _totals(self, pid: int, wire: relay.Relay) -> tuple[float, ...]:
+        return (
+            processes.read_usage(pid).cpu_s,
+            wire.bytes_total,
+            wire.calls('read', 'scan'),
+            wire.calls('transact'),
+            wire.calls('vms'),
+            sum(link.bytes_total for link in self.links),
+            sum(link.chunks for link in self.links),
+        )
--- /dev/null
+++ b/tools/slopes/holder.py
@@ -0,0 +1,132 @@
+"""Slopes of a scheduler: shard holder and standby."""
+
+import typing
+
+from standins import launch
+from tools.slopes import bench
+from tools.slopes import fits
+from tools.slopes import registry
+
+_WORKER_COUNTS: typing.Final = (4, 8, 16, 32)
+_JOB_COUNTS: typing.Final = (16, 32, 48, 64)
+_WAITING_COUNTS: typing.Final = (40, 80, 120, 160)
+_LISTED_COUNTS: typing.Final = (50, 100, 200, 400)
+_MEMBERS: typing.Final = 4
+_HOLDER_RATES: typing.Final = (
+    'cpu',
+    'rss_mb',
+    'link_bytes',
+    'link_chunks',
+    'table_bytes',
+    'table_reads',
+    'table_writes',
+)
+_LISTED_RATES: typing.Final = (
+    'cpu',
+    'rss_mb',
+    'table_bytes',
+    'table_reads',
+    'table_writes',
+    'vm_list_reads',
+)
+
+
+@registry.part('holder')
+def measure_holder(window_s: float) -> list[fits.Fit]:
+    """Grow a shard's workers, then its running, then its waiting jobs."""
+    with bench.Bench(window_s) as run:
+        run.start_daemon('scheduler-a', 'scheduler')
+        entries = run.start_fleet(max(_WORKER_COUNTS))
+        points: list[tuple[float, bench.Rates]] = []
+        for count in _WORKER_COUNTS:
+            run.list_vms(entries[:count])
+            launch.wait_for(
+                lambda: all(link.bytes_received for link in run.links[:count]),
+                f'{count} workers are heard',
+            )
+            run.settle()
+            points.append((count, run.measure('scheduler-a')))
+        found = registry.fit_rates(
+            'holder.worker', 'worker', points, _HOLDER_RATES
+        )
+        found += _grow_running(run)
+        found += _grow_waiting(run)
+    return found
+
+
+def _submit(run: bench.Bench, jobs: int) -> None:
+    spec = {
+        'name': 'slope',
+        'members': _MEMBERS,
+        'accelerators': 1,
+        'run_time_s': 100000,
+        'command': ['sleep', '100000'],
+    }
+    for _ in range(jobs):
+        answer = run.call('POST', '/v1/jobs', spec)
+        if answer.status != 201:
+            raise RuntimeError(f'a job is refused: {answer}')
+
+
+def _count_running(run: bench.Bench) -> int:
+    listed = run.call('GET', '/v1/jobs').json()
+    return sum(job['state'] == 'running' for job in listed)
+
+
+def _grow_running(run: bench.Bench) -> list[fits.Fit]:
+    points: list[tuple[float, bench.Rates]] = []
+    submitted = 0
+    for count in _JOB_COUNTS:
+        _submit(run, count - submitted)
+        submitted = count
+        launch.wait_for(
+            lambda: _count_running(run) >= count, f'{count} jobs run', 60.0
+        )
+        run.settle()
+        points.append((count * _MEMBERS, run.measure('scheduler-a')))
+    return registry.fit_rates(
+        'holder.task', 'running task', points, _HOLDER_RATES
+    )
+
+
+def _grow_waiting(run: bench.Bench) -> list[fits.Fit]:
+    points: list[tuple[float, bench.Rates]] = []
+    submitted = 0
+    for count in _WAITING_COUNTS:
+        _submit(run, count - submitted)
+        submitted = count
+        run.settle()
+        points.append((count, run.measure('scheduler-a')))
+    return registry.fit_rates(
+        'holder.waiting', 'waiting job', points, _HOLDER_RATES
+    )
+
+
+@registry.part('standby')
+def measure_standby(window_s: float) -> list[fits.Fit]:
+    """Let a standby follow a VM list that grows with VMs of no use to it."""
+    with bench.Bench(window_s) as run:
+        run.start_daemon('scheduler-a', 'scheduler')
+        run.start_daemon('standby-a', 'scheduler')
+        points: list[tuple[float, bench.Rates]] = []
+        for count in _LISTED_COUNTS:
+            run.list_vms(build_far_workers(count))
+            run.settle()
+            points.append((count, run.measure('standby-a')))
+    return registry.fit_rates(
+        'standby.listed_vm', 'listed VM', points, _LISTED_RATES
+    )
+
+
+def build_far_workers(count: int) -> list[dict[str, str]]:
+    """Return VM entries of another zone's workers."""
+    return [
+        {
+            'id': f'far-worker-{index}',
+            'role': 'worker',
+            'zone': 'far',
+            'address': f'10.0.{index // 250}.{index % 250}:7000',
+            'rack': f'far-rack-{index // 8}',
+        }
+        for index in range(count)
+    ]
--- /dev/null
+++ b/tools/slopes/registry.py
@@ -0,0 +1,60 @@
+"""The parts of the measurement, registered by decorator."""
+
+from collections import abc
+import dataclasses
+
+from tools.slopes import bench
+from tools.slopes import fits
+
+Measure = abc.Callable[[float], list[fits.Fit]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Part:
+    """A part by name; ``measure`` takes the window in seconds."""
+
+    name: str
+    measure: Measure
+
+
+parts_by_name: dict[str, Part] = {}
+
+
+def part(name: str) -> abc.Callable[[Measure], Measure]:
+    """Register the decorated function as a part."""
+
+    def register(measure: Measure) -> Measure:
+        parts_by_name[name] = Part(name, measure)
+        return measure
+
+    return register
+
+
+_UNITS_BY_RATE = {
+    'cpu': 'core-s/s',
+    'rss_mb': 'MB',
+    'table_bytes': 'B/s',
+    'table_reads': 'reads/s',
+    'table_writes': 'writes/s',
+    'vm_list_reads': 'reads/s',
+    'link_bytes': 'B/s',
+    'link_chunks': 'segments/s',
+}
+
+
+def fit_rates(
+    prefix: str,
+    x_name: str,
+    points: list[tuple[float, bench.Rates]],
+    names: tuple[str, ...],
+) -> list[fits.Fit]:
+    """Return one fit for each of the rates ``names``."""
+    return [
+        fits.fit(
+            f'{prefix}.{name}',
+            x_name,
+            _UNITS_BY_RATE[name],
+            [(x, getattr(rates, name)) for x, rates in points],
+        )
+        for name in names
+    ]
--- /dev/null
+++ b/tools/slopes/relay.py
@@ -0,0 +1,140 @@
+"""TCP relays that count what passes through them.
+
+All relays run on one event loop in a thread of the measuring process, so
+that the cost of counting falls on no measured process.  Bytes are those
+of the TCP streams, without IP and TCP headers; a *chunk* is what one
+read returned and stands for a segment.
+"""
+
+import asyncio
+from collections import abc
+import threading
+import typing
+
+_CHUNK_BYTES: typing.Final = 65536
+_COUNTED_PATHS: typing.Final = (
+    b' /v1/table/read ',
+    b' /v1/table/scan ',
+    b' /v1/table/transact ',
+    b' /v1/vms',
+    b' /v1/objects/',
+)
+
+
+class Relay:
+    """Passes connections on to ``target`` and counts both ways."""
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.address = ''
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.chunks = 0
+        self.calls_by_path: dict[str, int] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+
+    @property
+    def bytes_total(self) -> int:
+        """Bytes of both ways."""
+        return self.bytes_sent + self.bytes_received
+
+    def calls(self, *names: str) -> int:
+        """Return how many platform calls of these names were seen."""
+        return sum(self.calls_by_path.get(name, 0) for name in names)
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f'{host}:{port}'
+
+    async def stop(self) -> None:
+        """Close the port and every connection."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        host, _, port = self.target.rpartition(':')
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                host, int(port)
+            )
+        except OSError:
+            writer.close()
+            return
+        try:
+            await asyncio.gather(
+                self._pump(reader, far_writer, self._count_sent),
+                self._pump(far_reader, writer, self._count_received),
+            )
+        except (OSError, asyncio.CancelledError):
+            return
+        finally:
+            writer.close()
+            far_writer.close()
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        count: abc.Callable[[bytes], None],
+    ) -> None:
+        while chunk := await reader.read(_CHUNK_BYTES):
+            count(chunk)
+            writer.write(chunk)
+            await writer.drain()
+        writer.close()
+
+    def _count_sent(self, chunk: bytes) -> None:
+        self.bytes_sent += len(chunk)
+        self.chunks += 1
+        for path in _COUNTED_PATHS:
+            seen = chunk.count(path)
+            if seen:
+                name = path.decode().strip().rstrip('/').rpartition('/')[2]
+                total = self.calls_by_path.get(name, 0) + seen
+                self.calls_by_path[name] = total
+
+    def _count_received(self, chunk: bytes) -> None:
+        self.bytes_received += len(chunk)
+        self.chunks += 1
+
+
+class RelayHost:
+    """The thread and event loop that every relay runs on."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._relays: list[Relay] = []
+        self._thread = threading.Thread(
+            target=self._loop.run_forever, daemon=True
+        )
+        self._thread.start()
+
+    def open(self, target: str) -> Relay:
+        """Return a relay that listens and leads to ``target``."""
+        relay = Relay(target)
+        self._run(relay.start())
+        self._relays.append(relay)
+        return relay
+
+    def close(self) -> None:
+        """Stop every relay and the thread."""
+        for relay in self._relays:
+            self._run(relay.stop())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    def _run(self, work: abc.Coroutine[None, None, None]) -> None:
+        asyncio.run_coroutine_threadsafe(work, self._loop).result(10.0)
