Client: every command of the operators, exit codes as promised

The client lacked diff, revert, account list, job list, worker list, waiting for a patch, and help with examples; a refused patch ended with 2, which is for wrong usage, and an answer without a JSON body always with 3.

Commands stand in two modules (configuration, views) beside the framework in cli.py. The gateway gets /v1/operators/accounts, jobs and workers; what is placed comes from active job rows and is null while the platform is out, so that the list of workers still answers. Ruled out: telling placements by beacons, whose bytes are bounded, and asking schedulers, which an operator cannot reach through the balancer.

--- a/primroselock/cli.py
+++ b/primroselock/cli.py
@@ -1,23 +1,26 @@
 """The operators' client: commands that call a gateway over HTTP.
 
 Each command is registered by decorator with its place on the command
-line.  Results are printed as a table for people or as JSON.
+line.  Results are printed as a table for people or as JSON.  The exit
+code is 0 when the command was done, 1 when it was refused, 2 for wrong
+usage, and 3 when the gateway is not reached or the outcome is unknown.
 """
 
 import argparse
 import asyncio
 from collections import abc
 import dataclasses
+import datetime
 import os
-import pathlib
-import sys
 import typing
+import urllib.parse
 
 import msgspec
 import result
 
 from primroselock import errors
 from primroselock import httplane
+from primroselock import ini
 
 _TIMEOUT_S: typing.Final = 15.0
 _TOKEN_VARIABLE: typing.Final = 'PRIMROSELOCK_TOKEN'
@@ -35,6 +38,7 @@
     group: str
     name: str
     help: str
+    examples: str
     describe: Describe
     run: Run
 
@@ -47,13 +51,20 @@
 
 
 def command(
-    group: str, name: str, help_text: str, describe: Describe = _no_arguments
+    group: str,
+    name: str,
+    help_text: str,
+    examples: str,
+    describe: Describe = _no_arguments,
 ) -> abc.Callable[[Run], Run]:
-    """Register the decorated function as the command ``group name``."""
+    """Register the decorated function as the command ``group name``.
+
+    ``examples`` holds one example a line, without the program's name.
+    """
 
     def register(run_command: Run) -> Run:
         commands_by_path[(group, name)] = Command(
-            group, name, help_text, describe, run_command
+            group, name, help_text, examples, describe, run_command
         )
         return run_command
 
@@ -64,9 +75,8 @@
     """Add every registered command to the command line."""
     groups: dict[str, Parsers] = {}
     for entry in commands_by_path.values():
-        if not entry.name:
-            parser = subparsers.add_parser(entry.group, help=entry.help)
-        else:
+        parent = subparsers
+        if entry.name:
             if entry.group not in groups:
                 group = subparsers.add_parser(
                     entry.group, help=f'{entry.group} commands'
@@ -74,29 +84,52 @@
                 groups[entry.group] = group.add_subparsers(
                     dest='action', required=True
                 )
-            parser = groups[entry.group].add_parser(
-                entry.name, help=entry.help
-            )
-        parser.set_defaults(client_command=entry)
-        parser.add_argument(
-            '--gateway',
-            default=os.environ.get(_GATEWAY_VARIABLE),
-            help=f'IP:PORT of a gateway (or {_GATEWAY_VARIABLE})',
-        )
-        parser.add_argument(
-            '--output', choices=('table', 'json'), default='table'
-        )
-        entry.describe(parser)
+            parent = groups[entry.group]
+        _add_command(parent, entry)
+
+
+def _add_command(parent: Parsers, entry: Command) -> None:
+    parser = parent.add_parser(
+        entry.name or entry.group,
+        help=entry.help,
+        description=entry.help,
+        epilog=format_examples(entry.examples),
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.set_defaults(client_command=entry)
+    parser.add_argument(
+        '--gateway',
+        metavar='IP:PORT',
+        default=os.environ.get(_GATEWAY_VARIABLE),
+        help=f'a gateway (default: {_GATEWAY_VARIABLE})',
+    )
+    parser.add_argument(
+        '--output',
+        choices=('table', 'json'),
+        default='table',
+        help='how results are printed (default: table)',
+    )
+    entry.describe(parser)
+
+
+def format_examples(examples: str) -> str:
+    """Return the part of a help text that shows examples."""
+    lines = [f'  primroselock {line}' for line in examples.splitlines()]
+    return '\n'.join(['examples:', *lines])
 
 
 def run(parsed: argparse.Namespace) -> errors.ExitCode:
     """Run the client command that was parsed."""
     entry: Command = parsed.client_command
-    if not parsed.gateway:
+    address = ini.kinds_by_name['address']
+    try:
+        address.convert(parsed.gateway or '')
+    except ValueError as error:
         raise errors.CommandError(
             errors.ExitCode.USAGE,
-            f'--gateway or {_GATEWAY_VARIABLE}: expected IP:PORT',
-        )
+            f'--gateway or {_GATEWAY_VARIABLE} = {parsed.gateway or ""!r}: '
+            f'expected {address.expected}',
+        ) from error
     return entry.run(parsed)
 
 
@@ -147,17 +180,13 @@
 
 
 def _failure(response: httplane.Response) -> errors.CommandError:
-    try:
-        body = msgspec.json.decode(response.body, type=_ErrorBody)
-    except msgspec.MsgspecError:
-        return errors.CommandError(
-            errors.ExitCode.UNREACHABLE, f'status {response.status}'
-        )
     exit_code = errors.ExitCode.REFUSED
     if response.status >= 500:
         exit_code = errors.ExitCode.UNREACHABLE
-    elif response.status == 422:
-        exit_code = errors.ExitCode.USAGE
+    try:
+        body = msgspec.json.decode(response.body, type=_ErrorBody)
+    except msgspec.MsgspecError:
+        return errors.CommandError(exit_code, f'status {response.status}')
     return errors.CommandError(
         exit_code,
         f'{body.error.code}: {body.error.message}',
@@ -165,6 +194,18 @@
     )
 
 
+def format_time(unix_s: float) -> str:
+    """Return a time as ISO 8601 in UTC."""
+    moment = datetime.datetime.fromtimestamp(unix_s, datetime.timezone.utc)
+    return moment.isoformat(timespec='seconds')
+
+
+def query(path: str, **values: typing.Any) -> str:
+    """Return ``path`` with those ``values`` that are not None."""
+    given = {name: item for name, item in values.items() if item is not None}
+    return f'{path}?{urllib.parse.urlencode(given)}' if given else path
+
+
 def show(parsed: argparse.Namespace, value: typing.Any) -> None:
     """Print an answer as the operator asked for it."""
     if parsed.output == 'json':
@@ -173,8 +214,32 @@
     elif isinstance(value, list):
         print(format_table(value))
     else:
-        for name, item in value.items():
-            print(f'{name}: {item}')
+        print(format_fields(value))
+
+
+def format_fields(fields: dict[str, typing.Any]) -> str:
+    """Return one line a field, and a table for each list of records."""
+    lines = []
+    for name, item in fields.items():
+        if isinstance(item, list) and item and isinstance(item[0], dict):
+            lines += [f'{name}:', format_table(item)]
+        else:
+            lines.append(f'{name}: {format_value(item)}')
+    return '\n'.join(lines)
+
+
+def format_value(value: typing.Any) -> str:
+    """Return a value as people read it."""
+    if value is None:
+        return '-'
+    if isinstance(value, bool):
+        return 'yes' if value else 'no'
+    if isinstance(value, list):
+        return ', '.join(format_value(item) for item in value) or '-'
+    if isinstance(value, dict):
+        pairs = (f'{k}={format_value(v)}' for k, v in value.items())
+        return ' '.join(pairs) or '-'
+    return str(value)
 
 
 def format_table(rows: list[dict[str, typing.Any]]) -> str:
@@ -183,7 +248,7 @@
         return '(none)'
     names = list(rows[0])
     cells = [names] + [
-        [str(row.get(name, '')) for name in names] for row in rows
+        [format_value(row.get(name)) for name in names] for row in rows
     ]
     widths = [max(len(line[i]) for line in cells) for i in range(len(names))]
     return '\n'.join(
@@ -192,104 +257,3 @@
         ).rstrip()
         for line in cells
     )
-
-
-def _describe_patch(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument('file', help='INI patch, or - for standard input')
-    parser.add_argument('--base', type=int, help='version it starts from')
-    parser.add_argument('--comment', default='')
-
-
-@command('patch', 'submit', 'submit a patch', _describe_patch)
-def _submit_patch(parsed: argparse.Namespace) -> errors.ExitCode:
-    base = parsed.base
-    if base is None:
-        base = call(parsed, 'GET', '/v1/config')['version']
-    body = {
-        'base_version': base,
-        'text': _read_text(parsed.file),
-        'comment': parsed.comment,
-    }
-    show(parsed, call(parsed, 'POST', '/v1/config/patches', body))
-    return errors.ExitCode.DONE
-
-
-def _read_text(path: str) -> str:
-    if path == '-':
-        return sys.stdin.read()
-    try:
-        return pathlib.Path(path).read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        raise errors.CommandError(
-            errors.ExitCode.USAGE, f'{path}: cannot be read: {error}'
-        ) from error
-
-
-@command('patch', 'show', 'show the present configuration')
-def _show_patch(parsed: argparse.Namespace) -> errors.ExitCode:
-    answer = call(parsed, 'GET', '/v1/config')
-    if parsed.output == 'json':
-        show(parsed, answer)
-    else:
-        print(f'; version {answer["version"]}')
-        print(answer['text'])
-    return errors.ExitCode.DONE
-
-
-@command('patch', 'log', 'list the accepted patches')
-def _log_patches(parsed: argparse.Namespace) -> errors.ExitCode:
-    show(parsed, call(parsed, 'GET', '/v1/config/patches'))
-    return errors.ExitCode.DONE
-
-
-def _describe_zone(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument('zone')
-    parser.add_argument('--comment', default='')
-
-
-def _set_zone(parsed: argparse.Namespace, state: str) -> errors.ExitCode:
-    body = {
-        'base_version': call(parsed, 'GET', '/v1/config')['version'],
-        'text': f'[zone {parsed.zone}]\nstate = {state}\n',
-        'comment': parsed.comment or f'zone {state} {parsed.zone}',
-    }
-    show(parsed, call(parsed, 'POST', '/v1/config/patches', body))
-    return errors.ExitCode.DONE
-
-
-@command('zone', 'out', 'take a zone out of service', _describe_zone)
-def _zone_out(parsed: argparse.Namespace) -> errors.ExitCode:
-    return _set_zone(parsed, 'out')
-
-
-@command('zone', 'in', 'bring a zone back into service', _describe_zone)
-def _zone_in(parsed: argparse.Namespace) -> errors.ExitCode:
-    return _set_zone(parsed, 'in')
-
-
-def _describe_job(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument('job_id')
-
-
-@command('job', 'show', 'show a job', _describe_job)
-def _show_job(parsed: argparse.Namespace) -> errors.ExitCode:
-    show(parsed, call(parsed, 'GET', f'/v1/jobs/{parsed.job_id}'))
-    return errors.ExitCode.DONE
-
-
-@command('job', 'cancel', 'cancel a job', _describe_job)
-def _cancel_job(parsed: argparse.Namespace) -> errors.ExitCode:
-    show(parsed, call(parsed, 'DELETE', f'/v1/jobs/{parsed.job_id}'))
-    return errors.ExitCode.DONE
-
-
-@command('status', '', 'show what a gateway knows')
-def _status(parsed: argparse.Namespace) -> errors.ExitCode:
-    show(parsed, call(parsed, 'GET', '/v1/status'))
-    return errors.ExitCode.DONE
-
-
-@command('audit', '', 'show the audit trail')
-def _audit(parsed: argparse.Namespace) -> errors.ExitCode:
-    show(parsed, call(parsed, 'GET', '/v1/audit'))
-    return errors.ExitCode.DONE
--- a/primroselock/gateway.py
+++ b/primroselock/gateway.py
@@ -18,6 +18,7 @@
 from primroselock import daemon
 from primroselock import jobsapi
 from primroselock import logs
+from primroselock import operatorsapi
 from primroselock import options
 from primroselock import routing
 from primroselock import servicesapi
@@ -87,6 +88,7 @@
     services = servicesapi.ServicesApi(shared, router)
     jobs_api = jobsapi.JobsApi(shared)
     config = configapi.ConfigApi(shared)
+    operators = operatorsapi.OperatorsApi(shared)
     status = StatusApi(shared)
     table: list[tuple[str, str, typing.Any]] = [
         ('POST', '/v1/services/{service}/{path:path}', services.handle),
@@ -98,6 +100,9 @@
         ('GET', '/v1/config/patches', config.list_patches),
         ('GET', '/v1/config', config.show),
         ('GET', '/v1/audit', config.list_audit),
+        ('GET', '/v1/operators/accounts', operators.list_accounts),
+        ('GET', '/v1/operators/jobs', operators.list_jobs),
+        ('GET', '/v1/operators/workers', operators.list_workers),
         ('GET', '/healthz', status.health),
         ('GET', '/readyz', status.ready),
         ('GET', '/v1/status', status.status),
--- a/primroselock/main.py
+++ b/primroselock/main.py
@@ -11,7 +11,9 @@
 from primroselock import gateway
 from primroselock import logs
 from primroselock import options
+from primroselock import patchcommands
 from primroselock import scheduler
+from primroselock import viewcommands
 
 _DAEMONS: typing.Final[
     dict[
@@ -19,6 +21,9 @@
     ]
 ] = {'gateway': gateway.run, 'scheduler': scheduler.run}
 
+_CLIENT_MODULES: typing.Final = (patchcommands, viewcommands)
+"""Imported for the commands that they register."""
+
 
 def build_parser() -> argparse.ArgumentParser:
     """Return the parser of the whole command line."""
@@ -29,11 +34,23 @@
     )
     commands = parser.add_subparsers(dest='command', required=True)
     for name in _DAEMONS:
-        daemon = commands.add_parser(name, help=f'run the {name} daemon')
-        daemon.add_argument('--settings', required=True, metavar='FILE')
+        daemon = commands.add_parser(
+            name,
+            help=f'run the {name} daemon',
+            epilog=cli.format_examples(f'{name} --settings {name}.ini'),
+            formatter_class=argparse.RawDescriptionHelpFormatter,
+        )
+        daemon.add_argument(
+            '--settings', required=True, metavar='FILE', help='INI file'
+        )
     settings = commands.add_parser('settings', help='work on settings files')
     actions = settings.add_subparsers(dest='action', required=True)
-    check = actions.add_parser('check', help='check a settings file')
+    check = actions.add_parser(
+        'check',
+        help='check a settings file',
+        epilog=cli.format_examples('settings check gateway.ini'),
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
     check.add_argument('file', metavar='FILE')
     cli.add_commands(commands)
     return parser
@@ -49,7 +66,8 @@
             print(f'primroselock: {line}', file=sys.stderr)
         return error.exit_code
     except KeyboardInterrupt:
-        return errors.ExitCode.REFUSED
+        print('primroselock: interrupted', file=sys.stderr)
+        return errors.ExitCode.UNREACHABLE
 
 
 def _run(parsed: argparse.Namespace) -> errors.ExitCode:
--- /dev/null
+++ b/primroselock/operatorsapi.py
@@ -0,0 +1,196 @@
+"""Operators' views of accounts, jobs and workers.
+
+Accounts and workers are told from the configuration and the VM list that
+this gateway holds; what is placed comes from the rows of active jobs.
+While the platform is out, the placed counts are absent (null), the rest
+is still told.
+"""
+
+import dataclasses
+import typing
+
+import result
+from starlette import requests
+from starlette import responses
+
+from primroselock import answers
+from primroselock import auth
+from primroselock import daemon
+from primroselock import jobs
+from primroselock import jobsapi
+from primroselock import jobstore
+from primroselock.platform import table
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AccountView:
+    """A client account in one zone.
+
+    ``guarantee`` maps cell sizes to counts; ``accelerators`` and
+    ``tasks`` are what its committed jobs hold, None when not known.
+    """
+
+    account: str
+    zone: str
+    weight: int
+    guarantee: dict[int, int]
+    tasks: int | None
+    accelerators: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerView:
+    """A listed worker and what committed jobs hold on it."""
+
+    worker: str
+    zone: str
+    rack: str
+    address: str
+    leaving: bool
+    tasks: int | None
+    accelerators: int | None
+
+
+class OperatorsApi:
+    """Handles ``/v1/operators``."""
+
+    def __init__(self, shared: daemon.Daemon) -> None:
+        self._shared = shared
+        self._store = jobstore.JobStore(shared.platform)
+
+    def _refuse_stranger(
+        self, request: requests.Request
+    ) -> responses.Response | None:
+        digests = self._shared.settings.gateway.operator_digests
+        if auth.is_operator(request, digests):
+            return None
+        return answers.error(401, 'unauthorized', "not an operator's token")
+
+    async def list_accounts(
+        self, request: requests.Request
+    ) -> responses.Response:
+        """Return every account in every zone where it is promised cells."""
+        refusal = self._refuse_stranger(request)
+        if refusal is not None:
+            return refusal
+        active = await self._load_active()
+        views = []
+        for account in self._shared.follower.current.accounts_by_name.values():
+            zones = account.guarantees_by_zone.keys() | _zones_of(
+                active, account.name
+            )
+            for zone in sorted(zones) or ['']:
+                held = _placements(active, account.name, zone)
+                views.append(
+                    AccountView(
+                        account.name,
+                        zone,
+                        account.weight,
+                        dict(account.guarantees_by_zone.get(zone, {})),
+                        None if held is None else len(held),
+                        _count_accelerators(held),
+                    )
+                )
+        return answers.json_answer(views)
+
+    async def list_workers(
+        self, request: requests.Request
+    ) -> responses.Response:
+        """Return the workers of the VM list, of one zone or of all."""
+        refusal = self._refuse_stranger(request)
+        if refusal is not None:
+            return refusal
+        zone = request.query_params.get('zone')
+        held = _placements(await self._load_active())
+        views = []
+        for vm in self._shared.vms:
+            if vm.role != 'worker' or zone not in (None, vm.zone):
+                continue
+            here = None
+            if held is not None:
+                here = [p for p in held if p.worker_id == vm.id]
+            views.append(
+                WorkerView(
+                    vm.id,
+                    vm.zone,
+                    vm.rack,
+                    vm.address,
+                    vm.leaving,
+                    None if here is None else len(here),
+                    _count_accelerators(here),
+                )
+            )
+        return answers.json_answer(views)
+
+    async def list_jobs(self, request: requests.Request) -> responses.Response:
+        """Return the jobs of one account or of all, in one state or any."""
+        refusal = self._refuse_stranger(request)
+        if refusal is not None:
+            return refusal
+        wanted = request.query_params.get('account')
+        state = request.query_params.get('state')
+        names = sorted(self._shared.follower.current.accounts_by_name)
+        if wanted is not None:
+            names = [wanted]
+        rows: list[dict[str, typing.Any]] = []
+        for name in names:
+            listed = await self._store.list_account(name)
+            if isinstance(listed, result.Err):
+                return _platform_failed(listed.err_value)
+            rows += [
+                _summarize(job)
+                for job in listed.ok_value
+                if state in (None, job.state.value)
+            ]
+        return answers.json_answer(rows)
+
+    async def _load_active(self) -> list[jobs.Job] | None:
+        """Return the active jobs of every zone, or None."""
+        found = []
+        for zone in self._shared.follower.current.zones_by_name:
+            loaded = await self._store.load_active(zone)
+            if isinstance(loaded, result.Err):
+                return None
+            found += [stored.job for stored in loaded.ok_value]
+        return found
+
+
+def _zones_of(active: list[jobs.Job] | None, account: str) -> set[str]:
+    return {
+        job.shard
+        for job in active or ()
+        if job.account == account and job.attempt is not None
+    }
+
+
+def _placements(
+    active: list[jobs.Job] | None,
+    account: str | None = None,
+    zone: str | None = None,
+) -> list[jobs.Placement] | None:
+    if active is None:
+        return None
+    return [
+        placement
+        for job in active
+        if job.attempt is not None
+        and account in (None, job.account)
+        and zone in (None, job.shard)
+        for placement in job.attempt.placements
+    ]
+
+
+def _count_accelerators(held: list[jobs.Placement] | None) -> int | None:
+    if held is None:
+        return None
+    return sum(len(placement.accelerators) for placement in held)
+
+
+def _summarize(job: jobs.Job) -> dict[str, typing.Any]:
+    described = jobsapi.describe(job)
+    described['members'] = job.spec.members
+    return described
+
+
+def _platform_failed(error: table.Unavailable) -> responses.Response:
+    return answers.error(503, 'platform', error.detail, retry_after_s=2.0)
--- /dev/null
+++ b/primroselock/patchcommands.py
@@ -0,0 +1,252 @@
+"""Client commands that read and change the configuration."""
+
+import argparse
+import pathlib
+import sys
+import time
+import typing
+import uuid
+
+from primroselock import cli
+from primroselock import errors
+
+_DEFAULT_WAIT_S: typing.Final = 30.0
+_POLL_S: typing.Final = 0.2
+
+
+def _describe_change(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('--comment', default='', help='why; kept for audit')
+    parser.add_argument(
+        '--wait',
+        action='store_true',
+        help='return when each process that is heard has it in force; '
+        'name those that have not, with exit code 3',
+    )
+    parser.add_argument(
+        '--wait-s',
+        type=float,
+        default=_DEFAULT_WAIT_S,
+        metavar='SECONDS',
+        help=f'how long to wait at most (default: {_DEFAULT_WAIT_S:g})',
+    )
+
+
+def _describe_submit(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('file', help='INI patch, or - for standard input')
+    parser.add_argument(
+        '--base',
+        type=int,
+        metavar='VERSION',
+        help='version that the patch starts from (default: the present one)',
+    )
+    _describe_change(parser)
+
+
+@cli.command(
+    'patch',
+    'submit',
+    'submit a patch against a numbered version',
+    'patch submit guarantees.ini --comment "signs gets a rack" --wait\n'
+    'patch submit - --base 41 < guarantees.ini',
+    _describe_submit,
+)
+def _submit(parsed: argparse.Namespace) -> errors.ExitCode:
+    text = _read_text(parsed.file)
+    return _change(
+        parsed, '/v1/config/patches', parsed.base, {'text': text}, ''
+    )
+
+
+def _read_text(path: str) -> str:
+    try:
+        if path == '-':
+            return sys.stdin.read()
+        return pathlib.Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.CommandError(
+            errors.ExitCode.USAGE, f'{path}: cannot be read: {error}'
+        ) from error
+
+
+def _change(
+    parsed: argparse.Namespace,
+    path: str,
+    base: int | None,
+    body: dict[str, typing.Any],
+    comment: str,
+) -> errors.ExitCode:
+    """Send a change; wait until it is in force where that is asked for."""
+    if base is None:
+        base = cli.call(parsed, 'GET', '/v1/config')['version']
+    sent = {
+        'base_version': base,
+        'comment': parsed.comment or comment,
+        'submission_id': uuid.uuid4().hex,
+        **body,
+    }
+    accepted = cli.call(parsed, 'POST', path, sent)
+    if not parsed.wait:
+        cli.show(parsed, accepted)
+        return errors.ExitCode.DONE
+    state, missing = _wait_in_force(parsed, accepted['version'])
+    cli.show(parsed, {**accepted, 'zones': state['zones']})
+    if missing:
+        names = ', '.join(missing)
+        line = f'version {accepted["version"]} is accepted, but not confirmed'
+        raise errors.CommandError(
+            errors.ExitCode.UNREACHABLE, f'{line} by: {names}'
+        )
+    return errors.ExitCode.DONE
+
+
+def _wait_in_force(
+    parsed: argparse.Namespace, version: int
+) -> tuple[dict[str, typing.Any], list[str]]:
+    """Return the last state seen and who has not confirmed ``version``."""
+    deadline = time.monotonic() + parsed.wait_s
+    path = cli.query('/v1/config/confirmations', version=version)
+    while True:
+        state = cli.call(parsed, 'GET', path)
+        if state['complete'] or time.monotonic() >= deadline:
+            return state, find_unconfirmed(state)
+        time.sleep(_POLL_S)
+
+
+def find_unconfirmed(state: dict[str, typing.Any]) -> list[str]:
+    """Return the processes that are behind or not heard, with zones."""
+    return [
+        f'{name} in {zone["zone"]} ({why})'
+        for zone in state['zones']
+        for why, key in (('behind', 'not_confirmed'), ('silent', 'silent'))
+        for name in zone[key]
+    ]
+
+
+def _describe_version(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        'version', type=int, nargs='?', help='default: the present one'
+    )
+
+
+@cli.command(
+    'patch',
+    'show',
+    'show the configuration of a version',
+    'patch show\npatch show 41 > old.ini',
+    _describe_version,
+)
+def _show(parsed: argparse.Namespace) -> errors.ExitCode:
+    path = cli.query('/v1/config', version=parsed.version)
+    answer = cli.call(parsed, 'GET', path)
+    if parsed.output == 'json':
+        cli.show(parsed, answer)
+    else:
+        print(f'; version {answer["version"]}')
+        print(answer['text'])
+    return errors.ExitCode.DONE
+
+
+def _describe_log(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('--after', type=int, metavar='VERSION', default=0)
+    parser.add_argument('--limit', type=int, metavar='COUNT', default=100)
+
+
+@cli.command(
+    'patch',
+    'log',
+    'list the accepted patches, oldest first',
+    'patch log --after 40 --limit 20',
+    _describe_log,
+)
+def _log(parsed: argparse.Namespace) -> errors.ExitCode:
+    path = cli.query(
+        '/v1/config/patches', after=parsed.after, limit=parsed.limit
+    )
+    rows = cli.call(parsed, 'GET', path)
+    if parsed.output == 'table':
+        rows = [_summarize(row) for row in rows]
+    cli.show(parsed, rows)
+    return errors.ExitCode.DONE
+
+
+def _summarize(patch: dict[str, typing.Any]) -> dict[str, typing.Any]:
+    names = ('version', 'submitted_at', 'author', 'origin', 'comment')
+    summary = {name: patch.get(name) for name in names}
+    summary['submitted_at'] = cli.format_time(patch['submitted_at'])
+    return summary
+
+
+def _describe_diff(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('old', type=int, help='version to start from')
+    parser.add_argument('new', type=int, help='version to arrive at')
+
+
+@cli.command(
+    'patch',
+    'diff',
+    'show the patch that turns one version into another',
+    'patch diff 40 41',
+    _describe_diff,
+)
+def _diff(parsed: argparse.Namespace) -> errors.ExitCode:
+    path = '/v1/config/diff?' + f'from={parsed.old}&to={parsed.new}'
+    answer = cli.call(parsed, 'GET', path)
+    if parsed.output == 'json':
+        cli.show(parsed, answer)
+    else:
+        print(answer['text'])
+    return errors.ExitCode.DONE
+
+
+def _describe_revert(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        'version', type=int, help='version whose content is restored'
+    )
+    parser.add_argument('--base', type=int, metavar='VERSION')
+    _describe_change(parser)
+
+
+@cli.command(
+    'patch',
+    'revert',
+    "restore an older version's content by a new patch",
+    'patch revert 40 --comment "last year\'s plan" --wait',
+    _describe_revert,
+)
+def _revert(parsed: argparse.Namespace) -> errors.ExitCode:
+    body = {'to_version': parsed.version}
+    comment = f'revert to version {parsed.version}'
+    return _change(parsed, '/v1/config/revert', parsed.base, body, comment)
+
+
+def _describe_zone(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('zone')
+    _describe_change(parser)
+
+
+def _set_zone(parsed: argparse.Namespace, state: str) -> errors.ExitCode:
+    text = f'[zone {parsed.zone}]\nstate = {state}\n'
+    comment = f'zone {state} {parsed.zone}'
+    return _change(parsed, '/v1/config/patches', None, {'text': text}, comment)
+
+
+@cli.command(
+    'zone',
+    'out',
+    'take an availability zone out of service; no task starts there',
+    'zone out sapporo-b --comment "power work" --wait',
+    _describe_zone,
+)
+def _zone_out(parsed: argparse.Namespace) -> errors.ExitCode:
+    return _set_zone(parsed, 'out')
+
+
+@cli.command(
+    'zone',
+    'in',
+    'bring an availability zone back into service',
+    'zone in sapporo-b --wait',
+    _describe_zone,
+)
+def _zone_in(parsed: argparse.Namespace) -> errors.ExitCode:
+    return _set_zone(parsed, 'in')
--- /dev/null
+++ b/primroselock/viewcommands.py
@@ -0,0 +1,125 @@
+"""Client commands that show accounts, jobs, workers, status and audit."""
+
+import argparse
+
+from primroselock import cli
+from primroselock import errors
+
+_STATES = ('waiting', 'running', 'done', 'failed', 'cancelled')
+
+
+@cli.command(
+    'account',
+    'list',
+    'list client accounts with their guarantees and what they hold',
+    'account list\naccount list --output json',
+)
+def _list_accounts(parsed: argparse.Namespace) -> errors.ExitCode:
+    cli.show(parsed, cli.call(parsed, 'GET', '/v1/operators/accounts'))
+    return errors.ExitCode.DONE
+
+
+def _describe_list(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('--account', help='only of this client account')
+    parser.add_argument('--state', choices=_STATES, help='only in this state')
+
+
+@cli.command(
+    'job',
+    'list',
+    'list jobs of all client accounts, or of one',
+    'job list --state waiting\njob list --account signs',
+    _describe_list,
+)
+def _list_jobs(parsed: argparse.Namespace) -> errors.ExitCode:
+    path = cli.query(
+        '/v1/operators/jobs', account=parsed.account, state=parsed.state
+    )
+    cli.show(parsed, cli.call(parsed, 'GET', path))
+    return errors.ExitCode.DONE
+
+
+def _describe_job(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('job_id')
+
+
+@cli.command(
+    'job',
+    'show',
+    'show a job: its state, why it waits, where its members run',
+    'job show 4f0c1b7a9d2e4c6f8a10',
+    _describe_job,
+)
+def _show_job(parsed: argparse.Namespace) -> errors.ExitCode:
+    cli.show(parsed, cli.call(parsed, 'GET', _job_path(parsed)))
+    return errors.ExitCode.DONE
+
+
+@cli.command(
+    'job',
+    'cancel',
+    'cancel a job; one that has ended stays as it is',
+    'job cancel 4f0c1b7a9d2e4c6f8a10',
+    _describe_job,
+)
+def _cancel_job(parsed: argparse.Namespace) -> errors.ExitCode:
+    cli.show(parsed, cli.call(parsed, 'DELETE', _job_path(parsed)))
+    return errors.ExitCode.DONE
+
+
+def _job_path(parsed: argparse.Namespace) -> str:
+    if not parsed.job_id.isalnum():
+        raise errors.CommandError(
+            errors.ExitCode.USAGE,
+            f'job_id {parsed.job_id!r}: expected letters and digits',
+        )
+    return f'/v1/jobs/{parsed.job_id}'
+
+
+def _describe_workers(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('--zone', help='only of this availability zone')
+
+
+@cli.command(
+    'worker',
+    'list',
+    'list workers with what is placed on them',
+    'worker list --zone sapporo-a',
+    _describe_workers,
+)
+def _list_workers(parsed: argparse.Namespace) -> errors.ExitCode:
+    path = cli.query('/v1/operators/workers', zone=parsed.zone)
+    cli.show(parsed, cli.call(parsed, 'GET', path))
+    return errors.ExitCode.DONE
+
+
+@cli.command(
+    'status',
+    '',
+    'show what a gateway knows of itself, its peers and the configuration',
+    'status --gateway 10.0.0.4:8080',
+)
+def _status(parsed: argparse.Namespace) -> errors.ExitCode:
+    cli.show(parsed, cli.call(parsed, 'GET', '/v1/status'))
+    return errors.ExitCode.DONE
+
+
+def _describe_audit(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('--after', metavar='KEY', help='key of the last entry')
+    parser.add_argument('--limit', type=int, metavar='COUNT', default=100)
+
+
+@cli.command(
+    'audit',
+    '',
+    'show who changed what, when, from where, and refused tries',
+    'audit --limit 20',
+    _describe_audit,
+)
+def _audit(parsed: argparse.Namespace) -> errors.ExitCode:
+    path = cli.query('/v1/audit', after=parsed.after, limit=parsed.limit)
+    rows = cli.call(parsed, 'GET', path)
+    if parsed.output == 'table':
+        rows = [{**row, 'at': cli.format_time(row['at'])} for row in rows]
+    cli.show(parsed, rows)
+    return errors.ExitCode.DONE
