Demo and process table: no process left behind, none started

An interrupt between the start of a process and its entry in the cluster left a process that none ended, and a second one during the ending cut it short. Both spans now hold SIGINT and SIGTERM back by handlers of Python. A signal mask was ruled out: the processes started within would inherit it and ignore SIGTERM. All processes are told to end before any is waited for.

--- /dev/null
+++ b/primroselock/test/testprocesses.py
@@ -0,0 +1,127 @@
+"""Processes: none starts a child, and the demo leaves none behind."""
+
+import ast
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+import typing
+import unittest
+
+from standins import launch
+from tools import demo
+
+_ROOT: typing.Final = pathlib.Path(__file__).resolve().parent.parent.parent
+_STARTERS: typing.Final = frozenset(
+    {'subprocess', 'multiprocessing', 'concurrent.futures.process', 'pty'}
+)
+_STARTING_CALLS: typing.Final = frozenset(
+    {
+        'ProcessPoolExecutor',
+        'create_subprocess_exec',
+        'create_subprocess_shell',
+        'fork',
+        'forkpty',
+        'popen',
+        'posix_spawn',
+        'posix_spawnp',
+        'system',
+    }
+)
+
+
+def find_starters(source: str) -> set[str]:
+    """Return the names in ``source`` that can start a process."""
+    found: set[str] = set()
+    for node in ast.walk(ast.parse(source)):
+        if isinstance(node, ast.Import):
+            found |= {alias.name for alias in node.names} & _STARTERS
+        elif isinstance(node, ast.ImportFrom):
+            names = {f'{node.module}.{alias.name}' for alias in node.names}
+            found |= (names | {node.module or ''}) & _STARTERS
+        elif isinstance(node, ast.Attribute):
+            found |= {node.attr} & _STARTING_CALLS
+        elif isinstance(node, ast.Name):
+            found |= {node.id} & _STARTING_CALLS
+    return found
+
+
+def is_running(pid: int) -> bool:
+    """Whether a process exists that is not a zombie."""
+    try:
+        text = pathlib.Path(f'/proc/{pid}/stat').read_text(encoding='ascii')
+    except OSError:
+        return False
+    return text.rpartition(')')[2].split()[0] != 'Z'
+
+
+class NoChildTest(unittest.TestCase):
+    """The program starts no process."""
+
+    def test_find_starters_sees_them(self) -> None:
+        for source in (
+            'import subprocess',
+            'from concurrent.futures import process',
+            'import os\nos.fork()',
+            'asyncio.create_subprocess_exec("ls")',
+        ):
+            with self.subTest(source):
+                self.assertTrue(find_starters(source))
+
+    def test_no_module_can_start_a_process(self) -> None:
+        modules = [
+            path
+            for path in (_ROOT / 'primroselock').rglob('*.py')
+            if 'test' not in path.relative_to(_ROOT).parts
+        ]
+        self.assertGreater(len(modules), 10)
+        for path in modules:
+            with self.subTest(path.name):
+                source = path.read_text(encoding='utf-8')
+                self.assertEqual(set(), find_starters(source))
+
+
+class DemoTest(unittest.TestCase):
+    """The demo ends whatever it started, also when it is interrupted."""
+
+    def run_and_signal(self, number: signal.Signals, children: int) -> int:
+        """Signal the demo when it has started some processes.
+
+        Returns its exit code, once none of them runs any more.
+        """
+        started = subprocess.Popen(
+            [sys.executable, '-m', 'tools.demo'],
+            cwd=_ROOT,
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        )
+        self.addCleanup(started.kill)
+        pids = launch.wait_for(
+            lambda: self.enough(started.pid, children),
+            f'the demo has started {children} processes',
+        )
+        os.kill(started.pid, number)
+        code = started.wait(20.0)
+        deadline = time.monotonic() + 5.0
+        while any(map(is_running, pids)) and time.monotonic() < deadline:
+            time.sleep(0.02)
+        self.assertEqual([], [pid for pid in pids if is_running(pid)])
+        return code
+
+    def enough(self, pid: int, children: int) -> list[int] | None:
+        """Return the children of the demo once there are enough."""
+        found = demo.list_children(pid)
+        return found if len(found) >= children else None
+
+    def test_interrupt_leaves_no_process(self) -> None:
+        self.assertEqual(130, self.run_and_signal(signal.SIGINT, 1))
+        self.assertEqual(130, self.run_and_signal(signal.SIGINT, 9))
+
+    def test_terminate_leaves_no_process(self) -> None:
+        self.assertEqual(143, self.run_and_signal(signal.SIGTERM, 4))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -6,6 +6,7 @@
 """
 
 from collections import abc
+import contextlib
 import dataclasses
 import hashlib
 import http.client
@@ -44,6 +45,31 @@
         time.sleep(_POLL_S)
 
 
+@contextlib.contextmanager
+def defer_signals() -> abc.Generator[None, None, None]:
+    """Hold back SIGINT and SIGTERM until the block has ended.
+
+    Handlers of Python, unlike a signal mask, are not inherited by the
+    processes that are started within.
+    """
+    if threading.current_thread() is not threading.main_thread():
+        yield
+        return
+    received: list[int] = []
+    numbers = (signal.SIGINT, signal.SIGTERM)
+    earlier = {
+        number: signal.signal(number, lambda n, _: received.append(n))
+        for number in numbers
+    }
+    try:
+        yield
+    finally:
+        for number, handler in earlier.items():
+            signal.signal(number, handler)
+        if received:
+            signal.raise_signal(received[0])
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
     """A whole HTTP answer; header names are in lower case."""
@@ -88,11 +114,12 @@
     """One started process and the events that it logged."""
 
     def __init__(self, name: str, arguments: list[str]) -> None:
+        """Run Python with ``arguments``."""
         self.name = name
         self.events: list[dict[str, typing.Any]] = []
         self.other_lines: list[str] = []
         self._popen = subprocess.Popen(
-            [sys.executable, '-m', *arguments],
+            [sys.executable, *arguments],
             cwd=_ROOT,
             stdout=subprocess.DEVNULL,
             stderr=subprocess.PIPE,
@@ -159,8 +186,14 @@
 class Cluster:
     """The system with its stand-ins, on loopback."""
 
-    def __init__(self, zones: abc.Sequence[str]) -> None:
+    def __init__(
+        self, zones: abc.Sequence[str], binary: str | None = None
+    ) -> None:
+        """``binary`` is a zipapp to run in place of the source."""
         self.zones = tuple(zones)
+        self._program = ['-m', 'primroselock']
+        if binary is not None:
+            self._program = [str(pathlib.Path(binary).resolve())]
         self.processes_by_name: dict[str, Process] = {}
         self.addresses_by_name: dict[str, str] = {}
         self.mesh_by_name: dict[str, str] = {}
@@ -175,17 +208,25 @@
 
     def close(self) -> None:
         """End every process that was started."""
-        for process in self.processes_by_name.values():
-            process.close()
-        self._folder.cleanup()
+        with defer_signals():
+            for process in self.processes_by_name.values():
+                process.send_signal(signal.SIGKILL)
+            for process in self.processes_by_name.values():
+                process.close()
+            self._folder.cleanup()
 
     def start(self, name: str, arguments: list[str]) -> Process:
-        """Start a process under ``name``, replacing one that ended."""
+        """Start a module under ``name``, replacing one that ended."""
+        return self._start(name, ['-m', *arguments])
+
+    def _start(self, name: str, arguments: list[str]) -> Process:
         old = self.processes_by_name.pop(name, None)
         if old is not None:
             old.close()
-        process = Process(name, arguments)
-        self.processes_by_name[name] = process
+        # An interrupt in between would leave a process that none ends.
+        with defer_signals():
+            process = Process(name, arguments)
+            self.processes_by_name[name] = process
         return process
 
     def start_platform(self, lag_s: float = 0.2) -> None:
@@ -258,7 +299,8 @@
     ) -> Process:
         """Start a gateway or a scheduler and put it on the VM list."""
         path = self.write_settings(name, zone, settings or {})
-        process = self.start(name, ['primroselock', role, '--settings', path])
+        arguments = [*self._program, role, '--settings', path]
+        process = self._start(name, arguments)
         event = process.wait_event('listening')
         self.addresses_by_name[name] = event.get('http', '')
         self.mesh_by_name[name] = event['mesh']
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -5,8 +5,10 @@
 a request, runs a gang job and takes a zone out of service.
 """
 
+import argparse
 import functools
 import hashlib
+import pathlib
 import signal
 import sys
 import time
@@ -139,17 +141,53 @@
     say(f'operator: sapporo-b is out of service (version {version})')
 
 
+def show_no_children(cluster: launch.Cluster) -> None:
+    """Show by the process table that no daemon started a process."""
+    count = 0
+    for name, process in cluster.processes_by_name.items():
+        if name.startswith(('gateway', 'scheduler')):
+            count += 1
+            children = list_children(process.pid)
+            if children:
+                raise RuntimeError(f'{name} started processes: {children}')
+    say(f'process table: none of {count} daemons has a child process')
+
+
+def list_children(pid: int) -> list[int]:
+    """Return the process ids of the children of ``pid``."""
+    children: list[int] = []
+    for thread in pathlib.Path(f'/proc/{pid}/task').iterdir():
+        text = (thread / 'children').read_text(encoding='ascii')
+        children += [int(word) for word in text.split()]
+    return children
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog='python -m tools.demo', description='Shows the whole path.'
+    )
+    parser.add_argument(
+        '--binary',
+        metavar='FILE',
+        help='run the daemons from this zipapp (see make binary)',
+    )
+    return parser
+
+
 def main() -> int:
     """Run the demo; return the exit code."""
+    parsed = build_parser().parse_args()
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     began = time.monotonic()
     try:
-        with launch.Cluster(_ZONES) as cluster:
+        with launch.Cluster(_ZONES, parsed.binary) as cluster:
             start(cluster)
             submit_first_patch(cluster)
             send_request(cluster)
             run_gang(cluster)
             take_zone_out(cluster)
+            show_no_children(cluster)
     except KeyboardInterrupt:
         say('interrupted; every process was ended')
         return 130
