--- a/primroselock/httplane.py
+++ b/primroselock/httplane.py
@@ -1,10 +1,20 @@
 """HTTP exchanges over lanes that cannot mix up answers.
 
 The HTTP client library hands the answer of a cancelled request to the
-next request on the same client.  A *lane* is therefore one client that
-carries one exchange at a time, and a lane whose exchange did not end
-whole is closed and never used again.  A :class:`LanePool` keeps the idle
-lanes of one address, newest first, and bounds how many exchanges run.
+next request on the same client.  A *lane* is therefore one client with
+one connection that carries one exchange at a time, and a lane whose
+exchange did not end whole is closed and never used again.  A lane that
+was idle is used again only while nothing arrived on its connection: an
+end of the stream means that the peer closed it, and bytes that nobody
+asked for can only belong to an earlier exchange.
+
+The lane notes when the first byte of a request is written.  Before that
+a failure is :class:`NotSent`; from then on it is :class:`Broken`, since
+a peer that read the request may have begun the work.
+
+A :class:`LanePool` keeps the idle lanes of one address, newest first,
+and bounds how many lanes are open.  A lane that is being closed counts
+until its connection is closed.
 """
 
 import asyncio
@@ -13,12 +23,19 @@
 import typing
 
 import aiosonic
+import aiosonic.connection
+import aiosonic.connectors
+import aiosonic.pools
 import aiosonic.timeout
 import result
 
 from primroselock import clock
 
 _CONNECT_TIMEOUT_S: typing.Final = 2.0
+_MAX_ANSWER_BYTES: typing.Final = 64 * 1024 * 1024
+_LEAST_TIMEOUT_S: typing.Final = 0.001
+_LIBRARY_MARGIN_S: typing.Final = 5.0
+_STATUSES_WITHOUT_BODY: typing.Final = frozenset({204, 304})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,31 +66,186 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Broken:
-    """The exchange ended short: the work may or may not have run."""
+    """The exchange ended short: the work may or may not have run.
+
+    ``timed_out`` is set when the peer was silent until the deadline.
+    """
 
     detail: str
+    timed_out: bool = False
 
 
 ExchangeError = NotSent | Broken
 
 
-@dataclasses.dataclass(slots=True)
+class _AnswerTooLarge(Exception):
+    """The answer exceeds what the pool accepts."""
+
+
+class _HeadCut(Exception):
+    """The peer closed the connection within or right after the head."""
+
+
+class _Connection(aiosonic.connection.Connection):  # type: ignore[misc]
+    """A connection that knows what was written and can be given up.
+
+    The library runs a request in a task of its own, which a cancelled
+    caller does not end.  Giving up keeps that task from connecting or
+    writing later.
+    """
+
+    has_written = False
+    _given_up = False
+    _worker: asyncio.Task[typing.Any] | None = None
+
+    async def connect(self, *args: typing.Any, **kwargs: typing.Any) -> None:
+        self._check_in_use()
+        self._worker = asyncio.current_task()
+        await super().connect(*args, **kwargs)
+        if self._given_up:
+            self._abort()
+            self._check_in_use()
+
+    def write(self, data: bytes) -> typing.Any:
+        self._check_in_use()
+        self.has_written = True
+        self._worker = asyncio.current_task()
+        return super().write(data)
+
+    def start_exchange(self) -> None:
+        """Forget what earlier exchanges did."""
+        self.has_written = False
+        self._worker = None
+
+    def give_up(self) -> None:
+        """Close the connection at once and refuse all further use."""
+        self._given_up = True
+        if self._worker is not None and not self._worker.done():
+            self._worker.cancel()
+        self._abort()
+
+    def _check_in_use(self) -> None:
+        if self._given_up:
+            raise ConnectionAbortedError('the exchange was given up')
+
+    def _abort(self) -> None:
+        # A plain close would first send what is still buffered.
+        if self.writer is not None:
+            self.writer.transport.abort()
+
+    def is_silent(self) -> bool:
+        """Whether the connection is open and nothing is waiting on it."""
+        reader, writer = self.reader, self.writer
+        if reader is None or writer is None or writer.is_closing():
+            return False
+        # Driven by hand, the read suspends only when there is neither a
+        # byte nor an end of the stream; closing it then undoes the wait.
+        attempt = reader.read(1)
+        try:
+            attempt.send(None)
+        except StopIteration:
+            return False
+        except OSError:
+            return False
+        attempt.close()
+        return True
+
+
 class _Lane:
-    client: aiosonic.HTTPClient
-    idle_since: float
+    """One client with one connection."""
+
+    def __init__(self, timeouts: aiosonic.timeout.Timeouts) -> None:
+        self.idle_since = 0.0
+        self._connections: list[_Connection] = []
+        self.client = aiosonic.HTTPClient(
+            aiosonic.connectors.TCPConnector(
+                {
+                    ':default': aiosonic.pools.PoolConfig(
+                        size=1, max_conn_requests=None
+                    )
+                },
+                timeouts,
+                connection_cls=self._connect,
+            )
+        )
 
+    def _connect(self, pool: typing.Any) -> _Connection:
+        connection = _Connection(pool)
+        self._connections.append(connection)
+        return connection
 
-class LanePool:
-    """Idle lanes to one address, and the limit on running exchanges."""
+    def start_exchange(self) -> None:
+        """Forget what earlier exchanges did."""
+        for connection in self._connections:
+            connection.start_exchange()
+
+    def has_written(self) -> bool:
+        """Whether the present exchange wrote a byte."""
+        return any(item.has_written for item in self._connections)
 
-    def __init__(self, address: str, limit: int, idle_s: float = 10.0) -> None:
+    async def aclose(self) -> None:
+        """Close the connection at once."""
+        for connection in self._connections:
+            connection.give_up()
+        try:
+            await self.client.aclose()
+        except Exception:
+            # The lane is dropped either way; its socket is closed.
+            return
+
+    def is_ended(self) -> bool:
+        """Whether the peer closed the connection."""
+        return any(
+            item.reader is not None and item.reader.at_eof()
+            for item in self._connections
+        )
+
+    def is_silent(self) -> bool:
+        """Whether the lane can carry another exchange."""
+        opened = [item for item in self._connections if item.writer]
+        return bool(opened) and all(item.is_silent() for item in opened)
+
+
+class LanePool:
+    """Idle lanes to one address, and the limit on open lanes."""
+
+    def __init__(
+        self,
+        address: str,
+        limit: int,
+        idle_s: float = 10.0,
+        max_answer_bytes: int = _MAX_ANSWER_BYTES,
+    ) -> None:
         self.address = address
         self._limit = limit
         self._idle_s = idle_s
+        self._max_answer_bytes = max_answer_bytes
         self._idle: list[_Lane] = []
-        self._slots = asyncio.Semaphore(limit)
+        self._open = 0
+        self._waiters: list[asyncio.Future[None]] = []
         self._closing: set[asyncio.Task[None]] = set()
 
+    @property
+    def open_lanes(self) -> int:
+        """How many lanes are in use, idle or being closed."""
+        return self._open
+
+    def has_room(self) -> bool:
+        """Whether an exchange could start now without waiting."""
+        return bool(self._idle) or self._open < self._limit
+
+    def set_limit(self, limit: int) -> None:
+        """Change the limit; idle lanes above it are closed at once."""
+        self._limit = limit
+        while self._idle and self._open > limit:
+            self._discard(self._idle.pop(0))
+        self._wake()
+
+    def close_stale(self, now: float) -> None:
+        """Close the lanes that were idle for too long."""
+        while self._idle and self._idle[0].idle_since < now - self._idle_s:
+            self._discard(self._idle.pop(0))
+
     async def exchange(
         self, request: Request, timeout_s: float
     ) -> result.Result[Response, ExchangeError]:
@@ -81,57 +253,137 @@
 
         The wait for a free lane counts against ``timeout_s``.
         """
-        started = clock.monotonic()
+        deadline = clock.monotonic() + timeout_s
         try:
-            await asyncio.wait_for(self._slots.acquire(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                lane = await self._acquire()
         except TimeoutError:
             return result.Err(NotSent('no free connection in time'))
-        try:
-            left_s = timeout_s - (clock.monotonic() - started)
-            return await self._exchange_on_lane(request, max(left_s, 0.001))
-        finally:
-            self._slots.release()
+        left_s = max(deadline - clock.monotonic(), _LEAST_TIMEOUT_S)
+        return await self._exchange_on_lane(lane, request, left_s)
 
     async def _exchange_on_lane(
-        self, request: Request, timeout_s: float
+        self, lane: _Lane, request: Request, timeout_s: float
     ) -> result.Result[Response, ExchangeError]:
-        lane = self._take_lane()
+        lane.start_exchange()
         whole = False
         try:
-            response = await asyncio.wait_for(
-                _send(lane.client, self.address, request, timeout_s),
-                timeout_s,
-            )
+            async with asyncio.timeout(timeout_s):
+                response = await self._send(lane, request, timeout_s)
             whole = True
             return result.Ok(response)
-        except (ConnectionRefusedError, aiosonic.exceptions.ConnectTimeout):
-            return result.Err(NotSent(f'{self.address} does not connect'))
-        except TimeoutError:
-            return result.Err(Broken(f'no answer in {timeout_s:.3f} s'))
         except Exception as error:
             # The library raises many types for an answer cut short.
-            detail = f'{type(error).__name__}: {error}'
-            return result.Err(Broken(detail))
+            detail = f'{self.address}: {type(error).__name__}: {error}'
+            if not lane.has_written():
+                return result.Err(NotSent(detail))
+            timed_out = isinstance(
+                error, (TimeoutError, aiosonic.exceptions.BaseTimeout)
+            )
+            return result.Err(Broken(detail, timed_out))
         finally:
             if whole:
-                lane.idle_since = clock.monotonic()
-                self._idle.append(lane)
+                self._keep(lane)
             else:
                 self._discard(lane)
 
-    def _take_lane(self) -> _Lane:
+    async def _send(
+        self, lane: _Lane, request: Request, timeout_s: float
+    ) -> Response:
+        answer = await lane.client.request(
+            f'http://{self.address}{request.path}',
+            method=request.method,
+            headers=dict(request.headers),
+            data=request.body or None,
+            timeouts=_timeouts(timeout_s),
+            follow=False,
+            stream=True,
+        )
+        headers = {
+            name.lower(): value for name, value in answer.headers.items()
+        }
+        if answer.status_code in _STATUSES_WITHOUT_BODY:
+            return Response(answer.status_code, b'', headers)
+        body = await self._read_body(answer, headers)
+        if not body and lane.is_ended():
+            # The library takes a head that was cut for a whole one.
+            if headers.get('connection', '').lower() != 'close':
+                raise _HeadCut
+        return Response(answer.status_code, body, headers)
+
+    async def _read_body(
+        self, answer: typing.Any, headers: abc.Mapping[str, str]
+    ) -> bytes:
+        declared = headers.get('content-length')
+        if declared is not None:
+            if int(declared) > self._max_answer_bytes:
+                raise _AnswerTooLarge(declared)
+            body: bytes = await answer.content()
+            return body
+        parts: list[bytes] = []
+        size = 0
+        async for part in answer.read_chunks():
+            parts.append(part)
+            size += len(part)
+            if size > self._max_answer_bytes:
+                raise _AnswerTooLarge(str(size))
+        return b''.join(parts)
+
+    async def _acquire(self) -> _Lane:
+        while True:
+            lane = self._take_idle()
+            if lane is not None:
+                return lane
+            if self._open < self._limit:
+                self._open += 1
+                return _Lane(_timeouts(_CONNECT_TIMEOUT_S))
+            waiter: asyncio.Future[None] = (
+                asyncio.get_running_loop().create_future()
+            )
+            self._waiters.append(waiter)
+            try:
+                await waiter
+            except asyncio.CancelledError:
+                if waiter.done() and not waiter.cancelled():
+                    self._wake()
+                raise
+            finally:
+                if waiter in self._waiters:
+                    self._waiters.remove(waiter)
+
+    def _take_idle(self) -> _Lane | None:
         oldest_s = clock.monotonic() - self._idle_s
         while self._idle:
             lane = self._idle.pop()
-            if lane.idle_since >= oldest_s:
+            if lane.idle_since >= oldest_s and lane.is_silent():
                 return lane
             self._discard(lane)
-        return _Lane(aiosonic.HTTPClient(), 0.0)
+        return None
+
+    def _keep(self, lane: _Lane) -> None:
+        if self._open > self._limit:
+            self._discard(lane)
+            return
+        lane.idle_since = clock.monotonic()
+        self._idle.append(lane)
+        self._wake()
 
     def _discard(self, lane: _Lane) -> None:
-        task = asyncio.get_running_loop().create_task(_close(lane.client))
+        task = asyncio.get_running_loop().create_task(lane.aclose())
         self._closing.add(task)
-        task.add_done_callback(self._closing.discard)
+        task.add_done_callback(self._closed)
+
+    def _closed(self, task: asyncio.Task[None]) -> None:
+        self._closing.discard(task)
+        self._open -= 1
+        self._wake()
+
+    def _wake(self) -> None:
+        while self._waiters:
+            waiter = self._waiters.pop(0)
+            if not waiter.done():
+                waiter.set_result(None)
+                return
 
     async def aclose(self) -> None:
         """Close every idle lane."""
@@ -141,32 +393,10 @@
             await asyncio.gather(*self._closing)
 
 
-async def _send(
-    client: aiosonic.HTTPClient,
-    address: str,
-    request: Request,
-    timeout_s: float,
-) -> Response:
-    answer = await client.request(
-        f'http://{address}{request.path}',
-        method=request.method,
-        headers=dict(request.headers),
-        data=request.body or None,
-        timeouts=aiosonic.timeout.Timeouts(
-            sock_connect=min(_CONNECT_TIMEOUT_S, timeout_s),
-            sock_read=timeout_s,
-            request_timeout=timeout_s,
-        ),
-        follow=False,
+def _timeouts(timeout_s: float) -> aiosonic.timeout.Timeouts:
+    # The pool's own timeout comes first; the library's is a safeguard.
+    return aiosonic.timeout.Timeouts(
+        sock_connect=min(_CONNECT_TIMEOUT_S, timeout_s),
+        sock_read=timeout_s + _LIBRARY_MARGIN_S,
+        request_timeout=timeout_s + _LIBRARY_MARGIN_S,
     )
-    body = await answer.content()
-    headers = {name.lower(): value for name, value in answer.headers.items()}
-    return Response(answer.status_code, body, headers)
-
-
-async def _close(client: aiosonic.HTTPClient) -> None:
-    try:
-        await client.aclose()
-    except Exception:
-        # The lane is dropped either way; its socket is already broken.
-        return
