Contract between decisions and the shell: MoveJob, claims, peer loads

Cause: a shard is one zone, so a job that leaves a zone must change its shard, and the shell has to know the command before either side is built. Adds MoveJob, the records that placement keeps between rounds (claims, peer loads, caches) and held_size in a placement, so that the guaranteed cell that work lies in survives a takeover. Ruled out: deriving held cells from cell sizes alone, since a cell of 8 may lie in a guaranteed 8 or 64. No behaviour changes yet; nothing emits MoveJob and the shell ignores it until its side is built.

--- a/primroselock/decisions/blackboard.py
+++ b/primroselock/decisions/blackboard.py
@@ -15,6 +15,7 @@
 from collections import abc
 import dataclasses
 import enum
+import typing
 
 from primroselock import configuration
 from primroselock import jobs
@@ -99,19 +100,77 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobView:
-    """A job that has not ended and the version of its row."""
+    """A job that has not ended and the version of its row.
+
+    ``not_before`` is on this process's monotonic clock.
+    """
 
     job: jobs.Job
     row_version: int
     not_before: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """Cells kept for a job until the work that borrows them has ended."""
+
+    account: str
+    placements: tuple[jobs.Placement, ...]
+    borrowed: bool
+    since: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerLoad:
+    """Free cells of another shard, as its beacon said.
+
+    ``largest_free`` is the size of its largest free cell; ``heard_at`` is
+    on this process's monotonic clock.
+    """
+
+    free_accelerators: int
+    largest_free: int
+    heard_at: float
+
+
+@dataclasses.dataclass(slots=True)
+class Memory:
+    """What decisions remember between rounds; all can be rebuilt or lost.
+
+    ``footprints_by_job_id`` and ``locations_by_worker_id`` cache the
+    accelerators of attempts; ``run_times`` are learned;
+    ``first_seen_by_job_id`` is when a waiting job was first considered.
+    """
+
+    footprints_by_job_id: dict[str, typing.Any] = dataclasses.field(
+        default_factory=dict
+    )
+    locations_by_worker_id: dict[str, tuple[str, int]] = dataclasses.field(
+        default_factory=dict
+    )
+    run_times: dict[tuple[str, str], tuple[float, float]] = dataclasses.field(
+        default_factory=dict
+    )
+    running_since_by_job_id: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    first_seen_by_job_id: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    moved_at_by_job_id: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class Blackboard:
     """Everything known of one shard; ``permit_until`` bounds starts.
 
     ``reasons_by_job_id`` says in one sentence why a job waits, and
     ``quarantined_worker_ids`` names workers that get no new work.
+    ``claims_by_job_id`` are cells that jobs wait for while the work that
+    borrows them is stopped; ``peers_by_shard`` is what other shards last
+    said of their free cells.  ``memory`` caches what can be rebuilt.
     """
 
     shard: str
@@ -128,6 +187,13 @@
     )
     reasons_by_job_id: dict[str, str] = dataclasses.field(default_factory=dict)
     quarantined_worker_ids: set[str] = dataclasses.field(default_factory=set)
+    claims_by_job_id: dict[str, Claim] = dataclasses.field(
+        default_factory=dict
+    )
+    peers_by_shard: dict[str, PeerLoad] = dataclasses.field(
+        default_factory=dict
+    )
+    memory: Memory = dataclasses.field(default_factory=Memory)
 
     def record_vms(self, vms: abc.Iterable[vmlist.Vm]) -> None:
         """Take over the zone's workers from the VM list."""
--- a/primroselock/decisions/commands.py
+++ b/primroselock/decisions/commands.py
@@ -26,4 +26,19 @@
     row_version: int
 
 
-Command = SendToWorker | WriteJob
+@dataclasses.dataclass(frozen=True, slots=True)
+class MoveJob:
+    """Hand a waiting job's row to another shard.
+
+    The shell writes the row with ``shard`` replaced, adds it to the inbox
+    of ``to_shard`` and removes it from this shard's active jobs, in one
+    transaction that is conditional on ``row_version`` and on the shard's
+    epoch.  Then the job is dropped from the blackboard.
+    """
+
+    job: jobs.Job
+    row_version: int
+    to_shard: str
+
+
+Command = SendToWorker | WriteJob | MoveJob
--- a/primroselock/jobs.py
+++ b/primroselock/jobs.py
@@ -64,13 +64,16 @@
     """Where one member runs.
 
     ``accelerators`` are indices on the worker; ``boot_id`` names the
-    incarnation of the worker that reserved them.
+    incarnation of the worker that reserved them.  ``held_size`` is the
+    size of the guaranteed cell of the account that this one lies in; 0
+    for borrowed work.
     """
 
     worker_id: str
     boot_id: str
     accelerators: tuple[int, ...]
     cell_size: int
+    held_size: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroselock/scheduler.py
+++ b/primroselock/scheduler.py
@@ -179,7 +179,7 @@
                 channel = self.channels_by_id.get(command.worker_id)
                 if channel is not None:
                     channel.add(command.command, command.urgent)
-            else:
+            elif isinstance(command, commands.WriteJob):
                 self._write_job(command)
 
     def _write_job(self, command: commands.WriteJob) -> None:
