--- a/primroselock/decisions/blackboard.py
+++ b/primroselock/decisions/blackboard.py
@@ -15,9 +15,9 @@
 from collections import abc
 import dataclasses
 import enum
-import typing
 
 from primroselock import configuration
+from primroselock.decisions import footprints
 from primroselock import jobs
 from primroselock.platform import vmlist
 from primroselock.workers import protocol
@@ -124,11 +124,13 @@
 class PeerLoad:
     """Free cells of another shard, as its beacon said.
 
-    ``largest_free`` is the size of its largest free cell; ``heard_at`` is
-    on this process's monotonic clock.
+    ``largest_free`` is the size of its largest free cell,
+    ``waiting_accelerators`` what its waiting jobs ask for together;
+    ``heard_at`` is on this process's monotonic clock.
     """
 
     free_accelerators: int
+    waiting_accelerators: int
     largest_free: int
     heard_at: float
 
@@ -139,10 +141,11 @@
 
     ``footprints_by_job_id`` and ``locations_by_worker_id`` cache the
     accelerators of attempts; ``run_times`` are learned;
-    ``first_seen_by_job_id`` is when a waiting job was first considered.
+    ``first_seen_by_job_id`` is when a waiting job was first considered;
+    ``targets_by_job_id`` are the shards that jobs are being moved to.
     """
 
-    footprints_by_job_id: dict[str, typing.Any] = dataclasses.field(
+    footprints_by_job_id: dict[str, footprints.Footprint] = dataclasses.field(
         default_factory=dict
     )
     locations_by_worker_id: dict[str, tuple[str, int]] = dataclasses.field(
@@ -157,9 +160,7 @@
     first_seen_by_job_id: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
-    moved_at_by_job_id: dict[str, float] = dataclasses.field(
-        default_factory=dict
-    )
+    targets_by_job_id: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True)
@@ -170,7 +171,9 @@
     ``quarantined_worker_ids`` names workers that get no new work.
     ``claims_by_job_id`` are cells that jobs wait for while the work that
     borrows them is stopped; ``peers_by_shard`` is what other shards last
-    said of their free cells.  ``memory`` caches what can be rebuilt.
+    said of their free cells, and ``load`` is the same of this shard.
+    ``shortfalls`` are sentences on guarantees that hardware cannot meet.
+    ``memory`` caches what can be rebuilt.
     """
 
     shard: str
@@ -193,6 +196,8 @@
     peers_by_shard: dict[str, PeerLoad] = dataclasses.field(
         default_factory=dict
     )
+    shortfalls: tuple[str, ...] = ()
+    load: PeerLoad | None = None
     memory: Memory = dataclasses.field(default_factory=Memory)
 
     def record_vms(self, vms: abc.Iterable[vmlist.Vm]) -> None:
--- /dev/null
+++ b/primroselock/decisions/capacity.py
@@ -0,0 +1,319 @@
+"""What is free, held and borrowed in a shard, derived from the blackboard.
+
+Two maps of free accelerators stand side by side.  ``free`` is what no
+attempt and no claim takes.  ``firm`` is what no account holds under its
+guarantee: borrowed work does not count there, since it can be preempted.
+
+An account holds a guaranteed cell from the time when the first of its
+guaranteed work is placed in it until the last such work is told to end;
+smaller work is placed within a cell that the account already holds.  The
+cells that it holds follow from the placements of its attempts alone.
+Work in cells beyond the guarantee, which a patch may have lowered, is
+counted as borrowed, and so is work that is being stopped.
+
+**The reclaim invariant**: the unused cells of all accounts' guarantees
+fit into ``firm`` together.  Then each account can have the unused part
+of its guarantee at once by preempting only borrowed work.  The invariant
+is kept by taking a guaranteed cell only where the remaining ones still
+fit; a release gives back a place where the cell had been, so the released
+cell fits there again.
+"""
+
+from collections import abc
+import dataclasses
+
+from primroselock.decisions import blackboard
+from primroselock.decisions import cells
+from primroselock.decisions import footprints
+from primroselock.decisions import packing
+from primroselock.decisions import shapes
+from primroselock import options
+
+ENDING_PHASES: abc.Set[blackboard.Phase] = frozenset(
+    {blackboard.Phase.CHECKPOINTING, blackboard.Phase.STOPPING}
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shortfall:
+    """Guaranteed cells of ``size`` that cannot be reclaimed now."""
+
+    size: int
+    missing: int
+
+
+@dataclasses.dataclass(slots=True)
+class Holding:
+    """The guarantee of one account in the zone.
+
+    ``used_by_cell`` maps each cell that it holds to the accelerators in
+    it that its guaranteed work takes, as bits of the rack;
+    ``unused_by_size`` counts the cells that it does not hold.
+    """
+
+    granted_by_size: abc.Mapping[int, int]
+    unused_by_size: dict[int, int]
+    used_by_cell: dict[cells.Cell, int] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def held_count(self, size: int) -> int:
+        """Return how many cells of ``size`` the account holds."""
+        granted = self.granted_by_size.get(size, 0)
+        return granted - self.unused_by_size.get(size, 0)
+
+    def describe(self) -> str:
+        """Return the guarantee and its use for a reader."""
+        if not any(self.granted_by_size.values()):
+            return 'no guarantee here'
+        return ', '.join(
+            f'{self.held_count(size)} of {count} guaranteed cells of '
+            f'{size} in use'
+            for size, count in sorted(self.granted_by_size.items())
+            if count
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class Capacity:
+    """Free, held and borrowed accelerators of a shard at one time.
+
+    ``occupied_by_rack`` is what attempts take, claims apart.
+    ``borrowed_by_rack`` maps a rack to its borrowed jobs' masks by job
+    id.  ``worker_ids_by_location`` maps rack and slot to a worker.
+    """
+
+    usable_by_rack: dict[str, int]
+    occupied_by_rack: dict[str, int]
+    free: cells.CellMap
+    firm: cells.CellMap
+    holdings_by_account: dict[str, Holding]
+    borrowed_by_rack: dict[str, dict[str, int]]
+    worker_ids_by_location: dict[tuple[str, int], str]
+    unit: shapes.Unit
+
+    def holding(self, account: str) -> Holding:
+        """Return the account's guarantee, empty for an unknown account."""
+        found = self.holdings_by_account.get(account)
+        return found if found is not None else Holding({}, {})
+
+    def unused_by_size(self) -> dict[int, int]:
+        """Return all accounts' unused guaranteed cells."""
+        totals: dict[int, int] = {}
+        for holding in self.holdings_by_account.values():
+            for size, count in holding.unused_by_size.items():
+                totals[size] = totals.get(size, 0) + count
+        return totals
+
+    def shortfalls(self) -> list[Shortfall]:
+        """Check the reclaim invariant; return what it lacks."""
+        missing = packing.missing_cells(
+            self.firm.counts_by_size(), self.unused_by_size()
+        )
+        return [Shortfall(size, count) for size, count in missing.items()]
+
+    def borrowers_in(self, cell: cells.Cell) -> list[str]:
+        """Return the borrowed jobs that take part of ``cell``."""
+        borrowed = self.borrowed_by_rack.get(cell.rack, {})
+        return [
+            job_id for job_id, mask in borrowed.items() if mask & cell.mask
+        ]
+
+
+def locate_workers(board: blackboard.Blackboard) -> dict[str, tuple[str, int]]:
+    """Return rack and slot of each worker that was heard, by id."""
+    return {
+        worker_id: (worker.vm.rack, worker.report.slot)
+        for worker_id, worker in board.workers_by_id.items()
+        if worker.report is not None
+    }
+
+
+def refresh_footprints(
+    board: blackboard.Blackboard,
+) -> dict[str, footprints.Footprint]:
+    """Return the footprints of all attempts, by job id.
+
+    They are computed once for an attempt and all dropped when any
+    worker's location changes.
+    """
+    memory = board.memory
+    locations = locate_workers(board)
+    if locations != memory.locations_by_worker_id:
+        memory.locations_by_worker_id = locations
+        memory.footprints_by_job_id = {}
+    cached = memory.footprints_by_job_id
+    for job_id in cached.keys() - board.attempts_by_job_id.keys():
+        del cached[job_id]
+    for job_id, view in board.attempts_by_job_id.items():
+        found = cached.get(job_id)
+        placements = view.attempt.placements
+        if found is None or found.placements is not placements:
+            cached[job_id] = footprints.build(placements, locations)
+    return cached
+
+
+def is_usable(
+    board: blackboard.Blackboard,
+    worker: blackboard.WorkerView,
+    settings: options.Settings,
+    now: float,
+) -> bool:
+    """Whether new work may be placed on the worker."""
+    if worker.report is None or worker.vm.leaving:
+        return False
+    if worker.vm.id in board.quarantined_worker_ids:
+        return False
+    silent_s = now - worker.heard_at
+    return silent_s <= settings.scheduler.heartbeat_interval_s * 2
+
+
+def measure(
+    board: blackboard.Blackboard, settings: options.Settings, now: float
+) -> Capacity:
+    """Derive the shard's capacity from workers, attempts and claims."""
+    usable = [
+        worker
+        for worker in board.workers_by_id.values()
+        if is_usable(board, worker, settings, now)
+    ]
+    usable_by_rack = _usable_masks(usable)
+    builder = _Builder(board, usable_by_rack)
+    builder.add_attempts(refresh_footprints(board))
+    builder.add_claims()
+    reports = [w.report for w in usable if w.report is not None]
+    ids = {
+        location: worker_id
+        for worker_id, location in board.memory.locations_by_worker_id.items()
+    }
+    return Capacity(
+        usable_by_rack,
+        builder.occupied_by_rack,
+        cells.CellMap(builder.free_by_rack),
+        cells.CellMap(builder.firm_masks()),
+        builder.holdings,
+        builder.borrowed,
+        ids,
+        shapes.smallest_unit(reports),
+    )
+
+
+def _usable_masks(
+    usable: abc.Iterable[blackboard.WorkerView],
+) -> dict[str, int]:
+    masks: dict[str, int] = {}
+    for worker in usable:
+        assert worker.report is not None
+        slot = worker.report.slot
+        worker_mask = ((1 << cells.WORKER_SIZE) - 1) << (
+            slot * cells.WORKER_SIZE
+        )
+        masks[worker.vm.rack] = masks.get(worker.vm.rack, 0) | worker_mask
+    return masks
+
+
+class _Builder:
+    """Adds up what attempts and claims take, hold and borrow."""
+
+    def __init__(
+        self, board: blackboard.Blackboard, usable_by_rack: dict[str, int]
+    ) -> None:
+        self.board = board
+        self.usable_by_rack = usable_by_rack
+        self.free_by_rack = dict(usable_by_rack)
+        self.occupied_by_rack: dict[str, int] = {}
+        self._held_by_rack: dict[str, int] = {}
+        self.borrowed: dict[str, dict[str, int]] = {}
+        self.holdings: dict[str, Holding] = {}
+        for account in board.config.accounts_by_name.values():
+            granted = account.guarantees_by_zone.get(board.zone, {})
+            self.holdings[account.name] = Holding(granted, dict(granted))
+
+    def add_attempts(
+        self, found: abc.Mapping[str, footprints.Footprint]
+    ) -> None:
+        """Add every attempt; those that hold cells in a fixed order.
+
+        The order decides which work counts as borrowed where an account
+        holds more than its guarantee: the one that was submitted last.
+        """
+        holders = []
+        for job_id, footprint in found.items():
+            self._take(footprint)
+            for rack, mask in footprint.masks:
+                occupied = self.occupied_by_rack.get(rack, 0)
+                self.occupied_by_rack[rack] = occupied | mask
+            view = self.board.jobs_by_id.get(job_id)
+            phase = self.board.attempts_by_job_id[job_id].phase
+            ending = phase in ENDING_PHASES
+            if footprint.held and view is not None and not ending:
+                holders.append((view.job, footprint))
+            else:
+                self._borrow(job_id, footprint)
+        holders.sort(key=lambda pair: (pair[0].submitted_at, pair[0].id))
+        for job, footprint in holders:
+            if not self._hold(job.account, footprint):
+                self._borrow(job.id, footprint)
+
+    def add_claims(self) -> None:
+        """Add every claim as if its work ran already."""
+        locations = self.board.memory.locations_by_worker_id
+        for claim in self.board.claims_by_job_id.values():
+            footprint = footprints.build(claim.placements, locations)
+            self._take(footprint)
+            if footprint.held:
+                self._hold(claim.account, footprint)
+
+    def firm_masks(self) -> dict[str, int]:
+        """Return the usable accelerators that no account holds."""
+        return {
+            rack: usable & ~self._held_by_rack.get(rack, 0)
+            for rack, usable in self.usable_by_rack.items()
+        }
+
+    def _take(self, footprint: footprints.Footprint) -> None:
+        for rack, mask in footprint.masks:
+            if rack in self.free_by_rack:
+                self.free_by_rack[rack] &= ~mask
+
+    def _borrow(self, job_id: str, footprint: footprints.Footprint) -> None:
+        for rack, mask in footprint.masks:
+            self.borrowed.setdefault(rack, {})[job_id] = mask
+
+    def _hold(self, account: str, footprint: footprints.Footprint) -> bool:
+        """Add held cells; return False where the account may not.
+
+        It may not beyond its guarantee, nor over another held cell.
+        """
+        holding = self.holdings.get(account)
+        if holding is None:
+            return False
+        fresh = [
+            cell for cell in footprint.held if cell not in holding.used_by_cell
+        ]
+        unused = dict(holding.unused_by_size)
+        for cell in fresh:
+            unused[cell.size] = unused.get(cell.size, 0) - 1
+            held = self._held_by_rack.get(cell.rack, 0)
+            if unused[cell.size] < 0 or held & cell.mask:
+                return False
+        for cell in fresh:
+            held = self._held_by_rack.get(cell.rack, 0)
+            self._held_by_rack[cell.rack] = held | cell.mask
+        holding.unused_by_size = unused
+        masks = dict(footprint.masks)
+        for cell in footprint.held:
+            used = holding.used_by_cell.get(cell, 0)
+            holding.used_by_cell[cell] = used | masks[cell.rack] & cell.mask
+        return True
+
+
+def reclaim_shortfalls(
+    board: blackboard.Blackboard, settings: options.Settings, now: float
+) -> list[Shortfall]:
+    """Check the reclaim invariant on the blackboard.
+
+    An empty list means that each account can have the unused part of its
+    guarantee now by preempting only borrowed work.
+    """
+    return measure(board, settings, now).shortfalls()
--- /dev/null
+++ b/primroselock/decisions/draining.py
@@ -0,0 +1,86 @@
+"""Empties a zone that operators took out of service.
+
+Attempts that have not started are stopped.  Running work that can save
+its progress is checkpointed and stopped, so that it goes on elsewhere:
+guaranteed work first, then what has the most accelerators, a bounded
+number at a time.  Work that cannot be checkpointed runs on: stopping it
+would lose it for certain.  Waiting jobs move to other shards.
+"""
+
+import typing
+
+from primroselock.decisions import blackboard
+from primroselock.decisions import commands
+from primroselock.decisions import moving
+from primroselock.decisions import placing
+from primroselock.decisions import policies
+from primroselock.decisions import preemption
+from primroselock.decisions import registry
+from primroselock import options
+from primroselock.workers import protocol
+
+_MAX_STOPPING: typing.Final = 64
+"""Attempts that are checkpointed or stopped at one time."""
+
+
+@registry.controller('drain', order=45)
+def drain_zone(
+    board: blackboard.Blackboard, settings: options.Settings, now: float
+) -> list[commands.Command]:
+    """Stop and move what the zone holds once it is out of service."""
+    zone = board.config.zones_by_name.get(board.zone)
+    if zone is None or zone.is_in:
+        return []
+    _stop_attempts(board, now)
+    waiting = placing.waiting_jobs(board)
+    name = settings.scheduler.queue_order
+    order = policies.queue_orders_by_name[name]
+    waiting.sort(key=lambda view: order(board, view, now))
+    return moving.move_out(board, waiting, now)
+
+
+def _stop_attempts(board: blackboard.Blackboard, now: float) -> None:
+    views = list(board.attempts_by_job_id.values())
+    stopping = sum(
+        view.ending is blackboard.Ending.PREEMPTED for view in views
+    )
+    views.sort(key=lambda view: _rank(board, view))
+    for view in views:
+        if view.ending is not None or not _should_stop(board, view):
+            continue
+        if not _runs_whole(board, view):
+            preemption.preempt(board, view.job_id, now)
+        elif stopping < _MAX_STOPPING:
+            stopping += 1
+            preemption.preempt(board, view.job_id, now)
+
+
+def _should_stop(
+    board: blackboard.Blackboard, view: blackboard.AttemptView
+) -> bool:
+    """Whether an attempt must not, or need not, go on here."""
+    job_view = board.jobs_by_id.get(view.job_id)
+    if job_view is not None and job_view.job.spec.checkpointable:
+        return True
+    return not _runs_whole(board, view)
+
+
+def _runs_whole(
+    board: blackboard.Blackboard, view: blackboard.AttemptView
+) -> bool:
+    """Whether no member is still to be started."""
+    if view.phase is blackboard.Phase.RUNNING:
+        return True
+    for key, placement in view.tasks():
+        worker = board.workers_by_id.get(placement.worker_id)
+        report = worker.task(key) if worker is not None else None
+        if report is None or report.state is protocol.TaskState.RESERVED:
+            return False
+    return True
+
+
+def _rank(
+    board: blackboard.Blackboard, view: blackboard.AttemptView
+) -> tuple[bool, int, str]:
+    size = sum(p.cell_size for p in view.attempt.placements)
+    return (view.attempt.borrowed, -size, view.job_id)
--- /dev/null
+++ b/primroselock/decisions/footprints.py
@@ -0,0 +1,59 @@
+"""Which accelerators an attempt takes, as masks by rack.
+
+A footprint follows from the attempt's placements and the racks and slots
+of their workers.
+"""
+
+from collections import abc
+import dataclasses
+
+from primroselock.decisions import cells
+from primroselock import jobs
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Footprint:
+    """Accelerators of ``placements`` as masks by rack.
+
+    ``held`` are the guaranteed cells that they lie in, each once.
+    """
+
+    placements: tuple[jobs.Placement, ...]
+    masks: tuple[tuple[str, int], ...]
+    held: tuple[cells.Cell, ...]
+
+    def accelerators(self) -> int:
+        """Return how many accelerators are taken."""
+        return sum(mask.bit_count() for _, mask in self.masks)
+
+
+Locations = abc.Mapping[str, tuple[str, int]]
+
+
+def cell_of(
+    placement: jobs.Placement, locations: Locations
+) -> cells.Cell | None:
+    """Return the cell of one member, or None for an unknown worker."""
+    location = locations.get(placement.worker_id)
+    if location is None:
+        return None
+    rack, slot = location
+    first = placement.accelerators[0] if placement.accelerators else 0
+    offset = slot * cells.WORKER_SIZE + first
+    return cells.Cell(rack, offset, placement.cell_size)
+
+
+def build(
+    placements: tuple[jobs.Placement, ...], locations: Locations
+) -> Footprint:
+    """Compute the footprint of ``placements``."""
+    masks_by_rack: dict[str, int] = {}
+    held: dict[cells.Cell, None] = {}
+    for placement in placements:
+        cell = cell_of(placement, locations)
+        if cell is None:
+            continue
+        masks_by_rack[cell.rack] = masks_by_rack.get(cell.rack, 0) | cell.mask
+        if placement.held_size:
+            held[cell.enclosing(placement.held_size)] = None
+    return Footprint(placements, tuple(masks_by_rack.items()), tuple(held))
--- /dev/null
+++ b/primroselock/decisions/moving.py
@@ -0,0 +1,152 @@
+"""Hands waiting jobs to other shards.
+
+Out of a zone that is out of service every waiting job moves.  In a zone
+that is in service a job moves when it has waited for a while, cannot be
+placed, and another shard has said that more is free there than is
+waited for.  Each move is taken off what is known of the other shard, so
+that many jobs do not follow one beacon.  The moves of a round are
+bounded, since each costs writes to the platform's table.
+"""
+
+import dataclasses
+import typing
+
+from primroselock.decisions import blackboard
+from primroselock.decisions import commands
+from primroselock.decisions import shapes
+from primroselock import jobs
+from primroselock import options
+
+_MAX_MOVES: typing.Final = 16
+"""Moves under way at one time."""
+
+_BEACON_AGE_S: typing.Final = 5.0
+
+
+def _serving_shards(board: blackboard.Blackboard) -> list[str]:
+    """Return the other shards in service; a shard is one zone today."""
+    return sorted(
+        zone.name
+        for zone in board.config.zones_by_name.values()
+        if zone.is_in and zone.name != board.shard
+    )
+
+
+def _slack(board: blackboard.Blackboard, shard: str) -> int:
+    load = board.peers_by_shard.get(shard)
+    if load is None:
+        return 0
+    return load.free_accelerators - load.waiting_accelerators
+
+
+def _note_move(
+    board: blackboard.Blackboard, shard: str, accelerators: int
+) -> None:
+    load = board.peers_by_shard.get(shard)
+    if load is not None:
+        waiting = load.waiting_accelerators + accelerators
+        board.peers_by_shard[shard] = dataclasses.replace(
+            load, waiting_accelerators=waiting
+        )
+
+
+def _size_of(job: jobs.Job) -> int:
+    return max(job.spec.accelerators, 1) * job.spec.members
+
+
+class _Mover:
+    """Emits moves, again each round until the job has left."""
+
+    def __init__(self, board: blackboard.Blackboard, now: float) -> None:
+        self._board = board
+        self._now = now
+        self._old = board.memory.targets_by_job_id
+        self.targets: dict[str, str] = {}
+        self.decided: list[commands.Command] = []
+
+    def move(self, view: blackboard.JobView, shard: str) -> None:
+        """Move one job; a move under way keeps its target."""
+        job = view.job
+        target = self._old.get(job.id)
+        if target is None:
+            target = shard
+            _note_move(self._board, shard, _size_of(job))
+        self.targets[job.id] = target
+        self.decided.append(commands.MoveJob(job, view.row_version, target))
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no more moves may be under way."""
+        return len(self.targets) >= _MAX_MOVES
+
+
+def move_out(
+    board: blackboard.Blackboard,
+    waiting: list[blackboard.JobView],
+    now: float,
+) -> list[commands.Command]:
+    """Move waiting jobs, in their order, out of a zone that is out.
+
+    Shards where the account has a guarantee go first, then those with
+    the most that is free beyond what is waited for.
+    """
+    serving = _serving_shards(board)
+    mover = _Mover(board, now)
+    for view in waiting:
+        if mover.is_full or not serving:
+            break
+        account = board.config.accounts_by_name.get(view.job.account)
+        granted = account.guarantees_by_zone if account is not None else {}
+
+        def rank(
+            shard: str, granted: typing.Any = granted, view: typing.Any = view
+        ) -> tuple[bool, bool, int, str]:
+            slack = _slack(board, shard)
+            fits = slack >= _size_of(view.job)
+            return (not fits, shard not in granted, -slack, shard)
+
+        mover.move(view, min(serving, key=rank))
+    board.memory.targets_by_job_id = mover.targets
+    return mover.decided
+
+
+def move_to_free(
+    board: blackboard.Blackboard,
+    settings: options.Settings,
+    waiting: list[tuple[blackboard.JobView, shapes.Shape]],
+    now: float,
+) -> list[commands.Command]:
+    """Move jobs that cannot be placed to shards where they can."""
+    mover = _Mover(board, now)
+    serving = _serving_shards(board)
+    first_seen = board.memory.first_seen_by_job_id
+    for view, shape in waiting:
+        waited_s = now - first_seen.get(view.job.id, now)
+        if waited_s < settings.scheduler.balance_after_s:
+            continue
+        if mover.is_full:
+            break
+        shard = _find_room(board, serving, shape, now)
+        if shard is not None:
+            mover.move(view, shard)
+    board.memory.targets_by_job_id = mover.targets
+    return mover.decided
+
+
+def _find_room(
+    board: blackboard.Blackboard,
+    serving: list[str],
+    shape: shapes.Shape,
+    now: float,
+) -> str | None:
+    best: str | None = None
+    for shard in serving:
+        load = board.peers_by_shard.get(shard)
+        if load is None or now - load.heard_at > _BEACON_AGE_S:
+            continue
+        slack = _slack(board, shard)
+        if slack < shape.accelerators or load.largest_free < shape.size:
+            continue
+        if best is None or slack > _slack(board, best):
+            best = shard
+    return best
--- a/primroselock/decisions/packing.py
+++ b/primroselock/decisions/packing.py
@@ -53,6 +53,25 @@
     raise AssertionError('the largest level includes all cells')
 
 
+def missing_cells(
+    free_by_size: abc.Mapping[int, int], needed_by_size: abc.Mapping[int, int]
+) -> dict[int, int]:
+    """Return how many needed cells the free blocks cannot hold, by size.
+
+    Serves the largest cells first, which for aligned powers of two is the
+    best that any order can do.  An empty result means that all fit.
+    """
+    missing: dict[int, int] = {}
+    spare = 0
+    for size in reversed(CELL_SIZES):
+        spare = spare * 2 + free_by_size.get(size, 0)
+        spare -= needed_by_size.get(size, 0)
+        if spare < 0:
+            missing[size] = -spare
+            spare = 0
+    return missing
+
+
 def cell_size(accelerators: int) -> int:
     """Return the smallest cell size that holds ``accelerators``.
 
--- a/primroselock/decisions/placing.py
+++ b/primroselock/decisions/placing.py
@@ -1,145 +1,334 @@
 """Places waiting jobs: a cell for every member, or nothing.
 
-The free cells are derived from the workers that were heard and from the
-attempts that hold cells.  A job is placed only while the start permit
-holds and its zone is in service.  All members get a cell or the cells
-taken for the others are given back.
+First every job that may use its account's guarantee is placed within it,
+urgent ones first; where borrowed work is in the way it is stopped and
+the cells are kept by a claim.  Then the jobs that are left borrow free
+cells in the order of the policy; an urgent one may stop borrowed work.
+Nothing is placed without the start permit or in a zone that is out of
+service.
 """
 
+from collections import abc
+
 from primroselock.decisions import blackboard
+from primroselock.decisions import capacity
 from primroselock.decisions import cells
 from primroselock.decisions import commands
-from primroselock.decisions import packing
+from primroselock.decisions import moving
+from primroselock.decisions import planning
 from primroselock.decisions import policies
+from primroselock.decisions import preemption
+from primroselock.decisions import reasons
 from primroselock.decisions import registry
+from primroselock.decisions import repair
+from primroselock.decisions import shapes
 from primroselock import jobs
 from primroselock import options
 
 
-def build_cell_map(
-    board: blackboard.Blackboard, settings: options.Settings, now: float
-) -> cells.CellMap:
-    """Return the cells that are free for new work."""
-    usable_slots_by_rack: dict[str, list[int]] = {}
-    for worker in board.workers_by_id.values():
-        if _is_usable(board, worker, settings, now):
-            slots = usable_slots_by_rack.setdefault(worker.vm.rack, [])
-            assert worker.report is not None
-            slots.append(worker.report.slot)
-    cell_map = cells.CellMap()
-    for name, slots in usable_slots_by_rack.items():
-        cell_map.racks_by_name[name] = cells.Rack(name, slots)
-    for view in board.attempts_by_job_id.values():
-        for placement in view.attempt.placements:
-            cell = _cell_of(board, placement)
-            if cell is not None:
-                cell_map.take(cell)
-    return cell_map
-
-
-def _is_usable(
-    board: blackboard.Blackboard,
-    worker: blackboard.WorkerView,
-    settings: options.Settings,
-    now: float,
-) -> bool:
-    if worker.report is None or worker.vm.leaving:
-        return False
-    if worker.vm.id in board.quarantined_worker_ids:
-        return False
-    silent_s = now - worker.heard_at
-    return silent_s <= settings.scheduler.heartbeat_interval_s * 2
+def zone_is_in(board: blackboard.Blackboard) -> bool:
+    """Whether operators have the blackboard's zone in service."""
+    zone = board.config.zones_by_name.get(board.zone)
+    return zone is not None and zone.is_in
 
 
-def _cell_of(
-    board: blackboard.Blackboard, placement: jobs.Placement
-) -> cells.Cell | None:
-    worker = board.workers_by_id.get(placement.worker_id)
-    if worker is None or worker.report is None:
-        return None
-    first = placement.accelerators[0] if placement.accelerators else 0
-    offset = worker.report.slot * cells.WORKER_SIZE + first
-    return cells.Cell(worker.vm.rack, offset, placement.cell_size)
+def waiting_jobs(
+    board: blackboard.Blackboard,
+) -> list[blackboard.JobView]:
+    """Return the jobs that wait for an attempt."""
+    return [
+        view
+        for view in board.jobs_by_id.values()
+        if view.job.state is jobs.JobState.WAITING
+        and not view.job.cancel_requested
+        and view.job.id not in board.attempts_by_job_id
+    ]
 
 
 @registry.controller('placement', order=50)
 def place_waiting(
     board: blackboard.Blackboard, settings: options.Settings, now: float
 ) -> list[commands.Command]:
-    """Place every waiting job that fits, in the order of the policy."""
-    zone = board.config.zones_by_name.get(board.zone)
-    if now >= board.permit_until or zone is None or not zone.is_in:
-        return []
-    sort_key = policies.queue_orders_by_name[settings.scheduler.queue_order]
-    waiting = [
-        view
-        for view in board.jobs_by_id.values()
-        if _may_be_placed(board, view, now)
-    ]
-    if not waiting:
+    """Place every waiting job that fits and say why the others wait."""
+    waiting = waiting_jobs(board)
+    _forget_others(board, waiting, now)
+    if not zone_is_in(board) or now >= board.permit_until:
+        board.claims_by_job_id.clear()
+        reason = (
+            reasons.no_permit if zone_is_in(board) else reasons.zone_is_out
+        )
+        board.reasons_by_job_id = {
+            view.job.id: reason(board) for view in waiting
+        }
         return []
-    waiting.sort(key=lambda view: sort_key(view, now))
-    cell_map = build_cell_map(board, settings, now)
-    worker_ids = {
-        (worker.vm.rack, worker.report.slot): worker.vm.id
-        for worker in board.workers_by_id.values()
-        if worker.report is not None
-    }
-    pick = policies.placements_by_name[settings.scheduler.placement]
-    for view in waiting:
-        chosen = _choose_cells(cell_map, view.job.spec, pick)
-        if chosen is None:
-            continue
-        _add_attempt(board, view, chosen, worker_ids, now)
-    return []
-
-
-def _may_be_placed(
-    board: blackboard.Blackboard, view: blackboard.JobView, now: float
-) -> bool:
-    return (
-        view.job.state is jobs.JobState.WAITING
-        and not view.job.cancel_requested
-        and view.job.id not in board.attempts_by_job_id
-        and now >= view.not_before
-    )
-
-
-def _choose_cells(
-    cell_map: cells.CellMap, spec: jobs.JobSpec, pick: policies.PickCell
-) -> list[cells.Cell] | None:
-    size = packing.cell_size(max(spec.accelerators, 1))
-    chosen: list[cells.Cell] = []
-    for _ in range(spec.members):
-        cell = pick(cell_map, size)
-        if cell is None or not cell_map.take(cell):
-            for taken in chosen:
-                cell_map.release(taken)
-            return None
-        chosen.append(cell)
-    return chosen
-
-
-def _add_attempt(
+    return _Placer(board, settings, now).place(waiting)
+
+
+def _forget_others(
     board: blackboard.Blackboard,
-    view: blackboard.JobView,
-    chosen: list[cells.Cell],
-    worker_ids: dict[tuple[str, int], str],
+    waiting: list[blackboard.JobView],
     now: float,
 ) -> None:
-    placements = []
-    for cell in chosen:
-        worker_id = worker_ids[(cell.rack, cell.slot)]
-        report = board.workers_by_id[worker_id].report
-        assert report is not None
-        placements.append(
-            jobs.Placement(
-                worker_id, report.boot_id, cell.accelerators, cell.size
+    """Drop claims and ages of jobs that no longer wait."""
+    first_seen = board.memory.first_seen_by_job_id
+    board.memory.first_seen_by_job_id = {
+        view.job.id: first_seen.get(view.job.id, now) for view in waiting
+    }
+    waiting_ids = board.memory.first_seen_by_job_id
+    for job_id in board.claims_by_job_id.keys() - waiting_ids.keys():
+        del board.claims_by_job_id[job_id]
+
+
+class _Placer:
+    """One pass over the waiting jobs."""
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        settings: options.Settings,
+        now: float,
+    ) -> None:
+        self.board = board
+        self.settings = settings
+        self.now = now
+        self.stock = capacity.measure(board, settings, now)
+        self._settle_claims()
+        self.losses = preemption.LossMeter(board, self.stock, settings, now)
+        self.reasons: dict[str, str] = {}
+        self._failed: set[tuple[str, shapes.Shape]] = set()
+        self._reason_by_key: dict[tuple[str, shapes.Shape], str] = {}
+
+    def _settle_claims(self) -> None:
+        """Drop claims that cannot be met, mend what broke, measure again."""
+        states = {
+            job_id: preemption.claim_state(
+                self.board, self.stock, self.settings, claim, self.now
             )
+            for job_id, claim in self.board.claims_by_job_id.items()
+        }
+        self.claims_free = {j for j, state in states.items() if state}
+        void = [job_id for job_id, state in states.items() if state is None]
+        for job_id in void:
+            del self.board.claims_by_job_id[job_id]
+        mended = repair.mend(self.board, self.stock, self.now)
+        if void or mended:
+            self.stock = capacity.measure(self.board, self.settings, self.now)
+
+    def place(
+        self, waiting: list[blackboard.JobView]
+    ) -> list[commands.Command]:
+        """Place the jobs that fit, keep a reason for each other one.
+
+        Jobs that did not fit may be moved to another shard.
+        """
+        name = self.settings.scheduler.queue_order
+        order = policies.queue_orders_by_name[name]
+        waiting.sort(key=lambda view: order(self.board, view, self.now))
+        left = [view for view in waiting if not self._resume(view)]
+        left = [view for view in left if not self._place_guaranteed(view)]
+        left = [view for view in left if not self._borrow(view)]
+        self.board.reasons_by_job_id = self.reasons
+        shaped = [(view, self._shape(view)) for view in left]
+        waiting_accelerators = sum(shape.accelerators for _, shape in shaped)
+        self.board.load = blackboard.PeerLoad(
+            self.stock.free.free_accelerators(),
+            waiting_accelerators,
+            self.stock.free.largest_free(),
+            self.now,
+        )
+        return moving.move_to_free(self.board, self.settings, shaped, self.now)
+
+    def _resume(self, view: blackboard.JobView) -> bool:
+        """Settle a job that needs no plan: claimed, delayed, too large."""
+        job_id = view.job.id
+        shape = shapes.of_spec(view.job.spec, self.stock.unit)
+        claim = self.board.claims_by_job_id.get(job_id)
+        if claim is not None and job_id in self.claims_free:
+            del self.board.claims_by_job_id[job_id]
+            self._start(view, claim.placements, claim.borrowed)
+        elif shape is None:
+            self.reasons[job_id] = reasons.too_large(self.stock, view.job)
+        elif claim is not None:
+            self._clear(view, shape, claim)
+        elif self.now < view.not_before:
+            self.reasons[job_id] = reasons.delayed(view)
+        else:
+            return False
+        return True
+
+    def _clear(
+        self,
+        view: blackboard.JobView,
+        shape: shapes.Shape,
+        claim: blackboard.Claim,
+    ) -> None:
+        """Stop what is still in the cells of a claim."""
+        wanted = [self._cell_of(placement) for placement in claim.placements]
+        victims = preemption.stop_borrowers(
+            self.board, self.stock, wanted, self.now
+        )
+        self.reasons[view.job.id] = reasons.stopping_borrowers(
+            shape, len(victims)
+        )
+
+    def _cell_of(self, placement: jobs.Placement) -> cells.Cell:
+        locations = self.board.memory.locations_by_worker_id
+        rack, slot = locations[placement.worker_id]
+        offset = slot * cells.WORKER_SIZE + placement.accelerators[0]
+        return cells.Cell(rack, offset, placement.cell_size)
+
+    def _shape(self, view: blackboard.JobView) -> shapes.Shape:
+        shape = shapes.of_spec(view.job.spec, self.stock.unit)
+        assert shape is not None
+        return shape
+
+    def _place_guaranteed(self, view: blackboard.JobView) -> bool:
+        """Place a job within the guarantee, stopping borrowed work."""
+        job = view.job
+        if job.spec.priority is jobs.Priority.BORROWED:
+            return False
+        shape = self._shape(view)
+        key = (job.account, shape)
+        if key in self._failed:
+            return False
+        pieces = planning.plan_guaranteed(
+            self.stock, job.account, shape, self.losses.of_cell
+        )
+        if pieces is None:
+            self._failed.add(key)
+            return False
+        self._take_over(view, shape, pieces, borrowed=False)
+        return True
+
+    def _take_over(
+        self,
+        view: blackboard.JobView,
+        shape: shapes.Shape,
+        pieces: list[planning.Piece],
+        borrowed: bool,
+    ) -> None:
+        """Start on free cells, or claim them and stop what is there."""
+        placements = self._placements(view.job.spec, shape, pieces)
+        wanted = [piece.cell for piece in pieces]
+        taken_now = all(self.stock.free.is_free(cell) for cell in wanted)
+        for cell in wanted:
+            for part in cell.split(1):
+                self.stock.free.take(part)
+        if taken_now:
+            self._start(view, placements, borrowed)
+            return
+        self._drop_overlapped(wanted)
+        victims = preemption.stop_borrowers(
+            self.board, self.stock, wanted, self.now
+        )
+        self.board.claims_by_job_id[view.job.id] = blackboard.Claim(
+            view.job.account, placements, borrowed, self.now
+        )
+        self.reasons[view.job.id] = reasons.stopping_borrowers(
+            shape, len(victims)
+        )
+
+    def _drop_overlapped(self, wanted: list[cells.Cell]) -> None:
+        """Drop the claims of borrowed work on cells taken by another."""
+        for job_id, claim in list(self.board.claims_by_job_id.items()):
+            if claim.borrowed and any(
+                cell.rack == own.rack and cell.mask & own.mask
+                for cell in wanted
+                for own in map(self._cell_of, claim.placements)
+            ):
+                del self.board.claims_by_job_id[job_id]
+
+    def _borrow(self, view: blackboard.JobView) -> bool:
+        """Place a job above the guarantee, on free cells."""
+        shape = self._shape(view)
+        urgent = view.job.spec.priority is jobs.Priority.URGENT
+        key = ('urgent' if urgent else '', shape)
+        if key not in self._failed:
+            pick = policies.placements_by_name[
+                self.settings.scheduler.placement
+            ]
+            pieces = planning.plan_borrowed(self.stock.free, shape, pick)
+            if pieces is not None:
+                placements = self._placements(view.job.spec, shape, pieces)
+                self._start(view, placements, borrowed=True)
+                return True
+            if urgent and self._displace(view, shape):
+                return True
+            self._failed.add(key)
+        self._explain(view, shape)
+        return False
+
+    def _displace(self, view: blackboard.JobView, shape: shapes.Shape) -> bool:
+        """Let an urgent job take cells of other borrowed work."""
+        pieces = planning.plan_costly(
+            cells.CellMap(self._preemptible()), shape, self.losses.of_cell
+        )
+        if pieces is None:
+            return False
+        self._take_over(view, shape, pieces, borrowed=True)
+        return True
+
+    def _preemptible(self) -> dict[str, int]:
+        """Return what is free or taken by borrowed work, urgent apart."""
+        masks = dict(self.stock.free.free_by_rack)
+        for rack, borrowed in self.stock.borrowed_by_rack.items():
+            for job_id, mask in borrowed.items():
+                view = self.board.jobs_by_id.get(job_id)
+                if view is None or rack not in masks:
+                    continue
+                if view.job.spec.priority is not jobs.Priority.URGENT:
+                    masks[rack] |= mask
+        locations = self.board.memory.locations_by_worker_id
+        for claim in self.board.claims_by_job_id.values():
+            for placement in claim.placements:
+                rack, _ = locations[placement.worker_id]
+                masks[rack] &= ~self._cell_of(placement).mask
+        for rack, usable in self.stock.usable_by_rack.items():
+            masks[rack] &= usable
+        return masks
+
+    def _explain(self, view: blackboard.JobView, shape: shapes.Shape) -> None:
+        key = (view.job.account, shape)
+        if key not in self._reason_by_key:
+            self._reason_by_key[key] = reasons.no_cells(
+                self.stock, self.board, view.job, shape
+            )
+        self.reasons[view.job.id] = self._reason_by_key[key]
+
+    def _placements(
+        self,
+        spec: jobs.JobSpec,
+        shape: shapes.Shape,
+        pieces: abc.Iterable[planning.Piece],
+    ) -> tuple[jobs.Placement, ...]:
+        """Return where each member goes, in the order of the cells."""
+        placements = []
+        for piece in pieces:
+            for cell in piece.cell.split(shape.size):
+                worker_id = self.stock.worker_ids_by_location[
+                    (cell.rack, cell.slot)
+                ]
+                report = self.board.workers_by_id[worker_id].report
+                assert report is not None
+                placement = jobs.Placement(
+                    worker_id,
+                    report.boot_id,
+                    cell.accelerators,
+                    cell.size,
+                    piece.held_size,
+                )
+                placements.extend([placement] * shape.members_per_cell)
+        return tuple(placements[: spec.members])
+
+    def _start(
+        self,
+        view: blackboard.JobView,
+        placements: tuple[jobs.Placement, ...],
+        borrowed: bool,
+    ) -> None:
+        attempt = jobs.Attempt(
+            view.job.attempts + 1, self.board.epoch, placements, borrowed
+        )
+        self.board.attempts_by_job_id[view.job.id] = blackboard.AttemptView(
+            view.job.id, attempt, blackboard.Phase.RESERVING, self.now
         )
-    attempt = jobs.Attempt(
-        view.job.attempts + 1, board.epoch, tuple(placements)
-    )
-    board.attempts_by_job_id[view.job.id] = blackboard.AttemptView(
-        view.job.id, attempt, blackboard.Phase.RESERVING, now
-    )
--- /dev/null
+++ b/primroselock/decisions/planning.py
@@ -0,0 +1,251 @@
+"""Finds cells for a whole gang, within a guarantee or on free cells.
+
+A gang takes the fewest pieces that can be had: the largest power of two
+of its cells that one block holds, then the same for the rest, so that
+its members are adjacent wherever a block is large enough.  Each plan is
+all or nothing: what a failed one took is given back.
+
+Within the guarantee a piece goes into a cell that the account holds, or
+into a new one of the smallest guaranteed size that fits, placed where
+the remaining guarantees still can be reclaimed (see
+:mod:`primroselock.decisions.capacity`).  Among such places the one that
+stops the least valuable borrowed work is taken.
+"""
+
+from collections import abc
+import dataclasses
+import typing
+
+from primroselock.decisions import capacity
+from primroselock.decisions import cells
+from primroselock.decisions import packing
+from primroselock.decisions import policies
+from primroselock.decisions import shapes
+
+_MAX_CANDIDATES: typing.Final = 256
+
+Cost = abc.Callable[[cells.Cell], float]
+"""Work in accelerator-seconds that is lost when a cell is taken."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Piece:
+    """Adjacent cells of a gang; ``held_size`` as in a placement."""
+
+    cell: cells.Cell
+    held_size: int = 0
+
+
+_Take = abc.Callable[[int], Piece | None]
+
+
+def _gather(shape: shapes.Shape, take: _Take) -> list[Piece] | None:
+    """Take pieces for the whole shape; None when they do not suffice.
+
+    The pieces taken so far are then left to the caller to give back.
+    """
+    pieces: list[Piece] = []
+    remaining = shape.count
+    piece_count = packing.RACK_SIZE // shape.size
+    while remaining:
+        piece_count = min(piece_count, 1 << (remaining.bit_length() - 1))
+        piece = take(piece_count * shape.size)
+        if piece is not None:
+            pieces.append(piece)
+            remaining -= piece_count
+            continue
+        if piece_count == 1:
+            return None
+        piece_count //= 2
+    return pieces
+
+
+def plan_borrowed(
+    free: cells.CellMap, shape: shapes.Shape, pick: policies.PickCell
+) -> list[Piece] | None:
+    """Take free cells for the whole shape, or none."""
+    if free.free_accelerators() < shape.accelerators:
+        return None
+    taken: list[cells.Cell] = []
+
+    def take(size: int) -> Piece | None:
+        cell = pick(free, size)
+        if cell is None or not free.take(cell):
+            return None
+        taken.append(cell)
+        return Piece(cell)
+
+    pieces = _gather(shape, take)
+    if pieces is None:
+        for cell in taken:
+            free.release(cell)
+    return pieces
+
+
+def plan_costly(
+    free: cells.CellMap, shape: shapes.Shape, cost: Cost
+) -> list[Piece] | None:
+    """Take cells of ``free`` that cost least, for the whole shape."""
+
+    def pick(free: cells.CellMap, size: int) -> cells.Cell | None:
+        return _cheapest(free, size, free.fitting_sizes(size), cost)
+
+    return plan_borrowed(free, shape, pick)
+
+
+def _cheapest(
+    free: cells.CellMap, size: int, block_sizes: list[int], cost: Cost
+) -> cells.Cell | None:
+    """Return the cell of ``size`` with the lowest cost, or None.
+
+    Smaller blocks come first, so that equal costs split the smallest.
+    """
+    best: cells.Cell | None = None
+    best_cost = float('inf')
+    tried = 0
+    for block_size in block_sizes:
+        for block in free.blocks(block_size):
+            for cell in block.split(size):
+                cell_cost = cost(cell)
+                if cell_cost < best_cost:
+                    best, best_cost = cell, cell_cost
+                tried += 1
+                if not best_cost or tried >= _MAX_CANDIDATES:
+                    return best
+    return best
+
+
+def plan_guaranteed(
+    stock: capacity.Capacity, account: str, shape: shapes.Shape, cost: Cost
+) -> list[Piece] | None:
+    """Take cells within the account's guarantee, or none."""
+    holding = stock.holdings_by_account.get(account)
+    if holding is None:
+        return None
+    if _room(stock, holding) < shape.accelerators:
+        return None
+    trial = _Trial(stock, holding, cost)
+    pieces = _gather(shape, trial.take)
+    if pieces is None:
+        trial.undo()
+    return pieces
+
+
+def _unused_within(
+    stock: capacity.Capacity, holding: capacity.Holding, cell: cells.Cell
+) -> int:
+    usable = stock.usable_by_rack.get(cell.rack, 0)
+    return cell.mask & usable & ~holding.used_by_cell[cell]
+
+
+def _room(stock: capacity.Capacity, holding: capacity.Holding) -> int:
+    within = sum(
+        _unused_within(stock, holding, cell).bit_count()
+        for cell in holding.used_by_cell
+    )
+    return within + sum(
+        size * count for size, count in holding.unused_by_size.items()
+    )
+
+
+class _Trial:
+    """Takes cells within one guarantee and can give them back."""
+
+    def __init__(
+        self,
+        stock: capacity.Capacity,
+        holding: capacity.Holding,
+        cost: Cost,
+    ) -> None:
+        self.stock = stock
+        self.holding = holding
+        self.cost = cost
+        self._used_before = dict(holding.used_by_cell)
+        self._unused_before = dict(holding.unused_by_size)
+        self._opened: list[cells.Cell] = []
+
+    def undo(self) -> None:
+        """Give back everything."""
+        self.holding.used_by_cell = self._used_before
+        self.holding.unused_by_size = self._unused_before
+        for cell in self._opened:
+            self.stock.firm.release(cell)
+
+    def take(self, size: int) -> Piece | None:
+        """Take one piece in a held cell or in a new one."""
+        piece = self._take_within(size)
+        if piece is None:
+            piece = self._take_new(size)
+        if piece is not None:
+            held = piece.cell.enclosing(piece.held_size)
+            used = self.holding.used_by_cell.get(held, 0)
+            self.holding.used_by_cell[held] = used | piece.cell.mask
+        return piece
+
+    def _take_within(self, size: int) -> Piece | None:
+        best: tuple[int, float, Piece] | None = None
+        for held in self.holding.used_by_cell:
+            if held.size < size:
+                continue
+            unused = _unused_within(self.stock, self.holding, held)
+            within = cells.CellMap({held.rack: unused})
+            for block_size in within.fitting_sizes(size)[:1]:
+                cell = _cheapest(within, size, [block_size], self.cost)
+                assert cell is not None
+                rank = (block_size, self.cost(cell))
+                if best is None or rank < best[:2]:
+                    best = (*rank, Piece(cell, held.size))
+        return best[2] if best is not None else None
+
+    def _take_new(self, size: int) -> Piece | None:
+        for held_size in packing.CELL_SIZES:
+            if held_size < size:
+                continue
+            if self.holding.unused_by_size.get(held_size, 0) <= 0:
+                continue
+            held = self._open(held_size, size)
+            if held is not None:
+                cell = cells.Cell(held.rack, held.offset, size)
+                return Piece(cell, held_size)
+        return None
+
+    def _open(self, held_size: int, size: int) -> cells.Cell | None:
+        """Take a new guaranteed cell where the others still can be had.
+
+        Splitting the smallest block that fits always leaves room for the
+        others, if there was room before; a larger block is split only to
+        spare borrowed work, and only when the check says that it may be.
+        """
+
+        def cost(held: cells.Cell) -> float:
+            return self.cost(cells.Cell(held.rack, held.offset, size))
+
+        firm = self.stock.firm
+        best: cells.Cell | None = None
+        for block_size in firm.fitting_sizes(held_size):
+            if best is not None and not self._may_split(block_size, held_size):
+                continue
+            found = _cheapest(firm, held_size, [block_size], cost)
+            if found is None:
+                continue
+            if best is None or cost(found) < cost(best):
+                best = found
+            if not cost(best):
+                break
+        if best is None:
+            return None
+        firm.take(best)
+        self._opened.append(best)
+        self.holding.unused_by_size[held_size] -= 1
+        return best
+
+    def _may_split(self, block_size: int, held_size: int) -> bool:
+        counts = self.stock.firm.counts_by_size()
+        counts[block_size] -= 1
+        size = block_size
+        while size > held_size:
+            size //= 2
+            counts[size] += 1
+        needed = self.stock.unused_by_size()
+        needed[held_size] -= 1
+        return not packing.missing_cells(counts, needed)
--- a/primroselock/decisions/policies.py
+++ b/primroselock/decisions/policies.py
@@ -1,19 +1,32 @@
 """Registries of the policies that may vary, with their plain baselines.
 
-A placement policy picks a free cell; a queue order sorts waiting jobs.
-Both are chosen by name in the settings.
+A placement policy picks a free cell; a queue order sorts waiting jobs; a
+victim choice says what work is lost when borrowed work is stopped.  All
+are chosen by name in the settings.
 """
 
 from collections import abc
+import typing
 
 from primroselock.decisions import blackboard
 from primroselock.decisions import cells
+from primroselock.decisions import runtimes
+from primroselock import jobs
 
 PickCell = abc.Callable[[cells.CellMap, int], cells.Cell | None]
-SortKey = abc.Callable[[blackboard.JobView, float], tuple[float, ...]]
+SortKey = abc.Callable[
+    [blackboard.Blackboard, blackboard.JobView, float], tuple[float, ...]
+]
+LostWork = abc.Callable[
+    [blackboard.Blackboard, blackboard.AttemptView, float], float
+]
 
 placements_by_name: dict[str, PickCell] = {}
 queue_orders_by_name: dict[str, SortKey] = {}
+victim_choices_by_name: dict[str, LostWork] = {}
+
+_RESTART_COST_S: typing.Final = 30.0
+"""Run time that any preemption costs, checkpointed or not."""
 
 
 def placement(name: str) -> abc.Callable[[PickCell], PickCell]:
@@ -36,49 +49,77 @@
     return register
 
 
+def victim_choice(name: str) -> abc.Callable[[LostWork], LostWork]:
+    """Register the decorated victim choice; the lowest loss is stopped."""
+
+    def register(lost_work: LostWork) -> LostWork:
+        victim_choices_by_name[name] = lost_work
+        return lost_work
+
+    return register
+
+
 @placement('best_buddy')
-def pick_best_buddy(cell_map: cells.CellMap, size: int) -> cells.Cell | None:
+def pick_best_buddy(free: cells.CellMap, size: int) -> cells.Cell | None:
     """Pick from the smallest free block that fits, in any rack."""
-    best: tuple[int, str] | None = None
-    for name, rack in cell_map.racks_by_name.items():
-        block_size = rack.smallest_free(size)
-        if block_size is None:
-            continue
-        if best is None or (block_size, name) < best:
-            best = (block_size, name)
-    if best is None:
-        return None
-    block_size, name = best
-    offsets = cell_map.racks_by_name[name].free_offsets_by_size[block_size]
-    return cells.Cell(name, min(offsets), size)
+    for block_size in free.fitting_sizes(size):
+        for block in free.blocks(block_size):
+            return cells.Cell(block.rack, block.offset, size)
+    return None
 
 
 @placement('first_fit')
-def pick_first_fit(cell_map: cells.CellMap, size: int) -> cells.Cell | None:
+def pick_first_fit(free: cells.CellMap, size: int) -> cells.Cell | None:
     """Pick the first aligned free cell in order of racks and offsets."""
-    for name in sorted(cell_map.racks_by_name):
-        rack = cell_map.racks_by_name[name]
-        offsets = [
-            offset
-            for block_size, free in rack.free_offsets_by_size.items()
-            if block_size >= size
-            for offset in free
-        ]
-        if offsets:
-            return cells.Cell(name, min(offsets), size)
-    return None
+    blocks = [
+        block
+        for block_size in free.fitting_sizes(size)
+        for block in free.blocks(block_size)
+    ]
+    if not blocks:
+        return None
+    first = min(blocks)
+    return cells.Cell(first.rack, first.offset, size)
 
 
 @queue_order('fifo')
-def sort_fifo(view: blackboard.JobView, now: float) -> tuple[float, ...]:
+def sort_fifo(
+    board: blackboard.Blackboard, view: blackboard.JobView, now: float
+) -> tuple[float, ...]:
     """Order jobs by the time of submission."""
     return (view.job.submitted_at,)
 
 
 @queue_order('shortest_remaining')
-def sort_shortest(view: blackboard.JobView, now: float) -> tuple[float, ...]:
+def sort_shortest(
+    board: blackboard.Blackboard, view: blackboard.JobView, now: float
+) -> tuple[float, ...]:
     """Order urgent jobs first, then by the work that is expected."""
-    spec = view.job.spec
-    work = spec.run_time_s * spec.members * max(spec.accelerators, 1)
-    urgent = 0.0 if spec.priority.value == 'urgent' else 1.0
-    return (urgent, work, view.job.submitted_at)
+    job = view.job
+    urgent = job.spec.priority is jobs.Priority.URGENT
+    left_s = runtimes.expected_remaining_s(board, job, job.checkpoint_s)
+    work = left_s * job.spec.members * max(job.spec.accelerators, 1)
+    return (0.0 if urgent else 1.0, work, job.submitted_at)
+
+
+@victim_choice('least_lost')
+def least_lost(
+    board: blackboard.Blackboard, view: blackboard.AttemptView, now: float
+) -> float:
+    """Count the accelerator-seconds that a checkpoint would not keep."""
+    job_view = board.jobs_by_id.get(view.job_id)
+    footprint = board.memory.footprints_by_job_id.get(view.job_id)
+    if job_view is None or footprint is None:
+        return 0.0
+    lost_s = _RESTART_COST_S
+    if not job_view.job.spec.checkpointable:
+        lost_s += runtimes.progress_s(board, view, now)
+    return lost_s * footprint.accelerators()
+
+
+@victim_choice('any')
+def any_victim(
+    board: blackboard.Blackboard, view: blackboard.AttemptView, now: float
+) -> float:
+    """Count all work alike."""
+    return 1.0
--- /dev/null
+++ b/primroselock/decisions/preemption.py
@@ -0,0 +1,114 @@
+"""Stops borrowed work so that guaranteed or urgent work can start.
+
+The cells that a job waits for are kept for it as a claim, so that the
+work that is stopped does not come back to them.  A claim lasts until the
+cells are free, or is dropped when a worker in it fails, the job is gone
+or the claim is too old; the job is then planned anew.
+"""
+
+from collections import abc
+import typing
+
+from primroselock.decisions import blackboard
+from primroselock.decisions import capacity
+from primroselock.decisions import cells
+from primroselock.decisions import footprints
+from primroselock.decisions import policies
+from primroselock import options
+
+_CLAIM_LEASES: typing.Final = 2
+"""Task leases after which the cells of a claim should have been freed."""
+
+
+def preempt(board: blackboard.Blackboard, job_id: str, now: float) -> None:
+    """Begin to stop one attempt, with a checkpoint where it can be had.
+
+    An attempt whose row is being written is left for a later round.
+    """
+    view = board.attempts_by_job_id[job_id]
+    if view.phase in (blackboard.Phase.RUNNING, blackboard.Phase.STARTING):
+        phase = blackboard.Phase.CHECKPOINTING
+    elif view.phase is blackboard.Phase.RESERVING:
+        phase = blackboard.Phase.STOPPING
+    else:
+        return
+    board.set_phase(view, phase, now, blackboard.Ending.PREEMPTED)
+
+
+def claim_state(
+    board: blackboard.Blackboard,
+    stock: capacity.Capacity,
+    settings: options.Settings,
+    claim: blackboard.Claim,
+    now: float,
+) -> bool | None:
+    """Return whether the claim's cells are free; None when it is void."""
+    if now - claim.since > settings.scheduler.task_lease_s * _CLAIM_LEASES:
+        return None
+    locations = board.memory.locations_by_worker_id
+    for placement in claim.placements:
+        worker = board.workers_by_id.get(placement.worker_id)
+        if worker is None or worker.report is None:
+            return None
+        if worker.report.boot_id != placement.boot_id:
+            return None
+    footprint = footprints.build(claim.placements, locations)
+    for rack, mask in footprint.masks:
+        if mask & ~stock.usable_by_rack.get(rack, 0):
+            return None
+    return not any(
+        mask & stock.occupied_by_rack.get(rack, 0)
+        for rack, mask in footprint.masks
+    )
+
+
+def stop_borrowers(
+    board: blackboard.Blackboard,
+    stock: capacity.Capacity,
+    wanted: abc.Iterable[cells.Cell],
+    now: float,
+) -> list[str]:
+    """Begin to stop the borrowed work in ``wanted``; return its jobs."""
+    victims: dict[str, None] = {}
+    for cell in wanted:
+        for job_id in stock.borrowers_in(cell):
+            victims[job_id] = None
+    for job_id in victims:
+        preempt(board, job_id, now)
+    return list(victims)
+
+
+class LossMeter:
+    """Work that is lost when a cell is taken, by the chosen policy."""
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        stock: capacity.Capacity,
+        settings: options.Settings,
+        now: float,
+    ) -> None:
+        self._board = board
+        self._stock = stock
+        self._now = now
+        name = settings.scheduler.victim_choice
+        self._lost_work = policies.victim_choices_by_name[name]
+        self._lost_by_job_id: dict[str, float] = {}
+
+    def of_cell(self, cell: cells.Cell) -> float:
+        """Return the accelerator-seconds lost; 0 for a free cell."""
+        if self._stock.free.is_free(cell):
+            return 0.0
+        victims = self._stock.borrowers_in(cell)
+        return 1.0 + sum(map(self._of_job, victims))
+
+    def _of_job(self, job_id: str) -> float:
+        known = self._lost_by_job_id.get(job_id)
+        if known is not None:
+            return known
+        view = self._board.attempts_by_job_id[job_id]
+        lost = 0.0
+        if view.phase not in capacity.ENDING_PHASES:
+            lost = self._lost_work(self._board, view, self._now)
+        self._lost_by_job_id[job_id] = lost
+        return lost
--- /dev/null
+++ b/primroselock/decisions/reasons.py
@@ -0,0 +1,61 @@
+"""Why a job waits: one true sentence, naming the resource and the quota."""
+
+from primroselock.decisions import blackboard
+from primroselock.decisions import capacity
+from primroselock.decisions import shapes
+from primroselock import jobs
+
+
+def zone_is_out(board: blackboard.Blackboard) -> str:
+    """Say that operators took the zone out of service."""
+    return f'waits because zone {board.zone} is out of service'
+
+
+def no_permit(board: blackboard.Blackboard) -> str:
+    """Say that the configuration could not be confirmed."""
+    return (
+        'waits because the configuration cannot be confirmed as current, '
+        f'so that no task may start in zone {board.zone}'
+    )
+
+
+def delayed(view: blackboard.JobView) -> str:
+    """Say that a retry is delayed."""
+    return (
+        f'waits for its retry after {view.job.failures} failed attempts, '
+        'whose delay is not over'
+    )
+
+
+def too_large(stock: capacity.Capacity, job: jobs.Job) -> str:
+    """Say that no worker can hold a member."""
+    unit = stock.unit
+    return (
+        f'waits for a worker that holds a member of {job.spec.accelerators} '
+        f'accelerators, {job.spec.cpus} CPUs and {job.spec.memory_mb} MB; '
+        f'the smallest worker has 8 shares of {unit.cpus} CPUs and '
+        f'{unit.memory_mb} MB'
+    )
+
+
+def stopping_borrowers(shape: shapes.Shape, borrowers: int) -> str:
+    """Say that cells are being cleared for the job."""
+    return (
+        f'waits until {borrowers} borrowing jobs have left the '
+        f'{shape.count} cells of {shape.size} accelerators chosen for it'
+    )
+
+
+def no_cells(
+    stock: capacity.Capacity,
+    board: blackboard.Blackboard,
+    job: jobs.Job,
+    shape: shapes.Shape,
+) -> str:
+    """Say which cells are missing and how the guarantee is used."""
+    return (
+        f'waits for {shape.count} cells of {shape.size} accelerators; '
+        f'zone {board.zone} has {stock.free.free_accelerators()} free, the '
+        f'largest cell {stock.free.largest_free()}; account {job.account}: '
+        + stock.holding(job.account).describe()
+    )
--- /dev/null
+++ b/primroselock/decisions/repair.py
@@ -0,0 +1,99 @@
+"""Mends guarantees that broke: by a failed worker or by a patch.
+
+When unused guaranteed cells no longer fit beside the held ones, but all
+guarantees would fit into the usable racks, guaranteed work is preempted
+in the rack where the least of it runs, until the invariant holds again;
+the jobs go back to the queue and are placed within their guarantees.
+Where the usable racks cannot hold all guarantees, hardware is short: no
+work is moved for that, and the operator is told what is missing.
+"""
+
+from primroselock.decisions import blackboard
+from primroselock.decisions import capacity
+from primroselock.decisions import cells
+from primroselock.decisions import packing
+from primroselock.decisions import preemption
+
+
+def mend(
+    board: blackboard.Blackboard, stock: capacity.Capacity, now: float
+) -> bool:
+    """Preempt guaranteed work if that mends a guarantee; say if it did.
+
+    The capacity must be measured again when this returns True.
+    """
+    short = stock.shortfalls()
+    board.shortfalls = ()
+    if not short:
+        return False
+    lacking = _lacking_hardware(stock)
+    board.shortfalls = tuple(
+        f'zone {board.zone} is short of {missing} guaranteed cells of '
+        f'{size} accelerators: too few usable workers'
+        for size, missing in sorted(lacking.items())
+    )
+    missing_by_size = {entry.size: entry.missing for entry in short}
+    if all(
+        lacking.get(size, 0) >= missing
+        for size, missing in missing_by_size.items()
+    ):
+        return False
+    rack = _least_held_rack(stock)
+    if rack is None:
+        return False
+    return _clear_rack(board, stock, rack, now)
+
+
+def _lacking_hardware(stock: capacity.Capacity) -> dict[int, int]:
+    granted: dict[int, int] = {}
+    for holding in stock.holdings_by_account.values():
+        for size, count in holding.granted_by_size.items():
+            granted[size] = granted.get(size, 0) + count
+    empty = cells.CellMap(stock.usable_by_rack)
+    return packing.missing_cells(empty.counts_by_size(), granted)
+
+
+def _least_held_rack(stock: capacity.Capacity) -> str | None:
+    """Return the rack with the least held accelerators, but not none.
+
+    A rack that one held cell fills gains nothing when it is cleared.
+    """
+    held_by_rack: dict[str, int] = {}
+    for holding in stock.holdings_by_account.values():
+        for cell in holding.used_by_cell:
+            held = held_by_rack.get(cell.rack, 0)
+            held_by_rack[cell.rack] = held + cell.size
+    partly = [
+        (held, rack)
+        for rack, held in held_by_rack.items()
+        if held < packing.RACK_SIZE
+    ]
+    return min(partly)[1] if partly else None
+
+
+def _clear_rack(
+    board: blackboard.Blackboard,
+    stock: capacity.Capacity,
+    rack: str,
+    now: float,
+) -> bool:
+    """Preempt the guaranteed attempts in the rack and drop its claims."""
+    footprints_by_job_id = board.memory.footprints_by_job_id
+    cleared = False
+    for job_id, view in list(board.attempts_by_job_id.items()):
+        if view.phase in capacity.ENDING_PHASES:
+            continue
+        held = footprints_by_job_id[job_id].held
+        if any(cell.rack == rack for cell in held):
+            preemption.preempt(board, job_id, now)
+            phase = board.attempts_by_job_id[job_id].phase
+            cleared = cleared or phase is not view.phase
+    locations = board.memory.locations_by_worker_id
+    for job_id, claim in list(board.claims_by_job_id.items()):
+        if any(
+            locations[placement.worker_id][0] == rack
+            for placement in claim.placements
+        ):
+            del board.claims_by_job_id[job_id]
+            cleared = True
+    return cleared
--- /dev/null
+++ b/primroselock/decisions/runtimes.py
@@ -0,0 +1,83 @@
+"""Run times learned per client account and job name.
+
+Callers' estimates are often far off, and jobs of one name tend to run
+alike.  The mean of the run times seen is blended with the caller's
+estimate, which counts as one more observation.
+"""
+
+import typing
+
+from primroselock.decisions import blackboard
+from primroselock.decisions import commands
+from primroselock.decisions import registry
+from primroselock import jobs
+from primroselock import options
+
+_MAX_WEIGHT: typing.Final = 20.0
+"""Observations that the mean remembers."""
+
+_MAX_NAMES: typing.Final = 20_000
+_MIN_SHARE_LEFT: typing.Final = 0.05
+
+
+def expected_run_time_s(board: blackboard.Blackboard, job: jobs.Job) -> float:
+    """Return how long the whole job is expected to run."""
+    learned = board.memory.run_times.get((job.account, job.spec.name))
+    if learned is None:
+        return job.spec.run_time_s
+    mean_s, weight = learned
+    return (mean_s * weight + job.spec.run_time_s) / (weight + 1)
+
+
+def expected_remaining_s(
+    board: blackboard.Blackboard, job: jobs.Job, progress_s: float
+) -> float:
+    """Return the expected run time that is left after ``progress_s``."""
+    expected_s = expected_run_time_s(board, job)
+    return max(expected_s - progress_s, expected_s * _MIN_SHARE_LEFT)
+
+
+def progress_s(
+    board: blackboard.Blackboard, view: blackboard.AttemptView, now: float
+) -> float:
+    """Return the run time that the job has behind it."""
+    since = board.memory.running_since_by_job_id.get(view.job_id, now)
+    job_view = board.jobs_by_id.get(view.job_id)
+    saved_s = job_view.job.checkpoint_s if job_view is not None else 0.0
+    return saved_s + now - since
+
+
+@registry.controller('learning', order=70)
+def learn_run_times(
+    board: blackboard.Blackboard, settings: options.Settings, now: float
+) -> list[commands.Command]:
+    """Note when attempts begin to run and learn from those that end."""
+    running_since = board.memory.running_since_by_job_id
+    for job_id in running_since.keys() - board.attempts_by_job_id.keys():
+        del running_since[job_id]
+    for view in board.attempts_by_job_id.values():
+        if view.phase is blackboard.Phase.RUNNING:
+            running_since.setdefault(view.job_id, view.phase_since)
+        elif (
+            view.ending is blackboard.Ending.DONE
+            and view.job_id in running_since
+        ):
+            _learn(board, view)
+            del running_since[view.job_id]
+    return []
+
+
+def _learn(board: blackboard.Blackboard, view: blackboard.AttemptView) -> None:
+    job_view = board.jobs_by_id.get(view.job_id)
+    if job_view is None:
+        return
+    job = job_view.job
+    took_s = progress_s(board, view, view.phase_since)
+    learned = board.memory.run_times
+    mean_s, weight = learned.pop((job.account, job.spec.name), (0.0, 0.0))
+    weight = min(weight, _MAX_WEIGHT - 1) + 1
+    mean_s += (took_s - mean_s) / weight
+    # Re-inserted last, so that the oldest name is dropped first.
+    learned[(job.account, job.spec.name)] = (mean_s, weight)
+    if len(learned) > _MAX_NAMES:
+        del learned[next(iter(learned))]
--- /dev/null
+++ b/primroselock/decisions/shapes.py
@@ -0,0 +1,69 @@
+"""The shape of a job in cells: how many, how large.
+
+A worker's processors and memory are split evenly over the accelerators
+of its cell grid.  A member needs the cell that holds the largest of its
+three needs.  Members of one job that need no accelerator may share a
+cell of one, as many as its share of processors and memory holds.
+"""
+
+from collections import abc
+import dataclasses
+
+from primroselock.decisions import cells
+from primroselock.decisions import packing
+from primroselock import jobs
+from primroselock.workers import protocol
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unit:
+    """Share of a worker that goes with one accelerator."""
+
+    cpus: int
+    memory_mb: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shape:
+    """``count`` cells of ``size``, each for up to ``members_per_cell``."""
+
+    size: int
+    count: int
+    members_per_cell: int = 1
+
+    @property
+    def accelerators(self) -> int:
+        """Accelerators that the cells take."""
+        return self.size * self.count
+
+    @property
+    def adjacent_size(self) -> int:
+        """Size of the cell that would hold the whole gang, up to a rack."""
+        whole = 1 << (self.accelerators - 1).bit_length()
+        return min(whole, packing.RACK_SIZE)
+
+
+def smallest_unit(reports: abc.Iterable[protocol.Report]) -> Unit:
+    """Return the share that each of the workers offers at least."""
+    pairs = [(report.cpus, report.memory_mb) for report in reports]
+    if not pairs:
+        return Unit(1, 1)
+    cpus = min(cpus for cpus, _ in pairs) // cells.WORKER_SIZE
+    memory_mb = min(memory for _, memory in pairs) // cells.WORKER_SIZE
+    return Unit(max(cpus, 1), max(memory_mb, 1))
+
+
+def of_spec(spec: jobs.JobSpec, unit: Unit) -> Shape | None:
+    """Return the shape of a job; None when no worker is large enough."""
+    need = max(
+        spec.accelerators,
+        -(-spec.cpus // unit.cpus),
+        -(-spec.memory_mb // unit.memory_mb),
+        1,
+    )
+    if need > cells.WORKER_SIZE:
+        return None
+    if spec.accelerators or need > 1:
+        return Shape(packing.cell_size(need), spec.members)
+    shared = min(unit.cpus // spec.cpus, unit.memory_mb // spec.memory_mb)
+    return Shape(1, -(-spec.members // shared), shared)
