Replay of traces against the real controllers

Cause: no figure said what a policy does to completion time, fragmentation or work during a zone move. tools/traces draws a trace from a seed (bursts of both sizes, wrong estimates, cancellations, dead and fail-all workers, a zone away for an hour); tools/replayworld plays it on a clock that jumps.

--- a/primroselock/decisions/moving.py
+++ b/primroselock/decisions/moving.py
@@ -118,7 +118,13 @@
 ) -> list[commands.Command]:
     """Move jobs that cannot be placed to shards where they can."""
     mover = _Mover(board, now)
-    serving = _serving_shards(board)
+    serving = [
+        shard
+        for shard in _serving_shards(board)
+        if _slack(board, shard) > 0 and _is_fresh(board, shard, now)
+    ]
+    if not serving:
+        waiting = []
     first_seen = board.memory.first_seen_by_job_id
     for view, shape in waiting:
         waited_s = now - first_seen.get(view.job.id, now)
@@ -126,24 +132,26 @@
             continue
         if mover.is_full:
             break
-        shard = _find_room(board, serving, shape, now)
+        shard = _find_room(board, serving, shape)
         if shard is not None:
             mover.move(view, shard)
     board.memory.targets_by_job_id = mover.targets
     return mover.decided
 
 
+def _is_fresh(board: blackboard.Blackboard, shard: str, now: float) -> bool:
+    load = board.peers_by_shard.get(shard)
+    return load is not None and now - load.heard_at <= _BEACON_AGE_S
+
+
 def _find_room(
     board: blackboard.Blackboard,
     serving: list[str],
     shape: shapes.Shape,
-    now: float,
 ) -> str | None:
     best: str | None = None
     for shard in serving:
-        load = board.peers_by_shard.get(shard)
-        if load is None or now - load.heard_at > _BEACON_AGE_S:
-            continue
+        load = board.peers_by_shard[shard]
         slack = _slack(board, shard)
         if slack < shape.accelerators or load.largest_free < shape.size:
             continue
--- a/primroselock/decisions/placing.py
+++ b/primroselock/decisions/placing.py
@@ -95,6 +95,7 @@
         self._settle_claims()
         self.losses = preemption.LossMeter(board, self.stock, settings, now)
         self.reasons: dict[str, str] = {}
+        self._shapes_by_job_id: dict[str, shapes.Shape | None] = {}
         self._failed: set[tuple[str, shapes.Shape]] = set()
         self._reason_by_key: dict[tuple[str, shapes.Shape], str] = {}
 
@@ -121,6 +122,10 @@
 
         Jobs that did not fit may be moved to another shard.
         """
+        self._shapes_by_job_id = {
+            view.job.id: shapes.of_spec(view.job.spec, self.stock.unit)
+            for view in waiting
+        }
         name = self.settings.scheduler.queue_order
         order = policies.queue_orders_by_name[name]
         waiting.sort(key=lambda view: order(self.board, view, self.now))
@@ -141,7 +146,7 @@
     def _resume(self, view: blackboard.JobView) -> bool:
         """Settle a job that needs no plan: claimed, delayed, too large."""
         job_id = view.job.id
-        shape = shapes.of_spec(view.job.spec, self.stock.unit)
+        shape = self._shapes_by_job_id[job_id]
         claim = self.board.claims_by_job_id.get(job_id)
         if claim is not None and job_id in self.claims_free:
             del self.board.claims_by_job_id[job_id]
@@ -178,7 +183,7 @@
         return cells.Cell(rack, offset, placement.cell_size)
 
     def _shape(self, view: blackboard.JobView) -> shapes.Shape:
-        shape = shapes.of_spec(view.job.spec, self.stock.unit)
+        shape = self._shapes_by_job_id[view.job.id]
         assert shape is not None
         return shape
 
--- /dev/null
+++ b/tools/fakeworker.py
@@ -0,0 +1,139 @@
+"""A worker for the replay: obeys commands and reports, without I/O."""
+
+import dataclasses
+
+import msgspec
+
+from primroselock.decisions import blackboard
+from primroselock.platform import vmlist
+from primroselock.workers import protocol
+
+_FAILS_AFTER_S = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class FakeTask:
+    """A task on its worker; ``ends_at`` is when it ends by itself."""
+
+    report: protocol.TaskReport
+    accelerators: tuple[int, ...]
+    started_at: float = 0.0
+    resumed_s: float = 0.0
+    ends_at: float = float('inf')
+    fails: bool = False
+
+
+class FakeWorker:
+    """Executes the commands of one scheduler at given times."""
+
+    def __init__(
+        self, vm: vmlist.Vm, slot: int, cpus: int, memory_mb: int
+    ) -> None:
+        self.vm = vm
+        self.slot = slot
+        self.cpus = cpus
+        self.memory_mb = memory_mb
+        self.alive = True
+        self.fails_all = False
+        self.boots = 1
+        self.heard_at = 0.0
+        self.tasks_by_key: dict[protocol.TaskKey, FakeTask] = {}
+        self.double_grants: list[protocol.TaskKey] = []
+
+    def restart(self) -> None:
+        """Come back without tasks, as a new incarnation."""
+        self.boots += 1
+        self.alive = True
+        self.fails_all = False
+        self.tasks_by_key.clear()
+
+    def view(self, now: float) -> blackboard.WorkerView:
+        """Return what a scheduler knows after a heartbeat at ``now``."""
+        if self.alive:
+            self.heard_at = now
+        report = protocol.Report(
+            self.vm.id,
+            f'boot-{self.boots}',
+            self.heard_at,
+            self.vm.rack,
+            self.slot,
+            8,
+            self.cpus,
+            self.memory_mb,
+            tuple(task.report for task in self.tasks_by_key.values()),
+        )
+        return blackboard.WorkerView(
+            self.vm, report, self.heard_at, self.heard_at
+        )
+
+    def reserve(self, command: protocol.Reserve) -> None:
+        """Hold accelerators; note it when another task has them."""
+        if command.task in self.tasks_by_key:
+            return
+        wanted = set(command.accelerators)
+        for task in self.tasks_by_key.values():
+            if not task.report.state.is_final and wanted & set(
+                task.accelerators
+            ):
+                self.double_grants.append(command.task)
+        report = protocol.TaskReport(command.task, protocol.TaskState.RESERVED)
+        self.tasks_by_key[command.task] = FakeTask(
+            report, command.accelerators
+        )
+
+    def start(
+        self, command: protocol.Start, now: float, run_time_s: float
+    ) -> FakeTask | None:
+        """Start a reserved task; return it, or None when it may not."""
+        task = self.tasks_by_key.get(command.task)
+        if task is None or now > command.start_by:
+            return None
+        if task.report.state is not protocol.TaskState.RESERVED:
+            return None
+        task.started_at = now
+        task.resumed_s = command.resume_from_s
+        task.ends_at = now + max(run_time_s - command.resume_from_s, 0.0)
+        if self.fails_all:
+            task.fails = True
+            task.ends_at = now + _FAILS_AFTER_S
+        self._set(task, protocol.TaskState.RUNNING)
+        return task
+
+    def checkpoint(self, key: protocol.TaskKey, now: float) -> None:
+        """Save the progress of a running task."""
+        task = self.tasks_by_key.get(key)
+        if task is not None and task.report.state is (
+            protocol.TaskState.RUNNING
+        ):
+            progress_s = task.resumed_s + now - task.started_at
+            task.report = msgspec.structs.replace(
+                task.report, checkpoint_s=progress_s
+            )
+
+    def stop(self, key: protocol.TaskKey) -> None:
+        """Stop a task that has not ended."""
+        task = self.tasks_by_key.get(key)
+        if task is not None and not task.report.state.is_final:
+            self._set(task, protocol.TaskState.STOPPED)
+
+    def forget(self, key: protocol.TaskKey) -> None:
+        """Drop the record of a task."""
+        self.tasks_by_key.pop(key, None)
+
+    def end_tasks(self, now: float) -> bool:
+        """End the tasks whose time has come; return whether any did."""
+        ended = False
+        for task in self.tasks_by_key.values():
+            if (
+                task.report.state is protocol.TaskState.RUNNING
+                and task.ends_at <= now
+            ):
+                state = protocol.TaskState.DONE
+                if task.fails:
+                    state = protocol.TaskState.FAILED
+                self._set(task, state)
+                ended = True
+        return ended
+
+    def _set(self, task: FakeTask, state: protocol.TaskState) -> None:
+        task.report = msgspec.structs.replace(task.report, state=state)
--- /dev/null
+++ b/tools/replay.py
@@ -0,0 +1,170 @@
+"""Replays traces against the real controllers and measures them.
+
+``python -m tools.replay`` plays both deployments with five seeds, under
+the baseline and the chosen policies in one run, and prints medians with
+ranges and ratios.  ``--file`` plays one recorded trace instead;
+``--set KEY=VALUE`` changes a scheduler setting of the chosen side.
+"""
+
+import argparse
+import dataclasses
+import pathlib
+import statistics
+import typing
+
+from primroselock import options
+from tools import replayworld
+from tools import traces
+
+_SETTINGS: typing.Final = """
+[process]
+vm_id = entry-1
+zone = a
+[platform]
+address = 127.0.0.1:9000
+"""
+
+BASELINE: typing.Final = {
+    'placement': 'first_fit',
+    'queue_order': 'fifo',
+    'victim_choice': 'any',
+    'balance_after_s': str(30 * 24 * traces.HOUR_S),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Figures:
+    """What one replay measured; times in seconds, shares of one.
+
+    ``mean_ratio`` is the mean completion time over the mean run time,
+    ``makespan_ratio`` the time until all ended over the greater of all
+    work over capacity and the longest job.  ``zone_work`` is useful work
+    in the remaining zones while one is out, over their capacity.
+    """
+
+    mean_s: float
+    p95_s: float
+    mean_ratio: float
+    makespan_ratio: float
+    fragmentation: float
+    zone_work: float
+    preemptions: float
+    moves: float
+
+
+def build_settings(changes: dict[str, str]) -> options.Settings:
+    """Return settings with changes to the scheduler's section."""
+    lines = [f'{key} = {value}' for key, value in changes.items()]
+    text = '\n'.join([_SETTINGS, '[scheduler]', *lines])
+    return options.parse(text, 'replay').unwrap()
+
+
+def play(trace: traces.Trace, changes: dict[str, str]) -> replayworld.World:
+    """Play a trace under changed settings; return the ended world."""
+    world = replayworld.World(trace, build_settings(changes))
+    world.play()
+    return world
+
+
+def measure(world: replayworld.World) -> Figures:
+    """Return the figures of an ended replay."""
+    record = world.record
+    done = [
+        (at - world.arrivals_by_id[job_id].at, world.arrivals_by_id[job_id])
+        for job_id, (at, state) in record.ended_by_job_id.items()
+        if state.value == 'done'
+    ]
+    times = sorted(took_s for took_s, _ in done)
+    mean_s = statistics.fmean(times)
+    mean_run_s = statistics.fmean(job.true_s for _, job in done)
+    workers = len(world.workers_by_id)
+    work = sum(j.true_s * j.members * j.accelerators for _, j in done)
+    longest_s = max(job.true_s for _, job in done)
+    bound_s = max(work / (workers * 8), longest_s)
+    return Figures(
+        mean_s,
+        times[int(len(times) * 0.95)],
+        mean_s / mean_run_s,
+        max(at for at, _ in record.ended_by_job_id.values()) / bound_s,
+        record.unusable_s / max(record.free_s, 1.0),
+        zone_work(world),
+        record.preemptions,
+        record.moves,
+    )
+
+
+def zone_work(world: replayworld.World) -> float:
+    """Return useful work of the remaining zones over their capacity."""
+    changes = [
+        event
+        for event in world.trace.events
+        if isinstance(event, traces.ZoneChange)
+    ]
+    if len(changes) != 2:
+        return float('nan')
+    out, back = changes
+    useful = sum(
+        max(
+            0.0,
+            min(run.started_at + run.useful_s, back.at)
+            - max(run.started_at, out.at),
+        )
+        * run.accelerators
+        for run in world.record.runs
+        if run.zone != out.zone
+    )
+    remaining = [
+        worker
+        for worker in world.workers_by_id.values()
+        if worker.vm.zone != out.zone
+    ]
+    return useful / (len(remaining) * 8 * (back.at - out.at))
+
+
+def _spread(values: list[float]) -> str:
+    return (
+        f'{statistics.median(values):10.3f} '
+        f'({min(values):.3f} to {max(values):.3f})'
+    )
+
+
+def _compare(name: str, seeds: int, changes: dict[str, str]) -> None:
+    sides: dict[str, list[Figures]] = {'baseline': [], 'chosen': []}
+    for seed in range(1, seeds + 1):
+        trace = traces.generate(name, seed)
+        sides['baseline'].append(measure(play(trace, BASELINE)))
+        sides['chosen'].append(measure(play(trace, changes)))
+    print(f'{name}: {seeds} seeds, median (range)')
+    for field in dataclasses.fields(Figures):
+        base = [getattr(entry, field.name) for entry in sides['baseline']]
+        chosen = [getattr(entry, field.name) for entry in sides['chosen']]
+        ratios = [
+            new / old if old else float('nan')
+            for old, new in zip(base, chosen, strict=True)
+        ]
+        print(
+            f'  {field.name:15} baseline {_spread(base)}  '
+            f'chosen {_spread(chosen)}  ratio {_spread(ratios)}'
+        )
+
+
+def main() -> int:
+    """Compare the policies, or play one recorded trace."""
+    parser = argparse.ArgumentParser(prog='tools.replay')
+    parser.add_argument('--seeds', type=int, default=5)
+    parser.add_argument('--deployment', action='append')
+    parser.add_argument('--file', type=pathlib.Path)
+    parser.add_argument('--set', action='append', default=[])
+    arguments = parser.parse_args()
+    changes = dict(item.split('=', 1) for item in arguments.set)
+    if arguments.file is not None:
+        trace = traces.decode(arguments.file.read_text(encoding='utf-8'))
+        print(measure(play(trace, changes)))
+        return 0
+    for name in arguments.deployment or traces.DEPLOYMENTS:
+        _compare(name, arguments.seeds, changes)
+    return 0
+
+
+if __name__ == '__main__':
+    raise SystemExit(main())
--- /dev/null
+++ b/tools/replayworld.py
@@ -0,0 +1,458 @@
+"""Plays a trace against the real controllers, on a clock that jumps.
+
+Every shard has its blackboard; fake workers obey the commands at once.
+While anything is under way, rounds follow each other by the scheduler's
+tick; otherwise the clock jumps to the next event.  Job rows are kept
+here as the platform's table would, with their versions.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import typing
+
+from primroselock import configuration
+from primroselock.decisions import blackboard
+from primroselock.decisions import capacity
+from primroselock.decisions import cells
+from primroselock.decisions import commands
+from primroselock.decisions import controllers
+from primroselock.decisions import registry
+from primroselock.decisions import shapes
+from primroselock import ini
+from primroselock import jobs
+from primroselock import options
+from primroselock.platform import vmlist
+from primroselock.workers import protocol
+from tools import fakeworker
+from tools import traces
+
+assert controllers.__all__
+
+_WAKE_INTERVAL_S: typing.Final = 10.0
+_PERMIT_S: typing.Final = 3.0
+_MAX_TIME_S: typing.Final = 72 * traces.HOUR_S
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """Time that one attempt ran: ``useful_s`` of it was not lost."""
+
+    job_id: str
+    zone: str
+    accelerators: int
+    started_at: float
+    useful_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """What was seen of a replay.
+
+    ``free_s`` and ``unusable_s`` add up free accelerators, and those of
+    them that the largest cell asked for cannot use, over time.
+    ``ended_by_job_id`` gives the time and the final state.
+    """
+
+    ended_by_job_id: dict[str, tuple[float, jobs.JobState]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    started_by_job_id: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    runs: list[Run] = dataclasses.field(default_factory=list)
+    preemptions: int = 0
+    moves: int = 0
+    free_s: float = 0.0
+    unusable_s: float = 0.0
+    longest_claim_s: float = 0.0
+    starts_in_out_zone: int = 0
+    rounds_short: int = 0
+    split_gangs: int = 0
+    doubled: int = 0
+
+
+class World:
+    """One replay of a trace under the settings."""
+
+    def __init__(
+        self, trace: traces.Trace, settings: options.Settings
+    ) -> None:
+        self.trace = trace
+        self.settings = settings
+        self.record = Record()
+        self.now = 0.0
+        self.arrivals_by_id: dict[str, traces.Arrival] = {}
+        self.workers_by_id: dict[str, fakeworker.FakeWorker] = {}
+        self.boards_by_shard: dict[str, blackboard.Blackboard] = {}
+        self.check_invariant = False
+        self._sections = ini.parse(
+            trace.deployment.configuration, 'trace'
+        ).unwrap()
+        self._dirty: set[str] = set()
+        self._timers: list[tuple[float, int]] = []
+        self._serial = itertools.count()
+        self._runs_by_job_id: dict[str, Run] = {}
+        self._fragments_by_shard: dict[str, tuple[int, int]] = {}
+        self._build()
+
+    def _build(self) -> None:
+        deployment = self.trace.deployment
+        for zone in deployment.zones:
+            board = blackboard.Blackboard(zone, zone, epoch=1)
+            self.boards_by_shard[zone] = board
+            for rack in range(deployment.racks_by_zone[zone]):
+                for slot in range(8):
+                    self._add_worker(zone, rack, slot)
+        self._configure()
+
+    def _add_worker(self, zone: str, rack: int, slot: int) -> None:
+        name = traces.worker_id(zone, rack, slot)
+        vm = vmlist.Vm(
+            name, 'worker', zone, '127.0.0.1:1', rack=f'{zone}-r{rack}'
+        )
+        deployment = self.trace.deployment
+        self.workers_by_id[name] = fakeworker.FakeWorker(
+            vm, slot, deployment.cpus, deployment.memory_mb
+        )
+
+    def _configure(self) -> None:
+        version = 1
+        for board in self.boards_by_shard.values():
+            version = board.config.version + 1
+        read = configuration.read(self._sections, version, 'trace').unwrap()
+        for shard, board in self.boards_by_shard.items():
+            board.config = read
+            self._dirty.add(shard)
+
+    def play(self) -> Record:
+        """Play the whole trace and return what was seen."""
+        events = list(reversed(self.trace.events))
+        while events or self._busy():
+            self._advance(events[-1].at if events else None)
+            while events and events[-1].at <= self.now:
+                self._apply(events.pop())
+            self._end_tasks()
+            for shard in list(self._dirty):
+                self._round(shard)
+            if self.now > _MAX_TIME_S:
+                raise RuntimeError('the trace does not come to an end')
+        return self.record
+
+    def _busy(self) -> bool:
+        return any(
+            board.jobs_by_id or board.attempts_by_job_id
+            for board in self.boards_by_shard.values()
+        )
+
+    def _advance(self, next_event: float | None) -> None:
+        """Move the clock to whatever comes next."""
+        before = self.now
+        tick_s = self.settings.scheduler.tick_interval_s
+        times = [] if next_event is None else [next_event]
+        if self._timers:
+            times.append(self._timers[0][0])
+        if self._dirty:
+            times.append(before + tick_s)
+        elif self._busy():
+            times.append(before + _WAKE_INTERVAL_S)
+        self.now = max(before, min(times))
+        if self.now - before > tick_s / 2 and not self._dirty:
+            self._dirty.update(self.boards_by_shard)
+        while self._timers and self._timers[0][0] <= self.now:
+            heapq.heappop(self._timers)
+        self._add_fragmentation(self.now - before)
+
+    def _add_fragmentation(self, seconds: float) -> None:
+        for total, unusable in self._fragments_by_shard.values():
+            self.record.free_s += total * seconds
+            self.record.unusable_s += unusable * seconds
+
+    def _set_timer(self, at: float) -> None:
+        if at < float('inf'):
+            heapq.heappush(self._timers, (at, next(self._serial)))
+
+    def _apply(self, event: traces.Event) -> None:
+        if isinstance(event, traces.Arrival):
+            self._submit(event)
+        elif isinstance(event, traces.Cancel):
+            self._cancel(event.id)
+        elif isinstance(event, traces.WorkerChange):
+            self._change_worker(event)
+        else:
+            section = self._sections[f'zone {event.zone}']
+            section['state'] = event.state
+            self._configure()
+
+    def _submit(self, event: traces.Arrival) -> None:
+        self.arrivals_by_id[event.id] = event
+        shard = event.zone
+        if self._sections[f'zone {shard}'].get('state') == 'out':
+            shard = next(
+                zone
+                for zone in self.trace.deployment.zones
+                if self._sections[f'zone {zone}'].get('state') != 'out'
+            )
+        spec = jobs.JobSpec(
+            event.name,
+            event.members,
+            event.accelerators,
+            event.cpus,
+            1024,
+            event.declared_s,
+            jobs.Priority(event.priority),
+            ('run',),
+            event.checkpointable,
+        )
+        job = jobs.Job(
+            event.id,
+            event.account,
+            shard,
+            spec,
+            jobs.JobState.WAITING,
+            event.at,
+        )
+        self.boards_by_shard[shard].record_job(job, 1)
+        self._dirty.add(shard)
+
+    def _cancel(self, job_id: str) -> None:
+        for shard, board in self.boards_by_shard.items():
+            view = board.jobs_by_id.get(job_id)
+            if view is not None:
+                job = dataclasses.replace(view.job, cancel_requested=True)
+                board.record_job(job, view.row_version + 1)
+                self._dirty.add(shard)
+
+    def _change_worker(self, event: traces.WorkerChange) -> None:
+        worker = self.workers_by_id[event.worker]
+        if event.state == 'dead':
+            worker.alive = False
+            worker.tasks_by_key.clear()
+        elif event.state == 'back':
+            worker.restart()
+        else:
+            worker.fails_all = True
+        self._dirty.add(worker.vm.zone)
+
+    def _end_tasks(self) -> None:
+        for worker in self.workers_by_id.values():
+            if worker.alive and worker.end_tasks(self.now):
+                self._dirty.add(worker.vm.zone)
+
+    def _round(self, shard: str) -> None:
+        board = self.boards_by_shard[shard]
+        board.permit_until = self.now + _PERMIT_S
+        for worker in self.workers_by_id.values():
+            if worker.vm.zone == board.zone:
+                board.workers_by_id[worker.vm.id] = worker.view(self.now)
+        self._share_loads(board)
+        before = dict(board.attempts_by_job_id)
+        decided = registry.run_round(board, self.settings, self.now)
+        acted = [self._carry_out(board, command) for command in decided]
+        self._observe(board, before)
+        self._fragments_by_shard[shard] = fragmentation(
+            board, free_by_rack(board, self.workers_by_id)
+        )
+        steady = all(
+            view.phase is blackboard.Phase.RUNNING
+            for view in board.attempts_by_job_id.values()
+        )
+        if steady and not any(acted) and not board.claims_by_job_id:
+            self._dirty.discard(shard)
+
+    def _share_loads(self, board: blackboard.Blackboard) -> None:
+        for shard, other in self.boards_by_shard.items():
+            load = other.load
+            if other is board or load is None:
+                continue
+            known = board.peers_by_shard.get(shard)
+            if known is None or self.now - known.heard_at >= 1.0:
+                board.peers_by_shard[shard] = dataclasses.replace(
+                    load, heard_at=self.now
+                )
+
+    def _observe(
+        self,
+        board: blackboard.Blackboard,
+        before: dict[str, blackboard.AttemptView],
+    ) -> None:
+        for job_id, view in board.attempts_by_job_id.items():
+            old = before.get(job_id)
+            if (
+                view.ending is blackboard.Ending.PREEMPTED
+                and old is not None
+                and old.ending is None
+            ):
+                self.record.preemptions += 1
+        for claim in board.claims_by_job_id.values():
+            self.record.longest_claim_s = max(
+                self.record.longest_claim_s, self.now - claim.since
+            )
+        if self.check_invariant and not board.shortfalls:
+            short = capacity.reclaim_shortfalls(board, self.settings, self.now)
+            self.record.rounds_short += bool(short)
+
+    def _carry_out(
+        self, board: blackboard.Blackboard, command: commands.Command
+    ) -> bool:
+        """Carry out a command; return whether it changed anything."""
+        if isinstance(command, commands.WriteJob):
+            return self._write(board, command)
+        if isinstance(command, commands.MoveJob):
+            return self._move(board, command)
+        worker = self.workers_by_id[command.worker_id]
+        if isinstance(command.command, protocol.Renew):
+            return False
+        if worker.alive:
+            self._obey(worker, command.command)
+        return True
+
+    def _obey(
+        self, worker: fakeworker.FakeWorker, command: protocol.Command
+    ) -> None:
+        key = command.task
+        if isinstance(command, protocol.Reserve):
+            worker.reserve(command)
+            self.record.doubled += len(worker.double_grants)
+            worker.double_grants.clear()
+        elif isinstance(command, protocol.Start):
+            self._start(worker, command)
+        elif isinstance(command, protocol.Checkpoint):
+            worker.checkpoint(key, self.now)
+        elif isinstance(command, protocol.Stop):
+            self._end_run(worker, key)
+            worker.stop(key)
+        elif isinstance(command, protocol.Forget):
+            self._end_run(worker, key)
+            worker.forget(key)
+
+    def _start(
+        self, worker: fakeworker.FakeWorker, command: protocol.Start
+    ) -> None:
+        key = command.task
+        arrival = self.arrivals_by_id[key.job_id]
+        task = worker.start(command, self.now, arrival.true_s)
+        if task is None:
+            return
+        if key.attempt <= arrival.fails:
+            task.fails = True
+        self._set_timer(task.ends_at)
+        state = self._sections[f'zone {worker.vm.zone}'].get('state')
+        self.record.starts_in_out_zone += state == 'out'
+        if key.member == 0:
+            accelerators = arrival.members * arrival.accelerators
+            run = Run(key.job_id, worker.vm.zone, accelerators, self.now)
+            self._runs_by_job_id[key.job_id] = run
+            self.record.runs.append(run)
+            self.record.started_by_job_id.setdefault(key.job_id, self.now)
+
+    def _end_run(
+        self, worker: fakeworker.FakeWorker, key: protocol.TaskKey
+    ) -> None:
+        """Count what an attempt has kept, by its first member."""
+        task = worker.tasks_by_key.get(key)
+        run = self._runs_by_job_id.get(key.job_id)
+        if task is None or run is None or key.member:
+            return
+        if task.report.state is protocol.TaskState.DONE:
+            run.useful_s = task.ends_at - task.started_at
+        elif task.report.checkpoint_s:
+            run.useful_s = task.report.checkpoint_s - task.resumed_s
+        del self._runs_by_job_id[key.job_id]
+
+    def _write(
+        self, board: blackboard.Blackboard, command: commands.WriteJob
+    ) -> bool:
+        view = board.jobs_by_id.get(command.job.id)
+        if view is None or view.row_version != command.row_version:
+            return False
+        job = command.job
+        board.record_job(job, command.row_version + 1)
+        if job.state.is_final:
+            self.record.ended_by_job_id[job.id] = (self.now, job.state)
+            if job.state is jobs.JobState.DONE:
+                self._check_whole(board, job.id)
+        return True
+
+    def _check_whole(self, board: blackboard.Blackboard, job_id: str) -> None:
+        """Check that every member of the attempt that counts is done."""
+        for key, placement in board.attempts_by_job_id[job_id].tasks():
+            worker = self.workers_by_id[placement.worker_id]
+            task = worker.tasks_by_key.get(key)
+            if task is None or task.report.state is not (
+                protocol.TaskState.DONE
+            ):
+                self.record.split_gangs += 1
+
+    def _move(
+        self, board: blackboard.Blackboard, command: commands.MoveJob
+    ) -> bool:
+        view = board.jobs_by_id.get(command.job.id)
+        if view is None or view.row_version != command.row_version:
+            return False
+        del board.jobs_by_id[command.job.id]
+        job = dataclasses.replace(command.job, shard=command.to_shard)
+        target = self.boards_by_shard[command.to_shard]
+        target.record_job(job, command.row_version + 1)
+        self._dirty.add(command.to_shard)
+        self.record.moves += 1
+        return True
+
+
+def free_by_rack(
+    board: blackboard.Blackboard,
+    workers_by_id: dict[str, fakeworker.FakeWorker],
+) -> dict[str, int]:
+    """Return the accelerators of live workers that no attempt takes."""
+    free: dict[str, int] = {}
+    for worker in workers_by_id.values():
+        if worker.vm.zone == board.zone and worker.alive:
+            mask = 0xFF << worker.slot * 8
+            free[worker.vm.rack] = free.get(worker.vm.rack, 0) | mask
+    for footprint in capacity.refresh_footprints(board).values():
+        for rack, mask in footprint.masks:
+            if rack in free:
+                free[rack] &= ~mask
+    return free
+
+
+def fragmentation(
+    board: blackboard.Blackboard, free_masks: dict[str, int]
+) -> tuple[int, int]:
+    """Return free accelerators and how many of them cannot be used.
+
+    Those cannot be used that lie outside free cells of the largest size
+    that a waiting gang, up to a rack, or an unused guarantee asks for.
+    """
+    zone = board.config.zones_by_name[board.zone]
+    free = cells.CellMap(free_masks)
+    total = free.free_accelerators()
+    largest = max(_wanted_sizes(board), default=0)
+    if not total or not largest or not zone.is_in:
+        return 0, 0
+    usable = sum(
+        size * count
+        for size, count in free.counts_by_size().items()
+        if size >= largest
+    )
+    return total, total - usable
+
+
+def _wanted_sizes(board: blackboard.Blackboard) -> typing.Iterator[int]:
+    for view in board.jobs_by_id.values():
+        if view.job.id not in board.attempts_by_job_id:
+            spec = view.job.spec
+            shape = shapes.Shape(max(spec.accelerators, 1), spec.members)
+            yield shape.adjacent_size
+    held = {
+        (view.attempt, placement.held_size)
+        for view in board.attempts_by_job_id.values()
+        for placement in view.attempt.placements
+        if placement.held_size
+    }
+    held_sizes = {size for _, size in held}
+    for account in board.config.accounts_by_name.values():
+        granted = account.guarantees_by_zone.get(board.zone, {})
+        for size, count in granted.items():
+            if count and size not in held_sizes:
+                yield size
