--- a/primroselock/decisions/controllers.py
+++ b/primroselock/decisions/controllers.py
@@ -1,23 +1,27 @@
 """Imports every controller, so that each registers itself."""
 
 from primroselock.decisions import cancellation
+from primroselock.decisions import draining
 from primroselock.decisions import feasibility
 from primroselock.decisions import gangs
 from primroselock.decisions import placing
 from primroselock.decisions import policies
-from primroselock.decisions import reasons
+from primroselock.decisions import reasonrows
 from primroselock.decisions import recovery
+from primroselock.decisions import runtimes
 from primroselock.decisions import usage
 from primroselock.decisions import workerhealth
 
 __all__ = [
     'cancellation',
+    'draining',
     'feasibility',
     'gangs',
     'placing',
     'policies',
-    'reasons',
+    'reasonrows',
     'recovery',
+    'runtimes',
     'usage',
     'workerhealth',
 ]
--- a/tools/slopes/records.py
+++ b/tools/slopes/records.py
@@ -33,6 +33,7 @@
     def __init__(self) -> None:
         self.rows_by_key: dict[str, table.Row] = {}
         self.version = 0
+        self.objects_by_name: dict[str, bytes] = {}
         self.read_calls = 0
         self.rows_read = 0
         self.bytes_read = 0
@@ -79,6 +80,19 @@
             self.rows_by_key.pop(key, None)
         return result.Ok(table.Committed(self.version))
 
+    async def put_object(
+        self, name: str, body: bytes
+    ) -> result.Result[None, table.Unavailable]:
+        """Keep ``body`` under ``name``."""
+        self.objects_by_name[name] = body
+        return result.Ok(None)
+
+    async def get_object(
+        self, name: str
+    ) -> result.Result[bytes | None, table.Unavailable]:
+        """Return the object ``name``, or None."""
+        return result.Ok(self.objects_by_name.get(name))
+
 
 def build_running_job(number: int, members: int) -> jobs.Job:
     """Return a job whose attempt is committed on ``members`` workers."""
@@ -182,8 +196,8 @@
         (await patches.submit(store, submission, 1e9 + version)).unwrap()
     for count in _PATCH_COUNTS:
         store.read_calls = store.rows_read = store.bytes_read = 0
-        known = patches.Content(42 - count, {}, table.ABSENT)
-        (await patches.load_content(store, known)).unwrap()
+        known = patches.Content(42 - count, {})
+        (await patches.load_present(store, known)).unwrap()
         rows.append((count, store.rows_read))
         sizes.append((count, store.bytes_read))
     return [
