--- a/primroselock/decisions/blackboard.py
+++ b/primroselock/decisions/blackboard.py
@@ -20,6 +20,7 @@
 from primroselock import configuration
 from primroselock.decisions import budgets
 from primroselock.decisions import evidence
+from primroselock.decisions import footprints
 from primroselock import jobs
 from primroselock.platform import vmlist
 from primroselock.workers import protocol
@@ -129,13 +130,69 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobView:
-    """A job that has not ended and the version of its row."""
+    """A job that has not ended and the version of its row.
+
+    ``not_before`` is on this process's monotonic clock.
+    """
 
     job: jobs.Job
     row_version: int
     not_before: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """Cells kept for a job until the work that borrows them has ended."""
+
+    account: str
+    placements: tuple[jobs.Placement, ...]
+    borrowed: bool
+    since: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerLoad:
+    """Free cells of another shard, as its beacon said.
+
+    ``largest_free`` is the size of its largest free cell,
+    ``waiting_accelerators`` what its waiting jobs ask for together;
+    ``heard_at`` is on this process's monotonic clock.
+    """
+
+    free_accelerators: int
+    waiting_accelerators: int
+    largest_free: int
+    heard_at: float
+
+
+@dataclasses.dataclass(slots=True)
+class Memory:
+    """What decisions remember between rounds; all can be rebuilt or lost.
+
+    ``footprints_by_job_id`` and ``locations_by_worker_id`` cache the
+    accelerators of attempts; ``run_times`` are learned;
+    ``first_seen_by_job_id`` is when a waiting job was first considered;
+    ``targets_by_job_id`` are the shards that jobs are being moved to.
+    """
+
+    footprints_by_job_id: dict[str, footprints.Footprint] = dataclasses.field(
+        default_factory=dict
+    )
+    locations_by_worker_id: dict[str, tuple[str, int]] = dataclasses.field(
+        default_factory=dict
+    )
+    run_times: dict[tuple[str, str], tuple[float, float]] = dataclasses.field(
+        default_factory=dict
+    )
+    running_since_by_job_id: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    first_seen_by_job_id: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    targets_by_job_id: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
 @dataclasses.dataclass(slots=True)
 class Blackboard:
     """Everything known of one shard; ``permit_until`` bounds starts.
@@ -144,6 +201,11 @@
     ``quarantined_worker_ids`` names workers that get no new work.
     ``listening_since`` is when this process last began to listen without
     a pause; silence of a worker counts from there at the earliest.
+    ``claims_by_job_id`` are cells that jobs wait for while the work that
+    borrows them is stopped; ``peers_by_shard`` is what other shards last
+    said of their free cells, and ``load`` is the same of this shard.
+    ``shortfalls`` are sentences on guarantees that hardware cannot meet.
+    ``memory`` caches what can be rebuilt.
     """
 
     shard: str
@@ -168,6 +230,15 @@
     retry_budget: budgets.TokenBudget = dataclasses.field(
         default_factory=_new_retry_budget
     )
+    claims_by_job_id: dict[str, Claim] = dataclasses.field(
+        default_factory=dict
+    )
+    peers_by_shard: dict[str, PeerLoad] = dataclasses.field(
+        default_factory=dict
+    )
+    shortfalls: tuple[str, ...] = ()
+    load: PeerLoad | None = None
+    memory: Memory = dataclasses.field(default_factory=Memory)
 
     def record_vms(self, vms: abc.Iterable[vmlist.Vm]) -> None:
         """Take over the zone's workers from the VM list.
--- a/primroselock/scheduler.py
+++ b/primroselock/scheduler.py
@@ -166,7 +166,7 @@
                 channel = self.channels_by_id.get(command.worker_id)
                 if channel is not None:
                     channel.add(command.command, command.urgent, now)
-            else:
+            elif isinstance(command, commands.WriteJob):
                 self.writer.add(command)
 
     def _record_jobs(self, stored: list[jobstore.Stored]) -> None:
