--- a/primroselock/jobstore.py
+++ b/primroselock/jobstore.py
@@ -171,6 +171,28 @@
         )
         return await table.transact_settled(self._store, transaction)
 
+    async def move(
+        self,
+        stored: Stored,
+        to_shard: str,
+        epoch_row_version: int,
+    ) -> result.Result[table.Committed, table.TransactError]:
+        """Hand a waiting job to another shard, on behalf of the holder."""
+        job, shard = stored.job, stored.job.shard
+        moved = dataclasses.replace(job, shard=to_shard)
+        transaction = table.Transaction(
+            (
+                table.Condition(keys.job(job.id), stored.row_version),
+                table.Condition(keys.shard_epoch(shard), epoch_row_version),
+            ),
+            (
+                table.Put(keys.job(job.id), jobs.encode(moved)),
+                table.Put(keys.inbox(to_shard) + job.id, b'move'),
+            ),
+            (keys.active(shard) + job.id,),
+        )
+        return await table.transact_settled(self._store, transaction)
+
     async def _load(
         self, prefix: str
     ) -> result.Result[list[jobs.Job], table.Unavailable]:
--- a/primroselock/jobwriter.py
+++ b/primroselock/jobwriter.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections import abc
+import dataclasses
 import typing
 
 import result
@@ -25,12 +26,14 @@
 _log: typing.Final = logs.get('jobwriter')
 
 Record = abc.Callable[[list[jobstore.Stored]], None]
+Write = commands.WriteJob | commands.MoveJob
 
 
 class JobWriter:
     """Groups the writes of one shard's holder.
 
-    ``record`` is called with rows as the table holds them now.
+    ``record`` is called with rows as the table holds them now; a row that
+    names another shard has been handed over.
     """
 
     def __init__(
@@ -42,11 +45,11 @@
         self._store = store
         self._lease = lease
         self._record = record
-        self._writes_by_job_id: dict[str, commands.WriteJob] = {}
+        self._writes_by_job_id: dict[str, Write] = {}
         self._in_flight_ids: frozenset[str] = frozenset()
         self._wake = asyncio.Event()
 
-    def add(self, command: commands.WriteJob) -> None:
+    def add(self, command: Write) -> None:
         """Queue a write, unless one of the same job is on its way."""
         if command.job.id in self._in_flight_ids:
             return
@@ -76,7 +79,29 @@
         finally:
             self._in_flight_ids = frozenset()
 
-    async def _write(self, taken: list[commands.WriteJob]) -> bool:
+    async def _write(self, taken: list[Write]) -> bool:
+        """Write some rows; return whether the table answered."""
+        moves = [w for w in taken if isinstance(w, commands.MoveJob)]
+        for move in moves:
+            if not await self._move(move):
+                return False
+        kept = [w for w in taken if isinstance(w, commands.WriteJob)]
+        return not kept or await self._write_rows(kept)
+
+    async def _move(self, move: commands.MoveJob) -> bool:
+        stored = jobstore.Stored(move.job, move.row_version)
+        moved = await self._store.move(
+            stored, move.to_shard, self._lease.epoch_row_version
+        )
+        if isinstance(moved, result.Ok):
+            job = dataclasses.replace(move.job, shard=move.to_shard)
+            self._record([jobstore.Stored(job, moved.ok_value.version)])
+            return True
+        if isinstance(moved.err_value, table.Conflict):
+            return await self._resolve([move], moved.err_value)
+        return False
+
+    async def _write_rows(self, taken: list[commands.WriteJob]) -> bool:
         """Write one transaction; return whether the table answered."""
         stored = [
             jobstore.Stored(write.job, write.row_version) for write in taken
@@ -95,7 +120,7 @@
         return False
 
     async def _resolve(
-        self, taken: list[commands.WriteJob], conflict: table.Conflict
+        self, taken: abc.Sequence[Write], conflict: table.Conflict
     ) -> bool:
         if keys.shard_epoch(self._lease.shard) in conflict.keys:
             self._lease.drop('the epoch row has changed')
--- a/primroselock/scheduler.py
+++ b/primroselock/scheduler.py
@@ -122,8 +122,7 @@
         self.board.epoch = epoch
         self.board.listening_since = clock.monotonic()
         self.board.record_vms(self.shared.vms)
-        for entry in stored:
-            self.board.record_job(entry.job, entry.row_version)
+        self._record_jobs(stored)
         self._loaded_epoch = epoch
         _log.info('shard loaded', epoch=epoch, jobs=len(stored))
 
@@ -166,12 +165,15 @@
                 channel = self.channels_by_id.get(command.worker_id)
                 if channel is not None:
                     channel.add(command.command, command.urgent, now)
-            elif isinstance(command, commands.WriteJob):
+            else:
                 self.writer.add(command)
 
     def _record_jobs(self, stored: list[jobstore.Stored]) -> None:
         for entry in stored:
-            self.board.record_job(entry.job, entry.row_version)
+            if entry.job.shard == self.lease.shard:
+                self.board.record_job(entry.job, entry.row_version)
+            else:
+                self.board.jobs_by_id.pop(entry.job.id, None)
         self._round.set()
 
     def _record_vms(self, vms: list[vmlist.Vm]) -> None:
