--- a/primroselock/scheduler.py
+++ b/primroselock/scheduler.py
@@ -122,8 +122,7 @@
         self.board.epoch = epoch
         self.board.listening_since = clock.monotonic()
         self.board.record_vms(self.shared.vms)
-        for entry in stored:
-            self.board.record_job(entry.job, entry.row_version)
+        self._record_jobs(stored)
         self._loaded_epoch = epoch
         _log.info('shard loaded', epoch=epoch, jobs=len(stored))
 
@@ -166,12 +165,15 @@
                 channel = self.channels_by_id.get(command.worker_id)
                 if channel is not None:
                     channel.add(command.command, command.urgent, now)
-            elif isinstance(command, commands.WriteJob):
+            else:
                 self.writer.add(command)
 
     def _record_jobs(self, stored: list[jobstore.Stored]) -> None:
         for entry in stored:
-            self.board.record_job(entry.job, entry.row_version)
+            if entry.job.shard == self.lease.shard:
+                self.board.record_job(entry.job, entry.row_version)
+            else:
+                self.board.jobs_by_id.pop(entry.job.id, None)
         self._round.set()
 
     def _record_vms(self, vms: list[vmlist.Vm]) -> None:
@@ -224,10 +226,9 @@
     async def _exchange(self, channel: channels.Channel) -> None:
         sent_at = clock.monotonic()
         board = self.board
-        view = board.workers_by_id.get(channel.vm.id)
-        if view is None or not self._leads():
+        if channel.vm.id not in board.workers_by_id or not self._leads():
             return
-        batch = self._build_batch(channel, view, sent_at)
+        batch = channel.build_batch(board, self.settings, sent_at)
         try:
             answer = await self.link.exchange(channel.vm.address, batch)
         finally:
@@ -243,24 +244,6 @@
         else:
             await self._pause_after_loss(batch, sent_at)
 
-    def _build_batch(
-        self,
-        channel: channels.Channel,
-        view: blackboard.WorkerView,
-        sent_at: float,
-    ) -> protocol.Batch:
-        epoch = self.lease.epoch
-        if view.report is None:
-            return protocol.Batch(self.lease.shard, epoch)
-        scheduler = self.settings.scheduler
-        return protocol.Batch(
-            self.lease.shard,
-            epoch,
-            channel.take(sent_at, scheduler.freeze_gap_s),
-            view.report.boot_id,
-            view.clock_at(sent_at + scheduler.worker_timeout_s),
-        )
-
     async def _pause_after_loss(
         self, batch: protocol.Batch, sent_at: float
     ) -> None:
