--- /dev/null
+++ b/primroselock/claims.py
@@ -0,0 +1,221 @@
+"""Rows that make a request with an idempotency key run at most once.
+
+A gateway inserts a *claim* row before it sends the request; the insert
+holds for one gateway only.  The whole answer is then kept in the row.
+Whoever finds the row of another gets the kept answer, or learns that the
+outcome is not known (yet).  A claim whose request was certainly not run
+is deleted, so that the key can be used again.
+
+Rows are changed only at the version that their holder wrote, so a late
+or repeated transaction changes nothing.  Wall time is compared between
+VMs only to expire rows, which live far longer than clocks differ.
+"""
+
+import asyncio
+from collections import abc
+import dataclasses
+import typing
+import uuid
+
+import msgspec
+import result
+
+from primroselock import groupcommit
+from primroselock import httplane
+from primroselock.platform import table
+
+_CLAIM_TRIES: typing.Final = 4
+_UNDO_TRIES: typing.Final = 8
+_UNDO_PAUSE_S: typing.Final = 0.5
+
+
+class Row(msgspec.Struct, frozen=True):
+    """A claim as the table keeps it; ``claimed_at`` is wall time.
+
+    ``request_digest`` tells requests apart that bear the same key.
+    """
+
+    holder: str
+    request_digest: str
+    claimed_at: float
+    status: int | None = None
+    content_type: str | None = None
+    body: bytes = b''
+
+    def response(self) -> httplane.Response | None:
+        """Return the kept answer, if there is one."""
+        if self.status is None:
+            return None
+        headers = {}
+        if self.content_type is not None:
+            headers['content-type'] = self.content_type
+        return httplane.Response(self.status, self.body, headers)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """This gateway's claim; its row is at ``version``."""
+
+    key: str
+    row: Row
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Taken:
+    """Another request's claim under the same key."""
+
+    row: Row
+
+
+ClaimResult = result.Result[Held | Taken, table.Unavailable | table.Unsettled]
+
+
+class ClaimStore:
+    """Claims in the platform's table."""
+
+    def __init__(
+        self,
+        store: table.Table,
+        committer: groupcommit.GroupCommitter,
+        ttl_s: float,
+        most_kept_bytes: int,
+    ) -> None:
+        self._store = store
+        self._committer = committer
+        self._ttl_s = ttl_s
+        self._most_kept_bytes = most_kept_bytes
+        self._background: set[asyncio.Task[None]] = set()
+
+    async def claim(
+        self, key: str, request_digest: str, now_wall: float
+    ) -> ClaimResult:
+        """Claim ``key``, or return the claim that is there.
+
+        After an error this request holds nothing: a claim that took
+        effect without a reply is undone in the background.
+        """
+        row = Row(uuid.uuid4().hex, request_digest, now_wall)
+        value = msgspec.msgpack.encode(row)
+        version = table.ABSENT
+        for _ in range(_CLAIM_TRIES):
+            write = groupcommit.Write(key, version, value)
+            told = await self._committer.submit(write)
+            if isinstance(told, result.Ok):
+                return result.Ok(Held(key, row, told.ok_value.version))
+            error = told.err_value
+            if isinstance(error, table.Unsettled):
+                self._start(self._undo(key, row.holder))
+                return result.Err(error)
+            if isinstance(error, table.Unavailable):
+                return result.Err(error)
+            read = await self._store.read([key])
+            if isinstance(read, result.Err):
+                return read
+            stored = read.ok_value.get(key)
+            if stored is None:
+                version = table.ABSENT
+                continue
+            found = _decode(stored)
+            if found is None:
+                return result.Err(table.Unavailable('claim not understood'))
+            if found.holder == row.holder:
+                return result.Ok(Held(key, row, stored.version))
+            if found.claimed_at + self._ttl_s > now_wall:
+                return result.Ok(Taken(found))
+            version = stored.version
+        return result.Err(table.Unavailable('the claim keeps changing'))
+
+    async def keep(self, held: Held, response: httplane.Response) -> None:
+        """Keep the answer for whoever repeats the key.
+
+        An answer over the limit is not kept; its claim stays.
+        """
+        if len(response.body) > self._most_kept_bytes:
+            return
+        row = msgspec.structs.replace(
+            held.row,
+            status=response.status,
+            content_type=response.headers_by_name.get('content-type'),
+            body=response.body,
+        )
+        value = msgspec.msgpack.encode(row)
+        await self._write(groupcommit.Write(held.key, held.version, value))
+
+    async def release(self, held: Held) -> None:
+        """Delete the claim of a request that certainly did not run."""
+        await self._write(groupcommit.Write(held.key, held.version, None))
+
+    def release_later(self, held: Held) -> None:
+        """Delete the claim without making anyone wait."""
+        self._start(self.release(held))
+
+    async def delete_expired(
+        self, prefix: str, after: str, limit: int, now_wall: float
+    ) -> str:
+        """Delete expired rows of one page; return where the next starts."""
+        scanned = await self._store.scan(prefix, after, limit)
+        if isinstance(scanned, result.Err):
+            return after
+        rows = scanned.ok_value
+        expired = [
+            groupcommit.Write(row.key, row.version, None)
+            for row in rows
+            if self._is_expired(row, now_wall)
+        ]
+        await asyncio.gather(
+            *(self._committer.submit(write) for write in expired)
+        )
+        return rows[-1].key if len(rows) == limit else ''
+
+    async def drain(self) -> None:
+        """Wait for what runs in the background."""
+        while self._background:
+            await asyncio.wait(self._background)
+        await self._committer.drain()
+
+    def _is_expired(self, row: table.Row, now_wall: float) -> bool:
+        claim = _decode(row)
+        if claim is None:
+            return False
+        return claim.claimed_at + self._ttl_s <= now_wall
+
+    async def _write(self, write: groupcommit.Write) -> None:
+        """Write until it took effect or the row is not ours any more."""
+        for _ in range(_UNDO_TRIES):
+            told = await self._committer.submit(write)
+            if isinstance(told, result.Ok):
+                return
+            if isinstance(told.err_value, table.Conflict):
+                return
+            await asyncio.sleep(_UNDO_PAUSE_S)
+
+    async def _undo(self, key: str, holder: str) -> None:
+        """Delete the row if ``holder`` wrote it."""
+        for _ in range(_UNDO_TRIES):
+            read = await self._store.read([key])
+            if isinstance(read, result.Ok):
+                stored = read.ok_value.get(key)
+                if stored is None:
+                    return
+                row = _decode(stored)
+                if row is None or row.holder != holder:
+                    return
+                await self._write(groupcommit.Write(key, stored.version, None))
+                return
+            await asyncio.sleep(_UNDO_PAUSE_S)
+
+    def _start(
+        self, work: abc.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+
+def _decode(stored: table.Row) -> Row | None:
+    """Return the claim of a row, or None where it is not one."""
+    try:
+        return msgspec.msgpack.decode(stored.value, type=Row)
+    except msgspec.MsgspecError:
+        return None
--- a/primroselock/configuration.py
+++ b/primroselock/configuration.py
@@ -11,7 +11,7 @@
 
     [zone NAME]      state = in | out, racks = whole racks
     [account NAME]   token_digests, weight, guarantee.ZONE = SIZE:COUNT, ...
-    [service NAME]   slots, connections, queue, max_body_bytes
+    [service NAME]   slots, connections, gateways, queue, max_body_bytes
     [jobs]           limits on jobs
 """
 
@@ -85,12 +85,15 @@
 class Service:
     """A service whose requests are passed to upstreams.
 
-    ``slots`` and ``connections`` are what each upstream offers.
+    ``slots`` and ``connections`` are what each upstream offers;
+    ``gateways`` is the most gateway processes that ever live at a time,
+    leaving ones included, among which connections are divided.
     """
 
     name: str
     slots: int = ini.key('positive', 8)
     connections: int = ini.key('positive', 64)
+    gateways: int = ini.key('positive', 16)
     queue: int = ini.key('count', 256)
     max_body_bytes: int = ini.key('positive', 4 * 1024 * 1024)
 
@@ -267,8 +270,13 @@
     reader: _Reader, section: str, name: str, values: dict[str, str]
 ) -> None:
     service = _read_into(reader, Service, section, values, name=name)
-    if service is not None:
-        reader.services[name] = service
+    if service is None:
+        return
+    if service.gateways > service.connections:
+        value = str(service.gateways)
+        reader.problem(section, 'gateways', value, 'at most connections')
+        return
+    reader.services[name] = service
 
 
 @_section('jobs')
--- /dev/null
+++ b/primroselock/dispatch.py
@@ -0,0 +1,304 @@
+"""Sends a request to an upstream, or says truly that it did not run.
+
+A request takes a free slot at once, or waits in its service's queue.  It
+is refused as not run when the queue is full, when its deadline would
+pass before its turn, or when the turn comes too late.  The expected wait
+follows Little's law: those ahead, by the rate at which this gateway's
+exchanges end.
+
+After the first byte only an idempotent request is tried again, out of a
+budget; a request of which no byte left may go to another upstream.
+"""
+
+import asyncio
+from collections import abc
+import dataclasses
+import typing
+
+import result
+
+from primroselock import clock
+from primroselock import configuration
+from primroselock import daemon
+from primroselock import ejection
+from primroselock import fairqueue
+from primroselock import httplane
+from primroselock import retrybudget
+from primroselock import routing
+
+NOT_STARTED_HEADER: typing.Final = 'upstream-not-started'
+_LEAVING: typing.Final = 'leaving'
+_MOST_TRIES: typing.Final = 3
+_PUMP_INTERVAL_S: typing.Final = 0.02
+_RETRY_AFTER_S: typing.Final = 1.0
+_SAMPLE_WEIGHT: typing.Final = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Done:
+    """The upstream's whole answer."""
+
+    response: httplane.Response
+    is_replay: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """The request certainly did not run."""
+
+    code: str
+    message: str
+    retry_after_s: float | None = _RETRY_AFTER_S
+    status: int = 503
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unknown:
+    """The request may or may not have run."""
+
+    code: str
+    message: str
+    timed_out: bool = False
+    retry_after_s: float | None = None
+
+
+Outcome = Done | NotRun | Unknown
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """A request to send; ``deadline`` is on the monotonic clock."""
+
+    service: configuration.Service
+    account: configuration.Account
+    request: httplane.Request
+    is_idempotent: bool
+    deadline: float
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class _Waiter:
+    work: Work
+    excluded: abc.Collection[str]
+    turn: asyncio.Future[routing.Upstream | NotRun]
+
+
+class _ServiceState:
+    """The queue of a service and how long its exchanges take."""
+
+    def __init__(self) -> None:
+        self.queue: fairqueue.FairQueue[_Waiter] = fairqueue.FairQueue()
+        self.budget = retrybudget.RetryBudget()
+        self.running = 0
+        self.mean_s = 0.0
+
+    def record_whole(self, taken_s: float) -> None:
+        """Note how long an exchange took."""
+        if self.mean_s == 0.0:
+            self.mean_s = taken_s
+        self.mean_s += (taken_s - self.mean_s) * _SAMPLE_WEIGHT
+
+    def expected_wait_s(self, account: configuration.Account) -> float:
+        """Return how long a new request of ``account`` would wait."""
+        if self.running == 0:
+            return 0.0
+        ahead = self.queue.count_ahead(account.name, account.weight)
+        return (ahead + 1) * self.mean_s / self.running
+
+
+class Dispatcher:
+    """Queues, sends and retries the requests of every service."""
+
+    def __init__(self, shared: daemon.Daemon, router: routing.Router) -> None:
+        self._shared = shared
+        self._metrics = shared.metrics
+        self._router = router
+        self._states_by_service: dict[str, _ServiceState] = {}
+
+    async def run(self) -> None:
+        """Refresh shares and give out turns until cancelled."""
+        while True:
+            now = clock.monotonic()
+            self._router.refresh(self._shared.follower.current, now)
+            for service, state in self._states_by_service.items():
+                self._give_turns(service, state)
+            await asyncio.sleep(_PUMP_INTERVAL_S)
+
+    async def send(self, work: Work) -> Outcome:
+        """Send ``work``; return what became of it."""
+        state = self._state(work.service.name)
+        state.budget.earn()
+        excluded: set[str] = set()
+        told: Outcome | None = None
+        for _ in range(_MOST_TRIES):
+            turn = await self._take_turn(state, work, excluded)
+            if isinstance(turn, NotRun):
+                return told or turn
+            outcome, may_retry = await self._exchange(state, turn, work)
+            if told is None or not isinstance(outcome, NotRun):
+                told = outcome
+            if not may_retry:
+                return told
+            excluded.add(turn.vm.id)
+        assert told is not None
+        return told
+
+    def _state(self, service: str) -> _ServiceState:
+        state = self._states_by_service.get(service)
+        if state is None:
+            state = _ServiceState()
+            self._states_by_service[service] = state
+        return state
+
+    async def _take_turn(
+        self, state: _ServiceState, work: Work, excluded: abc.Collection[str]
+    ) -> routing.Upstream | NotRun:
+        now = clock.monotonic()
+        if now >= work.deadline:
+            return _expired()
+        if not len(state.queue):
+            upstream = self._router.choose(work.service, now, excluded)
+            if upstream is not None:
+                self._reserve(state, upstream)
+                return upstream
+        if not self._router.is_served(work.service, now):
+            return NotRun('no-upstream', 'no upstream of the service is live')
+        wait_s = state.expected_wait_s(work.account)
+        if now + wait_s + state.mean_s > work.deadline:
+            self._metrics.count('refused_deadline')
+            message = f'the expected wait is {wait_s:.3f} s'
+            return NotRun('too-late', message, wait_s)
+        return await self._wait_for_turn(state, work, excluded, wait_s)
+
+    async def _wait_for_turn(
+        self,
+        state: _ServiceState,
+        work: Work,
+        excluded: abc.Collection[str],
+        wait_s: float,
+    ) -> routing.Upstream | NotRun:
+        loop = asyncio.get_running_loop()
+        waiter = _Waiter(work, excluded, loop.create_future())
+        account = work.account
+        displaced = state.queue.push(
+            account.name, account.weight, waiter, work.service.queue
+        )
+        if displaced is not None:
+            self._metrics.count('refused_queue_full')
+            displaced.turn.set_result(
+                NotRun('queue-full', 'the queue is full', wait_s, 429)
+            )
+        try:
+            async with asyncio.timeout(work.deadline - clock.monotonic()):
+                return await asyncio.shield(waiter.turn)
+        except TimeoutError:
+            self._give_back(state, waiter)
+            return _expired()
+        except asyncio.CancelledError:
+            self._give_back(state, waiter)
+            raise
+
+    def _give_back(self, state: _ServiceState, waiter: _Waiter) -> None:
+        """Leave the queue, or free the slot that was just given."""
+        state.queue.remove(waiter.work.account.name, waiter)
+        if not waiter.turn.done():
+            waiter.turn.cancel()
+        elif isinstance(waiter.turn.result(), routing.Upstream):
+            self._release(
+                state, waiter.work.service.name, waiter.turn.result()
+            )
+
+    def _give_turns(self, service: str, state: _ServiceState) -> None:
+        now = clock.monotonic()
+        while (waiter := state.queue.peek()) is not None:
+            work = waiter.work
+            # The latest version of the service's limits applies.
+            current = self._shared.follower.current.services_by_name
+            limits = current.get(service, work.service)
+            upstream: routing.Upstream | None = None
+            if now < work.deadline:
+                upstream = self._router.choose(limits, now, waiter.excluded)
+                if upstream is None:
+                    return
+            state.queue.pop()
+            if upstream is None:
+                waiter.turn.set_result(_expired())
+                continue
+            self._reserve(state, upstream)
+            waiter.turn.set_result(upstream)
+
+    def _reserve(
+        self, state: _ServiceState, upstream: routing.Upstream
+    ) -> None:
+        state.running += 1
+        self._router.reserve(upstream)
+
+    def _release(
+        self, state: _ServiceState, service: str, upstream: typing.Any
+    ) -> None:
+        state.running -= 1
+        self._router.release(upstream)
+        self._give_turns(service, state)
+
+    async def _exchange(
+        self, state: _ServiceState, upstream: routing.Upstream, work: Work
+    ) -> tuple[Outcome, bool]:
+        """Return the outcome of one try and whether to try again."""
+        started = clock.monotonic()
+        try:
+            answer = await upstream.pool.exchange(
+                work.request, work.deadline - started
+            )
+        finally:
+            self._release(state, work.service.name, upstream)
+        now = clock.monotonic()
+        self._metrics.record('upstream_exchange', now - started)
+        if isinstance(answer, result.Err):
+            return self._judge_error(
+                state, upstream, work, answer.err_value, now
+            )
+        response = answer.ok_value
+        refusal = response.headers_by_name.get(NOT_STARTED_HEADER)
+        if refusal is not None:
+            self._metrics.count('upstream_refused')
+            is_leaving = refusal == _LEAVING
+            self._router.record_refusal(upstream, is_leaving, now)
+            outcome = NotRun('upstream-refused', 'the upstream refused')
+            return outcome, self._may_resend(state, work, now)
+        upstream.health = ejection.HEALTHY
+        state.record_whole(now - started)
+        return Done(response), False
+
+    def _judge_error(
+        self,
+        state: _ServiceState,
+        upstream: routing.Upstream,
+        work: Work,
+        error: httplane.ExchangeError,
+        now: float,
+    ) -> tuple[Outcome, bool]:
+        if isinstance(error, httplane.NotSent):
+            self._metrics.count('upstream_unreachable')
+            if not error.is_local:
+                upstream.health = ejection.record_unreachable(
+                    upstream.health, now
+                )
+            return NotRun('upstream-unreachable', error.detail), True
+        self._metrics.count('upstream_broken')
+        upstream.health = ejection.record_broken(upstream.health, now)
+        outcome = Unknown('answer-lost', error.detail, error.timed_out)
+        return outcome, self._may_resend(state, work, now)
+
+    def _may_resend(
+        self, state: _ServiceState, work: Work, now: float
+    ) -> bool:
+        if not work.is_idempotent or now >= work.deadline:
+            return False
+        if not state.budget.spend():
+            return False
+        self._metrics.count('retries')
+        return True
+
+
+def _expired() -> NotRun:
+    return NotRun('too-late', 'the deadline passed before a slot was free')
--- a/primroselock/gateway.py
+++ b/primroselock/gateway.py
@@ -3,25 +3,34 @@
 import asyncio
 from collections import abc
 import contextlib
+import math
 import random
 import typing
 
 from starlette import applications
+from starlette import exceptions
 from starlette import requests
 from starlette import responses
 from starlette import routing as paths
 import uvicorn
 
 from primroselock import answers
+from primroselock import claims
 from primroselock import clock
 from primroselock import configapi
 from primroselock import daemon
+from primroselock import dispatch
+from primroselock import groupcommit
 from primroselock import jobsapi
+from primroselock import keyed
 from primroselock import logs
+from primroselock.mesh import messages
 from primroselock import options
+from primroselock.platform import keys
 from primroselock import routing
 from primroselock import servicesapi
 
+_SWEEP_PAGE_ROWS: typing.Final = 1000
 _log: typing.Final = logs.get('gateway')
 
 
@@ -81,10 +90,9 @@
 
 
 def build_app(
-    shared: daemon.Daemon, router: routing.Router
+    shared: daemon.Daemon, services: servicesapi.ServicesApi
 ) -> applications.Starlette:
     """Return the application with all its routes."""
-    services = servicesapi.ServicesApi(shared, router)
     jobs_api = jobsapi.JobsApi(shared)
     config = configapi.ConfigApi(shared)
     status = StatusApi(shared)
@@ -107,29 +115,119 @@
         routes=[
             paths.Route(path, handler, methods=[method])
             for method, path, handler in table
-        ]
+        ],
+        exception_handlers={
+            exceptions.HTTPException: _answer_http_error,
+            Exception: _answer_fault,
+        },
     )
 
 
+async def _answer_http_error(
+    request: requests.Request, error: Exception
+) -> responses.Response:
+    """Answer a request that has no route."""
+    assert isinstance(error, exceptions.HTTPException)
+    return answers.error(error.status_code, 'no-route', error.detail)
+
+
+async def _answer_fault(
+    request: requests.Request, error: Exception
+) -> responses.Response:
+    """Answer a request that met a fault of this program."""
+    return answers.error(
+        500, 'internal', 'internal error', answers.Outcome.UNKNOWN
+    )
+
+
+class _LeavingHeader:
+    """Asks callers to close kept connections once the gateway leaves."""
+
+    def __init__(self, app: typing.Any, stopping: asyncio.Event) -> None:
+        self._app = app
+        self._stopping = stopping
+
+    async def __call__(
+        self, scope: typing.Any, receive: typing.Any, send: typing.Any
+    ) -> None:
+        """Pass one request on."""
+
+        async def send_marked(message: typing.Any) -> None:
+            if message['type'] == 'http.response.start':
+                if self._stopping.is_set():
+                    headers = list(message.get('headers', ()))
+                    headers.append((b'connection', b'close'))
+                    message = {**message, 'headers': headers}
+            await send(message)
+
+        await self._app(scope, receive, send_marked)
+
+
+class _Requests:
+    """The parts that carry requests to services."""
+
+    def __init__(self, shared: daemon.Daemon) -> None:
+        settings = shared.settings
+        self.router = routing.Router(
+            settings,
+            random.Random(shared.incarnation),
+            shared.slots_by_upstream,
+        )
+        self.dispatcher = dispatch.Dispatcher(shared, self.router)
+        committer = groupcommit.GroupCommitter(
+            shared.platform, settings.gateway.claim_interval_s
+        )
+        self.claims = claims.ClaimStore(
+            shared.platform,
+            committer,
+            settings.gateway.claim_ttl_s,
+            settings.gateway.max_kept_answer_bytes,
+        )
+        self.keyed = keyed.KeyedRequests(self.claims)
+        shared.add_vm_handler(self.router.record_vms)
+        shared.mesh.add_handler(self._hear)
+
+    def _hear(self, message: messages.Message) -> None:
+        if isinstance(message, messages.Beacon):
+            self.router.record_beacon(message, clock.monotonic())
+
+    async def sweep(self, shared: daemon.Daemon) -> None:
+        """Delete expired claims, a page at a time, until cancelled.
+
+        Only the first of the gateways that are heard does so; two at a
+        time would do no harm.
+        """
+        own_id = shared.settings.process.vm_id
+        after = ''
+        while True:
+            await asyncio.sleep(shared.settings.gateway.claim_sweep_interval_s)
+            others = [
+                vm_id
+                for vm_id, beacon in shared.beacons_by_vm_id.items()
+                if beacon.role == 'gateway' and not beacon.leaving
+            ]
+            if own_id == min([own_id, *others]):
+                after = await self.claims.delete_expired(
+                    keys.CLAIMS, after, _SWEEP_PAGE_ROWS, clock.wall()
+                )
+
+
 async def run(settings: options.Settings) -> None:
-    """Run the gateway until it is told to leave."""
+    """Run the gateway until it is told to leave.
+
+    After the first signal ``/readyz`` says so while requests are still
+    taken, so that the balancer moves on first; then nothing new is
+    accepted and what runs is finished.
+    """
     listener = daemon.bind_socket(settings.gateway.bind)
     shared = daemon.Daemon(settings, 'gateway')
     shared.install_signals()
-    router = routing.Router(settings, random.Random(shared.incarnation))
-    shared.add_vm_handler(router.record_vms)
-    server = _Server(
-        uvicorn.Config(
-            build_app(shared, router),
-            loop='asyncio',
-            http='httptools',
-            ws='none',
-            lifespan='off',
-            log_config=None,
-            access_log=False,
-            timeout_graceful_shutdown=int(settings.gateway.shutdown_grace_s),
-        )
+    carried = _Requests(shared)
+    services = servicesapi.ServicesApi(
+        shared, carried.dispatcher, carried.keyed
     )
+    app = _LeavingHeader(build_app(shared, services), shared.stopping)
+    server = _Server(_server_config(settings, app))
     _log.info(
         'listening',
         role='gateway',
@@ -138,11 +236,45 @@
     )
     async with asyncio.TaskGroup() as group:
         loops = shared.start_loops(group)
+        loops.append(group.create_task(carried.dispatcher.run()))
+        loops.append(group.create_task(carried.sweep(shared)))
         serving = group.create_task(server.serve([listener]))
         await shared.stopping.wait()
+        await asyncio.sleep(settings.gateway.leaving_delay_s)
         server.should_exit = True
         await serving
+        await _drain(carried.keyed, settings)
         for loop in loops:
             loop.cancel()
+    await carried.router.aclose()
     await shared.aclose()
     _log.info('stopped')
+
+
+async def _drain(
+    keyed_requests: keyed.KeyedRequests, settings: options.Settings
+) -> None:
+    """Keep the answers that are not kept yet, within the grace time."""
+    try:
+        async with asyncio.timeout(settings.gateway.shutdown_grace_s):
+            await keyed_requests.drain()
+    except TimeoutError:
+        _log.warning('answers not kept')
+
+
+def _server_config(
+    settings: options.Settings, app: typing.Any
+) -> uvicorn.Config:
+    gateway = settings.gateway
+    return uvicorn.Config(
+        app,
+        loop='asyncio',
+        http='httptools',
+        ws='none',
+        lifespan='off',
+        log_config=None,
+        access_log=False,
+        timeout_graceful_shutdown=math.ceil(gateway.shutdown_grace_s),
+        ssl_certfile=gateway.tls_certificate or None,
+        ssl_keyfile=gateway.tls_key or None,
+    )
--- a/primroselock/httplane.py
+++ b/primroselock/httplane.py
@@ -59,9 +59,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotSent:
-    """No byte of the request left: the work certainly did not start."""
+    """No byte of the request left: the work certainly did not start.
+
+    ``is_local`` is set when the peer was not even tried.
+    """
 
     detail: str
+    is_local: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -258,7 +262,9 @@
             async with asyncio.timeout(timeout_s):
                 lane = await self._acquire()
         except TimeoutError:
-            return result.Err(NotSent('no free connection in time'))
+            return result.Err(
+                NotSent('no free connection in time', is_local=True)
+            )
         left_s = max(deadline - clock.monotonic(), _LEAST_TIMEOUT_S)
         return await self._exchange_on_lane(lane, request, left_s)
 
--- /dev/null
+++ b/primroselock/keyed.py
@@ -0,0 +1,123 @@
+"""Runs a request with an idempotency key: claim, send, keep the answer.
+
+The request is sent only by the gateway that holds the claim, and only
+while its caller still waits for it.  The answer is kept before the
+caller is told, within a short wait: when the platform is slow the caller
+is told first, and keeping goes on in the background.
+"""
+
+import asyncio
+from collections import abc
+import hashlib
+import typing
+
+import result
+
+from primroselock import claims
+from primroselock import clock
+from primroselock import dispatch
+from primroselock import httplane
+
+_MOST_WAIT_TO_KEEP_S: typing.Final = 0.5
+_RETRY_AFTER_S: typing.Final = 1.0
+
+Send = abc.Callable[
+    [], abc.Coroutine[typing.Any, typing.Any, dispatch.Outcome]
+]
+
+
+def digest_request(service: str, request: httplane.Request) -> str:
+    """Return a digest of all that makes the request what it is."""
+    hashed = hashlib.sha256()
+    for part in (service, request.method, request.path):
+        hashed.update(part.encode())
+        hashed.update(b'\0')
+    hashed.update(request.body)
+    return hashed.hexdigest()
+
+
+class KeyedRequests:
+    """Requests with an idempotency key."""
+
+    def __init__(self, store: claims.ClaimStore) -> None:
+        self._store = store
+        self._background: set[asyncio.Task[typing.Any]] = set()
+
+    async def run(
+        self, key: str, request_digest: str, deadline: float, send: Send
+    ) -> dispatch.Outcome:
+        """Send once for ``key``; a repeat gets the kept answer."""
+        claiming = self._start(
+            self._store.claim(key, request_digest, clock.wall())
+        )
+        try:
+            await asyncio.wait(
+                {claiming}, timeout=deadline - clock.monotonic()
+            )
+        except asyncio.CancelledError:
+            claiming.add_done_callback(self._release_unused)
+            raise
+        if not claiming.done():
+            claiming.add_done_callback(self._release_unused)
+            return dispatch.NotRun('platform', 'the key was not claimed')
+        claimed = claiming.result()
+        if isinstance(claimed, result.Err):
+            return dispatch.NotRun('platform', claimed.err_value.detail)
+        if isinstance(claimed.ok_value, claims.Taken):
+            return _judge_taken(claimed.ok_value.row, request_digest)
+        return await self._send(claimed.ok_value, send)
+
+    async def drain(self) -> None:
+        """Wait for what runs in the background."""
+        while self._background:
+            await asyncio.wait(self._background)
+        await self._store.drain()
+
+    async def _send(self, held: claims.Held, send: Send) -> dispatch.Outcome:
+        outcome = await send()
+        if isinstance(outcome, dispatch.Done):
+            keeping = self._start(self._store.keep(held, outcome.response))
+        elif isinstance(outcome, dispatch.NotRun):
+            keeping = self._start(self._store.release(held))
+        else:
+            return outcome
+        await asyncio.wait({keeping}, timeout=_MOST_WAIT_TO_KEEP_S)
+        return outcome
+
+    def _release_unused(
+        self, claiming: asyncio.Task[claims.ClaimResult]
+    ) -> None:
+        if claiming.cancelled():
+            return
+        claimed = claiming.result()
+        if isinstance(claimed, result.Ok) and isinstance(
+            claimed.ok_value, claims.Held
+        ):
+            self._store.release_later(claimed.ok_value)
+
+    def _start(
+        self, work: abc.Coroutine[typing.Any, typing.Any, typing.Any]
+    ) -> asyncio.Task[typing.Any]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+        return task
+
+
+def _judge_taken(row: claims.Row, request_digest: str) -> dispatch.Outcome:
+    if row.request_digest != request_digest:
+        return dispatch.NotRun(
+            'key-reused',
+            'the idempotency key belongs to another request',
+            None,
+            422,
+        )
+    response = row.response()
+    if response is not None:
+        return dispatch.Done(response, is_replay=True)
+    return dispatch.Unknown(
+        'key-in-use',
+        'a request with this key was begun; its answer is not known',
+        timed_out=True,
+        retry_after_s=_RETRY_AFTER_S,
+    )
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -53,6 +53,13 @@
     start_permit_ttl_s: float = ini.key('seconds', 3.0)
 
 
+@ini.kind('upstream_choice', 'least_of_two or random')
+def _upstream_choice(value: str) -> str:
+    if value not in ('least_of_two', 'random'):
+        raise ValueError(value)
+    return value
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatewaySettings:
     """Limits of the gateway."""
@@ -62,7 +69,16 @@
     default_timeout_s: float = ini.key('seconds', 30.0)
     max_timeout_s: float = ini.key('seconds', 300.0)
     max_body_bytes: int = ini.key('positive', 4 * 1024 * 1024)
+    max_header_bytes: int = ini.key('positive', 16 * 1024)
+    leaving_delay_s: float = ini.key('seconds', 2.0)
     shutdown_grace_s: float = ini.key('seconds', 30.0)
+    upstream_choice: str = ini.key('upstream_choice', 'least_of_two')
+    claim_interval_s: float = ini.key('seconds', 0.04)
+    claim_ttl_s: float = ini.key('seconds', 3600.0)
+    claim_sweep_interval_s: float = ini.key('seconds', 5.0)
+    max_kept_answer_bytes: int = ini.key('positive', 64 * 1024)
+    tls_certificate: str = ini.key('text', '')
+    tls_key: str = ini.key('text', '')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -140,6 +156,27 @@
     """Check the rules that hold between several keys."""
     scheduler: SchedulerSettings = built['scheduler']
     problems: list[ini.Problem] = []
+    gateway: GatewaySettings = built['gateway']
+    if gateway.claim_ttl_s < gateway.max_timeout_s * 2:
+        problems.append(
+            ini.Problem(
+                source,
+                'gateway',
+                'claim_ttl_s',
+                str(gateway.claim_ttl_s),
+                'at least twice max_timeout_s',
+            )
+        )
+    if bool(gateway.tls_certificate) != bool(gateway.tls_key):
+        problems.append(
+            ini.Problem(
+                source,
+                'gateway',
+                'tls_key',
+                gateway.tls_key,
+                'tls_certificate and tls_key together',
+            )
+        )
     if scheduler.shard_renew_interval_s * 3 > scheduler.shard_lease_s:
         problems.append(
             ini.Problem(
--- a/primroselock/platform/keys.py
+++ b/primroselock/platform/keys.py
@@ -52,6 +52,9 @@
     return f'account-job/{account}/'
 
 
+CLAIMS: typing.Final = 'claim/'
+
+
 def claim(account: str, idempotency_key_digest: str) -> str:
     """Return the key of a keyed request's claim."""
     return f'claim/{account}/{idempotency_key_digest}'
--- a/primroselock/routing.py
+++ b/primroselock/routing.py
@@ -1,15 +1,29 @@
 """Chooses an upstream for a request and keeps its lanes.
 
-The choice is the less loaded of two upstreams drawn at random, in the
-gateway's own availability zone first.
+What can take an upstream away: the VM list says that it is leaving, its
+own refusal, recent failures (see :mod:`primroselock.ejection`), and this
+gateway's share of its slots (see :mod:`primroselock.shares`).  Among what
+is left, this gateway's own zone goes first, and a registered policy
+draws: the less loaded of two by default.
 """
 
+from collections import abc
 import dataclasses
 import random
+import typing
 
+from primroselock import configuration
+from primroselock import ejection
 from primroselock import httplane
+from primroselock.mesh import messages
 from primroselock import options
 from primroselock.platform import vmlist
+from primroselock import shares
+
+_BEACONS_MISSED: typing.Final = 4
+_FULL_PAUSE_S: typing.Final = 0.05
+_LEAVING_PAUSE_S: typing.Final = 5.0
+_MOST_EJECTED_FRACTION: typing.Final = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -19,43 +33,227 @@
     vm: vmlist.Vm
     pool: httplane.LanePool
     running: int = 0
+    used_by_others: int = 0
+    health: ejection.Health = ejection.HEALTHY
+    paused_until: float = 0.0
+
+    @property
+    def load(self) -> int:
+        """How many of its slots are in use, as far as known."""
+        return self.running + self.used_by_others
+
+
+Chooser = abc.Callable[[list[Upstream], random.Random], Upstream]
+choosers_by_name: dict[str, Chooser] = {}
+
+
+def chooser(name: str) -> abc.Callable[[Chooser], Chooser]:
+    """Register a policy that draws one of the usable upstreams."""
+
+    def register(choose: Chooser) -> Chooser:
+        choosers_by_name[name] = choose
+        return choose
+
+    return register
+
+
+@chooser('random')
+def _choose_random(
+    candidates: list[Upstream], generator: random.Random
+) -> Upstream:
+    return generator.choice(candidates)
+
+
+@chooser('least_of_two')
+def _choose_least_of_two(
+    candidates: list[Upstream], generator: random.Random
+) -> Upstream:
+    if len(candidates) == 1:
+        return candidates[0]
+    first, second = generator.sample(candidates, 2)
+    return first if first.load <= second.load else second
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Peer:
+    beacon: messages.Beacon
+    heard_at: float
 
 
 class Router:
-    """The upstreams of every service, from the VM list."""
+    """The upstreams of every service, from the VM list and beacons."""
 
     def __init__(
-        self, settings: options.Settings, generator: random.Random
+        self,
+        settings: options.Settings,
+        generator: random.Random,
+        slots_by_upstream: dict[str, int],
     ) -> None:
+        self._vm_id = settings.process.vm_id
         self._zone = settings.process.zone
+        self._beacon_age_s = settings.mesh.beacon_interval_s * _BEACONS_MISSED
+        self._choose = choosers_by_name[settings.gateway.upstream_choice]
         self._generator = generator
+        self._slots_by_upstream = slots_by_upstream
+        self._peers_by_vm_id: dict[str, _Peer] = {}
+        self._listed_gateways: dict[str, str] = {}
+        self._zones_of_gateways: list[str] = [self._zone]
+        self._retired: list[Upstream] = []
         self.upstreams_by_id: dict[str, Upstream] = {}
 
     def record_vms(self, vms: list[vmlist.Vm]) -> None:
-        """Take over the upstreams from the VM list."""
+        """Take over the upstreams and gateways from the VM list."""
+        self._listed_gateways = {
+            vm.id: vm.zone
+            for vm in vms
+            if vm.role == 'gateway' and not vm.leaving
+        }
         listed = {vm.id: vm for vm in vms if vm.role == 'upstream'}
         for vm_id in self.upstreams_by_id.keys() - listed.keys():
-            del self.upstreams_by_id[vm_id]
+            self._retire(vm_id)
         for vm_id, vm in listed.items():
             old = self.upstreams_by_id.get(vm_id)
-            if old is None or old.vm.address != vm.address:
-                pool = httplane.LanePool(vm.address, limit=64)
-                self.upstreams_by_id[vm_id] = Upstream(vm, pool)
+            if old is not None and old.vm.address != vm.address:
+                self._retire(vm_id)
+                old = None
+            if old is None:
+                self.upstreams_by_id[vm_id] = self._revive(vm)
             else:
                 old.vm = vm
 
-    def choose(self, service: str, slots: int) -> Upstream | None:
+    def _retire(self, vm_id: str) -> None:
+        upstream = self.upstreams_by_id.pop(vm_id)
+        upstream.pool.set_limit(0)
+        self._slots_by_upstream.pop(vm_id, None)
+        self._retired.append(upstream)
+
+    def _revive(self, vm: vmlist.Vm) -> Upstream:
+        """Return the upstream, with the lanes it had if any are open."""
+        for upstream in self._retired:
+            if upstream.vm.address == vm.address:
+                self._retired.remove(upstream)
+                upstream.vm = vm
+                return upstream
+        return Upstream(vm, httplane.LanePool(vm.address, limit=0))
+
+    def record_beacon(self, beacon: messages.Beacon, now: float) -> None:
+        """Note another gateway and its use of slots."""
+        if beacon.role == 'gateway' and beacon.vm_id != self._vm_id:
+            self._peers_by_vm_id[beacon.vm_id] = _Peer(beacon, now)
+
+    def refresh(
+        self, current: configuration.Configuration, now: float
+    ) -> None:
+        """Derive shares from what was heard; close what is not needed."""
+        self._peers_by_vm_id = {
+            vm_id: peer
+            for vm_id, peer in self._peers_by_vm_id.items()
+            if now - peer.heard_at <= self._beacon_age_s
+        }
+        zones_by_vm_id = dict(self._listed_gateways)
+        for vm_id, peer in self._peers_by_vm_id.items():
+            if peer.beacon.leaving:
+                zones_by_vm_id.pop(vm_id, None)
+            else:
+                zones_by_vm_id[vm_id] = peer.beacon.zone
+        zones_by_vm_id[self._vm_id] = self._zone
+        self._zones_of_gateways = list(zones_by_vm_id.values())
+        for vm_id, upstream in self.upstreams_by_id.items():
+            upstream.used_by_others = sum(
+                peer.beacon.slots_by_upstream.get(vm_id, 0)
+                for peer in self._peers_by_vm_id.values()
+            )
+            service = current.services_by_name.get(upstream.vm.service)
+            if service is not None:
+                upstream.pool.set_limit(shares.connection_limit(service))
+            upstream.pool.close_stale(now)
+        self._retired = [old for old in self._retired if old.pool.open_lanes]
+
+    def choose(
+        self,
+        service: configuration.Service,
+        now: float,
+        excluded: abc.Collection[str] = (),
+    ) -> Upstream | None:
         """Return an upstream with a free slot, or None."""
+        listed = self._listed(service.name)
+        may_eject = self._may_eject(listed, now)
         free = [
             upstream
-            for upstream in self.upstreams_by_id.values()
-            if upstream.vm.service == service
-            and not upstream.vm.leaving
-            and upstream.running < slots
+            for upstream in listed
+            if upstream.vm.id not in excluded
+            and self._is_usable(upstream, service, now, may_eject)
         ]
         near = [up for up in free if up.vm.zone == self._zone]
         candidates = near or free
         if not candidates:
             return None
-        drawn = self._generator.sample(candidates, min(2, len(candidates)))
-        return min(drawn, key=lambda upstream: upstream.running)
+        return self._choose(candidates, self._generator)
+
+    def is_served(self, service: configuration.Service, now: float) -> bool:
+        """Whether any upstream could take a request once it has room."""
+        return any(
+            not upstream.health.is_ejected(now) and not upstream.vm.leaving
+            for upstream in self._listed(service.name)
+        )
+
+    def _listed(self, service: str) -> list[Upstream]:
+        return [
+            upstream
+            for upstream in self.upstreams_by_id.values()
+            if upstream.vm.service == service
+        ]
+
+    def _may_eject(self, listed: list[Upstream], now: float) -> bool:
+        """Whether few enough are ejected to trust the ejections."""
+        ejected = sum(
+            upstream.health.is_ejected(now)
+            and not upstream.health.is_unreachable
+            for upstream in listed
+        )
+        return ejected <= len(listed) * _MOST_EJECTED_FRACTION
+
+    def _is_usable(
+        self,
+        upstream: Upstream,
+        service: configuration.Service,
+        now: float,
+        may_eject: bool,
+    ) -> bool:
+        if upstream.vm.leaving or now < upstream.paused_until:
+            return False
+        health = upstream.health
+        if health.is_ejected(now) and (may_eject or health.is_unreachable):
+            return False
+        if health.is_on_probation(now) and upstream.running > 0:
+            return False
+        view = shares.View(
+            upstream.vm.zone == self._zone,
+            self._zones_of_gateways.count(upstream.vm.zone),
+            len(self._zones_of_gateways),
+            upstream.used_by_others,
+        )
+        return upstream.running < shares.slot_limit(service, view)
+
+    def reserve(self, upstream: Upstream) -> None:
+        """Count a slot of ``upstream`` as used from here."""
+        upstream.running += 1
+        self._slots_by_upstream[upstream.vm.id] = upstream.running
+
+    def release(self, upstream: Upstream) -> None:
+        """Count a slot as free again."""
+        upstream.running -= 1
+        if upstream.vm.id in self.upstreams_by_id:
+            self._slots_by_upstream[upstream.vm.id] = upstream.running
+
+    def record_refusal(
+        self, upstream: Upstream, is_leaving: bool, now: float
+    ) -> None:
+        """Note the upstream's own word that it did not start a request."""
+        pause_s = _LEAVING_PAUSE_S if is_leaving else _FULL_PAUSE_S
+        upstream.paused_until = now + pause_s
+
+    async def aclose(self) -> None:
+        """Close every idle lane."""
+        for upstream in self.upstreams_by_id.values():
+            await upstream.pool.aclose()
--- a/primroselock/servicesapi.py
+++ b/primroselock/servicesapi.py
@@ -1,66 +1,104 @@
-"""Requests to services: passed to an upstream and answered whole.
+"""Requests to services: checked, passed to an upstream, answered whole.
 
 A request is answered as not run only when no byte of it was written to
 an upstream or the upstream itself said that it did not start it.
 """
 
+import asyncio
+import functools
+import hashlib
 import math
 import typing
 
-import result
 from starlette import requests
 from starlette import responses
 
 from primroselock import answers
 from primroselock import auth
 from primroselock import clock
+from primroselock import configuration
 from primroselock import daemon
+from primroselock import dispatch
 from primroselock import httplane
-from primroselock import routing
+from primroselock import keyed
+from primroselock.platform import keys
 
-_NOT_STARTED_HEADER: typing.Final = 'upstream-not-started'
 _PASSED_HEADERS: typing.Final = ('content-type', 'accept')
+_REPLAYED_HEADER: typing.Final = 'Primroselock-Replayed'
+_LONGEST_KEY: typing.Final = 255
+
+
+class _Refused(Exception):
+    """Ends a request before anything was sent."""
+
+    def __init__(self, answer: responses.Response) -> None:
+        super().__init__()
+        self.answer = answer
 
 
 class ServicesApi:
     """Handles ``POST /v1/services/{service}/{path}``."""
 
-    def __init__(self, shared: daemon.Daemon, router: routing.Router) -> None:
+    def __init__(
+        self,
+        shared: daemon.Daemon,
+        dispatcher: dispatch.Dispatcher,
+        keyed_requests: keyed.KeyedRequests,
+    ) -> None:
         self._shared = shared
         self._settings = shared.settings.gateway
-        self._router = router
+        self._dispatcher = dispatcher
+        self._keyed = keyed_requests
 
     async def handle(self, request: requests.Request) -> responses.Response:
         """Answer one request."""
+        started = clock.monotonic()
+        try:
+            work = await self._read_work(request, started)
+        except _Refused as refused:
+            return refused.answer
+        key = request.headers.get('idempotency-key')
+        if key is None:
+            outcome = await self._dispatcher.send(work)
+        else:
+            outcome = await self._send_keyed(work, key)
+        self._shared.metrics.count(_count_name(outcome))
+        self._shared.metrics.record(
+            'service_request', clock.monotonic() - started
+        )
+        return _to_answer(outcome)
+
+    async def _send_keyed(
+        self, work: dispatch.Work, key: str
+    ) -> dispatch.Outcome:
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        return await self._keyed.run(
+            keys.claim(work.account.name, digest),
+            keyed.digest_request(work.service.name, work.request),
+            work.deadline,
+            functools.partial(self._dispatcher.send, work),
+        )
+
+    async def _read_work(
+        self, request: requests.Request, started: float
+    ) -> dispatch.Work:
         current = self._shared.follower.current
         account = auth.find_account(request, current)
         if account is None:
-            return answers.error(401, 'unauthorized', 'unknown bearer token')
+            raise _refused(401, 'unauthorized', 'unknown bearer token')
         name = request.path_params['service']
         service = current.services_by_name.get(name)
         if service is None:
-            return answers.error(404, 'no-service', f'no service {name}')
-        timeout_s = self._timeout_s(request)
-        if timeout_s is None:
-            return answers.error(
-                400,
-                'bad-timeout',
-                'Primroselock-Timeout: expected seconds above 0 and at '
-                f'most {self._settings.max_timeout_s:g}',
-            )
-        body = await request.body()
-        if len(body) > service.max_body_bytes:
-            return answers.error(
-                413, 'too-large', f'at most {service.max_body_bytes} bytes'
-            )
-        upstream = self._router.choose(name, service.slots)
-        if upstream is None:
-            return answers.error(
-                503, 'no-upstream', 'no upstream is free', retry_after_s=1.0
-            )
+            raise _refused(404, 'no-service', f'no service {name}')
+        self._check_headers(request)
+        deadline = started + self._timeout_s(request)
+        body = await _read_body(request, service, deadline)
+        path = '/' + request.path_params['path']
+        if request.url.query:
+            path = f'{path}?{request.url.query}'
         passed = httplane.Request(
             'POST',
-            '/' + request.path_params['path'],
+            path,
             body,
             tuple(
                 (header, request.headers[header])
@@ -68,52 +106,112 @@
                 if header in request.headers
             ),
         )
-        upstream.running += 1
-        started = clock.monotonic()
-        try:
-            answer = await upstream.pool.exchange(passed, timeout_s)
-        finally:
-            upstream.running -= 1
-            taken_s = clock.monotonic() - started
-            self._shared.metrics.record('upstream_exchange', taken_s)
-        return _to_answer(answer)
-
-    def _timeout_s(self, request: requests.Request) -> float | None:
+        return dispatch.Work(
+            service, account, passed, _is_idempotent(request), deadline
+        )
+
+    def _check_headers(self, request: requests.Request) -> None:
+        size = sum(
+            len(name) + len(value) for name, value in request.headers.raw
+        )
+        if size > self._settings.max_header_bytes:
+            limit = self._settings.max_header_bytes
+            raise _refused(431, 'headers-too-large', f'at most {limit} bytes')
+        key = request.headers.get('idempotency-key')
+        if key is not None and not 0 < len(key) <= _LONGEST_KEY:
+            raise _refused(
+                400, 'bad-key', f'Idempotency-Key: 1 to {_LONGEST_KEY} long'
+            )
+
+    def _timeout_s(self, request: requests.Request) -> float:
         text = request.headers.get('primroselock-timeout')
         if text is None:
             return self._settings.default_timeout_s
         try:
             timeout_s = float(text)
         except ValueError:
-            return None
-        if math.isfinite(timeout_s) and (
-            0 < timeout_s <= self._settings.max_timeout_s
-        ):
+            timeout_s = math.nan
+        if 0 < timeout_s <= self._settings.max_timeout_s:
             return timeout_s
-        return None
+        raise _refused(
+            400,
+            'bad-timeout',
+            'Primroselock-Timeout: expected seconds above 0 and at '
+            f'most {self._settings.max_timeout_s:g}',
+        )
 
 
-def _to_answer(
-    answer: result.Result[httplane.Response, httplane.ExchangeError],
-) -> responses.Response:
-    if isinstance(answer, result.Err):
-        error = answer.err_value
-        if isinstance(error, httplane.NotSent):
-            return answers.error(
-                503, 'upstream-unreachable', error.detail, retry_after_s=1.0
-            )
+def _is_idempotent(request: requests.Request) -> bool:
+    text = request.headers.get('primroselock-idempotent', 'false').lower()
+    if text not in ('true', 'false'):
+        raise _refused(
+            400, 'bad-idempotent', 'Primroselock-Idempotent: true or false'
+        )
+    return text == 'true'
+
+
+async def _read_body(
+    request: requests.Request,
+    service: configuration.Service,
+    deadline: float,
+) -> bytes:
+    """Read the body; an oversized one is not read to its end."""
+    limit = service.max_body_bytes
+    declared = request.headers.get('content-length', '0')
+    too_large = _refused(413, 'too-large', f'at most {limit} bytes')
+    if declared.isdigit() and int(declared) > limit:
+        raise too_large
+    parts: list[bytes] = []
+    size = 0
+    try:
+        async with asyncio.timeout(deadline - clock.monotonic()):
+            async for part in request.stream():
+                parts.append(part)
+                size += len(part)
+                if size > limit:
+                    raise too_large
+    except TimeoutError:
+        raise _refused(408, 'body-late', 'the body did not come') from None
+    except requests.ClientDisconnect:
+        raise _refused(400, 'body-cut', 'the body was cut') from None
+    return b''.join(parts)
+
+
+def _refused(status: int, code: str, message: str) -> _Refused:
+    return _Refused(answers.error(status, code, message))
+
+
+def _count_name(outcome: dispatch.Outcome) -> str:
+    if isinstance(outcome, dispatch.Done):
+        return 'requests_done'
+    if isinstance(outcome, dispatch.NotRun):
+        return 'requests_not_run'
+    return 'requests_unknown'
+
+
+def _to_answer(outcome: dispatch.Outcome) -> responses.Response:
+    if isinstance(outcome, dispatch.NotRun):
         return answers.error(
-            502, 'answer-lost', error.detail, answers.Outcome.UNKNOWN
+            outcome.status,
+            outcome.code,
+            outcome.message,
+            retry_after_s=outcome.retry_after_s,
         )
-    response = answer.ok_value
-    if _NOT_STARTED_HEADER in response.headers_by_name:
+    if isinstance(outcome, dispatch.Unknown):
         return answers.error(
-            503, 'upstream-refused', 'the upstream refused', retry_after_s=1.0
+            504 if outcome.timed_out else 502,
+            outcome.code,
+            outcome.message,
+            answers.Outcome.UNKNOWN,
+            outcome.retry_after_s,
         )
-    content_type = response.headers_by_name.get('content-type')
+    response = outcome.response
+    headers = {answers.OUTCOME_HEADER: answers.Outcome.DONE.value}
+    if outcome.is_replay:
+        headers[_REPLAYED_HEADER] = 'true'
     return responses.Response(
         response.body,
         response.status,
-        {answers.OUTCOME_HEADER: answers.Outcome.DONE.value},
-        media_type=content_type,
+        headers,
+        media_type=response.headers_by_name.get('content-type'),
     )
--- /dev/null
+++ b/primroselock/test/testclaims.py
@@ -0,0 +1,305 @@
+"""A key runs at most once, whatever interleaves and whatever is lost."""
+
+import asyncio
+import dataclasses
+import typing
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import result
+
+from primroselock import claims
+from primroselock import clock
+from primroselock import dispatch
+from primroselock import groupcommit
+from primroselock import httplane
+from primroselock import keyed
+from primroselock.platform import table
+from standins import platform
+
+_FAULTS: typing.Final = ('none', 'lost_before', 'lost_after', 'down')
+_TTL_S: typing.Final = 100.0
+_FAR_S: typing.Final = 1e6
+_ROUNDS: typing.Final = 60
+
+
+class FaultyTable:
+    """A table in memory; each transaction takes the next fault."""
+
+    def __init__(self, store: platform.Store) -> None:
+        self.store = store
+        self.faults: list[str] = []
+        self.is_dead = False
+
+    async def _reach(self) -> None:
+        await asyncio.sleep(0)
+        if self.is_dead:
+            await asyncio.get_running_loop().create_future()
+
+    async def read(
+        self, keys: typing.Sequence[str]
+    ) -> result.Result[table.Rows, table.Unavailable]:
+        await self._reach()
+        rows = self.store.rows
+        return result.Ok({key: rows[key] for key in keys if key in rows})
+
+    async def scan(
+        self, prefix: str, after: str = '', limit: int = 1000
+    ) -> result.Result[list[table.Row], table.Unavailable]:
+        await self._reach()
+        return result.Ok(self.store.scan(prefix, after, limit))
+
+    async def transact(
+        self, transaction: table.Transaction
+    ) -> result.Result[table.Committed, table.TransactError]:
+        fault = self.faults.pop(0) if self.faults else 'none'
+        await self._reach()
+        if fault == 'down':
+            return result.Err(table.Unavailable('down'))
+        if fault == 'lost_before':
+            return result.Err(table.Unsettled('lost'))
+        failed = self.store.transact(transaction)
+        version = self.store.version
+        await self._reach()
+        if fault == 'lost_after':
+            return result.Err(table.Unsettled('lost'))
+        if failed:
+            return result.Err(table.Conflict(tuple(failed)))
+        return result.Ok(table.Committed(version))
+
+
+class Gateway:
+    """What one gateway has of claims."""
+
+    def __init__(self, store: platform.Store) -> None:
+        self.table = FaultyTable(store)
+        self.committer = groupcommit.GroupCommitter(self.table, 0.0)
+        self.claims = claims.ClaimStore(
+            self.table, self.committer, _TTL_S, 1000
+        )
+        self.keyed = keyed.KeyedRequests(self.claims)
+
+
+@dataclasses.dataclass(eq=False)
+class Call:
+    """One caller's request and what its upstream does with it."""
+
+    key: str
+    digest: str
+    gateway: Gateway
+    task: 'asyncio.Task[dispatch.Outcome] | None' = None
+    reply: 'asyncio.Future[dispatch.Outcome] | None' = None
+
+    async def send(self) -> dispatch.Outcome:
+        """Take the request as an upstream does."""
+        assert self.reply is None, 'sent twice'
+        self.reply = asyncio.get_running_loop().create_future()
+        return await self.reply
+
+    def may_have_run(self) -> bool:
+        """Whether the upstream got the request and did not refuse it."""
+        if self.reply is None:
+            return False
+        if not self.reply.done() or self.reply.cancelled():
+            return True
+        return not isinstance(self.reply.result(), dispatch.NotRun)
+
+
+def outcome_of(kind: str, call: Call) -> dispatch.Outcome:
+    """Return an upstream's outcome; an answer names its request."""
+    if kind == 'done':
+        body = f'{call.key} {call.digest}'.encode()
+        return dispatch.Done(httplane.Response(200, body, {}))
+    if kind == 'not_run':
+        return dispatch.NotRun('refused', '')
+    return dispatch.Unknown('lost', '')
+
+
+class ClaimMachine(stateful.RuleBasedStateMachine):
+    """Calls, replies, faults, kills and cancels in any order."""
+
+    calls = stateful.Bundle('calls')
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.store = platform.Store()
+        self.gateways = [Gateway(self.store), Gateway(self.store)]
+        self.all_calls: list[Call] = []
+
+    def settle(self, rounds: int = _ROUNDS) -> None:
+        """Let tasks go on for a while."""
+
+        async def go_on() -> None:
+            for _ in range(rounds):
+                await asyncio.sleep(0)
+
+        self.loop.run_until_complete(go_on())
+
+    @stateful.rule(
+        target=calls,
+        number=strategies.sampled_from([0, 1]),
+        key=strategies.sampled_from(['k', 'l']),
+        digest=strategies.sampled_from(['same', 'same', 'other']),
+        is_patient=strategies.booleans(),
+        rounds=strategies.integers(0, 30),
+    )
+    def start(
+        self, number: int, key: str, digest: str, is_patient: bool, rounds: int
+    ) -> Call:
+        gateway = self.gateways[number]
+        call = Call(key, digest, gateway)
+        deadline = clock.monotonic() + (_FAR_S if is_patient else -1.0)
+        call.task = self.loop.create_task(
+            gateway.keyed.run(key, digest, deadline, call.send)
+        )
+        self.all_calls.append(call)
+        self.settle(rounds)
+        return call
+
+    @stateful.rule(
+        call=calls, kind=strategies.sampled_from(['done', 'not_run', 'lost'])
+    )
+    def reply(self, call: Call, kind: str) -> None:
+        if call.reply is not None and not call.reply.done():
+            call.reply.set_result(outcome_of(kind, call))
+            self.settle()
+
+    @stateful.rule(
+        number=strategies.sampled_from([0, 1]),
+        faults=strategies.lists(strategies.sampled_from(_FAULTS), max_size=5),
+    )
+    def set_faults(self, number: int, faults: list[str]) -> None:
+        self.gateways[number].table.faults = faults
+
+    @stateful.rule(call=calls)
+    def cancel(self, call: Call) -> None:
+        assert call.task is not None
+        call.task.cancel()
+        self.settle()
+
+    @stateful.rule(number=strategies.sampled_from([0, 1]))
+    def kill(self, number: int) -> None:
+        killed = self.gateways[number]
+        killed.table.is_dead = True
+        for call in self.all_calls:
+            if call.gateway is killed and call.task is not None:
+                call.task.cancel()
+        self.gateways[number] = Gateway(self.store)
+        self.settle()
+
+    @stateful.rule(rounds=strategies.integers(1, 40))
+    def go_on(self, rounds: int) -> None:
+        self.settle(rounds)
+
+    @stateful.invariant()
+    def each_key_runs_at_most_once(self) -> None:
+        for key in ('k', 'l'):
+            ran = [
+                call
+                for call in self.all_calls
+                if call.key == key and call.may_have_run()
+            ]
+            assert len(ran) <= 1, ran
+
+    @stateful.invariant()
+    def callers_are_told_the_truth(self) -> None:
+        for call in self.all_calls:
+            assert call.task is not None
+            if not call.task.done() or call.task.cancelled():
+                continue
+            told = call.task.result()
+            if isinstance(told, dispatch.NotRun):
+                assert not call.may_have_run(), told
+            elif isinstance(told, dispatch.Done):
+                body = f'{call.key} {call.digest}'.encode()
+                assert told.response.body == body, told
+
+    def teardown(self) -> None:
+        left = asyncio.all_tasks(self.loop)
+        for task in left:
+            task.cancel()
+        if left:
+            self.loop.run_until_complete(asyncio.wait(left))
+        self.loop.close()
+
+
+ClaimMachineTest = ClaimMachine.TestCase
+ClaimMachineTest.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=30, deadline=None
+)
+
+
+class GroupCommitTest(unittest.IsolatedAsyncioTestCase):
+    """Many writes go into few transactions, each with its own result."""
+
+    def setUp(self) -> None:
+        self.store = platform.Store()
+        self.gateway = Gateway(self.store)
+
+    async def submit(
+        self, *keys: str
+    ) -> list[result.Result[table.Committed, table.TransactError]]:
+        """Insert every key at once."""
+        writes = [groupcommit.Write(key, table.ABSENT, b'v') for key in keys]
+        return list(
+            await asyncio.gather(
+                *(self.gateway.committer.submit(write) for write in writes)
+            )
+        )
+
+    async def test_conflict_does_not_fail_its_neighbours(self) -> None:
+        await self.submit('b')
+        told = await self.submit('a', 'b', 'c')
+        self.assertEqual(
+            [True, False, True], [isinstance(t, result.Ok) for t in told]
+        )
+
+    async def test_one_key_twice_at_once_is_inserted_once(self) -> None:
+        told = await self.submit('a', 'a', 'a')
+        self.assertEqual(1, sum(isinstance(t, result.Ok) for t in told))
+
+    async def test_writes_share_transactions(self) -> None:
+        await self.submit(*(f'k{number}' for number in range(200)))
+        # The first goes alone, since nothing else was waiting yet.
+        self.assertLessEqual(self.store.writes, 2)
+
+    async def test_reply_lost_after_commit_is_settled(self) -> None:
+        self.gateway.table.faults = ['lost_after']
+        told = await self.submit('a', 'b')
+        self.assertTrue(all(isinstance(t, result.Ok) for t in told))
+
+
+class ExpiryTest(unittest.IsolatedAsyncioTestCase):
+    """Rows expire after their time, and only then."""
+
+    def setUp(self) -> None:
+        self.gateway = Gateway(platform.Store())
+
+    async def test_expired_claim_gives_way_once(self) -> None:
+        store = self.gateway.claims
+        await store.claim('claim/k', 'd', 0.0)
+        young = await store.claim('claim/k', 'd', _TTL_S - 1)
+        self.assertIsInstance(young.unwrap(), claims.Taken)
+        both = await asyncio.gather(
+            store.claim('claim/k', 'd', _TTL_S + 1),
+            store.claim('claim/k', 'd', _TTL_S + 1),
+        )
+        held = [t for t in both if isinstance(t.unwrap(), claims.Held)]
+        self.assertEqual(1, len(held))
+
+    async def test_sweep_deletes_only_expired_rows(self) -> None:
+        store = self.gateway.claims
+        await store.claim('claim/old', 'd', 0.0)
+        await store.claim('claim/new', 'd', _TTL_S)
+        after = ''
+        for _ in range(3):
+            after = await store.delete_expired('claim/', after, 1, _TTL_S + 1)
+        rows = self.gateway.table.store.rows
+        self.assertEqual(['claim/new'], list(rows))
+
+
+if __name__ == '__main__':
+    unittest.main()
