--- a/primroselock/dispatch.py
+++ b/primroselock/dispatch.py
@@ -119,7 +119,11 @@
         """Refresh shares and give out turns until cancelled."""
         while True:
             now = clock.monotonic()
-            self._router.refresh(self._shared.follower.current, now)
+            self._router.refresh(
+                self._shared.follower.current,
+                self._shared.members.list_live(now),
+                now,
+            )
             for service, state in self._states_by_service.items():
                 self._give_turns(service, state)
             await asyncio.sleep(_PUMP_INTERVAL_S)
--- a/primroselock/gateway.py
+++ b/primroselock/gateway.py
@@ -24,12 +24,13 @@
 from primroselock import jobsapi
 from primroselock import keyed
 from primroselock import logs
-from primroselock.mesh import messages
+from primroselock import operatorsapi
 from primroselock import options
 from primroselock.platform import keys
 from primroselock import routing
 from primroselock import servicesapi
 
+_BACKLOG: typing.Final = 2048
 _SWEEP_PAGE_ROWS: typing.Final = 1000
 _log: typing.Final = logs.get('gateway')
 
@@ -69,22 +70,16 @@
         """Return what this gateway knows."""
         now = clock.monotonic()
         follower = self._shared.follower
-        beacons = self._shared.beacons_by_vm_id
+        version = follower.current.version
+        known = self._shared.confirmations(version, now)
         return answers.json_answer(
             {
                 'vm_id': self._shared.settings.process.vm_id,
                 'zone': self._shared.settings.process.zone,
-                'config_version': follower.current.version,
+                'config_version': version,
                 'config_age_s': round(follower.age_s(now), 3),
-                'peers': [
-                    {
-                        'vm_id': beacon.vm_id,
-                        'role': beacon.role,
-                        'zone': beacon.zone,
-                        'config_version': beacon.config_version,
-                    }
-                    for beacon in beacons.values()
-                ],
+                'zones': known.zones,
+                'peers': known.processes,
             }
         )
 
@@ -95,6 +90,7 @@
     """Return the application with all its routes."""
     jobs_api = jobsapi.JobsApi(shared)
     config = configapi.ConfigApi(shared)
+    operators = operatorsapi.OperatorsApi(shared)
     status = StatusApi(shared)
     table: list[tuple[str, str, typing.Any]] = [
         ('POST', '/v1/services/{service}/{path:path}', services.handle),
@@ -104,8 +100,14 @@
         ('DELETE', '/v1/jobs/{job_id}', jobs_api.cancel),
         ('POST', '/v1/config/patches', config.submit),
         ('GET', '/v1/config/patches', config.list_patches),
+        ('POST', '/v1/config/revert', config.revert),
+        ('GET', '/v1/config/diff', config.show_difference),
+        ('GET', '/v1/config/confirmations', config.confirmations),
         ('GET', '/v1/config', config.show),
         ('GET', '/v1/audit', config.list_audit),
+        ('GET', '/v1/operators/accounts', operators.list_accounts),
+        ('GET', '/v1/operators/jobs', operators.list_jobs),
+        ('GET', '/v1/operators/workers', operators.list_workers),
         ('GET', '/healthz', status.health),
         ('GET', '/readyz', status.ready),
         ('GET', '/v1/status', status.status),
@@ -185,11 +187,6 @@
         )
         self.keyed = keyed.KeyedRequests(self.claims)
         shared.add_vm_handler(self.router.record_vms)
-        shared.mesh.add_handler(self._hear)
-
-    def _hear(self, message: messages.Message) -> None:
-        if isinstance(message, messages.Beacon):
-            self.router.record_beacon(message, clock.monotonic())
 
     async def sweep(self, shared: daemon.Daemon) -> None:
         """Delete expired claims, a page at a time, until cancelled.
@@ -202,9 +199,9 @@
         while True:
             await asyncio.sleep(shared.settings.gateway.claim_sweep_interval_s)
             others = [
-                vm_id
-                for vm_id, beacon in shared.beacons_by_vm_id.items()
-                if beacon.role == 'gateway' and not beacon.leaving
+                heard.beacon.vm_id
+                for heard in shared.members.list_live(clock.monotonic())
+                if heard.beacon.role == 'gateway' and not heard.beacon.leaving
             ]
             if own_id == min([own_id, *others]):
                 after = await self.claims.delete_expired(
@@ -220,6 +217,8 @@
     accepted and what runs is finished.
     """
     listener = daemon.bind_socket(settings.gateway.bind)
+    # Connections that come before the server runs wait in the backlog.
+    listener.listen(_BACKLOG)
     shared = daemon.Daemon(settings, 'gateway')
     shared.install_signals()
     carried = _Requests(shared)
--- a/primroselock/jobstore.py
+++ b/primroselock/jobstore.py
@@ -10,6 +10,7 @@
 
 import result
 
+from primroselock import audit
 from primroselock import jobs
 from primroselock.platform import keys
 from primroselock.platform import table
@@ -72,16 +73,24 @@
         return result.Ok(row.value.decode() if row else None)
 
     async def request_cancel(
-        self, stored: Stored
+        self, stored: Stored, entry: audit.Entry | None = None
     ) -> result.Result[table.Committed, table.TransactError]:
-        """Mark a job as to be cancelled and tell its shard."""
+        """Mark a job as to be cancelled and tell its shard.
+
+        ``entry`` goes to the audit trail in the same transaction.
+        """
         job = dataclasses.replace(stored.job, cancel_requested=True)
+        token = table.new_token()
+        puts = [
+            table.Put(keys.job(job.id), jobs.encode(job)),
+            table.Put(keys.inbox(job.shard) + job.id, b'cancel'),
+        ]
+        if entry is not None:
+            puts.append(audit.build_put(entry, token))
         transaction = table.Transaction(
             (table.Condition(keys.job(job.id), stored.row_version),),
-            (
-                table.Put(keys.job(job.id), jobs.encode(job)),
-                table.Put(keys.inbox(job.shard) + job.id, b'cancel'),
-            ),
+            tuple(puts),
+            token=token,
         )
         return await table.transact_settled(self._store, transaction)
 
@@ -108,7 +117,7 @@
         if not page.ok_value:
             return result.Ok([])
         job_ids = [row.key.removeprefix(prefix) for row in page.ok_value]
-        loaded = await self._read_many(job_ids)
+        loaded = await self.read_many(job_ids)
         if isinstance(loaded, result.Err):
             return loaded
         puts = tuple(
@@ -130,21 +139,35 @@
             return outcome
         return loaded
 
-    async def write(
-        self, job: jobs.Job, row_version: int, epoch_row_version: int
+    async def write_many(
+        self,
+        shard: str,
+        written: list[Stored],
+        epoch_row_version: int,
     ) -> result.Result[table.Committed, table.TransactError]:
-        """Replace a job's row on behalf of the shard's holder."""
-        conditions = (
-            table.Condition(keys.job(job.id), row_version),
-            table.Condition(keys.shard_epoch(job.shard), epoch_row_version),
+        """Replace rows of jobs on behalf of the shard's holder.
+
+        Each entry names the version that its row must have now.  All
+        rows are written or none.
+        """
+        conditions = [
+            table.Condition(keys.job(entry.job.id), entry.row_version)
+            for entry in written
+        ]
+        conditions.append(
+            table.Condition(keys.shard_epoch(shard), epoch_row_version)
         )
-        deletes: tuple[str, ...] = ()
-        if job.state.is_final:
-            deletes = (keys.active(job.shard) + job.id,)
+        puts = [
+            table.Put(keys.job(entry.job.id), jobs.encode(entry.job))
+            for entry in written
+        ]
+        deletes = [
+            keys.active(shard) + entry.job.id
+            for entry in written
+            if entry.job.state.is_final
+        ]
         transaction = table.Transaction(
-            conditions,
-            (table.Put(keys.job(job.id), jobs.encode(job)),),
-            deletes,
+            tuple(conditions), tuple(puts), tuple(deletes)
         )
         return await table.transact_settled(self._store, transaction)
 
@@ -169,14 +192,15 @@
                 return result.Ok(found)
             after = page.ok_value[-1].key
             job_ids = [row.key.removeprefix(prefix) for row in page.ok_value]
-            loaded = await self._read_many(job_ids)
+            loaded = await self.read_many(job_ids)
             if isinstance(loaded, result.Err):
                 return loaded
             found.extend(loaded.ok_value)
 
-    async def _read_many(
+    async def read_many(
         self, job_ids: list[str]
     ) -> result.Result[list[Stored], table.Unavailable]:
+        """Return the jobs that exist among ``job_ids``."""
         read = await self._store.read([keys.job(job_id) for job_id in job_ids])
         if isinstance(read, result.Err):
             return read
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -10,11 +10,16 @@
 import typing
 
 import result
+import zmq
 
 from primroselock import errors
 from primroselock import ini
 
 
+HEARTBEATS_IN_WINDOW: typing.Final = 3
+"""Heartbeat intervals after which a worker counts as silent."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProcessSettings:
     """Who this process is."""
@@ -41,8 +46,10 @@
     bind: str = ini.key('address', '127.0.0.1:0')
     peers: tuple[str, ...] = ini.key('addresses', ())
     beacon_interval_s: float = ini.key('seconds', 0.5)
-    public_key: str = ini.key('text', '')
-    secret_key: str = ini.key('text', '')
+    peer_expiry_s: float = ini.key('seconds', 2.5)
+    max_peers: int = ini.key('positive', 16)
+    public_key: str = ini.key('curve_key', '')
+    secret_key: str = ini.key('curve_key', '')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +57,8 @@
     """How the configuration is followed and when it permits starts."""
 
     poll_interval_s: float = ini.key('seconds', 0.5)
+    poller_rotation_s: float = ini.key('seconds', 30.0)
+    cold_start_wait_s: float = ini.key('seconds', 2.0)
     start_permit_ttl_s: float = ini.key('seconds', 3.0)
 
 
@@ -98,6 +107,47 @@
     checkpoint_grace_s: float = ini.key('seconds', 1.0)
     freeze_gap_s: float = ini.key('seconds', 1.0)
 
+    @property
+    def heartbeat_window_s(self) -> float:
+        """Return how old a worker's last word may be for a renewal."""
+        return self.heartbeat_interval_s * HEARTBEATS_IN_WINDOW
+
+    @property
+    def partial_run_s(self) -> float:
+        """Return how long members may run after one of them ended.
+
+        The last renewal is decided within the heartbeat window after the
+        ended member was last heard, and ends a task lease after that.
+        """
+        return self.heartbeat_window_s + self.task_lease_s
+
+    @property
+    def lease_lapse_s(self) -> float:
+        """Return after which time no lease granted before still holds.
+
+        An earlier holder of the shard may renew until the next exchange
+        with a worker that has heard of the new holder.
+        """
+        overlap_s = self.heartbeat_interval_s + self.worker_timeout_s
+        return self.task_lease_s + overlap_s
+
+    @property
+    def takeover_s(self) -> float:
+        """Return the longest time without renewals around a takeover.
+
+        From the last renewal of a holder that died to the first of the
+        next: the last heartbeat, a standby's two polls around the shard
+        lease, the load of the jobs, and one exchange that is heard.
+        """
+        return (
+            self.heartbeat_interval_s
+            + self.shard_lease_s
+            + self.shard_renew_interval_s * 2
+            + self.job_poll_interval_s
+            + self.tick_interval_s * 2
+            + self.worker_timeout_s
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
@@ -155,7 +205,7 @@
 ) -> list[ini.Problem]:
     """Check the rules that hold between several keys."""
     scheduler: SchedulerSettings = built['scheduler']
-    problems: list[ini.Problem] = []
+    problems = _check_mesh(built['mesh'], source)
     gateway: GatewaySettings = built['gateway']
     if gateway.claim_ttl_s < gateway.max_timeout_s * 2:
         problems.append(
@@ -197,6 +247,42 @@
                 'at most a third of task_lease_s',
             )
         )
+    longest_s = scheduler.takeover_s + built['platform'].timeout_s
+    if scheduler.task_lease_s < longest_s:
+        problems.append(
+            ini.Problem(
+                source,
+                'scheduler',
+                'task_lease_s',
+                str(scheduler.task_lease_s),
+                f'at least {longest_s:g}, so that tasks outlive a takeover',
+            )
+        )
+    return problems
+
+
+def _check_mesh(mesh: MeshSettings, source: str) -> list[ini.Problem]:
+    problems: list[ini.Problem] = []
+    if mesh.beacon_interval_s * 3 > mesh.peer_expiry_s:
+        problems.append(
+            ini.Problem(
+                source,
+                'mesh',
+                'beacon_interval_s',
+                str(mesh.beacon_interval_s),
+                'at most a third of peer_expiry_s',
+            )
+        )
+    public_key = ''
+    if mesh.secret_key:
+        public_key = zmq.curve_public(mesh.secret_key.encode()).decode()
+    if mesh.public_key != public_key:
+        expected = 'the public key of secret_key, or neither key'
+        problems.append(
+            ini.Problem(
+                source, 'mesh', 'public_key', mesh.public_key, expected
+            )
+        )
     return problems
 
 
--- a/primroselock/routing.py
+++ b/primroselock/routing.py
@@ -15,12 +15,11 @@
 from primroselock import configuration
 from primroselock import ejection
 from primroselock import httplane
-from primroselock.mesh import messages
+from primroselock.mesh import membership
 from primroselock import options
 from primroselock.platform import vmlist
 from primroselock import shares
 
-_BEACONS_MISSED: typing.Final = 4
 _FULL_PAUSE_S: typing.Final = 0.05
 _LEAVING_PAUSE_S: typing.Final = 5.0
 _MOST_EJECTED_FRACTION: typing.Final = 0.5
@@ -74,12 +73,6 @@
     return first if first.load <= second.load else second
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Peer:
-    beacon: messages.Beacon
-    heard_at: float
-
-
 class Router:
     """The upstreams of every service, from the VM list and beacons."""
 
@@ -91,11 +84,9 @@
     ) -> None:
         self._vm_id = settings.process.vm_id
         self._zone = settings.process.zone
-        self._beacon_age_s = settings.mesh.beacon_interval_s * _BEACONS_MISSED
         self._choose = choosers_by_name[settings.gateway.upstream_choice]
         self._generator = generator
         self._slots_by_upstream = slots_by_upstream
-        self._peers_by_vm_id: dict[str, _Peer] = {}
         self._listed_gateways: dict[str, str] = {}
         self._zones_of_gateways: list[str] = [self._zone]
         self._retired: list[Upstream] = []
@@ -136,32 +127,29 @@
                 return upstream
         return Upstream(vm, httplane.LanePool(vm.address, limit=0))
 
-    def record_beacon(self, beacon: messages.Beacon, now: float) -> None:
-        """Note another gateway and its use of slots."""
-        if beacon.role == 'gateway' and beacon.vm_id != self._vm_id:
-            self._peers_by_vm_id[beacon.vm_id] = _Peer(beacon, now)
-
     def refresh(
-        self, current: configuration.Configuration, now: float
+        self,
+        current: configuration.Configuration,
+        heard: abc.Iterable[membership.Heard],
+        now: float,
     ) -> None:
-        """Derive shares from what was heard; close what is not needed."""
-        self._peers_by_vm_id = {
-            vm_id: peer
-            for vm_id, peer in self._peers_by_vm_id.items()
-            if now - peer.heard_at <= self._beacon_age_s
-        }
+        """Derive shares from live processes; close what is not needed."""
+        beacons = [
+            one.beacon
+            for one in heard
+            if one.beacon.role == 'gateway' and one.beacon.vm_id != self._vm_id
+        ]
         zones_by_vm_id = dict(self._listed_gateways)
-        for vm_id, peer in self._peers_by_vm_id.items():
-            if peer.beacon.leaving:
-                zones_by_vm_id.pop(vm_id, None)
+        for beacon in beacons:
+            if beacon.leaving:
+                zones_by_vm_id.pop(beacon.vm_id, None)
             else:
-                zones_by_vm_id[vm_id] = peer.beacon.zone
+                zones_by_vm_id[beacon.vm_id] = beacon.zone
         zones_by_vm_id[self._vm_id] = self._zone
         self._zones_of_gateways = list(zones_by_vm_id.values())
         for vm_id, upstream in self.upstreams_by_id.items():
             upstream.used_by_others = sum(
-                peer.beacon.slots_by_upstream.get(vm_id, 0)
-                for peer in self._peers_by_vm_id.values()
+                beacon.slots_by_upstream.get(vm_id, 0) for beacon in beacons
             )
             service = current.services_by_name.get(upstream.vm.service)
             if service is not None:
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -15,6 +15,7 @@
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((host, int(port)))
+    listener.listen()
     listener.setblocking(False)
     return listener
 
