Slopes: points at the load that was reached, and the client

The patch part plotted against the rate asked for; patches are sent one after the other, so at 8 a second the gateway fell behind and the fit of table writes gave 0.46 a patch where one is written. Ruled out: more senders, since racing patches conflict.

--- a/tools/slopes/__main__.py
+++ b/tools/slopes/__main__.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from tools.slopes import clients
 from tools.slopes import codecs
 from tools.slopes import decisions
 from tools.slopes import fits
@@ -18,7 +19,15 @@
 from tools.slopes import records
 from tools.slopes import registry
 
-_PARTS: typing.Final = (codecs, decisions, gateways, holder, meshes, records)
+_PARTS: typing.Final = (
+    clients,
+    codecs,
+    decisions,
+    gateways,
+    holder,
+    meshes,
+    records,
+)
 _DEFAULT_WINDOW_S: typing.Final = 3.0
 
 
--- a/tools/slopes/bench.py
+++ b/tools/slopes/bench.py
@@ -26,8 +26,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rates:
-    """What one process used a second within a window, and its memory."""
+    """What one process used a second within a window, and its memory.
 
+    ``load`` is how many calls of the load were accepted a second.
+    """
+
+    load: float
     cpu: float
     rss_mb: float
     table_bytes: float
@@ -38,6 +42,10 @@
     link_chunks: float = 0.0
 
 
+Load = abc.Callable[[float], int]
+"""Runs for a window in seconds; returns how many calls were accepted."""
+
+
 class Bench:
     """One zone with a gateway; parts start what else they measure."""
 
@@ -119,17 +127,16 @@
         """Let a change reach every process."""
         time.sleep(_SETTLE_S)
 
-    def measure(
-        self, name: str, load: abc.Callable[[float], None] | None = None
-    ) -> Rates:
+    def measure(self, name: str, load: Load | None = None) -> Rates:
         """Return what a process uses while ``load`` runs for a window."""
         pid = self.cluster.processes_by_name[name].pid
         wire = self.platform_relays[name]
         before, began = self._totals(pid, wire), time.monotonic()
+        accepted = 0
         if load is None:
             time.sleep(self.window_s)
         else:
-            load(self.window_s)
+            accepted = load(self.window_s)
         taken_s = time.monotonic() - began
         after = self._totals(pid, wire)
         cpu, *rest = (
@@ -137,7 +144,7 @@
             for new, old in zip(after, before, strict=True)
         )
         rss_mb = processes.read_usage(pid).rss_bytes / 1e6
-        return Rates(cpu, rss_mb, *rest)
+        return Rates(accepted / taken_s, cpu, rss_mb, *rest)
 
     def _totals(self, pid: int, wire: relay.Relay) -> tuple[float, ...]:
         return (
--- a/tools/slopes/gateways.py
+++ b/tools/slopes/gateways.py
@@ -66,14 +66,14 @@
     path: str,
     rate: float,
     make_body: abc.Callable[[], bytes],
-) -> abc.Callable[[float], None]:
+) -> bench.Load:
     """Return a load of ``rate`` requests a second from a few senders.
 
     It fails where not every request is accepted.
     """
     address = run.cluster.addresses_by_name['gateway-a']
 
-    def load(window_s: float) -> None:
+    def load(window_s: float) -> int:
         senders = [Sender(address, path, make_body) for _ in range(_SENDERS)]
         with concurrent.futures.ThreadPoolExecutor(_SENDERS) as pool:
             share = rate / _SENDERS
@@ -82,6 +82,7 @@
         expected = _SENDERS * int(rate / _SENDERS * window_s)
         if accepted < expected:
             raise RuntimeError(f'{path}: {accepted} of {expected} accepted')
+        return accepted
 
     return load
 
@@ -105,7 +106,8 @@
             load = load_at(
                 run, '/v1/services/quote-desk/reprice', rate, lambda: _BODY
             )
-            points.append((rate, run.measure('gateway-a', load)))
+            rates = run.measure('gateway-a', load)
+            points.append((rates.load, rates))
     return registry.fit_rates('gateway.request', 'request/s', points, _RATES)
 
 
@@ -117,7 +119,8 @@
         points: list[tuple[float, bench.Rates]] = []
         for rate in _JOB_RATES:
             load = load_at(run, '/v1/jobs', rate, lambda: body)
-            points.append((rate, run.measure('gateway-a', load)))
+            rates = run.measure('gateway-a', load)
+            points.append((rates.load, rates))
     return registry.fit_rates('gateway.job', 'job/s', points, _RATES)
 
 
@@ -127,25 +130,26 @@
     with bench.Bench(window_s) as run:
         points: list[tuple[float, bench.Rates]] = []
         for rate in _PATCH_RATES:
-            load = _patch_load(run, rate)
-            points.append((rate, run.measure('gateway-a', load)))
+            rates = run.measure('gateway-a', _patch_load(run, rate))
+            points.append((rates.load, rates))
     return registry.fit_rates('gateway.patch', 'patch/s', points, _RATES)
 
 
-def _patch_load(run: bench.Bench, rate: float) -> abc.Callable[[float], None]:
-    def load(window_s: float) -> None:
+def _patch_load(run: bench.Bench, rate: float) -> bench.Load:
+    def load(window_s: float) -> int:
         began = time.monotonic()
-        version = 1
-        for index in range(int(rate * window_s)):
+        total = int(rate * window_s)
+        base = None
+        for index in range(total):
             pause_s = began + index / rate - time.monotonic()
             time.sleep(max(0.0, pause_s))
             text = f'[service slope]\nqueue = {index + 1}\n'
-            base = None if index == 0 else version
             answer = run.cluster.submit_patch('gateway-a', text, base)
             if answer.status != 201:
                 raise RuntimeError(f'a patch is refused: {answer}')
-            version = answer.json()['version']
+            base = answer.json()['version']
         time.sleep(max(0.0, began + window_s - time.monotonic()))
+        return total
 
     return load
 
