--- a/tools/slopes/meshes.py
+++ b/tools/slopes/meshes.py
@@ -12,7 +12,7 @@
 from tools.slopes import registry
 from tools.slopes import relay
 
-_PEER_COUNTS: typing.Final = (4, 8, 16, 32)
+_PEER_COUNTS: typing.Final = (4, 8, 12, 16)
 _BEACON_INTERVAL_S: typing.Final = 0.5
 _UPSTREAMS: typing.Final = 24
 
--- a/tools/slopes/records.py
+++ b/tools/slopes/records.py
@@ -27,10 +27,11 @@
 _ZONES: typing.Final = ('a1', 'a2', 'b1', 'b2', 'c1', 'c2')
 
 
-class MemoryTable:
-    """A table in memory that counts calls, rows and bytes read."""
+class MemoryStore:
+    """A store in memory that counts calls, rows and bytes read."""
 
     def __init__(self) -> None:
+        self.objects_by_name: dict[str, bytes] = {}
         self.rows_by_key: dict[str, table.Row] = {}
         self.version = 0
         self.read_calls = 0
@@ -79,6 +80,19 @@
             self.rows_by_key.pop(key, None)
         return result.Ok(table.Committed(self.version))
 
+    async def put_object(
+        self, name: str, body: bytes
+    ) -> result.Result[None, table.Unavailable]:
+        """Store ``body`` under ``name``."""
+        self.objects_by_name[name] = body
+        return result.Ok(None)
+
+    async def get_object(
+        self, name: str
+    ) -> result.Result[bytes | None, table.Unavailable]:
+        """Return the object ``name``."""
+        return result.Ok(self.objects_by_name.get(name))
+
 
 def build_running_job(number: int, members: int) -> jobs.Job:
     """Return a job whose attempt is committed on ``members`` workers."""
@@ -117,7 +131,7 @@
 async def _measure_recovery() -> list[fits.Fit]:
     calls, rows, sizes = [], [], []
     for count in _JOB_COUNTS:
-        store = MemoryTable()
+        store = MemoryStore()
         jobs_in_table = jobstore.JobStore(store)
         for number in range(count):
             await jobs_in_table.submit(build_running_job(number, 28))
@@ -172,7 +186,7 @@
 async def _measure_patches() -> list[fits.Fit]:
     """Read on from a known version over growing numbers of patches."""
     rows, sizes = [], []
-    store = MemoryTable()
+    store = MemoryStore()
     first = configuration.to_text(build_sections(10))
     submissions = [first] + [
         f'[account team-1]\nweight = {n}\n' for n in range(1, 42)
@@ -182,8 +196,8 @@
         (await patches.submit(store, submission, 1e9 + version)).unwrap()
     for count in _PATCH_COUNTS:
         store.read_calls = store.rows_read = store.bytes_read = 0
-        known = patches.Content(42 - count, {}, table.ABSENT)
-        (await patches.load_content(store, known)).unwrap()
+        known = patches.Content(42 - count, {})
+        (await patches.load_present(store, known)).unwrap()
         rows.append((count, store.rows_read))
         sizes.append((count, store.bytes_read))
     return [
