A status port for schedulers; metrics of rounds and exchanges

A scheduler could be seen only through its beacons. It now has a small HTTP port (scheduler.status_bind) with health, status (shard, epoch, workers heard, attempts, waiting jobs, whether it may start tasks) and metrics with percentiles of decision rounds and worker exchanges. Ruled out: histograms in beacons, whose bytes are bounded to a few KB a second, and passing them on through gateways, which would need a protocol of its own. The server that leaves signals to the daemon stands in one module for both daemons.

--- a/primroselock/gateway.py
+++ b/primroselock/gateway.py
@@ -1,8 +1,6 @@
 """The gateway daemon: HTTP for callers and operators."""
 
 import asyncio
-from collections import abc
-import contextlib
 import random
 import typing
 
@@ -10,12 +8,12 @@
 from starlette import requests
 from starlette import responses
 from starlette import routing as paths
-import uvicorn
 
 from primroselock import answers
 from primroselock import clock
 from primroselock import configapi
 from primroselock import daemon
+from primroselock import httpserver
 from primroselock import jobsapi
 from primroselock import logs
 from primroselock import operatorsapi
@@ -26,15 +24,6 @@
 _log: typing.Final = logs.get('gateway')
 
 
-class _Server(uvicorn.Server):
-    """A server that leaves signals to the daemon."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> abc.Generator[None, None, None]:
-        """Install no signal handler."""
-        yield
-
-
 class StatusApi:
     """Health, readiness and status."""
 
@@ -120,17 +109,8 @@
     shared.install_signals()
     router = routing.Router(settings, random.Random(shared.incarnation))
     shared.add_vm_handler(router.record_vms)
-    server = _Server(
-        uvicorn.Config(
-            build_app(shared, router),
-            loop='asyncio',
-            http='httptools',
-            ws='none',
-            lifespan='off',
-            log_config=None,
-            access_log=False,
-            timeout_graceful_shutdown=int(settings.gateway.shutdown_grace_s),
-        )
+    server = httpserver.build(
+        build_app(shared, router), settings.gateway.shutdown_grace_s
     )
     _log.info(
         'listening',
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -78,6 +78,7 @@
 class SchedulerSettings:
     """Leases and intervals of the scheduler."""
 
+    status_bind: str = ini.key('address', '127.0.0.1:0')
     placement: str = ini.key('name', 'best_buddy')
     queue_order: str = ini.key('name', 'shortest_remaining')
     tick_interval_s: float = ini.key('seconds', 0.1)
--- a/primroselock/scheduler.py
+++ b/primroselock/scheduler.py
@@ -19,6 +19,7 @@
 from primroselock.decisions import commands
 from primroselock.decisions import controllers
 from primroselock.decisions import registry
+from primroselock import httpserver
 from primroselock import jobstore
 from primroselock import jobwriter
 from primroselock import logs
@@ -26,6 +27,7 @@
 from primroselock import options
 from primroselock.platform import vmlist
 from primroselock import shards
+from primroselock import statusport
 from primroselock.workers import channels
 from primroselock.workers import link
 from primroselock.workers import protocol
@@ -33,6 +35,7 @@
 _log: typing.Final = logs.get('scheduler')
 _CONTROLLERS: typing.Final = controllers.__all__
 _MIN_ROUND_INTERVAL_S: typing.Final = 0.01
+_STATUS_GRACE_S: typing.Final = 1.0
 
 
 class ShardRunner:
@@ -74,6 +77,30 @@
             self._end_heartbeats()
             await self.link.aclose()
 
+    def describe(self) -> dict[str, typing.Any]:
+        """Return what operators are told of this scheduler."""
+        now = clock.monotonic()
+        process = self.settings.process
+        follower = self.shared.follower
+        workers = self.board.workers_by_id.values()
+        heard = [view for view in workers if view.report is not None]
+        attempts = self.board.attempts_by_job_id.keys()
+        waiting = self.board.jobs_by_id.keys() - attempts
+        return {
+            'vm_id': process.vm_id,
+            'zone': process.zone,
+            'shard': self.lease.shard,
+            'holds_shard': self.lease.holds(now),
+            'epoch': self.lease.epoch,
+            'config_version': follower.current.version,
+            'config_age_s': round(follower.age_s(now), 3),
+            'may_start_tasks': now < self.board.permit_until,
+            'workers': len(workers),
+            'workers_heard': len(heard),
+            'attempts': len(attempts),
+            'waiting_jobs': len(waiting),
+        }
+
     async def leave(self) -> None:
         """Give up the shard, so that a standby need not wait."""
         await self.lease.release()
@@ -161,7 +188,10 @@
         self.board.permit_until = min(
             self.shared.follower.permit_until(), self.lease.valid_until
         )
-        for command in registry.run_round(self.board, self.settings, now):
+        decided = registry.run_round(self.board, self.settings, now)
+        taken_s = clock.monotonic() - now
+        self.shared.metrics.record('decision_round', taken_s)
+        for command in decided:
             if isinstance(command, commands.SendToWorker):
                 channel = self.channels_by_id.get(command.worker_id)
                 if channel is not None:
@@ -232,15 +262,18 @@
             answer = await self.link.exchange(channel.vm.address, batch)
         finally:
             channel.settle()
+        heard_at = clock.monotonic()
+        self.shared.metrics.record('worker_exchange', heard_at - sent_at)
         if isinstance(answer, result.Ok):
             report = answer.ok_value
-            board.record_report(report, sent_at, clock.monotonic())
+            board.record_report(report, sent_at, heard_at)
             _log_refusals(report)
             if batch.commands:
                 self._round.set()
         elif isinstance(answer.err_value, link.StaleEpoch):
             self.lease.drop('a worker knows a newer epoch')
         else:
+            self.shared.metrics.count('worker_exchange_lost')
             await self._pause_after_loss(batch, sent_at)
 
     def _build_batch(
@@ -287,15 +320,26 @@
 
 async def run(settings: options.Settings) -> None:
     """Run the scheduler until it is told to leave."""
+    listener = daemon.bind_socket(settings.scheduler.status_bind)
     shared = daemon.Daemon(settings, 'scheduler')
     shared.install_signals()
     runner = ShardRunner(shared, settings.process.zone)
-    _log.info('listening', role='scheduler', mesh=shared.mesh.address)
+    port = statusport.StatusPort(shared, runner.describe)
+    server = httpserver.build(port.build_app(), _STATUS_GRACE_S)
+    _log.info(
+        'listening',
+        role='scheduler',
+        mesh=shared.mesh.address,
+        status=daemon.bound_address(listener),
+    )
     async with asyncio.TaskGroup() as group:
         loops = shared.start_loops(group)
         loops.append(group.create_task(runner.run()))
+        serving = group.create_task(server.serve([listener]))
         await shared.stopping.wait()
         await runner.leave()
+        server.should_exit = True
+        await serving
         for loop in loops:
             loop.cancel()
     await shared.aclose()
--- /dev/null
+++ b/primroselock/statusport.py
@@ -0,0 +1,45 @@
+"""A scheduler's own small HTTP port: health, status and metrics.
+
+Beacons cannot carry this, since their bytes are bounded; a port costs
+nothing while nobody asks.  It only reads, and tells no secrets.
+"""
+
+from collections import abc
+import typing
+
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing as paths
+
+from primroselock import answers
+from primroselock import daemon
+
+Describe = abc.Callable[[], dict[str, typing.Any]]
+
+
+class StatusPort:
+    """Serves what ``describe`` returns, and the daemon's metrics."""
+
+    def __init__(self, shared: daemon.Daemon, describe: Describe) -> None:
+        self._shared = shared
+        self._describe = describe
+
+    def build_app(self) -> applications.Starlette:
+        """Return the application of the port."""
+        return applications.Starlette(
+            routes=[
+                paths.Route('/healthz', self._health),
+                paths.Route('/v1/status', self._status),
+                paths.Route('/v1/metrics', self._metrics),
+            ]
+        )
+
+    async def _health(self, request: requests.Request) -> responses.Response:
+        return answers.json_answer({'state': 'live'})
+
+    async def _status(self, request: requests.Request) -> responses.Response:
+        return answers.json_answer(self._describe())
+
+    async def _metrics(self, request: requests.Request) -> responses.Response:
+        return answers.json_answer(self._shared.metrics.snapshot())
--- a/primroselock/test/testclient.py
+++ b/primroselock/test/testclient.py
@@ -147,6 +147,37 @@
                 code, out, err = run_client(*words)
                 self.assertEqual(errors.ExitCode.DONE, code, err)
 
+    def test_revert_restores_what_diff_shows(self) -> None:
+        before = run_client('patch', 'show')[1].splitlines()
+        old = int(before[0].removeprefix('; version '))
+        _, out, _ = self.submit('[service desk]\nslots = 3\n')
+        new = json.loads(out)['version']
+        code, out, err = run_client('patch', 'diff', str(new), str(old))
+        self.assertEqual(errors.ExitCode.DONE, code, err)
+        self.assertIn('[service desk]\nremove = true', out)
+        code, out, err = run_client('patch', 'revert', str(old), '--wait')
+        self.assertEqual(errors.ExitCode.DONE, code, err)
+        self.assertEqual(
+            before[1:], run_client('patch', 'show')[1].splitlines()[1:]
+        )
+
+    def test_wait_names_who_is_silent(self) -> None:
+        self.cluster.addresses_by_name['gateway-gone'] = ''
+        self.cluster.list_vm('gateway-gone', 'gateway', 'b')
+        launch.wait_for(
+            lambda: 'gateway-gone' in run_client('status')[1],
+            'the silent gateway is listed',
+        )
+        code, out, err = self.submit('[service desk]\nslots = 4\n', '--wait')
+        self.cluster.platform_call('/admin/vms', {'remove': ['gateway-gone']})
+        self.assertEqual(errors.ExitCode.UNREACHABLE, code)
+        self.assertIn('gateway gateway-gone in b (silent)', err)
+        self.assertIn('version', json.loads(out))
+        launch.wait_for(
+            lambda: 'gateway-gone' not in run_client('status')[1],
+            'the silent gateway is no longer listed',
+        )
+
     def lists_worker(self) -> bool:
         """Whether the one worker is listed as idle."""
         code, out, _ = run_client('worker', 'list', '--output', 'json')
--- /dev/null
+++ b/tools/capacity/__main__.py
@@ -0,0 +1,257 @@
+"""Command line: prints the tables of docs/CAPACITY.md."""
+
+import argparse
+import math
+import pathlib
+import sys
+import typing
+
+from tools.capacity import model
+from tools.capacity import sizes
+
+_SHARE: typing.Final = 0.5
+"""Share of a node's budget that the worker link may take."""
+_URGENT_S: typing.Final = 1.6
+_ROUNDS_TO_START: typing.Final = 3
+_WRITES_A_JOB: typing.Final = 4
+_REPLAY_PATCHES: typing.Final = 25
+"""Patches after the last snapshot, on average."""
+
+
+def number(value: float) -> str:
+    """Return ``value`` with three significant digits."""
+    if value == 0:
+        return '0'
+    if abs(value) >= 1000:
+        return f'{float(f"{value:.3g}"):,.0f}'
+    return f'{value:.3g}'
+
+
+def table(head: list[str], rows: list[list[str]]) -> str:
+    """Return a Markdown table."""
+    lines = [head, ['---'] * len(head), *rows]
+    return '\n'.join('| ' + ' | '.join(line) + ' |' for line in lines) + '\n'
+
+
+def verdict(value: float, limit: float) -> str:
+    """Return a value, and how many times the limit it is where above."""
+    if value <= limit:
+        return number(value)
+    return f'**{number(value)}** ({number(value / limit)} x)'
+
+
+def cost_row(role: str, cost: model.Cost) -> list[str]:
+    """Return one line of the table of roles."""
+    return [
+        role,
+        verdict(cost.cpu * 100, sizes.NODE_CPU * 100),
+        verdict(cost.rss_mb, sizes.NODE_MB),
+        number(cost.link_bytes),
+        number(cost.table_bytes),
+        number(cost.mesh_bytes),
+        verdict(cost.total_bytes, sizes.NODE_BYTES_S),
+        number(cost.reads),
+        number(cost.writes),
+    ]
+
+
+def print_roles(slopes: model.Slopes, size: sizes.Size) -> None:
+    """Print what each role spends with one shard a zone."""
+    holder = model.holder_cost(
+        slopes,
+        size,
+        size.zone_workers,
+        size.tasks / size.zones,
+        size.waiting_jobs / size.zones,
+    )
+    print(f'### {size.name}: one shard a zone\n')
+    print(
+        table(
+            [
+                'role',
+                '% of a core',
+                'MB',
+                'worker link B/s',
+                'table B/s',
+                'mesh B/s',
+                'all B/s',
+                'reads/s',
+                'writes/s',
+            ],
+            [
+                cost_row('shard holder', holder),
+                cost_row('standby', model.standby_cost(slopes, size)),
+                cost_row('gateway', model.gateway_cost(slopes, size)),
+            ],
+        )
+    )
+
+
+def print_ways(slopes: model.Slopes, size: sizes.Size) -> None:
+    """Print shards that follow from each way to carry the link."""
+    rows = []
+    for way in model.link_ways(slopes, size):
+        by_bytes = way.workers_by_bytes(_SHARE)
+        by_cpu = way.workers_by_cpu(_SHARE)
+        limit = min(by_bytes, by_cpu)
+        shards = math.ceil(size.zone_workers / limit) * size.zones
+        rows.append(
+            [
+                way.name,
+                number(way.worker_bytes_s),
+                number(by_bytes),
+                number(by_cpu),
+                number(shards),
+                number(way.interval_s * 3),
+            ]
+        )
+    print(f'### {size.name}: shards that follow from the worker link\n')
+    print(
+        table(
+            [
+                'way',
+                'B/s a worker',
+                'workers a holder by bytes',
+                'by processor',
+                'shards',
+                'silent worker seen after s',
+            ],
+            rows,
+        )
+    )
+
+
+def print_platform(slopes: model.Slopes, size: sizes.Size) -> None:
+    """Print calls a second on the table, by who makes them."""
+    holder = model.holder_cost(slopes, size, 0, 0, 0)
+    standby = model.standby_cost(slopes, size)
+    gateway = model.gateway_cost(slopes, size)
+    standbys = max(0, size.entry_vms - size.zones)
+    jobs_s = size.jobs_a_day / sizes.DAY_S
+    patches_s = size.patches_a_day / sizes.DAY_S
+    patch_reads = slopes.slope('gateway.patch.table_reads') * patches_s
+    lines = {
+        'shard holders': (size.zones, holder.reads, holder.writes),
+        'standbys': (standbys, standby.reads, standby.writes),
+        'gateways': (size.entry_vms, gateway.reads, 0.0),
+        'jobs (submit, accept, commit, end)': (
+            1,
+            0.0,
+            _WRITES_A_JOB * jobs_s,
+        ),
+        'patches, at the submitting gateway': (1, patch_reads, patches_s),
+        'patches, read by every process': (size.processes, patches_s, 0.0),
+    }
+    rows = [
+        [name, str(count), number(count * reads), number(count * writes)]
+        for name, (count, reads, writes) in lines.items()
+    ]
+    reads = sum(count * reads for count, reads, _ in lines.values())
+    writes = sum(count * writes for count, _, writes in lines.values())
+    rows.append(
+        [
+            'all, of 2,000 reads and 300 writes',
+            '',
+            verdict(reads, sizes.TABLE_READS_S),
+            verdict(writes, sizes.TABLE_WRITES_S),
+        ]
+    )
+    print(f'### {size.name}: calls on the table\n')
+    print(table(['who', 'count', 'reads/s', 'writes/s'], rows))
+
+
+def print_points(slopes: model.Slopes, size: sizes.Size) -> None:
+    """Print the single points of the plan, each with its sum."""
+    zone_jobs = size.active_jobs / size.zones
+    row_bytes = slopes.at('row.job', size.members)
+    rows = slopes.slope('recovery.rows') * zone_jobs
+    round_s = slopes.slope('round.running_task.cpu')
+    zone_tasks = size.tasks / size.zones
+    urgent_tasks = _URGENT_S * sizes.NODE_CPU / _ROUNDS_TO_START / round_s
+    accounts = size.accounts
+    content = slopes.at('configuration.size', accounts)
+    read_s = slopes.at('configuration.read_cpu', accounts)
+    patches_s = size.patches_a_day / sizes.DAY_S
+    submit_bytes = content + _REPLAY_PATCHES * slopes.slope('patch.bytes_read')
+    entry_share = size.entry_vms / size.listed
+    member_tasks = size.tasks_per_worker * size.members
+    points = {
+        'job row, bytes': row_bytes,
+        'job rows of a zone, MB': row_bytes * zone_jobs / 1e6,
+        'zone recovery: rows read': rows,
+        'zone recovery: s at 2,000 rows/s': rows / sizes.TABLE_READS_S,
+        'zone recovery: s at 4 KB/s, one holder': row_bytes
+        * zone_jobs
+        / sizes.NODE_BYTES_S,
+        'decision round of a zone, core-s': round_s * zone_tasks,
+        'tasks a shard for urgent starts in 1.6 s at 4.2%': urgent_tasks,
+        'shards for urgent starts': math.ceil(zone_tasks / urgent_tasks)
+        * size.zones,
+        'configuration, bytes': content,
+        'patches a second': patches_s,
+        'reading one patch, core-s in each process': read_s,
+        'reading patches, % of a core in each process': read_s
+        * patches_s
+        * 100,
+        'patch rows, B/s in each process': slopes.slope('patch.bytes_read')
+        * patches_s,
+        'submitting patches, B/s on one gateway': submit_bytes * patches_s,
+        'VM list, bytes a reading': slopes.slope(
+            'standby.listed_vm.table_bytes'
+        )
+        * size.listed,
+        'entry VMs replaced a day': entry_share
+        * (size.replacements_a_day + size.failures_a_day),
+        'tasks stopped by one failed worker, at most': min(
+            member_tasks, size.tasks
+        ),
+        'requests: % of a core on each gateway': slopes.slope(
+            'gateway.request.cpu'
+        )
+        * size.requests_s
+        / size.entry_vms
+        * 100,
+    }
+    print(f'### {size.name}: single points\n')
+    rows_of_table = [[name, number(value)] for name, value in points.items()]
+    print(table(['point', 'value'], rows_of_table))
+
+
+def print_fits(slopes: model.Slopes) -> None:
+    """Print every fit."""
+    print('### Fits\n')
+    rows = [
+        [
+            f'`{fit.name}`',
+            number(fit.intercept),
+            f'{number(fit.slope)} per {fit.x_name}',
+            fit.y_unit,
+            number(fit.residual),
+            f'{number(fit.points[0][0])} to {number(fit.points[-1][0])}',
+        ]
+        for fit in slopes.fits_by_name.values()
+    ]
+    head = ['fit', 'intercept', 'slope', 'unit', 'residual (RMS)', 'sizes']
+    print(table(head, rows))
+
+
+def main() -> int:
+    """Print the tables; return the exit code."""
+    parser = argparse.ArgumentParser(
+        prog='python -m tools.capacity', description=__doc__
+    )
+    parser.add_argument('slopes', type=pathlib.Path, metavar='FILE')
+    slopes = model.Slopes(parser.parse_args().slopes)
+    for size in (sizes.TODAY, sizes.LETTER):
+        print_roles(slopes, size)
+    print_ways(slopes, sizes.LETTER)
+    for size in (sizes.TODAY, sizes.LETTER):
+        print_platform(slopes, size)
+    for size in (sizes.TODAY, sizes.LETTER):
+        print_points(slopes, size)
+    print_fits(slopes)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tools/capacity/model.py
@@ -0,0 +1,195 @@
+"""What each role costs at a size, from the fits."""
+
+import dataclasses
+import pathlib
+import typing
+
+import msgspec
+
+from tools.capacity import sizes
+from tools.slopes import fits
+
+_MAX_PEERS: typing.Final = 16
+
+
+class _Document(msgspec.Struct):
+    fits: list[fits.Fit]
+
+
+class Slopes:
+    """The fits by name."""
+
+    def __init__(self, path: pathlib.Path) -> None:
+        document = msgspec.json.decode(path.read_bytes(), type=_Document)
+        self.fits_by_name = {fit.name: fit for fit in document.fits}
+
+    def slope(self, name: str) -> float:
+        """Return a slope; a negative one is noise and counts as zero."""
+        return max(0.0, self.fits_by_name[name].slope)
+
+    def base(self, name: str) -> float:
+        """Return an intercept, at least zero."""
+        return max(0.0, self.fits_by_name[name].intercept)
+
+    def at(self, name: str, x: float) -> float:
+        """Return the line's value at ``x``."""
+        return self.base(name) + self.slope(name) * x
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cost:
+    """What one process spends; reads and writes are calls a second."""
+
+    cpu: float
+    rss_mb: float
+    link_bytes: float
+    table_bytes: float
+    mesh_bytes: float
+    reads: float
+    writes: float
+
+    @property
+    def total_bytes(self) -> float:
+        """Bytes a second of both ways on every link."""
+        return self.link_bytes + self.table_bytes + self.mesh_bytes
+
+
+def peers(size: sizes.Size) -> int:
+    """Return how many peers a process hears."""
+    return min(_MAX_PEERS, size.processes - 1)
+
+
+def holder_cost(
+    slopes: Slopes,
+    size: sizes.Size,
+    workers: float,
+    tasks: float,
+    waiting: float,
+) -> Cost:
+    """Return the cost of a scheduler that holds a shard of that load.
+
+    The VM list is read whole, whatever the shard.
+    """
+    others = size.listed - workers
+    peer_count = peers(size)
+
+    def grow(rate: str) -> float:
+        return (
+            slopes.at(f'holder.worker.{rate}', workers)
+            + slopes.slope(f'holder.task.{rate}') * tasks
+            + slopes.slope(f'holder.waiting.{rate}') * waiting
+        )
+
+    listed = 'standby.listed_vm'
+    return Cost(
+        cpu=grow('cpu')
+        + slopes.slope(f'{listed}.cpu') * others
+        + slopes.slope('mesh.peer.cpu') * peer_count,
+        rss_mb=grow('rss_mb')
+        + slopes.slope(f'{listed}.rss_mb') * others
+        + slopes.slope('mesh.peer.rss_mb') * peer_count,
+        link_bytes=grow('link_bytes'),
+        table_bytes=slopes.base('holder.worker.table_bytes')
+        + slopes.slope(f'{listed}.table_bytes') * size.listed,
+        mesh_bytes=slopes.slope('mesh.peer.link_bytes') * peer_count,
+        reads=slopes.base('holder.worker.table_reads'),
+        writes=slopes.base('holder.worker.table_writes'),
+    )
+
+
+def standby_cost(slopes: Slopes, size: sizes.Size) -> Cost:
+    """Return the cost of a scheduler that holds nothing."""
+    peer_count = peers(size)
+    listed = 'standby.listed_vm'
+    return Cost(
+        cpu=slopes.at(f'{listed}.cpu', size.listed)
+        + slopes.slope('mesh.peer.cpu') * peer_count,
+        rss_mb=slopes.at(f'{listed}.rss_mb', size.listed)
+        + slopes.slope('mesh.peer.rss_mb') * peer_count,
+        link_bytes=0.0,
+        table_bytes=slopes.at(f'{listed}.table_bytes', size.listed),
+        mesh_bytes=slopes.slope('mesh.peer.link_bytes') * peer_count,
+        reads=slopes.base(f'{listed}.table_reads'),
+        writes=slopes.base(f'{listed}.table_writes'),
+    )
+
+
+def gateway_cost(slopes: Slopes, size: sizes.Size) -> Cost:
+    """Return what a gateway spends on control: no requests, its jobs."""
+    peer_count = peers(size)
+    listed = 'gateway.listed_vm'
+    jobs_s = size.jobs_a_day / sizes.DAY_S / size.entry_vms
+    return Cost(
+        cpu=slopes.at(f'{listed}.cpu', size.listed)
+        + slopes.slope('gateway.upstream.cpu') * size.upstreams
+        + slopes.slope('mesh.peer.cpu') * peer_count
+        + slopes.slope('gateway.job.cpu') * jobs_s,
+        rss_mb=slopes.at(f'{listed}.rss_mb', size.listed)
+        + slopes.slope('gateway.upstream.rss_mb') * size.upstreams
+        + slopes.slope('mesh.peer.rss_mb') * peer_count,
+        link_bytes=0.0,
+        table_bytes=slopes.at(f'{listed}.table_bytes', size.listed)
+        + slopes.slope('gateway.job.table_bytes') * jobs_s,
+        mesh_bytes=slopes.slope('mesh.peer.link_bytes') * peer_count,
+        reads=slopes.base(f'{listed}.table_reads'),
+        writes=slopes.slope('gateway.job.table_writes') * jobs_s,
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Way:
+    """A way to carry the worker link; bytes are of one exchange."""
+
+    name: str
+    interval_s: float
+    exchange_bytes: float
+    exchange_cpu_s: float
+
+    @property
+    def worker_bytes_s(self) -> float:
+        """Bytes a second of one worker."""
+        return self.exchange_bytes / self.interval_s
+
+    def workers_by_bytes(self, share: float) -> float:
+        """Workers of one holder within ``share`` of a node's bytes."""
+        return sizes.NODE_BYTES_S * share / self.worker_bytes_s
+
+    def workers_by_cpu(self, share: float) -> float:
+        """Workers of one holder within ``share`` of a node's processor."""
+        cpu = self.exchange_cpu_s / self.interval_s
+        return sizes.NODE_CPU * share / cpu
+
+
+_SEGMENT_HEADER_BYTES: typing.Final = 52
+_SEGMENTS: typing.Final = 4
+_LEASE_BYTES: typing.Final = 9
+_FRAME_BYTES: typing.Final = 4
+
+
+def link_ways(slopes: Slopes, size: sizes.Size) -> list[Way]:
+    """Return the worker link as built, and ways that would carry more.
+
+    The processor time stays that of the measured HTTP exchange.
+    """
+    http_bytes = slopes.slope('holder.worker.link_bytes')
+    http_cpu_s = slopes.slope('holder.worker.cpu')
+    tasks = size.tasks_per_worker
+    compact = (
+        slopes.base('codec.batch.msgpack_arrays')
+        + slopes.base('codec.report.msgpack_arrays')
+        + _LEASE_BYTES
+        + _FRAME_BYTES
+    )
+    headers = _SEGMENTS * _SEGMENT_HEADER_BYTES
+    built_bytes = http_bytes + tasks * slopes.slope('holder.task.link_bytes')
+    built_cpu_s = http_cpu_s + tasks * slopes.slope('holder.task.cpu')
+    return [
+        Way('as built', 1.0, built_bytes, built_cpu_s),
+        Way(
+            'A: one renewal a worker, only changes', 1, http_bytes, http_cpu_s
+        ),
+        Way('B: A each 10 s', 10.0, http_bytes, http_cpu_s),
+        Way('C: A each 30 s', 30.0, http_bytes, http_cpu_s),
+        Way('D: C, MessagePack, no HTTP', 30.0, compact, http_cpu_s),
+        Way('E: D with TCP/IP headers', 30.0, compact + headers, http_cpu_s),
+    ]
--- /dev/null
+++ b/tools/capacity/sizes.py
@@ -0,0 +1,96 @@
+"""The sizes that are planned for, and what a node may spend on control."""
+
+import dataclasses
+import math
+import typing
+
+DAY_S: typing.Final = 86400.0
+NODE_CPU: typing.Final = 0.042
+NODE_MB: typing.Final = 256.0
+NODE_BYTES_S: typing.Final = 4096.0
+TABLE_READS_S: typing.Final = 2000.0
+TABLE_WRITES_S: typing.Final = 300.0
+"""The low end of several hundred."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Size:
+    """One size of the whole system.
+
+    ``waiting_jobs``, ``upstreams``, ``requests_s`` and, for the smaller
+    size, the changes a day are assumptions that the page names.
+    """
+
+    name: str
+    zones: int
+    workers: int
+    tasks: int
+    active_jobs: int
+    waiting_jobs: int
+    upstreams: int
+    entry_vms: int
+    accounts: int
+    jobs_a_day: float
+    patches_a_day: float
+    requests_s: float
+    failures_a_day: float
+    replacements_a_day: float
+
+    @property
+    def zone_workers(self) -> int:
+        """Workers of one zone."""
+        return math.ceil(self.workers / self.zones)
+
+    @property
+    def tasks_per_worker(self) -> float:
+        """Running tasks of one worker."""
+        return self.tasks / self.workers
+
+    @property
+    def members(self) -> float:
+        """Members of one job."""
+        return self.tasks / self.active_jobs
+
+    @property
+    def processes(self) -> int:
+        """Daemons: a gateway and a scheduler on each entry VM."""
+        return 2 * self.entry_vms
+
+    @property
+    def listed(self) -> int:
+        """Entries of the VM list."""
+        return self.workers + self.upstreams + self.processes
+
+
+TODAY: typing.Final = Size(
+    name='today',
+    zones=3,
+    workers=24,
+    tasks=192,
+    active_jobs=48,
+    waiting_jobs=48,
+    upstreams=24,
+    entry_vms=7,
+    accounts=4,
+    jobs_a_day=500.0,
+    patches_a_day=100.0,
+    requests_s=192.0,
+    failures_a_day=1.0,
+    replacements_a_day=3.0,
+)
+LETTER: typing.Final = Size(
+    name='plan',
+    zones=6,
+    workers=13000,
+    tasks=340000,
+    active_jobs=6000,
+    waiting_jobs=1200,
+    upstreams=144,
+    entry_vms=42,
+    accounts=150,
+    jobs_a_day=12000.0,
+    patches_a_day=16000.0,
+    requests_s=1152.0,
+    failures_a_day=78.0,
+    replacements_a_day=1500.0,
+)
