Slopes end their processes when a part cannot start; tests seen failing

A first run of the slopes left its stand-in platform behind, since a part that failed while starting was never ended. Bench now closes itself then. The demo test also ends what it found left over, so that a red run leaves nothing.

--- a/primroselock/test/testprocesses.py
+++ b/primroselock/test/testprocesses.py
@@ -148,7 +148,10 @@
         deadline = time.monotonic() + 5.0
         while any(map(is_running, pids)) and time.monotonic() < deadline:
             time.sleep(0.02)
-        self.assertEqual([], [pid for pid in pids if is_running(pid)])
+        left = [pid for pid in pids if is_running(pid)]
+        for pid in left:
+            os.kill(pid, signal.SIGKILL)
+        self.assertEqual([], left)
         return code
 
     def enough(self, pid: int, children: int) -> list[int] | None:
--- a/tools/slopes/bench.py
+++ b/tools/slopes/bench.py
@@ -57,13 +57,28 @@
         self.platform_relays: dict[str, relay.Relay] = {}
 
     def __enter__(self) -> 'Bench':
+        try:
+            self._start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """End every process and relay."""
+        self.cluster.close()
+        self.relays.close()
+
+    def _start(self) -> None:
         self.cluster.start_platform()
         self.start_daemon('gateway-a', 'gateway')
         launch.wait_for(self._is_ready, 'the gateway is ready')
         accepted = self.cluster.submit_patch('gateway-a', _FIRST_PATCH)
         if accepted.status != 201:
             raise RuntimeError(f'the first patch is refused: {accepted}')
-        return self
 
     def _is_ready(self) -> bool:
         try:
@@ -71,10 +86,6 @@
         except ConnectionError:
             return False
 
-    def __exit__(self, *_: object) -> None:
-        self.cluster.close()
-        self.relays.close()
-
     def start_daemon(
         self,
         name: str,
