--- a/tools/slopes/__main__.py
+++ b/tools/slopes/__main__.py
@@ -72,7 +72,8 @@
         print(f'measuring {name}', file=sys.stderr, flush=True)
         try:
             found += registry.parts_by_name[name].measure(parsed.window_s)
-        except (RuntimeError, OSError, TimeoutError) as error:
+        except Exception as error:
+            # A part that fails must not lose what the others measured.
             failures_by_part[name] = f'{type(error).__name__}: {error}'
     if parsed.output == 'json':
         document = {
