Answers no longer wait 40 ms for a delayed ACK

The slopes asked for 200 requests a second from four senders and got 54: each took 44 ms. asyncio turns Nagle's algorithm off only for sockets whose protocol is named as TCP; the listeners were made without it, so an answer of two segments (head, body) waited for the peer's delayed ACK, at the gateway, the stand-in workers, upstreams and platform alike. Ruled out: the lanes (the upstream alone, asked directly, took 44 ms too) and the relays (not in this path).

Figures of time taken before this commit by anyone on these stand-ins include that wait.

--- a/primroselock/daemon.py
+++ b/primroselock/daemon.py
@@ -146,7 +146,9 @@
     host, _, port = address.rpartition(':')
     host = host.strip('[]')
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
+    # Named as TCP, so that asyncio turns Nagle's algorithm off: otherwise
+    # an answer of several segments waits for the peer's delayed ACK.
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         listener.bind((host, int(port)))
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -12,7 +12,10 @@
 def bind(address: str) -> socket.socket:
     """Return a listening socket on ``address``; port 0 picks a free one."""
     host, _, port = address.rpartition(':')
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    # Named as TCP, so that asyncio turns Nagle's algorithm off.
+    listener = socket.socket(
+        socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
+    )
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((host, int(port)))
     listener.setblocking(False)
