--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -94,6 +94,7 @@
 class SchedulerSettings:
     """Leases and intervals of the scheduler."""
 
+    status_bind: str = ini.key('address', '127.0.0.1:0')
     placement: str = ini.key('name', 'best_buddy')
     queue_order: str = ini.key('name', 'shortest_remaining')
     victim_choice: str = ini.key('name', 'least_lost')
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -12,7 +12,7 @@
 def bind(address: str) -> socket.socket:
     """Return a listening socket on ``address``; port 0 picks a free one."""
     host, _, port = address.rpartition(':')
-    # Only a socket of this protocol gets TCP_NODELAY from asyncio.
+    # Named as TCP, so that asyncio turns Nagle's algorithm off.
     listener = socket.socket(
         socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
     )
