--- /dev/null
+++ b/primroselock/test/testreclaim.py
@@ -0,0 +1,227 @@
+"""The decision core under random events, on the replay's fake workers."""
+
+import dataclasses
+import typing
+import unittest
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+
+from primroselock.decisions import blackboard
+from primroselock.decisions import capacity
+from primroselock.decisions import packing
+from tools import replay
+from tools import replayworld
+from tools import traces
+
+_ZONES: typing.Final = ('za', 'zb')
+_ACCOUNTS: typing.Final = ('anna', 'bert', 'carl')
+_DEPLOYMENT: typing.Final = traces.Deployment(
+    'small',
+    _ZONES,
+    {'za': 2, 'zb': 1},
+    """
+[zone za]
+racks = 2
+[zone zb]
+racks = 1
+[account anna]
+guarantee.za = 64:1, 8:1
+guarantee.zb = 32:1
+[account bert]
+guarantee.za = 8:3, 2:2
+guarantee.zb = 4:3
+[account carl]
+guarantee.za = 16:1
+""",
+    64,
+    262144,
+)
+_SETTLE_TICKS: typing.Final = 300
+_LONG_S: typing.Final = 100_000.0
+
+_workers = strategies.builds(
+    traces.worker_id,
+    strategies.sampled_from(_ZONES),
+    strategies.just(0),
+    strategies.integers(0, 7),
+)
+
+
+class DecisionMachine(stateful.RuleBasedStateMachine):
+    """Jobs, failures, zones and patches in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = replayworld.World(
+            traces.Trace(_DEPLOYMENT, ()), replay.build_settings({})
+        )
+        self.world.check_invariant = True
+        self.broken: set[str] = set()
+        self.out: set[str] = set()
+        self.serial = 0
+        self.world.settle(_SETTLE_TICKS)
+
+    def submit(self, **changes: typing.Any) -> str:
+        """Submit a job and return its id."""
+        self.serial += 1
+        job = traces.Arrival(
+            at=self.world.now,
+            id=f'j{self.serial:03}',
+            name='job',
+            declared_s=600.0,
+            cpus=1,
+            **changes,
+        )
+        self.world.apply(job)
+        return job.id
+
+    @stateful.rule(
+        account=strategies.sampled_from(_ACCOUNTS),
+        zone=strategies.sampled_from(_ZONES),
+        members=strategies.sampled_from((1, 1, 1, 2, 3, 8, 16)),
+        accelerators=strategies.integers(0, 8),
+        true_s=strategies.integers(1, 2000),
+        priority=strategies.sampled_from(('normal', 'urgent', 'borrowed')),
+        checkpointable=strategies.booleans(),
+    )
+    def arrive(self, **changes: typing.Any) -> None:
+        """Submit any job."""
+        self.submit(**changes)
+        self.world.skip(0.1)
+
+    @stateful.rule(
+        zone=strategies.sampled_from(_ZONES),
+        accelerators=strategies.sampled_from((2, 8)),
+        members=strategies.sampled_from((1, 2, 5)),
+        checkpointable=strategies.booleans(),
+    )
+    def fill(self, zone: str, **changes: typing.Any) -> None:
+        """Fill what is free of a zone with work of an account."""
+        for _ in range(2 * packing.RACK_SIZE // changes['accelerators']):
+            self.submit(
+                account=_ACCOUNTS[self.serial % 3],
+                zone=zone,
+                true_s=_LONG_S,
+                priority='normal' if self.serial % 4 else 'borrowed',
+                **changes,
+            )
+        self.world.settle(_SETTLE_TICKS)
+
+    @stateful.rule(index=strategies.integers(0, 200))
+    def cancel(self, index: int) -> None:
+        """Cancel any job."""
+        self.world.apply(traces.Cancel(self.world.now, f'j{index:03}'))
+
+    @stateful.rule(seconds=strategies.sampled_from((0.1, 2.0, 60.0, 1500.0)))
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.world.skip(seconds)
+
+    @stateful.rule()
+    def settle(self) -> None:
+        """Let everything under way come to rest."""
+        self.world.settle(_SETTLE_TICKS)
+
+    @stateful.rule(
+        worker=_workers,
+        state=strategies.sampled_from(('dead', 'back', 'fails-all')),
+    )
+    def change_worker(self, worker: str, state: typing.Any) -> None:
+        """Kill a worker, bring it back, or let it fail all tasks."""
+        (self.broken.discard if state == 'back' else self.broken.add)(worker)
+        self.world.apply(traces.WorkerChange(self.world.now, worker, state))
+
+    @stateful.rule(
+        zone=strategies.sampled_from(_ZONES),
+        state=strategies.sampled_from(('in', 'out')),
+    )
+    def change_zone(self, zone: str, state: typing.Any) -> None:
+        """Take a zone out of service or bring it back."""
+        (self.out.discard if state == 'in' else self.out.add)(zone)
+        self.world.apply(traces.ZoneChange(self.world.now, zone, state))
+
+    @stateful.rule(
+        account=strategies.sampled_from(_ACCOUNTS),
+        zone=strategies.sampled_from(_ZONES),
+        size=strategies.sampled_from(packing.CELL_SIZES),
+        count=strategies.integers(0, 3),
+    )
+    def patch(self, account: str, zone: str, size: int, count: int) -> None:
+        """Change one guarantee; what does not pack is refused."""
+        values = {f'guarantee.{zone}': f'{size}:{count}'}
+        self.world.patch({f'account {account}': values})
+
+    @stateful.precondition(lambda self: not self.broken)
+    @stateful.rule(
+        account=strategies.sampled_from(_ACCOUNTS),
+        zone=strategies.sampled_from(_ZONES),
+    )
+    def reclaim(self, account: str, zone: str) -> None:
+        """Ask for an unused guaranteed cell: it is given, at once."""
+        board = self.world.boards_by_shard[zone]
+        if zone in self.out or not self.world.settle(_SETTLE_TICKS):
+            return
+        unused = self.measure(board).holding(account).unused_by_size
+        size = max((s for s, n in unused.items() if n), default=0)
+        if not size:
+            return
+        job_id = self.submit(
+            account=account,
+            zone=zone,
+            members=max(size // 8, 1),
+            accelerators=min(size, 8),
+            true_s=_LONG_S,
+            priority='urgent',
+        )
+        self.world.skip(0.1)
+        for _ in range(_SETTLE_TICKS):
+            view = board.attempts_by_job_id.get(job_id)
+            if view is not None and view.phase is blackboard.Phase.RUNNING:
+                break
+            self.world.skip(0.1)
+        view = board.attempts_by_job_id.get(job_id)
+        assert view is not None, board.reasons_by_job_id.get(job_id)
+        assert view.phase is blackboard.Phase.RUNNING, view
+        assert not view.attempt.borrowed
+        self.world.apply(traces.Cancel(self.world.now, job_id))
+
+    def measure(self, board: blackboard.Blackboard) -> capacity.Capacity:
+        """Return the board's capacity now."""
+        return capacity.measure(board, self.world.settings, self.world.now)
+
+    @stateful.invariant()
+    def promises_hold(self) -> None:
+        """No decision may break a promise."""
+        record = self.world.record
+        assert not record.rounds_short, 'a guarantee became unreclaimable'
+        assert not record.starts_in_out_zone, 'a start in an out zone'
+        assert not record.split_gangs, 'a gang counted without a member'
+        assert not record.doubled, 'an accelerator was granted twice'
+
+    @stateful.invariant()
+    def caches_equal_what_is_rebuilt(self) -> None:
+        """What is kept between rounds equals what rows and reports say."""
+        for board in self.world.boards_by_shard.values():
+            kept = self.measure(board)
+            fresh = dataclasses.replace(board, memory=blackboard.Memory())
+            rebuilt = self.measure(fresh)
+            assert kept.free.free_by_rack == rebuilt.free.free_by_rack
+            assert kept.firm.free_by_rack == rebuilt.firm.free_by_rack
+            assert kept.holdings_by_account == rebuilt.holdings_by_account
+            assert kept.borrowed_by_rack == rebuilt.borrowed_by_rack
+
+
+class DecisionTest(unittest.TestCase):
+    """Runs the machine."""
+
+    def test_promises_hold_under_random_events(self) -> None:
+        stateful.run_state_machine_as_test(
+            DecisionMachine,
+            settings=settings(max_examples=40, stateful_step_count=25),
+        )
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tools/replayworld.py
+++ b/tools/replayworld.py
@@ -51,7 +51,9 @@
 
     ``free_s`` and ``unusable_s`` add up free accelerators, and those of
     them that the largest cell asked for cannot use, over time.
-    ``ended_by_job_id`` gives the time and the final state.
+    ``ended_by_job_id`` gives the time and the final state;
+    ``rounds_short`` counts rounds that made the guarantees less
+    reclaimable than before.
     """
 
     ended_by_job_id: dict[str, tuple[float, jobs.JobState]] = (
@@ -131,14 +133,41 @@
         while events or self._busy():
             self._advance(events[-1].at if events else None)
             while events and events[-1].at <= self.now:
-                self._apply(events.pop())
-            self._end_tasks()
-            for shard in list(self._dirty):
-                self._round(shard)
+                self.apply(events.pop())
+            self._decide()
             if self.now > _MAX_TIME_S:
                 raise RuntimeError('the trace does not come to an end')
         return self.record
 
+    def settle(self, max_ticks: int) -> bool:
+        """Run rounds until nothing is under way; say if that was so."""
+        for _ in range(max_ticks):
+            if not self._dirty:
+                return True
+            self.now += self.settings.scheduler.tick_interval_s
+            self._decide()
+        return not self._dirty
+
+    def skip(self, seconds: float) -> None:
+        """Let time pass, then run one round on each shard."""
+        self.now += seconds
+        self._dirty.update(self.boards_by_shard)
+        self._decide()
+
+    def patch(self, sections: ini.Sections) -> bool:
+        """Merge a patch; return False where it is refused."""
+        merged = configuration.merge(self._sections, sections)
+        if configuration.read(merged, 1, 'patch').is_err():
+            return False
+        self._sections = merged
+        self._configure()
+        return True
+
+    def _decide(self) -> None:
+        self._end_tasks()
+        for shard in list(self._dirty):
+            self._round(shard)
+
     def _busy(self) -> bool:
         return any(
             board.jobs_by_id or board.attempts_by_job_id
@@ -172,7 +201,8 @@
         if at < float('inf'):
             heapq.heappush(self._timers, (at, next(self._serial)))
 
-    def _apply(self, event: traces.Event) -> None:
+    def apply(self, event: traces.Event) -> None:
+        """Let one event of a trace happen now."""
         if isinstance(event, traces.Arrival):
             self._submit(event)
         elif isinstance(event, traces.Cancel):
@@ -188,11 +218,12 @@
         self.arrivals_by_id[event.id] = event
         shard = event.zone
         if self._sections[f'zone {shard}'].get('state') == 'out':
-            shard = next(
+            serving = [
                 zone
                 for zone in self.trace.deployment.zones
                 if self._sections[f'zone {zone}'].get('state') != 'out'
-            )
+            ]
+            shard = serving[0] if serving else shard
         spec = jobs.JobSpec(
             event.name,
             event.members,
@@ -247,9 +278,10 @@
                 board.workers_by_id[worker.vm.id] = worker.view(self.now)
         self._share_loads(board)
         before = dict(board.attempts_by_job_id)
+        short_before = self._missing(board)
         decided = registry.run_round(board, self.settings, self.now)
         acted = [self._carry_out(board, command) for command in decided]
-        self._observe(board, before)
+        self._observe(board, before, short_before)
         self._fragments_by_shard[shard] = fragmentation(
             board, free_by_rack(board, self.workers_by_id)
         )
@@ -275,6 +307,7 @@
         self,
         board: blackboard.Blackboard,
         before: dict[str, blackboard.AttemptView],
+        short_before: int,
     ) -> None:
         for job_id, view in board.attempts_by_job_id.items():
             old = before.get(job_id)
@@ -288,9 +321,19 @@
             self.record.longest_claim_s = max(
                 self.record.longest_claim_s, self.now - claim.since
             )
-        if self.check_invariant and not board.shortfalls:
-            short = capacity.reclaim_shortfalls(board, self.settings, self.now)
-            self.record.rounds_short += bool(short)
+        short = self._missing(board)
+        self.record.rounds_short += short > short_before
+
+    def _missing(self, board: blackboard.Blackboard) -> int:
+        """Return the guaranteed accelerators that cannot be reclaimed."""
+        if not self.check_invariant:
+            return 0
+        return sum(
+            entry.size * entry.missing
+            for entry in capacity.reclaim_shortfalls(
+                board, self.settings, self.now
+            )
+        )
 
     def _carry_out(
         self, board: blackboard.Blackboard, command: commands.Command
