--- a/tools/demo.py
+++ b/tools/demo.py
@@ -5,8 +5,10 @@
 a request, runs a gang job and takes a zone out of service.
 """
 
+import argparse
 import functools
 import hashlib
+import pathlib
 import signal
 import sys
 import time
@@ -28,6 +30,8 @@
 connections = 64
 """
 _ZONES: typing.Final = ('sapporo-a', 'sapporo-b')
+_CHILD_FAULTS_FIELD: typing.Final = 8
+"""Index of ``cminflt`` behind the process name in /proc/PID/stat."""
 _GATEWAY: typing.Final = 'gateway-sapporo-a'
 
 
@@ -139,17 +143,59 @@
     say(f'operator: sapporo-b is out of service (version {version})')
 
 
+def show_no_children(cluster: launch.Cluster) -> None:
+    """Show by the process table that no daemon ever started a process."""
+    count = 0
+    for name, process in cluster.processes_by_name.items():
+        if name.startswith(('gateway', 'scheduler')):
+            count += 1
+            if list_children(process.pid) or had_children(process.pid):
+                raise RuntimeError(f'{name} has started a process')
+    say(f'process table: none of {count} daemons ever had a child process')
+
+
+def list_children(pid: int) -> list[int]:
+    """Return the process ids of the children of ``pid``."""
+    children: list[int] = []
+    for thread in pathlib.Path(f'/proc/{pid}/task').iterdir():
+        text = (thread / 'children').read_text(encoding='ascii')
+        children += [int(word) for word in text.split()]
+    return children
+
+
+def had_children(pid: int) -> bool:
+    """Whether ``pid`` waited for a child: its page faults are counted."""
+    text = pathlib.Path(f'/proc/{pid}/stat').read_text(encoding='ascii')
+    fields = text.rpartition(')')[2].split()
+    return int(fields[_CHILD_FAULTS_FIELD]) > 0
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog='python -m tools.demo', description='Shows the whole path.'
+    )
+    parser.add_argument(
+        '--binary',
+        metavar='FILE',
+        help='run the daemons from this zipapp (see make binary)',
+    )
+    return parser
+
+
 def main() -> int:
     """Run the demo; return the exit code."""
+    parsed = build_parser().parse_args()
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     began = time.monotonic()
     try:
-        with launch.Cluster(_ZONES) as cluster:
+        with launch.Cluster(_ZONES, parsed.binary) as cluster:
             start(cluster)
             submit_first_patch(cluster)
             send_request(cluster)
             run_gang(cluster)
             take_zone_out(cluster)
+            show_no_children(cluster)
     except KeyboardInterrupt:
         say('interrupted; every process was ended')
         return 130
