--- a/primroselock/jobs.py
+++ b/primroselock/jobs.py
@@ -64,13 +64,16 @@
     """Where one member runs.
 
     ``accelerators`` are indices on the worker; ``boot_id`` names the
-    incarnation of the worker that reserved them.
+    incarnation of the worker that reserved them.  ``held_size`` is the
+    size of the guaranteed cell of the account that this one lies in; 0
+    for borrowed work.
     """
 
     worker_id: str
     boot_id: str
     accelerators: tuple[int, ...]
     cell_size: int
+    held_size: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,6 +95,7 @@
     """The row of a job; times are seconds since the Unix epoch.
 
     ``failures`` counts attempts that ended other than by preemption;
+    ``failed_worker_ids`` names the workers where members failed;
     ``checkpoint_s`` is the run time that every member has saved.
     """
 
@@ -108,6 +112,7 @@
     attempt: Attempt | None = None
     checkpoint_s: float = 0.0
     ended_at: float | None = None
+    failed_worker_ids: tuple[str, ...] = ()
 
 
 def new_job_id() -> str:
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -16,6 +16,10 @@
 from primroselock import ini
 
 
+HEARTBEATS_IN_WINDOW: typing.Final = 3
+"""Heartbeat intervals after which a worker counts as silent."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProcessSettings:
     """Who this process is."""
@@ -58,6 +62,13 @@
     start_permit_ttl_s: float = ini.key('seconds', 3.0)
 
 
+@ini.kind('upstream_choice', 'least_of_two or random')
+def _upstream_choice(value: str) -> str:
+    if value not in ('least_of_two', 'random'):
+        raise ValueError(value)
+    return value
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatewaySettings:
     """Limits of the gateway."""
@@ -67,15 +78,27 @@
     default_timeout_s: float = ini.key('seconds', 30.0)
     max_timeout_s: float = ini.key('seconds', 300.0)
     max_body_bytes: int = ini.key('positive', 4 * 1024 * 1024)
+    max_header_bytes: int = ini.key('positive', 16 * 1024)
+    leaving_delay_s: float = ini.key('seconds', 2.0)
     shutdown_grace_s: float = ini.key('seconds', 30.0)
+    upstream_choice: str = ini.key('upstream_choice', 'least_of_two')
+    claim_interval_s: float = ini.key('seconds', 0.04)
+    claim_ttl_s: float = ini.key('seconds', 3600.0)
+    claim_sweep_interval_s: float = ini.key('seconds', 5.0)
+    max_kept_answer_bytes: int = ini.key('positive', 64 * 1024)
+    tls_certificate: str = ini.key('text', '')
+    tls_key: str = ini.key('text', '')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SchedulerSettings:
     """Leases and intervals of the scheduler."""
 
+    status_bind: str = ini.key('address', '127.0.0.1:0')
     placement: str = ini.key('name', 'best_buddy')
     queue_order: str = ini.key('name', 'shortest_remaining')
+    victim_choice: str = ini.key('name', 'least_lost')
+    balance_after_s: float = ini.key('seconds', 5.0)
     tick_interval_s: float = ini.key('seconds', 0.1)
     job_poll_interval_s: float = ini.key('seconds', 0.5)
     shard_lease_s: float = ini.key('seconds', 6.0)
@@ -87,6 +110,47 @@
     checkpoint_grace_s: float = ini.key('seconds', 1.0)
     freeze_gap_s: float = ini.key('seconds', 1.0)
 
+    @property
+    def heartbeat_window_s(self) -> float:
+        """Return how old a worker's last word may be for a renewal."""
+        return self.heartbeat_interval_s * HEARTBEATS_IN_WINDOW
+
+    @property
+    def partial_run_s(self) -> float:
+        """Return how long members may run after one of them ended.
+
+        The last renewal is decided within the heartbeat window after the
+        ended member was last heard, and ends a task lease after that.
+        """
+        return self.heartbeat_window_s + self.task_lease_s
+
+    @property
+    def lease_lapse_s(self) -> float:
+        """Return after which time no lease granted before still holds.
+
+        An earlier holder of the shard may renew until the next exchange
+        with a worker that has heard of the new holder.
+        """
+        overlap_s = self.heartbeat_interval_s + self.worker_timeout_s
+        return self.task_lease_s + overlap_s
+
+    @property
+    def takeover_s(self) -> float:
+        """Return the longest time without renewals around a takeover.
+
+        From the last renewal of a holder that died to the first of the
+        next: the last heartbeat, a standby's two polls around the shard
+        lease, the load of the jobs, and one exchange that is heard.
+        """
+        return (
+            self.heartbeat_interval_s
+            + self.shard_lease_s
+            + self.shard_renew_interval_s * 2
+            + self.job_poll_interval_s
+            + self.tick_interval_s * 2
+            + self.worker_timeout_s
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
@@ -145,6 +209,27 @@
     """Check the rules that hold between several keys."""
     scheduler: SchedulerSettings = built['scheduler']
     problems = _check_mesh(built['mesh'], source)
+    gateway: GatewaySettings = built['gateway']
+    if gateway.claim_ttl_s < gateway.max_timeout_s * 2:
+        problems.append(
+            ini.Problem(
+                source,
+                'gateway',
+                'claim_ttl_s',
+                str(gateway.claim_ttl_s),
+                'at least twice max_timeout_s',
+            )
+        )
+    if bool(gateway.tls_certificate) != bool(gateway.tls_key):
+        problems.append(
+            ini.Problem(
+                source,
+                'gateway',
+                'tls_key',
+                gateway.tls_key,
+                'tls_certificate and tls_key together',
+            )
+        )
     if scheduler.shard_renew_interval_s * 3 > scheduler.shard_lease_s:
         problems.append(
             ini.Problem(
@@ -165,6 +250,17 @@
                 'at most a third of task_lease_s',
             )
         )
+    longest_s = scheduler.takeover_s + built['platform'].timeout_s
+    if scheduler.task_lease_s < longest_s:
+        problems.append(
+            ini.Problem(
+                source,
+                'scheduler',
+                'task_lease_s',
+                str(scheduler.task_lease_s),
+                f'at least {longest_s:g}, so that tasks outlive a takeover',
+            )
+        )
     return problems
 
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -46,6 +46,8 @@
     started_at: float = 0.0
     resumed_s: float = 0.0
     checkpoint_s: float = 0.0
+    saving_s: float = 0.0
+    saved_at: float | None = None
     used_cpus: float = 0.0
     used_memory_mb: int = 0
 
@@ -77,7 +79,11 @@
 
     def clock(self) -> float:
         """Return the worker's own clock, unlike any other's."""
-        return time.monotonic() + self.clock_offset_s
+        return self.monotonic() + self.clock_offset_s
+
+    def monotonic(self) -> float:
+        """Return the time that the history is told in."""
+        return time.monotonic()
 
     def set_state(
         self, task: Task, state: protocol.TaskState, detail: str = ''
@@ -92,7 +98,7 @@
                 'member': task.key.member,
                 'state': state.value,
                 'detail': detail,
-                'at': time.monotonic(),
+                'at': self.monotonic(),
             }
         )
 
@@ -101,11 +107,18 @@
         refusals = []
         for command in batch.commands:
             try:
+                self._check_batch(batch)
                 self._obey(command)
             except Refused as refused:
                 refusals.append(protocol.Refusal(command.task, str(refused)))
         return refusals
 
+    def _check_batch(self, batch: protocol.Batch) -> None:
+        if batch.boot_id != self.boot_id:
+            raise Refused('the worker has restarted')
+        if self.clock() > batch.obey_by:
+            raise Refused('the batch came too late')
+
     def _obey(self, command: protocol.Command) -> None:
         if isinstance(command, protocol.Reserve):
             self._reserve(command)
@@ -194,12 +207,10 @@
     def _checkpoint(self, task: Task) -> None:
         if task.state is not protocol.TaskState.RUNNING:
             raise Refused(f'the task is {task.state.value}')
-        loop = asyncio.get_running_loop()
-        progress_s = self.clock() - task.started_at + task.resumed_s
-        loop.call_later(
-            self.faults.slow_checkpoint_s,
-            lambda: setattr(task, 'checkpoint_s', progress_s),
-        )
+        if task.saved_at is None:
+            now = self.clock()
+            task.saving_s = now - task.started_at + task.resumed_s
+            task.saved_at = now + self.faults.slow_checkpoint_s
 
     def tick(self) -> None:
         """End tasks that are done and those whose lease ran out."""
@@ -207,6 +218,8 @@
         for task in list(self.tasks.values()):
             if task.state.is_final:
                 continue
+            if task.saved_at is not None and now >= task.saved_at:
+                task.checkpoint_s, task.saved_at = task.saving_s, None
             if now >= task.expires_at:
                 if task.state is protocol.TaskState.RESERVED:
                     del self.tasks[task.key]
@@ -247,18 +260,27 @@
             tuple(refusals),
         )
 
-    async def exchange(self, request: requests.Request) -> responses.Response:
-        """Serve one exchange with a scheduler."""
-        batch = msgspec.json.decode(await request.body(), type=protocol.Batch)
+    def handle(
+        self, batch: protocol.Batch
+    ) -> protocol.Report | protocol.EpochRefused:
+        """Obey a batch and report, unless a newer epoch is known."""
         known = self.epochs_by_shard.get(batch.shard, 0)
         if batch.epoch < known:
-            return platform.json_answer(protocol.EpochRefused(known), 409)
+            return protocol.EpochRefused(known)
         self.epochs_by_shard[batch.shard] = batch.epoch
         self.tick()
         refusals = self.obey(batch)
+        self.tick()
+        return self.report(refusals)
+
+    async def exchange(self, request: requests.Request) -> responses.Response:
+        """Serve one exchange with a scheduler."""
+        batch = msgspec.json.decode(await request.body(), type=protocol.Batch)
+        answer = self.handle(batch)
         if self.faults.lose_reply:
             raise platform.Lost
-        return platform.json_answer(self.report(refusals))
+        status = 409 if isinstance(answer, protocol.EpochRefused) else 200
+        return platform.json_answer(answer, status)
 
     async def set_faults(
         self, request: requests.Request
@@ -299,8 +321,8 @@
     ticking.cancel()
 
 
-def main() -> None:
-    """Run the stand-in from the command line."""
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of one worker's options."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--id', required=True)
     parser.add_argument('--bind', default='127.0.0.1:0')
@@ -310,7 +332,12 @@
     parser.add_argument('--cpus', type=int, default=64)
     parser.add_argument('--memory-mb', type=int, default=262144)
     parser.add_argument('--clock-offset-s', type=float, default=0.0)
-    asyncio.run(run(parser.parse_args()))
+    return parser
+
+
+def main() -> None:
+    """Run the stand-in from the command line."""
+    asyncio.run(run(build_parser().parse_args()))
 
 
 if __name__ == '__main__':
