--- a/primroselock/daemon.py
+++ b/primroselock/daemon.py
@@ -42,8 +42,16 @@
         self.role = role
         self.incarnation = uuid.uuid4().hex
         self.metrics = metrics.Metrics()
-        self.platform = client.PlatformClient(settings)
-        self.follower = follower.ConfigurationFollower(settings, self.platform)
+        self.platform = client.PlatformClient(
+            settings, 'work', settings.platform.connections
+        )
+        # Leases and the configuration never wait behind other calls.
+        self.control_platform = client.PlatformClient(
+            settings, 'control', settings.platform.control_connections
+        )
+        self.follower = follower.ConfigurationFollower(
+            settings, self.control_platform
+        )
         self.mesh = node.MeshNode(settings)
         self.stopping = asyncio.Event()
         self.vms: list[vmlist.Vm] = []
@@ -93,12 +101,13 @@
         """Close the connections."""
         await self.mesh.aclose()
         await self.platform.aclose()
+        await self.control_platform.aclose()
 
     async def _follow_vms(self) -> None:
         interval_s = self.settings.platform.vm_list_interval_s
         while True:
             before = clock.monotonic()
-            listed = await self.platform.list_vms()
+            listed = await self.control_platform.list_vms()
             if isinstance(listed, result.Ok):
                 self.vms = listed.ok_value
                 self.vms_read_at = before
--- a/primroselock/gateway.py
+++ b/primroselock/gateway.py
@@ -67,6 +67,8 @@
                 'config_version': version,
                 'config_age_s': round(follower.age_s(now), 3),
                 'config_source': follower.source,
+                'mesh_bytes_sent': self._shared.mesh.sent_bytes,
+                'mesh_bytes_received': self._shared.mesh.received_bytes,
                 'zones': known.zones,
                 'peers': known.processes,
             }
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -36,6 +36,8 @@
     address: str = ini.key('address')
     timeout_s: float = ini.key('seconds', 2.0)
     connections: int = ini.key('positive', 8)
+    control_connections: int = ini.key('positive', 4)
+    max_calls_per_s: int = ini.key('positive', 500)
     vm_list_interval_s: float = ini.key('seconds', 1.0)
 
 
--- /dev/null
+++ b/primroselock/platform/guard.py
@@ -0,0 +1,93 @@
+"""Bounds on the calls to the platform: rate, and a breaker with probes.
+
+After ``FAILURES_TO_OPEN`` failures in a row the breaker opens: calls
+fail at once instead of holding connections until their deadlines, but
+for one probe every ``PROBE_INTERVAL_S``.  One success closes it.
+"""
+
+import typing
+
+import transitions
+
+from primroselock import logs
+
+FAILURES_TO_OPEN: typing.Final = 3
+PROBE_INTERVAL_S: typing.Final = 0.5
+_log: typing.Final = logs.get('platform')
+
+
+class Breaker:
+    """States: ``closed``, ``open`` and ``probing``."""
+
+    state: str
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._failures = 0
+        self._next_probe_at = 0.0
+        self._machine = transitions.Machine(
+            self,
+            states=['closed', 'open', 'probing'],
+            initial='closed',
+            auto_transitions=False,
+            transitions=[
+                ['trip', 'closed', 'open'],
+                ['probe', 'open', 'probing'],
+                ['reopen', 'probing', 'open'],
+                ['close', ['open', 'probing'], 'closed'],
+            ],
+        )
+
+    def admits(self, now: float) -> bool:
+        """Whether a call may be sent at ``now``."""
+        if self.state == 'closed':
+            return True
+        if now < self._next_probe_at:
+            return False
+        # A probe whose caller was cancelled must not block later ones.
+        self._next_probe_at = now + PROBE_INTERVAL_S
+        if self.state == 'open':
+            self.trigger('probe')
+        return True
+
+    def record(self, succeeded: bool, now: float) -> None:
+        """Take note of how a call ended."""
+        if succeeded:
+            self._failures = 0
+            if self.state != 'closed':
+                self.trigger('close')
+                _log.info('platform answers again', calls=self._name)
+            return
+        self._failures += 1
+        if self.state == 'probing':
+            self.trigger('reopen')
+        elif self.state == 'closed' and self._failures >= FAILURES_TO_OPEN:
+            self._next_probe_at = now + PROBE_INTERVAL_S
+            self.trigger('trip')
+            _log.warning('platform does not answer', calls=self._name)
+
+    if typing.TYPE_CHECKING:
+
+        def trigger(self, name: str) -> bool:
+            """Run a transition; added by the state machine."""
+
+
+class RateLimit:
+    """At most ``rate`` calls a second, and as many at once."""
+
+    def __init__(self, rate: float) -> None:
+        self._rate = rate
+        self._tokens = rate
+        self._filled_at = 0.0
+
+    def reserve(self, now: float) -> float:
+        """Take one call; return how long it has to wait, in seconds."""
+        gained = (now - self._filled_at) * self._rate
+        self._tokens = min(self._rate, self._tokens + max(0.0, gained))
+        self._filled_at = now
+        self._tokens -= 1
+        return max(0.0, -self._tokens / self._rate)
+
+    def give_back(self) -> None:
+        """Return a call that was not made."""
+        self._tokens += 1
--- a/primroselock/scheduler.py
+++ b/primroselock/scheduler.py
@@ -45,7 +45,9 @@
         self.settings: options.Settings = shared.settings
         self.shared = shared
         self.store = jobstore.JobStore(shared.platform)
-        self.lease = shards.ShardLease(self.settings, shared.platform, shard)
+        self.lease = shards.ShardLease(
+            self.settings, shared.control_platform, shard
+        )
         self.writer = jobwriter.JobWriter(
             self.store, self.lease, self._record_jobs
         )
--- a/primroselock/test/builders.py
+++ b/primroselock/test/builders.py
@@ -36,7 +36,12 @@
 
 def build_settings(text: str = '') -> options.Settings:
     """Return settings; ``text`` adds sections."""
-    return options.parse(SETTINGS_TEXT + text, 'test').unwrap()
+    return parse_settings(SETTINGS_TEXT + text)
+
+
+def parse_settings(text: str) -> options.Settings:
+    """Return the settings of a whole text."""
+    return options.parse(text, 'test').unwrap()
 
 
 def build_configuration(
--- /dev/null
+++ b/primroselock/test/testplatform.py
@@ -0,0 +1,91 @@
+"""The platform's client under a slow and a dead store."""
+
+import asyncio
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+import result
+
+from primroselock.platform import client
+from primroselock.platform import guard
+from primroselock.test import builders
+
+
+class BreakerTest(unittest.TestCase):
+    """An open breaker lets one probe through at an interval."""
+
+    @hypothesis.given(
+        st.lists(st.tuples(st.floats(0.01, 1.0), st.booleans()), max_size=60)
+    )
+    def test_calls_are_bounded_while_nothing_answers(
+        self, steps: list[tuple[float, bool]]
+    ) -> None:
+        breaker = guard.Breaker('test')
+        now, failures = 0.0, 0
+        last_probe_at = -guard.PROBE_INTERVAL_S
+        for delay_s, succeeds in steps:
+            now += delay_s
+            closed = failures < guard.FAILURES_TO_OPEN
+            due = now - last_probe_at >= guard.PROBE_INTERVAL_S
+            self.assertEqual(closed or due, breaker.admits(now))
+            if not closed and not due:
+                continue
+            failures = 0 if succeeds else failures + 1
+            if failures >= guard.FAILURES_TO_OPEN:
+                last_probe_at = now
+            breaker.record(succeeds, now)
+
+    def test_cancelled_probe_does_not_block_the_next(self) -> None:
+        breaker = guard.Breaker('test')
+        for _ in range(guard.FAILURES_TO_OPEN):
+            breaker.record(False, 0.0)
+        self.assertTrue(breaker.admits(guard.PROBE_INTERVAL_S))
+        self.assertTrue(breaker.admits(2 * guard.PROBE_INTERVAL_S))
+
+    @hypothesis.given(st.integers(1, 50), st.integers(1, 200))
+    def test_rate_is_kept(self, rate: int, calls: int) -> None:
+        limit = guard.RateLimit(rate)
+        sent_at = [limit.reserve(1e6) for _ in range(calls)]
+        for second in range(calls // rate + 1):
+            inside = [at for at in sent_at if second <= at < second + 1]
+            self.assertLessEqual(len(inside), 2 * rate)
+
+
+class SlowStoreTest(unittest.IsolatedAsyncioTestCase):
+    """A store that never answers holds nobody past the deadline."""
+
+    async def test_calls_end_and_then_fail_at_once(self) -> None:
+        taken: list[asyncio.StreamWriter] = []
+
+        async def take(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            taken.append(writer)
+
+        server = await asyncio.start_server(take, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        settings = builders.build_settings().platform
+        text = f'[platform]\naddress = {host}:{port}\ntimeout_s = 0.2\n'
+        changed = builders.SETTINGS_TEXT.replace(
+            f'[platform]\naddress = {settings.address}\n', text
+        )
+        platform = client.PlatformClient(
+            builders.parse_settings(changed), 'test', 2
+        )
+        for _ in range(guard.FAILURES_TO_OPEN):
+            async with asyncio.timeout(10):
+                answer = await platform.read(['k'])
+            self.assertIsInstance(answer, result.Err)
+        reached = len(taken)
+        for _ in range(20):
+            await platform.read(['k'])
+        self.assertLessEqual(len(taken) - reached, 1)
+        for writer in taken:
+            writer.close()
+        await platform.aclose()
+        server.close()
+
+
+if __name__ == '__main__':
+    unittest.main()
