--- a/primroselock/decisions/moving.py
+++ b/primroselock/decisions/moving.py
@@ -2,8 +2,8 @@
 
 Out of a zone that is out of service every waiting job moves.  In a zone
 that is in service a job moves when it has waited for a while, cannot be
-placed, and another shard has said that more is free there than is
-waited for.  Each move is taken off what is known of the other shard, so
+placed, and another shard has said that it has free cells that fit.  Each
+move is taken off what is known of the other shard, so
 that many jobs do not follow one beacon.  The moves of a round are
 bounded, since each costs writes to the platform's table.
 """
@@ -44,9 +44,9 @@
 ) -> None:
     load = board.peers_by_shard.get(shard)
     if load is not None:
-        waiting = load.waiting_accelerators + accelerators
+        free = load.free_accelerators - accelerators
         board.peers_by_shard[shard] = dataclasses.replace(
-            load, waiting_accelerators=waiting
+            load, free_accelerators=free
         )
 
 
@@ -114,17 +114,25 @@
     board: blackboard.Blackboard,
     settings: options.Settings,
     waiting: list[tuple[blackboard.JobView, shapes.Shape]],
+    diverted: list[tuple[blackboard.JobView, shapes.Shape]],
     now: float,
 ) -> list[commands.Command]:
-    """Move jobs that cannot be placed to shards where they can."""
+    """Move jobs that cannot be placed to shards where they can.
+
+    ``diverted`` ones need not have waited.
+    """
     mover = _Mover(board, now)
     serving = [
         shard
         for shard in _serving_shards(board)
-        if _slack(board, shard) > 0 and _is_fresh(board, shard, now)
+        if _is_fresh(board, shard, now)
     ]
     if not serving:
         waiting = []
+    for view, shape in diverted:
+        shard = _find_room(board, serving, shape)
+        if shard is not None and not mover.is_full:
+            mover.move(view, shard)
     first_seen = board.memory.first_seen_by_job_id
     for view, shape in waiting:
         waited_s = now - first_seen.get(view.job.id, now)
@@ -144,17 +152,34 @@
     return load is not None and now - load.heard_at <= _BEACON_AGE_S
 
 
+def has_room(
+    board: blackboard.Blackboard, shape: shapes.Shape, now: float
+) -> bool:
+    """Whether another shard has free cells for the shape."""
+    serving = [
+        shard
+        for shard in _serving_shards(board)
+        if _is_fresh(board, shard, now)
+    ]
+    return _find_room(board, serving, shape) is not None
+
+
 def _find_room(
     board: blackboard.Blackboard,
     serving: list[str],
     shape: shapes.Shape,
 ) -> str | None:
+    """Return the shard with the most free cells that fit.
+
+    What waits there does not count: it does not fit, or it would run.
+    """
     best: str | None = None
+    most = 0
     for shard in serving:
         load = board.peers_by_shard[shard]
-        slack = _slack(board, shard)
-        if slack < shape.accelerators or load.largest_free < shape.size:
+        free = load.free_accelerators
+        if free < shape.accelerators or load.largest_free < shape.size:
             continue
-        if best is None or slack > _slack(board, best):
-            best = shard
+        if free > most:
+            best, most = shard, free
     return best
--- a/primroselock/decisions/placing.py
+++ b/primroselock/decisions/placing.py
@@ -9,6 +9,7 @@
 """
 
 from collections import abc
+import typing
 
 from primroselock.decisions import blackboard
 from primroselock.decisions import capacity
@@ -21,10 +22,14 @@
 from primroselock.decisions import reasons
 from primroselock.decisions import registry
 from primroselock.decisions import repair
+from primroselock.decisions import runtimes
 from primroselock.decisions import shapes
 from primroselock import jobs
 from primroselock import options
 
+_MAX_LOSS_SHARE: typing.Final = 0.1
+"""Work that a job may cost others, as a share of its own."""
+
 
 def zone_is_in(board: blackboard.Blackboard) -> bool:
     """Whether operators have the blackboard's zone in service."""
@@ -95,6 +100,7 @@
         self._settle_claims()
         self.losses = preemption.LossMeter(board, self.stock, settings, now)
         self.reasons: dict[str, str] = {}
+        self.diverted: list[tuple[blackboard.JobView, shapes.Shape]] = []
         self._shapes_by_job_id: dict[str, shapes.Shape | None] = {}
         self._failed: set[tuple[str, shapes.Shape]] = set()
         self._reason_by_key: dict[tuple[str, shapes.Shape], str] = {}
@@ -141,7 +147,9 @@
             self.stock.free.largest_free(),
             self.now,
         )
-        return moving.move_to_free(self.board, self.settings, shaped, self.now)
+        return moving.move_to_free(
+            self.board, self.settings, shaped, self.diverted, self.now
+        )
 
     def _resume(self, view: blackboard.JobView) -> bool:
         """Settle a job that needs no plan: claimed, delayed, too large."""
@@ -196,15 +204,47 @@
         key = (job.account, shape)
         if key in self._failed:
             return False
-        pieces = planning.plan_guaranteed(
+        plan = planning.plan_guaranteed(
             self.stock, job.account, shape, self.losses.of_cell
         )
-        if pieces is None:
+        if plan is None:
             self._failed.add(key)
             return False
-        self._take_over(view, shape, pieces, borrowed=False)
+        if self._should_divert(view, shape, plan.pieces):
+            plan.undo()
+            self.diverted.append((view, shape))
+            self.reasons[job.id] = reasons.moving(self.board)
+            return True
+        self._take_over(view, shape, plan.pieces, borrowed=False)
         return True
 
+    def _should_divert(
+        self,
+        view: blackboard.JobView,
+        shape: shapes.Shape,
+        pieces: list[planning.Piece],
+    ) -> bool:
+        """Whether another shard serves the job at once and at less loss.
+
+        Only for a short while, so that the guarantee is not put off, and
+        only where stopping borrowed work loses more than a share of what
+        the job itself is expected to do.
+        """
+        first_seen = self.board.memory.first_seen_by_job_id[view.job.id]
+        limit_s = self.settings.scheduler.divert_for_s
+        tick_s = self.settings.scheduler.tick_interval_s
+        if self.now - first_seen + tick_s >= limit_s:
+            return False
+        if view.job.spec.priority is jobs.Priority.URGENT:
+            return False
+        if not moving.has_room(self.board, shape, self.now):
+            return False
+        lost = sum(self.losses.of_cell(piece.cell) for piece in pieces)
+        left_s = runtimes.expected_remaining_s(
+            self.board, view.job, view.job.checkpoint_s
+        )
+        return lost > _MAX_LOSS_SHARE * left_s * shape.accelerators
+
     def _take_over(
         self,
         view: blackboard.JobView,
@@ -243,16 +283,18 @@
             ):
                 del self.board.claims_by_job_id[job_id]
 
+    def _pick(self, shape: shapes.Shape) -> list[planning.Piece] | None:
+        name = self.settings.scheduler.placement
+        pick = policies.placements_by_name[name]
+        return planning.plan_borrowed(self.stock.free, shape, pick)
+
     def _borrow(self, view: blackboard.JobView) -> bool:
         """Place a job above the guarantee, on free cells."""
         shape = self._shape(view)
         urgent = view.job.spec.priority is jobs.Priority.URGENT
         key = ('urgent' if urgent else '', shape)
         if key not in self._failed:
-            pick = policies.placements_by_name[
-                self.settings.scheduler.placement
-            ]
-            pieces = planning.plan_borrowed(self.stock.free, shape, pick)
+            pieces = self._pick(shape)
             if pieces is not None:
                 placements = self._placements(view.job.spec, shape, pieces)
                 self._start(view, placements, borrowed=True)
--- a/primroselock/decisions/planning.py
+++ b/primroselock/decisions/planning.py
@@ -117,18 +117,20 @@
 
 def plan_guaranteed(
     stock: capacity.Capacity, account: str, shape: shapes.Shape, cost: Cost
-) -> list[Piece] | None:
+) -> 'GuaranteedPlan | None':
     """Take cells within the account's guarantee, or none."""
     holding = stock.holdings_by_account.get(account)
     if holding is None:
         return None
     if _room(stock, holding) < shape.accelerators:
         return None
-    trial = _Trial(stock, holding, cost)
-    pieces = _gather(shape, trial.take)
+    plan = GuaranteedPlan(stock, holding, cost)
+    pieces = _gather(shape, plan.take)
     if pieces is None:
-        trial.undo()
-    return pieces
+        plan.undo()
+        return None
+    plan.pieces = pieces
+    return plan
 
 
 def _unused_within(
@@ -148,8 +150,8 @@
     )
 
 
-class _Trial:
-    """Takes cells within one guarantee and can give them back."""
+class GuaranteedPlan:
+    """Pieces taken within one guarantee, which can be given back."""
 
     def __init__(
         self,
@@ -162,6 +164,7 @@
         self.cost = cost
         self._used_before = dict(holding.used_by_cell)
         self._unused_before = dict(holding.unused_by_size)
+        self.pieces: list[Piece] = []
         self._opened: list[cells.Cell] = []
 
     def undo(self) -> None:
--- a/primroselock/decisions/reasons.py
+++ b/primroselock/decisions/reasons.py
@@ -19,6 +19,14 @@
     )
 
 
+def moving(board: blackboard.Blackboard) -> str:
+    """Say that the job is handed to another shard."""
+    return (
+        f'waits to be moved out of zone {board.zone}, where its cells are '
+        'lent to other work, to a zone that has free ones'
+    )
+
+
 def delayed(view: blackboard.JobView) -> str:
     """Say that a retry is delayed."""
     return (
@@ -54,8 +62,7 @@
 ) -> str:
     """Say which cells are missing and how the guarantee is used."""
     return (
-        f'waits for {shape.count} cells of {shape.size} accelerators; '
-        f'zone {board.zone} has {stock.free.free_accelerators()} free, the '
-        f'largest cell {stock.free.largest_free()}; account {job.account}: '
+        f'waits for {shape.count} cells of {shape.size} accelerators: zone '
+        f'{board.zone} has not so many free; account {job.account}: '
         + stock.holding(job.account).describe()
     )
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -82,6 +82,7 @@
     queue_order: str = ini.key('name', 'shortest_remaining')
     victim_choice: str = ini.key('name', 'least_lost')
     balance_after_s: float = ini.key('seconds', 5.0)
+    divert_for_s: float = ini.key('seconds', 3.0)
     tick_interval_s: float = ini.key('seconds', 0.1)
     job_poll_interval_s: float = ini.key('seconds', 0.5)
     shard_lease_s: float = ini.key('seconds', 6.0)
--- a/tools/fakeworker.py
+++ b/tools/fakeworker.py
@@ -1,6 +1,7 @@
 """A worker for the replay: obeys commands and reports, without I/O."""
 
 import dataclasses
+import typing
 
 import msgspec
 
@@ -8,7 +9,9 @@
 from primroselock.platform import vmlist
 from primroselock.workers import protocol
 
-_FAILS_AFTER_S = 1.0
+_FAILS_AFTER_S: typing.Final = 1.0
+_RESUME_S: typing.Final = 30.0
+"""Run time that a task needs to load a checkpoint."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,7 +95,10 @@
             return None
         task.started_at = now
         task.resumed_s = command.resume_from_s
-        task.ends_at = now + max(run_time_s - command.resume_from_s, 0.0)
+        if command.resume_from_s:
+            task.started_at += _RESUME_S
+        left_s = max(run_time_s - command.resume_from_s, 0.0)
+        task.ends_at = task.started_at + left_s
         if self.fails_all:
             task.fails = True
             task.ends_at = now + _FAILS_AFTER_S
@@ -105,7 +111,8 @@
         if task is not None and task.report.state is (
             protocol.TaskState.RUNNING
         ):
-            progress_s = task.resumed_s + now - task.started_at
+            ran_s = max(now - task.started_at, 0.0)
+            progress_s = task.resumed_s + ran_s
             task.report = msgspec.structs.replace(
                 task.report, checkpoint_s=progress_s
             )
--- a/tools/replay.py
+++ b/tools/replay.py
@@ -29,6 +29,7 @@
     'queue_order': 'fifo',
     'victim_choice': 'any',
     'balance_after_s': str(30 * 24 * traces.HOUR_S),
+    'divert_for_s': '0.000001',
 }
 
 
--- a/tools/traces.py
+++ b/tools/traces.py
@@ -3,7 +3,7 @@
 A trace is a list of lines in JSON: first the deployment, then events in
 order of time.  Jobs come in kinds, each with its own typical run time;
 callers' estimates are wrong by a factor that is the kind's own.  Run as
-``python -m tools.traces DEPLOYMENT SEED`` to print one.
+``python -m tools.traces DEPLOYMENT SEED SCALE`` to print one.
 """
 
 import dataclasses
@@ -194,9 +194,15 @@
 _CANCEL_SHARE: typing.Final = 0.03
 
 
-def generate(name: str, seed: int) -> Trace:
-    """Return the trace of a deployment for ``seed``."""
+def generate(name: str, seed: int, scale: float = 1.0) -> Trace:
+    """Return the trace of a deployment for ``seed``.
+
+    ``scale`` shortens it: fewer jobs in less time.
+    """
     plan = _PLANS_BY_NAME[name]
+    plan = dataclasses.replace(
+        plan, jobs=int(plan.jobs * scale), hours=plan.hours * scale
+    )
     source = random.Random(f'{name} {seed}')
     events: list[Event] = list(_arrivals(plan, source))
     events.extend(_cancellations(events, plan, source))
@@ -322,8 +328,8 @@
 
 def main() -> int:
     """Print one trace."""
-    name, seed = sys.argv[1:]
-    sys.stdout.write(encode(generate(name, int(seed))))
+    name, seed, scale = sys.argv[1:]
+    sys.stdout.write(encode(generate(name, int(seed), float(scale))))
     return 0
 
 
