--- a/primroselock/decisions/blackboard.py
+++ b/primroselock/decisions/blackboard.py
@@ -21,6 +21,7 @@
 from primroselock.decisions import budgets
 from primroselock.decisions import evidence
 from primroselock.decisions import footprints
+from primroselock.decisions import shapes
 from primroselock import jobs
 from primroselock.platform import vmlist
 from primroselock.workers import protocol
@@ -71,15 +72,24 @@
     report: protocol.Report | None = None
     heard_at: float = 0.0
     sent_at: float = 0.0
+    _tasks_by_key: dict[protocol.TaskKey, protocol.TaskReport] = (
+        dataclasses.field(
+            default_factory=dict, init=False, repr=False, compare=False
+        )
+    )
 
     def task(self, key: protocol.TaskKey) -> protocol.TaskReport | None:
-        """Return the worker's last report on one task."""
+        """Return the worker's last report on one task.
+
+        The tasks are indexed by key when the first one is asked for.
+        """
         if self.report is None:
             return None
-        for task in self.report.tasks:
-            if task.task == key:
-                return task
-        return None
+        if not self._tasks_by_key:
+            self._tasks_by_key.update(
+                {task.task: task for task in self.report.tasks}
+            )
+        return self._tasks_by_key.get(key)
 
     def clock_at(self, moment: float) -> float:
         """Return a lower bound of the worker's clock at ``moment``.
@@ -172,6 +182,7 @@
     ``footprints_by_job_id`` and ``locations_by_worker_id`` cache the
     accelerators of attempts; ``run_times`` are learned;
     ``first_seen_by_job_id`` is when a waiting job was first considered;
+    ``shapes_by_job_id`` are the shapes of waiting jobs under ``unit``;
     ``targets_by_job_id`` are the shards that jobs are being moved to.
     """
 
@@ -190,6 +201,10 @@
     first_seen_by_job_id: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
+    unit: shapes.Unit | None = None
+    shapes_by_job_id: dict[str, shapes.Shape | None] = dataclasses.field(
+        default_factory=dict
+    )
     targets_by_job_id: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
--- a/primroselock/decisions/placing.py
+++ b/primroselock/decisions/placing.py
@@ -102,8 +102,8 @@
         self.reasons: dict[str, str] = {}
         self.diverted: list[tuple[blackboard.JobView, shapes.Shape]] = []
         self._shapes_by_job_id: dict[str, shapes.Shape | None] = {}
-        self._failed: set[tuple[str, shapes.Shape]] = set()
-        self._reason_by_key: dict[tuple[str, shapes.Shape], str] = {}
+        self._failed: set[tuple[str, int, int]] = set()
+        self._reason_by_key: dict[tuple[str, int, int], str] = {}
 
     def _settle_claims(self) -> None:
         """Drop claims that cannot be met, mend what broke, measure again."""
@@ -128,10 +128,7 @@
 
         Jobs that did not fit may be moved to another shard.
         """
-        self._shapes_by_job_id = {
-            view.job.id: shapes.of_spec(view.job.spec, self.stock.unit)
-            for view in waiting
-        }
+        self._shapes_by_job_id = self._recall_shapes(waiting)
         name = self.settings.scheduler.queue_order
         order = policies.queue_orders_by_name[name]
         waiting.sort(key=lambda view: order(self.board, view, self.now))
@@ -151,6 +148,22 @@
             self.board, self.settings, shaped, self.diverted, self.now
         )
 
+    def _recall_shapes(
+        self, waiting: list[blackboard.JobView]
+    ) -> dict[str, shapes.Shape | None]:
+        """Return the jobs' shapes, computed once while workers are alike."""
+        memory = self.board.memory
+        unit = self.stock.unit
+        known = memory.shapes_by_job_id if memory.unit == unit else {}
+        memory.unit = unit
+        memory.shapes_by_job_id = {
+            view.job.id: known[view.job.id]
+            if view.job.id in known
+            else shapes.of_spec(view.job.spec, unit)
+            for view in waiting
+        }
+        return memory.shapes_by_job_id
+
     def _resume(self, view: blackboard.JobView) -> bool:
         """Settle a job that needs no plan: claimed, delayed, too large."""
         job_id = view.job.id
@@ -201,7 +214,7 @@
         if job.spec.priority is jobs.Priority.BORROWED:
             return False
         shape = self._shape(view)
-        key = (job.account, shape)
+        key = (job.account, shape.size, shape.count)
         if key in self._failed:
             return False
         plan = planning.plan_guaranteed(
@@ -292,7 +305,7 @@
         """Place a job above the guarantee, on free cells."""
         shape = self._shape(view)
         urgent = view.job.spec.priority is jobs.Priority.URGENT
-        key = ('urgent' if urgent else '', shape)
+        key = ('urgent' if urgent else '', shape.size, shape.count)
         if key not in self._failed:
             pieces = self._pick(shape)
             if pieces is not None:
@@ -335,7 +348,7 @@
         return masks
 
     def _explain(self, view: blackboard.JobView, shape: shapes.Shape) -> None:
-        key = (view.job.account, shape)
+        key = (view.job.account, shape.size, shape.count)
         if key not in self._reason_by_key:
             self._reason_by_key[key] = reasons.no_cells(
                 self.stock, self.board, view.job, shape
--- a/primroselock/decisions/policies.py
+++ b/primroselock/decisions/policies.py
@@ -102,6 +102,17 @@
     return (0.0 if urgent else 1.0, work, job.submitted_at)
 
 
+@queue_order('shortest_time')
+def sort_shortest_time(
+    board: blackboard.Blackboard, view: blackboard.JobView, now: float
+) -> tuple[float, ...]:
+    """Order urgent jobs first, then by the run time that is expected."""
+    job = view.job
+    urgent = job.spec.priority is jobs.Priority.URGENT
+    left_s = runtimes.expected_remaining_s(board, job, job.checkpoint_s)
+    return (0.0 if urgent else 1.0, left_s, job.submitted_at)
+
+
 @victim_choice('least_lost')
 def least_lost(
     board: blackboard.Blackboard, view: blackboard.AttemptView, now: float
