Test runner: the speed of a machine is no verdict

Cause: hypothesis' health check for slow generation fails a property on a busy machine; the whole run must give the same verdict each time. Ruled out: the deadline, which was off already.

--- a/tools/runtests.py
+++ b/tools/runtests.py
@@ -31,7 +31,12 @@
 def main() -> int:
     """Run the tests; return the exit code."""
     hypothesis.settings.register_profile(
-        'ci', derandomize=True, deadline=None, database=None
+        'ci',
+        derandomize=True,
+        deadline=None,
+        database=None,
+        # Speed on a busy machine is no verdict.
+        suppress_health_check=[hypothesis.HealthCheck.too_slow],
     )
     hypothesis.settings.load_profile('ci')
     names = sys.argv[1:]
