Requests: limits, full queue, keys of accounts and TLS, over processes

Cause: the limits on bodies, headers, answers and the queue had no test over a socket, and TLS had settings without a proof.

A service's max_answer_bytes (4 MiB by default) bounds what one answer may hold in memory: a larger one is cut and told as unknown, since it ran. A refused retry is told by the latest reason: a request whose connection was refused and that then met a full queue was told 503 upstream-unreachable, now 429 queue-full; both were truly not run.

--- a/primroselock/configuration.py
+++ b/primroselock/configuration.py
@@ -11,7 +11,8 @@
 
     [zone NAME]      state = in | out, racks = whole racks
     [account NAME]   token_digests, weight, guarantee.ZONE = SIZE:COUNT, ...
-    [service NAME]   slots, connections, gateways, queue, max_body_bytes
+    [service NAME]   slots, connections, gateways, queue, max_body_bytes,
+                     max_answer_bytes
     [jobs]           limits on jobs
 """
 
@@ -96,6 +97,7 @@
     gateways: int = ini.key('positive', 16)
     queue: int = ini.key('count', 256)
     max_body_bytes: int = ini.key('positive', 4 * 1024 * 1024)
+    max_answer_bytes: int = ini.key('positive', 4 * 1024 * 1024)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroselock/dispatch.py
+++ b/primroselock/dispatch.py
@@ -137,7 +137,7 @@
         for _ in range(_MOST_TRIES):
             turn = await self._take_turn(state, work, excluded)
             if isinstance(turn, NotRun):
-                return told or turn
+                return told if isinstance(told, Unknown) else turn
             outcome, may_retry = await self._exchange(state, turn, work)
             if told is None or not isinstance(outcome, NotRun):
                 told = outcome
--- a/primroselock/httplane.py
+++ b/primroselock/httplane.py
@@ -223,7 +223,7 @@
         self.address = address
         self._limit = limit
         self._idle_s = idle_s
-        self._max_answer_bytes = max_answer_bytes
+        self.max_answer_bytes = max_answer_bytes
         self._idle: list[_Lane] = []
         self._open = 0
         self._waiters: list[asyncio.Future[None]] = []
@@ -322,7 +322,7 @@
     ) -> bytes:
         declared = headers.get('content-length')
         if declared is not None:
-            if int(declared) > self._max_answer_bytes:
+            if int(declared) > self.max_answer_bytes:
                 raise _AnswerTooLarge(declared)
             body: bytes = await answer.content()
             return body
@@ -331,7 +331,7 @@
         async for part in answer.read_chunks():
             parts.append(part)
             size += len(part)
-            if size > self._max_answer_bytes:
+            if size > self.max_answer_bytes:
                 raise _AnswerTooLarge(str(size))
         return b''.join(parts)
 
--- a/primroselock/routing.py
+++ b/primroselock/routing.py
@@ -154,6 +154,7 @@
             service = current.services_by_name.get(upstream.vm.service)
             if service is not None:
                 upstream.pool.set_limit(shares.connection_limit(service))
+                upstream.pool.max_answer_bytes = service.max_answer_bytes
             upstream.pool.close_stale(now)
         self._retired = [old for old in self._retired if old.pool.open_lanes]
 
--- a/primroselock/servicesapi.py
+++ b/primroselock/servicesapi.py
@@ -158,9 +158,8 @@
     """Read the body; an oversized one is not read to its end."""
     limit = service.max_body_bytes
     declared = request.headers.get('content-length', '0')
-    too_large = _refused(413, 'too-large', f'at most {limit} bytes')
     if declared.isdigit() and int(declared) > limit:
-        raise too_large
+        raise _too_large(limit)
     parts: list[bytes] = []
     size = 0
     try:
@@ -169,7 +168,7 @@
                 parts.append(part)
                 size += len(part)
                 if size > limit:
-                    raise too_large
+                    raise _too_large(limit)
     except TimeoutError:
         raise _refused(408, 'body-late', 'the body did not come') from None
     except requests.ClientDisconnect:
@@ -177,6 +176,10 @@
     return b''.join(parts)
 
 
+def _too_large(limit: int) -> _Refused:
+    return _refused(413, 'too-large', f'at most {limit} bytes')
+
+
 def _refused(status: int, code: str, message: str) -> _Refused:
     return _Refused(answers.error(status, code, message))
 
--- a/primroselock/test/testrequests.py
+++ b/primroselock/test/testrequests.py
@@ -9,8 +9,10 @@
 import hashlib
 import http.client
 import itertools
+import pathlib
 import signal
 import socket
+import ssl
 import typing
 import unittest
 
@@ -20,13 +22,20 @@
 _PATCH: typing.Final = f"""
 [account signs]
 token_digests = {hashlib.sha256(_TOKEN.encode()).hexdigest()}
+[account merch]
+token_digests = {hashlib.sha256(b'merch-token').hexdigest()}
 [service quote-desk]
 slots = 8
 connections = 64
+max_body_bytes = 3000
+max_answer_bytes = 2000
 """
 _PATH: typing.Final = '/v1/services/quote-desk/reprice'
 _QUICK: typing.Final = {'gateway': {'leaving_delay_s': '0.5'}}
 _CONNECTIONS_A_GATEWAY: typing.Final = 4
+_TLS: typing.Final = (
+    pathlib.Path(__file__).resolve().parent.parent.parent / 'test-data/tls'
+)
 _ESTABLISHED: typing.Final = '01'
 
 
@@ -372,6 +381,101 @@
             for row in rows
         )
 
+    def test_limits_are_refused_as_not_run(self) -> None:
+        body = self.new_body()
+        large = body + b'x' * 3000
+        cases: list[tuple[int, bytes, dict[str, str]]] = [
+            (413, large, {}),
+            (431, body, {'X_Long': 'x' * 20_000}),
+            (400, body, {'Primroselock_Timeout': 'soon'}),
+            (400, body, {'Primroselock_Timeout': 'nan'}),
+            (400, body, {'Primroselock_Idempotent': 'perhaps'}),
+            (400, body, {'Idempotency_Key': 'x' * 256}),
+        ]
+        for status, sent, headers in cases:
+            with self.subTest(status, headers=headers.keys()):
+                told = self.send('first', sent, 0.0, **headers)
+                self.assertEqual(status, told.status)
+                self.assertEqual('not-run', self.check_told(told, sent))
+        address = self.cluster.addresses_by_name['first']
+        told = launch.call(address, 'POST', _PATH, body, 'other-token')
+        self.assertEqual(401, told.status)
+        self.assertEqual('not-run', self.check_told(told, body))
+        answer_too_large = body + b'x' * 2500
+        told = self.send('first', answer_too_large)
+        self.assertEqual('unknown', self.check_told(told, answer_too_large))
+
+    def test_full_queue_is_refused_as_not_run(self) -> None:
+        self.change_queue(2)
+        self.addCleanup(self.change_queue, 256)
+        bodies = [self.new_body() for _ in range(16)]
+        sent = [
+            self.pool.submit(self.send, 'first', body, 1.0) for body in bodies
+        ]
+        refused = 0
+        for one, body in zip(sent, bodies, strict=True):
+            told = one.result()
+            if self.check_told(told, body) == 'not-run':
+                refused += 1
+                self.assertEqual(429, told.status, told)
+                self.assertGreaterEqual(int(told.headers['retry-after']), 1)
+        self.assertGreaterEqual(refused, 1)
+
+    def change_queue(self, length: int) -> None:
+        """Patch the length of the service's queue and wait for it."""
+        text = f'[service quote-desk]\nqueue = {length}\n'
+        accepted = self.cluster.submit_patch('first', text)
+        self.assertEqual(201, accepted.status, accepted)
+        version = accepted.json()['version']
+        launch.wait_for(
+            lambda: (
+                self.get('first', '/v1/status').json()['config_version']
+                >= version
+            ),
+            'the patch is in force',
+        )
+
+    def test_key_belongs_to_its_account(self) -> None:
+        own, other = self.new_body(), self.new_body()
+        told = self.send('first', own, Idempotency_Key='shared')
+        self.assertEqual('done', self.check_told(told, own))
+        address = self.cluster.addresses_by_name['first']
+        headers = {'Idempotency-Key': 'shared'}
+        told = launch.call(
+            address, 'POST', _PATH, other, 'merch-token', headers
+        )
+        self.assertEqual('done', self.check_told(told, other))
+
+    def test_tls_by_settings(self) -> None:
+        settings = {
+            'gateway': {
+                'tls_certificate': str(_TLS / 'certificate.pem'),
+                'tls_key': str(_TLS / 'key.pem'),
+            }
+        }
+        self.cluster.start_daemon('tls', 'gateway', 'a', settings)
+        self.addCleanup(self.cluster.processes_by_name['tls'].kill)
+        host, _, port = self.cluster.addresses_by_name['tls'].rpartition(':')
+        trusting = ssl.create_default_context(
+            cafile=str(_TLS / 'certificate.pem')
+        )
+
+        def read(context: ssl.SSLContext) -> int:
+            connection = http.client.HTTPSConnection(
+                host, int(port), context=context, timeout=10
+            )
+            try:
+                connection.request('GET', '/healthz')
+                return connection.getresponse().status
+            finally:
+                connection.close()
+
+        self.assertEqual(200, read(trusting))
+        with self.assertRaises(ssl.SSLCertVerificationError):
+            read(ssl.create_default_context())
+        with self.assertRaises((http.client.HTTPException, OSError)):
+            self.get('tls', '/healthz')
+
     def test_cut_zone_is_served_by_the_others(self) -> None:
         self.start_gateway('in-b', 'b')
         self.wait_ready('in-b')
