--- a/primroselock/gateway.py
+++ b/primroselock/gateway.py
@@ -1,9 +1,6 @@
 """The gateway daemon: HTTP for callers and operators."""
 
 import asyncio
-from collections import abc
-import contextlib
-import math
 import random
 import typing
 
@@ -12,7 +9,6 @@
 from starlette import requests
 from starlette import responses
 from starlette import routing as paths
-import uvicorn
 
 from primroselock import answers
 from primroselock import claims
@@ -21,6 +17,7 @@
 from primroselock import daemon
 from primroselock import dispatch
 from primroselock import groupcommit
+from primroselock import httpserver
 from primroselock import jobsapi
 from primroselock import keyed
 from primroselock import logs
@@ -35,15 +32,6 @@
 _log: typing.Final = logs.get('gateway')
 
 
-class _Server(uvicorn.Server):
-    """A server that leaves signals to the daemon."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> abc.Generator[None, None, None]:
-        """Install no signal handler."""
-        yield
-
-
 class StatusApi:
     """Health, readiness and status."""
 
@@ -226,7 +214,12 @@
         shared, carried.dispatcher, carried.keyed
     )
     app = _LeavingHeader(build_app(shared, services), shared.stopping)
-    server = _Server(_server_config(settings, app))
+    server = httpserver.build(
+        app,
+        settings.gateway.shutdown_grace_s,
+        settings.gateway.tls_certificate,
+        settings.gateway.tls_key,
+    )
     _log.info(
         'listening',
         role='gateway',
@@ -259,21 +252,3 @@
             await keyed_requests.drain()
     except TimeoutError:
         _log.warning('answers not kept')
-
-
-def _server_config(
-    settings: options.Settings, app: typing.Any
-) -> uvicorn.Config:
-    gateway = settings.gateway
-    return uvicorn.Config(
-        app,
-        loop='asyncio',
-        http='httptools',
-        ws='none',
-        lifespan='off',
-        log_config=None,
-        access_log=False,
-        timeout_graceful_shutdown=math.ceil(gateway.shutdown_grace_s),
-        ssl_certfile=gateway.tls_certificate or None,
-        ssl_keyfile=gateway.tls_key or None,
-    )
--- a/tools/slopes/__main__.py
+++ b/tools/slopes/__main__.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from tools.slopes import clients
 from tools.slopes import codecs
 from tools.slopes import decisions
 from tools.slopes import fits
@@ -18,7 +19,15 @@
 from tools.slopes import records
 from tools.slopes import registry
 
-_PARTS: typing.Final = (codecs, decisions, gateways, holder, meshes, records)
+_PARTS: typing.Final = (
+    clients,
+    codecs,
+    decisions,
+    gateways,
+    holder,
+    meshes,
+    records,
+)
 _DEFAULT_WINDOW_S: typing.Final = 3.0
 
 
@@ -63,7 +72,8 @@
         print(f'measuring {name}', file=sys.stderr, flush=True)
         try:
             found += registry.parts_by_name[name].measure(parsed.window_s)
-        except (RuntimeError, OSError, TimeoutError) as error:
+        except Exception as error:
+            # A part that fails must not lose what the others measured.
             failures_by_part[name] = f'{type(error).__name__}: {error}'
     if parsed.output == 'json':
         document = {
