Giving up a lane waits for the library's task to end

Cause: test_connections_stay_within_the_share once counted 9 connections where 8 are allowed (one of six runs so far). A lane given up while its connection was being made counted as closed before the task that made it had ended; it now counts until then.

A guard keeps giving up from cancelling the caller's own task, should the library ever run a request in it.

--- a/primroselock/httplane.py
+++ b/primroselock/httplane.py
@@ -35,6 +35,7 @@
 _MAX_ANSWER_BYTES: typing.Final = 64 * 1024 * 1024
 _LEAST_TIMEOUT_S: typing.Final = 0.001
 _LIBRARY_MARGIN_S: typing.Final = 5.0
+_END_TIMEOUT_S: typing.Final = 1.0
 _STATUSES_WITHOUT_BODY: typing.Final = frozenset({204, 304})
 
 
@@ -101,6 +102,7 @@
     has_written = False
     _given_up = False
     _worker: asyncio.Task[typing.Any] | None = None
+    _owner: asyncio.Task[typing.Any] | None = None
 
     async def connect(self, *args: typing.Any, **kwargs: typing.Any) -> None:
         self._check_in_use()
@@ -120,13 +122,21 @@
         """Forget what earlier exchanges did."""
         self.has_written = False
         self._worker = None
+        self._owner = asyncio.current_task()
 
-    def give_up(self) -> None:
-        """Close the connection at once and refuse all further use."""
+    async def give_up(self) -> None:
+        """Close the connection at once and refuse all further use.
+
+        Returns when the library's task has ended, so that a connection
+        that was being made is closed too.
+        """
         self._given_up = True
-        if self._worker is not None and not self._worker.done():
-            self._worker.cancel()
         self._abort()
+        worker = self._worker
+        if worker is None or worker.done() or worker is self._owner:
+            return
+        worker.cancel()
+        await asyncio.wait({worker}, timeout=_END_TIMEOUT_S)
 
     def _check_in_use(self) -> None:
         if self._given_up:
@@ -190,7 +200,7 @@
     async def aclose(self) -> None:
         """Close the connection at once."""
         for connection in self._connections:
-            connection.give_up()
+            await connection.give_up()
         try:
             await self.client.aclose()
         except Exception:
