--- a/primroselock/gateway.py
+++ b/primroselock/gateway.py
@@ -29,6 +29,7 @@
 
 _BACKLOG: typing.Final = 2048
 _SWEEP_PAGE_ROWS: typing.Final = 1000
+_SWEEP_PAGE_PAUSE_S: typing.Final = 0.5
 _log: typing.Final = logs.get('gateway')
 
 
@@ -185,7 +186,10 @@
         own_id = shared.settings.process.vm_id
         after = ''
         while True:
-            await asyncio.sleep(shared.settings.gateway.claim_sweep_interval_s)
+            interval_s = shared.settings.gateway.claim_sweep_interval_s
+            if after:
+                interval_s = min(interval_s, _SWEEP_PAGE_PAUSE_S)
+            await asyncio.sleep(interval_s)
             others = [
                 heard.beacon.vm_id
                 for heard in shared.members.list_live(clock.monotonic())
