Queue: a turn that comes within a mean exchange of the deadline is refused

Cause: with one of three upstreams slow and twice the load, requests got their turn with too little time left; they took a slot, timed out and ended as unknown, where not-run would have been true and free.

The turn is now refused as not-run when the deadline is nearer than the mean exchange. A free slot without a queue is still taken at once, so the mean cannot lock requests out. Ruled out: the least exchange in place of the mean, which a fast upstream keeps small.

--- a/primroselock/dispatch.py
+++ b/primroselock/dispatch.py
@@ -220,7 +220,8 @@
             current = self._shared.follower.current.services_by_name
             limits = current.get(service, work.service)
             upstream: routing.Upstream | None = None
-            if now < work.deadline:
+            # What waited too long would end as unknown, and waste a slot.
+            if now + state.mean_s < work.deadline:
                 upstream = self._router.choose(limits, now, waiter.excluded)
                 if upstream is None:
                     return
