--- a/primroselock/test/testrouting.py
+++ b/primroselock/test/testrouting.py
@@ -111,6 +111,14 @@
         router.reserve(router.choose(_SERVICE, later))
         self.assertIsNone(router.choose(_SERVICE, later))
 
+    def test_most_broken_upstreams_still_serve(self) -> None:
+        router = build_router(build_upstream('a'), build_upstream('bb'))
+        for upstream in router.upstreams_by_id.values():
+            for _ in range(3):
+                upstream.health = ejection.record_broken(upstream.health, _NOW)
+        self.assertEqual({'a': 4, 'bb': 4}, fill(router))
+        self.assertTrue(router.is_served(_SERVICE, _NOW))
+
     def test_least_of_two_prefers_the_idle(self) -> None:
         for choice, expected in (('least_of_two', {'b'}), ('random', None)):
             router = build_router(
@@ -225,6 +233,20 @@
                 retries * 100, number * retrybudget.EARNED_PERCENT
             )
 
+    @hypothesis.given(strategies.integers(0, 500), strategies.integers(1, 99))
+    def test_nothing_much_is_saved_for_a_failure(
+        self, before: int, during: int
+    ) -> None:
+        budget = retrybudget.RetryBudget()
+        for _ in range(before):
+            budget.earn()
+        retries = 0
+        for _ in range(during):
+            budget.earn()
+            retries += budget.spend()
+        allowed = during * retrybudget.EARNED_PERCENT / 100 + 1
+        self.assertLessEqual(retries, allowed)
+
 
 if __name__ == '__main__':
     unittest.main()
