--- a/tools/slopes/bench.py
+++ b/tools/slopes/bench.py
@@ -26,8 +26,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rates:
-    """What one process used a second within a window, and its memory."""
+    """What one process used a second within a window, and its memory.
 
+    ``load`` is how many calls of the load were accepted a second.
+    """
+
+    load: float
     cpu: float
     rss_mb: float
     table_bytes: float
@@ -38,6 +42,10 @@
     link_chunks: float = 0.0
 
 
+Load = abc.Callable[[float], int]
+"""Runs for a window in seconds; returns how many calls were accepted."""
+
+
 class Bench:
     """One zone with a gateway; parts start what else they measure."""
 
@@ -49,13 +57,28 @@
         self.platform_relays: dict[str, relay.Relay] = {}
 
     def __enter__(self) -> 'Bench':
+        try:
+            self._start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """End every process and relay."""
+        self.cluster.close()
+        self.relays.close()
+
+    def _start(self) -> None:
         self.cluster.start_platform()
         self.start_daemon('gateway-a', 'gateway')
         launch.wait_for(self._is_ready, 'the gateway is ready')
         accepted = self.cluster.submit_patch('gateway-a', _FIRST_PATCH)
         if accepted.status != 201:
             raise RuntimeError(f'the first patch is refused: {accepted}')
-        return self
 
     def _is_ready(self) -> bool:
         try:
@@ -63,10 +86,6 @@
         except ConnectionError:
             return False
 
-    def __exit__(self, *_: object) -> None:
-        self.cluster.close()
-        self.relays.close()
-
     def start_daemon(
         self,
         name: str,
@@ -119,17 +138,16 @@
         """Let a change reach every process."""
         time.sleep(_SETTLE_S)
 
-    def measure(
-        self, name: str, load: abc.Callable[[float], None] | None = None
-    ) -> Rates:
+    def measure(self, name: str, load: Load | None = None) -> Rates:
         """Return what a process uses while ``load`` runs for a window."""
         pid = self.cluster.processes_by_name[name].pid
         wire = self.platform_relays[name]
         before, began = self._totals(pid, wire), time.monotonic()
+        accepted = 0
         if load is None:
             time.sleep(self.window_s)
         else:
-            load(self.window_s)
+            accepted = load(self.window_s)
         taken_s = time.monotonic() - began
         after = self._totals(pid, wire)
         cpu, *rest = (
@@ -137,7 +155,7 @@
             for new, old in zip(after, before, strict=True)
         )
         rss_mb = processes.read_usage(pid).rss_bytes / 1e6
-        return Rates(cpu, rss_mb, *rest)
+        return Rates(accepted / taken_s, cpu, rss_mb, *rest)
 
     def _totals(self, pid: int, wire: relay.Relay) -> tuple[float, ...]:
         return (
