Gangs: start in the round that sees the commit; four more scenarios

A committed placement waited one tick before its start was decided; the step now falls through, which takes up to tick_interval_s off each start.

--- a/primroselock/decisions/gangs.py
+++ b/primroselock/decisions/gangs.py
@@ -135,8 +135,8 @@
 ) -> list[commands.Command]:
     job_view = board.jobs_by_id[view.job_id]
     if job_view.job.attempt == view.attempt:
-        board.set_phase(view, blackboard.Phase.STARTING, now)
-        return []
+        moved = board.set_phase(view, blackboard.Phase.STARTING, now)
+        return _start(board, settings, moved, now)
     if now - view.phase_since > settings.scheduler.reserve_timeout_s:
         return _give_up(board, view, now)
     committed = dataclasses.replace(
--- a/primroselock/test/testgangscenarios.py
+++ b/primroselock/test/testgangscenarios.py
@@ -52,8 +52,11 @@
         self.holder.reload()
 
     def exchange(self) -> None:
-        """Exchange with every worker, without faults."""
+        """Exchange with every worker that is not cut off."""
         for worker in self.workers:
+            worker.tick()
+            if worker.is_cut:
+                continue
             now = self.clock.now
             batch = self.holder.take_batch(worker.parsed.id, now)
             if batch is not None:
@@ -182,6 +185,79 @@
             self.step()
         self.assertFalse(any(worker.tasks for worker in self.workers))
 
+    def run_gang(self, seconds: float) -> None:
+        """Start a gang of both workers that runs for a time."""
+        self.table.put(
+            builders.build_job(
+                members=2, accelerators=8, command=('sleep', str(seconds))
+            )
+        )
+        self.holder.reload()
+        for _ in range(4):
+            self.step()
+        for worker in self.workers:
+            self.assertEqual('running', worker.history[-1]['state'])
+
+    def test_silent_member_stops_the_others_in_time(self) -> None:
+        """Neither member is renewed when one worker is cut off."""
+        self.run_gang(600.0)
+        cut_at = self.clock.now
+        self.workers[1].is_cut = True
+        for _ in range(60):
+            self.step()
+        for worker in self.workers:
+            ended = worker.history[2]
+            self.assertEqual('stopped', ended['state'])
+            passed_s = ended['at'] - cut_at
+            self.assertLess(passed_s, self.settings.scheduler.partial_run_s)
+        self.assertIn('lease', self.workers[1].history[2]['detail'])
+
+    def test_attempt_ends_only_when_no_member_can_run(self) -> None:
+        """The job waits while a member that is cut off may still run."""
+        self.run_gang(600.0)
+        self.workers[1].is_cut = True
+        while self.workers[1].history[-1]['state'] == 'running':
+            self.assertEqual(jobs.JobState.RUNNING, self.job().state)
+            self.step()
+
+    def test_result_of_an_incomplete_attempt_does_not_count(self) -> None:
+        """One member is done, the other's worker has restarted."""
+        self.run_gang(3.0)
+        self.workers[1].is_cut = True
+        while self.workers[0].history[-1]['state'] == 'running':
+            self.step()
+        self.step()
+        self.assertEqual(jobs.JobState.RUNNING, self.job().state)
+        self.workers[1].restart()
+        self.workers[1].is_cut = False
+        for _ in range(4):
+            self.step()
+        self.assertIsNot(jobs.JobState.DONE, self.job().state)
+
+    def test_start_after_the_permit_is_refused(self) -> None:
+        """A start that comes after the permit's end has no effect."""
+        self.submit(1)
+        self.holder.board.permit_until = self.clock.now + 1.2
+        self.step()
+        self.step()
+        self.clock.now += 0.15
+        self.holder.run_round(self.clock.now)
+        batches = [
+            self.holder.take_batch(worker.parsed.id, self.clock.now)
+            for worker in self.workers
+        ]
+        commands = [c for b in batches if b for c in b.commands]
+        self.assertIsInstance(commands[0], protocol.Start)
+        self.clock.now += 0.5
+        for worker, batch in zip(self.workers, batches, strict=True):
+            assert batch is not None
+            worker.handle(batch)
+        for _ in range(30):
+            self.step()
+        for worker in self.workers:
+            states = [entry['state'] for entry in worker.history]
+            self.assertNotIn('running', states)
+
     def test_old_holder_is_refused_once_the_new_one_was_heard(self) -> None:
         """A worker obeys no epoch older than one that it has seen."""
         old = self.holder
