Rounds cost by what changed; one renewal a worker instead of one a task

Now a controller looks only at reports that it has not seen, and gangs at attempts of which a task changed its state, a worker is silent, or which are not running. Leases are renewed by one word a worker that extends all its running tasks but those that it names: members of attempts that are not running whole.

An attempt whose members are all done at the first look would not have been looked at again; it is now judged in the round in which it is seen to run, with a scenario for it.

--- a/primroselock/decisions/blackboard.py
+++ b/primroselock/decisions/blackboard.py
@@ -19,6 +19,7 @@
 
 from primroselock import configuration
 from primroselock.decisions import budgets
+from primroselock.decisions import changes
 from primroselock.decisions import evidence
 from primroselock.decisions import footprints
 from primroselock import jobs
@@ -140,6 +141,19 @@
     not_before: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Renewal:
+    """Extends the leases of all running tasks on a worker but some.
+
+    ``lease_until`` is on the worker's clock, ``decided_at`` on this
+    process's.
+    """
+
+    lease_until: float
+    excluded: tuple[protocol.TaskKey, ...]
+    decided_at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
     """Cells kept for a job until the work that borrows them has ended."""
@@ -205,7 +219,9 @@
     borrows them is stopped; ``peers_by_shard`` is what other shards last
     said of their free cells, and ``load`` is the same of this shard.
     ``shortfalls`` are sentences on guarantees that hardware cannot meet.
-    ``memory`` caches what can be rebuilt.
+    ``memory`` caches what can be rebuilt.  ``renewals_by_worker_id`` is
+    what the next batch to each worker renews; each watch notes what one
+    controller has seen of the reports.
     """
 
     shard: str
@@ -230,6 +246,18 @@
     retry_budget: budgets.TokenBudget = dataclasses.field(
         default_factory=_new_retry_budget
     )
+    renewals_by_worker_id: dict[str, Renewal] = dataclasses.field(
+        default_factory=dict
+    )
+    gang_watch: changes.Watch = dataclasses.field(
+        default_factory=changes.Watch
+    )
+    usage_watch: changes.Watch = dataclasses.field(
+        default_factory=changes.Watch
+    )
+    orphan_watch: changes.Watch = dataclasses.field(
+        default_factory=changes.Watch
+    )
     claims_by_job_id: dict[str, Claim] = dataclasses.field(
         default_factory=dict
     )
@@ -240,6 +268,13 @@
     load: PeerLoad | None = None
     memory: Memory = dataclasses.field(default_factory=Memory)
 
+    def reports_by_worker_id(self) -> dict[str, protocol.Report | None]:
+        """Return the last report of every worker."""
+        return {
+            worker_id: worker.report
+            for worker_id, worker in self.workers_by_id.items()
+        }
+
     def record_vms(self, vms: abc.Iterable[vmlist.Vm]) -> None:
         """Take over the zone's workers from the VM list.
 
--- /dev/null
+++ b/primroselock/decisions/changes.py
@@ -0,0 +1,68 @@
+"""Finds what changed in the workers' reports since a controller looked.
+
+Most reports repeat the one before.  A controller that has settled a state
+of affairs looks again only at what changed, so that a round costs by the
+changes and the workers, not by the running tasks.
+"""
+
+from collections import abc
+import dataclasses
+
+from primroselock.workers import protocol
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """A worker's report as a controller saw it, and as it is now."""
+
+    worker_id: str
+    old: protocol.Report | None
+    new: protocol.Report | None
+
+
+@dataclasses.dataclass(slots=True)
+class Watch:
+    """The reports that one controller has seen."""
+
+    seen_by_worker_id: dict[str, protocol.Report] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def take(
+        self, reports_by_worker_id: abc.Mapping[str, protocol.Report | None]
+    ) -> list[Change]:
+        """Return the reports that are new or gone, and note them as seen."""
+        seen = self.seen_by_worker_id
+        found = [
+            Change(worker_id, seen.get(worker_id), report)
+            for worker_id, report in reports_by_worker_id.items()
+            if report is not None and seen.get(worker_id) is not report
+        ]
+        gone = seen.keys() - reports_by_worker_id.keys()
+        found.extend(Change(name, seen[name], None) for name in gone)
+        for change in found:
+            if change.new is None:
+                del seen[change.worker_id]
+            else:
+                seen[change.worker_id] = change.new
+        return found
+
+
+def jobs_in(report: protocol.Report | None) -> set[str]:
+    """Return the jobs that have a task in a report."""
+    if report is None:
+        return set()
+    return {task.task.job_id for task in report.tasks}
+
+
+def changed_jobs(change: Change) -> set[str]:
+    """Return the jobs of which a task came, went or changed its state."""
+    old, new = change.old, change.new
+    if old is None or new is None or old.boot_id != new.boot_id:
+        return jobs_in(old) | jobs_in(new)
+    if old.tasks == new.tasks:
+        return set()
+    old_states = {task.task: task.state for task in old.tasks}
+    new_states = {task.task: task.state for task in new.tasks}
+    differing = old_states.items() ^ new_states.items()
+    return {key.job_id for key, _ in differing}
--- a/primroselock/decisions/gangs.py
+++ b/primroselock/decisions/gangs.py
@@ -21,10 +21,12 @@
 import typing
 
 from primroselock.decisions import blackboard
+from primroselock.decisions import changes
 from primroselock.decisions import commands
 from primroselock.decisions import endings
 from primroselock.decisions import members
 from primroselock.decisions import registry
+from primroselock.decisions import renewals
 from primroselock import jobs
 from primroselock import options
 from primroselock.workers import protocol
@@ -53,15 +55,42 @@
 def advance_attempts(
     board: blackboard.Blackboard, settings: options.Settings, now: float
 ) -> list[commands.Command]:
-    """Advance every attempt by at most one phase."""
+    """Advance attempts by a phase and renew those that run whole.
+
+    An attempt that runs is looked at when a report changed the state of
+    one of its tasks, or a worker of it is silent.
+    """
+    changed_job_ids: set[str] = set()
+    for change in board.gang_watch.take(board.reports_by_worker_id()):
+        changed_job_ids |= changes.changed_jobs(change)
+    silent_job_ids = _find_silent_jobs(board, settings, now)
     decided: list[commands.Command] = []
     for view in list(board.attempts_by_job_id.values()):
         current = _stop_if_cancelled(board, view, now)
+        if (
+            current.phase is blackboard.Phase.RUNNING
+            and current.job_id not in changed_job_ids
+            and current.job_id not in silent_job_ids
+        ):
+            continue
         step = _steps_by_phase[current.phase]
         decided.extend(step(board, settings, current, now))
+    renewals.renew_whole_attempts(board, settings, silent_job_ids, now)
     return decided
 
 
+def _find_silent_jobs(
+    board: blackboard.Blackboard, settings: options.Settings, now: float
+) -> set[str]:
+    """Return the jobs with a task on a worker that is silent."""
+    window_s = settings.scheduler.heartbeat_window_s
+    found: set[str] = set()
+    for worker in board.workers_by_id.values():
+        if now - worker.sent_at > window_s:
+            found |= changes.jobs_in(worker.report)
+    return found
+
+
 def _stop_if_cancelled(
     board: blackboard.Blackboard, view: blackboard.AttemptView, now: float
 ) -> blackboard.AttemptView:
@@ -172,8 +201,9 @@
         member for member in found if member.is_in(protocol.TaskState.RESERVED)
     ]
     if not waiting:
-        board.set_phase(view, blackboard.Phase.RUNNING, now)
-        return _renew(settings, found, now, urgent=True)
+        moved = board.set_phase(view, blackboard.Phase.RUNNING, now)
+        _run(board, settings, moved, now)
+        return _renew(settings, found, now)
     if late:
         return _give_up(board, view, now)
     if now >= board.permit_until:
@@ -239,9 +269,7 @@
         return []
     window_s = settings.scheduler.heartbeat_window_s
     silent = [m for m in found if not m.was_heard_within(window_s, now)]
-    if not silent:
-        return _renew(settings, found, now, urgent=False)
-    if now - board.listening_since > window_s:
+    if silent and now - board.listening_since > window_s:
         worker_id = silent[0].placement.worker_id
         board.set_phase(
             view,
@@ -257,9 +285,8 @@
     settings: options.Settings,
     found: list[members.Member],
     now: float,
-    urgent: bool,
 ) -> list[commands.Command]:
-    """Extend the lease of every member that runs."""
+    """Extend the leases at once, which a takeover may have left short."""
     return [
         commands.SendToWorker(
             member.placement.worker_id,
@@ -267,7 +294,6 @@
                 member.key,
                 member.clock_at(now) + settings.scheduler.task_lease_s,
             ),
-            urgent=urgent,
         )
         for member in found
         if member.is_in(protocol.TaskState.RUNNING)
--- a/primroselock/decisions/recovery.py
+++ b/primroselock/decisions/recovery.py
@@ -42,17 +42,17 @@
 ) -> list[commands.Command]:
     """Stop and forget tasks that no attempt knows."""
     decided: list[commands.Command] = []
-    for worker_id, worker in board.workers_by_id.items():
-        if worker.report is None:
+    for change in board.orphan_watch.take(board.reports_by_worker_id()):
+        if change.new is None:
             continue
-        for task in worker.report.tasks:
+        for task in change.new.tasks:
             if _is_known(board, task.task):
                 continue
             command: protocol.Command = protocol.Stop(task.task)
             if task.state.is_final:
                 command = protocol.Forget(task.task)
             decided.append(
-                commands.SendToWorker(worker_id, command, urgent=False)
+                commands.SendToWorker(change.worker_id, command, urgent=False)
             )
     return decided
 
--- a/primroselock/decisions/usage.py
+++ b/primroselock/decisions/usage.py
@@ -13,7 +13,6 @@
 
 from primroselock.decisions import blackboard
 from primroselock.decisions import commands
-from primroselock.decisions import members
 from primroselock.decisions import registry
 from primroselock import jobs
 from primroselock import options
@@ -32,48 +31,36 @@
 ) -> list[commands.Command]:
     """Throttle or requeue running attempts that exceed their size."""
     decided: list[commands.Command] = []
-    for view in list(board.attempts_by_job_id.values()):
-        if view.phase is not blackboard.Phase.RUNNING:
+    for change in board.usage_watch.take(board.reports_by_worker_id()):
+        if change.new is None:
             continue
-        spec = board.jobs_by_id[view.job_id].job.spec
-        running = [
-            member
-            for member in members.find(board, view)
-            if member.is_in(protocol.TaskState.RUNNING)
-        ]
-        if not _requeue_larger(board, view, spec, running, now):
-            decided.extend(_throttle(spec, running))
+        for task in change.new.tasks:
+            view = board.attempts_by_job_id.get(task.task.job_id)
+            if (
+                view is None
+                or view.phase is not blackboard.Phase.RUNNING
+                or task.state is not protocol.TaskState.RUNNING
+                or view.attempt.number != task.task.attempt
+            ):
+                continue
+            spec = board.jobs_by_id[view.job_id].job.spec
+            if task.used_memory_mb > spec.memory_mb * TOLERATED_RATIO:
+                _requeue_larger(board, view, spec, task.used_memory_mb, now)
+            elif task.used_cpus > spec.cpus * TOLERATED_RATIO:
+                throttle = protocol.Throttle(task.task, float(spec.cpus))
+                decided.append(
+                    commands.SendToWorker(change.worker_id, throttle, False)
+                )
     return decided
 
 
-def _throttle(
-    spec: jobs.JobSpec, running: list[members.Member]
-) -> list[commands.Command]:
-    return [
-        commands.SendToWorker(
-            member.placement.worker_id,
-            protocol.Throttle(member.key, float(spec.cpus)),
-            urgent=False,
-        )
-        for member in running
-        if member.report is not None
-        and member.report.used_cpus > spec.cpus * TOLERATED_RATIO
-    ]
-
-
 def _requeue_larger(
     board: blackboard.Blackboard,
     view: blackboard.AttemptView,
     spec: jobs.JobSpec,
-    running: list[members.Member],
+    used_mb: int,
     now: float,
-) -> bool:
-    used_mb = max(
-        (member.report.used_memory_mb for member in running if member.report),
-        default=0,
-    )
-    if used_mb <= spec.memory_mb * TOLERATED_RATIO:
-        return False
+) -> None:
     marked = dataclasses.replace(
         view, corrected_memory_mb=math.ceil(used_mb * HEADROOM_RATIO)
     )
@@ -85,4 +72,3 @@
         f'a member used {used_mb} MB of memory, '
         f'declared were {spec.memory_mb} MB',
     )
-    return True
--- a/primroselock/test/testgangscenarios.py
+++ b/primroselock/test/testgangscenarios.py
@@ -198,6 +198,18 @@
         for worker in self.workers:
             self.assertEqual('running', worker.history[-1]['state'])
 
+    def test_gang_that_ends_before_it_was_seen_to_run(self) -> None:
+        """Members that are done at the first look end the attempt."""
+        self.table.put(
+            builders.build_job(
+                members=2, accelerators=8, command=('sleep', '0')
+            )
+        )
+        self.holder.reload()
+        for _ in range(8):
+            self.step()
+        self.assertIs(jobs.JobState.DONE, self.job().state)
+
     def test_silent_member_stops_the_others_in_time(self) -> None:
         """Neither member is renewed when one worker is cut off."""
         self.run_gang(600.0)
--- a/primroselock/workers/channels.py
+++ b/primroselock/workers/channels.py
@@ -79,12 +79,21 @@
         if view.report is None:
             return protocol.Batch(board.shard, board.epoch)
         scheduler = settings.scheduler
+        renew_until = 0.0
+        not_renewed: tuple[protocol.TaskKey, ...] = ()
+        renewal = board.renewals_by_worker_id.get(self.vm.id)
+        if renewal is not None:
+            if sent_at - renewal.decided_at <= scheduler.freeze_gap_s:
+                renew_until = renewal.lease_until
+                not_renewed = renewal.excluded
         return protocol.Batch(
             board.shard,
             board.epoch,
             self.take(sent_at, scheduler.freeze_gap_s),
             view.report.boot_id,
             view.clock_at(sent_at + scheduler.worker_timeout_s),
+            renew_until,
+            not_renewed,
         )
 
     def settle(self) -> None:
--- a/primroselock/workers/protocol.py
+++ b/primroselock/workers/protocol.py
@@ -92,6 +92,8 @@
     The worker obeys the commands only as the incarnation ``boot_id`` and
     not after ``obey_by``.  The sender gives up an exchange no earlier
     than that, so that a late batch never takes effect after the next.
+    After the commands, the leases of all running tasks of the shard but
+    those ``not_renewed`` are extended to ``renew_until``.
     """
 
     shard: str
@@ -99,6 +101,8 @@
     commands: tuple[Command, ...] = ()
     boot_id: str = ''
     obey_by: float = 0.0
+    renew_until: float = 0.0
+    not_renewed: tuple[TaskKey, ...] = ()
 
 
 class TaskState(enum.Enum):
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -111,8 +111,18 @@
                 self._obey(command)
             except Refused as refused:
                 refusals.append(protocol.Refusal(command.task, str(refused)))
+        self._renew_all(batch)
         return refusals
 
+    def _renew_all(self, batch: protocol.Batch) -> None:
+        if batch.boot_id != self.boot_id or self.clock() > batch.obey_by:
+            return
+        for task in self.tasks.values():
+            if task.state is not protocol.TaskState.RUNNING:
+                continue
+            if task.key not in batch.not_renewed:
+                task.expires_at = max(task.expires_at, batch.renew_until)
+
     def _check_batch(self, batch: protocol.Batch) -> None:
         if batch.boot_id != self.boot_id:
             raise Refused('the worker has restarted')
