Shard loads in beacons; jobs larger than any zone refused at submit

Holders tell in their beacons what is free and waited for in their shard, so that the decisions can move waiting jobs to where there is room; the field goes last, with a default, as the messages ask.

--- a/primroselock/daemon.py
+++ b/primroselock/daemon.py
@@ -49,6 +49,7 @@
         self.vms_read_at: float | None = None
         self.members = membership.Members(settings)
         self.slots_by_upstream: dict[str, int] = {}
+        self.loads_by_shard: dict[str, messages.ShardLoad] = {}
         self._vm_handlers: list[VmHandler] = []
         self._sequence = 0
         self.mesh.add_handler(self._record_beacon)
@@ -123,6 +124,7 @@
             self.stopping.is_set(),
             dict(self.slots_by_upstream),
             self.mesh.address,
+            dict(self.loads_by_shard),
         )
 
     def confirmations(
--- a/primroselock/jobsapi.py
+++ b/primroselock/jobsapi.py
@@ -15,6 +15,7 @@
 from primroselock import clock
 from primroselock import configuration
 from primroselock import daemon
+from primroselock.decisions import packing
 from primroselock import jobs
 from primroselock import jobstore
 from primroselock.mesh import messages
@@ -42,6 +43,7 @@
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             return answers.error(400, 'bad-job', str(error))
         faults = jobs.check_spec(spec, current.job_rules.max_members)
+        faults += find_size_faults(spec, current)
         if faults:
             return answers.error(
                 422, 'bad-job', 'expected ' + '; '.join(faults)
@@ -164,6 +166,21 @@
         return stored
 
 
+def find_size_faults(
+    spec: jobs.JobSpec, current: configuration.Configuration
+) -> list[str]:
+    """Return why no zone can ever hold the job, one line a fault."""
+    racks = [zone.racks for zone in current.zones_by_name.values()]
+    wanted = spec.members * spec.accelerators
+    most = max(racks, default=0) * packing.RACK_SIZE
+    if wanted <= most or not most:
+        return []
+    return [
+        f'members times accelerators: at most {most}, which is the largest '
+        f'zone; {wanted} can never run'
+    ]
+
+
 def choose_shard(
     current: configuration.Configuration,
     account: configuration.Account,
--- a/primroselock/mesh/messages.py
+++ b/primroselock/mesh/messages.py
@@ -9,13 +9,25 @@
 Sections = dict[str, dict[str, str]]
 
 
+class ShardLoad(msgspec.Struct, frozen=True, array_like=True):
+    """What is free in a shard, in accelerators, by its holder.
+
+    ``largest_free`` is the size of the largest free cell.
+    """
+
+    free_accelerators: int
+    waiting_accelerators: int
+    largest_free: int
+
+
 class Beacon(msgspec.Struct, frozen=True, tag='b', array_like=True):
     """A process's word about itself.
 
     ``incarnation`` is new at each start; ``sequence`` rises within one.
     ``config_age_s`` is how long ago ``config_version`` was confirmed with
     the platform, counted from before the read was sent; negative where
-    it never was.  ``address`` is where the process takes messages.
+    it never was.  ``address`` is where the process takes messages;
+    ``loads_by_shard`` tells of the shards that it holds.
     """
 
     vm_id: str
@@ -28,6 +40,7 @@
     leaving: bool = False
     slots_by_upstream: dict[str, int] = {}
     address: str = ''
+    loads_by_shard: dict[str, ShardLoad] = {}
 
 
 class JobHint(msgspec.Struct, frozen=True, tag='j', array_like=True):
--- a/primroselock/scheduler.py
+++ b/primroselock/scheduler.py
@@ -163,8 +163,10 @@
             now = clock.monotonic()
             self._check_freeze(now)
             self._match_heartbeats()
+            self.shared.loads_by_shard.clear()
             if self._leads():
                 self._run_round(now)
+                self._publish_load()
             await asyncio.sleep(_MIN_ROUND_INTERVAL_S)
             try:
                 await asyncio.wait_for(self._round.wait(), tick_s)
@@ -198,6 +200,26 @@
             else:
                 self.writer.add(command)
 
+    def _publish_load(self) -> None:
+        load = self.board.load
+        if load is not None and self.lease.holds(clock.monotonic()):
+            self.shared.loads_by_shard[self.lease.shard] = messages.ShardLoad(
+                load.free_accelerators,
+                load.waiting_accelerators,
+                load.largest_free,
+            )
+
+    def _record_beacon(self, beacon: messages.Beacon) -> None:
+        """Take over what other holders say of their shards."""
+        for shard, load in beacon.loads_by_shard.items():
+            if shard != self.lease.shard:
+                self.board.peers_by_shard[shard] = blackboard.PeerLoad(
+                    load.free_accelerators,
+                    load.waiting_accelerators,
+                    load.largest_free,
+                    clock.monotonic(),
+                )
+
     def _record_jobs(self, stored: list[jobstore.Stored]) -> None:
         for entry in stored:
             if entry.job.shard == self.lease.shard:
@@ -213,6 +235,8 @@
         if isinstance(message, messages.JobHint):
             if message.shard == self.lease.shard:
                 self._poll_jobs.set()
+        elif isinstance(message, messages.Beacon):
+            self._record_beacon(message)
 
     def _match_heartbeats(self) -> None:
         """Run one heartbeat loop for each worker while the shard is held."""
--- a/primroselock/test/testworkerhealth.py
+++ b/primroselock/test/testworkerhealth.py
@@ -11,6 +11,7 @@
 from primroselock.decisions import retries
 from primroselock.decisions import workerhealth
 from primroselock import jobs
+from primroselock import jobsapi
 from primroselock.test import builders
 from primroselock.test import fakeshard
 
@@ -119,6 +120,14 @@
         fits = builders.build_job(memory_mb=262144).spec
         self.assertEqual('', feasibility.find_obstacle(fits, heard))
 
+    def test_job_larger_than_any_zone_is_refused_at_submit(self) -> None:
+        current = builders.build_configuration(CONFIGURATION)
+        fits = builders.build_job(members=8, accelerators=8).spec
+        self.assertEqual([], jobsapi.find_size_faults(fits, current))
+        huge = builders.build_job(members=9, accelerators=8).spec
+        (fault,) = jobsapi.find_size_faults(huge, current)
+        self.assertIn('at most 64', fault)
+
     @hypothesis.given(
         strategies.integers(1, 200), strategies.integers(1, 1000)
     )
