Workers tell only what changed since the last report that was heard

Cause: a report of 26 tasks is 4.4 KB a heartbeat, above the 4 KB/s that a node may spend. A batch now names the last report that was heard; a worker that still knows it answers with the tasks that differ and those that are gone. A difference is applied only to the very report that it builds on, of the same incarnation, and anything else is whole, so a lost reply or a takeover costs one whole report. Usage that changes is a difference too.

Ruled out: a sequence of events from the worker, which would need acknowledgement and replay.

--- a/primroselock/decisions/blackboard.py
+++ b/primroselock/decisions/blackboard.py
@@ -25,6 +25,7 @@
 from primroselock import jobs
 from primroselock.platform import vmlist
 from primroselock.workers import protocol
+from primroselock.workers import reports
 
 
 RETRIES_PER_S: typing.Final = 5.0
@@ -313,8 +314,11 @@
         view = self.workers_by_id.get(report.worker_id)
         if view is None or sent_at < view.sent_at:
             return
+        whole = reports.complete(view.report, report)
+        if whole is None:
+            return
         self.workers_by_id[report.worker_id] = dataclasses.replace(
-            view, report=report, heard_at=heard_at, sent_at=sent_at
+            view, report=whole, heard_at=heard_at, sent_at=sent_at
         )
 
     def record_job(self, job: jobs.Job, row_version: int) -> None:
--- a/primroselock/test/fakeshard.py
+++ b/primroselock/test/fakeshard.py
@@ -89,6 +89,7 @@
         self.tasks.clear()
         self.epochs_by_shard.clear()
         self.boot_id += '+'
+        self.told_by_number.clear()
         self.clock_offset_s -= 700.0
 
 
--- a/primroselock/test/testgangmachine.py
+++ b/primroselock/test/testgangmachine.py
@@ -138,6 +138,7 @@
             fate = 'late'
         if fate == 'whole':
             holder.hear(worker.handle(batch), sent_at, sent_at)
+            self.check_heard(holder, worker)
             return
         timeout_s = self.settings.scheduler.worker_timeout_s
         holder.free_at[worker.parsed.id] = sent_at + timeout_s
@@ -146,6 +147,18 @@
         elif fate == 'late':
             self.late_batches.append((slot, batch))
 
+    @staticmethod
+    def check_heard(
+        holder: fakeshard.Holder, worker: fakeshard.FakeWorker
+    ) -> None:
+        """Whatever was told before, the holder knows every task."""
+        report = holder.board.workers_by_id[worker.parsed.id].report
+        if report is None or holder.is_dropped:
+            return
+        told = {task.task: task.state for task in report.tasks}
+        known = {task.key: task.state for task in worker.tasks.values()}
+        assert told == known, (told, known)
+
     @stateful.rule()
     def deliver_late_batch(self) -> None:
         """Deliver a batch whose sender gave up on it, or is about to."""
--- a/primroselock/test/testgangscenarios.py
+++ b/primroselock/test/testgangscenarios.py
@@ -7,6 +7,7 @@
 from primroselock.test import builders
 from primroselock.test import fakeshard
 from primroselock.workers import protocol
+from primroselock.workers import reports
 
 
 CONFIGURATION: typing.Final = """
@@ -210,6 +211,22 @@
             self.step()
         self.assertIs(jobs.JobState.DONE, self.job().state)
 
+    def test_reports_tell_only_what_changed(self) -> None:
+        """A difference completes the report that it builds on, no other."""
+        self.run_gang(600.0)
+        view = self.holder.board.workers_by_id['w0']
+        now = self.clock.now
+        batch = self.holder.take_batch('w0', now)
+        assert batch is not None
+        heard = self.workers[0].handle(batch)
+        assert isinstance(heard, protocol.Report)
+        self.assertEqual((), heard.tasks)
+        whole = reports.complete(view.report, heard)
+        assert whole is not None and view.report is not None
+        self.assertEqual(view.report.tasks, whole.tasks)
+        self.assertIsNone(reports.complete(None, heard))
+        self.assertIsNone(reports.complete(whole, heard))
+
     def test_silent_member_stops_the_others_in_time(self) -> None:
         """Neither member is renewed when one worker is cut off."""
         self.run_gang(600.0)
--- a/primroselock/workers/channels.py
+++ b/primroselock/workers/channels.py
@@ -94,6 +94,7 @@
             view.clock_at(sent_at + scheduler.worker_timeout_s),
             renew_until,
             not_renewed,
+            view.report.number,
         )
 
     def settle(self) -> None:
--- a/primroselock/workers/protocol.py
+++ b/primroselock/workers/protocol.py
@@ -94,6 +94,7 @@
     than that, so that a late batch never takes effect after the next.
     After the commands, the leases of all running tasks of the shard but
     those ``not_renewed`` are extended to ``renew_until``.
+    ``heard_number`` is the last report of ``boot_id`` that was heard.
     """
 
     shard: str
@@ -103,6 +104,7 @@
     obey_by: float = 0.0
     renew_until: float = 0.0
     not_renewed: tuple[TaskKey, ...] = ()
+    heard_number: int = 0
 
 
 class TaskState(enum.Enum):
@@ -142,7 +144,12 @@
 
 
 class Report(msgspec.Struct, frozen=True):
-    """The state of a worker at ``clock_s`` on its own clock."""
+    """The state of a worker at ``clock_s`` on its own clock.
+
+    ``number`` rises with each report of an incarnation.  When
+    ``builds_on`` is not 0, ``tasks`` are only those that differ from the
+    report of that number, and ``gone`` are those that it no longer has.
+    """
 
     worker_id: str
     boot_id: str
@@ -154,6 +161,9 @@
     memory_mb: int
     tasks: tuple[TaskReport, ...] = ()
     refusals: tuple[Refusal, ...] = ()
+    number: int = 0
+    builds_on: int = 0
+    gone: tuple[TaskKey, ...] = ()
 
 
 class EpochRefused(msgspec.Struct, frozen=True):
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -24,10 +24,12 @@
 from starlette import routing
 
 from primroselock.workers import protocol
+from primroselock.workers import reports
 from standins import platform
 from standins import serving
 
 _TICK_S: typing.Final = 0.02
+_REPORTS_KEPT: typing.Final = 4
 
 
 @dataclasses.dataclass
@@ -74,6 +76,8 @@
         self.clock_offset_s: float = parsed.clock_offset_s
         self.epochs_by_shard: dict[str, int] = {}
         self.tasks: dict[protocol.TaskKey, Task] = {}
+        self.number = 0
+        self.told_by_number: dict[int, reports.Tasks] = {}
         self.faults = Faults()
         self.history: list[dict[str, typing.Any]] = []
 
@@ -245,8 +249,30 @@
                 elif now >= task.ends_at:
                     self.set_state(task, protocol.TaskState.DONE)
 
-    def report(self, refusals: list[protocol.Refusal]) -> protocol.Report:
-        """Return the state of the worker."""
+    def report(
+        self, batch: protocol.Batch, refusals: list[protocol.Refusal]
+    ) -> protocol.Report:
+        """Return the state of the worker, or what changed in it."""
+        tasks = tuple(
+            protocol.TaskReport(
+                task.key,
+                task.state,
+                task.detail,
+                task.used_cpus,
+                task.used_memory_mb,
+                task.checkpoint_s,
+            )
+            for task in self.tasks.values()
+        )
+        base = None
+        if batch.boot_id == self.boot_id:
+            base = self.told_by_number.get(batch.heard_number)
+        self.number += 1
+        self.told_by_number[self.number] = tasks
+        self.told_by_number.pop(self.number - _REPORTS_KEPT, None)
+        gone: tuple[protocol.TaskKey, ...] = ()
+        if base is not None:
+            tasks, gone = reports.difference(base, tasks)
         return protocol.Report(
             self.parsed.id,
             self.boot_id,
@@ -256,18 +282,11 @@
             self.parsed.accelerators,
             self.parsed.cpus,
             self.parsed.memory_mb,
-            tuple(
-                protocol.TaskReport(
-                    task.key,
-                    task.state,
-                    task.detail,
-                    task.used_cpus,
-                    task.used_memory_mb,
-                    task.checkpoint_s,
-                )
-                for task in self.tasks.values()
-            ),
+            tasks,
             tuple(refusals),
+            self.number,
+            batch.heard_number if base is not None else 0,
+            gone,
         )
 
     def handle(
@@ -281,7 +300,7 @@
         self.tick()
         refusals = self.obey(batch)
         self.tick()
-        return self.report(refusals)
+        return self.report(batch, refusals)
 
     async def exchange(self, request: requests.Request) -> responses.Response:
         """Serve one exchange with a scheduler."""
