--- a/primroselock/test/testgangscenarios.py
+++ b/primroselock/test/testgangscenarios.py
@@ -95,8 +95,14 @@
         self.workers[0].restart()
         self.workers[1].restart()
         self.exchange()
-        for _ in range(5):
-            self.step()
+        for _ in range(40):
+            self.holder.writes.clear()
+            self.step(write=False)
+            view = self.holder.board.attempts_by_job_id.get('job-1')
+            if view is None or not view.commit_sent:
+                continue
+            if view.attempt != late[0].write.job.attempt:
+                break
         self.table.apply(late[0])
         for _ in range(30):
             self.step()
