Gangs: look only at the attempts that are due

A steady round at 2,170 workers and 57,000 tasks in 15,200 attempts took 18 to 26 ms in gangs, most of it calls for attempts that run undisturbed and a second pass for the renewals.

--- a/primroselock/decisions/gangs.py
+++ b/primroselock/decisions/gangs.py
@@ -64,18 +64,27 @@
     for change in board.gang_watch.take(board.reports_by_worker_id()):
         changed_job_ids |= changes.changed_jobs(change)
     silent_job_ids = _find_silent_jobs(board, settings, now)
+    settled = blackboard.Phase.RUNNING
+    due = [
+        view
+        for job_id, view in board.attempts_by_job_id.items()
+        if view.phase is not settled
+        or job_id in changed_job_ids
+        or job_id in silent_job_ids
+        or _is_cancelled(board, job_id)
+    ]
     decided: list[commands.Command] = []
-    for view in list(board.attempts_by_job_id.values()):
+    for view in due:
         current = _stop_if_cancelled(board, view, now)
-        if (
-            current.phase is blackboard.Phase.RUNNING
-            and current.job_id not in changed_job_ids
-            and current.job_id not in silent_job_ids
-        ):
-            continue
         step = _steps_by_phase[current.phase]
         decided.extend(step(board, settings, current, now))
-    renewals.renew_whole_attempts(board, settings, silent_job_ids, now)
+    not_whole = [
+        view
+        for view in (board.attempts_by_job_id.get(v.job_id) for v in due)
+        if view is not None
+        and (view.phase is not settled or view.job_id in silent_job_ids)
+    ]
+    renewals.renew_others(board, settings, not_whole, now)
     return decided
 
 
@@ -91,13 +100,18 @@
     return found
 
 
+def _is_cancelled(board: blackboard.Blackboard, job_id: str) -> bool:
+    """Whether the job is to be cancelled, or its row has ended."""
+    job_view = board.jobs_by_id.get(job_id)
+    return job_view is None or job_view.job.cancel_requested
+
+
 def _stop_if_cancelled(
     board: blackboard.Blackboard, view: blackboard.AttemptView, now: float
 ) -> blackboard.AttemptView:
     if view.phase is blackboard.Phase.STOPPING:
         return view
-    job_view = board.jobs_by_id.get(view.job_id)
-    if job_view is not None and not job_view.job.cancel_requested:
+    if not _is_cancelled(board, view.job_id):
         return view
     return board.set_phase(
         view, blackboard.Phase.STOPPING, now, blackboard.Ending.CANCELLED
--- a/primroselock/decisions/renewals.py
+++ b/primroselock/decisions/renewals.py
@@ -6,25 +6,26 @@
 heartbeat window, and a round costs by the workers, not by the tasks.
 """
 
+from collections import abc
+
 from primroselock.decisions import blackboard
 from primroselock import options
 from primroselock.workers import protocol
 
 
-def renew_whole_attempts(
+def renew_others(
     board: blackboard.Blackboard,
     settings: options.Settings,
-    silent_job_ids: set[str],
+    not_whole: abc.Iterable[blackboard.AttemptView],
     now: float,
 ) -> None:
-    """Put the renewal of every worker that was heard on the blackboard."""
+    """Put a renewal for every worker on the blackboard.
+
+    It extends all that runs there but the attempts ``not_whole``: those
+    that are not running, or of which a worker is silent.
+    """
     excluded_by_worker_id: dict[str, list[protocol.TaskKey]] = {}
-    for view in board.attempts_by_job_id.values():
-        if (
-            view.phase is blackboard.Phase.RUNNING
-            and view.job_id not in silent_job_ids
-        ):
-            continue
+    for view in not_whole:
         for key, placement in view.tasks():
             excluded = excluded_by_worker_id.setdefault(
                 placement.worker_id, []
