--- a/primroselock/test/testgangmachine.py
+++ b/primroselock/test/testgangmachine.py
@@ -12,7 +12,7 @@
 from primroselock.test import fakeshard
 from primroselock.workers import protocol
 
-WORKERS = 4
+MOST_WORKERS = 4
 PERMIT_TTL_S = 3.0
 SETTLING_STEPS = 150
 STEP_S = 1.0
@@ -22,11 +22,16 @@
     protocol.TaskState.FAILED,
     protocol.TaskState.STOPPED,
 )
-_workers = strategies.integers(0, WORKERS - 1)
+_workers = strategies.integers(0, MOST_WORKERS - 1)
 
 
 class GangMachine(stateful.RuleBasedStateMachine):
-    """Holders, workers and a table under faults of every kind."""
+    """Holders, workers and a table under faults of every kind.
+
+    Its workers are exactly those that the guarantees need.
+    """
+
+    worker_count = MOST_WORKERS
 
     def __init__(self) -> None:
         super().__init__()
@@ -35,7 +40,7 @@
         self.table = fakeshard.FakeTable()
         self.workers = [
             fakeshard.FakeWorker(f'w{slot}', slot, self.clock)
-            for slot in range(WORKERS)
+            for slot in range(self.worker_count)
         ]
         self.out_since: float | None = None
         self.late_batches: list[tuple[int, protocol.Batch]] = []
@@ -53,7 +58,7 @@
             self.settings, self.table, self.workers, self.clock.now
         )
         self.holders = [holder, *self.holders[:1]]
-        for slot in range(WORKERS):
+        for slot in range(self.worker_count):
             self.exchange(slot, 'whole', 0)
         self.confirm(0)
 
@@ -64,7 +69,7 @@
             self.advance(STEP_S)
             self.confirm(0)
             self.decide(0)
-            for slot in range(WORKERS):
+            for slot in range(self.worker_count):
                 self.exchange(slot, 'whole', 0)
             self.write('done')
 
@@ -125,7 +130,7 @@
     )
     def exchange(self, slot: int, fate: str, which: int) -> None:
         """Exchange a batch for a report, or lose part of it."""
-        if which >= len(self.holders):
+        if which >= len(self.holders) or slot >= self.worker_count:
             return
         holder, worker = self.holders[which], self.workers[slot]
         sent_at = self.clock.now
@@ -200,6 +205,7 @@
     @stateful.rule(slot=_workers)
     def freeze_or_wake(self, slot: int) -> None:
         """Pause a worker, or let it go on."""
+        slot %= self.worker_count
         worker = self.workers[slot]
         woken = worker.is_frozen
         worker.frozen_since = None if woken else self.clock.now
@@ -208,12 +214,13 @@
     @stateful.rule(slot=_workers)
     def cut_or_join(self, slot: int) -> None:
         """Cut the link to a worker, or join it again."""
-        self.workers[slot].is_cut = not self.workers[slot].is_cut
+        worker = self.workers[slot % self.worker_count]
+        worker.is_cut = not worker.is_cut
 
     @stateful.rule(slot=_workers)
     def restart(self, slot: int) -> None:
         """Restart a worker under the same id and address."""
-        self.workers[slot].restart()
+        self.workers[slot % self.worker_count].restart()
 
     @stateful.invariant()
     def no_start_without_permit_or_commit(self) -> None:
@@ -325,17 +332,30 @@
         return all(entry.job.state.is_final for entry in stored)
 
 
+class ShortGangMachine(GangMachine):
+    """The same where hardware is short of one guaranteed worker."""
+
+    worker_count = MOST_WORKERS - 1
+
+
 class GangMachineTest(unittest.TestCase):
-    """Runs the machine."""
+    """Runs the machines."""
 
-    def test_machine(self) -> None:
+    def run_machine(self, machine: type[GangMachine]) -> None:
+        """Run one machine."""
         settings = hypothesis.settings(
             phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate),
             max_examples=100,
             stateful_step_count=40,
             deadline=None,
         )
-        stateful.run_state_machine_as_test(GangMachine, settings=settings)
+        stateful.run_state_machine_as_test(machine, settings=settings)
+
+    def test_machine(self) -> None:
+        self.run_machine(GangMachine)
+
+    def test_machine_short_of_hardware(self) -> None:
+        self.run_machine(ShortGangMachine)
 
 
 if __name__ == '__main__':
