--- a/primroselock/workers/protocol.py
+++ b/primroselock/workers/protocol.py
@@ -92,6 +92,9 @@
     The worker obeys the commands only as the incarnation ``boot_id`` and
     not after ``obey_by``.  The sender gives up an exchange no earlier
     than that, so that a late batch never takes effect after the next.
+    After the commands, the leases of all running tasks of the shard but
+    those ``not_renewed`` are extended to ``renew_until``.
+    ``heard_number`` is the last report of ``boot_id`` that was heard.
     """
 
     shard: str
@@ -99,6 +102,9 @@
     commands: tuple[Command, ...] = ()
     boot_id: str = ''
     obey_by: float = 0.0
+    renew_until: float = 0.0
+    not_renewed: tuple[TaskKey, ...] = ()
+    heard_number: int = 0
 
 
 class TaskState(enum.Enum):
@@ -138,7 +144,12 @@
 
 
 class Report(msgspec.Struct, frozen=True):
-    """The state of a worker at ``clock_s`` on its own clock."""
+    """The state of a worker at ``clock_s`` on its own clock.
+
+    ``number`` rises with each report of an incarnation.  When
+    ``builds_on`` is not 0, ``tasks`` are only those that differ from the
+    report of that number, and ``gone`` are those that it no longer has.
+    """
 
     worker_id: str
     boot_id: str
@@ -150,6 +161,9 @@
     memory_mb: int
     tasks: tuple[TaskReport, ...] = ()
     refusals: tuple[Refusal, ...] = ()
+    number: int = 0
+    builds_on: int = 0
+    gone: tuple[TaskKey, ...] = ()
 
 
 class EpochRefused(msgspec.Struct, frozen=True):
