Tests of urgent displacement and of a zone that goes out and comes back

Cause: two paths had no test of their own: urgent work above any guarantee, and the drain with its return.

--- a/primroselock/test/testplacing.py
+++ b/primroselock/test/testplacing.py
@@ -73,8 +73,8 @@
                 self.assertEqual(case.expected, told)
 
 
-class GuaranteeTest(unittest.TestCase):
-    """Guarantees after patches and failures."""
+class PlacingTestCase(unittest.TestCase):
+    """Checks of running jobs."""
 
     def assert_running(
         self, world: replayworld.World, job_id: str, borrowed: bool
@@ -87,6 +87,10 @@
         self.assertIs(blackboard.Phase.RUNNING, view.phase)
         self.assertEqual(borrowed, view.attempt.borrowed)
 
+
+class GuaranteeTest(PlacingTestCase):
+    """Guarantees after patches and failures."""
+
     def test_scattered_cells_are_moved_when_a_patch_needs_the_rack(
         self,
     ) -> None:
@@ -163,6 +167,43 @@
         self.assertEqual(0, world.record.preemptions)
 
 
+class BorrowingTest(PlacingTestCase):
+    """Work above the guarantee, and a zone that goes out of service."""
+
+    def test_urgent_work_displaces_borrowed_but_no_urgent_work(self) -> None:
+        world = build_world(1, '[account y]\n')
+        for index in range(8):
+            submit(world, f'y{index}', 'y', checkpointable=False)
+        submit(world, 'u1', 'y', members=8, priority='urgent')
+        self.assert_running(world, 'u1', borrowed=True)
+        submit(world, 'u2', 'y', priority='urgent')
+        board = world.boards_by_shard['za']
+        self.assertNotIn('u2', board.attempts_by_job_id)
+        self.assertIn('1 cells of 8', board.reasons_by_job_id['u2'])
+        self.assertIn('no guarantee here', board.reasons_by_job_id['u2'])
+
+    def test_a_zone_out_keeps_only_what_cannot_be_checkpointed(self) -> None:
+        world = build_world(
+            1, '[account x]\nguarantee.za = 8:2\n[account y]\n'
+        )
+        submit(world, 'x1', 'x')
+        submit(world, 'y1', 'y', checkpointable=False)
+        submit(world, 'y2', 'y')
+        world.skip(100.0)
+        world.apply(traces.ZoneChange(world.now, 'za', 'out'))
+        world.settle(_TICKS)
+        board = world.boards_by_shard['za']
+        self.assertEqual({'y1'}, board.attempts_by_job_id.keys())
+        self.assertIn('out of service', board.reasons_by_job_id['x1'])
+        for job_id in ('x1', 'y2'):
+            saved_s = board.jobs_by_id[job_id].job.checkpoint_s
+            self.assertGreaterEqual(saved_s, 100.0)
+        world.apply(traces.ZoneChange(world.now, 'za', 'in'))
+        world.settle(_TICKS)
+        self.assert_running(world, 'x1', borrowed=False)
+        self.assert_running(world, 'y2', borrowed=True)
+
+
 class TraceTest(unittest.TestCase):
     """Recorded traces end as stated."""
 
