Logs tested in both formats; examples in the top-level help

The formats of logs had no test: one line of JSON with event, source, level and exception, and a console line. The top-level help shows three examples.

--- a/primroselock/main.py
+++ b/primroselock/main.py
@@ -21,6 +21,11 @@
     ]
 ] = {'gateway': gateway.run, 'scheduler': scheduler.run}
 
+_EXAMPLES: typing.Final = (
+    'gateway --settings gateway.ini\n'
+    'status --gateway 10.0.0.4:8080\n'
+    'zone out sapporo-b --comment "power work" --wait'
+)
 _CLIENT_MODULES: typing.Final = (patchcommands, viewcommands)
 """Imported for the commands that they register."""
 
@@ -31,6 +36,8 @@
         prog='primroselock',
         description='Scheduler for multi-accelerator jobs under client '
         'account guarantees.',
+        epilog=cli.format_examples(_EXAMPLES),
+        formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     commands = parser.add_subparsers(dest='command', required=True)
     for name in _DAEMONS:
--- a/primroselock/test/testmetrics.py
+++ b/primroselock/test/testmetrics.py
@@ -1,7 +1,13 @@
 """Metrics, and what a scheduler tells on its own port."""
 
+import contextlib
+import io
+import json
 import unittest
 
+import structlog
+
+from primroselock import logs
 from primroselock import metrics
 from standins import launch
 
@@ -26,6 +32,42 @@
         self.assertEqual({'lost': 3}, recorded.snapshot()['counters'])
 
 
+class LogTest(unittest.TestCase):
+    """One event a line, for programs or for people."""
+
+    def setUp(self) -> None:
+        self.addCleanup(structlog.reset_defaults)
+
+    def log(self, log_format: str) -> str:
+        """Return what is logged of one event with an error."""
+        out = io.StringIO()
+        with contextlib.redirect_stderr(out):
+            logs.configure(log_format)
+            try:
+                raise ValueError('reason')
+            except ValueError:
+                logs.get('part').exception('failed', zone='a')
+        return out.getvalue()
+
+    def test_json_is_one_line(self) -> None:
+        text = self.log('json')
+        self.assertEqual(1, text.count('\n'))
+        event = json.loads(text)
+        for name, expected in (
+            ('event', 'failed'),
+            ('source', 'part'),
+            ('zone', 'a'),
+            ('level', 'error'),
+        ):
+            self.assertEqual(expected, event[name])
+        self.assertIn('ValueError: reason', event['exception'])
+
+    def test_console_names_the_event(self) -> None:
+        text = self.log('console')
+        self.assertIn('failed', text)
+        self.assertIn('zone=a', text)
+
+
 class StatusPortTest(unittest.TestCase):
     """A scheduler's status and metrics over HTTP."""
 
