--- a/primroselock/httpserver.py
+++ b/primroselock/httpserver.py
@@ -2,8 +2,9 @@
 
 from collections import abc
 import contextlib
+import math
+import typing
 
-from starlette import applications
 import uvicorn
 
 
@@ -16,10 +17,14 @@
         yield
 
 
-def build(app: applications.Starlette, grace_s: float) -> Server:
-    """Return a server of ``app``.
+def build(
+    app: typing.Any, grace_s: float, certificate: str = '', key: str = ''
+) -> Server:
+    """Return a server of the ASGI application ``app``.
 
     Once told to leave it finishes what runs, for at most ``grace_s``.
+    ``certificate`` and ``key`` are paths of PEM files; with them it
+    serves TLS.
     """
     return Server(
         uvicorn.Config(
@@ -30,6 +35,8 @@
             lifespan='off',
             log_config=None,
             access_log=False,
-            timeout_graceful_shutdown=int(grace_s),
+            timeout_graceful_shutdown=math.ceil(grace_s),
+            ssl_certfile=certificate or None,
+            ssl_keyfile=key or None,
         )
     )
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -18,6 +18,7 @@
     )
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((host, int(port)))
+    listener.listen()
     listener.setblocking(False)
     return listener
 
