A daemon that says it listens takes connections

Ruled out: logging the event later, since the server does not tell when it has begun.

testsockets failed first for daemon.bind_socket (connection refused) and passes now, with the settings tests (port in use still ends in one line).

--- a/primroselock/daemon.py
+++ b/primroselock/daemon.py
@@ -29,6 +29,8 @@
 from primroselock.platform import vmlist
 
 _log: typing.Final = logs.get('daemon')
+_BACKLOG: typing.Final = 2048
+"""Connections that may wait to be accepted."""
 
 VmHandler = abc.Callable[[list[vmlist.Vm]], None]
 
@@ -152,6 +154,7 @@
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         listener.bind((host, int(port)))
+        listener.listen(_BACKLOG)
     except OSError as error:
         listener.close()
         raise errors.CommandError(
--- a/primroselock/test/testsockets.py
+++ b/primroselock/test/testsockets.py
@@ -8,14 +8,21 @@
 from standins import serving
 
 
-class NoDelayTest(unittest.IsolatedAsyncioTestCase):
-    """Answers of several segments do not wait for a delayed ACK."""
+class ListenerTest(unittest.IsolatedAsyncioTestCase):
+    """Answers do not wait for a delayed ACK; early callers can connect."""
 
     async def test_accepted_connections_send_at_once(self) -> None:
         for bind in (daemon.bind_socket, serving.bind):
             with self.subTest(bind.__module__):
                 self.assertTrue(await self.find_option(bind('127.0.0.1:0')))
 
+    async def test_no_connection_is_refused_once_it_is_bound(self) -> None:
+        for bind in (daemon.bind_socket, serving.bind):
+            with self.subTest(bind.__module__):
+                listener = bind('127.0.0.1:0')
+                socket.create_connection(listener.getsockname()).close()
+                listener.close()
+
     async def find_option(self, listener: socket.socket) -> int:
         """Return TCP_NODELAY of a connection that asyncio accepts."""
         options: asyncio.Future[int] = asyncio.Future()
