Slopes: the heartbeat interval as a part of its own

A first try failed since the task lease must outlive a takeover. tools.capacity takes several files. The window stays 3 s: at 2.5 s the number of heartbeats in it varied.

--- a/tools/capacity/__main__.py
+++ b/tools/capacity/__main__.py
@@ -269,7 +269,7 @@
     parser = argparse.ArgumentParser(
         prog='python -m tools.capacity', description=__doc__
     )
-    parser.add_argument('slopes', type=pathlib.Path, metavar='FILE')
+    parser.add_argument('slopes', type=pathlib.Path, nargs='+', metavar='FILE')
     parser.add_argument(
         '--page',
         type=pathlib.Path,
--- a/tools/capacity/model.py
+++ b/tools/capacity/model.py
@@ -1,5 +1,6 @@
 """What each role costs at a size, from the fits."""
 
+from collections import abc
 import dataclasses
 import pathlib
 import typing
@@ -20,9 +21,12 @@
 class Slopes:
     """The fits by name."""
 
-    def __init__(self, path: pathlib.Path) -> None:
-        document = msgspec.json.decode(path.read_bytes(), type=_Document)
-        self.fits_by_name = {fit.name: fit for fit in document.fits}
+    def __init__(self, paths: abc.Iterable[pathlib.Path]) -> None:
+        self.fits_by_name: dict[str, fits.Fit] = {}
+        for path in paths:
+            document = msgspec.json.decode(path.read_bytes(), type=_Document)
+            for fit in document.fits:
+                self.fits_by_name[fit.name] = fit
 
     def slope(self, name: str) -> float:
         """Return a slope; a negative one is noise and counts as zero."""
--- a/tools/slopes/__main__.py
+++ b/tools/slopes/__main__.py
@@ -41,7 +41,8 @@
         'parts',
         nargs='*',
         metavar='PART',
-        help='parts to measure (all): ' + ', '.join(registry.parts_by_name),
+        help='parts to measure (the usual ones): '
+        + ', '.join(registry.parts_by_name),
     )
     parser.add_argument('--output', choices=('table', 'json'), default='table')
     parser.add_argument('--window-s', type=float, default=_DEFAULT_WINDOW_S)
@@ -60,7 +61,11 @@
     """Measure the chosen parts; return the exit code."""
     parser = build_parser()
     parsed = parser.parse_args()
-    chosen = parsed.parts or list(registry.parts_by_name)
+    chosen = parsed.parts or [
+        name
+        for name, part in registry.parts_by_name.items()
+        if part.by_default
+    ]
     unknown = sorted(set(chosen) - registry.parts_by_name.keys())
     if unknown:
         parser.error(f'unknown parts: {", ".join(unknown)}')
--- a/tools/slopes/holder.py
+++ b/tools/slopes/holder.py
@@ -10,6 +10,9 @@
 _WORKER_COUNTS: typing.Final = (4, 8, 16, 32)
 _JOB_COUNTS: typing.Final = (16, 32, 48, 64)
 _WAITING_COUNTS: typing.Final = (40, 80, 120, 160)
+_INTERVALS_S: typing.Final = (1, 2, 4, 8)
+_INTERVAL_WORKERS: typing.Final = 16
+_LONG_LEASE_S: typing.Final = 120
 _LISTED_COUNTS: typing.Final = (50, 100, 200, 400)
 _MEMBERS: typing.Final = 4
 _HOLDER_RATES: typing.Final = (
@@ -102,6 +105,35 @@
     )
 
 
+@registry.part('holder-interval', by_default=False)
+def measure_interval(window_s: float) -> list[fits.Fit]:
+    """Ask 16 workers at growing intervals; the window holds two of each."""
+    points: list[tuple[float, bench.Rates]] = []
+    for interval_s in _INTERVALS_S:
+        with bench.Bench(max(window_s, interval_s * 2)) as run:
+            scheduler = {
+                'heartbeat_interval_s': f'{interval_s}',
+                'task_lease_s': f'{_LONG_LEASE_S}',
+            }
+            run.start_daemon(
+                'scheduler-a', 'scheduler', {'scheduler': scheduler}
+            )
+            run.list_vms(run.start_fleet(_INTERVAL_WORKERS))
+            launch.wait_for(
+                lambda: all(link.bytes_received for link in run.links),
+                'the workers are heard',
+            )
+            run.settle()
+            rates = run.measure('scheduler-a')
+            points.append((_INTERVAL_WORKERS / interval_s, rates))
+    return registry.fit_rates(
+        'holder.exchange',
+        'exchange/s',
+        points,
+        ('cpu', 'link_bytes', 'link_chunks'),
+    )
+
+
 @registry.part('standby')
 def measure_standby(window_s: float) -> list[fits.Fit]:
     """Let a standby follow a VM list that grows with VMs of no use to it."""
--- a/tools/slopes/registry.py
+++ b/tools/slopes/registry.py
@@ -11,20 +11,26 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Part:
-    """A part by name; ``measure`` takes the window in seconds."""
+    """A part by name; ``measure`` takes the window in seconds.
+
+    One that is not taken ``by_default`` runs only when it is named.
+    """
 
     name: str
     measure: Measure
+    by_default: bool
 
 
 parts_by_name: dict[str, Part] = {}
 
 
-def part(name: str) -> abc.Callable[[Measure], Measure]:
+def part(
+    name: str, by_default: bool = True
+) -> abc.Callable[[Measure], Measure]:
     """Register the decorated function as a part."""
 
     def register(measure: Measure) -> Measure:
-        parts_by_name[name] = Part(name, measure)
+        parts_by_name[name] = Part(name, measure, by_default)
         return measure
 
     return register
