--- a/tools/capacity/__main__.py
+++ b/tools/capacity/__main__.py
@@ -8,6 +8,7 @@
 import sys
 import typing
 
+from primroselock import patches
 from tools.capacity import model
 from tools.capacity import sizes
 
@@ -208,6 +209,18 @@
             'standby.listed_vm.table_bytes'
         )
         * size.listed,
+        'table: job rows added, MB a day': row_bytes * size.jobs_a_day / 1e6,
+        'table: patch and audit rows added, MB a day': 2
+        * slopes.slope('patch.bytes_read')
+        * size.patches_a_day
+        / 1e6,
+        'object store: snapshots added, MB a day': content
+        * size.patches_a_day
+        / patches.SNAPSHOT_INTERVAL
+        / 1e6,
+        'client: processor time of a command, s': slopes.base(
+            'client.patch_log.cpu'
+        ),
         'entry VMs replaced a day': entry_share
         * (size.replacements_a_day + size.failures_a_day),
         'tasks stopped by one failed worker, at most': min(
