--- a/primroselock/daemon.py
+++ b/primroselock/daemon.py
@@ -30,6 +30,8 @@
 from primroselock import relay
 
 _log: typing.Final = logs.get('daemon')
+_BACKLOG: typing.Final = 2048
+"""Connections that may wait to be accepted."""
 
 VmHandler = abc.Callable[[list[vmlist.Vm]], None]
 
@@ -58,6 +60,7 @@
         self.vms_read_at: float | None = None
         self.members = membership.Members(settings)
         self.slots_by_upstream: dict[str, int] = {}
+        self.loads_by_shard: dict[str, messages.ShardLoad] = {}
         self._vm_handlers: list[VmHandler] = []
         self._sequence = 0
         self.mesh.add_handler(self._record_beacon)
@@ -164,6 +167,7 @@
             self.stopping.is_set(),
             dict(self.slots_by_upstream),
             self.mesh.reachable_address,
+            dict(self.loads_by_shard),
         )
 
     def confirmations(
@@ -193,7 +197,7 @@
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         listener.bind((host, int(port)))
-        listener.listen()
+        listener.listen(_BACKLOG)
     except OSError as error:
         listener.close()
         raise errors.CommandError(
--- a/primroselock/test/testgangmachine.py
+++ b/primroselock/test/testgangmachine.py
@@ -12,21 +12,26 @@
 from primroselock.test import fakeshard
 from primroselock.workers import protocol
 
-WORKERS = 4
+MOST_WORKERS = 4
 PERMIT_TTL_S = 3.0
 SETTLING_STEPS = 150
-STEP_S = 0.5
+STEP_S = 1.0
 
 _NOT_WHOLE = (
     protocol.TaskState.RESERVED,
     protocol.TaskState.FAILED,
     protocol.TaskState.STOPPED,
 )
-_workers = strategies.integers(0, WORKERS - 1)
+_workers = strategies.integers(0, MOST_WORKERS - 1)
 
 
 class GangMachine(stateful.RuleBasedStateMachine):
-    """Holders, workers and a table under faults of every kind."""
+    """Holders, workers and a table under faults of every kind.
+
+    Its workers are exactly those that the guarantees need.
+    """
+
+    worker_count = MOST_WORKERS
 
     def __init__(self) -> None:
         super().__init__()
@@ -35,13 +40,16 @@
         self.table = fakeshard.FakeTable()
         self.workers = [
             fakeshard.FakeWorker(f'w{slot}', slot, self.clock)
-            for slot in range(WORKERS)
+            for slot in range(self.worker_count)
         ]
         self.out_since: float | None = None
         self.late_batches: list[tuple[int, protocol.Batch]] = []
         self.late_writes: list[fakeshard.Transaction] = []
         self.holders: list[fakeshard.Holder] = []
         self.take_over()
+        self.submit(3, 8, 1000.0)
+        self.submit(2, 4, 3.0)
+        self.work(2)
 
     @stateful.rule()
     def take_over(self) -> None:
@@ -50,18 +58,18 @@
             self.settings, self.table, self.workers, self.clock.now
         )
         self.holders = [holder, *self.holders[:1]]
-        for slot in range(WORKERS):
+        for slot in range(self.worker_count):
             self.exchange(slot, 'whole', 0)
         self.confirm(0)
 
-    @stateful.rule(steps=strategies.integers(1, 5))
+    @stateful.rule(steps=strategies.sampled_from([1, 2, 5, 20]))
     def work(self, steps: int) -> None:
         """Let the newest holder work without faults for a while."""
         for _ in range(steps):
             self.advance(STEP_S)
             self.confirm(0)
             self.decide(0)
-            for slot in range(WORKERS):
+            for slot in range(self.worker_count):
                 self.exchange(slot, 'whole', 0)
             self.write('done')
 
@@ -122,17 +130,20 @@
     )
     def exchange(self, slot: int, fate: str, which: int) -> None:
         """Exchange a batch for a report, or lose part of it."""
-        if which >= len(self.holders):
+        if which >= len(self.holders) or slot >= self.worker_count:
             return
         holder, worker = self.holders[which], self.workers[slot]
         sent_at = self.clock.now
         batch = holder.take_batch(worker.parsed.id, sent_at)
         if batch is None:
             return
+        if worker.is_cut:
+            fate = 'lost'
         if worker.is_frozen and fate != 'lost':
             fate = 'late'
         if fate == 'whole':
             holder.hear(worker.handle(batch), sent_at, sent_at)
+            self.check_heard(holder, worker)
             return
         timeout_s = self.settings.scheduler.worker_timeout_s
         holder.free_at[worker.parsed.id] = sent_at + timeout_s
@@ -141,6 +152,18 @@
         elif fate == 'late':
             self.late_batches.append((slot, batch))
 
+    @staticmethod
+    def check_heard(
+        holder: fakeshard.Holder, worker: fakeshard.FakeWorker
+    ) -> None:
+        """Whatever was told before, the holder knows every task."""
+        report = holder.board.workers_by_id[worker.parsed.id].report
+        if report is None or holder.is_dropped:
+            return
+        told = {task.task: task.state for task in report.tasks}
+        known = {task.key: task.state for task in worker.tasks.values()}
+        assert told == known, (told, known)
+
     @stateful.rule()
     def deliver_late_batch(self) -> None:
         """Deliver a batch whose sender gave up on it, or is about to."""
@@ -182,14 +205,22 @@
     @stateful.rule(slot=_workers)
     def freeze_or_wake(self, slot: int) -> None:
         """Pause a worker, or let it go on."""
+        slot %= self.worker_count
         worker = self.workers[slot]
-        worker.is_frozen = not worker.is_frozen
+        woken = worker.is_frozen
+        worker.frozen_since = None if woken else self.clock.now
         self.tick_workers()
 
+    @stateful.rule(slot=_workers)
+    def cut_or_join(self, slot: int) -> None:
+        """Cut the link to a worker, or join it again."""
+        worker = self.workers[slot % self.worker_count]
+        worker.is_cut = not worker.is_cut
+
     @stateful.rule(slot=_workers)
     def restart(self, slot: int) -> None:
         """Restart a worker under the same id and address."""
-        self.workers[slot].restart()
+        self.workers[slot % self.worker_count].restart()
 
     @stateful.invariant()
     def no_start_without_permit_or_commit(self) -> None:
@@ -244,6 +275,11 @@
             for attempt, entry in last
             if entry.state is protocol.TaskState.RUNNING
         }
+        for worker in self.workers:
+            for key, entry in worker.last_by_task.items():
+                if worker.frozen_since is not None:
+                    if not entry.state.is_final and key[:2] in running:
+                        assert worker.frozen_since >= oldest, (key, entry)
         for attempt, entry in last:
             if attempt in running and entry.state in _NOT_WHOLE:
                 assert entry.since >= oldest, (attempt, entry)
@@ -269,7 +305,8 @@
         self.out_since = None
         self.late_batches.clear()
         for worker in self.workers:
-            worker.is_frozen = False
+            worker.frozen_since = None
+            worker.is_cut = False
         for stored in list(self.table.stored_by_id.values()):
             if not stored.job.state.is_final and stored.job.spec.command[
                 -1
@@ -295,17 +332,30 @@
         return all(entry.job.state.is_final for entry in stored)
 
 
+class ShortGangMachine(GangMachine):
+    """The same where hardware is short of one guaranteed worker."""
+
+    worker_count = MOST_WORKERS - 1
+
+
 class GangMachineTest(unittest.TestCase):
-    """Runs the machine."""
+    """Runs the machines."""
 
-    def test_machine(self) -> None:
+    def run_machine(self, machine: type[GangMachine]) -> None:
+        """Run one machine."""
         settings = hypothesis.settings(
             phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate),
-            max_examples=60,
+            max_examples=100,
             stateful_step_count=40,
             deadline=None,
         )
-        stateful.run_state_machine_as_test(GangMachine, settings=settings)
+        stateful.run_state_machine_as_test(machine, settings=settings)
+
+    def test_machine(self) -> None:
+        self.run_machine(GangMachine)
+
+    def test_machine_short_of_hardware(self) -> None:
+        self.run_machine(ShortGangMachine)
 
 
 if __name__ == '__main__':
