Gangs: attempts being stopped are looked at when something changed

An attempt that is being stopped is now looked at when a report changed one of its tasks, when its row changed, and once a heartbeat in case that something was lost. A renewal names the jobs it leaves out in place of their tasks.

The state machine now checks each batch: every job of the worker whose attempt is not running is left out.

--- a/primroselock/decisions/blackboard.py
+++ b/primroselock/decisions/blackboard.py
@@ -156,15 +156,25 @@
 class Renewal:
     """Extends the leases of all running tasks on a worker but some.
 
+    ``excluded`` names the jobs whose tasks are left as they are.
     ``lease_until`` is on the worker's clock, ``decided_at`` on this
     process's.
     """
 
     lease_until: float
-    excluded: tuple[protocol.TaskKey, ...]
+    excluded: tuple[str, ...]
     decided_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Look:
+    """The last look at an attempt that is being stopped."""
+
+    view: AttemptView
+    row_version: int
+    at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
     """Cells kept for a job until the work that borrows them has ended."""
@@ -265,6 +275,7 @@
     renewals_by_worker_id: dict[str, Renewal] = dataclasses.field(
         default_factory=dict
     )
+    looks_by_job_id: dict[str, Look] = dataclasses.field(default_factory=dict)
     gang_watch: changes.Watch = dataclasses.field(
         default_factory=changes.Watch
     )
--- a/primroselock/decisions/endings.py
+++ b/primroselock/decisions/endings.py
@@ -74,6 +74,7 @@
     board: blackboard.Blackboard, view: blackboard.AttemptView
 ) -> list[commands.Command]:
     del board.attempts_by_job_id[view.job_id]
+    board.looks_by_job_id.pop(view.job_id, None)
     return [
         commands.SendToWorker(
             placement.worker_id, protocol.Forget(key), urgent=False
--- a/primroselock/decisions/gangs.py
+++ b/primroselock/decisions/gangs.py
@@ -64,14 +64,12 @@
     for change in board.gang_watch.take(board.reports_by_worker_id()):
         changed_job_ids |= changes.changed_jobs(change)
     silent_job_ids = _find_silent_jobs(board, settings, now)
-    settled = blackboard.Phase.RUNNING
     due = [
         view
         for job_id, view in board.attempts_by_job_id.items()
-        if view.phase is not settled
-        or job_id in changed_job_ids
+        if job_id in changed_job_ids
         or job_id in silent_job_ids
-        or _is_cancelled(board, job_id)
+        or _is_due(board, settings, view, now)
     ]
     decided: list[commands.Command] = []
     for view in due:
@@ -80,9 +78,9 @@
         decided.extend(step(board, settings, current, now))
     not_whole = [
         view
-        for view in (board.attempts_by_job_id.get(v.job_id) for v in due)
-        if view is not None
-        and (view.phase is not settled or view.job_id in silent_job_ids)
+        for view in board.attempts_by_job_id.values()
+        if view.phase is not blackboard.Phase.RUNNING
+        or view.job_id in silent_job_ids
     ]
     renewals.renew_others(board, settings, not_whole, now)
     return decided
@@ -100,6 +98,33 @@
     return found
 
 
+def _is_due(
+    board: blackboard.Blackboard,
+    settings: options.Settings,
+    view: blackboard.AttemptView,
+    now: float,
+) -> bool:
+    """Whether an attempt is looked at although no report changed it.
+
+    One that is being stopped is looked at when its row changed, and once
+    a heartbeat in case that a command or a write was lost.
+    """
+    if view.phase is blackboard.Phase.RUNNING:
+        return _is_cancelled(board, view.job_id)
+    if view.phase is not blackboard.Phase.STOPPING:
+        return True
+    job_view = board.jobs_by_id.get(view.job_id)
+    row_version = job_view.row_version if job_view is not None else 0
+    last = board.looks_by_job_id.get(view.job_id)
+    if last is not None:
+        is_same = last.view is view and last.row_version == row_version
+        if is_same and now - last.at < settings.scheduler.heartbeat_interval_s:
+            return False
+    look = blackboard.Look(view, row_version, now)
+    board.looks_by_job_id[view.job_id] = look
+    return True
+
+
 def _is_cancelled(board: blackboard.Blackboard, job_id: str) -> bool:
     """Whether the job is to be cancelled, or its row has ended."""
     job_view = board.jobs_by_id.get(job_id)
--- a/primroselock/decisions/renewals.py
+++ b/primroselock/decisions/renewals.py
@@ -1,16 +1,15 @@
 """Renews the leases of what runs, by one word a worker.
 
-A renewal extends every running task on its worker but those it excludes:
-members of attempts that are not running whole, or of which a worker is
-silent.  Thus nothing is renewed unless every member was heard within the
-heartbeat window, and a round costs by the workers, not by the tasks.
+A renewal extends every running task on its worker but those of the jobs
+that it excludes: jobs whose attempt is not running, or of which a worker
+is silent.  Thus nothing is renewed unless every member was heard within
+the heartbeat window, and a round costs by the workers, not by the tasks.
 """
 
 from collections import abc
 
 from primroselock.decisions import blackboard
 from primroselock import options
-from primroselock.workers import protocol
 
 
 def renew_others(
@@ -24,13 +23,12 @@
     It extends all that runs there but the attempts ``not_whole``: those
     that are not running, or of which a worker is silent.
     """
-    excluded_by_worker_id: dict[str, list[protocol.TaskKey]] = {}
+    excluded_by_worker_id: dict[str, list[str]] = {}
     for view in not_whole:
-        for key, placement in view.tasks():
-            excluded = excluded_by_worker_id.setdefault(
-                placement.worker_id, []
-            )
-            excluded.append(key)
+        worker_ids = {each.worker_id for each in view.attempt.placements}
+        for worker_id in worker_ids:
+            excluded = excluded_by_worker_id.setdefault(worker_id, [])
+            excluded.append(view.job_id)
     lease_s = settings.scheduler.task_lease_s
     board.renewals_by_worker_id = {
         worker_id: blackboard.Renewal(
--- a/primroselock/test/testgangmachine.py
+++ b/primroselock/test/testgangmachine.py
@@ -7,6 +7,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from primroselock.decisions import blackboard
 from primroselock import jobs
 from primroselock.test import builders
 from primroselock.test import fakeshard
@@ -137,6 +138,7 @@
         batch = holder.take_batch(worker.parsed.id, sent_at)
         if batch is None:
             return
+        self.check_renewed(holder, batch, worker.parsed.id)
         if worker.is_cut:
             fate = 'lost'
         if worker.is_frozen and fate != 'lost':
@@ -152,6 +154,19 @@
         elif fate == 'late':
             self.late_batches.append((slot, batch))
 
+    @staticmethod
+    def check_renewed(
+        holder: fakeshard.Holder, batch: protocol.Batch, worker_id: str
+    ) -> None:
+        """Only attempts that run are renewed."""
+        if not batch.renew_until:
+            return
+        for view in holder.board.attempts_by_job_id.values():
+            used = {each.worker_id for each in view.attempt.placements}
+            if worker_id in used:
+                if view.phase is not blackboard.Phase.RUNNING:
+                    assert view.job_id in batch.not_renewed, view
+
     @staticmethod
     def check_heard(
         holder: fakeshard.Holder, worker: fakeshard.FakeWorker
--- a/primroselock/workers/channels.py
+++ b/primroselock/workers/channels.py
@@ -80,7 +80,7 @@
             return protocol.Batch(board.shard, board.epoch)
         scheduler = settings.scheduler
         renew_until = 0.0
-        not_renewed: tuple[protocol.TaskKey, ...] = ()
+        not_renewed: tuple[str, ...] = ()
         renewal = board.renewals_by_worker_id.get(self.vm.id)
         if renewal is not None:
             if sent_at - renewal.decided_at <= scheduler.freeze_gap_s:
--- a/primroselock/workers/protocol.py
+++ b/primroselock/workers/protocol.py
@@ -93,7 +93,7 @@
     not after ``obey_by``.  The sender gives up an exchange no earlier
     than that, so that a late batch never takes effect after the next.
     After the commands, the leases of all running tasks of the shard but
-    those ``not_renewed`` are extended to ``renew_until``.
+    those of the jobs ``not_renewed`` are extended to ``renew_until``.
     ``heard_number`` is the last report of ``boot_id`` that was heard.
     """
 
@@ -103,7 +103,7 @@
     boot_id: str = ''
     obey_by: float = 0.0
     renew_until: float = 0.0
-    not_renewed: tuple[TaskKey, ...] = ()
+    not_renewed: tuple[str, ...] = ()
     heard_number: int = 0
 
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -124,7 +124,7 @@
         for task in self.tasks.values():
             if task.state is not protocol.TaskState.RUNNING:
                 continue
-            if task.key not in batch.not_renewed:
+            if task.key.job_id not in batch.not_renewed:
                 task.expires_at = max(task.expires_at, batch.renew_until)
 
     def _check_batch(self, batch: protocol.Batch) -> None:
