--- a/primroselock/dispatch.py
+++ b/primroselock/dispatch.py
@@ -137,7 +137,7 @@
         for _ in range(_MOST_TRIES):
             turn = await self._take_turn(state, work, excluded)
             if isinstance(turn, NotRun):
-                return told or turn
+                return told if isinstance(told, Unknown) else turn
             outcome, may_retry = await self._exchange(state, turn, work)
             if told is None or not isinstance(outcome, NotRun):
                 told = outcome
@@ -220,7 +220,8 @@
             current = self._shared.follower.current.services_by_name
             limits = current.get(service, work.service)
             upstream: routing.Upstream | None = None
-            if now < work.deadline:
+            # What waited too long would end as unknown, and waste a slot.
+            if now + state.mean_s < work.deadline:
                 upstream = self._router.choose(limits, now, waiter.excluded)
                 if upstream is None:
                     return
