Schedulers tell each other what is free in their shards

The holder of a shard now publishes a ShardLoad each beacon interval and takes those of others; a lost one only delays a move. Ruled out: a field of the beacon, which every gateway would carry too. No process test of a move yet.

--- a/primroselock/mesh/messages.py
+++ b/primroselock/mesh/messages.py
@@ -37,6 +37,18 @@
     job_id: str
 
 
+class ShardLoad(msgspec.Struct, frozen=True, tag='l', array_like=True):
+    """What is free in a shard, from the scheduler that holds it.
+
+    ``largest_free`` is the size of its largest free cell in accelerators.
+    """
+
+    shard: str
+    free_accelerators: int
+    waiting_accelerators: int
+    largest_free: int
+
+
 class ConfigQuestion(msgspec.Struct, frozen=True, tag='q', array_like=True):
     """Asks what configuration the receiver holds.
 
@@ -64,4 +76,4 @@
     sections: Sections | None = None
 
 
-Message = Beacon | JobHint | ConfigQuestion | ConfigAnswer
+Message = Beacon | JobHint | ShardLoad | ConfigQuestion | ConfigAnswer
--- a/primroselock/scheduler.py
+++ b/primroselock/scheduler.py
@@ -72,6 +72,7 @@
                 group.create_task(self._follow_lease())
                 group.create_task(self._follow_jobs())
                 group.create_task(self._decide())
+                group.create_task(self._tell_load())
                 group.create_task(self.writer.run())
         finally:
             self._end_heartbeats()
@@ -173,6 +174,21 @@
             finally:
                 self._round.clear()
 
+    async def _tell_load(self) -> None:
+        """Tell the other shards what is free here."""
+        while True:
+            load = self.board.load
+            if load is not None and self._leads():
+                await self.shared.mesh.publish(
+                    messages.ShardLoad(
+                        self.lease.shard,
+                        load.free_accelerators,
+                        load.waiting_accelerators,
+                        load.largest_free,
+                    )
+                )
+            await asyncio.sleep(self.settings.mesh.beacon_interval_s)
+
     def _check_freeze(self, now: float) -> None:
         """After a pause of this process, distrust what it knew before."""
         gap_s = now - self._last_tick
@@ -213,6 +229,13 @@
         if isinstance(message, messages.JobHint):
             if message.shard == self.lease.shard:
                 self._poll_jobs.set()
+        elif isinstance(message, messages.ShardLoad):
+            self.board.peers_by_shard[message.shard] = blackboard.PeerLoad(
+                message.free_accelerators,
+                message.waiting_accelerators,
+                message.largest_free,
+                clock.monotonic(),
+            )
 
     def _match_heartbeats(self) -> None:
         """Run one heartbeat loop for each worker while the shard is held."""
