--- a/primroselock/mesh/messages.py
+++ b/primroselock/mesh/messages.py
@@ -9,13 +9,25 @@
 Sections = dict[str, dict[str, str]]
 
 
+class ShardLoad(msgspec.Struct, frozen=True, array_like=True):
+    """What is free in a shard, in accelerators, by its holder.
+
+    ``largest_free`` is the size of the largest free cell.
+    """
+
+    free_accelerators: int
+    waiting_accelerators: int
+    largest_free: int
+
+
 class Beacon(msgspec.Struct, frozen=True, tag='b', array_like=True):
     """A process's word about itself.
 
     ``incarnation`` is new at each start; ``sequence`` rises within one.
     ``config_age_s`` is how long ago ``config_version`` was confirmed with
     the platform, counted from before the read was sent; negative where
-    it never was.  ``address`` is where the process takes messages.
+    it never was.  ``address`` is where the process takes messages;
+    ``loads_by_shard`` tells of the shards that it holds.
     """
 
     vm_id: str
@@ -28,6 +40,7 @@
     leaving: bool = False
     slots_by_upstream: dict[str, int] = {}
     address: str = ''
+    loads_by_shard: dict[str, ShardLoad] = {}
 
 
 class JobHint(msgspec.Struct, frozen=True, tag='j', array_like=True):
@@ -37,18 +50,6 @@
     job_id: str
 
 
-class ShardLoad(msgspec.Struct, frozen=True, tag='l', array_like=True):
-    """What is free in a shard, from the scheduler that holds it.
-
-    ``largest_free`` is the size of its largest free cell in accelerators.
-    """
-
-    shard: str
-    free_accelerators: int
-    waiting_accelerators: int
-    largest_free: int
-
-
 class ConfigQuestion(msgspec.Struct, frozen=True, tag='q', array_like=True):
     """Asks what configuration the receiver holds.
 
@@ -76,4 +77,4 @@
     sections: Sections | None = None
 
 
-Message = Beacon | JobHint | ShardLoad | ConfigQuestion | ConfigAnswer
+Message = Beacon | JobHint | ConfigQuestion | ConfigAnswer
