Lane: bytes that the event loop has yet to read also bar its reuse

Cause: the full run failed once in LaneMachine: a request got the answer of an earlier one. The peer had answered that one twice, and the surplus lay in the kernel's buffer, unread by the event loop, when the lane was looked at. test_surplus_answer_not_yet_read_is_not_taken shows it without timing, failing first. The lane now also asks the socket itself, which detects a close by the peer just before reuse as well.

The machine's rule was wrong too: it let the peer answer a request again while the connection carried another exchange. The rule now answers again at any moment when the connection is idle, which is what the lane must bear. Ruled out: a fixed wait in the test.

--- a/primroselock/httplane.py
+++ b/primroselock/httplane.py
@@ -20,6 +20,7 @@
 import asyncio
 from collections import abc
 import dataclasses
+import select
 import typing
 
 import aiosonic
@@ -152,6 +153,8 @@
         reader, writer = self.reader, self.writer
         if reader is None or writer is None or writer.is_closing():
             return False
+        if _is_readable(writer.get_extra_info('socket').fileno()):
+            return False
         # Driven by hand, the read suspends only when there is neither a
         # byte nor an end of the stream; closing it then undoes the wait.
         attempt = reader.read(1)
@@ -409,6 +412,13 @@
             await asyncio.gather(*self._closing)
 
 
+def _is_readable(descriptor: int) -> bool:
+    """Whether bytes or an end wait that the event loop has yet to see."""
+    poller = select.poll()
+    poller.register(descriptor, select.POLLIN)
+    return bool(poller.poll(0))
+
+
 def _timeouts(timeout_s: float) -> aiosonic.timeout.Timeouts:
     # The pool's own timeout comes first; the library's is a safeguard.
     return aiosonic.timeout.Timeouts(
--- a/primroselock/test/testlane.py
+++ b/primroselock/test/testlane.py
@@ -203,6 +203,27 @@
         self.peer.answer('/b')
         self.assertEqual(b'/b', (await task).unwrap().body)
 
+    async def test_surplus_answer_not_yet_read_is_not_taken(self) -> None:
+        first = asyncio.create_task(
+            self.pool.exchange(httplane.Request('POST', '/a'), _PATIENT_S)
+        )
+        await until(lambda: '/a' in self.peer.seen)
+        self.peer.answer('/a')
+        await first
+        # The event loop has no turn between this and the next exchange.
+        self.peer.answer('/a', b'surplus')
+
+        async def answer_next() -> None:
+            await until(lambda: '/b' in self.peer.seen)
+            self.peer.answer('/b')
+
+        answering = asyncio.create_task(answer_next())
+        answer = await self.pool.exchange(
+            httplane.Request('POST', '/b'), _PATIENT_S
+        )
+        self.assertEqual(b'/b', answer.unwrap().body)
+        await answering
+
     async def test_refused_connection_is_not_sent(self) -> None:
         pool = httplane.LanePool('127.0.0.1:9', 1)
         answer = await pool.exchange(
@@ -223,7 +244,7 @@
         address = self.loop.run_until_complete(self.peer.start())
         self.pool = httplane.LanePool(address, _LIMIT)
         self.tasks_by_path: dict[str, asyncio.Task[typing.Any]] = {}
-        self.cut: set[str] = set()
+        self.answered: set[str] = set()
 
     def settle(self) -> None:
         """Let sockets and tasks come to rest."""
@@ -253,10 +274,23 @@
 
     @stateful.rule(path=exchanges)
     def answer(self, path: str) -> None:
+        """Answer a request; a second time only on an idle connection.
+
+        A surplus answer during another exchange can't be told from that
+        exchange's own: HTTP/1.1 answers bear no number.
+        """
         writer = self.peer.writers_by_path.get(path)
-        if writer is not None and not writer.is_closing():
-            self.peer.answer(path)
-            self.settle()
+        if writer is None or writer.is_closing():
+            return
+        is_busy = any(
+            other is writer and other_path not in self.answered
+            for other_path, other in self.peer.writers_by_path.items()
+        )
+        if path in self.answered and is_busy:
+            return
+        self.peer.answer(path)
+        self.answered.add(path)
+        self.settle()
 
     @stateful.rule(path=exchanges)
     def cut_answer(self, path: str) -> None:
