Process proofs of shutdown and retries catch their mutations

Cause: mutations over processes showed three tests that could not fail: without the leaving delay, without waiting for what runs, and with retries of non-idempotent requests, testrequests passed.

SIGTERM now meets six requests that run on after the port closed, and ten more are sent while the gateway is leaving, each answered and asked to close its connection; twenty non-idempotent requests meet cut answers. Ruled out: tighter times, which a busy machine breaks.

Not caught over processes: a lane kept after any end (testlane catches it).

--- a/primroselock/test/testrequests.py
+++ b/primroselock/test/testrequests.py
@@ -243,9 +243,9 @@
         self,
     ) -> None:
         self.set_upstream_faults(cut=True)
-        body = self.new_body()
-        told = self.send('first', body)
-        self.assertEqual('unknown', self.check_told(told, body))
+        for body in [self.new_body() for _ in range(20)]:
+            told = self.send('first', body)
+            self.assertEqual('unknown', self.check_told(told, body))
         idempotent = [self.new_body() for _ in range(100)]
         for body in idempotent:
             self.send('first', body, Primroselock_Idempotent='true')
@@ -291,18 +291,25 @@
                 self.assertLessEqual(self.count_runs(body), 1)
 
     def test_sigterm_under_load_cuts_nothing(self) -> None:
-        gateway = self.start_gateway('terminated')
+        settings = {'gateway': {'leaving_delay_s': '2'}}
+        gateway = self.cluster.start_daemon(
+            'terminated', 'gateway', 'a', settings
+        )
         self.wait_ready('terminated')
         bodies = [self.new_body() for _ in range(6)]
-        running = [self.begin('terminated', body, 1.5) for body in bodies]
+        # They run on after the port was closed.
+        running = [self.begin('terminated', body, 3.5) for body in bodies]
         gateway.send_signal(signal.SIGTERM)
         launch.wait_for(
             lambda: self.get('terminated', '/readyz').status == 503,
             'the balancer is told',
         )
-        late = self.new_body()
-        bodies.append(late)
-        running.append(self.begin('terminated', late, 0.2))
+        # The balancer may go on sending until it has noticed.
+        for _ in range(10):
+            late = self.new_body()
+            told = self.send('terminated', late, 0.05)
+            self.assertEqual('done', self.check_told(told, late))
+            self.assertEqual('close', told.headers['connection'])
         for sent, body in zip(running, bodies, strict=True):
             self.assertEqual('done', self.check_told(sent.result(), body))
         self.assertEqual(0, gateway.wait())
