Process proof of racing operators, lost replies and repeats

Cause: races and lost replies were shown on a store in memory only.

Change: two operators submit from the same base over two gateways, five times, while the table loses a reply after the write; one is accepted and one is told the present version, and a repeat of the accepted submission through either gateway gives the same version.

Fails first: without settling one of them gets 504 in place of 409 or 201; without the look at the patch row a repeat is told a race.

--- a/primroselock/test/testinforce.py
+++ b/primroselock/test/testinforce.py
@@ -1,5 +1,6 @@
 """Patches come into force, and zones stay out, over real processes."""
 
+from concurrent import futures
 import functools
 import hashlib
 import signal
@@ -132,6 +133,43 @@
         self.assertGreater(status['config_age_s'], START_PERMIT_TTL_S)
 
 
+class OperatorsTest(ClusterTest):
+    """Operators race over two gateways; replies of the table get lost."""
+
+    def submit(
+        self, gateway: str, base: int, submission_id: str
+    ) -> launch.Answer:
+        """Submit a patch under an id."""
+        body = {
+            'base_version': base,
+            'text': f'[zone {submission_id}]\n',
+            'submission_id': submission_id,
+        }
+        address = self.cluster.addresses_by_name[gateway]
+        path = '/v1/config/patches'
+        return launch.call(address, 'POST', path, body, launch.OPERATOR_TOKEN)
+
+    def test_races_lost_replies_and_repeats(self) -> None:
+        gateways = ('gateway-a', 'gateway-b')
+        for gateway in gateways:
+            self.start_gateway(gateway, gateway[-1])
+        with futures.ThreadPoolExecutor() as pool:
+            for base in range(5):
+                names = [f'p{base}-{gateway}' for gateway in gateways]
+                self.cluster.set_fault('a', 'lose_reply', count=1)
+                answers = list(
+                    pool.map(self.submit, gateways, [base] * 2, names)
+                )
+                statuses = sorted(answer.status for answer in answers)
+                self.assertEqual([201, 409], statuses, answers)
+                winner = names[answers[0].status == 409]
+                for gateway in gateways:
+                    again = self.submit(gateway, base, winner)
+                    self.assertEqual(base + 1, again.json()['version'])
+        log = self.get('gateway-b', '/v1/config/patches')
+        self.assertEqual([1, 2, 3, 4, 5], [row['version'] for row in log])
+
+
 class ZoneOutTest(ClusterTest):
     """No task starts in a zone that has been out longer than the bound."""
 
