--- a/primroselock/platform/guard.py
+++ b/primroselock/platform/guard.py
@@ -11,7 +11,7 @@
 
 from primroselock import logs
 
-FAILURES_TO_OPEN: typing.Final = 3
+FAILURES_TO_OPEN: typing.Final = 8
 PROBE_INTERVAL_S: typing.Final = 0.5
 _log: typing.Final = logs.get('platform')
 
