--- a/tools/capacity/model.py
+++ b/tools/capacity/model.py
@@ -215,7 +215,8 @@
 def link_ways(slopes: Slopes, size: sizes.Size) -> list[Way]:
     """Return the worker link as built, and ways that would carry more.
 
-    The processor time stays that of the measured HTTP exchange.
+    The processor time of B to E is that of the measured HTTP exchange,
+    without what rounds spend on running tasks.
     """
     http_bytes = slopes.slope('holder.worker.link_bytes')
     http_cpu_s = slopes.slope('holder.worker.cpu')
@@ -231,11 +232,8 @@
     built_cpu_s = http_cpu_s + tasks * slopes.slope('holder.task.cpu')
     return [
         Way('as built', 1.0, built_bytes, built_cpu_s),
-        Way(
-            'A: one renewal a worker, only changes', 1, http_bytes, http_cpu_s
-        ),
-        Way('B: A each 10 s', 10.0, http_bytes, http_cpu_s),
-        Way('C: A each 30 s', 30.0, http_bytes, http_cpu_s),
+        Way('B: each 10 s, decisions by events', 10.0, http_bytes, http_cpu_s),
+        Way('C: B each 30 s', 30.0, http_bytes, http_cpu_s),
         Way('D: C, MessagePack, no HTTP', 30.0, compact, http_cpu_s),
         Way('E: D with TCP/IP headers', 30.0, compact + headers, http_cpu_s),
     ]
