--- a/primroselock/gateway.py
+++ b/primroselock/gateway.py
@@ -47,7 +47,7 @@
         """Tell the balancer whether to send requests here."""
         if self._shared.stopping.is_set():
             return answers.error(503, 'leaving', 'this VM is leaving')
-        if self._shared.follower.confirmed_at is None:
+        if not self._shared.follower.serving:
             return answers.error(503, 'starting', 'no configuration yet')
         return answers.json_answer({'state': 'ready'})
 
@@ -67,6 +67,9 @@
                 'zone': self._shared.settings.process.zone,
                 'config_version': version,
                 'config_age_s': round(follower.age_s(now), 3),
+                'config_source': follower.source,
+                'mesh_bytes_sent': self._shared.mesh.sent_bytes,
+                'mesh_bytes_received': self._shared.mesh.received_bytes,
                 'zones': known.zones,
                 'peers': known.processes,
             }
