Slopes: fake peers of the new mesh, and a part that sees nothing fails

With the new mesh (ROUTER and DEALER in place of PUB and SUB) the part fitted a line through zeros and said nothing. The fake peers now speak it, and the part fails where no byte passed.

--- a/tools/slopes/meshes.py
+++ b/tools/slopes/meshes.py
@@ -18,7 +18,7 @@
 
 
 class FakePeers:
-    """Publishers that send beacons, and subscribers that hear the gateway.
+    """Peers that send beacons to the gateway and take its own.
 
     Every peer's streams pass through relays.
     """
@@ -28,6 +28,7 @@
         self._relays = relays
         self._context = zmq.Context()
         self._sockets: list[zmq.Socket[bytes]] = []
+        self._addresses: list[str] = []
         self._mesh = mesh
         self._stopping = threading.Event()
         self._lock = threading.Lock()
@@ -37,15 +38,15 @@
     def add(self) -> dict[str, str]:
         """Add a peer; return its VM entry."""
         with self._lock:
-            publisher = self._context.socket(zmq.PUB)
-            publisher.bind('tcp://127.0.0.1:0')
-            bound = publisher.getsockopt_string(zmq.LAST_ENDPOINT)
+            router = self._context.socket(zmq.ROUTER)
+            router.bind('tcp://127.0.0.1:0')
+            bound = router.getsockopt_string(zmq.LAST_ENDPOINT)
             inward = self._relays.open(bound.removeprefix('tcp://'))
             outward = self._relays.open(self._mesh)
-            subscriber = self._context.socket(zmq.SUB)
-            subscriber.setsockopt(zmq.SUBSCRIBE, b'')
-            subscriber.connect(f'tcp://{outward.address}')
-            self._sockets += [publisher, subscriber]
+            dealer = self._context.socket(zmq.DEALER)
+            dealer.connect(f'tcp://{outward.address}')
+            self._sockets += [router, dealer]
+            self._addresses.append(inward.address)
             self.wires += [inward, outward]
             name = f'peer-{len(self._sockets) // 2}'
         return {
@@ -62,7 +63,7 @@
         while not self._stopping.wait(_BEACON_INTERVAL_S):
             sequence += 1
             with self._lock:
-                for index, publisher in enumerate(self._sockets[::2]):
+                for index, dealer in enumerate(self._sockets[1::2]):
                     beacon = messages.Beacon(
                         vm_id=f'peer-{index + 1}',
                         incarnation='slopes',
@@ -72,8 +73,9 @@
                         config_version=1,
                         config_age_s=0.25,
                         slots_by_upstream=slots,
+                        address=self._addresses[index],
                     )
-                    publisher.send(msgspec.msgpack.encode(beacon))
+                    dealer.send(msgspec.msgpack.encode(beacon))
 
     def close(self) -> None:
         """End the thread and close the sockets."""
@@ -99,6 +101,8 @@
                 points.append((count, run.measure('gateway-a')))
         finally:
             peers.close()
+    if not all(rates.link_bytes for _, rates in points):
+        raise RuntimeError('no byte passed between the peers')
     return registry.fit_rates(
         'mesh.peer',
         'peer',
