--- a/primroselock/test/testlane.py
+++ b/primroselock/test/testlane.py
@@ -203,6 +203,27 @@
         self.peer.answer('/b')
         self.assertEqual(b'/b', (await task).unwrap().body)
 
+    async def test_surplus_answer_not_yet_read_is_not_taken(self) -> None:
+        first = asyncio.create_task(
+            self.pool.exchange(httplane.Request('POST', '/a'), _PATIENT_S)
+        )
+        await until(lambda: '/a' in self.peer.seen)
+        self.peer.answer('/a')
+        await first
+        # The event loop has no turn between this and the next exchange.
+        self.peer.answer('/a', b'surplus')
+
+        async def answer_next() -> None:
+            await until(lambda: '/b' in self.peer.seen)
+            self.peer.answer('/b')
+
+        answering = asyncio.create_task(answer_next())
+        answer = await self.pool.exchange(
+            httplane.Request('POST', '/b'), _PATIENT_S
+        )
+        self.assertEqual(b'/b', answer.unwrap().body)
+        await answering
+
     async def test_refused_connection_is_not_sent(self) -> None:
         pool = httplane.LanePool('127.0.0.1:9', 1)
         answer = await pool.exchange(
@@ -253,12 +274,22 @@
 
     @stateful.rule(path=exchanges)
     def answer(self, path: str) -> None:
-        """Answer a request once, at any time, as HTTP has it."""
+        """Answer a request; a second time only on an idle connection.
+
+        A surplus answer during another exchange can't be told from that
+        exchange's own: HTTP/1.1 answers bear no number.
+        """
         writer = self.peer.writers_by_path.get(path)
-        if writer is None or writer.is_closing() or path in self.answered:
+        if writer is None or writer.is_closing():
+            return
+        is_busy = any(
+            other is writer and other_path not in self.answered
+            for other_path, other in self.peer.writers_by_path.items()
+        )
+        if path in self.answered and is_busy:
             return
-        self.answered.add(path)
         self.peer.answer(path)
+        self.answered.add(path)
         self.settle()
 
     @stateful.rule(path=exchanges)
