--- a/primroselock/test/testrequests.py
+++ b/primroselock/test/testrequests.py
@@ -36,6 +36,7 @@
 _TLS: typing.Final = (
     pathlib.Path(__file__).resolve().parent.parent.parent / 'test-data/tls'
 )
+_UPSTREAMS: typing.Final = ('up-a1', 'up-a2', 'up-b')
 _ESTABLISHED: typing.Final = '01'
 
 
@@ -50,7 +51,7 @@
         cls.cluster = launch.Cluster(['a', 'b'])
         cls.addClassCleanup(cls.cluster.close)
         cls.cluster.start_platform()
-        for name in ('up-a1', 'up-a2', 'up-b'):
+        for name in _UPSTREAMS:
             zone = name.split('-')[1][0]
             cls.cluster.start_upstream(name, zone, 'quote-desk')
         cls.start_gateway('first')
@@ -76,11 +77,10 @@
     def wait_ready(cls, gateway: str) -> None:
         """Wait until a gateway passes requests on."""
 
-        def passes() -> bool:
-            answer = cls.send(gateway, cls.new_body())
-            return answer.status == 200
-
-        launch.wait_for(passes, f'{gateway} passes requests on')
+        launch.wait_for(
+            lambda: cls.send(gateway, cls.new_body()).status == 200,
+            f'{gateway} passes requests on',
+        )
 
     @classmethod
     def new_body(cls) -> bytes:
@@ -119,21 +119,17 @@
 
     def count_runs(self, body: bytes) -> int:
         """Return how often upstreams ran ``body``."""
-        runs = 0
-        for name in ('up-a1', 'up-a2', 'up-b'):
-            address = self.cluster.addresses_by_name[name]
-            shown = launch.call(address, 'GET', '/admin/runs').json()
-            runs += shown['runs'].count(body.decode())
-        return runs
+        return sum(self.list_runs(name).count(body) for name in _UPSTREAMS)
+
+    def list_runs(self, name: str) -> list[bytes]:
+        """Return the bodies that an upstream ran."""
+        address = self.cluster.addresses_by_name[name]
+        shown = launch.call(address, 'GET', '/admin/runs').json()
+        return [body.encode() for body in shown['runs']]
 
     def find_upstream(self, body: bytes) -> str:
         """Return the upstream that ran ``body``."""
-        for name in ('up-a1', 'up-a2', 'up-b'):
-            address = self.cluster.addresses_by_name[name]
-            shown = launch.call(address, 'GET', '/admin/runs').json()
-            if body.decode() in shown['runs']:
-                return name
-        raise AssertionError(f'{body!r} did not run')
+        return next(n for n in _UPSTREAMS if body in self.list_runs(n))
 
     def check_told(self, answer: launch.Answer, body: bytes) -> str:
         """Check an answer against the record; return the outcome."""
@@ -235,8 +231,8 @@
         # Its address is still listed, and nothing of a request is lost.
         zone = name.split('-')[1][0]
         for _ in range(20):
-            answer = self.send('first', b'after')
-            self.assertEqual('done', answer.headers['primroselock-outcome'])
+            told = self.send('first', b'after')
+            self.assertEqual('done', told.headers['primroselock-outcome'])
         self.cluster.start_upstream(name, zone, 'quote-desk')
 
     def test_cut_answers_are_unknown_and_retried_only_when_idempotent(
@@ -258,7 +254,7 @@
 
     def set_upstream_faults(self, **faults: bool) -> None:
         """Set every upstream's switches."""
-        for name in ('up-a1', 'up-a2', 'up-b'):
+        for name in _UPSTREAMS:
             address = self.cluster.addresses_by_name[name]
             launch.call(address, 'POST', '/admin/faults', faults)
 
@@ -370,7 +366,7 @@
                 self.pool.submit(self.send, gateway, self.new_body(), 0.05)
             )
         while not all(one.done() for one in sent):
-            for name in ('up-a1', 'up-a2', 'up-b'):
+            for name in _UPSTREAMS:
                 most = max(most, self.count_connections(name))
         self.assertGreater(most, 0)
         self.assertLessEqual(most, 2 * _CONNECTIONS_A_GATEWAY)
