--- a/primroselock/test/testrequests.py
+++ b/primroselock/test/testrequests.py
@@ -1,7 +1,6 @@
 """What callers are told, against what upstreams ran, over real processes.
 
-Each request's body is its own, so that an answer shows whose it is and
-an upstream's record shows how often it ran.
+Each body is unique: answers show whose they are, records how often it ran.
 """
 
 from concurrent import futures
