--- a/primroselock/scheduler.py
+++ b/primroselock/scheduler.py
@@ -20,6 +20,7 @@
 from primroselock.decisions import controllers
 from primroselock.decisions import registry
 from primroselock import httpserver
+from primroselock import jobfeed
 from primroselock import jobstore
 from primroselock import jobwriter
 from primroselock import logs
@@ -51,11 +52,13 @@
         self.writer = jobwriter.JobWriter(
             self.store, self.lease, self._record_jobs
         )
+        self.feed = jobfeed.JobFeed(
+            self.store, self.lease, self._take_over, self._record_jobs
+        )
         self.link = link.HttpLink(self.settings.scheduler.worker_timeout_s)
         self.board = self._new_board()
         self.channels_by_id: dict[str, channels.Channel] = {}
         self._heartbeats_by_id: dict[str, asyncio.Task[None]] = {}
-        self._loaded_epoch = 0
         self._poll_jobs = asyncio.Event()
         self._round = asyncio.Event()
         self._last_tick = clock.monotonic()
@@ -118,7 +121,7 @@
     async def _follow_jobs(self) -> None:
         while True:
             if self.lease.holds(clock.monotonic()):
-                await self._read_jobs()
+                await self.feed.read()
             try:
                 await asyncio.wait_for(
                     self._poll_jobs.wait(),
@@ -129,21 +132,6 @@
             finally:
                 self._poll_jobs.clear()
 
-    async def _read_jobs(self) -> None:
-        epoch = self.lease.epoch
-        if self._loaded_epoch != epoch:
-            loaded = await self.store.load_active(self.lease.shard)
-            if isinstance(loaded, result.Err):
-                return
-            self._take_over(epoch, loaded.ok_value)
-        accepted = await self.store.accept_inbox(
-            self.lease.shard, self.lease.epoch_row_version
-        )
-        if isinstance(accepted, result.Err):
-            return
-        if accepted.ok_value:
-            self._record_jobs(accepted.ok_value)
-
     def _take_over(self, epoch: int, stored: list[jobstore.Stored]) -> None:
         self._end_heartbeats()
         self.writer.clear()
@@ -152,12 +140,13 @@
         self.board.listening_since = clock.monotonic()
         self.board.record_vms(self.shared.vms)
         self._record_jobs(stored)
-        self._loaded_epoch = epoch
         _log.info('shard loaded', epoch=epoch, jobs=len(stored))
 
     def _leads(self) -> bool:
         """Whether decisions are made here; starts need the lease too."""
-        return self.lease.has_shard and self._loaded_epoch == self.lease.epoch
+        return (
+            self.lease.has_shard and self.feed.loaded_epoch == self.lease.epoch
+        )
 
     async def _decide(self) -> None:
         tick_s = self.settings.scheduler.tick_interval_s
