Operators' calls: one guard, one reading of queries and bodies

Ruled out: middleware by path prefix, since job calls are for callers and operators alike. No measurement; nothing on the path of requests changed.

--- a/primroselock/configapi.py
+++ b/primroselock/configapi.py
@@ -1,27 +1,20 @@
 """Operators' part of the gateway: patches, configuration, audit."""
 
 import dataclasses
-import typing
 
-import msgspec
 import result
 from starlette import requests
 from starlette import responses
 
 from primroselock import answers
 from primroselock import audit
-from primroselock import auth
 from primroselock import clock
 from primroselock import configuration
 from primroselock import daemon
 from primroselock import history
-from primroselock import logs
+from primroselock import operatorcalls
 from primroselock import patches
 
-_PAGE: typing.Final = 100
-_MAX_PAGE: typing.Final = 500
-_log: typing.Final = logs.get('operators')
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PatchBody:
@@ -43,55 +36,21 @@
     submission_id: str = ''
 
 
-class BadQuery(Exception):
-    """A query parameter is not what was expected."""
-
-
-def author_of(request: requests.Request) -> str:
-    """Return who the operator says that he is."""
-    return request.headers.get('primroselock-author', 'operator')
-
-
-def origin_of(request: requests.Request) -> str:
-    """Return the IP that a request came from."""
-    return request.client.host if request.client else ''
-
-
 class ConfigApi:
     """Handles ``/v1/config`` and ``/v1/audit``."""
 
     def __init__(self, shared: daemon.Daemon) -> None:
         self._shared = shared
 
-    def _refuse_stranger(
-        self, request: requests.Request
-    ) -> responses.Response | None:
-        digests = self._shared.settings.gateway.operator_digests
-        if auth.is_operator(request, digests):
-            return None
-        # Kept in the log only: strangers must not fill the table.
-        _log.warning(
-            'operator call refused',
-            path=request.url.path,
-            origin=origin_of(request),
-        )
-        return answers.error(401, 'unauthorized', "not an operator's token")
-
     async def submit(self, request: requests.Request) -> responses.Response:
         """Accept a patch, or say why not."""
-        refusal = self._refuse_stranger(request)
-        if refusal is not None:
-            return refusal
-        try:
-            body = msgspec.json.decode(await request.body(), type=PatchBody)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            return answers.error(400, 'bad-patch', str(error))
+        body = await operatorcalls.read_body(request, PatchBody)
         submission = patches.Submission(
             body.base_version,
             body.text,
             body.comment,
-            author_of(request),
-            origin_of(request),
+            operatorcalls.author_of(request),
+            operatorcalls.origin_of(request),
             body.submission_id,
         )
         accepted = await patches.submit(
@@ -101,19 +60,13 @@
 
     async def revert(self, request: requests.Request) -> responses.Response:
         """Restore an older version's content by a new patch."""
-        refusal = self._refuse_stranger(request)
-        if refusal is not None:
-            return refusal
-        try:
-            body = msgspec.json.decode(await request.body(), type=RevertBody)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            return answers.error(400, 'bad-revert', str(error))
+        body = await operatorcalls.read_body(request, RevertBody)
         submission = patches.Submission(
             body.base_version,
             '',
             body.comment or f'revert to version {body.to_version}',
-            author_of(request),
-            origin_of(request),
+            operatorcalls.author_of(request),
+            operatorcalls.origin_of(request),
             body.submission_id,
         )
         accepted = await history.revert(
@@ -134,13 +87,7 @@
 
     async def show(self, request: requests.Request) -> responses.Response:
         """Return the configuration, of one version or the present one."""
-        refusal = self._refuse_stranger(request)
-        if refusal is not None:
-            return refusal
-        try:
-            version = _number(request, 'version', -1)
-        except BadQuery as error:
-            return answers.error(400, 'bad-query', str(error))
+        version = operatorcalls.read_number(request, 'version', -1)
         loaded: result.Result[patches.Content, history.ReadError]
         if version >= 0:
             loaded = await history.load(self._shared.platform, version)
@@ -161,14 +108,8 @@
         self, request: requests.Request
     ) -> responses.Response:
         """Return the patch that turns version ``from`` into ``to``."""
-        refusal = self._refuse_stranger(request)
-        if refusal is not None:
-            return refusal
-        try:
-            old = _number(request, 'from')
-            new = _number(request, 'to')
-        except BadQuery as error:
-            return answers.error(400, 'bad-query', str(error))
+        old = operatorcalls.read_number(request, 'from')
+        new = operatorcalls.read_number(request, 'to')
         found = await history.find_difference(self._shared.platform, old, new)
         if isinstance(found, result.Err):
             return _read_failed(found.err_value)
@@ -180,14 +121,8 @@
         self, request: requests.Request
     ) -> responses.Response:
         """Return a page of the accepted patches, oldest first."""
-        refusal = self._refuse_stranger(request)
-        if refusal is not None:
-            return refusal
-        try:
-            after = _number(request, 'after', 0)
-            limit = _limit(request)
-        except BadQuery as error:
-            return answers.error(400, 'bad-query', str(error))
+        after = operatorcalls.read_number(request, 'after', 0)
+        limit = operatorcalls.read_limit(request)
         page = await history.list_patches(self._shared.platform, after, limit)
         if isinstance(page, result.Err):
             return _read_failed(page.err_value)
@@ -197,14 +132,8 @@
         self, request: requests.Request
     ) -> responses.Response:
         """Return a page of the audit trail, oldest first."""
-        refusal = self._refuse_stranger(request)
-        if refusal is not None:
-            return refusal
         after = request.query_params.get('after', '')
-        try:
-            limit = _limit(request)
-        except BadQuery as error:
-            return answers.error(400, 'bad-query', str(error))
+        limit = operatorcalls.read_limit(request)
         page = await audit.list_entries(self._shared.platform, after, limit)
         if isinstance(page, result.Err):
             return _read_failed(page.err_value)
@@ -214,35 +143,13 @@
         self, request: requests.Request
     ) -> responses.Response:
         """Return who has a version in force, by zone."""
-        refusal = self._refuse_stranger(request)
-        if refusal is not None:
-            return refusal
-        try:
-            version = _number(
-                request, 'version', self._shared.follower.current.version
-            )
-        except BadQuery as error:
-            return answers.error(400, 'bad-query', str(error))
+        version = operatorcalls.read_number(
+            request, 'version', self._shared.follower.current.version
+        )
         now = clock.monotonic()
         return answers.json_answer(self._shared.confirmations(version, now))
 
 
-def _number(
-    request: requests.Request, name: str, default: int | None = None
-) -> int:
-    text = request.query_params.get(name)
-    if text is None and default is not None:
-        return default
-    if text is None or not text.isdecimal():
-        raise BadQuery(f'{name}: expected a whole number of at least 0')
-    return int(text)
-
-
-def _limit(request: requests.Request) -> int:
-    limit = _number(request, 'limit', _PAGE)
-    return max(1, min(limit, _MAX_PAGE))
-
-
 def _read_failed(error: history.ReadError) -> responses.Response:
     if isinstance(error, history.NoVersion):
         return answers.error(
--- a/primroselock/gateway.py
+++ b/primroselock/gateway.py
@@ -21,6 +21,7 @@
 from primroselock import jobsapi
 from primroselock import keyed
 from primroselock import logs
+from primroselock import operatorcalls
 from primroselock import operatorsapi
 from primroselock import options
 from primroselock.platform import keys
@@ -84,12 +85,18 @@
     config = configapi.ConfigApi(shared)
     operators = operatorsapi.OperatorsApi(shared)
     status = StatusApi(shared)
-    table: list[tuple[str, str, typing.Any]] = [
+    table: list[tuple[str, str, operatorcalls.Handler]] = [
         ('POST', '/v1/services/{service}/{path:path}', services.handle),
         ('POST', '/v1/jobs', jobs_api.submit),
         ('GET', '/v1/jobs', jobs_api.list_jobs),
         ('GET', '/v1/jobs/{job_id}', jobs_api.show),
         ('DELETE', '/v1/jobs/{job_id}', jobs_api.cancel),
+        ('GET', '/healthz', status.health),
+        ('GET', '/readyz', status.ready),
+        ('GET', '/v1/status', status.status),
+        ('GET', '/v1/metrics', status.metrics),
+    ]
+    operators_table: list[tuple[str, str, operatorcalls.Handler]] = [
         ('POST', '/v1/config/patches', config.submit),
         ('GET', '/v1/config/patches', config.list_patches),
         ('POST', '/v1/config/revert', config.revert),
@@ -100,11 +107,10 @@
         ('GET', '/v1/operators/accounts', operators.list_accounts),
         ('GET', '/v1/operators/jobs', operators.list_jobs),
         ('GET', '/v1/operators/workers', operators.list_workers),
-        ('GET', '/healthz', status.health),
-        ('GET', '/readyz', status.ready),
-        ('GET', '/v1/status', status.status),
-        ('GET', '/v1/metrics', status.metrics),
     ]
+    for method, path, handler in operators_table:
+        checked = operatorcalls.operators_only(shared.settings, handler)
+        table.append((method, path, checked))
     return applications.Starlette(
         routes=[
             paths.Route(path, handler, methods=[method])
--- /dev/null
+++ b/primroselock/operatorcalls.py
@@ -0,0 +1,92 @@
+"""What all calls of operators have in common.
+
+A handler is wrapped by :func:`operators_only`: it is called only with an
+operator's token, and what it finds wrong with the query or the body
+(:class:`BadCall`) becomes the answer.
+"""
+
+from collections import abc
+import typing
+
+import msgspec
+from starlette import requests
+from starlette import responses
+
+from primroselock import answers
+from primroselock import auth
+from primroselock import logs
+from primroselock import options
+
+_PAGE_ROWS: typing.Final = 100
+_MAX_PAGE_ROWS: typing.Final = 500
+_log: typing.Final = logs.get('operators')
+
+Handler = abc.Callable[
+    [requests.Request],
+    abc.Coroutine[typing.Any, typing.Any, responses.Response],
+]
+_Body = typing.TypeVar('_Body')
+
+
+class BadCall(Exception):
+    """A query parameter or the body is not what was expected."""
+
+
+def operators_only(settings: options.Settings, handle: Handler) -> Handler:
+    """Return ``handle`` for operators; others are answered 401."""
+    digests = settings.gateway.operator_digests
+
+    async def checked(request: requests.Request) -> responses.Response:
+        if not auth.is_operator(request, digests):
+            # Kept in the log only: strangers must not fill the table.
+            _log.warning(
+                'operator call refused',
+                path=request.url.path,
+                origin=origin_of(request),
+            )
+            message = "not an operator's token"
+            return answers.error(401, 'unauthorized', message)
+        try:
+            return await handle(request)
+        except BadCall as error:
+            return answers.error(400, 'bad-call', str(error))
+
+    return checked
+
+
+def author_of(request: requests.Request) -> str:
+    """Return who the operator says to be."""
+    return request.headers.get('primroselock-author', 'operator')
+
+
+def origin_of(request: requests.Request) -> str:
+    """Return the IP that a request came from."""
+    return request.client.host if request.client else ''
+
+
+def read_number(
+    request: requests.Request, name: str, default: int | None = None
+) -> int:
+    """Return a query parameter; raise :class:`BadCall` if it is none."""
+    text = request.query_params.get(name)
+    if text is None and default is not None:
+        return default
+    if text is None or not text.isdecimal():
+        raise BadCall(f'{name}: expected a whole number of at least 0')
+    return int(text)
+
+
+def read_limit(request: requests.Request) -> int:
+    """Return how many rows a page may have."""
+    limit = read_number(request, 'limit', _PAGE_ROWS)
+    return max(1, min(limit, _MAX_PAGE_ROWS))
+
+
+async def read_body(
+    request: requests.Request, body_class: type[_Body]
+) -> _Body:
+    """Decode the JSON body; raise :class:`BadCall` if it does not fit."""
+    try:
+        return msgspec.json.decode(await request.body(), type=body_class)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise BadCall(str(error)) from error
--- a/primroselock/operatorsapi.py
+++ b/primroselock/operatorsapi.py
@@ -14,7 +14,6 @@
 from starlette import responses
 
 from primroselock import answers
-from primroselock import auth
 from primroselock import daemon
 from primroselock import jobs
 from primroselock import jobsapi
@@ -58,21 +57,10 @@
         self._shared = shared
         self._store = jobstore.JobStore(shared.platform)
 
-    def _refuse_stranger(
-        self, request: requests.Request
-    ) -> responses.Response | None:
-        digests = self._shared.settings.gateway.operator_digests
-        if auth.is_operator(request, digests):
-            return None
-        return answers.error(401, 'unauthorized', "not an operator's token")
-
     async def list_accounts(
         self, request: requests.Request
     ) -> responses.Response:
         """Return every account in every zone where it is promised cells."""
-        refusal = self._refuse_stranger(request)
-        if refusal is not None:
-            return refusal
         active = await self._load_active()
         views = []
         for account in self._shared.follower.current.accounts_by_name.values():
@@ -97,9 +85,6 @@
         self, request: requests.Request
     ) -> responses.Response:
         """Return the workers of the VM list, of one zone or of all."""
-        refusal = self._refuse_stranger(request)
-        if refusal is not None:
-            return refusal
         zone = request.query_params.get('zone')
         held = _placements(await self._load_active())
         views = []
@@ -124,9 +109,6 @@
 
     async def list_jobs(self, request: requests.Request) -> responses.Response:
         """Return the jobs of one account or of all, in one state or any."""
-        refusal = self._refuse_stranger(request)
-        if refusal is not None:
-            return refusal
         wanted = request.query_params.get('account')
         state = request.query_params.get('state')
         names = sorted(self._shared.follower.current.accounts_by_name)
