VM list: read whole only when it changed

Cause: CAPACITY showed the VM list as the largest cost of every process at the plan's size: 1.87 MB and, for a standby, 14% of a core each second, nearly always for a list that is the same as a second before.

Change: the platform's client names the entity tag of the list it has and takes 304 for "unchanged"; the stand-in gives tags. A platform without tags is read as before. Ruled out: a longer interval (the list's age is its worth) and reading by zone (a gateway needs upstreams of every zone).

Test: testplatform.VmListTest sees the same list object again and both changes; with the tag not sent it fails, the list being decoded anew.

CAPACITY now counts one whole reading for each change (two for each VM replaced), from two new slopes (`vm-list`).

--- a/primroselock/platform/client.py
+++ b/primroselock/platform/client.py
@@ -23,6 +23,7 @@
 from primroselock import retrybudget
 
 _CONFLICT: typing.Final = 409
+_NOT_MODIFIED: typing.Final = 304
 _NOT_FOUND: typing.Final = 404
 _OK: typing.Final = 200
 _SERVER_ERROR: typing.Final = 500
@@ -45,6 +46,8 @@
         self._pool = httplane.LanePool(platform.address, connections)
         self._rate = guard.RateLimit(platform.max_calls_per_s)
         self._retries = retrybudget.RetryBudget()
+        self._vms: list[vmlist.Vm] = []
+        self._vms_tag = ''
         # Reads may fail while writes pass, and the other way round.
         self._read_breaker = guard.Breaker(f'{name} reads')
         self._write_breaker = guard.Breaker(f'{name} writes')
@@ -57,7 +60,7 @@
         self, keys: abc.Sequence[str]
     ) -> result.Result[table.Rows, table.Unavailable]:
         """Return the rows that exist among ``keys``, by key."""
-        answer = await self._call('/v1/table/read', {'keys': list(keys)})
+        answer = await self._query('/v1/table/read', {'keys': list(keys)})
         if isinstance(answer, result.Err):
             return answer
         rows = msgspec.json.decode(answer.ok_value, type=list[table.Row])
@@ -68,7 +71,7 @@
     ) -> result.Result[list[table.Row], table.Unavailable]:
         """Return rows whose key has ``prefix`` and sorts past ``after``."""
         query = {'prefix': prefix, 'after': after, 'limit': limit}
-        answer = await self._call('/v1/table/scan', query)
+        answer = await self._query('/v1/table/scan', query)
         if isinstance(answer, result.Err):
             return answer
         return result.Ok(
@@ -110,13 +113,27 @@
     async def list_vms(
         self,
     ) -> result.Result[list[vmlist.Vm], table.Unavailable]:
-        """Return the VMs that the platform knows of."""
-        answer = await self._call('/v1/vms', None)
+        """Return the VMs that the platform knows of.
+
+        A list that did not change since the last call is neither sent
+        nor decoded again, where the platform gives it an entity tag.
+        """
+        headers: tuple[tuple[str, str], ...] = ()
+        if self._vms_tag:
+            headers = (('If-None-Match', self._vms_tag),)
+        answer = await self._request(
+            httplane.Request('GET', '/v1/vms', headers=headers),
+            accepted=(_OK, _NOT_MODIFIED),
+        )
         if isinstance(answer, result.Err):
             return answer
-        return result.Ok(
-            msgspec.json.decode(answer.ok_value, type=list[vmlist.Vm])
-        )
+        response = answer.ok_value
+        if response.status == _OK:
+            self._vms = msgspec.json.decode(
+                response.body, type=list[vmlist.Vm]
+            )
+            self._vms_tag = response.headers_by_name.get('etag', '')
+        return result.Ok(self._vms)
 
     async def put_object(
         self, name: str, body: bytes
@@ -142,14 +159,11 @@
         response = answer.ok_value
         return result.Ok(response.body if response.status == _OK else None)
 
-    async def _call(
-        self, path: str, query: dict[str, typing.Any] | None
+    async def _query(
+        self, path: str, query: dict[str, typing.Any]
     ) -> result.Result[bytes, table.Unavailable]:
-        request = httplane.Request('GET', path)
-        if query is not None:
-            body = msgspec.json.encode(query)
-            request = httplane.Request('POST', path, body)
-        answer = await self._request(request)
+        body = msgspec.json.encode(query)
+        answer = await self._request(httplane.Request('POST', path, body))
         if isinstance(answer, result.Err):
             return answer
         return result.Ok(answer.ok_value.body)
--- a/primroselock/test/testplatform.py
+++ b/primroselock/test/testplatform.py
@@ -1,6 +1,7 @@
 """The platform's client under a slow and a dead store."""
 
 import asyncio
+import dataclasses
 import unittest
 
 import hypothesis
@@ -10,6 +11,7 @@
 from primroselock.platform import client
 from primroselock.platform import guard
 from primroselock.test import builders
+from standins import launch
 
 
 class BreakerTest(unittest.TestCase):
@@ -87,5 +89,34 @@
         server.close()
 
 
+class VmListTest(unittest.TestCase):
+    """The VM list is decoded only when it changed."""
+
+    def setUp(self) -> None:
+        self.cluster = launch.Cluster(['a'])
+        self.addCleanup(self.cluster.close)
+        self.cluster.start_platform(lag_s=0.0)
+
+    async def follow(self) -> None:
+        """Read the list before, between and after two changes."""
+        address = self.cluster.platform_by_zone['a']
+        settings = builders.build_settings()
+        platform = dataclasses.replace(settings.platform, address=address)
+        settings = dataclasses.replace(settings, platform=platform)
+        reader = client.PlatformClient(settings, 'test', 1)
+        ids = []
+        for name in ('vm-1', 'vm-2'):
+            self.cluster.list_vm(name, 'worker', 'a')
+            listed = (await reader.list_vms()).unwrap()
+            again = (await reader.list_vms()).unwrap()
+            self.assertIs(listed, again)
+            ids.append([vm.id for vm in listed])
+        self.assertEqual([['vm-1'], ['vm-1', 'vm-2']], ids)
+        await reader.aclose()
+
+    def test_unchanged_list_is_kept_and_a_change_is_seen(self) -> None:
+        asyncio.run(self.follow())
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -18,6 +18,7 @@
 import asyncio
 import bisect
 import dataclasses
+import hashlib
 import time
 import typing
 
@@ -182,7 +183,11 @@
         """Serve the VM list."""
         if not await self._suffer():
             return responses.Response(status_code=503)
-        return json_answer(self.store.list_vms(self.lag_s))
+        body = msgspec.json.encode(self.store.list_vms(self.lag_s))
+        tag = f'"{hashlib.sha256(body).hexdigest()[:16]}"'
+        if request.headers.get('if-none-match') == tag:
+            return responses.Response(status_code=304)
+        return responses.Response(body, headers={'ETag': tag})
 
     async def object_call(
         self, request: requests.Request
--- a/tools/capacity/__main__.py
+++ b/tools/capacity/__main__.py
@@ -205,10 +205,11 @@
         'patch rows, B/s in each process': slopes.slope('patch.bytes_read')
         * patches_s,
         'submitting patches, B/s on one gateway': submit_bytes * patches_s,
-        'VM list, bytes a reading': slopes.slope(
-            'standby.listed_vm.table_bytes'
-        )
-        * size.listed,
+        'VM list, bytes a reading': slopes.at(
+            'vm_list.reading_bytes', size.listed
+        ),
+        'VM list: readings a day in each process': size.vm_list_readings_s
+        * sizes.DAY_S,
         'table: job rows added, MB a day': row_bytes * size.jobs_a_day / 1e6,
         'table: patch and audit rows added, MB a day': 2
         * slopes.slope('patch.bytes_read')
--- a/tools/capacity/model.py
+++ b/tools/capacity/model.py
@@ -91,6 +91,12 @@
     return slopes.slope('mesh.peer.link_chunks') * peers(size)
 
 
+def _vm_list(slopes: Slopes, size: sizes.Size, rate: str) -> float:
+    """Return bytes or processor time a second of reading the VM list."""
+    reading = slopes.at(f'vm_list.reading_{rate}', size.listed)
+    return reading * size.vm_list_readings_s
+
+
 def holder_cost(
     slopes: Slopes,
     size: sizes.Size,
@@ -100,7 +106,7 @@
 ) -> Cost:
     """Return the cost of a scheduler that holds a shard of that load.
 
-    The VM list is read whole, whatever the shard.
+    The VM list is read whole when it changed, whatever the shard.
     """
     others = size.listed - workers
     peer_count = peers(size)
@@ -116,6 +122,7 @@
     return Cost(
         cpu=grow('cpu')
         + slopes.slope(f'{listed}.cpu') * others
+        + _vm_list(slopes, size, 'cpu')
         + slopes.slope('mesh.peer.cpu') * peer_count,
         rss_mb=grow('rss_mb')
         + slopes.slope(f'{listed}.rss_mb') * others
@@ -128,7 +135,8 @@
         + 2 * slopes.base('holder.worker.table_writes'),
         link_bytes=grow('link_bytes'),
         table_bytes=slopes.base('holder.worker.table_bytes')
-        + slopes.slope(f'{listed}.table_bytes') * size.listed,
+        + slopes.slope(f'{listed}.table_bytes') * size.listed
+        + _vm_list(slopes, size, 'bytes'),
         mesh_bytes=slopes.slope('mesh.peer.link_bytes') * peer_count,
         reads=slopes.base('holder.worker.table_reads'),
         writes=slopes.base('holder.worker.table_writes'),
@@ -141,6 +149,7 @@
     listed = 'standby.listed_vm'
     return Cost(
         cpu=slopes.at(f'{listed}.cpu', size.listed)
+        + _vm_list(slopes, size, 'cpu')
         + slopes.slope('mesh.peer.cpu') * peer_count,
         rss_mb=slopes.at(f'{listed}.rss_mb', size.listed)
         + slopes.slope('mesh.peer.rss_mb') * peer_count,
@@ -148,7 +157,8 @@
         messages=_mesh_messages(slopes, size)
         + 2 * slopes.base(f'{listed}.table_reads'),
         link_bytes=0.0,
-        table_bytes=slopes.at(f'{listed}.table_bytes', size.listed),
+        table_bytes=slopes.at(f'{listed}.table_bytes', size.listed)
+        + _vm_list(slopes, size, 'bytes'),
         mesh_bytes=slopes.slope('mesh.peer.link_bytes') * peer_count,
         reads=slopes.base(f'{listed}.table_reads'),
         writes=slopes.base(f'{listed}.table_writes'),
@@ -162,6 +172,7 @@
     jobs_s = size.jobs_a_day / sizes.DAY_S / size.entry_vms
     return Cost(
         cpu=slopes.at(f'{listed}.cpu', size.listed)
+        + _vm_list(slopes, size, 'cpu')
         + slopes.slope('gateway.upstream.cpu') * size.upstreams
         + slopes.slope('mesh.peer.cpu') * peer_count
         + slopes.slope('gateway.job.cpu') * jobs_s,
@@ -175,6 +186,7 @@
         + 2 * jobs_s,
         link_bytes=0.0,
         table_bytes=slopes.at(f'{listed}.table_bytes', size.listed)
+        + _vm_list(slopes, size, 'bytes')
         + slopes.slope('gateway.job.table_bytes') * jobs_s,
         mesh_bytes=slopes.slope('mesh.peer.link_bytes') * peer_count,
         reads=slopes.base(f'{listed}.table_reads'),
--- a/tools/capacity/sizes.py
+++ b/tools/capacity/sizes.py
@@ -11,6 +11,7 @@
 TABLE_READS_S: typing.Final = 2000.0
 TABLE_WRITES_S: typing.Final = 300.0
 """The low end of several hundred."""
+MOST_VM_LIST_READINGS_S: typing.Final = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,6 +57,15 @@
         """Daemons: a gateway and a scheduler on each entry VM."""
         return 2 * self.entry_vms
 
+    @property
+    def vm_list_readings_s(self) -> float:
+        """How often a second the VM list changes, and is read whole.
+
+        A VM that is replaced leaves the list and its successor joins it.
+        """
+        changes = 2 * (self.failures_a_day + self.replacements_a_day)
+        return min(changes / DAY_S, MOST_VM_LIST_READINGS_S)
+
     @property
     def listed(self) -> int:
         """Entries of the VM list."""
--- a/tools/slopes/records.py
+++ b/tools/slopes/records.py
@@ -5,9 +5,11 @@
 
 import asyncio
 from collections import abc
+import functools
 import hashlib
 import typing
 
+import msgspec
 import result
 
 from primroselock import configuration
@@ -16,13 +18,17 @@
 from primroselock import jobstore
 from primroselock import patches
 from primroselock.platform import table
+from primroselock.platform import vmlist
 from tools.slopes import codecs
 from tools.slopes import fits
+from tools.slopes import holder
 from tools.slopes import registry
 
 _MEMBER_COUNTS: typing.Final = (1, 8, 16, 32, 64)
 _JOB_COUNTS: typing.Final = (250, 500, 1000, 2000)
 _ACCOUNT_COUNTS: typing.Final = (25, 50, 100, 150)
+_VM_COUNTS: typing.Final = (500, 1000, 2000, 4000, 8000)
+_VM_LIST_REPEATS: typing.Final = 200
 _PATCH_COUNTS: typing.Final = (10, 20, 30, 40)
 _ZONES: typing.Final = ('a1', 'a2', 'b1', 'b2', 'c1', 'c2')
 
@@ -113,6 +119,26 @@
     )
 
 
+@registry.part('vm-list')
+def measure_vm_list(window_s: float) -> list[fits.Fit]:
+    """Encode and decode lists of growing numbers of VMs."""
+    sizes, times = [], []
+    for count in _VM_COUNTS:
+        listed = msgspec.convert(
+            holder.build_far_workers(count), list[vmlist.Vm]
+        )
+        encoded = msgspec.json.encode(listed)
+        sizes.append((count, len(encoded)))
+        decode = functools.partial(
+            msgspec.json.decode, encoded, type=list[vmlist.Vm]
+        )
+        times.append((count, codecs.time_call(decode, _VM_LIST_REPEATS)))
+    return [
+        fits.fit('vm_list.reading_bytes', 'VM', 'B', sizes),
+        fits.fit('vm_list.reading_cpu', 'VM', 's', times),
+    ]
+
+
 @registry.part('records')
 def measure_records(window_s: float) -> list[fits.Fit]:
     """Measure job rows, recovery, configuration size and its reading."""
