A read that meets a closed connection is repeated; VM list looked at once

After a lost reply the platform closes the connection; a read that takes the kept lane before the close arrives ends broken, and its repetition needed a retry that ten earlier reads had to earn.

Test: testplatform.StaleConnectionTest, a platform that closes each kept connection, fails at the second read before the change and passes after. Change: the platform client's budget starts with one retry a connection. Ruled out: repeating without a budget (a dead platform would double the reads); the requests' budget keeps its bound (testrouting passes).

--- a/primroselock/daemon.py
+++ b/primroselock/daemon.py
@@ -58,6 +58,7 @@
         self.mesh = node.MeshNode(settings)
         self.stopping = asyncio.Event()
         self.vms: list[vmlist.Vm] = []
+        self._own_vms: list[vmlist.Vm] = []
         self.vms_read_at: float | None = None
         self.members = membership.Members(settings)
         self.slots_by_upstream: dict[str, int] = {}
@@ -113,11 +114,19 @@
             before = clock.monotonic()
             listed = await self.control_platform.list_vms()
             if isinstance(listed, result.Ok):
-                self.vms = listed.ok_value
+                if listed.ok_value is not self.vms:
+                    self._take_vms(listed.ok_value)
                 self.vms_read_at = before
                 self._use_vms()
             await asyncio.sleep(interval_s)
 
+    def _take_vms(self, vms: list[vmlist.Vm]) -> None:
+        """Take over a list that changed."""
+        self.vms = vms
+        self._own_vms = [
+            vm for vm in vms if vm.role in confirmations.OWN_ROLES
+        ]
+
     def _use_vms(self) -> None:
         self._choose_peers(clock.monotonic())
         for handler in self._vm_handlers:
@@ -126,8 +135,8 @@
     def _choose_peers(self, now: float) -> None:
         """Take peers from the settings, the VM list and beacons."""
         zones = {address: '' for address in self.settings.mesh.peers}
-        for vm in self.vms:
-            if vm.role in confirmations.OWN_ROLES and not vm.leaving:
+        for vm in self._own_vms:
+            if not vm.leaving:
                 zones[vm.mesh] = vm.zone
         for heard in self.members.list_live(now):
             zones[heard.beacon.address] = heard.beacon.zone
--- a/primroselock/platform/client.py
+++ b/primroselock/platform/client.py
@@ -45,7 +45,8 @@
         self._timeout_s = platform.timeout_s
         self._pool = httplane.LanePool(platform.address, connections)
         self._rate = guard.RateLimit(platform.max_calls_per_s)
-        self._retries = retrybudget.RetryBudget()
+        # A kept connection may be found closed, each one once.
+        self._retries = retrybudget.RetryBudget(connections, connections)
         self._vms: list[vmlist.Vm] = []
         self._vms_tag = ''
         # Reads may fail while writes pass, and the other way round.
--- a/primroselock/retrybudget.py
+++ b/primroselock/retrybudget.py
@@ -1,27 +1,31 @@
 """A budget that bounds the load that retries add.
 
 Each first try earns a fraction of a retry, and each retry spends a whole
-one; at most one is saved.  So over any time, retries exceed that fraction
-of the first tries by one at most, also when every upstream fails.
+one; a stated number is saved at most.  So over any time, retries exceed
+that fraction of the first tries by that number at most, also when every
+try fails.
 """
 
 import typing
 
 EARNED_PERCENT: typing.Final = 10
 _WHOLE_RETRY: typing.Final = 100
-# What is saved may be spent at once on top of what is earned.
-_MOST_SAVED: typing.Final = _WHOLE_RETRY
 
 
 class RetryBudget:
-    """Counts in hundredths of a retry."""
+    """Counts in hundredths of a retry.
 
-    def __init__(self) -> None:
-        self._saved = 0
+    ``most_saved`` retries may be spent at once on top of what is earned;
+    ``saved`` of them are there from the start.
+    """
+
+    def __init__(self, most_saved: int = 1, saved: int = 0) -> None:
+        self._most_saved = most_saved * _WHOLE_RETRY
+        self._saved = saved * _WHOLE_RETRY
 
     def earn(self) -> None:
         """Note a first try."""
-        self._saved = min(self._saved + EARNED_PERCENT, _MOST_SAVED)
+        self._saved = min(self._saved + EARNED_PERCENT, self._most_saved)
 
     def spend(self) -> bool:
         """Take one retry out of the budget, if it holds one."""
--- a/primroselock/routing.py
+++ b/primroselock/routing.py
@@ -87,13 +87,20 @@
         self._choose = choosers_by_name[settings.gateway.upstream_choice]
         self._generator = generator
         self._slots_by_upstream = slots_by_upstream
+        self._known_vms: list[vmlist.Vm] | None = None
         self._listed_gateways: dict[str, str] = {}
         self._zones_of_gateways: list[str] = [self._zone]
         self._retired: list[Upstream] = []
         self.upstreams_by_id: dict[str, Upstream] = {}
 
     def record_vms(self, vms: list[vmlist.Vm]) -> None:
-        """Take over the upstreams and gateways from the VM list."""
+        """Take over the upstreams and gateways from a VM list.
+
+        The list that was taken over last is not looked at again.
+        """
+        if vms is self._known_vms:
+            return
+        self._known_vms = vms
         self._listed_gateways = {
             vm.id: vm.zone
             for vm in vms
--- a/primroselock/test/testinforce.py
+++ b/primroselock/test/testinforce.py
@@ -165,6 +165,7 @@
                 winner = names[answers[0].status == 409]
                 for gateway in gateways:
                     again = self.submit(gateway, base, winner)
+                    self.assertEqual(201, again.status, again)
                     self.assertEqual(base + 1, again.json()['version'])
         log = self.get('gateway-b', '/v1/config/patches')
         self.assertEqual([1, 2, 3, 4, 5], [row['version'] for row in log])
--- a/primroselock/test/testplatform.py
+++ b/primroselock/test/testplatform.py
@@ -89,6 +89,35 @@
         server.close()
 
 
+class StaleConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """A kept connection that the platform closes fails no read."""
+
+    async def test_read_is_repeated_on_a_new_connection(self) -> None:
+        head = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]'
+
+        async def answer_once(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b'}')
+            writer.write(head)
+            await reader.read(1)
+            writer.close()
+
+        server = await asyncio.start_server(answer_once, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        settings = builders.build_settings()
+        platform = dataclasses.replace(
+            settings.platform, address=f'{host}:{port}'
+        )
+        settings = dataclasses.replace(settings, platform=platform)
+        connections = 4
+        reader = client.PlatformClient(settings, 'test', connections)
+        for _ in range(1 + connections):
+            self.assertTrue((await reader.read(['key'])).is_ok())
+        await reader.aclose()
+        server.close()
+
+
 class VmListTest(unittest.TestCase):
     """The VM list is decoded only when it changed."""
 
