--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -157,7 +157,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
-    """All settings of one process; absent daemons' sections are None."""
+    """All settings of one process; each section has its defaults."""
 
     process: ProcessSettings
     platform: PlatformSettings
--- a/primroselock/test/testplacing.py
+++ b/primroselock/test/testplacing.py
@@ -10,6 +10,7 @@
 from primroselock import jobs
 from primroselock.test import datacases
 from tools import replay
+from tools import replayrecord
 from tools import replayworld
 from tools import traces
 
@@ -218,7 +219,7 @@
                 self.check(world, world.play())
 
     def check(
-        self, world: replayworld.World, record: replayworld.Record
+        self, world: replayworld.World, record: replayrecord.Record
     ) -> None:
         """All jobs end, gangs are whole, guarantees come in time."""
         self.assertEqual(
--- /dev/null
+++ b/tools/replayrecord.py
@@ -0,0 +1,75 @@
+"""What is recorded of a replay, and how much of a guarantee is missing."""
+
+import dataclasses
+
+from primroselock.decisions import blackboard
+from primroselock.decisions import capacity
+from primroselock.decisions import cells
+from primroselock.decisions import packing
+from primroselock import jobs
+from primroselock import options
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """Time that one attempt ran: ``useful_s`` of it was not lost."""
+
+    job_id: str
+    zone: str
+    accelerators: int
+    started_at: float
+    useful_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """What was seen of a replay.
+
+    ``free_s`` and ``unusable_s`` add up free accelerators, and those of
+    them that the largest cell asked for cannot use, over time.
+    ``ended_by_job_id`` gives the time and the final state;
+    ``rounds_short`` counts rounds that made the guarantees less
+    reclaimable than before.
+    """
+
+    ended_by_job_id: dict[str, tuple[float, jobs.JobState]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    started_by_job_id: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    runs: list[Run] = dataclasses.field(default_factory=list)
+    preemptions: int = 0
+    moves: int = 0
+    free_s: float = 0.0
+    unusable_s: float = 0.0
+    longest_claim_s: float = 0.0
+    starts_in_out_zone: int = 0
+    rounds_short: int = 0
+    split_gangs: int = 0
+    doubled: int = 0
+
+
+def missing_accelerators(
+    board: blackboard.Blackboard,
+    settings: options.Settings,
+    now: float,
+    with_broken: bool,
+) -> int:
+    """Return the guaranteed accelerators that cannot be reclaimed.
+
+    ``with_broken`` counts a held cell with a failed worker as not held:
+    its work is lost, and hardware is to blame for what then is missing.
+    """
+    stock = capacity.measure(board, settings, now)
+    needed = stock.unused_by_size()
+    firm = dict(stock.firm.free_by_rack)
+    for holding in stock.holdings_by_account.values():
+        for cell in holding.used_by_cell:
+            usable = stock.usable_by_rack.get(cell.rack, 0)
+            if with_broken and cell.mask & ~usable:
+                needed[cell.size] = needed.get(cell.size, 0) + 1
+                firm[cell.rack] = firm.get(cell.rack, 0) | (cell.mask & usable)
+    free = cells.CellMap(firm).counts_by_size()
+    missing = packing.missing_cells(free, needed)
+    return sum(size * count for size, count in missing.items())
--- a/tools/replayworld.py
+++ b/tools/replayworld.py
@@ -13,11 +13,8 @@
 
 from primroselock import configuration
 from primroselock.decisions import blackboard
-from primroselock.decisions import capacity
-from primroselock.decisions import cells
 from primroselock.decisions import commands
 from primroselock.decisions import controllers
-from primroselock.decisions import packing
 from primroselock.decisions import registry
 from primroselock import ini
 from primroselock import jobs
@@ -26,6 +23,7 @@
 from primroselock.workers import protocol
 from tools import fakeworker
 from tools import fragmentation
+from tools import replayrecord
 from tools import traces
 
 assert controllers.__all__
@@ -35,46 +33,6 @@
 _MAX_TIME_S: typing.Final = 72 * traces.HOUR_S
 
 
-@dataclasses.dataclass(slots=True)
-class Run:
-    """Time that one attempt ran: ``useful_s`` of it was not lost."""
-
-    job_id: str
-    zone: str
-    accelerators: int
-    started_at: float
-    useful_s: float = 0.0
-
-
-@dataclasses.dataclass(slots=True)
-class Record:
-    """What was seen of a replay.
-
-    ``free_s`` and ``unusable_s`` add up free accelerators, and those of
-    them that the largest cell asked for cannot use, over time.
-    ``ended_by_job_id`` gives the time and the final state;
-    ``rounds_short`` counts rounds that made the guarantees less
-    reclaimable than before.
-    """
-
-    ended_by_job_id: dict[str, tuple[float, jobs.JobState]] = (
-        dataclasses.field(default_factory=dict)
-    )
-    started_by_job_id: dict[str, float] = dataclasses.field(
-        default_factory=dict
-    )
-    runs: list[Run] = dataclasses.field(default_factory=list)
-    preemptions: int = 0
-    moves: int = 0
-    free_s: float = 0.0
-    unusable_s: float = 0.0
-    longest_claim_s: float = 0.0
-    starts_in_out_zone: int = 0
-    rounds_short: int = 0
-    split_gangs: int = 0
-    doubled: int = 0
-
-
 class World:
     """One replay of a trace under the settings."""
 
@@ -83,7 +41,7 @@
     ) -> None:
         self.trace = trace
         self.settings = settings
-        self.record = Record()
+        self.record = replayrecord.Record()
         self.now = 0.0
         self.arrivals_by_id: dict[str, traces.Arrival] = {}
         self.workers_by_id: dict[str, fakeworker.FakeWorker] = {}
@@ -95,7 +53,7 @@
         self._dirty: set[str] = set()
         self._timers: list[tuple[float, int]] = []
         self._serial = itertools.count()
-        self._runs_by_job_id: dict[str, Run] = {}
+        self._runs_by_job_id: dict[str, replayrecord.Run] = {}
         self._fragments_by_shard: dict[str, tuple[int, int]] = {}
         self._build()
 
@@ -128,7 +86,7 @@
             board.config = read
             self._dirty.add(shard)
 
-    def play(self) -> Record:
+    def play(self) -> replayrecord.Record:
         """Play the whole trace and return what was seen."""
         events = list(reversed(self.trace.events))
         while events or self._busy():
@@ -335,34 +293,18 @@
         earlier.quarantined_worker_ids = board.quarantined_worker_ids
         if self.check_invariant:
             allowed = max(
-                self._missing(earlier, with_broken=False),
-                self._missing(earlier, with_broken=True),
+                replayrecord.missing_accelerators(
+                    earlier, self.settings, self.now, with_broken=False
+                ),
+                replayrecord.missing_accelerators(
+                    earlier, self.settings, self.now, with_broken=True
+                ),
+            )
+            short = replayrecord.missing_accelerators(
+                board, self.settings, self.now, with_broken=False
             )
-            short = self._missing(board, with_broken=False)
             self.record.rounds_short += short > allowed
 
-    def _missing(self, board: blackboard.Blackboard, with_broken: bool) -> int:
-        """Return the guaranteed accelerators that cannot be reclaimed.
-
-        ``with_broken`` counts a held cell with a failed worker as not
-        held: its work is lost, and hardware is to blame for what then is
-        missing.
-        """
-        stock = capacity.measure(board, self.settings, self.now)
-        needed = stock.unused_by_size()
-        firm = dict(stock.firm.free_by_rack)
-        for holding in stock.holdings_by_account.values():
-            for cell in holding.used_by_cell:
-                usable = stock.usable_by_rack.get(cell.rack, 0)
-                if with_broken and cell.mask & ~usable:
-                    needed[cell.size] = needed.get(cell.size, 0) + 1
-                    firm[cell.rack] = firm.get(cell.rack, 0) | (
-                        cell.mask & usable
-                    )
-        free = cells.CellMap(firm).counts_by_size()
-        missing = packing.missing_cells(free, needed)
-        return sum(size * count for size, count in missing.items())
-
     def _carry_out(
         self, board: blackboard.Blackboard, command: commands.Command
     ) -> bool:
@@ -412,7 +354,7 @@
         self.record.starts_in_out_zone += state == 'out'
         if key.member == 0:
             accelerators = arrival.members * arrival.accelerators
-            run = Run(
+            run = replayrecord.Run(
                 key.job_id, worker.vm.zone, accelerators, task.started_at
             )
             self._runs_by_job_id[key.job_id] = run
