Faulty patches exit with 2; the upstream stand-in bounds connections

An unknown key, wrong type or missing value in a patch must end the client with 2 and write nothing; the client ended with 1. The upstream stand-in named 64 connections and bound none.

UpstreamLimitTest is new; it failed before the limit.

--- a/primroselock/cli.py
+++ b/primroselock/cli.py
@@ -27,6 +27,9 @@
 _GATEWAY_VARIABLE: typing.Final = 'PRIMROSELOCK_GATEWAY'
 
 Parsers = typing.Any
+_FAULTY_INPUT: typing.Final = frozenset({400, 422})
+"""Statuses of calls and patches that are wrong in themselves."""
+
 Run = abc.Callable[[argparse.Namespace], errors.ExitCode]
 Describe = abc.Callable[[argparse.ArgumentParser], None]
 
@@ -183,6 +186,8 @@
     exit_code = errors.ExitCode.REFUSED
     if response.status >= 500:
         exit_code = errors.ExitCode.UNREACHABLE
+    elif response.status in _FAULTY_INPUT:
+        exit_code = errors.ExitCode.USAGE
     try:
         body = msgspec.json.decode(response.body, type=_ErrorBody)
     except msgspec.MsgspecError:
--- a/primroselock/test/testsockets.py
+++ b/primroselock/test/testsockets.py
@@ -1,10 +1,13 @@
 """Sockets that the daemons and stand-ins listen on."""
 
 import asyncio
+import contextlib
+import http.client
 import socket
 import unittest
 
 from primroselock import daemon
+from standins import launch
 from standins import serving
 
 
@@ -43,5 +46,23 @@
         return found
 
 
+class UpstreamLimitTest(unittest.TestCase):
+    """The upstream stand-in keeps to its number of connections."""
+
+    def test_connection_beyond_the_limit_is_refused(self) -> None:
+        with launch.Cluster(['a']) as cluster, contextlib.ExitStack() as held:
+            cluster.start_platform()
+            cluster.start_upstream('up', 'a', 'quote', '--connections', '2')
+            address = cluster.addresses_by_name['up']
+            host, _, port = address.rpartition(':')
+            for _ in range(2):
+                kept = http.client.HTTPConnection(host, int(port))
+                held.callback(kept.close)
+                kept.request('GET', '/admin/runs')
+                self.assertEqual(200, kept.getresponse().status)
+            answer = launch.call(address, 'GET', '/admin/runs')
+            self.assertEqual(503, answer.status)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -35,8 +35,15 @@
     sys.stderr.flush()
 
 
-async def serve(app: typing.Any, listener: socket.socket) -> None:
-    """Serve ``app`` until the process is told to end."""
+async def serve(
+    app: typing.Any,
+    listener: socket.socket,
+    connections: int | None = None,
+) -> None:
+    """Serve ``app`` until the process is told to end.
+
+    Requests on connections beyond ``connections`` are answered 503.
+    """
     server = uvicorn.Server(
         uvicorn.Config(
             app,
@@ -48,6 +55,8 @@
             access_log=False,
             timeout_keep_alive=60,
             timeout_graceful_shutdown=1,
+            # The server counts the connection that it judges too.
+            limit_concurrency=connections and connections + 1,
         )
     )
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -7,7 +7,8 @@
 
 A refusal carries ``Upstream-Not-Started``, since no work was begun.
 ``cut`` ends an answer in its middle.  ``GET /admin/runs`` returns each
-run's body and how many connections were open at most.
+run's body and how many requests ran at once at most.  A request on a
+connection beyond ``--connections`` is answered 503.
 """
 
 import argparse
@@ -107,7 +108,7 @@
     )
     listener = serving.bind(parsed.bind)
     serving.announce(id=parsed.id, address=serving.address_of(listener))
-    await serving.serve(app, listener)
+    await serving.serve(app, listener, parsed.connections)
 
 
 def main() -> None:
@@ -116,6 +117,7 @@
     parser.add_argument('--id', required=True)
     parser.add_argument('--bind', default='127.0.0.1:0')
     parser.add_argument('--slots', type=int, default=8)
+    parser.add_argument('--connections', type=int, default=64)
     parser.add_argument('--delay-s', type=float, default=0.0)
     asyncio.run(run(parser.parse_args()))
 
