Worker stand-in: usage is reported with a lag, as it says

The stand-in's first line promises reports with lag, and it told the full usage of a task with the first report after its start, which no real worker does.

Ruled out: delaying whole reports, since the state of a task is the worker's own word and only usage is measured with a lag.

No measurement: nothing of the product changed.

--- a/primroselock/test/fakeshard.py
+++ b/primroselock/test/fakeshard.py
@@ -53,6 +53,7 @@
                 cpus=64,
                 memory_mb=262144,
                 clock_offset_s=slot * 1000.0,
+                usage_lag_s=0.5,
             )
         )
         self.true_clock = clock
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -2,7 +2,8 @@
 
 A task's command says what it does: ``sleep SECONDS`` ends well after
 that time, ``fail SECONDS`` fails.  ``use CPUS MEMORY_MB`` before it sets
-what the task uses.  ``POST /admin/faults`` sets switches::
+what the task uses, which reports show ``--usage-lag-s`` after its start.
+``POST /admin/faults`` sets switches::
 
     {"fail_all": true, "lose_reply": true, "slow_checkpoint_s": 2.0}
 
@@ -249,6 +250,12 @@
                 elif now >= task.ends_at:
                     self.set_state(task, protocol.TaskState.DONE)
 
+    def _usage(self, task: Task) -> tuple[float, int]:
+        """Return the processors and megabytes that are seen so far."""
+        if self.clock() < task.started_at + self.parsed.usage_lag_s:
+            return 0.0, 0
+        return task.used_cpus, task.used_memory_mb
+
     def report(
         self, batch: protocol.Batch, refusals: list[protocol.Refusal]
     ) -> protocol.Report:
@@ -258,8 +265,7 @@
                 task.key,
                 task.state,
                 task.detail,
-                task.used_cpus,
-                task.used_memory_mb,
+                *self._usage(task),
                 task.checkpoint_s,
             )
             for task in self.tasks.values()
@@ -361,6 +367,7 @@
     parser.add_argument('--cpus', type=int, default=64)
     parser.add_argument('--memory-mb', type=int, default=262144)
     parser.add_argument('--clock-offset-s', type=float, default=0.0)
+    parser.add_argument('--usage-lag-s', type=float, default=0.5)
     return parser
 
 
