--- a/primroselock/audit.py
+++ b/primroselock/audit.py
@@ -14,8 +14,8 @@
 import result
 
 from primroselock import logs
-from primroselock.platform import keys
-from primroselock.platform import table
+from primroselock.store import keys
+from primroselock.store import table
 
 _log: typing.Final = logs.get('audit')
 
--- a/primroselock/claims.py
+++ b/primroselock/claims.py
@@ -22,7 +22,7 @@
 
 from primroselock import groupcommit
 from primroselock import httplane
-from primroselock.platform import table
+from primroselock.store import table
 
 _CLAIM_TRIES: typing.Final = 4
 _UNDO_TRIES: typing.Final = 8
--- a/primroselock/confirmations.py
+++ b/primroselock/confirmations.py
@@ -12,7 +12,7 @@
 
 from primroselock.mesh import membership
 from primroselock.mesh import messages
-from primroselock.platform import vmlist
+from primroselock.store import vmlist
 
 OWN_ROLES: typing.Final = frozenset({'gateway', 'scheduler'})
 
--- a/primroselock/decisions/blackboard.py
+++ b/primroselock/decisions/blackboard.py
@@ -24,7 +24,7 @@
 from primroselock.decisions import footprints
 from primroselock.decisions import shapes
 from primroselock import jobs
-from primroselock.platform import vmlist
+from primroselock.store import vmlist
 from primroselock.workers import protocol
 from primroselock.workers import reports
 
--- /dev/null
+++ b/primroselock/decisions/fitting.py
@@ -0,0 +1,214 @@
+"""Finds workers with room for a group: by CPU, memory and accelerators.
+
+A single task goes to the worker that it fills best, so that whole workers
+stay free for large tasks.  The members of a gang whose tasks are slow
+apart go into one rack, where some rack could ever hold them.
+
+``Rooms`` is a draft of what is free: what one round places is taken out
+of it, so that the groups of a round never share room.
+"""
+
+from collections import abc
+import dataclasses
+import typing
+
+from primroselock.decisions import fleet
+from primroselock import jobgraph
+
+Allow = abc.Callable[[fleet.Worker], bool]
+Score = abc.Callable[[fleet.Worker, jobgraph.Resources], tuple[float, ...]]
+
+scores_by_name: typing.Final[dict[str, Score]] = {}
+
+
+def score(name: str) -> abc.Callable[[Score], Score]:
+    """Register the decorated choice among workers; the lowest is taken."""
+
+    def register(choose: Score) -> Score:
+        scores_by_name[name] = choose
+        return choose
+
+    return register
+
+
+@score('best_fit')
+def best_fit(
+    worker: fleet.Worker, left: jobgraph.Resources
+) -> tuple[float, ...]:
+    """Prefer the worker that is filled best."""
+    capacity = worker.entry.capacity
+    return (
+        _share(left.accelerators, capacity.accelerators)
+        + _share(left.cpu_millis, capacity.cpu_millis)
+        + _share(left.memory_mb, capacity.memory_mb) / 2,
+    )
+
+
+@score('first_fit')
+def first_fit(
+    worker: fleet.Worker, left: jobgraph.Resources
+) -> tuple[float, ...]:
+    """Take workers in the order in which they are known."""
+    return ()
+
+
+def _share(amount: int, whole: int) -> float:
+    return amount / whole if whole else 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Rooms:
+    """What is free on each worker that may be used."""
+
+    free_by_id: dict[str, jobgraph.Resources]
+    choose: Score
+
+    def take(self, worker_id: str, need: jobgraph.Resources) -> None:
+        """Take room out of the draft."""
+        self.free_by_id[worker_id] = self.free_by_id[worker_id].plus(need, -1)
+
+    def give(self, worker_id: str, need: jobgraph.Resources) -> None:
+        """Return room to the draft."""
+        self.free_by_id[worker_id] = self.free_by_id[worker_id].plus(need)
+
+
+def fits_ever(worker: fleet.Worker, step: jobgraph.Step) -> bool:
+    """Whether the worker could hold a task of the step when empty."""
+    if step.label and step.label not in worker.entry.labels:
+        return False
+    return worker.entry.capacity.holds(step.counted_need)
+
+
+def place(
+    board: fleet.Board,
+    rooms: Rooms,
+    group: fleet.Group,
+    allow: Allow,
+) -> list[str] | None:
+    """Return a worker for each task of the group, or None.
+
+    The room is taken out of ``rooms`` if a place is found.
+    """
+    candidates = [
+        board.workers_by_id[worker_id]
+        for worker_id in rooms.free_by_id
+        if allow(board.workers_by_id[worker_id])
+    ]
+    if group.size == 1 or not group.step.rack_local:
+        return _place_in(board, rooms, group, candidates)
+    racks = group_by_rack(candidates)
+    for rack in _order_racks(rooms, group, racks):
+        placed = _place_in(board, rooms, group, racks[rack])
+        if placed is not None:
+            return placed
+    if group.spread:
+        return _place_in(board, rooms, group, candidates)
+    return None
+
+
+def group_by_rack(
+    workers: abc.Iterable[fleet.Worker],
+) -> dict[str, list[fleet.Worker]]:
+    """Return workers by their rack."""
+    racks: dict[str, list[fleet.Worker]] = {}
+    for worker in workers:
+        racks.setdefault(worker.entry.rack, []).append(worker)
+    return racks
+
+
+def _order_racks(
+    rooms: Rooms,
+    group: fleet.Group,
+    racks: abc.Mapping[str, list[fleet.Worker]],
+) -> list[str]:
+    """Return racks: the one with the data first, then the fullest."""
+    need = group.step.counted_need
+
+    def sort_key(rack: str) -> tuple[bool, int]:
+        fitting = sum(
+            rooms.free_by_id[worker.id].times_held(need)
+            for worker in racks[rack]
+        )
+        return (rack != group.step.data_rack, fitting)
+
+    return sorted(racks, key=sort_key)
+
+
+def _place_in(
+    board: fleet.Board,
+    rooms: Rooms,
+    group: fleet.Group,
+    candidates: abc.Sequence[fleet.Worker],
+) -> list[str] | None:
+    """Place every task on the candidates, or none."""
+    need = group.step.counted_need
+    limit = group.step.max_per_worker
+    counts = count_on_workers(group) if limit else {}
+    taken: list[str] = []
+    for _ in range(group.size):
+        best = _choose(rooms, group, candidates, need, limit, counts)
+        if best is None:
+            for worker_id in taken:
+                rooms.give(worker_id, need)
+            return None
+        rooms.take(best, need)
+        taken.append(best)
+        counts[best] = counts.get(best, 0) + 1
+    return taken
+
+
+def _choose(
+    rooms: Rooms,
+    group: fleet.Group,
+    candidates: abc.Sequence[fleet.Worker],
+    need: jobgraph.Resources,
+    limit: int,
+    counts: abc.Mapping[str, int],
+) -> str | None:
+    best: str | None = None
+    best_key: tuple[float, ...] = ()
+    data_rack = group.step.data_rack
+    for worker in candidates:
+        free = rooms.free_by_id[worker.id]
+        if not free.holds(need):
+            continue
+        if limit and counts.get(worker.id, 0) >= limit:
+            continue
+        away = float(bool(data_rack) and worker.entry.rack != data_rack)
+        key = (away, *rooms.choose(worker, free.plus(need, -1)))
+        if best is None or key < best_key:
+            best, best_key = worker.id, key
+    return best
+
+
+def count_on_workers(group: fleet.Group) -> dict[str, int]:
+    """Return how many tasks of the group's step each worker may run."""
+    counts: dict[str, int] = {}
+    siblings = group.job.groups_of_step(group.key.occurrence, group.key.step)
+    for sibling in siblings:
+        for member in sibling.members:
+            if member.state is not fleet.MemberState.GONE:
+                worker_id = member.worker_id
+                counts[worker_id] = counts.get(worker_id, 0) + 1
+    return counts
+
+
+def needs_spreading(
+    workers: abc.Iterable[fleet.Worker], step: jobgraph.Step
+) -> bool:
+    """Whether no single rack could hold the gang even when empty."""
+    if not step.gang or not step.rack_local:
+        return False
+    racks = group_by_rack(
+        worker for worker in workers if fits_ever(worker, step)
+    )
+    for members in racks.values():
+        held = sum(_most_on(worker, step) for worker in members)
+        if held >= step.tasks:
+            return False
+    return True
+
+
+def _most_on(worker: fleet.Worker, step: jobgraph.Step) -> int:
+    most = worker.entry.capacity.times_held(step.counted_need)
+    return min(most, step.max_per_worker) if step.max_per_worker else most
--- /dev/null
+++ b/primroselock/decisions/graphs.py
@@ -0,0 +1,260 @@
+"""Carries jobs through their graphs: occurrences, steps, ends of groups.
+
+Rows are turned into live jobs and back here.  A job is done when every
+group of every occurrence is done, and fails when one group has failed as
+often as its queue allows.
+"""
+
+import typing
+
+from primroselock.decisions import fleet
+from primroselock import jobgraph
+from primroselock import jobs
+
+_EARLIEST_MS: typing.Final = 0
+"""How long before its due time an occurrence may begin."""
+
+_FIRST_RETRY_DELAY_S: typing.Final = 0.05
+_LONGEST_RETRY_DELAY_S: typing.Final = 1.0
+
+_ROW_PHASES: typing.Final = {
+    fleet.Phase.BLOCKED: jobgraph.GroupPhase.WAITING,
+    fleet.Phase.WAITING: jobgraph.GroupPhase.WAITING,
+    fleet.Phase.DROPPED: jobgraph.GroupPhase.WAITING,
+    fleet.Phase.COMMITTING: jobgraph.GroupPhase.PLACED,
+    fleet.Phase.STARTING: jobgraph.GroupPhase.PLACED,
+    fleet.Phase.RUNNING: jobgraph.GroupPhase.PLACED,
+    fleet.Phase.STOPPING: jobgraph.GroupPhase.PLACED,
+    fleet.Phase.DONE: jobgraph.GroupPhase.DONE,
+}
+
+
+def add_job(
+    board: fleet.Board,
+    graph: jobgraph.JobGraph,
+    progress: jobgraph.JobProgress | None,
+    row_version: int,
+    now: float,
+    wall_ms: int,
+) -> fleet.LiveJob | None:
+    """Take a job on from its rows; one that has ended is left out.
+
+    ``row_version`` is that of the progress row; 0 where there is none.
+    """
+    if progress is not None and progress.state.is_final:
+        return None
+    job = fleet.LiveJob(
+        graph, board.table.named(graph.queue), row_version=row_version
+    )
+    board.jobs_by_id[graph.id] = job
+    if progress is not None:
+        job.state = progress.state
+        _restore(board, job, progress, now)
+    release_due(board, job, now, wall_ms)
+    return job
+
+
+def _restore(
+    board: fleet.Board,
+    job: fleet.LiveJob,
+    progress: jobgraph.JobProgress,
+    now: float,
+) -> None:
+    """Bring groups back as their records say."""
+    for record in progress.groups:
+        while job.released <= record.key.occurrence:
+            _release_occurrence(job, now)
+        group = job.groups_by_key.get(record.key)
+        if group is None:
+            continue
+        group.attempt = record.attempt
+        group.failures = record.failures
+        group.checkpoint = record.checkpoint
+        group.has_begun = True
+        if record.phase is jobgraph.GroupPhase.DONE:
+            group.enter(fleet.Phase.DONE, now)
+        elif record.phase is jobgraph.GroupPhase.PLACED:
+            group.enter(fleet.Phase.STARTING, now)
+            _restore_members(board, group, record)
+    for occurrence in range(job.released):
+        _unblock(job, occurrence, now)
+
+
+def _restore_members(
+    board: fleet.Board, group: fleet.Group, record: jobgraph.GroupRecord
+) -> None:
+    for index, place in zip(group.task_indices, record.places, strict=False):
+        member = fleet.Member(
+            group,
+            index,
+            place.worker_id,
+            place.boot,
+            fleet.MemberState.INHERITED,
+        )
+        group.members.append(member)
+        worker = board.workers_by_id.get(place.worker_id)
+        if worker is None:
+            worker = _unlisted_worker(board, place)
+        worker.put(member)
+
+
+def _unlisted_worker(
+    board: fleet.Board, place: jobgraph.Place
+) -> fleet.Worker:
+    """Keep a place of a worker without an entry until its lease is over."""
+    entry = fleet.WorkerEntry(
+        place.worker_id, '', '', '', '', (), fleet.NO_RESOURCES
+    )
+    worker = fleet.Worker(entry, is_listed=False, boot=place.boot)
+    board.workers_by_id[place.worker_id] = worker
+    return worker
+
+
+def release_due(
+    board: fleet.Board, job: fleet.LiveJob, now: float, wall_ms: int
+) -> None:
+    """Add the groups of each occurrence that is due."""
+    graph = job.graph
+    while job.released < graph.occurrences:
+        due_ms = graph.due_ms(job.released)
+        if due_ms - _EARLIEST_MS > wall_ms:
+            return
+        _release_occurrence(job, now)
+        _unblock(job, job.released - 1, now)
+
+
+def _release_occurrence(job: fleet.LiveJob, now: float) -> None:
+    occurrence = job.released
+    job.released += 1
+    for number, step in enumerate(job.graph.steps):
+        for index in range(step.group_count):
+            key = jobgraph.GroupKey(occurrence, number, index)
+            job.groups_by_key[key] = fleet.Group(
+                job, key, step, fleet.Phase.BLOCKED, now
+            )
+
+
+def _unblock(job: fleet.LiveJob, occurrence: int, now: float) -> None:
+    """Let groups wait for room whose earlier steps are done."""
+    for number, step in enumerate(job.graph.steps):
+        groups = job.groups_of_step(occurrence, number)
+        if groups[0].phase is not fleet.Phase.BLOCKED and all(
+            group.phase is not fleet.Phase.BLOCKED for group in groups
+        ):
+            continue
+        if not all(_is_step_done(job, occurrence, s) for s in step.after):
+            continue
+        for group in groups:
+            if group.phase is fleet.Phase.BLOCKED:
+                group.enter(fleet.Phase.WAITING, now)
+
+
+def _is_step_done(job: fleet.LiveJob, occurrence: int, step: int) -> bool:
+    return all(
+        group.phase is fleet.Phase.DONE
+        for group in job.groups_of_step(occurrence, step)
+    )
+
+
+def finish_done(
+    board: fleet.Board, group: fleet.Group, now: float, wall_ms: int
+) -> None:
+    """Take note that a group's work is done."""
+    job = group.job
+    group.ending = fleet.Ending.DONE
+    group.enter(fleet.Phase.DONE, now)
+    _unblock(job, group.key.occurrence, now)
+    if not job.state.is_final and _is_all_done(job):
+        job.state = jobs.JobState.DONE
+        job.ended_ms = wall_ms
+        board.note('job done', job, groups=len(job.groups_by_key))
+    board.touch(job)
+
+
+def _is_all_done(job: fleet.LiveJob) -> bool:
+    if job.released < job.graph.occurrences:
+        return False
+    return all(
+        group.phase is fleet.Phase.DONE for group in job.groups_by_key.values()
+    )
+
+
+def conclude_attempt(
+    board: fleet.Board, group: fleet.Group, now: float, wall_ms: int
+) -> None:
+    """Let a group wait again whose attempt ended other than done."""
+    ending = group.ending or fleet.Ending.LOST
+    if ending is fleet.Ending.FAILED:
+        group.not_before = now + _retry_delay_s(group.failures)
+    group.members = []
+    group.ending = None
+    group.began_at = None
+    job = group.job
+    if job.is_cancelled or job.state.is_final:
+        group.enter(fleet.Phase.DROPPED, now)
+    elif _has_failed_for_good(job, group):
+        group.enter(fleet.Phase.DROPPED, now)
+        _fail(board, job, group, wall_ms)
+    else:
+        group.enter(fleet.Phase.WAITING, now)
+    board.note(
+        'attempt ended',
+        job,
+        group=list(_plain(group.key)),
+        attempt=group.attempt,
+        ending=ending.value,
+        failures=group.failures,
+    )
+    board.touch(job)
+
+
+def _plain(key: jobgraph.GroupKey) -> tuple[int, int, int]:
+    return key.occurrence, key.step, key.index
+
+
+def _retry_delay_s(failures: int) -> float:
+    delay_s: float = _FIRST_RETRY_DELAY_S * 2.0 ** min(failures - 1, 10)
+    return min(delay_s, _LONGEST_RETRY_DELAY_S)
+
+
+def _has_failed_for_good(job: fleet.LiveJob, group: fleet.Group) -> bool:
+    if group.step.long_running or job.queue is None:
+        return False
+    return group.failures >= job.queue.max_attempts
+
+
+def _fail(
+    board: fleet.Board, job: fleet.LiveJob, group: fleet.Group, wall_ms: int
+) -> None:
+    job.state = jobs.JobState.FAILED
+    job.ended_ms = wall_ms
+    board.note(
+        'job failed',
+        job,
+        group=list(_plain(group.key)),
+        failures=group.failures,
+    )
+
+
+def build_progress(job: fleet.LiveJob) -> jobgraph.JobProgress:
+    """Return the progress row of a job."""
+    records = tuple(
+        jobgraph.GroupRecord(
+            key,
+            _ROW_PHASES[group.phase],
+            group.attempt,
+            group.failures,
+            group.checkpoint,
+            tuple(
+                jobgraph.Place(member.worker_id, member.boot)
+                for member in group.members
+            )
+            if group.phase in fleet.ACTIVE_PHASES
+            else (),
+        )
+        for key, group in job.groups_by_key.items()
+        if group.attempt
+    )
+    if job.state.is_final:
+        records = ()
+    return jobgraph.JobProgress(job.state, records, job.ended_ms)
--- /dev/null
+++ b/primroselock/decisions/runs.py
@@ -0,0 +1,357 @@
+"""What orders and looks tell of the members of groups.
+
+A look replaces belief by knowledge: what it shows runs, what it lists as
+ended has ended, and a member whose order was answered before the look was
+sent and that the look does not show cannot run.  An order that was not
+answered may be carried out later, so that its member keeps its room until
+a stop of the same run was answered and a later look does not show it, or
+until no lease can hold on that worker.
+"""
+
+import typing
+
+from primroselock.decisions import fleet
+from primroselock.decisions import graphs
+from primroselock.workers import orders
+
+STOP_RETRY_S: typing.Final = 0.5
+_BROKEN_GRACE_S: typing.Final = 0.25
+"""Workers end the rest of a broken gang by themselves in this time."""
+
+LEASE_MARGIN_S: typing.Final = 0.3
+CLOCK_DRIFT: typing.Final = 0.025
+"""How much slower a worker's clock may run than this process's."""
+
+_ENDINGS_BY_CAUSE: typing.Final = {
+    orders.EndCause.FAILED: fleet.Ending.FAILED,
+    orders.EndCause.STOPPED: fleet.Ending.LOST,
+    orders.EndCause.LAPSED: fleet.Ending.LOST,
+    orders.EndCause.BROKEN: fleet.Ending.LOST,
+    orders.EndCause.ALONE: fleet.Ending.REFUSED,
+}
+
+
+def record_look(
+    board: fleet.Board,
+    worker: fleet.Worker,
+    look: orders.Look,
+    sent_at: float,
+    now: float,
+    wall_ms: int,
+) -> None:
+    """Take over what a worker told in answer to a look sent then."""
+    if worker.boot and look.boot and look.boot != worker.boot:
+        _forget_boot(board, worker, look)
+    worker.boot = look.boot or worker.entry.boot
+    worker.looked_at = max(worker.looked_at, sent_at)
+    worker.clock_s, worker.clock_at = look.clock_s, now
+    worker.heard_at = now
+    worker.failures_in_row = 0
+    for ended in look.ended:
+        _record_end(board, worker, ended, now, wall_ms)
+    shown = {running.run: running for running in look.running}
+    for run, running in shown.items():
+        _record_running(board, worker, run, running, now)
+    if look.is_whole:
+        _record_absent(board, worker, shown, sent_at, now, wall_ms)
+    for run in [run for run in worker.strays if run not in shown]:
+        del worker.strays[run]
+
+
+def _forget_boot(
+    board: fleet.Board, worker: fleet.Worker, look: orders.Look
+) -> None:
+    """Nothing of the worker's earlier life is left but what it shows."""
+    worker.confirmed_end = 0
+    worker.listed_end = 0
+    worker.unsaved_ends.clear()
+    worker.lease_end = None
+    board.notes.append(
+        fleet.Note(
+            'worker came back',
+            '',
+            {'worker': worker.id, 'boot': look.boot, 'was': worker.boot},
+        )
+    )
+
+
+def _record_end(
+    board: fleet.Board,
+    worker: fleet.Worker,
+    ended: orders.Ended,
+    now: float,
+    wall_ms: int,
+) -> None:
+    if ended.number <= worker.listed_end:
+        return
+    worker.listed_end = ended.number
+    worker.strays.pop(ended.run, None)
+    member = worker.members.get(ended.run)
+    if member is None:
+        return
+    group = member.group
+    board.set_gone(member)
+    _keep_checkpoint(group, ended.checkpoint)
+    if ended.cause is orders.EndCause.DONE:
+        member.is_done = True
+        _record_done(board, group, worker, now, wall_ms)
+    elif group.phase is not fleet.Phase.DONE:
+        if ended.cause is orders.EndCause.FAILED:
+            _blame(board, group, worker)
+        end_group(board, group, _ENDINGS_BY_CAUSE[ended.cause], now)
+    board.touch(group.job)
+    worker.unsaved_ends.append(
+        fleet.UnsavedEnd(ended.number, group.job, group.job.change)
+    )
+    board.note(
+        'run ended',
+        group.job,
+        task=str(ended.run.task),
+        attempt=ended.run.attempt,
+        cause=ended.cause.value,
+        worker=worker.id,
+    )
+    settle_group(board, group, now, wall_ms)
+
+
+def _keep_checkpoint(group: fleet.Group, checkpoint: str) -> None:
+    if checkpoint:
+        group.checkpoint = checkpoint
+
+
+def _record_done(
+    board: fleet.Board,
+    group: fleet.Group,
+    worker: fleet.Worker,
+    now: float,
+    wall_ms: int,
+) -> None:
+    board.failure_evidence.record_success(worker.id)
+    if group.phase is fleet.Phase.DONE:
+        return
+    if group.step.long_running:
+        end_group(board, group, fleet.Ending.LOST, now)
+        return
+    graphs.finish_done(board, group, now, wall_ms)
+
+
+def _blame(
+    board: fleet.Board, group: fleet.Group, worker: fleet.Worker
+) -> None:
+    board.failure_evidence.record_failure(
+        worker.id, group.job.graph.id, group.attempt
+    )
+
+
+def _record_running(
+    board: fleet.Board,
+    worker: fleet.Worker,
+    run: orders.Run,
+    running: orders.Running,
+    now: float,
+) -> None:
+    member = worker.members.get(run)
+    if member is None:
+        _record_stray(board, worker, run, now)
+        return
+    worker.strays.pop(run, None)
+    group = member.group
+    _keep_checkpoint(group, running.checkpoint)
+    member.boot = worker.boot
+    if member.state is not fleet.MemberState.PRESENT:
+        set_present(board, member, now)
+
+
+def _record_stray(
+    board: fleet.Board, worker: fleet.Worker, run: orders.Run, now: float
+) -> None:
+    need = fleet.NO_RESOURCES
+    job = board.jobs_by_id.get(run.task.job_id)
+    if job is not None and run.task.step < len(job.graph.steps):
+        need = job.graph.steps[run.task.step].counted_need
+    known = worker.strays.get(run)
+    if known is not None and now - known.stop_sent_at < STOP_RETRY_S:
+        return
+    worker.strays[run] = fleet.Stray(run, need, now)
+    board.orders.append(fleet.StopOrder(worker.id, run))
+    board.notes.append(
+        fleet.Note(
+            'stray run',
+            run.task.job_id,
+            {
+                'task': str(run.task),
+                'attempt': run.attempt,
+                'worker': worker.id,
+            },
+        )
+    )
+
+
+def _record_absent(
+    board: fleet.Board,
+    worker: fleet.Worker,
+    shown: dict[orders.Run, orders.Running],
+    sent_at: float,
+    now: float,
+    wall_ms: int,
+) -> None:
+    """Settle members that a whole look does not show."""
+    for run, member in list(worker.members.items()):
+        if run in shown or not _is_settled(member, sent_at):
+            continue
+        board.set_gone(member)
+        group = member.group
+        if group.phase is not fleet.Phase.DONE:
+            end_group(board, group, fleet.Ending.LOST, now)
+        settle_group(board, group, now, wall_ms)
+
+
+def _is_settled(member: fleet.Member, sent_at: float) -> bool:
+    """Whether a look sent then would show the member if it could run."""
+    if member.state is fleet.MemberState.INHERITED:
+        # The look bore this holder's epoch: earlier orders are refused.
+        return True
+    if member.state is fleet.MemberState.PRESENT:
+        return member.answered_at < sent_at
+    return member.stopped_at < sent_at and member.stopped_at > 0
+
+
+def set_present(board: fleet.Board, member: fleet.Member, now: float) -> None:
+    """Take note that a member runs."""
+    member.state = fleet.MemberState.PRESENT
+    if member.answered_at < member.ordered_at or member.answered_at < 0:
+        member.answered_at = now
+    group = member.group
+    if group.phase is not fleet.Phase.STARTING:
+        return
+    if all(
+        other.state is fleet.MemberState.PRESENT for other in group.members
+    ):
+        group.enter(fleet.Phase.RUNNING, now)
+        group.began_at = now
+
+
+def end_group(
+    board: fleet.Board,
+    group: fleet.Group,
+    ending: fleet.Ending,
+    now: float,
+) -> None:
+    """Begin to end an attempt, unless it is ending already."""
+    if group.phase not in fleet.ACTIVE_PHASES:
+        return
+    is_failure = ending is fleet.Ending.FAILED
+    if is_failure and group.ending is not fleet.Ending.FAILED:
+        # A failure counts even if another end was seen first.
+        group.failures += 1
+        group.ending = ending
+    if group.phase is fleet.Phase.STOPPING:
+        return
+    group.ending = ending
+    group.enter(fleet.Phase.STOPPING, now)
+    for member in group.members:
+        if member.state is fleet.MemberState.PLACED:
+            board.set_gone(member)
+
+
+def settle_group(
+    board: fleet.Board, group: fleet.Group, now: float, wall_ms: int
+) -> None:
+    """Conclude an attempt once none of its members can run."""
+    if group.phase is fleet.Phase.STOPPING and not group.left_members():
+        graphs.conclude_attempt(board, group, now, wall_ms)
+
+
+def order_stops(board: fleet.Board, now: float) -> None:
+    """Order stops of what must end, again while they are unanswered."""
+    for worker in board.workers_by_id.values():
+        for member in worker.members.values():
+            if _needs_stop(member, now):
+                member.stop_sent_at = now
+                board.orders.append(
+                    fleet.StopOrder(worker.id, member.run, member)
+                )
+
+
+def _needs_stop(member: fleet.Member, now: float) -> bool:
+    group = member.group
+    if group.phase is not fleet.Phase.STOPPING:
+        # The rest of a gang that is done ends by itself.
+        return False
+    if member.stopped_at > 0:
+        return False
+    if now - member.stop_sent_at < STOP_RETRY_S:
+        return False
+    breaks_by_itself = group.size > 1 and any(
+        other.state is fleet.MemberState.GONE for other in group.members
+    )
+    if breaks_by_itself and member.state is fleet.MemberState.PRESENT:
+        return now - group.since >= _BROKEN_GRACE_S
+    return True
+
+
+def expire_workers(board: fleet.Board, now: float, wall_ms: int) -> None:
+    """Settle the members of workers on which no lease can hold any more."""
+    for worker in list(board.workers_by_id.values()):
+        if not worker.members or not _is_expired(board, worker, now):
+            continue
+        board.notes.append(
+            fleet.Note(
+                'worker lost',
+                '',
+                {
+                    'worker': worker.id,
+                    'members': len(worker.members),
+                    'silent_s': round(now - worker.heard_at, 3),
+                },
+            )
+        )
+        for member in list(worker.members.values()):
+            board.set_gone(member)
+            group = member.group
+            if group.phase is not fleet.Phase.DONE:
+                end_group(board, group, fleet.Ending.LOST, now)
+            settle_group(board, group, now, wall_ms)
+        worker.strays.clear()
+        if not worker.is_listed and not worker.is_busy:
+            del board.workers_by_id[worker.id]
+
+
+def _is_expired(board: fleet.Board, worker: fleet.Worker, now: float) -> bool:
+    """Whether every lease that any holder gave there has run out."""
+    if now < board.inherited_until:
+        return False
+    return not worker.is_known or now >= lease_bound(worker)
+
+
+def lease_bound(worker: fleet.Worker) -> float:
+    """Return when the worker's leases have certainly run out.
+
+    The worker's clock had shown ``clock_s`` before ``clock_at``.
+    """
+    if worker.lease_end is None:
+        return worker.clock_at
+    left_s = max(0.0, worker.lease_end - worker.clock_s)
+    return worker.clock_at + left_s * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
+
+
+def lease_until(worker: fleet.Worker, deadline: float) -> float:
+    """Return the worker's clock at which a lease to ``deadline`` ends.
+
+    ``deadline`` is on this process's clock and is not exceeded even if
+    the worker's clock is slow.
+    """
+    left_s = max(0.0, deadline - worker.clock_at)
+    return worker.clock_s + left_s / (1 + CLOCK_DRIFT)
+
+
+def confirm_saved(worker: fleet.Worker) -> None:
+    """Raise the number of the last end whose effect is stored."""
+    while worker.unsaved_ends:
+        oldest = worker.unsaved_ends[0]
+        if oldest.job.saved < oldest.change:
+            worker.confirmed_end = max(worker.confirmed_end, oldest.number - 1)
+            return
+        worker.confirmed_end = max(worker.confirmed_end, oldest.number)
+        worker.unsaved_ends.pop(0)
+    worker.confirmed_end = worker.listed_end
--- /dev/null
+++ b/primroselock/decisions/waiting.py
@@ -0,0 +1,96 @@
+"""Who waits for room, in which order, and what an account can claim back.
+
+Work of the most urgent queues within its account's guarantee comes first.
+Orders of the rest are registered by name; the settings choose one.
+"""
+
+from collections import abc
+import typing
+
+from primroselock.decisions import fleet
+
+SortKey = abc.Callable[[fleet.Group, float], tuple[float, ...]]
+orders_by_name: typing.Final[dict[str, SortKey]] = {}
+_URGENT: typing.Final = 0
+"""The priority of queues that guarantees hold for."""
+
+_MS_PER_S: typing.Final = 1000.0
+
+
+def order(name: str) -> abc.Callable[[SortKey], SortKey]:
+    """Register the decorated order; lower keys go first."""
+
+    def register(sort_key: SortKey) -> SortKey:
+        orders_by_name[name] = sort_key
+        return sort_key
+
+    return register
+
+
+@order('fifo')
+def sort_fifo(group: fleet.Group, wall_s: float) -> tuple[float, ...]:
+    """Order groups by when their job was accepted."""
+    return (float(group.job.graph.accepted_ms),)
+
+
+@order('priority')
+def sort_by_priority(group: fleet.Group, wall_s: float) -> tuple[float, ...]:
+    """Order groups by their queue's priority, then by age."""
+    return (float(priority(group.job)), float(group.job.graph.accepted_ms))
+
+
+def priority(job: fleet.LiveJob) -> int:
+    """Return the priority of a job; one without a queue comes last."""
+    return job.queue.priority if job.queue else 99
+
+
+def guaranteed_ids(board: fleet.Board) -> set[str]:
+    """Return the jobs that their accounts' guarantees cover.
+
+    Jobs of an account are covered in order of acceptance while together
+    they need no more than the guarantee.
+    """
+    left_by_account = {
+        name: account.guaranteed_accelerators
+        for name, account in board.table.accounts_by_name.items()
+    }
+    covered: set[str] = set()
+    urgent = [
+        job
+        for job in board.jobs_by_id.values()
+        if priority(job) == _URGENT and not job.state.is_final
+    ]
+    urgent.sort(key=lambda job: (job.graph.accepted_ms, job.graph.id))
+    for job in urgent:
+        account = job.graph.account
+        needed = job.graph.accelerators_needed
+        if needed <= left_by_account.get(account, 0):
+            left_by_account[account] -= needed
+            covered.add(job.graph.id)
+    return covered
+
+
+def list_waiting(
+    board: fleet.Board,
+    covered: abc.Set[str],
+    sort_key: SortKey,
+    now: float,
+    wall_s: float,
+) -> list[fleet.Group]:
+    """Return the groups that wait for room, first the first to be placed."""
+    waiting = [
+        group
+        for job in board.jobs_by_id.values()
+        if not job.is_cancelled and not job.state.is_final
+        for group in job.groups_by_key.values()
+        if group.phase is fleet.Phase.WAITING and group.not_before <= now
+    ]
+    waiting.sort(
+        key=lambda group: (
+            group.job.graph.id not in covered,
+            *sort_key(group, wall_s),
+            group.job.graph.id,
+            group.key,
+        )
+    )
+    return waiting
--- /dev/null
+++ b/primroselock/fleetnode.py
@@ -0,0 +1,275 @@
+"""The daemon of a node: callers' interface and standby for the shard.
+
+It only composes: what the node speaks to the outside comes from an
+adapter, which a registry knows by name.
+"""
+
+import asyncio
+from collections import abc
+import dataclasses
+import signal
+import typing
+
+from primroselock import clock
+from primroselock import errors
+from primroselock import holder
+from primroselock import httpserver
+from primroselock import intake
+from primroselock import logs
+from primroselock import metrics
+from primroselock import options
+from primroselock import queues
+from primroselock import sockets
+from primroselock.store import following
+from primroselock.store import table
+from primroselock.workers import orders
+
+_log: typing.Final = logs.get('node')
+_CHECK_S: typing.Final = 0.1
+_STANDING_S: typing.Final = 0.8
+
+
+class QueueReader(typing.Protocol):
+    """Turns changes of the operators' rows into a record."""
+
+    current: queues.QueueTable
+
+    def take(self, changes: table.Changes) -> bool:
+        """Take over changes; return whether the record is a new one."""
+
+
+class OwnedStore(table.FeedTable, typing.Protocol):
+    """A store whose connections this process closes."""
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Adapter:
+    """What a platform gives to a node.
+
+    ``operator_table`` is the table of the operators' rows;
+    ``build_front`` makes the callers' application.
+    """
+
+    load_settings: abc.Callable[[], options.Settings]
+    build_store: abc.Callable[[options.Settings, str, int], OwnedStore]
+    build_link: abc.Callable[[], orders.RunLink]
+    build_reader: abc.Callable[[], QueueReader]
+    build_front: abc.Callable[
+        [options.Settings, intake.Intake, metrics.Metrics], typing.Any
+    ]
+    worker_rows: holder.WorkerRows
+    operator_table: str
+
+
+adapters_by_name: typing.Final[dict[str, abc.Callable[[], Adapter]]] = {}
+
+
+def adapter(
+    name: str,
+) -> abc.Callable[[abc.Callable[[], Adapter]], abc.Callable[[], Adapter]]:
+    """Register the decorated maker of an adapter."""
+
+    def register(make: abc.Callable[[], Adapter]) -> abc.Callable[[], Adapter]:
+        adapters_by_name[name] = make
+        return make
+
+    return register
+
+
+class Node:
+    """One process of the system."""
+
+    def __init__(self, settings: options.Settings, parts: Adapter) -> None:
+        self._settings = settings
+        self.metrics = metrics.Metrics()
+        self._store = parts.build_store(settings, 'work', 12)
+        self._feeds = parts.build_store(settings, 'feeds', 4)
+        self._link = parts.build_link()
+        self._reader = parts.build_reader()
+        wait_s = settings.fleet.follow_wait_s
+        self._operators = following.TableFollower(
+            self._feeds, parts.operator_table, wait_s
+        )
+        self._shard = following.TableFollower(self._feeds, 'shard', wait_s)
+        self.intake = intake.Intake(
+            settings, self._store, self._shard, self.metrics
+        )
+        self._holder = holder.Holder(
+            settings,
+            self._store,
+            self._shard,
+            parts.worker_rows,
+            self._link,
+            self.metrics,
+        )
+        self._front = parts.build_front(settings, self.intake, self.metrics)
+        self._operators.add_handler(self._take_operators)
+        self._stopping = asyncio.Event()
+        self._stood_still_at = float('-inf')
+
+    def _take_operators(self, changes: table.Changes) -> None:
+        if not self._reader.take(changes):
+            return
+        current = self._reader.current
+        self.intake.set_table(current, self._confirmed_at)
+        self._holder.set_table(current, self._confirmed_at)
+        _log.info(
+            'configuration in force',
+            version=current.version,
+            zones_out=sorted(current.zones_out),
+        )
+
+    def _confirmed_at(self) -> float:
+        return self._operators.confirmed_at
+
+    def is_ready(self, now: float) -> bool:
+        """Whether the balancer should send calls here."""
+        return not self._stopping.is_set() and self.intake.is_ready(now)
+
+    async def run(self) -> None:
+        """Serve until a signal says to leave."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        servers = [
+            _serve(self._front, self._settings.fleet.bind),
+            _serve(_ReadyApp(self), self._settings.fleet.ready_bind),
+            _serve(_MetricsApp(self), self._settings.fleet.metrics_bind),
+        ]
+        _log.info(
+            'listening',
+            front=self._settings.fleet.bind,
+            ready=self._settings.fleet.ready_bind,
+            node=self._settings.process.vm_id,
+        )
+        loops = [
+            asyncio.create_task(work)
+            for work in (
+                self._operators.run(),
+                self._shard.run(),
+                self._holder.run(),
+                self._watch_clock(),
+                *(server.serve(sockets=[sock]) for server, sock in servers),
+            )
+        ]
+        stopping = asyncio.create_task(self._stopping.wait())
+        done, _ = await asyncio.wait(
+            [*loops, stopping], return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            if task is not stopping:
+                _log.error('loop ended', exc_info=task.exception())
+        await self._leave(servers, loops)
+
+    def _reload(self) -> None:
+        _log.info('reload asked for', effect='settings apply at a start')
+
+    async def _leave(
+        self,
+        servers: list[tuple[httpserver.Server, typing.Any]],
+        loops: list[asyncio.Task[None]],
+    ) -> None:
+        """Hand the shard over and serve on until callers have moved."""
+        self._stopping.set()
+        _log.info('stopping')
+        try:
+            async with asyncio.timeout(self._settings.fleet.leaving_s):
+                await self._holder.leave()
+        except TimeoutError:
+            _log.warning('shard not handed over in time')
+        await asyncio.sleep(self._settings.fleet.leaving_s)
+        for server, _ in servers:
+            server.should_exit = True
+        serving = loops[-len(servers) :]
+        await asyncio.wait(serving, timeout=self._settings.fleet.leaving_s)
+        for task in loops:
+            task.cancel()
+        await asyncio.gather(*loops, return_exceptions=True)
+        await self._link.aclose()
+        await self._store.aclose()
+        await self._feeds.aclose()
+        _log.info('stopped')
+
+    async def _watch_clock(self) -> None:
+        """Notice that the process stood still."""
+        while True:
+            before = clock.monotonic()
+            await asyncio.sleep(_CHECK_S)
+            gap_s = clock.monotonic() - before
+            if gap_s > _CHECK_S + _STANDING_S:
+                _log.warning('process stood still', gap_s=round(gap_s, 3))
+
+
+def _serve(
+    app: typing.Any, address: str
+) -> tuple[httpserver.Server, typing.Any]:
+    server = httpserver.build(app, grace_s=2.0)
+    return server, sockets.bind_socket(address)
+
+
+class _ReadyApp:
+    """Tells the balancer whether to send calls here."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    async def __call__(
+        self, scope: typing.Any, receive: typing.Any, send: typing.Any
+    ) -> None:
+        """Serve one call."""
+        ready = self._node.is_ready(clock.monotonic())
+        await _send(send, 200 if ready else 503, b'', b'text/plain')
+
+
+class _MetricsApp:
+    """Serves counters and latency percentiles as text."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    async def __call__(
+        self, scope: typing.Any, receive: typing.Any, send: typing.Any
+    ) -> None:
+        """Serve one call."""
+        text = self._node.metrics.render_text()
+        await _send(send, 200, text.encode(), b'text/plain')
+
+
+async def _send(
+    send: typing.Any, status: int, body: bytes, content_type: bytes
+) -> None:
+    headers = [
+        (b'content-type', content_type),
+        (b'content-length', str(len(body)).encode()),
+    ]
+    await send(
+        {'type': 'http.response.start', 'status': status, 'headers': headers}
+    )
+    await send({'type': 'http.response.body', 'body': body})
+
+
+def load(name: str) -> tuple[options.Settings, Adapter]:
+    """Return the settings on the platform whose adapter has this name.
+
+    Raises :class:`errors.CommandError` with a line for each problem.
+    """
+    make = adapters_by_name.get(name)
+    if make is None:
+        known = ', '.join(sorted(adapters_by_name))
+        raise errors.CommandError(
+            errors.ExitCode.USAGE,
+            f'--platform = {name!r}: expected one of {known}',
+        )
+    parts = make()
+    return parts.load_settings(), parts
+
+
+async def run(name: str) -> None:
+    """Run a node on the platform whose adapter has this name."""
+    settings, parts = load(name)
+    logs.configure(settings.process.log_format, to_stdout=True)
+    await Node(settings, parts).run()
--- a/primroselock/follower.py
+++ b/primroselock/follower.py
@@ -22,7 +22,7 @@
 from primroselock.mesh import messages
 from primroselock import options
 from primroselock import patches
-from primroselock.platform import objects
+from primroselock.store import objects
 
 _KEPT_TEXTS: typing.Final = 64
 _log: typing.Final = logs.get('configuration')
--- a/primroselock/gateway.py
+++ b/primroselock/gateway.py
@@ -24,9 +24,10 @@
 from primroselock import operatorcalls
 from primroselock import operatorsapi
 from primroselock import options
-from primroselock.platform import keys
 from primroselock import routing
 from primroselock import servicesapi
+from primroselock import sockets
+from primroselock.store import keys
 
 _BACKLOG: typing.Final = 2048
 _SWEEP_PAGE_ROWS: typing.Final = 1000
@@ -217,7 +218,7 @@
     taken, so that the balancer moves on first; then nothing new is
     accepted and what runs is finished.
     """
-    listener = daemon.bind_socket(settings.gateway.bind)
+    listener = sockets.bind_socket(settings.gateway.bind)
     # Connections that come before the server runs wait in the backlog.
     listener.listen(_BACKLOG)
     shared = daemon.Daemon(settings, 'gateway')
@@ -236,7 +237,7 @@
     _log.info(
         'listening',
         role='gateway',
-        http=daemon.bound_address(listener),
+        http=sockets.bound_address(listener),
         mesh=shared.mesh.address,
     )
     async with asyncio.TaskGroup() as group:
--- /dev/null
+++ b/primroselock/graphwriter.py
@@ -0,0 +1,166 @@
+"""Writes the progress of jobs for a shard's holder, many in a transaction.
+
+Every transaction is conditional on the shard's epoch row and on the row
+versions that this holder wrote last, so that a write that was delayed can
+never undo a later one.  Starts follow the transaction that holds their
+placement; ends are confirmed to workers after the one that holds them.
+"""
+
+import asyncio
+from collections import abc
+import dataclasses
+import typing
+
+import result
+
+from primroselock.decisions import fleet
+from primroselock.decisions import graphs
+from primroselock.decisions import runs
+from primroselock import graphrows
+from primroselock import logs
+from primroselock import shards
+from primroselock.store import keys
+from primroselock.store import table
+
+_MOST_JOBS: typing.Final = 45
+"""A transaction of the platform takes 100 entries, two a job."""
+
+_PAUSE_S: typing.Final = 0.1
+_log: typing.Final = logs.get('graphwriter')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Snapshot:
+    """A job as it was written: its change, and groups to start."""
+
+    job: fleet.LiveJob
+    change: int
+    committing: tuple[tuple[fleet.Group, int], ...]
+    value: bytes
+
+
+class GraphWriter:
+    """Writes what the board says has changed; ``on_saved`` follows."""
+
+    def __init__(
+        self,
+        store: table.Table,
+        lease: shards.ShardLease,
+        board: fleet.Board,
+        on_saved: abc.Callable[[], None],
+        now: abc.Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._lease = lease
+        self._board = board
+        self._on_saved = on_saved
+        self._now = now
+        self._wake = asyncio.Event()
+
+    def wake(self) -> None:
+        """Look for changes."""
+        if self._board.changed_ids:
+            self._wake.set()
+
+    async def run(self) -> None:
+        """Write until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._board.changed_ids:
+                if not await self._write_some():
+                    await asyncio.sleep(_PAUSE_S)
+
+    async def _write_some(self) -> bool:
+        """Write some jobs; return whether the table took them."""
+        taken = self._take_snapshots()
+        if not taken:
+            return True
+        transaction = self._build(taken)
+        outcome = await table.transact_settled(self._store, transaction)
+        if isinstance(outcome, result.Ok):
+            self._record(taken, outcome.ok_value.version)
+            return True
+        error = outcome.err_value
+        _log.warning('progress not written', jobs=len(taken), why=str(error))
+        for snapshot in taken:
+            self._board.changed_ids.add(snapshot.job.graph.id)
+        if isinstance(error, table.Unavailable):
+            return False
+        if isinstance(error, table.Conflict) and self._epoch_key in error.keys:
+            self._lease.drop('another process took it')
+            return False
+        await self._read_versions(taken)
+        return False
+
+    @property
+    def _epoch_key(self) -> str:
+        return keys.shard_epoch(self._lease.shard)
+
+    def _take_snapshots(self) -> list[_Snapshot]:
+        board = self._board
+        taken = []
+        for job_id in list(board.changed_ids)[:_MOST_JOBS]:
+            board.changed_ids.discard(job_id)
+            job = board.jobs_by_id.get(job_id)
+            if job is not None and job.saved < job.change:
+                taken.append(_take_snapshot(job))
+        return taken
+
+    def _build(self, taken: list[_Snapshot]) -> table.Transaction:
+        shard = self._lease.shard
+        conditions = [
+            table.Condition(self._epoch_key, self._lease.epoch_row_version)
+        ]
+        puts = []
+        for snapshot in taken:
+            key = keys.progress(shard, snapshot.job.graph.id)
+            version = snapshot.job.row_version
+            conditions.append(table.Condition(key, version))
+            puts.append(table.Put(key, snapshot.value))
+        return table.Transaction(tuple(conditions), tuple(puts))
+
+    def _record(self, taken: list[_Snapshot], version: int) -> None:
+        now = self._now()
+        for snapshot in taken:
+            job = snapshot.job
+            job.row_version = version
+            job.saved = max(job.saved, snapshot.change)
+            for group, attempt in snapshot.committing:
+                if (
+                    group.phase is fleet.Phase.COMMITTING
+                    and group.attempt == attempt
+                ):
+                    group.enter(fleet.Phase.STARTING, now)
+                    members = tuple(group.members)
+                    self._board.orders.append(fleet.StartOrder(members))
+        for worker in self._board.workers_by_id.values():
+            runs.confirm_saved(worker)
+        self._on_saved()
+
+    async def _read_versions(self, taken: list[_Snapshot]) -> None:
+        """Find out at which versions the rows are now."""
+        shard = self._lease.shard
+        by_key = {
+            keys.progress(shard, snapshot.job.graph.id): snapshot.job
+            for snapshot in taken
+        }
+        read = await self._store.read(list(by_key))
+        if isinstance(read, result.Err):
+            return
+        for key, job in by_key.items():
+            row = read.ok_value.get(key)
+            job.row_version = row.version if row else table.ABSENT
+
+
+def _take_snapshot(job: fleet.LiveJob) -> _Snapshot:
+    return _Snapshot(
+        job,
+        job.change,
+        tuple(
+            (group, group.attempt)
+            for group in job.groups_by_key.values()
+            if group.phase is fleet.Phase.COMMITTING
+        ),
+        graphrows.encode(graphs.build_progress(job)),
+    )
--- a/primroselock/groupcommit.py
+++ b/primroselock/groupcommit.py
@@ -13,7 +13,7 @@
 
 import result
 
-from primroselock.platform import table
+from primroselock.store import table
 
 _MOST_WRITES: typing.Final = 256
 
--- a/primroselock/history.py
+++ b/primroselock/history.py
@@ -12,9 +12,9 @@
 
 from primroselock import configuration
 from primroselock import patches
-from primroselock.platform import keys
-from primroselock.platform import objects
-from primroselock.platform import table
+from primroselock.store import keys
+from primroselock.store import objects
+from primroselock.store import table
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/primroselock/holder.py
@@ -0,0 +1,381 @@
+"""Holds the shard on one of the nodes, and carries out its decisions.
+
+Every node stands by.  The one that gains the lease reads all rows after
+it wrote the new epoch, looks at every worker under that epoch, and then
+decides in rounds.  A thin shell: what is decided stands in
+``primroselock.decisions``; here are the loops that feed the board and send
+its orders.
+"""
+
+import asyncio
+from collections import abc
+import typing
+
+import result
+
+from primroselock import clock
+from primroselock.decisions import fleet
+from primroselock.decisions import fleetround
+from primroselock.decisions import graphs
+from primroselock.decisions import runs
+from primroselock import graphrows
+from primroselock import graphwriter
+from primroselock import logs
+from primroselock import lookers
+from primroselock import metrics
+from primroselock import options
+from primroselock import queues
+from primroselock import runorders
+from primroselock import shards
+from primroselock.store import following
+from primroselock.store import keys
+from primroselock.store import table
+from primroselock.workers import orders
+
+_log: typing.Final = logs.get('holder')
+_TICK_S: typing.Final = 0.25
+_RETRY_S: typing.Final = 0.2
+_CLOCK_MARGIN_S: typing.Final = 1.0
+_LOOP_GAP_S: typing.Final = 0.8
+"""A tick that comes this late shows that the process stood still."""
+
+
+class WorkerRows(typing.Protocol):
+    """How workers' entries are found and read."""
+
+    name: str
+
+    def read_entry(self, row: table.Row) -> fleet.WorkerEntry | None:
+        """Return the worker that a row tells of, or None."""
+
+    def read_removed(self, key: str) -> str:
+        """Return the id of the worker whose entry is gone."""
+
+
+class Holder:
+    """Stands by for one shard and decides while it holds it."""
+
+    def __init__(
+        self,
+        settings: options.Settings,
+        store: table.FeedTable,
+        shard_follower: following.TableFollower,
+        worker_rows: WorkerRows,
+        link: orders.RunLink,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._follower = shard_follower
+        self._worker_rows = worker_rows
+        self._link = link
+        self._metrics = counters
+        self.lease = shards.ShardLease(
+            settings,
+            following.FollowedReads(
+                store, shard_follower, settings.fleet.follow_age_s
+            ),
+            settings.fleet.shard,
+        )
+        self._wake = asyncio.Event()
+        self._lease_wake = asyncio.Event()
+        self._rows = graphrows.JobRows(settings.fleet.shard)
+        self._new_ids: set[str] = set()
+        self._table = queues.EMPTY
+        self._table_confirmed_at: abc.Callable[[], float] = lambda: 0.0
+        self._board: fleet.Board | None = None
+        self._stopping = False
+        shard_follower.add_handler(self._take_changes)
+
+    def set_table(
+        self,
+        current: queues.QueueTable,
+        confirmed_at: abc.Callable[[], float],
+    ) -> None:
+        """Decide by this version of the queues from now on."""
+        self._table = current
+        self._table_confirmed_at = confirmed_at
+        if self._board is not None:
+            self._board.table = current
+            for job in self._board.jobs_by_id.values():
+                queue = current.named(job.graph.queue)
+                job.queue = queue or job.queue
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Stand by and hold until cancelled or told to leave."""
+        while not self._stopping:
+            await self._stand_by()
+            if self.lease.has_shard:
+                await self._hold()
+
+    async def leave(self) -> None:
+        """Hand the shard over."""
+        self._stopping = True
+        self._lease_wake.set()
+        if self.lease.has_shard:
+            self._board = None
+            await self.lease.release()
+
+    async def _stand_by(self) -> None:
+        interval_s = self._settings.scheduler.shard_renew_interval_s / 2
+        while not self._stopping and not self.lease.has_shard:
+            if self._follower.listed.is_set():
+                await self.lease.step(clock.monotonic())
+            if self.lease.has_shard:
+                return
+            try:
+                await asyncio.wait_for(self._lease_wake.wait(), interval_s)
+            except TimeoutError:
+                continue
+            finally:
+                self._lease_wake.clear()
+
+    async def _hold(self) -> None:
+        """Decide for the shard until it is lost."""
+        board = await self._take_over()
+        if board is None:
+            return
+        self._board = board
+        holding = _Holding(self, board)
+        try:
+            await holding.run()
+        finally:
+            self._board = None
+
+    async def _take_over(self) -> fleet.Board | None:
+        """Read everything that earlier holders left; None: lost again."""
+        held_since = clock.monotonic()
+        while self.lease.has_shard and not self._stopping:
+            shard_rows, entries = await asyncio.gather(
+                self._store.list_rows('shard'),
+                self._store.list_rows(self._worker_rows.name),
+            )
+            if isinstance(shard_rows, result.Ok) and isinstance(
+                entries, result.Ok
+            ):
+                return self._build_board(
+                    shard_rows.ok_value, entries.ok_value, held_since
+                )
+            _log.warning('takeover waits for the store')
+            await self.lease.step(clock.monotonic())
+            await asyncio.sleep(_RETRY_S)
+        return None
+
+    def _build_board(
+        self,
+        shard_rows: table.Listing,
+        entries: table.Listing,
+        held_since: float,
+    ) -> fleet.Board:
+        lease_s = self._settings.fleet.run_lease_s
+        board = fleet.Board(
+            epoch=self.lease.epoch,
+            held_since=held_since,
+            inherited_until=held_since
+            + lease_s * (1 + runs.CLOCK_DRIFT)
+            + _CLOCK_MARGIN_S,
+            table=self._table,
+        )
+        if self.lease.epoch == 1:
+            board.inherited_until = held_since
+        now = clock.monotonic()
+        for row in entries.rows:
+            entry = self._worker_rows.read_entry(row)
+            if entry is not None:
+                board.record_entry(entry, now)
+        rows = graphrows.JobRows(self._settings.fleet.shard)
+        rows.take(table.Changes(shard_rows.rows, (), shard_rows.version))
+        for stored in rows.stored_by_id.values():
+            take_job(board, stored, now)
+        _log.info(
+            'shard taken over',
+            epoch=board.epoch,
+            jobs=len(board.jobs_by_id),
+            workers=len(board.workers_by_id),
+        )
+        return board
+
+    def _take_changes(self, changes: table.Changes) -> None:
+        changed = self._rows.take(changes)
+        if changed:
+            self._new_ids |= changed
+            self._wake.set()
+        lease_key = keys.shard_lease(self._settings.fleet.shard)
+        if any(row.key == lease_key for row in changes.rows):
+            self._lease_wake.set()
+
+
+def take_job(
+    board: fleet.Board, stored: graphrows.StoredJob, now: float
+) -> None:
+    """Take a job's rows to the board, or a cancellation."""
+    graph = stored.graph
+    if graph is None:
+        return
+    job = board.jobs_by_id.get(graph.id)
+    if job is None:
+        wall_ms = int(clock.wall() * 1000)
+        job = graphs.add_job(
+            board,
+            graph,
+            stored.progress,
+            stored.progress_version,
+            now,
+            wall_ms,
+        )
+    if job is not None and stored.is_cancelled:
+        job.is_cancelled = True
+
+
+class _Holding:
+    """The loops of one time of holding the shard."""
+
+    def __init__(self, holder: Holder, board: fleet.Board) -> None:
+        self._holder = holder
+        self._board = board
+        self._settings = holder._settings
+        self._lease = holder.lease
+        self._seen_ids = set(board.jobs_by_id)
+        self._worker_follower = following.TableFollower(
+            holder._store,
+            holder._worker_rows.name,
+            self._settings.fleet.follow_wait_s,
+        )
+        self._worker_follower.add_handler(self._take_entries)
+        self._writer = graphwriter.GraphWriter(
+            holder._store,
+            self._lease,
+            board,
+            self._on_saved,
+            clock.monotonic,
+        )
+        self._orders = runorders.OrderSender(
+            self._settings,
+            self._lease,
+            board,
+            holder._link,
+            holder._wake.set,
+            self._may_start,
+            holder._metrics,
+        )
+        self._lookers = lookers.Lookers(
+            self._settings,
+            self._lease,
+            board,
+            holder._link,
+            holder._wake.set,
+            holder._metrics,
+        )
+
+    async def run(self) -> None:
+        """Run the loops until the shard is lost."""
+        loops = [
+            asyncio.create_task(loop)
+            for loop in (
+                self._renew(),
+                self._decide(),
+                self._writer.run(),
+                self._worker_follower.run(),
+            )
+        ]
+        try:
+            await asyncio.wait(loops, return_when=asyncio.FIRST_COMPLETED)
+            for task in loops:
+                if task.done() and task.exception() is not None:
+                    _log.error('loop ended', exc_info=task.exception())
+                    self._lease.drop('a loop ended')
+        finally:
+            self._lookers.cancel()
+            self._orders.cancel()
+            for task in loops:
+                task.cancel()
+            await asyncio.gather(*loops, return_exceptions=True)
+
+    async def _renew(self) -> None:
+        interval_s = self._settings.scheduler.shard_renew_interval_s
+        while self._lease.has_shard:
+            await self._lease.step(clock.monotonic())
+            await asyncio.sleep(interval_s)
+
+    async def _decide(self) -> None:
+        """Decide after each change, and now and then without one."""
+        wake = self._holder._wake
+        wake.set()
+        while self._lease.has_shard:
+            before = clock.monotonic()
+            try:
+                await asyncio.wait_for(wake.wait(), _TICK_S)
+            except TimeoutError:
+                pass
+            wake.clear()
+            now = clock.monotonic()
+            if now - before > _TICK_S + _LOOP_GAP_S:
+                _log.warning('process stood still', gap_s=now - before)
+            self._decide_once(now)
+
+    def _decide_once(self, now: float) -> None:
+        self._take_new_jobs(now)
+        if not self._lease.has_shard:
+            return
+        started = clock.monotonic()
+        fleetround.run(self._board, self._settings, now, clock.wall())
+        self._holder._metrics.record(
+            'decision_round', clock.monotonic() - started
+        )
+        self._send()
+        self._writer.wake()
+        self._lookers.ensure()
+
+    def _take_new_jobs(self, now: float) -> None:
+        holder = self._holder
+        ids, holder._new_ids = holder._new_ids, set()
+        for job_id in ids:
+            stored = holder._rows.stored_by_id.get(job_id)
+            if stored is None:
+                continue
+            known = self._board.jobs_by_id.get(job_id)
+            if known is not None:
+                known.is_cancelled |= stored.is_cancelled
+            elif job_id not in self._seen_ids:
+                # What it held before is on the board or has ended.
+                self._seen_ids.add(job_id)
+                take_job(self._board, stored, now)
+
+    def _on_saved(self) -> None:
+        self._send()
+        self._lookers.ensure()
+        self._holder._wake.set()
+
+    def _send(self) -> None:
+        """Send what was decided, and log it."""
+        for note in self._board.take_notes():
+            _log.info(
+                note.event,
+                request=note.job_id,
+                epoch=self._board.epoch,
+                config=self._board.table.version,
+                **note.values,
+            )
+        for order in self._board.take_orders():
+            self._orders.send(order)
+
+    def _may_start(self, now: float) -> bool:
+        """Whether this process may order starts now."""
+        age_s = now - self._holder._table_confirmed_at()
+        return (
+            self._holder._board is self._board
+            and self._lease.holds(now)
+            and age_s <= self._settings.fleet.start_permit_s
+        )
+
+    def _take_entries(self, changes: table.Changes) -> None:
+        now = clock.monotonic()
+        for row in changes.rows:
+            entry = self._holder._worker_rows.read_entry(row)
+            if entry is not None:
+                self._board.record_entry(entry, now)
+        for key in changes.removed:
+            worker_id = self._holder._worker_rows.read_removed(key)
+            self._board.record_unlisted(worker_id)
+        self._holder._wake.set()
--- /dev/null
+++ b/primroselock/intake.py
@@ -0,0 +1,284 @@
+"""Takes jobs in, tells their state and cancels them, on every node.
+
+A job is accepted once its row is stored; the same id again finds the row.
+A refusal is given only before anything was sent to the store, so that it
+is true that the job does not run.  States come from the node's copy of
+the shard's rows; a job that the copy does not show is looked up.
+"""
+
+import asyncio
+from collections import abc
+import dataclasses
+import enum
+import typing
+
+import msgspec
+import result
+
+from primroselock import clock
+from primroselock import graphrows
+from primroselock import groupcommit
+from primroselock import jobgraph
+from primroselock import jobs
+from primroselock import logs
+from primroselock import metrics
+from primroselock import options
+from primroselock import queues
+from primroselock.store import following
+from primroselock.store import keys
+from primroselock.store import table
+
+_log: typing.Final = logs.get('intake')
+_COMMIT_INTERVAL_S: typing.Final = 0.005
+_RETRY_AFTER_S: typing.Final = 1.0
+
+
+class Why(enum.Enum):
+    """Why a call was not served; the value is for logs and callers."""
+
+    STALE = 'the operators\' rows are not confirmed here'
+    NO_QUEUE = 'no such queue'
+    NO_KEY = 'unknown key'
+    NO_JOB = 'no such job'
+    INVALID = 'the job cannot be read'
+    STORE_OUT = 'the store does not take the job now'
+    UNSETTLED = 'the store did not say whether it took the job'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """A call that was not served.
+
+    ``retry_after_s`` is set where the same call may succeed later and has
+    certainly not run.
+    """
+
+    why: Why
+    detail: str = ''
+    retry_after_s: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Access:
+    """The queue of a call and the account that makes it."""
+
+    queue: queues.Queue
+    account: str
+
+
+class Intake:
+    """Serves callers from one node."""
+
+    def __init__(
+        self,
+        settings: options.Settings,
+        store: table.Table,
+        shard_follower: following.TableFollower,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._settings = settings.fleet
+        self._store = store
+        self._follower = shard_follower
+        self._committer = groupcommit.GroupCommitter(store, _COMMIT_INTERVAL_S)
+        self._metrics = counters
+        self._rows = graphrows.JobRows(settings.fleet.shard)
+        self._table = queues.EMPTY
+        self._confirmed_at: abc.Callable[[], float] = lambda: float('-inf')
+        shard_follower.add_handler(self._take_changes)
+
+    def _take_changes(self, changes: table.Changes) -> None:
+        self._rows.take(changes)
+
+    def set_table(
+        self,
+        current: queues.QueueTable,
+        confirmed_at: abc.Callable[[], float],
+    ) -> None:
+        """Serve by this version of the queues from now on."""
+        self._table = current
+        self._confirmed_at = confirmed_at
+
+    @property
+    def max_body_bytes(self) -> int:
+        """The largest body that is read."""
+        return self._table.max_body_bytes
+
+    def is_ready(self, now: float) -> bool:
+        """Whether calls can be accepted and answered now."""
+        permit_s = self._settings.ready_permit_s
+        return (
+            now - self._confirmed_at() <= permit_s
+            and self._follower.age_s(now) <= permit_s
+        )
+
+    def admit(
+        self, host: str, path: str, key: str, now: float
+    ) -> result.Result[Access, Refused]:
+        """Find the queue and the account of a call.
+
+        Past the permit nothing is served, since a newer version may have
+        taken the key or the queue away.
+        """
+        age_s = now - self._confirmed_at()
+        if age_s > self._settings.serve_permit_s or not self._table.version:
+            return result.Err(
+                Refused(Why.STALE, f'age {age_s:.3f} s', _RETRY_AFTER_S)
+            )
+        queue = self._table.find(host, path)
+        if queue is None:
+            return result.Err(Refused(Why.NO_QUEUE))
+        account = self._table.account_of(key)
+        if account is None and not queue.is_public:
+            return result.Err(Refused(Why.NO_KEY))
+        return result.Ok(Access(queue, account.name if account else ''))
+
+    async def submit(
+        self, access: Access, graph: jobgraph.JobGraph, deadline: float
+    ) -> result.Result[None, Refused]:
+        """Store a job, or find that it is stored."""
+        faults = jobgraph.check(graph, self._settings.max_tasks)
+        if faults:
+            return result.Err(Refused(Why.INVALID, '; '.join(faults)))
+        known = self._rows.stored_by_id.get(graph.id)
+        if known is not None and known.graph is not None:
+            return _match(known.graph, graph)
+        return await self._insert(graph, deadline)
+
+    async def _insert(
+        self, graph: jobgraph.JobGraph, deadline: float
+    ) -> result.Result[None, Refused]:
+        key = keys.graph(self._settings.shard, graph.id)
+        write = groupcommit.Write(key, table.ABSENT, graphrows.encode(graph))
+        outcome = await self._commit(write, deadline)
+        if isinstance(outcome, result.Ok):
+            return result.Ok(None)
+        error = outcome.err_value
+        if isinstance(error, table.Conflict):
+            return await self._compare(key, graph)
+        if isinstance(error, table.Unavailable):
+            return result.Err(
+                Refused(Why.STORE_OUT, error.detail, _RETRY_AFTER_S)
+            )
+        return result.Err(Refused(Why.UNSETTLED, error.detail))
+
+    async def _commit(
+        self, write: groupcommit.Write, deadline: float
+    ) -> groupcommit.WriteResult:
+        left_s = max(0.0, deadline - clock.monotonic())
+        try:
+            async with asyncio.timeout(left_s):
+                return await self._committer.submit(write)
+        except TimeoutError:
+            return result.Err(table.Unsettled('no answer in time'))
+
+    async def _compare(
+        self, key: str, graph: jobgraph.JobGraph
+    ) -> result.Result[None, Refused]:
+        """Find out whether the row that is there is the same job."""
+        read = await self._store.read([key])
+        if isinstance(read, result.Err):
+            return result.Err(Refused(Why.UNSETTLED, read.err_value.detail))
+        row = read.ok_value.get(key)
+        if row is None:
+            return result.Err(Refused(Why.UNSETTLED, 'row not found'))
+        try:
+            stored = msgspec.json.decode(row.value, type=jobgraph.JobGraph)
+        except msgspec.MsgspecError as error:
+            _log.error('row not read', key=key, error=str(error))
+            return result.Err(Refused(Why.UNSETTLED, 'row not read'))
+        return _match(stored, graph)
+
+    async def cancel(
+        self, access: Access, job_id: str, deadline: float
+    ) -> result.Result[None, Refused]:
+        """Store the wish to cancel a job; one that ended stays as it is."""
+        found = await self._find(access, job_id)
+        if isinstance(found, result.Err):
+            return found
+        stored = found.ok_value
+        if stored.is_cancelled or _state(stored).is_final:
+            return result.Ok(None)
+        key = keys.cancellation(self._settings.shard, job_id)
+        write = groupcommit.Write(key, table.ABSENT, access.account.encode())
+        outcome = await self._commit(write, deadline)
+        if isinstance(outcome, result.Ok):
+            return result.Ok(None)
+        error = outcome.err_value
+        if isinstance(error, table.Conflict):
+            return result.Ok(None)
+        if isinstance(error, table.Unavailable):
+            return result.Err(
+                Refused(Why.STORE_OUT, error.detail, _RETRY_AFTER_S)
+            )
+        return result.Err(Refused(Why.UNSETTLED, error.detail))
+
+    async def state(
+        self, access: Access, job_id: str
+    ) -> result.Result[jobs.JobState, Refused]:
+        """Return the state of a job."""
+        found = await self._find(access, job_id)
+        if isinstance(found, result.Err):
+            return found
+        return result.Ok(_state(found.ok_value))
+
+    async def _find(
+        self, access: Access, job_id: str
+    ) -> result.Result[graphrows.StoredJob, Refused]:
+        stored = self._rows.stored_by_id.get(job_id)
+        if stored is None or stored.graph is None:
+            looked_up = await self._look_up(job_id)
+            if isinstance(looked_up, result.Err):
+                return looked_up
+            stored = looked_up.ok_value
+        if stored is None or stored.graph is None:
+            return result.Err(Refused(Why.NO_JOB))
+        graph = stored.graph
+        is_own = graph.account == access.account or not access.account
+        if not is_own or graph.queue != access.queue.name:
+            return result.Err(Refused(Why.NO_JOB))
+        return result.Ok(stored)
+
+    async def _look_up(
+        self, job_id: str
+    ) -> result.Result[graphrows.StoredJob | None, Refused]:
+        """Read the rows of a job that the copy does not show."""
+        shard = self._settings.shard
+        read = await self._store.read(
+            [
+                keys.graph(shard, job_id),
+                keys.progress(shard, job_id),
+                keys.cancellation(shard, job_id),
+            ]
+        )
+        if isinstance(read, result.Err):
+            return result.Err(
+                Refused(Why.STORE_OUT, read.err_value.detail, _RETRY_AFTER_S)
+            )
+        rows = graphrows.JobRows(shard)
+        rows.take(table.Changes(tuple(read.ok_value.values()), (), 0))
+        return result.Ok(rows.stored_by_id.get(job_id))
+
+    def count_waiting(self, access: Access) -> int:
+        """Return how many accepted jobs of a queue have not begun."""
+        return sum(
+            stored.graph is not None
+            and stored.graph.queue == access.queue.name
+            and not stored.is_cancelled
+            and _state(stored) is jobs.JobState.WAITING
+            for stored in self._rows.stored_by_id.values()
+        )
+
+
+def _state(stored: graphrows.StoredJob) -> jobs.JobState:
+    if stored.progress is None:
+        return jobs.JobState.WAITING
+    return stored.progress.state
+
+
+def _match(
+    stored: jobgraph.JobGraph, graph: jobgraph.JobGraph
+) -> result.Result[None, Refused]:
+    """Whether a job that came again is the one that is stored."""
+    if stored.account != graph.account or stored.queue != graph.queue:
+        return result.Err(Refused(Why.NO_QUEUE, 'the id is in use'))
+    return result.Ok(None)
--- a/primroselock/jobfeed.py
+++ b/primroselock/jobfeed.py
@@ -11,8 +11,8 @@
 import result
 
 from primroselock import jobstore
-from primroselock.platform import table
 from primroselock import shards
+from primroselock.store import table
 
 Record = abc.Callable[[list[jobstore.Stored]], None]
 TakeOver = abc.Callable[[int, list[jobstore.Stored]], None]
--- a/primroselock/jobsapi.py
+++ b/primroselock/jobsapi.py
@@ -20,7 +20,7 @@
 from primroselock import jobstore
 from primroselock.mesh import messages
 from primroselock import options
-from primroselock.platform import table
+from primroselock.store import table
 
 _CANCEL_TRIES: typing.Final = 5
 
--- a/primroselock/jobstore.py
+++ b/primroselock/jobstore.py
@@ -12,8 +12,8 @@
 
 from primroselock import audit
 from primroselock import jobs
-from primroselock.platform import keys
-from primroselock.platform import table
+from primroselock.store import keys
+from primroselock.store import table
 
 _PAGE: typing.Final = 500
 
--- a/primroselock/jobwriter.py
+++ b/primroselock/jobwriter.py
@@ -17,9 +17,9 @@
 from primroselock.decisions import commands
 from primroselock import jobstore
 from primroselock import logs
-from primroselock.platform import keys
-from primroselock.platform import table
 from primroselock import shards
+from primroselock.store import keys
+from primroselock.store import table
 
 _MAX_ROWS: typing.Final = 200
 _OUTAGE_PAUSE_S: typing.Final = 0.5
--- a/primroselock/logs.py
+++ b/primroselock/logs.py
@@ -1,32 +1,112 @@
-"""Structured logs: one event a line on standard error.
+"""Structured logs: one event a line, bounded, never blocking.
 
 A daemon's first event after its sockets are bound is ``listening`` with
 the bound addresses; whoever started it with port 0 reads them there.
+
+Each event has a budget of lines; what exceeds it is dropped and counted
+in the event's next line.  A line that the output cannot take at once is
+dropped too, and counted in the next one that it takes.
 """
 
 import logging
+import os
 import sys
+import time
+import typing
 
 import structlog
 
+_LINES_PER_S: typing.Final = 40.0
+_MOST_SAVED_LINES: typing.Final = 200.0
+
+
+class _EventBudget:
+    """Drops lines of an event that comes too often."""
+
+    def __init__(self) -> None:
+        self._tokens_by_event: dict[str, tuple[float, float, int]] = {}
+
+    def __call__(
+        self,
+        logger: typing.Any,
+        name: str,
+        event: structlog.typing.EventDict,
+    ) -> structlog.typing.EventDict:
+        """Pass ``event`` on, or drop it."""
+        now = time.monotonic()
+        key = str(event.get('event', ''))
+        saved, filled_at, dropped = self._tokens_by_event.get(
+            key, (_MOST_SAVED_LINES, now, 0)
+        )
+        saved = min(
+            _MOST_SAVED_LINES, saved + (now - filled_at) * _LINES_PER_S
+        )
+        if saved < 1:
+            self._tokens_by_event[key] = (saved, now, dropped + 1)
+            raise structlog.DropEvent
+        self._tokens_by_event[key] = (saved - 1, now, 0)
+        if dropped:
+            event['dropped'] = dropped
+        return event
+
+
+class _Output:
+    """Writes lines to a descriptor that must not block."""
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._lost = 0
+        os.set_blocking(descriptor, False)
+
+    def msg(self, message: str) -> None:
+        """Write one line, or count it as lost."""
+        if self._lost:
+            message = f'{message}\n{{"event": "lost lines: {self._lost}"}}'
+        try:
+            os.write(self._descriptor, message.encode() + b'\n')
+            self._lost = 0
+        except OSError:
+            # Nobody reads; there is nowhere else to say so.
+            self._lost += 1
+
+    log = debug = info = warning = warn = error = critical = exception = msg
+
+
+class _OutputFactory:
+    """Gives every logger the same output."""
+
+    def __init__(self, descriptor: int) -> None:
+        self._output = _Output(descriptor)
+
+    def __call__(self, *args: typing.Any) -> _Output:
+        return self._output
+
+
+def configure(log_format: str, to_stdout: bool = False) -> None:
+    """Set up structlog; ``log_format`` is ``json`` or ``console``.
 
-def configure(log_format: str) -> None:
-    """Set up structlog; ``log_format`` is ``json`` or ``console``."""
+    Lines go to standard error, or bounded and unblocking to standard
+    output.
+    """
     renderer: structlog.typing.Processor
     if log_format == 'json':
         renderer = structlog.processors.JSONRenderer()
     else:
         renderer = structlog.dev.ConsoleRenderer(colors=False)
+    factory: typing.Any = structlog.PrintLoggerFactory(sys.stderr)
+    if to_stdout:
+        factory = _OutputFactory(sys.stdout.fileno())
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
+            _EventBudget(),
             structlog.processors.TimeStamper(fmt='iso', utc=True),
             structlog.processors.format_exc_info,
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=factory,
     )
 
 
--- a/primroselock/metrics.py
+++ b/primroselock/metrics.py
@@ -45,6 +45,21 @@
             },
         }
 
+    def render_text(self) -> str:
+        """Return a line a value, in the text form that collectors read."""
+        lines = [
+            f'primroselock_{name}_total {count}'
+            for name, count in sorted(self.counts_by_name.items())
+        ]
+        for name, recorded in sorted(self._histograms_by_name.items()):
+            metric = f'primroselock_{name}_seconds'
+            for percentile in _PERCENTILES:
+                value = recorded.get_value_at_percentile(percentile) / 1e6
+                quantile = f'{percentile / 100:g}'
+                lines.append(f'{metric}{{quantile="{quantile}"}} {value:g}')
+            lines.append(f'{metric}_count {recorded.get_total_count()}')
+        return '\n'.join([*lines, ''])
+
 
 def _percentiles(recorded: typing.Any) -> dict[str, float]:
     values = {
--- /dev/null
+++ b/primroselock/nodemain.py
@@ -0,0 +1,56 @@
+"""The program of a node on a platform: ``primroselock.nodemain``.
+
+Apart from ``primroselock.main``, so that a node loads nothing of the other
+daemons and of the operators' client.
+"""
+
+import argparse
+import asyncio
+import sys
+import typing
+
+from primroselock import errors
+from primroselock import fleetnode
+from primroselock.platform import adapter
+
+_DEFAULT_PLATFORM: typing.Final = adapter.NAME
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog='primroselock.nodemain',
+        description='Serve callers on one node and stand by for the shard.',
+    )
+    parser.add_argument(
+        '--platform',
+        default=_DEFAULT_PLATFORM,
+        metavar='NAME',
+        help='the adapter to use (default: %(default)s)',
+    )
+    parser.add_argument(
+        '--check',
+        action='store_true',
+        help='check the settings and exit',
+    )
+    return parser
+
+
+def main(arguments: list[str]) -> errors.ExitCode:
+    """Run a node; return the exit code."""
+    parsed = build_parser().parse_args(arguments)
+    try:
+        if parsed.check:
+            fleetnode.load(parsed.platform)
+            print('valid')
+        else:
+            asyncio.run(fleetnode.run(parsed.platform))
+    except errors.CommandError as error:
+        for line in error.lines:
+            print(f'primroselock: {line}', file=sys.stderr)
+        return error.exit_code
+    return errors.ExitCode.DONE
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- a/primroselock/operatorsapi.py
+++ b/primroselock/operatorsapi.py
@@ -18,7 +18,7 @@
 from primroselock import jobs
 from primroselock import jobsapi
 from primroselock import jobstore
-from primroselock.platform import table
+from primroselock.store import table
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -155,6 +155,40 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetSettings:
+    """Addresses and bounds of a node that takes and places graphs of tasks.
+
+    ``start_permit_s`` and ``serve_permit_s`` bound how old the operators'
+    rows may be for starts and for calls; ``ready_permit_s`` is when the
+    balancer is told to send calls elsewhere.  ``run_lease_s`` is the
+    longest lease of a run; ``longest_wait_s`` bounds one look at a worker.
+    A copy of a table counts as fresh up to ``follow_age_s``, which exceeds
+    what one call of the feed without changes takes.
+    """
+
+    shard: str = ini.key('name', 'fleet')
+    bind: str = ini.key('address', '127.0.0.1:0')
+    ready_bind: str = ini.key('address', '127.0.0.1:0')
+    metrics_bind: str = ini.key('address', '127.0.0.1:0')
+    waiting_order: str = ini.key('name', 'priority')
+    placement: str = ini.key('name', 'best_fit')
+    run_lease_s: float = ini.key('seconds', 10.0)
+    longest_wait_s: float = ini.key('seconds', 2.0)
+    order_timeout_s: float = ini.key('seconds', 0.4)
+    look_timeout_s: float = ini.key('seconds', 0.8)
+    start_timeout_s: float = ini.key('seconds', 1.5)
+    start_permit_s: float = ini.key('seconds', 2.5)
+    serve_permit_s: float = ini.key('seconds', 3.4)
+    ready_permit_s: float = ini.key('seconds', 2.6)
+    follow_wait_s: float = ini.key('seconds', 1.0)
+    follow_age_s: float = ini.key('seconds', 2.5)
+    default_deadline_s: float = ini.key('seconds', 3.0)
+    leaving_s: float = ini.key('seconds', 2.5)
+    max_tasks: int = ini.key('positive', 1000)
+    keep_ended_s: float = ini.key('seconds', 900.0)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
     """All settings of one process; each section has its defaults."""
@@ -165,6 +199,7 @@
     configuration: ConfigurationSettings
     gateway: GatewaySettings
     scheduler: SchedulerSettings
+    fleet: FleetSettings
 
 
 _CLASSES_BY_SECTION: typing.Final[dict[str, type[typing.Any]]] = {
@@ -174,6 +209,7 @@
     'configuration': ConfigurationSettings,
     'gateway': GatewaySettings,
     'scheduler': SchedulerSettings,
+    'fleet': FleetSettings,
 }
 
 
@@ -212,6 +248,7 @@
     """Check the rules that hold between several keys."""
     scheduler: SchedulerSettings = built['scheduler']
     problems = _check_mesh(built['mesh'], source)
+    problems += _check_fleet(built['fleet'], source)
     gateway: GatewaySettings = built['gateway']
     if gateway.claim_ttl_s < gateway.max_timeout_s * 2:
         problems.append(
@@ -267,6 +304,28 @@
     return problems
 
 
+def _check_fleet(fleet: FleetSettings, source: str) -> list[ini.Problem]:
+    rules = (
+        (
+            fleet.longest_wait_s * 3 <= fleet.run_lease_s,
+            'longest_wait_s',
+            fleet.longest_wait_s,
+            'at most a third of run_lease_s',
+        ),
+        (
+            fleet.follow_wait_s * 2 < fleet.follow_age_s,
+            'follow_age_s',
+            fleet.follow_age_s,
+            'more than twice follow_wait_s',
+        ),
+    )
+    return [
+        ini.Problem(source, 'fleet', key, str(value), expected)
+        for holds, key, value, expected in rules
+        if not holds
+    ]
+
+
 def _check_mesh(mesh: MeshSettings, source: str) -> list[ini.Problem]:
     problems: list[ini.Problem] = []
     if mesh.beacon_interval_s * 3 > mesh.peer_expiry_s:
--- a/primroselock/patches.py
+++ b/primroselock/patches.py
@@ -27,9 +27,9 @@
 from primroselock import configuration
 from primroselock import ini
 from primroselock import logs
-from primroselock.platform import keys
-from primroselock.platform import objects
-from primroselock.platform import table
+from primroselock.store import keys
+from primroselock.store import objects
+from primroselock.store import table
 
 SNAPSHOT_INTERVAL: typing.Final = 50
 _log: typing.Final = logs.get('patches')
--- a/primroselock/platform/__init__.py
+++ b/primroselock/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Adapters to the platform's table, object store and VM list."""
+"""Adapter to the platform: its names, formats and calls, no decisions."""
--- /dev/null
+++ b/primroselock/platform/adapter.py
@@ -0,0 +1,28 @@
+"""The adapter as a whole, registered under its name."""
+
+import typing
+
+from primroselock import fleetnode
+from primroselock.platform import configuration
+from primroselock.platform import discovery
+from primroselock.platform import front
+from primroselock.platform import rows
+from primroselock.platform import settings
+from primroselock.platform import workers
+
+
+NAME: typing.Final = 'ishikari'
+
+
+@fleetnode.adapter(NAME)
+def make() -> fleetnode.Adapter:
+    """Return the adapter to the platform of Ishikari."""
+    return fleetnode.Adapter(
+        settings.load,
+        rows.RowStore,
+        workers.WorkerLink,
+        configuration.ConfigurationReader,
+        front.Front,
+        discovery.WorkerRows(),
+        configuration.TABLE,
+    )
--- /dev/null
+++ b/primroselock/platform/configuration.py
@@ -0,0 +1,133 @@
+"""The operators' rows as one record of queues and zones.
+
+A row that cannot be read changes nothing: the last one that could be
+read stays in force, and the fault is logged.
+"""
+
+import dataclasses
+import typing
+
+import msgspec
+
+from primroselock import logs
+from primroselock import queues
+from primroselock.store import table
+
+TABLE: typing.Final = 'op'
+_CONFIG_KEY: typing.Final = 'op/config'
+_EVACUATION_PREFIX: typing.Final = 'op/evacuate/'
+_log: typing.Final = logs.get('configuration')
+
+
+class _Route(msgspec.Struct):
+    """A queue; ``target_latency_ms`` is added to the stretched run time.
+
+    ``max_attempts`` counts failed runs of one task; ``public`` routes
+    need no key.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_latency_ms: float = 1000.0
+    public: bool = False
+    advice: typing.Any = None
+
+
+class _Guaranteed(msgspec.Struct):
+    gpus: int = 0
+
+
+class _Tenant(msgspec.Struct):
+    """A client account."""
+
+    name: str
+    api_keys: list[str] = []
+    guaranteed: _Guaranteed | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_body_bytes: int = 262144
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    tenants: list[_Tenant] = []
+    limits: _Limits | None = None
+
+
+class ConfigurationReader:
+    """Turns changes of the operators' rows into the newest record."""
+
+    def __init__(self) -> None:
+        self.current = queues.EMPTY
+
+    def take(self, changes: table.Changes) -> bool:
+        """Take over changes; return whether the record is a new one."""
+        before = self.current
+        for row in changes.rows:
+            self._take_row(row)
+        for key in changes.removed:
+            if key.startswith(_EVACUATION_PREFIX):
+                self._set_zone(key, is_out=False)
+        return self.current is not before
+
+    def _take_row(self, row: table.Row) -> None:
+        if row.key.startswith(_EVACUATION_PREFIX):
+            self._set_zone(row.key, is_out=True)
+            return
+        if row.key != _CONFIG_KEY:
+            return
+        try:
+            config = msgspec.json.decode(row.value, type=_Config)
+        except msgspec.MsgspecError as error:
+            _log.error('configuration not read', error=str(error))
+            return
+        if config.version < self.current.version:
+            return
+        self.current = _build(config, self.current.zones_out)
+
+    def _set_zone(self, key: str, is_out: bool) -> None:
+        zone = key.removeprefix(_EVACUATION_PREFIX)
+        zones = self.current.zones_out - {zone}
+        if is_out:
+            zones = zones | {zone}
+        self.current = dataclasses.replace(self.current, zones_out=zones)
+
+
+def _build(config: _Config, zones_out: frozenset[str]) -> queues.QueueTable:
+    limits = config.limits or _Limits()
+    return queues.QueueTable(
+        config.version,
+        tuple(_queue(route) for route in config.routes),
+        {tenant.name: _account(tenant) for tenant in config.tenants},
+        zones_out,
+        limits.max_body_bytes,
+    )
+
+
+def _queue(route: _Route) -> queues.Queue:
+    return queues.Queue(
+        route.name,
+        route.host.lower(),
+        route.path_prefix,
+        route.service,
+        route.priority,
+        route.max_attempts,
+        route.stretch,
+        route.target_latency_ms / 1000,
+        route.public,
+        route.advice is not None,
+    )
+
+
+def _account(tenant: _Tenant) -> queues.QueueAccount:
+    guaranteed = tenant.guaranteed.gpus if tenant.guaranteed else 0
+    return queues.QueueAccount(
+        tenant.name, frozenset(tenant.api_keys), guaranteed
+    )
--- /dev/null
+++ b/primroselock/platform/front.py
@@ -0,0 +1,276 @@
+"""Callers' HTTP on the platform: calls to the intake and back."""
+
+from collections import abc
+import typing
+
+import msgspec
+import result
+from starlette import requests
+from starlette import responses
+
+from primroselock import clock
+from primroselock import intake
+from primroselock import jobgraph
+from primroselock import jobs
+from primroselock import logs
+from primroselock import metrics
+from primroselock import options
+
+_log: typing.Final = logs.get('front')
+_SCHEME: typing.Final = 'token'
+_MS: typing.Final = 1000
+_SPARE_S: typing.Final = 0.1
+"""Time that an answer needs before the caller's deadline."""
+
+_STATUS_BY_WHY: typing.Final = {
+    intake.Why.STALE: 503,
+    intake.Why.NO_QUEUE: 404,
+    intake.Why.NO_KEY: 401,
+    intake.Why.NO_JOB: 410,
+    intake.Why.INVALID: 400,
+    intake.Why.STORE_OUT: 503,
+    intake.Why.UNSETTLED: 504,
+}
+_STATE_NAMES: typing.Final = {
+    jobs.JobState.WAITING: 'queued',
+    jobs.JobState.RUNNING: 'running',
+    jobs.JobState.DONE: 'completed',
+    jobs.JobState.FAILED: 'failed',
+    jobs.JobState.CANCELLED: 'cancelled',
+}
+
+
+class _Phase(msgspec.Struct):
+    """A step; ``cpu`` is in thousandths of a core.
+
+    ``after`` are the numbers of earlier steps; ``anti_affinity`` is the
+    most tasks of the step on one worker; ``far_x`` of the settings tells
+    what a task loses away from ``data_rack``.
+    """
+
+    count: int = 1
+    cpu: int = 0
+    mem_mb: int = 0
+    gpus: int = 0
+    est_runtime_ms: float = 0.0
+    after: list[int] = []
+    gang: bool = False
+    rack_local: bool = False
+    checkpointing: bool = False
+    required_label: str = ''
+    data_rack: str = ''
+    anti_affinity: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    fills: bool = False
+
+
+class _Body(msgspec.Struct):
+    """A job; ``spec`` goes to the workers as it is."""
+
+    spec: str
+    phases: list[_Phase]
+    repeat_count: int = 0
+    start_at_ms: int = 0
+    period_ms: int = 0
+
+
+class _State(msgspec.Struct):
+    state: str
+
+
+class _Pending(msgspec.Struct):
+    pending: int
+
+
+class _Error(msgspec.Struct):
+    error: str
+
+
+Serve = abc.Callable[
+    [requests.Request, intake.Access, str, float],
+    abc.Awaitable[responses.Response],
+]
+
+
+class Front:
+    """Answers the calls of clients; an ASGI application."""
+
+    def __init__(
+        self,
+        settings: options.Settings,
+        served: intake.Intake,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._settings = settings.fleet
+        self._intake = served
+        self._metrics = counters
+        self._serve_by_method: dict[str, Serve] = {
+            'POST': self._submit,
+            'GET': self._get,
+            'DELETE': self._cancel,
+        }
+
+    async def __call__(
+        self, scope: typing.Any, receive: typing.Any, send: typing.Any
+    ) -> None:
+        """Serve one call."""
+        request = requests.Request(scope, receive)
+        started = clock.monotonic()
+        response = await self._answer(request, started)
+        took_s = clock.monotonic() - started
+        self._metrics.record(f'calls_{request.method.lower()}', took_s)
+        self._metrics.count(f'answers_{response.status_code}')
+        await response(scope, receive, send)
+
+    async def _answer(
+        self, request: requests.Request, now: float
+    ) -> responses.Response:
+        path = request.url.path
+        admitted = self._intake.admit(
+            request.headers.get('host', ''), path, _key(request), now
+        )
+        if isinstance(admitted, result.Err):
+            return _refuse(request, admitted.err_value)
+        access = admitted.ok_value
+        serve = self._serve_by_method.get(request.method)
+        if serve is None:
+            return responses.Response(status_code=405)
+        job_id = path.removeprefix(access.queue.prefix)
+        deadline = now + self._deadline_s(request) - _SPARE_S
+        return await serve(request, access, job_id, deadline)
+
+    def _deadline_s(self, request: requests.Request) -> float:
+        """Return how long the caller waits for an answer."""
+        try:
+            return float(request.headers['x-deadline-ms']) / _MS
+        except (KeyError, ValueError):
+            return self._settings.default_deadline_s
+
+    async def _submit(
+        self,
+        request: requests.Request,
+        access: intake.Access,
+        job_id: str,
+        deadline: float,
+    ) -> responses.Response:
+        body = await request.body()
+        if len(body) > self._intake.max_body_bytes:
+            return responses.Response(status_code=413)
+        try:
+            decoded = msgspec.json.decode(body, type=_Body)
+        except msgspec.MsgspecError as error:
+            return _refuse(
+                request, intake.Refused(intake.Why.INVALID, str(error))
+            )
+        if not job_id or '/' in job_id or '.' in job_id:
+            return _refuse(
+                request, intake.Refused(intake.Why.INVALID, 'id of a job')
+            )
+        graph = _build_graph(decoded, access, job_id)
+        outcome = await self._intake.submit(access, graph, deadline)
+        if isinstance(outcome, result.Err):
+            return _refuse(request, outcome.err_value)
+        _log.info(
+            'accepted',
+            request=job_id,
+            queue=access.queue.name,
+            account=access.account,
+            tasks=[step.tasks for step in graph.steps],
+        )
+        return _json(_State(_STATE_NAMES[jobs.JobState.WAITING]))
+
+    async def _get(
+        self,
+        request: requests.Request,
+        access: intake.Access,
+        job_id: str,
+        deadline: float,
+    ) -> responses.Response:
+        if not job_id:
+            return _json(_Pending(self._intake.count_waiting(access)))
+        found = await self._intake.state(access, job_id)
+        if isinstance(found, result.Err):
+            return _refuse(request, found.err_value)
+        return _json(_State(_STATE_NAMES[found.ok_value]))
+
+    async def _cancel(
+        self,
+        request: requests.Request,
+        access: intake.Access,
+        job_id: str,
+        deadline: float,
+    ) -> responses.Response:
+        outcome = await self._intake.cancel(access, job_id, deadline)
+        if isinstance(outcome, result.Err):
+            return _refuse(request, outcome.err_value)
+        _log.info('cancel stored', request=job_id, account=access.account)
+        return responses.Response(status_code=200)
+
+
+def _key(request: requests.Request) -> str:
+    scheme, _, key = request.headers.get('authorization', '').partition(' ')
+    return key.strip() if scheme.lower() == _SCHEME else ''
+
+
+def _build_graph(
+    body: _Body, access: intake.Access, job_id: str
+) -> jobgraph.JobGraph:
+    return jobgraph.JobGraph(
+        job_id,
+        access.account,
+        access.queue.name,
+        body.spec,
+        tuple(_build_step(phase) for phase in body.phases),
+        int(clock.wall() * _MS),
+        max(1, body.repeat_count),
+        body.start_at_ms if body.repeat_count else 0,
+        body.period_ms,
+    )
+
+
+def _build_step(phase: _Phase) -> jobgraph.Step:
+    return jobgraph.Step(
+        phase.count,
+        jobgraph.Resources(phase.cpu, phase.mem_mb, phase.gpus),
+        int(phase.est_runtime_ms),
+        tuple(phase.after),
+        phase.gang,
+        phase.rack_local,
+        phase.checkpointing,
+        phase.required_label,
+        phase.data_rack,
+        phase.anti_affinity,
+        phase.speculative,
+        phase.long_running,
+        phase.fills,
+    )
+
+
+def _json(body: msgspec.Struct) -> responses.Response:
+    return responses.Response(
+        msgspec.json.encode(body), media_type='application/json'
+    )
+
+
+def _refuse(
+    request: requests.Request, refused: intake.Refused
+) -> responses.Response:
+    status = _STATUS_BY_WHY[refused.why]
+    _log.info(
+        'refused',
+        request=request.url.path.rpartition('/')[2],
+        method=request.method,
+        status=status,
+        why=refused.why.value,
+        detail=refused.detail,
+    )
+    headers = {}
+    if refused.retry_after_s is not None:
+        headers['Retry-After'] = f'{refused.retry_after_s:g}'
+    return responses.Response(
+        msgspec.json.encode(_Error(refused.why.value)),
+        status,
+        headers,
+        media_type='application/json',
+    )
--- /dev/null
+++ b/primroselock/platform/settings.py
@@ -0,0 +1,147 @@
+"""The platform's settings file as the product's settings.
+
+The file has a line ``name=value`` each; names that are not known here are
+left alone, since new ones may come.  The values are put into the product's
+own sections and checked there, so that a wrong one gives the same error.
+"""
+
+from collections import abc
+import os
+import pathlib
+import typing
+
+import result
+
+from primroselock import errors
+from primroselock import ini
+from primroselock import options
+
+PATH_VARIABLE: typing.Final = 'PRIMROSELOCK_BOOT'
+DEFAULT_PATH: typing.Final = '/etc/primroselock/local.conf'
+_METRICS_PORT_OFFSET: typing.Final = 0
+_MESH_PORT_OFFSET: typing.Final = 1
+_MS: typing.Final = 1000
+_SHARE_OF_CALLS: typing.Final = 0.25
+"""Of the store's calls a second, for one connection pool of a node."""
+
+
+def load(
+    environment: abc.Mapping[str, str] = os.environ,
+) -> options.Settings:
+    """Read the settings file that the environment names.
+
+    Raises :class:`errors.CommandError` with a line for each problem.
+    """
+    path = environment.get(PATH_VARIABLE, DEFAULT_PATH)
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.CommandError(
+            errors.ExitCode.USAGE, f'{path}: cannot be read: {error}'
+        ) from error
+    parsed = parse(text, path)
+    if isinstance(parsed, result.Err):
+        lines = [str(problem) for problem in parsed.err_value]
+        raise errors.CommandError(errors.ExitCode.USAGE, *lines)
+    return parsed.ok_value
+
+
+def parse(
+    text: str, source: str
+) -> result.Result[options.Settings, list[ini.Problem]]:
+    """Return the product's settings of a platform settings file."""
+    values = read_lines(text)
+    converted = _Converter(values, source)
+    sections = converted.sections()
+    if converted.problems:
+        return result.Err(converted.problems)
+    own = '\n'.join(
+        f'[{name}]\n'
+        + '\n'.join(f'{key} = {value}' for key, value in section.items())
+        for name, section in sections.items()
+    )
+    return options.parse(own, source)
+
+
+def read_lines(text: str) -> dict[str, str]:
+    """Return the values of the lines by name."""
+    values = {}
+    for line in text.splitlines():
+        name, separator, value = line.partition('=')
+        if separator:
+            values[name.strip()] = value.strip()
+    return values
+
+
+class _Converter:
+    """Converts values and collects what is wrong with them."""
+
+    def __init__(self, values: dict[str, str], source: str) -> None:
+        self._values = values
+        self._source = source
+        self.problems: list[ini.Problem] = []
+
+    def sections(self) -> dict[str, dict[str, str]]:
+        """Return the product's sections.
+
+        ``hold_max_ms`` is the longest lease of a run.
+        """
+        writes = self._number('platform.writes_per_s', 600)
+        return {
+            'process': {
+                'vm_id': self._required('node'),
+                'zone': self._required('zone'),
+            },
+            'platform': {
+                'address': self._required('platform.address'),
+                'timeout_s': '1.0',
+                'max_calls_per_s': str(max(20, int(writes * _SHARE_OF_CALLS))),
+            },
+            'mesh': {'bind': self._own_port(_MESH_PORT_OFFSET)},
+            'scheduler': {
+                'shard_lease_s': '2.0',
+                'shard_renew_interval_s': '0.5',
+            },
+            'fleet': {
+                'bind': self._required('listen.front'),
+                'ready_bind': self._required('listen.ready'),
+                'metrics_bind': self._own_port(_METRICS_PORT_OFFSET),
+                'run_lease_s': self._seconds('bounds.hold_max_ms', 10000),
+            },
+        }
+
+    def _required(self, name: str) -> str:
+        value = self._values.get(name, '')
+        if not value:
+            self._add(name, '', 'a value')
+        return value
+
+    def _number(self, name: str, default: float) -> float:
+        text = self._values.get(name, '')
+        if not text:
+            return default
+        try:
+            number = float(text)
+        except ValueError:
+            number = -1.0
+        if not 0 < number < float('inf'):
+            self._add(name, text, 'a number above 0')
+            return default
+        return number
+
+    def _seconds(self, name: str, default_ms: float) -> str:
+        return f'{self._number(name, default_ms) / _MS:g}'
+
+    def _own_port(self, offset: int) -> str:
+        """Return an address between nodes: one of the free ports."""
+        first = self._values.get('port_range', '').partition(',')[0]
+        if not first.isdecimal():
+            self._add('port_range', first, 'two ports')
+            return '127.0.0.1:0'
+        return f'{self._required("ip")}:{int(first) + offset}'
+
+    def _add(self, name: str, value: str, expected: str) -> None:
+        section, _, key = name.rpartition('.')
+        self.problems.append(
+            ini.Problem(self._source, section, key, value, expected)
+        )
--- /dev/null
+++ b/primroselock/platform/workers.py
@@ -0,0 +1,248 @@
+"""Orders to the platform's workers over HTTP."""
+
+import typing
+
+import msgspec
+import result
+
+from primroselock import httplane
+from primroselock import jobgraph
+from primroselock import logs
+from primroselock.workers import orders
+
+_OK: typing.Final = 200
+_CONFLICT: typing.Final = 409
+_OTHER_INSTANCE: typing.Final = 421
+_UNHEALTHY: typing.Final = frozenset({429, 503})
+_LANES_PER_WORKER: typing.Final = 12
+_LANE_IDLE_S: typing.Final = 20.0
+_MOST_ENDS: typing.Final = 500
+"""A list of this many ends may go on."""
+
+_MS: typing.Final = 1000
+_log: typing.Final = logs.get('workers')
+
+_REFUSALS_BY_REASON: typing.Final = {
+    'fence': orders.Refusal.STALE_EPOCH,
+    'old': orders.Refusal.OVERTAKEN,
+    'late': orders.Refusal.LATE,
+    'room': orders.Refusal.NO_ROOM,
+}
+
+
+class _StartBody(msgspec.Struct, omit_defaults=True):
+    """``run`` is the attempt, ``spec`` the payload.
+
+    ``until_ms`` is on the worker's clock and holds for all its runs.
+    """
+
+    task: str
+    run: int
+    spec: str
+    until_ms: int
+    fencing_token: int
+    checkpoint: str = ''
+
+
+class _StopBody(msgspec.Struct):
+    task: str
+    run: int
+    fencing_token: int
+
+
+class _HoldBody(msgspec.Struct, omit_defaults=True):
+    """``last_seen`` is the number of the last end that was stored."""
+
+    fencing_token: int
+    last_seen: int
+    until_ms: int | None = None
+    wait_ms: int = 0
+
+
+class _Answer(msgspec.Struct):
+    """``reason`` comes with a refusal."""
+
+    clock_ms: float = 0.0
+    reason: str = ''
+
+
+class _HoldAnswer(msgspec.Struct):
+    """Rows of ``running``: task, attempt, checkpoint, percent, load.
+
+    Rows of ``ended``: number, task, attempt, cause, checkpoint.
+    """
+
+    clock_ms: float
+    running: list[list[typing.Any]] = []
+    ended: list[list[typing.Any]] = []
+    born: int = 0
+
+
+class WorkerLink:
+    """Implements ``orders.RunLink`` over the platform's calls."""
+
+    def __init__(self) -> None:
+        self._pools_by_address: dict[str, httplane.LanePool] = {}
+
+    async def start(
+        self,
+        worker_id: str,
+        address: str,
+        order: orders.Start,
+        timeout_s: float,
+    ) -> result.Result[orders.Accepted, orders.OrderError]:
+        """Order a start; the same start again does no harm."""
+        body = _StartBody(
+            str(order.run.task),
+            order.run.attempt,
+            order.payload,
+            int(order.lease_until * _MS),
+            order.epoch,
+            order.checkpoint,
+        )
+        return await self._order(
+            worker_id, address, '/run-start', body, timeout_s
+        )
+
+    async def stop(
+        self,
+        worker_id: str,
+        address: str,
+        run: orders.Run,
+        epoch: int,
+        timeout_s: float,
+    ) -> result.Result[orders.Accepted, orders.OrderError]:
+        """Order a stop; a run that is not there will be refused later."""
+        body = _StopBody(str(run.task), run.attempt, epoch)
+        return await self._order(
+            worker_id, address, '/run-stop', body, timeout_s
+        )
+
+    async def look(
+        self,
+        worker_id: str,
+        address: str,
+        epoch: int,
+        confirmed_end: int,
+        lease_until: float | None,
+        wait_s: float,
+        timeout_s: float,
+    ) -> result.Result[orders.Look, orders.OrderError]:
+        """Extend the lease of all runs and return what the worker tells."""
+        until = None if lease_until is None else int(lease_until * _MS)
+        body = _HoldBody(epoch, confirmed_end, until, int(wait_s * _MS))
+        answer = await self._post(
+            worker_id, address, '/hold', body, timeout_s + wait_s
+        )
+        if isinstance(answer, result.Err):
+            return answer
+        try:
+            held = msgspec.json.decode(answer.ok_value.body, type=_HoldAnswer)
+            return result.Ok(_read_look(held))
+        except (msgspec.MsgspecError, ValueError, TypeError) as error:
+            _log.warning('look not read', worker=worker_id, error=str(error))
+            return result.Err(orders.Unanswered(f'not read: {error}'))
+
+    async def drop(self, address: str) -> None:
+        """Close the connections to a worker that is gone."""
+        pool = self._pools_by_address.pop(address, None)
+        if pool is not None:
+            await pool.aclose()
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        for address in list(self._pools_by_address):
+            await self.drop(address)
+
+    async def _order(
+        self,
+        worker_id: str,
+        address: str,
+        path: str,
+        body: msgspec.Struct,
+        timeout_s: float,
+    ) -> result.Result[orders.Accepted, orders.OrderError]:
+        answer = await self._post(worker_id, address, path, body, timeout_s)
+        if isinstance(answer, result.Err):
+            return answer
+        try:
+            told = msgspec.json.decode(answer.ok_value.body, type=_Answer)
+        except msgspec.MsgspecError as error:
+            return result.Err(orders.Unanswered(f'not read: {error}'))
+        return result.Ok(orders.Accepted(told.clock_ms / _MS))
+
+    async def _post(
+        self,
+        worker_id: str,
+        address: str,
+        path: str,
+        body: msgspec.Struct,
+        timeout_s: float,
+    ) -> result.Result[httplane.Response, orders.OrderError]:
+        pool = self._pools_by_address.get(address)
+        if pool is None:
+            pool = httplane.LanePool(address, _LANES_PER_WORKER, _LANE_IDLE_S)
+            self._pools_by_address[address] = pool
+        headers = (
+            ('Content-Type', 'application/json'),
+            ('X-Expected-Instance', worker_id),
+        )
+        request = httplane.Request(
+            'POST', path, msgspec.json.encode(body), headers
+        )
+        answer = await pool.exchange(request, timeout_s)
+        if isinstance(answer, result.Err):
+            error = answer.err_value
+            if isinstance(error, httplane.NotSent):
+                return result.Err(orders.NotSent(error.detail))
+            return result.Err(orders.Unanswered(error.detail))
+        response = answer.ok_value
+        if response.status != _OK:
+            return result.Err(_refusal(response))
+        return result.Ok(response)
+
+
+def _refusal(response: httplane.Response) -> orders.OrderError:
+    if response.status == _OTHER_INSTANCE:
+        return orders.Refused(orders.Refusal.OTHER_BOOT)
+    if response.status in _UNHEALTHY:
+        return orders.Refused(orders.Refusal.UNHEALTHY)
+    if response.status == _CONFLICT:
+        try:
+            told = msgspec.json.decode(response.body, type=_Answer)
+        except msgspec.MsgspecError as error:
+            return orders.Unanswered(f'refusal not read: {error}')
+        why = _REFUSALS_BY_REASON.get(told.reason, orders.Refusal.INVALID)
+        return orders.Refused(why, told.clock_ms / _MS)
+    if 400 <= response.status < 500:
+        return orders.Refused(orders.Refusal.INVALID)
+    return orders.Unanswered(f'status {response.status}')
+
+
+def _read_look(held: _HoldAnswer) -> orders.Look:
+    running = []
+    for task, attempt, checkpoint, percent, *_ in held.running:
+        run = _read_run(task, attempt)
+        running.append(orders.Running(run, str(checkpoint), int(percent)))
+    ended = []
+    for number, task, attempt, cause, checkpoint, *_ in held.ended:
+        run = _read_run(task, attempt)
+        ended.append(
+            orders.Ended(
+                int(number), run, orders.EndCause(cause), str(checkpoint)
+            )
+        )
+    return orders.Look(
+        held.clock_ms / _MS,
+        held.born,
+        tuple(running),
+        tuple(ended),
+        len(ended) < _MOST_ENDS,
+    )
+
+
+def _read_run(task: str, attempt: int) -> orders.Run:
+    name = jobgraph.parse_task_name(task)
+    if name is None:
+        raise ValueError(f'not a task: {task!r}')
+    return orders.Run(name, int(attempt))
--- a/primroselock/routing.py
+++ b/primroselock/routing.py
@@ -17,8 +17,8 @@
 from primroselock import httplane
 from primroselock.mesh import membership
 from primroselock import options
-from primroselock.platform import vmlist
 from primroselock import shares
+from primroselock.store import vmlist
 
 _FULL_PAUSE_S: typing.Final = 0.05
 _LEAVING_PAUSE_S: typing.Final = 5.0
--- /dev/null
+++ b/primroselock/runorders.py
@@ -0,0 +1,240 @@
+"""Sends the starts and stops that a holder decided.
+
+A start whose answer is lost is sent again: the worker takes the same run
+for the same start.  One that stays unanswered keeps its room and is
+stopped by a later decision.
+"""
+
+import asyncio
+from collections import abc
+import typing
+
+import result
+
+from primroselock import clock
+from primroselock.decisions import fleet
+from primroselock.decisions import runs
+from primroselock import logs
+from primroselock import metrics
+from primroselock import options
+from primroselock import shards
+from primroselock.workers import orders
+
+_log: typing.Final = logs.get('runorders')
+_START_TRIES: typing.Final = 3
+_RETRY_PAUSE_S: typing.Final = 0.05
+
+
+def lease_deadline(
+    settings: options.Settings, lease: shards.ShardLease, now: float
+) -> float:
+    """Return until when runs may be leased, on this process's clock.
+
+    Never longer than the longest lease from the last time that the store
+    confirmed this holder, so that a successor knows when none holds.
+    """
+    confirmed_at = lease.valid_until - settings.scheduler.shard_lease_s
+    return min(now, confirmed_at) + settings.fleet.run_lease_s
+
+
+def extend_lease(worker: fleet.Worker, deadline: float) -> float:
+    """Return the worker's clock of a lease to ``deadline``; note it."""
+    until = runs.lease_until(worker, deadline)
+    worker.lease_end = max(worker.lease_end or 0.0, until)
+    return until
+
+
+class OrderSender:
+    """Sends orders in tasks of their own."""
+
+    def __init__(
+        self,
+        settings: options.Settings,
+        lease: shards.ShardLease,
+        board: fleet.Board,
+        link: orders.RunLink,
+        wake: abc.Callable[[], None],
+        may_start: abc.Callable[[float], bool],
+        counters: metrics.Metrics,
+    ) -> None:
+        self._settings = settings
+        self._lease = lease
+        self._board = board
+        self._link = link
+        self._wake = wake
+        self._may_start = may_start
+        self._metrics = counters
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def cancel(self) -> None:
+        """Stop sending."""
+        for task in self._tasks:
+            task.cancel()
+
+    def send(self, order: fleet.Order) -> None:
+        """Send one order."""
+        if isinstance(order, fleet.StopOrder):
+            self._spawn(self._stop(order))
+            return
+        now = clock.monotonic()
+        if not self._may_start(now):
+            self._withhold(order, now)
+            return
+        for member in order.members:
+            member.state = fleet.MemberState.ORDERED
+            member.ordered_at = now
+            self._spawn(self._start(member))
+
+    def _spawn(self, work: abc.Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _withhold(self, order: fleet.StartOrder, now: float) -> None:
+        """Give up an attempt that may not be started any more."""
+        group = order.members[0].group
+        self._board.note('start withheld', group.job, attempt=group.attempt)
+        runs.end_group(self._board, group, fleet.Ending.REFUSED, now)
+        self._settle(group)
+
+    def _settle(self, group: fleet.Group) -> None:
+        wall_ms = int(clock.wall() * 1000)
+        runs.settle_group(self._board, group, clock.monotonic(), wall_ms)
+        self._wake()
+
+    async def _start(self, member: fleet.Member) -> None:
+        worker = self._board.workers_by_id.get(member.worker_id)
+        if worker is None:
+            return
+        for attempt in range(_START_TRIES):
+            if member.state is not fleet.MemberState.ORDERED:
+                return
+            if attempt and member.group.phase is not fleet.Phase.STARTING:
+                return
+            sent_at = clock.monotonic()
+            if not self._may_start(sent_at):
+                break
+            answer = await self._send_start(worker, member, sent_at)
+            if self._record(worker, member, answer, attempt, sent_at):
+                return
+            await asyncio.sleep(_RETRY_PAUSE_S * (attempt + 1))
+        self._board.note(
+            'start unanswered',
+            member.group.job,
+            task=str(member.run.task),
+            worker=worker.id,
+        )
+        worker.failures_in_row += 1
+        self._wake()
+
+    async def _send_start(
+        self, worker: fleet.Worker, member: fleet.Member, sent_at: float
+    ) -> result.Result[orders.Accepted, orders.OrderError]:
+        deadline = lease_deadline(self._settings, self._lease, sent_at)
+        group = member.group
+        order = orders.Start(
+            member.run,
+            group.job.graph.payload,
+            extend_lease(worker, deadline),
+            self._board.epoch,
+            group.checkpoint,
+        )
+        answer = await self._link.start(
+            worker.id,
+            worker.entry.address,
+            order,
+            self._settings.fleet.order_timeout_s,
+        )
+        self._metrics.record('start_order', clock.monotonic() - sent_at)
+        return answer
+
+    def _record(
+        self,
+        worker: fleet.Worker,
+        member: fleet.Member,
+        answer: result.Result[orders.Accepted, orders.OrderError],
+        attempt: int,
+        sent_at: float,
+    ) -> bool:
+        """Take note of an answer; return whether it settles the order."""
+        now = clock.monotonic()
+        if isinstance(answer, result.Ok):
+            if member.state is fleet.MemberState.ORDERED:
+                member.answered_at = now
+                runs.set_present(self._board, member, now)
+            self._wake()
+            return True
+        error = answer.err_value
+        if isinstance(error, orders.Unanswered):
+            return False
+        if isinstance(error, orders.NotSent):
+            worker.failures_in_row += 1
+            if attempt:
+                return False
+        elif error.why is orders.Refusal.STALE_EPOCH:
+            self._lease.drop('a worker knows a newer holder')
+            return True
+        elif error.why is orders.Refusal.OVERTAKEN:
+            # It ended there or was stopped; the next look tells.
+            member.answered_at = now
+            member.stopped_at = now
+            return True
+        if member.state is fleet.MemberState.ORDERED:
+            self._refuse(worker, member, error, now)
+        return True
+
+    def _refuse(
+        self,
+        worker: fleet.Worker,
+        member: fleet.Member,
+        error: orders.OrderError,
+        now: float,
+    ) -> None:
+        """End the attempt of a member that certainly did not start."""
+        group = member.group
+        why = (
+            error.why.value
+            if isinstance(error, orders.Refused)
+            else 'not reached'
+        )
+        self._board.note(
+            'start refused',
+            group.job,
+            task=str(member.run.task),
+            worker=worker.id,
+            why=why,
+        )
+        self._board.set_gone(member)
+        runs.end_group(self._board, group, fleet.Ending.REFUSED, now)
+        self._settle(group)
+
+    async def _stop(self, order: fleet.StopOrder) -> None:
+        worker = self._board.workers_by_id.get(order.worker_id)
+        if worker is None or not worker.entry.address:
+            return
+        answer = await self._link.stop(
+            worker.id,
+            worker.entry.address,
+            order.run,
+            self._board.epoch,
+            self._settings.fleet.order_timeout_s,
+        )
+        if isinstance(answer, result.Ok):
+            if order.member is not None:
+                order.member.stopped_at = clock.monotonic()
+            self._wake()
+            return
+        error = answer.err_value
+        if (
+            isinstance(error, orders.Refused)
+            and error.why is orders.Refusal.STALE_EPOCH
+        ):
+            self._lease.drop('a worker knows a newer holder')
+            return
+        _log.warning(
+            'stop not obeyed',
+            request=order.run.task.job_id,
+            task=str(order.run.task),
+            worker=worker.id,
+            why=str(error),
+        )
--- a/primroselock/scheduler.py
+++ b/primroselock/scheduler.py
@@ -26,9 +26,10 @@
 from primroselock import logs
 from primroselock.mesh import messages
 from primroselock import options
-from primroselock.platform import vmlist
 from primroselock import shards
+from primroselock import sockets
 from primroselock import statusport
+from primroselock.store import vmlist
 from primroselock.workers import channels
 from primroselock.workers import link
 from primroselock.workers import protocol
@@ -318,7 +319,7 @@
 
 async def run(settings: options.Settings) -> None:
     """Run the scheduler until it is told to leave."""
-    listener = daemon.bind_socket(settings.scheduler.status_bind)
+    listener = sockets.bind_socket(settings.scheduler.status_bind)
     shared = daemon.Daemon(settings, 'scheduler')
     shared.install_signals()
     runner = ShardRunner(shared, settings.process.zone)
@@ -328,7 +329,7 @@
         'listening',
         role='scheduler',
         mesh=shared.mesh.address,
-        status=daemon.bound_address(listener),
+        status=sockets.bound_address(listener),
     )
     async with asyncio.TaskGroup() as group:
         loops = shared.start_loops(group)
--- a/primroselock/servicesapi.py
+++ b/primroselock/servicesapi.py
@@ -21,7 +21,7 @@
 from primroselock import dispatch
 from primroselock import httplane
 from primroselock import keyed
-from primroselock.platform import keys
+from primroselock.store import keys
 
 _PASSED_HEADERS: typing.Final = ('content-type', 'accept')
 _REPLAYED_HEADER: typing.Final = 'Primroselock-Replayed'
--- a/primroselock/shards.py
+++ b/primroselock/shards.py
@@ -22,8 +22,8 @@
 
 from primroselock import logs
 from primroselock import options
-from primroselock.platform import keys
-from primroselock.platform import table
+from primroselock.store import keys
+from primroselock.store import table
 
 _log: typing.Final = logs.get('shards')
 
@@ -201,7 +201,8 @@
         if lease_row is None:
             return True
         lease = msgspec.json.decode(lease_row.value, type=LeaseRow)
-        if lease.released:
+        if lease.released or lease.holder == self._holder_id:
+            # Its own earlier life has ended.
             return True
         if lease_row.version != self._seen_version:
             self._seen_version = lease_row.version
--- /dev/null
+++ b/primroselock/sockets.py
@@ -0,0 +1,40 @@
+"""Listening sockets of a daemon."""
+
+import socket
+import typing
+
+from primroselock import errors
+
+_BACKLOG: typing.Final = 2048
+"""Connections that may wait to be accepted."""
+
+
+def bind_socket(address: str) -> socket.socket:
+    """Return a listening socket bound to ``address`` (IP and port).
+
+    Raises :class:`errors.CommandError` when the address cannot be had.
+    """
+    host, _, port = address.rpartition(':')
+    host = host.strip('[]')
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    # Named as TCP, so that asyncio turns Nagle's algorithm off: otherwise
+    # an answer of several segments waits for the peer's delayed ACK.
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((host, int(port)))
+        listener.listen(_BACKLOG)
+    except OSError as error:
+        listener.close()
+        raise errors.CommandError(
+            errors.ExitCode.UNREACHABLE,
+            f'cannot listen on {address}: {error.strerror}',
+        ) from error
+    listener.setblocking(False)
+    return listener
+
+
+def bound_address(listener: socket.socket) -> str:
+    """Return the IP and port that a socket is bound to."""
+    host, port = listener.getsockname()[:2]
+    return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
--- /dev/null
+++ b/primroselock/store/__init__.py
@@ -0,0 +1,1 @@
+"""The store as primroselock sees it: table, objects, guard, VM list."""
--- a/primroselock/platform/client.py
+++ b/primroselock/store/client.py
@@ -5,29 +5,23 @@
 ``Unsettled``, since the platform may have applied it.
 """
 
-import asyncio
 from collections import abc
-import random
 import typing
 import urllib.parse
 
 import msgspec
 import result
 
-from primroselock import clock
 from primroselock import httplane
 from primroselock import options
-from primroselock.platform import guard
-from primroselock.platform import table
-from primroselock.platform import vmlist
-from primroselock import retrybudget
+from primroselock.store import guardedcalls
+from primroselock.store import table
+from primroselock.store import vmlist
 
 _CONFLICT: typing.Final = 409
 _NOT_MODIFIED: typing.Final = 304
 _NOT_FOUND: typing.Final = 404
 _OK: typing.Final = 200
-_SERVER_ERROR: typing.Final = 500
-_LONGEST_RETRY_DELAY_S: typing.Final = 0.1
 _UNAVAILABLE: typing.Final = 503
 
 
@@ -43,19 +37,15 @@
     ) -> None:
         platform = settings.platform
         self._timeout_s = platform.timeout_s
-        self._pool = httplane.LanePool(platform.address, connections)
-        self._rate = guard.RateLimit(platform.max_calls_per_s)
-        # A kept connection may be found closed, each one once.
-        self._retries = retrybudget.RetryBudget(connections, connections)
+        self._calls = guardedcalls.GuardedCalls(
+            platform.address, name, connections, platform.max_calls_per_s
+        )
         self._vms: list[vmlist.Vm] = []
         self._vms_tag = ''
-        # Reads may fail while writes pass, and the other way round.
-        self._read_breaker = guard.Breaker(f'{name} reads')
-        self._write_breaker = guard.Breaker(f'{name} writes')
 
     async def aclose(self) -> None:
         """Close the connections."""
-        await self._pool.aclose()
+        await self._calls.aclose()
 
     async def read(
         self, keys: abc.Sequence[str]
@@ -83,13 +73,12 @@
         self, transaction: table.Transaction
     ) -> result.Result[table.Committed, table.TransactError]:
         """Apply ``transaction`` whole, or not at all."""
-        answer = await self._exchange(
+        answer = await self._calls.write(
             httplane.Request(
                 'POST',
                 '/v1/table/transact',
                 msgspec.json.encode(transaction),
             ),
-            self._write_breaker,
             self._timeout_s,
         )
         if isinstance(answer, result.Err):
@@ -174,7 +163,7 @@
         request: httplane.Request,
         accepted: tuple[int, ...] = (_OK,),
     ) -> result.Result[httplane.Response, table.Unavailable]:
-        answer = await self._exchange_repeated(request)
+        answer = await self._calls.read(request, self._timeout_s)
         if isinstance(answer, result.Err):
             return result.Err(table.Unavailable(answer.err_value.detail))
         response = answer.ok_value
@@ -183,46 +172,6 @@
             return result.Err(table.Unavailable(detail))
         return result.Ok(response)
 
-    async def _exchange_repeated(
-        self, request: httplane.Request
-    ) -> result.Result[httplane.Response, httplane.ExchangeError]:
-        """Send an idempotent call; repeat it once within its deadline."""
-        deadline = clock.monotonic() + self._timeout_s
-        self._retries.earn()
-        answer = await self._exchange(
-            request, self._read_breaker, self._timeout_s
-        )
-        if isinstance(answer, result.Ok) or not self._retries.spend():
-            return answer
-        await asyncio.sleep(random.uniform(0, _LONGEST_RETRY_DELAY_S))
-        left_s = deadline - clock.monotonic()
-        if left_s <= 0:
-            return answer
-        return await self._exchange(request, self._read_breaker, left_s)
-
-    async def _exchange(
-        self,
-        request: httplane.Request,
-        breaker: guard.Breaker,
-        timeout_s: float,
-    ) -> result.Result[httplane.Response, httplane.ExchangeError]:
-        """Send one call, unless the breaker or the rate forbids it."""
-        now = clock.monotonic()
-        wait_s = self._rate.reserve(now)
-        if wait_s >= timeout_s:
-            self._rate.give_back()
-            return result.Err(httplane.NotSent('too many calls'))
-        if wait_s > 0:
-            await asyncio.sleep(wait_s)
-        if not breaker.admits(clock.monotonic()):
-            return result.Err(httplane.NotSent('the platform is out'))
-        answer = await self._pool.exchange(request, timeout_s - wait_s)
-        answered = isinstance(answer, result.Ok) and (
-            answer.ok_value.status < _SERVER_ERROR
-        )
-        breaker.record(answered, clock.monotonic())
-        return answer
-
 
 def _object_path(name: str) -> str:
     return '/v1/objects/' + urllib.parse.quote(name, safe='')
--- /dev/null
+++ b/primroselock/store/following.py
@@ -0,0 +1,153 @@
+"""Keeps a copy of a table by its feed, and knows how old the copy is.
+
+The copy is confirmed as of the moment before the request was sent whose
+answer brought it up to date.  A feed that goes silent ends by a timeout of
+the call; one whose history was dropped is read again as a whole, and what
+differs is told as changes.
+"""
+
+import asyncio
+from collections import abc
+import random
+import typing
+
+import result
+
+from primroselock import clock
+from primroselock import logs
+from primroselock.store import table
+
+_FIRST_PAUSE_S: typing.Final = 0.05
+_LONGEST_PAUSE_S: typing.Final = 0.4
+_NEVER: typing.Final = float('-inf')
+_log: typing.Final = logs.get('following')
+
+Handler = abc.Callable[[table.Changes], None]
+
+
+class TableFollower:
+    """Follows one table; ``wait_s`` bounds one call of the feed."""
+
+    def __init__(self, store: table.Feed, name: str, wait_s: float) -> None:
+        self.name = name
+        self.wait_s = wait_s
+        self.rows_by_key: dict[str, table.Row] = {}
+        self.confirmed_at = _NEVER
+        self.listed = asyncio.Event()
+        self._store = store
+        self._version: int | None = None
+        self._handlers: list[Handler] = []
+        self._failures = 0
+
+    def add_handler(self, handler: Handler) -> None:
+        """Call ``handler`` with each set of changes."""
+        self._handlers.append(handler)
+
+    def age_s(self, now: float) -> float:
+        """Return how long ago the copy was known to be up to date."""
+        return now - self.confirmed_at
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            sent_at = clock.monotonic()
+            if self._version is None:
+                succeeded = await self._list(sent_at)
+            else:
+                succeeded = await self._follow(self._version, sent_at)
+            if not succeeded:
+                await self._pause()
+
+    async def _list(self, sent_at: float) -> bool:
+        listing = await self._store.list_rows(self.name)
+        if isinstance(listing, result.Err):
+            self._note_failure(listing.err_value.detail)
+            return False
+        found = {row.key: row for row in listing.ok_value.rows}
+        changed = tuple(
+            row
+            for key, row in found.items()
+            if key not in self.rows_by_key
+            or self.rows_by_key[key].version != row.version
+        )
+        removed = tuple(key for key in self.rows_by_key if key not in found)
+        self._version = listing.ok_value.version
+        self._take(table.Changes(changed, removed, self._version), sent_at)
+        self.listed.set()
+        return True
+
+    async def _follow(self, version: int, sent_at: float) -> bool:
+        heard = await self._store.changes(self.name, version, self.wait_s)
+        if isinstance(heard, result.Err):
+            error = heard.err_value
+            if isinstance(error, table.HistoryGone):
+                _log.info('history gone', table=self.name, version=version)
+                self._version = None
+                return True
+            self._note_failure(error.detail)
+            return False
+        changes = heard.ok_value
+        self._version = max(version, changes.version)
+        self._take(changes, sent_at)
+        return True
+
+    def _take(self, changes: table.Changes, sent_at: float) -> None:
+        for row in changes.rows:
+            self.rows_by_key[row.key] = row
+        for key in changes.removed:
+            self.rows_by_key.pop(key, None)
+        if self._failures:
+            age_s = round(self.age_s(sent_at), 3)
+            _log.info('table regained', table=self.name, age_s=age_s)
+            self._failures = 0
+        self.confirmed_at = sent_at
+        if changes.rows or changes.removed:
+            for handler in self._handlers:
+                handler(changes)
+
+    def _note_failure(self, detail: str) -> None:
+        self._failures += 1
+        if self._failures == 1:
+            _log.warning('table lost', table=self.name, detail=detail)
+
+    async def _pause(self) -> None:
+        longest_s = _FIRST_PAUSE_S * 2 ** min(self._failures, 8)
+        await asyncio.sleep(
+            random.uniform(0, min(longest_s, _LONGEST_PAUSE_S))
+        )
+
+
+class FollowedReads:
+    """Reads of a followed table answered from the copy.
+
+    Writes go to the table itself.  A read is older than the copy's age;
+    conditions on row versions make a write from an old copy fail.
+    """
+
+    def __init__(
+        self, store: table.Table, follower: TableFollower, max_age_s: float
+    ) -> None:
+        self._store = store
+        self._follower = follower
+        self._max_age_s = max_age_s
+
+    async def read(
+        self, keys: abc.Sequence[str]
+    ) -> result.Result[table.Rows, table.Unavailable]:
+        """Return the rows that exist among ``keys``, by key."""
+        if self._follower.age_s(clock.monotonic()) > self._max_age_s:
+            return result.Err(table.Unavailable('the copy is too old'))
+        rows = self._follower.rows_by_key
+        return result.Ok({key: rows[key] for key in keys if key in rows})
+
+    async def scan(
+        self, prefix: str, after: str = '', limit: int = 1000
+    ) -> result.Result[list[table.Row], table.Unavailable]:
+        """Return rows whose key has ``prefix`` and sorts past ``after``."""
+        return await self._store.scan(prefix, after, limit)
+
+    async def transact(
+        self, transaction: table.Transaction
+    ) -> result.Result[table.Committed, table.TransactError]:
+        """Apply ``transaction`` whole, or not at all."""
+        return await self._store.transact(transaction)
--- /dev/null
+++ b/primroselock/store/guardedcalls.py
@@ -0,0 +1,92 @@
+"""Calls to the platform's store within a rate, a budget and a breaker.
+
+A call that would wait past its deadline for the rate is not made.  While
+the store does not answer, calls fail at once, but for some probes.  An
+idempotent call that failed is repeated once within its deadline, out of
+a budget.
+"""
+
+import asyncio
+import random
+import typing
+
+import result
+
+from primroselock import clock
+from primroselock import httplane
+from primroselock import retrybudget
+from primroselock.store import guard
+
+_SERVER_ERROR: typing.Final = 500
+_LONGEST_RETRY_DELAY_S: typing.Final = 0.1
+
+Answer = result.Result[httplane.Response, httplane.ExchangeError]
+
+
+class GuardedCalls:
+    """Sends HTTP calls to one address."""
+
+    def __init__(
+        self, address: str, name: str, connections: int, calls_per_s: float
+    ) -> None:
+        self._pool = httplane.LanePool(address, connections)
+        self._rate = guard.RateLimit(calls_per_s)
+        # A kept connection may be found closed, each one once.
+        self._retries = retrybudget.RetryBudget(connections, connections)
+        # Reads may fail while writes pass, and the other way round.
+        self._read_breaker = guard.Breaker(f'{name} reads')
+        self._write_breaker = guard.Breaker(f'{name} writes')
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self._pool.aclose()
+
+    async def write(
+        self, request: httplane.Request, timeout_s: float
+    ) -> Answer:
+        """Send a call that must not be repeated unasked."""
+        return await self._exchange(request, self._write_breaker, timeout_s)
+
+    async def poll(
+        self, request: httplane.Request, timeout_s: float
+    ) -> Answer:
+        """Send an idempotent call that the caller repeats by itself."""
+        return await self._exchange(request, self._read_breaker, timeout_s)
+
+    async def read(
+        self, request: httplane.Request, timeout_s: float
+    ) -> Answer:
+        """Send an idempotent call; repeat it once within its deadline."""
+        deadline = clock.monotonic() + timeout_s
+        self._retries.earn()
+        answer = await self._exchange(request, self._read_breaker, timeout_s)
+        if isinstance(answer, result.Ok) or not self._retries.spend():
+            return answer
+        await asyncio.sleep(random.uniform(0, _LONGEST_RETRY_DELAY_S))
+        left_s = deadline - clock.monotonic()
+        if left_s <= 0:
+            return answer
+        return await self._exchange(request, self._read_breaker, left_s)
+
+    async def _exchange(
+        self,
+        request: httplane.Request,
+        breaker: guard.Breaker,
+        timeout_s: float,
+    ) -> Answer:
+        """Send one call, unless the breaker or the rate forbids it."""
+        now = clock.monotonic()
+        wait_s = self._rate.reserve(now)
+        if wait_s >= timeout_s:
+            self._rate.give_back()
+            return result.Err(httplane.NotSent('too many calls'))
+        if wait_s > 0:
+            await asyncio.sleep(wait_s)
+        if not breaker.admits(clock.monotonic()):
+            return result.Err(httplane.NotSent('the platform is out'))
+        answer = await self._pool.exchange(request, timeout_s - wait_s)
+        answered = isinstance(answer, result.Ok) and (
+            answer.ok_value.status < _SERVER_ERROR
+        )
+        breaker.record(answered, clock.monotonic())
+        return answer
--- a/primroselock/platform/keys.py
+++ b/primroselock/store/keys.py
@@ -62,3 +62,23 @@
 def claim(account: str, idempotency_key_digest: str) -> str:
     """Return the key of a keyed request's claim."""
     return f'claim/{account}/{idempotency_key_digest}'
+
+
+def shard_table(shard: str) -> str:
+    """Return the prefix of all rows of a shard that keeps graphs."""
+    return f'shard/{shard}/'
+
+
+def graph(shard: str, job_id: str) -> str:
+    """Return the key of a job as it was accepted, never rewritten."""
+    return f'shard/{shard}/graph/{job_id}'
+
+
+def progress(shard: str, job_id: str) -> str:
+    """Return the key of a job's progress, written by the holder only."""
+    return f'shard/{shard}/progress/{job_id}'
+
+
+def cancellation(shard: str, job_id: str) -> str:
+    """Return the key whose row asks for a job to be cancelled."""
+    return f'shard/{shard}/cancel/{job_id}'
--- a/primroselock/platform/objects.py
+++ b/primroselock/store/objects.py
@@ -4,7 +4,7 @@
 
 import result
 
-from primroselock.platform import table
+from primroselock.store import table
 
 
 class ObjectStore(typing.Protocol):
--- a/primroselock/platform/table.py
+++ b/primroselock/store/table.py
@@ -114,6 +114,52 @@
         """Apply ``transaction`` whole, or not at all."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """Rows that changed, oldest first, and the version to go on from.
+
+    ``removed`` are keys of rows that are gone.
+    """
+
+    rows: tuple[Row, ...]
+    removed: tuple[str, ...]
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryGone:
+    """The changes since the given version are no longer kept."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listing:
+    """All rows of a table at one version."""
+
+    rows: tuple[Row, ...]
+    version: int
+
+
+class Feed(typing.Protocol):
+    """A table that tells its changes."""
+
+    async def list_rows(
+        self, name: str
+    ) -> result.Result[Listing, Unavailable]:
+        """Return all rows whose key begins with ``name`` and a slash."""
+
+    async def changes(
+        self, name: str, after: int, wait_s: float
+    ) -> result.Result[Changes, Unavailable | HistoryGone]:
+        """Return what changed past version ``after``.
+
+        Without a change the answer comes after ``wait_s``, empty.
+        """
+
+
+class FeedTable(Table, Feed, typing.Protocol):
+    """A transactional table that tells its changes."""
+
+
 class Evidence(enum.Enum):
     """What reading rows back tells of an unsettled transaction."""
 
--- a/primroselock/platform/vmlist.py
+++ b/primroselock/store/vmlist.py
@@ -9,7 +9,7 @@
 
 import result
 
-from primroselock.platform import table
+from primroselock.store import table
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroselock/test/builders.py
+++ b/primroselock/test/builders.py
@@ -8,7 +8,7 @@
 from primroselock import ini
 from primroselock import jobs
 from primroselock import options
-from primroselock.platform import vmlist
+from primroselock.store import vmlist
 from primroselock.workers import protocol
 
 SETTINGS_TEXT: typing.Final = """
--- a/primroselock/test/fakeshard.py
+++ b/primroselock/test/fakeshard.py
@@ -16,7 +16,7 @@
 from primroselock import jobs
 from primroselock import jobstore
 from primroselock import options
-from primroselock.platform import vmlist
+from primroselock.store import vmlist
 from primroselock.test import builders
 from primroselock.workers import channels
 from primroselock.workers import protocol
--- a/primroselock/test/fakestore.py
+++ b/primroselock/test/fakestore.py
@@ -5,7 +5,7 @@
 
 import result
 
-from primroselock.platform import table
+from primroselock.store import table
 from standins import platform
 
 
--- a/primroselock/test/testclaims.py
+++ b/primroselock/test/testclaims.py
@@ -17,7 +17,7 @@
 from primroselock import groupcommit
 from primroselock import httplane
 from primroselock import keyed
-from primroselock.platform import table
+from primroselock.store import table
 from standins import platform
 
 _FAULTS: typing.Final = ('none', 'lost_before', 'lost_after', 'down')
--- a/primroselock/test/testjobwriter.py
+++ b/primroselock/test/testjobwriter.py
@@ -8,9 +8,9 @@
 from primroselock import jobs
 from primroselock import jobstore
 from primroselock import jobwriter
-from primroselock.platform import keys
-from primroselock.platform import table
 from primroselock import shards
+from primroselock.store import keys
+from primroselock.store import table
 from primroselock.test import builders
 from primroselock.test import fakestore
 
--- a/primroselock/test/testpatches.py
+++ b/primroselock/test/testpatches.py
@@ -20,7 +20,7 @@
 from primroselock import history
 from primroselock import ini
 from primroselock import patches
-from primroselock.platform import table
+from primroselock.store import table
 from primroselock.test import builders
 from primroselock.test import fakestore
 
--- a/primroselock/test/testplatform.py
+++ b/primroselock/test/testplatform.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 import result
 
-from primroselock.platform import client
-from primroselock.platform import guard
+from primroselock.store import client
+from primroselock.store import guard
 from primroselock.test import builders
 from standins import launch
 
--- a/primroselock/test/testrouting.py
+++ b/primroselock/test/testrouting.py
@@ -12,10 +12,10 @@
 from primroselock import fairqueue
 from primroselock.mesh import membership
 from primroselock.mesh import messages
-from primroselock.platform import vmlist
 from primroselock import retrybudget
 from primroselock import routing
 from primroselock import shares
+from primroselock.store import vmlist
 from primroselock.test import builders
 
 _NOW: typing.Final = 1000.0
--- a/primroselock/test/testsettings.py
+++ b/primroselock/test/testsettings.py
@@ -7,11 +7,11 @@
 import result
 
 from primroselock import configuration
-from primroselock import daemon
 from primroselock import errors
 from primroselock import ini
 from primroselock import main
 from primroselock import options
+from primroselock import sockets
 from primroselock.test import datacases
 
 
@@ -58,9 +58,9 @@
     def test_port_in_use_ends_with_one_line(self) -> None:
         text = '[process]\nvm_id = v\nzone = a\n'
         text += '[platform]\naddress = 127.0.0.1:9\n'
-        listener = daemon.bind_socket('127.0.0.1:0')
+        listener = sockets.bind_socket('127.0.0.1:0')
         listener.listen()
-        text += f'[gateway]\nbind = {daemon.bound_address(listener)}\n'
+        text += f'[gateway]\nbind = {sockets.bound_address(listener)}\n'
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / 'settings.ini'
             path.write_text(text, encoding='utf-8')
--- a/primroselock/test/testsockets.py
+++ b/primroselock/test/testsockets.py
@@ -6,7 +6,7 @@
 import socket
 import unittest
 
-from primroselock import daemon
+from primroselock import sockets
 from standins import launch
 from standins import serving
 
@@ -15,12 +15,12 @@
     """Answers do not wait for a delayed ACK; early callers can connect."""
 
     async def test_accepted_connections_send_at_once(self) -> None:
-        for bind in (daemon.bind_socket, serving.bind):
+        for bind in (sockets.bind_socket, serving.bind):
             with self.subTest(bind.__module__):
                 self.assertTrue(await self.find_option(bind('127.0.0.1:0')))
 
     async def test_no_connection_is_refused_once_it_is_bound(self) -> None:
-        for bind in (daemon.bind_socket, serving.bind):
+        for bind in (sockets.bind_socket, serving.bind):
             with self.subTest(bind.__module__):
                 listener = bind('127.0.0.1:0')
                 socket.create_connection(listener.getsockname()).close()
--- a/primroselock/workers/channels.py
+++ b/primroselock/workers/channels.py
@@ -11,7 +11,7 @@
 
 from primroselock.decisions import blackboard
 from primroselock import options
-from primroselock.platform import vmlist
+from primroselock.store import vmlist
 from primroselock.workers import protocol
 
 _Kind = tuple[type[protocol.Command], protocol.TaskKey]
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -28,8 +28,8 @@
 from starlette import responses
 from starlette import routing
 
-from primroselock.platform import table
-from primroselock.platform import vmlist
+from primroselock.store import table
+from primroselock.store import vmlist
 from standins import serving
 
 
--- a/tools/fakeworker.py
+++ b/tools/fakeworker.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from primroselock.decisions import blackboard
-from primroselock.platform import vmlist
+from primroselock.store import vmlist
 from primroselock.workers import protocol
 
 _FAILS_AFTER_S: typing.Final = 1.0
--- a/tools/largeround.py
+++ b/tools/largeround.py
@@ -17,7 +17,7 @@
 from primroselock.decisions import registry
 from primroselock import ini
 from primroselock import jobs
-from primroselock.platform import vmlist
+from primroselock.store import vmlist
 from primroselock.workers import protocol
 from tools import replay
 
--- a/tools/replayworld.py
+++ b/tools/replayworld.py
@@ -19,7 +19,7 @@
 from primroselock import ini
 from primroselock import jobs
 from primroselock import options
-from primroselock.platform import vmlist
+from primroselock.store import vmlist
 from primroselock.workers import protocol
 from tools import fakeworker
 from tools import fragmentation
--- a/tools/slopes/decisions.py
+++ b/tools/slopes/decisions.py
@@ -17,7 +17,7 @@
 from primroselock import ini
 from primroselock import jobs
 from primroselock import options
-from primroselock.platform import vmlist
+from primroselock.store import vmlist
 from primroselock.workers import protocol
 from tools.slopes import fits
 from tools.slopes import registry
--- a/tools/slopes/records.py
+++ b/tools/slopes/records.py
@@ -17,8 +17,8 @@
 from primroselock import jobs
 from primroselock import jobstore
 from primroselock import patches
-from primroselock.platform import table
-from primroselock.platform import vmlist
+from primroselock.store import table
+from primroselock.store import vmlist
 from tools.slopes import codecs
 from tools.slopes import fits
 from tools.slopes import holder
