Urgent work beyond its guarantee may stop less urgent work; silent leases end

They may now stop what is of a less urgent queue; claims have a rank, so that guaranteed work passes them. Only a worker that answers has its lease extended; one at whose address another answers is given up at once. Ruled out: the jobs that stood still were not refused workers (none was suspect), and no claim was left over.

--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -315,10 +315,14 @@
 
 @dataclasses.dataclass(slots=True)
 class Claim:
-    """Workers kept free for a group while their other work is stopped."""
+    """Workers kept free for a group while their other work is stopped.
+
+    Groups of a lower ``rank`` may use them all the same.
+    """
 
     worker_ids: frozenset[str]
     since: float
+    rank: tuple[bool, int]
 
 
 @dataclasses.dataclass(slots=True)
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -149,7 +149,7 @@
         return
     rooms = _rooms(board, settings, now)
     for group in groups:
-        _place(board, settings, rooms, group, covered, now)
+        _place(board, settings, rooms, group, covered, now, wall_s)
 
 
 def _rooms(
@@ -185,17 +185,18 @@
     group: fleet.Group,
     covered: abc.Set[str],
     now: float,
+    wall_s: float,
 ) -> None:
     queue = group.job.queue
     if queue is None or queue.needs_advice:
         return
-    is_covered = group.job.graph.id in covered
+    rank = waiting.rank(group, covered)
     claim = board.claims_by_group.get(group)
     foreign = frozenset().union(
         *(
             other.worker_ids
             for owner, other in board.claims_by_group.items()
-            if owner is not group
+            if owner is not group and other.rank <= rank
         )
     )
 
@@ -219,7 +220,7 @@
     if placed is not None:
         board.claims_by_group.pop(group, None)
         commit(board, group, placed, now)
-    elif is_covered and claim is None:
+    elif claim is None and waiting.may_reclaim(group, covered, wall_s):
         _reclaim(board, rooms, group, allow, covered, now)
 
 
@@ -267,13 +268,18 @@
     covered: abc.Set[str],
     now: float,
 ) -> None:
+    rank = waiting.rank(group, covered)
+
+    def may_stop(other: fleet.Group) -> bool:
+        return waiting.rank(other, covered) > rank
+
     chosen = reclaiming.choose_victims(
-        board, rooms, group, allow, covered, now
+        board, rooms, group, allow, may_stop, now
     )
     if chosen is None:
         return
     victims, worker_ids = chosen
-    board.claims_by_group[group] = fleet.Claim(worker_ids, now)
+    board.claims_by_group[group] = fleet.Claim(worker_ids, now, rank)
     for worker_id in worker_ids:
         rooms.free_by_id.pop(worker_id, None)
     for victim in victims:
--- a/primroselock/decisions/reclaiming.py
+++ b/primroselock/decisions/reclaiming.py
@@ -1,20 +1,24 @@
-"""Chooses what is stopped so that guaranteed work has its room in time.
+"""Chooses what is stopped so that more urgent work has its room in time.
 
-For each task the worker is chosen where the least work is lost to make
-room.  Work that guarantees cover is never stopped.  What was freed stays
-claimed for the group, so that nothing else slips in.
+Work that a guarantee covers may stop all that none covers; other work may
+stop what is of a less urgent queue.  For each task the worker is chosen
+where the least work is lost to make room.  What was freed stays claimed
+for the group, so that nothing else slips in.
 """
 
 from collections import abc
+import typing
 
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
 from primroselock import jobgraph
 
-_SAVED_SHARE = 0.25
+MayStop = abc.Callable[[fleet.Group], bool]
+
+_SAVED_SHARE: typing.Final = 0.25
 """What counts as lost of work that saves its progress."""
 
-_RESTART_COST_S = 0.3
+_RESTART_COST_S: typing.Final = 0.3
 
 
 def choose_victims(
@@ -22,7 +26,7 @@
     rooms: fitting.Rooms,
     group: fleet.Group,
     allow: fitting.Allow,
-    covered: abc.Set[str],
+    may_stop: MayStop,
     now: float,
 ) -> tuple[list[fleet.Group], frozenset[str]] | None:
     """Return groups to stop and the workers that the group then uses.
@@ -35,11 +39,11 @@
         if allow(board.workers_by_id[worker_id])
     ]
     if group.size == 1 or not group.step.rack_local or group.spread:
-        return _choose_in(rooms, group, candidates, covered, now)
+        return _choose_in(rooms, group, candidates, may_stop, now)
     best: tuple[list[fleet.Group], frozenset[str]] | None = None
     best_cost = float('inf')
     for members in fitting.group_by_rack(candidates).values():
-        found = _choose_in(rooms, group, members, covered, now)
+        found = _choose_in(rooms, group, members, may_stop, now)
         if found is None:
             continue
         cost = sum(lost_work_s(victim, now) for victim in found[0])
@@ -52,7 +56,7 @@
     rooms: fitting.Rooms,
     group: fleet.Group,
     candidates: abc.Sequence[fleet.Worker],
-    covered: abc.Set[str],
+    may_stop: MayStop,
     now: float,
 ) -> tuple[list[fleet.Group], frozenset[str]] | None:
     """Take workers one task at a time, each the cheapest to free."""
@@ -68,7 +72,7 @@
             if limit and counts.get(worker.id, 0) >= limit:
                 continue
             found = _free_on(
-                worker, draft[worker.id], need, stopped, covered, now
+                worker, draft[worker.id], need, stopped, may_stop, now
             )
             if found is None:
                 continue
@@ -96,7 +100,7 @@
     free: jobgraph.Resources,
     need: jobgraph.Resources,
     stopped: abc.Container[fleet.Group],
-    covered: abc.Set[str],
+    may_stop: MayStop,
     now: float,
 ) -> list[fleet.Group] | None:
     """Return what to stop on one worker so that ``need`` fits."""
@@ -108,7 +112,7 @@
         for member in worker.members.values()
         if member.group not in stopped
         and member.group.phase is not fleet.Phase.DONE
-        and member.group.job.graph.id not in covered
+        and may_stop(member.group)
     }
     by_cost = sorted(
         options,
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -295,26 +295,38 @@
     for worker in list(board.workers_by_id.values()):
         if not worker.members or not _is_expired(board, worker, now):
             continue
-        board.notes.append(
-            fleet.Note(
-                'worker lost',
-                '',
-                {
-                    'worker': worker.id,
-                    'members': len(worker.members),
-                    'silent_s': round(now - worker.heard_at, 3),
-                },
-            )
+        clear_worker(board, worker, 'no lease holds', now, wall_ms)
+
+
+def clear_worker(
+    board: fleet.Board,
+    worker: fleet.Worker,
+    why: str,
+    now: float,
+    wall_ms: int,
+) -> None:
+    """Take note that nothing placed on a worker can run any more."""
+    board.notes.append(
+        fleet.Note(
+            'worker lost',
+            '',
+            {
+                'worker': worker.id,
+                'why': why,
+                'members': len(worker.members),
+                'silent_s': round(now - worker.heard_at, 3),
+            },
         )
-        for member in list(worker.members.values()):
-            board.set_gone(member)
-            group = member.group
-            if group.phase is not fleet.Phase.DONE:
-                end_group(board, group, fleet.Ending.LOST, now)
-            settle_group(board, group, now, wall_ms)
-        worker.strays.clear()
-        if not worker.is_listed and not worker.is_busy:
-            del board.workers_by_id[worker.id]
+    )
+    for member in list(worker.members.values()):
+        board.set_gone(member)
+        group = member.group
+        if group.phase is not fleet.Phase.DONE:
+            end_group(board, group, fleet.Ending.LOST, now)
+        settle_group(board, group, now, wall_ms)
+    worker.strays.clear()
+    if not worker.is_listed:
+        board.workers_by_id.pop(worker.id, None)
 
 
 def _is_expired(board: fleet.Board, worker: fleet.Worker, now: float) -> bool:
--- a/primroselock/decisions/waiting.py
+++ b/primroselock/decisions/waiting.py
@@ -44,6 +44,22 @@
     return job.queue.priority if job.queue else 99
 
 
+def rank(group: fleet.Group, covered: abc.Set[str]) -> tuple[bool, int]:
+    """Return how urgent a group is; lower ranks may stop higher ones."""
+    return (group.job.graph.id not in covered, priority(group.job))
+
+
+def may_reclaim(
+    group: fleet.Group, covered: abc.Set[str], wall_s: float
+) -> bool:
+    """Whether the group may have less urgent work stopped now.
+
+    Guaranteed work may at once, the rest of the most urgent queues too,
+    since its objectives leave no time to wait.
+    """
+    return group.job.graph.id in covered or priority(group.job) == _URGENT
+
+
 def guaranteed_ids(board: fleet.Board) -> set[str]:
     """Return the jobs that their accounts' guarantees cover.
 
--- a/primroselock/lookers.py
+++ b/primroselock/lookers.py
@@ -98,7 +98,9 @@
         runs.confirm_saved(worker)
         sent_at = clock.monotonic()
         lease_until = None
-        if worker.is_known and worker.members:
+        # A silent worker's lease is left to run out, so that its end is
+        # known: an extension that goes unanswered may be obeyed later.
+        if worker.is_known and worker.members and not worker.failures_in_row:
             deadline = runorders.lease_deadline(
                 self._settings, self._lease, sent_at
             )
@@ -150,5 +152,17 @@
             self._lease.drop('a worker knows a newer holder')
             return
         worker.failures_in_row += 1
+        if (
+            isinstance(error, orders.Refused)
+            and error.why is orders.Refusal.OTHER_BOOT
+        ):
+            runs.clear_worker(
+                self._board,
+                worker,
+                'another worker answers at its address',
+                clock.monotonic(),
+                int(clock.wall() * 1000),
+            )
+            self._wake()
         if worker.failures_in_row == 1:
             _log.warning('worker silent', worker=worker.id, why=str(error))
