Standbys follow the shard with pauses; urgent victims cost more

Change: a node that does not hold the shard waits 0.4 s after changes before it asks again; the state of a job that has not ended is read anew for its caller. Stopping urgent work counts six times its core-seconds.

--- a/primroselock/decisions/reclaiming.py
+++ b/primroselock/decisions/reclaiming.py
@@ -11,6 +11,7 @@
 
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
+from primroselock.decisions import waiting
 from primroselock import jobgraph
 
 MayStop = abc.Callable[[fleet.Group], bool]
@@ -19,6 +20,7 @@
 """What counts as lost of work that saves its progress."""
 
 _RESTART_COST_S: typing.Final = 0.3
+_URGENT_FACTOR: typing.Final = 6.0
 
 
 def choose_victims(
@@ -135,7 +137,8 @@
 def lost_work_s(group: fleet.Group, now: float) -> float:
     """Return the core-seconds that stopping a group throws away.
 
-    An accelerator counts as eight cores.
+    An accelerator counts as eight cores.  Urgent work counts more, since
+    it comes too late if it is stopped.
     """
     if group.phase is fleet.Phase.STOPPING:
         return 0.0
@@ -145,7 +148,8 @@
         if group.step.checkpointing:
             worked_s *= _SAVED_SHARE
         ran_s += worked_s
-    return ran_s * group.size * cores(group.step.need)
+    urgency = _URGENT_FACTOR if waiting.priority(group.job) == 0 else 1.0
+    return ran_s * group.size * cores(group.step.need) * urgency
 
 
 def cores(need: jobgraph.Resources) -> float:
--- a/primroselock/holder.py
+++ b/primroselock/holder.py
@@ -119,6 +119,7 @@
 
     async def _stand_by(self) -> None:
         interval_s = self._settings.scheduler.shard_renew_interval_s / 2
+        self._follower.pause_s = self._settings.fleet.standby_pause_s
         while not self._stopping and not self.lease.has_shard:
             if self._follower.listed.is_set():
                 await self.lease.step(clock.monotonic())
@@ -133,6 +134,7 @@
 
     async def _hold(self) -> None:
         """Decide for the shard until it is lost."""
+        self._follower.pause_s = 0.0
         board = await self._take_over()
         if board is None:
             return
--- a/primroselock/intake.py
+++ b/primroselock/intake.py
@@ -219,7 +219,29 @@
         found = await self._find(access, job_id)
         if isinstance(found, result.Err):
             return found
-        return result.Ok(_state(found.ok_value))
+        known = _state(found.ok_value)
+        age_s = self._follower.age_s(clock.monotonic())
+        if known.is_final or age_s <= self._settings.fresh_state_s:
+            return result.Ok(known)
+        return result.Ok(await self._read_state(job_id, known))
+
+    async def _read_state(
+        self, job_id: str, known: jobs.JobState
+    ) -> jobs.JobState:
+        """Read a state anew; where that fails the copy's has to do."""
+        key = keys.progress(self._settings.shard, job_id)
+        try:
+            async with asyncio.timeout(self._settings.fresh_read_timeout_s):
+                read = await self._store.read([key])
+        except TimeoutError:
+            return known
+        if isinstance(read, result.Err) or key not in read.ok_value:
+            return known
+        stored = graphrows.StoredJob()
+        rows = graphrows.JobRows(self._settings.shard)
+        rows.stored_by_id[job_id] = stored
+        rows.take(table.Changes((read.ok_value[key],), (), 0))
+        return _state(stored)
 
     async def _find(
         self, access: Access, job_id: str
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -164,7 +164,10 @@
     balancer is told to send calls elsewhere.  ``run_lease_s`` is the
     longest lease of a run; ``longest_wait_s`` bounds one look at a worker.
     A copy of a table counts as fresh up to ``follow_age_s``, which exceeds
-    what one call of the feed without changes takes.
+    what one call of the feed without changes takes; a node that does not
+    hold the shard follows it with pauses of ``standby_pause_s``.  The state
+    of a job that has not ended is read anew where the copy is older than
+    ``fresh_state_s``.
     """
 
     shard: str = ini.key('name', 'fleet')
@@ -183,6 +186,9 @@
     ready_permit_s: float = ini.key('seconds', 2.6)
     follow_wait_s: float = ini.key('seconds', 1.0)
     follow_age_s: float = ini.key('seconds', 2.5)
+    standby_pause_s: float = ini.key('seconds', 0.4)
+    fresh_state_s: float = ini.key('seconds', 0.1)
+    fresh_read_timeout_s: float = ini.key('seconds', 0.3)
     default_deadline_s: float = ini.key('seconds', 3.0)
     leaving_s: float = ini.key('seconds', 2.5)
     max_tasks: int = ini.key('positive', 1000)
--- a/primroselock/store/following.py
+++ b/primroselock/store/following.py
@@ -26,11 +26,16 @@
 
 
 class TableFollower:
-    """Follows one table; ``wait_s`` bounds one call of the feed."""
+    """Follows one table; ``wait_s`` bounds one call of the feed.
+
+    After changes the next call is made ``pause_s`` later, so that changes
+    in a row are told together; a caller may set it at any time.
+    """
 
     def __init__(self, store: table.Feed, name: str, wait_s: float) -> None:
         self.name = name
         self.wait_s = wait_s
+        self.pause_s = 0.0
         self.rows_by_key: dict[str, table.Row] = {}
         self.confirmed_at = _NEVER
         self.listed = asyncio.Event()
@@ -89,6 +94,8 @@
         changes = heard.ok_value
         self._version = max(version, changes.version)
         self._take(changes, sent_at)
+        if changes.rows and self.pause_s:
+            await asyncio.sleep(self.pause_s)
         return True
 
     def _take(self, changes: table.Changes, sent_at: float) -> None:
