Single tasks go to the fullest rack first

Change: among racks the one with the least free accelerators is filled first, then the worker that is filled best.

--- a/primroselock/decisions/fitting.py
+++ b/primroselock/decisions/fitting.py
@@ -168,6 +168,7 @@
     best: str | None = None
     best_key: tuple[float, ...] = ()
     data_rack = group.step.data_rack
+    rack_shares = _free_by_rack(rooms, candidates)
     for worker in candidates:
         free = rooms.free_by_id[worker.id]
         if not free.holds(need):
@@ -175,12 +176,29 @@
         if limit and counts.get(worker.id, 0) >= limit:
             continue
         away = float(bool(data_rack) and worker.entry.rack != data_rack)
-        key = (away, *rooms.choose(worker, free.plus(need, -1)))
+        rack_share = rack_shares[worker.entry.rack]
+        key = (away, rack_share, *rooms.choose(worker, free.plus(need, -1)))
         if best is None or key < best_key:
             best, best_key = worker.id, key
     return best
 
 
+def _free_by_rack(
+    rooms: Rooms, candidates: abc.Iterable[fleet.Worker]
+) -> dict[str, float]:
+    """Return the free accelerators of each rack.
+
+    Single tasks go where a rack is fullest, so that others keep room for
+    gangs that need a rack of their own.
+    """
+    free: dict[str, float] = {}
+    for worker in candidates:
+        rack = worker.entry.rack
+        left = rooms.free_by_id[worker.id].accelerators
+        free[rack] = free.get(rack, 0.0) + left
+    return free
+
+
 def count_on_workers(group: fleet.Group) -> dict[str, int]:
     """Return how many tasks of the group's step each worker may run."""
     counts: dict[str, int] = {}
