Whole nodes in virtual time; a takeover goes by its listing

Nothing is placed without a permit now. - `asyncio.wait_for` swallowed a cancellation that came together with its event (Python 3.11), so that a killed node's holder went on. New code uses `asyncio.timeout`.

--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -330,13 +330,15 @@
     """Everything known of one shard.
 
     ``held_since`` is when this holder took the shard; leases that an
-    earlier holder gave end by ``inherited_until``.  ``orders`` and
+    earlier holder gave end by ``inherited_until``.  Nothing is placed
+    after ``permit_until``.  ``orders`` and
     ``notes`` are what the last controllers decided.
     """
 
     epoch: int = 0
     held_since: float = 0.0
     inherited_until: float = 0.0
+    permit_until: float = float('inf')
     table: queues.QueueTable = queues.EMPTY
     jobs_by_id: dict[str, LiveJob] = dataclasses.field(default_factory=dict)
     workers_by_id: dict[str, Worker] = dataclasses.field(default_factory=dict)
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -141,6 +141,8 @@
     wall_s: float,
 ) -> None:
     """Place the groups that wait, and reclaim room for guaranteed work."""
+    if now > board.permit_until:
+        return
     covered = waiting.guaranteed_ids(board)
     sort_key = waiting.orders_by_name[settings.fleet.waiting_order]
     groups = waiting.list_waiting(board, covered, sort_key, now, wall_s)
@@ -149,7 +151,7 @@
         return
     rooms = _rooms(board, settings, now)
     for group in groups:
-        _place(board, settings, rooms, group, covered, now, wall_s)
+        _place(board, settings, rooms, group, covered, now)
 
 
 def _rooms(
@@ -185,8 +187,8 @@
     group: fleet.Group,
     covered: abc.Set[str],
     now: float,
-    wall_s: float,
 ) -> None:
+    may_reclaim = waiting.reclaims_by_name[settings.fleet.reclaim]
     queue = group.job.queue
     if queue is None or queue.needs_advice:
         return
@@ -220,7 +222,7 @@
     if placed is not None:
         board.claims_by_group.pop(group, None)
         commit(board, group, placed, now)
-    elif claim is None and waiting.may_reclaim(group, covered, wall_s):
+    elif claim is None and may_reclaim(group, covered):
         _reclaim(board, rooms, group, allow, covered, now)
 
 
--- a/primroselock/decisions/waiting.py
+++ b/primroselock/decisions/waiting.py
@@ -10,12 +10,12 @@
 from primroselock.decisions import fleet
 
 SortKey = abc.Callable[[fleet.Group, float], tuple[float, ...]]
+MayReclaim = abc.Callable[[fleet.Group, abc.Set[str]], bool]
 orders_by_name: typing.Final[dict[str, SortKey]] = {}
+reclaims_by_name: typing.Final[dict[str, MayReclaim]] = {}
 _URGENT: typing.Final = 0
 """The priority of queues that guarantees hold for."""
 
-_MS_PER_S: typing.Final = 1000.0
-
 
 def order(name: str) -> abc.Callable[[SortKey], SortKey]:
     """Register the decorated order; lower keys go first."""
@@ -27,6 +27,16 @@
     return register
 
 
+def reclaim(name: str) -> abc.Callable[[MayReclaim], MayReclaim]:
+    """Register the decorated rule of who may have other work stopped."""
+
+    def register(may_reclaim: MayReclaim) -> MayReclaim:
+        reclaims_by_name[name] = may_reclaim
+        return may_reclaim
+
+    return register
+
+
 @order('fifo')
 def sort_fifo(group: fleet.Group, wall_s: float) -> tuple[float, ...]:
     """Order groups by when their job was accepted."""
@@ -49,15 +59,25 @@
     return (group.job.graph.id not in covered, priority(group.job))
 
 
-def may_reclaim(
-    group: fleet.Group, covered: abc.Set[str], wall_s: float
-) -> bool:
-    """Whether the group may have less urgent work stopped now.
+@reclaim('urgent')
+def reclaim_urgent(group: fleet.Group, covered: abc.Set[str]) -> bool:
+    """Let guaranteed work and the most urgent queues stop other work.
 
-    Guaranteed work may at once, the rest of the most urgent queues too,
-    since its objectives leave no time to wait.
+    The objectives of the most urgent queues leave no time to wait.
     """
-    return group.job.graph.id in covered or priority(group.job) == _URGENT
+    return is_covered(group, covered) or priority(group.job) == _URGENT
+
+
+@reclaim('guaranteed')
+def is_covered(group: fleet.Group, covered: abc.Set[str]) -> bool:
+    """Let only guaranteed work stop other work."""
+    return group.job.graph.id in covered
+
+
+@reclaim('none')
+def reclaim_none(group: fleet.Group, covered: abc.Set[str]) -> bool:
+    """Stop nothing for other work."""
+    return False
 
 
 def guaranteed_ids(board: fleet.Board) -> set[str]:
--- a/primroselock/graphrows.py
+++ b/primroselock/graphrows.py
@@ -28,9 +28,10 @@
 
 @dataclasses.dataclass(slots=True)
 class StoredJob:
-    """What rows tell of one job."""
+    """What rows tell of one job, and the versions of the rows."""
 
     graph: jobgraph.JobGraph | None = None
+    graph_version: int = table.ABSENT
     progress: jobgraph.JobProgress | None = None
     progress_version: int = table.ABSENT
     is_cancelled: bool = False
@@ -68,6 +69,7 @@
         try:
             if kind == _GRAPH:
                 stored.graph = _decode_graph(row.value)
+                stored.graph_version = row.version
             elif kind == _PROGRESS:
                 stored.progress = _decode_progress(row.value)
                 stored.progress_version = row.version
--- a/primroselock/holder.py
+++ b/primroselock/holder.py
@@ -125,28 +125,27 @@
                 await self.lease.step(clock.monotonic())
             if self.lease.has_shard:
                 return
-            try:
-                await asyncio.wait_for(self._lease_wake.wait(), interval_s)
-            except TimeoutError:
-                continue
-            finally:
-                self._lease_wake.clear()
+            await wait_until(self._lease_wake, interval_s)
 
     async def _hold(self) -> None:
         """Decide for the shard until it is lost."""
         self._follower.pause_s = 0.0
-        board = await self._take_over()
-        if board is None:
+        taken = await self._take_over()
+        if taken is None:
             return
+        board, listed_version = taken
         self._board = board
-        holding = _Holding(self, board)
+        holding = _Holding(self, board, listed_version)
         try:
             await holding.run()
         finally:
             self._board = None
 
-    async def _take_over(self) -> fleet.Board | None:
-        """Read everything that earlier holders left; None: lost again."""
+    async def _take_over(self) -> tuple[fleet.Board, int] | None:
+        """Read everything that earlier holders left; None: lost again.
+
+        The version of the listing comes with the board.
+        """
         held_since = clock.monotonic()
         while self.lease.has_shard and not self._stopping:
             shard_rows, entries = await asyncio.gather(
@@ -156,9 +155,11 @@
             if isinstance(shard_rows, result.Ok) and isinstance(
                 entries, result.Ok
             ):
-                return self._build_board(
-                    shard_rows.ok_value, entries.ok_value, held_since
+                listing = shard_rows.ok_value
+                board = self._build_board(
+                    listing, entries.ok_value, held_since
                 )
+                return board, listing.version
             _log.warning('takeover waits for the store')
             await self.lease.step(clock.monotonic())
             await asyncio.sleep(_RETRY_S)
@@ -208,6 +209,21 @@
             self._lease_wake.set()
 
 
+async def wait_until(event: asyncio.Event, longest_s: float) -> None:
+    """Wait for an event, but no longer, and clear it.
+
+    ``asyncio.wait_for`` may swallow a cancellation that comes together
+    with the event (Python 3.11); ``asyncio.timeout`` does not.
+    """
+    try:
+        async with asyncio.timeout(longest_s):
+            await event.wait()
+    except TimeoutError:
+        # The caller looks at the state either way.
+        pass
+    event.clear()
+
+
 def take_job(
     board: fleet.Board, stored: graphrows.StoredJob, now: float
 ) -> None:
@@ -233,12 +249,15 @@
 class _Holding:
     """The loops of one time of holding the shard."""
 
-    def __init__(self, holder: Holder, board: fleet.Board) -> None:
+    def __init__(
+        self, holder: Holder, board: fleet.Board, listed_version: int
+    ) -> None:
         self._holder = holder
         self._board = board
         self._settings = holder._settings
         self._lease = holder.lease
-        self._seen_ids = set(board.jobs_by_id)
+        self._listed_version = listed_version
+        self._seen_ids: set[str] = set()
         self._worker_follower = following.TableFollower(
             holder._store,
             holder._worker_rows.name,
@@ -306,11 +325,7 @@
         wake.set()
         while self._lease.has_shard:
             before = clock.monotonic()
-            try:
-                await asyncio.wait_for(wake.wait(), _TICK_S)
-            except TimeoutError:
-                pass
-            wake.clear()
+            await wait_until(wake, _TICK_S)
             now = clock.monotonic()
             if now - before > _TICK_S + _LOOP_GAP_S:
                 _log.warning('process stood still', gap_s=now - before)
@@ -320,6 +335,7 @@
         self._take_new_jobs(now)
         if not self._lease.has_shard:
             return
+        self._board.permit_until = self._permit_until()
         started = clock.monotonic()
         fleetround.run(self._board, self._settings, now, clock.wall())
         self._holder._metrics.record(
@@ -339,8 +355,12 @@
             known = self._board.jobs_by_id.get(job_id)
             if known is not None:
                 known.is_cancelled |= stored.is_cancelled
-            elif job_id not in self._seen_ids:
-                # What it held before is on the board or has ended.
+            elif (
+                job_id not in self._seen_ids
+                and stored.graph_version > self._listed_version
+            ):
+                # The copy may lag behind the listing: a job that the
+                # listing showed is on the board or has ended.
                 self._seen_ids.add(job_id)
                 take_job(self._board, stored, now)
 
@@ -362,13 +382,20 @@
         for order in self._board.take_orders():
             self._orders.send(order)
 
+    def _permit_until(self) -> float:
+        """Return until when the lease and the queues permit starts."""
+        confirmed_at = self._holder._table_confirmed_at()
+        return min(
+            self._lease.valid_until,
+            confirmed_at + self._settings.fleet.start_permit_s,
+        )
+
     def _may_start(self, now: float) -> bool:
         """Whether this process may order starts now."""
-        age_s = now - self._holder._table_confirmed_at()
         return (
             self._holder._board is self._board
-            and self._lease.holds(now)
-            and age_s <= self._settings.fleet.start_permit_s
+            and self._lease.has_shard
+            and now <= self._permit_until()
         )
 
     def _take_entries(self, changes: table.Changes) -> None:
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -176,6 +176,7 @@
     metrics_bind: str = ini.key('address', '127.0.0.1:0')
     waiting_order: str = ini.key('name', 'priority')
     placement: str = ini.key('name', 'best_fit')
+    reclaim: str = ini.key('name', 'urgent')
     run_lease_s: float = ini.key('seconds', 10.0)
     longest_wait_s: float = ini.key('seconds', 2.0)
     order_timeout_s: float = ini.key('seconds', 0.4)
--- /dev/null
+++ b/primroselock/test/fakefeed.py
@@ -0,0 +1,170 @@
+"""A table with a feed, in memory, with faults for one of its users."""
+
+import asyncio
+from collections import abc
+import dataclasses
+
+import result
+
+from primroselock.store import table
+from primroselock.test import fakestore
+from standins import platform
+
+_CALL_S = 0.004
+_LEAST_WAIT_S = 1e-6
+"""A timer that is nearer fires without the clock moving."""
+
+
+@dataclasses.dataclass
+class Reach:
+    """How one user reaches the store; ``silent`` calls never return."""
+
+    is_refused: bool = False
+    is_silent: bool = False
+    feed_is_silent: bool = False
+    faults: list[fakestore.Fault] = dataclasses.field(default_factory=list)
+
+
+class FeedStore:
+    """What all users share: rows and the history of changes."""
+
+    def __init__(self) -> None:
+        self.inner = platform.Store()
+        self.history: list[tuple[int, str]] = []
+        self.dropped_before = 0
+        self.changed = asyncio.Event()
+        self.late: list[table.Transaction] = []
+        self.writes = 0
+
+    def apply(self, transaction: table.Transaction) -> list[str]:
+        """Apply a transaction; return the keys whose conditions fail."""
+        failed = self.inner.transact(transaction)
+        if failed:
+            return failed
+        self.writes += 1
+        keys = [put.key for put in transaction.puts]
+        for key in [*keys, *transaction.deletes]:
+            self.history.append((self.inner.version, key))
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+        return []
+
+    def put(self, key: str, value: bytes) -> None:
+        """Write a row as another writer would."""
+        self.apply(table.Transaction(puts=(table.Put(key, value),)))
+
+    def delete(self, key: str) -> None:
+        """Remove a row as another writer would."""
+        self.apply(table.Transaction(deletes=(key,)))
+
+    def apply_late(self) -> None:
+        """Apply the transactions that are still on their way."""
+        late, self.late = self.late, []
+        for transaction in late:
+            self.apply(transaction)
+
+    def drop_history(self) -> None:
+        """Forget all changes so far."""
+        self.dropped_before = self.inner.version
+        self.history.clear()
+
+
+class FeedClient:
+    """Implements ``table.FeedTable`` for one user of the store."""
+
+    def __init__(self, shared: FeedStore, reach: Reach) -> None:
+        self._shared = shared
+        self._reach = reach
+
+    async def _call(self) -> bool:
+        """Wait as a call does; return whether it reached the store."""
+        await asyncio.sleep(_CALL_S)
+        if self._reach.is_silent:
+            await asyncio.sleep(1.0)
+        return not (self._reach.is_silent or self._reach.is_refused)
+
+    async def aclose(self) -> None:
+        """Close nothing."""
+
+    async def read(
+        self, keys: abc.Sequence[str]
+    ) -> result.Result[table.Rows, table.Unavailable]:
+        """Return the rows that exist among ``keys``."""
+        if not await self._call():
+            return result.Err(table.Unavailable('down'))
+        rows = self._shared.inner.rows
+        return result.Ok({key: rows[key] for key in keys if key in rows})
+
+    async def scan(
+        self, prefix: str, after: str = '', limit: int = 1000
+    ) -> result.Result[list[table.Row], table.Unavailable]:
+        """Return rows of ``prefix`` past ``after``."""
+        if not await self._call():
+            return result.Err(table.Unavailable('down'))
+        return result.Ok(self._shared.inner.scan(prefix, after, limit))
+
+    async def list_rows(
+        self, name: str
+    ) -> result.Result[table.Listing, table.Unavailable]:
+        """Return all rows of a table."""
+        if not await self._call():
+            return result.Err(table.Unavailable('down'))
+        inner = self._shared.inner
+        rows = inner.scan(f'{name}/', '', 100_000)
+        return result.Ok(table.Listing(tuple(rows), inner.version))
+
+    async def changes(
+        self, name: str, after: int, wait_s: float
+    ) -> result.Result[table.Changes, table.Unavailable | table.HistoryGone]:
+        """Return what changed past version ``after``."""
+        if not await self._call():
+            return result.Err(table.Unavailable('down'))
+        deadline = asyncio.get_running_loop().time() + wait_s
+        while True:
+            if self._reach.feed_is_silent:
+                await asyncio.sleep(wait_s + 1.0)
+                return result.Err(table.Unavailable('silent'))
+            if after < self._shared.dropped_before:
+                return result.Err(table.HistoryGone())
+            found = self._collect(name, after)
+            left_s = deadline - asyncio.get_running_loop().time()
+            if found.rows or found.removed or left_s <= _LEAST_WAIT_S:
+                return result.Ok(found)
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._shared.changed.wait()
+            except TimeoutError:
+                continue
+
+    def _collect(self, name: str, after: int) -> table.Changes:
+        inner = self._shared.inner
+        keys = {
+            key: None
+            for version, key in self._shared.history
+            if version > after and key.startswith(f'{name}/')
+        }
+        rows = tuple(inner.rows[key] for key in keys if key in inner.rows)
+        removed = tuple(key for key in keys if key not in inner.rows)
+        return table.Changes(rows, removed, inner.version)
+
+    async def transact(
+        self, transaction: table.Transaction
+    ) -> result.Result[table.Committed, table.TransactError]:
+        """Apply ``transaction`` as its fault says."""
+        if not await self._call():
+            return result.Err(table.Unavailable('down'))
+        faults = self._reach.faults
+        fault = faults.pop(0) if faults else fakestore.Fault.NONE
+        if fault is fakestore.Fault.UNAVAILABLE:
+            return result.Err(table.Unavailable('down'))
+        if fault is fakestore.Fault.NOT_ARRIVED:
+            return result.Err(table.Unsettled('lost'))
+        if fault is fakestore.Fault.LATE:
+            self._shared.late.append(transaction)
+            return result.Err(table.Unsettled('lost'))
+        failed = self._shared.apply(transaction)
+        if fault is fakestore.Fault.REPLY_LOST:
+            return result.Err(table.Unsettled('lost'))
+        if failed:
+            return result.Err(table.Conflict(tuple(failed)))
+        return result.Ok(table.Committed(self._shared.inner.version))
--- /dev/null
+++ b/primroselock/test/fleetbuilders.py
@@ -0,0 +1,250 @@
+"""Builders for tests of nodes: settings, queues, jobs, workers, nodes."""
+
+import asyncio
+import dataclasses
+import typing
+
+import msgspec
+
+from primroselock import clock
+from primroselock.decisions import fleet
+from primroselock import graphrows
+from primroselock import holder
+from primroselock import intake
+from primroselock import jobgraph
+from primroselock import metrics
+from primroselock import options
+from primroselock import queues
+from primroselock.store import following
+from primroselock.store import keys
+from primroselock.store import table
+from primroselock.test import builders
+from primroselock.test import fakefeed
+from primroselock.test import fakefleet
+
+NODE_TEXT: typing.Final = """
+[scheduler]
+shard_lease_s = 2.0
+shard_renew_interval_s = 0.5
+"""
+URGENT: typing.Final = queues.Queue(
+    'urgent', 'host', '/urgent/', 'svc', 0, 4, 1.5, 0.25
+)
+BULK: typing.Final = queues.Queue(
+    'bulk', 'host', '/bulk/', 'svc', 2, 4, 3.0, 3.0
+)
+TABLE: typing.Final = queues.QueueTable(
+    1,
+    (URGENT, BULK),
+    {
+        'signs': queues.QueueAccount('signs', frozenset({'k1'}), 16),
+        'merch': queues.QueueAccount('merch', frozenset({'k2'}), 8),
+    },
+)
+WORKER_ROOM: typing.Final = jobgraph.Resources(64000, 262144, 8)
+
+
+def build_node_settings(
+    text: str = '', vm_id: str = 'entry-1'
+) -> options.Settings:
+    """Return the settings of a node; ``text`` adds sections."""
+    process = builders.SETTINGS_TEXT.replace('entry-1', vm_id)
+    return builders.parse_settings(process + NODE_TEXT + text)
+
+
+def build_entry(
+    worker_id: str, rack: str = 'r0', zone: str = 'a', **changes: typing.Any
+) -> fleet.WorkerEntry:
+    """Return the entry of a worker with eight accelerators."""
+    entry = fleet.WorkerEntry(
+        worker_id,
+        'svc',
+        f'{worker_id}:1',
+        zone,
+        rack,
+        ('kind', rack),
+        WORKER_ROOM,
+        boot=1,
+    )
+    return dataclasses.replace(entry, **changes)
+
+
+def build_step(
+    tasks: int = 1,
+    accelerators: int = 1,
+    expected_ms: int = 1000,
+    cpu_millis: int = 1000,
+    **changes: typing.Any,
+) -> jobgraph.Step:
+    """Return a step."""
+    need = jobgraph.Resources(cpu_millis, 1000, accelerators)
+    return jobgraph.Step(tasks, need, expected_ms, **changes)
+
+
+def build_graph(
+    job_id: str,
+    *steps: jobgraph.Step,
+    queue: str = 'bulk',
+    account: str = 'signs',
+    accepted_ms: int = 0,
+    **changes: typing.Any,
+) -> jobgraph.JobGraph:
+    """Return a job."""
+    return jobgraph.JobGraph(
+        job_id,
+        account,
+        queue,
+        'payload',
+        steps or (build_step(),),
+        accepted_ms,
+        **changes,
+    )
+
+
+class _Rows:
+    """Entries of workers as the tests' own rows."""
+
+    name = 'servers'
+
+    def read_entry(self, row: table.Row) -> fleet.WorkerEntry | None:
+        """Return the worker that a row tells of, or None."""
+        try:
+            return msgspec.json.decode(row.value, type=fleet.WorkerEntry)
+        except msgspec.MsgspecError:
+            return None
+
+    def read_removed(self, key: str) -> str:
+        """Return the id of the worker whose entry is gone."""
+        return key.removeprefix('servers/')
+
+
+class TestNode:
+    """A node without sockets: intake and holder on fakes."""
+
+    __test__ = False
+
+    def __init__(
+        self,
+        name: str,
+        store: fakefeed.FeedStore,
+        link: fakefleet.FakeFleet,
+        settings_text: str = '',
+    ) -> None:
+        self.settings = build_node_settings(settings_text, name)
+        self.reach = fakefeed.Reach()
+        self.client = fakefeed.FeedClient(store, self.reach)
+        self.follower = following.TableFollower(self.client, 'shard', 1.0)
+        self.counters = metrics.Metrics()
+        self.intake = intake.Intake(
+            self.settings, self.client, self.follower, self.counters
+        )
+        self.holder = holder.Holder(
+            self.settings,
+            self.client,
+            self.follower,
+            _Rows(),
+            link,
+            self.counters,
+        )
+        self.table_age_s = 0.0
+        self.set_table(TABLE)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def set_table(self, current: queues.QueueTable) -> None:
+        """Take over a version of the queues."""
+        self.intake.set_table(current, self._confirmed_at)
+        self.holder.set_table(current, self._confirmed_at)
+
+    def _confirmed_at(self) -> float:
+        return clock.monotonic() - self.table_age_s
+
+    def start(self) -> None:
+        """Start the node's loops."""
+        self._tasks = [
+            asyncio.create_task(self.follower.run()),
+            asyncio.create_task(self.holder.run()),
+        ]
+
+    async def kill(self) -> None:
+        """End the node at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+class World:
+    """A store, workers and nodes."""
+
+    __test__ = False
+
+    def __init__(self, seed: int = 0, workers: int = 4) -> None:
+        self.store = fakefeed.FeedStore()
+        self.fleet = fakefleet.FakeFleet(seed)
+        self.nodes: list[TestNode] = []
+        for number in range(workers):
+            self.add_worker(build_entry(f'w{number}', f'r{number // 4}'))
+        self._task = asyncio.create_task(self.fleet.run())
+
+    def add_worker(self, entry: fleet.WorkerEntry) -> fakefleet.FakeWorker:
+        """Add a worker and its entry."""
+        self.write_entry(entry)
+        return self.fleet.add(entry)
+
+    def write_entry(self, entry: fleet.WorkerEntry) -> None:
+        """Write what a worker says of itself."""
+        self.store.put(f'servers/{entry.id}', msgspec.json.encode(entry))
+
+    def add_node(self, name: str, settings_text: str = '') -> TestNode:
+        """Add a node and start it."""
+        node = TestNode(name, self.store, self.fleet, settings_text)
+        self.nodes.append(node)
+        node.start()
+        return node
+
+    def submit(self, graph: jobgraph.JobGraph) -> None:
+        """Store a job as an intake would."""
+        if not graph.accepted_ms:
+            graph = msgspec.structs.replace(
+                graph, accepted_ms=int(clock.wall() * 1000)
+            )
+        self.fleet.graphs_by_id[graph.id] = graph
+        self.store.put(keys.graph('fleet', graph.id), graphrows.encode(graph))
+
+    def cancel(self, job_id: str) -> None:
+        """Store the wish to cancel a job."""
+        self.store.put(keys.cancellation('fleet', job_id), b'signs')
+
+    def progress(self, job_id: str) -> jobgraph.JobProgress | None:
+        """Return the stored progress of a job."""
+        row = self.store.inner.rows.get(keys.progress('fleet', job_id))
+        if row is None:
+            return None
+        return msgspec.json.decode(row.value, type=jobgraph.JobProgress)
+
+    def state(self, job_id: str) -> str:
+        """Return the stored state of a job."""
+        progress = self.progress(job_id)
+        return progress.state.value if progress else 'waiting'
+
+    async def wait_for(
+        self, job_id: str, state: str, longest_s: float
+    ) -> float:
+        """Wait until a job is stored in a state; return how long it took.
+
+        Raises :class:`AssertionError` after ``longest_s``.
+        """
+        started = clock.monotonic()
+        while self.state(job_id) != state:
+            if clock.monotonic() - started > longest_s:
+                raise AssertionError(
+                    f'{job_id} is {self.state(job_id)}, not {state}, '
+                    f'after {longest_s} s'
+                )
+            await asyncio.sleep(0.01)
+        return clock.monotonic() - started
+
+    async def close(self) -> None:
+        """End everything."""
+        for node in self.nodes:
+            await node.kill()
+        self._task.cancel()
--- /dev/null
+++ b/primroselock/test/testfleetnode.py
@@ -0,0 +1,373 @@
+"""Whole nodes on fakes, in virtual time: jobs, takeover, silent workers."""
+
+import asyncio
+from collections import abc
+import dataclasses
+import unittest
+
+import result
+
+from primroselock import clock
+from primroselock import intake
+from primroselock.test import fakestore
+from primroselock.test import fleetbuilders
+from primroselock.test import virtualtime
+
+Scenario = abc.Callable[[fleetbuilders.World], abc.Coroutine[None, None, None]]
+
+
+def play(scenario: Scenario, seed: int = 0, workers: int = 4) -> None:
+    """Play a scenario with one node; no fault may be noted."""
+
+    async def whole(virtual: virtualtime.VirtualClock) -> None:
+        world = fleetbuilders.World(seed, workers)
+        world.add_node('entry-1')
+        await scenario(world)
+        await world.close()
+        if world.fleet.faults:
+            raise AssertionError(world.fleet.faults[:3])
+
+    virtualtime.run(whole)
+
+
+class JobTest(unittest.TestCase):
+    """What becomes of jobs while nothing fails."""
+
+    def test_a_job_is_done_soon(self) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            await asyncio.sleep(1.0)
+            world.submit(fleetbuilders.build_graph('j1'))
+            took_s = await world.wait_for('j1', 'done', 5.0)
+            self.assertLess(took_s, 1.2)
+
+        play(scenario)
+
+    def test_steps_run_in_order(self) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            graph = fleetbuilders.build_graph(
+                'j1',
+                fleetbuilders.build_step(3),
+                fleetbuilders.build_step(2, after=(0,)),
+                fleetbuilders.build_step(4, gang=True, after=(0, 1)),
+            )
+            world.submit(graph)
+            took_s = await world.wait_for('j1', 'done', 10.0)
+            self.assertGreater(took_s, 3.0)
+            self.assertEqual(9, world.fleet.starts)
+
+        play(scenario)
+
+    def test_occurrences_wait_for_their_time(self) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            graph = fleetbuilders.build_graph(
+                'j1',
+                occurrences=3,
+                first_due_ms=int(clock.wall() * 1000) + 2000,
+                period_ms=2000,
+            )
+            world.submit(graph)
+            await asyncio.sleep(1.9)
+            self.assertEqual(0, world.fleet.starts)
+            took_s = await world.wait_for('j1', 'done', 10.0)
+            self.assertGreater(took_s, 5.0 - 1.9)
+
+        play(scenario)
+
+    def test_a_cancelled_job_is_stopped(self) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            step = fleetbuilders.build_step(4, expected_ms=30_000)
+            world.submit(fleetbuilders.build_graph('j1', step))
+            await asyncio.sleep(1.0)
+            world.cancel('j1')
+            await world.wait_for('j1', 'cancelled', 1.0)
+            await asyncio.sleep(0.5)
+            running = [w.runs for w in world.fleet.workers_by_id.values()]
+            self.assertFalse(any(running))
+
+        play(scenario)
+
+    def test_a_job_that_always_fails_ends_failed(self) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            for worker in world.fleet.workers_by_id.values():
+                worker.fails_all = True
+            world.submit(fleetbuilders.build_graph('j1'))
+            await world.wait_for('j1', 'failed', 20.0)
+            failures = max(world.fleet.failures_by_task.values())
+            self.assertEqual(fleetbuilders.BULK.max_attempts, failures)
+
+        play(scenario)
+
+    def test_nothing_starts_in_a_zone_that_is_out(self) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            await asyncio.sleep(0.5)
+            world.nodes[0].set_table(
+                dataclasses.replace(
+                    fleetbuilders.TABLE, zones_out=frozenset({'a'})
+                )
+            )
+            world.submit(fleetbuilders.build_graph('j1'))
+            await asyncio.sleep(3.0)
+            self.assertEqual(0, world.fleet.starts)
+
+        play(scenario)
+
+    def test_nothing_starts_on_an_old_configuration(self) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            await asyncio.sleep(0.5)
+            world.nodes[0].table_age_s = 3.0
+            world.submit(fleetbuilders.build_graph('j1'))
+            await asyncio.sleep(2.0)
+            self.assertEqual(0, world.fleet.starts)
+            world.nodes[0].table_age_s = 0.0
+            await world.wait_for('j1', 'done', 3.0)
+
+        play(scenario)
+
+
+class WorkerTest(unittest.TestCase):
+    """Workers that are cut off, crash, come back or answer late."""
+
+    def test_a_silent_worker_is_given_up_when_its_lease_is_over(self) -> None:
+        """Fails where looks that go unanswered extend the lease."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            step = fleetbuilders.build_step(1, 8, 3000)
+            world.submit(fleetbuilders.build_graph('j1', step))
+            await asyncio.sleep(1.0)
+            busy = next(
+                w for w in world.fleet.workers_by_id.values() if w.runs
+            )
+            world.fleet.crash(busy)
+            took_s = await world.wait_for('j1', 'done', 16.0)
+            self.assertGreater(took_s, 9.0)
+
+        play(scenario)
+
+    def test_a_worker_that_is_cut_off_runs_on_and_is_adopted(self) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            step = fleetbuilders.build_step(1, 8, 6000)
+            world.submit(fleetbuilders.build_graph('j1', step))
+            await asyncio.sleep(1.0)
+            busy = next(
+                w for w in world.fleet.workers_by_id.values() if w.runs
+            )
+            busy.is_cut = True
+            await asyncio.sleep(5.5)
+            busy.is_cut = False
+            await world.wait_for('j1', 'done', 3.0)
+            self.assertEqual(1, world.fleet.starts)
+
+        play(scenario)
+
+    def test_a_worker_that_came_back_has_lost_its_runs(self) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            step = fleetbuilders.build_step(1, 8, 3000)
+            world.submit(fleetbuilders.build_graph('j1', step))
+            await asyncio.sleep(1.0)
+            busy = next(
+                w for w in world.fleet.workers_by_id.values() if w.runs
+            )
+            world.fleet.crash(busy)
+            await asyncio.sleep(0.5)
+            world.fleet.restart(busy)
+            await world.wait_for('j1', 'done', 8.0)
+
+        play(scenario)
+
+    def test_orders_obeyed_late_do_no_harm(self) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            for worker in world.fleet.workers_by_id.values():
+                worker.late_share = 0.3
+            for number in range(12):
+                step = fleetbuilders.build_step(
+                    2, 2, 800, gang=bool(number % 2)
+                )
+                world.submit(fleetbuilders.build_graph(f'j{number}', step))
+            await asyncio.sleep(30.0)
+            for worker in world.fleet.workers_by_id.values():
+                worker.late_share = 0.0
+            for number in range(12):
+                await world.wait_for(f'j{number}', 'done', 30.0)
+
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                play(scenario, seed)
+
+
+class TakeoverTest(unittest.TestCase):
+    """A second node takes the shard over."""
+
+    def test_running_work_is_adopted(self) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            world.add_node('entry-2')
+            step = fleetbuilders.build_step(6, 2, 6000)
+            world.submit(fleetbuilders.build_graph('j1', step))
+            await asyncio.sleep(1.5)
+            first = next(
+                node for node in world.nodes if node.holder.lease.has_shard
+            )
+            await first.kill()
+            await world.wait_for('j1', 'done', 8.0)
+            self.assertEqual(6, world.fleet.starts)
+
+        play(scenario)
+
+    def test_a_standby_takes_over_when_nothing_else_changes(self) -> None:
+        """Fails where a copy counts as old before a feed's wait is over."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            world.add_node('entry-2')
+            await asyncio.sleep(5.0)
+            first = next(
+                node for node in world.nodes if node.holder.lease.has_shard
+            )
+            await first.kill()
+            await asyncio.sleep(6.0)
+            world.submit(fleetbuilders.build_graph('j1'))
+            await world.wait_for('j1', 'done', 2.0)
+
+        play(scenario)
+
+    def test_a_holder_that_leaves_hands_over_at_once(self) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            world.add_node('entry-2')
+            await asyncio.sleep(2.0)
+            first = next(
+                node for node in world.nodes if node.holder.lease.has_shard
+            )
+            await first.holder.leave()
+            world.submit(fleetbuilders.build_graph('j1'))
+            took_s = await world.wait_for('j1', 'done', 4.0)
+            self.assertLess(took_s, 2.5)
+
+        play(scenario)
+
+    def test_a_holder_without_the_store_starts_nothing(self) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            await asyncio.sleep(1.0)
+            world.nodes[0].reach.is_refused = True
+            world.submit(fleetbuilders.build_graph('j1'))
+            await asyncio.sleep(4.0)
+            self.assertEqual(0, world.fleet.starts)
+            world.nodes[0].reach.is_refused = False
+            await world.wait_for('j1', 'done', 4.0)
+
+        play(scenario)
+
+    def test_lost_replies_and_late_writes_change_nothing(self) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            await asyncio.sleep(1.0)
+            node = world.nodes[0]
+            for number in range(6):
+                world.submit(fleetbuilders.build_graph(f'j{number}'))
+                node.reach.faults += [
+                    fakestore.Fault.REPLY_LOST,
+                    fakestore.Fault.LATE,
+                ]
+                await asyncio.sleep(0.3)
+                world.store.apply_late()
+            for number in range(6):
+                await world.wait_for(f'j{number}', 'done', 10.0)
+
+        play(scenario)
+
+
+class IntakeTest(unittest.TestCase):
+    """Accepting, refusing, telling states."""
+
+    def test_the_same_id_is_one_job(self) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            other = world.add_node('entry-2')
+            graph = fleetbuilders.build_graph('j1')
+            world.fleet.graphs_by_id['j1'] = graph
+            access = intake.Access(fleetbuilders.BULK, 'signs')
+            deadline = clock.monotonic() + 2.0
+            answers = await asyncio.gather(
+                *(
+                    node.intake.submit(access, graph, deadline)
+                    for node in (world.nodes[0], other, other)
+                )
+            )
+            self.assertTrue(all(isinstance(a, result.Ok) for a in answers))
+            await world.wait_for('j1', 'done', 5.0)
+            late = await other.intake.submit(access, graph, deadline + 9)
+            self.assertIsInstance(late, result.Ok)
+            await asyncio.sleep(2.0)
+            self.assertEqual(1, world.fleet.starts)
+
+        play(scenario)
+
+    def test_a_refusal_means_that_nothing_was_stored(self) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            node = world.nodes[0]
+            access = intake.Access(fleetbuilders.BULK, 'signs')
+            await asyncio.sleep(1.0)
+            for fault in fakestore.Fault:
+                graph = fleetbuilders.build_graph(f'j-{fault.name}')
+                node.reach.faults = [fault]
+                answer = await node.intake.submit(
+                    access, graph, clock.monotonic() + 2.0
+                )
+                if isinstance(answer, result.Ok):
+                    continue
+                world.store.apply_late()
+                stored = any(graph.id in key for key in world.store.inner.rows)
+                if answer.err_value.why is not intake.Why.UNSETTLED:
+                    self.assertFalse(stored, fault)
+
+        async def without_work(world: fleetbuilders.World) -> None:
+            world.nodes[0].table_age_s = 99.0
+            await scenario(world)
+
+        play(without_work)
+
+    def test_an_old_view_serves_nobody(self) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            node = world.nodes[0]
+            now = clock.monotonic()
+            self.assertIsInstance(
+                node.intake.admit('host', '/bulk/x', 'k1', now), result.Ok
+            )
+            node.table_age_s = 3.5
+            refused = node.intake.admit('host', '/bulk/x', 'k1', now)
+            assert isinstance(refused, result.Err)
+            self.assertIs(intake.Why.STALE, refused.err_value.why)
+            self.assertFalse(node.intake.is_ready(now))
+
+        play(scenario)
+
+    def test_queue_and_key_are_looked_up(self) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            admit = world.nodes[0].intake.admit
+            now = clock.monotonic()
+            cases = {
+                ('other', '/bulk/x', 'k1'): intake.Why.NO_QUEUE,
+                ('host', '/nothing/x', 'k1'): intake.Why.NO_QUEUE,
+                ('host', '/bulk/x', 'wrong'): intake.Why.NO_KEY,
+            }
+            for (host, path, key), why in cases.items():
+                refused = admit(host, path, key, now)
+                assert isinstance(refused, result.Err)
+                self.assertIs(why, refused.err_value.why)
+
+        play(scenario)
+
+    def test_states_and_waiting_jobs_are_told(self) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            node = world.nodes[0]
+            access = intake.Access(fleetbuilders.BULK, 'signs')
+            big = fleetbuilders.build_step(4, 8, 3000)
+            world.submit(fleetbuilders.build_graph('j1', big))
+            world.submit(fleetbuilders.build_graph('j2', big))
+            await asyncio.sleep(1.5)
+            self.assertEqual(1, node.intake.count_waiting(access))
+            state = (await node.intake.state(access, 'j1')).unwrap()
+            self.assertEqual('running', state.value)
+            unknown = await node.intake.state(access, 'j9')
+            assert isinstance(unknown, result.Err)
+            self.assertIs(intake.Why.NO_JOB, unknown.err_value.why)
+            foreign = intake.Access(fleetbuilders.BULK, 'merch')
+            hidden = await node.intake.state(foreign, 'j1')
+            self.assertIsInstance(hidden, result.Err)
+
+        play(scenario)
--- /dev/null
+++ b/primroselock/test/testheavydays.py
@@ -0,0 +1,129 @@
+"""Loads of heavy days, without a network, against the plain baseline.
+
+Each test names the pattern of load that it answers and compares what is
+chosen with the registered baseline (first come, first fit) in one run.
+"""
+
+import asyncio
+import typing
+import unittest
+
+from primroselock.test import fleetbuilders
+from primroselock.test import virtualtime
+
+_BASELINE: typing.Final = """
+[fleet]
+waiting_order = fifo
+placement = first_fit
+reclaim = none
+"""
+
+
+class LoadTest(unittest.TestCase):
+    """One pattern of load a test."""
+
+    def test_urgent_gang_among_single_tasks_that_refill_each_gap(
+        self,
+    ) -> None:
+        """A gang beyond its guarantee does not starve.
+
+        Single tasks of a less urgent queue keep every worker broken, so
+        that no rack ever has whole workers for the gang.
+        """
+
+        async def scenario(world: fleetbuilders.World) -> float:
+            for number in range(30):
+                step = fleetbuilders.build_step(8, 1, 5000)
+                world.submit(fleetbuilders.build_graph(f'b{number}', step))
+            await asyncio.sleep(2.0)
+            gang = fleetbuilders.build_step(
+                4, 8, 1000, gang=True, rack_local=True
+            )
+            graph = fleetbuilders.build_graph('gang', gang, queue='urgent')
+            world.submit(graph)
+            return await world.wait_for('gang', 'done', 200.0)
+
+        chosen_s = _play(scenario, '')
+        self.assertLess(chosen_s, 2.0)
+
+    def test_guaranteed_work_while_everything_is_borrowed(self) -> None:
+        """Work within its guarantee begins within the reclaim bound."""
+
+        async def scenario(world: fleetbuilders.World) -> float:
+            for number in range(4):
+                step = fleetbuilders.build_step(8, 1, 20_000)
+                graph = fleetbuilders.build_graph(
+                    f'b{number}', step, queue='urgent', account='merch'
+                )
+                world.submit(graph)
+            await asyncio.sleep(1.0)
+            step = fleetbuilders.build_step(2, 8, 500)
+            graph = fleetbuilders.build_graph('g', step, queue='urgent')
+            world.submit(graph)
+            return await world.wait_for('g', 'done', 90.0)
+
+        chosen_s = _play(scenario, '')
+        self.assertLess(chosen_s, 2.7 + 0.5)
+
+    def test_whole_racks_are_kept_for_gangs(self) -> None:
+        """Single tasks gather in one rack; first fit by list spreads."""
+
+        async def scenario(world: fleetbuilders.World) -> float:
+            for number in range(6):
+                step = fleetbuilders.build_step(1, 1, 20_000)
+                world.submit(fleetbuilders.build_graph(f'b{number}', step))
+                await asyncio.sleep(0.1)
+            racks = {
+                worker.entry.rack
+                for worker in world.fleet.workers_by_id.values()
+                if worker.runs
+            }
+            return float(len(racks))
+
+        self.assertEqual(1.0, _play(scenario, '', workers=8))
+
+    def test_mean_completion_beats_the_baseline(self) -> None:
+        """A burst of small urgent jobs behind wide bulk work."""
+
+        async def scenario(world: fleetbuilders.World) -> float:
+            for number in range(6):
+                step = fleetbuilders.build_step(16, 1, 6000, 7000)
+                world.submit(fleetbuilders.build_graph(f'b{number}', step))
+            await asyncio.sleep(0.5)
+            for number in range(10):
+                step = fleetbuilders.build_step(2, 4, 1000)
+                graph = fleetbuilders.build_graph(
+                    f'u{number}', step, queue='urgent'
+                )
+                world.submit(graph)
+            waits = await asyncio.gather(
+                *(
+                    world.wait_for(f'u{number}', 'done', 200.0)
+                    for number in range(10)
+                )
+            )
+            return sum(waits) / len(waits)
+
+        chosen_s = _play(scenario, '')
+        baseline_s = _play(scenario, _BASELINE)
+        self.assertLess(chosen_s, baseline_s * 0.7)
+
+
+def _play(
+    scenario: typing.Callable[
+        [fleetbuilders.World], typing.Coroutine[None, None, float]
+    ],
+    settings_text: str,
+    workers: int = 4,
+) -> float:
+    async def whole(virtual: virtualtime.VirtualClock) -> float:
+        world = fleetbuilders.World(0, workers)
+        world.add_node('entry-1', settings_text)
+        await asyncio.sleep(0.5)
+        measured = await scenario(world)
+        await world.close()
+        if world.fleet.faults:
+            raise AssertionError(world.fleet.faults[:3])
+        return measured
+
+    return virtualtime.run(whole)
