A look confirms an end once, and never to a worker that was silent

Cause: each look repeated the number of the last stored end. A worker that started anew under its id counts from 1 again, so the number made it forget ends that it had not told; that work then ran again (TWICE). Change: a number is sent only while it is news and the worker answered the look before; what a look confirmed is noted by the worker's boot. Ruled out: late orders that outlive a crash (the fake obeyed them after a restart; it no longer does, and the case failed all the same).

--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -226,7 +226,9 @@
     ``clock_s`` is the worker's clock as received at ``clock_at``.
     ``lease_end`` is the time on the worker's clock up to which its runs
     were leased; ``looked_at`` is when the last look was sent that was
-    answered under this holder's epoch.
+    answered under this holder's epoch.  Of its numbered ends, those up to
+    ``listed_end`` were told, up to ``saved_end`` their effect is stored,
+    and up to ``confirmed_end`` the worker was told so.
     """
 
     entry: WorkerEntry
@@ -238,8 +240,9 @@
     clock_at: float = _NEVER
     lease_end: float | None = None
     failures_in_row: int = 0
-    confirmed_end: int = 0
     listed_end: int = 0
+    saved_end: int = 0
+    confirmed_end: int = 0
     unsaved_ends: list[UnsavedEnd] = dataclasses.field(default_factory=list)
     members: dict[orders.Run, Member] = dataclasses.field(default_factory=dict)
     strays: dict[orders.Run, Stray] = dataclasses.field(default_factory=dict)
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -62,8 +62,9 @@
     board: fleet.Board, worker: fleet.Worker, look: orders.Look
 ) -> None:
     """Nothing of the worker's earlier life is left but what it shows."""
-    worker.confirmed_end = 0
     worker.listed_end = 0
+    worker.saved_end = 0
+    worker.confirmed_end = 0
     worker.unsaved_ends.clear()
     worker.lease_end = None
     board.notes.append(
@@ -357,13 +358,25 @@
     return worker.clock_s + left_s / (1 + CLOCK_DRIFT)
 
 
-def confirm_saved(worker: fleet.Worker) -> None:
+def note_saved(worker: fleet.Worker) -> None:
     """Raise the number of the last end whose effect is stored."""
     while worker.unsaved_ends:
         oldest = worker.unsaved_ends[0]
         if oldest.job.saved < oldest.change:
-            worker.confirmed_end = max(worker.confirmed_end, oldest.number - 1)
+            worker.saved_end = max(worker.saved_end, oldest.number - 1)
             return
-        worker.confirmed_end = max(worker.confirmed_end, oldest.number)
+        worker.saved_end = max(worker.saved_end, oldest.number)
         worker.unsaved_ends.pop(0)
-    worker.confirmed_end = worker.listed_end
+    worker.saved_end = worker.listed_end
+
+
+def end_to_confirm(worker: fleet.Worker) -> int:
+    """Return the end up to which a look tells the worker to forget.
+
+    0 where there is nothing new, or where the worker may have started
+    anew since it listed its ends: its numbers begin again, and it would
+    forget ends that were never told.
+    """
+    if worker.failures_in_row or worker.saved_end <= worker.confirmed_end:
+        return 0
+    return worker.saved_end
--- a/primroselock/graphwriter.py
+++ b/primroselock/graphwriter.py
@@ -135,7 +135,7 @@
                     members = tuple(group.members)
                     self._board.orders.append(fleet.StartOrder(members))
         for worker in self._board.workers_by_id.values():
-            runs.confirm_saved(worker)
+            runs.note_saved(worker)
         self._on_saved()
 
     async def _read_versions(self, taken: list[_Snapshot]) -> None:
--- a/primroselock/lookers.py
+++ b/primroselock/lookers.py
@@ -95,7 +95,9 @@
 
     async def _look(self, worker: fleet.Worker) -> bool:
         """Look once; return whether the worker answered."""
-        runs.confirm_saved(worker)
+        runs.note_saved(worker)
+        confirmed_end = runs.end_to_confirm(worker)
+        boot = worker.boot
         sent_at = clock.monotonic()
         lease_until = None
         # A silent worker's lease is left to run out, so that its end is
@@ -109,7 +111,7 @@
             worker.id,
             worker.entry.address,
             self._board.epoch,
-            worker.confirmed_end,
+            confirmed_end,
             lease_until,
             self._wait_s(worker),
             self._settings.fleet.look_timeout_s,
@@ -120,6 +122,8 @@
             return False
         if worker.failures_in_row:
             _log.info('worker regained', worker=worker.id)
+        if answer.ok_value.boot == boot:
+            worker.confirmed_end = max(worker.confirmed_end, confirmed_end)
         runs.record_look(
             self._board,
             worker,
--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -179,8 +179,10 @@
     async def _start_late(
         self, worker: FakeWorker, order: orders.Start
     ) -> None:
+        boot = worker.boot
         await asyncio.sleep(self._random.uniform(2.0, 6.0))
-        if not worker.is_down:
+        # An order that waits in a worker's process ends with it.
+        if not worker.is_down and worker.boot == boot:
             self._obey_start(worker, order)
 
     def _obey_start(
--- a/primroselock/test/testfleetfaults.py
+++ b/primroselock/test/testfleetfaults.py
@@ -215,3 +215,20 @@
             Fault('feeds silent', 2.5, 1.0, 5),
         ]
         self.assertEqual([], play(faults, 9))
+
+    def test_ends_of_a_new_life_are_not_confirmed_unseen(self) -> None:
+        """Found by other seeds of the same: work that was done ran again.
+
+        A look repeated the number of the last end of a worker's earlier
+        life, and the new life forgot ends that it had not told.
+        """
+        faults = [
+            Fault('crash worker', 15.856, 2.419, 4),
+            Fault('crash worker', 3.07, 5.172, 5),
+            Fault('cut worker', 17.779, 4.267, 3),
+            Fault('hand over', 10.562, 0.77, 1),
+            Fault('late answers', 11.711, 1.231, 2),
+            Fault('store silent', 12.873, 3.823, 3),
+            Fault('replies lost', 19.45, 5.056, 0),
+        ]
+        self.assertEqual([], play(faults, 640))
--- a/primroselock/test/testfleetnode.py
+++ b/primroselock/test/testfleetnode.py
@@ -174,6 +174,25 @@
 
         play(scenario)
 
+    def test_ends_of_a_new_life_are_not_confirmed_unseen(self) -> None:
+        """A worker's numbers begin again when it starts anew."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            await asyncio.sleep(0.5)
+            worker = world.fleet.workers_by_id['w0']
+            for number in range(3):
+                world.submit(fleetbuilders.build_graph(f'j{number}'))
+            await world.wait_for('j2', 'done', 3.0)
+            await asyncio.sleep(0.5)
+            world.fleet.crash(worker)
+            world.fleet.restart(worker)
+            step = fleetbuilders.build_step(3, expected_ms=1)
+            world.submit(fleetbuilders.build_graph('j9', step))
+            await world.wait_for('j9', 'done', 5.0)
+            self.assertEqual(6, world.fleet.starts)
+
+        play(scenario, workers=1)
+
     def test_orders_obeyed_late_do_no_harm(self) -> None:
         async def scenario(world: fleetbuilders.World) -> None:
             for worker in world.fleet.workers_by_id.values():
