Useful work first; work out of slack may stop less urgent work

Change, one policy of waiting: what can still come on time goes first, what comes in vain last (never dropped); a group whose slack falls under 2 s may have less urgent work stopped; a group that was stopped returns after a delay that doubles up to 4 s.

--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -139,6 +139,7 @@
     not_before: float = _NEVER
     has_begun: bool = False
     spread: bool = False
+    preemptions: int = 0
 
     @property
     def task_indices(self) -> range:
@@ -171,12 +172,15 @@
 class LiveJob:
     """A job that has not ended, with the groups that are due.
 
+    ``chains_ms`` is each step's longest chain of expected run times.
+
     ``change`` rises with each change that rows must show and ``saved``
     follows it; ``row_version`` is that of its progress row.
     """
 
     graph: jobgraph.JobGraph
     queue: queues.Queue | None
+    chains_ms: tuple[int, ...] = ()
     row_version: int = 0
     state: jobs.JobState = jobs.JobState.WAITING
     groups_by_key: dict[jobgraph.GroupKey, Group] = dataclasses.field(
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -151,7 +151,7 @@
         return
     rooms = _rooms(board, settings, now)
     for group in groups:
-        _place(board, settings, rooms, group, covered, now)
+        _place(board, settings, rooms, group, covered, now, wall_s)
 
 
 def _rooms(
@@ -187,6 +187,7 @@
     group: fleet.Group,
     covered: abc.Set[str],
     now: float,
+    wall_s: float,
 ) -> None:
     may_reclaim = waiting.reclaims_by_name[settings.fleet.reclaim]
     queue = group.job.queue
@@ -222,7 +223,7 @@
     if placed is not None:
         board.claims_by_group.pop(group, None)
         commit(board, group, placed, now)
-    elif claim is None and may_reclaim(group, covered):
+    elif claim is None and may_reclaim(group, covered, wall_s):
         _reclaim(board, rooms, group, allow, covered, now)
 
 
@@ -285,6 +286,8 @@
     for worker_id in worker_ids:
         rooms.free_by_id.pop(worker_id, None)
     for victim in victims:
+        if victim.phase is fleet.Phase.STOPPING:
+            continue
         board.note(
             'preempted',
             victim.job,
--- a/primroselock/decisions/graphs.py
+++ b/primroselock/decisions/graphs.py
@@ -8,6 +8,7 @@
 import typing
 
 from primroselock.decisions import fleet
+from primroselock.decisions import objectives
 from primroselock import jobgraph
 from primroselock import jobs
 
@@ -16,6 +17,8 @@
 
 _FIRST_RETRY_DELAY_S: typing.Final = 0.05
 _LONGEST_RETRY_DELAY_S: typing.Final = 1.0
+_FIRST_RETURN_DELAY_S: typing.Final = 0.25
+_LONGEST_RETURN_DELAY_S: typing.Final = 4.0
 
 _ROW_PHASES: typing.Final = {
     fleet.Phase.BLOCKED: jobgraph.GroupPhase.WAITING,
@@ -44,7 +47,10 @@
     if progress is not None and progress.state.is_final:
         return None
     job = fleet.LiveJob(
-        graph, board.table.named(graph.queue), row_version=row_version
+        graph,
+        board.table.named(graph.queue),
+        objectives.chains_ms(graph.steps),
+        row_version,
     )
     board.jobs_by_id[graph.id] = job
     if progress is not None:
@@ -186,6 +192,11 @@
     ending = group.ending or fleet.Ending.LOST
     if ending is fleet.Ending.FAILED:
         group.not_before = now + _retry_delay_s(group.failures)
+    elif ending is fleet.Ending.PREEMPTED:
+        # Room that was needed once is soon needed again.
+        group.preemptions += 1
+        delay_s = _FIRST_RETURN_DELAY_S * 2.0 ** min(group.preemptions, 10)
+        group.not_before = now + min(delay_s, _LONGEST_RETURN_DELAY_S)
     group.members = []
     group.ending = None
     group.began_at = None
--- a/primroselock/decisions/waiting.py
+++ b/primroselock/decisions/waiting.py
@@ -8,14 +8,18 @@
 import typing
 
 from primroselock.decisions import fleet
+from primroselock.decisions import objectives
 
 SortKey = abc.Callable[[fleet.Group, float], tuple[float, ...]]
-MayReclaim = abc.Callable[[fleet.Group, abc.Set[str]], bool]
+MayReclaim = abc.Callable[[fleet.Group, abc.Set[str], float], bool]
 orders_by_name: typing.Final[dict[str, SortKey]] = {}
 reclaims_by_name: typing.Final[dict[str, MayReclaim]] = {}
 _URGENT: typing.Final = 0
 """The priority of queues that guarantees hold for."""
 
+_LAST_SLACK_S: typing.Final = 2.0
+"""Room is made by stops in about half of this time."""
+
 
 def order(name: str) -> abc.Callable[[SortKey], SortKey]:
     """Register the decorated order; lower keys go first."""
@@ -49,6 +53,18 @@
     return (float(priority(group.job)), float(group.job.graph.accepted_ms))
 
 
+@order('useful')
+def sort_by_use(group: fleet.Group, wall_s: float) -> tuple[float, ...]:
+    """Order by priority, but what can come in time first, in vain last."""
+    use = objectives.usefulness(group, wall_s)
+    return (
+        float(use is objectives.Usefulness.IN_VAIN),
+        float(priority(group.job)),
+        float(use),
+        float(group.job.graph.accepted_ms),
+    )
+
+
 def priority(job: fleet.LiveJob) -> int:
     """Return the priority of a job; one without a queue comes last."""
     return job.queue.priority if job.queue else 99
@@ -60,22 +76,39 @@
 
 
 @reclaim('urgent')
-def reclaim_urgent(group: fleet.Group, covered: abc.Set[str]) -> bool:
-    """Let guaranteed work and the most urgent queues stop other work.
+def reclaim_urgent(
+    group: fleet.Group, covered: abc.Set[str], wall_s: float
+) -> bool:
+    """Let work stop what is less urgent where waiting would be too late.
 
-    The objectives of the most urgent queues leave no time to wait.
+    Guaranteed work and the most urgent queues need not wait: their
+    objectives leave no time.  The rest may when its slack runs out.
     """
-    return is_covered(group, covered) or priority(group.job) == _URGENT
+    if is_covered(group, covered, wall_s):
+        return True
+    use = objectives.usefulness(group, wall_s)
+    if use is objectives.Usefulness.IN_VAIN:
+        return False
+    if priority(group.job) == _URGENT:
+        return True
+    factor = 1.0
+    if use is objectives.Usefulness.LATE:
+        factor = objectives.LATE_FACTOR
+    return objectives.slack_s(group, wall_s, factor) < _LAST_SLACK_S
 
 
 @reclaim('guaranteed')
-def is_covered(group: fleet.Group, covered: abc.Set[str]) -> bool:
+def is_covered(
+    group: fleet.Group, covered: abc.Set[str], wall_s: float
+) -> bool:
     """Let only guaranteed work stop other work."""
     return group.job.graph.id in covered
 
 
 @reclaim('none')
-def reclaim_none(group: fleet.Group, covered: abc.Set[str]) -> bool:
+def reclaim_none(
+    group: fleet.Group, covered: abc.Set[str], wall_s: float
+) -> bool:
     """Stop nothing for other work."""
     return False
 
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -174,7 +174,7 @@
     bind: str = ini.key('address', '127.0.0.1:0')
     ready_bind: str = ini.key('address', '127.0.0.1:0')
     metrics_bind: str = ini.key('address', '127.0.0.1:0')
-    waiting_order: str = ini.key('name', 'priority')
+    waiting_order: str = ini.key('name', 'useful')
     placement: str = ini.key('name', 'best_fit')
     reclaim: str = ini.key('name', 'urgent')
     run_lease_s: float = ini.key('seconds', 10.0)
