Workers that fail or stand still are left alone; run times as they were seen

Cause: a worker that fails all it starts is always the emptiest and drew work again and again; one that was suspect once was never tried again; and tasks on workers that stand still waited for ever. Change: quarantine after failures of two distinct jobs, doubling, with probation; a task counts as stuck against its siblings or its queue's run times as seen, once, and elsewhere; estimates far from the queue's median are replaced by it. Tasks that fill spare CPU are kept off workers with tasks that serve users; tasks with a bound on how many are away are never stopped for others.

--- a/primroselock/decisions/evidence.py
+++ b/primroselock/decisions/evidence.py
@@ -59,7 +59,9 @@
         self.attempts_by_worker_id.pop(worker_id, None)
         self.quarantines_by_worker_id.pop(worker_id, None)
 
-    def is_suspect(self, worker_id: str) -> bool:
+    def is_suspect(
+        self, worker_id: str, jobs_to_blame: int = JOBS_TO_BLAME_WORKER
+    ) -> bool:
         """Whether the failures point at the worker."""
         by_job = self.attempts_by_worker_id.get(worker_id, {})
         against = [
@@ -69,7 +71,7 @@
         ]
         if any(len(a) >= REPEATS_TO_BLAME_WORKER for a in against):
             return True
-        return len(against) >= JOBS_TO_BLAME_WORKER
+        return len(against) >= jobs_to_blame
 
     def is_job_at_fault(self, job_id: str) -> bool:
         """Whether the job failed on several distinct workers."""
--- a/primroselock/decisions/fitting.py
+++ b/primroselock/decisions/fitting.py
@@ -79,6 +79,24 @@
     return worker.entry.capacity.holds(step.counted_need)
 
 
+def may_share(worker: fleet.Worker, step: jobgraph.Step) -> bool:
+    """Whether the step's tasks may run beside what is on the worker.
+
+    Tasks that fill spare CPU disturb tasks that serve users, by amounts
+    that change within seconds: they are kept apart.
+    """
+    if step.fills:
+        return not any(
+            member.group.step.tail_goal_ms
+            for member in worker.members.values()
+        )
+    if step.tail_goal_ms:
+        return not any(
+            member.group.step.fills for member in worker.members.values()
+        )
+    return True
+
+
 def place(
     board: fleet.Board,
     rooms: Rooms,
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -17,6 +17,7 @@
 import typing
 
 from primroselock.decisions import evidence
+from primroselock.decisions import learnedtimes
 from primroselock import jobgraph
 from primroselock import jobs
 from primroselock import queues
@@ -140,6 +141,8 @@
     has_begun: bool = False
     spread: bool = False
     preemptions: int = 0
+    is_resumed: bool = False
+    stuck_on_ids: set[str] = dataclasses.field(default_factory=set)
 
     @property
     def task_indices(self) -> range:
@@ -172,7 +175,7 @@
 class LiveJob:
     """A job that has not ended, with the groups that are due.
 
-    ``chains_ms`` is each step's longest chain of expected run times.
+    ``chains_s`` is each step's longest chain of expected run times.
 
     ``change`` rises with each change that rows must show and ``saved``
     follows it; ``row_version`` is that of its progress row.
@@ -180,7 +183,7 @@
 
     graph: jobgraph.JobGraph
     queue: queues.Queue | None
-    chains_ms: tuple[int, ...] = ()
+    chains_s: tuple[float, ...] = ()
     row_version: int = 0
     state: jobs.JobState = jobs.JobState.WAITING
     groups_by_key: dict[jobgraph.GroupKey, Group] = dataclasses.field(
@@ -358,8 +361,8 @@
     failure_evidence: evidence.Evidence = dataclasses.field(
         default_factory=evidence.Evidence
     )
-    run_time_factors: dict[str, float] = dataclasses.field(
-        default_factory=dict
+    learned: learnedtimes.LearnedTimes = dataclasses.field(
+        default_factory=learnedtimes.LearnedTimes
     )
 
     def touch(self, job: LiveJob) -> None:
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -11,6 +11,7 @@
 
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
+from primroselock.decisions import fleethealth
 from primroselock.decisions import graphs
 from primroselock.decisions import reclaiming
 from primroselock.decisions import runs
@@ -76,6 +77,7 @@
         _drop_groups(board, job, now, int(wall_s * 1000))
         if _is_settled(job):
             del board.jobs_by_id[job.graph.id]
+            board.learned.forget(job.graph.id, len(job.graph.steps))
 
 
 def _drop_groups(
@@ -111,6 +113,31 @@
             graphs.release_due(board, job, now, int(wall_s * 1000))
 
 
+@controller(order=35)
+def quarantine_workers(
+    board: fleet.Board,
+    settings: options.Settings,
+    now: float,
+    wall_s: float,
+) -> None:
+    """Give workers that fail what they run no work for a while."""
+    fleethealth.quarantine(board, now)
+
+
+@controller(order=38)
+def stop_stuck_tasks(
+    board: fleet.Board,
+    settings: options.Settings,
+    now: float,
+    wall_s: float,
+) -> None:
+    """Try tasks elsewhere that do not end where they are."""
+    for group in fleethealth.list_stuck(board, settings.fleet.far_factor, now):
+        fleethealth.blame(board, group)
+        board.note('task stuck', group.job, attempt=group.attempt)
+        runs.end_group(board, group, fleet.Ending.STUCK, now)
+
+
 @controller(order=40)
 def stop_stuck_starts(
     board: fleet.Board,
@@ -177,6 +204,7 @@
         and worker.failures_in_row == 0
         and not worker.entry.is_draining
         and worker.entry.zone not in board.table.zones_out
+        and not fleethealth.is_quarantined(board, worker.id, now)
     )
 
 
@@ -206,9 +234,10 @@
     def allow(worker: fleet.Worker) -> bool:
         return (
             worker.id not in foreign
+            and worker.id not in group.stuck_on_ids
             and worker.entry.service == queue.service
             and fitting.fits_ever(worker, group.step)
-            and not _is_suspect(board, worker)
+            and fitting.may_share(worker, group.step)
         )
 
     group.spread = fitting.needs_spreading(
@@ -227,10 +256,6 @@
         _reclaim(board, rooms, group, allow, covered, now)
 
 
-def _is_suspect(board: fleet.Board, worker: fleet.Worker) -> bool:
-    return board.failure_evidence.is_suspect(worker.id)
-
-
 def commit(
     board: fleet.Board,
     group: fleet.Group,
@@ -241,6 +266,7 @@
     group.attempt += 1
     group.ending = None
     group.has_begun = True
+    group.is_resumed = bool(group.checkpoint)
     group.enter(fleet.Phase.COMMITTING, now)
     group.members = []
     for index, worker_id in zip(group.task_indices, worker_ids, strict=True):
--- a/primroselock/decisions/graphs.py
+++ b/primroselock/decisions/graphs.py
@@ -49,7 +49,7 @@
     job = fleet.LiveJob(
         graph,
         board.table.named(graph.queue),
-        objectives.chains_ms(graph.steps),
+        objectives.chains_s(graph, board.learned),
         row_version,
     )
     board.jobs_by_id[graph.id] = job
@@ -77,6 +77,7 @@
         group.failures = record.failures
         group.checkpoint = record.checkpoint
         group.has_begun = True
+        group.is_resumed = True
         if record.phase is jobgraph.GroupPhase.DONE:
             group.enter(fleet.Phase.DONE, now)
         elif record.phase is jobgraph.GroupPhase.PLACED:
@@ -167,6 +168,7 @@
 ) -> None:
     """Take note that a group's work is done."""
     job = group.job
+    _learn(board, group, now)
     group.ending = fleet.Ending.DONE
     group.enter(fleet.Phase.DONE, now)
     _unblock(job, group.key.occurrence, now)
@@ -177,6 +179,15 @@
     board.touch(job)
 
 
+def _learn(board: fleet.Board, group: fleet.Group, now: float) -> None:
+    """Keep the run time of work that ran from its beginning."""
+    if group.began_at is None or group.is_resumed:
+        return
+    graph = group.job.graph
+    step = (graph.id, group.key.step)
+    board.learned.record(graph.queue, step, now - group.began_at)
+
+
 def _is_all_done(job: fleet.LiveJob) -> bool:
     if job.released < job.graph.occurrences:
         return False
--- /dev/null
+++ b/primroselock/decisions/learnedtimes.py
@@ -0,0 +1,68 @@
+"""Run times as they were seen, since estimates of callers may be far off.
+
+The last run times of each queue are kept, and those of each step of each
+job.  An estimate that is far from what its queue's tasks take is replaced
+by their median.
+"""
+
+import collections
+import dataclasses
+import statistics
+import typing
+
+_KEPT: typing.Final = 64
+_LEAST_SEEN: typing.Final = 8
+_LEAST_SIBLINGS: typing.Final = 3
+_FAR_OFF: typing.Final = 3.0
+_HIGH_SHARE: typing.Final = 0.95
+
+StepKey = tuple[str, int]
+"""A job's id and the number of a step."""
+
+
+@dataclasses.dataclass(slots=True)
+class LearnedTimes:
+    """Run times in seconds, by queue and by step."""
+
+    by_queue: dict[str, collections.deque[float]] = dataclasses.field(
+        default_factory=dict
+    )
+    by_step: dict[StepKey, list[float]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def record(self, queue: str, step: StepKey, took_s: float) -> None:
+        """Take note of a task that ran from its beginning to its end."""
+        kept = self.by_queue.setdefault(queue, collections.deque(maxlen=_KEPT))
+        kept.append(took_s)
+        self.by_step.setdefault(step, []).append(took_s)
+
+    def forget(self, job_id: str, steps: int) -> None:
+        """Drop what was kept of a job's steps."""
+        for number in range(steps):
+            self.by_step.pop((job_id, number), None)
+
+    def expected_s(self, queue: str, estimate_s: float) -> float:
+        """Return the estimate, or the queue's median where it is far off."""
+        kept = self.by_queue.get(queue, ())
+        if len(kept) < _LEAST_SEEN:
+            return estimate_s
+        median_s = statistics.median(kept)
+        if median_s / _FAR_OFF <= estimate_s <= median_s * _FAR_OFF:
+            return estimate_s
+        return median_s
+
+    def longest_s(
+        self, queue: str, step: StepKey, estimate_s: float
+    ) -> float | None:
+        """Return how long a task may take; None where too few were seen.
+
+        Tasks of the same step tell more than the rest of the queue.
+        """
+        siblings = self.by_step.get(step, ())
+        if len(siblings) >= _LEAST_SIBLINGS:
+            return max(siblings)
+        kept = sorted(self.by_queue.get(queue, ()))
+        if len(kept) < _LEAST_SEEN:
+            return None
+        return max(estimate_s, kept[int(len(kept) * _HIGH_SHARE)])
--- a/primroselock/decisions/objectives.py
+++ b/primroselock/decisions/objectives.py
@@ -9,6 +9,7 @@
 import typing
 
 from primroselock.decisions import fleet
+from primroselock.decisions import learnedtimes
 from primroselock import jobgraph
 
 LATE_FACTOR: typing.Final = 3.0
@@ -23,12 +24,19 @@
     IN_VAIN = 2
 
 
-def chains_ms(steps: tuple[jobgraph.Step, ...]) -> tuple[int, ...]:
+def chains_s(
+    graph: jobgraph.JobGraph, learned: learnedtimes.LearnedTimes
+) -> tuple[float, ...]:
     """Return each step's longest chain to the end, itself included."""
-    chains = [step.expected_ms for step in steps]
+    steps = graph.steps
+    expected = [
+        learned.expected_s(graph.queue, step.expected_ms / _MS_PER_S)
+        for step in steps
+    ]
+    chains = list(expected)
     for number in reversed(range(len(steps))):
         for earlier in steps[number].after:
-            chain = steps[earlier].expected_ms + chains[number]
+            chain = expected[earlier] + chains[number]
             chains[earlier] = max(chains[earlier], chain)
     return tuple(chains)
 
@@ -39,17 +47,15 @@
     ``factor`` stretches the objective; ``wall_s`` is since the Unix epoch.
     """
     job = group.job
-    chains = job.chains_ms
+    chains = job.chains_s
     if job.queue is None or not chains:
         return 0.0
-    allowed_s = (
-        job.queue.stretch * max(chains) / _MS_PER_S + job.queue.latency_goal_s
-    )
+    allowed_s = job.queue.stretch * max(chains) + job.queue.latency_goal_s
     begun_ms = max(
         job.graph.accepted_ms, job.graph.due_ms(group.key.occurrence)
     )
     end_s = begun_ms / _MS_PER_S + allowed_s * factor
-    return end_s - wall_s - chains[group.key.step] / _MS_PER_S
+    return end_s - wall_s - chains[group.key.step]
 
 
 def usefulness(group: fleet.Group, wall_s: float) -> Usefulness:
--- a/primroselock/decisions/reclaiming.py
+++ b/primroselock/decisions/reclaiming.py
@@ -114,6 +114,7 @@
         for member in worker.members.values()
         if member.group not in stopped
         and member.group.phase is not fleet.Phase.DONE
+        and member.group.step.max_away is None
         and may_stop(member.group)
     }
     by_cost = sorted(
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -98,7 +98,9 @@
         _record_done(board, group, worker, now, wall_ms)
     elif group.phase is not fleet.Phase.DONE:
         if ended.cause is orders.EndCause.FAILED:
-            _blame(board, group, worker)
+            board.failure_evidence.record_failure(
+                worker.id, group.job.graph.id, group.attempt
+            )
         end_group(board, group, _ENDINGS_BY_CAUSE[ended.cause], now)
     board.touch(group.job)
     worker.unsaved_ends.append(
@@ -136,14 +138,6 @@
     graphs.finish_done(board, group, now, wall_ms)
 
 
-def _blame(
-    board: fleet.Board, group: fleet.Group, worker: fleet.Worker
-) -> None:
-    board.failure_evidence.record_failure(
-        worker.id, group.job.graph.id, group.attempt
-    )
-
-
 def _record_running(
     board: fleet.Board,
     worker: fleet.Worker,
--- a/primroselock/ini.py
+++ b/primroselock/ini.py
@@ -115,6 +115,14 @@
     return number
 
 
+@kind('factor', 'a number of at least 1')
+def _factor(value: str) -> float:
+    number = float(value)
+    if not 1 <= number < float('inf'):
+        raise ValueError(value)
+    return number
+
+
 @kind('address', 'an IP address and port, such as 127.0.0.1:8080')
 def _address(value: str) -> str:
     host, _, port = value.rpartition(':')
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -68,7 +68,10 @@
     ``label`` must be among the worker's labels; ``data_rack`` is the rack
     where the task runs at full speed; ``max_per_worker`` bounds how many
     tasks of one occurrence run on a worker (0: any number).
-    ``fills`` means that the CPU need is not counted against the worker.
+    ``fills`` means that the CPU need is not counted against the worker;
+    ``tail_goal_ms`` is set for tasks that serve users of their own, whose
+    response times must stay below it.  ``max_away`` tasks of a step that
+    lasts may be away at once by this system's doing (None: any number).
     """
 
     tasks: int
@@ -84,6 +87,8 @@
     speculative: bool = False
     long_running: bool = False
     fills: bool = False
+    tail_goal_ms: int = 0
+    max_away: int | None = None
 
     @property
     def counted_need(self) -> Resources:
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -167,7 +167,8 @@
     what one call of the feed without changes takes; a node that does not
     hold the shard follows it with pauses of ``standby_pause_s``.  The state
     of a job that has not ended is read anew where the copy is older than
-    ``fresh_state_s``.
+    ``fresh_state_s``.  Away from its data or rack a task takes
+    ``far_factor`` times as long.
     """
 
     shard: str = ini.key('name', 'fleet')
@@ -192,6 +193,7 @@
     fresh_read_timeout_s: float = ini.key('seconds', 0.3)
     default_deadline_s: float = ini.key('seconds', 3.0)
     leaving_s: float = ini.key('seconds', 2.5)
+    far_factor: float = ini.key('factor', 3.0)
     max_tasks: int = ini.key('positive', 1000)
     keep_ended_s: float = ini.key('seconds', 900.0)
 
--- a/primroselock/platform/front.py
+++ b/primroselock/platform/front.py
@@ -44,8 +44,9 @@
     """A step; ``cpu`` is in thousandths of a core.
 
     ``after`` are the numbers of earlier steps; ``anti_affinity`` is the
-    most tasks of the step on one worker; ``far_x`` of the settings tells
-    what a task loses away from ``data_rack``.
+    most tasks of the step on one worker; ``target_ms`` bounds the tail of
+    the response times of tasks that serve; ``may_miss`` is how many tasks
+    of a step that lasts may be away at once.
     """
 
     count: int = 1
@@ -63,6 +64,8 @@
     speculative: bool = False
     long_running: bool = False
     fills: bool = False
+    target_ms: float = 0.0
+    may_miss: int | None = None
 
 
 class _Body(msgspec.Struct):
@@ -244,6 +247,8 @@
         phase.speculative,
         phase.long_running,
         phase.fills,
+        int(phase.target_ms),
+        phase.may_miss,
     )
 
 
--- /dev/null
+++ b/primroselock/test/testfollowing.py
@@ -0,0 +1,119 @@
+"""A copy of a table: what it shows, and how old it says that it is."""
+
+import asyncio
+from collections import abc
+import unittest
+
+import result
+
+from primroselock import clock
+from primroselock.store import following
+from primroselock.store import table
+from primroselock.test import fakefeed
+from primroselock.test import virtualtime
+
+Scenario = abc.Callable[
+    [fakefeed.FeedStore, fakefeed.Reach, following.TableFollower],
+    abc.Coroutine[None, None, None],
+]
+
+
+def play(scenario: Scenario) -> None:
+    """Play a scenario with one follower of the table ``t``."""
+
+    async def whole(virtual: virtualtime.VirtualClock) -> None:
+        store, reach = fakefeed.FeedStore(), fakefeed.Reach()
+        store.put('t/a', b'1')
+        client = fakefeed.FeedClient(store, reach)
+        follower = following.TableFollower(client, 't', 1.0)
+        task = asyncio.create_task(follower.run())
+        await follower.listed.wait()
+        await scenario(store, reach, follower)
+        task.cancel()
+
+    virtualtime.run(whole)
+
+
+class FollowerTest(unittest.TestCase):
+    """Following through drops, silence and outages."""
+
+    def test_changes_are_told_at_once(self) -> None:
+        async def scenario(
+            store: fakefeed.FeedStore,
+            reach: fakefeed.Reach,
+            follower: following.TableFollower,
+        ) -> None:
+            told: list[table.Changes] = []
+            follower.add_handler(told.append)
+            store.put('t/b', b'2')
+            store.delete('t/a')
+            await asyncio.sleep(0.02)
+            self.assertEqual({'t/b'}, set(follower.rows_by_key))
+            self.assertTrue(told)
+
+        play(scenario)
+
+    def test_a_quiet_table_stays_confirmed(self) -> None:
+        async def scenario(
+            store: fakefeed.FeedStore,
+            reach: fakefeed.Reach,
+            follower: following.TableFollower,
+        ) -> None:
+            for _ in range(50):
+                await asyncio.sleep(0.1)
+                age_s = follower.age_s(clock.monotonic())
+                self.assertLess(age_s, 2.1)
+
+        play(scenario)
+
+    def test_age_grows_while_the_feed_is_silent(self) -> None:
+        async def scenario(
+            store: fakefeed.FeedStore,
+            reach: fakefeed.Reach,
+            follower: following.TableFollower,
+        ) -> None:
+            reach.feed_is_silent = True
+            await asyncio.sleep(4.0)
+            self.assertGreater(follower.age_s(clock.monotonic()), 3.0)
+            store.put('t/b', b'2')
+            reach.feed_is_silent = False
+            await asyncio.sleep(2.5)
+            self.assertIn('t/b', follower.rows_by_key)
+            self.assertLess(follower.age_s(clock.monotonic()), 2.1)
+
+        play(scenario)
+
+    def test_a_dropped_history_is_made_up_for(self) -> None:
+        async def scenario(
+            store: fakefeed.FeedStore,
+            reach: fakefeed.Reach,
+            follower: following.TableFollower,
+        ) -> None:
+            told: list[table.Changes] = []
+            follower.add_handler(told.append)
+            reach.is_refused = True
+            await asyncio.sleep(2.0)
+            store.delete('t/a')
+            store.put('t/b', b'2')
+            store.drop_history()
+            reach.is_refused = False
+            await asyncio.sleep(2.0)
+            self.assertEqual({'t/b'}, set(follower.rows_by_key))
+            self.assertEqual(('t/a',), told[-1].removed)
+
+        play(scenario)
+
+    def test_an_old_copy_answers_no_read(self) -> None:
+        async def scenario(
+            store: fakefeed.FeedStore,
+            reach: fakefeed.Reach,
+            follower: following.TableFollower,
+        ) -> None:
+            client = fakefeed.FeedClient(store, reach)
+            reads = following.FollowedReads(client, follower, 2.5)
+            self.assertIsInstance(await reads.read(['t/a']), result.Ok)
+            reach.is_refused = True
+            await asyncio.sleep(4.0)
+            self.assertIsInstance(await reads.read(['t/a']), result.Err)
+
+        play(scenario)
--- a/primroselock/test/testheavydays.py
+++ b/primroselock/test/testheavydays.py
@@ -108,6 +108,32 @@
         baseline_s = _play(scenario, _BASELINE)
         self.assertLess(chosen_s, baseline_s * 0.7)
 
+    def test_a_worker_that_fails_all_is_left_alone(self) -> None:
+        """An empty worker that fails at once draws all work otherwise."""
+
+        async def scenario(world: fleetbuilders.World) -> float:
+            world.fleet.workers_by_id['w1'].fails_all = True
+            for number in range(20):
+                world.submit(fleetbuilders.build_graph(f'b{number}'))
+                await asyncio.sleep(0.3)
+            for number in range(20):
+                await world.wait_for(f'b{number}', 'done', 30.0)
+            return float(sum(world.fleet.failures_by_task.values()))
+
+        self.assertLess(_play(scenario, ''), 7.0)
+
+    def test_a_task_that_stands_still_is_tried_elsewhere(self) -> None:
+        """Some workers stand still with what they run."""
+
+        async def scenario(world: fleetbuilders.World) -> float:
+            stuck = world.fleet.workers_by_id['w0']
+            stuck.stands_still = True
+            step = fleetbuilders.build_step(8, 4, 1000)
+            world.submit(fleetbuilders.build_graph('j', step))
+            return await world.wait_for('j', 'done', 30.0)
+
+        self.assertLess(_play(scenario, ''), 6.0)
+
 
 def _play(
     scenario: typing.Callable[
