A silent store is given up soon; work leaves workers that go too soon

A worker taken away at short notice was waited for until its lease was over, 10 s. Change: the store has 1.2 s to take a job; while its rows are unconfirmed for 1.9 s jobs are refused at once with Retry-After (nothing was sent); the operators' rows are followed with waits of 0.6 s. Work that would not end before its draining worker is gone is moved when the drain is seen. Rows of jobs that ended 15 minutes ago are removed.

--- a/primroselock/decisions/fleethealth.py
+++ b/primroselock/decisions/fleethealth.py
@@ -19,6 +19,7 @@
 _LONGEST_QUARANTINE_S: typing.Final = 60.0
 _STUCK_FACTOR: typing.Final = 2.2
 _STUCK_MARGIN_S: typing.Final = 1.0
+_LONGER_STAY_S: typing.Final = 2.0
 _MS_PER_S: typing.Final = 1000.0
 
 
@@ -112,3 +113,35 @@
         board.failure_evidence.record_failure(
             member.worker_id, group.job.graph.id, group.attempt
         )
+
+
+def list_doomed(board: fleet.Board, now: float) -> list[fleet.Group]:
+    """Return the groups that a leaving worker would take with it.
+
+    A worker tells how long it stays at least, and often stays longer;
+    work that could end in that time is left alone.
+    """
+    doomed: dict[fleet.Group, None] = {}
+    for worker in board.workers_by_id.values():
+        remaining_s = worker.entry.remaining_s
+        if worker.drain_seen_at is None or remaining_s is None:
+            continue
+        gone_at = worker.drain_seen_at + remaining_s
+        for member in worker.members.values():
+            group = member.group
+            if _ends_at(board, group, now) > gone_at + _LONGER_STAY_S:
+                doomed[group] = None
+    return list(doomed)
+
+
+def _ends_at(board: fleet.Board, group: fleet.Group, now: float) -> float:
+    """Return when a group ends; now where it must not be moved."""
+    step = group.step
+    if group.phase is not fleet.Phase.RUNNING or step.max_away is not None:
+        return now
+    if group.began_at is None or group.is_resumed or step.long_running:
+        return now
+    expected_s = board.learned.expected_s(
+        group.job.graph.queue, step.expected_ms / _MS_PER_S
+    )
+    return group.began_at + expected_s
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -124,6 +124,19 @@
     fleethealth.quarantine(board, now)
 
 
+@controller(order=36)
+def leave_draining_workers(
+    board: fleet.Board,
+    settings: options.Settings,
+    now: float,
+    wall_s: float,
+) -> None:
+    """Move work that would not end before its worker is gone."""
+    for group in fleethealth.list_doomed(board, now):
+        board.note('worker leaves too soon', group.job, attempt=group.attempt)
+        runs.end_group(board, group, fleet.Ending.MOVED, now)
+
+
 @controller(order=38)
 def stop_stuck_tasks(
     board: fleet.Board,
--- a/primroselock/fleetnode.py
+++ b/primroselock/fleetnode.py
@@ -91,7 +91,9 @@
         self._reader = parts.build_reader()
         wait_s = settings.fleet.follow_wait_s
         self._operators = following.TableFollower(
-            self._feeds, parts.operator_table, wait_s
+            self._feeds,
+            parts.operator_table,
+            settings.fleet.operator_wait_s,
         )
         self._shard = following.TableFollower(self._feeds, 'shard', wait_s)
         self.intake = intake.Intake(
--- a/primroselock/holder.py
+++ b/primroselock/holder.py
@@ -36,6 +36,10 @@
 _TICK_S: typing.Final = 0.25
 _RETRY_S: typing.Final = 0.2
 _CLOCK_MARGIN_S: typing.Final = 1.0
+_LONGEST_SWEEP_PAUSE_S: typing.Final = 20.0
+_MOST_DROPPED: typing.Final = 30
+"""Jobs a transaction; each has three rows."""
+
 _LOOP_GAP_S: typing.Final = 0.8
 """A tick that comes this late shows that the process stood still."""
 
@@ -298,6 +302,7 @@
                 self._decide(),
                 self._writer.run(),
                 self._worker_follower.run(),
+                self._drop_old_rows(),
             )
         ]
         try:
@@ -364,6 +369,38 @@
                 self._seen_ids.add(job_id)
                 take_job(self._board, stored, now)
 
+    async def _drop_old_rows(self) -> None:
+        """Now and then remove the rows of jobs that ended long ago."""
+        keep_s = self._settings.fleet.keep_ended_s
+        while self._lease.has_shard:
+            await asyncio.sleep(min(keep_s, _LONGEST_SWEEP_PAUSE_S))
+            ended_before_ms = (clock.wall() - keep_s) * 1000
+            old_ids = [
+                job_id
+                for job_id, stored in self._holder._rows.stored_by_id.items()
+                if stored.progress is not None
+                and stored.progress.state.is_final
+                and stored.progress.ended_ms < ended_before_ms
+            ]
+            if old_ids:
+                await self._delete(old_ids[:_MOST_DROPPED])
+
+    async def _delete(self, job_ids: list[str]) -> None:
+        shard = self._lease.shard
+        epoch_row = table.Condition(
+            keys.shard_epoch(shard), self._lease.epoch_row_version
+        )
+        names = [keys.graph, keys.progress, keys.cancellation]
+        deleted = [name(shard, job_id) for job_id in job_ids for name in names]
+        outcome = await self._holder._store.transact(
+            table.Transaction((epoch_row,), (), tuple(deleted))
+        )
+        if isinstance(outcome, result.Err):
+            # They are still there for the next try.
+            _log.warning('old rows not removed', why=str(outcome.err_value))
+            return
+        _log.info('old rows removed', jobs=len(job_ids))
+
     def _on_saved(self) -> None:
         self._send()
         self._lookers.ensure()
--- a/primroselock/intake.py
+++ b/primroselock/intake.py
@@ -31,6 +31,8 @@
 _log: typing.Final = logs.get('intake')
 _COMMIT_INTERVAL_S: typing.Final = 0.005
 _RETRY_AFTER_S: typing.Final = 1.0
+_LEAST_COMMIT_S: typing.Final = 0.05
+"""A commit takes a few milliseconds: worth trying near the deadline too."""
 
 
 class Why(enum.Enum):
@@ -108,7 +110,7 @@
         permit_s = self._settings.ready_permit_s
         return (
             now - self._confirmed_at() <= permit_s
-            and self._follower.age_s(now) <= permit_s
+            and self._follower.age_s(now) <= self._settings.follow_age_s
         )
 
     def admit(
@@ -142,6 +144,12 @@
         known = self._rows.stored_by_id.get(graph.id)
         if known is not None and known.graph is not None:
             return _match(known.graph, graph)
+        age_s = clock.monotonic() - self._confirmed_at()
+        if age_s > self._settings.accept_permit_s:
+            # The store does not answer: say so before anything is sent.
+            return result.Err(
+                Refused(Why.STORE_OUT, f'age {age_s:.3f} s', _RETRY_AFTER_S)
+            )
         return await self._insert(graph, deadline)
 
     async def _insert(
@@ -164,7 +172,10 @@
     async def _commit(
         self, write: groupcommit.Write, deadline: float
     ) -> groupcommit.WriteResult:
-        left_s = max(0.0, deadline - clock.monotonic())
+        left_s = min(
+            max(_LEAST_COMMIT_S, deadline - clock.monotonic()),
+            self._settings.accept_timeout_s,
+        )
         try:
             async with asyncio.timeout(left_s):
                 return await self._committer.submit(write)
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -160,9 +160,12 @@
     """Addresses and bounds of a node that takes and places graphs of tasks.
 
     ``start_permit_s`` and ``serve_permit_s`` bound how old the operators'
-    rows may be for starts and for calls; ``ready_permit_s`` is when the
-    balancer is told to send calls elsewhere.  ``run_lease_s`` is the
-    longest lease of a run; ``longest_wait_s`` bounds one look at a worker.
+    rows may be for starts and for calls; past ``accept_permit_s`` no job
+    is accepted, and past ``ready_permit_s`` the balancer is told to send
+    calls elsewhere.  The store has ``accept_timeout_s`` to take a job.
+    ``run_lease_s`` is the longest lease of a run; ``longest_wait_s``
+    bounds one look at a worker.
+
     A copy of a table counts as fresh up to ``follow_age_s``, which exceeds
     what one call of the feed without changes takes; a node that does not
     hold the shard follows it with pauses of ``standby_pause_s``.  The state
@@ -185,7 +188,10 @@
     start_timeout_s: float = ini.key('seconds', 1.5)
     start_permit_s: float = ini.key('seconds', 2.5)
     serve_permit_s: float = ini.key('seconds', 3.4)
-    ready_permit_s: float = ini.key('seconds', 2.6)
+    accept_permit_s: float = ini.key('seconds', 1.9)
+    ready_permit_s: float = ini.key('seconds', 2.0)
+    accept_timeout_s: float = ini.key('seconds', 1.2)
+    operator_wait_s: float = ini.key('seconds', 0.6)
     follow_wait_s: float = ini.key('seconds', 1.0)
     follow_age_s: float = ini.key('seconds', 2.5)
     standby_pause_s: float = ini.key('seconds', 0.4)
@@ -321,6 +327,12 @@
             fleet.longest_wait_s,
             'at most a third of run_lease_s',
         ),
+        (
+            fleet.operator_wait_s * 2 < fleet.accept_permit_s,
+            'accept_permit_s',
+            fleet.accept_permit_s,
+            'more than twice operator_wait_s',
+        ),
         (
             fleet.follow_wait_s * 2 < fleet.follow_age_s,
             'follow_age_s',
--- a/primroselock/test/fakefeed.py
+++ b/primroselock/test/fakefeed.py
@@ -152,6 +152,8 @@
     ) -> result.Result[table.Committed, table.TransactError]:
         """Apply ``transaction`` as its fault says."""
         if not await self._call():
+            if self._reach.is_silent:
+                return result.Err(table.Unsettled('silent'))
             return result.Err(table.Unavailable('down'))
         faults = self._reach.faults
         fault = faults.pop(0) if faults else fakestore.Fault.NONE
--- a/primroselock/test/testfleetnode.py
+++ b/primroselock/test/testfleetnode.py
@@ -124,6 +124,30 @@
         play(scenario)
 
 
+class RetentionTest(unittest.TestCase):
+    """Rows of jobs that ended long ago go."""
+
+    def test_old_rows_are_removed_and_the_rest_stays(self) -> None:
+        async def whole(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World()
+            node = world.add_node('entry-1', '[fleet]\nkeep_ended_s = 5\n')
+            await asyncio.sleep(1.0)
+            world.submit(fleetbuilders.build_graph('old'))
+            await asyncio.sleep(9.0)
+            access = intake.Access(fleetbuilders.BULK, 'signs')
+            step = fleetbuilders.build_step(expected_ms=30_000)
+            world.submit(fleetbuilders.build_graph('new', step))
+            await asyncio.sleep(6.0)
+            rows = list(world.store.inner.rows)
+            self.assertFalse([key for key in rows if 'old' in key])
+            self.assertTrue([key for key in rows if 'new' in key])
+            gone = await node.intake.state(access, 'old')
+            self.assertIsInstance(gone, result.Err)
+            await world.close()
+
+        virtualtime.run(whole)
+
+
 class WorkerTest(unittest.TestCase):
     """Workers that are cut off, crash, come back or answer late."""
 
@@ -193,6 +217,26 @@
 
         play(scenario, workers=1)
 
+    def test_work_leaves_a_worker_that_goes_too_soon(self) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            step = fleetbuilders.build_step(1, 8, 8000)
+            world.submit(fleetbuilders.build_graph('j1', step))
+            await asyncio.sleep(1.0)
+            busy = next(
+                w for w in world.fleet.workers_by_id.values() if w.runs
+            )
+            world.write_entry(
+                dataclasses.replace(
+                    busy.entry, is_draining=True, remaining_s=2.0
+                )
+            )
+            await asyncio.sleep(2.0)
+            self.assertFalse(busy.runs)
+            world.fleet.crash(busy)
+            await world.wait_for('j1', 'done', 8.5)
+
+        play(scenario)
+
     def test_orders_obeyed_late_do_no_harm(self) -> None:
         async def scenario(world: fleetbuilders.World) -> None:
             for worker in world.fleet.workers_by_id.values():
@@ -340,6 +384,32 @@
 
         play(without_work)
 
+    def test_a_silent_store_is_given_up_soon(self) -> None:
+        """A caller has time left to ask another node.
+
+        Fails where the commit is tried until the caller's deadline.
+        """
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            node = world.nodes[0]
+            access = intake.Access(fleetbuilders.BULK, 'signs')
+            await asyncio.sleep(1.0)
+            node.reach.is_silent = True
+            started = clock.monotonic()
+            graph = fleetbuilders.build_graph('j1')
+            answer = await node.intake.submit(access, graph, started + 3.0)
+            assert isinstance(answer, result.Err)
+            self.assertIs(intake.Why.UNSETTLED, answer.err_value.why)
+            self.assertLess(clock.monotonic() - started, 1.5)
+            node.table_age_s = 2.0
+            started = clock.monotonic()
+            answer = await node.intake.submit(access, graph, started + 3.0)
+            assert isinstance(answer, result.Err)
+            self.assertIs(intake.Why.STORE_OUT, answer.err_value.why)
+            self.assertLess(clock.monotonic() - started, 0.01)
+
+        play(scenario)
+
     def test_an_old_view_serves_nobody(self) -> None:
         async def scenario(world: fleetbuilders.World) -> None:
             node = world.nodes[0]
