Advice on workers; lost answers of the store are noticed soon

Cause 1: a queue that needs advice accepted jobs and started none, which breaks rules on a deployment that has such a queue. Now what waits there is asked about in batches, one question at a time; tickets go with the starts and are forgotten when a worker does not take them. No site here has such a queue: shown on fakes only (testfleetnode, testplatformadapter). The timeout of writes follows what answers usually take, and doubles after each that was too short.

--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -93,6 +93,37 @@
     STUCK = 'no end in the time expected'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StepName:
+    """Names a step of one occurrence of a job."""
+
+    job_id: str
+    occurrence: int
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """Lets a worker run a step until ``valid_until``."""
+
+    text: str
+    valid_until: float
+
+
+@dataclasses.dataclass(slots=True)
+class StepAdvice:
+    """What is known of the workers that may run a step.
+
+    Nothing is asked before ``ask_after``.
+    """
+
+    tickets_by_worker_id: dict[str, Ticket] = dataclasses.field(
+        default_factory=dict
+    )
+    refused_ids: set[str] = dataclasses.field(default_factory=set)
+    ask_after: float = _NEVER
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Member:
     """One task of an attempt on its worker.
@@ -144,6 +175,11 @@
     is_resumed: bool = False
     stuck_on_ids: set[str] = dataclasses.field(default_factory=set)
 
+    @property
+    def step_name(self) -> StepName:
+        """Return the name of the group's step."""
+        return StepName(self.job.graph.id, self.key.occurrence, self.key.step)
+
     @property
     def task_indices(self) -> range:
         """Return the indices of the group's tasks."""
@@ -358,6 +394,9 @@
     claims_by_group: dict[Group, Claim] = dataclasses.field(
         default_factory=dict
     )
+    advice_by_step: dict[StepName, StepAdvice] = dataclasses.field(
+        default_factory=dict
+    )
     failure_evidence: evidence.Evidence = dataclasses.field(
         default_factory=evidence.Evidence
     )
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -9,6 +9,7 @@
 from collections import abc
 import typing
 
+from primroselock.decisions import advising
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
 from primroselock.decisions import fleethealth
@@ -78,6 +79,8 @@
         if _is_settled(job):
             del board.jobs_by_id[job.graph.id]
             board.learned.forget(job.graph.id, len(job.graph.steps))
+            for group in job.groups_by_key.values():
+                board.advice_by_step.pop(group.step_name, None)
 
 
 def _drop_groups(
@@ -232,7 +235,7 @@
 ) -> None:
     may_reclaim = waiting.reclaims_by_name[settings.fleet.reclaim]
     queue = group.job.queue
-    if queue is None or queue.needs_advice:
+    if queue is None:
         return
     rank = waiting.rank(group, covered)
     claim = board.claims_by_group.get(group)
@@ -251,6 +254,7 @@
             and worker.entry.service == queue.service
             and fitting.fits_ever(worker, group.step)
             and fitting.may_share(worker, group.step)
+            and advising.ticket_for(board, group, worker.id, now) is not None
         )
 
     group.spread = fitting.needs_spreading(
--- a/primroselock/fleetnode.py
+++ b/primroselock/fleetnode.py
@@ -10,6 +10,7 @@
 import signal
 import typing
 
+from primroselock import advisor
 from primroselock import clock
 from primroselock import errors
 from primroselock import holder
@@ -56,6 +57,7 @@
     load_settings: abc.Callable[[], options.Settings]
     build_store: abc.Callable[[options.Settings, str, int], OwnedStore]
     build_link: abc.Callable[[], orders.RunLink]
+    build_adviser: abc.Callable[[options.Settings], advisor.Adviser]
     build_reader: abc.Callable[[], QueueReader]
     build_front: abc.Callable[
         [options.Settings, intake.Intake, metrics.Metrics], typing.Any
@@ -88,6 +90,7 @@
         self._store = parts.build_store(settings, 'work', 12)
         self._feeds = parts.build_store(settings, 'feeds', 4)
         self._link = parts.build_link()
+        self._adviser = parts.build_adviser(settings)
         self._reader = parts.build_reader()
         wait_s = settings.fleet.follow_wait_s
         self._operators = following.TableFollower(
@@ -105,6 +108,7 @@
             self._shard,
             parts.worker_rows,
             self._link,
+            self._adviser,
             self.metrics,
         )
         self._front = parts.build_front(settings, self.intake, self.metrics)
@@ -192,6 +196,7 @@
             task.cancel()
         await asyncio.gather(*loops, return_exceptions=True)
         await self._link.aclose()
+        await self._adviser.aclose()
         await self._store.aclose()
         await self._feeds.aclose()
         _log.info('stopped')
--- a/primroselock/holder.py
+++ b/primroselock/holder.py
@@ -13,6 +13,7 @@
 
 import result
 
+from primroselock import advisor
 from primroselock import clock
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetround
@@ -66,10 +67,12 @@
         shard_follower: following.TableFollower,
         worker_rows: WorkerRows,
         link: orders.RunLink,
+        adviser: advisor.Adviser,
         counters: metrics.Metrics,
     ) -> None:
         self._settings = settings
         self._store = store
+        self._adviser = adviser
         self._follower = shard_follower
         self._worker_rows = worker_rows
         self._link = link
@@ -284,6 +287,9 @@
             self._may_start,
             holder._metrics,
         )
+        self._advisor = advisor.Advisor(
+            board, holder._adviser, holder._wake.set
+        )
         self._lookers = lookers.Lookers(
             self._settings,
             self._lease,
@@ -312,6 +318,7 @@
                     _log.error('loop ended', exc_info=task.exception())
                     self._lease.drop('a loop ended')
         finally:
+            self._advisor.cancel()
             self._lookers.cancel()
             self._orders.cancel()
             for task in loops:
@@ -348,6 +355,7 @@
         )
         self._send()
         self._writer.wake()
+        self._advisor.ensure()
         self._lookers.ensure()
 
     def _take_new_jobs(self, now: float) -> None:
--- a/primroselock/ini.py
+++ b/primroselock/ini.py
@@ -132,6 +132,11 @@
     return value
 
 
+@kind('optional_address', 'an IP address and port, or nothing')
+def _optional_address(value: str) -> str:
+    return _address(value) if value else ''
+
+
 @kind('addresses', 'IP addresses with ports, separated by commas')
 def _addresses(value: str) -> tuple[str, ...]:
     return tuple(_address(item) for item in split_list(value))
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -178,6 +178,7 @@
     bind: str = ini.key('address', '127.0.0.1:0')
     ready_bind: str = ini.key('address', '127.0.0.1:0')
     metrics_bind: str = ini.key('address', '127.0.0.1:0')
+    advice: str = ini.key('optional_address', '')
     waiting_order: str = ini.key('name', 'useful')
     placement: str = ini.key('name', 'best_fit')
     reclaim: str = ini.key('name', 'urgent')
--- a/primroselock/platform/adapter.py
+++ b/primroselock/platform/adapter.py
@@ -3,6 +3,7 @@
 import typing
 
 from primroselock import fleetnode
+from primroselock.platform import advice
 from primroselock.platform import configuration
 from primroselock.platform import discovery
 from primroselock.platform import front
@@ -21,6 +22,7 @@
         settings.load,
         rows.RowStore,
         workers.WorkerLink,
+        advice.Adviser,
         configuration.ConfigurationReader,
         front.Front,
         discovery.WorkerRows(),
--- a/primroselock/platform/configuration.py
+++ b/primroselock/platform/configuration.py
@@ -19,6 +19,13 @@
 _log: typing.Final = logs.get('configuration')
 
 
+class _Advice(msgspec.Struct):
+    """What a question to the adviser costs; its answer has the rest."""
+
+    decide_ms: float = 0.0
+    each_ms: float = 0.0
+
+
 class _Route(msgspec.Struct):
     """A queue; ``target_latency_ms`` is added to the stretched run time.
 
@@ -35,7 +42,7 @@
     stretch: float = 1.0
     target_latency_ms: float = 1000.0
     public: bool = False
-    advice: typing.Any = None
+    advice: _Advice | None = None
 
 
 class _Guaranteed(msgspec.Struct):
@@ -122,10 +129,16 @@
         route.stretch,
         route.target_latency_ms / 1000,
         route.public,
-        route.advice is not None,
+        _advice_terms(route.advice),
     )
 
 
+def _advice_terms(advice: _Advice | None) -> queues.AdviceTerms | None:
+    if advice is None:
+        return None
+    return queues.AdviceTerms(advice.decide_ms / 1000, advice.each_ms / 1000)
+
+
 def _account(tenant: _Tenant) -> queues.QueueAccount:
     guaranteed = tenant.guaranteed.gpus if tenant.guaranteed else 0
     return queues.QueueAccount(
--- a/primroselock/platform/settings.py
+++ b/primroselock/platform/settings.py
@@ -106,6 +106,7 @@
                 'bind': self._required('listen.front'),
                 'ready_bind': self._required('listen.ready'),
                 'metrics_bind': self._own_port(_METRICS_PORT_OFFSET),
+                'advice': self._values.get('advice', ''),
                 'run_lease_s': self._seconds('bounds.hold_max_ms', 10000),
                 'far_factor': f'{self._number("bounds.far_x", 3):g}',
             },
--- a/primroselock/platform/workers.py
+++ b/primroselock/platform/workers.py
@@ -27,6 +27,7 @@
     'old': orders.Refusal.OVERTAKEN,
     'late': orders.Refusal.LATE,
     'room': orders.Refusal.NO_ROOM,
+    'ticket': orders.Refusal.NO_TICKET,
 }
 
 
@@ -42,6 +43,7 @@
     until_ms: int
     fencing_token: int
     checkpoint: str = ''
+    ticket: str = ''
 
 
 class _StopBody(msgspec.Struct):
@@ -99,6 +101,7 @@
             int(order.lease_until * _MS),
             order.epoch,
             order.checkpoint,
+            order.ticket,
         )
         return await self._order(
             worker_id, address, '/run-start', body, timeout_s
--- a/primroselock/queues.py
+++ b/primroselock/queues.py
@@ -10,14 +10,22 @@
 import typing
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdviceTerms:
+    """How long another service takes to say which workers may run a step."""
+
+    decide_s: float
+    each_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Queue:
     """A queue of jobs; its service's workers run the tasks.
 
     ``priority`` 0 is the most urgent.  A job is on time while it ends
     within ``stretch`` times its shortest run time and ``latency_goal_s``.
-    ``needs_advice`` says that another service decides which workers may
-    run a step.
+    ``advice`` is set where another service decides which workers may run
+    a step.
     """
 
     name: str
@@ -29,7 +37,7 @@
     stretch: float = 1.0
     latency_goal_s: float = 1.0
     is_public: bool = False
-    needs_advice: bool = False
+    advice: AdviceTerms | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -12,6 +12,7 @@
 import result
 
 from primroselock import clock
+from primroselock.decisions import advising
 from primroselock.decisions import fleet
 from primroselock.decisions import runs
 from primroselock import logs
@@ -132,12 +133,14 @@
     ) -> result.Result[orders.Accepted, orders.OrderError]:
         deadline = lease_deadline(self._settings, self._lease, sent_at)
         group = member.group
+        ticket = advising.ticket_for(self._board, group, worker.id, sent_at)
         order = orders.Start(
             member.run,
             group.job.graph.payload,
             extend_lease(worker, deadline),
             self._board.epoch,
             group.checkpoint,
+            ticket or '',
         )
         answer = await self._link.start(
             worker.id,
@@ -192,6 +195,11 @@
     ) -> None:
         """End the attempt of a member that certainly did not start."""
         group = member.group
+        if (
+            isinstance(error, orders.Refused)
+            and error.why is orders.Refusal.NO_TICKET
+        ):
+            advising.drop_ticket(self._board, group, worker.id)
         why = (
             error.why.value
             if isinstance(error, orders.Refused)
--- a/primroselock/store/guard.py
+++ b/primroselock/store/guard.py
@@ -91,3 +91,37 @@
     def give_back(self) -> None:
         """Return a call that was not made."""
         self._tokens += 1
+
+
+_FIRST_TYPICAL_S: typing.Final = 0.025
+_LEAST_TIMEOUT_S: typing.Final = 0.2
+_TIMES_TYPICAL: typing.Final = 8.0
+_NEW_SHARE: typing.Final = 0.2
+
+
+class AdaptiveTimeout:
+    """Waits several times as long as answers usually take.
+
+    A lost answer is then noticed long before the caller's own bound.  Each
+    timeout doubles what counts as usual, so that a store that has become
+    slow is waited for.
+    """
+
+    def __init__(self) -> None:
+        self._typical_s = _FIRST_TYPICAL_S
+
+    def current_s(self, bound_s: float) -> float:
+        """Return the timeout of the next call, at most ``bound_s``."""
+        wanted_s = max(self._typical_s * _TIMES_TYPICAL, _LEAST_TIMEOUT_S)
+        return min(wanted_s, bound_s)
+
+    def record_answer(self, took_s: float) -> None:
+        """Take note of how long an answer took."""
+        self._typical_s += (took_s - self._typical_s) * _NEW_SHARE
+
+    def record_timeout(self, bound_s: float) -> None:
+        """Take note that no answer came in time."""
+        self._typical_s = min(
+            max(self._typical_s, _FIRST_TYPICAL_S) * 2,
+            bound_s / _TIMES_TYPICAL,
+        )
--- a/primroselock/store/guardedcalls.py
+++ b/primroselock/store/guardedcalls.py
@@ -36,6 +36,7 @@
         # Reads may fail while writes pass, and the other way round.
         self._read_breaker = guard.Breaker(f'{name} reads')
         self._write_breaker = guard.Breaker(f'{name} writes')
+        self._write_timeout = guard.AdaptiveTimeout()
 
     async def aclose(self) -> None:
         """Close the connections."""
@@ -44,8 +45,23 @@
     async def write(
         self, request: httplane.Request, timeout_s: float
     ) -> Answer:
-        """Send a call that must not be repeated unasked."""
-        return await self._exchange(request, self._write_breaker, timeout_s)
+        """Send a call that must not be repeated unasked.
+
+        It may be given up before ``timeout_s``, when an answer is late by
+        what is usual; the caller settles what became of it.
+        """
+        sent_at = clock.monotonic()
+        answer = await self._exchange(
+            request,
+            self._write_breaker,
+            self._write_timeout.current_s(timeout_s),
+        )
+        if isinstance(answer, result.Ok):
+            self._write_timeout.record_answer(clock.monotonic() - sent_at)
+        elif isinstance(answer.err_value, httplane.Broken):
+            if answer.err_value.timed_out:
+                self._write_timeout.record_timeout(timeout_s)
+        return answer
 
     async def poll(
         self, request: httplane.Request, timeout_s: float
--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -73,6 +73,8 @@
 
     def __init__(self, seed: int = 0) -> None:
         self.workers_by_id: dict[str, FakeWorker] = {}
+        self.adviser = FakeAdviser()
+        self.tickets: list[str] = []
         self.graphs_by_id: dict[str, jobgraph.JobGraph] = {}
         self.work_s_by_job: dict[str, float] = {}
         self.failures_by_task: dict[jobgraph.TaskName, int] = {}
@@ -198,6 +200,8 @@
             return orders.Refusal.OVERTAKEN
         if order.lease_until < now:
             return orders.Refusal.LATE
+        if order.ticket:
+            self.tickets.append(order.ticket)
         worker.lease_end = max(
             worker.lease_end, min(order.lease_until, now + _LONGEST_LEASE_S)
         )
@@ -333,6 +337,34 @@
         """Close nothing."""
 
 
+class FakeAdviser:
+    """Lets some workers run any step."""
+
+    def __init__(self) -> None:
+        self.good_ids: set[str] = set()
+        self.is_silent = False
+        self.asked = 0
+
+    async def ask(
+        self,
+        step: fleet.StepName,
+        worker_ids: tuple[str, ...],
+        timeout_s: float,
+    ) -> result.Result[tuple[dict[str, str], float], orders.Unanswered]:
+        """Return the tickets by worker and for how long they hold."""
+        self.asked += 1
+        await asyncio.sleep(0.1)
+        if self.is_silent:
+            return result.Err(orders.Unanswered('silent'))
+        good = {
+            name: f't-{name}' for name in worker_ids if name in self.good_ids
+        }
+        return result.Ok((good, 3.0))
+
+    async def aclose(self) -> None:
+        """Close nothing."""
+
+
 def _same_gang(run: orders.Run, other: orders.Run) -> bool:
     return (
         run.attempt == other.attempt
--- a/primroselock/test/fleetbuilders.py
+++ b/primroselock/test/fleetbuilders.py
@@ -33,9 +33,20 @@
 BULK: typing.Final = queues.Queue(
     'bulk', 'host', '/bulk/', 'svc', 2, 4, 3.0, 3.0
 )
+ADVISED: typing.Final = queues.Queue(
+    'advised',
+    'host',
+    '/advised/',
+    'svc',
+    1,
+    4,
+    3.0,
+    3.0,
+    advice=queues.AdviceTerms(0.1, 0.01),
+)
 TABLE: typing.Final = queues.QueueTable(
     1,
-    (URGENT, BULK),
+    (URGENT, BULK, ADVISED),
     {
         'signs': queues.QueueAccount('signs', frozenset({'k1'}), 16),
         'merch': queues.QueueAccount('merch', frozenset({'k2'}), 8),
@@ -144,6 +155,7 @@
             self.follower,
             _Rows(),
             link,
+            link.adviser,
             self.counters,
         )
         self.table_age_s = 0.0
--- a/primroselock/test/testfleetnode.py
+++ b/primroselock/test/testfleetnode.py
@@ -97,6 +97,21 @@
 
         play(scenario)
 
+    def test_an_advised_queue_uses_the_workers_that_may_run_it(self) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            world.fleet.adviser.is_silent = True
+            step = fleetbuilders.build_step(3)
+            graph = fleetbuilders.build_graph('j1', step, queue='advised')
+            world.submit(graph)
+            await asyncio.sleep(2.0)
+            self.assertEqual(0, world.fleet.starts)
+            world.fleet.adviser.is_silent = False
+            world.fleet.adviser.good_ids = {'w2'}
+            await world.wait_for('j1', 'done', 5.0)
+            self.assertEqual(['t-w2'] * 3, world.fleet.tickets)
+
+        play(scenario)
+
     def test_nothing_starts_in_a_zone_that_is_out(self) -> None:
         async def scenario(world: fleetbuilders.World) -> None:
             await asyncio.sleep(0.5)
--- a/primroselock/test/testfollowing.py
+++ b/primroselock/test/testfollowing.py
@@ -8,6 +8,7 @@
 
 from primroselock import clock
 from primroselock.store import following
+from primroselock.store import guard
 from primroselock.store import table
 from primroselock.test import fakefeed
 from primroselock.test import virtualtime
@@ -34,6 +35,29 @@
     virtualtime.run(whole)
 
 
+class AdaptiveTimeoutTest(unittest.TestCase):
+    """Lost answers are noticed soon; a slow store is waited for."""
+
+    def test_a_lost_answer_is_noticed_soon(self) -> None:
+        timeout = guard.AdaptiveTimeout()
+        for _ in range(20):
+            timeout.record_answer(0.006)
+        self.assertLessEqual(timeout.current_s(1.0), 0.25)
+
+    def test_a_slow_store_is_waited_for(self) -> None:
+        timeout = guard.AdaptiveTimeout()
+        for _ in range(20):
+            timeout.record_answer(0.006)
+        tries = 0
+        while timeout.current_s(1.0) < 0.4:
+            timeout.record_timeout(1.0)
+            tries += 1
+        self.assertLessEqual(tries, 2)
+        for _ in range(50):
+            timeout.record_timeout(1.0)
+        self.assertEqual(1.0, timeout.current_s(1.0))
+
+
 class FollowerTest(unittest.TestCase):
     """Following through drops, silence and outages."""
 
--- a/primroselock/test/testplatformadapter.py
+++ b/primroselock/test/testplatformadapter.py
@@ -13,6 +13,7 @@
 import result
 from starlette import requests
 
+from primroselock.decisions import fleet
 from primroselock import errors
 from primroselock import fleetnode
 from primroselock import httplane
@@ -20,6 +21,7 @@
 from primroselock import jobgraph
 from primroselock import metrics
 from primroselock import nodemain
+from primroselock.platform import advice
 from primroselock.platform import configuration
 from primroselock.platform import discovery
 from primroselock.platform import front
@@ -424,6 +426,27 @@
                 self.assertIsInstance(error, orders.Unanswered)
 
 
+class AdviserTest(unittest.IsolatedAsyncioTestCase):
+    """Questions to the service that knows who may run a step."""
+
+    async def test_tickets_are_read(self) -> None:
+        boot = BOOT + 'advice=127.0.0.1:9'
+        adviser = advice.Adviser(settings.parse(boot, 'boot').unwrap())
+        body = {'good': [['w1', 't1']], 'valid_ms': 3000}
+        pool: typing.Any = _FakePool(
+            _answer(200, body), _answer(429, b''), _answer(200, b'[]')
+        )
+        adviser._pool = pool
+        step = fleet.StepName('j', 0, 1)
+        told = await adviser.ask(step, ('w1', 'w2'), 1.0)
+        self.assertEqual(({'w1': 't1'}, 3.0), told.unwrap())
+        sent = msgspec.json.decode(pool.sent[0].body)
+        self.assertEqual({'step': 'j.0.1', 'workers': ['w1', 'w2']}, sent)
+        for _ in range(2):
+            failed = await adviser.ask(step, ('w1',), 1.0)
+            self.assertIsInstance(failed.unwrap_err(), orders.Unanswered)
+
+
 class FrontTest(unittest.IsolatedAsyncioTestCase):
     """Calls of clients, and bodies that cannot be read."""
 
--- a/primroselock/workers/orders.py
+++ b/primroselock/workers/orders.py
@@ -26,7 +26,8 @@
 class Start:
     """Begin ``run``, unless the worker's clock is past ``lease_until``.
 
-    ``checkpoint`` is saved progress to go on from.
+    ``checkpoint`` is saved progress to go on from; ``ticket`` is what an
+    adviser gave for the step on this worker.
     """
 
     run: Run
@@ -34,6 +35,7 @@
     lease_until: float
     epoch: int
     checkpoint: str = ''
+    ticket: str = ''
 
 
 class EndCause(enum.Enum):
@@ -88,6 +90,7 @@
     OVERTAKEN = 'this or a later attempt was stopped or ended there'
     LATE = 'past the deadline'
     NO_ROOM = 'no room'
+    NO_TICKET = 'ticket not taken'
     OTHER_BOOT = 'another incarnation'
     UNHEALTHY = 'not accepting work'
     INVALID = 'order not understood'
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -151,7 +151,10 @@
             if found is None and self._popen.poll() is not None:
                 self._reader.join(1.0)
                 lines = '\n'.join(self.other_lines[-20:])
-                raise RuntimeError(f'{self.name} ended early: {lines}')
+                code = self._popen.returncode
+                raise RuntimeError(
+                    f'{self.name} ended early with {code}: {lines}'
+                )
             return found
 
         found: dict[str, typing.Any] = wait_for(
