--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -5,6 +5,7 @@
 object is passed whole to whatever needs it.
 """
 
+from collections import abc
 import dataclasses
 import pathlib
 import typing
@@ -373,8 +374,11 @@
     return problems
 
 
-def load(path: str) -> Settings:
-    """Read the settings file at ``path``.
+Parse = abc.Callable[[str, str], result.Result[Settings, list[ini.Problem]]]
+
+
+def load(path: str, parse_text: Parse = parse) -> Settings:
+    """Read the settings file at ``path``; ``parse_text`` knows its format.
 
     Raises :class:`errors.CommandError` with a line for each problem.
     """
@@ -384,7 +388,7 @@
         raise errors.CommandError(
             errors.ExitCode.USAGE, f'{path}: cannot be read: {error}'
         ) from error
-    parsed = parse(text, path)
+    parsed = parse_text(text, path)
     if isinstance(parsed, result.Err):
         lines = [str(problem) for problem in parsed.err_value]
         raise errors.CommandError(errors.ExitCode.USAGE, *lines)
--- a/primroselock/platform/settings.py
+++ b/primroselock/platform/settings.py
@@ -7,12 +7,10 @@
 
 from collections import abc
 import os
-import pathlib
 import typing
 
 import result
 
-from primroselock import errors
 from primroselock import ini
 from primroselock import options
 
@@ -32,18 +30,7 @@
 
     Raises :class:`errors.CommandError` with a line for each problem.
     """
-    path = environment.get(PATH_VARIABLE, DEFAULT_PATH)
-    try:
-        text = pathlib.Path(path).read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        raise errors.CommandError(
-            errors.ExitCode.USAGE, f'{path}: cannot be read: {error}'
-        ) from error
-    parsed = parse(text, path)
-    if isinstance(parsed, result.Err):
-        lines = [str(problem) for problem in parsed.err_value]
-        raise errors.CommandError(errors.ExitCode.USAGE, *lines)
-    return parsed.ok_value
+    return options.load(environment.get(PATH_VARIABLE, DEFAULT_PATH), parse)
 
 
 def parse(
--- a/primroselock/test/fleetbuilders.py
+++ b/primroselock/test/fleetbuilders.py
@@ -27,6 +27,19 @@
 shard_lease_s = 2.0
 shard_renew_interval_s = 0.5
 """
+BOOT: typing.Final = """
+node=front-1
+zone=a
+ip=127.0.0.1
+listen.front=127.0.0.1:8521
+listen.ready=127.0.0.1:8523
+port_range=7000,7015
+platform.address=127.0.0.1:8524
+platform.writes_per_s=600
+bounds.hold_max_ms=10000
+a.field.that.is.new=1
+"""
+
 URGENT: typing.Final = queues.Queue(
     'urgent', 'host', '/urgent/', 'svc', 0, 4, 1.5, 0.25
 )
@@ -202,6 +215,15 @@
         self.write_entry(entry)
         return self.fleet.add(entry)
 
+    def busy_worker(self) -> fakefleet.FakeWorker:
+        """Return a worker that runs something."""
+        workers = self.fleet.workers_by_id.values()
+        return next(worker for worker in workers if worker.runs)
+
+    def holding_node(self) -> TestNode:
+        """Return the node that holds the shard."""
+        return next(n for n in self.nodes if n.holder.lease.has_shard)
+
     def write_entry(self, entry: fleet.WorkerEntry) -> None:
         """Write what a worker says of itself."""
         self.store.put(f'servers/{entry.id}', msgspec.json.encode(entry))
--- a/primroselock/test/testfleetnode.py
+++ b/primroselock/test/testfleetnode.py
@@ -173,9 +173,7 @@
             step = fleetbuilders.build_step(1, 8, 3000)
             world.submit(fleetbuilders.build_graph('j1', step))
             await asyncio.sleep(1.0)
-            busy = next(
-                w for w in world.fleet.workers_by_id.values() if w.runs
-            )
+            busy = world.busy_worker()
             world.fleet.crash(busy)
             took_s = await world.wait_for('j1', 'done', 16.0)
             self.assertGreater(took_s, 9.0)
@@ -187,9 +185,7 @@
             step = fleetbuilders.build_step(1, 8, 6000)
             world.submit(fleetbuilders.build_graph('j1', step))
             await asyncio.sleep(1.0)
-            busy = next(
-                w for w in world.fleet.workers_by_id.values() if w.runs
-            )
+            busy = world.busy_worker()
             busy.is_cut = True
             await asyncio.sleep(5.5)
             busy.is_cut = False
@@ -203,9 +199,7 @@
             step = fleetbuilders.build_step(1, 8, 3000)
             world.submit(fleetbuilders.build_graph('j1', step))
             await asyncio.sleep(1.0)
-            busy = next(
-                w for w in world.fleet.workers_by_id.values() if w.runs
-            )
+            busy = world.busy_worker()
             world.fleet.crash(busy)
             await asyncio.sleep(0.5)
             world.fleet.restart(busy)
@@ -237,9 +231,7 @@
             step = fleetbuilders.build_step(1, 8, 8000)
             world.submit(fleetbuilders.build_graph('j1', step))
             await asyncio.sleep(1.0)
-            busy = next(
-                w for w in world.fleet.workers_by_id.values() if w.runs
-            )
+            busy = world.busy_worker()
             world.write_entry(
                 dataclasses.replace(
                     busy.entry, is_draining=True, remaining_s=2.0
@@ -281,9 +273,7 @@
             step = fleetbuilders.build_step(6, 2, 6000)
             world.submit(fleetbuilders.build_graph('j1', step))
             await asyncio.sleep(1.5)
-            first = next(
-                node for node in world.nodes if node.holder.lease.has_shard
-            )
+            first = world.holding_node()
             await first.kill()
             await world.wait_for('j1', 'done', 8.0)
             self.assertEqual(6, world.fleet.starts)
@@ -296,9 +286,7 @@
         async def scenario(world: fleetbuilders.World) -> None:
             world.add_node('entry-2')
             await asyncio.sleep(5.0)
-            first = next(
-                node for node in world.nodes if node.holder.lease.has_shard
-            )
+            first = world.holding_node()
             await first.kill()
             await asyncio.sleep(6.0)
             world.submit(fleetbuilders.build_graph('j1'))
@@ -310,9 +298,7 @@
         async def scenario(world: fleetbuilders.World) -> None:
             world.add_node('entry-2')
             await asyncio.sleep(2.0)
-            first = next(
-                node for node in world.nodes if node.holder.lease.has_shard
-            )
+            first = world.holding_node()
             await first.holder.leave()
             world.submit(fleetbuilders.build_graph('j1'))
             took_s = await world.wait_for('j1', 'done', 4.0)
--- a/primroselock/test/testplatformadapter.py
+++ b/primroselock/test/testplatformadapter.py
@@ -1,7 +1,6 @@
 """The adapter to the platform: names, formats and bad input."""
 
 import asyncio
-import base64
 import io
 import pathlib
 import re
@@ -11,26 +10,15 @@
 
 import msgspec
 import result
-from starlette import requests
 
-from primroselock.decisions import fleet
 from primroselock import errors
 from primroselock import fleetnode
-from primroselock import httplane
-from primroselock import intake
-from primroselock import jobgraph
-from primroselock import metrics
 from primroselock import nodemain
-from primroselock.platform import advice
 from primroselock.platform import configuration
 from primroselock.platform import discovery
-from primroselock.platform import front
-from primroselock.platform import rows
 from primroselock.platform import settings
-from primroselock.platform import workers
 from primroselock.store import table
 from primroselock.test import fleetbuilders
-from primroselock.workers import orders
 
 _PACKAGE: typing.Final = pathlib.Path(__file__).resolve().parent.parent
 
@@ -60,19 +48,6 @@
 _OWN_WORDS: typing.Final = frozenset({'data_rack'})
 """Wire names that the product uses for the same thing."""
 
-BOOT: typing.Final = """
-node=front-1
-zone=a
-ip=127.0.0.1
-listen.front=127.0.0.1:8521
-listen.ready=127.0.0.1:8523
-port_range=7000,7015
-platform.address=127.0.0.1:8524
-platform.writes_per_s=600
-bounds.hold_max_ms=10000
-a.field.that.is.new=1
-"""
-
 
 class NamesTest(unittest.TestCase):
     """The pages' names stand in the adapter alone."""
@@ -103,7 +78,7 @@
     """The platform's settings file becomes the product's settings."""
 
     def test_values_reach_their_sections(self) -> None:
-        read = settings.parse(BOOT, 'boot').unwrap()
+        read = settings.parse(fleetbuilders.BOOT, 'boot').unwrap()
         self.assertEqual('front-1', read.process.vm_id)
         self.assertEqual(10.0, read.fleet.run_lease_s)
         self.assertEqual('127.0.0.1:7000', read.fleet.metrics_bind)
@@ -117,7 +92,9 @@
         }
         for right, wrong in cases.items():
             with self.subTest(wrong=wrong):
-                parsed = settings.parse(BOOT.replace(right, wrong), 'boot')
+                parsed = settings.parse(
+                    fleetbuilders.BOOT.replace(right, wrong), 'boot'
+                )
                 assert isinstance(parsed, result.Err)
                 line = str(parsed.err_value[0])
                 self.assertIn('expected', line)
@@ -239,312 +216,13 @@
 }
 
 
-class _FakePool:
-    """Answers exchanges with what a test puts in."""
-
-    def __init__(self, *answers: typing.Any) -> None:
-        self.answers = list(answers)
-        self.sent: list[httplane.Request] = []
-
-    async def exchange(
-        self, request: httplane.Request, timeout_s: float
-    ) -> typing.Any:
-        """Take note of a request and return the next answer."""
-        self.sent.append(request)
-        return self.answers.pop(0)
-
-
-def _answer(status: int, body: typing.Any) -> typing.Any:
-    if not isinstance(body, bytes):
-        body = msgspec.json.encode(body)
-    return result.Ok(httplane.Response(status, body, {}))
-
-
-class RowStoreTest(unittest.IsolatedAsyncioTestCase):
-    """Rows, transactions and feeds over the platform's calls."""
-
-    def _store(self, *answers: typing.Any) -> rows.RowStore:
-        parsed = settings.parse(BOOT, 'boot').unwrap()
-        store = rows.RowStore(parsed, 'test', 2)
-        self.pool = _FakePool(*answers)
-        mock.patch.object(store._calls, '_pool', new=self.pool).start()
-        self.addCleanup(mock.patch.stopall)
-        return store
-
-    async def test_a_transaction_names_conditions_and_rows(self) -> None:
-        store = self._store(_answer(200, {'ver': 9}))
-        outcome = await store.transact(
-            table.Transaction(
-                (table.Condition('t/a', 4),),
-                (table.Put('t/a', b'v'),),
-                ('t/b/c',),
-                'token',
-            )
-        )
-        self.assertEqual(9, outcome.unwrap().version)
-        sent = msgspec.json.decode(self.pool.sent[0].body)
-        self.assertEqual(4, sent['if_revision'][0]['ver'])
-        self.assertEqual('b/c', sent['remove'][0]['key'])
-        value = base64.b64decode(sent['set_keys'][0]['value'])
-        self.assertEqual(b'token\x01v', value)
-
-    async def test_a_failed_condition_names_its_key(self) -> None:
-        body = {'rows': [{'table': 't', 'key': 'a', 'ver': 5}], 'ver': 9}
-        store = self._store(_answer(412, body))
-        outcome = await store.transact(
-            table.Transaction(
-                (table.Condition('t/a', 4), table.Condition('t/z', 0))
-            )
-        )
-        self.assertEqual(('t/a',), outcome.unwrap_err().keys)  # type: ignore
-
-    async def test_only_stated_refusals_promise_that_nothing_ran(
-        self,
-    ) -> None:
-        cases: tuple[tuple[typing.Any, type[typing.Any]], ...] = (
-            (_answer(503, b''), table.Unavailable),
-            (_answer(429, b''), table.Unavailable),
-            (_answer(500, b''), table.Unsettled),
-            (_answer(200, b'\xff'), table.Unsettled),
-            (result.Err(httplane.NotSent('x')), table.Unavailable),
-            (result.Err(httplane.Broken('x')), table.Unsettled),
-        )
-        for answer, expected in cases:
-            store = self._store(answer)
-            outcome = await store.transact(table.Transaction())
-            self.assertIsInstance(outcome.unwrap_err(), expected)
-
-    async def test_pages_are_read_to_the_end(self) -> None:
-        value = base64.b64encode(b'tok\x01v').decode()
-        row = {'table': 't', 'ver': 3, 'value': value}
-        store = self._store(
-            _answer(
-                200,
-                {'rows': [{**row, 'key': 'a'}], 'more_pages': True, 'ver': 7},
-            ),
-            _answer(200, {'rows': [{**row, 'key': 'b'}], 'ver': 8}),
-        )
-        listing = (await store.list_rows('t')).unwrap()
-        self.assertEqual(['t/a', 't/b'], [row.key for row in listing.rows])
-        self.assertEqual(b'v', listing.rows[0].value)
-        self.assertEqual('tok', listing.rows[0].token)
-        self.assertEqual(7, listing.version)
-
-    async def test_a_feed_tells_changes_and_dropped_history(self) -> None:
-        body = {
-            'rows': [
-                {'table': 'op', 'key': 'config', 'ver': 4, 'value': 'e30='},
-                {'table': 'op', 'key': 'x', 'ver': 5, 'removed': True},
-            ],
-            'ver': 5,
-        }
-        store = self._store(_answer(200, body), _answer(410, b''))
-        changes = (await store.changes('op', 3, 0.1)).unwrap()
-        self.assertEqual(b'{}', changes.rows[0].value)
-        self.assertEqual(('op/x',), changes.removed)
-        gone = await store.changes('op', 3, 0.1)
-        self.assertIsInstance(gone.unwrap_err(), table.HistoryGone)
-
-    async def test_an_unreadable_answer_is_an_error(self) -> None:
-        for body in (b'\xff', b'[]', b'{"rows": 3}'):
-            store = self._store(_answer(200, body), _answer(200, body))
-            outcome = await store.read(['t/a'])
-            self.assertIsInstance(outcome.unwrap_err(), table.Unavailable)
-
-
-class WorkerLinkTest(unittest.IsolatedAsyncioTestCase):
-    """Orders to workers over the platform's calls."""
-
-    _RUN = orders.Run(jobgraph.TaskName('j', 0, 1, 2), 3)
-
-    def _link(self, answer: typing.Any) -> workers.WorkerLink:
-        link = workers.WorkerLink()
-        self.pool = _FakePool(answer)
-        pools: typing.Any = link._pools_by_address
-        pools['w:1'] = self.pool
-        return link
-
-    async def test_a_start_is_sent(self) -> None:
-        link = self._link(_answer(200, {'clock_ms': 5000}))
-        order = orders.Start(self._RUN, 'spec', 12.5, 4, 'saved')
-        accepted = await link.start('w', 'w:1', order, 1.0)
-        self.assertEqual(5.0, accepted.unwrap().clock_s)
-        sent = msgspec.json.decode(self.pool.sent[0].body)
-        expected = {
-            'task': 'j.0.1.2',
-            'run': 3,
-            'spec': 'spec',
-            'until_ms': 12500,
-            'fencing_token': 4,
-            'checkpoint': 'saved',
-        }
-        self.assertEqual(expected, sent)
-        self.assertIn(('X-Expected-Instance', 'w'), self.pool.sent[0].headers)
-
-    async def test_refusals_are_told_apart(self) -> None:
-        cases: tuple[tuple[int, typing.Any, orders.Refusal], ...] = (
-            (409, {'reason': 'fence'}, orders.Refusal.STALE_EPOCH),
-            (409, {'reason': 'old'}, orders.Refusal.OVERTAKEN),
-            (409, {'reason': 'late'}, orders.Refusal.LATE),
-            (409, {'reason': 'room'}, orders.Refusal.NO_ROOM),
-            (421, b'', orders.Refusal.OTHER_BOOT),
-            (503, b'', orders.Refusal.UNHEALTHY),
-            (400, b'', orders.Refusal.INVALID),
-        )
-        for status, body, why in cases:
-            link = self._link(_answer(status, body))
-            answer = await link.stop('w', 'w:1', self._RUN, 4, 1.0)
-            refused = answer.unwrap_err()
-            assert isinstance(refused, orders.Refused)
-            self.assertIs(why, refused.why)
-
-    async def test_a_look_is_read(self) -> None:
-        body = {
-            'clock_ms': 7000,
-            'born': 17,
-            'running': [['j.0.1.2', 3, 'cp', 41, 900]],
-            'ended': [[58, 'j.0.1.9', 1, 'done', '']],
-        }
-        link = self._link(_answer(200, body))
-        look = (await link.look('w', 'w:1', 4, 57, 9.0, 1.0, 1.0)).unwrap()
-        self.assertEqual(17, look.boot)
-        self.assertEqual(self._RUN, look.running[0].run)
-        self.assertIs(orders.EndCause.DONE, look.ended[0].cause)
-
-    async def test_an_unreadable_answer_settles_nothing(self) -> None:
-        bad: tuple[typing.Any, ...] = (
-            b'\xff',
-            {'clock_ms': 1, 'running': [['x']]},
-            {'clock_ms': 1, 'running': [['no.task', 1, '', 1]]},
-            {'clock_ms': 1, 'ended': [[1, 'j.0.1.9', 1, 'odd', '']]},
-        )
-        with mock.patch.object(workers, '_log', spec_set=_LOG):
-            for body in bad:
-                link = self._link(_answer(200, body))
-                answer = await link.look('w', 'w:1', 4, 57, None, 0.0, 1.0)
-                error = answer.unwrap_err()
-                self.assertIsInstance(error, orders.Unanswered)
-
-
-class AdviserTest(unittest.IsolatedAsyncioTestCase):
-    """Questions to the service that knows who may run a step."""
-
-    async def test_tickets_are_read(self) -> None:
-        boot = BOOT + 'advice=127.0.0.1:9'
-        adviser = advice.Adviser(settings.parse(boot, 'boot').unwrap())
-        body = {'good': [['w1', 't1']], 'valid_ms': 3000}
-        pool: typing.Any = _FakePool(
-            _answer(200, body), _answer(429, b''), _answer(200, b'[]')
-        )
-        adviser._pool = pool
-        step = fleet.StepName('j', 0, 1)
-        told = await adviser.ask(step, ('w1', 'w2'), 1.0)
-        self.assertEqual(({'w1': 't1'}, 3.0), told.unwrap())
-        sent = msgspec.json.decode(pool.sent[0].body)
-        self.assertEqual({'step': 'j.0.1', 'workers': ['w1', 'w2']}, sent)
-        for _ in range(2):
-            failed = await adviser.ask(step, ('w1',), 1.0)
-            self.assertIsInstance(failed.unwrap_err(), orders.Unanswered)
-
-
-class FrontTest(unittest.IsolatedAsyncioTestCase):
-    """Calls of clients, and bodies that cannot be read."""
-
-    async def asyncSetUp(self) -> None:
-        self.served = mock.Mock(spec=intake.Intake)
-        self.served.max_body_bytes = 1000
-        access = intake.Access(fleetbuilders.BULK, 'signs')
-        self.served.admit.return_value = result.Ok(access)
-        self.served.submit = mock.AsyncMock(return_value=result.Ok(None))
-        self.front = front.Front(
-            fleetbuilders.build_node_settings(), self.served, metrics.Metrics()
-        )
-
-    async def _call(self, method: str, path: str, body: bytes = b'') -> int:
-        sent: list[dict[str, typing.Any]] = []
-
-        async def receive() -> dict[str, typing.Any]:
-            return {'type': 'http.request', 'body': body, 'more_body': False}
-
-        async def send(message: dict[str, typing.Any]) -> None:
-            sent.append(message)
-
-        scope = {
-            'type': 'http',
-            'method': method,
-            'path': path,
-            'query_string': b'',
-            'headers': [
-                (b'host', b'host'),
-                (b'authorization', b'Token k1'),
-                (b'x-deadline-ms', b'2500'),
-            ],
-            'server': ('host', 80),
-            'scheme': 'http',
-        }
-        await self.front(scope, receive, send)
-        self.headers = dict(sent[0].get('headers', ()))
-        status: int = sent[0]['status']
-        return status
-
-    async def test_a_job_is_built_from_its_body(self) -> None:
-        body = msgspec.json.encode(
-            {
-                'spec': 'text',
-                'phases': [
-                    {'count': 4, 'cpu': 500, 'gpus': 1, 'est_runtime_ms': 9},
-                    {'count': 2, 'gang': True, 'after': [0]},
-                ],
-            }
-        )
-        self.assertEqual(200, await self._call('POST', '/bulk/0a', body))
-        graph = self.served.submit.call_args.args[1]
-        self.assertEqual('0a', graph.id)
-        self.assertEqual((0,), graph.steps[1].after)
-        self.assertEqual(1, graph.steps[0].need.accelerators)
-        host, path, key, _ = self.served.admit.call_args.args
-        self.assertEqual(('host', '/bulk/0a', 'k1'), (host, path, key))
-
-    async def test_bad_bodies_are_refused(self) -> None:
-        bad = (b'', b'\xff', b'{}', b'{"spec": 3, "phases": []}')
-        with mock.patch.object(front, '_log', spec_set=_LOG):
-            for body in bad:
-                status = await self._call('POST', '/bulk/0a', body)
-                self.assertEqual(400, status)
-            self.assertEqual(400, await self._call('POST', '/bulk/a.b', b''))
-            long = b' ' * 1001
-            self.assertEqual(413, await self._call('POST', '/bulk/a', long))
-        self.served.submit.assert_not_called()
-
-    async def test_each_refusal_has_its_status(self) -> None:
-        expected = {
-            intake.Why.STALE: 503,
-            intake.Why.NO_QUEUE: 404,
-            intake.Why.NO_KEY: 401,
-            intake.Why.NO_JOB: 410,
-            intake.Why.STORE_OUT: 503,
-            intake.Why.UNSETTLED: 504,
-        }
-        with mock.patch.object(front, '_log', spec_set=_LOG):
-            for why, status in expected.items():
-                refused = result.Err(intake.Refused(why, '', 1.0))
-                self.served.admit.return_value = refused
-                self.assertEqual(status, await self._call('GET', '/bulk/0a'))
-                self.assertEqual(b'1', self.headers[b'retry-after'])
-
-    def test_the_scheme_of_keys_is_checked(self) -> None:
-        for value, key in ((b'Token k', 'k'), (b'Bearer k', ''), (b'', '')):
-            scope = {'type': 'http', 'headers': [(b'authorization', value)]}
-            self.assertEqual(key, front._key(requests.Request(scope)))
-
-
 class LoopTest(unittest.TestCase):
     """The adapter names a whole platform."""
 
     def test_the_adapter_is_registered(self) -> None:
         self.assertIn('ishikari', fleetnode.adapters_by_name)
         parts = fleetnode.adapters_by_name['ishikari']()
-        read = settings.parse(BOOT, 'boot').unwrap()
+        read = settings.parse(fleetbuilders.BOOT, 'boot').unwrap()
 
         async def build() -> None:
             store = parts.build_store(read, 'x', 1)
