Another VM's standby has another id in the lease's tests

The tests mean two VMs and now have two ids; the checks are unchanged, and a new one shows the taking back.

--- a/primroselock/test/testjobwriter.py
+++ b/primroselock/test/testjobwriter.py
@@ -23,6 +23,9 @@
     async def asyncSetUp(self) -> None:
         self.store = fakestore.FakeStore()
         self.settings = builders.build_settings()
+        self.other_settings = builders.parse_settings(
+            builders.SETTINGS_TEXT.replace('entry-1', 'entry-2')
+        )
         self.lease = shards.ShardLease(self.settings, self.store, 'a')
         await self.lease.step(0.0)
         self.jobs = jobstore.JobStore(self.store)
@@ -78,7 +81,7 @@
         self.assertEqual({jobs.JobState.CANCELLED}, states)
 
     async def test_nothing_is_written_under_an_old_epoch(self) -> None:
-        other = shards.ShardLease(self.settings, self.store, 'a')
+        other = shards.ShardLease(self.other_settings, self.store, 'a')
         await other.step(0.0)
         await other.step(100.0)
         self.assertTrue(other.has_shard)
@@ -99,8 +102,19 @@
         await self.lease.step(4.0)
         self.assertTrue(self.lease.holds(9.0))
 
+    async def test_a_vm_takes_its_own_earlier_lease_back_at_once(
+        self,
+    ) -> None:
+        """The process that held the lease on this VM has ended."""
+        again = shards.ShardLease(self.settings, self.store, 'a')
+        await again.step(0.5)
+        self.assertTrue(again.has_shard)
+        self.assertEqual(self.lease.epoch + 1, again.epoch)
+        await self.lease.step(1.0)
+        self.assertFalse(self.lease.has_shard)
+
     async def test_standby_that_was_blind_waits_anew(self) -> None:
-        other = shards.ShardLease(self.settings, self.store, 'a')
+        other = shards.ShardLease(self.other_settings, self.store, 'a')
         await other.step(0.0)
         self.store.readable = False
         await other.step(50.0)
