Remove fields that nothing reads

Cause: the reading of the diff: has_begun, held_since and work_ms were written and never read. No behaviour changed; lint, types and the tests of whole nodes pass.

--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -169,7 +169,6 @@
     ending: Ending | None = None
     began_at: float | None = None
     not_before: float = _NEVER
-    has_begun: bool = False
     spread: bool = False
     preemptions: int = 0
     is_resumed: bool = False
@@ -375,14 +374,12 @@
 class Board:
     """Everything known of one shard.
 
-    ``held_since`` is when this holder took the shard; leases that an
-    earlier holder gave end by ``inherited_until``.  Nothing is placed
+    Leases that an earlier holder gave end by ``inherited_until``.  Nothing is placed
     after ``permit_until``.  ``orders`` and
     ``notes`` are what the last controllers decided.
     """
 
     epoch: int = 0
-    held_since: float = 0.0
     inherited_until: float = 0.0
     permit_until: float = float('inf')
     table: queues.QueueTable = queues.EMPTY
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -282,7 +282,6 @@
     """Place a group; its starts follow when its row is stored."""
     group.attempt += 1
     group.ending = None
-    group.has_begun = True
     group.is_resumed = bool(group.checkpoint)
     group.enter(fleet.Phase.COMMITTING, now)
     group.members = []
--- a/primroselock/decisions/graphs.py
+++ b/primroselock/decisions/graphs.py
@@ -76,7 +76,6 @@
         group.attempt = record.attempt
         group.failures = record.failures
         group.checkpoint = record.checkpoint
-        group.has_begun = True
         group.is_resumed = True
         if record.phase is jobgraph.GroupPhase.DONE:
             group.enter(fleet.Phase.DONE, now)
--- a/primroselock/holder.py
+++ b/primroselock/holder.py
@@ -181,7 +181,6 @@
         lease_s = self._settings.fleet.run_lease_s
         board = fleet.Board(
             epoch=self.lease.epoch,
-            held_since=held_since,
             inherited_until=held_since
             + lease_s * (1 + runs.CLOCK_DRIFT)
             + _CLOCK_MARGIN_S,
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -134,11 +134,6 @@
             default=0,
         )
 
-    @property
-    def work_ms(self) -> int:
-        """Return the expected run time of all tasks of one occurrence."""
-        return sum(step.tasks * step.expected_ms for step in self.steps)
-
     def due_ms(self, occurrence: int) -> int:
         """Return when an occurrence may begin, since the Unix epoch."""
         return self.first_due_ms + occurrence * self.period_ms
