--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -374,9 +374,9 @@
 class Board:
     """Everything known of one shard.
 
-    Leases that an earlier holder gave end by ``inherited_until``.  Nothing is placed
-    after ``permit_until``.  ``orders`` and
-    ``notes`` are what the last controllers decided.
+    Leases that an earlier holder gave end by ``inherited_until``.  Nothing
+    is placed after ``permit_until``.  ``orders`` and ``notes`` are what the
+    last controllers decided.
     """
 
     epoch: int = 0
