A run that no row explains keeps its whole worker's room

Cause found by reading: a run whose job had ended (its row is final, so a successor has it on no board) counted as taking no room until its stop was over. Such a run now counts as large as its worker. Ruled out: starts of the earlier holder (refused by epoch), and rows (a placement is stored before its start).

--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -160,7 +160,8 @@
 def _record_stray(
     board: fleet.Board, worker: fleet.Worker, run: orders.Run, now: float
 ) -> None:
-    need = fleet.NO_RESOURCES
+    # A run of a job that has ended may be of any size.
+    need = worker.entry.capacity
     job = board.jobs_by_id.get(run.task.job_id)
     if job is not None and run.task.step < len(job.graph.steps):
         need = job.graph.steps[run.task.step].counted_need
--- a/primroselock/test/testfleetnode.py
+++ b/primroselock/test/testfleetnode.py
@@ -294,6 +294,27 @@
 
         play(scenario)
 
+    def test_runs_of_a_job_that_has_ended_keep_their_room(self) -> None:
+        """A job is cancelled, and the shard changes hands meanwhile.
+
+        Fails where a run that no row explains counts as taking no room.
+        """
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            world.add_node('entry-2')
+            world.fleet.stop_s = 3.0
+            step = fleetbuilders.build_step(1, 8, 60_000)
+            world.submit(fleetbuilders.build_graph('j1', step))
+            await asyncio.sleep(1.5)
+            world.cancel('j1')
+            await asyncio.sleep(0.1)
+            await world.holding_node().holder.leave()
+            step = fleetbuilders.build_step(1, 8, 1000)
+            world.submit(fleetbuilders.build_graph('j2', step))
+            await world.wait_for('j2', 'done', 8.0)
+
+        play(scenario, workers=1)
+
     def test_a_holder_that_leaves_hands_over_at_once(self) -> None:
         async def scenario(world: fleetbuilders.World) -> None:
             world.add_node('entry-2')
