Store: asked without a wait after a failure, silence noticed soon; resets

In a cut zone a node was ready until its copy was 2.0 s old, so that callers met five refusals and gave up.

Ruled out: the callers' pauses (they come back in 0.5 to 1 s and give up after 3 s, whatever Retry-After says); the breaker alone (its probes came each 0.5 s).

Four tests fail before.

--- a/primroselock/fleetnode.py
+++ b/primroselock/fleetnode.py
@@ -133,7 +133,11 @@
 
     def is_ready(self, now: float) -> bool:
         """Whether the balancer should send calls here."""
-        return not self._stopping.is_set() and self.intake.is_ready(now)
+        return (
+            not self._stopping.is_set()
+            and self._operators.is_reached
+            and self.intake.is_ready(now)
+        )
 
     async def run(self) -> None:
         """Serve until a signal says to leave."""
--- a/primroselock/httplane.py
+++ b/primroselock/httplane.py
@@ -21,6 +21,8 @@
 from collections import abc
 import dataclasses
 import select
+import socket
+import struct
 import typing
 
 import aiosonic
@@ -37,6 +39,12 @@
 _LEAST_TIMEOUT_S: typing.Final = 0.001
 _LIBRARY_MARGIN_S: typing.Final = 5.0
 _END_TIMEOUT_S: typing.Final = 1.0
+_RESET: typing.Final = struct.pack('ii', 1, 0)
+"""Linger option: a close drops what was not delivered."""
+
+_DELIVER: typing.Final = struct.pack('ii', 0, 0)
+"""Linger option: a close delivers what was written before."""
+
 _STATUSES_WITHOUT_BODY: typing.Final = frozenset({204, 304})
 
 
@@ -109,6 +117,8 @@
         self._check_in_use()
         self._worker = asyncio.current_task()
         await super().connect(*args, **kwargs)
+        # The library closes a connection whose exchange ended short.
+        self._set_linger(_RESET)
         if self._given_up:
             self._abort()
             self._check_in_use()
@@ -125,13 +135,18 @@
         self._worker = None
         self._owner = asyncio.current_task()
 
-    async def give_up(self) -> None:
+    async def give_up(self, reset: bool) -> None:
         """Close the connection at once and refuse all further use.
 
+        ``reset`` drops what the peer did not get yet; a plain close would
+        deliver it, however much later the peer can be reached again.
+
         Returns when the library's task has ended, so that a connection
         that was being made is closed too.
         """
         self._given_up = True
+        if not reset:
+            self._set_linger(_DELIVER)
         self._abort()
         worker = self._worker
         if worker is None or worker.done() or worker is self._owner:
@@ -148,6 +163,12 @@
         if self.writer is not None:
             self.writer.transport.abort()
 
+    def _set_linger(self, option: bytes) -> None:
+        if self.writer is None or self.writer.is_closing():
+            return
+        connected = self.writer.get_extra_info('socket')
+        connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+
     def is_silent(self) -> bool:
         """Whether the connection is open and nothing is waiting on it."""
         reader, writer = self.reader, self.writer
@@ -200,10 +221,10 @@
         """Whether the present exchange wrote a byte."""
         return any(item.has_written for item in self._connections)
 
-    async def aclose(self) -> None:
+    async def aclose(self, reset: bool) -> None:
         """Close the connection at once."""
         for connection in self._connections:
-            await connection.give_up()
+            await connection.give_up(reset)
         try:
             await self.client.aclose()
         except Exception:
@@ -304,7 +325,7 @@
             if whole:
                 self._keep(lane)
             else:
-                self._discard(lane)
+                self._discard(lane, reset=True)
 
     async def _send(
         self, lane: _Lane, request: Request, timeout_s: float
@@ -387,8 +408,8 @@
         self._idle.append(lane)
         self._wake()
 
-    def _discard(self, lane: _Lane) -> None:
-        task = asyncio.get_running_loop().create_task(lane.aclose())
+    def _discard(self, lane: _Lane, reset: bool = False) -> None:
+        task = asyncio.get_running_loop().create_task(lane.aclose(reset))
         self._closing.add(task)
         task.add_done_callback(self._closed)
 
--- a/primroselock/platform/rows.py
+++ b/primroselock/platform/rows.py
@@ -151,7 +151,7 @@
         """Return what changed past version ``after``."""
         query = {'table': name, 'after': after, 'wait_ms': int(wait_s * 1000)}
         answer = await self._calls.poll(
-            _get('/rows-feed', query), wait_s + self._timeout_s
+            _get('/rows-feed', query), wait_s, self._timeout_s
         )
         if isinstance(answer, result.Err):
             return result.Err(table.Unavailable(answer.err_value.detail))
--- a/primroselock/store/following.py
+++ b/primroselock/store/following.py
@@ -19,6 +19,9 @@
 
 _FIRST_PAUSE_S: typing.Final = 0.05
 _LONGEST_PAUSE_S: typing.Final = 0.4
+_FAILURES_TO_DOUBT: typing.Final = 2
+"""A single failure may be one lost answer or one closed connection."""
+
 _NEVER: typing.Final = float('-inf')
 _log: typing.Final = logs.get('following')
 
@@ -29,7 +32,9 @@
     """Follows one table; ``wait_s`` bounds one call of the feed.
 
     After changes the next call is made ``pause_s`` later, so that changes
-    in a row are told together; a caller may set it at any time.
+    in a row are told together; a caller may set it at any time.  After a
+    failure the feed is asked without a wait until it answers, so that the
+    copy is confirmed as soon as the store is back.
     """
 
     def __init__(self, store: table.Feed, name: str, wait_s: float) -> None:
@@ -52,6 +57,11 @@
         """Return how long ago the copy was known to be up to date."""
         return now - self.confirmed_at
 
+    @property
+    def is_reached(self) -> bool:
+        """Whether the store was not just found out of reach."""
+        return self._failures < _FAILURES_TO_DOUBT
+
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
@@ -82,7 +92,8 @@
         return True
 
     async def _follow(self, version: int, sent_at: float) -> bool:
-        heard = await self._store.changes(self.name, version, self.wait_s)
+        wait_s = 0.0 if self._failures else self.wait_s
+        heard = await self._store.changes(self.name, version, wait_s)
         if isinstance(heard, result.Err):
             error = heard.err_value
             if isinstance(error, table.HistoryGone):
--- a/primroselock/store/guard.py
+++ b/primroselock/store/guard.py
@@ -12,7 +12,7 @@
 from primroselock import logs
 
 FAILURES_TO_OPEN: typing.Final = 8
-PROBE_INTERVAL_S: typing.Final = 0.5
+PROBE_INTERVAL_S: typing.Final = 0.25
 _log: typing.Final = logs.get('platform')
 
 
--- a/primroselock/store/guardedcalls.py
+++ b/primroselock/store/guardedcalls.py
@@ -37,6 +37,7 @@
         self._read_breaker = guard.Breaker(f'{name} reads')
         self._write_breaker = guard.Breaker(f'{name} writes')
         self._write_timeout = guard.AdaptiveTimeout()
+        self._poll_timeout = guard.AdaptiveTimeout()
 
     async def aclose(self) -> None:
         """Close the connections."""
@@ -56,18 +57,29 @@
             self._write_breaker,
             self._write_timeout.current_s(timeout_s),
         )
-        if isinstance(answer, result.Ok):
-            self._write_timeout.record_answer(clock.monotonic() - sent_at)
-        elif isinstance(answer.err_value, httplane.Broken):
-            if answer.err_value.timed_out:
-                self._write_timeout.record_timeout(timeout_s)
+        took_s = clock.monotonic() - sent_at
+        _learn(self._write_timeout, answer, took_s, timeout_s)
         return answer
 
     async def poll(
-        self, request: httplane.Request, timeout_s: float
+        self, request: httplane.Request, wait_s: float, timeout_s: float
     ) -> Answer:
-        """Send an idempotent call that the caller repeats by itself."""
-        return await self._exchange(request, self._read_breaker, timeout_s)
+        """Send an idempotent call that the caller repeats by itself.
+
+        The answer may wait ``wait_s`` at the store, which then has up to
+        ``timeout_s`` to give it: less where answers are usually quick.
+        """
+        sent_at = clock.monotonic()
+        answer = await self._exchange(
+            request,
+            self._read_breaker,
+            wait_s + self._poll_timeout.current_s(timeout_s),
+        )
+        late_s = clock.monotonic() - sent_at - wait_s
+        # An answer that came before its wait was over tells no time.
+        if late_s >= 0:
+            _learn(self._poll_timeout, answer, late_s, timeout_s)
+        return answer
 
     async def read(
         self, request: httplane.Request, timeout_s: float
@@ -106,3 +118,17 @@
         )
         breaker.record(answered, clock.monotonic())
         return answer
+
+
+def _learn(
+    timeout: guard.AdaptiveTimeout,
+    answer: Answer,
+    took_s: float,
+    bound_s: float,
+) -> None:
+    """Take note of how long an answer took, or that none came."""
+    if isinstance(answer, result.Ok):
+        timeout.record_answer(took_s)
+    elif isinstance(answer.err_value, httplane.Broken):
+        if answer.err_value.timed_out:
+            timeout.record_timeout(bound_s)
--- a/primroselock/test/testfollowing.py
+++ b/primroselock/test/testfollowing.py
@@ -107,6 +107,39 @@
 
         play(scenario)
 
+    def test_a_copy_is_confirmed_soon_after_an_outage(self) -> None:
+        """The first answer confirms; it is not held for the feed's wait."""
+
+        async def scenario(
+            store: fakefeed.FeedStore,
+            reach: fakefeed.Reach,
+            follower: following.TableFollower,
+        ) -> None:
+            reach.is_refused = True
+            await asyncio.sleep(4.0)
+            reach.is_refused = False
+            await asyncio.sleep(0.5)
+            self.assertLess(follower.age_s(clock.monotonic()), 0.5)
+            self.assertTrue(follower.is_reached)
+
+        play(scenario)
+
+    def test_a_store_out_of_reach_is_known_before_the_copy_is_old(
+        self,
+    ) -> None:
+        async def scenario(
+            store: fakefeed.FeedStore,
+            reach: fakefeed.Reach,
+            follower: following.TableFollower,
+        ) -> None:
+            self.assertTrue(follower.is_reached)
+            reach.is_refused = True
+            store.put('t/b', b'2')
+            await asyncio.sleep(1.5)
+            self.assertFalse(follower.is_reached)
+
+        play(scenario)
+
     def test_a_dropped_history_is_made_up_for(self) -> None:
         async def scenario(
             store: fakefeed.FeedStore,
--- a/primroselock/test/testlane.py
+++ b/primroselock/test/testlane.py
@@ -224,6 +224,32 @@
         self.assertEqual(b'/b', answer.unwrap().body)
         await answering
 
+    async def test_unanswered_request_is_not_delivered_later(self) -> None:
+        """What a peer was cut off from must not reach it after the cut."""
+        ends: list[type[BaseException] | None] = []
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            try:
+                await reader.readuntil(b'\r\n\r\n')
+                await reader.read()
+                ends.append(None)
+            except ConnectionError as error:
+                ends.append(type(error))
+            writer.close()
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        pool = httplane.LanePool(f'{host}:{port}', 1)
+        answer = await pool.exchange(
+            httplane.Request('POST', '/start', b'body'), 0.2
+        )
+        self.assertIsInstance(answer.unwrap_err(), httplane.Broken)
+        await until(lambda: bool(ends))
+        self.assertEqual([ConnectionResetError], ends)
+        server.close()
+
     async def test_refused_connection_is_not_sent(self) -> None:
         pool = httplane.LanePool('127.0.0.1:9', 1)
         answer = await pool.exchange(
--- a/primroselock/test/testplatformcalls.py
+++ b/primroselock/test/testplatformcalls.py
@@ -32,12 +32,14 @@
     def __init__(self, *answers: typing.Any) -> None:
         self.answers = list(answers)
         self.sent: list[httplane.Request] = []
+        self.timeouts_s: list[float] = []
 
     async def exchange(
         self, request: httplane.Request, timeout_s: float
     ) -> typing.Any:
         """Take note of a request and return the next answer."""
         self.sent.append(request)
+        self.timeouts_s.append(timeout_s)
         return self.answers.pop(0)
 
 
@@ -101,6 +103,12 @@
             outcome = await store.transact(table.Transaction())
             self.assertIsInstance(outcome.unwrap_err(), expected)
 
+    async def test_a_silent_feed_is_given_up_soon(self) -> None:
+        """A feed that is not answered after its wait is likely cut off."""
+        store = self._store(_answer(200, {'ver': 9}))
+        await store.changes('t', 8, 0.5)
+        self.assertLess(self.pool.timeouts_s[0], 0.5 + 0.3)
+
     async def test_pages_are_read_to_the_end(self) -> None:
         value = base64.b64encode(b'tok\x01v').decode()
         row = {'table': 't', 'ver': 3, 'value': value}
