--- a/primroselock/decisions/fitting.py
+++ b/primroselock/decisions/fitting.py
@@ -10,11 +10,21 @@
 
 from collections import abc
 import dataclasses
+import math
 import typing
 
 from primroselock.decisions import fleet
+from primroselock.decisions import speeds
+from primroselock.decisions import waiting
 from primroselock import jobgraph
 
+_FAR_SLOWER: typing.Final = 0.5
+"""A speed at which a worker is used only where nothing else is free."""
+
+_LARGEST_CLASS: typing.Final = 20.0
+_CLASS_WIDTH: typing.Final = 0.25
+"""Speeds differ by a quarter from class to class (a logarithm)."""
+
 Allow = abc.Callable[[fleet.Worker], bool]
 Score = abc.Callable[[fleet.Worker, jobgraph.Resources], tuple[float, ...]]
 
@@ -56,12 +66,59 @@
     return amount / whole if whole else 0.0
 
 
+Rank = tuple[bool, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Shape:
+    """What decides whether a single task finds room in a round."""
+
+    service: str
+    need: jobgraph.Resources
+    label: str
+    fills: bool
+    serves: bool
+    rank: Rank
+
+
 @dataclasses.dataclass(slots=True)
 class Rooms:
-    """What is free on each worker that may be used."""
+    """What is free on each worker that may be used.
+
+    Room only shrinks in a round, so a shape of single tasks that found
+    none finds none later: ``full_shapes``.  The worker that was best for
+    a step is so until it is full, since fuller workers are preferred:
+    ``last_by_step``.
+    """
 
     free_by_id: dict[str, jobgraph.Resources]
     choose: Score
+    worker_speeds: speeds.Speeds = dataclasses.field(
+        default_factory=speeds.Speeds
+    )
+
+    def is_empty(self, worker: fleet.Worker) -> bool:
+        """Whether nothing is placed on the worker."""
+        return self.free_by_id[worker.id] == worker.entry.capacity
+
+    def slowness(self, worker_id: str, group: fleet.Group) -> float:
+        """Return a class of speed for the group: 0 is fast enough.
+
+        A gang is as slow as its slowest member, and urgent work has little
+        slack: both go to fast workers first.  Other work only avoids those
+        that are far slower than usual.
+        """
+        speed = self.worker_speeds.speed(worker_id)
+        if speed <= _FAR_SLOWER:
+            return _LARGEST_CLASS
+        if group.size > 1 or waiting.priority(group.job) == waiting.URGENT:
+            return float(round(-math.log(speed) / _CLASS_WIDTH))
+        return 0.0
+
+    full_shapes: set[_Shape] = dataclasses.field(default_factory=set)
+    last_by_step: dict[fleet.StepName, str] = dataclasses.field(
+        default_factory=dict
+    )
 
     def take(self, worker_id: str, need: jobgraph.Resources) -> None:
         """Take room out of the draft."""
@@ -102,17 +159,77 @@
     rooms: Rooms,
     group: fleet.Group,
     allow: Allow,
+    rank: Rank | None,
 ) -> list[str] | None:
     """Return a worker for each task of the group, or None.
 
-    The room is taken out of ``rooms`` if a place is found.
+    The room is taken out of ``rooms`` if a place is found.  ``rank`` is
+    how urgent the group is, or None where ``allow`` goes by more than that
+    and the step's needs.
     """
-    candidates = [
+    if group.size > 1:
+        return _place_gang(board, rooms, group, allow)
+    shape = _shape(group, rank) if rank is not None else None
+    if shape in rooms.full_shapes:
+        return None
+    again = _place_again(board, rooms, group, allow)
+    if again is not None:
+        return [again]
+    candidates = _candidates(board, rooms, allow)
+    placed = _place_in(board, rooms, group, candidates)
+    if placed is not None:
+        rooms.last_by_step[group.step_name] = placed[0]
+    elif shape is not None and not group.step.max_per_worker:
+        rooms.full_shapes.add(shape)
+    return placed
+
+
+def _shape(group: fleet.Group, rank: Rank) -> _Shape:
+    queue = group.job.queue
+    step = group.step
+    return _Shape(
+        queue.service if queue else '',
+        step.counted_need,
+        step.label,
+        step.fills,
+        bool(step.tail_goal_ms),
+        rank,
+    )
+
+
+def _place_again(
+    board: fleet.Board, rooms: Rooms, group: fleet.Group, allow: Allow
+) -> str | None:
+    """Take the worker that was best for the step, while it has room."""
+    worker_id = rooms.last_by_step.get(group.step_name)
+    if worker_id is None or worker_id not in rooms.free_by_id:
+        return None
+    if group.step.max_per_worker:
+        return None
+    need = group.step.counted_need
+    if not rooms.free_by_id[worker_id].holds(need):
+        return None
+    if not allow(board.workers_by_id[worker_id]):
+        return None
+    rooms.take(worker_id, need)
+    return worker_id
+
+
+def _candidates(
+    board: fleet.Board, rooms: Rooms, allow: Allow
+) -> list[fleet.Worker]:
+    return [
         board.workers_by_id[worker_id]
         for worker_id in rooms.free_by_id
         if allow(board.workers_by_id[worker_id])
     ]
-    if group.size == 1 or not group.step.rack_local:
+
+
+def _place_gang(
+    board: fleet.Board, rooms: Rooms, group: fleet.Group, allow: Allow
+) -> list[str] | None:
+    candidates = _candidates(board, rooms, allow)
+    if not group.step.rack_local:
         return _place_in(board, rooms, group, candidates)
     racks = group_by_rack(candidates)
     for rack in _order_racks(rooms, group, racks):
@@ -139,19 +256,37 @@
     group: fleet.Group,
     racks: abc.Mapping[str, list[fleet.Worker]],
 ) -> list[str]:
-    """Return racks: the one with the data first, then the fullest."""
+    """Return racks: the one with the data, the fastest, the fullest first."""
     need = group.step.counted_need
 
-    def sort_key(rack: str) -> tuple[bool, int]:
-        fitting = sum(
-            rooms.free_by_id[worker.id].times_held(need)
+    def sort_key(rack: str) -> tuple[bool, float, int]:
+        held = sorted(
+            (
+                rooms.slowness(worker.id, group),
+                rooms.free_by_id[worker.id].times_held(need),
+            )
             for worker in racks[rack]
         )
-        return (rack != group.step.data_rack, fitting)
+        fitting = sum(count for _, count in held)
+        slowest = _slowest_used(held, group.size)
+        return (rack != group.step.data_rack, slowest, fitting)
 
     return sorted(racks, key=sort_key)
 
 
+def _slowest_used(held: abc.Iterable[tuple[float, int]], size: int) -> float:
+    """Return the class of the slowest worker that a gang would need.
+
+    ``held`` tells of each worker its class and how many tasks it holds.
+    """
+    left = size
+    for slowness, count in held:
+        left -= count
+        if left <= 0:
+            return slowness
+    return _LARGEST_CLASS
+
+
 def _place_in(
     board: fleet.Board,
     rooms: Rooms,
@@ -193,9 +328,12 @@
             continue
         if limit and counts.get(worker.id, 0) >= limit:
             continue
-        away = float(bool(data_rack) and worker.entry.rack != data_rack)
-        rack_share = rack_shares[worker.entry.rack]
-        key = (away, rack_share, *rooms.choose(worker, free.plus(need, -1)))
+        key = (
+            float(bool(data_rack) and worker.entry.rack != data_rack),
+            rooms.slowness(worker.id, group),
+            rack_shares[worker.entry.rack],
+            *rooms.choose(worker, free.plus(need, -1)),
+        )
         if best is None or key < best_key:
             best, best_key = worker.id, key
     return best
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -17,7 +17,10 @@
 import typing
 
 from primroselock.decisions import evidence
+from primroselock.decisions import headroom
 from primroselock.decisions import learnedtimes
+from primroselock.decisions import runprogress
+from primroselock.decisions import speeds
 from primroselock import jobgraph
 from primroselock import jobs
 from primroselock import queues
@@ -129,7 +132,8 @@
     """One task of an attempt on its worker.
 
     Times are on this process's clock; ``stopped_at`` is when a worker
-    answered an order to stop it.
+    answered an order to stop it.  ``progress`` is there once a look has
+    shown the run.
     """
 
     group: 'Group'
@@ -142,6 +146,7 @@
     stop_sent_at: float = _NEVER
     stopped_at: float = _NEVER
     is_done: bool = False
+    progress: runprogress.Progress | None = None
 
     @property
     def run(self) -> orders.Run:
@@ -198,6 +203,7 @@
 
     def enter(self, phase: Phase, now: float) -> None:
         """Move to ``phase``."""
+        self.job.phases.move(self, phase)
         self.phase = phase
         self.since = now
 
@@ -205,6 +211,46 @@
         """Return the members that may still run."""
         return [m for m in self.members if m.state is not MemberState.GONE]
 
+    def remaining_s(self, now: float) -> float | None:
+        """Return how long the group still takes; None where unknown."""
+        known = [
+            member.progress.remaining_s(now)
+            for member in self.members
+            if member.progress is not None
+        ]
+        told = [left_s for left_s in known if left_s is not None]
+        return max(told) if told else None
+
+    def worked_s(self, now: float) -> float:
+        """Return for how long the group has worked, as far as is known."""
+        seen_s = [
+            member.progress.worked_s(now)
+            for member in self.members
+            if member.progress is not None
+        ]
+        began_s = now - self.began_at if self.began_at is not None else 0.0
+        return max([began_s, *seen_s])
+
+
+@dataclasses.dataclass(slots=True)
+class PhaseIndex:
+    """The groups of a board that wait and those that are starting.
+
+    All others may be very many, and need no look in each round.
+    """
+
+    waiting: dict[Group, None] = dataclasses.field(default_factory=dict)
+    starting: dict[Group, None] = dataclasses.field(default_factory=dict)
+
+    def move(self, group: Group, phase: Phase) -> None:
+        """Take note of a group's next phase."""
+        self.waiting.pop(group, None)
+        self.starting.pop(group, None)
+        if phase is Phase.WAITING:
+            self.waiting[group] = None
+        elif phase is Phase.STARTING:
+            self.starting[group] = None
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class LiveJob:
@@ -213,7 +259,8 @@
     ``chains_s`` is each step's longest chain of expected run times.
 
     ``change`` rises with each change that rows must show and ``saved``
-    follows it; ``row_version`` is that of its progress row.
+    follows it; ``row_version`` is that of its progress row.  ``phases`` is
+    the index of the board that the job is on.
     """
 
     graph: jobgraph.JobGraph
@@ -229,6 +276,7 @@
     ended_ms: int = 0
     change: int = 0
     saved: int = 0
+    phases: PhaseIndex = dataclasses.field(default_factory=PhaseIndex)
 
     def groups_of_step(self, occurrence: int, step: int) -> list[Group]:
         """Return the groups of one step of one occurrence."""
@@ -268,9 +316,10 @@
     ``clock_s`` is the worker's clock as received at ``clock_at``.
     ``lease_end`` is the time on the worker's clock up to which its runs
     were leased; ``looked_at`` is when the last look was sent that was
-    answered under this holder's epoch.  Of its numbered ends, those up to
-    ``listed_end`` were told, up to ``saved_end`` their effect is stored,
-    and up to ``confirmed_end`` the worker was told so.
+    answered under this holder's epoch; ``silent_since`` is when the first
+    of ``failures_in_row`` calls was not answered.  Of its numbered ends,
+    those up to ``listed_end`` were told, up to ``saved_end`` their effect
+    is stored, and up to ``confirmed_end`` the worker was told so.
     """
 
     entry: WorkerEntry
@@ -282,6 +331,7 @@
     clock_at: float = _NEVER
     lease_end: float | None = None
     failures_in_row: int = 0
+    silent_since: float = _NEVER
     listed_end: int = 0
     saved_end: int = 0
     confirmed_end: int = 0
@@ -319,6 +369,12 @@
             or self.confirmed_end < self.listed_end
         )
 
+    def record_silence(self, now: float) -> None:
+        """Take note that a call was not answered."""
+        if not self.failures_in_row:
+            self.silent_since = now
+        self.failures_in_row += 1
+
     def put(self, member: Member) -> None:
         """Count a member's room."""
         self.members[member.run] = member
@@ -376,7 +432,8 @@
 
     Leases that an earlier holder gave end by ``inherited_until``.  Nothing
     is placed after ``permit_until``.  ``orders`` and ``notes`` are what the
-    last controllers decided.
+    last controllers decided.  ``told_groups`` are those whose progress was
+    told since the last round.
     """
 
     epoch: int = 0
@@ -386,6 +443,8 @@
     jobs_by_id: dict[str, LiveJob] = dataclasses.field(default_factory=dict)
     workers_by_id: dict[str, Worker] = dataclasses.field(default_factory=dict)
     changed_ids: set[str] = dataclasses.field(default_factory=set)
+    phases: PhaseIndex = dataclasses.field(default_factory=PhaseIndex)
+    told_groups: dict[Group, None] = dataclasses.field(default_factory=dict)
     orders: list[Order] = dataclasses.field(default_factory=list)
     notes: list[Note] = dataclasses.field(default_factory=list)
     claims_by_group: dict[Group, Claim] = dataclasses.field(
@@ -400,6 +459,12 @@
     learned: learnedtimes.LearnedTimes = dataclasses.field(
         default_factory=learnedtimes.LearnedTimes
     )
+    urgent_demand: headroom.UrgentDemand = dataclasses.field(
+        default_factory=headroom.UrgentDemand
+    )
+    worker_speeds: speeds.Speeds = dataclasses.field(
+        default_factory=speeds.Speeds
+    )
 
     def touch(self, job: LiveJob) -> None:
         """Note that a job's row must be written."""
--- a/primroselock/decisions/fleethealth.py
+++ b/primroselock/decisions/fleethealth.py
@@ -4,10 +4,13 @@
 for a time that doubles.  After that it is on probation: its next failure
 quarantines it again, its next success clears it.
 
-A task that runs far longer than others of its step or queue counts as
-stuck and is tried once on another worker: some tasks are just long.
+A task that runs far longer than others of its step or queue, that works
+far slower than its siblings did, or that does not come nearer to its end
+counts as stuck and is tried once on another worker: some are just long.
+Tasks of a queue differ much, so only siblings show early that one is slow.
 """
 
+import dataclasses
 import typing
 
 from primroselock.decisions import evidence
@@ -19,6 +22,11 @@
 _LONGEST_QUARANTINE_S: typing.Final = 60.0
 _STUCK_FACTOR: typing.Final = 2.2
 _STUCK_MARGIN_S: typing.Final = 1.0
+_STILL_S: typing.Final = 3.0
+_SMALLEST_STEP: typing.Final = 0.01
+_STILL_STEPS: typing.Final = 4
+"""Progress is told in hundredths: so many steps must have been missed."""
+
 _LONGER_STAY_S: typing.Final = 2.0
 _MS_PER_S: typing.Final = 1000.0
 
@@ -60,37 +68,77 @@
     return known is not None and now < known.until
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stuck:
+    """A group that does not come to its end, and what shows it."""
+
+    group: fleet.Group
+    why: str
+
+
 def list_stuck(
     board: fleet.Board, far_factor: float, now: float
-) -> list[fleet.Group]:
-    """Return the groups that run far longer than expected."""
-    return [
-        group
-        for job in board.jobs_by_id.values()
-        for group in job.groups_by_key.values()
-        if group.phase is fleet.Phase.RUNNING
-        and _is_stuck(board, group, far_factor, now)
-    ]
-
-
-def _is_stuck(
+) -> list[Stuck]:
+    """Return the groups that run far longer than expected.
+
+    Only those whose workers told of them since the last time are judged.
+    """
+    told, board.told_groups = board.told_groups, {}
+    found = []
+    for group in told:
+        if group.phase is not fleet.Phase.RUNNING:
+            continue
+        why = _why_stuck(board, group, far_factor, now)
+        if why:
+            found.append(Stuck(group, why))
+    return found
+
+
+def _why_stuck(
     board: fleet.Board, group: fleet.Group, far_factor: float, now: float
-) -> bool:
+) -> str:
+    """Return what shows that a group is stuck; empty where nothing does."""
     step = group.step
-    if step.long_running or group.began_at is None or group.stuck_on_ids:
-        return False
-    graph = group.job.graph
+    if step.long_running or group.stuck_on_ids:
+        return ''
+    if any(_stands_still(member) for member in group.members):
+        return 'no progress'
+    factor = far_factor if _is_far(board, group) else 1.0
+    step_key = (group.job.graph.id, group.key.step)
+    sibling_s = board.learned.longest_sibling_s(step_key)
+    if sibling_s is not None and _is_slow(group, sibling_s * factor, now):
+        return 'slower than its siblings'
     expected_s = board.learned.longest_s(
-        graph.queue,
-        (graph.id, group.key.step),
-        step.expected_ms / _MS_PER_S,
+        group.job.graph.queue, step_key, step.expected_ms / _MS_PER_S
     )
-    if expected_s is None:
+    if expected_s is None or group.began_at is None:
+        return ''
+    limit_s = expected_s * factor * _STUCK_FACTOR + _STUCK_MARGIN_S
+    return 'too long' if now - group.began_at > limit_s else ''
+
+
+def _is_slow(group: fleet.Group, expected_s: float, now: float) -> bool:
+    """Whether a restart elsewhere would end before the group does."""
+    remaining_s = group.remaining_s(now)
+    if remaining_s is None:
         return False
-    if _is_far(board, group):
-        expected_s *= far_factor
+    total_s = group.worked_s(now) + remaining_s
     limit_s = expected_s * _STUCK_FACTOR + _STUCK_MARGIN_S
-    return now - group.began_at > limit_s
+    return total_s > limit_s and remaining_s > expected_s + _STUCK_MARGIN_S
+
+
+def _stands_still(member: fleet.Member) -> bool:
+    """Whether looks show a run without the progress that it made before.
+
+    A member of a gang that has done its own part waits for the others.
+    """
+    seen = member.progress
+    if seen is None or seen.share >= 1.0:
+        return False
+    limit_s = _STILL_S
+    if seen.rate_per_s is not None:
+        limit_s = max(limit_s, _STILL_STEPS * _SMALLEST_STEP / seen.rate_per_s)
+    return seen.still_s > limit_s
 
 
 def _is_far(board: fleet.Board, group: fleet.Group) -> bool:
@@ -139,6 +187,9 @@
     step = group.step
     if group.phase is not fleet.Phase.RUNNING or step.max_away is not None:
         return now
+    remaining_s = group.remaining_s(now)
+    if remaining_s is not None:
+        return now + remaining_s
     if group.began_at is None or group.is_resumed or step.long_running:
         return now
     expected_s = board.learned.expected_s(
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -14,6 +14,8 @@
 from primroselock.decisions import fleet
 from primroselock.decisions import fleethealth
 from primroselock.decisions import graphs
+from primroselock.decisions import objectives
+from primroselock.decisions import reachability
 from primroselock.decisions import reclaiming
 from primroselock.decisions import runs
 from primroselock.decisions import waiting
@@ -21,6 +23,15 @@
 from primroselock import options
 
 _CLAIM_TIMEOUT_S: typing.Final = 4.0
+_MOST_PLACED: typing.Final = 1000
+"""Groups a round: leases must be renewed between rounds."""
+
+_PATIENT_S: typing.Final = 3.0
+"""Work with more slack than this leaves empty workers to urgent work."""
+
+_CLAIM_REVIEW_S: typing.Final = 1.0
+"""Room that should be free by then is chosen anew."""
+
 
 Controller = abc.Callable[[fleet.Board, options.Settings, float, float], None]
 _controllers: typing.Final[list[tuple[int, Controller]]] = []
@@ -79,6 +90,7 @@
         if _is_settled(job):
             del board.jobs_by_id[job.graph.id]
             board.learned.forget(job.graph.id, len(job.graph.steps))
+            board.worker_speeds.forget_job(job.graph.id, len(job.graph.steps))
             for group in job.groups_by_key.values():
                 board.advice_by_step.pop(group.step_name, None)
 
@@ -148,9 +160,17 @@
     wall_s: float,
 ) -> None:
     """Try tasks elsewhere that do not end where they are."""
-    for group in fleethealth.list_stuck(board, settings.fleet.far_factor, now):
+    far_factor = settings.fleet.far_factor
+    for stuck in fleethealth.list_stuck(board, far_factor, now):
+        group = stuck.group
         fleethealth.blame(board, group)
-        board.note('task stuck', group.job, attempt=group.attempt)
+        board.note(
+            'task stuck',
+            group.job,
+            attempt=group.attempt,
+            why=stuck.why,
+            worked_s=round(group.worked_s(now), 3),
+        )
         runs.end_group(board, group, fleet.Ending.STUCK, now)
 
 
@@ -163,17 +183,13 @@
 ) -> None:
     """Give up attempts whose members were not all accepted in time."""
     limit_s = settings.fleet.start_timeout_s
-    for job in board.jobs_by_id.values():
-        for group in job.groups_by_key.values():
-            if group.phase is not fleet.Phase.STARTING:
-                continue
-            ordered = [
-                member
-                for member in group.members
-                if member.state is fleet.MemberState.ORDERED
-            ]
-            if ordered and now - group.since >= limit_s:
-                runs.end_group(board, group, fleet.Ending.LOST, now)
+    for group in list(board.phases.starting):
+        is_unanswered = any(
+            member.state is fleet.MemberState.ORDERED
+            for member in group.members
+        )
+        if is_unanswered and now - group.since >= limit_s:
+            runs.end_group(board, group, fleet.Ending.LOST, now)
 
 
 @controller(order=50)
@@ -193,21 +209,28 @@
     if not groups:
         return
     rooms = _rooms(board, settings, now)
+    placed = 0
     for group in groups:
-        _place(board, settings, rooms, group, covered, now, wall_s)
+        placed += _place(board, settings, rooms, group, covered, now, wall_s)
+        if placed >= _MOST_PLACED:
+            # The next round follows once these are stored.
+            break
 
 
 def _rooms(
     board: fleet.Board, settings: options.Settings, now: float
 ) -> fitting.Rooms:
     """Draft what is free on workers that may get starts."""
+    doubted_ids = {worker.id for worker in reachability.list_doubted(board)}
     return fitting.Rooms(
         {
             worker.id: worker.free
             for worker in board.workers_by_id.values()
             if _takes_starts(board, worker, now)
+            and worker.id not in doubted_ids
         },
         fitting.scores_by_name[settings.fleet.placement],
+        board.worker_speeds,
     )
 
 
@@ -232,11 +255,12 @@
     covered: abc.Set[str],
     now: float,
     wall_s: float,
-) -> None:
+) -> bool:
+    """Place a group, or see to its room; return whether it was placed."""
     may_reclaim = waiting.reclaims_by_name[settings.fleet.reclaim]
     queue = group.job.queue
     if queue is None:
-        return
+        return False
     rank = waiting.rank(group, covered)
     claim = board.claims_by_group.get(group)
     foreign = frozenset().union(
@@ -247,9 +271,12 @@
         )
     )
 
+    kept_ids = _kept_empty(board, settings, rooms, group, covered, now, wall_s)
+
     def allow(worker: fleet.Worker) -> bool:
         return (
             worker.id not in foreign
+            and worker.id not in kept_ids
             and worker.id not in group.stuck_on_ids
             and worker.entry.service == queue.service
             and fitting.fits_ever(worker, group.step)
@@ -265,12 +292,55 @@
         ),
         group.step,
     )
-    placed = fitting.place(board, rooms, group, allow)
+    is_plain = not (kept_ids or group.stuck_on_ids or queue.advice)
+    placed = fitting.place(
+        board, rooms, group, allow, rank if is_plain else None
+    )
     if placed is not None:
         board.claims_by_group.pop(group, None)
         commit(board, group, placed, now)
-    elif claim is None and may_reclaim(group, covered, wall_s):
-        _reclaim(board, rooms, group, allow, covered, now)
+        return True
+    if _is_due(claim, now):
+        found = may_reclaim(group, covered, wall_s) and _reclaim(
+            board, rooms, group, allow, covered, now
+        )
+        if not found and _may_claim_soonest(board, settings, group, wall_s):
+            _claim_soonest(board, rooms, group, allow, rank, now)
+    return False
+
+
+def _kept_empty(
+    board: fleet.Board,
+    settings: options.Settings,
+    rooms: fitting.Rooms,
+    group: fleet.Group,
+    covered: abc.Set[str],
+    now: float,
+    wall_s: float,
+) -> abc.Set[str]:
+    """Return the empty workers that the group leaves to urgent work."""
+    if not settings.fleet.keep_headroom or group.size > 1:
+        return frozenset()
+    if waiting.is_covered(group, covered, wall_s):
+        return frozenset()
+    if waiting.priority(group.job) == waiting.URGENT:
+        return frozenset()
+    if objectives.slack_s(group, wall_s) < _PATIENT_S:
+        return frozenset()
+    count = board.urgent_demand.workers_to_keep(len(rooms.free_by_id), now)
+    if not count:
+        return frozenset()
+    empty_ids = {
+        worker_id
+        for worker_id in rooms.free_by_id
+        if rooms.is_empty(board.workers_by_id[worker_id])
+    }
+    return empty_ids if len(empty_ids) <= count else frozenset()
+
+
+def _is_due(claim: fleet.Claim | None, now: float) -> bool:
+    """Whether room has to be chosen: none is claimed, or it did not come."""
+    return claim is None or now - claim.since > _CLAIM_REVIEW_S
 
 
 def commit(
@@ -293,6 +363,13 @@
         group.members.append(member)
         worker.put(member)
     job = group.job
+    if waiting.priority(job) == waiting.URGENT:
+        need = group.step.counted_need
+        taken = sum(
+            need.share_of(board.workers_by_id[worker_id].entry.capacity)
+            for worker_id in worker_ids
+        )
+        board.urgent_demand.record(taken, now)
     if job.state is jobs.JobState.WAITING:
         job.state = jobs.JobState.RUNNING
     board.note(
@@ -312,7 +389,8 @@
     allow: fitting.Allow,
     covered: abc.Set[str],
     now: float,
-) -> None:
+) -> bool:
+    """Stop other work for a group; return whether that makes room."""
     rank = waiting.rank(group, covered)
 
     def may_stop(other: fleet.Group) -> bool:
@@ -322,14 +400,13 @@
         board, rooms, group, allow, may_stop, now
     )
     if chosen is None:
-        return
-    victims, worker_ids = chosen
-    board.claims_by_group[group] = fleet.Claim(worker_ids, now, rank)
-    for worker_id in worker_ids:
-        rooms.free_by_id.pop(worker_id, None)
-    for victim in victims:
+        return False
+    _claim(board, rooms, group, chosen.worker_ids, rank, now)
+    for victim in chosen.victims:
         if victim.phase is fleet.Phase.STOPPING:
             continue
+        if reclaiming.ends_soon(victim, now):
+            continue
         board.note(
             'preempted',
             victim.job,
@@ -338,6 +415,64 @@
         )
         runs.end_group(board, victim, fleet.Ending.PREEMPTED, now)
         runs.settle_group(board, victim, now, 0)
+    return True
+
+
+def _claim(
+    board: fleet.Board,
+    rooms: fitting.Rooms,
+    group: fleet.Group,
+    worker_ids: frozenset[str],
+    rank: tuple[bool, int],
+    now: float,
+) -> None:
+    board.claims_by_group[group] = fleet.Claim(worker_ids, now, rank)
+    for worker_id in worker_ids:
+        rooms.free_by_id.pop(worker_id, None)
+
+
+def _may_claim_soonest(
+    board: fleet.Board,
+    settings: options.Settings,
+    group: fleet.Group,
+    wall_s: float,
+) -> bool:
+    """Whether a gang may keep others off workers that it waits for."""
+    if group.size == 1 or not settings.fleet.claim_share:
+        return False
+    if objectives.usefulness(group, wall_s) is objectives.Usefulness.IN_VAIN:
+        return False
+    claimed = frozenset().union(
+        *(
+            claim.worker_ids
+            for owner, claim in board.claims_by_group.items()
+            if owner is not group
+        )
+    )
+    most = settings.fleet.claim_share * len(board.workers_by_id)
+    return len(claimed) + 1 <= most
+
+
+def _claim_soonest(
+    board: fleet.Board,
+    rooms: fitting.Rooms,
+    group: fleet.Group,
+    allow: fitting.Allow,
+    rank: tuple[bool, int],
+    now: float,
+) -> None:
+    chosen = reclaiming.choose_soonest(board, rooms, group, allow, now)
+    if chosen is None:
+        return
+    if group not in board.claims_by_group:
+        board.note(
+            'room claimed',
+            group.job,
+            attempt=group.attempt,
+            workers=sorted(chosen.worker_ids),
+            expected_in_s=round(chosen.cost, 3),
+        )
+    _claim(board, rooms, group, chosen.worker_ids, rank, now)
 
 
 def _drop_claims(board: fleet.Board, now: float) -> None:
--- a/primroselock/decisions/graphs.py
+++ b/primroselock/decisions/graphs.py
@@ -51,6 +51,7 @@
         board.table.named(graph.queue),
         objectives.chains_s(graph, board.learned),
         row_version,
+        phases=board.phases,
     )
     board.jobs_by_id[graph.id] = job
     if progress is not None:
--- a/primroselock/decisions/learnedtimes.py
+++ b/primroselock/decisions/learnedtimes.py
@@ -52,6 +52,11 @@
             return estimate_s
         return median_s
 
+    def longest_sibling_s(self, step: StepKey) -> float | None:
+        """Return how long tasks of a step took; None where few ended."""
+        siblings = self.by_step.get(step, ())
+        return max(siblings) if len(siblings) >= _LEAST_SIBLINGS else None
+
     def longest_s(
         self, queue: str, step: StepKey, estimate_s: float
     ) -> float | None:
@@ -59,9 +64,9 @@
 
         Tasks of the same step tell more than the rest of the queue.
         """
-        siblings = self.by_step.get(step, ())
-        if len(siblings) >= _LEAST_SIBLINGS:
-            return max(siblings)
+        sibling_s = self.longest_sibling_s(step)
+        if sibling_s is not None:
+            return sibling_s
         kept = sorted(self.by_queue.get(queue, ()))
         if len(kept) < _LEAST_SEEN:
             return None
--- a/primroselock/decisions/reclaiming.py
+++ b/primroselock/decisions/reclaiming.py
@@ -4,9 +4,13 @@
 stop what is of a less urgent queue.  For each task the worker is chosen
 where the least work is lost to make room.  What was freed stays claimed
 for the group, so that nothing else slips in.
+
+A gang that may stop nothing claims the workers that become free soonest:
+else single tasks would take up each gap, and whole workers never come.
 """
 
 from collections import abc
+import dataclasses
 import typing
 
 from primroselock.decisions import fitting
@@ -16,11 +20,32 @@
 
 MayStop = abc.Callable[[fleet.Group], bool]
 
-_SAVED_SHARE: typing.Final = 0.25
-"""What counts as lost of work that saves its progress."""
+_LONGEST_UNSAVED_S: typing.Final = 1.0
+"""Work that saves its progress does so this often, and when stopped."""
 
 _RESTART_COST_S: typing.Final = 0.3
+_ENDS_SOON_S: typing.Final = 0.5
+"""About what a stop takes: work that ends by then is not stopped."""
+
 _URGENT_FACTOR: typing.Final = 6.0
+_MS_PER_S: typing.Final = 1000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """Workers for a group, and whose ends make room there; what it costs."""
+
+    victims: tuple[fleet.Group, ...]
+    worker_ids: frozenset[str]
+    cost: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pricing:
+    """What it costs that a group ends, and what several ends cost."""
+
+    price: abc.Callable[[fleet.Group], float]
+    total: abc.Callable[[list[float]], float]
 
 
 def choose_victims(
@@ -30,40 +55,82 @@
     allow: fitting.Allow,
     may_stop: MayStop,
     now: float,
-) -> tuple[list[fleet.Group], frozenset[str]] | None:
-    """Return groups to stop and the workers that the group then uses.
+) -> Choice | None:
+    """Return whom to stop for a group so that the least work is lost.
 
     None where even that makes no room.
     """
+    pricing = Pricing(lambda victim: lost_work_s(victim, now), sum)
+    return _choose(board, rooms, group, allow, may_stop, pricing)
+
+
+def choose_soonest(
+    board: fleet.Board,
+    rooms: fitting.Rooms,
+    group: fleet.Group,
+    allow: fitting.Allow,
+    now: float,
+) -> Choice | None:
+    """Return the workers where room for a group comes soonest by itself."""
+
+    def may_wait_for(other: fleet.Group) -> bool:
+        return not other.step.long_running
+
+    pricing = Pricing(lambda other: _left_s(board, other, now), _latest)
+    return _choose(board, rooms, group, allow, may_wait_for, pricing)
+
+
+def _latest(times_s: list[float]) -> float:
+    return max(times_s, default=0.0)
+
+
+def _left_s(board: fleet.Board, group: fleet.Group, now: float) -> float:
+    """Return how long a group runs on, as far as can be told."""
+    if group.phase is fleet.Phase.STOPPING:
+        return _ENDS_SOON_S
+    remaining_s = group.remaining_s(now)
+    if remaining_s is not None:
+        return remaining_s
+    expected_s = board.learned.expected_s(
+        group.job.graph.queue, group.step.expected_ms / _MS_PER_S
+    )
+    return max(_ENDS_SOON_S, expected_s - group.worked_s(now))
+
+
+def _choose(
+    board: fleet.Board,
+    rooms: fitting.Rooms,
+    group: fleet.Group,
+    allow: fitting.Allow,
+    may_end: MayStop,
+    pricing: Pricing,
+) -> Choice | None:
+    """Choose among all workers, or the best rack for a gang that needs one."""
     candidates = [
         board.workers_by_id[worker_id]
         for worker_id in rooms.free_by_id
         if allow(board.workers_by_id[worker_id])
     ]
     if group.size == 1 or not group.step.rack_local or group.spread:
-        return _choose_in(rooms, group, candidates, may_stop, now)
-    best: tuple[list[fleet.Group], frozenset[str]] | None = None
-    best_cost = float('inf')
-    for members in fitting.group_by_rack(candidates).values():
-        found = _choose_in(rooms, group, members, may_stop, now)
-        if found is None:
-            continue
-        cost = sum(lost_work_s(victim, now) for victim in found[0])
-        if cost < best_cost:
-            best, best_cost = found, cost
-    return best
+        return _choose_in(rooms, group, candidates, may_end, pricing)
+    choices = [
+        _choose_in(rooms, group, members, may_end, pricing)
+        for members in fitting.group_by_rack(candidates).values()
+    ]
+    found = [choice for choice in choices if choice is not None]
+    return min(found, key=lambda choice: choice.cost, default=None)
 
 
 def _choose_in(
     rooms: fitting.Rooms,
     group: fleet.Group,
     candidates: abc.Sequence[fleet.Worker],
-    may_stop: MayStop,
-    now: float,
-) -> tuple[list[fleet.Group], frozenset[str]] | None:
+    may_end: MayStop,
+    pricing: Pricing,
+) -> Choice | None:
     """Take workers one task at a time, each the cheapest to free."""
     draft = dict(rooms.free_by_id)
-    stopped: dict[fleet.Group, None] = {}
+    ending: dict[fleet.Group, None] = {}
     used: dict[str, int] = {}
     need = group.step.counted_need
     limit = group.step.max_per_worker
@@ -74,54 +141,61 @@
             if limit and counts.get(worker.id, 0) >= limit:
                 continue
             found = _free_on(
-                worker, draft[worker.id], need, stopped, may_stop, now
+                worker, draft[worker.id], need, ending, may_end, pricing
             )
             if found is None:
                 continue
-            cost = sum(lost_work_s(victim, now) for victim in found)
+            cost = pricing.total([pricing.price(other) for other in found])
             if best is None or cost < best[0]:
                 best = (cost, worker.id, found)
         if best is None:
             return None
         _, worker_id, victims = best
         for victim in victims:
-            stopped[victim] = None
-            for member in victim.left_members():
-                if member.worker_id in draft:
-                    draft[member.worker_id] = draft[member.worker_id].plus(
-                        victim.step.counted_need
-                    )
+            ending[victim] = None
+            _return_room(draft, victim)
         draft[worker_id] = draft[worker_id].plus(need, -1)
         used[worker_id] = used.get(worker_id, 0) + 1
         counts[worker_id] = counts.get(worker_id, 0) + 1
-    return list(stopped), frozenset(used)
+    cost = pricing.total([pricing.price(victim) for victim in ending])
+    return Choice(tuple(ending), frozenset(used), cost)
+
+
+def _return_room(
+    draft: dict[str, jobgraph.Resources], victim: fleet.Group
+) -> None:
+    for member in victim.left_members():
+        if member.worker_id in draft:
+            draft[member.worker_id] = draft[member.worker_id].plus(
+                victim.step.counted_need
+            )
 
 
 def _free_on(
     worker: fleet.Worker,
     free: jobgraph.Resources,
     need: jobgraph.Resources,
-    stopped: abc.Container[fleet.Group],
-    may_stop: MayStop,
-    now: float,
+    ending: abc.Container[fleet.Group],
+    may_end: MayStop,
+    pricing: Pricing,
 ) -> list[fleet.Group] | None:
-    """Return what to stop on one worker so that ``need`` fits."""
+    """Return whose ends make room for ``need`` on one worker."""
     if free.holds(need):
         return []
     victims: list[fleet.Group] = []
     options = {
         member.group: None
         for member in worker.members.values()
-        if member.group not in stopped
+        if member.group not in ending
         and member.group.phase is not fleet.Phase.DONE
         and member.group.step.max_away is None
-        and may_stop(member.group)
+        and may_end(member.group)
     }
     by_cost = sorted(
         options,
         key=lambda victim: (
             victim.phase is not fleet.Phase.STOPPING,
-            lost_work_s(victim, now),
+            pricing.price(victim),
         ),
     )
     for victim in by_cost:
@@ -139,20 +213,26 @@
     """Return the core-seconds that stopping a group throws away.
 
     An accelerator counts as eight cores.  Urgent work counts more, since
-    it comes too late if it is stopped.
+    it comes too late if it is stopped.  What ends by itself as soon as a
+    stop would loses nothing.
     """
-    if group.phase is fleet.Phase.STOPPING:
+    if group.phase is fleet.Phase.STOPPING or ends_soon(group, now):
         return 0.0
-    ran_s = _RESTART_COST_S
-    if group.began_at is not None:
-        worked_s = now - group.began_at
-        if group.step.checkpointing:
-            worked_s *= _SAVED_SHARE
-        ran_s += worked_s
-    urgency = _URGENT_FACTOR if waiting.priority(group.job) == 0 else 1.0
+    worked_s = group.worked_s(now)
+    if group.step.checkpointing:
+        worked_s = min(worked_s, _LONGEST_UNSAVED_S)
+    ran_s = _RESTART_COST_S + worked_s
+    is_urgent = waiting.priority(group.job) == waiting.URGENT
+    urgency = _URGENT_FACTOR if is_urgent else 1.0
     return ran_s * group.size * cores(group.step.need) * urgency
 
 
+def ends_soon(group: fleet.Group, now: float) -> bool:
+    """Whether a group ends by itself in about the time that a stop takes."""
+    remaining_s = group.remaining_s(now)
+    return remaining_s is not None and remaining_s <= _ENDS_SOON_S
+
+
 def cores(need: jobgraph.Resources) -> float:
     """Return a need in cores; an accelerator counts as eight."""
     return need.cpu_millis / 1000 + need.accelerators * 8
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -12,6 +12,7 @@
 
 from primroselock.decisions import fleet
 from primroselock.decisions import graphs
+from primroselock.decisions import runprogress
 from primroselock.workers import orders
 
 STOP_RETRY_S: typing.Final = 0.5
@@ -62,6 +63,7 @@
     board: fleet.Board, worker: fleet.Worker, look: orders.Look
 ) -> None:
     """Nothing of the worker's earlier life is left but what it shows."""
+    board.worker_speeds.forget_worker(worker.id)
     worker.listed_end = 0
     worker.saved_end = 0
     worker.confirmed_end = 0
@@ -95,6 +97,9 @@
     _keep_checkpoint(group, ended.checkpoint)
     if ended.cause is orders.EndCause.DONE:
         member.is_done = True
+        if member.progress is not None and group.size == 1:
+            # The end of a gang is that of its slowest member.
+            _record_speed(board, member, member.progress.take_final_rate(now))
         _record_done(board, group, worker, now, wall_ms)
     elif group.phase is not fleet.Phase.DONE:
         if ended.cause is orders.EndCause.FAILED:
@@ -152,11 +157,37 @@
     worker.strays.pop(run, None)
     group = member.group
     _keep_checkpoint(group, running.checkpoint)
+    _record_progress(board, member, running.share, now)
     member.boot = worker.boot
     if member.state is not fleet.MemberState.PRESENT:
         set_present(board, member, now)
 
 
+def _record_progress(
+    board: fleet.Board, member: fleet.Member, share: float, now: float
+) -> None:
+    group = member.group
+    if group.step.long_running:
+        # Work that lasts never comes nearer to an end.
+        return
+    board.told_groups[group] = None
+    if member.progress is None:
+        member.progress = runprogress.start(share, now)
+        return
+    member.progress.record(share, now)
+    _record_speed(board, member, member.progress.take_rate())
+
+
+def _record_speed(
+    board: fleet.Board, member: fleet.Member, rate_per_s: float | None
+) -> None:
+    if rate_per_s is None:
+        return
+    group = member.group
+    step = (group.job.graph.id, group.key.step)
+    board.worker_speeds.record(step, member.worker_id, rate_per_s)
+
+
 def _record_stray(
     board: fleet.Board, worker: fleet.Worker, run: orders.Run, now: float
 ) -> None:
--- /dev/null
+++ b/primroselock/decisions/speeds.py
@@ -0,0 +1,77 @@
+"""How fast workers are, learned from runs of the same step.
+
+Tasks of one step are alike, so a run that comes on faster than its
+siblings elsewhere shows a faster worker.  Each run counts once, when it
+has come far enough for its rate to be known.  What a run says of its
+worker is its rate against the mean rate of its step, where the rates of
+the siblings are first corrected by what is known of their workers.
+
+Speeds are kept as logarithms, so that twice as fast and half as fast are
+equally far from usual; they are drawn towards usual while little is seen.
+"""
+
+import dataclasses
+import math
+import typing
+
+StepKey = tuple[str, int]
+"""A job's id and the number of a step."""
+
+_LEAST_SIBLINGS: typing.Final = 2
+_KEPT_SHARE: typing.Final = 0.9
+"""What earlier runs still count after one more."""
+
+_DOUBT: typing.Final = 0.7
+"""How many runs at the usual speed are assumed to have been seen."""
+
+_LARGEST_LOG: typing.Final = math.log(10.0)
+
+
+@dataclasses.dataclass(slots=True)
+class _Mean:
+    """A sum of logarithms and how many of them it holds."""
+
+    total: float = 0.0
+    count: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Speeds:
+    """What is known of the speeds of workers."""
+
+    _by_worker_id: dict[str, _Mean] = dataclasses.field(default_factory=dict)
+    _by_step: dict[StepKey, _Mean] = dataclasses.field(default_factory=dict)
+
+    def record(self, step: StepKey, worker_id: str, rate_per_s: float) -> None:
+        """Take note of the rate of one run."""
+        seen = math.log(rate_per_s)
+        siblings = self._by_step.setdefault(step, _Mean())
+        own = seen - self._log_of(worker_id)
+        if siblings.count >= _LEAST_SIBLINGS:
+            usual = siblings.total / siblings.count
+            self._add(worker_id, seen - usual)
+        siblings.total += own
+        siblings.count += 1
+
+    def _add(self, worker_id: str, difference: float) -> None:
+        difference = max(-_LARGEST_LOG, min(_LARGEST_LOG, difference))
+        mean = self._by_worker_id.setdefault(worker_id, _Mean())
+        mean.total = mean.total * _KEPT_SHARE + difference
+        mean.count = mean.count * _KEPT_SHARE + 1
+
+    def _log_of(self, worker_id: str) -> float:
+        mean = self._by_worker_id.get(worker_id)
+        return mean.total / (mean.count + _DOUBT) if mean else 0.0
+
+    def speed(self, worker_id: str) -> float:
+        """Return a worker's speed; 1 is usual."""
+        return math.exp(self._log_of(worker_id))
+
+    def forget_worker(self, worker_id: str) -> None:
+        """Drop what is known of a worker: another one has its id."""
+        self._by_worker_id.pop(worker_id, None)
+
+    def forget_job(self, job_id: str, steps: int) -> None:
+        """Drop what was kept of a job's steps."""
+        for number in range(steps):
+            self._by_step.pop((job_id, number), None)
--- a/primroselock/decisions/waiting.py
+++ b/primroselock/decisions/waiting.py
@@ -14,7 +14,7 @@
 MayReclaim = abc.Callable[[fleet.Group, abc.Set[str], float], bool]
 orders_by_name: typing.Final[dict[str, SortKey]] = {}
 reclaims_by_name: typing.Final[dict[str, MayReclaim]] = {}
-_URGENT: typing.Final = 0
+URGENT: typing.Final = 0
 """The priority of queues that guarantees hold for."""
 
 _LAST_SLACK_S: typing.Final = 2.0
@@ -89,7 +89,7 @@
     use = objectives.usefulness(group, wall_s)
     if use is objectives.Usefulness.IN_VAIN:
         return False
-    if priority(group.job) == _URGENT:
+    if priority(group.job) == URGENT:
         return True
     factor = 1.0
     if use is objectives.Usefulness.LATE:
@@ -127,7 +127,7 @@
     urgent = [
         job
         for job in board.jobs_by_id.values()
-        if priority(job) == _URGENT and not job.state.is_final
+        if priority(job) == URGENT and not job.state.is_final
     ]
     urgent.sort(key=lambda job: (job.graph.accepted_ms, job.graph.id))
     for job in urgent:
@@ -149,10 +149,10 @@
     """Return the groups that wait for room, first the first to be placed."""
     waiting = [
         group
-        for job in board.jobs_by_id.values()
-        if not job.is_cancelled and not job.state.is_final
-        for group in job.groups_by_key.values()
-        if group.phase is fleet.Phase.WAITING and group.not_before <= now
+        for group in board.phases.waiting
+        if group.not_before <= now
+        and not group.job.is_cancelled
+        and not group.job.state.is_final
     ]
     waiting.sort(
         key=lambda group: (
--- a/primroselock/holder.py
+++ b/primroselock/holder.py
@@ -31,6 +31,7 @@
 from primroselock.store import following
 from primroselock.store import keys
 from primroselock.store import table
+from primroselock import waits
 from primroselock.workers import orders
 
 _log: typing.Final = logs.get('holder')
@@ -132,7 +133,7 @@
                 await self.lease.step(clock.monotonic())
             if self.lease.has_shard:
                 return
-            await wait_until(self._lease_wake, interval_s)
+            await waits.wait_event(self._lease_wake, interval_s)
 
     async def _hold(self) -> None:
         """Decide for the shard until it is lost."""
@@ -215,21 +216,6 @@
             self._lease_wake.set()
 
 
-async def wait_until(event: asyncio.Event, longest_s: float) -> None:
-    """Wait for an event, but no longer, and clear it.
-
-    ``asyncio.wait_for`` may swallow a cancellation that comes together
-    with the event (Python 3.11); ``asyncio.timeout`` does not.
-    """
-    try:
-        async with asyncio.timeout(longest_s):
-            await event.wait()
-    except TimeoutError:
-        # The caller looks at the state either way.
-        pass
-    event.clear()
-
-
 def take_job(
     board: fleet.Board, stored: graphrows.StoredJob, now: float
 ) -> None:
@@ -336,7 +322,7 @@
         wake.set()
         while self._lease.has_shard:
             before = clock.monotonic()
-            await wait_until(wake, _TICK_S)
+            await waits.wait_event(wake, _TICK_S)
             now = clock.monotonic()
             if now - before > _TICK_S + _LOOP_GAP_S:
                 _log.warning('process stood still', gap_s=now - before)
--- a/primroselock/ini.py
+++ b/primroselock/ini.py
@@ -123,6 +123,14 @@
     return number
 
 
+@kind('share', 'a number from 0 to 1')
+def _share(value: str) -> float:
+    number = float(value)
+    if not 0 <= number <= 1:
+        raise ValueError(value)
+    return number
+
+
 @kind('address', 'an IP address and port, such as 127.0.0.1:8080')
 def _address(value: str) -> str:
     host, _, port = value.rpartition(':')
--- a/primroselock/lookers.py
+++ b/primroselock/lookers.py
@@ -12,6 +12,7 @@
 
 from primroselock import clock
 from primroselock.decisions import fleet
+from primroselock.decisions import reachability
 from primroselock.decisions import runs
 from primroselock import logs
 from primroselock import metrics
@@ -49,6 +50,7 @@
         self._wake = wake
         self._metrics = counters
         self._tasks_by_worker_id: dict[str, asyncio.Task[None]] = {}
+        self._probes_by_worker_id: dict[str, asyncio.Task[None]] = {}
 
     def ensure(self) -> None:
         """Start a task for each worker that needs one."""
@@ -59,11 +61,41 @@
                     self._tasks_by_worker_id[worker.id] = asyncio.create_task(
                         self._run(worker)
                     )
+        for worker in reachability.list_doubted(self._board):
+            probe = self._probes_by_worker_id.get(worker.id)
+            if worker.entry.address and (probe is None or probe.done()):
+                self._probes_by_worker_id[worker.id] = asyncio.create_task(
+                    self._probe(worker)
+                )
 
     def cancel(self) -> None:
         """Stop looking."""
         for task in self._tasks_by_worker_id.values():
             task.cancel()
+        for probe in self._probes_by_worker_id.values():
+            probe.cancel()
+
+    async def _probe(self, worker: fleet.Worker) -> None:
+        """Find out whether a worker in doubt answers.
+
+        It may be looked at already, by a call that waits for an end; what
+        the answer tells is left to the looks, which follow one another.
+        """
+        answer = await self._link.look(
+            worker.id,
+            worker.entry.address,
+            self._board.epoch,
+            0,
+            None,
+            0.0,
+            self._settings.fleet.order_timeout_s,
+        )
+        self._metrics.count('probes')
+        if isinstance(answer, result.Err):
+            self._record_error(worker, answer.err_value)
+            return
+        worker.heard_at = clock.monotonic()
+        self._wake()
 
     def _needs_looks(self, worker: fleet.Worker) -> bool:
         if self._board.workers_by_id.get(worker.id) is not worker:
@@ -155,7 +187,7 @@
         ):
             self._lease.drop('a worker knows a newer holder')
             return
-        worker.failures_in_row += 1
+        worker.record_silence(clock.monotonic())
         if (
             isinstance(error, orders.Refused)
             and error.why is orders.Refusal.OTHER_BOOT
@@ -170,3 +202,4 @@
             self._wake()
         if worker.failures_in_row == 1:
             _log.warning('worker silent', worker=worker.id, why=str(error))
+            self._wake()
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -173,6 +173,10 @@
     of a job that has not ended is read anew where the copy is older than
     ``fresh_state_s``.  Away from its data or rack a task takes
     ``far_factor`` times as long.
+
+    Gangs that wait may keep other work off up to ``claim_share`` of the
+    workers; with ``keep_headroom`` single tasks leave some empty workers
+    to urgent work that is about to come.
     """
 
     shard: str = ini.key('name', 'fleet')
@@ -183,6 +187,8 @@
     waiting_order: str = ini.key('name', 'useful')
     placement: str = ini.key('name', 'best_fit')
     reclaim: str = ini.key('name', 'urgent')
+    claim_share: float = ini.key('share', 0.5)
+    keep_headroom: bool = ini.key('boolean', True)
     run_lease_s: float = ini.key('seconds', 10.0)
     longest_wait_s: float = ini.key('seconds', 2.0)
     order_timeout_s: float = ini.key('seconds', 0.4)
--- a/primroselock/platform/workers.py
+++ b/primroselock/platform/workers.py
@@ -20,6 +20,7 @@
 """A list of this many ends may go on."""
 
 _MS: typing.Final = 1000
+_WHOLE_PERCENT: typing.Final = 100
 _log: typing.Final = logs.get('workers')
 
 _REFUSALS_BY_REASON: typing.Final = {
@@ -226,7 +227,8 @@
     running = []
     for task, attempt, checkpoint, percent, *_ in held.running:
         run = _read_run(task, attempt)
-        running.append(orders.Running(run, str(checkpoint), int(percent)))
+        share = int(percent) / _WHOLE_PERCENT
+        running.append(orders.Running(run, str(checkpoint), share))
     ended = []
     for number, task, attempt, cause, checkpoint, *_ in held.ended:
         run = _read_run(task, attempt)
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -125,7 +125,7 @@
             task=str(member.run.task),
             worker=worker.id,
         )
-        worker.failures_in_row += 1
+        worker.record_silence(clock.monotonic())
         self._wake()
 
     async def _send_start(
@@ -171,7 +171,7 @@
         if isinstance(error, orders.Unanswered):
             return False
         if isinstance(error, orders.NotSent):
-            worker.failures_in_row += 1
+            worker.record_silence(now)
             if attempt:
                 return False
         elif error.why is orders.Refusal.STALE_EPOCH:
--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections import abc
 import dataclasses
+import math
 import random
 
 import result
@@ -57,6 +58,14 @@
     )
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
+    def share_of(self, live: LiveRun, now: float) -> float:
+        """Return the share of a run's work that is done, in hundredths."""
+        whole_s = live.ends_at - live.started_at
+        if self.stands_still or whole_s <= 0:
+            return 0.0
+        done = (now - live.started_at) / whole_s
+        return math.floor(min(done, 1.0) * 100) / 100
+
     def add_end(self, run: orders.Run, cause: orders.EndCause) -> None:
         """List an end."""
         self.runs.pop(run, None)
@@ -81,6 +90,7 @@
         self.stop_s = 0.1
         self.faults: list[str] = []
         self.starts = 0
+        self.started: set[jobgraph.TaskName] = set()
         self.confirmed_done: set[jobgraph.TaskName] = set()
         self.done: set[jobgraph.TaskName] = set()
         self._random = random.Random(seed)
@@ -217,6 +227,7 @@
             cause, work_s = orders.EndCause.FAILED, 0.1
         work_s *= worker.slow_factor
         self.starts += 1
+        self.started.add(run.task)
         self._check_start(worker, run, step, graph)
         worker.runs[run] = LiveRun(run, step, now + work_s, now, cause)
         self._check_room(worker)
@@ -316,11 +327,13 @@
         if self._reach(worker_id) is None:
             await asyncio.sleep(timeout_s)
             return result.Err(orders.Unanswered('silent'))
-        running = tuple(orders.Running(run, '', 100) for run in worker.runs)
+        now = clock.monotonic()
+        running = tuple(
+            orders.Running(run, '', worker.share_of(live, now))
+            for run, live in worker.runs.items()
+        )
         return result.Ok(
-            orders.Look(
-                clock.monotonic(), worker.boot, running, tuple(worker.ended)
-            )
+            orders.Look(now, worker.boot, running, tuple(worker.ended))
         )
 
     def _confirm(self, worker: FakeWorker, number: int) -> None:
--- a/primroselock/test/fleetbuilders.py
+++ b/primroselock/test/fleetbuilders.py
@@ -46,6 +46,9 @@
 BULK: typing.Final = queues.Queue(
     'bulk', 'host', '/bulk/', 'svc', 2, 4, 3.0, 3.0
 )
+BATCH: typing.Final = queues.Queue(
+    'batch', 'host', '/batch/', 'svc', 1, 4, 3.0, 1.0
+)
 ADVISED: typing.Final = queues.Queue(
     'advised',
     'host',
@@ -59,7 +62,7 @@
 )
 TABLE: typing.Final = queues.QueueTable(
     1,
-    (URGENT, BULK, ADVISED),
+    (URGENT, BATCH, BULK, ADVISED),
     {
         'signs': queues.QueueAccount('signs', frozenset({'k1'}), 16),
         'merch': queues.QueueAccount('merch', frozenset({'k2'}), 8),
--- a/primroselock/test/testheavydays.py
+++ b/primroselock/test/testheavydays.py
@@ -18,6 +18,16 @@
 reclaim = none
 """
 
+_NO_CLAIMS: typing.Final = """
+[fleet]
+claim_share = 0
+"""
+
+_NO_HEADROOM: typing.Final = """
+[fleet]
+keep_headroom = false
+"""
+
 
 class LoadTest(unittest.TestCase):
     """One pattern of load a test."""
@@ -46,6 +56,51 @@
         chosen_s = _play(scenario, '')
         self.assertLess(chosen_s, 2.0)
 
+    def test_batch_gang_of_whole_workers_among_single_tasks(self) -> None:
+        """A gang that may stop nothing yet claims what becomes free.
+
+        Single tasks of a less urgent queue come all the time and would
+        take up each accelerator as soon as it is free.
+        """
+
+        async def scenario(world: fleetbuilders.World) -> float:
+            for number in range(60):
+                step = fleetbuilders.build_step(8, 1, 3000 + number * 10)
+                world.submit(fleetbuilders.build_graph(f'b{number}', step))
+            await asyncio.sleep(1.0)
+            gang = fleetbuilders.build_step(3, 8, 8000, gang=True)
+            graph = fleetbuilders.build_graph('gang', gang, queue='batch')
+            world.submit(graph)
+            took_s = await world.wait_for('gang', 'done', 200.0)
+            # Its objective is three times its run time and a second.
+            self.assertLess(took_s, 3 * 8.0 + 1.0)
+            return float(_preemptions(world))
+
+        self.assertEqual(0.0, _play(scenario, '', workers=8))
+        self.assertGreater(_play(scenario, _NO_CLAIMS, workers=8), 0.0)
+
+    def test_urgent_gangs_that_keep_coming_among_single_tasks(self) -> None:
+        """Room is kept for them, so that less work is thrown away."""
+
+        async def scenario(world: fleetbuilders.World) -> float:
+            gang = fleetbuilders.build_step(2, 8, 1000, gang=True)
+            bulk = fleetbuilders.build_step(8, 1, 6000)
+            for second in range(20):
+                world.submit(
+                    fleetbuilders.build_graph(
+                        f'u{second}', gang, queue='urgent'
+                    )
+                )
+                for number in range(3):
+                    job_id = f'b{second}-{number}'
+                    world.submit(fleetbuilders.build_graph(job_id, bulk))
+                await asyncio.sleep(1.0)
+            return float(_preemptions(world))
+
+        kept = _play(scenario, '', workers=16)
+        unkept = _play(scenario, _NO_HEADROOM, workers=16)
+        self.assertLess(kept, unkept / 2)
+
     def test_guaranteed_work_while_everything_is_borrowed(self) -> None:
         """Work within its guarantee begins within the reclaim bound."""
 
@@ -108,6 +163,38 @@
         baseline_s = _play(scenario, _BASELINE)
         self.assertLess(chosen_s, baseline_s * 0.7)
 
+    def test_work_that_comes_while_a_zone_is_cut_off(self) -> None:
+        """Idle workers of the zone draw no work once one fell silent."""
+
+        async def scenario(world: fleetbuilders.World) -> float:
+            for number in range(4):
+                entry = fleetbuilders.build_entry(f'z{number}', 'rz', 'z')
+                world.add_worker(entry)
+            await asyncio.sleep(0.5)
+            long_step = fleetbuilders.build_step(1, 8, 60_000)
+            for number in range(6):
+                world.submit(
+                    fleetbuilders.build_graph(f'long{number}', long_step)
+                )
+            await asyncio.sleep(2.0)
+            for name in ('z0', 'z1', 'z2', 'z3'):
+                world.fleet.workers_by_id[name].is_cut = True
+            await asyncio.sleep(3.5)
+            step = fleetbuilders.build_step(1, 8, 500)
+            for number in range(2):
+                world.submit(
+                    fleetbuilders.build_graph(
+                        f'u{number}', step, queue='urgent'
+                    )
+                )
+            waits = [
+                await world.wait_for(f'u{number}', 'done', 30.0)
+                for number in range(2)
+            ]
+            return max(waits)
+
+        self.assertLess(_play(scenario, ''), 2.0)
+
     def test_a_worker_that_fails_all_is_left_alone(self) -> None:
         """An empty worker that fails at once draws all work otherwise."""
 
@@ -135,6 +222,11 @@
         self.assertLess(_play(scenario, ''), 6.0)
 
 
+def _preemptions(world: fleetbuilders.World) -> int:
+    """Return how many starts came after the first of their task."""
+    return world.fleet.starts - len(world.fleet.started)
+
+
 def _play(
     scenario: typing.Callable[
         [fleetbuilders.World], typing.Coroutine[None, None, float]
--- /dev/null
+++ b/primroselock/test/testrunprogress.py
@@ -0,0 +1,202 @@
+"""Progress of runs: what it tells, and loads in which that counts."""
+
+import asyncio
+import typing
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from primroselock.decisions import fleet
+from primroselock.decisions import fleethealth
+from primroselock.decisions import graphs
+from primroselock.decisions import runprogress
+from primroselock import jobgraph
+from primroselock.test import fleetbuilders
+from primroselock.test import virtualtime
+
+_FAR_FACTOR: typing.Final = 3.0
+
+
+class ProgressTest(unittest.TestCase):
+    """Rates, times left and times worked, from shares in hundredths."""
+
+    @hypothesis.given(
+        whole_s=strategies.floats(1.0, 500.0),
+        first=strategies.floats(0.0, 0.5),
+        second=strategies.floats(0.6, 0.99),
+    )
+    def test_the_time_left_is_that_of_the_rate(
+        self, whole_s: float, first: float, second: float
+    ) -> None:
+        seen = runprogress.start(_told(first), first * whole_s)
+        now = second * whole_s
+        seen.record(_told(second), now)
+        left_s = seen.remaining_s(now)
+        assert left_s is not None
+        # One hundredth at either end of a tenth or more.
+        self.assertLess(abs(left_s - (whole_s - now)), 0.3 * whole_s)
+        self.assertLess(abs(seen.worked_s(now) - now), 0.15 * whole_s)
+
+    def test_a_single_share_gives_no_rate(self) -> None:
+        seen = runprogress.start(0.4, 10.0)
+        self.assertIsNone(seen.remaining_s(10.0))
+        seen.record(0.41, 10.5)
+        self.assertIsNone(seen.rate_per_s)
+
+    def test_standing_still_counts_from_the_last_rise(self) -> None:
+        seen = runprogress.start(0.1, 0.0)
+        seen.record(0.3, 2.0)
+        seen.record(0.3, 5.0)
+        self.assertEqual(3.0, seen.still_s)
+
+
+def _told(share: float) -> float:
+    return int(share * 100) / 100
+
+
+class HealthTest(unittest.TestCase):
+    """What progress shows of workers, on the board alone."""
+
+    def setUp(self) -> None:
+        self.board = fleet.Board(table=fleetbuilders.TABLE)
+        self.board.record_entry(fleetbuilders.build_entry('w0'), 0.0)
+        job = graphs.add_job(
+            self.board,
+            fleetbuilders.build_graph('j', fleetbuilders.build_step(1, 8)),
+            None,
+            0,
+            0.0,
+            0,
+        )
+        assert job is not None
+        self.group = job.groups_by_key[jobgraph.GroupKey(0, 0, 0)]
+        self.member = fleet.Member(
+            self.group, 0, 'w0', 1, fleet.MemberState.PRESENT
+        )
+        self.group.members = [self.member]
+        self.group.enter(fleet.Phase.RUNNING, 0.0)
+        self.group.began_at = 0.0
+        self.member.progress = runprogress.start(0.0, 0.0)
+
+    def list_stuck(self, now: float) -> list[fleet.Group]:
+        """Return the groups that are held to be stuck."""
+        found = fleethealth.list_stuck(self.board, _FAR_FACTOR, now)
+        return [stuck.group for stuck in found]
+
+    def tell(self, share: float, now: float) -> None:
+        """Let the worker tell a share."""
+        assert self.member.progress is not None
+        self.member.progress.record(share, now)
+        self.board.told_groups[self.group] = None
+
+    def test_no_progress_is_found_without_earlier_runs(self) -> None:
+        self.tell(0.0, 2.0)
+        self.assertEqual([], self.list_stuck(2.0))
+        self.tell(0.0, 4.0)
+        self.assertEqual([self.group], self.list_stuck(4.0))
+
+    def test_a_member_that_waits_for_its_gang_is_not_stuck(self) -> None:
+        self.tell(1.0, 2.0)
+        self.tell(1.0, 9.0)
+        self.assertEqual([], self.list_stuck(9.0))
+
+    def test_a_silent_worker_does_not_make_its_runs_stuck(self) -> None:
+        self.tell(0.2, 2.0)
+        self.assertEqual([], self.list_stuck(30.0))
+
+    def test_a_long_run_that_moves_is_left_alone(self) -> None:
+        for second in range(1, 60):
+            self.tell(second / 600, float(second))
+            self.assertEqual([], self.list_stuck(float(second)))
+
+    def learn(self, job_id: str) -> None:
+        """Let eight tasks of a job end after two seconds each."""
+        for _ in range(8):
+            self.board.learned.record('bulk', (job_id, 0), 2.0)
+
+    def test_a_slow_worker_is_found_by_its_siblings_rate(self) -> None:
+        self.learn('j')
+        self.tell(0.1, 2.0)
+        self.assertEqual([self.group], self.list_stuck(2.0))
+
+    def test_slow_work_that_is_nearly_done_goes_on(self) -> None:
+        self.learn('j')
+        self.tell(0.7, 4.0)
+        self.assertEqual([], self.list_stuck(4.0))
+
+    def test_a_long_job_among_short_ones_is_not_taken_for_slow(self) -> None:
+        """The jobs of a queue that end first are its shortest."""
+        self.learn('other')
+        self.tell(0.1, 2.0)
+        self.assertEqual([], self.list_stuck(2.0))
+
+
+class LoadTest(unittest.TestCase):
+    """Urgent work on a full cluster: what is stopped for it."""
+
+    def test_work_that_is_about_to_end_is_not_stopped(self) -> None:
+        """Room comes as soon by waiting; nothing is thrown away."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            step = fleetbuilders.build_step(1, 8, 3000)
+            world.submit(fleetbuilders.build_graph('b', step))
+            await asyncio.sleep(2.7)
+            urgent = fleetbuilders.build_step(1, 8, 500)
+            world.submit(
+                fleetbuilders.build_graph('u', urgent, queue='urgent')
+            )
+            took_s = await world.wait_for('u', 'done', 30.0)
+            self.assertLess(took_s, 1.2)
+            self.assertEqual('done', world.state('b'))
+            self.assertEqual(2, world.fleet.starts)
+
+        _play(scenario, 1)
+
+    def test_after_a_takeover_the_work_that_did_least_is_stopped(
+        self,
+    ) -> None:
+        """A new holder did not see how long the runs have worked."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            step = fleetbuilders.build_step(1, 8, 40_000)
+            world.submit(fleetbuilders.build_graph('old', step))
+            await asyncio.sleep(20.0)
+            world.submit(fleetbuilders.build_graph('young', step))
+            await asyncio.sleep(2.0)
+            await world.holding_node().kill()
+            world.add_node('entry-2')
+            await asyncio.sleep(10.0)
+            urgent = fleetbuilders.build_step(1, 8, 500)
+            world.submit(
+                fleetbuilders.build_graph('u', urgent, queue='urgent')
+            )
+            await world.wait_for('u', 'done', 30.0)
+            progress = world.progress('old')
+            assert progress is not None
+            self.assertEqual(1, progress.groups[0].attempt)
+            await world.wait_for('old', 'done', 30.0)
+
+        _play(scenario, 2)
+
+
+def _play(
+    scenario: typing.Callable[
+        [fleetbuilders.World], typing.Coroutine[None, None, None]
+    ],
+    workers: int,
+) -> None:
+    async def whole(virtual: virtualtime.VirtualClock) -> None:
+        world = fleetbuilders.World(0, workers)
+        world.add_node('entry-1')
+        await asyncio.sleep(0.5)
+        await scenario(world)
+        await world.close()
+        if world.fleet.faults:
+            raise AssertionError(world.fleet.faults[:3])
+
+    virtualtime.run(whole)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/primroselock/test/testspeeds.py
@@ -0,0 +1,129 @@
+"""Speeds of workers: how they are learned, and loads in which they count."""
+
+import asyncio
+import math
+import random
+import typing
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from primroselock.decisions import speeds
+from primroselock.test import fleetbuilders
+from primroselock.test import virtualtime
+
+_STEPS: typing.Final = 40
+_TASKS: typing.Final = 6
+
+
+class SpeedsTest(unittest.TestCase):
+    """Speeds are told apart from how long the steps themselves take."""
+
+    @hypothesis.given(
+        strategies.lists(strategies.floats(0.5, 2.0), min_size=4, max_size=8),
+        strategies.integers(0, 1000),
+    )
+    def test_speeds_are_found_from_runs_of_mixed_steps(
+        self, true_speeds: list[float], seed: int
+    ) -> None:
+        known = speeds.Speeds()
+        chance = random.Random(seed)
+        for step in range(_STEPS):
+            usual_rate = chance.uniform(0.01, 1.0)
+            for _ in range(_TASKS):
+                number = chance.randrange(len(true_speeds))
+                known.record(
+                    (f'j{step}', 0),
+                    f'w{number}',
+                    usual_rate * true_speeds[number],
+                )
+        usual = sum(math.log(s) for s in true_speeds) / len(true_speeds)
+        for number, true_speed in enumerate(true_speeds):
+            told = math.log(known.speed(f'w{number}'))
+            self.assertLess(abs(told - (math.log(true_speed) - usual)), 0.4)
+
+    def test_little_is_concluded_from_one_run(self) -> None:
+        known = speeds.Speeds()
+        for worker_id in ('w1', 'w2', 'w3'):
+            known.record(('j', 0), worker_id, 0.1)
+        known.record(('j', 0), 'w0', 0.025)
+        self.assertLess(known.speed('w0'), 0.6)
+        self.assertGreater(known.speed('w0'), 0.3)
+
+    def test_another_worker_under_the_id_begins_anew(self) -> None:
+        known = speeds.Speeds()
+        for worker_id in ('w1', 'w2', 'w0'):
+            rate_per_s = 0.01 if worker_id == 'w0' else 0.1
+            known.record(('j', 0), worker_id, rate_per_s)
+        known.forget_worker('w0')
+        self.assertEqual(1.0, known.speed('w0'))
+
+
+class LoadTest(unittest.TestCase):
+    """Urgent gangs where workers differ in speed."""
+
+    def test_urgent_gangs_go_to_fast_workers(self) -> None:
+        """A gang takes as long as its slowest member."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            for number in (0, 3, 5):
+                worker = world.fleet.workers_by_id[f'w{number}']
+                worker.slow_factor = 1.6
+            await _run_bulk(world, 24)
+            gang = fleetbuilders.build_step(3, 4, 1000, gang=True)
+            for number in range(4):
+                job_id = f'u{number}'
+                world.submit(
+                    fleetbuilders.build_graph(job_id, gang, queue='urgent')
+                )
+                took_s = await world.wait_for(job_id, 'done', 30.0)
+                self.assertLess(took_s, 1.2)
+
+        _play(scenario, 8)
+
+    def test_a_far_slower_worker_gets_work_last(self) -> None:
+        """A worker that has turned slow holds up whatever it gets."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            slow = world.fleet.workers_by_id['w1']
+            slow.slow_factor = 6.0
+            await _run_bulk(world, 24)
+            step = fleetbuilders.build_step(1, 8, 1000)
+            for number in range(3):
+                world.submit(fleetbuilders.build_graph(f'b{number}', step))
+            await asyncio.sleep(0.5)
+            self.assertEqual({}, slow.runs)
+            for number in range(3):
+                await world.wait_for(f'b{number}', 'done', 30.0)
+
+        _play(scenario, 4)
+
+
+async def _run_bulk(world: fleetbuilders.World, tasks: int) -> None:
+    """Let tasks of one step run on every worker."""
+    step = fleetbuilders.build_step(tasks, 2, 2000)
+    world.submit(fleetbuilders.build_graph('first', step))
+    await world.wait_for('first', 'done', 60.0)
+
+
+def _play(
+    scenario: typing.Callable[
+        [fleetbuilders.World], typing.Coroutine[None, None, None]
+    ],
+    workers: int,
+) -> None:
+    async def whole(virtual: virtualtime.VirtualClock) -> None:
+        world = fleetbuilders.World(0, workers)
+        world.add_node('entry-1')
+        await asyncio.sleep(0.5)
+        await scenario(world)
+        await world.close()
+        if world.fleet.faults:
+            raise AssertionError(world.fleet.faults[:3])
+
+    virtualtime.run(whole)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/primroselock/workers/orders.py
+++ b/primroselock/workers/orders.py
@@ -51,11 +51,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Running:
-    """A run that goes on; ``percent`` is the share it may work at."""
+    """A run that goes on; ``share`` of its work is done (0 to 1).
+
+    For work that lasts ``share`` tells how much of it is at work.
+    """
 
     run: Run
     checkpoint: str
-    percent: int
+    share: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
