--- a/primroselock/daemon.py
+++ b/primroselock/daemon.py
@@ -27,6 +27,7 @@
 from primroselock import relay
 from primroselock.store import client
 from primroselock.store import vmlist
+from primroselock import waits
 
 _log: typing.Final = logs.get('daemon')
 _INCARNATION_DIGITS: typing.Final = 12
@@ -151,14 +152,7 @@
             now = clock.monotonic()
             self._choose_peers(now)
             await self.mesh.publish(self.build_beacon(now))
-            try:
-                await asyncio.wait_for(
-                    self.follower.changed.wait(), interval_s
-                )
-            except TimeoutError:
-                continue
-            finally:
-                self.follower.changed.clear()
+            await waits.wait_event(self.follower.changed, interval_s)
 
     def build_beacon(self, now: float) -> messages.Beacon:
         """Return this process's next word about itself."""
--- a/primroselock/main.py
+++ b/primroselock/main.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 from collections import abc
+import faulthandler
 import sys
 import typing
 
@@ -94,6 +95,8 @@
     run: abc.Callable[[options.Settings], abc.Coroutine[None, None, None]],
     settings: options.Settings,
 ) -> None:
+    # A crash of a library would leave no word of where it was.
+    faulthandler.enable()
     try:
         asyncio.run(run(settings))
     except* errors.CommandError as group:
--- a/primroselock/nodemain.py
+++ b/primroselock/nodemain.py
@@ -6,6 +6,7 @@
 
 import argparse
 import asyncio
+import faulthandler
 import sys
 import typing
 
@@ -44,6 +45,8 @@
             fleetnode.load(parsed.platform)
             print('valid')
         else:
+            # A crash of a library would leave no word of where it was.
+            faulthandler.enable()
             asyncio.run(fleetnode.run(parsed.platform))
     except errors.CommandError as error:
         for line in error.lines:
--- a/primroselock/scheduler.py
+++ b/primroselock/scheduler.py
@@ -30,6 +30,7 @@
 from primroselock import sockets
 from primroselock import statusport
 from primroselock.store import vmlist
+from primroselock import waits
 from primroselock.workers import channels
 from primroselock.workers import link
 from primroselock.workers import protocol
@@ -123,15 +124,9 @@
         while True:
             if self.lease.holds(clock.monotonic()):
                 await self.feed.read()
-            try:
-                await asyncio.wait_for(
-                    self._poll_jobs.wait(),
-                    self.settings.scheduler.job_poll_interval_s,
-                )
-            except TimeoutError:
-                continue
-            finally:
-                self._poll_jobs.clear()
+            await waits.wait_event(
+                self._poll_jobs, self.settings.scheduler.job_poll_interval_s
+            )
 
     def _take_over(self, epoch: int, stored: list[jobstore.Stored]) -> None:
         self._end_heartbeats()
@@ -160,12 +155,7 @@
                 self._run_round(now)
                 self._publish_load()
             await asyncio.sleep(_MIN_ROUND_INTERVAL_S)
-            try:
-                await asyncio.wait_for(self._round.wait(), tick_s)
-            except TimeoutError:
-                continue
-            finally:
-                self._round.clear()
+            await waits.wait_event(self._round, tick_s)
 
     def _check_freeze(self, now: float) -> None:
         """After a pause of this process, distrust what it knew before."""
@@ -261,13 +251,9 @@
     async def _heartbeat(self, channel: channels.Channel) -> None:
         while True:
             await self._exchange(channel)
-            try:
-                await asyncio.wait_for(
-                    channel.wake.wait(),
-                    self.settings.scheduler.heartbeat_interval_s,
-                )
-            except TimeoutError:
-                continue
+            await waits.wait_event(
+                channel.wake, self.settings.scheduler.heartbeat_interval_s
+            )
 
     async def _exchange(self, channel: channels.Channel) -> None:
         sent_at = clock.monotonic()
