Known red: a guarantee that cannot be reclaimed while workers break

Its steps stand in a test of their own that fails each time; the machine, its checks and bounds are unchanged.

--- a/primroselock/test/testreclaim.py
+++ b/primroselock/test/testreclaim.py
@@ -222,6 +222,21 @@
             settings=settings(max_examples=40, stateful_step_count=25),
         )
 
+    def test_guarantees_stay_reclaimable_while_workers_break(self) -> None:
+        """The case of a failing worker and a dead one, found at random."""
+        machine = DecisionMachine()
+        machine.change_worker('za-r0-w0', 'fails-all')
+        machine.fill('za', accelerators=2, checkpointable=False, members=2)
+        machine.change_worker('za-r0-w1', 'dead')
+        machine.change_worker('zb-r0-w0', 'dead')
+        machine.change_worker('za-r0-w1', 'dead')
+        machine.change_worker('za-r0-w2', 'back')
+        machine.change_worker('za-r0-w1', 'dead')
+        machine.fill('za', accelerators=8, checkpointable=False, members=2)
+        machine.change_worker('za-r0-w6', 'back')
+        machine.fill('za', accelerators=2, checkpointable=True, members=1)
+        machine.promises_hold()
+
 
 if __name__ == '__main__':
     unittest.main()
