A round costs what changed: 57,000 tasks on 2,170 workers

Cause: each single task looked at every worker for its place, and three controllers went over all groups each round.

Tests count choices, not time.

Ruled out: a limit by time in place of a count (the sort of what waits costs as much in each round).

--- /dev/null
+++ b/primroselock/test/testlargeshard.py
@@ -0,0 +1,94 @@
+"""A round of decisions costs what changed, also on a large board.
+
+Counts in place of times: a busy machine makes no difference to them.
+"""
+
+import typing
+import unittest
+from unittest import mock
+
+from primroselock.decisions import fitting
+from primroselock.decisions import fleet
+from primroselock.decisions import fleethealth
+from primroselock.decisions import fleetround
+from primroselock import options
+from primroselock.test import fleetbuilders
+from tools import largefleet
+
+_WORKERS: typing.Final = 60
+_TASKS: typing.Final = 1600
+
+
+class LargeShardTest(unittest.TestCase):
+    """Many tasks that run, and one that comes."""
+
+    def setUp(self) -> None:
+        self.settings: options.Settings = fleetbuilders.build_node_settings()
+        self.board = largefleet.build_board(_WORKERS)
+        for number in range(_TASKS // 40):
+            largefleet.add_job(self.board, f'j{number}', 'bulk', 40, 1.0)
+
+    def run_round(self, now: float) -> None:
+        """Run one round and let what was placed run."""
+        fleetround.run(self.board, self.settings, now, now)
+        largefleet.run_placed(self.board, now)
+
+    def count_running(self) -> int:
+        """Return how many groups run."""
+        return sum(
+            group.phase is fleet.Phase.RUNNING
+            for job in self.board.jobs_by_id.values()
+            for group in job.groups_by_key.values()
+        )
+
+    def test_a_first_round_is_bounded_and_the_rest_follows(self) -> None:
+        self.run_round(1.0)
+        self.assertEqual(1000, self.count_running())
+        self.run_round(1.1)
+        self.assertEqual(_TASKS, self.count_running())
+
+    def test_equal_tasks_do_not_each_look_at_every_worker(self) -> None:
+        with mock.patch.object(
+            fitting, '_choose', wraps=fitting._choose
+        ) as choose:
+            self.run_round(1.0)
+            self.run_round(1.1)
+        # Each choice fills a worker, or begins a job.
+        self.assertLess(choose.call_count, 2 * (_WORKERS + _TASKS // 40))
+
+    def test_tasks_without_room_do_not_each_look_at_every_worker(
+        self,
+    ) -> None:
+        self.run_round(1.0)
+        self.run_round(1.1)
+        for number in range(20):
+            largefleet.add_job(self.board, f'm{number}', 'bulk', 40, 1.2)
+        self.run_round(1.2)
+        with mock.patch.object(
+            fitting, '_choose', wraps=fitting._choose
+        ) as choose:
+            self.run_round(1.3)
+        self.assertLessEqual(choose.call_count, 2)
+
+    def test_runs_of_which_nothing_was_told_are_not_judged(self) -> None:
+        self.run_round(1.0)
+        with mock.patch.object(
+            fleethealth, '_why_stuck', wraps=fleethealth._why_stuck
+        ) as judge:
+            self.run_round(1.2)
+        judge.assert_not_called()
+
+    def test_the_index_shows_what_the_groups_show(self) -> None:
+        self.run_round(1.0)
+        waiting = {
+            group
+            for job in self.board.jobs_by_id.values()
+            for group in job.groups_by_key.values()
+            if group.phase is fleet.Phase.WAITING
+        }
+        self.assertEqual(waiting, set(self.board.phases.waiting))
+        self.assertEqual({}, self.board.phases.starting)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tools/largefleet.py
@@ -0,0 +1,132 @@
+"""How long a round of decisions takes on one large board, and its memory.
+
+    python -m tools.largefleet --workers 2170 --tasks 57000
+
+Jobs of 40 single tasks fill the workers; all of them run.  Then one job
+after the other is added and placed, and each round is timed.  No store, no
+workers: the board alone, as the holder of a shard decides on it.
+"""
+
+import argparse
+import resource
+import statistics
+import sys
+import time
+import typing
+
+from primroselock.decisions import fleet
+from primroselock.decisions import fleetround
+from primroselock.decisions import graphs
+from primroselock.decisions import runs
+from primroselock import jobgraph
+from primroselock import options
+from primroselock import queues
+
+_TASKS_PER_JOB: typing.Final = 40
+_ROOM: typing.Final = jobgraph.Resources(64_000, 262_144, 32)
+_NEED: typing.Final = jobgraph.Resources(1_000, 1_000, 1)
+_QUEUES: typing.Final = (
+    queues.Queue('urgent', 'host', '/urgent/', 'svc', 0, 4, 1.5, 0.25),
+    queues.Queue('bulk', 'host', '/bulk/', 'svc', 2, 4, 3.0, 3.0),
+)
+_SETTINGS: typing.Final = """
+[process]
+vm_id = entry-1
+zone = a
+[platform]
+address = 127.0.0.1:9
+[mesh]
+bind = 127.0.0.1:0
+"""
+_MB: typing.Final = 1024
+
+
+def build_board(workers: int) -> fleet.Board:
+    """Return a board of empty workers, eight in a rack."""
+    table = queues.QueueTable(
+        1, _QUEUES, {'acme': queues.QueueAccount('acme', frozenset(), 64)}
+    )
+    # No lease runs out: nothing renews them here.
+    board = fleet.Board(epoch=1, table=table, inherited_until=float('inf'))
+    for number in range(workers):
+        rack = f'r{number // 8}'
+        entry = fleet.WorkerEntry(
+            f'w{number}', 'svc', f'w{number}:1', 'a', rack, (rack,), _ROOM
+        )
+        board.record_entry(entry, 0.0)
+    for worker in board.workers_by_id.values():
+        worker.looked_at = worker.heard_at = 0.0
+    return board
+
+
+def add_job(
+    board: fleet.Board, name: str, queue: str, tasks: int, now: float
+) -> None:
+    """Add a job of single tasks."""
+    step = jobgraph.Step(tasks, _NEED, 600_000)
+    graph = jobgraph.JobGraph(
+        name, 'acme', queue, '', (step,), int(now * 1000)
+    )
+    graphs.add_job(board, graph, None, 0, now, int(now * 1000))
+
+
+def run_placed(board: fleet.Board, now: float) -> None:
+    """Let all that was placed run, as if stored and started."""
+    for job in board.jobs_by_id.values():
+        job.saved = job.change
+        for group in job.groups_by_key.values():
+            if group.phase is fleet.Phase.COMMITTING:
+                group.enter(fleet.Phase.STARTING, now)
+                for member in group.members:
+                    runs.set_present(board, member, now)
+    board.take_notes()
+    board.take_orders()
+
+
+def time_round(
+    board: fleet.Board, settings: options.Settings, now: float
+) -> float:
+    """Run one round; return how long it took, in milliseconds."""
+    started = time.perf_counter()
+    fleetround.run(board, settings, now, now)
+    return (time.perf_counter() - started) * 1000
+
+
+def main() -> int:
+    """Measure and print."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--workers', type=int, default=2170)
+    parser.add_argument('--tasks', type=int, default=57_000)
+    parser.add_argument('--rounds', type=int, default=20)
+    parsed = parser.parse_args()
+    settings = options.parse(_SETTINGS, 'largefleet').unwrap()
+    board = build_board(parsed.workers)
+    now = 1.0
+    for number in range(parsed.tasks // _TASKS_PER_JOB):
+        add_job(board, f'j{number}', 'bulk', _TASKS_PER_JOB, now)
+    first_ms = []
+    while board.phases.waiting:
+        first_ms.append(time_round(board, settings, now))
+        run_placed(board, now)
+        now += 0.01
+    print(
+        f'{parsed.tasks} tasks placed in {len(first_ms)} rounds: '
+        f'{sum(first_ms):.0f} ms, most {max(first_ms):.0f} ms'
+    )
+    steady_ms = []
+    for number in range(parsed.rounds):
+        now += 0.25
+        add_job(board, f'u{number}', 'urgent', 1, now)
+        steady_ms.append(time_round(board, settings, now))
+        run_placed(board, now)
+    peak_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    print(
+        f'steady round with one job placed: median '
+        f'{statistics.median(steady_ms):.1f} ms, most {max(steady_ms):.1f} ms'
+    )
+    print(f'memory {peak_kb // _MB} MB')
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
