Reverted: empty workers kept for urgent work

Tried: single tasks with over 3 s of slack left as many empty workers alone as urgent work had taken in 1.5 s of late (a quarter at most), so that urgent work would find room in place of having other work stopped. Conclusion: reverted.

--- a/primroselock/decisions/fitting.py
+++ b/primroselock/decisions/fitting.py
@@ -97,10 +97,6 @@
         default_factory=speeds.Speeds
     )
 
-    def is_empty(self, worker: fleet.Worker) -> bool:
-        """Whether nothing is placed on the worker."""
-        return self.free_by_id[worker.id] == worker.entry.capacity
-
     def slowness(self, worker_id: str, group: fleet.Group) -> float:
         """Return a class of speed for the group: 0 is fast enough.
 
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -17,7 +17,6 @@
 import typing
 
 from primroselock.decisions import evidence
-from primroselock.decisions import headroom
 from primroselock.decisions import learnedtimes
 from primroselock.decisions import runprogress
 from primroselock.decisions import speeds
@@ -459,9 +458,6 @@
     learned: learnedtimes.LearnedTimes = dataclasses.field(
         default_factory=learnedtimes.LearnedTimes
     )
-    urgent_demand: headroom.UrgentDemand = dataclasses.field(
-        default_factory=headroom.UrgentDemand
-    )
     worker_speeds: speeds.Speeds = dataclasses.field(
         default_factory=speeds.Speeds
     )
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -26,9 +26,6 @@
 _MOST_PLACED: typing.Final = 1000
 """Groups a round: leases must be renewed between rounds."""
 
-_PATIENT_S: typing.Final = 3.0
-"""Work with more slack than this leaves empty workers to urgent work."""
-
 _CLAIM_REVIEW_S: typing.Final = 1.0
 """Room that should be free by then is chosen anew."""
 
@@ -271,12 +268,9 @@
         )
     )
 
-    kept_ids = _kept_empty(board, settings, rooms, group, covered, now, wall_s)
-
     def allow(worker: fleet.Worker) -> bool:
         return (
             worker.id not in foreign
-            and worker.id not in kept_ids
             and worker.id not in group.stuck_on_ids
             and worker.entry.service == queue.service
             and fitting.fits_ever(worker, group.step)
@@ -292,7 +286,7 @@
         ),
         group.step,
     )
-    is_plain = not (kept_ids or group.stuck_on_ids or queue.advice)
+    is_plain = not (group.stuck_on_ids or queue.advice)
     placed = fitting.place(
         board, rooms, group, allow, rank if is_plain else None
     )
@@ -309,35 +303,6 @@
     return False
 
 
-def _kept_empty(
-    board: fleet.Board,
-    settings: options.Settings,
-    rooms: fitting.Rooms,
-    group: fleet.Group,
-    covered: abc.Set[str],
-    now: float,
-    wall_s: float,
-) -> abc.Set[str]:
-    """Return the empty workers that the group leaves to urgent work."""
-    if not settings.fleet.keep_headroom or group.size > 1:
-        return frozenset()
-    if waiting.is_covered(group, covered, wall_s):
-        return frozenset()
-    if waiting.priority(group.job) == waiting.URGENT:
-        return frozenset()
-    if objectives.slack_s(group, wall_s) < _PATIENT_S:
-        return frozenset()
-    count = board.urgent_demand.workers_to_keep(len(rooms.free_by_id), now)
-    if not count:
-        return frozenset()
-    empty_ids = {
-        worker_id
-        for worker_id in rooms.free_by_id
-        if rooms.is_empty(board.workers_by_id[worker_id])
-    }
-    return empty_ids if len(empty_ids) <= count else frozenset()
-
-
 def _is_due(claim: fleet.Claim | None, now: float) -> bool:
     """Whether room has to be chosen: none is claimed, or it did not come."""
     return claim is None or now - claim.since > _CLAIM_REVIEW_S
@@ -363,13 +328,6 @@
         group.members.append(member)
         worker.put(member)
     job = group.job
-    if waiting.priority(job) == waiting.URGENT:
-        need = group.step.counted_need
-        taken = sum(
-            need.share_of(board.workers_by_id[worker_id].entry.capacity)
-            for worker_id in worker_ids
-        )
-        board.urgent_demand.record(taken, now)
     if job.state is jobs.JobState.WAITING:
         job.state = jobs.JobState.RUNNING
     board.note(
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -47,19 +47,6 @@
             and need.accelerators <= self.accelerators
         )
 
-    def share_of(self, whole: 'Resources') -> float:
-        """Return the largest share that this amount takes of ``whole``."""
-        shares = [
-            amount / available
-            for amount, available in (
-                (self.cpu_millis, whole.cpu_millis),
-                (self.memory_mb, whole.memory_mb),
-                (self.accelerators, whole.accelerators),
-            )
-            if available > 0
-        ]
-        return max(shares, default=0.0)
-
     def times_held(self, need: 'Resources') -> int:
         """Return how often ``need`` fits into this amount."""
         counts = [
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -175,8 +175,7 @@
     ``far_factor`` times as long.
 
     Gangs that wait may keep other work off up to ``claim_share`` of the
-    workers; with ``keep_headroom`` single tasks leave some empty workers
-    to urgent work that is about to come.
+    workers.
     """
 
     shard: str = ini.key('name', 'fleet')
@@ -188,7 +187,6 @@
     placement: str = ini.key('name', 'best_fit')
     reclaim: str = ini.key('name', 'urgent')
     claim_share: float = ini.key('share', 0.5)
-    keep_headroom: bool = ini.key('boolean', True)
     run_lease_s: float = ini.key('seconds', 10.0)
     longest_wait_s: float = ini.key('seconds', 2.0)
     order_timeout_s: float = ini.key('seconds', 0.4)
--- a/primroselock/test/testheavydays.py
+++ b/primroselock/test/testheavydays.py
@@ -23,11 +23,6 @@
 claim_share = 0
 """
 
-_NO_HEADROOM: typing.Final = """
-[fleet]
-keep_headroom = false
-"""
-
 
 class LoadTest(unittest.TestCase):
     """One pattern of load a test."""
@@ -79,28 +74,6 @@
         self.assertEqual(0.0, _play(scenario, '', workers=8))
         self.assertGreater(_play(scenario, _NO_CLAIMS, workers=8), 0.0)
 
-    def test_urgent_gangs_that_keep_coming_among_single_tasks(self) -> None:
-        """Room is kept for them, so that less work is thrown away."""
-
-        async def scenario(world: fleetbuilders.World) -> float:
-            gang = fleetbuilders.build_step(2, 8, 1000, gang=True)
-            bulk = fleetbuilders.build_step(8, 1, 6000)
-            for second in range(20):
-                world.submit(
-                    fleetbuilders.build_graph(
-                        f'u{second}', gang, queue='urgent'
-                    )
-                )
-                for number in range(3):
-                    job_id = f'b{second}-{number}'
-                    world.submit(fleetbuilders.build_graph(job_id, bulk))
-                await asyncio.sleep(1.0)
-            return float(_preemptions(world))
-
-        kept = _play(scenario, '', workers=16)
-        unkept = _play(scenario, _NO_HEADROOM, workers=16)
-        self.assertLess(kept, unkept / 2)
-
     def test_guaranteed_work_while_everything_is_borrowed(self) -> None:
         """Work within its guarantee begins within the reclaim bound."""
 
