--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -299,7 +299,7 @@
             board, rooms, group, allow, covered, now
         )
         if not found and _may_claim_soonest(board, settings, group, wall_s):
-            _claim_soonest(board, rooms, group, allow, covered, now)
+            _claim_soonest(board, rooms, group, allow, rank, now)
     return False
 
 
@@ -347,12 +347,8 @@
     allow: fitting.Allow,
     covered: abc.Set[str],
     now: float,
-    most_lost_s: float = float('inf'),
 ) -> bool:
-    """Stop other work for a group; return whether that makes room.
-
-    Nothing is stopped if over ``most_lost_s`` core-seconds were lost.
-    """
+    """Stop other work for a group; return whether that makes room."""
     rank = waiting.rank(group, covered)
 
     def may_stop(other: fleet.Group) -> bool:
@@ -361,7 +357,7 @@
     chosen = reclaiming.choose_victims(
         board, rooms, group, allow, may_stop, now
     )
-    if chosen is None or chosen.cost > most_lost_s:
+    if chosen is None:
         return False
     _claim(board, rooms, group, chosen.worker_ids, rank, now)
     for victim in chosen.victims:
@@ -420,21 +416,12 @@
     rooms: fitting.Rooms,
     group: fleet.Group,
     allow: fitting.Allow,
-    covered: abc.Set[str],
+    rank: tuple[bool, int],
     now: float,
 ) -> None:
-    """Claim the workers that are free soonest, or make them free at once.
-
-    The latter where less work is thrown away than would be left undone
-    while what is free already waits for the rest.
-    """
     chosen = reclaiming.choose_soonest(board, rooms, group, allow, now)
     if chosen is None:
         return
-    most_lost = reclaiming.idle_work_s(board, group, chosen)
-    if _reclaim(board, rooms, group, allow, covered, now, most_lost):
-        return
-    rank = waiting.rank(group, covered)
     if group not in board.claims_by_group:
         board.note(
             'room claimed',
--- a/primroselock/decisions/reclaiming.py
+++ b/primroselock/decisions/reclaiming.py
@@ -24,9 +24,6 @@
 """Work that saves its progress does so this often, and when stopped."""
 
 _RESTART_COST_S: typing.Final = 0.3
-_GANG_RESTART_COST_S: typing.Final = 3.0
-"""A gang has to find room for all its members at once again."""
-
 _ENDS_SOON_S: typing.Final = 0.5
 """About what a stop takes: work that ends by then is not stopped."""
 
@@ -212,22 +209,6 @@
     return None
 
 
-def idle_work_s(
-    board: fleet.Board, group: fleet.Group, claimed: Choice
-) -> float:
-    """Return the core-seconds that stand idle on claimed workers.
-
-    What is free there waits for the rest, which comes in ``claimed.cost``
-    seconds.  An accelerator counts as eight cores.
-    """
-    need = cores(group.step.counted_need)
-    held = sum(
-        min(cores(board.workers_by_id[worker_id].free), need)
-        for worker_id in claimed.worker_ids
-    )
-    return held * claimed.cost
-
-
 def lost_work_s(group: fleet.Group, now: float) -> float:
     """Return the core-seconds that stopping a group throws away.
 
@@ -240,8 +221,7 @@
     worked_s = group.worked_s(now)
     if group.step.checkpointing:
         worked_s = min(worked_s, _LONGEST_UNSAVED_S)
-    restart_s = _GANG_RESTART_COST_S if group.size > 1 else _RESTART_COST_S
-    ran_s = restart_s + worked_s
+    ran_s = _RESTART_COST_S + worked_s
     is_urgent = waiting.priority(group.job) == waiting.URGENT
     urgency = _URGENT_FACTOR if is_urgent else 1.0
     return ran_s * group.size * cores(group.step.need) * urgency
