SIGHUP: the settings are read anew, checked, and what changed is told

Cause: a signal after a change of the settings file was logged and nothing more, so that a wrong file showed only at the next start. Each part gets its settings whole when the process starts, so that a change applies at the next start; the line now names the values that changed, or each problem. Ruled out: swapping settings under running parts (addresses and leases of one life must not differ). Three tests; one more for readiness by reach, which fails without `is_reached` in `is_ready`.

--- a/primroselock/fleetnode.py
+++ b/primroselock/fleetnode.py
@@ -86,6 +86,7 @@
 
     def __init__(self, settings: options.Settings, parts: Adapter) -> None:
         self._settings = settings
+        self._load_settings = parts.load_settings
         self.metrics = metrics.Metrics()
         self._store = parts.build_store(settings, 'work', 12)
         self._feeds = parts.build_store(settings, 'feeds', 4)
@@ -144,7 +145,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         servers = [
             _serve(self._front, self._settings.fleet.bind),
             _serve(_ReadyApp(self), self._settings.fleet.ready_bind),
@@ -175,8 +176,27 @@
                 _log.error('loop ended', exc_info=task.exception())
         await self._leave(servers, loops)
 
-    def _reload(self) -> None:
-        _log.info('reload asked for', effect='settings apply at a start')
+    def reload(self) -> None:
+        """Read the settings anew and tell what changed.
+
+        Addresses, limits and bounds are handed whole to each part when the
+        process starts, so that a change applies at its next start.
+        """
+        try:
+            fresh = self._load_settings()
+        except errors.CommandError as error:
+            _log.error(
+                'settings not valid',
+                problems=error.lines,
+                effect='the earlier settings stay in force',
+            )
+            return
+        changed = options.list_changes(self._settings, fresh)
+        _log.info(
+            'settings read',
+            changed=changed,
+            effect='at the next start' if changed else 'none',
+        )
 
     async def _leave(
         self,
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -234,6 +234,17 @@
 }
 
 
+def list_changes(old: Settings, new: Settings) -> list[str]:
+    """Return the names of the values that differ, ``section.key`` each."""
+    return [
+        f'{section}.{field.name}'
+        for section, section_class in _CLASSES_BY_SECTION.items()
+        for field in dataclasses.fields(section_class)
+        if getattr(getattr(old, section), field.name)
+        != getattr(getattr(new, section), field.name)
+    ]
+
+
 def parse(
     text: str, source: str
 ) -> result.Result[Settings, list[ini.Problem]]:
--- /dev/null
+++ b/primroselock/test/testnode.py
@@ -0,0 +1,85 @@
+"""The composed node: reload of its settings, and when it is ready."""
+
+import dataclasses
+import typing
+import unittest
+from unittest import mock
+
+from structlog import testing
+
+from primroselock import clock
+from primroselock import errors
+from primroselock import fleetnode
+from primroselock import options
+from primroselock.platform import adapter
+from primroselock.platform import settings
+from primroselock.store import following
+from primroselock.store import table
+from primroselock.test import fleetbuilders
+
+
+class NodeTest(unittest.IsolatedAsyncioTestCase):
+    """A node of the platform's adapter; nothing is connected."""
+
+    def setUp(self) -> None:
+        self.next_settings: options.Settings | errors.CommandError = (
+            self.parse(fleetbuilders.BOOT)
+        )
+        parts = dataclasses.replace(adapter.make(), load_settings=self.load)
+        self.node = fleetnode.Node(self.load(), parts)
+
+    @staticmethod
+    def parse(text: str) -> options.Settings:
+        """Return the settings of a boot file."""
+        return settings.parse(text, 'boot').unwrap()
+
+    def load(self) -> options.Settings:
+        """Read what stands in the place of the settings file."""
+        if isinstance(self.next_settings, errors.CommandError):
+            raise self.next_settings
+        return self.next_settings
+
+    def reload(self) -> typing.Any:
+        """Reload and return the line that was logged."""
+        with testing.capture_logs() as lines:
+            self.node.reload()
+        (line,) = lines
+        return line
+
+    def test_a_reload_without_changes_says_so(self) -> None:
+        line = self.reload()
+        self.assertEqual('settings read', line['event'])
+        self.assertEqual([], line['changed'])
+
+    def test_a_reload_names_what_changed(self) -> None:
+        text = fleetbuilders.BOOT.replace(
+            'hold_max_ms=10000', 'hold_max_ms=9000'
+        )
+        self.next_settings = self.parse(text)
+        line = self.reload()
+        self.assertEqual(['fleet.run_lease_s'], line['changed'])
+
+    def test_settings_that_are_wrong_change_nothing(self) -> None:
+        self.next_settings = errors.CommandError(
+            errors.ExitCode.USAGE, 'boot: zone: expected a value'
+        )
+        line = self.reload()
+        self.assertEqual('error', line['log_level'])
+        self.assertEqual(('boot: zone: expected a value',), line['problems'])
+
+    def test_a_node_is_ready_while_it_reaches_the_operators_rows(
+        self,
+    ) -> None:
+        now = clock.monotonic()
+        self.node.intake.set_table(fleetbuilders.TABLE, lambda: now)
+        self.assertFalse(self.node.is_ready(now))
+        self.node._shard._take(table.Changes((), (), 1), now)
+        self.assertTrue(self.node.is_ready(now))
+        with mock.patch.object(
+            following.TableFollower, 'is_reached', new=False
+        ):
+            self.assertFalse(self.node.is_ready(now))
+
+
+if __name__ == '__main__':
+    unittest.main()
