Tasks that are to end are cancelled until they have ended

A daemon cancels its loops once and waits for all; the HTTP client uses `asyncio.wait_for`, which in Python 3.11 may swallow a cancellation that comes together with the answer, and then the wait never ends. In the node the same would leave a holder that lost its shard waiting for its writer, and no longer standing by.

Ruled out: the signal handler (in place before the daemon says that it listens); the server's own handlers (left to the daemon). Test: a task that swallows one cancellation ends within a second.

--- a/primroselock/fleetnode.py
+++ b/primroselock/fleetnode.py
@@ -23,6 +23,7 @@
 from primroselock import sockets
 from primroselock.store import following
 from primroselock.store import table
+from primroselock import waits
 from primroselock.workers import orders
 
 _log: typing.Final = logs.get('node')
@@ -216,9 +217,7 @@
             server.should_exit = True
         serving = loops[-len(servers) :]
         await asyncio.wait(serving, timeout=self._settings.fleet.leaving_s)
-        for task in loops:
-            task.cancel()
-        await asyncio.gather(*loops, return_exceptions=True)
+        await waits.cancel_tasks(loops)
         await self._link.aclose()
         await self._adviser.aclose()
         await self._store.aclose()
--- a/primroselock/gateway.py
+++ b/primroselock/gateway.py
@@ -28,6 +28,7 @@
 from primroselock import servicesapi
 from primroselock import sockets
 from primroselock.store import keys
+from primroselock import waits
 
 _BACKLOG: typing.Final = 2048
 _SWEEP_PAGE_ROWS: typing.Final = 1000
@@ -250,8 +251,7 @@
         server.should_exit = True
         await serving
         await _drain(carried.keyed, settings)
-        for loop in loops:
-            loop.cancel()
+        await waits.cancel_tasks(loops)
     await carried.router.aclose()
     await shared.aclose()
     _log.info('stopped')
--- a/primroselock/holder.py
+++ b/primroselock/holder.py
@@ -306,9 +306,7 @@
             self._advisor.cancel()
             self._lookers.cancel()
             self._orders.cancel()
-            for task in loops:
-                task.cancel()
-            await asyncio.gather(*loops, return_exceptions=True)
+            await waits.cancel_tasks(loops)
 
     async def _renew(self) -> None:
         interval_s = self._settings.scheduler.shard_renew_interval_s
--- a/primroselock/scheduler.py
+++ b/primroselock/scheduler.py
@@ -325,7 +325,6 @@
         await runner.leave()
         server.should_exit = True
         await serving
-        for loop in loops:
-            loop.cancel()
+        await waits.cancel_tasks(loops)
     await shared.aclose()
     _log.info('stopped')
--- /dev/null
+++ b/primroselock/test/testwaits.py
@@ -0,0 +1,79 @@
+"""Waits that end in time, also where a cancellation is swallowed."""
+
+import asyncio
+import unittest
+
+from primroselock import clock
+from primroselock.test import virtualtime
+from primroselock import waits
+
+
+class WaitEventTest(unittest.TestCase):
+    """Waiting for an event, at most for a time."""
+
+    def test_it_ends_with_the_event_or_the_time(self) -> None:
+        async def scenario(virtual: virtualtime.VirtualClock) -> None:
+            event = asyncio.Event()
+            started = clock.monotonic()
+            await waits.wait_event(event, 2.0)
+            self.assertAlmostEqual(2.0, clock.monotonic() - started, 2)
+            event.set()
+            await waits.wait_event(event, 2.0)
+            self.assertAlmostEqual(2.0, clock.monotonic() - started, 2)
+            self.assertFalse(event.is_set())
+
+        virtualtime.run(scenario)
+
+    def test_a_cancellation_that_comes_with_the_event_counts(self) -> None:
+        async def scenario(virtual: virtualtime.VirtualClock) -> None:
+            event = asyncio.Event()
+            task = asyncio.create_task(waits.wait_event(event, 2.0))
+            await asyncio.sleep(0.1)
+            event.set()
+            task.cancel()
+            with self.assertRaises(asyncio.CancelledError):
+                await task
+
+        virtualtime.run(scenario)
+
+
+class CancelTasksTest(unittest.TestCase):
+    """Every task ends, whatever becomes of the first cancellation."""
+
+    def test_a_task_that_swallows_a_cancellation_ends_too(self) -> None:
+        swallowed: list[bool] = []
+
+        async def stubborn() -> None:
+            while True:
+                try:
+                    await asyncio.sleep(60.0)
+                except asyncio.CancelledError:
+                    if swallowed:
+                        raise
+                    swallowed.append(True)
+
+        async def plain() -> None:
+            await asyncio.sleep(60.0)
+
+        async def scenario(virtual: virtualtime.VirtualClock) -> None:
+            tasks = [
+                asyncio.create_task(stubborn()),
+                asyncio.create_task(plain()),
+            ]
+            await asyncio.sleep(0.1)
+            started = clock.monotonic()
+            await waits.cancel_tasks(tasks)
+            self.assertTrue(all(task.done() for task in tasks))
+            self.assertLess(clock.monotonic() - started, 1.0)
+
+        virtualtime.run(scenario)
+
+    def test_none_need_no_wait(self) -> None:
+        async def scenario(virtual: virtualtime.VirtualClock) -> None:
+            await waits.cancel_tasks([])
+
+        virtualtime.run(scenario)
+
+
+if __name__ == '__main__':
+    unittest.main()
