Shard lease of 1.5 s; states are told until a key may be taken no more

The bound for keys is 5.0 s from the acknowledgement; a call that is admitted at an age of 4.6 s was sent before that. In a gap of the holder urgent jobs have 1.5 s of slack, and a takeover took 2.0 s and more.

Ruled out for the lease: takeovers without cause (a takeover is conditional on the versions of lease and epoch rows; renewals come each 0.35 s, and a store that answers in 0.2 s leaves three tries).

--- a/primroselock/decisions/advising.py
+++ b/primroselock/decisions/advising.py
@@ -10,6 +10,7 @@
 
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
+from primroselock.decisions import tickets
 
 _MOST_ASKED: typing.Final = 30
 _LEAST_VALID_S: typing.Final = 0.5
@@ -49,7 +50,7 @@
     queue = group.job.queue
     assert queue is not None and queue.advice is not None
     known = board.advice_by_step.setdefault(
-        group.step_name, fleet.StepAdvice()
+        group.step_name, tickets.StepAdvice()
     )
     if now < known.ask_after:
         return None
@@ -73,7 +74,7 @@
 
 
 def _is_worth_asking(
-    known: fleet.StepAdvice, worker_id: str, now: float
+    known: tickets.StepAdvice, worker_id: str, now: float
 ) -> bool:
     if worker_id in known.refused_ids:
         return False
@@ -88,20 +89,24 @@
     valid_until: float,
 ) -> None:
     """Take over what the service said."""
-    known = board.advice_by_step.setdefault(question.step, fleet.StepAdvice())
+    known = board.advice_by_step.setdefault(
+        question.step, tickets.StepAdvice()
+    )
     for worker_id in question.worker_ids:
         text = tickets_by_worker_id.get(worker_id)
         if text is None:
             known.refused_ids.add(worker_id)
         else:
-            known.tickets_by_worker_id[worker_id] = fleet.Ticket(
+            known.tickets_by_worker_id[worker_id] = tickets.Ticket(
                 text, valid_until
             )
 
 
 def record_silence(board: fleet.Board, question: Question, now: float) -> None:
     """Ask again later: the service did not answer."""
-    known = board.advice_by_step.setdefault(question.step, fleet.StepAdvice())
+    known = board.advice_by_step.setdefault(
+        question.step, tickets.StepAdvice()
+    )
     known.ask_after = now + _RETRY_S
 
 
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -20,6 +20,7 @@
 from primroselock.decisions import learnedtimes
 from primroselock.decisions import runprogress
 from primroselock.decisions import speeds
+from primroselock.decisions import tickets
 from primroselock import jobgraph
 from primroselock import jobs
 from primroselock import queues
@@ -104,28 +105,6 @@
     number: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ticket:
-    """Lets a worker run a step until ``valid_until``."""
-
-    text: str
-    valid_until: float
-
-
-@dataclasses.dataclass(slots=True)
-class StepAdvice:
-    """What is known of the workers that may run a step.
-
-    Nothing is asked before ``ask_after``.
-    """
-
-    tickets_by_worker_id: dict[str, Ticket] = dataclasses.field(
-        default_factory=dict
-    )
-    refused_ids: set[str] = dataclasses.field(default_factory=set)
-    ask_after: float = _NEVER
-
-
 @dataclasses.dataclass(slots=True, eq=False)
 class Member:
     """One task of an attempt on its worker.
@@ -449,7 +428,7 @@
     claims_by_group: dict[Group, Claim] = dataclasses.field(
         default_factory=dict
     )
-    advice_by_step: dict[StepName, StepAdvice] = dataclasses.field(
+    advice_by_step: dict[StepName, tickets.StepAdvice] = dataclasses.field(
         default_factory=dict
     )
     failure_evidence: evidence.Evidence = dataclasses.field(
--- a/primroselock/platform/settings.py
+++ b/primroselock/platform/settings.py
@@ -19,6 +19,10 @@
 _METRICS_PORT_OFFSET: typing.Final = 0
 _MESH_PORT_OFFSET: typing.Final = 1
 _MS: typing.Final = 1000
+_PERMIT_MARGIN_S: typing.Final = 0.4
+"""For clocks that differ in speed, and the time from check to answer."""
+
+_LEAST_PERMIT_S: typing.Final = 0.5
 _SHARE_OF_CALLS: typing.Final = 0.25
 """Of the store's calls a second, for one connection pool of a node."""
 
@@ -71,7 +75,9 @@
     def sections(self) -> dict[str, dict[str, str]]:
         """Return the product's sections.
 
-        ``hold_max_ms`` is the longest lease of a run.
+        ``hold_max_ms`` is the longest lease of a run; ``revoke_ms`` is how
+        long a key may still be taken after it was taken away, by nodes
+        that are cut off as well.
         """
         writes = self._number('platform.writes_per_s', 600)
         return {
@@ -86,8 +92,8 @@
             },
             'mesh': {'bind': self._own_port(_MESH_PORT_OFFSET)},
             'scheduler': {
-                'shard_lease_s': '2.0',
-                'shard_renew_interval_s': '0.5',
+                'shard_lease_s': '1.5',
+                'shard_renew_interval_s': '0.35',
             },
             'fleet': {
                 'bind': self._required('listen.front'),
@@ -96,6 +102,7 @@
                 'advice': self._values.get('advice', ''),
                 'run_lease_s': self._seconds('bounds.hold_max_ms', 10000),
                 'far_factor': f'{self._number("bounds.far_x", 3):g}',
+                'serve_permit_s': f'{self._serve_permit_s():g}',
             },
         }
 
@@ -121,6 +128,11 @@
     def _seconds(self, name: str, default_ms: float) -> str:
         return f'{self._number(name, default_ms) / _MS:g}'
 
+    def _serve_permit_s(self) -> float:
+        """Return how old the operators' rows may be for calls."""
+        bound_s = self._number('bounds.revoke_ms', 5000) / _MS
+        return max(_LEAST_PERMIT_S, bound_s - _PERMIT_MARGIN_S)
+
     def _own_port(self, offset: int) -> str:
         """Return an address between nodes: one of the free ports."""
         first = self._values.get('port_range', '').partition(',')[0]
