--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -124,9 +124,22 @@
             for run in list(worker.runs):
                 worker.add_end(run, orders.EndCause.LAPSED)
         for live in list(worker.runs.values()):
-            if live.ends_at <= now and not worker.stands_still:
+            if not worker.stands_still and self._is_due(live, now):
                 self._end(worker, live)
 
+    def _is_due(self, live: LiveRun, now: float) -> bool:
+        """Whether a run ends; a gang does with its slowest member."""
+        if live.ends_at > now:
+            return False
+        if not live.step.gang or live.cause is orders.EndCause.FAILED:
+            return True
+        return all(
+            other.ends_at <= now
+            for worker in self.workers_by_id.values()
+            for run, other in worker.runs.items()
+            if _same_gang(run, live.run)
+        )
+
     def _end(self, worker: FakeWorker, live: LiveRun) -> None:
         task = live.run.task
         worker.add_end(live.run, live.cause)
