--- a/primroselock/decisions/fitting.py
+++ b/primroselock/decisions/fitting.py
@@ -27,6 +27,9 @@
 
 Allow = abc.Callable[[fleet.Worker], bool]
 Score = abc.Callable[[fleet.Worker, jobgraph.Resources], tuple[float, ...]]
+Rank = tuple[bool, int]
+"""How urgent a group is; lower ranks go first."""
+
 
 scores_by_name: typing.Final[dict[str, Score]] = {}
 
@@ -66,9 +69,6 @@
     return amount / whole if whole else 0.0
 
 
-Rank = tuple[bool, int]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Shape:
     """What decides whether a single task finds room in a round."""
@@ -97,6 +97,19 @@
         default_factory=speeds.Speeds
     )
 
+    full_shapes: set[_Shape] = dataclasses.field(default_factory=set)
+    last_by_step: dict[fleet.StepName, str] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def take(self, worker_id: str, need: jobgraph.Resources) -> None:
+        """Take room out of the draft."""
+        self.free_by_id[worker_id] = self.free_by_id[worker_id].plus(need, -1)
+
+    def give(self, worker_id: str, need: jobgraph.Resources) -> None:
+        """Return room to the draft."""
+        self.free_by_id[worker_id] = self.free_by_id[worker_id].plus(need)
+
     def slowness(self, worker_id: str, group: fleet.Group) -> float:
         """Return a class of speed for the group: 0 is fast enough.
 
@@ -111,19 +124,6 @@
             return float(round(-math.log(speed) / _CLASS_WIDTH))
         return 0.0
 
-    full_shapes: set[_Shape] = dataclasses.field(default_factory=set)
-    last_by_step: dict[fleet.StepName, str] = dataclasses.field(
-        default_factory=dict
-    )
-
-    def take(self, worker_id: str, need: jobgraph.Resources) -> None:
-        """Take room out of the draft."""
-        self.free_by_id[worker_id] = self.free_by_id[worker_id].plus(need, -1)
-
-    def give(self, worker_id: str, need: jobgraph.Resources) -> None:
-        """Return room to the draft."""
-        self.free_by_id[worker_id] = self.free_by_id[worker_id].plus(need)
-
 
 def fits_ever(worker: fleet.Worker, step: jobgraph.Step) -> bool:
     """Whether the worker could hold a task of the step when empty."""
