Much work is not thrown away for little, unless it is guaranteed

Changed: a group that no guarantee covers has other work stopped only where the loss is at most six times its own work; else it claims the workers that become free soonest, or waits.

Ruled out: raising what urgent victims cost (they are not the ones that were stopped). The test fails without the bound.

--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -220,6 +220,10 @@
     )
     if chosen is None:
         return False
+    is_guaranteed = waiting.is_covered(group, view.covered, view.wall_s)
+    most_s = reclaiming.most_to_lose_s(board, group)
+    if chosen.cost > most_s and not is_guaranteed:
+        return False
     _claim(view, group, chosen.worker_ids)
     for victim in chosen.victims:
         if victim.phase is fleet.Phase.STOPPING:
--- a/primroselock/decisions/reclaiming.py
+++ b/primroselock/decisions/reclaiming.py
@@ -28,6 +28,9 @@
 """About what a stop takes: work that ends by then is not stopped."""
 
 _URGENT_FACTOR: typing.Final = 6.0
+_MOST_LOST_FACTOR: typing.Final = 6.0
+"""Work thrown away may be so many times what it makes room for."""
+
 _MS_PER_S: typing.Final = 1000.0
 
 
@@ -227,6 +230,18 @@
     return ran_s * group.size * cores(group.step.need) * urgency
 
 
+def most_to_lose_s(board: fleet.Board, group: fleet.Group) -> float:
+    """Return the core-seconds that may be thrown away for a group.
+
+    Guaranteed work is not bound by it.
+    """
+    expected_s = board.learned.expected_s(
+        group.job.graph.queue, group.step.expected_ms / _MS_PER_S
+    )
+    own_s = expected_s * group.size * cores(group.step.need)
+    return own_s * _MOST_LOST_FACTOR
+
+
 def ends_soon(group: fleet.Group, now: float) -> bool:
     """Whether a group ends by itself in about the time that a stop takes."""
     remaining_s = group.remaining_s(now)
--- a/primroselock/test/testheavydays.py
+++ b/primroselock/test/testheavydays.py
@@ -74,6 +74,29 @@
         unclaimed_s = fleetbuilders.play(scenario, 8, _NO_CLAIMS)
         self.assertLess(thrown_s, unclaimed_s)
 
+    def test_small_urgent_work_beside_a_gang_that_has_done_much(self) -> None:
+        """Much work is not thrown away for little, unless guaranteed."""
+
+        async def scenario(world: fleetbuilders.World) -> float:
+            gang = fleetbuilders.build_step(4, 8, 40_000, gang=True)
+            world.submit(
+                fleetbuilders.build_graph(
+                    'gang', gang, queue='batch', account='merch'
+                )
+            )
+            await asyncio.sleep(20.0)
+            step = fleetbuilders.build_step(3, 8, 1000, gang=True)
+            graph = fleetbuilders.build_graph('u', step, queue='urgent')
+            world.submit(graph)
+            await asyncio.sleep(10.0)
+            self.assertEqual('waiting', world.state('u'))
+            small = fleetbuilders.build_step(2, 8, 1000, gang=True)
+            graph = fleetbuilders.build_graph('g', small, queue='urgent')
+            world.submit(graph)
+            return await world.wait_for('g', 'done', 60.0)
+
+        self.assertLess(fleetbuilders.play(scenario, 4), 2.0)
+
     def test_guaranteed_work_while_everything_is_borrowed(self) -> None:
         """Work within its guarantee begins within the reclaim bound."""
 
