A failure that is told again after a takeover is counted once

The log: a gang's task failed at 2.99 s, the holder stored one failure and died before it confirmed the end; the worker told the end to the successor, which counted it again, twice in a row over two takeovers, so that the job failed with two failures of four allowed... counted as three. Changed: rows tell up to which attempt failures are counted; an attempt counts once. Rows of earlier code read as before (the field is last, default 0).

The test fails before: 2 failures in place of 1.

--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -147,6 +147,7 @@
     since: float
     attempt: int = 0
     failures: int = 0
+    failed_attempt: int = 0
     checkpoint: str = ''
     members: list[Member] = dataclasses.field(default_factory=list)
     ending: Ending | None = None
--- a/primroselock/decisions/graphs.py
+++ b/primroselock/decisions/graphs.py
@@ -76,6 +76,7 @@
             continue
         group.attempt = record.attempt
         group.failures = record.failures
+        group.failed_attempt = record.failed_attempt
         group.checkpoint = record.checkpoint
         group.is_resumed = True
         if record.phase is jobgraph.GroupPhase.DONE:
@@ -273,6 +274,7 @@
             )
             if group.phase in fleet.ACTIVE_PHASES
             else (),
+            group.failed_attempt,
         )
         for key, group in job.groups_by_key.items()
         if group.attempt
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -268,9 +268,11 @@
     if group.phase not in fleet.ACTIVE_PHASES:
         return
     is_failure = ending is fleet.Ending.FAILED
-    if is_failure and group.ending is not fleet.Ending.FAILED:
-        # A failure counts even if another end was seen first.
+    if is_failure and group.failed_attempt < group.attempt:
+        # A failure counts even if another end was seen first, and once
+        # even if an earlier holder counted it and the worker tells it again.
         group.failures += 1
+        group.failed_attempt = group.attempt
         group.ending = ending
     if group.phase is fleet.Phase.STOPPING:
         return
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -166,8 +166,9 @@
     """How far a group has come.
 
     ``attempt`` is the number of the latest attempt; ``failures`` counts
-    attempts that ended by a task's failure; ``checkpoint`` is the saved
-    progress that the next attempt may start from.
+    attempts that ended by a task's failure, up to ``failed_attempt``, so
+    that an end that is told again is not counted again; ``checkpoint`` is
+    the saved progress that the next attempt may start from.
     """
 
     key: GroupKey
@@ -176,6 +177,7 @@
     failures: int = 0
     checkpoint: str = ''
     places: tuple[Place, ...] = ()
+    failed_attempt: int = 0
 
 
 class JobProgress(msgspec.Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/primroselock/test/testfailures.py
@@ -0,0 +1,78 @@
+"""Failures are counted once, whoever holds the shard."""
+
+import typing
+import unittest
+
+import msgspec
+
+from primroselock.decisions import fleet
+from primroselock.decisions import fleetround
+from primroselock.decisions import graphs
+from primroselock.decisions import runs
+from primroselock import graphrows
+from primroselock import jobgraph
+from primroselock.test import fleetbuilders
+from primroselock.workers import orders
+
+_KEY: typing.Final = jobgraph.GroupKey(0, 0, 0)
+
+
+class TakeoverTest(unittest.TestCase):
+    """A holder dies after it stored a failure and before it confirmed it.
+
+    The worker then tells the same end to the successor.
+    """
+
+    def setUp(self) -> None:
+        gang = fleetbuilders.build_step(2, 8, gang=True)
+        self.graph = fleetbuilders.build_graph('j', gang)
+        self.settings = fleetbuilders.build_node_settings()
+
+    def build_board(
+        self, progress: jobgraph.JobProgress | None
+    ) -> tuple[fleet.Board, fleet.Group]:
+        """Return a holder's board after it read the job's rows."""
+        board = fleet.Board(epoch=1, table=fleetbuilders.TABLE)
+        for name in ('w0', 'w1'):
+            board.record_entry(fleetbuilders.build_entry(name), 0.0)
+            board.workers_by_id[name].looked_at = 0.0
+        job = graphs.add_job(board, self.graph, progress, 0, 0.0, 0)
+        assert job is not None
+        return board, job.groups_by_key[_KEY]
+
+    def tell_failure(self, board: fleet.Board, group: fleet.Group) -> None:
+        """Let the worker of the first member list its failure."""
+        member = group.members[0]
+        ended = orders.Ended(1, member.run, orders.EndCause.FAILED, '')
+        worker = board.workers_by_id[member.worker_id]
+        look = orders.Look(1.0, 1, (), (ended,), is_whole=False)
+        runs.record_look(board, worker, look, 1.0, 1.0, 1000)
+
+    def test_an_end_that_is_told_again_counts_once(self) -> None:
+        board, group = self.build_board(None)
+        fleetround.run(board, self.settings, 0.5, 0.5)
+        for member in group.members:
+            member.state = fleet.MemberState.PRESENT
+        self.tell_failure(board, group)
+        self.assertEqual(1, group.failures)
+        row = graphrows.encode(graphs.build_progress(group.job))
+        stored = msgspec.json.decode(row, type=jobgraph.JobProgress)
+        successor, restored = self.build_board(stored)
+        self.tell_failure(successor, restored)
+        self.assertEqual(1, restored.failures)
+
+    def test_the_next_attempt_counts_anew(self) -> None:
+        board, group = self.build_board(None)
+        for failures in (1, 2):
+            group.not_before = 0.0
+            fleetround.run(board, self.settings, 0.5, 0.5)
+            runs.end_group(board, group, fleet.Ending.FAILED, 1.0)
+            runs.end_group(board, group, fleet.Ending.FAILED, 1.0)
+            self.assertEqual(failures, group.failures)
+            for member in group.members:
+                board.set_gone(member)
+            runs.settle_group(board, group, 1.0, 1000)
+
+
+if __name__ == '__main__':
+    unittest.main()
