--- a/primroselock/decisions/fitting.py
+++ b/primroselock/decisions/fitting.py
@@ -15,7 +15,6 @@
 import typing
 
 from primroselock.decisions import fleet
-from primroselock.decisions import speeds
 from primroselock.decisions import waiting
 from primroselock import jobgraph
 
@@ -29,6 +28,8 @@
 """The width of a speed class as a natural logarithm: about a quarter."""
 
 WorkerFilter = abc.Callable[[fleet.Worker], bool]
+"""Tells whether a worker that a step can use is allowed now."""
+
 Score = abc.Callable[[fleet.Worker, jobgraph.Resources], tuple[float, ...]]
 Rank = tuple[bool, int]
 """The urgency of a group: (is not guaranteed, priority of its queue).
@@ -76,45 +77,124 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Shape:
-    """The properties that decide whether a single task fits in a round."""
+class Shape:
+    """The properties that decide whether a group fits in a round.
+
+    ``size`` is the number of its tasks, which run in one rack if
+    ``in_one_rack`` is set.
+    """
 
     service: str
     need: jobgraph.Resources
     label: str
     fills: bool
     has_latency_target: bool
+    size: int
+    in_one_rack: bool
     rank: Rank
 
 
-@dataclasses.dataclass(slots=True)
+class _StepKind(typing.NamedTuple):
+    """The properties of a step that decide which workers it can use."""
+
+    service: str
+    label: str
+    need: jobgraph.Resources
+
+
+def _step_kind(group: fleet.Group) -> _StepKind:
+    queue, step = group.job.queue, group.step
+    return _StepKind(
+        queue.service if queue else '', step.label, step.counted_need
+    )
+
+
 class FreeCapacity:
     """The free capacity of each worker that may be used in a round.
 
-    Free capacity only shrinks in a round, so that a shape of single tasks
-    that did not fit once does not fit later: ``unplaceable_shapes``.  The
-    worker that was best for a step stays best until it is full, since
-    fuller workers are preferred: ``last_by_step``.
+    Free capacity only shrinks in a round, so that a shape that did not fit
+    once does not fit later: ``unplaceable_shapes``.  The worker that was
+    best for a step stays best until it is full, since fuller workers are
+    preferred: ``last_by_step``.
     """
 
-    free_by_id: dict[str, jobgraph.Resources]
-    score_worker: Score
-    worker_speeds: speeds.Speeds = dataclasses.field(
-        default_factory=speeds.Speeds
-    )
-
-    unplaceable_shapes: set[_Shape] = dataclasses.field(default_factory=set)
-    last_by_step: dict[fleet.StepName, str] = dataclasses.field(
-        default_factory=dict
-    )
+    def __init__(
+        self,
+        board: fleet.ShardBoard,
+        workers: abc.Iterable[fleet.Worker],
+        score_worker: Score,
+    ) -> None:
+        self.score_worker = score_worker
+        self.worker_speeds = board.worker_speeds
+        self.free_by_id: dict[str, jobgraph.Resources] = {}
+        self.free_accelerators_by_rack: dict[str, int] = {}
+        self.unplaceable_shapes: set[Shape] = set()
+        self.last_by_step: dict[fleet.StepName, str] = {}
+        self._workers_by_id: dict[str, fleet.Worker] = {}
+        self._speed_classes_by_id: dict[str, float] = {}
+        self._board = board
+        self._with_room_by_kind: dict[_StepKind, list[fleet.Worker]] = {}
+        for worker in workers:
+            free = worker.free
+            self.free_by_id[worker.id] = free
+            self._workers_by_id[worker.id] = worker
+            self._add_to_rack(worker.entry.rack, free.accelerators)
+
+    def _add_to_rack(self, rack: str, accelerators: int) -> None:
+        known = self.free_accelerators_by_rack.get(rack, 0)
+        self.free_accelerators_by_rack[rack] = known + accelerators
+
+    def _rack_of(self, worker_id: str) -> str:
+        return self._workers_by_id[worker_id].entry.rack
 
     def reserve(self, worker_id: str, need: jobgraph.Resources) -> None:
         """Subtract the resources of a placement."""
         self.free_by_id[worker_id] = self.free_by_id[worker_id].plus(need, -1)
+        self._add_to_rack(self._rack_of(worker_id), -need.accelerators)
 
     def release(self, worker_id: str, need: jobgraph.Resources) -> None:
         """Add the resources of a withdrawn placement."""
         self.free_by_id[worker_id] = self.free_by_id[worker_id].plus(need)
+        self._add_to_rack(self._rack_of(worker_id), need.accelerators)
+
+    def exclude(self, worker_id: str) -> None:
+        """Remove a worker that was claimed in this round."""
+        free = self.free_by_id.pop(worker_id, None)
+        if free is not None:
+            self._add_to_rack(self._rack_of(worker_id), -free.accelerators)
+
+    def list_usable(self, group: fleet.Group) -> list[fleet.Worker]:
+        """Return the workers that could hold a task of the group if empty.
+
+        Those that were excluded in this round are left out.
+        """
+        kind = _step_kind(group)
+        usable_by_kind = self._board.entry_cache.usable_by_kind
+        known = usable_by_kind.get(kind)
+        if known is None:
+            known = usable_by_kind[kind] = [
+                worker
+                for worker in self._board.workers_by_id.values()
+                if worker.entry.service == kind.service
+                and fits_when_empty(worker, group.step)
+            ]
+        return [worker for worker in known if worker.id in self.free_by_id]
+
+    def list_with_room(self, group: fleet.Group) -> list[fleet.Worker]:
+        """Return the workers that have room for a task of the group now."""
+        kind = _step_kind(group)
+        known = self._with_room_by_kind.get(kind)
+        if known is None:
+            known = self.list_usable(group)
+        # Free capacity only shrinks in a round.
+        found = [
+            worker
+            for worker in known
+            if worker.id in self.free_by_id
+            and self.free_by_id[worker.id].can_fit(kind.need)
+        ]
+        self._with_room_by_kind[kind] = found
+        return found
 
     def speed_class(self, worker_id: str, group: fleet.Group) -> float:
         """Return the worker's speed class for a group.
@@ -124,14 +204,24 @@
         fast workers first.  Other work only avoids workers that are much
         slower than usual.
         """
-        speed = self.worker_speeds.speed(worker_id)
-        if speed <= _VERY_SLOW_SPEED:
+        fine_class = self._speed_classes_by_id.get(worker_id)
+        if fine_class is None:
+            fine_class = _speed_class(self.worker_speeds.speed(worker_id))
+            self._speed_classes_by_id[worker_id] = fine_class
+        if fine_class == _SLOWEST_CLASS:
             return _SLOWEST_CLASS
         if group.size > 1 or waiting.priority(group.job) == waiting.URGENT:
-            return float(round(-math.log(speed) / _CLASS_WIDTH))
+            return fine_class
         return 0.0
 
 
+def _speed_class(speed: float) -> float:
+    """Return the class of a speed relative to the usual speed of 1."""
+    if speed <= _VERY_SLOW_SPEED:
+        return _SLOWEST_CLASS
+    return float(round(-math.log(speed) / _CLASS_WIDTH))
+
+
 def fits_when_empty(worker: fleet.Worker, step: jobgraph.Step) -> bool:
     """Return whether the worker could hold a task of the step when empty."""
     if step.label and step.label not in worker.entry.labels:
@@ -162,44 +252,57 @@
     free_capacity: FreeCapacity,
     group: fleet.Group,
     allow: WorkerFilter,
-    rank: Rank | None,
+    shape: Shape | None,
 ) -> list[str] | None:
     """Reserve a worker for each task of the group; return their ids.
 
     Returns None, and reserves nothing, if the group does not fit.
-    ``rank`` is the urgency of the group, or None where ``allow`` depends on
-    more than the rank and the step's needs.
+    ``shape`` is that of the group, or None where ``allow`` depends on more
+    than the shape.
     """
-    if group.size > 1:
-        return _place_gang(board, free_capacity, group, allow)
-    shape = _shape(group, rank) if rank is not None else None
     if shape in free_capacity.unplaceable_shapes:
         return None
-    last_id = _place_on_last(board, free_capacity, group, allow)
-    if last_id is not None:
-        return [last_id]
-    candidates = _candidates(board, free_capacity, allow)
-    placed = _place_in(board, free_capacity, group, candidates)
-    if placed is not None:
-        free_capacity.last_by_step[group.step_name] = placed[0]
-    elif shape is not None and not group.step.max_per_worker:
+    if group.size > 1:
+        placed = _place_gang(free_capacity, group, allow)
+    else:
+        placed = _place_single(board, free_capacity, group, allow)
+    if placed is None and shape is not None:
         free_capacity.unplaceable_shapes.add(shape)
     return placed
 
 
-def _shape(group: fleet.Group, rank: Rank) -> _Shape:
+def shape_of(group: fleet.Group, rank: Rank) -> Shape:
+    """Return the shape of a group of urgency ``rank``."""
     queue = group.job.queue
     step = group.step
-    return _Shape(
+    return Shape(
         queue.service if queue else '',
         step.counted_need,
         step.label,
         step.fills,
         bool(step.tail_latency_target_ms),
+        group.size,
+        group.size > 1 and step.rack_local and not group.may_span_racks,
         rank,
     )
 
 
+def _place_single(
+    board: fleet.ShardBoard,
+    free_capacity: FreeCapacity,
+    group: fleet.Group,
+    allow: WorkerFilter,
+) -> list[str] | None:
+    last_id = _place_on_last(board, free_capacity, group, allow)
+    if last_id is not None:
+        return [last_id]
+    candidates = _candidates(free_capacity, group, allow)
+    placed = _place_in(free_capacity, group, candidates)
+    if placed is not None:
+        free_capacity.last_by_step[group.step_name] = placed[0]
+    return placed
+
+
 def _place_on_last(
     board: fleet.ShardBoard,
     free_capacity: FreeCapacity,
@@ -222,31 +325,30 @@
 
 
 def _candidates(
-    board: fleet.ShardBoard, free_capacity: FreeCapacity, allow: WorkerFilter
+    free_capacity: FreeCapacity, group: fleet.Group, allow: WorkerFilter
 ) -> list[fleet.Worker]:
     return [
-        board.workers_by_id[worker_id]
-        for worker_id in free_capacity.free_by_id
-        if allow(board.workers_by_id[worker_id])
+        worker
+        for worker in free_capacity.list_with_room(group)
+        if allow(worker)
     ]
 
 
 def _place_gang(
-    board: fleet.ShardBoard,
     free_capacity: FreeCapacity,
     group: fleet.Group,
     allow: WorkerFilter,
 ) -> list[str] | None:
-    candidates = _candidates(board, free_capacity, allow)
+    candidates = _candidates(free_capacity, group, allow)
     if not group.step.rack_local:
-        return _place_in(board, free_capacity, group, candidates)
+        return _place_in(free_capacity, group, candidates)
     racks = group_by_rack(candidates)
     for rack in _sort_racks(free_capacity, group, racks):
-        placed = _place_in(board, free_capacity, group, racks[rack])
+        placed = _place_in(free_capacity, group, racks[rack])
         if placed is not None:
             return placed
     if group.may_span_racks:
-        return _place_in(board, free_capacity, group, candidates)
+        return _place_in(free_capacity, group, candidates)
     return None
 
 
@@ -300,7 +402,6 @@
 
 
 def _place_in(
-    board: fleet.ShardBoard,
     free_capacity: FreeCapacity,
     group: fleet.Group,
     candidates: abc.Sequence[fleet.Worker],
@@ -309,62 +410,83 @@
     need = group.step.counted_need
     limit = group.step.max_per_worker
     counts = count_on_workers(group) if limit else {}
-    taken: list[str] = []
-    for _ in range(group.size):
-        best = _choose(free_capacity, group, candidates, need, limit, counts)
-        if best is None:
-            for worker_id in taken:
-                free_capacity.release(worker_id, need)
-            return None
-        free_capacity.reserve(best, need)
-        taken.append(best)
-        counts[best] = counts.get(best, 0) + 1
-    return taken
-
-
-def _choose(
-    free_capacity: FreeCapacity,
-    group: fleet.Group,
-    candidates: abc.Sequence[fleet.Worker],
-    need: jobgraph.Resources,
-    limit: int,
-    counts: abc.Mapping[str, int],
-) -> str | None:
-    best: str | None = None
-    best_key: tuple[float, ...] = ()
-    data_rack = group.step.data_rack
-    free_by_rack = _free_by_rack(free_capacity, candidates)
+    fit_total = 0
+    fitting_workers = []
     for worker in candidates:
         free = free_capacity.free_by_id[worker.id]
         if not free.can_fit(need):
             continue
-        if limit and counts.get(worker.id, 0) >= limit:
-            continue
-        key = (
-            float(bool(data_rack) and worker.entry.rack != data_rack),
-            free_capacity.speed_class(worker.id, group),
-            free_by_rack[worker.entry.rack],
-            *free_capacity.score_worker(worker, free.plus(need, -1)),
+        # An empty need fits any number of times.
+        fit_count = free.fit_count(need) or group.size
+        if limit:
+            fit_count = min(fit_count, limit - counts.get(worker.id, 0))
+        if fit_count > 0:
+            fit_total += fit_count
+            fitting_workers.append(worker)
+    if fit_total < group.size:
+        return None
+    return _take_best(free_capacity, group, fitting_workers, counts)
+
+
+def _take_best(
+    free_capacity: FreeCapacity,
+    group: fleet.Group,
+    workers: abc.Sequence[fleet.Worker],
+    counts: dict[str, int],
+) -> list[str]:
+    """Reserve the best worker for each task in turn; all tasks fit.
+
+    ``counts`` holds how many of the step's tasks each worker has.  A
+    placement changes the keys only of the workers of its rack.
+    """
+    need = group.step.counted_need
+    limit = group.step.max_per_worker
+    by_id = {worker.id: worker for worker in workers}
+    keys_by_id = {
+        worker.id: _preference(free_capacity, group, worker, need)
+        for worker in workers
+    }
+    taken: list[str] = []
+    while True:
+        best_id = min(keys_by_id, key=keys_by_id.__getitem__)
+        free_capacity.reserve(best_id, need)
+        taken.append(best_id)
+        counts[best_id] = counts.get(best_id, 0) + 1
+        if len(taken) == group.size:
+            return taken
+        is_full = not free_capacity.free_by_id[best_id].can_fit(need) or (
+            limit and counts[best_id] >= limit
         )
-        if best is None or key < best_key:
-            best, best_key = worker.id, key
-    return best
+        if is_full:
+            del keys_by_id[best_id]
+        rack = by_id[best_id].entry.rack
+        for worker in workers:
+            if worker.entry.rack == rack and worker.id in keys_by_id:
+                keys_by_id[worker.id] = _preference(
+                    free_capacity, group, worker, need
+                )
 
 
-def _free_by_rack(
-    free_capacity: FreeCapacity, candidates: abc.Iterable[fleet.Worker]
-) -> dict[str, float]:
-    """Return the number of free accelerators in each rack.
+def _preference(
+    free_capacity: FreeCapacity,
+    group: fleet.Group,
+    worker: fleet.Worker,
+    need: jobgraph.Resources,
+) -> tuple[float, ...]:
+    """Return the sort key of a worker for a task; the lowest is best.
 
     Single tasks go into the fullest rack, so that other racks stay free
     for rack-local gangs.
     """
-    free: dict[str, float] = {}
-    for worker in candidates:
-        rack = worker.entry.rack
-        left = free_capacity.free_by_id[worker.id].accelerators
-        free[rack] = free.get(rack, 0.0) + left
-    return free
+    data_rack = group.step.data_rack
+    rack = worker.entry.rack
+    left = free_capacity.free_by_id[worker.id].plus(need, -1)
+    return (
+        float(bool(data_rack) and rack != data_rack),
+        free_capacity.speed_class(worker.id, group),
+        free_capacity.free_accelerators_by_rack[rack],
+        *free_capacity.score_worker(worker, left),
+    )
 
 
 def count_on_workers(group: fleet.Group) -> dict[str, int]:
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -20,6 +20,7 @@
 
 from primroselock.decisions import evidence
 from primroselock.decisions import learnedtimes
+from primroselock.decisions import phaseindex
 from primroselock.decisions import runprogress
 from primroselock.decisions import speeds
 from primroselock.decisions import tickets
@@ -173,11 +174,12 @@
     preemptions: int = 0
     is_resumed: bool = False
     avoided_worker_ids: set[str] = dataclasses.field(default_factory=set)
+    step_name: StepName = dataclasses.field(init=False)
 
-    @property
-    def step_name(self) -> StepName:
-        """Return the name of the group's step."""
-        return StepName(self.job.graph.id, self.key.occurrence, self.key.step)
+    def __post_init__(self) -> None:
+        self.step_name = StepName(
+            self.job.graph.id, self.key.occurrence, self.key.step
+        )
 
     @property
     def task_indices(self) -> range:
@@ -198,7 +200,14 @@
 
     def enter(self, phase: Phase, now: float) -> None:
         """Enter ``phase`` and update the index of the blackboard."""
-        self.job.phases.move(self, phase)
+        index = self.job.phases
+        index.leave(self)
+        if phase is Phase.WAITING:
+            index.add_waiting(self)
+        elif phase is Phase.STARTING:
+            index.starting[self] = None
+        elif phase is Phase.STOPPING:
+            index.stopping[self] = None
         self.phase = phase
         self.since = now
 
@@ -229,27 +238,6 @@
         return max([began_s, *seen_s])
 
 
-@dataclasses.dataclass(slots=True)
-class PhaseIndex:
-    """The waiting and the starting groups of a blackboard.
-
-    The groups of other phases may be many and need not be visited in each
-    round.
-    """
-
-    waiting: dict[Group, None] = dataclasses.field(default_factory=dict)
-    starting: dict[Group, None] = dataclasses.field(default_factory=dict)
-
-    def move(self, group: Group, phase: Phase) -> None:
-        """Index a group under the phase that it enters."""
-        self.waiting.pop(group, None)
-        self.starting.pop(group, None)
-        if phase is Phase.WAITING:
-            self.waiting[group] = None
-        elif phase is Phase.STARTING:
-            self.starting[group] = None
-
-
 @dataclasses.dataclass(slots=True, eq=False)
 class LiveJob:
     """A job that has not ended, with the groups that are due.
@@ -277,7 +265,20 @@
     ended_ms: int = 0
     change: int = 0
     saved_change: int = 0
-    phases: PhaseIndex = dataclasses.field(default_factory=PhaseIndex)
+    phases: phaseindex.PhaseIndex = dataclasses.field(
+        default_factory=phaseindex.PhaseIndex
+    )
+
+    def request_cancel(self) -> None:
+        """Record that the job's cancellation was requested."""
+        self.is_cancelled = True
+        self.phases.ending_jobs[self] = None
+
+    def end(self, state: jobs.JobState, wall_ms: int) -> None:
+        """Record the final state of the job; ``wall_ms`` is the Unix time."""
+        self.state = state
+        self.ended_ms = wall_ms
+        self.phases.ending_jobs[self] = None
 
     def groups_of_step(self, occurrence: int, step: int) -> list[Group]:
         """Return the groups of one step of one occurrence."""
@@ -350,11 +351,10 @@
     )
     used: jobgraph.Resources = NO_RESOURCES
     drain_seen_at: float | None = None
+    id: str = dataclasses.field(init=False)
 
-    @property
-    def id(self) -> str:
-        """Return the worker's id."""
-        return self.entry.id
+    def __post_init__(self) -> None:
+        self.id = self.entry.id
 
     @property
     def is_polled(self) -> bool:
@@ -440,16 +440,41 @@
     rank: tuple[bool, int]
 
 
+@dataclasses.dataclass(slots=True)
+class EntryCache:
+    """What follows from the workers' entries alone, until one changes.
+
+    ``usable_by_kind`` holds the workers that could hold a task of a kind
+    of step when empty, ``spans_racks_by_step`` whether a rack-local step
+    fits in no single rack; ``fitting`` fills both.
+    """
+
+    usable_by_kind: dict[typing.Any, list[Worker]] = dataclasses.field(
+        default_factory=dict
+    )
+    spans_racks_by_step: dict[tuple[str, jobgraph.Step], bool] = (
+        dataclasses.field(default_factory=dict)
+    )
+
+    def clear(self) -> None:
+        """Forget everything: an entry changed."""
+        self.usable_by_kind.clear()
+        self.spans_racks_by_step.clear()
+
+
 @dataclasses.dataclass(slots=True)
 class ShardBoard:
     """The blackboard of one shard.
 
     Leases granted by an earlier holder end by ``inherited_until``, and
     nothing is placed after ``permit_until``; both are on this process's
-    clock.  ``changed_ids`` names the jobs whose rows must be written.
+    clock.  ``changed_ids`` names the jobs whose rows must be written, and
+    ``ended_ms_by_id`` those that ended, with the Unix time in milliseconds.
     ``orders`` and ``decision_records`` collect the decisions of the
     controllers until they are taken.  ``reported_groups`` are the groups
     whose progress was reported since the last round.
+    ``searches_by_shape`` holds, for shapes (see ``fitting``) for which
+    neither victims nor workers to claim were found, when to search again.
     """
 
     epoch: int = 0
@@ -459,7 +484,10 @@
     jobs_by_id: dict[str, LiveJob] = dataclasses.field(default_factory=dict)
     workers_by_id: dict[str, Worker] = dataclasses.field(default_factory=dict)
     changed_ids: set[str] = dataclasses.field(default_factory=set)
-    phases: PhaseIndex = dataclasses.field(default_factory=PhaseIndex)
+    ended_ms_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
+    phases: phaseindex.PhaseIndex = dataclasses.field(
+        default_factory=phaseindex.PhaseIndex
+    )
     reported_groups: dict[Group, None] = dataclasses.field(
         default_factory=dict
     )
@@ -470,6 +498,10 @@
     claims_by_group: dict[Group, CapacityClaim] = dataclasses.field(
         default_factory=dict
     )
+    searches_by_shape: dict[typing.Any, float] = dataclasses.field(
+        default_factory=dict
+    )
+    entry_cache: EntryCache = dataclasses.field(default_factory=EntryCache)
     advice_by_step: dict[StepName, tickets.StepAdvice] = dataclasses.field(
         default_factory=dict
     )
@@ -521,6 +553,9 @@
         if worker is None:
             worker = Worker(entry)
             self.workers_by_id[entry.id] = worker
+            self.entry_cache.clear()
+        elif worker.entry != entry:
+            self.entry_cache.clear()
         worker.entry = entry
         worker.is_listed = True
         if not entry.is_draining:
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -4,6 +4,11 @@
 capacity is placed.  For one that does not, less urgent work is preempted
 where the configured rule allows it, or a gang claims the workers that
 become free soonest.  Only more urgent groups may use claimed workers.
+
+When more work waits than fits, most groups cannot be placed, and a round
+must not examine each of them: groups of the same shape share the outcome
+of one attempt, and a search for victims that found none is not repeated
+in the next rounds.
 """
 
 from collections import abc
@@ -11,6 +16,7 @@
 import typing
 
 from primroselock.decisions import advising
+from primroselock.decisions import claimindex
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
 from primroselock.decisions import fleethealth
@@ -19,6 +25,7 @@
 from primroselock.decisions import reachability
 from primroselock.decisions import runs
 from primroselock.decisions import waiting
+from primroselock import jobgraph
 from primroselock import jobs
 from primroselock import options
 from primroselock import queues
@@ -32,6 +39,10 @@
 _CLAIM_REVIEW_S: typing.Final = 1.0
 """After this time the workers of a capacity claim are chosen again."""
 
+_SEARCH_RETRY_S: typing.Final = 0.25
+"""Delay before victims or workers to claim are searched again for a shape
+for which none were found."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _RoundContext:
@@ -44,6 +55,8 @@
     board: fleet.ShardBoard
     settings: options.FleetSettings
     free_capacity: fitting.FreeCapacity
+    victims: fleetpreemption.VictimIndex
+    claims: claimindex.ClaimIndex
     guaranteed_ids: abc.Set[str]
     now: float
     wall_s: float
@@ -60,19 +73,27 @@
     wall_s: float,
 ) -> None:
     """Place waiting groups, the most urgent first."""
+    _drop_claims(board, now)
+    if not board.phases.waiting_by_step:
+        return
     guaranteed_ids = waiting.guaranteed_job_ids(board)
     sort_key = waiting.orders_by_name[settings.waiting_order]
-    groups = waiting.list_waiting(board, guaranteed_ids, sort_key, now, wall_s)
-    _drop_claims(board, now)
-    if not groups:
+    steps = waiting.list_waiting(board, guaranteed_ids, sort_key, now, wall_s)
+    if not steps:
         return
-    free_capacity = _build_free_capacity(board, settings, now)
     context = _RoundContext(
-        board, settings, free_capacity, guaranteed_ids, now, wall_s
+        board,
+        settings,
+        _build_free_capacity(board, settings, now),
+        fleetpreemption.VictimIndex(now),
+        claimindex.ClaimIndex(board.claims_by_group),
+        guaranteed_ids,
+        now,
+        wall_s,
     )
     placed = 0
-    for group in groups:
-        placed += _place(context, group)
+    for groups in steps:
+        placed += _place_step(context, groups, _MAX_GROUPS_PER_ROUND - placed)
         if placed >= _MAX_GROUPS_PER_ROUND:
             # The next round starts once these placements are stored.
             break
@@ -86,14 +107,14 @@
         worker.id for worker in reachability.list_unverified(board)
     }
     return fitting.FreeCapacity(
-        {
-            worker.id: worker.free
+        board,
+        [
+            worker
             for worker in board.workers_by_id.values()
             if _accepts_starts(board, worker, now)
             and worker.id not in unverified_ids
-        },
+        ],
         fitting.scores_by_name[settings.placement],
-        board.worker_speeds,
     )
 
 
@@ -111,68 +132,116 @@
     )
 
 
-def _place(context: _RoundContext, group: fleet.Group) -> bool:
-    """Place a group, or preempt or claim; return whether it was placed."""
-    board, queue = context.board, group.job.queue
+def _place_step(
+    context: _RoundContext, groups: abc.Sequence[fleet.Group], limit: int
+) -> int:
+    """Place at most ``limit`` groups of a step; return how many.
+
+    Once a group neither fits nor gets capacity by preemption, the others
+    of the step that may use the same workers are passed over.
+    """
+    first = groups[0]
+    queue = first.job.queue
     if queue is None:
-        return False
-    group.may_span_racks = fitting.must_span_racks(
-        (
-            worker
-            for worker in board.workers_by_id.values()
-            if worker.entry.service == queue.service
-        ),
-        group.step,
+        return 0
+    may_span_racks = _must_span_racks(context.board, first.step, queue)
+    first.may_span_racks = may_span_racks
+    shape = None
+    if not (queue.advice or first.step.max_per_worker):
+        shape = fitting.shape_of(first, context.rank(first))
+    is_exhausted = (
+        shape in context.free_capacity.unplaceable_shapes
+        and not _may_search(context, shape)
     )
-    allow = _build_worker_filter(context, group, queue)
-    # A shape counts as unplaceable only if the same workers are allowed for
-    # every group of that shape.
-    is_shared = not (group.avoided_worker_ids or queue.advice)
-    rank = context.rank(group) if is_shared else None
-    placed = fitting.place(board, context.free_capacity, group, allow, rank)
-    if placed is not None:
-        board.claims_by_group.pop(group, None)
-        _commit(board, group, placed, context.now)
+    placed = 0
+    for group in groups:
+        if placed >= limit:
+            break
+        # A claim or a worker to avoid makes other workers allowed for this
+        # group than for the rest of its step.
+        is_own = bool(
+            group.avoided_worker_ids or group in context.board.claims_by_group
+        )
+        if is_exhausted and not is_own:
+            continue
+        group.may_span_racks = may_span_racks
+        own_shape = None if is_own else shape
+        if _place(context, group, queue, own_shape):
+            placed += 1
+        elif not _make_room(context, group, queue, own_shape):
+            is_exhausted = is_exhausted or not is_own
+    return placed
+
+
+def _may_search(context: _RoundContext, shape: fitting.Shape | None) -> bool:
+    """Return whether victims may be searched for a group of this shape."""
+    if shape is None:
         return True
-    if _needs_claim(context, group):
-        _preempt_or_claim(context, group, allow)
-    return False
+    retry_at = context.board.searches_by_shape.get(shape)
+    return retry_at is None or context.now >= retry_at
+
+
+def _must_span_racks(
+    board: fleet.ShardBoard, step: jobgraph.Step, queue: queues.Queue
+) -> bool:
+    """Return whether no single rack could hold the gang even when empty."""
+    if not step.gang or not step.rack_local:
+        return False
+    key = (queue.service, step)
+    known = board.entry_cache.spans_racks_by_step.get(key)
+    if known is None:
+        known = fitting.must_span_racks(
+            (
+                worker
+                for worker in board.workers_by_id.values()
+                if worker.entry.service == queue.service
+            ),
+            step,
+        )
+        board.entry_cache.spans_racks_by_step[key] = known
+    return known
+
+
+def _place(
+    context: _RoundContext,
+    group: fleet.Group,
+    queue: queues.Queue,
+    shape: fitting.Shape | None,
+) -> bool:
+    """Place a group on free capacity; return whether it was placed."""
+    board = context.board
+    allow = _build_worker_filter(context, group, queue)
+    worker_ids = fitting.place(
+        board, context.free_capacity, group, allow, shape
+    )
+    if worker_ids is None:
+        return False
+    context.claims.drop(group)
+    _commit(board, group, worker_ids, context.now)
+    return True
 
 
 def _build_worker_filter(
     context: _RoundContext, group: fleet.Group, queue: queues.Queue
 ) -> fitting.WorkerFilter:
-    """Return a filter for the workers that a group may use.
-
-    The filter does not check free capacity.
-    """
+    """Return a filter for the usable workers that a group is allowed."""
     board, rank = context.board, context.rank(group)
-    claimed_by_others = _claimed_ids(
-        claim
-        for owner, claim in board.claims_by_group.items()
-        if owner is not group and claim.rank <= rank
-    )
 
     def allow(worker: fleet.Worker) -> bool:
         return (
-            worker.id not in claimed_by_others
-            and worker.id not in group.avoided_worker_ids
-            and worker.entry.service == queue.service
-            and fitting.fits_when_empty(worker, group.step)
+            worker.id not in group.avoided_worker_ids
+            and not context.claims.excludes(worker.id, group, rank)
             and fitting.may_share(worker, group.step)
-            and advising.ticket_for(board, group, worker.id, context.now)
-            is not None
+            and (
+                queue.advice is None
+                or advising.ticket_for(board, group, worker.id, context.now)
+                is not None
+            )
         )
 
     return allow
 
 
-def _claimed_ids(
-    claims: abc.Iterable[fleet.CapacityClaim],
-) -> frozenset[str]:
-    return frozenset().union(*(claim.worker_ids for claim in claims))
-
-
 def _commit(
     board: fleet.ShardBoard,
     group: fleet.Group,
@@ -205,22 +274,34 @@
     board.mark_changed(job)
 
 
-def _needs_claim(context: _RoundContext, group: fleet.Group) -> bool:
-    """Return whether a group has no claim, or one not met in time."""
-    claim = context.board.claims_by_group.get(group)
-    return claim is None or context.now - claim.since > _CLAIM_REVIEW_S
-
+def _make_room(
+    context: _RoundContext,
+    group: fleet.Group,
+    queue: queues.Queue,
+    shape: fitting.Shape | None,
+) -> bool:
+    """Preempt for a group, or claim the workers that become free.
 
-def _preempt_or_claim(
-    context: _RoundContext, group: fleet.Group, allow: fitting.WorkerFilter
-) -> None:
-    """Preempt for a group, or claim the workers that become free."""
+    Returns whether another group of the shape may have more success: this
+    one waits for its own claim, or has just got one.
+    """
+    claim = context.board.claims_by_group.get(group)
+    if claim is not None and context.now - claim.since <= _CLAIM_REVIEW_S:
+        return True
+    board = context.board
+    if not _may_search(context, shape):
+        return False
+    allow = _build_worker_filter(context, group, queue)
     may_preempt = waiting.preemption_rules_by_name[context.settings.reclaim]
-    if may_preempt(group, context.guaranteed_ids, context.wall_s):
-        if _preempt(context, group, allow):
-            return
-    if _may_claim_soonest(context, group):
-        _claim_soonest(context, group, allow)
+    is_tried = may_preempt(group, context.guaranteed_ids, context.wall_s)
+    if is_tried and _preempt(context, group, allow):
+        return True
+    may_claim = _may_claim_soonest(context, group)
+    if may_claim and _claim_soonest(context, group, allow):
+        return True
+    if shape is not None and (is_tried or may_claim):
+        board.searches_by_shape[shape] = context.now + _SEARCH_RETRY_S
+    return False
 
 
 def _preempt(
@@ -233,7 +314,7 @@
         return context.rank(other) > rank
 
     chosen = fleetpreemption.choose_victims(
-        board, context.free_capacity, group, allow, may_stop, context.now
+        context.free_capacity, group, allow, may_stop, context.victims
     )
     if chosen is None:
         return False
@@ -245,6 +326,7 @@
         return False
     _claim(context, group, chosen.worker_ids)
     for victim in chosen.victims:
+        context.victims.forget(victim)
         if victim.phase is fleet.Phase.STOPPING:
             continue
         if fleetpreemption.ends_soon(victim, context.now):
@@ -256,7 +338,9 @@
             by=group.job.graph.id,
         )
         runs.end_group(board, victim, fleet.EndReason.PREEMPTED, context.now)
-        runs.settle_group(board, victim, context.now, 0)
+        runs.settle_group(
+            board, victim, context.now, int(context.wall_s * 1000)
+        )
     return True
 
 
@@ -264,11 +348,12 @@
     context: _RoundContext, group: fleet.Group, worker_ids: frozenset[str]
 ) -> None:
     """Claim workers for a group, from this round on."""
-    context.board.claims_by_group[group] = fleet.CapacityClaim(
-        worker_ids, context.now, context.rank(group)
+    context.claims.put(
+        group,
+        fleet.CapacityClaim(worker_ids, context.now, context.rank(group)),
     )
     for worker_id in worker_ids:
-        context.free_capacity.free_by_id.pop(worker_id, None)
+        context.free_capacity.exclude(worker_id)
 
 
 def _may_claim_soonest(context: _RoundContext, group: fleet.Group) -> bool:
@@ -282,23 +367,20 @@
     use = objectives.usefulness(group, context.wall_s)
     if use is objectives.Usefulness.TOO_LATE:
         return False
-    claimed_ids = _claimed_ids(
-        claim
-        for owner, claim in context.board.claims_by_group.items()
-        if owner is not group
-    )
-    return len(claimed_ids) < share * len(context.board.workers_by_id)
+    claimed_by_others = context.claims.count_claimed_by_others(group)
+    return claimed_by_others < share * len(context.board.workers_by_id)
 
 
 def _claim_soonest(
     context: _RoundContext, group: fleet.Group, allow: fitting.WorkerFilter
-) -> None:
+) -> bool:
+    """Claim the workers that are free soonest; return whether any are."""
     board = context.board
     chosen = fleetpreemption.choose_soonest_free(
         board, context.free_capacity, group, allow, context.now
     )
     if chosen is None:
-        return
+        return False
     if group not in board.claims_by_group:
         board.record_decision(
             'capacity claimed',
@@ -308,6 +390,7 @@
             expected_in_s=round(chosen.cost, 3),
         )
     _claim(context, group, chosen.worker_ids)
+    return True
 
 
 def _drop_claims(board: fleet.ShardBoard, now: float) -> None:
@@ -317,3 +400,6 @@
             or now - claim.since > _CLAIM_TIMEOUT_S
         ):
             del board.claims_by_group[group]
+    for shape, retry_at in list(board.searches_by_shape.items()):
+        if now >= retry_at:
+            del board.searches_by_shape[shape]
--- a/primroselock/decisions/fleetpreemption.py
+++ b/primroselock/decisions/fleetpreemption.py
@@ -51,27 +51,89 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class CostModel:
-    """The cost of the end of one group, and of several ends together."""
+class _Endable:
+    """A group whose end would free ``freed`` on a worker, at ``cost``."""
 
-    cost_of: abc.Callable[[fleet.Group], float]
-    total: abc.Callable[[list[float]], float]
+    group: fleet.Group
+    cost: float
+    freed: jobgraph.Resources
+
+
+class VictimIndex:
+    """The groups on each worker that could be stopped, the cheapest first.
+
+    The costs are those at ``now``; lists are built when a worker is
+    examined, and kept for a round.
+    """
+
+    def __init__(
+        self,
+        now: float,
+        cost_of: abc.Callable[[fleet.Group], float] | None = None,
+    ) -> None:
+        self._cost_of = cost_of or (lambda group: lost_work_s(group, now))
+        self._costs_by_group: dict[fleet.Group, float] = {}
+        self._endable_by_worker_id: dict[str, list[_Endable]] = {}
+
+    def cost(self, group: fleet.Group) -> float:
+        """Return the cost of the end of a group."""
+        known = self._costs_by_group.get(group)
+        if known is None:
+            known = self._costs_by_group[group] = self._cost_of(group)
+        return known
+
+    def endable_on(self, worker: fleet.Worker) -> list[_Endable]:
+        """Return the groups on a worker that may be ended, sorted by cost."""
+        known = self._endable_by_worker_id.get(worker.id)
+        if known is None:
+            known = self._endable_by_worker_id[worker.id] = self._list(worker)
+        return known
+
+    def _list(self, worker: fleet.Worker) -> list[_Endable]:
+        tasks_by_group: dict[fleet.Group, int] = {}
+        for member in worker.members.values():
+            group = member.group
+            if (
+                group.phase is not fleet.Phase.DONE
+                and group.step.max_unavailable is None
+            ):
+                tasks_by_group[group] = tasks_by_group.get(group, 0) + 1
+        endable = [
+            _Endable(
+                group,
+                self.cost(group),
+                fleet.NO_RESOURCES.plus(group.step.counted_need, tasks),
+            )
+            for group, tasks in tasks_by_group.items()
+        ]
+        endable.sort(
+            key=lambda item: (
+                item.group.phase is not fleet.Phase.STOPPING,
+                item.cost,
+            )
+        )
+        return endable
+
+    def forget(self, group: fleet.Group) -> None:
+        """Drop what is known of a group, which is being stopped."""
+        self._costs_by_group.pop(group, None)
+        for member in group.members:
+            self._endable_by_worker_id.pop(member.worker_id, None)
 
 
 def choose_victims(
-    board: fleet.ShardBoard,
     free_capacity: fitting.FreeCapacity,
     group: fleet.Group,
     allow: fitting.WorkerFilter,
     may_stop: MayStop,
-    now: float,
+    victims: VictimIndex,
 ) -> Choice | None:
     """Choose, task by task, the victims whose stops lose the least work.
 
     Returns None if no stops free enough capacity for ``group``.
     """
-    cost_model = CostModel(lambda victim: lost_work_s(victim, now), sum)
-    return _choose(board, free_capacity, group, allow, may_stop, cost_model)
+    search = _Search(free_capacity, group, may_stop, victims, sum)
+    return _choose(search, allow)
 
 
 def choose_soonest_free(
@@ -89,12 +151,9 @@
     def may_wait_for(other: fleet.Group) -> bool:
         return not other.step.long_running
 
-    cost_model = CostModel(
-        lambda other: _remaining_s(board, other, now), _latest
-    )
-    return _choose(
-        board, free_capacity, group, allow, may_wait_for, cost_model
-    )
+    endings = VictimIndex(now, lambda other: _remaining_s(board, other, now))
+    search = _Search(free_capacity, group, may_wait_for, endings, _latest)
+    return _choose(search, allow)
 
 
 def _latest(times_s: list[float]) -> float:
@@ -116,26 +175,38 @@
     return max(_ENDS_SOON_S, expected_s - group.worked_s(now))
 
 
-def _choose(
-    board: fleet.ShardBoard,
-    free_capacity: fitting.FreeCapacity,
-    group: fleet.Group,
-    allow: fitting.WorkerFilter,
-    may_end: MayStop,
-    cost_model: CostModel,
-) -> Choice | None:
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Search:
+    """The inputs to the choice of workers and victims for one group.
+
+    ``may_end`` tells which groups may be counted on to end; ``total`` is
+    the cost of several ends together.
+    """
+
+    free_capacity: fitting.FreeCapacity
+    group: fleet.Group
+    may_end: MayStop
+    victims: VictimIndex
+    total: abc.Callable[[list[float]], float]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Option:
+    """The victims on one worker whose ends make room for one task."""
+
+    cost: float
+    victims: tuple[fleet.Group, ...]
+
+
+def _choose(search: _Search, allow: fitting.WorkerFilter) -> Choice | None:
     """Choose among all workers, or in one rack for a rack-local gang."""
-    candidates = [
-        board.workers_by_id[worker_id]
-        for worker_id in free_capacity.free_by_id
-        if allow(board.workers_by_id[worker_id])
-    ]
+    group = search.group
+    usable = search.free_capacity.list_usable(group)
+    candidates = [worker for worker in usable if allow(worker)]
     if group.size == 1 or not group.step.rack_local or group.may_span_racks:
-        return _choose_in(
-            free_capacity, group, candidates, may_end, cost_model
-        )
+        return _choose_in(search, candidates)
     choices = [
-        _choose_in(free_capacity, group, members, may_end, cost_model)
+        _choose_in(search, members)
         for members in fitting.group_by_rack(candidates).values()
     ]
     found = [choice for choice in choices if choice is not None]
@@ -143,49 +214,51 @@
 
 
 def _choose_in(
-    free_capacity: fitting.FreeCapacity,
-    group: fleet.Group,
-    candidates: abc.Sequence[fleet.Worker],
-    may_end: MayStop,
-    cost_model: CostModel,
+    search: _Search, candidates: abc.Sequence[fleet.Worker]
 ) -> Choice | None:
-    """Choose a worker for each task in turn, the cheapest to free."""
-    free_by_id = dict(free_capacity.free_by_id)
-    chosen: dict[fleet.Group, None] = {}
-    used: dict[str, int] = {}
+    """Choose a worker for each task in turn, the cheapest to free.
+
+    A choice changes the options only of its worker and of the workers
+    where its victims run.
+    """
+    group = search.group
     need = group.step.counted_need
     limit = group.step.max_per_worker
     counts = fitting.count_on_workers(group) if limit else {}
+    workers_by_id = {worker.id: worker for worker in candidates}
+    free_by_id = dict(search.free_capacity.free_by_id)
+    chosen: dict[fleet.Group, None] = {}
+    used: dict[str, None] = {}
+    options_by_id: dict[str, _Option] = {}
+    outdated: abc.Iterable[str] = workers_by_id
     for _ in range(group.size):
-        best: tuple[float, str, list[fleet.Group]] | None = None
-        for worker in candidates:
-            if limit and counts.get(worker.id, 0) >= limit:
-                continue
-            found = _victims_on(
-                worker,
-                free_by_id[worker.id],
-                need,
-                chosen,
-                may_end,
-                cost_model,
-            )
-            if found is None:
-                continue
-            cost = cost_model.total(
-                [cost_model.cost_of(other) for other in found]
-            )
-            if best is None or cost < best[0]:
-                best = (cost, worker.id, found)
-        if best is None:
+        for worker_id in outdated:
+            option = None
+            if not limit or counts.get(worker_id, 0) < limit:
+                option = _find_option(
+                    search, workers_by_id[worker_id], free_by_id, chosen
+                )
+            if option is None:
+                options_by_id.pop(worker_id, None)
+            else:
+                options_by_id[worker_id] = option
+        if not options_by_id:
             return None
-        _, worker_id, victims = best
-        for victim in victims:
+        best_id = min(options_by_id, key=lambda key: options_by_id[key].cost)
+        changed = {best_id: None}
+        for victim in options_by_id[best_id].victims:
             chosen[victim] = None
             _add_freed(free_by_id, victim)
-        free_by_id[worker_id] = free_by_id[worker_id].plus(need, -1)
-        used[worker_id] = used.get(worker_id, 0) + 1
-        counts[worker_id] = counts.get(worker_id, 0) + 1
-    cost = cost_model.total([cost_model.cost_of(victim) for victim in chosen])
+            changed.update(
+                (member.worker_id, None)
+                for member in victim.members
+                if member.worker_id in workers_by_id
+            )
+        free_by_id[best_id] = free_by_id[best_id].plus(need, -1)
+        used[best_id] = None
+        counts[best_id] = counts.get(best_id, 0) + 1
+        outdated = changed
+    cost = search.total([search.victims.cost(victim) for victim in chosen])
     return Choice(tuple(chosen), frozenset(used), cost)
 
 
@@ -199,44 +272,30 @@
             )
 
 
-def _victims_on(
+def _find_option(
+    search: _Search,
     worker: fleet.Worker,
-    free: jobgraph.Resources,
-    need: jobgraph.Resources,
+    free_by_id: abc.Mapping[str, jobgraph.Resources],
     chosen: abc.Container[fleet.Group],
-    may_end: MayStop,
-    cost_model: CostModel,
-) -> list[fleet.Group] | None:
-    """Return the victims whose ends free ``need`` on one worker.
+) -> _Option | None:
+    """Return the victims whose ends make room for a task on one worker.
 
     Returns None if no choice of victims frees enough.
     """
+    need = search.group.step.counted_need
+    free = free_by_id[worker.id]
     if free.can_fit(need):
-        return []
+        return _Option(search.total([]), ())
     victims: list[fleet.Group] = []
-    endable = {
-        member.group: None
-        for member in worker.members.values()
-        if member.group not in chosen
-        and member.group.phase is not fleet.Phase.DONE
-        and member.group.step.max_unavailable is None
-        and may_end(member.group)
-    }
-    by_cost = sorted(
-        endable,
-        key=lambda victim: (
-            victim.phase is not fleet.Phase.STOPPING,
-            cost_model.cost_of(victim),
-        ),
-    )
-    for victim in by_cost:
-        victims.append(victim)
-        tasks = sum(
-            member.group is victim for member in worker.members.values()
-        )
-        free = free.plus(victim.step.counted_need, tasks)
+    costs: list[float] = []
+    for endable in search.victims.endable_on(worker):
+        if endable.group in chosen or not search.may_end(endable.group):
+            continue
+        victims.append(endable.group)
+        costs.append(endable.cost)
+        free = free.plus(endable.freed)
         if free.can_fit(need):
-            return victims
+            return _Option(search.total(costs), tuple(victims))
     return None
 
 
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -69,21 +69,27 @@
     wall_s: float,
 ) -> None:
     """End cancelled jobs, and drop the open groups of ended jobs."""
-    for job in list(board.jobs_by_id.values()):
+    wall_ms = int(wall_s * 1000)
+    for job in list(board.phases.ending_jobs):
         if job.is_cancelled and not job.state.is_final:
-            job.state = jobs.JobState.CANCELLED
-            job.ended_ms = int(wall_s * 1000)
+            job.end(jobs.JobState.CANCELLED, wall_ms)
             board.record_decision('job cancelled', job)
             board.mark_changed(job)
-        if not job.state.is_final:
-            continue
-        _drop_groups(board, job, now, int(wall_s * 1000))
+        _drop_groups(board, job, now, wall_ms)
         if _is_settled(job):
-            del board.jobs_by_id[job.graph.id]
-            board.learned.drop_job(job.graph.id, len(job.graph.steps))
-            board.worker_speeds.drop_job(job.graph.id, len(job.graph.steps))
-            for group in job.groups_by_key.values():
-                board.advice_by_step.pop(group.step_name, None)
+            _remove_job(board, job)
+
+
+def _remove_job(board: fleet.ShardBoard, job: fleet.LiveJob) -> None:
+    """Remove a settled job and what is known of its steps."""
+    board.ended_ms_by_id[job.graph.id] = job.ended_ms
+    del board.jobs_by_id[job.graph.id]
+    del board.phases.ending_jobs[job]
+    board.phases.unreleased_jobs.pop(job, None)
+    board.learned.drop_job(job.graph.id, len(job.graph.steps))
+    board.worker_speeds.drop_job(job.graph.id, len(job.graph.steps))
+    for group in job.groups_by_key.values():
+        board.advice_by_step.pop(group.step_name, None)
 
 
 def _drop_groups(
@@ -114,7 +120,7 @@
     wall_s: float,
 ) -> None:
     """Add the occurrences that have become due."""
-    for job in board.jobs_by_id.values():
+    for job in list(board.phases.unreleased_jobs):
         if not job.state.is_final:
             graphs.release_due(board, job, now, int(wall_s * 1000))
 
--- a/primroselock/decisions/graphs.py
+++ b/primroselock/decisions/graphs.py
@@ -12,9 +12,6 @@
 from primroselock import jobgraph
 from primroselock import jobs
 
-_EARLY_RELEASE_MS: typing.Final = 0
-"""The time by which an occurrence may begin before its due time."""
-
 _MIN_RETRY_DELAY_S: typing.Final = 0.05
 _MAX_RETRY_DELAY_S: typing.Final = 1.0
 _MIN_REQUEUE_DELAY_S: typing.Final = 0.25
@@ -125,11 +122,12 @@
     """Add the groups of the occurrences that are due."""
     graph = job.graph
     while job.released < graph.occurrences:
-        due_ms = graph.due_ms(job.released)
-        if due_ms - _EARLY_RELEASE_MS > wall_ms:
+        if graph.due_ms(job.released) > wall_ms:
+            board.phases.unreleased_jobs[job] = None
             return
         _release_occurrence(job, now)
         _unblock(job, job.released - 1, now)
+    board.phases.unreleased_jobs.pop(job, None)
 
 
 def _release_occurrence(job: fleet.LiveJob, now: float) -> None:
@@ -175,8 +173,7 @@
     group.enter(fleet.Phase.DONE, now)
     _unblock(job, group.key.occurrence, now)
     if not job.state.is_final and _is_all_done(job):
-        job.state = jobs.JobState.DONE
-        job.ended_ms = wall_ms
+        job.end(jobs.JobState.DONE, wall_ms)
         board.record_decision('job done', job, groups=len(job.groups_by_key))
     board.mark_changed(job)
 
@@ -259,8 +256,7 @@
     group: fleet.Group,
     wall_ms: int,
 ) -> None:
-    job.state = jobs.JobState.FAILED
-    job.ended_ms = wall_ms
+    job.end(jobs.JobState.FAILED, wall_ms)
     board.record_decision(
         'job failed',
         job,
--- /dev/null
+++ b/primroselock/decisions/phaseindex.py
@@ -0,0 +1,62 @@
+"""An index of the groups of a blackboard by their phase.
+
+A round visits the groups that wait, start or stop, and the jobs whose end
+has to be applied; all others may be many and are not visited.  Waiting
+groups are indexed by step: the groups of a step need the same and are
+equally urgent, so that what holds for one of them holds for all.
+"""
+
+import dataclasses
+import typing
+
+if typing.TYPE_CHECKING:
+    from primroselock.decisions import fleet
+
+
+@dataclasses.dataclass(slots=True)
+class PhaseIndex:
+    """The groups that wait, by step, and those that start or stop.
+
+    ``ending_jobs`` are the jobs that have ended or are cancelled and are
+    still on the blackboard; ``unreleased_jobs`` are those with occurrences
+    that are not due yet.
+    """
+
+    waiting_by_step: dict['fleet.StepName', dict['fleet.Group', None]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    starting: dict['fleet.Group', None] = dataclasses.field(
+        default_factory=dict
+    )
+    stopping: dict['fleet.Group', None] = dataclasses.field(
+        default_factory=dict
+    )
+    ending_jobs: dict['fleet.LiveJob', None] = dataclasses.field(
+        default_factory=dict
+    )
+    unreleased_jobs: dict['fleet.LiveJob', None] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def waiting(self) -> list['fleet.Group']:
+        """Return all waiting groups."""
+        return [
+            group
+            for groups in self.waiting_by_step.values()
+            for group in groups
+        ]
+
+    def leave(self, group: 'fleet.Group') -> None:
+        """Remove a group from the index."""
+        waiting = self.waiting_by_step.get(group.step_name)
+        if waiting is not None:
+            waiting.pop(group, None)
+            if not waiting:
+                del self.waiting_by_step[group.step_name]
+        self.starting.pop(group, None)
+        self.stopping.pop(group, None)
+
+    def add_waiting(self, group: 'fleet.Group') -> None:
+        """Add a group that waits for capacity."""
+        self.waiting_by_step.setdefault(group.step_name, {})[group] = None
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -306,20 +306,18 @@
 
 def order_stops(board: fleet.ShardBoard, now: float) -> None:
     """Order the stops of members, and repeat them while unanswered."""
-    for worker in board.workers_by_id.values():
-        for member in worker.members.values():
+    # The remaining members of a gang that is done end on their own.
+    for group in board.phases.stopping:
+        for member in group.remaining_members():
             if _needs_stop(member, now):
                 member.stop_sent_at = now
                 board.orders.append(
-                    fleet.StopOrder(worker.id, member.run, member)
+                    fleet.StopOrder(member.worker_id, member.run, member)
                 )
 
 
 def _needs_stop(member: fleet.Member, now: float) -> bool:
     group = member.group
-    if group.phase is not fleet.Phase.STOPPING:
-        # The remaining members of a gang that is done end on their own.
-        return False
     if member.stopped_at > 0:
         return False
     if now - member.stop_sent_at < STOP_RETRY_S:
--- a/primroselock/decisions/waiting.py
+++ b/primroselock/decisions/waiting.py
@@ -150,21 +150,30 @@
     sort_key: SortKey,
     now: float,
     wall_s: float,
-) -> list[fleet.Group]:
-    """Return the waiting groups in the order in which to place them."""
-    waiting = [
-        group
-        for group in board.phases.waiting
-        if group.not_before <= now
-        and not group.job.is_cancelled
-        and not group.job.state.is_final
-    ]
-    waiting.sort(
-        key=lambda group: (
-            group.job.graph.id not in guaranteed_ids,
-            *sort_key(group, wall_s),
-            group.job.graph.id,
-            group.key,
+) -> list[list[fleet.Group]]:
+    """Return the groups to place, by step, in the order of placement.
+
+    The groups of a step are equally urgent, so that steps are ordered, not
+    groups; a step's groups are in the order of their tasks.
+    """
+    waiting: list[list[fleet.Group]] = []
+    for groups in board.phases.waiting_by_step.values():
+        job = next(iter(groups)).job
+        if job.is_cancelled or job.state.is_final:
+            continue
+        due = [group for group in groups if group.not_before <= now]
+        if due:
+            due.sort(key=lambda group: group.key.index)
+            waiting.append(due)
+
+    def urgency(groups: list[fleet.Group]) -> tuple[typing.Any, ...]:
+        first = groups[0]
+        return (
+            first.job.graph.id not in guaranteed_ids,
+            *sort_key(first, wall_s),
+            first.job.graph.id,
+            first.key,
         )
-    )
+
+    waiting.sort(key=urgency)
     return waiting
--- a/primroselock/intake.py
+++ b/primroselock/intake.py
@@ -2,8 +2,10 @@
 
 A job is accepted once its row is stored; a repeated submission of its id
 finds that row.  A job is refused only if nothing was written to the store,
-so that it certainly does not run.  States come from the node's copy of the
-shard's rows; a job that the copy does not contain is read from the store.
+so that it certainly does not run.  A state is read from the store when a
+caller asks for it: what a node reads grows with its callers, not with the
+jobs of the shard.  The number of waiting jobs is published by the shard's
+holder with its lease; once that is too old, the count is refused.
 """
 
 import asyncio
@@ -12,7 +14,6 @@
 import enum
 import typing
 
-import msgspec
 import result
 
 from primroselock import clock
@@ -24,6 +25,7 @@
 from primroselock import metrics
 from primroselock import options
 from primroselock import queues
+from primroselock import shards
 from primroselock.store import keys
 from primroselock.store import table
 from primroselock.store import tablefollower
@@ -31,9 +33,14 @@
 _log: typing.Final = logs.get('intake')
 _COMMIT_INTERVAL_S: typing.Final = 0.005
 _RETRY_AFTER_S: typing.Final = 1.0
+_MAX_REMEMBERED_JOBS: typing.Final = 20_000
+"""Jobs whose owner a node remembers; others are read from the store."""
+
 _MIN_COMMIT_TIMEOUT_S: typing.Final = 0.05
 """A commit takes a few milliseconds, so one can succeed near a deadline."""
 
+_MIN_READ_TIMEOUT_S: typing.Final = 0.05
+
 
 class RefusalReason(enum.Enum):
     """Reasons to refuse a call; the values go to logs and to callers."""
@@ -43,6 +50,7 @@
     UNKNOWN_KEY = 'unknown key'
     UNKNOWN_JOB = 'no such job'
     INVALID = 'the job cannot be read'
+    COUNT_UNKNOWN = 'the number of waiting jobs is not known now'
     STORE_UNAVAILABLE = 'the store does not take the job now'
     OUTCOME_UNKNOWN = 'the store did not say whether it took the job'
 
@@ -68,6 +76,25 @@
     account: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Owner:
+    """The account and the queue that a job was accepted for."""
+
+    account: str
+    queue: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _PublishedCounts:
+    """Waiting jobs by queue, as the holder published them, and when seen.
+
+    ``seen_at`` is on this process's clock.
+    """
+
+    waiting_by_queue: dict[str, int] | None
+    seen_at: float
+
+
 class Intake:
     """Serves callers on one node."""
 
@@ -83,13 +110,19 @@
         self._follower = shard_follower
         self._committer = groupcommit.GroupCommitter(store, _COMMIT_INTERVAL_S)
         self._metrics = counters
-        self._rows = graphrows.JobRows(settings.fleet.shard)
+        self._lease_key = keys.shard_lease(settings.fleet.shard)
+        self._owners_by_id: dict[str, _Owner] = {}
+        self._counts = _PublishedCounts(None, float('-inf'))
         self._queues = queues.EMPTY
         self._confirmed_at: abc.Callable[[], float] = lambda: float('-inf')
         shard_follower.add_handler(self._apply_changes)
 
     def _apply_changes(self, changes: table.Changes) -> None:
-        self._rows.apply(changes)
+        for row in changes.rows:
+            if row.key == self._lease_key:
+                lease = shards.read_lease_row(row)
+                counts = lease.waiting_by_queue if lease else None
+                self._counts = _PublishedCounts(counts, clock.monotonic())
 
     def set_queue_configuration(
         self,
@@ -153,9 +186,9 @@
             return result.Err(
                 Refused(RefusalReason.INVALID, '; '.join(problems))
             )
-        known = self._rows.stored_by_id.get(graph.id)
-        if known is not None and known.graph is not None:
-            return _check_same_owner(known.graph, graph)
+        known = self._owners_by_id.get(graph.id)
+        if known is not None:
+            return _check_same_owner(known, graph)
         age_s = clock.monotonic() - self._confirmed_at()
         if age_s > self._settings.accept_permit_s:
             # The store has not answered of late: refuse, and send nothing.
@@ -175,6 +208,7 @@
         write = groupcommit.Write(key, table.ABSENT, graphrows.encode(graph))
         outcome = await self._commit(write, deadline)
         if isinstance(outcome, result.Ok):
+            self._remember(graph)
             return result.Ok(None)
         error = outcome.err_value
         if isinstance(error, table.Conflict):
@@ -218,16 +252,22 @@
             return result.Err(
                 Refused(RefusalReason.OUTCOME_UNKNOWN, 'job row not found')
             )
-        try:
-            stored = msgspec.json.decode(row.value, type=jobgraph.JobGraph)
-        except msgspec.MsgspecError as error:
-            _log.error('row cannot be decoded', key=key, error=str(error))
+        stored = graphrows.read_graph(row)
+        if stored is None:
             return result.Err(
                 Refused(
                     RefusalReason.OUTCOME_UNKNOWN, 'job row cannot be decoded'
                 )
             )
-        return _check_same_owner(stored, graph)
+        return _check_same_owner(self._remember(stored), graph)
+
+    def _remember(self, graph: jobgraph.JobGraph) -> _Owner:
+        """Remember and return the owner of a job that is stored."""
+        if len(self._owners_by_id) >= _MAX_REMEMBERED_JOBS:
+            self._owners_by_id.pop(next(iter(self._owners_by_id)))
+        owner = _Owner(graph.account, graph.queue)
+        self._owners_by_id[graph.id] = owner
+        return owner
 
     async def cancel(
         self, access: Access, job_id: str, deadline: float
@@ -237,12 +277,9 @@
         Succeeds for a job that has ended or is cancelled already.
         ``deadline`` is on this process's clock.
         """
-        found = await self._find(access, job_id)
-        if isinstance(found, result.Err):
-            return found
-        stored = found.ok_value
-        if stored.is_cancelled or _state(stored).is_final:
-            return result.Ok(None)
+        owned = await self._check_owner(access, job_id, deadline)
+        if isinstance(owned, result.Err):
+            return owned
         key = keys.cancellation(self._settings.shard, job_id)
         write = groupcommit.Write(key, table.ABSENT, access.account.encode())
         outcome = await self._commit(write, deadline)
@@ -262,70 +299,82 @@
         return result.Err(Refused(RefusalReason.OUTCOME_UNKNOWN, error.detail))
 
     async def state(
-        self, access: Access, job_id: str
+        self, access: Access, job_id: str, deadline: float
     ) -> result.Result[jobs.JobState, Refused]:
-        """Return the state of a job.
+        """Return the state of a job, as the store has it now.
 
-        The state is read from the store if the node's copy is older than
-        ``fresh_state_s``.
+        ``deadline`` is on this process's clock.
         """
-        found = await self._find(access, job_id)
-        if isinstance(found, result.Err):
-            return found
-        known = _state(found.ok_value)
-        age_s = self._follower.age_s(clock.monotonic())
-        if known.is_final or age_s <= self._settings.fresh_state_s:
-            return result.Ok(known)
-        return result.Ok(await self._read_state(job_id, known))
-
-    async def _read_state(
-        self, job_id: str, known: jobs.JobState
-    ) -> jobs.JobState:
-        """Read a state from the store; fall back to ``known`` on failure."""
-        key = keys.progress(self._settings.shard, job_id)
-        try:
-            async with asyncio.timeout(self._settings.fresh_read_timeout_s):
-                read = await self._store.read([key])
-        except TimeoutError:
-            return known
-        if isinstance(read, result.Err) or key not in read.ok_value:
-            return known
-        stored = graphrows.StoredJob()
-        rows = graphrows.JobRows(self._settings.shard)
-        rows.stored_by_id[job_id] = stored
-        rows.apply(table.Changes((read.ok_value[key],), (), 0))
-        return _state(stored)
-
-    async def _find(
-        self, access: Access, job_id: str
-    ) -> result.Result[graphrows.StoredJob, Refused]:
-        stored = self._rows.stored_by_id.get(job_id)
-        if stored is None or stored.graph is None:
-            looked_up = await self._read_job(job_id)
-            if isinstance(looked_up, result.Err):
-                return looked_up
-            stored = looked_up.ok_value
-        if stored is None or stored.graph is None:
+        owned, read = await asyncio.gather(
+            self._check_owner(access, job_id, deadline),
+            self._read_row(
+                keys.progress(self._settings.shard, job_id), deadline
+            ),
+        )
+        if isinstance(owned, result.Err):
+            return owned
+        if isinstance(read, result.Err):
+            return read
+        row = read.ok_value
+        if row is None:
+            return await self._state_without_progress(job_id, deadline)
+        progress = graphrows.read_progress(row)
+        if progress is None:
+            return result.Err(
+                Refused(
+                    RefusalReason.STORE_UNAVAILABLE,
+                    'progress row cannot be decoded',
+                    _RETRY_AFTER_S,
+                )
+            )
+        return result.Ok(progress.state)
+
+    async def _state_without_progress(
+        self, job_id: str, deadline: float
+    ) -> result.Result[jobs.JobState, Refused]:
+        """Return that a job waits, or refuse one whose rows were deleted."""
+        read = await self._read_row(
+            keys.graph(self._settings.shard, job_id), deadline
+        )
+        if isinstance(read, result.Err):
+            return read
+        if read.ok_value is None:
+            self._owners_by_id.pop(job_id, None)
             return result.Err(Refused(RefusalReason.UNKNOWN_JOB))
-        graph = stored.graph
+        return result.Ok(jobs.JobState.WAITING)
+
+    async def _check_owner(
+        self, access: Access, job_id: str, deadline: float
+    ) -> result.Result[None, Refused]:
+        """Refuse a job that does not exist or that others submitted."""
+        owner = self._owners_by_id.get(job_id)
+        if owner is None:
+            read = await self._read_row(
+                keys.graph(self._settings.shard, job_id), deadline
+            )
+            if isinstance(read, result.Err):
+                return read
+            row = read.ok_value
+            graph = graphrows.read_graph(row) if row is not None else None
+            if graph is None:
+                return result.Err(Refused(RefusalReason.UNKNOWN_JOB))
+            owner = self._remember(graph)
         # Callers without a key, which a public queue admits, have no account.
-        is_own = graph.account == access.account or not access.account
-        if not is_own or graph.queue != access.queue.name:
+        is_own = owner.account == access.account or not access.account
+        if not is_own or owner.queue != access.queue.name:
             return result.Err(Refused(RefusalReason.UNKNOWN_JOB))
-        return result.Ok(stored)
-
-    async def _read_job(
-        self, job_id: str
-    ) -> result.Result[graphrows.StoredJob | None, Refused]:
-        """Read the rows of a job that the copy does not contain."""
-        shard = self._settings.shard
-        read = await self._store.read(
-            [
-                keys.graph(shard, job_id),
-                keys.progress(shard, job_id),
-                keys.cancellation(shard, job_id),
-            ]
-        )
+        return result.Ok(None)
+
+    async def _read_row(
+        self, key: str, deadline: float
+    ) -> result.Result[table.Row | None, Refused]:
+        """Read a row, until ``deadline``; None if it does not exist."""
+        left_s = max(_MIN_READ_TIMEOUT_S, deadline - clock.monotonic())
+        try:
+            async with asyncio.timeout(left_s):
+                read = await self._store.read([key])
+        except TimeoutError:
+            read = result.Err(table.Unavailable('no answer in time'))
         if isinstance(read, result.Err):
             return result.Err(
                 Refused(
@@ -334,29 +383,32 @@
                     _RETRY_AFTER_S,
                 )
             )
-        rows = graphrows.JobRows(shard)
-        rows.apply(table.Changes(tuple(read.ok_value.values()), (), 0))
-        return result.Ok(rows.stored_by_id.get(job_id))
-
-    def count_waiting(self, access: Access) -> int:
-        """Return how many accepted jobs of a queue have not started."""
-        return sum(
-            stored.graph is not None
-            and stored.graph.queue == access.queue.name
-            and not stored.is_cancelled
-            and _state(stored) is jobs.JobState.WAITING
-            for stored in self._rows.stored_by_id.values()
-        )
+        return result.Ok(read.ok_value.get(key))
 
+    def count_waiting(
+        self, access: Access, now: float
+    ) -> result.Result[int, Refused]:
+        """Return how many accepted jobs of a queue have not started.
 
-def _state(stored: graphrows.StoredJob) -> jobs.JobState:
-    if stored.progress is None:
-        return jobs.JobState.WAITING
-    return stored.progress.state
+        Refused if the shard's holder has published no count of late: a
+        count of unknown age is no answer.
+        """
+        counts = self._counts
+        age_s = now - counts.seen_at
+        is_old = age_s > self._settings.count_age_s
+        if counts.waiting_by_queue is None or is_old:
+            return result.Err(
+                Refused(
+                    RefusalReason.COUNT_UNKNOWN,
+                    f'last count {age_s:.3f} s old',
+                    _RETRY_AFTER_S,
+                )
+            )
+        return result.Ok(counts.waiting_by_queue.get(access.queue.name, 0))
 
 
 def _check_same_owner(
-    stored: jobgraph.JobGraph, graph: jobgraph.JobGraph
+    stored: _Owner, graph: jobgraph.JobGraph
 ) -> result.Result[None, Refused]:
     """Refuse a submission whose id another account or queue uses."""
     if stored.account != graph.account or stored.queue != graph.queue:
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -200,11 +200,11 @@
     A copy of a table counts as fresh up to ``follow_age_s``, which exceeds
     the duration of a call of the change feed without changes
     (``operator_wait_s`` for the operators' rows, else ``follow_wait_s``); a
-    node that does not hold the shard lease follows the table with pauses of
-    ``standby_pause_s``.  The state of a job that has not ended is reread if
-    the copy is older than ``fresh_state_s``.  Remote from its data or rack a
-    task takes ``far_factor`` times as long.  Rows of ended jobs are deleted
-    after ``keep_ended_s``.
+    node that does not hold the shard lease follows the lease with pauses of
+    ``standby_pause_s``.  The number of waiting jobs is refused once the
+    holder's last count is older than ``count_age_s``.  Remote from its data
+    or rack a task takes ``far_factor`` times as long.  Rows of ended jobs
+    are deleted after ``keep_ended_s``.
 
     At a shutdown the hand-over of the shard takes at most ``leaving_s``;
     the node then serves for ``leaving_s`` until callers use other nodes,
@@ -237,8 +237,7 @@
     follow_wait_s: float = ini.key('seconds', 1.0)
     follow_age_s: float = ini.key('seconds', 2.5)
     standby_pause_s: float = ini.key('seconds', 0.4)
-    fresh_state_s: float = ini.key('seconds', 0.1)
-    fresh_read_timeout_s: float = ini.key('seconds', 0.3)
+    count_age_s: float = ini.key('seconds', 1.6)
     default_deadline_s: float = ini.key('seconds', 3.0)
     leaving_s: float = ini.key('seconds', 2.5)
     far_factor: float = ini.key('factor', 3.0)
--- a/primroselock/platform/clientapi.py
+++ b/primroselock/platform/clientapi.py
@@ -29,6 +29,7 @@
     intake.RefusalReason.UNKNOWN_JOB: 410,
     intake.RefusalReason.INVALID: 400,
     intake.RefusalReason.STORE_UNAVAILABLE: 503,
+    intake.RefusalReason.COUNT_UNKNOWN: 503,
     intake.RefusalReason.OUTCOME_UNKNOWN: 504,
 }
 _STATE_NAMES: typing.Final = {
@@ -199,8 +200,11 @@
         deadline: float,
     ) -> responses.Response:
         if not job_id:
-            return _json(_Pending(self._intake.count_waiting(access)))
-        found = await self._intake.state(access, job_id)
+            counted = self._intake.count_waiting(access, clock.monotonic())
+            if isinstance(counted, result.Err):
+                return _refuse(request, counted.err_value)
+            return _json(_Pending(counted.ok_value))
+        found = await self._intake.state(access, job_id, deadline)
         if isinstance(found, result.Err):
             return _refuse(request, found.err_value)
         return _json(_State(_STATE_NAMES[found.ok_value]))
--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections import abc
+import dataclasses
 import typing
 
 import result
@@ -21,6 +22,7 @@
 from primroselock.decisions import runs
 from primroselock import graphrows
 from primroselock import graphwriter
+from primroselock import jobs
 from primroselock import logs
 from primroselock import metrics
 from primroselock import options
@@ -36,6 +38,15 @@
 
 _log: typing.Final = logs.get('holder')
 _MAX_ROUND_INTERVAL_S: typing.Final = 0.25
+_REST_PER_ROUND: typing.Final = 4.0
+"""Time between rounds as a multiple of a round's duration: polls, orders and
+renewals need the rest of the process's time."""
+
+_MAX_COUNT_AGE_S: typing.Final = 1.0
+"""A count of waiting jobs is not published if the last round is older."""
+
+_MIN_REST_S: typing.Final = 0.001
+_MAX_REST_S: typing.Final = 0.5
 _TAKEOVER_RETRY_S: typing.Final = 0.2
 _CLOCK_MARGIN_S: typing.Final = 1.0
 """Added to the time by which the leases of earlier holders have expired."""
@@ -89,8 +100,6 @@
         )
         self._wake = asyncio.Event()
         self._lease_wake = asyncio.Event()
-        self._rows = graphrows.JobRows(settings.fleet.shard)
-        self._changed_job_ids: set[str] = set()
         self._queues = queues.EMPTY
         self._configuration_confirmed_at: abc.Callable[[], float] = lambda: 0.0
         self._board: fleet.ShardBoard | None = None
@@ -147,35 +156,42 @@
         takeover = await self._take_over()
         if takeover is None:
             return
-        board, listed_version = takeover
-        self._board = board
-        session = _HolderSession(self, board, listed_version)
+        self._board = takeover.board
+        session = _HolderSession(self, takeover)
         try:
             await session.run()
         finally:
             self._board = None
+            self.lease.count_waiting = lambda now: None
 
-    async def _take_over(self) -> tuple[fleet.ShardBoard, int] | None:
+    async def _take_over(self) -> '_Takeover | None':
         """Read the rows that earlier holders wrote and build a blackboard.
 
-        Returns the blackboard and the version of the listing of the shard's
-        rows, or None if the lease was lost or the process stops before the
+        Returns None if the lease was lost or the process stops before the
         store answered.
         """
         held_since = clock.monotonic()
         while self.lease.has_shard and not self._stopping:
-            shard_rows, entries = await asyncio.gather(
-                self._store.list_rows('shard'),
+            sent_at = clock.monotonic()
+            submissions, progress, entries = await asyncio.gather(
+                self._store.list_rows(keys.SUBMISSIONS),
+                self._store.list_rows(keys.PROGRESS),
                 self._store.list_rows(self._worker_rows.name),
             )
-            if isinstance(shard_rows, result.Ok) and isinstance(
-                entries, result.Ok
+            if (
+                isinstance(submissions, result.Ok)
+                and isinstance(progress, result.Ok)
+                and isinstance(entries, result.Ok)
             ):
-                listing = shard_rows.ok_value
+                jobs_by_id = self._read_jobs(
+                    submissions.ok_value, progress.ok_value
+                )
                 board = self._build_board(
-                    listing, entries.ok_value, held_since
+                    jobs_by_id, entries.ok_value, held_since
+                )
+                return _Takeover(
+                    board, submissions.ok_value, set(jobs_by_id), sent_at
                 )
-                return board, listing.version
             _log.warning(
                 'shard takeover delayed: store not available; retrying'
             )
@@ -183,9 +199,17 @@
             await asyncio.sleep(_TAKEOVER_RETRY_S)
         return None
 
+    def _read_jobs(
+        self, submissions: table.Listing, progress: table.Listing
+    ) -> dict[str, graphrows.StoredJob]:
+        rows = graphrows.JobRows(self._settings.fleet.shard)
+        rows.apply(submissions.rows)
+        rows.apply(progress.rows)
+        return rows.stored_by_id
+
     def _build_board(
         self,
-        shard_rows: table.Listing,
+        jobs_by_id: abc.Mapping[str, graphrows.StoredJob],
         entries: table.Listing,
         held_since: float,
     ) -> fleet.ShardBoard:
@@ -205,9 +229,7 @@
             entry = self._worker_rows.read_entry(row)
             if entry is not None:
                 board.record_entry(entry, now)
-        rows = graphrows.JobRows(self._settings.fleet.shard)
-        rows.apply(table.Changes(shard_rows.rows, (), shard_rows.version))
-        for stored in rows.stored_by_id.values():
+        for stored in jobs_by_id.values():
             load_job(board, stored, now)
         _log.info(
             'shard takeover complete',
@@ -218,10 +240,6 @@
         return board
 
     def _apply_changes(self, changes: table.Changes) -> None:
-        changed = self._rows.apply(changes)
-        if changed:
-            self._changed_job_ids |= changed
-            self._wake.set()
         lease_key = keys.shard_lease(self._settings.fleet.shard)
         if any(row.key == lease_key for row in changes.rows):
             self._lease_wake.set()
@@ -235,7 +253,9 @@
     if graph is None:
         return
     job = board.jobs_by_id.get(graph.id)
-    if job is None:
+    if stored.progress is not None and stored.progress.state.is_final:
+        board.ended_ms_by_id[graph.id] = stored.progress.ended_ms
+    elif job is None:
         wall_ms = int(clock.wall() * 1000)
         job = graphs.add_job(
             board,
@@ -246,21 +266,43 @@
             wall_ms,
         )
     if job is not None and stored.is_cancelled:
-        job.is_cancelled = True
+        job.request_cancel()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Takeover:
+    """What a new holder has read from the store.
+
+    ``submissions`` is the listing from which to follow what callers ask
+    for, requested at ``sent_at``; ``job_ids`` are the jobs that it names.
+    """
+
+    board: fleet.ShardBoard
+    submissions: table.Listing
+    job_ids: set[str]
+    sent_at: float
 
 
 class _HolderSession:
     """Runs the loops from gaining the shard lease until it is lost."""
 
-    def __init__(
-        self, holder: ShardHolder, board: fleet.ShardBoard, listed_version: int
-    ) -> None:
+    def __init__(self, holder: ShardHolder, takeover: _Takeover) -> None:
+        board = takeover.board
         self._holder = holder
         self._board = board
         self._settings = holder._settings
         self._lease = holder.lease
-        self._listed_version = listed_version
-        self._loaded_job_ids: set[str] = set()
+        self._lease.count_waiting = self._count_waiting
+        self._loaded_job_ids = takeover.job_ids
+        self._new_rows: list[table.Row] = []
+        self._decided_at = clock.monotonic()
+        self._submission_follower = tablefollower.TableFollower(
+            holder._store, keys.SUBMISSIONS, self._settings.fleet.follow_wait_s
+        )
+        self._submission_follower.resume(
+            takeover.submissions, takeover.sent_at
+        )
+        self._submission_follower.add_handler(self._apply_submissions)
         self._worker_follower = tablefollower.TableFollower(
             holder._store,
             holder._worker_rows.name,
@@ -303,6 +345,7 @@
                 self._renew(),
                 self._decide(),
                 self._writer.run(),
+                self._submission_follower.run(),
                 self._worker_follower.run(),
                 self._delete_old_rows(),
             )
@@ -339,11 +382,15 @@
             if now - before > _MAX_ROUND_INTERVAL_S + _PAUSE_THRESHOLD_S:
                 _log.warning('process paused', gap_s=now - before)
             self._decide_once(now)
+            rest_s = (clock.monotonic() - now) * _REST_PER_ROUND
+            if rest_s > _MIN_REST_S:
+                await asyncio.sleep(min(rest_s, _MAX_REST_S))
 
     def _decide_once(self, now: float) -> None:
         self._load_new_jobs(now)
         if not self._lease.has_shard:
             return
+        self._decided_at = now
         self._board.permit_until = self._permit_until()
         started = clock.monotonic()
         fleetround.run(self._board, self._settings, now, clock.wall())
@@ -355,42 +402,67 @@
         self._advice_requester.ensure_running()
         self._pollers.ensure_running()
 
+    def _apply_submissions(self, changes: table.Changes) -> None:
+        if changes.rows:
+            self._new_rows.extend(changes.rows)
+            self._holder._wake.set()
+
     def _load_new_jobs(self, now: float) -> None:
-        holder = self._holder
-        ids, holder._changed_job_ids = holder._changed_job_ids, set()
-        for job_id in ids:
-            stored = holder._rows.stored_by_id.get(job_id)
-            if stored is None:
-                continue
+        """Load the jobs and cancellations that were reported since then.
+
+        A row may be reported twice; a job that was loaded once is on the
+        blackboard or has ended.
+        """
+        taken, self._new_rows = tuple(self._new_rows), []
+        rows = graphrows.JobRows(self._settings.fleet.shard)
+        rows.apply(taken)
+        for job_id, stored in rows.stored_by_id.items():
             known = self._board.jobs_by_id.get(job_id)
             if known is not None:
-                known.is_cancelled |= stored.is_cancelled
-            elif (
-                job_id not in self._loaded_job_ids
-                and stored.graph_version > self._listed_version
-            ):
-                # The followed copy may lag behind the listing: a job that
-                # the listing contained is on the blackboard or has ended.
+                if stored.is_cancelled:
+                    known.request_cancel()
+            elif stored.graph and job_id not in self._loaded_job_ids:
                 self._loaded_job_ids.add(job_id)
                 load_job(self._board, stored, now)
 
+    def _count_waiting(self, now: float) -> dict[str, int] | None:
+        """Return the number of jobs that have not started, by queue.
+
+        Returns None while this process is late, or its copy of what callers
+        ask for is old: jobs that it does not know of yet would be missing.
+        """
+        if (
+            now - self._decided_at > _MAX_COUNT_AGE_S
+            or self._submission_follower.age_s(now)
+            > self._settings.fleet.follow_age_s
+        ):
+            return None
+        counts: dict[str, int] = {}
+        for job in self._board.jobs_by_id.values():
+            if job.state is jobs.JobState.WAITING and not job.is_cancelled:
+                queue = job.graph.queue
+                counts[queue] = counts.get(queue, 0) + 1
+        return counts
+
     async def _delete_old_rows(self) -> None:
         """Periodically delete the rows of jobs that ended long ago."""
         keep_s = self._settings.fleet.keep_ended_s
+        ended_ms_by_id = self._board.ended_ms_by_id
         while self._lease.has_shard:
             await asyncio.sleep(min(keep_s, _MAX_SWEEP_INTERVAL_S))
             ended_before_ms = (clock.wall() - keep_s) * 1000
             old_ids = [
                 job_id
-                for job_id, stored in self._holder._rows.stored_by_id.items()
-                if stored.progress is not None
-                and stored.progress.state.is_final
-                and stored.progress.ended_ms < ended_before_ms
-            ]
-            if old_ids:
-                await self._delete_jobs(old_ids[:_MAX_DELETED_JOBS])
-
-    async def _delete_jobs(self, job_ids: list[str]) -> None:
+                for job_id, ended_ms in ended_ms_by_id.items()
+                if ended_ms < ended_before_ms
+            ][:_MAX_DELETED_JOBS]
+            if old_ids and await self._delete_jobs(old_ids):
+                for job_id in old_ids:
+                    del ended_ms_by_id[job_id]
+                self._loaded_job_ids.difference_update(old_ids)
+
+    async def _delete_jobs(self, job_ids: list[str]) -> bool:
+        """Delete the rows of jobs; return whether they are deleted."""
         shard = self._lease.shard
         epoch_row = table.Condition(
             keys.shard_epoch(shard), self._lease.epoch_row_version
@@ -409,12 +481,12 @@
             _log.warning(
                 'rows of ended jobs not deleted', why=str(outcome.err_value)
             )
-            return
+            return False
         _log.info('rows of ended jobs deleted', jobs=len(job_ids))
+        return True
 
     def _on_saved(self) -> None:
         self._send_orders()
-        self._pollers.ensure_running()
         self._holder._wake.set()
 
     def _send_orders(self) -> None:
--- a/primroselock/shards.py
+++ b/primroselock/shards.py
@@ -15,6 +15,7 @@
 renew first.
 """
 
+from collections import abc
 import dataclasses
 import typing
 
@@ -36,11 +37,23 @@
 
     ``holder`` is the id of the holder's VM.  ``renewal`` counts the renewals
     since the takeover, so that each renewal changes the row.
+    ``waiting_by_queue`` is the number of the shard's jobs that have not
+    started, or None where the holder does not know it.
     """
 
     holder: str
     renewal: int
     released: bool = False
+    waiting_by_queue: dict[str, int] | None = None
+
+
+def read_lease_row(row: table.Row) -> LeaseRow | None:
+    """Return the content of a lease row, or None if it is malformed."""
+    try:
+        return msgspec.json.decode(row.value, type=LeaseRow)
+    except msgspec.MsgspecError as error:
+        _log.error('row cannot be decoded', key=row.key, error=str(error))
+        return None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,7 +73,8 @@
 
     States: ``standby``, ``holder``.  ``epoch`` and ``epoch_row_version``
     are valid in the state ``holder``.  ``valid_until`` and each ``now`` are
-    in seconds on this process's monotonic clock.
+    in seconds on this process's monotonic clock.  ``count_waiting`` returns
+    what a renewal publishes as ``LeaseRow.waiting_by_queue``.
     """
 
     state: str
@@ -76,6 +90,9 @@
         self._holder_id = settings.process.vm_id
         self._store = store
         self._renewal = 0
+        self.count_waiting: abc.Callable[[float], dict[str, int] | None] = (
+            lambda now: None
+        )
         # Version of the lease row as this standby observed it, and since
         # when; -1 while none was observed.
         self._observed_version = -1
@@ -133,7 +150,11 @@
 
     async def _renew(self, now: float) -> None:
         self._renewal += 1
-        row = LeaseRow(self._holder_id, self._renewal)
+        row = LeaseRow(
+            self._holder_id,
+            self._renewal,
+            waiting_by_queue=self.count_waiting(now),
+        )
         outcome = await table.transact_resolved(
             self._store, self._lease_write(row)
         )
--- a/primroselock/store/keys.py
+++ b/primroselock/store/keys.py
@@ -64,21 +64,24 @@
     return f'claim/{account}/{idempotency_key_digest}'
 
 
-def shard_rows(shard: str) -> str:
-    """Return the prefix of all rows of a shard whose jobs are graphs."""
-    return f'shard/{shard}/'
+SUBMISSIONS: typing.Final = 'submitted'
+"""The table of what callers ask for, which the holder of a shard follows."""
+
+PROGRESS: typing.Final = 'progress'
+"""The table of what became of it, which nobody follows: it grows with each
+start and each end, and most nodes need a row only when a caller asks."""
 
 
 def graph(shard: str, job_id: str) -> str:
     """Return the key of a job's graph, written at acceptance only."""
-    return f'shard/{shard}/graph/{job_id}'
-
-
-def progress(shard: str, job_id: str) -> str:
-    """Return the key of a job's progress, written by the lease holder only."""
-    return f'shard/{shard}/progress/{job_id}'
+    return f'{SUBMISSIONS}/{shard}/graph/{job_id}'
 
 
 def cancellation(shard: str, job_id: str) -> str:
     """Return the key of the row that requests a job's cancellation."""
-    return f'shard/{shard}/cancel/{job_id}'
+    return f'{SUBMISSIONS}/{shard}/cancel/{job_id}'
+
+
+def progress(shard: str, job_id: str) -> str:
+    """Return the key of a job's progress, written by the lease holder only."""
+    return f'{PROGRESS}/{shard}/{job_id}'
--- a/primroselock/store/tablefollower.py
+++ b/primroselock/store/tablefollower.py
@@ -56,6 +56,16 @@
         """Call ``handler`` with each set of changes."""
         self._handlers.append(handler)
 
+    def resume(self, listing: table.Listing, sent_at: float) -> None:
+        """Follow from a listing that the caller has processed already.
+
+        ``sent_at`` is when the listing was requested.
+        """
+        self.rows_by_key = {row.key: row for row in listing.rows}
+        self._version = listing.version
+        self.confirmed_at = sent_at
+        self.loaded.set()
+
     def age_s(self, now: float) -> float:
         """Return the time since the copy was known to be up to date."""
         return now - self.confirmed_at
--- a/primroselock/test/testfleetnode.py
+++ b/primroselock/test/testfleetnode.py
@@ -167,7 +167,9 @@
             rows = list(world.store.inner.rows)
             self.assertFalse([key for key in rows if 'old' in key])
             self.assertTrue([key for key in rows if 'new' in key])
-            deleted = await node.intake.state(access, 'old')
+            deleted = await node.intake.state(
+                access, 'old', clock.monotonic() + 1.0
+            )
             self.assertIsInstance(deleted, result.Err)
             await world.close()
 
@@ -533,16 +535,19 @@
             world.submit(fleetbuilders.build_graph('j1', big))
             world.submit(fleetbuilders.build_graph('j2', big))
             await asyncio.sleep(1.5)
-            self.assertEqual(1, node.intake.count_waiting(access))
-            state = (await node.intake.state(access, 'j1')).unwrap()
+            now = clock.monotonic()
+            self.assertEqual(
+                1, node.intake.count_waiting(access, now).unwrap()
+            )
+            state = (await node.intake.state(access, 'j1', now + 1.0)).unwrap()
             self.assertEqual('running', state.value)
-            unknown = await node.intake.state(access, 'j9')
+            unknown = await node.intake.state(access, 'j9', now + 1.0)
             assert isinstance(unknown, result.Err)
             self.assertIs(
                 intake.RefusalReason.UNKNOWN_JOB, unknown.err_value.why
             )
             foreign = intake.Access(fleetbuilders.BULK, 'merch')
-            hidden = await node.intake.state(foreign, 'j1')
+            hidden = await node.intake.state(foreign, 'j1', now + 1.0)
             self.assertIsInstance(hidden, result.Err)
 
         run_scenario(scenario)
--- a/primroselock/test/testlargeshard.py
+++ b/primroselock/test/testlargeshard.py
@@ -51,12 +51,12 @@
 
     def test_equal_tasks_do_not_each_scan_every_worker(self) -> None:
         with mock.patch.object(
-            fitting, '_choose', wraps=fitting._choose
-        ) as choose:
+            fitting, '_candidates', wraps=fitting._candidates
+        ) as scan:
             self.run_round(1.0)
             self.run_round(1.1)
-        # Each choice fills a worker or starts a job.
-        self.assertLess(choose.call_count, 2 * (_WORKERS + _TASKS // 40))
+        # Each scan fills a worker or starts a job.
+        self.assertLess(scan.call_count, 2 * (_WORKERS + _TASKS // 40))
 
     def test_tasks_that_do_not_fit_do_not_each_scan_every_worker(
         self,
@@ -67,10 +67,10 @@
             largefleet.add_job(self.board, f'm{number}', 'bulk', 40, 1.2)
         self.run_round(1.2)
         with mock.patch.object(
-            fitting, '_choose', wraps=fitting._choose
-        ) as choose:
+            fitting, '_candidates', wraps=fitting._candidates
+        ) as scan:
             self.run_round(1.3)
-        self.assertLessEqual(choose.call_count, 2)
+        self.assertLessEqual(scan.call_count, 2)
 
     def test_runs_without_a_new_report_are_not_judged(self) -> None:
         """Only groups with a new run report are checked for being stuck."""
