A late holder blames nobody; one that is turned away yields; slow VMs wait

Cause: the age of a run's progress was taken when a report was processed, so a holder that was late took old reports for the state of now (stuck, start lost, poll unanswered). A holder that the store answered with 429 stayed until a worker showed it a newer epoch. Change: progress is dated by the worker's own clock; judgements pause for a second after a late round; a poll whose timeout is noticed late is no failure. Renewals answered with 429 past the lease's end drop the lease. VMs slower than a core wait up to 0.15 s before they take a free shard. Lease rows that cannot be decoded no longer end the process. Tests: testholderload, in virtual time.

--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -319,7 +319,9 @@
 class Worker:
     """A worker: its entry, its last run report and its members.
 
-    ``clock_s`` is the worker's clock as received at ``clock_at``.
+    ``clock_s`` is the worker's clock as received at ``clock_at``, and
+    ``clock_delta_s`` the least by which this process's clock was ahead of
+    it when a report was received: the delay of the report is in excess.
     ``lease_end`` is the time on the worker's clock up to which its runs
     were leased; ``polled_at`` is when the last poll was sent that was
     answered under this holder's epoch; ``last_answer_at`` is when the last
@@ -338,6 +340,7 @@
     last_answer_at: float = _NEVER
     clock_s: float = 0.0
     clock_at: float = _NEVER
+    clock_delta_s: float | None = None
     lease_end: float | None = None
     failures_in_row: int = 0
     unresponsive_since: float = _NEVER
@@ -468,8 +471,10 @@
 
     Leases granted by an earlier holder end by ``inherited_until``, and
     nothing is placed after ``permit_until``; both are on this process's
-    clock.  ``changed_ids`` names the jobs whose rows must be written, and
-    ``ended_ms_by_id`` those that ended, with the Unix time in milliseconds.
+    clock.  Nobody is blamed for being late before ``judge_from``, since this
+    process was late itself.  ``changed_ids`` names the jobs whose rows must
+    be written, and ``ended_ms_by_id`` those that ended, with the Unix time
+    in milliseconds.
     ``orders`` and ``decision_records`` collect the decisions of the
     controllers until they are taken.  ``reported_groups`` are the groups
     whose progress was reported since the last round.
@@ -495,6 +500,7 @@
     decision_records: list[DecisionRecord] = dataclasses.field(
         default_factory=list
     )
+    judge_from: float = _NEVER
     claims_by_group: dict[Group, CapacityClaim] = dataclasses.field(
         default_factory=dict
     )
--- a/primroselock/decisions/fleethealth.py
+++ b/primroselock/decisions/fleethealth.py
@@ -98,9 +98,12 @@
     """Return the running groups that are stuck.
 
     Only groups whose workers reported progress since the last call are
-    checked.  ``remote_factor`` multiplies the expected run time of a group
-    that runs away from its data rack or across racks.
+    checked, and none while this process is late itself.  ``remote_factor``
+    multiplies the expected run time of a group that runs away from its data
+    rack or across racks.
     """
+    if now < board.judge_from:
+        return []
     reported, board.reported_groups = board.reported_groups, {}
     found = []
     for group in reported:
@@ -135,7 +138,13 @@
     if expected_s is None or group.began_at is None:
         return ''
     limit_s = expected_s * factor * _STUCK_FACTOR + _STUCK_MARGIN_S
-    return 'longer than expected' if now - group.began_at > limit_s else ''
+    # The group may have ended since its last report.
+    reported_at = max(
+        (m.progress.seen_at for m in group.members if m.progress is not None),
+        default=now,
+    )
+    is_long = reported_at - group.began_at > limit_s
+    return 'longer than expected' if is_long else ''
 
 
 def _is_slow(group: fleet.Group, expected_s: float, now: float) -> bool:
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -184,6 +184,9 @@
 ) -> None:
     """End attempts whose members were not all accepted in time."""
     limit_s = settings.fleet.start_timeout_s
+    if now < board.judge_from:
+        # Answers may have been received and not processed yet.
+        return
     for group in list(board.phases.starting):
         is_unanswered = any(
             member.state is fleet.MemberState.ORDERED
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -48,6 +48,7 @@
         _reset_restarted(board, worker, report)
     worker.boot = report.boot or worker.entry.boot
     worker.polled_at = max(worker.polled_at, sent_at)
+    reported_at = _reported_at(worker, report.clock_s, now)
     worker.clock_s, worker.clock_at = report.clock_s, now
     worker.last_answer_at = now
     worker.failures_in_row = 0
@@ -55,13 +56,28 @@
         _record_end(board, worker, ended, now, wall_ms)
     reported = {running.run: running for running in report.running}
     for run, running in reported.items():
-        _record_running(board, worker, run, running, now)
+        _record_running(board, worker, run, running, reported_at, now)
     if report.is_complete:
         _record_absent(board, worker, reported, sent_at, now, wall_ms)
     for run in [run for run in worker.unexpected_runs if run not in reported]:
         del worker.unexpected_runs[run]
 
 
+def _reported_at(worker: fleet.Worker, clock_s: float, now: float) -> float:
+    """Return when a report was made, on this process's clock.
+
+    A report that was received or processed late must not look like the
+    state of now.  The least delay seen so far counts as none, but for the
+    drift of the worker's clock since then.
+    """
+    delta_s = now - clock_s
+    if worker.clock_delta_s is not None:
+        drift_s = max(0.0, now - worker.clock_at) * CLOCK_DRIFT
+        delta_s = min(delta_s, worker.clock_delta_s + drift_s)
+    worker.clock_delta_s = delta_s
+    return clock_s + delta_s
+
+
 def _reset_restarted(
     board: fleet.ShardBoard, worker: fleet.Worker, report: orders.RunReport
 ) -> None:
@@ -75,6 +91,7 @@
     worker.confirmed_end = 0
     worker.unsaved_ends.clear()
     worker.lease_end = None
+    worker.clock_delta_s = None
     board.decision_records.append(
         fleet.DecisionRecord(
             'worker restarted',
@@ -155,6 +172,7 @@
     worker: fleet.Worker,
     run: orders.Run,
     running: orders.Running,
+    reported_at: float,
     now: float,
 ) -> None:
     member = worker.members.get(run)
@@ -164,14 +182,17 @@
     worker.unexpected_runs.pop(run, None)
     group = member.group
     _record_checkpoint(group, running.checkpoint)
-    _record_progress(board, member, running.share, now)
+    _record_progress(board, member, running.share, reported_at)
     member.boot = worker.boot
     if member.state is not fleet.MemberState.PRESENT:
         mark_present(board, member, now)
 
 
 def _record_progress(
-    board: fleet.ShardBoard, member: fleet.Member, share: float, now: float
+    board: fleet.ShardBoard,
+    member: fleet.Member,
+    share: float,
+    reported_at: float,
 ) -> None:
     group = member.group
     if group.step.long_running:
@@ -179,9 +200,9 @@
         return
     board.reported_groups[group] = None
     if member.progress is None:
-        member.progress = runprogress.start(share, now)
+        member.progress = runprogress.start(share, reported_at)
         return
-    member.progress.record(share, now)
+    member.progress.record(share, reported_at)
     _record_speed(board, member, member.progress.take_rate())
 
 
--- a/primroselock/ini.py
+++ b/primroselock/ini.py
@@ -120,6 +120,14 @@
     return number
 
 
+@kind('delay', 'a number of seconds of at least 0')
+def _delay(value: str) -> float:
+    number = float(value)
+    if not 0 <= number < float('inf'):
+        raise ValueError(value)
+    return number
+
+
 @kind('factor', 'a number of at least 1')
 def _factor(value: str) -> float:
     number = float(value)
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -11,7 +11,6 @@
 import typing
 
 import result
-import zmq
 
 from primroselock import errors
 from primroselock import ini
@@ -120,7 +119,8 @@
     a preemption that loses much work.  ``reserve_timeout_s`` bounds each
     step of a start, and ``checkpoint_grace_s`` the time to save progress
     before a stop.  A gap of more than ``freeze_gap_s`` between two ticks
-    counts as a process pause.
+    counts as a process pause.  A standby waits ``takeover_delay_s`` before
+    it takes over a free shard, so that faster VMs go first.
     """
 
     status_bind: str = ini.key('address', '127.0.0.1:0')
@@ -132,6 +132,7 @@
     tick_interval_s: float = ini.key('seconds', 0.1)
     job_poll_interval_s: float = ini.key('seconds', 0.5)
     shard_lease_s: float = ini.key('seconds', 6.0)
+    takeover_delay_s: float = ini.key('delay', 0.0)
     shard_renew_interval_s: float = ini.key('seconds', 1.5)
     heartbeat_interval_s: float = ini.key('seconds', 1.0)
     worker_timeout_s: float = ini.key('seconds', 2.0)
@@ -413,6 +414,9 @@
         )
     public_key = ''
     if mesh.secret_key:
+        # Nodes without a mesh do not load the library.
+        import zmq
+
         public_key = zmq.curve_public(mesh.secret_key.encode()).decode()
     if mesh.public_key != public_key:
         expected = 'the public key of secret_key, or neither key'
--- a/primroselock/platform/rows.py
+++ b/primroselock/platform/rows.py
@@ -24,6 +24,7 @@
 _OK: typing.Final = 200
 _GONE: typing.Final = 410
 _CONDITION_FAILED: typing.Final = 412
+_TOO_MANY_CALLS: typing.Final = 429
 _NOT_APPLIED_STATUSES: typing.Final = frozenset({400, 403, 413, 429, 503})
 """Response codes which guarantee that nothing was written."""
 
@@ -200,7 +201,8 @@
         if response.status in _NOT_APPLIED_STATUSES:
             return result.Err(
                 table.Unavailable(
-                    f'row store responded with status {response.status}'
+                    f'row store responded with status {response.status}',
+                    response.status == _TOO_MANY_CALLS,
                 )
             )
         try:
--- a/primroselock/platform/settings.py
+++ b/primroselock/platform/settings.py
@@ -26,6 +26,7 @@
 _MIN_PERMIT_S: typing.Final = 0.5
 """Used if ``bounds.revoke_ms`` leaves less."""
 
+_MAX_TAKEOVER_DELAY_S: typing.Final = 0.15
 _CALL_RATE_SHARE: typing.Final = 0.25
 """Call limit of one connection pool as a share of the platform's writes."""
 
@@ -100,6 +101,7 @@
             'scheduler': {
                 'shard_lease_s': '1.5',
                 'shard_renew_interval_s': '0.35',
+                'takeover_delay_s': f'{self._takeover_delay_s():g}',
             },
             'fleet': {
                 'bind': self._required('listen.front'),
@@ -139,6 +141,17 @@
         bound_s = self._number('bounds.revoke_ms', 5000) / _MS_PER_S
         return max(_MIN_PERMIT_S, bound_s - _PERMIT_MARGIN_S)
 
+    def _takeover_delay_s(self) -> float:
+        """Return how long a slow VM leaves a free shard to faster ones.
+
+        ``cpu_share`` is the share of a core and ``cores`` how many times as
+        fast as one that core is.
+        """
+        speed = self._number('limits.cpu_share', 1) * self._number(
+            'limits.cores', 1
+        )
+        return _MAX_TAKEOVER_DELAY_S * max(0.0, 1 - speed)
+
     def _internal_address(self, offset: int) -> str:
         """Return an address for internal use, on a port of the range."""
         first = self._values.get('port_range', '').partition(',')[0]
--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -47,6 +47,10 @@
 
 _MIN_REST_S: typing.Final = 0.001
 _MAX_REST_S: typing.Final = 0.5
+_LATE_S: typing.Final = 0.3
+"""A round that starts this late shows that answers wait to be processed."""
+
+_LATE_GRACE_S: typing.Final = 1.0
 _TAKEOVER_RETRY_S: typing.Final = 0.2
 _CLOCK_MARGIN_S: typing.Final = 1.0
 """Added to the time by which the leases of earlier holders have expired."""
@@ -375,16 +379,30 @@
         """Run a decision round after each change, and also periodically."""
         wake = self._holder._wake
         wake.set()
+        rest_s = 0.0
         while self._lease.has_shard:
             before = clock.monotonic()
+            if rest_s > _MIN_REST_S:
+                await asyncio.sleep(rest_s)
             await waits.wait_event(wake, _MAX_ROUND_INTERVAL_S)
             now = clock.monotonic()
-            if now - before > _MAX_ROUND_INTERVAL_S + _PAUSE_THRESHOLD_S:
-                _log.warning('process paused', gap_s=now - before)
+            self._check_late(
+                now - before - rest_s - _MAX_ROUND_INTERVAL_S, now
+            )
             self._decide_once(now)
-            rest_s = (clock.monotonic() - now) * _REST_PER_ROUND
-            if rest_s > _MIN_REST_S:
-                await asyncio.sleep(min(rest_s, _MAX_REST_S))
+            taken_s = clock.monotonic() - now
+            rest_s = min(taken_s * _REST_PER_ROUND, _MAX_REST_S)
+
+    def _check_late(self, late_s: float, now: float) -> None:
+        """Suspend judgements of lateness if this round is late itself.
+
+        What was received meanwhile is processed before they go on.
+        """
+        self._holder._metrics.record('decision_late', max(0.0, late_s))
+        if late_s > _LATE_S:
+            self._board.judge_from = now + _LATE_GRACE_S
+        if late_s > _PAUSE_THRESHOLD_S:
+            _log.warning('process paused', gap_s=round(late_s, 3))
 
     def _decide_once(self, now: float) -> None:
         self._load_new_jobs(now)
--- a/primroselock/shards.py
+++ b/primroselock/shards.py
@@ -10,9 +10,11 @@
 until another process has taken over the shard, which it learns from the
 epoch row, from a conflict of a write with that row, or from a worker that
 has seen a newer epoch.  While the table is unavailable it continues to
-renew the leases of running tasks.  A standby that cannot read the table
-restarts its count of the lease's duration, so that the old holder can
-renew first.
+renew the leases of running tasks; but once the table answers that it takes
+no calls of this process, which others may reach, an expired lease ends its
+time as the holder.  A standby that cannot read the table restarts its count
+of the lease's duration, so that the old holder can renew first.  Slow VMs
+wait a little longer than others before they take over.
 """
 
 from collections import abc
@@ -163,6 +165,8 @@
             self.valid_until = now + self._settings.shard_lease_s
         elif isinstance(outcome.err_value, table.Conflict):
             await self._check_still_held()
+        elif _is_turned_away(outcome.err_value) and now >= self.valid_until:
+            self.drop('the table turns this process away')
 
     async def _check_still_held(self) -> None:
         """Drop the shard after a takeover; else reread the row's version.
@@ -238,20 +242,28 @@
         self.trigger('gain')
 
     def _may_acquire(self, lease_row: table.Row | None, now: float) -> bool:
+        version = lease_row.version if lease_row else table.ABSENT
+        if version != self._observed_version:
+            self._observed_version = version
+            self._observed_since = now
+        observed_s = now - self._observed_since
+        delay_s = self._settings.takeover_delay_s
         if lease_row is None:
+            return observed_s >= delay_s
+        lease = read_lease_row(lease_row)
+        if lease is not None and lease.released:
+            return observed_s >= delay_s
+        if lease is not None and lease.holder == self._holder_id:
+            # The row was written by an earlier process of this VM, which
+            # has ended.
             return True
-        lease = msgspec.json.decode(lease_row.value, type=LeaseRow)
-        if lease.released or lease.holder == self._holder_id:
-            # A row with this VM's id was written by an earlier process of
-            # the VM, which has ended.
-            return True
-        if lease_row.version != self._observed_version:
-            self._observed_version = lease_row.version
-            self._observed_since = now
-            return False
-        return now - self._observed_since > self._settings.shard_lease_s
+        return observed_s > self._settings.shard_lease_s + delay_s
 
     if typing.TYPE_CHECKING:
 
         def trigger(self, name: str) -> bool:
             """Run a transition; added by the state machine."""
+
+
+def _is_turned_away(error: table.TransactError) -> bool:
+    return isinstance(error, table.Unavailable) and error.is_turned_away
--- a/primroselock/test/fakefeed.py
+++ b/primroselock/test/fakefeed.py
@@ -24,12 +24,14 @@
     """The state of one client's connection to the store.
 
     With ``refuses_calls`` the store refuses each call, with
-    ``is_unresponsive`` each call fails after 1 s without an answer;
+    ``is_turned_away`` it answers that it takes no calls of this client, and
+    with ``is_unresponsive`` each call fails after 1 s without an answer;
     ``feed_is_unresponsive`` affects only the change feed.  Each write uses
     up one of ``faults``.
     """
 
     refuses_calls: bool = False
+    is_turned_away: bool = False
     is_unresponsive: bool = False
     feed_is_unresponsive: bool = False
     faults: list[fakestore.Fault] = dataclasses.field(default_factory=list)
@@ -85,6 +87,13 @@
     def __init__(self, shared: FeedStore, connectivity: Connectivity) -> None:
         self._shared = shared
         self._connectivity = connectivity
+        self.rows_received_by_table: dict[str, int] = {}
+
+    def _count_rows(self, rows: abc.Iterable[table.Row]) -> None:
+        for row in rows:
+            name = row.key.partition('/')[0]
+            known = self.rows_received_by_table.get(name, 0)
+            self.rows_received_by_table[name] = known + 1
 
     async def _call(self) -> bool:
         """Wait for the duration of a call; return whether it succeeds."""
@@ -94,6 +103,7 @@
         return not (
             self._connectivity.is_unresponsive
             or self._connectivity.refuses_calls
+            or self._connectivity.is_turned_away
         )
 
     async def aclose(self) -> None:
@@ -106,7 +116,9 @@
         if not await self._call():
             return result.Err(table.Unavailable('down'))
         rows = self._shared.inner.rows
-        return result.Ok({key: rows[key] for key in keys if key in rows})
+        found = {key: rows[key] for key in keys if key in rows}
+        self._count_rows(found.values())
+        return result.Ok(found)
 
     async def scan(
         self, prefix: str, after: str = '', limit: int = 1000
@@ -124,6 +136,7 @@
             return result.Err(table.Unavailable('down'))
         inner = self._shared.inner
         rows = inner.scan(f'{name}/', '', 100_000)
+        self._count_rows(rows)
         return result.Ok(table.Listing(tuple(rows), inner.version))
 
     async def changes(
@@ -159,6 +172,7 @@
             if version > after and key.startswith(f'{name}/')
         }
         rows = tuple(inner.rows[key] for key in keys if key in inner.rows)
+        self._count_rows(rows)
         removed = tuple(key for key in keys if key not in inner.rows)
         return table.Changes(rows, removed, inner.version)
 
@@ -169,7 +183,8 @@
         if not await self._call():
             if self._connectivity.is_unresponsive:
                 return result.Err(table.OutcomeUnknown('no answer'))
-            return result.Err(table.Unavailable('down'))
+            turned_away = self._connectivity.is_turned_away
+            return result.Err(table.Unavailable('down', turned_away))
         faults = self._connectivity.faults
         fault = faults.pop(0) if faults else fakestore.Fault.NONE
         if fault is fakestore.Fault.UNAVAILABLE:
--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -109,6 +109,7 @@
         self.lost_work_s = 0.0
         """Accelerator-seconds of work lost because runs were stopped."""
 
+        self.end_counts: dict[orders.EndCause, int] = {}
         self.confirmed_done: set[jobgraph.TaskName] = set()
         self.done: set[jobgraph.TaskName] = set()
         self._random = random.Random(seed)
@@ -137,8 +138,9 @@
 
     def _advance(self, worker: FakeWorker, now: float) -> None:
         if worker.runs and now > worker.lease_end:
-            for run in list(worker.runs):
-                worker.add_end(run, orders.EndCause.LEASE_EXPIRED)
+            for live in list(worker.runs.values()):
+                live.cause = orders.EndCause.LEASE_EXPIRED
+                self._end(worker, live)
         for live in list(worker.runs.values()):
             if not worker.is_stalled and self._is_due(live, now):
                 self._end(worker, live)
@@ -162,6 +164,8 @@
     def _end(self, worker: FakeWorker, live: LiveRun) -> None:
         task = live.run.task
         worker.add_end(live.run, live.cause)
+        known = self.end_counts.get(live.cause, 0)
+        self.end_counts[live.cause] = known + 1
         if live.cause is orders.EndCause.DONE:
             self.done.add(task)
         elif live.cause is orders.EndCause.FAILED:
--- /dev/null
+++ b/primroselock/test/testholderload.py
@@ -0,0 +1,304 @@
+"""The holder of a large shard under load, in virtual time.
+
+Guards against rounds whose cost grows with what exists, against a holder
+that is late and blames others for it, against nodes that copy every row of
+the shard, and against a holder that the store turns away and that stays.
+"""
+
+import asyncio
+from collections import abc
+import contextlib
+import typing
+import unittest
+from unittest import mock
+
+import result
+
+from primroselock import clock
+from primroselock.decisions import fitting
+from primroselock.decisions import fleet
+from primroselock.decisions import fleethealth
+from primroselock.decisions import fleetround
+from primroselock.decisions import graphs
+from primroselock.decisions import runs
+from primroselock import intake
+from primroselock.test import fleetbuilders
+from primroselock.test import loadbuilders
+from primroselock.test import virtualtime
+from primroselock.workers import orders
+
+_ACCESS: typing.Final = intake.Access(fleetbuilders.BULK, 'signs')
+
+
+@contextlib.contextmanager
+def slow_rounds(
+    virtual: virtualtime.VirtualClock, round_s: float
+) -> abc.Iterator[list[float]]:
+    """Let each round take ``round_s``; yield the times when rounds began."""
+    began: list[float] = []
+    run_round = fleetround.run
+
+    def run_slowly(*arguments: typing.Any) -> None:
+        began.append(virtual.now)
+        run_round(*arguments)
+        virtual.now += round_s
+
+    with mock.patch.object(fleetround, 'run', run_slowly):
+        yield began
+
+
+class OverloadTest(unittest.TestCase):
+    """More work than fits, and a holder that is slower than its work."""
+
+    def test_a_round_attempts_shapes_and_not_each_waiting_group(self) -> None:
+        """The pattern: several hundred tasks wait while all is full."""
+
+        async def scenario(world: fleetbuilders.World) -> float:
+            for number in range(30):
+                step = fleetbuilders.build_step(40, 1, 60_000)
+                world.submit(fleetbuilders.build_graph(f'b{number}', step))
+            await asyncio.sleep(5.0)
+            rounds = 0
+
+            def count_round(*arguments: typing.Any) -> None:
+                nonlocal rounds
+                rounds += 1
+                run_round(*arguments)
+
+            run_round = fleetround.run
+            with (
+                mock.patch.object(fleetround, 'run', count_round),
+                mock.patch.object(
+                    fitting, '_place_single', wraps=fitting._place_single
+                ) as attempt,
+            ):
+                await asyncio.sleep(2.0)
+            self.assertGreater(rounds, 0)
+            # All tasks have one shape and one rank.
+            self.assertLessEqual(attempt.call_count, rounds)
+            return 0.0
+
+        fleetbuilders.run_scenario(scenario, 8)
+
+    def test_rounds_leave_most_of_the_time_to_everything_else(self) -> None:
+        """Guards against a holder that does nothing but decide."""
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World(0, 8)
+            world.add_node('entry-1')
+            await asyncio.sleep(1.0)
+            round_s = 0.05
+            with slow_rounds(virtual, round_s) as began:
+                started = virtual.now
+                await loadbuilders.submit_jobs(world, 1.0, 10.0)
+                taken_s = virtual.now - started
+            self.assertLessEqual(len(began) * round_s, taken_s * 0.25)
+            await world.close()
+
+        virtualtime.run(run_all)
+
+    def test_a_holder_at_a_tenth_of_the_speed_blames_nobody(self) -> None:
+        """Rounds of a second: served less, nothing stopped, and it recovers.
+
+        The pattern: the machine of the holder is slowed for 20 s.
+        """
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World(0, 8)
+            node = world.add_node('entry-1')
+            await asyncio.sleep(1.0)
+            with slow_rounds(virtual, 1.0):
+                slow_ids = await loadbuilders.submit_jobs(world, 0.3, 20.0)
+            self.assertTrue(node.holder.lease.has_shard)
+            for job_id in slow_ids:
+                await world.wait_for(job_id, 'done', 60.0)
+            self.assertEqual([], world.fleet.violations)
+            ended = world.fleet.end_counts
+            self.assertEqual(0, ended.get(orders.EndCause.STOPPED, 0))
+            self.assertEqual(0, ended.get(orders.EndCause.LEASE_EXPIRED, 0))
+            await world.close()
+
+        virtualtime.run(run_all)
+
+
+class LateReportTest(unittest.TestCase):
+    """Reports that are processed late are not taken for the state of now."""
+
+    def setUp(self) -> None:
+        self.board = fleet.ShardBoard(epoch=1)
+        self.board.record_entry(fleetbuilders.build_entry('w0'), 0.0)
+        self.worker = self.board.workers_by_id['w0']
+        graph = fleetbuilders.build_graph('j')
+        job = graphs.add_job(self.board, graph, None, 0, 0.0, 0)
+        assert job is not None
+        self.group = next(iter(job.groups_by_key.values()))
+        member = fleet.Member(
+            self.group, 0, 'w0', 1, fleet.MemberState.PRESENT
+        )
+        self.group.members.append(member)
+        self.group.enter(fleet.Phase.RUNNING, 0.0)
+        self.group.began_at = 0.0
+        self.member_run = member.run
+        self.worker.add_member(member)
+
+    def report(self, clock_s: float, share: float, now: float) -> None:
+        """Process at ``now`` a report made at ``clock_s``."""
+        running = orders.Running(self.member_run, '', share)
+        report = orders.RunReport(clock_s, 1, (running,), ())
+        runs.record_poll(self.board, self.worker, report, now, now, 0)
+
+    def list_stuck(self, now: float) -> list[fleet.Group]:
+        """Return the groups that count as stuck."""
+        found = fleethealth.list_stuck(self.board, 3.0, now)
+        return [stuck.group for stuck in found]
+
+    def test_a_report_that_waited_for_a_paused_process(self) -> None:
+        self.report(50.0, 0.2, 1.0)
+        self.report(51.0, 0.2, 6.0)
+        self.assertEqual([], self.list_stuck(6.0))
+
+    def test_a_run_that_stalls_by_the_workers_own_clock(self) -> None:
+        self.report(50.0, 0.2, 1.0)
+        self.report(54.0, 0.2, 5.0)
+        self.assertEqual([self.group], self.list_stuck(5.0))
+
+    def test_nobody_is_blamed_right_after_a_pause(self) -> None:
+        """The answers that were received meanwhile come first."""
+        self.report(50.0, 0.2, 1.0)
+        self.report(54.0, 0.2, 5.0)
+        self.board.judge_from = 6.0
+        self.assertEqual([], self.list_stuck(5.5))
+        self.assertEqual([self.group], self.list_stuck(6.0))
+
+
+class StandbyTest(unittest.TestCase):
+    """What nodes read that do not decide, and what they answer."""
+
+    def test_a_node_that_does_not_decide_reads_no_rows_of_jobs(self) -> None:
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World(0, 8)
+            for number in range(4):
+                world.add_node(f'entry-{number}')
+            await asyncio.sleep(2.0)
+            await loadbuilders.submit_jobs(world, 1.0, 10.0)
+            holder = world.find_shard_holder()
+            for node in world.nodes:
+                received = node.client.rows_received_by_table
+                if node is not holder:
+                    self.assertEqual({'shard'}, set(received))
+            await world.close()
+
+        virtualtime.run(run_all)
+
+    def test_the_count_of_waiting_jobs_is_never_too_low(self) -> None:
+        """Around a takeover it is refused, and never said to be 0."""
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World(0, 2)
+            for number in range(3):
+                world.add_node(f'entry-{number}')
+            await asyncio.sleep(2.0)
+            for number in range(12):
+                step = fleetbuilders.build_step(1, 8, 60_000)
+                world.submit(fleetbuilders.build_graph(f'j{number}', step))
+            await asyncio.sleep(2.0)
+            holder = world.find_shard_holder()
+            others = [node for node in world.nodes if node is not holder]
+            await holder.kill()
+            answers = []
+            for _ in range(60):
+                await asyncio.sleep(0.1)
+                now = clock.monotonic()
+                answers += [
+                    node.intake.count_waiting(_ACCESS, now) for node in others
+                ]
+            counts = [a.ok_value for a in answers if isinstance(a, result.Ok)]
+            refusals = [
+                a.err_value.why for a in answers if isinstance(a, result.Err)
+            ]
+            self.assertEqual({10}, set(counts))
+            self.assertEqual(
+                {intake.RefusalReason.COUNT_UNKNOWN}, set(refusals)
+            )
+            await world.close()
+
+        virtualtime.run(run_all)
+
+    def test_a_deleted_job_is_not_said_to_wait(self) -> None:
+        """Its owner is remembered, but its rows are gone."""
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World()
+            node = world.add_node('entry-1', '[fleet]\nkeep_ended_s = 2\n')
+            await asyncio.sleep(1.0)
+            graph = fleetbuilders.build_graph('old')
+            world.submit(graph)
+            await world.wait_for('old', 'done', 10.0)
+            found = await node.intake.state(_ACCESS, 'old', virtual.now + 1.0)
+            self.assertIsInstance(found, result.Ok)
+            await asyncio.sleep(6.0)
+            found = await node.intake.state(_ACCESS, 'old', virtual.now + 1.0)
+            assert isinstance(found, result.Err)
+            self.assertIs(
+                intake.RefusalReason.UNKNOWN_JOB, found.err_value.why
+            )
+            await world.close()
+
+        virtualtime.run(run_all)
+
+
+class TurnedAwayTest(unittest.TestCase):
+    """A holder that the store turns away while it serves the others."""
+
+    def test_it_yields_when_its_lease_has_expired(self) -> None:
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            # Without workers none can tell it of a newer epoch.
+            world = fleetbuilders.World(0, 0)
+            for number in range(3):
+                world.add_node(f'entry-{number}')
+            await asyncio.sleep(2.0)
+            holder = world.find_shard_holder()
+            holder.connectivity.is_turned_away = True
+            scheduler = holder.settings.scheduler
+            await asyncio.sleep(
+                scheduler.shard_lease_s + scheduler.shard_renew_interval_s
+            )
+            self.assertFalse(holder.holder.lease.has_shard)
+            await asyncio.sleep(1.0)
+            self.assertIsNot(holder, world.find_shard_holder())
+            await world.close()
+
+        virtualtime.run(run_all)
+
+    def test_it_stays_while_the_store_is_down_for_all(self) -> None:
+        """Runs are leased on; nobody else could take over."""
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World()
+            for number in range(3):
+                world.add_node(f'entry-{number}')
+            await asyncio.sleep(2.0)
+            holder = world.find_shard_holder()
+            for node in world.nodes:
+                node.connectivity.refuses_calls = True
+            await asyncio.sleep(4.0)
+            self.assertTrue(holder.holder.lease.has_shard)
+            await world.close()
+
+        virtualtime.run(run_all)
+
+    def test_a_slow_vm_leaves_a_free_shard_to_a_faster_one(self) -> None:
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World()
+            for number in range(3):
+                world.add_node(f'slow-{number}', 'takeover_delay_s = 0.3\n')
+            fast = world.add_node('fast')
+            await asyncio.sleep(2.0)
+            self.assertIs(fast, world.find_shard_holder())
+            await world.close()
+
+        virtualtime.run(run_all)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -28,6 +28,9 @@
 
 _UNSAVED_CHECK_INTERVAL_S: typing.Final = 0.02
 _MAX_UNSAVED_WAIT_S: typing.Final = 1.0
+_LATE_S: typing.Final = 0.3
+"""A timeout that is noticed this late shows that the process was late."""
+
 _INITIAL_BACKOFF_S: typing.Final = 0.1
 _MAX_BACKOFF_S: typing.Final = 1.0
 
@@ -145,17 +148,27 @@
                 self._settings, self._lease, sent_at
             )
             lease_until = runorders.extend_lease(worker, deadline)
+        wait_s = self._poll_wait_s(worker)
+        timeout_s = self._settings.fleet.look_timeout_s
         answer = await self._run_client.poll_runs(
             worker.id,
             worker.entry.address,
             self._board.epoch,
             confirmed_end,
             lease_until,
-            self._poll_wait_s(worker),
-            self._settings.fleet.look_timeout_s,
+            wait_s,
+            timeout_s,
         )
         self._metrics.count('looks')
         if isinstance(answer, result.Err):
+            late_s = clock.monotonic() - sent_at - wait_s - timeout_s
+            if late_s > _LATE_S and isinstance(
+                answer.err_value, orders.Unanswered
+            ):
+                # The answer may have been received while this process was
+                # late: that is no evidence against the worker.
+                self._metrics.count('late_polls')
+                return True
             self._record_error(worker, answer.err_value)
             return False
         if worker.failures_in_row:
