--- a/primroselock/fleetnode.py
+++ b/primroselock/fleetnode.py
@@ -13,6 +13,7 @@
 from primroselock import advicerequests
 from primroselock import clock
 from primroselock import errors
+from primroselock import holdersession
 from primroselock import httpserver
 from primroselock import intake
 from primroselock import logs
@@ -68,7 +69,7 @@
     build_client_api: abc.Callable[
         [options.Settings, intake.Intake, metrics.Metrics], typing.Any
     ]
-    worker_rows: shardholder.WorkerRowReader
+    worker_rows: holdersession.WorkerRowReader
     operator_table: str
 
 
--- /dev/null
+++ b/primroselock/holdersession.py
@@ -0,0 +1,408 @@
+"""The loops of the process that holds the lease of a shard.
+
+A session lasts from the takeover until the lease is lost.  It follows what
+callers ask for and the workers' entries, decides in rounds, stores the
+decisions and sends the orders.  The decisions themselves are made in
+``primroselock.decisions``.
+
+Rounds take a bounded share of the time, so that polls, orders and renewals
+go on however much there is to decide; a round that starts late suspends
+the judgements of who is late.
+"""
+
+import asyncio
+from collections import abc
+import dataclasses
+import typing
+
+import result
+
+from primroselock import advicerequests
+from primroselock import clock
+from primroselock.decisions import fleet
+from primroselock.decisions import fleetround
+from primroselock.decisions import graphs
+from primroselock import graphrows
+from primroselock import graphwriter
+from primroselock import jobs
+from primroselock import logs
+from primroselock import metrics
+from primroselock import options
+from primroselock import queues
+from primroselock import runorders
+from primroselock import shards
+from primroselock.store import keys
+from primroselock.store import table
+from primroselock.store import tablefollower
+from primroselock import waits
+from primroselock import workerpolling
+from primroselock.workers import orders
+
+_log: typing.Final = logs.get('holder')
+_MAX_ROUND_INTERVAL_S: typing.Final = 0.25
+_REST_PER_ROUND: typing.Final = 4.0
+"""Time between rounds as a multiple of a round's duration: polls, orders and
+renewals need the rest of the process's time."""
+
+_MAX_COUNT_AGE_S: typing.Final = 1.0
+"""A count of waiting jobs is not published if the last round is older."""
+
+_MIN_REST_S: typing.Final = 0.001
+_MAX_REST_S: typing.Final = 0.5
+_LATE_S: typing.Final = 0.3
+"""A round that starts this late shows that answers wait to be processed."""
+
+_LATE_GRACE_S: typing.Final = 1.0
+_MAX_SWEEP_INTERVAL_S: typing.Final = 20.0
+_MAX_DELETED_JOBS: typing.Final = 30
+"""A transaction of the platform has at most 100 entries, three for a job."""
+
+_PAUSE_THRESHOLD_S: typing.Final = 0.8
+"""A round that starts this late shows that the process was paused."""
+
+
+class WorkerRowReader(typing.Protocol):
+    """Reads workers' entries from the rows of the table ``name``."""
+
+    name: str
+
+    def read_entry(self, row: table.Row) -> fleet.WorkerEntry | None:
+        """Return the entry of a row, or None if it cannot be decoded."""
+
+    def parse_worker_id(self, key: str) -> str:
+        """Return the id of the worker whose row, at ``key``, was deleted."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """What a session uses: settings, lease, store, clients and counters.
+
+    ``wake`` starts a round.  ``configuration_confirmed_at`` returns when
+    the operators' rows were last known to be up to date, on this process's
+    clock.
+    """
+
+    settings: options.Settings
+    lease: shards.ShardLease
+    store: table.FeedTable
+    worker_rows: WorkerRowReader
+    run_client: orders.RunClient
+    advice_client: advicerequests.AdviceClient
+    counters: metrics.Metrics
+    wake: asyncio.Event
+    configuration_confirmed_at: abc.Callable[[], float]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Takeover:
+    """What a new holder has read from the store.
+
+    ``submissions`` is the listing from which to follow what callers ask
+    for, requested at ``sent_at``; ``job_ids`` are the jobs that it names.
+    """
+
+    board: fleet.ShardBoard
+    submissions: table.Listing
+    job_ids: set[str]
+    sent_at: float
+
+
+def load_job(
+    board: fleet.ShardBoard, stored: graphrows.StoredJob, now: float
+) -> None:
+    """Add a stored job to the blackboard, or apply its cancellation."""
+    graph = stored.graph
+    if graph is None:
+        return
+    job = board.jobs_by_id.get(graph.id)
+    if stored.progress is not None and stored.progress.state.is_final:
+        board.ended_ms_by_id[graph.id] = stored.progress.ended_ms
+    elif job is None:
+        wall_ms = int(clock.wall() * 1000)
+        job = graphs.add_job(
+            board,
+            graph,
+            stored.progress,
+            stored.progress_version,
+            now,
+            wall_ms,
+        )
+    if job is not None and stored.is_cancelled:
+        job.request_cancel()
+
+
+class HolderSession:
+    """Runs the loops from gaining the shard lease until it is lost."""
+
+    def __init__(self, parts: Parts, takeover: Takeover) -> None:
+        board = takeover.board
+        self._parts = parts
+        self._board = board
+        self._settings = parts.settings
+        self._lease = parts.lease
+        self._is_closing = False
+        self._lease.count_waiting = self._count_waiting
+        self._loaded_job_ids = takeover.job_ids
+        self._new_rows: list[table.Row] = []
+        self._decided_at = clock.monotonic()
+        self._submission_follower = tablefollower.TableFollower(
+            parts.store, keys.SUBMISSIONS, self._settings.fleet.follow_wait_s
+        )
+        self._submission_follower.resume(
+            takeover.submissions, takeover.sent_at
+        )
+        self._submission_follower.add_handler(self._apply_submissions)
+        self._worker_follower = tablefollower.TableFollower(
+            parts.store,
+            parts.worker_rows.name,
+            self._settings.fleet.follow_wait_s,
+        )
+        self._worker_follower.add_handler(self._apply_entries)
+        self._writer = graphwriter.ProgressWriter(
+            parts.store,
+            self._lease,
+            board,
+            self._on_saved,
+            clock.monotonic,
+        )
+        self._orders = runorders.OrderSender(
+            self._settings,
+            self._lease,
+            board,
+            parts.run_client,
+            parts.wake.set,
+            self._may_start,
+            parts.counters,
+        )
+        self._advice_requester = advicerequests.AdviceRequester(
+            board, parts.advice_client, parts.wake.set
+        )
+        self._pollers = workerpolling.WorkerPollers(
+            self._settings,
+            self._lease,
+            board,
+            parts.run_client,
+            parts.wake.set,
+            parts.counters,
+        )
+
+    def close(self) -> None:
+        """Send no more starts: the shard is about to be released."""
+        self._is_closing = True
+
+    def use_queues(self, current: queues.QueueConfiguration) -> None:
+        """Use this version of the queues for all later decisions."""
+        self._board.queue_configuration = current
+        for job in self._board.jobs_by_id.values():
+            queue = current.find_by_name(job.graph.queue)
+            job.queue = queue or job.queue
+
+    async def run(self) -> None:
+        """Run the loops until the shard lease is lost."""
+        loops = [
+            asyncio.create_task(loop)
+            for loop in (
+                self._renew(),
+                self._decide(),
+                self._writer.run(),
+                self._submission_follower.run(),
+                self._worker_follower.run(),
+                self._delete_old_rows(),
+            )
+        ]
+        try:
+            await asyncio.wait(loops, return_when=asyncio.FIRST_COMPLETED)
+            for task in loops:
+                if task.done() and task.exception() is not None:
+                    _log.error(
+                        'loop failed; dropping the shard lease',
+                        exc_info=task.exception(),
+                    )
+                    self._lease.drop('a loop failed')
+        finally:
+            self._lease.count_waiting = lambda now: None
+            self._advice_requester.cancel()
+            self._pollers.cancel()
+            self._orders.cancel()
+            await waits.cancel_tasks(loops)
+
+    async def _renew(self) -> None:
+        interval_s = self._settings.scheduler.shard_renew_interval_s
+        while self._lease.has_shard:
+            await self._lease.step(clock.monotonic())
+            await asyncio.sleep(interval_s)
+
+    async def _decide(self) -> None:
+        """Run a decision round after each change, and also periodically."""
+        wake = self._parts.wake
+        wake.set()
+        rest_s = 0.0
+        while self._lease.has_shard:
+            before = clock.monotonic()
+            if rest_s > _MIN_REST_S:
+                await asyncio.sleep(rest_s)
+            await waits.wait_event(wake, _MAX_ROUND_INTERVAL_S)
+            now = clock.monotonic()
+            self._check_late(
+                now - before - rest_s - _MAX_ROUND_INTERVAL_S, now
+            )
+            self._decide_once(now)
+            taken_s = clock.monotonic() - now
+            rest_s = min(taken_s * _REST_PER_ROUND, _MAX_REST_S)
+
+    def _check_late(self, late_s: float, now: float) -> None:
+        """Suspend judgements of lateness if this round is late itself.
+
+        What was received meanwhile is processed before they go on.
+        """
+        self._parts.counters.record('decision_late', max(0.0, late_s))
+        if late_s > _LATE_S:
+            self._board.judge_from = now + _LATE_GRACE_S
+        if late_s > _PAUSE_THRESHOLD_S:
+            _log.warning('process paused', gap_s=round(late_s, 3))
+
+    def _decide_once(self, now: float) -> None:
+        self._load_new_jobs(now)
+        if not self._lease.has_shard:
+            return
+        self._decided_at = now
+        self._board.permit_until = self._permit_until()
+        started = clock.monotonic()
+        fleetround.run(self._board, self._settings, now, clock.wall())
+        self._parts.counters.record(
+            'decision_round', clock.monotonic() - started
+        )
+        self._send_orders()
+        self._writer.wake()
+        self._advice_requester.ensure_running()
+        self._pollers.ensure_running()
+
+    def _apply_submissions(self, changes: table.Changes) -> None:
+        if changes.rows:
+            self._new_rows.extend(changes.rows)
+            self._parts.wake.set()
+
+    def _load_new_jobs(self, now: float) -> None:
+        """Load the jobs and cancellations that were reported since then.
+
+        A row may be reported twice; a job that was loaded once is on the
+        blackboard or has ended.
+        """
+        taken, self._new_rows = tuple(self._new_rows), []
+        rows = graphrows.JobRows(self._settings.fleet.shard)
+        rows.apply(taken)
+        for job_id, stored in rows.stored_by_id.items():
+            known = self._board.jobs_by_id.get(job_id)
+            if known is not None:
+                if stored.is_cancelled:
+                    known.request_cancel()
+            elif stored.graph and job_id not in self._loaded_job_ids:
+                self._loaded_job_ids.add(job_id)
+                load_job(self._board, stored, now)
+
+    def _count_waiting(self, now: float) -> dict[str, int] | None:
+        """Return the number of jobs that have not started, by queue.
+
+        Returns None while this process is late, or its copy of what callers
+        ask for is old: jobs that it does not know of yet would be missing.
+        """
+        if (
+            now - self._decided_at > _MAX_COUNT_AGE_S
+            or self._submission_follower.age_s(now)
+            > self._settings.fleet.follow_age_s
+        ):
+            return None
+        counts: dict[str, int] = {}
+        for job in self._board.jobs_by_id.values():
+            if job.state is jobs.JobState.WAITING and not job.is_cancelled:
+                queue = job.graph.queue
+                counts[queue] = counts.get(queue, 0) + 1
+        return counts
+
+    async def _delete_old_rows(self) -> None:
+        """Periodically delete the rows of jobs that ended long ago."""
+        keep_s = self._settings.fleet.keep_ended_s
+        ended_ms_by_id = self._board.ended_ms_by_id
+        while self._lease.has_shard:
+            await asyncio.sleep(min(keep_s, _MAX_SWEEP_INTERVAL_S))
+            ended_before_ms = (clock.wall() - keep_s) * 1000
+            old_ids = [
+                job_id
+                for job_id, ended_ms in ended_ms_by_id.items()
+                if ended_ms < ended_before_ms
+            ][:_MAX_DELETED_JOBS]
+            if old_ids and await self._delete_jobs(old_ids):
+                for job_id in old_ids:
+                    del ended_ms_by_id[job_id]
+                self._loaded_job_ids.difference_update(old_ids)
+
+    async def _delete_jobs(self, job_ids: list[str]) -> bool:
+        """Delete the rows of jobs; return whether they are deleted."""
+        shard = self._lease.shard
+        epoch_row = table.Condition(
+            keys.shard_epoch(shard), self._lease.epoch_row_version
+        )
+        row_keys = [keys.graph, keys.progress, keys.cancellation]
+        deleted = [
+            row_key(shard, job_id)
+            for job_id in job_ids
+            for row_key in row_keys
+        ]
+        outcome = await self._parts.store.transact(
+            table.Transaction((epoch_row,), (), tuple(deleted))
+        )
+        if isinstance(outcome, result.Err):
+            # The rows still exist; the next sweep deletes them.
+            _log.warning(
+                'rows of ended jobs not deleted', why=str(outcome.err_value)
+            )
+            return False
+        _log.info('rows of ended jobs deleted', jobs=len(job_ids))
+        return True
+
+    def _on_saved(self) -> None:
+        self._send_orders()
+        self._parts.wake.set()
+
+    def _send_orders(self) -> None:
+        """Log the blackboard's decisions and send its orders."""
+        for record in self._board.take_decision_records():
+            _log.info(
+                record.event,
+                request=record.job_id,
+                epoch=self._board.epoch,
+                config=self._board.queue_configuration.version,
+                **record.values,
+            )
+        for order in self._board.take_orders():
+            self._orders.send(order)
+
+    def _permit_until(self) -> float:
+        """Return until when the lease and the queues' age permit starts.
+
+        The time is on this process's monotonic clock.
+        """
+        confirmed_at = self._parts.configuration_confirmed_at()
+        return min(
+            self._lease.valid_until,
+            confirmed_at + self._settings.fleet.start_permit_s,
+        )
+
+    def _may_start(self, now: float) -> bool:
+        """Return whether this process may send start orders now."""
+        return (
+            not self._is_closing
+            and self._lease.has_shard
+            and now <= self._permit_until()
+        )
+
+    def _apply_entries(self, changes: table.Changes) -> None:
+        now = clock.monotonic()
+        for row in changes.rows:
+            entry = self._parts.worker_rows.read_entry(row)
+            if entry is not None:
+                self._board.record_entry(entry, now)
+        for key in changes.removed:
+            worker_id = self._parts.worker_rows.parse_worker_id(key)
+            self._board.record_unlisted(worker_id)
+        self._parts.wake.set()
