End an attempt that is being started when its zone is taken out

Cause: the older core checked the zone when it placed a job, not when it sent the starts of one whose reservation was under way. Change: an attempt in STARTING with members to start is ended instead.

--- a/primroselock/decisions/blackboard.py
+++ b/primroselock/decisions/blackboard.py
@@ -322,6 +322,12 @@
     load: PeerLoad | None = None
     soft_state: SoftState = dataclasses.field(default_factory=SoftState)
 
+    @property
+    def is_zone_in_service(self) -> bool:
+        """Return whether the blackboard's zone is in service."""
+        zone = self.config.zones_by_name.get(self.zone)
+        return zone is not None and zone.is_in_service
+
     def reports_by_worker_id(self) -> dict[str, protocol.Report | None]:
         """Return the last report of every worker."""
         return {
--- a/primroselock/decisions/gangs.py
+++ b/primroselock/decisions/gangs.py
@@ -42,6 +42,7 @@
     ],
     list[commands.Command],
 ]
+_ZONE_OUT: typing.Final = 'the zone was taken out of service'
 _steps_by_phase: typing.Final[dict[blackboard.Phase, _Step]] = {}
 
 
@@ -190,14 +191,17 @@
 
 
 def _abort_start(
-    board: blackboard.Blackboard, view: blackboard.AttemptView, now: float
+    board: blackboard.Blackboard,
+    view: blackboard.AttemptView,
+    now: float,
+    why: str = 'not every member could be started in time',
 ) -> list[commands.Command]:
     board.set_phase(
         view,
         blackboard.Phase.STOPPING,
         now,
         blackboard.EndReason.NOT_STARTED,
-        'not every member could be started in time',
+        why,
     )
     return []
 
@@ -258,6 +262,8 @@
         return _renew(settings, found, now)
     if timed_out:
         return _abort_start(board, view, now)
+    if not board.is_zone_in_service:
+        return _abort_start(board, view, now, _ZONE_OUT)
     if now >= board.permit_until:
         return []
     job = board.jobs_by_id[view.job_id].job
--- a/primroselock/decisions/placing.py
+++ b/primroselock/decisions/placing.py
@@ -32,12 +32,6 @@
 more than this share of its own expected work."""
 
 
-def is_zone_in_service(board: blackboard.Blackboard) -> bool:
-    """Return whether the blackboard's zone is in service."""
-    zone = board.config.zones_by_name.get(board.zone)
-    return zone is not None and zone.is_in_service
-
-
 def waiting_jobs(
     board: blackboard.Blackboard,
 ) -> list[blackboard.JobView]:
@@ -58,11 +52,11 @@
     """Place every waiting job that fits; record why the others wait."""
     waiting = waiting_jobs(board)
     _drop_not_waiting(board, waiting, now)
-    if not is_zone_in_service(board) or now >= board.permit_until:
+    if not board.is_zone_in_service or now >= board.permit_until:
         board.claims_by_job_id.clear()
         reason = (
             reasons.no_permit
-            if is_zone_in_service(board)
+            if board.is_zone_in_service
             else reasons.zone_out_of_service
         )
         board.reasons_by_job_id = {
--- a/primroselock/test/testreclaim.py
+++ b/primroselock/test/testreclaim.py
@@ -270,6 +270,26 @@
         machine.fill('za', accelerators=2, checkpointable=True, members=1)
         machine.guarantees_hold()
 
+    def test_no_start_in_a_zone_that_was_taken_out_meanwhile(self) -> None:
+        """An attempt that is being started when its zone goes is ended."""
+        for ticks in range(1, 9):
+            with self.subTest(ticks=ticks):
+                machine = DecisionMachine()
+                machine.submit(
+                    account='anna',
+                    zone='zb',
+                    members=1,
+                    accelerators=0,
+                    true_s=100.0,
+                    priority='normal',
+                    checkpointable=False,
+                )
+                for _ in range(ticks):
+                    machine.world.advance_by(0.05)
+                machine.change_zone('zb', 'out')
+                machine.settle()
+                machine.guarantees_hold()
+
 
 if __name__ == '__main__':
     unittest.main()
