The first tasks of a step to end say nothing of the others

Change: run times of a step are used once half of its tasks have ended. Test: a wide step; fails without the change.

--- a/primroselock/decisions/fleethealth.py
+++ b/primroselock/decisions/fleethealth.py
@@ -129,11 +129,14 @@
         return 'no progress'
     factor = remote_factor if _is_remote(board, group) else 1.0
     step_key = (group.job.graph.id, group.key.step)
-    sibling_s = board.learned.longest_sibling_s(step_key)
+    sibling_s = board.learned.longest_sibling_s(step_key, step.group_count)
     if sibling_s is not None and _is_slow(group, sibling_s * factor, now):
         return 'slower than its siblings'
     expected_s = board.learned.longest_s(
-        group.job.graph.queue, step_key, step.expected_ms / _MS_PER_S
+        group.job.graph.queue,
+        step_key,
+        step.group_count,
+        step.expected_ms / _MS_PER_S,
     )
     if expected_s is None or group.began_at is None:
         return ''
--- a/primroselock/decisions/learnedtimes.py
+++ b/primroselock/decisions/learnedtimes.py
@@ -17,7 +17,9 @@
 """Run times of a queue that must be known before they are used."""
 
 _MIN_SIBLINGS: typing.Final = 3
-"""Run times of a step that must be known before they are used."""
+_MIN_ENDED_SHARE: typing.Final = 0.5
+"""Run times of a step that must be known before they are used, and their
+share of its tasks: the first to end are the shortest."""
 
 _MAX_ESTIMATE_RATIO: typing.Final = 3.0
 _UPPER_QUANTILE: typing.Final = 0.95
@@ -64,25 +66,28 @@
             return estimate_s
         return median_s
 
-    def longest_sibling_s(self, step: StepKey) -> float | None:
+    def longest_sibling_s(self, step: StepKey, groups: int) -> float | None:
         """Return the longest run time of a step, in seconds.
 
-        None means that too few of its tasks have ended.
+        None means that too few of its ``groups`` have ended.
         """
         siblings = self.by_step.get(step, ())
-        return max(siblings) if len(siblings) >= _MIN_SIBLINGS else None
+        needed = max(_MIN_SIBLINGS, groups * _MIN_ENDED_SHARE)
+        return max(siblings) if len(siblings) >= needed else None
 
     def longest_s(
-        self, queue: str, step: StepKey, estimate_s: float
+        self, queue: str, step: StepKey, groups: int, estimate_s: float
     ) -> float | None:
         """Return the upper limit of a task's usual run time, in seconds.
 
+        ``groups`` is the number of groups of the step.
+
         It is the longest run time of the same step, which predicts the
         task better than the rest of the queue.  If too few tasks of the
         step have ended, it is the estimate or the queue's 0.95 quantile,
         whichever is larger.  None means that too few have ended there too.
         """
-        sibling_s = self.longest_sibling_s(step)
+        sibling_s = self.longest_sibling_s(step, groups)
         if sibling_s is not None:
             return sibling_s
         recent = sorted(self.by_queue.get(queue, ()))
--- a/primroselock/test/testrunprogress.py
+++ b/primroselock/test/testrunprogress.py
@@ -128,6 +128,32 @@
         self.report(0.1, 2.0)
         self.assertEqual([self.group], self.list_stuck(2.0))
 
+    def test_the_first_of_many_to_end_show_nothing_of_the_rest(self) -> None:
+        """The pattern: a wide step whose tasks differ in length.
+
+        The shortest end first; only once half of the step has ended does
+        its longest run time tell that another task is slow.
+        """
+        wide = fleetbuilders.build_step(40)
+        graph = fleetbuilders.build_graph('wide', wide)
+        job = graphs.add_job(self.board, graph, None, 0, 0.0, 0)
+        assert job is not None
+        self.group = job.groups_by_key[jobgraph.GroupKey(0, 0, 0)]
+        self.member = fleet.Member(
+            self.group, 0, 'w0', 1, fleet.MemberState.PRESENT
+        )
+        self.group.members = [self.member]
+        self.group.enter(fleet.Phase.RUNNING, 0.0)
+        self.group.began_at = 0.0
+        self.member.progress = runprogress.start(0.0, 0.0)
+        self.learn('wide')
+        self.report(0.1, 2.0)
+        self.assertEqual([], self.list_stuck(2.0))
+        self.learn('wide')
+        self.learn('wide')
+        self.report(0.1, 2.1)
+        self.assertEqual([self.group], self.list_stuck(2.1))
+
     def test_slow_work_that_is_nearly_done_goes_on(self) -> None:
         """It ends sooner than a restart on another worker would."""
         self.learn('j')
