--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -472,7 +472,8 @@
     Leases granted by an earlier holder end by ``inherited_until``, and
     nothing is placed after ``permit_until``; both are on this process's
     clock.  Nobody is blamed for being late before ``judge_from``, since this
-    process was late itself.  ``changed_ids`` names the jobs whose rows must
+    process was late itself.  The leases of workers were last checked at
+    ``expiry_checked_at``.  ``changed_ids`` names the jobs whose rows must
     be written, and ``ended_ms_by_id`` those that ended, with the Unix time
     in milliseconds.
     ``orders`` and ``decision_records`` collect the decisions of the
@@ -501,6 +502,7 @@
         default_factory=list
     )
     judge_from: float = _NEVER
+    expiry_checked_at: float = _NEVER
     claims_by_group: dict[Group, CapacityClaim] = dataclasses.field(
         default_factory=dict
     )
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -17,6 +17,7 @@
 from primroselock.workers import orders
 
 STOP_RETRY_S: typing.Final = 0.5
+_EXPIRY_CHECK_INTERVAL_S: typing.Final = 0.05
 _GANG_STOP_GRACE_S: typing.Final = 0.25
 """Workers stop the remaining members of a broken gang within this time."""
 
@@ -353,6 +354,9 @@
 
 def expire_workers(board: fleet.ShardBoard, now: float, wall_ms: int) -> None:
     """Settle the members of workers on which no lease can be valid."""
+    if 0 <= now - board.expiry_checked_at < _EXPIRY_CHECK_INTERVAL_S:
+        return
+    board.expiry_checked_at = now
     for worker in list(board.workers_by_id.values()):
         if not worker.members or not _is_expired(board, worker, now):
             continue
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -59,12 +59,13 @@
     def ensure_running(self) -> None:
         """Start the missing tasks of workers to be polled or probed."""
         for worker in self._board.workers_by_id.values():
+            task = self._tasks_by_worker_id.get(worker.id)
+            if task is not None and not task.done():
+                continue
             if self._needs_polling(worker):
-                task = self._tasks_by_worker_id.get(worker.id)
-                if task is None or task.done():
-                    self._tasks_by_worker_id[worker.id] = asyncio.create_task(
-                        self._run(worker)
-                    )
+                self._tasks_by_worker_id[worker.id] = asyncio.create_task(
+                    self._run(worker)
+                )
         for worker in reachability.list_unverified(self._board):
             probe = self._probes_by_worker_id.get(worker.id)
             if worker.entry.address and (probe is None or probe.done()):
