--- a/primroselock/fleetnode.py
+++ b/primroselock/fleetnode.py
@@ -53,14 +53,17 @@
 class Adapter:
     """The parts of a node that are specific to a platform.
 
-    ``build_store`` takes a name for its calls and the maximum number of
-    connections; ``build_run_client`` builds the client of the workers;
-    ``build_client_api`` builds the ASGI application for callers;
-    ``operator_table`` is the name of the table of the operators' rows.
+    ``build_store`` takes a name for its calls, the maximum number of
+    connections and where to count bytes; ``build_run_client`` builds the
+    client of the workers; ``build_client_api`` builds the ASGI application
+    for callers; ``operator_table`` is the name of the table of the
+    operators' rows.
     """
 
     load_settings: abc.Callable[[], options.Settings]
-    build_store: abc.Callable[[options.Settings, str, int], ClosableStore]
+    build_store: abc.Callable[
+        [options.Settings, str, int, metrics.Metrics], ClosableStore
+    ]
     build_run_client: abc.Callable[[], orders.RunClient]
     build_advice_client: abc.Callable[
         [options.Settings], advicerequests.AdviceClient
@@ -95,8 +98,8 @@
         self._settings = settings
         self._load_settings = platform.load_settings
         self.metrics = metrics.Metrics()
-        self._store = platform.build_store(settings, 'work', 12)
-        self._feeds = platform.build_store(settings, 'feeds', 4)
+        self._store = platform.build_store(settings, 'work', 12, self.metrics)
+        self._feeds = platform.build_store(settings, 'feeds', 4, self.metrics)
         self._run_client = platform.build_run_client()
         self._advice_client = platform.build_advice_client(settings)
         self._reader = platform.build_reader()
@@ -143,6 +146,11 @@
     def _confirmed_at(self) -> float:
         return self._operator_follower.confirmed_at
 
+    @property
+    def shards_held(self) -> int:
+        """The number of shards whose lease this process holds."""
+        return int(self._holder.lease.has_shard)
+
     def is_ready(self, now: float) -> bool:
         """Return whether the load balancer should send calls here."""
         return (
@@ -281,6 +289,7 @@
         self, scope: typing.Any, receive: typing.Any, send: typing.Any
     ) -> None:
         """Serve one call."""
+        self._node.metrics.set_gauge('shards_held', self._node.shards_held)
         text = self._node.metrics.render_text()
         await _send(send, 200, text.encode(), b'text/plain')
 
--- a/primroselock/metrics.py
+++ b/primroselock/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of one process: counters and latency histograms by name.
+"""Metrics of one process: counters, gauges and latency histograms by name.
 
 The histograms are HDR histograms of durations in microseconds, which
 report percentiles.  The names are those of ``/v1/metrics``.
@@ -14,17 +14,41 @@
 _PERCENTILES: typing.Final = (50.0, 90.0, 99.0, 99.9)
 
 
+_HELP_BY_NAME: typing.Final = {
+    'decision_round': 'Duration of a decision round of the shard holder.',
+    'decision_late': 'Time by which a decision round began late.',
+    'late_polls': 'Polls of workers given up since this process was late.',
+    'looks': 'Polls of workers.',
+    'probes': 'Short polls of workers that may be unreachable.',
+    'shards_held': 'Shards whose lease this process holds.',
+    'start_order': 'Time until a worker answered a start order.',
+    'store_received_bytes': 'Bytes of rows received from the store.',
+    'store_sent_bytes': 'Bytes of rows sent to the store.',
+}
+
+
+def labelled(name: str, **labels: str) -> str:
+    """Return the name of a series of the metric ``name`` with labels."""
+    pairs = ','.join(f'{key}="{value}"' for key, value in labels.items())
+    return f'{name}{{{pairs}}}'
+
+
 class Metrics:
-    """Counters and histograms, created on first use."""
+    """Counters, gauges and histograms, created on first use."""
 
     def __init__(self) -> None:
         self.counts_by_name: dict[str, int] = {}
+        self.gauges_by_name: dict[str, float] = {}
         self._histograms_by_name: dict[str, typing.Any] = {}
 
     def count(self, name: str, amount: int = 1) -> None:
         """Add ``amount`` to a counter."""
         self.counts_by_name[name] = self.counts_by_name.get(name, 0) + amount
 
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set a value that may rise and fall."""
+        self.gauges_by_name[name] = value
+
     def record(self, name: str, seconds: float) -> None:
         """Record a duration; one beyond the range is dropped."""
         durations = self._histograms_by_name.get(name)
@@ -50,20 +74,43 @@
 
         Durations are in seconds.
         """
-        lines = [
-            f'primroselock_{name}_total {count}'
-            for name, count in sorted(self.counts_by_name.items())
-        ]
+        lines: list[str] = []
+        described: set[str] = set()
+        for series, count in sorted(self.counts_by_name.items()):
+            name, brace, labels = series.partition('{')
+            if name not in described:
+                described.add(name)
+                lines += _describe(name, f'primroselock_{name}_total')
+            lines.append(f'primroselock_{name}_total{brace}{labels} {count}')
+        for name, value in sorted(self.gauges_by_name.items()):
+            lines += _describe(name, f'primroselock_{name}', 'gauge')
+            lines.append(f'primroselock_{name} {value:g}')
         for name, durations in sorted(self._histograms_by_name.items()):
-            metric = f'primroselock_{name}_seconds'
-            for percentile in _PERCENTILES:
-                value = durations.get_value_at_percentile(percentile) / 1e6
-                quantile = f'{percentile / 100:g}'
-                lines.append(f'{metric}{{quantile="{quantile}"}} {value:g}')
-            lines.append(f'{metric}_count {durations.get_total_count()}')
+            lines += _render_summary(name, durations)
         return '\n'.join([*lines, ''])
 
 
+def _describe(name: str, metric: str, kind: str = 'counter') -> list[str]:
+    """Return the lines that describe a metric."""
+    text = _HELP_BY_NAME.get(name, name.replace('_', ' ').capitalize() + '.')
+    return [f'# HELP {metric} {text}', f'# TYPE {metric} {kind}']
+
+
+def _render_summary(name: str, durations: typing.Any) -> list[str]:
+    """Return the lines of a histogram, as percentiles in seconds."""
+    metric = f'primroselock_{name}_seconds'
+    lines = _describe(name, metric, 'summary')
+    for percentile in _PERCENTILES:
+        value = durations.get_value_at_percentile(percentile) / 1e6
+        quantile = f'{percentile / 100:g}'
+        lines.append(f'{metric}{{quantile="{quantile}"}} {value:g}')
+    count = durations.get_total_count()
+    total_s = durations.get_mean_value() * count / 1e6
+    lines.append(f'{metric}_sum {total_s:g}')
+    lines.append(f'{metric}_count {count}')
+    return lines
+
+
 def _percentiles(durations: typing.Any) -> dict[str, float]:
     values = {
         f'p{percentile:g}': durations.get_value_at_percentile(percentile) / 1e3
--- a/primroselock/platform/rows.py
+++ b/primroselock/platform/rows.py
@@ -17,6 +17,7 @@
 import result
 
 from primroselock import httpclient
+from primroselock import metrics
 from primroselock import options
 from primroselock.store import resilientclient
 from primroselock.store import table
@@ -88,8 +89,13 @@
     """Implements ``table.FeedTable`` over the platform's calls."""
 
     def __init__(
-        self, settings: options.Settings, name: str, connections: int
+        self,
+        settings: options.Settings,
+        name: str,
+        connections: int,
+        counters: metrics.Metrics,
     ) -> None:
+        self._metrics = counters
         platform = settings.platform
         self._timeout_s = platform.timeout_s
         self._calls = resilientclient.ResilientClient(
@@ -172,6 +178,7 @@
             return result.Err(table.Unavailable(answer.err_value.detail))
         if answer.ok_value.status == _GONE:
             return result.Err(table.HistoryTruncated())
+        self._count_received(name, answer.ok_value)
         page = _decode_page(answer.ok_value)
         if isinstance(page, result.Err):
             return page
@@ -185,10 +192,16 @@
         self, transaction: table.Transaction
     ) -> result.Result[table.Committed, table.TransactError]:
         """Apply ``transaction`` atomically."""
+        body = msgspec.json.encode(_encode(transaction))
+        written = [put.key for put in transaction.puts] or ['']
+        series = metrics.labelled(
+            'store_sent_bytes', table=_split_key(written[0])[0]
+        )
+        self._metrics.count(series, len(body))
         request = httpclient.Request(
             'POST',
             '/rows-tx',
-            msgspec.json.encode(_encode(transaction)),
+            body,
             (('Content-Type', 'application/json'),),
         )
         answer = await self._calls.write(request, self._timeout_s)
@@ -206,7 +219,7 @@
                 )
             )
         try:
-            body = _decode_rows(response.body)
+            decoded = _decode_rows(response.body)
         except msgspec.MsgspecError as error:
             return result.Err(
                 table.OutcomeUnknown(
@@ -214,9 +227,11 @@
                 )
             )
         if response.status == _OK:
-            return result.Ok(table.Committed(body.ver))
+            return result.Ok(table.Committed(decoded.ver))
         if response.status == _CONDITION_FAILED:
-            return result.Err(table.Conflict(_failed_keys(transaction, body)))
+            return result.Err(
+                table.Conflict(_failed_keys(transaction, decoded))
+            )
         return result.Err(
             table.OutcomeUnknown(
                 f'row store responded with status {response.status}'
@@ -241,8 +256,15 @@
         )
         if isinstance(answer, result.Err):
             return result.Err(table.Unavailable(answer.err_value.detail))
+        self._count_received(name, answer.ok_value)
         return _decode_page(answer.ok_value)
 
+    def _count_received(
+        self, name: str, response: httpclient.Response
+    ) -> None:
+        series = metrics.labelled('store_received_bytes', table=name)
+        self._metrics.count(series, len(response.body))
+
 
 def _get_request(
     path: str, query: dict[str, typing.Any]
--- a/primroselock/test/testmetrics.py
+++ b/primroselock/test/testmetrics.py
@@ -31,6 +31,38 @@
         recorded.count('lost', 2)
         self.assertEqual({'lost': 3}, recorded.snapshot()['counters'])
 
+    def test_the_text_describes_each_metric_once(self) -> None:
+        recorded = metrics.Metrics()
+        for name in ('progress', 'shard'):
+            series = metrics.labelled('store_received_bytes', table=name)
+            recorded.count(series, 10)
+        recorded.set_gauge('shards_held', 1)
+        recorded.record('decision_round', 0.002)
+        recorded.record('decision_round', 0.004)
+        lines = recorded.render_text().splitlines()
+        metric = 'primroselock_store_received_bytes_total'
+        self.assertEqual(
+            [
+                f'# HELP {metric} Bytes of rows received from the store.',
+                f'# TYPE {metric} counter',
+                f'{metric}{{table="progress"}} 10',
+                f'{metric}{{table="shard"}} 10',
+            ],
+            lines[:4],
+        )
+        self.assertIn('# TYPE primroselock_shards_held gauge', lines)
+        self.assertIn('primroselock_shards_held 1', lines)
+        metric = 'primroselock_decision_round_seconds'
+        self.assertIn(f'# TYPE {metric} summary', lines)
+        self.assertIn(f'{metric}_count 2', lines)
+        total = next(
+            float(line.split(' ')[1])
+            for line in lines
+            if line.startswith(f'{metric}_sum')
+        )
+        # The histogram keeps two significant digits.
+        self.assertAlmostEqual(0.006, total, delta=0.0001)
+
 
 class LogTest(unittest.TestCase):
     """Log lines as JSON and for the console."""
--- a/primroselock/test/testplatformadapter.py
+++ b/primroselock/test/testplatformadapter.py
@@ -13,6 +13,7 @@
 
 from primroselock import errors
 from primroselock import fleetnode
+from primroselock import metrics
 from primroselock import nodemain
 from primroselock.platform import configuration
 from primroselock.platform import discovery
@@ -235,7 +236,7 @@
         read = settings.parse(fleetbuilders.BOOT_TEXT, 'boot').unwrap()
 
         async def build() -> None:
-            store = parts.build_store(read, 'x', 1)
+            store = parts.build_store(read, 'x', 1, metrics.Metrics())
             await store.aclose()
 
         asyncio.run(build())
--- a/primroselock/test/testplatformcalls.py
+++ b/primroselock/test/testplatformcalls.py
@@ -57,7 +57,7 @@
 
     def _store(self, *answers: typing.Any) -> rows.RowStore:
         parsed = settings.parse(fleetbuilders.BOOT_TEXT, 'boot').unwrap()
-        store = rows.RowStore(parsed, 'test', 2)
+        store = rows.RowStore(parsed, 'test', 2, metrics.Metrics())
         self.pool = _FakePool(*answers)
         mock.patch.object(store._calls, '_pool', new=self.pool).start()
         self.addCleanup(mock.patch.stopall)
