Idle nodes hardly wake

Change: a server waits for an event; the check runs twice a second; a standby waits until the lease's row changes or its lease has run out.

--- a/primroselock/fleetnode.py
+++ b/primroselock/fleetnode.py
@@ -28,7 +28,7 @@
 from primroselock.workers import orders
 
 _log: typing.Final = logs.get('node')
-_PAUSE_CHECK_INTERVAL_S: typing.Final = 0.1
+_PAUSE_CHECK_INTERVAL_S: typing.Final = 0.5
 _PAUSE_THRESHOLD_S: typing.Final = 0.8
 """A sleep that ends this late shows that the process was paused."""
 
@@ -167,9 +167,11 @@
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         servers = [
             _build_server(self._client_api, self._settings.fleet.bind),
-            _build_server(_ReadyApp(self), self._settings.fleet.ready_bind),
             _build_server(
-                _MetricsApp(self), self._settings.fleet.metrics_bind
+                _ReadyApp(self), self._settings.fleet.ready_bind, False
+            ),
+            _build_server(
+                _MetricsApp(self), self._settings.fleet.metrics_bind, False
             ),
         ]
         _log.info(
@@ -258,10 +260,10 @@
 
 
 def _build_server(
-    app: typing.Any, address: str
+    app: typing.Any, address: str, date_header: bool = True
 ) -> tuple[httpserver.Server, typing.Any]:
     """Return a server of ``app`` and the socket on which it will listen."""
-    server = httpserver.build(app, grace_s=2.0)
+    server = httpserver.build(app, grace_s=2.0, date_header=date_header)
     return server, sockets.open_listener(address)
 
 
--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -29,6 +29,8 @@
 from primroselock.workers import orders
 
 _log: typing.Final = logs.get('holder')
+_MIN_STANDBY_WAIT_S: typing.Final = 0.1
+_MAX_STANDBY_WAIT_S: typing.Final = 0.5
 _TAKEOVER_RETRY_S: typing.Final = 0.2
 _CLOCK_MARGIN_S: typing.Final = 1.0
 """Added to the time by which the leases of earlier holders have expired."""
@@ -102,14 +104,17 @@
             await self.lease.release()
 
     async def _run_standby(self) -> None:
-        interval_s = self._settings.scheduler.shard_renew_interval_s / 2
         self._follower.pause_s = self._settings.fleet.standby_pause_s
         while not self._stopping and not self.lease.has_shard:
             if self._follower.loaded.is_set():
                 await self.lease.step(clock.monotonic())
             if self.lease.has_shard:
                 return
-            await waits.wait_event(self._lease_wake, interval_s)
+            left_s = self.lease.acquirable_at - clock.monotonic()
+            await waits.wait_event(
+                self._lease_wake,
+                min(max(left_s, _MIN_STANDBY_WAIT_S), _MAX_STANDBY_WAIT_S),
+            )
 
     async def _run_holder(self) -> None:
         """Schedule for the shard until its lease is lost."""
--- a/primroselock/shards.py
+++ b/primroselock/shards.py
@@ -76,7 +76,8 @@
     States: ``standby``, ``holder``.  ``epoch`` and ``epoch_row_version``
     are valid in the state ``holder``.  ``valid_until`` and each ``now`` are
     in seconds on this process's monotonic clock.  ``count_waiting`` returns
-    what a renewal publishes as ``LeaseRow.waiting_by_queue``.
+    what a renewal publishes as ``LeaseRow.waiting_by_queue``.  A standby may
+    acquire the lease from ``acquirable_at`` on, if its row does not change.
     """
 
     state: str
@@ -99,6 +100,7 @@
         # when; -1 while none was observed.
         self._observed_version = -1
         self._observed_since = 0.0
+        self.acquirable_at = 0.0
         self._lease_row_version = table.ABSENT
         self._machine = transitions.Machine(
             self,
@@ -246,18 +248,16 @@
         if version != self._observed_version:
             self._observed_version = version
             self._observed_since = now
-        observed_s = now - self._observed_since
+        lease = read_lease_row(lease_row) if lease_row else None
         delay_s = self._settings.takeover_delay_s
-        if lease_row is None:
-            return observed_s >= delay_s
-        lease = read_lease_row(lease_row)
-        if lease is not None and lease.released:
-            return observed_s >= delay_s
+        if lease_row is not None and not (lease and lease.released):
+            delay_s += self._settings.shard_lease_s
+        self.acquirable_at = self._observed_since + delay_s
         if lease is not None and lease.holder == self._holder_id:
             # The row was written by an earlier process of this VM, which
             # has ended.
             return True
-        return observed_s > self._settings.shard_lease_s + delay_s
+        return now >= self.acquirable_at
 
     if typing.TYPE_CHECKING:
 
