A takeover on a slow link reads its listings to the end

Pages of 500 rows (up to 1 MB) of three tables at once did not arrive within a call's timeout of 1 s over links of 2 to 10 Mbit/s; each failure began from the first page, and the lease ran out meanwhile. Change: tables are listed one after another in pages whose size follows from the time that one takes; a failed page is read again, smaller; the lease is renewed during the listing. The graph of a job that has ended is replaced by its owner, so that a takeover reads live jobs.

--- a/primroselock/graphwriter.py
+++ b/primroselock/graphwriter.py
@@ -12,19 +12,21 @@
 import dataclasses
 import typing
 
+import msgspec
 import result
 
 from primroselock.decisions import fleet
 from primroselock.decisions import graphs
 from primroselock.decisions import runs
 from primroselock import graphrows
+from primroselock import jobgraph
 from primroselock import logs
 from primroselock import shards
 from primroselock.store import keys
 from primroselock.store import table
 
-_MAX_JOBS_PER_TRANSACTION: typing.Final = 45
-"""A transaction of the platform has at most 100 entries, two for each job."""
+_MAX_JOBS_PER_TRANSACTION: typing.Final = 30
+"""A transaction of the platform has at most 100 entries, three for a job."""
 
 _RETRY_PAUSE_S: typing.Final = 0.1
 _log: typing.Final = logs.get('graphwriter')
@@ -36,13 +38,15 @@
 
     ``change`` is the number of the last change that it contains;
     ``committing`` are the groups, with their attempts, that start once it
-    is stored.
+    is stored.  ``graph_value`` replaces the graph of a job that has ended;
+    it is empty for others.
     """
 
     job: fleet.LiveJob
     change: int
     committing: tuple[tuple[fleet.Group, int], ...]
     value: bytes
+    graph_value: bytes
 
 
 class ProgressWriter:
@@ -128,6 +132,9 @@
             version = snapshot.job.row_version
             conditions.append(table.Condition(key, version))
             puts.append(table.Put(key, snapshot.value))
+            if snapshot.graph_value:
+                graph_key = keys.graph(shard, snapshot.job.graph.id)
+                puts.append(table.Put(graph_key, snapshot.graph_value))
         return table.Transaction(tuple(conditions), tuple(puts))
 
     def _record_saved(
@@ -178,4 +185,16 @@
             if group.phase is fleet.Phase.COMMITTING
         ),
         graphrows.encode(graphs.build_progress(job)),
+        graphrows.encode(_without_work(job.graph))
+        if job.state.is_final
+        else b'',
     )
+
+
+def _without_work(graph: jobgraph.JobGraph) -> jobgraph.JobGraph:
+    """Return what must be kept of an ended job: whose it is.
+
+    A repeated submission still finds its row, and a new holder reads little
+    of the jobs that have ended.
+    """
+    return msgspec.structs.replace(graph, payload='', steps=())
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -197,18 +197,23 @@
             queue = current.find_by_name(job.graph.queue)
             job.queue = queue or job.queue
 
-    async def run(self) -> None:
-        """Run the loops until the shard lease is lost."""
+    async def run(self, renewing: asyncio.Task[None]) -> None:
+        """Run the loops until the shard lease is lost.
+
+        ``renewing`` is the loop that renews the lease.
+        """
         loops = [
-            asyncio.create_task(loop)
-            for loop in (
-                self._renew(),
-                self._decide(),
-                self._writer.run(),
-                self._submission_follower.run(),
-                self._worker_follower.run(),
-                self._delete_old_rows(),
-            )
+            renewing,
+            *(
+                asyncio.create_task(loop)
+                for loop in (
+                    self._decide(),
+                    self._writer.run(),
+                    self._submission_follower.run(),
+                    self._worker_follower.run(),
+                    self._delete_old_rows(),
+                )
+            ),
         ]
         try:
             await asyncio.wait(loops, return_when=asyncio.FIRST_COMPLETED)
@@ -226,12 +231,6 @@
             self._orders.cancel()
             await waits.cancel_tasks(loops)
 
-    async def _renew(self) -> None:
-        interval_s = self._settings.scheduler.shard_renew_interval_s
-        while self._lease.has_shard:
-            await self._lease.step(clock.monotonic())
-            await asyncio.sleep(interval_s)
-
     async def _decide(self) -> None:
         """Run a decision round after each change, and also periodically."""
         wake = self._parts.wake
--- a/primroselock/platform/rows.py
+++ b/primroselock/platform/rows.py
@@ -16,6 +16,7 @@
 import msgspec
 import result
 
+from primroselock import clock
 from primroselock import httpclient
 from primroselock import metrics
 from primroselock import options
@@ -29,7 +30,14 @@
 _NOT_APPLIED_STATUSES: typing.Final = frozenset({400, 403, 413, 429, 503})
 """Response codes which guarantee that nothing was written."""
 
-_ROWS_PER_PAGE: typing.Final = 500
+_MAX_ROWS_PER_PAGE: typing.Final = 500
+_FIRST_ROWS_PER_PAGE: typing.Final = 64
+_MIN_ROWS_PER_PAGE: typing.Final = 8
+_FAST_PAGE_S: typing.Final = 0.1
+_SLOW_PAGE_S: typing.Final = 0.3
+_MAX_FAILED_PAGES: typing.Final = 3
+"""Failures in a row after which a listing is given up."""
+
 _TOKEN_SEPARATOR: typing.Final = b'\x01'
 """Separates the token from the value in rows that the product writes."""
 
@@ -96,6 +104,7 @@
         counters: metrics.Metrics,
     ) -> None:
         self._metrics = counters
+        self._rows_per_page = _FIRST_ROWS_PER_PAGE
         platform = settings.platform
         self._timeout_s = platform.timeout_s
         self._calls = resilientclient.ResilientClient(
@@ -128,11 +137,12 @@
     ) -> result.Result[list[table.Row], table.Unavailable]:
         """Return rows whose key has ``prefix`` and sorts after ``after``.
 
-        At most ``_ROWS_PER_PAGE`` are returned, also if ``limit`` is larger.
+        At most ``_MAX_ROWS_PER_PAGE`` are returned, also if ``limit`` is
+        larger.
         """
         name, rest = _split_key(prefix)
         start = _split_key(after)[1] + '\0' if after else rest
-        limit = min(limit, _ROWS_PER_PAGE)
+        limit = min(limit, _MAX_ROWS_PER_PAGE)
         page = await self._get_page(name, start, rest + _AFTER_ANY_KEY, limit)
         if isinstance(page, result.Err):
             return page
@@ -149,18 +159,44 @@
         rows: list[table.Row] = []
         start = ''
         version: int | None = None
+        failures = 0
         while True:
-            page = await self._get_page(name, start, '', _ROWS_PER_PAGE)
+            sent_at = clock.monotonic()
+            limit = self._rows_per_page
+            page = await self._get_page(name, start, '', limit)
             if isinstance(page, result.Err):
-                return page
+                failures += 1
+                if failures > _MAX_FAILED_PAGES:
+                    return page
+                self._adapt_page(_SLOW_PAGE_S * 2)
+                continue
+            failures = 0
             body = page.ok_value
+            self._adapt_page(clock.monotonic() - sent_at)
             if version is None:
                 version = body.ver
             rows.extend(_build_rows(body))
-            if not body.more_pages or not body.rows:
+            if not body.rows or not (
+                body.more_pages or len(body.rows) >= limit
+            ):
                 return result.Ok(table.Listing(tuple(rows), version))
             start = body.rows[-1].key + '\0'
 
+    def _adapt_page(self, taken_s: float) -> None:
+        """Choose the size of the next page by the time that one took.
+
+        A page must arrive within the timeout of a call, also on a slow
+        link.
+        """
+        rows = self._rows_per_page
+        if taken_s > _SLOW_PAGE_S:
+            rows //= 4
+        elif taken_s < _FAST_PAGE_S:
+            rows *= 2
+        self._rows_per_page = min(
+            max(rows, _MIN_ROWS_PER_PAGE), _MAX_ROWS_PER_PAGE
+        )
+
     async def changes(
         self, name: str, after: int, wait_s: float
     ) -> result.Result[
--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -118,16 +118,18 @@
 
     async def _run_holder(self) -> None:
         """Schedule for the shard until its lease is lost."""
-        self._follower.pause_s = 0.0
+        # The lease must not expire while a long listing is read.
+        renewing = asyncio.create_task(self._renew())
         takeover = await self._take_over()
         if takeover is None:
+            await waits.cancel_tasks([renewing])
             return
         session = holdersession.HolderSession(self._build_parts(), takeover)
         self._session = session
         if self._stopping:
             session.close()
         try:
-            await session.run()
+            await session.run(renewing)
         finally:
             self._session = None
 
@@ -144,6 +146,12 @@
             lambda: self._configuration_confirmed_at(),
         )
 
+    async def _renew(self) -> None:
+        interval_s = self._settings.scheduler.shard_renew_interval_s
+        while self.lease.has_shard:
+            await self.lease.step(clock.monotonic())
+            await asyncio.sleep(interval_s)
+
     async def _take_over(self) -> holdersession.Takeover | None:
         """Read the rows that earlier holders wrote and build a blackboard.
 
@@ -153,11 +161,10 @@
         held_since = clock.monotonic()
         while self.lease.has_shard and not self._stopping:
             sent_at = clock.monotonic()
-            submissions, progress, entries = await asyncio.gather(
-                self._store.list_rows(keys.SUBMISSIONS),
-                self._store.list_rows(keys.PROGRESS),
-                self._store.list_rows(self._worker_rows.name),
-            )
+            # One after another: they share the link of this VM.
+            submissions = await self._store.list_rows(keys.SUBMISSIONS)
+            progress = await self._store.list_rows(keys.PROGRESS)
+            entries = await self._store.list_rows(self._worker_rows.name)
             if (
                 isinstance(submissions, result.Ok)
                 and isinstance(progress, result.Ok)
@@ -175,7 +182,6 @@
             _log.warning(
                 'shard takeover delayed: store not available; retrying'
             )
-            await self.lease.step(clock.monotonic())
             await asyncio.sleep(_TAKEOVER_RETRY_S)
         return None
 
