--- a/primroselock/test/fakefeed.py
+++ b/primroselock/test/fakefeed.py
@@ -87,6 +87,9 @@
     def __init__(self, shared: FeedStore, connectivity: Connectivity) -> None:
         self._shared = shared
         self._connectivity = connectivity
+        self.listing_s = 0.0
+        """Additional seconds that a listing takes."""
+
         self.rows_received_by_table: dict[str, int] = {}
 
     def _count_rows(self, rows: abc.Iterable[table.Row]) -> None:
@@ -132,6 +135,7 @@
         self, name: str
     ) -> result.Result[table.Listing, table.Unavailable]:
         """Return all rows of a table."""
+        await asyncio.sleep(self.listing_s)
         if not await self._call():
             return result.Err(table.Unavailable('down'))
         inner = self._shared.inner
--- a/primroselock/test/testholderload.py
+++ b/primroselock/test/testholderload.py
@@ -21,7 +21,9 @@
 from primroselock.decisions import fleetround
 from primroselock.decisions import graphs
 from primroselock.decisions import runs
+from primroselock import graphrows
 from primroselock import intake
+from primroselock.store import keys
 from primroselock.test import fleetbuilders
 from primroselock.test import loadbuilders
 from primroselock.test import virtualtime
@@ -328,6 +330,58 @@
         virtualtime.run(run_all)
 
 
+class TakeoverTest(unittest.TestCase):
+    """A takeover of a shard with many rows."""
+
+    def test_the_lease_is_renewed_during_a_long_listing(self) -> None:
+        """The pattern: the new holder's link is slow, and others wait."""
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World()
+            nodes = [world.add_node(f'entry-{number}') for number in range(3)]
+            await asyncio.sleep(2.0)
+            for node in nodes:
+                node.client.listing_s = 2.0
+            old = world.find_shard_holder()
+            await old.kill()
+            world.nodes.remove(old)
+            world.submit(fleetbuilders.build_graph('j'))
+            await world.wait_for('j', 'done', 15.0)
+            self.assertEqual(2, world.find_shard_holder().holder.lease.epoch)
+            await world.close()
+
+        virtualtime.run(run_all)
+
+    def test_an_ended_job_keeps_its_owner_and_drops_its_work(self) -> None:
+        """A repeat of its submission is answered, and does not run again."""
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World()
+            world.add_node('entry-1')
+            await asyncio.sleep(1.0)
+            graph = fleetbuilders.build_graph('j')
+            world.submit(graph)
+            await world.wait_for('j', 'done', 10.0)
+            row = world.store.inner.rows[keys.graph('fleet', 'j')]
+            stored = graphrows.read_graph(row)
+            assert stored is not None
+            self.assertEqual((), stored.steps)
+            # A second node remembers nothing.
+            other = world.add_node('entry-2')
+            await asyncio.sleep(1.0)
+            deadline = virtual.now + 3.0
+            repeat = await other.intake.submit(_ACCESS, graph, deadline)
+            self.assertIsInstance(repeat, result.Ok)
+            foreign = intake.Access(fleetbuilders.BULK, 'merch')
+            hidden = await other.intake.state(foreign, 'j', deadline)
+            self.assertIsInstance(hidden, result.Err)
+            await asyncio.sleep(5.0)
+            self.assertEqual(1, world.fleet.starts)
+            await world.close()
+
+        virtualtime.run(run_all)
+
+
 class TurnedAwayTest(unittest.TestCase):
     """A holder that the store turns away while it serves the others."""
 
--- a/primroselock/test/testplatformcalls.py
+++ b/primroselock/test/testplatformcalls.py
@@ -4,6 +4,7 @@
 import typing
 import unittest
 from unittest import mock
+import urllib.parse
 
 import msgspec
 import result
@@ -133,6 +134,36 @@
         self.assertEqual('tok', listing.rows[0].token)
         self.assertEqual(7, listing.version)
 
+    async def test_a_page_that_does_not_arrive_is_read_again_smaller(
+        self,
+    ) -> None:
+        """The pattern: a takeover over a slow link; no page is lost."""
+        row = {'table': 't', 'ver': 3, 'value': ''}
+        first = {'rows': [{**row, 'key': 'a'}], 'more_pages': True, 'ver': 7}
+        lost = result.Err(httpclient.ResponseLost('slow link'))
+        store = self._store(
+            _answer(200, first),
+            # Each call is retried once by itself.
+            lost,
+            lost,
+            _answer(200, {'rows': [{**row, 'key': 'b'}], 'ver': 8}),
+        )
+        listing = (await store.list_rows('t')).unwrap()
+        self.assertEqual(['t/a', 't/b'], [row.key for row in listing.rows])
+        queries = [
+            urllib.parse.parse_qs(request.path.partition('?')[2])
+            for request in self.pool.sent
+        ]
+        self.assertEqual(['a\0'], queries[-1]['from'])
+        limits = [int(query['limit'][0]) for query in queries]
+        self.assertLess(limits[-1], limits[-2])
+
+    async def test_a_store_that_does_not_answer_ends_the_listing(self) -> None:
+        lost = result.Err(httpclient.ResponseLost('down'))
+        store = self._store(*[lost] * 8)
+        listing = await store.list_rows('t')
+        self.assertIsInstance(listing.unwrap_err(), table.Unavailable)
+
     async def test_a_feed_returns_changes_and_truncated_history(self) -> None:
         body = {
             'rows': [
