--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -40,7 +40,7 @@
 
 _log: typing.Final = logs.get('holder')
 _MAX_ROUND_INTERVAL_S: typing.Final = 0.25
-_REST_PER_ROUND: typing.Final = 4.0
+_REST_PER_ROUND: typing.Final = 2.0
 """Time between rounds as a multiple of a round's duration: polls, orders and
 renewals need the rest of the process's time."""
 
