Rows that cannot be decoded hide no job and end no node; 100 entries at most

Cause: an accepted job whose row cannot be decoded was said not to exist; a malformed epoch row ended every standby; a burst of more than 50 submissions on one front made a transaction that the platform refuses. Tests: testholderload.StandbyTest, testfleetnode.IntakeTest.

--- a/primroselock/groupcommit.py
+++ b/primroselock/groupcommit.py
@@ -41,10 +41,20 @@
 
 
 class GroupCommitter:
-    """Collects writes; at most one transaction is in flight."""
+    """Collects writes; at most one transaction is in flight.
 
-    def __init__(self, store: table.Table, interval_s: float) -> None:
+    A transaction has at most ``max_writes`` writes, each of which is a
+    condition and a put or a deletion.
+    """
+
+    def __init__(
+        self,
+        store: table.Table,
+        interval_s: float,
+        max_writes: int = _MAX_WRITES_PER_TRANSACTION,
+    ) -> None:
         self._store = store
+        self._max_writes = max_writes
         self._interval_s = interval_s
         self._pending: list[_PendingWrite] = []
         self._task: asyncio.Task[None] | None = None
@@ -78,7 +88,7 @@
         remaining: list[_PendingWrite] = []
         for pending in self._pending:
             key = pending.write.key
-            if key in batch or len(batch) >= _MAX_WRITES_PER_TRANSACTION:
+            if key in batch or len(batch) >= self._max_writes:
                 remaining.append(pending)
             else:
                 batch[key] = pending
--- a/primroselock/intake.py
+++ b/primroselock/intake.py
@@ -32,6 +32,9 @@
 
 _log: typing.Final = logs.get('intake')
 _COMMIT_INTERVAL_S: typing.Final = 0.005
+_MAX_WRITES_PER_COMMIT: typing.Final = 50
+"""A transaction of the platform has at most 100 entries, two for a write."""
+
 _RETRY_AFTER_S: typing.Final = 1.0
 _MAX_REMEMBERED_JOBS: typing.Final = 20_000
 """Jobs whose owner a node remembers; others are read from the store."""
@@ -108,7 +111,9 @@
         self._settings = settings.fleet
         self._store = store
         self._follower = shard_follower
-        self._committer = groupcommit.GroupCommitter(store, _COMMIT_INTERVAL_S)
+        self._committer = groupcommit.GroupCommitter(
+            store, _COMMIT_INTERVAL_S, _MAX_WRITES_PER_COMMIT
+        )
         self._metrics = counters
         self._lease_key = keys.shard_lease(settings.fleet.shard)
         self._owners_by_id: dict[str, _Owner] = {}
@@ -354,10 +359,17 @@
             )
             if isinstance(read, result.Err):
                 return read
-            row = read.ok_value
-            graph = graphrows.read_graph(row) if row is not None else None
-            if graph is None:
+            if read.ok_value is None:
                 return result.Err(Refused(RefusalReason.UNKNOWN_JOB))
+            graph = graphrows.read_graph(read.ok_value)
+            if graph is None:
+                return result.Err(
+                    Refused(
+                        RefusalReason.STORE_UNAVAILABLE,
+                        'job row cannot be decoded',
+                        _RETRY_AFTER_S,
+                    )
+                )
             owner = self._remember(graph)
         # Callers without a key, which a public queue admits, have no account.
         is_own = owner.account == access.account or not access.account
--- a/primroselock/shards.py
+++ b/primroselock/shards.py
@@ -70,6 +70,14 @@
     holder: str
 
 
+def _read_epoch_row(row: table.Row) -> EpochRow | None:
+    try:
+        return msgspec.json.decode(row.value, type=EpochRow)
+    except msgspec.MsgspecError as error:
+        _log.error('row cannot be decoded', key=row.key, error=str(error))
+        return None
+
+
 class ShardLease:
     """State machine of one process for the lease of one shard.
 
@@ -212,7 +220,10 @@
             return
         epoch = 1
         if epoch_row is not None:
-            old = msgspec.json.decode(epoch_row.value, type=EpochRow)
+            old = _read_epoch_row(epoch_row)
+            if old is None:
+                # Without the last epoch a higher one cannot be chosen.
+                return
             epoch = old.epoch + 1
         lease_version = lease_row.version if lease_row else table.ABSENT
         epoch_version = epoch_row.version if epoch_row else table.ABSENT
--- a/primroselock/test/testfleetnode.py
+++ b/primroselock/test/testfleetnode.py
@@ -7,11 +7,13 @@
 from collections import abc
 import dataclasses
 import unittest
+from unittest import mock
 
 import result
 
 from primroselock import clock
 from primroselock import intake
+from primroselock.store import table
 from primroselock.test import fakestore
 from primroselock.test import fleetbuilders
 from primroselock.test import virtualtime
@@ -527,6 +529,47 @@
 
         run_scenario(scenario)
 
+    def test_a_burst_is_stored_in_transactions_that_the_store_takes(
+        self,
+    ) -> None:
+        """A transaction has at most 100 entries: conditions and puts."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            node = world.nodes[0]
+            access = intake.Access(fleetbuilders.BULK, 'signs')
+            sizes = []
+            transact = node.client.transact
+
+            async def record_size(
+                transaction: table.Transaction,
+            ) -> result.Result[table.Committed, table.TransactError]:
+                sizes.append(
+                    len(transaction.conditions) + len(transaction.puts)
+                )
+                return await transact(transaction)
+
+            deadline = clock.monotonic() + 3.0
+            with mock.patch.object(
+                node.client,
+                'transact',
+                autospec=True,
+                side_effect=record_size,
+            ):
+                answers = await asyncio.gather(
+                    *(
+                        node.intake.submit(
+                            access,
+                            fleetbuilders.build_graph(f'j{number}'),
+                            deadline,
+                        )
+                        for number in range(120)
+                    )
+                )
+            self.assertTrue(all(a == result.Ok(None) for a in answers))
+            self.assertLessEqual(max(sizes), 100)
+
+        run_scenario(scenario)
+
     def test_states_and_waiting_jobs_are_reported(self) -> None:
         async def scenario(world: fleetbuilders.World) -> None:
             node = world.nodes[0]
--- a/primroselock/test/testholderload.py
+++ b/primroselock/test/testholderload.py
@@ -256,6 +256,42 @@
 
         virtualtime.run(run_all)
 
+    def test_a_row_that_cannot_be_decoded_does_not_hide_a_job(self) -> None:
+        """The job exists: its state is unknown, and not that it is gone."""
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World()
+            node = world.add_node('entry-1')
+            await asyncio.sleep(1.0)
+            world.store.put(keys.graph('fleet', 'j'), b'\xff')
+            await asyncio.sleep(1.0)
+            self.assertTrue(node.holder.lease.has_shard)
+            found = await node.intake.state(_ACCESS, 'j', virtual.now + 1.0)
+            assert isinstance(found, result.Err)
+            self.assertIs(
+                intake.RefusalReason.STORE_UNAVAILABLE, found.err_value.why
+            )
+            await world.close()
+
+        virtualtime.run(run_all)
+
+    def test_malformed_rows_of_the_shard_end_no_node(self) -> None:
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World()
+            world.store.put(keys.shard_epoch('fleet'), b'\xff')
+            world.store.put(keys.shard_lease('fleet'), b'{"holder": 1}')
+            node = world.add_node('entry-1')
+            await asyncio.sleep(4.0)
+            self.assertFalse(any(task.done() for task in node._tasks))
+            self.assertFalse(node.holder.lease.has_shard)
+            world.store.delete(keys.shard_epoch('fleet'))
+            world.store.delete(keys.shard_lease('fleet'))
+            await asyncio.sleep(1.0)
+            self.assertTrue(node.holder.lease.has_shard)
+            await world.close()
+
+        virtualtime.run(run_all)
+
     def test_the_count_of_waiting_jobs_is_never_too_low(self) -> None:
         """Around a takeover it is refused, and never said to be 0."""
 
