What is cached of workers' entries goes with a removed worker

Cause: found on reading: whether a rack holds a gang was kept until an entry changed, also when the last worker of a rack had left, so that the gang would have waited for ever; needs of jobs were kept without a bound. Tests: testlargeshard; the first fails without the change.

--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -31,6 +31,7 @@
 
 NO_RESOURCES: typing.Final = jobgraph.Resources()
 _NEVER: typing.Final = float('-inf')
+_MAX_CACHED_STEPS: typing.Final = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -460,10 +461,18 @@
     )
 
     def clear(self) -> None:
-        """Forget everything: an entry changed."""
+        """Forget everything: an entry changed, or a worker was removed."""
         self.usable_by_kind.clear()
         self.spans_racks_by_step.clear()
 
+    def limit(self) -> None:
+        """Forget everything once it is much: each job may need another."""
+        if (
+            len(self.usable_by_kind) > _MAX_CACHED_STEPS
+            or len(self.spans_racks_by_step) > _MAX_CACHED_STEPS
+        ):
+            self.clear()
+
 
 @dataclasses.dataclass(slots=True)
 class ShardBoard:
@@ -578,4 +587,9 @@
             return
         worker.is_listed = False
         if not worker.is_busy:
-            del self.workers_by_id[worker_id]
+            self.remove_worker(worker_id)
+
+    def remove_worker(self, worker_id: str) -> None:
+        """Remove a worker that has left and on which nothing can run."""
+        if self.workers_by_id.pop(worker_id, None) is not None:
+            self.entry_cache.clear()
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -74,6 +74,7 @@
 ) -> None:
     """Place waiting groups, the most urgent first."""
     _drop_claims(board, now)
+    board.entry_cache.limit()
     if not board.phases.waiting_by_step:
         return
     guaranteed_ids = waiting.guaranteed_job_ids(board)
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -393,7 +393,7 @@
         settle_group(board, group, now, wall_ms)
     worker.unexpected_runs.clear()
     if not worker.is_listed:
-        board.workers_by_id.pop(worker.id, None)
+        board.remove_worker(worker.id)
 
 
 def _is_expired(
--- a/primroselock/test/testlargeshard.py
+++ b/primroselock/test/testlargeshard.py
@@ -13,6 +13,8 @@
 from primroselock.decisions import fleethealth
 from primroselock.decisions import fleetpreemption
 from primroselock.decisions import fleetround
+from primroselock.decisions import graphs
+from primroselock import jobgraph
 from primroselock import options
 from primroselock.test import fleetbuilders
 from tools import largefleet
@@ -92,6 +94,45 @@
         self.assertGreater(len(board.phases.stopping), 0)
         self.assertLessEqual(examine.call_count, fleetpreemption._SAMPLE_SIZE)
 
+    def test_a_gang_spans_racks_once_no_rack_holds_it(self) -> None:
+        """Guards against a cache that outlives the workers it is about."""
+        board = largefleet.build_board(10)
+        need = jobgraph.Resources(64_000, 1000, 32)
+        step = jobgraph.Step(8, need, 1000, gang=True, rack_local=True)
+        for number in range(2):
+            graph = jobgraph.JobGraph(
+                f'g{number}', 'acme', 'bulk', '', (step,), 1000
+            )
+            graphs.add_job(board, graph, None, 0, 1.0, 1000)
+        fleetround.run(board, self.settings, 1.0, 1.0)
+        # The rack of eight is taken; the second gang waits for it.
+        self.assertEqual(1, len(board.phases.waiting))
+        largefleet.run_placed(board, 1.0)
+        held = board.jobs_by_id['g0'].groups_by_key.values()
+        members = next(iter(held)).members
+        for member in list(members):
+            board.mark_terminated(member)
+        board.record_unlisted(members[0].worker_id)
+        board.claims_by_group.clear()
+        fleetround.run(board, self.settings, 2.0, 2.0)
+        self.assertEqual([], board.phases.waiting)
+
+    def test_the_caches_of_steps_are_bounded(self) -> None:
+        board = largefleet.build_board(40)
+        for number in range(500):
+            need = jobgraph.Resources(1000, 1000 + number, 1)
+            graph = jobgraph.JobGraph(
+                f'j{number}',
+                'acme',
+                'bulk',
+                '',
+                (jobgraph.Step(1, need, 1000),),
+                1000,
+            )
+            graphs.add_job(board, graph, None, 0, 1.0, 1000)
+            fleetround.run(board, self.settings, 1.0, 1.0)
+        self.assertLess(len(board.entry_cache.usable_by_kind), 210)
+
     def test_runs_without_a_new_report_are_not_judged(self) -> None:
         """Only groups with a new run report are checked for being stuck."""
         self.run_round(1.0)
