--- a/primroselock/decisions/fitting.py
+++ b/primroselock/decisions/fitting.py
@@ -133,7 +133,7 @@
         self._workers_by_id: dict[str, fleet.Worker] = {}
         self._speed_classes_by_id: dict[str, float] = {}
         self._board = board
-        self._with_room_by_kind: dict[_StepKind, list[fleet.Worker]] = {}
+        self._with_capacity_by_kind: dict[_StepKind, list[fleet.Worker]] = {}
         for worker in workers:
             free = worker.free
             self.free_by_id[worker.id] = free
@@ -180,10 +180,10 @@
             ]
         return [worker for worker in known if worker.id in self.free_by_id]
 
-    def list_with_room(self, group: fleet.Group) -> list[fleet.Worker]:
-        """Return the workers that have room for a task of the group now."""
+    def list_with_capacity(self, group: fleet.Group) -> list[fleet.Worker]:
+        """Return the workers with free capacity for a task of the group."""
         kind = _step_kind(group)
-        known = self._with_room_by_kind.get(kind)
+        known = self._with_capacity_by_kind.get(kind)
         if known is None:
             known = self.list_usable(group)
         # Free capacity only shrinks in a round.
@@ -193,7 +193,7 @@
             if worker.id in self.free_by_id
             and self.free_by_id[worker.id].can_fit(kind.need)
         ]
-        self._with_room_by_kind[kind] = found
+        self._with_capacity_by_kind[kind] = found
         return found
 
     def speed_class(self, worker_id: str, group: fleet.Group) -> float:
@@ -329,7 +329,7 @@
 ) -> list[fleet.Worker]:
     return [
         worker
-        for worker in free_capacity.list_with_room(group)
+        for worker in free_capacity.list_with_capacity(group)
         if allow(worker)
     ]
 
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -169,7 +169,7 @@
         own_shape = None if is_own else shape
         if _place(context, group, queue, own_shape):
             placed += 1
-        elif not _make_room(context, group, queue, own_shape):
+        elif not _free_capacity_for(context, group, queue, own_shape):
             is_exhausted = is_exhausted or not is_own
     return placed
 
@@ -275,7 +275,7 @@
     board.mark_changed(job)
 
 
-def _make_room(
+def _free_capacity_for(
     context: _RoundContext,
     group: fleet.Group,
     queue: queues.Queue,
--- a/primroselock/decisions/fleetpreemption.py
+++ b/primroselock/decisions/fleetpreemption.py
@@ -195,7 +195,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Option:
-    """The victims on one worker whose ends make room for one task."""
+    """The victims on one worker whose ends free capacity for one task."""
 
     cost: float
     victims: tuple[fleet.Group, ...]
@@ -301,7 +301,7 @@
     free_by_id: abc.Mapping[str, jobgraph.Resources],
     chosen: abc.Container[fleet.Group],
 ) -> _Option | None:
-    """Return the victims whose ends make room for a task on one worker.
+    """Return the victims whose ends free capacity for one task.
 
     Returns None if no choice of victims frees enough.
     """
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -40,15 +40,15 @@
 
 _log: typing.Final = logs.get('holder')
 _MAX_ROUND_INTERVAL_S: typing.Final = 0.25
-_REST_PER_ROUND: typing.Final = 2.0
+_PAUSE_PER_ROUND: typing.Final = 2.0
 """Time between rounds as a multiple of a round's duration: polls, orders and
 renewals need the rest of the process's time."""
 
 _MAX_COUNT_AGE_S: typing.Final = 1.0
 """A count of waiting jobs is not published if the last round is older."""
 
-_MIN_REST_S: typing.Final = 0.001
-_MAX_REST_S: typing.Final = 0.5
+_MIN_PAUSE_S: typing.Final = 0.001
+_MAX_PAUSE_S: typing.Final = 0.5
 _LATE_S: typing.Final = 0.3
 """A round that starts this late shows that answers wait to be processed."""
 
@@ -235,19 +235,19 @@
         """Run a decision round after each change, and also periodically."""
         wake = self._parts.wake
         wake.set()
-        rest_s = 0.0
+        pause_s = 0.0
         while self._lease.has_shard:
             before = clock.monotonic()
-            if rest_s > _MIN_REST_S:
-                await asyncio.sleep(rest_s)
+            if pause_s > _MIN_PAUSE_S:
+                await asyncio.sleep(pause_s)
             await waits.wait_event(wake, _MAX_ROUND_INTERVAL_S)
             now = clock.monotonic()
             self._check_late(
-                now - before - rest_s - _MAX_ROUND_INTERVAL_S, now
+                now - before - pause_s - _MAX_ROUND_INTERVAL_S, now
             )
             self._decide_once(now)
             taken_s = clock.monotonic() - now
-            rest_s = min(taken_s * _REST_PER_ROUND, _MAX_REST_S)
+            pause_s = min(taken_s * _PAUSE_PER_ROUND, _MAX_PAUSE_S)
 
     def _check_late(self, late_s: float, now: float) -> None:
         """Suspend judgements of lateness if this round is late itself.
--- a/primroselock/shards.py
+++ b/primroselock/shards.py
@@ -175,8 +175,8 @@
             self.valid_until = now + self._settings.shard_lease_s
         elif isinstance(outcome.err_value, table.Conflict):
             await self._check_still_held()
-        elif _is_turned_away(outcome.err_value) and now >= self.valid_until:
-            self.drop('the table turns this process away')
+        elif _is_throttled(outcome.err_value) and now >= self.valid_until:
+            self.drop('the table throttles this process')
 
     async def _check_still_held(self) -> None:
         """Drop the shard after a takeover; else reread the row's version.
@@ -276,5 +276,5 @@
             """Run a transition; added by the state machine."""
 
 
-def _is_turned_away(error: table.TransactError) -> bool:
-    return isinstance(error, table.Unavailable) and error.is_turned_away
+def _is_throttled(error: table.TransactError) -> bool:
+    return isinstance(error, table.Unavailable) and error.is_throttled
--- a/primroselock/store/table.py
+++ b/primroselock/store/table.py
@@ -80,12 +80,12 @@
     """The platform gave no usable answer; no transaction was applied.
 
     Also the error of the object store and of the VM list.
-    ``is_turned_away`` is set if the platform answered that it takes no more
+    ``is_throttled`` is set if the platform answered that it takes no more
     calls from this process now, so that it may be serving others.
     """
 
     detail: str
-    is_turned_away: bool = False
+    is_throttled: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroselock/test/fakefeed.py
+++ b/primroselock/test/fakefeed.py
@@ -24,14 +24,14 @@
     """The state of one client's connection to the store.
 
     With ``refuses_calls`` the store refuses each call, with
-    ``is_turned_away`` it answers that it takes no calls of this client, and
+    ``is_throttled`` it answers that it takes no calls of this client, and
     with ``is_unresponsive`` each call fails after 1 s without an answer;
     ``feed_is_unresponsive`` affects only the change feed.  Each write uses
     up one of ``faults``.
     """
 
     refuses_calls: bool = False
-    is_turned_away: bool = False
+    is_throttled: bool = False
     is_unresponsive: bool = False
     feed_is_unresponsive: bool = False
     faults: list[fakestore.Fault] = dataclasses.field(default_factory=list)
@@ -106,7 +106,7 @@
         return not (
             self._connectivity.is_unresponsive
             or self._connectivity.refuses_calls
-            or self._connectivity.is_turned_away
+            or self._connectivity.is_throttled
         )
 
     async def aclose(self) -> None:
@@ -187,8 +187,8 @@
         if not await self._call():
             if self._connectivity.is_unresponsive:
                 return result.Err(table.OutcomeUnknown('no answer'))
-            turned_away = self._connectivity.is_turned_away
-            return result.Err(table.Unavailable('down', turned_away))
+            is_throttled = self._connectivity.is_throttled
+            return result.Err(table.Unavailable('down', is_throttled))
         faults = self._connectivity.faults
         fault = faults.pop(0) if faults else fakestore.Fault.NONE
         if fault is fakestore.Fault.UNAVAILABLE:
--- a/primroselock/test/testholderload.py
+++ b/primroselock/test/testholderload.py
@@ -2,7 +2,7 @@
 
 Guards against rounds whose cost grows with what exists, against a holder
 that is late and blames others for it, against nodes that copy every row of
-the shard, and against a holder that the store turns away and that stays.
+the shard, and against a holder that the store throttles and that stays.
 """
 
 import asyncio
@@ -421,8 +421,8 @@
         virtualtime.run(run_all)
 
 
-class TurnedAwayTest(unittest.TestCase):
-    """A holder that the store turns away while it serves the others."""
+class ThrottledHolderTest(unittest.TestCase):
+    """A holder that the store throttles while it serves the others."""
 
     def test_it_yields_when_its_lease_has_expired(self) -> None:
         async def run_all(virtual: virtualtime.VirtualClock) -> None:
@@ -432,7 +432,7 @@
                 world.add_node(f'entry-{number}')
             await asyncio.sleep(2.0)
             holder = world.find_shard_holder()
-            holder.connectivity.is_turned_away = True
+            holder.connectivity.is_throttled = True
             scheduler = holder.settings.scheduler
             await asyncio.sleep(
                 scheduler.shard_lease_s + scheduler.shard_renew_interval_s
