--- a/primroselock/decisions/fleetpreemption.py
+++ b/primroselock/decisions/fleetpreemption.py
@@ -34,9 +34,6 @@
 _MAX_LOST_WORK_FACTOR: typing.Final = 6.0
 """The most work that may be lost, as a multiple of the group's own work."""
 
-_SAMPLE_SIZE: typing.Final = 64
-"""About as many workers are examined in a first search."""
-
 _MS_PER_S: typing.Final = 1000.0
 
 
@@ -202,36 +199,16 @@
 
 
 def _choose(search: _Search, allow: fitting.WorkerFilter) -> Choice | None:
-    """Choose among all workers, or in one rack for a rack-local gang.
-
-    On a large shard a sample of the workers is examined first, and all of
-    them only if it has no choice: the cheapest of a sample loses little
-    more work than the cheapest of all.
-    """
+    """Choose among all workers, or in one rack for a rack-local gang."""
     group = search.group
     usable = search.free_capacity.list_usable(group)
     candidates = [worker for worker in usable if allow(worker)]
-    pools = [candidates]
-    if group.size > 1 and group.step.rack_local and not group.may_span_racks:
-        pools = list(fitting.group_by_rack(candidates).values())
-    stride = -(-len(candidates) // _SAMPLE_SIZE)
-    if stride > 1:
-        offset = group.key.index % stride
-        if len(pools) == 1:
-            sample = [candidates[offset::stride]]
-        else:
-            sample = pools[offset::stride]
-        chosen = _choose_cheapest(search, sample)
-        if chosen is not None:
-            return chosen
-    return _choose_cheapest(search, pools)
-
-
-def _choose_cheapest(
-    search: _Search, pools: abc.Sequence[abc.Sequence[fleet.Worker]]
-) -> Choice | None:
-    """Return the cheapest choice within one of the pools of workers."""
-    choices = [_choose_in(search, pool) for pool in pools]
+    if group.size == 1 or not group.step.rack_local or group.may_span_racks:
+        return _choose_in(search, candidates)
+    choices = [
+        _choose_in(search, members)
+        for members in fitting.group_by_rack(candidates).values()
+    ]
     found = [choice for choice in choices if choice is not None]
     return min(found, key=lambda choice: choice.cost, default=None)
 
