A takeover that ends early renews the lease no more

Cause: found on reading: the loop that renews the lease during a takeover was not cancelled when the takeover failed or was cancelled, so that a process without a session kept the shard from all others. Change: it is cancelled on every way out. A map is named for what it holds. Test: testholderload.TakeoverTest.test_a_takeover_that_ends_early_renews_no_more failed before.

--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -488,7 +488,7 @@
     ``orders`` and ``decision_records`` collect the decisions of the
     controllers until they are taken.  ``reported_groups`` are the groups
     whose progress was reported since the last round.
-    ``searches_by_shape`` holds, for shapes (see ``fitting``) for which
+    ``search_retry_at_by_shape`` holds, for shapes (see ``fitting``) for which
     neither victims nor workers to claim were found, when to search again.
     """
 
@@ -515,7 +515,7 @@
     claims_by_group: dict[Group, CapacityClaim] = dataclasses.field(
         default_factory=dict
     )
-    searches_by_shape: dict[typing.Any, float] = dataclasses.field(
+    search_retry_at_by_shape: dict[typing.Any, float] = dataclasses.field(
         default_factory=dict
     )
     entry_cache: EntryCache = dataclasses.field(default_factory=EntryCache)
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -178,7 +178,7 @@
     """Return whether victims may be searched for a group of this shape."""
     if shape is None:
         return True
-    retry_at = context.board.searches_by_shape.get(shape)
+    retry_at = context.board.search_retry_at_by_shape.get(shape)
     return retry_at is None or context.now >= retry_at
 
 
@@ -301,7 +301,7 @@
     if may_claim and _claim_soonest(context, group, allow):
         return True
     if shape is not None and (is_tried or may_claim):
-        board.searches_by_shape[shape] = context.now + _SEARCH_RETRY_S
+        board.search_retry_at_by_shape[shape] = context.now + _SEARCH_RETRY_S
     return False
 
 
@@ -401,6 +401,6 @@
             or now - claim.since > _CLAIM_TIMEOUT_S
         ):
             del board.claims_by_group[group]
-    for shape, retry_at in list(board.searches_by_shape.items()):
+    for shape, retry_at in list(board.search_retry_at_by_shape.items()):
         if now >= retry_at:
-            del board.searches_by_shape[shape]
+            del board.search_retry_at_by_shape[shape]
--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -120,18 +120,21 @@
         """Schedule for the shard until its lease is lost."""
         # The lease must not expire while a long listing is read.
         renewing = asyncio.create_task(self._renew())
-        takeover = await self._take_over()
-        if takeover is None:
-            await waits.cancel_tasks([renewing])
-            return
-        session = holdersession.HolderSession(self._build_parts(), takeover)
-        self._session = session
-        if self._stopping:
-            session.close()
         try:
+            takeover = await self._take_over()
+            if takeover is None:
+                return
+            session = holdersession.HolderSession(
+                self._build_parts(), takeover
+            )
+            self._session = session
+            if self._stopping:
+                session.close()
             await session.run(renewing)
         finally:
             self._session = None
+            # Nobody decides any more: the lease must run out.
+            await waits.cancel_tasks([renewing])
 
     def _build_parts(self) -> holdersession.Parts:
         return holdersession.Parts(
--- a/primroselock/test/testholderload.py
+++ b/primroselock/test/testholderload.py
@@ -391,6 +391,23 @@
 
         virtualtime.run(run_all)
 
+    def test_a_takeover_that_ends_early_renews_no_more(self) -> None:
+        """Guards against a lease that is renewed with nobody deciding."""
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World()
+            first = world.add_node('entry-1')
+            first.client.listing_s = 3.0
+            await asyncio.sleep(5.0)
+            self.assertTrue(first.holder.lease.has_shard)
+            await first.kill()
+            second = world.add_node('entry-2')
+            await asyncio.sleep(3.0)
+            self.assertTrue(second.holder.lease.has_shard)
+            await world.close()
+
+        virtualtime.run(run_all)
+
     def test_an_ended_job_keeps_its_owner_and_drops_its_work(self) -> None:
         """A repeat of its submission is answered, and does not run again."""
 
