Log why a job waits beside free capacity

Cause: the log says what was placed. Change: about once a second, while under half of the accelerators are in use, the holder logs jobs of which nothing runs although they fit twice: phase, members, and by reason the workers that are kept from them; gauge idle_waits. What excludes a worker is named in one place (eligibility), which the placement uses too. No decision changes.

--- /dev/null
+++ b/primroselock/decisions/eligibility.py
@@ -0,0 +1,41 @@
+"""Which workers may get starts, and what excludes the others.
+
+The reason is named, so that the placement and the explanation of why work
+waits never disagree.
+"""
+
+import enum
+
+from primroselock.decisions import fleet
+from primroselock.decisions import fleethealth
+
+
+class Exclusion(enum.Enum):
+    """Why a worker gets no starts, whatever its free capacity."""
+
+    UNLISTED = 'no entry'
+    NOT_POLLED = 'not polled by this holder'
+    UNRESPONSIVE = 'calls to it fail'
+    DRAINING = 'draining'
+    ZONE_OUT_OF_SERVICE = 'zone out of service'
+    QUARANTINED = 'quarantined'
+
+
+def find_exclusion(
+    board: fleet.ShardBoard, worker: fleet.Worker, now: float
+) -> Exclusion | None:
+    """Return what excludes a worker from starts, or None."""
+    if not worker.is_listed:
+        return Exclusion.UNLISTED
+    if not worker.is_polled:
+        return Exclusion.NOT_POLLED
+    if worker.failures_in_row:
+        return Exclusion.UNRESPONSIVE
+    if worker.entry.is_draining:
+        return Exclusion.DRAINING
+    out_of_service = board.queue_configuration.zones_out_of_service
+    if worker.entry.zone in out_of_service:
+        return Exclusion.ZONE_OUT_OF_SERVICE
+    if fleethealth.is_quarantined(board, worker.id, now):
+        return Exclusion.QUARANTINED
+    return None
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -488,6 +488,8 @@
     ``orders`` and ``decision_records`` collect the decisions of the
     controllers until they are taken.  ``reported_groups`` are the groups
     whose progress was reported since the last round.
+    ``idle_waits`` is the number of jobs that waited beside free capacity at
+    ``waits_reported_at``.
     ``search_retry_at_by_shape`` holds, for shapes (see ``fitting``) for which
     neither victims nor workers to claim were found, when to search again.
     """
@@ -512,6 +514,8 @@
     )
     judge_from: float = _NEVER
     expiry_checked_at: float = _NEVER
+    waits_reported_at: float = _NEVER
+    idle_waits: int = 0
     claims_by_group: dict[Group, CapacityClaim] = dataclasses.field(
         default_factory=dict
     )
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -17,9 +17,9 @@
 
 from primroselock.decisions import advising
 from primroselock.decisions import claimindex
+from primroselock.decisions import eligibility
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
-from primroselock.decisions import fleethealth
 from primroselock.decisions import fleetpreemption
 from primroselock.decisions import objectives
 from primroselock.decisions import reachability
@@ -112,27 +112,13 @@
         [
             worker
             for worker in board.workers_by_id.values()
-            if _accepts_starts(board, worker, now)
+            if eligibility.find_exclusion(board, worker, now) is None
             and worker.id not in unverified_ids
         ],
         fitting.scores_by_name[settings.placement],
     )
 
 
-def _accepts_starts(
-    board: fleet.ShardBoard, worker: fleet.Worker, now: float
-) -> bool:
-    return (
-        worker.is_listed
-        and worker.is_polled
-        and worker.failures_in_row == 0
-        and not worker.entry.is_draining
-        and worker.entry.zone
-        not in board.queue_configuration.zones_out_of_service
-        and not fleethealth.is_quarantined(board, worker.id, now)
-    )
-
-
 def _place_step(
     context: _RoundContext, groups: abc.Sequence[fleet.Group], limit: int
 ) -> int:
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -4,7 +4,8 @@
 workers whose leases have expired, apply cancellations, release occurrences
 that are due, quarantine workers, stop attempts that would be cut short by a
 drain, that are stuck or whose starts were not answered, place waiting groups
-(with preemption), and order stops.  Each controller is a function of the
+(with preemption), order stops, and report work that waits beside free
+capacity.  Each controller is a function of the
 blackboard, the settings and the time.
 """
 
@@ -16,6 +17,7 @@
 from primroselock.decisions import fleetplacing
 from primroselock.decisions import graphs
 from primroselock.decisions import runs
+from primroselock.decisions import waitreport
 from primroselock import jobs
 from primroselock import options
 
@@ -218,3 +220,14 @@
 ) -> None:
     """Order the stops of members whose groups are being stopped."""
     runs.order_stops(board, now)
+
+
+@controller(order=70)
+def report_idle_waits(
+    board: fleet.ShardBoard,
+    settings: options.Settings,
+    now: float,
+    wall_s: float,
+) -> None:
+    """Report jobs that wait although capacity is free."""
+    waitreport.report_idle_waits(board, now)
--- /dev/null
+++ b/primroselock/decisions/waitreport.py
@@ -0,0 +1,173 @@
+"""Explains why due work does not run although capacity is free.
+
+The log says what was placed.  For work that should run and does not, this
+records what holds it: the phase of its group, and for a waiting group how
+many workers each reason keeps from it.  Only jobs of which nothing runs
+beside plenty of free capacity are examined, about once a second.
+"""
+
+from collections import abc
+import typing
+
+from primroselock.decisions import eligibility
+from primroselock.decisions import fitting
+from primroselock.decisions import fleet
+from primroselock.decisions import reachability
+from primroselock.decisions import waiting
+
+_INTERVAL_S: typing.Final = 1.0
+_PATIENCE_S: typing.Final = 2.0
+"""Work that waits for less time than this is not reported."""
+
+_MAX_REPORTS: typing.Final = 10
+_BUSY_SHARE: typing.Final = 0.5
+"""Above this share of accelerators in use, waiting needs no explanation."""
+
+_SPARE_FACTOR: typing.Final = 2
+"""Capacity is plenty if the group would fit this many times."""
+
+_UNVERIFIED: typing.Final = 'unverified'
+_CLAIMED: typing.Final = 'claimed for other groups'
+_AVOIDED: typing.Final = 'avoided by this group'
+_FITS: typing.Final = 'usable'
+
+
+def report_idle_waits(board: fleet.ShardBoard, now: float) -> None:
+    """Record each job that waits beside free capacity, and why.
+
+    ``board.idle_waits`` becomes the number of such jobs.
+    """
+    if 0 <= now - board.waits_reported_at < _INTERVAL_S:
+        return
+    board.waits_reported_at = now
+    board.idle_waits = 0
+    if _is_busy(board):
+        return
+    for job in board.jobs_by_id.values():
+        group = _find_held_group(job, now)
+        if group is None or not _has_plenty(board, group):
+            continue
+        board.idle_waits += 1
+        if board.idle_waits <= _MAX_REPORTS:
+            _report(board, group, now)
+
+
+def _is_busy(board: fleet.ShardBoard) -> bool:
+    """Return whether much of the listed workers' accelerators is in use."""
+    listed = [w for w in board.workers_by_id.values() if w.is_listed]
+    capacity = sum(w.entry.capacity.accelerators for w in listed)
+    used = sum(w.used.accelerators for w in listed)
+    return used > capacity * _BUSY_SHARE
+
+
+def _find_held_group(job: fleet.LiveJob, now: float) -> fleet.Group | None:
+    """Return a due group of a job of which nothing runs, or None."""
+    if job.is_cancelled or job.state.is_final:
+        return None
+    held: fleet.Group | None = None
+    for group in job.groups_by_key.values():
+        if group.phase is fleet.Phase.RUNNING:
+            return None
+        if any(m.state is fleet.MemberState.PRESENT for m in group.members):
+            return None
+        is_due = (
+            group.phase is fleet.Phase.WAITING
+            or group.phase in fleet.ACTIVE_PHASES
+        )
+        if held is None and is_due and now - group.since > _PATIENCE_S:
+            held = group
+    return held
+
+
+def _has_plenty(board: fleet.ShardBoard, group: fleet.Group) -> bool:
+    """Return whether the group would fit on sound workers several times."""
+    need = group.step.counted_need
+    service = group.job.queue.service if group.job.queue else None
+    fit_total = 0
+    for worker in board.workers_by_id.values():
+        if not _is_candidate(worker, group, service):
+            continue
+        free = worker.free
+        if free.can_fit(need):
+            fit_total += free.fit_count(need) or group.size
+    return fit_total >= group.size * _SPARE_FACTOR
+
+
+def _is_candidate(
+    worker: fleet.Worker, group: fleet.Group, service: str | None
+) -> bool:
+    return (
+        worker.is_listed
+        and not worker.entry.is_draining
+        and service in (None, worker.entry.service)
+        and fitting.fits_when_empty(worker, group.step)
+    )
+
+
+def _report(board: fleet.ShardBoard, group: fleet.Group, now: float) -> None:
+    job = group.job
+    board.record_decision(
+        'job waits beside free capacity',
+        job,
+        group=[group.key.occurrence, group.key.step, group.key.index],
+        attempt=group.attempt,
+        phase=group.phase.value,
+        since_s=round(now - group.since, 3),
+        tasks=group.size,
+        accelerators=group.step.need.accelerators,
+        cpu_millis=group.step.need.cpu_millis,
+        is_rack_local=group.step.rack_local,
+        is_queue_known=job.queue is not None,
+        is_stored=job.saved_change == job.change,
+        starts_permitted=now <= board.permit_until,
+        not_before_s=round(max(0.0, group.not_before - now), 3),
+        held=_list_held_members(group),
+        workers=_count_workers(board, group, now),
+    )
+
+
+def _list_held_members(group: fleet.Group) -> dict[str, int]:
+    """Return how many members of the attempt are in each state."""
+    counts: dict[str, int] = {}
+    for member in group.members:
+        counts[member.state.value] = counts.get(member.state.value, 0) + 1
+    return counts
+
+
+def _count_workers(
+    board: fleet.ShardBoard, group: fleet.Group, now: float
+) -> dict[str, int]:
+    """Return how many workers with free capacity each reason excludes."""
+    unverified = {w.id for w in reachability.list_unverified(board)}
+    claimed = _list_claimed(board, group)
+    service = group.job.queue.service if group.job.queue else None
+    counts: dict[str, int] = {}
+    for worker in board.workers_by_id.values():
+        if not _is_candidate(worker, group, service):
+            continue
+        if not worker.free.can_fit(group.step.counted_need):
+            continue
+        exclusion = eligibility.find_exclusion(board, worker, now)
+        if exclusion is not None:
+            why = exclusion.value
+        elif worker.id in unverified:
+            why = _UNVERIFIED
+        elif worker.id in group.avoided_worker_ids:
+            why = _AVOIDED
+        elif worker.id in claimed:
+            why = _CLAIMED
+        else:
+            why = _FITS
+        counts[why] = counts.get(why, 0) + 1
+    return counts
+
+
+def _list_claimed(board: fleet.ShardBoard, group: fleet.Group) -> abc.Set[str]:
+    """Return the workers that others' claims keep from the group."""
+    rank = waiting.rank(group, waiting.guaranteed_job_ids(board))
+    return {
+        worker_id
+        for owner, claim in board.claims_by_group.items()
+        if owner is not group and claim.rank <= rank
+        for worker_id in claim.worker_ids
+    }
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -226,6 +226,7 @@
                     self._lease.drop('a loop failed')
         finally:
             self._lease.count_waiting = lambda now: None
+            self._parts.counters.set_gauge('idle_waits', 0.0)
             self._advice_requester.cancel()
             self._pollers.cancel()
             self._orders.cancel()
@@ -271,6 +272,9 @@
         self._parts.counters.record(
             'decision_round', clock.monotonic() - started
         )
+        self._parts.counters.set_gauge(
+            'idle_waits', float(self._board.idle_waits)
+        )
         self._send_orders()
         self._writer.wake()
         self._advice_requester.ensure_running()
--- a/primroselock/metrics.py
+++ b/primroselock/metrics.py
@@ -17,6 +17,7 @@
 _HELP_BY_NAME: typing.Final = {
     'decision_round': 'Duration of a decision round of the shard holder.',
     'decision_late': 'Time by which a decision round began late.',
+    'idle_waits': 'Jobs that wait although capacity is free.',
     'late_polls': 'Polls of workers given up since this process was late.',
     'looks': 'Polls of workers.',
     'probes': 'Short polls of workers that may be unreachable.',
--- /dev/null
+++ b/primroselock/test/testwaitreport.py
@@ -0,0 +1,121 @@
+"""The log tells why due work does not run beside free capacity."""
+
+import dataclasses
+import typing
+import unittest
+
+from primroselock.decisions import evidence
+from primroselock.decisions import fleet
+from primroselock.decisions import fleetround
+from primroselock.decisions import graphs
+from primroselock.test import fleetbuilders
+from tools import largefleet
+
+_EVENT: typing.Final = 'job waits beside free capacity'
+
+
+class WaitReportTest(unittest.TestCase):
+    """A board of ten empty workers that some reason excludes."""
+
+    def setUp(self) -> None:
+        self.settings = fleetbuilders.build_node_settings()
+        self.board = largefleet.build_board(10)
+
+    def submit(self, job_id: str, now: float) -> fleet.LiveJob:
+        """Add a job of two whole workers."""
+        job = graphs.add_job(
+            self.board,
+            fleetbuilders.build_graph(
+                job_id, fleetbuilders.build_step(2, 8, gang=True)
+            ),
+            None,
+            0,
+            now,
+            int(now * 1000),
+        )
+        assert job is not None
+        return job
+
+    def run_rounds(self, start: float, end: float) -> list[dict[str, object]]:
+        """Run a round every 0.5 s; return the values of the reports."""
+        now = start
+        reports = []
+        while now <= end:
+            fleetround.run(self.board, self.settings, now, now)
+            reports += [
+                record.values
+                for record in self.board.take_decision_records()
+                if record.event == _EVENT
+            ]
+            now += 0.5
+        return reports
+
+    def test_names_what_excludes_the_workers(self) -> None:
+        workers = list(self.board.workers_by_id.values())
+        for worker in workers[:4]:
+            worker.failures_in_row = 1
+        for worker in workers[4:]:
+            self.board.failure_evidence.quarantines_by_worker_id[worker.id] = (
+                evidence.Quarantine(100.0, 1)
+            )
+        self.submit('j', 1.0)
+        reports = self.run_rounds(1.0, 6.0)
+        self.assertEqual('waiting', reports[0]['phase'])
+        self.assertEqual(
+            {'calls to it fail': 4, 'quarantined': 6}, reports[0]['workers']
+        )
+        self.assertEqual(1, self.board.idle_waits)
+        # About once a second, after the first two.
+        self.assertLessEqual(len(reports), 4)
+
+    def test_names_a_claim_and_an_unknown_queue(self) -> None:
+        job = self.submit('j', 1.0)
+        job.queue = None
+        owner = self.submit('owner', 1.0)
+        self.board.claims_by_group[owner.groups_of_step(0, 0)[0]] = (
+            fleet.CapacityClaim(
+                frozenset(self.board.workers_by_id), 1.0, (True, 0)
+            )
+        )
+        owner.queue = None
+        reports = self.run_rounds(1.0, 4.5)
+        by_queue_known = [report['is_queue_known'] for report in reports]
+        self.assertIn(False, by_queue_known)
+        self.assertIn({'claimed for other groups': 10}, _workers(reports))
+
+    def test_names_members_that_hold_an_attempt(self) -> None:
+        job = self.submit('j', 1.0)
+        group = job.groups_of_step(0, 0)[0]
+        group.members = [
+            fleet.Member(group, index, 'gone', 1, fleet.MemberState.INHERITED)
+            for index in group.task_indices
+        ]
+        group.enter(fleet.Phase.STARTING, 1.0)
+        reports = self.run_rounds(1.0, 4.0)
+        self.assertEqual('starting', reports[0]['phase'])
+        self.assertEqual({'inherited': 2}, reports[0]['held'])
+
+    def test_reports_nothing_while_workers_are_busy_or_work_runs(self) -> None:
+        job = self.submit('j', 1.0)
+        self.run_rounds(1.0, 1.0)
+        largefleet.run_placed(self.board, 1.0)
+        self.assertEqual('running', job.groups_of_step(0, 0)[0].phase.value)
+        self.assertEqual([], self.run_rounds(1.0, 6.0))
+        self.board.queue_configuration = dataclasses.replace(
+            self.board.queue_configuration,
+            zones_out_of_service=frozenset(
+                w.entry.zone for w in self.board.workers_by_id.values()
+            ),
+        )
+        for worker in self.board.workers_by_id.values():
+            worker.used = worker.entry.capacity
+        self.submit('k', 7.0)
+        self.assertEqual([], self.run_rounds(7.0, 12.0))
+
+
+def _workers(reports: list[dict[str, object]]) -> list[object]:
+    return [report['workers'] for report in reports]
+
+
+if __name__ == '__main__':
+    unittest.main()
