A job larger than a row of the store is stored in several

Callers: accepted jobs that could run had nothing running beside free capacity. Cause: a job's progress was one row. Beyond 64 KiB (about 900 tasks placed at once, over several occurrences) the store refuses the write for good; the holder took that for an outage and sent the same transaction again, with up to 29 other jobs in it, for ever: nothing of them was placed. An oversized submission failed the other callers' submissions of its commit in the same way. The tests' store had no limits, so that no test could show it. Change: progress is spread over several rows, written together on the condition of the first; batches stay below the store's limits and are taken in the order of change; a transaction refused for good is an error of its own (Rejected): progress is then written job by job, submissions by halving. What could not be stored (a graph larger than a row, over 5000 tasks with all occurrences) is refused to its caller at once. Done groups store less.

--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -248,15 +248,17 @@
     times.
 
     ``change`` counts the changes that must be stored, and ``saved_change``
-    is the last change that was; ``row_version`` is the version of the progress
-    row.  ``released`` is the number of occurrences whose groups exist.
-    ``phases`` is the index of the blackboard that holds the job.
+    is the last change that was; ``row_version`` is the version of the first
+    progress row, of which there are ``stored_parts``.  ``released`` is the
+    number of occurrences whose groups exist.  ``phases`` is the index of the
+    blackboard that holds the job.
     """
 
     graph: jobgraph.JobGraph
     queue: queues.Queue | None
     critical_paths_s: tuple[float, ...] = ()
     row_version: int = 0
+    stored_parts: int = 1
     state: jobs.JobState = jobs.JobState.WAITING
     groups_by_key: dict[jobgraph.GroupKey, Group] = dataclasses.field(
         default_factory=dict
@@ -483,8 +485,8 @@
     clock.  Nobody is blamed for being late before ``judge_from``, since this
     process was late itself.  The leases of workers were last checked at
     ``expiry_checked_at``.  ``changed_ids`` names the jobs whose rows must
-    be written, and ``ended_ms_by_id`` those that ended, with the Unix time
-    in milliseconds.
+    be written, in the order of their first change, and ``ended_ms_by_id``
+    those that ended, with the Unix time in milliseconds.
     ``orders`` and ``decision_records`` collect the decisions of the
     controllers until they are taken.  ``reported_groups`` are the groups
     whose progress was reported since the last round.
@@ -500,7 +502,7 @@
     queue_configuration: queues.QueueConfiguration = queues.EMPTY
     jobs_by_id: dict[str, LiveJob] = dataclasses.field(default_factory=dict)
     workers_by_id: dict[str, Worker] = dataclasses.field(default_factory=dict)
-    changed_ids: set[str] = dataclasses.field(default_factory=set)
+    changed_ids: dict[str, None] = dataclasses.field(default_factory=dict)
     ended_ms_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
     phases: phaseindex.PhaseIndex = dataclasses.field(
         default_factory=phaseindex.PhaseIndex
@@ -539,7 +541,7 @@
     def mark_changed(self, job: LiveJob) -> None:
         """Mark a job whose row must be written."""
         job.change += 1
-        self.changed_ids.add(job.graph.id)
+        self.changed_ids[job.graph.id] = None
 
     def record_decision(
         self, event: str, job: LiveJob, **values: typing.Any
--- a/primroselock/decisions/graphs.py
+++ b/primroselock/decisions/graphs.py
@@ -266,25 +266,35 @@
 
 
 def build_progress(job: fleet.LiveJob) -> jobgraph.JobProgress:
-    """Return the progress row of a job."""
-    records = tuple(
-        jobgraph.GroupRecord(
-            key,
-            _ROW_PHASES[group.phase],
-            group.attempt,
-            group.failures,
-            group.checkpoint,
-            tuple(
-                jobgraph.Place(member.worker_id, member.boot)
-                for member in group.members
-            )
-            if group.phase in fleet.ACTIVE_PHASES
-            else (),
-            group.failed_attempt,
+    """Return the progress of a job as it is stored."""
+    records: tuple[jobgraph.GroupRecord, ...] = ()
+    if not job.state.is_final:
+        records = tuple(
+            _build_record(group)
+            for group in job.groups_by_key.values()
+            if group.attempt
         )
-        for key, group in job.groups_by_key.items()
-        if group.attempt
-    )
-    if job.state.is_final:
-        records = ()
     return jobgraph.JobProgress(job.state, records, job.ended_ms)
+
+
+def _build_record(group: fleet.Group) -> jobgraph.GroupRecord:
+    """Return the stored progress of a group that was placed."""
+    phase = _ROW_PHASES[group.phase]
+    if phase is jobgraph.GroupPhase.DONE:
+        # Nothing else is asked of a group that never runs again.
+        return jobgraph.GroupRecord(group.key, phase, group.attempt)
+    places: tuple[jobgraph.Place, ...] = ()
+    if group.phase in fleet.ACTIVE_PHASES:
+        places = tuple(
+            jobgraph.Place(member.worker_id, member.boot)
+            for member in group.members
+        )
+    return jobgraph.GroupRecord(
+        group.key,
+        phase,
+        group.attempt,
+        group.failures,
+        group.checkpoint,
+        places,
+        group.failed_attempt,
+    )
--- a/primroselock/graphrows.py
+++ b/primroselock/graphrows.py
@@ -1,11 +1,14 @@
 """Rows of jobs that are graphs: their keys, encoding and decoding.
 
-A job has up to three rows: the graph as it was accepted, its progress,
-and a cancellation request.  Each has one writer, so that a node that
-accepts or cancels a job never conflicts with the holder of the shard.
+A job has the graph as it was accepted, its progress, and a cancellation
+request.  Each has one writer, so that a node that accepts or cancels a job
+never conflicts with the holder of the shard.  Each is one row, but for the
+progress of a job of many tasks, which may be larger than a row: its groups
+are spread over several, which are always written together.
 """
 
 import dataclasses
+import math
 import typing
 
 import msgspec
@@ -25,12 +28,71 @@
 
 @dataclasses.dataclass(slots=True)
 class StoredJob:
-    """The decoded rows of one job, and the version of its progress row."""
+    """The decoded rows of one job.
+
+    ``progress_version`` is the version of the first progress row, which is
+    rewritten with each change; ``groups_by_part`` holds what the others add.
+    """
 
     graph: jobgraph.JobGraph | None = None
-    progress: jobgraph.JobProgress | None = None
+    first_progress: jobgraph.JobProgress | None = None
     progress_version: int = table.ABSENT
     is_cancelled: bool = False
+    groups_by_part: dict[int, tuple[jobgraph.GroupRecord, ...]] = (
+        dataclasses.field(default_factory=dict)
+    )
+
+    @property
+    def parts(self) -> int:
+        """Return how many rows the progress has; at least 1."""
+        return max(self.groups_by_part, default=0) + 1
+
+    @property
+    def progress(self) -> jobgraph.JobProgress | None:
+        """Return the progress, joined from its rows."""
+        first = self.first_progress
+        if first is None or first.parts == 1:
+            return first
+        groups = list(first.groups)
+        for part in range(1, first.parts):
+            groups += self.groups_by_part.get(part, ())
+        return msgspec.structs.replace(first, groups=tuple(groups), parts=1)
+
+
+def encode_progress(
+    progress: jobgraph.JobProgress, max_bytes: int
+) -> tuple[bytes, ...]:
+    """Return the values of the rows of a job's progress, in order.
+
+    Each has at most ``max_bytes``, unless a single group needs more.
+    """
+    whole = encode(progress)
+    if len(whole) <= max_bytes:
+        return (whole,)
+    groups = progress.groups
+    parts = math.ceil(len(whole) / max_bytes)
+    while True:
+        values = _encode_parts(progress, min(parts, len(groups)))
+        if max(map(len, values)) <= max_bytes or parts >= len(groups):
+            return values
+        parts += 1
+
+
+def _encode_parts(
+    progress: jobgraph.JobProgress, parts: int
+) -> tuple[bytes, ...]:
+    """Encode progress in ``parts`` rows with about as many groups each."""
+    count = math.ceil(len(progress.groups) / parts)
+    chunks = [
+        progress.groups[start : start + count]
+        for start in range(0, len(progress.groups), count)
+    ]
+    return tuple(
+        encode(
+            msgspec.structs.replace(progress, groups=chunk, parts=len(chunks))
+        )
+        for chunk in chunks
+    )
 
 
 def read_graph(row: table.Row) -> jobgraph.JobGraph | None:
@@ -70,9 +132,19 @@
                 stored = self._stored(row.key, self._cancel_prefix)
                 stored.is_cancelled = True
             elif row.key.startswith(self._progress_prefix):
-                stored = self._stored(row.key, self._progress_prefix)
-                stored.progress = read_progress(row)
-                stored.progress_version = row.version
+                self._apply_progress(row)
+
+    def _apply_progress(self, row: table.Row) -> None:
+        name = row.key.removeprefix(self._progress_prefix)
+        job_id, _, part = name.partition('/')
+        stored = self.stored_by_id.setdefault(job_id, StoredJob())
+        progress = read_progress(row)
+        if part:
+            groups = progress.groups if progress is not None else ()
+            stored.groups_by_part[int(part)] = groups
+        else:
+            stored.first_progress = progress
+            stored.progress_version = row.version
 
     def _stored(self, key: str, prefix: str) -> StoredJob:
         job_id = key.removeprefix(prefix)
--- a/primroselock/graphwriter.py
+++ b/primroselock/graphwriter.py
@@ -5,6 +5,10 @@
 overwrite a later one.  Start orders are sent after the transaction with
 their placement; ends are confirmed to workers after the transaction that
 stores them.
+
+The store limits the size of rows and transactions.  A batch is kept below
+these limits; if the store refuses one for good all the same, its jobs are
+written one by one, so that the one that is refused holds up no other.
 """
 
 import asyncio
@@ -25,9 +29,6 @@
 from primroselock.store import keys
 from primroselock.store import table
 
-_MAX_JOBS_PER_TRANSACTION: typing.Final = 30
-"""A transaction of the platform has at most 100 entries, three for a job."""
-
 _RETRY_PAUSE_S: typing.Final = 0.1
 _log: typing.Final = logs.get('graphwriter')
 
@@ -38,16 +39,30 @@
 
     ``change`` is the number of the last change that it contains;
     ``committing`` are the groups, with their attempts, that start once it
-    is stored.  ``graph_value`` replaces the graph of a job that has ended;
-    it is empty for others.
+    is stored.  ``values`` are those of the progress rows; the job had
+    ``stored_parts`` of these rows before.  ``graph_value`` replaces the
+    graph of a job that has ended; it is empty for others.
     """
 
     job: fleet.LiveJob
     change: int
     committing: tuple[tuple[fleet.Group, int], ...]
-    value: bytes
+    values: tuple[bytes, ...]
+    stored_parts: int
     graph_value: bytes
 
+    @property
+    def entries(self) -> int:
+        """Return how many entries of a transaction the job needs."""
+        rows = max(len(self.values), self.stored_parts)
+        return 1 + rows + bool(self.graph_value)
+
+    @property
+    def size(self) -> int:
+        """Return the bytes that the job's rows need in a transaction."""
+        values = [*self.values, self.graph_value]
+        return sum(len(value) + table.TOKEN_BYTES for value in values)
+
 
 class ProgressWriter:
     """Writes the changed jobs of the blackboard; then calls ``on_saved``."""
@@ -59,12 +74,15 @@
         board: fleet.ShardBoard,
         on_saved: abc.Callable[[], None],
         now: abc.Callable[[], float],
+        max_row_bytes: int,
     ) -> None:
         self._store = store
         self._lease = lease
         self._board = board
         self._on_saved = on_saved
         self._now = now
+        self._max_value_bytes = max_row_bytes - table.TOKEN_BYTES
+        self._writes_one_job = False
         self._wake = asyncio.Event()
 
     def wake(self) -> None:
@@ -87,16 +105,21 @@
         if not snapshots:
             return True
         transaction = self._build_transaction(snapshots)
+        for snapshot in snapshots:
+            # Rows of a transaction without a known outcome may exist.
+            job = snapshot.job
+            job.stored_parts = max(job.stored_parts, len(snapshot.values))
         outcome = await table.transact_resolved(self._store, transaction)
         if isinstance(outcome, result.Ok):
             self._record_saved(snapshots, outcome.ok_value.version)
             return True
         error = outcome.err_value
+        if isinstance(error, table.Rejected):
+            return self._record_rejected(snapshots, error)
         _log.warning(
             'progress of jobs not stored', jobs=len(snapshots), why=str(error)
         )
-        for snapshot in snapshots:
-            self._board.changed_ids.add(snapshot.job.graph.id)
+        self._write_again(snapshots)
         if isinstance(error, table.Unavailable):
             return False
         if isinstance(error, table.Conflict) and self._epoch_key in error.keys:
@@ -110,15 +133,50 @@
         return keys.shard_epoch(self._lease.shard)
 
     def _take_snapshots(self) -> list[_ProgressSnapshot]:
+        """Take the jobs that changed first, as many as fit.
+
+        One job is taken in any case.
+        """
         board = self._board
-        snapshots = []
-        for job_id in list(board.changed_ids)[:_MAX_JOBS_PER_TRANSACTION]:
-            board.changed_ids.discard(job_id)
+        snapshots: list[_ProgressSnapshot] = []
+        # One condition is on the epoch row.
+        entries_left = table.MAX_ENTRIES - 1
+        bytes_left = table.MAX_VALUE_BYTES
+        for job_id in list(board.changed_ids):
             job = board.jobs_by_id.get(job_id)
             if job is not None and job.saved_change < job.change:
-                snapshots.append(_take_snapshot(job))
+                snapshot = _take_snapshot(job, self._max_value_bytes)
+                entries_left -= snapshot.entries
+                bytes_left -= snapshot.size
+                if snapshots and (entries_left < 0 or bytes_left < 0):
+                    break
+                snapshots.append(snapshot)
+            del board.changed_ids[job_id]
+            if snapshots and self._writes_one_job:
+                break
         return snapshots
 
+    def _write_again(self, snapshots: list[_ProgressSnapshot]) -> None:
+        for snapshot in snapshots:
+            self._board.changed_ids[snapshot.job.graph.id] = None
+
+    def _record_rejected(
+        self, snapshots: list[_ProgressSnapshot], error: table.Rejected
+    ) -> bool:
+        """Find out which job the store refuses; return whether to go on.
+
+        A job that is refused alone is written again with its next change.
+        """
+        _log.error(
+            'store refuses progress of jobs',
+            jobs=[snapshot.job.graph.id for snapshot in snapshots],
+            why=error.detail,
+        )
+        if len(snapshots) > 1:
+            self._writes_one_job = True
+            self._write_again(snapshots)
+        return True
+
     def _build_transaction(
         self, snapshots: list[_ProgressSnapshot]
     ) -> table.Transaction:
@@ -127,23 +185,40 @@
             table.Condition(self._epoch_key, self._lease.epoch_row_version)
         ]
         puts = []
+        deletes: list[str] = []
         for snapshot in snapshots:
-            key = keys.progress(shard, snapshot.job.graph.id)
-            version = snapshot.job.row_version
-            conditions.append(table.Condition(key, version))
-            puts.append(table.Put(key, snapshot.value))
+            job_id = snapshot.job.graph.id
+            # The other rows change only together with the first.
+            conditions.append(
+                table.Condition(
+                    keys.progress(shard, job_id), snapshot.job.row_version
+                )
+            )
+            for part, value in enumerate(snapshot.values):
+                puts.append(
+                    table.Put(keys.progress(shard, job_id, part), value)
+                )
+            deletes += [
+                keys.progress(shard, job_id, part)
+                for part in range(len(snapshot.values), snapshot.stored_parts)
+            ]
             if snapshot.graph_value:
-                graph_key = keys.graph(shard, snapshot.job.graph.id)
+                graph_key = keys.graph(shard, job_id)
                 puts.append(table.Put(graph_key, snapshot.graph_value))
-        return table.Transaction(tuple(conditions), tuple(puts))
+        return table.Transaction(
+            tuple(conditions), tuple(puts), tuple(deletes)
+        )
 
     def _record_saved(
         self, snapshots: list[_ProgressSnapshot], version: int
     ) -> None:
         now = self._now()
+        if not self._board.changed_ids:
+            self._writes_one_job = False
         for snapshot in snapshots:
             job = snapshot.job
             job.row_version = version
+            job.stored_parts = len(snapshot.values)
             job.saved_change = max(job.saved_change, snapshot.change)
             for group, attempt in snapshot.committing:
                 if (
@@ -175,7 +250,9 @@
             job.row_version = row.version if row else table.ABSENT
 
 
-def _take_snapshot(job: fleet.LiveJob) -> _ProgressSnapshot:
+def _take_snapshot(
+    job: fleet.LiveJob, max_value_bytes: int
+) -> _ProgressSnapshot:
     return _ProgressSnapshot(
         job,
         job.change,
@@ -184,7 +261,8 @@
             for group in job.groups_by_key.values()
             if group.phase is fleet.Phase.COMMITTING
         ),
-        graphrows.encode(graphs.build_progress(job)),
+        graphrows.encode_progress(graphs.build_progress(job), max_value_bytes),
+        job.stored_parts,
         graphrows.encode(_without_work(job.graph))
         if job.state.is_final
         else b'',
--- a/primroselock/groupcommit.py
+++ b/primroselock/groupcommit.py
@@ -3,9 +3,10 @@
 Writes that arrive within an interval go into one transaction.  A write
 whose condition fails gets the conflict as its result and is removed, and
 the others are sent again, so that a conflict never fails the other writes
-of the batch.  A transaction has each key at most once: otherwise two
-conditional inserts of one key would both succeed.  After a lost reply the
-outcome is resolved by the transaction's token.
+of the batch; one that the table rejects is found by halving the batch.  A
+transaction has each key at most once: otherwise two conditional inserts of
+one key would both succeed.  After a lost reply the outcome is resolved by
+the transaction's token.
 """
 
 import asyncio
@@ -98,6 +99,15 @@
     async def _commit(self, batch: list[_PendingWrite]) -> None:
         while batch:
             outcome = await self._transact(batch)
+            if (
+                isinstance(outcome, result.Err)
+                and isinstance(outcome.err_value, table.Rejected)
+                and len(batch) > 1
+            ):
+                half = len(batch) // 2
+                await self._commit(batch[:half])
+                await self._commit(batch[half:])
+                return
             if not isinstance(outcome, result.Err) or not isinstance(
                 outcome.err_value, table.Conflict
             ):
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -127,6 +127,8 @@
             now,
             wall_ms,
         )
+        if job is not None:
+            job.stored_parts = stored.parts
     if job is not None and stored.is_cancelled:
         job.request_cancel()
 
@@ -164,6 +166,7 @@
             board,
             self._on_saved,
             clock.monotonic,
+            self._settings.platform.max_row_bytes,
         )
         self._orders = runorders.OrderSender(
             self._settings,
--- a/primroselock/intake.py
+++ b/primroselock/intake.py
@@ -53,6 +53,7 @@
     UNKNOWN_KEY = 'unknown key'
     UNKNOWN_JOB = 'no such job'
     INVALID = 'the job cannot be read'
+    TOO_LARGE = 'the job is too large to be stored'
     COUNT_UNKNOWN = 'the number of waiting jobs is not known now'
     STORE_UNAVAILABLE = 'the store does not take the job now'
     OUTCOME_UNKNOWN = 'the store did not say whether it took the job'
@@ -109,6 +110,9 @@
         counters: metrics.Metrics,
     ) -> None:
         self._settings = settings.fleet
+        self._max_value_bytes = (
+            settings.platform.max_row_bytes - table.TOKEN_BYTES
+        )
         self._store = store
         self._follower = shard_follower
         self._committer = groupcommit.GroupCommitter(
@@ -191,6 +195,10 @@
             return result.Err(
                 Refused(RefusalReason.INVALID, '; '.join(problems))
             )
+        if graph.task_count > self._settings.max_job_tasks:
+            return result.Err(
+                Refused(RefusalReason.TOO_LARGE, f'{graph.task_count} tasks')
+            )
         known = self._owners_by_id.get(graph.id)
         if known is not None:
             return _check_same_owner(known, graph)
@@ -210,7 +218,12 @@
         self, graph: jobgraph.JobGraph, deadline: float
     ) -> result.Result[None, Refused]:
         key = keys.graph(self._settings.shard, graph.id)
-        write = groupcommit.Write(key, table.ABSENT, graphrows.encode(graph))
+        value = graphrows.encode(graph)
+        if len(value) > self._max_value_bytes:
+            return result.Err(
+                Refused(RefusalReason.TOO_LARGE, f'{len(value)} bytes')
+            )
+        write = groupcommit.Write(key, table.ABSENT, value)
         outcome = await self._commit(write, deadline)
         if isinstance(outcome, result.Ok):
             self._remember(graph)
@@ -218,6 +231,8 @@
         error = outcome.err_value
         if isinstance(error, table.Conflict):
             return await self._check_stored_owner(key, graph)
+        if isinstance(error, table.Rejected):
+            return result.Err(Refused(RefusalReason.TOO_LARGE, error.detail))
         if isinstance(error, table.Unavailable):
             return result.Err(
                 Refused(
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -143,6 +143,11 @@
             default=0,
         )
 
+    @property
+    def task_count(self) -> int:
+        """Return the number of tasks of all occurrences."""
+        return self.occurrences * sum(step.tasks for step in self.steps)
+
     def due_ms(self, occurrence: int) -> int:
         """Return when an occurrence may start, in Unix milliseconds."""
         return self.first_due_ms + occurrence * self.period_ms
@@ -194,12 +199,14 @@
 
     Groups that were never placed are left out, as are all groups of a job
     that has ended.  ``ended_ms`` is milliseconds since the Unix epoch, 0
-    while it runs.
+    while it runs.  Stored in several rows, ``parts`` counts these and each
+    row has some of the groups.
     """
 
     state: jobs.JobState
     groups: tuple[GroupRecord, ...] = ()
     ended_ms: int = 0
+    parts: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -35,7 +35,8 @@
 
     ``control_connections`` are used for leases, the configuration and the
     VM list, which so never wait for other calls.  ``max_calls_per_s``
-    limits each client of a process.
+    limits each client of a process.  A row of the table has at most
+    ``max_row_bytes``.
     """
 
     address: str = ini.key('address')
@@ -43,6 +44,7 @@
     connections: int = ini.key('positive', 8)
     control_connections: int = ini.key('positive', 4)
     max_calls_per_s: int = ini.key('positive', 500)
+    max_row_bytes: int = ini.key('positive', 65_536)
     vm_list_interval_s: float = ini.key('seconds', 1.0)
 
 
@@ -211,6 +213,9 @@
     the node then serves for ``leaving_s`` until callers use other nodes,
     and finishes its calls within another ``leaving_s``.
 
+    A step has at most ``max_tasks`` tasks and a job, with all occurrences,
+    ``max_job_tasks``, so that its progress fits in one transaction.
+
     Capacity claims of waiting gangs may exclude other work from up to
     ``claim_share`` of the workers.
     """
@@ -243,6 +248,7 @@
     leaving_s: float = ini.key('seconds', 2.5)
     far_factor: float = ini.key('factor', 3.0)
     max_tasks: int = ini.key('positive', 1000)
+    max_job_tasks: int = ini.key('positive', 5000)
     keep_ended_s: float = ini.key('seconds', 900.0)
 
 
--- a/primroselock/platform/clientapi.py
+++ b/primroselock/platform/clientapi.py
@@ -28,6 +28,7 @@
     intake.RefusalReason.UNKNOWN_KEY: 401,
     intake.RefusalReason.UNKNOWN_JOB: 410,
     intake.RefusalReason.INVALID: 400,
+    intake.RefusalReason.TOO_LARGE: 413,
     intake.RefusalReason.STORE_UNAVAILABLE: 503,
     intake.RefusalReason.COUNT_UNKNOWN: 503,
     intake.RefusalReason.OUTCOME_UNKNOWN: 504,
--- a/primroselock/platform/rows.py
+++ b/primroselock/platform/rows.py
@@ -27,7 +27,10 @@
 _GONE: typing.Final = 410
 _CONDITION_FAILED: typing.Final = 412
 _TOO_MANY_CALLS: typing.Final = 429
-_NOT_APPLIED_STATUSES: typing.Final = frozenset({400, 403, 413, 429, 503})
+_REJECTED_STATUSES: typing.Final = frozenset({400, 403, 413})
+"""Response codes to a call that must not be sent again unchanged."""
+
+_NOT_APPLIED_STATUSES: typing.Final = frozenset({429, 503})
 """Response codes which guarantee that nothing was written."""
 
 _MAX_ROWS_PER_PAGE: typing.Final = 500
@@ -247,6 +250,12 @@
                 return result.Err(table.Unavailable(error.detail))
             return result.Err(table.OutcomeUnknown(error.detail))
         response = answer.ok_value
+        if response.status in _REJECTED_STATUSES:
+            return result.Err(
+                table.Rejected(
+                    f'row store responded with status {response.status}'
+                )
+            )
         if response.status in _NOT_APPLIED_STATUSES:
             return result.Err(
                 table.Unavailable(
--- a/primroselock/platform/settings.py
+++ b/primroselock/platform/settings.py
@@ -96,6 +96,9 @@
                 'max_calls_per_s': str(
                     max(20, int(writes * _CALL_RATE_SHARE))
                 ),
+                'max_row_bytes': str(
+                    int(self._number('platform.row_bytes', 65_536))
+                ),
             },
             'mesh': {'bind': self._internal_address(_MESH_PORT_OFFSET)},
             'scheduler': {
--- a/primroselock/store/keys.py
+++ b/primroselock/store/keys.py
@@ -82,6 +82,10 @@
     return f'{SUBMISSIONS}/{shard}/cancel/{job_id}'
 
 
-def progress(shard: str, job_id: str) -> str:
-    """Return the key of a job's progress, written by the lease holder only."""
-    return f'{PROGRESS}/{shard}/{job_id}'
+def progress(shard: str, job_id: str, part: int = 0) -> str:
+    """Return the key of a job's progress, written by the lease holder only.
+
+    Progress that is larger than a row has rows of the parts 1 and up, too.
+    """
+    key = f'{PROGRESS}/{shard}/{job_id}'
+    return f'{key}/{part}' if part else key
--- a/primroselock/store/table.py
+++ b/primroselock/store/table.py
@@ -20,6 +20,15 @@
 ABSENT: typing.Final = 0
 """The row version of a row that does not exist."""
 
+MAX_ENTRIES: typing.Final = 100
+"""Conditions, puts and deletes that one transaction may have."""
+
+MAX_VALUE_BYTES: typing.Final = 600_000
+"""Bytes of all values of one transaction; encoded it is at most 1 MB."""
+
+TOKEN_BYTES: typing.Final = 40
+"""More than a transaction's token adds to the size of each row."""
+
 _RESOLVE_BACKOFF_S: typing.Final = 0.05
 """Unit of the pause before a repeated attempt; doubles with each one."""
 
@@ -88,6 +97,17 @@
     is_throttled: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rejected:
+    """The platform refuses this transaction; nothing was written.
+
+    Sent again unchanged it is refused again: it exceeds a limit, or the
+    platform cannot read it.
+    """
+
+    detail: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Conflict:
     """Conditions on the rows ``keys`` were not met; nothing was written."""
@@ -102,7 +122,7 @@
     detail: str
 
 
-TransactError = Unavailable | Conflict | OutcomeUnknown
+TransactError = Unavailable | Rejected | Conflict | OutcomeUnknown
 Rows = abc.Mapping[str, Row]
 
 
--- a/primroselock/test/fakefeed.py
+++ b/primroselock/test/fakefeed.py
@@ -18,6 +18,11 @@
 _MIN_WAIT_S = 1e-6
 """A shorter timer would fire without any advance of the virtual clock."""
 
+MAX_ROW_BYTES = 65_536
+MAX_TRANSACTION_BYTES = 1_000_000
+MAX_ENTRIES = 100
+_BASE64_FACTOR = 4 / 3
+
 
 @dataclasses.dataclass
 class Connectivity:
@@ -37,8 +42,29 @@
     faults: list[fakestore.Fault] = dataclasses.field(default_factory=list)
 
 
+def exceeds_limits(transaction: table.Transaction) -> bool:
+    """Return whether the platform's store refuses a transaction for its size.
+
+    A value is sent in base64, with the transaction's token before it.
+    """
+    sizes = [
+        len(put.value) + len(transaction.token) for put in transaction.puts
+    ]
+    entries = (
+        len(transaction.conditions) + len(sizes) + len(transaction.deletes)
+    )
+    return (
+        entries > MAX_ENTRIES
+        or max(sizes, default=0) >= MAX_ROW_BYTES
+        or sum(sizes) * _BASE64_FACTOR >= MAX_TRANSACTION_BYTES
+    )
+
+
 class FeedStore:
-    """The rows and the history of changes, shared by all clients."""
+    """The rows and the history of changes, shared by all clients.
+
+    Transactions that put ``rejected_key`` are rejected.
+    """
 
     def __init__(self) -> None:
         self.inner = platform.Store()
@@ -47,6 +73,13 @@
         self.changed = asyncio.Event()
         self.late: list[table.Transaction] = []
         self.writes = 0
+        self.rejected_key = ''
+
+    def rejects(self, transaction: table.Transaction) -> bool:
+        """Return whether a transaction is refused for good."""
+        return exceeds_limits(transaction) or any(
+            put.key == self.rejected_key for put in transaction.puts
+        )
 
     def apply(self, transaction: table.Transaction) -> list[str]:
         """Apply a transaction; return the keys whose conditions failed."""
@@ -198,6 +231,8 @@
         if fault is fakestore.Fault.LATE:
             self._shared.late.append(transaction)
             return result.Err(table.OutcomeUnknown('lost'))
+        if self._shared.rejects(transaction):
+            return result.Err(table.Rejected('status 400'))
         failed = self._shared.apply(transaction)
         if fault is fakestore.Fault.REPLY_LOST:
             return result.Err(table.OutcomeUnknown('lost'))
--- a/primroselock/test/testplatformcalls.py
+++ b/primroselock/test/testplatformcalls.py
@@ -98,6 +98,9 @@
         cases: tuple[tuple[typing.Any, type[typing.Any]], ...] = (
             (_answer(503, b''), table.Unavailable),
             (_answer(429, b''), table.Unavailable),
+            (_answer(400, b''), table.Rejected),
+            (_answer(403, b''), table.Rejected),
+            (_answer(413, b''), table.Rejected),
             (_answer(500, b''), table.OutcomeUnknown),
             (_answer(200, b'\xff'), table.OutcomeUnknown),
             (result.Err(httpclient.NotSent('x')), table.Unavailable),
@@ -362,6 +365,7 @@
             intake.RefusalReason.UNKNOWN_QUEUE: 404,
             intake.RefusalReason.UNKNOWN_KEY: 401,
             intake.RefusalReason.UNKNOWN_JOB: 410,
+            intake.RefusalReason.TOO_LARGE: 413,
             intake.RefusalReason.STORE_UNAVAILABLE: 503,
             intake.RefusalReason.OUTCOME_UNKNOWN: 504,
         }
