Tests: a rack-local gang waits for a rack that it cannot have

A gang that needs a whole rack then waits for as long as each rack has one such worker, or one long run, and makes no claim where no rack could hold it.

--- /dev/null
+++ b/primroselock/test/testidledecisions.py
@@ -0,0 +1,121 @@
+"""Decisions that leave accepted work waiting beside free capacity.
+
+Each test advances a simulated site and fails if a job of which nothing runs
+has waited for 3 s while sound workers had free capacity for it twice over
+and under half of the capacity was in use.
+"""
+
+import typing
+import unittest
+
+from primroselock.decisions import evidence
+from primroselock import jobgraph
+from primroselock.test import fleetbuilders
+from primroselock.test import idlebuilders
+
+_LONG_S: typing.Final = 60.0
+
+
+def build_gang(
+    tasks: int, expected_ms: int = 5000, **changes: typing.Any
+) -> jobgraph.Step:
+    """Return a gang whose tasks take all accelerators of a worker."""
+    return fleetbuilders.build_step(
+        tasks,
+        8,
+        expected_ms=expected_ms,
+        cpu_millis=26_000,
+        gang=True,
+        **changes,
+    )
+
+
+def build_task(
+    accelerators: int, expected_s: float, **changes: typing.Any
+) -> jobgraph.Step:
+    """Return a step of one task."""
+    return fleetbuilders.build_step(
+        1, accelerators, expected_ms=int(expected_s * 1000), **changes
+    )
+
+
+class IdleTestCase(unittest.TestCase):
+    """Base of tests that check which jobs waited too long."""
+
+    maxDiff = None
+
+    def assert_none_idle(self, site: idlebuilders.Site) -> None:
+        """Check that no job waited too long beside free capacity."""
+        self.assertEqual({}, site.idle_jobs_by_id)
+
+
+class RackTest(IdleTestCase):
+    """Gangs whose tasks are to run in one rack."""
+
+    def setUp(self) -> None:
+        self.site = idlebuilders.Site(60)
+        self.one_of_each_rack = ('n005', 'n025', 'n045')
+
+    def run_gang(self, site: idlebuilders.Site) -> None:
+        """Submit a gang that needs a whole rack; check that it starts."""
+        gang = build_gang(20, rack_local=True)
+        site.submit('gang', gang, run_s=5.0, queue='batch')
+        site.run_for(6.0)
+        self.assert_none_idle(site)
+
+    def test_a_gang_does_not_wait_for_draining_workers(self) -> None:
+        """Guards against the wait for a rack that will not be whole again."""
+        for worker_id in self.one_of_each_rack:
+            self.site.drain(worker_id)
+        self.run_gang(self.site)
+
+    def test_a_gang_does_not_wait_for_silent_workers(self) -> None:
+        """Guards against the wait for workers that crashed, still listed."""
+        for worker_id in self.one_of_each_rack:
+            self.site.silence(worker_id)
+        self.run_gang(self.site)
+
+    def test_a_gang_does_not_wait_for_quarantined_workers(self) -> None:
+        """Guards against the wait for workers in a long quarantine."""
+        recorded = self.site.board.failure_evidence
+        for worker_id in self.one_of_each_rack:
+            self.site.workers_by_id[worker_id].fails_all = True
+            recorded.quarantines_by_worker_id[worker_id] = evidence.Quarantine(
+                self.site.now + _LONG_S, 5
+            )
+        self.run_gang(self.site)
+
+    def test_a_gang_does_not_wait_for_a_zone_out_of_service(self) -> None:
+        """Guards against the wait for the racks of a zone out of service.
+
+        Only the racks r0 and r3 of zone a are whole.
+        """
+        site = idlebuilders.Site(100)
+        for worker_id in ('n020', 'n040', 'n080'):
+            site.board.record_unlisted(worker_id)
+        site.take_out_of_service('a')
+        self.run_gang(site)
+
+    def test_a_gang_does_not_wait_for_workers_it_avoids(self) -> None:
+        """Guards against the wait for a rack where the gang was stuck."""
+        gang = build_gang(20, rack_local=True)
+        job = self.site.submit('gang', gang, run_s=5.0, queue='batch')
+        (group,) = job.groups_by_key.values()
+        group.avoided_worker_ids.update(self.one_of_each_rack)
+        self.site.run_for(6.0)
+        self.assert_none_idle(self.site)
+
+    def test_a_gang_does_not_wait_for_a_long_run_in_each_rack(self) -> None:
+        """Guards against a wait that costs more than spanning racks.
+
+        Across racks the gang takes three times its 5 s; each rack becomes
+        free only after a minute.
+        """
+        for worker_id in self.one_of_each_rack:
+            step = build_task(1, _LONG_S)
+            self.site.occupy(worker_id, f'long-{worker_id}', step, _LONG_S)
+        self.run_gang(self.site)
+
+
+if __name__ == '__main__':
+    unittest.main()
