Tests: claimed workers idle until a long run ends

Cause: a gang that does not fit claims whole workers, the free ones first, and reviews the claim each second for as long as it waits, so that neither the time nor the sum is bounded: a gang may claim while others claim under half of the workers, whatever its own claim adds.

--- a/primroselock/test/testidledecisions.py
+++ b/primroselock/test/testidledecisions.py
@@ -49,6 +49,45 @@
         self.assertEqual({}, site.idle_jobs_by_id)
 
 
+class ClaimTest(IdleTestCase):
+    """Capacity claims of waiting gangs."""
+
+    def test_short_work_runs_on_workers_claimed_for_later(self) -> None:
+        """Guards against claims that idle workers until a long run ends.
+
+        The gang needs a worker that is busy for a minute; the task behind
+        it would end long before that.
+        """
+        site = idlebuilders.Site(40)
+        for number in range(11):
+            step = build_task(1, _LONG_S)
+            site.occupy(f'n{number:03}', f'long-{number}', step, _LONG_S)
+        site.submit('gang', build_gang(30), run_s=5.0, queue='batch')
+        site.step()
+        site.submit('short', build_task(8, 1.0), run_s=1.0, queue='batch')
+        site.run_for(6.0)
+        self.assert_none_idle(site)
+
+    def test_claims_of_several_gangs_do_not_block_each_other(self) -> None:
+        """Guards against gangs that each claim a part of what one needs.
+
+        Each of three gangs claims nine workers of which one is slow; the
+        others of the three claims could hold two of the gangs.
+        """
+        site = idlebuilders.Site(40)
+        for number in range(40):
+            worker_id = f'n{number:03}'
+            if number in (0, 9, 18):
+                site.workers_by_id[worker_id].speed = 0.1
+            expected_s = 5.0 if number < 27 else _LONG_S
+            step = build_task(8, expected_s)
+            site.occupy(worker_id, f'job-{number}', step, expected_s)
+        for name in ('gang-a', 'gang-b', 'gang-c'):
+            site.submit(name, build_gang(9), run_s=5.0, queue='batch')
+        site.run_for(10.0)
+        self.assert_none_idle(site)
+
+
 class RackTest(IdleTestCase):
     """Gangs whose tasks are to run in one rack."""
 
