--- a/primroselock/test/testidledecisions.py
+++ b/primroselock/test/testidledecisions.py
@@ -156,5 +156,27 @@
         self.run_gang(self.site)
 
 
+class DelayTest(IdleTestCase):
+    """The delay after a preemption."""
+
+    def test_preempted_work_returns_once_capacity_is_free(self) -> None:
+        """Guards against a delay of 4 s after the fourth preemption.
+
+        Four urgent gangs in turn take the whole rack that holds the task's
+        data, while another rack is almost empty.
+        """
+        site = idlebuilders.Site(40)
+        step = build_task(8, 60.0)
+        site.occupy('n020', 'other', step, 60.0)
+        victim = build_task(8, 20.0, data_rack='r0', checkpointing=True)
+        site.submit('victim', victim, run_s=20.0, queue='bulk')
+        for number in range(4):
+            site.run_for(2.5)
+            gang = build_gang(20, 1000, label='r0')
+            site.submit(f'gang-{number}', gang, run_s=0.5, queue='urgent')
+        site.run_for(6.0)
+        self.assert_none_idle(site)
+
+
 if __name__ == '__main__':
     unittest.main()
