Tests: jobs that always fail quarantine sound workers

Cause: a job that failed on three workers counts against none, but the counts are those of the workers' evidence, and a quarantine (or a success) drops a worker's evidence. The next attempt of a small job goes to the same worker again, so that the job fails twice there, the quarantine drops it, and it does the same to the next worker: it never counts as failing on three. Later quarantines need one job only and double.

--- a/primroselock/test/testidledecisions.py
+++ b/primroselock/test/testidledecisions.py
@@ -178,5 +178,27 @@
         self.assert_none_idle(site)
 
 
+class QuarantineTest(IdleTestCase):
+    """Quarantines of workers on which jobs failed that always fail."""
+
+    def test_jobs_that_always_fail_quarantine_few_sound_workers(self) -> None:
+        """Guards against small failing jobs that use up sound workers.
+
+        Each job fails twice on two workers and then on two others; no
+        quarantine remembers that it was the same job.
+        """
+        site = idlebuilders.Site(60)
+        for number in range(40):
+            name = f'bad-{number}'
+            site.failing_job_ids.add(name)
+            step = fleetbuilders.build_step(2, 8)
+            site.submit(name, step, run_s=0.5, queue='bulk')
+            site.run_for(1.0)
+        gang = build_gang(25)
+        site.submit('gang', gang, run_s=5.0, queue='batch')
+        site.run_for(5.0)
+        self.assert_none_idle(site)
+
+
 if __name__ == '__main__':
     unittest.main()
