No more than a quarter of the workers is quarantined at a time

Callers: accepted work waited beside free capacity. Cause: a job that always fails and has few tasks fails twice on a worker, whose quarantine drops the evidence that the job is at fault, and goes on to the next one: 40 such jobs left 58 of 60 sound workers quarantined, for up to a minute each. Change: quarantines stop at a share of the workers; the evidence stays and counts once one of them ends. The class of fault: a preference without a bound acts as a prohibition.

--- a/primroselock/decisions/fleethealth.py
+++ b/primroselock/decisions/fleethealth.py
@@ -3,7 +3,9 @@
 A worker on which distinct jobs fail, or one job repeatedly, without a
 success in between is quarantined: it gets no work for a time that doubles
 with each repetition.  After that it is on probation: the next failure
-quarantines it again, the next success clears it.
+quarantines it again, the next success clears it.  Jobs that always fail
+make sound workers suspect, too: no more than a share of all workers is
+quarantined at a time.
 
 A task is stuck when it runs much longer than others of its step or queue,
 when it is much slower than its siblings (tasks of the same step), or when
@@ -24,6 +26,7 @@
 _MIN_JOBS_ON_PROBATION: typing.Final = 1
 _FIRST_QUARANTINE_S: typing.Final = 4.0
 _MAX_QUARANTINE_S: typing.Final = 60.0
+_MAX_QUARANTINED_SHARE: typing.Final = 0.25
 _STUCK_FACTOR: typing.Final = 2.2
 _STUCK_MARGIN_S: typing.Final = 1.0
 """A group is too slow beyond ``_STUCK_FACTOR`` times its expected run time
@@ -46,7 +49,15 @@
 def quarantine(board: fleet.ShardBoard, now: float) -> None:
     """Quarantine the workers that the recorded failures make suspect."""
     recorded = board.failure_evidence
+    quarantined = sum(
+        now < known.until
+        for known in recorded.quarantines_by_worker_id.values()
+    )
+    most = len(board.workers_by_id) * _MAX_QUARANTINED_SHARE
     for worker_id in list(recorded.attempts_by_worker_id):
+        if quarantined + 1 > max(most, 1):
+            # The evidence stays for the next round.
+            return
         last = recorded.quarantines_by_worker_id.get(worker_id)
         if last is not None and now < last.until:
             continue
@@ -62,6 +73,7 @@
         recorded.quarantines_by_worker_id[worker_id] = evidence.Quarantine(
             now + length_s, times
         )
+        quarantined += 1
         failures = recorded.attempts_by_worker_id.pop(worker_id)
         board.decision_records.append(
             fleet.DecisionRecord(
