Preempted work yields only while capacity is scarce

Callers: a job of which nothing ran waited up to 4 s beside free capacity. Cause: each preemption doubles the pause before the next placement, for the group's whole life, also once what it was stopped for has ended. Change: the pause is one of its own (yields_until) and holds only while less than half of accelerators or cores is free; the delay after a failure stays as it was. The log of waiting jobs uses the same measure of plenty. The commit also rewords a few comments of the group's fields.

--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -149,13 +149,13 @@
 
     ``since`` is when ``phase`` was entered.  ``failed_attempt`` is the
     last attempt that was counted in ``failures``.  ``began_at`` is when
-    the last member began to run, and ``not_before`` the earliest time of
-    the next placement.  ``is_resumed`` is set if the attempt resumed from
-    a checkpoint or was inherited from an earlier holder, so that its run
-    time from the beginning is unknown.  ``may_span_racks`` is set for a
-    rack-local gang that no single rack can hold.  ``avoided_worker_ids``
-    are the workers on which the group was stuck; it is not placed there
-    again.
+    the last member began to run.  The next placement is at ``not_before`` at
+    the earliest, and while capacity is scarce at ``yields_until``.
+    ``is_resumed`` is set if the attempt resumed from a checkpoint or was
+    inherited from an earlier holder, so that its run time from the beginning
+    is unknown.  ``may_span_racks`` is set for a rack-local gang that no
+    single rack can hold.  ``avoided_worker_ids`` are the workers on which
+    the group was stuck; others are preferred.
     """
 
     job: 'LiveJob'
@@ -171,6 +171,7 @@
     end_reason: EndReason | None = None
     began_at: float | None = None
     not_before: float = _NEVER
+    yields_until: float = _NEVER
     may_span_racks: bool = False
     preemptions: int = 0
     is_resumed: bool = False
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -79,7 +79,14 @@
         return
     guaranteed_ids = waiting.guaranteed_job_ids(board)
     sort_key = waiting.orders_by_name[settings.waiting_order]
-    steps = waiting.list_waiting(board, guaranteed_ids, sort_key, now, wall_s)
+    steps = waiting.list_waiting(
+        board,
+        guaranteed_ids,
+        sort_key,
+        now,
+        wall_s,
+        eligibility.has_plenty(board),
+    )
     if not steps:
         return
     context = _RoundContext(
--- a/primroselock/decisions/graphs.py
+++ b/primroselock/decisions/graphs.py
@@ -212,7 +212,7 @@
         # The capacity is likely to be needed by more urgent work again soon.
         group.preemptions += 1
         delay_s = _MIN_REQUEUE_DELAY_S * 2.0 ** min(group.preemptions, 10)
-        group.not_before = now + min(delay_s, _MAX_REQUEUE_DELAY_S)
+        group.yields_until = now + min(delay_s, _MAX_REQUEUE_DELAY_S)
     group.members = []
     group.end_reason = None
     group.began_at = None
--- a/primroselock/decisions/waiting.py
+++ b/primroselock/decisions/waiting.py
@@ -150,9 +150,12 @@
     sort_key: SortKey,
     now: float,
     wall_s: float,
+    has_plenty: bool,
 ) -> list[list[fleet.Group]]:
     """Return the groups to place, by step, in the order of placement.
 
+    Groups that were preempted yield for a time, unless ``has_plenty`` of
+    capacity is free.
     The groups of a step are equally urgent, so that steps are ordered, not
     groups; a step's groups are in the order of their tasks.
     """
@@ -161,7 +164,12 @@
         job = next(iter(groups)).job
         if job.is_cancelled or job.state.is_final:
             continue
-        due = [group for group in groups if group.not_before <= now]
+        due = [
+            group
+            for group in groups
+            if group.not_before <= now
+            and (has_plenty or group.yields_until <= now)
+        ]
         if due:
             due.sort(key=lambda group: group.key.index)
             waiting.append(due)
--- a/primroselock/decisions/waitreport.py
+++ b/primroselock/decisions/waitreport.py
@@ -20,9 +20,6 @@
 """Work that waits for less time than this is not reported."""
 
 _MAX_REPORTS: typing.Final = 10
-_BUSY_SHARE: typing.Final = 0.5
-"""Above this share of accelerators in use, waiting needs no explanation."""
-
 _SPARE_FACTOR: typing.Final = 2
 """Capacity is plenty if the group would fit this many times."""
 
@@ -41,7 +38,7 @@
         return
     board.waits_reported_at = now
     board.idle_waits = 0
-    if _is_busy(board):
+    if not eligibility.has_plenty(board):
         return
     for job in board.jobs_by_id.values():
         group = _find_held_group(job, now)
@@ -52,14 +49,6 @@
             _report(board, group, now)
 
 
-def _is_busy(board: fleet.ShardBoard) -> bool:
-    """Return whether much of the listed workers' accelerators is in use."""
-    listed = [w for w in board.workers_by_id.values() if w.is_listed]
-    capacity = sum(w.entry.capacity.accelerators for w in listed)
-    used = sum(w.used.accelerators for w in listed)
-    return used > capacity * _BUSY_SHARE
-
-
 def _find_held_group(job: fleet.LiveJob, now: float) -> fleet.Group | None:
     """Return a due group of a job of which nothing runs, or None."""
     if job.is_cancelled or job.state.is_final:
@@ -120,7 +109,7 @@
         is_queue_known=job.queue is not None,
         is_stored=job.saved_change == job.change,
         starts_permitted=now <= board.permit_until,
-        not_before_s=round(max(0.0, group.not_before - now), 3),
+        delayed_s=round(max(0.0, group.not_before - now), 3),
         held=_list_held_members(group),
         workers=_count_workers(board, group, now),
     )
