What a group prefers does not keep it from free workers for long

Callers: single gangs and tasks had nothing running for as long as the cause lasted, beside free capacity for them several times over. Cause: three preferences were prohibitions without a bound in time. A rack-local gang waited for one rack as long as some rack could hold it when empty, counting workers that drain, do not answer, are quarantined, avoided or in a zone out of service. Workers where a group was once stuck, for a gang all of its workers, were never used again. Workers that one gang claims were kept from all others for as long as it waited, and the sum of claims had no bound. Change: a group that has waited for 2 s while less than half of accelerators or cores is in use is placed without these three (logged as 'placed without preferences'). What is required stays: labels, capacity, zones, leases, advice, most tasks on a worker. Ruled out as the better way: judging racks by the workers that accept starts at the moment, since one unanswered poll would send a gang across racks.

--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -5,6 +5,10 @@
 where the configured rule allows it, or a gang claims the workers that
 become free soonest.  Only more urgent groups may use claimed workers.
 
+One rack for a gang, workers where the group was not stuck before, and
+workers that no other group claims are preferences: a group that has waited
+for a while beside plenty of free capacity is placed without them.
+
 When more work waits than fits, most groups cannot be placed, and a round
 must not examine each of them: groups of the same shape share the outcome
 of one attempt, and a search for victims that found none is not repeated
@@ -39,6 +43,9 @@
 _CLAIM_REVIEW_S: typing.Final = 1.0
 """After this time the workers of a capacity claim are chosen again."""
 
+_PREFERENCE_TIMEOUT_S: typing.Final = 2.0
+"""Time for which a group waits for preferred workers beside free ones."""
+
 _SEARCH_RETRY_S: typing.Final = 0.25
 """Delay before victims or workers to claim are searched again for a shape
 for which none were found."""
@@ -49,11 +56,13 @@
     """The inputs to the placements of one round.
 
     ``guaranteed_ids`` names the jobs within their accounts' guarantees.
+    ``has_plenty`` is set while much of the capacity is free.
     ``now`` is on this process's clock; ``wall_s`` is since the Unix epoch.
     """
 
     board: fleet.ShardBoard
     settings: options.FleetSettings
+    has_plenty: bool
     free_capacity: fitting.FreeCapacity
     victims: fleetpreemption.VictimIndex
     claims: claimindex.ClaimIndex
@@ -79,19 +88,16 @@
         return
     guaranteed_ids = waiting.guaranteed_job_ids(board)
     sort_key = waiting.orders_by_name[settings.waiting_order]
+    has_plenty = eligibility.has_plenty(board)
     steps = waiting.list_waiting(
-        board,
-        guaranteed_ids,
-        sort_key,
-        now,
-        wall_s,
-        eligibility.has_plenty(board),
+        board, guaranteed_ids, sort_key, now, wall_s, has_plenty
     )
     if not steps:
         return
     context = _RoundContext(
         board,
         settings,
+        has_plenty,
         _build_free_capacity(board, settings, now),
         fleetpreemption.VictimIndex(now),
         claimindex.ClaimIndex(board.claims_by_group),
@@ -148,6 +154,7 @@
         and not _may_search(context, shape)
     )
     placed = 0
+    may_relax = context.has_plenty
     for group in groups:
         if placed >= limit:
             break
@@ -156,13 +163,23 @@
         is_own = bool(
             group.avoided_worker_ids or group in context.board.claims_by_group
         )
-        if is_exhausted and not is_own:
+        is_overdue = may_relax and (
+            context.now - group.since >= _PREFERENCE_TIMEOUT_S
+        )
+        if is_exhausted and not is_own and not is_overdue:
             continue
         group.may_span_racks = may_span_racks
         own_shape = None if is_own else shape
         if _place(context, group, queue, own_shape):
             placed += 1
-        elif not _free_capacity_for(context, group, queue, own_shape):
+            continue
+        if is_overdue:
+            if _place_anywhere(context, group, queue):
+                placed += 1
+                continue
+            may_relax = False
+            group.may_span_racks = may_span_racks
+        if not _free_capacity_for(context, group, queue, own_shape):
             is_exhausted = is_exhausted or not is_own
     return placed
 
@@ -203,8 +220,36 @@
     shape: fitting.Shape | None,
 ) -> bool:
     """Place a group on free capacity; return whether it was placed."""
-    board = context.board
     allow = _build_worker_filter(context, group, queue)
+    return _place_among(context, group, allow, shape)
+
+
+def _place_anywhere(
+    context: _RoundContext, group: fleet.Group, queue: queues.Queue
+) -> bool:
+    """Place a group without its preferences; return whether it was placed."""
+    waited_s = context.now - group.since
+    group.may_span_racks = True
+    allow = _build_basic_filter(context, group, queue)
+    if not _place_among(context, group, allow, None):
+        return False
+    context.board.record_decision(
+        'placed without preferences',
+        group.job,
+        attempt=group.attempt,
+        waited_s=round(waited_s, 3),
+    )
+    return True
+
+
+def _place_among(
+    context: _RoundContext,
+    group: fleet.Group,
+    allow: fitting.WorkerFilter,
+    shape: fitting.Shape | None,
+) -> bool:
+    """Place a group on workers that ``allow`` passes, if it fits there."""
+    board = context.board
     worker_ids = fitting.place(
         board, context.free_capacity, group, allow, shape
     )
@@ -215,22 +260,35 @@
     return True
 
 
+def _build_basic_filter(
+    context: _RoundContext, group: fleet.Group, queue: queues.Queue
+) -> fitting.WorkerFilter:
+    """Return a filter for the usable workers where a group may run."""
+
+    def allow(worker: fleet.Worker) -> bool:
+        return fitting.may_share(worker, group.step) and (
+            queue.advice is None
+            or advising.ticket_for(
+                context.board, group, worker.id, context.now
+            )
+            is not None
+        )
+
+    return allow
+
+
 def _build_worker_filter(
     context: _RoundContext, group: fleet.Group, queue: queues.Queue
 ) -> fitting.WorkerFilter:
-    """Return a filter for the usable workers that a group is allowed."""
-    board, rank = context.board, context.rank(group)
+    """Return a filter for the usable workers that a group prefers."""
+    rank = context.rank(group)
+    may_run = _build_basic_filter(context, group, queue)
 
     def allow(worker: fleet.Worker) -> bool:
         return (
             worker.id not in group.avoided_worker_ids
             and not context.claims.excludes(worker.id, group, rank)
-            and fitting.may_share(worker, group.step)
-            and (
-                queue.advice is None
-                or advising.ticket_for(board, group, worker.id, context.now)
-                is not None
-            )
+            and may_run(worker)
         )
 
     return allow
