Tests: each takeover starts the wait for leases of a lost worker again

What callers saw: a job whose worker is gone stands still for as long as takeovers follow one another, beside free capacity. Cause: a new holder waits run_lease_s x 1.025 + 1 s from its own takeover for the leases of all earlier holders, also of those workers that the holders in between never reached and so leased nothing. A restart of the worker ends the wait at once.

--- /dev/null
+++ b/primroselock/test/testtakeoverwaits.py
@@ -0,0 +1,162 @@
+"""Jobs with nothing running beside free capacity, in virtual time.
+
+Guards against waits without a bound: after takeovers, under a holder that
+cannot place, and in phases that no event ends.
+"""
+
+import asyncio
+from collections import abc
+import typing
+import unittest
+
+
+from primroselock import clock
+from primroselock.test import fleetbuilders
+from primroselock.test import virtualtime
+from primroselock.workers import orders
+
+_LONG_MS: typing.Final = 60_000
+Scenario = abc.Callable[[fleetbuilders.World], abc.Coroutine[None, None, None]]
+Replace = abc.Callable[[fleetbuilders.World], abc.Coroutine[None, None, None]]
+
+
+def run_scenario(scenario: Scenario, nodes: int = 3, workers: int = 6) -> None:
+    """Run a scenario with idle nodes; fail if a violation was recorded."""
+
+    async def run_all(virtual: virtualtime.VirtualClock) -> None:
+        world = fleetbuilders.World(0, workers)
+        for number in range(nodes):
+            world.add_node(f'entry-{number}')
+        await asyncio.sleep(2.0)
+        await scenario(world)
+        await world.close()
+        if world.fleet.violations:
+            raise AssertionError(world.fleet.violations[:3])
+
+    virtualtime.run(run_all)
+
+
+async def wait_for_starts(
+    world: fleetbuilders.World, starts: int, timeout_s: float
+) -> float:
+    """Wait until workers began ``starts`` runs; return the seconds.
+
+    Raises :class:`AssertionError` after ``timeout_s``.
+    """
+    began = clock.monotonic()
+    while world.fleet.starts < starts:
+        if clock.monotonic() - began > timeout_s:
+            raise AssertionError(f'no start in {timeout_s} s')
+        await asyncio.sleep(0.01)
+    return clock.monotonic() - began
+
+
+async def kill_holder(world: fleetbuilders.World) -> None:
+    """Kill the holder; another node takes over, and a new one starts."""
+    holder = world.find_shard_holder()
+    world.nodes.remove(holder)
+    await holder.kill()
+    world.add_node(holder.settings.process.vm_id)
+    await asyncio.sleep(3.0)
+
+
+async def hand_over(world: fleetbuilders.World) -> None:
+    """Let the holder end as after SIGTERM; a new node starts."""
+    holder = world.find_shard_holder()
+    world.nodes.remove(holder)
+    await holder.holder.hand_over()
+    await holder.kill()
+    world.add_node(holder.settings.process.vm_id)
+    await asyncio.sleep(3.0)
+
+
+async def cut_holder_off(world: fleetbuilders.World) -> None:
+    """Cut the holder off from the store until another has taken over."""
+    holder = world.find_shard_holder()
+    holder.connectivity.refuses_calls = True
+    await asyncio.sleep(3.0)
+    holder.connectivity.refuses_calls = False
+
+
+async def kill_all(world: fleetbuilders.World) -> None:
+    """Kill all nodes at once; they start again a second later."""
+    nodes = list(world.nodes)
+    world.nodes.clear()
+    for node in nodes:
+        await node.kill()
+    await asyncio.sleep(1.0)
+    for node in nodes:
+        world.add_node(node.settings.process.vm_id)
+    await asyncio.sleep(2.0)
+
+
+async def _crash_and_replace(
+    world: fleetbuilders.World, replace: Replace, tasks: int = 1
+) -> float:
+    """Crash a worker for good, then replace the holder three times.
+
+    Return the seconds from the crash until its job runs elsewhere.
+    """
+    step = fleetbuilders.build_step(tasks, 8, _LONG_MS, gang=tasks > 1)
+    world.submit(fleetbuilders.build_graph('j', step))
+    await wait_for_starts(world, tasks, 3.0)
+    await asyncio.sleep(1.0)
+    crashed = world.find_busy_worker()
+    world.fleet.crash(crashed)
+    for worker in world.fleet.workers_by_id.values():
+        for run in list(worker.runs):
+            worker.add_end(run, orders.EndCause.GANG_BROKEN)
+    waiting = asyncio.create_task(wait_for_starts(world, tasks + 1, 60.0))
+    for _ in range(3):
+        await replace(world)
+        await asyncio.sleep(1.0)
+    return await waiting
+
+
+class InheritedLeaseTest(unittest.TestCase):
+    """Work of a lost worker waits until its lease has expired, not longer.
+
+    The last confirmation of the holder that leased it bounds the lease: 10 s
+    and the margins, 11.25 s.  Later holders never reached the worker.
+    """
+
+    def check_wait(
+        self, replace: Replace, most_s: float, tasks: int = 1
+    ) -> None:
+        """Check the wait after a crash and three takeovers."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            waited_s = await _crash_and_replace(world, replace, tasks)
+            self.assertLessEqual(waited_s, most_s)
+
+        run_scenario(scenario)
+
+    def test_holders_killed_in_a_row_do_not_prolong_a_lease(self) -> None:
+        """Guards against a wait that each takeover starts again."""
+        self.check_wait(kill_holder, 13.0)
+
+    def test_handovers_in_a_row_do_not_prolong_a_lease(self) -> None:
+        """Guards against a wait that each SIGTERM starts again."""
+        self.check_wait(hand_over, 13.0)
+
+    def test_holders_cut_off_in_a_row_do_not_prolong_a_lease(self) -> None:
+        """Guards against a wait that each loss of the store starts again."""
+        self.check_wait(cut_holder_off, 15.0)
+
+    def test_restarts_of_all_nodes_do_not_prolong_a_lease(self) -> None:
+        """Guards against a wait that each loss of power starts again.
+
+        No node sees how long the others were down.
+        """
+        self.check_wait(kill_all, 17.0)
+
+    def test_one_lost_member_does_not_hold_a_gang_back(self) -> None:
+        """Guards against a gang that waits anew after each takeover.
+
+        The rest of it has ended, and one member's worker is gone.
+        """
+        self.check_wait(kill_holder, 13.0, 3)
+
+
+if __name__ == '__main__':
+    unittest.main()
