Tests: a holder that cannot place keeps the lease for ever

What callers saw: nothing new starts beside free capacity, for as long as one node's reads fail while its writes succeed. Cause: the lease is renewed whenever writes succeed. Neither the age of the operators' rows (which forbids every start), nor a follower that learns of no new jobs, nor a listing that never completes ends the time as holder.

--- a/primroselock/test/testtakeoverwaits.py
+++ b/primroselock/test/testtakeoverwaits.py
@@ -8,9 +8,12 @@
 from collections import abc
 import typing
 import unittest
+from unittest import mock
 
+import result
 
 from primroselock import clock
+from primroselock.store import table
 from primroselock.test import fleetbuilders
 from primroselock.test import virtualtime
 from primroselock.workers import orders
@@ -158,5 +161,63 @@
         self.check_wait(kill_holder, 13.0, 3)
 
 
+class HolderThatCannotPlaceTest(unittest.TestCase):
+    """A holder that renews its lease but cannot place yields to others.
+
+    The other nodes lack nothing.
+    """
+
+    def test_a_holder_with_old_operator_rows_yields(self) -> None:
+        """Guards against a holder that may not start anything and stays."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            world.find_shard_holder().configuration_age_s = 3.0
+            world.submit(fleetbuilders.build_graph('j'))
+            await wait_for_starts(world, 1, 15.0)
+
+        run_scenario(scenario)
+
+    def test_a_holder_that_sees_no_new_jobs_yields(self) -> None:
+        """Guards against a holder whose feeds fail while its writes succeed.
+
+        The pattern: its long polls get no answer.
+        """
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            holder = world.find_shard_holder()
+            holder.connectivity.feed_is_unresponsive = True
+            world.submit(fleetbuilders.build_graph('j'))
+            await wait_for_starts(world, 1, 15.0)
+
+        run_scenario(scenario)
+
+    def test_a_new_holder_that_cannot_list_yields(self) -> None:
+        """Guards against a takeover that is retried while the lease is kept.
+
+        The pattern: its link carries renewals, but no page of a listing.
+        """
+
+        async def fail_listing(
+            name: str,
+        ) -> result.Result[table.Listing, table.Unavailable]:
+            await asyncio.sleep(1.0)
+            return result.Err(table.Unavailable('timed out'))
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            old = world.find_shard_holder()
+            slow, other = (node for node in world.nodes if node is not old)
+            other.connectivity.refuses_calls = True
+            world.nodes.remove(old)
+            await old.kill()
+            with mock.patch.object(slow.client, 'list_rows', fail_listing):
+                await asyncio.sleep(3.0)
+                self.assertTrue(slow.holder.lease.has_shard)
+                other.connectivity.refuses_calls = False
+                world.submit(fleetbuilders.build_graph('j'))
+                await wait_for_starts(world, 1, 15.0)
+
+        run_scenario(scenario)
+
+
 if __name__ == '__main__':
     unittest.main()
