Tests: stuck work never returns to the only workers that can run it

What callers saw: one job stands still for ever beside free capacity for it several times over, while all others run. Cause: a group that was stuck once avoids every worker of that attempt, for a gang also those that did well, until the holder changes: a hard filter without an end. A task that only one worker may run (label), or a gang that needs most of the workers it may use, then fits nowhere.

--- a/primroselock/test/testtakeoverwaits.py
+++ b/primroselock/test/testtakeoverwaits.py
@@ -13,6 +13,7 @@
 import result
 
 from primroselock import clock
+from primroselock import jobgraph
 from primroselock.store import table
 from primroselock.test import fleetbuilders
 from primroselock.test import virtualtime
@@ -219,5 +220,49 @@
         run_scenario(scenario)
 
 
+class WorkerToAvoidTest(unittest.TestCase):
+    """Stuck work is retried, also where no other worker may run it."""
+
+    def check_restart(self, step: jobgraph.Step) -> None:
+        """Stall a run of ``step`` until it is stopped; check it starts."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            world.write_entry(
+                fleetbuilders.build_entry('w0', labels=('kind', 'big'))
+            )
+            await asyncio.sleep(0.5)
+            world.submit(fleetbuilders.build_graph('j', step))
+            await wait_for_starts(world, step.tasks, 3.0)
+            stalled = world.find_busy_worker()
+            stalled.is_stalled = True
+            while not stalled.last_number:
+                await asyncio.sleep(0.01)
+            self.assertEqual('running', world.state('j'))
+            stalled.is_stalled = False
+            await wait_for_starts(world, step.tasks + 1, 30.0)
+
+        run_scenario(scenario, 1)
+
+    def test_a_stuck_task_returns_to_the_only_worker_it_may_use(self) -> None:
+        """Guards against a task that waits for ever beside that worker.
+
+        The worker is free for it four times over.
+        """
+        step = fleetbuilders.build_step(1, 2, _LONG_MS, label='big')
+        self.check_restart(step)
+
+    def test_a_stuck_gang_returns_to_workers_it_cannot_do_without(
+        self,
+    ) -> None:
+        """Guards against a gang that waits for ever beside free workers.
+
+        It needs four of six free workers; one run on one of them stalled.
+        """
+        step = fleetbuilders.build_step(
+            4, 4, _LONG_MS, gang=True, max_per_worker=1
+        )
+        self.check_restart(step)
+
+
 if __name__ == '__main__':
     unittest.main()
