Tests: often preempted work pauses for 4 s beside free capacity

What callers saw: one job has nothing running for more than 3 s beside free capacity for it twice over, while all others run. Cause: a preempted group pauses 0.25 s x 2 to the power of its preemptions, at most 4 s, whether or not anything more urgent is left; the count never falls.

--- a/primroselock/test/testtakeoverwaits.py
+++ b/primroselock/test/testtakeoverwaits.py
@@ -264,5 +264,34 @@
         self.check_restart(step)
 
 
+class PreemptedTest(unittest.TestCase):
+    """Preempted work starts again once its capacity is free."""
+
+    def test_often_preempted_work_waits_for_nobody(self) -> None:
+        """Guards against a pause that goes on beside free capacity.
+
+        After its fourth preemption the job has the worker to itself, twice
+        as much as it needs.
+        """
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            build_step, build_graph = (
+                fleetbuilders.build_step,
+                fleetbuilders.build_graph,
+            )
+            world.submit(build_graph('j', build_step(1, 4, _LONG_MS)))
+            for number in range(4):
+                await wait_for_starts(world, 2 * number + 1, 5.0)
+                await asyncio.sleep(0.3)
+                urgent = build_graph(
+                    f'u{number}', build_step(1, 8, 300), queue='urgent'
+                )
+                world.submit(urgent)
+                await world.wait_for(urgent.id, 'done', 5.0)
+            await wait_for_starts(world, 9, 3.0)
+
+        run_scenario(scenario, 1, 1)
+
+
 if __name__ == '__main__':
     unittest.main()
