Tests: a start and its stops that are lost hold a job for ever

What callers saw: one job has nothing running beside free capacity while its worker answers polls, but neither start nor stop orders. Cause: a member whose start was not answered ends with an answered stop or with the worker's lease. Polls go on extending that lease, so that only an answered stop is left, and it has no bound. The deadline in the start order itself, after which the worker refuses it, is not used.

--- a/primroselock/test/testtakeoverwaits.py
+++ b/primroselock/test/testtakeoverwaits.py
@@ -293,5 +293,41 @@
         run_scenario(scenario, 1, 1)
 
 
+class UnansweredOrdersTest(unittest.TestCase):
+    """Work whose orders are lost moves to another worker."""
+
+    def test_a_start_that_is_too_late_to_begin_frees_its_job(self) -> None:
+        """Guards against a job that waits for ever for the end of no run.
+
+        The worker answers polls but gets no orders; by the deadline in its
+        last start order the run cannot begin any more.
+        """
+
+        async def lose_order(
+            *arguments: typing.Any,
+        ) -> result.Result[orders.Accepted, orders.OrderError]:
+            await asyncio.sleep(0.4)
+            return result.Err(orders.Unanswered('no answer'))
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            with (
+                mock.patch.object(world.fleet, 'start', lose_order),
+                mock.patch.object(world.fleet, 'stop', lose_order),
+            ):
+                world.submit(fleetbuilders.build_graph('j'))
+                await asyncio.sleep(1.0)
+                world.add_worker(fleetbuilders.build_entry('w1'))
+                await asyncio.sleep(1.0)
+                progress = world.progress('j')
+                assert progress is not None
+                attempt = progress.groups[0].attempt
+                await asyncio.sleep(15.0)
+                progress = world.progress('j')
+                assert progress is not None
+                self.assertLess(attempt, progress.groups[0].attempt)
+
+        run_scenario(scenario, 1, 1)
+
+
 if __name__ == '__main__':
     unittest.main()
