Tests: one row that cannot be used ends every node in turn

What callers saw: nobody decides any more; all nodes end one after another. Cause: an exception while one job is loaded ends the holder's session; every takeover loads the same row, and there the exception ends the process. The intake refuses both, so only a damaged row has this effect.

--- a/primroselock/test/testtakeoverwaits.py
+++ b/primroselock/test/testtakeoverwaits.py
@@ -329,5 +329,26 @@
         run_scenario(scenario, 1, 1)
 
 
+class UnusableRowTest(unittest.TestCase):
+    """One row that cannot be used holds back no other job."""
+
+    def test_a_job_that_cannot_be_loaded_ends_no_node(self) -> None:
+        """Guards against a row on which every takeover ends its process.
+
+        It can be decoded, but its step depends on one that does not exist.
+        """
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            step = fleetbuilders.build_step(1, after=(7,))
+            world.submit(fleetbuilders.build_graph('bad', step))
+            world.submit(fleetbuilders.build_graph('j'))
+            await asyncio.sleep(10.0)
+            ended = [task for node in world.nodes for task in node._tasks]
+            self.assertFalse(any(task.done() for task in ended))
+            self.assertEqual('done', world.state('j'))
+
+        run_scenario(scenario)
+
+
 if __name__ == '__main__':
     unittest.main()
