A stored job that cannot be used ends no holder

Callers: nobody decided any more, all nodes ended one after another. Cause: an exception while one job was loaded ended the holder's session; every takeover loaded the same row, and there the exception ended the process. Change: a graph is checked when it is loaded, as when it is accepted; one that no job can have is logged and left out.

--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -24,6 +24,7 @@
 from primroselock.decisions import graphs
 from primroselock import graphrows
 from primroselock import graphwriter
+from primroselock import jobgraph
 from primroselock import jobs
 from primroselock import logs
 from primroselock import metrics
@@ -110,7 +111,10 @@
 def load_job(
     board: fleet.ShardBoard, stored: graphrows.StoredJob, now: float
 ) -> None:
-    """Add a stored job to the blackboard, or apply its cancellation."""
+    """Add a stored job to the blackboard, or apply its cancellation.
+
+    A graph that no job can have is logged and left out.
+    """
     graph = stored.graph
     if graph is None:
         return
@@ -118,6 +122,11 @@
     if stored.progress is not None and stored.progress.state.is_final:
         board.ended_ms_by_id[graph.id] = stored.progress.ended_ms
     elif job is None:
+        problems = jobgraph.check(graph)
+        if problems:
+            # The intake refuses such a job; only a damaged row has one.
+            _log.error('stored job not usable', request=graph.id, why=problems)
+            return
         wall_ms = int(clock.wall() * 1000)
         job = graphs.add_job(
             board,
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -14,6 +14,7 @@
 
 import dataclasses
 import enum
+import math
 import typing
 
 import msgspec
@@ -234,7 +235,7 @@
     return TaskName(parts[0], occurrence, step, index)
 
 
-def check(job: JobGraph, max_tasks: int) -> list[str]:
+def check(job: JobGraph, max_tasks: float = math.inf) -> list[str]:
     """Return the problems of ``job``, one line for each."""
     problems = []
     if not job.steps:
