Preferences are dropped only for a group that fits, and later under load

Cause: tried each overdue step without its preferences although no worker had free capacity (testholderload.test_a_round_attempts_shapes failed: 270 attempts of at most 9); and while capacity is scarce, work still avoided the workers where it was stuck for ever. Change: a group is tried without preferences only if free capacity is enough for it; under load after 10 s, then with others' claims respected. Measured: the test named above passes again; the new testidledecisions.ScarceCapacityTest fails without the second part; 86 tests of placement, load and nodes pass.

--- a/primroselock/decisions/fitting.py
+++ b/primroselock/decisions/fitting.py
@@ -196,6 +196,22 @@
         self._with_capacity_by_kind[kind] = found
         return found
 
+    def fits(self, group: fleet.Group) -> bool:
+        """Return whether the free capacity is enough for the group.
+
+        Only resources and labels count.
+        """
+        need = group.step.counted_need
+        fit_total = 0
+        for worker in self.list_with_capacity(group):
+            # An empty need fits any number of times.
+            fit_total += self.free_by_id[worker.id].fit_count(need) or (
+                group.size
+            )
+            if fit_total >= group.size:
+                return True
+        return False
+
     def speed_class(self, worker_id: str, group: fleet.Group) -> float:
         """Return the worker's speed class for a group.
 
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -6,8 +6,9 @@
 become free soonest.  Only more urgent groups may use claimed workers.
 
 One rack for a gang, workers where the group was not stuck before, and
-workers that no other group claims are preferences: a group that has waited
-for a while beside plenty of free capacity is placed without them.
+workers that no other group claims are preferences.  They are dropped for a
+group that has waited for a while although it fits without them: soon while
+plenty of capacity is free, and later, but for the claims, in any case.
 
 When more work waits than fits, most groups cannot be placed, and a round
 must not examine each of them: groups of the same shape share the outcome
@@ -44,7 +45,10 @@
 """After this time the workers of a capacity claim are chosen again."""
 
 _PREFERENCE_TIMEOUT_S: typing.Final = 2.0
-"""Time for which a group waits for preferred workers beside free ones."""
+"""Wait for preferred workers while plenty of capacity is free."""
+
+_MAX_PREFERENCE_WAIT_S: typing.Final = 10.0
+"""Wait for preferred workers while capacity is scarce."""
 
 _SEARCH_RETRY_S: typing.Final = 0.25
 """Delay before victims or workers to claim are searched again for a shape
@@ -154,7 +158,7 @@
         and not _may_search(context, shape)
     )
     placed = 0
-    may_relax = context.has_plenty
+    may_relax = True
     for group in groups:
         if placed >= limit:
             break
@@ -163,9 +167,7 @@
         is_own = bool(
             group.avoided_worker_ids or group in context.board.claims_by_group
         )
-        is_overdue = may_relax and (
-            context.now - group.since >= _PREFERENCE_TIMEOUT_S
-        )
+        is_overdue = may_relax and _is_overdue(context, group)
         if is_exhausted and not is_own and not is_overdue:
             continue
         group.may_span_racks = may_span_racks
@@ -184,6 +186,18 @@
     return placed
 
 
+def _is_overdue(context: _RoundContext, group: fleet.Group) -> bool:
+    """Return whether to try to place a group without its preferences."""
+    waited_s = context.now - group.since
+    if waited_s < _PREFERENCE_TIMEOUT_S:
+        return False
+    if not context.has_plenty:
+        prefers = group.avoided_worker_ids or group.step.rack_local
+        if waited_s < _MAX_PREFERENCE_WAIT_S or not prefers:
+            return False
+    return context.free_capacity.fits(group)
+
+
 def _may_search(context: _RoundContext, shape: fitting.Shape | None) -> bool:
     """Return whether victims may be searched for a group of this shape."""
     if shape is None:
@@ -230,7 +244,13 @@
     """Place a group without its preferences; return whether it was placed."""
     waited_s = context.now - group.since
     group.may_span_racks = True
-    allow = _build_basic_filter(context, group, queue)
+    may_run = _build_basic_filter(context, group, queue)
+    rank = context.rank(group)
+
+    def allow(worker: fleet.Worker) -> bool:
+        is_claimed = context.claims.excludes(worker.id, group, rank)
+        return may_run(worker) and (context.has_plenty or not is_claimed)
+
     if not _place_among(context, group, allow, None):
         return False
     context.board.record_decision(
--- a/primroselock/test/testidledecisions.py
+++ b/primroselock/test/testidledecisions.py
@@ -9,6 +9,7 @@
 import unittest
 
 from primroselock.decisions import evidence
+from primroselock.decisions import fleet
 from primroselock import jobgraph
 from primroselock.test import fleetbuilders
 from primroselock.test import idlebuilders
@@ -156,6 +157,28 @@
         self.run_gang(self.site)
 
 
+class ScarceCapacityTest(IdleTestCase):
+    """Preferences while most of the capacity is in use."""
+
+    def test_a_gang_returns_to_a_worker_it_avoids(self) -> None:
+        """Guards against work that avoids workers for ever under load.
+
+        Twelve of twenty workers are busy for a minute; the gang needs the
+        other eight, and was stuck on one of them.
+        """
+        site = idlebuilders.Site(20)
+        for number in range(12):
+            step = build_task(8, _LONG_S, cpu_millis=60_000)
+            site.occupy(f'n{number:03}', f'long-{number}', step, _LONG_S)
+        job = site.submit('gang', build_gang(8), run_s=60.0, queue='batch')
+        (group,) = job.groups_by_key.values()
+        group.avoided_worker_ids.add('n015')
+        site.run_for(5.0)
+        self.assertIs(fleet.Phase.WAITING, group.phase)
+        site.run_for(7.0)
+        self.assertIs(fleet.Phase.RUNNING, group.phase)
+
+
 class DelayTest(IdleTestCase):
     """The delay after a preemption."""
 
