A start that is too late to begin frees its job

Callers: one job had nothing running for ever while its worker answered polls but got neither start nor stop orders. Cause: an unanswered start ended only with an answered stop or with the worker's lease, which each poll extends. Change: the order itself says until when, on the worker's clock, it may begin; a complete report that was made later and does not list the run proves that it never will. A worker refuses the order after that time, so that nothing runs twice.

--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -10,8 +10,9 @@
 
 A member occupies resources of its worker from its placement until it is
 known that it cannot run there: the worker reported its end, the report of
-a poll sent after an answered order does not list it, or the worker's lease
-has expired.
+a poll sent after an answered order does not list it, nor does a report made
+when it is too late to begin an unanswered one, or the worker's lease has
+expired.
 """
 
 import dataclasses
@@ -117,8 +118,9 @@
 
     Times are in seconds on this process's clock; ``answered_at`` is when
     the worker answered the start or first reported the run, ``stopped_at``
-    when it answered an order to stop the run.  ``progress`` is None until
-    a run report has listed the run.
+    when it answered an order to stop the run.  By ``begin_before``, on the
+    worker's clock, a start order that was not answered begins or never does.
+    ``progress`` is None until a run report has listed the run.
     """
 
     group: 'Group'
@@ -130,6 +132,7 @@
     answered_at: float = _NEVER
     stop_sent_at: float = _NEVER
     stopped_at: float = _NEVER
+    begin_before: float | None = None
     is_done: bool = False
     progress: runprogress.Progress | None = None
 
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -5,8 +5,9 @@
 was answered before the poll was sent and that the report does not list
 cannot run.  An order that was not answered may be executed later, so
 that its member keeps its resources until a stop of the same run was
-answered and a later report does not list it, or until no lease can be
-valid on that worker.
+answered and a later report does not list it, until the time in the order by
+which it must begin has passed on that worker and a report does not list it,
+or until no lease can be valid on that worker.
 """
 
 import typing
@@ -253,7 +254,9 @@
 ) -> None:
     """Settle members that a complete report does not list."""
     for run, member in list(worker.members.items()):
-        if run in reported or not _proves_absence(member, sent_at):
+        if run in reported:
+            continue
+        if not _proves_absence(member, sent_at, worker.clock_s):
             continue
         board.mark_terminated(member)
         group = member.group
@@ -262,16 +265,21 @@
         settle_group(board, group, now, wall_ms)
 
 
-def _proves_absence(member: fleet.Member, sent_at: float) -> bool:
+def _proves_absence(
+    member: fleet.Member, sent_at: float, clock_s: float
+) -> bool:
     """Return whether a member cannot run if the report does not list it.
 
-    ``sent_at`` is when the poll of the report was sent.
+    ``sent_at`` is when the poll of the report was sent, ``clock_s`` when the
+    report was made, on the worker's clock.
     """
     if member.state is fleet.MemberState.INHERITED:
         # The poll had this holder's epoch: earlier orders are refused now.
         return True
     if member.state is fleet.MemberState.PRESENT:
         return member.answered_at < sent_at
+    if member.begin_before is not None and clock_s > member.begin_before:
+        return True
     return member.stopped_at < sent_at and member.stopped_at > 0
 
 
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -140,11 +140,13 @@
     ) -> result.Result[orders.Accepted, orders.OrderError]:
         deadline = lease_deadline(self._settings, self._lease, sent_at)
         group = member.group
+        lease_until = extend_lease(worker, deadline)
+        member.begin_before = lease_until
         ticket = advising.ticket_for(self._board, group, worker.id, sent_at)
         order = orders.Start(
             member.run,
             group.job.graph.payload,
-            extend_lease(worker, deadline),
+            lease_until,
             self._board.epoch,
             group.checkpoint,
             ticket or '',
