A small guaranteed cell takes nothing that a larger one needs

Callers saw a shard whose usable workers were too few for all guarantees lose more guaranteed accelerators than the hardware lacked: with two dead workers 4 accelerators were short (two cells of 2, which the shortfall names); a round then placed two such cells in the block of an unused cell of 8, and 8 were short.

Cause: the smallest block that fits was split without the check. That keeps the other cells reclaimable only if all of them were before. Change: each block is checked, and taken only if no more accelerators become unreclaimable; the job then takes a larger unused cell of its account or borrows. While nothing is short the check is the one before, which the smallest block always passes.

--- a/primroselock/decisions/packing.py
+++ b/primroselock/decisions/packing.py
@@ -76,6 +76,14 @@
     return missing
 
 
+def missing_accelerators(
+    free_by_size: abc.Mapping[int, int], needed_by_size: abc.Mapping[int, int]
+) -> int:
+    """Return the accelerators of the cells that the free blocks lack."""
+    missing = missing_cells(free_by_size, needed_by_size)
+    return sum(size * count for size, count in missing.items())
+
+
 def cell_size(accelerators: int) -> int:
     """Return the smallest cell size that holds ``accelerators``.
 
--- a/primroselock/decisions/planning.py
+++ b/primroselock/decisions/planning.py
@@ -241,9 +241,10 @@
     def _take_held_cell(self, held_size: int, size: int) -> cells.Cell | None:
         """Take a new guaranteed cell and keep the other ones reclaimable.
 
-        Splitting the smallest block that fits keeps the others reclaimable
-        if they were before.  A larger block is split only to spare
-        borrowed work, and only if the check permits it.
+        The smallest block that fits is split; a larger one only to spare
+        borrowed work.  While usable workers are too few for all guarantees,
+        even the smallest block may be what a larger cell needs; the job can
+        then still borrow.
         """
 
         def cost(held: cells.Cell) -> float:
@@ -252,7 +253,7 @@
         reclaimable = self.shard_capacity.reclaimable
         best: cells.Cell | None = None
         for block_size in reclaimable.fitting_sizes(held_size):
-            if best is not None and not self._may_split(block_size, held_size):
+            if not self._may_split(block_size, held_size):
                 continue
             found = _cheapest(reclaimable, held_size, [block_size], cost)
             if found is None:
@@ -269,12 +270,15 @@
         return best
 
     def _may_split(self, block_size: int, held_size: int) -> bool:
+        """Return whether no more accelerators become unreclaimable."""
         counts = self.shard_capacity.reclaimable.counts_by_size()
+        needed = self.shard_capacity.unused_by_size()
+        missing_before = packing.missing_accelerators(counts, needed)
         counts[block_size] -= 1
         size = block_size
         while size > held_size:
             size //= 2
             counts[size] += 1
-        needed = self.shard_capacity.unused_by_size()
         needed[held_size] -= 1
-        return not packing.missing_cells(counts, needed)
+        missing = packing.missing_accelerators(counts, needed)
+        return missing <= missing_before
--- a/primroselock/test/testreclaim.py
+++ b/primroselock/test/testreclaim.py
@@ -270,6 +270,17 @@
         machine.fill('za', accelerators=2, checkpointable=True, members=1)
         machine.guarantees_hold()
 
+    def test_small_cells_take_nothing_that_larger_ones_need(self) -> None:
+        """Two dead workers leave room for all guarantees but two small ones.
+
+        Small guaranteed work split the block of a larger unused cell then.
+        """
+        machine = DecisionMachine()
+        machine.change_worker('za-r0-w0', 'dead')
+        machine.change_worker('za-r0-w1', 'dead')
+        machine.fill('za', accelerators=2, checkpointable=False, members=1)
+        machine.guarantees_hold()
+
     def test_no_start_in_a_zone_that_was_taken_out_meanwhile(self) -> None:
         """An attempt that is being started when its zone goes is ended."""
         for ticks in range(1, 9):
--- a/tools/replayrecord.py
+++ b/tools/replayrecord.py
@@ -79,5 +79,4 @@
                     cell.mask & usable
                 )
     free = cells.CellMap(reclaimable).counts_by_size()
-    missing = packing.missing_cells(free, needed)
-    return sum(size * count for size, count in missing.items())
+    return packing.missing_accelerators(free, needed)
