A gang counts as done also if a worker dies before its outcome is written

Callers of the random machine saw "a gang counted as done without all members" (derandomized, the third of its faults). Traced: a round sees every member reported done and begins to end the attempt with that reason; then one of the workers dies, or is restarted, and loses its tasks; the next round writes that the job is done. The decision is right, as all members were done; the check looked for the tasks on the workers at the time of the write only.

The check was wrong and says now: each member's task of the final attempt must be done on its worker, or have been done there, not forgotten, when the worker died or was restarted. A member that was not done, or that the holder forgot before the write, counts as before, and a test shows it.

Test: test_a_gang_is_done_though_a_worker_dies_after_its_end failed before for both states.

--- a/primroselock/test/testreclaim.py
+++ b/primroselock/test/testreclaim.py
@@ -11,10 +11,13 @@
 from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies
+import msgspec
 
 from primroselock.decisions import blackboard
 from primroselock.decisions import capacity
 from primroselock.decisions import packing
+from primroselock import jobs
+from primroselock.workers import protocol
 from tools import replay
 from tools import replayworld
 from tools import traces
@@ -281,6 +284,54 @@
         machine.fill('za', accelerators=2, checkpointable=False, members=1)
         machine.guarantees_hold()
 
+    def finish_gang(self) -> DecisionMachine:
+        """Let a gang of two in zone zb end; the outcome is not written."""
+        machine = DecisionMachine()
+        machine.submit(
+            account='carl',
+            zone='zb',
+            members=2,
+            accelerators=8,
+            true_s=60.0,
+            priority='normal',
+            checkpointable=True,
+        )
+        machine.settle()
+        machine.wait(70.0)
+        return machine
+
+    def test_a_gang_is_done_though_a_worker_dies_after_its_end(self) -> None:
+        """All members were reported done before one of the workers died.
+
+        The check counted the dead worker's member as not done.
+        """
+        for state in ('dead', 'back'):
+            with self.subTest(state=state):
+                machine = self.finish_gang()
+                machine.change_worker('zb-r0-w1', state)
+                machine.settle()
+                self.assertIs(
+                    jobs.JobState.DONE,
+                    machine.world.record.ended_by_job_id['j001'][1],
+                )
+                machine.guarantees_hold()
+
+    def test_a_gang_is_not_done_without_the_lost_member(self) -> None:
+        """The check counts a member that was not done, or was forgotten."""
+        for lost in ('running', 'forgotten'):
+            with self.subTest(lost=lost):
+                machine = self.finish_gang()
+                worker = machine.world.workers_by_id['zb-r0-w1']
+                for key, task in list(worker.tasks_by_key.items()):
+                    task.report = msgspec.structs.replace(
+                        task.report, state=protocol.TaskState.RUNNING
+                    )
+                    if lost == 'forgotten':
+                        worker.forget(key)
+                worker.die()
+                machine.settle()
+                self.assertEqual(1, machine.world.record.split_gangs)
+
     def test_no_start_in_a_zone_that_was_taken_out_meanwhile(self) -> None:
         """An attempt that is being started when its zone goes is ended."""
         for ticks in range(1, 9):
--- a/tools/fakeworker.py
+++ b/tools/fakeworker.py
@@ -31,7 +31,8 @@
 
     ``fails_all`` makes each task that starts fail after 1 s.
     ``double_grants`` collects the tasks for which accelerators were reserved
-    that another task still held.
+    that another task still held, ``lost_done`` the tasks that were done and
+    not yet forgotten when the worker died or was restarted.
     """
 
     def __init__(
@@ -47,13 +48,34 @@
         self.received_at = 0.0
         self.tasks_by_key: dict[protocol.TaskKey, FakeTask] = {}
         self.double_grants: list[protocol.TaskKey] = []
+        self.lost_done: set[protocol.TaskKey] = set()
+
+    def die(self) -> None:
+        """Stop to answer and lose all tasks."""
+        self.alive = False
+        self._lose_tasks()
+
+    def _lose_tasks(self) -> None:
+        self.lost_done.update(
+            key
+            for key, task in self.tasks_by_key.items()
+            if task.report.state is protocol.TaskState.DONE
+        )
+        self.tasks_by_key.clear()
+
+    def was_done(self, key: protocol.TaskKey) -> bool:
+        """Return whether a task was done and has not been forgotten."""
+        task = self.tasks_by_key.get(key)
+        if task is None:
+            return key in self.lost_done
+        return task.report.state is protocol.TaskState.DONE
 
     def restart(self) -> None:
         """Restart without tasks, as a new incarnation."""
         self.boot_count += 1
         self.alive = True
         self.fails_all = False
-        self.tasks_by_key.clear()
+        self._lose_tasks()
 
     def view(self, now: float) -> blackboard.WorkerView:
         """Return a scheduler's view after a heartbeat at ``now``.
