The replay judges starts and losses of one round apart

Callers of the random machine, run with 600 examples of 30 steps, saw "a guarantee became unreclaimable" once more. Traced: a gang holds a whole rack of which one worker is dead. One round places small guaranteed work in the other, whole rack (allowed: nothing was missing), and then finds that the gang has lost a member and stops it. Its cell of 64 is no longer held, its own rack is broken, and the whole one is taken: 64 missing. The usable workers could hold all, and the next rounds restore it (repair moves the work that was placed). In two rounds one after the other the check allowed the same, since a held cell with a dead worker counts as lost then; in one round it compared with the state before the placement. So the check was wrong, not the decision.

Change: the state between, with the attempts that the round found lost still held, is judged first, by the bound as it was; then the losses by the bound of that state. And stricter: whenever the machine has settled, all that the usable workers can hold must be reclaimable again (no shortfall unless hardware is missing), which nothing checked before.

--- a/primroselock/decisions/repair.py
+++ b/primroselock/decisions/repair.py
@@ -28,7 +28,7 @@
     board.shortfalls = ()
     if not short:
         return False
-    missing_by_size = _missing_hardware(shard_capacity)
+    missing_by_size = missing_hardware(shard_capacity)
     board.shortfalls = tuple(
         f'zone {board.zone} is short of {missing} guaranteed cells of '
         f'{size} accelerators: too few usable workers'
@@ -42,7 +42,7 @@
     return _clear_rack(board, shard_capacity, rack, now)
 
 
-def _missing_hardware(shard_capacity: capacity.Capacity) -> dict[int, int]:
+def missing_hardware(shard_capacity: capacity.Capacity) -> dict[int, int]:
     """Return how many guaranteed cells even empty racks lack, by size."""
     granted: dict[int, int] = {}
     for guarantee in shard_capacity.guarantees_by_account.values():
--- a/primroselock/test/testreclaim.py
+++ b/primroselock/test/testreclaim.py
@@ -16,6 +16,7 @@
 from primroselock.decisions import blackboard
 from primroselock.decisions import capacity
 from primroselock.decisions import packing
+from primroselock.decisions import repair
 from primroselock import jobs
 from primroselock.workers import protocol
 from tools import replay
@@ -128,8 +129,18 @@
 
     @stateful.rule()
     def settle(self) -> None:
-        """Run rounds until nothing is in progress."""
-        self.world.settle(_SETTLE_TICKS)
+        """Run rounds until nothing is in progress.
+
+        What the usable workers can hold is reclaimable again then.
+        """
+        if not self.world.settle(_SETTLE_TICKS):
+            return
+        for zone, board in self.world.boards_by_shard.items():
+            current = self.compute_capacity(board)
+            if zone in self.zones_out_of_service:
+                continue
+            if not repair.missing_hardware(current):
+                assert not current.shortfalls(), current.shortfalls()
 
     @stateful.rule(
         worker=_workers,
@@ -284,6 +295,33 @@
         machine.fill('za', accelerators=2, checkpointable=False, members=1)
         machine.guarantees_hold()
 
+    def test_a_lost_cell_is_restored_though_its_room_was_taken(self) -> None:
+        """One round places work in the whole rack and finds a gang lost.
+
+        The gang held a rack with a dead worker; both racks are broken then,
+        until the work in the other one is moved.
+        """
+        machine = DecisionMachine()
+        machine.change_worker('za-r0-w3', 'dead')
+        gang = dict(zone='za', priority='normal', checkpointable=True)
+        machine.submit(
+            account='anna', members=16, accelerators=1, true_s=322.0, **gang
+        )
+        machine.wait(0.1)
+        machine.wait(2.0)
+        machine.change_worker('za-r0-w1', 'fails-all')
+        machine.settle()
+        machine.submit(
+            account='bert', members=1, accelerators=2, true_s=_LONG_S, **gang
+        )
+        machine.wait(60.0)
+        board = machine.world.boards_by_shard['za']
+        self.assertTrue(machine.compute_capacity(board).shortfalls())
+        machine.guarantees_hold()
+        machine.settle()
+        self.assertFalse(machine.compute_capacity(board).shortfalls())
+        machine.guarantees_hold()
+
     def finish_gang(self) -> DecisionMachine:
         """Let a gang of two in zone zb end; the outcome is not written."""
         machine = DecisionMachine()
--- a/tools/replayworld.py
+++ b/tools/replayworld.py
@@ -32,6 +32,13 @@
 _WAKE_INTERVAL_S: typing.Final = 10.0
 # Validity of the permit to start tasks, from the start of each round.
 _PERMIT_S: typing.Final = 3.0
+_LOSSES: typing.Final = frozenset(
+    {
+        blackboard.EndReason.MEMBER_FAILED,
+        blackboard.EndReason.MEMBER_LOST,
+        blackboard.EndReason.NOT_STARTED,
+    }
+)
 _MAX_TIME_S: typing.Final = 72 * traces.HOUR_S
 
 
@@ -312,24 +319,35 @@
             )
         earlier.quarantined_worker_ids = board.quarantined_worker_ids
         if self.check_invariant:
-            allowed = max(
-                replayrecord.missing_accelerators(
-                    earlier,
-                    self.settings,
-                    self.now,
-                    failed_cells_as_unheld=False,
-                ),
-                replayrecord.missing_accelerators(
-                    earlier,
-                    self.settings,
-                    self.now,
-                    failed_cells_as_unheld=True,
-                ),
-            )
-            missing = replayrecord.missing_accelerators(
-                board, self.settings, self.now, failed_cells_as_unheld=False
-            )
-            self.record.rounds_short += missing > allowed
+            self.record.rounds_short += self._is_reduced(board, earlier)
+
+    def _is_reduced(
+        self, board: blackboard.Blackboard, earlier: blackboard.Blackboard
+    ) -> bool:
+        """Return whether starts or ends reduced what can be reclaimed.
+
+        A round places work first, then ends the attempts that have lost a
+        member; both are checked, as if each had a round of its own.
+        """
+        placed = _without_losses(board, earlier)
+        allowed = self._allowed_missing(earlier)
+        if self._missing(placed) > allowed:
+            return True
+        return self._missing(board) > max(
+            allowed, self._allowed_missing(placed)
+        )
+
+    def _missing(self, board: blackboard.Blackboard) -> int:
+        return replayrecord.missing_accelerators(
+            board, self.settings, self.now, failed_cells_as_unheld=False
+        )
+
+    def _allowed_missing(self, board: blackboard.Blackboard) -> int:
+        """Return how many may be missing after the next step."""
+        as_lost = replayrecord.missing_accelerators(
+            board, self.settings, self.now, failed_cells_as_unheld=True
+        )
+        return max(self._missing(board), as_lost)
 
     def _execute(
         self, board: blackboard.Blackboard, command: commands.Command
@@ -444,3 +462,21 @@
         self._dirty_shards.add(command.to_shard)
         self.record.moves += 1
         return True
+
+
+def _without_losses(
+    board: blackboard.Blackboard, earlier: blackboard.Blackboard
+) -> blackboard.Blackboard:
+    """Return the state with the attempts that a round found lost."""
+    lost = {
+        job_id: earlier.attempts_by_job_id[job_id]
+        for job_id, view in board.attempts_by_job_id.items()
+        if view.end_reason in _LOSSES
+        and job_id in earlier.attempts_by_job_id
+        and earlier.attempts_by_job_id[job_id].end_reason is None
+    }
+    return dataclasses.replace(
+        board,
+        attempts_by_job_id={**board.attempts_by_job_id, **lost},
+        soft_state=blackboard.SoftState(),
+    )
