--- a/primroselock/test/fleetbuilders.py
+++ b/primroselock/test/fleetbuilders.py
@@ -320,3 +320,24 @@
         return measurement
 
     return virtualtime.run(run_all)
+
+
+NodeScenario = abc.Callable[
+    [World], abc.Coroutine[typing.Any, typing.Any, None]
+]
+
+
+def run_with_node(
+    scenario: NodeScenario, seed: int = 0, workers: int = 4
+) -> None:
+    """Run a scenario with one node; fail if a violation was recorded."""
+
+    async def run_all(virtual: virtualtime.VirtualClock) -> None:
+        world = World(seed, workers)
+        world.add_node('entry-1')
+        await scenario(world)
+        await world.close()
+        if world.fleet.violations:
+            raise AssertionError(world.fleet.violations[:3])
+
+    virtualtime.run(run_all)
