Accepted work of a removed queue is placed by later holders, too

Callers: an accepted job stayed queued for ever beside free capacity. Cause: the holder keeps the terms of a queue that is removed for the jobs it knows; the next holder finds no such queue and passes the job over in every round. Change: a job is stored with its queue as it was at acceptance, which counts once the configuration does not have the queue; rows without it read as before. Evidence: testfleettakeover.test_work_of_a_removed_queue_runs_after_a_takeover failed before (still waiting after 10 s), passes now; tests of takeovers, the intake, row limits and the platform's calls pass (39).

--- a/primroselock/decisions/graphs.py
+++ b/primroselock/decisions/graphs.py
@@ -44,9 +44,10 @@
     """
     if progress is not None and progress.state.is_final:
         return None
+    queue = board.queue_configuration.find_by_name(graph.queue)
     job = fleet.LiveJob(
         graph,
-        board.queue_configuration.find_by_name(graph.queue),
+        queue or graph.accepted_queue,
         objectives.critical_paths_s(graph, board.learned),
         row_version,
         phases=board.phases,
--- a/primroselock/graphwriter.py
+++ b/primroselock/graphwriter.py
@@ -275,4 +275,6 @@
     A repeated submission still finds its row, and a new holder reads little
     of the jobs that have ended.
     """
-    return msgspec.structs.replace(graph, payload='', steps=())
+    return msgspec.structs.replace(
+        graph, payload='', steps=(), accepted_queue=None
+    )
--- a/primroselock/intake.py
+++ b/primroselock/intake.py
@@ -14,6 +14,7 @@
 import enum
 import typing
 
+import msgspec
 import result
 
 from primroselock import clock
@@ -212,13 +213,15 @@
                     _RETRY_AFTER_S,
                 )
             )
-        return await self._insert(graph, deadline)
+        return await self._insert(graph, access.queue, deadline)
 
     async def _insert(
-        self, graph: jobgraph.JobGraph, deadline: float
+        self, graph: jobgraph.JobGraph, queue: queues.Queue, deadline: float
     ) -> result.Result[None, Refused]:
         key = keys.graph(self._settings.shard, graph.id)
-        value = graphrows.encode(graph)
+        value = graphrows.encode(
+            msgspec.structs.replace(graph, accepted_queue=queue)
+        )
         if len(value) > self._max_value_bytes:
             return result.Err(
                 Refused(RefusalReason.TOO_LARGE, f'{len(value)} bytes')
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from primroselock import jobs
+from primroselock import queues
 
 
 _TASK_NAME_PARTS: typing.Final = 4
@@ -121,9 +122,10 @@
 class JobGraph(msgspec.Struct, frozen=True, array_like=True):
     """A job as it was accepted; it never changes afterwards.
 
-    ``payload`` is passed to the workers unchanged.  Times are milliseconds
-    since the Unix epoch; occurrence K is due at ``first_due_ms`` +
-    K * ``period_ms``.
+    ``payload`` is passed to the workers unchanged.  ``accepted_queue`` is the
+    queue as it was at acceptance; it counts once the configuration does not
+    have the queue any more.  Times are milliseconds since the Unix epoch;
+    occurrence K is due at ``first_due_ms`` + K * ``period_ms``.
     """
 
     id: str
@@ -135,6 +137,7 @@
     occurrences: int = 1
     first_due_ms: int = 0
     period_ms: int = 0
+    accepted_queue: queues.Queue | None = None
 
     @property
     def accelerators_needed(self) -> int:
--- a/primroselock/test/testfleettakeover.py
+++ b/primroselock/test/testfleettakeover.py
@@ -1,9 +1,14 @@
 """Complete nodes on fakes, in virtual time: takeovers of the shard."""
 
 import asyncio
+import dataclasses
 import typing
 import unittest
 
+import result
+
+from primroselock import clock
+from primroselock import intake
 from primroselock.test import fakestore
 from primroselock.test import fleetbuilders
 
@@ -67,6 +72,34 @@
 
         run_scenario(scenario, workers=1)
 
+    def test_work_of_a_removed_queue_runs_after_a_takeover(self) -> None:
+        """Guards against accepted jobs that no later holder ever places.
+
+        The queue is removed while its job waits, and the holder ends.
+        """
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            await asyncio.sleep(1.0)
+            access = intake.Access(fleetbuilders.BULK, 'signs')
+            graph = fleetbuilders.build_graph('j1')
+            world.fleet.graphs_by_id['j1'] = graph
+            first = world.find_shard_holder()
+            answer = await first.intake.submit(
+                access, graph, clock.monotonic() + 2.0
+            )
+            self.assertIsInstance(answer, result.Ok)
+            await first.kill()
+            world.nodes.remove(first)
+            left = dataclasses.replace(
+                fleetbuilders.QUEUE_CONFIGURATION,
+                queues=(fleetbuilders.URGENT,),
+            )
+            world.add_node('entry-2').set_queue_configuration(left)
+            world.add_worker(fleetbuilders.build_entry('w0'))
+            await world.wait_for('j1', 'done', 10.0)
+
+        run_scenario(scenario, workers=0)
+
     def test_a_holder_that_shuts_down_hands_over_at_once(self) -> None:
         async def scenario(world: fleetbuilders.World) -> None:
             world.add_node('entry-2')
