--- a/primroselock/test/testfleetfaults.py
+++ b/primroselock/test/testfleetfaults.py
@@ -8,14 +8,13 @@
 """
 
 import asyncio
-import dataclasses
 import typing
 import unittest
 
 import hypothesis
 from hypothesis import strategies
 
-from primroselock.test import fakestore
+from primroselock.test import faultbuilders
 from primroselock.test import fleetbuilders
 from primroselock.test import virtualtime
 
@@ -24,23 +23,10 @@
 _RECOVERY_TIMEOUT_S: typing.Final = 60.0
 
 
-@dataclasses.dataclass(frozen=True)
-class Fault:
-    """A fault that starts ``at`` seconds into the run and lasts ``for_s``.
-
-    ``target`` is the number of the worker, for faults of a single worker.
-    """
-
-    kind: str
-    at: float
-    for_s: float
-    target: int
-
-
-def _faults() -> strategies.SearchStrategy[list[Fault]]:
+def _faults() -> strategies.SearchStrategy[list[faultbuilders.Fault]]:
     fault = strategies.builds(
-        Fault,
-        strategies.sampled_from(sorted(_INJECT_BY_KIND)),
+        faultbuilders.Fault,
+        strategies.sampled_from(faultbuilders.BASIC_KINDS),
         strategies.floats(0.5, _FAULT_PERIOD_S),
         strategies.floats(0.2, 6.0),
         strategies.integers(0, _WORKERS - 1),
@@ -48,110 +34,6 @@
     return strategies.lists(fault, max_size=6)
 
 
-async def _partition_worker(world: fleetbuilders.World, fault: Fault) -> None:
-    worker = world.fleet.workers_by_id[f'w{fault.target}']
-    worker.is_partitioned = True
-    await asyncio.sleep(fault.for_s)
-    worker.is_partitioned = False
-
-
-async def _crash_worker(world: fleetbuilders.World, fault: Fault) -> None:
-    worker = world.fleet.workers_by_id[f'w{fault.target}']
-    if worker.is_down:
-        return
-    world.fleet.crash(worker)
-    await asyncio.sleep(fault.for_s)
-    world.fleet.restart(worker)
-
-
-async def _delay_orders(world: fleetbuilders.World, fault: Fault) -> None:
-    workers = list(world.fleet.workers_by_id.values())
-    for worker in workers:
-        worker.delayed_order_share = 0.2
-    await asyncio.sleep(fault.for_s)
-    for worker in workers:
-        worker.delayed_order_share = 0.0
-
-
-async def _kill_holder(world: fleetbuilders.World, fault: Fault) -> None:
-    holders = [n for n in world.nodes if n.holder.lease.has_shard]
-    for node in holders[:1]:
-        # Removed first: another fault may end the same node meanwhile.
-        world.nodes.remove(node)
-        await node.kill()
-        await asyncio.sleep(min(fault.for_s, 1.0))
-        world.add_node(node.settings.process.vm_id)
-
-
-async def _disconnect_holder(world: fleetbuilders.World, fault: Fault) -> None:
-    holders = [n for n in world.nodes if n.holder.lease.has_shard]
-    for node in holders[:1]:
-        node.connectivity.refuses_calls = True
-        await asyncio.sleep(fault.for_s)
-        node.connectivity.refuses_calls = False
-
-
-async def _hang_store(world: fleetbuilders.World, fault: Fault) -> None:
-    nodes = list(world.nodes)
-    for node in nodes:
-        node.connectivity.is_unresponsive = True
-    await asyncio.sleep(fault.for_s)
-    for node in nodes:
-        node.connectivity.is_unresponsive = False
-
-
-async def _lose_replies(world: fleetbuilders.World, fault: Fault) -> None:
-    for node in world.nodes:
-        node.connectivity.faults += [
-            fakestore.Fault.REPLY_LOST,
-            fakestore.Fault.LATE,
-            fakestore.Fault.REQUEST_LOST,
-        ]
-    await asyncio.sleep(fault.for_s)
-    world.store.apply_late()
-
-
-async def _drop_history(world: fleetbuilders.World, fault: Fault) -> None:
-    world.store.drop_history()
-
-
-async def _hang_feeds(world: fleetbuilders.World, fault: Fault) -> None:
-    nodes = list(world.nodes)
-    for node in nodes:
-        node.connectivity.feed_is_unresponsive = True
-    await asyncio.sleep(fault.for_s)
-    for node in nodes:
-        node.connectivity.feed_is_unresponsive = False
-
-
-async def _hand_over(world: fleetbuilders.World, fault: Fault) -> None:
-    holders = [n for n in world.nodes if n.holder.lease.has_shard]
-    for node in holders[:1]:
-        world.nodes.remove(node)
-        await node.holder.hand_over()
-        await node.kill()
-        world.add_node(node.settings.process.vm_id)
-
-
-_INJECT_BY_KIND: typing.Final = {
-    'cut worker': _partition_worker,
-    'crash worker': _crash_worker,
-    'late answers': _delay_orders,
-    'kill holder': _kill_holder,
-    'holder loses store': _disconnect_holder,
-    'store silent': _hang_store,
-    'replies lost': _lose_replies,
-    'history dropped': _drop_history,
-    'feeds silent': _hang_feeds,
-    'hand over': _hand_over,
-}
-
-
-async def _inject(world: fleetbuilders.World, fault: Fault) -> None:
-    await asyncio.sleep(fault.at)
-    await _INJECT_BY_KIND[fault.kind](world, fault)
-
-
 def _submit_job(world: fleetbuilders.World, number: int) -> None:
     """Submit a job of one of four shapes, in turn."""
     build_step = fleetbuilders.build_step
@@ -172,14 +54,16 @@
     )
 
 
-def run_with_faults(faults: list[Fault], seed: int) -> list[str]:
+def run_with_faults(faults: list[faultbuilders.Fault], seed: int) -> list[str]:
     """Run twelve jobs under ``faults``; return errors and violations."""
 
     async def run_all(virtual: virtualtime.VirtualClock) -> list[str]:
         world = fleetbuilders.World(seed, _WORKERS)
         for name in ('entry-1', 'entry-2', 'entry-3'):
             world.add_node(name)
-        tasks = [asyncio.create_task(_inject(world, f)) for f in faults]
+        tasks = [
+            asyncio.create_task(faultbuilders.inject(world, f)) for f in faults
+        ]
         for number in range(12):
             await asyncio.sleep(_FAULT_PERIOD_S / 12)
             _submit_job(world, number)
@@ -205,7 +89,7 @@
     )
     @hypothesis.given(_faults(), strategies.integers(0, 1000))
     def test_rules_hold_under_random_faults(
-        self, faults: list[Fault], seed: int
+        self, faults: list[faultbuilders.Fault], seed: int
     ) -> None:
         self.assertEqual([], run_with_faults(faults, seed))
 
@@ -219,9 +103,9 @@
         test.
         """
         faults = [
-            Fault('crash worker', 1.5, 2.5, 5),
-            Fault('holder loses store', 2.82, 4.0, 5),
-            Fault('feeds silent', 2.5, 1.0, 5),
+            faultbuilders.Fault('crash worker', 1.5, 2.5, 5),
+            faultbuilders.Fault('holder loses store', 2.82, 4.0, 5),
+            faultbuilders.Fault('feeds silent', 2.5, 1.0, 5),
         ]
         self.assertEqual([], run_with_faults(faults, 9))
 
@@ -233,12 +117,12 @@
         reported yet.  Found by other seeds of the random test.
         """
         faults = [
-            Fault('crash worker', 15.856, 2.419, 4),
-            Fault('crash worker', 3.07, 5.172, 5),
-            Fault('cut worker', 17.779, 4.267, 3),
-            Fault('hand over', 10.562, 0.77, 1),
-            Fault('late answers', 11.711, 1.231, 2),
-            Fault('store silent', 12.873, 3.823, 3),
-            Fault('replies lost', 19.45, 5.056, 0),
+            faultbuilders.Fault('crash worker', 15.856, 2.419, 4),
+            faultbuilders.Fault('crash worker', 3.07, 5.172, 5),
+            faultbuilders.Fault('cut worker', 17.779, 4.267, 3),
+            faultbuilders.Fault('hand over', 10.562, 0.77, 1),
+            faultbuilders.Fault('late answers', 11.711, 1.231, 2),
+            faultbuilders.Fault('store silent', 12.873, 3.823, 3),
+            faultbuilders.Fault('replies lost', 19.45, 5.056, 0),
         ]
         self.assertEqual([], run_with_faults(faults, 640))
