A soak of whole nodes whose check is work that waits beside free capacity

The order of sets changes the play of a seed, so that the command fixes PYTHONHASHSEED and the test runs the command.

--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -70,6 +70,21 @@
     )
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
+    @property
+    def is_reachable(self) -> bool:
+        """Whether calls reach this worker."""
+        return not (self.is_partitioned or self.is_down)
+
+    @property
+    def is_sound(self) -> bool:
+        """Whether no injected fault affects this worker."""
+        return self.is_reachable and not (
+            self.fails_all
+            or self.is_stalled
+            or self.delayed_order_share
+            or self.slowdown_factor != 1.0
+        )
+
     def find_share(self, live: LiveRun, now: float) -> float:
         """Return the share of a run that is done, in steps of 0.01."""
         total_s = live.ends_at - live.started_at
@@ -94,6 +109,7 @@
 
     A run takes the expected time of its step, unless ``work_s_by_job`` gives
     another for its job.  A stopped run ends ``stop_delay_s`` after the order.
+    Runs of the jobs in ``failing_job_ids`` fail soon after their start.
     """
 
     def __init__(self, seed: int = 0) -> None:
@@ -102,6 +118,7 @@
         self.tickets: list[str] = []
         self.graphs_by_id: dict[str, jobgraph.JobGraph] = {}
         self.work_s_by_job: dict[str, float] = {}
+        self.failing_job_ids: set[str] = set()
         self.failures_by_task: dict[jobgraph.TaskName, int] = {}
         self.stop_delay_s = 0.1
         self.violations: list[str] = []
@@ -200,7 +217,7 @@
 
     def _reach(self, worker_id: str) -> FakeWorker | None:
         worker = self.workers_by_id.get(worker_id)
-        if worker is None or worker.is_down or worker.is_partitioned:
+        if worker is None or not worker.is_reachable:
             return None
         return worker
 
@@ -261,7 +278,7 @@
         step = graph.steps[run.task.step]
         work_s = self.work_s_by_job.get(graph.id, step.expected_ms / 1000)
         cause = orders.EndCause.DONE
-        if worker.fails_all:
+        if worker.fails_all or graph.id in self.failing_job_ids:
             cause, work_s = orders.EndCause.FAILED, 0.1
         work_s *= worker.slowdown_factor
         self.starts += 1
--- a/primroselock/test/faultbuilders.py
+++ b/primroselock/test/faultbuilders.py
@@ -9,6 +9,7 @@
 import dataclasses
 import typing
 
+from primroselock import clock
 from primroselock.test import fakefleet
 from primroselock.test import fakestore
 from primroselock.test import fleetbuilders
@@ -41,6 +42,9 @@
 )
 """Kinds of faults of single workers and nodes, and of the store."""
 
+LASTING_KINDS: typing.Final = frozenset({'close zone', 'drain worker'})
+"""Kinds that change which workers may be used, and are no fault as such."""
+
 Injection = abc.Callable[
     [fleetbuilders.World, Fault], abc.Coroutine[typing.Any, typing.Any, None]
 ]
@@ -62,10 +66,45 @@
     return sorted(_injections_by_kind)
 
 
-async def inject(world: fleetbuilders.World, fault: Fault) -> None:
+class FaultLog:
+    """Knows since when no fault is active.
+
+    ``lines`` names the beginning and the end of each fault.
+    """
+
+    def __init__(self) -> None:
+        self.lines: list[str] = []
+        self._active = 0
+        self._calm_since = float('-inf')
+
+    def begin(self, fault: Fault, now: float) -> None:
+        """Record that a fault begins."""
+        self.lines.append(f'{now:.2f} begins: {fault.kind} {fault.target}')
+        self._calm_since = now
+        if fault.kind not in LASTING_KINDS:
+            self._active += 1
+
+    def end(self, fault: Fault, now: float) -> None:
+        """Record that a fault has ended."""
+        self.lines.append(f'{now:.2f} ended: {fault.kind} {fault.target}')
+        self._calm_since = now
+        if fault.kind not in LASTING_KINDS:
+            self._active -= 1
+
+    def calm_s(self, now: float) -> float:
+        """Return for how many seconds no fault has been active."""
+        return 0.0 if self._active else now - self._calm_since
+
+
+async def inject(
+    world: fleetbuilders.World, fault: Fault, log: FaultLog | None = None
+) -> None:
     """Wait until a fault begins, and return when it has ended."""
+    log = log or FaultLog()
     await asyncio.sleep(fault.at)
+    log.begin(fault, clock.monotonic())
     await _injections_by_kind[fault.kind](world, fault)
+    log.end(fault, clock.monotonic())
 
 
 def _target(world: fleetbuilders.World, fault: Fault) -> fakefleet.FakeWorker:
@@ -167,3 +206,159 @@
         await node.holder.hand_over()
         await node.kill()
         world.add_node(node.settings.process.vm_id)
+
+
+async def _restart_all(
+    world: fleetbuilders.World, nodes: list[fleetbuilders.TestNode]
+) -> None:
+    for node in nodes:
+        world.add_node(node.settings.process.vm_id)
+
+
+@injection('kill all nodes')
+async def _kill_nodes(world: fleetbuilders.World, fault: Fault) -> None:
+    nodes, world.nodes = world.nodes, []
+    for node in nodes:
+        await node.kill()
+    await asyncio.sleep(min(fault.for_s, 3.0))
+    await _restart_all(world, nodes)
+
+
+@injection('kill standby')
+async def _kill_standby(world: fleetbuilders.World, fault: Fault) -> None:
+    standbys = [n for n in world.nodes if not n.holder.lease.has_shard]
+    for node in standbys[:1]:
+        world.nodes.remove(node)
+        await node.kill()
+        await asyncio.sleep(fault.for_s)
+        await _restart_all(world, [node])
+
+
+@injection('throttle holder')
+async def _throttle_holder(world: fleetbuilders.World, fault: Fault) -> None:
+    holders = [n for n in world.nodes if n.holder.lease.has_shard]
+    for node in holders[:1]:
+        node.connectivity.is_throttled = True
+        await asyncio.sleep(fault.for_s)
+        node.connectivity.is_throttled = False
+
+
+@injection('cut zone')
+async def _partition_zone(world: fleetbuilders.World, fault: Fault) -> None:
+    zone = _target(world, fault).entry.zone
+    workers = [
+        worker
+        for worker in world.fleet.workers_by_id.values()
+        if worker.entry.zone == zone
+    ]
+    for worker in workers:
+        worker.is_partitioned = True
+    await asyncio.sleep(fault.for_s)
+    for worker in workers:
+        worker.is_partitioned = False
+
+
+@injection('close zone')
+async def _close_zone(world: fleetbuilders.World, fault: Fault) -> None:
+    """Take a zone out of service; it is back after ``for_s``."""
+    zone = _target(world, fault).entry.zone
+    _configure(
+        world, closed=world.queue_configuration.zones_out_of_service | {zone}
+    )
+    await asyncio.sleep(fault.for_s)
+    _configure(
+        world, closed=world.queue_configuration.zones_out_of_service - {zone}
+    )
+
+
+@injection('new queues')
+async def _change_queues(world: fleetbuilders.World, fault: Fault) -> None:
+    """Publish a version with other targets and guarantees."""
+    current = world.queue_configuration
+    changed = tuple(
+        dataclasses.replace(queue, latency_target_s=1.0 + fault.target % 4)
+        for queue in current.queues
+    )
+    accounts = {
+        account.name: dataclasses.replace(
+            account, guaranteed_accelerators=fault.target
+        )
+        for account in current.accounts_by_name.values()
+    }
+    world.set_queue_configuration(
+        dataclasses.replace(
+            current,
+            version=current.version + 1,
+            queues=changed,
+            accounts_by_name=accounts,
+        )
+    )
+
+
+def _configure(world: fleetbuilders.World, closed: frozenset[str]) -> None:
+    current = world.queue_configuration
+    world.set_queue_configuration(
+        dataclasses.replace(
+            current,
+            version=current.version + 1,
+            zones_out_of_service=closed,
+        )
+    )
+
+
+@injection('lose worker')
+async def _lose_worker(world: fleetbuilders.World, fault: Fault) -> None:
+    """Crash a worker for good; its entry is deleted later.
+
+    Some are replaced by a new one in the same rack.
+    """
+    worker = _target(world, fault)
+    if worker.is_down:
+        return
+    world.fleet.crash(worker)
+    await asyncio.sleep(fault.for_s)
+    world.delete_entry(worker.entry.id)
+    if fault.target % 2:
+        world.add_worker(
+            dataclasses.replace(worker.entry, id=f'{worker.entry.id}x')
+        )
+
+
+@injection('drain worker')
+async def _drain_worker(world: fleetbuilders.World, fault: Fault) -> None:
+    """Let a worker drain, and end and leave after ``for_s``."""
+    worker = _target(world, fault)
+    if worker.is_down or worker.entry.id not in world.entries_by_id:
+        return
+    world.write_entry(
+        dataclasses.replace(
+            worker.entry, is_draining=True, remaining_s=fault.for_s
+        )
+    )
+    await asyncio.sleep(fault.for_s)
+    world.fleet.crash(worker)
+    world.delete_entry(worker.entry.id)
+
+
+@injection('worker fails all')
+async def _fail_all(world: fleetbuilders.World, fault: Fault) -> None:
+    worker = _target(world, fault)
+    worker.fails_all = True
+    await asyncio.sleep(fault.for_s)
+    worker.fails_all = False
+
+
+@injection('worker stalls')
+async def _stall_worker(world: fleetbuilders.World, fault: Fault) -> None:
+    worker = _target(world, fault)
+    worker.is_stalled = True
+    await asyncio.sleep(fault.for_s)
+    worker.is_stalled = False
+
+
+@injection('worker slow')
+async def _slow_worker(world: fleetbuilders.World, fault: Fault) -> None:
+    worker = _target(world, fault)
+    worker.slowdown_factor = 5.0
+    await asyncio.sleep(fault.for_s)
+    worker.slowdown_factor = 1.0
--- a/primroselock/test/fleetbuilders.py
+++ b/primroselock/test/fleetbuilders.py
@@ -212,7 +212,10 @@
 
 
 class World:
-    """A simulated cluster: a store, fake workers and nodes."""
+    """A simulated cluster: a store, fake workers and nodes.
+
+    ``entries_by_id`` holds the entries of the workers that are listed.
+    """
 
     __test__ = False
 
@@ -220,6 +223,9 @@
         self.store = fakefeed.FeedStore()
         self.fleet = fakefleet.FakeFleet(seed)
         self.nodes: list[TestNode] = []
+        self.queue_configuration = QUEUE_CONFIGURATION
+        self.entries_by_id: dict[str, fleet.WorkerEntry] = {}
+        self.cancelled_ids: set[str] = set()
         for number in range(workers):
             self.add_worker(build_entry(f'w{number}', f'r{number // 4}'))
         self._task = asyncio.create_task(self.fleet.run())
@@ -240,11 +246,26 @@
 
     def write_entry(self, entry: fleet.WorkerEntry) -> None:
         """Write the entry that a worker publishes."""
+        self.entries_by_id[entry.id] = entry
         self.store.put(f'servers/{entry.id}', msgspec.json.encode(entry))
 
+    def delete_entry(self, worker_id: str) -> None:
+        """Delete the entry of a worker: it is no longer listed."""
+        self.entries_by_id.pop(worker_id, None)
+        self.store.delete(f'servers/{worker_id}')
+
+    def set_queue_configuration(
+        self, current: queues.QueueConfiguration
+    ) -> None:
+        """Apply a version of the queue configuration on every node."""
+        self.queue_configuration = current
+        for node in self.nodes:
+            node.set_queue_configuration(current)
+
     def add_node(self, name: str, settings_text: str = '') -> TestNode:
         """Start a node; ``settings_text`` adds sections in INI syntax."""
         node = TestNode(name, self.store, self.fleet, settings_text)
+        node.set_queue_configuration(self.queue_configuration)
         self.nodes.append(node)
         node.start()
         return node
@@ -260,6 +281,7 @@
 
     def cancel(self, job_id: str) -> None:
         """Store a request to cancel a job."""
+        self.cancelled_ids.add(job_id)
         self.store.put(keys.cancellation('fleet', job_id), b'signs')
 
     def progress(self, job_id: str) -> jobgraph.JobProgress | None:
--- a/primroselock/test/loadbuilders.py
+++ b/primroselock/test/loadbuilders.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import abc
 import dataclasses
 import random
 import typing
@@ -42,6 +43,18 @@
     JobKind('bulk', 0.30, 38, (1,), 5_600, 6_100, 0.0),
 )
 
+_MILLIS_PER_ACCELERATOR: typing.Final = 8000
+"""Thousandths of a core that weigh as much as an accelerator."""
+
+JobBuilder = abc.Callable[[str, random.Random], jobgraph.JobGraph]
+_varied_builders: typing.Final[list[JobBuilder]] = []
+
+
+def varied(build: JobBuilder) -> JobBuilder:
+    """Register a builder of jobs for :func:`submit_varied_jobs`."""
+    _varied_builders.append(build)
+    return build
+
 
 def add_workers(world: fleetbuilders.World, count: int) -> None:
     """Add workers in racks of 20, spread evenly over five zones."""
@@ -105,3 +118,197 @@
         name = f'{kind.queue}-{len(submitted):05}'
         world.submit(build_job(kind, name, source))
         submitted.append(name)
+
+
+def _draw_ms(source: random.Random) -> int:
+    longest_ms = source.choice((2_000, 2_000, 2_000, 6_000, 6_000, 20_000))
+    return int(source.uniform(300, longest_ms))
+
+
+def _draw_label(source: random.Random) -> str:
+    """Return a label of all workers, of one rack, or none."""
+    return source.choice(('', '', '', 'kind', f'r{source.randrange(3)}'))
+
+
+def _build(
+    name: str,
+    source: random.Random,
+    *steps: jobgraph.Step,
+    **changes: typing.Any,
+) -> jobgraph.JobGraph:
+    """Return a job of a random queue and account."""
+    return fleetbuilders.build_graph(
+        name,
+        *steps,
+        queue=source.choice(('urgent', 'batch', 'bulk')),
+        account=source.choice(('signs', 'merch')),
+        **changes,
+    )
+
+
+@varied
+def _build_usual(name: str, source: random.Random) -> jobgraph.JobGraph:
+    return build_job(source.choice(KINDS), name, source)
+
+
+@varied
+def _build_worker_gang(name: str, source: random.Random) -> jobgraph.JobGraph:
+    """Return a gang of whole workers, up to all of a rack."""
+    step = fleetbuilders.build_step(
+        source.choice((2, 4, 8, 12, _RACK_SIZE)),
+        8,
+        _draw_ms(source),
+        8_000,
+        gang=True,
+        rack_local=source.random() < 0.5,
+        checkpointing=source.random() < 0.5,
+    )
+    return _build(name, source, step)
+
+
+@varied
+def _build_wide_gang(name: str, source: random.Random) -> jobgraph.JobGraph:
+    """Return a gang that is wider than one rack."""
+    step = fleetbuilders.build_step(
+        source.randint(_RACK_SIZE + 1, _RACK_SIZE + 8),
+        8,
+        _draw_ms(source),
+        8_000,
+        gang=True,
+        rack_local=source.random() < 0.5,
+    )
+    return _build(name, source, step)
+
+
+@varied
+def _build_rack_gang(name: str, source: random.Random) -> jobgraph.JobGraph:
+    """Return a rack-local gang of parts of workers."""
+    step = fleetbuilders.build_step(
+        source.randint(2, 40),
+        source.choice((1, 2, 4)),
+        _draw_ms(source),
+        source.choice((1_000, 8_000)),
+        gang=True,
+        rack_local=True,
+        label=_draw_label(source),
+    )
+    return _build(name, source, step)
+
+
+@varied
+def _build_singles(name: str, source: random.Random) -> jobgraph.JobGraph:
+    """Return a wide step of single tasks; some need cores alone."""
+    accelerators = source.choice((0, 1, 1, 2))
+    step = fleetbuilders.build_step(
+        source.choice((1, 1, 2, 10, 60)),
+        accelerators,
+        _draw_ms(source),
+        source.choice((1_000, 4_000)) if accelerators else 16_000,
+        checkpointing=source.random() < 0.5,
+        label=_draw_label(source),
+    )
+    return _build(name, source, step)
+
+
+@varied
+def _build_spread(name: str, source: random.Random) -> jobgraph.JobGraph:
+    """Return a step with at most one task on each worker."""
+    step = fleetbuilders.build_step(
+        source.randint(1, 50), 1, _draw_ms(source), max_per_worker=1
+    )
+    return _build(name, source, step)
+
+
+@varied
+def _build_small(name: str, source: random.Random) -> jobgraph.JobGraph:
+    """Return a small gang or a single task."""
+    step = fleetbuilders.build_step(
+        source.randint(1, 4),
+        source.choice((1, 2, 4, 8)),
+        _draw_ms(source),
+        gang=source.random() < 0.5,
+        rack_local=source.random() < 0.5,
+        data_rack=source.choice(('', 'r0', 'r2')),
+    )
+    return _build(name, source, step)
+
+
+@varied
+def _build_chain(name: str, source: random.Random) -> jobgraph.JobGraph:
+    """Return a job of several steps; it may be due more than once."""
+    steps = [
+        fleetbuilders.build_step(
+            source.randint(1, 12),
+            source.choice((1, 2, 4)),
+            _draw_ms(source) // 2,
+            after=tuple(source.sample(range(n), source.randint(0, n))),
+            gang=source.random() < 0.4,
+            rack_local=source.random() < 0.4,
+        )
+        for n in range(source.randint(2, 4))
+    ]
+    return _build(
+        name,
+        source,
+        *steps,
+        occurrences=source.choice((1, 1, 2)),
+        first_due_ms=int(clock.wall() * 1000),
+        period_ms=4_000,
+    )
+
+
+async def submit_varied_jobs(
+    world: fleetbuilders.World,
+    demand: float,
+    duration_s: float,
+    source: random.Random,
+) -> None:
+    """Submit jobs of all kinds for ``duration_s`` seconds.
+
+    A few always fail, a few are cancelled, and run times differ from those
+    expected.  ``demand`` is as in :func:`submit_jobs`.
+    """
+    accelerators = sum(
+        worker.entry.capacity.accelerators
+        for worker in world.fleet.workers_by_id.values()
+    )
+    until = clock.monotonic() + duration_s
+    number = 0
+    while clock.monotonic() < until:
+        name = f'v{number:04}'
+        number += 1
+        graph = source.choice(_varied_builders)(name, source)
+        if source.random() < 0.05:
+            world.fleet.failing_job_ids.add(name)
+        if len(graph.steps) == 1:
+            world.fleet.work_s_by_job[name] = (
+                graph.steps[0].expected_ms / 1000 * source.uniform(0.7, 1.4)
+            )
+        world.submit(graph)
+        if source.random() < 0.08:
+            delay_s = source.uniform(0.0, 6.0)
+            world.fleet.spawn(_cancel_later(world, name, delay_s))
+        await asyncio.sleep(
+            source.expovariate(demand * accelerators / _work_s(graph))
+        )
+
+
+async def _cancel_later(
+    world: fleetbuilders.World, job_id: str, delay_s: float
+) -> None:
+    await asyncio.sleep(delay_s)
+    world.cancel(job_id)
+
+
+def _work_s(graph: jobgraph.JobGraph) -> float:
+    """Return the accelerator-seconds of a job, or what weighs as much."""
+    return graph.occurrences * sum(
+        step.tasks
+        * max(
+            step.need.accelerators,
+            step.need.cpu_millis / _MILLIS_PER_ACCELERATOR,
+        )
+        * step.expected_ms
+        / 1000
+        for step in graph.steps
+    )
--- /dev/null
+++ b/primroselock/test/soakbuilders.py
@@ -0,0 +1,150 @@
+"""Runs of whole nodes in virtual time under load and series of faults.
+
+Everything follows from a seed: the number of nodes, the jobs, and faults
+that come in series and overlap.  The check of idle capacity runs beside.
+"""
+
+import asyncio
+from collections import abc
+import dataclasses
+import random
+import typing
+
+from primroselock import clock
+from primroselock.test import faultbuilders
+from primroselock.test import fleetbuilders
+from primroselock.test import idlecapacity
+from primroselock.test import loadbuilders
+from primroselock.test import virtualtime
+
+_WORKERS: typing.Final = 60
+_SERIES: typing.Final = 4
+_MAX_FAULTS: typing.Final = 6
+_MAX_FAULT_S: typing.Final = 8.0
+_FINAL_WAIT_S: typing.Final = 14.0
+"""Time after the last submission or fault until the last check."""
+
+_MAX_DRAIN_S: typing.Final = 120.0
+"""Time after the last check by which every job must have ended."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What follows from a seed before the run."""
+
+    seed: int
+    nodes: int
+    demand: float
+    arrival_s: float
+    faults: tuple[faultbuilders.Fault, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """The result of a run; ``problems`` is empty if it kept every rule."""
+
+    plan: Plan
+    problems: list[str] = dataclasses.field(default_factory=list)
+    jobs: int = 0
+    starts: int = 0
+
+
+def draw_plan(seed: int) -> Plan:
+    """Return the plan of a seed.
+
+    Each series draws its faults from a few kinds, so that faults of the
+    same kind follow each other.
+    """
+    source = random.Random(seed)
+    at = 2.0
+    faults: list[faultbuilders.Fault] = []
+    for _ in range(_SERIES):
+        kinds = source.sample(faultbuilders.list_kinds(), source.randint(1, 4))
+        series = [
+            faultbuilders.Fault(
+                source.choice(kinds),
+                at + source.uniform(0.0, 5.0),
+                source.uniform(0.2, _MAX_FAULT_S),
+                source.randrange(_WORKERS),
+            )
+            for _ in range(source.randint(1, _MAX_FAULTS))
+        ]
+        faults += series
+        at = max(fault.at + fault.for_s for fault in series)
+        at += source.uniform(1.0, 16.0)
+    return Plan(
+        seed,
+        source.randint(3, 6),
+        source.uniform(0.1, 0.6),
+        at * source.uniform(0.5, 1.0),
+        tuple(faults),
+    )
+
+
+class Soak:
+    """One run; ``world`` can be examined while it goes on."""
+
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self.log = faultbuilders.FaultLog()
+        self.world = fleetbuilders.World(plan.seed, 0)
+        loadbuilders.add_workers(self.world, _WORKERS)
+        self.check = idlecapacity.IdleCapacityCheck(self.world, self.log)
+
+    async def run(self) -> Outcome:
+        """Run to the end of every job, or until it is too late."""
+        plan, world = self.plan, self.world
+        for number in range(plan.nodes):
+            world.add_node(f'entry-{number}')
+        checking = asyncio.create_task(self.check.run())
+        await asyncio.gather(
+            loadbuilders.submit_varied_jobs(
+                world, plan.demand, plan.arrival_s, random.Random(plan.seed)
+            ),
+            *(
+                faultbuilders.inject(world, fault, self.log)
+                for fault in plan.faults
+            ),
+        )
+        world.store.apply_late()
+        await asyncio.sleep(_FINAL_WAIT_S)
+        self.check.check(clock.monotonic(), at_end=True)
+        late_ids = await self._wait_for_ends()
+        checking.cancel()
+        await world.close()
+        return Outcome(
+            plan,
+            [
+                *(str(violation) for violation in self.check.violations),
+                *(f'{job_id} has not ended' for job_id in late_ids),
+                *world.fleet.violations,
+            ],
+            len(world.fleet.graphs_by_id),
+            world.fleet.starts,
+        )
+
+    async def _wait_for_ends(self) -> list[str]:
+        until = clock.monotonic() + _MAX_DRAIN_S
+        while open_ids := self.check.list_open_jobs():
+            if clock.monotonic() >= until:
+                return open_ids
+            await asyncio.sleep(1.0)
+        return []
+
+
+def run(
+    seed: int, examine: abc.Callable[[Soak], None] = lambda soak: None
+) -> Outcome:
+    """Run the soak of a seed in virtual time.
+
+    ``examine`` is called before the run, and may add to the checks.
+    """
+    # Followers draw their pauses from the shared generator.
+    random.seed(seed)
+
+    async def run_all(virtual: virtualtime.VirtualClock) -> Outcome:
+        soak = Soak(draw_plan(seed))
+        examine(soak)
+        return await soak.run()
+
+    return virtualtime.run(run_all)
--- /dev/null
+++ b/primroselock/test/testsoak.py
@@ -0,0 +1,49 @@
+"""A soak of whole nodes: work must not wait beside free capacity.
+
+Seeds that break now and then for a known fault have tests of their own,
+listed in KNOWN-RED.txt; the seeds are consecutive and none is left out.
+"""
+
+import pathlib
+import subprocess
+import sys
+import typing
+import unittest
+
+_ROOT: typing.Final = pathlib.Path(__file__).resolve().parents[2]
+_TIMEOUT_S: typing.Final = 600
+
+
+class SoakTest(unittest.TestCase):
+    """The soak in a process of its own, where the order of sets is fixed."""
+
+    def check_seeds(self, first: int, seeds: int) -> None:
+        """Run consecutive seeds; fail with what the command printed."""
+        command = [
+            sys.executable,
+            *('-m', 'tools.soak', '--trace'),
+            *('--first', str(first), '--seeds', str(seeds)),
+        ]
+        ended = subprocess.run(
+            command,
+            cwd=_ROOT,
+            capture_output=True,
+            text=True,
+            timeout=_TIMEOUT_S,
+            check=False,
+        )
+        self.assertEqual(0, ended.returncode, ended.stdout + ended.stderr)
+
+    def test_seed_1(self) -> None:
+        self.check_seeds(1, 1)
+
+    def test_seed_2(self) -> None:
+        """A rack-local gang waits for a quarantined worker of its rack."""
+        self.check_seeds(2, 1)
+
+    def test_seeds_3_to_20(self) -> None:
+        self.check_seeds(3, 18)
+
+
+if __name__ == '__main__':
+    unittest.main()
