--- a/primroselock/test/idlebuilders.py
+++ b/primroselock/test/idlebuilders.py
@@ -22,7 +22,6 @@
 IDLE_LIMIT_S: typing.Final = 3.0
 """The longest time that work may wait beside free capacity."""
 
-NEVER_ENDS_S: typing.Final = 1e6
 _ZONES: typing.Final = ('a', 'b', 'c')
 _LEASE_S: typing.Final = 10.0
 _STARTED_AT: typing.Final = 1000.0
@@ -133,6 +132,16 @@
         self.workers_by_id[worker_id].runs.clear()
         self.board.workers_by_id[worker_id].record_failed_call(self.now)
 
+    def restore(self, worker_id: str) -> None:
+        """Make a worker sound again."""
+        simulated = self.workers_by_id[worker_id]
+        simulated.answers, simulated.fails_all = True, False
+        simulated.speed = 1.0
+        entry = self.board.workers_by_id[worker_id].entry
+        self.board.record_entry(
+            dataclasses.replace(entry, is_draining=False), self.now
+        )
+
     def take_out_of_service(self, zone: str) -> None:
         """Take a zone out of service."""
         self.board.queue_configuration = dataclasses.replace(
--- a/primroselock/test/testidledecisions.py
+++ b/primroselock/test/testidledecisions.py
@@ -5,6 +5,7 @@
 and under half of the capacity was in use.
 """
 
+import random
 import typing
 import unittest
 
@@ -13,7 +14,15 @@
 from primroselock import jobgraph
 from primroselock.test import fleetbuilders
 from primroselock.test import idlebuilders
+from primroselock.test import loadbuilders
 
+_DAY_S: typing.Final = 30.0
+_END_S: typing.Final = 15.0
+"""The time after the last submission, in which most work ends."""
+
+_DEMAND: typing.Final = 0.9
+_FAULTS_PER_S: typing.Final = 0.5
+_FAILING_SHARE: typing.Final = 0.1
 _LONG_S: typing.Final = 60.0
 
 
@@ -223,5 +232,132 @@
         self.assert_none_idle(site)
 
 
+class RandomDay:
+    """A short day with random jobs and faults on a site of random size.
+
+    Jobs arrive for ``_DAY_S``; workers crash, drain, become slow or fail
+    all runs, and become sound again.  The day follows ``seed``.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.source = random.Random(seed)
+        workers = self.source.randint(40, 180)
+        self.site = idlebuilders.Site(workers)
+        accelerators = workers * fleetbuilders.WORKER_CAPACITY.accelerators
+        self.rates = [
+            _DEMAND * kind.share * accelerators / kind.mean_work_s
+            for kind in loadbuilders.KINDS
+        ]
+        self.jobs = 0
+
+    def run_day(self) -> None:
+        """Submit jobs for ``_DAY_S``."""
+        ends_at = self.site.now + _DAY_S
+        next_job_at = self.site.now + self._draw_pause_s()
+        while self.site.now < ends_at:
+            while next_job_at <= self.site.now:
+                self._submit()
+                next_job_at += self._draw_pause_s()
+            self._step()
+
+    def run_end(self, duration_s: float) -> None:
+        """Go on without new jobs; the faults go on."""
+        ends_at = self.site.now + duration_s
+        while self.site.now < ends_at:
+            self._step()
+
+    def _step(self) -> None:
+        if self.source.random() < _FAULTS_PER_S * idlebuilders.STEP_S:
+            self._change_worker()
+        self.site.step()
+
+    def _draw_pause_s(self) -> float:
+        return self.source.expovariate(sum(self.rates))
+
+    def _submit(self) -> None:
+        source = self.source
+        kind = source.choices(loadbuilders.KINDS, self.rates)[0]
+        tasks = 1 + int(source.expovariate(1 / kind.tasks))
+        expected_ms = int(kind.run_ms * source.uniform(0.5, 1.5))
+        is_gang = tasks > 1 and source.random() < 2 * kind.gang_share
+        step = fleetbuilders.build_step(
+            min(tasks, 6 * kind.tasks),
+            source.choice(kind.accelerators),
+            expected_ms,
+            kind.cpu_millis,
+            gang=is_gang,
+            rack_local=is_gang and source.random() < 0.6,
+            checkpointing=source.random() < 0.5,
+            data_rack=source.choice(('', '', 'r0', 'r1')),
+            max_per_worker=0 if is_gang else source.choice((0, 0, 4)),
+        )
+        self.jobs += 1
+        name = f'{kind.queue}-{self.jobs}'
+        run_s = expected_ms / 1000 * source.lognormvariate(0.0, 0.4)
+        if source.random() < _FAILING_SHARE:
+            self.site.failing_job_ids.add(name)
+            run_s = source.uniform(0.1, 1.0)
+        self.site.submit(name, step, run_s=run_s, queue=kind.queue)
+
+    def _change_worker(self) -> None:
+        """Let a random worker break, or make it sound again."""
+        workers = list(self.site.board.workers_by_id.values())
+        worker = self.source.choice(workers)
+        changes = (self._break_worker, self.site.restore)
+        self.source.choice(changes)(worker.id)
+
+    def _break_worker(self, worker_id: str) -> None:
+        simulated = self.site.workers_by_id[worker_id]
+        fault = self.source.choice(('crash', 'drain', 'slow', 'fail'))
+        if fault == 'crash':
+            self.site.silence(worker_id)
+        elif fault == 'drain':
+            self.site.drain(worker_id)
+        elif fault == 'slow':
+            simulated.speed = 0.2
+        else:
+            simulated.fails_all = True
+
+
+class DayTest(IdleTestCase):
+    """Random days: no job waits too long beside free capacity."""
+
+    def test_no_job_waits_on_random_days(self) -> None:
+        """Guards against waiting beside free capacity by any cause."""
+        why_by_seed = {}
+        for seed in (4, 6):
+            day = RandomDay(seed)
+            day.run_day()
+            day.run_end(_END_S)
+            idle = day.site.idle_jobs_by_id
+            if idle:
+                why_by_seed[seed] = {name: idle[name].why for name in idle}
+        self.assertEqual({}, why_by_seed)
+
+    def test_no_job_is_left_waiting_at_the_end_of_a_day(self) -> None:
+        """Guards against one job that waits long after all others ended."""
+        day = RandomDay(26)
+        day.run_day()
+        day.run_end(3 * _END_S)
+        day.site.idle_jobs_by_id.clear()
+        day.run_end(_END_S)
+        self.assert_none_idle(day.site)
+
+    def test_a_site_becomes_empty(self) -> None:
+        """Guards against a simulated site that keeps what has ended."""
+        site = idlebuilders.Site(60)
+        for number in range(20):
+            gang = build_gang(5, rack_local=number % 2 == 0)
+            site.submit(f'gang-{number}', gang, run_s=1.0, queue='batch')
+        site.run_for(6.0)
+        self.assertEqual({}, site.board.jobs_by_id)
+        empty = [
+            worker.used == fleet.NO_RESOURCES
+            for worker in site.board.workers_by_id.values()
+        ]
+        self.assertTrue(all(empty))
+        self.assert_none_idle(site)
+
+
 if __name__ == '__main__':
     unittest.main()
