Tests: a worker reached just before a takeover runs its work only there

Guards for whatever shortens the wait for leases of earlier holders: a holder reaches a worker that was cut off, extends its lease, and is replaced right then (killed, handed over, cut off from the store, or all nodes killed); the worker is cut off again. Its run must go on alone until the lease has ended, and then start elsewhere.

--- a/primroselock/test/testtakeoverwaits.py
+++ b/primroselock/test/testtakeoverwaits.py
@@ -162,6 +162,53 @@
         self.check_wait(kill_holder, 13.0, 3)
 
 
+class UnreachedWorkerTest(unittest.TestCase):
+    """What still runs on a worker that cannot be reached runs only there.
+
+    Whatever shortens the wait for leases of earlier holders must pass.
+    """
+
+    def check_runs_once(self, replace: Replace) -> None:
+        """Let a holder reach a worker once, and replace it right then."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            step = fleetbuilders.build_step(1, 8, _LONG_MS)
+            world.submit(fleetbuilders.build_graph('j', step))
+            await wait_for_starts(world, 1, 3.0)
+            await asyncio.sleep(1.0)
+            worker = world.find_busy_worker()
+            worker.is_partitioned = True
+            await replace(world)
+            await asyncio.sleep(2.0)
+            leased_until = worker.lease_end
+            worker.is_partitioned = False
+            while worker.lease_end <= leased_until:
+                await asyncio.sleep(0.001)
+            worker.is_partitioned = True
+            await replace(world)
+            await asyncio.sleep(worker.lease_end - clock.monotonic())
+            self.assertEqual(1, world.fleet.starts)
+            await wait_for_starts(world, 2, 8.0)
+
+        run_scenario(scenario)
+
+    def test_a_worker_reached_just_before_a_kill(self) -> None:
+        """Guards against a successor that does not know of its last lease."""
+        self.check_runs_once(kill_holder)
+
+    def test_a_worker_reached_just_before_a_handover(self) -> None:
+        """Guards against a successor that does not know of its last lease."""
+        self.check_runs_once(hand_over)
+
+    def test_a_worker_reached_just_before_the_store_is_lost(self) -> None:
+        """Guards against a successor that does not know of its last lease."""
+        self.check_runs_once(cut_holder_off)
+
+    def test_a_worker_reached_just_before_all_are_killed(self) -> None:
+        """Guards against a successor that does not know of its last lease."""
+        self.check_runs_once(kill_all)
+
+
 class HolderThatCannotPlaceTest(unittest.TestCase):
     """A holder that renews its lease but cannot place yields to others.
 
