A series of takeovers waits for the leases of a lost worker once

Callers saw a job of which nothing ran, beside free capacity, for as long as takeovers followed one another. Cause: a holder leases runs at most until run_lease_s after the store last confirmed it, and each successor waited that long anew, from its own takeover, for every worker that it did not reach. The class of fault: a wait that each event of a series starts again.

Change: a successor counts from when it read the last row of the holder that it replaces, which no later confirmation can follow. The lease row names the workers to which the holder grants no leases, with what earlier ones have left; a holder grants and extends none of these until a row without the worker is confirmed, and none at all between its takeover and its first row after it. So each successor goes on with what is left. The lease is renewed at once when a bound is to be withdrawn. A row of an older build has no bounds and is read as before.

--- a/primroselock/decisions/eligibility.py
+++ b/primroselock/decisions/eligibility.py
@@ -20,6 +20,7 @@
     UNLISTED = 'no entry'
     NOT_POLLED = 'not polled by this holder'
     UNRESPONSIVE = 'calls to it fail'
+    LEASE_BOUNDED = 'bound of its leases not withdrawn yet'
     DRAINING = 'draining'
     ZONE_OUT_OF_SERVICE = 'zone out of service'
     QUARANTINED = 'quarantined'
@@ -35,6 +36,8 @@
         return Exclusion.NOT_POLLED
     if worker.failures_in_row:
         return Exclusion.UNRESPONSIVE
+    if board.published_bounds.covers(worker.id):
+        return Exclusion.LEASE_BOUNDED
     if worker.entry.is_draining:
         return Exclusion.DRAINING
     out_of_service = board.queue_configuration.zones_out_of_service
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -21,6 +21,7 @@
 
 from primroselock.decisions import evidence
 from primroselock.decisions import learnedtimes
+from primroselock.decisions import leasebounds
 from primroselock.decisions import phaseindex
 from primroselock.decisions import runprogress
 from primroselock.decisions import speeds
@@ -484,10 +485,11 @@
 class ShardBoard:
     """The blackboard of one shard.
 
-    Leases granted by an earlier holder end by ``inherited_until``, and
-    nothing is placed after ``permit_until``; both are on this process's
-    clock.  Nobody is blamed for being late before ``judge_from``, since this
-    process was late itself.  The leases of workers were last checked at
+    Leases granted by earlier holders end as ``inherited_leases`` says, and
+    nothing is placed after ``permit_until``, on this process's clock.  The
+    workers that ``published_bounds`` covers get no lease.  Nobody is blamed
+    for being late before ``judge_from``, since this process was late itself.
+    The leases of workers were last checked at
     ``expiry_checked_at``.  ``changed_ids`` names the jobs whose rows must
     be written, in the order of their first change, and ``ended_ms_by_id``
     those that ended, with the Unix time in milliseconds.
@@ -501,7 +503,10 @@
     """
 
     epoch: int = 0
-    inherited_until: float = 0.0
+    inherited_leases: leasebounds.InheritedLeases = (
+        leasebounds.InheritedLeases()
+    )
+    published_bounds: leasebounds.LeaseBounds = leasebounds.NO_BOUNDS
     permit_until: float = float('inf')
     queue_configuration: queues.QueueConfiguration = queues.EMPTY
     jobs_by_id: dict[str, LiveJob] = dataclasses.field(default_factory=dict)
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -14,6 +14,7 @@
 
 from primroselock.decisions import fleet
 from primroselock.decisions import graphs
+from primroselock.decisions import leasebounds
 from primroselock.decisions import runprogress
 from primroselock.workers import orders
 
@@ -25,8 +26,12 @@
 LEASE_MARGIN_S: typing.Final = 0.3
 """Added to the time by which a worker's leases have expired."""
 
-CLOCK_DRIFT: typing.Final = 0.025
-"""The fraction by which a worker's clock may run slow."""
+_SILENT_AFTER_S: typing.Final = 1.0
+"""A lease is published as bounded once calls have failed for this long."""
+
+_MAX_BOUNDS_BYTES: typing.Final = 32_768
+_BYTES_PER_BOUND: typing.Final = 12
+"""Length of a bound in a row, without the id of the worker."""
 
 _END_REASONS_BY_CAUSE: typing.Final = {
     orders.EndCause.FAILED: fleet.EndReason.FAILED,
@@ -74,7 +79,7 @@
     """
     delta_s = now - clock_s
     if worker.clock_delta_s is not None:
-        drift_s = max(0.0, now - worker.clock_at) * CLOCK_DRIFT
+        drift_s = max(0.0, now - worker.clock_at) * leasebounds.CLOCK_DRIFT
         delta_s = min(delta_s, worker.clock_delta_s + drift_s)
     worker.clock_delta_s = delta_s
     return clock_s + delta_s
@@ -408,9 +413,60 @@
     board: fleet.ShardBoard, worker: fleet.Worker, now: float
 ) -> bool:
     """Return whether every lease granted to the worker has expired."""
-    if now < board.inherited_until:
-        return False
-    return not worker.is_polled or now >= lease_expiry_bound(worker)
+    return now >= _all_leases_until(board, worker)
+
+
+def _all_leases_until(board: fleet.ShardBoard, worker: fleet.Worker) -> float:
+    """Return the time by which every lease of the worker has expired."""
+    inherited_until = board.inherited_leases.until(worker.id)
+    if not worker.is_polled:
+        return inherited_until
+    return max(inherited_until, lease_expiry_bound(worker))
+
+
+def bound_leases(
+    board: fleet.ShardBoard, now: float
+) -> leasebounds.LeaseBounds:
+    """Return the bounds to publish: no lease is extended on these workers.
+
+    They are the workers on which something may run and that do not answer.
+    The row has a limit, so that not all may find a place in it.
+    """
+    left_s_by_worker_id: dict[str, float] = {}
+    bytes_left = _MAX_BOUNDS_BYTES
+    for worker in board.workers_by_id.values():
+        if not worker.members or not _is_silent(worker, now):
+            continue
+        bytes_left -= len(worker.id) + _BYTES_PER_BOUND
+        if bytes_left < 0:
+            break
+        left_s_by_worker_id[worker.id] = leasebounds.seconds_left(
+            _all_leases_until(board, worker), now
+        )
+    return leasebounds.LeaseBounds(left_s_by_worker_id)
+
+
+def has_answering_worker(
+    board: fleet.ShardBoard, bounds: leasebounds.LeaseBounds
+) -> bool:
+    """Return whether published bounds keep back a worker that answers."""
+    if bounds.others_left_s is not None:
+        return True
+    for worker_id in bounds.left_s_by_worker_id:
+        worker = board.workers_by_id.get(worker_id)
+        if worker and worker.is_polled and not worker.failures_in_row:
+            return True
+    return False
+
+
+def _is_silent(worker: fleet.Worker, now: float) -> bool:
+    """Return whether a worker has not answered for a while, or not yet."""
+    if not worker.is_polled:
+        return True
+    return (
+        worker.failures_in_row > 0
+        and now - worker.unresponsive_since >= _SILENT_AFTER_S
+    )
 
 
 def lease_expiry_bound(worker: fleet.Worker) -> float:
@@ -421,7 +477,11 @@
     if worker.lease_end is None:
         return worker.clock_at
     left_s = max(0.0, worker.lease_end - worker.clock_s)
-    return worker.clock_at + left_s * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
+    return (
+        worker.clock_at
+        + left_s * (1 + leasebounds.CLOCK_DRIFT)
+        + LEASE_MARGIN_S
+    )
 
 
 def lease_until(worker: fleet.Worker, deadline: float) -> float:
@@ -431,7 +491,7 @@
     even if the worker's clock is slow.
     """
     left_s = max(0.0, deadline - worker.clock_at)
-    return worker.clock_s + left_s / (1 + CLOCK_DRIFT)
+    return worker.clock_s + left_s / (1 + leasebounds.CLOCK_DRIFT)
 
 
 def advance_saved_end(worker: fleet.Worker) -> None:
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -22,6 +22,7 @@
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetround
 from primroselock.decisions import graphs
+from primroselock.decisions import runs
 from primroselock import graphrows
 from primroselock import graphwriter
 from primroselock import jobgraph
@@ -78,7 +79,8 @@
 class Parts:
     """What a session uses: settings, lease, store, clients and counters.
 
-    ``wake`` starts a round.  ``configuration_confirmed_at`` returns when
+    ``wake`` starts a round, ``renewal_due`` renews the lease at once.
+    ``configuration_confirmed_at`` returns when
     the operators' rows were last known to be up to date, on this process's
     clock.
     """
@@ -91,6 +93,7 @@
     advice_client: advicerequests.AdviceClient
     counters: metrics.Metrics
     wake: asyncio.Event
+    renewal_due: asyncio.Event
     configuration_confirmed_at: abc.Callable[[], float]
 
 
@@ -152,7 +155,6 @@
         self._settings = parts.settings
         self._lease = parts.lease
         self._is_closing = False
-        self._lease.count_waiting = self._count_waiting
         self._loaded_job_ids = takeover.job_ids
         self._new_rows: list[table.Row] = []
         self._decided_at = clock.monotonic()
@@ -209,6 +211,12 @@
             queue = current.find_by_name(job.graph.queue)
             job.queue = queue or job.queue
 
+    def report(self, now: float) -> shards.HolderReport:
+        """Return what to write with a renewal or the release of the lease."""
+        return shards.HolderReport(
+            self._count_waiting(now), runs.bound_leases(self._board, now)
+        )
+
     async def run(self, renewing: asyncio.Task[None]) -> None:
         """Run the loops until the shard lease is lost.
 
@@ -237,7 +245,6 @@
                     )
                     self._lease.drop('a loop failed')
         finally:
-            self._lease.count_waiting = lambda now: None
             self._parts.counters.set_gauge('idle_waits', 0.0)
             self._advice_requester.cancel()
             self._pollers.cancel()
@@ -279,6 +286,11 @@
             return
         self._decided_at = now
         self._board.permit_until = self._permit_until()
+        self._board.published_bounds = self._lease.published_bounds
+        if runs.has_answering_worker(
+            self._board, self._board.published_bounds
+        ):
+            self._parts.renewal_due.set()
         started = clock.monotonic()
         fleetround.run(self._board, self._settings, now, clock.wall())
         self._parts.counters.record(
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -81,7 +81,9 @@
             self._spawn(self._stop(order))
             return
         now = clock.monotonic()
-        if not self._may_start(now):
+        if not all(
+            self._may_start_on(m.worker_id, now) for m in order.members
+        ):
             self._cancel_start(order, now)
             return
         for member in order.members:
@@ -89,6 +91,12 @@
             member.ordered_at = now
             self._spawn(self._start(member))
 
+    def _may_start_on(self, worker_id: str, now: float) -> bool:
+        """Return whether a start may be sent, which grants a lease."""
+        return self._may_start(
+            now
+        ) and not self._lease.published_bounds.covers(worker_id)
+
     def _spawn(self, work: abc.Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
@@ -120,7 +128,7 @@
             if attempt and member.group.phase is not fleet.Phase.STARTING:
                 return
             sent_at = clock.monotonic()
-            if not self._may_start(sent_at):
+            if not self._may_start_on(worker.id, sent_at):
                 break
             answer = await self._send_start(worker, member, sent_at)
             if self._record_answer(worker, member, answer, attempt, sent_at):
--- a/primroselock/scheduler.py
+++ b/primroselock/scheduler.py
@@ -113,7 +113,7 @@
 
     async def hand_over(self) -> None:
         """Release the shard, so that a standby need not await the expiry."""
-        await self.lease.release()
+        await self.lease.release(clock.monotonic())
 
     async def _follow_lease(self) -> None:
         interval_s = self.settings.scheduler.shard_renew_interval_s
--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -14,7 +14,7 @@
 from primroselock import advicerequests
 from primroselock import clock
 from primroselock.decisions import fleet
-from primroselock.decisions import runs
+from primroselock.decisions import leasebounds
 from primroselock import graphrows
 from primroselock import holdersession
 from primroselock import logs
@@ -32,8 +32,8 @@
 _MIN_STANDBY_WAIT_S: typing.Final = 0.1
 _MAX_STANDBY_WAIT_S: typing.Final = 0.5
 _TAKEOVER_RETRY_S: typing.Final = 0.2
-_CLOCK_MARGIN_S: typing.Final = 1.0
-"""Added to the time by which the leases of earlier holders have expired."""
+_MIN_RENEWAL_PAUSE_S: typing.Final = 0.02
+"""Pause after a successful renewal if the next one is wanted at once."""
 
 
 class ShardHolder:
@@ -62,7 +62,10 @@
                 store, shard_follower, settings.fleet.follow_age_s
             ),
             settings.fleet.shard,
+            publisher=self,
         )
+        self._inherited_leases = leasebounds.InheritedLeases()
+        self._renewal_due = asyncio.Event()
         self._wake = asyncio.Event()
         self._lease_wake = asyncio.Event()
         self._queues = queues.EMPTY
@@ -87,6 +90,30 @@
             self._session.use_queues(current)
         self._wake.set()
 
+    def report_takeover(
+        self, earlier: shards.EarlierHolder | None, now: float
+    ) -> shards.HolderReport:
+        """Return what to write with a takeover: no lease is granted yet."""
+        self._inherited_leases = leasebounds.InheritedLeases()
+        if earlier is not None:
+            row = earlier.row
+            self._inherited_leases = leasebounds.inherit(
+                row.lease_bounds if row else leasebounds.NO_BOUNDS,
+                earlier.observed_at,
+                self._settings.fleet.run_lease_s,
+            )
+        return shards.HolderReport(
+            lease_bounds=self._inherited_leases.bounds(now)
+        )
+
+    def report(self, now: float) -> shards.HolderReport:
+        """Return what to write with a renewal or the release of the lease."""
+        if self._session is not None:
+            return self._session.report(now)
+        return shards.HolderReport(
+            lease_bounds=self._inherited_leases.bounds(now)
+        )
+
     async def run(self) -> None:
         """Alternate between standby and holder until cancelled or stopped."""
         while not self._stopping:
@@ -101,7 +128,7 @@
         if self.lease.has_shard:
             if self._session is not None:
                 self._session.close()
-            await self.lease.release()
+            await self.lease.release(clock.monotonic())
 
     async def _run_standby(self) -> None:
         self._follower.pause_s = self._settings.fleet.standby_pause_s
@@ -146,14 +173,24 @@
             self._advice_client,
             self._metrics,
             self._wake,
+            self._renewal_due,
             lambda: self._configuration_confirmed_at(),
         )
 
     async def _renew(self) -> None:
         interval_s = self._settings.scheduler.shard_renew_interval_s
         while self.lease.has_shard:
+            self._renewal_due.clear()
+            valid_until = self.lease.valid_until
             await self.lease.step(clock.monotonic())
-            await asyncio.sleep(interval_s)
+            if self.lease.valid_until == valid_until:
+                # The store does not confirm it: do not press it.
+                await asyncio.sleep(interval_s)
+                continue
+            await asyncio.sleep(_MIN_RENEWAL_PAUSE_S)
+            await waits.wait_event(
+                self._renewal_due, interval_s - _MIN_RENEWAL_PAUSE_S
+            )
 
     async def _take_over(self) -> holdersession.Takeover | None:
         """Read the rows that earlier holders wrote and build a blackboard.
@@ -161,7 +198,6 @@
         Returns None if the lease was lost or the process stops before the
         store answered.
         """
-        held_since = clock.monotonic()
         while self.lease.has_shard and not self._stopping:
             sent_at = clock.monotonic()
             # One after another: they share the link of this VM.
@@ -176,9 +212,7 @@
                 jobs_by_id = self._read_jobs(
                     submissions.ok_value, progress.ok_value
                 )
-                board = self._build_board(
-                    jobs_by_id, entries.ok_value, held_since
-                )
+                board = self._build_board(jobs_by_id, entries.ok_value)
                 return holdersession.Takeover(
                     board, submissions.ok_value, set(jobs_by_id), sent_at
                 )
@@ -200,19 +234,12 @@
         self,
         jobs_by_id: abc.Mapping[str, graphrows.StoredJob],
         entries: table.Listing,
-        held_since: float,
     ) -> fleet.ShardBoard:
-        lease_s = self._settings.fleet.run_lease_s
         board = fleet.ShardBoard(
             epoch=self.lease.epoch,
-            inherited_until=held_since
-            + lease_s * (1 + runs.CLOCK_DRIFT)
-            + _CLOCK_MARGIN_S,
+            inherited_leases=self._inherited_leases,
             queue_configuration=self._queues,
         )
-        if self.lease.epoch == 1:
-            # There was no earlier holder.
-            board.inherited_until = held_since
         now = clock.monotonic()
         for row in entries.rows:
             entry = self._worker_rows.read_entry(row)
--- a/primroselock/shards.py
+++ b/primroselock/shards.py
@@ -15,9 +15,10 @@
 time as the holder.  A standby that cannot read the table restarts its count
 of the lease's duration, so that the old holder can renew first.  Slow VMs
 wait a little longer than others before they take over.
+
+What a holder publishes in the lease row comes from its :class:`Publisher`.
 """
 
-from collections import abc
 import dataclasses
 import typing
 
@@ -25,6 +26,7 @@
 import result
 import transitions
 
+from primroselock.decisions import leasebounds
 from primroselock import logs
 from primroselock import options
 from primroselock.store import keys
@@ -40,13 +42,15 @@
     ``holder`` is the id of the holder's VM.  ``renewal`` counts the renewals
     since the takeover, so that each renewal changes the row.
     ``waiting_by_queue`` is the number of the shard's jobs that have not
-    started, or None where the holder does not know it.
+    started, or None where the holder does not know it.  ``lease_bounds``
+    names the workers to which the holder grants no run leases.
     """
 
     holder: str
     renewal: int
     released: bool = False
     waiting_by_queue: dict[str, int] | None = None
+    lease_bounds: leasebounds.LeaseBounds = leasebounds.NO_BOUNDS
 
 
 def read_lease_row(row: table.Row) -> LeaseRow | None:
@@ -78,20 +82,71 @@
         return None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HolderReport:
+    """What a holder publishes with its lease; see :class:`LeaseRow`."""
+
+    waiting_by_queue: dict[str, int] | None = None
+    lease_bounds: leasebounds.LeaseBounds = leasebounds.NO_BOUNDS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EarlierHolder:
+    """The holder that a takeover replaces.
+
+    ``row`` is the last lease row that it wrote, None if the row is malformed;
+    this process had read it by ``observed_at``, on its monotonic clock.
+    """
+
+    row: LeaseRow | None
+    observed_at: float
+
+
+class Publisher(typing.Protocol):
+    """Says what to write to the lease row; each ``now`` is monotonic."""
+
+    def report_takeover(
+        self, earlier: EarlierHolder | None, now: float
+    ) -> HolderReport:
+        """Return what to write with a takeover, which may still fail.
+
+        ``earlier`` is None if the shard never had a holder.
+        """
+
+    def report(self, now: float) -> HolderReport:
+        """Return what to write with a renewal or the release."""
+
+
+class _EmptyPublisher:
+    """Publishes nothing but the lease."""
+
+    def report_takeover(
+        self, earlier: EarlierHolder | None, now: float
+    ) -> HolderReport:
+        return HolderReport()
+
+    def report(self, now: float) -> HolderReport:
+        return HolderReport()
+
+
 class ShardLease:
     """State machine of one process for the lease of one shard.
 
     States: ``standby``, ``holder``.  ``epoch`` and ``epoch_row_version``
     are valid in the state ``holder``.  ``valid_until`` and each ``now`` are
-    in seconds on this process's monotonic clock.  ``count_waiting`` returns
-    what a renewal publishes as ``LeaseRow.waiting_by_queue``.  A standby may
+    in seconds on this process's monotonic clock.  ``published_bounds`` cover
+    the workers that a lease row which may be stored covers.  A standby may
     acquire the lease from ``acquirable_at`` on, if its row does not change.
     """
 
     state: str
 
     def __init__(
-        self, settings: options.Settings, store: table.Table, shard: str
+        self,
+        settings: options.Settings,
+        store: table.Table,
+        shard: str,
+        publisher: Publisher | None = None,
     ) -> None:
         self.shard = shard
         self.epoch = 0
@@ -101,9 +156,8 @@
         self._holder_id = settings.process.vm_id
         self._store = store
         self._renewal = 0
-        self.count_waiting: abc.Callable[[float], dict[str, int] | None] = (
-            lambda now: None
-        )
+        self._publisher = publisher or _EmptyPublisher()
+        self.published_bounds = leasebounds.NO_BOUNDS
         # Version of the lease row as this standby observed it, and since
         # when; -1 while none was observed.
         self._observed_version = -1
@@ -152,20 +206,30 @@
         else:
             await self._try_acquire(now)
 
-    async def release(self) -> None:
+    async def release(self, now: float) -> None:
         """Release the lease, so that a standby can acquire it at once."""
         if self.state != 'holder':
             return
-        row = LeaseRow(self._holder_id, self._renewal, released=True)
+        bounds = self._publisher.report(now).lease_bounds
+        self.published_bounds = self.published_bounds.merge(bounds)
+        row = LeaseRow(
+            self._holder_id, self._renewal, released=True, lease_bounds=bounds
+        )
         await self._store.transact(self._lease_write(row))
         self.drop('released')
 
     async def _renew(self, now: float) -> None:
         self._renewal += 1
+        report = self._publisher.report(now)
+        # Until the outcome is known, either row may be the stored one.
+        self.published_bounds = self.published_bounds.merge(
+            report.lease_bounds
+        )
         row = LeaseRow(
             self._holder_id,
             self._renewal,
-            waiting_by_queue=self.count_waiting(now),
+            waiting_by_queue=report.waiting_by_queue,
+            lease_bounds=report.lease_bounds,
         )
         outcome = await table.transact_resolved(
             self._store, self._lease_write(row)
@@ -173,6 +237,7 @@
         if isinstance(outcome, result.Ok):
             self._lease_row_version = outcome.ok_value.version
             self.valid_until = now + self._settings.shard_lease_s
+            self.published_bounds = report.lease_bounds
         elif isinstance(outcome.err_value, table.Conflict):
             await self._check_still_held()
         elif _is_throttled(outcome.err_value) and now >= self.valid_until:
@@ -227,6 +292,10 @@
             epoch = old.epoch + 1
         lease_version = lease_row.version if lease_row else table.ABSENT
         epoch_version = epoch_row.version if epoch_row else table.ABSENT
+        report = self._publisher.report_takeover(
+            self._find_earlier(lease_row, epoch_row), now
+        )
+        self.published_bounds = report.lease_bounds
         self._renewal = 0
         transaction = table.Transaction(
             (
@@ -236,7 +305,14 @@
             (
                 table.Put(
                     lease_key,
-                    msgspec.json.encode(LeaseRow(self._holder_id, 0)),
+                    msgspec.json.encode(
+                        LeaseRow(
+                            self._holder_id,
+                            0,
+                            waiting_by_queue=report.waiting_by_queue,
+                            lease_bounds=report.lease_bounds,
+                        )
+                    ),
                 ),
                 table.Put(
                     epoch_key,
@@ -254,6 +330,14 @@
         _log.info('shard lease acquired', shard=self.shard, epoch=epoch)
         self.trigger('gain')
 
+    def _find_earlier(
+        self, lease_row: table.Row | None, epoch_row: table.Row | None
+    ) -> EarlierHolder | None:
+        if epoch_row is None:
+            return None
+        row = read_lease_row(lease_row) if lease_row else None
+        return EarlierHolder(row, self._observed_since)
+
     def _may_acquire(self, lease_row: table.Row | None, now: float) -> bool:
         version = lease_row.version if lease_row else table.ABSENT
         if version != self._observed_version:
--- a/primroselock/test/idletrace.py
+++ b/primroselock/test/idletrace.py
@@ -31,7 +31,7 @@
     now = violation.at
     lines = [
         f'holder {name} of epoch {board.epoch}; earlier leases end in '
-        f'{board.inherited_until - now:.1f} s, permit ends in '
+        f'{board.inherited_leases.others_until - now:.1f} s, permit ends in '
         f'{board.permit_until - now:.1f} s'
     ]
     job = board.jobs_by_id.get(violation.job_id)
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -24,7 +24,8 @@
 
 _log: typing.Final = logs.get('lookers')
 _SHORT_WAIT_S: typing.Final = 0.2
-"""Wait of a poll while the outcome of an order is unknown."""
+"""Wait of a poll while the outcome of an order is unknown, or while the next
+poll may extend the worker's lease and this one may not."""
 
 _UNSAVED_CHECK_INTERVAL_S: typing.Final = 0.02
 _MAX_UNSAVED_WAIT_S: typing.Final = 1.0
@@ -144,12 +145,18 @@
         # The lease of a worker that does not answer is not extended, so
         # that its end is known: the worker may apply an unanswered
         # extension later.
-        if worker.is_polled and worker.members and not worker.failures_in_row:
+        may_extend = not self._lease.published_bounds.covers(worker.id)
+        if (
+            may_extend
+            and worker.is_polled
+            and worker.members
+            and not worker.failures_in_row
+        ):
             deadline = runorders.lease_deadline(
                 self._settings, self._lease, sent_at
             )
             lease_until = runorders.extend_lease(worker, deadline)
-        wait_s = self._poll_wait_s(worker)
+        wait_s = self._poll_wait_s(worker, may_extend)
         timeout_s = self._settings.fleet.look_timeout_s
         answer = await self._run_client.poll_runs(
             worker.id,
@@ -187,10 +194,10 @@
         self._wake()
         return True
 
-    def _poll_wait_s(self, worker: fleet.Worker) -> float:
+    def _poll_wait_s(self, worker: fleet.Worker, may_extend: bool) -> float:
         if not worker.is_polled or worker.unsaved_ends:
             return 0.0
-        if any(
+        if not may_extend or any(
             member.state is not fleet.MemberState.PRESENT
             or member.group.phase is fleet.Phase.STOPPING
             for member in worker.members.values()
--- a/tools/largefleet.py
+++ b/tools/largefleet.py
@@ -17,6 +17,7 @@
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetround
 from primroselock.decisions import graphs
+from primroselock.decisions import leasebounds
 from primroselock.decisions import runs
 from primroselock import jobgraph
 from primroselock import options
@@ -48,7 +49,9 @@
     )
     # Leases never expire, since nothing renews them here.
     board = fleet.ShardBoard(
-        epoch=1, queue_configuration=table, inherited_until=float('inf')
+        epoch=1,
+        inherited_leases=leasebounds.InheritedLeases(float('inf')),
+        queue_configuration=table,
     )
     for number in range(workers):
         rack = f'r{number // 8}'
