Capacity is plenty only while every resource of usable workers is free

Cause: drop preferences and the pause after a preemption while capacity is plenty, and took for plenty that less than half of the accelerators or of the cores was in use, of all listed workers, also of a zone that is being drained.

Change: plenty is judged by the workers that may get starts, and by every resource; the log of idle waits keeps its measure (any resource).

--- a/primroselock/decisions/eligibility.py
+++ b/primroselock/decisions/eligibility.py
@@ -4,6 +4,7 @@
 waits never disagree.
 """
 
+from collections import abc
 import enum
 import typing
 
@@ -48,18 +49,41 @@
     return None
 
 
-def has_plenty(board: fleet.ShardBoard) -> bool:
-    """Return whether much of the listed workers' capacity is free."""
-    accelerators = used_accelerators = 0
-    cpu_millis = used_cpu_millis = 0
-    for worker in board.workers_by_id.values():
-        if not worker.is_listed:
-            continue
-        accelerators += worker.entry.capacity.accelerators
-        used_accelerators += worker.used.accelerators
-        cpu_millis += worker.entry.capacity.cpu_millis
-        used_cpu_millis += worker.used.cpu_millis
-    return (
-        used_accelerators < accelerators * _PLENTY_SHARE
-        or used_cpu_millis < cpu_millis * _PLENTY_SHARE
+def list_usable(board: fleet.ShardBoard, now: float) -> list[fleet.Worker]:
+    """Return the workers that may get starts."""
+    return [
+        worker
+        for worker in board.workers_by_id.values()
+        if find_exclusion(board, worker, now) is None
+    ]
+
+
+def has_plenty(workers: abc.Collection[fleet.Worker]) -> bool:
+    """Return whether much of every resource of ``workers`` is free.
+
+    One resource is often used up while another is hardly used: work then
+    waits for the first one.
+    """
+    shares = _used_shares(workers)
+    return bool(shares) and max(shares) < _PLENTY_SHARE
+
+
+def is_partly_idle(board: fleet.ShardBoard) -> bool:
+    """Return whether much of any resource of the listed workers is free."""
+    listed = [w for w in board.workers_by_id.values() if w.is_listed]
+    shares = _used_shares(listed)
+    return bool(shares) and min(shares) < _PLENTY_SHARE
+
+
+def _used_shares(workers: abc.Collection[fleet.Worker]) -> list[float]:
+    """Return the used share of each resource that the workers have."""
+    capacity = used = fleet.NO_RESOURCES
+    for worker in workers:
+        capacity = capacity.plus(worker.entry.capacity)
+        used = used.plus(worker.used)
+    amounts = (
+        (used.cpu_millis, capacity.cpu_millis),
+        (used.memory_mb, capacity.memory_mb),
+        (used.accelerators, capacity.accelerators),
     )
+    return [amount / total for amount, total in amounts if total]
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -92,7 +92,8 @@
         return
     guaranteed_ids = waiting.guaranteed_job_ids(board)
     sort_key = waiting.orders_by_name[settings.waiting_order]
-    has_plenty = eligibility.has_plenty(board)
+    usable = eligibility.list_usable(board, now)
+    has_plenty = eligibility.has_plenty(usable)
     steps = waiting.list_waiting(
         board, guaranteed_ids, sort_key, now, wall_s, has_plenty
     )
@@ -102,7 +103,7 @@
         board,
         settings,
         has_plenty,
-        _build_free_capacity(board, settings, now),
+        _build_free_capacity(board, settings, usable),
         fleetpreemption.VictimIndex(now),
         claimindex.ClaimIndex(board.claims_by_group),
         guaranteed_ids,
@@ -118,20 +119,17 @@
 
 
 def _build_free_capacity(
-    board: fleet.ShardBoard, settings: options.FleetSettings, now: float
+    board: fleet.ShardBoard,
+    settings: options.FleetSettings,
+    usable: abc.Iterable[fleet.Worker],
 ) -> fitting.FreeCapacity:
-    """Return the free capacity of the workers that may get starts."""
+    """Return the free capacity of ``usable`` workers that are verified."""
     unverified_ids = {
         worker.id for worker in reachability.list_unverified(board)
     }
     return fitting.FreeCapacity(
         board,
-        [
-            worker
-            for worker in board.workers_by_id.values()
-            if eligibility.find_exclusion(board, worker, now) is None
-            and worker.id not in unverified_ids
-        ],
+        [worker for worker in usable if worker.id not in unverified_ids],
         fitting.scores_by_name[settings.placement],
     )
 
--- a/primroselock/decisions/waitreport.py
+++ b/primroselock/decisions/waitreport.py
@@ -38,7 +38,7 @@
         return
     board.waits_reported_at = now
     board.idle_waits = 0
-    if not eligibility.has_plenty(board):
+    if not eligibility.is_partly_idle(board):
         return
     for job in board.jobs_by_id.values():
         group = _find_held_group(job, now)
