Orders to workers wait for their turn, so that a slow holder gets through

A slow process answers none of them within 0.4 s; all time out, the connections are closed, and every order is sent again, stops every 0.5 s for each run, also to workers that do not answer polls either. What is being stopped keeps its capacity, so that nothing else starts. The class of fault: an overload that keeps itself up by retries (metastable), and a process that takes its own slowness for that of others.

Change: orders wait for their turn, 32 in total and two to a worker; the time-out counts from then on, an order that hangs leaves its place, and one that is out of date is dropped. A member counts as ordered only when its start is sent. A worker that does not answer gets no stops: its report tells more once it does. An unanswered stop counts against the worker only if it has answered nothing since and this process was not late. New: gauge orders_waiting, counter late_orders.

--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -192,9 +192,10 @@
     for group in list(board.phases.starting):
         is_unanswered = any(
             member.state is fleet.MemberState.ORDERED
+            and now - member.ordered_at >= limit_s
             for member in group.members
         )
-        if is_unanswered and now - group.since >= limit_s:
+        if is_unanswered:
             runs.end_group(board, group, fleet.EndReason.LOST, now)
 
 
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -340,10 +340,17 @@
 
 
 def order_stops(board: fleet.ShardBoard, now: float) -> None:
-    """Order the stops of members, and repeat them while unanswered."""
+    """Order the stops of members, and repeat them while unanswered.
+
+    A worker that does not answer gets none: what it runs is known, and
+    stopped where necessary, once it answers a poll.
+    """
     # The remaining members of a gang that is done end on their own.
     for group in board.phases.stopping:
         for member in group.remaining_members():
+            worker = board.workers_by_id.get(member.worker_id)
+            if worker is not None and worker.failures_in_row:
+                continue
             if _needs_stop(member, now):
                 member.stop_sent_at = now
                 board.orders.append(
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -245,7 +245,8 @@
                     )
                     self._lease.drop('a loop failed')
         finally:
-            self._parts.counters.set_gauge('idle_waits', 0.0)
+            for gauge in ('idle_waits', 'orders_waiting'):
+                self._parts.counters.set_gauge(gauge, 0.0)
             self._advice_requester.cancel()
             self._pollers.cancel()
             self._orders.cancel()
@@ -300,6 +301,9 @@
             'idle_waits', float(self._board.idle_waits)
         )
         self._send_orders()
+        self._parts.counters.set_gauge(
+            'orders_waiting', float(self._orders.waiting_count)
+        )
         self._writer.wake()
         self._advice_requester.ensure_running()
         self._pollers.ensure_running()
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -3,6 +3,10 @@
 A start order without an answer is sent again; it is idempotent, since the
 worker recognizes the run.  A run whose start order stays unanswered keeps
 its resources reserved and is stopped by a later decision.
+
+Orders wait for their turn, see ``orderslots``, and are dropped if what they
+are for has changed until then.  A worker that has answered nothing since an
+order was sent to it counts as not answering, unless this process was late.
 """
 
 import asyncio
@@ -18,12 +22,15 @@
 from primroselock import logs
 from primroselock import metrics
 from primroselock import options
+from primroselock import orderslots
 from primroselock import shards
 from primroselock.workers import orders
 
 _log: typing.Final = logs.get('runorders')
 _MAX_START_ATTEMPTS: typing.Final = 3
 _RETRY_PAUSE_S: typing.Final = 0.05
+_LATE_S: typing.Final = 0.3
+"""A timeout that is noticed this late shows that the process was late."""
 
 
 def lease_deadline(
@@ -68,8 +75,15 @@
         self._wake = wake
         self._may_start = may_start
         self._metrics = counters
+        self._slots = orderslots.OrderSlots()
+        self._stopping_runs: set[orders.Run] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def waiting_count(self) -> int:
+        """The number of orders that wait for their turn."""
+        return self._slots.waiting_count
+
     def cancel(self) -> None:
         """Cancel all orders that are under way."""
         for task in self._tasks:
@@ -78,17 +92,17 @@
     def send(self, order: fleet.Order) -> None:
         """Send one order; a start order needs a valid start permit."""
         if isinstance(order, fleet.StopOrder):
-            self._spawn(self._stop(order))
+            if order.run not in self._stopping_runs:
+                self._stopping_runs.add(order.run)
+                self._spawn(self._stop(order))
             return
         now = clock.monotonic()
         if not all(
             self._may_start_on(m.worker_id, now) for m in order.members
         ):
-            self._cancel_start(order, now)
+            self._cancel_start(order.members[0].group, now)
             return
         for member in order.members:
-            member.state = fleet.MemberState.ORDERED
-            member.ordered_at = now
             self._spawn(self._start(member))
 
     def _may_start_on(self, worker_id: str, now: float) -> bool:
@@ -102,9 +116,8 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _cancel_start(self, order: fleet.StartOrder, now: float) -> None:
+    def _cancel_start(self, group: fleet.Group, now: float) -> None:
         """End an attempt whose start is no longer permitted."""
-        group = order.members[0].group
         self._board.record_decision(
             'attempt ended: its start is no longer permitted',
             group.job,
@@ -123,14 +136,13 @@
         if worker is None:
             return
         for attempt in range(_MAX_START_ATTEMPTS):
-            if member.state is not fleet.MemberState.ORDERED:
-                return
-            if attempt and member.group.phase is not fleet.Phase.STARTING:
-                return
-            sent_at = clock.monotonic()
-            if not self._may_start_on(worker.id, sent_at):
-                break
-            answer = await self._send_start(worker, member, sent_at)
+            async with self._slots.hold(worker.id):
+                sent_at = clock.monotonic()
+                if not self._is_start_due(worker, member, sent_at):
+                    return
+                if not self._may_start_on(worker.id, sent_at):
+                    break
+                answer = await self._send_start(worker, member, sent_at)
             if self._record_answer(worker, member, answer, attempt, sent_at):
                 return
             await asyncio.sleep(_RETRY_PAUSE_S * (attempt + 1))
@@ -143,6 +155,30 @@
         worker.record_failed_call(clock.monotonic())
         self._wake()
 
+    def _is_start_due(
+        self, worker: fleet.Worker, member: fleet.Member, now: float
+    ) -> bool:
+        """Return whether a start whose turn has come is to be sent.
+
+        The first time, it ends the attempt if its start is not permitted
+        any more or its worker has stopped answering since it was placed.
+        """
+        group = member.group
+        if member.state is fleet.MemberState.ORDERED:
+            return group.phase is fleet.Phase.STARTING
+        if member.state is not fleet.MemberState.PLACED:
+            return False
+        if not self._may_start_on(worker.id, now):
+            self._cancel_start(group, now)
+            return False
+        if worker.failures_in_row:
+            silent = orders.NotSent('it has stopped answering')
+            self._record_refusal(worker, member, silent, now)
+            return False
+        member.state = fleet.MemberState.ORDERED
+        member.ordered_at = now
+        return True
+
     async def _send_start(
         self, worker: fleet.Worker, member: fleet.Member, sent_at: float
     ) -> result.Result[orders.Accepted, orders.OrderError]:
@@ -235,28 +271,43 @@
         self._settle(group)
 
     async def _stop(self, order: fleet.StopOrder) -> None:
-        worker = self._board.workers_by_id.get(order.worker_id)
-        if worker is None or not worker.entry.address:
-            return
+        try:
+            worker = self._board.workers_by_id.get(order.worker_id)
+            if worker is None or not worker.entry.address:
+                return
+            async with self._slots.hold(worker.id):
+                if _is_stop_due(order, worker):
+                    await self._send_stop(worker, order)
+        finally:
+            self._stopping_runs.discard(order.run)
+
+    async def _send_stop(
+        self, worker: fleet.Worker, order: fleet.StopOrder
+    ) -> None:
+        timeout_s = self._settings.fleet.order_timeout_s
+        sent_at = clock.monotonic()
         answer = await self._run_client.stop(
             worker.id,
             worker.entry.address,
             order.run,
             self._board.epoch,
-            self._settings.fleet.order_timeout_s,
+            timeout_s,
         )
+        now = clock.monotonic()
         if isinstance(answer, result.Ok):
             if order.member is not None:
-                order.member.stopped_at = clock.monotonic()
+                order.member.stopped_at = now
             self._wake()
             return
         error = answer.err_value
-        if (
-            isinstance(error, orders.Refused)
-            and error.why is orders.Refusal.STALE_EPOCH
-        ):
-            self._lease.drop('a worker has seen a newer epoch')
-            return
+        if isinstance(error, orders.Refused):
+            if error.why is orders.Refusal.STALE_EPOCH:
+                self._lease.drop('a worker has seen a newer epoch')
+                return
+        elif now - sent_at - timeout_s > _LATE_S:
+            self._metrics.count('late_orders')
+        elif worker.last_answer_at < sent_at:
+            worker.record_failed_call(now)
         _log.warning(
             'stop order not confirmed',
             request=order.run.task.job_id,
@@ -264,3 +315,15 @@
             worker=worker.id,
             why=str(error),
         )
+
+
+def _is_stop_due(order: fleet.StopOrder, worker: fleet.Worker) -> bool:
+    """Return whether a stop whose turn has come is still of use.
+
+    A worker that does not answer gets it once it answers polls again.
+    """
+    member = order.member
+    is_over = (
+        member is not None and member.state is fleet.MemberState.TERMINATED
+    )
+    return not is_over and not worker.failures_in_row
--- /dev/null
+++ b/primroselock/test/testorderload.py
@@ -0,0 +1,194 @@
+"""A holder whose processor is slow, and orders to many workers at once.
+
+The pattern: a slow VM becomes the holder of a busy shard, and hundreds of
+runs are to be stopped or started at the same moment.
+"""
+
+import asyncio
+from collections import abc
+import contextlib
+import typing
+import unittest
+from unittest import mock
+
+import result
+
+from primroselock import clock
+from primroselock import orderslots
+from primroselock.test import fleetbuilders
+from primroselock.test import virtualtime
+from primroselock.workers import orders
+
+_CALL_COST_S: typing.Final = 0.003
+_WORKERS: typing.Final = 50
+_TASKS_PER_WORKER: typing.Final = 8
+_TASKS: typing.Final = _WORKERS * _TASKS_PER_WORKER
+_ALL_ORDERS_S: typing.Final = _TASKS * _CALL_COST_S
+
+
+class SlowProcessor:
+    """Serves the calls of one process one after another.
+
+    A call that has not had its turn when it times out is not answered, but
+    takes up the processor all the same.
+    """
+
+    def __init__(self, cost_s: float) -> None:
+        self._cost_s = cost_s
+        self._free_at = 0.0
+        self.timeouts = 0
+
+    async def serve(self, timeout_s: float) -> bool:
+        """Wait for the processor; return whether that was in time."""
+        now = clock.monotonic()
+        self._free_at = max(self._free_at, now) + self._cost_s
+        if self._free_at - now <= timeout_s:
+            await asyncio.sleep(self._free_at - now)
+            return True
+        self.timeouts += 1
+        await asyncio.sleep(timeout_s)
+        return False
+
+
+@contextlib.contextmanager
+def slow_calls(
+    world: fleetbuilders.World, cost_s: float
+) -> abc.Iterator[SlowProcessor]:
+    """Let each call to a worker cost the one holder processor time."""
+    processor = SlowProcessor(cost_s)
+
+    def slow_down(name: str) -> typing.Any:
+        call = getattr(world.fleet, name)
+
+        async def call_slowly(*arguments: typing.Any) -> typing.Any:
+            if await processor.serve(arguments[-1]):
+                return await call(*arguments)
+            return result.Err(orders.Unanswered('no answer'))
+
+        return mock.patch.object(world.fleet, name, call_slowly)
+
+    with slow_down('start'), slow_down('stop'), slow_down('poll_runs'):
+        yield processor
+
+
+def run_scenario(
+    scenario: abc.Callable[[fleetbuilders.World], abc.Awaitable[None]],
+) -> None:
+    """Run a scenario with one node; fail if a violation was recorded."""
+
+    async def run_all(virtual: virtualtime.VirtualClock) -> None:
+        world = fleetbuilders.World(0, _WORKERS)
+        world.add_node('entry-1')
+        await asyncio.sleep(1.0)
+        await scenario(world)
+        await world.close()
+        if world.fleet.violations:
+            raise AssertionError(world.fleet.violations[:3])
+
+    virtualtime.run(run_all)
+
+
+class SlowHolderTest(unittest.TestCase):
+    """Orders of a slow holder take longer, and all of them succeed."""
+
+    def test_stops_and_starts_of_all_workers_do_not_time_out(self) -> None:
+        """Guards against orders that all time out and are sent again.
+
+        A job on all workers is cancelled, and another one takes its place.
+        """
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            step = fleetbuilders.build_step(_TASKS, 1, 60_000)
+            with slow_calls(world, _CALL_COST_S) as processor:
+                world.submit(fleetbuilders.build_graph('old', step))
+                await self.wait_for_starts(world, _TASKS)
+                world.cancel('old')
+                world.submit(fleetbuilders.build_graph('new', step))
+                await self.wait_for_starts(world, 2 * _TASKS)
+            self.assertEqual(0, processor.timeouts)
+
+        run_scenario(scenario)
+
+    async def wait_for_starts(
+        self, world: fleetbuilders.World, starts: int
+    ) -> None:
+        """Wait for starts, several times as long as the orders take."""
+        until = clock.monotonic() + 5 * _ALL_ORDERS_S
+        while world.fleet.starts < starts:
+            self.assertLess(clock.monotonic(), until, world.fleet.starts)
+            await asyncio.sleep(0.05)
+
+    def test_a_silent_worker_gets_no_stop_for_each_of_its_runs(self) -> None:
+        """Guards against hundreds of stops that nobody answers."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            step = fleetbuilders.build_step(_TASKS, 1, 60_000)
+            world.submit(fleetbuilders.build_graph('old', step))
+            await self.wait_for_starts(world, _TASKS)
+            for worker in world.fleet.workers_by_id.values():
+                worker.is_partitioned = True
+            world.cancel('old')
+            with mock.patch.object(
+                world.fleet, 'stop', wraps=world.fleet.stop
+            ) as stop:
+                await asyncio.sleep(4.0)
+                self.assertLess(stop.call_count, _TASKS / 2)
+                for worker in world.fleet.workers_by_id.values():
+                    worker.is_partitioned = False
+                await world.wait_for('old', 'cancelled', 4.0)
+
+        run_scenario(scenario)
+
+
+class OrderSlotsTest(unittest.TestCase):
+    """Who waits for whom."""
+
+    def test_workers_that_hang_do_not_hold_up_the_others(self) -> None:
+        """Guards against orders that wait for those to a zone cut off."""
+
+        async def scenario(virtual: virtualtime.VirtualClock) -> None:
+            slots = orderslots.OrderSlots()
+
+            async def hang(number: int) -> None:
+                async with slots.hold(f'hanging-{number}'):
+                    await asyncio.sleep(10.0)
+
+            hanging = [asyncio.create_task(hang(n)) for n in range(60)]
+            await asyncio.sleep(0.0)
+            self.assertGreater(slots.waiting_count, 0)
+            began = virtual.now
+            async with slots.hold('answering'):
+                self.assertLess(virtual.now - began, 0.5)
+            self.assertEqual(0, slots.waiting_count)
+            for task in hanging:
+                task.cancel()
+            await asyncio.gather(*hanging, return_exceptions=True)
+
+        virtualtime.run(scenario)
+
+    def test_a_cancelled_order_leaves_its_place(self) -> None:
+        """Guards against places that are lost one by one."""
+
+        async def scenario(virtual: virtualtime.VirtualClock) -> None:
+            slots = orderslots.OrderSlots()
+
+            async def wait_in_place() -> None:
+                async with slots.hold('w'):
+                    await asyncio.sleep(10.0)
+
+            for _ in range(40):
+                tasks = [asyncio.create_task(wait_in_place()) for _ in 'abc']
+                await asyncio.sleep(0.0)
+                for task in tasks:
+                    task.cancel()
+                await asyncio.gather(*tasks, return_exceptions=True)
+            self.assertEqual(0, slots.waiting_count)
+            async with asyncio.timeout(0.1):
+                async with slots.hold('w'):
+                    pass
+
+        virtualtime.run(scenario)
+
+
+if __name__ == '__main__':
+    unittest.main()
