A holder that cannot place offers the shard to nodes that can

What callers saw: accepted jobs with nothing running beside free capacity, for as long as one node's reads failed, while other nodes lacked nothing.

Cause: the lease of the shard is renewed for as long as writes succeed. A holder whose operators' rows are old may start nothing, one whose feed of submitted jobs gets no answer knows of nothing to start, and one whose listings fail never ends its takeover; each kept the lease.

Change: decisions/placeability.py judges the holder's reads at each renewal. Once it could not place for more than 1 s, its renewals carry is_offered: it stays the holder, polls workers and extends their leases, but starts nothing until a renewal without an offer is confirmed. A standby whose copies of the operators' rows and of the lease have been fresh for 2 s takes an offered lease at once (after takeover_delay_s, counted from the first offer that it saw); others leave it until it expires. The takeover stops at the first listing that fails, and counts failed listings, not the time of slow ones.

Why this works: a takeover of an offered lease is that of a released one. The epoch fences the old holder, and run leases reach at most run_lease_s past its last confirmed renewal. Without a valid lease nothing is held against the reads, and what recovers for all nodes at once moves nothing (2 s), so that an outage of the store causes no handover. A node that offered for failed listings or a silent feed takes no offer for 10 s.

--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -48,6 +48,7 @@
 _MAX_COUNT_AGE_S: typing.Final = 1.0
 """A count of waiting jobs is not published if the last round is older."""
 
+_NEVER: typing.Final = float('-inf')
 _MIN_PAUSE_S: typing.Final = 0.001
 _MAX_PAUSE_S: typing.Final = 0.5
 _LATE_S: typing.Final = 0.3
@@ -202,6 +203,16 @@
         """Send no more starts: the shard is about to be released."""
         self._is_closing = True
 
+    @property
+    def submissions_lost_at(self) -> float | None:
+        """When the copy of the submitted jobs was last up to date.
+
+        None while their feed answers.
+        """
+        if self._submission_follower.is_reachable:
+            return None
+        return self._submission_follower.confirmed_at
+
     def use_queues(self, current: queues.QueueConfiguration) -> None:
         """Use this version of the queues for all later decisions."""
         self._board.queue_configuration = current
@@ -395,8 +406,11 @@
     def _permit_until(self) -> float:
         """Return until when the lease and the queues' age permit starts.
 
-        The time is on this process's monotonic clock.
+        The time is on this process's monotonic clock.  Nothing starts under
+        a lease that others may take over at any time.
         """
+        if self._lease.is_offered:
+            return _NEVER
         confirmed_at = self._parts.configuration_confirmed_at()
         return min(
             self._lease.valid_until,
--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -2,7 +2,8 @@
 
 Every node is a standby.  The one that acquires the lease writes the new
 epoch, reads all rows after that, and runs a session as the holder, which
-polls every worker under the new epoch and decides in rounds.
+polls every worker under the new epoch and decides in rounds.  A holder
+that cannot place offers the lease to standbys that can.
 """
 
 import asyncio
@@ -14,6 +15,7 @@
 from primroselock import advicerequests
 from primroselock import clock
 from primroselock.decisions import fleet
+from primroselock.decisions import placeability
 from primroselock.decisions import runs
 from primroselock import graphrows
 from primroselock import holdersession
@@ -68,6 +70,9 @@
         self._queues = queues.EMPTY
         self._configuration_confirmed_at: abc.Callable[[], float] = lambda: 0.0
         self._session: holdersession.HolderSession | None = None
+        self._failed_listings = 0
+        self._obstacle: placeability.Obstacle | None = None
+        self._reads_failed_at = float('-inf')
         self._stopping = False
         shard_follower.add_handler(self._apply_changes)
 
@@ -105,9 +110,21 @@
 
     async def _run_standby(self) -> None:
         self._follower.pause_s = self._settings.fleet.standby_pause_s
+        able_since = None
         while not self._stopping and not self.lease.has_shard:
             if self._follower.loaded.is_set():
-                await self.lease.step(clock.monotonic())
+                now = clock.monotonic()
+                able_since = placeability.find_able_since(
+                    able_since,
+                    self._configuration_confirmed_at(),
+                    self._follower.confirmed_at,
+                    self._settings.fleet,
+                    now,
+                )
+                self.lease.takes_offers = placeability.may_take_offer(
+                    able_since, self._reads_failed_at, now
+                )
+                await self.lease.step(now)
             if self.lease.has_shard:
                 return
             left_s = self.lease.acquirable_at - clock.monotonic()
@@ -135,6 +152,8 @@
             self._session = None
             # Nobody decides any more: the lease must run out.
             await waits.cancel_tasks([renewing])
+            self._obstacle = None
+            self._failed_listings = 0
 
     def _build_parts(self) -> holdersession.Parts:
         return holdersession.Parts(
@@ -152,9 +171,56 @@
     async def _renew(self) -> None:
         interval_s = self._settings.scheduler.shard_renew_interval_s
         while self.lease.has_shard:
-            await self.lease.step(clock.monotonic())
+            now = clock.monotonic()
+            self._judge_reads(now)
+            await self.lease.step(now)
             await asyncio.sleep(interval_s)
 
+    def _judge_reads(self, now: float) -> None:
+        """Let the next renewal offer the lease if this node cannot place."""
+        reads = placeability.Reads(
+            self._configuration_confirmed_at(),
+            self._session.submissions_lost_at if self._session else None,
+            self._failed_listings,
+        )
+        obstacle = placeability.find_obstacle(
+            self._obstacle,
+            reads,
+            self.lease.valid_until,
+            self._settings.fleet,
+            now,
+        )
+        offers = placeability.should_offer(obstacle, now)
+        if offers != self.lease.offers:
+            self._log_offer(offers, obstacle or self._obstacle, reads, now)
+        if offers and obstacle and obstacle.is_known_to_holders_only:
+            self._reads_failed_at = now
+        self._obstacle = obstacle
+        self.lease.offers = offers
+
+    def _log_offer(
+        self,
+        begins: bool,
+        obstacle: placeability.Obstacle | None,
+        reads: placeability.Reads,
+        now: float,
+    ) -> None:
+        lost_at = reads.submissions_lost_at
+        values = {
+            'epoch': self.lease.epoch,
+            'why': obstacle.reason.value if obstacle else '',
+            'since_s': round(now - obstacle.since, 3) if obstacle else 0.0,
+            'operators_age_s': round(now - reads.operators_confirmed_at, 3),
+            'submissions_age_s': (
+                round(now - lost_at, 3) if lost_at is not None else 0.0
+            ),
+            'failed_listings': reads.failed_listings,
+        }
+        if begins:
+            _log.warning('shard lease offered: cannot place here', **values)
+        else:
+            _log.info('shard lease no longer offered', **values)
+
     async def _take_over(self) -> holdersession.Takeover | None:
         """Read the rows that earlier holders wrote and build a blackboard.
 
@@ -164,30 +230,41 @@
         held_since = clock.monotonic()
         while self.lease.has_shard and not self._stopping:
             sent_at = clock.monotonic()
-            # One after another: they share the link of this VM.
-            submissions = await self._store.list_rows(keys.SUBMISSIONS)
-            progress = await self._store.list_rows(keys.PROGRESS)
-            entries = await self._store.list_rows(self._worker_rows.name)
-            if (
-                isinstance(submissions, result.Ok)
-                and isinstance(progress, result.Ok)
-                and isinstance(entries, result.Ok)
-            ):
-                jobs_by_id = self._read_jobs(
-                    submissions.ok_value, progress.ok_value
-                )
-                board = self._build_board(
-                    jobs_by_id, entries.ok_value, held_since
-                )
+            listings = await self._list_tables()
+            if listings is not None:
+                self._failed_listings = 0
+                submissions, progress, entries = listings
+                jobs_by_id = self._read_jobs(submissions, progress)
+                board = self._build_board(jobs_by_id, entries, held_since)
                 return holdersession.Takeover(
-                    board, submissions.ok_value, set(jobs_by_id), sent_at
+                    board, submissions, set(jobs_by_id), sent_at
                 )
+            self._failed_listings += 1
             _log.warning(
                 'shard takeover delayed: store not available; retrying'
             )
             await asyncio.sleep(_TAKEOVER_RETRY_S)
         return None
 
+    async def _list_tables(
+        self,
+    ) -> tuple[table.Listing, table.Listing, table.Listing] | None:
+        """Return the submissions, the progress and the workers' entries.
+
+        Returns None at the first listing that fails.
+        """
+        # One after another: they share the link of this VM.
+        submissions = await self._store.list_rows(keys.SUBMISSIONS)
+        if isinstance(submissions, result.Err):
+            return None
+        progress = await self._store.list_rows(keys.PROGRESS)
+        if isinstance(progress, result.Err):
+            return None
+        entries = await self._store.list_rows(self._worker_rows.name)
+        if isinstance(entries, result.Err):
+            return None
+        return submissions.ok_value, progress.ok_value, entries.ok_value
+
     def _read_jobs(
         self, submissions: table.Listing, progress: table.Listing
     ) -> dict[str, graphrows.StoredJob]:
--- a/primroselock/shards.py
+++ b/primroselock/shards.py
@@ -15,6 +15,9 @@
 time as the holder.  A standby that cannot read the table restarts its count
 of the lease's duration, so that the old holder can renew first.  Slow VMs
 wait a little longer than others before they take over.
+
+A holder that cannot place offers its lease by its renewals: it stays the
+holder, but a standby that can place need not wait until the lease expires.
 """
 
 from collections import abc
@@ -38,7 +41,8 @@
     """Content of a lease row; ``released`` allows takeover at once.
 
     ``holder`` is the id of the holder's VM.  ``renewal`` counts the renewals
-    since the takeover, so that each renewal changes the row.
+    since the takeover, so that each renewal changes the row.  With
+    ``is_offered`` a standby that can place may take over at once.
     ``waiting_by_queue`` is the number of the shard's jobs that have not
     started, or None where the holder does not know it.
     """
@@ -47,6 +51,7 @@
     renewal: int
     released: bool = False
     waiting_by_queue: dict[str, int] | None = None
+    is_offered: bool = False
 
 
 def read_lease_row(row: table.Row) -> LeaseRow | None:
@@ -86,6 +91,10 @@
     in seconds on this process's monotonic clock.  ``count_waiting`` returns
     what a renewal publishes as ``LeaseRow.waiting_by_queue``.  A standby may
     acquire the lease from ``acquirable_at`` on, if its row does not change.
+
+    With ``offers`` each renewal offers the lease; ``is_offered`` remains set
+    until a renewal without an offer is confirmed.  A standby acquires an
+    offered lease if ``takes_offers`` is set.
     """
 
     state: str
@@ -104,10 +113,14 @@
         self.count_waiting: abc.Callable[[float], dict[str, int] | None] = (
             lambda now: None
         )
+        self.offers = False
+        self.is_offered = False
+        self.takes_offers = False
         # Version of the lease row as this standby observed it, and since
         # when; -1 while none was observed.
         self._observed_version = -1
         self._observed_since = 0.0
+        self._offered_since: float | None = None
         self.acquirable_at = 0.0
         self._lease_row_version = table.ABSENT
         self._machine = transitions.Machine(
@@ -139,10 +152,15 @@
         if self.state != 'holder':
             return
         _log.warning(
-            'no longer lease holder of the shard', shard=self.shard, why=why
+            'no longer lease holder of the shard',
+            shard=self.shard,
+            why=why,
+            was_offered=self.is_offered,
         )
         self.valid_until = 0.0
         self._observed_version = -1
+        self._offered_since = None
+        self.offers = self.is_offered = False
         self.trigger('lose')
 
     async def step(self, now: float) -> None:
@@ -166,13 +184,17 @@
             self._holder_id,
             self._renewal,
             waiting_by_queue=self.count_waiting(now),
+            is_offered=self.offers,
         )
+        # A renewal without a reply may have been applied.
+        self.is_offered |= row.is_offered
         outcome = await table.transact_resolved(
             self._store, self._lease_write(row)
         )
         if isinstance(outcome, result.Ok):
             self._lease_row_version = outcome.ok_value.version
             self.valid_until = now + self._settings.shard_lease_s
+            self.is_offered = row.is_offered
         elif isinstance(outcome.err_value, table.Conflict):
             await self._check_still_held()
         elif _is_throttled(outcome.err_value) and now >= self.valid_until:
@@ -213,6 +235,7 @@
         read = await self._store.read([lease_key, epoch_key])
         if isinstance(read, result.Err):
             self._observed_version = -1
+            self._offered_since = None
             return
         lease_row = read.ok_value.get(lease_key)
         epoch_row = read.ok_value.get(epoch_key)
@@ -261,15 +284,30 @@
             self._observed_since = now
         lease = read_lease_row(lease_row) if lease_row else None
         delay_s = self._settings.takeover_delay_s
-        if lease_row is not None and not (lease and lease.released):
+        free_since = self._observed_since
+        offered_since = self._find_offered_since(lease, now)
+        if offered_since is not None and self.takes_offers:
+            # Each renewal of an offer changes the row.
+            free_since = offered_since
+        elif lease_row is not None and not (lease and lease.released):
             delay_s += self._settings.shard_lease_s
-        self.acquirable_at = self._observed_since + delay_s
+        self.acquirable_at = free_since + delay_s
         if lease is not None and lease.holder == self._holder_id:
             # The row was written by an earlier process of this VM, which
             # has ended.
             return True
         return now >= self.acquirable_at
 
+    def _find_offered_since(
+        self, lease: LeaseRow | None, now: float
+    ) -> float | None:
+        """Return since when each observed row was an offer, or None."""
+        if lease is None or not lease.is_offered:
+            self._offered_since = None
+        elif self._offered_since is None:
+            self._offered_since = now
+        return self._offered_since
+
     if typing.TYPE_CHECKING:
 
         def trigger(self, name: str) -> bool:
