--- a/primroselock/shards.py
+++ b/primroselock/shards.py
@@ -16,6 +16,9 @@
 of the lease's duration, so that the old holder can renew first.  Slow VMs
 wait a little longer than others before they take over.
 
+A holder that cannot place offers its lease by its renewals: it stays the
+holder, but a standby that can place need not wait until the lease expires.
+
 What a holder publishes in the lease row comes from its :class:`Publisher`.
 """
 
@@ -40,7 +43,8 @@
     """Content of a lease row; ``released`` allows takeover at once.
 
     ``holder`` is the id of the holder's VM.  ``renewal`` counts the renewals
-    since the takeover, so that each renewal changes the row.
+    since the takeover, so that each renewal changes the row.  With
+    ``is_offered`` a standby that can place may take over at once.
     ``waiting_by_queue`` is the number of the shard's jobs that have not
     started, or None where the holder does not know it.  ``lease_bounds``
     names the workers to which the holder grants no run leases.
@@ -51,6 +55,7 @@
     released: bool = False
     waiting_by_queue: dict[str, int] | None = None
     lease_bounds: leasebounds.LeaseBounds = leasebounds.NO_BOUNDS
+    is_offered: bool = False
 
 
 def read_lease_row(row: table.Row) -> LeaseRow | None:
@@ -137,6 +142,10 @@
     in seconds on this process's monotonic clock.  ``published_bounds`` cover
     the workers that a lease row which may be stored covers.  A standby may
     acquire the lease from ``acquirable_at`` on, if its row does not change.
+
+    With ``offers`` each renewal offers the lease; ``is_offered`` remains set
+    until a renewal without an offer is confirmed.  A standby acquires an
+    offered lease if ``takes_offers`` is set.
     """
 
     state: str
@@ -158,10 +167,14 @@
         self._renewal = 0
         self._publisher = publisher or _EmptyPublisher()
         self.published_bounds = leasebounds.NO_BOUNDS
+        self.offers = False
+        self.is_offered = False
+        self.takes_offers = False
         # Version of the lease row as this standby observed it, and since
         # when; -1 while none was observed.
         self._observed_version = -1
         self._observed_since = 0.0
+        self._offered_since: float | None = None
         self.acquirable_at = 0.0
         self._lease_row_version = table.ABSENT
         self._machine = transitions.Machine(
@@ -193,10 +206,15 @@
         if self.state != 'holder':
             return
         _log.warning(
-            'no longer lease holder of the shard', shard=self.shard, why=why
+            'no longer lease holder of the shard',
+            shard=self.shard,
+            why=why,
+            was_offered=self.is_offered,
         )
         self.valid_until = 0.0
         self._observed_version = -1
+        self._offered_since = None
+        self.offers = self.is_offered = False
         self.trigger('lose')
 
     async def step(self, now: float) -> None:
@@ -230,7 +248,10 @@
             self._renewal,
             waiting_by_queue=report.waiting_by_queue,
             lease_bounds=report.lease_bounds,
+            is_offered=self.offers,
         )
+        # A renewal without a reply may have been applied.
+        self.is_offered |= row.is_offered
         outcome = await table.transact_resolved(
             self._store, self._lease_write(row)
         )
@@ -238,6 +259,7 @@
             self._lease_row_version = outcome.ok_value.version
             self.valid_until = now + self._settings.shard_lease_s
             self.published_bounds = report.lease_bounds
+            self.is_offered = row.is_offered
         elif isinstance(outcome.err_value, table.Conflict):
             await self._check_still_held()
         elif _is_throttled(outcome.err_value) and now >= self.valid_until:
@@ -278,6 +300,7 @@
         read = await self._store.read([lease_key, epoch_key])
         if isinstance(read, result.Err):
             self._observed_version = -1
+            self._offered_since = None
             return
         lease_row = read.ok_value.get(lease_key)
         epoch_row = read.ok_value.get(epoch_key)
@@ -345,15 +368,30 @@
             self._observed_since = now
         lease = read_lease_row(lease_row) if lease_row else None
         delay_s = self._settings.takeover_delay_s
-        if lease_row is not None and not (lease and lease.released):
+        free_since = self._observed_since
+        offered_since = self._find_offered_since(lease, now)
+        if offered_since is not None and self.takes_offers:
+            # Each renewal of an offer changes the row.
+            free_since = offered_since
+        elif lease_row is not None and not (lease and lease.released):
             delay_s += self._settings.shard_lease_s
-        self.acquirable_at = self._observed_since + delay_s
+        self.acquirable_at = free_since + delay_s
         if lease is not None and lease.holder == self._holder_id:
             # The row was written by an earlier process of this VM, which
             # has ended.
             return True
         return now >= self.acquirable_at
 
+    def _find_offered_since(
+        self, lease: LeaseRow | None, now: float
+    ) -> float | None:
+        """Return since when each observed row was an offer, or None."""
+        if lease is None or not lease.is_offered:
+            self._offered_since = None
+        elif self._offered_since is None:
+            self._offered_since = now
+        return self._offered_since
+
     if typing.TYPE_CHECKING:
 
         def trigger(self, name: str) -> bool:
