--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -16,6 +16,7 @@
 from primroselock.decisions import fleethealth
 from primroselock.decisions import fleetplacing
 from primroselock.decisions import graphs
+from primroselock.decisions import runleases
 from primroselock.decisions import runs
 from primroselock.decisions import waitreport
 from primroselock import jobs
@@ -60,7 +61,7 @@
     wall_s: float,
 ) -> None:
     """Settle the members of workers on which no lease is valid."""
-    runs.expire_workers(board, now, int(wall_s * 1000))
+    runleases.expire_workers(board, now, int(wall_s * 1000))
 
 
 @controller(order=20)
--- /dev/null
+++ b/primroselock/decisions/runleases.py
@@ -0,0 +1,152 @@
+"""Until when a worker may run what it was told: the leases of its runs.
+
+What runs on a worker that does not answer can run until every lease has
+expired that this holder or an earlier one granted.  Until then its members
+keep their resources; then they are settled as lost.
+"""
+
+import typing
+
+from primroselock.decisions import fleet
+from primroselock.decisions import leasebounds
+from primroselock.decisions import runs
+
+_EXPIRY_CHECK_INTERVAL_S: typing.Final = 0.05
+LEASE_MARGIN_S: typing.Final = 0.3
+"""Added to the time by which a worker's leases have expired."""
+
+_SILENT_AFTER_S: typing.Final = 1.0
+"""A lease is published as bounded once calls have failed for this long."""
+
+_MAX_BOUNDS_BYTES: typing.Final = 32_768
+_BYTES_PER_BOUND: typing.Final = 12
+"""Length of a bound in a row, without the id of the worker."""
+
+
+def expire_workers(board: fleet.ShardBoard, now: float, wall_ms: int) -> None:
+    """Settle the members of workers on which no lease can be valid."""
+    if 0 <= now - board.expiry_checked_at < _EXPIRY_CHECK_INTERVAL_S:
+        return
+    board.expiry_checked_at = now
+    for worker in list(board.workers_by_id.values()):
+        if not worker.members or not _is_expired(board, worker, now):
+            continue
+        settle_lost_worker(
+            board, worker, 'every lease has expired', now, wall_ms
+        )
+
+
+def settle_lost_worker(
+    board: fleet.ShardBoard,
+    worker: fleet.Worker,
+    why: str,
+    now: float,
+    wall_ms: int,
+) -> None:
+    """Record that no member on a worker can run any more, and settle them."""
+    board.decision_records.append(
+        fleet.DecisionRecord(
+            'worker lost',
+            '',
+            {
+                'worker': worker.id,
+                'why': why,
+                'members': len(worker.members),
+                'silent_s': round(now - worker.last_answer_at, 3),
+            },
+        )
+    )
+    for member in list(worker.members.values()):
+        board.mark_terminated(member)
+        group = member.group
+        if group.phase is not fleet.Phase.DONE:
+            runs.end_group(board, group, fleet.EndReason.LOST, now)
+        runs.settle_group(board, group, now, wall_ms)
+    worker.unexpected_runs.clear()
+    if not worker.is_listed:
+        board.remove_worker(worker.id)
+
+
+def _is_expired(
+    board: fleet.ShardBoard, worker: fleet.Worker, now: float
+) -> bool:
+    """Return whether every lease granted to the worker has expired."""
+    return now >= _all_leases_until(board, worker)
+
+
+def _all_leases_until(board: fleet.ShardBoard, worker: fleet.Worker) -> float:
+    """Return the time by which every lease of the worker has expired."""
+    inherited_until = board.inherited_leases.until(worker.id)
+    if not worker.is_polled:
+        return inherited_until
+    return max(inherited_until, lease_expiry_bound(worker))
+
+
+def bound_leases(
+    board: fleet.ShardBoard, now: float
+) -> leasebounds.LeaseBounds:
+    """Return the bounds to publish: no lease is extended on these workers.
+
+    They are the workers on which something may run and that do not answer.
+    The row has a limit, so that not all may find a place in it.
+    """
+    left_s_by_worker_id: dict[str, float] = {}
+    bytes_left = _MAX_BOUNDS_BYTES
+    for worker in board.workers_by_id.values():
+        if not worker.members or not _is_silent(worker, now):
+            continue
+        bytes_left -= len(worker.id) + _BYTES_PER_BOUND
+        if bytes_left < 0:
+            break
+        left_s_by_worker_id[worker.id] = leasebounds.seconds_left(
+            _all_leases_until(board, worker), now
+        )
+    return leasebounds.LeaseBounds(left_s_by_worker_id)
+
+
+def has_answering_worker(
+    board: fleet.ShardBoard, bounds: leasebounds.LeaseBounds
+) -> bool:
+    """Return whether published bounds keep back a worker that answers."""
+    if bounds.others_left_s is not None:
+        return True
+    for worker_id in bounds.left_s_by_worker_id:
+        worker = board.workers_by_id.get(worker_id)
+        if worker and worker.is_polled and not worker.failures_in_row:
+            return True
+    return False
+
+
+def _is_silent(worker: fleet.Worker, now: float) -> bool:
+    """Return whether a worker has not answered for a while, or not yet."""
+    if not worker.is_polled:
+        return True
+    return (
+        worker.failures_in_row > 0
+        and now - worker.unresponsive_since >= _SILENT_AFTER_S
+    )
+
+
+def lease_expiry_bound(worker: fleet.Worker) -> float:
+    """Return the time by which the worker's leases have surely expired.
+
+    The worker's clock showed ``clock_s`` before ``clock_at``.
+    """
+    if worker.lease_end is None:
+        return worker.clock_at
+    left_s = max(0.0, worker.lease_end - worker.clock_s)
+    return (
+        worker.clock_at
+        + left_s * (1 + leasebounds.CLOCK_DRIFT)
+        + LEASE_MARGIN_S
+    )
+
+
+def lease_until(worker: fleet.Worker, deadline: float) -> float:
+    """Return the end, on the worker's clock, of a lease to ``deadline``.
+
+    ``deadline`` is on this process's clock; the lease does not exceed it
+    even if the worker's clock is slow.
+    """
+    left_s = max(0.0, deadline - worker.clock_at)
+    return worker.clock_s + left_s / (1 + leasebounds.CLOCK_DRIFT)
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -22,7 +22,7 @@
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetround
 from primroselock.decisions import graphs
-from primroselock.decisions import runs
+from primroselock.decisions import runleases
 from primroselock import graphrows
 from primroselock import graphwriter
 from primroselock import jobgraph
@@ -225,7 +225,7 @@
     def report(self, now: float) -> shards.HolderReport:
         """Return what to write with a renewal or the release of the lease."""
         return shards.HolderReport(
-            self._count_waiting(now), runs.bound_leases(self._board, now)
+            self._count_waiting(now), runleases.bound_leases(self._board, now)
         )
 
     async def run(self, renewing: asyncio.Task[None]) -> None:
@@ -299,7 +299,7 @@
         self._decided_at = now
         self._board.permit_until = self._permit_until()
         self._board.published_bounds = self._lease.published_bounds
-        if runs.has_answering_worker(
+        if runleases.has_answering_worker(
             self._board, self._board.published_bounds
         ):
             self._parts.renewal_due.set()
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -18,6 +18,7 @@
 from primroselock import clock
 from primroselock.decisions import advising
 from primroselock.decisions import fleet
+from primroselock.decisions import runleases
 from primroselock.decisions import runs
 from primroselock import logs
 from primroselock import metrics
@@ -50,7 +51,7 @@
 
     ``deadline`` is on this process's clock.
     """
-    until = runs.lease_until(worker, deadline)
+    until = runleases.lease_until(worker, deadline)
     worker.lease_end = max(worker.lease_end or 0.0, until)
     return until
 
--- a/primroselock/test/testleasebounds.py
+++ b/primroselock/test/testleasebounds.py
@@ -6,7 +6,7 @@
 
 from primroselock.decisions import fleet
 from primroselock.decisions import leasebounds
-from primroselock.decisions import runs
+from primroselock.decisions import runleases
 from primroselock import jobgraph
 from primroselock import shards
 from primroselock.store import table
@@ -78,9 +78,9 @@
         for worker_id in ('w1', 'w2'):
             board.workers_by_id[worker_id].polled_at = 1.0
         board.workers_by_id['w2'].record_failed_call(1.0)
-        soon = runs.bound_leases(board, 1.5)
+        soon = runleases.bound_leases(board, 1.5)
         self.assertEqual({'w0': 6.5}, soon.left_s_by_worker_id)
-        later = runs.bound_leases(board, 2.0)
+        later = runleases.bound_leases(board, 2.0)
         self.assertEqual({'w0', 'w2'}, set(later.left_s_by_worker_id))
 
     def test_a_lease_of_the_holder_itself_counts(self) -> None:
@@ -90,13 +90,13 @@
         worker.polled_at, worker.clock_at = 1.0, 1.0
         worker.clock_s, worker.lease_end = 50.0, 58.0
         worker.record_failed_call(1.0)
-        left_s = runs.bound_leases(board, 3.0).left_s_by_worker_id['w0']
+        left_s = runleases.bound_leases(board, 3.0).left_s_by_worker_id['w0']
         self.assertGreaterEqual(left_s, 6.0)
 
     def test_the_row_stays_below_the_limit_of_the_store(self) -> None:
         """Guards against renewals that the store refuses for their size."""
         board = build_board(*(f'{n:0>60}' for n in range(2000)))
-        bounds = runs.bound_leases(board, 0.0)
+        bounds = runleases.bound_leases(board, 0.0)
         row = shards.LeaseRow('h', 1, lease_bounds=bounds)
         self.assertLess(len(msgspec.json.encode(row)), 40_000)
         self.assertGreater(len(bounds.left_s_by_worker_id), 300)
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -14,6 +14,7 @@
 from primroselock import clock
 from primroselock.decisions import fleet
 from primroselock.decisions import reachability
+from primroselock.decisions import runleases
 from primroselock.decisions import runs
 from primroselock import logs
 from primroselock import metrics
@@ -219,7 +220,7 @@
             isinstance(error, orders.Refused)
             and error.why is orders.Refusal.BOOT_MISMATCH
         ):
-            runs.settle_lost_worker(
+            runleases.settle_lost_worker(
                 self._board,
                 worker,
                 'another worker instance answers at its address',
