A start that times out late, or without its permit, blames no worker

Callers could see sound workers passed over. Change: as for polls and stops, a time-out that is noticed over 0.3 s late is counted as late_orders only; a start that is no longer permitted is not sent again and blames nobody.

Measured: testorderload (5, one new: a start that times out in a pause of the holder) passes; the new test was not run on the code before.

--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -139,13 +139,12 @@
         for attempt in range(_MAX_START_ATTEMPTS):
             async with self._slots.hold(worker.id):
                 sent_at = clock.monotonic()
-                if not self._is_start_due(worker, member, sent_at):
+                if not self._prepare_start(worker, member, sent_at):
                     return
-                if not self._may_start_on(worker.id, sent_at):
-                    break
                 answer = await self._send_start(worker, member, sent_at)
             if self._record_answer(worker, member, answer, attempt, sent_at):
                 return
+            was_late = self._was_late(sent_at, clock.monotonic())
             await asyncio.sleep(_RETRY_PAUSE_S * (attempt + 1))
         self._board.record_decision(
             'start order not answered',
@@ -153,23 +152,37 @@
             task=str(member.run.task),
             worker=worker.id,
         )
-        worker.record_failed_call(clock.monotonic())
+        if not was_late:
+            worker.record_failed_call(clock.monotonic())
         self._wake()
 
-    def _is_start_due(
+    def _was_late(self, sent_at: float, now: float) -> bool:
+        """Return whether this process noticed a time-out late.
+
+        The answer may have been received meanwhile.
+        """
+        late_s = now - sent_at - self._settings.fleet.order_timeout_s
+        if late_s <= _LATE_S:
+            return False
+        self._metrics.count('late_orders')
+        return True
+
+    def _prepare_start(
         self, worker: fleet.Worker, member: fleet.Member, now: float
     ) -> bool:
-        """Return whether a start whose turn has come is to be sent.
+        """Return whether to send a start whose turn has come.
 
-        The first time, it ends the attempt if its start is not permitted
-        any more or its worker has stopped answering since it was placed.
+        Before the first order the attempt is ended instead if its start is
+        not permitted any more, or its worker has stopped answering since the
+        placement.
         """
         group = member.group
+        is_permitted = self._may_start_on(worker.id, now)
         if member.state is fleet.MemberState.ORDERED:
-            return group.phase is fleet.Phase.STARTING
+            return is_permitted and group.phase is fleet.Phase.STARTING
         if member.state is not fleet.MemberState.PLACED:
             return False
-        if not self._may_start_on(worker.id, now):
+        if not is_permitted:
             self._cancel_start(group, now)
             return False
         if worker.failures_in_row:
@@ -285,14 +298,13 @@
     async def _send_stop(
         self, worker: fleet.Worker, order: fleet.StopOrder
     ) -> None:
-        timeout_s = self._settings.fleet.order_timeout_s
         sent_at = clock.monotonic()
         answer = await self._run_client.stop(
             worker.id,
             worker.entry.address,
             order.run,
             self._board.epoch,
-            timeout_s,
+            self._settings.fleet.order_timeout_s,
         )
         now = clock.monotonic()
         if isinstance(answer, result.Ok):
@@ -305,9 +317,10 @@
             if error.why is orders.Refusal.STALE_EPOCH:
                 self._lease.drop('a worker has seen a newer epoch')
                 return
-        elif now - sent_at - timeout_s > _LATE_S:
-            self._metrics.count('late_orders')
-        elif worker.last_answer_at < sent_at:
+        elif (
+            not self._was_late(sent_at, now)
+            and worker.last_answer_at < sent_at
+        ):
             worker.record_failed_call(now)
         _log.warning(
             'stop order not confirmed',
--- a/primroselock/test/testorderload.py
+++ b/primroselock/test/testorderload.py
@@ -139,6 +139,34 @@
 
         run_scenario(scenario)
 
+    def test_a_start_that_times_out_late_blames_no_worker(self) -> None:
+        """Guards against a paused holder that takes a worker for silent."""
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World(0, 1)
+            node = world.add_node('entry-1')
+            await asyncio.sleep(1.0)
+
+            async def start_in_a_pause(
+                *arguments: typing.Any,
+            ) -> result.Result[orders.Accepted, orders.OrderError]:
+                virtual.now += 1.0
+                return result.Err(orders.Unanswered('no answer'))
+
+            with mock.patch.object(world.fleet, 'start', start_in_a_pause):
+                world.submit(fleetbuilders.build_graph('j'))
+                while not node.counters.counts_by_name.get('late_orders', 0):
+                    await asyncio.sleep(0.01)
+                await asyncio.sleep(0.5)
+                session = node.holder._session
+                assert session is not None
+                worker = session._board.workers_by_id['w0']
+                self.assertEqual(0, worker.failures_in_row)
+            await world.wait_for('j', 'done', 10.0)
+            await world.close()
+
+        virtualtime.run(run_all)
+
 
 class OrderSlotsTest(unittest.TestCase):
     """Who waits for whom."""
