One refused batch no longer leaves the writer at one job a transaction

Callers would see placements and ends stored late, one job a round trip, for as long as jobs keep changing: nothing of the others starts. Cause: once the store refused a batch, the writer wrote single jobs until no job was changed, a moment that does not come while a few jobs change with each round trip.

Change: the writer remembers which jobs were in a refused batch. These are written alone, in turn with full batches of all others; a job is suspect no more once it is stored. No mode is left.

--- a/primroselock/graphwriter.py
+++ b/primroselock/graphwriter.py
@@ -7,8 +7,9 @@
 stores them.
 
 The store limits the size of rows and transactions.  A batch is kept below
-these limits; if the store refuses one for good all the same, its jobs are
-written one by one, so that the one that is refused holds up no other.
+these limits.  If the store refuses one for good all the same, each of its
+jobs is suspect and is written alone until it is stored; between these writes
+all other jobs are written in batches.
 """
 
 import asyncio
@@ -82,7 +83,7 @@
         self._on_saved = on_saved
         self._now = now
         self._max_value_bytes = max_row_bytes - table.TOKEN_BYTES
-        self._writes_one_job = False
+        self._suspect_ids: set[str] = set()
         self._wake = asyncio.Event()
 
     def wake(self) -> None:
@@ -96,14 +97,17 @@
             await self._wake.wait()
             self._wake.clear()
             while self._board.changed_ids:
-                if not await self._write_batch():
-                    await asyncio.sleep(_RETRY_PAUSE_S)
+                await self._write_changes()
 
-    async def _write_batch(self) -> bool:
-        """Write a batch of jobs; return False if a retry is due."""
-        snapshots = self._take_snapshots()
-        if not snapshots:
-            return True
+    async def _write_changes(self) -> None:
+        """Write a batch of jobs, then one of the suspect jobs."""
+        for take in (self._take_batch, self._take_suspect):
+            snapshots = take()
+            if snapshots and not await self._write(snapshots):
+                await asyncio.sleep(_RETRY_PAUSE_S)
+
+    async def _write(self, snapshots: list[_ProgressSnapshot]) -> bool:
+        """Write jobs in one transaction; return False if a retry is due."""
         transaction = self._build_transaction(snapshots)
         for snapshot in snapshots:
             # Rows of a transaction without a known outcome may exist.
@@ -115,7 +119,8 @@
             return True
         error = outcome.err_value
         if isinstance(error, table.Rejected):
-            return self._record_rejected(snapshots, error)
+            self._record_rejected(snapshots, error)
+            return True
         _log.warning(
             'progress of jobs not stored', jobs=len(snapshots), why=str(error)
         )
@@ -132,38 +137,54 @@
     def _epoch_key(self) -> str:
         return keys.shard_epoch(self._lease.shard)
 
-    def _take_snapshots(self) -> list[_ProgressSnapshot]:
+    def _take_batch(self) -> list[_ProgressSnapshot]:
         """Take the jobs that changed first, as many as fit.
 
-        One job is taken in any case.
+        Suspect jobs are left; one other is taken in any case.
         """
-        board = self._board
+        changed_ids = self._board.changed_ids
         snapshots: list[_ProgressSnapshot] = []
         # One condition is on the epoch row.
         entries_left = table.MAX_ENTRIES - 1
         bytes_left = table.MAX_VALUE_BYTES
-        for job_id in list(board.changed_ids):
-            job = board.jobs_by_id.get(job_id)
-            if job is not None and job.saved_change < job.change:
-                snapshot = _take_snapshot(job, self._max_value_bytes)
+        for job_id in list(changed_ids):
+            if job_id in self._suspect_ids:
+                continue
+            snapshot = self._take_unsaved(job_id)
+            if snapshot is not None:
                 entries_left -= snapshot.entries
                 bytes_left -= snapshot.size
                 if snapshots and (entries_left < 0 or bytes_left < 0):
                     break
                 snapshots.append(snapshot)
-            del board.changed_ids[job_id]
-            if snapshots and self._writes_one_job:
-                break
+            del changed_ids[job_id]
         return snapshots
 
+    def _take_suspect(self) -> list[_ProgressSnapshot]:
+        """Take the suspect job that changed first, if there is one."""
+        changed_ids = self._board.changed_ids
+        for job_id in changed_ids:
+            if job_id in self._suspect_ids:
+                del changed_ids[job_id]
+                snapshot = self._take_unsaved(job_id)
+                return [snapshot] if snapshot is not None else []
+        return []
+
+    def _take_unsaved(self, job_id: str) -> _ProgressSnapshot | None:
+        """Return what is to be written of a job, or None for nothing."""
+        job = self._board.jobs_by_id.get(job_id)
+        if job is None or job.saved_change >= job.change:
+            return None
+        return _take_snapshot(job, self._max_value_bytes)
+
     def _write_again(self, snapshots: list[_ProgressSnapshot]) -> None:
         for snapshot in snapshots:
             self._board.changed_ids[snapshot.job.graph.id] = None
 
     def _record_rejected(
         self, snapshots: list[_ProgressSnapshot], error: table.Rejected
-    ) -> bool:
-        """Find out which job the store refuses; return whether to go on.
+    ) -> None:
+        """Suspect each job of a batch that the store refuses.
 
         A job that is refused alone is written again with its next change.
         """
@@ -173,9 +194,10 @@
             why=error.detail,
         )
         if len(snapshots) > 1:
-            self._writes_one_job = True
+            self._suspect_ids.update(
+                snapshot.job.graph.id for snapshot in snapshots
+            )
             self._write_again(snapshots)
-        return True
 
     def _build_transaction(
         self, snapshots: list[_ProgressSnapshot]
@@ -213,10 +235,9 @@
         self, snapshots: list[_ProgressSnapshot], version: int
     ) -> None:
         now = self._now()
-        if not self._board.changed_ids:
-            self._writes_one_job = False
         for snapshot in snapshots:
             job = snapshot.job
+            self._suspect_ids.discard(job.graph.id)
             job.row_version = version
             job.stored_parts = len(snapshot.values)
             job.saved_change = max(job.saved_change, snapshot.change)
