A job whose progress the store refuses is retried and frees its capacity

Callers would see workers that stay occupied by a job of which nothing runs, and that job waiting for ever; an end that was reported in the meantime was never stored nor confirmed. Cause: a write that was refused for one job alone was dropped until the job's next change, which nothing brings for a placement that waits to be stored (no controller ends such an attempt), while a job that does change was written again with each change.

Change: the refusal is kept with the job (decisions.refusedwrites). It is written again after 0.25 s, doubling to 10 s, whether it changed or not. After four refused writes its attempts that are not stored are ended, and what is left is written at once. Nothing of it is placed until its progress is stored and, if placements were ended, the delay has passed, so that a job whose placements are refused each time holds little; a stored placement ends the refusal. What was stored late cannot start an ended attempt, since a start needs the phase and attempt of the write. Ends stay unconfirmed until stored, as before. The log has at most one line a second about refused writes.

--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -102,6 +102,7 @@
     CANCELLED = 'cancelled'
     WORKER_DRAINING = 'worker is leaving'
     STUCK = 'no end in the time expected'
+    NOT_STORED = 'the store refuses the placement'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -244,6 +245,21 @@
         return max([began_s, *seen_s])
 
 
+@dataclasses.dataclass(slots=True)
+class Refusal:
+    """The store refuses the progress of a job (see ``refusedwrites``).
+
+    ``writes`` counts the refused writes.  The job is to be written again at
+    ``next_at`` or, once something ``is_stored``, placed again, on this
+    process's clock.
+    """
+
+    writes: int = 0
+    next_at: float = _NEVER
+    is_stored: bool = False
+    has_ended_placements: bool = False
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class LiveJob:
     """A job that has not ended, with the groups that are due.
@@ -254,9 +270,10 @@
 
     ``change`` counts the changes that must be stored, and ``saved_change``
     is the last change that was; ``row_version`` is the version of the first
-    progress row, of which there are ``stored_parts``.  ``released`` is the
-    number of occurrences whose groups exist.  ``phases`` is the index of the
-    blackboard that holds the job.
+    progress row, of which there are ``stored_parts``.  ``refusal`` is set
+    while the store refuses the job's progress.  ``released`` is the number of
+    occurrences whose groups exist.  ``phases`` is the index of the blackboard
+    that holds the job.
     """
 
     graph: jobgraph.JobGraph
@@ -273,10 +290,18 @@
     ended_ms: int = 0
     change: int = 0
     saved_change: int = 0
+    refusal: Refusal | None = None
     phases: phaseindex.PhaseIndex = dataclasses.field(
         default_factory=phaseindex.PhaseIndex
     )
 
+    def may_be_placed(self, now: float) -> bool:
+        """Return whether the store takes placements of the job."""
+        refusal = self.refusal
+        return refusal is None or (
+            refusal.is_stored and now >= refusal.next_at
+        )
+
     def request_cancel(self) -> None:
         """Record that the job's cancellation was requested."""
         self.is_cancelled = True
--- /dev/null
+++ b/primroselock/decisions/refusedwrites.py
@@ -0,0 +1,73 @@
+"""Jobs whose progress the store refuses: when to write and place again.
+
+Such a job is written again after a delay that doubles with each refused
+write, whether it changed since or not.  After several its placements that
+wait to be stored are ended, so that they hold no capacity, and what is left
+is written at once.  Nothing of the job is placed until that is stored and
+the delay has passed.  A stored placement ends the refusal.
+"""
+
+import typing
+
+from primroselock.decisions import fleet
+from primroselock.decisions import runs
+
+_FIRST_DELAY_S: typing.Final = 0.25
+_MAX_DELAY_S: typing.Final = 10.0
+_MAX_HELD_WRITES: typing.Final = 4
+"""Refused writes after which a job's placements are ended."""
+
+
+def record_refused(
+    board: fleet.ShardBoard, job: fleet.LiveJob, now: float, wall_ms: int
+) -> None:
+    """Record that the store refused a write of this job alone."""
+    refusal = job.refusal or fleet.Refusal()
+    job.refusal = refusal
+    refusal.writes += 1
+    refusal.is_stored = False
+    refusal.next_at = now + _delay_s(refusal.writes)
+    if refusal.writes < _MAX_HELD_WRITES:
+        return
+    if _end_placements(board, job, now, wall_ms):
+        refusal.has_ended_placements = True
+        refusal.next_at = now
+
+
+def record_stored(job: fleet.LiveJob, has_placement: bool, now: float) -> None:
+    """Record that progress of a job is stored, maybe with a placement."""
+    refusal = job.refusal
+    if refusal is None:
+        return
+    may_place_at_once = has_placement or not refusal.has_ended_placements
+    if may_place_at_once or job.state.is_final:
+        job.refusal = None
+    elif not refusal.is_stored:
+        refusal.is_stored = True
+        refusal.next_at = now + _delay_s(refusal.writes)
+
+
+def may_write(job: fleet.LiveJob, now: float) -> bool:
+    """Return whether changes of a job may be written now."""
+    refusal = job.refusal
+    return refusal is None or refusal.is_stored or now >= refusal.next_at
+
+
+def _delay_s(writes: int) -> float:
+    delay_s: float = _FIRST_DELAY_S * 2.0 ** min(writes - 1, 10)
+    return min(delay_s, _MAX_DELAY_S)
+
+
+def _end_placements(
+    board: fleet.ShardBoard, job: fleet.LiveJob, now: float, wall_ms: int
+) -> bool:
+    """End the attempts that are not stored; return whether any was."""
+    groups = [
+        group
+        for group in job.groups_by_key.values()
+        if group.phase is fleet.Phase.COMMITTING
+    ]
+    for group in groups:
+        runs.end_group(board, group, fleet.EndReason.NOT_STORED, now)
+        runs.settle_group(board, group, now, wall_ms)
+    return bool(groups)
--- a/primroselock/decisions/waiting.py
+++ b/primroselock/decisions/waiting.py
@@ -164,6 +164,8 @@
         job = next(iter(groups)).job
         if job.is_cancelled or job.state.is_final:
             continue
+        if not job.may_be_placed(now):
+            continue
         due = [
             group
             for group in groups
--- a/primroselock/decisions/waitreport.py
+++ b/primroselock/decisions/waitreport.py
@@ -108,6 +108,7 @@
         is_rack_local=group.step.rack_local,
         is_queue_known=job.queue is not None,
         is_stored=job.saved_change == job.change,
+        refused_writes=job.refusal.writes if job.refusal else 0,
         starts_permitted=now <= board.permit_until,
         delayed_s=round(max(0.0, group.not_before - now), 3),
         held=_list_held_members(group),
--- a/primroselock/graphwriter.py
+++ b/primroselock/graphwriter.py
@@ -9,7 +9,8 @@
 The store limits the size of rows and transactions.  A batch is kept below
 these limits.  If the store refuses one for good all the same, each of its
 jobs is suspect and is written alone until it is stored; between these writes
-all other jobs are written in batches.
+all other jobs are written in batches.  A job that is refused alone is written
+again after a growing delay (see ``decisions.refusedwrites``).
 """
 
 import asyncio
@@ -20,8 +21,10 @@
 import msgspec
 import result
 
+from primroselock import clock
 from primroselock.decisions import fleet
 from primroselock.decisions import graphs
+from primroselock.decisions import refusedwrites
 from primroselock.decisions import runs
 from primroselock import graphrows
 from primroselock import jobgraph
@@ -31,6 +34,9 @@
 from primroselock.store import table
 
 _RETRY_PAUSE_S: typing.Final = 0.1
+_LOG_INTERVAL_S: typing.Final = 1.0
+"""Refused writes are logged at most once in this time."""
+
 _log: typing.Final = logs.get('graphwriter')
 
 
@@ -66,7 +72,11 @@
 
 
 class ProgressWriter:
-    """Writes the changed jobs of the blackboard; then calls ``on_saved``."""
+    """Writes the changed jobs of the blackboard; then calls ``on_saved``.
+
+    ``on_saved`` is called as well after a refused write, which may have ended
+    placements.
+    """
 
     def __init__(
         self,
@@ -84,10 +94,15 @@
         self._now = now
         self._max_value_bytes = max_row_bytes - table.TOKEN_BYTES
         self._suspect_ids: set[str] = set()
+        self._log_at = float('-inf')
+        self._unlogged_refusals = 0
         self._wake = asyncio.Event()
 
     def wake(self) -> None:
-        """Start writing if any job changed."""
+        """Start writing if any job changed.
+
+        To be called at each round: a delayed job is written after a wake.
+        """
         if self._board.changed_ids:
             self._wake.set()
 
@@ -96,9 +111,19 @@
         while True:
             await self._wake.wait()
             self._wake.clear()
-            while self._board.changed_ids:
+            while self._is_any_due():
                 await self._write_changes()
 
+    def _is_any_due(self) -> bool:
+        now = self._now()
+        return any(
+            self._is_due(job_id, now) for job_id in self._board.changed_ids
+        )
+
+    def _is_due(self, job_id: str, now: float) -> bool:
+        job = self._board.jobs_by_id.get(job_id)
+        return job is None or refusedwrites.may_write(job, now)
+
     async def _write_changes(self) -> None:
         """Write a batch of jobs, then one of the suspect jobs."""
         for take in (self._take_batch, self._take_suspect):
@@ -161,10 +186,11 @@
         return snapshots
 
     def _take_suspect(self) -> list[_ProgressSnapshot]:
-        """Take the suspect job that changed first, if there is one."""
+        """Take the suspect job that is due first, if there is one."""
+        now = self._now()
         changed_ids = self._board.changed_ids
         for job_id in changed_ids:
-            if job_id in self._suspect_ids:
+            if job_id in self._suspect_ids and self._is_due(job_id, now):
                 del changed_ids[job_id]
                 snapshot = self._take_unsaved(job_id)
                 return [snapshot] if snapshot is not None else []
@@ -184,20 +210,32 @@
     def _record_rejected(
         self, snapshots: list[_ProgressSnapshot], error: table.Rejected
     ) -> None:
-        """Suspect each job of a batch that the store refuses.
+        """Suspect each job of a batch that the store refuses."""
+        job_ids = [snapshot.job.graph.id for snapshot in snapshots]
+        self._log_rejected(job_ids, error)
+        self._suspect_ids.update(job_ids)
+        self._write_again(snapshots)
+        if len(snapshots) > 1:
+            return
+        wall_ms = int(clock.wall() * 1000)
+        refusedwrites.record_refused(
+            self._board, snapshots[0].job, self._now(), wall_ms
+        )
+        self._on_saved()
 
-        A job that is refused alone is written again with its next change.
-        """
+    def _log_rejected(self, job_ids: list[str], error: table.Rejected) -> None:
+        now = self._now()
+        self._unlogged_refusals += 1
+        if now < self._log_at:
+            return
         _log.error(
             'store refuses progress of jobs',
-            jobs=[snapshot.job.graph.id for snapshot in snapshots],
+            jobs=job_ids,
+            refused=self._unlogged_refusals,
             why=error.detail,
         )
-        if len(snapshots) > 1:
-            self._suspect_ids.update(
-                snapshot.job.graph.id for snapshot in snapshots
-            )
-            self._write_again(snapshots)
+        self._unlogged_refusals = 0
+        self._log_at = now + _LOG_INTERVAL_S
 
     def _build_transaction(
         self, snapshots: list[_ProgressSnapshot]
@@ -237,7 +275,9 @@
         now = self._now()
         for snapshot in snapshots:
             job = snapshot.job
-            self._suspect_ids.discard(job.graph.id)
+            refusedwrites.record_stored(job, bool(snapshot.committing), now)
+            if job.refusal is None:
+                self._suspect_ids.discard(job.graph.id)
             job.row_version = version
             job.stored_parts = len(snapshot.values)
             job.saved_change = max(job.saved_change, snapshot.change)
--- a/primroselock/test/testrefusedwrites.py
+++ b/primroselock/test/testrefusedwrites.py
@@ -3,13 +3,17 @@
 import asyncio
 import typing
 import unittest
+from unittest import mock
 
+import msgspec
 import result
 
 from primroselock import clock
 from primroselock.decisions import fleet
 from primroselock.decisions import graphs
 from primroselock import graphwriter
+from primroselock import jobgraph
+from primroselock.store import keys
 from primroselock.store import table
 from primroselock.test import fakefeed
 from primroselock.test import fleetbuilders
@@ -18,6 +22,7 @@
 _JOBS: typing.Final = 200
 _CHANGED_PER_CALL: typing.Final = 3
 _CALL_S: typing.Final = 0.005
+_REFUSED_KEY: typing.Final = keys.progress('fleet', 'refused')
 
 
 class _Lease:
@@ -111,5 +116,145 @@
         self.assertLessEqual(waiting, 2 * _CHANGED_PER_CALL)
 
 
+class _RefusingStore:
+    """Rejects every write and counts them."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    async def transact(
+        self, transaction: table.Transaction
+    ) -> result.Result[table.Committed, table.TransactError]:
+        """Reject a transaction."""
+        await asyncio.sleep(_CALL_S)
+        self.calls += 1
+        return result.Err(table.Rejected('refused'))
+
+
+class RetryTest(unittest.TestCase):
+    """A job that is refused alone is written again, but rarely."""
+
+    def test_refused_writes_and_their_log_are_bounded(self) -> None:
+        """Guards against refused writes with each change of a job."""
+
+        async def scenario(virtual: virtualtime.VirtualClock) -> int:
+            board = fleet.ShardBoard(
+                epoch=1, queue_configuration=fleetbuilders.QUEUE_CONFIGURATION
+            )
+            _add_jobs(board, 10)
+            store = _RefusingStore()
+            writer = _build_writer(store, board)
+            task = asyncio.create_task(_write_for(writer, 60.0))
+            while not task.done():
+                for job in board.jobs_by_id.values():
+                    board.mark_changed(job)
+                await asyncio.sleep(0.1)
+            return store.calls
+
+        methods = ('error', 'warning')
+        with mock.patch.object(graphwriter, '_log', spec_set=methods) as log:
+            calls = virtualtime.run(scenario)
+        self.assertGreaterEqual(calls, 10 * 5)
+        self.assertLessEqual(calls, 10 * 15)
+        self.assertLessEqual(log.error.call_count, 60)
+
+    def test_a_job_refused_once_is_stored(self) -> None:
+        """Guards against a job that stays unstored without a change."""
+
+        async def scenario(world: fleetbuilders.World) -> float:
+            world.store.rejected_key = _REFUSED_KEY
+            world.submit(fleetbuilders.build_graph('refused'))
+            await asyncio.sleep(0.3)
+            world.store.rejected_key = ''
+            return await world.wait_for('refused', 'done', 5.0)
+
+        fleetbuilders.run_scenario(scenario, 1)
+
+    def test_an_end_is_confirmed_only_once_it_is_stored(self) -> None:
+        """Guards against a lost end: its task would run again."""
+
+        async def scenario(world: fleetbuilders.World) -> float:
+            task = jobgraph.TaskName('refused', 0, 0, 0)
+            world.submit(fleetbuilders.build_graph('refused'))
+            await world.wait_for('refused', 'running', 2.0)
+            world.store.rejected_key = _REFUSED_KEY
+            await asyncio.sleep(4.0)
+            self.assertIn(task, world.fleet.done)
+            self.assertNotIn(task, world.fleet.confirmed_done)
+            world.store.rejected_key = ''
+            await world.wait_for('refused', 'done', 12.0)
+            await asyncio.sleep(1.0)
+            self.assertIn(task, world.fleet.confirmed_done)
+            return float(world.fleet.starts)
+
+        self.assertEqual(1.0, fleetbuilders.run_scenario(scenario, 1))
+
+
+class PlacementTest(unittest.TestCase):
+    """A placement that cannot be stored gives its capacity back."""
+
+    def test_a_refused_placement_holds_no_capacity(self) -> None:
+        """Guards against an attempt that is never stored nor ended.
+
+        The job that was refused held its workers for ever.
+        """
+
+        async def scenario(world: fleetbuilders.World) -> float:
+            whole = fleetbuilders.build_step(1, 8)
+            world.store.rejected_key = _REFUSED_KEY
+            world.submit(fleetbuilders.build_graph('refused', whole))
+            await asyncio.sleep(0.5)
+            world.submit(fleetbuilders.build_graph('other', whole))
+            await world.wait_for('other', 'done', 5.0)
+            self.assertEqual(1, world.fleet.starts)
+            await asyncio.sleep(20.0)
+            self.assertEqual(1, world.fleet.starts)
+            world.store.rejected_key = ''
+            await world.wait_for('refused', 'done', 15.0)
+            return float(world.fleet.starts)
+
+        self.assertEqual(2.0, fleetbuilders.run_scenario(scenario, 1))
+
+    def test_placements_refused_each_time_become_rare(self) -> None:
+        """Guards against a job that is placed and ended over and over.
+
+        The store takes its progress only while nothing of it is placed.
+        """
+
+        def rejects(transaction: table.Transaction) -> bool:
+            return any(
+                put.key == _REFUSED_KEY and self._is_placed(put.value)
+                for put in transaction.puts
+            )
+
+        async def scenario(world: fleetbuilders.World) -> float:
+            whole = fleetbuilders.build_step(1, 8)
+            with mock.patch.object(world.store, 'rejects', rejects):
+                world.submit(fleetbuilders.build_graph('refused', whole))
+                await asyncio.sleep(60.0)
+                attempts = self._read_attempts(world)
+                world.submit(fleetbuilders.build_graph('other', whole))
+                await world.wait_for('other', 'done', 3.0)
+            self.assertEqual(1, world.fleet.starts)
+            await world.wait_for('refused', 'done', 15.0)
+            return float(attempts)
+
+        attempts = fleetbuilders.run_scenario(scenario, 1)
+        self.assertGreaterEqual(attempts, 3)
+        self.assertLessEqual(attempts, 12)
+
+    def _is_placed(self, value: bytes) -> bool:
+        progress = msgspec.json.decode(value, type=jobgraph.JobProgress)
+        return any(
+            group.phase is jobgraph.GroupPhase.PLACED
+            for group in progress.groups
+        )
+
+    def _read_attempts(self, world: fleetbuilders.World) -> int:
+        progress = world.progress('refused')
+        assert progress is not None
+        return progress.groups[0].attempt
+
+
 if __name__ == '__main__':
     unittest.main()
