A forbidden write is refused for good only in the tables of other writers

Callers would get a final refusal of a submission that could be stored (413, "too large") while the platform forbids a node's writes for a time, and the holder would take each job in turn for one that can never be stored. Cause: the adapter took each 403 for a refusal for good (Rejected). The platform's page names one reason for it, a write to a table of another writer. That is for good, and no caller's submission is one; any other 403 is not for what is written.

Change: a 403 is Rejected only if the transaction writes to such a table, else Unavailable: nothing was written, try again later. 400 and 413 stay Rejected: the page gives neither a transient meaning (it names neither for these calls).

Whether the platform ever answers so for a time is not shown.

--- a/primroselock/platform/rows.py
+++ b/primroselock/platform/rows.py
@@ -27,10 +27,11 @@
 _GONE: typing.Final = 410
 _CONDITION_FAILED: typing.Final = 412
 _TOO_MANY_CALLS: typing.Final = 429
-_REJECTED_STATUSES: typing.Final = frozenset({400, 403, 413})
+_FORBIDDEN: typing.Final = 403
+_REJECTED_STATUSES: typing.Final = frozenset({400, 413})
 """Response codes to a call that must not be sent again unchanged."""
 
-_NOT_APPLIED_STATUSES: typing.Final = frozenset({429, 503})
+_NOT_APPLIED_STATUSES: typing.Final = frozenset({_FORBIDDEN, 429, 503})
 """Response codes which guarantee that nothing was written."""
 
 _MAX_ROWS_PER_PAGE: typing.Final = 500
@@ -250,7 +251,7 @@
                 return result.Err(table.Unavailable(error.detail))
             return result.Err(table.OutcomeUnknown(error.detail))
         response = answer.ok_value
-        if response.status in _REJECTED_STATUSES:
+        if _is_rejected(response.status, transaction):
             return result.Err(
                 table.Rejected(
                     f'row store responded with status {response.status}'
@@ -334,6 +335,18 @@
         )
 
 
+def _is_rejected(status: int, transaction: table.Transaction) -> bool:
+    """Return whether a transaction is refused for good by its response.
+
+    A write to a table of another writer is always forbidden.  That any
+    other is forbidden is not for what it writes, and may pass.
+    """
+    if status != _FORBIDDEN:
+        return status in _REJECTED_STATUSES
+    written = [*(put.key for put in transaction.puts), *transaction.deletes]
+    return any(_split_key(key)[0] in _EXTERNAL_TABLES for key in written)
+
+
 def _split_key(key: str) -> tuple[str, str]:
     name, _, rest = key.partition('/')
     return name, rest
