A group commit stays below the size that a transaction may have

Callers with large submissions at the same time would wait for transactions that are certain to be refused. Cause: a group commit was bounded by the number of writes only (50 of up to 64 KiB each), so that the store refused it for its size, then its halves, and each batch of such a load again.

Change: a batch also ends before the values exceed what a transaction may have, as batches of progress do. It ends there, so that no write overtakes an earlier one of its key.

Evidence: testrefusedwrites.GroupCommitTest (30 writes of 60 kB) failed before with three refused transactions, of 30, 15 and 15 writes; none is refused now. testrefusedwrites, testrowlimits (unchanged), testclaims and testfleetintake pass (30); lint passes. Found by reading; not seen in a log.

--- a/primroselock/groupcommit.py
+++ b/primroselock/groupcommit.py
@@ -31,6 +31,11 @@
     version: int
     value: bytes | None
 
+    @property
+    def size(self) -> int:
+        """Return the bytes that the write needs in a transaction."""
+        return len(self.value or b'') + table.TOKEN_BYTES
+
 
 WriteResult = result.Result[table.Committed, table.TransactError]
 
@@ -45,7 +50,8 @@
     """Collects writes; at most one transaction is in flight.
 
     A transaction has at most ``max_writes`` writes, each of which is a
-    condition and a put or a deletion.
+    condition and a put or a deletion.  Its values stay below the limit of a
+    transaction, unless a single write exceeds that.
     """
 
     def __init__(
@@ -87,12 +93,18 @@
     def _take_batch(self) -> list[_PendingWrite]:
         batch: dict[str, _PendingWrite] = {}
         remaining: list[_PendingWrite] = []
+        bytes_left = table.MAX_VALUE_BYTES
+        is_full = False
         for pending in self._pending:
-            key = pending.write.key
-            if key in batch or len(batch) >= self._max_writes:
+            key, size = pending.write.key, pending.write.size
+            # Nothing overtakes an earlier write of its key.
+            is_full = is_full or len(batch) >= self._max_writes
+            is_full = is_full or bool(batch and size > bytes_left)
+            if is_full or key in batch:
                 remaining.append(pending)
             else:
                 batch[key] = pending
+                bytes_left -= size
         self._pending = remaining
         return list(batch.values())
 
--- a/primroselock/test/testrefusedwrites.py
+++ b/primroselock/test/testrefusedwrites.py
@@ -12,6 +12,7 @@
 from primroselock.decisions import fleet
 from primroselock.decisions import graphs
 from primroselock import graphwriter
+from primroselock import groupcommit
 from primroselock import jobgraph
 from primroselock.store import keys
 from primroselock.store import table
@@ -116,6 +117,41 @@
         self.assertLessEqual(waiting, 2 * _CHANGED_PER_CALL)
 
 
+class GroupCommitTest(unittest.TestCase):
+    """Group commits stay below the limits of a transaction."""
+
+    def test_large_writes_are_spread_over_transactions(self) -> None:
+        """Guards against batches that are refused for their size each time.
+
+        Each was sent and refused as a whole before its halves were sent.
+        """
+
+        async def scenario(virtual: virtualtime.VirtualClock) -> list[int]:
+            store = fakefeed.FeedStore()
+            client = fakefeed.FeedClient(store, fakefeed.Connectivity())
+            committer = groupcommit.GroupCommitter(client, 0.0)
+            value = bytes(60_000)
+            sent: list[table.Transaction] = []
+
+            def rejects(transaction: table.Transaction) -> bool:
+                sent.append(transaction)
+                return fakefeed.exceeds_limits(transaction)
+
+            with mock.patch.object(store, 'rejects', rejects):
+                outcomes = await asyncio.gather(
+                    *(
+                        committer.submit(
+                            groupcommit.Write(f'k{n}', table.ABSENT, value)
+                        )
+                        for n in range(30)
+                    )
+                )
+            self.assertTrue(all(outcome.is_ok() for outcome in outcomes))
+            return [len(t.puts) for t in sent if fakefeed.exceeds_limits(t)]
+
+        self.assertEqual([], virtualtime.run(scenario))
+
+
 class _RefusingStore:
     """Rejects every write and counts them."""
 
