A conflict that names no row of a batch of job rows ends

Callers would see the writes of a shard stop while its holder is busy. Cause: on a conflict the writer of job rows read those rows again that the conflict names and queued the other writes; if it names none of them, all were queued and sent again at once, unchanged, without a pause and for ever.

Change: then every row of the batch is read again and recorded, as a group commit gives such a conflict to all its writes.

Evidence: testjobwriter's new test (conflicts without names) failed before (time-out after 10 s) and passes now with the seven others; lint passes. Found by reading: the stand-in names the rows, so nobody has met this yet.

--- a/primroselock/jobwriter.py
+++ b/primroselock/jobwriter.py
@@ -143,6 +143,9 @@
             for write in batch
             if keys.job(write.job.id) in conflict.keys
         }
+        if not changed_ids:
+            # The table does not say which row has changed.
+            changed_ids = {write.job.id for write in batch}
         for write in batch:
             if write.job.id not in changed_ids:
                 self._writes_by_job_id.setdefault(write.job.id, write)
--- a/primroselock/test/testjobwriter.py
+++ b/primroselock/test/testjobwriter.py
@@ -3,6 +3,9 @@
 import asyncio
 import dataclasses
 import unittest
+from unittest import mock
+
+import result
 
 from primroselock.decisions import commands
 from primroselock import jobs
@@ -79,6 +82,19 @@
         self.assertEqual(jobs.JobState.WAITING, states.pop(changed.id))
         self.assertEqual({jobs.JobState.CANCELLED}, set(states.values()))
 
+    async def test_a_conflict_of_unnamed_rows_is_not_repeated(self) -> None:
+        """Guards against a batch that is sent again unchanged for ever.
+
+        Rows that the table does not name are all read again.
+        """
+        conflict = result.Err(table.Conflict(()))
+        with mock.patch.object(
+            self.jobs, 'write_many', autospec=True, side_effect=[conflict] * 2
+        ):
+            await self.cancel_all()
+        states = {job.state for job in self.written.values()}
+        self.assertEqual({jobs.JobState.WAITING}, states)
+
     async def test_lost_reply_is_resolved(self) -> None:
         """The writer reads back the rows of a batch whose reply was lost."""
         self.store.faults = [fakestore.Fault.REPLY_LOST]
