Waiting work costs a round one attempt per shape again, also after 2 s

Seen by callers: nothing yet; a holder with much waiting work spends more of each round on it, and longest once a second, when the report is due.

Cause: once a group had waited for 2 s, each round counted the free capacity for it (FreeCapacity.fits) before the shortcut for exhausted shapes, and a "no" was not remembered; each step also made a second attempt without preferences, even where it had none. The report of idle waits looked at all workers for every waiting job, at every job, and sorted the urgent jobs for each line.

Now a need (kind of step and group size) that does not fit is remembered for the round, as free capacity only shrinks; an attempt without preferences has a shape of its own, whose failure is shared; and it is made only for work that has something to drop. The report shares one count per need and service, ends the count once it is plenty, examines at most 500 jobs and goes on from there next time, and computes the guarantees once. With more than 500 jobs the gauge idle_waits counts those examined.

--- a/primroselock/decisions/fitting.py
+++ b/primroselock/decisions/fitting.py
@@ -81,7 +81,8 @@
     """The properties that decide whether a group fits in a round.
 
     ``size`` is the number of its tasks, which run in one rack if
-    ``in_one_rack`` is set.
+    ``in_one_rack`` is set.  ``is_relaxed`` is set for an attempt without
+    the group's preferences.
     """
 
     service: str
@@ -92,6 +93,11 @@
     size: int
     in_one_rack: bool
     rank: Rank
+    is_relaxed: bool = False
+
+    def relaxed(self) -> 'Shape':
+        """Return the shape of an attempt without preferences."""
+        return dataclasses.replace(self, in_one_rack=False, is_relaxed=True)
 
 
 class _StepKind(typing.NamedTuple):
@@ -134,6 +140,7 @@
         self._speed_classes_by_id: dict[str, float] = {}
         self._board = board
         self._with_capacity_by_kind: dict[_StepKind, list[fleet.Worker]] = {}
+        self._too_large: set[tuple[_StepKind, int]] = set()
         for worker in workers:
             free = worker.free
             self.free_by_id[worker.id] = free
@@ -199,8 +206,12 @@
     def fits(self, group: fleet.Group) -> bool:
         """Return whether the free capacity is enough for the group.
 
-        Only resources and labels count.
+        Only resources and labels count.  What was too large once is too
+        large for the rest of the round.
         """
+        size = (_step_kind(group), group.size)
+        if size in self._too_large:
+            return False
         need = group.step.counted_need
         fit_total = 0
         for worker in self.list_with_capacity(group):
@@ -210,6 +221,7 @@
             )
             if fit_total >= group.size:
                 return True
+        self._too_large.add(size)
         return False
 
     def speed_class(self, worker_id: str, group: fleet.Group) -> float:
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -497,7 +497,8 @@
     controllers until they are taken.  ``reported_groups`` are the groups
     whose progress was reported since the last round.
     ``idle_waits`` is the number of jobs that waited beside free capacity at
-    ``waits_reported_at``.
+    ``waits_reported_at``, among those examined; the next report begins with
+    the job at ``next_examined``.
     ``search_retry_at_by_shape`` holds, for shapes (see ``fitting``) for which
     neither victims nor workers to claim were found, when to search again.
     """
@@ -527,6 +528,7 @@
     expiry_checked_at: float = _NEVER
     waits_reported_at: float = _NEVER
     idle_waits: int = 0
+    next_examined: int = 0
     claims_by_group: dict[Group, CapacityClaim] = dataclasses.field(
         default_factory=dict
     )
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -12,8 +12,8 @@
 
 When more work waits than fits, most groups cannot be placed, and a round
 must not examine each of them: groups of the same shape share the outcome
-of one attempt, and a search for victims that found none is not repeated
-in the next rounds.
+of one attempt, with their preferences and without, and a search for victims
+that found none is not repeated in the next rounds.
 """
 
 from collections import abc
@@ -165,16 +165,20 @@
         is_own = bool(
             group.avoided_worker_ids or group in context.board.claims_by_group
         )
+        group.may_span_racks = may_span_racks
+        relaxed = None
         is_overdue = may_relax and _is_overdue(context, group)
+        if is_overdue:
+            relaxed = _relaxed_shape(context, group, shape)
+            is_overdue = may_relax = _may_fit(context, group, relaxed)
         if is_exhausted and not is_own and not is_overdue:
             continue
-        group.may_span_racks = may_span_racks
         own_shape = None if is_own else shape
         if _place(context, group, queue, own_shape):
             placed += 1
             continue
         if is_overdue:
-            if _place_anywhere(context, group, queue):
+            if _place_anywhere(context, group, queue, relaxed):
                 placed += 1
                 continue
             may_relax = False
@@ -185,15 +189,43 @@
 
 
 def _is_overdue(context: _RoundContext, group: fleet.Group) -> bool:
-    """Return whether to try to place a group without its preferences."""
-    waited_s = context.now - group.since
-    if waited_s < _PREFERENCE_TIMEOUT_S:
+    """Return whether a group has waited too long for what it prefers."""
+    timeout_s = (
+        _PREFERENCE_TIMEOUT_S if context.has_plenty else _MAX_PREFERENCE_WAIT_S
+    )
+    if context.now - group.since < timeout_s:
         return False
-    if not context.has_plenty:
-        prefers = group.avoided_worker_ids or group.step.rack_local
-        if waited_s < _MAX_PREFERENCE_WAIT_S or not prefers:
-            return False
-    return context.free_capacity.fits(group)
+    if group.avoided_worker_ids:
+        return True
+    if group.size > 1 and group.step.rack_local and not group.may_span_racks:
+        return True
+    return context.has_plenty and bool(context.board.claims_by_group)
+
+
+def _relaxed_shape(
+    context: _RoundContext, group: fleet.Group, shape: fitting.Shape | None
+) -> fitting.Shape | None:
+    """Return the shape of an attempt without the group's preferences.
+
+    Returns None where the attempt depends on more: while claims count, the
+    group may use the workers that it claims itself.
+    """
+    claims_count = not context.has_plenty
+    if shape is None or (
+        claims_count and group in context.board.claims_by_group
+    ):
+        return None
+    return shape.relaxed()
+
+
+def _may_fit(
+    context: _RoundContext, group: fleet.Group, relaxed: fitting.Shape | None
+) -> bool:
+    """Return whether a group may fit without its preferences."""
+    free_capacity = context.free_capacity
+    if relaxed in free_capacity.unplaceable_shapes:
+        return False
+    return free_capacity.fits(group)
 
 
 def _may_search(context: _RoundContext, shape: fitting.Shape | None) -> bool:
@@ -237,7 +269,10 @@
 
 
 def _place_anywhere(
-    context: _RoundContext, group: fleet.Group, queue: queues.Queue
+    context: _RoundContext,
+    group: fleet.Group,
+    queue: queues.Queue,
+    relaxed: fitting.Shape | None,
 ) -> bool:
     """Place a group without its preferences; return whether it was placed."""
     waited_s = context.now - group.since
@@ -249,7 +284,7 @@
         is_claimed = context.claims.excludes(worker.id, group, rank)
         return may_run(worker) and (context.has_plenty or not is_claimed)
 
-    if not _place_among(context, group, allow, None):
+    if not _place_among(context, group, allow, relaxed):
         return False
     context.board.record_decision(
         'placed without preferences',
--- a/primroselock/decisions/waitreport.py
+++ b/primroselock/decisions/waitreport.py
@@ -3,10 +3,15 @@
 The log says what was placed.  For work that should run and does not, this
 records what holds it: the phase of its group, and for a waiting group how
 many workers each reason keeps from it.  Only jobs of which nothing runs
-beside plenty of free capacity are examined, about once a second.
+beside plenty of free capacity are reported, about once a second.
+
+A report must stay cheap while thousands of jobs wait: it examines a part of
+them, the next one goes on from there, and jobs of equal need share one count
+of the free capacity, which ends once that is plenty.
 """
 
 from collections import abc
+import dataclasses
 import typing
 
 from primroselock.decisions import eligibility
@@ -14,12 +19,14 @@
 from primroselock.decisions import fleet
 from primroselock.decisions import reachability
 from primroselock.decisions import waiting
+from primroselock import jobgraph
 
 _INTERVAL_S: typing.Final = 1.0
 _PATIENCE_S: typing.Final = 2.0
 """Work that waits for less time than this is not reported."""
 
 _MAX_REPORTS: typing.Final = 10
+_MAX_EXAMINED_JOBS: typing.Final = 500
 _SPARE_FACTOR: typing.Final = 2
 """Capacity is plenty if the group would fit this many times."""
 
@@ -40,13 +47,64 @@
     board.idle_waits = 0
     if not eligibility.is_partly_idle(board):
         return
-    for job in board.jobs_by_id.values():
+    has_plenty_by_need: dict[_Need, bool] = {}
+    held = []
+    for job in _take_jobs_to_examine(board):
         group = _find_held_group(job, now)
-        if group is None or not _has_plenty(board, group):
+        if group is None:
             continue
-        board.idle_waits += 1
-        if board.idle_waits <= _MAX_REPORTS:
-            _report(board, group, now)
+        need = _need_of(group)
+        if need not in has_plenty_by_need:
+            has_plenty_by_need[need] = _has_plenty(board, group)
+        if has_plenty_by_need[need]:
+            held.append(group)
+    board.idle_waits = len(held)
+    if not held:
+        return
+    obstacles = _Obstacles(
+        frozenset(w.id for w in reachability.list_unverified(board)),
+        waiting.guaranteed_job_ids(board),
+    )
+    for group in held[:_MAX_REPORTS]:
+        _report(board, group, obstacles, now)
+
+
+class _Need(typing.NamedTuple):
+    """What decides whether free capacity is plenty for a group."""
+
+    service: str | None
+    label: str
+    need: jobgraph.Resources
+    size: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Obstacles:
+    """What all lines of a report share.
+
+    Work goes to no worker in ``unverified_ids``; ``guaranteed_ids`` names
+    the jobs within their accounts' guarantees.
+    """
+
+    unverified_ids: abc.Set[str]
+    guaranteed_ids: abc.Set[str]
+
+
+def _take_jobs_to_examine(board: fleet.ShardBoard) -> list[fleet.LiveJob]:
+    """Return the jobs after those examined last, at most all of them."""
+    known = list(board.jobs_by_id.values())
+    if len(known) <= _MAX_EXAMINED_JOBS:
+        return known
+    first = board.next_examined % len(known)
+    end = first + _MAX_EXAMINED_JOBS
+    board.next_examined = end % len(known)
+    return known[first:end] + known[: max(0, end - len(known))]
+
+
+def _need_of(group: fleet.Group) -> _Need:
+    queue, step = group.job.queue, group.step
+    service = queue.service if queue else None
+    return _Need(service, step.label, step.counted_need, group.size)
 
 
 def _find_held_group(job: fleet.LiveJob, now: float) -> fleet.Group | None:
@@ -57,8 +115,9 @@
     for group in job.groups_by_key.values():
         if group.phase is fleet.Phase.RUNNING:
             return None
-        if any(m.state is fleet.MemberState.PRESENT for m in group.members):
-            return None
+        for member in group.members:
+            if member.state is fleet.MemberState.PRESENT:
+                return None
         is_due = (
             group.phase is fleet.Phase.WAITING
             or group.phase in fleet.ACTIVE_PHASES
@@ -78,8 +137,11 @@
             continue
         free = worker.free
         if free.can_fit(need):
+            # An empty need fits any number of times.
             fit_total += free.fit_count(need) or group.size
-    return fit_total >= group.size * _SPARE_FACTOR
+        if fit_total >= group.size * _SPARE_FACTOR:
+            return True
+    return False
 
 
 def _is_candidate(
@@ -93,7 +155,12 @@
     )
 
 
-def _report(board: fleet.ShardBoard, group: fleet.Group, now: float) -> None:
+def _report(
+    board: fleet.ShardBoard,
+    group: fleet.Group,
+    obstacles: _Obstacles,
+    now: float,
+) -> None:
     job = group.job
     board.record_decision(
         'job waits beside free capacity',
@@ -111,7 +178,7 @@
         starts_permitted=now <= board.permit_until,
         delayed_s=round(max(0.0, group.not_before - now), 3),
         held=_list_held_members(group),
-        workers=_count_workers(board, group, now),
+        workers=_count_workers(board, group, obstacles, now),
     )
 
 
@@ -124,11 +191,13 @@
 
 
 def _count_workers(
-    board: fleet.ShardBoard, group: fleet.Group, now: float
+    board: fleet.ShardBoard,
+    group: fleet.Group,
+    obstacles: _Obstacles,
+    now: float,
 ) -> dict[str, int]:
     """Return how many workers with free capacity each reason excludes."""
-    unverified = {w.id for w in reachability.list_unverified(board)}
-    claimed = _list_claimed(board, group)
+    claimed = _list_claimed(board, group, obstacles.guaranteed_ids)
     service = group.job.queue.service if group.job.queue else None
     counts: dict[str, int] = {}
     for worker in board.workers_by_id.values():
@@ -139,7 +208,7 @@
         exclusion = eligibility.find_exclusion(board, worker, now)
         if exclusion is not None:
             why = exclusion.value
-        elif worker.id in unverified:
+        elif worker.id in obstacles.unverified_ids:
             why = _UNVERIFIED
         elif worker.id in group.avoided_worker_ids:
             why = _AVOIDED
@@ -151,9 +220,13 @@
     return counts
 
 
-def _list_claimed(board: fleet.ShardBoard, group: fleet.Group) -> abc.Set[str]:
+def _list_claimed(
+    board: fleet.ShardBoard,
+    group: fleet.Group,
+    guaranteed_ids: abc.Set[str],
+) -> abc.Set[str]:
     """Return the workers that others' claims keep from the group."""
-    rank = waiting.rank(group, waiting.guaranteed_job_ids(board))
+    rank = waiting.rank(group, guaranteed_ids)
     return {
         worker_id
         for owner, claim in board.claims_by_group.items()
--- a/primroselock/test/testholderload.py
+++ b/primroselock/test/testholderload.py
@@ -23,8 +23,10 @@
 from primroselock.decisions import runs
 from primroselock import graphrows
 from primroselock import intake
+from primroselock import jobgraph
 from primroselock.store import keys
 from primroselock.test import fleetbuilders
+from primroselock.test import idlebuilders
 from primroselock.test import loadbuilders
 from primroselock.test import virtualtime
 from primroselock.workers import orders
@@ -49,6 +51,88 @@
         yield began
 
 
+def count_calls(
+    site: idlebuilders.Site, owner: object, name: str
+) -> tuple[int, int]:
+    """Return how many rounds of 2 s there were, and calls of ``name``.
+
+    ``owner`` is the module or class of the function.
+    """
+    with (
+        mock.patch.object(
+            fleetround, 'run', wraps=fleetround.run
+        ) as run_round,
+        mock.patch.object(
+            owner, name, autospec=True, side_effect=getattr(owner, name)
+        ) as called,
+    ):
+        site.run_for(2.0)
+    return run_round.call_count, called.call_count
+
+
+class PreferenceLoadTest(unittest.TestCase):
+    """Much work that waits for long beside capacity that does not fit it."""
+
+    def setUp(self) -> None:
+        self.site = idlebuilders.Site(20)
+        self.site.settings = fleetbuilders.build_node_settings(
+            '[fleet]\nclaim_share = 0\n'
+        )
+
+    def occupy_all(self, **changes: typing.Any) -> None:
+        """Run a task of one accelerator on each worker for ten minutes."""
+        step = fleetbuilders.build_step(1, 1, 600_000, **changes)
+        for worker_id in self.site.workers_by_id:
+            self.site.occupy(worker_id, f'long-{worker_id}', step, 600.0)
+
+    def submit_many(self, step: jobgraph.Step, queue: str = 'bulk') -> None:
+        """Submit 30 jobs of ``step``; let them wait for 4 s."""
+        for number in range(30):
+            self.site.submit(f'j{number}', step, run_s=3.0, queue=queue)
+        self.site.run_for(4.0)
+        self.assertEqual(
+            30 * step.group_count, len(self.site.board.phases.waiting)
+        )
+
+    def test_what_does_not_fit_is_asked_once_per_shape(self) -> None:
+        """Guards against a look at all workers for each waiting gang."""
+        self.occupy_all()
+        self.submit_many(
+            fleetbuilders.build_step(
+                21, 4, 600_000, gang=True, rack_local=True
+            )
+        )
+        rounds, calls = count_calls(
+            self.site, fitting.FreeCapacity, 'list_with_capacity'
+        )
+        # One look for the attempt to place and one for all preferences.
+        self.assertLessEqual(calls, 2 * rounds)
+
+    def test_a_relaxed_attempt_is_made_once_per_shape(self) -> None:
+        """Guards against an attempt without preferences for each gang.
+
+        All workers have free capacity, but run tasks that share no worker
+        with tasks that fill spare CPU time.
+        """
+        self.occupy_all(tail_latency_target_ms=20)
+        self.submit_many(
+            fleetbuilders.build_step(
+                2, 1, 600_000, gang=True, rack_local=True, fills=True
+            )
+        )
+        rounds, calls = count_calls(self.site, fitting, '_place_gang')
+        self.assertLessEqual(calls, 2 * rounds)
+
+    def test_work_without_preferences_is_not_tried_twice(self) -> None:
+        """Guards against a second attempt where there is nothing to drop.
+
+        No advice arrives, so that no worker may be used.
+        """
+        self.submit_many(fleetbuilders.build_step(3, 1, 600_000), 'advised')
+        rounds, calls = count_calls(self.site, fitting, '_place_single')
+        self.assertLessEqual(calls, 30 * rounds)
+
+
 class OverloadTest(unittest.TestCase):
     """More work than fits, and a holder that is slower than its work."""
 
--- a/primroselock/test/testwaitreport.py
+++ b/primroselock/test/testwaitreport.py
@@ -3,11 +3,15 @@
 import dataclasses
 import typing
 import unittest
+from unittest import mock
 
 from primroselock.decisions import evidence
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetround
 from primroselock.decisions import graphs
+from primroselock.decisions import waiting
+from primroselock.decisions import waitreport
+from primroselock import jobgraph
 from primroselock.test import fleetbuilders
 from tools import largefleet
 
@@ -113,6 +117,78 @@
         self.assertEqual([], self.run_rounds(7.0, 12.0))
 
 
+class ReportLoadTest(unittest.TestCase):
+    """The cost of a report while many jobs wait.
+
+    The board has a hundred idle workers that are all quarantined.
+    """
+
+    def setUp(self) -> None:
+        self.board = largefleet.build_board(100)
+        for worker_id in self.board.workers_by_id:
+            self.board.failure_evidence.quarantines_by_worker_id[worker_id] = (
+                evidence.Quarantine(1000.0, 1)
+            )
+
+    def submit(self, jobs: int, step: jobgraph.Step) -> None:
+        """Add jobs of one step at the time 0."""
+        for number in range(jobs):
+            graph = fleetbuilders.build_graph(f'j{number}', step)
+            graphs.add_job(self.board, graph, None, 0, 0.0, number)
+
+    def count_calls(self, owner: object, name: str, now: float) -> int:
+        """Return how often a report at ``now`` calls a function."""
+        with mock.patch.object(
+            owner, name, wraps=getattr(owner, name)
+        ) as called:
+            waitreport.report_idle_waits(self.board, now)
+        return called.call_count
+
+    def test_workers_are_not_counted_for_each_waiting_job(self) -> None:
+        """Guards against a report of jobs times workers.
+
+        All jobs need the same, and a few workers hold it twice.
+        """
+        self.submit(300, fleetbuilders.build_step(40, 2))
+        looks = self.count_calls(waitreport, '_is_candidate', 10.0)
+        self.assertEqual(300, self.board.idle_waits)
+        # Ten jobs are reported, each with all workers that it could use.
+        self.assertLessEqual(looks, 11 * 100)
+
+    def test_the_count_ends_once_it_is_enough(self) -> None:
+        """Guards against a look at all workers for each kind of need."""
+        for number in range(100):
+            graph = fleetbuilders.build_graph(
+                f'j{number}', fleetbuilders.build_step(1, 2, cpu_millis=number)
+            )
+            graphs.add_job(self.board, graph, None, 0, 0.0, number)
+        looks = self.count_calls(waitreport, '_is_candidate', 10.0)
+        self.assertEqual(100, self.board.idle_waits)
+        self.assertLessEqual(looks, 100 * 2 + 10 * 100)
+
+    def test_a_report_examines_a_part_of_very_many_jobs(self) -> None:
+        """Guards against a cost that grows with the number of jobs.
+
+        The next reports examine the rest.
+        """
+        self.submit(2000, fleetbuilders.build_step(1, 2))
+        found = []
+        for number in range(4):
+            examined = self.count_calls(
+                waitreport, '_find_held_group', 10.0 + number
+            )
+            self.assertLessEqual(examined, 500)
+            found.append(self.board.idle_waits)
+        self.assertEqual(2000, sum(found))
+
+    def test_guarantees_are_computed_once_per_report(self) -> None:
+        """Guards against a sort of all urgent jobs for each report line."""
+        self.submit(20, fleetbuilders.build_step(1, 2))
+        calls = self.count_calls(waiting, 'guaranteed_job_ids', 10.0)
+        self.assertEqual(20, self.board.idle_waits)
+        self.assertLessEqual(calls, 1)
+
+
 def _workers(reports: list[dict[str, object]]) -> list[object]:
     return [report['workers'] for report in reports]
 
