Stuck work that returned to its worker is judged again

Seen by callers: on a site with one stalled worker and three others busy for 25 s, a job of 1 s still ran after 200 s; before it ended with the other runs.

The attempt without preferences also treated these workers like all others, and took them although another one was about to be free.

Now every group is judged; each time it was stuck, the times after which it counts as stuck double, so that work which is just long is stopped ever later, and only the first time counts against its workers. The attempt without preferences first uses the other workers alone, across racks and beside claims; it returns to avoided ones only if no others are expected to be free before the group has waited for 20 s, and then to as few as it must. Where only these workers can run it, nothing changes.

--- a/primroselock/decisions/fitting.py
+++ b/primroselock/decisions/fitting.py
@@ -503,13 +503,14 @@
 ) -> tuple[float, ...]:
     """Return the sort key of a worker for a task; the lowest is best.
 
-    Single tasks go into the fullest rack, so that other racks stay free
-    for rack-local gangs.
+    Workers where the group was stuck come last.  Single tasks go into the
+    fullest rack, so that other racks stay free for rack-local gangs.
     """
     data_rack = group.step.data_rack
     rack = worker.entry.rack
     left = free_capacity.free_by_id[worker.id].plus(need, -1)
     return (
+        float(worker.id in group.avoided_worker_ids),
         float(bool(data_rack) and rack != data_rack),
         free_capacity.speed_class(worker.id, group),
         free_capacity.free_accelerators_by_rack[rack],
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -159,7 +159,7 @@
     inherited from an earlier holder, so that its run time from the beginning
     is unknown.  ``may_span_racks`` is set for a rack-local gang that no
     single rack can hold.  ``avoided_worker_ids`` are the workers on which
-    the group was stuck; others are preferred.
+    the group was stuck, ``times_stuck`` times; others are preferred.
     """
 
     job: 'LiveJob'
@@ -180,6 +180,7 @@
     preemptions: int = 0
     is_resumed: bool = False
     avoided_worker_ids: set[str] = dataclasses.field(default_factory=set)
+    times_stuck: int = 0
     step_name: StepName = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
--- a/primroselock/decisions/fleethealth.py
+++ b/primroselock/decisions/fleethealth.py
@@ -9,9 +9,10 @@
 
 A task is stuck when it runs much longer than others of its step or queue,
 when it is much slower than its siblings (tasks of the same step), or when
-it makes no progress.  It is moved to another worker only once, since some
-tasks are just long.  Run times within a queue vary widely, so that only
-siblings show early that a task is slow.
+it makes no progress.  Some tasks are just long: each time a group is stuck,
+the times after which it counts as stuck again double, and only the first
+time counts against its workers.  Run times within a queue vary widely, so
+that only siblings show early that a task is slow.
 """
 
 import dataclasses
@@ -35,6 +36,9 @@
 _STALL_TIMEOUT_S: typing.Final = 3.0
 """Time without a higher reported share after which a run is stalled."""
 
+_MAX_DOUBLINGS: typing.Final = 10
+"""How often the times after which a group counts as stuck may double."""
+
 _SHARE_RESOLUTION: typing.Final = 0.01
 _STALL_STEPS: typing.Final = 4
 """Progress is reported in hundredths: a run is stalled only when it should
@@ -135,14 +139,17 @@
 ) -> str:
     """Return the reason why a group counts as stuck, or ''."""
     step = group.step
-    if step.long_running or group.avoided_worker_ids:
+    if step.long_running:
         return ''
-    if any(_is_stalled(member) for member in group.members):
+    patience = 2.0 ** min(group.times_stuck, _MAX_DOUBLINGS)
+    if any(_is_stalled(member, patience) for member in group.members):
         return 'no progress'
     factor = remote_factor if _is_remote(board, group) else 1.0
     step_key = (group.job.graph.id, group.key.step)
     sibling_s = board.learned.longest_sibling_s(step_key, step.group_count)
-    if sibling_s is not None and _is_slow(group, sibling_s * factor, now):
+    if sibling_s is not None and _is_slow(
+        group, sibling_s * factor, patience, now
+    ):
         return 'slower than its siblings'
     expected_s = board.learned.longest_s(
         group.job.graph.queue,
@@ -152,7 +159,7 @@
     )
     if expected_s is None or group.began_at is None:
         return ''
-    limit_s = expected_s * factor * _STUCK_FACTOR + _STUCK_MARGIN_S
+    limit_s = _slow_limit_s(expected_s * factor, patience)
     # The group may have ended since its last report.
     reported_at = max(
         (m.progress.seen_at for m in group.members if m.progress is not None),
@@ -162,17 +169,24 @@
     return 'longer than expected' if is_long else ''
 
 
-def _is_slow(group: fleet.Group, expected_s: float, now: float) -> bool:
+def _slow_limit_s(expected_s: float, patience: float) -> float:
+    """Return the run time beyond which a group is too slow."""
+    return (expected_s * _STUCK_FACTOR + _STUCK_MARGIN_S) * patience
+
+
+def _is_slow(
+    group: fleet.Group, expected_s: float, patience: float, now: float
+) -> bool:
     """Return whether a restart elsewhere would end before the group."""
     remaining_s = group.remaining_s(now)
     if remaining_s is None:
         return False
     total_s = group.worked_s(now) + remaining_s
-    limit_s = expected_s * _STUCK_FACTOR + _STUCK_MARGIN_S
+    limit_s = _slow_limit_s(expected_s, patience)
     return total_s > limit_s and remaining_s > expected_s + _STUCK_MARGIN_S
 
 
-def _is_stalled(member: fleet.Member) -> bool:
+def _is_stalled(member: fleet.Member, patience: float) -> bool:
     """Return whether run reports show no progress for too long.
 
     A member of a gang that has done its own part waits for the others, and
@@ -186,7 +200,7 @@
         limit_s = max(
             limit_s, _STALL_STEPS * _SHARE_RESOLUTION / seen.rate_per_s
         )
-    return seen.stalled_s > limit_s
+    return seen.stalled_s > limit_s * patience
 
 
 def _is_remote(board: fleet.ShardBoard, group: fleet.Group) -> bool:
@@ -203,8 +217,14 @@
 
 
 def record_stuck(board: fleet.ShardBoard, group: fleet.Group) -> None:
-    """Record a stuck group as a failure of its workers; avoid these."""
+    """Record that a group is stuck, so that it avoids its workers.
+
+    It counts as a failure of these only once.
+    """
+    group.times_stuck += 1
     group.avoided_worker_ids.update(m.worker_id for m in group.members)
+    if group.times_stuck > 1:
+        return
     for member in group.members:
         board.failure_evidence.record_failure(
             member.worker_id, group.job.graph.id, group.attempt
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -9,6 +9,8 @@
 workers that no other group claims are preferences.  They are dropped for a
 group that has waited for a while although it fits without them: soon while
 plenty of capacity is free, and later, but for the claims, in any case.
+Workers where it was stuck come last, and only once no other is expected to
+be free for it soon.
 
 When more work waits than fits, most groups cannot be placed, and a round
 must not examine each of them: groups of the same shape share the outcome
@@ -50,6 +52,10 @@
 _MAX_PREFERENCE_WAIT_S: typing.Final = 10.0
 """Wait for preferred workers while capacity is scarce."""
 
+_MAX_AVOIDANCE_S: typing.Final = 20.0
+"""The longest wait for workers where a group was not stuck, if they are
+expected to be free by then."""
+
 _SEARCH_RETRY_S: typing.Final = 0.25
 """Delay before victims or workers to claim are searched again for a shape
 for which none were found."""
@@ -181,7 +187,8 @@
             if _place_anywhere(context, group, queue, relaxed):
                 placed += 1
                 continue
-            may_relax = False
+            # Other groups of the step may avoid other workers.
+            may_relax = bool(group.avoided_worker_ids)
             group.may_span_racks = may_span_racks
         if not _free_capacity_for(context, group, queue, own_shape):
             is_exhausted = is_exhausted or not is_own
@@ -277,14 +284,17 @@
     """Place a group without its preferences; return whether it was placed."""
     waited_s = context.now - group.since
     group.may_span_racks = True
-    may_run = _build_basic_filter(context, group, queue)
-    rank = context.rank(group)
+    allow = _build_relaxed_filter(context, group, queue)
 
-    def allow(worker: fleet.Worker) -> bool:
-        is_claimed = context.claims.excludes(worker.id, group, rank)
-        return may_run(worker) and (context.has_plenty or not is_claimed)
+    def allow_others(worker: fleet.Worker) -> bool:
+        return worker.id not in group.avoided_worker_ids and allow(worker)
 
-    if not _place_among(context, group, allow, relaxed):
+    is_placed = False
+    if group.avoided_worker_ids:
+        is_placed = _place_among(context, group, allow_others, None)
+        if not is_placed and _is_free_soon(context, group, allow_others):
+            return False
+    if not is_placed and not _place_among(context, group, allow, relaxed):
         return False
     context.board.record_decision(
         'placed without preferences',
@@ -295,6 +305,19 @@
     return True
 
 
+def _is_free_soon(
+    context: _RoundContext, group: fleet.Group, allow: fitting.WorkerFilter
+) -> bool:
+    """Return whether to wait for workers that ``allow`` passes."""
+    left_s = group.since + _MAX_AVOIDANCE_S - context.now
+    if left_s <= 0:
+        return False
+    chosen = fleetpreemption.choose_soonest_free(
+        context.board, context.free_capacity, group, allow, context.now
+    )
+    return chosen is not None and chosen.cost <= left_s
+
+
 def _place_among(
     context: _RoundContext,
     group: fleet.Group,
@@ -330,6 +353,20 @@
     return allow
 
 
+def _build_relaxed_filter(
+    context: _RoundContext, group: fleet.Group, queue: queues.Queue
+) -> fitting.WorkerFilter:
+    """Return a filter for the usable workers that a group must accept."""
+    rank = context.rank(group)
+    may_run = _build_basic_filter(context, group, queue)
+
+    def allow(worker: fleet.Worker) -> bool:
+        is_claimed = context.claims.excludes(worker.id, group, rank)
+        return may_run(worker) and (context.has_plenty or not is_claimed)
+
+    return allow
+
+
 def _build_worker_filter(
     context: _RoundContext, group: fleet.Group, queue: queues.Queue
 ) -> fitting.WorkerFilter:
--- a/primroselock/test/testidledecisions.py
+++ b/primroselock/test/testidledecisions.py
@@ -154,6 +154,40 @@
         self.site.run_for(6.0)
         self.assert_none_idle(self.site)
 
+    def test_a_gang_spans_racks_rather_than_return_where_it_stuck(
+        self,
+    ) -> None:
+        """Guards against a return although other workers are free.
+
+        No rack holds the gang without workers where it was stuck, but all
+        racks together do.
+        """
+        gang = build_gang(15, 60_000, rack_local=True)
+        job = self.site.submit('gang', gang, run_s=60.0, queue='batch')
+        (group,) = job.groups_by_key.values()
+        for number in range(60):
+            if number % 20 < 6:
+                group.avoided_worker_ids.add(f'n{number:03}')
+        self.site.run_for(4.0)
+        self.assertIs(fleet.Phase.RUNNING, group.phase)
+        used_ids = {member.worker_id for member in group.members}
+        self.assertEqual(set(), used_ids & group.avoided_worker_ids)
+
+    def test_a_gang_returns_to_as_few_workers_as_it_must(self) -> None:
+        """Guards against a gang that is stuck where it need not run.
+
+        It fits on the site only with a fourth of the workers it avoids.
+        """
+        site = idlebuilders.Site(20)
+        gang = build_gang(17, 60_000)
+        job = site.submit('gang', gang, run_s=60.0, queue='batch')
+        (group,) = job.groups_by_key.values()
+        group.avoided_worker_ids.update(f'n{n:03}' for n in range(4))
+        site.run_for(4.0)
+        self.assertIs(fleet.Phase.RUNNING, group.phase)
+        used_ids = {member.worker_id for member in group.members}
+        self.assertEqual(1, len(used_ids & group.avoided_worker_ids))
+
     def test_a_gang_does_not_wait_for_a_long_run_in_each_rack(self) -> None:
         """Guards against a wait that costs more than spanning racks.
 
@@ -187,6 +221,32 @@
         site.run_for(7.0)
         self.assertIs(fleet.Phase.RUNNING, group.phase)
 
+    def run_where_stuck(self, others_run_s: float) -> fleet.Group:
+        """Run a task that avoids the only free worker; return its group.
+
+        The three other workers are busy for ``others_run_s``.
+        """
+        site = idlebuilders.Site(4)
+        for number in range(3):
+            step = build_task(8, others_run_s)
+            site.occupy(f'n{number:03}', f'job-{number}', step, others_run_s)
+        job = site.submit('j', build_task(8, 20.0), run_s=20.0, queue='batch')
+        (group,) = job.groups_by_key.values()
+        group.avoided_worker_ids.add('n003')
+        site.run_for(14.0)
+        self.assertIs(fleet.Phase.RUNNING, group.phase)
+        return group
+
+    def test_stuck_work_waits_for_a_worker_that_is_free_soon(self) -> None:
+        """Guards against a return to a worker just before another is free."""
+        group = self.run_where_stuck(12.0)
+        self.assertNotEqual('n003', group.members[0].worker_id)
+
+    def test_stuck_work_waits_for_no_worker_that_is_free_late(self) -> None:
+        """Guards against a long wait beside a free worker."""
+        group = self.run_where_stuck(_LONG_S)
+        self.assertEqual('n003', group.members[0].worker_id)
+
 
 class DelayTest(IdleTestCase):
     """The delay after a preemption."""
--- a/primroselock/test/testloadpatterns.py
+++ b/primroselock/test/testloadpatterns.py
@@ -228,3 +228,22 @@
             return await world.wait_for('j', 'done', 30.0)
 
         self.assertLess(fleetbuilders.run_scenario(scenario, 4), 6.0)
+
+    def test_a_stalled_worker_keeps_no_work_while_others_end(self) -> None:
+        """Guards against stuck work that returns to its worker and stays.
+
+        The pattern: one worker is stalled, all others are busy for 25 s.
+        """
+
+        async def scenario(world: fleetbuilders.World) -> float:
+            for number in range(3):
+                step = fleetbuilders.build_step(1, 8, 25_000)
+                world.submit(fleetbuilders.build_graph(f'long{number}', step))
+            await asyncio.sleep(1.0)
+            for worker in world.fleet.workers_by_id.values():
+                worker.is_stalled = not worker.runs
+            step = fleetbuilders.build_step(1, 8, 1000)
+            world.submit(fleetbuilders.build_graph('j', step))
+            return await world.wait_for('j', 'done', 60.0)
+
+        self.assertLess(fleetbuilders.run_scenario(scenario, 4), 30.0)
--- a/primroselock/test/testrunprogress.py
+++ b/primroselock/test/testrunprogress.py
@@ -114,6 +114,52 @@
             self.report(second / 600, float(second))
             self.assertEqual([], self.list_stuck(float(second)))
 
+    def get_stuck(self, now: float) -> None:
+        """Record that the run is stuck; restart it on the same worker."""
+        self.group.attempt += 1
+        fleethealth.record_stuck(self.board, self.group)
+        self.group.began_at = now
+        self.member.progress = runprogress.start(0.0, now)
+
+    def test_work_that_was_stuck_is_judged_again(self) -> None:
+        """Guards against a run that stays on a stalled worker for ever.
+
+        The time without progress that counts as stuck doubles each time.
+        """
+        self.get_stuck(10.0)
+        self.report(0.0, 14.0)
+        self.assertEqual([], self.list_stuck(14.0))
+        self.report(0.0, 17.0)
+        self.assertEqual([self.group], self.list_stuck(17.0))
+        self.get_stuck(20.0)
+        self.report(0.0, 27.0)
+        self.assertEqual([], self.list_stuck(27.0))
+        self.report(0.0, 33.0)
+        self.assertEqual([self.group], self.list_stuck(33.0))
+
+    def test_long_work_is_stopped_ever_later(self) -> None:
+        """Guards against work that is stopped before its end for ever.
+
+        Runs of the queue take two seconds, this one takes much longer.
+        """
+        self.learn('other')
+        assert self.member.progress is not None
+        for times in range(4):
+            self.member.progress.share = 1.0
+            self.report(1.0, 100.0 * times + 5.0 * 2.0**times)
+            self.assertEqual([], self.list_stuck(100.0 * times))
+            self.report(1.0, 100.0 * times + 6.0 * 2.0**times)
+            self.assertEqual([self.group], self.list_stuck(100.0 * times))
+            self.get_stuck(100.0 * (times + 1))
+
+    def test_work_that_is_stuck_again_does_not_blame_its_workers(self) -> None:
+        """Guards against sound workers suspected because of one long job."""
+        self.get_stuck(10.0)
+        self.get_stuck(20.0)
+        self.get_stuck(40.0)
+        self.assertFalse(self.board.failure_evidence.is_suspect('w0', 2))
+        self.assertEqual(0, self.group.failures)
+
     def learn(self, job_id: str) -> None:
         """Record that eight tasks of a job took two seconds each."""
         for _ in range(8):
