Only workers in service tell whether a rack could hold a gang

Seen by callers: a rack-local gang waited for 2 s, or 10 s while capacity was scarce, for racks that will not be whole again: a worker of each was draining, had left, or was in a zone out of service.

Cause: whether some rack could hold the gang was judged by all known workers of its service.

Now the workers count that are listed, not draining and in a zone in service; whether they answer at the moment does not, as one unanswered poll must not send a gang across racks. The answer is cached by service, step and zones out of service, and the cache is cleared when a worker leaves the list or returns to it, too.

Tests: four of five new ones failed before (the gang still waiting after 0.5 s); the fifth guards against judging by who answers, and passed.

--- a/primroselock/decisions/eligibility.py
+++ b/primroselock/decisions/eligibility.py
@@ -49,6 +49,16 @@
     return None
 
 
+def is_in_service(board: fleet.ShardBoard, worker: fleet.Worker) -> bool:
+    """Return whether a worker is meant to run work, reachable or not."""
+    out_of_service = board.queue_configuration.zones_out_of_service
+    return (
+        worker.is_listed
+        and not worker.entry.is_draining
+        and worker.entry.zone not in out_of_service
+    )
+
+
 def list_usable(board: fleet.ShardBoard, now: float) -> list[fleet.Worker]:
     """Return the workers that may get starts."""
     return [
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -454,22 +454,22 @@
 
 @dataclasses.dataclass(slots=True)
 class EntryCache:
-    """What follows from the workers' entries alone, until one changes.
+    """What follows from the workers' entries, until a list changes them.
 
     ``usable_by_kind`` holds the workers that could hold a task of a kind
     of step when empty, ``spans_racks_by_step`` whether a rack-local step
-    fits in no single rack; ``fitting`` fills both.
+    fits in no single rack, by service, step and zones out of service.
     """
 
     usable_by_kind: dict[typing.Any, list[Worker]] = dataclasses.field(
         default_factory=dict
     )
-    spans_racks_by_step: dict[tuple[str, jobgraph.Step], bool] = (
-        dataclasses.field(default_factory=dict)
-    )
+    spans_racks_by_step: dict[
+        tuple[str, jobgraph.Step, frozenset[str]], bool
+    ] = dataclasses.field(default_factory=dict)
 
     def clear(self) -> None:
-        """Forget everything: an entry changed, or a worker was removed."""
+        """Forget everything: an entry, or what is listed, has changed."""
         self.usable_by_kind.clear()
         self.spans_racks_by_step.clear()
 
@@ -589,7 +589,7 @@
             worker = Worker(entry)
             self.workers_by_id[entry.id] = worker
             self.entry_cache.clear()
-        elif worker.entry != entry:
+        elif worker.entry != entry or not worker.is_listed:
             self.entry_cache.clear()
         worker.entry = entry
         worker.is_listed = True
@@ -603,6 +603,8 @@
         worker = self.workers_by_id.get(worker_id)
         if worker is None:
             return
+        if worker.is_listed:
+            self.entry_cache.clear()
         worker.is_listed = False
         if not worker.is_busy:
             self.remove_worker(worker_id)
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -246,10 +246,15 @@
 def _must_span_racks(
     board: fleet.ShardBoard, step: jobgraph.Step, queue: queues.Queue
 ) -> bool:
-    """Return whether no single rack could hold the gang even when empty."""
+    """Return whether no single rack could hold the gang even when empty.
+
+    The workers in service count, also those that do not answer: these may
+    answer the next poll, but a gang that spans racks is slow to its end.
+    """
     if not step.gang or not step.rack_local:
         return False
-    key = (queue.service, step)
+    out_of_service = board.queue_configuration.zones_out_of_service
+    key = (queue.service, step, out_of_service)
     known = board.entry_cache.spans_racks_by_step.get(key)
     if known is None:
         known = fitting.must_span_racks(
@@ -257,6 +262,7 @@
                 worker
                 for worker in board.workers_by_id.values()
                 if worker.entry.service == queue.service
+                and eligibility.is_in_service(board, worker)
             ),
             step,
         )
--- a/primroselock/test/testidledecisions.py
+++ b/primroselock/test/testidledecisions.py
@@ -200,6 +200,77 @@
         self.run_gang(self.site)
 
 
+class WholeRackTest(unittest.TestCase):
+    """Whether some rack could hold a gang that needs 20 workers of one."""
+
+    def setUp(self) -> None:
+        self.site = idlebuilders.Site(60)
+        self.one_of_each_rack = ('n005', 'n025', 'n045')
+
+    def start_gang(self, name: str) -> fleet.Phase:
+        """Submit a gang; return its phase after half a second."""
+        gang = build_gang(20, rack_local=True)
+        job = self.site.submit(name, gang, run_s=5.0, queue='batch')
+        self.site.run_for(0.5)
+        (group,) = job.groups_by_key.values()
+        return group.phase
+
+    def fill_cache(self) -> None:
+        """Run such a gang and let it end."""
+        self.assertIs(fleet.Phase.RUNNING, self.start_gang('first'))
+        self.site.run_for(7.0)
+        self.assertEqual({}, self.site.board.jobs_by_id)
+
+    def unlist_busy_workers(self) -> None:
+        """Let a worker of each rack leave; its task was not seen to end."""
+        for worker_id in self.one_of_each_rack:
+            step = build_task(1, _LONG_S)
+            self.site.occupy(worker_id, f'long-{worker_id}', step, _LONG_S)
+            self.site.board.record_unlisted(worker_id)
+
+    def test_draining_workers_make_no_rack_whole(self) -> None:
+        """Guards against a wait of 2 s for racks that are being drained."""
+        self.fill_cache()
+        for worker_id in self.one_of_each_rack:
+            self.site.drain(worker_id)
+        self.assertIs(fleet.Phase.RUNNING, self.start_gang('gang'))
+
+    def test_a_zone_out_of_service_has_no_whole_rack(self) -> None:
+        """Guards against a wait for the racks of a zone out of service.
+
+        Only the racks r0 and r3 of zone a are whole; the others are short of
+        a worker each.
+        """
+        self.site = idlebuilders.Site(100)
+        for worker_id in ('n020', 'n040', 'n080'):
+            self.site.board.record_unlisted(worker_id)
+        self.fill_cache()
+        self.site.take_out_of_service('a')
+        self.assertIs(fleet.Phase.RUNNING, self.start_gang('gang'))
+
+    def test_workers_that_have_left_make_no_rack_whole(self) -> None:
+        """Guards against a wait for workers that are not listed any more."""
+        self.fill_cache()
+        self.unlist_busy_workers()
+        self.assertIs(fleet.Phase.RUNNING, self.start_gang('gang'))
+
+    def test_workers_that_are_listed_again_make_a_rack_whole(self) -> None:
+        """Guards against a gang sent across racks after its rack is whole."""
+        self.unlist_busy_workers()
+        self.assertIs(fleet.Phase.RUNNING, self.start_gang('gang'))
+        self.site.run_for(7.0)
+        for worker_id in self.one_of_each_rack:
+            entry = self.site.board.workers_by_id[worker_id].entry
+            self.site.board.record_entry(entry, self.site.now)
+        self.assertIs(fleet.Phase.WAITING, self.start_gang('next'))
+
+    def test_a_worker_that_does_not_answer_leaves_a_rack_whole(self) -> None:
+        """Guards against gangs sent across racks by an unanswered poll."""
+        for worker_id in self.one_of_each_rack:
+            self.site.silence(worker_id)
+        self.assertIs(fleet.Phase.WAITING, self.start_gang('gang'))
+
+
 class ScarceCapacityTest(IdleTestCase):
     """Preferences while most of the capacity is in use."""
 
