Plenty of free capacity is judged for each service

Seen by callers: a gang of a busy service spanned racks after 2 s, and preempted work came back at once, because workers of another service were idle; in an idle service, a gang waited for 10 s because another service was busy.

Cause: whether capacity is plenty was judged over all usable workers, though work runs only on those of its queue's service.

Now a round lists the services that have plenty, and each group asks for its own. Groups that have nothing to drop are passed over before that.

Tests: the three new ones failed before (gang running instead of waiting, waiting instead of running, preempted work running within its pause).

--- a/primroselock/decisions/eligibility.py
+++ b/primroselock/decisions/eligibility.py
@@ -78,6 +78,20 @@
     return bool(shares) and max(shares) < _PLENTY_SHARE
 
 
+def list_plenty_services(
+    workers: abc.Iterable[fleet.Worker],
+) -> frozenset[str]:
+    """Return the services that have plenty of free capacity."""
+    workers_by_service: dict[str, list[fleet.Worker]] = {}
+    for worker in workers:
+        workers_by_service.setdefault(worker.entry.service, []).append(worker)
+    return frozenset(
+        service
+        for service, members in workers_by_service.items()
+        if has_plenty(members)
+    )
+
+
 def is_partly_idle(board: fleet.ShardBoard) -> bool:
     """Return whether much of any resource of the listed workers is free."""
     listed = [w for w in board.workers_by_id.values() if w.is_listed]
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -66,13 +66,13 @@
     """The inputs to the placements of one round.
 
     ``guaranteed_ids`` names the jobs within their accounts' guarantees.
-    ``has_plenty`` is set while much of the capacity is free.
+    ``plenty_services`` names the services of which much capacity is free.
     ``now`` is on this process's clock; ``wall_s`` is since the Unix epoch.
     """
 
     board: fleet.ShardBoard
     settings: options.FleetSettings
-    has_plenty: bool
+    plenty_services: abc.Set[str]
     free_capacity: fitting.FreeCapacity
     victims: fleetpreemption.VictimIndex
     claims: claimindex.ClaimIndex
@@ -84,6 +84,11 @@
         """Return the urgency of a group; lower ranks go first."""
         return waiting.rank(group, self.guaranteed_ids)
 
+    def has_plenty(self, group: fleet.Group) -> bool:
+        """Return whether much capacity of the group's service is free."""
+        queue = group.job.queue
+        return queue is not None and queue.service in self.plenty_services
+
 
 def place_waiting(
     board: fleet.ShardBoard,
@@ -99,16 +104,16 @@
     guaranteed_ids = waiting.guaranteed_job_ids(board)
     sort_key = waiting.orders_by_name[settings.waiting_order]
     usable = eligibility.list_usable(board, now)
-    has_plenty = eligibility.has_plenty(usable)
+    plenty_services = eligibility.list_plenty_services(usable)
     steps = waiting.list_waiting(
-        board, guaranteed_ids, sort_key, now, wall_s, has_plenty
+        board, guaranteed_ids, sort_key, now, wall_s, plenty_services
     )
     if not steps:
         return
     context = _RoundContext(
         board,
         settings,
-        has_plenty,
+        plenty_services,
         _build_free_capacity(board, settings, usable),
         fleetpreemption.VictimIndex(now),
         claimindex.ClaimIndex(board.claims_by_group),
@@ -197,16 +202,17 @@
 
 def _is_overdue(context: _RoundContext, group: fleet.Group) -> bool:
     """Return whether a group has waited too long for what it prefers."""
-    timeout_s = (
-        _PREFERENCE_TIMEOUT_S if context.has_plenty else _MAX_PREFERENCE_WAIT_S
+    waited_s = context.now - group.since
+    if waited_s < _PREFERENCE_TIMEOUT_S:
+        return False
+    prefers = group.avoided_worker_ids or (
+        group.step.rack_local and group.size > 1 and not group.may_span_racks
     )
-    if context.now - group.since < timeout_s:
+    if not (prefers or context.board.claims_by_group):
         return False
-    if group.avoided_worker_ids:
-        return True
-    if group.size > 1 and group.step.rack_local and not group.may_span_racks:
+    if context.has_plenty(group):
         return True
-    return context.has_plenty and bool(context.board.claims_by_group)
+    return bool(prefers) and waited_s >= _MAX_PREFERENCE_WAIT_S
 
 
 def _relaxed_shape(
@@ -217,7 +223,7 @@
     Returns None where the attempt depends on more: while claims count, the
     group may use the workers that it claims itself.
     """
-    claims_count = not context.has_plenty
+    claims_count = not context.has_plenty(group)
     if shape is None or (
         claims_count and group in context.board.claims_by_group
     ):
@@ -365,10 +371,11 @@
     """Return a filter for the usable workers that a group must accept."""
     rank = context.rank(group)
     may_run = _build_basic_filter(context, group, queue)
+    has_plenty = context.has_plenty(group)
 
     def allow(worker: fleet.Worker) -> bool:
         is_claimed = context.claims.excludes(worker.id, group, rank)
-        return may_run(worker) and (context.has_plenty or not is_claimed)
+        return may_run(worker) and (has_plenty or not is_claimed)
 
     return allow
 
--- a/primroselock/decisions/waiting.py
+++ b/primroselock/decisions/waiting.py
@@ -150,12 +150,12 @@
     sort_key: SortKey,
     now: float,
     wall_s: float,
-    has_plenty: bool,
+    plenty_services: abc.Set[str],
 ) -> list[list[fleet.Group]]:
     """Return the groups to place, by step, in the order of placement.
 
-    Groups that were preempted yield for a time, unless ``has_plenty`` of
-    capacity is free.
+    Groups that were preempted yield for a time, unless plenty of capacity of
+    their service is free: it is then one of ``plenty_services``.
     The groups of a step are equally urgent, so that steps are ordered, not
     groups; a step's groups are in the order of their tasks.
     """
@@ -164,6 +164,8 @@
         job = next(iter(groups)).job
         if job.is_cancelled or job.state.is_final:
             continue
+        service = job.queue.service if job.queue else None
+        has_plenty = service in plenty_services
         due = [
             group
             for group in groups
--- a/primroselock/test/testidledecisions.py
+++ b/primroselock/test/testidledecisions.py
@@ -5,6 +5,8 @@
 and under half of the capacity was in use.
 """
 
+from collections import abc
+import dataclasses
 import random
 import typing
 import unittest
@@ -271,6 +273,59 @@
         self.assertIs(fleet.Phase.WAITING, self.start_gang('gang'))
 
 
+class ServiceTest(unittest.TestCase):
+    """Preferences of work whose service has a part of the workers.
+
+    The service has the racks r0 and r1; the racks r2 to r4 are another's.
+    """
+
+    def setUp(self) -> None:
+        self.site = idlebuilders.Site(100)
+        for number in range(40, 100):
+            known = self.site.board.workers_by_id[f'n{number:03}']
+            entry = dataclasses.replace(known.entry, service='other')
+            self.site.board.record_entry(entry, self.site.now)
+
+    def occupy(self, numbers: abc.Iterable[int]) -> None:
+        """Use all accelerators of some workers for a minute."""
+        step = build_task(8, _LONG_S)
+        for number in numbers:
+            self.site.occupy(f'n{number:03}', f'job-{number}', step, _LONG_S)
+
+    def start_gang(self, tasks: int) -> fleet.Phase:
+        """Submit a gang; return its phase after three seconds."""
+        gang = build_gang(tasks, rack_local=True)
+        job = self.site.submit('gang', gang, run_s=5.0, queue='batch')
+        self.site.run_for(3.0)
+        (group,) = job.groups_by_key.values()
+        return group.phase
+
+    def test_idle_workers_of_another_service_are_no_plenty(self) -> None:
+        """Guards against preferences dropped early in a busy service.
+
+        Each of its racks has seven free workers.
+        """
+        self.occupy([n for n in range(40) if n % 20 >= 7])
+        self.assertIs(fleet.Phase.WAITING, self.start_gang(10))
+
+    def test_a_busy_service_makes_no_capacity_of_another_scarce(self) -> None:
+        """Guards against preferences that hold in an idle service."""
+        self.occupy([0, 20, *range(40, 100)])
+        self.assertIs(fleet.Phase.RUNNING, self.start_gang(20))
+
+    def test_preempted_work_yields_in_a_busy_service(self) -> None:
+        """Guards against a pause that idle workers of others cut short."""
+        self.occupy(range(30))
+        step = build_task(8, 20.0)
+        job = self.site.submit('j', step, run_s=20.0, queue='bulk')
+        (group,) = job.groups_by_key.values()
+        group.yields_until = self.site.now + 2.0
+        self.site.run_for(1.0)
+        self.assertIs(fleet.Phase.WAITING, group.phase)
+        self.site.run_for(2.0)
+        self.assertIs(fleet.Phase.RUNNING, group.phase)
+
+
 class ScarceCapacityTest(IdleTestCase):
     """Preferences while most of the capacity is in use."""
 
