--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -160,7 +160,7 @@
     inherited from an earlier holder, so that its run time from the beginning
     is unknown.  ``may_span_racks`` is set for a rack-local gang that no
     single rack can hold.  ``avoided_worker_ids`` are the workers on which
-    the group was stuck; others are preferred.
+    the group was stuck, ``times_stuck`` times; others are preferred.
     """
 
     job: 'LiveJob'
@@ -181,6 +181,7 @@
     preemptions: int = 0
     is_resumed: bool = False
     avoided_worker_ids: set[str] = dataclasses.field(default_factory=set)
+    times_stuck: int = 0
     step_name: StepName = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
@@ -478,22 +479,22 @@
 
 @dataclasses.dataclass(slots=True)
 class EntryCache:
-    """What follows from the workers' entries alone, until one changes.
+    """What follows from the workers' entries, until a list changes them.
 
     ``usable_by_kind`` holds the workers that could hold a task of a kind
     of step when empty, ``spans_racks_by_step`` whether a rack-local step
-    fits in no single rack; ``fitting`` fills both.
+    fits in no single rack, by service, step and zones out of service.
     """
 
     usable_by_kind: dict[typing.Any, list[Worker]] = dataclasses.field(
         default_factory=dict
     )
-    spans_racks_by_step: dict[tuple[str, jobgraph.Step], bool] = (
-        dataclasses.field(default_factory=dict)
-    )
+    spans_racks_by_step: dict[
+        tuple[str, jobgraph.Step, frozenset[str]], bool
+    ] = dataclasses.field(default_factory=dict)
 
     def clear(self) -> None:
-        """Forget everything: an entry changed, or a worker was removed."""
+        """Forget everything: an entry, or what is listed, has changed."""
         self.usable_by_kind.clear()
         self.spans_racks_by_step.clear()
 
@@ -522,7 +523,8 @@
     controllers until they are taken.  ``reported_groups`` are the groups
     whose progress was reported since the last round.
     ``idle_waits`` is the number of jobs that waited beside free capacity at
-    ``waits_reported_at``.
+    ``waits_reported_at``, among those examined; the next report begins with
+    the job at ``next_examined``.
     ``search_retry_at_by_shape`` holds, for shapes (see ``fitting``) for which
     neither victims nor workers to claim were found, when to search again.
     """
@@ -552,6 +554,7 @@
     expiry_checked_at: float = _NEVER
     waits_reported_at: float = _NEVER
     idle_waits: int = 0
+    next_examined: int = 0
     claims_by_group: dict[Group, CapacityClaim] = dataclasses.field(
         default_factory=dict
     )
@@ -611,7 +614,7 @@
             worker = Worker(entry)
             self.workers_by_id[entry.id] = worker
             self.entry_cache.clear()
-        elif worker.entry != entry:
+        elif worker.entry != entry or not worker.is_listed:
             self.entry_cache.clear()
         worker.entry = entry
         worker.is_listed = True
@@ -625,6 +628,8 @@
         worker = self.workers_by_id.get(worker_id)
         if worker is None:
             return
+        if worker.is_listed:
+            self.entry_cache.clear()
         worker.is_listed = False
         if not worker.is_busy:
             self.remove_worker(worker_id)
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -9,11 +9,13 @@
 workers that no other group claims are preferences.  They are dropped for a
 group that has waited for a while although it fits without them: soon while
 plenty of capacity is free, and later, but for the claims, in any case.
+Workers where it was stuck come last, and only once no other is expected to
+be free for it soon.
 
 When more work waits than fits, most groups cannot be placed, and a round
 must not examine each of them: groups of the same shape share the outcome
-of one attempt, and a search for victims that found none is not repeated
-in the next rounds.
+of one attempt, with their preferences and without, and a search for victims
+that found none is not repeated in the next rounds.
 """
 
 from collections import abc
@@ -50,6 +52,10 @@
 _MAX_PREFERENCE_WAIT_S: typing.Final = 10.0
 """Wait for preferred workers while capacity is scarce."""
 
+_MAX_AVOIDANCE_S: typing.Final = 20.0
+"""The longest wait for workers where a group was not stuck, if they are
+expected to be free by then."""
+
 _SEARCH_RETRY_S: typing.Final = 0.25
 """Delay before victims or workers to claim are searched again for a shape
 for which none were found."""
@@ -60,13 +66,13 @@
     """The inputs to the placements of one round.
 
     ``guaranteed_ids`` names the jobs within their accounts' guarantees.
-    ``has_plenty`` is set while much of the capacity is free.
+    ``plenty_services`` names the services of which much capacity is free.
     ``now`` is on this process's clock; ``wall_s`` is since the Unix epoch.
     """
 
     board: fleet.ShardBoard
     settings: options.FleetSettings
-    has_plenty: bool
+    plenty_services: abc.Set[str]
     free_capacity: fitting.FreeCapacity
     victims: fleetpreemption.VictimIndex
     claims: claimindex.ClaimIndex
@@ -78,6 +84,11 @@
         """Return the urgency of a group; lower ranks go first."""
         return waiting.rank(group, self.guaranteed_ids)
 
+    def has_plenty(self, group: fleet.Group) -> bool:
+        """Return whether much capacity of the group's service is free."""
+        queue = group.job.queue
+        return queue is not None and queue.service in self.plenty_services
+
 
 def place_waiting(
     board: fleet.ShardBoard,
@@ -93,16 +104,16 @@
     guaranteed_ids = waiting.guaranteed_job_ids(board)
     sort_key = waiting.orders_by_name[settings.waiting_order]
     usable = eligibility.list_usable(board, now)
-    has_plenty = eligibility.has_plenty(usable)
+    plenty_services = eligibility.list_plenty_services(usable)
     steps = waiting.list_waiting(
-        board, guaranteed_ids, sort_key, now, wall_s, has_plenty
+        board, guaranteed_ids, sort_key, now, wall_s, plenty_services
     )
     if not steps:
         return
     context = _RoundContext(
         board,
         settings,
-        has_plenty,
+        plenty_services,
         _build_free_capacity(board, settings, usable),
         fleetpreemption.VictimIndex(now),
         claimindex.ClaimIndex(board.claims_by_group),
@@ -165,19 +176,24 @@
         is_own = bool(
             group.avoided_worker_ids or group in context.board.claims_by_group
         )
+        group.may_span_racks = may_span_racks
+        relaxed = None
         is_overdue = may_relax and _is_overdue(context, group)
+        if is_overdue:
+            relaxed = _relaxed_shape(context, group, shape)
+            is_overdue = may_relax = _may_fit(context, group, relaxed)
         if is_exhausted and not is_own and not is_overdue:
             continue
-        group.may_span_racks = may_span_racks
         own_shape = None if is_own else shape
         if _place(context, group, queue, own_shape):
             placed += 1
             continue
         if is_overdue:
-            if _place_anywhere(context, group, queue):
+            if _place_anywhere(context, group, queue, relaxed):
                 placed += 1
                 continue
-            may_relax = False
+            # Other groups of the step may avoid other workers.
+            may_relax = bool(group.avoided_worker_ids)
             group.may_span_racks = may_span_racks
         if not _free_capacity_for(context, group, queue, own_shape):
             is_exhausted = is_exhausted or not is_own
@@ -185,15 +201,44 @@
 
 
 def _is_overdue(context: _RoundContext, group: fleet.Group) -> bool:
-    """Return whether to try to place a group without its preferences."""
+    """Return whether a group has waited too long for what it prefers."""
     waited_s = context.now - group.since
     if waited_s < _PREFERENCE_TIMEOUT_S:
         return False
-    if not context.has_plenty:
-        prefers = group.avoided_worker_ids or group.step.rack_local
-        if waited_s < _MAX_PREFERENCE_WAIT_S or not prefers:
-            return False
-    return context.free_capacity.fits(group)
+    prefers = group.avoided_worker_ids or (
+        group.step.rack_local and group.size > 1 and not group.may_span_racks
+    )
+    if not (prefers or context.board.claims_by_group):
+        return False
+    if context.has_plenty(group):
+        return True
+    return bool(prefers) and waited_s >= _MAX_PREFERENCE_WAIT_S
+
+
+def _relaxed_shape(
+    context: _RoundContext, group: fleet.Group, shape: fitting.Shape | None
+) -> fitting.Shape | None:
+    """Return the shape of an attempt without the group's preferences.
+
+    Returns None where the attempt depends on more: while claims count, the
+    group may use the workers that it claims itself.
+    """
+    claims_count = not context.has_plenty(group)
+    if shape is None or (
+        claims_count and group in context.board.claims_by_group
+    ):
+        return None
+    return shape.relaxed()
+
+
+def _may_fit(
+    context: _RoundContext, group: fleet.Group, relaxed: fitting.Shape | None
+) -> bool:
+    """Return whether a group may fit without its preferences."""
+    free_capacity = context.free_capacity
+    if relaxed in free_capacity.unplaceable_shapes:
+        return False
+    return free_capacity.fits(group)
 
 
 def _may_search(context: _RoundContext, shape: fitting.Shape | None) -> bool:
@@ -207,10 +252,15 @@
 def _must_span_racks(
     board: fleet.ShardBoard, step: jobgraph.Step, queue: queues.Queue
 ) -> bool:
-    """Return whether no single rack could hold the gang even when empty."""
+    """Return whether no single rack could hold the gang even when empty.
+
+    The workers in service count, also those that do not answer: these may
+    answer the next poll, but a gang that spans racks is slow to its end.
+    """
     if not step.gang or not step.rack_local:
         return False
-    key = (queue.service, step)
+    out_of_service = board.queue_configuration.zones_out_of_service
+    key = (queue.service, step, out_of_service)
     known = board.entry_cache.spans_racks_by_step.get(key)
     if known is None:
         known = fitting.must_span_racks(
@@ -218,6 +268,7 @@
                 worker
                 for worker in board.workers_by_id.values()
                 if worker.entry.service == queue.service
+                and eligibility.is_in_service(board, worker)
             ),
             step,
         )
@@ -237,19 +288,25 @@
 
 
 def _place_anywhere(
-    context: _RoundContext, group: fleet.Group, queue: queues.Queue
+    context: _RoundContext,
+    group: fleet.Group,
+    queue: queues.Queue,
+    relaxed: fitting.Shape | None,
 ) -> bool:
     """Place a group without its preferences; return whether it was placed."""
     waited_s = context.now - group.since
     group.may_span_racks = True
-    may_run = _build_basic_filter(context, group, queue)
-    rank = context.rank(group)
+    allow = _build_relaxed_filter(context, group, queue)
 
-    def allow(worker: fleet.Worker) -> bool:
-        is_claimed = context.claims.excludes(worker.id, group, rank)
-        return may_run(worker) and (context.has_plenty or not is_claimed)
+    def allow_others(worker: fleet.Worker) -> bool:
+        return worker.id not in group.avoided_worker_ids and allow(worker)
 
-    if not _place_among(context, group, allow, None):
+    is_placed = False
+    if group.avoided_worker_ids:
+        is_placed = _place_among(context, group, allow_others, None)
+        if not is_placed and _is_free_soon(context, group, allow_others):
+            return False
+    if not is_placed and not _place_among(context, group, allow, relaxed):
         return False
     context.board.record_decision(
         'placed without preferences',
@@ -260,6 +317,19 @@
     return True
 
 
+def _is_free_soon(
+    context: _RoundContext, group: fleet.Group, allow: fitting.WorkerFilter
+) -> bool:
+    """Return whether to wait for workers that ``allow`` passes."""
+    left_s = group.since + _MAX_AVOIDANCE_S - context.now
+    if left_s <= 0:
+        return False
+    chosen = fleetpreemption.choose_soonest_free(
+        context.board, context.free_capacity, group, allow, context.now
+    )
+    return chosen is not None and chosen.cost <= left_s
+
+
 def _place_among(
     context: _RoundContext,
     group: fleet.Group,
@@ -295,6 +365,21 @@
     return allow
 
 
+def _build_relaxed_filter(
+    context: _RoundContext, group: fleet.Group, queue: queues.Queue
+) -> fitting.WorkerFilter:
+    """Return a filter for the usable workers that a group must accept."""
+    rank = context.rank(group)
+    may_run = _build_basic_filter(context, group, queue)
+    has_plenty = context.has_plenty(group)
+
+    def allow(worker: fleet.Worker) -> bool:
+        is_claimed = context.claims.excludes(worker.id, group, rank)
+        return may_run(worker) and (has_plenty or not is_claimed)
+
+    return allow
+
+
 def _build_worker_filter(
     context: _RoundContext, group: fleet.Group, queue: queues.Queue
 ) -> fitting.WorkerFilter:
--- a/primroselock/test/testidledecisions.py
+++ b/primroselock/test/testidledecisions.py
@@ -5,6 +5,8 @@
 and under half of the capacity was in use.
 """
 
+from collections import abc
+import dataclasses
 import random
 import typing
 import unittest
@@ -154,6 +156,40 @@
         self.site.run_for(6.0)
         self.assert_none_idle(self.site)
 
+    def test_a_gang_spans_racks_rather_than_return_where_it_stuck(
+        self,
+    ) -> None:
+        """Guards against a return although other workers are free.
+
+        No rack holds the gang without workers where it was stuck, but all
+        racks together do.
+        """
+        gang = build_gang(15, 60_000, rack_local=True)
+        job = self.site.submit('gang', gang, run_s=60.0, queue='batch')
+        (group,) = job.groups_by_key.values()
+        for number in range(60):
+            if number % 20 < 6:
+                group.avoided_worker_ids.add(f'n{number:03}')
+        self.site.run_for(4.0)
+        self.assertIs(fleet.Phase.RUNNING, group.phase)
+        used_ids = {member.worker_id for member in group.members}
+        self.assertEqual(set(), used_ids & group.avoided_worker_ids)
+
+    def test_a_gang_returns_to_as_few_workers_as_it_must(self) -> None:
+        """Guards against a gang that is stuck where it need not run.
+
+        It fits on the site only with a fourth of the workers it avoids.
+        """
+        site = idlebuilders.Site(20)
+        gang = build_gang(17, 60_000)
+        job = site.submit('gang', gang, run_s=60.0, queue='batch')
+        (group,) = job.groups_by_key.values()
+        group.avoided_worker_ids.update(f'n{n:03}' for n in range(4))
+        site.run_for(4.0)
+        self.assertIs(fleet.Phase.RUNNING, group.phase)
+        used_ids = {member.worker_id for member in group.members}
+        self.assertEqual(1, len(used_ids & group.avoided_worker_ids))
+
     def test_a_gang_does_not_wait_for_a_long_run_in_each_rack(self) -> None:
         """Guards against a wait that costs more than spanning racks.
 
@@ -166,6 +202,130 @@
         self.run_gang(self.site)
 
 
+class WholeRackTest(unittest.TestCase):
+    """Whether some rack could hold a gang that needs 20 workers of one."""
+
+    def setUp(self) -> None:
+        self.site = idlebuilders.Site(60)
+        self.one_of_each_rack = ('n005', 'n025', 'n045')
+
+    def start_gang(self, name: str) -> fleet.Phase:
+        """Submit a gang; return its phase after half a second."""
+        gang = build_gang(20, rack_local=True)
+        job = self.site.submit(name, gang, run_s=5.0, queue='batch')
+        self.site.run_for(0.5)
+        (group,) = job.groups_by_key.values()
+        return group.phase
+
+    def fill_cache(self) -> None:
+        """Run such a gang and let it end."""
+        self.assertIs(fleet.Phase.RUNNING, self.start_gang('first'))
+        self.site.run_for(7.0)
+        self.assertEqual({}, self.site.board.jobs_by_id)
+
+    def unlist_busy_workers(self) -> None:
+        """Let a worker of each rack leave; its task was not seen to end."""
+        for worker_id in self.one_of_each_rack:
+            step = build_task(1, _LONG_S)
+            self.site.occupy(worker_id, f'long-{worker_id}', step, _LONG_S)
+            self.site.board.record_unlisted(worker_id)
+
+    def test_draining_workers_make_no_rack_whole(self) -> None:
+        """Guards against a wait of 2 s for racks that are being drained."""
+        self.fill_cache()
+        for worker_id in self.one_of_each_rack:
+            self.site.drain(worker_id)
+        self.assertIs(fleet.Phase.RUNNING, self.start_gang('gang'))
+
+    def test_a_zone_out_of_service_has_no_whole_rack(self) -> None:
+        """Guards against a wait for the racks of a zone out of service.
+
+        Only the racks r0 and r3 of zone a are whole; the others are short of
+        a worker each.
+        """
+        self.site = idlebuilders.Site(100)
+        for worker_id in ('n020', 'n040', 'n080'):
+            self.site.board.record_unlisted(worker_id)
+        self.fill_cache()
+        self.site.take_out_of_service('a')
+        self.assertIs(fleet.Phase.RUNNING, self.start_gang('gang'))
+
+    def test_workers_that_have_left_make_no_rack_whole(self) -> None:
+        """Guards against a wait for workers that are not listed any more."""
+        self.fill_cache()
+        self.unlist_busy_workers()
+        self.assertIs(fleet.Phase.RUNNING, self.start_gang('gang'))
+
+    def test_workers_that_are_listed_again_make_a_rack_whole(self) -> None:
+        """Guards against a gang sent across racks after its rack is whole."""
+        self.unlist_busy_workers()
+        self.assertIs(fleet.Phase.RUNNING, self.start_gang('gang'))
+        self.site.run_for(7.0)
+        for worker_id in self.one_of_each_rack:
+            entry = self.site.board.workers_by_id[worker_id].entry
+            self.site.board.record_entry(entry, self.site.now)
+        self.assertIs(fleet.Phase.WAITING, self.start_gang('next'))
+
+    def test_a_worker_that_does_not_answer_leaves_a_rack_whole(self) -> None:
+        """Guards against gangs sent across racks by an unanswered poll."""
+        for worker_id in self.one_of_each_rack:
+            self.site.silence(worker_id)
+        self.assertIs(fleet.Phase.WAITING, self.start_gang('gang'))
+
+
+class ServiceTest(unittest.TestCase):
+    """Preferences of work whose service has a part of the workers.
+
+    The service has the racks r0 and r1; the racks r2 to r4 are another's.
+    """
+
+    def setUp(self) -> None:
+        self.site = idlebuilders.Site(100)
+        for number in range(40, 100):
+            known = self.site.board.workers_by_id[f'n{number:03}']
+            entry = dataclasses.replace(known.entry, service='other')
+            self.site.board.record_entry(entry, self.site.now)
+
+    def occupy(self, numbers: abc.Iterable[int]) -> None:
+        """Use all accelerators of some workers for a minute."""
+        step = build_task(8, _LONG_S)
+        for number in numbers:
+            self.site.occupy(f'n{number:03}', f'job-{number}', step, _LONG_S)
+
+    def start_gang(self, tasks: int) -> fleet.Phase:
+        """Submit a gang; return its phase after three seconds."""
+        gang = build_gang(tasks, rack_local=True)
+        job = self.site.submit('gang', gang, run_s=5.0, queue='batch')
+        self.site.run_for(3.0)
+        (group,) = job.groups_by_key.values()
+        return group.phase
+
+    def test_idle_workers_of_another_service_are_no_plenty(self) -> None:
+        """Guards against preferences dropped early in a busy service.
+
+        Each of its racks has seven free workers.
+        """
+        self.occupy([n for n in range(40) if n % 20 >= 7])
+        self.assertIs(fleet.Phase.WAITING, self.start_gang(10))
+
+    def test_a_busy_service_makes_no_capacity_of_another_scarce(self) -> None:
+        """Guards against preferences that hold in an idle service."""
+        self.occupy([0, 20, *range(40, 100)])
+        self.assertIs(fleet.Phase.RUNNING, self.start_gang(20))
+
+    def test_preempted_work_yields_in_a_busy_service(self) -> None:
+        """Guards against a pause that idle workers of others cut short."""
+        self.occupy(range(30))
+        step = build_task(8, 20.0)
+        job = self.site.submit('j', step, run_s=20.0, queue='bulk')
+        (group,) = job.groups_by_key.values()
+        group.yields_until = self.site.now + 2.0
+        self.site.run_for(1.0)
+        self.assertIs(fleet.Phase.WAITING, group.phase)
+        self.site.run_for(2.0)
+        self.assertIs(fleet.Phase.RUNNING, group.phase)
+
+
 class ScarceCapacityTest(IdleTestCase):
     """Preferences while most of the capacity is in use."""
 
@@ -187,6 +347,32 @@
         site.run_for(7.0)
         self.assertIs(fleet.Phase.RUNNING, group.phase)
 
+    def run_where_stuck(self, others_run_s: float) -> fleet.Group:
+        """Run a task that avoids the only free worker; return its group.
+
+        The three other workers are busy for ``others_run_s``.
+        """
+        site = idlebuilders.Site(4)
+        for number in range(3):
+            step = build_task(8, others_run_s)
+            site.occupy(f'n{number:03}', f'job-{number}', step, others_run_s)
+        job = site.submit('j', build_task(8, 20.0), run_s=20.0, queue='batch')
+        (group,) = job.groups_by_key.values()
+        group.avoided_worker_ids.add('n003')
+        site.run_for(14.0)
+        self.assertIs(fleet.Phase.RUNNING, group.phase)
+        return group
+
+    def test_stuck_work_waits_for_a_worker_that_is_free_soon(self) -> None:
+        """Guards against a return to a worker just before another is free."""
+        group = self.run_where_stuck(12.0)
+        self.assertNotEqual('n003', group.members[0].worker_id)
+
+    def test_stuck_work_waits_for_no_worker_that_is_free_late(self) -> None:
+        """Guards against a long wait beside a free worker."""
+        group = self.run_where_stuck(_LONG_S)
+        self.assertEqual('n003', group.members[0].worker_id)
+
 
 class DelayTest(IdleTestCase):
     """The delay after a preemption."""
