--- a/primroselock/test/testidlecapacity.py
+++ b/primroselock/test/testidlecapacity.py
@@ -50,6 +50,22 @@
     world.submit(fleetbuilders.build_graph(name, step))
 
 
+def _close_zone_of(
+    world: fleetbuilders.World, workers: abc.Iterable[fakefleet.FakeWorker]
+) -> None:
+    """Put the workers into a zone of their own that is out of service."""
+    for worker in workers:
+        world.write_entry(dataclasses.replace(worker.entry, zone='b'))
+        worker.entry = world.entries_by_id[worker.entry.id]
+    world.set_queue_configuration(
+        dataclasses.replace(
+            fleetbuilders.QUEUE_CONFIGURATION,
+            version=2,
+            zones_out_of_service=frozenset({'b'}),
+        )
+    )
+
+
 class IdleCapacityTest(unittest.TestCase):
     """A node, twelve workers, and the check of idle capacity."""
 
@@ -132,16 +148,7 @@
         """Guards against racks judged with zones out of service."""
 
         async def submit(world: fleetbuilders.World) -> None:
-            for worker in _first_of_racks(world):
-                world.write_entry(dataclasses.replace(worker.entry, zone='b'))
-                worker.entry = world.entries_by_id[worker.entry.id]
-            world.set_queue_configuration(
-                dataclasses.replace(
-                    fleetbuilders.QUEUE_CONFIGURATION,
-                    version=2,
-                    zones_out_of_service=frozenset({'b'}),
-                )
-            )
+            _close_zone_of(world, _first_of_racks(world))
             await asyncio.sleep(1.0)
             world.submit(_rack_gang())
 
@@ -218,6 +225,27 @@
 
         self.check_scenario(submit, 8.0)
 
+    def test_claims_leave_workers_to_others_beside_a_closed_zone(self) -> None:
+        """Guards against claims that have no bound while a zone is closed.
+
+        Most of the workers in service are in use, but under half of all.
+        """
+
+        async def submit(world: fleetbuilders.World) -> None:
+            workers = list(world.fleet.workers_by_id.values())
+            _close_zone_of(world, workers[8:])
+            await asyncio.sleep(1.0)
+            spread = fleetbuilders.build_step(8, 5, 20_000, max_per_worker=1)
+            world.submit(fleetbuilders.build_graph('spread', spread))
+            await asyncio.sleep(0.5)
+            for tasks in (5, 3):
+                step = fleetbuilders.build_step(tasks, 8, 20_000, gang=True)
+                world.submit(fleetbuilders.build_graph(f'wide{tasks}', step))
+            await asyncio.sleep(0.5)
+            world.submit(fleetbuilders.build_graph('small'))
+
+        self.check_scenario(submit, 8.0)
+
     def test_a_second_takeover_does_not_wait_for_leases_again(self) -> None:
         """Guards against a wait for lost leases that each takeover renews."""
 
