--- a/primroselock/advicerequests.py
+++ b/primroselock/advicerequests.py
@@ -12,6 +12,7 @@
 from primroselock import clock
 from primroselock.decisions import advising
 from primroselock.decisions import fleet
+from primroselock.decisions import livejobs
 from primroselock import logs
 from primroselock.workers import orders
 
@@ -24,7 +25,7 @@
 
     async def ask(
         self,
-        step: fleet.StepName,
+        step: livejobs.StepName,
         worker_ids: tuple[str, ...],
         timeout_s: float,
     ) -> result.Result[tuple[dict[str, str], float], orders.Unanswered]:
--- a/primroselock/decisions/advising.py
+++ b/primroselock/decisions/advising.py
@@ -11,6 +11,7 @@
 
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
+from primroselock.decisions import livejobs
 from primroselock.decisions import tickets
 
 _MAX_WORKERS_PER_REQUEST: typing.Final = 30
@@ -31,7 +32,7 @@
     that it answers.
     """
 
-    step: fleet.StepName
+    step: livejobs.StepName
     worker_ids: tuple[str, ...]
     answer_time_s: float
 
@@ -44,7 +45,7 @@
         if job.is_cancelled or job.state.is_final:
             continue
         for group in job.groups_by_key.values():
-            if group.phase is not fleet.Phase.WAITING:
+            if group.phase is not livejobs.Phase.WAITING:
                 continue
             request = _build_request(board, group, now)
             if request is not None:
@@ -53,7 +54,7 @@
 
 
 def _build_request(
-    board: fleet.ShardBoard, group: fleet.Group, now: float
+    board: fleet.ShardBoard, group: livejobs.Group, now: float
 ) -> AdviceRequest | None:
     queue = group.job.queue
     assert queue is not None and queue.advice is not None
@@ -125,7 +126,7 @@
 
 
 def ticket_for(
-    board: fleet.ShardBoard, group: fleet.Group, worker_id: str, now: float
+    board: fleet.ShardBoard, group: livejobs.Group, worker_id: str, now: float
 ) -> str | None:
     """Return the ticket for a start; None where there is no valid one.
 
@@ -144,7 +145,7 @@
 
 
 def drop_ticket(
-    board: fleet.ShardBoard, group: fleet.Group, worker_id: str
+    board: fleet.ShardBoard, group: livejobs.Group, worker_id: str
 ) -> None:
     """Drop a ticket that the worker did not accept."""
     known = board.advice_by_step.get(group.step_name)
--- a/primroselock/decisions/eligibility.py
+++ b/primroselock/decisions/eligibility.py
@@ -10,6 +10,7 @@
 
 from primroselock.decisions import fleet
 from primroselock.decisions import fleethealth
+from primroselock.decisions import fleetworkers
 
 _PLENTY_SHARE: typing.Final = 0.5
 """Capacity is plenty while less than this share of a resource is in use."""
@@ -28,7 +29,7 @@
 
 
 def find_exclusion(
-    board: fleet.ShardBoard, worker: fleet.Worker, now: float
+    board: fleet.ShardBoard, worker: fleetworkers.Worker, now: float
 ) -> Exclusion | None:
     """Return what excludes a worker from starts, or None."""
     if not worker.is_listed:
@@ -49,7 +50,9 @@
     return None
 
 
-def is_in_service(board: fleet.ShardBoard, worker: fleet.Worker) -> bool:
+def is_in_service(
+    board: fleet.ShardBoard, worker: fleetworkers.Worker
+) -> bool:
     """Return whether a worker is meant to run work, reachable or not."""
     out_of_service = board.queue_configuration.zones_out_of_service
     return (
@@ -59,7 +62,9 @@
     )
 
 
-def list_usable(board: fleet.ShardBoard, now: float) -> list[fleet.Worker]:
+def list_usable(
+    board: fleet.ShardBoard, now: float
+) -> list[fleetworkers.Worker]:
     """Return the workers that may get starts."""
     return [
         worker
@@ -68,7 +73,7 @@
     ]
 
 
-def has_plenty(workers: abc.Collection[fleet.Worker]) -> bool:
+def has_plenty(workers: abc.Collection[fleetworkers.Worker]) -> bool:
     """Return whether much of every resource of ``workers`` is free.
 
     One resource is often used up while another is hardly used: work then
@@ -79,10 +84,10 @@
 
 
 def list_plenty_services(
-    workers: abc.Iterable[fleet.Worker],
+    workers: abc.Iterable[fleetworkers.Worker],
 ) -> frozenset[str]:
     """Return the services that have plenty of free capacity."""
-    workers_by_service: dict[str, list[fleet.Worker]] = {}
+    workers_by_service: dict[str, list[fleetworkers.Worker]] = {}
     for worker in workers:
         workers_by_service.setdefault(worker.entry.service, []).append(worker)
     return frozenset(
@@ -99,9 +104,9 @@
     return bool(shares) and min(shares) < _PLENTY_SHARE
 
 
-def _used_shares(workers: abc.Collection[fleet.Worker]) -> list[float]:
+def _used_shares(workers: abc.Collection[fleetworkers.Worker]) -> list[float]:
     """Return the used share of each resource that the workers have."""
-    capacity = used = fleet.NO_RESOURCES
+    capacity = used = fleetworkers.NO_RESOURCES
     for worker in workers:
         capacity = capacity.plus(worker.entry.capacity)
         used = used.plus(worker.used)
--- a/primroselock/decisions/fitting.py
+++ b/primroselock/decisions/fitting.py
@@ -15,6 +15,8 @@
 import typing
 
 from primroselock.decisions import fleet
+from primroselock.decisions import fleetworkers
+from primroselock.decisions import livejobs
 from primroselock.decisions import waiting
 from primroselock import jobgraph
 
@@ -27,10 +29,12 @@
 _CLASS_WIDTH: typing.Final = 0.25
 """The width of a speed class as a natural logarithm: about a quarter."""
 
-WorkerFilter = abc.Callable[[fleet.Worker], bool]
+WorkerFilter = abc.Callable[[fleetworkers.Worker], bool]
 """Tells whether a worker that a step can use is allowed now."""
 
-Score = abc.Callable[[fleet.Worker, jobgraph.Resources], tuple[float, ...]]
+Score = abc.Callable[
+    [fleetworkers.Worker, jobgraph.Resources], tuple[float, ...]
+]
 Rank = tuple[bool, int]
 """The urgency of a group: (is not guaranteed, priority of its queue).
 
@@ -53,7 +57,7 @@
 
 @score('best_fit')
 def best_fit(
-    worker: fleet.Worker, left: jobgraph.Resources
+    worker: fleetworkers.Worker, left: jobgraph.Resources
 ) -> tuple[float, ...]:
     """Prefer the worker with the smallest share of free capacity left."""
     capacity = worker.entry.capacity
@@ -66,7 +70,7 @@
 
 @score('first_fit')
 def first_fit(
-    worker: fleet.Worker, left: jobgraph.Resources
+    worker: fleetworkers.Worker, left: jobgraph.Resources
 ) -> tuple[float, ...]:
     """Prefer workers in the order in which they were listed."""
     return ()
@@ -108,7 +112,7 @@
     need: jobgraph.Resources
 
 
-def _step_kind(group: fleet.Group) -> _StepKind:
+def _step_kind(group: livejobs.Group) -> _StepKind:
     queue, step = group.job.queue, group.step
     return _StepKind(
         queue.service if queue else '', step.label, step.counted_need
@@ -127,7 +131,7 @@
     def __init__(
         self,
         board: fleet.ShardBoard,
-        workers: abc.Iterable[fleet.Worker],
+        workers: abc.Iterable[fleetworkers.Worker],
         score_worker: Score,
     ) -> None:
         self.score_worker = score_worker
@@ -135,11 +139,13 @@
         self.free_by_id: dict[str, jobgraph.Resources] = {}
         self.free_accelerators_by_rack: dict[str, int] = {}
         self.unplaceable_shapes: set[Shape] = set()
-        self.last_by_step: dict[fleet.StepName, str] = {}
-        self._workers_by_id: dict[str, fleet.Worker] = {}
+        self.last_by_step: dict[livejobs.StepName, str] = {}
+        self._workers_by_id: dict[str, fleetworkers.Worker] = {}
         self._speed_classes_by_id: dict[str, float] = {}
         self._board = board
-        self._with_capacity_by_kind: dict[_StepKind, list[fleet.Worker]] = {}
+        self._with_capacity_by_kind: dict[
+            _StepKind, list[fleetworkers.Worker]
+        ] = {}
         self._too_large: set[tuple[_StepKind, int]] = set()
         for worker in workers:
             free = worker.free
@@ -170,7 +176,7 @@
         if free is not None:
             self._add_to_rack(self._rack_of(worker_id), -free.accelerators)
 
-    def list_usable(self, group: fleet.Group) -> list[fleet.Worker]:
+    def list_usable(self, group: livejobs.Group) -> list[fleetworkers.Worker]:
         """Return the workers that could hold a task of the group if empty.
 
         Those that were excluded in this round are left out.
@@ -187,7 +193,9 @@
             ]
         return [worker for worker in known if worker.id in self.free_by_id]
 
-    def list_with_capacity(self, group: fleet.Group) -> list[fleet.Worker]:
+    def list_with_capacity(
+        self, group: livejobs.Group
+    ) -> list[fleetworkers.Worker]:
         """Return the workers with free capacity for a task of the group."""
         kind = _step_kind(group)
         known = self._with_capacity_by_kind.get(kind)
@@ -203,7 +211,7 @@
         self._with_capacity_by_kind[kind] = found
         return found
 
-    def fits(self, group: fleet.Group) -> bool:
+    def fits(self, group: livejobs.Group) -> bool:
         """Return whether the free capacity is enough for the group.
 
         Only resources and labels count.  What was too large once is too
@@ -224,7 +232,7 @@
         self._too_large.add(size)
         return False
 
-    def speed_class(self, worker_id: str, group: fleet.Group) -> float:
+    def speed_class(self, worker_id: str, group: livejobs.Group) -> float:
         """Return the worker's speed class for a group.
 
         Lower classes are faster; 0 is fast enough.  A gang is as slow as
@@ -250,14 +258,14 @@
     return float(round(-math.log(speed) / _CLASS_WIDTH))
 
 
-def fits_when_empty(worker: fleet.Worker, step: jobgraph.Step) -> bool:
+def fits_when_empty(worker: fleetworkers.Worker, step: jobgraph.Step) -> bool:
     """Return whether the worker could hold a task of the step when empty."""
     if step.label and step.label not in worker.entry.labels:
         return False
     return worker.entry.capacity.can_fit(step.counted_need)
 
 
-def may_share(worker: fleet.Worker, step: jobgraph.Step) -> bool:
+def may_share(worker: fleetworkers.Worker, step: jobgraph.Step) -> bool:
     """Return whether the step's tasks may run with those on the worker.
 
     Tasks that fill spare CPU raise the latency of tasks with a latency
@@ -278,7 +286,7 @@
 def place(
     board: fleet.ShardBoard,
     free_capacity: FreeCapacity,
-    group: fleet.Group,
+    group: livejobs.Group,
     allow: WorkerFilter,
     shape: Shape | None,
 ) -> list[str] | None:
@@ -299,7 +307,7 @@
     return placed
 
 
-def shape_of(group: fleet.Group, rank: Rank) -> Shape:
+def shape_of(group: livejobs.Group, rank: Rank) -> Shape:
     """Return the shape of a group of urgency ``rank``."""
     queue = group.job.queue
     step = group.step
@@ -318,7 +326,7 @@
 def _place_single(
     board: fleet.ShardBoard,
     free_capacity: FreeCapacity,
-    group: fleet.Group,
+    group: livejobs.Group,
     allow: WorkerFilter,
 ) -> list[str] | None:
     last_id = _place_on_last(board, free_capacity, group, allow)
@@ -334,7 +342,7 @@
 def _place_on_last(
     board: fleet.ShardBoard,
     free_capacity: FreeCapacity,
-    group: fleet.Group,
+    group: livejobs.Group,
     allow: WorkerFilter,
 ) -> str | None:
     """Return the worker that was best for the step, while the task fits."""
@@ -353,8 +361,8 @@
 
 
 def _candidates(
-    free_capacity: FreeCapacity, group: fleet.Group, allow: WorkerFilter
-) -> list[fleet.Worker]:
+    free_capacity: FreeCapacity, group: livejobs.Group, allow: WorkerFilter
+) -> list[fleetworkers.Worker]:
     return [
         worker
         for worker in free_capacity.list_with_capacity(group)
@@ -364,7 +372,7 @@
 
 def _place_gang(
     free_capacity: FreeCapacity,
-    group: fleet.Group,
+    group: livejobs.Group,
     allow: WorkerFilter,
 ) -> list[str] | None:
     candidates = _candidates(free_capacity, group, allow)
@@ -381,10 +389,10 @@
 
 
 def group_by_rack(
-    workers: abc.Iterable[fleet.Worker],
-) -> dict[str, list[fleet.Worker]]:
+    workers: abc.Iterable[fleetworkers.Worker],
+) -> dict[str, list[fleetworkers.Worker]]:
     """Return the workers of each rack."""
-    racks: dict[str, list[fleet.Worker]] = {}
+    racks: dict[str, list[fleetworkers.Worker]] = {}
     for worker in workers:
         racks.setdefault(worker.entry.rack, []).append(worker)
     return racks
@@ -392,8 +400,8 @@
 
 def _sort_racks(
     free_capacity: FreeCapacity,
-    group: fleet.Group,
-    racks: abc.Mapping[str, list[fleet.Worker]],
+    group: livejobs.Group,
+    racks: abc.Mapping[str, list[fleetworkers.Worker]],
 ) -> list[str]:
     """Return racks: the data's rack first, then by speed and fullness."""
     need = group.step.counted_need
@@ -431,8 +439,8 @@
 
 def _place_in(
     free_capacity: FreeCapacity,
-    group: fleet.Group,
-    candidates: abc.Sequence[fleet.Worker],
+    group: livejobs.Group,
+    candidates: abc.Sequence[fleetworkers.Worker],
 ) -> list[str] | None:
     """Return a candidate for every task, or None if not all fit."""
     need = group.step.counted_need
@@ -458,8 +466,8 @@
 
 def _take_best(
     free_capacity: FreeCapacity,
-    group: fleet.Group,
-    workers: abc.Sequence[fleet.Worker],
+    group: livejobs.Group,
+    workers: abc.Sequence[fleetworkers.Worker],
     counts: dict[str, int],
 ) -> list[str]:
     """Reserve the best worker for each task in turn; all tasks fit.
@@ -497,8 +505,8 @@
 
 def _preference(
     free_capacity: FreeCapacity,
-    group: fleet.Group,
-    worker: fleet.Worker,
+    group: livejobs.Group,
+    worker: fleetworkers.Worker,
     need: jobgraph.Resources,
 ) -> tuple[float, ...]:
     """Return the sort key of a worker for a task; the lowest is best.
@@ -518,20 +526,20 @@
     )
 
 
-def count_on_workers(group: fleet.Group) -> dict[str, int]:
+def count_on_workers(group: livejobs.Group) -> dict[str, int]:
     """Return the number of the step's tasks that each worker may run."""
     counts: dict[str, int] = {}
     siblings = group.job.groups_of_step(group.key.occurrence, group.key.step)
     for sibling in siblings:
         for member in sibling.members:
-            if member.state is not fleet.MemberState.TERMINATED:
+            if member.state is not livejobs.MemberState.TERMINATED:
                 worker_id = member.worker_id
                 counts[worker_id] = counts.get(worker_id, 0) + 1
     return counts
 
 
 def must_span_racks(
-    workers: abc.Iterable[fleet.Worker], step: jobgraph.Step
+    workers: abc.Iterable[fleetworkers.Worker], step: jobgraph.Step
 ) -> bool:
     """Return whether no single rack could hold the gang even when empty."""
     if not step.gang or not step.rack_local:
@@ -546,6 +554,6 @@
     return True
 
 
-def _max_tasks_on(worker: fleet.Worker, step: jobgraph.Step) -> int:
+def _max_tasks_on(worker: fleetworkers.Worker, step: jobgraph.Step) -> int:
     most = worker.entry.capacity.fit_count(step.counted_need)
     return min(most, step.max_per_worker) if step.max_per_worker else most
--- a/primroselock/decisions/fleethealth.py
+++ b/primroselock/decisions/fleethealth.py
@@ -20,6 +20,7 @@
 
 from primroselock.decisions import evidence
 from primroselock.decisions import fleet
+from primroselock.decisions import livejobs
 
 _MIN_JOBS_TO_SUSPECT: typing.Final = 2
 """Distinct jobs that must fail on a worker before its first quarantine."""
@@ -104,7 +105,7 @@
 class StuckGroup:
     """A stuck group and the reason why it counts as stuck."""
 
-    group: fleet.Group
+    group: livejobs.Group
     why: str
 
 
@@ -123,7 +124,7 @@
     reported, board.reported_groups = board.reported_groups, {}
     found = []
     for group in reported:
-        if group.phase is not fleet.Phase.RUNNING:
+        if group.phase is not livejobs.Phase.RUNNING:
             continue
         why = _why_stuck(board, group, remote_factor, now)
         if why:
@@ -133,7 +134,7 @@
 
 def _why_stuck(
     board: fleet.ShardBoard,
-    group: fleet.Group,
+    group: livejobs.Group,
     remote_factor: float,
     now: float,
 ) -> str:
@@ -175,7 +176,7 @@
 
 
 def _is_slow(
-    group: fleet.Group, expected_s: float, patience: float, now: float
+    group: livejobs.Group, expected_s: float, patience: float, now: float
 ) -> bool:
     """Return whether a restart elsewhere would end before the group."""
     remaining_s = group.remaining_s(now)
@@ -186,7 +187,7 @@
     return total_s > limit_s and remaining_s > expected_s + _STUCK_MARGIN_S
 
 
-def _is_stalled(member: fleet.Member, patience: float) -> bool:
+def _is_stalled(member: livejobs.Member, patience: float) -> bool:
     """Return whether run reports show no progress for too long.
 
     A member of a gang that has done its own part waits for the others, and
@@ -203,7 +204,7 @@
     return seen.stalled_s > limit_s * patience
 
 
-def _is_remote(board: fleet.ShardBoard, group: fleet.Group) -> bool:
+def _is_remote(board: fleet.ShardBoard, group: livejobs.Group) -> bool:
     """Return whether the group runs off its data rack or across racks."""
     racks = {
         board.workers_by_id[member.worker_id].entry.rack
@@ -216,7 +217,7 @@
     return step.rack_local and len(racks) > 1
 
 
-def record_stuck(board: fleet.ShardBoard, group: fleet.Group) -> None:
+def record_stuck(board: fleet.ShardBoard, group: livejobs.Group) -> None:
     """Record that a group is stuck, so that it avoids its workers.
 
     It counts as a failure of these only once.
@@ -231,14 +232,16 @@
         )
 
 
-def list_cut_short(board: fleet.ShardBoard, now: float) -> list[fleet.Group]:
+def list_cut_short(
+    board: fleet.ShardBoard, now: float
+) -> list[livejobs.Group]:
     """Return the groups that would not end before their worker stops.
 
     A draining worker reports the minimum time that it keeps running, and
     often runs longer: groups that could end in that time, or shortly
     after it, go on.
     """
-    cut_short: dict[fleet.Group, None] = {}
+    cut_short: dict[livejobs.Group, None] = {}
     for worker in board.workers_by_id.values():
         remaining_s = worker.entry.remaining_s
         if worker.drain_seen_at is None or remaining_s is None:
@@ -251,7 +254,9 @@
     return list(cut_short)
 
 
-def _ends_at(board: fleet.ShardBoard, group: fleet.Group, now: float) -> float:
+def _ends_at(
+    board: fleet.ShardBoard, group: livejobs.Group, now: float
+) -> float:
     """Return when a group is expected to end.
 
     Returns ``now`` for a group that must not be moved or whose run time
@@ -259,7 +264,7 @@
     """
     step = group.step
     if (
-        group.phase is not fleet.Phase.RUNNING
+        group.phase is not livejobs.Phase.RUNNING
         or step.max_unavailable is not None
     ):
         return now
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -28,6 +28,8 @@
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetpreemption
+from primroselock.decisions import fleetworkers
+from primroselock.decisions import livejobs
 from primroselock.decisions import objectives
 from primroselock.decisions import reachability
 from primroselock.decisions import runs
@@ -80,11 +82,11 @@
     now: float
     wall_s: float
 
-    def rank(self, group: fleet.Group) -> fitting.Rank:
+    def rank(self, group: livejobs.Group) -> fitting.Rank:
         """Return the urgency of a group; lower ranks go first."""
         return waiting.rank(group, self.guaranteed_ids)
 
-    def has_plenty(self, group: fleet.Group) -> bool:
+    def has_plenty(self, group: livejobs.Group) -> bool:
         """Return whether much capacity of the group's service is free."""
         queue = group.job.queue
         return queue is not None and queue.service in self.plenty_services
@@ -132,7 +134,7 @@
 def _build_free_capacity(
     board: fleet.ShardBoard,
     settings: options.FleetSettings,
-    usable: abc.Iterable[fleet.Worker],
+    usable: abc.Iterable[fleetworkers.Worker],
 ) -> fitting.FreeCapacity:
     """Return the free capacity of ``usable`` workers that are verified."""
     unverified_ids = {
@@ -146,7 +148,7 @@
 
 
 def _place_step(
-    context: _RoundContext, groups: abc.Sequence[fleet.Group], limit: int
+    context: _RoundContext, groups: abc.Sequence[livejobs.Group], limit: int
 ) -> int:
     """Place at most ``limit`` groups of a step; return how many.
 
@@ -200,7 +202,7 @@
     return placed
 
 
-def _is_overdue(context: _RoundContext, group: fleet.Group) -> bool:
+def _is_overdue(context: _RoundContext, group: livejobs.Group) -> bool:
     """Return whether a group has waited too long for what it prefers."""
     waited_s = context.now - group.since
     if waited_s < _PREFERENCE_TIMEOUT_S:
@@ -216,7 +218,7 @@
 
 
 def _relaxed_shape(
-    context: _RoundContext, group: fleet.Group, shape: fitting.Shape | None
+    context: _RoundContext, group: livejobs.Group, shape: fitting.Shape | None
 ) -> fitting.Shape | None:
     """Return the shape of an attempt without the group's preferences.
 
@@ -232,7 +234,9 @@
 
 
 def _may_fit(
-    context: _RoundContext, group: fleet.Group, relaxed: fitting.Shape | None
+    context: _RoundContext,
+    group: livejobs.Group,
+    relaxed: fitting.Shape | None,
 ) -> bool:
     """Return whether a group may fit without its preferences."""
     free_capacity = context.free_capacity
@@ -278,7 +282,7 @@
 
 def _place(
     context: _RoundContext,
-    group: fleet.Group,
+    group: livejobs.Group,
     queue: queues.Queue,
     shape: fitting.Shape | None,
 ) -> bool:
@@ -289,7 +293,7 @@
 
 def _place_anywhere(
     context: _RoundContext,
-    group: fleet.Group,
+    group: livejobs.Group,
     queue: queues.Queue,
     relaxed: fitting.Shape | None,
 ) -> bool:
@@ -298,7 +302,7 @@
     group.may_span_racks = True
     allow = _build_relaxed_filter(context, group, queue)
 
-    def allow_others(worker: fleet.Worker) -> bool:
+    def allow_others(worker: fleetworkers.Worker) -> bool:
         return worker.id not in group.avoided_worker_ids and allow(worker)
 
     is_placed = False
@@ -318,7 +322,7 @@
 
 
 def _is_free_soon(
-    context: _RoundContext, group: fleet.Group, allow: fitting.WorkerFilter
+    context: _RoundContext, group: livejobs.Group, allow: fitting.WorkerFilter
 ) -> bool:
     """Return whether to wait for workers that ``allow`` passes."""
     left_s = group.since + _MAX_AVOIDANCE_S - context.now
@@ -332,7 +336,7 @@
 
 def _place_among(
     context: _RoundContext,
-    group: fleet.Group,
+    group: livejobs.Group,
     allow: fitting.WorkerFilter,
     shape: fitting.Shape | None,
 ) -> bool:
@@ -349,11 +353,11 @@
 
 
 def _build_basic_filter(
-    context: _RoundContext, group: fleet.Group, queue: queues.Queue
+    context: _RoundContext, group: livejobs.Group, queue: queues.Queue
 ) -> fitting.WorkerFilter:
     """Return a filter for the usable workers where a group may run."""
 
-    def allow(worker: fleet.Worker) -> bool:
+    def allow(worker: fleetworkers.Worker) -> bool:
         return fitting.may_share(worker, group.step) and (
             queue.advice is None
             or advising.ticket_for(
@@ -366,14 +370,14 @@
 
 
 def _build_relaxed_filter(
-    context: _RoundContext, group: fleet.Group, queue: queues.Queue
+    context: _RoundContext, group: livejobs.Group, queue: queues.Queue
 ) -> fitting.WorkerFilter:
     """Return a filter for the usable workers that a group must accept."""
     rank = context.rank(group)
     may_run = _build_basic_filter(context, group, queue)
     has_plenty = context.has_plenty(group)
 
-    def allow(worker: fleet.Worker) -> bool:
+    def allow(worker: fleetworkers.Worker) -> bool:
         is_claimed = context.claims.excludes(worker.id, group, rank)
         return may_run(worker) and (has_plenty or not is_claimed)
 
@@ -381,13 +385,13 @@
 
 
 def _build_worker_filter(
-    context: _RoundContext, group: fleet.Group, queue: queues.Queue
+    context: _RoundContext, group: livejobs.Group, queue: queues.Queue
 ) -> fitting.WorkerFilter:
     """Return a filter for the usable workers that a group prefers."""
     rank = context.rank(group)
     may_run = _build_basic_filter(context, group, queue)
 
-    def allow(worker: fleet.Worker) -> bool:
+    def allow(worker: fleetworkers.Worker) -> bool:
         return (
             worker.id not in group.avoided_worker_ids
             and not context.claims.excludes(worker.id, group, rank)
@@ -399,7 +403,7 @@
 
 def _commit(
     board: fleet.ShardBoard,
-    group: fleet.Group,
+    group: livejobs.Group,
     worker_ids: abc.Sequence[str],
     now: float,
 ) -> None:
@@ -407,12 +411,12 @@
     group.attempt += 1
     group.end_reason = None
     group.is_resumed = bool(group.checkpoint)
-    group.enter(fleet.Phase.COMMITTING, now)
+    group.enter(livejobs.Phase.COMMITTING, now)
     group.members = []
     for index, worker_id in zip(group.task_indices, worker_ids, strict=True):
         worker = board.workers_by_id[worker_id]
-        member = fleet.Member(
-            group, index, worker_id, worker.boot, fleet.MemberState.PLACED
+        member = livejobs.Member(
+            group, index, worker_id, worker.boot, livejobs.MemberState.PLACED
         )
         group.members.append(member)
         worker.add_member(member)
@@ -431,7 +435,7 @@
 
 def _free_capacity_for(
     context: _RoundContext,
-    group: fleet.Group,
+    group: livejobs.Group,
     queue: queues.Queue,
     shape: fitting.Shape | None,
 ) -> bool:
@@ -460,12 +464,12 @@
 
 
 def _preempt(
-    context: _RoundContext, group: fleet.Group, allow: fitting.WorkerFilter
+    context: _RoundContext, group: livejobs.Group, allow: fitting.WorkerFilter
 ) -> bool:
     """Preempt for a group; return whether that frees enough capacity."""
     board, rank = context.board, context.rank(group)
 
-    def may_stop(other: fleet.Group) -> bool:
+    def may_stop(other: livejobs.Group) -> bool:
         return context.rank(other) > rank
 
     chosen = fleetpreemption.choose_victims(
@@ -482,7 +486,7 @@
     _claim(context, group, chosen.worker_ids)
     for victim in chosen.victims:
         context.victims.forget(victim)
-        if victim.phase is fleet.Phase.STOPPING:
+        if victim.phase is livejobs.Phase.STOPPING:
             continue
         if fleetpreemption.ends_soon(victim, context.now):
             continue
@@ -492,7 +496,9 @@
             attempt=victim.attempt,
             by=group.job.graph.id,
         )
-        runs.end_group(board, victim, fleet.EndReason.PREEMPTED, context.now)
+        runs.end_group(
+            board, victim, livejobs.EndReason.PREEMPTED, context.now
+        )
         runs.settle_group(
             board, victim, context.now, int(context.wall_s * 1000)
         )
@@ -500,7 +506,7 @@
 
 
 def _claim(
-    context: _RoundContext, group: fleet.Group, worker_ids: frozenset[str]
+    context: _RoundContext, group: livejobs.Group, worker_ids: frozenset[str]
 ) -> None:
     """Claim workers for a group, from this round on."""
     context.claims.put(
@@ -511,7 +517,7 @@
         context.free_capacity.exclude(worker_id)
 
 
-def _may_claim_soonest(context: _RoundContext, group: fleet.Group) -> bool:
+def _may_claim_soonest(context: _RoundContext, group: livejobs.Group) -> bool:
     """Return whether a gang may claim workers that it waits for.
 
     It may not while other groups claim ``claim_share`` of the workers.
@@ -527,7 +533,7 @@
 
 
 def _claim_soonest(
-    context: _RoundContext, group: fleet.Group, allow: fitting.WorkerFilter
+    context: _RoundContext, group: livejobs.Group, allow: fitting.WorkerFilter
 ) -> bool:
     """Claim the workers that are free soonest; return whether any are."""
     board = context.board
@@ -551,7 +557,7 @@
 def _drop_claims(board: fleet.ShardBoard, now: float) -> None:
     for group, claim in list(board.claims_by_group.items()):
         if (
-            group.phase is not fleet.Phase.WAITING
+            group.phase is not livejobs.Phase.WAITING
             or now - claim.since > _CLAIM_TIMEOUT_S
         ):
             del board.claims_by_group[group]
--- a/primroselock/decisions/fleetpreemption.py
+++ b/primroselock/decisions/fleetpreemption.py
@@ -16,10 +16,12 @@
 
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
+from primroselock.decisions import fleetworkers
+from primroselock.decisions import livejobs
 from primroselock.decisions import waiting
 from primroselock import jobgraph
 
-MayStop = abc.Callable[[fleet.Group], bool]
+MayStop = abc.Callable[[livejobs.Group], bool]
 
 _MAX_UNSAVED_WORK_S: typing.Final = 1.0
 """Checkpointing tasks save their progress this often, and when stopped."""
@@ -45,7 +47,7 @@
     seconds until the last worker is free.
     """
 
-    victims: tuple[fleet.Group, ...]
+    victims: tuple[livejobs.Group, ...]
     worker_ids: frozenset[str]
     cost: float
 
@@ -54,7 +56,7 @@
 class _Endable:
     """A group whose end would free ``freed`` on a worker, at ``cost``."""
 
-    group: fleet.Group
+    group: livejobs.Group
     cost: float
     freed: jobgraph.Resources
 
@@ -69,32 +71,32 @@
     def __init__(
         self,
         now: float,
-        cost_of: abc.Callable[[fleet.Group], float] | None = None,
+        cost_of: abc.Callable[[livejobs.Group], float] | None = None,
     ) -> None:
         self._cost_of = cost_of or (lambda group: lost_work_s(group, now))
-        self._costs_by_group: dict[fleet.Group, float] = {}
+        self._costs_by_group: dict[livejobs.Group, float] = {}
         self._endable_by_worker_id: dict[str, list[_Endable]] = {}
 
-    def cost(self, group: fleet.Group) -> float:
+    def cost(self, group: livejobs.Group) -> float:
         """Return the cost of the end of a group."""
         known = self._costs_by_group.get(group)
         if known is None:
             known = self._costs_by_group[group] = self._cost_of(group)
         return known
 
-    def endable_on(self, worker: fleet.Worker) -> list[_Endable]:
+    def endable_on(self, worker: fleetworkers.Worker) -> list[_Endable]:
         """Return the groups on a worker that may be ended, sorted by cost."""
         known = self._endable_by_worker_id.get(worker.id)
         if known is None:
             known = self._endable_by_worker_id[worker.id] = self._list(worker)
         return known
 
-    def _list(self, worker: fleet.Worker) -> list[_Endable]:
-        tasks_by_group: dict[fleet.Group, int] = {}
+    def _list(self, worker: fleetworkers.Worker) -> list[_Endable]:
+        tasks_by_group: dict[livejobs.Group, int] = {}
         for member in worker.members.values():
             group = member.group
             if (
-                group.phase is not fleet.Phase.DONE
+                group.phase is not livejobs.Phase.DONE
                 and group.step.max_unavailable is None
             ):
                 tasks_by_group[group] = tasks_by_group.get(group, 0) + 1
@@ -102,19 +104,19 @@
             _Endable(
                 group,
                 self.cost(group),
-                fleet.NO_RESOURCES.plus(group.step.counted_need, tasks),
+                fleetworkers.NO_RESOURCES.plus(group.step.counted_need, tasks),
             )
             for group, tasks in tasks_by_group.items()
         ]
         endable.sort(
             key=lambda item: (
-                item.group.phase is not fleet.Phase.STOPPING,
+                item.group.phase is not livejobs.Phase.STOPPING,
                 item.cost,
             )
         )
         return endable
 
-    def forget(self, group: fleet.Group) -> None:
+    def forget(self, group: livejobs.Group) -> None:
         """Drop what is known of a group, which is being stopped."""
         self._costs_by_group.pop(group, None)
         for member in group.members:
@@ -123,7 +125,7 @@
 
 def choose_victims(
     free_capacity: fitting.FreeCapacity,
-    group: fleet.Group,
+    group: livejobs.Group,
     allow: fitting.WorkerFilter,
     may_stop: MayStop,
     victims: VictimIndex,
@@ -139,7 +141,7 @@
 def choose_soonest_free(
     board: fleet.ShardBoard,
     free_capacity: fitting.FreeCapacity,
-    group: fleet.Group,
+    group: livejobs.Group,
     allow: fitting.WorkerFilter,
     now: float,
 ) -> Choice | None:
@@ -148,7 +150,7 @@
     Returns None if the group would not fit even then.
     """
 
-    def may_wait_for(other: fleet.Group) -> bool:
+    def may_wait_for(other: livejobs.Group) -> bool:
         return not other.step.long_running
 
     endings = VictimIndex(now, lambda other: _remaining_s(board, other, now))
@@ -161,10 +163,10 @@
 
 
 def _remaining_s(
-    board: fleet.ShardBoard, group: fleet.Group, now: float
+    board: fleet.ShardBoard, group: livejobs.Group, now: float
 ) -> float:
     """Return the estimated remaining run time of a group in seconds."""
-    if group.phase is fleet.Phase.STOPPING:
+    if group.phase is livejobs.Phase.STOPPING:
         return _ENDS_SOON_S
     remaining_s = group.remaining_s(now)
     if remaining_s is not None:
@@ -184,7 +186,7 @@
     """
 
     free_capacity: fitting.FreeCapacity
-    group: fleet.Group
+    group: livejobs.Group
     may_end: MayStop
     victims: VictimIndex
     total: abc.Callable[[list[float]], float]
@@ -195,7 +197,7 @@
     """The victims on one worker whose ends free capacity for one task."""
 
     cost: float
-    victims: tuple[fleet.Group, ...]
+    victims: tuple[livejobs.Group, ...]
 
 
 def _choose(search: _Search, allow: fitting.WorkerFilter) -> Choice | None:
@@ -214,7 +216,7 @@
 
 
 def _choose_in(
-    search: _Search, candidates: abc.Sequence[fleet.Worker]
+    search: _Search, candidates: abc.Sequence[fleetworkers.Worker]
 ) -> Choice | None:
     """Choose a worker for each task in turn, the cheapest to free.
 
@@ -227,7 +229,7 @@
     counts = fitting.count_on_workers(group) if limit else {}
     workers_by_id = {worker.id: worker for worker in candidates}
     free_by_id = dict(search.free_capacity.free_by_id)
-    chosen: dict[fleet.Group, None] = {}
+    chosen: dict[livejobs.Group, None] = {}
     used: dict[str, None] = {}
     options_by_id: dict[str, _Option] = {}
     outdated: abc.Iterable[str] = workers_by_id
@@ -263,7 +265,7 @@
 
 
 def _add_freed(
-    free_by_id: dict[str, jobgraph.Resources], victim: fleet.Group
+    free_by_id: dict[str, jobgraph.Resources], victim: livejobs.Group
 ) -> None:
     for member in victim.remaining_members():
         if member.worker_id in free_by_id:
@@ -274,9 +276,9 @@
 
 def _find_option(
     search: _Search,
-    worker: fleet.Worker,
+    worker: fleetworkers.Worker,
     free_by_id: abc.Mapping[str, jobgraph.Resources],
-    chosen: abc.Container[fleet.Group],
+    chosen: abc.Container[livejobs.Group],
 ) -> _Option | None:
     """Return the victims whose ends free capacity for one task.
 
@@ -286,7 +288,7 @@
     free = free_by_id[worker.id]
     if free.can_fit(need):
         return _Option(search.total([]), ())
-    victims: list[fleet.Group] = []
+    victims: list[livejobs.Group] = []
     costs: list[float] = []
     for endable in search.victims.endable_on(worker):
         if endable.group in chosen or not search.may_end(endable.group):
@@ -299,14 +301,14 @@
     return None
 
 
-def lost_work_s(group: fleet.Group, now: float) -> float:
+def lost_work_s(group: livejobs.Group, now: float) -> float:
     """Return the work in core-seconds that is lost if a group is stopped.
 
     An accelerator counts as eight cores.  Urgent work counts more, since
     it would be late after a stop.  A group that ends on its own as soon as
     a stop would end it loses nothing.
     """
-    if group.phase is fleet.Phase.STOPPING or ends_soon(group, now):
+    if group.phase is livejobs.Phase.STOPPING or ends_soon(group, now):
         return 0.0
     worked_s = group.worked_s(now)
     if group.step.checkpointing:
@@ -317,7 +319,7 @@
     return lost_s * group.size * cores(group.step.need) * urgency
 
 
-def max_lost_work_s(board: fleet.ShardBoard, group: fleet.Group) -> float:
+def max_lost_work_s(board: fleet.ShardBoard, group: livejobs.Group) -> float:
     """Return the work in core-seconds that may be lost for a group.
 
     The limit does not apply to guaranteed work.
@@ -329,7 +331,7 @@
     return own_s * _MAX_LOST_WORK_FACTOR
 
 
-def ends_soon(group: fleet.Group, now: float) -> bool:
+def ends_soon(group: livejobs.Group, now: float) -> bool:
     """Return whether a group ends on its own about as soon as by a stop."""
     remaining_s = group.remaining_s(now)
     return remaining_s is not None and remaining_s <= _ENDS_SOON_S
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -16,6 +16,7 @@
 from primroselock.decisions import fleethealth
 from primroselock.decisions import fleetplacing
 from primroselock.decisions import graphs
+from primroselock.decisions import livejobs
 from primroselock.decisions import runleases
 from primroselock.decisions import runs
 from primroselock.decisions import waitreport
@@ -83,7 +84,7 @@
             _remove_job(board, job)
 
 
-def _remove_job(board: fleet.ShardBoard, job: fleet.LiveJob) -> None:
+def _remove_job(board: fleet.ShardBoard, job: livejobs.LiveJob) -> None:
     """Remove a settled job and what is known of its steps."""
     board.ended_ms_by_id[job.graph.id] = job.ended_ms
     del board.jobs_by_id[job.graph.id]
@@ -96,17 +97,17 @@
 
 
 def _drop_groups(
-    board: fleet.ShardBoard, job: fleet.LiveJob, now: float, wall_ms: int
+    board: fleet.ShardBoard, job: livejobs.LiveJob, now: float, wall_ms: int
 ) -> None:
     for group in job.groups_by_key.values():
-        if group.phase in (fleet.Phase.BLOCKED, fleet.Phase.WAITING):
-            group.enter(fleet.Phase.DROPPED, now)
-        elif group.phase in fleet.ACTIVE_PHASES:
-            runs.end_group(board, group, fleet.EndReason.CANCELLED, now)
+        if group.phase in (livejobs.Phase.BLOCKED, livejobs.Phase.WAITING):
+            group.enter(livejobs.Phase.DROPPED, now)
+        elif group.phase in livejobs.ACTIVE_PHASES:
+            runs.end_group(board, group, livejobs.EndReason.CANCELLED, now)
             runs.settle_group(board, group, now, wall_ms)
 
 
-def _is_settled(job: fleet.LiveJob) -> bool:
+def _is_settled(job: livejobs.LiveJob) -> bool:
     """Return whether the end is stored and no member can run."""
     if job.saved_change < job.change:
         return False
@@ -153,7 +154,7 @@
             group.job,
             attempt=group.attempt,
         )
-        runs.end_group(board, group, fleet.EndReason.WORKER_DRAINING, now)
+        runs.end_group(board, group, livejobs.EndReason.WORKER_DRAINING, now)
 
 
 @controller(order=38)
@@ -175,7 +176,7 @@
             why=stuck.why,
             worked_s=round(group.worked_s(now), 3),
         )
-        runs.end_group(board, group, fleet.EndReason.STUCK, now)
+        runs.end_group(board, group, livejobs.EndReason.STUCK, now)
 
 
 @controller(order=40)
@@ -192,12 +193,12 @@
         return
     for group in list(board.phases.starting):
         is_unanswered = any(
-            member.state is fleet.MemberState.ORDERED
+            member.state is livejobs.MemberState.ORDERED
             and now - member.ordered_at >= limit_s
             for member in group.members
         )
         if is_unanswered:
-            runs.end_group(board, group, fleet.EndReason.LOST, now)
+            runs.end_group(board, group, livejobs.EndReason.LOST, now)
 
 
 @controller(order=50)
--- /dev/null
+++ b/primroselock/decisions/fleetworkers.py
@@ -0,0 +1,148 @@
+"""The workers of a blackboard: what is known of each, and what it holds.
+
+A worker is known by the entry that it publishes and by its run reports.
+The capacity of its entry, less what its members and the runs that no row
+asks for take, is free.
+"""
+
+import dataclasses
+import typing
+
+from primroselock.decisions import livejobs
+from primroselock import jobgraph
+from primroselock.workers import orders
+
+NO_RESOURCES: typing.Final = jobgraph.Resources()
+_NEVER: typing.Final = float('-inf')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerEntry:
+    """The entry that a worker publishes in service discovery.
+
+    ``rack`` is one of its ``labels``; ``boot`` is its incarnation.
+    ``remaining_s`` is the minimum time in seconds that a draining worker
+    keeps running, or None where it does not report one.
+    """
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    rack: str
+    labels: tuple[str, ...]
+    capacity: jobgraph.Resources
+    is_draining: bool = False
+    boot: int = 0
+    remaining_s: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnexpectedRun:
+    """A run on a worker that no row asks for; it is stopped.
+
+    ``need`` is the resources that it is assumed to take.
+    """
+
+    run: orders.Run
+    need: jobgraph.Resources
+    stop_sent_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnsavedEnd:
+    """A reported end; it is confirmed once the job's change is stored.
+
+    ``number`` is the worker's number of the end; ``change`` is the number
+    of the change that records its effect on the job.
+    """
+
+    number: int
+    job: livejobs.LiveJob
+    change: int
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Worker:
+    """A worker: its entry, its last run report and its members.
+
+    ``clock_s`` is the worker's clock as received at ``clock_at``, and
+    ``clock_delta_s`` the least by which this process's clock was ahead of
+    it when a report was received: the delay of the report is in excess.
+    ``lease_end`` is the time on the worker's clock up to which its runs
+    were leased; ``polled_at`` is when the last poll was sent that was
+    answered under this holder's epoch; ``last_answer_at`` is when the last
+    answer was received; ``unresponsive_since`` is when the first of the
+    last ``failures_in_row`` calls failed.  A worker numbers the ends of its
+    runs: those up to ``listed_end`` were reported, the effects of those
+    up to ``saved_end`` are stored, and those up to ``confirmed_end`` were
+    confirmed to the worker.  ``drain_seen_at`` is when this holder first
+    read that the worker is draining.
+    """
+
+    entry: WorkerEntry
+    is_listed: bool = True
+    boot: int = 0
+    polled_at: float = _NEVER
+    last_answer_at: float = _NEVER
+    clock_s: float = 0.0
+    clock_at: float = _NEVER
+    clock_delta_s: float | None = None
+    lease_end: float | None = None
+    failures_in_row: int = 0
+    unresponsive_since: float = _NEVER
+    listed_end: int = 0
+    saved_end: int = 0
+    confirmed_end: int = 0
+    unsaved_ends: list[UnsavedEnd] = dataclasses.field(default_factory=list)
+    members: dict[orders.Run, livejobs.Member] = dataclasses.field(
+        default_factory=dict
+    )
+    unexpected_runs: dict[orders.Run, UnexpectedRun] = dataclasses.field(
+        default_factory=dict
+    )
+    used: jobgraph.Resources = NO_RESOURCES
+    drain_seen_at: float | None = None
+    id: str = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.id = self.entry.id
+
+    @property
+    def is_polled(self) -> bool:
+        """Return whether it answered a poll under this holder's epoch."""
+        return self.polled_at > _NEVER
+
+    @property
+    def free(self) -> jobgraph.Resources:
+        """Return the capacity that members and unexpected runs leave free."""
+        left = self.entry.capacity.plus(self.used, -1)
+        for unexpected in self.unexpected_runs.values():
+            left = left.plus(unexpected.need, -1)
+        return left
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether anything may run or an end is unconfirmed."""
+        return bool(
+            self.members
+            or self.unexpected_runs
+            or self.unsaved_ends
+            or self.confirmed_end < self.listed_end
+        )
+
+    def record_failed_call(self, now: float) -> None:
+        """Record that a call to the worker failed."""
+        if not self.failures_in_row:
+            self.unresponsive_since = now
+        self.failures_in_row += 1
+
+    def add_member(self, member: livejobs.Member) -> None:
+        """Add a member and the resources that it takes."""
+        self.members[member.run] = member
+        self.used = self.used.plus(member.group.step.counted_need)
+
+    def remove_member(self, member: livejobs.Member) -> None:
+        """Remove a member and free the resources that it took."""
+        if self.members.pop(member.run, None) is not None:
+            self.used = self.used.plus(member.group.step.counted_need, -1)
--- a/primroselock/decisions/graphs.py
+++ b/primroselock/decisions/graphs.py
@@ -8,6 +8,8 @@
 import typing
 
 from primroselock.decisions import fleet
+from primroselock.decisions import fleetworkers
+from primroselock.decisions import livejobs
 from primroselock.decisions import objectives
 from primroselock import jobgraph
 from primroselock import jobs
@@ -18,14 +20,14 @@
 _MAX_REQUEUE_DELAY_S: typing.Final = 4.0
 
 _ROW_PHASES: typing.Final = {
-    fleet.Phase.BLOCKED: jobgraph.GroupPhase.WAITING,
-    fleet.Phase.WAITING: jobgraph.GroupPhase.WAITING,
-    fleet.Phase.DROPPED: jobgraph.GroupPhase.WAITING,
-    fleet.Phase.COMMITTING: jobgraph.GroupPhase.PLACED,
-    fleet.Phase.STARTING: jobgraph.GroupPhase.PLACED,
-    fleet.Phase.RUNNING: jobgraph.GroupPhase.PLACED,
-    fleet.Phase.STOPPING: jobgraph.GroupPhase.PLACED,
-    fleet.Phase.DONE: jobgraph.GroupPhase.DONE,
+    livejobs.Phase.BLOCKED: jobgraph.GroupPhase.WAITING,
+    livejobs.Phase.WAITING: jobgraph.GroupPhase.WAITING,
+    livejobs.Phase.DROPPED: jobgraph.GroupPhase.WAITING,
+    livejobs.Phase.COMMITTING: jobgraph.GroupPhase.PLACED,
+    livejobs.Phase.STARTING: jobgraph.GroupPhase.PLACED,
+    livejobs.Phase.RUNNING: jobgraph.GroupPhase.PLACED,
+    livejobs.Phase.STOPPING: jobgraph.GroupPhase.PLACED,
+    livejobs.Phase.DONE: jobgraph.GroupPhase.DONE,
 }
 
 
@@ -36,7 +38,7 @@
     row_version: int,
     now: float,
     wall_ms: int,
-) -> fleet.LiveJob | None:
+) -> livejobs.LiveJob | None:
     """Add a job from its rows to the blackboard and return it.
 
     Return None for a job that has ended.  ``row_version`` is the version
@@ -45,7 +47,7 @@
     if progress is not None and progress.state.is_final:
         return None
     queue = board.queue_configuration.find_by_name(graph.queue)
-    job = fleet.LiveJob(
+    job = livejobs.LiveJob(
         graph,
         queue or graph.accepted_queue,
         objectives.critical_paths_s(graph, board.learned),
@@ -62,7 +64,7 @@
 
 def _restore(
     board: fleet.ShardBoard,
-    job: fleet.LiveJob,
+    job: livejobs.LiveJob,
     progress: jobgraph.JobProgress,
     now: float,
 ) -> None:
@@ -79,24 +81,26 @@
         group.checkpoint = record.checkpoint
         group.is_resumed = True
         if record.phase is jobgraph.GroupPhase.DONE:
-            group.enter(fleet.Phase.DONE, now)
+            group.enter(livejobs.Phase.DONE, now)
         elif record.phase is jobgraph.GroupPhase.PLACED:
-            group.enter(fleet.Phase.STARTING, now)
+            group.enter(livejobs.Phase.STARTING, now)
             _restore_members(board, group, record)
     for occurrence in range(job.released):
         _unblock(job, occurrence, now)
 
 
 def _restore_members(
-    board: fleet.ShardBoard, group: fleet.Group, record: jobgraph.GroupRecord
+    board: fleet.ShardBoard,
+    group: livejobs.Group,
+    record: jobgraph.GroupRecord,
 ) -> None:
     for index, place in zip(group.task_indices, record.places, strict=False):
-        member = fleet.Member(
+        member = livejobs.Member(
             group,
             index,
             place.worker_id,
             place.boot,
-            fleet.MemberState.INHERITED,
+            livejobs.MemberState.INHERITED,
         )
         group.members.append(member)
         worker = board.workers_by_id.get(place.worker_id)
@@ -107,18 +111,18 @@
 
 def _add_unlisted_worker(
     board: fleet.ShardBoard, place: jobgraph.Place
-) -> fleet.Worker:
+) -> fleetworkers.Worker:
     """Add a worker without an entry, kept until its lease has expired."""
-    entry = fleet.WorkerEntry(
-        place.worker_id, '', '', '', '', (), fleet.NO_RESOURCES
+    entry = fleetworkers.WorkerEntry(
+        place.worker_id, '', '', '', '', (), fleetworkers.NO_RESOURCES
     )
-    worker = fleet.Worker(entry, is_listed=False, boot=place.boot)
+    worker = fleetworkers.Worker(entry, is_listed=False, boot=place.boot)
     board.workers_by_id[place.worker_id] = worker
     return worker
 
 
 def release_due(
-    board: fleet.ShardBoard, job: fleet.LiveJob, now: float, wall_ms: int
+    board: fleet.ShardBoard, job: livejobs.LiveJob, now: float, wall_ms: int
 ) -> None:
     """Add the groups of the occurrences that are due."""
     graph = job.graph
@@ -131,47 +135,47 @@
     board.phases.unreleased_jobs.pop(job, None)
 
 
-def _release_occurrence(job: fleet.LiveJob, now: float) -> None:
+def _release_occurrence(job: livejobs.LiveJob, now: float) -> None:
     occurrence = job.released
     job.released += 1
     for number, step in enumerate(job.graph.steps):
         for index in range(step.group_count):
             key = jobgraph.GroupKey(occurrence, number, index)
-            job.groups_by_key[key] = fleet.Group(
-                job, key, step, fleet.Phase.BLOCKED, now
+            job.groups_by_key[key] = livejobs.Group(
+                job, key, step, livejobs.Phase.BLOCKED, now
             )
 
 
-def _unblock(job: fleet.LiveJob, occurrence: int, now: float) -> None:
+def _unblock(job: livejobs.LiveJob, occurrence: int, now: float) -> None:
     """Queue the blocked groups whose dependencies are done."""
     for number, step in enumerate(job.graph.steps):
         groups = job.groups_of_step(occurrence, number)
-        if groups[0].phase is not fleet.Phase.BLOCKED and all(
-            group.phase is not fleet.Phase.BLOCKED for group in groups
+        if groups[0].phase is not livejobs.Phase.BLOCKED and all(
+            group.phase is not livejobs.Phase.BLOCKED for group in groups
         ):
             continue
         if not all(_is_step_done(job, occurrence, s) for s in step.after):
             continue
         for group in groups:
-            if group.phase is fleet.Phase.BLOCKED:
-                group.enter(fleet.Phase.WAITING, now)
+            if group.phase is livejobs.Phase.BLOCKED:
+                group.enter(livejobs.Phase.WAITING, now)
 
 
-def _is_step_done(job: fleet.LiveJob, occurrence: int, step: int) -> bool:
+def _is_step_done(job: livejobs.LiveJob, occurrence: int, step: int) -> bool:
     return all(
-        group.phase is fleet.Phase.DONE
+        group.phase is livejobs.Phase.DONE
         for group in job.groups_of_step(occurrence, step)
     )
 
 
 def complete_group(
-    board: fleet.ShardBoard, group: fleet.Group, now: float, wall_ms: int
+    board: fleet.ShardBoard, group: livejobs.Group, now: float, wall_ms: int
 ) -> None:
     """Record that a group is done, and the job if it was the last one."""
     job = group.job
     _record_run_time(board, group, now)
-    group.end_reason = fleet.EndReason.DONE
-    group.enter(fleet.Phase.DONE, now)
+    group.end_reason = livejobs.EndReason.DONE
+    group.enter(livejobs.Phase.DONE, now)
     _unblock(job, group.key.occurrence, now)
     if not job.state.is_final and _is_all_done(job):
         job.end(jobs.JobState.DONE, wall_ms)
@@ -180,7 +184,7 @@
 
 
 def _record_run_time(
-    board: fleet.ShardBoard, group: fleet.Group, now: float
+    board: fleet.ShardBoard, group: livejobs.Group, now: float
 ) -> None:
     """Record the run time of a group that ran from its beginning."""
     if group.began_at is None or group.is_resumed:
@@ -190,26 +194,27 @@
     board.learned.record(graph.queue, step, now - group.began_at)
 
 
-def _is_all_done(job: fleet.LiveJob) -> bool:
+def _is_all_done(job: livejobs.LiveJob) -> bool:
     if job.released < job.graph.occurrences:
         return False
     return all(
-        group.phase is fleet.Phase.DONE for group in job.groups_by_key.values()
+        group.phase is livejobs.Phase.DONE
+        for group in job.groups_by_key.values()
     )
 
 
 def conclude_attempt(
-    board: fleet.ShardBoard, group: fleet.Group, now: float, wall_ms: int
+    board: fleet.ShardBoard, group: livejobs.Group, now: float, wall_ms: int
 ) -> None:
     """Conclude an attempt that was not completed; queue its group again.
 
     A group of a job that has ended, or that has failed as often as its
     queue allows, is dropped instead.
     """
-    end_reason = group.end_reason or fleet.EndReason.LOST
-    if end_reason is fleet.EndReason.FAILED:
+    end_reason = group.end_reason or livejobs.EndReason.LOST
+    if end_reason is livejobs.EndReason.FAILED:
         group.not_before = now + _retry_delay_s(group.failures)
-    elif end_reason is fleet.EndReason.PREEMPTED:
+    elif end_reason is livejobs.EndReason.PREEMPTED:
         # The capacity is likely to be needed by more urgent work again soon.
         group.preemptions += 1
         delay_s = _MIN_REQUEUE_DELAY_S * 2.0 ** min(group.preemptions, 10)
@@ -219,12 +224,12 @@
     group.began_at = None
     job = group.job
     if job.is_cancelled or job.state.is_final:
-        group.enter(fleet.Phase.DROPPED, now)
+        group.enter(livejobs.Phase.DROPPED, now)
     elif _has_exhausted_attempts(job, group):
-        group.enter(fleet.Phase.DROPPED, now)
+        group.enter(livejobs.Phase.DROPPED, now)
         _fail(board, job, group, wall_ms)
     else:
-        group.enter(fleet.Phase.WAITING, now)
+        group.enter(livejobs.Phase.WAITING, now)
     board.record_decision(
         'attempt ended',
         job,
@@ -245,7 +250,9 @@
     return min(delay_s, _MAX_RETRY_DELAY_S)
 
 
-def _has_exhausted_attempts(job: fleet.LiveJob, group: fleet.Group) -> bool:
+def _has_exhausted_attempts(
+    job: livejobs.LiveJob, group: livejobs.Group
+) -> bool:
     if group.step.long_running or job.queue is None:
         return False
     return group.failures >= job.queue.max_attempts
@@ -253,8 +260,8 @@
 
 def _fail(
     board: fleet.ShardBoard,
-    job: fleet.LiveJob,
-    group: fleet.Group,
+    job: livejobs.LiveJob,
+    group: livejobs.Group,
     wall_ms: int,
 ) -> None:
     job.end(jobs.JobState.FAILED, wall_ms)
@@ -266,7 +273,7 @@
     )
 
 
-def build_progress(job: fleet.LiveJob) -> jobgraph.JobProgress:
+def build_progress(job: livejobs.LiveJob) -> jobgraph.JobProgress:
     """Return the progress of a job as it is stored."""
     records: tuple[jobgraph.GroupRecord, ...] = ()
     if not job.state.is_final:
@@ -278,14 +285,14 @@
     return jobgraph.JobProgress(job.state, records, job.ended_ms)
 
 
-def _build_record(group: fleet.Group) -> jobgraph.GroupRecord:
+def _build_record(group: livejobs.Group) -> jobgraph.GroupRecord:
     """Return the stored progress of a group that was placed."""
     phase = _ROW_PHASES[group.phase]
     if phase is jobgraph.GroupPhase.DONE:
         # Nothing else is asked of a group that never runs again.
         return jobgraph.GroupRecord(group.key, phase, group.attempt)
     places: tuple[jobgraph.Place, ...] = ()
-    if group.phase in fleet.ACTIVE_PHASES:
+    if group.phase in livejobs.ACTIVE_PHASES:
         places = tuple(
             jobgraph.Place(member.worker_id, member.boot)
             for member in group.members
--- a/primroselock/decisions/objectives.py
+++ b/primroselock/decisions/objectives.py
@@ -8,8 +8,8 @@
 import enum
 import typing
 
-from primroselock.decisions import fleet
 from primroselock.decisions import learnedtimes
+from primroselock.decisions import livejobs
 from primroselock import jobgraph
 
 LATE_FACTOR: typing.Final = 3.0
@@ -44,7 +44,9 @@
     return tuple(paths_s)
 
 
-def slack_s(group: fleet.Group, wall_s: float, factor: float = 1.0) -> float:
+def slack_s(
+    group: livejobs.Group, wall_s: float, factor: float = 1.0
+) -> float:
     """Return how long the group may wait and its job still end in time.
 
     In seconds; negative if the job will be late, 0 if its queue is unknown.
@@ -62,7 +64,7 @@
     return end_s - wall_s - paths_s[group.key.step]
 
 
-def usefulness(group: fleet.Group, wall_s: float) -> Usefulness:
+def usefulness(group: livejobs.Group, wall_s: float) -> Usefulness:
     """Return the best outcome of the group's job if it starts now."""
     if slack_s(group, wall_s) >= 0:
         return Usefulness.ON_TIME
--- a/primroselock/decisions/phaseindex.py
+++ b/primroselock/decisions/phaseindex.py
@@ -10,7 +10,7 @@
 import typing
 
 if typing.TYPE_CHECKING:
-    from primroselock.decisions import fleet
+    from primroselock.decisions import livejobs
 
 
 @dataclasses.dataclass(slots=True)
@@ -22,24 +22,24 @@
     that are not due yet.
     """
 
-    waiting_by_step: dict['fleet.StepName', dict['fleet.Group', None]] = (
-        dataclasses.field(default_factory=dict)
-    )
-    starting: dict['fleet.Group', None] = dataclasses.field(
+    waiting_by_step: dict[
+        'livejobs.StepName', dict['livejobs.Group', None]
+    ] = dataclasses.field(default_factory=dict)
+    starting: dict['livejobs.Group', None] = dataclasses.field(
         default_factory=dict
     )
-    stopping: dict['fleet.Group', None] = dataclasses.field(
+    stopping: dict['livejobs.Group', None] = dataclasses.field(
         default_factory=dict
     )
-    ending_jobs: dict['fleet.LiveJob', None] = dataclasses.field(
+    ending_jobs: dict['livejobs.LiveJob', None] = dataclasses.field(
         default_factory=dict
     )
-    unreleased_jobs: dict['fleet.LiveJob', None] = dataclasses.field(
+    unreleased_jobs: dict['livejobs.LiveJob', None] = dataclasses.field(
         default_factory=dict
     )
 
     @property
-    def waiting(self) -> list['fleet.Group']:
+    def waiting(self) -> list['livejobs.Group']:
         """Return all waiting groups."""
         return [
             group
@@ -47,7 +47,7 @@
             for group in groups
         ]
 
-    def leave(self, group: 'fleet.Group') -> None:
+    def leave(self, group: 'livejobs.Group') -> None:
         """Remove a group from the index."""
         waiting = self.waiting_by_step.get(group.step_name)
         if waiting is not None:
@@ -57,6 +57,6 @@
         self.starting.pop(group, None)
         self.stopping.pop(group, None)
 
-    def add_waiting(self, group: 'fleet.Group') -> None:
+    def add_waiting(self, group: 'livejobs.Group') -> None:
         """Add a group that waits for capacity."""
         self.waiting_by_step.setdefault(group.step_name, {})[group] = None
--- a/primroselock/decisions/reachability.py
+++ b/primroselock/decisions/reachability.py
@@ -7,9 +7,10 @@
 """
 
 from primroselock.decisions import fleet
+from primroselock.decisions import fleetworkers
 
 
-def list_unverified(board: fleet.ShardBoard) -> list[fleet.Worker]:
+def list_unverified(board: fleet.ShardBoard) -> list[fleetworkers.Worker]:
     """Return the workers that must answer a probe before they get work."""
     unreachable_since_by_zone = _unreachable_since_by_zone(board)
     if not unreachable_since_by_zone:
--- a/primroselock/decisions/refusedwrites.py
+++ b/primroselock/decisions/refusedwrites.py
@@ -10,6 +10,7 @@
 import typing
 
 from primroselock.decisions import fleet
+from primroselock.decisions import livejobs
 from primroselock.decisions import runs
 
 _FIRST_DELAY_S: typing.Final = 0.25
@@ -19,10 +20,10 @@
 
 
 def record_refused(
-    board: fleet.ShardBoard, job: fleet.LiveJob, now: float, wall_ms: int
+    board: fleet.ShardBoard, job: livejobs.LiveJob, now: float, wall_ms: int
 ) -> None:
     """Record that the store refused a write of this job alone."""
-    refusal = job.refusal or fleet.Refusal()
+    refusal = job.refusal or livejobs.Refusal()
     job.refusal = refusal
     refusal.writes += 1
     refusal.is_stored = False
@@ -34,7 +35,9 @@
         refusal.next_at = now
 
 
-def record_stored(job: fleet.LiveJob, has_placement: bool, now: float) -> None:
+def record_stored(
+    job: livejobs.LiveJob, has_placement: bool, now: float
+) -> None:
     """Record that progress of a job is stored, maybe with a placement."""
     refusal = job.refusal
     if refusal is None:
@@ -47,7 +50,7 @@
         refusal.next_at = now + _delay_s(refusal.writes)
 
 
-def may_write(job: fleet.LiveJob, now: float) -> bool:
+def may_write(job: livejobs.LiveJob, now: float) -> bool:
     """Return whether changes of a job may be written now."""
     refusal = job.refusal
     return refusal is None or refusal.is_stored or now >= refusal.next_at
@@ -59,15 +62,15 @@
 
 
 def _end_placements(
-    board: fleet.ShardBoard, job: fleet.LiveJob, now: float, wall_ms: int
+    board: fleet.ShardBoard, job: livejobs.LiveJob, now: float, wall_ms: int
 ) -> bool:
     """End the attempts that are not stored; return whether any was."""
     groups = [
         group
         for group in job.groups_by_key.values()
-        if group.phase is fleet.Phase.COMMITTING
+        if group.phase is livejobs.Phase.COMMITTING
     ]
     for group in groups:
-        runs.end_group(board, group, fleet.EndReason.NOT_STORED, now)
+        runs.end_group(board, group, livejobs.EndReason.NOT_STORED, now)
         runs.settle_group(board, group, now, wall_ms)
     return bool(groups)
--- a/primroselock/decisions/runleases.py
+++ b/primroselock/decisions/runleases.py
@@ -8,7 +8,9 @@
 import typing
 
 from primroselock.decisions import fleet
+from primroselock.decisions import fleetworkers
 from primroselock.decisions import leasebounds
+from primroselock.decisions import livejobs
 from primroselock.decisions import runs
 
 _EXPIRY_CHECK_INTERVAL_S: typing.Final = 0.05
@@ -38,7 +40,7 @@
 
 def settle_lost_worker(
     board: fleet.ShardBoard,
-    worker: fleet.Worker,
+    worker: fleetworkers.Worker,
     why: str,
     now: float,
     wall_ms: int,
@@ -59,8 +61,8 @@
     for member in list(worker.members.values()):
         board.mark_terminated(member)
         group = member.group
-        if group.phase is not fleet.Phase.DONE:
-            runs.end_group(board, group, fleet.EndReason.LOST, now)
+        if group.phase is not livejobs.Phase.DONE:
+            runs.end_group(board, group, livejobs.EndReason.LOST, now)
         runs.settle_group(board, group, now, wall_ms)
     worker.unexpected_runs.clear()
     if not worker.is_listed:
@@ -68,13 +70,15 @@
 
 
 def _is_expired(
-    board: fleet.ShardBoard, worker: fleet.Worker, now: float
+    board: fleet.ShardBoard, worker: fleetworkers.Worker, now: float
 ) -> bool:
     """Return whether every lease granted to the worker has expired."""
     return now >= _all_leases_until(board, worker)
 
 
-def _all_leases_until(board: fleet.ShardBoard, worker: fleet.Worker) -> float:
+def _all_leases_until(
+    board: fleet.ShardBoard, worker: fleetworkers.Worker
+) -> float:
     """Return the time by which every lease of the worker has expired."""
     inherited_until = board.inherited_leases.until(worker.id)
     if not worker.is_polled:
@@ -117,7 +121,7 @@
     return False
 
 
-def _is_silent(worker: fleet.Worker, now: float) -> bool:
+def _is_silent(worker: fleetworkers.Worker, now: float) -> bool:
     """Return whether a worker has not answered for a while, or not yet."""
     if not worker.is_polled:
         return True
@@ -127,7 +131,7 @@
     )
 
 
-def lease_expiry_bound(worker: fleet.Worker) -> float:
+def lease_expiry_bound(worker: fleetworkers.Worker) -> float:
     """Return the time by which the worker's leases have surely expired.
 
     The worker's clock showed ``clock_s`` before ``clock_at``.
@@ -142,7 +146,7 @@
     )
 
 
-def lease_until(worker: fleet.Worker, deadline: float) -> float:
+def lease_until(worker: fleetworkers.Worker, deadline: float) -> float:
     """Return the end, on the worker's clock, of a lease to ``deadline``.
 
     ``deadline`` is on this process's clock; the lease does not exceed it
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -13,8 +13,10 @@
 import typing
 
 from primroselock.decisions import fleet
+from primroselock.decisions import fleetworkers
 from primroselock.decisions import graphs
 from primroselock.decisions import leasebounds
+from primroselock.decisions import livejobs
 from primroselock.decisions import runprogress
 from primroselock.workers import orders
 
@@ -23,17 +25,17 @@
 """Workers stop the remaining members of a broken gang within this time."""
 
 _END_REASONS_BY_CAUSE: typing.Final = {
-    orders.EndCause.FAILED: fleet.EndReason.FAILED,
-    orders.EndCause.STOPPED: fleet.EndReason.LOST,
-    orders.EndCause.LEASE_EXPIRED: fleet.EndReason.LOST,
-    orders.EndCause.GANG_BROKEN: fleet.EndReason.LOST,
-    orders.EndCause.ALONE: fleet.EndReason.REFUSED,
+    orders.EndCause.FAILED: livejobs.EndReason.FAILED,
+    orders.EndCause.STOPPED: livejobs.EndReason.LOST,
+    orders.EndCause.LEASE_EXPIRED: livejobs.EndReason.LOST,
+    orders.EndCause.GANG_BROKEN: livejobs.EndReason.LOST,
+    orders.EndCause.ALONE: livejobs.EndReason.REFUSED,
 }
 
 
 def record_poll(
     board: fleet.ShardBoard,
-    worker: fleet.Worker,
+    worker: fleetworkers.Worker,
     report: orders.RunReport,
     sent_at: float,
     now: float,
@@ -59,7 +61,9 @@
         del worker.unexpected_runs[run]
 
 
-def _reported_at(worker: fleet.Worker, clock_s: float, now: float) -> float:
+def _reported_at(
+    worker: fleetworkers.Worker, clock_s: float, now: float
+) -> float:
     """Return when a report was made, on this process's clock.
 
     A report that was received or processed late must not look like the
@@ -75,7 +79,9 @@
 
 
 def _reset_restarted(
-    board: fleet.ShardBoard, worker: fleet.Worker, report: orders.RunReport
+    board: fleet.ShardBoard,
+    worker: fleetworkers.Worker,
+    report: orders.RunReport,
 ) -> None:
     """Reset what belongs to the worker's earlier incarnation.
 
@@ -99,7 +105,7 @@
 
 def _record_end(
     board: fleet.ShardBoard,
-    worker: fleet.Worker,
+    worker: fleetworkers.Worker,
     ended: orders.Ended,
     now: float,
     wall_ms: int,
@@ -121,7 +127,7 @@
             # information about the speed of the others.
             _record_speed(board, member, member.progress.take_final_rate(now))
         _record_done(board, group, worker, now, wall_ms)
-    elif group.phase is not fleet.Phase.DONE:
+    elif group.phase is not livejobs.Phase.DONE:
         if ended.cause is orders.EndCause.FAILED:
             board.failure_evidence.record_failure(
                 worker.id, group.job.graph.id, group.attempt
@@ -129,7 +135,7 @@
         end_group(board, group, _END_REASONS_BY_CAUSE[ended.cause], now)
     board.mark_changed(group.job)
     worker.unsaved_ends.append(
-        fleet.UnsavedEnd(ended.number, group.job, group.job.change)
+        fleetworkers.UnsavedEnd(ended.number, group.job, group.job.change)
     )
     board.record_decision(
         'run ended',
@@ -142,30 +148,30 @@
     settle_group(board, group, now, wall_ms)
 
 
-def _record_checkpoint(group: fleet.Group, checkpoint: str) -> None:
+def _record_checkpoint(group: livejobs.Group, checkpoint: str) -> None:
     if checkpoint:
         group.checkpoint = checkpoint
 
 
 def _record_done(
     board: fleet.ShardBoard,
-    group: fleet.Group,
-    worker: fleet.Worker,
+    group: livejobs.Group,
+    worker: fleetworkers.Worker,
     now: float,
     wall_ms: int,
 ) -> None:
     board.failure_evidence.record_success(worker.id)
-    if group.phase is fleet.Phase.DONE:
+    if group.phase is livejobs.Phase.DONE:
         return
     if group.step.long_running:
-        end_group(board, group, fleet.EndReason.LOST, now)
+        end_group(board, group, livejobs.EndReason.LOST, now)
         return
     graphs.complete_group(board, group, now, wall_ms)
 
 
 def _record_running(
     board: fleet.ShardBoard,
-    worker: fleet.Worker,
+    worker: fleetworkers.Worker,
     run: orders.Run,
     running: orders.Running,
     reported_at: float,
@@ -180,13 +186,13 @@
     _record_checkpoint(group, running.checkpoint)
     _record_progress(board, member, running.share, reported_at)
     member.boot = worker.boot
-    if member.state is not fleet.MemberState.PRESENT:
+    if member.state is not livejobs.MemberState.PRESENT:
         mark_present(board, member, now)
 
 
 def _record_progress(
     board: fleet.ShardBoard,
-    member: fleet.Member,
+    member: livejobs.Member,
     share: float,
     reported_at: float,
 ) -> None:
@@ -203,7 +209,7 @@
 
 
 def _record_speed(
-    board: fleet.ShardBoard, member: fleet.Member, rate_per_s: float | None
+    board: fleet.ShardBoard, member: livejobs.Member, rate_per_s: float | None
 ) -> None:
     if rate_per_s is None:
         return
@@ -213,7 +219,10 @@
 
 
 def _record_unexpected(
-    board: fleet.ShardBoard, worker: fleet.Worker, run: orders.Run, now: float
+    board: fleet.ShardBoard,
+    worker: fleetworkers.Worker,
+    run: orders.Run,
+    now: float,
 ) -> None:
     # A run of a job that has ended may be of any size: assume the largest.
     need = worker.entry.capacity
@@ -223,7 +232,7 @@
     known = worker.unexpected_runs.get(run)
     if known is not None and now - known.stop_sent_at < STOP_RETRY_S:
         return
-    worker.unexpected_runs[run] = fleet.UnexpectedRun(run, need, now)
+    worker.unexpected_runs[run] = fleetworkers.UnexpectedRun(run, need, now)
     board.orders.append(fleet.StopOrder(worker.id, run))
     board.decision_records.append(
         fleet.DecisionRecord(
@@ -240,7 +249,7 @@
 
 def _record_absent(
     board: fleet.ShardBoard,
-    worker: fleet.Worker,
+    worker: fleetworkers.Worker,
     reported: dict[orders.Run, orders.Running],
     sent_at: float,
     now: float,
@@ -254,23 +263,23 @@
             continue
         board.mark_terminated(member)
         group = member.group
-        if group.phase is not fleet.Phase.DONE:
-            end_group(board, group, fleet.EndReason.LOST, now)
+        if group.phase is not livejobs.Phase.DONE:
+            end_group(board, group, livejobs.EndReason.LOST, now)
         settle_group(board, group, now, wall_ms)
 
 
 def _proves_absence(
-    member: fleet.Member, sent_at: float, clock_s: float
+    member: livejobs.Member, sent_at: float, clock_s: float
 ) -> bool:
     """Return whether a member cannot run if the report does not list it.
 
     ``sent_at`` is when the poll of the report was sent, ``clock_s`` when the
     report was made, on the worker's clock.
     """
-    if member.state is fleet.MemberState.INHERITED:
+    if member.state is livejobs.MemberState.INHERITED:
         # The poll had this holder's epoch: earlier orders are refused now.
         return True
-    if member.state is fleet.MemberState.PRESENT:
+    if member.state is livejobs.MemberState.PRESENT:
         return member.answered_at < sent_at
     if member.begin_before is not None and clock_s > member.begin_before:
         return True
@@ -278,32 +287,32 @@
 
 
 def mark_present(
-    board: fleet.ShardBoard, member: fleet.Member, now: float
+    board: fleet.ShardBoard, member: livejobs.Member, now: float
 ) -> None:
     """Record that a member runs; its group runs once all members do."""
-    member.state = fleet.MemberState.PRESENT
+    member.state = livejobs.MemberState.PRESENT
     if member.answered_at < member.ordered_at or member.answered_at < 0:
         member.answered_at = now
     group = member.group
-    if group.phase is not fleet.Phase.STARTING:
+    if group.phase is not livejobs.Phase.STARTING:
         return
     if all(
-        other.state is fleet.MemberState.PRESENT for other in group.members
+        other.state is livejobs.MemberState.PRESENT for other in group.members
     ):
-        group.enter(fleet.Phase.RUNNING, now)
+        group.enter(livejobs.Phase.RUNNING, now)
         group.began_at = now
 
 
 def end_group(
     board: fleet.ShardBoard,
-    group: fleet.Group,
-    end_reason: fleet.EndReason,
+    group: livejobs.Group,
+    end_reason: livejobs.EndReason,
     now: float,
 ) -> None:
     """Begin to stop an attempt, unless it is being stopped already."""
-    if group.phase not in fleet.ACTIVE_PHASES:
+    if group.phase not in livejobs.ACTIVE_PHASES:
         return
-    is_failure = end_reason is fleet.EndReason.FAILED
+    is_failure = end_reason is livejobs.EndReason.FAILED
     if is_failure and group.failed_attempt < group.attempt:
         # A failure counts even if another end was recorded first, and only
         # once if the worker reports it again after an earlier holder
@@ -311,20 +320,23 @@
         group.failures += 1
         group.failed_attempt = group.attempt
         group.end_reason = end_reason
-    if group.phase is fleet.Phase.STOPPING:
+    if group.phase is livejobs.Phase.STOPPING:
         return
     group.end_reason = end_reason
-    group.enter(fleet.Phase.STOPPING, now)
+    group.enter(livejobs.Phase.STOPPING, now)
     for member in group.members:
-        if member.state is fleet.MemberState.PLACED:
+        if member.state is livejobs.MemberState.PLACED:
             board.mark_terminated(member)
 
 
 def settle_group(
-    board: fleet.ShardBoard, group: fleet.Group, now: float, wall_ms: int
+    board: fleet.ShardBoard, group: livejobs.Group, now: float, wall_ms: int
 ) -> None:
     """Conclude an attempt once none of its members can run."""
-    if group.phase is fleet.Phase.STOPPING and not group.remaining_members():
+    if (
+        group.phase is livejobs.Phase.STOPPING
+        and not group.remaining_members()
+    ):
         graphs.conclude_attempt(board, group, now, wall_ms)
 
 
@@ -347,21 +359,22 @@
                 )
 
 
-def _needs_stop(member: fleet.Member, now: float) -> bool:
+def _needs_stop(member: livejobs.Member, now: float) -> bool:
     group = member.group
     if member.stopped_at > 0:
         return False
     if now - member.stop_sent_at < STOP_RETRY_S:
         return False
     stops_on_its_own = group.size > 1 and any(
-        other.state is fleet.MemberState.TERMINATED for other in group.members
+        other.state is livejobs.MemberState.TERMINATED
+        for other in group.members
     )
-    if stops_on_its_own and member.state is fleet.MemberState.PRESENT:
+    if stops_on_its_own and member.state is livejobs.MemberState.PRESENT:
         return now - group.since >= _GANG_STOP_GRACE_S
     return True
 
 
-def advance_saved_end(worker: fleet.Worker) -> None:
+def advance_saved_end(worker: fleetworkers.Worker) -> None:
     """Update the number of the last end whose effect is stored."""
     while worker.unsaved_ends:
         oldest = worker.unsaved_ends[0]
@@ -373,7 +386,7 @@
     worker.saved_end = worker.listed_end
 
 
-def end_to_confirm(worker: fleet.Worker) -> int:
+def end_to_confirm(worker: fleetworkers.Worker) -> int:
     """Return the number of the end to confirm to the worker, or 0.
 
     The worker discards the ends up to that number.  0 where there is no new
--- a/primroselock/decisions/waiting.py
+++ b/primroselock/decisions/waiting.py
@@ -9,10 +9,11 @@
 import typing
 
 from primroselock.decisions import fleet
+from primroselock.decisions import livejobs
 from primroselock.decisions import objectives
 
-SortKey = abc.Callable[[fleet.Group, float], tuple[float, ...]]
-MayPreempt = abc.Callable[[fleet.Group, abc.Set[str], float], bool]
+SortKey = abc.Callable[[livejobs.Group, float], tuple[float, ...]]
+MayPreempt = abc.Callable[[livejobs.Group, abc.Set[str], float], bool]
 orders_by_name: typing.Final[dict[str, SortKey]] = {}
 preemption_rules_by_name: typing.Final[dict[str, MayPreempt]] = {}
 URGENT: typing.Final = 0
@@ -43,19 +44,23 @@
 
 
 @order('fifo')
-def sort_fifo(group: fleet.Group, wall_s: float) -> tuple[float, ...]:
+def sort_fifo(group: livejobs.Group, wall_s: float) -> tuple[float, ...]:
     """Order groups by the time when their job was accepted."""
     return (float(group.job.graph.accepted_ms),)
 
 
 @order('priority')
-def sort_by_priority(group: fleet.Group, wall_s: float) -> tuple[float, ...]:
+def sort_by_priority(
+    group: livejobs.Group, wall_s: float
+) -> tuple[float, ...]:
     """Order groups by their queue's priority, then by acceptance."""
     return (float(priority(group.job)), float(group.job.graph.accepted_ms))
 
 
 @order('useful')
-def sort_by_usefulness(group: fleet.Group, wall_s: float) -> tuple[float, ...]:
+def sort_by_usefulness(
+    group: livejobs.Group, wall_s: float
+) -> tuple[float, ...]:
     """Order by priority, then by usefulness; put what is too late last."""
     use = objectives.usefulness(group, wall_s)
     return (
@@ -66,19 +71,21 @@
     )
 
 
-def priority(job: fleet.LiveJob) -> int:
+def priority(job: livejobs.LiveJob) -> int:
     """Return the priority of a job; one without a queue comes last."""
     return job.queue.priority if job.queue else 99
 
 
-def rank(group: fleet.Group, guaranteed_ids: abc.Set[str]) -> tuple[bool, int]:
+def rank(
+    group: livejobs.Group, guaranteed_ids: abc.Set[str]
+) -> tuple[bool, int]:
     """Return the urgency of a group; lower ranks may preempt higher ones."""
     return (group.job.graph.id not in guaranteed_ids, priority(group.job))
 
 
 @preemption_rule('urgent')
 def preempt_urgent(
-    group: fleet.Group, guaranteed_ids: abc.Set[str], wall_s: float
+    group: livejobs.Group, guaranteed_ids: abc.Set[str], wall_s: float
 ) -> bool:
     """Let a group preempt less urgent work if it would be late otherwise.
 
@@ -101,7 +108,7 @@
 
 @preemption_rule('guaranteed')
 def is_guaranteed(
-    group: fleet.Group, guaranteed_ids: abc.Set[str], wall_s: float
+    group: livejobs.Group, guaranteed_ids: abc.Set[str], wall_s: float
 ) -> bool:
     """Return whether the group's job is within its account's guarantee.
 
@@ -112,7 +119,7 @@
 
 @preemption_rule('none')
 def preempt_none(
-    group: fleet.Group, guaranteed_ids: abc.Set[str], wall_s: float
+    group: livejobs.Group, guaranteed_ids: abc.Set[str], wall_s: float
 ) -> bool:
     """Let no group preempt others."""
     return False
@@ -151,7 +158,7 @@
     now: float,
     wall_s: float,
     plenty_services: abc.Set[str],
-) -> list[list[fleet.Group]]:
+) -> list[list[livejobs.Group]]:
     """Return the groups to place, by step, in the order of placement.
 
     Groups that were preempted yield for a time, unless plenty of capacity of
@@ -159,7 +166,7 @@
     The groups of a step are equally urgent, so that steps are ordered, not
     groups; a step's groups are in the order of their tasks.
     """
-    waiting: list[list[fleet.Group]] = []
+    waiting: list[list[livejobs.Group]] = []
     for groups in board.phases.waiting_by_step.values():
         job = next(iter(groups)).job
         if job.is_cancelled or job.state.is_final:
@@ -178,7 +185,7 @@
             due.sort(key=lambda group: group.key.index)
             waiting.append(due)
 
-    def urgency(groups: list[fleet.Group]) -> tuple[typing.Any, ...]:
+    def urgency(groups: list[livejobs.Group]) -> tuple[typing.Any, ...]:
         first = groups[0]
         return (
             first.job.graph.id not in guaranteed_ids,
--- a/primroselock/decisions/waitreport.py
+++ b/primroselock/decisions/waitreport.py
@@ -17,6 +17,8 @@
 from primroselock.decisions import eligibility
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
+from primroselock.decisions import fleetworkers
+from primroselock.decisions import livejobs
 from primroselock.decisions import reachability
 from primroselock.decisions import waiting
 from primroselock import jobgraph
@@ -90,7 +92,7 @@
     guaranteed_ids: abc.Set[str]
 
 
-def _take_jobs_to_examine(board: fleet.ShardBoard) -> list[fleet.LiveJob]:
+def _take_jobs_to_examine(board: fleet.ShardBoard) -> list[livejobs.LiveJob]:
     """Return the jobs after those examined last, at most all of them."""
     known = list(board.jobs_by_id.values())
     if len(known) <= _MAX_EXAMINED_JOBS:
@@ -101,33 +103,35 @@
     return known[first:end] + known[: max(0, end - len(known))]
 
 
-def _need_of(group: fleet.Group) -> _Need:
+def _need_of(group: livejobs.Group) -> _Need:
     queue, step = group.job.queue, group.step
     service = queue.service if queue else None
     return _Need(service, step.label, step.counted_need, group.size)
 
 
-def _find_held_group(job: fleet.LiveJob, now: float) -> fleet.Group | None:
+def _find_held_group(
+    job: livejobs.LiveJob, now: float
+) -> livejobs.Group | None:
     """Return a due group of a job of which nothing runs, or None."""
     if job.is_cancelled or job.state.is_final:
         return None
-    held: fleet.Group | None = None
+    held: livejobs.Group | None = None
     for group in job.groups_by_key.values():
-        if group.phase is fleet.Phase.RUNNING:
+        if group.phase is livejobs.Phase.RUNNING:
             return None
         for member in group.members:
-            if member.state is fleet.MemberState.PRESENT:
+            if member.state is livejobs.MemberState.PRESENT:
                 return None
         is_due = (
-            group.phase is fleet.Phase.WAITING
-            or group.phase in fleet.ACTIVE_PHASES
+            group.phase is livejobs.Phase.WAITING
+            or group.phase in livejobs.ACTIVE_PHASES
         )
         if held is None and is_due and now - group.since > _PATIENCE_S:
             held = group
     return held
 
 
-def _has_plenty(board: fleet.ShardBoard, group: fleet.Group) -> bool:
+def _has_plenty(board: fleet.ShardBoard, group: livejobs.Group) -> bool:
     """Return whether the group would fit on sound workers several times."""
     need = group.step.counted_need
     service = group.job.queue.service if group.job.queue else None
@@ -145,7 +149,7 @@
 
 
 def _is_candidate(
-    worker: fleet.Worker, group: fleet.Group, service: str | None
+    worker: fleetworkers.Worker, group: livejobs.Group, service: str | None
 ) -> bool:
     return (
         worker.is_listed
@@ -157,7 +161,7 @@
 
 def _report(
     board: fleet.ShardBoard,
-    group: fleet.Group,
+    group: livejobs.Group,
     obstacles: _Obstacles,
     now: float,
 ) -> None:
@@ -183,7 +187,7 @@
     )
 
 
-def _list_held_members(group: fleet.Group) -> dict[str, int]:
+def _list_held_members(group: livejobs.Group) -> dict[str, int]:
     """Return how many members of the attempt are in each state."""
     counts: dict[str, int] = {}
     for member in group.members:
@@ -193,7 +197,7 @@
 
 def _count_workers(
     board: fleet.ShardBoard,
-    group: fleet.Group,
+    group: livejobs.Group,
     obstacles: _Obstacles,
     now: float,
 ) -> dict[str, int]:
@@ -223,7 +227,7 @@
 
 def _list_claimed(
     board: fleet.ShardBoard,
-    group: fleet.Group,
+    group: livejobs.Group,
     guaranteed_ids: abc.Set[str],
 ) -> abc.Set[str]:
     """Return the workers that others' claims keep from the group."""
--- a/primroselock/graphwriter.py
+++ b/primroselock/graphwriter.py
@@ -24,6 +24,7 @@
 from primroselock import clock
 from primroselock.decisions import fleet
 from primroselock.decisions import graphs
+from primroselock.decisions import livejobs
 from primroselock.decisions import refusedwrites
 from primroselock.decisions import runs
 from primroselock import graphrows
@@ -51,9 +52,9 @@
     graph of a job that has ended; it is empty for others.
     """
 
-    job: fleet.LiveJob
+    job: livejobs.LiveJob
     change: int
-    committing: tuple[tuple[fleet.Group, int], ...]
+    committing: tuple[tuple[livejobs.Group, int], ...]
     values: tuple[bytes, ...]
     stored_parts: int
     graph_value: bytes
@@ -283,10 +284,10 @@
             job.saved_change = max(job.saved_change, snapshot.change)
             for group, attempt in snapshot.committing:
                 if (
-                    group.phase is fleet.Phase.COMMITTING
+                    group.phase is livejobs.Phase.COMMITTING
                     and group.attempt == attempt
                 ):
-                    group.enter(fleet.Phase.STARTING, now)
+                    group.enter(livejobs.Phase.STARTING, now)
                     members = tuple(group.members)
                     self._board.orders.append(fleet.StartOrder(members))
         for worker in self._board.workers_by_id.values():
@@ -312,7 +313,7 @@
 
 
 def _take_snapshot(
-    job: fleet.LiveJob, max_value_bytes: int
+    job: livejobs.LiveJob, max_value_bytes: int
 ) -> _ProgressSnapshot:
     return _ProgressSnapshot(
         job,
@@ -320,7 +321,7 @@
         tuple(
             (group, group.attempt)
             for group in job.groups_by_key.values()
-            if group.phase is fleet.Phase.COMMITTING
+            if group.phase is livejobs.Phase.COMMITTING
         ),
         graphrows.encode_progress(graphs.build_progress(job), max_value_bytes),
         job.stored_parts,
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -21,6 +21,7 @@
 from primroselock import clock
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetround
+from primroselock.decisions import fleetworkers
 from primroselock.decisions import graphs
 from primroselock.decisions import runleases
 from primroselock import graphrows
@@ -69,7 +70,7 @@
 
     name: str
 
-    def read_entry(self, row: table.Row) -> fleet.WorkerEntry | None:
+    def read_entry(self, row: table.Row) -> fleetworkers.WorkerEntry | None:
         """Return the entry of a row, or None if it cannot be decoded."""
 
     def parse_worker_id(self, key: str) -> str:
--- a/primroselock/platform/advice.py
+++ b/primroselock/platform/advice.py
@@ -5,7 +5,7 @@
 import msgspec
 import result
 
-from primroselock.decisions import fleet
+from primroselock.decisions import livejobs
 from primroselock import httpclient
 from primroselock import options
 from primroselock.workers import orders
@@ -51,7 +51,7 @@
 
     async def ask(
         self,
-        step: fleet.StepName,
+        step: livejobs.StepName,
         worker_ids: tuple[str, ...],
         timeout_s: float,
     ) -> result.Result[tuple[dict[str, str], float], orders.Unanswered]:
--- a/primroselock/platform/discovery.py
+++ b/primroselock/platform/discovery.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from primroselock.decisions import fleet
+from primroselock.decisions import fleetworkers
 from primroselock import jobgraph
 from primroselock import logs
 from primroselock.store import table
@@ -50,7 +50,7 @@
 
     name = _TABLE
 
-    def read_entry(self, row: table.Row) -> fleet.WorkerEntry | None:
+    def read_entry(self, row: table.Row) -> fleetworkers.WorkerEntry | None:
         """Return the entry of a row.
 
         None if it cannot be decoded or its state or address is invalid; an
@@ -75,7 +75,7 @@
             return None
         labels = tuple(entry.labels)
         capacity = entry.capacity
-        return fleet.WorkerEntry(
+        return fleetworkers.WorkerEntry(
             worker_id,
             entry.service,
             entry.address,
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -18,6 +18,8 @@
 from primroselock import clock
 from primroselock.decisions import advising
 from primroselock.decisions import fleet
+from primroselock.decisions import fleetworkers
+from primroselock.decisions import livejobs
 from primroselock.decisions import runleases
 from primroselock.decisions import runs
 from primroselock import logs
@@ -46,7 +48,7 @@
     return min(now, confirmed_at) + settings.fleet.run_lease_s
 
 
-def extend_lease(worker: fleet.Worker, deadline: float) -> float:
+def extend_lease(worker: fleetworkers.Worker, deadline: float) -> float:
     """Return ``deadline`` on the worker's clock; record it as a lease end.
 
     ``deadline`` is on this process's clock.
@@ -117,22 +119,22 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _cancel_start(self, group: fleet.Group, now: float) -> None:
+    def _cancel_start(self, group: livejobs.Group, now: float) -> None:
         """End an attempt whose start is no longer permitted."""
         self._board.record_decision(
             'attempt ended: its start is no longer permitted',
             group.job,
             attempt=group.attempt,
         )
-        runs.end_group(self._board, group, fleet.EndReason.REFUSED, now)
+        runs.end_group(self._board, group, livejobs.EndReason.REFUSED, now)
         self._settle(group)
 
-    def _settle(self, group: fleet.Group) -> None:
+    def _settle(self, group: livejobs.Group) -> None:
         wall_ms = int(clock.wall() * 1000)
         runs.settle_group(self._board, group, clock.monotonic(), wall_ms)
         self._wake()
 
-    async def _start(self, member: fleet.Member) -> None:
+    async def _start(self, member: livejobs.Member) -> None:
         worker = self._board.workers_by_id.get(member.worker_id)
         if worker is None:
             return
@@ -168,7 +170,7 @@
         return True
 
     def _prepare_start(
-        self, worker: fleet.Worker, member: fleet.Member, now: float
+        self, worker: fleetworkers.Worker, member: livejobs.Member, now: float
     ) -> bool:
         """Return whether to send a start whose turn has come.
 
@@ -178,9 +180,9 @@
         """
         group = member.group
         is_permitted = self._may_start_on(worker.id, now)
-        if member.state is fleet.MemberState.ORDERED:
-            return is_permitted and group.phase is fleet.Phase.STARTING
-        if member.state is not fleet.MemberState.PLACED:
+        if member.state is livejobs.MemberState.ORDERED:
+            return is_permitted and group.phase is livejobs.Phase.STARTING
+        if member.state is not livejobs.MemberState.PLACED:
             return False
         if not is_permitted:
             self._cancel_start(group, now)
@@ -189,12 +191,15 @@
             silent = orders.NotSent('it has stopped answering')
             self._record_refusal(worker, member, silent, now)
             return False
-        member.state = fleet.MemberState.ORDERED
+        member.state = livejobs.MemberState.ORDERED
         member.ordered_at = now
         return True
 
     async def _send_start(
-        self, worker: fleet.Worker, member: fleet.Member, sent_at: float
+        self,
+        worker: fleetworkers.Worker,
+        member: livejobs.Member,
+        sent_at: float,
     ) -> result.Result[orders.Accepted, orders.OrderError]:
         deadline = lease_deadline(self._settings, self._lease, sent_at)
         group = member.group
@@ -220,8 +225,8 @@
 
     def _record_answer(
         self,
-        worker: fleet.Worker,
-        member: fleet.Member,
+        worker: fleetworkers.Worker,
+        member: livejobs.Member,
         answer: result.Result[orders.Accepted, orders.OrderError],
         attempt: int,
         sent_at: float,
@@ -229,7 +234,7 @@
         """Record an answer; return whether the order needs no retry."""
         now = clock.monotonic()
         if isinstance(answer, result.Ok):
-            if member.state is fleet.MemberState.ORDERED:
+            if member.state is livejobs.MemberState.ORDERED:
                 member.answered_at = now
                 runs.mark_present(self._board, member, now)
             self._wake()
@@ -250,14 +255,14 @@
             member.answered_at = now
             member.stopped_at = now
             return True
-        if member.state is fleet.MemberState.ORDERED:
+        if member.state is livejobs.MemberState.ORDERED:
             self._record_refusal(worker, member, error, now)
         return True
 
     def _record_refusal(
         self,
-        worker: fleet.Worker,
-        member: fleet.Member,
+        worker: fleetworkers.Worker,
+        member: livejobs.Member,
         error: orders.OrderError,
         now: float,
     ) -> None:
@@ -281,7 +286,7 @@
             why=why,
         )
         self._board.mark_terminated(member)
-        runs.end_group(self._board, group, fleet.EndReason.REFUSED, now)
+        runs.end_group(self._board, group, livejobs.EndReason.REFUSED, now)
         self._settle(group)
 
     async def _stop(self, order: fleet.StopOrder) -> None:
@@ -296,7 +301,7 @@
             self._stopping_runs.discard(order.run)
 
     async def _send_stop(
-        self, worker: fleet.Worker, order: fleet.StopOrder
+        self, worker: fleetworkers.Worker, order: fleet.StopOrder
     ) -> None:
         sent_at = clock.monotonic()
         answer = await self._run_client.stop(
@@ -331,13 +336,13 @@
         )
 
 
-def _is_stop_due(order: fleet.StopOrder, worker: fleet.Worker) -> bool:
+def _is_stop_due(order: fleet.StopOrder, worker: fleetworkers.Worker) -> bool:
     """Return whether a stop whose turn has come is still of use.
 
     A worker that does not answer gets it once it answers polls again.
     """
     member = order.member
     is_over = (
-        member is not None and member.state is fleet.MemberState.TERMINATED
+        member is not None and member.state is livejobs.MemberState.TERMINATED
     )
     return not is_over and not worker.failures_in_row
--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -14,7 +14,8 @@
 import result
 
 from primroselock import clock
-from primroselock.decisions import fleet
+from primroselock.decisions import fleetworkers
+from primroselock.decisions import livejobs
 from primroselock import jobgraph
 from primroselock.workers import orders
 
@@ -52,7 +53,7 @@
     incarnation.  Run times are multiplied by ``slowdown_factor``.
     """
 
-    entry: fleet.WorkerEntry
+    entry: fleetworkers.WorkerEntry
     boot: int = 1
     is_partitioned: bool = False
     is_down: bool = False
@@ -132,7 +133,7 @@
         self._random = random.Random(seed)
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def add(self, entry: fleet.WorkerEntry) -> FakeWorker:
+    def add(self, entry: fleetworkers.WorkerEntry) -> FakeWorker:
         """Add a worker for ``entry``."""
         worker = FakeWorker(entry, entry.boot)
         self.workers_by_id[entry.id] = worker
@@ -423,7 +424,7 @@
 
     async def ask(
         self,
-        step: fleet.StepName,
+        step: livejobs.StepName,
         worker_ids: tuple[str, ...],
         timeout_s: float,
     ) -> result.Result[tuple[dict[str, str], float], orders.Unanswered]:
--- a/primroselock/test/fleetbuilders.py
+++ b/primroselock/test/fleetbuilders.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from primroselock import clock
-from primroselock.decisions import fleet
+from primroselock.decisions import fleetworkers
 from primroselock import graphrows
 from primroselock import intake
 from primroselock import jobgraph
@@ -87,12 +87,12 @@
 
 def build_entry(
     worker_id: str, rack: str = 'r0', zone: str = 'a', **changes: typing.Any
-) -> fleet.WorkerEntry:
+) -> fleetworkers.WorkerEntry:
     """Return the entry of a worker with eight accelerators.
 
-    ``changes`` are fields of :class:`fleet.WorkerEntry` to replace.
+    ``changes`` are fields of :class:`fleetworkers.WorkerEntry` to replace.
     """
-    entry = fleet.WorkerEntry(
+    entry = fleetworkers.WorkerEntry(
         worker_id,
         'svc',
         f'{worker_id}:1',
@@ -142,10 +142,12 @@
 
     name = 'servers'
 
-    def read_entry(self, row: table.Row) -> fleet.WorkerEntry | None:
+    def read_entry(self, row: table.Row) -> fleetworkers.WorkerEntry | None:
         """Return the worker entry in a row, or None if it is invalid."""
         try:
-            return msgspec.json.decode(row.value, type=fleet.WorkerEntry)
+            return msgspec.json.decode(
+                row.value, type=fleetworkers.WorkerEntry
+            )
         except msgspec.MsgspecError:
             return None
 
@@ -224,13 +226,15 @@
         self.fleet = fakefleet.FakeFleet(seed)
         self.nodes: list[TestNode] = []
         self.queue_configuration = QUEUE_CONFIGURATION
-        self.entries_by_id: dict[str, fleet.WorkerEntry] = {}
+        self.entries_by_id: dict[str, fleetworkers.WorkerEntry] = {}
         self.cancelled_ids: set[str] = set()
         for number in range(workers):
             self.add_worker(build_entry(f'w{number}', f'r{number // 4}'))
         self._task = asyncio.create_task(self.fleet.run())
 
-    def add_worker(self, entry: fleet.WorkerEntry) -> fakefleet.FakeWorker:
+    def add_worker(
+        self, entry: fleetworkers.WorkerEntry
+    ) -> fakefleet.FakeWorker:
         """Add a worker and write its entry."""
         self.write_entry(entry)
         return self.fleet.add(entry)
@@ -244,7 +248,7 @@
         """Return the node that holds the shard."""
         return next(n for n in self.nodes if n.holder.lease.has_shard)
 
-    def write_entry(self, entry: fleet.WorkerEntry) -> None:
+    def write_entry(self, entry: fleetworkers.WorkerEntry) -> None:
         """Write the entry that a worker publishes."""
         self.entries_by_id[entry.id] = entry
         self.store.put(f'servers/{entry.id}', msgspec.json.encode(entry))
--- a/primroselock/test/idlebuilders.py
+++ b/primroselock/test/idlebuilders.py
@@ -11,7 +11,9 @@
 
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetround
+from primroselock.decisions import fleetworkers
 from primroselock.decisions import graphs
+from primroselock.decisions import livejobs
 from primroselock.decisions import runs
 from primroselock import jobgraph
 from primroselock.test import fleetbuilders
@@ -82,7 +84,7 @@
                 )
             )
 
-    def add_worker(self, entry: fleet.WorkerEntry) -> None:
+    def add_worker(self, entry: fleetworkers.WorkerEntry) -> None:
         """Add a worker that has answered its first poll."""
         self.board.record_entry(entry, self.now)
         self.workers_by_id[entry.id] = SimulatedWorker()
@@ -91,7 +93,7 @@
 
     def submit(
         self, job_id: str, *steps: jobgraph.Step, run_s: float, queue: str
-    ) -> fleet.LiveJob:
+    ) -> livejobs.LiveJob:
         """Add a job that is accepted now; its tasks run for ``run_s``."""
         wall_ms = int(self.now * 1000)
         graph = fleetbuilders.build_graph(
@@ -104,15 +106,15 @@
 
     def occupy(
         self, worker_id: str, job_id: str, step: jobgraph.Step, run_s: float
-    ) -> fleet.LiveJob:
+    ) -> livejobs.LiveJob:
         """Run a batch job of one task on a worker."""
         job = self.submit(job_id, step, run_s=run_s, queue='batch')
         (group,) = job.groups_by_key.values()
         worker = self.board.workers_by_id[worker_id]
         group.attempt = 1
-        group.enter(fleet.Phase.COMMITTING, self.now)
-        member = fleet.Member(
-            group, 0, worker_id, worker.boot, fleet.MemberState.PLACED
+        group.enter(livejobs.Phase.COMMITTING, self.now)
+        member = livejobs.Member(
+            group, 0, worker_id, worker.boot, livejobs.MemberState.PLACED
         )
         group.members = [member]
         worker.add_member(member)
@@ -166,7 +168,7 @@
         self._apply_orders()
         self._check_idle()
 
-    def _poll(self, worker: fleet.Worker) -> None:
+    def _poll(self, worker: fleetworkers.Worker) -> None:
         simulated = self.workers_by_id[worker.id]
         if not simulated.answers:
             if worker.is_busy or worker.failures_in_row:
@@ -178,7 +180,7 @@
         elif self._is_unverified(worker):
             worker.last_answer_at = self.now
 
-    def _is_unverified(self, worker: fleet.Worker) -> bool:
+    def _is_unverified(self, worker: fleetworkers.Worker) -> bool:
         """Return whether a probe of the worker is answered in this step."""
         return any(
             other.failures_in_row
@@ -189,7 +191,7 @@
         )
 
     def _report(
-        self, worker: fleet.Worker, simulated: SimulatedWorker
+        self, worker: fleetworkers.Worker, simulated: SimulatedWorker
     ) -> None:
         confirmed = runs.end_to_confirm(worker)
         simulated.ended = [e for e in simulated.ended if e.number > confirmed]
@@ -247,17 +249,17 @@
         """Store what was placed and start it; all workers accept."""
         for job in list(self.board.jobs_by_id.values()):
             for group in job.groups_by_key.values():
-                if group.phase is fleet.Phase.COMMITTING:
+                if group.phase is livejobs.Phase.COMMITTING:
                     self._start(group)
 
-    def _start(self, group: fleet.Group) -> None:
-        group.enter(fleet.Phase.STARTING, self.now)
+    def _start(self, group: livejobs.Group) -> None:
+        group.enter(livejobs.Phase.STARTING, self.now)
         job_id = group.job.graph.id
         for member in group.members:
             simulated = self.workers_by_id[member.worker_id]
             worker = self.board.workers_by_id[member.worker_id]
             worker.lease_end = self.now + _LEASE_S
-            member.state = fleet.MemberState.ORDERED
+            member.state = livejobs.MemberState.ORDERED
             member.ordered_at = self.now
             if not simulated.answers:
                 worker.record_failed_call(self.now)
@@ -277,7 +279,7 @@
                 if order.member is not None:
                     order.member.stopped_at = self.now
 
-    def is_sound(self, worker: fleet.Worker) -> bool:
+    def is_sound(self, worker: fleetworkers.Worker) -> bool:
         """Return whether a worker could run work, as the site knows."""
         simulated = self.workers_by_id[worker.id]
         config = self.board.queue_configuration
@@ -334,7 +336,7 @@
         for job_id in self._idle_since_by_job_id.keys() - idle_ids:
             del self._idle_since_by_job_id[job_id]
 
-    def explain(self, group: fleet.Group) -> str:
+    def explain(self, group: livejobs.Group) -> str:
         """Return the facts that may keep a group waiting."""
         board, step = self.board, group.step
         free_by_id = self.free_by_id()
@@ -378,15 +380,15 @@
         )
 
 
-def find_first_waiting(job: fleet.LiveJob) -> fleet.Group | None:
+def find_first_waiting(job: livejobs.LiveJob) -> livejobs.Group | None:
     """Return a waiting group of a job of which nothing runs or stops."""
     if job.state.is_final or job.is_cancelled:
         return None
     first = None
     for group in job.groups_by_key.values():
-        if group.phase in fleet.ACTIVE_PHASES:
+        if group.phase in livejobs.ACTIVE_PHASES:
             return None
-        if group.phase is fleet.Phase.WAITING and first is None:
+        if group.phase is livejobs.Phase.WAITING and first is None:
             first = group
     return first
 
--- a/primroselock/test/idletrace.py
+++ b/primroselock/test/idletrace.py
@@ -10,6 +10,8 @@
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
 from primroselock.decisions import fleethealth
+from primroselock.decisions import fleetworkers
+from primroselock.decisions import livejobs
 from primroselock.decisions import objectives
 from primroselock.decisions import reachability
 from primroselock.decisions import waiting
@@ -62,7 +64,7 @@
 
 def _explain_group(
     board: fleet.ShardBoard,
-    group: fleet.Group,
+    group: livejobs.Group,
     guaranteed_ids: abc.Set[str],
     now: float,
 ) -> list[str]:
@@ -101,7 +103,7 @@
 
 def _explain_workers(
     board: fleet.ShardBoard,
-    group: fleet.Group,
+    group: livejobs.Group,
     rank: Rank,
     sound: list[fakefleet.FakeWorker],
     now: float,
@@ -140,8 +142,8 @@
 
 def _find_check(
     board: fleet.ShardBoard,
-    worker: fleet.Worker,
-    group: fleet.Group,
+    worker: fleetworkers.Worker,
+    group: livejobs.Group,
     unverified_ids: set[str],
     now: float,
 ) -> str:
--- a/primroselock/test/testfailures.py
+++ b/primroselock/test/testfailures.py
@@ -8,6 +8,7 @@
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetround
 from primroselock.decisions import graphs
+from primroselock.decisions import livejobs
 from primroselock.decisions import runs
 from primroselock import graphrows
 from primroselock import jobgraph
@@ -32,7 +33,7 @@
 
     def build_board(
         self, progress: jobgraph.JobProgress | None
-    ) -> tuple[fleet.ShardBoard, fleet.Group]:
+    ) -> tuple[fleet.ShardBoard, livejobs.Group]:
         """Return the blackboard of a holder that has loaded the job's rows."""
         board = fleet.ShardBoard(
             epoch=1, queue_configuration=fleetbuilders.QUEUE_CONFIGURATION
@@ -45,7 +46,7 @@
         return board, job.groups_by_key[_KEY]
 
     def report_failure(
-        self, board: fleet.ShardBoard, group: fleet.Group
+        self, board: fleet.ShardBoard, group: livejobs.Group
     ) -> None:
         """Record a run report in which the first member failed."""
         member = group.members[0]
@@ -58,7 +59,7 @@
         board, group = self.build_board(None)
         fleetround.run(board, self.settings, 0.5, 0.5)
         for member in group.members:
-            member.state = fleet.MemberState.PRESENT
+            member.state = livejobs.MemberState.PRESENT
         self.report_failure(board, group)
         self.assertEqual(1, group.failures)
         row = graphrows.encode(graphs.build_progress(group.job))
@@ -72,8 +73,8 @@
         for failures in (1, 2):
             group.not_before = 0.0
             fleetround.run(board, self.settings, 0.5, 0.5)
-            runs.end_group(board, group, fleet.EndReason.FAILED, 1.0)
-            runs.end_group(board, group, fleet.EndReason.FAILED, 1.0)
+            runs.end_group(board, group, livejobs.EndReason.FAILED, 1.0)
+            runs.end_group(board, group, livejobs.EndReason.FAILED, 1.0)
             self.assertEqual(failures, group.failures)
             for member in group.members:
                 board.mark_terminated(member)
--- a/primroselock/test/testholderload.py
+++ b/primroselock/test/testholderload.py
@@ -20,6 +20,7 @@
 from primroselock.decisions import fleethealth
 from primroselock.decisions import fleetround
 from primroselock.decisions import graphs
+from primroselock.decisions import livejobs
 from primroselock.decisions import runs
 from primroselock import graphrows
 from primroselock import intake
@@ -272,11 +273,11 @@
         job = graphs.add_job(self.board, graph, None, 0, 0.0, 0)
         assert job is not None
         self.group = next(iter(job.groups_by_key.values()))
-        member = fleet.Member(
-            self.group, 0, 'w0', 1, fleet.MemberState.PRESENT
+        member = livejobs.Member(
+            self.group, 0, 'w0', 1, livejobs.MemberState.PRESENT
         )
         self.group.members.append(member)
-        self.group.enter(fleet.Phase.RUNNING, 0.0)
+        self.group.enter(livejobs.Phase.RUNNING, 0.0)
         self.group.began_at = 0.0
         self.member_run = member.run
         self.worker.add_member(member)
@@ -287,7 +288,7 @@
         report = orders.RunReport(clock_s, 1, (running,), ())
         runs.record_poll(self.board, self.worker, report, now, now, 0)
 
-    def list_stuck(self, now: float) -> list[fleet.Group]:
+    def list_stuck(self, now: float) -> list[livejobs.Group]:
         """Return the groups that count as stuck."""
         found = fleethealth.list_stuck(self.board, 3.0, now)
         return [stuck.group for stuck in found]
@@ -312,13 +313,13 @@
 
     def test_a_start_whose_answer_may_wait_is_not_lost(self) -> None:
         settings = fleetbuilders.build_node_settings()
-        self.group.enter(fleet.Phase.STARTING, 0.0)
-        self.group.members[0].state = fleet.MemberState.ORDERED
+        self.group.enter(livejobs.Phase.STARTING, 0.0)
+        self.group.members[0].state = livejobs.MemberState.ORDERED
         self.board.judge_from = 6.0
         fleetround.stop_unanswered_starts(self.board, settings, 5.0, 5.0)
-        self.assertIs(fleet.Phase.STARTING, self.group.phase)
+        self.assertIs(livejobs.Phase.STARTING, self.group.phase)
         fleetround.stop_unanswered_starts(self.board, settings, 6.0, 6.0)
-        self.assertIs(fleet.Phase.STOPPING, self.group.phase)
+        self.assertIs(livejobs.Phase.STOPPING, self.group.phase)
 
 
 class StandbyTest(unittest.TestCase):
--- a/primroselock/test/testidledecisions.py
+++ b/primroselock/test/testidledecisions.py
@@ -12,7 +12,8 @@
 import unittest
 
 from primroselock.decisions import evidence
-from primroselock.decisions import fleet
+from primroselock.decisions import fleetworkers
+from primroselock.decisions import livejobs
 from primroselock import jobgraph
 from primroselock.test import fleetbuilders
 from primroselock.test import idlebuilders
@@ -171,7 +172,7 @@
             if number % 20 < 6:
                 group.avoided_worker_ids.add(f'n{number:03}')
         self.site.run_for(4.0)
-        self.assertIs(fleet.Phase.RUNNING, group.phase)
+        self.assertIs(livejobs.Phase.RUNNING, group.phase)
         used_ids = {member.worker_id for member in group.members}
         self.assertEqual(set(), used_ids & group.avoided_worker_ids)
 
@@ -186,7 +187,7 @@
         (group,) = job.groups_by_key.values()
         group.avoided_worker_ids.update(f'n{n:03}' for n in range(4))
         site.run_for(4.0)
-        self.assertIs(fleet.Phase.RUNNING, group.phase)
+        self.assertIs(livejobs.Phase.RUNNING, group.phase)
         used_ids = {member.worker_id for member in group.members}
         self.assertEqual(1, len(used_ids & group.avoided_worker_ids))
 
@@ -209,7 +210,7 @@
         self.site = idlebuilders.Site(60)
         self.one_of_each_rack = ('n005', 'n025', 'n045')
 
-    def start_gang(self, name: str) -> fleet.Phase:
+    def start_gang(self, name: str) -> livejobs.Phase:
         """Submit a gang; return its phase after half a second."""
         gang = build_gang(20, rack_local=True)
         job = self.site.submit(name, gang, run_s=5.0, queue='batch')
@@ -219,7 +220,7 @@
 
     def fill_cache(self) -> None:
         """Run such a gang and let it end."""
-        self.assertIs(fleet.Phase.RUNNING, self.start_gang('first'))
+        self.assertIs(livejobs.Phase.RUNNING, self.start_gang('first'))
         self.site.run_for(7.0)
         self.assertEqual({}, self.site.board.jobs_by_id)
 
@@ -235,7 +236,7 @@
         self.fill_cache()
         for worker_id in self.one_of_each_rack:
             self.site.drain(worker_id)
-        self.assertIs(fleet.Phase.RUNNING, self.start_gang('gang'))
+        self.assertIs(livejobs.Phase.RUNNING, self.start_gang('gang'))
 
     def test_a_zone_out_of_service_has_no_whole_rack(self) -> None:
         """Guards against a wait for the racks of a zone out of service.
@@ -248,29 +249,29 @@
             self.site.board.record_unlisted(worker_id)
         self.fill_cache()
         self.site.take_out_of_service('a')
-        self.assertIs(fleet.Phase.RUNNING, self.start_gang('gang'))
+        self.assertIs(livejobs.Phase.RUNNING, self.start_gang('gang'))
 
     def test_workers_that_have_left_make_no_rack_whole(self) -> None:
         """Guards against a wait for workers that are not listed any more."""
         self.fill_cache()
         self.unlist_busy_workers()
-        self.assertIs(fleet.Phase.RUNNING, self.start_gang('gang'))
+        self.assertIs(livejobs.Phase.RUNNING, self.start_gang('gang'))
 
     def test_workers_that_are_listed_again_make_a_rack_whole(self) -> None:
         """Guards against a gang sent across racks after its rack is whole."""
         self.unlist_busy_workers()
-        self.assertIs(fleet.Phase.RUNNING, self.start_gang('gang'))
+        self.assertIs(livejobs.Phase.RUNNING, self.start_gang('gang'))
         self.site.run_for(7.0)
         for worker_id in self.one_of_each_rack:
             entry = self.site.board.workers_by_id[worker_id].entry
             self.site.board.record_entry(entry, self.site.now)
-        self.assertIs(fleet.Phase.WAITING, self.start_gang('next'))
+        self.assertIs(livejobs.Phase.WAITING, self.start_gang('next'))
 
     def test_a_worker_that_does_not_answer_leaves_a_rack_whole(self) -> None:
         """Guards against gangs sent across racks by an unanswered poll."""
         for worker_id in self.one_of_each_rack:
             self.site.silence(worker_id)
-        self.assertIs(fleet.Phase.WAITING, self.start_gang('gang'))
+        self.assertIs(livejobs.Phase.WAITING, self.start_gang('gang'))
 
 
 class ServiceTest(unittest.TestCase):
@@ -292,7 +293,7 @@
         for number in numbers:
             self.site.occupy(f'n{number:03}', f'job-{number}', step, _LONG_S)
 
-    def start_gang(self, tasks: int) -> fleet.Phase:
+    def start_gang(self, tasks: int) -> livejobs.Phase:
         """Submit a gang; return its phase after three seconds."""
         gang = build_gang(tasks, rack_local=True)
         job = self.site.submit('gang', gang, run_s=5.0, queue='batch')
@@ -306,12 +307,12 @@
         Each of its racks has seven free workers.
         """
         self.occupy([n for n in range(40) if n % 20 >= 7])
-        self.assertIs(fleet.Phase.WAITING, self.start_gang(10))
+        self.assertIs(livejobs.Phase.WAITING, self.start_gang(10))
 
     def test_a_busy_service_makes_no_capacity_of_another_scarce(self) -> None:
         """Guards against preferences that hold in an idle service."""
         self.occupy([0, 20, *range(40, 100)])
-        self.assertIs(fleet.Phase.RUNNING, self.start_gang(20))
+        self.assertIs(livejobs.Phase.RUNNING, self.start_gang(20))
 
     def test_preempted_work_yields_in_a_busy_service(self) -> None:
         """Guards against a pause that idle workers of others cut short."""
@@ -321,9 +322,9 @@
         (group,) = job.groups_by_key.values()
         group.yields_until = self.site.now + 2.0
         self.site.run_for(1.0)
-        self.assertIs(fleet.Phase.WAITING, group.phase)
+        self.assertIs(livejobs.Phase.WAITING, group.phase)
         self.site.run_for(2.0)
-        self.assertIs(fleet.Phase.RUNNING, group.phase)
+        self.assertIs(livejobs.Phase.RUNNING, group.phase)
 
 
 class ScarceCapacityTest(IdleTestCase):
@@ -343,11 +344,11 @@
         (group,) = job.groups_by_key.values()
         group.avoided_worker_ids.add('n015')
         site.run_for(5.0)
-        self.assertIs(fleet.Phase.WAITING, group.phase)
+        self.assertIs(livejobs.Phase.WAITING, group.phase)
         site.run_for(7.0)
-        self.assertIs(fleet.Phase.RUNNING, group.phase)
+        self.assertIs(livejobs.Phase.RUNNING, group.phase)
 
-    def run_where_stuck(self, others_run_s: float) -> fleet.Group:
+    def run_where_stuck(self, others_run_s: float) -> livejobs.Group:
         """Run a task that avoids the only free worker; return its group.
 
         The three other workers are busy for ``others_run_s``.
@@ -360,7 +361,7 @@
         (group,) = job.groups_by_key.values()
         group.avoided_worker_ids.add('n003')
         site.run_for(14.0)
-        self.assertIs(fleet.Phase.RUNNING, group.phase)
+        self.assertIs(livejobs.Phase.RUNNING, group.phase)
         return group
 
     def test_stuck_work_waits_for_a_worker_that_is_free_soon(self) -> None:
@@ -538,7 +539,7 @@
         site.run_for(6.0)
         self.assertEqual({}, site.board.jobs_by_id)
         empty = [
-            worker.used == fleet.NO_RESOURCES
+            worker.used == fleetworkers.NO_RESOURCES
             for worker in site.board.workers_by_id.values()
         ]
         self.assertTrue(all(empty))
--- a/primroselock/test/testlargeshard.py
+++ b/primroselock/test/testlargeshard.py
@@ -9,10 +9,10 @@
 from unittest import mock
 
 from primroselock.decisions import fitting
-from primroselock.decisions import fleet
 from primroselock.decisions import fleethealth
 from primroselock.decisions import fleetround
 from primroselock.decisions import graphs
+from primroselock.decisions import livejobs
 from primroselock import jobgraph
 from primroselock import options
 from primroselock.test import fleetbuilders
@@ -39,7 +39,7 @@
     def count_running(self) -> int:
         """Return the number of running groups."""
         return sum(
-            group.phase is fleet.Phase.RUNNING
+            group.phase is livejobs.Phase.RUNNING
             for job in self.board.jobs_by_id.values()
             for group in job.groups_by_key.values()
         )
@@ -128,7 +128,7 @@
             group
             for job in self.board.jobs_by_id.values()
             for group in job.groups_by_key.values()
-            if group.phase is fleet.Phase.WAITING
+            if group.phase is livejobs.Phase.WAITING
         }
         self.assertEqual(waiting, set(self.board.phases.waiting))
         self.assertEqual({}, self.board.phases.starting)
--- a/primroselock/test/testleasebounds.py
+++ b/primroselock/test/testleasebounds.py
@@ -6,6 +6,7 @@
 
 from primroselock.decisions import fleet
 from primroselock.decisions import leasebounds
+from primroselock.decisions import livejobs
 from primroselock.decisions import runleases
 from primroselock import jobgraph
 from primroselock import shards
@@ -23,13 +24,15 @@
     graph = fleetbuilders.build_graph(
         'j', fleetbuilders.build_step(len(worker_ids))
     )
-    job = fleet.LiveJob(graph, None)
+    job = livejobs.LiveJob(graph, None)
     for index, worker_id in enumerate(worker_ids):
         board.record_entry(fleetbuilders.build_entry(worker_id), 0.0)
         key = jobgraph.GroupKey(0, 0, index)
-        group = fleet.Group(job, key, graph.steps[0], fleet.Phase.RUNNING, 0.0)
-        member = fleet.Member(
-            group, index, worker_id, 1, fleet.MemberState.INHERITED
+        group = livejobs.Group(
+            job, key, graph.steps[0], livejobs.Phase.RUNNING, 0.0
+        )
+        member = livejobs.Member(
+            group, index, worker_id, 1, livejobs.MemberState.INHERITED
         )
         board.workers_by_id[worker_id].add_member(member)
     return board
--- a/primroselock/test/testplatformadapter.py
+++ b/primroselock/test/testplatformadapter.py
@@ -68,8 +68,8 @@
         self.assertEqual([], found)
 
     def test_the_adapter_imports_no_decision(self) -> None:
-        """Of the decision core the adapter imports only ``fleet``."""
-        allowed = {'fleet'}
+        """Of the decision core the adapter imports only entries and names."""
+        allowed = {'fleetworkers', 'livejobs'}
         for path in (_PACKAGE / 'platform').glob('*.py'):
             text = path.read_text(encoding='utf-8')
             pattern = r'from primroselock\.decisions import (\w+)'
--- a/primroselock/test/testplatformcalls.py
+++ b/primroselock/test/testplatformcalls.py
@@ -11,7 +11,7 @@
 from starlette import requests
 
 from primroselock import clock
-from primroselock.decisions import fleet
+from primroselock.decisions import livejobs
 from primroselock import httpclient
 from primroselock import intake
 from primroselock import jobgraph
@@ -344,7 +344,7 @@
             _answer(200, body), _answer(429, b''), _answer(200, b'[]')
         )
         client._pool = pool
-        step = fleet.StepName('j', 0, 1)
+        step = livejobs.StepName('j', 0, 1)
         tickets = await client.ask(step, ('w1', 'w2'), 1.0)
         self.assertEqual(({'w1': 't1'}, 3.0), tickets.unwrap())
         sent = msgspec.json.decode(pool.sent[0].body)
--- a/primroselock/test/testrunprogress.py
+++ b/primroselock/test/testrunprogress.py
@@ -10,6 +10,7 @@
 from primroselock.decisions import fleet
 from primroselock.decisions import fleethealth
 from primroselock.decisions import graphs
+from primroselock.decisions import livejobs
 from primroselock.decisions import runprogress
 from primroselock import jobgraph
 from primroselock.test import fleetbuilders
@@ -72,15 +73,15 @@
         )
         assert job is not None
         self.group = job.groups_by_key[jobgraph.GroupKey(0, 0, 0)]
-        self.member = fleet.Member(
-            self.group, 0, 'w0', 1, fleet.MemberState.PRESENT
+        self.member = livejobs.Member(
+            self.group, 0, 'w0', 1, livejobs.MemberState.PRESENT
         )
         self.group.members = [self.member]
-        self.group.enter(fleet.Phase.RUNNING, 0.0)
+        self.group.enter(livejobs.Phase.RUNNING, 0.0)
         self.group.began_at = 0.0
         self.member.progress = runprogress.start(0.0, 0.0)
 
-    def list_stuck(self, now: float) -> list[fleet.Group]:
+    def list_stuck(self, now: float) -> list[livejobs.Group]:
         """Return the groups that count as stuck."""
         found = fleethealth.list_stuck(self.board, _REMOTE_FACTOR, now)
         return [stuck.group for stuck in found]
@@ -185,11 +186,11 @@
         job = graphs.add_job(self.board, graph, None, 0, 0.0, 0)
         assert job is not None
         self.group = job.groups_by_key[jobgraph.GroupKey(0, 0, 0)]
-        self.member = fleet.Member(
-            self.group, 0, 'w0', 1, fleet.MemberState.PRESENT
+        self.member = livejobs.Member(
+            self.group, 0, 'w0', 1, livejobs.MemberState.PRESENT
         )
         self.group.members = [self.member]
-        self.group.enter(fleet.Phase.RUNNING, 0.0)
+        self.group.enter(livejobs.Phase.RUNNING, 0.0)
         self.group.began_at = 0.0
         self.member.progress = runprogress.start(0.0, 0.0)
         self.learn('wide')
--- a/primroselock/test/testwaitreport.py
+++ b/primroselock/test/testwaitreport.py
@@ -9,6 +9,7 @@
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetround
 from primroselock.decisions import graphs
+from primroselock.decisions import livejobs
 from primroselock.decisions import waiting
 from primroselock.decisions import waitreport
 from primroselock import jobgraph
@@ -25,7 +26,7 @@
         self.settings = fleetbuilders.build_node_settings()
         self.board = largefleet.build_board(10)
 
-    def submit(self, job_id: str, now: float) -> fleet.LiveJob:
+    def submit(self, job_id: str, now: float) -> livejobs.LiveJob:
         """Add a job of two whole workers."""
         job = graphs.add_job(
             self.board,
@@ -91,10 +92,12 @@
         job = self.submit('j', 1.0)
         group = job.groups_of_step(0, 0)[0]
         group.members = [
-            fleet.Member(group, index, 'gone', 1, fleet.MemberState.INHERITED)
+            livejobs.Member(
+                group, index, 'gone', 1, livejobs.MemberState.INHERITED
+            )
             for index in group.task_indices
         ]
-        group.enter(fleet.Phase.STARTING, 1.0)
+        group.enter(livejobs.Phase.STARTING, 1.0)
         reports = self.run_rounds(1.0, 4.0)
         self.assertEqual('starting', reports[0]['phase'])
         self.assertEqual({'inherited': 2}, reports[0]['held'])
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -13,6 +13,8 @@
 
 from primroselock import clock
 from primroselock.decisions import fleet
+from primroselock.decisions import fleetworkers
+from primroselock.decisions import livejobs
 from primroselock.decisions import reachability
 from primroselock.decisions import runleases
 from primroselock.decisions import runs
@@ -82,7 +84,7 @@
         for probe in self._probes_by_worker_id.values():
             probe.cancel()
 
-    async def _probe(self, worker: fleet.Worker) -> None:
+    async def _probe(self, worker: fleetworkers.Worker) -> None:
         """Check whether a worker that may be unreachable answers.
 
         A long poll of the same worker may be open.  Only the polls, which
@@ -105,7 +107,7 @@
         worker.last_answer_at = clock.monotonic()
         self._wake()
 
-    def _needs_polling(self, worker: fleet.Worker) -> bool:
+    def _needs_polling(self, worker: fleetworkers.Worker) -> bool:
         if self._board.workers_by_id.get(worker.id) is not worker:
             return False
         if not worker.entry.address:
@@ -116,7 +118,7 @@
             not worker.is_polled or worker.failures_in_row > 0
         )
 
-    async def _run(self, worker: fleet.Worker) -> None:
+    async def _run(self, worker: fleetworkers.Worker) -> None:
         while self._lease.has_shard and self._needs_polling(worker):
             await self._wait_for_saved_ends(worker)
             if not await self._poll(worker):
@@ -127,7 +129,7 @@
         if self._board.workers_by_id.get(worker.id) is not worker:
             await self._run_client.drop(worker.entry.address)
 
-    async def _wait_for_saved_ends(self, worker: fleet.Worker) -> None:
+    async def _wait_for_saved_ends(self, worker: fleetworkers.Worker) -> None:
         """Wait, within a bound, until the reported ends are stored.
 
         The next poll can then confirm them to the worker.
@@ -136,7 +138,7 @@
         while worker.unsaved_ends and clock.monotonic() < until:
             await asyncio.sleep(_UNSAVED_CHECK_INTERVAL_S)
 
-    async def _poll(self, worker: fleet.Worker) -> bool:
+    async def _poll(self, worker: fleetworkers.Worker) -> bool:
         """Poll once; return whether the worker answered."""
         runs.advance_saved_end(worker)
         confirmed_end = runs.end_to_confirm(worker)
@@ -195,19 +197,21 @@
         self._wake()
         return True
 
-    def _poll_wait_s(self, worker: fleet.Worker, may_extend: bool) -> float:
+    def _poll_wait_s(
+        self, worker: fleetworkers.Worker, may_extend: bool
+    ) -> float:
         if not worker.is_polled or worker.unsaved_ends:
             return 0.0
         if not may_extend or any(
-            member.state is not fleet.MemberState.PRESENT
-            or member.group.phase is fleet.Phase.STOPPING
+            member.state is not livejobs.MemberState.PRESENT
+            or member.group.phase is livejobs.Phase.STOPPING
             for member in worker.members.values()
         ):
             return _SHORT_WAIT_S
         return self._settings.fleet.longest_wait_s
 
     def _record_error(
-        self, worker: fleet.Worker, error: orders.OrderError
+        self, worker: fleetworkers.Worker, error: orders.OrderError
     ) -> None:
         if (
             isinstance(error, orders.Refused)
--- a/tools/largefleet.py
+++ b/tools/largefleet.py
@@ -16,8 +16,10 @@
 
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetround
+from primroselock.decisions import fleetworkers
 from primroselock.decisions import graphs
 from primroselock.decisions import leasebounds
+from primroselock.decisions import livejobs
 from primroselock.decisions import runs
 from primroselock import jobgraph
 from primroselock import options
@@ -55,7 +57,7 @@
     )
     for number in range(workers):
         rack = f'r{number // 8}'
-        entry = fleet.WorkerEntry(
+        entry = fleetworkers.WorkerEntry(
             f'w{number}',
             'svc',
             f'w{number}:1',
@@ -89,8 +91,8 @@
     for job in board.jobs_by_id.values():
         job.saved_change = job.change
         for group in job.groups_by_key.values():
-            if group.phase is fleet.Phase.COMMITTING:
-                group.enter(fleet.Phase.STARTING, now)
+            if group.phase is livejobs.Phase.COMMITTING:
+                group.enter(livejobs.Phase.STARTING, now)
                 for member in group.members:
                     runs.mark_present(board, member, now)
     board.take_decision_records()
