Preferences of waiting groups have a module of their own

Moved, without a change: to preferences: is_overdue, relaxed_shape, may_fit, place_anywhere, _is_free_soon, the three filters of workers and the three waits that they use; to placementround, which both need: RoundContext, place_among and _commit. Those used from another module lost their underscore.

Apart from the module docstrings and that underscore the parsed definitions equal those before.

--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -5,12 +5,8 @@
 where the configured rule allows it, or a gang claims the workers that
 become free soonest.  Only more urgent groups may use claimed workers.
 
-One rack for a gang, workers where the group was not stuck before, and
-workers that no other group claims are preferences.  They are dropped for a
-group that has waited for a while although it fits without them: soon while
-plenty of capacity is free, and later, but for the claims, in any case.
-Workers where it was stuck come last, and only once no other is expected to
-be free for it soon.
+Each group has preferences (see ``preferences``), which it loses when it has
+waited for too long.
 
 When more work waits than fits, most groups cannot be placed, and a round
 must not examine each of them: groups of the same shape share the outcome
@@ -19,10 +15,8 @@
 """
 
 from collections import abc
-import dataclasses
 import typing
 
-from primroselock.decisions import advising
 from primroselock.decisions import claimindex
 from primroselock.decisions import eligibility
 from primroselock.decisions import fitting
@@ -31,11 +25,12 @@
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import livejobs
 from primroselock.decisions import objectives
+from primroselock.decisions import placementround
+from primroselock.decisions import preferences
 from primroselock.decisions import reachability
 from primroselock.decisions import runs
 from primroselock.decisions import waiting
 from primroselock import jobgraph
-from primroselock import jobs
 from primroselock import options
 from primroselock import queues
 
@@ -48,50 +43,11 @@
 _CLAIM_REVIEW_S: typing.Final = 1.0
 """After this time the workers of a capacity claim are chosen again."""
 
-_PREFERENCE_TIMEOUT_S: typing.Final = 2.0
-"""Wait for preferred workers while plenty of capacity is free."""
-
-_MAX_PREFERENCE_WAIT_S: typing.Final = 10.0
-"""Wait for preferred workers while capacity is scarce."""
-
-_MAX_AVOIDANCE_S: typing.Final = 20.0
-"""The longest wait for workers where a group was not stuck, if they are
-expected to be free by then."""
-
 _SEARCH_RETRY_S: typing.Final = 0.25
 """Delay before victims or workers to claim are searched again for a shape
 for which none were found."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _RoundContext:
-    """The inputs to the placements of one round.
-
-    ``guaranteed_ids`` names the jobs within their accounts' guarantees.
-    ``plenty_services`` names the services of which much capacity is free.
-    ``now`` is on this process's clock; ``wall_s`` is since the Unix epoch.
-    """
-
-    board: fleet.ShardBoard
-    settings: options.FleetSettings
-    plenty_services: abc.Set[str]
-    free_capacity: fitting.FreeCapacity
-    victims: fleetpreemption.VictimIndex
-    claims: claimindex.ClaimIndex
-    guaranteed_ids: abc.Set[str]
-    now: float
-    wall_s: float
-
-    def rank(self, group: livejobs.Group) -> fitting.Rank:
-        """Return the urgency of a group; lower ranks go first."""
-        return waiting.rank(group, self.guaranteed_ids)
-
-    def has_plenty(self, group: livejobs.Group) -> bool:
-        """Return whether much capacity of the group's service is free."""
-        queue = group.job.queue
-        return queue is not None and queue.service in self.plenty_services
-
-
 def place_waiting(
     board: fleet.ShardBoard,
     settings: options.FleetSettings,
@@ -112,7 +68,7 @@
     )
     if not steps:
         return
-    context = _RoundContext(
+    context = placementround.RoundContext(
         board,
         settings,
         plenty_services,
@@ -148,7 +104,9 @@
 
 
 def _place_step(
-    context: _RoundContext, groups: abc.Sequence[livejobs.Group], limit: int
+    context: placementround.RoundContext,
+    groups: abc.Sequence[livejobs.Group],
+    limit: int,
 ) -> int:
     """Place at most ``limit`` groups of a step; return how many.
 
@@ -180,10 +138,12 @@
         )
         group.may_span_racks = may_span_racks
         relaxed = None
-        is_overdue = may_relax and _is_overdue(context, group)
+        is_overdue = may_relax and preferences.is_overdue(context, group)
         if is_overdue:
-            relaxed = _relaxed_shape(context, group, shape)
-            is_overdue = may_relax = _may_fit(context, group, relaxed)
+            relaxed = preferences.relaxed_shape(context, group, shape)
+            is_overdue = may_relax = preferences.may_fit(
+                context, group, relaxed
+            )
         if is_exhausted and not is_own and not is_overdue:
             continue
         own_shape = None if is_own else shape
@@ -191,7 +151,7 @@
             placed += 1
             continue
         if is_overdue:
-            if _place_anywhere(context, group, queue, relaxed):
+            if preferences.place_anywhere(context, group, queue, relaxed):
                 placed += 1
                 continue
             # Other groups of the step may avoid other workers.
@@ -202,50 +162,9 @@
     return placed
 
 
-def _is_overdue(context: _RoundContext, group: livejobs.Group) -> bool:
-    """Return whether a group has waited too long for what it prefers."""
-    waited_s = context.now - group.since
-    if waited_s < _PREFERENCE_TIMEOUT_S:
-        return False
-    prefers = group.avoided_worker_ids or (
-        group.step.rack_local and group.size > 1 and not group.may_span_racks
-    )
-    if not (prefers or context.board.claims_by_group):
-        return False
-    if context.has_plenty(group):
-        return True
-    return bool(prefers) and waited_s >= _MAX_PREFERENCE_WAIT_S
-
-
-def _relaxed_shape(
-    context: _RoundContext, group: livejobs.Group, shape: fitting.Shape | None
-) -> fitting.Shape | None:
-    """Return the shape of an attempt without the group's preferences.
-
-    Returns None where the attempt depends on more: while claims count, the
-    group may use the workers that it claims itself.
-    """
-    claims_count = not context.has_plenty(group)
-    if shape is None or (
-        claims_count and group in context.board.claims_by_group
-    ):
-        return None
-    return shape.relaxed()
-
-
-def _may_fit(
-    context: _RoundContext,
-    group: livejobs.Group,
-    relaxed: fitting.Shape | None,
+def _may_search(
+    context: placementround.RoundContext, shape: fitting.Shape | None
 ) -> bool:
-    """Return whether a group may fit without its preferences."""
-    free_capacity = context.free_capacity
-    if relaxed in free_capacity.unplaceable_shapes:
-        return False
-    return free_capacity.fits(group)
-
-
-def _may_search(context: _RoundContext, shape: fitting.Shape | None) -> bool:
     """Return whether victims may be searched for a group of this shape."""
     if shape is None:
         return True
@@ -281,160 +200,18 @@
 
 
 def _place(
-    context: _RoundContext,
+    context: placementround.RoundContext,
     group: livejobs.Group,
     queue: queues.Queue,
     shape: fitting.Shape | None,
 ) -> bool:
     """Place a group on free capacity; return whether it was placed."""
-    allow = _build_worker_filter(context, group, queue)
-    return _place_among(context, group, allow, shape)
-
-
-def _place_anywhere(
-    context: _RoundContext,
-    group: livejobs.Group,
-    queue: queues.Queue,
-    relaxed: fitting.Shape | None,
-) -> bool:
-    """Place a group without its preferences; return whether it was placed."""
-    waited_s = context.now - group.since
-    group.may_span_racks = True
-    allow = _build_relaxed_filter(context, group, queue)
-
-    def allow_others(worker: fleetworkers.Worker) -> bool:
-        return worker.id not in group.avoided_worker_ids and allow(worker)
-
-    is_placed = False
-    if group.avoided_worker_ids:
-        is_placed = _place_among(context, group, allow_others, None)
-        if not is_placed and _is_free_soon(context, group, allow_others):
-            return False
-    if not is_placed and not _place_among(context, group, allow, relaxed):
-        return False
-    context.board.record_decision(
-        'placed without preferences',
-        group.job,
-        attempt=group.attempt,
-        waited_s=round(waited_s, 3),
-    )
-    return True
-
-
-def _is_free_soon(
-    context: _RoundContext, group: livejobs.Group, allow: fitting.WorkerFilter
-) -> bool:
-    """Return whether to wait for workers that ``allow`` passes."""
-    left_s = group.since + _MAX_AVOIDANCE_S - context.now
-    if left_s <= 0:
-        return False
-    chosen = fleetpreemption.choose_soonest_free(
-        context.board, context.free_capacity, group, allow, context.now
-    )
-    return chosen is not None and chosen.cost <= left_s
-
-
-def _place_among(
-    context: _RoundContext,
-    group: livejobs.Group,
-    allow: fitting.WorkerFilter,
-    shape: fitting.Shape | None,
-) -> bool:
-    """Place a group on workers that ``allow`` passes, if it fits there."""
-    board = context.board
-    worker_ids = fitting.place(
-        board, context.free_capacity, group, allow, shape
-    )
-    if worker_ids is None:
-        return False
-    context.claims.drop(group)
-    _commit(board, group, worker_ids, context.now)
-    return True
-
-
-def _build_basic_filter(
-    context: _RoundContext, group: livejobs.Group, queue: queues.Queue
-) -> fitting.WorkerFilter:
-    """Return a filter for the usable workers where a group may run."""
-
-    def allow(worker: fleetworkers.Worker) -> bool:
-        return fitting.may_share(worker, group.step) and (
-            queue.advice is None
-            or advising.ticket_for(
-                context.board, group, worker.id, context.now
-            )
-            is not None
-        )
-
-    return allow
-
-
-def _build_relaxed_filter(
-    context: _RoundContext, group: livejobs.Group, queue: queues.Queue
-) -> fitting.WorkerFilter:
-    """Return a filter for the usable workers that a group must accept."""
-    rank = context.rank(group)
-    may_run = _build_basic_filter(context, group, queue)
-    has_plenty = context.has_plenty(group)
-
-    def allow(worker: fleetworkers.Worker) -> bool:
-        is_claimed = context.claims.excludes(worker.id, group, rank)
-        return may_run(worker) and (has_plenty or not is_claimed)
-
-    return allow
-
-
-def _build_worker_filter(
-    context: _RoundContext, group: livejobs.Group, queue: queues.Queue
-) -> fitting.WorkerFilter:
-    """Return a filter for the usable workers that a group prefers."""
-    rank = context.rank(group)
-    may_run = _build_basic_filter(context, group, queue)
-
-    def allow(worker: fleetworkers.Worker) -> bool:
-        return (
-            worker.id not in group.avoided_worker_ids
-            and not context.claims.excludes(worker.id, group, rank)
-            and may_run(worker)
-        )
-
-    return allow
-
-
-def _commit(
-    board: fleet.ShardBoard,
-    group: livejobs.Group,
-    worker_ids: abc.Sequence[str],
-    now: float,
-) -> None:
-    """Record a placement; the starts follow when the row is stored."""
-    group.attempt += 1
-    group.end_reason = None
-    group.is_resumed = bool(group.checkpoint)
-    group.enter(livejobs.Phase.COMMITTING, now)
-    group.members = []
-    for index, worker_id in zip(group.task_indices, worker_ids, strict=True):
-        worker = board.workers_by_id[worker_id]
-        member = livejobs.Member(
-            group, index, worker_id, worker.boot, livejobs.MemberState.PLACED
-        )
-        group.members.append(member)
-        worker.add_member(member)
-    job = group.job
-    if job.state is jobs.JobState.WAITING:
-        job.state = jobs.JobState.RUNNING
-    board.record_decision(
-        'placed',
-        job,
-        group=[group.key.occurrence, group.key.step, group.key.index],
-        attempt=group.attempt,
-        workers=list(dict.fromkeys(worker_ids)),
-    )
-    board.mark_changed(job)
+    allow = preferences.build_worker_filter(context, group, queue)
+    return placementround.place_among(context, group, allow, shape)
 
 
 def _free_capacity_for(
-    context: _RoundContext,
+    context: placementround.RoundContext,
     group: livejobs.Group,
     queue: queues.Queue,
     shape: fitting.Shape | None,
@@ -450,7 +227,7 @@
     board = context.board
     if not _may_search(context, shape):
         return False
-    allow = _build_worker_filter(context, group, queue)
+    allow = preferences.build_worker_filter(context, group, queue)
     may_preempt = waiting.preemption_rules_by_name[context.settings.reclaim]
     is_tried = may_preempt(group, context.guaranteed_ids, context.wall_s)
     if is_tried and _preempt(context, group, allow):
@@ -464,7 +241,9 @@
 
 
 def _preempt(
-    context: _RoundContext, group: livejobs.Group, allow: fitting.WorkerFilter
+    context: placementround.RoundContext,
+    group: livejobs.Group,
+    allow: fitting.WorkerFilter,
 ) -> bool:
     """Preempt for a group; return whether that frees enough capacity."""
     board, rank = context.board, context.rank(group)
@@ -506,7 +285,9 @@
 
 
 def _claim(
-    context: _RoundContext, group: livejobs.Group, worker_ids: frozenset[str]
+    context: placementround.RoundContext,
+    group: livejobs.Group,
+    worker_ids: frozenset[str],
 ) -> None:
     """Claim workers for a group, from this round on."""
     context.claims.put(
@@ -517,7 +298,9 @@
         context.free_capacity.exclude(worker_id)
 
 
-def _may_claim_soonest(context: _RoundContext, group: livejobs.Group) -> bool:
+def _may_claim_soonest(
+    context: placementround.RoundContext, group: livejobs.Group
+) -> bool:
     """Return whether a gang may claim workers that it waits for.
 
     It may not while other groups claim ``claim_share`` of the workers.
@@ -533,7 +316,9 @@
 
 
 def _claim_soonest(
-    context: _RoundContext, group: livejobs.Group, allow: fitting.WorkerFilter
+    context: placementround.RoundContext,
+    group: livejobs.Group,
+    allow: fitting.WorkerFilter,
 ) -> bool:
     """Claim the workers that are free soonest; return whether any are."""
     board = context.board
--- /dev/null
+++ b/primroselock/decisions/placementround.py
@@ -0,0 +1,96 @@
+"""The inputs to the placements of one round, and how one is recorded.
+
+A round reads the blackboard once and keeps what follows from it here, so
+that every placement sees those made before it in the round.
+"""
+
+from collections import abc
+import dataclasses
+
+from primroselock.decisions import claimindex
+from primroselock.decisions import fitting
+from primroselock.decisions import fleet
+from primroselock.decisions import fleetpreemption
+from primroselock.decisions import livejobs
+from primroselock.decisions import waiting
+from primroselock import jobs
+from primroselock import options
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoundContext:
+    """The inputs to the placements of one round.
+
+    ``guaranteed_ids`` names the jobs within their accounts' guarantees.
+    ``plenty_services`` names the services of which much capacity is free.
+    ``now`` is on this process's clock; ``wall_s`` is since the Unix epoch.
+    """
+
+    board: fleet.ShardBoard
+    settings: options.FleetSettings
+    plenty_services: abc.Set[str]
+    free_capacity: fitting.FreeCapacity
+    victims: fleetpreemption.VictimIndex
+    claims: claimindex.ClaimIndex
+    guaranteed_ids: abc.Set[str]
+    now: float
+    wall_s: float
+
+    def rank(self, group: livejobs.Group) -> fitting.Rank:
+        """Return the urgency of a group; lower ranks go first."""
+        return waiting.rank(group, self.guaranteed_ids)
+
+    def has_plenty(self, group: livejobs.Group) -> bool:
+        """Return whether much capacity of the group's service is free."""
+        queue = group.job.queue
+        return queue is not None and queue.service in self.plenty_services
+
+
+def place_among(
+    context: RoundContext,
+    group: livejobs.Group,
+    allow: fitting.WorkerFilter,
+    shape: fitting.Shape | None,
+) -> bool:
+    """Place a group on workers that ``allow`` passes, if it fits there."""
+    board = context.board
+    worker_ids = fitting.place(
+        board, context.free_capacity, group, allow, shape
+    )
+    if worker_ids is None:
+        return False
+    context.claims.drop(group)
+    _commit(board, group, worker_ids, context.now)
+    return True
+
+
+def _commit(
+    board: fleet.ShardBoard,
+    group: livejobs.Group,
+    worker_ids: abc.Sequence[str],
+    now: float,
+) -> None:
+    """Record a placement; the starts follow when the row is stored."""
+    group.attempt += 1
+    group.end_reason = None
+    group.is_resumed = bool(group.checkpoint)
+    group.enter(livejobs.Phase.COMMITTING, now)
+    group.members = []
+    for index, worker_id in zip(group.task_indices, worker_ids, strict=True):
+        worker = board.workers_by_id[worker_id]
+        member = livejobs.Member(
+            group, index, worker_id, worker.boot, livejobs.MemberState.PLACED
+        )
+        group.members.append(member)
+        worker.add_member(member)
+    job = group.job
+    if job.state is jobs.JobState.WAITING:
+        job.state = jobs.JobState.RUNNING
+    board.record_decision(
+        'placed',
+        job,
+        group=[group.key.occurrence, group.key.step, group.key.index],
+        attempt=group.attempt,
+        workers=list(dict.fromkeys(worker_ids)),
+    )
+    board.mark_changed(job)
--- /dev/null
+++ b/primroselock/decisions/preferences.py
@@ -0,0 +1,180 @@
+"""What a waiting group prefers, and when it is placed without that.
+
+One rack for a gang, workers where the group was not stuck before, and
+workers that no other group claims are preferences.  They are dropped for a
+group that has waited for a while although it fits without them: soon while
+plenty of capacity is free, and later, but for the claims, in any case.
+Workers where it was stuck come last, and only once no other is expected to
+be free for it soon.
+"""
+
+import typing
+
+from primroselock.decisions import advising
+from primroselock.decisions import fitting
+from primroselock.decisions import fleetpreemption
+from primroselock.decisions import fleetworkers
+from primroselock.decisions import livejobs
+from primroselock.decisions import placementround
+from primroselock import queues
+
+_PREFERENCE_TIMEOUT_S: typing.Final = 2.0
+"""Wait for preferred workers while plenty of capacity is free."""
+
+_MAX_PREFERENCE_WAIT_S: typing.Final = 10.0
+"""Wait for preferred workers while capacity is scarce."""
+
+_MAX_AVOIDANCE_S: typing.Final = 20.0
+"""The longest wait for workers where a group was not stuck, if they are
+expected to be free by then."""
+
+
+def is_overdue(
+    context: placementround.RoundContext, group: livejobs.Group
+) -> bool:
+    """Return whether a group has waited too long for what it prefers."""
+    waited_s = context.now - group.since
+    if waited_s < _PREFERENCE_TIMEOUT_S:
+        return False
+    prefers = group.avoided_worker_ids or (
+        group.step.rack_local and group.size > 1 and not group.may_span_racks
+    )
+    if not (prefers or context.board.claims_by_group):
+        return False
+    if context.has_plenty(group):
+        return True
+    return bool(prefers) and waited_s >= _MAX_PREFERENCE_WAIT_S
+
+
+def relaxed_shape(
+    context: placementround.RoundContext,
+    group: livejobs.Group,
+    shape: fitting.Shape | None,
+) -> fitting.Shape | None:
+    """Return the shape of an attempt without the group's preferences.
+
+    Returns None where the attempt depends on more: while claims count, the
+    group may use the workers that it claims itself.
+    """
+    claims_count = not context.has_plenty(group)
+    if shape is None or (
+        claims_count and group in context.board.claims_by_group
+    ):
+        return None
+    return shape.relaxed()
+
+
+def may_fit(
+    context: placementround.RoundContext,
+    group: livejobs.Group,
+    relaxed: fitting.Shape | None,
+) -> bool:
+    """Return whether a group may fit without its preferences."""
+    free_capacity = context.free_capacity
+    if relaxed in free_capacity.unplaceable_shapes:
+        return False
+    return free_capacity.fits(group)
+
+
+def place_anywhere(
+    context: placementround.RoundContext,
+    group: livejobs.Group,
+    queue: queues.Queue,
+    relaxed: fitting.Shape | None,
+) -> bool:
+    """Place a group without its preferences; return whether it was placed."""
+    waited_s = context.now - group.since
+    group.may_span_racks = True
+    allow = _build_relaxed_filter(context, group, queue)
+
+    def allow_others(worker: fleetworkers.Worker) -> bool:
+        return worker.id not in group.avoided_worker_ids and allow(worker)
+
+    is_placed = False
+    if group.avoided_worker_ids:
+        is_placed = placementround.place_among(
+            context, group, allow_others, None
+        )
+        if not is_placed and _is_free_soon(context, group, allow_others):
+            return False
+    if not is_placed and not placementround.place_among(
+        context, group, allow, relaxed
+    ):
+        return False
+    context.board.record_decision(
+        'placed without preferences',
+        group.job,
+        attempt=group.attempt,
+        waited_s=round(waited_s, 3),
+    )
+    return True
+
+
+def _is_free_soon(
+    context: placementround.RoundContext,
+    group: livejobs.Group,
+    allow: fitting.WorkerFilter,
+) -> bool:
+    """Return whether to wait for workers that ``allow`` passes."""
+    left_s = group.since + _MAX_AVOIDANCE_S - context.now
+    if left_s <= 0:
+        return False
+    chosen = fleetpreemption.choose_soonest_free(
+        context.board, context.free_capacity, group, allow, context.now
+    )
+    return chosen is not None and chosen.cost <= left_s
+
+
+def _build_basic_filter(
+    context: placementround.RoundContext,
+    group: livejobs.Group,
+    queue: queues.Queue,
+) -> fitting.WorkerFilter:
+    """Return a filter for the usable workers where a group may run."""
+
+    def allow(worker: fleetworkers.Worker) -> bool:
+        return fitting.may_share(worker, group.step) and (
+            queue.advice is None
+            or advising.ticket_for(
+                context.board, group, worker.id, context.now
+            )
+            is not None
+        )
+
+    return allow
+
+
+def _build_relaxed_filter(
+    context: placementround.RoundContext,
+    group: livejobs.Group,
+    queue: queues.Queue,
+) -> fitting.WorkerFilter:
+    """Return a filter for the usable workers that a group must accept."""
+    rank = context.rank(group)
+    may_run = _build_basic_filter(context, group, queue)
+    has_plenty = context.has_plenty(group)
+
+    def allow(worker: fleetworkers.Worker) -> bool:
+        is_claimed = context.claims.excludes(worker.id, group, rank)
+        return may_run(worker) and (has_plenty or not is_claimed)
+
+    return allow
+
+
+def build_worker_filter(
+    context: placementround.RoundContext,
+    group: livejobs.Group,
+    queue: queues.Queue,
+) -> fitting.WorkerFilter:
+    """Return a filter for the usable workers that a group prefers."""
+    rank = context.rank(group)
+    may_run = _build_basic_filter(context, group, queue)
+
+    def allow(worker: fleetworkers.Worker) -> bool:
+        return (
+            worker.id not in group.avoided_worker_ids
+            and not context.claims.excludes(worker.id, group, rank)
+            and may_run(worker)
+        )
+
+    return allow
