The free capacity of a round has a module of its own

Moved to freecapacity, without a change: FreeCapacity, Shape, shape_of, _StepKind, fits_when_empty, _speed_class with its three constants (SLOWEST_CLASS lost its underscore, since the choice of racks uses it too), and the types Score and Rank. fitting keeps the choice of workers and the scores.

Apart from the module docstrings and that underscore the parsed definitions equal those before.

--- a/primroselock/decisions/advising.py
+++ b/primroselock/decisions/advising.py
@@ -9,8 +9,8 @@
 import dataclasses
 import typing
 
-from primroselock.decisions import fitting
 from primroselock.decisions import fleet
+from primroselock.decisions import freecapacity
 from primroselock.decisions import livejobs
 from primroselock.decisions import tickets
 
@@ -69,7 +69,7 @@
         if worker.entry.service == queue.service
         and worker.is_listed
         and not worker.entry.is_draining
-        and fitting.fits_when_empty(worker, group.step)
+        and freecapacity.fits_when_empty(worker, group.step)
         and _needs_ticket(known, worker.id, now)
     ]
     if not workers:
--- a/primroselock/decisions/fitting.py
+++ b/primroselock/decisions/fitting.py
@@ -1,54 +1,29 @@
-"""Finds workers for a group by free CPU, memory and accelerators.
+"""Chooses workers for a group by free CPU, memory and accelerators.
 
 A single task goes to the worker that it fills best, so that whole workers
 stay free for large tasks.  The members of a rack-local gang, which are
 slow when apart, go into one rack, if some rack could hold them when empty.
-
-``FreeCapacity`` is the free capacity as seen by one round: each placement
-is subtracted from it, so that no two groups of a round get the same
-capacity.
 """
 
 from collections import abc
-import dataclasses
-import math
 import typing
 
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
+from primroselock.decisions import freecapacity
 from primroselock.decisions import livejobs
-from primroselock.decisions import waiting
 from primroselock import jobgraph
 
-_VERY_SLOW_SPEED: typing.Final = 0.5
-"""A worker of this speed or less is used only if no other is free."""
-
-_SLOWEST_CLASS: typing.Final = 20.0
-"""The speed class of very slow workers, above every other class."""
-
-_CLASS_WIDTH: typing.Final = 0.25
-"""The width of a speed class as a natural logarithm: about a quarter."""
-
 WorkerFilter = abc.Callable[[fleetworkers.Worker], bool]
 """Tells whether a worker that a step can use is allowed now."""
 
-Score = abc.Callable[
-    [fleetworkers.Worker, jobgraph.Resources], tuple[float, ...]
-]
-Rank = tuple[bool, int]
-"""The urgency of a group: (is not guaranteed, priority of its queue).
-
-Lower ranks go first.
-"""
-
-
-scores_by_name: typing.Final[dict[str, Score]] = {}
+scores_by_name: typing.Final[dict[str, freecapacity.Score]] = {}
 
 
-def score(name: str) -> abc.Callable[[Score], Score]:
+def score(name: str) -> abc.Callable[[freecapacity.Score], freecapacity.Score]:
     """Register the decorated score of workers; the lowest score wins."""
 
-    def register(score_worker: Score) -> Score:
+    def register(score_worker: freecapacity.Score) -> freecapacity.Score:
         scores_by_name[name] = score_worker
         return score_worker
 
@@ -80,191 +55,6 @@
     return amount / total if total else 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Shape:
-    """The properties that decide whether a group fits in a round.
-
-    ``size`` is the number of its tasks, which run in one rack if
-    ``in_one_rack`` is set.  ``is_relaxed`` is set for an attempt without
-    the group's preferences.
-    """
-
-    service: str
-    need: jobgraph.Resources
-    label: str
-    fills: bool
-    has_latency_target: bool
-    size: int
-    in_one_rack: bool
-    rank: Rank
-    is_relaxed: bool = False
-
-    def relaxed(self) -> 'Shape':
-        """Return the shape of an attempt without preferences."""
-        return dataclasses.replace(self, in_one_rack=False, is_relaxed=True)
-
-
-class _StepKind(typing.NamedTuple):
-    """The properties of a step that decide which workers it can use."""
-
-    service: str
-    label: str
-    need: jobgraph.Resources
-
-
-def _step_kind(group: livejobs.Group) -> _StepKind:
-    queue, step = group.job.queue, group.step
-    return _StepKind(
-        queue.service if queue else '', step.label, step.counted_need
-    )
-
-
-class FreeCapacity:
-    """The free capacity of each worker that may be used in a round.
-
-    Free capacity only shrinks in a round, so that a shape that did not fit
-    once does not fit later: ``unplaceable_shapes``.  The worker that was
-    best for a step stays best until it is full, since fuller workers are
-    preferred: ``last_by_step``.
-    """
-
-    def __init__(
-        self,
-        board: fleet.ShardBoard,
-        workers: abc.Iterable[fleetworkers.Worker],
-        score_worker: Score,
-    ) -> None:
-        self.score_worker = score_worker
-        self.worker_speeds = board.worker_speeds
-        self.free_by_id: dict[str, jobgraph.Resources] = {}
-        self.free_accelerators_by_rack: dict[str, int] = {}
-        self.unplaceable_shapes: set[Shape] = set()
-        self.last_by_step: dict[livejobs.StepName, str] = {}
-        self._workers_by_id: dict[str, fleetworkers.Worker] = {}
-        self._speed_classes_by_id: dict[str, float] = {}
-        self._board = board
-        self._with_capacity_by_kind: dict[
-            _StepKind, list[fleetworkers.Worker]
-        ] = {}
-        self._too_large: set[tuple[_StepKind, int]] = set()
-        for worker in workers:
-            free = worker.free
-            self.free_by_id[worker.id] = free
-            self._workers_by_id[worker.id] = worker
-            self._add_to_rack(worker.entry.rack, free.accelerators)
-
-    def _add_to_rack(self, rack: str, accelerators: int) -> None:
-        known = self.free_accelerators_by_rack.get(rack, 0)
-        self.free_accelerators_by_rack[rack] = known + accelerators
-
-    def _rack_of(self, worker_id: str) -> str:
-        return self._workers_by_id[worker_id].entry.rack
-
-    def reserve(self, worker_id: str, need: jobgraph.Resources) -> None:
-        """Subtract the resources of a placement."""
-        self.free_by_id[worker_id] = self.free_by_id[worker_id].plus(need, -1)
-        self._add_to_rack(self._rack_of(worker_id), -need.accelerators)
-
-    def release(self, worker_id: str, need: jobgraph.Resources) -> None:
-        """Add the resources of a withdrawn placement."""
-        self.free_by_id[worker_id] = self.free_by_id[worker_id].plus(need)
-        self._add_to_rack(self._rack_of(worker_id), need.accelerators)
-
-    def exclude(self, worker_id: str) -> None:
-        """Remove a worker that was claimed in this round."""
-        free = self.free_by_id.pop(worker_id, None)
-        if free is not None:
-            self._add_to_rack(self._rack_of(worker_id), -free.accelerators)
-
-    def list_usable(self, group: livejobs.Group) -> list[fleetworkers.Worker]:
-        """Return the workers that could hold a task of the group if empty.
-
-        Those that were excluded in this round are left out.
-        """
-        kind = _step_kind(group)
-        usable_by_kind = self._board.entry_cache.usable_by_kind
-        known = usable_by_kind.get(kind)
-        if known is None:
-            known = usable_by_kind[kind] = [
-                worker
-                for worker in self._board.workers_by_id.values()
-                if worker.entry.service == kind.service
-                and fits_when_empty(worker, group.step)
-            ]
-        return [worker for worker in known if worker.id in self.free_by_id]
-
-    def list_with_capacity(
-        self, group: livejobs.Group
-    ) -> list[fleetworkers.Worker]:
-        """Return the workers with free capacity for a task of the group."""
-        kind = _step_kind(group)
-        known = self._with_capacity_by_kind.get(kind)
-        if known is None:
-            known = self.list_usable(group)
-        # Free capacity only shrinks in a round.
-        found = [
-            worker
-            for worker in known
-            if worker.id in self.free_by_id
-            and self.free_by_id[worker.id].can_fit(kind.need)
-        ]
-        self._with_capacity_by_kind[kind] = found
-        return found
-
-    def fits(self, group: livejobs.Group) -> bool:
-        """Return whether the free capacity is enough for the group.
-
-        Only resources and labels count.  What was too large once is too
-        large for the rest of the round.
-        """
-        size = (_step_kind(group), group.size)
-        if size in self._too_large:
-            return False
-        need = group.step.counted_need
-        fit_total = 0
-        for worker in self.list_with_capacity(group):
-            # An empty need fits any number of times.
-            fit_total += self.free_by_id[worker.id].fit_count(need) or (
-                group.size
-            )
-            if fit_total >= group.size:
-                return True
-        self._too_large.add(size)
-        return False
-
-    def speed_class(self, worker_id: str, group: livejobs.Group) -> float:
-        """Return the worker's speed class for a group.
-
-        Lower classes are faster; 0 is fast enough.  A gang is as slow as
-        its slowest member, and urgent work has little slack: both go to
-        fast workers first.  Other work only avoids workers that are much
-        slower than usual.
-        """
-        fine_class = self._speed_classes_by_id.get(worker_id)
-        if fine_class is None:
-            fine_class = _speed_class(self.worker_speeds.speed(worker_id))
-            self._speed_classes_by_id[worker_id] = fine_class
-        if fine_class == _SLOWEST_CLASS:
-            return _SLOWEST_CLASS
-        if group.size > 1 or waiting.priority(group.job) == waiting.URGENT:
-            return fine_class
-        return 0.0
-
-
-def _speed_class(speed: float) -> float:
-    """Return the class of a speed relative to the usual speed of 1."""
-    if speed <= _VERY_SLOW_SPEED:
-        return _SLOWEST_CLASS
-    return float(round(-math.log(speed) / _CLASS_WIDTH))
-
-
-def fits_when_empty(worker: fleetworkers.Worker, step: jobgraph.Step) -> bool:
-    """Return whether the worker could hold a task of the step when empty."""
-    if step.label and step.label not in worker.entry.labels:
-        return False
-    return worker.entry.capacity.can_fit(step.counted_need)
-
-
 def may_share(worker: fleetworkers.Worker, step: jobgraph.Step) -> bool:
     """Return whether the step's tasks may run with those on the worker.
 
@@ -285,10 +75,10 @@
 
 def place(
     board: fleet.ShardBoard,
-    free_capacity: FreeCapacity,
+    free_capacity: freecapacity.FreeCapacity,
     group: livejobs.Group,
     allow: WorkerFilter,
-    shape: Shape | None,
+    shape: freecapacity.Shape | None,
 ) -> list[str] | None:
     """Reserve a worker for each task of the group; return their ids.
 
@@ -307,25 +97,9 @@
     return placed
 
 
-def shape_of(group: livejobs.Group, rank: Rank) -> Shape:
-    """Return the shape of a group of urgency ``rank``."""
-    queue = group.job.queue
-    step = group.step
-    return Shape(
-        queue.service if queue else '',
-        step.counted_need,
-        step.label,
-        step.fills,
-        bool(step.tail_latency_target_ms),
-        group.size,
-        group.size > 1 and step.rack_local and not group.may_span_racks,
-        rank,
-    )
-
-
 def _place_single(
     board: fleet.ShardBoard,
-    free_capacity: FreeCapacity,
+    free_capacity: freecapacity.FreeCapacity,
     group: livejobs.Group,
     allow: WorkerFilter,
 ) -> list[str] | None:
@@ -341,7 +115,7 @@
 
 def _place_on_last(
     board: fleet.ShardBoard,
-    free_capacity: FreeCapacity,
+    free_capacity: freecapacity.FreeCapacity,
     group: livejobs.Group,
     allow: WorkerFilter,
 ) -> str | None:
@@ -361,7 +135,9 @@
 
 
 def _candidates(
-    free_capacity: FreeCapacity, group: livejobs.Group, allow: WorkerFilter
+    free_capacity: freecapacity.FreeCapacity,
+    group: livejobs.Group,
+    allow: WorkerFilter,
 ) -> list[fleetworkers.Worker]:
     return [
         worker
@@ -371,7 +147,7 @@
 
 
 def _place_gang(
-    free_capacity: FreeCapacity,
+    free_capacity: freecapacity.FreeCapacity,
     group: livejobs.Group,
     allow: WorkerFilter,
 ) -> list[str] | None:
@@ -399,7 +175,7 @@
 
 
 def _sort_racks(
-    free_capacity: FreeCapacity,
+    free_capacity: freecapacity.FreeCapacity,
     group: livejobs.Group,
     racks: abc.Mapping[str, list[fleetworkers.Worker]],
 ) -> list[str]:
@@ -434,11 +210,11 @@
         left -= count
         if left <= 0:
             return speed_class
-    return _SLOWEST_CLASS
+    return freecapacity.SLOWEST_CLASS
 
 
 def _place_in(
-    free_capacity: FreeCapacity,
+    free_capacity: freecapacity.FreeCapacity,
     group: livejobs.Group,
     candidates: abc.Sequence[fleetworkers.Worker],
 ) -> list[str] | None:
@@ -465,7 +241,7 @@
 
 
 def _take_best(
-    free_capacity: FreeCapacity,
+    free_capacity: freecapacity.FreeCapacity,
     group: livejobs.Group,
     workers: abc.Sequence[fleetworkers.Worker],
     counts: dict[str, int],
@@ -504,7 +280,7 @@
 
 
 def _preference(
-    free_capacity: FreeCapacity,
+    free_capacity: freecapacity.FreeCapacity,
     group: livejobs.Group,
     worker: fleetworkers.Worker,
     need: jobgraph.Resources,
@@ -545,7 +321,9 @@
     if not step.gang or not step.rack_local:
         return False
     racks = group_by_rack(
-        worker for worker in workers if fits_when_empty(worker, step)
+        worker
+        for worker in workers
+        if freecapacity.fits_when_empty(worker, step)
     )
     for members in racks.values():
         fit_total = sum(_max_tasks_on(worker, step) for worker in members)
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -116,8 +116,9 @@
     ``idle_waits`` is the number of jobs that waited beside free capacity at
     ``waits_reported_at``, among those examined; the next report begins with
     the job at ``next_examined``.
-    ``search_retry_at_by_shape`` holds, for shapes (see ``fitting``) for which
-    neither victims nor workers to claim were found, when to search again.
+    ``search_retry_at_by_shape`` holds, for shapes (see ``freecapacity``) for
+    which neither victims nor workers to claim were found, when to search
+    again.
     """
 
     epoch: int = 0
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -23,6 +23,7 @@
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetpreemption
 from primroselock.decisions import fleetworkers
+from primroselock.decisions import freecapacity
 from primroselock.decisions import livejobs
 from primroselock.decisions import objectives
 from primroselock.decisions import placementround
@@ -91,12 +92,12 @@
     board: fleet.ShardBoard,
     settings: options.FleetSettings,
     usable: abc.Iterable[fleetworkers.Worker],
-) -> fitting.FreeCapacity:
+) -> freecapacity.FreeCapacity:
     """Return the free capacity of ``usable`` workers that are verified."""
     unverified_ids = {
         worker.id for worker in reachability.list_unverified(board)
     }
-    return fitting.FreeCapacity(
+    return freecapacity.FreeCapacity(
         board,
         [worker for worker in usable if worker.id not in unverified_ids],
         fitting.scores_by_name[settings.placement],
@@ -121,7 +122,7 @@
     first.may_span_racks = may_span_racks
     shape = None
     if not (queue.advice or first.step.max_per_worker):
-        shape = fitting.shape_of(first, context.rank(first))
+        shape = freecapacity.shape_of(first, context.rank(first))
     is_exhausted = (
         shape in context.free_capacity.unplaceable_shapes
         and not _may_search(context, shape)
@@ -163,7 +164,7 @@
 
 
 def _may_search(
-    context: placementround.RoundContext, shape: fitting.Shape | None
+    context: placementround.RoundContext, shape: freecapacity.Shape | None
 ) -> bool:
     """Return whether victims may be searched for a group of this shape."""
     if shape is None:
@@ -203,7 +204,7 @@
     context: placementround.RoundContext,
     group: livejobs.Group,
     queue: queues.Queue,
-    shape: fitting.Shape | None,
+    shape: freecapacity.Shape | None,
 ) -> bool:
     """Place a group on free capacity; return whether it was placed."""
     allow = preferences.build_worker_filter(context, group, queue)
@@ -214,7 +215,7 @@
     context: placementround.RoundContext,
     group: livejobs.Group,
     queue: queues.Queue,
-    shape: fitting.Shape | None,
+    shape: freecapacity.Shape | None,
 ) -> bool:
     """Preempt for a group, or claim the workers that become free.
 
--- a/primroselock/decisions/fleetpreemption.py
+++ b/primroselock/decisions/fleetpreemption.py
@@ -17,6 +17,7 @@
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
+from primroselock.decisions import freecapacity
 from primroselock.decisions import livejobs
 from primroselock.decisions import waiting
 from primroselock import jobgraph
@@ -124,7 +125,7 @@
 
 
 def choose_victims(
-    free_capacity: fitting.FreeCapacity,
+    free_capacity: freecapacity.FreeCapacity,
     group: livejobs.Group,
     allow: fitting.WorkerFilter,
     may_stop: MayStop,
@@ -140,7 +141,7 @@
 
 def choose_soonest_free(
     board: fleet.ShardBoard,
-    free_capacity: fitting.FreeCapacity,
+    free_capacity: freecapacity.FreeCapacity,
     group: livejobs.Group,
     allow: fitting.WorkerFilter,
     now: float,
@@ -185,7 +186,7 @@
     the cost of several ends together.
     """
 
-    free_capacity: fitting.FreeCapacity
+    free_capacity: freecapacity.FreeCapacity
     group: livejobs.Group
     may_end: MayStop
     victims: VictimIndex
--- a/primroselock/decisions/placementround.py
+++ b/primroselock/decisions/placementround.py
@@ -11,6 +11,7 @@
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetpreemption
+from primroselock.decisions import freecapacity
 from primroselock.decisions import livejobs
 from primroselock.decisions import waiting
 from primroselock import jobs
@@ -29,14 +30,14 @@
     board: fleet.ShardBoard
     settings: options.FleetSettings
     plenty_services: abc.Set[str]
-    free_capacity: fitting.FreeCapacity
+    free_capacity: freecapacity.FreeCapacity
     victims: fleetpreemption.VictimIndex
     claims: claimindex.ClaimIndex
     guaranteed_ids: abc.Set[str]
     now: float
     wall_s: float
 
-    def rank(self, group: livejobs.Group) -> fitting.Rank:
+    def rank(self, group: livejobs.Group) -> freecapacity.Rank:
         """Return the urgency of a group; lower ranks go first."""
         return waiting.rank(group, self.guaranteed_ids)
 
@@ -50,7 +51,7 @@
     context: RoundContext,
     group: livejobs.Group,
     allow: fitting.WorkerFilter,
-    shape: fitting.Shape | None,
+    shape: freecapacity.Shape | None,
 ) -> bool:
     """Place a group on workers that ``allow`` passes, if it fits there."""
     board = context.board
--- a/primroselock/decisions/preferences.py
+++ b/primroselock/decisions/preferences.py
@@ -14,6 +14,7 @@
 from primroselock.decisions import fitting
 from primroselock.decisions import fleetpreemption
 from primroselock.decisions import fleetworkers
+from primroselock.decisions import freecapacity
 from primroselock.decisions import livejobs
 from primroselock.decisions import placementround
 from primroselock import queues
@@ -49,8 +50,8 @@
 def relaxed_shape(
     context: placementround.RoundContext,
     group: livejobs.Group,
-    shape: fitting.Shape | None,
-) -> fitting.Shape | None:
+    shape: freecapacity.Shape | None,
+) -> freecapacity.Shape | None:
     """Return the shape of an attempt without the group's preferences.
 
     Returns None where the attempt depends on more: while claims count, the
@@ -67,7 +68,7 @@
 def may_fit(
     context: placementround.RoundContext,
     group: livejobs.Group,
-    relaxed: fitting.Shape | None,
+    relaxed: freecapacity.Shape | None,
 ) -> bool:
     """Return whether a group may fit without its preferences."""
     free_capacity = context.free_capacity
@@ -80,7 +81,7 @@
     context: placementround.RoundContext,
     group: livejobs.Group,
     queue: queues.Queue,
-    relaxed: fitting.Shape | None,
+    relaxed: freecapacity.Shape | None,
 ) -> bool:
     """Place a group without its preferences; return whether it was placed."""
     waited_s = context.now - group.since
--- a/primroselock/decisions/waitreport.py
+++ b/primroselock/decisions/waitreport.py
@@ -15,9 +15,9 @@
 import typing
 
 from primroselock.decisions import eligibility
-from primroselock.decisions import fitting
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
+from primroselock.decisions import freecapacity
 from primroselock.decisions import livejobs
 from primroselock.decisions import reachability
 from primroselock.decisions import waiting
@@ -155,7 +155,7 @@
         worker.is_listed
         and not worker.entry.is_draining
         and service in (None, worker.entry.service)
-        and fitting.fits_when_empty(worker, group.step)
+        and freecapacity.fits_when_empty(worker, group.step)
     )
 
 
--- a/primroselock/test/testholderload.py
+++ b/primroselock/test/testholderload.py
@@ -19,6 +19,7 @@
 from primroselock.decisions import fleet
 from primroselock.decisions import fleethealth
 from primroselock.decisions import fleetround
+from primroselock.decisions import freecapacity
 from primroselock.decisions import graphs
 from primroselock.decisions import livejobs
 from primroselock.decisions import runs
@@ -104,7 +105,7 @@
             )
         )
         rounds, calls = count_calls(
-            self.site, fitting.FreeCapacity, 'list_with_capacity'
+            self.site, freecapacity.FreeCapacity, 'list_with_capacity'
         )
         # One look for the attempt to place and one for all preferences.
         self.assertLessEqual(calls, 2 * rounds)
