One module tells when this process was late itself

The bound of 0.3 s stood in runorders, workerpolling and holdersession, each with its own words for the same reason: what this process notices late shows nothing about others. lateness.is_late holds both; the callers keep their own due times, counters and conclusions, so that nothing changes.

--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -28,6 +28,7 @@
 from primroselock import graphwriter
 from primroselock import jobgraph
 from primroselock import jobs
+from primroselock import lateness
 from primroselock import logs
 from primroselock import metrics
 from primroselock import options
@@ -53,9 +54,6 @@
 _NEVER: typing.Final = float('-inf')
 _MIN_PAUSE_S: typing.Final = 0.001
 _MAX_PAUSE_S: typing.Final = 0.5
-_LATE_S: typing.Final = 0.3
-"""A round that starts this late shows that answers wait to be processed."""
-
 _LATE_GRACE_S: typing.Final = 1.0
 _MAX_SWEEP_INTERVAL_S: typing.Final = 20.0
 _MAX_DELETED_JOBS: typing.Final = 30
@@ -288,7 +286,7 @@
         What was received meanwhile is processed before they go on.
         """
         self._parts.counters.record('decision_late', max(0.0, late_s))
-        if late_s > _LATE_S:
+        if lateness.is_late(late_s):
             self._board.judge_from = now + _LATE_GRACE_S
         if late_s > _PAUSE_THRESHOLD_S:
             _log.warning('process paused', gap_s=round(late_s, 3))
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -22,6 +22,7 @@
 from primroselock.decisions import livejobs
 from primroselock.decisions import runleases
 from primroselock.decisions import runs
+from primroselock import lateness
 from primroselock import logs
 from primroselock import metrics
 from primroselock import options
@@ -32,8 +33,6 @@
 _log: typing.Final = logs.get('runorders')
 _MAX_START_ATTEMPTS: typing.Final = 3
 _RETRY_PAUSE_S: typing.Final = 0.05
-_LATE_S: typing.Final = 0.3
-"""A timeout that is noticed this late shows that the process was late."""
 
 
 def lease_deadline(
@@ -164,7 +163,7 @@
         The answer may have been received meanwhile.
         """
         late_s = now - sent_at - self._settings.fleet.order_timeout_s
-        if late_s <= _LATE_S:
+        if not lateness.is_late(late_s):
             return False
         self._metrics.count('late_orders')
         return True
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -18,6 +18,7 @@
 from primroselock.decisions import reachability
 from primroselock.decisions import runleases
 from primroselock.decisions import runs
+from primroselock import lateness
 from primroselock import logs
 from primroselock import metrics
 from primroselock import options
@@ -32,9 +33,6 @@
 
 _UNSAVED_CHECK_INTERVAL_S: typing.Final = 0.02
 _MAX_UNSAVED_WAIT_S: typing.Final = 1.0
-_LATE_S: typing.Final = 0.3
-"""A timeout that is noticed this late shows that the process was late."""
-
 _INITIAL_BACKOFF_S: typing.Final = 0.1
 _MAX_BACKOFF_S: typing.Final = 1.0
 
@@ -173,7 +171,7 @@
         self._metrics.count('looks')
         if isinstance(answer, result.Err):
             late_s = clock.monotonic() - sent_at - wait_s - timeout_s
-            if late_s > _LATE_S and isinstance(
+            if lateness.is_late(late_s) and isinstance(
                 answer.err_value, orders.Unanswered
             ):
                 # The answer may have been received while this process was
