One place turns errors of the store into refusals of intake

The refusal of a call that the store did not apply stood six times in intake, and the choice between it and an unknown outcome twice. The refusals, their details and their order are those before.

--- a/primroselock/intake.py
+++ b/primroselock/intake.py
@@ -206,13 +206,7 @@
         age_s = clock.monotonic() - self._confirmed_at()
         if age_s > self._settings.accept_permit_s:
             # The store has not answered of late: refuse, and send nothing.
-            return result.Err(
-                Refused(
-                    RefusalReason.STORE_UNAVAILABLE,
-                    f'age {age_s:.3f} s',
-                    _RETRY_AFTER_S,
-                )
-            )
+            return result.Err(_store_unavailable(f'age {age_s:.3f} s'))
         return await self._insert(graph, access.queue, deadline)
 
     async def _insert(
@@ -236,15 +230,7 @@
             return await self._check_stored_owner(key, graph)
         if isinstance(error, table.Rejected):
             return result.Err(Refused(RefusalReason.TOO_LARGE, error.detail))
-        if isinstance(error, table.Unavailable):
-            return result.Err(
-                Refused(
-                    RefusalReason.STORE_UNAVAILABLE,
-                    error.detail,
-                    _RETRY_AFTER_S,
-                )
-            )
-        return result.Err(Refused(RefusalReason.OUTCOME_UNKNOWN, error.detail))
+        return result.Err(_refuse_uncommitted(error))
 
     async def _commit(
         self, write: groupcommit.Write, deadline: float
@@ -311,15 +297,7 @@
         error = outcome.err_value
         if isinstance(error, table.Conflict):
             return result.Ok(None)
-        if isinstance(error, table.Unavailable):
-            return result.Err(
-                Refused(
-                    RefusalReason.STORE_UNAVAILABLE,
-                    error.detail,
-                    _RETRY_AFTER_S,
-                )
-            )
-        return result.Err(Refused(RefusalReason.OUTCOME_UNKNOWN, error.detail))
+        return result.Err(_refuse_uncommitted(error))
 
     async def state(
         self, access: Access, job_id: str, deadline: float
@@ -344,11 +322,7 @@
         progress = graphrows.read_progress(row)
         if progress is None:
             return result.Err(
-                Refused(
-                    RefusalReason.STORE_UNAVAILABLE,
-                    'progress row cannot be decoded',
-                    _RETRY_AFTER_S,
-                )
+                _store_unavailable('progress row cannot be decoded')
             )
         return result.Ok(progress.state)
 
@@ -382,11 +356,7 @@
             graph = graphrows.read_graph(read.ok_value)
             if graph is None:
                 return result.Err(
-                    Refused(
-                        RefusalReason.STORE_UNAVAILABLE,
-                        'job row cannot be decoded',
-                        _RETRY_AFTER_S,
-                    )
+                    _store_unavailable('job row cannot be decoded')
                 )
             owner = self._remember(graph)
         # Callers without a key, which a public queue admits, have no account.
@@ -406,13 +376,7 @@
         except TimeoutError:
             read = result.Err(table.Unavailable('no answer in time'))
         if isinstance(read, result.Err):
-            return result.Err(
-                Refused(
-                    RefusalReason.STORE_UNAVAILABLE,
-                    read.err_value.detail,
-                    _RETRY_AFTER_S,
-                )
-            )
+            return result.Err(_store_unavailable(read.err_value.detail))
         return result.Ok(read.ok_value.get(key))
 
     def count_waiting(
@@ -437,6 +401,20 @@
         return result.Ok(counts.waiting_by_queue.get(access.queue.name, 0))
 
 
+def _store_unavailable(detail: str) -> Refused:
+    """Return the refusal of a call that the store certainly did not apply."""
+    return Refused(RefusalReason.STORE_UNAVAILABLE, detail, _RETRY_AFTER_S)
+
+
+def _refuse_uncommitted(
+    error: table.Rejected | table.Unavailable | table.OutcomeUnknown,
+) -> Refused:
+    """Return the refusal of a call whose write was not confirmed."""
+    if isinstance(error, table.Unavailable):
+        return _store_unavailable(error.detail)
+    return Refused(RefusalReason.OUTCOME_UNKNOWN, error.detail)
+
+
 def _check_same_owner(
     stored: _Owner, graph: jobgraph.JobGraph
 ) -> result.Result[None, Refused]:
