--- a/primroselock/test/testfleetnode.py
+++ b/primroselock/test/testfleetnode.py
@@ -12,12 +12,23 @@
 
 from primroselock import clock
 from primroselock import intake
+from primroselock.test import fakefleet
 from primroselock.test import fleetbuilders
 from primroselock.test import virtualtime
 
 run_scenario: typing.Final = fleetbuilders.run_with_node
 
 
+async def fill_worker(
+    world: fleetbuilders.World, run_ms: int
+) -> fakefleet.FakeWorker:
+    """Run a job ``j1`` that fills one worker; return that worker."""
+    step = fleetbuilders.build_step(1, 8, run_ms)
+    world.submit(fleetbuilders.build_graph('j1', step))
+    await asyncio.sleep(1.0)
+    return world.find_busy_worker()
+
+
 class JobTest(unittest.TestCase):
     """Jobs run, wait, end and are cancelled as specified."""
 
@@ -170,10 +181,7 @@
         """Guards against unanswered polls that extend the lease."""
 
         async def scenario(world: fleetbuilders.World) -> None:
-            step = fleetbuilders.build_step(1, 8, 3000)
-            world.submit(fleetbuilders.build_graph('j1', step))
-            await asyncio.sleep(1.0)
-            busy = world.find_busy_worker()
+            busy = await fill_worker(world, 3000)
             world.fleet.crash(busy)
             took_s = await world.wait_for('j1', 'done', 16.0)
             self.assertGreater(took_s, 9.0)
@@ -186,10 +194,7 @@
         """A partition shorter than the lease of the runs loses no work."""
 
         async def scenario(world: fleetbuilders.World) -> None:
-            step = fleetbuilders.build_step(1, 8, 6000)
-            world.submit(fleetbuilders.build_graph('j1', step))
-            await asyncio.sleep(1.0)
-            busy = world.find_busy_worker()
+            busy = await fill_worker(world, 6000)
             busy.is_partitioned = True
             await asyncio.sleep(5.5)
             busy.is_partitioned = False
@@ -200,10 +205,7 @@
 
     def test_a_restarted_worker_has_lost_its_runs(self) -> None:
         async def scenario(world: fleetbuilders.World) -> None:
-            step = fleetbuilders.build_step(1, 8, 3000)
-            world.submit(fleetbuilders.build_graph('j1', step))
-            await asyncio.sleep(1.0)
-            busy = world.find_busy_worker()
+            busy = await fill_worker(world, 3000)
             world.fleet.crash(busy)
             await asyncio.sleep(0.5)
             world.fleet.restart(busy)
@@ -241,10 +243,7 @@
         """
 
         async def scenario(world: fleetbuilders.World) -> None:
-            step = fleetbuilders.build_step(1, 8, 8000)
-            world.submit(fleetbuilders.build_graph('j1', step))
-            await asyncio.sleep(1.0)
-            busy = world.find_busy_worker()
+            busy = await fill_worker(world, 8000)
             world.write_entry(
                 dataclasses.replace(
                     busy.entry, is_draining=True, remaining_s=2.0
--- a/primroselock/test/testrunprogress.py
+++ b/primroselock/test/testrunprogress.py
@@ -63,14 +63,12 @@
             queue_configuration=fleetbuilders.QUEUE_CONFIGURATION
         )
         self.board.record_entry(fleetbuilders.build_entry('w0'), 0.0)
-        job = graphs.add_job(
-            self.board,
-            fleetbuilders.build_graph('j', fleetbuilders.build_step(1, 8)),
-            None,
-            0,
-            0.0,
-            0,
-        )
+        step = fleetbuilders.build_step(1, 8)
+        self.run_first_group(fleetbuilders.build_graph('j', step))
+
+    def run_first_group(self, graph: jobgraph.JobGraph) -> None:
+        """Add a job whose first group, ``self.group``, runs on ``w0``."""
+        job = graphs.add_job(self.board, graph, None, 0, 0.0, 0)
         assert job is not None
         self.group = job.groups_by_key[jobgraph.GroupKey(0, 0, 0)]
         self.member = livejobs.Member(
@@ -182,17 +180,7 @@
         its longest run time tell that another task is slow.
         """
         wide = fleetbuilders.build_step(40)
-        graph = fleetbuilders.build_graph('wide', wide)
-        job = graphs.add_job(self.board, graph, None, 0, 0.0, 0)
-        assert job is not None
-        self.group = job.groups_by_key[jobgraph.GroupKey(0, 0, 0)]
-        self.member = livejobs.Member(
-            self.group, 0, 'w0', 1, livejobs.MemberState.PRESENT
-        )
-        self.group.members = [self.member]
-        self.group.enter(livejobs.Phase.RUNNING, 0.0)
-        self.group.began_at = 0.0
-        self.member.progress = runprogress.start(0.0, 0.0)
+        self.run_first_group(fleetbuilders.build_graph('wide', wide))
         self.learn('wide')
         self.report(0.1, 2.0)
         self.assertEqual([], self.list_stuck(2.0))
