--- a/primroselock/test/testtablefollower.py
+++ b/primroselock/test/testtablefollower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import dataclasses
 import random
 import typing
 import unittest
@@ -19,10 +20,17 @@
 _PAUSE_SEEDS: typing.Final = range(100, 250)
 """With 155 and 202 a call is in flight when the outage ends."""
 
-Scenario = abc.Callable[
-    [fakefeed.FeedStore, fakefeed.Connectivity, tablefollower.TableFollower],
-    abc.Coroutine[None, None, None],
-]
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Site:
+    """A table ``t``, its follower, and the connection between them."""
+
+    store: fakefeed.FeedStore
+    connectivity: fakefeed.Connectivity
+    follower: tablefollower.TableFollower
+
+
+Scenario = abc.Callable[[Site], abc.Coroutine[None, None, None]]
 
 
 def run_scenario(scenario: Scenario) -> None:
@@ -35,7 +43,7 @@
         follower = tablefollower.TableFollower(client, 't', 1.0)
         task = asyncio.create_task(follower.run())
         await follower.loaded.wait()
-        await scenario(store, connectivity, follower)
+        await scenario(Site(store, connectivity, follower))
         task.cancel()
 
     virtualtime.run(run_with_clock)
@@ -68,17 +76,13 @@
     """The copy and its age while the store is unresponsive or refuses."""
 
     def test_handlers_receive_changes_at_once(self) -> None:
-        async def scenario(
-            store: fakefeed.FeedStore,
-            connectivity: fakefeed.Connectivity,
-            follower: tablefollower.TableFollower,
-        ) -> None:
+        async def scenario(site: Site) -> None:
             reported: list[table.Changes] = []
-            follower.add_handler(reported.append)
-            store.put('t/b', b'2')
-            store.delete('t/a')
+            site.follower.add_handler(reported.append)
+            site.store.put('t/b', b'2')
+            site.store.delete('t/a')
             await asyncio.sleep(0.02)
-            self.assertEqual({'t/b'}, set(follower.rows_by_key))
+            self.assertEqual({'t/b'}, set(site.follower.rows_by_key))
             self.assertTrue(reported)
 
         run_scenario(scenario)
@@ -86,14 +90,10 @@
     def test_unchanged_table_stays_confirmed(self) -> None:
         """Guards against a copy that becomes stale while nothing changes."""
 
-        async def scenario(
-            store: fakefeed.FeedStore,
-            connectivity: fakefeed.Connectivity,
-            follower: tablefollower.TableFollower,
-        ) -> None:
+        async def scenario(site: Site) -> None:
             for _ in range(50):
                 await asyncio.sleep(0.1)
-                age_s = follower.age_s(clock.monotonic())
+                age_s = site.follower.age_s(clock.monotonic())
                 self.assertLess(age_s, 2.1)
 
         run_scenario(scenario)
@@ -101,19 +101,15 @@
     def test_age_grows_while_the_feed_is_unresponsive(self) -> None:
         """Guards against a copy that counts as confirmed without an answer."""
 
-        async def scenario(
-            store: fakefeed.FeedStore,
-            connectivity: fakefeed.Connectivity,
-            follower: tablefollower.TableFollower,
-        ) -> None:
-            connectivity.feed_is_unresponsive = True
+        async def scenario(site: Site) -> None:
+            site.connectivity.feed_is_unresponsive = True
             await asyncio.sleep(4.0)
-            self.assertGreater(follower.age_s(clock.monotonic()), 3.0)
-            store.put('t/b', b'2')
-            connectivity.feed_is_unresponsive = False
+            self.assertGreater(site.follower.age_s(clock.monotonic()), 3.0)
+            site.store.put('t/b', b'2')
+            site.connectivity.feed_is_unresponsive = False
             await asyncio.sleep(2.5)
-            self.assertIn('t/b', follower.rows_by_key)
-            self.assertLess(follower.age_s(clock.monotonic()), 2.1)
+            self.assertIn('t/b', site.follower.rows_by_key)
+            self.assertLess(site.follower.age_s(clock.monotonic()), 2.1)
 
         run_scenario(scenario)
 
@@ -124,22 +120,18 @@
         one after the longest pause, and it confirms as of its sending.
         """
 
-        async def scenario(
-            store: fakefeed.FeedStore,
-            connectivity: fakefeed.Connectivity,
-            follower: tablefollower.TableFollower,
-        ) -> None:
-            connectivity.refuses_calls = True
+        async def scenario(site: Site) -> None:
+            site.connectivity.refuses_calls = True
             await asyncio.sleep(4.0)
             ended_at = clock.monotonic()
-            connectivity.refuses_calls = False
+            site.connectivity.refuses_calls = False
             await asyncio.sleep(
                 tablefollower.MAX_PAUSE_S + fakefeed.CALL_DURATION_S
             )
             self.assertGreater(
-                follower.confirmed_at, ended_at - fakefeed.CALL_DURATION_S
+                site.follower.confirmed_at, ended_at - fakefeed.CALL_DURATION_S
             )
-            self.assertTrue(follower.is_reachable)
+            self.assertTrue(site.follower.is_reachable)
 
         for seed in _PAUSE_SEEDS:
             pauses = random.Random(seed)
@@ -152,37 +144,29 @@
     def test_unreachable_store_is_detected_before_the_copy_is_old(
         self,
     ) -> None:
-        async def scenario(
-            store: fakefeed.FeedStore,
-            connectivity: fakefeed.Connectivity,
-            follower: tablefollower.TableFollower,
-        ) -> None:
-            self.assertTrue(follower.is_reachable)
-            connectivity.refuses_calls = True
-            store.put('t/b', b'2')
+        async def scenario(site: Site) -> None:
+            self.assertTrue(site.follower.is_reachable)
+            site.connectivity.refuses_calls = True
+            site.store.put('t/b', b'2')
             await asyncio.sleep(1.5)
-            self.assertFalse(follower.is_reachable)
+            self.assertFalse(site.follower.is_reachable)
 
         run_scenario(scenario)
 
     def test_truncated_history_is_replaced_by_a_listing(self) -> None:
         """Guards against rows that stay since their deletion was not seen."""
 
-        async def scenario(
-            store: fakefeed.FeedStore,
-            connectivity: fakefeed.Connectivity,
-            follower: tablefollower.TableFollower,
-        ) -> None:
+        async def scenario(site: Site) -> None:
             reported: list[table.Changes] = []
-            follower.add_handler(reported.append)
-            connectivity.refuses_calls = True
+            site.follower.add_handler(reported.append)
+            site.connectivity.refuses_calls = True
             await asyncio.sleep(2.0)
-            store.delete('t/a')
-            store.put('t/b', b'2')
-            store.drop_history()
-            connectivity.refuses_calls = False
+            site.store.delete('t/a')
+            site.store.put('t/b', b'2')
+            site.store.drop_history()
+            site.connectivity.refuses_calls = False
             await asyncio.sleep(2.0)
-            self.assertEqual({'t/b'}, set(follower.rows_by_key))
+            self.assertEqual({'t/b'}, set(site.follower.rows_by_key))
             self.assertEqual(('t/a',), reported[-1].removed)
 
         run_scenario(scenario)
@@ -190,15 +174,11 @@
     def test_outdated_copy_answers_no_read(self) -> None:
         """A read past the maximum age of 2.5 s goes to the store."""
 
-        async def scenario(
-            store: fakefeed.FeedStore,
-            connectivity: fakefeed.Connectivity,
-            follower: tablefollower.TableFollower,
-        ) -> None:
-            client = fakefeed.FeedClient(store, connectivity)
-            reads = tablefollower.CachedReads(client, follower, 2.5)
+        async def scenario(site: Site) -> None:
+            client = fakefeed.FeedClient(site.store, site.connectivity)
+            reads = tablefollower.CachedReads(client, site.follower, 2.5)
             self.assertIsInstance(await reads.read(['t/a']), result.Ok)
-            connectivity.refuses_calls = True
+            site.connectivity.refuses_calls = True
             await asyncio.sleep(4.0)
             self.assertIsInstance(await reads.read(['t/a']), result.Err)
 
