--- a/primroselock/test/faultbuilders.py
+++ b/primroselock/test/faultbuilders.py
@@ -113,6 +113,13 @@
     return workers[fault.target % len(workers)]
 
 
+def _list_holders(
+    world: fleetbuilders.World,
+) -> list[fleetbuilders.TestNode]:
+    """Return the nodes that believe that they hold the shard."""
+    return [node for node in world.nodes if node.holder.lease.has_shard]
+
+
 @injection('cut worker')
 async def _partition_worker(world: fleetbuilders.World, fault: Fault) -> None:
     worker = _target(world, fault)
@@ -143,8 +150,7 @@
 
 @injection('kill holder')
 async def _kill_holder(world: fleetbuilders.World, fault: Fault) -> None:
-    holders = [n for n in world.nodes if n.holder.lease.has_shard]
-    for node in holders[:1]:
+    for node in _list_holders(world)[:1]:
         # Removed first: another fault may end the same node meanwhile.
         world.nodes.remove(node)
         await node.kill()
@@ -154,8 +160,7 @@
 
 @injection('holder loses store')
 async def _disconnect_holder(world: fleetbuilders.World, fault: Fault) -> None:
-    holders = [n for n in world.nodes if n.holder.lease.has_shard]
-    for node in holders[:1]:
+    for node in _list_holders(world)[:1]:
         node.connectivity.refuses_calls = True
         await asyncio.sleep(fault.for_s)
         node.connectivity.refuses_calls = False
@@ -200,8 +205,7 @@
 
 @injection('hand over')
 async def _hand_over(world: fleetbuilders.World, fault: Fault) -> None:
-    holders = [n for n in world.nodes if n.holder.lease.has_shard]
-    for node in holders[:1]:
+    for node in _list_holders(world)[:1]:
         world.nodes.remove(node)
         await node.holder.hand_over()
         await node.kill()
@@ -236,8 +240,7 @@
 
 @injection('throttle holder')
 async def _throttle_holder(world: fleetbuilders.World, fault: Fault) -> None:
-    holders = [n for n in world.nodes if n.holder.lease.has_shard]
-    for node in holders[:1]:
+    for node in _list_holders(world)[:1]:
         node.connectivity.is_throttled = True
         await asyncio.sleep(fault.for_s)
         node.connectivity.is_throttled = False
