A job of which nothing runs is not kept waiting by claims beside a closed zone

Cause: claims of others are ignored only while capacity is plenty, and what is plenty was judged by the workers that may get starts. With a zone out of service two thirds of the workers may be used to more than half while most of all capacity is free; then claims had no bound, and one rack, avoided workers and the pause after a preemption held for longer, too. The class: a preference without a bound acts as a prohibition.

Change: for a job of which nothing runs, plenty is judged by all listed workers of its service (eligibility.PlentyServices). Once a group of it is placed, the others go by the usable workers again, so that a wide job does not take all that is claimed. An attempt that ignores claims has a shape of its own, so that the failure of one that does not is not taken for it.

--- a/primroselock/decisions/eligibility.py
+++ b/primroselock/decisions/eligibility.py
@@ -5,12 +5,14 @@
 """
 
 from collections import abc
+import dataclasses
 import enum
 import typing
 
 from primroselock.decisions import fleet
 from primroselock.decisions import fleethealth
 from primroselock.decisions import fleetworkers
+from primroselock.decisions import livejobs
 
 _PLENTY_SHARE: typing.Final = 0.5
 """Capacity is plenty while less than this share of a resource is in use."""
@@ -83,10 +85,45 @@
     return bool(shares) and max(shares) < _PLENTY_SHARE
 
 
-def list_plenty_services(
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlentyServices:
+    """The services of which plenty of capacity is free.
+
+    ``of_usable`` counts the workers that may get starts, ``of_listed`` all
+    workers with an entry.  The latter are more while workers are kept from
+    starts, for example by a zone out of service.
+    """
+
+    of_usable: frozenset[str] = frozenset()
+    of_listed: frozenset[str] = frozenset()
+
+    def has_plenty(self, job: livejobs.LiveJob, now: float) -> bool:
+        """Return whether capacity is plenty for a job.
+
+        A job of which nothing runs does not wait for what it prefers only
+        because many workers get no starts.
+        """
+        if job.queue is None:
+            return False
+        service = job.queue.service
+        if service in self.of_usable:
+            return True
+        return service in self.of_listed and job.runs_nothing(now)
+
+
+def find_plenty(
+    board: fleet.ShardBoard, usable: abc.Iterable[fleetworkers.Worker]
+) -> PlentyServices:
+    """Return the services that have plenty; ``usable`` may get starts."""
+    return PlentyServices(
+        _list_plenty_services(usable),
+        _list_plenty_services(_list_listed(board)),
+    )
+
+
+def _list_plenty_services(
     workers: abc.Iterable[fleetworkers.Worker],
 ) -> frozenset[str]:
-    """Return the services that have plenty of free capacity."""
     workers_by_service: dict[str, list[fleetworkers.Worker]] = {}
     for worker in workers:
         workers_by_service.setdefault(worker.entry.service, []).append(worker)
@@ -99,11 +136,14 @@
 
 def is_partly_idle(board: fleet.ShardBoard) -> bool:
     """Return whether much of any resource of the listed workers is free."""
-    listed = [w for w in board.workers_by_id.values() if w.is_listed]
-    shares = _used_shares(listed)
+    shares = _used_shares(_list_listed(board))
     return bool(shares) and min(shares) < _PLENTY_SHARE
 
 
+def _list_listed(board: fleet.ShardBoard) -> list[fleetworkers.Worker]:
+    return [w for w in board.workers_by_id.values() if w.is_listed]
+
+
 def _used_shares(workers: abc.Collection[fleetworkers.Worker]) -> list[float]:
     """Return the used share of each resource that the workers have."""
     capacity = used = fleetworkers.NO_RESOURCES
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -63,16 +63,16 @@
     guaranteed_ids = waiting.guaranteed_job_ids(board)
     sort_key = waiting.orders_by_name[settings.waiting_order]
     usable = eligibility.list_usable(board, now)
-    plenty_services = eligibility.list_plenty_services(usable)
+    plenty = eligibility.find_plenty(board, usable)
     steps = waiting.list_waiting(
-        board, guaranteed_ids, sort_key, now, wall_s, plenty_services
+        board, guaranteed_ids, sort_key, now, wall_s, plenty
     )
     if not steps:
         return
     context = placementround.RoundContext(
         board,
         settings,
-        plenty_services,
+        plenty,
         _build_free_capacity(board, settings, usable),
         fleetpreemption.VictimIndex(now),
         claimindex.ClaimIndex(board.claims_by_group),
--- a/primroselock/decisions/freecapacity.py
+++ b/primroselock/decisions/freecapacity.py
@@ -41,7 +41,8 @@
 
     ``size`` is the number of its tasks, which run in one rack if
     ``in_one_rack`` is set.  ``is_relaxed`` is set for an attempt without
-    the group's preferences.
+    the group's preferences, ``ignores_claims`` if the claims of others do
+    not count either.
     """
 
     service: str
@@ -53,10 +54,16 @@
     in_one_rack: bool
     rank: Rank
     is_relaxed: bool = False
+    ignores_claims: bool = False
 
-    def relaxed(self) -> 'Shape':
+    def relaxed(self, ignores_claims: bool) -> 'Shape':
         """Return the shape of an attempt without preferences."""
-        return dataclasses.replace(self, in_one_rack=False, is_relaxed=True)
+        return dataclasses.replace(
+            self,
+            in_one_rack=False,
+            is_relaxed=True,
+            ignores_claims=ignores_claims,
+        )
 
 
 def shape_of(group: livejobs.Group, rank: Rank) -> Shape:
--- a/primroselock/decisions/livejobs.py
+++ b/primroselock/decisions/livejobs.py
@@ -26,6 +26,8 @@
 from primroselock.workers import orders
 
 _NEVER: typing.Final = float('-inf')
+_MAX_START_S: typing.Final = 2.0
+"""What was placed longer ago than this and does not run may never do so."""
 
 
 class Phase(enum.Enum):
@@ -274,6 +276,17 @@
             refusal.is_stored and now >= refusal.next_at
         )
 
+    def runs_nothing(self, now: float) -> bool:
+        """Return whether no group runs, or was placed a short time ago."""
+        return not any(
+            group.phase is Phase.RUNNING
+            or (
+                group.phase in ACTIVE_PHASES
+                and now - group.since < _MAX_START_S
+            )
+            for group in self.groups_by_key.values()
+        )
+
     def request_cancel(self) -> None:
         """Record that the job's cancellation was requested."""
         self.is_cancelled = True
--- a/primroselock/decisions/placementround.py
+++ b/primroselock/decisions/placementround.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from primroselock.decisions import claimindex
+from primroselock.decisions import eligibility
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetpreemption
@@ -23,13 +24,12 @@
     """The inputs to the placements of one round.
 
     ``guaranteed_ids`` names the jobs within their accounts' guarantees.
-    ``plenty_services`` names the services of which much capacity is free.
     ``now`` is on this process's clock; ``wall_s`` is since the Unix epoch.
     """
 
     board: fleet.ShardBoard
     settings: options.FleetSettings
-    plenty_services: abc.Set[str]
+    plenty: eligibility.PlentyServices
     free_capacity: freecapacity.FreeCapacity
     victims: fleetpreemption.VictimIndex
     claims: claimindex.ClaimIndex
@@ -42,9 +42,8 @@
         return waiting.rank(group, self.guaranteed_ids)
 
     def has_plenty(self, group: livejobs.Group) -> bool:
-        """Return whether much capacity of the group's service is free."""
-        queue = group.job.queue
-        return queue is not None and queue.service in self.plenty_services
+        """Return whether capacity is plenty for the group's job."""
+        return self.plenty.has_plenty(group.job, self.now)
 
 
 def place_among(
--- a/primroselock/decisions/preferences.py
+++ b/primroselock/decisions/preferences.py
@@ -3,7 +3,7 @@
 One rack for a gang, workers where the group was not stuck before, and
 workers that no other group claims are preferences.  They are dropped for a
 group that has waited for a while although it fits without them: soon while
-plenty of capacity is free, and later, but for the claims, in any case.
+capacity is plenty, and later, but for the claims, in any case.
 Workers where it was stuck come last, and only once no other is expected to
 be free for it soon.
 """
@@ -57,12 +57,12 @@
     Returns None where the attempt depends on more: while claims count, the
     group may use the workers that it claims itself.
     """
-    claims_count = not context.has_plenty(group)
+    ignores_claims = context.has_plenty(group)
     if shape is None or (
-        claims_count and group in context.board.claims_by_group
+        not ignores_claims and group in context.board.claims_by_group
     ):
         return None
-    return shape.relaxed()
+    return shape.relaxed(ignores_claims)
 
 
 def may_fit(
--- a/primroselock/decisions/waiting.py
+++ b/primroselock/decisions/waiting.py
@@ -8,6 +8,7 @@
 from collections import abc
 import typing
 
+from primroselock.decisions import eligibility
 from primroselock.decisions import fleet
 from primroselock.decisions import livejobs
 from primroselock.decisions import objectives
@@ -157,12 +158,12 @@
     sort_key: SortKey,
     now: float,
     wall_s: float,
-    plenty_services: abc.Set[str],
+    plenty: eligibility.PlentyServices,
 ) -> list[list[livejobs.Group]]:
     """Return the groups to place, by step, in the order of placement.
 
-    Groups that were preempted yield for a time, unless plenty of capacity of
-    their service is free: it is then one of ``plenty_services``.
+    Groups that were preempted yield for a time, unless capacity is plenty
+    for their job.
     The groups of a step are equally urgent, so that steps are ordered, not
     groups; a step's groups are in the order of their tasks.
     """
@@ -173,8 +174,7 @@
             continue
         if not job.may_be_placed(now):
             continue
-        service = job.queue.service if job.queue else None
-        has_plenty = service in plenty_services
+        has_plenty = plenty.has_plenty(job, now)
         due = [
             group
             for group in groups
--- a/primroselock/test/testeligibility.py
+++ b/primroselock/test/testeligibility.py
@@ -6,6 +6,8 @@
 
 from primroselock.decisions import eligibility
 from primroselock.decisions import fleet
+from primroselock.decisions import graphs
+from primroselock.decisions import livejobs
 from primroselock import jobgraph
 from primroselock.test import fleetbuilders
 
@@ -60,6 +62,62 @@
         board.workers_by_id['w-a'].used = _ALL_CORES
         self.check_plenty(board, False)
 
+    def check_idle_job(self, board: fleet.ShardBoard, is_plenty: bool) -> None:
+        """Check whether capacity is plenty for a job of which nothing runs."""
+        job = self.add_job(board)
+        plenty = eligibility.find_plenty(
+            board, eligibility.list_usable(board, _NOW)
+        )
+        self.assertIs(is_plenty, plenty.has_plenty(job, _NOW))
+
+    @staticmethod
+    def add_job(board: fleet.ShardBoard) -> livejobs.LiveJob:
+        """Add a job of two tasks."""
+        step = fleetbuilders.build_step(2, 1)
+        graph = fleetbuilders.build_graph('j', step)
+        job = graphs.add_job(board, graph, None, 0, 0.0, 0)
+        assert job is not None
+        return job
+
+    def test_an_idle_job_counts_workers_that_get_no_starts(self) -> None:
+        """Guards against jobs that wait while most of all capacity is free.
+
+        The pattern: a zone is drained, and work of others claims the rest.
+        """
+        board = build_board()
+        board.queue_configuration = dataclasses.replace(
+            board.queue_configuration, zones_out_of_service=frozenset({'c'})
+        )
+        board.workers_by_id['w-a'].used = _ALL_CORES
+        self.check_plenty(board, False)
+        self.check_idle_job(board, True)
+
+    def test_capacity_in_use_is_no_plenty_for_an_idle_job(self) -> None:
+        """Guards against preferences that never hold for idle jobs."""
+        board = build_board()
+        for zone in 'ab':
+            board.workers_by_id[f'w-{zone}'].used = _ALL_CORES
+        self.check_idle_job(board, False)
+
+    def test_a_job_that_runs_counts_usable_workers_only(self) -> None:
+        """Guards against a wide job that takes all claimed capacity."""
+        board = build_board()
+        board.workers_by_id['w-a'].used = _ALL_CORES
+        board.workers_by_id['w-b'].entry = dataclasses.replace(
+            board.workers_by_id['w-b'].entry, is_draining=True
+        )
+        job = self.add_job(board)
+        first, second = job.groups_by_key.values()
+        usable = eligibility.list_usable(board, _NOW)
+        plenty = eligibility.find_plenty(board, usable)
+        self.assertTrue(plenty.has_plenty(job, _NOW))
+        first.enter(livejobs.Phase.RUNNING, 0.0)
+        self.assertFalse(plenty.has_plenty(job, _NOW))
+        first.enter(livejobs.Phase.DONE, _NOW)
+        second.enter(livejobs.Phase.COMMITTING, _NOW)
+        self.assertFalse(plenty.has_plenty(job, _NOW))
+        self.assertTrue(plenty.has_plenty(job, _NOW + 5.0))
+
     def test_no_usable_worker_is_no_plenty(self) -> None:
         """Guards against a division by no capacity."""
         self.check_plenty(fleet.ShardBoard(), False)
