The pools of connections by address have a module of their own

The clients of both kinds of workers, platform/workers and workers/link, each looked a pool up, built, dropped and closed it in the same words. addresspools.AddressPools does it for both; each builds its pools with the limits and idle times that it had.

--- a/primroselock/platform/workers.py
+++ b/primroselock/platform/workers.py
@@ -1,10 +1,12 @@
 """Client of the HTTP API of the platform's workers."""
 
+import functools
 import typing
 
 import msgspec
 import result
 
+from primroselock import addresspools
 from primroselock import httpclient
 from primroselock import jobgraph
 from primroselock import logs
@@ -90,7 +92,13 @@
     """Implements ``orders.RunClient`` over the platform's calls."""
 
     def __init__(self) -> None:
-        self._pools_by_address: dict[str, httpclient.ConnectionPool] = {}
+        self._pools = addresspools.AddressPools(
+            functools.partial(
+                httpclient.ConnectionPool,
+                limit=_CONNECTIONS_PER_WORKER,
+                idle_s=_CONNECTION_IDLE_S,
+            )
+        )
 
     async def start(
         self,
@@ -163,14 +171,11 @@
 
     async def drop(self, address: str) -> None:
         """Close the connections to a worker that was removed."""
-        pool = self._pools_by_address.pop(address, None)
-        if pool is not None:
-            await pool.aclose()
+        await self._pools.drop(address)
 
     async def aclose(self) -> None:
         """Close every connection."""
-        for address in list(self._pools_by_address):
-            await self.drop(address)
+        await self._pools.aclose()
 
     async def _order(
         self,
@@ -197,12 +202,6 @@
         body: msgspec.Struct,
         timeout_s: float,
     ) -> result.Result[httpclient.Response, orders.OrderError]:
-        pool = self._pools_by_address.get(address)
-        if pool is None:
-            pool = httpclient.ConnectionPool(
-                address, _CONNECTIONS_PER_WORKER, _CONNECTION_IDLE_S
-            )
-            self._pools_by_address[address] = pool
         headers = (
             ('Content-Type', 'application/json'),
             ('X-Expected-Instance', worker_id),
@@ -210,7 +209,7 @@
         request = httpclient.Request(
             'POST', path, msgspec.json.encode(body), headers
         )
-        answer = await pool.exchange(request, timeout_s)
+        answer = await self._pools.get(address).exchange(request, timeout_s)
         if isinstance(answer, result.Err):
             error = answer.err_value
             if isinstance(error, httpclient.NotSent):
--- a/primroselock/test/testplatformcalls.py
+++ b/primroselock/test/testplatformcalls.py
@@ -261,7 +261,7 @@
     def _build_client(self, answer: typing.Any) -> workers.HttpRunClient:
         run_client = workers.HttpRunClient()
         self.pool = _FakePool(answer)
-        pools: typing.Any = run_client._pools_by_address
+        pools: typing.Any = run_client._pools.pools_by_address
         pools['w:1'] = self.pool
         return run_client
 
--- a/primroselock/workers/link.py
+++ b/primroselock/workers/link.py
@@ -1,11 +1,13 @@
 """Client of the workers' exchange protocol over HTTP."""
 
 import dataclasses
+import functools
 import typing
 
 import msgspec
 import result
 
+from primroselock import addresspools
 from primroselock import httpclient
 from primroselock.workers import protocol
 
@@ -45,17 +47,17 @@
 
     def __init__(self, timeout_s: float) -> None:
         self._timeout_s = timeout_s
-        self._pools_by_address: dict[str, httpclient.ConnectionPool] = {}
+        self._pools = addresspools.AddressPools(
+            functools.partial(
+                httpclient.ConnectionPool, limit=_CONNECTIONS_PER_WORKER
+            )
+        )
 
     async def exchange(
         self, address: str, batch: protocol.Batch
     ) -> result.Result[protocol.Report, LinkError]:
         """Send ``batch`` to the worker at ``address``."""
-        pool = self._pools_by_address.get(address)
-        if pool is None:
-            pool = httpclient.ConnectionPool(address, _CONNECTIONS_PER_WORKER)
-            self._pools_by_address[address] = pool
-        answer = await pool.exchange(
+        answer = await self._pools.get(address).exchange(
             httpclient.Request(
                 'POST', '/v1/exchange', msgspec.json.encode(batch)
             ),
@@ -67,14 +69,11 @@
 
     async def drop(self, address: str) -> None:
         """Close the connections to a worker that was removed."""
-        pool = self._pools_by_address.pop(address, None)
-        if pool is not None:
-            await pool.aclose()
+        await self._pools.drop(address)
 
     async def aclose(self) -> None:
         """Close every connection."""
-        for address in list(self._pools_by_address):
-            await self.drop(address)
+        await self._pools.aclose()
 
 
 def _decode(
