The rank of a group has one name

The same type stood in freecapacity, claimindex, waiting, fleet and the trace of the tests, in one of them with what it means. livejobs.Rank serves all; only annotations change.

--- a/primroselock/decisions/claimindex.py
+++ b/primroselock/decisions/claimindex.py
@@ -9,8 +9,6 @@
 from primroselock.decisions import fleet
 from primroselock.decisions import livejobs
 
-Rank = tuple[bool, int]
-
 
 class ClaimIndex:
     """Indexes ``claims_by_group`` and keeps both up to date."""
@@ -48,7 +46,7 @@
                 del self._owners_by_worker_id[worker_id]
 
     def excludes(
-        self, worker_id: str, group: livejobs.Group, rank: Rank
+        self, worker_id: str, group: livejobs.Group, rank: livejobs.Rank
     ) -> bool:
         """Return whether others' claims exclude a group from a worker.
 
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -65,7 +65,7 @@
 
     worker_ids: frozenset[str]
     since: float
-    rank: tuple[bool, int]
+    rank: livejobs.Rank
 
 
 @dataclasses.dataclass(slots=True)
--- a/primroselock/decisions/freecapacity.py
+++ b/primroselock/decisions/freecapacity.py
@@ -28,11 +28,6 @@
 Score = abc.Callable[
     [fleetworkers.Worker, jobgraph.Resources], tuple[float, ...]
 ]
-Rank = tuple[bool, int]
-"""The urgency of a group: (is not guaranteed, priority of its queue).
-
-Lower ranks go first.
-"""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,7 +46,7 @@
     has_latency_target: bool
     size: int
     in_one_rack: bool
-    rank: Rank
+    rank: livejobs.Rank
     is_relaxed: bool = False
 
     def relaxed(self) -> 'Shape':
@@ -59,7 +54,7 @@
         return dataclasses.replace(self, in_one_rack=False, is_relaxed=True)
 
 
-def shape_of(group: livejobs.Group, rank: Rank) -> Shape:
+def shape_of(group: livejobs.Group, rank: livejobs.Rank) -> Shape:
     """Return the shape of a group of urgency ``rank``."""
     queue = group.job.queue
     step = group.step
--- a/primroselock/decisions/livejobs.py
+++ b/primroselock/decisions/livejobs.py
@@ -27,6 +27,12 @@
 
 _NEVER: typing.Final = float('-inf')
 
+Rank = tuple[bool, int]
+"""The urgency of a group: (is not guaranteed, priority of its queue).
+
+Lower ranks go first.
+"""
+
 
 class Phase(enum.Enum):
     """The phases of a group, in the order described above."""
--- a/primroselock/decisions/placementround.py
+++ b/primroselock/decisions/placementround.py
@@ -37,7 +37,7 @@
     now: float
     wall_s: float
 
-    def rank(self, group: livejobs.Group) -> freecapacity.Rank:
+    def rank(self, group: livejobs.Group) -> livejobs.Rank:
         """Return the urgency of a group; lower ranks go first."""
         return waiting.rank(group, self.guaranteed_ids)
 
--- a/primroselock/decisions/waiting.py
+++ b/primroselock/decisions/waiting.py
@@ -76,9 +76,7 @@
     return job.queue.priority if job.queue else 99
 
 
-def rank(
-    group: livejobs.Group, guaranteed_ids: abc.Set[str]
-) -> tuple[bool, int]:
+def rank(group: livejobs.Group, guaranteed_ids: abc.Set[str]) -> livejobs.Rank:
     """Return the urgency of a group; lower ranks may preempt higher ones."""
     return (group.job.graph.id not in guaranteed_ids, priority(group.job))
 
--- a/primroselock/test/idletrace.py
+++ b/primroselock/test/idletrace.py
@@ -19,8 +19,6 @@
 from primroselock.test import fleetbuilders
 from primroselock.test import idlecapacity
 
-Rank = tuple[bool, int]
-
 
 def explain(
     world: fleetbuilders.World, violation: idlecapacity.Violation
@@ -104,7 +102,7 @@
 def _explain_workers(
     board: fleet.ShardBoard,
     group: livejobs.Group,
-    rank: Rank,
+    rank: livejobs.Rank,
     sound: list[fakefleet.FakeWorker],
     now: float,
 ) -> list[str]:
