--- a/primroselock/decisions/livejobs.py
+++ b/primroselock/decisions/livejobs.py
@@ -227,9 +227,10 @@
 class Refusal:
     """The store refuses the progress of a job (see ``refusedwrites``).
 
-    ``writes`` counts the refused writes.  The job is to be written again at
-    ``next_at`` or, once something ``is_stored``, placed again, on this
-    process's clock.
+    ``writes`` counts the refused writes.  ``next_at``, on this process's
+    clock, is when the job is to be written again or, once its progress
+    ``is_stored``, placed again.  ``has_ended_placements`` is set once the
+    placements that the store refused were ended.
     """
 
     writes: int = 0
--- a/primroselock/decisions/refusedwrites.py
+++ b/primroselock/decisions/refusedwrites.py
@@ -15,7 +15,7 @@
 
 _FIRST_DELAY_S: typing.Final = 0.25
 _MAX_DELAY_S: typing.Final = 10.0
-_MAX_HELD_WRITES: typing.Final = 4
+_MAX_REFUSED_WRITES: typing.Final = 4
 """Refused writes after which a job's placements are ended."""
 
 
@@ -28,7 +28,7 @@
     refusal.writes += 1
     refusal.is_stored = False
     refusal.next_at = now + _delay_s(refusal.writes)
-    if refusal.writes < _MAX_HELD_WRITES:
+    if refusal.writes < _MAX_REFUSED_WRITES:
         return
     if _end_placements(board, job, now, wall_ms):
         refusal.has_ended_placements = True
@@ -42,6 +42,8 @@
     refusal = job.refusal
     if refusal is None:
         return
+    # Without the ended placements the row was smaller: that it is stored
+    # does not show that the store would take them.
     may_place_at_once = has_placement or not refusal.has_ended_placements
     if may_place_at_once or job.state.is_final:
         job.refusal = None
