Names of run leases tell whose lease, and on which clock

lease_until, lease_expiry_bound and _all_leases_until stood beside each other: now lease_end_on_worker (the worker's clock), _own_leases_until (this holder) and _all_leases_until (earlier holders too). has_answering_worker takes bounds, so covers_answering_worker. leasebounds says what its two classes are to each other, claimindex what equally urgent groups may do. Names and comments only; testleasebounds, testtakeoverwaits and testidledecisions passed.

--- a/primroselock/decisions/claimindex.py
+++ b/primroselock/decisions/claimindex.py
@@ -50,8 +50,8 @@
     ) -> bool:
         """Return whether others' claims exclude a group from a worker.
 
-        ``rank`` is the urgency of the group; more urgent groups may use
-        claimed workers.
+        ``rank`` is the urgency of the group.  Groups that are more urgent
+        than the owner of a claim may use its workers; equal ones may not.
         """
         owners: typing.Iterable[livejobs.Group] = (
             self._owners_by_worker_id.get(worker_id, ())
--- a/primroselock/decisions/leasebounds.py
+++ b/primroselock/decisions/leasebounds.py
@@ -1,13 +1,17 @@
-"""How long run leases may be valid that a holder does not extend.
+"""By when the leases of runs have expired that a holder does not extend.
 
 A holder leases runs at most until ``run_lease_s`` after the store last
-confirmed it.  A successor that knows no more than that has to wait as long
-before a run on a worker that nobody reaches counts as ended, and the next
-successor would wait again.  So a holder publishes with its shard lease which
-workers it grants no leases, and for how long earlier ones may be valid.  It
-grants and extends none of these until a row without the worker is stored; a
-successor goes on with what is left.  From its takeover until it has read the
-jobs, a holder grants no lease to any worker.
+confirmed it.  A successor that knows no more than that waits as long before
+a run on a worker that nobody reaches counts as ended, and the next successor
+would wait as long again.  So a holder publishes, in the row of its shard
+lease, to which workers it grants no leases and for how long earlier ones may
+be valid.  It grants and extends none there until a row without the worker is
+stored; a successor waits only for what is left.  From its takeover until it
+has read the jobs, a holder grants no lease to any worker.
+
+``LeaseBounds`` are what is published, as durations, since the clocks of two
+holders differ; ``InheritedLeases`` are the same as times on this process's
+clock; ``runleases`` turns one worker's leases into bounds.
 """
 
 from collections import abc
--- a/primroselock/decisions/runleases.py
+++ b/primroselock/decisions/runleases.py
@@ -1,4 +1,4 @@
-"""Until when a worker may run what it was told: the leases of its runs.
+"""Until when a worker may run what it was told, by the leases of its runs.
 
 What runs on a worker that does not answer can run until every lease has
 expired that this holder or an earlier one granted.  Until then its members
@@ -14,7 +14,7 @@
 from primroselock.decisions import runs
 
 _EXPIRY_CHECK_INTERVAL_S: typing.Final = 0.05
-LEASE_MARGIN_S: typing.Final = 0.3
+_LEASE_MARGIN_S: typing.Final = 0.3
 """Added to the time by which a worker's leases have expired."""
 
 _SILENT_AFTER_S: typing.Final = 1.0
@@ -79,11 +79,15 @@
 def _all_leases_until(
     board: fleet.ShardBoard, worker: fleetworkers.Worker
 ) -> float:
-    """Return the time by which every lease of the worker has expired."""
+    """Return the time by which every lease of the worker has expired.
+
+    Times are on this process's clock.
+    """
     inherited_until = board.inherited_leases.until(worker.id)
     if not worker.is_polled:
+        # This holder knows no clock of the worker, and granted no lease.
         return inherited_until
-    return max(inherited_until, lease_expiry_bound(worker))
+    return max(inherited_until, _own_leases_until(worker))
 
 
 def bound_leases(
@@ -108,11 +112,12 @@
     return leasebounds.LeaseBounds(left_s_by_worker_id)
 
 
-def has_answering_worker(
+def covers_answering_worker(
     board: fleet.ShardBoard, bounds: leasebounds.LeaseBounds
 ) -> bool:
     """Return whether published bounds keep back a worker that answers."""
     if bounds.others_left_s is not None:
+        # They cover all workers.
         return True
     for worker_id in bounds.left_s_by_worker_id:
         worker = board.workers_by_id.get(worker_id)
@@ -131,10 +136,11 @@
     )
 
 
-def lease_expiry_bound(worker: fleetworkers.Worker) -> float:
-    """Return the time by which the worker's leases have surely expired.
+def _own_leases_until(worker: fleetworkers.Worker) -> float:
+    """Return the time by which the leases of this holder have expired.
 
-    The worker's clock showed ``clock_s`` before ``clock_at``.
+    The worker's clock showed ``clock_s`` before ``clock_at``, and may be
+    slow: this is never too early.
     """
     if worker.lease_end is None:
         return worker.clock_at
@@ -142,11 +148,11 @@
     return (
         worker.clock_at
         + left_s * (1 + leasebounds.CLOCK_DRIFT)
-        + LEASE_MARGIN_S
+        + _LEASE_MARGIN_S
     )
 
 
-def lease_until(worker: fleetworkers.Worker, deadline: float) -> float:
+def lease_end_on_worker(worker: fleetworkers.Worker, deadline: float) -> float:
     """Return the end, on the worker's clock, of a lease to ``deadline``.
 
     ``deadline`` is on this process's clock; the lease does not exceed it
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -298,7 +298,7 @@
         self._decided_at = now
         self._board.permit_until = self._permit_until()
         self._board.published_bounds = self._lease.published_bounds
-        if runleases.has_answering_worker(
+        if runleases.covers_answering_worker(
             self._board, self._board.published_bounds
         ):
             self._parts.renewal_due.set()
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -52,7 +52,7 @@
 
     ``deadline`` is on this process's clock.
     """
-    until = runleases.lease_until(worker, deadline)
+    until = runleases.lease_end_on_worker(worker, deadline)
     worker.lease_end = max(worker.lease_end or 0.0, until)
     return until
 
