The report of waiting jobs has one meaning of plenty less

eligibility.has_plenty asks how much is in use, waitreport._has_plenty how often a group fits: now _fits_several_times. Other private names say what they return. What is logged stays; testwaitreport passed.

--- a/primroselock/decisions/waitreport.py
+++ b/primroselock/decisions/waitreport.py
@@ -2,12 +2,13 @@
 
 The log says what was placed.  For work that should run and does not, this
 records what holds it: the phase of its group, and for a waiting group how
-many workers each reason keeps from it.  Only jobs of which nothing runs
-beside plenty of free capacity are reported, about once a second.
+many workers each reason keeps from it.  Only jobs are reported of which
+nothing runs although free capacity would hold what they wait for twice over,
+about once a second.
 
 A report must stay cheap while thousands of jobs wait: it examines a part of
 them, the next one goes on from there, and jobs of equal need share one count
-of the free capacity, which ends once that is plenty.
+of the free capacity, which ends once that is enough.
 """
 
 from collections import abc
@@ -30,12 +31,12 @@
 _MAX_REPORTS: typing.Final = 10
 _MAX_EXAMINED_JOBS: typing.Final = 500
 _SPARE_FACTOR: typing.Final = 2
-"""Capacity is plenty if the group would fit this many times."""
+"""Capacity counts as free for a group that would fit this many times."""
 
 _UNVERIFIED: typing.Final = 'unverified'
 _CLAIMED: typing.Final = 'claimed for other groups'
 _AVOIDED: typing.Final = 'avoided by this group'
-_FITS: typing.Final = 'usable'
+_USABLE: typing.Final = 'usable'
 
 
 def report_idle_waits(board: fleet.ShardBoard, now: float) -> None:
@@ -49,16 +50,16 @@
     board.idle_waits = 0
     if not eligibility.is_partly_idle(board):
         return
-    has_plenty_by_need: dict[_Need, bool] = {}
+    fits_by_need: dict[_Need, bool] = {}
     held = []
     for job in _take_jobs_to_examine(board):
         group = _find_held_group(job, now)
         if group is None:
             continue
         need = _need_of(group)
-        if need not in has_plenty_by_need:
-            has_plenty_by_need[need] = _has_plenty(board, group)
-        if has_plenty_by_need[need]:
+        if need not in fits_by_need:
+            fits_by_need[need] = _fits_several_times(board, group)
+        if fits_by_need[need]:
             held.append(group)
     board.idle_waits = len(held)
     if not held:
@@ -72,7 +73,7 @@
 
 
 class _Need(typing.NamedTuple):
-    """What decides whether free capacity is plenty for a group."""
+    """What decides how often a group fits on free capacity."""
 
     service: str | None
     label: str
@@ -131,8 +132,13 @@
     return held
 
 
-def _has_plenty(board: fleet.ShardBoard, group: livejobs.Group) -> bool:
-    """Return whether the group would fit on sound workers several times."""
+def _fits_several_times(
+    board: fleet.ShardBoard, group: livejobs.Group
+) -> bool:
+    """Return whether free capacity would hold the group several times.
+
+    Whatever excludes a worker for now does not count: it is what is reported.
+    """
     need = group.step.counted_need
     service = group.job.queue.service if group.job.queue else None
     fit_total = 0
@@ -151,6 +157,7 @@
 def _is_candidate(
     worker: fleetworkers.Worker, group: livejobs.Group, service: str | None
 ) -> bool:
+    """Return whether a worker stays and could hold a task when empty."""
     return (
         worker.is_listed
         and not worker.entry.is_draining
@@ -182,13 +189,13 @@
         refused_writes=job.refusal.writes if job.refusal else 0,
         starts_permitted=now <= board.permit_until,
         delayed_s=round(max(0.0, group.not_before - now), 3),
-        held=_list_held_members(group),
+        held=_count_member_states(group),
         workers=_count_workers(board, group, obstacles, now),
     )
 
 
-def _list_held_members(group: livejobs.Group) -> dict[str, int]:
-    """Return how many members of the attempt are in each state."""
+def _count_member_states(group: livejobs.Group) -> dict[str, int]:
+    """Return by state how many members of the attempt are in it."""
     counts: dict[str, int] = {}
     for member in group.members:
         counts[member.state.value] = counts.get(member.state.value, 0) + 1
@@ -220,7 +227,7 @@
         elif worker.id in claimed:
             why = _CLAIMED
         else:
-            why = _FITS
+            why = _USABLE
         counts[why] = counts.get(why, 0) + 1
     return counts
 
