The report of waiting jobs asks the index of claims

Which claims keep a worker from a group was decided in claimindex and again in waitreport; now the placement and its explanation share it. testwaitreport passed.

--- a/primroselock/decisions/waitreport.py
+++ b/primroselock/decisions/waitreport.py
@@ -15,6 +15,7 @@
 import dataclasses
 import typing
 
+from primroselock.decisions import claimindex
 from primroselock.decisions import eligibility
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
@@ -66,6 +67,7 @@
         return
     obstacles = _Obstacles(
         frozenset(w.id for w in reachability.list_unverified(board)),
+        claimindex.ClaimIndex(board.claims_by_group),
         waiting.guaranteed_job_ids(board),
     )
     for group in held[:_MAX_REPORTS]:
@@ -90,6 +92,7 @@
     """
 
     unverified_ids: abc.Set[str]
+    claims: claimindex.ClaimIndex
     guaranteed_ids: abc.Set[str]
 
 
@@ -209,7 +212,7 @@
     now: float,
 ) -> dict[str, int]:
     """Return how many workers with free capacity each reason excludes."""
-    claimed = _list_claimed(board, group, obstacles.guaranteed_ids)
+    rank = waiting.rank(group, obstacles.guaranteed_ids)
     service = group.job.queue.service if group.job.queue else None
     counts: dict[str, int] = {}
     for worker in board.workers_by_id.values():
@@ -224,24 +227,9 @@
             why = _UNVERIFIED
         elif worker.id in group.avoided_worker_ids:
             why = _AVOIDED
-        elif worker.id in claimed:
+        elif obstacles.claims.excludes(worker.id, group, rank):
             why = _CLAIMED
         else:
             why = _USABLE
         counts[why] = counts.get(why, 0) + 1
     return counts
-
-
-def _list_claimed(
-    board: fleet.ShardBoard,
-    group: livejobs.Group,
-    guaranteed_ids: abc.Set[str],
-) -> abc.Set[str]:
-    """Return the workers that others' claims keep from the group."""
-    rank = waiting.rank(group, guaranteed_ids)
-    return {
-        worker_id
-        for owner, claim in board.claims_by_group.items()
-        if owner is not group and claim.rank <= rank
-        for worker_id in claim.worker_ids
-    }
