Names and comments of placeability read as those around it

Its parameter for the settings was called fleet, the name of the module of the blackboard elsewhere; two comments say why. testplaceability and testshardoffers passed.

--- a/primroselock/decisions/placeability.py
+++ b/primroselock/decisions/placeability.py
@@ -17,7 +17,7 @@
 from primroselock import options
 
 _GRACE_S: typing.Final = 1.0
-"""A holder that cannot place for longer than this offers the lease."""
+"""A holder that could not place for longer than this offers the lease."""
 
 _MAX_FAILED_LISTINGS: typing.Final = 2
 """Listings that fail in a row; each has retried its pages before."""
@@ -25,7 +25,7 @@
 _MIN_ABLE_S: typing.Final = 2.0
 """A standby takes an offer if it could place for longer than this.
 
-What recovers for all nodes at once leaves the shard where it is.
+So a failure that ends for all nodes at once moves no shard.
 """
 
 _RETRY_AFTER_S: typing.Final = 10.0
@@ -63,7 +63,10 @@
 
     @property
     def is_known_to_holders_only(self) -> bool:
-        """Whether a standby does not make the reads that failed."""
+        """Whether only a holder makes the reads that failed.
+
+        A standby then cannot know that its own would fail as well.
+        """
         return self.reason is not Reason.OLD_OPERATOR_ROWS
 
 
@@ -71,7 +74,7 @@
     known: Obstacle | None,
     reads: Reads,
     lease_until: float,
-    fleet: options.FleetSettings,
+    settings: options.FleetSettings,
     now: float,
 ) -> Obstacle | None:
     """Return what keeps the holder from placing, or None.
@@ -79,21 +82,21 @@
     ``known`` is the result of the call before; the lease is valid until
     ``lease_until``.
     """
-    reason = _find_reason(reads, fleet, now)
+    reason = _find_reason(reads, settings, now)
     if reason is None or now >= lease_until:
         return None
     return Obstacle(reason, known.since if known else now)
 
 
 def _find_reason(
-    reads: Reads, fleet: options.FleetSettings, now: float
+    reads: Reads, settings: options.FleetSettings, now: float
 ) -> Reason | None:
     if reads.failed_listings >= _MAX_FAILED_LISTINGS:
         return Reason.FAILED_LISTINGS
-    if now - reads.operators_confirmed_at > fleet.start_permit_s:
+    if now - reads.operators_confirmed_at > settings.start_permit_s:
         return Reason.OLD_OPERATOR_ROWS
     lost_at = reads.submissions_lost_at
-    if lost_at is not None and now - lost_at > fleet.follow_age_s:
+    if lost_at is not None and now - lost_at > settings.follow_age_s:
         return Reason.LOST_SUBMISSIONS
     return None
 
@@ -107,7 +110,7 @@
     known: float | None,
     operators_confirmed_at: float,
     shard_confirmed_at: float,
-    fleet: options.FleetSettings,
+    settings: options.FleetSettings,
     now: float,
 ) -> float | None:
     """Return since when a standby can place, or None if it cannot.
@@ -116,8 +119,8 @@
     copies of the operators' rows and of the lease were last up to date.
     """
     if (
-        now - operators_confirmed_at > fleet.start_permit_s
-        or now - shard_confirmed_at > fleet.follow_age_s
+        now - operators_confirmed_at > settings.start_permit_s
+        or now - shard_confirmed_at > settings.follow_age_s
     ):
         return None
     return now if known is None else known
