A job knows the service of its queue

"The service of the queue, if there is one" stood seven times in four modules of decisions. Where it was an empty text without a queue it still is. testwaitreport, testidledecisions, testidleracks, testholderload, testlargeshard and testeligibility passed.

--- a/primroselock/decisions/freecapacity.py
+++ b/primroselock/decisions/freecapacity.py
@@ -56,10 +56,9 @@
 
 def shape_of(group: livejobs.Group, rank: livejobs.Rank) -> Shape:
     """Return the shape of a group of urgency ``rank``."""
-    queue = group.job.queue
     step = group.step
     return Shape(
-        queue.service if queue else '',
+        group.job.service or '',
         step.counted_need,
         step.label,
         step.fills,
@@ -79,10 +78,8 @@
 
 
 def _step_kind(group: livejobs.Group) -> _StepKind:
-    queue, step = group.job.queue, group.step
-    return _StepKind(
-        queue.service if queue else '', step.label, step.counted_need
-    )
+    step = group.step
+    return _StepKind(group.job.service or '', step.label, step.counted_need)
 
 
 class FreeCapacity:
--- a/primroselock/decisions/livejobs.py
+++ b/primroselock/decisions/livejobs.py
@@ -274,6 +274,11 @@
         default_factory=phaseindex.PhaseIndex
     )
 
+    @property
+    def service(self) -> str | None:
+        """Return the service of the job's queue; None without a queue."""
+        return self.queue.service if self.queue else None
+
     def may_be_placed(self, now: float) -> bool:
         """Return whether the store takes placements of the job."""
         refusal = self.refusal
--- a/primroselock/decisions/placementround.py
+++ b/primroselock/decisions/placementround.py
@@ -43,8 +43,7 @@
 
     def has_plenty(self, group: livejobs.Group) -> bool:
         """Return whether much capacity of the group's service is free."""
-        queue = group.job.queue
-        return queue is not None and queue.service in self.plenty_services
+        return group.job.service in self.plenty_services
 
 
 def place_among(
--- a/primroselock/decisions/waiting.py
+++ b/primroselock/decisions/waiting.py
@@ -171,8 +171,7 @@
             continue
         if not job.may_be_placed(now):
             continue
-        service = job.queue.service if job.queue else None
-        has_plenty = service in plenty_services
+        has_plenty = job.service in plenty_services
         due = [
             group
             for group in groups
--- a/primroselock/decisions/waitreport.py
+++ b/primroselock/decisions/waitreport.py
@@ -108,9 +108,8 @@
 
 
 def _need_of(group: livejobs.Group) -> _Need:
-    queue, step = group.job.queue, group.step
-    service = queue.service if queue else None
-    return _Need(service, step.label, step.counted_need, group.size)
+    step = group.step
+    return _Need(group.job.service, step.label, step.counted_need, group.size)
 
 
 def _find_held_group(
@@ -143,7 +142,7 @@
     Whatever excludes a worker for now does not count: it is what is reported.
     """
     need = group.step.counted_need
-    service = group.job.queue.service if group.job.queue else None
+    service = group.job.service
     fit_total = 0
     for worker in board.workers_by_id.values():
         if not _is_candidate(worker, group, service):
@@ -213,7 +212,7 @@
 ) -> dict[str, int]:
     """Return how many workers with free capacity each reason excludes."""
     rank = waiting.rank(group, obstacles.guaranteed_ids)
-    service = group.job.queue.service if group.job.queue else None
+    service = group.job.service
     counts: dict[str, int] = {}
     for worker in board.workers_by_id.values():
         if not _is_candidate(worker, group, service):
