--- a/primroselock/decisions/eligibility.py
+++ b/primroselock/decisions/eligibility.py
@@ -98,7 +98,11 @@
 
 
 def is_partly_idle(board: fleet.ShardBoard) -> bool:
-    """Return whether much of any resource of the listed workers is free."""
+    """Return whether much of any resource of the listed workers is free.
+
+    Unlike :func:`has_plenty` one resource is enough: whether what waits
+    would fit is for the caller to tell.
+    """
     listed = [w for w in board.workers_by_id.values() if w.is_listed]
     shares = _used_shares(listed)
     return bool(shares) and min(shares) < _PLENTY_SHARE
