--- a/primroselock/decisions/claimindex.py
+++ b/primroselock/decisions/claimindex.py
@@ -9,8 +9,6 @@
 from primroselock.decisions import fleet
 from primroselock.decisions import livejobs
 
-Rank = tuple[bool, int]
-
 
 class ClaimIndex:
     """Indexes ``claims_by_group`` and keeps both up to date."""
@@ -48,12 +46,12 @@
                 del self._owners_by_worker_id[worker_id]
 
     def excludes(
-        self, worker_id: str, group: livejobs.Group, rank: Rank
+        self, worker_id: str, group: livejobs.Group, rank: livejobs.Rank
     ) -> bool:
         """Return whether others' claims exclude a group from a worker.
 
-        ``rank`` is the urgency of the group; more urgent groups may use
-        claimed workers.
+        ``rank`` is the urgency of the group.  Groups that are more urgent
+        than the owner of a claim may use its workers; equal ones may not.
         """
         owners: typing.Iterable[livejobs.Group] = (
             self._owners_by_worker_id.get(worker_id, ())
--- a/primroselock/decisions/eligibility.py
+++ b/primroselock/decisions/eligibility.py
@@ -103,12 +103,9 @@
         A job of which nothing runs does not wait for what it prefers only
         because many workers get no starts.
         """
-        if job.queue is None:
-            return False
-        service = job.queue.service
-        if service in self.of_usable:
+        if job.service in self.of_usable:
             return True
-        return service in self.of_listed and job.runs_nothing(now)
+        return job.service in self.of_listed and job.runs_nothing(now)
 
 
 def find_plenty(
@@ -135,7 +132,11 @@
 
 
 def is_partly_idle(board: fleet.ShardBoard) -> bool:
-    """Return whether much of any resource of the listed workers is free."""
+    """Return whether much of any resource of the listed workers is free.
+
+    Unlike :func:`has_plenty` one resource is enough: whether what waits
+    would fit is for the caller to tell.
+    """
     shares = _used_shares(_list_listed(board))
     return bool(shares) and min(shares) < _PLENTY_SHARE
 
--- a/primroselock/decisions/freecapacity.py
+++ b/primroselock/decisions/freecapacity.py
@@ -28,11 +28,6 @@
 Score = abc.Callable[
     [fleetworkers.Worker, jobgraph.Resources], tuple[float, ...]
 ]
-Rank = tuple[bool, int]
-"""The urgency of a group: (is not guaranteed, priority of its queue).
-
-Lower ranks go first.
-"""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,7 +47,7 @@
     has_latency_target: bool
     size: int
     in_one_rack: bool
-    rank: Rank
+    rank: livejobs.Rank
     is_relaxed: bool = False
     ignores_claims: bool = False
 
@@ -66,12 +61,11 @@
         )
 
 
-def shape_of(group: livejobs.Group, rank: Rank) -> Shape:
+def shape_of(group: livejobs.Group, rank: livejobs.Rank) -> Shape:
     """Return the shape of a group of urgency ``rank``."""
-    queue = group.job.queue
     step = group.step
     return Shape(
-        queue.service if queue else '',
+        group.job.service or '',
         step.counted_need,
         step.label,
         step.fills,
@@ -91,10 +85,8 @@
 
 
 def _step_kind(group: livejobs.Group) -> _StepKind:
-    queue, step = group.job.queue, group.step
-    return _StepKind(
-        queue.service if queue else '', step.label, step.counted_need
-    )
+    step = group.step
+    return _StepKind(group.job.service or '', step.label, step.counted_need)
 
 
 class FreeCapacity:
--- a/primroselock/decisions/livejobs.py
+++ b/primroselock/decisions/livejobs.py
@@ -29,6 +29,12 @@
 _MAX_START_S: typing.Final = 2.0
 """What was placed longer ago than this and does not run may never do so."""
 
+Rank = tuple[bool, int]
+"""The urgency of a group: (is not guaranteed, priority of its queue).
+
+Lower ranks go first.
+"""
+
 
 class Phase(enum.Enum):
     """The phases of a group, in the order described above."""
@@ -223,9 +229,10 @@
 class Refusal:
     """The store refuses the progress of a job (see ``refusedwrites``).
 
-    ``writes`` counts the refused writes.  The job is to be written again at
-    ``next_at`` or, once something ``is_stored``, placed again, on this
-    process's clock.
+    ``writes`` counts the refused writes.  ``next_at``, on this process's
+    clock, is when the job is to be written again or, once its progress
+    ``is_stored``, placed again.  ``has_ended_placements`` is set once the
+    placements that the store refused were ended.
     """
 
     writes: int = 0
@@ -269,6 +276,11 @@
         default_factory=phaseindex.PhaseIndex
     )
 
+    @property
+    def service(self) -> str | None:
+        """Return the service of the job's queue; None without a queue."""
+        return self.queue.service if self.queue else None
+
     def may_be_placed(self, now: float) -> bool:
         """Return whether the store takes placements of the job."""
         refusal = self.refusal
