Polls due at once and probes wait for their turn

Cause: the same as that of the orders, in the other calls to workers. Each worker is polled at once after a takeover, and every 0.2 s while an order to it is under way or waits for its turn: 880 polls a second of 176 workers. A worker that does not answer has all others of its zone probed at once, and each probe that times out begins that again. A slow process answers none of them in time, takes all workers for silent and sends all again.

Change: short polls and probes wait for one of 32 places, as orders do, in a queue of their own. Their time-out and the lease in them count from then on. A probe is dropped if a poll has told meanwhile. Long polls are not limited.

--- a/primroselock/test/testorderload.py
+++ b/primroselock/test/testorderload.py
@@ -1,7 +1,8 @@
-"""A holder whose processor is slow, and orders to many workers at once.
+"""A holder whose processor is slow, and calls to many workers at once.
 
 The pattern: a slow VM becomes the holder of a busy shard, and hundreds of
-runs are to be stopped or started at the same moment.
+runs are to be stopped or started, or hundreds of workers polled, at the same
+moment.
 """
 
 import asyncio
@@ -168,6 +169,105 @@
         virtualtime.run(run_all)
 
 
+class SlowPollsTest(unittest.TestCase):
+    """Polls and probes of a slow holder take longer, and all succeed."""
+
+    def run_slowly(
+        self,
+        workers: int,
+        scenario: abc.Callable[
+            [fleetbuilders.World, fleetbuilders.TestNode, SlowProcessor],
+            abc.Awaitable[None],
+        ],
+    ) -> None:
+        """Run a scenario with a node that is slow from its start."""
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World(0, workers)
+            with slow_calls(world, _CALL_COST_S) as processor:
+                node = world.add_node('entry-1')
+                await asyncio.sleep(0.5 + 2 * workers * _CALL_COST_S)
+                await scenario(world, node, processor)
+            await world.close()
+            self.assertEqual([], world.fleet.violations)
+
+        virtualtime.run(run_all)
+
+    def list_unpolled(self, node: fleetbuilders.TestNode) -> list[str]:
+        """Return the workers that did not answer a poll, or not the last."""
+        session = node.holder._session
+        assert session is not None
+        return [
+            worker.id
+            for worker in session._board.workers_by_id.values()
+            if not worker.is_polled or worker.failures_in_row
+        ]
+
+    def test_a_takeover_polls_all_workers_without_a_time_out(self) -> None:
+        """Guards against first polls that all time out and are sent again."""
+
+        async def scenario(
+            world: fleetbuilders.World,
+            node: fleetbuilders.TestNode,
+            processor: SlowProcessor,
+        ) -> None:
+            self.assertEqual([], self.list_unpolled(node))
+            self.assertEqual(0, processor.timeouts)
+
+        for workers in (176, 540):
+            with self.subTest(workers=workers):
+                self.run_slowly(workers, scenario)
+
+    def test_orders_to_all_workers_leave_time_for_polls(self) -> None:
+        """Guards against short polls of all workers that time out.
+
+        A worker is polled with a short wait while an order to it is under
+        way or waits for its turn.
+        """
+
+        async def scenario(
+            world: fleetbuilders.World,
+            node: fleetbuilders.TestNode,
+            processor: SlowProcessor,
+        ) -> None:
+            step = fleetbuilders.build_step(176, 8, 60_000)
+            world.submit(fleetbuilders.build_graph('old', step))
+            await asyncio.sleep(5 * 176 * _CALL_COST_S)
+            self.assertEqual(176, world.fleet.starts)
+            world.submit(fleetbuilders.build_graph('new', step))
+            world.cancel('old')
+            await asyncio.sleep(8 * 176 * _CALL_COST_S)
+            self.assertEqual(2 * 176, world.fleet.starts)
+            self.assertEqual([], self.list_unpolled(node))
+
+        self.run_slowly(176, scenario)
+
+    def test_a_silent_worker_costs_no_probe_that_times_out(self) -> None:
+        """Guards against a zone that is probed at once and found silent."""
+
+        async def scenario(
+            world: fleetbuilders.World,
+            node: fleetbuilders.TestNode,
+            processor: SlowProcessor,
+        ) -> None:
+            world.submit(
+                fleetbuilders.build_graph(
+                    'j', fleetbuilders.build_step(1, 8, 60_000)
+                )
+            )
+            await world.wait_for('j', 'running', 5.0)
+            silent = world.find_busy_worker()
+            before = processor.timeouts
+            silent.is_partitioned = True
+            await asyncio.sleep(4.0 + 2 * 180 * _CALL_COST_S)
+            probes = node.counters.counts_by_name['probes']
+            self.assertGreaterEqual(probes, 179)
+            self.assertEqual([silent.entry.id], self.list_unpolled(node))
+            self.assertEqual(before, processor.timeouts)
+
+        self.run_slowly(180, scenario)
+
+
 class OrderSlotsTest(unittest.TestCase):
     """Who waits for whom."""
 
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -3,10 +3,16 @@
 The worker holds a poll open until a run ends or the wait is over, so that
 ends are reported without delay.  A worker on which nothing can run is not
 polled.
+
+Long polls of many workers are spread over time.  Short ones and probes are
+often due for all workers at once, as after a takeover, and wait for their
+turn, see ``orderslots``: if a slow process sends all of them at the same
+time, it receives no answer before their time-out.
 """
 
 import asyncio
 from collections import abc
+import contextlib
 import typing
 
 import result
@@ -19,6 +25,7 @@
 from primroselock import logs
 from primroselock import metrics
 from primroselock import options
+from primroselock import orderslots
 from primroselock import runorders
 from primroselock import shards
 from primroselock.workers import orders
@@ -55,6 +62,7 @@
         self._run_client = run_client
         self._wake = wake
         self._metrics = counters
+        self._slots = orderslots.OrderSlots()
         self._tasks_by_worker_id: dict[str, asyncio.Task[None]] = {}
         self._probes_by_worker_id: dict[str, asyncio.Task[None]] = {}
 
@@ -89,15 +97,20 @@
         run one after another, apply what an answer reports; a probe only
         records that an answer was received.
         """
-        answer = await self._run_client.poll_runs(
-            worker.id,
-            worker.entry.address,
-            self._board.epoch,
-            0,
-            None,
-            0.0,
-            self._settings.fleet.order_timeout_s,
-        )
+        due_at = clock.monotonic()
+        async with self._slots.hold(worker.id):
+            if worker.last_answer_at >= due_at or worker.failures_in_row:
+                # A poll was answered, or has failed, in the meantime.
+                return
+            answer = await self._run_client.poll_runs(
+                worker.id,
+                worker.entry.address,
+                self._board.epoch,
+                0,
+                None,
+                0.0,
+                self._settings.fleet.order_timeout_s,
+            )
         self._metrics.count('probes')
         if isinstance(answer, result.Err):
             self._record_error(worker, answer.err_value)
@@ -119,7 +132,11 @@
     async def _run(self, worker: fleet.Worker) -> None:
         while self._lease.has_shard and self._needs_polling(worker):
             await self._wait_for_saved_ends(worker)
-            if not await self._poll(worker):
+            async with self._hold_place(worker):
+                if not self._needs_polling(worker):
+                    break
+                is_answered = await self._poll(worker)
+            if not is_answered:
                 pause_s = _INITIAL_BACKOFF_S * 2.0 ** min(
                     worker.failures_in_row, 6
                 )
@@ -127,6 +144,14 @@
         if self._board.workers_by_id.get(worker.id) is not worker:
             await self._run_client.drop(worker.entry.address)
 
+    def _hold_place(
+        self, worker: fleet.Worker
+    ) -> contextlib.AbstractAsyncContextManager[None]:
+        """Hold a place for a poll, unless it is a long one."""
+        if self._poll_wait_s(worker) > _SHORT_WAIT_S:
+            return contextlib.nullcontext()
+        return self._slots.hold(worker.id)
+
     async def _wait_for_saved_ends(self, worker: fleet.Worker) -> None:
         """Wait, within a bound, until the reported ends are stored.
 
@@ -146,9 +171,8 @@
         # The lease of a worker that does not answer is not extended, so
         # that its end is known: the worker may apply an unanswered
         # extension later.
-        may_extend = not self._lease.published_bounds.covers(worker.id)
         if (
-            may_extend
+            self._may_extend(worker)
             and worker.is_polled
             and worker.members
             and not worker.failures_in_row
@@ -157,7 +181,7 @@
                 self._settings, self._lease, sent_at
             )
             lease_until = runorders.extend_lease(worker, deadline)
-        wait_s = self._poll_wait_s(worker, may_extend)
+        wait_s = self._poll_wait_s(worker)
         timeout_s = self._settings.fleet.look_timeout_s
         answer = await self._run_client.poll_runs(
             worker.id,
@@ -195,10 +219,13 @@
         self._wake()
         return True
 
-    def _poll_wait_s(self, worker: fleet.Worker, may_extend: bool) -> float:
+    def _may_extend(self, worker: fleet.Worker) -> bool:
+        return not self._lease.published_bounds.covers(worker.id)
+
+    def _poll_wait_s(self, worker: fleet.Worker) -> float:
         if not worker.is_polled or worker.unsaved_ends:
             return 0.0
-        if not may_extend or any(
+        if not self._may_extend(worker) or any(
             member.state is not fleet.MemberState.PRESENT
             or member.group.phase is fleet.Phase.STOPPING
             for member in worker.members.values()
