A call that fails late, or beside an answered one, blames no worker

Callers could see sound workers passed over and whole zones probed, most of all while the holder was slow. Cause: three places count a failed call against a worker where polls and stops do not: a probe that times out while this process is paused; a start or a poll that was not sent at all by a paused process (its connection may have been established and not noticed); a start that was not answered, though the worker has answered since. An answered order did not count as an answer, so that one lost answer to a stop was enough while a long poll was open.

--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -144,7 +144,7 @@
                 answer = await self._send_start(worker, member, sent_at)
             if self._record_answer(worker, member, answer, attempt, sent_at):
                 return
-            was_late = self._was_late(sent_at, clock.monotonic())
+            failed_at = clock.monotonic()
             await asyncio.sleep(_RETRY_PAUSE_S * (attempt + 1))
         self._board.record_decision(
             'start order not answered',
@@ -152,14 +152,27 @@
             task=str(member.run.task),
             worker=worker.id,
         )
-        if not was_late:
-            worker.record_failed_call(clock.monotonic())
+        self._record_silence(worker, sent_at, failed_at)
         self._wake()
 
+    def _record_silence(
+        self, worker: fleet.Worker, sent_at: float, now: float
+    ) -> None:
+        """Count an order that got no answer until ``now`` as a failed call.
+
+        Unless the worker has answered another call since, or this process
+        was late.
+        """
+        if not self._was_late(sent_at, now) and (
+            worker.last_answer_at < sent_at
+        ):
+            worker.record_failed_call(now)
+
     def _was_late(self, sent_at: float, now: float) -> bool:
         """Return whether this process noticed a time-out late.
 
-        The answer may have been received meanwhile.
+        The answer may have been received meanwhile, or the connection been
+        established.
         """
         late_s = now - sent_at - self._settings.fleet.order_timeout_s
         if late_s <= _LATE_S:
@@ -229,6 +242,7 @@
         """Record an answer; return whether the order needs no retry."""
         now = clock.monotonic()
         if isinstance(answer, result.Ok):
+            worker.last_answer_at = now
             if member.state is fleet.MemberState.ORDERED:
                 member.answered_at = now
                 runs.mark_present(self._board, member, now)
@@ -238,7 +252,7 @@
         if isinstance(error, orders.Unanswered):
             return False
         if isinstance(error, orders.NotSent):
-            worker.record_failed_call(now)
+            self._record_silence(worker, sent_at, now)
             if attempt:
                 # An earlier attempt may have reached the worker.
                 return False
@@ -308,6 +322,7 @@
         )
         now = clock.monotonic()
         if isinstance(answer, result.Ok):
+            worker.last_answer_at = now
             if order.member is not None:
                 order.member.stopped_at = now
             self._wake()
@@ -317,11 +332,8 @@
             if error.why is orders.Refusal.STALE_EPOCH:
                 self._lease.drop('a worker has seen a newer epoch')
                 return
-        elif (
-            not self._was_late(sent_at, now)
-            and worker.last_answer_at < sent_at
-        ):
-            worker.record_failed_call(now)
+        else:
+            self._record_silence(worker, sent_at, now)
         _log.warning(
             'stop order not confirmed',
             request=order.run.task.job_id,
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -102,6 +102,8 @@
             if worker.last_answer_at >= due_at or worker.failures_in_row:
                 # A poll was answered, or has failed, in the meantime.
                 return
+            sent_at = clock.monotonic()
+            timeout_s = self._settings.fleet.order_timeout_s
             answer = await self._run_client.poll_runs(
                 worker.id,
                 worker.entry.address,
@@ -109,10 +111,14 @@
                 0,
                 None,
                 0.0,
-                self._settings.fleet.order_timeout_s,
+                timeout_s,
             )
         self._metrics.count('probes')
         if isinstance(answer, result.Err):
+            if worker.last_answer_at >= sent_at or self._was_late(
+                answer.err_value, sent_at + timeout_s
+            ):
+                return
             self._record_error(worker, answer.err_value)
             return
         worker.last_answer_at = clock.monotonic()
@@ -194,13 +200,7 @@
         )
         self._metrics.count('looks')
         if isinstance(answer, result.Err):
-            late_s = clock.monotonic() - sent_at - wait_s - timeout_s
-            if late_s > _LATE_S and isinstance(
-                answer.err_value, orders.Unanswered
-            ):
-                # The answer may have been received while this process was
-                # late: that is no evidence against the worker.
-                self._metrics.count('late_polls')
+            if self._was_late(answer.err_value, sent_at + wait_s + timeout_s):
                 return True
             self._record_error(worker, answer.err_value)
             return False
@@ -219,6 +219,20 @@
         self._wake()
         return True
 
+    def _was_late(self, error: orders.OrderError, due_at: float) -> bool:
+        """Return whether this process noticed late that a poll failed.
+
+        It was due by ``due_at``.  The answer may have been received
+        meanwhile, or the connection been established: that is no evidence
+        against the worker.
+        """
+        if isinstance(error, orders.Refused):
+            return False
+        if clock.monotonic() - due_at <= _LATE_S:
+            return False
+        self._metrics.count('late_polls')
+        return True
+
     def _may_extend(self, worker: fleet.Worker) -> bool:
         return not self._lease.published_bounds.covers(worker.id)
 
