--- a/primroselock/test/testorderload.py
+++ b/primroselock/test/testorderload.py
@@ -1,7 +1,8 @@
-"""A holder whose processor is slow, and orders to many workers at once.
+"""A holder whose processor is slow, and calls to many workers at once.
 
 The pattern: a slow VM becomes the holder of a busy shard, and hundreds of
-runs are to be stopped or started at the same moment.
+runs are to be stopped or started, or hundreds of workers polled, at the same
+moment.
 """
 
 import asyncio
@@ -14,6 +15,7 @@
 import result
 
 from primroselock import clock
+from primroselock.decisions import fleetworkers
 from primroselock import orderslots
 from primroselock.test import fleetbuilders
 from primroselock.test import virtualtime
@@ -168,6 +170,240 @@
         virtualtime.run(run_all)
 
 
+class SlowPollsTest(unittest.TestCase):
+    """Polls and probes of a slow holder take longer, and all succeed."""
+
+    def run_slowly(
+        self,
+        workers: int,
+        scenario: abc.Callable[
+            [fleetbuilders.World, fleetbuilders.TestNode, SlowProcessor],
+            abc.Awaitable[None],
+        ],
+    ) -> None:
+        """Run a scenario with a node that is slow from its start."""
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World(0, workers)
+            with slow_calls(world, _CALL_COST_S) as processor:
+                node = world.add_node('entry-1')
+                await asyncio.sleep(0.5 + 2 * workers * _CALL_COST_S)
+                await scenario(world, node, processor)
+            await world.close()
+            self.assertEqual([], world.fleet.violations)
+
+        virtualtime.run(run_all)
+
+    def list_unpolled(self, node: fleetbuilders.TestNode) -> list[str]:
+        """Return the workers that did not answer a poll, or not the last."""
+        session = node.holder._session
+        assert session is not None
+        return [
+            worker.id
+            for worker in session._board.workers_by_id.values()
+            if not worker.is_polled or worker.failures_in_row
+        ]
+
+    def test_a_takeover_polls_all_workers_without_a_time_out(self) -> None:
+        """Guards against first polls that all time out and are sent again."""
+
+        async def scenario(
+            world: fleetbuilders.World,
+            node: fleetbuilders.TestNode,
+            processor: SlowProcessor,
+        ) -> None:
+            self.assertEqual([], self.list_unpolled(node))
+            self.assertEqual(0, processor.timeouts)
+
+        for workers in (176, 540):
+            with self.subTest(workers=workers):
+                self.run_slowly(workers, scenario)
+
+    def test_orders_to_all_workers_leave_time_for_polls(self) -> None:
+        """Guards against short polls of all workers that time out.
+
+        A worker is polled with a short wait while an order to it is under
+        way or waits for its turn.
+        """
+
+        async def scenario(
+            world: fleetbuilders.World,
+            node: fleetbuilders.TestNode,
+            processor: SlowProcessor,
+        ) -> None:
+            step = fleetbuilders.build_step(176, 8, 60_000)
+            world.submit(fleetbuilders.build_graph('old', step))
+            await asyncio.sleep(5 * 176 * _CALL_COST_S)
+            self.assertEqual(176, world.fleet.starts)
+            world.submit(fleetbuilders.build_graph('new', step))
+            world.cancel('old')
+            await asyncio.sleep(8 * 176 * _CALL_COST_S)
+            self.assertEqual(2 * 176, world.fleet.starts)
+            self.assertEqual([], self.list_unpolled(node))
+
+        self.run_slowly(176, scenario)
+
+    def test_a_silent_worker_costs_no_probe_that_times_out(self) -> None:
+        """Guards against a zone that is probed at once and found silent."""
+
+        async def scenario(
+            world: fleetbuilders.World,
+            node: fleetbuilders.TestNode,
+            processor: SlowProcessor,
+        ) -> None:
+            world.submit(
+                fleetbuilders.build_graph(
+                    'j', fleetbuilders.build_step(1, 8, 60_000)
+                )
+            )
+            await world.wait_for('j', 'running', 5.0)
+            silent = world.find_busy_worker()
+            before = processor.timeouts
+            silent.is_partitioned = True
+            await asyncio.sleep(4.0 + 2 * 180 * _CALL_COST_S)
+            probes = node.counters.counts_by_name['probes']
+            self.assertGreaterEqual(probes, 179)
+            self.assertEqual([silent.entry.id], self.list_unpolled(node))
+            self.assertEqual(before, processor.timeouts)
+
+        self.run_slowly(180, scenario)
+
+
+class BlameTest(unittest.TestCase):
+    """When a call that was not answered counts against its worker."""
+
+    def run_with(
+        self,
+        scenario: abc.Callable[
+            [
+                fleetbuilders.World,
+                virtualtime.VirtualClock,
+                fleetbuilders.TestNode,
+            ],
+            abc.Awaitable[None],
+        ],
+        workers: int = 2,
+    ) -> list[str]:
+        """Run a scenario with one node; return the workers it blamed."""
+        blamed: list[str] = []
+        record = fleetworkers.Worker.record_failed_call
+
+        def record_blamed(worker: fleetworkers.Worker, now: float) -> None:
+            blamed.append(worker.id)
+            record(worker, now)
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World(0, workers)
+            node = world.add_node('entry-1')
+            await asyncio.sleep(1.0)
+            await scenario(world, virtual, node)
+            await world.close()
+
+        with mock.patch.object(
+            fleetworkers.Worker, 'record_failed_call', record_blamed
+        ):
+            virtualtime.run(run_all)
+        return blamed
+
+    def test_a_probe_that_times_out_late_blames_no_worker(self) -> None:
+        """Guards against a paused holder that finds a whole zone silent."""
+
+        async def scenario(
+            world: fleetbuilders.World,
+            virtual: virtualtime.VirtualClock,
+            node: fleetbuilders.TestNode,
+        ) -> None:
+            step = fleetbuilders.build_step(1, 8, 60_000)
+            world.submit(fleetbuilders.build_graph('j', step))
+            await asyncio.sleep(1.0)
+            poll_runs = world.fleet.poll_runs
+            silent = world.find_busy_worker()
+            probed = 0
+
+            async def probe_in_a_pause(*arguments: typing.Any) -> typing.Any:
+                nonlocal probed
+                if arguments[0] == silent.entry.id or probed:
+                    return await poll_runs(*arguments)
+                probed += 1
+                virtual.now += 1.0
+                return result.Err(orders.Unanswered('no answer'))
+
+            with mock.patch.object(world.fleet, 'poll_runs', probe_in_a_pause):
+                silent.is_partitioned = True
+                await asyncio.sleep(5.0)
+            self.assertEqual(1, probed)
+            self.assertEqual(1, node.counters.counts_by_name['late_polls'])
+
+        self.assertEqual({'w0'}, set(self.run_with(scenario)))
+
+    def test_a_call_that_is_not_sent_in_a_pause_blames_no_worker(self) -> None:
+        """Guards against a connection that was ready and not noticed."""
+
+        async def scenario(
+            world: fleetbuilders.World,
+            virtual: virtualtime.VirtualClock,
+            node: fleetbuilders.TestNode,
+        ) -> None:
+            calls = 0
+            call = getattr(world.fleet, name)
+
+            async def call_in_a_pause(*arguments: typing.Any) -> typing.Any:
+                nonlocal calls
+                calls += 1
+                if calls > 1:
+                    return await call(*arguments)
+                virtual.now += pause_s
+                return result.Err(orders.NotSent('not connected'))
+
+            with mock.patch.object(world.fleet, name, call_in_a_pause):
+                world.submit(
+                    fleetbuilders.build_graph(
+                        'j', fleetbuilders.build_step(1, 8, 60_000)
+                    )
+                )
+                await asyncio.sleep(8.0)
+                world.cancel('j')
+                await asyncio.sleep(4.0)
+            self.assertGreater(calls, 1)
+            self.assertEqual(1, world.fleet.starts)
+
+        for name, pause_s in (('start', 1.0), ('stop', 1.0), ('poll_runs', 4)):
+            with self.subTest(name=name):
+                self.assertEqual([], self.run_with(scenario))
+
+    def test_a_worker_that_answers_another_order_is_not_silent(self) -> None:
+        """Guards against one lost answer that holds up a whole worker.
+
+        While a stop waits for its answer, a start is answered.
+        """
+
+        async def scenario(
+            world: fleetbuilders.World,
+            virtual: virtualtime.VirtualClock,
+            node: fleetbuilders.TestNode,
+        ) -> None:
+            step = fleetbuilders.build_step(1, 4, 60_000)
+            world.submit(fleetbuilders.build_graph('a', step))
+            # A long poll is open from then on, and tells nothing for 1 s.
+            await asyncio.sleep(1.0)
+            stop = world.fleet.stop
+
+            async def lose_answer(*arguments: typing.Any) -> typing.Any:
+                await stop(*arguments)
+                await asyncio.sleep(arguments[-1])
+                return result.Err(orders.Unanswered('no answer'))
+
+            world.fleet.stop_delay_s = 0.6
+            with mock.patch.object(world.fleet, 'stop', lose_answer):
+                world.cancel('a')
+                await asyncio.sleep(0.02)
+                world.submit(fleetbuilders.build_graph('b', step))
+                await asyncio.sleep(0.5)
+            self.assertEqual(2, world.fleet.starts)
+
+        self.assertEqual([], self.run_with(scenario, 1))
+
+
 class OrderSlotsTest(unittest.TestCase):
     """Who waits for whom."""
 
