A worker that refuses starts no longer gets the same work for ever

Callers would see a job of which nothing runs beside free workers, for as long as one worker answers polls and refuses starts (503: unhealthy; 409: no room).

Cause: a refused start left no trace. The group was queued again at once, and as nothing had changed, the next round chose the same worker; each attempt also cost a write of the job's row and a start.

Change: a worker that refuses a start for its own state gets none for 0.5 s, doubling to 2 s; the refusals of one round count once. After the pause it comes after all other workers until it accepts a start, so that a gang does not return to a worker that refuses some starts and accepts others. Refusals for the order itself (not understood, past the deadline, ticket) do not count: they would exclude every worker for one job. The report of idle waits names the reason.

The soak gets workers that refuse all starts or half of them, as a change of what may be used: the check of idle capacity goes on beside it.

--- a/primroselock/decisions/eligibility.py
+++ b/primroselock/decisions/eligibility.py
@@ -25,6 +25,7 @@
     DRAINING = 'draining'
     ZONE_OUT_OF_SERVICE = 'zone out of service'
     QUARANTINED = 'quarantined'
+    REFUSES_STARTS = 'refused a start just now'
 
 
 def find_exclusion(
@@ -46,6 +47,8 @@
         return Exclusion.ZONE_OUT_OF_SERVICE
     if fleethealth.is_quarantined(board, worker.id, now):
         return Exclusion.QUARANTINED
+    if now < worker.refuses_until:
+        return Exclusion.REFUSES_STARTS
     return None
 
 
--- a/primroselock/decisions/fitting.py
+++ b/primroselock/decisions/fitting.py
@@ -503,7 +503,8 @@
 ) -> tuple[float, ...]:
     """Return the sort key of a worker for a task; the lowest is best.
 
-    Workers where the group was stuck come last.  Single tasks go into the
+    Workers where the group was stuck, and those that refused their last
+    start, come last.  Single tasks go into the
     fullest rack, so that other racks stay free for rack-local gangs.
     """
     data_rack = group.step.data_rack
@@ -511,6 +512,7 @@
     left = free_capacity.free_by_id[worker.id].plus(need, -1)
     return (
         float(worker.id in group.avoided_worker_ids),
+        float(worker.refusals_in_row > 0),
         float(bool(data_rack) and rack != data_rack),
         free_capacity.speed_class(worker.id, group),
         free_capacity.free_accelerators_by_rack[rack],
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -34,6 +34,9 @@
 NO_RESOURCES: typing.Final = jobgraph.Resources()
 _NEVER: typing.Final = float('-inf')
 _MAX_CACHED_STEPS: typing.Final = 200
+_FIRST_REFUSAL_PAUSE_S: typing.Final = 0.5
+_MAX_REFUSAL_PAUSE_S: typing.Final = 2.0
+"""The longest time for which a worker that refuses starts gets none."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -360,11 +363,13 @@
     were leased; ``polled_at`` is when the last poll was sent that was
     answered under this holder's epoch; ``last_answer_at`` is when the last
     answer was received; ``unresponsive_since`` is when the first of the
-    last ``failures_in_row`` calls failed.  A worker numbers the ends of its
-    runs: those up to ``listed_end`` were reported, the effects of those
-    up to ``saved_end`` are stored, and those up to ``confirmed_end`` were
-    confirmed to the worker.  ``drain_seen_at`` is when this holder first
-    read that the worker is draining.
+    last ``failures_in_row`` calls failed.  A worker that has
+    refused starts, ``refusals_in_row`` times, gets none before
+    ``refuses_until``, and later ones after all other workers.  A worker
+    numbers the ends of its runs: those up to ``listed_end`` were reported,
+    the effects of those up to ``saved_end`` are stored, and those up to
+    ``confirmed_end`` were confirmed to the worker.  ``drain_seen_at`` is
+    when this holder first read that the worker is draining.
     """
 
     entry: WorkerEntry
@@ -378,6 +383,8 @@
     lease_end: float | None = None
     failures_in_row: int = 0
     unresponsive_since: float = _NEVER
+    refusals_in_row: int = 0
+    refuses_until: float = _NEVER
     listed_end: int = 0
     saved_end: int = 0
     confirmed_end: int = 0
@@ -422,6 +429,28 @@
             self.unresponsive_since = now
         self.failures_in_row += 1
 
+    def record_refused_start(self, now: float) -> None:
+        """Record that the worker refused a start for its own state.
+
+        It gets no starts for a time that doubles; what it refuses meanwhile
+        was sent before.
+        """
+        if now < self.refuses_until:
+            return
+        self.refusals_in_row += 1
+        doublings = min(self.refusals_in_row - 1, 10)
+        pause_s = _FIRST_REFUSAL_PAUSE_S * 2.0**doublings
+        self.refuses_until = now + min(pause_s, _MAX_REFUSAL_PAUSE_S)
+
+    def record_accepted_start(self, now: float) -> None:
+        """Record that the worker accepted a start.
+
+        A worker that refuses some starts and accepts others must not get a
+        gang again at once.
+        """
+        if now >= self.refuses_until:
+            self.refusals_in_row = 0
+
     def add_member(self, member: Member) -> None:
         """Add a member and the resources that it takes."""
         self.members[member.run] = member
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -82,6 +82,7 @@
     The members stay until they are compared with the report.
     """
     board.worker_speeds.drop_worker(worker.id)
+    worker.refusals_in_row = 0
     worker.listed_end = 0
     worker.saved_end = 0
     worker.confirmed_end = 0
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -33,6 +33,11 @@
 _LATE_S: typing.Final = 0.3
 """A timeout that is noticed this late shows that the process was late."""
 
+_REFUSALS_OF_ALL_STARTS: typing.Final = frozenset(
+    {orders.Refusal.NO_CAPACITY, orders.Refusal.UNHEALTHY}
+)
+"""A worker that refuses a start for these reasons would refuse others."""
+
 
 def lease_deadline(
     settings: options.Settings, lease: shards.ShardLease, now: float
@@ -229,6 +234,7 @@
         """Record an answer; return whether the order needs no retry."""
         now = clock.monotonic()
         if isinstance(answer, result.Ok):
+            worker.record_accepted_start(now)
             if member.state is fleet.MemberState.ORDERED:
                 member.answered_at = now
                 runs.mark_present(self._board, member, now)
@@ -263,11 +269,11 @@
     ) -> None:
         """End the attempt of a member that is known not to have started."""
         group = member.group
-        if (
-            isinstance(error, orders.Refused)
-            and error.why is orders.Refusal.TICKET_REJECTED
-        ):
-            advising.drop_ticket(self._board, group, worker.id)
+        if isinstance(error, orders.Refused):
+            if error.why is orders.Refusal.TICKET_REJECTED:
+                advising.drop_ticket(self._board, group, worker.id)
+            elif error.why in _REFUSALS_OF_ALL_STARTS:
+                worker.record_refused_start(now)
         why = (
             error.why.value
             if isinstance(error, orders.Refused)
--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -42,7 +42,8 @@
     ``is_down`` its process has ended.  ``delayed_order_share`` is the share of
     orders that get no answer; starts among these are executed later.  With
     ``is_stalled`` its runs make no progress and never end; with
-    ``fails_all`` each run fails soon after its start.
+    ``fails_all`` each run fails soon after its start.  The share
+    ``refused_start_share`` of its starts is refused as by an unhealthy worker.
 
     ``refused`` is by task the latest attempt that ended or was stopped;
     neither it nor an earlier one may start again.
@@ -57,6 +58,7 @@
     is_partitioned: bool = False
     is_down: bool = False
     delayed_order_share: float = 0.0
+    refused_start_share: float = 0.0
     fails_all: bool = False
     is_stalled: bool = False
     slowdown_factor: float = 1.0
@@ -82,6 +84,7 @@
             self.fails_all
             or self.is_stalled
             or self.delayed_order_share
+            or self.refused_start_share
             or self.slowdown_factor != 1.0
         )
 
@@ -123,6 +126,7 @@
         self.stop_delay_s = 0.1
         self.violations: list[str] = []
         self.starts = 0
+        self.refused_starts = 0
         self.lost_work_s = 0.0
         """Accelerator-seconds of work lost because runs were stopped."""
 
@@ -238,6 +242,9 @@
             self.spawn(self._start_late(worker, order))
             await asyncio.sleep(timeout_s)
             return result.Err(orders.Unanswered('delayed'))
+        if self._random.random() < worker.refused_start_share:
+            self.refused_starts += 1
+            return result.Err(orders.Refused(orders.Refusal.UNHEALTHY))
         refusal = self._execute_start(worker, order)
         if refusal is not None:
             return result.Err(orders.Refused(refusal, clock.monotonic()))
--- a/primroselock/test/faultbuilders.py
+++ b/primroselock/test/faultbuilders.py
@@ -42,7 +42,9 @@
 )
 """Kinds of faults of single workers and nodes, and of the store."""
 
-LASTING_KINDS: typing.Final = frozenset({'close zone', 'drain worker'})
+LASTING_KINDS: typing.Final = frozenset(
+    {'close zone', 'drain worker', 'worker refuses'}
+)
 """Kinds that change which workers may be used, and are no fault as such."""
 
 Injection = abc.Callable[
@@ -348,6 +350,15 @@
     worker.fails_all = False
 
 
+@injection('worker refuses')
+async def _refuse_starts(world: fleetbuilders.World, fault: Fault) -> None:
+    """Let a worker refuse all starts, or some, and go on answering polls."""
+    worker = _target(world, fault)
+    worker.refused_start_share = 0.5 + 0.5 * (fault.target % 2)
+    await asyncio.sleep(fault.for_s)
+    worker.refused_start_share = 0.0
+
+
 @injection('worker stalls')
 async def _stall_worker(world: fleetbuilders.World, fault: Fault) -> None:
     worker = _target(world, fault)
