Long-running work under load waits neither for claims nor for one rack

Callers would see a task that lasts with nothing running while twice its need is free, for as long as gangs claim the free workers, and a rack-local gang that lasts waiting 10 s.

Cause: preferences are dropped after 2 s only while less than half of the service is in use; beyond that one rack counts for 10 s, and claims count without a bound, since a claim is renewed for as long as its gang waits. That is meant for work that is late at worst. Work that lasts is due at all times: it may not wait, however full its service is.

Change: for long-running work the preferences end after 2 s in any case. The shape of an attempt without preferences says whether claims count, so that such work shares no outcome with work that still heeds them.

Evidence: the three tests of testlastingwork failed before (still waiting after 3 s); with the shape not split the third one fails. testidledecisions, testidlecapacity, testholderload, testtakeoverwaits, testplacing, testgangscenarios and testloadpatterns pass (111).

--- a/primroselock/decisions/fitting.py
+++ b/primroselock/decisions/fitting.py
@@ -82,7 +82,7 @@
 
     ``size`` is the number of its tasks, which run in one rack if
     ``in_one_rack`` is set.  ``is_relaxed`` is set for an attempt without
-    the group's preferences.
+    the group's preferences, to which claims may still count.
     """
 
     service: str
@@ -94,10 +94,16 @@
     in_one_rack: bool
     rank: Rank
     is_relaxed: bool = False
+    claims_count: bool = True
 
-    def relaxed(self) -> 'Shape':
+    def relaxed(self, claims_count: bool) -> 'Shape':
         """Return the shape of an attempt without preferences."""
-        return dataclasses.replace(self, in_one_rack=False, is_relaxed=True)
+        return dataclasses.replace(
+            self,
+            in_one_rack=False,
+            is_relaxed=True,
+            claims_count=claims_count,
+        )
 
 
 class _StepKind(typing.NamedTuple):
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -8,7 +8,8 @@
 One rack for a gang, workers where the group was not stuck before, and
 workers that no other group claims are preferences.  They are dropped for a
 group that has waited for a while although it fits without them: soon while
-plenty of capacity is free, and later, but for the claims, in any case.
+plenty of capacity is free and for long-running work, and later, but for the
+claims, in any case.
 Workers where it was stuck come last, and only once no other is expected to
 be free for it soon.
 
@@ -47,7 +48,8 @@
 """After this time the workers of a capacity claim are chosen again."""
 
 _PREFERENCE_TIMEOUT_S: typing.Final = 2.0
-"""Wait for preferred workers while plenty of capacity is free."""
+"""Wait for preferred workers while plenty of capacity is free, and of
+long-running work."""
 
 _MAX_PREFERENCE_WAIT_S: typing.Final = 10.0
 """Wait for preferred workers while capacity is scarce."""
@@ -89,6 +91,13 @@
         queue = group.job.queue
         return queue is not None and queue.service in self.plenty_services
 
+    def may_drop_claims(self, group: fleet.Group) -> bool:
+        """Return whether a group need not wait for claimed workers.
+
+        Long-running work is due at all times, however full its service is.
+        """
+        return group.step.long_running or self.has_plenty(group)
+
 
 def place_waiting(
     board: fleet.ShardBoard,
@@ -210,7 +219,7 @@
     )
     if not (prefers or context.board.claims_by_group):
         return False
-    if context.has_plenty(group):
+    if context.may_drop_claims(group):
         return True
     return bool(prefers) and waited_s >= _MAX_PREFERENCE_WAIT_S
 
@@ -223,12 +232,12 @@
     Returns None where the attempt depends on more: while claims count, the
     group may use the workers that it claims itself.
     """
-    claims_count = not context.has_plenty(group)
+    claims_count = not context.may_drop_claims(group)
     if shape is None or (
         claims_count and group in context.board.claims_by_group
     ):
         return None
-    return shape.relaxed()
+    return shape.relaxed(claims_count)
 
 
 def _may_fit(
@@ -371,11 +380,11 @@
     """Return a filter for the usable workers that a group must accept."""
     rank = context.rank(group)
     may_run = _build_basic_filter(context, group, queue)
-    has_plenty = context.has_plenty(group)
+    claims_count = not context.may_drop_claims(group)
 
     def allow(worker: fleet.Worker) -> bool:
         is_claimed = context.claims.excludes(worker.id, group, rank)
-        return may_run(worker) and (has_plenty or not is_claimed)
+        return may_run(worker) and not (claims_count and is_claimed)
 
     return allow
 
--- /dev/null
+++ b/primroselock/test/testlastingwork.py
@@ -0,0 +1,88 @@
+"""Long-running work beside free capacity, however full its service is."""
+
+from collections import abc
+import typing
+import unittest
+
+from primroselock.decisions import fleet
+from primroselock import jobgraph
+from primroselock.test import fleetbuilders
+from primroselock.test import idlebuilders
+
+_LONG_S: typing.Final = 60.0
+_LONG_MS: typing.Final = 60_000
+_LIMIT_S: typing.Final = 3.0
+"""The longest time that a long-running task may wait beside capacity."""
+
+
+class LastingWorkTest(unittest.TestCase):
+    """Over half of the service is in use, but twice the need is free."""
+
+    def occupy(
+        self, site: idlebuilders.Site, numbers: abc.Iterable[int]
+    ) -> None:
+        """Use all accelerators of some workers for a minute."""
+        step = fleetbuilders.build_step(1, 8, _LONG_MS, 60_000)
+        for number in numbers:
+            site.occupy(f'n{number:03}', f'job-{number}', step, _LONG_S)
+
+    def start(
+        self, site: idlebuilders.Site, step: jobgraph.Step, name: str = 'j'
+    ) -> set[fleet.Phase]:
+        """Submit a job; return the phases of its groups after the limit."""
+        job = site.submit(name, step, run_s=_LONG_S, queue='batch')
+        site.run_for(_LIMIT_S)
+        return {group.phase for group in job.groups_by_key.values()}
+
+    def submit_claiming_gang(self, site: idlebuilders.Site) -> None:
+        """Let a gang claim all seven free workers of twenty."""
+        self.occupy(site, range(13))
+        gang = fleetbuilders.build_step(10, 8, 5_000, gang=True)
+        site.submit('gang', gang, run_s=5.0, queue='batch')
+        site.step()
+
+    def test_lasting_work_does_not_wait_for_claims(self) -> None:
+        """Guards against claims that keep a service down under load."""
+        site = idlebuilders.Site(20)
+        self.submit_claiming_gang(site)
+        step = fleetbuilders.build_step(3, 1, _LONG_MS, long_running=True)
+        self.assertEqual({fleet.Phase.RUNNING}, self.start(site, step))
+
+    def test_a_lasting_gang_does_not_wait_for_one_rack(self) -> None:
+        """Guards against a wait of 10 s for a rack under load.
+
+        Each of three racks has 7 free workers; the gang needs 8.
+        """
+        site = idlebuilders.Site(60)
+        self.occupy(site, [n for n in range(60) if n % 20 >= 7])
+        gang = fleetbuilders.build_step(
+            8, 8, 5_000, gang=True, rack_local=True, long_running=True
+        )
+        self.assertEqual({fleet.Phase.RUNNING}, self.start(site, gang))
+
+    def test_other_work_of_the_same_shape_hides_no_capacity(self) -> None:
+        """Guards against an outcome shared by work that heeds claims.
+
+        A wide gang claims half of the workers; another has waited for so long
+        that it is tried without a rack.
+        """
+        site = idlebuilders.Site(60)
+        self.occupy(site, [n for n in range(60) if n % 20 >= 7])
+        wide = fleetbuilders.build_step(35, 8, 5_000, gang=True)
+        site.submit('wide', wide, run_s=5.0, queue='batch')
+        site.step()
+        other = fleetbuilders.build_step(
+            8, 8, 20_000, gang=True, rack_local=True
+        )
+        waiting = site.submit('other', other, run_s=20.0, queue='batch')
+        site.run_for(11.0)
+        gang = fleetbuilders.build_step(
+            8, 8, 5_000, gang=True, rack_local=True, long_running=True
+        )
+        self.assertEqual({fleet.Phase.RUNNING}, self.start(site, gang))
+        (group,) = waiting.groups_by_key.values()
+        self.assertIs(fleet.Phase.WAITING, group.phase)
+
+
+if __name__ == '__main__':
+    unittest.main()
