Stuck work returns in an idle service without a wait of 20 s

Callers would see a job of which nothing runs beside free capacity for up to 20 s after one of its attempts was stopped as stuck, where few workers can run it (a label, a rack of its data's kind) and the others are busy.

Cause: since a group returns to workers where it was stuck only if no other is expected to be free before it has waited for 20 s. That bound is meant for load, but held as well while most of the service is free; all other preferences end after 2 s then.

Change: the wait for a worker that is free soon applies only while capacity is scarce.

Evidence: testpreferencebounds.AvoidedWorkerTest failed before (still waiting after 3 s beside a free worker, 19 of 80 workers busy for 12 s).

--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -56,7 +56,7 @@
 
 _MAX_AVOIDANCE_S: typing.Final = 20.0
 """The longest wait for workers where a group was not stuck, if they are
-expected to be free by then."""
+expected to be free by then, while capacity is scarce."""
 
 _SEARCH_RETRY_S: typing.Final = 0.25
 """Delay before victims or workers to claim are searched again for a shape
@@ -329,7 +329,12 @@
 def _is_free_soon(
     context: _RoundContext, group: fleet.Group, allow: fitting.WorkerFilter
 ) -> bool:
-    """Return whether to wait for workers that ``allow`` passes."""
+    """Return whether to wait for workers that ``allow`` passes.
+
+    Not while plenty of capacity is free: few workers can run the group then.
+    """
+    if context.has_plenty(group):
+        return False
     left_s = group.since + _MAX_AVOIDANCE_S - context.now
     if left_s <= 0:
         return False
