A stop that was answered and has no effect is sent again

Callers would see a stopped attempt that goes on for ever: its group stays in phase STOPPING, so that preempted or stuck work never runs again, a cancelled task runs on and the capacity is not given back.

Cause: a member whose stop was answered got no other one.

Change: if the run is still reported 2 s after an answered stop, it is stopped again. Stops are idempotent, and a run that is not reported is settled by that report as before.

Evidence: testmemberends.StopTest failed before (attempt 1 after 5 s on a worker that ignores two stops), now the second attempt runs. The simulated site's workers can ignore stops. testgangmachine, testfleetfaults and testgangfaults pass.

--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -19,6 +19,9 @@
 from primroselock.workers import orders
 
 STOP_RETRY_S: typing.Final = 0.5
+_STOP_EFFECT_S: typing.Final = 2.0
+"""A run that is still reported after an answered stop is stopped again."""
+
 _GANG_STOP_GRACE_S: typing.Final = 0.25
 """Workers stop the remaining members of a broken gang within this time."""
 
@@ -330,7 +333,7 @@
 
 
 def order_stops(board: fleet.ShardBoard, now: float) -> None:
-    """Order the stops of members, and repeat them while unanswered.
+    """Order the stops of members, and repeat them while they have no effect.
 
     A worker that does not answer gets none: what it runs is known, and
     stopped where necessary, once it answers a poll.
@@ -350,10 +353,14 @@
 
 def _needs_stop(member: fleet.Member, now: float) -> bool:
     group = member.group
-    if member.stopped_at > 0:
-        return False
     if now - member.stop_sent_at < STOP_RETRY_S:
         return False
+    if member.stopped_at > 0:
+        # Without a report that lists it, the next one settles the member.
+        return (
+            member.state is fleet.MemberState.PRESENT
+            and now - member.stopped_at >= _STOP_EFFECT_S
+        )
     stops_on_its_own = group.size > 1 and any(
         other.state is fleet.MemberState.TERMINATED for other in group.members
     )
--- a/primroselock/test/idlebuilders.py
+++ b/primroselock/test/idlebuilders.py
@@ -39,9 +39,13 @@
 
 @dataclasses.dataclass(slots=True)
 class SimulatedWorker:
-    """A worker; it does not answer while ``answers`` is False."""
+    """A worker; it does not answer while ``answers`` is False.
+
+    It answers the next ``ignored_stops`` stops, but the runs go on.
+    """
 
     answers: bool = True
+    ignored_stops: int = 0
     fails_all: bool = False
     speed: float = 1.0
     ends: int = 0
@@ -273,7 +277,10 @@
                 simulated = self.workers_by_id[order.worker_id]
                 if not simulated.answers:
                     continue
-                self._end(simulated, order.run, orders.EndCause.STOPPED)
+                if simulated.ignored_stops:
+                    simulated.ignored_stops -= 1
+                else:
+                    self._end(simulated, order.run, orders.EndCause.STOPPED)
                 if order.member is not None:
                     order.member.stopped_at = self.now
 
