--- a/primroselock/decisions/placementround.py
+++ b/primroselock/decisions/placementround.py
@@ -45,6 +45,13 @@
         """Return whether capacity is plenty for the group's job."""
         return self.plenty.has_plenty(group.job, self.now)
 
+    def may_drop_claims(self, group: livejobs.Group) -> bool:
+        """Return whether a group need not wait for claimed workers.
+
+        Long-running work is due at all times, however full its service is.
+        """
+        return group.step.long_running or self.has_plenty(group)
+
 
 def place_among(
     context: RoundContext,
--- a/primroselock/decisions/preferences.py
+++ b/primroselock/decisions/preferences.py
@@ -3,7 +3,8 @@
 One rack for a gang, workers where the group was not stuck before, and
 workers that no other group claims are preferences.  They are dropped for a
 group that has waited for a while although it fits without them: soon while
-capacity is plenty, and later, but for the claims, in any case.
+capacity is plenty and for long-running work, and later, but for the claims,
+in any case.
 Workers where it was stuck come last, and only once no other is expected to
 be free for it soon.
 """
@@ -20,14 +21,15 @@
 from primroselock import queues
 
 _PREFERENCE_TIMEOUT_S: typing.Final = 2.0
-"""Wait for preferred workers while plenty of capacity is free."""
+"""Wait for preferred workers while plenty of capacity is free, and of
+long-running work."""
 
 _MAX_PREFERENCE_WAIT_S: typing.Final = 10.0
 """Wait for preferred workers while capacity is scarce."""
 
 _MAX_AVOIDANCE_S: typing.Final = 20.0
 """The longest wait for workers where a group was not stuck, if they are
-expected to be free by then."""
+expected to be free by then, while capacity is scarce."""
 
 
 def is_overdue(
@@ -42,7 +44,7 @@
     )
     if not (prefers or context.board.claims_by_group):
         return False
-    if context.has_plenty(group):
+    if context.may_drop_claims(group):
         return True
     return bool(prefers) and waited_s >= _MAX_PREFERENCE_WAIT_S
 
@@ -57,7 +59,7 @@
     Returns None where the attempt depends on more: while claims count, the
     group may use the workers that it claims itself.
     """
-    ignores_claims = context.has_plenty(group)
+    ignores_claims = context.may_drop_claims(group)
     if shape is None or (
         not ignores_claims and group in context.board.claims_by_group
     ):
@@ -116,7 +118,12 @@
     group: livejobs.Group,
     allow: fitting.WorkerFilter,
 ) -> bool:
-    """Return whether to wait for workers that ``allow`` passes."""
+    """Return whether to wait for workers that ``allow`` passes.
+
+    Not while plenty of capacity is free: few workers can run the group then.
+    """
+    if context.has_plenty(group):
+        return False
     left_s = group.since + _MAX_AVOIDANCE_S - context.now
     if left_s <= 0:
         return False
@@ -153,11 +160,11 @@
     """Return a filter for the usable workers that a group must accept."""
     rank = context.rank(group)
     may_run = _build_basic_filter(context, group, queue)
-    has_plenty = context.has_plenty(group)
+    ignores_claims = context.may_drop_claims(group)
 
     def allow(worker: fleetworkers.Worker) -> bool:
         is_claimed = context.claims.excludes(worker.id, group, rank)
-        return may_run(worker) and (has_plenty or not is_claimed)
+        return may_run(worker) and (ignores_claims or not is_claimed)
 
     return allow
 
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -21,6 +21,9 @@
 from primroselock.workers import orders
 
 STOP_RETRY_S: typing.Final = 0.5
+_STOP_EFFECT_S: typing.Final = 2.0
+"""A run that is still reported after an answered stop is stopped again."""
+
 _GANG_STOP_GRACE_S: typing.Final = 0.25
 """Workers stop the remaining members of a broken gang within this time."""
 
@@ -88,6 +91,7 @@
     The members stay until they are compared with the report.
     """
     board.worker_speeds.drop_worker(worker.id)
+    worker.refusals_in_row = 0
     worker.listed_end = 0
     worker.saved_end = 0
     worker.confirmed_end = 0
@@ -341,7 +345,7 @@
 
 
 def order_stops(board: fleet.ShardBoard, now: float) -> None:
-    """Order the stops of members, and repeat them while unanswered.
+    """Order the stops of members, and repeat them while they have no effect.
 
     A worker that does not answer gets none: what it runs is known, and
     stopped where necessary, once it answers a poll.
@@ -361,10 +365,14 @@
 
 def _needs_stop(member: livejobs.Member, now: float) -> bool:
     group = member.group
-    if member.stopped_at > 0:
-        return False
     if now - member.stop_sent_at < STOP_RETRY_S:
         return False
+    if member.stopped_at > 0:
+        # Without a report that lists it, the next one settles the member.
+        return (
+            member.state is livejobs.MemberState.PRESENT
+            and now - member.stopped_at >= _STOP_EFFECT_S
+        )
     stops_on_its_own = group.size > 1 and any(
         other.state is livejobs.MemberState.TERMINATED
         for other in group.members
