Of equally urgent gangs the claims of the first one count

Cause: a claim excluded every equally urgent group, also one that is placed before its owner. So several gangs could each hold free workers and wait for some more that another one held, or that stayed busy for longer than expected; none of them gave a worker back, since a claim is renewed for as long as its gang waits. The class: hold and wait; a preference without a bound.

Change: among groups of equal rank the order of placement decides. A gang may use, and claim, what gangs behind it have claimed, and only the claims of those before it count for its share of workers. So the first gang gets what is free, and then the next one.

--- a/primroselock/decisions/claimindex.py
+++ b/primroselock/decisions/claimindex.py
@@ -2,8 +2,14 @@
 
 A claim keeps workers free for a group that waits for them.  Each placement
 asks about many workers, so that the claims are indexed by worker.
+
+Among equally urgent groups the claim of the one that is placed first counts.
+If the claims of all of them did, several gangs could each hold a part of the
+workers that one of them needs, and none would run.
 """
 
+from collections import abc
+import math
 import typing
 
 from primroselock.decisions import fleet
@@ -11,12 +17,18 @@
 
 
 class ClaimIndex:
-    """Indexes ``claims_by_group`` and keeps both up to date."""
+    """Indexes ``claims_by_group`` and keeps both up to date.
+
+    ``position_by_step`` is the order of placement of waiting steps.
+    """
 
     def __init__(
-        self, claims_by_group: dict[livejobs.Group, fleet.CapacityClaim]
+        self,
+        claims_by_group: dict[livejobs.Group, fleet.CapacityClaim],
+        position_by_step: abc.Mapping[livejobs.StepName, int],
     ) -> None:
         self._claims_by_group = claims_by_group
+        self._position_by_step = position_by_step
         self._owners_by_worker_id: dict[str, dict[livejobs.Group, None]] = {}
         for group, claim in claims_by_group.items():
             self._index(group, claim)
@@ -51,22 +63,29 @@
         """Return whether others' claims exclude a group from a worker.
 
         ``rank`` is the urgency of the group.  Groups that are more urgent
-        than the owner of a claim may use its workers; equal ones may not.
+        than the owner of a claim may use its workers, and so may equally
+        urgent ones that are placed before it.
         """
         owners: typing.Iterable[livejobs.Group] = (
             self._owners_by_worker_id.get(worker_id, ())
         )
+        precedence = (rank, self._position(group))
         return any(
-            owner is not group and self._claims_by_group[owner].rank <= rank
+            owner is not group
+            and (self._claims_by_group[owner].rank, self._position(owner))
+            <= precedence
             for owner in owners
         )
 
-    def count_claimed_by_others(self, group: livejobs.Group) -> int:
-        """Return the number of workers that other groups claim."""
-        claim = self._claims_by_group.get(group)
-        own_ids = claim.worker_ids if claim is not None else frozenset()
-        only_own = sum(
-            len(self._owners_by_worker_id[worker_id]) == 1
-            for worker_id in own_ids
+    def count_excluded(
+        self, group: livejobs.Group, rank: livejobs.Rank
+    ) -> int:
+        """Return from how many workers others' claims exclude a group."""
+        return sum(
+            self.excludes(worker_id, group, rank)
+            for worker_id in self._owners_by_worker_id
         )
-        return len(self._owners_by_worker_id) - only_own
+
+    def _position(self, group: livejobs.Group) -> float:
+        # A step without a position is not to be placed now.
+        return self._position_by_step.get(group.step_name, math.inf)
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -60,7 +60,7 @@
     """Workers that are claimed for a group until it fits there.
 
     More urgent groups, those of a lower ``rank``, may use them all the
-    same.
+    same, and of equally urgent groups those that are placed earlier.
     """
 
     worker_ids: frozenset[str]
@@ -154,6 +154,9 @@
     claims_by_group: dict[livejobs.Group, CapacityClaim] = dataclasses.field(
         default_factory=dict
     )
+    position_by_step: dict[livejobs.StepName, int] = dataclasses.field(
+        default_factory=dict
+    )
     search_retry_at_by_shape: dict[typing.Any, float] = dataclasses.field(
         default_factory=dict
     )
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -69,13 +69,16 @@
     )
     if not steps:
         return
+    board.position_by_step = {
+        groups[0].step_name: position for position, groups in enumerate(steps)
+    }
     context = placementround.RoundContext(
         board,
         settings,
         plenty,
         _build_free_capacity(board, settings, usable),
         fleetpreemption.VictimIndex(now),
-        claimindex.ClaimIndex(board.claims_by_group),
+        claimindex.ClaimIndex(board.claims_by_group, board.position_by_step),
         guaranteed_ids,
         now,
         wall_s,
@@ -304,7 +307,8 @@
 ) -> bool:
     """Return whether a gang may claim workers that it waits for.
 
-    It may not while other groups claim ``claim_share`` of the workers.
+    It may not while groups that are served before it claim ``claim_share``
+    of the workers.
     """
     share = context.settings.claim_share
     if group.size == 1 or not share:
@@ -312,8 +316,8 @@
     use = objectives.usefulness(group, context.wall_s)
     if use is objectives.Usefulness.TOO_LATE:
         return False
-    claimed_by_others = context.claims.count_claimed_by_others(group)
-    return claimed_by_others < share * len(context.board.workers_by_id)
+    claimed = context.claims.count_excluded(group, context.rank(group))
+    return claimed < share * len(context.board.workers_by_id)
 
 
 def _claim_soonest(
