Gangs claim at most a share of the workers that may get starts

What callers see: with a zone out of service, less urgent work finds nearly no worker that no gang claims.

Cause: claims were limited to a share of all known workers, also those in a zone out of service, draining or not answering, which nobody can use: with one zone of three closed, half of all were three quarters of the rest.

Change: the share is one of the workers that may get starts in the round.

Evidence: testclaimorder's second test failed before (20 of 20 workers in service claimed by two gangs) and passes (10). Tests of idle waits, racks, load patterns, nodes and takeovers pass.

--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -75,6 +75,7 @@
     context = placementround.RoundContext(
         board,
         settings,
+        len(usable),
         plenty,
         _build_free_capacity(board, settings, usable),
         fleetpreemption.VictimIndex(now),
@@ -308,7 +309,7 @@
     """Return whether a gang may claim workers that it waits for.
 
     It may not while groups that are served before it claim ``claim_share``
-    of the workers.
+    of the workers that may get starts.
     """
     share = context.settings.claim_share
     if group.size == 1 or not share:
@@ -317,7 +318,7 @@
     if use is objectives.Usefulness.TOO_LATE:
         return False
     claimed = context.claims.count_excluded(group, context.rank(group))
-    return claimed < share * len(context.board.workers_by_id)
+    return claimed < share * context.usable_count
 
 
 def _claim_soonest(
--- a/primroselock/decisions/placementround.py
+++ b/primroselock/decisions/placementround.py
@@ -23,12 +23,14 @@
 class RoundContext:
     """The inputs to the placements of one round.
 
+    ``usable_count`` is the number of workers that may get starts.
     ``guaranteed_ids`` names the jobs within their accounts' guarantees.
     ``now`` is on this process's clock; ``wall_s`` is since the Unix epoch.
     """
 
     board: fleet.ShardBoard
     settings: options.FleetSettings
+    usable_count: int
     plenty: eligibility.PlentyServices
     free_capacity: freecapacity.FreeCapacity
     victims: fleetpreemption.VictimIndex
--- a/primroselock/test/testclaimorder.py
+++ b/primroselock/test/testclaimorder.py
@@ -3,6 +3,7 @@
 A site of 40 workers: some run long work, the others are claimed by gangs.
 """
 
+import dataclasses
 import typing
 import unittest
 
@@ -57,6 +58,28 @@
         self.site.run_for(8.0)
         self.assertEqual(['gang-a', 'gang-b'], self.list_running(*gangs))
 
+    def test_claims_leave_workers_in_service_to_others(self) -> None:
+        """Guards against claims of all workers that may get starts.
+
+        Half of the workers are in a zone out of service; the gangs need all
+        that are left.
+        """
+        for number in range(_WORKERS):
+            self.occupy(number, idlecases.LONG_S)
+        for worker in list(self.site.board.workers_by_id.values())[20:]:
+            entry = dataclasses.replace(worker.entry, zone='closed')
+            self.site.board.record_entry(entry, self.site.now)
+        self.site.take_out_of_service('closed')
+        for name in ('gang-a', 'gang-b'):
+            self.submit_gang(name, 10)
+        self.site.run_for(3.0)
+        claimed = {
+            worker_id
+            for claim in self.site.board.claims_by_group.values()
+            for worker_id in claim.worker_ids
+        }
+        self.assertEqual(10, len(claimed))
+
 
 if __name__ == '__main__':
     unittest.main()
