HTTP client: a cancellation that comes with the answer is raised

Cause: aiosonic waits by `asyncio.wait_for`, which in Python 3.11 returns the result of a task that has just ended instead of raising a cancellation. A loop that is cancelled while its answer is processed goes on; the daemon cancelled each loop once and waited for all. The three steps of the event loop at which this happens last long when the process is preempted between them, so that the answer and the timer of the shutdown are ready together. With the default settings the VM list is read 2 s after the start and the loops are cancelled 2.1 s after the signal, which meet if the platform answers within 40 ms.

One test records the library's fault.

--- a/primroselock/httpclient.py
+++ b/primroselock/httpclient.py
@@ -34,6 +34,7 @@
 import result
 
 from primroselock import clock
+from primroselock import waits
 
 _CONNECT_TIMEOUT_S: typing.Final = 2.0
 _MAX_RESPONSE_BYTES: typing.Final = 64 * 1024 * 1024
@@ -319,7 +320,10 @@
                 NotSent('no connection was free in time', is_local=True)
             )
         left_s = max(deadline - clock.monotonic(), _MIN_TIMEOUT_S)
-        return await self._exchange_on(pooled, request, left_s)
+        # The library swallows a cancellation that comes with the response.
+        return await waits.keep_cancellation(
+            self._exchange_on(pooled, request, left_s)
+        )
 
     async def _exchange_on(
         self, pooled: _PooledClient, request: Request, timeout_s: float
--- a/primroselock/test/testhttpclient.py
+++ b/primroselock/test/testhttpclient.py
@@ -25,6 +25,8 @@
 _SHORT_TIMEOUT_S: typing.Final = 0.01
 _LONG_TIMEOUT_S: typing.Final = 20.0
 _SETTLE_ROUNDS: typing.Final = 20
+_MAX_STEPS: typing.Final = 500
+"""More steps of the event loop than an exchange takes."""
 
 
 class Peer:
@@ -151,6 +153,79 @@
         await pool.aclose()
 
 
+async def serve_at_once(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Answer each request of a connection as soon as it is read."""
+    try:
+        while True:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+    except (asyncio.IncompleteReadError, OSError):
+        return
+    finally:
+        writer.close()
+
+
+class CancelledAtEachStepTest(unittest.IsolatedAsyncioTestCase):
+    """An exchange is cancelled at each step of the event loop.
+
+    Guards against a daemon that does not end after SIGTERM: its loops were
+    cancelled once, and one whose answer arrived at that moment went on.
+    """
+
+    async def asyncSetUp(self) -> None:
+        server = await asyncio.start_server(serve_at_once, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        self.address = f'{host}:{port}'
+
+    async def count_swallowed(
+        self, send: abc.Callable[[], abc.Coroutine[None, None, None]]
+    ) -> int:
+        """Return at how many steps a cancellation of ``send`` had no effect.
+
+        A call before each one leaves an open connection.
+        """
+        swallowed = 0
+        for step in range(_MAX_STEPS):
+            await send()
+            task = asyncio.create_task(send())
+            for _ in range(step):
+                await asyncio.sleep(0)
+            if not task.cancel():
+                self.assertGreater(step, 0)
+                return swallowed
+            await asyncio.wait({task}, timeout=_LONG_TIMEOUT_S)
+            swallowed += task.done() and not task.cancelled()
+        self.fail(f'no exchange ended within {_MAX_STEPS} steps')
+
+    async def test_library_swallows_a_cancellation(self) -> None:
+        """Records the fault of ``asyncio.wait_for``, which aiosonic uses.
+
+        The test fails once both no longer swallow a cancellation.
+        """
+        client = aiosonic.HTTPClient()
+
+        async def send() -> None:
+            answer = await client.request(f'http://{self.address}/')
+            await answer.content()
+
+        self.assertGreater(await self.count_swallowed(send), 0)
+        await client.aclose()
+
+    async def test_pool_raises_each_cancellation(self) -> None:
+        pool = httpclient.ConnectionPool(self.address, 1)
+
+        async def send() -> None:
+            await pool.exchange(
+                httpclient.Request('POST', '/'), _LONG_TIMEOUT_S
+            )
+
+        self.assertEqual(0, await self.count_swallowed(send))
+        await pool.aclose()
+
+
 class FaultyPeerTest(unittest.IsolatedAsyncioTestCase):
     """Results for truncated, malformed, surplus and missing answers."""
 
--- a/primroselock/test/testwaits.py
+++ b/primroselock/test/testwaits.py
@@ -1,6 +1,7 @@
 """Waits end in time, even if a library swallows a cancellation."""
 
 import asyncio
+from collections import abc
 import unittest
 
 from primroselock import clock
@@ -43,6 +44,74 @@
         virtualtime.run(scenario)
 
 
+class KeepCancellationTest(unittest.TestCase):
+    """A cancellation counts, whatever the awaited library makes of it."""
+
+    def cancel_during(
+        self, work: abc.Callable[[], abc.Coroutine[None, None, str]]
+    ) -> asyncio.Task[str]:
+        """Cancel a task that awaits ``work``; return it when it has ended."""
+        tasks: list[asyncio.Task[str]] = []
+
+        async def scenario(virtual: virtualtime.VirtualClock) -> None:
+            task = asyncio.create_task(waits.keep_cancellation(work()))
+            tasks.append(task)
+            await asyncio.sleep(0.1)
+            task.cancel()
+            await asyncio.wait({task})
+
+        virtualtime.run(scenario)
+        return tasks[0]
+
+    def test_a_swallowed_cancellation_is_raised(self) -> None:
+        """Guards against a loop that goes on after its cancellation."""
+
+        async def swallow() -> str:
+            try:
+                await asyncio.sleep(60.0)
+            except asyncio.CancelledError:
+                return 'answer'
+            return 'late'
+
+        self.assertTrue(self.cancel_during(swallow).cancelled())
+
+    def test_an_earlier_cancellation_does_not_count(self) -> None:
+        """Work that a cancelled task does before it ends is not disturbed."""
+
+        async def clean_up() -> str:
+            return 'released'
+
+        async def work() -> str:
+            try:
+                await asyncio.sleep(60.0)
+            except asyncio.CancelledError:
+                return await waits.keep_cancellation(clean_up())
+            return 'late'
+
+        async def scenario(virtual: virtualtime.VirtualClock) -> None:
+            task = asyncio.create_task(work())
+            await asyncio.sleep(0.1)
+            task.cancel()
+            self.assertEqual('released', await task)
+
+        virtualtime.run(scenario)
+
+    def test_a_time_limit_inside_is_no_cancellation(self) -> None:
+        async def wait_briefly() -> str:
+            try:
+                async with asyncio.timeout(1.0):
+                    await asyncio.sleep(60.0)
+            except TimeoutError:
+                return 'timeout'
+            return 'late'
+
+        async def scenario(virtual: virtualtime.VirtualClock) -> None:
+            waited = await waits.keep_cancellation(wait_briefly())
+            self.assertEqual('timeout', waited)
+
+        virtualtime.run(scenario)
+
+
 class CancelTasksTest(unittest.TestCase):
     """Every task ends, even if it swallows the first cancellation."""
 
--- a/primroselock/waits.py
+++ b/primroselock/waits.py
@@ -1,4 +1,10 @@
-"""Waits for events and for the ends of tasks."""
+"""Waits for events and for the ends of tasks.
+
+A library that uses ``asyncio.wait_for`` may swallow a cancellation (Python
+3.11): if the awaited task has just ended, ``wait_for`` returns its result
+instead.  Nobody cancels the task a second time, and a loop goes on for ever.
+Calls of such a library are wrapped in :func:`keep_cancellation`.
+"""
 
 import asyncio
 from collections import abc
@@ -6,6 +12,23 @@
 
 _RECANCEL_INTERVAL_S: typing.Final = 0.2
 
+_Value = typing.TypeVar('_Value')
+
+
+async def keep_cancellation(work: abc.Awaitable[_Value]) -> _Value:
+    """Await ``work``; raise a cancellation that it swallowed.
+
+    Raises :class:`asyncio.CancelledError` if the current task was cancelled
+    meanwhile, even if ``work`` returned a result.
+    """
+    task = asyncio.current_task()
+    assert task is not None
+    earlier = task.cancelling()
+    value = await work
+    if task.cancelling() > earlier:
+        raise asyncio.CancelledError
+    return value
+
 
 async def wait_event(event: asyncio.Event, timeout_s: float) -> None:
     """Wait for ``event`` for at most ``timeout_s``, then clear it.
