Daemons: SIGHUP is ignored, each signal is logged; failures show the log

The kernel sends SIGHUP to stopped processes of an orphaned process group, but to the whole group, and the runner lived.

Change: gateway and scheduler ignore SIGHUP, as the node does, instead of ending without a handover; every signal that they handle is logged by name. The launcher's errors state the exit code or signal, the signals that the test sent, the last 30 events and lines; it reads the rest of the log before it judges that an event is missing, and a process that does not end in time writes its stack.

Test: the daemon's handling of each signal; before, the SIGHUP of the test ended the test's own process, and SIGTERM's line had no name.

--- a/primroselock/daemon.py
+++ b/primroselock/daemon.py
@@ -2,7 +2,8 @@
 
 A daemon runs its loops in one task group.  A signal sets ``stopping``;
 the daemon then finishes its work in progress and exits.  A second signal
-ends it at once.
+ends it at once.  SIGHUP is logged only.  Each of them leaves a log line, so
+that a daemon that ends without one was killed.
 """
 
 import asyncio
@@ -83,17 +84,27 @@
         self._vm_handlers.append(handler)
 
     def install_signals(self) -> None:
-        """Shut down on SIGTERM or SIGINT; exit at once on the second."""
+        """Shut down on SIGTERM or SIGINT; exit at once on the second.
+
+        SIGHUP, which would end the process without a handover, is ignored.
+        """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._on_signal)
+            loop.add_signal_handler(number, self._on_signal, number)
+        loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
 
-    def _on_signal(self) -> None:
+    def _on_signal(self, number: signal.Signals) -> None:
         if self.stopping.is_set():
+            _log.warning('exiting at once', signal=number.name)
             os._exit(errors.ExitCode.REFUSED)
-        _log.info('stopping')
+        _log.info('stopping', signal=number.name)
         self.stopping.set()
 
+    def _on_hangup(self) -> None:
+        _log.warning(
+            'SIGHUP ignored: settings are read at the next start only'
+        )
+
     def start_loops(
         self, group: asyncio.TaskGroup
     ) -> list[asyncio.Task[None]]:
--- a/primroselock/test/testdaemon.py
+++ b/primroselock/test/testdaemon.py
@@ -1,10 +1,16 @@
-"""The common loops of the daemons end when they are cancelled."""
+"""The common loops of the daemons end when they are told to."""
 
 import asyncio
+import os
+import signal
 import typing
 import unittest
+from unittest import mock
+
+from structlog import testing
 
 from primroselock import daemon
+from primroselock import errors
 from primroselock import options
 from primroselock.test import builders
 from primroselock import waits
@@ -13,6 +19,7 @@
 """Steps of the event loop that cover a whole call of each loop."""
 
 _END_S: typing.Final = 2.0
+_SIGNALS: typing.Final = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 async def answer_with_nothing(
@@ -86,5 +93,59 @@
         self.assertEqual([0] * _STEPS, survivors)
 
 
+class SignalsTest(unittest.IsolatedAsyncioTestCase):
+    """Every signal that a daemon handles leaves a log line.
+
+    Guards against a daemon that ends for no reason that its log shows, as a
+    scheduler once did that was stopped and continued.
+    """
+
+    async def asyncSetUp(self) -> None:
+        self.shared = daemon.Daemon(builders.build_settings(), 'scheduler')
+        self.addAsyncCleanup(self.shared.aclose)
+        self.shared.install_signals()
+        self.addAsyncCleanup(self.remove_signals)
+
+    async def remove_signals(self) -> None:
+        """Give the signals to the test's process again."""
+        loop = asyncio.get_running_loop()
+        for number in _SIGNALS:
+            loop.remove_signal_handler(number)
+
+    async def send(self, number: signal.Signals) -> list[typing.Any]:
+        """Send a signal to this process; return the lines of the log."""
+        with testing.capture_logs() as lines:
+            os.kill(os.getpid(), number)
+            # The loop reads the signal, then calls its handler.
+            await asyncio.sleep(0.05)
+        return lines
+
+    async def test_the_first_one_shuts_down(self) -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            with self.subTest(number.name):
+                self.shared.stopping.clear()
+                (line,) = await self.send(number)
+                self.assertTrue(self.shared.stopping.is_set())
+                self.assertEqual('stopping', line['event'])
+                self.assertEqual(number.name, line['signal'])
+
+    async def test_the_second_one_ends_at_once(self) -> None:
+        await self.send(signal.SIGTERM)
+        with mock.patch.object(os, '_exit', autospec=True) as ended:
+            line, *_ = await self.send(signal.SIGINT)
+        ended.assert_called_once_with(errors.ExitCode.REFUSED)
+        self.assertEqual('SIGINT', line['signal'])
+
+    async def test_a_hangup_does_not_end_it(self) -> None:
+        """The default action would end it without a line or a handover.
+
+        The kernel sends SIGHUP to a stopped process whose process group has
+        lost its last parent, and it acts when the process is continued.
+        """
+        (line,) = await self.send(signal.SIGHUP)
+        self.assertIn('SIGHUP', line['event'])
+        self.assertFalse(self.shared.stopping.is_set())
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -24,6 +24,8 @@
 
 START_TIMEOUT_S: typing.Final = 20.0
 _POLL_INTERVAL_S: typing.Final = 0.02
+_READ_TIMEOUT_S: typing.Final = 5.0
+_SHOWN_LINES: typing.Final = 30
 _ROOT: typing.Final = pathlib.Path(__file__).resolve().parent.parent
 
 OPERATOR_TOKEN: typing.Final = 'operator-token'
@@ -125,6 +127,7 @@
         self.name = name
         self.events: list[dict[str, typing.Any]] = []
         self.other_lines: list[str] = []
+        self._sent_signals: list[str] = []
         self._popen = subprocess.Popen(
             [sys.executable, *arguments],
             cwd=_ROOT,
@@ -158,14 +161,13 @@
         """
 
         def ready() -> dict[str, typing.Any] | None:
+            has_exited = self._popen.poll() is not None
+            if has_exited:
+                # Its last lines may not have been read yet.
+                self._reader.join(_READ_TIMEOUT_S)
             found = self.find_event(event)
-            if found is None and self._popen.poll() is not None:
-                self._reader.join(1.0)
-                lines = '\n'.join(self.other_lines[-20:])
-                code = self._popen.returncode
-                raise RuntimeError(
-                    f'{self.name} exited early with code {code}: {lines}'
-                )
+            if found is None and has_exited:
+                raise RuntimeError(f'exited early: {self.describe()}')
             return found
 
         found: dict[str, typing.Any] = wait_for(
@@ -173,9 +175,27 @@
         )
         return found
 
+    def describe(self) -> str:
+        """Return how the process ended, what was sent to it and its log."""
+        code = self._popen.poll()
+        ending = 'running' if code is None else f'exit code {code}'
+        if code is not None and code < 0:
+            ending = f'killed by {signal.Signals(-code).name}'
+        reading = ', still read' if self._reader.is_alive() else ''
+        lines = [
+            f'{self.name} (pid {self.pid}): {ending}',
+            f'signals sent by this test: {", ".join(self._sent_signals)}',
+            f'last events of its log{reading}:',
+            *(json.dumps(event) for event in self.events[-_SHOWN_LINES:]),
+            'last other lines:',
+            *self.other_lines[-_SHOWN_LINES:],
+        ]
+        return '\n'.join(lines)
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         if self._popen.poll() is None:
+            self._sent_signals.append(f'{number.name} at {time.time():.3f}')
             os.kill(self.pid, number)
 
     def kill(self) -> None:
@@ -184,8 +204,20 @@
         self._popen.wait()
 
     def wait(self, timeout_s: float = 20.0) -> int:
-        """Wait for the process to exit; return its exit code."""
-        return self._popen.wait(timeout_s)
+        """Wait for the process to exit; return its exit code.
+
+        Raises :class:`TimeoutError` after ``timeout_s``, and ends the process
+        with a dump of its stack.
+        """
+        try:
+            return self._popen.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            # The daemons' fault handler writes the stack.
+            self.send_signal(signal.SIGABRT)
+            self._reader.join(_READ_TIMEOUT_S)
+            raise TimeoutError(
+                f'not ended within {timeout_s} s: {self.describe()}'
+            ) from None
 
     def close(self) -> None:
         """Kill the process, even one stopped by SIGSTOP; close its log."""
