--- /dev/null
+++ b/primroselock/test/testdaemon.py
@@ -0,0 +1,151 @@
+"""The common loops of the daemons end when they are told to."""
+
+import asyncio
+import os
+import signal
+import typing
+import unittest
+from unittest import mock
+
+from structlog import testing
+
+from primroselock import daemon
+from primroselock import errors
+from primroselock import options
+from primroselock.test import builders
+from primroselock import waits
+
+_STEPS: typing.Final = 60
+"""Steps of the event loop that cover a whole call of each loop."""
+
+_END_S: typing.Final = 2.0
+_SIGNALS: typing.Final = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+
+async def answer_with_nothing(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Answer each call to the platform with an empty list."""
+    try:
+        while True:
+            head = await reader.readuntil(b'\r\n\r\n')
+            for line in head.lower().splitlines():
+                name, _, value = line.partition(b':')
+                if name == b'content-length':
+                    await reader.readexactly(int(value))
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]')
+    except (asyncio.IncompleteReadError, OSError):
+        return
+    finally:
+        writer.close()
+
+
+def build_settings(address: str) -> options.Settings:
+    """Return settings under which the loops call the platform often."""
+    return builders.parse_settings(f"""
+[process]
+vm_id = entry-1
+zone = a
+[platform]
+address = {address}
+vm_list_interval_s = 0.001
+max_calls_per_s = 100000
+[configuration]
+poll_interval_s = 0.001
+""")
+
+
+class SharedLoopsTest(unittest.IsolatedAsyncioTestCase):
+    """The loops that both daemons run."""
+
+    async def count_survivors(self, shared: daemon.Daemon, step: int) -> int:
+        """Start the loops; cancel each once, ``step`` steps after a VM list.
+
+        Return how many of them go on.
+        """
+        shared.vms_read_at = None
+        async with asyncio.TaskGroup() as group:
+            loops = shared.start_loops(group)
+            while shared.vms_read_at is None:
+                await asyncio.sleep(0)
+            for _ in range(step):
+                await asyncio.sleep(0)
+            for loop in loops:
+                loop.cancel()
+            _, left = await asyncio.wait(loops, timeout=_END_S)
+            await waits.cancel_tasks(loops)
+        return len(left)
+
+    async def test_each_ends_at_its_first_cancellation(self) -> None:
+        """Guards against a gateway that does not end after SIGTERM.
+
+        The HTTP library swallowed the cancellation of a loop whose answer
+        arrived at that moment, and the daemon waited for it for ever.
+        """
+        server = await asyncio.start_server(answer_with_nothing, '127.0.0.1')
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        shared = daemon.Daemon(build_settings(f'{host}:{port}'), 'gateway')
+        self.addAsyncCleanup(shared.aclose)
+        survivors = [
+            await self.count_survivors(shared, step) for step in range(_STEPS)
+        ]
+        self.assertEqual([0] * _STEPS, survivors)
+
+
+class SignalsTest(unittest.IsolatedAsyncioTestCase):
+    """Every signal that a daemon handles leaves a log line.
+
+    Guards against a daemon that ends for no reason that its log shows, as a
+    scheduler once did that was stopped and continued.
+    """
+
+    async def asyncSetUp(self) -> None:
+        self.shared = daemon.Daemon(builders.build_settings(), 'scheduler')
+        self.addAsyncCleanup(self.shared.aclose)
+        self.shared.install_signals()
+        self.addAsyncCleanup(self.remove_signals)
+
+    async def remove_signals(self) -> None:
+        """Give the signals to the test's process again."""
+        loop = asyncio.get_running_loop()
+        for number in _SIGNALS:
+            loop.remove_signal_handler(number)
+
+    async def send(self, number: signal.Signals) -> list[typing.Any]:
+        """Send a signal to this process; return the lines of the log."""
+        with testing.capture_logs() as lines:
+            os.kill(os.getpid(), number)
+            # The loop reads the signal, then calls its handler.
+            await asyncio.sleep(0.05)
+        return lines
+
+    async def test_the_first_one_shuts_down(self) -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            with self.subTest(number.name):
+                self.shared.stopping.clear()
+                (line,) = await self.send(number)
+                self.assertTrue(self.shared.stopping.is_set())
+                self.assertEqual('stopping', line['event'])
+                self.assertEqual(number.name, line['signal'])
+
+    async def test_the_second_one_ends_at_once(self) -> None:
+        await self.send(signal.SIGTERM)
+        with mock.patch.object(os, '_exit', autospec=True) as ended:
+            line, *_ = await self.send(signal.SIGINT)
+        ended.assert_called_once_with(errors.ExitCode.REFUSED)
+        self.assertEqual('SIGINT', line['signal'])
+
+    async def test_a_hangup_does_not_end_it(self) -> None:
+        """The default action would end it without a line or a handover.
+
+        The kernel sends SIGHUP to a stopped process whose process group has
+        lost its last parent, and it acts when the process is continued.
+        """
+        (line,) = await self.send(signal.SIGHUP)
+        self.assertIn('SIGHUP', line['event'])
+        self.assertFalse(self.shared.stopping.is_set())
+
+
+if __name__ == '__main__':
+    unittest.main()
