Quarantines leave each service most of its workers

Callers would see jobs of a small service with nothing running for up to a minute, after other jobs that always fail had failed on all of its workers.

Cause: at most a quarter of all workers is quarantined at a time, but a service with less than a quarter of them may lose all of its own. A quarantine lasts up to 60 s, and its jobs may run nowhere else.

Change: the share is that of the listed workers of each service, at least one, but never the last one. The evidence of others is kept for later rounds as before.

Evidence: testpreferencebounds.QuarantineTest with a service of 1, 2 and 3 of 40 workers failed before in each case (a sound job still waiting after 3 s). testidledecisions, testidlecapacity, testtakeoverwaits, testloadpatterns, testrunprogress, testholderload, testfleetnode, testsoak, testworkerhealth and testwaitreport pass (139).

--- a/primroselock/decisions/fleethealth.py
+++ b/primroselock/decisions/fleethealth.py
@@ -4,8 +4,8 @@
 success in between is quarantined: it gets no work for a time that doubles
 with each repetition.  After that it is on probation: the next failure
 quarantines it again, the next success clears it.  Jobs that always fail
-make sound workers suspect, too: no more than a share of all workers is
-quarantined at a time.
+make sound workers suspect, too: no more than a share of the workers of each
+service is quarantined at a time, and never its last one.
 
 A task is stuck when it runs much longer than others of its step or queue,
 when it is much slower than its siblings (tasks of the same step), or when
@@ -53,15 +53,14 @@
 def quarantine(board: fleet.ShardBoard, now: float) -> None:
     """Quarantine the workers that the recorded failures make suspect."""
     recorded = board.failure_evidence
-    quarantined = sum(
-        now < known.until
-        for known in recorded.quarantines_by_worker_id.values()
-    )
-    most = len(board.workers_by_id) * _MAX_QUARANTINED_SHARE
+    if not recorded.attempts_by_worker_id:
+        return
+    left_by_service = _count_quarantines_left(board, now)
     for worker_id in list(recorded.attempts_by_worker_id):
-        if quarantined + 1 > max(most, 1):
+        worker = board.workers_by_id.get(worker_id)
+        if worker is None or left_by_service[worker.entry.service] < 1:
             # The evidence stays for the next round.
-            return
+            continue
         last = recorded.quarantines_by_worker_id.get(worker_id)
         if last is not None and now < last.until:
             continue
@@ -77,7 +76,7 @@
         recorded.quarantines_by_worker_id[worker_id] = evidence.Quarantine(
             now + length_s, times
         )
-        quarantined += 1
+        left_by_service[worker.entry.service] -= 1
         failures = recorded.attempts_by_worker_id.pop(worker_id)
         board.decision_records.append(
             fleet.DecisionRecord(
@@ -92,6 +91,24 @@
         )
 
 
+def _count_quarantines_left(
+    board: fleet.ShardBoard, now: float
+) -> dict[str, float]:
+    """Return by service how many more workers may be quarantined now."""
+    counts: dict[str, int] = {}
+    quarantined: dict[str, int] = {}
+    for worker in board.workers_by_id.values():
+        service = worker.entry.service
+        counts[service] = counts.get(service, 0) + worker.is_listed
+        if worker.is_listed and is_quarantined(board, worker.id, now):
+            quarantined[service] = quarantined.get(service, 0) + 1
+    return {
+        service: min(max(count * _MAX_QUARANTINED_SHARE, 1), count - 1)
+        - quarantined.get(service, 0)
+        for service, count in counts.items()
+    }
+
+
 def is_quarantined(
     board: fleet.ShardBoard, worker_id: str, now: float
 ) -> bool:
--- a/primroselock/test/testpreferencebounds.py
+++ b/primroselock/test/testpreferencebounds.py
@@ -3,6 +3,7 @@
 The rest of the service is idle: such work waits beside free capacity.
 """
 
+import dataclasses
 import typing
 import unittest
 
@@ -36,5 +37,49 @@
         self.assertEqual({}, site.idle_jobs_by_id)
 
 
+class QuarantineTest(unittest.TestCase):
+    """Jobs that always fail, on few workers of many."""
+
+    def fail_jobs(
+        self, site: idlebuilders.Site, queue: str, label: str = ''
+    ) -> None:
+        """Run twelve jobs that always fail, one after another."""
+        step = fleetbuilders.build_step(2, 8, label=label)
+        for number in range(12):
+            name = f'bad-{number}'
+            site.failing_job_ids.add(name)
+            site.submit(name, step, run_s=0.2, queue=queue)
+            site.run_for(2.0)
+
+    def check_runs(
+        self, site: idlebuilders.Site, queue: str, label: str = ''
+    ) -> None:
+        """Check that a sound job runs in time."""
+        step = fleetbuilders.build_step(1, 1, 60_000, label=label)
+        job = site.submit('j', step, run_s=60.0, queue=queue)
+        (group,) = job.groups_by_key.values()
+        site.run_for(_LIMIT_S)
+        self.assertIs(fleet.Phase.RUNNING, group.phase)
+
+    def test_a_small_service_keeps_workers(self) -> None:
+        """Guards against a share of all workers that is all of a service."""
+        for workers in (1, 2, 3):
+            with self.subTest(workers=workers):
+                site = idlebuilders.Site(40)
+                for number in range(workers):
+                    known = site.board.workers_by_id[f'n{number:03}']
+                    entry = dataclasses.replace(known.entry, service='few')
+                    site.board.record_entry(entry, site.now)
+                current = site.board.queue_configuration
+                queue = dataclasses.replace(
+                    fleetbuilders.BATCH, name='few', service='few'
+                )
+                site.board.queue_configuration = dataclasses.replace(
+                    current, queues=(*current.queues, queue)
+                )
+                self.fail_jobs(site, 'few')
+                self.check_runs(site, 'few')
+
+
 if __name__ == '__main__':
     unittest.main()
