The number of calls under way follows from how soon they are answered

Callers: most work stands still beside free capacity while the holder is slower than the fixed bounds assume.

Cause: a call left its place to the next one after 0.2 s whether or not its answer was only late. With 32 places that is 160 calls a second at least, however slow the process is. Long polls had no bound, and are due together after a takeover or after a stored batch of ends.

Change: OrderSlots adapts. An answer that takes more than 0.2 s takes a place away (down to 2), one under 0.1 s gives one back (up to 32). A call leaves its place after twice the usual time, 0.05 to 0.4 s, so that silent workers cost a fast process less than before. A call without an answer tells nothing while others are answered soon, and never leaves fewer than 8 places. All polls go through their places; new ones are begun in an order that mixes neighbours.

Evidence: testorderload: test_a_process_of_any_speed_gets_through fails without the change in both cases, two new tests of OrderSlots state the rule, and test_a_takeover_is_not_held_up_by_a_silent_zone guards the new bound. At 12 ms and more some calls still time out. The 115 tests of nodes, faults, load, takeovers, offers, idle capacity and the soak pass.

--- a/primroselock/orderslots.py
+++ b/primroselock/orderslots.py
@@ -1,14 +1,16 @@
-"""Limits how many orders are sent at the same time.
+"""Limits how many calls to workers are under way at the same time.
 
-Each order costs processor time of this process, most of it for a new
+Each call costs processor time of this process, most of it for a new
 connection.  If many are sent at once, a slow process answers none of them
 before its time-out; each is then sent again, and the process stays busy with
-orders of which none succeeds.  So orders wait here for their turn: they are
+calls of which none succeeds.  So calls wait here for their turn: they are
 sent in the order in which they were decided, few at a time to one worker, so
 that one connection serves several, and a bounded number in total.
 
-An order that a worker does not answer soon costs nothing but time; it leaves
-its place to others before its own time-out.
+The bound follows from how soon calls are answered: one that is answered late
+takes a place away, one that is answered soon gives it back.  A call that
+takes much longer than usual, as one to a worker that does not answer, costs
+nothing but time; it leaves its place to others before its own time-out.
 """
 
 import asyncio
@@ -16,27 +18,50 @@
 import contextlib
 import typing
 
-_MAX_ORDERS: typing.Final = 32
-_MAX_ORDERS_PER_WORKER: typing.Final = 2
-_HANGING_AFTER_S: typing.Final = 0.2
+import result
+
+from primroselock.workers import orders
+
+_MAX_PLACES: typing.Final = 32
+_FIRST_PLACES: typing.Final = 16
+_MIN_PLACES: typing.Final = 2
+_MIN_PLACES_IF_SILENT: typing.Final = 8
+"""Workers that do not answer must not hold up the others for long."""
+
+_MAX_CALLS_PER_WORKER: typing.Final = 2
+_FAST_ANSWER_S: typing.Final = 0.1
+_SLOW_ANSWER_S: typing.Final = 0.2
+"""Half of the time-out of an order."""
+
+_HANGING_FACTOR: typing.Final = 2.0
+"""A call leaves its place after this multiple of the usual time."""
+
+_MIN_HANGING_S: typing.Final = 0.05
+_MAX_HANGING_S: typing.Final = 0.4
+_FIRST_USUAL_S: typing.Final = 0.05
+_SMOOTHING_FACTOR: typing.Final = 0.1
 
 
 class OrderSlots:
-    """Places for orders that are under way.
+    """Places for calls that are under way, ``limit`` in total.
 
-    ``waiting_count`` is the number of orders that wait for a place.
+    ``waiting_count`` is the number of calls that wait for a place.
     """
 
     def __init__(self) -> None:
         self.waiting_count = 0
-        self._places = asyncio.Semaphore(_MAX_ORDERS)
+        self.limit = _FIRST_PLACES
+        self._usual_s = _FIRST_USUAL_S
+        self._fast_at = float('-inf')
+        self._places = asyncio.Semaphore(_FIRST_PLACES)
+        self._withheld = _MAX_PLACES - _FIRST_PLACES
         self._places_by_worker_id: dict[str, asyncio.Semaphore] = {}
 
     @contextlib.asynccontextmanager
     async def hold(self, worker_id: str) -> abc.AsyncIterator[None]:
-        """Hold a place for an order to a worker."""
+        """Hold a place for a call to a worker."""
         places = self._places_by_worker_id.setdefault(
-            worker_id, asyncio.Semaphore(_MAX_ORDERS_PER_WORKER)
+            worker_id, asyncio.Semaphore(_MAX_CALLS_PER_WORKER)
         )
         async with contextlib.AsyncExitStack() as stack:
             self.waiting_count += 1
@@ -45,24 +70,75 @@
                 await self._places.acquire()
             finally:
                 self.waiting_count -= 1
-            place = _Place(self._places)
+            place = _Place(self._release, self._hanging_after_s())
             stack.callback(place.leave)
             yield
 
+    def record(
+        self,
+        answer: result.Result[typing.Any, orders.OrderError],
+        due_at: float,
+        now: float,
+    ) -> None:
+        """Record that a call ended at ``now``; ``due_at`` is the earliest."""
+        if isinstance(answer, result.Err) and not isinstance(
+            answer.err_value, orders.Refused
+        ):
+            self._record_silence(due_at)
+            return
+        taken_s = now - due_at
+        self._adapt_usual(taken_s)
+        if taken_s > _SLOW_ANSWER_S:
+            self.limit = max(self.limit - 1, _MIN_PLACES)
+        elif taken_s < _FAST_ANSWER_S:
+            self._fast_at = now
+            self.limit = min(self.limit + 1, _MAX_PLACES)
+            self._release_withheld()
+
+    def _record_silence(self, due_at: float) -> None:
+        """Record a call without an answer.
+
+        It tells nothing about this process if others were answered soon.
+        """
+        if self._fast_at < due_at and self.limit > _MIN_PLACES_IF_SILENT:
+            self.limit -= 1
+            self._adapt_usual(max(self._usual_s, _FAST_ANSWER_S))
+
+    def _adapt_usual(self, taken_s: float) -> None:
+        self._usual_s += (taken_s - self._usual_s) * _SMOOTHING_FACTOR
+
+    def _hanging_after_s(self) -> float:
+        return min(
+            max(self._usual_s * _HANGING_FACTOR, _MIN_HANGING_S),
+            _MAX_HANGING_S,
+        )
+
+    def _release(self) -> None:
+        """Free a place, or withhold it while there are more than allowed."""
+        self._withheld += 1
+        self._release_withheld()
+
+    def _release_withheld(self) -> None:
+        while self._withheld > _MAX_PLACES - self.limit:
+            self._withheld -= 1
+            self._places.release()
+
 
 class _Place:
-    """One of the places in total, left when its order hangs or ends."""
+    """One of the places in total, left when its call hangs or ends."""
 
-    def __init__(self, places: asyncio.Semaphore) -> None:
-        self._places = places
+    def __init__(
+        self, release: abc.Callable[[], None], hanging_after_s: float
+    ) -> None:
+        self._release = release
         self._is_left = False
         self._timer = asyncio.get_running_loop().call_later(
-            _HANGING_AFTER_S, self.leave
+            hanging_after_s, self.leave
         )
 
     def leave(self) -> None:
-        """Leave the place to another order, unless it was left before."""
+        """Leave the place to another call, unless it was left before."""
         self._timer.cancel()
         if not self._is_left:
             self._is_left = True
-            self._places.release()
+            self._release()
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -228,7 +228,9 @@
             order,
             self._settings.fleet.order_timeout_s,
         )
-        self._metrics.record('start_order', clock.monotonic() - sent_at)
+        answered_at = clock.monotonic()
+        self._metrics.record('start_order', answered_at - sent_at)
+        self._slots.record(answer, sent_at, answered_at)
         return answer
 
     def _record_answer(
@@ -321,6 +323,7 @@
             self._settings.fleet.order_timeout_s,
         )
         now = clock.monotonic()
+        self._slots.record(answer, sent_at, now)
         if isinstance(answer, result.Ok):
             worker.last_answer_at = now
             if order.member is not None:
--- a/primroselock/test/testorderload.py
+++ b/primroselock/test/testorderload.py
@@ -180,14 +180,15 @@
             [fleetbuilders.World, fleetbuilders.TestNode, SlowProcessor],
             abc.Awaitable[None],
         ],
+        call_cost_s: float = _CALL_COST_S,
     ) -> None:
         """Run a scenario with a node that is slow from its start."""
 
         async def run_all(virtual: virtualtime.VirtualClock) -> None:
             world = fleetbuilders.World(0, workers)
-            with slow_calls(world, _CALL_COST_S) as processor:
+            with slow_calls(world, call_cost_s) as processor:
                 node = world.add_node('entry-1')
-                await asyncio.sleep(0.5 + 2 * workers * _CALL_COST_S)
+                await asyncio.sleep(0.5 + 2 * workers * call_cost_s)
                 await scenario(world, node, processor)
             await world.close()
             self.assertEqual([], world.fleet.violations)
@@ -243,6 +244,53 @@
 
         self.run_slowly(176, scenario)
 
+    def test_a_process_of_any_speed_gets_through(self) -> None:
+        """Guards against a bound that is too high for a slower process.
+
+        A job on all workers is cancelled, and another one takes its place:
+        three orders for each worker.
+        """
+
+        async def replace_job(
+            world: fleetbuilders.World,
+            node: fleetbuilders.TestNode,
+            processor: SlowProcessor,
+        ) -> None:
+            until = clock.monotonic() + 8 * 3 * workers * call_cost_s
+            step = fleetbuilders.build_step(workers, 8, 60_000)
+            world.submit(fleetbuilders.build_graph('old', step))
+            while world.fleet.starts < workers:
+                self.assertLess(clock.monotonic(), until, world.fleet.starts)
+                await asyncio.sleep(0.1)
+            world.submit(fleetbuilders.build_graph('new', step))
+            world.cancel('old')
+            while world.fleet.starts < 2 * workers:
+                self.assertLess(clock.monotonic(), until, world.fleet.starts)
+                await asyncio.sleep(0.1)
+
+        for workers, call_cost_s in ((176, 0.012), (540, 0.003)):
+            with self.subTest(workers=workers, call_cost_s=call_cost_s):
+                self.run_slowly(workers, replace_job, call_cost_s)
+
+    def test_a_takeover_is_not_held_up_by_a_silent_zone(self) -> None:
+        """Guards against first polls that wait for those to a zone cut off.
+
+        Its workers come first in the order of their ids.
+        """
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World(0, 540)
+            silent_ids = sorted(world.fleet.workers_by_id)[:180]
+            for worker_id in silent_ids:
+                world.fleet.workers_by_id[worker_id].is_partitioned = True
+            node = world.add_node('entry-1')
+            await asyncio.sleep(1.5)
+            unpolled = set(self.list_unpolled(node)) - set(silent_ids)
+            self.assertEqual(set(), unpolled)
+            await world.close()
+
+        virtualtime.run(run_all)
+
     def test_a_silent_worker_costs_no_probe_that_times_out(self) -> None:
         """Guards against a zone that is probed at once and found silent."""
 
@@ -430,6 +478,69 @@
 
         virtualtime.run(scenario)
 
+    def test_the_limit_follows_the_answers(self) -> None:
+        """Guards against a limit that silent workers lower for all others."""
+
+        async def scenario(virtual: virtualtime.VirtualClock) -> None:
+            slots = orderslots.OrderSlots()
+            answered: typing.Any = result.Ok(orders.Accepted(0.0))
+            silent: typing.Any = result.Err(orders.Unanswered('no answer'))
+
+            def record(answer: typing.Any, taken_s: float) -> int:
+                for _ in range(100):
+                    virtual.now += 0.001
+                    slots.record(answer, virtual.now - taken_s, virtual.now)
+                return slots.limit
+
+            most = record(answered, 0.01)
+            self.assertGreater(most, 8)
+            # Others answer in the meantime.
+            slots.record(answered, virtual.now - 0.01, virtual.now)
+            self.assertEqual(most, record(silent, 0.4))
+            virtual.now += 1.0
+            few = record(silent, 0.4)
+            self.assertLess(few, most)
+            self.assertLess(record(answered, 0.3), few)
+            self.assertEqual(most, record(answered, 0.01))
+
+        virtualtime.run(scenario)
+
+    def test_a_lower_limit_holds_calls_back(self) -> None:
+        """Guards against places that are freed in spite of the limit."""
+
+        async def scenario(virtual: virtualtime.VirtualClock) -> None:
+            slots = orderslots.OrderSlots()
+            answered: typing.Any = result.Ok(orders.Accepted(0.0))
+            under_way = 0
+            most = 0
+
+            async def call(number: int) -> None:
+                nonlocal under_way, most
+                async with slots.hold(f'w{number}'):
+                    under_way += 1
+                    most = max(most, under_way)
+                    await asyncio.sleep(0.03)
+                    under_way -= 1
+
+            async def call_all() -> int:
+                nonlocal most
+                most = 0
+                await asyncio.gather(*(call(n) for n in range(100)))
+                return most
+
+            for _ in range(100):
+                slots.record(answered, virtual.now - 0.01, virtual.now)
+            self.assertEqual(slots.limit, await call_all())
+            highest = slots.limit
+            for _ in range(20):
+                slots.record(answered, virtual.now - 0.3, virtual.now)
+            # Places are withheld as they become free.
+            await call_all()
+            self.assertLess(slots.limit, highest)
+            self.assertEqual(slots.limit, await call_all())
+
+        virtualtime.run(scenario)
+
     def test_a_cancelled_order_leaves_its_place(self) -> None:
         """Guards against places that are lost one by one."""
 
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -4,16 +4,16 @@
 ends are reported without delay.  A worker on which nothing can run is not
 polled.
 
-Long polls of many workers are spread over time.  Short ones and probes are
-often due for all workers at once, as after a takeover, and wait for their
-turn, see ``orderslots``: if a slow process sends all of them at the same
-time, it receives no answer before their time-out.
+Polls are often due for all workers at once, as after a takeover, and probes
+for all workers of a zone.  They wait for their turn, see ``orderslots``: if a
+slow process sends all of them at the same time, it receives no answer before
+their time-out.  A long poll leaves its place soon after it was sent.
 """
 
 import asyncio
 from collections import abc
-import contextlib
 import typing
+import zlib
 
 import result
 
@@ -68,14 +68,16 @@
 
     def ensure_running(self) -> None:
         """Start the missing tasks of workers to be polled or probed."""
-        for worker in self._board.workers_by_id.values():
-            task = self._tasks_by_worker_id.get(worker.id)
-            if task is not None and not task.done():
-                continue
-            if self._needs_polling(worker):
-                self._tasks_by_worker_id[worker.id] = asyncio.create_task(
-                    self._run(worker)
-                )
+        missing = [
+            worker
+            for worker in self._board.workers_by_id.values()
+            if self._needs_polling(worker) and not self._is_polled(worker)
+        ]
+        missing.sort(key=_mixed_order)
+        for worker in missing:
+            self._tasks_by_worker_id[worker.id] = asyncio.create_task(
+                self._run(worker)
+            )
         for worker in reachability.list_unverified(self._board):
             probe = self._probes_by_worker_id.get(worker.id)
             if worker.entry.address and (probe is None or probe.done()):
@@ -114,6 +116,7 @@
                 timeout_s,
             )
         self._metrics.count('probes')
+        self._record_duration(answer, sent_at)
         if isinstance(answer, result.Err):
             if worker.last_answer_at >= sent_at or self._was_late(
                 answer.err_value, sent_at + timeout_s
@@ -124,6 +127,10 @@
         worker.last_answer_at = clock.monotonic()
         self._wake()
 
+    def _is_polled(self, worker: fleet.Worker) -> bool:
+        task = self._tasks_by_worker_id.get(worker.id)
+        return task is not None and not task.done()
+
     def _needs_polling(self, worker: fleet.Worker) -> bool:
         if self._board.workers_by_id.get(worker.id) is not worker:
             return False
@@ -138,7 +145,7 @@
     async def _run(self, worker: fleet.Worker) -> None:
         while self._lease.has_shard and self._needs_polling(worker):
             await self._wait_for_saved_ends(worker)
-            async with self._hold_place(worker):
+            async with self._slots.hold(worker.id):
                 if not self._needs_polling(worker):
                     break
                 is_answered = await self._poll(worker)
@@ -150,13 +157,18 @@
         if self._board.workers_by_id.get(worker.id) is not worker:
             await self._run_client.drop(worker.entry.address)
 
-    def _hold_place(
-        self, worker: fleet.Worker
-    ) -> contextlib.AbstractAsyncContextManager[None]:
-        """Hold a place for a poll, unless it is a long one."""
-        if self._poll_wait_s(worker) > _SHORT_WAIT_S:
-            return contextlib.nullcontext()
-        return self._slots.hold(worker.id)
+    def _record_duration(
+        self,
+        answer: result.Result[orders.RunReport, orders.OrderError],
+        due_at: float,
+    ) -> None:
+        """Record how soon a poll ended after its wait, until ``due_at``.
+
+        An answer before that gives no measurement.
+        """
+        now = clock.monotonic()
+        if now >= due_at:
+            self._slots.record(answer, due_at, now)
 
     async def _wait_for_saved_ends(self, worker: fleet.Worker) -> None:
         """Wait, within a bound, until the reported ends are stored.
@@ -199,6 +211,7 @@
             timeout_s,
         )
         self._metrics.count('looks')
+        self._record_duration(answer, sent_at + wait_s)
         if isinstance(answer, result.Err):
             if self._was_late(answer.err_value, sent_at + wait_s + timeout_s):
                 return True
@@ -274,3 +287,12 @@
                 'poll of worker failed', worker=worker.id, why=str(error)
             )
             self._wake()
+
+
+def _mixed_order(worker: fleet.Worker) -> int:
+    """Return a key that mixes zones and racks.
+
+    Workers that do not answer are often neighbours in the order of ids; the
+    first calls should not all wait for them.
+    """
+    return zlib.crc32(worker.id.encode())
