What callers ask of a node does not hold up the holder on it

Callers: a node that holds the shard loses its lease, and places nothing, while callers ask it for more states than it may read. Cause: intake and holder shared one client of the store, with its connections and its rate limit. A read may wait for 1 s in the queue of the rate limit, a write for 0.2 s, so that above the limit (a quarter of the platform's writes) no write is sent at all; and reads of a store that answers in 0.15 s take all 12 connections.

Change: the intake has a client of its own, with 8 connections. A node may make up to three times the rate of one client now, twice before.

Evidence: testcallerload, two tests with 400 calls of callers a second; before, none of 20 writes of the holder succeeded in either, now all.

--- a/primroselock/fleetnode.py
+++ b/primroselock/fleetnode.py
@@ -98,7 +98,12 @@
         self._settings = settings
         self._load_settings = platform.load_settings
         self.metrics = metrics.Metrics()
+        # Each with its own connections and rate, so that what callers ask
+        # for does not hold up the holder, nor either of them the feeds.
         self._store = platform.build_store(settings, 'work', 12, self.metrics)
+        self._caller_store = platform.build_store(
+            settings, 'callers', 8, self.metrics
+        )
         self._feeds = platform.build_store(settings, 'feeds', 4, self.metrics)
         self._run_client = platform.build_run_client()
         self._advice_client = platform.build_advice_client(settings)
@@ -113,7 +118,7 @@
             self._feeds, 'shard', wait_s
         )
         self.intake = intake.Intake(
-            settings, self._store, self._shard_follower, self.metrics
+            settings, self._caller_store, self._shard_follower, self.metrics
         )
         self._holder = shardholder.ShardHolder(
             settings,
@@ -246,6 +251,7 @@
         await self._run_client.aclose()
         await self._advice_client.aclose()
         await self._store.aclose()
+        await self._caller_store.aclose()
         await self._feeds.aclose()
         _log.info('stopped')
 
--- /dev/null
+++ b/primroselock/test/testcallerload.py
@@ -0,0 +1,99 @@
+"""Many calls of callers at a node that holds the shard, in virtual time.
+
+The pattern: callers ask one node for the states of their jobs more often
+than it may call the store.  Some of them are refused; the node goes on
+renewing its lease and storing what it decides.
+"""
+
+import asyncio
+import typing
+import unittest
+from unittest import mock
+
+import result
+
+from primroselock import clock
+from primroselock import fleetnode
+from primroselock import httpclient
+from primroselock import intake
+from primroselock.platform import adapter
+from primroselock.platform import settings
+from primroselock.store import table
+from primroselock.test import fleetbuilders
+from primroselock.test import virtualtime
+from primroselock import waits
+
+_ACCESS: typing.Final = intake.Access(fleetbuilders.BULK, 'signs')
+_CALLS_PER_S: typing.Final = 400
+_WRITES: typing.Final = 20
+
+
+class _AnsweringPool:
+    """A connection pool whose exchanges take ``answer_s`` each."""
+
+    answer_s = 0.005
+
+    def __init__(self, address: str, limit: int) -> None:
+        self._connections = asyncio.Semaphore(limit)
+
+    async def exchange(
+        self, request: httpclient.Request, timeout_s: float
+    ) -> typing.Any:
+        """Answer that there is no row, or that a write was applied."""
+        try:
+            async with asyncio.timeout(timeout_s), self._connections:
+                await asyncio.sleep(self.answer_s)
+        except TimeoutError:
+            return result.Err(httpclient.NotSent('no connection', True))
+        return result.Ok(httpclient.Response(200, b'{"ver":1}', {}))
+
+
+class CallerLoadTest(unittest.TestCase):
+    """What callers ask for does not hold up what the holder writes."""
+
+    def count_writes(self) -> int:
+        """Return how many of the holder's writes succeed under load."""
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> int:
+            parsed = settings.parse(fleetbuilders.BOOT_TEXT, 'boot').unwrap()
+            node = fleetnode.Node(parsed, adapter.make())
+            reading = asyncio.create_task(self.read_states(node))
+            await asyncio.sleep(2.0)
+            written = 0
+            for number in range(_WRITES):
+                await asyncio.sleep(0.1)
+                put = table.Put(f'progress/{number}', b'')
+                outcome = await node._holder._store.transact(
+                    table.Transaction(puts=(put,))
+                )
+                written += isinstance(outcome, result.Ok)
+            await waits.cancel_tasks([reading])
+            return written
+
+        with mock.patch.object(httpclient, 'ConnectionPool', _AnsweringPool):
+            return virtualtime.run(run_all)
+
+    async def read_states(self, node: fleetnode.Node) -> None:
+        """Ask for states of jobs until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                deadline = clock.monotonic() + 3.0
+                group.create_task(self.read_state(node, deadline))
+                await asyncio.sleep(1 / _CALLS_PER_S)
+
+    async def read_state(self, node: fleetnode.Node, deadline: float) -> None:
+        """Ask for the state of a job; the answer does not matter."""
+        await node.intake.state(_ACCESS, 'j', deadline)
+
+    def test_a_holder_writes_while_callers_exceed_the_rate_limit(self) -> None:
+        """Guards against a lease that is lost to reads of job states."""
+        self.assertEqual(_WRITES, self.count_writes())
+
+    def test_a_holder_writes_while_callers_use_all_connections(self) -> None:
+        """Guards against writes that wait behind reads of a slow store."""
+        with mock.patch.object(_AnsweringPool, 'answer_s', 0.15):
+            self.assertEqual(_WRITES, self.count_writes())
+
+
+if __name__ == '__main__':
+    unittest.main()
