A soak of node processes: signals, restarts, callers, faults

Node processes on loopback, against stand-ins of the store and the workers that follow the published protocol. From a seed: sizes, jobs and bursts of overlapping events. The checks use what callers and workers saw.

--- /dev/null
+++ b/primroselock/test/nodesoakchecks.py
@@ -0,0 +1,121 @@
+"""Checks of a soak of node processes, from what callers and workers saw."""
+
+from collections import abc
+import typing
+
+from primroselock.test import nodesoak
+from standins import nodes
+from standins import runworkers
+
+_LOSS_SLACK_S: typing.Final = 0.2
+"""The platform's bound: a request sent this shortly before the end of its
+connection need not have been read."""
+
+_CONTACT_S: typing.Final = 3.0
+"""The platform's bound: how long a pause of a process excuses it."""
+
+_NEVER: typing.Final = float('inf')
+
+Check = abc.Callable[[nodesoak.Record], abc.Iterator[str]]
+_checks: typing.Final[list[Check]] = []
+
+
+def check(find: Check) -> Check:
+    """Register a check, which yields the problems that it finds."""
+    _checks.append(find)
+    return find
+
+
+def list_problems(record: nodesoak.Record) -> list[str]:
+    """Return the problems of a run."""
+    return [problem for find in _checks for problem in find(record)]
+
+
+@check
+def _find_unended_jobs(record: nodesoak.Record) -> abc.Iterator[str]:
+    """Every accepted job ends as completed, or cancelled if asked."""
+    for job in record.jobs:
+        allowed = ['completed']
+        if job.list_attempts('DELETE'):
+            allowed.append('cancelled')
+        if job.is_accepted and job.state not in allowed:
+            yield f'job {job.id} is {job.state or "unknown"} at the end'
+
+
+@check
+def _find_forgotten_jobs(record: nodesoak.Record) -> abc.Iterator[str]:
+    """A job that was accepted is never said not to exist."""
+    for job in record.jobs:
+        submissions = job.list_attempts('POST')
+        accepted = [a.ended_at for a in submissions if a.status == 200]
+        for attempt in job.attempts:
+            is_later = attempt.sent_at > min(accepted, default=_NEVER)
+            if attempt.status == 410 and is_later:
+                yield f'accepted job {job.id} answered 410: {attempt}'
+
+
+@check
+def _find_cut_requests(record: nodesoak.Record) -> abc.Iterator[str]:
+    """Only a kill or a pause of a process cuts a request that it read."""
+    for job in record.jobs:
+        for attempt in job.attempts:
+            start, end = attempt.sent_at, attempt.ended_at
+            life = max(
+                (
+                    life
+                    for life in record.lives
+                    if life.node == attempt.node and life.started_at < start
+                ),
+                key=lambda life: life.started_at,
+                default=None,
+            )
+            if attempt.how != 'cut' or life is None or life.killed_at < end:
+                continue
+            is_paused = any(
+                paused < end and resumed > start - _CONTACT_S
+                for paused, resumed in life.pauses
+            )
+            lost_s = life.lost_s(start, end) + record.own.lost_s(start, end)
+            if not is_paused and end - start > _LOSS_SLACK_S + lost_s:
+                yield f'request cut after {end - start:.3f} s: {attempt}'
+
+
+@check
+def _find_double_runs(record: nodesoak.Record) -> abc.Iterator[str]:
+    """No task runs twice at the same time, or after it was done."""
+    by_task: dict[str, list[runworkers.Interval]] = {}
+    for interval in record.intervals:
+        by_task.setdefault(interval.task, []).append(interval)
+    for task, runs in by_task.items():
+        runs.sort(key=lambda run: run.started_at)
+        for earlier, later in zip(runs, runs[1:]):
+            if later.started_at < earlier.ended_at:
+                yield f'{task} runs twice: {earlier.run} and {later.run}'
+            if earlier.how == 'done' and earlier.is_noted:
+                yield f'{task} runs again after it was done: {later.run}'
+
+
+@check
+def _find_runs_not_asked_for(record: nodesoak.Record) -> abc.Iterator[str]:
+    """Only what callers sent runs, and nothing that was refused."""
+    jobs_by_id = {job.id: job for job in record.jobs}
+    for interval in record.intervals:
+        job = jobs_by_id.get(interval.task.partition('.')[0])
+        if job is None or job.spec != interval.spec:
+            yield f'{interval.task} runs, but no caller sent it so'
+        elif job.is_refused:
+            yield f'{interval.task} runs, but its job was refused'
+
+
+@check
+def _find_bad_exits(record: nodesoak.Record) -> abc.Iterator[str]:
+    """A process ends only when told, after SIGTERM in its grace time."""
+    for life in record.lives:
+        until = life.terminated_at + nodes.GRACE_S
+        if life.code != 0 and life.killed_at >= until:
+            yield (
+                f'node {life.node} ended with code {life.code} at '
+                f'{life.ended_at:.3f}, SIGTERM at {life.terminated_at:.3f}'
+            )
+        elif life.code == 0 and life.terminated_at == _NEVER:
+            yield f'node {life.node} ended by itself at {life.ended_at:.3f}'
--- /dev/null
+++ b/standins/runworkers.py
@@ -0,0 +1,295 @@
+"""Stand-ins for the workers of Ishikari's platform, with their record.
+
+A job's payload says what its tasks do: a list with a row for each step, of
+the milliseconds of work and the number of members of a gang (0 for single
+tasks).  The workers start whatever they are told to start; ``intervals``
+records every run, for the checks.
+"""
+
+import asyncio
+import dataclasses
+import functools
+import random
+import time
+import typing
+
+import msgspec
+
+from standins import httpmessages
+from standins import rowstore
+
+SERVICE: typing.Final = 'quote-desk'
+_CAPACITY: typing.Final = {'cpu': 64_000, 'mem_mb': 262_144, 'gpus': 8}
+_PER_RACK: typing.Final = 4
+_TICK_S: typing.Final = 0.02
+_MAX_LEASE_S: typing.Final = 10.0
+_MAX_STOP_S: typing.Final = 0.9
+_MAX_LATE_S: typing.Final = 6.0
+_GANG_TIMEOUT_S: typing.Final = 3.0
+_SILENCE_BEFORE_REMOVAL_S: typing.Final = 3.0
+_MIN_CLOCK_SPEED: typing.Final = 0.98
+_MAX_ENDS: typing.Final = 500
+_NEVER: typing.Final = float('inf')
+
+Body = dict[str, typing.Any]
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Interval:
+    """One run on one worker, on the monotonic clock.
+
+    ``due_at`` is when its work is done, once a gang is whole.  ``is_noted``:
+    the end was confirmed to the worker under the same lease.
+    """
+
+    worker: str
+    task: str
+    run: int
+    spec: str
+    started_at: float
+    work_s: float
+    members: int
+    due_at: float = _NEVER
+    stop_at: float = _NEVER
+    ended_at: float = _NEVER
+    how: str = ''
+    is_noted: bool = False
+
+    @property
+    def group(self) -> tuple[str, int]:
+        """What the members of one gang share."""
+        return self.task.rpartition('.')[0], self.run
+
+    def find_end(self, lease_until: float, now: float) -> str:
+        """Return how the run ends now; empty if it goes on."""
+        if now >= lease_until:
+            return 'lapsed'
+        if now >= self.stop_at:
+            return 'stopped'
+        if now >= self.due_at:
+            return 'done'
+        is_waiting = self.due_at == _NEVER
+        if is_waiting and now >= self.started_at + _GANG_TIMEOUT_S:
+            return 'alone'
+        return ''
+
+
+class Worker:
+    """One life of a worker; ``speed`` is that of its clock."""
+
+    def __init__(self, name: str, speed: float) -> None:
+        self.name = name
+        self.is_down = False
+        self.is_silent = False
+        self.running: dict[str, Interval] = {}
+        self.ended: list[tuple[int, Interval]] = []
+        self.born_ms = int(time.time() * 1000)
+        self.token = 0
+        self.lease_until = 0.0
+        self.barred: dict[str, int] = {}
+        self.changed = asyncio.Event()
+        self._started_at = time.monotonic()
+        self._speed = speed
+        self._ends = 0
+
+    def clock_ms(self, now: float) -> int:
+        """Return the worker's own time at ``now``."""
+        return int((now - self._started_at) * self._speed * 1000)
+
+    def extend_lease(self, until_ms: int, now: float) -> None:
+        """Extend the lease of all runs; it is never shortened."""
+        left_s = min((until_ms - self.clock_ms(now)) / 1000, _MAX_LEASE_S)
+        self.lease_until = max(self.lease_until, now + left_s / self._speed)
+
+    def bar(self, task: str, run: int) -> None:
+        """Start neither this run of a task nor an earlier one again."""
+        self.barred[task] = max(self.barred.get(task, 0), run)
+
+    def end(self, interval: Interval, how: str, now: float) -> None:
+        """End a run and list its end."""
+        del self.running[interval.task]
+        interval.ended_at, interval.how = now, how
+        self.bar(interval.task, interval.run)
+        self._ends += 1
+        self.ended.append((self._ends, interval))
+        self.changed.set()
+
+    def confirm(self, last_seen: int, now: float) -> None:
+        """Forget the ends that a node has stored."""
+        for number, interval in self.ended:
+            if number <= last_seen and self.lease_until > now:
+                interval.is_noted = True
+        self.ended = [end for end in self.ended if end[0] > last_seen]
+
+    def crash(self, now: float) -> None:
+        """End all runs at once; nothing is listed."""
+        self.is_down = True
+        for interval in self.running.values():
+            interval.ended_at, interval.how = now, 'crashed'
+        self.running.clear()
+
+    def respond(self, status: int, body: Body) -> bytes:
+        """Return a response with the time."""
+        body['clock_ms'] = self.clock_ms(time.monotonic())
+        return httpmessages.respond(status, body)
+
+
+class Workers:
+    """All workers, their entries in the store and the record of runs."""
+
+    def __init__(
+        self, store: rowstore.RowStore, source: random.Random
+    ) -> None:
+        self.intervals: list[Interval] = []
+        self.by_number: dict[int, Worker] = {}
+        self._store = store
+        self._random = source
+        self._lives = 0
+        self._addresses: dict[int, str] = {}
+
+    async def start(self, count: int, servers: list[asyncio.Server]) -> None:
+        """Start the workers; their servers are added to ``servers``."""
+        for number in range(count):
+            handler = functools.partial(self._handle, number)
+            address = await httpmessages.serve(handler, servers)
+            self._addresses[number] = address
+            self.boot(number)
+
+    def boot(self, number: int) -> None:
+        """Begin a new life of a worker, with a new id."""
+        self._lives += 1
+        speed = self._random.uniform(_MIN_CLOCK_SPEED, 1.0)
+        worker = Worker(f'w{number}-{self._lives}', speed)
+        self.by_number[number] = worker
+        entry: Body = {'service': SERVICE, 'capacity': _CAPACITY}
+        entry.update(address=self._addresses[number], zone='a', state='ready')
+        entry.update(labels=['kind', f'r{number // _PER_RACK}'])
+        entry.update(born=worker.born_ms, seq=1, version='1', slots=8)
+        self._store.put('servers', worker.name, entry)
+
+    async def crash(self, number: int) -> None:
+        """End a worker's life; its entry is removed after a silence."""
+        worker = self.by_number[number]
+        worker.crash(time.monotonic())
+        await asyncio.sleep(_SILENCE_BEFORE_REMOVAL_S)
+        self._store.remove('servers', worker.name)
+
+    async def run(self) -> None:
+        """End runs that are due or whose lease has expired."""
+        while True:
+            now = time.monotonic()
+            for worker in self.by_number.values():
+                for interval in list(worker.running.values()):
+                    how = interval.find_end(worker.lease_until, now)
+                    if how and interval.task in worker.running:
+                        self._end(worker, interval, how, now)
+            await asyncio.sleep(_TICK_S)
+
+    def _end(
+        self, worker: Worker, interval: Interval, how: str, now: float
+    ) -> None:
+        worker.end(interval, how, now)
+        for other, member in self._list_gang(interval):
+            other.end(member, how if how == 'done' else 'broken', now)
+
+    def _list_gang(self, interval: Interval) -> list[tuple[Worker, Interval]]:
+        """Return the members of the run's gang that run."""
+        return [
+            (worker, member)
+            for worker in self.by_number.values()
+            for member in worker.running.values()
+            if interval.members and member.group == interval.group
+        ]
+
+    async def _handle(
+        self, number: int, request: httpmessages.Message
+    ) -> bytes | None:
+        """Execute a call; without an answer perhaps late or not at all."""
+        worker = self.by_number[number]
+        if worker.is_down:
+            return None
+        if request.headers.get('x-expected-instance') != worker.name:
+            return worker.respond(421, {})
+        if worker.is_silent:
+            late_s = self._random.uniform(0, _MAX_LATE_S)
+            await asyncio.sleep(
+                self._random.choice((0.0, late_s, _MAX_LATE_S))
+            )
+        response = await self._execute(worker, request)
+        return None if worker.is_down or worker.is_silent else response
+
+    async def _execute(
+        self, worker: Worker, request: httpmessages.Message
+    ) -> bytes | None:
+        if worker.is_down:
+            return None
+        body, now = msgspec.json.decode(request.body), time.monotonic()
+        if body['fencing_token'] < worker.token:
+            return worker.respond(409, {'reason': 'fence'})
+        worker.token = body['fencing_token']
+        if ' /hold ' in request.first_line:
+            return await self._hold(worker, body, now)
+        if ' /run-start ' in request.first_line:
+            return self._start(worker, body, now)
+        worker.bar(body['task'], body['run'])
+        present = worker.running.get(body['task'])
+        if present is not None and present.run <= body['run']:
+            stop_at = now + self._random.uniform(0, _MAX_STOP_S)
+            present.stop_at = min(present.stop_at, stop_at)
+        return worker.respond(200, {})
+
+    def _start(self, worker: Worker, body: Body, now: float) -> bytes:
+        task, run = body['task'], body['run']
+        if body['until_ms'] < worker.clock_ms(now):
+            return worker.respond(409, {'reason': 'late'})
+        worker.extend_lease(body['until_ms'], now)
+        present = worker.running.get(task)
+        if present is not None and present.run == run:
+            return worker.respond(200, {})
+        if worker.barred.get(task, 0) >= run:
+            return worker.respond(409, {'reason': 'old'})
+        work_ms, members = msgspec.json.decode(body['spec'])[
+            int(task.split('.')[2])
+        ]
+        interval = Interval(
+            worker.name, task, run, body['spec'], now, work_ms / 1000, members
+        )
+        self.intervals.append(interval)
+        if present is not None:
+            # It runs on in the record: the checks find two runs at a time.
+            del worker.running[task]
+        worker.running[task] = interval
+        gang = [member for _, member in self._list_gang(interval)]
+        if len(gang) == members:
+            for member in gang or [interval]:
+                member.due_at = now + member.work_s
+        return worker.respond(200, {})
+
+    async def _hold(self, worker: Worker, body: Body, now: float) -> bytes:
+        worker.confirm(body['last_seen'], now)
+        if 'until_ms' in body:
+            worker.extend_lease(body['until_ms'], now)
+        if not worker.ended and body.get('wait_ms'):
+            worker.changed.clear()
+            try:
+                async with asyncio.timeout(body['wait_ms'] / 1000):
+                    await worker.changed.wait()
+            except TimeoutError:
+                # Nothing ended; the response lists what runs.
+                pass
+        now = time.monotonic()
+        running = [
+            [i.task, i.run, '', _percent(i, now), 0]
+            for i in worker.running.values()
+        ]
+        ended = [
+            [number, i.task, i.run, i.how, '']
+            for number, i in worker.ended[:_MAX_ENDS]
+        ]
+        lists = {'running': running, 'ended': ended, 'born': worker.born_ms}
+        return worker.respond(200, lists)
+
+
+def _percent(interval: Interval, now: float) -> int:
+    left_s = min(interval.due_at - now, interval.work_s)
+    return min(99, int(100 * (1 - left_s / interval.work_s)))
