Signals to a node that starts or ends do not kill it

Callers and the platform saw a node end with the code of a kill: by SIGHUP while it started or in its last moments (the process was gone although nobody stopped it), by SIGTERM while it started, or by a second SIGTERM while it ended.

Cause: the event loop sets the handlers after the program and the settings are loaded, and resets them to their default when it is closed.

Now SIGHUP is blocked from the entry point on, before the program is loaded, and delivered once the loop has its handlers; SIGTERM exits at once until then; after the shutdown all three are blocked until the exit. What is left is the start of the interpreter itself.

--- a/primroselock/fleetnode.py
+++ b/primroselock/fleetnode.py
@@ -18,6 +18,7 @@
 from primroselock import intake
 from primroselock import logs
 from primroselock import metrics
+from primroselock import nodesignals
 from primroselock import options
 from primroselock import queues
 from primroselock import shardholder
@@ -165,6 +166,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        nodesignals.deliver()
         servers = [
             _build_server(self._client_api, self._settings.fleet.bind),
             _build_server(
@@ -330,3 +332,5 @@
     settings, platform = load(name)
     logs.configure(settings.process.log_format, to_stdout=True)
     await Node(settings, platform).run()
+    # The loop is about to remove its handlers.
+    nodesignals.ignore()
--- a/primroselock/nodemain.py
+++ b/primroselock/nodemain.py
@@ -1,23 +1,19 @@
 """Entry point of a node on a platform: ``primroselock.nodemain``.
 
 Separate from ``primroselock.main``, so that a node does not load the other
-daemons and the operators' client.
+daemons and the operators' client.  The program is loaded only once signals
+are handled: that takes a while on a busy VM.
 """
 
 import argparse
-import asyncio
 import faulthandler
 import sys
-import typing
 
 from primroselock import errors
-from primroselock import fleetnode
-from primroselock.platform import adapter
+from primroselock import nodesignals
 
-_DEFAULT_PLATFORM: typing.Final = adapter.NAME
 
-
-def build_parser() -> argparse.ArgumentParser:
+def build_parser(default_platform: str) -> argparse.ArgumentParser:
     """Return the parser of the command line."""
     parser = argparse.ArgumentParser(
         prog='primroselock.nodemain',
@@ -25,7 +21,7 @@
     )
     parser.add_argument(
         '--platform',
-        default=_DEFAULT_PLATFORM,
+        default=default_platform,
         metavar='NAME',
         help='the adapter to use (default: %(default)s)',
     )
@@ -39,7 +35,12 @@
 
 def main(arguments: list[str]) -> errors.ExitCode:
     """Run a node; return the exit code."""
-    parsed = build_parser().parse_args(arguments)
+    import asyncio
+
+    from primroselock import fleetnode
+    from primroselock.platform import adapter
+
+    parsed = build_parser(adapter.NAME).parse_args(arguments)
     try:
         if parsed.check:
             fleetnode.load(parsed.platform)
@@ -56,4 +57,5 @@
 
 
 if __name__ == '__main__':
+    nodesignals.prepare()
     sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/primroselock/nodesignals.py
@@ -0,0 +1,34 @@
+"""Signals to a node while it starts and while it ends.
+
+The event loop handles signals only while it runs; before and after that
+their default would end the process, also for SIGHUP.  A signal that is
+blocked is delivered once it is unblocked, or never.
+"""
+
+import signal
+import sys
+import typing
+
+_HANDLED: typing.Final = frozenset(
+    {signal.SIGHUP, signal.SIGTERM, signal.SIGINT}
+)
+
+
+def prepare() -> None:
+    """Exit at once on SIGTERM; keep SIGHUP until :func:`deliver`."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    signal.signal(signal.SIGTERM, _exit)
+
+
+def _exit(number: int, frame: typing.Any) -> None:
+    sys.exit(0)
+
+
+def deliver() -> None:
+    """Deliver signals to the handlers that the event loop has now."""
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, _HANDLED)
+
+
+def ignore() -> None:
+    """Ignore all further signals; the process is about to exit."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, _HANDLED)
