--- a/tools/nodesoak.py
+++ b/tools/nodesoak.py
@@ -8,6 +8,7 @@
 import argparse
 import pathlib
 import shutil
+import signal
 import sys
 import tempfile
 
@@ -43,6 +44,8 @@
 def main() -> int:
     """Run the seeds; return 1 if one of them has a problem."""
     arguments = _parse_arguments()
+    # The nodes must not outlive this process.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     root = arguments.log or pathlib.Path(tempfile.mkdtemp(prefix='nodesoak-'))
     broken = 0
     for seed in range(arguments.first, arguments.first + arguments.seeds):
@@ -56,7 +59,7 @@
         if problems:
             broken += 1
             print(f'seed {seed}: logs kept in {folder}', flush=True)
-        else:
+        elif not arguments.log:
             shutil.rmtree(folder)
     print(f'{arguments.seeds} seeds, {broken} with problems')
     return 1 if broken else 0
