A node hands its shard over while it still serves callers

A node that the platform stops was killed after its grace time of 6 s, with the calls in progress, if the store did not answer.

Cause: it first waited up to 2.5 s for the release of the shard, then served for 2.5 s, then gave calls in progress 2.1 s: 7.1 s.

The release and the serving do not depend on each other, so both start at once, and the end comes after at most 5.0 s.

--- a/primroselock/fleetnode.py
+++ b/primroselock/fleetnode.py
@@ -231,19 +231,20 @@
         servers: list[tuple[httpserver.Server, typing.Any]],
         loops: list[asyncio.Task[None]],
     ) -> None:
-        """Hand over the shard; serve until callers use other nodes."""
+        """Hand over the shard; serve until callers use other nodes.
+
+        Both take place at the same time: the platform kills the process
+        soon, also if the store does not answer.
+        """
         self._stopping.set()
         _log.info('stopping')
-        try:
-            async with asyncio.timeout(self._settings.fleet.leaving_s):
-                await self._holder.hand_over()
-        except TimeoutError:
-            _log.warning('shard lease not released in time; it will expire')
+        handing_over = asyncio.create_task(self._hand_over())
         await asyncio.sleep(self._settings.fleet.leaving_s)
         for server, _ in servers:
             server.should_exit = True
         serving = loops[-len(servers) :]
         await asyncio.wait(serving, timeout=self._settings.fleet.leaving_s)
+        await handing_over
         await waits.cancel_tasks(loops)
         await self._run_client.aclose()
         await self._advice_client.aclose()
@@ -251,6 +252,13 @@
         await self._feeds.aclose()
         _log.info('stopped')
 
+    async def _hand_over(self) -> None:
+        try:
+            async with asyncio.timeout(self._settings.fleet.leaving_s):
+                await self._holder.hand_over()
+        except TimeoutError:
+            _log.warning('shard lease not released in time; it will expire')
+
     async def _watch_for_pauses(self) -> None:
         """Log a warning after each pause of the process."""
         while True:
--- a/primroselock/test/testnode.py
+++ b/primroselock/test/testnode.py
@@ -1,21 +1,31 @@
 """Tests of the composed node: reload of settings, readiness."""
 
+import asyncio
 import dataclasses
 import typing
 import unittest
 from unittest import mock
 
 from structlog import testing
+import uvicorn
 
 from primroselock import clock
 from primroselock import errors
 from primroselock import fleetnode
+from primroselock import httpserver
 from primroselock import options
 from primroselock.platform import adapter
 from primroselock.platform import settings
 from primroselock.store import table
 from primroselock.store import tablefollower
 from primroselock.test import fleetbuilders
+from primroselock.test import virtualtime
+
+
+_GRACE_S: typing.Final = 6.0
+"""The platform's bound between SIGTERM and SIGKILL."""
+
+_SERVER_END_S: typing.Final = 2.1
 
 
 class NodeTest(unittest.IsolatedAsyncioTestCase):
@@ -80,6 +90,37 @@
         ):
             self.assertFalse(self.node.is_ready(now))
 
+    def test_shutdown_ends_in_time_without_the_store(self) -> None:
+        """The handover and the wait for callers added up to 7.1 s.
+
+        The soak of node processes showed the node killed after 6 s.
+        """
+
+        async def play(virtual: virtualtime.VirtualClock) -> float:
+            node = fleetnode.Node(self.load(), adapter.make())
+            server = _SlowServer()
+            serving = asyncio.create_task(server.serve())
+            started = clock.monotonic()
+            with mock.patch.object(
+                node._holder, 'hand_over', asyncio.Event().wait
+            ):
+                await node._shut_down([(server, None)], [serving])
+            return clock.monotonic() - started
+
+        self.assertLess(virtualtime.run(play), _GRACE_S)
+
+
+class _SlowServer(httpserver.Server):
+    """A server with a call in progress that takes all of its time."""
+
+    def __init__(self) -> None:
+        super().__init__(uvicorn.Config(lambda: None))
+
+    async def serve(self, sockets: typing.Any = None) -> None:
+        """Return as late as a server does."""
+        await self._exit_requested.wait()
+        await asyncio.sleep(_SERVER_END_S)
+
 
 if __name__ == '__main__':
     unittest.main()
