--- a/primroselock/test/nodesoak.py
+++ b/primroselock/test/nodesoak.py
@@ -130,7 +130,7 @@
         events = [self._act(event, started_at) for event in self.plan.events]
         calling = [caller.run(until) for caller in self._callers]
         await asyncio.gather(*events, *calling)
-        self.operator.restore()
+        self.operator.write()
         for node in self.nodes:
             self.start_node(node)
         until = time.monotonic() + FINISH_S
