Of equal claims the first one counts, and preemption keeps what it frees

Cause: the order of placement changes as work becomes late. A gang that came up took workers from which others had just stopped work, so that they stopped work elsewhere; and gangs lost the workers that they had nearly gathered.

Change: among equally urgent groups the claim that was made first counts; a group keeps its place while it claims without a break. So gangs do not hold and wait any more, and the order is stable.

Evidence: testclaimorder, the scenario of three gangs still passes, five tests of precedence are new.

--- a/primroselock/decisions/claimindex.py
+++ b/primroselock/decisions/claimindex.py
@@ -3,12 +3,14 @@
 A claim keeps workers free for a group that waits for them.  Each placement
 asks about many workers, so that the claims are indexed by worker.
 
-Among equally urgent groups the claim of the one that is placed first counts.
-If the claims of all of them did, several gangs could each hold a part of the
-workers that one of them needs, and none would run.
+Among equally urgent groups that wait for workers to become free, the claim
+that was made first counts.  If the claims of all of them did, several gangs
+could each hold a part of the workers that one of them needs, and none would
+run.  Workers that are being freed by preemption are kept from all of them:
+they are free soon, and work was lost for that.
 """
 
-from collections import abc
+import dataclasses
 import math
 import typing
 
@@ -17,19 +19,15 @@
 
 
 class ClaimIndex:
-    """Indexes ``claims_by_group`` and keeps both up to date.
-
-    ``position_by_step`` is the order of placement of waiting steps.
-    """
+    """Indexes ``claims_by_group`` and keeps both up to date."""
 
     def __init__(
-        self,
-        claims_by_group: dict[livejobs.Group, fleet.CapacityClaim],
-        position_by_step: abc.Mapping[livejobs.StepName, int],
+        self, claims_by_group: dict[livejobs.Group, fleet.CapacityClaim]
     ) -> None:
         self._claims_by_group = claims_by_group
-        self._position_by_step = position_by_step
         self._owners_by_worker_id: dict[str, dict[livejobs.Group, None]] = {}
+        numbers = [claim.number for claim in claims_by_group.values()]
+        self._last_number = max(numbers, default=0)
         for group, claim in claims_by_group.items():
             self._index(group, claim)
 
@@ -41,8 +39,16 @@
             owners[group] = None
 
     def put(self, group: livejobs.Group, claim: fleet.CapacityClaim) -> None:
-        """Record a group's claim; it replaces an earlier one."""
+        """Record a group's claim; it replaces an earlier one.
+
+        It gets the number of that one, or else the next number.
+        """
+        known = self._claims_by_group.get(group)
         self.drop(group)
+        if known is None:
+            self._last_number += 1
+        number = known.number if known else self._last_number
+        claim = dataclasses.replace(claim, number=number)
         self._claims_by_group[group] = claim
         self._index(group, claim)
 
@@ -64,19 +70,25 @@
 
         ``rank`` is the urgency of the group.  Groups that are more urgent
         than the owner of a claim may use its workers, and so may equally
-        urgent ones that are placed before it.
+        urgent ones that have made a claim before it.
         """
         owners: typing.Iterable[livejobs.Group] = (
             self._owners_by_worker_id.get(worker_id, ())
         )
-        precedence = (rank, self._position(group))
+        own_claim = self._claims_by_group.get(group)
+        precedence = (rank, own_claim.number if own_claim else math.inf)
         return any(
-            owner is not group
-            and (self._claims_by_group[owner].rank, self._position(owner))
-            <= precedence
+            owner is not group and self._precedence(owner) <= precedence
             for owner in owners
         )
 
+    def _precedence(
+        self, owner: livejobs.Group
+    ) -> tuple[livejobs.Rank, float]:
+        """Return the precedence of a claim; the lowest goes first."""
+        claim = self._claims_by_group[owner]
+        return claim.rank, -math.inf if claim.by_preemption else claim.number
+
     def count_excluded(
         self, group: livejobs.Group, rank: livejobs.Rank
     ) -> int:
@@ -85,7 +97,3 @@
             self.excludes(worker_id, group, rank)
             for worker_id in self._owners_by_worker_id
         )
-
-    def _position(self, group: livejobs.Group) -> float:
-        # A step without a position is not to be placed now.
-        return self._position_by_step.get(group.step_name, math.inf)
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -55,17 +55,21 @@
     values: dict[str, typing.Any]
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class CapacityClaim:
     """Workers that are claimed for a group until it fits there.
 
-    More urgent groups, those of a lower ``rank``, may use them all the
-    same, and of equally urgent groups those that are placed earlier.
+    More urgent groups, those of a lower ``rank``, may use them all the same,
+    and of equally urgent groups those whose claim has a lower ``number``,
+    unless the workers are being freed ``by_preemption``.  A group keeps its
+    number when it claims other workers instead.
     """
 
     worker_ids: frozenset[str]
     since: float
     rank: livejobs.Rank
+    by_preemption: bool = False
+    number: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -154,9 +158,6 @@
     claims_by_group: dict[livejobs.Group, CapacityClaim] = dataclasses.field(
         default_factory=dict
     )
-    position_by_step: dict[livejobs.StepName, int] = dataclasses.field(
-        default_factory=dict
-    )
     search_retry_at_by_shape: dict[typing.Any, float] = dataclasses.field(
         default_factory=dict
     )
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -69,9 +69,6 @@
     )
     if not steps:
         return
-    board.position_by_step = {
-        groups[0].step_name: position for position, groups in enumerate(steps)
-    }
     context = placementround.RoundContext(
         board,
         settings,
@@ -79,7 +76,7 @@
         plenty,
         _build_free_capacity(board, settings, usable),
         fleetpreemption.VictimIndex(now),
-        claimindex.ClaimIndex(board.claims_by_group, board.position_by_step),
+        claimindex.ClaimIndex(board.claims_by_group),
         guaranteed_ids,
         now,
         wall_s,
@@ -267,7 +264,7 @@
     max_lost_s = fleetpreemption.max_lost_work_s(board, group)
     if chosen.cost > max_lost_s and not is_guaranteed:
         return False
-    _claim(context, group, chosen.worker_ids)
+    _claim(context, group, chosen.worker_ids, by_preemption=True)
     for victim in chosen.victims:
         context.victims.forget(victim)
         if victim.phase is livejobs.Phase.STOPPING:
@@ -293,11 +290,13 @@
     context: placementround.RoundContext,
     group: livejobs.Group,
     worker_ids: frozenset[str],
+    by_preemption: bool,
 ) -> None:
     """Claim workers for a group, from this round on."""
+    rank = context.rank(group)
     context.claims.put(
         group,
-        fleet.CapacityClaim(worker_ids, context.now, context.rank(group)),
+        fleet.CapacityClaim(worker_ids, context.now, rank, by_preemption),
     )
     for worker_id in worker_ids:
         context.free_capacity.exclude(worker_id)
@@ -308,8 +307,8 @@
 ) -> bool:
     """Return whether a gang may claim workers that it waits for.
 
-    It may not while groups that are served before it claim ``claim_share``
-    of the workers that may get starts.
+    It may not while claims that exclude it cover ``claim_share`` of the
+    workers that may get starts.
     """
     share = context.settings.claim_share
     if group.size == 1 or not share:
@@ -341,7 +340,7 @@
             workers=sorted(chosen.worker_ids),
             expected_in_s=round(chosen.cost, 3),
         )
-    _claim(context, group, chosen.worker_ids)
+    _claim(context, group, chosen.worker_ids, by_preemption=False)
     return True
 
 
--- a/primroselock/decisions/waitreport.py
+++ b/primroselock/decisions/waitreport.py
@@ -67,7 +67,7 @@
         return
     obstacles = _Obstacles(
         frozenset(w.id for w in reachability.list_unverified(board)),
-        claimindex.ClaimIndex(board.claims_by_group, board.position_by_step),
+        claimindex.ClaimIndex(board.claims_by_group),
         waiting.guaranteed_job_ids(board),
     )
     for group in held[:_MAX_REPORTS]:
--- a/primroselock/test/idletrace.py
+++ b/primroselock/test/idletrace.py
@@ -106,9 +106,7 @@
     sound: list[fakefleet.FakeWorker],
     now: float,
 ) -> list[str]:
-    claims = claimindex.ClaimIndex(
-        dict(board.claims_by_group), board.position_by_step
-    )
+    claims = claimindex.ClaimIndex(dict(board.claims_by_group))
     unverified_ids = {w.id for w in reachability.list_unverified(board)}
     ids_by_check: dict[str, list[str]] = {}
     fits_by_rack: dict[str, int] = {}
--- a/primroselock/test/testclaimorder.py
+++ b/primroselock/test/testclaimorder.py
@@ -1,13 +1,18 @@
-"""Claims of several gangs while most of the capacity is in use.
+"""Which of several claims counts, and how many workers gangs may claim.
 
-A site of 40 workers: some run long work, the others are claimed by gangs.
+The scenarios have a site of 40 workers: some run long work, the others are
+claimed by gangs.
 """
 
 import dataclasses
 import typing
 import unittest
 
+from primroselock.decisions import claimindex
+from primroselock.decisions import fleet
+from primroselock.decisions import graphs
 from primroselock.decisions import livejobs
+from primroselock.test import fleetbuilders
 from primroselock.test import idlebuilders
 from primroselock.test import idlecases
 
@@ -15,10 +20,11 @@
 _GANG: typing.Final = 6
 _GANG_NAMES: typing.Final = ('gang-a', 'gang-b', 'gang-c')
 _CLAIMED: typing.Final = _GANG * len(_GANG_NAMES)
+_RANK: typing.Final = (True, 1)
 
 
 class ClaimOrderTest(unittest.TestCase):
-    """Equally urgent gangs claim workers in the order of placement."""
+    """Equally urgent gangs have workers in the order of their claims."""
 
     def setUp(self) -> None:
         self.site = idlebuilders.Site(_WORKERS)
@@ -81,5 +87,86 @@
         self.assertEqual(10, len(claimed))
 
 
+class PrecedenceTest(unittest.TestCase):
+    """Which groups the claim of another group excludes from a worker."""
+
+    def setUp(self) -> None:
+        board = fleet.ShardBoard(
+            queue_configuration=fleetbuilders.QUEUE_CONFIGURATION
+        )
+        groups: list[livejobs.Group] = []
+        for name in ('first', 'second', 'third'):
+            graph = fleetbuilders.build_graph(name)
+            job = graphs.add_job(board, graph, None, 0, 0.0, 0)
+            assert job is not None
+            groups.extend(job.groups_by_key.values())
+        self.first, self.second, self.third = groups
+        self.claims = claimindex.ClaimIndex(board.claims_by_group)
+
+    def claim(
+        self,
+        group: livejobs.Group,
+        worker_id: str,
+        by_preemption: bool = False,
+    ) -> None:
+        """Claim a worker for a group."""
+        self.claims.put(
+            group,
+            fleet.CapacityClaim(
+                frozenset({worker_id}), 0.0, _RANK, by_preemption
+            ),
+        )
+
+    def list_excluded(
+        self, worker_id: str, rank: livejobs.Rank = _RANK
+    ) -> list[livejobs.Group]:
+        """Return the groups that may not use a worker."""
+        return [
+            group
+            for group in (self.first, self.second, self.third)
+            if self.claims.excludes(worker_id, group, rank)
+        ]
+
+    def test_the_claim_that_was_made_first_counts(self) -> None:
+        """Guards against gangs that hold workers an earlier one needs."""
+        self.claim(self.first, 'w0')
+        self.claim(self.second, 'w1')
+        self.assertEqual([self.second, self.third], self.list_excluded('w0'))
+        self.assertEqual([self.third], self.list_excluded('w1'))
+
+    def test_a_claim_of_other_workers_keeps_its_place(self) -> None:
+        """Guards against gangs that lose their turn at each review."""
+        self.claim(self.first, 'w0')
+        self.claim(self.second, 'w1')
+        self.claim(self.first, 'w2')
+        self.assertEqual([], self.list_excluded('w0'))
+        self.assertEqual([self.third], self.list_excluded('w1'))
+
+    def test_a_claim_that_was_dropped_has_lost_its_place(self) -> None:
+        """Guards against a gang that comes back before those that wait."""
+        self.claim(self.first, 'w0')
+        self.claim(self.second, 'w1')
+        self.claims.drop(self.first)
+        self.claim(self.first, 'w0')
+        self.assertEqual([self.first, self.third], self.list_excluded('w1'))
+
+    def test_what_is_freed_by_preemption_is_kept_from_equals(self) -> None:
+        """Guards against work that is stopped for a group that gains nothing.
+
+        Groups whose claims are older would take what it has freed, and more
+        work would be stopped for it.
+        """
+        self.claim(self.first, 'w0')
+        self.claim(self.second, 'w1', by_preemption=True)
+        self.assertEqual([self.first, self.third], self.list_excluded('w1'))
+
+    def test_more_urgent_groups_use_claimed_workers(self) -> None:
+        """Guards against urgent work that waits for claims."""
+        self.claim(self.first, 'w0')
+        self.claim(self.second, 'w1', by_preemption=True)
+        self.assertEqual([], self.list_excluded('w0', (False, 0)))
+        self.assertEqual([], self.list_excluded('w1', (False, 0)))
+
+
 if __name__ == '__main__':
     unittest.main()
