The failure of a task that nobody awaits is logged at once

What callers saw: nothing yet; found by reading. A worker whose heartbeat task failed got none any more, so that the leases of its tasks ran out, and the log said nothing; polls of a worker whose answer raised ended and started again with each round.

Cause: asyncio reports the exception of such a task when the task is deleted, on standard error and not in the log; the scheduler kept the failed task as the worker's heartbeat.

Change: orders, polls, probes, requests for advice, renewals, heartbeats, mesh readers and queries, claims and group commits start through backgroundtasks, which logs the exception with what the task does. A failed heartbeat is started again by the next round. A worker whose answers cannot be applied counts as not answering.

--- a/primroselock/advicerequests.py
+++ b/primroselock/advicerequests.py
@@ -9,6 +9,7 @@
 
 import result
 
+from primroselock import backgroundtasks
 from primroselock import clock
 from primroselock.decisions import advising
 from primroselock.decisions import fleet
@@ -58,7 +59,9 @@
             return
         request = advising.next_question(self._board, clock.monotonic())
         if request is not None:
-            self._task = asyncio.create_task(self._request(request))
+            self._task = backgroundtasks.start(
+                self._request(request), 'advice request'
+            )
 
     def cancel(self) -> None:
         """Cancel the request that is under way."""
--- a/primroselock/claims.py
+++ b/primroselock/claims.py
@@ -22,6 +22,7 @@
 import msgspec
 import result
 
+from primroselock import backgroundtasks
 from primroselock import groupcommit
 from primroselock import httpclient
 from primroselock.store import table
@@ -239,7 +240,7 @@
     def _start_background(
         self, coroutine: abc.Coroutine[typing.Any, typing.Any, None]
     ) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
+        task = backgroundtasks.start(coroutine, 'write of a claim')
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
--- a/primroselock/configsync.py
+++ b/primroselock/configsync.py
@@ -25,6 +25,7 @@
 import random
 import typing
 
+from primroselock import backgroundtasks
 from primroselock import clock
 from primroselock import follower
 from primroselock import logs
@@ -199,6 +200,6 @@
         for query in self._queries_by_number.values():
             if query.address == address and query.sent_at > since:
                 return
-        task = asyncio.create_task(self._query(address))
+        task = backgroundtasks.start(self._query(address), 'mesh query')
         self._query_tasks.add(task)
         task.add_done_callback(self._query_tasks.discard)
--- a/primroselock/groupcommit.py
+++ b/primroselock/groupcommit.py
@@ -15,6 +15,7 @@
 
 import result
 
+from primroselock import backgroundtasks
 from primroselock.store import table
 
 _MAX_WRITES_PER_TRANSACTION: typing.Final = 256
@@ -75,7 +76,7 @@
         pending = _PendingWrite(write, loop.create_future())
         self._pending.append(pending)
         if self._task is None or self._task.done():
-            self._task = loop.create_task(self._run())
+            self._task = backgroundtasks.start(self._run(), 'group commit')
         return await asyncio.shield(pending.future)
 
     async def drain(self) -> None:
--- a/primroselock/keyedrequests.py
+++ b/primroselock/keyedrequests.py
@@ -14,6 +14,7 @@
 
 import result
 
+from primroselock import backgroundtasks
 from primroselock import claims
 from primroselock import clock
 from primroselock import dispatch
@@ -113,7 +114,7 @@
     def _start_background(
         self, coroutine: abc.Coroutine[typing.Any, typing.Any, typing.Any]
     ) -> asyncio.Task[typing.Any]:
-        task = asyncio.get_running_loop().create_task(coroutine)
+        task = backgroundtasks.start(coroutine, 'idempotency key')
         self._background.add(task)
         task.add_done_callback(self._background.discard)
         return task
--- a/primroselock/mesh/node.py
+++ b/primroselock/mesh/node.py
@@ -20,6 +20,7 @@
 import zmq.asyncio
 import zmq.auth.asyncio
 
+from primroselock import backgroundtasks
 from primroselock import logs
 from primroselock.mesh import messages
 from primroselock import options
@@ -126,8 +127,8 @@
             dealer.curve_serverkey = self._settings.public_key.encode()
         dealer.connect(f'tcp://{address}')
         self._dealers_by_address[address] = dealer
-        self._readers_by_address[address] = asyncio.create_task(
-            self._read_replies(dealer)
+        self._readers_by_address[address] = backgroundtasks.start(
+            self._read_replies(dealer), f'mesh replies of {address}'
         )
 
     def add_handler(self, handler: Handler) -> None:
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -15,6 +15,7 @@
 
 import result
 
+from primroselock import backgroundtasks
 from primroselock import clock
 from primroselock.decisions import advising
 from primroselock.decisions import fleet
@@ -113,7 +114,7 @@
         ) and not self._lease.published_bounds.covers(worker_id)
 
     def _spawn(self, work: abc.Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
+        task = backgroundtasks.start(work, 'order')
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/primroselock/scheduler.py
+++ b/primroselock/scheduler.py
@@ -13,6 +13,7 @@
 
 import result
 
+from primroselock import backgroundtasks
 from primroselock import clock
 from primroselock import daemon
 from primroselock.decisions import blackboard
@@ -244,14 +245,18 @@
             self._end_heartbeat(worker_id)
         for worker_id, view in workers.items():
             queue = self.queues_by_worker_id.get(worker_id)
-            if queue is not None and queue.vm.address == view.vm.address:
+            if (
+                queue is not None
+                and queue.vm.address == view.vm.address
+                and not self._heartbeats_by_id[worker_id].done()
+            ):
                 continue
             if queue is not None:
                 self._end_heartbeat(worker_id)
             queue = commandqueue.CommandQueue(view.vm)
             self.queues_by_worker_id[worker_id] = queue
-            self._heartbeats_by_id[worker_id] = asyncio.create_task(
-                self._heartbeat(queue)
+            self._heartbeats_by_id[worker_id] = backgroundtasks.start(
+                self._heartbeat(queue), f'heartbeats of {worker_id}'
             )
 
     def _end_heartbeats(self) -> None:
--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -13,6 +13,7 @@
 import result
 
 from primroselock import advicerequests
+from primroselock import backgroundtasks
 from primroselock import clock
 from primroselock.decisions import fleet
 from primroselock.decisions import leasebounds
@@ -163,7 +164,7 @@
     async def _run_holder(self) -> None:
         """Schedule for the shard until its lease is lost."""
         # The lease must not expire while a long listing is read.
-        renewing = asyncio.create_task(self._renew())
+        renewing = backgroundtasks.start(self._renew(), 'lease renewal')
         try:
             takeover = await self._take_over()
             if takeover is None:
--- a/primroselock/test/testdaemon.py
+++ b/primroselock/test/testdaemon.py
@@ -12,8 +12,11 @@
 from primroselock import daemon
 from primroselock import errors
 from primroselock import options
+from primroselock import scheduler
+from primroselock.store import vmlist
 from primroselock.test import builders
 from primroselock import waits
+from primroselock.workers import protocol
 
 _STEPS: typing.Final = 60
 """Steps of the event loop that cover a whole call of each loop."""
@@ -93,6 +96,51 @@
         self.assertEqual([0] * _STEPS, survivors)
 
 
+class _FailingLink:
+    """Workers whose answers raise an unexpected error."""
+
+    def __init__(self) -> None:
+        self.exchanges = 0
+
+    async def exchange(
+        self, address: str, batch: protocol.Batch
+    ) -> typing.NoReturn:
+        """Fail as the handling of an answer with a fault does."""
+        self.exchanges += 1
+        raise ValueError('a fault')
+
+
+class HeartbeatTest(unittest.IsolatedAsyncioTestCase):
+    """A scheduler goes on with a worker whose heartbeat failed."""
+
+    async def test_a_failed_heartbeat_is_logged_and_started_again(
+        self,
+    ) -> None:
+        """Guards against a worker that gets no heartbeats any more.
+
+        The task was not awaited, so its exception was lost, and the leases
+        of the worker's tasks ran out.
+        """
+        shared = daemon.Daemon(builders.build_settings(), 'scheduler')
+        self.addAsyncCleanup(shared.aclose)
+        runner = scheduler.ShardRunner(shared, 'a')
+        runner.lease.state = 'holder'
+        link: typing.Any = _FailingLink()
+        runner.link = link
+        vm = vmlist.Vm('w0', 'worker', 'a', '127.0.0.1:9', rack='r0')
+        runner.board.record_vms([vm])
+        with testing.capture_logs() as lines:
+            for _ in range(3):
+                runner._reconcile_heartbeats()
+                await asyncio.sleep(0.02)
+        runner._end_heartbeats()
+        self.assertEqual(3, link.exchanges)
+        failed = [line for line in lines if line['event'] == 'task failed']
+        self.assertEqual(
+            ['heartbeats of w0'] * 3, [line['task'] for line in failed]
+        )
+
+
 class SignalsTest(unittest.IsolatedAsyncioTestCase):
     """Every signal that a daemon handles leaves a log line.
 
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -11,6 +11,7 @@
 
 import result
 
+from primroselock import backgroundtasks
 from primroselock import clock
 from primroselock.decisions import fleet
 from primroselock.decisions import reachability
@@ -65,14 +66,14 @@
             if task is not None and not task.done():
                 continue
             if self._needs_polling(worker):
-                self._tasks_by_worker_id[worker.id] = asyncio.create_task(
-                    self._run(worker)
+                self._tasks_by_worker_id[worker.id] = backgroundtasks.start(
+                    self._run(worker), 'polls of a worker'
                 )
         for worker in reachability.list_unverified(self._board):
             probe = self._probes_by_worker_id.get(worker.id)
             if worker.entry.address and (probe is None or probe.done()):
-                self._probes_by_worker_id[worker.id] = asyncio.create_task(
-                    self._probe(worker)
+                self._probes_by_worker_id[worker.id] = backgroundtasks.start(
+                    self._probe(worker), 'probe of a worker'
                 )
 
     def cancel(self) -> None:
@@ -119,7 +120,7 @@
     async def _run(self, worker: fleet.Worker) -> None:
         while self._lease.has_shard and self._needs_polling(worker):
             await self._wait_for_saved_ends(worker)
-            if not await self._poll(worker):
+            if not await self._poll_guarded(worker):
                 pause_s = _INITIAL_BACKOFF_S * 2.0 ** min(
                     worker.failures_in_row, 6
                 )
@@ -136,6 +137,21 @@
         while worker.unsaved_ends and clock.monotonic() < until:
             await asyncio.sleep(_UNSAVED_CHECK_INTERVAL_S)
 
+    async def _poll_guarded(self, worker: fleet.Worker) -> bool:
+        """Poll once; return whether the answer could be applied.
+
+        A worker whose answers cannot be applied counts as not answering, and
+        is polled on with the pauses of such a worker.
+        """
+        try:
+            return await self._poll(worker)
+        except Exception as error:
+            _log.error(
+                'poll answer not applied', worker=worker.id, exc_info=error
+            )
+            worker.record_failed_call(clock.monotonic())
+            return False
+
     async def _poll(self, worker: fleet.Worker) -> bool:
         """Poll once; return whether the worker answered."""
         runs.advance_saved_end(worker)
