Odd progress rows end no holder

What callers would see: one row ends every node, one after another, since each reads it when it takes the shard over.

Cause: the key of a further progress row was converted to a number without a check; a progress row of an occurrence that the job does not have made the holder release occurrences up to it; `parts` was counted up to, however large.

Evidence, before: a key that ends in `/x`, `/1.5`, `/1/1` or 5000 digits ended the holder's loop (ValueError) and the next job did not run; occurrence 10**12 and parts 10**12 had not ended after 15 s.

Change: a row whose key names no part is logged and ignored; progress that the job cannot have is logged, and the job left out like one with an odd graph; only stored parts are joined. The readers of the operators' rows and of the workers' entries needed no change.

--- a/primroselock/graphrows.py
+++ b/primroselock/graphrows.py
@@ -24,6 +24,8 @@
     jobgraph.JobProgress
 ).decode
 encode: typing.Final = msgspec.json.Encoder().encode
+_MAX_PARTS: typing.Final = 10_000
+"""More rows than the progress of any job has."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,8 +56,9 @@
         if first is None or first.parts == 1:
             return first
         groups = list(first.groups)
-        for part in range(1, first.parts):
-            groups += self.groups_by_part.get(part, ())
+        for part in sorted(self.groups_by_part):
+            if part < first.parts:
+                groups += self.groups_by_part[part]
         return msgspec.structs.replace(first, groups=tuple(groups), parts=1)
 
 
@@ -137,11 +140,15 @@
     def _apply_progress(self, row: table.Row) -> None:
         name = row.key.removeprefix(self._progress_prefix)
         job_id, _, part = name.partition('/')
+        number = _parse_part(part)
+        if part and number is None:
+            _log.error('row ignored: its key names no part', key=row.key)
+            return
         stored = self.stored_by_id.setdefault(job_id, StoredJob())
         progress = read_progress(row)
-        if part:
+        if number is not None:
             groups = progress.groups if progress is not None else ()
-            stored.groups_by_part[int(part)] = groups
+            stored.groups_by_part[number] = groups
         else:
             stored.first_progress = progress
             stored.progress_version = row.version
@@ -149,3 +156,11 @@
     def _stored(self, key: str, prefix: str) -> StoredJob:
         job_id = key.removeprefix(prefix)
         return self.stored_by_id.setdefault(job_id, StoredJob())
+
+
+def _parse_part(text: str) -> int | None:
+    """Return the number of a further progress row, or None if it is none."""
+    if not text.isdecimal() or len(text) > len(str(_MAX_PARTS)):
+        return None
+    number = int(text)
+    return number if 1 <= number <= _MAX_PARTS else None
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -117,7 +117,7 @@
 ) -> None:
     """Add a stored job to the blackboard, or apply its cancellation.
 
-    A graph that no job can have is logged and left out.
+    A graph or a progress that no job can have is logged and left out.
     """
     graph = stored.graph
     if graph is None:
@@ -127,6 +127,8 @@
         board.ended_ms_by_id[graph.id] = stored.progress.ended_ms
     elif job is None:
         problems = jobgraph.check(graph)
+        if not problems and stored.progress is not None:
+            problems = jobgraph.check_progress(graph, stored.progress)
         if problems:
             # The intake refuses such a job; only a damaged row has one.
             _log.error('stored job not usable', request=graph.id, why=problems)
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -253,3 +253,12 @@
         if min(msgspec.structs.astuple(step.need)) < 0:
             problems.append(f'step {number}: expected no negative amount')
     return problems
+
+
+def check_progress(job: JobGraph, progress: JobProgress) -> list[str]:
+    """Return the problems of the stored progress of ``job``, as lines."""
+    return [
+        f'progress: the job has no occurrence {record.key.occurrence}'
+        for record in progress.groups
+        if record.key.occurrence >= job.occurrences
+    ]
