A worker's answer with an odd task name is no report

What callers would see: polls of such a worker ended, with the exception lost. Cause: a task name that is no text raised AttributeError, and a number without bound may raise OverflowError; neither was turned into the client's error. Evidence, before: the test of answers that cannot be decoded failed with `'int' object has no attribute 'split'`; eight more odd answers are in it. Change: both count as an answer that cannot be decoded, and are logged.

--- a/primroselock/platform/workers.py
+++ b/primroselock/platform/workers.py
@@ -153,7 +153,12 @@
                 answer.ok_value.body, type=_HoldAnswer
             )
             return result.Ok(_parse_run_report(decoded))
-        except (msgspec.MsgspecError, ValueError, TypeError) as error:
+        except (
+            msgspec.MsgspecError,
+            ValueError,
+            TypeError,
+            OverflowError,
+        ) as error:
             _log.warning(
                 'poll answer cannot be decoded',
                 worker=worker_id,
@@ -262,8 +267,8 @@
     )
 
 
-def _parse_run(task: str, attempt: int) -> orders.Run:
-    name = jobgraph.parse_task_name(task)
+def _parse_run(task: typing.Any, attempt: typing.Any) -> orders.Run:
+    name = jobgraph.parse_task_name(task) if isinstance(task, str) else None
     if name is None:
         raise ValueError(f'not a task name: {task!r}')
     return orders.Run(name, int(attempt))
--- a/primroselock/test/testplatformcalls.py
+++ b/primroselock/test/testplatformcalls.py
@@ -322,6 +322,14 @@
             {'clock_ms': 1, 'running': [['x']]},
             {'clock_ms': 1, 'running': [['no.task', 1, '', 1]]},
             {'clock_ms': 1, 'ended': [[1, 'j.0.1.9', 1, 'odd', '']]},
+            {'clock_ms': 1, 'ended': [[1, 'j.0.1.9', 1, ['done'], '']]},
+            {'clock_ms': 1, 'ended': [[None, 'j.0.1.9', 1, 'done', '']]},
+            {'clock_ms': 1, 'running': [[7, 1, '', 1]]},
+            {'clock_ms': 1, 'running': [[None, 1, '', 1]]},
+            {'clock_ms': 1, 'running': [[['j.0.1.9'], 1, '', 1]]},
+            {'clock_ms': 1, 'running': [['j.0.1.9', {}, '', 1]]},
+            b'{"clock_ms": 1, "running": [["j.0.1.9", 1, "", 1e999]]}',
+            b'{"clock_ms": 1e999}',
         )
         with mock.patch.object(workers, '_log', spec_set=_LOG_METHODS):
             for body in bad:
