Changes that a handler fails to apply do not end the follower

What callers would see: an exception in the handler of one row ended the follower, the node shut down, and so did every other node that read the row. Cause: the follower called its handlers in its loop and let them raise. Evidence, before: both new tests failed (the follower's task had ended). Change: such changes are logged with the exception, undone, requested again and reported again. The copy is not confirmed meanwhile, so that nothing is decided on a copy that lacks them: starts stop after their permit, as in an outage, while callers are answered.

--- a/primroselock/store/tablefollower.py
+++ b/primroselock/store/tablefollower.py
@@ -39,6 +39,10 @@
     time.  After a failure the feed is polled without a long-poll wait
     until it responds, so that the copy is confirmed as soon as the store
     is available again.
+
+    Changes that a handler fails to apply are not confirmed: they are undone,
+    requested again and reported again to every handler, so that handlers must
+    be idempotent.  The copy grows old meanwhile, as in an outage.
     """
 
     def __init__(self, store: table.Feed, name: str, wait_s: float) -> None:
@@ -100,8 +104,11 @@
             or self.rows_by_key[key].version != row.version
         )
         removed = tuple(key for key in self.rows_by_key if key not in found)
-        self._version = listing.ok_value.version
-        self._apply(table.Changes(changed, removed, self._version), sent_at)
+        version = listing.ok_value.version
+        changes = table.Changes(changed, removed, version)
+        if not self._apply(changes, sent_at):
+            return False
+        self._version = version
         self.loaded.set()
         return True
 
@@ -121,25 +128,56 @@
             self._record_failure(error.detail)
             return False
         changes = polled.ok_value
+        if not self._apply(changes, sent_at):
+            return False
         self._version = max(version, changes.version)
-        self._apply(changes, sent_at)
         if changes.rows and self.pause_s:
             await asyncio.sleep(self.pause_s)
         return True
 
-    def _apply(self, changes: table.Changes, sent_at: float) -> None:
+    def _apply(self, changes: table.Changes, sent_at: float) -> bool:
+        """Apply changes; return False if a handler failed to apply them."""
+        changed_keys = [*(row.key for row in changes.rows), *changes.removed]
+        earlier = {key: self.rows_by_key.get(key) for key in changed_keys}
         for row in changes.rows:
             self.rows_by_key[row.key] = row
         for key in changes.removed:
             self.rows_by_key.pop(key, None)
+        confirmed_at, self.confirmed_at = self.confirmed_at, sent_at
+        if not self._report(changes):
+            self._restore(earlier)
+            self.confirmed_at = confirmed_at
+            self._failures += 1
+            return False
         if self._failures:
-            age_s = round(self.age_s(sent_at), 3)
+            age_s = round(sent_at - confirmed_at, 3)
             _log.info('table reachable again', table=self.name, age_s=age_s)
             self._failures = 0
-        self.confirmed_at = sent_at
-        if changes.rows or changes.removed:
+        return True
+
+    def _report(self, changes: table.Changes) -> bool:
+        """Call the handlers; return False if one failed."""
+        if not changes.rows and not changes.removed:
+            return True
+        try:
             for handler in self._handlers:
                 handler(changes)
+        except Exception as error:
+            _log.error(
+                'changes not applied; retrying',
+                table=self.name,
+                version=changes.version,
+                exc_info=error,
+            )
+            return False
+        return True
+
+    def _restore(self, earlier: dict[str, table.Row | None]) -> None:
+        for key, row in earlier.items():
+            if row is None:
+                self.rows_by_key.pop(key, None)
+            else:
+                self.rows_by_key[key] = row
 
     def _record_failure(self, detail: str) -> None:
         self._failures += 1
--- a/primroselock/test/testtablefollower.py
+++ b/primroselock/test/testtablefollower.py
@@ -19,6 +19,8 @@
 _PAUSE_SEEDS: typing.Final = range(100, 250)
 """With 155 and 202 a call is in flight when the outage ends."""
 
+_LOG_METHODS: typing.Final = ('info', 'warning', 'error')
+
 Scenario = abc.Callable[
     [fakefeed.FeedStore, fakefeed.Connectivity, tablefollower.TableFollower],
     abc.Coroutine[None, None, None],
@@ -83,6 +85,68 @@
 
         run_scenario(scenario)
 
+    def test_changes_that_a_handler_fails_to_apply(self) -> None:
+        """They are reported again, and the copy grows old meanwhile.
+
+        Guards against one row that ends the follower, and so the process.
+        """
+
+        async def scenario(
+            store: fakefeed.FeedStore,
+            connectivity: fakefeed.Connectivity,
+            follower: tablefollower.TableFollower,
+        ) -> None:
+            reported: list[table.Changes] = []
+            is_broken = True
+
+            def fail(changes: table.Changes) -> None:
+                if is_broken:
+                    raise ValueError('an odd row')
+                reported.append(changes)
+
+            follower.add_handler(fail)
+            started_at = clock.monotonic()
+            store.put('t/b', b'2')
+            store.delete('t/a')
+            await asyncio.sleep(5.0)
+            self.assertEqual({'t/a'}, set(follower.rows_by_key))
+            self.assertLessEqual(follower.confirmed_at, started_at + 0.1)
+            self.assertFalse(follower.is_reachable)
+            is_broken = False
+            await asyncio.sleep(1.0)
+            self.assertEqual({'t/b'}, set(follower.rows_by_key))
+            self.assertEqual('t/b', reported[0].rows[0].key)
+            self.assertTrue(follower.is_reachable)
+            self.assertLess(follower.age_s(clock.monotonic()), 2.0)
+
+        with mock.patch.object(tablefollower, '_log', spec_set=_LOG_METHODS):
+            run_scenario(scenario)
+
+    def test_a_listing_that_a_handler_fails_to_apply(self) -> None:
+        """The table is not loaded until all handlers have applied it."""
+
+        async def scenario(virtual: virtualtime.VirtualClock) -> None:
+            store = fakefeed.FeedStore()
+            store.put('t/a', b'1')
+            client = fakefeed.FeedClient(store, fakefeed.Connectivity())
+            follower = tablefollower.TableFollower(client, 't', 1.0)
+            failures = [ValueError('an odd row')] * 3
+
+            def fail(changes: table.Changes) -> None:
+                if failures:
+                    raise failures.pop()
+
+            follower.add_handler(fail)
+            task = asyncio.create_task(follower.run())
+            await asyncio.sleep(0.01)
+            self.assertFalse(follower.loaded.is_set())
+            await asyncio.sleep(5.0)
+            self.assertTrue(follower.loaded.is_set())
+            task.cancel()
+
+        with mock.patch.object(tablefollower, '_log', spec_set=_LOG_METHODS):
+            virtualtime.run(scenario)
+
     def test_unchanged_table_stays_confirmed(self) -> None:
         """Guards against a copy that becomes stale while nothing changes."""
 
