A node of which a loop was cancelled or the handover failed serves on

What callers would see: open calls cut off and the lease not released, when a loop of the node ended by a cancellation that it did not get from the node, or the handover raised (likely from what had failed the loop).

Cause: `Task.exception()` raises CancelledError for a cancelled task, which ended Node.run and the holder's session instead of being logged; the shutdown expected a timeout of the handover only.

After: the call gets its complete response, and the log says what ended.

Change: a cancelled loop counts as failed, in the node and in the session, which drops the lease; a failed handover is logged and the shutdown goes on.

--- a/primroselock/fleetnode.py
+++ b/primroselock/fleetnode.py
@@ -11,6 +11,7 @@
 import typing
 
 from primroselock import advicerequests
+from primroselock import backgroundtasks
 from primroselock import clock
 from primroselock import errors
 from primroselock import holdersession
@@ -198,7 +199,7 @@
             if task is not stopping:
                 _log.error(
                     'loop ended unexpectedly; shutting down',
-                    exc_info=task.exception(),
+                    exc_info=backgroundtasks.find_failure(task),
                 )
         await self._shut_down(servers, loops)
 
@@ -237,6 +238,11 @@
                 await self._holder.hand_over()
         except TimeoutError:
             _log.warning('shard lease not released in time; it will expire')
+        except Exception as error:
+            # Callers are still to be served.
+            _log.error(
+                'shard lease not released; it will expire', exc_info=error
+            )
         await asyncio.sleep(self._settings.fleet.leaving_s)
         for server, _ in servers:
             server.should_exit = True
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -18,6 +18,7 @@
 import result
 
 from primroselock import advicerequests
+from primroselock import backgroundtasks
 from primroselock import clock
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetround
@@ -251,10 +252,12 @@
         try:
             await asyncio.wait(loops, return_when=asyncio.FIRST_COMPLETED)
             for task in loops:
-                if task.done() and task.exception() is not None:
+                error = (
+                    backgroundtasks.find_failure(task) if task.done() else None
+                )
+                if error is not None:
                     _log.error(
-                        'loop failed; dropping the shard lease',
-                        exc_info=task.exception(),
+                        'loop failed; dropping the shard lease', exc_info=error
                     )
                     self._lease.drop('a loop failed')
         finally:
--- a/primroselock/test/testnode.py
+++ b/primroselock/test/testnode.py
@@ -1,6 +1,8 @@
 """Tests of the composed node: reload of settings, readiness."""
 
+import asyncio
 import dataclasses
+import socket
 import typing
 import unittest
 from unittest import mock
@@ -13,6 +15,7 @@
 from primroselock import options
 from primroselock.platform import adapter
 from primroselock.platform import settings
+from primroselock import sockets
 from primroselock.store import table
 from primroselock.store import tablefollower
 from primroselock.test import fleetbuilders
@@ -81,5 +84,95 @@
             self.assertFalse(self.node.is_ready(now))
 
 
+async def raise_soon() -> None:
+    """Fail as a loop with a fault does."""
+    await asyncio.sleep(0.1)
+    raise ValueError('a fault')
+
+
+async def be_cancelled() -> None:
+    """End as a loop does that awaits what was cancelled elsewhere."""
+    await asyncio.sleep(0.1)
+    raise asyncio.CancelledError
+
+
+async def answer_late(
+    scope: typing.Any, receive: typing.Any, send: typing.Any
+) -> None:
+    """Answer a call as an ASGI application, after a second."""
+    await asyncio.sleep(1.0)
+    headers = [(b'content-length', b'8')]
+    start = {
+        'type': 'http.response.start',
+        'status': 200,
+        'headers': headers,
+    }
+    await send(start)
+    await send({'type': 'http.response.body', 'body': b'complete'})
+
+
+class FailedLoopTest(unittest.IsolatedAsyncioTestCase):
+    """A node of which one loop failed serves on until it has shut down."""
+
+    def setUp(self) -> None:
+        read = settings.parse(fleetbuilders.BOOT_TEXT, 'boot').unwrap()
+        self.read = dataclasses.replace(
+            read, fleet=dataclasses.replace(read.fleet, leaving_s=0.5)
+        )
+        self.addresses: list[str] = []
+
+    def open_listener(self, address: str) -> socket.socket:
+        """Bind a free port instead of that of the settings."""
+        listener = sockets.open_listener('127.0.0.1:0')
+        self.addresses.append(sockets.bound_address(listener))
+        return listener
+
+    async def call(self) -> bytes:
+        """Call the node's first port; return the whole response."""
+        host, port = self.addresses[0].split(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+        response = await reader.read()
+        writer.close()
+        return response
+
+    async def run_node(self, node: fleetnode.Node) -> bytes:
+        """Run a node until it ends; return the response to an open call."""
+        node._client_api = answer_late
+        fake_sockets = mock.Mock(spec_set=['open_listener'])
+        fake_sockets.open_listener = self.open_listener
+        with mock.patch.object(fleetnode, 'sockets', new=fake_sockets):
+            running = asyncio.create_task(node.run())
+            while not self.addresses:
+                await asyncio.sleep(0.01)
+            response = await self.call()
+            async with asyncio.timeout(20.0):
+                await running
+        return response
+
+    async def check(self, **loops: typing.Any) -> None:
+        """Check a node whose holder has other coroutines for its own."""
+        node = fleetnode.Node(self.read, adapter.make())
+        for name, coroutine in loops.items():
+            setattr(node._holder, name, coroutine)
+        with testing.capture_logs() as lines:
+            response = await self.run_node(node)
+        self.assertTrue(response.endswith(b'complete'), response)
+        events = [line['event'] for line in lines]
+        self.assertIn('loop ended unexpectedly; shutting down', events)
+        self.assertEqual('stopped', events[-1])
+
+    async def test_a_loop_that_raises(self) -> None:
+        await self.check(run=raise_soon)
+
+    async def test_a_loop_that_is_cancelled(self) -> None:
+        """Guards against a process that ends with its calls cut off."""
+        await self.check(run=be_cancelled)
+
+    async def test_a_handover_that_raises_too(self) -> None:
+        """Guards against the same: what failed a loop may fail it as well."""
+        await self.check(run=raise_soon, hand_over=raise_soon)
+
+
 if __name__ == '__main__':
     unittest.main()
