A row whose value is not ASCII ends no node

What callers would see: one such row of any table that a node follows ended the follower and so the node, and every other one after it. Cause: b64decode raises ValueError, not binascii.Error, for text that is not ASCII. Evidence, before: the new test raised `string argument should contain only ASCII characters`, for a listing and for the feed.

--- a/primroselock/platform/rows.py
+++ b/primroselock/platform/rows.py
@@ -8,7 +8,6 @@
 """
 
 import base64
-import binascii
 from collections import abc
 import typing
 import urllib.parse
@@ -384,7 +383,8 @@
     key = f'{row.table}/{row.key}'
     try:
         value = base64.b64decode(row.value, validate=True)
-    except binascii.Error:
+    except ValueError:
+        # Also raised for text that is not ASCII.
         return table.Row(key, b'', row.ver, '')
     if row.table in _EXTERNAL_TABLES:
         return table.Row(key, value, row.ver, '')
--- a/primroselock/test/testplatformcalls.py
+++ b/primroselock/test/testplatformcalls.py
@@ -201,6 +201,22 @@
         self.assertEqual('tok', listing.rows[0].token)
         self.assertEqual(7, listing.version)
 
+    async def test_a_value_that_is_not_base64_becomes_empty(self) -> None:
+        """Guards against one row that ends each node that reads it.
+
+        Text that is not ASCII is another error than other odd text.
+        """
+        rows = [
+            {'table': 't', 'ver': 3, 'key': 'a', 'value': '?'},
+            {'table': 't', 'ver': 3, 'key': 'b', 'value': '\u00e9\u00e9'},
+        ]
+        page = {'rows': rows, 'ver': 7}
+        store = self._store(_answer(200, page), _answer(200, page))
+        listing = (await store.list_rows('t')).unwrap()
+        self.assertEqual([b'', b''], [row.value for row in listing.rows])
+        changes = (await store.changes('t', 6, 0.5)).unwrap()
+        self.assertEqual([b'', b''], [row.value for row in changes.rows])
+
     async def test_a_page_that_does_not_arrive_is_read_again_smaller(
         self,
     ) -> None:
