Gateway and scheduler go on after odd answers of the platform

What callers would see: one answer that cannot be decoded, or one VM with an odd mesh address, ended every gateway and scheduler that read it, with a traceback.

Change: an answer that cannot be decoded is Unavailable, or of unknown outcome for a write; the configuration in force stays; a mesh address that cannot be used is logged once and left out. Open: a job's row that cannot be decoded still ends a scheduler (jobstore), since leaving it out would take it from the inbox.

--- a/primroselock/mesh/node.py
+++ b/primroselock/mesh/node.py
@@ -69,6 +69,7 @@
         self.received_bytes = 0
         self._dealers_by_address: dict[str, zmq.asyncio.Socket] = {}
         self._readers_by_address: dict[str, asyncio.Task[None]] = {}
+        self._odd_addresses: set[str] = set()
         self._handlers: list[Handler] = []
         self._responder: Responder | None = None
         self.set_peers(settings.mesh.peers)
@@ -125,7 +126,19 @@
         dealer.setsockopt(zmq.RECONNECT_IVL_MAX, _MAX_RECONNECT_MS)
         if self._settings.secret_key:
             dealer.curve_serverkey = self._settings.public_key.encode()
-        dealer.connect(f'tcp://{address}')
+        try:
+            dealer.connect(f'tcp://{address}')
+        except zmq.ZMQError as error:
+            # One odd row of the VM list must not end every process.
+            dealer.close()
+            if address not in self._odd_addresses:
+                self._odd_addresses.add(address)
+                _log.error(
+                    'mesh address not usable',
+                    address=address,
+                    error=str(error),
+                )
+            return
         self._dealers_by_address[address] = dealer
         self._readers_by_address[address] = backgroundtasks.start(
             self._read_replies(dealer), f'mesh replies of {address}'
--- a/primroselock/patches.py
+++ b/primroselock/patches.py
@@ -35,6 +35,7 @@
 """Versions between two snapshots; bounds the patches read at a start."""
 
 _log: typing.Final = logs.get('patches')
+_Value = typing.TypeVar('_Value')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -173,7 +174,10 @@
     row = read.ok_value.get(keys.CONFIG_HEAD)
     if row is None:
         return result.Ok((Head(0), table.ABSENT))
-    return result.Ok((msgspec.json.decode(row.value, type=Head), row.version))
+    head = _decode(row.key, row.value, Head)
+    if isinstance(head, result.Err):
+        return head
+    return result.Ok((head.ok_value, row.version))
 
 
 async def read_patch(
@@ -187,7 +191,7 @@
     row = read.ok_value.get(key)
     if row is None:
         return result.Ok(None)
-    return result.Ok(msgspec.json.decode(row.value, type=Patch))
+    return _decode(row.key, row.value, Patch)
 
 
 async def load_current(
@@ -227,8 +231,10 @@
                 name=snapshot.name,
             )
         else:
-            sections = msgspec.json.decode(got.ok_value, type=ini.Sections)
-            base = Content(snapshot.version, sections)
+            sections = _decode(snapshot.name, got.ok_value, ini.Sections)
+            if isinstance(sections, result.Err):
+                return sections
+            base = Content(snapshot.version, sections.ok_value)
     return await _apply_patches(store, base, version)
 
 
@@ -246,7 +252,10 @@
             detail = f'the row of patch {content.version + 1} is missing'
             return result.Err(table.Unavailable(detail))
         for row in page.ok_value:
-            patch = msgspec.json.decode(row.value, type=Patch)
+            decoded = _decode(row.key, row.value, Patch)
+            if isinstance(decoded, result.Err):
+                return decoded
+            patch = decoded.ok_value
             if patch.version != content.version + 1:
                 detail = f'the row of patch {content.version + 1} is missing'
                 return result.Err(table.Unavailable(detail))
@@ -254,6 +263,17 @@
     return result.Ok(content)
 
 
+def _decode(
+    name: str, value: bytes, kind: type[_Value]
+) -> result.Result[_Value, table.Unavailable]:
+    """Decode a row or an object of the configuration."""
+    try:
+        return result.Ok(msgspec.json.decode(value, type=kind))
+    except msgspec.MsgspecError as error:
+        _log.error('row cannot be decoded', key=name, error=str(error))
+        return result.Err(table.Unavailable(f'{name} cannot be decoded'))
+
+
 def apply_text(content: Content, text: str) -> Content:
     """Return ``content`` with the patch of the next version applied.
 
--- a/primroselock/store/client.py
+++ b/primroselock/store/client.py
@@ -25,6 +25,8 @@
 _OK: typing.Final = 200
 _UNAVAILABLE: typing.Final = 503
 
+_Value = typing.TypeVar('_Value')
+
 
 class _ConflictBody(msgspec.Struct, frozen=True):
     keys: tuple[str, ...]
@@ -55,8 +57,10 @@
         outcome = await self._query('/v1/table/read', {'keys': list(keys)})
         if isinstance(outcome, result.Err):
             return outcome
-        rows = msgspec.json.decode(outcome.ok_value, type=list[table.Row])
-        return result.Ok({row.key: row for row in rows})
+        rows = _decode(outcome.ok_value, list[table.Row])
+        if isinstance(rows, result.Err):
+            return rows
+        return result.Ok({row.key: row for row in rows.ok_value})
 
     async def scan(
         self, prefix: str, after: str = '', limit: int = 1000
@@ -66,9 +70,7 @@
         outcome = await self._query('/v1/table/scan', query)
         if isinstance(outcome, result.Err):
             return outcome
-        return result.Ok(
-            msgspec.json.decode(outcome.ok_value, type=list[table.Row])
-        )
+        return _decode(outcome.ok_value, list[table.Row])
 
     async def transact(
         self, transaction: table.Transaction
@@ -88,13 +90,18 @@
                 return result.Err(table.Unavailable(error.detail))
             return result.Err(table.OutcomeUnknown(error.detail))
         response = outcome.ok_value
-        if response.status == _OK:
-            return result.Ok(
-                msgspec.json.decode(response.body, type=table.Committed)
+        try:
+            if response.status == _OK:
+                return result.Ok(
+                    msgspec.json.decode(response.body, type=table.Committed)
+                )
+            if response.status == _CONFLICT:
+                body = msgspec.json.decode(response.body, type=_ConflictBody)
+                return result.Err(table.Conflict(body.keys))
+        except msgspec.MsgspecError as error:
+            return result.Err(
+                table.OutcomeUnknown(f'cannot decode the response: {error}')
             )
-        if response.status == _CONFLICT:
-            body = msgspec.json.decode(response.body, type=_ConflictBody)
-            return result.Err(table.Conflict(body.keys))
         detail = f'transaction: status {response.status}'
         if response.status == _UNAVAILABLE:
             return result.Err(table.Unavailable(detail))
@@ -121,9 +128,10 @@
             return outcome
         response = outcome.ok_value
         if response.status == _OK:
-            self._vms = msgspec.json.decode(
-                response.body, type=list[vmlist.Vm]
-            )
+            decoded = _decode(response.body, list[vmlist.Vm])
+            if isinstance(decoded, result.Err):
+                return decoded
+            self._vms = decoded.ok_value
             self._vms_etag = response.headers_by_name.get('etag', '')
         return result.Ok(self._vms)
 
@@ -178,5 +186,16 @@
         return result.Ok(response)
 
 
+def _decode(
+    body: bytes, kind: type[_Value]
+) -> result.Result[_Value, table.Unavailable]:
+    try:
+        return result.Ok(msgspec.json.decode(body, type=kind))
+    except msgspec.MsgspecError as error:
+        return result.Err(
+            table.Unavailable(f'cannot decode the response: {error}')
+        )
+
+
 def _object_path(name: str) -> str:
     return '/v1/objects/' + urllib.parse.quote(name, safe='')
--- a/primroselock/test/testdaemon.py
+++ b/primroselock/test/testdaemon.py
@@ -7,12 +7,14 @@
 import unittest
 from unittest import mock
 
+import msgspec
 from structlog import testing
 
 from primroselock import daemon
 from primroselock import errors
 from primroselock import options
 from primroselock import scheduler
+from primroselock.store import keys
 from primroselock.store import vmlist
 from primroselock.test import builders
 from primroselock import waits
@@ -21,26 +23,42 @@
 _STEPS: typing.Final = 60
 """Steps of the event loop that cover a whole call of each loop."""
 
-_END_S: typing.Final = 2.0
+_ODD_CALLS: typing.Final = 20
+_END_S: typing.Final = 5.0
 _SIGNALS: typing.Final = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
-async def answer_with_nothing(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
-    """Answer each call to the platform with an empty list."""
-    try:
-        while True:
-            head = await reader.readuntil(b'\r\n\r\n')
-            for line in head.lower().splitlines():
-                name, _, value = line.partition(b':')
-                if name == b'content-length':
-                    await reader.readexactly(int(value))
-            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]')
-    except (asyncio.IncompleteReadError, OSError):
-        return
-    finally:
-        writer.close()
+class Platform:
+    """A platform that answers each call with ``body``."""
+
+    def __init__(self, body: bytes = b'[]') -> None:
+        self.body = body
+        self.calls = 0
+
+    async def start(self) -> tuple[asyncio.Server, str]:
+        """Listen; return the server and its address as HOST:PORT."""
+        server = await asyncio.start_server(self._serve, '127.0.0.1')
+        host, port = server.sockets[0].getsockname()
+        return server, f'{host}:{port}'
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                for line in head.lower().splitlines():
+                    name, _, value = line.partition(b':')
+                    if name == b'content-length':
+                        await reader.readexactly(int(value))
+                size = len(self.body)
+                start = f'HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n'
+                writer.write(start.encode() + self.body)
+                self.calls += 1
+        except (asyncio.IncompleteReadError, OSError):
+            return
+        finally:
+            writer.close()
 
 
 def build_settings(address: str) -> options.Settings:
@@ -85,10 +103,9 @@
         The HTTP library swallowed the cancellation of a loop whose answer
         arrived at that moment, and the daemon waited for it for ever.
         """
-        server = await asyncio.start_server(answer_with_nothing, '127.0.0.1')
+        server, address = await Platform().start()
         self.addCleanup(server.close)
-        host, port = server.sockets[0].getsockname()
-        shared = daemon.Daemon(build_settings(f'{host}:{port}'), 'gateway')
+        shared = daemon.Daemon(build_settings(address), 'gateway')
         self.addAsyncCleanup(shared.aclose)
         survivors = [
             await self.count_survivors(shared, step) for step in range(_STEPS)
@@ -96,6 +113,47 @@
         self.assertEqual([0] * _STEPS, survivors)
 
 
+class OddAnswersTest(unittest.IsolatedAsyncioTestCase):
+    """Answers of the platform that nothing can be made of end no loop."""
+
+    async def check(self, body: bytes) -> None:
+        """Run the loops against a platform that answers with ``body``."""
+        platform = Platform(body)
+        server, address = await platform.start()
+        self.addCleanup(server.close)
+        shared = daemon.Daemon(build_settings(address), 'gateway')
+        self.addAsyncCleanup(shared.aclose)
+        with testing.capture_logs():
+            async with asyncio.TaskGroup() as group:
+                loops = shared.start_loops(group)
+                async with asyncio.timeout(_END_S):
+                    while platform.calls < _ODD_CALLS:
+                        await asyncio.sleep(0.01)
+                ended = [loop for loop in loops if loop.done()]
+                await waits.cancel_tasks(loops)
+        self.assertEqual([], ended)
+
+    async def test_bodies_that_cannot_be_decoded(self) -> None:
+        """Guards against one answer that ends every daemon that reads it."""
+        for body in (b'\xff', b'', b'{}', b'[1]', b'[{"id": 1}]', b'null'):
+            with self.subTest(body):
+                await self.check(body)
+
+    async def test_the_head_of_the_configuration_is_odd(self) -> None:
+        row = {
+            'key': keys.CONFIG_HEAD,
+            'value': 'b2Rk',
+            'version': 1,
+            'token': '',
+        }
+        await self.check(msgspec.json.encode([row]))
+
+    async def test_a_vm_with_an_odd_mesh_address(self) -> None:
+        """Guards against one row that ends every daemon of a region."""
+        vm = vmlist.Vm('g', 'gateway', 'a', '', mesh='an odd address')
+        await self.check(msgspec.json.encode([vm]))
+
+
 class _FailingLink:
     """Workers whose answers raise an unexpected error."""
 
