--- a/primroselock/fleetnode.py
+++ b/primroselock/fleetnode.py
@@ -11,6 +11,7 @@
 import typing
 
 from primroselock import advicerequests
+from primroselock import backgroundtasks
 from primroselock import clock
 from primroselock import errors
 from primroselock import holdersession
@@ -205,7 +206,7 @@
             if task is not stopping:
                 _log.error(
                     'loop ended unexpectedly; shutting down',
-                    exc_info=task.exception(),
+                    exc_info=backgroundtasks.find_failure(task),
                 )
         await self._shut_down(servers, loops)
 
@@ -264,6 +265,11 @@
                 await self._holder.hand_over()
         except TimeoutError:
             _log.warning('shard lease not released in time; it will expire')
+        except Exception as error:
+            # Callers are still to be served.
+            _log.error(
+                'shard lease not released; it will expire', exc_info=error
+            )
 
     async def _watch_for_pauses(self) -> None:
         """Log a warning after each pause of the process."""
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -18,6 +18,7 @@
 import result
 
 from primroselock import advicerequests
+from primroselock import backgroundtasks
 from primroselock import clock
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetround
@@ -116,7 +117,7 @@
 ) -> None:
     """Add a stored job to the blackboard, or apply its cancellation.
 
-    A graph that no job can have is logged and left out.
+    A graph or a progress that no job can have is logged and left out.
     """
     graph = stored.graph
     if graph is None:
@@ -126,6 +127,8 @@
         board.ended_ms_by_id[graph.id] = stored.progress.ended_ms
     elif job is None:
         problems = jobgraph.check(graph)
+        if not problems and stored.progress is not None:
+            problems = jobgraph.check_progress(graph, stored.progress)
         if problems:
             # The intake refuses such a job; only a damaged row has one.
             _log.error('stored job not usable', request=graph.id, why=problems)
@@ -248,10 +251,12 @@
         try:
             await asyncio.wait(loops, return_when=asyncio.FIRST_COMPLETED)
             for task in loops:
-                if task.done() and task.exception() is not None:
+                error = (
+                    backgroundtasks.find_failure(task) if task.done() else None
+                )
+                if error is not None:
                     _log.error(
-                        'loop failed; dropping the shard lease',
-                        exc_info=task.exception(),
+                        'loop failed; dropping the shard lease', exc_info=error
                     )
                     self._lease.drop('a loop failed')
         finally:
--- a/primroselock/test/testplatformcalls.py
+++ b/primroselock/test/testplatformcalls.py
@@ -201,6 +201,22 @@
         self.assertEqual('tok', listing.rows[0].token)
         self.assertEqual(7, listing.version)
 
+    async def test_a_value_that_is_not_base64_becomes_empty(self) -> None:
+        """Guards against one row that ends each node that reads it.
+
+        Text that is not ASCII is another error than other odd text.
+        """
+        rows = [
+            {'table': 't', 'ver': 3, 'key': 'a', 'value': '?'},
+            {'table': 't', 'ver': 3, 'key': 'b', 'value': '\u00e9\u00e9'},
+        ]
+        page = {'rows': rows, 'ver': 7}
+        store = self._store(_answer(200, page), _answer(200, page))
+        listing = (await store.list_rows('t')).unwrap()
+        self.assertEqual([b'', b''], [row.value for row in listing.rows])
+        changes = (await store.changes('t', 6, 0.5)).unwrap()
+        self.assertEqual([b'', b''], [row.value for row in changes.rows])
+
     async def test_a_page_that_does_not_arrive_is_read_again_smaller(
         self,
     ) -> None:
@@ -322,6 +338,14 @@
             {'clock_ms': 1, 'running': [['x']]},
             {'clock_ms': 1, 'running': [['no.task', 1, '', 1]]},
             {'clock_ms': 1, 'ended': [[1, 'j.0.1.9', 1, 'odd', '']]},
+            {'clock_ms': 1, 'ended': [[1, 'j.0.1.9', 1, ['done'], '']]},
+            {'clock_ms': 1, 'ended': [[None, 'j.0.1.9', 1, 'done', '']]},
+            {'clock_ms': 1, 'running': [[7, 1, '', 1]]},
+            {'clock_ms': 1, 'running': [[None, 1, '', 1]]},
+            {'clock_ms': 1, 'running': [[['j.0.1.9'], 1, '', 1]]},
+            {'clock_ms': 1, 'running': [['j.0.1.9', {}, '', 1]]},
+            b'{"clock_ms": 1, "running": [["j.0.1.9", 1, "", 1e999]]}',
+            b'{"clock_ms": 1e999}',
         )
         with mock.patch.object(workers, '_log', spec_set=_LOG_METHODS):
             for body in bad:
