SIGTERM to a starting node is not lost in a callback

A node went on for ever after SIGTERM: it took the shard and was killed.

Cause: since the handler of the start raised SystemExit. Raised in a callback, as importing runs them, it is printed and ignored.

The new test in testnodesignals failed before ('the signal was lost').

The handler ends the process itself; nothing is open yet.

--- a/primroselock/nodesignals.py
+++ b/primroselock/nodesignals.py
@@ -5,8 +5,8 @@
 blocked is delivered once it is unblocked, or never.
 """
 
+import os
 import signal
-import sys
 import typing
 
 _HANDLED: typing.Final = frozenset(
@@ -21,7 +21,8 @@
 
 
 def _exit(number: int, frame: typing.Any) -> None:
-    sys.exit(0)
+    # An exception would be lost in a callback, as of a module's import.
+    os._exit(0)
 
 
 def deliver() -> None:
--- a/primroselock/test/testnodesignals.py
+++ b/primroselock/test/testnodesignals.py
@@ -23,6 +23,19 @@
     .replace('7000,7015', '0,15')
 )
 
+_SCRIPT: typing.Final = """
+import os, signal, sys
+from primroselock import nodesignals
+
+class Object:
+    def __del__(self):
+        os.kill(os.getpid(), signal.SIGTERM)
+
+nodesignals.prepare()
+Object()
+sys.exit('the signal was lost')
+"""
+
 
 class NodeSignalsTest(unittest.TestCase):
     """A node whose settings file is a pipe: its start waits for them."""
@@ -89,6 +102,16 @@
         self.node.send_signal(signal.SIGTERM)
         self.assertEqual(0, self.node.wait(_TIMEOUT_S))
 
+    def test_termination_in_a_callback_is_not_lost(self) -> None:
+        """Found by seed 1 of the soak: a node went on after SIGTERM.
+
+        It came in a callback of an import, which loses exceptions.
+        """
+        ended = subprocess.run(
+            [sys.executable, '-c', _SCRIPT], cwd=_ROOT, check=False
+        )
+        self.assertEqual(0, ended.returncode)
+
     def test_signals_until_the_end_do_not_change_the_exit(self) -> None:
         """Found by the soak: in its last moments a signal ended the node."""
         self.start()
