A node that shuts down tells callers to open another connection

Callers that keep their connection until the node is gone sent their next request into a connection that was just being closed, and had to repeat it.

Cause: the responses of a node that is shutting down did not say that the connection ends.

From SIGTERM on each response closes its connection and says so; the node stays not ready, so that new connections go elsewhere.

The driver of the soak also ends its nodes when it is cancelled.

--- a/primroselock/fleetnode.py
+++ b/primroselock/fleetnode.py
@@ -234,11 +234,14 @@
         """Hand over the shard; serve until callers use other nodes.
 
         Both take place at the same time: the platform kills the process
-        soon, also if the store does not answer.
+        soon, also if the store does not answer.  Callers that keep a
+        connection are told to open another.
         """
         self._stopping.set()
         _log.info('stopping')
         handing_over = asyncio.create_task(self._hand_over())
+        for server, _ in servers:
+            await server.announce_close()
         await asyncio.sleep(self._settings.fleet.leaving_s)
         for server, _ in servers:
             server.should_exit = True
--- a/primroselock/httpserver.py
+++ b/primroselock/httpserver.py
@@ -56,6 +56,11 @@
                 # The usual case: nobody asked within the interval.
                 await self.on_tick(_FIRST_TICK)
 
+    async def announce_close(self) -> None:
+        """Close each connection with its next response, which says so."""
+        self.config.encoded_headers.append((b'connection', b'close'))
+        await self.on_tick(_FIRST_TICK)
+
     @contextlib.contextmanager
     def capture_signals(self) -> abc.Generator[None, None, None]:
         """Install no handler; the daemon handles the signals."""
--- a/primroselock/test/testnode.py
+++ b/primroselock/test/testnode.py
@@ -16,6 +16,7 @@
 from primroselock import options
 from primroselock.platform import adapter
 from primroselock.platform import settings
+from primroselock import sockets
 from primroselock.store import table
 from primroselock.store import tablefollower
 from primroselock.test import fleetbuilders
@@ -26,6 +27,7 @@
 """The platform's bound between SIGTERM and SIGKILL."""
 
 _SERVER_END_S: typing.Final = 2.1
+_RESPONSE_TIMEOUT_S: typing.Final = 10.0
 
 
 class NodeTest(unittest.IsolatedAsyncioTestCase):
@@ -110,11 +112,50 @@
         self.assertLess(virtualtime.run(play), _GRACE_S)
 
 
+class ServerTest(unittest.IsolatedAsyncioTestCase):
+    """The HTTP server of a node that shuts down, over a connection."""
+
+    async def test_open_connections_are_closed_with_a_response(self) -> None:
+        """Found by the soak of node processes.
+
+        A caller that kept its connection until the node was gone sent its
+        next request into a connection that was just being closed.
+        """
+        listener = sockets.open_listener('127.0.0.1:0')
+        server = httpserver.build(_respond, 1.0)
+        serving = asyncio.create_task(server.serve(sockets=[listener]))
+        address = sockets.bound_address(listener)
+        host, _, port = address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        for is_leaving in (False, True):
+            if is_leaving:
+                await server.announce_close()
+            writer.write(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+            async with asyncio.timeout(_RESPONSE_TIMEOUT_S):
+                head = await reader.readuntil(b'\r\n\r\n')
+            self.assertEqual(is_leaving, b'connection: close' in head)
+        async with asyncio.timeout(_RESPONSE_TIMEOUT_S):
+            self.assertEqual(b'', await reader.read())
+        server.should_exit = True
+        await serving
+
+
+async def _respond(
+    scope: typing.Any, receive: typing.Any, send: typing.Any
+) -> None:
+    headers = [(b'content-length', b'0')]
+    await send(
+        {'type': 'http.response.start', 'status': 200, 'headers': headers}
+    )
+    await send({'type': 'http.response.body', 'body': b''})
+
+
 class _SlowServer(httpserver.Server):
     """A server with a call in progress that takes all of its time."""
 
     def __init__(self) -> None:
-        super().__init__(uvicorn.Config(lambda: None))
+        super().__init__(uvicorn.Config(_respond, log_config=None))
 
     async def serve(self, sockets: typing.Any = None) -> None:
         """Return as late as a server does."""
--- a/standins/nodes.py
+++ b/standins/nodes.py
@@ -141,9 +141,12 @@
             )
         life = Life(self.number, time.monotonic(), process.pid)
         self.lives.append(life)
-        life.code = await process.wait()
-        life.ended_at = time.monotonic()
-        self.is_started = False
+        try:
+            life.code = await process.wait()
+        finally:
+            self.send(signal.SIGKILL)
+            life.ended_at = time.monotonic()
+            self.is_started = False
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it runs."""
