--- a/standins/nodes.py
+++ b/standins/nodes.py
@@ -76,7 +76,8 @@
         for (at, before), (next_at, after) in itertools.pairwise(self.waits):
             if next_at > start and at < end:
                 late_s += max(0.0, next_at - at - 2 * _POLL_INTERVAL_S)
-                waited_s += after - before
+                # The sum falls when a thread ends.
+                waited_s += max(0.0, after - before)
         return paused_s + late_s + waited_s
 
 
