A repeated submission is answered by its caller's deadline

A caller that repeated a submission while the store was slow waited for the answer past its own deadline, and a node that shut down could cut it.

Cause: the read that compares the stored job's owner had no deadline.

Evidence: found by reading the paths that a call can take while a node shuts down. testfleetintake.test_a_repeated_submit_is_answered_by_the_deadline failed before: answered 8.5 s after the deadline, in virtual time.

The read now ends at the deadline, and the outcome is unknown, as before.

--- a/primroselock/intake.py
+++ b/primroselock/intake.py
@@ -233,7 +233,7 @@
             return result.Ok(None)
         error = outcome.err_value
         if isinstance(error, table.Conflict):
-            return await self._check_stored_owner(key, graph)
+            return await self._check_stored_owner(key, graph, deadline)
         if isinstance(error, table.Rejected):
             return result.Err(Refused(RefusalReason.TOO_LARGE, error.detail))
         if isinstance(error, table.Unavailable):
@@ -262,15 +262,15 @@
             )
 
     async def _check_stored_owner(
-        self, key: str, graph: jobgraph.JobGraph
+        self, key: str, graph: jobgraph.JobGraph, deadline: float
     ) -> result.Result[None, Refused]:
         """Compare the owner of the stored job with that of ``graph``."""
-        read = await self._store.read([key])
+        read = await self._read_until(key, deadline)
         if isinstance(read, result.Err):
             return result.Err(
                 Refused(RefusalReason.OUTCOME_UNKNOWN, read.err_value.detail)
             )
-        row = read.ok_value.get(key)
+        row = read.ok_value
         if row is None:
             return result.Err(
                 Refused(RefusalReason.OUTCOME_UNKNOWN, 'job row not found')
@@ -398,13 +398,8 @@
     async def _read_row(
         self, key: str, deadline: float
     ) -> result.Result[table.Row | None, Refused]:
-        """Read a row, until ``deadline``; None if it does not exist."""
-        left_s = max(_MIN_READ_TIMEOUT_S, deadline - clock.monotonic())
-        try:
-            async with asyncio.timeout(left_s):
-                read = await self._store.read([key])
-        except TimeoutError:
-            read = result.Err(table.Unavailable('no answer in time'))
+        """Read a row, until ``deadline``; refuse the call without it."""
+        read = await self._read_until(key, deadline)
         if isinstance(read, result.Err):
             return result.Err(
                 Refused(
@@ -413,6 +408,20 @@
                     _RETRY_AFTER_S,
                 )
             )
+        return result.Ok(read.ok_value)
+
+    async def _read_until(
+        self, key: str, deadline: float
+    ) -> result.Result[table.Row | None, table.Unavailable]:
+        """Read a row, until ``deadline``; None if it does not exist."""
+        left_s = max(_MIN_READ_TIMEOUT_S, deadline - clock.monotonic())
+        try:
+            async with asyncio.timeout(left_s):
+                read = await self._store.read([key])
+        except TimeoutError:
+            return result.Err(table.Unavailable('no answer in time'))
+        if isinstance(read, result.Err):
+            return read
         return result.Ok(read.ok_value.get(key))
 
     def count_waiting(
--- a/primroselock/test/testfleetintake.py
+++ b/primroselock/test/testfleetintake.py
@@ -107,6 +107,31 @@
 
         run_scenario(scenario)
 
+    def test_a_repeated_submit_is_answered_by_the_deadline(self) -> None:
+        """The read of the stored job went on past the caller's deadline."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            other = world.add_node('entry-2')
+            access = intake.Access(fleetbuilders.BULK, 'signs')
+            await asyncio.sleep(1.0)
+            graph = fleetbuilders.build_graph('j1')
+            world.submit(graph)
+            deadline = clock.monotonic() + 0.5
+
+            async def read_late(keys: typing.Any) -> typing.Any:
+                await asyncio.sleep(9.0)
+                return result.Err(table.Unavailable('late'))
+
+            with mock.patch.object(other.client, 'read', read_late):
+                answer = await other.intake.submit(access, graph, deadline)
+            assert isinstance(answer, result.Err)
+            self.assertIs(
+                intake.RefusalReason.OUTCOME_UNKNOWN, answer.err_value.why
+            )
+            self.assertLess(clock.monotonic(), deadline + 0.1)
+
+        run_scenario(scenario)
+
     def test_requests_are_refused_on_a_stale_configuration(self) -> None:
         async def scenario(world: fleetbuilders.World) -> None:
             node = world.nodes[0]
