A node ends as soon as it has shut down

After its log said 'stopped' a node took up to 4 s more to end on a busy VM, and so passed its grace time of 6 s (with exit code 0, but the platform kills then).

Cause: closing the event loop starts a thread that joins the resolver's threads, and the interpreter then ends itself.

The process now ends itself once all parts are closed. The handlers of signals stay until then, so that blocking them at the end is needless.

The soak also survives a look at a thread that has just ended.

--- a/primroselock/fleetnode.py
+++ b/primroselock/fleetnode.py
@@ -343,5 +343,3 @@
     settings, platform = load(name)
     logs.configure(settings.process.log_format, to_stdout=True)
     await Node(settings, platform).run()
-    # The loop is about to remove its handlers.
-    nodesignals.ignore()
--- a/primroselock/nodemain.py
+++ b/primroselock/nodemain.py
@@ -7,6 +7,7 @@
 
 import argparse
 import faulthandler
+import os
 import sys
 
 from primroselock import errors
@@ -48,7 +49,11 @@
         else:
             # Without this, a crash in native code leaves no traceback.
             faulthandler.enable()
-            asyncio.run(fleetnode.run(parsed.platform))
+            with asyncio.Runner() as runner:
+                runner.run(fleetnode.run(parsed.platform))
+                # Closing the loop would end its handlers of signals, and
+                # join threads, which takes seconds on a busy VM.
+                os._exit(errors.ExitCode.DONE)
     except errors.CommandError as error:
         for line in error.lines:
             print(f'primroselock: {line}', file=sys.stderr)
--- a/primroselock/nodesignals.py
+++ b/primroselock/nodesignals.py
@@ -1,18 +1,14 @@
-"""Signals to a node while it starts and while it ends.
+"""Signals to a node while it starts.
 
-The event loop handles signals only while it runs; before and after that
+The event loop handles signals only once the program is loaded; before that
 their default would end the process, also for SIGHUP.  A signal that is
-blocked is delivered once it is unblocked, or never.
+blocked is delivered once it is unblocked.
 """
 
 import os
 import signal
 import typing
 
-_HANDLED: typing.Final = frozenset(
-    {signal.SIGHUP, signal.SIGTERM, signal.SIGINT}
-)
-
 
 def prepare() -> None:
     """Exit at once on SIGTERM; keep SIGHUP until :func:`deliver`."""
@@ -27,9 +23,4 @@
 
 def deliver() -> None:
     """Deliver signals to the handlers that the event loop has now."""
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, _HANDLED)
-
-
-def ignore() -> None:
-    """Ignore all further signals; the process is about to exit."""
-    signal.pthread_sigmask(signal.SIG_BLOCK, _HANDLED)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
--- a/standins/nodes.py
+++ b/standins/nodes.py
@@ -55,12 +55,12 @@
                 for path in folder.glob('task/*/schedstat')
             ]
             status = (folder / 'status').read_text()
-        except (FileNotFoundError, ProcessLookupError):
+            caught = int(status.partition('SigCgt:')[2].split()[0], 16)
+        except (OSError, IndexError):
             # The process or one of its threads has ended.
             return
         self.waits.append((time.monotonic(), sum(waits) / 1e9))
-        caught = status.partition('SigCgt:')[2].split()[0]
-        if int(caught, 16) >> (signal.SIGTERM - 1) & 1:
+        if caught >> (signal.SIGTERM - 1) & 1:
             self.has_handlers = True
 
     def lost_s(self, start: float, end: float) -> float:
