--- a/primroselock/test/nodesoak.py
+++ b/primroselock/test/nodesoak.py
@@ -112,9 +112,12 @@
             self.nodes.append(nodes.Node(number, address, self._folder))
             self.start_node(self.nodes[-1])
             self._spawn(self.nodes[-1].watch())
-        async with asyncio.timeout(_START_TIMEOUT_S):
-            while not all(node.is_in_rotation for node in self.nodes):
-                await asyncio.sleep(_POLL_INTERVAL_S)
+        until = time.monotonic() + _START_TIMEOUT_S
+        while not all(node.is_in_rotation for node in self.nodes):
+            await asyncio.sleep(_POLL_INTERVAL_S)
+            if time.monotonic() > until:
+                # The checks tell what came of it.
+                return
 
     def _spawn(
         self, work: abc.Coroutine[typing.Any, typing.Any, object]
--- a/primroselock/test/nodesoakchecks.py
+++ b/primroselock/test/nodesoakchecks.py
@@ -31,6 +31,13 @@
     return [problem for find in _checks for problem in find(record)]
 
 
+@check
+def _find_useless_play(record: nodesoak.Record) -> abc.Iterator[str]:
+    """A play without accepted jobs would show nothing."""
+    if not any(job.is_accepted for job in record.jobs):
+        yield 'no job was accepted'
+
+
 @check
 def _find_unended_jobs(record: nodesoak.Record) -> abc.Iterator[str]:
     """Every accepted job ends as completed, or cancelled if asked."""
--- a/primroselock/test/testnodesoak.py
+++ b/primroselock/test/testnodesoak.py
@@ -5,6 +5,7 @@
 """
 
 import pathlib
+import shutil
 import tempfile
 import typing
 import unittest
@@ -25,6 +26,7 @@
         record = nodesoak.run(plan, pathlib.Path(folder))
         problems = nodesoakchecks.list_problems(record)
         self.assertEqual([], problems, f'logs kept in {folder}')
+        shutil.rmtree(folder)
 
 
 if __name__ == '__main__':
