A node does not take its own limits for an outage of the platform

Callers: a node that is asked for more than it may read refuses nearly all of it for 0.25 s at a time, though the store answers each call. Cause: a call that waited for the rate limit or for a connection of this process until its time was over counted as a failure of the platform; eight in a row open the breaker. Change: such a call counts only if it succeeds. While the platform does not answer, the calls that hold the connections fail, and open it as before.

Evidence: testcallerload.test_calls_that_this_node_delays_open_no_breaker, both cases (the store answers in 5 ms and in 150 ms) failed before. Tests of the platform's client and calls pass; their fake pool got has_free_connection, which the pool has.

--- a/primroselock/store/resilientclient.py
+++ b/primroselock/store/resilientclient.py
@@ -19,6 +19,9 @@
 
 _SERVER_ERROR: typing.Final = 500
 _MAX_RETRY_DELAY_S: typing.Final = 0.1
+_MAX_WAIT_SHARE: typing.Final = 0.5
+"""A call that waits longer for the rate limit has too little time left."""
+
 
 CallResult = result.Result[httpclient.Response, httpclient.ExchangeError]
 
@@ -121,11 +124,17 @@
             return result.Err(
                 httpclient.NotSent('the platform is unavailable')
             )
+        # What this process delays itself tells nothing about the platform.
+        is_delayed = (
+            wait_s > timeout_s * _MAX_WAIT_SHARE
+            or not self._pool.has_free_connection()
+        )
         outcome = await self._pool.exchange(request, timeout_s - wait_s)
         answered = isinstance(outcome, result.Ok) and (
             outcome.ok_value.status < _SERVER_ERROR
         )
-        breaker.record(answered, clock.monotonic())
+        if answered or not is_delayed:
+            breaker.record(answered, clock.monotonic())
         return outcome
 
 
--- a/primroselock/test/testcallerload.py
+++ b/primroselock/test/testcallerload.py
@@ -18,6 +18,7 @@
 from primroselock import intake
 from primroselock.platform import adapter
 from primroselock.platform import settings
+from primroselock.store import resilience
 from primroselock.store import table
 from primroselock.test import fleetbuilders
 from primroselock.test import virtualtime
@@ -36,14 +37,22 @@
     def __init__(self, address: str, limit: int) -> None:
         self._connections = asyncio.Semaphore(limit)
 
+    def has_free_connection(self) -> bool:
+        """Return whether an exchange could start now without waiting."""
+        return not self._connections.locked()
+
     async def exchange(
         self, request: httpclient.Request, timeout_s: float
     ) -> typing.Any:
         """Answer that there is no row, or that a write was applied."""
+        is_sent = False
         try:
             async with asyncio.timeout(timeout_s), self._connections:
+                is_sent = True
                 await asyncio.sleep(self.answer_s)
         except TimeoutError:
+            if is_sent:
+                return result.Err(httpclient.ResponseLost('late', True))
             return result.Err(httpclient.NotSent('no connection', True))
         return result.Ok(httpclient.Response(200, b'{"ver":1}', {}))
 
@@ -85,6 +94,33 @@
         """Ask for the state of a job; the answer does not matter."""
         await node.intake.state(_ACCESS, 'j', deadline)
 
+    def test_calls_that_this_node_delays_open_no_breaker(self) -> None:
+        """Guards against a node that takes its own limits for an outage.
+
+        The store answers each call; what exceeds the rate, or finds no
+        connection, fails here.
+        """
+        states: set[str] = set()
+        record = resilience.CircuitBreaker.record
+
+        def record_state(
+            breaker: resilience.CircuitBreaker, succeeded: bool, now: float
+        ) -> None:
+            record(breaker, succeeded, now)
+            states.add(breaker.state)
+
+        with mock.patch.object(
+            resilience.CircuitBreaker, 'record', record_state
+        ):
+            for answer_s in (0.005, 0.15):
+                with (
+                    self.subTest(answer_s=answer_s),
+                    mock.patch.object(_AnsweringPool, 'answer_s', answer_s),
+                ):
+                    states.clear()
+                    self.count_writes()
+                    self.assertEqual({'closed'}, states)
+
     def test_a_holder_writes_while_callers_exceed_the_rate_limit(self) -> None:
         """Guards against a lease that is lost to reads of job states."""
         self.assertEqual(_WRITES, self.count_writes())
--- a/primroselock/test/testplatformcalls.py
+++ b/primroselock/test/testplatformcalls.py
@@ -40,6 +40,10 @@
         self.sent: list[httpclient.Request] = []
         self.timeouts_s: list[float] = []
 
+    def has_free_connection(self) -> bool:
+        """Return that there is always a connection."""
+        return True
+
     async def exchange(
         self, request: httpclient.Request, timeout_s: float
     ) -> typing.Any:
