A task of a session ends with it, and its failure is logged

Callers: a node that takes the shard again soon after it lost it loses it once more, again and again. Cause: polls, probes, orders and advice requests were cancelled once and not awaited, and a library may swallow a cancellation. Such a task goes on under the old epoch; a worker refuses it, and that drops the lease of the new session. Their exceptions were not logged by this product either. Change: BackgroundTasks logs failures and cancels until each task has ended, as the loops of the session are.

--- a/primroselock/advicerequests.py
+++ b/primroselock/advicerequests.py
@@ -9,6 +9,7 @@
 
 import result
 
+from primroselock import backgroundtasks
 from primroselock import clock
 from primroselock.decisions import advising
 from primroselock.decisions import fleet
@@ -50,6 +51,7 @@
         self._board = board
         self._advice_client = advice_client
         self._wake = wake
+        self._tasks = backgroundtasks.BackgroundTasks(_log)
         self._task: asyncio.Task[None] | None = None
 
     def ensure_running(self) -> None:
@@ -58,12 +60,11 @@
             return
         request = advising.next_question(self._board, clock.monotonic())
         if request is not None:
-            self._task = asyncio.create_task(self._request(request))
+            self._task = self._tasks.spawn(self._request(request))
 
-    def cancel(self) -> None:
+    async def cancel(self) -> None:
         """Cancel the request that is under way."""
-        if self._task is not None:
-            self._task.cancel()
+        await self._tasks.cancel()
 
     async def _request(self, request: advising.AdviceRequest) -> None:
         # The validity begins at some time after the request was sent, so
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -258,9 +258,9 @@
         finally:
             for gauge in ('idle_waits', 'orders_waiting'):
                 self._parts.counters.set_gauge(gauge, 0.0)
-            self._advice_requester.cancel()
-            self._pollers.cancel()
-            self._orders.cancel()
+            await self._advice_requester.cancel()
+            await self._pollers.cancel()
+            await self._orders.cancel()
             await waits.cancel_tasks(loops)
 
     async def _decide(self) -> None:
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -15,6 +15,7 @@
 
 import result
 
+from primroselock import backgroundtasks
 from primroselock import clock
 from primroselock.decisions import advising
 from primroselock.decisions import fleet
@@ -78,24 +79,23 @@
         self._metrics = counters
         self._slots = orderslots.OrderSlots()
         self._stopping_runs: set[orders.Run] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = backgroundtasks.BackgroundTasks(_log)
 
     @property
     def waiting_count(self) -> int:
         """The number of orders that wait for their turn."""
         return self._slots.waiting_count
 
-    def cancel(self) -> None:
+    async def cancel(self) -> None:
         """Cancel all orders that are under way."""
-        for task in self._tasks:
-            task.cancel()
+        await self._tasks.cancel()
 
     def send(self, order: fleet.Order) -> None:
         """Send one order; a start order needs a valid start permit."""
         if isinstance(order, fleet.StopOrder):
             if order.run not in self._stopping_runs:
                 self._stopping_runs.add(order.run)
-                self._spawn(self._stop(order))
+                self._tasks.spawn(self._stop(order))
             return
         now = clock.monotonic()
         if not all(
@@ -104,7 +104,7 @@
             self._cancel_start(order.members[0].group, now)
             return
         for member in order.members:
-            self._spawn(self._start(member))
+            self._tasks.spawn(self._start(member))
 
     def _may_start_on(self, worker_id: str, now: float) -> bool:
         """Return whether a start may be sent, which grants a lease."""
@@ -112,11 +112,6 @@
             now
         ) and not self._lease.published_bounds.covers(worker_id)
 
-    def _spawn(self, work: abc.Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     def _cancel_start(self, group: fleet.Group, now: float) -> None:
         """End an attempt whose start is no longer permitted."""
         self._board.record_decision(
--- /dev/null
+++ b/primroselock/test/testbackgroundtasks.py
@@ -0,0 +1,89 @@
+"""Tasks beside the loops of a holder: none is lost, none outlives it."""
+
+import asyncio
+import typing
+import unittest
+from unittest import mock
+
+from primroselock import backgroundtasks
+from primroselock.test import fleetbuilders
+from primroselock.test import virtualtime
+
+
+class BackgroundTasksTest(unittest.TestCase):
+    """Failures are logged, and a cancellation reaches every task."""
+
+    def test_a_failure_is_logged(self) -> None:
+        """Guards against an exception that nobody sees."""
+        log = mock.Mock()
+
+        async def fail() -> None:
+            raise ValueError('bad answer')
+
+        async def scenario(virtual: virtualtime.VirtualClock) -> None:
+            tasks = backgroundtasks.BackgroundTasks(log)
+            tasks.spawn(fail())
+            await asyncio.sleep(0.1)
+            await tasks.cancel()
+
+        virtualtime.run(scenario)
+        log.error.assert_called_once()
+
+    def test_a_cancelled_task_is_no_failure(self) -> None:
+        log = mock.Mock()
+
+        async def scenario(virtual: virtualtime.VirtualClock) -> None:
+            tasks = backgroundtasks.BackgroundTasks(log)
+            task = tasks.spawn(asyncio.sleep(60.0))
+            await asyncio.sleep(0.1)
+            await tasks.cancel()
+            self.assertTrue(task.cancelled())
+
+        virtualtime.run(scenario)
+        log.error.assert_not_called()
+
+
+class SessionTasksTest(unittest.TestCase):
+    """Polls of a session."""
+
+    def test_a_poll_of_an_earlier_session_does_not_end_the_next(self) -> None:
+        """Guards against a task that swallows its cancellation.
+
+        Its poll is refused for its old epoch, and the lease of the session
+        of that time is long lost.
+        """
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World(0, 2)
+            node = world.add_node('entry-1')
+            await asyncio.sleep(1.0)
+            poll_runs = world.fleet.poll_runs
+            swallowed = 0
+
+            async def swallow_once(*arguments: typing.Any) -> typing.Any:
+                nonlocal swallowed
+                try:
+                    return await poll_runs(*arguments)
+                except asyncio.CancelledError:
+                    swallowed += 1
+                    if swallowed > 1:
+                        raise
+                    return await poll_runs(*arguments)
+
+            with mock.patch.object(world.fleet, 'poll_runs', swallow_once):
+                step = fleetbuilders.build_step(1, 8, 60_000)
+                world.submit(fleetbuilders.build_graph('j', step))
+                await asyncio.sleep(1.5)
+                node.holder.lease.drop('the test ends the session')
+                await asyncio.sleep(10.0)
+            self.assertGreater(swallowed, 0)
+            self.assertTrue(node.holder.lease.has_shard)
+            self.assertEqual(2, node.holder.lease.epoch)
+            self.assertEqual([], world.fleet.violations)
+            await world.close()
+
+        virtualtime.run(run_all)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -17,6 +17,7 @@
 
 import result
 
+from primroselock import backgroundtasks
 from primroselock import clock
 from primroselock.decisions import fleet
 from primroselock.decisions import reachability
@@ -63,6 +64,7 @@
         self._wake = wake
         self._metrics = counters
         self._slots = orderslots.OrderSlots()
+        self._tasks = backgroundtasks.BackgroundTasks(_log)
         self._tasks_by_worker_id: dict[str, asyncio.Task[None]] = {}
         self._probes_by_worker_id: dict[str, asyncio.Task[None]] = {}
 
@@ -75,22 +77,19 @@
         ]
         missing.sort(key=_mixed_order)
         for worker in missing:
-            self._tasks_by_worker_id[worker.id] = asyncio.create_task(
+            self._tasks_by_worker_id[worker.id] = self._tasks.spawn(
                 self._run(worker)
             )
         for worker in reachability.list_unverified(self._board):
             probe = self._probes_by_worker_id.get(worker.id)
             if worker.entry.address and (probe is None or probe.done()):
-                self._probes_by_worker_id[worker.id] = asyncio.create_task(
+                self._probes_by_worker_id[worker.id] = self._tasks.spawn(
                     self._probe(worker)
                 )
 
-    def cancel(self) -> None:
+    async def cancel(self) -> None:
         """Cancel all polls and probes."""
-        for task in self._tasks_by_worker_id.values():
-            task.cancel()
-        for probe in self._probes_by_worker_id.values():
-            probe.cancel()
+        await self._tasks.cancel()
 
     async def _probe(self, worker: fleet.Worker) -> None:
         """Check whether a worker that may be unreachable answers.
