A run report that cannot be applied is a failed call

Callers: a job never ends, without a line in the log. Cause: an exception while a report is applied ended the poller of that worker. The next round began another, whose poll extended the lease of the runs again; their ends were never applied. Change: it is logged, and counts as a failed call, so that the lease is not extended and the runs are placed elsewhere once it has expired.

Constructed: no report that does this is known.

--- a/primroselock/test/testbackgroundtasks.py
+++ b/primroselock/test/testbackgroundtasks.py
@@ -6,8 +6,11 @@
 from unittest import mock
 
 from primroselock import backgroundtasks
+from primroselock.decisions import fleet
+from primroselock.decisions import runs
 from primroselock.test import fleetbuilders
 from primroselock.test import virtualtime
+from primroselock.workers import orders
 
 
 class BackgroundTasksTest(unittest.TestCase):
@@ -44,7 +47,39 @@
 
 
 class SessionTasksTest(unittest.TestCase):
-    """Polls of a session."""
+    """Polls of a session whose answers fail, or that outlive it."""
+
+    def test_a_report_that_cannot_be_applied_holds_up_no_job(self) -> None:
+        """Guards against a worker whose runs never end, without a log line.
+
+        The run's lease expires, and it is placed elsewhere.
+        """
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World(0, 2)
+            world.add_node('entry-1')
+            await asyncio.sleep(1.0)
+            step = fleetbuilders.build_step(1, 8)
+            world.submit(fleetbuilders.build_graph('j', step))
+            await asyncio.sleep(0.5)
+            bad_id = world.find_busy_worker().entry.id
+            record_poll = runs.record_poll
+
+            def fail_for_ends(
+                board: fleet.ShardBoard,
+                worker: fleet.Worker,
+                report: orders.RunReport,
+                *times: typing.Any,
+            ) -> None:
+                if worker.id == bad_id and report.ended:
+                    raise ValueError('bad report')
+                record_poll(board, worker, report, *times)
+
+            with mock.patch.object(runs, 'record_poll', fail_for_ends):
+                await world.wait_for('j', 'done', 30.0)
+            await world.close()
+
+        virtualtime.run(run_all)
 
     def test_a_poll_of_an_earlier_session_does_not_end_the_next(self) -> None:
         """Guards against a task that swallows its cancellation.
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -147,7 +147,7 @@
             async with self._slots.hold(worker.id):
                 if not self._needs_polling(worker):
                     break
-                is_answered = await self._poll(worker)
+                is_answered = await self._poll_or_fail(worker)
             if not is_answered:
                 pause_s = _INITIAL_BACKOFF_S * 2.0 ** min(
                     worker.failures_in_row, 6
@@ -178,6 +178,23 @@
         while worker.unsaved_ends and clock.monotonic() < until:
             await asyncio.sleep(_UNSAVED_CHECK_INTERVAL_S)
 
+    async def _poll_or_fail(self, worker: fleet.Worker) -> bool:
+        """Poll once; a report that cannot be applied is a failed call.
+
+        The lease of the worker is then not extended, so that its runs end
+        and are placed elsewhere.
+        """
+        try:
+            return await self._poll(worker)
+        except Exception as error:
+            _log.error(
+                'run report cannot be applied',
+                worker=worker.id,
+                exc_info=error,
+            )
+            worker.record_failed_call(clock.monotonic())
+            return False
+
     async def _poll(self, worker: fleet.Worker) -> bool:
         """Poll once; return whether the worker answered."""
         runs.advance_saved_end(worker)
