A history that is always too short is listed with pauses

Cause and effect: a feed whose history is truncated again and again, as when the store keeps less of it than a listing takes on a slow link, was listed again without any pause: 2249 listings of the table in 10 s of virtual time. Change: the first time it is listed at once, as before; truncated again right after, it is listed after the pauses of a failed call (0.4 s at most), and the copy stays under 1 s old.

Evidence: testtablefollower, one test, failed before with 2249 listings, now under 100.

--- a/primroselock/store/tablefollower.py
+++ b/primroselock/store/tablefollower.py
@@ -52,6 +52,7 @@
         self._version: int | None = None
         self._handlers: list[Handler] = []
         self._failures = 0
+        self._truncations = 0
 
     def add_handler(self, handler: Handler) -> None:
         """Call ``handler`` with each set of changes."""
@@ -117,9 +118,12 @@
                     version=version,
                 )
                 self._version = None
-                return True
+                self._truncations += 1
+                # The first time the table is listed again at once.
+                return self._truncations == 1
             self._record_failure(error.detail)
             return False
+        self._truncations = 0
         changes = polled.ok_value
         self._version = max(version, changes.version)
         self._apply(changes, sent_at)
@@ -149,7 +153,8 @@
             )
 
     async def _pause(self) -> None:
-        max_pause_s = _INITIAL_PAUSE_S * 2 ** min(self._failures, 8)
+        in_row = max(self._failures, self._truncations)
+        max_pause_s = _INITIAL_PAUSE_S * 2 ** min(in_row, 8)
         await asyncio.sleep(random.uniform(0, min(max_pause_s, MAX_PAUSE_S)))
 
 
--- a/primroselock/test/testtablefollower.py
+++ b/primroselock/test/testtablefollower.py
@@ -67,6 +67,38 @@
 class FollowerTest(unittest.TestCase):
     """The copy and its age while the store is unresponsive or refuses."""
 
+    def test_a_history_that_is_always_too_short_is_listed_with_pauses(
+        self,
+    ) -> None:
+        """Guards against listings of a whole table without a pause.
+
+        The pattern: the store keeps less history than a listing takes.
+        """
+
+        async def scenario(
+            store: fakefeed.FeedStore,
+            connectivity: fakefeed.Connectivity,
+            follower: tablefollower.TableFollower,
+        ) -> None:
+            client = follower._store
+            truncated = mock.AsyncMock(
+                return_value=result.Err(table.HistoryTruncated())
+            )
+            with (
+                mock.patch.object(client, 'changes', truncated),
+                mock.patch.object(
+                    client, 'list_rows', wraps=client.list_rows
+                ) as listing,
+            ):
+                await asyncio.sleep(10.0)
+                self.assertLess(listing.call_count, 100)
+                self.assertLess(follower.age_s(clock.monotonic()), 1.0)
+            store.put('t/b', b'2')
+            await asyncio.sleep(1.0)
+            self.assertIn('t/b', follower.rows_by_key)
+
+        run_scenario(scenario)
+
     def test_handlers_receive_changes_at_once(self) -> None:
         async def scenario(
             store: fakefeed.FeedStore,
