Jobs that would be stored too late for their callers are refused at once

Callers: while a slow store takes fewer jobs than are submitted, none is accepted in time: each is stored after its caller has given up, and its repeat waits in the same queue. Cause: the group commit stores all writes in order, also those that nobody waits for any more, and its queue has no bound. An idle committer takes each write, and a repeat of a write under way is never refused this way, since that job may be about to be stored.

--- a/primroselock/groupcommit.py
+++ b/primroselock/groupcommit.py
@@ -15,6 +15,7 @@
 
 import result
 
+from primroselock import clock
 from primroselock.store import table
 
 _MAX_WRITES_PER_TRANSACTION: typing.Final = 256
@@ -64,8 +65,22 @@
         self._max_writes = max_writes
         self._interval_s = interval_s
         self._pending: list[_PendingWrite] = []
+        self._batch: list[_PendingWrite] = []
+        self._last_commit_s = 0.0
         self._task: asyncio.Task[None] | None = None
 
+    def expected_wait_s(self, key: str) -> float:
+        """Return how long a write of ``key`` would wait for its result.
+
+        Returns 0 if nothing is known: nothing is under way, or an earlier
+        write of the key, whose outcome the new one finds.
+        """
+        under_way = [*self._batch, *self._pending]
+        if not under_way or any(p.write.key == key for p in under_way):
+            return 0.0
+        batches = 2 + len(self._pending) // self._max_writes
+        return batches * self._last_commit_s
+
     async def submit(self, write: Write) -> WriteResult:
         """Commit ``write`` in a shared transaction; return its own result.
 
@@ -86,7 +101,11 @@
     async def _run(self) -> None:
         while self._pending:
             pause = asyncio.create_task(asyncio.sleep(self._interval_s))
-            await self._commit(self._take_batch())
+            began = clock.monotonic()
+            self._batch = self._take_batch()
+            await self._commit(self._batch)
+            self._batch = []
+            self._last_commit_s = clock.monotonic() - began
             # Limits the store's load to one transaction per interval.
             await pause
 
--- a/primroselock/intake.py
+++ b/primroselock/intake.py
@@ -253,6 +253,13 @@
             max(_MIN_COMMIT_TIMEOUT_S, deadline - clock.monotonic()),
             self._settings.accept_timeout_s,
         )
+        expected_s = self._committer.expected_wait_s(write.key)
+        if expected_s > timeout_s:
+            # It would be stored after its caller has given up, and so would
+            # all that follow.
+            return result.Err(
+                table.Unavailable(f'expected wait {expected_s:.3f} s')
+            )
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._committer.submit(write)
--- a/primroselock/test/testcallerload.py
+++ b/primroselock/test/testcallerload.py
@@ -1,8 +1,9 @@
-"""Many calls of callers at a node that holds the shard, in virtual time.
+"""Many calls of callers at one node, in virtual time.
 
-The pattern: callers ask one node for the states of their jobs more often
+The pattern: callers ask a holder for the states of their jobs more often
 than it may call the store.  Some of them are refused; the node goes on
-renewing its lease and storing what it decides.
+renewing its lease and storing what it decides.  Or they submit more jobs than
+the store takes.
 """
 
 import asyncio
@@ -14,12 +15,16 @@
 
 from primroselock import clock
 from primroselock import fleetnode
+from primroselock import groupcommit
 from primroselock import httpclient
 from primroselock import intake
+from primroselock import metrics
 from primroselock.platform import adapter
 from primroselock.platform import settings
 from primroselock.store import resilience
 from primroselock.store import table
+from primroselock.store import tablefollower
+from primroselock.test import fakefeed
 from primroselock.test import fleetbuilders
 from primroselock.test import virtualtime
 from primroselock import waits
@@ -131,5 +136,93 @@
             self.assertEqual(_WRITES, self.count_writes())
 
 
+class SubmitLoadTest(unittest.TestCase):
+    """More jobs are submitted than a slow store takes."""
+
+    def test_as_many_are_accepted_as_the_store_takes(self) -> None:
+        """Guards against jobs that are stored after their callers gave up.
+
+        The store takes 50 jobs in 0.4 s, and 200 a second are submitted.
+        """
+        accepted_by_second, why = self.submit_for(8)
+        for second in range(2, 8):
+            self.assertGreaterEqual(accepted_by_second.get(second, 0), 60)
+        # A caller is told that its job was not stored, and can repeat it.
+        self.assertNotIn(intake.RefusalReason.OUTCOME_UNKNOWN, why)
+
+    def test_a_repeat_of_a_write_under_way_is_not_turned_away(self) -> None:
+        """Guards against a refusal of a job that is about to be stored."""
+
+        async def scenario(virtual: virtualtime.VirtualClock) -> None:
+            client = fakefeed.FeedClient(
+                fakefeed.FeedStore(), fakefeed.Connectivity()
+            )
+            committer = groupcommit.GroupCommitter(client, 0.001)
+            self.assertEqual(0.0, committer.expected_wait_s('t/a'))
+            await committer.submit(groupcommit.Write('t/a', 0, b''))
+            # Nothing is under way: the last duration decides nothing.
+            await asyncio.sleep(0.1)
+            self.assertEqual(0.0, committer.expected_wait_s('t/b'))
+            write = groupcommit.Write('t/b', 0, b'')
+            task = asyncio.create_task(committer.submit(write))
+            await asyncio.sleep(0.001)
+            self.assertEqual(0.0, committer.expected_wait_s('t/b'))
+            self.assertGreater(committer.expected_wait_s('t/c'), 0.0)
+            await task
+
+        virtualtime.run(scenario)
+
+    def submit_for(
+        self, seconds: int
+    ) -> tuple[dict[int, int], set[intake.RefusalReason]]:
+        """Return accepted jobs by second of arrival, and refusals."""
+        accepted_by_second: dict[int, int] = {}
+        why: set[intake.RefusalReason] = set()
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            client = fakefeed.FeedClient(
+                fakefeed.FeedStore(), fakefeed.Connectivity()
+            )
+            transact = client.transact
+
+            async def transact_slowly(
+                transaction: table.Transaction,
+            ) -> result.Result[table.Committed, table.TransactError]:
+                await asyncio.sleep(0.4)
+                return await transact(transaction)
+
+            node = intake.Intake(
+                fleetbuilders.build_node_settings(),
+                client,
+                tablefollower.TableFollower(client, 'shard', 1.0),
+                metrics.Metrics(),
+            )
+            node.set_queue_configuration(
+                fleetbuilders.QUEUE_CONFIGURATION, clock.monotonic
+            )
+
+            async def submit(number: int) -> None:
+                second = number // 200
+                outcome = await node.submit(
+                    _ACCESS,
+                    fleetbuilders.build_graph(f'j{number}'),
+                    clock.monotonic() + 3.0,
+                )
+                if isinstance(outcome, result.Ok):
+                    known = accepted_by_second.get(second, 0)
+                    accepted_by_second[second] = known + 1
+                else:
+                    why.add(outcome.err_value.why)
+
+            with mock.patch.object(client, 'transact', transact_slowly):
+                async with asyncio.TaskGroup() as group:
+                    for number in range(seconds * 200):
+                        group.create_task(submit(number))
+                        await asyncio.sleep(1 / 200)
+
+        virtualtime.run(run_all)
+        return accepted_by_second, why
+
+
 if __name__ == '__main__':
     unittest.main()
