Known red: a saturated process takes workers that answer for silent

Shown by a test in virtual time: the event loop takes 0.1 s for an iteration and an exchange 12 of these, so that polls time out, but none is noticed more than 0.3 s late. Not mended: evidence against a worker would have to be void while the process is saturated, and still count at some time, which is a decision about lost work.

--- a/primroselock/test/testorderload.py
+++ b/primroselock/test/testorderload.py
@@ -19,6 +19,7 @@
 from primroselock import orderslots
 from primroselock.test import fleetbuilders
 from primroselock.test import virtualtime
+from primroselock import waits
 from primroselock.workers import orders
 
 _CALL_COST_S: typing.Final = 0.003
@@ -445,6 +446,52 @@
             with self.subTest(name=name):
                 self.assertEqual([], self.run_with(scenario))
 
+    def test_a_saturated_process_blames_no_worker(self) -> None:
+        """Guards against time-outs of a process that is busy all the time.
+
+        Each iteration of its event loop takes 0.1 s, so that nothing is
+        noticed 0.3 s late, and an exchange takes twelve iterations.
+        """
+
+        async def scenario(
+            world: fleetbuilders.World,
+            virtual: virtualtime.VirtualClock,
+            node: fleetbuilders.TestNode,
+        ) -> None:
+            poll_runs = world.fleet.poll_runs
+
+            async def poll_in_iterations(*arguments: typing.Any) -> typing.Any:
+                wait_s, timeout_s = arguments[-2:]
+                try:
+                    async with asyncio.timeout(wait_s + timeout_s):
+                        for _ in range(12):
+                            await asyncio.sleep(0)
+                        return await poll_runs(*arguments)
+                except TimeoutError:
+                    return result.Err(orders.Unanswered('no answer'))
+
+            async def keep_busy() -> None:
+                while True:
+                    virtual.now += 0.1
+                    await asyncio.sleep(0)
+
+            step = fleetbuilders.build_step(1, 8, 60_000)
+            world.submit(fleetbuilders.build_graph('j', step))
+            await asyncio.sleep(1.0)
+            with mock.patch.object(
+                world.fleet, 'poll_runs', poll_in_iterations
+            ):
+                busy = asyncio.create_task(keep_busy())
+                # Run reports are due, without a wait.
+                session = node.holder._session
+                assert session is not None
+                for worker in session._board.workers_by_id.values():
+                    worker.polled_at = float('-inf')
+                await asyncio.sleep(10.0)
+                await waits.cancel_tasks([busy])
+
+        self.assertEqual([], self.run_with(scenario))
+
     def test_a_worker_that_answers_another_order_is_not_silent(self) -> None:
         """Guards against one lost answer that holds up a whole worker.
 
