Known red: pollers look every 20 ms whether the store has answered

Shown by a test in virtual time: 100 workers report an end while a write takes 0.8 s; their pollers read the clock 2565 times in 0.5 s. On a slow VM this adds to the load of which the store's answer is late.

--- a/primroselock/test/testholderload.py
+++ b/primroselock/test/testholderload.py
@@ -263,6 +263,49 @@
         virtualtime.run(run_all)
 
 
+class SlowStoreTest(unittest.TestCase):
+    """What a holder does while the store takes long to store its decisions."""
+
+    def test_waiting_for_the_store_costs_no_processor_time(self) -> None:
+        """Guards against pollers that look every 20 ms whether it is stored.
+
+        The clock is read at each look; 100 workers report an end at the
+        same time.
+        """
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World(0, 100)
+            node = world.add_node('entry-1')
+            await asyncio.sleep(1.0)
+            step = fleetbuilders.build_step(100, 8, 2000)
+            world.submit(fleetbuilders.build_graph('j', step))
+            await asyncio.sleep(1.5)
+            self.assertEqual(100, world.fleet.starts)
+            transact = node.client.transact
+
+            async def transact_slowly(*arguments: typing.Any) -> typing.Any:
+                await asyncio.sleep(0.8)
+                return await transact(*arguments)
+
+            with mock.patch.object(node.client, 'transact', transact_slowly):
+                await asyncio.sleep(0.7)
+                self.assertEqual(100, len(world.fleet.done))
+                with mock.patch.object(
+                    clock,
+                    'monotonic',
+                    autospec=True,
+                    side_effect=virtual.monotonic,
+                ) as read_clock:
+                    await asyncio.sleep(0.5)
+            self.assertEqual('running', world.state('j'))
+            # The fake workers read it every 10 ms.
+            self.assertLess(read_clock.call_count, 300)
+            await world.wait_for('j', 'done', 5.0)
+            await world.close()
+
+        virtualtime.run(run_all)
+
+
 class LateReportTest(unittest.TestCase):
     """Reports that are processed late are not taken for the state of now."""
 
