--- a/primroselock/advicerequests.py
+++ b/primroselock/advicerequests.py
@@ -52,6 +52,7 @@
         self._board = board
         self._advice_client = advice_client
         self._wake = wake
+        self._tasks = backgroundtasks.BackgroundTasks('advice request')
         self._task: asyncio.Task[None] | None = None
 
     def ensure_running(self) -> None:
@@ -60,14 +61,11 @@
             return
         request = advising.next_question(self._board, clock.monotonic())
         if request is not None:
-            self._task = backgroundtasks.start(
-                self._request(request), 'advice request'
-            )
+            self._task = self._tasks.spawn(self._request(request))
 
-    def cancel(self) -> None:
+    async def cancel(self) -> None:
         """Cancel the request that is under way."""
-        if self._task is not None:
-            self._task.cancel()
+        await self._tasks.cancel()
 
     async def _request(self, request: advising.AdviceRequest) -> None:
         # The validity begins at some time after the request was sent, so
--- a/primroselock/backgroundtasks.py
+++ b/primroselock/backgroundtasks.py
@@ -11,6 +11,7 @@
 import typing
 
 from primroselock import logs
+from primroselock import waits
 
 _log: typing.Final = logs.get('tasks')
 _Value = typing.TypeVar('_Value')
@@ -44,3 +45,24 @@
     error = task.exception()
     if error is not None:
         _log.error('task failed', task=what, exc_info=error)
+
+
+class BackgroundTasks:
+    """Tasks under way that end together; ``what`` names what they do."""
+
+    def __init__(self, what: str) -> None:
+        self._what = what
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def spawn(
+        self, work: abc.Coroutine[typing.Any, typing.Any, None]
+    ) -> asyncio.Task[None]:
+        """Run ``work`` in a task of its own; its failure is logged."""
+        task = start(work, self._what)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def cancel(self) -> None:
+        """Cancel all tasks that are under way; wait until they have ended."""
+        await waits.cancel_tasks(self._tasks)
--- a/primroselock/test/testbackgroundtasks.py
+++ b/primroselock/test/testbackgroundtasks.py
@@ -41,6 +41,19 @@
             backgroundtasks.find_failure(cancelled), asyncio.CancelledError
         )
 
+    async def test_tasks_that_end_together(self) -> None:
+        """Guards against failures and cancellations that are lost in a set."""
+        tasks = backgroundtasks.BackgroundTasks('orders')
+        with testing.capture_logs() as lines:
+            tasks.spawn(fail())
+            waiting = tasks.spawn(asyncio.sleep(60.0))
+            await asyncio.sleep(0.01)
+            await tasks.cancel()
+        self.assertTrue(waiting.cancelled())
+        (line,) = lines
+        self.assertEqual('orders', line['task'])
+        self.assertIsInstance(line['exc_info'], ValueError)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/primroselock/waits.py
+++ b/primroselock/waits.py
@@ -10,8 +10,10 @@
 from collections import abc
 import typing
 
-_RECANCEL_INTERVAL_S: typing.Final = 0.2
+from primroselock import clock
 
+_MAX_TURN_S: typing.Final = 0.02
+_RECANCEL_INTERVAL_S: typing.Final = 0.2
 _Value = typing.TypeVar('_Value')
 
 
@@ -57,3 +59,13 @@
         for task in pending:
             task.cancel()
         _, pending = await asyncio.wait(pending, timeout=_RECANCEL_INTERVAL_S)
+
+
+async def take_turns(items: abc.Iterable[_Value]) -> abc.AsyncIterator[_Value]:
+    """Yield items whose processing takes long, and let other tasks run."""
+    began = clock.monotonic()
+    for item in items:
+        yield item
+        if clock.monotonic() - began >= _MAX_TURN_S:
+            await asyncio.sleep(0)
+            began = clock.monotonic()
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -64,6 +64,7 @@
         self._wake = wake
         self._metrics = counters
         self._slots = orderslots.OrderSlots()
+        self._tasks = backgroundtasks.BackgroundTasks('poll of a worker')
         self._tasks_by_worker_id: dict[str, asyncio.Task[None]] = {}
         self._probes_by_worker_id: dict[str, asyncio.Task[None]] = {}
 
@@ -76,22 +77,19 @@
         ]
         missing.sort(key=_mixed_order)
         for worker in missing:
-            self._tasks_by_worker_id[worker.id] = backgroundtasks.start(
-                self._run(worker), 'polls of a worker'
+            self._tasks_by_worker_id[worker.id] = self._tasks.spawn(
+                self._run(worker)
             )
         for worker in reachability.list_unverified(self._board):
             probe = self._probes_by_worker_id.get(worker.id)
             if worker.entry.address and (probe is None or probe.done()):
-                self._probes_by_worker_id[worker.id] = backgroundtasks.start(
-                    self._probe(worker), 'probe of a worker'
+                self._probes_by_worker_id[worker.id] = self._tasks.spawn(
+                    self._probe(worker)
                 )
 
-    def cancel(self) -> None:
+    async def cancel(self) -> None:
         """Cancel all polls and probes."""
-        for task in self._tasks_by_worker_id.values():
-            task.cancel()
-        for probe in self._probes_by_worker_id.values():
-            probe.cancel()
+        await self._tasks.cancel()
 
     async def _probe(self, worker: fleetworkers.Worker) -> None:
         """Check whether a worker that may be unreachable answers.
