Waiting steps take turns at the advice service

Callers would see jobs of an advised queue that get no ticket, and so never run beside free capacity, while an earlier job of such a queue waits.

Cause: the next request was always for the first waiting group that lacked a ticket. A job that waits for capacity needs new tickets for ever; with many workers its first tickets have expired before it has the last ones, so that it used every request: one bad item holds up all others.

Change: steps without a valid ticket come first, and among equals the one that was asked about least recently. Only waiting steps are looked at, by the index.

Evidence: testadviceturns, a hundred workers, answers of 1 s and tickets of 3 s: before, the second and third job were not asked about among the first three requests (nor, by the order, later). The other test, that each step gets all its tickets, holds before and after. testfleetnode and testholderload pass (39).

--- a/primroselock/decisions/advising.py
+++ b/primroselock/decisions/advising.py
@@ -3,7 +3,8 @@
 The service's answer for a worker and a step does not change; a ticket is
 valid for a limited time.  While a group of the step waits, tickets are
 requested for workers in batches, those with the most free accelerators
-first; workers with a valid ticket or a refusal are left out.
+first; workers with a valid ticket or a refusal are left out.  One request is
+under way at a time, so that the waiting steps take turns.
 """
 
 import dataclasses
@@ -38,29 +39,52 @@
 
 
 def next_question(board: fleet.ShardBoard, now: float) -> AdviceRequest | None:
-    """Return the next request for a waiting group, or None."""
-    for job in board.jobs_by_id.values():
+    """Return the next request for a waiting group, or None.
+
+    Steps without a valid ticket come first, and among equals the one that
+    was asked about least recently: a step that waits for capacity needs new
+    tickets for ever.
+    """
+    found: list[tuple[bool, float, livejobs.Group]] = []
+    for groups in board.phases.waiting_by_step.values():
+        group = next(iter(groups))
+        job = group.job
         if job.queue is None or job.queue.advice is None:
             continue
         if job.is_cancelled or job.state.is_final:
             continue
-        for group in job.groups_by_key.values():
-            if group.phase is not livejobs.Phase.WAITING:
-                continue
-            request = _build_request(board, group, now)
-            if request is not None:
-                return request
+        known = _advice_for(board, group)
+        found.append((_has_ticket(known, now), known.asked_at, group))
+    found.sort(key=lambda entry: entry[:2])
+    for _, _, group in found:
+        request = _build_request(board, group, now)
+        if request is not None:
+            _advice_for(board, group).asked_at = now
+            return request
     return None
 
 
+def _advice_for(
+    board: fleet.ShardBoard, group: livejobs.Group
+) -> tickets.StepAdvice:
+    return board.advice_by_step.setdefault(
+        group.step_name, tickets.StepAdvice()
+    )
+
+
+def _has_ticket(known: tickets.StepAdvice, now: float) -> bool:
+    return any(
+        ticket.valid_until >= now + _MIN_VALID_S
+        for ticket in known.tickets_by_worker_id.values()
+    )
+
+
 def _build_request(
     board: fleet.ShardBoard, group: livejobs.Group, now: float
 ) -> AdviceRequest | None:
     queue = group.job.queue
     assert queue is not None and queue.advice is not None
-    known = board.advice_by_step.setdefault(
-        group.step_name, tickets.StepAdvice()
-    )
+    known = _advice_for(board, group)
     if now < known.retry_at:
         return None
     workers = [
--- a/primroselock/decisions/tickets.py
+++ b/primroselock/decisions/tickets.py
@@ -21,8 +21,9 @@
 class StepAdvice:
     """The tickets and refusals of the workers for one step.
 
-    ``refused_ids`` are the workers that may not run it.  No request is
-    sent before ``retry_at`` on this process's clock.
+    ``refused_ids`` are the workers that may not run it.  The last request
+    was made at ``asked_at``, and none is sent before ``retry_at``, on this
+    process's clock.
     """
 
     tickets_by_worker_id: dict[str, Ticket] = dataclasses.field(
@@ -30,3 +31,4 @@
     )
     refused_ids: set[str] = dataclasses.field(default_factory=set)
     retry_at: float = _NEVER
+    asked_at: float = _NEVER
