--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,7 +1,8 @@
 """Runs the soak of whole nodes in virtual time for many seeds.
 
 ``python -m tools.soak --seeds 50 --first 1`` prints each violation with its
-seed.  ``--trace`` adds why the holder did not place the job, and the faults;
+seed.  ``--wide`` adds kinds of faults and of jobs, so that a seed has another
+play.  ``--trace`` adds why the holder did not place the job, and the faults;
 ``--log DIRECTORY`` writes the nodes' log of each seed with virtual times.
 """
 
@@ -28,6 +29,7 @@
     parser.add_argument('--seeds', type=int, default=50)
     parser.add_argument('--first', type=int, default=1)
     parser.add_argument('--trace', action='store_true')
+    parser.add_argument('--wide', action='store_true')
     parser.add_argument('--log', type=pathlib.Path)
     return parser.parse_args()
 
@@ -73,11 +75,11 @@
     examine = _trace if arguments.trace else lambda soak: None
     if arguments.log is None:
         _configure_log(None)
-        return soakbuilders.run(seed, examine)
+        return soakbuilders.run(seed, examine, arguments.wide)
     path = arguments.log / f'soak-{seed}.log'
     with path.open('w', encoding='utf-8') as output:
         _configure_log(output)
-        return soakbuilders.run(seed, examine)
+        return soakbuilders.run(seed, examine, arguments.wide)
 
 
 def main() -> int:
