A job that every worker refuses no longer keeps others from capacity

Callers would see accepted jobs with nothing running for as long as one job waits whose starts every worker refuses, with 400 (not understood) or 409 (late).

Cause: a refused attempt was queued again without a delay and placed in the next round. Its tasks held capacity most of the time, and each attempt cost a write of the row and a start: one bad item holds up all others, and an overload that its own retries keep up.

Change: a group whose attempt is refused once more in a row waits for 0.05 s, doubling to 1 s, as after failures. The first refusal costs no delay, since another worker may accept the start; a group that runs begins anew.

--- a/primroselock/decisions/graphs.py
+++ b/primroselock/decisions/graphs.py
@@ -214,6 +214,12 @@
     end_reason = group.end_reason or livejobs.EndReason.LOST
     if end_reason is livejobs.EndReason.FAILED:
         group.not_before = now + _retry_delay_s(group.failures)
+    elif end_reason is livejobs.EndReason.REFUSED:
+        # Another worker may accept it at once; what each one refuses must
+        # not hold capacity most of the time.
+        group.refusals_in_row += 1
+        if group.refusals_in_row > 1:
+            group.not_before = now + _retry_delay_s(group.refusals_in_row - 1)
     elif end_reason is livejobs.EndReason.PREEMPTED:
         # The capacity is likely to be needed by more urgent work again soon.
         group.preemptions += 1
--- a/primroselock/decisions/livejobs.py
+++ b/primroselock/decisions/livejobs.py
@@ -140,6 +140,7 @@
     is unknown.  ``may_span_racks`` is set for a rack-local gang that no
     single rack can hold.  ``avoided_worker_ids`` are the workers on which
     the group was stuck, ``times_stuck`` times; others are preferred.
+    ``refusals_in_row`` is the number of its last attempts that were refused.
     """
 
     job: 'LiveJob'
@@ -158,6 +159,7 @@
     yields_until: float = _NEVER
     may_span_racks: bool = False
     preemptions: int = 0
+    refusals_in_row: int = 0
     is_resumed: bool = False
     avoided_worker_ids: set[str] = dataclasses.field(default_factory=set)
     times_stuck: int = 0
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -305,6 +305,7 @@
     ):
         group.enter(livejobs.Phase.RUNNING, now)
         group.began_at = now
+        group.refusals_in_row = 0
 
 
 def end_group(
--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -123,6 +123,9 @@
         self.graphs_by_id: dict[str, jobgraph.JobGraph] = {}
         self.work_s_by_job: dict[str, float] = {}
         self.failing_job_ids: set[str] = set()
+        self.invalid_job_ids: set[str] = set()
+        """Jobs whose starts every worker refuses as not understood."""
+
         self.failures_by_task: dict[jobgraph.TaskName, int] = {}
         self.stop_delay_s = 0.1
         self.violations: list[str] = []
@@ -243,6 +246,9 @@
             self.spawn(self._start_late(worker, order))
             await asyncio.sleep(timeout_s)
             return result.Err(orders.Unanswered('delayed'))
+        if order.run.task.job_id in self.invalid_job_ids:
+            self.refused_starts += 1
+            return result.Err(orders.Refused(orders.Refusal.INVALID))
         share = worker.refused_start_share
         if share and self._random.random() < share:
             self.refused_starts += 1
--- a/primroselock/test/testrefusedstarts.py
+++ b/primroselock/test/testrefusedstarts.py
@@ -63,6 +63,39 @@
         self.check(0.5, fleetbuilders.build_step(12, 2, _LONG_MS, gang=True))
 
 
+class InvalidOrderTest(unittest.TestCase):
+    """A job whose starts every worker refuses as not understood."""
+
+    def test_its_starts_become_rare(self) -> None:
+        """Guards against starts and writes without a pause, for ever."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            await asyncio.sleep(1.0)
+            world.fleet.invalid_job_ids.add('bad')
+            world.submit(fleetbuilders.build_graph('bad'))
+            await asyncio.sleep(20.0)
+            self.assertLessEqual(world.fleet.refused_starts, 30)
+            world.fleet.invalid_job_ids.clear()
+            await world.wait_for('bad', 'done', _LIMIT_S)
+
+        fleetbuilders.run_with_node(scenario)
+
+    def test_others_run_meanwhile(self) -> None:
+        """Guards against workers that count as refusing for one job."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            await asyncio.sleep(1.0)
+            world.fleet.invalid_job_ids.add('bad')
+            bad = fleetbuilders.build_step(32, 1)
+            world.submit(fleetbuilders.build_graph('bad', bad))
+            await asyncio.sleep(2.0)
+            step = fleetbuilders.build_step(4, 8)
+            world.submit(fleetbuilders.build_graph('j', step))
+            await world.wait_for('j', 'done', 1.0 + _LIMIT_S)
+
+        fleetbuilders.run_with_node(scenario)
+
+
 class RefusingWorkerTest(unittest.TestCase):
     """How long a worker that refused a start gets none."""
 
