--- a/primroselock/test/testpreferencebounds.py
+++ b/primroselock/test/testpreferencebounds.py
@@ -11,6 +11,8 @@
 from primroselock.test import fleetbuilders
 from primroselock.test import idlebuilders
 
+_LONG_S: typing.Final = 60.0
+_LONG_MS: typing.Final = 60_000
 _LIMIT_S: typing.Final = 3.0
 """The longest time that work may wait beside free capacity."""
 
@@ -81,5 +83,28 @@
                 self.check_runs(site, 'few')
 
 
+class UnreachableZoneTest(unittest.TestCase):
+    """A quarter of the workers does not answer."""
+
+    def test_a_rack_gang_in_a_service_that_is_half_free(self) -> None:
+        """Guards against a wait of 10 s for one rack.
+
+        31 of 80 workers are in use, but over half of those that answer; the
+        others hold the gang twice, and no rack holds it.
+        """
+        site = idlebuilders.Site(80)
+        for number in range(20, 40):
+            site.silence(f'n{number:03}')
+        busy = fleetbuilders.build_step(1, 8, _LONG_MS)
+        for number in (*range(10), *range(40, 50), *range(60, 70), 79):
+            site.occupy(f'n{number:03}', f'job-{number}', busy, _LONG_S)
+        gang = fleetbuilders.build_step(
+            12, 8, 5_000, gang=True, rack_local=True
+        )
+        site.submit('gang', gang, run_s=5.0, queue='batch')
+        site.run_for(_LIMIT_S + 1.0)
+        self.assertEqual({}, site.idle_jobs_by_id)
+
+
 if __name__ == '__main__':
     unittest.main()
