Cancelled tasks that go on are logged by name

Tasks that are cancelled ten times without ending are now logged with what they run and the line at which they wait. Evidence: new test of a task that swallows cancellations for 10 s; before, nothing was logged.

--- a/primroselock/test/testwaits.py
+++ b/primroselock/test/testwaits.py
@@ -4,6 +4,8 @@
 from collections import abc
 import unittest
 
+from structlog import testing
+
 from primroselock import clock
 from primroselock.test import virtualtime
 from primroselock import waits
@@ -143,6 +145,30 @@
 
         virtualtime.run(scenario)
 
+    def test_tasks_that_go_on_are_logged_by_name(self) -> None:
+        """Guards against a shutdown that waits and does not say for what."""
+
+        async def swallow_for_long() -> None:
+            end_at = clock.monotonic() + 10.0
+            while clock.monotonic() < end_at:
+                try:
+                    await asyncio.sleep(60.0)
+                except asyncio.CancelledError:
+                    continue
+
+        async def scenario(virtual: virtualtime.VirtualClock) -> None:
+            task = asyncio.create_task(swallow_for_long())
+            await asyncio.sleep(0.1)
+            await waits.cancel_tasks([task])
+            self.assertTrue(task.done())
+
+        with testing.capture_logs() as lines:
+            virtualtime.run(scenario)
+        (line,) = lines
+        self.assertEqual('cancelled tasks have not ended', line['event'])
+        (name,) = line['tasks']
+        self.assertRegex(name, r'swallow_for_long:\d+')
+
     def test_no_tasks_need_no_wait(self) -> None:
         async def scenario(virtual: virtualtime.VirtualClock) -> None:
             await waits.cancel_tasks([])
--- a/primroselock/waits.py
+++ b/primroselock/waits.py
@@ -8,9 +8,16 @@
 
 import asyncio
 from collections import abc
+import itertools
 import typing
 
+from primroselock import logs
+
 _RECANCEL_INTERVAL_S: typing.Final = 0.2
+_LOGGED_ATTEMPT: typing.Final = 10
+"""The cancellation after which the tasks that go on are logged."""
+
+_log: typing.Final = logs.get('waits')
 
 _Value = typing.TypeVar('_Value')
 
@@ -50,10 +57,25 @@
 
     A library may swallow a cancellation that arrives together with the
     event it waits for, so that the task continues; it is cancelled again
-    until it ends.  Exceptions of the tasks are left to the caller.
+    until it ends.  Those that do not end soon are logged.  Exceptions of the
+    tasks are left to the caller.
     """
     pending = set(tasks)
-    while pending:
+    for attempt in itertools.count():
+        if not pending:
+            return
+        if attempt == _LOGGED_ATTEMPT:
+            _log.warning(
+                'cancelled tasks have not ended',
+                tasks=sorted(map(_describe, pending)),
+            )
         for task in pending:
             task.cancel()
         _, pending = await asyncio.wait(pending, timeout=_RECANCEL_INTERVAL_S)
+
+
+def _describe(task: asyncio.Task[None]) -> str:
+    """Return what a task runs and the line at which it waits."""
+    name = getattr(task.get_coro(), '__qualname__', task.get_name())
+    frames = task.get_stack(limit=1)
+    return f'{name}:{frames[0].f_lineno}' if frames else name
