A worker whose starts wait for their turn does not count as lost

Callers: work is placed again up to 43 times before it starts. Cause: a worker without any lease counted as lost (every lease of it has expired) as soon as something was placed on it, unless a poll or a start had granted a lease before the next round. Change: a worker counts as lost only if a start was sent for a member on it.

Evidence: testorderload.test_a_placement_whose_start_waits_is_not_lost (176 idle workers used at once, 0.5 and 6 ms a call) failed in both cases before. The 129 tests of nodes, faults, load, takeovers, leases, the soak and idle capacity pass, but for the known red one.

--- a/primroselock/decisions/runleases.py
+++ b/primroselock/decisions/runleases.py
@@ -29,13 +29,24 @@
         return
     board.expiry_checked_at = now
     for worker in list(board.workers_by_id.values()):
-        if not worker.members or not _is_expired(board, worker, now):
+        if not _may_run_any(worker) or not _is_expired(board, worker, now):
             continue
         settle_lost_worker(
             board, worker, 'every lease has expired', now, wall_ms
         )
 
 
+def _may_run_any(worker: fleet.Worker) -> bool:
+    """Return whether a start was sent for any member.
+
+    A lease is granted with the start, which may wait for its turn.
+    """
+    return any(
+        member.state is not fleet.MemberState.PLACED
+        for member in worker.members.values()
+    )
+
+
 def settle_lost_worker(
     board: fleet.ShardBoard,
     worker: fleet.Worker,
--- a/primroselock/test/testorderload.py
+++ b/primroselock/test/testorderload.py
@@ -273,6 +273,30 @@
             with self.subTest(workers=workers, call_cost_s=call_cost_s):
                 self.run_slowly(workers, replace_job, call_cost_s)
 
+    def test_a_placement_whose_start_waits_is_not_lost(self) -> None:
+        """Guards against an idle worker that counts as lost once it is used.
+
+        It holds no lease until its poll or the start has had its turn.
+        """
+
+        async def scenario(
+            world: fleetbuilders.World,
+            node: fleetbuilders.TestNode,
+            processor: SlowProcessor,
+        ) -> None:
+            step = fleetbuilders.build_step(176, 8, 60_000)
+            world.submit(fleetbuilders.build_graph('j', step))
+            await asyncio.sleep(6 * 176 * call_cost_s)
+            self.assertEqual(176, world.fleet.starts)
+            progress = world.progress('j')
+            assert progress is not None
+            attempts = {record.attempt for record in progress.groups}
+            self.assertEqual({1}, attempts)
+
+        for call_cost_s in (0.0005, 2 * _CALL_COST_S):
+            with self.subTest(call_cost_s=call_cost_s):
+                self.run_slowly(176, scenario, call_cost_s)
+
     def test_a_takeover_is_not_held_up_by_a_silent_zone(self) -> None:
         """Guards against first polls that wait for those to a zone cut off.
 
