Rows of ended jobs are deleted as fast as jobs end

Callers: nothing at once; a takeover reads all rows, so that it takes longer the more are left. Cause: 30 jobs are deleted in 20 s, so that above 1.5 ended jobs a second the rows grow without a bound (600 jobs an hour fit in the design size, a burst does not). Change: after a full batch the next one follows 0.5 s later.

Evidence: testholderload.DeletionTest, 200 jobs that end at the same time: rows were left after 8 s before (the test failed), and none now.

--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -57,6 +57,7 @@
 
 _LATE_GRACE_S: typing.Final = 1.0
 _MAX_SWEEP_INTERVAL_S: typing.Final = 20.0
+_DELETION_PAUSE_S: typing.Final = 0.5
 _MAX_DELETED_JOBS: typing.Final = 30
 """A transaction of the platform has at most 100 entries, three for a job."""
 
@@ -365,8 +366,10 @@
         """Periodically delete the rows of jobs that ended long ago."""
         keep_s = self._settings.fleet.keep_ended_s
         ended_ms_by_id = self._board.ended_ms_by_id
+        pause_s = sweep_s = min(keep_s, _MAX_SWEEP_INTERVAL_S)
         while self._lease.has_shard:
-            await asyncio.sleep(min(keep_s, _MAX_SWEEP_INTERVAL_S))
+            await asyncio.sleep(pause_s)
+            pause_s = sweep_s
             ended_before_ms = (clock.wall() - keep_s) * 1000
             old_ids = [
                 job_id
@@ -377,6 +380,9 @@
                 for job_id in old_ids:
                     del ended_ms_by_id[job_id]
                 self._loaded_job_ids.difference_update(old_ids)
+                if len(old_ids) == _MAX_DELETED_JOBS:
+                    # There may be more of them.
+                    pause_s = _DELETION_PAUSE_S
 
     async def _delete_jobs(self, job_ids: list[str]) -> bool:
         """Delete the rows of jobs; return whether they are deleted."""
--- a/primroselock/test/testholderload.py
+++ b/primroselock/test/testholderload.py
@@ -306,6 +306,32 @@
         virtualtime.run(run_all)
 
 
+class DeletionTest(unittest.TestCase):
+    """Rows of ended jobs are deleted as fast as jobs end."""
+
+    def test_a_backlog_of_ended_jobs_is_deleted(self) -> None:
+        """Guards against rows that grow in number while jobs end fast."""
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World(0, 25)
+            world.add_node('entry-1', '[fleet]\nkeep_ended_s = 2\n')
+            await asyncio.sleep(1.0)
+            step = fleetbuilders.build_step(1, 1, 100)
+            for number in range(200):
+                world.submit(fleetbuilders.build_graph(f'j{number}', step))
+            await asyncio.sleep(8.0)
+            self.assertEqual(200, world.fleet.starts)
+            left = [
+                key
+                for key in world.store.inner.rows
+                if key.startswith(('submitted/', 'progress/'))
+            ]
+            self.assertEqual([], left)
+            await world.close()
+
+        virtualtime.run(run_all)
+
+
 class LateReportTest(unittest.TestCase):
     """Reports that are processed late are not taken for the state of now."""
 
