A step that needs advice is examined once for all its tasks

Cause: each round looks for the next request to the advice service, and looked at all workers for each waiting task of an advised step, though all tasks of a step need the same tickets: 2000 looks for 100 tasks and 20 workers. Change: once for each step.

Evidence: testholderload.AdviceLoadTest (2000 looks before, at most 20 now; failed before). Tests of nodes and of idle decisions pass.

--- a/primroselock/decisions/advising.py
+++ b/primroselock/decisions/advising.py
@@ -43,9 +43,14 @@
             continue
         if job.is_cancelled or job.state.is_final:
             continue
+        examined: set[fleet.StepName] = set()
         for group in job.groups_by_key.values():
             if group.phase is not fleet.Phase.WAITING:
                 continue
+            if group.step_name in examined:
+                # The groups of a step need the same tickets.
+                continue
+            examined.add(group.step_name)
             request = _build_request(board, group, now)
             if request is not None:
                 return request
--- a/primroselock/test/testholderload.py
+++ b/primroselock/test/testholderload.py
@@ -16,6 +16,7 @@
 import result
 
 from primroselock import clock
+from primroselock.decisions import advising
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
 from primroselock.decisions import fleethealth
@@ -135,6 +136,30 @@
         self.assertLessEqual(calls, 30 * rounds)
 
 
+class AdviceLoadTest(unittest.TestCase):
+    """Many tasks of a step that may run on no worker."""
+
+    def test_a_step_is_examined_once_for_all_its_tasks(self) -> None:
+        """Guards against a look at all workers for each waiting task."""
+        board = fleet.ShardBoard(
+            queue_configuration=fleetbuilders.QUEUE_CONFIGURATION
+        )
+        for number in range(20):
+            board.record_entry(fleetbuilders.build_entry(f'w{number}'), 0.0)
+        step = fleetbuilders.build_step(100, 1)
+        graph = fleetbuilders.build_graph('j', step, queue='advised')
+        graphs.add_job(board, graph, None, 0, 0.0, 0)
+        request = advising.next_question(board, 0.0)
+        assert request is not None
+        # No worker gets a ticket.
+        advising.record_answer(board, request, {}, 3.0)
+        with mock.patch.object(
+            fitting, 'fits_when_empty', wraps=fitting.fits_when_empty
+        ) as examine:
+            self.assertIsNone(advising.next_question(board, 1.0))
+        self.assertLessEqual(examine.call_count, 20)
+
+
 class OverloadTest(unittest.TestCase):
     """More work than fits, and a holder that is slower than its work."""
 
