--- a/primroselock/test/testholderload.py
+++ b/primroselock/test/testholderload.py
@@ -12,6 +12,7 @@
 import result
 
 from primroselock import clock
+from primroselock.decisions import advising
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
 from primroselock.decisions import fleethealth
@@ -95,6 +96,30 @@
         self.assertLessEqual(calls, 30 * rounds)
 
 
+class AdviceLoadTest(unittest.TestCase):
+    """Many tasks of a step that may run on no worker."""
+
+    def test_a_step_is_examined_once_for_all_its_tasks(self) -> None:
+        """Guards against a look at all workers for each waiting task."""
+        board = fleet.ShardBoard(
+            queue_configuration=fleetbuilders.QUEUE_CONFIGURATION
+        )
+        for number in range(20):
+            board.record_entry(fleetbuilders.build_entry(f'w{number}'), 0.0)
+        step = fleetbuilders.build_step(100, 1)
+        graph = fleetbuilders.build_graph('j', step, queue='advised')
+        graphs.add_job(board, graph, None, 0, 0.0, 0)
+        request = advising.next_question(board, 0.0)
+        assert request is not None
+        # No worker gets a ticket.
+        advising.record_answer(board, request, {}, 3.0)
+        with mock.patch.object(
+            fitting, 'fits_when_empty', wraps=freecapacity.fits_when_empty
+        ) as examine:
+            self.assertIsNone(advising.next_question(board, 1.0))
+        self.assertLessEqual(examine.call_count, 20)
+
+
 class OverloadTest(unittest.TestCase):
     """More work than fits, and a holder that is slower than its work."""
 
@@ -266,6 +291,32 @@
         virtualtime.run(run_all)
 
 
+class DeletionTest(unittest.TestCase):
+    """Rows of ended jobs are deleted as fast as jobs end."""
+
+    def test_a_backlog_of_ended_jobs_is_deleted(self) -> None:
+        """Guards against rows that grow in number while jobs end fast."""
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World(0, 25)
+            world.add_node('entry-1', '[fleet]\nkeep_ended_s = 2\n')
+            await asyncio.sleep(1.0)
+            step = fleetbuilders.build_step(1, 1, 100)
+            for number in range(200):
+                world.submit(fleetbuilders.build_graph(f'j{number}', step))
+            await asyncio.sleep(8.0)
+            self.assertEqual(200, world.fleet.starts)
+            left = [
+                key
+                for key in world.store.inner.rows
+                if key.startswith(('submitted/', 'progress/'))
+            ]
+            self.assertEqual([], left)
+            await world.close()
+
+        virtualtime.run(run_all)
+
+
 class LateReportTest(unittest.TestCase):
     """Reports that are processed late are not taken for the state of now."""
 
