The last terms of a removed queue outlast its holder

Callers would see an accepted job with nothing running for ever, after its queue was sent to another service, then removed, and the holder replaced.

Cause: the holder goes on with the last terms of a removed queue, but a later holder has only those at acceptance, whose service may have no workers left.

Change: a job's progress has its queue where that differs from the one at acceptance. It is written with each change of the job, and once when the queue is removed; the configuration counts as long as it has the queue. Rows grow only for jobs whose queue was changed since. Progress without the field is read as before.

--- a/primroselock/decisions/graphs.py
+++ b/primroselock/decisions/graphs.py
@@ -13,6 +13,7 @@
 from primroselock.decisions import objectives
 from primroselock import jobgraph
 from primroselock import jobs
+from primroselock import queues
 
 _MIN_RETRY_DELAY_S: typing.Final = 0.05
 _MAX_RETRY_DELAY_S: typing.Final = 1.0
@@ -46,10 +47,12 @@
     """
     if progress is not None and progress.state.is_final:
         return None
-    queue = board.queue_configuration.find_by_name(graph.queue)
+    last_queue = progress.queue if progress is not None else None
     job = livejobs.LiveJob(
         graph,
-        queue or graph.accepted_queue,
+        board.queue_configuration.find_by_name(graph.queue)
+        or last_queue
+        or graph.accepted_queue,
         objectives.critical_paths_s(graph, board.learned),
         row_version,
         phases=board.phases,
@@ -279,16 +282,36 @@
     )
 
 
+def use_queues(
+    board: fleet.ShardBoard, current: queues.QueueConfiguration
+) -> None:
+    """Use a version of the queues; a removed one keeps its last terms.
+
+    These are stored if they are not those at acceptance, which a later holder
+    has in any case.
+    """
+    board.queue_configuration = current
+    for job in board.jobs_by_id.values():
+        queue = current.find_by_name(job.graph.queue)
+        if queue is not None:
+            job.queue = queue
+        elif job.queue != job.graph.accepted_queue:
+            board.mark_changed(job)
+
+
 def build_progress(job: livejobs.LiveJob) -> jobgraph.JobProgress:
     """Return the progress of a job as it is stored."""
     records: tuple[jobgraph.GroupRecord, ...] = ()
+    queue = None
     if not job.state.is_final:
+        if job.queue != job.graph.accepted_queue:
+            queue = job.queue
         records = tuple(
             _build_record(group)
             for group in job.groups_by_key.values()
             if group.attempt
         )
-    return jobgraph.JobProgress(job.state, records, job.ended_ms)
+    return jobgraph.JobProgress(job.state, records, job.ended_ms, queue=queue)
 
 
 def _build_record(group: livejobs.Group) -> jobgraph.GroupRecord:
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -220,10 +220,7 @@
 
     def use_queues(self, current: queues.QueueConfiguration) -> None:
         """Use this version of the queues for all later decisions."""
-        self._board.queue_configuration = current
-        for job in self._board.jobs_by_id.values():
-            queue = current.find_by_name(job.graph.queue)
-            job.queue = queue or job.queue
+        graphs.use_queues(self._board, current)
 
     def report(self, now: float) -> shards.HolderReport:
         """Return what to write with a renewal or the release of the lease."""
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -204,13 +204,16 @@
     Groups that were never placed are left out, as are all groups of a job
     that has ended.  ``ended_ms`` is milliseconds since the Unix epoch, 0
     while it runs.  Stored in several rows, ``parts`` counts these and each
-    row has some of the groups.
+    row has some of the groups.  ``queue`` is the job's queue where it differs
+    from that at acceptance; it counts once the configuration does not have
+    the queue any more.
     """
 
     state: jobs.JobState
     groups: tuple[GroupRecord, ...] = ()
     ended_ms: int = 0
     parts: int = 1
+    queue: queues.Queue | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroselock/test/testholderload.py
+++ b/primroselock/test/testholderload.py
@@ -114,7 +114,9 @@
         # No worker gets a ticket.
         advising.record_answer(board, request, {}, 3.0)
         with mock.patch.object(
-            fitting, 'fits_when_empty', wraps=freecapacity.fits_when_empty
+            freecapacity,
+            'fits_when_empty',
+            wraps=freecapacity.fits_when_empty,
         ) as examine:
             self.assertIsNone(advising.next_question(board, 1.0))
         self.assertLessEqual(examine.call_count, 20)
