--- a/primroselock/test/testsoak.py
+++ b/primroselock/test/testsoak.py
@@ -17,12 +17,13 @@
 class SoakTest(unittest.TestCase):
     """The soak in a process of its own, where the order of sets is fixed."""
 
-    def check_seeds(self, first: int, seeds: int) -> None:
+    def check_seeds(self, first: int, seeds: int, *options: str) -> None:
         """Run consecutive seeds; fail with what the command printed."""
         command = [
             sys.executable,
             *('-m', 'tools.soak', '--trace'),
             *('--first', str(first), '--seeds', str(seeds)),
+            *options,
         ]
         ended = subprocess.run(
             command,
@@ -44,6 +45,10 @@
     def test_seeds_3_to_20(self) -> None:
         self.check_seeds(3, 18)
 
+    def test_wide_seed_217(self) -> None:
+        """Long-running work waits for claims or one rack under load."""
+        self.check_seeds(217, 1, '--wide')
+
 
 if __name__ == '__main__':
     unittest.main()
