The limit of calls to workers has the name of what it limits

The module and the class were named for orders; since polls and probes go through them as well. The next request to the advice service is called a request, as its record is.

--- a/primroselock/advicerequests.py
+++ b/primroselock/advicerequests.py
@@ -59,7 +59,7 @@
         """Send the next request unless one is under way."""
         if self._task is not None and not self._task.done():
             return
-        request = advising.next_question(self._board, clock.monotonic())
+        request = advising.next_request(self._board, clock.monotonic())
         if request is not None:
             self._task = self._tasks.spawn(self._request(request))
 
--- a/primroselock/orderslots.py
+++ b/primroselock/callslots.py
@@ -8,9 +8,9 @@
 that one connection serves several, and a bounded number in total.
 
 The bound follows from how soon calls are answered: one that is answered late
-takes a place away, one that is answered soon gives it back.  A call that
+takes a slot away; one that is answered soon gives it back.  A call that
 takes much longer than usual, as one to a worker that does not answer, costs
-nothing but time; it leaves its place to others before its own time-out.
+nothing but time; it leaves its slot to others before its own time-out.
 """
 
 import asyncio
@@ -22,10 +22,10 @@
 
 from primroselock.workers import orders
 
-_MAX_PLACES: typing.Final = 32
-_FIRST_PLACES: typing.Final = 16
-_MIN_PLACES: typing.Final = 2
-_MIN_PLACES_IF_SILENT: typing.Final = 8
+_MAX_SLOTS: typing.Final = 32
+_FIRST_SLOTS: typing.Final = 16
+_MIN_SLOTS: typing.Final = 2
+_MIN_SLOTS_IF_SILENT: typing.Final = 8
 """Workers that do not answer must not hold up the others for long."""
 
 _MAX_CALLS_PER_WORKER: typing.Final = 2
@@ -34,7 +34,7 @@
 """Half of the time-out of an order."""
 
 _HANGING_FACTOR: typing.Final = 2.0
-"""A call leaves its place after this multiple of the usual time."""
+"""A call leaves its slot after this multiple of the usual time."""
 
 _MIN_HANGING_S: typing.Final = 0.05
 _MAX_HANGING_S: typing.Final = 0.4
@@ -42,36 +42,36 @@
 _SMOOTHING_FACTOR: typing.Final = 0.1
 
 
-class OrderSlots:
-    """Places for calls that are under way, ``limit`` in total.
+class CallSlots:
+    """Slots for calls that are under way, ``limit`` in total.
 
-    ``waiting_count`` is the number of calls that wait for a place.
+    ``waiting_count`` is the number of calls that wait for a slot.
     """
 
     def __init__(self) -> None:
         self.waiting_count = 0
-        self.limit = _FIRST_PLACES
+        self.limit = _FIRST_SLOTS
         self._usual_s = _FIRST_USUAL_S
         self._fast_at = float('-inf')
-        self._places = asyncio.Semaphore(_FIRST_PLACES)
-        self._withheld = _MAX_PLACES - _FIRST_PLACES
-        self._places_by_worker_id: dict[str, asyncio.Semaphore] = {}
+        self._slots = asyncio.Semaphore(_FIRST_SLOTS)
+        self._withheld = _MAX_SLOTS - _FIRST_SLOTS
+        self._slots_by_worker_id: dict[str, asyncio.Semaphore] = {}
 
     @contextlib.asynccontextmanager
     async def hold(self, worker_id: str) -> abc.AsyncIterator[None]:
-        """Hold a place for a call to a worker."""
-        places = self._places_by_worker_id.setdefault(
+        """Hold a slot for a call to a worker."""
+        worker_slots = self._slots_by_worker_id.setdefault(
             worker_id, asyncio.Semaphore(_MAX_CALLS_PER_WORKER)
         )
         async with contextlib.AsyncExitStack() as stack:
             self.waiting_count += 1
             try:
-                await stack.enter_async_context(places)
-                await self._places.acquire()
+                await stack.enter_async_context(worker_slots)
+                await self._slots.acquire()
             finally:
                 self.waiting_count -= 1
-            place = _Place(self._release, self._hanging_after_s())
-            stack.callback(place.leave)
+            slot = _Slot(self._release, self._hanging_after_s())
+            stack.callback(slot.leave)
             yield
 
     def record(
@@ -89,10 +89,10 @@
         taken_s = now - due_at
         self._adapt_usual(taken_s)
         if taken_s > _SLOW_ANSWER_S:
-            self.limit = max(self.limit - 1, _MIN_PLACES)
+            self.limit = max(self.limit - 1, _MIN_SLOTS)
         elif taken_s < _FAST_ANSWER_S:
             self._fast_at = now
-            self.limit = min(self.limit + 1, _MAX_PLACES)
+            self.limit = min(self.limit + 1, _MAX_SLOTS)
             self._release_withheld()
 
     def _record_silence(self, due_at: float) -> None:
@@ -100,7 +100,7 @@
 
         It tells nothing about this process if others were answered soon.
         """
-        if self._fast_at < due_at and self.limit > _MIN_PLACES_IF_SILENT:
+        if self._fast_at < due_at and self.limit > _MIN_SLOTS_IF_SILENT:
             self.limit -= 1
             self._adapt_usual(max(self._usual_s, _FAST_ANSWER_S))
 
@@ -114,18 +114,18 @@
         )
 
     def _release(self) -> None:
-        """Free a place, or withhold it while there are more than allowed."""
+        """Free a slot, or withhold it while there are more than allowed."""
         self._withheld += 1
         self._release_withheld()
 
     def _release_withheld(self) -> None:
-        while self._withheld > _MAX_PLACES - self.limit:
+        while self._withheld > _MAX_SLOTS - self.limit:
             self._withheld -= 1
-            self._places.release()
+            self._slots.release()
 
 
-class _Place:
-    """One of the places in total, left when its call hangs or ends."""
+class _Slot:
+    """One of the slots in total, left when its call hangs or ends."""
 
     def __init__(
         self, release: abc.Callable[[], None], hanging_after_s: float
@@ -137,7 +137,7 @@
         )
 
     def leave(self) -> None:
-        """Leave the place to another call, unless it was left before."""
+        """Leave the slot to another call, unless it was left before."""
         self._timer.cancel()
         if not self._is_left:
             self._is_left = True
--- a/primroselock/decisions/advising.py
+++ b/primroselock/decisions/advising.py
@@ -38,7 +38,7 @@
     answer_time_s: float
 
 
-def next_question(board: fleet.ShardBoard, now: float) -> AdviceRequest | None:
+def next_request(board: fleet.ShardBoard, now: float) -> AdviceRequest | None:
     """Return the next request for a waiting group, or None.
 
     Steps without a valid ticket come first, and among equals the one that
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -4,7 +4,7 @@
 worker recognizes the run.  A run whose start order stays unanswered keeps
 its resources reserved and is stopped by a later decision.
 
-Orders wait for their turn, see ``orderslots``, and are dropped if what they
+Orders wait for their turn, see ``callslots``, and are dropped if what they
 are for has changed until then.  A worker that has answered nothing since an
 order was sent to it counts as not answering, unless this process was late.
 """
@@ -16,6 +16,7 @@
 import result
 
 from primroselock import backgroundtasks
+from primroselock import callslots
 from primroselock import clock
 from primroselock.decisions import advising
 from primroselock.decisions import fleet
@@ -27,7 +28,6 @@
 from primroselock import logs
 from primroselock import metrics
 from primroselock import options
-from primroselock import orderslots
 from primroselock import shards
 from primroselock.workers import orders
 
@@ -83,7 +83,7 @@
         self._wake = wake
         self._may_start = may_start
         self._metrics = counters
-        self._slots = orderslots.OrderSlots()
+        self._slots = callslots.CallSlots()
         self._stopping_runs: set[orders.Run] = set()
         self._tasks = backgroundtasks.BackgroundTasks('order')
 
--- a/primroselock/test/testadviceturns.py
+++ b/primroselock/test/testadviceturns.py
@@ -24,7 +24,7 @@
         now = 10.0
         asked = []
         for _ in range(requests):
-            request = advising.next_question(self.board, now)
+            request = advising.next_request(self.board, now)
             if request is None:
                 break
             asked.append(request.step.job_id)
--- a/primroselock/test/testholderload.py
+++ b/primroselock/test/testholderload.py
@@ -109,7 +109,7 @@
         step = fleetbuilders.build_step(100, 1)
         graph = fleetbuilders.build_graph('j', step, queue='advised')
         graphs.add_job(board, graph, None, 0, 0.0, 0)
-        request = advising.next_question(board, 0.0)
+        request = advising.next_request(board, 0.0)
         assert request is not None
         # No worker gets a ticket.
         advising.record_answer(board, request, {}, 3.0)
@@ -118,7 +118,7 @@
             'fits_when_empty',
             wraps=freecapacity.fits_when_empty,
         ) as examine:
-            self.assertIsNone(advising.next_question(board, 1.0))
+            self.assertIsNone(advising.next_request(board, 1.0))
         self.assertLessEqual(examine.call_count, 20)
 
 
--- a/primroselock/test/testorderload.py
+++ b/primroselock/test/testorderload.py
@@ -14,9 +14,9 @@
 
 import result
 
+from primroselock import callslots
 from primroselock import clock
 from primroselock.decisions import fleetworkers
-from primroselock import orderslots
 from primroselock.test import fleetbuilders
 from primroselock.test import virtualtime
 from primroselock import waits
@@ -549,14 +549,14 @@
         self.assertEqual([], self.run_with(scenario, 1))
 
 
-class OrderSlotsTest(unittest.TestCase):
+class CallSlotsTest(unittest.TestCase):
     """Who waits for whom."""
 
     def test_workers_that_hang_do_not_hold_up_the_others(self) -> None:
         """Guards against orders that wait for those to a zone cut off."""
 
         async def scenario(virtual: virtualtime.VirtualClock) -> None:
-            slots = orderslots.OrderSlots()
+            slots = callslots.CallSlots()
 
             async def hang(number: int) -> None:
                 async with slots.hold(f'hanging-{number}'):
@@ -579,7 +579,7 @@
         """Guards against a limit that silent workers lower for all others."""
 
         async def scenario(virtual: virtualtime.VirtualClock) -> None:
-            slots = orderslots.OrderSlots()
+            slots = callslots.CallSlots()
             answered: typing.Any = result.Ok(orders.Accepted(0.0))
             silent: typing.Any = result.Err(orders.Unanswered('no answer'))
 
@@ -606,7 +606,7 @@
         """Guards against places that are freed in spite of the limit."""
 
         async def scenario(virtual: virtualtime.VirtualClock) -> None:
-            slots = orderslots.OrderSlots()
+            slots = callslots.CallSlots()
             answered: typing.Any = result.Ok(orders.Accepted(0.0))
             under_way = 0
             most = 0
@@ -642,7 +642,7 @@
         """Guards against places that are lost one by one."""
 
         async def scenario(virtual: virtualtime.VirtualClock) -> None:
-            slots = orderslots.OrderSlots()
+            slots = callslots.CallSlots()
 
             async def wait_in_place() -> None:
                 async with slots.hold('w'):
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -5,9 +5,9 @@
 polled.
 
 Polls are often due for all workers at once, as after a takeover, and probes
-for all workers of a zone.  They wait for their turn, see ``orderslots``: if a
+for all workers of a zone.  They wait for their turn, see ``callslots``: if a
 slow process sends all of them at the same time, it receives no answer before
-their time-out.  A long poll leaves its place soon after it was sent.
+their time-out.  A long poll leaves its slot soon after it was sent.
 """
 
 import asyncio
@@ -18,6 +18,7 @@
 import result
 
 from primroselock import backgroundtasks
+from primroselock import callslots
 from primroselock import clock
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
@@ -29,7 +30,6 @@
 from primroselock import logs
 from primroselock import metrics
 from primroselock import options
-from primroselock import orderslots
 from primroselock import runorders
 from primroselock import shards
 from primroselock.workers import orders
@@ -63,7 +63,7 @@
         self._run_client = run_client
         self._wake = wake
         self._metrics = counters
-        self._slots = orderslots.OrderSlots()
+        self._slots = callslots.CallSlots()
         self._tasks = backgroundtasks.BackgroundTasks('poll of a worker')
         self._tasks_by_worker_id: dict[str, asyncio.Task[None]] = {}
         self._probes_by_worker_id: dict[str, asyncio.Task[None]] = {}
