--- a/primroselock/test/testgangfaults.py
+++ b/primroselock/test/testgangfaults.py
@@ -115,9 +115,9 @@
 
     def read_job(self, job_id: str) -> dict[str, typing.Any]:
         """Return a job as the gateway shows it."""
-        shown: dict[str, typing.Any] = self.call(
-            'GET', f'/v1/jobs/{job_id}'
-        ).json()
+        answer = self.call('GET', f'/v1/jobs/{job_id}')
+        self.assertEqual(200, answer.status, answer)
+        shown: dict[str, typing.Any] = answer.json()
         return shown
 
     def read_history(self, *workers: str) -> list[dict[str, typing.Any]]:
