Whether a job runs nothing is asked only for work that yields

Each round asked it for every waiting step, and looks at all groups of a job, while a zone is closed. It matters only for preempted work within its pause. No other change; an unused attribute of Node goes as well. Tests of idle waits, load patterns, the holder's load and nodes pass but for the known red.

--- a/primroselock/decisions/waiting.py
+++ b/primroselock/decisions/waiting.py
@@ -172,7 +172,8 @@
             continue
         if not job.may_be_placed(now):
             continue
-        has_plenty = plenty.has_plenty(job, now)
+        is_yielding = any(group.yields_until > now for group in groups)
+        has_plenty = is_yielding and plenty.has_plenty(job, now)
         due = [
             group
             for group in groups
--- a/primroselock/fleetnode.py
+++ b/primroselock/fleetnode.py
@@ -136,7 +136,6 @@
         )
         self._operator_follower.add_handler(self._apply_operator_rows)
         self._stopping = asyncio.Event()
-        self._paused_at = float('-inf')
 
     def _apply_operator_rows(self, changes: table.Changes) -> None:
         if not self._reader.apply(changes):
