Idle jobs take claimed capacity only after it was free for a while

What callers see: with a zone closed, capacity that was just freed by preemption could go to another job that had waited for 2 s before, so that work was stopped for nothing; and preempted work of idle jobs came back without a pause.

Cause: counted the time that a job waits, not the time that it waits beside free capacity.

Change: a job of which nothing runs ignores what it prefers once capacity for it has been seen free for 2 s, with gaps of at most 1 s; it yields after a preemption for at most 2 s while much of the service is unused.

Evidence: testeligibility has a test of each; testidlecapacity's and the other tests of idle waits, racks, claims, preferences and load patterns pass.

--- a/primroselock/decisions/eligibility.py
+++ b/primroselock/decisions/eligibility.py
@@ -103,11 +103,15 @@
     def has_plenty(self, job: livejobs.LiveJob, now: float) -> bool:
         """Return whether capacity is plenty for a job.
 
-        A job of which nothing runs does not wait for what it prefers only
-        because many workers get no starts.
+        A job of which nothing runs does not wait for long for what it
+        prefers only because many workers get no starts.
         """
         if job.service in self.of_usable:
             return True
+        return self.is_idle(job, now) and job.waits_beside_capacity(now)
+
+    def is_idle(self, job: livejobs.LiveJob, now: float) -> bool:
+        """Return whether nothing of a job runs while much is unused."""
         return job.service in self.of_listed and job.runs_nothing(now)
 
 
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -128,6 +128,7 @@
         shape in context.free_capacity.unplaceable_shapes
         and not _may_search(context, shape)
     )
+    preferences.note_capacity(context, first)
     placed = 0
     may_relax = True
     for group in groups:
--- a/primroselock/decisions/livejobs.py
+++ b/primroselock/decisions/livejobs.py
@@ -26,6 +26,12 @@
 from primroselock.workers import orders
 
 _NEVER: typing.Final = float('-inf')
+_MAX_IDLE_WAIT_S: typing.Final = 2.0
+"""Wait beside free capacity for what a job of which nothing runs prefers."""
+
+_MAX_CAPACITY_GAP_S: typing.Final = 1.0
+"""Capacity counts as free without a break if it is seen again by then."""
+
 _MAX_START_S: typing.Final = 2.0
 """What was placed longer ago than this and does not run may never do so."""
 
@@ -255,8 +261,10 @@
     is the last change that was; ``row_version`` is the version of the first
     progress row, of which there are ``stored_parts``.  ``refusal`` is set
     while the store refuses the job's progress.  ``released`` is the number of
-    occurrences whose groups exist.  ``phases`` is the index of the blackboard
-    that holds the job.
+    occurrences whose groups exist.  ``capacity_since`` is since when a waiting
+    group would fit if it preferred nothing, as last seen at
+    ``capacity_seen_at``.  ``phases`` is the index of the blackboard that holds
+    the job.
     """
 
     graph: jobgraph.JobGraph
@@ -274,6 +282,8 @@
     change: int = 0
     saved_change: int = 0
     refusal: Refusal | None = None
+    capacity_since: float = _NEVER
+    capacity_seen_at: float = _NEVER
     phases: phaseindex.PhaseIndex = dataclasses.field(
         default_factory=phaseindex.PhaseIndex
     )
@@ -290,6 +300,19 @@
             refusal.is_stored and now >= refusal.next_at
         )
 
+    def note_capacity(self, now: float) -> None:
+        """Note that a waiting group would fit if it preferred nothing."""
+        if now - self.capacity_seen_at > _MAX_CAPACITY_GAP_S:
+            self.capacity_since = now
+        self.capacity_seen_at = now
+
+    def waits_beside_capacity(self, now: float) -> bool:
+        """Return whether capacity has been free for a while."""
+        return (
+            now - self.capacity_seen_at <= _MAX_CAPACITY_GAP_S
+            and now - self.capacity_since >= _MAX_IDLE_WAIT_S
+        )
+
     def runs_nothing(self, now: float) -> bool:
         """Return whether no group runs, or was placed a short time ago."""
         return not any(
--- a/primroselock/decisions/preferences.py
+++ b/primroselock/decisions/preferences.py
@@ -32,6 +32,16 @@
 expected to be free by then, while capacity is scarce."""
 
 
+def note_capacity(
+    context: placementround.RoundContext, group: livejobs.Group
+) -> None:
+    """Note whether a group of an idle job would fit without preferences."""
+    if context.plenty.is_idle(
+        group.job, context.now
+    ) and context.free_capacity.fits(group):
+        group.job.note_capacity(context.now)
+
+
 def is_overdue(
     context: placementround.RoundContext, group: livejobs.Group
 ) -> bool:
--- a/primroselock/decisions/waiting.py
+++ b/primroselock/decisions/waiting.py
@@ -6,6 +6,7 @@
 """
 
 from collections import abc
+import math
 import typing
 
 from primroselock.decisions import eligibility
@@ -20,6 +21,7 @@
 URGENT: typing.Final = 0
 """The priority of the queues to which guarantees apply."""
 
+_MAX_IDLE_YIELD_S: typing.Final = 2.0
 _MIN_SLACK_S: typing.Final = 2.0
 """Preemption frees capacity in about half of this time."""
 
@@ -150,6 +152,15 @@
     return guaranteed_ids
 
 
+def _longest_yield_s(
+    plenty: eligibility.PlentyServices, job: livejobs.LiveJob, now: float
+) -> float:
+    """Return for how long the groups of a job may yield at most."""
+    if plenty.has_plenty(job, now):
+        return 0.0
+    return _MAX_IDLE_YIELD_S if plenty.is_idle(job, now) else math.inf
+
+
 def list_waiting(
     board: fleet.ShardBoard,
     guaranteed_ids: abc.Set[str],
@@ -161,7 +172,7 @@
     """Return the groups to place, by step, in the order of placement.
 
     Groups that were preempted yield for a time, unless capacity is plenty
-    for their job.
+    for their job, and not for long if nothing of it runs while much is unused.
     The groups of a step are equally urgent, so that steps are ordered, not
     groups; a step's groups are in the order of their tasks.
     """
@@ -172,13 +183,14 @@
             continue
         if not job.may_be_placed(now):
             continue
-        is_yielding = any(group.yields_until > now for group in groups)
-        has_plenty = is_yielding and plenty.has_plenty(job, now)
+        longest_s = math.inf
+        if any(group.yields_until > now for group in groups):
+            longest_s = _longest_yield_s(plenty, job, now)
         due = [
             group
             for group in groups
             if group.not_before <= now
-            and (has_plenty or group.yields_until <= now)
+            and min(group.yields_until, group.since + longest_s) <= now
         ]
         if due:
             due.sort(key=lambda group: group.key.index)
--- a/primroselock/test/testeligibility.py
+++ b/primroselock/test/testeligibility.py
@@ -63,11 +63,18 @@
         self.check_plenty(board, False)
 
     def check_idle_job(self, board: fleet.ShardBoard, is_plenty: bool) -> None:
-        """Check whether capacity is plenty for a job of which nothing runs."""
+        """Check whether capacity is plenty for a job of which nothing runs.
+
+        It has fitted for 2.2 s.
+        """
         job = self.add_job(board)
         plenty = eligibility.find_plenty(
             board, eligibility.list_usable(board, _NOW)
         )
+        self.assertIs(is_plenty, plenty.is_idle(job, _NOW))
+        for seen_s in (2.2, 1.6, 1.0, 0.4):
+            self.assertFalse(plenty.has_plenty(job, _NOW - seen_s))
+            job.note_capacity(_NOW - seen_s)
         self.assertIs(is_plenty, plenty.has_plenty(job, _NOW))
 
     @staticmethod
@@ -110,13 +117,30 @@
         first, second = job.groups_by_key.values()
         usable = eligibility.list_usable(board, _NOW)
         plenty = eligibility.find_plenty(board, usable)
-        self.assertTrue(plenty.has_plenty(job, _NOW))
+        self.assertTrue(plenty.is_idle(job, _NOW))
         first.enter(livejobs.Phase.RUNNING, 0.0)
-        self.assertFalse(plenty.has_plenty(job, _NOW))
+        self.assertFalse(plenty.is_idle(job, _NOW))
         first.enter(livejobs.Phase.DONE, _NOW)
         second.enter(livejobs.Phase.COMMITTING, _NOW)
-        self.assertFalse(plenty.has_plenty(job, _NOW))
-        self.assertTrue(plenty.has_plenty(job, _NOW + 5.0))
+        self.assertFalse(plenty.is_idle(job, _NOW))
+        self.assertTrue(plenty.is_idle(job, _NOW + 5.0))
+
+    def test_capacity_that_is_freed_for_others_is_no_plenty_yet(self) -> None:
+        """Guards against idle jobs that take what is freed by preemption.
+
+        The pattern: a closed zone, and urgent gangs that stop other work.
+        """
+        board = build_board()
+        job = self.add_job(board)
+        job.note_capacity(1.0)
+        job.note_capacity(1.8)
+        self.assertFalse(job.waits_beside_capacity(1.8))
+        job.note_capacity(3.5)
+        self.assertFalse(job.waits_beside_capacity(3.5))
+        job.note_capacity(4.5)
+        job.note_capacity(5.5)
+        self.assertTrue(job.waits_beside_capacity(5.5))
+        self.assertFalse(job.waits_beside_capacity(6.6))
 
     def test_no_usable_worker_is_no_plenty(self) -> None:
         """Guards against a division by no capacity."""
