--- a/primroselock/test/testorderload.py
+++ b/primroselock/test/testorderload.py
@@ -7,19 +7,16 @@
 
 import asyncio
 from collections import abc
-import contextlib
 import typing
 import unittest
 from unittest import mock
 
 import result
 
-from primroselock import callslots
 from primroselock import clock
-from primroselock.decisions import fleetworkers
 from primroselock.test import fleetbuilders
+from primroselock.test import slowprocessor
 from primroselock.test import virtualtime
-from primroselock import waits
 from primroselock.workers import orders
 
 _CALL_COST_S: typing.Final = 0.003
@@ -29,51 +26,6 @@
 _ALL_ORDERS_S: typing.Final = _TASKS * _CALL_COST_S
 
 
-class SlowProcessor:
-    """Serves the calls of one process one after another.
-
-    A call that has not had its turn when it times out is not answered, but
-    takes up the processor all the same.
-    """
-
-    def __init__(self, cost_s: float) -> None:
-        self._cost_s = cost_s
-        self._free_at = 0.0
-        self.timeouts = 0
-
-    async def serve(self, timeout_s: float) -> bool:
-        """Wait for the processor; return whether that was in time."""
-        now = clock.monotonic()
-        self._free_at = max(self._free_at, now) + self._cost_s
-        if self._free_at - now <= timeout_s:
-            await asyncio.sleep(self._free_at - now)
-            return True
-        self.timeouts += 1
-        await asyncio.sleep(timeout_s)
-        return False
-
-
-@contextlib.contextmanager
-def slow_calls(
-    world: fleetbuilders.World, cost_s: float
-) -> abc.Iterator[SlowProcessor]:
-    """Let each call to a worker cost the one holder processor time."""
-    processor = SlowProcessor(cost_s)
-
-    def slow_down(name: str) -> typing.Any:
-        call = getattr(world.fleet, name)
-
-        async def call_slowly(*arguments: typing.Any) -> typing.Any:
-            if await processor.serve(arguments[-1]):
-                return await call(*arguments)
-            return result.Err(orders.Unanswered('no answer'))
-
-        return mock.patch.object(world.fleet, name, call_slowly)
-
-    with slow_down('start'), slow_down('stop'), slow_down('poll_runs'):
-        yield processor
-
-
 def run_scenario(
     scenario: abc.Callable[[fleetbuilders.World], abc.Awaitable[None]],
 ) -> None:
@@ -102,7 +54,7 @@
 
         async def scenario(world: fleetbuilders.World) -> None:
             step = fleetbuilders.build_step(_TASKS, 1, 60_000)
-            with slow_calls(world, _CALL_COST_S) as processor:
+            with slowprocessor.slow_calls(world, _CALL_COST_S) as processor:
                 world.submit(fleetbuilders.build_graph('old', step))
                 await self.wait_for_starts(world, _TASKS)
                 world.cancel('old')
@@ -178,7 +130,11 @@
         self,
         workers: int,
         scenario: abc.Callable[
-            [fleetbuilders.World, fleetbuilders.TestNode, SlowProcessor],
+            [
+                fleetbuilders.World,
+                fleetbuilders.TestNode,
+                slowprocessor.SlowProcessor,
+            ],
             abc.Awaitable[None],
         ],
         call_cost_s: float = _CALL_COST_S,
@@ -187,7 +143,7 @@
 
         async def run_all(virtual: virtualtime.VirtualClock) -> None:
             world = fleetbuilders.World(0, workers)
-            with slow_calls(world, call_cost_s) as processor:
+            with slowprocessor.slow_calls(world, call_cost_s) as processor:
                 node = world.add_node('entry-1')
                 await asyncio.sleep(0.5 + 2 * workers * call_cost_s)
                 await scenario(world, node, processor)
@@ -212,7 +168,7 @@
         async def scenario(
             world: fleetbuilders.World,
             node: fleetbuilders.TestNode,
-            processor: SlowProcessor,
+            processor: slowprocessor.SlowProcessor,
         ) -> None:
             self.assertEqual([], self.list_unpolled(node))
             self.assertEqual(0, processor.timeouts)
@@ -231,7 +187,7 @@
         async def scenario(
             world: fleetbuilders.World,
             node: fleetbuilders.TestNode,
-            processor: SlowProcessor,
+            processor: slowprocessor.SlowProcessor,
         ) -> None:
             step = fleetbuilders.build_step(176, 8, 60_000)
             world.submit(fleetbuilders.build_graph('old', step))
@@ -255,7 +211,7 @@
         async def replace_job(
             world: fleetbuilders.World,
             node: fleetbuilders.TestNode,
-            processor: SlowProcessor,
+            processor: slowprocessor.SlowProcessor,
         ) -> None:
             until = clock.monotonic() + 8 * 3 * workers * call_cost_s
             step = fleetbuilders.build_step(workers, 8, 60_000)
@@ -282,7 +238,7 @@
         async def scenario(
             world: fleetbuilders.World,
             node: fleetbuilders.TestNode,
-            processor: SlowProcessor,
+            processor: slowprocessor.SlowProcessor,
         ) -> None:
             step = fleetbuilders.build_step(176, 8, 60_000)
             world.submit(fleetbuilders.build_graph('j', step))
@@ -330,7 +286,7 @@
             world.submit(fleetbuilders.build_graph('j', step))
             await asyncio.sleep(3.0)
             await first.kill()
-            with slow_calls(world, 4 * _CALL_COST_S):
+            with slowprocessor.slow_calls(world, 4 * _CALL_COST_S):
                 second = world.add_node('entry-2')
                 while second.holder._session is None:
                     await asyncio.sleep(0.01)
@@ -348,7 +304,7 @@
         async def scenario(
             world: fleetbuilders.World,
             node: fleetbuilders.TestNode,
-            processor: SlowProcessor,
+            processor: slowprocessor.SlowProcessor,
         ) -> None:
             world.submit(
                 fleetbuilders.build_graph(
@@ -368,299 +324,5 @@
         self.run_slowly(180, scenario)
 
 
-class BlameTest(unittest.TestCase):
-    """When a call that was not answered counts against its worker."""
-
-    def run_with(
-        self,
-        scenario: abc.Callable[
-            [
-                fleetbuilders.World,
-                virtualtime.VirtualClock,
-                fleetbuilders.TestNode,
-            ],
-            abc.Awaitable[None],
-        ],
-        workers: int = 2,
-    ) -> list[str]:
-        """Run a scenario with one node; return the workers it blamed."""
-        blamed: list[str] = []
-        record = fleetworkers.Worker.record_failed_call
-
-        def record_blamed(worker: fleetworkers.Worker, now: float) -> None:
-            blamed.append(worker.id)
-            record(worker, now)
-
-        async def run_all(virtual: virtualtime.VirtualClock) -> None:
-            world = fleetbuilders.World(0, workers)
-            node = world.add_node('entry-1')
-            await asyncio.sleep(1.0)
-            await scenario(world, virtual, node)
-            await world.close()
-
-        with mock.patch.object(
-            fleetworkers.Worker, 'record_failed_call', record_blamed
-        ):
-            virtualtime.run(run_all)
-        return blamed
-
-    def test_a_probe_that_times_out_late_blames_no_worker(self) -> None:
-        """Guards against a paused holder that finds a whole zone silent."""
-
-        async def scenario(
-            world: fleetbuilders.World,
-            virtual: virtualtime.VirtualClock,
-            node: fleetbuilders.TestNode,
-        ) -> None:
-            step = fleetbuilders.build_step(1, 8, 60_000)
-            world.submit(fleetbuilders.build_graph('j', step))
-            await asyncio.sleep(1.0)
-            poll_runs = world.fleet.poll_runs
-            silent = world.find_busy_worker()
-            probed = 0
-
-            async def probe_in_a_pause(*arguments: typing.Any) -> typing.Any:
-                nonlocal probed
-                if arguments[0] == silent.entry.id or probed:
-                    return await poll_runs(*arguments)
-                probed += 1
-                virtual.now += 1.0
-                return result.Err(orders.Unanswered('no answer'))
-
-            with mock.patch.object(world.fleet, 'poll_runs', probe_in_a_pause):
-                silent.is_partitioned = True
-                await asyncio.sleep(5.0)
-            self.assertEqual(1, probed)
-            self.assertEqual(1, node.counters.counts_by_name['late_polls'])
-
-        self.assertEqual({'w0'}, set(self.run_with(scenario)))
-
-    def test_a_call_that_is_not_sent_in_a_pause_blames_no_worker(self) -> None:
-        """Guards against a connection that was ready and not noticed."""
-
-        async def scenario(
-            world: fleetbuilders.World,
-            virtual: virtualtime.VirtualClock,
-            node: fleetbuilders.TestNode,
-        ) -> None:
-            calls = 0
-            call = getattr(world.fleet, name)
-
-            async def call_in_a_pause(*arguments: typing.Any) -> typing.Any:
-                nonlocal calls
-                calls += 1
-                if calls > 1:
-                    return await call(*arguments)
-                virtual.now += pause_s
-                return result.Err(orders.NotSent('not connected'))
-
-            with mock.patch.object(world.fleet, name, call_in_a_pause):
-                world.submit(
-                    fleetbuilders.build_graph(
-                        'j', fleetbuilders.build_step(1, 8, 60_000)
-                    )
-                )
-                await asyncio.sleep(8.0)
-                world.cancel('j')
-                await asyncio.sleep(4.0)
-            self.assertGreater(calls, 1)
-            self.assertEqual(1, world.fleet.starts)
-
-        for name, pause_s in (('start', 1.0), ('stop', 1.0), ('poll_runs', 4)):
-            with self.subTest(name=name):
-                self.assertEqual([], self.run_with(scenario))
-
-    def test_a_saturated_process_blames_no_worker(self) -> None:
-        """Guards against time-outs of a process that is busy all the time.
-
-        Each iteration of its event loop takes 0.1 s, so that nothing is
-        noticed 0.3 s late, and an exchange takes twelve iterations.
-        """
-
-        async def scenario(
-            world: fleetbuilders.World,
-            virtual: virtualtime.VirtualClock,
-            node: fleetbuilders.TestNode,
-        ) -> None:
-            poll_runs = world.fleet.poll_runs
-
-            async def poll_in_iterations(*arguments: typing.Any) -> typing.Any:
-                wait_s, timeout_s = arguments[-2:]
-                try:
-                    async with asyncio.timeout(wait_s + timeout_s):
-                        for _ in range(12):
-                            await asyncio.sleep(0)
-                        return await poll_runs(*arguments)
-                except TimeoutError:
-                    return result.Err(orders.Unanswered('no answer'))
-
-            async def keep_busy() -> None:
-                while True:
-                    virtual.now += 0.1
-                    await asyncio.sleep(0)
-
-            step = fleetbuilders.build_step(1, 8, 60_000)
-            world.submit(fleetbuilders.build_graph('j', step))
-            await asyncio.sleep(1.0)
-            with mock.patch.object(
-                world.fleet, 'poll_runs', poll_in_iterations
-            ):
-                busy = asyncio.create_task(keep_busy())
-                # Run reports are due, without a wait.
-                session = node.holder._session
-                assert session is not None
-                for worker in session._board.workers_by_id.values():
-                    worker.polled_at = float('-inf')
-                await asyncio.sleep(10.0)
-                await waits.cancel_tasks([busy])
-
-        self.assertEqual([], self.run_with(scenario))
-
-    def test_a_worker_that_answers_another_order_is_not_silent(self) -> None:
-        """Guards against one lost answer that holds up a whole worker.
-
-        While a stop waits for its answer, a start is answered.
-        """
-
-        async def scenario(
-            world: fleetbuilders.World,
-            virtual: virtualtime.VirtualClock,
-            node: fleetbuilders.TestNode,
-        ) -> None:
-            step = fleetbuilders.build_step(1, 4, 60_000)
-            world.submit(fleetbuilders.build_graph('a', step))
-            # A long poll is open from then on, and tells nothing for 1 s.
-            await asyncio.sleep(1.0)
-            stop = world.fleet.stop
-
-            async def lose_answer(*arguments: typing.Any) -> typing.Any:
-                await stop(*arguments)
-                await asyncio.sleep(arguments[-1])
-                return result.Err(orders.Unanswered('no answer'))
-
-            world.fleet.stop_delay_s = 0.6
-            with mock.patch.object(world.fleet, 'stop', lose_answer):
-                world.cancel('a')
-                await asyncio.sleep(0.02)
-                world.submit(fleetbuilders.build_graph('b', step))
-                await asyncio.sleep(0.5)
-            self.assertEqual(2, world.fleet.starts)
-
-        self.assertEqual([], self.run_with(scenario, 1))
-
-
-class CallSlotsTest(unittest.TestCase):
-    """Who waits for whom."""
-
-    def test_workers_that_hang_do_not_hold_up_the_others(self) -> None:
-        """Guards against orders that wait for those to a zone cut off."""
-
-        async def scenario(virtual: virtualtime.VirtualClock) -> None:
-            slots = callslots.CallSlots()
-
-            async def hang(number: int) -> None:
-                async with slots.hold(f'hanging-{number}'):
-                    await asyncio.sleep(10.0)
-
-            hanging = [asyncio.create_task(hang(n)) for n in range(60)]
-            await asyncio.sleep(0.0)
-            self.assertGreater(slots.waiting_count, 0)
-            began = virtual.now
-            async with slots.hold('answering'):
-                self.assertLess(virtual.now - began, 0.5)
-            self.assertEqual(0, slots.waiting_count)
-            for task in hanging:
-                task.cancel()
-            await asyncio.gather(*hanging, return_exceptions=True)
-
-        virtualtime.run(scenario)
-
-    def test_the_limit_follows_the_answers(self) -> None:
-        """Guards against a limit that silent workers lower for all others."""
-
-        async def scenario(virtual: virtualtime.VirtualClock) -> None:
-            slots = callslots.CallSlots()
-            answered: typing.Any = result.Ok(orders.Accepted(0.0))
-            silent: typing.Any = result.Err(orders.Unanswered('no answer'))
-
-            def record(answer: typing.Any, taken_s: float) -> int:
-                for _ in range(100):
-                    virtual.now += 0.001
-                    slots.record(answer, virtual.now - taken_s, virtual.now)
-                return slots.limit
-
-            most = record(answered, 0.01)
-            self.assertGreater(most, 8)
-            # Others answer in the meantime.
-            slots.record(answered, virtual.now - 0.01, virtual.now)
-            self.assertEqual(most, record(silent, 0.4))
-            virtual.now += 1.0
-            few = record(silent, 0.4)
-            self.assertLess(few, most)
-            self.assertLess(record(answered, 0.3), few)
-            self.assertEqual(most, record(answered, 0.01))
-
-        virtualtime.run(scenario)
-
-    def test_a_lower_limit_holds_calls_back(self) -> None:
-        """Guards against places that are freed in spite of the limit."""
-
-        async def scenario(virtual: virtualtime.VirtualClock) -> None:
-            slots = callslots.CallSlots()
-            answered: typing.Any = result.Ok(orders.Accepted(0.0))
-            under_way = 0
-            most = 0
-
-            async def call(number: int) -> None:
-                nonlocal under_way, most
-                async with slots.hold(f'w{number}'):
-                    under_way += 1
-                    most = max(most, under_way)
-                    await asyncio.sleep(0.03)
-                    under_way -= 1
-
-            async def call_all() -> int:
-                nonlocal most
-                most = 0
-                await asyncio.gather(*(call(n) for n in range(100)))
-                return most
-
-            for _ in range(100):
-                slots.record(answered, virtual.now - 0.01, virtual.now)
-            self.assertEqual(slots.limit, await call_all())
-            highest = slots.limit
-            for _ in range(20):
-                slots.record(answered, virtual.now - 0.3, virtual.now)
-            # Places are withheld as they become free.
-            await call_all()
-            self.assertLess(slots.limit, highest)
-            self.assertEqual(slots.limit, await call_all())
-
-        virtualtime.run(scenario)
-
-    def test_a_cancelled_order_leaves_its_place(self) -> None:
-        """Guards against places that are lost one by one."""
-
-        async def scenario(virtual: virtualtime.VirtualClock) -> None:
-            slots = callslots.CallSlots()
-
-            async def wait_in_place() -> None:
-                async with slots.hold('w'):
-                    await asyncio.sleep(10.0)
-
-            for _ in range(40):
-                tasks = [asyncio.create_task(wait_in_place()) for _ in 'abc']
-                await asyncio.sleep(0.0)
-                for task in tasks:
-                    task.cancel()
-                await asyncio.gather(*tasks, return_exceptions=True)
-            self.assertEqual(0, slots.waiting_count)
-            async with asyncio.timeout(0.1):
-                async with slots.hold('w'):
-                    pass
-
-        virtualtime.run(scenario)
-
-
 if __name__ == '__main__':
     unittest.main()
