An attempt that ends before any start was sent is concluded

What callers saw: accepted work has nothing running to the end, beside free capacity (LOST), until the next takeover.

Cause: to end an attempt took two calls, end_group and settle_group. The controller that stops attempts which would outlast a draining worker made only the first. Where no start was sent yet - the store takes long to store the placement - every member counts as ended at once, no report concludes the attempt later, and the group stays 'stopping' for ever.

Change: end_group concludes the attempt itself once none of its members can run, so no caller can forget it. 'run ended' is logged before what follows from it. In testfailures the members run now while they end, since an attempt with none that could run is concluded by the first end; the check that the second end does not count is as strict, and that it is being stopped is checked too.

--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -279,10 +279,11 @@
             by=group.job.graph.id,
         )
         runs.end_group(
-            board, victim, livejobs.EndReason.PREEMPTED, context.now
-        )
-        runs.settle_group(
-            board, victim, context.now, int(context.wall_s * 1000)
+            board,
+            victim,
+            livejobs.EndReason.PREEMPTED,
+            context.now,
+            int(context.wall_s * 1000),
         )
     return True
 
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -103,8 +103,9 @@
         if group.phase in (livejobs.Phase.BLOCKED, livejobs.Phase.WAITING):
             group.enter(livejobs.Phase.DROPPED, now)
         elif group.phase in livejobs.ACTIVE_PHASES:
-            runs.end_group(board, group, livejobs.EndReason.CANCELLED, now)
-            runs.settle_group(board, group, now, wall_ms)
+            runs.end_group(
+                board, group, livejobs.EndReason.CANCELLED, now, wall_ms
+            )
 
 
 def _is_settled(job: livejobs.LiveJob) -> bool:
@@ -148,13 +149,16 @@
     wall_s: float,
 ) -> None:
     """Stop attempts that would not end before their worker shuts down."""
+    wall_ms = int(wall_s * 1000)
     for group in fleethealth.list_cut_short(board, now):
         board.record_decision(
             'attempt stopped: it would outlast its draining worker',
             group.job,
             attempt=group.attempt,
         )
-        runs.end_group(board, group, livejobs.EndReason.WORKER_DRAINING, now)
+        runs.end_group(
+            board, group, livejobs.EndReason.WORKER_DRAINING, now, wall_ms
+        )
 
 
 @controller(order=38)
@@ -166,6 +170,7 @@
 ) -> None:
     """Stop stuck attempts, so that they are retried on other workers."""
     far_factor = settings.fleet.far_factor
+    wall_ms = int(wall_s * 1000)
     for stuck in fleethealth.list_stuck(board, far_factor, now):
         group = stuck.group
         fleethealth.record_stuck(board, group)
@@ -176,7 +181,7 @@
             why=stuck.why,
             worked_s=round(group.worked_s(now), 3),
         )
-        runs.end_group(board, group, livejobs.EndReason.STUCK, now)
+        runs.end_group(board, group, livejobs.EndReason.STUCK, now, wall_ms)
 
 
 @controller(order=40)
@@ -188,6 +193,7 @@
 ) -> None:
     """End attempts whose members were not all accepted in time."""
     limit_s = settings.fleet.start_timeout_s
+    wall_ms = int(wall_s * 1000)
     if now < board.judge_from:
         # Answers may have been received and not processed yet.
         return
@@ -198,7 +204,7 @@
             for member in group.members
         )
         if is_unanswered:
-            runs.end_group(board, group, livejobs.EndReason.LOST, now)
+            runs.end_group(board, group, livejobs.EndReason.LOST, now, wall_ms)
 
 
 @controller(order=50)
--- a/primroselock/decisions/refusedwrites.py
+++ b/primroselock/decisions/refusedwrites.py
@@ -73,6 +73,7 @@
         if group.phase is livejobs.Phase.COMMITTING
     ]
     for group in groups:
-        runs.end_group(board, group, livejobs.EndReason.NOT_STORED, now)
-        runs.settle_group(board, group, now, wall_ms)
+        runs.end_group(
+            board, group, livejobs.EndReason.NOT_STORED, now, wall_ms
+        )
     return bool(groups)
--- a/primroselock/decisions/runleases.py
+++ b/primroselock/decisions/runleases.py
@@ -72,9 +72,7 @@
     for member in list(worker.members.values()):
         board.mark_terminated(member)
         group = member.group
-        if group.phase is not livejobs.Phase.DONE:
-            runs.end_group(board, group, livejobs.EndReason.LOST, now)
-        runs.settle_group(board, group, now, wall_ms)
+        runs.end_group(board, group, livejobs.EndReason.LOST, now, wall_ms)
     worker.unexpected_runs.clear()
     if not worker.is_listed:
         board.remove_worker(worker.id)
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -122,6 +122,14 @@
     if member is None:
         return
     group = member.group
+    board.record_decision(
+        'run ended',
+        group.job,
+        task=str(ended.run.task),
+        attempt=ended.run.attempt,
+        cause=ended.cause.value,
+        worker=worker.id,
+    )
     board.mark_terminated(member)
     _record_checkpoint(group, ended.checkpoint)
     if ended.cause is orders.EndCause.DONE:
@@ -136,19 +144,12 @@
             board.failure_evidence.record_failure(
                 worker.id, group.job.graph.id, group.attempt
             )
-        end_group(board, group, _END_REASONS_BY_CAUSE[ended.cause], now)
+        cause = _END_REASONS_BY_CAUSE[ended.cause]
+        end_group(board, group, cause, now, wall_ms)
     board.mark_changed(group.job)
     worker.unsaved_ends.append(
         fleetworkers.UnsavedEnd(ended.number, group.job, group.job.change)
     )
-    board.record_decision(
-        'run ended',
-        group.job,
-        task=str(ended.run.task),
-        attempt=ended.run.attempt,
-        cause=ended.cause.value,
-        worker=worker.id,
-    )
     settle_group(board, group, now, wall_ms)
 
 
@@ -168,7 +169,7 @@
     if group.phase is livejobs.Phase.DONE:
         return
     if group.step.long_running:
-        end_group(board, group, livejobs.EndReason.LOST, now)
+        end_group(board, group, livejobs.EndReason.LOST, now, wall_ms)
         return
     graphs.complete_group(board, group, now, wall_ms)
 
@@ -267,9 +268,7 @@
             continue
         board.mark_terminated(member)
         group = member.group
-        if group.phase is not livejobs.Phase.DONE:
-            end_group(board, group, livejobs.EndReason.LOST, now)
-        settle_group(board, group, now, wall_ms)
+        end_group(board, group, livejobs.EndReason.LOST, now, wall_ms)
 
 
 def _proves_absence(
@@ -313,8 +312,13 @@
     group: livejobs.Group,
     end_reason: livejobs.EndReason,
     now: float,
+    wall_ms: int,
 ) -> None:
-    """Begin to stop an attempt, unless it is being stopped already."""
+    """Begin to stop an attempt, unless it is being stopped already.
+
+    It is concluded at once if none of its members can run, as when no start
+    was sent: no report would conclude it later.
+    """
     if group.phase not in livejobs.ACTIVE_PHASES:
         return
     is_failure = end_reason is livejobs.EndReason.FAILED
@@ -325,13 +329,13 @@
         group.failures += 1
         group.failed_attempt = group.attempt
         group.end_reason = end_reason
-    if group.phase is livejobs.Phase.STOPPING:
-        return
-    group.end_reason = end_reason
-    group.enter(livejobs.Phase.STOPPING, now)
-    for member in group.members:
-        if member.state is livejobs.MemberState.PLACED:
-            board.mark_terminated(member)
+    if group.phase is not livejobs.Phase.STOPPING:
+        group.end_reason = end_reason
+        group.enter(livejobs.Phase.STOPPING, now)
+        for member in group.members:
+            if member.state is livejobs.MemberState.PLACED:
+                board.mark_terminated(member)
+    settle_group(board, group, now, wall_ms)
 
 
 def settle_group(
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -126,12 +126,13 @@
             group.job,
             attempt=group.attempt,
         )
-        runs.end_group(self._board, group, livejobs.EndReason.REFUSED, now)
-        self._settle(group)
+        self._end_refused(group, now)
 
-    def _settle(self, group: livejobs.Group) -> None:
+    def _end_refused(self, group: livejobs.Group, now: float) -> None:
         wall_ms = int(clock.wall() * 1000)
-        runs.settle_group(self._board, group, clock.monotonic(), wall_ms)
+        runs.end_group(
+            self._board, group, livejobs.EndReason.REFUSED, now, wall_ms
+        )
         self._wake()
 
     async def _start(self, member: livejobs.Member) -> None:
@@ -312,8 +313,7 @@
         )
         if not may_start:
             self._board.mark_terminated(member)
-        runs.end_group(self._board, group, livejobs.EndReason.REFUSED, now)
-        self._settle(group)
+        self._end_refused(group, now)
 
     async def _stop(self, order: fleet.StopOrder) -> None:
         try:
--- a/primroselock/test/testfailures.py
+++ b/primroselock/test/testfailures.py
@@ -73,8 +73,13 @@
         for failures in (1, 2):
             group.not_before = 0.0
             fleetround.run(board, self.settings, 0.5, 0.5)
-            runs.end_group(board, group, livejobs.EndReason.FAILED, 1.0)
-            runs.end_group(board, group, livejobs.EndReason.FAILED, 1.0)
+            for member in group.members:
+                member.state = livejobs.MemberState.PRESENT
+            for _ in range(2):
+                runs.end_group(
+                    board, group, livejobs.EndReason.FAILED, 1.0, 1000
+                )
+                self.assertIs(livejobs.Phase.STOPPING, group.phase)
             self.assertEqual(failures, group.failures)
             for member in group.members:
                 board.mark_terminated(member)
--- a/primroselock/test/testmemberends.py
+++ b/primroselock/test/testmemberends.py
@@ -1,5 +1,6 @@
 """Ends of members that no single event may keep from coming."""
 
+import dataclasses
 import typing
 import unittest
 
@@ -24,7 +25,7 @@
         site.workers_by_id['n000'].ignored_stops = 2
         site.run_for(1.0)
         runs.end_group(
-            site.board, group, livejobs.EndReason.PREEMPTED, site.now
+            site.board, group, livejobs.EndReason.PREEMPTED, site.now, 1000
         )
         site.run_for(1.0)
         self.assertEqual(1, site.workers_by_id['n000'].ignored_stops)
@@ -33,6 +34,36 @@
         self.assertIs(livejobs.Phase.RUNNING, group.phase)
 
 
+class UnsentStartTest(unittest.TestCase):
+    """Attempts that end before any of their starts was sent."""
+
+    def test_a_placement_on_a_worker_that_leaves_is_made_again(self) -> None:
+        """Guards against accepted work that waits for ever beside capacity.
+
+        The store takes so long to store the placement that the worker has
+        meanwhile announced that it leaves, and is past its time.
+        """
+        site = idlebuilders.Site(2)
+        site.run_for(1.0)
+        job = site.submit(
+            'j', fleetbuilders.build_step(), run_s=5.0, queue='batch'
+        )
+        (group,) = job.groups_by_key.values()
+        fleetround.run(site.board, site.settings, site.now, site.now)
+        self.assertIs(livejobs.Phase.COMMITTING, group.phase)
+        (member,) = group.members
+        entry = site.board.workers_by_id[member.worker_id].entry
+        draining = dataclasses.replace(
+            entry, is_draining=True, remaining_s=0.0
+        )
+        site.board.record_entry(draining, site.now)
+        site.now += 3.0
+        fleetround.run(site.board, site.settings, site.now, site.now)
+        site.run_for(1.0)
+        self.assertIs(livejobs.Phase.RUNNING, group.phase)
+        self.assertNotEqual(entry.id, group.members[0].worker_id)
+
+
 class LeaseTest(unittest.TestCase):
     """Members that were never started, on workers without a lease."""
 
