A 503 after an unanswered submission does not say that the job never runs

What callers saw: a submission gets 504 or no answer, the same id sent again to the same node gets 503, which says "not accepted and never runs"; the first submission is stored seconds later, and the job runs.

Cause: a refusal answered for its own submission only, but was given for the id. Same class as: an answer to one of several calls taken for all.

Change: a node remembers the ids (at most 20,000) of which a write may still be applied, and answers 504 instead of 503 for them, also where its copy of the operators' rows is too old. Any definite answer of the store about the row ends that.

--- a/primroselock/intake.py
+++ b/primroselock/intake.py
@@ -2,10 +2,14 @@
 
 A job is accepted once its row is stored; a repeated submission of its id
 finds that row.  A job is refused only if nothing was written to the store,
-so that it certainly does not run.  A state is read from the store when a
-caller asks for it: what a node reads grows with its callers, not with the
-jobs of the shard.  The number of waiting jobs is published by the shard's
-holder with its lease; once that is too old, the count is refused.
+so that it certainly does not run.  What is known of one submission does not
+tell what became of an earlier one: as long as that may still be stored, this
+node answers that the outcome is unknown.
+
+A state is read from the store when a caller asks for it: what a node reads
+grows with its callers, not with the jobs of the shard.  The number of waiting
+jobs is published by the shard's holder with its lease; once that is too old,
+the count is refused.
 """
 
 import asyncio
@@ -38,7 +42,9 @@
 
 _RETRY_AFTER_S: typing.Final = 1.0
 _MAX_REMEMBERED_JOBS: typing.Final = 20_000
-"""Jobs whose owner a node remembers; others are read from the store."""
+"""Jobs whose owner a node remembers; others are read from the store.
+
+Also the most jobs of which it remembers that they may still be stored."""
 
 _MIN_COMMIT_TIMEOUT_S: typing.Final = 0.05
 """A commit takes a few milliseconds, so one can succeed near a deadline."""
@@ -122,6 +128,7 @@
         self._metrics = counters
         self._lease_key = keys.shard_lease(settings.fleet.shard)
         self._owners_by_id: dict[str, _Owner] = {}
+        self._unknown_ids: dict[str, None] = {}
         self._counts = _PublishedCounts(None, float('-inf'))
         self._queues = queues.EMPTY
         self._confirmed_at: abc.Callable[[], float] = lambda: float('-inf')
@@ -206,9 +213,20 @@
         age_s = clock.monotonic() - self._confirmed_at()
         if age_s > self._settings.accept_permit_s:
             # The store has not answered of late: refuse, and send nothing.
-            return result.Err(_store_unavailable(f'age {age_s:.3f} s'))
+            refused = _store_unavailable(f'age {age_s:.3f} s')
+            return result.Err(self.qualify_refusal(graph.id, refused))
         return await self._insert(graph, access.queue, deadline)
 
+    def qualify_refusal(self, job_id: str, refused: Refused) -> Refused:
+        """Return the refusal of a submission, given those before it.
+
+        It becomes an unknown outcome if it would say that the job certainly
+        never runs, while an earlier submission here may still be stored.
+        """
+        if refused.retry_after_s is None or job_id not in self._unknown_ids:
+            return refused
+        return Refused(RefusalReason.OUTCOME_UNKNOWN, refused.detail)
+
     async def _insert(
         self, graph: jobgraph.JobGraph, queue: queues.Queue, deadline: float
     ) -> result.Result[None, Refused]:
@@ -221,6 +239,9 @@
                 Refused(RefusalReason.TOO_LARGE, f'{len(value)} bytes')
             )
         write = groupcommit.Write(key, table.ABSENT, value)
+        is_first = graph.id not in self._unknown_ids
+        # Also if the caller breaks off, the write goes on.
+        self._note_unknown(graph.id)
         outcome = await self._commit(write, deadline)
         if isinstance(outcome, result.Ok):
             self._remember(graph)
@@ -228,9 +249,20 @@
         error = outcome.err_value
         if isinstance(error, table.Conflict):
             return await self._check_stored_owner(key, graph, deadline)
+        if isinstance(error, table.OutcomeUnknown):
+            self._note_unknown(graph.id)
+        elif is_first:
+            self._unknown_ids.pop(graph.id, None)
         if isinstance(error, table.Rejected):
             return result.Err(Refused(RefusalReason.TOO_LARGE, error.detail))
-        return result.Err(_refuse_uncommitted(error))
+        refused = _refuse_uncommitted(error)
+        return result.Err(self.qualify_refusal(graph.id, refused))
+
+    def _note_unknown(self, job_id: str) -> None:
+        """Note that a write of a job may still be applied."""
+        if len(self._unknown_ids) >= _MAX_REMEMBERED_JOBS:
+            self._unknown_ids.pop(next(iter(self._unknown_ids)))
+        self._unknown_ids[job_id] = None
 
     async def _commit(
         self, write: groupcommit.Write, deadline: float
@@ -283,6 +315,7 @@
             self._owners_by_id.pop(next(iter(self._owners_by_id)))
         owner = _Owner(graph.account, graph.queue)
         self._owners_by_id[graph.id] = owner
+        self._unknown_ids.pop(graph.id, None)
         return owner
 
     async def cancel(
--- a/primroselock/platform/clientapi.py
+++ b/primroselock/platform/clientapi.py
@@ -142,7 +142,11 @@
             request.headers.get('host', ''), path, _api_key(request), now
         )
         if isinstance(admitted, result.Err):
-            return _refuse(request, admitted.err_value)
+            refused = admitted.err_value
+            if request.method == 'POST':
+                job_id = path.rpartition('/')[2]
+                refused = self._intake.qualify_refusal(job_id, refused)
+            return _refuse(request, refused)
         access = admitted.ok_value
         serve = self._handlers_by_method.get(request.method)
         if serve is None:
--- a/primroselock/test/testplatformcalls.py
+++ b/primroselock/test/testplatformcalls.py
@@ -468,6 +468,19 @@
                 self.assertEqual(status, await self._call('GET', '/bulk/0a'))
                 self.assertEqual(b'1', self.headers[b'retry-after'])
 
+    async def test_a_refused_submission_may_be_stored_already(self) -> None:
+        """Guards against a 503 for an id that may be stored from before."""
+        reasons = intake.RefusalReason
+        stale = intake.Refused(reasons.STALE, '', 1.0)
+        self.intake.admit.return_value = result.Err(stale)
+        self.intake.qualify_refusal.return_value = intake.Refused(
+            reasons.OUTCOME_UNKNOWN
+        )
+        with mock.patch.object(clientapi, '_log', spec_set=_LOG_METHODS):
+            self.assertEqual(504, await self._call('POST', '/bulk/0a'))
+            self.intake.qualify_refusal.assert_called_once_with('0a', stale)
+            self.assertEqual(503, await self._call('GET', '/bulk/0a'))
+
     def test_the_scheme_of_keys_is_checked(self) -> None:
         for value, key in ((b'Token k', 'k'), (b'Bearer k', ''), (b'', '')):
             scope = {'type': 'http', 'headers': [(b'authorization', value)]}
