Simulated workers shrink and grow; what cannot go wrong there

Tests that pass on the code as found: running work goes on, what is being stopped counts, preemption covers what the worker lost, a gang that fits nowhere blocks nobody and starts at the growth, also after a takeover and on a worker without any capacity.

--- a/primroselock/test/fleetbuilders.py
+++ b/primroselock/test/fleetbuilders.py
@@ -253,6 +253,17 @@
         self.entries_by_id[entry.id] = entry
         self.store.put(f'servers/{entry.id}', msgspec.json.encode(entry))
 
+    def set_capacity(
+        self, worker_id: str, capacity: jobgraph.Resources
+    ) -> None:
+        """Change the capacity of a worker; its entry, if any, shows it."""
+        self.fleet.workers_by_id[worker_id].set_capacity(
+            capacity, clock.monotonic()
+        )
+        entry = self.entries_by_id.get(worker_id)
+        if entry is not None:
+            self.write_entry(dataclasses.replace(entry, capacity=capacity))
+
     def delete_entry(self, worker_id: str) -> None:
         """Delete the entry of a worker: it is no longer listed."""
         self.entries_by_id.pop(worker_id, None)
--- /dev/null
+++ b/primroselock/test/testshrinkingcapacity.py
@@ -0,0 +1,234 @@
+"""Workers whose capacity shrinks and grows while they run, in virtual time.
+
+Each run checks in the fake workers that no start brings a worker over a
+capacity that its entry has shown for long enough.
+"""
+
+import asyncio
+from collections import abc
+import typing
+import unittest
+
+from primroselock import clock
+from primroselock import jobgraph
+from primroselock.test import capacityhistory
+from primroselock.test import fleetbuilders
+from primroselock.test import virtualtime
+from primroselock.workers import orders
+
+_LONG_MS: typing.Final = 60_000
+_LIMIT_S: typing.Final = 3.0
+"""The longest time that work may wait beside free capacity."""
+
+_AT_ONCE_S: typing.Final = 0.5
+_GRACE_S: typing.Final = (
+    capacityhistory.CONTACT_S + capacityhistory.HEARTBEAT_S
+)
+_FULL: typing.Final = fleetbuilders.WORKER_CAPACITY
+_HALF: typing.Final = jobgraph.Resources(32000, 131072, 4)
+_NOTHING: typing.Final = jobgraph.Resources()
+
+Scenario = abc.Callable[
+    [fleetbuilders.World], abc.Coroutine[typing.Any, typing.Any, None]
+]
+
+
+def run_scenario(scenario: Scenario, workers: int = 4) -> None:
+    """Run a scenario once the node holds the shard."""
+
+    async def run_settled(world: fleetbuilders.World) -> None:
+        await asyncio.sleep(1.0)
+        await scenario(world)
+
+    fleetbuilders.run_with_node(run_settled, workers=workers)
+
+
+def submit(
+    world: fleetbuilders.World,
+    name: str,
+    tasks: int,
+    accelerators: int,
+    **changes: typing.Any,
+) -> None:
+    """Submit a long job of one step."""
+    queue = changes.pop('queue', 'bulk')
+    step = fleetbuilders.build_step(tasks, accelerators, _LONG_MS, **changes)
+    world.submit(fleetbuilders.build_graph(name, step, queue=queue))
+
+
+def count_runs(
+    world: fleetbuilders.World, name: str, worker_id: str = ''
+) -> int:
+    """Return how many runs of a job are in progress, on one worker or all."""
+    return sum(
+        run.task.job_id == name
+        for worker in world.fleet.workers_by_id.values()
+        if worker_id in ('', worker.entry.id)
+        for run in worker.runs
+    )
+
+
+class JudgementTest(unittest.TestCase):
+    """What the fake workers judge, without a node."""
+
+    def count_violations(self, late_s: float) -> int:
+        """Start a second run ``late_s`` after there is room for one only."""
+
+        async def scenario(virtual: virtualtime.VirtualClock) -> int:
+            world = fleetbuilders.World(0, 1)
+            step = fleetbuilders.build_step(2, 4, _LONG_MS)
+            world.submit(fleetbuilders.build_graph('j', step))
+            for index in range(2):
+                name = jobgraph.TaskName('j', 0, 0, index)
+                order = orders.Start(
+                    orders.Run(name, 1), '', clock.monotonic() + 9, 1, '', ''
+                )
+                await world.fleet.start('w0', '', order, 1.0)
+                if not index:
+                    world.set_capacity('w0', _HALF)
+                    await asyncio.sleep(late_s)
+            await world.close()
+            return len(world.fleet.violations)
+
+        return virtualtime.run(scenario)
+
+    def test_the_earlier_capacity_counts_for_a_while(self) -> None:
+        self.assertEqual(0, self.count_violations(_GRACE_S - 0.1))
+
+    def test_a_start_after_that_is_judged_by_the_new_capacity(self) -> None:
+        """Guards against a check that lets every start on a shrunk worker."""
+        self.assertEqual(1, self.count_violations(_GRACE_S + 0.1))
+
+
+class RunningWorkTest(unittest.TestCase):
+    """Work that runs on a worker when its capacity shrinks."""
+
+    def test_it_goes_on_and_gets_no_company(self) -> None:
+        """Guards against stops, and against starts beside an overload."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            submit(world, 'old', 8, 1)
+            await asyncio.sleep(1.0)
+            world.set_capacity('w0', _HALF)
+            await asyncio.sleep(_GRACE_S + 0.1)
+            submit(world, 'new', 4, 1)
+            submit(world, 'small', 4, 0, cpu_millis=1000)
+            await asyncio.sleep(_LIMIT_S)
+            self.assertEqual(8, count_runs(world, 'old', 'w0'))
+            self.assertEqual(0, count_runs(world, 'new'))
+            self.assertEqual(0, count_runs(world, 'small'))
+
+        run_scenario(scenario, workers=1)
+
+    def test_a_worker_may_lose_all_capacity(self) -> None:
+        """Guards against a division by the capacity of nothing."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            submit(world, 'old', 8, 1)
+            await asyncio.sleep(1.0)
+            world.set_capacity('w0', _NOTHING)
+            submit(world, 'new', 1, 1)
+            await asyncio.sleep(_LIMIT_S)
+            self.assertEqual(8, count_runs(world, 'old', 'w0'))
+            self.assertEqual(0, count_runs(world, 'new'))
+            world.set_capacity('w0', jobgraph.Resources(64000, 262144, 9))
+            await asyncio.sleep(_AT_ONCE_S)
+            self.assertEqual(1, count_runs(world, 'new'))
+
+        run_scenario(scenario, workers=1)
+
+    def test_a_takeover_counts_what_an_earlier_holder_started(self) -> None:
+        """Guards against a new holder that fills a worker that shrank."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            submit(world, 'old', 8, 1)
+            await asyncio.sleep(1.0)
+            world.set_capacity('w0', _HALF)
+            await world.nodes.pop().kill()
+            await asyncio.sleep(_GRACE_S)
+            world.add_node('entry-2')
+            submit(world, 'new', 2, 1)
+            await asyncio.sleep(2 * _LIMIT_S)
+            self.assertEqual(8, count_runs(world, 'old', 'w0'))
+            self.assertEqual(0, count_runs(world, 'new'))
+
+        run_scenario(scenario, workers=1)
+
+    def test_what_is_being_stopped_still_counts(self) -> None:
+        """Guards against a start into capacity that a stop will free."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            world.fleet.stop_delay_s = 2.0
+            submit(world, 'old', 8, 1)
+            await asyncio.sleep(1.0)
+            world.set_capacity('w0', _HALF)
+            await asyncio.sleep(_GRACE_S + 0.1)
+            world.cancel('old')
+            submit(world, 'new', 4, 1)
+            await asyncio.sleep(1.5)
+            self.assertEqual(0, count_runs(world, 'new'))
+            await asyncio.sleep(1.0 + _AT_ONCE_S)
+            self.assertEqual(4, count_runs(world, 'new'))
+
+        run_scenario(scenario, workers=1)
+
+    def test_preemption_frees_what_the_worker_lost_too(self) -> None:
+        """Guards against victims that free less than the worker lost."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            submit(world, 'old', 8, 1, queue='bulk')
+            await asyncio.sleep(1.0)
+            world.set_capacity('w0', _HALF)
+            await asyncio.sleep(_GRACE_S + 0.1)
+            submit(world, 'urgent', 2, 1, queue='urgent')
+            await asyncio.sleep(_LIMIT_S)
+            self.assertEqual(2, count_runs(world, 'urgent', 'w0'))
+            self.assertEqual(2, count_runs(world, 'old', 'w0'))
+
+        run_scenario(scenario, workers=1)
+
+
+class WaitingGangTest(unittest.TestCase):
+    """A gang that fits nowhere after a worker has shrunk."""
+
+    def test_it_blocks_no_other_and_starts_at_the_growth(self) -> None:
+        """Guards against a claim for ever, and against unused capacity."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            for worker_id in ('w0', 'w1'):
+                world.set_capacity(worker_id, _HALF)
+            await asyncio.sleep(0.2)
+            submit(world, 'gang', 3, 8, gang=True)
+            await asyncio.sleep(1.0)
+            submit(world, 'other', 6, 4)
+            await asyncio.sleep(_AT_ONCE_S)
+            self.assertEqual(6, count_runs(world, 'other'))
+            world.cancel('other')
+            await asyncio.sleep(_LIMIT_S)
+            self.assertEqual(0, count_runs(world, 'gang'))
+            world.set_capacity('w0', _FULL)
+            await asyncio.sleep(_AT_ONCE_S)
+            self.assertEqual(3, count_runs(world, 'gang'))
+
+        run_scenario(scenario)
+
+    def test_a_rack_that_shrank_holds_no_rack_local_gang(self) -> None:
+        """Guards against an outdated answer to what a rack can hold."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            submit(world, 'first', 4, 8, gang=True, rack_local=True)
+            await asyncio.sleep(_AT_ONCE_S)
+            self.assertEqual(4, count_runs(world, 'first'))
+            world.cancel('first')
+            for worker_id in ('w0', 'w1', 'w4', 'w5'):
+                world.set_capacity(worker_id, _HALF)
+            await asyncio.sleep(0.5)
+            submit(world, 'spread', 4, 8, gang=True, rack_local=True)
+            await asyncio.sleep(_AT_ONCE_S)
+            self.assertEqual(4, count_runs(world, 'spread'))
+
+        run_scenario(scenario, workers=8)
+
+
+if __name__ == '__main__':
+    unittest.main()
