A start is judged by the worker's capacity when it is sent

What callers saw: nothing reported yet; in a test, starts that bring a worker over the capacity that its entry has shown for over 4.5 s (LIMIT).

Cause: capacity was checked at the placement only. Between the placement and the order lie the write of the placement and the wait for a call slot, and a lost order is sent again; a worker that shrank meanwhile got the start all the same. Class: a condition that is checked once for an act that comes later.

Evidence: with a store that takes 5 s to store one placement, and the worker without capacity meanwhile, the fake worker reports 'exceeds its capacity' for a task and for a gang; 8 of 8 starts instead of the 4 that still fit are sent; 8 instead of 4 while orders wait for a slot; and an order without an answer is repeated.

Change: Worker.has_capacity_to_start counts the members that may run, the runs that no row asks for and the starts in question, not other members that are only placed. It is asked for all members of an attempt before the first order, so that no part of a gang starts, and again when the turn of an order comes. A first order that does not fit ends the attempt as refused, which places it elsewhere at once. An order without an answer is not repeated; it stays unanswered, keeps its capacity and is stopped as before, since the first one may begin. 'attempt ended: its start is no longer permitted' says why.

--- a/primroselock/decisions/fleetworkers.py
+++ b/primroselock/decisions/fleetworkers.py
@@ -2,9 +2,11 @@
 
 A worker is known by the entry that it publishes and by its run reports.
 The capacity of its entry, less what its members and the runs that no row
-asks for take, is free.
+asks for take, is free.  It may shrink while the worker runs: what runs goes
+on, so that less than nothing may be free.
 """
 
+from collections import abc
 import dataclasses
 import typing
 
@@ -128,6 +130,23 @@
             left = left.plus(unexpected.need, -1)
         return left
 
+    def has_capacity_to_start(
+        self, starting: abc.Collection[livejobs.Member]
+    ) -> bool:
+        """Return whether starts of these members keep to the capacity.
+
+        It may have shrunk since they were placed.  Other members that are
+        placed and not started do not count: each is judged in its turn.
+        """
+        left = self.entry.capacity
+        for member in self.members.values():
+            is_placed = member.state is livejobs.MemberState.PLACED
+            if not is_placed or member in starting:
+                left = left.plus(member.group.step.counted_need, -1)
+        for unexpected in self.unexpected_runs.values():
+            left = left.plus(unexpected.need, -1)
+        return left.can_fit(NO_RESOURCES)
+
     @property
     def is_busy(self) -> bool:
         """Return whether anything may run or an end is unconfirmed."""
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -105,26 +105,42 @@
                 self._tasks.spawn(self._stop(order))
             return
         now = clock.monotonic()
-        if not all(
-            self._may_start_on(m.worker_id, now) for m in order.members
-        ):
-            self._cancel_start(order.members[0].group, now)
+        obstacle = self._find_obstacle(order.members, now)
+        if obstacle:
+            self._cancel_start(order.members[0].group, obstacle, now)
             return
         for member in order.members:
             self._tasks.spawn(self._start(member))
 
-    def _may_start_on(self, worker_id: str, now: float) -> bool:
-        """Return whether a start may be sent, which grants a lease."""
-        return self._may_start(
-            now
-        ) and not self._lease.published_bounds.covers(worker_id)
+    def _find_obstacle(
+        self, members: abc.Iterable[livejobs.Member], now: float
+    ) -> str:
+        """Return why starts may not be sent; empty if they may.
 
-    def _cancel_start(self, group: livejobs.Group, now: float) -> None:
+        Each grants a lease.  A worker may have shrunk since the placement.
+        """
+        if not self._may_start(now):
+            return 'no permit'
+        starting_by_id: dict[str, list[livejobs.Member]] = {}
+        for member in members:
+            starting_by_id.setdefault(member.worker_id, []).append(member)
+        for worker_id, starting in starting_by_id.items():
+            if self._lease.published_bounds.covers(worker_id):
+                return f'leases of {worker_id} are bounded'
+            worker = self._board.workers_by_id.get(worker_id)
+            if worker and not worker.has_capacity_to_start(starting):
+                return f'no capacity on {worker_id}'
+        return ''
+
+    def _cancel_start(
+        self, group: livejobs.Group, why: str, now: float
+    ) -> None:
         """End an attempt whose start is no longer permitted."""
         self._board.record_decision(
             'attempt ended: its start is no longer permitted',
             group.job,
             attempt=group.attempt,
+            why=why,
         )
         runs.end_group(self._board, group, livejobs.EndReason.REFUSED, now)
         self._settle(group)
@@ -189,16 +205,18 @@
 
         Before the first order the attempt is ended instead if its start is
         not permitted any more, or its worker has stopped answering since the
-        placement.
+        placement.  An order without an answer is not repeated then.
         """
         group = member.group
-        is_permitted = self._may_start_on(worker.id, now)
         if member.state is livejobs.MemberState.ORDERED:
-            return is_permitted and group.phase is livejobs.Phase.STARTING
+            return group.phase is livejobs.Phase.STARTING and not (
+                self._find_obstacle((member,), now)
+            )
         if member.state is not livejobs.MemberState.PLACED:
             return False
-        if not is_permitted:
-            self._cancel_start(group, now)
+        obstacle = self._find_obstacle((member,), now)
+        if obstacle:
+            self._cancel_start(group, obstacle, now)
             return False
         if worker.failures_in_row:
             silent = orders.NotSent('it has stopped answering')
--- a/primroselock/test/testshrinkingcapacity.py
+++ b/primroselock/test/testshrinkingcapacity.py
@@ -6,11 +6,16 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import typing
 import unittest
+from unittest import mock
 
 from primroselock import clock
+from primroselock.decisions import fleet
 from primroselock import jobgraph
+from primroselock.store import keys
+from primroselock.store import table
 from primroselock.test import capacityhistory
 from primroselock.test import fleetbuilders
 from primroselock.test import virtualtime
@@ -68,6 +73,38 @@
     )
 
 
+def find_board(world: fleetbuilders.World) -> fleet.ShardBoard:
+    """Return the blackboard of the holder."""
+    session = world.find_shard_holder().holder._session
+    assert session is not None
+    return session._board
+
+
+def find_placed_id(world: fleetbuilders.World) -> str:
+    """Return a worker on which the holder has placed something."""
+    workers = find_board(world).workers_by_id.values()
+    return next(worker.id for worker in workers if worker.members)
+
+
+@contextlib.contextmanager
+def slow_placement(
+    world: fleetbuilders.World, delay_s: float
+) -> abc.Iterator[None]:
+    """Let the next write of the progress of jobs take ``delay_s`` more."""
+    client = world.find_shard_holder().client
+    transact = client.transact
+    delays_s = [delay_s]
+
+    async def transact_slowly(transaction: table.Transaction) -> typing.Any:
+        prefix = keys.progress('fleet', '')
+        if any(put.key.startswith(prefix) for put in transaction.puts):
+            await asyncio.sleep(delays_s.pop() if delays_s else 0.0)
+        return await transact(transaction)
+
+    with mock.patch.object(client, 'transact', transact_slowly):
+        yield
+
+
 class JudgementTest(unittest.TestCase):
     """What the fake workers judge, without a node."""
 
@@ -188,6 +225,99 @@
         run_scenario(scenario, workers=1)
 
 
+class UnsentStartTest(unittest.TestCase):
+    """Work that was placed on a worker that shrinks before it is started."""
+
+    def check(self, tasks: int, accelerators: int, **changes: bool) -> None:
+        """Shrink a worker while the placement of a job there is stored.
+
+        The whole job has to run on two other workers soon after.
+        """
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            with slow_placement(world, _GRACE_S + 0.5):
+                submit(world, 'j', tasks, accelerators, **changes)
+                await asyncio.sleep(0.2)
+                world.set_capacity(find_placed_id(world), _NOTHING)
+                await asyncio.sleep(_GRACE_S + 0.5)
+            await asyncio.sleep(_AT_ONCE_S)
+            self.assertEqual(tasks, count_runs(world, 'j'))
+            self.assertEqual(tasks, world.fleet.starts)
+
+        run_scenario(scenario, workers=3)
+
+    def test_a_task_is_placed_elsewhere_at_once(self) -> None:
+        """Guards against a start that the worker has shrunk below."""
+        self.check(1, 8)
+
+    def test_no_member_of_a_gang_starts(self) -> None:
+        """Guards against a gang that starts where not all have capacity."""
+        self.check(2, 8, gang=True)
+
+    def test_tasks_that_still_fit_start(self) -> None:
+        """Guards against an attempt that ends though its worker has room."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            with slow_placement(world, _GRACE_S + 0.5):
+                submit(world, 'j', 8, 1)
+                await asyncio.sleep(0.2)
+                world.set_capacity('w0', _HALF)
+                await asyncio.sleep(_GRACE_S + 0.5)
+            await asyncio.sleep(_AT_ONCE_S)
+            self.assertEqual(4, count_runs(world, 'j'))
+            self.assertEqual(4, world.fleet.starts)
+            world.set_capacity('w0', _FULL)
+            await asyncio.sleep(_AT_ONCE_S)
+            self.assertEqual(8, count_runs(world, 'j'))
+
+        run_scenario(scenario, workers=1)
+
+    def test_orders_that_wait_for_a_slot_are_withdrawn(self) -> None:
+        """Guards against starts decided before the worker has shrunk."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            start = world.fleet.start
+
+            async def start_slowly(*arguments: typing.Any) -> typing.Any:
+                await asyncio.sleep(0.3)
+                return await start(*arguments)
+
+            with mock.patch.object(world.fleet, 'start', start_slowly):
+                submit(world, 'j', 8, 1)
+                await asyncio.sleep(0.2)
+                world.set_capacity('w0', _HALF)
+                await asyncio.sleep(_LIMIT_S)
+            self.assertEqual(4, count_runs(world, 'j', 'w0'))
+
+        run_scenario(scenario, workers=1)
+
+    def test_an_unanswered_start_is_not_repeated_there(self) -> None:
+        """Guards against a start by the repetition of a lost order.
+
+        The first order may begin late, so that the task must not start
+        elsewhere before its run was stopped.
+        """
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            for worker in world.fleet.workers_by_id.values():
+                worker.delayed_order_share = 1.0
+            with mock.patch.object(
+                world.fleet, 'start', wraps=world.fleet.start
+            ) as start:
+                submit(world, 'j', 1, 8)
+                await asyncio.sleep(0.2)
+                self.assertEqual(1, start.call_count)
+                world.set_capacity(find_placed_id(world), _NOTHING)
+                for worker in world.fleet.workers_by_id.values():
+                    worker.delayed_order_share = 0.0
+                await asyncio.sleep(1.0)
+                self.assertEqual(1, start.call_count)
+            await asyncio.sleep(12.0)
+            self.assertEqual(1, count_runs(world, 'j'))
+
+        run_scenario(scenario, workers=2)
+
+
 class WaitingGangTest(unittest.TestCase):
     """A gang that fits nowhere after a worker has shrunk."""
 
