A new holder follows the workers' entries from its listing

What callers saw: nothing reported; a worker that left during a takeover counted as listed, and as capacity, for as long as the holder stayed.

Cause: the takeover lists the entries, and the session's follower listed the table again and compared that with nothing, so that an entry removed in between was never reported. Class: two copies of one table of which each assumes that the other has told the differences.

Change: the follower resumes from the listing of the takeover, as that of the submitted jobs does. A listing may have taken long, so the first call after it has no long-poll wait: the copy is confirmed at once. A takeover lists the entries once instead of twice.

--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -104,11 +104,13 @@
     """What a new holder has read from the store.
 
     ``submissions`` is the listing from which to follow what callers ask
-    for, requested at ``sent_at``; ``job_ids`` are the jobs that it names.
+    for, and ``entries`` that of the workers, both requested at ``sent_at`` or
+    later; ``job_ids`` are the jobs that ``submissions`` names.
     """
 
     board: fleet.ShardBoard
     submissions: table.Listing
+    entries: table.Listing
     job_ids: set[str]
     sent_at: float
 
@@ -174,6 +176,7 @@
             parts.worker_rows.name,
             self._settings.fleet.follow_wait_s,
         )
+        self._worker_follower.resume(takeover.entries, takeover.sent_at)
         self._worker_follower.add_handler(self._apply_entries)
         self._writer = graphwriter.ProgressWriter(
             parts.store,
--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -280,7 +280,7 @@
                 jobs_by_id = await self._read_jobs(submissions, progress)
                 board = await self._build_board(jobs_by_id, entries)
                 return holdersession.Takeover(
-                    board, submissions, set(jobs_by_id), sent_at
+                    board, submissions, entries, set(jobs_by_id), sent_at
                 )
             self._failed_listings += 1
             _log.warning(
--- a/primroselock/store/tablefollower.py
+++ b/primroselock/store/tablefollower.py
@@ -54,6 +54,7 @@
         self.loaded = asyncio.Event()
         self._store = store
         self._version: int | None = None
+        self._is_resumed = False
         self._handlers: list[Handler] = []
         self._failures = 0
         self._truncations = 0
@@ -65,8 +66,10 @@
     def resume(self, listing: table.Listing, sent_at: float) -> None:
         """Follow from a listing that the caller has processed already.
 
-        ``sent_at`` is when the listing was requested.
+        ``sent_at`` is when the listing was requested.  It may have taken
+        long, so that the first call after it has no long-poll wait.
         """
+        self._is_resumed = True
         self.rows_by_key = {row.key: row for row in listing.rows}
         self._version = listing.version
         self.confirmed_at = sent_at
@@ -114,7 +117,8 @@
         return True
 
     async def _follow(self, version: int, sent_at: float) -> bool:
-        wait_s = 0.0 if self._failures else self.wait_s
+        is_urgent = self._failures or self._is_resumed
+        wait_s = 0.0 if is_urgent else self.wait_s
         polled = await self._store.changes(self.name, version, wait_s)
         if isinstance(polled, result.Err):
             error = polled.err_value
@@ -135,6 +139,7 @@
         if not self._apply(changes, sent_at):
             return False
         self._version = max(version, changes.version)
+        self._is_resumed = False
         if changes.rows and self.pause_s:
             await asyncio.sleep(self.pause_s)
         return True
--- a/primroselock/test/testshrinkingcapacity.py
+++ b/primroselock/test/testshrinkingcapacity.py
@@ -318,6 +318,32 @@
         run_scenario(scenario, workers=2)
 
 
+class EntryCopyTest(unittest.TestCase):
+    """A holder decides by its copy of the workers' entries."""
+
+    def test_an_entry_removed_during_a_takeover(self) -> None:
+        """Guards against a worker that left and counts as listed for ever."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            await world.nodes.pop().kill()
+            node = world.add_node('entry-2')
+            list_rows = node.client.list_rows
+
+            async def list_before_removal(name: str) -> typing.Any:
+                listing = await list_rows(name)
+                if name == 'servers' and 'w0' in world.entries_by_id:
+                    world.delete_entry('w0')
+                return listing
+
+            with mock.patch.object(
+                node.client, 'list_rows', list_before_removal
+            ):
+                await asyncio.sleep(2 * _LIMIT_S)
+            self.assertNotIn('w0', find_board(world).workers_by_id)
+
+        run_scenario(scenario)
+
+
 class WaitingGangTest(unittest.TestCase):
     """A gang that fits nowhere after a worker has shrunk."""
 
