Nothing starts on an old copy of the workers' entries

What callers saw: nothing reported; in a test, a start on a worker that had shrunk long before (LIMIT).

Cause: the permit for starts rests on the shard lease and the operators' rows. The workers' entries are another table, read by another feed; while only that one cannot be read, the holder goes on with capacity that may be gone. Class: an act on several copies of which only one has a bound of age.

Change: starts need a copy of the entries that is at most entry_permit_s old (2.5 s; from the platform's file contact_ms less 0.5 s for the order), checked at the placement and again when an order is sent. A worker's entry shows a change within one heartbeat, so that a start begins within contact time and a heartbeat of it. The age counts from when the last answered call of the feed was sent. Its long-poll wait is entry_wait_s, a quarter of the permit: without changes the copy is as old as two calls, and answers that are 0.5 s late stop nothing (test_a_slow_feed_without_changes_lets_work_start). A holder whose feed of entries does not answer offers the shard, as for the other feeds. 'starts not permitted' and the wait report name the bound.

--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -107,7 +107,8 @@
     """The blackboard of one shard.
 
     Leases granted by earlier holders end as ``inherited_leases`` says, and
-    nothing is placed after ``permit_until``, on this process's clock.  The
+    nothing is placed after ``permit_until``, on this process's clock, which
+    is a bound of what ``permit_bound`` names.  The
     workers that ``published_bounds`` covers get no lease.  Nobody is blamed
     for being late before ``judge_from``, since this process was late itself.
     The leases of workers were last checked at
@@ -131,6 +132,7 @@
     )
     published_bounds: leasebounds.LeaseBounds = leasebounds.NO_BOUNDS
     permit_until: float = float('inf')
+    permit_bound: str = ''
     queue_configuration: queues.QueueConfiguration = queues.EMPTY
     jobs_by_id: dict[str, livejobs.LiveJob] = dataclasses.field(
         default_factory=dict
--- a/primroselock/decisions/placeability.py
+++ b/primroselock/decisions/placeability.py
@@ -36,6 +36,7 @@
     """Why a holder cannot place."""
 
     OLD_OPERATOR_ROWS = "the operators' rows are not confirmed"
+    LOST_ENTRIES = "the feed of the workers' entries does not answer"
     LOST_SUBMISSIONS = 'the feed of submitted jobs does not answer'
     FAILED_LISTINGS = 'the listings of the takeover fail'
 
@@ -45,13 +46,15 @@
     """How recent a holder's reads are; times are on its monotonic clock.
 
     ``submissions_lost_at`` is when the copy of the submitted jobs was last
-    up to date, or None while its feed answers.  ``failed_listings`` is the
-    number of listings in a row that failed since the takeover began.
+    up to date, and ``entries_lost_at`` that of the workers' entries; they are
+    None while their feeds answer.  ``failed_listings`` is the number of
+    listings in a row that failed since the takeover began.
     """
 
     operators_confirmed_at: float
     submissions_lost_at: float | None = None
     failed_listings: int = 0
+    entries_lost_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,6 +73,39 @@
         return self.reason is not Reason.OLD_OPERATOR_ROWS
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Permit:
+    """Starts are permitted until ``until``, for the sake of ``bound``."""
+
+    until: float
+    bound: str
+
+
+def find_permit(
+    lease_until: float,
+    operators_confirmed_at: float,
+    entries_confirmed_at: float,
+    settings: options.FleetSettings,
+) -> Permit:
+    """Return until when a holder may start work, and what bounds that.
+
+    All times are on its monotonic clock.  A worker's entry shows what
+    capacity it has left; an old copy of it may show more.
+    """
+    return min(
+        Permit(lease_until, 'the shard lease'),
+        Permit(
+            operators_confirmed_at + settings.start_permit_s,
+            "the operators' rows",
+        ),
+        Permit(
+            entries_confirmed_at + settings.entry_permit_s,
+            "the workers' entries",
+        ),
+        key=lambda permit: permit.until,
+    )
+
+
 def find_obstacle(
     known: Obstacle | None,
     reads: Reads,
@@ -95,6 +131,9 @@
         return Reason.FAILED_LISTINGS
     if now - reads.operators_confirmed_at > settings.start_permit_s:
         return Reason.OLD_OPERATOR_ROWS
+    lost_at = reads.entries_lost_at
+    if lost_at is not None and now - lost_at > settings.entry_permit_s:
+        return Reason.LOST_ENTRIES
     lost_at = reads.submissions_lost_at
     if lost_at is not None and now - lost_at > settings.follow_age_s:
         return Reason.LOST_SUBMISSIONS
--- a/primroselock/decisions/waitreport.py
+++ b/primroselock/decisions/waitreport.py
@@ -190,6 +190,7 @@
         is_stored=job.saved_change == job.change,
         refused_writes=job.refusal.writes if job.refusal else 0,
         starts_permitted=now <= board.permit_until,
+        permit_bound=board.permit_bound,
         delayed_s=round(max(0.0, group.not_before - now), 3),
         held=_count_member_states(group),
         workers=_count_workers(board, group, obstacles, now),
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -24,6 +24,7 @@
 from primroselock.decisions import fleetround
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import graphs
+from primroselock.decisions import placeability
 from primroselock.decisions import runleases
 from primroselock import graphrows
 from primroselock import graphwriter
@@ -161,6 +162,7 @@
         self._settings = parts.settings
         self._lease = parts.lease
         self._is_closing = False
+        self._is_permitted = True
         self._loaded_job_ids = takeover.job_ids
         self._new_rows: list[table.Row] = []
         self._decided_at = clock.monotonic()
@@ -174,7 +176,7 @@
         self._worker_follower = tablefollower.TableFollower(
             parts.store,
             parts.worker_rows.name,
-            self._settings.fleet.follow_wait_s,
+            self._settings.fleet.entry_wait_s,
         )
         self._worker_follower.resume(takeover.entries, takeover.sent_at)
         self._worker_follower.add_handler(self._apply_entries)
@@ -217,9 +219,15 @@
 
         None while their feed answers.
         """
-        if self._submission_follower.is_reachable:
-            return None
-        return self._submission_follower.confirmed_at
+        return self._submission_follower.lost_at
+
+    @property
+    def entries_lost_at(self) -> float | None:
+        """When the copy of the workers' entries was last up to date.
+
+        None while their feed answers.
+        """
+        return self._worker_follower.lost_at
 
     def use_queues(self, current: queues.QueueConfiguration) -> None:
         """Use this version of the queues for all later decisions."""
@@ -302,7 +310,7 @@
         if not self._lease.has_shard:
             return
         self._decided_at = now
-        self._board.permit_until = self._permit_until()
+        self._note_permit(now)
         self._board.published_bounds = self._lease.published_bounds
         if runleases.covers_answering_worker(
             self._board, self._board.published_bounds
@@ -324,6 +332,23 @@
         self._advice_requester.ensure_running()
         self._pollers.ensure_running()
 
+    def _note_permit(self, now: float) -> None:
+        """Record until when starts are permitted; log a change."""
+        permit = self._find_permit(now)
+        self._board.permit_until = permit.until
+        self._board.permit_bound = permit.bound
+        is_permitted = now <= permit.until
+        if is_permitted != self._is_permitted:
+            _log.warning(
+                'starts permitted again'
+                if is_permitted
+                else 'starts not permitted',
+                epoch=self._board.epoch,
+                bound=permit.bound,
+                entries_age_s=round(self._worker_follower.age_s(now), 3),
+            )
+        self._is_permitted = is_permitted
+
     def _apply_submissions(self, changes: table.Changes) -> None:
         if changes.rows:
             self._new_rows.extend(changes.rows)
@@ -429,26 +454,28 @@
         for order in self._board.take_orders():
             self._orders.send(order)
 
-    def _permit_until(self) -> float:
-        """Return until when the lease and the queues' age permit starts.
+    def _find_permit(self, now: float) -> placeability.Permit:
+        """Return until when starts are permitted, and what bounds that.
 
-        The time is on this process's monotonic clock.  Nothing starts under
-        a lease that others may take over at any time.
+        Nothing starts under a lease that others may take over at any time;
+        what it is offered for is named while it lasts.
         """
-        if self._lease.is_offered:
-            return _NEVER
-        confirmed_at = self._parts.configuration_confirmed_at()
-        return min(
+        permit = placeability.find_permit(
             self._lease.valid_until,
-            confirmed_at + self._settings.fleet.start_permit_s,
+            self._parts.configuration_confirmed_at(),
+            self._worker_follower.confirmed_at,
+            self._settings.fleet,
         )
+        if self._lease.is_offered and now <= permit.until:
+            return placeability.Permit(_NEVER, 'the offer of the shard lease')
+        return permit
 
     def _may_start(self, now: float) -> bool:
         """Return whether this process may send start orders now."""
         return (
             not self._is_closing
             and self._lease.has_shard
-            and now <= self._permit_until()
+            and now <= self._find_permit(now).until
         )
 
     def _apply_entries(self, changes: table.Changes) -> None:
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -191,7 +191,8 @@
     """Addresses and bounds of a node that accepts and places task graphs.
 
     ``start_permit_s`` and ``serve_permit_s`` bound the age of the
-    operators' rows for starts and for calls; beyond ``accept_permit_s`` no
+    operators' rows for starts and for calls, and ``entry_permit_s`` that of
+    the workers' entries for starts; beyond ``accept_permit_s`` no
     job is accepted, and beyond ``ready_permit_s`` the node reports to the
     load balancer that it is not ready.  The store must accept a job within
     ``accept_timeout_s``.  ``run_lease_s`` is the longest lease of a run;
@@ -202,7 +203,8 @@
 
     A copy of a table counts as fresh up to ``follow_age_s``, which exceeds
     the duration of a call of the change feed without changes
-    (``operator_wait_s`` for the operators' rows, else ``follow_wait_s``); a
+    (``operator_wait_s`` for the operators' rows, ``entry_wait_s`` for the
+    workers' entries, else ``follow_wait_s``); a
     node that does not hold the shard lease follows the lease with pauses of
     ``standby_pause_s``.  The number of waiting jobs is refused once the
     holder's last count is older than ``count_age_s``.  Remote from its data
@@ -235,11 +237,13 @@
     look_timeout_s: float = ini.key('seconds', 0.8)
     start_timeout_s: float = ini.key('seconds', 1.5)
     start_permit_s: float = ini.key('seconds', 2.5)
+    entry_permit_s: float = ini.key('seconds', 2.5)
     serve_permit_s: float = ini.key('seconds', 3.4)
     accept_permit_s: float = ini.key('seconds', 1.9)
     ready_permit_s: float = ini.key('seconds', 2.0)
     accept_timeout_s: float = ini.key('seconds', 1.2)
     operator_wait_s: float = ini.key('seconds', 0.6)
+    entry_wait_s: float = ini.key('seconds', 0.6)
     follow_wait_s: float = ini.key('seconds', 1.0)
     follow_age_s: float = ini.key('seconds', 2.5)
     standby_pause_s: float = ini.key('seconds', 0.4)
@@ -392,6 +396,12 @@
             fleet.accept_permit_s,
             'more than twice operator_wait_s',
         ),
+        (
+            fleet.entry_wait_s * 2 < fleet.entry_permit_s,
+            'entry_permit_s',
+            fleet.entry_permit_s,
+            'more than twice entry_wait_s',
+        ),
         (
             fleet.follow_wait_s * 2 < fleet.follow_age_s,
             'follow_age_s',
--- a/primroselock/platform/settings.py
+++ b/primroselock/platform/settings.py
@@ -23,8 +23,15 @@
 _PERMIT_MARGIN_S: typing.Final = 1.0
 """Time for which a stalled change feed may hide a change."""
 
+_ORDER_MARGIN_S: typing.Final = 0.5
+"""Time that a start order may take to the worker."""
+
 _MIN_PERMIT_S: typing.Final = 0.5
-"""Used if ``bounds.revoke_ms`` leaves less."""
+"""Used if ``bounds.revoke_ms`` or ``bounds.contact_ms`` leaves less."""
+
+_ENTRY_WAIT_SHARE: typing.Final = 0.25
+"""The long-poll wait as a share of the permit: without changes, a copy is as
+old as two calls, and half of the permit is left for slow answers."""
 
 _MAX_TAKEOVER_DELAY_S: typing.Final = 0.15
 _CALL_RATE_SHARE: typing.Final = 0.25
@@ -81,9 +88,11 @@
 
         ``hold_max_ms`` is the longest lease of a run; ``revoke_ms`` is how
         long an API key may still be accepted after it was revoked, also by
-        nodes that are partitioned from the store; ``far_x`` is how many
-        times as long a remote task takes.
+        nodes that are partitioned from the store; ``contact_ms`` is how long
+        a node may still count on capacity that a worker's entry shows no
+        more; ``far_x`` is how many times as long a remote task takes.
         """
+        entry_permit_s = self._entry_permit_s()
         writes = self._number('platform.writes_per_s', 600)
         return {
             'process': {
@@ -114,6 +123,8 @@
                 'run_lease_s': self._seconds('bounds.hold_max_ms', 10000),
                 'far_factor': f'{self._number("bounds.far_x", 3):g}',
                 'serve_permit_s': f'{self._serve_permit_s():g}',
+                'entry_permit_s': f'{entry_permit_s:g}',
+                'entry_wait_s': f'{entry_permit_s * _ENTRY_WAIT_SHARE:g}',
             },
         }
 
@@ -144,6 +155,11 @@
         bound_s = self._number('bounds.revoke_ms', 5000) / _MS_PER_S
         return max(_MIN_PERMIT_S, bound_s - _PERMIT_MARGIN_S)
 
+    def _entry_permit_s(self) -> float:
+        """Return the maximum age of the workers' entries to start tasks."""
+        bound_s = self._number('bounds.contact_ms', 3000) / _MS_PER_S
+        return max(_MIN_PERMIT_S, bound_s - _ORDER_MARGIN_S)
+
     def _takeover_delay_s(self) -> float:
         """Return how long a slow VM leaves a free shard to faster ones.
 
--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -224,6 +224,7 @@
             self._configuration_confirmed_at(),
             self._session.submissions_lost_at if self._session else None,
             self._failed_listings,
+            self._session.entries_lost_at if self._session else None,
         )
         obstacle = placeability.find_obstacle(
             self._obstacle,
@@ -247,15 +248,17 @@
         reads: placeability.Reads,
         now: float,
     ) -> None:
-        lost_at = reads.submissions_lost_at
+
+        def find_age_s(lost_at: float | None) -> float:
+            return round(now - lost_at, 3) if lost_at is not None else 0.0
+
         values = {
             'epoch': self.lease.epoch,
             'why': obstacle.reason.value if obstacle else '',
             'since_s': round(now - obstacle.since, 3) if obstacle else 0.0,
             'operators_age_s': round(now - reads.operators_confirmed_at, 3),
-            'submissions_age_s': (
-                round(now - lost_at, 3) if lost_at is not None else 0.0
-            ),
+            'submissions_age_s': find_age_s(reads.submissions_lost_at),
+            'entries_age_s': find_age_s(reads.entries_lost_at),
             'failed_listings': reads.failed_listings,
         }
         if begins:
--- a/primroselock/store/tablefollower.py
+++ b/primroselock/store/tablefollower.py
@@ -84,6 +84,11 @@
         """Return False after repeated failures to reach the store."""
         return self._failures < _FAILURES_TO_UNREACHABLE
 
+    @property
+    def lost_at(self) -> float | None:
+        """When the copy was last up to date; None while reachable."""
+        return None if self.is_reachable else self.confirmed_at
+
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
--- a/primroselock/test/fakefeed.py
+++ b/primroselock/test/fakefeed.py
@@ -31,14 +31,16 @@
     With ``refuses_calls`` the store refuses each call, with
     ``is_throttled`` it answers that it takes no calls of this client, and
     with ``is_unresponsive`` each call fails after 1 s without an answer;
-    ``feed_is_unresponsive`` affects only the change feed.  Each write uses
-    up one of ``faults``.
+    ``feed_is_unresponsive`` affects only the change feed.  The tables in
+    ``lost_tables`` can be neither listed nor followed.  Each write uses up
+    one of ``faults``.
     """
 
     refuses_calls: bool = False
     is_throttled: bool = False
     is_unresponsive: bool = False
     feed_is_unresponsive: bool = False
+    lost_tables: set[str] = dataclasses.field(default_factory=set)
     faults: list[fakestore.Fault] = dataclasses.field(default_factory=list)
 
 
@@ -169,7 +171,7 @@
     ) -> result.Result[table.Listing, table.Unavailable]:
         """Return all rows of a table."""
         await asyncio.sleep(self.listing_s)
-        if not await self._call():
+        if not await self._call() or name in self._connectivity.lost_tables:
             return result.Err(table.Unavailable('down'))
         inner = self._shared.inner
         rows = inner.scan(f'{name}/', '', 100_000)
@@ -182,7 +184,7 @@
         table.Changes, table.Unavailable | table.HistoryTruncated
     ]:
         """Return the changes past version ``after``; wait for one if none."""
-        if not await self._call():
+        if not await self._call() or name in self._connectivity.lost_tables:
             return result.Err(table.Unavailable('down'))
         deadline = asyncio.get_running_loop().time() + wait_s
         while True:
--- a/primroselock/test/testplaceability.py
+++ b/primroselock/test/testplaceability.py
@@ -11,6 +11,7 @@
 _FLEET: typing.Final = builders.build_settings().fleet
 _PERMIT_S: typing.Final = _FLEET.start_permit_s
 _FRESH_S: typing.Final = _FLEET.follow_age_s
+_ENTRY_PERMIT_S: typing.Final = _FLEET.entry_permit_s
 _Reason: typing.Final = placeability.Reason
 
 
@@ -18,11 +19,15 @@
     operators_age_s: float = 0.0,
     submissions_age_s: float | None = None,
     failed_listings: int = 0,
+    entries_age_s: float | None = None,
 ) -> placeability.Reason | None:
     """Return why a holder with a valid lease cannot place, or None."""
     now = 100.0
     lost_at = None if submissions_age_s is None else now - submissions_age_s
-    reads = placeability.Reads(now - operators_age_s, lost_at, failed_listings)
+    entries_at = None if entries_age_s is None else now - entries_age_s
+    reads = placeability.Reads(
+        now - operators_age_s, lost_at, failed_listings, entries_at
+    )
     found = placeability.find_obstacle(None, reads, now + 1.0, _FLEET, now)
     return found.reason if found else None
 
@@ -41,6 +46,11 @@
                 find_reason(submissions_age_s=_FRESH_S + 0.1),
                 _Reason.LOST_SUBMISSIONS,
             ),
+            (find_reason(entries_age_s=_ENTRY_PERMIT_S - 0.1), None),
+            (
+                find_reason(entries_age_s=_ENTRY_PERMIT_S + 0.1),
+                _Reason.LOST_ENTRIES,
+            ),
             (find_reason(failed_listings=1), None),
             (find_reason(failed_listings=2), _Reason.FAILED_LISTINGS),
         )
@@ -93,6 +103,26 @@
         self.assertEqual(expected, known)
 
 
+class PermitTest(unittest.TestCase):
+    """The oldest of what a start rests on bounds it, and is named."""
+
+    def test_each_bound_is_named(self) -> None:
+        cases = (
+            ((9.0, 10.0, 10.0), (9.0, 'the shard lease')),
+            (
+                (20.0, 1.0, 10.0),
+                (1.0 + _PERMIT_S, "the operators' rows"),
+            ),
+            (
+                (20.0, 10.0, 1.0),
+                (1.0 + _ENTRY_PERMIT_S, "the workers' entries"),
+            ),
+        )
+        for times, expected in cases:
+            permit = placeability.find_permit(*times, _FLEET)
+            self.assertEqual(expected, (permit.until, permit.bound))
+
+
 class TakeOfferTest(unittest.IsolatedAsyncioTestCase):
     """Only a standby that can place takes over an offered lease."""
 
--- a/primroselock/test/testplatformadapter.py
+++ b/primroselock/test/testplatformadapter.py
@@ -92,6 +92,18 @@
             read = settings.parse(text, 'boot').unwrap()
             self.assertEqual(permit_s, read.fleet.serve_permit_s)
 
+    def test_entry_permit_follows_the_contact_time(self) -> None:
+        """Guards against starts on entries from before the contact time.
+
+        An order may take 0.5 s; the long-poll wait is a quarter of the rest.
+        """
+        cases = ((3000, 2.5, 0.625), (4000, 3.5, 0.875), (100, 0.5, 0.125))
+        for contact_ms, permit_s, wait_s in cases:
+            text = f'{fleetbuilders.BOOT_TEXT}bounds.contact_ms={contact_ms}\n'
+            read = settings.parse(text, 'boot').unwrap()
+            self.assertEqual(permit_s, read.fleet.entry_permit_s)
+            self.assertEqual(wait_s, read.fleet.entry_wait_s)
+
     def test_a_wrong_value_names_field_value_and_expectation(self) -> None:
         cases = {
             'platform.address=127.0.0.1:8524': 'platform.address=nowhere',
--- a/primroselock/test/testshrinkingcapacity.py
+++ b/primroselock/test/testshrinkingcapacity.py
@@ -11,8 +11,11 @@
 import unittest
 from unittest import mock
 
+import structlog
+
 from primroselock import clock
 from primroselock.decisions import fleet
+from primroselock import holdersession
 from primroselock import jobgraph
 from primroselock.store import keys
 from primroselock.store import table
@@ -86,6 +89,12 @@
     return next(worker.id for worker in workers if worker.members)
 
 
+async def lose_entries(node: fleetbuilders.TestNode) -> None:
+    """Let a node read the workers' entries no more, once its call ends."""
+    node.connectivity.lost_tables.add('servers')
+    await asyncio.sleep(1.1)
+
+
 @contextlib.contextmanager
 def slow_placement(
     world: fleetbuilders.World, delay_s: float
@@ -321,6 +330,106 @@
 class EntryCopyTest(unittest.TestCase):
     """A holder decides by its copy of the workers' entries."""
 
+    def test_nothing_starts_on_an_old_copy(self) -> None:
+        """Guards against starts by entries from before a worker shrank.
+
+        Everything but the table of the entries can be read.
+        """
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            node = world.find_shard_holder()
+            submit(world, 'old', 8, 1)
+            await asyncio.sleep(1.0)
+            await lose_entries(node)
+            for worker_id in world.entries_by_id:
+                world.set_capacity(worker_id, _NOTHING)
+            await asyncio.sleep(_GRACE_S)
+            submit(world, 'new', 1, 8)
+            with structlog.testing.capture_logs() as lines:
+                await asyncio.sleep(_LIMIT_S)
+            self.assertEqual(0, count_runs(world, 'new'))
+            self.assertEqual(8, count_runs(world, 'old'))
+            bounds = {
+                line['permit_bound']
+                for line in lines
+                if line['event'] == 'job waits beside free capacity'
+            }
+            self.assertEqual({"the workers' entries"}, bounds)
+            world.set_capacity('w1', _FULL)
+            node.connectivity.lost_tables.clear()
+            await asyncio.sleep(1.0 + _AT_ONCE_S)
+            self.assertEqual(1, count_runs(world, 'new', 'w1'))
+
+        run_scenario(scenario)
+
+    def test_starts_that_are_under_way_stop_too(self) -> None:
+        """Guards against orders that wait while the copy grows old."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            await lose_entries(world.find_shard_holder())
+            with slow_placement(world, _GRACE_S + 0.5):
+                submit(world, 'j', 1, 8)
+                await asyncio.sleep(0.2)
+                world.set_capacity(find_placed_id(world), _NOTHING)
+                await asyncio.sleep(_GRACE_S + _LIMIT_S)
+            self.assertEqual(0, world.fleet.starts)
+
+        run_scenario(scenario)
+
+    def test_a_slow_feed_without_changes_lets_work_start(self) -> None:
+        """Guards against starts that pause on quiet days."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            client = world.find_shard_holder().client
+            changes = client.changes
+
+            async def answer_slowly(*arguments: typing.Any) -> typing.Any:
+                answer = await changes(*arguments)
+                await asyncio.sleep(0.5)
+                return answer
+
+            with mock.patch.object(client, 'changes', answer_slowly):
+                for _ in range(200):
+                    await asyncio.sleep(0.1)
+                    left_s = find_board(world).permit_until - clock.monotonic()
+                    self.assertGreater(left_s, 0.0)
+
+        run_scenario(scenario)
+
+    def test_a_holder_that_cannot_read_the_entries_yields(self) -> None:
+        """Guards against a holder that may start nothing and stays."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            old = world.find_shard_holder()
+            world.add_node('entry-2')
+            await asyncio.sleep(4.0)
+            await lose_entries(old)
+            await asyncio.sleep(4.0)
+            submit(world, 'j', 1, 8)
+            await asyncio.sleep(2 * _LIMIT_S)
+            self.assertEqual(1, count_runs(world, 'j'))
+            self.assertIsNot(old, world.find_shard_holder())
+
+        run_scenario(scenario)
+
+    def test_a_slow_takeover_may_start_work_in_the_next_round(self) -> None:
+        """Guards against a new holder that waits for a long poll to end.
+
+        Its listings took longer than a copy may be old.
+        """
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            await world.nodes.pop().kill()
+            node = world.add_node('entry-2')
+            node.client.listing_s = 1.0
+            while node.holder._session is None:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(holdersession._MAX_ROUND_INTERVAL_S + 0.05)
+            left_s = find_board(world).permit_until - clock.monotonic()
+            self.assertGreater(left_s, 0.0)
+
+        run_scenario(scenario)
+
     def test_an_entry_removed_during_a_takeover(self) -> None:
         """Guards against a worker that left and counts as listed for ever."""
 
