Fake workers have a clock of their own, which starts anew at a restart

The fake fleet hid a class of faults: all workers shared one clock, a crash kept the end of the lease, late starts ended with the process, a poll held open over a restart was answered by the next boot, and no entry told of a restart.

Now each worker has a clock, which starts anew at a restart, behind the others or far ahead of them; the lease ends with the process; the entry names the new boot 0.3 s later; a call to an address that the worker has left is refused as misdirected; and late starts may outlive the process (off by default). The advice service's fake has a module of its own.

No check is changed.

--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -10,19 +10,22 @@
 import dataclasses
 import math
 import random
+import typing
 
 import result
 
 from primroselock import clock
 from primroselock.decisions import fleetworkers
-from primroselock.decisions import livejobs
 from primroselock import jobgraph
+from primroselock.test import fakeadvice
 from primroselock.workers import orders
 
 _CALL_DURATION_S = 0.001
 _MAX_LEASE_S = 10.0
 """A worker shortens longer leases to this."""
 
+_NEVER: typing.Final = float('-inf')
+
 
 @dataclasses.dataclass
 class LiveRun:
@@ -49,9 +52,10 @@
     ``refused`` is by task the latest attempt that ended or was stopped;
     neither it nor an earlier one may start again.
 
-    ``boot`` is the number of the incarnation, and ``lease_end`` is on the
-    monotonic clock.  ``last_number`` numbers the ends of runs within an
-    incarnation.  Run times are multiplied by ``slowdown_factor``.
+    ``boot`` is the number of the incarnation; its own clock is ahead of the
+    monotonic clock by ``clock_offset_s``, and ``lease_end`` is on its own.
+    ``last_number`` numbers the ends of runs within an incarnation.  Run
+    times are multiplied by ``slowdown_factor``.
     """
 
     entry: fleetworkers.WorkerEntry
@@ -65,7 +69,8 @@
     is_stalled: bool = False
     slowdown_factor: float = 1.0
     epoch: int = 0
-    lease_end: float = 0.0
+    clock_offset_s: float = 0.0
+    lease_end: float = _NEVER
     last_number: int = 0
     runs: dict[orders.Run, LiveRun] = dataclasses.field(default_factory=dict)
     ended: list[orders.Ended] = dataclasses.field(default_factory=list)
@@ -90,6 +95,15 @@
             or self.slowdown_factor != 1.0
         )
 
+    def read_clock(self) -> float:
+        """Return the time on the worker's own clock, in seconds."""
+        return clock.monotonic() + self.clock_offset_s
+
+    def extend_lease(self, until: float) -> None:
+        """Extend the lease of all runs, at most to the longest lease."""
+        bounded = min(until, self.read_clock() + _MAX_LEASE_S)
+        self.lease_end = max(self.lease_end, bounded)
+
     def find_share(self, live: LiveRun, now: float) -> float:
         """Return the share of a run that is done, in steps of 0.01."""
         total_s = live.ends_at - live.started_at
@@ -110,7 +124,13 @@
 
 
 class FakeFleet:
-    """Implements ``orders.RunClient``; all workers share one clock.
+    """Implements ``orders.RunClient``.
+
+    Each worker has a clock of its own.  All clocks agree until one restarts.
+    A call to another address than the worker's is answered there by another
+    instance.  Starts that are carried out late end with the process that
+    holds them back, unless ``late_starts_outlive`` is set: then they reach
+    the incarnation that runs by then.
 
     A run takes the expected time of its step, unless ``work_s_by_job`` gives
     another for its job.  A stopped run ends ``stop_delay_s`` after the order.
@@ -119,7 +139,7 @@
 
     def __init__(self, seed: int = 0) -> None:
         self.workers_by_id: dict[str, FakeWorker] = {}
-        self.advice_client = FakeAdviceClient()
+        self.advice_client = fakeadvice.FakeAdviceClient()
         self.tickets: list[str] = []
         self.graphs_by_id: dict[str, jobgraph.JobGraph] = {}
         self.work_s_by_job: dict[str, float] = {}
@@ -129,6 +149,7 @@
 
         self.failures_by_task: dict[jobgraph.TaskName, int] = {}
         self.stop_delay_s = 0.1
+        self.late_starts_outlive = False
         self.violations: list[str] = []
         self.starts = 0
         self.refused_starts = 0
@@ -163,7 +184,7 @@
                     self._advance(worker, now)
 
     def _advance(self, worker: FakeWorker, now: float) -> None:
-        if worker.runs and now > worker.lease_end:
+        if worker.runs and worker.read_clock() > worker.lease_end:
             for live in list(worker.runs.values()):
                 live.cause = orders.EndCause.LEASE_EXPIRED
                 self._end(worker, live)
@@ -218,11 +239,23 @@
         worker.refused.clear()
         worker.epoch = 0
         worker.last_number = 0
+        worker.lease_end = _NEVER
+
+    def restart(
+        self, worker: FakeWorker, clock_s: float = 0.0, address: str = ''
+    ) -> None:
+        """Restart a worker under the same id, as a new incarnation.
 
-    def restart(self, worker: FakeWorker) -> None:
-        """Restart a worker under the same id, as a new incarnation."""
+        Its clock starts at ``clock_s``; ``address`` is a new one, if any.
+        """
         worker.is_down = False
         worker.boot += 1
+        worker.clock_offset_s = clock_s - clock.monotonic()
+        worker.entry = dataclasses.replace(
+            worker.entry,
+            boot=worker.boot,
+            address=address or worker.entry.address,
+        )
 
     def _reach(self, worker_id: str) -> FakeWorker | None:
         worker = self.workers_by_id.get(worker_id)
@@ -243,6 +276,8 @@
         if worker is None:
             await asyncio.sleep(timeout_s)
             return result.Err(orders.Unanswered('no answer'))
+        if address != worker.entry.address:
+            return result.Err(orders.Refused(orders.Refusal.BOOT_MISMATCH))
         if self._random.random() < worker.delayed_order_share:
             self.spawn(self._start_late(worker, order))
             await asyncio.sleep(timeout_s)
@@ -256,16 +291,19 @@
             return result.Err(orders.Refused(worker.refusal))
         refusal = self._execute_start(worker, order)
         if refusal is not None:
-            return result.Err(orders.Refused(refusal, clock.monotonic()))
-        return result.Ok(orders.Accepted(clock.monotonic()))
+            return result.Err(orders.Refused(refusal, worker.read_clock()))
+        return result.Ok(orders.Accepted(worker.read_clock()))
 
     async def _start_late(
         self, worker: FakeWorker, order: orders.Start
     ) -> None:
         boot = worker.boot
         await asyncio.sleep(self._random.uniform(2.0, 6.0))
-        # An order that is queued in a worker's process is lost with it.
-        if not worker.is_down and worker.boot == boot:
+        if worker.is_down:
+            return
+        # An order that is queued in a worker's process is lost with it; one
+        # that is held up on its way is not.
+        if worker.boot == boot or self.late_starts_outlive:
             self._execute_start(worker, order)
 
     def _execute_start(
@@ -279,13 +317,11 @@
             return None
         if worker.refused.get(order.run.task, 0) >= order.run.attempt:
             return orders.Refusal.SUPERSEDED
-        if order.lease_until < now:
+        if order.lease_until < worker.read_clock():
             return orders.Refusal.DEADLINE_PASSED
         if order.ticket:
             self.tickets.append(order.ticket)
-        worker.lease_end = max(
-            worker.lease_end, min(order.lease_until, now + _MAX_LEASE_S)
-        )
+        worker.extend_lease(order.lease_until)
         self._begin(worker, order.run, now)
         return None
 
@@ -357,6 +393,8 @@
         ):
             await asyncio.sleep(timeout_s)
             return result.Err(orders.Unanswered('no answer'))
+        if address != worker.entry.address:
+            return result.Err(orders.Refused(orders.Refusal.BOOT_MISMATCH))
         if epoch < worker.epoch:
             return result.Err(orders.Refused(orders.Refusal.STALE_EPOCH))
         worker.epoch = epoch
@@ -364,7 +402,7 @@
         worker.refused[run.task] = max(known, run.attempt)
         if run in worker.runs:
             self.spawn(self._finish_stop(worker, run))
-        return result.Ok(orders.Accepted(clock.monotonic()))
+        return result.Ok(orders.Accepted(worker.read_clock()))
 
     async def _finish_stop(self, worker: FakeWorker, run: orders.Run) -> None:
         await asyncio.sleep(self.stop_delay_s)
@@ -391,14 +429,15 @@
         if worker is None:
             await asyncio.sleep(timeout_s)
             return result.Err(orders.Unanswered('no answer'))
+        if address != worker.entry.address:
+            return result.Err(orders.Refused(orders.Refusal.BOOT_MISMATCH))
         if epoch < worker.epoch:
             return result.Err(orders.Refused(orders.Refusal.STALE_EPOCH))
         worker.epoch = epoch
+        boot = worker.boot
         self._confirm(worker, confirmed_end)
-        now = clock.monotonic()
         if lease_until is not None:
-            bounded = min(lease_until, now + _MAX_LEASE_S)
-            worker.lease_end = max(worker.lease_end, bounded)
+            worker.extend_lease(lease_until)
         if wait_s and not worker.ended:
             try:
                 async with asyncio.timeout(wait_s):
@@ -406,7 +445,8 @@
             except TimeoutError:
                 # Nothing ended in time; the report lists the current runs.
                 pass
-        if self._reach(worker_id) is None:
+        if self._reach(worker_id) is None or worker.boot != boot:
+            # The process that held the poll open is out of reach, or ended.
             await asyncio.sleep(timeout_s)
             return result.Err(orders.Unanswered('no answer'))
         now = clock.monotonic()
@@ -415,7 +455,12 @@
             for run, live in worker.runs.items()
         )
         return result.Ok(
-            orders.RunReport(now, worker.boot, running, tuple(worker.ended))
+            orders.RunReport(
+                worker.read_clock(),
+                worker.boot,
+                running,
+                tuple(worker.ended),
+            )
         )
 
     def _confirm(self, worker: FakeWorker, number: int) -> None:
@@ -432,36 +477,6 @@
         """Do nothing: no connection is open."""
 
 
-class FakeAdviceClient:
-    """An advice service that lets ``approved_worker_ids`` run any step."""
-
-    def __init__(self) -> None:
-        self.approved_worker_ids: set[str] = set()
-        self.is_unresponsive = False
-        self.request_count = 0
-
-    async def ask(
-        self,
-        step: livejobs.StepName,
-        worker_ids: tuple[str, ...],
-        timeout_s: float,
-    ) -> result.Result[tuple[dict[str, str], float], orders.Unanswered]:
-        """Return tickets by worker id, and their validity in seconds."""
-        self.request_count += 1
-        await asyncio.sleep(0.1)
-        if self.is_unresponsive:
-            return result.Err(orders.Unanswered('no answer'))
-        tickets = {
-            name: f't-{name}'
-            for name in worker_ids
-            if name in self.approved_worker_ids
-        }
-        return result.Ok((tickets, 3.0))
-
-    async def aclose(self) -> None:
-        """Do nothing: no connection is open."""
-
-
 def _same_gang(run: orders.Run, other: orders.Run) -> bool:
     return (
         run.attempt == other.attempt
--- a/primroselock/test/faultbuilders.py
+++ b/primroselock/test/faultbuilders.py
@@ -54,6 +54,12 @@
 )
 """Kinds of the wide soak only: the plays of the other must not change."""
 
+_ENTRY_LAG_S: typing.Final = 0.3
+"""Time from the restart of a worker until its entry tells of it."""
+
+_FAST_CLOCK_S: typing.Final = 1_000_000.0
+"""A clock that starts far ahead of all others."""
+
 Injection = abc.Callable[
     [fleetbuilders.World, Fault], abc.Coroutine[typing.Any, typing.Any, None]
 ]
@@ -145,7 +151,7 @@
         return
     world.fleet.crash(worker)
     await asyncio.sleep(fault.for_s)
-    world.fleet.restart(worker)
+    await _restart(world, worker, fault)
 
 
 @injection('late answers')
@@ -372,7 +378,20 @@
     if worker.is_down:
         return
     world.fleet.crash(worker)
-    world.fleet.restart(worker)
+    await _restart(world, worker, fault)
+
+
+async def _restart(
+    world: fleetbuilders.World, worker: fakefleet.FakeWorker, fault: Fault
+) -> None:
+    """Restart a worker, with a clock behind the others or ahead of them.
+
+    Its first calls may come before its entry tells that it has restarted.
+    """
+    clock_s = _FAST_CLOCK_S if fault.target % 2 else 0.0
+    world.fleet.restart(worker, clock_s)
+    await asyncio.sleep(_ENTRY_LAG_S)
+    world.write_boot(worker)
 
 
 @injection('remove queue')
--- a/primroselock/test/fleetbuilders.py
+++ b/primroselock/test/fleetbuilders.py
@@ -253,6 +253,26 @@
         self.entries_by_id[entry.id] = entry
         self.store.put(f'servers/{entry.id}', msgspec.json.encode(entry))
 
+    def restart_worker(
+        self,
+        worker: fakefleet.FakeWorker,
+        clock_s: float = 0.0,
+        address: str = '',
+    ) -> None:
+        """Restart a worker and write the entry of its new incarnation."""
+        self.fleet.restart(worker, clock_s, address)
+        self.write_boot(worker)
+
+    def write_boot(self, worker: fakefleet.FakeWorker) -> None:
+        """Write a worker's incarnation and address to its entry, if any."""
+        known = self.entries_by_id.get(worker.entry.id)
+        if known is not None:
+            self.write_entry(
+                dataclasses.replace(
+                    known, boot=worker.boot, address=worker.entry.address
+                )
+            )
+
     def delete_entry(self, worker_id: str) -> None:
         """Delete the entry of a worker: it is no longer listed."""
         self.entries_by_id.pop(worker_id, None)
