A worker whose entry names another boot gets no starts until it was polled

What callers saw: starts refused as "past the deadline" one after another on workers that had restarted; the ends of leases that the holder counted with were those of another clock, which may be the cause of a second run (TWICE).

Cause: an idle worker is not polled. If it starts again, its next start names times on the clock of the boot before. A clock far behind grants the longest lease whatever the order says; one that is ahead refuses the start.

Evidence: on the code before, testworkerrestarts.IdleRestartTest fails in two tests: a start that names a lease of 1000009.9 s on the new clock, and a job of 0.1 s that is not done 1 s after a restart.

Change: an entry with a boot id that is neither that of the last report nor of the entry before makes the worker doubted (a new exclusion with its own reason): no starts, no end of a lease and no confirmed end go to it, and it is polled at once, until a poll that was sent later, or that the announced boot answered, was answered. Boot ids are compared for equality only, since the time of day may jump back. An entry that lags behind the report is no reason.

--- a/primroselock/decisions/eligibility.py
+++ b/primroselock/decisions/eligibility.py
@@ -24,6 +24,7 @@
     UNLISTED = 'no entry'
     NOT_POLLED = 'not polled by this holder'
     UNRESPONSIVE = 'calls to it fail'
+    RESTARTED = 'may have started again since its last poll'
     LEASE_BOUNDED = 'bound of its leases not withdrawn yet'
     DRAINING = 'draining'
     ZONE_OUT_OF_SERVICE = 'zone out of service'
@@ -41,6 +42,8 @@
         return Exclusion.NOT_POLLED
     if worker.failures_in_row:
         return Exclusion.UNRESPONSIVE
+    if worker.is_doubted:
+        return Exclusion.RESTARTED
     if board.published_bounds.covers(worker.id):
         return Exclusion.LEASE_BOUNDED
     if worker.entry.is_draining:
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -221,6 +221,9 @@
             self.entry_cache.clear()
         elif worker.entry != entry or not worker.is_listed:
             self.entry_cache.clear()
+        if entry.boot not in (0, worker.entry.boot, worker.boot):
+            # The worker has started again, or the entry is an old one.
+            worker.doubted_at = now
         worker.entry = entry
         worker.is_listed = True
         if not entry.is_draining:
--- a/primroselock/decisions/fleetworkers.py
+++ b/primroselock/decisions/fleetworkers.py
@@ -82,7 +82,9 @@
     those up to ``listed_end`` were reported, the effects of those up to
     ``saved_end`` are stored, and those up to ``confirmed_end`` were confirmed
     to the worker.  ``drain_seen_at`` is when this holder first read that the
-    worker is draining.
+    worker is draining.  ``doubted_at`` is when this holder learned that
+    another boot than the one that it polled may have the worker's id, or None
+    once a later poll was answered.
     """
 
     entry: WorkerEntry
@@ -110,6 +112,7 @@
     )
     used: jobgraph.Resources = NO_RESOURCES
     drain_seen_at: float | None = None
+    doubted_at: float | None = None
     id: str = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
@@ -120,6 +123,11 @@
         """Return whether it answered a poll under this holder's epoch."""
         return self.polled_at > _NEVER
 
+    @property
+    def is_doubted(self) -> bool:
+        """Return whether it must be polled before it gets times or orders."""
+        return self.doubted_at is not None
+
     @property
     def free(self) -> jobgraph.Resources:
         """Return the capacity that members and unexpected runs leave free."""
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -52,6 +52,7 @@
     if has_unknown_leases:
         worker.lease_end = report.clock_s + board.run_lease_s
     worker.boot = report.boot or worker.entry.boot
+    workerboots.record_answer(worker, report, sent_at)
     worker.polled_at = max(worker.polled_at, sent_at)
     reported_at = _reported_at(worker, report.clock_s, now)
     worker.clock_s, worker.clock_at = report.clock_s, now
@@ -405,6 +406,10 @@
     one, or where the worker may have restarted since its last report: its
     numbers begin again, and it would discard ends that it never reported.
     """
-    if worker.failures_in_row or worker.saved_end <= worker.confirmed_end:
+    if (
+        worker.failures_in_row
+        or worker.is_doubted
+        or worker.saved_end <= worker.confirmed_end
+    ):
         return 0
     return worker.saved_end
--- a/primroselock/decisions/workerboots.py
+++ b/primroselock/decisions/workerboots.py
@@ -31,3 +31,18 @@
         return False
     members = (worker.members.get(running.run) for running in report.running)
     return any(m is not None and m.boot != report.boot for m in members)
+
+
+def record_answer(
+    worker: fleetworkers.Worker, report: orders.RunReport, sent_at: float
+) -> None:
+    """Record which boot has answered a poll that was sent at ``sent_at``.
+
+    An answer to an earlier poll is of the boot that was known before, unless
+    it comes from the boot that the entry names.
+    """
+    if worker.doubted_at is None:
+        return
+    is_announced = report.boot != 0 and report.boot == worker.entry.boot
+    if is_announced or sent_at > worker.doubted_at:
+        worker.doubted_at = None
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -188,20 +188,25 @@
         """Return whether to send a start whose turn has come.
 
         Before the first order the attempt is ended instead if its start is
-        not permitted any more, or its worker has stopped answering since the
-        placement.
+        not permitted any more, or its worker has stopped answering or may
+        have started again since the placement: the order would name times of
+        another clock.
         """
         group = member.group
         is_permitted = self._may_start_on(worker.id, now)
         if member.state is livejobs.MemberState.ORDERED:
-            return is_permitted and group.phase is livejobs.Phase.STARTING
+            return (
+                is_permitted
+                and not worker.is_doubted
+                and group.phase is livejobs.Phase.STARTING
+            )
         if member.state is not livejobs.MemberState.PLACED:
             return False
         if not is_permitted:
             self._cancel_start(group, now)
             return False
-        if worker.failures_in_row:
-            silent = orders.NotSent('it has stopped answering')
+        if worker.failures_in_row or worker.is_doubted:
+            silent = orders.NotSent('it has stopped answering, or restarted')
             self._record_refusal(worker, member, silent, False, now)
             return False
         member.state = livejobs.MemberState.ORDERED
--- a/primroselock/test/testworkerrestarts.py
+++ b/primroselock/test/testworkerrestarts.py
@@ -8,7 +8,10 @@
 import dataclasses
 import typing
 import unittest
+from unittest import mock
 
+from primroselock.decisions import eligibility
+from primroselock.decisions import fleet
 from primroselock.decisions import leasebounds
 from primroselock.decisions import livejobs
 from primroselock.decisions import runleases
@@ -178,3 +181,142 @@
             self.assertEqual(2, world.fleet.starts)
 
         fleetbuilders.run_with_node(scenario, workers=1)
+
+
+class IdleRestartTest(unittest.TestCase):
+    """An idle worker, which is not polled, starts again."""
+
+    def test_it_gets_work_whatever_its_clock(self) -> None:
+        """Guards against starts that are refused as too late for seconds."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            await asyncio.sleep(1.0)
+            for clock_s in _CLOCKS_S:
+                for worker in world.fleet.workers_by_id.values():
+                    world.fleet.crash(worker)
+                    world.restart_worker(worker, clock_s)
+                await asyncio.sleep(0.2)
+                _submit(world, f'j{clock_s}', 100)
+                await world.wait_for(f'j{clock_s}', 'done', 1.0)
+
+        fleetbuilders.run_with_node(scenario)
+
+    def test_starts_name_times_of_its_new_clock(self) -> None:
+        """Guards against leases whose end the holder does not know."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            await asyncio.sleep(1.0)
+            (worker,) = world.fleet.workers_by_id.values()
+            for clock_s in (_FAST_CLOCK_S, 0.0):
+                world.fleet.crash(worker)
+                world.restart_worker(worker, clock_s)
+                # The start must not be sent before the next poll.
+                _submit(world, f'j{clock_s}', 100)
+                with mock.patch.object(
+                    world.fleet, 'start', wraps=world.fleet.start
+                ) as start:
+                    await world.wait_for(f'j{clock_s}', 'done', 1.0)
+                left_s = start.call_args.args[2].lease_until
+                left_s -= worker.read_clock()
+                self.assertTrue(0.0 < left_s < _LONGEST_LEASE_S, left_s)
+
+        fleetbuilders.run_with_node(scenario, workers=1)
+
+    def test_its_entry_may_come_late(self) -> None:
+        """Guards against a worker kept from starts by its older entry."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            (worker,) = world.fleet.workers_by_id.values()
+            await asyncio.sleep(1.0)
+            _submit(world, 'long', _LONG_MS)
+            await asyncio.sleep(1.0)
+            world.fleet.crash(worker)
+            world.fleet.restart(worker)
+            await world.wait_for('long', 'running', 1.0)
+            await asyncio.sleep(4.0)
+            _submit(world, 'early', 100)
+            await world.wait_for('early', 'done', 1.0)
+            world.write_boot(worker)
+            _submit(world, 'late', 100)
+            await world.wait_for('late', 'done', 1.0)
+
+        fleetbuilders.run_with_node(scenario, workers=1)
+
+    def test_its_entry_may_name_an_earlier_boot_for_good(self) -> None:
+        """Guards against polls of an idle worker without end."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            (worker,) = world.fleet.workers_by_id.values()
+            await asyncio.sleep(1.0)
+            world.write_entry(dataclasses.replace(worker.entry, boot=7))
+            await asyncio.sleep(1.0)
+            with mock.patch.object(
+                world.fleet, 'poll_runs', wraps=world.fleet.poll_runs
+            ) as poll_runs:
+                await asyncio.sleep(5.0)
+            poll_runs.assert_not_called()
+            _submit(world, 'j', 100)
+            await world.wait_for('j', 'done', 1.0)
+
+        fleetbuilders.run_with_node(scenario, workers=1)
+
+
+class UnconfirmedRestartTest(unittest.TestCase):
+    """What a worker gets whose entry names a boot that was not polled."""
+
+    def setUp(self) -> None:
+        self.board = fleet.ShardBoard(epoch=1)
+        self.entry = fleetbuilders.build_entry('w', boot=5)
+        self.board.record_entry(self.entry, 0.0)
+        self.worker = self.board.workers_by_id['w']
+        self.record_poll(boot=5, sent_at=1.0)
+
+    def record_poll(self, boot: int, sent_at: float) -> None:
+        """Record an empty report of ``boot``, received at once."""
+        report = orders.RunReport(sent_at, boot, (), ())
+        runs.record_poll(self.board, self.worker, report, sent_at, sent_at, 0)
+
+    def record_entry(self, boot: int, now: float) -> None:
+        """Record an entry that names ``boot``."""
+        entry = dataclasses.replace(self.entry, boot=boot)
+        self.board.record_entry(entry, now)
+
+    def check_exclusion(self, exclusion: eligibility.Exclusion | None) -> None:
+        """Check what keeps the worker from starts."""
+        found = eligibility.find_exclusion(self.board, self.worker, 9.0)
+        self.assertIs(exclusion, found)
+
+    def test_it_gets_no_starts_until_it_was_polled(self) -> None:
+        """Guards against orders to a boot that knows neither epoch nor stop.
+
+        Its boot id may be lower, as the time of day may jump.
+        """
+        for number, boot in enumerate((8, 3)):
+            self.record_entry(boot, 2.0 + number)
+            self.check_exclusion(eligibility.Exclusion.RESTARTED)
+            self.record_poll(boot, 2.5 + number)
+            self.check_exclusion(None)
+
+    def test_an_answer_of_the_boot_before_does_not_count(self) -> None:
+        """Guards against a long poll that was sent to the boot before."""
+        self.record_entry(8, 2.0)
+        self.record_poll(5, 1.5)
+        self.check_exclusion(eligibility.Exclusion.RESTARTED)
+
+    def test_an_early_report_of_the_boot_counts(self) -> None:
+        """Guards against a needless poll if the report came first."""
+        self.record_poll(8, 1.5)
+        self.check_exclusion(None)
+        self.record_entry(8, 2.0)
+        self.check_exclusion(None)
+
+    def test_an_old_entry_is_outvoted_by_a_poll(self) -> None:
+        """Guards against a worker that gets no starts for an old entry."""
+        self.record_entry(8, 2.0)
+        self.record_poll(8, 2.5)
+        self.record_entry(5, 3.0)
+        self.check_exclusion(eligibility.Exclusion.RESTARTED)
+        self.record_poll(8, 3.5)
+        self.check_exclusion(None)
+        self.record_entry(5, 4.0)
+        self.check_exclusion(None)
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -2,7 +2,7 @@
 
 The worker holds a poll open until a run ends or the wait is over, so that
 ends are reported without delay.  A worker on which nothing can run is not
-polled.
+polled, but once when it may have started again.
 
 Polls are often due for all workers at once, as after a takeover, and probes
 for all workers of a zone.  They wait for their turn, see ``callslots``: if a
@@ -139,7 +139,9 @@
         if worker.is_busy:
             return True
         return worker.is_listed and (
-            not worker.is_polled or worker.failures_in_row > 0
+            not worker.is_polled
+            or worker.is_doubted
+            or worker.failures_in_row > 0
         )
 
     async def _run(self, worker: fleetworkers.Worker) -> None:
@@ -203,11 +205,13 @@
         lease_until = None
         # The lease of a worker that does not answer is not extended, so
         # that its end is known: the worker may apply an unanswered
-        # extension later.
+        # extension later.  That of a boot that was not polled yet would name
+        # a time of another clock.
         if (
             self._may_extend(worker)
             and worker.is_polled
             and worker.members
+            and not worker.is_doubted
             and not worker.failures_in_row
         ):
             deadline = runorders.lease_deadline(
@@ -266,7 +270,7 @@
         return not self._lease.published_bounds.covers(worker.id)
 
     def _poll_wait_s(self, worker: fleetworkers.Worker) -> float:
-        if not worker.is_polled or worker.unsaved_ends:
+        if not worker.is_polled or worker.is_doubted or worker.unsaved_ends:
             return 0.0
         if not self._may_extend(worker) or any(
             member.state is not livejobs.MemberState.PRESENT
