--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -22,6 +22,7 @@
 
 _NEVER: typing.Final = float('-inf')
 _MAX_CACHED_STEPS: typing.Final = 200
+_RUN_LEASE_S: typing.Final = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,6 +107,7 @@
 class ShardBoard:
     """The blackboard of one shard.
 
+    Workers shorten each lease to ``run_lease_s``.
     Leases granted by earlier holders end as ``inherited_leases`` says, and
     nothing is placed after ``permit_until``, on this process's clock, which
     is a bound of what ``permit_bound`` names.  The
@@ -127,6 +129,7 @@
     """
 
     epoch: int = 0
+    run_lease_s: float = _RUN_LEASE_S
     inherited_leases: leasebounds.InheritedLeases = (
         leasebounds.InheritedLeases()
     )
@@ -220,6 +223,9 @@
             self.entry_cache.clear()
         elif worker.entry != entry or not worker.is_listed:
             self.entry_cache.clear()
+        if entry.boot not in (0, worker.entry.boot, worker.boot):
+            # The worker has started again, or the entry is an old one.
+            worker.doubted_at = now
         worker.entry = entry
         worker.is_listed = True
         if not entry.is_draining:
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -18,6 +18,7 @@
 from primroselock.decisions import leasebounds
 from primroselock.decisions import livejobs
 from primroselock.decisions import runprogress
+from primroselock.decisions import workerboots
 from primroselock.workers import orders
 
 STOP_RETRY_S: typing.Final = 0.5
@@ -45,9 +46,16 @@
     wall_ms: int,
 ) -> None:
     """Apply a worker's run report; its poll was sent at ``sent_at``."""
-    if worker.boot and report.boot and report.boot != worker.boot:
+    has_unknown_leases = workerboots.may_hold_unknown_leases(worker, report)
+    if workerboots.is_restarted(worker, report):
         _reset_restarted(board, worker, report)
+        _await_late_starts(board, worker, report, now, wall_ms)
+    if has_unknown_leases:
+        worker.lease_end = workerboots.latest_lease_end(
+            worker, report, board.run_lease_s
+        )
     worker.boot = report.boot or worker.entry.boot
+    workerboots.record_answer(worker, report, sent_at)
     worker.polled_at = max(worker.polled_at, sent_at)
     reported_at = _reported_at(worker, report.clock_s, now)
     worker.clock_s, worker.clock_at = report.clock_s, now
@@ -96,7 +104,6 @@
     worker.saved_end = 0
     worker.confirmed_end = 0
     worker.unsaved_ends.clear()
-    worker.lease_end = None
     worker.clock_delta_s = None
     board.decision_records.append(
         fleet.DecisionRecord(
@@ -107,6 +114,30 @@
     )
 
 
+def _await_late_starts(
+    board: fleet.ShardBoard,
+    worker: fleetworkers.Worker,
+    report: orders.RunReport,
+    now: float,
+    wall_ms: int,
+) -> None:
+    """Stop what ran on the boot before and may yet begin on this one."""
+    listed = {running.run for running in report.running}
+    listed.update(ended.run for ended in report.ended)
+    for member in workerboots.list_late(worker):
+        has_run = member.state is livejobs.MemberState.PRESENT
+        workerboots.forget_answers(member)
+        if member.run in listed or not has_run:
+            continue
+        if member.group.phase is livejobs.Phase.DONE:
+            board.mark_terminated(member)
+            board.orders.append(fleet.StopOrder(worker.id, member.run))
+        else:
+            end_group(
+                board, member.group, livejobs.EndReason.LOST, now, wall_ms
+            )
+
+
 def _record_end(
     board: fleet.ShardBoard,
     worker: fleetworkers.Worker,
@@ -406,6 +437,10 @@
     one, or where the worker may have restarted since its last report: its
     numbers begin again, and it would discard ends that it never reported.
     """
-    if worker.failures_in_row or worker.saved_end <= worker.confirmed_end:
+    if (
+        worker.failures_in_row
+        or worker.is_doubted
+        or worker.saved_end <= worker.confirmed_end
+    ):
         return 0
     return worker.saved_end
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -205,13 +205,16 @@
         """Return whether to send a start whose turn has come.
 
         Before the first order the attempt is ended instead if its start is
-        not permitted any more, or its worker has stopped answering since the
-        placement.  An order without an answer is not repeated then.
+        not permitted any more, or its worker has stopped answering or may
+        have started again since the placement: the order would name times of
+        another clock.  An order without an answer is not repeated then.
         """
         group = member.group
         if member.state is livejobs.MemberState.ORDERED:
-            return group.phase is livejobs.Phase.STARTING and not (
-                self._find_obstacle((member,), now)
+            return (
+                group.phase is livejobs.Phase.STARTING
+                and not worker.is_doubted
+                and not self._find_obstacle((member,), now)
             )
         if member.state is not livejobs.MemberState.PLACED:
             return False
@@ -219,8 +222,8 @@
         if obstacle:
             self._cancel_start(group, obstacle, now)
             return False
-        if worker.failures_in_row:
-            silent = orders.NotSent('it has stopped answering')
+        if worker.failures_in_row or worker.is_doubted:
+            silent = orders.NotSent('it has stopped answering, or restarted')
             self._record_refusal(worker, member, silent, False, now)
             return False
         member.state = livejobs.MemberState.ORDERED
@@ -236,8 +239,12 @@
         deadline = lease_deadline(self._settings, self._lease, sent_at)
         group = member.group
         lease_until = extend_lease(worker, deadline)
-        # An earlier order may be carried out until its own time.
-        member.begin_before = max(member.begin_before or 0.0, lease_until)
+        # Each of the orders may be the one that is carried out.
+        member.begin_before = max(
+            member.begin_before or lease_until, lease_until
+        )
+        member.unanswered_starts += 1
+        member.address = address = worker.entry.address
         ticket = advising.ticket_for(self._board, group, worker.id, sent_at)
         order = orders.Start(
             member.run,
@@ -249,10 +256,12 @@
         )
         answer = await self._run_client.start(
             worker.id,
-            worker.entry.address,
+            address,
             order,
             self._settings.fleet.order_timeout_s,
         )
+        if not _is_unanswered(answer):
+            member.unanswered_starts -= 1
         answered_at = clock.monotonic()
         self._metrics.record('start_order', answered_at - sent_at)
         self._slots.record(answer, sent_at, answered_at)
@@ -348,7 +357,7 @@
     async def _send_stop(
         self, worker: fleetworkers.Worker, order: fleet.StopOrder
     ) -> None:
-        sent_at = clock.monotonic()
+        sent_at, boot = clock.monotonic(), worker.boot
         answer = await self._run_client.stop(
             worker.id,
             worker.entry.address,
@@ -360,7 +369,8 @@
         self._slots.record(answer, sent_at, now)
         if isinstance(answer, result.Ok):
             worker.last_answer_at = now
-            if order.member is not None:
+            if order.member is not None and worker.boot == boot:
+                # Another boot that was polled meanwhile may not know of it.
                 order.member.stopped_at = now
             self._wake()
             return
@@ -380,6 +390,15 @@
         )
 
 
+def _is_unanswered(
+    answer: result.Result[orders.Accepted, orders.OrderError],
+) -> bool:
+    """Return whether an order may be carried out later."""
+    return isinstance(answer, result.Err) and isinstance(
+        answer.err_value, orders.Unanswered
+    )
+
+
 def _is_stop_due(order: fleet.StopOrder, worker: fleetworkers.Worker) -> bool:
     """Return whether a stop whose turn has come is still of use.
 
--- a/primroselock/test/testlateorders.py
+++ b/primroselock/test/testlateorders.py
@@ -81,7 +81,8 @@
             with mock.patch.object(world.fleet, 'stop', answer_no_stop):
                 begins_at = first.lease_until - _BEGINS_BEFORE_END_S
                 await asyncio.sleep(begins_at - clock.monotonic())
-                world.fleet._execute_start(worker, first)
+                now = clock.monotonic()
+                world.fleet._execute_start(worker, first, now)
                 await asyncio.sleep(1.0)
             self.assertEqual([], world.fleet.violations)
 
--- a/primroselock/test/testshrinkingcapacity.py
+++ b/primroselock/test/testshrinkingcapacity.py
@@ -129,7 +129,7 @@
                 order = orders.Start(
                     orders.Run(name, 1), '', clock.monotonic() + 9, 1, '', ''
                 )
-                await world.fleet.start('w0', '', order, 1.0)
+                await world.fleet.start('w0', 'w0:1', order, 1.0)
                 if not index:
                     world.set_capacity('w0', _HALF)
                     await asyncio.sleep(late_s)
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -2,7 +2,7 @@
 
 The worker holds a poll open until a run ends or the wait is over, so that
 ends are reported without delay.  A worker on which nothing can run is not
-polled.
+polled, but once when it may have started again.
 
 Polls are often due for all workers at once, as after a takeover, and probes
 for all workers of a zone.  They wait for their turn, see ``callslots``: if a
@@ -105,9 +105,10 @@
                 return
             sent_at = clock.monotonic()
             timeout_s = self._settings.fleet.order_timeout_s
+            address = worker.entry.address
             answer = await self._run_client.poll_runs(
                 worker.id,
-                worker.entry.address,
+                address,
                 self._board.epoch,
                 0,
                 None,
@@ -121,7 +122,7 @@
                 answer.err_value, sent_at + timeout_s
             ):
                 return
-            self._record_error(worker, answer.err_value)
+            self._record_error(worker, answer.err_value, address, sent_at)
             return
         worker.last_answer_at = clock.monotonic()
         self._wake()
@@ -138,7 +139,9 @@
         if worker.is_busy:
             return True
         return worker.is_listed and (
-            not worker.is_polled or worker.failures_in_row > 0
+            not worker.is_polled
+            or worker.is_doubted
+            or worker.failures_in_row > 0
         )
 
     async def _run(self, worker: fleetworkers.Worker) -> None:
@@ -202,11 +205,13 @@
         lease_until = None
         # The lease of a worker that does not answer is not extended, so
         # that its end is known: the worker may apply an unanswered
-        # extension later.
+        # extension later.  That of a boot that was not polled yet would name
+        # a time of another clock.
         if (
             self._may_extend(worker)
             and worker.is_polled
             and worker.members
+            and not worker.is_doubted
             and not worker.failures_in_row
         ):
             deadline = runorders.lease_deadline(
@@ -215,9 +220,10 @@
             lease_until = runorders.extend_lease(worker, deadline)
         wait_s = self._poll_wait_s(worker)
         timeout_s = self._settings.fleet.look_timeout_s
+        address = worker.entry.address
         answer = await self._run_client.poll_runs(
             worker.id,
-            worker.entry.address,
+            address,
             self._board.epoch,
             confirmed_end,
             lease_until,
@@ -229,7 +235,7 @@
         if isinstance(answer, result.Err):
             if self._was_late(answer.err_value, sent_at + wait_s + timeout_s):
                 return True
-            self._record_error(worker, answer.err_value)
+            self._record_error(worker, answer.err_value, address, sent_at)
             return False
         if worker.failures_in_row:
             _log.info('worker answers polls again', worker=worker.id)
@@ -264,7 +270,7 @@
         return not self._lease.published_bounds.covers(worker.id)
 
     def _poll_wait_s(self, worker: fleetworkers.Worker) -> float:
-        if not worker.is_polled or worker.unsaved_ends:
+        if not worker.is_polled or worker.is_doubted or worker.unsaved_ends:
             return 0.0
         if not self._may_extend(worker) or any(
             member.state is not livejobs.MemberState.PRESENT
@@ -275,8 +281,13 @@
         return self._settings.fleet.longest_wait_s
 
     def _record_error(
-        self, worker: fleetworkers.Worker, error: orders.OrderError
+        self,
+        worker: fleetworkers.Worker,
+        error: orders.OrderError,
+        address: str,
+        sent_at: float,
     ) -> None:
+        """Record a failed poll that was sent at ``sent_at`` to ``address``."""
         if (
             isinstance(error, orders.Refused)
             and error.why is orders.Refusal.STALE_EPOCH
@@ -288,10 +299,11 @@
             isinstance(error, orders.Refused)
             and error.why is orders.Refusal.BOOT_MISMATCH
         ):
-            runleases.settle_lost_worker(
+            runleases.settle_left_address(
                 self._board,
                 worker,
-                'another worker instance answers at its address',
+                address,
+                sent_at,
                 clock.monotonic(),
                 int(clock.wall() * 1000),
             )
