An odd entry of a worker is left out, whatever it holds

What callers saw: with one entry nested 100,000 deep, or with remaining time of 400 digits, in the list of workers, no takeover completed and no follower got past the entry: nobody decided. An entry with a capacity of 400 digits, below zero or of nothing, or with an address that nobody can be called at (port 0, 99999, abc, 30 digits, no host), counted as a worker to use.

Cause: the decoder caught the errors of msgspec only. RecursionError and OverflowError are others, and the numbers and the address had no bounds. Class: data of another party is decoded in many places, each of which catches what its author thought of.

Change: decoding.py turns bytes into a record or a plain reason. It catches whatever decoding raises for odd input, but a lack of memory. Records declare the bounds of their numbers by its types, so that msgspec checks them.

--- a/primroselock/platform/discovery.py
+++ b/primroselock/platform/discovery.py
@@ -1,14 +1,16 @@
 """Conversion of workers' registration rows to the product's records.
 
-A row that cannot be decoded is ignored: other writers may store anything
-in the table.
+Other writers may store anything in the table.  A row that cannot be decoded,
+or that no worker can have written, names no worker.
 """
 
 import typing
 
 import msgspec
+import result
 
 from primroselock.decisions import fleetworkers
+from primroselock import decoding
 from primroselock import jobgraph
 from primroselock import logs
 from primroselock.store import table
@@ -22,9 +24,9 @@
 class _Capacity(msgspec.Struct):
     """``cpu`` is in thousandths of a core."""
 
-    cpu: int
-    mem_mb: int
-    gpus: int
+    cpu: decoding.Count
+    mem_mb: decoding.Count
+    gpus: decoding.Count
 
 
 class _Entry(msgspec.Struct):
@@ -41,8 +43,11 @@
     state: str
     capacity: _Capacity
     labels: list[str]
-    born: int = 0
-    remaining_ms: int | None = None
+    born: decoding.Count = 0
+    remaining_ms: decoding.Count | None = None
+
+
+_decode_entry: typing.Final = decoding.json_reader(_Entry)
 
 
 class WorkerRowReader:
@@ -53,25 +58,18 @@
     def read_entry(self, row: table.Row) -> fleetworkers.WorkerEntry | None:
         """Return the entry of a row.
 
-        None if it cannot be decoded or its state or address is invalid; an
-        address must have a port.
+        None if it cannot be decoded, its state is not known, nobody can be
+        called at its address, or it has no capacity at all.
         """
         worker_id = row.key.removeprefix(_PREFIX)
-        try:
-            entry = msgspec.json.decode(row.value, type=_Entry)
-        except msgspec.MsgspecError as error:
-            _log.warning(
-                'worker entry ignored: cannot be decoded',
-                worker=worker_id,
-                error=str(error),
-            )
+        decoded = _decode_entry(row.value)
+        if isinstance(decoded, result.Err):
+            _ignore(worker_id, decoded.err_value)
             return None
-        if entry.state not in _STATES or ':' not in entry.address:
-            _log.warning(
-                'worker entry ignored: invalid state or address',
-                worker=worker_id,
-                state=entry.state,
-            )
+        entry = decoded.ok_value
+        problem = _find_problem(entry)
+        if problem:
+            _ignore(worker_id, problem)
             return None
         labels = tuple(entry.labels)
         capacity = entry.capacity
@@ -91,3 +89,18 @@
     def parse_worker_id(self, key: str) -> str:
         """Return the id of the worker whose row, at ``key``, was deleted."""
         return key.removeprefix(_PREFIX)
+
+
+def _find_problem(entry: _Entry) -> str:
+    """Return why no worker can have written an entry; empty if one can."""
+    if entry.state not in _STATES:
+        return 'state: expected one of ' + ', '.join(sorted(_STATES))
+    if not decoding.is_address(entry.address):
+        return 'address: expected a host and a port from 1 to 65535'
+    if not any(msgspec.structs.astuple(entry.capacity)):
+        return 'capacity: expected more than nothing'
+    return ''
+
+
+def _ignore(worker_id: str, why: str) -> None:
+    _log.warning('worker entry ignored', worker=worker_id, why=why)
