One row that cannot be applied is left out and holds up no other

What callers saw: an exception from one row of a change feed was retried for ever, so that the follower got no further; in a takeover nothing caught it, so that each node in turn failed and nobody decided. An entry that became odd while its worker ran left the entry before it in use, for new starts too.

Cause: rows are applied in a loop without a boundary between them. Class: one odd item ends, or holds up, what reads it.

Change: rowguard.leave_out logs a row by its key and goes on; a lack of memory is raised. Used by the takeover and by the followers of entries, jobs and the operators' rows. boardrows puts rows on the board for both (moved from holdersession; testholderchange names the new place). A job that fails to load is removed again as a whole. A row that names no worker counts as a deleted one: no new starts, its runs go on and are polled at the address known, and a later readable row makes it usable again. fleetbuilders.World can use the platform's own reader.

--- a/primroselock/decisions/graphs.py
+++ b/primroselock/decisions/graphs.py
@@ -65,6 +65,19 @@
     return job
 
 
+def drop_job(board: fleet.ShardBoard, job_id: str) -> None:
+    """Remove a job that could not be added, with all that is known of it."""
+    job = board.jobs_by_id.pop(job_id, None)
+    if job is None:
+        return
+    for group in job.groups_by_key.values():
+        for member in group.members:
+            board.mark_terminated(member)
+        board.phases.leave(group)
+    board.phases.unreleased_jobs.pop(job, None)
+    board.phases.ending_jobs.pop(job, None)
+
+
 def _restore(
     board: fleet.ShardBoard,
     job: livejobs.LiveJob,
--- a/primroselock/fleetnode.py
+++ b/primroselock/fleetnode.py
@@ -12,9 +12,9 @@
 
 from primroselock import advicerequests
 from primroselock import backgroundtasks
+from primroselock import boardrows
 from primroselock import clock
 from primroselock import errors
-from primroselock import holdersession
 from primroselock import httpserver
 from primroselock import intake
 from primroselock import logs
@@ -74,7 +74,7 @@
     build_client_api: abc.Callable[
         [options.Settings, intake.Intake, metrics.Metrics], typing.Any
     ]
-    worker_rows: holdersession.WorkerRowReader
+    worker_rows: boardrows.WorkerRowReader
     operator_table: str
 
 
--- a/primroselock/graphrows.py
+++ b/primroselock/graphrows.py
@@ -15,6 +15,7 @@
 
 from primroselock import jobgraph
 from primroselock import logs
+from primroselock import rowguard
 from primroselock.store import keys
 from primroselock.store import table
 
@@ -128,14 +129,18 @@
     def apply(self, rows: tuple[table.Row, ...]) -> None:
         """Add rows; rows of other shards or kinds are ignored."""
         for row in rows:
-            if row.key.startswith(self._graph_prefix):
-                stored = self._stored(row.key, self._graph_prefix)
-                stored.graph = read_graph(row)
-            elif row.key.startswith(self._cancel_prefix):
-                stored = self._stored(row.key, self._cancel_prefix)
-                stored.is_cancelled = True
-            elif row.key.startswith(self._progress_prefix):
-                self._apply_progress(row)
+            with rowguard.leave_out(_log, row.key):
+                self._apply_row(row)
+
+    def _apply_row(self, row: table.Row) -> None:
+        if row.key.startswith(self._graph_prefix):
+            stored = self._stored(row.key, self._graph_prefix)
+            stored.graph = read_graph(row)
+        elif row.key.startswith(self._cancel_prefix):
+            stored = self._stored(row.key, self._cancel_prefix)
+            stored.is_cancelled = True
+        elif row.key.startswith(self._progress_prefix):
+            self._apply_progress(row)
 
     def _apply_progress(self, row: table.Row) -> None:
         name = row.key.removeprefix(self._progress_prefix)
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -19,15 +19,14 @@
 
 from primroselock import advicerequests
 from primroselock import backgroundtasks
+from primroselock import boardrows
 from primroselock import clock
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetround
-from primroselock.decisions import fleetworkers
 from primroselock.decisions import graphs
 from primroselock.decisions import runleases
 from primroselock import graphrows
 from primroselock import graphwriter
-from primroselock import jobgraph
 from primroselock import jobs
 from primroselock import lateness
 from primroselock import logs
@@ -65,18 +64,6 @@
 """A round that starts this late shows that the process was paused."""
 
 
-class WorkerRowReader(typing.Protocol):
-    """Reads workers' entries from the rows of the table ``name``."""
-
-    name: str
-
-    def read_entry(self, row: table.Row) -> fleetworkers.WorkerEntry | None:
-        """Return the entry of a row, or None if it cannot be decoded."""
-
-    def parse_worker_id(self, key: str) -> str:
-        """Return the id of the worker whose row, at ``key``, was deleted."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Parts:
     """What a session uses: settings, lease, store, clients and counters.
@@ -90,7 +77,7 @@
     settings: options.Settings
     lease: shards.ShardLease
     store: table.FeedTable
-    worker_rows: WorkerRowReader
+    worker_rows: boardrows.WorkerRowReader
     run_client: orders.RunClient
     advice_client: advicerequests.AdviceClient
     counters: metrics.Metrics
@@ -113,42 +100,6 @@
     sent_at: float
 
 
-def load_job(
-    board: fleet.ShardBoard, stored: graphrows.StoredJob, now: float
-) -> None:
-    """Add a stored job to the blackboard, or apply its cancellation.
-
-    A graph or a progress that no job can have is logged and left out.
-    """
-    graph = stored.graph
-    if graph is None:
-        return
-    job = board.jobs_by_id.get(graph.id)
-    if stored.progress is not None and stored.progress.state.is_final:
-        board.ended_ms_by_id[graph.id] = stored.progress.ended_ms
-    elif job is None:
-        problems = jobgraph.check(graph)
-        if not problems and stored.progress is not None:
-            problems = jobgraph.check_progress(graph, stored.progress)
-        if problems:
-            # The intake refuses such a job; only a damaged row has one.
-            _log.error('stored job not usable', request=graph.id, why=problems)
-            return
-        wall_ms = int(clock.wall() * 1000)
-        job = graphs.add_job(
-            board,
-            graph,
-            stored.progress,
-            stored.progress_version,
-            now,
-            wall_ms,
-        )
-        if job is not None:
-            job.stored_parts = stored.parts
-    if job is not None and stored.is_cancelled:
-        job.request_cancel()
-
-
 class HolderSession:
     """Runs the loops from gaining the shard lease until it is lost."""
 
@@ -342,7 +293,7 @@
                     known.request_cancel()
             elif stored.graph and job_id not in self._loaded_job_ids:
                 self._loaded_job_ids.add(job_id)
-                load_job(self._board, stored, now)
+                boardrows.load_job(self._board, job_id, stored, now)
 
     def _count_waiting(self, now: float) -> dict[str, int] | None:
         """Return the number of jobs that have not started, by queue.
@@ -450,11 +401,10 @@
 
     def _apply_entries(self, changes: table.Changes) -> None:
         now = clock.monotonic()
+        reader = self._parts.worker_rows
         for row in changes.rows:
-            entry = self._parts.worker_rows.read_entry(row)
-            if entry is not None:
-                self._board.record_entry(entry, now)
+            boardrows.apply_entry(self._board, reader, row, now)
         for key in changes.removed:
-            worker_id = self._parts.worker_rows.parse_worker_id(key)
+            worker_id = reader.parse_worker_id(key)
             self._board.record_unlisted(worker_id)
         self._parts.wake.set()
--- a/primroselock/platform/configuration.py
+++ b/primroselock/platform/configuration.py
@@ -11,6 +11,7 @@
 
 from primroselock import logs
 from primroselock import queues
+from primroselock import rowguard
 from primroselock.store import table
 
 TABLE: typing.Final = 'op'
@@ -85,7 +86,8 @@
         """Apply changes; return whether the configuration changed."""
         before = self.current
         for row in changes.rows:
-            self._apply_row(row)
+            with rowguard.leave_out(_log, row.key):
+                self._apply_row(row)
         for key in changes.removed:
             if key.startswith(_EVACUATION_PREFIX):
                 self._set_zone(key, is_out=False)
--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -14,6 +14,7 @@
 
 from primroselock import advicerequests
 from primroselock import backgroundtasks
+from primroselock import boardrows
 from primroselock import clock
 from primroselock.decisions import fleet
 from primroselock.decisions import leasebounds
@@ -49,7 +50,7 @@
         settings: options.Settings,
         store: table.FeedTable,
         shard_follower: tablefollower.TableFollower,
-        worker_rows: holdersession.WorkerRowReader,
+        worker_rows: boardrows.WorkerRowReader,
         run_client: orders.RunClient,
         advice_client: advicerequests.AdviceClient,
         counters: metrics.Metrics,
@@ -328,11 +329,9 @@
         )
         now = clock.monotonic()
         async for row in waits.take_turns(entries.rows):
-            entry = self._worker_rows.read_entry(row)
-            if entry is not None:
-                board.record_entry(entry, now)
-        async for stored in waits.take_turns(jobs_by_id.values()):
-            holdersession.load_job(board, stored, now)
+            boardrows.apply_entry(board, self._worker_rows, row, now)
+        async for job_id, stored in waits.take_turns(jobs_by_id.items()):
+            boardrows.load_job(board, job_id, stored, now)
         _log.info(
             'shard takeover complete',
             epoch=board.epoch,
--- a/primroselock/test/fleetbuilders.py
+++ b/primroselock/test/fleetbuilders.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from primroselock import boardrows
 from primroselock import clock
 from primroselock.decisions import fleetworkers
 from primroselock import graphrows
@@ -137,6 +138,26 @@
     )
 
 
+def encode_entry(entry: fleetworkers.WorkerEntry) -> bytes:
+    """Return the value of an entry's row as a worker of the platform does."""
+    capacity = entry.capacity
+    return msgspec.json.encode(
+        {
+            'service': entry.service,
+            'address': entry.address,
+            'zone': entry.zone,
+            'state': 'draining' if entry.is_draining else 'ready',
+            'capacity': {
+                'cpu': capacity.cpu_millis,
+                'mem_mb': capacity.memory_mb,
+                'gpus': capacity.accelerators,
+            },
+            'labels': list(entry.labels),
+            'born': entry.boot,
+        }
+    )
+
+
 class _JsonWorkerRows:
     """Reads entries of workers from rows that the tests write as JSON."""
 
@@ -167,6 +188,7 @@
         store: fakefeed.FeedStore,
         run_client: fakefleet.FakeFleet,
         settings_text: str = '',
+        worker_rows: boardrows.WorkerRowReader | None = None,
     ) -> None:
         self.settings = build_node_settings(settings_text, name)
         self.connectivity = fakefeed.Connectivity()
@@ -180,7 +202,7 @@
             self.settings,
             self.client,
             self.follower,
-            _JsonWorkerRows(),
+            worker_rows or _JsonWorkerRows(),
             run_client,
             run_client.advice_client,
             self.counters,
@@ -217,11 +239,19 @@
     """A simulated cluster: a store, fake workers and nodes.
 
     ``entries_by_id`` holds the entries of the workers that are listed.
+    With ``worker_rows`` the nodes read the workers' entries as on the
+    platform, and they are written so.
     """
 
     __test__ = False
 
-    def __init__(self, seed: int = 0, workers: int = 4) -> None:
+    def __init__(
+        self,
+        seed: int = 0,
+        workers: int = 4,
+        worker_rows: boardrows.WorkerRowReader | None = None,
+    ) -> None:
+        self._worker_rows = worker_rows
         self.store = fakefeed.FeedStore()
         self.fleet = fakefleet.FakeFleet(seed)
         self.nodes: list[TestNode] = []
@@ -251,7 +281,8 @@
     def write_entry(self, entry: fleetworkers.WorkerEntry) -> None:
         """Write the entry that a worker publishes."""
         self.entries_by_id[entry.id] = entry
-        self.store.put(f'servers/{entry.id}', msgspec.json.encode(entry))
+        encode = encode_entry if self._worker_rows else msgspec.json.encode
+        self.store.put(f'servers/{entry.id}', encode(entry))
 
     def delete_entry(self, worker_id: str) -> None:
         """Delete the entry of a worker: it is no longer listed."""
@@ -268,7 +299,9 @@
 
     def add_node(self, name: str, settings_text: str = '') -> TestNode:
         """Start a node; ``settings_text`` adds sections in INI syntax."""
-        node = TestNode(name, self.store, self.fleet, settings_text)
+        node = TestNode(
+            name, self.store, self.fleet, settings_text, self._worker_rows
+        )
         node.set_queue_configuration(self.queue_configuration)
         self.nodes.append(node)
         node.start()
--- a/primroselock/test/testholderchange.py
+++ b/primroselock/test/testholderchange.py
@@ -12,8 +12,8 @@
 
 import result
 
+from primroselock import boardrows
 from primroselock import graphrows
-from primroselock import holdersession
 from primroselock import intake
 from primroselock.store import keys
 from primroselock.test import fleetbuilders
@@ -55,7 +55,7 @@
             world = fleetbuilders.World()
             for number in range(400):
                 world.submit(fleetbuilders.build_graph(f'j{number}'))
-            load_job = holdersession.load_job
+            load_job = boardrows.load_job
             held: list[bool] = []
             changed = dataclasses.replace(
                 fleetbuilders.QUEUE_CONFIGURATION, version=2
@@ -66,7 +66,7 @@
                 held.append(node.holder.lease.holds(virtual.now))
                 load_job(*arguments)
 
-            with mock.patch.object(holdersession, 'load_job', load_slowly):
+            with mock.patch.object(boardrows, 'load_job', load_slowly):
                 node = world.add_node('entry-1')
                 await asyncio.sleep(1.0)
                 node.set_queue_configuration(changed)
