An odd answer of a worker counts as no answer, whatever it holds

What callers saw: RecursionError from an answer nested deeply ended the task that had sent the order or the probe; a clock, a boot or a number of 400 digits, or a clock of 1e300 ms, was taken for true and used in decisions.

Integers in the names of tasks could be negative: a run of step -99 was looked up among the steps of its job.

Change: rows of runs and ends are typed records, read by decoding. Clocks are from 0 to 2**53 ms, percentages from 0 to 100, numbers in the names of tasks plain digits. A test of whole nodes shows that an address that refuses every connection is polled with pauses that grow to 1 s (no change was needed).

--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -19,6 +19,7 @@
 
 import msgspec
 
+from primroselock import decoding
 from primroselock import jobs
 from primroselock import queues
 
@@ -234,9 +235,9 @@
     parts = text.split('.')
     if len(parts) != _TASK_NAME_PARTS:
         return None
-    try:
-        occurrence, step, index = (int(part) for part in parts[1:])
-    except ValueError:
+    numbers = [decoding.parse_count(part) for part in parts[1:]]
+    occurrence, step, index = numbers
+    if occurrence is None or step is None or index is None:
         return None
     return TaskName(parts[0], occurrence, step, index)
 
--- a/primroselock/platform/workers.py
+++ b/primroselock/platform/workers.py
@@ -7,6 +7,7 @@
 import result
 
 from primroselock import addresspools
+from primroselock import decoding
 from primroselock import httpclient
 from primroselock import jobgraph
 from primroselock import logs
@@ -23,6 +24,7 @@
 
 _MS_PER_S: typing.Final = 1000
 _PERCENT: typing.Final = 100
+_Percent = typing.Annotated[float, msgspec.Meta(ge=0, le=_PERCENT)]
 _log: typing.Final = logs.get('workers')
 
 _REFUSALS_BY_REASON: typing.Final = {
@@ -71,21 +73,40 @@
 class _Answer(msgspec.Struct):
     """The answer to an order; ``reason`` is set if it was refused."""
 
-    clock_ms: float = 0.0
+    clock_ms: decoding.Amount = 0.0
     reason: str = ''
 
 
+class _RunRow(msgspec.Struct, array_like=True):
+    """The start of a row of a worker's running tasks."""
+
+    task: str
+    attempt: decoding.Count
+    checkpoint: str
+    percent: _Percent
+
+
+class _EndRow(msgspec.Struct, array_like=True):
+    """The start of a row of a worker's ended tasks."""
+
+    number: decoding.Count
+    task: str
+    attempt: decoding.Count
+    cause: orders.EndCause
+    checkpoint: str
+
+
 class _HoldAnswer(msgspec.Struct):
-    """The answer to a poll; ``born`` identifies the worker's incarnation.
+    """The answer to a poll; ``born`` identifies the worker's incarnation."""
 
-    Rows of ``running``: task, attempt, checkpoint, percent, load.
-    Rows of ``ended``: number, task, attempt, cause, checkpoint.
-    """
+    clock_ms: decoding.Amount
+    running: list[_RunRow] = []
+    ended: list[_EndRow] = []
+    born: decoding.Count = 0
 
-    clock_ms: float
-    running: list[list[typing.Any]] = []
-    ended: list[list[typing.Any]] = []
-    born: int = 0
+
+_decode_answer: typing.Final = decoding.json_reader(_Answer)
+_decode_hold_answer: typing.Final = decoding.json_reader(_HoldAnswer)
 
 
 class HttpRunClient:
@@ -156,23 +177,17 @@
         )
         if isinstance(answer, result.Err):
             return answer
-        try:
-            decoded = msgspec.json.decode(
-                answer.ok_value.body, type=_HoldAnswer
-            )
-            return result.Ok(_parse_run_report(decoded))
-        except (
-            msgspec.MsgspecError,
-            ValueError,
-            TypeError,
-            OverflowError,
-        ) as error:
+        report = _read_run_report(answer.ok_value.body)
+        if isinstance(report, result.Err):
             _log.warning(
                 'poll answer cannot be decoded',
                 worker=worker_id,
-                error=str(error),
+                error=report.err_value,
             )
-            return result.Err(orders.Unanswered(f'cannot decode: {error}'))
+            return result.Err(
+                orders.Unanswered(f'cannot decode: {report.err_value}')
+            )
+        return report
 
     async def drop(self, address: str) -> None:
         """Close the connections to a worker that was removed."""
@@ -193,11 +208,14 @@
         answer = await self._post(worker_id, address, path, body, timeout_s)
         if isinstance(answer, result.Err):
             return answer
-        try:
-            decoded = msgspec.json.decode(answer.ok_value.body, type=_Answer)
-        except msgspec.MsgspecError as error:
-            return result.Err(orders.Unanswered(f'cannot decode: {error}'))
-        return result.Ok(orders.Accepted(decoded.clock_ms / _MS_PER_S))
+        decoded = _decode_answer(answer.ok_value.body)
+        if isinstance(decoded, result.Err):
+            return result.Err(
+                orders.Unanswered(f'cannot decode: {decoded.err_value}')
+            )
+        return result.Ok(
+            orders.Accepted(decoded.ok_value.clock_ms / _MS_PER_S)
+        )
 
     async def _post(
         self,
@@ -232,42 +250,57 @@
     if response.status in _UNHEALTHY:
         return orders.Refused(orders.Refusal.UNHEALTHY)
     if response.status == _CONFLICT:
-        try:
-            decoded = msgspec.json.decode(response.body, type=_Answer)
-        except msgspec.MsgspecError as error:
-            return orders.Unanswered(f'cannot decode refusal: {error}')
-        why = _REFUSALS_BY_REASON.get(decoded.reason, orders.Refusal.INVALID)
-        return orders.Refused(why, decoded.clock_ms / _MS_PER_S)
+        decoded = _decode_answer(response.body)
+        if isinstance(decoded, result.Err):
+            return orders.Unanswered(
+                f'cannot decode refusal: {decoded.err_value}'
+            )
+        refusal = decoded.ok_value
+        why = _REFUSALS_BY_REASON.get(refusal.reason, orders.Refusal.INVALID)
+        return orders.Refused(why, refusal.clock_ms / _MS_PER_S)
     if 400 <= response.status < 500:
         return orders.Refused(orders.Refusal.INVALID)
     return orders.Unanswered(f'status {response.status}')
 
 
-def _parse_run_report(decoded: _HoldAnswer) -> orders.RunReport:
-    running = []
-    for task, attempt, checkpoint, percent, *_ in decoded.running:
-        run = _parse_run(task, attempt)
-        share = int(percent) / _PERCENT
-        running.append(orders.Running(run, str(checkpoint), share))
-    ended = []
-    for number, task, attempt, cause, checkpoint, *_ in decoded.ended:
-        run = _parse_run(task, attempt)
-        ended.append(
-            orders.Ended(
-                int(number), run, orders.EndCause(cause), str(checkpoint)
-            )
+def _read_run_report(body: bytes) -> result.Result[orders.RunReport, str]:
+    """Return a worker's report, or why it cannot be decoded."""
+    decoded = _decode_hold_answer(body)
+    if isinstance(decoded, result.Err):
+        return decoded
+    return decoding.attempt(_build_run_report, decoded.ok_value)
+
+
+def _build_run_report(answer: _HoldAnswer) -> orders.RunReport:
+    """Raises :class:`ValueError` for a run whose task has no valid name."""
+    running = tuple(
+        orders.Running(
+            _parse_run(row.task, row.attempt),
+            row.checkpoint,
+            int(row.percent) / _PERCENT,
         )
+        for row in answer.running
+    )
+    ended = tuple(
+        orders.Ended(
+            row.number,
+            _parse_run(row.task, row.attempt),
+            row.cause,
+            row.checkpoint,
+        )
+        for row in answer.ended
+    )
     return orders.RunReport(
-        decoded.clock_ms / _MS_PER_S,
-        decoded.born,
-        tuple(running),
-        tuple(ended),
+        answer.clock_ms / _MS_PER_S,
+        answer.born,
+        running,
+        ended,
         len(ended) < _MAX_LISTED_ENDS,
     )
 
 
-def _parse_run(task: typing.Any, attempt: typing.Any) -> orders.Run:
-    name = jobgraph.parse_task_name(task) if isinstance(task, str) else None
+def _parse_run(task: str, attempt: int) -> orders.Run:
+    name = jobgraph.parse_task_name(task)
     if name is None:
         raise ValueError(f'not a task name: {task!r}')
-    return orders.Run(name, int(attempt))
+    return orders.Run(name, attempt)
--- a/primroselock/test/decodercases.py
+++ b/primroselock/test/decodercases.py
@@ -13,8 +13,12 @@
 import result
 
 from primroselock import decoding
+from primroselock import httpclient
+from primroselock import jobgraph
 from primroselock.platform import discovery
+from primroselock.platform import workers
 from primroselock.store import table
+from primroselock.workers import orders
 
 _DEPTH: typing.Final = 100_000
 _MARK: typing.Final = 'the odd value'
@@ -192,6 +196,54 @@
     return discovery.WorkerRowReader().read_entry(row)
 
 
+class _Pool:
+    """Answers each exchange with one status and body."""
+
+    def __init__(self, status: int, body: bytes) -> None:
+        self._response = httpclient.Response(status, body, {})
+
+    async def exchange(
+        self, request: httpclient.Request, timeout_s: float
+    ) -> result.Result[httpclient.Response, httpclient.ExchangeError]:
+        """Return the answer at once."""
+        return result.Ok(self._response)
+
+
+def _run_client(status: int, body: bytes) -> workers.HttpRunClient:
+    client = workers.HttpRunClient()
+    pools: typing.Any = client._pools.pools_by_address
+    pools['w:1'] = _Pool(status, body)
+    return client
+
+
+def run_now(
+    work: abc.Coroutine[typing.Any, typing.Any, typing.Any],
+) -> typing.Any:
+    """Return the result of a coroutine that waits for nothing."""
+    try:
+        work.send(None)
+    except StopIteration as ended:
+        return ended.value
+    raise AssertionError('waits')
+
+
+def _read_poll_answer(value: bytes) -> typing.Any:
+    client = _run_client(200, value)
+    return run_now(client.poll_runs('w', 'w:1', 1, 0, None, 0.0, 1.0))
+
+
+def _read_order_answer(value: bytes) -> typing.Any:
+    return run_now(_run_client(200, value).stop('w', 'w:1', _RUN, 1, 1.0))
+
+
+def _read_refusal(value: bytes) -> typing.Any:
+    """Return the refusal itself; None if it cannot be read."""
+    refused = run_now(_run_client(409, value).stop('w', 'w:1', _RUN, 1, 1.0))
+    error = refused.unwrap_err()
+    return error if isinstance(error, orders.Refused) else None
+
+
+_RUN: typing.Final = orders.Run(jobgraph.TaskName('j', 0, 0, 0), 1)
 _ENTRY: typing.Final = {
     'service': 'svc',
     'address': '10.0.0.1:80',
@@ -202,11 +254,21 @@
     'born': 1700,
     'remaining_ms': 5000,
 }
+_POLL_ANSWER: typing.Final = {
+    'clock_ms': 7000,
+    'born': 17,
+    'running': [['j.0.1.2', 3, 'cp', 41, 900]],
+    'ended': [[58, 'j.0.1.9', 1, 'done', '']],
+}
 
 CASES: typing.Final[tuple[Case, ...]] = (
     Case('entry of a worker', _read_entry, _ENTRY),
+    Case('answer to a poll', _read_poll_answer, _POLL_ANSWER),
+    Case('answer to an order', _read_order_answer, {'clock_ms': 7000}),
+    Case('refusal', _read_refusal, {'clock_ms': 7000, 'reason': 'room'}),
 )
 PARSERS_BY_NAME: typing.Final[dict[str, abc.Callable[[str], typing.Any]]] = {
     'whole number': decoding.parse_count,
     'address': decoding.is_address,
+    'name of a task': jobgraph.parse_task_name,
 }
--- a/primroselock/test/testoddentries.py
+++ b/primroselock/test/testoddentries.py
@@ -6,19 +6,23 @@
 
 import asyncio
 from collections import abc
+import itertools
 import typing
 import unittest
 from unittest import mock
 
 import msgspec
+import result
 from structlog import testing
 
+from primroselock import clock
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import graphs
 from primroselock.platform import discovery
 from primroselock.store import table
 from primroselock.test import fleetbuilders
 from primroselock.test import virtualtime
+from primroselock.workers import orders
 
 _GOOD_IDS: typing.Final = ('wa', 'wz')
 _ODD_ID: typing.Final = 'wm'
@@ -304,5 +308,39 @@
         await world.wait_for('good', 'done', _DONE_WITHIN_S)
 
 
+class SilentAddressTest(unittest.TestCase):
+    """A worker to whose address no connection is established."""
+
+    def test_it_is_polled_with_growing_pauses(self) -> None:
+        """Guards against a holder that spends its time on one odd address."""
+        polled_at: list[float] = []
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            poll_runs = world.fleet.poll_runs
+
+            async def refuse(
+                worker_id: str, *more: typing.Any
+            ) -> result.Result[orders.RunReport, orders.OrderError]:
+                if worker_id != _GOOD_IDS[0]:
+                    return await poll_runs(worker_id, *more)
+                polled_at.append(clock.monotonic())
+                return result.Err(orders.NotSent('no connection'))
+
+            with mock.patch.object(world.fleet, 'poll_runs', refuse):
+                world.add_node('entry-1')
+                await asyncio.sleep(2.0)
+                world.submit(build_job('good', 1))
+                await world.wait_for('good', 'done', _DONE_WITHIN_S)
+                await asyncio.sleep(20.0)
+
+        run_world(scenario)
+        pauses_s = [
+            later - earlier for earlier, later in itertools.pairwise(polled_at)
+        ]
+        self.assertGreater(len(pauses_s), 10)
+        self.assertLess(pauses_s[0], 0.5)
+        self.assertTrue(all(0.9 < pause_s < 1.5 for pause_s in pauses_s[4:]))
+
+
 if __name__ == '__main__':
     unittest.main()
