An odd answer of the store counts as no answer, whatever it holds

What callers saw: an answer of the row store nested deeply raised RecursionError in whatever had called it: a follower's loop, a takeover, a write. Versions of 400 digits or below zero were taken for true.

Cause: the decoder caught the errors of msgspec only, and versions had no bound.

Change: read by decoding; a version is from 0 to 2**53. An answer to a write that cannot be read leaves its outcome unknown, as before.

--- a/primroselock/platform/rows.py
+++ b/primroselock/platform/rows.py
@@ -16,6 +16,7 @@
 import result
 
 from primroselock import clock
+from primroselock import decoding
 from primroselock import httpclient
 from primroselock import metrics
 from primroselock import options
@@ -80,7 +81,7 @@
 
     table: str
     key: str
-    ver: int
+    ver: decoding.Count
     value: str = ''
     removed: bool = False
 
@@ -88,12 +89,12 @@
 class _Rows(msgspec.Struct):
     """Rows as of version ``ver``; ``more_pages``: another page follows."""
 
-    ver: int = 0
+    ver: decoding.Count = 0
     rows: list[_Row] = []
     more_pages: bool = False
 
 
-_decode_rows: typing.Final = msgspec.json.Decoder(_Rows).decode
+_decode_rows: typing.Final = decoding.json_reader(_Rows)
 
 
 class RowStore:
@@ -263,19 +264,20 @@
                     response.status == _TOO_MANY_CALLS,
                 )
             )
-        try:
-            decoded = _decode_rows(response.body)
-        except msgspec.MsgspecError as error:
+        decoded = _decode_rows(response.body)
+        if isinstance(decoded, result.Err):
             return result.Err(
                 table.OutcomeUnknown(
-                    f'row store response cannot be decoded: {error}'
+                    'row store response cannot be decoded: '
+                    f'{decoded.err_value}'
                 )
             )
+        body_rows = decoded.ok_value
         if response.status == _OK:
-            return result.Ok(table.Committed(decoded.ver))
+            return result.Ok(table.Committed(body_rows.ver))
         if response.status == _CONDITION_FAILED:
             return result.Err(
-                table.Conflict(_failed_keys(transaction, decoded))
+                table.Conflict(_failed_keys(transaction, body_rows))
             )
         return result.Err(
             table.OutcomeUnknown(
@@ -326,12 +328,14 @@
                 f'row store responded with status {response.status}'
             )
         )
-    try:
-        return result.Ok(_decode_rows(response.body))
-    except msgspec.MsgspecError as error:
+    decoded = _decode_rows(response.body)
+    if isinstance(decoded, result.Err):
         return result.Err(
-            table.Unavailable(f'row store response cannot be decoded: {error}')
+            table.Unavailable(
+                f'row store response cannot be decoded: {decoded.err_value}'
+            )
         )
+    return decoded
 
 
 def _is_rejected(status: int, transaction: table.Transaction) -> bool:
--- a/primroselock/test/decodercases.py
+++ b/primroselock/test/decodercases.py
@@ -12,12 +12,19 @@
 import msgspec
 import result
 
+from primroselock.decisions import livejobs
 from primroselock import decoding
 from primroselock import httpclient
 from primroselock import jobgraph
+from primroselock import metrics
+from primroselock.platform import advice
+from primroselock.platform import configuration
 from primroselock.platform import discovery
+from primroselock.platform import rows
+from primroselock.platform import settings
 from primroselock.platform import workers
 from primroselock.store import table
+from primroselock.test import fleetbuilders
 from primroselock.workers import orders
 
 _DEPTH: typing.Final = 100_000
@@ -209,6 +216,87 @@
         return result.Ok(self._response)
 
 
+class _Calls:
+    """Answers each call of a store with one status and body."""
+
+    def __init__(self, status: int, body: bytes) -> None:
+        self._response = httpclient.Response(status, body, {})
+
+    async def _answer(
+        self, *arguments: typing.Any
+    ) -> result.Result[httpclient.Response, httpclient.ExchangeError]:
+        return result.Ok(self._response)
+
+    read = write = poll = _answer
+
+
+def _row_store(status: int, body: bytes) -> rows.RowStore:
+    store = rows.RowStore(_SETTINGS, 'x', 1, metrics.Metrics())
+    calls: typing.Any = _Calls(status, body)
+    store._calls = calls
+    return store
+
+
+def _read_listing(value: bytes) -> typing.Any:
+    return run_now(_row_store(200, value).scan('t/'))
+
+
+def _read_feed(value: bytes) -> typing.Any:
+    return run_now(_row_store(200, value).changes('t', 0, 0.0))
+
+
+def _read_commit(value: bytes) -> typing.Any:
+    return run_now(_row_store(200, value).transact(_TRANSACTION))
+
+
+def _read_conflict(value: bytes) -> typing.Any:
+    """Return the conflict itself; None if it cannot be read."""
+    outcome = run_now(_row_store(412, value).transact(_TRANSACTION))
+    error = outcome.unwrap_err()
+    return error if isinstance(error, table.Conflict) else None
+
+
+def _read_advice(value: bytes) -> typing.Any:
+    client = advice.AdviceClient(_SETTINGS)
+    pool: typing.Any = _Pool(200, value)
+    client._pool = pool
+    step = livejobs.StepName('j', 0, 1)
+    return run_now(client.ask(step, ('w1',), 1.0))
+
+
+def _read_configuration(value: bytes) -> typing.Any:
+    reader = configuration.ConfigurationReader()
+    row = table.Row('op/config', value, 1, '')
+    return reader.current if _apply(reader, row) else None
+
+
+def _apply(reader: configuration.ConfigurationReader, row: table.Row) -> bool:
+    # Raises what the reader would log and leave out.
+    reader._apply_row(row)
+    return bool(reader.current.version)
+
+
+def _parse_settings(text: str) -> typing.Any:
+    """Return the settings of a file with ``text`` as each of its numbers."""
+    lines = [
+        f'{name}={text}'
+        for name in (
+            'port_range',
+            'platform.writes_per_s',
+            'platform.row_bytes',
+            'bounds.hold_max_ms',
+            'bounds.far_x',
+            'bounds.revoke_ms',
+            'limits.cpu_share',
+            'limits.cores',
+        )
+    ]
+    return [
+        settings.parse(f'{fleetbuilders.BOOT_TEXT}{line}\n', 'boot')
+        for line in lines
+    ]
+
+
 def _run_client(status: int, body: bytes) -> workers.HttpRunClient:
     client = workers.HttpRunClient()
     pools: typing.Any = client._pools.pools_by_address
@@ -243,6 +331,36 @@
     return error if isinstance(error, orders.Refused) else None
 
 
+_SETTINGS: typing.Final = settings.parse(
+    fleetbuilders.BOOT_TEXT + 'advice=127.0.0.1:9', 'boot'
+).unwrap()
+_TRANSACTION: typing.Final = table.Transaction(
+    (table.Condition('t/k', 1),), (table.Put('t/k', b'v'),)
+)
+_ROWS: typing.Final = {
+    'ver': 7,
+    'rows': [{'table': 't', 'key': 'k', 'ver': 6, 'value': 'dAF2'}],
+    'more_pages': False,
+}
+_CONFIGURATION: typing.Final = {
+    'version': 3,
+    'routes': [
+        {
+            'name': 'r',
+            'host': 'h',
+            'path_prefix': '/p/',
+            'service': 'svc',
+            'priority': 1,
+            'max_attempts': 4,
+            'stretch': 2.0,
+            'target_latency_ms': 500.0,
+            'advice': {'decide_ms': 1.0, 'each_ms': 0.5},
+        }
+    ],
+    'tenants': [{'name': 't', 'api_keys': ['k'], 'guaranteed': {'gpus': 8}}],
+    'limits': {'max_body_bytes': 1000},
+}
+_ADVICE: typing.Final = {'good': [['w1', 't1']], 'valid_ms': 3000}
 _RUN: typing.Final = orders.Run(jobgraph.TaskName('j', 0, 0, 0), 1)
 _ENTRY: typing.Final = {
     'service': 'svc',
@@ -265,6 +383,10 @@
     Case('entry of a worker', _read_entry, _ENTRY),
     Case('answer to a poll', _read_poll_answer, _POLL_ANSWER),
     Case('answer to an order', _read_order_answer, {'clock_ms': 7000}),
+    Case('rows of the store', _read_listing, _ROWS),
+    Case('changes of the store', _read_feed, _ROWS),
+    Case('answer to a transaction', _read_commit, {'ver': 7}),
+    Case('conflict of a transaction', _read_conflict, _ROWS),
     Case('refusal', _read_refusal, {'clock_ms': 7000, 'reason': 'room'}),
 )
 PARSERS_BY_NAME: typing.Final[dict[str, abc.Callable[[str], typing.Any]]] = {
