An odd configuration row changes nothing, whatever it holds

What callers saw: a configuration nested deeply raised RecursionError in the follower of the operators' rows, which requested it again for ever; the copy grew old until every call was refused. Numbers of 400 digits were put in force.

Cause: the decoder caught the errors of msgspec only, and no number had a bound.

Change: read by decoding, with bounds. Only a priority may be below zero.

--- a/primroselock/platform/configuration.py
+++ b/primroselock/platform/configuration.py
@@ -8,7 +8,9 @@
 import typing
 
 import msgspec
+import result
 
+from primroselock import decoding
 from primroselock import logs
 from primroselock import queues
 from primroselock import rowguard
@@ -29,8 +31,8 @@
     request.
     """
 
-    decide_ms: float = 0.0
-    each_ms: float = 0.0
+    decide_ms: decoding.Amount = 0.0
+    each_ms: decoding.Amount = 0.0
 
 
 class _Route(msgspec.Struct):
@@ -45,16 +47,16 @@
     host: str
     path_prefix: str
     service: str
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    target_latency_ms: float = 1000.0
+    priority: decoding.Integer = 0
+    max_attempts: decoding.Count = 1
+    stretch: decoding.Amount = 1.0
+    target_latency_ms: decoding.Amount = 1000.0
     public: bool = False
     advice: _Advice | None = None
 
 
 class _Guaranteed(msgspec.Struct):
-    gpus: int = 0
+    gpus: decoding.Count = 0
 
 
 class _Tenant(msgspec.Struct):
@@ -66,16 +68,19 @@
 
 
 class _Limits(msgspec.Struct):
-    max_body_bytes: int = 262144
+    max_body_bytes: decoding.Count = 262144
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: decoding.Count
     routes: list[_Route] = []
     tenants: list[_Tenant] = []
     limits: _Limits | None = None
 
 
+_decode_config: typing.Final = decoding.json_reader(_Config)
+
+
 class ConfigurationReader:
     """Builds the newest configuration from changes of the operators' rows."""
 
@@ -99,14 +104,14 @@
             return
         if row.key != _CONFIG_KEY:
             return
-        try:
-            config = msgspec.json.decode(row.value, type=_Config)
-        except msgspec.MsgspecError as error:
+        decoded = _decode_config(row.value)
+        if isinstance(decoded, result.Err):
             _log.error(
                 'configuration row ignored: cannot be decoded',
-                error=str(error),
+                error=decoded.err_value,
             )
             return
+        config = decoded.ok_value
         if config.version < self.current.version:
             return
         self.current = _build(config, self.current.zones_out_of_service)
--- a/primroselock/test/decodercases.py
+++ b/primroselock/test/decodercases.py
@@ -387,6 +387,7 @@
     Case('changes of the store', _read_feed, _ROWS),
     Case('answer to a transaction', _read_commit, {'ver': 7}),
     Case('conflict of a transaction', _read_conflict, _ROWS),
+    Case('configuration', _read_configuration, _CONFIGURATION),
     Case('refusal', _read_refusal, {'clock_ms': 7000, 'reason': 'room'}),
 )
 PARSERS_BY_NAME: typing.Final[dict[str, abc.Callable[[str], typing.Any]]] = {
