Odd advice counts as no answer, whatever it holds

What callers saw: advice nested deeply raised RecursionError in the task that asks for it; a validity of 1e300 ms or below zero was taken for true.

Evidence: testdecoders with platform/advice.py of the commit before: 8 failures, 4 of them RecursionError.

Change: read by decoding; a validity is from 0 to 2**53 ms.

--- a/primroselock/platform/advice.py
+++ b/primroselock/platform/advice.py
@@ -6,6 +6,7 @@
 import result
 
 from primroselock.decisions import livejobs
+from primroselock import decoding
 from primroselock import httpclient
 from primroselock import options
 from primroselock.workers import orders
@@ -33,7 +34,10 @@
     """
 
     good: list[tuple[str, str]]
-    valid_ms: float
+    valid_ms: decoding.Amount
+
+
+_decode_response: typing.Final = decoding.json_reader(_Response)
 
 
 class AdviceClient:
@@ -79,13 +83,13 @@
             return result.Err(
                 orders.Unanswered(f'advice service: status {response.status}')
             )
-        try:
-            decoded = msgspec.json.decode(response.body, type=_Response)
-        except msgspec.MsgspecError as error:
+        decoded = _decode_response(response.body)
+        if isinstance(decoded, result.Err):
             return result.Err(
-                orders.Unanswered(f'cannot decode advice: {error}')
+                orders.Unanswered(f'cannot decode advice: {decoded.err_value}')
             )
-        return result.Ok((dict(decoded.good), decoded.valid_ms / _MS_PER_S))
+        advice = decoded.ok_value
+        return result.Ok((dict(advice.good), advice.valid_ms / _MS_PER_S))
 
     async def aclose(self) -> None:
         """Close the connections."""
--- a/primroselock/test/decodercases.py
+++ b/primroselock/test/decodercases.py
@@ -388,6 +388,7 @@
     Case('answer to a transaction', _read_commit, {'ver': 7}),
     Case('conflict of a transaction', _read_conflict, _ROWS),
     Case('configuration', _read_configuration, _CONFIGURATION),
+    Case('advice', _read_advice, _ADVICE),
     Case('refusal', _read_refusal, {'clock_ms': 7000, 'reason': 'room'}),
 )
 PARSERS_BY_NAME: typing.Final[dict[str, abc.Callable[[str], typing.Any]]] = {
