A number of the settings beyond all bounds is a problem of the file

What operators saw: a first port of 5,000 digits ended the check of the settings with ValueError; one of 400 digits or 99999 was accepted, as were numbers up to 1e308.

Cause: digits were converted without a bound on their number.

Change: ports fit the range of ports, numbers are at most 2**53.

--- a/primroselock/platform/settings.py
+++ b/primroselock/platform/settings.py
@@ -12,6 +12,7 @@
 
 import result
 
+from primroselock import decoding
 from primroselock import ini
 from primroselock import options
 
@@ -131,8 +132,8 @@
             number = float(text)
         except ValueError:
             number = -1.0
-        if not 0 < number < float('inf'):
-            self._add_problem(name, text, 'a number above 0')
+        if not 0 < number <= decoding.MAX_NUMBER:
+            self._add_problem(name, text, 'a number above 0, up to 2**53')
             return default
         return number
 
@@ -158,10 +159,11 @@
     def _internal_address(self, offset: int) -> str:
         """Return an address for internal use, on a port of the range."""
         first = self._values.get('port_range', '').partition(',')[0]
-        if not first.isdecimal():
+        port = decoding.parse_count(first, decoding.MAX_PORT - offset)
+        if port is None:
             self._add_problem('port_range', first, 'two port numbers')
             return '127.0.0.1:0'
-        return f'{self._required("ip")}:{int(first) + offset}'
+        return f'{self._required("ip")}:{port + offset}'
 
     def _add_problem(self, name: str, value: str, expected: str) -> None:
         section, _, key = name.rpartition('.')
--- a/primroselock/test/decodercases.py
+++ b/primroselock/test/decodercases.py
@@ -394,5 +394,6 @@
 PARSERS_BY_NAME: typing.Final[dict[str, abc.Callable[[str], typing.Any]]] = {
     'whole number': decoding.parse_count,
     'address': decoding.is_address,
+    'settings of the platform': _parse_settings,
     'name of a task': jobgraph.parse_task_name,
 }
