A job with an odd body is refused as invalid, whatever it holds

What callers saw: a body nested deeply gave 500 instead of 400. Numbers of 400 digits or below zero (a negative run time, for example) were accepted and stored. A deadline header of nan or infinity counted as a deadline.

Cause: the decoder caught the errors of msgspec only, and no number had a bound.

Change: read by decoding; all numbers of a job are from 0 to 2**53. A deadline outside these bounds counts as none.

--- a/primroselock/platform/clientapi.py
+++ b/primroselock/platform/clientapi.py
@@ -9,6 +9,7 @@
 from starlette import responses
 
 from primroselock import clock
+from primroselock import decoding
 from primroselock import intake
 from primroselock import jobgraph
 from primroselock import jobs
@@ -52,23 +53,23 @@
     long-running step may be unavailable at the same time.
     """
 
-    count: int = 1
-    cpu: int = 0
-    mem_mb: int = 0
-    gpus: int = 0
-    est_runtime_ms: float = 0.0
-    after: list[int] = []
+    count: decoding.Count = 1
+    cpu: decoding.Count = 0
+    mem_mb: decoding.Count = 0
+    gpus: decoding.Count = 0
+    est_runtime_ms: decoding.Amount = 0.0
+    after: list[decoding.Count] = []
     gang: bool = False
     rack_local: bool = False
     checkpointing: bool = False
     required_label: str = ''
     data_rack: str = ''
-    anti_affinity: int = 0
+    anti_affinity: decoding.Count = 0
     speculative: bool = False
     long_running: bool = False
     fills: bool = False
-    target_ms: float = 0.0
-    may_miss: int | None = None
+    target_ms: decoding.Amount = 0.0
+    may_miss: decoding.Count | None = None
 
 
 class _Body(msgspec.Struct):
@@ -81,9 +82,12 @@
 
     spec: str
     phases: list[_Phase]
-    repeat_count: int = 0
-    start_at_ms: int = 0
-    period_ms: int = 0
+    repeat_count: decoding.Count = 0
+    start_at_ms: decoding.Count = 0
+    period_ms: decoding.Count = 0
+
+
+_decode_body: typing.Final = decoding.json_reader(_Body)
 
 
 class _State(msgspec.Struct):
@@ -152,11 +156,16 @@
         return await serve(request, access, job_id, deadline)
 
     def _timeout_s(self, request: requests.Request) -> float:
-        """Return how long the caller waits for a response, in seconds."""
-        try:
-            return float(request.headers['x-deadline-ms']) / _MS_PER_S
-        except (KeyError, ValueError):
+        """Return how long the caller waits for a response, in seconds.
+
+        The default if the header is no number that is a time.
+        """
+        text = request.headers.get('x-deadline-ms', '')
+        parsed = decoding.attempt(float, text)
+        timeout_ms = parsed.unwrap_or(-1.0)
+        if not 0 <= timeout_ms <= decoding.MAX_NUMBER:
             return self._settings.default_deadline_s
+        return timeout_ms / _MS_PER_S
 
     async def _submit(
         self,
@@ -168,19 +177,20 @@
         body = await request.body()
         if len(body) > self._intake.max_body_bytes:
             return responses.Response(status_code=413)
-        try:
-            decoded = msgspec.json.decode(body, type=_Body)
-        except msgspec.MsgspecError as error:
+        decoded = _decode_body(body)
+        if isinstance(decoded, result.Err):
             return _refuse(
                 request,
-                intake.Refused(intake.RefusalReason.INVALID, str(error)),
+                intake.Refused(
+                    intake.RefusalReason.INVALID, decoded.err_value
+                ),
             )
         if not job_id or '/' in job_id or '.' in job_id:
             return _refuse(
                 request,
                 intake.Refused(intake.RefusalReason.INVALID, 'invalid job id'),
             )
-        graph = _build_graph(decoded, access, job_id)
+        graph = _build_graph(decoded.ok_value, access, job_id)
         outcome = await self._intake.submit(access, graph, deadline)
         if isinstance(outcome, result.Err):
             return _refuse(request, outcome.err_value)
--- a/primroselock/test/decodercases.py
+++ b/primroselock/test/decodercases.py
@@ -11,13 +11,16 @@
 
 import msgspec
 import result
+from starlette import requests
 
 from primroselock.decisions import livejobs
 from primroselock import decoding
 from primroselock import httpclient
+from primroselock import intake
 from primroselock import jobgraph
 from primroselock import metrics
 from primroselock.platform import advice
+from primroselock.platform import clientapi
 from primroselock.platform import configuration
 from primroselock.platform import discovery
 from primroselock.platform import rows
@@ -297,6 +300,84 @@
     ]
 
 
+class Intake:
+    """Admits callers to the queues of the tests and keeps their last job."""
+
+    max_body_bytes = 10**9
+
+    def __init__(self) -> None:
+        self.graph: jobgraph.JobGraph | None = None
+
+    def admit(
+        self, host: str, path: str, key: str, now: float
+    ) -> result.Result[intake.Access, intake.Refused]:
+        """Return the queue and the account of a call."""
+        current = fleetbuilders.QUEUE_CONFIGURATION
+        queue = current.find(host, path)
+        account = current.find_account(key)
+        if queue is None or account is None:
+            return result.Err(
+                intake.Refused(intake.RefusalReason.UNKNOWN_QUEUE)
+            )
+        return result.Ok(intake.Access(queue, account.name))
+
+    async def submit(
+        self, access: intake.Access, graph: jobgraph.JobGraph, deadline: float
+    ) -> result.Result[None, intake.Refused]:
+        """Accept a job."""
+        self.graph = graph
+        return result.Ok(None)
+
+
+def call_api(
+    job_intake: Intake,
+    body: bytes = b'',
+    path: str = '/bulk/j1',
+    headers: abc.Mapping[str, bytes] = {},
+) -> int:
+    """Submit a job to the interface for callers; return the status."""
+    stub: typing.Any = job_intake
+    api = clientapi.ClientApi(_SETTINGS, stub, metrics.Metrics())
+    sent: list[dict[str, typing.Any]] = []
+    pairs = {'host': b'host', 'authorization': b'Token k1', **headers}
+    scope = {
+        'type': 'http',
+        'method': 'POST',
+        'path': path,
+        'query_string': b'',
+        'scheme': 'http',
+        'server': ('127.0.0.1', 1),
+        'headers': [(k.encode('latin-1'), v) for k, v in pairs.items()],
+    }
+
+    async def receive() -> dict[str, typing.Any]:
+        return {'type': 'http.request', 'body': body, 'more_body': False}
+
+    async def send(message: dict[str, typing.Any]) -> None:
+        sent.append(message)
+
+    run_now(api(scope, receive, send))
+    status: int = sent[0]['status']
+    return status
+
+
+def _read_job(value: bytes) -> typing.Any:
+    """Return the job in the body of a call; None for a refused call."""
+    job_intake = Intake()
+    status = call_api(job_intake, value)
+    assert status == (400 if job_intake.graph is None else 200), status
+    return job_intake.graph
+
+
+def _parse_deadline(text: str) -> typing.Any:
+    """Return the deadline that a header sets, relative to the default."""
+    stub: typing.Any = Intake()
+    api = clientapi.ClientApi(_SETTINGS, stub, metrics.Metrics())
+    value = text.encode('latin-1', 'ignore')
+    scope = {'type': 'http', 'headers': [(b'x-deadline-ms', value)]}
+    return api._timeout_s(requests.Request(scope))
+
+
 def _run_client(status: int, body: bytes) -> workers.HttpRunClient:
     client = workers.HttpRunClient()
     pools: typing.Any = client._pools.pools_by_address
@@ -360,6 +441,33 @@
     'tenants': [{'name': 't', 'api_keys': ['k'], 'guaranteed': {'gpus': 8}}],
     'limits': {'max_body_bytes': 1000},
 }
+_JOB: typing.Final = {
+    'spec': 's',
+    'repeat_count': 2,
+    'start_at_ms': 1000,
+    'period_ms': 500,
+    'phases': [
+        {
+            'count': 4,
+            'cpu': 500,
+            'mem_mb': 256,
+            'gpus': 1,
+            'est_runtime_ms': 900,
+            'after': [0],
+            'gang': True,
+            'rack_local': True,
+            'checkpointing': True,
+            'required_label': 'kind',
+            'data_rack': 'r1-3',
+            'anti_affinity': 1,
+            'speculative': False,
+            'long_running': False,
+            'fills': False,
+            'target_ms': 5,
+            'may_miss': 1,
+        }
+    ],
+}
 _ADVICE: typing.Final = {'good': [['w1', 't1']], 'valid_ms': 3000}
 _RUN: typing.Final = orders.Run(jobgraph.TaskName('j', 0, 0, 0), 1)
 _ENTRY: typing.Final = {
@@ -388,12 +496,14 @@
     Case('answer to a transaction', _read_commit, {'ver': 7}),
     Case('conflict of a transaction', _read_conflict, _ROWS),
     Case('configuration', _read_configuration, _CONFIGURATION),
+    Case('job of a caller', _read_job, _JOB),
     Case('advice', _read_advice, _ADVICE),
     Case('refusal', _read_refusal, {'clock_ms': 7000, 'reason': 'room'}),
 )
 PARSERS_BY_NAME: typing.Final[dict[str, abc.Callable[[str], typing.Any]]] = {
     'whole number': decoding.parse_count,
     'address': decoding.is_address,
+    'deadline of a call': _parse_deadline,
     'settings of the platform': _parse_settings,
     'name of a task': jobgraph.parse_task_name,
 }
--- a/primroselock/test/testdecoders.py
+++ b/primroselock/test/testdecoders.py
@@ -128,6 +128,33 @@
         self.assertEqual([], list_unbounded(parsed))
 
 
+class CallsTest(unittest.TestCase):
+    """Calls of callers, whose paths and headers may hold anything."""
+
+    @hypothesis.settings(max_examples=200)
+    @hypothesis.given(
+        strategies.text(),
+        strategies.dictionaries(
+            strategies.sampled_from(
+                ['host', 'authorization', 'x-deadline-ms', 'content-length']
+            ),
+            strategies.binary(),
+        ),
+    )
+    @hypothesis.example('/bulk/j1', {'host': b'['})
+    @hypothesis.example('/bulk/j1', {'host': b'host:[', 'x': b'\xff'})
+    @hypothesis.example('//[/', {})
+    def test_any_path_and_headers(
+        self, path: str, headers: dict[str, bytes]
+    ) -> None:
+        """Guards against a failed call where a refusal is due."""
+        with testing.capture_logs():
+            status = decodercases.call_api(
+                decodercases.Intake(), b'{}', path, headers
+            )
+        self.assertIn(status, (400, 404))
+
+
 class ReadersTest(unittest.TestCase):
     """The readers themselves."""
 
