A stored row of a job or of the shard's lease is bounded, whatever it holds

What callers saw: a row of the shard's lease nested deeply raised RecursionError in the follower of every node and in each takeover. A stored job with an expected run time of 400 digits could not be turned into seconds; one of 10**12 tasks, or as many occurrences, would be counted through.

Cause: the decoders caught the errors of msgspec only, and no number had a bound.

Change: read by decoding; numbers of stored jobs and queues are within 2**53 of either sign, as rows of earlier builds may be below zero; counts and epochs are not. A stored job of more than a million tasks is logged and left out.

--- a/primroselock/boardrows.py
+++ b/primroselock/boardrows.py
@@ -18,6 +18,8 @@
 from primroselock.store import table
 
 _log: typing.Final = logs.get('holder')
+_MAX_TASKS: typing.Final = 1_000_000
+"""More tasks than any job has whose progress can be stored."""
 
 
 class WorkerRowReader(typing.Protocol):
@@ -46,7 +48,9 @@
     if stored.progress is not None and stored.progress.state.is_final:
         board.ended_ms_by_id[graph.id] = stored.progress.ended_ms
     elif job is None:
-        problems = jobgraph.check(graph)
+        problems = jobgraph.check(graph, _MAX_TASKS)
+        if not problems and graph.task_count > _MAX_TASKS:
+            problems = [f'occurrences: expected up to {_MAX_TASKS} tasks']
         if not problems and stored.progress is not None:
             problems = jobgraph.check_progress(graph, stored.progress)
         if problems:
--- a/primroselock/decisions/leasebounds.py
+++ b/primroselock/decisions/leasebounds.py
@@ -19,6 +19,8 @@
 import math
 import typing
 
+from primroselock import decoding
+
 CLOCK_DRIFT: typing.Final = 0.025
 """The fraction by which another clock may run slow."""
 
@@ -36,10 +38,10 @@
     nor to any other worker if ``others_left_s`` is not None.
     """
 
-    left_s_by_worker_id: dict[str, float] = dataclasses.field(
+    left_s_by_worker_id: dict[str, decoding.Amount] = dataclasses.field(
         default_factory=dict
     )
-    others_left_s: float | None = None
+    others_left_s: decoding.Amount | None = None
 
     def covers(self, worker_id: str) -> bool:
         """Return whether the publisher grants this worker no leases."""
--- a/primroselock/graphrows.py
+++ b/primroselock/graphrows.py
@@ -12,7 +12,9 @@
 import typing
 
 import msgspec
+import result
 
+from primroselock import decoding
 from primroselock import jobgraph
 from primroselock import logs
 from primroselock import rowguard
@@ -20,10 +22,8 @@
 from primroselock.store import table
 
 _log: typing.Final = logs.get('graphrows')
-_decode_graph: typing.Final = msgspec.json.Decoder(jobgraph.JobGraph).decode
-_decode_progress: typing.Final = msgspec.json.Decoder(
-    jobgraph.JobProgress
-).decode
+_decode_graph: typing.Final = decoding.json_reader(jobgraph.JobGraph)
+_decode_progress: typing.Final = decoding.json_reader(jobgraph.JobProgress)
 encode: typing.Final = msgspec.json.Encoder().encode
 _MAX_PARTS: typing.Final = 10_000
 """More rows than the progress of any job has."""
@@ -101,20 +101,20 @@
 
 def read_graph(row: table.Row) -> jobgraph.JobGraph | None:
     """Return the graph in a row, or None if it cannot be decoded."""
-    try:
-        return _decode_graph(row.value)
-    except msgspec.MsgspecError as error:
-        _log.error('row cannot be decoded', key=row.key, error=str(error))
+    decoded = _decode_graph(row.value)
+    if isinstance(decoded, result.Err):
+        _log.error('row cannot be decoded', key=row.key, why=decoded.err_value)
         return None
+    return decoded.ok_value
 
 
 def read_progress(row: table.Row) -> jobgraph.JobProgress | None:
     """Return the progress in a row, or None if it cannot be decoded."""
-    try:
-        return _decode_progress(row.value)
-    except msgspec.MsgspecError as error:
-        _log.error('row cannot be decoded', key=row.key, error=str(error))
+    decoded = _decode_progress(row.value)
+    if isinstance(decoded, result.Err):
+        _log.error('row cannot be decoded', key=row.key, why=decoded.err_value)
         return None
+    return decoded.ok_value
 
 
 class JobRows:
@@ -165,7 +165,4 @@
 
 def _parse_part(text: str) -> int | None:
     """Return the number of a further progress row, or None if it is none."""
-    if not text.isdecimal() or len(text) > len(str(_MAX_PARTS)):
-        return None
-    number = int(text)
-    return number if 1 <= number <= _MAX_PARTS else None
+    return decoding.parse_count(text, _MAX_PARTS) or None
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -33,9 +33,9 @@
     ``cpu_millis`` is in thousandths of a core, ``memory_mb`` in megabytes.
     """
 
-    cpu_millis: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
+    cpu_millis: decoding.Integer = 0
+    memory_mb: decoding.Integer = 0
+    accelerators: decoding.Integer = 0
 
     def plus(self, other: 'Resources', times: int = 1) -> 'Resources':
         """Return the sum with ``times`` times ``other``."""
@@ -86,21 +86,21 @@
     number).
     """
 
-    tasks: int
+    tasks: decoding.Integer
     need: Resources
-    expected_ms: int = 0
-    after: tuple[int, ...] = ()
+    expected_ms: decoding.Integer = 0
+    after: tuple[decoding.Integer, ...] = ()
     gang: bool = False
     rack_local: bool = False
     checkpointing: bool = False
     label: str = ''
     data_rack: str = ''
-    max_per_worker: int = 0
+    max_per_worker: decoding.Integer = 0
     speculative: bool = False
     long_running: bool = False
     fills: bool = False
-    tail_latency_target_ms: int = 0
-    max_unavailable: int | None = None
+    tail_latency_target_ms: decoding.Integer = 0
+    max_unavailable: decoding.Integer | None = None
 
     @property
     def counted_need(self) -> Resources:
@@ -134,10 +134,10 @@
     queue: str
     payload: str
     steps: tuple[Step, ...]
-    accepted_ms: int
-    occurrences: int = 1
-    first_due_ms: int = 0
-    period_ms: int = 0
+    accepted_ms: decoding.Integer
+    occurrences: decoding.Integer = 1
+    first_due_ms: decoding.Integer = 0
+    period_ms: decoding.Integer = 0
     accepted_queue: queues.Queue | None = None
 
     @property
@@ -161,9 +161,9 @@
 class GroupKey(msgspec.Struct, frozen=True, array_like=True, order=True):
     """Identifies a group of a job by the ``index`` of its first task."""
 
-    occurrence: int
-    step: int
-    index: int
+    occurrence: decoding.Integer
+    step: decoding.Integer
+    index: decoding.Integer
 
 
 class GroupPhase(enum.Enum):
@@ -178,7 +178,7 @@
     """The worker of one member; ``boot`` identifies its incarnation."""
 
     worker_id: str
-    boot: int
+    boot: decoding.Integer
 
 
 class GroupRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -192,11 +192,11 @@
 
     key: GroupKey
     phase: GroupPhase
-    attempt: int = 0
-    failures: int = 0
+    attempt: decoding.Integer = 0
+    failures: decoding.Integer = 0
     checkpoint: str = ''
     places: tuple[Place, ...] = ()
-    failed_attempt: int = 0
+    failed_attempt: decoding.Integer = 0
 
 
 class JobProgress(msgspec.Struct, frozen=True, array_like=True):
@@ -212,8 +212,8 @@
 
     state: jobs.JobState
     groups: tuple[GroupRecord, ...] = ()
-    ended_ms: int = 0
-    parts: int = 1
+    ended_ms: decoding.Integer = 0
+    parts: decoding.Integer = 1
     queue: queues.Queue | None = None
 
 
--- a/primroselock/queues.py
+++ b/primroselock/queues.py
@@ -9,6 +9,8 @@
 import dataclasses
 import typing
 
+from primroselock import decoding
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdviceLatency:
@@ -18,8 +20,8 @@
     request.
     """
 
-    base_s: float
-    per_worker_s: float
+    base_s: decoding.Number
+    per_worker_s: decoding.Number
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,10 +38,10 @@
     host: str
     prefix: str
     service: str
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    latency_target_s: float = 1.0
+    priority: decoding.Integer = 0
+    max_attempts: decoding.Integer = 1
+    stretch: decoding.Number = 1.0
+    latency_target_s: decoding.Number = 1.0
     is_public: bool = False
     advice: AdviceLatency | None = None
 
--- a/primroselock/shards.py
+++ b/primroselock/shards.py
@@ -30,6 +30,7 @@
 import transitions
 
 from primroselock.decisions import leasebounds
+from primroselock import decoding
 from primroselock import logs
 from primroselock import options
 from primroselock.store import keys
@@ -51,20 +52,23 @@
     """
 
     holder: str
-    renewal: int
+    renewal: decoding.Count
     released: bool = False
-    waiting_by_queue: dict[str, int] | None = None
+    waiting_by_queue: dict[str, decoding.Count] | None = None
     lease_bounds: leasebounds.LeaseBounds = leasebounds.NO_BOUNDS
     is_offered: bool = False
 
 
+_decode_lease_row: typing.Final = decoding.json_reader(LeaseRow)
+
+
 def read_lease_row(row: table.Row) -> LeaseRow | None:
     """Return the content of a lease row, or None if it is malformed."""
-    try:
-        return msgspec.json.decode(row.value, type=LeaseRow)
-    except msgspec.MsgspecError as error:
-        _log.error('row cannot be decoded', key=row.key, error=str(error))
+    decoded = _decode_lease_row(row.value)
+    if isinstance(decoded, result.Err):
+        _log.error('row cannot be decoded', key=row.key, why=decoded.err_value)
         return None
+    return decoded.ok_value
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,16 +79,19 @@
     id of the holder's VM.
     """
 
-    epoch: int
+    epoch: decoding.Count
     holder: str
 
 
+_decode_epoch_row: typing.Final = decoding.json_reader(EpochRow)
+
+
 def _read_epoch_row(row: table.Row) -> EpochRow | None:
-    try:
-        return msgspec.json.decode(row.value, type=EpochRow)
-    except msgspec.MsgspecError as error:
-        _log.error('row cannot be decoded', key=row.key, error=str(error))
+    decoded = _decode_epoch_row(row.value)
+    if isinstance(decoded, result.Err):
+        _log.error('row cannot be decoded', key=row.key, why=decoded.err_value)
         return None
+    return decoded.ok_value
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroselock/test/decodercases.py
+++ b/primroselock/test/decodercases.py
@@ -15,9 +15,11 @@
 
 from primroselock.decisions import livejobs
 from primroselock import decoding
+from primroselock import graphrows
 from primroselock import httpclient
 from primroselock import intake
 from primroselock import jobgraph
+from primroselock import jobs
 from primroselock import metrics
 from primroselock.platform import advice
 from primroselock.platform import clientapi
@@ -26,6 +28,7 @@
 from primroselock.platform import rows
 from primroselock.platform import settings
 from primroselock.platform import workers
+from primroselock import shards
 from primroselock.store import table
 from primroselock.test import fleetbuilders
 from primroselock.workers import orders
@@ -259,6 +262,12 @@
     return error if isinstance(error, table.Conflict) else None
 
 
+def _row_reader(
+    read: abc.Callable[[table.Row], typing.Any],
+) -> Decode:
+    return lambda value: read(table.Row('t/k', value, 1, ''))
+
+
 def _read_advice(value: bytes) -> typing.Any:
     client = advice.AdviceClient(_SETTINGS)
     pool: typing.Any = _Pool(200, value)
@@ -468,6 +477,45 @@
         }
     ],
 }
+_STORED_JOB: typing.Final = msgspec.json.decode(
+    graphrows.encode(
+        fleetbuilders.build_graph(
+            'j',
+            fleetbuilders.build_step(2),
+            fleetbuilders.build_step(3, after=(0,), max_unavailable=1),
+            queue='advised',
+            accepted_ms=5,
+            accepted_queue=fleetbuilders.ADVISED,
+        )
+    )
+)
+_PROGRESS: typing.Final = msgspec.json.decode(
+    graphrows.encode(
+        jobgraph.JobProgress(
+            jobs.JobState.RUNNING,
+            (
+                jobgraph.GroupRecord(
+                    jobgraph.GroupKey(0, 0, 0),
+                    jobgraph.GroupPhase.PLACED,
+                    1,
+                    places=(jobgraph.Place('w0', 1),),
+                ),
+            ),
+            queue=fleetbuilders.ADVISED,
+        )
+    )
+)
+_LEASE: typing.Final = {
+    'holder': 'n',
+    'renewal': 4,
+    'released': False,
+    'waiting_by_queue': {'bulk': 3},
+    'lease_bounds': {
+        'left_s_by_worker_id': {'w0': 1.5},
+        'others_left_s': 2.5,
+    },
+    'is_offered': False,
+}
 _ADVICE: typing.Final = {'good': [['w1', 't1']], 'valid_ms': 3000}
 _RUN: typing.Final = orders.Run(jobgraph.TaskName('j', 0, 0, 0), 1)
 _ENTRY: typing.Final = {
@@ -497,6 +545,14 @@
     Case('conflict of a transaction', _read_conflict, _ROWS),
     Case('configuration', _read_configuration, _CONFIGURATION),
     Case('job of a caller', _read_job, _JOB),
+    Case('stored job', _row_reader(graphrows.read_graph), _STORED_JOB),
+    Case('stored progress', _row_reader(graphrows.read_progress), _PROGRESS),
+    Case('lease of the shard', _row_reader(shards.read_lease_row), _LEASE),
+    Case(
+        'epoch of the shard',
+        _row_reader(shards._read_epoch_row),
+        {'epoch': 3, 'holder': 'n'},
+    ),
     Case('advice', _read_advice, _ADVICE),
     Case('refusal', _read_refusal, {'clock_ms': 7000, 'reason': 'room'}),
 )
@@ -505,5 +561,6 @@
     'address': decoding.is_address,
     'deadline of a call': _parse_deadline,
     'settings of the platform': _parse_settings,
+    'part of a progress': graphrows._parse_part,
     'name of a task': jobgraph.parse_task_name,
 }
--- a/primroselock/test/testoddentries.py
+++ b/primroselock/test/testoddentries.py
@@ -18,8 +18,11 @@
 from primroselock import clock
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import graphs
+from primroselock import graphrows
 from primroselock.platform import discovery
+from primroselock.store import keys
 from primroselock.store import table
+from primroselock.test import decodercases
 from primroselock.test import fleetbuilders
 from primroselock.test import virtualtime
 from primroselock.workers import orders
@@ -308,6 +311,74 @@
         await world.wait_for('good', 'done', _DONE_WITHIN_S)
 
 
+class OddJobsTest(unittest.TestCase):
+    """Stored jobs that nobody could have accepted; the others hold."""
+
+    _ODD: typing.Final = (_DIGITS, b'-' + _DIGITS, b'1e300', _DEEP)
+
+    def _list_rows(self) -> dict[str, bytes]:
+        """Return a row of each kind of odd job, by key."""
+        graph = fleetbuilders.build_graph('odd', accepted_ms=1)
+        valid = msgspec.json.decode(graphrows.encode(graph))
+        values = [
+            encoded.replace(b'"the odd value"', odd)
+            for encoded in (
+                msgspec.json.encode(
+                    decodercases.replace_at(valid, path, 'the odd value')
+                )
+                for path in decodercases.list_paths(valid)
+            )
+            for odd in self._ODD
+        ]
+        for step in (
+            fleetbuilders.build_step(10**12),
+            fleetbuilders.build_step(1, -1),
+        ):
+            values.append(
+                graphrows.encode(
+                    fleetbuilders.build_graph('odd', step, accepted_ms=1)
+                )
+            )
+        values.append(
+            graphrows.encode(
+                msgspec.structs.replace(graph, occurrences=10**12)
+            )
+        )
+        return {
+            keys.graph('fleet', f'odd{number}'): value
+            for number, value in enumerate(values)
+        }
+
+    def _check(self, is_before: bool) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            if not is_before:
+                world.add_node('entry-1')
+                await asyncio.sleep(2.0)
+            world.submit(build_job('first'))
+            for key, value in self._list_rows().items():
+                world.store.put(key, value)
+            world.submit(build_job('last'))
+            if is_before:
+                world.add_node('entry-1')
+            for job_id in ('first', 'last'):
+                await world.wait_for(job_id, 'done', _DONE_WITHIN_S)
+            session = world.find_shard_holder().holder._session
+            assert session is not None
+            self.assertEqual({}, session._board.jobs_by_id)
+
+        events = {line['event'] for line in run_world(scenario)}
+        self.assertEqual(set(), _FAILURES & events)
+        self.assertNotIn(_LEFT_OUT, events)
+
+    def test_odd_jobs_between_two_good_ones(self) -> None:
+        """Guards against a job that ends the round of each holder in turn."""
+        self._check(is_before=False)
+
+    def test_odd_jobs_that_stand_at_the_takeover(self) -> None:
+        """Guards against a job that ends each takeover: nobody decides."""
+        self._check(is_before=True)
+
+
 class SilentAddressTest(unittest.TestCase):
     """A worker to whose address no connection is established."""
 
