Work that must not be moved goes on when its worker outlasts its notice

Cause: a group that must not be moved, or whose run time is unknown, was said to end now, so that it would go on; once the worker had run 2 s longer than the minimum that it reported, 'now' was too late and the group was stopped. Class: a value that stands for 'does not matter' and is compared all the same.

Change: such a group has no expected end. What is placed and not started on a draining worker is placed elsewhere at once, not 2 s after the worker's time.

--- a/primroselock/decisions/fleethealth.py
+++ b/primroselock/decisions/fleethealth.py
@@ -16,6 +16,7 @@
 """
 
 import dataclasses
+import math
 import typing
 
 from primroselock.decisions import evidence
@@ -265,31 +266,36 @@
             continue
         stops_at = worker.drain_seen_at + remaining_s
         for member in worker.members.values():
-            group = member.group
-            if _ends_at(board, group, now) > stops_at + _DRAIN_TOLERANCE_S:
-                cut_short[group] = None
+            ends_at = _ends_at(board, member.group, now)
+            if ends_at is None:
+                continue
+            if ends_at > stops_at + _DRAIN_TOLERANCE_S:
+                cut_short[member.group] = None
     return list(cut_short)
 
 
 def _ends_at(
     board: fleet.ShardBoard, group: livejobs.Group, now: float
-) -> float:
+) -> float | None:
     """Return when a group is expected to end.
 
-    Returns ``now`` for a group that must not be moved or whose run time
-    cannot be estimated, so that it goes on.
+    Returns None for a group that must not be moved or whose run time cannot
+    be estimated: it goes on for as long as it can.  What is not started yet
+    would not end in time.
     """
     step = group.step
+    if group.phase is livejobs.Phase.COMMITTING:
+        return math.inf
     if (
         group.phase is not livejobs.Phase.RUNNING
         or step.max_unavailable is not None
     ):
-        return now
+        return None
     remaining_s = group.remaining_s(now)
     if remaining_s is not None:
         return now + remaining_s
     if group.began_at is None or group.is_resumed or step.long_running:
-        return now
+        return None
     expected_s = board.learned.expected_s(
         group.job.graph.queue, step.expected_ms / _MS_PER_S
     )
--- a/primroselock/test/testmemberends.py
+++ b/primroselock/test/testmemberends.py
@@ -64,6 +64,27 @@
         self.assertNotEqual(entry.id, group.members[0].worker_id)
 
 
+class DrainTest(unittest.TestCase):
+    """Work on a worker that runs longer than it has announced."""
+
+    def test_work_that_must_not_be_moved_goes_on(self) -> None:
+        """Guards against stops of lasting work that may miss no task."""
+        site = idlebuilders.Site(2)
+        step = fleetbuilders.build_step(
+            1, 8, 1000, long_running=True, max_unavailable=0
+        )
+        job = site.occupy('n000', 'j', step, _LONG_S)
+        (group,) = job.groups_by_key.values()
+        worker = site.board.workers_by_id['n000']
+        draining = dataclasses.replace(
+            worker.entry, is_draining=True, remaining_s=0.5
+        )
+        site.board.record_entry(draining, site.now)
+        site.run_for(6.0)
+        self.assertIs(livejobs.Phase.RUNNING, group.phase)
+        self.assertEqual(1, group.attempt)
+
+
 class LeaseTest(unittest.TestCase):
     """Members that were never started, on workers without a lease."""
 
