Pollers wait for the store without reading the clock every 20 ms

What it cost: while the store is slow, each poller whose worker's ends are not stored yet looked every 20 ms; 2565 reads of the clock in 0.5 s at 100 workers, of a processor that callers need.

Change: the pollers wait for an event that each save sets.

--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -389,6 +389,7 @@
         return True
 
     def _on_saved(self) -> None:
+        self._pollers.notify_saved()
         self._send_orders()
         self._parts.wake.set()
 
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -39,7 +39,6 @@
 """Wait of a poll while the outcome of an order is unknown, or while the next
 poll may extend the worker's lease and this one may not."""
 
-_UNSAVED_CHECK_INTERVAL_S: typing.Final = 0.02
 _MAX_UNSAVED_WAIT_S: typing.Final = 1.0
 _INITIAL_BACKOFF_S: typing.Final = 0.1
 _MAX_BACKOFF_S: typing.Final = 1.0
@@ -64,6 +63,7 @@
         self._wake = wake
         self._metrics = counters
         self._slots = callslots.CallSlots()
+        self._saved = asyncio.Event()
         self._tasks = backgroundtasks.BackgroundTasks('poll of a worker')
         self._tasks_by_worker_id: dict[str, asyncio.Task[None]] = {}
         self._probes_by_worker_id: dict[str, asyncio.Task[None]] = {}
@@ -87,6 +87,11 @@
                     self._probe(worker)
                 )
 
+    def notify_saved(self) -> None:
+        """Wake the polls that wait until reported ends are stored."""
+        saved, self._saved = self._saved, asyncio.Event()
+        saved.set()
+
     async def cancel(self) -> None:
         """Cancel all polls and probes."""
         await self._tasks.cancel()
@@ -178,8 +183,16 @@
         The next poll can then confirm them to the worker.
         """
         until = clock.monotonic() + _MAX_UNSAVED_WAIT_S
-        while worker.unsaved_ends and clock.monotonic() < until:
-            await asyncio.sleep(_UNSAVED_CHECK_INTERVAL_S)
+        while worker.unsaved_ends:
+            left_s = until - clock.monotonic()
+            if left_s <= 0:
+                return
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._saved.wait()
+            except TimeoutError:
+                # The next poll confirms what is stored by then.
+                return
 
     async def _poll_guarded(self, worker: fleetworkers.Worker) -> bool:
         """Poll once; return whether the answer could be applied.
