No start is sent to a worker that has gone out of service meanwhile

What callers saw: work that is started on a worker that is about to leave, or in a zone that is being evacuated, and stopped or lost there.

Cause: whether a worker is in service was asked at the placement only; the start is sent once the store has stored the placement, which may take seconds, and after a wait for a call slot. Class, as for capacity that shrinks: a condition that is checked once for an act that comes later.

Change: the sender asks for it again before each order.

--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -20,6 +20,7 @@
 from primroselock import callslots
 from primroselock import clock
 from primroselock.decisions import advising
+from primroselock.decisions import eligibility
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import livejobs
@@ -117,7 +118,8 @@
     ) -> str:
         """Return why starts may not be sent; empty if they may.
 
-        Each grants a lease.  A worker may have shrunk since the placement.
+        Each grants a lease.  Since the placement a worker may have shrunk or
+        begun to drain, or its zone been taken out of service.
         """
         if not self._may_start(now):
             return 'no permit'
@@ -128,7 +130,11 @@
             if self._lease.published_bounds.covers(worker_id):
                 return f'leases of {worker_id} are bounded'
             worker = self._board.workers_by_id.get(worker_id)
-            if worker and not worker.has_capacity_to_start(starting):
+            if worker is None:
+                continue
+            if not eligibility.is_in_service(self._board, worker):
+                return f'{worker_id} is out of service'
+            if not worker.has_capacity_to_start(starting):
                 return f'no capacity on {worker_id}'
         return ''
 
