A run of unknown size fills its worker at any capacity

What callers saw: nothing reported; a worker that shrinks and grows again could get starts beside a run that takes all of it (LIMIT).

Cause: a run of a job that is not known any more counted as the capacity that its worker's entry had when the run was reported. It may have begun before the worker shrank; once the worker has grown, the difference counted as free until the run was reported again 0.5 s later. Class: an amount copied from an entry that may change.

Change: the size of such a run is recorded as not known, and nothing is free on its worker until the run is gone.

--- a/primroselock/decisions/fleetworkers.py
+++ b/primroselock/decisions/fleetworkers.py
@@ -46,11 +46,12 @@
 class UnexpectedRun:
     """A run on a worker that no row asks for; it is stopped.
 
-    ``need`` is the resources that it is assumed to take.
+    ``need`` is the resources that it takes, or None where they are not
+    known: it may take all that its worker has, also once that has changed.
     """
 
     run: orders.Run
-    need: jobgraph.Resources
+    need: jobgraph.Resources | None
     stop_sent_at: float
 
 
@@ -125,9 +126,16 @@
     @property
     def free(self) -> jobgraph.Resources:
         """Return the capacity that members and unexpected runs leave free."""
-        left = self.entry.capacity.plus(self.used, -1)
+        return self._without_unexpected().plus(self.used, -1)
+
+    def _without_unexpected(self) -> jobgraph.Resources:
+        """Return the capacity that unexpected runs leave to members."""
+        left = self.entry.capacity
         for unexpected in self.unexpected_runs.values():
-            left = left.plus(unexpected.need, -1)
+            need = unexpected.need
+            if need is None:
+                need = self.entry.capacity
+            left = left.plus(need, -1)
         return left
 
     def has_capacity_to_start(
@@ -138,13 +146,11 @@
         It may have shrunk since they were placed.  Other members that are
         placed and not started do not count: each is judged in its turn.
         """
-        left = self.entry.capacity
+        left = self._without_unexpected()
         for member in self.members.values():
             is_placed = member.state is livejobs.MemberState.PLACED
             if not is_placed or member in starting:
                 left = left.plus(member.group.step.counted_need, -1)
-        for unexpected in self.unexpected_runs.values():
-            left = left.plus(unexpected.need, -1)
         return left.can_fit(NO_RESOURCES)
 
     @property
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -228,8 +228,8 @@
     run: orders.Run,
     now: float,
 ) -> None:
-    # A run of a job that has ended may be of any size: assume the largest.
-    need = worker.entry.capacity
+    # A run of a job that has ended may be of any size.
+    need = None
     job = board.jobs_by_id.get(run.task.job_id)
     if job is not None and run.task.step < len(job.graph.steps):
         need = job.graph.steps[run.task.step].counted_need
