A claim ends once its workers cannot hold the group

What callers saw: nothing reported; in a test, a task that waits beside a free worker, which is kept for a gang that does not fit any more.

Cause: a claim lasts for 4 s after its workers were chosen. If one of them shrinks, the others stay excluded for equally urgent work although the gang cannot start there; the review of the claim after 1 s finds no other workers and leaves it as it is. Class: a reservation that outlives its reason.

Change: each round drops the claims whose workers could not hold their group even when empty, by the tasks that fit, not the number of workers. The gang looks for other workers in the same round, or waits without a claim.

--- a/primroselock/decisions/fitting.py
+++ b/primroselock/decisions/fitting.py
@@ -334,6 +334,18 @@
     return True
 
 
+def could_hold(
+    workers: abc.Iterable[fleetworkers.Worker], group: livejobs.Group
+) -> bool:
+    """Return whether these workers could hold the group when empty."""
+    fit_total = 0
+    for worker in workers:
+        if freecapacity.fits_when_empty(worker, group.step):
+            # An empty need fits any number of times.
+            fit_total += _max_tasks_on(worker, group.step) or group.size
+    return fit_total >= group.size
+
+
 def _max_tasks_on(worker: fleetworkers.Worker, step: jobgraph.Step) -> int:
     most = worker.entry.capacity.fit_count(step.counted_need)
     return min(most, step.max_per_worker) if step.max_per_worker else most
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -346,10 +346,20 @@
 
 
 def _drop_claims(board: fleet.ShardBoard, now: float) -> None:
+    """Drop claims that are over, or whose workers cannot hold the group.
+
+    A worker may have shrunk, or left, since it was claimed.
+    """
     for group, claim in list(board.claims_by_group.items()):
+        claimed = [
+            board.workers_by_id[worker_id]
+            for worker_id in claim.worker_ids
+            if worker_id in board.workers_by_id
+        ]
         if (
             group.phase is not livejobs.Phase.WAITING
             or now - claim.since > _CLAIM_TIMEOUT_S
+            or not fitting.could_hold(claimed, group)
         ):
             del board.claims_by_group[group]
     for shape, retry_at in list(board.search_retry_at_by_shape.items()):
--- a/primroselock/test/testshrinkingcapacity.py
+++ b/primroselock/test/testshrinkingcapacity.py
@@ -304,6 +304,40 @@
 
         capacitybuilders.run_scenario(scenario)
 
+    def check_claim(self, left: jobgraph.Resources) -> None:
+        """Shrink a worker that a gang of two workers has claimed."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            for name in ('old-0', 'old-1'):
+                capacitybuilders.submit(world, name, 1, 8)
+                await asyncio.sleep(0.2)
+            capacitybuilders.submit(world, 'gang', 4, 4, gang=True)
+            await asyncio.sleep(0.3)
+            board = capacitybuilders.find_board(world)
+            self.assertEqual(1, len(board.claims_by_group))
+            world.set_capacity('w0', left)
+            name = (
+                'old-0'
+                if capacitybuilders.count_runs(world, 'old-0', 'w1')
+                else 'old-1'
+            )
+            world.cancel(name)
+            capacitybuilders.submit(world, 'other', 1, 4)
+            await asyncio.sleep(capacitybuilders.AT_ONCE_S)
+            self.assertEqual(
+                1, capacitybuilders.count_runs(world, 'other', 'w1')
+            )
+
+        capacitybuilders.run_scenario(scenario, workers=2)
+
+    def test_a_claim_ends_with_the_capacity_for_it(self) -> None:
+        """Guards against workers kept for a gang that they cannot hold."""
+        self.check_claim(capacitybuilders.NOTHING)
+
+    def test_a_claim_ends_if_too_few_members_fit(self) -> None:
+        """Guards against a claim that counts workers, not tasks."""
+        self.check_claim(capacitybuilders.HALF)
+
     def test_a_rack_that_shrank_holds_no_rack_local_gang(self) -> None:
         """Guards against an outdated answer to what a rack can hold."""
 
