Work over a shrunk capacity uses up nothing of other workers

What callers saw: nothing reported; groups could wait long for what they prefer beside idle workers (LOST), and the wait report said nothing of it.

Cause: whether capacity is plenty is told by what is used of the sum of all capacities. What runs on a worker that has shrunk exceeds its capacity, and the excess counted against the idle workers.

Evidence: test_work_over_a_shrunk_capacity_takes_none_of_others fails on the commit before: two of three workers are idle, and plenty is False.

Change: a worker counts as used for at most the capacity of its entry.

--- a/primroselock/decisions/eligibility.py
+++ b/primroselock/decisions/eligibility.py
@@ -153,11 +153,14 @@
 
 
 def _used_shares(workers: abc.Collection[fleetworkers.Worker]) -> list[float]:
-    """Return the used share of each resource that the workers have."""
+    """Return the used share of each resource that the workers have.
+
+    What runs on a worker that has shrunk takes nothing from the others.
+    """
     capacity = used = fleetworkers.NO_RESOURCES
     for worker in workers:
         capacity = capacity.plus(worker.entry.capacity)
-        used = used.plus(worker.used)
+        used = used.plus(worker.used.limited_to(worker.entry.capacity))
     amounts = (
         (used.cpu_millis, capacity.cpu_millis),
         (used.memory_mb, capacity.memory_mb),
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -44,6 +44,14 @@
             self.accelerators + other.accelerators * times,
         )
 
+    def limited_to(self, most: 'Resources') -> 'Resources':
+        """Return this amount, but no more of each resource than ``most``."""
+        return Resources(
+            min(self.cpu_millis, most.cpu_millis),
+            min(self.memory_mb, most.memory_mb),
+            min(self.accelerators, most.accelerators),
+        )
+
     def can_fit(self, need: 'Resources') -> bool:
         """Return whether ``need`` fits into this amount."""
         return (
--- a/primroselock/test/testeligibility.py
+++ b/primroselock/test/testeligibility.py
@@ -142,6 +142,20 @@
         self.assertTrue(job.waits_beside_capacity(5.5))
         self.assertFalse(job.waits_beside_capacity(6.6))
 
+    def test_work_over_a_shrunk_capacity_takes_none_of_others(self) -> None:
+        """Guards against waits beside idle workers while one is overfull.
+
+        The pattern: a worker has lost its capacity, and its work goes on.
+        """
+        board = build_board()
+        shrunk = board.workers_by_id['w-a']
+        shrunk.used = fleetbuilders.WORKER_CAPACITY.plus(_ALL_CORES)
+        shrunk.entry = dataclasses.replace(
+            shrunk.entry, capacity=jobgraph.Resources(1000, 1000, 1)
+        )
+        self.check_plenty(board, True)
+        self.assertTrue(eligibility.is_partly_idle(board))
+
     def test_no_usable_worker_is_no_plenty(self) -> None:
         """Guards against a division by no capacity."""
         self.check_plenty(fleet.ShardBoard(), False)
