The soak of node processes has workers that shrink and grow

Four times in a play a worker is left with none, a quarter or half of what it has, and gets it back; its entry shows each change up to one heartbeat later. The events have a random source of their own, so that the others of a seed stay. A new check finds starts that bring a worker over its capacity; one that is gone counts for contact time and one heartbeat before the order was received.

--- a/primroselock/test/nodesoak.py
+++ b/primroselock/test/nodesoak.py
@@ -36,11 +36,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Record:
-    """What callers and workers saw, and the lives of the processes."""
+    """What callers and workers saw, and the lives of the processes.
+
+    ``capacities`` are those of the workers, in the order of their changes.
+    """
 
     jobs: list[jobcallers.Job]
     intervals: list[runworkers.Interval]
     lives: list[nodes.Life]
+    capacities: list[runworkers.Capacity]
 
 
 Action = abc.Callable[
@@ -100,7 +104,9 @@
             await waits.cancel_tasks(self._tasks)
         jobs = [job for caller in self._callers for job in caller.jobs]
         lives = [life for node in self.nodes for life in node.lives]
-        return Record(jobs, self.workers.intervals, lives)
+        return Record(
+            jobs, self.workers.intervals, lives, self.workers.capacities
+        )
 
     async def _start(self) -> None:
         self.operator.write()
@@ -220,6 +226,15 @@
     worker.is_silent = False
 
 
+@action('worker_shrink')
+async def _shrink_worker(soak: Soak, event: nodesoakplans.Event) -> None:
+    worker = soak.workers.by_number[event.target]
+    await soak.workers.set_capacity(event.target, soak.source.randint(0, 2))
+    await asyncio.sleep(event.for_s)
+    if soak.workers.by_number[event.target] is worker:
+        await soak.workers.set_capacity(event.target, runworkers.QUARTERS)
+
+
 @action('worker_crash')
 async def _crash_worker(soak: Soak, event: nodesoakplans.Event) -> None:
     if not soak.workers.by_number[event.target].is_down:
--- a/primroselock/test/nodesoakchecks.py
+++ b/primroselock/test/nodesoakchecks.py
@@ -3,6 +3,8 @@
 from collections import abc
 import typing
 
+import msgspec
+
 from primroselock.test import nodesoak
 from standins import nodes
 from standins import runworkers
@@ -14,6 +16,9 @@
 _CONTACT_S: typing.Final = 3.0
 """The platform's bound: how long a pause of a process excuses it."""
 
+_HEARTBEAT_S: typing.Final = 1.5
+"""The platform's bound: an entry shows a change by then."""
+
 _NEVER: typing.Final = float('inf')
 
 Check = abc.Callable[[nodesoak.Record], abc.Iterator[str]]
@@ -102,6 +107,62 @@
                 yield f'{task} runs again after it was done: {later.run}'
 
 
+@check
+def _find_overloads(record: nodesoak.Record) -> abc.Iterator[str]:
+    """No start brings a worker over the capacity that its entry shows.
+
+    A capacity that is gone counts for contact time and one heartbeat more,
+    before the order was received; an order may be carried out later.
+    """
+    needs_by_job = {
+        job.id: msgspec.json.decode(job.body)['phases'] for job in record.jobs
+    }
+    by_worker: dict[str, list[runworkers.Interval]] = {}
+    for interval in record.intervals:
+        by_worker.setdefault(interval.worker, []).append(interval)
+    for worker, runs in by_worker.items():
+        changes = [c for c in record.capacities if c.worker == worker]
+        for run in runs:
+            present = [
+                other.task
+                for other in runs
+                if other.started_at <= run.started_at < other.ended_at
+            ]
+            counted = _list_counted(changes, run)
+            used = _add_needs(present, needs_by_job)
+            if not any(_fits(used, capacity) for capacity in counted):
+                yield f'{worker} has {counted} when {run.task} starts: {used}'
+
+
+def _list_counted(
+    changes: list[runworkers.Capacity], run: runworkers.Interval
+) -> list[dict[str, int]]:
+    """Return the capacities by which a start is judged."""
+    from_at = run.ordered_at - _CONTACT_S - _HEARTBEAT_S
+    ends = [change.since for change in changes[1:]] + [_NEVER]
+    return [
+        change.amounts
+        for change, end in zip(changes, ends, strict=True)
+        if change.since <= run.started_at and end >= from_at
+    ]
+
+
+def _add_needs(
+    tasks: list[str], needs_by_job: dict[str, typing.Any]
+) -> dict[str, int]:
+    """Return what tasks need together, by resource."""
+    used = dict.fromkeys(('cpu', 'mem_mb', 'gpus'), 0)
+    for task in tasks:
+        job_id, _, step, _ = task.split('.')
+        for name in used if job_id in needs_by_job else ():
+            used[name] += needs_by_job[job_id][int(step)][name]
+    return used
+
+
+def _fits(used: dict[str, int], capacity: dict[str, int]) -> bool:
+    return all(amount <= capacity[name] for name, amount in used.items())
+
+
 @check
 def _find_runs_not_asked_for(record: nodesoak.Record) -> abc.Iterator[str]:
     """Only what callers sent runs, and nothing that was refused."""
--- a/primroselock/test/nodesoakplans.py
+++ b/primroselock/test/nodesoakplans.py
@@ -13,6 +13,7 @@
 _MAX_EVENT_S: typing.Final = 6.0
 _FIRST_EVENT_S: typing.Final = 1.0
 _EVENTS_PER_NODE: typing.Final = 5
+_SHRINKS: typing.Final = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,10 +54,30 @@
     while len(events) < count * _EVENTS_PER_NODE:
         events += _draw_burst(source, count, workers, length_s)
     ends_at = max(length_s, *(event.at + event.for_s for event in events))
+    events += _draw_shrinks(random.Random(f'{seed}/shrink'), workers, length_s)
     callers = max(source.randint(6, 10), count)
     return Plan(seed, count, callers, workers, tuple(events), ends_at)
 
 
+def _draw_shrinks(
+    source: random.Random, workers: int, length_s: float
+) -> list[Event]:
+    """Return events that take capacity from workers for a while.
+
+    They have a source of their own, so that the others of a seed stay.
+    """
+    return [
+        Event(
+            source.uniform(_FIRST_EVENT_S, length_s / 2),
+            'worker_shrink',
+            source.randrange(workers),
+            source.uniform(0, length_s / 2),
+            frozenset(),
+        )
+        for _ in range(_SHRINKS)
+    ]
+
+
 def _draw_burst(
     source: random.Random, nodes: int, workers: int, length_s: float
 ) -> list[Event]:
--- a/primroselock/test/testnodesoak.py
+++ b/primroselock/test/testnodesoak.py
@@ -10,9 +10,13 @@
 import typing
 import unittest
 
+import msgspec
+
 from primroselock.test import nodesoak
 from primroselock.test import nodesoakchecks
 from primroselock.test import nodesoakplans
+from standins import jobcallers
+from standins import runworkers
 
 _LENGTH_S: typing.Final = 15.0
 
@@ -29,5 +33,43 @@
         shutil.rmtree(folder)
 
 
+class OverloadCheckTest(unittest.TestCase):
+    """The check of capacity, on a record without processes."""
+
+    def find_problems(self, late_s: float, stopped_s: float) -> list[str]:
+        """Judge a start ``late_s`` after its worker has shrunk by half.
+
+        It needs 2 accelerators.  A run of 3 began before, and ended
+        ``stopped_s`` after the start.
+        """
+        phase = {'cpu': 0, 'mem_mb': 0}
+        phases = [{**phase, 'gpus': 3}, {**phase, 'gpus': 2}]
+        body = msgspec.json.encode({'phases': phases})
+        jobs = [jobcallers.Job('j', 0, 0, '', body)]
+        at = 100.0 + late_s
+        first = runworkers.Interval('w', 'j.0.0.0', 1, '', 10.0, 1.0, 0)
+        first.ordered_at = 10.0
+        first.ended_at = at + stopped_s
+        second = runworkers.Interval('w', 'j.0.1.0', 1, '', at, 1.0, 0)
+        second.ordered_at = at
+        full, half = ({'cpu': 8, 'mem_mb': 8, 'gpus': gpus} for gpus in (8, 4))
+        changes = [
+            runworkers.Capacity('w', 0.0, full),
+            runworkers.Capacity('w', 100.0, half),
+        ]
+        record = nodesoak.Record(jobs, [first, second], [], changes)
+        return list(nodesoakchecks._find_overloads(record))
+
+    def test_a_start_over_the_capacity_is_found(self) -> None:
+        """Guards against a check that sees no overload."""
+        self.assertEqual(1, len(self.find_problems(4.6, 1.0)))
+
+    def test_the_earlier_capacity_counts_for_a_while(self) -> None:
+        self.assertEqual([], self.find_problems(4.4, 1.0))
+
+    def test_what_has_ended_does_not_count(self) -> None:
+        self.assertEqual([], self.find_problems(4.6, -1.0))
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/standins/runworkers.py
+++ b/standins/runworkers.py
@@ -3,7 +3,7 @@
 A job's payload says what its tasks do: a list with a row for each step, of
 the milliseconds of work and the number of members of a gang (0 for single
 tasks).  The workers start whatever they are told to start; ``intervals``
-records every run, for the checks.
+records every run, and ``capacities`` every capacity, for the checks.
 """
 
 import asyncio
@@ -20,12 +20,16 @@
 
 SERVICE: typing.Final = 'quote-desk'
 _CAPACITY: typing.Final = {'cpu': 64_000, 'mem_mb': 262_144, 'gpus': 8}
+QUARTERS: typing.Final = 4
 _PER_RACK: typing.Final = 4
 _TICK_S: typing.Final = 0.02
 _MAX_LEASE_S: typing.Final = 10.0
 _MAX_STOP_S: typing.Final = 0.9
 _MAX_LATE_S: typing.Final = 6.0
 _GANG_TIMEOUT_S: typing.Final = 3.0
+_MAX_ENTRY_DELAY_S: typing.Final = 1.5
+"""An entry shows a change within one heartbeat."""
+
 _SILENCE_BEFORE_REMOVAL_S: typing.Final = 3.0
 _MIN_CLOCK_SPEED: typing.Final = 0.98
 _MAX_ENDS: typing.Final = 500
@@ -39,7 +43,8 @@
     """One run on one worker, on the monotonic clock.
 
     ``due_at`` is when its work is done, once a gang is whole.  ``is_noted``:
-    the end was confirmed to the worker under the same lease.
+    the end was confirmed to the worker under the same lease.  ``ordered_at``
+    is when the order was received, which may be carried out later.
     """
 
     worker: str
@@ -54,6 +59,7 @@
     ended_at: float = _NEVER
     how: str = ''
     is_noted: bool = False
+    ordered_at: float = 0.0
 
     @property
     def group(self) -> tuple[str, int]:
@@ -74,6 +80,15 @@
         return next((how for at, how in zip(times, hows) if now >= at), '')
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Capacity:
+    """What a worker has from ``since`` on, on the monotonic clock."""
+
+    worker: str
+    since: float
+    amounts: dict[str, int]
+
+
 class Worker:
     """One life of a worker; ``speed`` is that of its clock."""
 
@@ -81,6 +96,7 @@
         self.name = name
         self.is_down = False
         self.is_silent = False
+        self.capacity = dict(_CAPACITY)
         self.running: dict[str, Interval] = {}
         self.ended: list[tuple[int, Interval]] = []
         self.born_ms = int(time.time() * 1000)
@@ -141,6 +157,7 @@
         self, store: rowstore.RowStore, source: random.Random
     ) -> None:
         self.intervals: list[Interval] = []
+        self.capacities: list[Capacity] = []
         self.by_number: dict[int, Worker] = {}
         self._store = store
         self._random = source
@@ -161,12 +178,30 @@
         speed = self._random.uniform(_MIN_CLOCK_SPEED, 1.0)
         worker = Worker(f'w{number}-{self._lives}', speed)
         self.by_number[number] = worker
-        entry: Body = {'service': SERVICE, 'capacity': _CAPACITY}
+        self._put_entry(number, worker)
+        now = time.monotonic()
+        self.capacities.append(Capacity(worker.name, now, worker.capacity))
+
+    def _put_entry(self, number: int, worker: Worker) -> None:
+        entry: Body = {'service': SERVICE, 'capacity': worker.capacity}
         entry.update(address=self._addresses[number], zone='a', state='ready')
         entry.update(labels=['kind', f'r{number // _PER_RACK}'])
         entry.update(born=worker.born_ms, seq=1, version='1', slots=8)
         self._store.put('servers', worker.name, entry)
 
+    async def set_capacity(self, number: int, quarters: int) -> None:
+        """Leave a worker so many quarters; its entry shows it a bit later."""
+        worker = self.by_number[number]
+        worker.capacity = {
+            name: amount * quarters // QUARTERS
+            for name, amount in _CAPACITY.items()
+        }
+        now = time.monotonic()
+        self.capacities.append(Capacity(worker.name, now, worker.capacity))
+        await asyncio.sleep(self._random.uniform(0, _MAX_ENTRY_DELAY_S))
+        if not worker.is_down:
+            self._put_entry(number, worker)
+
     async def crash(self, number: int) -> None:
         """End a worker's life; its entry is removed after a silence."""
         worker = self.by_number[number]
@@ -205,6 +240,7 @@
         self, number: int, request: httpmessages.Message
     ) -> bytes | None:
         """Execute a call; without an answer perhaps late or not at all."""
+        received_at = time.monotonic()
         worker = self.by_number[number]
         if worker.is_down:
             return None
@@ -215,11 +251,11 @@
             await asyncio.sleep(
                 self._random.choice((0.0, late_s, _MAX_LATE_S))
             )
-        response = await self._execute(worker, request)
+        response = await self._execute(worker, request, received_at)
         return None if worker.is_down or worker.is_silent else response
 
     async def _execute(
-        self, worker: Worker, request: httpmessages.Message
+        self, worker: Worker, request: httpmessages.Message, received_at: float
     ) -> bytes | None:
         if worker.is_down:
             return None
@@ -230,7 +266,7 @@
         if ' /hold ' in request.first_line:
             return await self._hold(worker, body, now)
         if ' /run-start ' in request.first_line:
-            return self._start(worker, body, now)
+            return self._start(worker, body, now, received_at)
         worker.bar(body['task'], body['run'])
         present = worker.running.get(body['task'])
         if present is not None and present.run <= body['run']:
@@ -238,7 +274,9 @@
             present.stop_at = min(present.stop_at, stop_at)
         return worker.respond(200, {})
 
-    def _start(self, worker: Worker, body: Body, now: float) -> bytes:
+    def _start(
+        self, worker: Worker, body: Body, now: float, received_at: float
+    ) -> bytes:
         task, run = body['task'], body['run']
         if body['until_ms'] < worker.clock_ms(now):
             return worker.respond(409, {'reason': 'late'})
@@ -254,6 +292,7 @@
         interval = Interval(
             worker.name, task, run, body['spec'], now, work_ms / 1000, members
         )
+        interval.ordered_at = received_at
         self.intervals.append(interval)
         # An earlier run goes on in the record, where the checks find it.
         worker.running[task] = interval
