An odd message of a peer or a worker is dropped, whatever it holds

What callers saw: one message nested deeply ended the loop that receives the messages of all peers, and one such report the heartbeats of its worker. Numbers of any size were used. A handler that failed for one message ended the loop too.

Cause: the decoders caught the errors of msgspec only; handlers had no boundary.

Change: read by decoding, with bounds. A message that a handler fails to apply is logged and left out.

--- a/primroselock/mesh/messages.py
+++ b/primroselock/mesh/messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from primroselock import decoding
+
 Sections = dict[str, dict[str, str]]
 
 
@@ -16,9 +18,9 @@
     ``largest_free`` is the size of the largest free cell.
     """
 
-    free_accelerators: int
-    waiting_accelerators: int
-    largest_free: int
+    free_accelerators: decoding.Integer
+    waiting_accelerators: decoding.Integer
+    largest_free: decoding.Integer
 
 
 class Beacon(msgspec.Struct, frozen=True, tag='b', array_like=True):
@@ -35,13 +37,13 @@
 
     vm_id: str
     incarnation: str
-    sequence: int
+    sequence: decoding.Integer
     role: str
     zone: str
-    config_version: int
-    config_age_s: float
+    config_version: decoding.Integer
+    config_age_s: decoding.Number
     leaving: bool = False
-    slots_by_upstream: dict[str, int] = {}
+    slots_by_upstream: dict[str, decoding.Integer] = {}
     address: str = ''
     loads_by_shard: dict[str, ShardLoad] = {}
 
@@ -64,8 +66,8 @@
     missing.
     """
 
-    number: int
-    version: int
+    number: decoding.Integer
+    version: decoding.Integer
 
 
 class ConfigReply(msgspec.Struct, frozen=True, tag='a', array_like=True):
@@ -77,9 +79,9 @@
     the complete ``sections``.
     """
 
-    number: int
-    version: int
-    age_s: float
+    number: decoding.Integer
+    version: decoding.Integer
+    age_s: decoding.Number
     texts: tuple[str, ...] = ()
     sections: Sections | None = None
 
--- a/primroselock/mesh/node.py
+++ b/primroselock/mesh/node.py
@@ -16,11 +16,13 @@
 import typing
 
 import msgspec
+import result
 import zmq
 import zmq.asyncio
 import zmq.auth.asyncio
 
 from primroselock import backgroundtasks
+from primroselock import decoding
 from primroselock import logs
 from primroselock.mesh import messages
 from primroselock import options
@@ -50,6 +52,23 @@
         return key == self._public_key
 
 
+_KIND: typing.Final[typing.Any] = messages.Message
+_decode_message: typing.Final[decoding.Reader[messages.Message]] = (
+    decoding.msgpack_reader(_KIND)
+)
+
+
+def read_message(frame: bytes) -> messages.Message | None:
+    """Return the message in a frame; None, with a log line, if none is."""
+    decoded = _decode_message(frame)
+    if isinstance(decoded, result.Err):
+        _log.warning(
+            'mesh message dropped: cannot be decoded', why=decoded.err_value
+        )
+        return None
+    return decoded.ok_value
+
+
 class MeshNode:
     """Sends this process's messages and receives those of its peers."""
 
@@ -180,7 +199,7 @@
         """Receive and handle messages until cancelled."""
         while True:
             identity, frame = await self._receive(self._router)
-            message = self._decode(frame)
+            message = read_message(frame)
             if isinstance(message, messages.ConfigQuery):
                 await self._answer_query(identity, message)
             elif message is not None:
@@ -189,7 +208,7 @@
     async def _read_replies(self, dealer: zmq.asyncio.Socket) -> None:
         while True:
             _, frame = await self._receive(dealer)
-            message = self._decode(frame)
+            message = read_message(frame)
             if message is not None:
                 self._handle(message)
 
@@ -210,18 +229,19 @@
             frame = msgspec.msgpack.encode(reply)
             await self._send(self._router, [identity, frame])
 
-    def _decode(self, frame: bytes) -> messages.Message | None:
-        try:
-            return msgspec.msgpack.decode(frame, type=messages.Message)
-        except msgspec.MsgspecError as error:
-            _log.warning(
-                'mesh message dropped: cannot be decoded', error=str(error)
-            )
-            return None
-
     def _handle(self, message: messages.Message) -> None:
+        """Call the handlers; one that fails ends no loop of this process."""
         for handler in self._handlers:
-            handler(message)
+            try:
+                handler(message)
+            except MemoryError:
+                raise
+            except Exception as error:
+                _log.error(
+                    'mesh message left out: not applied',
+                    kind=type(message).__name__,
+                    exc_info=error,
+                )
 
     async def aclose(self) -> None:
         """Close the sockets."""
--- a/primroselock/test/testmesh.py
+++ b/primroselock/test/testmesh.py
@@ -9,6 +9,7 @@
 import hypothesis
 from hypothesis import strategies as st
 import msgspec
+from structlog import testing
 import zmq
 
 from primroselock import follower
@@ -190,6 +191,41 @@
             await each.aclose()
 
 
+class HandlersTest(unittest.IsolatedAsyncioTestCase):
+    """Messages that a handler fails to apply, or that nobody could send."""
+
+    async def test_an_odd_message_ends_no_loop(self) -> None:
+        """Guards against one message that ends what receives the others."""
+        receiver = node.MeshNode(builders.build_settings())
+        sender = node.MeshNode(builders.build_settings())
+        received: list[str] = []
+
+        def fail(message: messages.Message) -> None:
+            if getattr(message, 'vm_id') == 'odd':
+                raise ZeroDivisionError
+
+        receiver.add_handler(fail)
+        receiver.add_handler(lambda m: received.append(getattr(m, 'vm_id')))
+        running = asyncio.create_task(receiver.run())
+        sender.set_peers([receiver.address])
+        deep = b'\x81\xa1x' + b'\x91' * 100_000 + b'\xc0'
+        with testing.capture_logs() as lines:
+            async with asyncio.timeout(20):
+                while received.count('good') < 3:
+                    await sender.publish(build_beacon(vm_id='odd'))
+                    for dealer in sender._dealers_by_address.values():
+                        await sender._send(dealer, [deep])
+                    await sender.publish(build_beacon(vm_id='good'))
+                    await asyncio.sleep(0.02)
+        self.assertFalse(running.done())
+        events = {line['event'] for line in lines}
+        self.assertIn('mesh message left out: not applied', events)
+        self.assertIn('mesh message dropped: cannot be decoded', events)
+        running.cancel()
+        for each in (receiver, sender):
+            await each.aclose()
+
+
 def _build_stranger(
     context: zmq.Context[zmq.Socket[bytes]], public_key: str
 ) -> zmq.Socket[bytes]:
--- a/primroselock/workers/link.py
+++ b/primroselock/workers/link.py
@@ -8,6 +8,7 @@
 import result
 
 from primroselock import addresspools
+from primroselock import decoding
 from primroselock import httpclient
 from primroselock.workers import protocol
 
@@ -76,22 +77,24 @@
         await self._pools.aclose()
 
 
+_decode_report: typing.Final = decoding.json_reader(protocol.Report)
+_decode_refusal: typing.Final = decoding.json_reader(protocol.EpochRefused)
+
+
+def _not_decoded(why: str) -> LinkError:
+    return ReportLost(f'worker response cannot be decoded: {why}')
+
+
 def _decode(
     response: httpclient.Response,
 ) -> result.Result[protocol.Report, LinkError]:
-    try:
-        if response.status == _OK:
-            report = msgspec.json.decode(response.body, type=protocol.Report)
-            return result.Ok(report)
-        if response.status == _EPOCH_REFUSED:
-            refused = msgspec.json.decode(
-                response.body, type=protocol.EpochRefused
-            )
-            return result.Err(StaleEpoch(refused.epoch))
-    except msgspec.MsgspecError as error:
-        return result.Err(
-            ReportLost(f'worker response cannot be decoded: {error}')
-        )
+    if response.status == _OK:
+        return _decode_report(response.body).map_err(_not_decoded)
+    if response.status == _EPOCH_REFUSED:
+        refused = _decode_refusal(response.body)
+        if isinstance(refused, result.Err):
+            return result.Err(_not_decoded(refused.err_value))
+        return result.Err(StaleEpoch(refused.ok_value.epoch))
     return result.Err(
         ReportLost(f'worker responded with status {response.status}')
     )
--- a/primroselock/workers/protocol.py
+++ b/primroselock/workers/protocol.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from primroselock import decoding
+
 
 class TaskKey(msgspec.Struct, frozen=True, order=True):
     """One member of one attempt of a job.
@@ -21,9 +23,9 @@
     """
 
     job_id: str
-    attempt: int
-    member: int
-    epoch: int = 0
+    attempt: decoding.Integer
+    member: decoding.Integer
+    epoch: decoding.Integer = 0
 
 
 class Reserve(msgspec.Struct, frozen=True, tag='reserve'):
@@ -134,9 +136,9 @@
     task: TaskKey
     state: TaskState
     detail: str = ''
-    used_cpus: float = 0.0
-    used_memory_mb: int = 0
-    checkpoint_s: float = 0.0
+    used_cpus: decoding.Amount = 0.0
+    used_memory_mb: decoding.Count = 0
+    checkpoint_s: decoding.Amount = 0.0
 
 
 class Refusal(msgspec.Struct, frozen=True):
@@ -157,20 +159,20 @@
 
     worker_id: str
     boot_id: str
-    clock_s: float
+    clock_s: decoding.Amount
     rack: str
-    slot: int
-    accelerators: int
-    cpus: int
-    memory_mb: int
+    slot: decoding.Count
+    accelerators: decoding.Count
+    cpus: decoding.Count
+    memory_mb: decoding.Count
     tasks: tuple[TaskReport, ...] = ()
     refusals: tuple[Refusal, ...] = ()
-    number: int = 0
-    builds_on: int = 0
+    number: decoding.Count = 0
+    builds_on: decoding.Count = 0
     gone: tuple[TaskKey, ...] = ()
 
 
 class EpochRefused(msgspec.Struct, frozen=True):
     """Refusal of a batch: the worker has seen ``epoch``, a newer one."""
 
-    epoch: int
+    epoch: decoding.Count
