An odd call of the product's own interface is refused, whatever it holds

What callers saw: 500 instead of 400 for a body nested deeply, for a number of 5,000 digits in a query or in a declared length, and for a length of digits that are none of ASCII.

Cause: the decoders caught the errors of msgspec only, and int() was given any digits.

Change: bodies are read by decoding, digits by its parser. The client of the operators says so when it cannot read an answer.

--- a/primroselock/cli.py
+++ b/primroselock/cli.py
@@ -18,6 +18,7 @@
 import msgspec
 import result
 
+from primroselock import decoding
 from primroselock import errors
 from primroselock import httpclient
 from primroselock import ini
@@ -183,7 +184,14 @@
         )
     response = answer.ok_value
     if response.status < 300:
-        return msgspec.json.decode(response.body)
+        decoded = decoding.attempt(msgspec.json.decode, response.body)
+        if isinstance(decoded, result.Err):
+            raise errors.CommandError(
+                errors.ExitCode.UNREACHABLE,
+                'the answer of the gateway cannot be decoded: '
+                f'{decoded.err_value}',
+            )
+        return decoded.ok_value
     raise _to_command_error(response)
 
 
@@ -198,18 +206,18 @@
         exit_code = errors.ExitCode.UNREACHABLE
     elif response.status in _INVALID_INPUT_STATUSES:
         exit_code = errors.ExitCode.USAGE
-    try:
-        body = msgspec.json.decode(response.body, type=_ErrorBody)
-    except msgspec.MsgspecError:
+    decoded = decoding.read_json(_ErrorBody, response.body)
+    if isinstance(decoded, result.Err):
         return errors.CommandError(
             exit_code,
             f'the gateway answered with status {response.status} and no '
             'error message',
         )
+    error = decoded.ok_value.error
     return errors.CommandError(
         exit_code,
-        f'{body.error.code}: {body.error.message}',
-        *body.error.details,
+        f'{error.code}: {error.message}',
+        *error.details,
     )
 
 
--- a/primroselock/configapi.py
+++ b/primroselock/configapi.py
@@ -11,6 +11,7 @@
 from primroselock import clock
 from primroselock import configuration
 from primroselock import daemon
+from primroselock import decoding
 from primroselock import history
 from primroselock import operatorcalls
 from primroselock import patches
@@ -20,7 +21,7 @@
 class PatchBody:
     """Body of a patch submission."""
 
-    base_version: int
+    base_version: decoding.Count
     text: str
     comment: str = ''
     submission_id: str = ''
@@ -30,8 +31,8 @@
 class RevertBody:
     """Body of a request to restore the content of ``to_version``."""
 
-    base_version: int
-    to_version: int
+    base_version: decoding.Count
+    to_version: decoding.Count
     comment: str = ''
     submission_id: str = ''
 
--- a/primroselock/decoding.py
+++ b/primroselock/decoding.py
@@ -83,6 +83,16 @@
     return lambda value: attempt(decode, value)
 
 
+def read_json(
+    kind: type[_Record], value: bytes
+) -> result.Result[_Record, str]:
+    """Return the record of type ``kind`` in some JSON, or why there is none.
+
+    For a type that is known only at the call.
+    """
+    return attempt(lambda text: msgspec.json.decode(text, type=kind), value)
+
+
 def parse_count(text: str, maximum: int = MAX_NUMBER) -> int | None:
     """Return the whole number that ``text`` is, from 0 to ``maximum``.
 
--- a/primroselock/jobsapi.py
+++ b/primroselock/jobsapi.py
@@ -4,7 +4,6 @@
 import hashlib
 import typing
 
-import msgspec
 import result
 from starlette import requests
 from starlette import responses
@@ -16,6 +15,7 @@
 from primroselock import configuration
 from primroselock import daemon
 from primroselock.decisions import packing
+from primroselock import decoding
 from primroselock import jobs
 from primroselock import jobstore
 from primroselock.mesh import messages
@@ -23,6 +23,7 @@
 from primroselock.store import table
 
 _MAX_CANCEL_ATTEMPTS: typing.Final = 5
+_decode_spec: typing.Final = decoding.json_reader(jobs.JobSpec)
 
 
 class JobsApi:
@@ -41,10 +42,10 @@
         account = auth.find_account(request, current)
         if account is None:
             return _unauthorized()
-        try:
-            spec = msgspec.json.decode(await request.body(), type=jobs.JobSpec)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            return answers.error(400, 'bad-job', str(error))
+        decoded = _decode_spec(await request.body())
+        if isinstance(decoded, result.Err):
+            return answers.error(400, 'bad-job', decoded.err_value)
+        spec = decoded.ok_value
         problems = jobs.check_spec(spec, current.job_rules.max_members)
         problems += find_size_problems(spec, current)
         if problems:
--- a/primroselock/operatorcalls.py
+++ b/primroselock/operatorcalls.py
@@ -8,12 +8,13 @@
 from collections import abc
 import typing
 
-import msgspec
+import result
 from starlette import requests
 from starlette import responses
 
 from primroselock import answers
 from primroselock import auth
+from primroselock import decoding
 from primroselock import logs
 from primroselock import options
 
@@ -70,15 +71,16 @@
 ) -> int:
     """Return an integer query parameter.
 
-    Raises :class:`BadRequest` unless it is an integer of at least 0; a missing
-    one gives ``default`` if there is one.
+    Raises :class:`BadRequest` unless it is an integer from 0 to 2**53; a
+    missing one gives ``default`` if there is one.
     """
     text = request.query_params.get(name)
     if text is None and default is not None:
         return default
-    if text is None or not text.isdecimal():
-        raise BadRequest(f'{name}: expected an integer of at least 0')
-    return int(text)
+    number = decoding.parse_count(text) if text is not None else None
+    if number is None:
+        raise BadRequest(f'{name}: expected an integer from 0 to 2**53')
+    return number
 
 
 def read_page_limit(request: requests.Request) -> int:
@@ -94,7 +96,7 @@
     request: requests.Request, body_class: type[_Body]
 ) -> _Body:
     """Decode the JSON body; raise :class:`BadRequest` if it is invalid."""
-    try:
-        return msgspec.json.decode(await request.body(), type=body_class)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise BadRequest(str(error)) from error
+    decoded = decoding.read_json(body_class, await request.body())
+    if isinstance(decoded, result.Err):
+        raise BadRequest(decoded.err_value)
+    return decoded.ok_value
--- a/primroselock/servicesapi.py
+++ b/primroselock/servicesapi.py
@@ -18,6 +18,7 @@
 from primroselock import clock
 from primroselock import configuration
 from primroselock import daemon
+from primroselock import decoding
 from primroselock import dispatch
 from primroselock import httpclient
 from primroselock import keyedrequests
@@ -167,7 +168,7 @@
     """Read the body; stop early when it exceeds the limit."""
     limit = service.max_body_bytes
     declared = request.headers.get('content-length', '0')
-    if declared.isdigit() and int(declared) > limit:
+    if declared.isdecimal() and decoding.parse_count(declared, limit) is None:
         raise _too_large(limit)
     parts: list[bytes] = []
     size = 0
