An odd row of the product's own tables is left out, whatever it holds

What callers saw: one job row that could not be decoded raised in all that read it, so that its shard's holder loaded no job; one odd patch or audit entry made the whole list fail; a patch whose text is no INI raised in whatever loaded the configuration.

Cause: jobs.decode, the lists and the application of patches raised; the other decoders caught the errors of msgspec only, and no number had a bound.

Change: read by decoding. An odd job, patch or audit entry of a list is logged by its key and left out; what is asked for by its key is unavailable.

--- a/primroselock/audit.py
+++ b/primroselock/audit.py
@@ -13,6 +13,7 @@
 import msgspec
 import result
 
+from primroselock import decoding
 from primroselock import logs
 from primroselock.store import keys
 from primroselock.store import table
@@ -24,7 +25,7 @@
 class Entry:
     """One change or refused attempt; ``at`` is in Unix seconds."""
 
-    at: float
+    at: decoding.Number
     author: str
     origin: str
     action: str
@@ -32,6 +33,9 @@
     detail: str
 
 
+_decode_entry: typing.Final = decoding.json_reader(Entry)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListedEntry:
     """An entry with its id, which is the cursor of the next page."""
@@ -71,13 +75,22 @@
 async def list_entries(
     store: table.Table, after: str, limit: int
 ) -> result.Result[list[ListedEntry], table.Unavailable]:
-    """Return up to ``limit`` entries after the id ``after``, by time."""
+    """Return up to ``limit`` entries after the id ``after``, by time.
+
+    A row that cannot be decoded is logged and left out.
+    """
     page = await store.scan(keys.AUDIT, keys.AUDIT + after, limit)
     if isinstance(page, result.Err):
         return page
     listed = []
     for row in page.ok_value:
-        entry = msgspec.json.decode(row.value, type=Entry)
+        decoded = _decode_entry(row.value)
+        if isinstance(decoded, result.Err):
+            _log.error(
+                'row cannot be decoded', key=row.key, why=decoded.err_value
+            )
+            continue
+        entry = decoded.ok_value
         entry_id = row.key.removeprefix(keys.AUDIT)
         listed.append(ListedEntry(entry_id, **dataclasses.asdict(entry)))
     return result.Ok(listed)
--- a/primroselock/claims.py
+++ b/primroselock/claims.py
@@ -23,6 +23,7 @@
 import result
 
 from primroselock import backgroundtasks
+from primroselock import decoding
 from primroselock import groupcommit
 from primroselock import httpclient
 from primroselock.store import table
@@ -32,6 +33,9 @@
 _WRITE_RETRY_DELAY_S: typing.Final = 0.5
 
 
+_Status = typing.Annotated[int, msgspec.Meta(ge=100, le=599)]
+
+
 class Row(msgspec.Struct, frozen=True):
     """A claim as stored in the table; ``claimed_at`` is in Unix seconds.
 
@@ -43,8 +47,8 @@
 
     holder: str
     request_digest: str
-    claimed_at: float
-    status: int | None = None
+    claimed_at: decoding.Amount
+    status: _Status | None = None
     content_type: str | None = None
     body: bytes = b''
 
@@ -245,9 +249,9 @@
         task.add_done_callback(self._background.discard)
 
 
+_decode_row: typing.Final = decoding.msgpack_reader(Row)
+
+
 def _decode(stored: table.Row) -> Row | None:
     """Return the claim of a row, or None if it cannot be decoded."""
-    try:
-        return msgspec.msgpack.decode(stored.value, type=Row)
-    except msgspec.MsgspecError:
-        return None
+    return _decode_row(stored.value).ok()
--- a/primroselock/configuration.py
+++ b/primroselock/configuration.py
@@ -23,6 +23,7 @@
 import result
 
 from primroselock.decisions import packing
+from primroselock import decoding
 from primroselock import ini
 
 UNSET: typing.Final = 'unset'
@@ -49,7 +50,7 @@
         size, count = int(size_text), int(count_text)
         if size not in packing.CELL_SIZES or size in counts_by_size:
             raise ValueError(value)
-        if count < 0:
+        if not 0 <= count <= decoding.MAX_NUMBER:
             raise ValueError(value)
         counts_by_size[size] = count
     return counts_by_size
--- a/primroselock/history.py
+++ b/primroselock/history.py
@@ -7,11 +7,13 @@
 """
 
 import dataclasses
+import typing
 
-import msgspec
 import result
 
 from primroselock import configuration
+from primroselock import decoding
+from primroselock import logs
 from primroselock import patches
 from primroselock.store import keys
 from primroselock.store import objects
@@ -25,6 +27,8 @@
     version: int
 
 
+_decode_patch: typing.Final = decoding.json_reader(patches.Patch)
+_log: typing.Final = logs.get('patches')
 ReadError = NoVersion | table.Unavailable
 
 
@@ -46,18 +50,25 @@
 async def list_patches(
     store: table.Table, after: int, limit: int
 ) -> result.Result[list[patches.Patch], table.Unavailable]:
-    """Return up to ``limit`` patches after version ``after``, in order."""
+    """Return up to ``limit`` patches after version ``after``, in order.
+
+    A row that cannot be decoded is logged and left out.
+    """
     page = await store.scan(
         keys.CONFIG_PATCHES, keys.config_patch(after), limit
     )
     if isinstance(page, result.Err):
         return page
-    return result.Ok(
-        [
-            msgspec.json.decode(row.value, type=patches.Patch)
-            for row in page.ok_value
-        ]
-    )
+    listed = []
+    for row in page.ok_value:
+        decoded = _decode_patch(row.value)
+        if isinstance(decoded, result.Err):
+            _log.error(
+                'row cannot be decoded', key=row.key, why=decoded.err_value
+            )
+        else:
+            listed.append(decoded.ok_value)
+    return result.Ok(listed)
 
 
 async def find_difference(
--- a/primroselock/ini.py
+++ b/primroselock/ini.py
@@ -16,6 +16,8 @@
 
 import result
 
+from primroselock import decoding
+
 Sections = dict[str, dict[str, str]]
 """The text of each value, by section and key."""
 
@@ -99,7 +101,7 @@
 @kind('count', 'a whole number of at least 0')
 def _count(value: str) -> int:
     number = int(value)
-    if number < 0:
+    if not 0 <= number <= decoding.MAX_NUMBER:
         raise ValueError(value)
     return number
 
@@ -107,7 +109,7 @@
 @kind('positive', 'a whole number of at least 1')
 def _positive(value: str) -> int:
     number = int(value)
-    if number < 1:
+    if not 1 <= number <= decoding.MAX_NUMBER:
         raise ValueError(value)
     return number
 
@@ -115,7 +117,7 @@
 @kind('seconds', 'a number of seconds above 0')
 def _seconds(value: str) -> float:
     number = float(value)
-    if not 0 < number < float('inf'):
+    if not 0 < number <= decoding.MAX_NUMBER:
         raise ValueError(value)
     return number
 
@@ -123,7 +125,7 @@
 @kind('delay', 'a number of seconds of at least 0')
 def _delay(value: str) -> float:
     number = float(value)
-    if not 0 <= number < float('inf'):
+    if not 0 <= number <= decoding.MAX_NUMBER:
         raise ValueError(value)
     return number
 
@@ -131,7 +133,7 @@
 @kind('factor', 'a number of at least 1')
 def _factor(value: str) -> float:
     number = float(value)
-    if not 1 <= number < float('inf'):
+    if not 1 <= number <= decoding.MAX_NUMBER:
         raise ValueError(value)
     return number
 
--- a/primroselock/jobs.py
+++ b/primroselock/jobs.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from primroselock import decoding
+
 
 class Priority(enum.Enum):
     """Scheduling priority of a job.
@@ -54,11 +56,11 @@
     """
 
     name: str
-    members: int = 1
-    accelerators: int = 0
-    cpus: int = 1
-    memory_mb: int = 1024
-    run_time_s: float = 3600.0
+    members: decoding.Integer = 1
+    accelerators: decoding.Integer = 0
+    cpus: decoding.Integer = 1
+    memory_mb: decoding.Integer = 1024
+    run_time_s: decoding.Number = 3600.0
     priority: Priority = Priority.NORMAL
     command: tuple[str, ...] = ()
     checkpointable: bool = False
@@ -76,9 +78,9 @@
 
     worker_id: str
     boot_id: str
-    accelerators: tuple[int, ...]
-    cell_size: int
-    held_size: int = 0
+    accelerators: tuple[decoding.Integer, ...]
+    cell_size: decoding.Integer
+    held_size: decoding.Integer = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,8 +91,8 @@
     preempted at any time.
     """
 
-    number: int
-    epoch: int
+    number: decoding.Integer
+    epoch: decoding.Integer
     placements: tuple[Placement, ...]
     borrowed: bool = False
 
@@ -110,14 +112,14 @@
     shard: str
     spec: JobSpec
     state: JobState
-    submitted_at: float
+    submitted_at: decoding.Number
     reason: str = ''
     cancel_requested: bool = False
-    attempts: int = 0
-    failures: int = 0
+    attempts: decoding.Integer = 0
+    failures: decoding.Integer = 0
     attempt: Attempt | None = None
-    checkpoint_s: float = 0.0
-    ended_at: float | None = None
+    checkpoint_s: decoding.Number = 0.0
+    ended_at: decoding.Number | None = None
     failed_worker_ids: tuple[str, ...] = ()
 
 
@@ -131,9 +133,8 @@
     return msgspec.json.encode(job)
 
 
-def decode(value: bytes) -> Job:
-    """Decode a job from its row value."""
-    return msgspec.json.decode(value, type=Job)
+decode: typing.Final = decoding.json_reader(Job)
+"""Returns the job in the value of its row, or why there is none."""
 
 
 def check_spec(spec: JobSpec, max_members: int) -> list[str]:
--- a/primroselock/jobstore.py
+++ b/primroselock/jobstore.py
@@ -12,11 +12,14 @@
 import result
 
 from primroselock import audit
+from primroselock import decoding
 from primroselock import jobs
+from primroselock import logs
 from primroselock.store import keys
 from primroselock.store import table
 
 _PAGE_ROWS: typing.Final = 500
+_log: typing.Final = logs.get('jobs')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,7 +46,10 @@
         row = read.ok_value.get(keys.job(job_id))
         if row is None:
             return result.Ok(None)
-        return result.Ok(StoredJob(jobs.decode(row.value), row.version))
+        stored = _decode(row)
+        if stored is None:
+            return result.Err(table.Unavailable(f'{row.key}: not readable'))
+        return result.Ok(stored)
 
     async def submit(
         self, job: jobs.Job, key_digest: str = ''
@@ -77,7 +83,11 @@
         if isinstance(read, result.Err):
             return read
         row = read.ok_value.get(key)
-        return result.Ok(row.value.decode() if row else None)
+        if row is None:
+            return result.Ok(None)
+        return decoding.attempt(bytes.decode, row.value).map_err(
+            lambda why: table.Unavailable(f'{key}: not readable: {why}')
+        )
 
     async def request_cancel(
         self, stored: StoredJob, entry: audit.Entry | None = None
@@ -235,13 +245,21 @@
     async def read_many(
         self, job_ids: list[str]
     ) -> result.Result[list[StoredJob], table.Unavailable]:
-        """Return those of the jobs ``job_ids`` that exist."""
+        """Return those of the jobs ``job_ids`` that exist.
+
+        A job whose row cannot be decoded is logged and left out.
+        """
         read = await self._store.read([keys.job(job_id) for job_id in job_ids])
         if isinstance(read, result.Err):
             return read
-        return result.Ok(
-            [
-                StoredJob(jobs.decode(row.value), row.version)
-                for row in read.ok_value.values()
-            ]
-        )
+        decoded = [_decode(row) for row in read.ok_value.values()]
+        return result.Ok([stored for stored in decoded if stored is not None])
+
+
+def _decode(row: table.Row) -> StoredJob | None:
+    """Return the job in a row; None, with a log line, if there is none."""
+    decoded = jobs.decode(row.value)
+    if isinstance(decoded, result.Err):
+        _log.error('row cannot be decoded', key=row.key, why=decoded.err_value)
+        return None
+    return StoredJob(decoded.ok_value, row.version)
--- a/primroselock/patches.py
+++ b/primroselock/patches.py
@@ -25,6 +25,7 @@
 
 from primroselock import audit
 from primroselock import configuration
+from primroselock import decoding
 from primroselock import ini
 from primroselock import logs
 from primroselock.store import keys
@@ -45,7 +46,7 @@
     Version 0 stands for no snapshot.
     """
 
-    version: int = 0
+    version: decoding.Count = 0
     name: str = ''
 
 
@@ -53,7 +54,7 @@
 class Head:
     """The current version and the newest snapshot up to it."""
 
-    version: int
+    version: decoding.Count
     snapshot: SnapshotRef = SnapshotRef()
 
 
@@ -64,12 +65,12 @@
     ``snapshot`` is the newest snapshot up to this version.
     """
 
-    version: int
+    version: decoding.Count
     text: str
     comment: str
     author: str
     origin: str
-    submitted_at: float
+    submitted_at: decoding.Number
     submission_id: str = ''
     action: str = 'patch submit'
     snapshot: SnapshotRef = SnapshotRef()
@@ -259,7 +260,17 @@
             if patch.version != content.version + 1:
                 detail = f'the row of patch {content.version + 1} is missing'
                 return result.Err(table.Unavailable(detail))
-            content = apply_text(content, patch.text)
+            applied = apply_text(content, patch.text)
+            if isinstance(applied, result.Err):
+                _log.error(
+                    'patch cannot be applied',
+                    key=row.key,
+                    problems=[str(each) for each in applied.err_value],
+                )
+                return result.Err(
+                    table.Unavailable(f'{row.key} cannot be applied')
+                )
+            content = applied.ok_value
     return result.Ok(content)
 
 
@@ -267,21 +278,26 @@
     name: str, value: bytes, kind: type[_Value]
 ) -> result.Result[_Value, table.Unavailable]:
     """Decode a row or an object of the configuration."""
-    try:
-        return result.Ok(msgspec.json.decode(value, type=kind))
-    except msgspec.MsgspecError as error:
-        _log.error('row cannot be decoded', key=name, error=str(error))
+    decoded = decoding.read_json(kind, value)
+    if isinstance(decoded, result.Err):
+        _log.error('row cannot be decoded', key=name, why=decoded.err_value)
         return result.Err(table.Unavailable(f'{name} cannot be decoded'))
+    return decoded
 
 
-def apply_text(content: Content, text: str) -> Content:
+def apply_text(
+    content: Content, text: str
+) -> result.Result[Content, list[ini.Problem]]:
     """Return ``content`` with the patch of the next version applied.
 
-    The text of an accepted patch is always valid INI.
+    The text of an accepted patch is always valid INI; a damaged row's text
+    gives its problems.
     """
-    parsed = ini.parse(text, 'patch').unwrap()
-    sections = configuration.merge(content.sections, parsed)
-    return Content(content.version + 1, sections)
+    parsed = ini.parse(text, 'patch')
+    if isinstance(parsed, result.Err):
+        return parsed
+    sections = configuration.merge(content.sections, parsed.ok_value)
+    return result.Ok(Content(content.version + 1, sections))
 
 
 async def submit(
--- a/primroselock/store/client.py
+++ b/primroselock/store/client.py
@@ -13,6 +13,7 @@
 import msgspec
 import result
 
+from primroselock import decoding
 from primroselock import httpclient
 from primroselock import options
 from primroselock.store import resilientclient
@@ -32,6 +33,10 @@
     keys: tuple[str, ...]
 
 
+_decode_committed: typing.Final = decoding.json_reader(table.Committed)
+_decode_conflict: typing.Final = decoding.json_reader(_ConflictBody)
+
+
 class PlatformClient:
     """Implements ``Table``, ``ObjectStore`` and ``VmList`` over HTTP."""
 
@@ -90,18 +95,13 @@
                 return result.Err(table.Unavailable(error.detail))
             return result.Err(table.OutcomeUnknown(error.detail))
         response = outcome.ok_value
-        try:
-            if response.status == _OK:
-                return result.Ok(
-                    msgspec.json.decode(response.body, type=table.Committed)
-                )
-            if response.status == _CONFLICT:
-                body = msgspec.json.decode(response.body, type=_ConflictBody)
-                return result.Err(table.Conflict(body.keys))
-        except msgspec.MsgspecError as error:
-            return result.Err(
-                table.OutcomeUnknown(f'cannot decode the response: {error}')
-            )
+        if response.status == _OK:
+            return _decode_committed(response.body).map_err(_unknown_outcome)
+        if response.status == _CONFLICT:
+            body = _decode_conflict(response.body)
+            if isinstance(body, result.Err):
+                return result.Err(_unknown_outcome(body.err_value))
+            return result.Err(table.Conflict(body.ok_value.keys))
         detail = f'transaction: status {response.status}'
         if response.status == _UNAVAILABLE:
             return result.Err(table.Unavailable(detail))
@@ -189,12 +189,13 @@
 def _decode(
     body: bytes, kind: type[_Value]
 ) -> result.Result[_Value, table.Unavailable]:
-    try:
-        return result.Ok(msgspec.json.decode(body, type=kind))
-    except msgspec.MsgspecError as error:
-        return result.Err(
-            table.Unavailable(f'cannot decode the response: {error}')
-        )
+    return decoding.read_json(kind, body).map_err(
+        lambda why: table.Unavailable(f'cannot decode the response: {why}')
+    )
+
+
+def _unknown_outcome(why: str) -> table.TransactError:
+    return table.OutcomeUnknown(f'cannot decode the response: {why}')
 
 
 def _object_path(name: str) -> str:
--- a/primroselock/store/table.py
+++ b/primroselock/store/table.py
@@ -17,6 +17,8 @@
 
 import result
 
+from primroselock import decoding
+
 ABSENT: typing.Final = 0
 """The row version of a row that does not exist."""
 
@@ -39,7 +41,7 @@
 
     key: str
     value: bytes
-    version: int
+    version: decoding.Count
     token: str
 
 
@@ -81,7 +83,7 @@
 class Committed:
     """The transaction was applied; its rows are now at ``version``."""
 
-    version: int
+    version: decoding.Count
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroselock/test/testdecoders.py
+++ b/primroselock/test/testdecoders.py
@@ -1,7 +1,7 @@
 """No decoder raises, whatever another party wrote.
 
-:data:`decodercases.CASES` lists every decoder; a new one is added there by
-a line.
+A decoder is added by a line to the table of :mod:`platformdecoders` or of
+:mod:`productdecoders`.
 """
 
 import math
@@ -16,13 +16,24 @@
 
 from primroselock import decoding
 from primroselock.test import decodercases
+from primroselock.test import platformdecoders
+from primroselock.test import productdecoders
 
 _EXAMPLES: typing.Final = 40
-_CASES: typing.Final = strategies.sampled_from(decodercases.CASES)
+_CASES: typing.Final = (*platformdecoders.CASES, *productdecoders.CASES)
+_PARSERS_BY_NAME: typing.Final = {
+    **platformdecoders.PARSERS_BY_NAME,
+    **productdecoders.PARSERS_BY_NAME,
+}
+_ANY_CASE: typing.Final = strategies.sampled_from(_CASES)
+_MIN_INTEGER: typing.Final = -(2**63)
+_MAX_INTEGER: typing.Final = 2**64 - 1
+"""Larger integers cannot be encoded in MessagePack."""
+
 _JSON: typing.Final = strategies.recursive(
     strategies.none()
     | strategies.booleans()
-    | strategies.integers()
+    | strategies.integers(_MIN_INTEGER, _MAX_INTEGER)
     | strategies.floats(allow_nan=False, allow_infinity=False)
     | strategies.text(strategies.characters(exclude_categories=['Cs'])),
     lambda inner: (
@@ -68,32 +79,32 @@
 
     def test_valid_messages_are_read(self) -> None:
         """The messages that the other tests distort are valid ones."""
-        for case in decodercases.CASES:
+        for case in _CASES:
             with self.subTest(case.name):
                 decoded = case.decode(case.encode(case.valid))
                 self.assertTrue(decodercases.is_record(decoded), decoded)
 
     def test_odd_values_in_every_place(self) -> None:
         """Guards against one odd field that ends what reads the message."""
-        for case in decodercases.CASES:
+        for case in _CASES:
             for odd in decodercases.list_distorted(case):
                 with self.subTest(case.name, value=odd[:60], end=odd[-60:]):
                     self._check(case, odd)
 
-    @hypothesis.settings(max_examples=_EXAMPLES * len(decodercases.CASES))
-    @hypothesis.given(_CASES, strategies.binary(max_size=200))
+    @hypothesis.settings(max_examples=_EXAMPLES * len(_CASES))
+    @hypothesis.given(_ANY_CASE, strategies.binary(max_size=200))
     def test_any_bytes(self, case: decodercases.Case, value: bytes) -> None:
         self._check(case, value)
 
-    @hypothesis.settings(max_examples=_EXAMPLES * len(decodercases.CASES))
-    @hypothesis.given(_CASES, _JSON)
+    @hypothesis.settings(max_examples=_EXAMPLES * len(_CASES))
+    @hypothesis.given(_ANY_CASE, _JSON)
     def test_any_json(
         self, case: decodercases.Case, value: typing.Any
     ) -> None:
         self._check(case, msgspec.json.encode(value, order=None))
 
-    @hypothesis.settings(max_examples=_EXAMPLES * len(decodercases.CASES))
-    @hypothesis.given(_CASES, strategies.data())
+    @hypothesis.settings(max_examples=_EXAMPLES * len(_CASES))
+    @hypothesis.given(_ANY_CASE, strategies.data())
     def test_any_json_in_any_place(
         self, case: decodercases.Case, data: strategies.DataObject
     ) -> None:
@@ -111,7 +122,7 @@
 
     def test_odd_texts(self) -> None:
         """Guards against a number in a text that cannot be converted."""
-        for name, parse in decodercases.PARSERS_BY_NAME.items():
+        for name, parse in _PARSERS_BY_NAME.items():
             for text in decodercases.ODD_TEXTS:
                 with self.subTest(name, text=text[:40]):
                     with testing.capture_logs():
@@ -119,12 +130,12 @@
 
     @hypothesis.settings(max_examples=300)
     @hypothesis.given(
-        strategies.sampled_from(sorted(decodercases.PARSERS_BY_NAME)),
+        strategies.sampled_from(sorted(_PARSERS_BY_NAME)),
         strategies.text(),
     )
     def test_any_text(self, name: str, text: str) -> None:
         with testing.capture_logs():
-            parsed = decodercases.PARSERS_BY_NAME[name](text)
+            parsed = _PARSERS_BY_NAME[name](text)
         self.assertEqual([], list_unbounded(parsed))
 
 
@@ -149,8 +160,8 @@
     ) -> None:
         """Guards against a failed call where a refusal is due."""
         with testing.capture_logs():
-            status = decodercases.call_api(
-                decodercases.Intake(), b'{}', path, headers
+            status = platformdecoders.call_api(
+                platformdecoders.Intake(), b'{}', path, headers
             )
         self.assertIn(status, (400, 404))
 
--- a/primroselock/test/testpatches.py
+++ b/primroselock/test/testpatches.py
@@ -225,7 +225,7 @@
             self.seen[index] = version
             content = patches.EMPTY
             for row in self._rows()[:version]:
-                content = patches.apply_text(content, row.text)
+                content = patches.apply_text(content, row.text).unwrap()
             read = configuration.read(content.sections, version, 'model')
             expected = read.unwrap() if version else configuration.EMPTY
             assert process.current == expected
