Odd heads of answers: a test; nothing was found

Lengths, statuses and chunk sizes of 5,000 digits, below zero, or of digits that are none of ASCII give a lost response, and the connection is not used again, also on the code before: the pool catches what the library raises. The stub of the intake has what the merged interface calls.

--- a/primroselock/test/platformdecoders.py
+++ b/primroselock/test/platformdecoders.py
@@ -98,6 +98,7 @@
             'bounds.hold_max_ms',
             'bounds.far_x',
             'bounds.revoke_ms',
+            'bounds.contact_ms',
             'limits.cpu_share',
             'limits.cores',
         )
@@ -129,6 +130,12 @@
             )
         return result.Ok(intake.Access(queue, account.name))
 
+    def qualify_refusal(
+        self, job_id: str, refused: intake.Refused
+    ) -> intake.Refused:
+        """Return the refusal: no submission before it is unknown."""
+        return refused
+
     async def submit(
         self, access: intake.Access, graph: jobgraph.JobGraph, deadline: float
     ) -> result.Result[None, intake.Refused]:
--- a/primroselock/test/testhttpclient.py
+++ b/primroselock/test/testhttpclient.py
@@ -262,6 +262,34 @@
                     outcome = type(answer.err_value).__name__.lower()
                 self.assertEqual(case.expected, outcome.strip())
 
+    async def test_odd_heads_are_no_answers(self) -> None:
+        """Guards against digits that cannot be converted and are raised."""
+        digits = b'9' * 5000
+        status = b'HTTP/1.1 200 OK\r\n'
+        chunked = status + b'Transfer-Encoding: chunked\r\n\r\n'
+        for number, data in enumerate(
+            (
+                status + b'Content-Length: %s\r\n\r\nx' % digits,
+                status + b'Content-Length: -5\r\n\r\nx',
+                status + b'Content-Length: \xb2\r\n\r\nx',
+                b'HTTP/1.1 %s OK\r\n\r\n' % digits,
+                b'HTTP/1.1 \xb2 OK\r\n\r\n',
+                b'HTTP/%s 200 OK\r\n\r\n' % digits,
+                chunked + digits + b'\r\nx',
+                chunked + b'-5\r\nx',
+                chunked + b'\xff\r\nx',
+            )
+        ):
+            with self.subTest(data[:40]):
+                answer = await self.exchange(f'/odd{number}', data)
+                self.assertIsInstance(
+                    answer.unwrap_err(), httpclient.ResponseLost
+                )
+        answer = await self.exchange(
+            '/good', b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb'
+        )
+        self.assertEqual(b'b', answer.unwrap().body)
+
     async def test_idle_connection_closed_by_peer_is_not_used(self) -> None:
         await self.exchange(
             '/a',
