A job whose progress cannot be read does not begin anew

What callers saw: a task that is done, or runs, would be started again after a takeover if the row of its job's progress cannot be decoded.

Cause: an unreadable progress was taken for none.

Change: such a job is logged ('stored job not usable') and left out; what runs of it is stopped as unexpected. Its rows stay, for an operator to repair.

--- a/primroselock/boardrows.py
+++ b/primroselock/boardrows.py
@@ -53,6 +53,9 @@
             problems = [f'occurrences: expected up to {_MAX_TASKS} tasks']
         if not problems and stored.progress is not None:
             problems = jobgraph.check_progress(graph, stored.progress)
+        if stored.is_progress_lost:
+            # What is done or runs is not known: nothing may begin anew.
+            problems = ['progress: a row cannot be decoded']
         if problems:
             # The intake refuses such a job; only a damaged row has one.
             _log.error('stored job not usable', request=graph.id, why=problems)
--- a/primroselock/graphrows.py
+++ b/primroselock/graphrows.py
@@ -35,6 +35,8 @@
 
     ``progress_version`` is the version of the first progress row, which is
     rewritten with each change; ``groups_by_part`` holds what the others add.
+    ``unreadable_parts`` are the progress rows that cannot be decoded, 0 for
+    the first.
     """
 
     graph: jobgraph.JobGraph | None = None
@@ -44,6 +46,17 @@
     groups_by_part: dict[int, tuple[jobgraph.GroupRecord, ...]] = (
         dataclasses.field(default_factory=dict)
     )
+    unreadable_parts: set[int] = dataclasses.field(default_factory=set)
+
+    @property
+    def is_progress_lost(self) -> bool:
+        """Return whether a row of the progress cannot be decoded.
+
+        Rows beyond those that the first one counts are of no account.
+        """
+        first = self.first_progress
+        parts = first.parts if first is not None else 1
+        return any(part < parts for part in self.unreadable_parts)
 
     @property
     def parts(self) -> int:
@@ -151,6 +164,10 @@
             return
         stored = self.stored_by_id.setdefault(job_id, StoredJob())
         progress = read_progress(row)
+        if progress is None:
+            stored.unreadable_parts.add(number or 0)
+        else:
+            stored.unreadable_parts.discard(number or 0)
         if number is not None:
             groups = progress.groups if progress is not None else ()
             stored.groups_by_part[number] = groups
--- a/primroselock/test/testoddentries.py
+++ b/primroselock/test/testoddentries.py
@@ -379,6 +379,48 @@
         self._check(is_before=True)
 
 
+class OddProgressTest(unittest.TestCase):
+    """A job whose stored progress cannot be read at a takeover."""
+
+    def _check(self, key: str, parts: int) -> None:
+        async def scenario(world: fleetbuilders.World) -> None:
+            world.add_node('entry-1')
+            await asyncio.sleep(2.0)
+            world.fleet.work_s_by_job['j'] = 3.0
+            step = fleetbuilders.build_step(2, _WHOLE_WORKER)
+            after = fleetbuilders.build_step(1, 1, after=(0,))
+            world.submit(fleetbuilders.build_graph('j', step, after))
+            await asyncio.sleep(4.0)
+            holder = world.find_shard_holder()
+            world.nodes.remove(holder)
+            await holder.kill()
+            starts = world.fleet.starts
+            first = world.progress('j')
+            assert first is not None
+            row = msgspec.structs.replace(first, parts=parts)
+            world.store.put(keys.progress('fleet', 'j'), graphrows.encode(row))
+            world.store.put(key, _DEEP)
+            world.add_node('entry-2')
+            world.add_node('entry-3')
+            await asyncio.sleep(15.0)
+            self.assertEqual(starts, world.fleet.starts)
+            world.submit(build_job('good', 1))
+            await world.wait_for('good', 'done', _DONE_WITHIN_S)
+
+        lines = run_world(scenario)
+        events = {line['event'] for line in lines}
+        self.assertEqual(set(), _FAILURES & events)
+        self.assertIn('stored job not usable', events)
+
+    def test_a_progress_row_that_cannot_be_read(self) -> None:
+        """Guards against a job that begins anew beside what it has done."""
+        self._check(keys.progress('fleet', 'j'), 1)
+
+    def test_a_further_progress_row_that_cannot_be_read(self) -> None:
+        """The same for a job whose progress is spread over rows."""
+        self._check(keys.progress('fleet', 'j') + '/1', 2)
+
+
 class SilentAddressTest(unittest.TestCase):
     """A worker to whose address no connection is established."""
 
