Fake workers: an end before a lapsed lease was not taken note of

A zone was cut for 8 s, two runs there ended as done, the leases of their workers lapsed, the holder placed both tasks again 4 ms before the next report listed the ends, and confirmed them.

Cause: the check of the fake workers was wrong. By the platform's pages an end is taken note of when it is confirmed, unless the worker's lease lapsed between the two; the fake counted each confirmed end. Nobody could know of these.

A test of the fake shows both sides.

--- a/primroselock/test/testlateorders.py
+++ b/primroselock/test/testlateorders.py
@@ -11,10 +11,14 @@
 import result
 
 from primroselock import clock
+from primroselock import jobgraph
+from primroselock.test import fakefleet
 from primroselock.test import fleetbuilders
+from primroselock.test import virtualtime
 from primroselock.workers import orders
 
 _LONG_MS: typing.Final = 60_000
+_LEASE_S: typing.Final = 2.0
 _REPORT_DELAY_S: typing.Final = 0.3
 _MAX_ORDERS: typing.Final = 3
 _BEGINS_BEFORE_END_S: typing.Final = 0.05
@@ -89,5 +93,51 @@
         fleetbuilders.run_with_node(scenario, workers=1)
 
 
+class ConfirmedEndTest(unittest.TestCase):
+    """When the fake workers call a start after an end a violation.
+
+    An end is taken note of if it is confirmed before the worker's lease has
+    lapsed; work whose end nobody could know of in time may be done again.
+    """
+
+    def count_violations(self, wait_s: float) -> int:
+        """Confirm an end after ``wait_s``; start the task again."""
+
+        async def run(virtual: virtualtime.VirtualClock) -> int:
+            fleet = fakefleet.FakeFleet()
+            worker = fleet.add(fleetbuilders.build_entry('w0'))
+            fleet.graphs_by_id['j'] = fleetbuilders.build_graph('j')
+            task = jobgraph.TaskName('j', 0, 0, 0)
+            until = clock.monotonic() + _LEASE_S
+            first = orders.Start(orders.Run(task, 1), '', until, 1)
+            fleet._execute_start(worker, first, clock.monotonic())
+            fleet._end(worker, worker.runs[first.run])
+            await asyncio.sleep(wait_s)
+            lease_until = clock.monotonic() + _LEASE_S
+            for confirmed in (0, 1):
+                await fleet.poll_runs(
+                    'w0',
+                    worker.entry.address,
+                    1,
+                    confirmed,
+                    lease_until,
+                    0.0,
+                    1.0,
+                )
+            again = orders.Start(orders.Run(task, 2), '', lease_until, 1)
+            fleet._execute_start(worker, again, clock.monotonic())
+            return len(fleet.violations)
+
+        return virtualtime.run(run)
+
+    def test_a_start_after_a_confirmed_end(self) -> None:
+        """Guards against a check that misses work done twice."""
+        self.assertEqual(1, self.count_violations(_LEASE_S / 2))
+
+    def test_a_start_after_a_lapsed_lease(self) -> None:
+        """Guards against a violation where the rule sees none."""
+        self.assertEqual(0, self.count_violations(_LEASE_S * 2))
+
+
 if __name__ == '__main__':
     unittest.main()
