A conflict that names no row is not the outcome of each write of a batch

What callers would see: a cancellation answered with success that is not stored, since a conflict of its row counts as "requested before".

Cause: writes of several calls share a transaction. If the store answered a conflict without a row that any of them names, each write of the batch got the conflict as its own result. (A submission was safe: it reads the row, finds none and is answered as unknown.)

Evidence: test_conflict_that_names_no_row_fails_its_own_write failed on the code before: [False, False, False] instead of [True, False, True].

Change: such a batch is halved, as one that the store rejects, until the write in conflict is alone. A conflict means that nothing was written, so that the others are sent again without risk.

Result: testclaims, testrefusedwrites, testcallerload and testfleetintake pass.

--- a/primroselock/groupcommit.py
+++ b/primroselock/groupcommit.py
@@ -3,8 +3,10 @@
 Writes that arrive within an interval go into one transaction.  A write
 whose condition fails gets the conflict as its result and is removed, and
 the others are sent again, so that a conflict never fails the other writes
-of the batch; one that the table rejects is found by halving the batch.  A
-transaction has each key at most once: otherwise two conditional inserts of
+of the batch; one that the table rejects, or does not name in a conflict, is
+found by halving the batch.
+
+A transaction has each key at most once: otherwise two conditional inserts of
 one key would both succeed.  After a lost reply the outcome is resolved by
 the transaction's token.
 """
@@ -131,32 +133,17 @@
     async def _commit(self, batch: list[_PendingWrite]) -> None:
         while batch:
             outcome = await self._transact(batch)
-            if (
-                isinstance(outcome, result.Err)
-                and isinstance(outcome.err_value, table.Rejected)
-                and len(batch) > 1
-            ):
+            failed = _find_failed(batch, outcome)
+            if failed is None:
                 half = len(batch) // 2
                 await self._commit(batch[:half])
                 await self._commit(batch[half:])
                 return
-            if not isinstance(outcome, result.Err) or not isinstance(
-                outcome.err_value, table.Conflict
-            ):
-                _resolve(batch, outcome)
+            _resolve(failed, outcome)
+            if len(failed) == len(batch):
                 return
-            conflicting_keys = set(outcome.err_value.keys)
-            conflicting = [
-                item for item in batch if item.write.key in conflicting_keys
-            ]
-            batch = [
-                item
-                for item in batch
-                if item.write.key not in conflicting_keys
-            ]
-            if not conflicting:
-                conflicting, batch = batch, []
-            _resolve(conflicting, outcome)
+            failed_keys = {item.write.key for item in failed}
+            batch = [b for b in batch if b.write.key not in failed_keys]
 
     async def _transact(self, batch: list[_PendingWrite]) -> WriteResult:
         writes = [pending.write for pending in batch]
@@ -176,6 +163,24 @@
             return result.Err(table.OutcomeUnknown(f'{type(error).__name__}'))
 
 
+def _find_failed(
+    batch: list[_PendingWrite], outcome: WriteResult
+) -> list[_PendingWrite] | None:
+    """Return the writes of a batch to which its outcome applies.
+
+    None if it is not known which of several the table refuses: it names no
+    row in conflict, or rejects the whole transaction.
+    """
+    if isinstance(outcome, result.Ok) or len(batch) == 1:
+        return batch
+    if isinstance(outcome.err_value, table.Rejected):
+        return None
+    if not isinstance(outcome.err_value, table.Conflict):
+        return batch
+    keys = set(outcome.err_value.keys)
+    return [item for item in batch if item.write.key in keys] or None
+
+
 def _resolve(batch: list[_PendingWrite], outcome: WriteResult) -> None:
     for pending in batch:
         if not pending.future.done():
--- a/primroselock/test/testclaims.py
+++ b/primroselock/test/testclaims.py
@@ -294,6 +294,30 @@
         # The first write is sent alone: no other one was waiting yet.
         self.assertLessEqual(self.store.writes, 2)
 
+    async def test_conflict_that_names_no_row_fails_its_own_write(
+        self,
+    ) -> None:
+        """Guards against a conflict taken for each write of a batch.
+
+        A cancellation would be confirmed although it is not stored.
+        """
+        await self.submit('b')
+        transact = self.gateway.table.transact
+
+        async def hide_keys(
+            transaction: table.Transaction,
+        ) -> result.Result[table.Committed, table.TransactError]:
+            outcome = await transact(transaction)
+            if isinstance(outcome, result.Ok):
+                return outcome
+            return result.Err(table.Conflict(()))
+
+        with mock.patch.object(self.gateway.table, 'transact', hide_keys):
+            results = await self.submit('a', 'b', 'c')
+        self.assertEqual(
+            [True, False, True], [isinstance(r, result.Ok) for r in results]
+        )
+
     async def test_reply_lost_after_commit_is_resolved(self) -> None:
         """The rows are read back, so that no write has an unknown outcome."""
         self.gateway.table.faults = ['lost_after']
