Soaks: orders that are carried out late beside starts that are refused

Why the soaks missed the fault of: it needs a start without an answer that is carried out later, and a refusal of the next order of the same run for a passing reason. 'late answers' lets a worker answer the next order normally, 'worker refuses' is in the wide soak only, of one worker, and in another series most of the time; the workers of the soak of processes refused nothing.

--- a/primroselock/test/faultbuilders.py
+++ b/primroselock/test/faultbuilders.py
@@ -62,6 +62,9 @@
 _FAST_CLOCK_S: typing.Final = 1_000_000.0
 """A clock that starts far ahead of all others."""
 
+ORDER_KINDS: typing.Final = frozenset({'orders late', 'starts refused'})
+"""Kinds of the series of ``orderfaults``, which are drawn by themselves."""
+
 Injection = abc.Callable[
     [fleetbuilders.World, Fault], abc.Coroutine[typing.Any, typing.Any, None]
 ]
@@ -80,7 +83,7 @@
 
 def list_kinds(is_wide: bool = False) -> list[str]:
     """Return the kinds of faults, sorted."""
-    kinds = set(_injections_by_kind)
+    kinds = set(_injections_by_kind) - ORDER_KINDS
     return sorted(kinds if is_wide else kinds - WIDE_KINDS)
 
 
--- a/primroselock/test/nodesoak.py
+++ b/primroselock/test/nodesoak.py
@@ -220,6 +220,33 @@
     worker.is_silent = False
 
 
+@action('starts_late')
+async def _delay_starts(soak: Soak, event: nodesoakplans.Event) -> None:
+    workers = _list_half(soak, event)
+    for worker in workers:
+        worker.delays_starts = True
+    await asyncio.sleep(event.for_s)
+    for worker in workers:
+        worker.delays_starts = False
+
+
+@action('starts_refused')
+async def _refuse_starts(soak: Soak, event: nodesoakplans.Event) -> None:
+    workers = _list_half(soak, event)
+    for worker in workers:
+        worker.refuses_starts = True
+    await asyncio.sleep(event.for_s)
+    for worker in workers:
+        worker.refuses_starts = False
+
+
+def _list_half(
+    soak: Soak, event: nodesoakplans.Event
+) -> list[runworkers.Worker]:
+    """Return half of the workers, depending on the target."""
+    return list(soak.workers.by_number.values())[event.target % 2 :: 2]
+
+
 @action('worker_crash')
 async def _crash_worker(soak: Soak, event: nodesoakplans.Event) -> None:
     if not soak.workers.by_number[event.target].is_down:
--- a/primroselock/test/nodesoakplans.py
+++ b/primroselock/test/nodesoakplans.py
@@ -8,6 +8,11 @@
 
 NODE_KINDS: typing.Final = ('terminate', 'kill', 'pause', 'reload')
 OTHER_KINDS: typing.Final = ('configure', 'worker_silent', 'worker_crash')
+ORDER_KINDS: typing.Final = ('starts_late', 'starts_refused')
+"""Events of the plays with late orders, which are drawn by themselves."""
+
+_ORDER_SERIES: typing.Final = 3
+_ORDER_EVENTS: typing.Final = 3
 _MAX_BURST: typing.Final = 5
 _BURST_S: typing.Final = 1.5
 _MAX_EVENT_S: typing.Final = 6.0
@@ -43,8 +48,17 @@
     ends_at: float
 
 
-def draw_plan(seed: int, nodes: int | None, length_s: float) -> Plan:
-    """Return the plan of a seed; ``nodes`` replaces the number drawn."""
+def draw_plan(
+    seed: int,
+    nodes: int | None,
+    length_s: float,
+    has_late_orders: bool = False,
+) -> Plan:
+    """Return the plan of a seed; ``nodes`` replaces the number drawn.
+
+    With ``has_late_orders`` series of starts that are carried out late or
+    refused are added to the same plan.
+    """
     source = random.Random(seed)
     count = source.randint(3, 6)
     count = nodes or count
@@ -52,11 +66,35 @@
     events: list[Event] = []
     while len(events) < count * _EVENTS_PER_NODE:
         events += _draw_burst(source, count, workers, length_s)
+    if has_late_orders:
+        events += _draw_order_series(seed, workers, length_s)
     ends_at = max(length_s, *(event.at + event.for_s for event in events))
     callers = max(source.randint(6, 10), count)
     return Plan(seed, count, callers, workers, tuple(events), ends_at)
 
 
+def _draw_order_series(
+    seed: int, workers: int, length_s: float
+) -> list[Event]:
+    """Return events of both kinds that overlap."""
+    source = random.Random(f'{seed}/orders')
+    events = []
+    for _ in range(_ORDER_SERIES):
+        at = source.uniform(_FIRST_EVENT_S, length_s)
+        events += [
+            Event(
+                at + source.uniform(0, _BURST_S),
+                kind,
+                source.randrange(workers),
+                source.uniform(_BURST_S, _MAX_EVENT_S),
+                frozenset(),
+            )
+            for kind in ORDER_KINDS
+            for _ in range(_ORDER_EVENTS)
+        ]
+    return events
+
+
 def _draw_burst(
     source: random.Random, nodes: int, workers: int, length_s: float
 ) -> list[Event]:
--- a/primroselock/test/soakbuilders.py
+++ b/primroselock/test/soakbuilders.py
@@ -16,6 +16,7 @@
 from primroselock.test import idlecapacity
 from primroselock.test import lastingcapacity
 from primroselock.test import loadbuilders
+from primroselock.test import orderfaults
 from primroselock.test import virtualtime
 from primroselock import waits
 
@@ -52,10 +53,14 @@
     starts: int = 0
 
 
-def draw_plan(seed: int, is_wide: bool = False) -> Plan:
+def draw_plan(
+    seed: int, is_wide: bool = False, has_late_orders: bool = False
+) -> Plan:
     """Return the plan of a seed.
 
-    A wide one has more kinds of faults and of jobs.  Each series draws its
+    A wide one has more kinds of faults and of jobs.  With
+    ``has_late_orders`` series of faults of orders are added to the same
+    plan (see ``orderfaults``).  Each series draws its
     faults from a few kinds, so that faults of the same kind follow each
     other.
     """
@@ -78,7 +83,7 @@
         faults += series
         at = max(fault.at + fault.for_s for fault in series)
         at += source.uniform(1.0, 16.0)
-    return Plan(
+    plan = Plan(
         seed,
         source.randint(3, 6),
         source.uniform(0.1, 0.6),
@@ -86,6 +91,10 @@
         tuple(faults),
         is_wide,
     )
+    if not has_late_orders:
+        return plan
+    added = orderfaults.draw_series(seed, plan.arrival_s)
+    return dataclasses.replace(plan, faults=plan.faults + added)
 
 
 class Soak:
@@ -154,6 +163,7 @@
     seed: int,
     examine: abc.Callable[[Soak], None] = lambda soak: None,
     is_wide: bool = False,
+    has_late_orders: bool = False,
 ) -> Outcome:
     """Run the soak of a seed in virtual time.
 
@@ -163,7 +173,7 @@
     random.seed(seed)
 
     async def run_all(virtual: virtualtime.VirtualClock) -> Outcome:
-        soak = Soak(draw_plan(seed, is_wide))
+        soak = Soak(draw_plan(seed, is_wide, has_late_orders))
         examine(soak)
         return await soak.run()
 
--- a/primroselock/test/testnodesoak.py
+++ b/primroselock/test/testnodesoak.py
@@ -20,14 +20,21 @@
 class NodeSoakTest(unittest.TestCase):
     """What callers and workers saw of a seed keeps every promise."""
 
-    def test_seed_1(self) -> None:
-        plan = nodesoakplans.draw_plan(1, None, _LENGTH_S)
+    def check_plan(self, plan: nodesoakplans.Plan) -> None:
+        """Play a plan; keep its logs if it has a problem."""
         folder = tempfile.mkdtemp(prefix='nodesoak-')
         record = nodesoak.run(plan, pathlib.Path(folder))
         problems = nodesoakchecks.list_problems(record)
         self.assertEqual([], problems, f'logs kept in {folder}')
         shutil.rmtree(folder)
 
+    def test_seed_1(self) -> None:
+        self.check_plan(nodesoakplans.draw_plan(1, None, _LENGTH_S))
+
+    def test_seed_1_with_late_orders(self) -> None:
+        """Guards against a refusal taken for an earlier order of a run."""
+        self.check_plan(nodesoakplans.draw_plan(1, None, _LENGTH_S, True))
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/primroselock/test/testsoak.py
+++ b/primroselock/test/testsoak.py
@@ -4,12 +4,16 @@
 listed in KNOWN-RED.txt; the seeds are consecutive and none is left out.
 """
 
+import itertools
 import pathlib
 import subprocess
 import sys
 import typing
 import unittest
 
+from primroselock.test import faultbuilders
+from primroselock.test import soakbuilders
+
 _ROOT: typing.Final = pathlib.Path(__file__).resolve().parents[2]
 _TIMEOUT_S: typing.Final = 600
 
@@ -49,6 +53,25 @@
         """Long-running work waits for claims or one rack under load."""
         self.check_seeds(217, 1, '--wide')
 
+    def test_orders_seeds_1_to_6(self) -> None:
+        """Guards against a refusal taken for an earlier order of a run."""
+        self.check_seeds(1, 6, '--orders')
+
+
+class PlanTest(unittest.TestCase):
+    """Plans of a seed."""
+
+    def test_late_orders_are_added_to_the_same_plan(self) -> None:
+        """Guards against a form that changes the plays of the others."""
+        for seed, is_wide in itertools.product(range(1, 20), (False, True)):
+            plan = soakbuilders.draw_plan(seed, is_wide)
+            added = soakbuilders.draw_plan(seed, is_wide, True).faults
+            kinds = {fault.kind for fault in plan.faults}
+            self.assertEqual(plan.faults, added[: len(plan.faults)])
+            self.assertFalse(faultbuilders.ORDER_KINDS & kinds)
+            later = {fault.kind for fault in added[len(plan.faults) :]}
+            self.assertEqual(faultbuilders.ORDER_KINDS, later)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/standins/runworkers.py
+++ b/standins/runworkers.py
@@ -30,6 +30,9 @@
 _MIN_CLOCK_SPEED: typing.Final = 0.98
 _MAX_ENDS: typing.Final = 500
 _NEVER: typing.Final = float('inf')
+_LATE_SHARE: typing.Final = 0.4
+_REFUSED_SHARE: typing.Final = 0.5
+_REFUSALS: typing.Final = ((429, ''), (503, ''), (409, 'room'))
 
 Body = dict[str, typing.Any]
 
@@ -75,12 +78,19 @@
 
 
 class Worker:
-    """One life of a worker; ``speed`` is that of its clock."""
+    """One life of a worker; ``speed`` is that of its clock.
+
+    With ``delays_starts`` some starts get no answer and are carried out
+    seconds later; with ``refuses_starts`` some are refused for a reason that
+    passes.
+    """
 
     def __init__(self, name: str, speed: float) -> None:
         self.name = name
         self.is_down = False
         self.is_silent = False
+        self.delays_starts = False
+        self.refuses_starts = False
         self.running: dict[str, Interval] = {}
         self.ended: list[tuple[int, Interval]] = []
         self.born_ms = int(time.time() * 1000)
@@ -215,6 +225,16 @@
             await asyncio.sleep(
                 self._random.choice((0.0, late_s, _MAX_LATE_S))
             )
+        is_start = ' /run-start ' in request.first_line
+        if is_start and worker.delays_starts:
+            if self._random.random() < _LATE_SHARE:
+                await asyncio.sleep(self._random.uniform(0, _MAX_LATE_S))
+                await self._execute(worker, request)
+                return None
+        if is_start and worker.refuses_starts:
+            if self._random.random() < _REFUSED_SHARE:
+                status, reason = self._random.choice(_REFUSALS)
+                return worker.respond(status, {'reason': reason})
         response = await self._execute(worker, request)
         return None if worker.is_down or worker.is_silent else response
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -2,8 +2,10 @@
 
 ``python -m tools.soak --seeds 50 --first 1`` prints each violation with its
 seed.  ``--wide`` adds kinds of faults and of jobs, so that a seed has another
-play.  ``--trace`` adds why the holder did not place the job, and the faults;
-``--log DIRECTORY`` writes the nodes' log of each seed with virtual times.
+play.  ``--orders`` adds series of orders that are carried out late beside
+refusals of starts, to the same plays.  ``--trace`` adds why the holder did not
+place the job, and the faults; ``--log DIRECTORY`` writes the nodes' log of
+each seed with virtual times.
 """
 
 import argparse
@@ -30,6 +32,7 @@
     parser.add_argument('--first', type=int, default=1)
     parser.add_argument('--trace', action='store_true')
     parser.add_argument('--wide', action='store_true')
+    parser.add_argument('--orders', action='store_true')
     parser.add_argument('--log', type=pathlib.Path)
     return parser.parse_args()
 
@@ -73,13 +76,14 @@
 
 def _run(seed: int, arguments: argparse.Namespace) -> soakbuilders.Outcome:
     examine = _trace if arguments.trace else lambda soak: None
+    forms = (arguments.wide, arguments.orders)
     if arguments.log is None:
         _configure_log(None)
-        return soakbuilders.run(seed, examine, arguments.wide)
+        return soakbuilders.run(seed, examine, *forms)
     path = arguments.log / f'soak-{seed}.log'
     with path.open('w', encoding='utf-8') as output:
         _configure_log(output)
-        return soakbuilders.run(seed, examine, arguments.wide)
+        return soakbuilders.run(seed, examine, *forms)
 
 
 def main() -> int:
