Ejections and quarantines in a row: no overflow after a thousand

What callers would see: after 1,024 ejections in a row of an upstream that stays unreachable (8.5 hours at 30 s each) its requests fail with an internal error; after as many quarantines of a worker that fails everything (17 hours at 60 s each) each round of the holder fails.

Cause: the time was first_s * 2.0**n and limited only after that; the power overflows.

Evidence: testbackoff: OverflowError in test_an_upstream_that_stays_unreachable and test_a_worker_that_fails_everything on the code before.

Change: both use backoff.doubled_s, which limits the doublings and the time.

Result: testbackoff, testrouting, testidledecisions and testidleracks pass.

--- a/primroselock/decisions/fleethealth.py
+++ b/primroselock/decisions/fleethealth.py
@@ -19,6 +19,7 @@
 import math
 import typing
 
+from primroselock import backoff
 from primroselock.decisions import evidence
 from primroselock.decisions import fleet
 from primroselock.decisions import livejobs
@@ -72,8 +73,8 @@
         if not recorded.is_suspect(worker_id, needed):
             continue
         times = last.times + 1 if last else 1
-        length_s = min(
-            _FIRST_QUARANTINE_S * 2.0 ** (times - 1), _MAX_QUARANTINE_S
+        length_s = backoff.doubled_s(
+            _FIRST_QUARANTINE_S, times - 1, _MAX_QUARANTINE_S
         )
         recorded.quarantines_by_worker_id[worker_id] = evidence.Quarantine(
             now + length_s, times
--- a/primroselock/ejection.py
+++ b/primroselock/ejection.py
@@ -10,6 +10,8 @@
 import dataclasses
 import typing
 
+from primroselock import backoff
+
 _FAILURES_TO_EJECT: typing.Final = 3
 """Failed exchanges in a row before the first ejection."""
 
@@ -61,10 +63,12 @@
     if health.is_ejected(now):
         # Exchanges in progress at the ejection must not prolong it.
         return health
-    duration_s = _INITIAL_EJECTION_S * 2.0**health.ejections
+    duration_s = backoff.doubled_s(
+        _INITIAL_EJECTION_S, health.ejections, _MAX_EJECTION_S
+    )
     return Health(
         0,
         health.ejections + 1,
-        now + min(duration_s, _MAX_EJECTION_S),
+        now + duration_s,
         is_unreachable,
     )
