--- a/primroselock/decisions/graphs.py
+++ b/primroselock/decisions/graphs.py
@@ -7,6 +7,7 @@
 
 import typing
 
+from primroselock import backoff
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import livejobs
@@ -239,8 +240,9 @@
     elif end_reason is livejobs.EndReason.PREEMPTED:
         # The capacity is likely to be needed by more urgent work again soon.
         group.preemptions += 1
-        delay_s = _MIN_REQUEUE_DELAY_S * 2.0 ** min(group.preemptions, 10)
-        group.yields_until = now + min(delay_s, _MAX_REQUEUE_DELAY_S)
+        group.yields_until = now + backoff.doubled_s(
+            _MIN_REQUEUE_DELAY_S, group.preemptions, _MAX_REQUEUE_DELAY_S
+        )
     group.members = []
     group.end_reason = None
     group.began_at = None
@@ -268,8 +270,9 @@
 
 
 def _retry_delay_s(failures: int) -> float:
-    delay_s: float = _MIN_RETRY_DELAY_S * 2.0 ** min(failures - 1, 10)
-    return min(delay_s, _MAX_RETRY_DELAY_S)
+    return backoff.doubled_s(
+        _MIN_RETRY_DELAY_S, failures - 1, _MAX_RETRY_DELAY_S
+    )
 
 
 def _has_exhausted_attempts(
--- a/primroselock/decisions/refusedwrites.py
+++ b/primroselock/decisions/refusedwrites.py
@@ -9,6 +9,7 @@
 
 import typing
 
+from primroselock import backoff
 from primroselock.decisions import fleet
 from primroselock.decisions import livejobs
 from primroselock.decisions import runs
@@ -59,8 +60,7 @@
 
 
 def _delay_s(writes: int) -> float:
-    delay_s: float = _FIRST_DELAY_S * 2.0 ** min(writes - 1, 10)
-    return min(delay_s, _MAX_DELAY_S)
+    return backoff.doubled_s(_FIRST_DELAY_S, writes - 1, _MAX_DELAY_S)
 
 
 def _end_placements(
--- a/primroselock/decisions/retries.py
+++ b/primroselock/decisions/retries.py
@@ -14,6 +14,7 @@
 import dataclasses
 import random
 
+from primroselock import backoff
 from primroselock.decisions import blackboard
 from primroselock.decisions import evidence
 from primroselock import jobs
@@ -60,8 +61,7 @@
     further one, up to ``max_s``.  The jitter, seeded from the job's id and
     the number of its attempts, reduces it by up to half.
     """
-    exponent = min(max(job.failures - 1, 0), 30)
-    full_s = min(first_s * 2.0**exponent, max_s)
+    full_s = backoff.doubled_s(first_s, job.failures - 1, max_s)
     generator = random.Random(f'{job.id}/{job.attempts}')
     return full_s * generator.uniform(0.5, 1.0)
 
--- a/primroselock/decisions/workerhealth.py
+++ b/primroselock/decisions/workerhealth.py
@@ -12,6 +12,7 @@
 
 import typing
 
+from primroselock import backoff
 from primroselock.decisions import blackboard
 from primroselock.decisions import commands
 from primroselock.decisions import evidence
@@ -61,8 +62,8 @@
     if last is None and not recorded.is_suspect(worker_id):
         return
     times = last.times + 1 if last is not None else 1
-    duration_s = min(
-        FIRST_QUARANTINE_S * 2 ** min(times - 1, 30), MAX_QUARANTINE_S
+    duration_s = backoff.doubled_s(
+        FIRST_QUARANTINE_S, times - 1, MAX_QUARANTINE_S
     )
     recorded.quarantines_by_worker_id[worker_id] = evidence.Quarantine(
         now + duration_s, times
--- a/primroselock/store/tablefollower.py
+++ b/primroselock/store/tablefollower.py
@@ -13,6 +13,7 @@
 
 import result
 
+from primroselock import backoff
 from primroselock import clock
 from primroselock import logs
 from primroselock.store import table
@@ -202,8 +203,8 @@
 
     async def _pause(self) -> None:
         in_row = max(self._failures, self._truncations)
-        max_pause_s = _INITIAL_PAUSE_S * 2 ** min(in_row, 8)
-        await asyncio.sleep(random.uniform(0, min(max_pause_s, MAX_PAUSE_S)))
+        max_pause_s = backoff.doubled_s(_INITIAL_PAUSE_S, in_row, MAX_PAUSE_S)
+        await asyncio.sleep(random.uniform(0, max_pause_s))
 
 
 class CachedReads:
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -18,6 +18,7 @@
 import result
 
 from primroselock import backgroundtasks
+from primroselock import backoff
 from primroselock import callslots
 from primroselock import clock
 from primroselock.decisions import fleet
@@ -157,10 +158,10 @@
                     break
                 is_answered = await self._poll_guarded(worker)
             if not is_answered:
-                pause_s = _INITIAL_BACKOFF_S * 2.0 ** min(
-                    worker.failures_in_row, 6
+                pause_s = backoff.doubled_s(
+                    _INITIAL_BACKOFF_S, worker.failures_in_row, _MAX_BACKOFF_S
                 )
-                await asyncio.sleep(min(pause_s, _MAX_BACKOFF_S))
+                await asyncio.sleep(pause_s)
         if self._board.workers_by_id.get(worker.id) is not worker:
             await self._run_client.drop(worker.entry.address)
 
