A task that crashes its workers is given up

What callers saw: nothing but work that waits. A task that crashes each worker that starts it went from worker to worker for as long as its job was not cancelled, and took with it what ran beside.

Cause: an attempt on a worker whose next incarnation does not list it ends as lost, and only failures count; it was placed again at once.

Change: decisions/crashes counts, once and in the group's row, each attempt whose start was sent to an incarnation that another has replaced. A loss of idle workers, or of half a zone or rack, at about the same time excuses the work; a group of another job that is as suspect makes two crashes too few. The job has failed after two, three or four crashes. A retry is delayed, a suspect prefers a worker for itself, and an attempt whose worker has restarted is not started again there. Silence blames nobody.

Why it works: the count follows from boots, which every report and the rows of placements name, so a takeover, a store outage or a second report neither loses nor doubles it; the fourth crash ends the job whatever the cause.

--- a/primroselock/boardrows.py
+++ b/primroselock/boardrows.py
@@ -8,6 +8,7 @@
 import typing
 
 from primroselock import clock
+from primroselock.decisions import crashes
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import graphs
@@ -104,6 +105,7 @@
         entry = reader.read_entry(row)
     with rowguard.leave_out(_log, row.key):
         if entry is not None:
+            crashes.note_entry(board, entry, now)
             board.record_entry(entry, now)
         else:
             board.record_unlisted(reader.parse_worker_id(row.key))
--- /dev/null
+++ b/primroselock/decisions/crashlog.py
@@ -0,0 +1,93 @@
+"""What a shard's holder has seen of crashed workers, see ``crashes``.
+
+Only the crashes of each group are stored, with its progress; the rest is
+known to this holder alone, and only excuses or delays.
+"""
+
+import dataclasses
+import typing
+
+from primroselock.decisions import livejobs
+
+_KEPT_S: typing.Final = 60.0
+"""For so long losses, and runs settled without a report, are kept."""
+
+GAUGES: typing.Final = ('crashing_jobs', 'worker_crashes')
+"""Names of the counts of :class:`CrashLog`, as metrics."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loss:
+    """A worker that was lost; it ran work of ``job_ids``.
+
+    ``lost_at``, on this process's clock, is when it was first missed.
+    """
+
+    worker_id: str
+    zone: str
+    rack: str
+    lost_at: float
+    job_ids: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SentRun:
+    """An attempt whose start was sent to the incarnation ``boot``.
+
+    ``seen_at``, on this process's clock, is when it was last known to be.
+    """
+
+    group: livejobs.Group
+    attempt: int
+    boot: int
+    seen_at: float
+
+
+@dataclasses.dataclass(slots=True)
+class CrashLog:
+    """Lost workers, and the groups under which workers have crashed.
+
+    ``settled_by_worker_id`` are runs on workers that were silent until their
+    leases had expired.
+    ``last_loss_by_group`` is the loss of a group's latest crash, where this
+    holder saw it.  ``planned_boot_by_id`` is by worker the incarnation that
+    was draining when it ended.  ``crashes`` and ``given_up`` count the
+    crashes that were recorded and the jobs that were given up.
+    """
+
+    losses: list[Loss] = dataclasses.field(default_factory=list)
+    settled_by_worker_id: dict[str, list[SentRun]] = dataclasses.field(
+        default_factory=dict
+    )
+    suspects: dict[livejobs.Group, None] = dataclasses.field(
+        default_factory=dict
+    )
+    last_loss_by_group: dict[livejobs.Group, Loss] = dataclasses.field(
+        default_factory=dict
+    )
+    planned_boot_by_id: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )
+    crashes: int = 0
+    given_up: int = 0
+
+    def counts(self) -> dict[str, int]:
+        """Return the values of ``GAUGES`` since the takeover, by name."""
+        return dict(zip(GAUGES, (self.given_up, self.crashes), strict=True))
+
+    def add_suspect(self, group: livejobs.Group) -> None:
+        """Note a group under which a worker has crashed."""
+        self.suspects[group] = None
+
+    def drop_suspect(self, group: livejobs.Group) -> None:
+        """Forget a group that has ended."""
+        self.suspects.pop(group, None)
+        self.last_loss_by_group.pop(group, None)
+
+    def forget_old(self, now: float) -> None:
+        """Forget what is too old to be compared with a new loss."""
+        oldest = now - _KEPT_S
+        self.losses = [loss for loss in self.losses if loss.lost_at > oldest]
+        for worker_id, settled in list(self.settled_by_worker_id.items()):
+            if settled[-1].seen_at <= oldest:
+                del self.settled_by_worker_id[worker_id]
--- a/primroselock/decisions/fitting.py
+++ b/primroselock/decisions/fitting.py
@@ -288,7 +288,8 @@
     """Return the sort key of a worker for a task; the lowest is best.
 
     Workers where the group was stuck, and those that refused their last
-    start, come last.  Single tasks go into the fullest rack, so that other
+    start, come last; before them those with work of another job that may
+    crash them.  Single tasks go into the fullest rack, so that other
     racks stay free for rack-local gangs.
     """
     data_rack = group.step.data_rack
@@ -296,6 +297,7 @@
     left = free_capacity.free_by_id[worker.id].plus(need, -1)
     return (
         float(worker.id in group.avoided_worker_ids),
+        float(free_capacity.runs_suspect(worker.id, group)),
         float(worker.refusals_in_row > 0),
         float(bool(data_rack) and rack != data_rack),
         free_capacity.speed_class(worker.id, group),
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -8,6 +8,7 @@
 import dataclasses
 import typing
 
+from primroselock.decisions import crashlog
 from primroselock.decisions import evidence
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import learnedtimes
@@ -173,6 +174,9 @@
     failure_evidence: evidence.Evidence = dataclasses.field(
         default_factory=evidence.Evidence
     )
+    crashes: crashlog.CrashLog = dataclasses.field(
+        default_factory=crashlog.CrashLog
+    )
     learned: learnedtimes.LearnedTimes = dataclasses.field(
         default_factory=learnedtimes.LearnedTimes
     )
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -137,7 +137,9 @@
         # A claim or a worker to avoid makes other workers allowed for this
         # group than for the rest of its step.
         is_own = bool(
-            group.avoided_worker_ids or group in context.board.claims_by_group
+            group.avoided_worker_ids
+            or group.crashes
+            or group in context.board.claims_by_group
         )
         group.may_span_racks = may_span_racks
         relaxed = None
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -3,15 +3,16 @@
 The round runs controllers over the blackboard in a fixed order: settle
 workers whose leases have expired, apply cancellations, release occurrences
 that are due, quarantine workers, stop attempts that would be cut short by a
-drain, that are stuck or whose starts were not answered, place waiting groups
-(with preemption), order stops, and report work that waits beside free
-capacity.  Each controller is a function of the
-blackboard, the settings and the time.
+drain, that are stuck or whose starts were not answered, give up jobs whose
+tasks crash workers, place waiting groups (with preemption), order stops, and
+report work that waits beside free capacity.  Each controller is a function of
+the blackboard, the settings and the time.
 """
 
 from collections import abc
 import typing
 
+from primroselock.decisions import crashes
 from primroselock.decisions import fleet
 from primroselock.decisions import fleethealth
 from primroselock.decisions import fleetplacing
@@ -207,6 +208,17 @@
             runs.end_group(board, group, livejobs.EndReason.LOST, now, wall_ms)
 
 
+@controller(order=45)
+def give_up_crashing(
+    board: fleet.ShardBoard,
+    settings: options.Settings,
+    now: float,
+    wall_s: float,
+) -> None:
+    """Fail jobs whose tasks crash the workers that start them."""
+    crashes.give_up(board, now, int(wall_s * 1000))
+
+
 @controller(order=50)
 def place_waiting(
     board: fleet.ShardBoard,
--- a/primroselock/decisions/fleetworkers.py
+++ b/primroselock/decisions/fleetworkers.py
@@ -130,6 +130,11 @@
         """Return whether it must be polled before it gets times or orders."""
         return self.doubted_at is not None
 
+    @property
+    def latest_boot(self) -> int:
+        """Return its latest known incarnation; an idle one is not polled."""
+        return max(self.boot, self.entry.boot)
+
     @property
     def free(self) -> jobgraph.Resources:
         """Return the capacity that members and unexpected runs leave free."""
--- a/primroselock/decisions/graphs.py
+++ b/primroselock/decisions/graphs.py
@@ -7,6 +7,7 @@
 
 import typing
 
+from primroselock.decisions import crashes
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import livejobs
@@ -94,6 +95,9 @@
         group.attempt = record.attempt
         group.failures = record.failures
         group.failed_attempt = record.failed_attempt
+        group.crashes = record.crashes
+        if group.crashes:
+            board.crashes.add_suspect(group)
         group.checkpoint = record.checkpoint
         group.is_resumed = True
         if record.phase is jobgraph.GroupPhase.DONE:
@@ -241,6 +245,9 @@
         group.preemptions += 1
         delay_s = _MIN_REQUEUE_DELAY_S * 2.0 ** min(group.preemptions, 10)
         group.yields_until = now + min(delay_s, _MAX_REQUEUE_DELAY_S)
+    crash_delay_s = crashes.retry_delay_s(group)
+    if crash_delay_s:
+        group.not_before = max(group.not_before, now + crash_delay_s)
     group.members = []
     group.end_reason = None
     group.began_at = None
@@ -347,4 +354,5 @@
         group.checkpoint,
         places,
         group.failed_attempt,
+        group.crashes,
     )
--- a/primroselock/decisions/livejobs.py
+++ b/primroselock/decisions/livejobs.py
@@ -152,6 +152,7 @@
     single rack can hold.  ``avoided_worker_ids`` are the workers on which
     the group was stuck, ``times_stuck`` times; others are preferred.
     ``refusals_in_row`` is the number of its last attempts that were refused.
+    ``crashes`` are those of workers under its attempts, see ``crashes``.
     """
 
     job: 'LiveJob'
@@ -174,6 +175,7 @@
     is_resumed: bool = False
     avoided_worker_ids: set[str] = dataclasses.field(default_factory=set)
     times_stuck: int = 0
+    crashes: tuple[jobgraph.Crash, ...] = ()
     step_name: StepName = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
--- a/primroselock/decisions/placementround.py
+++ b/primroselock/decisions/placementround.py
@@ -88,7 +88,11 @@
     for index, worker_id in zip(group.task_indices, worker_ids, strict=True):
         worker = board.workers_by_id[worker_id]
         member = livejobs.Member(
-            group, index, worker_id, worker.boot, livejobs.MemberState.PLACED
+            group,
+            index,
+            worker_id,
+            worker.latest_boot,
+            livejobs.MemberState.PLACED,
         )
         group.members.append(member)
         worker.add_member(member)
--- a/primroselock/decisions/runleases.py
+++ b/primroselock/decisions/runleases.py
@@ -7,6 +7,7 @@
 
 import typing
 
+from primroselock.decisions import crashes
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import leasebounds
@@ -33,6 +34,7 @@
     for worker in list(board.workers_by_id.values()):
         if not _may_run_any(worker) or not _is_expired(board, worker, now):
             continue
+        crashes.note_settled(board, worker, now)
         settle_lost_worker(
             board, worker, 'every lease has expired', now, wall_ms
         )
@@ -82,6 +84,7 @@
         for member in worker.members.values()
         if _has_run_at(member, address, sent_at)
     ]
+    crashes.record_replaced(board, worker, lost, now)
     why = 'another worker instance answers at its address'
     if len(lost) == len(worker.members):
         settle_lost_worker(board, worker, why, now, wall_ms)
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -12,6 +12,7 @@
 
 import typing
 
+from primroselock.decisions import crashes
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import graphs
@@ -46,6 +47,7 @@
     wall_ms: int,
 ) -> None:
     """Apply a worker's run report; its poll was sent at ``sent_at``."""
+    lost_groups = crashes.record_restart(board, worker, report, now)
     has_unknown_leases = workerboots.may_hold_unknown_leases(worker, report)
     if workerboots.is_restarted(worker, report):
         _reset_restarted(board, worker, report)
@@ -70,6 +72,10 @@
         _record_absent(board, worker, reported, sent_at, now, wall_ms)
     for run in [run for run in worker.unexpected_runs if run not in reported]:
         del worker.unexpected_runs[run]
+    for group in lost_groups:
+        # A start that was not answered must not be sent again: it would
+        # crash this incarnation too.
+        end_group(board, group, livejobs.EndReason.LOST, now, wall_ms)
 
 
 def _reported_at(
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -21,6 +21,7 @@
 from primroselock import backgroundtasks
 from primroselock import boardrows
 from primroselock import clock
+from primroselock.decisions import crashlog
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetround
 from primroselock.decisions import graphs
@@ -220,7 +221,7 @@
                     )
                     self._lease.drop('a loop failed')
         finally:
-            for gauge in ('idle_waits', 'orders_waiting'):
+            for gauge in (*crashlog.GAUGES, 'idle_waits', 'orders_waiting'):
                 self._parts.counters.set_gauge(gauge, 0.0)
             await self._advice_requester.cancel()
             await self._pollers.cancel()
@@ -275,6 +276,8 @@
         self._parts.counters.set_gauge(
             'idle_waits', float(self._board.idle_waits)
         )
+        for name, count in self._board.crashes.counts().items():
+            self._parts.counters.set_gauge(name, float(count))
         self._send_orders()
         self._parts.counters.set_gauge(
             'orders_waiting', float(self._orders.waiting_count)
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -181,13 +181,34 @@
     boot: decoding.Integer
 
 
+class CrashEvidence(enum.Enum):
+    """How much the crash of a worker blames a group that it ran.
+
+    SHARED: a group of another job there is as suspect.  OUTSIDE: others were
+    lost at the same time, so that the work is not the cause.
+    """
+
+    CLEAR = 'c'
+    SHARED = 's'
+    OUTSIDE = 'o'
+
+
+class Crash(msgspec.Struct, frozen=True, array_like=True):
+    """The crash of the worker at ``place`` under an attempt of a group."""
+
+    attempt: decoding.Integer
+    evidence: CrashEvidence
+    place: Place
+
+
 class GroupRecord(msgspec.Struct, frozen=True, array_like=True):
     """The stored progress of a group.
 
     ``attempt`` is the number of the latest attempt; ``failures`` counts
     the attempts up to ``failed_attempt`` that ended by a task's failure, so
     that an end that is reported again is not counted twice; ``checkpoint``
-    is the saved state from which the next attempt may resume.
+    is the saved state from which the next attempt may resume.  ``crashes``
+    has one entry for each attempt under which a worker crashed.
     """
 
     key: GroupKey
@@ -197,6 +218,7 @@
     checkpoint: str = ''
     places: tuple[Place, ...] = ()
     failed_attempt: decoding.Integer = 0
+    crashes: tuple[Crash, ...] = ()
 
 
 class JobProgress(msgspec.Struct, frozen=True, array_like=True):
--- a/primroselock/metrics.py
+++ b/primroselock/metrics.py
@@ -15,6 +15,7 @@
 
 
 _HELP_BY_NAME: typing.Final = {
+    'crashing_jobs': 'Jobs that this holder failed: they crash workers.',
     'decision_round': 'Duration of a decision round of the shard holder.',
     'decision_late': 'Time by which a decision round began late.',
     'idle_waits': 'Jobs that wait although capacity is free.',
@@ -27,6 +28,7 @@
     'start_order': 'Time until a worker answered a start order.',
     'store_received_bytes': 'Bytes of rows received from the store.',
     'store_sent_bytes': 'Bytes of rows sent to the store.',
+    'worker_crashes': 'Attempts under which this holder saw a worker crash.',
 }
 
 
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -233,6 +233,7 @@
             self._record_refusal(worker, member, silent, False, now)
             return False
         member.state = livejobs.MemberState.ORDERED
+        member.boot = worker.latest_boot
         member.ordered_at = now
         return True
 
--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -153,6 +153,7 @@
     A run takes the expected time of its step, unless ``work_s_by_job`` gives
     another for its job.  A stopped run ends ``stop_delay_s`` after the order.
     Runs of the jobs in ``failing_job_ids`` fail soon after their start.
+    ``begin_hooks`` are called with each run that has begun.
     """
 
     def __init__(self, seed: int = 0) -> None:
@@ -177,6 +178,7 @@
         self.end_counts: dict[orders.EndCause, int] = {}
         self.confirmed_done: set[jobgraph.TaskName] = set()
         self.done: set[jobgraph.TaskName] = set()
+        self.begin_hooks: list[abc.Callable[[FakeWorker, LiveRun], None]] = []
         self._random = random.Random(seed)
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -310,6 +312,9 @@
         refusal = self._execute_start(worker, order, clock.monotonic())
         if refusal is not None:
             return result.Err(orders.Refused(refusal, worker.read_clock()))
+        if worker.is_down:
+            await asyncio.sleep(timeout_s)
+            return result.Err(orders.Unanswered('it crashed'))
         return result.Ok(orders.Accepted(worker.read_clock()))
 
     async def _start_late(
@@ -357,7 +362,10 @@
         work_s *= worker.slowdown_factor
         self.starts += 1
         self._check_start(worker, run, step, graph)
-        worker.runs[run] = LiveRun(run, step, now + work_s, now, cause)
+        live = LiveRun(run, step, now + work_s, now, cause)
+        worker.runs[run] = live
+        for hook in self.begin_hooks:
+            hook(worker, live)
 
     def _check_start(
         self,
--- a/primroselock/test/soakbuilders.py
+++ b/primroselock/test/soakbuilders.py
@@ -2,6 +2,7 @@
 
 Everything follows from a seed: the number of nodes, the jobs, and faults
 that come in series and overlap.  The check of idle capacity runs beside.
+Jobs that crash the workers that start them are added if asked for.
 """
 
 import asyncio
@@ -11,6 +12,7 @@
 import typing
 
 from primroselock import clock
+from primroselock.test import crashbuilders
 from primroselock.test import faultbuilders
 from primroselock.test import fleetbuilders
 from primroselock.test import idlecapacity
@@ -40,6 +42,7 @@
     arrival_s: float
     faults: tuple[faultbuilders.Fault, ...]
     is_wide: bool = False
+    has_crashing_jobs: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,7 +55,9 @@
     starts: int = 0
 
 
-def draw_plan(seed: int, is_wide: bool = False) -> Plan:
+def draw_plan(
+    seed: int, is_wide: bool = False, has_crashing_jobs: bool = False
+) -> Plan:
     """Return the plan of a seed.
 
     A wide one has more kinds of faults and of jobs.  Each series draws its
@@ -85,6 +90,7 @@
         at * source.uniform(0.5, 1.0),
         tuple(faults),
         is_wide,
+        has_crashing_jobs,
     )
 
 
@@ -96,6 +102,11 @@
         self.log = faultbuilders.FaultLog()
         self.world = fleetbuilders.World(plan.seed, 0)
         loadbuilders.add_workers(self.world, _WORKERS)
+        self.crashing: crashbuilders.CrashingTasks | None = None
+        if plan.has_crashing_jobs:
+            self.crashing = crashbuilders.CrashingTasks(
+                self.world, seed=plan.seed, log=self.log
+            )
         self.check = idlecapacity.IdleCapacityCheck(self.world, self.log)
         self.lasting_check = lastingcapacity.LastingWorkCheck(
             self.world, self.log
@@ -122,12 +133,14 @@
                 faultbuilders.inject(world, fault, self.log)
                 for fault in plan.faults
             ),
+            self._submit_crashing_jobs(),
         )
         world.store.apply_late()
         await asyncio.sleep(_FINAL_WAIT_S)
         self.check.check(clock.monotonic(), at_end=True)
         late_ids = await self._wait_for_ends()
         await waits.cancel_tasks(checks)
+        given_up = self.crashing.list_given_up() if self.crashing else []
         await world.close()
         return Outcome(
             plan,
@@ -135,12 +148,23 @@
                 *(str(violation) for violation in self.check.violations),
                 *self.lasting_check.violations,
                 *(f'{job_id} has not ended' for job_id in late_ids),
+                *(f'{job_id} failed without cause' for job_id in given_up),
                 *world.fleet.violations,
             ],
             len(world.fleet.graphs_by_id),
             world.fleet.starts,
         )
 
+    async def _submit_crashing_jobs(self) -> None:
+        """Submit jobs that crash their workers, if the plan has any."""
+        if self.crashing is not None:
+            await crashbuilders.submit_crashing_jobs(
+                self.world,
+                self.crashing,
+                self.plan.arrival_s,
+                random.Random(f'{self.plan.seed} crashing'),
+            )
+
     async def _wait_for_ends(self) -> list[str]:
         until = clock.monotonic() + _MAX_DRAIN_S
         while open_ids := self.check.list_open_jobs():
@@ -154,6 +178,7 @@
     seed: int,
     examine: abc.Callable[[Soak], None] = lambda soak: None,
     is_wide: bool = False,
+    has_crashing_jobs: bool = False,
 ) -> Outcome:
     """Run the soak of a seed in virtual time.
 
@@ -163,7 +188,7 @@
     random.seed(seed)
 
     async def run_all(virtual: virtualtime.VirtualClock) -> Outcome:
-        soak = Soak(draw_plan(seed, is_wide))
+        soak = Soak(draw_plan(seed, is_wide, has_crashing_jobs))
         examine(soak)
         return await soak.run()
 
--- /dev/null
+++ b/primroselock/test/testcrashdecisions.py
@@ -0,0 +1,255 @@
+"""Which crashes count against a task, and where suspects are placed."""
+
+import typing
+import unittest
+
+import msgspec
+
+from primroselock.decisions import crashes
+from primroselock.decisions import fleet
+from primroselock.decisions import fleetworkers
+from primroselock.decisions import graphs
+from primroselock.decisions import livejobs
+from primroselock.decisions import runleases
+from primroselock.decisions import runs
+from primroselock import jobgraph
+from primroselock import jobs
+from primroselock.test import fleetbuilders
+from primroselock.test import idlebuilders
+from primroselock.workers import orders
+
+
+class CountTest(unittest.TestCase):
+    """What a new holder makes of stored placements and of run reports."""
+
+    def setUp(self) -> None:
+        self.board = fleet.ShardBoard(
+            epoch=2, queue_configuration=fleetbuilders.QUEUE_CONFIGURATION
+        )
+
+    def _inherit(
+        self, *crashes: jobgraph.Crash, boot: int = 1, worker_id: str = 'w0'
+    ) -> livejobs.Group:
+        """Take over a job whose attempt was placed on a worker."""
+        key = jobgraph.GroupKey(0, 0, 0)
+        record = jobgraph.GroupRecord(
+            key,
+            jobgraph.GroupPhase.PLACED,
+            len(crashes) + 1,
+            places=(jobgraph.Place(worker_id, boot),),
+            crashes=crashes,
+        )
+        progress = jobgraph.JobProgress(jobs.JobState.RUNNING, (record,))
+        graph = fleetbuilders.build_graph(f'j{len(self.board.jobs_by_id)}')
+        job = graphs.add_job(self.board, graph, progress, 1, 100.0, 100_000)
+        assert job is not None
+        return job.groups_by_key[key]
+
+    def _list(self, **changes: typing.Any) -> fleetworkers.Worker:
+        entry = fleetbuilders.build_entry('w0', **changes)
+        crashes.note_entry(self.board, entry, 100.0)
+        self.board.record_entry(entry, 100.0)
+        return self.board.workers_by_id['w0']
+
+    def _report(
+        self,
+        worker: fleetworkers.Worker,
+        boot: int,
+        *running: orders.Run,
+        now: float = 101.0,
+    ) -> None:
+        listed = tuple(orders.Running(run, '', 0.1) for run in running)
+        report = orders.RunReport(1.0, boot, listed, ())
+        runs.record_poll(self.board, worker, report, now, now, 101_000)
+
+    def test_a_takeover_between_crash_and_report(self) -> None:
+        """Guards against a crash unseen since the holder changed."""
+        worker = self._list(boot=2)
+        group = self._inherit()
+        self._report(worker, 2)
+        self.assertEqual(
+            [(1, jobgraph.Place('w0', 1))],
+            [(crash.attempt, crash.place) for crash in group.crashes],
+        )
+
+    def test_two_holders_count_an_attempt_once(self) -> None:
+        """Guards against a crash that two holders count."""
+        worker = self._list(boot=2)
+        known = jobgraph.Crash(
+            1, jobgraph.CrashEvidence.CLEAR, jobgraph.Place('w0', 1)
+        )
+        group = self._inherit()
+        group.crashes = (known,)
+        self._report(worker, 2)
+        self.assertEqual((known,), group.crashes)
+
+    def test_a_run_that_the_new_incarnation_lists(self) -> None:
+        """Guards against a crash counted from a placement's old boot."""
+        worker = self._list(boot=2)
+        group = self._inherit()
+        (member,) = group.members
+        self._report(worker, 2, member.run)
+        self.assertEqual((), group.crashes)
+        self._report(worker, 2, member.run, now=102.0)
+        self.assertEqual((), group.crashes)
+
+    def test_a_report_of_the_incarnation_before(self) -> None:
+        """Guards against a late answer of an earlier boot as a crash."""
+        worker = self._list(boot=2)
+        group = self._inherit(boot=2)
+        (member,) = group.members
+        self._report(worker, 2, member.run)
+        self._report(worker, 1, now=102.0)
+        self.assertEqual((), group.crashes)
+
+    def test_a_planned_restart(self) -> None:
+        """Guards against blame for a worker that drained and left."""
+        worker = self._list(boot=1, is_draining=True)
+        group = self._inherit()
+        self._report(worker, 1, group.members[0].run)
+        self._list(boot=2)
+        self._report(worker, 2, now=102.0)
+        self.assertEqual((), group.crashes)
+
+    def test_expired_leases(self) -> None:
+        """Guards against blame for silence, and a crash shown later."""
+        worker = self._list()
+        group = self._inherit()
+        self._report(worker, 1, group.members[0].run)
+        worker.record_failed_call(102.0)
+        runleases.expire_workers(self.board, 150.0, 150_000)
+        self.assertEqual((), group.crashes)
+        self._report(worker, 2, now=151.0)
+        self.assertEqual(1, len(group.crashes))
+
+    def test_a_cut_worker_that_is_back(self) -> None:
+        """Guards against blame for a later restart of a worker cut off."""
+        worker = self._list()
+        group = self._inherit()
+        self._report(worker, 1, group.members[0].run)
+        worker.record_failed_call(102.0)
+        runleases.expire_workers(self.board, 150.0, 150_000)
+        self._report(worker, 1, now=151.0)
+        self._report(worker, 2, now=152.0)
+        self.assertEqual((), group.crashes)
+
+    def test_a_start_that_was_not_answered(self) -> None:
+        """Guards against a start sent again to the next incarnation."""
+        worker = self._list()
+        group = self._inherit()
+        (member,) = group.members
+        self._report(worker, 1, member.run)
+        member.state = livejobs.MemberState.ORDERED
+        group.enter(livejobs.Phase.STARTING, 101.0)
+        self._report(worker, 2, now=102.0)
+        self.assertEqual(1, len(group.crashes))
+        self.assertIs(livejobs.Phase.STOPPING, group.phase)
+
+    def _lose_idle_worker(self) -> None:
+        for boot in (1, 2):
+            entry = fleetbuilders.build_entry('w1', boot=boot)
+            crashes.note_entry(self.board, entry, 101.0)
+            self.board.record_entry(entry, 101.0)
+
+    def test_an_idle_worker_lost_before(self) -> None:
+        """Guards against blame for a loss that took an idle worker too."""
+        worker = self._list(boot=2)
+        group = self._inherit()
+        self._lose_idle_worker()
+        self._report(worker, 2)
+        self.assertEqual(
+            [jobgraph.CrashEvidence.OUTSIDE],
+            [crash.evidence for crash in group.crashes],
+        )
+
+    def test_an_idle_worker_seen_lost_afterwards(self) -> None:
+        """Guards against a job given up before all of a loss is known."""
+        worker = self._list(boot=2)
+        first = jobgraph.Crash(
+            1, jobgraph.CrashEvidence.CLEAR, jobgraph.Place('w7', 5)
+        )
+        group = self._inherit(first)
+        self._report(worker, 2)
+        self._lose_idle_worker()
+        crashes.give_up(self.board, group.not_before, 103_000)
+        self.assertIs(jobs.JobState.RUNNING, group.job.state)
+        self.assertIs(
+            jobgraph.CrashEvidence.OUTSIDE, group.crashes[-1].evidence
+        )
+
+    def test_workers_are_not_blamed(self) -> None:
+        """Guards against a quarantine of a worker that a task crashed."""
+        worker = self._list(boot=2)
+        self._inherit()
+        self._report(worker, 2)
+        evidence = self.board.failure_evidence
+        self.assertEqual({}, evidence.attempts_by_worker_id)
+
+    def test_the_record_of_a_job_given_up(self) -> None:
+        """Guards against a failure of which nobody can tell the cause."""
+        worker = self._list(boot=3)
+        first = jobgraph.Crash(
+            1, jobgraph.CrashEvidence.CLEAR, jobgraph.Place('w7', 5)
+        )
+        group = self._inherit(first, boot=2)
+        self._report(worker, 3)
+        crashes.give_up(self.board, group.not_before - 0.01, 103_000)
+        self.assertIs(jobs.JobState.RUNNING, group.job.state)
+        crashes.give_up(self.board, group.not_before, 103_000)
+        self.assertIs(jobs.JobState.FAILED, group.job.state)
+        last = self.board.decision_records[-1].values
+        self.assertEqual(['w7', 'w0'], last['workers'])
+        self.assertEqual([5, 2], last['boots'])
+        self.assertEqual([0, 0, 0], last['group'])
+
+    def test_rows_of_builds_that_count_no_crashes(self) -> None:
+        """Guards against a takeover that cannot read older rows."""
+        record = [[0, 0, 0], 'p', 1, 0, '', [['w0', 1]], 0]
+        read = msgspec.convert(record, jobgraph.GroupRecord)
+        self.assertEqual((), read.crashes)
+
+
+class PlacementTest(unittest.TestCase):
+    """Where groups are placed under which workers have crashed."""
+
+    def setUp(self) -> None:
+        self.site = idlebuilders.Site(2)
+
+    def _submit_suspect(self, job_id: str, crashed: int) -> livejobs.Group:
+        step = fleetbuilders.build_step(1, 1, 5000)
+        job = self.site.submit(job_id, step, run_s=5.0, queue='batch')
+        (group,) = job.groups_by_key.values()
+        outside = jobgraph.CrashEvidence.OUTSIDE
+        group.crashes = tuple(
+            jobgraph.Crash(number, outside, jobgraph.Place('x', 1))
+            for number in range(crashed)
+        )
+        self.site.board.crashes.add_suspect(group)
+        return group
+
+    def test_a_suspect_prefers_a_worker_for_itself(self) -> None:
+        """Guards against sound work that crashes with a suspect."""
+        step = fleetbuilders.build_step(1, 1, 5000)
+        self.site.occupy('n000', 'sound', step, 60.0)
+        group = self._submit_suspect('suspect', 1)
+        self.site.run_for(1.0)
+        self.assertEqual(['n001'], [m.worker_id for m in group.members])
+        other = self.site.submit('j', step, run_s=5.0, queue='batch')
+        self.site.run_for(1.0)
+        (waiting,) = other.groups_by_key.values()
+        self.assertEqual(['n000'], [m.worker_id for m in waiting.members])
+
+    def test_a_suspect_does_not_wait_for_ever(self) -> None:
+        """Guards against accepted work that waits beside free capacity."""
+        step = fleetbuilders.build_step(1, 1, 5000)
+        for number in range(2):
+            self.site.occupy(f'n{number:03}', f'sound{number}', step, 90.0)
+        for crashed, limit_s in ((1, 3.0), (2, 11.0), (3, 21.0)):
+            group = self._submit_suspect(f'suspect{crashed}', crashed)
+            self.site.run_for(limit_s)
+            self.assertIs(livejobs.Phase.RUNNING, group.phase)
+            self.site.run_for(8.0)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -2,8 +2,9 @@
 
 ``python -m tools.soak --seeds 50 --first 1`` prints each violation with its
 seed.  ``--wide`` adds kinds of faults and of jobs, so that a seed has another
-play.  ``--trace`` adds why the holder did not place the job, and the faults;
-``--log DIRECTORY`` writes the nodes' log of each seed with virtual times.
+play.  ``--crashing`` adds jobs that crash the workers that start them.
+``--trace`` adds why the holder did not place the job, and the faults; ``--log
+DIRECTORY`` writes the nodes' log of each seed with virtual times.
 """
 
 import argparse
@@ -30,6 +31,7 @@
     parser.add_argument('--first', type=int, default=1)
     parser.add_argument('--trace', action='store_true')
     parser.add_argument('--wide', action='store_true')
+    parser.add_argument('--crashing', action='store_true')
     parser.add_argument('--log', type=pathlib.Path)
     return parser.parse_args()
 
@@ -75,11 +77,15 @@
     examine = _trace if arguments.trace else lambda soak: None
     if arguments.log is None:
         _configure_log(None)
-        return soakbuilders.run(seed, examine, arguments.wide)
+        return soakbuilders.run(
+            seed, examine, arguments.wide, arguments.crashing
+        )
     path = arguments.log / f'soak-{seed}.log'
     with path.open('w', encoding='utf-8') as output:
         _configure_log(output)
-        return soakbuilders.run(seed, examine, arguments.wide)
+        return soakbuilders.run(
+            seed, examine, arguments.wide, arguments.crashing
+        )
 
 
 def main() -> int:
