An unanswered start is not sent again to the next incarnation

What callers saw: a task that crashes its worker before it answers was started again on the same worker, within one attempt, when that is back within a second; the count of crashes, by attempt, is then too low.

Cause: a start without an answer is sent again under the worker's id, which the next incarnation has too.

Change: the retry waits until the worker has reported its runs since the order was sent. A report of another incarnation ends the attempt, one that lists the run makes it present, and without a report the time for the start runs out as before.

--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -171,6 +171,7 @@
                 return
             failed_at = clock.monotonic()
             await asyncio.sleep(_RETRY_PAUSE_S * (attempt + 1))
+            await self._wait_for_report(worker, member, sent_at)
         self._board.record_decision(
             'start order not answered',
             member.group.job,
@@ -180,6 +181,24 @@
         self._record_silence(worker, sent_at, failed_at)
         self._wake()
 
+    async def _wait_for_report(
+        self,
+        worker: fleetworkers.Worker,
+        member: livejobs.Member,
+        sent_at: float,
+    ) -> None:
+        """Wait until a worker has reported its runs since ``sent_at``.
+
+        The order may have crashed it.  The report of another incarnation ends
+        the attempt; without one the time for its start runs out.
+        """
+        while (
+            worker.clock_at < sent_at
+            and member.state is livejobs.MemberState.ORDERED
+            and member.group.phase is livejobs.Phase.STARTING
+        ):
+            await asyncio.sleep(_RETRY_PAUSE_S)
+
     def _record_silence(
         self, worker: fleetworkers.Worker, sent_at: float, now: float
     ) -> None:
--- a/primroselock/test/testcrashingtasks.py
+++ b/primroselock/test/testcrashingtasks.py
@@ -90,7 +90,17 @@
 
     def test_a_worker_that_is_back_at_once(self) -> None:
         """Guards against a start sent again to the next incarnation."""
-        self._check_given_up(0.0, down_s=(0.3, 0.6))
+
+        async def scenario(
+            world: fleetbuilders.World, crashing: crashbuilders.CrashingTasks
+        ) -> None:
+            _submit_crashing(world, crashing, 0.0)
+            await world.wait_for('deadly', 'failed', _GIVE_UP_S)
+            self.assertEqual(2, crashing.most_starts('deadly'))
+
+        for down_s in (0.05, 0.3, 0.5, 0.9, 1.4):
+            with self.subTest(down_s=down_s):
+                _run(scenario, down_s=(down_s, down_s))
 
     def test_a_worker_that_is_back_after_its_leases(self) -> None:
         """Guards against a crash that is seen too late to count."""
