Soaks play jobs that crash the workers that start them

The stand-in of the workers ends a worker's life when a task says so, before the answer or at work, and starts it again under its id, 7 of 10 times, or under another. Checks: at most two starts of a task after three workers crashed under it; sound jobs are not shown as failed.

--- a/primroselock/test/nodesoak.py
+++ b/primroselock/test/nodesoak.py
@@ -74,6 +74,9 @@
             jobcallers.Caller(random.Random(f'{plan.seed}/{n}'), self._pick)
             for n in range(plan.callers)
         ]
+        if plan.has_crashing_jobs:
+            source = random.Random(f'{plan.seed}/crashing')
+            self._callers.append(jobcallers.CrashingCaller(source, self._pick))
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[typing.Any]] = []
 
--- a/primroselock/test/nodesoakchecks.py
+++ b/primroselock/test/nodesoakchecks.py
@@ -14,6 +14,10 @@
 _CONTACT_S: typing.Final = 3.0
 """The platform's bound: how long a pause of a process excuses it."""
 
+_MAX_CRASHES: typing.Final = 3
+_MAX_STARTS_AFTER: typing.Final = 2
+"""The users' rule: starts of a task after so many workers crashed under it."""
+
 _NEVER: typing.Final = float('inf')
 
 Check = abc.Callable[[nodesoak.Record], abc.Iterator[str]]
@@ -40,9 +44,12 @@
 
 @check
 def _find_unended_jobs(record: nodesoak.Record) -> abc.Iterator[str]:
-    """Every accepted job ends as completed, or cancelled if asked."""
+    """Every accepted job ends as completed, or cancelled if asked.
+
+    One that crashes its workers fails.
+    """
     for job in record.jobs:
-        allowed = ['completed']
+        allowed = ['failed' if job.crashes_workers else 'completed']
         if job.list_attempts('DELETE'):
             allowed.append('cancelled')
         if job.is_accepted and job.state not in allowed:
@@ -102,6 +109,23 @@
                 yield f'{task} runs again after it was done: {later.run}'
 
 
+@check
+def _find_repeated_crashes(record: nodesoak.Record) -> abc.Iterator[str]:
+    """A task under which three workers crashed starts at most twice more."""
+    runs_by_task: dict[str, list[runworkers.Interval]] = {}
+    for run in record.intervals:
+        if run.crash_at < _NEVER:
+            runs_by_task.setdefault(run.task, []).append(run)
+    for task, runs in runs_by_task.items():
+        crashed = sorted(r.ended_at for r in runs if r.how == 'crashed')
+        if len(crashed) < _MAX_CRASHES:
+            continue
+        third_at = crashed[_MAX_CRASHES - 1]
+        later = sum(run.started_at > third_at for run in runs)
+        if later > _MAX_STARTS_AFTER:
+            yield f'{task} starts {later} times after {len(crashed)} crashes'
+
+
 @check
 def _find_runs_not_asked_for(record: nodesoak.Record) -> abc.Iterator[str]:
     """Only what callers sent runs, and nothing that was refused."""
--- a/primroselock/test/nodesoakplans.py
+++ b/primroselock/test/nodesoakplans.py
@@ -41,10 +41,19 @@
     workers: int
     events: tuple[Event, ...]
     ends_at: float
+    has_crashing_jobs: bool = False
 
 
-def draw_plan(seed: int, nodes: int | None, length_s: float) -> Plan:
-    """Return the plan of a seed; ``nodes`` replaces the number drawn."""
+def draw_plan(
+    seed: int,
+    nodes: int | None,
+    length_s: float,
+    has_crashing_jobs: bool = False,
+) -> Plan:
+    """Return the plan of a seed; ``nodes`` replaces the number drawn.
+
+    With ``has_crashing_jobs`` one more caller submits jobs that crash workers.
+    """
     source = random.Random(seed)
     count = source.randint(3, 6)
     count = nodes or count
@@ -54,7 +63,15 @@
         events += _draw_burst(source, count, workers, length_s)
     ends_at = max(length_s, *(event.at + event.for_s for event in events))
     callers = max(source.randint(6, 10), count)
-    return Plan(seed, count, callers, workers, tuple(events), ends_at)
+    return Plan(
+        seed,
+        count,
+        callers,
+        workers,
+        tuple(events),
+        ends_at,
+        has_crashing_jobs,
+    )
 
 
 def _draw_burst(
--- a/primroselock/test/testnodesoak.py
+++ b/primroselock/test/testnodesoak.py
@@ -21,7 +21,13 @@
     """What callers and workers saw of a seed keeps every promise."""
 
     def test_seed_1(self) -> None:
-        plan = nodesoakplans.draw_plan(1, None, _LENGTH_S)
+        self._check(nodesoakplans.draw_plan(1, None, _LENGTH_S))
+
+    def test_seed_2_with_jobs_that_crash_workers(self) -> None:
+        """Guards against a task that crashes one worker after another."""
+        self._check(nodesoakplans.draw_plan(2, None, _LENGTH_S, True))
+
+    def _check(self, plan: nodesoakplans.Plan) -> None:
         folder = tempfile.mkdtemp(prefix='nodesoak-')
         record = nodesoak.run(plan, pathlib.Path(folder))
         problems = nodesoakchecks.list_problems(record)
--- a/primroselock/test/testsoak.py
+++ b/primroselock/test/testsoak.py
@@ -45,6 +45,10 @@
     def test_seeds_3_to_20(self) -> None:
         self.check_seeds(3, 18)
 
+    def test_crashing_seeds_1_to_10(self) -> None:
+        """Guards against tasks that crash workers, and blame of others."""
+        self.check_seeds(1, 10, '--crashing')
+
     def test_wide_seed_217(self) -> None:
         """Long-running work waits for claims or one rack under load."""
         self.check_seeds(217, 1, '--wide')
--- a/standins/jobcallers.py
+++ b/standins/jobcallers.py
@@ -58,6 +58,7 @@
     body: bytes
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     state: str = ''
+    crashes_workers: bool = False
 
     def list_attempts(self, method: str) -> list[Attempt]:
         """Return the attempts with a method."""
@@ -102,9 +103,30 @@
     )
 
 
+def draw_crashing_job(source: random.Random) -> Job:
+    """Return a job of one step whose tasks crash their workers."""
+    count = source.choice((1, 1, 2))
+    is_gang = count > 1 and source.random() < 0.5
+    step: dict[str, typing.Any] = {'count': count, 'cpu': 2000}
+    step.update(mem_mb=1024, gpus=1, gang=is_gang, est_runtime_ms=2000)
+    crash_ms = source.choice((0, 300, 1500))
+    payload = [(2000, count if is_gang else 0, crash_ms)]
+    spec = msgspec.json.encode(payload).decode()
+    return Job(
+        f'{source.getrandbits(64):016x}',
+        0,
+        0,
+        spec,
+        msgspec.json.encode({'spec': spec, 'phases': [step]}),
+        crashes_workers=True,
+    )
+
+
 class Caller:
     """One caller with one connection."""
 
+    _draw_job = staticmethod(draw_job)
+
     def __init__(self, source: random.Random, pick: Pick) -> None:
         self.jobs: list[Job] = []
         self._random = source
@@ -142,7 +164,7 @@
 
         A refused submission is repeated now and then.
         """
-        job = draw_job(self._random)
+        job = self._draw_job(self._random)
         self.jobs.append(job)
         for _ in range(_MAX_TRIES):
             status = (await self.call('POST', job)).status
@@ -206,3 +228,18 @@
         if self._streams is not None:
             self._streams[1].close()
             self._streams = None
+
+
+class CrashingCaller(Caller):
+    """A caller that submits a job now and then, which crashes workers."""
+
+    _draw_job = staticmethod(draw_crashing_job)
+
+    async def run(self, until: float) -> None:
+        """Submit and ask until the time ``until``."""
+        while time.monotonic() < until:
+            await self._submit_new()
+            asked_until = time.monotonic() + self._random.uniform(3.0, 6.0)
+            while time.monotonic() < min(asked_until, until):
+                await asyncio.sleep(_ASK_INTERVAL_S)
+                await self.call('GET', self.jobs[-1])
--- a/standins/runworkers.py
+++ b/standins/runworkers.py
@@ -2,8 +2,10 @@
 
 A job's payload says what its tasks do: a list with a row for each step, of
 the milliseconds of work and the number of members of a gang (0 for single
-tasks).  The workers start whatever they are told to start; ``intervals``
-records every run, for the checks.
+tasks).  A third number makes the tasks crash their worker after so many
+milliseconds, at 0 before it answers; it is back after some seconds, as another
+incarnation under the same id or under another.  The workers start whatever
+they are told to start; ``intervals`` records every run, for the checks.
 """
 
 import asyncio
@@ -27,6 +29,7 @@
 _MAX_LATE_S: typing.Final = 6.0
 _GANG_TIMEOUT_S: typing.Final = 3.0
 _SILENCE_BEFORE_REMOVAL_S: typing.Final = 3.0
+_DOWN_S: typing.Final = (2.0, 4.0)
 _MIN_CLOCK_SPEED: typing.Final = 0.98
 _MAX_ENDS: typing.Final = 500
 _NEVER: typing.Final = float('inf')
@@ -38,6 +41,7 @@
 class Interval:
     """One run on one worker, on the monotonic clock.
 
+    At ``crash_at`` it crashes its worker.
     ``due_at`` is when its work is done, once a gang is whole.  ``is_noted``:
     the end was confirmed to the worker under the same lease.
     """
@@ -49,6 +53,7 @@
     started_at: float
     work_s: float
     members: int
+    crash_at: float = _NEVER
     due_at: float = _NEVER
     stop_at: float = _NEVER
     ended_at: float = _NEVER
@@ -145,6 +150,7 @@
         self._store = store
         self._random = source
         self._lives = 0
+        self._returning: set[asyncio.Task[None]] = set()
         self._addresses: dict[int, str] = {}
 
     async def start(self, count: int, servers: list[asyncio.Server]) -> None:
@@ -155,11 +161,11 @@
             self._addresses[number] = address
             self.boot(number)
 
-    def boot(self, number: int) -> None:
-        """Begin a new life of a worker, with a new id."""
+    def boot(self, number: int, name: str = '') -> None:
+        """Begin a new life of a worker, with a new id unless it has one."""
         self._lives += 1
         speed = self._random.uniform(_MIN_CLOCK_SPEED, 1.0)
-        worker = Worker(f'w{number}-{self._lives}', speed)
+        worker = Worker(name or f'w{number}-{self._lives}', speed)
         self.by_number[number] = worker
         entry: Body = {'service': SERVICE, 'capacity': _CAPACITY}
         entry.update(address=self._addresses[number], zone='a', state='ready')
@@ -174,12 +180,37 @@
         await asyncio.sleep(_SILENCE_BEFORE_REMOVAL_S)
         self._store.put('servers', worker.name, None)
 
+    def _crash_by_task(self, worker: Worker, source: random.Random) -> None:
+        """Crash a worker by a task on it; it is back after some seconds."""
+        worker.crash(time.monotonic())
+        number = next(n for n, w in self.by_number.items() if w is worker)
+        task = asyncio.create_task(self._return(number, worker, source))
+        self._returning.add(task)
+        task.add_done_callback(self._returning.discard)
+
+    async def _return(
+        self, number: int, worker: Worker, source: random.Random
+    ) -> None:
+        await asyncio.sleep(source.uniform(*_DOWN_S))
+        if self.by_number[number] is not worker:
+            return
+        if source.random() < 0.7:
+            self.boot(number, worker.name)
+            return
+        self.boot(number)
+        await asyncio.sleep(_SILENCE_BEFORE_REMOVAL_S)
+        self._store.put('servers', worker.name, None)
+
     async def run(self) -> None:
         """End runs that are due or whose lease has expired."""
         while True:
             now = time.monotonic()
-            for worker in self.by_number.values():
+            for worker in list(self.by_number.values()):
                 for interval in list(worker.running.values()):
+                    if now >= interval.crash_at:
+                        source = random.Random(f'{interval.task}/{now}')
+                        self._crash_by_task(worker, source)
+                        break
                     how = interval.find_end(worker.lease_until, now)
                     if how and interval.task in worker.running:
                         self._end(worker, interval, how, now)
@@ -238,7 +269,7 @@
             present.stop_at = min(present.stop_at, stop_at)
         return worker.respond(200, {})
 
-    def _start(self, worker: Worker, body: Body, now: float) -> bytes:
+    def _start(self, worker: Worker, body: Body, now: float) -> bytes | None:
         task, run = body['task'], body['run']
         if body['until_ms'] < worker.clock_ms(now):
             return worker.respond(409, {'reason': 'late'})
@@ -248,7 +279,7 @@
             return worker.respond(200, {})
         if worker.barred.get(task, 0) >= run:
             return worker.respond(409, {'reason': 'old'})
-        work_ms, members = msgspec.json.decode(body['spec'])[
+        work_ms, members, *crash_ms = msgspec.json.decode(body['spec'])[
             int(task.split('.')[2])
         ]
         interval = Interval(
@@ -261,6 +292,12 @@
         if len(gang) == members:
             for member in gang or [interval]:
                 member.due_at = now + member.work_s
+        if crash_ms:
+            interval.crash_at = now + crash_ms[0] / 1000
+        if crash_ms == [0]:
+            source = random.Random(f'{task}/{now}')
+            self._crash_by_task(worker, source)
+            return None
         return worker.respond(200, {})
 
     async def _hold(self, worker: Worker, body: Body, now: float) -> bytes:
--- a/tools/nodesoak.py
+++ b/tools/nodesoak.py
@@ -2,7 +2,8 @@
 
 ``python -m tools.nodesoak --seeds 50 --first 1`` prints each problem with its
 seed, and the directory with the logs of that seed.  ``--nodes`` sets the
-number of node processes, which is otherwise drawn from the seed.
+number of node processes, which is otherwise drawn from the seed;
+``--crashing`` adds jobs that crash the workers that start them.
 """
 
 import argparse
@@ -23,6 +24,7 @@
     parser.add_argument('--first', type=int, default=1)
     parser.add_argument('--nodes', type=int)
     parser.add_argument('--seconds', type=float, default=25.0)
+    parser.add_argument('--crashing', action='store_true')
     parser.add_argument('--log', type=pathlib.Path)
     return parser.parse_args()
 
@@ -51,7 +53,7 @@
     for seed in range(arguments.first, arguments.first + arguments.seeds):
         folder = root / f'seed-{seed}'
         plan = nodesoakplans.draw_plan(
-            seed, arguments.nodes, arguments.seconds
+            seed, arguments.nodes, arguments.seconds, arguments.crashing
         )
         problems = _run(plan, folder)
         for problem in problems:
