--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -12,6 +12,7 @@
 
 import typing
 
+from primroselock.decisions import crashes
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import graphs
@@ -46,6 +47,7 @@
     wall_ms: int,
 ) -> None:
     """Apply a worker's run report; its poll was sent at ``sent_at``."""
+    lost_groups = crashes.record_restart(board, worker, report, now)
     has_unknown_leases = workerboots.may_hold_unknown_leases(worker, report)
     if workerboots.is_restarted(worker, report):
         _reset_restarted(board, worker, report)
@@ -72,6 +74,10 @@
         del worker.unexpected_runs[run]
     for run in workerboots.take_due_stops(worker, now):
         board.orders.append(fleet.StopOrder(worker.id, run))
+    for group in lost_groups:
+        # A start that was not answered must not be sent again: it would
+        # crash this incarnation too.
+        end_group(board, group, livejobs.EndReason.LOST, now, wall_ms)
 
 
 def _reported_at(
--- a/primroselock/test/nodesoakplans.py
+++ b/primroselock/test/nodesoakplans.py
@@ -47,6 +47,7 @@
     workers: int
     events: tuple[Event, ...]
     ends_at: float
+    has_crashing_jobs: bool = False
 
 
 def draw_plan(
@@ -54,11 +55,13 @@
     nodes: int | None,
     length_s: float,
     has_late_orders: bool = False,
+    has_crashing_jobs: bool = False,
 ) -> Plan:
     """Return the plan of a seed; ``nodes`` replaces the number drawn.
 
     With ``has_late_orders`` series of starts that are carried out late or
-    refused are added to the same plan.
+    refused are added to the same plan; with ``has_crashing_jobs`` one more
+    caller submits jobs that crash workers.
     """
     source = random.Random(seed)
     count = source.randint(3, 6)
@@ -72,7 +75,15 @@
     ends_at = max(length_s, *(event.at + event.for_s for event in events))
     events += _draw_shrinks(random.Random(f'{seed}/shrink'), workers, length_s)
     callers = max(source.randint(6, 10), count)
-    return Plan(seed, count, callers, workers, tuple(events), ends_at)
+    return Plan(
+        seed,
+        count,
+        callers,
+        workers,
+        tuple(events),
+        ends_at,
+        has_crashing_jobs,
+    )
 
 
 def _draw_shrinks(
--- a/primroselock/test/testnodesoak.py
+++ b/primroselock/test/testnodesoak.py
@@ -39,6 +39,12 @@
         """Guards against a refusal taken for an earlier order of a run."""
         self.check_plan(nodesoakplans.draw_plan(1, None, _LENGTH_S, True))
 
+    def test_seed_2_with_jobs_that_crash_workers(self) -> None:
+        """Guards against a task that crashes one worker after another."""
+        self.check_plan(
+            nodesoakplans.draw_plan(2, None, _LENGTH_S, has_crashing_jobs=True)
+        )
+
 
 class OverloadCheckTest(unittest.TestCase):
     """The check of capacity, on a record without processes."""
