The open poll of a boot that may have ended is given up

What callers saw: a worker that had restarted got no work for up to 3 s, and a late order could begin on it unnoticed meanwhile.

Cause: an entry that names another boot makes the worker doubted, but the poll that was open to the boot before (2 s, and its time-out) had to end first.

Evidence: testworkerrestarts.IdleRestartTest. test_a_poll_of_the_boot_before_is_given_up fails on the code before: a job of 0.1 s waits for over 1 s.

Change: a poll that was sent before its worker was doubted is cancelled (counter polls_given_up); the next round polls the worker again.

--- a/primroselock/test/testworkerrestarts.py
+++ b/primroselock/test/testworkerrestarts.py
@@ -201,6 +201,26 @@
 
         fleetbuilders.run_with_node(scenario)
 
+    def test_a_poll_of_the_boot_before_is_given_up(self) -> None:
+        """Guards against a wait for the answer of a process that has ended.
+
+        The poll that confirms the end of a run stays open for seconds.
+        """
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            await asyncio.sleep(1.0)
+            (worker,) = world.fleet.workers_by_id.values()
+            _submit(world, 'first', 100)
+            await world.wait_for('first', 'done', 1.0)
+            await asyncio.sleep(0.2)
+            world.fleet.crash(worker)
+            world.restart_worker(worker)
+            await asyncio.sleep(0.1)
+            _submit(world, 'j', 100)
+            await world.wait_for('j', 'done', 1.0)
+
+        fleetbuilders.run_with_node(scenario, workers=1)
+
     def test_starts_name_times_of_its_new_clock(self) -> None:
         """Guards against leases whose end the holder does not know."""
 
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -67,6 +67,7 @@
         self._saved = asyncio.Event()
         self._tasks = backgroundtasks.BackgroundTasks('poll of a worker')
         self._tasks_by_worker_id: dict[str, asyncio.Task[None]] = {}
+        self._sent_at_by_worker_id: dict[str, float] = {}
         self._probes_by_worker_id: dict[str, asyncio.Task[None]] = {}
 
     def ensure_running(self) -> None:
@@ -76,6 +77,7 @@
             for worker in self._board.workers_by_id.values()
             if self._needs_polling(worker) and not self._is_polled(worker)
         ]
+        self._give_up_polls()
         missing.sort(key=_mixed_order)
         for worker in missing:
             self._tasks_by_worker_id[worker.id] = self._tasks.spawn(
@@ -93,6 +95,22 @@
         saved, self._saved = self._saved, asyncio.Event()
         saved.set()
 
+    def _give_up_polls(self) -> None:
+        """End the polls that were sent before their worker was doubted.
+
+        The process that held them open may have ended without a word.  The
+        next round polls the worker again.
+        """
+        for worker in self._board.workers_by_id.values():
+            if worker.doubted_at is None or not self._is_polled(worker):
+                continue
+            sent_at = self._sent_at_by_worker_id.get(worker.id)
+            if sent_at is not None and sent_at <= worker.doubted_at:
+                self._metrics.count('polls_given_up')
+                task = self._tasks_by_worker_id[worker.id]
+                task.add_done_callback(lambda _: self._wake())
+                task.cancel()
+
     async def cancel(self) -> None:
         """Cancel all polls and probes."""
         await self._tasks.cancel()
@@ -235,15 +253,19 @@
         wait_s = self._poll_wait_s(worker)
         timeout_s = self._settings.fleet.look_timeout_s
         address = worker.entry.address
-        answer = await self._run_client.poll_runs(
-            worker.id,
-            address,
-            self._board.epoch,
-            confirmed_end,
-            lease_until,
-            wait_s,
-            timeout_s,
-        )
+        self._sent_at_by_worker_id[worker.id] = sent_at
+        try:
+            answer = await self._run_client.poll_runs(
+                worker.id,
+                address,
+                self._board.epoch,
+                confirmed_end,
+                lease_until,
+                wait_s,
+                timeout_s,
+            )
+        finally:
+            del self._sent_at_by_worker_id[worker.id]
         self._metrics.count('looks')
         self._record_duration(answer, sent_at + wait_s)
         if isinstance(answer, result.Err):
