A poll that was sent when its worker was doubted is not given up

Change: only polls that were sent before the doubt are given up. One of the very same time proves nothing, and another follows it, as before.

--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -105,7 +105,7 @@
             if worker.doubted_at is None or not self._is_polled(worker):
                 continue
             sent_at = self._sent_at_by_worker_id.get(worker.id)
-            if sent_at is not None and sent_at <= worker.doubted_at:
+            if sent_at is not None and sent_at < worker.doubted_at:
                 self._metrics.count('polls_given_up')
                 task = self._tasks_by_worker_id[worker.id]
                 task.add_done_callback(lambda _: self._wake())
