--- a/primroselock/test/nodesoakplans.py
+++ b/primroselock/test/nodesoakplans.py
@@ -13,7 +13,8 @@
 _MAX_EVENT_S: typing.Final = 6.0
 _FIRST_EVENT_S: typing.Final = 1.0
 _EVENTS_PER_NODE: typing.Final = 5
-_SHRINKS: typing.Final = 4
+_FULL_WORKERS: typing.Final = 2
+"""At least so many workers keep their capacity, for gangs."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,19 +63,21 @@
 def _draw_shrinks(
     source: random.Random, workers: int, length_s: float
 ) -> list[Event]:
-    """Return events that take capacity from workers for a while.
+    """Return events that take capacity from most workers for a while.
 
-    They have a source of their own, so that the others of a seed stay.
+    What is left must be used: a holder that does not notice would go on to
+    fill the workers that it has filled before.  The events have a source of
+    their own, so that the others of a seed stay.
     """
     return [
         Event(
             source.uniform(_FIRST_EVENT_S, length_s / 2),
             'worker_shrink',
-            source.randrange(workers),
-            source.uniform(0, length_s / 2),
+            target,
+            source.uniform(length_s / 4, length_s / 2),
             frozenset(),
         )
-        for _ in range(_SHRINKS)
+        for target in source.sample(range(workers), workers - _FULL_WORKERS)
     ]
 
 
