--- a/primroselock/test/capacityhistory.py
+++ b/primroselock/test/capacityhistory.py
@@ -36,13 +36,20 @@
         """Return the first capacity; without an earlier one, ``current``."""
         return self.left[0][1] if self.left else current
 
-    def list_counted(self, ordered_at: float) -> list[jobgraph.Resources]:
-        """Return the earlier capacities for a start of ``ordered_at``.
-
-        A start that is carried out late is judged by when it was ordered.
+    def allows(
+        self,
+        used: jobgraph.Resources,
+        current: jobgraph.Resources,
+        ordered_at: float,
+    ) -> bool:
+        """Return whether a start may bring a worker to ``used``.
+
+        An earlier capacity counts for contact time and one heartbeat more.  A
+        start that is carried out late is judged by when it was ordered.
         """
-        return [
+        counted = [
             capacity
             for left_at, capacity in self.left
             if ordered_at - left_at <= CONTACT_S + HEARTBEAT_S
         ]
+        return any(capacity.can_fit(used) for capacity in (*counted, current))
--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -125,11 +125,6 @@
         done = (now - live.started_at) / total_s
         return math.floor(min(done, 1.0) * 100) / 100
 
-    def set_capacity(self, capacity: jobgraph.Resources, now: float) -> None:
-        """Change the capacity; what runs goes on."""
-        self.capacity_history.leave(self.entry.capacity, now)
-        self.entry = dataclasses.replace(self.entry, capacity=capacity)
-
     def add_end(self, run: orders.Run, cause: orders.EndCause) -> None:
         """Record the end of a run, to be listed in the run reports."""
         self.runs.pop(run, None)
@@ -389,9 +384,8 @@
         used = jobgraph.Resources()
         for live in worker.runs.values():
             used = used.plus(live.step.counted_need)
-        counted = worker.capacity_history.list_counted(ordered_at)
-        counted.append(worker.entry.capacity)
-        if not any(capacity.can_fit(used) for capacity in counted):
+        current = worker.entry.capacity
+        if not worker.capacity_history.allows(used, current, ordered_at):
             self.violations.append(
                 f'{worker.entry.id} exceeds its capacity: {used}'
             )
--- a/primroselock/test/fleetbuilders.py
+++ b/primroselock/test/fleetbuilders.py
@@ -288,9 +288,9 @@
         self, worker_id: str, capacity: jobgraph.Resources
     ) -> None:
         """Change the capacity of a worker; its entry, if any, shows it."""
-        self.fleet.workers_by_id[worker_id].set_capacity(
-            capacity, clock.monotonic()
-        )
+        worker = self.fleet.workers_by_id[worker_id]
+        worker.capacity_history.leave(worker.entry.capacity, clock.monotonic())
+        worker.entry = dataclasses.replace(worker.entry, capacity=capacity)
         entry = self.entries_by_id.get(worker_id)
         if entry is not None:
             self.write_entry(dataclasses.replace(entry, capacity=capacity))
