--- a/primroselock/test/testshrinkingcapacity.py
+++ b/primroselock/test/testshrinkingcapacity.py
@@ -228,6 +228,36 @@
 
         capacitybuilders.run_scenario(scenario, workers=1)
 
+    def test_a_gang_that_has_begun_in_part_is_stopped(self) -> None:
+        """Guards against members that run without the others.
+
+        The worker shrinks while orders to it wait for their turn.
+        """
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            start = world.fleet.start
+
+            async def start_slowly(*arguments: typing.Any) -> typing.Any:
+                await asyncio.sleep(0.3)
+                return await start(*arguments)
+
+            with mock.patch.object(world.fleet, 'start', start_slowly):
+                capacitybuilders.submit(world, 'gang', 8, 1, gang=True)
+                await asyncio.sleep(0.2)
+                world.set_capacity('w0', capacitybuilders.HALF)
+                await asyncio.sleep(capacitybuilders.LIMIT_S)
+            self.assertLess(world.fleet.starts, 8)
+            self.assertEqual(0, capacitybuilders.count_runs(world, 'gang'))
+            board = capacitybuilders.find_board(world)
+            self.assertEqual(
+                capacitybuilders.HALF, board.workers_by_id['w0'].free
+            )
+            world.set_capacity('w0', capacitybuilders.FULL)
+            await asyncio.sleep(capacitybuilders.AT_ONCE_S)
+            self.assertEqual(8, capacitybuilders.count_runs(world, 'gang'))
+
+        capacitybuilders.run_scenario(scenario, workers=1)
+
     def test_an_unanswered_start_is_not_repeated_there(self) -> None:
         """Guards against a start by the repetition of a lost order.
 
