What a node remembers of submitted jobs has a module of its own

No change of behaviour; 51 tests of testfleetintake, testplatformcalls, testcallerload and testfleetnode pass.

--- a/primroselock/intake.py
+++ b/primroselock/intake.py
@@ -26,6 +26,7 @@
 from primroselock import groupcommit
 from primroselock import jobgraph
 from primroselock import jobs
+from primroselock import knownjobs
 from primroselock import logs
 from primroselock import metrics
 from primroselock import options
@@ -41,11 +42,6 @@
 """A transaction of the platform has at most 100 entries, two for a write."""
 
 _RETRY_AFTER_S: typing.Final = 1.0
-_MAX_REMEMBERED_JOBS: typing.Final = 20_000
-"""Jobs whose owner a node remembers; others are read from the store.
-
-Also the most jobs of which it remembers that they may still be stored."""
-
 _MIN_COMMIT_TIMEOUT_S: typing.Final = 0.05
 """A commit takes a few milliseconds, so one can succeed near a deadline."""
 
@@ -87,14 +83,6 @@
     account: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Owner:
-    """The account and the queue that a job was accepted for."""
-
-    account: str
-    queue: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _PublishedCounts:
     """Waiting jobs by queue, as the holder published them, and when seen.
@@ -127,8 +115,7 @@
         )
         self._metrics = counters
         self._lease_key = keys.shard_lease(settings.fleet.shard)
-        self._owners_by_id: dict[str, _Owner] = {}
-        self._unknown_ids: dict[str, None] = {}
+        self._known = knownjobs.KnownJobs()
         self._counts = _PublishedCounts(None, float('-inf'))
         self._queues = queues.EMPTY
         self._confirmed_at: abc.Callable[[], float] = lambda: float('-inf')
@@ -207,7 +194,7 @@
             return result.Err(
                 Refused(RefusalReason.TOO_LARGE, f'{graph.task_count} tasks')
             )
-        known = self._owners_by_id.get(graph.id)
+        known = self._known.find_owner(graph.id)
         if known is not None:
             return _check_same_owner(known, graph)
         age_s = clock.monotonic() - self._confirmed_at()
@@ -223,7 +210,9 @@
         It becomes an unknown outcome if it would say that the job certainly
         never runs, while an earlier submission here may still be stored.
         """
-        if refused.retry_after_s is None or job_id not in self._unknown_ids:
+        if refused.retry_after_s is None or not (
+            self._known.may_be_stored(job_id)
+        ):
             return refused
         return Refused(RefusalReason.OUTCOME_UNKNOWN, refused.detail)
 
@@ -239,31 +228,25 @@
                 Refused(RefusalReason.TOO_LARGE, f'{len(value)} bytes')
             )
         write = groupcommit.Write(key, table.ABSENT, value)
-        is_first = graph.id not in self._unknown_ids
+        is_first = not self._known.may_be_stored(graph.id)
         # Also if the caller breaks off, the write goes on.
-        self._note_unknown(graph.id)
+        self._known.record_unknown(graph.id)
         outcome = await self._commit(write, deadline)
         if isinstance(outcome, result.Ok):
-            self._remember(graph)
+            self._known.record_stored(graph)
             return result.Ok(None)
         error = outcome.err_value
         if isinstance(error, table.Conflict):
             return await self._check_stored_owner(key, graph, deadline)
         if isinstance(error, table.OutcomeUnknown):
-            self._note_unknown(graph.id)
+            self._known.record_unknown(graph.id)
         elif is_first:
-            self._unknown_ids.pop(graph.id, None)
+            self._known.record_not_stored(graph.id)
         if isinstance(error, table.Rejected):
             return result.Err(Refused(RefusalReason.TOO_LARGE, error.detail))
         refused = _refuse_uncommitted(error)
         return result.Err(self.qualify_refusal(graph.id, refused))
 
-    def _note_unknown(self, job_id: str) -> None:
-        """Note that a write of a job may still be applied."""
-        if len(self._unknown_ids) >= _MAX_REMEMBERED_JOBS:
-            self._unknown_ids.pop(next(iter(self._unknown_ids)))
-        self._unknown_ids[job_id] = None
-
     async def _commit(
         self, write: groupcommit.Write, deadline: float
     ) -> groupcommit.WriteResult:
@@ -307,16 +290,7 @@
                     RefusalReason.OUTCOME_UNKNOWN, 'job row cannot be decoded'
                 )
             )
-        return _check_same_owner(self._remember(stored), graph)
-
-    def _remember(self, graph: jobgraph.JobGraph) -> _Owner:
-        """Remember and return the owner of a job that is stored."""
-        if len(self._owners_by_id) >= _MAX_REMEMBERED_JOBS:
-            self._owners_by_id.pop(next(iter(self._owners_by_id)))
-        owner = _Owner(graph.account, graph.queue)
-        self._owners_by_id[graph.id] = owner
-        self._unknown_ids.pop(graph.id, None)
-        return owner
+        return _check_same_owner(self._known.record_stored(stored), graph)
 
     async def cancel(
         self, access: Access, job_id: str, deadline: float
@@ -376,7 +350,7 @@
         if isinstance(read, result.Err):
             return read
         if read.ok_value is None:
-            self._owners_by_id.pop(job_id, None)
+            self._known.forget_stored(job_id)
             return result.Err(Refused(RefusalReason.UNKNOWN_JOB))
         return result.Ok(jobs.JobState.WAITING)
 
@@ -384,7 +358,7 @@
         self, access: Access, job_id: str, deadline: float
     ) -> result.Result[None, Refused]:
         """Refuse a job that does not exist or that others submitted."""
-        owner = self._owners_by_id.get(job_id)
+        owner = self._known.find_owner(job_id)
         if owner is None:
             read = await self._read_row(
                 keys.graph(self._settings.shard, job_id), deadline
@@ -398,7 +372,7 @@
                 return result.Err(
                     _store_unavailable('job row cannot be decoded')
                 )
-            owner = self._remember(graph)
+            owner = self._known.record_stored(graph)
         # Callers without a key, which a public queue admits, have no account.
         is_own = owner.account == access.account or not access.account
         if not is_own or owner.queue != access.queue.name:
@@ -465,7 +439,7 @@
 
 
 def _check_same_owner(
-    stored: _Owner, graph: jobgraph.JobGraph
+    stored: knownjobs.Owner, graph: jobgraph.JobGraph
 ) -> result.Result[None, Refused]:
     """Refuse a submission whose id another account or queue uses."""
     if stored.account != graph.account or stored.queue != graph.queue:
