A task under which one worker crashed is placed again at once

Cause: the delay that keeps a task from crashing worker after worker applied from the first crash on, where most tasks are innocent. It applies from the second on; the bound on starts does not rest on it.

--- a/primroselock/decisions/crashes.py
+++ b/primroselock/decisions/crashes.py
@@ -285,13 +285,16 @@
 def retry_delay_s(group: livejobs.Group) -> float:
     """Return the delay after the attempt that ends; 0 without a crash.
 
-    What is known of other losses then decides whether to give up.
+    There is none after the first crash either: most tasks under which a
+    worker crashes are innocent.  Later, what is known of other losses by then
+    decides whether to give up.
     """
-    if all(crash.attempt != group.attempt for crash in group.crashes):
+    repeated = len(group.crashes) - 1
+    if repeated < 1 or all(
+        crash.attempt != group.attempt for crash in group.crashes
+    ):
         return 0.0
-    delay_s: float = _FIRST_RETRY_DELAY_S * _RETRY_DELAY_FACTOR ** (
-        len(group.crashes) - 1
-    )
+    delay_s: float = _FIRST_RETRY_DELAY_S * _RETRY_DELAY_FACTOR**repeated
     return min(delay_s, _MAX_RETRY_DELAY_S)
 
 
