--- a/primroselock/test/soakbuilders.py
+++ b/primroselock/test/soakbuilders.py
@@ -17,6 +17,7 @@
 from primroselock.test import lastingcapacity
 from primroselock.test import loadbuilders
 from primroselock.test import orderfaults
+from primroselock.test import restartfaults
 from primroselock.test import virtualtime
 from primroselock import waits
 
@@ -41,6 +42,7 @@
     arrival_s: float
     faults: tuple[faultbuilders.Fault, ...]
     is_wide: bool = False
+    has_restarts: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -97,6 +99,14 @@
     return dataclasses.replace(plan, faults=plan.faults + added)
 
 
+def add_restarts(plan: Plan) -> Plan:
+    """Return a plan with series of restarts too (see ``restartfaults``)."""
+    added = restartfaults.draw_series(plan.seed, plan.arrival_s)
+    return dataclasses.replace(
+        plan, faults=plan.faults + added, has_restarts=True
+    )
+
+
 class Soak:
     """One run; ``world`` can be examined while it goes on."""
 
@@ -104,6 +114,7 @@
         self.plan = plan
         self.log = faultbuilders.FaultLog()
         self.world = fleetbuilders.World(plan.seed, 0)
+        self.world.fleet.late_starts_outlive = plan.has_restarts
         loadbuilders.add_workers(self.world, _WORKERS)
         self.check = idlecapacity.IdleCapacityCheck(self.world, self.log)
         self.lasting_check = lastingcapacity.LastingWorkCheck(
@@ -164,6 +175,7 @@
     examine: abc.Callable[[Soak], None] = lambda soak: None,
     is_wide: bool = False,
     has_late_orders: bool = False,
+    has_restarts: bool = False,
 ) -> Outcome:
     """Run the soak of a seed in virtual time.
 
@@ -173,7 +185,8 @@
     random.seed(seed)
 
     async def run_all(virtual: virtualtime.VirtualClock) -> Outcome:
-        soak = Soak(draw_plan(seed, is_wide, has_late_orders))
+        plan = draw_plan(seed, is_wide, has_late_orders)
+        soak = Soak(add_restarts(plan) if has_restarts else plan)
         examine(soak)
         return await soak.run()
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -3,7 +3,8 @@
 ``python -m tools.soak --seeds 50 --first 1`` prints each violation with its
 seed.  ``--wide`` adds kinds of faults and of jobs, so that a seed has another
 play.  ``--orders`` adds series of orders that are carried out late beside
-refusals of starts, to the same plays.  ``--trace`` adds why the holder did not
+refusals of starts, to the same plays, ``--restarts`` series of workers that
+start again beside such orders.  ``--trace`` adds why the holder did not
 place the job, and the faults; ``--log DIRECTORY`` writes the nodes' log of
 each seed with virtual times.
 """
@@ -33,6 +34,7 @@
     parser.add_argument('--trace', action='store_true')
     parser.add_argument('--wide', action='store_true')
     parser.add_argument('--orders', action='store_true')
+    parser.add_argument('--restarts', action='store_true')
     parser.add_argument('--log', type=pathlib.Path)
     return parser.parse_args()
 
@@ -76,7 +78,7 @@
 
 def _run(seed: int, arguments: argparse.Namespace) -> soakbuilders.Outcome:
     examine = _trace if arguments.trace else lambda soak: None
-    forms = (arguments.wide, arguments.orders)
+    forms = (arguments.wide, arguments.orders, arguments.restarts)
     if arguments.log is None:
         _configure_log(None)
         return soakbuilders.run(seed, examine, *forms)
