A crash beside another job's work is not clear evidence

Cause: two crashes sufficed where no other group on the worker had as many; a new crashing task has none.

Change: a crash is clear only where no other job's work was on the worker. Otherwise it takes three; the fourth crash ends the job as before.

--- a/primroselock/decisions/crashes.py
+++ b/primroselock/decisions/crashes.py
@@ -6,9 +6,9 @@
 the incarnation that is gone counts once, and is stored with the progress of
 its group, so that neither a takeover nor a second report changes the count.
 
-A crash blames the group most (CLEAR) where no group of another job on that
-worker is as suspect.  SHARED: another is; both get their next worker for
-themselves, if one is free soon.  OUTSIDE: other workers were lost at about
+A crash blames the group most (CLEAR) where no other job's work was on that
+worker.  SHARED: some was; all get their next worker for themselves, if one is
+free soon.  OUTSIDE: other workers were lost at about
 the same time, as many that ran nothing as had work of this job, or half of
 the zone or rack: a loss of power, not the work.  A group is given up after
 two crashes if the last is CLEAR, after three that are not OUTSIDE, and after
@@ -214,11 +214,7 @@
     """
     if _is_wide(board, group.job.graph.id, loss, lost):
         return jobgraph.CrashEvidence.OUTSIDE
-    blamed = _count_blamed(group)
-    if any(
-        other.job is not group.job and _count_blamed(other) >= blamed
-        for other in victims
-    ):
+    if any(other.job is not group.job for other in victims):
         return jobgraph.CrashEvidence.SHARED
     return jobgraph.CrashEvidence.CLEAR
 
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -192,7 +192,7 @@
 class CrashEvidence(enum.Enum):
     """How much the crash of a worker blames a group that it ran.
 
-    SHARED: a group of another job there is as suspect.  OUTSIDE: others were
+    SHARED: another job's work was there.  OUTSIDE: others were
     lost at the same time, so that the work is not the cause.
     """
 
--- a/primroselock/test/testcrashdecisions.py
+++ b/primroselock/test/testcrashdecisions.py
@@ -177,6 +177,18 @@
             jobgraph.CrashEvidence.OUTSIDE, group.crashes[-1].evidence
         )
 
+    def test_a_first_crash_beside_a_suspect(self) -> None:
+        """Guards against blame of a suspect for a new crashing task."""
+        worker = self._list(boot=2)
+        first = jobgraph.Crash(
+            1, jobgraph.CrashEvidence.SHARED, jobgraph.Place('w7', 5)
+        )
+        suspect = self._inherit(first)
+        self._inherit()
+        self._report(worker, 2)
+        crashes.give_up(self.board, suspect.not_before, 103_000)
+        self.assertIs(jobs.JobState.RUNNING, suspect.job.state)
+
     def test_workers_are_not_blamed(self) -> None:
         """Guards against a quarantine of a worker that a task crashed."""
         worker = self._list(boot=2)
