A stop that a new boot has not answered is repeated while it is idle

What callers saw: a task that is done is started again (in the soak).

Cause: the stops of settled runs that go to a new boot are repeated after run reports; a boot on which nothing runs was not polled again, so that a stop without an answer was the only one.

Change: a worker that has not answered such a stop is polled, with short waits.

--- a/primroselock/decisions/workerboots.py
+++ b/primroselock/decisions/workerboots.py
@@ -119,6 +119,13 @@
     return due
 
 
+def has_open_stops(worker: fleetworkers.Worker) -> bool:
+    """Return whether the boot that runs now must still be told of runs."""
+    return any(
+        late_run.boot != worker.boot for late_run in worker.late_runs.values()
+    )
+
+
 def record_stopped(
     worker: fleetworkers.Worker, run: orders.Run, boot: int
 ) -> None:
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -27,6 +27,7 @@
 from primroselock.decisions import reachability
 from primroselock.decisions import runleases
 from primroselock.decisions import runs
+from primroselock.decisions import workerboots
 from primroselock import lateness
 from primroselock import logs
 from primroselock import metrics
@@ -160,7 +161,7 @@
             return False
         if not worker.entry.address:
             return False
-        if worker.is_busy:
+        if worker.is_busy or workerboots.has_open_stops(worker):
             return True
         return worker.is_listed and (
             not worker.is_polled
@@ -308,6 +309,8 @@
     def _poll_wait_s(self, worker: fleetworkers.Worker) -> float:
         if not worker.is_polled or worker.is_doubted or worker.unsaved_ends:
             return 0.0
+        if workerboots.has_open_stops(worker):
+            return _SHORT_WAIT_S
         if not self._may_extend(worker) or any(
             member.state is not livejobs.MemberState.PRESENT
             or member.group.phase is livejobs.Phase.STOPPING
