--- a/primroselock/test/soakbuilders.py
+++ b/primroselock/test/soakbuilders.py
@@ -19,6 +19,7 @@
 from primroselock.test import lastingcapacity
 from primroselock.test import loadbuilders
 from primroselock.test import orderfaults
+from primroselock.test import restartfaults
 from primroselock.test import virtualtime
 from primroselock import waits
 
@@ -44,6 +45,7 @@
     faults: tuple[faultbuilders.Fault, ...]
     is_wide: bool = False
     has_crashing_jobs: bool = False
+    has_restarts: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -104,6 +106,14 @@
     return dataclasses.replace(plan, faults=plan.faults + added)
 
 
+def add_restarts(plan: Plan) -> Plan:
+    """Return a plan with series of restarts too (see ``restartfaults``)."""
+    added = restartfaults.draw_series(plan.seed, plan.arrival_s)
+    return dataclasses.replace(
+        plan, faults=plan.faults + added, has_restarts=True
+    )
+
+
 class Soak:
     """One run; ``world`` can be examined while it goes on."""
 
@@ -111,6 +121,7 @@
         self.plan = plan
         self.log = faultbuilders.FaultLog()
         self.world = fleetbuilders.World(plan.seed, 0)
+        self.world.fleet.late_starts_outlive = plan.has_restarts
         loadbuilders.add_workers(self.world, _WORKERS)
         self.crashing: crashbuilders.CrashingTasks | None = None
         if plan.has_crashing_jobs:
@@ -190,6 +201,7 @@
     is_wide: bool = False,
     has_late_orders: bool = False,
     has_crashing_jobs: bool = False,
+    has_restarts: bool = False,
 ) -> Outcome:
     """Run the soak of a seed in virtual time.
 
@@ -200,7 +212,7 @@
 
     async def run_all(virtual: virtualtime.VirtualClock) -> Outcome:
         plan = draw_plan(seed, is_wide, has_late_orders, has_crashing_jobs)
-        soak = Soak(plan)
+        soak = Soak(add_restarts(plan) if has_restarts else plan)
         examine(soak)
         return await soak.run()
 
--- a/primroselock/test/testsoak.py
+++ b/primroselock/test/testsoak.py
@@ -57,6 +57,10 @@
         """Long-running work waits for claims or one rack under load."""
         self.check_seeds(217, 1, '--wide')
 
+    def test_restarts_seeds_1_to_20(self) -> None:
+        """Guards against orders that begin on a worker's next boot."""
+        self.check_seeds(1, 20, '--restarts')
+
     def test_orders_seeds_1_to_6(self) -> None:
         """Guards against a refusal taken for an earlier order of a run."""
         self.check_seeds(1, 6, '--orders')
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -4,7 +4,8 @@
 seed.  ``--wide`` adds kinds of faults and of jobs, so that a seed has another
 play.  ``--orders`` adds series of orders that are carried out late beside
 refusals of starts, to the same plays; ``--crashing`` adds jobs that crash the
-workers that start them.  ``--trace`` adds why the holder did not place the
+workers that start them, ``--restarts`` workers that start again beside late
+orders that outlive them.  ``--trace`` adds why the holder did not place the
 job, and the faults; ``--log DIRECTORY`` writes the nodes' log of each seed
 with virtual times.
 """
@@ -35,6 +36,7 @@
     parser.add_argument('--wide', action='store_true')
     parser.add_argument('--orders', action='store_true')
     parser.add_argument('--crashing', action='store_true')
+    parser.add_argument('--restarts', action='store_true')
     parser.add_argument('--log', type=pathlib.Path)
     return parser.parse_args()
 
@@ -78,7 +80,12 @@
 
 def _run(seed: int, arguments: argparse.Namespace) -> soakbuilders.Outcome:
     examine = _trace if arguments.trace else lambda soak: None
-    forms = (arguments.wide, arguments.orders, arguments.crashing)
+    forms = (
+        arguments.wide,
+        arguments.orders,
+        arguments.crashing,
+        arguments.restarts,
+    )
     if arguments.log is None:
         _configure_log(None)
         return soakbuilders.run(seed, examine, *forms)
