--- a/primroselock/test/testsoak.py
+++ b/primroselock/test/testsoak.py
@@ -61,6 +61,11 @@
         """Guards against orders that begin on a worker's next boot."""
         self.check_seeds(1, 20, '--restarts')
 
+    def test_orders_and_restarts_seeds_57_and_65(self) -> None:
+        """Guards against orders that begin before a boot can be told."""
+        self.check_seeds(57, 1, '--orders', '--restarts')
+        self.check_seeds(65, 1, '--orders', '--restarts')
+
     def test_orders_seeds_1_to_6(self) -> None:
         """Guards against a refusal taken for an earlier order of a run."""
         self.check_seeds(1, 6, '--orders')
