--- a/primroselock/decisions/waiting.py
+++ b/primroselock/decisions/waiting.py
@@ -9,11 +9,11 @@
 import math
 import typing
 
+from primroselock.decisions import earlierruns
 from primroselock.decisions import eligibility
 from primroselock.decisions import fleet
 from primroselock.decisions import livejobs
 from primroselock.decisions import objectives
-from primroselock.decisions import strays
 
 SortKey = abc.Callable[[livejobs.Group, float], tuple[float, ...]]
 MayPreempt = abc.Callable[[livejobs.Group, abc.Set[str], float], bool]
@@ -179,7 +179,7 @@
     groups; a step's groups are in the order of their tasks.
     """
     waiting: list[list[livejobs.Group]] = []
-    held = strays.list_held(board, now)
+    held = earlierruns.list_held(board, now)
     for groups in board.phases.waiting_by_step.values():
         job = next(iter(groups)).job
         if job.is_cancelled or job.state.is_final:
