The last crash of a task gives its job up at once

What callers saw: a job that crashes its workers was shown as running for some seconds after the crash that decides in any case.

Cause: the pause that lets other losses become known applied to the fourth crash too, whatever they are.

The new test fails before.

--- a/primroselock/decisions/crashes.py
+++ b/primroselock/decisions/crashes.py
@@ -283,12 +283,12 @@
 
     There is none after the first crash either: most tasks under which a
     worker crashes are innocent.  Later, what is known of other losses by then
-    decides whether to give up.
+    decides whether to give up; the last crash decides whatever is known.
     """
     repeated = len(group.crashes) - 1
-    if repeated < 1 or all(
-        crash.attempt != group.attempt for crash in group.crashes
-    ):
+    is_last = len(group.crashes) >= _MAX_CRASHES
+    is_new = any(crash.attempt == group.attempt for crash in group.crashes)
+    if repeated < 1 or is_last or not is_new:
         return 0.0
     delay_s: float = _FIRST_RETRY_DELAY_S * _RETRY_DELAY_FACTOR**repeated
     return min(delay_s, _MAX_RETRY_DELAY_S)
--- a/primroselock/test/testcrashdecisions.py
+++ b/primroselock/test/testcrashdecisions.py
@@ -197,6 +197,25 @@
         evidence = self.board.failure_evidence
         self.assertEqual({}, evidence.attempts_by_worker_id)
 
+    def test_the_last_crash_gives_a_job_up_at_once(self) -> None:
+        """Guards against a job that runs nothing and is not shown as failed.
+
+        All its crashes are excused, but no cause lets it go on.
+        """
+        worker = self._list(boot=3)
+        earlier = [
+            jobgraph.Crash(
+                number,
+                jobgraph.CrashEvidence.OUTSIDE,
+                jobgraph.Place('w7', number),
+            )
+            for number in range(1, 4)
+        ]
+        group = self._inherit(*earlier, boot=2)
+        self._report(worker, 3)
+        crashes.give_up(self.board, 101.0, 101_000)
+        self.assertIs(jobs.JobState.FAILED, group.job.state)
+
     def test_the_record_of_a_job_given_up(self) -> None:
         """Guards against a failure of which nobody can tell the cause."""
         worker = self._list(boot=3)
