--- a/primroselock/test/testplatformadapter.py
+++ b/primroselock/test/testplatformadapter.py
@@ -15,6 +15,7 @@
 from primroselock import fleetnode
 from primroselock import metrics
 from primroselock import nodemain
+from primroselock.platform import adapter
 from primroselock.platform import configuration
 from primroselock.platform import discovery
 from primroselock.platform import settings
@@ -243,6 +244,7 @@
     """The adapter is registered and builds a store."""
 
     def test_the_adapter_is_registered(self) -> None:
+        self.assertEqual('ishikari', adapter.NAME)
         self.assertIn('ishikari', fleetnode.adapters_by_name)
         parts = fleetnode.adapters_by_name['ishikari']()
         read = settings.parse(fleetbuilders.BOOT_TEXT, 'boot').unwrap()
