--- a/primroselock/test/testsoak.py
+++ b/primroselock/test/testsoak.py
@@ -61,6 +61,11 @@
         """Guards against orders that begin on a worker's next boot."""
         self.check_seeds(1, 20, '--restarts')
 
+    def test_crashing_seeds_103_105_and_120(self) -> None:
+        """Guards against a sound job that is shown as failed."""
+        for seed in (103, 105, 120):
+            self.check_seeds(seed, 1, '--crashing')
+
     def test_orders_and_restarts_seeds_57_and_65(self) -> None:
         """Guards against orders that begin before a boot can be told."""
         self.check_seeds(57, 1, '--orders', '--restarts')
