--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,11 +1,11 @@
-"""Sound jobs under which workers crash twice; see claim.txt."""
+"""Sound gangs of which each task loses one worker; see claim.txt."""
 
 import asyncio
 import pathlib
 
 from review import harness
 
-_CRASHES = 2
+_MEMBERS = 2
 _DOWN_S = 2.0
 """The site's day has its workers down for 4.5 s."""
 
@@ -15,15 +15,20 @@
 
 
 def _job(work_ms: int, **fields: object) -> dict[str, object]:
-    phase = {'count': 1, 'cpu': 8000, 'mem_mb': 4096, 'gpus': 8}
-    phase.update(est_runtime_ms=work_ms, **fields)
-    return {'spec': f'[[{work_ms},0]]', 'phases': [phase]}
+    phase = {'count': _MEMBERS, 'cpu': 8000, 'mem_mb': 4096, 'gpus': 8}
+    phase.update(est_runtime_ms=work_ms, gang=True, **fields)
+    return {'spec': f'[[{work_ms},{_MEMBERS}]]', 'phases': [phase]}
 
 
 async def _crash_under(deployment: harness.Deployment, job_id: str) -> None:
-    """Crash the worker that runs a job; it is back under its id."""
-    for _ in range(_CRASHES):
-        ((number, _),) = await deployment.wait_running(job_id)
+    """Crash the worker of each member once; it is back under its id."""
+    for index in range(_MEMBERS):
+        members = await deployment.wait_running(job_id, _MEMBERS)
+        (number,) = [
+            number
+            for number, interval in members
+            if interval.task.endswith(f'.{index}')
+        ]
         await asyncio.sleep(_RUNS_BEFORE_CRASH_S)
         deployment.crash_worker(number)
         # It is back before its entry would be removed for silence.
@@ -45,8 +50,8 @@
     finite, lasting = '1' * 16, '2' * 16
     await deployment.submit(finite, _job(_WORK_MS))
     await deployment.submit(lasting, _job(_LASTING_MS, long_running=True))
-    await deployment.wait_running(finite)
-    await deployment.wait_running(lasting)
+    await deployment.wait_running(finite, _MEMBERS)
+    await deployment.wait_running(lasting, _MEMBERS)
     if harness.wants_trouble():
         await _crash_under(deployment, finite)
         await _crash_under(deployment, lasting)
