Crashes of workers are counted by task, not by gang (LOST)

Cause: Group.crashes counts the attempts of a group under which any worker crashed. For a gang that adds up crashes under different members, so that a gang of N tasks is given up after two crashes among N workers. The users' page speaks of one task: "A task under which two minions have crashed may be given up". The evidence does not help: no other job's work is on workers that a gang fills, so each crash there is CLEAR.

Change: a crash names the tasks that were on the worker, one entry for each worker that crashed under an attempt; the judgement (now crashevidence), its delays and the suspects that others avoid look at each task. A gang with one deadly member is given up as before, since its crashes all name that member. Rows of earlier builds name no tasks: single tasks keep their count, a gang's begins anew.

The fake fleet let a gang go on, and end done, after one of its workers had crashed: it ends the other members as broken now, as the users' workers do. Builders of testcrashingtasks move to crashbuilders.

--- a/primroselock/decisions/crashes.py
+++ b/primroselock/decisions/crashes.py
@@ -2,17 +2,12 @@
 
 Evidence of a crash is only that another incarnation answers: a run report
 of a later boot, or a refusal for the worker's id at its address.  Silence,
-expired leases and late calls are none.  Each attempt whose start was sent to
-the incarnation that is gone counts once, and is stored with the progress of
-its group, so that neither a takeover nor a second report changes the count.
-
-A crash blames the group most (CLEAR) where no other job's work was on that
-worker.  SHARED: some was; all get their next worker for themselves, if one is
-free soon.  OUTSIDE: other workers were lost at about
-the same time, as many that ran nothing as had work of this job, or half of
-the zone or rack: a loss of power, not the work.  A group is given up after
-two crashes if the last is CLEAR, after three that are not OUTSIDE, and after
-four in any case, so that no cause lets a task crash workers without end.
+expired leases and late calls are none.  Each task whose start was sent to
+the incarnation that is gone counts once an attempt, and is stored with the
+progress of its group, so that neither a takeover nor a second report changes
+the count.  :mod:`primroselock.decisions.crashevidence` tells what the crashes
+prove; until then a suspect gets its next worker for itself, if one is free
+soon.
 """
 
 from collections import abc
@@ -20,6 +15,7 @@
 
 import msgspec
 
+from primroselock.decisions import crashevidence
 from primroselock.decisions import crashlog
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
@@ -28,15 +24,6 @@
 from primroselock import jobs
 from primroselock.workers import orders
 
-_CLEAR_CRASHES: typing.Final = 2
-_SHARED_CRASHES: typing.Final = 3
-_MAX_CRASHES: typing.Final = 4
-_SAME_CAUSE_S: typing.Final = 3.0
-"""Workers that were first missed within this time may share a cause."""
-
-_MIN_WIDE_LOSS: typing.Final = 3
-"""Workers lost in one zone or rack before that may be its loss."""
-
 _SENT_STATES: typing.Final = frozenset(
     {
         livejobs.MemberState.INHERITED,
@@ -140,7 +127,13 @@
 ) -> list[crashlog.SentRun]:
     """Return the runs of members whose start may have been sent."""
     return [
-        crashlog.SentRun(member.group, member.group.attempt, member.boot, now)
+        crashlog.SentRun(
+            member.group,
+            member.group.attempt,
+            member.index,
+            member.boot,
+            now,
+        )
         for member in members
         if member.state in _SENT_STATES
     ]
@@ -153,37 +146,62 @@
     boot: int,
     now: float,
 ) -> None:
-    """Record the loss of a worker, and a crash of each attempt on it."""
+    """Record the loss of a worker, and a crash under each task on it."""
     job_ids = frozenset(run.group.job.graph.id for run in victims)
     loss = _add_loss(board, worker, job_ids, now)
-    lost = _list_lost(board, loss)
-    groups = [run.group for run in victims]
-    evidence_by_group = {
-        group: _judge(board, group, loss, lost, groups) for group in groups
-    }
+    runs_by_attempt: dict[
+        tuple[livejobs.Group, int], list[crashlog.SentRun]
+    ] = {}
     for run in victims:
-        group = run.group
-        is_known = any(c.attempt == run.attempt for c in group.crashes)
-        if is_known or group.phase is livejobs.Phase.DONE:
-            continue
-        evidence = evidence_by_group[group]
-        place = jobgraph.Place(worker.id, run.boot)
-        group.crashes += (jobgraph.Crash(run.attempt, evidence, place),)
-        board.crashes.crashes += 1
-        board.crashes.add_suspect(group)
-        board.crashes.last_loss_by_group[group] = loss
-        board.record_decision(
-            'worker crashed under a task',
-            group.job,
-            group=_name(group),
-            attempt=run.attempt,
-            worker=worker.id,
-            was=run.boot,
-            boot=boot,
-            evidence=evidence.value,
-            crashes=len(group.crashes),
-        )
-        board.mark_changed(group.job)
+        if run.group.phase is not livejobs.Phase.DONE and not _is_known(run):
+            attempt = (run.group, run.attempt)
+            runs_by_attempt.setdefault(attempt, []).append(run)
+    for runs in runs_by_attempt.values():
+        _record_crash(board, loss, runs, boot)
+
+
+def _is_known(run: crashlog.SentRun) -> bool:
+    """Return whether the crash of a task in an attempt is recorded."""
+    return any(
+        crash.attempt == run.attempt
+        and run.task_index in crashevidence.list_task_indices(run.group, crash)
+        for crash in run.group.crashes
+    )
+
+
+def _record_crash(
+    board: fleet.ShardBoard,
+    loss: crashlog.Loss,
+    runs: abc.Sequence[crashlog.SentRun],
+    boot: int,
+) -> None:
+    """Record the loss of a worker under tasks of one attempt of a group."""
+    first = runs[0]
+    group = first.group
+    evidence = crashevidence.judge(board, group, loss)
+    board.crashes.crashes += 1
+    board.record_decision(
+        'worker crashed under a task',
+        group.job,
+        group=_name(group),
+        attempt=first.attempt,
+        tasks=[run.task_index for run in runs],
+        worker=loss.worker_id,
+        was=first.boot,
+        boot=boot,
+        evidence=evidence.value,
+        crashes=len(group.crashes),
+    )
+    group.crashes += (
+        jobgraph.Crash(
+            first.attempt,
+            evidence,
+            jobgraph.Place(loss.worker_id, first.boot),
+            tuple(run.task_index for run in runs),
+        ),
+    )
+    board.crashes.add_suspect(group)
+    board.mark_changed(group.job)
 
 
 def _add_loss(
@@ -201,83 +219,6 @@
     return loss
 
 
-def _judge(
-    board: fleet.ShardBoard,
-    group: livejobs.Group,
-    loss: crashlog.Loss,
-    lost: abc.Sequence[crashlog.Loss],
-    victims: abc.Sequence[livejobs.Group],
-) -> jobgraph.CrashEvidence:
-    """Return how much a loss blames a group; ``victims`` were there.
-
-    ``lost`` are the workers lost at about the same time.
-    """
-    if _is_wide(board, group.job.graph.id, loss, lost):
-        return jobgraph.CrashEvidence.OUTSIDE
-    if any(other.job is not group.job for other in victims):
-        return jobgraph.CrashEvidence.SHARED
-    return jobgraph.CrashEvidence.CLEAR
-
-
-def _count_blamed(group: livejobs.Group) -> int:
-    return sum(
-        crash.evidence is not jobgraph.CrashEvidence.OUTSIDE
-        for crash in group.crashes
-    )
-
-
-def _list_lost(
-    board: fleet.ShardBoard, loss: crashlog.Loss
-) -> list[crashlog.Loss]:
-    """Return the workers lost at about the same time, that of ``loss`` too."""
-    lost = {
-        other.worker_id: other
-        for other in _list_silent(board) + board.crashes.losses
-        if abs(other.lost_at - loss.lost_at) <= _SAME_CAUSE_S
-    }
-    return list(lost.values())
-
-
-def _is_wide(
-    board: fleet.ShardBoard,
-    job_id: str,
-    loss: crashlog.Loss,
-    lost: abc.Sequence[crashlog.Loss],
-) -> bool:
-    """Return whether a loss had another cause than the work of a job."""
-    idle = sum(not other.job_ids for other in lost)
-    own = sum(job_id in other.job_ids for other in lost)
-    if idle >= max(own, 1):
-        return True
-    listed = [w.entry for w in board.workers_by_id.values() if w.is_listed]
-    return _is_half(
-        sum(other.zone == loss.zone for other in lost),
-        sum(entry.zone == loss.zone for entry in listed),
-    ) or _is_half(
-        sum(other.rack == loss.rack for other in lost),
-        sum(entry.rack == loss.rack for entry in listed),
-    )
-
-
-def _is_half(lost: int, listed: int) -> bool:
-    return lost >= _MIN_WIDE_LOSS and 2 * lost >= listed
-
-
-def _list_silent(board: fleet.ShardBoard) -> list[crashlog.Loss]:
-    """Return the workers that do not answer now, as if they were lost."""
-    return [
-        crashlog.Loss(
-            worker.id,
-            worker.entry.zone,
-            worker.entry.rack,
-            worker.unresponsive_since,
-            frozenset(m.group.job.graph.id for m in worker.members.values()),
-        )
-        for worker in board.workers_by_id.values()
-        if worker.failures_in_row and worker.is_listed
-    ]
-
-
 def retry_delay_s(group: livejobs.Group) -> float:
     """Return the delay after the attempt that ends; 0 without a crash.
 
@@ -285,12 +226,13 @@
     worker crashes are innocent.  Later, what is known of other losses by then
     decides whether to give up; the last crash decides whatever is known.
     """
-    repeated = len(group.crashes) - 1
-    is_last = len(group.crashes) >= _MAX_CRASHES
     is_new = any(crash.attempt == group.attempt for crash in group.crashes)
-    if repeated < 1 or is_last or not is_new:
+    crashed = crashevidence.most_crashes(group)
+    if not is_new or not 1 < crashed < crashevidence.MAX_CRASHES:
         return 0.0
-    delay_s: float = _FIRST_RETRY_DELAY_S * _RETRY_DELAY_FACTOR**repeated
+    delay_s: float = _FIRST_RETRY_DELAY_S * _RETRY_DELAY_FACTOR ** (
+        crashed - 1
+    )
     return min(delay_s, _MAX_RETRY_DELAY_S)
 
 
@@ -305,7 +247,8 @@
     if not group.crashes:
         return True
     waited_s = now - max(group.since, group.not_before)
-    repeats = 0 if group.step.long_running else len(group.crashes) - 1
+    crashed = crashevidence.most_crashes(group)
+    repeats = 0 if group.step.long_running else max(crashed - 1, 0)
     if waited_s >= _ALONE_WAITS_S[min(repeats, len(_ALONE_WAITS_S) - 1)]:
         return True
     return all(
@@ -317,7 +260,10 @@
     """Return by worker the jobs whose work on it may crash it."""
     job_ids_by_worker_id: dict[str, set[str]] = {}
     for group in board.crashes.suspects:
+        crashes_by_task = crashevidence.group_by_task(group)
         for member in group.remaining_members():
+            if member.index not in crashes_by_task:
+                continue
             job_ids = job_ids_by_worker_id.setdefault(member.worker_id, set())
             job_ids.add(group.job.graph.id)
     return job_ids_by_worker_id
@@ -336,33 +282,32 @@
             and now >= group.not_before
             and not group.job.is_cancelled
         ):
-            if _is_guilty(group):
+            if crashevidence.is_guilty(group):
                 _judge_again(board, group)
-            if _is_guilty(group):
+            if crashevidence.is_guilty(group):
                 _fail(board, group, wall_ms)
 
 
 def _judge_again(board: fleet.ShardBoard, group: livejobs.Group) -> None:
-    """Excuse the latest crash if the loss turns out to have been wide."""
-    loss = board.crashes.last_loss_by_group.get(group)
+    """Excuse the latest crashes if the loss turns out to have been wide."""
     outside = jobgraph.CrashEvidence.OUTSIDE
-    if loss is None or group.crashes[-1].evidence is outside:
-        return
-    lost = _list_lost(board, loss)
-    if _is_wide(board, group.job.graph.id, loss, lost):
-        excused = msgspec.structs.replace(group.crashes[-1], evidence=outside)
-        group.crashes = (*group.crashes[:-1], excused)
+    last_attempt = group.crashes[-1].attempt
+    judged = []
+    for crash in group.crashes:
+        if crash.attempt == last_attempt and _is_excused(board, group, crash):
+            crash = msgspec.structs.replace(crash, evidence=outside)
+        judged.append(crash)
+    if tuple(judged) != group.crashes:
+        group.crashes = tuple(judged)
         board.mark_changed(group.job)
 
 
-def _is_guilty(group: livejobs.Group) -> bool:
-    blamed = _count_blamed(group)
-    is_clear = group.crashes[-1].evidence is jobgraph.CrashEvidence.CLEAR
-    return (
-        len(group.crashes) >= _MAX_CRASHES
-        or blamed >= _SHARED_CRASHES
-        or (blamed >= _CLEAR_CRASHES and is_clear)
-    )
+def _is_excused(
+    board: fleet.ShardBoard, group: livejobs.Group, crash: jobgraph.Crash
+) -> bool:
+    job_id = group.job.graph.id
+    loss = board.crashes.find_loss(crash.place.worker_id, job_id)
+    return loss is not None and crashevidence.is_wide(board, group, loss)
 
 
 def _fail(
@@ -375,6 +320,7 @@
         group.job,
         group=_name(group),
         attempts=[crash.attempt for crash in group.crashes],
+        tasks=[list(crash.task_indices) for crash in group.crashes],
         workers=[crash.place.worker_id for crash in group.crashes],
         boots=[crash.place.boot for crash in group.crashes],
         evidence=[crash.evidence.value for crash in group.crashes],
--- /dev/null
+++ b/primroselock/decisions/crashevidence.py
@@ -0,0 +1,142 @@
+"""What proves that a task crashes the workers that start it.
+
+Crashes are counted for each task, so that those under the other members of
+its gang say nothing about it.  One crash blames the tasks on that worker as
+:class:`jobgraph.CrashEvidence` tells:
+
+- OUTSIDE: other workers were lost at about the same time, as many that ran
+  nothing as had work of this job, or half of the zone or rack: a loss of
+  power, not the work.
+- SHARED: another job's work was on that worker.
+- CLEAR: neither.
+
+A task is proved to crash workers by two crashes if the last is CLEAR, by
+three that are not OUTSIDE, and by four in any case, so that no cause lets it
+crash workers without end.
+"""
+
+from collections import abc
+import typing
+
+from primroselock.decisions import crashlog
+from primroselock.decisions import fleet
+from primroselock.decisions import livejobs
+from primroselock import jobgraph
+
+MAX_CRASHES: typing.Final = 4
+_CLEAR_CRASHES: typing.Final = 2
+_BLAMED_CRASHES: typing.Final = 3
+_SAME_CAUSE_S: typing.Final = 3.0
+"""Workers that were first missed within this time may share a cause."""
+
+_MIN_WIDE_LOSS: typing.Final = 3
+"""Workers lost in one zone or rack before that may be its loss."""
+
+
+def list_task_indices(
+    group: livejobs.Group, crash: jobgraph.Crash
+) -> tuple[int, ...]:
+    """Return the tasks of a group that were on a worker that crashed.
+
+    Of a gang in a row of an earlier build they are not known.
+    """
+    if crash.task_indices or group.size > 1:
+        return crash.task_indices
+    return (group.key.index,)
+
+
+def group_by_task(group: livejobs.Group) -> dict[int, list[jobgraph.Crash]]:
+    """Return the crashes of a group by the index of the task, oldest first."""
+    crashes_by_task: dict[int, list[jobgraph.Crash]] = {}
+    for crash in group.crashes:
+        for index in list_task_indices(group, crash):
+            crashes_by_task.setdefault(index, []).append(crash)
+    return crashes_by_task
+
+
+def most_crashes(group: livejobs.Group) -> int:
+    """Return the number of crashes under the task that has the most."""
+    return max(map(len, group_by_task(group).values()), default=0)
+
+
+def is_guilty(group: livejobs.Group) -> bool:
+    """Return whether a task of the group is proved to crash workers."""
+    return any(map(_is_proof, group_by_task(group).values()))
+
+
+def _is_proof(crashes: abc.Sequence[jobgraph.Crash]) -> bool:
+    """Return whether the crashes under one task prove that it causes them."""
+    blamed = sum(
+        crash.evidence is not jobgraph.CrashEvidence.OUTSIDE
+        for crash in crashes
+    )
+    is_clear = crashes[-1].evidence is jobgraph.CrashEvidence.CLEAR
+    return (
+        len(crashes) >= MAX_CRASHES
+        or blamed >= _BLAMED_CRASHES
+        or (is_clear and blamed >= _CLEAR_CRASHES)
+    )
+
+
+def judge(
+    board: fleet.ShardBoard,
+    group: livejobs.Group,
+    loss: crashlog.Loss,
+) -> jobgraph.CrashEvidence:
+    """Return how much a loss blames the tasks of a group that it took."""
+    if is_wide(board, group, loss):
+        return jobgraph.CrashEvidence.OUTSIDE
+    if loss.job_ids != {group.job.graph.id}:
+        return jobgraph.CrashEvidence.SHARED
+    return jobgraph.CrashEvidence.CLEAR
+
+
+def is_wide(
+    board: fleet.ShardBoard, group: livejobs.Group, loss: crashlog.Loss
+) -> bool:
+    """Return whether a loss had another cause than the work of a group."""
+    lost = _list_lost(board, loss)
+    own_id = group.job.graph.id
+    idle = sum(not other.job_ids for other in lost)
+    own = sum(own_id in other.job_ids for other in lost)
+    if idle >= max(own, 1):
+        return True
+    listed = [w.entry for w in board.workers_by_id.values() if w.is_listed]
+    return _is_half(
+        sum(other.zone == loss.zone for other in lost),
+        sum(entry.zone == loss.zone for entry in listed),
+    ) or _is_half(
+        sum(other.rack == loss.rack for other in lost),
+        sum(entry.rack == loss.rack for entry in listed),
+    )
+
+
+def _is_half(lost: int, listed: int) -> bool:
+    return lost >= _MIN_WIDE_LOSS and 2 * lost >= listed
+
+
+def _list_lost(
+    board: fleet.ShardBoard, loss: crashlog.Loss
+) -> list[crashlog.Loss]:
+    """Return the workers lost at about the same time, that of ``loss`` too."""
+    lost = {
+        other.worker_id: other
+        for other in _list_silent(board) + board.crashes.losses
+        if abs(other.lost_at - loss.lost_at) <= _SAME_CAUSE_S
+    }
+    return list(lost.values())
+
+
+def _list_silent(board: fleet.ShardBoard) -> list[crashlog.Loss]:
+    """Return the workers that do not answer now, as if they were lost."""
+    return [
+        crashlog.Loss(
+            worker.id,
+            worker.entry.zone,
+            worker.entry.rack,
+            worker.unresponsive_since,
+            frozenset(m.group.job.graph.id for m in worker.members.values()),
+        )
+        for worker in board.workers_by_id.values()
+        if worker.failures_in_row and worker.is_listed
+    ]
--- a/primroselock/decisions/crashlog.py
+++ b/primroselock/decisions/crashlog.py
@@ -32,13 +32,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SentRun:
-    """An attempt whose start was sent to the incarnation ``boot``.
+    """A task whose start was sent to the incarnation ``boot``.
 
     ``seen_at``, on this process's clock, is when it was last known to be.
     """
 
     group: livejobs.Group
     attempt: int
+    task_index: int
     boot: int
     seen_at: float
 
@@ -49,8 +50,7 @@
 
     ``settled_by_worker_id`` are runs on workers that were silent until their
     leases had expired.
-    ``last_loss_by_group`` is the loss of a group's latest crash, where this
-    holder saw it.  ``planned_boot_by_id`` is by worker the incarnation that
+    ``planned_boot_by_id`` is by worker the incarnation that
     was draining when it ended.  ``crashes`` and ``given_up`` count the
     crashes that were recorded and the jobs that were given up.
     """
@@ -62,9 +62,6 @@
     suspects: dict[livejobs.Group, None] = dataclasses.field(
         default_factory=dict
     )
-    last_loss_by_group: dict[livejobs.Group, Loss] = dataclasses.field(
-        default_factory=dict
-    )
     planned_boot_by_id: dict[str, int] = dataclasses.field(
         default_factory=dict
     )
@@ -82,7 +79,16 @@
     def drop_suspect(self, group: livejobs.Group) -> None:
         """Forget a group that has ended."""
         self.suspects.pop(group, None)
-        self.last_loss_by_group.pop(group, None)
+
+    def find_loss(self, worker_id: str, job_id: str) -> Loss | None:
+        """Return the latest loss of a worker that ran work of a job.
+
+        Return None if this holder did not see it, or has forgotten it.
+        """
+        for loss in reversed(self.losses):
+            if loss.worker_id == worker_id and job_id in loss.job_ids:
+                return loss
+        return None
 
     def forget_old(self, now: float) -> None:
         """Forget what is too old to be compared with a new loss."""
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -190,7 +190,7 @@
 
 
 class CrashEvidence(enum.Enum):
-    """How much the crash of a worker blames a group that it ran.
+    """How much the crash of a worker blames the tasks that it ran.
 
     SHARED: another job's work was there.  OUTSIDE: others were
     lost at the same time, so that the work is not the cause.
@@ -202,11 +202,16 @@
 
 
 class Crash(msgspec.Struct, frozen=True, array_like=True):
-    """The crash of the worker at ``place`` under an attempt of a group."""
+    """The crash of the worker at ``place`` under an attempt of a group.
+
+    ``task_indices`` are the tasks of the attempt that were to run there;
+    rows of earlier builds name none.
+    """
 
     attempt: decoding.Integer
     evidence: CrashEvidence
     place: Place
+    task_indices: tuple[decoding.Integer, ...] = ()
 
 
 class GroupRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -216,7 +221,7 @@
     the attempts up to ``failed_attempt`` that ended by a task's failure, so
     that an end that is reported again is not counted twice; ``checkpoint``
     is the saved state from which the next attempt may resume.  ``crashes``
-    has one entry for each attempt under which a worker crashed.
+    has one entry for each worker that crashed under an attempt.
     """
 
     key: GroupKey
--- a/primroselock/test/crashbuilders.py
+++ b/primroselock/test/crashbuilders.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections import abc
 import dataclasses
 import enum
 import random
@@ -18,6 +19,7 @@
 from primroselock.test import faultbuilders
 from primroselock.test import fleetbuilders
 from primroselock.test import simulatedworker
+from primroselock.test import virtualtime
 
 _CRASHES_BEFORE_LIMIT: typing.Final = 3
 _MAX_STARTS_AFTER: typing.Final = 2
@@ -47,8 +49,9 @@
     """Crashes the workers of a world that start certain tasks.
 
     ``after_s_by_job_id`` is for how long the tasks of a job are at work when
-    their worker crashes; 0 means before it answers the start.  A worker is
-    back after ``down_s``, drawn from this range of seconds.
+    their worker crashes; 0 means before it answers the start.  Of a job in
+    ``deadly_index_by_job_id`` only that task of each step does so.  A worker
+    is back after ``down_s``, drawn from this range of seconds.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
         log: faultbuilders.FaultLog | None = None,
     ) -> None:
         self.after_s_by_job_id: dict[str, float] = {}
+        self.deadly_index_by_job_id: dict[str, int] = {}
         self.counts_by_task: dict[jobgraph.TaskName, TaskCounts] = {}
         self.crashed_worker_ids: list[str] = []
         self._world = world
@@ -69,6 +73,13 @@
         self._log = log or faultbuilders.FaultLog()
         world.fleet.begin_hooks.append(self._on_begin)
 
+    def submit(self, after_s: float, *steps: jobgraph.Step) -> None:
+        """Submit the job 'deadly', whose tasks crash their workers."""
+        self.after_s_by_job_id['deadly'] = after_s
+        step = fleetbuilders.build_step(1, 1, 5000)
+        graph = fleetbuilders.build_graph('deadly', *(steps or (step,)))
+        self._world.submit(graph)
+
     def most_starts(self, job_id: str) -> int:
         """Return how often the task of a job was started that was most."""
         return max(
@@ -85,7 +96,8 @@
     ) -> None:
         task = live.run.task
         after_s = self.after_s_by_job_id.get(task.job_id)
-        if after_s is None:
+        deadly = self.deadly_index_by_job_id.get(task.job_id, task.index)
+        if after_s is None or task.index != deadly:
             return
         counts = self.counts_by_task.setdefault(task, TaskCounts())
         counts.starts += 1
@@ -151,6 +163,77 @@
         ]
 
 
+Scenario = abc.Callable[
+    [fleetbuilders.World, CrashingTasks],
+    abc.Coroutine[typing.Any, typing.Any, None],
+]
+Disturbance = abc.Callable[
+    [fleetbuilders.World], abc.Coroutine[typing.Any, typing.Any, None]
+]
+
+
+def run(
+    scenario: Scenario,
+    workers: int = 8,
+    returns: Return = Return.SAME_ADDRESS,
+    down_s: tuple[float, float] = (2.0, 4.0),
+    seed: int = 0,
+    nodes: int = 1,
+) -> None:
+    """Run a scenario on a world; fail if a violation was recorded."""
+
+    async def run_all(virtual: virtualtime.VirtualClock) -> None:
+        world = fleetbuilders.World(seed, workers)
+        crashing = CrashingTasks(world, returns, down_s, seed)
+        for number in range(nodes):
+            world.add_node(f'entry-{number}')
+        await asyncio.sleep(2.0)
+        try:
+            await scenario(world, crashing)
+        finally:
+            await world.close()
+        if world.fleet.violations:
+            raise AssertionError(world.fleet.violations[:3])
+
+    virtualtime.run(run_all)
+
+
+async def after_each_crash(
+    world: fleetbuilders.World,
+    crashing: CrashingTasks,
+    disturb: Disturbance,
+) -> None:
+    """Disturb the world 0.2 s, then 2 s, after crashes, in turn."""
+    seen = 0
+    while True:
+        await asyncio.sleep(0.05)
+        if len(crashing.crashed_worker_ids) > seen:
+            seen = len(crashing.crashed_worker_ids)
+            await asyncio.sleep(2.0 if seen % 2 else 0.2)
+            await disturb(world)
+
+
+async def kill_holder(world: fleetbuilders.World) -> None:
+    """Kill the node that holds the shard, and start another in its place."""
+    for node in world.nodes:
+        if node.holder.lease.has_shard:
+            world.nodes.remove(node)
+            await node.kill()
+            world.add_node(node.settings.process.vm_id)
+            return
+
+
+async def hang_store(world: fleetbuilders.World) -> None:
+    """Let no node reach the store for 3 s, and end the holder then."""
+    nodes = list(world.nodes)
+    for node in nodes:
+        node.connectivity.is_unresponsive = True
+    await asyncio.sleep(3.0)
+    await kill_holder(world)
+    for node in nodes:
+        node.connectivity.is_unresponsive = False
+
+
 async def crash_worker(
     world: fleetbuilders.World,
     worker: simulatedworker.FakeWorker,
--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -135,20 +135,32 @@
         cause = ended.cause
         if cause is not orders.EndCause.DONE:
             cause = orders.EndCause.GANG_BROKEN
+        self._end_members(ended, cause)
+
+    def _end_members(
+        self, ended: simulatedworker.LiveRun, cause: orders.EndCause
+    ) -> None:
         for worker in self.workers_by_id.values():
             for run in list(worker.runs):
                 if _same_gang(run, ended.run):
                     worker.add_end(run, cause)
 
     def crash(self, worker: simulatedworker.FakeWorker) -> None:
-        """End a worker's process; its runs and all its state are lost."""
+        """End a worker's process; its runs and all its state are lost.
+
+        The other members of their gangs cannot go on.
+        """
         worker.is_down = True
+        lost = list(worker.runs.values())
         worker.runs.clear()
         worker.ended.clear()
         worker.refused.clear()
         worker.epoch = 0
         worker.last_number = worker.lapsed_number = 0
         worker.lease_end = simulatedworker.NEVER
+        for live in lost:
+            if live.step.gang:
+                self._end_members(live, orders.EndCause.GANG_BROKEN)
 
     def restart(
         self,
--- a/primroselock/test/testcrashdecisions.py
+++ b/primroselock/test/testcrashdecisions.py
@@ -233,6 +233,84 @@
         self.assertEqual([5, 2], last['boots'])
         self.assertEqual([0, 0, 0], last['group'])
 
+    def _inherit_gang(
+        self, *crashes: jobgraph.Crash, worker_ids: tuple[str, ...]
+    ) -> livejobs.Group:
+        """Take over a gang with one member on each of the workers."""
+        step = fleetbuilders.build_step(len(worker_ids), 1, 5000, gang=True)
+        graph = fleetbuilders.build_graph('gang', step)
+        key = jobgraph.GroupKey(0, 0, 0)
+        places = tuple(jobgraph.Place(name, 1) for name in worker_ids)
+        record = jobgraph.GroupRecord(
+            key, jobgraph.GroupPhase.PLACED, 9, places=places, crashes=crashes
+        )
+        progress = jobgraph.JobProgress(jobs.JobState.RUNNING, (record,))
+        job = graphs.add_job(self.board, graph, progress, 1, 100.0, 100_000)
+        assert job is not None
+        return job.groups_by_key[key]
+
+    def test_a_crash_names_the_tasks_on_the_worker(self) -> None:
+        """Guards against crashes of a gang that blame all its members."""
+        worker = self._list(boot=2)
+        group = self._inherit_gang(worker_ids=('w1', 'w0', 'w1', 'w0'))
+        self._report(worker, 2)
+        self._report(worker, 2, now=102.0)
+        self.assertEqual(
+            [(1, 3)], [crash.task_indices for crash in group.crashes]
+        )
+
+    def test_two_workers_of_an_attempt_crash(self) -> None:
+        """Guards against a second crash of an attempt that is not counted."""
+        group = self._inherit_gang(worker_ids=('w0', 'w1'))
+        for number, worker_id in enumerate(('w0', 'w1')):
+            entry = fleetbuilders.build_entry(worker_id, boot=2)
+            self.board.record_entry(entry, 100.0)
+            worker = self.board.workers_by_id[worker_id]
+            self._report(worker, 2, now=101.0 + number)
+        self.assertEqual(
+            [('w0', (0,)), ('w1', (1,))],
+            [(c.place.worker_id, c.task_indices) for c in group.crashes],
+        )
+
+    def test_stored_crashes_of_other_members(self) -> None:
+        """Guards against a new holder that adds up crashes by gang (LOST)."""
+        worker = self._list(boot=2)
+        earlier = [
+            jobgraph.Crash(
+                number,
+                jobgraph.CrashEvidence.CLEAR,
+                jobgraph.Place('w7', number),
+                (number,),
+            )
+            for number in (1, 2, 3)
+        ]
+        group = self._inherit_gang(*earlier, worker_ids=('w0', 'x', 'y', 'z'))
+        self._report(worker, 2)
+        group.enter(livejobs.Phase.WAITING, 101.0)
+        crashes.give_up(self.board, 110.0, 110_000)
+        self.assertIs(jobs.JobState.RUNNING, group.job.state)
+
+    def test_rows_that_name_no_tasks(self) -> None:
+        """Guards against a gang given up for crashes of unknown members."""
+        record = [[0, 0, 0], 'p', 3, 0, '', [], 0, [[1, 'c', ['w7', 1]]]]
+        read = msgspec.convert(record, jobgraph.GroupRecord)
+        worker = self._list(boot=2)
+        gang = self._inherit_gang(*read.crashes, worker_ids=('w0', 'x'))
+        self._report(worker, 2)
+        gang.enter(livejobs.Phase.WAITING, 101.0)
+        crashes.give_up(self.board, 110.0, 110_000)
+        self.assertIs(jobs.JobState.RUNNING, gang.job.state)
+
+    def test_rows_of_single_tasks_that_name_none(self) -> None:
+        """Guards against crashes that a new build does not count (BUDGET)."""
+        record = [[0, 0, 0], 'p', 2, 0, '', [], 0, [[1, 'c', ['w7', 1]]]]
+        read = msgspec.convert(record, jobgraph.GroupRecord)
+        worker = self._list(boot=2)
+        group = self._inherit(*read.crashes)
+        self._report(worker, 2)
+        crashes.give_up(self.board, group.not_before, 103_000)
+        self.assertIs(jobs.JobState.FAILED, group.job.state)
+
     def test_rows_of_builds_that_count_no_crashes(self) -> None:
         """Guards against a takeover that cannot read older rows."""
         record = [[0, 0, 0], 'p', 1, 0, '', [['w0', 1]], 0]
--- a/primroselock/test/testcrashingtasks.py
+++ b/primroselock/test/testcrashingtasks.py
@@ -13,52 +13,6 @@
 
 _GIVE_UP_S: typing.Final = 60.0
 _LONG_MS: typing.Final = 20_000
-_Scenario = abc.Callable[
-    [fleetbuilders.World, crashbuilders.CrashingTasks],
-    abc.Coroutine[typing.Any, typing.Any, None],
-]
-
-_Disturbance = abc.Callable[
-    [fleetbuilders.World], abc.Coroutine[typing.Any, typing.Any, None]
-]
-
-
-def _run(
-    scenario: _Scenario,
-    workers: int = 8,
-    returns: crashbuilders.Return = crashbuilders.Return.SAME_ADDRESS,
-    down_s: tuple[float, float] = (2.0, 4.0),
-    seed: int = 0,
-    nodes: int = 1,
-) -> None:
-    """Run a scenario on a world; fail if a violation was recorded."""
-
-    async def run_all(virtual: virtualtime.VirtualClock) -> None:
-        world = fleetbuilders.World(seed, workers)
-        crashing = crashbuilders.CrashingTasks(world, returns, down_s, seed)
-        for number in range(nodes):
-            world.add_node(f'entry-{number}')
-        await asyncio.sleep(2.0)
-        try:
-            await scenario(world, crashing)
-        finally:
-            await world.close()
-        if world.fleet.violations:
-            raise AssertionError(world.fleet.violations[:3])
-
-    virtualtime.run(run_all)
-
-
-def _submit_crashing(
-    world: fleetbuilders.World,
-    crashing: crashbuilders.CrashingTasks,
-    after_s: float,
-    *steps: jobgraph.Step,
-) -> None:
-    """Submit the job 'deadly', whose tasks crash their workers."""
-    crashing.after_s_by_job_id['deadly'] = after_s
-    step = fleetbuilders.build_step(1, 1, 5000)
-    world.submit(fleetbuilders.build_graph('deadly', *(steps or (step,))))
 
 
 class GiveUpTest(unittest.TestCase):
@@ -74,11 +28,11 @@
         async def scenario(
             world: fleetbuilders.World, crashing: crashbuilders.CrashingTasks
         ) -> None:
-            _submit_crashing(world, crashing, after_s, *steps)
+            crashing.submit(after_s, *steps)
             await world.wait_for('deadly', 'failed', _GIVE_UP_S)
             self.assertGreaterEqual(crashing.most_starts('deadly'), 2)
 
-        _run(scenario, returns=returns, down_s=down_s)
+        crashbuilders.run(scenario, returns=returns, down_s=down_s)
 
     def test_a_crash_before_the_answer(self) -> None:
         """Guards against a task that crashes workers without end, at once."""
@@ -94,13 +48,13 @@
         async def scenario(
             world: fleetbuilders.World, crashing: crashbuilders.CrashingTasks
         ) -> None:
-            _submit_crashing(world, crashing, 0.0)
+            crashing.submit(0.0)
             await world.wait_for('deadly', 'failed', _GIVE_UP_S)
             self.assertEqual(2, crashing.most_starts('deadly'))
 
         for down_s in (0.05, 0.3, 0.5, 0.9, 1.4):
             with self.subTest(down_s=down_s):
-                _run(scenario, down_s=(down_s, down_s))
+                crashbuilders.run(scenario, down_s=(down_s, down_s))
 
     def test_a_worker_that_is_back_after_its_leases(self) -> None:
         """Guards against a crash that is seen too late to count."""
@@ -137,30 +91,32 @@
         """Guards against a count that ends with the holder."""
         for after_s in (0.0, 1.0):
             with self.subTest(after_s=after_s):
-                self._check_given_up_despite(after_s, _kill_holder)
+                self._check_given_up_despite(
+                    after_s, crashbuilders.kill_holder
+                )
 
     def test_a_store_outage_after_each_crash(self) -> None:
         """Guards against a count that is lost before it is stored."""
         for after_s in (0.0, 1.0):
             with self.subTest(after_s=after_s):
-                self._check_given_up_despite(after_s, _hang_store)
+                self._check_given_up_despite(after_s, crashbuilders.hang_store)
 
     def _check_given_up_despite(
-        self, after_s: float, disturb: _Disturbance
+        self, after_s: float, disturb: crashbuilders.Disturbance
     ) -> None:
         async def scenario(
             world: fleetbuilders.World, crashing: crashbuilders.CrashingTasks
         ) -> None:
-            _submit_crashing(world, crashing, after_s)
+            crashing.submit(after_s)
             disturbing = asyncio.create_task(
-                _after_each_crash(world, crashing, disturb)
+                crashbuilders.after_each_crash(world, crashing, disturb)
             )
             try:
                 await world.wait_for('deadly', 'failed', 120.0)
             finally:
                 disturbing.cancel()
 
-        _run(scenario, nodes=3)
+        crashbuilders.run(scenario, nodes=3)
 
     def test_a_crashing_job_is_cancelled(self) -> None:
         """Guards against a cancellation shown as a failure."""
@@ -168,47 +124,12 @@
         async def scenario(
             world: fleetbuilders.World, crashing: crashbuilders.CrashingTasks
         ) -> None:
-            _submit_crashing(world, crashing, 0.5)
+            crashing.submit(0.5)
             await asyncio.sleep(4.0)
             world.cancel('deadly')
             await world.wait_for('deadly', 'cancelled', 15.0)
 
-        _run(scenario)
-
-
-async def _after_each_crash(
-    world: fleetbuilders.World,
-    crashing: crashbuilders.CrashingTasks,
-    disturb: _Disturbance,
-) -> None:
-    """Disturb the world 0.2 s, then 2 s, after crashes, in turn."""
-    seen = 0
-    while True:
-        await asyncio.sleep(0.05)
-        if len(crashing.crashed_worker_ids) > seen:
-            seen = len(crashing.crashed_worker_ids)
-            await asyncio.sleep(2.0 if seen % 2 else 0.2)
-            await disturb(world)
-
-
-async def _kill_holder(world: fleetbuilders.World) -> None:
-    for node in world.nodes:
-        if node.holder.lease.has_shard:
-            world.nodes.remove(node)
-            await node.kill()
-            world.add_node(node.settings.process.vm_id)
-            return
-
-
-async def _hang_store(world: fleetbuilders.World) -> None:
-    """Let no node reach the store for 3 s, and end the holder then."""
-    nodes = list(world.nodes)
-    for node in nodes:
-        node.connectivity.is_unresponsive = True
-    await asyncio.sleep(3.0)
-    await _kill_holder(world)
-    for node in nodes:
-        node.connectivity.is_unresponsive = False
+        crashbuilders.run(scenario)
 
 
 class InnocentTest(unittest.TestCase):
@@ -219,9 +140,11 @@
         for after_s in (0.0, 1.0):
             for seed in range(3):
                 with self.subTest(after_s=after_s, seed=seed):
-                    _run(self._share_workers(after_s), 4, seed=seed)
+                    crashbuilders.run(
+                        self._share_workers(after_s), 4, seed=seed
+                    )
 
-    def _share_workers(self, after_s: float) -> _Scenario:
+    def _share_workers(self, after_s: float) -> crashbuilders.Scenario:
         async def scenario(
             world: fleetbuilders.World, crashing: crashbuilders.CrashingTasks
         ) -> None:
@@ -231,7 +154,7 @@
                 world.submit(fleetbuilders.build_graph(f'j{number}', step))
             await asyncio.sleep(1.0)
             crashing_step = fleetbuilders.build_step(2, 1, 5000)
-            _submit_crashing(world, crashing, after_s, crashing_step)
+            crashing.submit(after_s, crashing_step)
             await world.wait_for('deadly', 'failed', _GIVE_UP_S)
             for number in range(16):
                 await world.wait_for(f'j{number}', 'done', 120.0)
@@ -250,13 +173,13 @@
             step = fleetbuilders.build_step(1, 1, 6000)
             world.submit(fleetbuilders.build_graph('sound', step))
             await asyncio.sleep(0.5)
-            _submit_crashing(world, crashing, 1.0)
+            crashing.submit(1.0)
             await world.wait_for('deadly', 'failed', _GIVE_UP_S)
             await world.wait_for('sound', 'done', _GIVE_UP_S)
 
         for seed in range(3):
             with self.subTest(seed=seed):
-                _run(scenario, 1, seed=seed)
+                crashbuilders.run(scenario, 1, seed=seed)
 
     def test_a_zone_without_power_three_times(self) -> None:
         """Guards against jobs given up for a loss of power."""
@@ -272,13 +195,13 @@
         for name, steps in cases.items():
             for returns in crashbuilders.Return:
                 with self.subTest(name, returns=returns):
-                    _run(self._lose_power(steps, returns), 8)
+                    crashbuilders.run(self._lose_power(steps, returns), 8)
 
     def _lose_power(
         self,
         steps: abc.Sequence[jobgraph.Step],
         returns: crashbuilders.Return,
-    ) -> _Scenario:
+    ) -> crashbuilders.Scenario:
         async def scenario(
             world: fleetbuilders.World, crashing: crashbuilders.CrashingTasks
         ) -> None:
@@ -310,7 +233,7 @@
                 self.assertEqual((), _crashes(world, 'j'))
             await world.wait_for('j', 'done', _GIVE_UP_S)
 
-        _run(scenario)
+        crashbuilders.run(scenario)
 
     def test_a_saturated_holder(self) -> None:
         """Guards against blame by a holder whose rounds are late."""
