Long-running work is given up only for crashes soon after its start (LOST)

What callers saw: a job that must run until it is cancelled was shown as failed after two crashes of workers in its whole life, however long it had run between them; four of any kind ended it even where other workers had been lost with it.

Cause: crashes under a group were kept for good, and judged as those of work that ends. Work that ends keeps all its crashes, but one that came after 30 s of running is excused; the fourth decides as before.

What proves that a run was long: this holder saw the whole attempt run, and all its workers answered at the end of the time. A new holder counts from when it saw the attempt.

--- a/primroselock/decisions/crashes.py
+++ b/primroselock/decisions/crashes.py
@@ -132,6 +132,7 @@
             member.group.attempt,
             member.index,
             member.boot,
+            member.group.began_at,
             now,
         )
         for member in members
@@ -175,10 +176,13 @@
     runs: abc.Sequence[crashlog.SentRun],
     boot: int,
 ) -> None:
-    """Record the loss of a worker under tasks of one attempt of a group."""
+    """Record the loss of a worker under tasks of one attempt of a group.
+
+    Long-running work that has run for long is not what crashed it.
+    """
     first = runs[0]
     group = first.group
-    evidence = crashevidence.judge(board, group, loss)
+    evidence = crashevidence.judge(board, group, loss, first.began_at)
     board.crashes.crashes += 1
     board.record_decision(
         'worker crashed under a task',
@@ -192,6 +196,10 @@
         evidence=evidence.value,
         crashes=len(group.crashes),
     )
+    if group.step.long_running and crashevidence.had_run_long(
+        first.began_at, loss.lost_at
+    ):
+        return
     group.crashes += (
         jobgraph.Crash(
             first.attempt,
@@ -286,6 +294,29 @@
                 _judge_again(board, group)
             if crashevidence.is_guilty(group):
                 _fail(board, group, wall_ms)
+        elif group.phase is livejobs.Phase.RUNNING:
+            _clear_if_sound(board, group)
+
+
+def _clear_if_sound(board: fleet.ShardBoard, group: livejobs.Group) -> None:
+    """Forget the crashes under long-running work that has run for long."""
+    if not group.step.long_running:
+        return
+    answered_at = min(
+        board.workers_by_id[member.worker_id].last_answer_at
+        for member in group.members
+    )
+    if not crashevidence.had_run_long(group.began_at, answered_at):
+        return
+    board.record_decision(
+        'task runs without a crash: earlier ones are forgotten',
+        group.job,
+        group=_name(group),
+        attempts=[crash.attempt for crash in group.crashes],
+    )
+    group.crashes = ()
+    board.crashes.drop_suspect(group)
+    board.mark_changed(group.job)
 
 
 def _judge_again(board: fleet.ShardBoard, group: livejobs.Group) -> None:
--- a/primroselock/decisions/crashevidence.py
+++ b/primroselock/decisions/crashevidence.py
@@ -6,13 +6,15 @@
 
 - OUTSIDE: other workers were lost at about the same time, as many that ran
   nothing as had work of this job, or half of the zone or rack: a loss of
-  power, not the work.
+  power, not the work.  Or the attempt had run for long before.
 - SHARED: another job's work was on that worker.
 - CLEAR: neither.
 
 A task is proved to crash workers by two crashes if the last is CLEAR, by
 three that are not OUTSIDE, and by four in any case, so that no cause lets it
-crash workers without end.
+crash workers without end.  Long-running work must be started again however it
+ends: it is only given up for the last two, and a long run without a crash
+clears it.
 """
 
 from collections import abc
@@ -32,6 +34,9 @@
 _MIN_WIDE_LOSS: typing.Final = 3
 """Workers lost in one zone or rack before that may be its loss."""
 
+_SOUND_RUN_S: typing.Final = 30.0
+"""What has run for so long is not what crashes workers that start it."""
+
 
 def list_task_indices(
     group: livejobs.Group, crash: jobgraph.Crash
@@ -61,11 +66,20 @@
 
 def is_guilty(group: livejobs.Group) -> bool:
     """Return whether a task of the group is proved to crash workers."""
-    return any(map(_is_proof, group_by_task(group).values()))
+    may_be_clear = not group.step.long_running
+    return any(
+        _is_proof(crashes, may_be_clear)
+        for crashes in group_by_task(group).values()
+    )
 
 
-def _is_proof(crashes: abc.Sequence[jobgraph.Crash]) -> bool:
-    """Return whether the crashes under one task prove that it causes them."""
+def _is_proof(
+    crashes: abc.Sequence[jobgraph.Crash], may_be_clear: bool
+) -> bool:
+    """Return whether the crashes under one task prove that it causes them.
+
+    ``may_be_clear`` is whether CLEAR evidence needs fewer of them.
+    """
     blamed = sum(
         crash.evidence is not jobgraph.CrashEvidence.OUTSIDE
         for crash in crashes
@@ -74,7 +88,7 @@
     return (
         len(crashes) >= MAX_CRASHES
         or blamed >= _BLAMED_CRASHES
-        or (is_clear and blamed >= _CLEAR_CRASHES)
+        or (may_be_clear and is_clear and blamed >= _CLEAR_CRASHES)
     )
 
 
@@ -82,15 +96,21 @@
     board: fleet.ShardBoard,
     group: livejobs.Group,
     loss: crashlog.Loss,
+    began_at: float | None,
 ) -> jobgraph.CrashEvidence:
-    """Return how much a loss blames the tasks of a group that it took."""
-    if is_wide(board, group, loss):
+    """Return how much a loss blames an attempt that began at ``began_at``."""
+    if had_run_long(began_at, loss.lost_at) or is_wide(board, group, loss):
         return jobgraph.CrashEvidence.OUTSIDE
     if loss.job_ids != {group.job.graph.id}:
         return jobgraph.CrashEvidence.SHARED
     return jobgraph.CrashEvidence.CLEAR
 
 
+def had_run_long(began_at: float | None, until: float) -> bool:
+    """Return whether an attempt ran for long from ``began_at`` on."""
+    return began_at is not None and until - began_at >= _SOUND_RUN_S
+
+
 def is_wide(
     board: fleet.ShardBoard, group: livejobs.Group, loss: crashlog.Loss
 ) -> bool:
--- a/primroselock/decisions/crashlog.py
+++ b/primroselock/decisions/crashlog.py
@@ -34,13 +34,15 @@
 class SentRun:
     """A task whose start was sent to the incarnation ``boot``.
 
-    ``seen_at``, on this process's clock, is when it was last known to be.
+    Times are on this process's clock: ``began_at`` is when its whole attempt
+    was known to run, or None, and ``seen_at`` when it was last known to be.
     """
 
     group: livejobs.Group
     attempt: int
     task_index: int
     boot: int
+    began_at: float | None
     seen_at: float
 
 
@@ -77,7 +79,7 @@
         self.suspects[group] = None
 
     def drop_suspect(self, group: livejobs.Group) -> None:
-        """Forget a group that has ended."""
+        """Forget a group that has ended, or that has proved to be sound."""
         self.suspects.pop(group, None)
 
     def find_loss(self, worker_id: str, job_id: str) -> Loss | None:
--- a/primroselock/test/testcrashdecisions.py
+++ b/primroselock/test/testcrashdecisions.py
@@ -318,6 +318,84 @@
         self.assertEqual((), read.crashes)
 
 
+class LongRunTest(unittest.TestCase):
+    """What a run shows that was at work for long, on one worker."""
+
+    def setUp(self) -> None:
+        self.board = fleet.ShardBoard(
+            epoch=2, queue_configuration=fleetbuilders.QUEUE_CONFIGURATION
+        )
+        self.boot = 1
+        self.now = 100.0
+        self._report()
+
+    def _add(self, **changes: typing.Any) -> livejobs.Group:
+        step = fleetbuilders.build_step(1, 1, 5000, **changes)
+        graph = fleetbuilders.build_graph('j', step)
+        job = graphs.add_job(self.board, graph, None, 0, self.now, 0)
+        assert job is not None
+        (group,) = job.groups_by_key.values()
+        return group
+
+    def _report(self, *running: orders.Run) -> None:
+        entry = fleetbuilders.build_entry('w0', boot=self.boot)
+        self.board.record_entry(entry, self.now)
+        worker = self.board.workers_by_id['w0']
+        listed = tuple(orders.Running(run, '', 0.1) for run in running)
+        report = orders.RunReport(self.now, self.boot, listed, ())
+        runs.record_poll(self.board, worker, report, self.now, self.now, 0)
+
+    def _run(self, group: livejobs.Group, run_s: float) -> None:
+        """Run the next attempt of a group, and crash its worker."""
+        group.attempt += 1
+        member = livejobs.Member(
+            group, 0, 'w0', self.boot, livejobs.MemberState.ORDERED
+        )
+        group.members.append(member)
+        self.board.workers_by_id['w0'].add_member(member)
+        group.enter(livejobs.Phase.STARTING, self.now)
+        for _ in range(2):
+            self._report(member.run)
+            crashes.give_up(self.board, self.now, 0)
+            self.now += run_s / 2
+        self._report(member.run)
+        crashes.give_up(self.board, self.now, 0)
+        self.boot += 1
+        self._report()
+        self.now = max(self.now, group.not_before) + 4.0
+        crashes.give_up(self.board, self.now, 0)
+
+    def test_lasting_work_is_started_again_for_ever(self) -> None:
+        """Guards against lasting work given up for crashes in its life."""
+        group = self._add(long_running=True)
+        for _ in range(10):
+            self._run(group, 60.0)
+            self._run(group, 4.0)
+        self.assertIs(jobs.JobState.WAITING, group.job.state)
+        self.assertLessEqual(len(group.crashes), 1)
+
+    def test_two_quick_crashes_of_lasting_work(self) -> None:
+        """Guards against lasting work given up for two accidents."""
+        group = self._add(long_running=True)
+        self._run(group, 4.0)
+        self._run(group, 4.0)
+        self.assertIs(jobs.JobState.WAITING, group.job.state)
+        self._run(group, 4.0)
+        self.assertIs(jobs.JobState.FAILED, group.job.state)
+
+    def test_crashes_late_in_long_runs(self) -> None:
+        """Guards against long work given up for two accidents.
+
+        The fourth crash decides, so that no cause lets it go on.
+        """
+        group = self._add()
+        for _ in range(3):
+            self._run(group, 60.0)
+            self.assertIs(jobs.JobState.WAITING, group.job.state)
+        self._run(group, 60.0)
+        self.assertIs(jobs.JobState.FAILED, group.job.state)
+
+
 class PlacementTest(unittest.TestCase):
     """Where groups are placed under which workers have crashed."""
 
