--- a/primroselock/decisions/crashes.py
+++ b/primroselock/decisions/crashes.py
@@ -119,7 +119,9 @@
     if was.is_draining:
         board.crashes.planned_boot_by_id[worker.id] = was.boot
     elif not worker.members:
-        _add_loss(board, worker, frozenset(), now)
+        settled = board.crashes.settled_by_worker_id.pop(worker.id, [])
+        victims = [run for run in settled if 0 < run.boot < entry.boot]
+        _record_loss(board, worker, victims, entry.boot, now)
 
 
 def _list_sent(
@@ -149,7 +151,7 @@
 ) -> None:
     """Record the loss of a worker, and a crash under each task on it."""
     job_ids = frozenset(run.group.job.graph.id for run in victims)
-    loss = _add_loss(board, worker, job_ids, now)
+    loss = _add_loss(board, worker, job_ids, boot, now)
     runs_by_attempt: dict[
         tuple[livejobs.Group, int], list[crashlog.SentRun]
     ] = {}
@@ -216,15 +218,18 @@
     board: fleet.ShardBoard,
     worker: fleetworkers.Worker,
     job_ids: frozenset[str],
+    boot: int,
     now: float,
 ) -> crashlog.Loss:
     log = board.crashes
     log.forget_old(now)
     lost_at = worker.unresponsive_since if worker.failures_in_row else now
     entry = worker.entry
-    loss = crashlog.Loss(worker.id, entry.zone, entry.rack, lost_at, job_ids)
-    log.losses.append(loss)
-    return loss
+    return log.add_loss(
+        crashlog.Loss(
+            worker.id, entry.zone, entry.rack, lost_at, job_ids, boot
+        )
+    )
 
 
 def retry_delay_s(group: livejobs.Group) -> float:
--- a/primroselock/decisions/crashlog.py
+++ b/primroselock/decisions/crashlog.py
@@ -20,7 +20,8 @@
 class Loss:
     """A worker that was lost; it ran work of ``job_ids``.
 
-    ``lost_at``, on this process's clock, is when it was first missed.
+    ``lost_at``, on this process's clock, is when it was first missed;
+    ``next_boot`` is the incarnation that came after, or 0 if it is unknown.
     """
 
     worker_id: str
@@ -28,6 +29,7 @@
     rack: str
     lost_at: float
     job_ids: frozenset[str]
+    next_boot: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,6 +84,34 @@
         """Forget a group that has ended, or that has proved to be sound."""
         self.suspects.pop(group, None)
 
+    def add_loss(self, loss: Loss) -> Loss:
+        """Add a loss and return it as it is kept.
+
+        What an entry or a report has shown of it before becomes part of it.
+        """
+        known = self._find_restart(loss)
+        if known is not None:
+            self.losses.remove(known)
+            loss = dataclasses.replace(
+                loss,
+                lost_at=min(known.lost_at, loss.lost_at),
+                job_ids=known.job_ids | loss.job_ids,
+            )
+        self.losses.append(loss)
+        return loss
+
+    def _find_restart(self, loss: Loss) -> Loss | None:
+        """Return what is known of the same restart of the same worker."""
+        if not loss.next_boot:
+            return None
+        for known in self.losses:
+            if (known.worker_id, known.next_boot) == (
+                loss.worker_id,
+                loss.next_boot,
+            ):
+                return known
+        return None
+
     def find_loss(self, worker_id: str, job_id: str) -> Loss | None:
         """Return the latest loss of a worker that ran work of a job.
 
--- a/primroselock/test/testcrashdecisions.py
+++ b/primroselock/test/testcrashdecisions.py
@@ -122,6 +122,20 @@
         self._report(worker, 2, now=151.0)
         self.assertEqual(1, len(group.crashes))
 
+    def test_expired_leases_and_a_new_entry(self) -> None:
+        """Guards against a crash unseen since nothing is placed there."""
+        worker = self._list()
+        group = self._inherit()
+        self._report(worker, 1, group.members[0].run)
+        worker.record_failed_call(102.0)
+        runleases.expire_workers(self.board, 150.0, 150_000)
+        self._list(boot=2)
+        self.assertEqual(1, len(group.crashes))
+        self._report(worker, 2, now=151.0)
+        self.assertEqual(1, len(group.crashes))
+        (loss,) = self.board.crashes.losses
+        self.assertEqual({group.job.graph.id}, loss.job_ids)
+
     def test_a_cut_worker_that_is_back(self) -> None:
         """Guards against blame for a later restart of a worker cut off."""
         worker = self._list()
