A planned restart of a worker excuses no crash (BUDGET)

What callers saw: nothing yet; found by reading. A worker that drains and then starts again under its id was recorded as an idle worker that was lost. During a rolling update of workers each crash under a task within 3 s of one counted as OUTSIDE, so that a task that crashes its workers was started up to four times where two crashes prove it.

Cause: record_restart excused the planned boot for its tasks, but not for the list of losses.

Evidence: test_a_planned_restart_beside_a_crash fails on the commit before (OUTSIDE, not CLEAR), and passes.

--- a/primroselock/decisions/crashes.py
+++ b/primroselock/decisions/crashes.py
@@ -67,7 +67,8 @@
         for run in settled + sent
         if 0 < run.boot < report.boot and run.boot != planned_boot
     ]
-    if victims or 0 < worker.boot < report.boot:
+    is_crash = 0 < worker.boot < report.boot and worker.boot != planned_boot
+    if victims or is_crash:
         _record_loss(board, worker, victims, report.boot, now)
     return [run.group for run in victims if run in sent]
 
--- a/primroselock/test/testcrashdecisions.py
+++ b/primroselock/test/testcrashdecisions.py
@@ -111,6 +111,23 @@
         self._report(worker, 2, now=102.0)
         self.assertEqual((), group.crashes)
 
+    def test_a_planned_restart_beside_a_crash(self) -> None:
+        """Guards against crashes excused by idle workers that were updated."""
+        for boot, is_draining in ((1, True), (2, False)):
+            entry = fleetbuilders.build_entry(
+                'w1', boot=boot, is_draining=is_draining
+            )
+            crashes.note_entry(self.board, entry, 100.0)
+            self.board.record_entry(entry, 100.0)
+            self._report(self.board.workers_by_id['w1'], boot)
+        worker = self._list(boot=2)
+        group = self._inherit()
+        self._report(worker, 2)
+        self.assertEqual(
+            [jobgraph.CrashEvidence.CLEAR],
+            [crash.evidence for crash in group.crashes],
+        )
+
     def test_expired_leases(self) -> None:
         """Guards against blame for silence, and a crash shown later."""
         worker = self._list()
