Crashes of workers without a job's work weaken the proof against it (LOST)

Cause: CLEAR looked only at what else ran on the worker that crashed, and at what was lost within 3 s. That other workers, idle or with other jobs' work, have crashed meanwhile says that there is another cause about.

Change: such a crash counts as SHARED, so that three are needed in place of two. The bound of starts stays: three that are not excused, four in any case.

Evidence: test_crashes_of_workers_without_work_of_the_job fails on the commit before (FAILED, not RUNNING), and passes; testcrashingtasks and testcrashinggangs pass.

--- a/primroselock/decisions/crashevidence.py
+++ b/primroselock/decisions/crashevidence.py
@@ -7,7 +7,8 @@
 - OUTSIDE: other workers were lost at about the same time, as many that ran
   nothing as had work of this job, or half of the zone or rack: a loss of
   power, not the work.  Or the attempt had run for long before.
-- SHARED: another job's work was on that worker.
+- SHARED: another job's work was on that worker, or workers that had no work
+  of this job were lost lately.
 - CLEAR: neither.
 
 A task is proved to crash workers by two crashes if the last is CLEAR, by
@@ -101,7 +102,11 @@
     """Return how much a loss blames an attempt that began at ``began_at``."""
     if had_run_long(began_at, loss.lost_at) or is_wide(board, group, loss):
         return jobgraph.CrashEvidence.OUTSIDE
-    if loss.job_ids != {group.job.graph.id}:
+    own_id = group.job.graph.id
+    crashes_elsewhere = any(
+        own_id not in other.job_ids for other in board.crashes.losses
+    )
+    if loss.job_ids != {own_id} or crashes_elsewhere:
         return jobgraph.CrashEvidence.SHARED
     return jobgraph.CrashEvidence.CLEAR
 
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -192,9 +192,9 @@
 class CrashEvidence(enum.Enum):
     """How much the crash of a worker blames the tasks that it ran.
 
-    SHARED: another job's work was there.  OUTSIDE: others were lost at the
-    same time, or the tasks had run for long before, so that they are not the
-    cause.
+    SHARED: another job's work was there, or workers crash that have no work
+    of the job.  OUTSIDE: others were lost at the same time, or the tasks had
+    run for long before, so that they are not the cause.
     """
 
     CLEAR = 'c'
--- a/primroselock/test/testcrashdecisions.py
+++ b/primroselock/test/testcrashdecisions.py
@@ -220,6 +220,21 @@
         crashes.give_up(self.board, suspect.not_before, 103_000)
         self.assertIs(jobs.JobState.RUNNING, suspect.job.state)
 
+    def test_crashes_of_workers_without_work_of_the_job(self) -> None:
+        """Guards against a sound job given up where workers crash anyway."""
+        worker = self._list(boot=2)
+        first = jobgraph.Crash(
+            1, jobgraph.CrashEvidence.CLEAR, jobgraph.Place('w7', 5)
+        )
+        group = self._inherit(first)
+        for boot in (1, 2):
+            entry = fleetbuilders.build_entry('w1', boot=boot)
+            crashes.note_entry(self.board, entry, 80.0)
+            self.board.record_entry(entry, 80.0)
+        self._report(worker, 2)
+        crashes.give_up(self.board, group.not_before, 103_000)
+        self.assertIs(jobs.JobState.RUNNING, group.job.state)
+
     def test_workers_are_not_blamed(self) -> None:
         """Guards against a quarantine of a worker that a task crashed."""
         worker = self._list(boot=2)
