What a silent worker ran is known to later holders (BUDGET)

Cause: a run whose worker is silent until its leases have expired is settled, and counts as crashed once another incarnation answers.

Change: lost runs are stored with the progress of their group, with the worker's address, until the worker's next report or entry tells what became of them, for 60 s with each holder at most. Another id at the same address counts as for the holder that polls. What only an earlier holder saw lost cannot be compared with other losses: it is SHARED at most. A draining worker that falls silent has left as planned.

Open: a row names no address of a worker before it was settled, so that a worker whose entry is gone before a takeover, and that is back under another id, counts for nothing.

--- a/primroselock/decisions/crashes.py
+++ b/primroselock/decisions/crashes.py
@@ -11,6 +11,7 @@
 """
 
 from collections import abc
+import dataclasses
 import typing
 
 import msgspec
@@ -20,19 +21,11 @@
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import livejobs
+from primroselock.decisions import lostruns
 from primroselock import jobgraph
 from primroselock import jobs
 from primroselock.workers import orders
 
-_SENT_STATES: typing.Final = frozenset(
-    {
-        livejobs.MemberState.INHERITED,
-        livejobs.MemberState.ORDERED,
-        livejobs.MemberState.PRESENT,
-    }
-)
-"""States of members whose start may have been sent."""
-
 _FIRST_RETRY_DELAY_S: typing.Final = 0.5
 _RETRY_DELAY_FACTOR: typing.Final = 4.0
 _MAX_RETRY_DELAY_S: typing.Final = 2.0
@@ -54,14 +47,14 @@
     Returns the groups that the incarnation before was to run and that the
     report does not list: their attempts cannot go on.
     """
-    settled = board.crashes.settled_by_worker_id.pop(worker.id, [])
     if not report.boot or not report.is_complete:
         return []
+    settled = lostruns.take(board, worker.id)
     planned_boot = board.crashes.planned_boot_by_id.get(worker.id)
     listed = {running.run for running in report.running}
     listed.update(ended.run for ended in report.ended)
     unlisted = [m for run, m in worker.members.items() if run not in listed]
-    sent = _list_sent(unlisted, now)
+    sent = lostruns.list_sent(worker, unlisted, now)
     victims = [
         run
         for run in settled + sent
@@ -69,7 +62,8 @@
     ]
     is_crash = 0 < worker.boot < report.boot and worker.boot != planned_boot
     if victims or is_crash:
-        _record_loss(board, worker, victims, report.boot, now)
+        loss = _build_loss(worker, report.boot, now)
+        _record_loss(board, loss, victims, now)
     return [run.group for run in victims if run in sent]
 
 
@@ -83,12 +77,12 @@
 
     A worker that was draining has left as planned.
     """
-    settled = board.crashes.settled_by_worker_id.pop(worker.id, [])
+    settled = lostruns.take(board, worker.id)
     if worker.entry.is_draining:
         return
-    victims = settled + _list_sent(members, now)
+    victims = settled + lostruns.list_sent(worker, members, now)
     if victims:
-        _record_loss(board, worker, victims, 0, now)
+        _record_loss(board, _build_loss(worker, 0, now), victims, now)
 
 
 def note_settled(
@@ -96,12 +90,27 @@
 ) -> None:
     """Note the runs of a silent worker that are about to be settled.
 
-    If it is back later as another incarnation, they had crashed with it.
+    If it is back later as another incarnation, they had crashed with it; one
+    that was draining has left as planned.
     """
-    settled = _list_sent(worker.members.values(), now)
-    if settled:
-        known = board.crashes.settled_by_worker_id.get(worker.id, [])
-        board.crashes.settled_by_worker_id[worker.id] = known + settled
+    if not worker.entry.is_draining:
+        lostruns.note(board, worker, now)
+
+
+def restore(
+    board: fleet.ShardBoard, group: livejobs.Group, now: float
+) -> None:
+    """Note the crashes and lost runs that were stored for a group."""
+    if group.crashes:
+        board.crashes.add_suspect(group)
+    lostruns.restore(board, group, now)
+
+
+def review_entries(board: fleet.ShardBoard, now: float) -> None:
+    """Record the crashes that the entries show, after a takeover."""
+    for worker in board.workers_by_id.values():
+        if worker.is_listed:
+            _record_lost(board, worker.entry, now)
 
 
 def note_entry(
@@ -112,47 +121,44 @@
     An idle worker is not polled: only its entry tells that it was lost.
     """
     worker = board.workers_by_id.get(entry.id)
-    if worker is None:
-        return
-    was = worker.entry
-    if not 0 < was.boot < entry.boot:
-        return
-    if was.is_draining:
-        board.crashes.planned_boot_by_id[worker.id] = was.boot
-    elif not worker.members:
-        settled = board.crashes.settled_by_worker_id.pop(worker.id, [])
-        victims = [run for run in settled if 0 < run.boot < entry.boot]
-        _record_loss(board, worker, victims, entry.boot, now)
-
-
-def _list_sent(
-    members: abc.Iterable[livejobs.Member], now: float
-) -> list[crashlog.SentRun]:
-    """Return the runs of members whose start may have been sent."""
-    return [
-        crashlog.SentRun(
-            member.group,
-            member.group.attempt,
-            member.index,
-            member.boot,
-            member.group.began_at,
-            now,
+    if worker is not None and 0 < worker.entry.boot < entry.boot:
+        if worker.entry.is_draining:
+            board.crashes.planned_boot_by_id[worker.id] = worker.entry.boot
+        elif not worker.members:
+            loss = _build_loss(worker, entry.boot, now)
+            _record_loss(board, loss, (), now)
+    _record_lost(board, entry, now)
+
+
+def _record_lost(
+    board: fleet.ShardBoard, entry: fleetworkers.WorkerEntry, now: float
+) -> None:
+    """Record the crashes of lost runs that an entry shows.
+
+    It names another incarnation of their worker, or another worker at its
+    address.
+    """
+    log = board.crashes
+    for lost_id in {entry.id, log.lost_ids_by_address.get(entry.address)}:
+        lost = log.lost_by_worker_id.get(lost_id or '')
+        if lost is None or not lost.is_before(entry.boot):
+            continue
+        loss = crashlog.Loss(
+            lost.id, entry.zone, entry.rack, now, frozenset(), entry.boot
         )
-        for member in members
-        if member.state in _SENT_STATES
-    ]
+        _record_loss(board, loss, lostruns.take(board, lost.id), now)
 
 
 def _record_loss(
     board: fleet.ShardBoard,
-    worker: fleetworkers.Worker,
+    loss: crashlog.Loss,
     victims: abc.Sequence[crashlog.SentRun],
-    boot: int,
     now: float,
 ) -> None:
     """Record the loss of a worker, and a crash under each task on it."""
+    board.crashes.forget_old_losses(now)
     job_ids = frozenset(run.group.job.graph.id for run in victims)
-    loss = _add_loss(board, worker, job_ids, boot, now)
+    loss = board.crashes.add_loss(dataclasses.replace(loss, job_ids=job_ids))
     runs_by_attempt: dict[
         tuple[livejobs.Group, int], list[crashlog.SentRun]
     ] = {}
@@ -161,7 +167,7 @@
             attempt = (run.group, run.attempt)
             runs_by_attempt.setdefault(attempt, []).append(run)
     for runs in runs_by_attempt.values():
-        _record_crash(board, loss, runs, boot)
+        _record_crash(board, loss, runs)
 
 
 def _is_known(run: crashlog.SentRun) -> bool:
@@ -177,7 +183,6 @@
     board: fleet.ShardBoard,
     loss: crashlog.Loss,
     runs: abc.Sequence[crashlog.SentRun],
-    boot: int,
 ) -> None:
     """Record the loss of a worker under tasks of one attempt of a group.
 
@@ -185,7 +190,7 @@
     """
     first = runs[0]
     group = first.group
-    evidence = crashevidence.judge(board, group, loss, first.began_at)
+    evidence = crashevidence.judge(board, loss, first)
     board.crashes.crashes += 1
     board.record_decision(
         'worker crashed under a task',
@@ -195,13 +200,11 @@
         tasks=[run.task_index for run in runs],
         worker=loss.worker_id,
         was=first.boot,
-        boot=boot,
+        boot=loss.next_boot,
         evidence=evidence.value,
         crashes=len(group.crashes),
     )
-    if group.step.long_running and crashevidence.had_run_long(
-        first.began_at, loss.lost_at
-    ):
+    if group.step.long_running and first.had_run_long:
         return
     group.crashes += (
         jobgraph.Crash(
@@ -215,21 +218,14 @@
     board.mark_changed(group.job)
 
 
-def _add_loss(
-    board: fleet.ShardBoard,
-    worker: fleetworkers.Worker,
-    job_ids: frozenset[str],
-    boot: int,
-    now: float,
+def _build_loss(
+    worker: fleetworkers.Worker, next_boot: int, now: float
 ) -> crashlog.Loss:
-    log = board.crashes
-    log.forget_old(now)
+    """Return the loss of a worker, before what it ran is known."""
     lost_at = worker.unresponsive_since if worker.failures_in_row else now
     entry = worker.entry
-    return log.add_loss(
-        crashlog.Loss(
-            worker.id, entry.zone, entry.rack, lost_at, job_ids, boot
-        )
+    return crashlog.Loss(
+        worker.id, entry.zone, entry.rack, lost_at, frozenset(), next_boot
     )
 
 
@@ -285,6 +281,7 @@
 
 def give_up(board: fleet.ShardBoard, now: float, wall_ms: int) -> None:
     """Fail the jobs with a waiting group that crashes its workers."""
+    lostruns.forget_old(board, now)
     for group in list(board.crashes.suspects):
         if group.job.state.is_final or group.phase in (
             livejobs.Phase.DONE,
--- a/primroselock/decisions/crashevidence.py
+++ b/primroselock/decisions/crashevidence.py
@@ -8,7 +8,7 @@
   nothing as had work of this job, or half of the zone or rack: a loss of
   power, not the work.  Or the attempt had run for long before.
 - SHARED: another job's work was on that worker, or workers that had no work
-  of this job were lost lately.
+  of this job were lost lately, or only an earlier holder saw it lost.
 - CLEAR: neither.
 
 A task is proved to crash workers by two crashes if the last is CLEAR, by
@@ -94,19 +94,16 @@
 
 
 def judge(
-    board: fleet.ShardBoard,
-    group: livejobs.Group,
-    loss: crashlog.Loss,
-    began_at: float | None,
+    board: fleet.ShardBoard, loss: crashlog.Loss, run: crashlog.SentRun
 ) -> jobgraph.CrashEvidence:
-    """Return how much a loss blames an attempt that began at ``began_at``."""
-    if had_run_long(began_at, loss.lost_at) or is_wide(board, group, loss):
+    """Return how much a loss blames a run that was on the worker."""
+    if run.had_run_long or is_wide(board, run.group, loss):
         return jobgraph.CrashEvidence.OUTSIDE
-    own_id = group.job.graph.id
+    own_id = run.group.job.graph.id
     crashes_elsewhere = any(
         own_id not in other.job_ids for other in board.crashes.losses
     )
-    if loss.job_ids != {own_id} or crashes_elsewhere:
+    if loss.job_ids != {own_id} or crashes_elsewhere or run.is_inherited:
         return jobgraph.CrashEvidence.SHARED
     return jobgraph.CrashEvidence.CLEAR
 
--- a/primroselock/decisions/crashlog.py
+++ b/primroselock/decisions/crashlog.py
@@ -1,7 +1,7 @@
 """What a shard's holder has seen of crashed workers, see ``crashes``.
 
-Only the crashes of each group are stored, with its progress; the rest is
-known to this holder alone, and only excuses or delays.
+Only the crashes and the lost runs of each group are stored, with its
+progress; the rest is known to this holder alone, and only excuses or delays.
 """
 
 import dataclasses
@@ -10,7 +10,7 @@
 from primroselock.decisions import livejobs
 
 _KEPT_S: typing.Final = 60.0
-"""For so long losses, and runs settled without a report, are kept."""
+"""For so long losses, and workers whose leases have expired, are kept."""
 
 GAUGES: typing.Final = ('crashing_jobs', 'worker_crashes')
 """Names of the counts of :class:`CrashLog`, as metrics."""
@@ -36,31 +36,59 @@
 class SentRun:
     """A task whose start was sent to the incarnation ``boot``.
 
-    Times are on this process's clock: ``began_at`` is when its whole attempt
-    was known to run, or None, and ``seen_at`` when it was last known to be.
+    ``had_run_long`` is as of when its worker was first missed.
+    ``is_inherited`` is set if that was seen by an earlier holder only.
     """
 
     group: livejobs.Group
     attempt: int
     task_index: int
     boot: int
-    began_at: float | None
+    had_run_long: bool
+    is_inherited: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LostWorker:
+    """A worker that was silent until its leases expired, and what it ran.
+
+    The ``lost_runs`` of ``groups`` tell more.  ``address`` is where it was,
+    or empty where that is not known; ``seen_at``, on this process's clock, is
+    when this holder learned of it.
+    """
+
+    id: str
+    address: str
     seen_at: float
+    groups: frozenset[livejobs.Group]
+    is_inherited: bool = False
+
+    def is_before(self, boot: int) -> bool:
+        """Return whether all that it ran was sent to an earlier boot."""
+        return all(
+            0 < lost.place.boot < boot
+            for group in self.groups
+            for lost in group.lost_runs
+            if lost.place.worker_id == self.id
+        )
 
 
 @dataclasses.dataclass(slots=True)
 class CrashLog:
     """Lost workers, and the groups under which workers have crashed.
 
-    ``settled_by_worker_id`` are runs on workers that were silent until their
-    leases had expired.
+    ``lost_by_worker_id`` are the workers that were silent until their leases
+    had expired, ``lost_ids_by_address`` their ids.
     ``planned_boot_by_id`` is by worker the incarnation that
     was draining when it ended.  ``crashes`` and ``given_up`` count the
     crashes that were recorded and the jobs that were given up.
     """
 
     losses: list[Loss] = dataclasses.field(default_factory=list)
-    settled_by_worker_id: dict[str, list[SentRun]] = dataclasses.field(
+    lost_by_worker_id: dict[str, LostWorker] = dataclasses.field(
+        default_factory=dict
+    )
+    lost_ids_by_address: dict[str, str] = dataclasses.field(
         default_factory=dict
     )
     suspects: dict[livejobs.Group, None] = dataclasses.field(
@@ -122,10 +150,37 @@
                 return loss
         return None
 
-    def forget_old(self, now: float) -> None:
+    def add_lost(self, lost: LostWorker) -> None:
+        """Add a worker whose leases have expired, or more of what it ran."""
+        known = self.lost_by_worker_id.get(lost.id)
+        if known is not None:
+            lost = dataclasses.replace(
+                lost,
+                address=lost.address or known.address,
+                groups=known.groups | lost.groups,
+                is_inherited=known.is_inherited or lost.is_inherited,
+            )
+        self.lost_by_worker_id[lost.id] = lost
+        if lost.address:
+            self.lost_ids_by_address[lost.address] = lost.id
+
+    def take_lost(self, worker_id: str) -> LostWorker | None:
+        """Remove and return a worker whose leases had expired."""
+        lost = self.lost_by_worker_id.pop(worker_id, None)
+        if lost is not None:
+            self.lost_ids_by_address.pop(lost.address, None)
+        return lost
+
+    def list_old_lost(self, now: float) -> list[str]:
+        """Return the ids of lost workers that are not waited for any more."""
+        oldest = now - _KEPT_S
+        return [
+            lost.id
+            for lost in self.lost_by_worker_id.values()
+            if lost.seen_at <= oldest
+        ]
+
+    def forget_old_losses(self, now: float) -> None:
         """Forget what is too old to be compared with a new loss."""
         oldest = now - _KEPT_S
         self.losses = [loss for loss in self.losses if loss.lost_at > oldest]
-        for worker_id, settled in list(self.settled_by_worker_id.items()):
-            if settled[-1].seen_at <= oldest:
-                del self.settled_by_worker_id[worker_id]
--- a/primroselock/decisions/graphs.py
+++ b/primroselock/decisions/graphs.py
@@ -97,8 +97,8 @@
         group.failures = record.failures
         group.failed_attempt = record.failed_attempt
         group.crashes = record.crashes
-        if group.crashes:
-            board.crashes.add_suspect(group)
+        group.lost_runs = record.lost_runs
+        crashes.restore(board, group, now)
         group.checkpoint = record.checkpoint
         group.is_resumed = True
         if record.phase is jobgraph.GroupPhase.DONE:
@@ -358,4 +358,5 @@
         places,
         group.failed_attempt,
         group.crashes,
+        group.lost_runs,
     )
--- a/primroselock/decisions/livejobs.py
+++ b/primroselock/decisions/livejobs.py
@@ -152,7 +152,8 @@
     single rack can hold.  ``avoided_worker_ids`` are the workers on which
     the group was stuck, ``times_stuck`` times; others are preferred.
     ``refusals_in_row`` is the number of its last attempts that were refused.
-    ``crashes`` are those of workers under its attempts, see ``crashes``.
+    ``crashes`` are those of workers under its attempts, see ``crashes``, and
+    ``lost_runs`` may turn out to be some.
     """
 
     job: 'LiveJob'
@@ -176,6 +177,7 @@
     avoided_worker_ids: set[str] = dataclasses.field(default_factory=set)
     times_stuck: int = 0
     crashes: tuple[jobgraph.Crash, ...] = ()
+    lost_runs: tuple[jobgraph.LostRun, ...] = ()
     step_name: StepName = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -215,6 +215,21 @@
     task_indices: tuple[decoding.Integer, ...] = ()
 
 
+class LostRun(msgspec.Struct, frozen=True, array_like=True):
+    """Tasks of an attempt whose worker was silent until its leases expired.
+
+    They have crashed with it if another incarnation answers for the worker,
+    or another worker at its ``address``.  ``had_run_long`` is as of when the
+    worker was first missed.
+    """
+
+    attempt: decoding.Integer
+    place: Place
+    task_indices: tuple[decoding.Integer, ...]
+    address: str = ''
+    had_run_long: bool = False
+
+
 class GroupRecord(msgspec.Struct, frozen=True, array_like=True):
     """The stored progress of a group.
 
@@ -222,7 +237,8 @@
     the attempts up to ``failed_attempt`` that ended by a task's failure, so
     that an end that is reported again is not counted twice; ``checkpoint``
     is the saved state from which the next attempt may resume.  ``crashes``
-    has one entry for each worker that crashed under an attempt.
+    has one entry for each worker that crashed under an attempt, and
+    ``lost_runs`` one for each of which that is not known yet.
     """
 
     key: GroupKey
@@ -233,6 +249,7 @@
     places: tuple[Place, ...] = ()
     failed_attempt: decoding.Integer = 0
     crashes: tuple[Crash, ...] = ()
+    lost_runs: tuple[LostRun, ...] = ()
 
 
 class JobProgress(msgspec.Struct, frozen=True, array_like=True):
--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -16,6 +16,7 @@
 from primroselock import backgroundtasks
 from primroselock import boardrows
 from primroselock import clock
+from primroselock.decisions import crashes
 from primroselock.decisions import fleet
 from primroselock.decisions import leasebounds
 from primroselock.decisions import placeability
@@ -336,6 +337,7 @@
             boardrows.apply_entry(board, self._worker_rows, row, now)
         async for job_id, stored in waits.take_turns(jobs_by_id.items()):
             boardrows.load_job(board, job_id, stored, now)
+        crashes.review_entries(board, now)
         _log.info(
             'shard takeover complete',
             epoch=board.epoch,
--- a/primroselock/test/testcrashinggangs.py
+++ b/primroselock/test/testcrashinggangs.py
@@ -9,7 +9,7 @@
 from primroselock.test import fleetbuilders
 from primroselock.test import simulatedworker
 
-_GIVE_UP_S = 90.0
+_GIVE_UP_S = 120.0
 _ALL_RETURNS = tuple(crashbuilders.Return)
 
 
@@ -105,6 +105,7 @@
         after_s: float,
         returns: crashbuilders.Return = crashbuilders.Return.SAME_ADDRESS,
         disturb: crashbuilders.Disturbance | None = None,
+        down_s: tuple[float, float] = (2.0, 4.0),
     ) -> None:
         async def scenario(
             world: fleetbuilders.World, crashing: crashbuilders.CrashingTasks
@@ -122,7 +123,7 @@
                 if disturbing is not None:
                     disturbing.cancel()
 
-        crashbuilders.run(scenario, returns=returns, nodes=3)
+        crashbuilders.run(scenario, returns=returns, nodes=3, down_s=down_s)
 
     def test_one_deadly_member(self) -> None:
         """Guards against a gang started without end for one member."""
@@ -153,6 +154,23 @@
                 with self.subTest(disturb=disturb, after_s=after_s):
                     self._check_given_up(step, 1, after_s, disturb=disturb)
 
+    def test_takeovers_before_workers_are_back(self) -> None:
+        """Guards against crashes that a new holder does not know (BUDGET).
+
+        Workers are back after their leases, and each holder is killed before.
+        """
+        step = fleetbuilders.build_step(4, 8, 5000, gang=True)
+        for returns in _ALL_RETURNS:
+            with self.subTest(returns=returns):
+                self._check_given_up(
+                    step,
+                    1,
+                    1.0,
+                    returns,
+                    crashbuilders.kill_holder,
+                    (12.0, 14.0),
+                )
+
 
 if __name__ == '__main__':
     unittest.main()
