A start without an answer may begin on a silent worker that restarted (TWICE)

Cause: a worker is cut off while a start to it has no answer, crashes behind the cut and starts again under its id. The order is carried out late on the new boot, whose clock starts anew, so that the order's times do not hold it back, and it grants the longest lease. The holder knows nothing of that boot: it took the leases of the boot before, which end 10 s after the last renewal, for all, and placed the task again while it ran.

Change: while a worker is silent, its leases have ended only once those of starts without an answer have, too: the latest time at which they may begin, and the longest lease. Only members with such a start wait longer.

Open: a new holder does not know which starts of the one before had no answer, unless the wait was published before.

--- a/primroselock/decisions/livejobs.py
+++ b/primroselock/decisions/livejobs.py
@@ -107,7 +107,8 @@
     the worker answered the start or first reported the run, ``stopped_at``
     when it answered an order to stop the run.  By ``begin_before``, on the
     worker's clock, each start order that was not answered begins or never
-    does; there are ``unanswered_starts`` of them, with those under way.
+    does; there are ``unanswered_starts`` of them, with those under way, the
+    last of which was sent at ``unanswered_at``.
     ``address`` is where the worker was when the last start order was sent,
     or None if this holder sent none.
     ``progress`` is None until a run report has listed the run.
@@ -124,6 +125,7 @@
     stopped_at: float = _NEVER
     begin_before: float | None = None
     unanswered_starts: int = 0
+    unanswered_at: float = _NEVER
     address: str | None = None
     is_done: bool = False
     progress: runprogress.Progress | None = None
--- a/primroselock/decisions/runleases.py
+++ b/primroselock/decisions/runleases.py
@@ -13,6 +13,7 @@
 from primroselock.decisions import leasebounds
 from primroselock.decisions import livejobs
 from primroselock.decisions import runs
+from primroselock.decisions import workerboots
 
 _EXPIRY_CHECK_INTERVAL_S: typing.Final = 0.05
 _LEASE_MARGIN_S: typing.Final = 0.3
@@ -147,7 +148,12 @@
     if not worker.is_polled:
         # This holder knows no clock of the worker, and granted no lease.
         return inherited_until
-    return max(inherited_until, _own_leases_until(worker))
+    late_lease_s = board.run_lease_s * (1 + leasebounds.CLOCK_DRIFT)
+    return max(
+        inherited_until,
+        _own_leases_until(worker),
+        workerboots.late_leases_until(worker, late_lease_s),
+    )
 
 
 def bound_leases(
--- a/primroselock/decisions/workerboots.py
+++ b/primroselock/decisions/workerboots.py
@@ -12,7 +12,7 @@
 from primroselock.decisions import livejobs
 from primroselock.workers import orders
 
-_LATE_START_S: typing.Final = 10.0
+_LATE_START_S: typing.Final = 13.0
 """A start without an answer is taken to begin within this time, or never, on
 a boot whose clock does not tell that it is too late."""
 
@@ -71,6 +71,23 @@
     return report.clock_s + late_s + run_lease_s
 
 
+def late_leases_until(
+    worker: fleetworkers.Worker, run_lease_s: float
+) -> float:
+    """Return by when the leases of late starts have ended, on this clock.
+
+    A silent worker may have started again, and a start that was meant for the
+    boot before may begin there without this holder's knowledge.
+    """
+    return max(
+        (
+            member.unanswered_at + _LATE_START_S + run_lease_s
+            for member in list_late(worker)
+        ),
+        default=_NEVER,
+    )
+
+
 def list_late(worker: fleetworkers.Worker) -> list[livejobs.Member]:
     """Return the members of which a start order may still be under way.
 
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -288,7 +288,9 @@
             order,
             self._settings.fleet.order_timeout_s,
         )
-        if not _is_unanswered(answer):
+        if _is_unanswered(answer):
+            member.unanswered_at = sent_at
+        else:
             member.unanswered_starts -= 1
         answered_at = clock.monotonic()
         self._metrics.record('start_order', answered_at - sent_at)
--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -29,7 +29,8 @@
     A call to another address than the worker's is answered there by another
     instance.  Starts that are carried out late end with the process that
     holds them back, unless ``late_starts_outlive`` is set: then they reach
-    the incarnation that runs by then.
+    the incarnation that runs by then.  They are late by ``late_s`` seconds,
+    drawn from this range.
 
     A run takes the expected time of its step, unless ``work_s_by_job`` gives
     another for its job.  A stopped run ends ``stop_delay_s`` after the order.
@@ -50,6 +51,7 @@
         self.failures_by_task: dict[jobgraph.TaskName, int] = {}
         self.stop_delay_s = 0.1
         self.late_starts_outlive = False
+        self.late_s = (2.0, 6.0)
         self.violations: list[str] = []
         self.starts = 0
         self.refused_starts = 0
@@ -225,7 +227,7 @@
         self, worker: simulatedworker.FakeWorker, order: orders.Start
     ) -> None:
         boot, ordered_at = worker.boot, clock.monotonic()
-        await asyncio.sleep(self._random.uniform(2.0, 6.0))
+        await asyncio.sleep(self._random.uniform(*self.late_s))
         if worker.is_down:
             return
         # An order that is queued in a worker's process is lost with it; one
--- a/primroselock/test/testworkerrestarts.py
+++ b/primroselock/test/testworkerrestarts.py
@@ -445,6 +445,42 @@
         for seed in range(4):
             fleetbuilders.run_with_node(scenario, seed, workers=1)
 
+    def test_a_silent_worker_that_has_restarted(self) -> None:
+        """Guards against an order that begins behind a cut (TWICE).
+
+        The worker crashes and starts again while it is cut off, so that
+        nothing is known of its next boot, where the order begins.
+        """
+        for late_s in ((2.0, 6.0), (6.0, 9.0), (9.0, 12.0)):
+            for seed in range(3):
+                with self.subTest(late_s=late_s, seed=seed):
+                    fleetbuilders.run_with_node(
+                        self._restart_behind_cut(late_s), seed, workers=1
+                    )
+
+    def _restart_behind_cut(
+        self, late_s: tuple[float, float]
+    ) -> fleetbuilders.NodeScenario:
+        async def scenario(world: fleetbuilders.World) -> None:
+            world.fleet.late_starts_outlive = True
+            world.fleet.late_s = late_s
+            (worker,) = world.fleet.workers_by_id.values()
+            await asyncio.sleep(1.0)
+            worker.delayed_order_share = 1.0
+            _submit(world, 'j', _LONG_MS)
+            await asyncio.sleep(0.2)
+            worker.delayed_order_share = 0.0
+            worker.is_partitioned = True
+            world.add_worker(fleetbuilders.build_entry('w9'))
+            await asyncio.sleep(0.3)
+            world.fleet.crash(worker)
+            world.fleet.restart(worker)
+            await asyncio.sleep(40.0)
+            self.assertEqual([], world.fleet.violations)
+            self.assertEqual(1, _count_runs(world, 'j'))
+
+        return scenario
+
     def test_a_start_of_an_earlier_holder(self) -> None:
         """Guards against an order of before a takeover and a crash.
 
