The crashes of a task that is given up excuse other jobs' tasks (LOST)

Cause: a crash that was SHARED stays so for all, also once one of those on the worker is proved to be the cause.

Change: when a job is given up, the crashes that its guilty tasks were on are excused for other jobs. If several are proved in one round, the one with the most crashes goes first.

--- a/primroselock/decisions/crashes.py
+++ b/primroselock/decisions/crashes.py
@@ -280,8 +280,12 @@
 
 
 def give_up(board: fleet.ShardBoard, now: float, wall_ms: int) -> None:
-    """Fail the jobs with a waiting group that crashes its workers."""
+    """Fail the jobs with a waiting group that crashes its workers.
+
+    Those with the most crashes go first: they may excuse others.
+    """
     lostruns.forget_old(board, now)
+    guilty = []
     for group in list(board.crashes.suspects):
         if group.job.state.is_final or group.phase in (
             livejobs.Phase.DONE,
@@ -294,11 +298,14 @@
             and not group.job.is_cancelled
         ):
             if crashevidence.is_guilty(group):
-                _judge_again(board, group)
-            if crashevidence.is_guilty(group):
-                _fail(board, group, wall_ms)
+                guilty.append(group)
         elif group.phase is livejobs.Phase.RUNNING:
             _clear_if_sound(board, group)
+    guilty.sort(key=crashevidence.most_crashes, reverse=True)
+    for group in guilty:
+        _judge_again(board, group)
+        if crashevidence.is_guilty(group) and not group.job.state.is_final:
+            _fail(board, group, wall_ms)
 
 
 def _clear_if_sound(board: fleet.ShardBoard, group: livejobs.Group) -> None:
@@ -324,19 +331,16 @@
 
 def _judge_again(board: fleet.ShardBoard, group: livejobs.Group) -> None:
     """Excuse the latest crashes if the loss turns out to have been wide."""
-    outside = jobgraph.CrashEvidence.OUTSIDE
     last_attempt = group.crashes[-1].attempt
-    judged = []
-    for crash in group.crashes:
-        if crash.attempt == last_attempt and _is_excused(board, group, crash):
-            crash = msgspec.structs.replace(crash, evidence=outside)
-        judged.append(crash)
-    if tuple(judged) != group.crashes:
-        group.crashes = tuple(judged)
-        board.mark_changed(group.job)
+    wide = [
+        crash
+        for crash in group.crashes
+        if crash.attempt == last_attempt and _was_wide(board, group, crash)
+    ]
+    _excuse(board, group, wide)
 
 
-def _is_excused(
+def _was_wide(
     board: fleet.ShardBoard, group: livejobs.Group, crash: jobgraph.Crash
 ) -> bool:
     job_id = group.job.graph.id
@@ -344,6 +348,33 @@
     return loss is not None and crashevidence.is_wide(board, group, loss)
 
 
+def _excuse(
+    board: fleet.ShardBoard,
+    group: livejobs.Group,
+    excused: abc.Collection[jobgraph.Crash],
+) -> None:
+    """Record that crashes under a group had another cause."""
+    outside = jobgraph.CrashEvidence.OUTSIDE
+    judged = tuple(
+        msgspec.structs.replace(crash, evidence=outside)
+        if crash in excused
+        else crash
+        for crash in group.crashes
+    )
+    if judged != group.crashes:
+        group.crashes = judged
+        board.mark_changed(group.job)
+
+
+def _excuse_others(board: fleet.ShardBoard, guilty: livejobs.Group) -> None:
+    """Excuse the crashes of other jobs where a guilty task was, too."""
+    places = crashevidence.find_places_of_guilty(guilty)
+    for group in board.crashes.suspects:
+        if group.job is not guilty.job:
+            shared = [c for c in group.crashes if c.place in places]
+            _excuse(board, group, shared)
+
+
 def _fail(
     board: fleet.ShardBoard, group: livejobs.Group, wall_ms: int
 ) -> None:
@@ -360,6 +391,7 @@
         evidence=[crash.evidence.value for crash in group.crashes],
     )
     group.job.end(jobs.JobState.FAILED, wall_ms)
+    _excuse_others(board, group)
     board.mark_changed(group.job)
 
 
--- a/primroselock/decisions/crashevidence.py
+++ b/primroselock/decisions/crashevidence.py
@@ -16,6 +16,8 @@
 crash workers without end.  Long-running work must be started again however it
 ends: it is only given up for the last two, and a long run without a crash
 clears it.
+
+The crashes of a task that is proved to cause them are none of other jobs'.
 """
 
 from collections import abc
@@ -67,11 +69,24 @@
 
 def is_guilty(group: livejobs.Group) -> bool:
     """Return whether a task of the group is proved to crash workers."""
+    return bool(_list_proofs(group))
+
+
+def find_places_of_guilty(group: livejobs.Group) -> frozenset[jobgraph.Place]:
+    """Return the workers that the guilty tasks of a group have crashed."""
+    return frozenset(
+        crash.place for proof in _list_proofs(group) for crash in proof
+    )
+
+
+def _list_proofs(group: livejobs.Group) -> list[list[jobgraph.Crash]]:
+    """Return the crashes of each task that is proved to crash workers."""
     may_be_clear = not group.step.long_running
-    return any(
-        _is_proof(crashes, may_be_clear)
+    return [
+        crashes
         for crashes in group_by_task(group).values()
-    )
+        if _is_proof(crashes, may_be_clear)
+    ]
 
 
 def _is_proof(
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -194,7 +194,7 @@
 
     SHARED: another job's work was there, or workers crash that have no work
     of the job.  OUTSIDE: others were lost at the same time, or the tasks had
-    run for long before, so that they are not the cause.
+    run for long before, or another job's task is the cause.
     """
 
     CLEAR = 'c'
--- a/primroselock/test/testcrashdecisions.py
+++ b/primroselock/test/testcrashdecisions.py
@@ -235,6 +235,24 @@
         crashes.give_up(self.board, group.not_before, 103_000)
         self.assertIs(jobs.JobState.RUNNING, group.job.state)
 
+    def test_crashes_of_a_task_that_is_given_up(self) -> None:
+        """Guards against a job given up for the crashes of a guilty one."""
+        worker = self._list(boot=2)
+        shared = jobgraph.CrashEvidence.SHARED
+        earlier = [
+            jobgraph.Crash(n, shared, jobgraph.Place('w7', n)) for n in (1, 2)
+        ]
+        guilty = self._inherit(*earlier)
+        first = jobgraph.Crash(1, shared, earlier[1].place)
+        sound = self._inherit(first)
+        self._report(worker, 2)
+        crashes.give_up(self.board, 110.0, 110_000)
+        self.assertIs(jobs.JobState.FAILED, guilty.job.state)
+        outside = jobgraph.CrashEvidence.OUTSIDE
+        self.assertEqual(
+            [outside, outside], [crash.evidence for crash in sound.crashes]
+        )
+
     def test_workers_are_not_blamed(self) -> None:
         """Guards against a quarantine of a worker that a task crashed."""
         worker = self._list(boot=2)
