A retry waits for an order that may begin behind a cut (TWICE)

Cause: a run that had a start without an answer has ended on its worker. The worker falls silent, and may have started again: there the order may begin, and nothing refuses it. The task was placed again at once on another worker.

Change: a task waits while the worker of such a run is silent, may have started again, or its new boot has not answered the stop of the run, until the order can be carried out no more and its lease has ended. A worker that answers as the same boot, or that has no such run, delays nothing.

--- a/primroselock/decisions/earlierruns.py
+++ b/primroselock/decisions/earlierruns.py
@@ -1,7 +1,8 @@
 """Groups that wait until an earlier run of theirs has ended.
 
 A run that no row asks for is stopped.  If it is an earlier attempt of a task
-that waits, the next attempt must not begin beside it.
+that waits, the next attempt must not begin beside it; nor beside one that may
+have begun, by an order without an answer, on a boot that nothing is known of.
 """
 
 import typing
@@ -9,6 +10,7 @@
 from primroselock.decisions import fleet
 from primroselock.decisions import leasebounds
 from primroselock.decisions import livejobs
+from primroselock.decisions import workerboots
 from primroselock import jobgraph
 
 _MARGIN_S: typing.Final = 1.0
@@ -18,7 +20,7 @@
 def list_held(
     board: fleet.ShardBoard, now: float
 ) -> frozenset[livejobs.Group]:
-    """Return the groups of which a worker still runs an earlier attempt.
+    """Return the groups of which a worker may run an earlier attempt.
 
     A stop is ordered whenever a run is listed.  Of a worker that reports
     nothing any more the run ends with its lease.
@@ -29,6 +31,8 @@
         for unexpected in worker.unexpected_runs.values():
             if now - unexpected.stop_sent_at < longest_s:
                 held.add(_find_group(board, unexpected.run.task))
+        for run in workerboots.list_uncertain(worker, longest_s, now):
+            held.add(_find_group(board, run.task))
     return frozenset(group for group in held if group is not None)
 
 
--- a/primroselock/decisions/fleetworkers.py
+++ b/primroselock/decisions/fleetworkers.py
@@ -59,7 +59,7 @@
 class LateRun:
     """A run that was settled while a start order of it may be under way.
 
-    It was first ordered at ``ordered_at``; ``boot`` is the boot that refuses
+    It was last ordered at ``ordered_at``; ``boot`` is the boot that refuses
     the order: it has run, ended or stopped the run.
     """
 
@@ -228,7 +228,8 @@
     def remove_member(self, member: livejobs.Member) -> None:
         """Remove a member and free the resources that it took."""
         if member.unanswered_starts:
-            late_run = LateRun(member.ordered_at, self.boot)
+            ordered_at = max(member.ordered_at, member.unanswered_at)
+            late_run = LateRun(ordered_at, self.boot)
             self.late_runs[member.run] = late_run
         if self.members.pop(member.run, None) is not None:
             self.used = self.used.plus(member.group.step.counted_need, -1)
--- a/primroselock/decisions/workerboots.py
+++ b/primroselock/decisions/workerboots.py
@@ -136,6 +136,23 @@
     return due
 
 
+def list_uncertain(
+    worker: fleetworkers.Worker, run_lease_s: float, now: float
+) -> list[orders.Run]:
+    """Return the settled runs that may be in progress on an unknown boot.
+
+    The worker is silent or may have started again, or its boot has not
+    answered their stops; an order of theirs may have been under way.
+    """
+    is_unknown = worker.failures_in_row > 0 or worker.is_doubted
+    return [
+        run
+        for run, late_run in worker.late_runs.items()
+        if now - late_run.ordered_at < _LATE_START_S + run_lease_s
+        and (is_unknown or late_run.boot != worker.boot)
+    ]
+
+
 def has_open_stops(worker: fleetworkers.Worker) -> bool:
     """Return whether the boot that runs now must still be told of runs."""
     return any(
--- a/primroselock/test/testworkerrestarts.py
+++ b/primroselock/test/testworkerrestarts.py
@@ -16,6 +16,7 @@
 from primroselock.decisions import livejobs
 from primroselock.decisions import runleases
 from primroselock.decisions import runs
+from primroselock import jobgraph
 from primroselock.test import fleetbuilders
 from primroselock.test import simulatedworker
 from primroselock.test import testleasebounds
@@ -481,6 +482,42 @@
 
         return scenario
 
+    def test_a_silent_worker_whose_run_has_ended(self) -> None:
+        """Guards against a retry beside a late order behind a cut (TWICE)."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            world.fleet.late_starts_outlive = True
+            world.fleet.late_s = (5.0, 6.0)
+            world.fleet.failing_job_ids.add('j')
+            (worker,) = world.fleet.workers_by_id.values()
+            await asyncio.sleep(1.0)
+            _submit(world, 'busy', _LONG_MS)
+            await asyncio.sleep(0.5)
+            worker.delayed_order_share = 1.0
+            _submit(world, 'j', _LONG_MS)
+            await asyncio.sleep(0.2)
+            worker.delayed_order_share = 0.0
+            while len(worker.runs) < 2:
+                await asyncio.sleep(0.0005)
+            # The next attempt has no place there.
+            world.set_capacity('w0', jobgraph.Resources(1000, 1000, 1))
+            await _wait_for_end(worker)
+            await asyncio.sleep(0.02)
+            world.fleet.failing_job_ids.clear()
+            worker.is_partitioned = True
+            world.fleet.crash(worker)
+            world.fleet.restart(worker)
+            # By then it counts as silent.
+            await asyncio.sleep(3.0)
+            world.add_worker(fleetbuilders.build_entry('w9'))
+            await asyncio.sleep(40.0)
+            self.assertEqual([], world.fleet.violations)
+            self.assertEqual(1, _count_runs(world, 'j'))
+
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                fleetbuilders.run_with_node(scenario, seed, workers=1)
+
     def test_a_start_of_an_earlier_holder(self) -> None:
         """Guards against an order of before a takeover and a crash.
 
