The soak knows that a gang may fail as often as its queue allows

The check counted ends by task only. It counts attempts of gangs in which a task failed, and single tasks as before.

--- a/primroselock/test/crashbuilders.py
+++ b/primroselock/test/crashbuilders.py
@@ -146,16 +146,24 @@
         """Return the jobs that failed though none of their tasks did.
 
         Jobs that crash workers or always fail are left out, as are those of
-        which a task failed as often as its queue allows.
+        which a task, or a gang, failed as often as its queue allows.
         """
         fleet = self._world.fleet
         excused = fleet.failing_job_ids | self.after_s_by_job_id.keys()
-        for task, failures in fleet.failures_by_task.items():
+        counts = [
+            (task.job_id, failures)
+            for task, failures in fleet.failures_by_task.items()
+        ]
+        counts += [
+            (gang[0], len(attempts))
+            for gang, attempts in fleet.failed_attempts_by_gang.items()
+        ]
+        for job_id, failures in counts:
             queue = self._world.queue_configuration.find_by_name(
-                fleet.graphs_by_id[task.job_id].queue
+                fleet.graphs_by_id[job_id].queue
             )
             if queue is None or failures >= queue.max_attempts:
-                excused = excused | {task.job_id}
+                excused = excused | {job_id}
         return [
             job_id
             for job_id in fleet.graphs_by_id
--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -49,6 +49,9 @@
         """Jobs whose starts every worker refuses as not understood."""
 
         self.failures_by_task: dict[jobgraph.TaskName, int] = {}
+        self.failed_attempts_by_gang: dict[tuple[str, int, int], set[int]] = {}
+        """By job, occurrence and step."""
+
         self.stop_delay_s = 0.1
         self.late_starts_outlive = False
         self.late_s = (2.0, 6.0)
@@ -129,6 +132,10 @@
         elif live.cause is orders.EndCause.FAILED:
             count = self.failures_by_task.get(task, 0)
             self.failures_by_task[task] = count + 1
+            if live.step.gang:
+                gang = (task.job_id, task.occurrence, task.step)
+                attempts = self.failed_attempts_by_gang.setdefault(gang, set())
+                attempts.add(live.run.attempt)
         if live.step.gang:
             self._end_gang(live)
 
