--- a/primroselock/decisions/livejobs.py
+++ b/primroselock/decisions/livejobs.py
@@ -214,6 +214,10 @@
             index.starting[self] = None
         elif phase is Phase.STOPPING:
             index.stopping[self] = None
+        if phase in ACTIVE_PHASES:
+            self.job.active_groups[self] = None
+        else:
+            self.job.active_groups.pop(self, None)
         self.phase = phase
         self.since = now
 
@@ -272,7 +276,8 @@
     is the last change that was; ``row_version`` is the version of the first
     progress row, of which there are ``stored_parts``.  ``refusal`` is set
     while the store refuses the job's progress.  ``released`` is the number of
-    occurrences whose groups exist.  ``capacity_since`` is since when a waiting
+    occurrences whose groups exist, and ``active_groups`` are those in
+    ``ACTIVE_PHASES``.  ``capacity_since`` is since when a waiting
     group would fit if it preferred nothing, as last seen at
     ``capacity_seen_at``.  ``phases`` is the index of the blackboard that holds
     the job.
@@ -287,6 +292,7 @@
     groups_by_key: dict[jobgraph.GroupKey, Group] = dataclasses.field(
         default_factory=dict
     )
+    active_groups: dict[Group, None] = dataclasses.field(default_factory=dict)
     released: int = 0
     is_cancelled: bool = False
     ended_ms: int = 0
@@ -327,12 +333,8 @@
     def runs_nothing(self, now: float) -> bool:
         """Return whether no group runs, or was placed a short time ago."""
         return not any(
-            group.phase is Phase.RUNNING
-            or (
-                group.phase in ACTIVE_PHASES
-                and now - group.since < _MAX_START_S
-            )
-            for group in self.groups_by_key.values()
+            group.phase is Phase.RUNNING or now - group.since < _MAX_START_S
+            for group in self.active_groups
         )
 
     def request_cancel(self) -> None:
--- /dev/null
+++ b/primroselock/test/testlargejobs.py
@@ -0,0 +1,57 @@
+"""Jobs with thousands of tasks that are due: the cost of a round."""
+
+import cProfile
+import pstats
+import unittest
+
+import msgspec
+
+from primroselock.decisions import fleetround
+from primroselock.decisions import graphs
+from primroselock.test import fleetbuilders
+from primroselock.test import idlebuilders
+
+_WALL_S = 1_000_000.0
+_MAX_GROWTH = 1.3
+"""How much more than proportional the cost may grow."""
+
+
+def _count_calls(occurrences: int, label: str) -> int:
+    """Return the function calls of a round beside due occurrences."""
+    site = idlebuilders.Site(8)
+    step = fleetbuilders.build_step(1, 1, 5000, label=label)
+    graph = msgspec.structs.replace(
+        fleetbuilders.build_graph('j', step),
+        occurrences=occurrences,
+        first_due_ms=1,
+        period_ms=1,
+    )
+    wall_ms = int(_WALL_S * 1000)
+    graphs.add_job(site.board, graph, None, 0, site.now, wall_ms)
+    profile = cProfile.Profile()
+    # The first round places what has room, and fills the caches.
+    fleetround.run(site.board, site.settings, site.now, _WALL_S)
+    profile.enable()
+    fleetround.run(site.board, site.settings, site.now + 0.1, _WALL_S)
+    profile.disable()
+    return int(pstats.Stats(profile).total_calls)  # type: ignore[attr-defined]
+
+
+class RoundTest(unittest.TestCase):
+    """The cost of a round follows what waits, not its square."""
+
+    def test_due_occurrences_without_a_worker(self) -> None:
+        """Guards against holders that stand still for a job (review/1)."""
+        self._check_growth('gone')
+
+    def test_due_occurrences_beside_running_ones(self) -> None:
+        """Guards against the same where some of them have room."""
+        self._check_growth('')
+
+    def _check_growth(self, label: str) -> None:
+        few, many = (_count_calls(count, label) for count in (250, 1000))
+        self.assertLess(many, 4 * few * _MAX_GROWTH)
+
+
+if __name__ == '__main__':
+    unittest.main()
