--- a/primroselock/decisions/placementround.py
+++ b/primroselock/decisions/placementround.py
@@ -15,7 +15,6 @@
 from primroselock.decisions import freecapacity
 from primroselock.decisions import livejobs
 from primroselock.decisions import waiting
-from primroselock import jobs
 from primroselock import options
 
 
@@ -97,8 +96,6 @@
         group.members.append(member)
         worker.add_member(member)
     job = group.job
-    if job.state is jobs.JobState.WAITING:
-        job.state = jobs.JobState.RUNNING
     board.record_decision(
         'placed',
         job,
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -20,6 +20,7 @@
 from primroselock.decisions import livejobs
 from primroselock.decisions import runprogress
 from primroselock.decisions import workerboots
+from primroselock import jobs
 from primroselock.workers import orders
 
 STOP_RETRY_S: typing.Final = 0.5
@@ -160,6 +161,7 @@
     if member is None:
         return
     group = member.group
+    _note_started(board, group.job)
     board.record_decision(
         'run ended',
         group.job,
@@ -327,10 +329,18 @@
     return member.stopped_at < sent_at and member.stopped_at > 0
 
 
+def _note_started(board: fleet.ShardBoard, job: livejobs.LiveJob) -> None:
+    """Record that a task of a job has started; a placement does not tell."""
+    if job.state is jobs.JobState.WAITING:
+        job.state = jobs.JobState.RUNNING
+        board.mark_changed(job)
+
+
 def mark_present(
     board: fleet.ShardBoard, member: livejobs.Member, now: float
 ) -> None:
     """Record that a member runs; its group runs once all members do."""
+    _note_started(board, member.group.job)
     member.state = livejobs.MemberState.PRESENT
     if member.answered_at < member.ordered_at or member.answered_at < 0:
         member.answered_at = now
