After three crashes a task has two more starts, however they end (BUDGET)

Cause: a task was bounded by its crashes only: four of any kind. Starts that end without one, as when the run is preempted before it crashes its worker, did not count. The users' rule counts starts: "is started three times more ... after three minions have crashed under it".

Change: a task under which three workers crashed, for whatever cause, is given up once it was placed twice since.

--- a/primroselock/decisions/crashevidence.py
+++ b/primroselock/decisions/crashevidence.py
@@ -12,10 +12,10 @@
 - CLEAR: neither.
 
 A task is proved to crash workers by two crashes if the last is CLEAR, by
-three that are not OUTSIDE, and by four in any case, so that no cause lets it
-crash workers without end.  Long-running work must be started again however it
-ends: it is only given up for the last two, and a long run without a crash
-clears it.
+three that are not OUTSIDE, and by four in any case, or three and two more
+starts, so that no cause lets it crash workers without end.  Long-running work
+must be started again however it ends: two crashes prove nothing of it, and a
+long run without a crash clears it.
 
 The crashes of a task that is proved to cause them are none of other jobs'.
 """
@@ -31,6 +31,8 @@
 MAX_CRASHES: typing.Final = 4
 _CLEAR_CRASHES: typing.Final = 2
 _BLAMED_CRASHES: typing.Final = 3
+_CRASHES_BEFORE_LAST_STARTS: typing.Final = 3
+_MAX_LAST_STARTS: typing.Final = 2
 _SAME_CAUSE_S: typing.Final = 3.0
 """Workers that were first missed within this time may share a cause."""
 
@@ -81,31 +83,40 @@
 
 def _list_proofs(group: livejobs.Group) -> list[list[jobgraph.Crash]]:
     """Return the crashes of each task that is proved to crash workers."""
-    may_be_clear = not group.step.long_running
     return [
         crashes
         for crashes in group_by_task(group).values()
-        if _is_proof(crashes, may_be_clear)
+        if _is_proof(group, crashes)
     ]
 
 
 def _is_proof(
-    crashes: abc.Sequence[jobgraph.Crash], may_be_clear: bool
+    group: livejobs.Group, crashes: abc.Sequence[jobgraph.Crash]
 ) -> bool:
-    """Return whether the crashes under one task prove that it causes them.
-
-    ``may_be_clear`` is whether CLEAR evidence needs fewer of them.
-    """
+    """Return whether the crashes under one task prove that it causes them."""
     blamed = sum(
         crash.evidence is not jobgraph.CrashEvidence.OUTSIDE
         for crash in crashes
     )
-    is_clear = crashes[-1].evidence is jobgraph.CrashEvidence.CLEAR
-    return (
+    if (
         len(crashes) >= MAX_CRASHES
         or blamed >= _BLAMED_CRASHES
-        or (may_be_clear and is_clear and blamed >= _CLEAR_CRASHES)
-    )
+        or _has_used_its_starts(group, crashes)
+    ):
+        return True
+    is_clear = crashes[-1].evidence is jobgraph.CrashEvidence.CLEAR
+    may_be_clear = not group.step.long_running
+    return may_be_clear and is_clear and blamed >= _CLEAR_CRASHES
+
+
+def _has_used_its_starts(
+    group: livejobs.Group, crashes: abc.Sequence[jobgraph.Crash]
+) -> bool:
+    """Return whether a task had its last start, however the runs ended."""
+    if len(crashes) < _CRASHES_BEFORE_LAST_STARTS:
+        return False
+    counted = crashes[_CRASHES_BEFORE_LAST_STARTS - 1]
+    return group.attempt - counted.attempt >= _MAX_LAST_STARTS
 
 
 def judge(
--- a/primroselock/test/testcrashdecisions.py
+++ b/primroselock/test/testcrashdecisions.py
@@ -280,6 +280,23 @@
         crashes.give_up(self.board, 101.0, 101_000)
         self.assertIs(jobs.JobState.FAILED, group.job.state)
 
+    def test_starts_that_end_without_a_crash(self) -> None:
+        """Guards against more starts of a task that is preempted (BUDGET)."""
+        outside = jobgraph.CrashEvidence.OUTSIDE
+        earlier = [
+            jobgraph.Crash(n, outside, jobgraph.Place('w7', n))
+            for n in (1, 2, 3)
+        ]
+        group = self._inherit(*earlier)
+        for attempt, state in (
+            (4, jobs.JobState.RUNNING),
+            (5, jobs.JobState.FAILED),
+        ):
+            group.attempt = attempt
+            group.enter(livejobs.Phase.WAITING, 100.0)
+            crashes.give_up(self.board, 101.0, 101_000)
+            self.assertIs(state, group.job.state)
+
     def test_the_record_of_a_job_given_up(self) -> None:
         """Guards against a failure of which nobody can tell the cause."""
         worker = self._list(boot=3)
