A worker whose entry is gone has not started again (LOST)

Cause: the wait for starts that may begin on another boot lasted 23 s, also where the worker was gone for good, and a successor inherited it by the published bound.

Change: it counts only while the worker's entry is listed. The published bounds are those of leases alone.

--- a/primroselock/decisions/runleases.py
+++ b/primroselock/decisions/runleases.py
@@ -133,8 +133,17 @@
 def _is_expired(
     board: fleet.ShardBoard, worker: fleetworkers.Worker, now: float
 ) -> bool:
-    """Return whether every lease granted to the worker has expired."""
-    return now >= _all_leases_until(board, worker)
+    """Return whether every lease granted to the worker has expired.
+
+    Those of late starts, too, unless its entry is gone: it would have
+    published one if it had started again.
+    """
+    until = _all_leases_until(board, worker)
+    if worker.is_listed:
+        late_lease_s = board.run_lease_s * (1 + leasebounds.CLOCK_DRIFT)
+        late_until = workerboots.late_leases_until(worker, late_lease_s)
+        until = max(until, late_until)
+    return now >= until
 
 
 def _all_leases_until(
@@ -148,12 +157,7 @@
     if not worker.is_polled:
         # This holder knows no clock of the worker, and granted no lease.
         return inherited_until
-    late_lease_s = board.run_lease_s * (1 + leasebounds.CLOCK_DRIFT)
-    return max(
-        inherited_until,
-        _own_leases_until(worker),
-        workerboots.late_leases_until(worker, late_lease_s),
-    )
+    return max(inherited_until, _own_leases_until(worker))
 
 
 def bound_leases(
--- a/primroselock/test/testworkerrestarts.py
+++ b/primroselock/test/testworkerrestarts.py
@@ -26,6 +26,7 @@
 _FAST_CLOCK_S: typing.Final = 1_000_000.0
 _CLOCKS_S: typing.Final = (0.0, _FAST_CLOCK_S)
 _LONGEST_LEASE_S: typing.Final = 10.0
+_SILENCE_BEFORE_REMOVAL_S: typing.Final = 4.5
 _LATEST_START_S: typing.Final = 6.0
 """A start that is carried out late begins by then."""
 
@@ -482,6 +483,26 @@
 
         return scenario
 
+    def test_a_worker_whose_entry_is_gone(self) -> None:
+        """Guards against a wait for a worker that is lost for good (LOST)."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            (worker,) = world.fleet.workers_by_id.values()
+            await asyncio.sleep(1.0)
+            worker.delayed_order_share = 1.0
+            _submit(world, 'j', _LONG_MS)
+            await asyncio.sleep(0.2)
+            world.fleet.crash(worker)
+            world.add_worker(fleetbuilders.build_entry('w9'))
+            await asyncio.sleep(_SILENCE_BEFORE_REMOVAL_S)
+            world.delete_entry('w0')
+            await asyncio.sleep(_LONGEST_LEASE_S)
+            self.assertEqual(1, _count_runs(world, 'j'))
+
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                fleetbuilders.run_with_node(scenario, seed, workers=1)
+
     def test_a_silent_worker_whose_run_has_ended(self) -> None:
         """Guards against a retry beside a late order behind a cut (TWICE)."""
 
