The third crash of a task gives its job up at once (LOST)

Cause: after the second and the third crash the group waited 2 s, so that the rest of a loss would be seen before the judgement. Since crashes elsewhere and lost runs make more crashes SHARED, more jobs come to a third one.

Change: only the second crash, which may decide by CLEAR alone, waits. At the third the judgement looks at what is silent or lost by then.

Evidence: test_the_third_crash_gives_a_job_up_at_once fails before (RUNNING, not FAILED), and passes, as do the power losses of testcrashingtasks.

--- a/primroselock/decisions/crashes.py
+++ b/primroselock/decisions/crashes.py
@@ -26,9 +26,7 @@
 from primroselock import jobs
 from primroselock.workers import orders
 
-_FIRST_RETRY_DELAY_S: typing.Final = 0.5
-_RETRY_DELAY_FACTOR: typing.Final = 4.0
-_MAX_RETRY_DELAY_S: typing.Final = 2.0
+_SECOND_CRASH_DELAY_S: typing.Final = 2.0
 _ALONE_WAITS_S: typing.Final = (2.0, 10.0, 20.0)
 """Wait for a worker without other jobs' work, after one crash and more.
 
@@ -232,18 +230,14 @@
 def retry_delay_s(group: livejobs.Group) -> float:
     """Return the delay after the attempt that ends; 0 without a crash.
 
-    There is none after the first crash either: most tasks under which a
-    worker crashes are innocent.  Later, what is known of other losses by then
-    decides whether to give up; the last crash decides whatever is known.
+    There is none after the first crash: most tasks under which a worker
+    crashes are innocent.  What is known of other losses some time after the
+    second decides whether to give up; later ones decide at once.
     """
     is_new = any(crash.attempt == group.attempt for crash in group.crashes)
-    crashed = crashevidence.most_crashes(group)
-    if not is_new or not 1 < crashed < crashevidence.MAX_CRASHES:
-        return 0.0
-    delay_s: float = _FIRST_RETRY_DELAY_S * _RETRY_DELAY_FACTOR ** (
-        crashed - 1
-    )
-    return min(delay_s, _MAX_RETRY_DELAY_S)
+    if is_new and crashevidence.most_crashes(group) == 2:
+        return _SECOND_CRASH_DELAY_S
+    return 0.0
 
 
 def may_share(
--- a/primroselock/test/testcrashdecisions.py
+++ b/primroselock/test/testcrashdecisions.py
@@ -280,6 +280,18 @@
         crashes.give_up(self.board, 101.0, 101_000)
         self.assertIs(jobs.JobState.FAILED, group.job.state)
 
+    def test_the_third_crash_gives_a_job_up_at_once(self) -> None:
+        """Guards against a wait of a job that is proved to crash workers."""
+        worker = self._list(boot=2)
+        shared = jobgraph.CrashEvidence.SHARED
+        earlier = [
+            jobgraph.Crash(n, shared, jobgraph.Place('w7', n)) for n in (1, 2)
+        ]
+        group = self._inherit(*earlier)
+        self._report(worker, 2)
+        crashes.give_up(self.board, 101.0, 101_000)
+        self.assertIs(jobs.JobState.FAILED, group.job.state)
+
     def test_starts_that_end_without_a_crash(self) -> None:
         """Guards against more starts of a task that is preempted (BUDGET)."""
         outside = jobgraph.CrashEvidence.OUTSIDE
