--- a/primroselock/decisions/fitting.py
+++ b/primroselock/decisions/fitting.py
@@ -55,24 +55,6 @@
     return amount / total if total else 0.0
 
 
-def may_share(worker: fleetworkers.Worker, step: jobgraph.Step) -> bool:
-    """Return whether the step's tasks may run with those on the worker.
-
-    Tasks that fill spare CPU raise the latency of tasks with a latency
-    target, by amounts that change within seconds: they never share a worker.
-    """
-    if step.fills:
-        return not any(
-            member.group.step.tail_latency_target_ms
-            for member in worker.members.values()
-        )
-    if step.tail_latency_target_ms:
-        return not any(
-            member.group.step.fills for member in worker.members.values()
-        )
-    return True
-
-
 def place(
     board: fleet.ShardBoard,
     free_capacity: freecapacity.FreeCapacity,
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -174,6 +174,9 @@
     failure_evidence: evidence.Evidence = dataclasses.field(
         default_factory=evidence.Evidence
     )
+    over_target_since: dict[livejobs.Member, float] = dataclasses.field(
+        default_factory=dict
+    )
     crashes: crashlog.CrashLog = dataclasses.field(
         default_factory=crashlog.CrashLog
     )
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -232,7 +232,7 @@
     board = context.board
     if not _may_search(context, shape):
         return False
-    allow = preferences.build_worker_filter(context, group, queue)
+    allow = preferences.build_victim_filter(context, group, queue)
     may_preempt = waiting.preemption_rules_by_name[context.settings.reclaim]
     is_tried = may_preempt(group, context.guaranteed_ids, context.wall_s)
     if is_tried and _preempt(context, group, allow):
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -20,6 +20,7 @@
 from primroselock.decisions import livejobs
 from primroselock.decisions import runleases
 from primroselock.decisions import runs
+from primroselock.decisions import sharing
 from primroselock.decisions import waitreport
 from primroselock import jobs
 from primroselock import options
@@ -162,6 +163,26 @@
         )
 
 
+@controller(order=37)
+def stop_disturbing_work(
+    board: fleet.ShardBoard,
+    settings: options.Settings,
+    now: float,
+    wall_s: float,
+) -> None:
+    """Stop filling work beside tasks that are over their latency target."""
+    wall_ms = int(wall_s * 1000)
+    for group in sharing.list_disturbing(board, now):
+        board.record_decision(
+            'attempt stopped: a task beside it is over its latency target',
+            group.job,
+            attempt=group.attempt,
+        )
+        runs.end_group(
+            board, group, livejobs.EndReason.PREEMPTED, now, wall_ms
+        )
+
+
 @controller(order=38)
 def stop_stuck_tasks(
     board: fleet.ShardBoard,
--- a/primroselock/decisions/preferences.py
+++ b/primroselock/decisions/preferences.py
@@ -1,7 +1,8 @@
 """What a waiting group prefers, and when it is placed without that.
 
-One rack for a gang, workers where the group was not stuck before, and
-workers that no other group claims are preferences.  They are dropped for a
+One rack for a gang, workers where the group was not stuck before, workers
+without tasks that it would disturb or be disturbed by, and workers that no
+other group claims are preferences.  They are dropped for a
 group that has waited for a while although it fits without them: soon while
 capacity is plenty and for long-running work, and later, but for the claims,
 in any case.
@@ -19,6 +20,7 @@
 from primroselock.decisions import freecapacity
 from primroselock.decisions import livejobs
 from primroselock.decisions import placementround
+from primroselock.decisions import sharing
 from primroselock import queues
 
 _PREFERENCE_TIMEOUT_S: typing.Final = 2.0
@@ -50,8 +52,14 @@
     waited_s = context.now - group.since
     if waited_s < _PREFERENCE_TIMEOUT_S:
         return False
-    prefers = group.avoided_worker_ids or (
-        group.step.rack_local and group.size > 1 and not group.may_span_racks
+    prefers = (
+        group.avoided_worker_ids
+        or sharing.prefers_other_workers(group.step)
+        or (
+            group.step.rack_local
+            and group.size > 1
+            and not group.may_span_racks
+        )
     )
     if not (prefers or context.board.claims_by_group):
         return False
@@ -152,7 +160,7 @@
     """Return a filter for the usable workers where a group may run."""
 
     def allow(worker: fleetworkers.Worker) -> bool:
-        return fitting.may_share(worker, group.step) and (
+        return (
             queue.advice is None
             or advising.ticket_for(
                 context.board, group, worker.id, context.now
@@ -186,6 +194,23 @@
     queue: queues.Queue,
 ) -> fitting.WorkerFilter:
     """Return a filter for the usable workers that a group prefers."""
+    may_use = build_victim_filter(context, group, queue)
+
+    def allow(worker: fleetworkers.Worker) -> bool:
+        return sharing.are_apart(worker, group.step) and may_use(worker)
+
+    return allow
+
+
+def build_victim_filter(
+    context: placementround.RoundContext,
+    group: livejobs.Group,
+    queue: queues.Queue,
+) -> fitting.WorkerFilter:
+    """Return a filter for the workers where a group may make room.
+
+    What disturbs it there, or would be disturbed, may be what is stopped.
+    """
     rank = context.rank(group)
     may_run = _build_basic_filter(context, group, queue)
 
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -19,6 +19,7 @@
 from primroselock.decisions import leasebounds
 from primroselock.decisions import livejobs
 from primroselock.decisions import runprogress
+from primroselock.decisions import sharing
 from primroselock.decisions import workerboots
 from primroselock import jobs
 from primroselock.workers import orders
@@ -230,6 +231,7 @@
     group = member.group
     _record_checkpoint(group, running.checkpoint)
     _record_progress(board, member, running.share, reported_at)
+    sharing.record_latency(board, member, running.tail_latency_ms, now)
     member.boot = worker.boot
     if member.state is not livejobs.MemberState.PRESENT:
         mark_present(board, member, now)
--- a/primroselock/platform/workers.py
+++ b/primroselock/platform/workers.py
@@ -78,12 +78,17 @@
 
 
 class _RunRow(msgspec.Struct, array_like=True):
-    """The start of a row of a worker's running tasks."""
+    """The start of a row of a worker's running tasks.
+
+    ``load`` is a tail latency in milliseconds for a task that serves
+    requests, and CPU in use for any other.
+    """
 
     task: str
     attempt: decoding.Count
     checkpoint: str
     percent: _Percent
+    load: typing.Any = None
 
 
 class _EndRow(msgspec.Struct, array_like=True):
@@ -177,7 +182,7 @@
         )
         if isinstance(answer, result.Err):
             return answer
-        report = _read_run_report(answer.ok_value.body)
+        report = read_run_report(answer.ok_value.body)
         if isinstance(report, result.Err):
             _log.warning(
                 'poll answer cannot be decoded',
@@ -263,7 +268,7 @@
     return orders.Unanswered(f'status {response.status}')
 
 
-def _read_run_report(body: bytes) -> result.Result[orders.RunReport, str]:
+def read_run_report(body: bytes) -> result.Result[orders.RunReport, str]:
     """Return a worker's report, or why it cannot be decoded."""
     decoded = _decode_hold_answer(body)
     if isinstance(decoded, result.Err):
@@ -278,6 +283,7 @@
             _parse_run(row.task, row.attempt),
             row.checkpoint,
             int(row.percent) / _PERCENT,
+            _read_load(row.load),
         )
         for row in answer.running
     )
@@ -299,6 +305,15 @@
     )
 
 
+def _read_load(value: object) -> float | None:
+    """Return a load figure, or None: an odd one must not hide the run."""
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        return None
+    if not 0 <= value <= decoding.MAX_NUMBER:
+        return None
+    return float(value)
+
+
 def _parse_run(task: str, attempt: int) -> orders.Run:
     name = jobgraph.parse_task_name(task)
     if name is None:
--- a/primroselock/test/idletrace.py
+++ b/primroselock/test/idletrace.py
@@ -7,13 +7,13 @@
 from collections import abc
 
 from primroselock.decisions import claimindex
-from primroselock.decisions import fitting
 from primroselock.decisions import fleet
 from primroselock.decisions import fleethealth
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import livejobs
 from primroselock.decisions import objectives
 from primroselock.decisions import reachability
+from primroselock.decisions import sharing
 from primroselock.decisions import waiting
 from primroselock.test import fleetbuilders
 from primroselock.test import idlecapacity
@@ -160,7 +160,7 @@
         ),
         ('unverified', worker.id in unverified_ids),
         ('avoided', worker.id in group.avoided_worker_ids),
-        ('may not share', not fitting.may_share(worker, group.step)),
+        ('may not share', not sharing.are_apart(worker, group.step)),
         (
             'full by the blackboard',
             not worker.free.can_fit(group.step.counted_need),
--- a/primroselock/workers/orders.py
+++ b/primroselock/workers/orders.py
@@ -58,11 +58,14 @@
     """A run in progress; ``share`` is the fraction of its work done (0 to 1).
 
     For long-running work ``share`` is the fraction of it that is active.
+    ``tail_latency_ms`` is a rough figure for the last half second of a task
+    that serves requests, or None where the worker reports none.
     """
 
     run: Run
     checkpoint: str
     share: float
+    tail_latency_ms: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
