--- a/primroselock/decisions/preferences.py
+++ b/primroselock/decisions/preferences.py
@@ -49,17 +49,17 @@
     context: placementround.RoundContext, group: livejobs.Group
 ) -> bool:
     """Return whether a group has waited too long for what it prefers."""
+    step = group.step
+    if step.long_running and step.tail_latency_target_ms:
+        # What disturbs it is stopped once that shows.
+        return True
     waited_s = context.now - group.since
     if waited_s < _PREFERENCE_TIMEOUT_S:
         return False
     prefers = (
         group.avoided_worker_ids
-        or sharing.prefers_other_workers(group.step)
-        or (
-            group.step.rack_local
-            and group.size > 1
-            and not group.may_span_racks
-        )
+        or sharing.prefers_other_workers(step)
+        or (step.rack_local and group.size > 1 and not group.may_span_racks)
     )
     if not (prefers or context.board.claims_by_group):
         return False
--- a/primroselock/decisions/runleases.py
+++ b/primroselock/decisions/runleases.py
@@ -19,6 +19,9 @@
 _LEASE_MARGIN_S: typing.Final = 0.3
 """Added to the time by which a worker's leases have expired."""
 
+_LONG_RUNNING_LEASE_S: typing.Final = 7.5
+"""So that it has ended, by a slow clock, within 9 s of the last renewal."""
+
 _SILENT_AFTER_S: typing.Final = 1.0
 """A lease is published as bounded once calls have failed for this long."""
 
@@ -222,6 +225,18 @@
     )
 
 
+def lease_s(worker: fleetworkers.Worker, longest_s: float) -> float:
+    """Return for how long the runs of a worker are leased, in seconds.
+
+    Long-running work must run again soon after the loss of its worker, and
+    is only placed again once its lease has expired there.
+    """
+    runs_long = any(
+        member.group.step.long_running for member in worker.members.values()
+    )
+    return min(longest_s, _LONG_RUNNING_LEASE_S) if runs_long else longest_s
+
+
 def lease_end_on_worker(worker: fleetworkers.Worker, deadline: float) -> float:
     """Return the end, on the worker's clock, of a lease to ``deadline``.
 
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -45,15 +45,19 @@
 
 
 def lease_deadline(
-    settings: options.Settings, lease: shards.ShardLease, now: float
+    settings: options.Settings,
+    lease: shards.ShardLease,
+    worker: fleetworkers.Worker,
+    now: float,
 ) -> float:
-    """Return until when runs may be leased, on this process's clock.
+    """Return until when a worker's runs may be leased, on this clock.
 
     At most ``run_lease_s`` after the last time that the store confirmed
     this holder, so that a successor knows when all leases have expired.
     """
     confirmed_at = lease.valid_until - settings.scheduler.shard_lease_s
-    return min(now, confirmed_at) + settings.fleet.run_lease_s
+    longest_s = settings.fleet.run_lease_s
+    return min(now, confirmed_at) + runleases.lease_s(worker, longest_s)
 
 
 def extend_lease(worker: fleetworkers.Worker, deadline: float) -> float:
@@ -263,7 +267,7 @@
         member: livejobs.Member,
         sent_at: float,
     ) -> result.Result[orders.Accepted, orders.OrderError]:
-        deadline = lease_deadline(self._settings, self._lease, sent_at)
+        deadline = lease_deadline(self._settings, self._lease, worker, sent_at)
         group = member.group
         lease_until = extend_lease(worker, deadline)
         # Each of the orders may be the one that is carried out.
--- a/primroselock/test/testlastingwork.py
+++ b/primroselock/test/testlastingwork.py
@@ -1,5 +1,6 @@
 """Long-running work beside free capacity, however full its service is."""
 
+import asyncio
 from collections import abc
 import typing
 import unittest
@@ -84,5 +85,41 @@
         self.assertIs(livejobs.Phase.WAITING, group.phase)
 
 
+class LostWorkerTest(unittest.TestCase):
+    """The worker of a long-running task is lost for good."""
+
+    def test_it_runs_again_in_time(self) -> None:
+        """Guards against long-running work down for 9 s (review/3, LOST).
+
+        The rule allows 6 s after its last run, and counts 3 s from then.
+        """
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            await asyncio.sleep(1.0)
+            step = fleetbuilders.build_step(
+                1, 1, 600_000, long_running=True, tail_latency_target_ms=200
+            )
+            world.submit(fleetbuilders.build_graph('j', step))
+            await asyncio.sleep(20.0)
+            worker = world.find_busy_worker()
+            filling = fleetbuilders.build_step(
+                3, 1, 600_000, long_running=True, fills=True, max_per_worker=1
+            )
+            world.submit(fleetbuilders.build_graph('filling', filling))
+            await asyncio.sleep(2.0)
+            world.fleet.crash(worker)
+            await asyncio.sleep(8.9)
+            running = {
+                run.task.job_id
+                for other in world.fleet.workers_by_id.values()
+                for run in other.runs
+            }
+            self.assertEqual({'j', 'filling'}, running)
+
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                fleetbuilders.run_with_node(scenario, seed)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -248,7 +248,7 @@
             and not worker.failures_in_row
         ):
             deadline = runorders.lease_deadline(
-                self._settings, self._lease, sent_at
+                self._settings, self._lease, worker, sent_at
             )
             lease_until = runorders.extend_lease(worker, deadline)
         wait_s = self._poll_wait_s(worker)
