--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -31,6 +31,9 @@
 _GANG_STOP_GRACE_S: typing.Final = 0.25
 """Workers stop the remaining members of a broken gang within this time."""
 
+_MIN_WORK_S: typing.Final = 3.0
+"""A faulty worker fails what it starts sooner."""
+
 _END_REASONS_BY_CAUSE: typing.Final = {
     orders.EndCause.FAILED: livejobs.EndReason.FAILED,
     orders.EndCause.STOPPED: livejobs.EndReason.LOST,
@@ -182,9 +185,7 @@
         _record_done(board, group, worker, now, wall_ms)
     elif group.phase is not livejobs.Phase.DONE:
         if ended.cause is orders.EndCause.FAILED:
-            board.failure_evidence.record_failure(
-                worker.id, group.job.graph.id, group.attempt
-            )
+            _record_failure(board, group, worker.id, now)
         cause = _END_REASONS_BY_CAUSE[ended.cause]
         end_group(board, group, cause, now, wall_ms)
     board.mark_changed(group.job)
@@ -194,6 +195,30 @@
     settle_group(board, group, now, wall_ms)
 
 
+def _record_failure(
+    board: fleet.ShardBoard,
+    group: livejobs.Group,
+    worker_id: str,
+    now: float,
+) -> None:
+    """Record what a failed run tells of its worker.
+
+    Long-running work never ends done, and may fail at any time: that it was
+    at work for a while speaks for the worker.
+    """
+    was_at_work = (
+        group.step.long_running
+        and group.began_at is not None
+        and now - group.began_at >= _MIN_WORK_S
+    )
+    if was_at_work:
+        board.failure_evidence.record_success(worker_id)
+    else:
+        board.failure_evidence.record_failure(
+            worker_id, group.job.graph.id, group.attempt
+        )
+
+
 def _record_checkpoint(group: livejobs.Group, checkpoint: str) -> None:
     if checkpoint:
         group.checkpoint = checkpoint
--- a/primroselock/test/testlastingwork.py
+++ b/primroselock/test/testlastingwork.py
@@ -85,6 +85,40 @@
         self.assertIs(livejobs.Phase.WAITING, group.phase)
 
 
+class FailingTaskTest(unittest.TestCase):
+    """A long-running task fails now and then; one worker has its label."""
+
+    def _longest_gap_s(self, run_s: float) -> float:
+        """Return the longest time without a run in two minutes."""
+        site = idlebuilders.Site(3)
+        site.add_worker(
+            fleetbuilders.build_entry('special', labels=('special', 'r0'))
+        )
+        site.failing_job_ids.add('j')
+        step = fleetbuilders.build_step(
+            1, 1, 600_000, long_running=True, label='special'
+        )
+        job = site.submit('j', step, run_s=run_s, queue='batch')
+        (group,) = job.groups_by_key.values()
+        longest_s = 0.0
+        last_at = site.now
+        until = site.now + 120.0
+        while site.now < until:
+            site.run_for(idlebuilders.STEP_S)
+            if group.phase is livejobs.Phase.RUNNING:
+                last_at = site.now
+            longest_s = max(longest_s, site.now - last_at)
+        return longest_s
+
+    def test_a_task_that_was_at_work(self) -> None:
+        """Guards against a quarantine for tasks that may fail (review/4)."""
+        self.assertLess(self._longest_gap_s(6.0), _LIMIT_S)
+
+    def test_a_task_that_fails_at_once(self) -> None:
+        """Guards against a worker that is never quarantined."""
+        self.assertGreater(self._longest_gap_s(0.1), _LIMIT_S)
+
+
 class LostWorkerTest(unittest.TestCase):
     """The worker of a long-running task is lost for good."""
 
