A missing worker ends no round of decisions

Read again as a newcomer: _clear_if_sound took it for granted that each member's worker is on the blackboard; a missing one would end the holder's round. Now such a member counts for nothing. Entries are not compared with lost runs while there are none.

--- a/primroselock/decisions/crashes.py
+++ b/primroselock/decisions/crashes.py
@@ -137,6 +137,8 @@
     address.
     """
     log = board.crashes
+    if not log.lost_by_worker_id:
+        return
     for lost_id in {entry.id, log.lost_ids_by_address.get(entry.address)}:
         lost = log.lost_by_worker_id.get(lost_id or '')
         if lost is None or not lost.is_before(entry.boot):
@@ -306,11 +308,14 @@
     """Forget the crashes under long-running work that has run for long."""
     if not group.step.long_running:
         return
-    answered_at = min(
-        board.workers_by_id[member.worker_id].last_answer_at
+    answered_at = [
+        worker.last_answer_at
         for member in group.members
-    )
-    if not crashevidence.had_run_long(group.began_at, answered_at):
+        if (worker := board.workers_by_id.get(member.worker_id)) is not None
+    ]
+    if not answered_at or not crashevidence.had_run_long(
+        group.began_at, min(answered_at)
+    ):
         return
     board.record_decision(
         'task runs without a crash: earlier ones are forgotten',
