--- a/primroselock/decisions/fleethealth.py
+++ b/primroselock/decisions/fleethealth.py
@@ -162,21 +162,25 @@
     if step.long_running:
         return ''
     patience = 2.0 ** min(group.times_stuck, _MAX_DOUBLINGS)
-    if any(_is_stalled(member, patience) for member in group.members):
-        return 'no progress'
     factor = remote_factor if _is_remote(board, group) else 1.0
     step_key = (group.job.graph.id, group.key.step)
-    sibling_s = board.learned.longest_sibling_s(step_key, step.group_count)
-    if sibling_s is not None and _is_slow(
-        group, sibling_s * factor, patience, now
-    ):
-        return 'slower than its siblings'
     expected_s = board.learned.longest_s(
         group.job.graph.queue,
         step_key,
         step.group_count,
         step.expected_ms / _MS_PER_S,
     )
+    estimate_s = max(expected_s or 0.0, step.expected_ms / _MS_PER_S)
+    slowest_s = estimate_s * factor * _STUCK_FACTOR
+    if any(
+        _is_stalled(member, slowest_s, patience) for member in group.members
+    ):
+        return 'no progress'
+    sibling_s = board.learned.longest_sibling_s(step_key, step.group_count)
+    if sibling_s is not None and _is_slow(
+        group, sibling_s * factor, patience, now
+    ):
+        return 'slower than its siblings'
     if expected_s is None or group.began_at is None:
         return ''
     limit_s = _slow_limit_s(expected_s * factor, patience)
@@ -206,20 +210,19 @@
     return total_s > limit_s and remaining_s > expected_s + _STUCK_MARGIN_S
 
 
-def _is_stalled(member: livejobs.Member, patience: float) -> bool:
+def _is_stalled(
+    member: livejobs.Member, slowest_s: float, patience: float
+) -> bool:
     """Return whether run reports show no progress for too long.
 
-    A member of a gang that has done its own part waits for the others, and
-    is not stalled.
+    Without a rate yet, a run may take up to ``slowest_s``.  A member of a
+    gang that has done its own part waits for the others, and is not stalled.
     """
     seen = member.progress
     if seen is None or seen.share >= 1.0:
         return False
-    limit_s = _STALL_TIMEOUT_S
-    if seen.rate_per_s is not None:
-        limit_s = max(
-            limit_s, _STALL_STEPS * _SHARE_RESOLUTION / seen.rate_per_s
-        )
+    run_s = slowest_s if seen.rate_per_s is None else 1.0 / seen.rate_per_s
+    limit_s = max(_STALL_TIMEOUT_S, _STALL_STEPS * _SHARE_RESOLUTION * run_s)
     return seen.stalled_s > limit_s * patience
 
 
