A planned restart after a cut is no crash of what ran before (LOST)

What callers saw: nothing yet; found by reading the fix again. A worker is cut off until its leases have expired, is back as the same boot and idle, so that no report says so, and is then updated: the entry of its next boot counted as the crash of the runs that were lost.

Cause: left out the planned boot, which reports are compared with.

Evidence: test_expired_leases_and_a_planned_restart fails before (a crash), and passes.

--- a/primroselock/decisions/crashes.py
+++ b/primroselock/decisions/crashes.py
@@ -143,10 +143,17 @@
         lost = log.lost_by_worker_id.get(lost_id or '')
         if lost is None or not lost.is_before(entry.boot):
             continue
-        loss = crashlog.Loss(
-            lost.id, entry.zone, entry.rack, now, frozenset(), entry.boot
-        )
-        _record_loss(board, loss, lostruns.take(board, lost.id), now)
+        planned_boot = log.planned_boot_by_id.get(lost.id)
+        victims = [
+            run
+            for run in lostruns.take(board, lost.id)
+            if run.boot != planned_boot
+        ]
+        if victims:
+            loss = crashlog.Loss(
+                lost.id, entry.zone, entry.rack, now, frozenset(), entry.boot
+            )
+            _record_loss(board, loss, victims, now)
 
 
 def _record_loss(
--- a/primroselock/test/testcrashdecisions.py
+++ b/primroselock/test/testcrashdecisions.py
@@ -153,6 +153,17 @@
         (loss,) = self.board.crashes.losses
         self.assertEqual({group.job.graph.id}, loss.job_ids)
 
+    def test_expired_leases_and_a_planned_restart(self) -> None:
+        """Guards against blame for a worker that was cut off, then updated."""
+        worker = self._list()
+        group = self._inherit()
+        self._report(worker, 1, group.members[0].run)
+        worker.record_failed_call(102.0)
+        runleases.expire_workers(self.board, 150.0, 150_000)
+        self._list(is_draining=True)
+        self._list(boot=2)
+        self.assertEqual(((), ()), (group.crashes, group.lost_runs))
+
     def test_a_cut_worker_that_is_back(self) -> None:
         """Guards against blame for a later restart of a worker cut off."""
         worker = self._list()
