Filling work is stopped for two reports, not for one that is old (HARM)

What callers saw: nothing yet; found by reading as a newcomer. A holder that is late itself stops work so for one rough figure.

Cause: the time since the first report was compared with the present, not with the latest report.

Change: first and latest report over the target are kept, with the times at which they were made.

Evidence: test_a_report_that_is_long_ago fails before (1 running, not 2), and passes.

--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -57,6 +57,18 @@
     values: dict[str, typing.Any]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OverTarget:
+    """Reports in a row in which a task's tail latency is over its target.
+
+    ``first_at`` and ``last_at`` are when the first and the latest were made,
+    on this process's clock.
+    """
+
+    first_at: float
+    last_at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CapacityClaim:
     """Workers that are claimed for a group until it fits there.
@@ -174,8 +186,8 @@
     failure_evidence: evidence.Evidence = dataclasses.field(
         default_factory=evidence.Evidence
     )
-    over_target_since: dict[livejobs.Member, float] = dataclasses.field(
-        default_factory=dict
+    over_target_by_member: dict[livejobs.Member, OverTarget] = (
+        dataclasses.field(default_factory=dict)
     )
     crashes: crashlog.CrashLog = dataclasses.field(
         default_factory=crashlog.CrashLog
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -172,7 +172,7 @@
 ) -> None:
     """Stop filling work beside tasks that are over their latency target."""
     wall_ms = int(wall_s * 1000)
-    for group in sharing.list_disturbing(board, now):
+    for group in sharing.list_disturbing(board):
         board.record_decision(
             'attempt stopped: a task beside it is over its latency target',
             group.job,
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -256,7 +256,7 @@
     group = member.group
     _record_checkpoint(group, running.checkpoint)
     _record_progress(board, member, running.share, reported_at)
-    sharing.record_latency(board, member, running.tail_latency_ms, now)
+    sharing.record_latency(board, member, running.tail_latency_ms, reported_at)
     member.boot = worker.boot
     if member.state is not livejobs.MemberState.PRESENT:
         mark_present(board, member, now)
--- a/primroselock/decisions/sharing.py
+++ b/primroselock/decisions/sharing.py
@@ -41,31 +41,37 @@
     board: fleet.ShardBoard,
     member: livejobs.Member,
     tail_latency_ms: float | None,
-    now: float,
+    reported_at: float,
 ) -> None:
-    """Record the tail latency that a worker reports of a serving task."""
+    """Record the tail latency that a worker reports of a serving task.
+
+    ``reported_at`` is when the report was made, on this process's clock: a
+    late process must not take the time between two reports for longer.
+    """
     target_ms = member.group.step.tail_latency_target_ms
     if not target_ms:
         return
     if tail_latency_ms is None or tail_latency_ms <= target_ms:
-        board.over_target_since.pop(member, None)
-    else:
-        board.over_target_since.setdefault(member, now)
+        board.over_target_by_member.pop(member, None)
+        return
+    known = board.over_target_by_member.get(member)
+    first_at = known.first_at if known is not None else reported_at
+    board.over_target_by_member[member] = fleet.OverTarget(
+        first_at, reported_at
+    )
 
 
-def list_disturbing(
-    board: fleet.ShardBoard, now: float
-) -> list[livejobs.Group]:
+def list_disturbing(board: fleet.ShardBoard) -> list[livejobs.Group]:
     """Return the filling groups beside a task that is over its target.
 
     Their next placement avoids the worker.
     """
     found: dict[livejobs.Group, None] = {}
-    for member, since in list(board.over_target_since.items()):
+    for member, over in list(board.over_target_by_member.items()):
         worker = board.workers_by_id.get(member.worker_id)
         if worker is None or member.run not in worker.members:
-            del board.over_target_since[member]
-        elif now - since >= _MIN_OVER_TARGET_S:
+            del board.over_target_by_member[member]
+        elif over.last_at - over.first_at >= _MIN_OVER_TARGET_S:
             for other in worker.members.values():
                 if _may_stop(other.group):
                     found[other.group] = None
--- a/primroselock/test/testsharing.py
+++ b/primroselock/test/testsharing.py
@@ -162,6 +162,15 @@
         self._report_latency(site, serving, 2.0 * _TARGET_MS)
         self.assertEqual(2, len(self._places(filling)))
 
+    def test_a_report_that_is_long_ago(self) -> None:
+        """Guards against a second report taken for granted by the clock."""
+        step = _filling(2, long_running=True)
+        site, serving, filling = self._share(2, step)
+        self._report_latency(site, serving, 2.0 * _TARGET_MS)
+        site.now += 2.0
+        fleetround.run(site.board, site.settings, site.now, site.now)
+        self.assertEqual(2, len(self._places(filling)))
+
     def test_filling_work_that_must_stay_available(self) -> None:
         """Guards against more stops than a step may miss (AVAIL)."""
         for most, expected in ((0, 2), (1, 1)):
