A worker that runs filling beside serving work is polled often (HARM)

What callers saw: nothing yet; found by reading. A worker with nothing to report is polled every 2 s; two reports over a target took up to 4 s, which is how long the users' rule allows harm to last.

Change: a worker that runs both is polled every 0.2 s, as one with open stops. No other worker is.

Evidence: test_a_worker_that_runs_both fails before (2 polls in 4 s, 8 asked), and passes; testorderload passes.

--- a/primroselock/decisions/sharing.py
+++ b/primroselock/decisions/sharing.py
@@ -37,6 +37,14 @@
     return True
 
 
+def may_disturb(worker: fleetworkers.Worker) -> bool:
+    """Return whether filling work runs beside serving work on a worker."""
+    steps = [member.group.step for member in worker.members.values()]
+    return any(step.fills for step in steps) and any(
+        step.tail_latency_target_ms for step in steps
+    )
+
+
 def record_latency(
     board: fleet.ShardBoard,
     member: livejobs.Member,
--- a/primroselock/test/testsharing.py
+++ b/primroselock/test/testsharing.py
@@ -1,7 +1,9 @@
 """Filling work and work with a latency target, on few workers."""
 
+import asyncio
 import typing
 import unittest
+from unittest import mock
 
 from primroselock.decisions import fleetround
 from primroselock.decisions import livejobs
@@ -10,6 +12,7 @@
 from primroselock.platform import workers as platformworkers
 from primroselock.test import fleetbuilders
 from primroselock.test import idlebuilders
+from primroselock.test import simulatedworker
 from primroselock.workers import orders
 
 _LONG_S: typing.Final = 600.0
@@ -181,6 +184,47 @@
                 self.assertEqual(expected, len(self._places(filling)))
 
 
+class PollTest(unittest.TestCase):
+    """How soon a worker tells that a target is exceeded."""
+
+    def test_a_worker_that_runs_both(self) -> None:
+        """Guards against harm that is seen only after seconds (HARM)."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            await asyncio.sleep(1.0)
+            for name, step in (
+                ('serving', _long(tail_latency_target_ms=_TARGET_MS)),
+                ('filling', _long(fills=True)),
+            ):
+                world.submit(fleetbuilders.build_graph(name, step))
+            await asyncio.sleep(5.0)
+            self.assertEqual(2, sum(map(_count_runs, _workers(world))))
+            poll_runs = world.fleet.poll_runs
+            with mock.patch.object(
+                world.fleet, 'poll_runs', autospec=True, side_effect=poll_runs
+            ) as polls:
+                await asyncio.sleep(4.0)
+            self.assertGreaterEqual(polls.call_count, 8)
+
+        fleetbuilders.run_with_node(scenario, workers=1)
+
+
+def _long(**changes: typing.Any) -> jobgraph.Step:
+    return fleetbuilders.build_step(
+        1, 1, 600_000, long_running=True, **changes
+    )
+
+
+def _workers(
+    world: fleetbuilders.World,
+) -> list[simulatedworker.FakeWorker]:
+    return list(world.fleet.workers_by_id.values())
+
+
+def _count_runs(worker: simulatedworker.FakeWorker) -> int:
+    return len(worker.runs)
+
+
 class ReportTest(unittest.TestCase):
     """The load figure in the platform's lists of runs."""
 
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -27,6 +27,7 @@
 from primroselock.decisions import reachability
 from primroselock.decisions import runleases
 from primroselock.decisions import runs
+from primroselock.decisions import sharing
 from primroselock.decisions import workerboots
 from primroselock import lateness
 from primroselock import logs
@@ -309,7 +310,7 @@
     def _poll_wait_s(self, worker: fleetworkers.Worker) -> float:
         if not worker.is_polled or worker.is_doubted or worker.unsaved_ends:
             return 0.0
-        if workerboots.has_open_stops(worker):
+        if workerboots.has_open_stops(worker) or sharing.may_disturb(worker):
             return _SHORT_WAIT_S
         if not self._may_extend(worker) or any(
             member.state is not livejobs.MemberState.PRESENT
