Tests of late starts have a module; a plainer name for one crashing member

testworkerrestarts had grown to 590 lines: its class of late starts, ten tests, is testlatestarts, and what both use is restartbuilders. No test changed.

--- a/primroselock/test/crashbuilders.py
+++ b/primroselock/test/crashbuilders.py
@@ -50,7 +50,7 @@
 
     ``after_s_by_job_id`` is for how long the tasks of a job are at work when
     their worker crashes; 0 means before it answers the start.  Of a job in
-    ``deadly_index_by_job_id`` only that task of each step does so.  A worker
+    ``crashing_index_by_job_id`` only that task of each step does so.  A worker
     is back after ``down_s``, drawn from this range of seconds.
     """
 
@@ -63,7 +63,7 @@
         log: faultbuilders.FaultLog | None = None,
     ) -> None:
         self.after_s_by_job_id: dict[str, float] = {}
-        self.deadly_index_by_job_id: dict[str, int] = {}
+        self.crashing_index_by_job_id: dict[str, int] = {}
         self.counts_by_task: dict[jobgraph.TaskName, TaskCounts] = {}
         self.crashed_worker_ids: list[str] = []
         self._world = world
@@ -96,8 +96,8 @@
     ) -> None:
         task = live.run.task
         after_s = self.after_s_by_job_id.get(task.job_id)
-        deadly = self.deadly_index_by_job_id.get(task.job_id, task.index)
-        if after_s is None or task.index != deadly:
+        only = self.crashing_index_by_job_id.get(task.job_id, task.index)
+        if after_s is None or task.index != only:
             return
         counts = self.counts_by_task.setdefault(task, TaskCounts())
         counts.starts += 1
--- a/primroselock/test/testcrashinggangs.py
+++ b/primroselock/test/testcrashinggangs.py
@@ -95,13 +95,13 @@
                 crashbuilders.run(scenario, 8, nodes=3, seed=seed)
 
 
-class DeadlyMemberTest(unittest.TestCase):
+class CrashingMemberTest(unittest.TestCase):
     """One member crashes each worker that starts it (BUDGET)."""
 
     def _check_given_up(
         self,
         step: jobgraph.Step,
-        deadly_index: int,
+        crashing_index: int,
         after_s: float,
         returns: crashbuilders.Return = crashbuilders.Return.SAME_ADDRESS,
         disturb: crashbuilders.Disturbance | None = None,
@@ -110,7 +110,7 @@
         async def scenario(
             world: fleetbuilders.World, crashing: crashbuilders.CrashingTasks
         ) -> None:
-            crashing.deadly_index_by_job_id['deadly'] = deadly_index
+            crashing.crashing_index_by_job_id['deadly'] = crashing_index
             crashing.submit(after_s, step)
             disturbing = None
             if disturb is not None:
@@ -125,7 +125,7 @@
 
         crashbuilders.run(scenario, returns=returns, nodes=3, down_s=down_s)
 
-    def test_one_deadly_member(self) -> None:
+    def test_one_crashing_member(self) -> None:
         """Guards against a gang started without end for one member."""
         for accelerators in (8, 2):
             for after_s in (0.0, 1.5):
--- a/primroselock/test/testworkerrestarts.py
+++ b/primroselock/test/testworkerrestarts.py
@@ -16,9 +16,8 @@
 from primroselock.decisions import livejobs
 from primroselock.decisions import runleases
 from primroselock.decisions import runs
-from primroselock import jobgraph
 from primroselock.test import fleetbuilders
-from primroselock.test import simulatedworker
+from primroselock.test import restartbuilders
 from primroselock.test import testleasebounds
 from primroselock.workers import orders
 
@@ -26,31 +25,6 @@
 _FAST_CLOCK_S: typing.Final = 1_000_000.0
 _CLOCKS_S: typing.Final = (0.0, _FAST_CLOCK_S)
 _LONGEST_LEASE_S: typing.Final = 10.0
-_SILENCE_BEFORE_REMOVAL_S: typing.Final = 4.5
-_LATEST_START_S: typing.Final = 6.0
-"""A start that is carried out late begins by then."""
-
-
-def _submit(
-    world: fleetbuilders.World, job_id: str, run_ms: int, **changes: typing.Any
-) -> None:
-    step = fleetbuilders.build_step(1, 1, run_ms, **changes)
-    world.submit(fleetbuilders.build_graph(job_id, step))
-
-
-def _count_runs(world: fleetbuilders.World, job_id: str) -> int:
-    """Return how many runs of a job are in progress."""
-    return sum(
-        run.task.job_id == job_id
-        for worker in world.fleet.workers_by_id.values()
-        for run in worker.runs
-    )
-
-
-async def _wait_for_end(worker: simulatedworker.FakeWorker) -> None:
-    """Wait until a run has ended; its report is about to be received."""
-    while not worker.ended:
-        await asyncio.sleep(0.0005)
 
 
 async def _hang_store(world: fleetbuilders.World) -> None:
@@ -76,9 +50,9 @@
             (worker,) = world.fleet.workers_by_id.values()
             world.fleet.crash(worker)
             world.fleet.restart(worker)
-            _submit(world, 'short', 100)
-            _submit(world, 'long', _LONG_MS)
-            await _wait_for_end(worker)
+            restartbuilders.submit(world, 'short', 100)
+            restartbuilders.submit(world, 'long', _LONG_MS)
+            await restartbuilders.wait_for_end(worker)
             await _hang_store(world)
             await asyncio.sleep(3.0)
             self.assertEqual([], world.fleet.violations)
@@ -94,13 +68,13 @@
             worker = world.fleet.workers_by_id['w0']
             world.fleet.crash(worker)
             world.fleet.restart(worker)
-            _submit(world, 'short', 100)
-            _submit(world, 'long', _LONG_MS)
+            restartbuilders.submit(world, 'short', 100)
+            restartbuilders.submit(world, 'long', _LONG_MS)
             await asyncio.sleep(0.05)
             draining = dataclasses.replace(worker.entry, is_draining=True)
             world.write_entry(draining)
             world.add_worker(fleetbuilders.build_entry('w9'))
-            await _wait_for_end(worker)
+            await restartbuilders.wait_for_end(worker)
             await asyncio.sleep(0.002)
             worker.is_partitioned = True
             await _hang_store(world)
@@ -154,14 +128,14 @@
             await asyncio.sleep(1.0)
             worker = world.fleet.workers_by_id['w0']
             worker.misdirected_delay_s = 0.5
-            _submit(world, 'first', 1000)
-            await _wait_for_end(worker)
+            restartbuilders.submit(world, 'first', 1000)
+            await restartbuilders.wait_for_end(worker)
             await asyncio.sleep(0.002)
             world.fleet.crash(worker)
             world.fleet.restart(worker, address='w0:2')
             await asyncio.sleep(0.1)
             world.write_boot(worker)
-            _submit(world, 'long', _LONG_MS)
+            restartbuilders.submit(world, 'long', _LONG_MS)
             await asyncio.sleep(5.0)
             self.assertEqual([], world.fleet.violations)
             self.assertEqual(2, world.fleet.starts)
@@ -174,7 +148,7 @@
         async def scenario(world: fleetbuilders.World) -> None:
             await asyncio.sleep(1.0)
             worker = world.fleet.workers_by_id['w0']
-            _submit(world, 'long', _LONG_MS)
+            restartbuilders.submit(world, 'long', _LONG_MS)
             await asyncio.sleep(1.0)
             world.fleet.crash(worker)
             world.fleet.restart(worker, address='w0:2')
@@ -198,7 +172,7 @@
                     world.fleet.crash(worker)
                     world.restart_worker(worker, clock_s)
                 await asyncio.sleep(0.2)
-                _submit(world, f'j{clock_s}', 100)
+                restartbuilders.submit(world, f'j{clock_s}', 100)
                 await world.wait_for(f'j{clock_s}', 'done', 1.0)
 
         fleetbuilders.run_with_node(scenario)
@@ -212,13 +186,13 @@
         async def scenario(world: fleetbuilders.World) -> None:
             await asyncio.sleep(1.0)
             (worker,) = world.fleet.workers_by_id.values()
-            _submit(world, 'first', 100)
+            restartbuilders.submit(world, 'first', 100)
             await world.wait_for('first', 'done', 1.0)
             await asyncio.sleep(0.2)
             world.fleet.crash(worker)
             world.restart_worker(worker)
             await asyncio.sleep(0.1)
-            _submit(world, 'j', 100)
+            restartbuilders.submit(world, 'j', 100)
             await world.wait_for('j', 'done', 1.0)
 
         fleetbuilders.run_with_node(scenario, workers=1)
@@ -233,7 +207,7 @@
                 world.fleet.crash(worker)
                 world.restart_worker(worker, clock_s)
                 # The start must not be sent before the next poll.
-                _submit(world, f'j{clock_s}', 100)
+                restartbuilders.submit(world, f'j{clock_s}', 100)
                 with mock.patch.object(
                     world.fleet, 'start', wraps=world.fleet.start
                 ) as start:
@@ -250,16 +224,16 @@
         async def scenario(world: fleetbuilders.World) -> None:
             (worker,) = world.fleet.workers_by_id.values()
             await asyncio.sleep(1.0)
-            _submit(world, 'long', _LONG_MS)
+            restartbuilders.submit(world, 'long', _LONG_MS)
             await asyncio.sleep(1.0)
             world.fleet.crash(worker)
             world.fleet.restart(worker)
             await world.wait_for('long', 'running', 1.0)
             await asyncio.sleep(4.0)
-            _submit(world, 'early', 100)
+            restartbuilders.submit(world, 'early', 100)
             await world.wait_for('early', 'done', 1.0)
             world.write_boot(worker)
-            _submit(world, 'late', 100)
+            restartbuilders.submit(world, 'late', 100)
             await world.wait_for('late', 'done', 1.0)
 
         fleetbuilders.run_with_node(scenario, workers=1)
@@ -277,7 +251,7 @@
             ) as poll_runs:
                 await asyncio.sleep(5.0)
             poll_runs.assert_not_called()
-            _submit(world, 'j', 100)
+            restartbuilders.submit(world, 'j', 100)
             await world.wait_for('j', 'done', 1.0)
 
         fleetbuilders.run_with_node(scenario, workers=1)
@@ -344,230 +318,6 @@
         self.check_exclusion(None)
 
 
-class LateStartTest(unittest.TestCase):
-    """A start is sent before a crash and carried out on the next boot.
-
-    The next boot knows no epoch, and no stop that the boot before answered.
-    """
-
-    def check(self, answers_at: float, crashes_at: float) -> None:
-        """Let the first starts be late, and the worker crash meanwhile.
-
-        From ``answers_at`` on orders are answered; the times are in seconds
-        from the submission.
-        """
-        for clock_s in _CLOCKS_S:
-            with self.subTest(clock_s=clock_s):
-                self._check_clock(answers_at, crashes_at, clock_s)
-
-    def _check_clock(
-        self, answers_at: float, crashes_at: float, clock_s: float
-    ) -> None:
-        async def scenario(world: fleetbuilders.World) -> None:
-            world.fleet.late_starts_outlive = True
-            (worker,) = world.fleet.workers_by_id.values()
-            await asyncio.sleep(1.0)
-            worker.delayed_order_share = 1.0
-            _submit(world, 'j', _LONG_MS)
-            await asyncio.sleep(answers_at)
-            worker.delayed_order_share = 0.0
-            await asyncio.sleep(crashes_at - answers_at)
-            world.add_worker(fleetbuilders.build_entry('w9'))
-            world.fleet.crash(worker)
-            world.restart_worker(worker, clock_s)
-            await asyncio.sleep(_LATEST_START_S + 10.0)
-            self.assertEqual([], world.fleet.violations)
-            self.assertEqual(1, _count_runs(world, 'j'))
-
-        for seed in range(3):
-            fleetbuilders.run_with_node(scenario, seed, workers=1)
-
-    def test_after_a_later_order_was_accepted(self) -> None:
-        """Guards against an earlier try that begins beside the next run."""
-        self.check(0.2, 1.0)
-
-    def test_after_a_stop_of_the_boot_before(self) -> None:
-        """Guards against a stop that is forgotten with the boot."""
-        for crashes_at in (1.7, 1.72, 1.74, 1.76, 1.78, 1.8):
-            self.check(1.5, crashes_at)
-
-    def test_after_it_was_settled_on_the_boot_before(self) -> None:
-        """Guards against an order that outlives the boot that refuses it."""
-        for crashes_at in (1.9, 2.0, 2.2):
-            self.check(1.5, crashes_at)
-
-    def test_after_its_run_has_ended(self) -> None:
-        """Guards against an earlier try that begins after the end."""
-
-        async def scenario(world: fleetbuilders.World) -> None:
-            world.fleet.late_starts_outlive = True
-            (worker,) = world.fleet.workers_by_id.values()
-            await asyncio.sleep(1.0)
-            worker.delayed_order_share = 1.0
-            _submit(world, 'j', 200)
-            await asyncio.sleep(0.2)
-            worker.delayed_order_share = 0.0
-            await world.wait_for('j', 'done', 2.0)
-            await asyncio.sleep(0.1)
-            world.fleet.crash(worker)
-            world.restart_worker(worker)
-            await asyncio.sleep(_LATEST_START_S)
-            self.assertEqual(1, world.fleet.starts)
-
-        fleetbuilders.run_with_node(scenario, workers=1)
-
-    def test_without_any_answer(self) -> None:
-        """Guards against orders that are given up at a restart."""
-        for crashes_at in (0.3, 0.6, 1.4):
-            self.check(crashes_at, crashes_at)
-
-    def test_a_worker_cut_off_after_its_first_report(self) -> None:
-        """Guards against a lease that begins after the report, not counted."""
-
-        async def scenario(world: fleetbuilders.World) -> None:
-            world.fleet.late_starts_outlive = True
-            (worker,) = world.fleet.workers_by_id.values()
-            await asyncio.sleep(1.0)
-            worker.delayed_order_share = 1.0
-            _submit(world, 'j', _LONG_MS)
-            await asyncio.sleep(0.2)
-            worker.delayed_order_share = 0.0
-            await asyncio.sleep(0.5)
-            world.fleet.crash(worker)
-            world.restart_worker(worker)
-            while worker.epoch == 0:
-                await asyncio.sleep(0.0005)
-            await asyncio.sleep(0.0005)
-            worker.is_partitioned = True
-            world.add_worker(fleetbuilders.build_entry('w9'))
-            await asyncio.sleep(30.0)
-            self.assertEqual([], world.fleet.violations)
-            self.assertEqual(1, _count_runs(world, 'j'))
-
-        for seed in range(4):
-            fleetbuilders.run_with_node(scenario, seed, workers=1)
-
-    def test_a_silent_worker_that_has_restarted(self) -> None:
-        """Guards against an order that begins behind a cut (TWICE).
-
-        The worker crashes and starts again while it is cut off, so that
-        nothing is known of its next boot, where the order begins.
-        """
-        for late_s in ((2.0, 6.0), (6.0, 9.0), (9.0, 12.0)):
-            for seed in range(3):
-                with self.subTest(late_s=late_s, seed=seed):
-                    fleetbuilders.run_with_node(
-                        self._restart_behind_cut(late_s), seed, workers=1
-                    )
-
-    def _restart_behind_cut(
-        self, late_s: tuple[float, float]
-    ) -> fleetbuilders.NodeScenario:
-        async def scenario(world: fleetbuilders.World) -> None:
-            world.fleet.late_starts_outlive = True
-            world.fleet.late_s = late_s
-            (worker,) = world.fleet.workers_by_id.values()
-            await asyncio.sleep(1.0)
-            worker.delayed_order_share = 1.0
-            _submit(world, 'j', _LONG_MS)
-            await asyncio.sleep(0.2)
-            worker.delayed_order_share = 0.0
-            worker.is_partitioned = True
-            world.add_worker(fleetbuilders.build_entry('w9'))
-            await asyncio.sleep(0.3)
-            world.fleet.crash(worker)
-            world.fleet.restart(worker)
-            await asyncio.sleep(40.0)
-            self.assertEqual([], world.fleet.violations)
-            self.assertEqual(1, _count_runs(world, 'j'))
-
-        return scenario
-
-    def test_a_worker_whose_entry_is_gone(self) -> None:
-        """Guards against a wait for a worker that is lost for good (LOST)."""
-
-        async def scenario(world: fleetbuilders.World) -> None:
-            (worker,) = world.fleet.workers_by_id.values()
-            await asyncio.sleep(1.0)
-            worker.delayed_order_share = 1.0
-            _submit(world, 'j', _LONG_MS)
-            await asyncio.sleep(0.2)
-            world.fleet.crash(worker)
-            world.add_worker(fleetbuilders.build_entry('w9'))
-            await asyncio.sleep(_SILENCE_BEFORE_REMOVAL_S)
-            world.delete_entry('w0')
-            await asyncio.sleep(_LONGEST_LEASE_S)
-            self.assertEqual(1, _count_runs(world, 'j'))
-
-        for seed in range(3):
-            with self.subTest(seed=seed):
-                fleetbuilders.run_with_node(scenario, seed, workers=1)
-
-    def test_a_silent_worker_whose_run_has_ended(self) -> None:
-        """Guards against a retry beside a late order behind a cut (TWICE)."""
-
-        async def scenario(world: fleetbuilders.World) -> None:
-            world.fleet.late_starts_outlive = True
-            world.fleet.late_s = (5.0, 6.0)
-            world.fleet.failing_job_ids.add('j')
-            (worker,) = world.fleet.workers_by_id.values()
-            await asyncio.sleep(1.0)
-            _submit(world, 'busy', _LONG_MS)
-            await asyncio.sleep(0.5)
-            worker.delayed_order_share = 1.0
-            _submit(world, 'j', _LONG_MS)
-            await asyncio.sleep(0.2)
-            worker.delayed_order_share = 0.0
-            while len(worker.runs) < 2:
-                await asyncio.sleep(0.0005)
-            # The next attempt has no place there.
-            world.set_capacity('w0', jobgraph.Resources(1000, 1000, 1))
-            await _wait_for_end(worker)
-            await asyncio.sleep(0.02)
-            world.fleet.failing_job_ids.clear()
-            worker.is_partitioned = True
-            world.fleet.crash(worker)
-            world.fleet.restart(worker)
-            # By then it counts as silent.
-            await asyncio.sleep(3.0)
-            world.add_worker(fleetbuilders.build_entry('w9'))
-            await asyncio.sleep(40.0)
-            self.assertEqual([], world.fleet.violations)
-            self.assertEqual(1, _count_runs(world, 'j'))
-
-        for seed in range(3):
-            with self.subTest(seed=seed):
-                fleetbuilders.run_with_node(scenario, seed, workers=1)
-
-    def test_a_start_of_an_earlier_holder(self) -> None:
-        """Guards against an order of before a takeover and a crash.
-
-        The poll that settles the member makes the boot refuse the order.
-        """
-
-        async def scenario(world: fleetbuilders.World) -> None:
-            world.fleet.late_starts_outlive = True
-            world.add_node('entry-2')
-            (worker,) = world.fleet.workers_by_id.values()
-            await asyncio.sleep(1.0)
-            worker.delayed_order_share = 1.0
-            _submit(world, 'j', _LONG_MS)
-            await asyncio.sleep(0.2)
-            holder = world.find_shard_holder()
-            world.nodes.remove(holder)
-            await holder.kill()
-            worker.delayed_order_share = 0.0
-            world.fleet.crash(worker)
-            world.restart_worker(worker)
-            world.add_worker(fleetbuilders.build_entry('w9'))
-            await asyncio.sleep(20.0)
-            self.assertEqual([], world.fleet.violations)
-            self.assertEqual(1, _count_runs(world, 'j'))
-
-        for seed in range(4):
-            fleetbuilders.run_with_node(scenario, seed, workers=1)
-
-
 class PlainCrashTest(unittest.TestCase):
     """A worker restarts while no order is without an answer."""
 
@@ -585,6 +335,6 @@
             while worker.epoch == 0:
                 await asyncio.sleep(0.0005)
             await asyncio.sleep(0.05)
-            self.assertEqual(8, _count_runs(world, 'j'))
+            self.assertEqual(8, restartbuilders.count_runs(world, 'j'))
 
         fleetbuilders.run_with_node(scenario)
