--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -151,15 +151,14 @@
     wall_s: float,
 ) -> None:
     """Stop attempts that would not end before their worker shuts down."""
-    wall_ms = int(wall_s * 1000)
     for group in fleethealth.list_cut_short(board, now):
-        board.record_decision(
-            'attempt stopped: it would outlast its draining worker',
-            group.job,
-            attempt=group.attempt,
-        )
-        runs.end_group(
-            board, group, livejobs.EndReason.WORKER_DRAINING, now, wall_ms
+        _stop_attempt(
+            board,
+            group,
+            'it would outlast its draining worker',
+            livejobs.EndReason.WORKER_DRAINING,
+            now,
+            wall_s,
         )
 
 
@@ -171,18 +170,32 @@
     wall_s: float,
 ) -> None:
     """Stop filling work beside tasks that are over their latency target."""
-    wall_ms = int(wall_s * 1000)
     for group in sharing.list_disturbing(board):
-        board.record_decision(
-            'attempt stopped: a task beside it is over its latency target',
-            group.job,
-            attempt=group.attempt,
-        )
-        runs.end_group(
-            board, group, livejobs.EndReason.PREEMPTED, now, wall_ms
+        _stop_attempt(
+            board,
+            group,
+            'a task beside it is over its latency target',
+            livejobs.EndReason.PREEMPTED,
+            now,
+            wall_s,
         )
 
 
+def _stop_attempt(
+    board: fleet.ShardBoard,
+    group: livejobs.Group,
+    why: str,
+    end_reason: livejobs.EndReason,
+    now: float,
+    wall_s: float,
+) -> None:
+    """Record why an attempt is stopped, and begin to stop it."""
+    board.record_decision(
+        f'attempt stopped: {why}', group.job, attempt=group.attempt
+    )
+    runs.end_group(board, group, end_reason, now, int(wall_s * 1000))
+
+
 @controller(order=38)
 def stop_stuck_tasks(
     board: fleet.ShardBoard,
