--- a/primroselock/test/crashbuilders.py
+++ b/primroselock/test/crashbuilders.py
@@ -267,7 +267,7 @@
         await _replace(world, worker)
         return
     entry = worker.entry
-    address = ''
+    address = entry.address
     if returns is Return.NEW_ADDRESS:
         address = f'{entry.id}:{worker.boot + 1}'
     world.fleet.restart(worker, address=address)
--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -9,13 +9,16 @@
 from collections import abc
 import dataclasses
 import random
+import typing
 
 import result
 
 from primroselock import clock
 from primroselock.decisions import fleetworkers
 from primroselock import jobgraph
+from primroselock.test import capacityhistory
 from primroselock.test import fakeadvice
+from primroselock.test import placementchecks
 from primroselock.test import simulatedworker
 from primroselock.workers import orders
 
@@ -43,6 +46,9 @@
         self.advice_client = fakeadvice.FakeAdviceClient()
         self.tickets: list[str] = []
         self.graphs_by_id: dict[str, jobgraph.JobGraph] = {}
+        self.services_by_queue: dict[str, set[str]] = {}
+        """The services to which any configuration has sent a queue."""
+
         self.work_s_by_job: dict[str, float] = {}
         self.failing_job_ids: set[str] = set()
         self.invalid_job_ids: set[str] = set()
@@ -175,19 +181,21 @@
         self,
         worker: simulatedworker.FakeWorker,
         clock_s: float = 0.0,
-        address: str = '',
+        **changes: typing.Any,
     ) -> None:
         """Restart a worker under the same id, as a new incarnation.
 
-        Its clock starts at ``clock_s``; ``address`` is a new one, if any.
+        Its clock starts at ``clock_s``.  ``changes`` are fields of its entry
+        in which it differs from the incarnation before, if any.
         """
         worker.is_down = False
         worker.boot += 1
         worker.clock_offset_s = clock_s - clock.monotonic()
+        if 'capacity' in changes:
+            # An earlier capacity is no excuse for starts on this one.
+            worker.capacity_history = capacityhistory.CapacityHistory()
         worker.entry = dataclasses.replace(
-            worker.entry,
-            boot=worker.boot,
-            address=address or worker.entry.address,
+            worker.entry, **changes, boot=worker.boot
         )
 
     def _reach(self, worker_id: str) -> simulatedworker.FakeWorker | None:
@@ -293,6 +301,12 @@
         graph: jobgraph.JobGraph,
     ) -> None:
         task = run.task
+        self.violations += placementchecks.list_violations(
+            worker,
+            run,
+            graph,
+            self.services_by_queue.get(graph.queue, frozenset()),
+        )
         if task in self.confirmed_done:
             self.violations.append(
                 f'{task} started after its end was confirmed'
--- a/primroselock/test/faultbuilders.py
+++ b/primroselock/test/faultbuilders.py
@@ -65,6 +65,9 @@
 ORDER_KINDS: typing.Final = frozenset({'orders late', 'starts refused'})
 """Kinds of the series of ``orderfaults``, which are drawn by themselves."""
 
+REBUILD_KINDS: typing.Final = frozenset({'rebuild worker'})
+"""Kinds of the series of ``rebuiltworkers``, which are drawn likewise."""
+
 Injection = abc.Callable[
     [fleetbuilders.World, Fault], abc.Coroutine[typing.Any, typing.Any, None]
 ]
@@ -83,7 +86,7 @@
 
 def list_kinds(is_wide: bool = False) -> list[str]:
     """Return the kinds of faults, sorted."""
-    kinds = set(_injections_by_kind) - ORDER_KINDS
+    kinds = set(_injections_by_kind) - ORDER_KINDS - REBUILD_KINDS
     return sorted(kinds if is_wide else kinds - WIDE_KINDS)
 
 
--- a/primroselock/test/fleetbuilders.py
+++ b/primroselock/test/fleetbuilders.py
@@ -257,6 +257,7 @@
         self.fleet = fakefleet.FakeFleet(seed)
         self.nodes: list[TestNode] = []
         self.queue_configuration = QUEUE_CONFIGURATION
+        self._note_services(QUEUE_CONFIGURATION.queues)
         self.entries_by_id: dict[str, fleetworkers.WorkerEntry] = {}
         self.cancelled_ids: set[str] = set()
         for number in range(workers):
@@ -300,19 +301,29 @@
         self,
         worker: simulatedworker.FakeWorker,
         clock_s: float = 0.0,
-        address: str = '',
+        **changes: typing.Any,
     ) -> None:
-        """Restart a worker and write the entry of its new incarnation."""
-        self.fleet.restart(worker, clock_s, address)
+        """Restart a worker and write the entry of its new incarnation.
+
+        ``changes`` are fields of its entry that differ, if any.
+        """
+        self.fleet.restart(worker, clock_s, **changes)
         self.write_boot(worker)
 
     def write_boot(self, worker: simulatedworker.FakeWorker) -> None:
-        """Write a worker's incarnation and address to its entry, if any."""
+        """Write what a worker's incarnation is to its entry, if any."""
         known = self.entries_by_id.get(worker.entry.id)
         if known is not None:
+            current = worker.entry
             self.write_entry(
                 dataclasses.replace(
-                    known, boot=worker.boot, address=worker.entry.address
+                    known,
+                    boot=worker.boot,
+                    address=current.address,
+                    service=current.service,
+                    rack=current.rack,
+                    labels=current.labels,
+                    capacity=current.capacity,
                 )
             )
 
@@ -325,10 +336,19 @@
         self, current: queues.QueueConfiguration
     ) -> None:
         """Apply a version of the queue configuration on every node."""
+        self._note_services(current.queues)
         self.queue_configuration = current
         for node in self.nodes:
             node.set_queue_configuration(current)
 
+    def _note_services(self, known: abc.Iterable[queues.Queue]) -> None:
+        """Note to which services a configuration sends queues."""
+        for queue in known:
+            services = self.fleet.services_by_queue.setdefault(
+                queue.name, set()
+            )
+            services.add(queue.service)
+
     def add_node(self, name: str, settings_text: str = '') -> TestNode:
         """Start a node; ``settings_text`` adds sections in INI syntax."""
         node = TestNode(
@@ -345,6 +365,8 @@
             graph = msgspec.structs.replace(
                 graph, accepted_ms=int(clock.wall() * 1000)
             )
+        if graph.accepted_queue is not None:
+            self._note_services([graph.accepted_queue])
         self.fleet.graphs_by_id[graph.id] = graph
         self.store.put(keys.graph('fleet', graph.id), graphrows.encode(graph))
 
--- a/primroselock/test/loadbuilders.py
+++ b/primroselock/test/loadbuilders.py
@@ -320,13 +320,15 @@
     duration_s: float,
     source: random.Random,
     is_wide: bool = False,
+    adapt: abc.Callable[[jobgraph.JobGraph], jobgraph.JobGraph] | None = None,
 ) -> None:
     """Submit jobs of all kinds for ``duration_s`` seconds.
 
     With ``is_wide`` there are also jobs of the wide soak, their queues are
     kept as an intake does, and long-running ones are cancelled after a while.
     A few always fail, a few are cancelled, and run times differ from those
-    expected.  ``demand`` is as in :func:`submit_jobs`.
+    expected.  ``demand`` is as in :func:`submit_jobs`.  Each job is changed by
+    ``adapt`` before it is submitted.
     """
     accelerators = sum(
         worker.entry.capacity.accelerators
@@ -352,7 +354,7 @@
             world.fleet.work_s_by_job[name] = (
                 graph.steps[0].expected_ms / 1000 * source.uniform(0.7, 1.4)
             )
-        world.submit(graph)
+        world.submit(adapt(graph) if adapt else graph)
         if source.random() < 0.08:
             delay_s = source.uniform(0.0, 6.0)
             world.fleet.spawn(_cancel_later(world, name, delay_s))
--- a/primroselock/test/soakbuilders.py
+++ b/primroselock/test/soakbuilders.py
@@ -19,6 +19,7 @@
 from primroselock.test import lastingcapacity
 from primroselock.test import loadbuilders
 from primroselock.test import orderfaults
+from primroselock.test import rebuiltworkers
 from primroselock.test import restartfaults
 from primroselock.test import virtualtime
 from primroselock import waits
@@ -46,6 +47,7 @@
     is_wide: bool = False
     has_crashing_jobs: bool = False
     has_restarts: bool = False
+    has_bounds: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -114,6 +116,14 @@
     )
 
 
+def add_bounds(plan: Plan) -> Plan:
+    """Return a plan with bounded steps too (see ``rebuiltworkers``)."""
+    added = rebuiltworkers.draw_series(plan.seed, plan.arrival_s)
+    return dataclasses.replace(
+        plan, faults=plan.faults + added, has_bounds=True
+    )
+
+
 class Soak:
     """One run; ``world`` can be examined while it goes on."""
 
@@ -149,6 +159,7 @@
                 plan.arrival_s,
                 random.Random(plan.seed),
                 plan.is_wide,
+                rebuiltworkers.bound_steps if plan.has_bounds else None,
             ),
             *(
                 faultbuilders.inject(world, fault, self.log)
@@ -202,6 +213,7 @@
     has_late_orders: bool = False,
     has_crashing_jobs: bool = False,
     has_restarts: bool = False,
+    has_bounds: bool = False,
 ) -> Outcome:
     """Run the soak of a seed in virtual time.
 
@@ -212,7 +224,11 @@
 
     async def run_all(virtual: virtualtime.VirtualClock) -> Outcome:
         plan = draw_plan(seed, is_wide, has_late_orders, has_crashing_jobs)
-        soak = Soak(add_restarts(plan) if has_restarts else plan)
+        if has_restarts:
+            plan = add_restarts(plan)
+        if has_bounds:
+            plan = add_bounds(plan)
+        soak = Soak(plan)
         examine(soak)
         return await soak.run()
 
--- a/primroselock/test/testlateorders.py
+++ b/primroselock/test/testlateorders.py
@@ -176,6 +176,7 @@
             fleet = fakefleet.FakeFleet()
             worker = fleet.add(fleetbuilders.build_entry('w0'))
             fleet.graphs_by_id['j'] = fleetbuilders.build_graph('j')
+            fleet.services_by_queue['bulk'] = {'svc'}
             task = jobgraph.TaskName('j', 0, 0, 0)
             until = clock.monotonic() + _LEASE_S
             first = orders.Start(orders.Run(task, 1), '', until, 1)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -4,8 +4,9 @@
 seed.  ``--wide`` adds kinds of faults and of jobs, so that a seed has another
 play.  ``--orders`` adds series of orders that are carried out late beside
 refusals of starts, to the same plays, ``--restarts`` series of workers that
-start again beside such orders, and ``--crashing`` jobs that crash the workers
-that start them.  ``--trace`` adds why the holder did not place the job, and
+start again beside such orders, ``--crashing`` jobs that crash the workers
+that start them, and ``--bounds`` workers that come back as others, with a
+bound on each step.  ``--trace`` adds why the holder did not place the job, and
 the faults; ``--log DIRECTORY`` writes the nodes' log of each seed with virtual
 times.
 """
@@ -37,6 +38,7 @@
     parser.add_argument('--orders', action='store_true')
     parser.add_argument('--crashing', action='store_true')
     parser.add_argument('--restarts', action='store_true')
+    parser.add_argument('--bounds', action='store_true')
     parser.add_argument('--log', type=pathlib.Path)
     return parser.parse_args()
 
@@ -85,6 +87,7 @@
         arguments.orders,
         arguments.crashing,
         arguments.restarts,
+        arguments.bounds,
     )
     if arguments.log is None:
         _configure_log(None)
