--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -263,6 +263,13 @@
         if not worker.is_busy:
             self.remove_worker(worker_id)
 
+    def count_unexpected_runs(self) -> int:
+        """Return how many runs that no row asks for workers list."""
+        return sum(
+            len(worker.unexpected_runs)
+            for worker in self.workers_by_id.values()
+        )
+
     def remove_worker(self, worker_id: str) -> None:
         """Remove a worker that has left and on which nothing can run."""
         if self.workers_by_id.pop(worker_id, None) is not None:
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -122,7 +122,12 @@
         fleet.DecisionRecord(
             'worker restarted',
             '',
-            {'worker': worker.id, 'boot': report.boot, 'was': worker.boot},
+            {
+                'worker': worker.id,
+                'boot': report.boot,
+                'was': worker.boot,
+                'entry_boot': worker.entry.boot,
+            },
         )
     )
 
@@ -314,6 +319,7 @@
                 'task': str(run.task),
                 'attempt': run.attempt,
                 'worker': worker.id,
+                'was_ordered': run in worker.late_runs,
             },
         )
     )
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -45,6 +45,7 @@
 from primroselock.workers import orders
 
 _log: typing.Final = logs.get('holder')
+_GAUGES: typing.Final = ('idle_waits', 'orders_waiting', 'unexpected_runs')
 _MAX_ROUND_INTERVAL_S: typing.Final = 0.25
 _PAUSE_PER_ROUND: typing.Final = 2.0
 """Time between rounds as a multiple of a round's duration: polls, orders and
@@ -221,7 +222,7 @@
                     )
                     self._lease.drop('a loop failed')
         finally:
-            for gauge in (*crashlog.GAUGES, 'idle_waits', 'orders_waiting'):
+            for gauge in (*crashlog.GAUGES, *_GAUGES):
                 self._parts.counters.set_gauge(gauge, 0.0)
             await self._advice_requester.cancel()
             await self._pollers.cancel()
@@ -278,6 +279,9 @@
         )
         for name, count in self._board.crashes.counts().items():
             self._parts.counters.set_gauge(name, float(count))
+        self._parts.counters.set_gauge(
+            'unexpected_runs', float(self._board.count_unexpected_runs())
+        )
         self._send_orders()
         self._parts.counters.set_gauge(
             'orders_waiting', float(self._orders.waiting_count)
--- a/primroselock/metrics.py
+++ b/primroselock/metrics.py
@@ -28,6 +28,7 @@
     'start_order': 'Time until a worker answered a start order.',
     'store_received_bytes': 'Bytes of rows received from the store.',
     'store_sent_bytes': 'Bytes of rows sent to the store.',
+    'unexpected_runs': 'Runs on workers that no row asks for.',
     'worker_crashes': 'Attempts under which this holder saw a worker crash.',
 }
 
