What a worker may run counts for a step's bound as for its capacity (ROUTE)

Callers saw two tasks of a step on one worker where the step allows one. Cause: the bound counted members only. A run that no row asks for took capacity and no place of its step; a settled run of which a start may still begin took neither. Preemption chose by the same count, so that work was stopped for a start that may not be. Class: what a worker may run was answered in several places.

Worker.list_other_runs is the one answer now, with members counted by step where they come and go: free capacity, the bound at placement and in preemption, and the wait of a next attempt read it.

--- a/primroselock/decisions/fitting.py
+++ b/primroselock/decisions/fitting.py
@@ -203,7 +203,7 @@
     """Return a candidate for every task, or None if not all fit."""
     need = group.step.counted_need
     limit = group.step.max_per_worker
-    counts = count_on_workers(group) if limit else {}
+    counts = count_tasks(group, candidates)
     fit_total = 0
     fitting_workers = []
     for worker in candidates:
@@ -288,16 +288,18 @@
     )
 
 
-def count_on_workers(group: livejobs.Group) -> dict[str, int]:
-    """Return the number of the step's tasks that each worker may run."""
-    counts: dict[str, int] = {}
-    siblings = group.job.groups_of_step(group.key.occurrence, group.key.step)
-    for sibling in siblings:
-        for member in sibling.members:
-            if member.state is not livejobs.MemberState.TERMINATED:
-                worker_id = member.worker_id
-                counts[worker_id] = counts.get(worker_id, 0) + 1
-    return counts
+def count_tasks(
+    group: livejobs.Group, workers: abc.Iterable[fleetworkers.Worker]
+) -> dict[str, int]:
+    """Return by id how many of the step's tasks each worker may run.
+
+    Empty for a step without a bound on them.
+    """
+    if not group.step.max_per_worker:
+        return {}
+    return {
+        worker.id: worker.count_tasks(group.step_name) for worker in workers
+    }
 
 
 def must_span_racks(
--- a/primroselock/decisions/fleetpreemption.py
+++ b/primroselock/decisions/fleetpreemption.py
@@ -227,7 +227,7 @@
     group = search.group
     need = group.step.counted_need
     limit = group.step.max_per_worker
-    counts = fitting.count_on_workers(group) if limit else {}
+    counts = fitting.count_tasks(group, candidates)
     workers_by_id = {worker.id: worker for worker in candidates}
     free_by_id = dict(search.free_capacity.free_by_id)
     chosen: dict[livejobs.Group, None] = {}
--- a/primroselock/decisions/fleetworkers.py
+++ b/primroselock/decisions/fleetworkers.py
@@ -1,9 +1,11 @@
 """The workers of a blackboard: what is known of each, and what it holds.
 
 A worker is known by the entry that it publishes and by its run reports.
-The capacity of its entry, less what its members and the runs that no row
-asks for take, is free.  It may shrink while the worker runs: what runs goes
-on, so that less than nothing may be free.
+What it may run are its members, the runs that no row asks for, and the
+settled runs of which a start may still begin.  All of them take capacity and
+count for the bound that a step has on its tasks on one worker.  The capacity
+may shrink while the worker runs: what runs goes on, so that less than nothing
+may be free.
 """
 
 from collections import abc
@@ -46,12 +48,12 @@
 class UnexpectedRun:
     """A run on a worker that no row asks for; it is stopped.
 
-    ``need`` is the resources that it takes, or None where they are not
-    known: it may take all that its worker has, also once that has changed.
+    ``step`` is None where it is not known: the run may take all that its
+    worker has, also once that has changed.
     """
 
     run: orders.Run
-    need: jobgraph.Resources | None
+    step: jobgraph.Step | None
     stop_sent_at: float
 
 
@@ -65,6 +67,7 @@
 
     ordered_at: float
     boot: int
+    step: jobgraph.Step
     stop_sent_at: float = _NEVER
 
 
@@ -130,6 +133,9 @@
         default_factory=dict
     )
     used: jobgraph.Resources = NO_RESOURCES
+    member_counts_by_step: dict[livejobs.StepName, int] = dataclasses.field(
+        default_factory=dict
+    )
     drain_seen_at: float | None = None
     doubted_at: float | None = None
     id: str = dataclasses.field(init=False)
@@ -154,32 +160,76 @@
 
     @property
     def free(self) -> jobgraph.Resources:
-        """Return the capacity that members and unexpected runs leave free."""
-        return self._without_unexpected().plus(self.used, -1)
+        """Return the capacity that what it may run leaves free."""
+        return self._capacity_for_members().plus(self.used, -1)
+
+    def count_tasks(self, step_name: livejobs.StepName) -> int:
+        """Return how many tasks of a step it may run."""
+        others = self.list_other_runs()
+        return self.member_counts_by_step.get(step_name, 0) + sum(
+            _step_name(run) == step_name for run in others
+        )
+
+    def list_other_runs(self) -> dict[orders.Run, jobgraph.Step | None]:
+        """Return what it may run beside its members.
+
+        That is runs that no row asks for, and settled runs of which a start
+        may still begin.  The step is None where it is not known.
+        """
+        others: dict[orders.Run, jobgraph.Step | None] = {
+            run: late_run.step
+            for run, late_run in self.late_runs.items()
+            if self.may_begin(late_run)
+        }
+        for run, unexpected in self.unexpected_runs.items():
+            others[run] = unexpected.step
+        return others
+
+    def may_begin(self, late_run: LateRun) -> bool:
+        """Return whether a start of a settled run may still begin.
+
+        The boot that runs now has not answered a stop of it, or is not known:
+        the worker is silent or may have started again.
+        """
+        return (
+            late_run.boot != self.boot
+            or self.failures_in_row > 0
+            or self.is_doubted
+        )
 
-    def _without_unexpected(self) -> jobgraph.Resources:
-        """Return the capacity that unexpected runs leave to members."""
+    def _capacity_for_members(self) -> jobgraph.Resources:
+        """Return the capacity that other runs leave to members."""
         left = self.entry.capacity
-        for unexpected in self.unexpected_runs.values():
-            need = unexpected.need
-            if need is None:
-                need = self.entry.capacity
+        for step in self.list_other_runs().values():
+            need = self.entry.capacity if step is None else step.counted_need
             left = left.plus(need, -1)
         return left
 
+    def list_to_start(
+        self, starting: abc.Collection[livejobs.Member]
+    ) -> list[livejobs.Member]:
+        """Return its members once these are started.
+
+        Others that are placed and not started are left out: each is judged
+        in its turn.
+        """
+        return [
+            member
+            for member in self.members.values()
+            if member.state is not livejobs.MemberState.PLACED
+            or member in starting
+        ]
+
     def has_capacity_to_start(
         self, starting: abc.Collection[livejobs.Member]
     ) -> bool:
         """Return whether starts of these members keep to the capacity.
 
-        It may have shrunk since they were placed.  Other members that are
-        placed and not started do not count: each is judged in its turn.
+        It may have shrunk since they were placed.
         """
-        left = self._without_unexpected()
-        for member in self.members.values():
-            is_placed = member.state is livejobs.MemberState.PLACED
-            if not is_placed or member in starting:
-                left = left.plus(member.group.step.counted_need, -1)
+        left = self._capacity_for_members()
+        for member in self.list_to_start(starting):
+            left = left.plus(member.group.step.counted_need, -1)
         return left.can_fit(NO_RESOURCES)
 
     @property
@@ -224,12 +274,28 @@
         """Add a member and the resources that it takes."""
         self.members[member.run] = member
         self.used = self.used.plus(member.group.step.counted_need)
+        self._count_member(member, 1)
 
     def remove_member(self, member: livejobs.Member) -> None:
         """Remove a member and free the resources that it took."""
         if member.unanswered_starts:
             ordered_at = max(member.ordered_at, member.unanswered_at)
-            late_run = LateRun(ordered_at, self.boot)
+            late_run = LateRun(ordered_at, self.boot, member.group.step)
             self.late_runs[member.run] = late_run
         if self.members.pop(member.run, None) is not None:
             self.used = self.used.plus(member.group.step.counted_need, -1)
+            self._count_member(member, -1)
+
+    def _count_member(self, member: livejobs.Member, change: int) -> None:
+        step_name = member.group.step_name
+        count = self.member_counts_by_step.get(step_name, 0) + change
+        if count:
+            self.member_counts_by_step[step_name] = count
+        else:
+            del self.member_counts_by_step[step_name]
+
+
+def _step_name(run: orders.Run) -> livejobs.StepName:
+    """Return the step of a run's task."""
+    task = run.task
+    return livejobs.StepName(task.job_id, task.occurrence, task.step)
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -20,11 +20,12 @@
 from primroselock.decisions import livejobs
 from primroselock.decisions import runprogress
 from primroselock.decisions import sharing
+from primroselock.decisions import unexpectedruns
 from primroselock.decisions import workerboots
 from primroselock import jobs
 from primroselock.workers import orders
 
-STOP_RETRY_S: typing.Final = 0.5
+_STOP_RETRY_S: typing.Final = 0.5
 _STOP_EFFECT_S: typing.Final = 2.0
 """A run that is still reported after an answered stop is stopped again."""
 
@@ -75,8 +76,7 @@
         _record_running(board, worker, run, running, reported_at, now)
     if report.is_complete:
         _record_absent(board, worker, reported, sent_at, now, wall_ms)
-    for run in [run for run in worker.unexpected_runs if run not in reported]:
-        del worker.unexpected_runs[run]
+    unexpectedruns.drop_unlisted(worker, reported)
     for run in workerboots.take_due_stops(worker, now):
         board.orders.append(fleet.StopOrder(worker.id, run))
     for group in lost_groups:
@@ -255,7 +255,7 @@
 ) -> None:
     member = worker.members.get(run)
     if member is None:
-        _record_unexpected(board, worker, run, now)
+        unexpectedruns.record(board, worker, run, now)
         return
     worker.unexpected_runs.pop(run, None)
     group = member.group
@@ -295,36 +295,6 @@
     board.worker_speeds.record(step, member.worker_id, rate_per_s)
 
 
-def _record_unexpected(
-    board: fleet.ShardBoard,
-    worker: fleetworkers.Worker,
-    run: orders.Run,
-    now: float,
-) -> None:
-    # A run of a job that has ended may be of any size.
-    need = None
-    job = board.jobs_by_id.get(run.task.job_id)
-    if job is not None and run.task.step < len(job.graph.steps):
-        need = job.graph.steps[run.task.step].counted_need
-    known = worker.unexpected_runs.get(run)
-    if known is not None and now - known.stop_sent_at < STOP_RETRY_S:
-        return
-    worker.unexpected_runs[run] = fleetworkers.UnexpectedRun(run, need, now)
-    board.orders.append(fleet.StopOrder(worker.id, run))
-    board.decision_records.append(
-        fleet.DecisionRecord(
-            'unexpected run, stopping it',
-            run.task.job_id,
-            {
-                'task': str(run.task),
-                'attempt': run.attempt,
-                'worker': worker.id,
-                'was_ordered': run in worker.late_runs,
-            },
-        )
-    )
-
-
 def _record_absent(
     board: fleet.ShardBoard,
     worker: fleetworkers.Worker,
@@ -451,7 +421,7 @@
 
 def _needs_stop(member: livejobs.Member, now: float) -> bool:
     group = member.group
-    if now - member.stop_sent_at < STOP_RETRY_S:
+    if now - member.stop_sent_at < _STOP_RETRY_S:
         return False
     if member.stopped_at > 0:
         # Without a report that lists it, the next one settles the member.
--- /dev/null
+++ b/primroselock/decisions/unexpectedruns.py
@@ -0,0 +1,62 @@
+"""Runs that a worker lists and that no row asks for; they are stopped.
+
+They may be earlier attempts, settled before they began, or runs of a job that
+has ended.  Until the worker lists them no more they count as what it runs.
+"""
+
+from collections import abc
+import typing
+
+from primroselock.decisions import fleet
+from primroselock.decisions import fleetworkers
+from primroselock import jobgraph
+from primroselock.workers import orders
+
+_STOP_RETRY_S: typing.Final = 0.5
+
+
+def record(
+    board: fleet.ShardBoard,
+    worker: fleetworkers.Worker,
+    run: orders.Run,
+    now: float,
+) -> None:
+    """Record that a worker lists a run that no row asks for; stop it."""
+    known = worker.unexpected_runs.get(run)
+    if known is not None and now - known.stop_sent_at < _STOP_RETRY_S:
+        return
+    worker.unexpected_runs[run] = fleetworkers.UnexpectedRun(
+        run, _find_step(board, run.task), now
+    )
+    board.orders.append(fleet.StopOrder(worker.id, run))
+    board.decision_records.append(
+        fleet.DecisionRecord(
+            'unexpected run, stopping it',
+            run.task.job_id,
+            {
+                'task': str(run.task),
+                'attempt': run.attempt,
+                'worker': worker.id,
+                'was_ordered': run in worker.late_runs,
+            },
+        )
+    )
+
+
+def _find_step(
+    board: fleet.ShardBoard, task: jobgraph.TaskName
+) -> jobgraph.Step | None:
+    """Return the step of a task; None if its job is not known any more."""
+    job = board.jobs_by_id.get(task.job_id)
+    if job is None or task.step >= len(job.graph.steps):
+        return None
+    return job.graph.steps[task.step]
+
+
+def drop_unlisted(
+    worker: fleetworkers.Worker, listed: abc.Container[orders.Run]
+) -> None:
+    """Forget the runs that a worker does not list any more."""
+    ended = [run for run in worker.unexpected_runs if run not in listed]
+    for run in ended:
+        del worker.unexpected_runs[run]
--- a/primroselock/decisions/workerboots.py
+++ b/primroselock/decisions/workerboots.py
@@ -144,12 +144,11 @@
     The worker is silent or may have started again, or its boot has not
     answered their stops; an order of theirs may have been under way.
     """
-    is_unknown = worker.failures_in_row > 0 or worker.is_doubted
     return [
         run
         for run, late_run in worker.late_runs.items()
         if now - late_run.ordered_at < _LATE_START_S + run_lease_s
-        and (is_unknown or late_run.boot != worker.boot)
+        and worker.may_begin(late_run)
     ]
 
 
--- a/primroselock/test/teststepbounds.py
+++ b/primroselock/test/teststepbounds.py
@@ -12,8 +12,10 @@
 from unittest import mock
 
 from primroselock.decisions import fleetround
+from primroselock.decisions import fleetworkers
 from primroselock.decisions import livejobs
 from primroselock.decisions import runs
+from primroselock.decisions import workerboots
 from primroselock import jobgraph
 from primroselock import queues
 from primroselock.test import boundbuilders
@@ -150,6 +152,21 @@
         self.site.run_for(1.0)
         self.assertIs(livejobs.Phase.RUNNING, victim.phase)
 
+    def test_a_start_that_may_begin_on_the_next_boot_counts(self) -> None:
+        """Guards against a sibling beside an order of before a restart."""
+        first, second = self.submit()
+        run = orders.Run(jobgraph.TaskName('j', 0, 0, first.key.index), 1)
+        self.worker.late_runs[run] = fleetworkers.LateRun(
+            self.site.now, boot=9, step=first.step
+        )
+        self.decide()
+        self.assertIs(livejobs.Phase.WAITING, second.phase)
+        self.assertEqual(7, self.worker.free.accelerators)
+        workerboots.record_stopped(self.worker, run, self.worker.boot)
+        self.decide()
+        self.assertIs(livejobs.Phase.COMMITTING, second.phase)
+        self.assertEqual(7, self.worker.free.accelerators)
+
 
 class UnsentStartTest(unittest.TestCase):
     """What a start was placed for changes until it is sent."""
