A start is judged again when it is sent by all that it was placed by (ROUTE)

Cause: between placement and start, and until a start without an answer is repeated, only service in the zone, draining and capacity were looked at again. A worker that was back as another kind or for another service, a queue that was sent elsewhere, and a run of the same step that was seen since, were not. The checks are a registry in startchecks now, one for each condition of a placement.

--- a/primroselock/decisions/fleetworkers.py
+++ b/primroselock/decisions/fleetworkers.py
@@ -165,9 +165,12 @@
 
     def count_tasks(self, step_name: livejobs.StepName) -> int:
         """Return how many tasks of a step it may run."""
-        others = self.list_other_runs()
-        return self.member_counts_by_step.get(step_name, 0) + sum(
-            _step_name(run) == step_name for run in others
+        members = self.member_counts_by_step.get(step_name, 0)
+        return members + self._count_others(step_name)
+
+    def _count_others(self, step_name: livejobs.StepName) -> int:
+        return sum(
+            _step_name(run) == step_name for run in self.list_other_runs()
         )
 
     def list_other_runs(self) -> dict[orders.Run, jobgraph.Step | None]:
@@ -205,10 +208,10 @@
             left = left.plus(need, -1)
         return left
 
-    def list_to_start(
+    def _list_started(
         self, starting: abc.Collection[livejobs.Member]
     ) -> list[livejobs.Member]:
-        """Return its members once these are started.
+        """Return the members that may run once these are started.
 
         Others that are placed and not started are left out: each is judged
         in its turn.
@@ -228,10 +231,21 @@
         It may have shrunk since they were placed.
         """
         left = self._capacity_for_members()
-        for member in self.list_to_start(starting):
+        for member in self._list_started(starting):
             left = left.plus(member.group.step.counted_need, -1)
         return left.can_fit(NO_RESOURCES)
 
+    def count_to_start(
+        self,
+        starting: abc.Collection[livejobs.Member],
+        step_name: livejobs.StepName,
+    ) -> int:
+        """Return how many tasks of a step may run once these are started."""
+        started = self._list_started(starting)
+        return self._count_others(step_name) + sum(
+            member.group.step_name == step_name for member in started
+        )
+
     @property
     def is_busy(self) -> bool:
         """Return whether anything may run or an end is unconfirmed."""
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -20,12 +20,12 @@
 from primroselock import callslots
 from primroselock import clock
 from primroselock.decisions import advising
-from primroselock.decisions import eligibility
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import livejobs
 from primroselock.decisions import runleases
 from primroselock.decisions import runs
+from primroselock.decisions import startchecks
 from primroselock.decisions import workerboots
 from primroselock import lateness
 from primroselock import logs
@@ -119,29 +119,19 @@
             self._tasks.spawn(self._start(member))
 
     def _find_obstacle(
-        self, members: abc.Iterable[livejobs.Member], now: float
+        self, members: abc.Collection[livejobs.Member], now: float
     ) -> str:
         """Return why starts may not be sent; empty if they may.
 
-        Each grants a lease.  Since the placement a worker may have shrunk or
-        begun to drain, or its zone been taken out of service.
+        Each grants a lease.  See ``startchecks`` for what may have changed
+        since the placement.
         """
         if not self._may_start(now):
             return 'no permit'
-        starting_by_id: dict[str, list[livejobs.Member]] = {}
         for member in members:
-            starting_by_id.setdefault(member.worker_id, []).append(member)
-        for worker_id, starting in starting_by_id.items():
-            if self._lease.published_bounds.covers(worker_id):
-                return f'leases of {worker_id} are bounded'
-            worker = self._board.workers_by_id.get(worker_id)
-            if worker is None:
-                continue
-            if not eligibility.is_in_service(self._board, worker):
-                return f'{worker_id} is out of service'
-            if not worker.has_capacity_to_start(starting):
-                return f'no capacity on {worker_id}'
-        return ''
+            if self._lease.published_bounds.covers(member.worker_id):
+                return f'leases of {member.worker_id} are bounded'
+        return startchecks.find_obstacle(self._board, members)
 
     def _cancel_start(
         self, group: livejobs.Group, why: str, now: float
