A worker gets starts only by the entry of the incarnation that was polled (ROUTE)

Cause: nothing compared the boot of an entry with the boot that answers polls. A worker whose entry is of another incarnation gets no starts now, and a start that was placed before is not sent.

--- a/primroselock/decisions/eligibility.py
+++ b/primroselock/decisions/eligibility.py
@@ -25,6 +25,7 @@
     NOT_POLLED = 'not polled by this holder'
     UNRESPONSIVE = 'calls to it fail'
     RESTARTED = 'may have started again since its last poll'
+    ENTRY_OUTDATED = 'its entry is of another incarnation'
     LEASE_BOUNDED = 'bound of its leases not withdrawn yet'
     DRAINING = 'draining'
     ZONE_OUT_OF_SERVICE = 'zone out of service'
@@ -44,6 +45,8 @@
         return Exclusion.UNRESPONSIVE
     if worker.is_doubted:
         return Exclusion.RESTARTED
+    if not worker.is_entry_current:
+        return Exclusion.ENTRY_OUTDATED
     if board.published_bounds.covers(worker.id):
         return Exclusion.LEASE_BOUNDED
     if worker.entry.is_draining:
--- a/primroselock/decisions/fleetworkers.py
+++ b/primroselock/decisions/fleetworkers.py
@@ -158,6 +158,17 @@
         """Return its latest known incarnation; an idle one is not polled."""
         return max(self.boot, self.entry.boot)
 
+    @property
+    def is_entry_current(self) -> bool:
+        """Return whether its entry is of the incarnation that was polled.
+
+        Another one may be of another kind, size or service.  Incarnations
+        that are not known are taken for the same.
+        """
+        return 0 in (self.boot, self.entry.boot) or (
+            self.boot == self.entry.boot
+        )
+
     @property
     def free(self) -> jobgraph.Resources:
         """Return the capacity that what it may run leaves free."""
--- a/primroselock/decisions/startchecks.py
+++ b/primroselock/decisions/startchecks.py
@@ -51,6 +51,15 @@
     return ''
 
 
+@check
+def _check_entry(
+    board: fleet.ShardBoard,
+    worker: fleetworkers.Worker,
+    starting: abc.Sequence[livejobs.Member],
+) -> str:
+    return '' if worker.is_entry_current else 'entry of another incarnation'
+
+
 @check
 def _check_service(
     board: fleet.ShardBoard,
--- a/primroselock/test/teststepbounds.py
+++ b/primroselock/test/teststepbounds.py
@@ -282,7 +282,8 @@
             before = worker.entry
             world.fleet.crash(worker)
             world.fleet.restart(worker, **changes)
-            await asyncio.sleep(boundbuilders.AT_ONCE_S)
+            known = capacitybuilders.find_board(world).workers_by_id['w0']
+            await boundbuilders.wait_until(lambda: known.boot == worker.boot)
             boundbuilders.submit(world, 'j', 8, **step)
             await asyncio.sleep(_ENTRY_LAG_S)
             world.write_boot(worker)
