A start waits until its worker is known to be the boot that was polled (ROUTE)

Cause: an idle worker is not polled, and a poll that is held open tells nothing for seconds. A worker that was back meanwhile under its id as another kind, size or for another service got starts by its old entry. Before a start is sent, the boot that was polled must have answered within the last second, in which no worker is back as another one: an idle worker's first poll, which begins with the placement and ends about when that is stored, does not wait for ends now; one whose poll is held open is probed beside it. A probe that another boot answers makes the worker doubted. A start that would have found nobody is not sent, so that no order is left without an answer there.

--- a/primroselock/decisions/fleetworkers.py
+++ b/primroselock/decisions/fleetworkers.py
@@ -18,6 +18,9 @@
 
 NO_RESOURCES: typing.Final = jobgraph.Resources()
 _NEVER: typing.Final = float('-inf')
+_MIN_RESTART_S: typing.Final = 1.0
+"""A worker that has answered does not work as another boot sooner."""
+
 _FIRST_REFUSAL_PAUSE_S: typing.Final = 0.5
 _MAX_REFUSAL_PAUSE_S: typing.Final = 2.0
 """The longest time for which a worker that refuses starts gets none."""
@@ -103,7 +106,8 @@
     to the worker.  ``drain_seen_at`` is when this holder first read that the
     worker is draining.  ``doubted_at`` is when this holder learned that
     another boot than the one that it polled may have the worker's id, or None
-    once a later poll was answered.
+    once a later poll was answered.  ``boot_seen_at`` is when the boot that was
+    polled last answered.
     """
 
     entry: WorkerEntry
@@ -138,6 +142,7 @@
     )
     drain_seen_at: float | None = None
     doubted_at: float | None = None
+    boot_seen_at: float = _NEVER
     id: str = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
@@ -153,6 +158,14 @@
         """Return whether it must be polled before it gets times or orders."""
         return self.doubted_at is not None
 
+    def is_boot_known(self, now: float) -> bool:
+        """Return whether the boot that was polled is the one that runs now.
+
+        A worker on which nothing runs is not polled, and a poll that is held
+        open tells nothing.
+        """
+        return now - self.boot_seen_at <= _MIN_RESTART_S
+
     @property
     def latest_boot(self) -> int:
         """Return its latest known incarnation; an idle one is not polled."""
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -67,6 +67,7 @@
     worker.polled_at = max(worker.polled_at, sent_at)
     reported_at = _reported_at(worker, report.clock_s, now)
     worker.clock_s, worker.clock_at = report.clock_s, now
+    worker.boot_seen_at = now
     worker.last_answer_at = now
     worker.failures_in_row = 0
     for ended in report.ended:
--- a/primroselock/decisions/workerboots.py
+++ b/primroselock/decisions/workerboots.py
@@ -60,6 +60,18 @@
         worker.doubted_at = None
 
 
+def record_boot(worker: fleetworkers.Worker, boot: int, now: float) -> None:
+    """Record which boot has answered, at ``now``, outside the polls.
+
+    Another one than the one that was polled must be polled before it gets
+    times or orders.  An answer without a boot tells of no other.
+    """
+    if boot in (0, worker.boot):
+        worker.boot_seen_at = max(worker.boot_seen_at, now)
+    else:
+        worker.doubted_at = now
+
+
 def latest_lease_end(
     worker: fleetworkers.Worker, report: orders.RunReport, run_lease_s: float
 ) -> float:
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -141,26 +141,27 @@
             clock.monotonic,
             self._settings.platform.max_row_bytes,
         )
-        self._orders = runorders.OrderSender(
+        self._pollers = workerpolling.WorkerPollers(
             self._settings,
             self._lease,
             board,
             parts.run_client,
             parts.wake.set,
-            self._may_start,
             parts.counters,
         )
-        self._advice_requester = advicerequests.AdviceRequester(
-            board, parts.advice_client, parts.wake.set
-        )
-        self._pollers = workerpolling.WorkerPollers(
+        self._orders = runorders.OrderSender(
             self._settings,
             self._lease,
             board,
             parts.run_client,
             parts.wake.set,
+            self._may_start,
+            self._pollers.confirm_boot,
             parts.counters,
         )
+        self._advice_requester = advicerequests.AdviceRequester(
+            board, parts.advice_client, parts.wake.set
+        )
 
     def close(self) -> None:
         """Send no more starts: the shard is about to be released."""
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -38,6 +38,11 @@
 _MAX_START_ATTEMPTS: typing.Final = 3
 _RETRY_PAUSE_S: typing.Final = 0.05
 
+ConfirmBoot = abc.Callable[
+    [fleetworkers.Worker], abc.Coroutine[typing.Any, typing.Any, bool]
+]
+"""Returns whether the boot of a worker that was polled runs now."""
+
 _REFUSALS_OF_ALL_STARTS: typing.Final = frozenset(
     {orders.Refusal.NO_CAPACITY, orders.Refusal.UNHEALTHY}
 )
@@ -81,6 +86,7 @@
         run_client: orders.RunClient,
         wake: abc.Callable[[], None],
         may_start: abc.Callable[[float], bool],
+        confirm_boot: ConfirmBoot,
         counters: metrics.Metrics,
     ) -> None:
         self._settings = settings
@@ -89,6 +95,7 @@
         self._run_client = run_client
         self._wake = wake
         self._may_start = may_start
+        self._confirm_boot = confirm_boot
         self._metrics = counters
         self._slots = callslots.CallSlots()
         self._stopping_runs: set[orders.Run] = set()
@@ -156,6 +163,10 @@
         worker = self._board.workers_by_id.get(member.worker_id)
         if worker is None:
             return
+        is_known = await self._confirm_boot(worker)
+        if not is_known and member.state is livejobs.MemberState.PLACED:
+            self._refuse_unknown(worker, member, clock.monotonic())
+            return
         for attempt in range(_MAX_START_ATTEMPTS):
             async with self._slots.hold(worker.id):
                 sent_at = clock.monotonic()
@@ -243,14 +254,20 @@
             self._cancel_start(group, obstacle, now)
             return False
         if worker.failures_in_row or worker.is_doubted:
-            silent = orders.NotSent('it has stopped answering, or restarted')
-            self._record_refusal(worker, member, silent, False, now)
+            self._refuse_unknown(worker, member, now)
             return False
         member.state = livejobs.MemberState.ORDERED
         member.boot = worker.latest_boot
         member.ordered_at = now
         return True
 
+    def _refuse_unknown(
+        self, worker: fleetworkers.Worker, member: livejobs.Member, now: float
+    ) -> None:
+        """End the attempt of a member whose worker may not be the same."""
+        silent = orders.NotSent('it has stopped answering, or restarted')
+        self._record_refusal(worker, member, silent, False, now)
+
     async def _send_start(
         self,
         worker: fleetworkers.Worker,
--- a/primroselock/test/teststepbounds.py
+++ b/primroselock/test/teststepbounds.py
@@ -315,6 +315,49 @@
         self.check({'capacity': capacitybuilders.HALF})
 
 
+class UnnoticedRestartTest(unittest.TestCase):
+    """An idle worker, which is not polled, is back as another one."""
+
+    def check(self, **changes: typing.Any) -> None:
+        """Let the only worker change before a job, and its entry after."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            (worker,) = world.fleet.workers_by_id.values()
+            await asyncio.sleep(_ENTRY_LAG_S)
+            before = worker.entry
+            world.fleet.crash(worker)
+            world.fleet.restart(worker, **changes)
+            boundbuilders.submit(world, 'j', 8, label='kind')
+            await asyncio.sleep(_ENTRY_LAG_S)
+            world.write_boot(worker)
+            await asyncio.sleep(boundbuilders.AT_ONCE_S)
+            self.assertEqual(0, world.fleet.starts)
+            world.fleet.crash(worker)
+            world.restart_worker(
+                worker,
+                service=before.service,
+                labels=before.labels,
+                capacity=before.capacity,
+            )
+            await boundbuilders.wait_until(
+                lambda: len(boundbuilders.list_runs(worker, 'j')) == 8
+            )
+
+        capacitybuilders.run_scenario(scenario, workers=1)
+
+    def test_as_another_kind(self) -> None:
+        """Guards against a start without the step's label (ROUTE)."""
+        self.check(labels=boundbuilders.OTHER_KIND)
+
+    def test_for_another_service(self) -> None:
+        """Guards against a start where no queue is sent (ROUTE)."""
+        self.check(service='other')
+
+    def test_that_is_smaller(self) -> None:
+        """Guards against a start over a capacity that is gone (LIMIT)."""
+        self.check(capacity=capacitybuilders.NOTHING)
+
+
 Change = abc.Callable[[fleetbuilders.World, simulatedworker.FakeWorker], None]
 
 
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -42,6 +42,9 @@
 """Wait of a poll while the outcome of an order is unknown, or while the next
 poll may extend the worker's lease and this one may not."""
 
+_MAX_CONFIRMATIONS: typing.Final = 3
+"""Calls of which the answer may be missing, since this process was late."""
+
 _MAX_UNSAVED_WAIT_S: typing.Final = 1.0
 _INITIAL_BACKOFF_S: typing.Final = 0.1
 _MAX_BACKOFF_S: typing.Final = 1.0
@@ -70,6 +73,8 @@
         self._tasks = backgroundtasks.BackgroundTasks('poll of a worker')
         self._tasks_by_worker_id: dict[str, asyncio.Task[None]] = {}
         self._sent_at_by_worker_id: dict[str, float] = {}
+        self._held_open_ids: set[str] = set()
+        self._poll_ended_by_worker_id: dict[str, asyncio.Event] = {}
         self._probes_by_worker_id: dict[str, asyncio.Task[None]] = {}
 
     def ensure_running(self) -> None:
@@ -86,11 +91,47 @@
                 self._run(worker)
             )
         for worker in reachability.list_unverified(self._board):
-            probe = self._probes_by_worker_id.get(worker.id)
-            if worker.entry.address and (probe is None or probe.done()):
-                self._probes_by_worker_id[worker.id] = self._tasks.spawn(
-                    self._probe(worker)
-                )
+            if worker.entry.address:
+                self._ensure_probe(worker)
+
+    def _ensure_probe(self, worker: fleetworkers.Worker) -> asyncio.Task[None]:
+        """Return the probe of a worker that is under way, or begin one."""
+        probe = self._probes_by_worker_id.get(worker.id)
+        if probe is None or probe.done():
+            probe = self._tasks.spawn(self._probe(worker))
+            self._probes_by_worker_id[worker.id] = probe
+        return probe
+
+    async def confirm_boot(self, worker: fleetworkers.Worker) -> bool:
+        """Return whether the boot that was polled is the one that runs now.
+
+        A worker on which nothing ran is about to be polled, since something
+        was placed there; one whose poll is held open is probed beside it.
+        """
+        for _ in range(_MAX_CONFIRMATIONS):
+            if worker.failures_in_row or worker.is_doubted:
+                return False
+            if worker.is_boot_known(clock.monotonic()):
+                return True
+            if self._is_polled(worker) and (
+                worker.id not in self._held_open_ids
+            ):
+                await self._wait_for_poll(worker)
+            else:
+                await asyncio.wait([self._ensure_probe(worker)])
+        return worker.is_boot_known(clock.monotonic())
+
+    async def _wait_for_poll(self, worker: fleetworkers.Worker) -> None:
+        """Wait until the poll of a worker that is next has ended."""
+        ended = self._poll_ended_by_worker_id.setdefault(
+            worker.id, asyncio.Event()
+        )
+        await ended.wait()
+
+    def _notify_poll_ended(self, worker_id: str) -> None:
+        ended = self._poll_ended_by_worker_id.pop(worker_id, None)
+        if ended is not None:
+            ended.set()
 
     def notify_saved(self) -> None:
         """Wake the polls that wait until reported ends are stored."""
@@ -126,7 +167,7 @@
         """
         due_at = clock.monotonic()
         async with self._slots.hold(worker.id):
-            if worker.last_answer_at >= due_at or worker.failures_in_row:
+            if worker.boot_seen_at >= due_at or worker.failures_in_row:
                 # A poll was answered, or has failed, in the meantime.
                 return
             sent_at = clock.monotonic()
@@ -150,7 +191,9 @@
                 return
             self._record_error(worker, answer.err_value, address, sent_at)
             return
-        worker.last_answer_at = clock.monotonic()
+        now = clock.monotonic()
+        worker.last_answer_at = now
+        workerboots.record_boot(worker, answer.ok_value.boot, now)
         self._wake()
 
     def _is_polled(self, worker: fleetworkers.Worker) -> bool:
@@ -171,6 +214,12 @@
         )
 
     async def _run(self, worker: fleetworkers.Worker) -> None:
+        try:
+            await self._poll_while_needed(worker)
+        finally:
+            self._notify_poll_ended(worker.id)
+
+    async def _poll_while_needed(self, worker: fleetworkers.Worker) -> None:
         while self._lease.has_shard and self._needs_polling(worker):
             await self._wait_for_saved_ends(worker)
             async with self._slots.hold(worker.id):
@@ -229,6 +278,8 @@
             )
             worker.record_failed_call(clock.monotonic())
             return False
+        finally:
+            self._notify_poll_ended(worker.id)
 
     async def _poll(self, worker: fleetworkers.Worker) -> bool:
         """Poll once; return whether the worker answered."""
@@ -256,6 +307,8 @@
         timeout_s = self._settings.fleet.look_timeout_s
         address = worker.entry.address
         self._sent_at_by_worker_id[worker.id] = sent_at
+        if wait_s > _SHORT_WAIT_S:
+            self._held_open_ids.add(worker.id)
         try:
             answer = await self._run_client.poll_runs(
                 worker.id,
@@ -268,6 +321,7 @@
             )
         finally:
             del self._sent_at_by_worker_id[worker.id]
+            self._held_open_ids.discard(worker.id)
         self._metrics.count('looks')
         self._record_duration(answer, sent_at + wait_s)
         if isinstance(answer, result.Err):
@@ -310,6 +364,9 @@
     def _poll_wait_s(self, worker: fleetworkers.Worker) -> float:
         if not worker.is_polled or worker.is_doubted or worker.unsaved_ends:
             return 0.0
+        if not worker.is_boot_known(clock.monotonic()):
+            # Nothing has run there lately, and starts wait for its report.
+            return 0.0
         if workerboots.has_open_stops(worker) or sharing.may_disturb(worker):
             return _SHORT_WAIT_S
         if not self._may_extend(worker) or any(
