--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -136,6 +136,8 @@
     ``idle_waits`` is the number of jobs that waited beside free capacity at
     ``waits_reported_at``, among those examined; the next report begins with
     the job at ``next_examined``.
+    ``late_runs_by_removed_id`` are those of workers that were removed: one may
+    be back as another boot while a start is under way.
     ``search_retry_at_by_shape`` holds, for shapes (see ``freecapacity``) for
     which neither victims nor workers to claim were found, when to search
     again.
@@ -156,6 +158,9 @@
     workers_by_id: dict[str, fleetworkers.Worker] = dataclasses.field(
         default_factory=dict
     )
+    late_runs_by_removed_id: dict[
+        str, dict[orders.Run, fleetworkers.LateRun]
+    ] = dataclasses.field(default_factory=dict)
     changed_ids: dict[str, None] = dataclasses.field(default_factory=dict)
     ended_ms_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
     phases: phaseindex.PhaseIndex = dataclasses.field(
@@ -238,6 +243,7 @@
         worker = self.workers_by_id.get(entry.id)
         if worker is None:
             worker = fleetworkers.Worker(entry)
+            worker.late_runs = self.late_runs_by_removed_id.pop(entry.id, {})
             self.workers_by_id[entry.id] = worker
             self.entry_cache.clear()
         elif worker.entry != entry or not worker.is_listed:
@@ -272,5 +278,9 @@
 
     def remove_worker(self, worker_id: str) -> None:
         """Remove a worker that has left and on which nothing can run."""
-        if self.workers_by_id.pop(worker_id, None) is not None:
-            self.entry_cache.clear()
+        worker = self.workers_by_id.pop(worker_id, None)
+        if worker is None:
+            return
+        self.entry_cache.clear()
+        if worker.late_runs:
+            self.late_runs_by_removed_id[worker_id] = worker.late_runs
--- a/primroselock/decisions/runleases.py
+++ b/primroselock/decisions/runleases.py
@@ -35,6 +35,7 @@
     if 0 <= now - board.expiry_checked_at < _EXPIRY_CHECK_INTERVAL_S:
         return
     board.expiry_checked_at = now
+    workerboots.forget_old(board.late_runs_by_removed_id, now)
     for worker in list(board.workers_by_id.values()):
         if not _may_run_any(worker) or not _is_expired(board, worker, now):
             continue
--- a/primroselock/decisions/workerboots.py
+++ b/primroselock/decisions/workerboots.py
@@ -125,6 +125,17 @@
     member.stopped_at = _NEVER
 
 
+def forget_old(
+    late_runs_by_id: dict[str, dict[orders.Run, fleetworkers.LateRun]],
+    now: float,
+) -> None:
+    """Forget the workers none of whose late runs may begin any more."""
+    for worker_id, late_runs in list(late_runs_by_id.items()):
+        latest = max(late_run.ordered_at for late_run in late_runs.values())
+        if now - latest > _FORGET_LATE_S:
+            del late_runs_by_id[worker_id]
+
+
 def take_due_stops(
     worker: fleetworkers.Worker, now: float
 ) -> list[orders.Run]:
--- a/primroselock/test/testlatestarts.py
+++ b/primroselock/test/testlatestarts.py
@@ -92,6 +92,35 @@
 
         fleetbuilders.run_with_node(scenario, workers=1)
 
+    def test_after_its_entry_was_gone(self) -> None:
+        """Guards against orders that are forgotten with an idle worker.
+
+        It has left the list, and is back as another boot within seconds.
+        """
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            world.fleet.late_starts_outlive = True
+            world.fleet.late_s = (4.0, 6.0)
+            (worker,) = world.fleet.workers_by_id.values()
+            await asyncio.sleep(1.0)
+            worker.delayed_order_share = 1.0
+            restartbuilders.submit(world, 'j', 200)
+            await asyncio.sleep(0.2)
+            worker.delayed_order_share = 0.0
+            await world.wait_for('j', 'done', 2.0)
+            # The end is confirmed, so that nothing keeps the worker known.
+            await asyncio.sleep(2.2)
+            world.delete_entry('w0')
+            world.fleet.crash(worker)
+            await asyncio.sleep(0.2)
+            world.fleet.restart(worker)
+            world.write_entry(worker.entry)
+            await asyncio.sleep(_LATEST_START_S)
+            self.assertEqual(1, world.fleet.starts)
+
+        for seed in range(3):
+            fleetbuilders.run_with_node(scenario, seed, workers=1)
+
     def test_without_any_answer(self) -> None:
         """Guards against orders that are given up at a restart."""
         for crashes_at in (0.3, 0.6, 1.4):
