Starts that wait for a probe end before the probes do

Orders are cancelled first now. testsessiontasks' test_a_start_that_waits_for_a_probe_begins_no_other fails before (epoch 1 among the polls of 3 s after the session) and passes after.

--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -226,8 +226,9 @@
             for gauge in (*crashlog.GAUGES, *_GAUGES):
                 self._parts.counters.set_gauge(gauge, 0.0)
             await self._advice_requester.cancel()
-            await self._pollers.cancel()
+            # Orders may wait for probes, and would begin others.
             await self._orders.cancel()
+            await self._pollers.cancel()
             await waits.cancel_tasks(loops)
 
     async def _decide(self) -> None:
--- a/primroselock/test/testsessiontasks.py
+++ b/primroselock/test/testsessiontasks.py
@@ -48,6 +48,41 @@
 
         virtualtime.run(run_all)
 
+    def test_a_start_that_waits_for_a_probe_begins_no_other(self) -> None:
+        """Guards against polls of a session that has ended.
+
+        The worker's long poll is open, and its probe is not answered.
+        """
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World(0, 1)
+            node = world.add_node('entry-1')
+            await asyncio.sleep(1.0)
+            step = fleetbuilders.build_step(1, 1, 60_000)
+            world.submit(fleetbuilders.build_graph('first', step))
+            await world.wait_for('first', 'running', 2.0)
+            poll_runs = world.fleet.poll_runs
+            epochs: list[int] = []
+
+            async def hang_probes(*arguments: typing.Any) -> typing.Any:
+                epochs.append(arguments[2])
+                if not arguments[5]:
+                    await asyncio.sleep(60.0)
+                return await poll_runs(*arguments)
+
+            await asyncio.sleep(1.5)
+            with mock.patch.object(world.fleet, 'poll_runs', hang_probes):
+                world.submit(fleetbuilders.build_graph('j', step))
+                while not epochs:
+                    await asyncio.sleep(0.005)
+                node.holder.lease.drop('the test ends the session')
+                epochs.clear()
+                await asyncio.sleep(3.0)
+            self.assertNotIn(1, epochs)
+            await world.close()
+
+        virtualtime.run(run_all)
+
     def test_a_poll_of_an_earlier_session_does_not_end_the_next(self) -> None:
         """Guards against a task that swallows its cancellation.
 
