A task waits for no order to an address that another worker has taken

In the kept logs (seconds of 08:57 on) both tasks wait from 56.8 and 57.9 and are placed at 62.86, though w5-16 is up and empty from 59.41 on and the wait report counts it as usable. No other obstacle is left: epoch, permit and row are in order.

Cause: both tasks had been ordered at w0-10 without an answer (a start that crashes its worker gets none). That worker crashed again at 56.27; w0-26 answered at its address at 60.37, its entry went at 62.85. While a worker is silent and listed, what was ordered there without an answer holds its task back (LateRun), up to 24 s. The answer of the other worker settled the members, but not these runs: they waited 2.5 s more for the end of the entry, and would have waited longer with the store down.

Change: a late run knows the address of its order. Where another worker answers a poll at that address, sent later than the order, it is forgotten: the order names the earlier worker, and is refused there. Orders that went elsewhere, or later, hold as before. This is what the same answer says of members.

Ruled out: the wait of a suspect for a worker by itself (empty ones were there), claims, a takeover (one holder, epoch 2, for all of the job's life).

--- a/primroselock/decisions/fleetworkers.py
+++ b/primroselock/decisions/fleetworkers.py
@@ -59,12 +59,14 @@
 class LateRun:
     """A run that was settled while a start order of it may be under way.
 
-    It was last ordered at ``ordered_at``; ``boot`` is the boot that refuses
-    the order: it has run, ended or stopped the run.
+    It was last ordered at ``ordered_at``, from the worker at ``address``;
+    ``boot`` is the boot that refuses the order: it has run, ended or stopped
+    the run.
     """
 
     ordered_at: float
     boot: int
+    address: str | None
     stop_sent_at: float = _NEVER
 
 
@@ -229,7 +231,7 @@
         """Remove a member and free the resources that it took."""
         if member.unanswered_starts:
             ordered_at = max(member.ordered_at, member.unanswered_at)
-            late_run = LateRun(ordered_at, self.boot)
+            late_run = LateRun(ordered_at, self.boot, member.address)
             self.late_runs[member.run] = late_run
         if self.members.pop(member.run, None) is not None:
             self.used = self.used.plus(member.group.step.counted_need, -1)
--- a/primroselock/decisions/runleases.py
+++ b/primroselock/decisions/runleases.py
@@ -94,6 +94,7 @@
         settle_lost_worker(board, worker, why, now, wall_ms)
     else:
         _settle_members(board, worker, lost, why, now, wall_ms)
+    workerboots.forget_refused(worker, address, sent_at)
 
 
 def _has_run_at(member: livejobs.Member, address: str, sent_at: float) -> bool:
--- a/primroselock/decisions/workerboots.py
+++ b/primroselock/decisions/workerboots.py
@@ -153,6 +153,19 @@
     ]
 
 
+def forget_refused(
+    worker: fleetworkers.Worker, address: str, sent_at: float
+) -> None:
+    """Forget the settled runs that another worker at ``address`` refuses.
+
+    It has answered a poll that was sent at ``sent_at``.  Their orders name
+    the earlier worker; those sent elsewhere, or later, may be carried out.
+    """
+    for run, late_run in list(worker.late_runs.items()):
+        if late_run.address == address and late_run.ordered_at < sent_at:
+            del worker.late_runs[run]
+
+
 def has_open_stops(worker: fleetworkers.Worker) -> bool:
     """Return whether the boot that runs now must still be told of runs."""
     return any(
