--- a/primroselock/test/teststepbounds.py
+++ b/primroselock/test/teststepbounds.py
@@ -157,7 +157,7 @@
         first, second = self.submit()
         run = orders.Run(jobgraph.TaskName('j', 0, 0, first.key.index), 1)
         self.worker.late_runs[run] = fleetworkers.LateRun(
-            self.site.now, boot=9, step=first.step
+            self.site.now, boot=9, step=first.step, address='n000:1'
         )
         self.decide()
         self.assertIs(livejobs.Phase.WAITING, second.phase)
