Test of an earlier run that shows before a placed task is started (TWICE), red

Seen: two workers, one task, of which the second attempt is placed and its placement takes 1.5 s to be stored. Meanwhile a worker lists the first attempt. The second is started beside it: "j.0.0.0 runs twice". Cause: waiting.list_waiting holds back groups that wait (earlierruns.list_held). A group that is placed by then is judged by startchecks when it is sent, and none of its checks asks for an earlier run of the same task. Not mended here: list_held goes through all workers, which is too much for each start. An index by task of what workers may run, beside their members, would do.

--- a/primroselock/test/testearlierruns.py
+++ b/primroselock/test/testearlierruns.py
@@ -1,5 +1,6 @@
 """Runs that no row asks for, of tasks that wait to be placed."""
 
+import asyncio
 import typing
 import unittest
 
@@ -7,11 +8,15 @@
 from primroselock.decisions import livejobs
 from primroselock.decisions import runs
 from primroselock import jobgraph
+from primroselock.test import boundbuilders
+from primroselock.test import capacitybuilders
 from primroselock.test import fleetbuilders
 from primroselock.test import idlebuilders
 from primroselock.workers import orders
 
 _RUN_S: typing.Final = 60.0
+_STOP_S: typing.Final = 4.0
+_STORE_DELAY_S: typing.Final = 1.5
 
 
 class StrayTest(unittest.TestCase):
@@ -80,5 +85,43 @@
         self.assertIs(livejobs.Phase.RUNNING, group.phase)
 
 
+class UnsentStartTest(unittest.TestCase):
+    """An earlier run shows between a placement and its start."""
+
+    def test_the_start_waits_for_the_end_of_the_earlier_run(self) -> None:
+        """Guards against two runs of a task (TWICE): only who waits is held.
+
+        The store takes long to store the second attempt; meanwhile a worker
+        lists the first one.
+        """
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            world.fleet.stop_delay_s = _STOP_S
+            # Both workers are polled all the time.
+            boundbuilders.submit(world, 'other', 2, max_per_worker=1)
+            await boundbuilders.wait_until(
+                lambda: capacitybuilders.count_runs(world, 'other') == 2
+            )
+            world.fleet.failing_job_ids.add('j')
+            boundbuilders.submit(world, 'j', 1)
+            await boundbuilders.wait_until(
+                lambda: bool(world.fleet.failures_by_task)
+            )
+            world.fleet.failing_job_ids.clear()
+            with capacitybuilders.slow_placement(world, _STORE_DELAY_S):
+                await asyncio.sleep(0.2)
+                worker = world.fleet.workers_by_id['w0']
+                stray = boundbuilders.add_stray(world, worker, 'j', 0)
+                await asyncio.sleep(_STORE_DELAY_S)
+            await boundbuilders.wait_until(
+                lambda: (
+                    stray not in worker.runs
+                    and capacitybuilders.count_runs(world, 'j') == 1
+                )
+            )
+
+        capacitybuilders.run_scenario(scenario, workers=2)
+
+
 if __name__ == '__main__':
     unittest.main()
