A worker's boot is confirmed once the turn of a start has come (ROUTE)

Seen: an order waits for its turn (callslots), and so do the polls. The boot of the worker was confirmed before the wait; the worker is back as another kind meanwhile, and the start is sent to it: "j.0.0.0 started on w0 without the label kind". Change: the boot is confirmed within the turn.

--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -163,13 +163,16 @@
         worker = self._board.workers_by_id.get(member.worker_id)
         if worker is None:
             return
-        is_known = await self._confirm_boot(worker)
-        if not is_known and member.state is livejobs.MemberState.PLACED:
-            self._refuse_unknown(worker, member, clock.monotonic())
-            return
         for attempt in range(_MAX_START_ATTEMPTS):
             async with self._slots.hold(worker.id):
+                # Its turn may have taken long: what was known before is old.
+                is_known = await self._confirm_boot(worker)
                 sent_at = clock.monotonic()
+                if not is_known and (
+                    member.state is livejobs.MemberState.PLACED
+                ):
+                    self._refuse_unknown(worker, member, sent_at)
+                    return
                 if not self._prepare_start(worker, member, sent_at):
                     return
                 answer = await self._send_start(worker, member, sent_at)
