A late answer tells of the boot that gave it, not of the one that runs now

Seen: a probe is answered, the process stands still for 1.1 s before it reads the answer, and the worker is back as another kind by then. The start follows at once: "j.0.0.0 started on w0 without the label kind". Likewise a report that was made 4.99 s before it is read counts as one of now. Cause: the time of reading was taken for that of the answer (boot_seen_at = now). Change: a report counts from when it was made, which its clock tells; the first one of a boot, whose clock was compared with nothing yet, and a probe from when they were sent. A process whose exchanges are all slow alike loses nothing by it.

--- a/primroselock/decisions/fleetworkers.py
+++ b/primroselock/decisions/fleetworkers.py
@@ -107,7 +107,7 @@
     worker is draining.  ``doubted_at`` is when this holder learned that
     another boot than the one that it polled may have the worker's id, or None
     once a later poll was answered.  ``boot_seen_at`` is when the boot that was
-    polled last answered.
+    polled is known to have run, however late its answer was read.
     """
 
     entry: WorkerEntry
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -65,9 +65,11 @@
     worker.boot = report.boot or worker.entry.boot
     workerboots.record_answer(worker, report, sent_at)
     worker.polled_at = max(worker.polled_at, sent_at)
+    is_compared = worker.clock_delta_s is not None
     reported_at = _reported_at(worker, report.clock_s, now)
     worker.clock_s, worker.clock_at = report.clock_s, now
-    worker.boot_seen_at = now
+    # It may be read late, and the first one tells nothing of its delay.
+    worker.boot_seen_at = max(sent_at, reported_at if is_compared else sent_at)
     worker.last_answer_at = now
     worker.failures_in_row = 0
     for ended in report.ended:
--- a/primroselock/decisions/workerboots.py
+++ b/primroselock/decisions/workerboots.py
@@ -60,14 +60,17 @@
         worker.doubted_at = None
 
 
-def record_boot(worker: fleetworkers.Worker, boot: int, now: float) -> None:
-    """Record which boot has answered, at ``now``, outside the polls.
+def record_boot(
+    worker: fleetworkers.Worker, boot: int, sent_at: float, now: float
+) -> None:
+    """Record which boot has answered a call outside the polls.
 
-    Another one than the one that was polled must be polled before it gets
-    times or orders.  An answer without a boot tells of no other.
+    It was sent at ``sent_at``, and the answer may be read late.  Another one
+    than the one that was polled must be polled before it gets times or
+    orders.  An answer without a boot tells of no other.
     """
     if boot in (0, worker.boot):
-        worker.boot_seen_at = max(worker.boot_seen_at, now)
+        worker.boot_seen_at = max(worker.boot_seen_at, sent_at)
     else:
         worker.doubted_at = now
 
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -193,7 +193,7 @@
             return
         now = clock.monotonic()
         worker.last_answer_at = now
-        workerboots.record_boot(worker, answer.ok_value.boot, now)
+        workerboots.record_boot(worker, answer.ok_value.boot, sent_at, now)
         self._wake()
 
     def _is_polled(self, worker: fleetworkers.Worker) -> bool:
