What may begin on a worker is not forgotten with its entry (TWICE, ROUTE)

Seen: a run is settled while a start of it is without an answer. Its worker crashes, the entry expires, and the worker is back under its id as the next boot. That boot is not told to stop the run, and the next attempt is placed elsewhere at once; where the worker keeps its entry both are done. Cause: late_runs belong to the worker, and record_unlisted and settle_lost_worker drop it as nothing runs there; what is back under the id counts as a new one.

--- a/primroselock/decisions/runleases.py
+++ b/primroselock/decisions/runleases.py
@@ -36,6 +36,8 @@
         return
     board.expiry_checked_at = now
     for worker in list(board.workers_by_id.values()):
+        if not worker.is_listed:
+            _remove_if_over(board, worker, now)
         if not _may_run_any(worker) or not _is_expired(board, worker, now):
             continue
         crashes.note_settled(board, worker, now)
@@ -44,6 +46,15 @@
         )
 
 
+def _remove_if_over(
+    board: fleet.ShardBoard, worker: fleetworkers.Worker, now: float
+) -> None:
+    """Remove a worker without an entry once nothing can begin there."""
+    workerboots.forget_late(worker, now)
+    if not worker.is_busy and not worker.late_runs:
+        board.remove_worker(worker.id)
+
+
 def _may_run_any(worker: fleetworkers.Worker) -> bool:
     """Return whether a start of any member may have been sent.
 
@@ -66,7 +77,7 @@
     members = list(worker.members.values())
     _settle_members(board, worker, members, why, now, wall_ms)
     worker.unexpected_runs.clear()
-    if not worker.is_listed:
+    if not worker.is_listed and not worker.late_runs:
         board.remove_worker(worker.id)
 
 
--- a/primroselock/decisions/workerboots.py
+++ b/primroselock/decisions/workerboots.py
@@ -136,11 +136,10 @@
     An order of theirs may still be under way, and only an earlier boot is
     known to refuse it.
     """
+    forget_late(worker, now)
     due = []
     for run, late_run in list(worker.late_runs.items()):
-        if now - late_run.ordered_at > _FORGET_LATE_S:
-            del worker.late_runs[run]
-        elif (
+        if (
             late_run.boot != worker.boot
             and now - late_run.stop_sent_at >= _STOP_RETRY_S
         ):
@@ -151,6 +150,13 @@
     return due
 
 
+def forget_late(worker: fleetworkers.Worker, now: float) -> None:
+    """Forget the settled runs of which no order can be under way any more."""
+    for run, late_run in list(worker.late_runs.items()):
+        if now - late_run.ordered_at > _FORGET_LATE_S:
+            del worker.late_runs[run]
+
+
 def list_uncertain(
     worker: fleetworkers.Worker, run_lease_s: float, now: float
 ) -> list[orders.Run]:
--- /dev/null
+++ b/primroselock/test/testforgottenruns.py
@@ -0,0 +1,104 @@
+"""What may begin on a worker is known as long as it may begin there.
+
+A start without an answer may be carried out late, on the next boot of its
+worker too, which knows of no stop.
+"""
+
+import dataclasses
+import typing
+import unittest
+
+from primroselock.decisions import earlierruns
+from primroselock.decisions import fleet
+from primroselock.decisions import fleetworkers
+from primroselock.decisions import livejobs
+from primroselock.decisions import runs
+from primroselock.test import fleetbuilders
+from primroselock.test import idlebuilders
+from primroselock.workers import orders
+
+_AWAY_S: typing.Final = 1.0
+_RUN_S: typing.Final = 60.0
+_FORGOTTEN_S: typing.Final = 30.0
+
+
+class LateStartTest(unittest.TestCase):
+    """A start without an answer has been settled; its worker restarts."""
+
+    def setUp(self) -> None:
+        self.site = idlebuilders.Site(1)
+        self.board = self.site.board
+        job = self.site.occupy(
+            'n000', 'j', fleetbuilders.build_step(1, 1), _RUN_S
+        )
+        (self.group,) = job.groups_by_key.values()
+        (member,) = self.group.members
+        member.unanswered_starts = 1
+        member.unanswered_at = self.site.now
+        self.run_of_boot = member.run
+
+    @property
+    def worker(self) -> fleetworkers.Worker:
+        """The worker as the holder knows it now."""
+        return self.board.workers_by_id['n000']
+
+    def stop(self) -> None:
+        """Stop the run and let its end be confirmed; place nothing."""
+        self.group.not_before = float('inf')
+        runs.end_group(
+            self.board,
+            self.group,
+            livejobs.EndReason.PREEMPTED,
+            self.site.now,
+            0,
+        )
+        self.site.run_for(1.0)
+        self.assertIn(self.run_of_boot, self.worker.late_runs)
+        self.assertFalse(self.worker.is_busy)
+
+    def restart(self) -> None:
+        """Let the worker report as the next boot, on which nothing runs."""
+        self.board.take_orders()
+        self.site.now += _AWAY_S
+        entry = dataclasses.replace(self.entry, boot=2)
+        self.board.record_entry(entry, self.site.now)
+        report = orders.RunReport(0.0, 2, (), ())
+        now = self.site.now
+        runs.record_poll(self.board, self.worker, report, now, now, 0)
+
+    def check_awaited(self) -> None:
+        """Check that the boot is told to stop it, and that its task waits."""
+        self.assertIn(
+            fleet.StopOrder('n000', self.run_of_boot), self.board.orders
+        )
+        held = earlierruns.list_held(self.board, self.site.now)
+        self.assertIn(self.group, held)
+
+    def test_of_a_worker_that_stays_listed(self) -> None:
+        """Guards against a second run of its task (TWICE)."""
+        self.entry = self.worker.entry
+        self.stop()
+        self.restart()
+        self.check_awaited()
+
+    def test_of_a_worker_whose_entry_is_gone_meanwhile(self) -> None:
+        """Guards against starts that are forgotten with the entry (TWICE).
+
+        The entry expires soon after a crash, and is back with the next boot.
+        """
+        self.entry = self.worker.entry
+        self.stop()
+        self.board.record_unlisted('n000')
+        self.restart()
+        self.check_awaited()
+
+    def test_a_worker_that_is_not_back_is_forgotten(self) -> None:
+        """Guards against a holder that keeps all workers that have left."""
+        self.stop()
+        self.board.record_unlisted('n000')
+        self.site.run_for(_FORGOTTEN_S)
+        self.assertNotIn('n000', self.board.workers_by_id)
+
+
+if __name__ == '__main__':
+    unittest.main()
