A worker that has left is polled no more once its leases have expired

Seen: a worker lists a run that nobody asked for, or an end that is not confirmed yet, crashes and leaves. It has no members, so that expire_workers passes it over, and as it counts as busy the holder polls it once a second without end. Cause: what may run on a worker is answered by its members in one place and by is_busy in the other. Change: a worker without an entry that is silent is removed once every lease has expired. Should it be back, it reports its runs and ends again.

--- a/primroselock/decisions/runleases.py
+++ b/primroselock/decisions/runleases.py
@@ -49,9 +49,16 @@
 def _remove_if_over(
     board: fleet.ShardBoard, worker: fleetworkers.Worker, now: float
 ) -> None:
-    """Remove a worker without an entry once nothing can begin there."""
+    """Remove a worker without an entry once nothing can run there.
+
+    One that is silent and whose leases have expired has nothing to be told:
+    should it be back, it reports its runs and their ends again.
+    """
     workerboots.forget_late(worker, now)
-    if not worker.is_busy and not worker.late_runs:
+    if worker.members or worker.late_runs:
+        return
+    is_lost = worker.failures_in_row > 0 and _is_expired(board, worker, now)
+    if is_lost or not worker.is_busy:
         board.remove_worker(worker.id)
 
 
--- a/primroselock/test/testforgottenruns.py
+++ b/primroselock/test/testforgottenruns.py
@@ -13,6 +13,7 @@
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import livejobs
 from primroselock.decisions import runs
+from primroselock import jobgraph
 from primroselock.test import fleetbuilders
 from primroselock.test import idlebuilders
 from primroselock.workers import orders
@@ -100,5 +101,39 @@
         self.assertNotIn('n000', self.board.workers_by_id)
 
 
+class LeftWorkerTest(unittest.TestCase):
+    """A worker leaves that has nothing but something to be told."""
+
+    def setUp(self) -> None:
+        self.site = idlebuilders.Site(1)
+        self.worker = self.site.board.workers_by_id['n000']
+
+    def check_forgotten(self) -> None:
+        """Let the worker leave; check that the holder polls it no more."""
+        self.assertTrue(self.worker.is_busy)
+        self.site.silence('n000')
+        self.site.board.record_unlisted('n000')
+        self.site.run_for(1.0)
+        self.assertIn('n000', self.site.board.workers_by_id)
+        self.site.run_for(_FORGOTTEN_S)
+        self.assertNotIn('n000', self.site.board.workers_by_id)
+
+    def test_with_a_run_that_nobody_asked_for(self) -> None:
+        """Guards against polls of a worker that has left, without end."""
+        run = orders.Run(jobgraph.TaskName('gone', 0, 0, 0), 1)
+        now = self.site.now
+        report = orders.RunReport(now, 1, (orders.Running(run, '', 0.0),), ())
+        runs.record_poll(self.site.board, self.worker, report, now, now, 0)
+        self.check_forgotten()
+
+    def test_with_an_end_that_is_not_confirmed(self) -> None:
+        """Guards against polls to confirm an end to a worker that has left."""
+        step = fleetbuilders.build_step(1, 1)
+        self.site.occupy('n000', 'j', step, 1.0)
+        while not self.worker.listed_end:
+            self.site.step()
+        self.check_forgotten()
+
+
 if __name__ == '__main__':
     unittest.main()
