Test of an earlier holder's start that reaches the next boot (TWICE), red

Seen: a run of an earlier holder is settled as the first report does not list it. The worker restarts; the new boot is not told to stop the run, and its task does not wait, though the start of the earlier holder may be carried out there. Cause: late_runs are made of the holder's own unanswered starts; of inherited members unanswered_starts is 0. A neighbour that this does not cover: what the earlier holder had settled already is stored nowhere. Not mended here: each inherited member would count as ordered at the takeover, so that a takeover followed by restarts holds back more; that is to be measured. Measured: the test fails.

--- a/primroselock/test/testforgottenruns.py
+++ b/primroselock/test/testforgottenruns.py
@@ -101,6 +101,37 @@
         self.assertNotIn('n000', self.board.workers_by_id)
 
 
+class EarlierHolderTest(unittest.TestCase):
+    """A start of an earlier holder may be under way at the takeover."""
+
+    def test_it_may_begin_on_the_next_boot(self) -> None:
+        """Guards against a second run of its task (TWICE).
+
+        The boot that is polled refuses the start by its epoch, and so the
+        task is placed again; the next boot knows no epoch.
+        """
+        site = idlebuilders.Site(1)
+        board, worker = site.board, site.board.workers_by_id['n000']
+        step = fleetbuilders.build_step(1, 1)
+        job = site.submit('j', step, run_s=_RUN_S, queue='batch')
+        (group,) = job.groups_by_key.values()
+        group.attempt = 1
+        group.enter(livejobs.Phase.STARTING, site.now)
+        member = livejobs.Member(
+            group, 0, 'n000', 1, livejobs.MemberState.INHERITED
+        )
+        group.members.append(member)
+        worker.add_member(member)
+        for boot in (1, 2):
+            site.now += _AWAY_S
+            report = orders.RunReport(site.now, boot, (), ())
+            runs.record_poll(board, worker, report, site.now, site.now, 0)
+            self.assertIs(livejobs.Phase.WAITING, group.phase)
+        stop = fleet.StopOrder('n000', member.run)
+        self.assertIn(stop, board.orders)
+        self.assertIn(group, earlierruns.list_held(board, site.now))
+
+
 class LeftWorkerTest(unittest.TestCase):
     """A worker leaves that has nothing but something to be told."""
 
