No start is sent once its ticket has run out

Seen: a placement on a queue with advice takes longer to store than its ticket is valid; the start is sent with an empty ticket, which a worker refuses (a price). Cause: the ticket is looked for at the placement, and none at the sending counted as a queue that needs none. Change: a start without a valid ticket is an obstacle; the attempt ends unsent. Measured: test_no_start_is_sent_without_its_ticket fails before and passes now; the modules on advice, nodes, holders and calls: 64 passed.

--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -138,6 +138,11 @@
         for member in members:
             if self._lease.published_bounds.covers(member.worker_id):
                 return f'leases of {member.worker_id} are bounded'
+            ticket = advising.ticket_for(
+                self._board, member.group, member.worker_id, now
+            )
+            if ticket is None:
+                return f'no valid ticket for {member.worker_id}'
         return startchecks.find_obstacle(self._board, members)
 
     def _cancel_start(
--- a/primroselock/test/testconfirmedstarts.py
+++ b/primroselock/test/testconfirmedstarts.py
@@ -74,6 +74,37 @@
         capacitybuilders.run_scenario(scenario, workers=1)
 
 
+class TicketTest(unittest.TestCase):
+    """A start on a queue with advice waits for the store for long."""
+
+    def test_no_start_is_sent_without_its_ticket(self) -> None:
+        """Guards against starts that are refused for want of a ticket.
+
+        The ticket is valid for 3 s, and the placement takes longer to store.
+        """
+        tickets: list[str] = []
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            world.fleet.advice_client.approved_worker_ids = {'w0'}
+            start = world.fleet.start
+
+            async def note_ticket(*arguments: typing.Any) -> typing.Any:
+                tickets.append(arguments[2].ticket)
+                return await start(*arguments)
+
+            with (
+                mock.patch.object(world.fleet, 'start', note_ticket),
+                capacitybuilders.slow_placement(world, _LATE_S),
+            ):
+                boundbuilders.submit(world, 'j', 1, queue='advised')
+                await boundbuilders.wait_until(
+                    lambda: bool(world.fleet.starts)
+                )
+
+        capacitybuilders.run_scenario(scenario, workers=1)
+        self.assertEqual(['t-w0'], tickets)
+
+
 class LateAnswerTest(unittest.TestCase):
     """An answer is read long after it was given: this process was late."""
 
