Advice about a worker is for one boot of it

Seen: a worker is back under its id as the next boot. Its ticket of before is sent with a start, which it refuses (a price); and where the service had refused it, it is never asked about again, so that work waits for ever beside a boot that may be of another kind. An answer that was under way counts for the next boot, too. Change: a request names the boots that it asks about; a ticket or a refusal of another boot than the latest one counts as none. A boot that is not known counts as the same, as for entries.

--- a/primroselock/decisions/advising.py
+++ b/primroselock/decisions/advising.py
@@ -1,16 +1,17 @@
 """Requests tickets from the advice service, for workers to run a step.
 
-The service's answer for a worker and a step does not change; a ticket is
-valid for a limited time.  While a group of the step waits, tickets are
-requested for workers in batches, those with the most free accelerators
-first; workers with a valid ticket or a refusal are left out.  One request is
-under way at a time, so that the waiting steps take turns.
+The service's answer for a worker and a step does not change until the worker
+starts again; a ticket is valid for a limited time.  While a group of the step
+waits, tickets are requested for workers in batches, those with the most free
+accelerators first; workers with a valid ticket or a refusal are left out.
+One request is under way at a time, so that the waiting steps take turns.
 """
 
 import dataclasses
 import typing
 
 from primroselock.decisions import fleet
+from primroselock.decisions import fleetworkers
 from primroselock.decisions import freecapacity
 from primroselock.decisions import livejobs
 from primroselock.decisions import tickets
@@ -30,11 +31,12 @@
     """A request for the tickets of one step on some workers.
 
     ``answer_time_s`` is the time in seconds in which the service states
-    that it answers.
+    that it answers.  ``boots`` are the incarnations of the workers.
     """
 
     step: livejobs.StepName
     worker_ids: tuple[str, ...]
+    boots: tuple[int, ...]
     answer_time_s: float
 
 
@@ -94,29 +96,43 @@
         and worker.is_listed
         and not worker.entry.is_draining
         and freecapacity.fits_when_empty(worker, group.step)
-        and _needs_ticket(known, worker.id, now)
+        and _needs_ticket(known, worker, now)
     ]
     if not workers:
         return None
     workers.sort(key=lambda worker: -worker.free.accelerators)
-    requested_ids = tuple(
-        worker.id for worker in workers[:_MAX_WORKERS_PER_REQUEST]
-    )
+    requested = workers[:_MAX_WORKERS_PER_REQUEST]
     terms = queue.advice
     return AdviceRequest(
         group.step_name,
-        requested_ids,
-        terms.base_s + terms.per_worker_s * len(requested_ids),
+        tuple(worker.id for worker in requested),
+        tuple(worker.latest_boot for worker in requested),
+        terms.base_s + terms.per_worker_s * len(requested),
     )
 
 
 def _needs_ticket(
-    known: tickets.StepAdvice, worker_id: str, now: float
+    known: tickets.StepAdvice, worker: fleetworkers.Worker, now: float
 ) -> bool:
-    if worker_id in known.refused_ids:
+    refused_boot = known.refused_boots_by_id.get(worker.id)
+    if refused_boot is not None and _is_of_boot(worker, refused_boot):
         return False
-    ticket = known.tickets_by_worker_id.get(worker_id)
-    return ticket is None or ticket.valid_until < now + _MIN_VALID_S
+    return _find_ticket(known, worker, now) is None
+
+
+def _is_of_boot(worker: fleetworkers.Worker, boot: int) -> bool:
+    """Return whether an incarnation is the latest one, or is not known."""
+    return 0 in (boot, worker.latest_boot) or boot == worker.latest_boot
+
+
+def _find_ticket(
+    known: tickets.StepAdvice, worker: fleetworkers.Worker, now: float
+) -> tickets.Ticket | None:
+    """Return the valid ticket of a worker, or None."""
+    ticket = known.tickets_by_worker_id.get(worker.id)
+    if ticket is None or ticket.valid_until < now + _MIN_VALID_S:
+        return None
+    return ticket if _is_of_boot(worker, ticket.boot) else None
 
 
 def record_answer(
@@ -131,13 +147,13 @@
     this process's clock.
     """
     known = board.advice_by_step.setdefault(request.step, tickets.StepAdvice())
-    for worker_id in request.worker_ids:
+    for worker_id, boot in zip(request.worker_ids, request.boots, strict=True):
         text = tickets_by_worker_id.get(worker_id)
         if text is None:
-            known.refused_ids.add(worker_id)
+            known.refused_boots_by_id[worker_id] = boot
         else:
             known.tickets_by_worker_id[worker_id] = tickets.Ticket(
-                text, valid_until
+                text, valid_until, boot
             )
 
 
@@ -160,12 +176,11 @@
     if queue is None or queue.advice is None:
         return ''
     known = board.advice_by_step.get(group.step_name)
-    if known is None:
-        return None
-    ticket = known.tickets_by_worker_id.get(worker_id)
-    if ticket is None or ticket.valid_until < now + _MIN_VALID_S:
+    worker = board.workers_by_id.get(worker_id)
+    if known is None or worker is None:
         return None
-    return ticket.text
+    ticket = _find_ticket(known, worker, now)
+    return None if ticket is None else ticket.text
 
 
 def drop_ticket(
