The capacity shares count all that a worker may run

Seen: two of three workers are full of runs that nobody asked for and are being stopped; their service counts as one with plenty of free capacity, so that groups drop their preferences after 2 s and do not yield. Cause: _used_shares read the resources of the members, where Worker.free counts other runs, too: one more place that answers what a worker runs. Change: Worker.taken answers it, from Worker.free; without other runs it is used.

--- a/primroselock/decisions/eligibility.py
+++ b/primroselock/decisions/eligibility.py
@@ -166,7 +166,7 @@
     capacity = used = fleetworkers.NO_RESOURCES
     for worker in workers:
         capacity = capacity.plus(worker.entry.capacity)
-        used = used.plus(worker.used.limited_to(worker.entry.capacity))
+        used = used.plus(worker.taken.limited_to(worker.entry.capacity))
     amounts = (
         (used.cpu_millis, capacity.cpu_millis),
         (used.memory_mb, capacity.memory_mb),
--- a/primroselock/decisions/fleetworkers.py
+++ b/primroselock/decisions/fleetworkers.py
@@ -187,6 +187,13 @@
         """Return the capacity that what it may run leaves free."""
         return self._capacity_for_members().plus(self.used, -1)
 
+    @property
+    def taken(self) -> jobgraph.Resources:
+        """Return the capacity that what it may run takes."""
+        if not self.unexpected_runs and not self.late_runs:
+            return self.used
+        return self.entry.capacity.plus(self.free, -1)
+
     def count_tasks(self, step_name: livejobs.StepName) -> int:
         """Return how many tasks of a step it may run."""
         members = self.member_counts_by_step.get(step_name, 0)
--- a/primroselock/test/testeligibility.py
+++ b/primroselock/test/testeligibility.py
@@ -6,10 +6,12 @@
 
 from primroselock.decisions import eligibility
 from primroselock.decisions import fleet
+from primroselock.decisions import fleetworkers
 from primroselock.decisions import graphs
 from primroselock.decisions import livejobs
 from primroselock import jobgraph
 from primroselock.test import fleetbuilders
+from primroselock.workers import orders
 
 _NOW: typing.Final = 5.0
 _ALL_CORES: typing.Final = jobgraph.Resources(64_000, 1000, 0)
@@ -156,6 +158,18 @@
         self.check_plenty(board, True)
         self.assertTrue(eligibility.is_partly_idle(board))
 
+    def test_a_run_that_nobody_asked_for_takes_capacity(self) -> None:
+        """Guards against preferences dropped where nothing is free."""
+        board = build_board()
+        run = orders.Run(jobgraph.TaskName('gone', 0, 0, 0), 1)
+        for zone in 'ab':
+            worker = board.workers_by_id[f'w-{zone}']
+            worker.unexpected_runs[run] = fleetworkers.UnexpectedRun(
+                run, None, 0.0
+            )
+        self.check_plenty(board, False)
+        self.assertFalse(eligibility.is_partly_idle(board))
+
     def test_no_usable_worker_is_no_plenty(self) -> None:
         """Guards against a division by no capacity."""
         self.check_plenty(fleet.ShardBoard(), False)
