Serving and filling work is kept apart from runs that nobody asked for, too

Seen: a filling run that is being stopped counts for nothing when a serving task is placed beside it, and the other way round. Cause: are_apart read the members only, one more place that answers what runs. Change: it reads Worker.list_other_runs as well; a run whose step is not known may be of either kind. It stays a preference, which a group drops when it has waited.

--- a/primroselock/decisions/sharing.py
+++ b/primroselock/decisions/sharing.py
@@ -24,17 +24,22 @@
 
 
 def are_apart(worker: fleetworkers.Worker, step: jobgraph.Step) -> bool:
-    """Return whether a step's tasks would disturb none on the worker."""
-    if step.fills:
-        return not any(
-            member.group.step.tail_latency_target_ms
-            for member in worker.members.values()
-        )
-    if step.tail_latency_target_ms:
-        return not any(
-            member.group.step.fills for member in worker.members.values()
-        )
-    return True
+    """Return whether a step's tasks would disturb none on the worker.
+
+    A run whose step is not known may be of either kind.
+    """
+    if not prefers_other_workers(step):
+        return True
+    steps: list[jobgraph.Step | None] = [
+        member.group.step for member in worker.members.values()
+    ]
+    steps += worker.list_other_runs().values()
+    return not any(
+        other is None
+        or (step.fills and other.tail_latency_target_ms)
+        or (step.tail_latency_target_ms and other.fills)
+        for other in steps
+    )
 
 
 def may_disturb(worker: fleetworkers.Worker) -> bool:
--- a/primroselock/test/testsharing.py
+++ b/primroselock/test/testsharing.py
@@ -6,8 +6,10 @@
 from unittest import mock
 
 from primroselock.decisions import fleetround
+from primroselock.decisions import fleetworkers
 from primroselock.decisions import livejobs
 from primroselock.decisions import runs
+from primroselock.decisions import sharing
 from primroselock import jobgraph
 from primroselock.platform import workers as platformworkers
 from primroselock.test import fleetbuilders
@@ -249,5 +251,33 @@
                 self.assertEqual(expected, running.tail_latency_ms)
 
 
+class OtherRunTest(unittest.TestCase):
+    """A run that no row asks for is being stopped on a worker."""
+
+    def check_apart(
+        self, other: jobgraph.Step | None, step: jobgraph.Step, apart: bool
+    ) -> None:
+        """Check whether a step is kept apart from a run of another one."""
+        site = idlebuilders.Site(1)
+        worker = site.board.workers_by_id['n000']
+        run = orders.Run(jobgraph.TaskName('other', 0, 0, 0), 1)
+        worker.unexpected_runs[run] = fleetworkers.UnexpectedRun(
+            run, other, site.now
+        )
+        self.assertIs(apart, sharing.are_apart(worker, step))
+
+    def test_it_is_kept_apart_as_a_member_is(self) -> None:
+        """Guards against work over its target beside a stray run (HARM)."""
+        self.check_apart(_filling(1), _serving(1), False)
+        self.check_apart(_serving(1), _filling(1), False)
+        self.check_apart(_filling(1), _filling(1), True)
+
+    def test_one_that_is_not_known_may_be_of_either_kind(self) -> None:
+        """Guards against the run of a job that is not known any more."""
+        self.check_apart(None, _serving(1), False)
+        self.check_apart(None, _filling(1), False)
+        self.check_apart(None, fleetbuilders.build_step(1, 1), True)
+
+
 if __name__ == '__main__':
     unittest.main()
