Test of a poll of before a restart that extends leases after it (TWICE), red

Seen: a worker crashes while a poll that extends its lease is open, and is back as the next boot. Seconds later the poll is carried out there; the time that it names is far ahead of the new clock, so that it grants the longest lease. The worker is cut off at that moment: its work is placed again while it runs, "first.0.0.0 runs twice". Cause: a lease is granted to a boot that is not known. Late starts count for the end of leases (latest_lease_end, late_leases_until); a poll without an answer does not. Not mended here: a poll is open on most workers that crash, so that the wait before work is placed again would grow; what that costs is to be measured.

--- a/primroselock/test/testforgottenruns.py
+++ b/primroselock/test/testforgottenruns.py
@@ -4,6 +4,7 @@
 worker too, which knows of no stop.
 """
 
+import asyncio
 import dataclasses
 import typing
 import unittest
@@ -14,6 +15,8 @@
 from primroselock.decisions import livejobs
 from primroselock.decisions import runs
 from primroselock import jobgraph
+from primroselock.test import boundbuilders
+from primroselock.test import capacitybuilders
 from primroselock.test import fleetbuilders
 from primroselock.test import idlebuilders
 from primroselock.workers import orders
@@ -21,6 +24,9 @@
 _AWAY_S: typing.Final = 1.0
 _RUN_S: typing.Final = 60.0
 _FORGOTTEN_S: typing.Final = 30.0
+_LATE_POLL_S: typing.Final = 5.7
+_OLD_CLOCK_S: typing.Final = 1e6
+_LEASES_S: typing.Final = 20.0
 
 
 class LateStartTest(unittest.TestCase):
@@ -132,6 +138,40 @@
         self.assertIn(group, earlierruns.list_held(board, site.now))
 
 
+class LateExtensionTest(unittest.TestCase):
+    """A poll of before a restart, without an answer, is carried out after."""
+
+    def test_it_extends_the_leases_of_the_next_boot(self) -> None:
+        """Guards against a second run beside one with a longer lease (TWICE).
+
+        The time that it names is far ahead of the new clock, so that it
+        grants the longest lease; then the worker is cut off.
+        """
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            boundbuilders.submit(world, 'first', 1)
+            await boundbuilders.wait_until(
+                lambda: capacitybuilders.count_runs(world, 'first') == 1
+            )
+            worker = world.find_busy_worker()
+            # A poll is open, which extends the lease, when it crashes.
+            await asyncio.sleep(2.0)
+            world.fleet.crash(worker)
+            world.restart_worker(worker, clock_s=0.0)
+            boundbuilders.submit(world, 'j', 2, max_per_worker=1)
+            await boundbuilders.wait_until(
+                lambda: capacitybuilders.count_runs(world, 'j') == 2
+            )
+            world.add_worker(fleetbuilders.build_entry('w9'))
+            await asyncio.sleep(_LATE_POLL_S)
+            worker.extend_lease(_OLD_CLOCK_S)
+            worker.is_partitioned = True
+            await asyncio.sleep(_LEASES_S)
+            self.assertEqual(2, capacitybuilders.count_runs(world, 'j'))
+
+        capacitybuilders.run_scenario(scenario, workers=2)
+
+
 class LeftWorkerTest(unittest.TestCase):
     """A worker leaves that has nothing but something to be told."""
 
