--- a/primroselock/decisions/fleetworkers.py
+++ b/primroselock/decisions/fleetworkers.py
@@ -109,7 +109,7 @@
     worker is draining.  ``doubted_at`` is when this holder learned that
     another boot than the one that it polled may have the worker's id, or None
     once a later poll was answered.  ``boot_seen_at`` is when the boot that was
-    polled last answered.
+    polled is known to have run, however late its answer was read.
     """
 
     entry: WorkerEntry
@@ -189,6 +189,13 @@
         """Return the capacity that what it may run leaves free."""
         return self._capacity_for_members().plus(self.used, -1)
 
+    @property
+    def taken(self) -> jobgraph.Resources:
+        """Return the capacity that what it may run takes."""
+        if not self.unexpected_runs and not self.late_runs:
+            return self.used
+        return self.entry.capacity.plus(self.free, -1)
+
     def count_tasks(self, step_name: livejobs.StepName) -> int:
         """Return how many tasks of a step it may run."""
         members = self.member_counts_by_step.get(step_name, 0)
--- a/primroselock/decisions/runleases.py
+++ b/primroselock/decisions/runleases.py
@@ -37,6 +37,8 @@
     board.expiry_checked_at = now
     workerboots.forget_old(board.late_runs_by_removed_id, now)
     for worker in list(board.workers_by_id.values()):
+        if not worker.is_listed:
+            _remove_if_over(board, worker, now)
         if not _may_run_any(worker) or not _is_expired(board, worker, now):
             continue
         crashes.note_settled(board, worker, now)
@@ -45,6 +47,22 @@
         )
 
 
+def _remove_if_over(
+    board: fleet.ShardBoard, worker: fleetworkers.Worker, now: float
+) -> None:
+    """Remove a worker without an entry once nothing can run there.
+
+    One that is silent and whose leases have expired has nothing to be told:
+    should it be back, it reports its runs and their ends again.
+    """
+    workerboots.forget_late(worker, now)
+    if worker.members or worker.late_runs:
+        return
+    is_lost = worker.failures_in_row > 0 and _is_expired(board, worker, now)
+    if is_lost or not worker.is_busy:
+        board.remove_worker(worker.id)
+
+
 def _may_run_any(worker: fleetworkers.Worker) -> bool:
     """Return whether a start of any member may have been sent.
 
@@ -67,7 +85,7 @@
     members = list(worker.members.values())
     _settle_members(board, worker, members, why, now, wall_ms)
     worker.unexpected_runs.clear()
-    if not worker.is_listed:
+    if not worker.is_listed and not worker.late_runs:
         board.remove_worker(worker.id)
 
 
--- a/primroselock/decisions/workerboots.py
+++ b/primroselock/decisions/workerboots.py
@@ -60,14 +60,17 @@
         worker.doubted_at = None
 
 
-def record_boot(worker: fleetworkers.Worker, boot: int, now: float) -> None:
-    """Record which boot has answered, at ``now``, outside the polls.
+def record_boot(
+    worker: fleetworkers.Worker, boot: int, sent_at: float, now: float
+) -> None:
+    """Record which boot has answered a call outside the polls.
 
-    Another one than the one that was polled must be polled before it gets
-    times or orders.  An answer without a boot tells of no other.
+    It was sent at ``sent_at``, and the answer may be read late.  Another one
+    than the one that was polled must be polled before it gets times or
+    orders.  An answer without a boot tells of no other.
     """
     if boot in (0, worker.boot):
-        worker.boot_seen_at = max(worker.boot_seen_at, now)
+        worker.boot_seen_at = max(worker.boot_seen_at, sent_at)
     else:
         worker.doubted_at = now
 
@@ -144,11 +147,10 @@
     An order of theirs may still be under way, and only an earlier boot is
     known to refuse it.
     """
+    forget_late(worker, now)
     due = []
     for run, late_run in list(worker.late_runs.items()):
-        if now - late_run.ordered_at > _FORGET_LATE_S:
-            del worker.late_runs[run]
-        elif (
+        if (
             late_run.boot != worker.boot
             and now - late_run.stop_sent_at >= _STOP_RETRY_S
         ):
@@ -159,6 +161,13 @@
     return due
 
 
+def forget_late(worker: fleetworkers.Worker, now: float) -> None:
+    """Forget the settled runs of which no order can be under way any more."""
+    for run, late_run in list(worker.late_runs.items()):
+        if now - late_run.ordered_at > _FORGET_LATE_S:
+            del worker.late_runs[run]
+
+
 def list_uncertain(
     worker: fleetworkers.Worker, run_lease_s: float, now: float
 ) -> list[orders.Run]:
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -138,6 +138,11 @@
         for member in members:
             if self._lease.published_bounds.covers(member.worker_id):
                 return f'leases of {member.worker_id} are bounded'
+            ticket = advising.ticket_for(
+                self._board, member.group, member.worker_id, now
+            )
+            if ticket is None:
+                return f'no valid ticket for {member.worker_id}'
         return startchecks.find_obstacle(self._board, members)
 
     def _cancel_start(
@@ -163,13 +168,16 @@
         worker = self._board.workers_by_id.get(member.worker_id)
         if worker is None:
             return
-        is_known = await self._confirm_boot(worker)
-        if not is_known and member.state is livejobs.MemberState.PLACED:
-            self._refuse_unknown(worker, member, clock.monotonic())
-            return
         for attempt in range(_MAX_START_ATTEMPTS):
             async with self._slots.hold(worker.id):
+                # Its turn may have taken long: what was known before is old.
+                is_known = await self._confirm_boot(worker)
                 sent_at = clock.monotonic()
+                if not is_known and (
+                    member.state is livejobs.MemberState.PLACED
+                ):
+                    self._refuse_unknown(worker, member, sent_at)
+                    return
                 if not self._prepare_start(worker, member, sent_at):
                     return
                 answer = await self._send_start(worker, member, sent_at)
