--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -259,17 +259,14 @@
             worker.drain_seen_at = now
 
     def record_unlisted(self, worker_id: str) -> None:
-        """Record that a worker is no longer listed; drop it if idle.
-
-        It is kept while a settled run may begin there: it may be back.
-        """
+        """Record that a worker is no longer listed; drop it if idle."""
         worker = self.workers_by_id.get(worker_id)
         if worker is None:
             return
         if worker.is_listed:
             self.entry_cache.clear()
         worker.is_listed = False
-        if not worker.is_busy and not worker.late_runs:
+        if not worker.is_busy:
             self.remove_worker(worker_id)
 
     def count_unexpected_runs(self) -> int:
--- a/primroselock/decisions/runleases.py
+++ b/primroselock/decisions/runleases.py
@@ -55,8 +55,7 @@
     One that is silent and whose leases have expired has nothing to be told:
     should it be back, it reports its runs and their ends again.
     """
-    workerboots.forget_late(worker, now)
-    if worker.members or worker.late_runs:
+    if worker.members:
         return
     is_lost = worker.failures_in_row > 0 and _is_expired(board, worker, now)
     if is_lost or not worker.is_busy:
@@ -85,7 +84,7 @@
     members = list(worker.members.values())
     _settle_members(board, worker, members, why, now, wall_ms)
     worker.unexpected_runs.clear()
-    if not worker.is_listed and not worker.late_runs:
+    if not worker.is_listed:
         board.remove_worker(worker.id)
 
 
