--- a/primroselock/decisions/fleetworkers.py
+++ b/primroselock/decisions/fleetworkers.py
@@ -327,14 +327,21 @@
         """Remove a member and free the resources that it took."""
         if member.unanswered_starts:
             ordered_at = max(member.ordered_at, member.unanswered_at)
-            late_run = LateRun(
-                ordered_at, self.boot, member.group.step, member.address
-            )
-            self.late_runs[member.run] = late_run
+            self.add_late_run(member, ordered_at)
         if self.members.pop(member.run, None) is not None:
             self.used = self.used.plus(member.group.step.counted_need, -1)
             self._count_member(member, -1)
 
+    def add_late_run(self, member: livejobs.Member, ordered_at: float) -> None:
+        """Note that a start of a settled member may be under way.
+
+        The boot that runs now refuses it.
+        """
+        self.late_runs[member.run] = LateRun(
+            ordered_at, self.boot, member.group.step, member.address
+        )
+        member.group.earlier_worker_ids.add(self.id)
+
     def _count_member(self, member: livejobs.Member, change: int) -> None:
         step_name = member.group.step_name
         count = self.member_counts_by_step.get(step_name, 0) + change
--- a/primroselock/decisions/livejobs.py
+++ b/primroselock/decisions/livejobs.py
@@ -154,8 +154,9 @@
     single rack can hold.  ``avoided_worker_ids`` are the workers on which
     the group was stuck, ``times_stuck`` times; others are preferred.
     ``refusals_in_row`` is the number of its last attempts that were refused.
-    ``crashes`` are those of workers under its attempts, see ``crashes``, and
-    ``lost_runs`` may turn out to be some.
+    ``earlier_worker_ids`` are the workers where an earlier attempt was seen or
+    may have begun late.  ``crashes`` are those of workers under its attempts,
+    see ``crashes``, and ``lost_runs`` may turn out to be some.
     """
 
     job: 'LiveJob'
@@ -178,6 +179,7 @@
     is_resumed: bool = False
     avoided_worker_ids: set[str] = dataclasses.field(default_factory=set)
     times_stuck: int = 0
+    earlier_worker_ids: set[str] = dataclasses.field(default_factory=set)
     crashes: tuple[jobgraph.Crash, ...] = ()
     lost_runs: tuple[jobgraph.LostRun, ...] = ()
     step_name: StepName = dataclasses.field(init=False)
--- a/primroselock/decisions/startchecks.py
+++ b/primroselock/decisions/startchecks.py
@@ -9,6 +9,7 @@
 from collections import abc
 import typing
 
+from primroselock.decisions import earlierruns
 from primroselock.decisions import eligibility
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
@@ -31,12 +32,14 @@
 
 
 def find_obstacle(
-    board: fleet.ShardBoard, members: abc.Iterable[livejobs.Member]
+    board: fleet.ShardBoard, members: abc.Sequence[livejobs.Member], now: float
 ) -> str:
     """Return why members of a group may not be started; empty if they may.
 
     A member whose worker is gone is left out: there is nothing to send.
     """
+    if earlierruns.may_run(board, members[0].group, now):
+        return 'a worker may run an earlier attempt'
     starting_by_id: dict[str, list[livejobs.Member]] = {}
     for member in members:
         starting_by_id.setdefault(member.worker_id, []).append(member)
--- a/primroselock/decisions/unexpectedruns.py
+++ b/primroselock/decisions/unexpectedruns.py
@@ -7,6 +7,7 @@
 from collections import abc
 import typing
 
+from primroselock.decisions import earlierruns
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
 from primroselock import jobgraph
@@ -22,6 +23,9 @@
     now: float,
 ) -> None:
     """Record that a worker lists a run that no row asks for; stop it."""
+    group = earlierruns.find_group(board, run.task)
+    if group is not None:
+        group.earlier_worker_ids.add(worker.id)
     known = worker.unexpected_runs.get(run)
     if known is not None and now - known.stop_sent_at < _STOP_RETRY_S:
         return
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -126,7 +126,7 @@
             self._tasks.spawn(self._start(member))
 
     def _find_obstacle(
-        self, members: abc.Collection[livejobs.Member], now: float
+        self, members: abc.Sequence[livejobs.Member], now: float
     ) -> str:
         """Return why starts may not be sent; empty if they may.
 
@@ -143,7 +143,7 @@
             )
             if ticket is None:
                 return f'no valid ticket for {member.worker_id}'
-        return startchecks.find_obstacle(self._board, members)
+        return startchecks.find_obstacle(self._board, members, now)
 
     def _cancel_start(
         self, group: livejobs.Group, why: str, now: float
