An earlier holder's start may reach the next boot of its worker (TWICE, ROUTE)

Found by the review: what the first report of a takeover does not list is settled, since the boot refuses the earlier epoch. The next boot knows no epoch: it was not told to stop the run, nothing counted it, and its task did not wait. It is noted as a start that may be under way, as the holder's own are.

--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -312,6 +312,9 @@
             continue
         if not _proves_absence(member, sent_at, worker.clock_s):
             continue
+        if member.state is livejobs.MemberState.INHERITED:
+            # Only this boot is known to refuse the earlier holder's order.
+            worker.add_late_run(member, now)
         board.mark_terminated(member)
         group = member.group
         end_group(board, group, livejobs.EndReason.LOST, now, wall_ms)
