One function each decodes a row, names a group and finds a task's step

A group's key is written as a list for the log in four modules, and unexpectedruns and earlierruns look up the step of a task alike.

Change: rowguard.decode, jobgraph.GroupKey.as_list, ShardBoard.find_step. Each log line keeps its source, event and values. patches._decode stays: it reads objects too and returns an error.

Left as they are, since only their shape is alike: configapi's two pages, clientapi._Step ~ jobgraph.Step and _Route ~ Queue (the users' names stay within the adapter), the checks of startchecks, signatures of protocols and of what implements them, enums, constants and dispatch tables.

Measured: 25 test modules that reach the changed ones pass, each run once (testdecoders, testmalformedrows, testcrash*, testprocesses and others).

--- a/primroselock/audit.py
+++ b/primroselock/audit.py
@@ -15,6 +15,7 @@
 
 from primroselock import decoding
 from primroselock import logs
+from primroselock import rowguard
 from primroselock.store import keys
 from primroselock.store import table
 
@@ -84,13 +85,9 @@
         return page
     listed = []
     for row in page.ok_value:
-        decoded = _decode_entry(row.value)
-        if isinstance(decoded, result.Err):
-            _log.error(
-                'row cannot be decoded', key=row.key, why=decoded.err_value
-            )
+        entry = rowguard.decode(_decode_entry, row, _log)
+        if entry is None:
             continue
-        entry = decoded.ok_value
         entry_id = row.key.removeprefix(keys.AUDIT)
         listed.append(ListedEntry(entry_id, **dataclasses.asdict(entry)))
     return result.Ok(listed)
--- a/primroselock/decisions/crashes.py
+++ b/primroselock/decisions/crashes.py
@@ -202,7 +202,7 @@
     board.record_decision(
         'worker crashed under a task',
         group.job,
-        group=_name(group),
+        group=group.key.as_list(),
         attempt=first.attempt,
         tasks=[run.task_index for run in runs],
         worker=loss.worker_id,
@@ -327,7 +327,7 @@
     board.record_decision(
         'task runs without a crash: earlier ones are forgotten',
         group.job,
-        group=_name(group),
+        group=group.key.as_list(),
         attempts=[crash.attempt for crash in group.crashes],
     )
     group.crashes = ()
@@ -389,7 +389,7 @@
     board.record_decision(
         'job failed: its task crashes workers',
         group.job,
-        group=_name(group),
+        group=group.key.as_list(),
         attempts=[crash.attempt for crash in group.crashes],
         tasks=[list(crash.task_indices) for crash in group.crashes],
         workers=[crash.place.worker_id for crash in group.crashes],
@@ -399,7 +399,3 @@
     group.job.end(jobs.JobState.FAILED, wall_ms)
     _excuse_others(board, group)
     board.mark_changed(group.job)
-
-
-def _name(group: livejobs.Group) -> list[int]:
-    return [group.key.occurrence, group.key.step, group.key.index]
--- a/primroselock/decisions/earlierruns.py
+++ b/primroselock/decisions/earlierruns.py
@@ -39,9 +39,9 @@
 def _find_group(
     board: fleet.ShardBoard, task: jobgraph.TaskName
 ) -> livejobs.Group | None:
-    job = board.jobs_by_id.get(task.job_id)
-    if job is None or task.step >= len(job.graph.steps):
+    step = board.find_step(task)
+    if step is None:
         return None
-    index = 0 if job.graph.steps[task.step].gang else task.index
+    index = 0 if step.gang else task.index
     key = jobgraph.GroupKey(task.occurrence, task.step, index)
-    return job.groups_by_key.get(key)
+    return board.jobs_by_id[task.job_id].groups_by_key.get(key)
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -204,6 +204,13 @@
         job.change += 1
         self.changed_ids[job.graph.id] = None
 
+    def find_step(self, task: jobgraph.TaskName) -> jobgraph.Step | None:
+        """Return the step of a task; None if its job is not known."""
+        job = self.jobs_by_id.get(task.job_id)
+        if job is None or task.step >= len(job.graph.steps):
+            return None
+        return job.graph.steps[task.step]
+
     def record_decision(
         self, event: str, job: livejobs.LiveJob, **values: typing.Any
     ) -> None:
--- a/primroselock/decisions/graphs.py
+++ b/primroselock/decisions/graphs.py
@@ -264,7 +264,7 @@
     board.record_decision(
         'attempt ended',
         job,
-        group=list(_key_tuple(group.key)),
+        group=group.key.as_list(),
         attempt=group.attempt,
         ending=end_reason.value,
         failures=group.failures,
@@ -272,10 +272,6 @@
     board.mark_changed(job)
 
 
-def _key_tuple(key: jobgraph.GroupKey) -> tuple[int, int, int]:
-    return key.occurrence, key.step, key.index
-
-
 def _retry_delay_s(failures: int) -> float:
     return backoff.doubled_s(
         _MIN_RETRY_DELAY_S, failures - 1, _MAX_RETRY_DELAY_S
@@ -300,7 +296,7 @@
     board.record_decision(
         'job failed',
         job,
-        group=list(_key_tuple(group.key)),
+        group=group.key.as_list(),
         failures=group.failures,
     )
 
--- a/primroselock/decisions/placementround.py
+++ b/primroselock/decisions/placementround.py
@@ -99,7 +99,7 @@
     board.record_decision(
         'placed',
         job,
-        group=[group.key.occurrence, group.key.step, group.key.index],
+        group=group.key.as_list(),
         attempt=group.attempt,
         workers=list(dict.fromkeys(worker_ids)),
     )
--- a/primroselock/decisions/unexpectedruns.py
+++ b/primroselock/decisions/unexpectedruns.py
@@ -9,7 +9,6 @@
 
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
-from primroselock import jobgraph
 from primroselock.workers import orders
 
 _STOP_RETRY_S: typing.Final = 0.5
@@ -26,7 +25,7 @@
     if known is not None and now - known.stop_sent_at < _STOP_RETRY_S:
         return
     worker.unexpected_runs[run] = fleetworkers.UnexpectedRun(
-        run, _find_step(board, run.task), now
+        run, board.find_step(run.task), now
     )
     board.orders.append(fleet.StopOrder(worker.id, run))
     board.decision_records.append(
@@ -43,16 +42,6 @@
     )
 
 
-def _find_step(
-    board: fleet.ShardBoard, task: jobgraph.TaskName
-) -> jobgraph.Step | None:
-    """Return the step of a task; None if its job is not known any more."""
-    job = board.jobs_by_id.get(task.job_id)
-    if job is None or task.step >= len(job.graph.steps):
-        return None
-    return job.graph.steps[task.step]
-
-
 def drop_unlisted(
     worker: fleetworkers.Worker, listed: abc.Container[orders.Run]
 ) -> None:
--- a/primroselock/decisions/waitreport.py
+++ b/primroselock/decisions/waitreport.py
@@ -178,7 +178,7 @@
     board.record_decision(
         'job waits beside free capacity',
         job,
-        group=[group.key.occurrence, group.key.step, group.key.index],
+        group=group.key.as_list(),
         attempt=group.attempt,
         phase=group.phase.value,
         since_s=round(now - group.since, 3),
--- a/primroselock/graphrows.py
+++ b/primroselock/graphrows.py
@@ -12,7 +12,6 @@
 import typing
 
 import msgspec
-import result
 
 from primroselock import decoding
 from primroselock import jobgraph
@@ -114,20 +113,12 @@
 
 def read_graph(row: table.Row) -> jobgraph.JobGraph | None:
     """Return the graph in a row, or None if it cannot be decoded."""
-    decoded = _decode_graph(row.value)
-    if isinstance(decoded, result.Err):
-        _log.error('row cannot be decoded', key=row.key, why=decoded.err_value)
-        return None
-    return decoded.ok_value
+    return rowguard.decode(_decode_graph, row, _log)
 
 
 def read_progress(row: table.Row) -> jobgraph.JobProgress | None:
     """Return the progress in a row, or None if it cannot be decoded."""
-    decoded = _decode_progress(row.value)
-    if isinstance(decoded, result.Err):
-        _log.error('row cannot be decoded', key=row.key, why=decoded.err_value)
-        return None
-    return decoded.ok_value
+    return rowguard.decode(_decode_progress, row, _log)
 
 
 class JobRows:
--- a/primroselock/history.py
+++ b/primroselock/history.py
@@ -15,6 +15,7 @@
 from primroselock import decoding
 from primroselock import logs
 from primroselock import patches
+from primroselock import rowguard
 from primroselock.store import keys
 from primroselock.store import objects
 from primroselock.store import table
@@ -61,13 +62,9 @@
         return page
     listed = []
     for row in page.ok_value:
-        decoded = _decode_patch(row.value)
-        if isinstance(decoded, result.Err):
-            _log.error(
-                'row cannot be decoded', key=row.key, why=decoded.err_value
-            )
-        else:
-            listed.append(decoded.ok_value)
+        patch = rowguard.decode(_decode_patch, row, _log)
+        if patch is not None:
+            listed.append(patch)
     return result.Ok(listed)
 
 
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -173,6 +173,10 @@
     step: decoding.Integer
     index: decoding.Integer
 
+    def as_list(self) -> list[int]:
+        """Return the key as log lines state it."""
+        return [self.occurrence, self.step, self.index]
+
 
 class GroupPhase(enum.Enum):
     """The phase of a group as it is stored."""
--- a/primroselock/jobstore.py
+++ b/primroselock/jobstore.py
@@ -15,6 +15,7 @@
 from primroselock import decoding
 from primroselock import jobs
 from primroselock import logs
+from primroselock import rowguard
 from primroselock.store import keys
 from primroselock.store import table
 
@@ -258,8 +259,5 @@
 
 def _decode(row: table.Row) -> StoredJob | None:
     """Return the job in a row; None, with a log line, if there is none."""
-    decoded = jobs.decode(row.value)
-    if isinstance(decoded, result.Err):
-        _log.error('row cannot be decoded', key=row.key, why=decoded.err_value)
-        return None
-    return StoredJob(decoded.ok_value, row.version)
+    job = rowguard.decode(jobs.decode, row, _log)
+    return None if job is None else StoredJob(job, row.version)
--- a/primroselock/shards.py
+++ b/primroselock/shards.py
@@ -33,6 +33,7 @@
 from primroselock import decoding
 from primroselock import logs
 from primroselock import options
+from primroselock import rowguard
 from primroselock.store import keys
 from primroselock.store import table
 
@@ -64,11 +65,7 @@
 
 def read_lease_row(row: table.Row) -> LeaseRow | None:
     """Return the content of a lease row, or None if it is malformed."""
-    decoded = _decode_lease_row(row.value)
-    if isinstance(decoded, result.Err):
-        _log.error('row cannot be decoded', key=row.key, why=decoded.err_value)
-        return None
-    return decoded.ok_value
+    return rowguard.decode(_decode_lease_row, row, _log)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,11 +84,7 @@
 
 
 def _read_epoch_row(row: table.Row) -> EpochRow | None:
-    decoded = _decode_epoch_row(row.value)
-    if isinstance(decoded, result.Err):
-        _log.error('row cannot be decoded', key=row.key, why=decoded.err_value)
-        return None
-    return decoded.ok_value
+    return rowguard.decode(_decode_epoch_row, row, _log)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
