Builders of the tests: one function where two had the same logic

Change, without another meaning anywhere: - testmalformedrows uses decodercases.list_paths and replace_at, which it had written again; the entry of a worker in three modules is decodercases.WORKER_ENTRY with what differs; read_conflict serves both lists of decoders. - World.change_queue_configuration publishes the next version with some fields changed; six places built it themselves. - fakefleet._reach holds how a start or a poll gets to a worker.

Left: faults that set one attribute for a while. A common function would have to set it by name, and a wrong name would inject nothing without notice. The scenarios of testblame, testorderload and teststandby differ in what they check.

No assertion is changed.

--- a/primroselock/test/decodercases.py
+++ b/primroselock/test/decodercases.py
@@ -231,9 +231,25 @@
     raise AssertionError('waits')
 
 
+def read_conflict(store: table.Table) -> table.Conflict | None:
+    """Return the conflict that a store answers; None if it is unreadable."""
+    error = run_now(store.transact(TRANSACTION)).unwrap_err()
+    return error if isinstance(error, table.Conflict) else None
+
+
 SETTINGS: typing.Final = settings.parse(
     fleetbuilders.BOOT_TEXT + 'advice=127.0.0.1:9', 'boot'
 ).unwrap()
 TRANSACTION: typing.Final = table.Transaction(
     (table.Condition('t/k', 1),), (table.Put('t/k', b'v'),)
 )
+WORKER_ENTRY: typing.Final[dict[str, typing.Any]] = {
+    'service': 'svc',
+    'address': '10.0.0.1:80',
+    'zone': 'a',
+    'state': 'ready',
+    'capacity': {'cpu': 64000, 'mem_mb': 1000, 'gpus': 8},
+    'labels': ['kind', 'r1-3'],
+    'born': 1700,
+}
+"""The entry of a worker, as the platform's pages name its fields."""
--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -198,12 +198,27 @@
             worker.entry, **changes, boot=worker.boot
         )
 
-    def _reach(self, worker_id: str) -> simulatedworker.FakeWorker | None:
+    def _find_reachable(
+        self, worker_id: str
+    ) -> simulatedworker.FakeWorker | None:
         worker = self.workers_by_id.get(worker_id)
         if worker is None or not worker.is_reachable:
             return None
         return worker
 
+    async def _reach(
+        self, worker_id: str, address: str, timeout_s: float
+    ) -> result.Result[simulatedworker.FakeWorker, orders.OrderError]:
+        """Return the worker that a call gets to, or how the call ends."""
+        await asyncio.sleep(_CALL_DURATION_S)
+        worker = self._find_reachable(worker_id)
+        if worker is None:
+            await asyncio.sleep(timeout_s)
+            return result.Err(orders.Unanswered('no answer'))
+        if await worker.is_left(address):
+            return result.Err(orders.Refused(orders.Refusal.BOOT_MISMATCH))
+        return result.Ok(worker)
+
     async def start(
         self,
         worker_id: str,
@@ -212,13 +227,10 @@
         timeout_s: float,
     ) -> result.Result[orders.Accepted, orders.OrderError]:
         """Start a run, at once or, for the share of late orders, later."""
-        await asyncio.sleep(_CALL_DURATION_S)
-        worker = self._reach(worker_id)
-        if worker is None:
-            await asyncio.sleep(timeout_s)
-            return result.Err(orders.Unanswered('no answer'))
-        if await worker.is_left(address):
-            return result.Err(orders.Refused(orders.Refusal.BOOT_MISMATCH))
+        reached = await self._reach(worker_id, address, timeout_s)
+        if isinstance(reached, result.Err):
+            return reached
+        worker = reached.ok_value
         if self._random.random() < worker.delayed_order_share:
             self.spawn(self._start_late(worker, order))
             await asyncio.sleep(timeout_s)
@@ -347,7 +359,7 @@
     ) -> result.Result[orders.Accepted, orders.OrderError]:
         """Stop a run; it ends ``stop_delay_s`` later."""
         await asyncio.sleep(_CALL_DURATION_S)
-        worker = self._reach(worker_id)
+        worker = self._find_reachable(worker_id)
         if (
             worker is None
             or self._random.random() < worker.delayed_order_share
@@ -387,13 +399,10 @@
         timeout_s: float,
     ) -> result.Result[orders.RunReport, orders.OrderError]:
         """Extend the lease; report the current runs and those that ended."""
-        await asyncio.sleep(_CALL_DURATION_S)
-        worker = self._reach(worker_id)
-        if worker is None:
-            await asyncio.sleep(timeout_s)
-            return result.Err(orders.Unanswered('no answer'))
-        if await worker.is_left(address):
-            return result.Err(orders.Refused(orders.Refusal.BOOT_MISMATCH))
+        reached = await self._reach(worker_id, address, timeout_s)
+        if isinstance(reached, result.Err):
+            return reached
+        worker = reached.ok_value
         if epoch < worker.epoch:
             return result.Err(orders.Refused(orders.Refusal.STALE_EPOCH))
         worker.epoch = epoch
@@ -408,7 +417,7 @@
             except TimeoutError:
                 # Nothing ended in time; the report lists the current runs.
                 pass
-        if self._reach(worker_id) is None or worker.boot != boot:
+        if self._find_reachable(worker_id) is None or worker.boot != boot:
             # The process that held the poll open is out of reach, or ended.
             await asyncio.sleep(timeout_s)
             return result.Err(orders.Unanswered('no answer'))
--- a/primroselock/test/faultbuilders.py
+++ b/primroselock/test/faultbuilders.py
@@ -11,7 +11,6 @@
 
 from primroselock import clock
 from primroselock import jobgraph
-from primroselock import queues
 from primroselock.test import fakestore
 from primroselock.test import fleetbuilders
 from primroselock.test import simulatedworker
@@ -148,10 +147,7 @@
 
 @injection('cut worker')
 async def _partition_worker(world: fleetbuilders.World, fault: Fault) -> None:
-    worker = _target(world, fault)
-    worker.is_partitioned = True
-    await asyncio.sleep(fault.for_s)
-    worker.is_partitioned = False
+    await _partition([_target(world, fault)], fault)
 
 
 @injection('crash worker')
@@ -166,9 +162,17 @@
 
 @injection('late answers')
 async def _delay_orders(world: fleetbuilders.World, fault: Fault) -> None:
-    workers = list(world.fleet.workers_by_id.values())
+    await delay_orders(list(world.fleet.workers_by_id.values()), 0.2, fault)
+
+
+async def delay_orders(
+    workers: abc.Collection[simulatedworker.FakeWorker],
+    share: float,
+    fault: Fault,
+) -> None:
+    """Let workers carry out a share of their orders late."""
     for worker in workers:
-        worker.delayed_order_share = 0.2
+        worker.delayed_order_share = share
     await asyncio.sleep(fault.for_s)
     for worker in workers:
         worker.delayed_order_share = 0.0
@@ -280,6 +284,12 @@
         for worker in world.fleet.workers_by_id.values()
         if worker.entry.zone == zone
     ]
+    await _partition(workers, fault)
+
+
+async def _partition(
+    workers: abc.Collection[simulatedworker.FakeWorker], fault: Fault
+) -> None:
     for worker in workers:
         worker.is_partitioned = True
     await asyncio.sleep(fault.for_s)
@@ -291,13 +301,11 @@
 async def _close_zone(world: fleetbuilders.World, fault: Fault) -> None:
     """Take a zone out of service; it is back after ``for_s``."""
     zone = _target(world, fault).entry.zone
-    _configure(
-        world, closed=world.queue_configuration.zones_out_of_service | {zone}
-    )
+    closed = world.queue_configuration.zones_out_of_service
+    world.change_queue_configuration(zones_out_of_service=closed | {zone})
     await asyncio.sleep(fault.for_s)
-    _configure(
-        world, closed=world.queue_configuration.zones_out_of_service - {zone}
-    )
+    closed = world.queue_configuration.zones_out_of_service
+    world.change_queue_configuration(zones_out_of_service=closed - {zone})
 
 
 @injection('new queues')
@@ -314,25 +322,7 @@
         )
         for account in current.accounts_by_name.values()
     }
-    world.set_queue_configuration(
-        dataclasses.replace(
-            current,
-            version=current.version + 1,
-            queues=changed,
-            accounts_by_name=accounts,
-        )
-    )
-
-
-def _configure(world: fleetbuilders.World, closed: frozenset[str]) -> None:
-    current = world.queue_configuration
-    world.set_queue_configuration(
-        dataclasses.replace(
-            current,
-            version=current.version + 1,
-            zones_out_of_service=closed,
-        )
-    )
+    world.change_queue_configuration(queues=changed, accounts_by_name=accounts)
 
 
 @injection('lose worker')
@@ -413,22 +403,12 @@
     if not current.queues:
         return
     removed = current.queues[fault.target % len(current.queues)]
-    _set_queues(world, [q for q in current.queues if q != removed])
+    others = tuple(queue for queue in current.queues if queue != removed)
+    world.change_queue_configuration(queues=others)
     await asyncio.sleep(fault.for_s)
     known = world.queue_configuration
     if known.find_by_name(removed.name) is None:
-        _set_queues(world, [*known.queues, removed])
-
-
-def _set_queues(
-    world: fleetbuilders.World, changed: abc.Iterable[queues.Queue]
-) -> None:
-    current = world.queue_configuration
-    world.set_queue_configuration(
-        dataclasses.replace(
-            current, version=current.version + 1, queues=tuple(changed)
-        )
-    )
+        world.change_queue_configuration(queues=(*known.queues, removed))
 
 
 @injection('worker fails all')
--- a/primroselock/test/fleetbuilders.py
+++ b/primroselock/test/fleetbuilders.py
@@ -341,6 +341,15 @@
         for node in self.nodes:
             node.set_queue_configuration(current)
 
+    def change_queue_configuration(self, **changes: typing.Any) -> None:
+        """Apply the next version, in which some fields differ."""
+        current = self.queue_configuration
+        self.set_queue_configuration(
+            dataclasses.replace(
+                current, version=current.version + 1, **changes
+            )
+        )
+
     def _note_services(self, known: abc.Iterable[queues.Queue]) -> None:
         """Note to which services a configuration sends queues."""
         for queue in known:
--- a/primroselock/test/orderfaults.py
+++ b/primroselock/test/orderfaults.py
@@ -66,11 +66,7 @@
     world: fleetbuilders.World, fault: faultbuilders.Fault
 ) -> None:
     workers = _list_half(world, fault)
-    for worker in workers:
-        worker.delayed_order_share = _LATE_SHARE
-    await asyncio.sleep(fault.for_s)
-    for worker in workers:
-        worker.delayed_order_share = 0.0
+    await faultbuilders.delay_orders(workers, _LATE_SHARE, fault)
 
 
 @faultbuilders.injection('starts refused')
--- a/primroselock/test/platformdecoders.py
+++ b/primroselock/test/platformdecoders.py
@@ -59,12 +59,7 @@
 
 
 def _read_conflict(value: bytes) -> typing.Any:
-    """Return the conflict itself; None if it cannot be read."""
-    outcome = decodercases.run_now(
-        _row_store(412, value).transact(decodercases.TRANSACTION)
-    )
-    error = outcome.unwrap_err()
-    return error if isinstance(error, table.Conflict) else None
+    return decodercases.read_conflict(_row_store(412, value))
 
 
 def _read_advice(value: bytes) -> typing.Any:
@@ -314,13 +309,8 @@
 _ADVICE: typing.Final = {'good': [['w1', 't1']], 'valid_ms': 3000}
 _RUN: typing.Final = orders.Run(jobgraph.TaskName('j', 0, 0, 0), 1)
 _ENTRY: typing.Final = {
-    'service': 'svc',
-    'address': '10.0.0.1:80',
-    'zone': 'a',
+    **decodercases.WORKER_ENTRY,
     'state': 'draining',
-    'capacity': {'cpu': 64000, 'mem_mb': 1000, 'gpus': 8},
-    'labels': ['kind', 'r1-3'],
-    'born': 1700,
     'remaining_ms': 5000,
 }
 _POLL_ANSWER: typing.Final = {
--- a/primroselock/test/productdecoders.py
+++ b/primroselock/test/productdecoders.py
@@ -120,12 +120,7 @@
 
 
 def _read_platform_conflict(value: bytes) -> typing.Any:
-    """Return the conflict itself; None if it cannot be read."""
-    outcome = decodercases.run_now(
-        _platform_client(409, value).transact(decodercases.TRANSACTION)
-    )
-    error = outcome.unwrap_err()
-    return error if isinstance(error, table.Conflict) else None
+    return decodercases.read_conflict(_platform_client(409, value))
 
 
 def _read_vms(value: bytes) -> typing.Any:
--- a/primroselock/test/restartbuilders.py
+++ b/primroselock/test/restartbuilders.py
@@ -15,6 +15,22 @@
     world.submit(fleetbuilders.build_graph(job_id, step))
 
 
+async def submit_unanswered(
+    world: fleetbuilders.World,
+    worker: simulatedworker.FakeWorker,
+    run_ms: int,
+    for_s: float = 0.2,
+) -> None:
+    """Submit a job whose starts are late; orders are answered ``for_s`` later.
+
+    The worker carries out late what it is told meanwhile.
+    """
+    worker.delayed_order_share = 1.0
+    submit(world, 'j', run_ms)
+    await asyncio.sleep(for_s)
+    worker.delayed_order_share = 0.0
+
+
 def count_runs(world: fleetbuilders.World, job_id: str) -> int:
     """Return how many runs of a job are in progress."""
     return sum(
--- a/primroselock/test/testidlecapacity.py
+++ b/primroselock/test/testidlecapacity.py
@@ -58,13 +58,22 @@
     for worker in workers:
         world.write_entry(dataclasses.replace(worker.entry, zone='b'))
         worker.entry = world.entries_by_id[worker.entry.id]
-    world.set_queue_configuration(
-        dataclasses.replace(
-            fleetbuilders.QUEUE_CONFIGURATION,
-            version=2,
-            zones_out_of_service=frozenset({'b'}),
-        )
-    )
+    world.change_queue_configuration(zones_out_of_service=frozenset({'b'}))
+
+
+async def _submit_behind_gangs(
+    world: fleetbuilders.World,
+    spread: jobgraph.Step,
+    gang_sizes: tuple[int, ...],
+) -> None:
+    """Submit a step, gangs of whole workers that wait for it, and a job."""
+    world.submit(fleetbuilders.build_graph('spread', spread))
+    await asyncio.sleep(0.5)
+    for tasks in gang_sizes:
+        step = fleetbuilders.build_step(tasks, 8, 20_000, gang=True)
+        world.submit(fleetbuilders.build_graph(f'wide{tasks}', step))
+    await asyncio.sleep(0.5)
+    world.submit(fleetbuilders.build_graph('small'))
 
 
 class IdleCapacityTest(unittest.TestCase):
@@ -216,13 +225,7 @@
             spread = fleetbuilders.build_step(
                 _WORKERS, 1, 20_000, max_per_worker=1
             )
-            world.submit(fleetbuilders.build_graph('spread', spread))
-            await asyncio.sleep(0.5)
-            for tasks in (5, 7):
-                step = fleetbuilders.build_step(tasks, 8, 20_000, gang=True)
-                world.submit(fleetbuilders.build_graph(f'wide{tasks}', step))
-            await asyncio.sleep(0.5)
-            world.submit(fleetbuilders.build_graph('small'))
+            await _submit_behind_gangs(world, spread, (5, 7))
 
         self.check_scenario(submit, 8.0)
 
@@ -237,13 +240,7 @@
             _close_zone_of(world, workers[8:])
             await asyncio.sleep(1.0)
             spread = fleetbuilders.build_step(8, 5, 20_000, max_per_worker=1)
-            world.submit(fleetbuilders.build_graph('spread', spread))
-            await asyncio.sleep(0.5)
-            for tasks in (5, 3):
-                step = fleetbuilders.build_step(tasks, 8, 20_000, gang=True)
-                world.submit(fleetbuilders.build_graph(f'wide{tasks}', step))
-            await asyncio.sleep(0.5)
-            world.submit(fleetbuilders.build_graph('small'))
+            await _submit_behind_gangs(world, spread, (5, 3))
 
         self.check_scenario(submit, 8.0)
 
--- a/primroselock/test/testlatestarts.py
+++ b/primroselock/test/testlatestarts.py
@@ -43,10 +43,9 @@
             world.fleet.late_starts_outlive = True
             (worker,) = world.fleet.workers_by_id.values()
             await asyncio.sleep(1.0)
-            worker.delayed_order_share = 1.0
-            restartbuilders.submit(world, 'j', _LONG_MS)
-            await asyncio.sleep(answers_at)
-            worker.delayed_order_share = 0.0
+            await restartbuilders.submit_unanswered(
+                world, worker, _LONG_MS, answers_at
+            )
             await asyncio.sleep(crashes_at - answers_at)
             world.add_worker(fleetbuilders.build_entry('w9'))
             world.fleet.crash(worker)
@@ -79,10 +78,7 @@
             world.fleet.late_starts_outlive = True
             (worker,) = world.fleet.workers_by_id.values()
             await asyncio.sleep(1.0)
-            worker.delayed_order_share = 1.0
-            restartbuilders.submit(world, 'j', 200)
-            await asyncio.sleep(0.2)
-            worker.delayed_order_share = 0.0
+            await restartbuilders.submit_unanswered(world, worker, 200)
             await world.wait_for('j', 'done', 2.0)
             await asyncio.sleep(0.1)
             world.fleet.crash(worker)
@@ -104,10 +100,7 @@
             world.fleet.late_starts_outlive = True
             (worker,) = world.fleet.workers_by_id.values()
             await asyncio.sleep(1.0)
-            worker.delayed_order_share = 1.0
-            restartbuilders.submit(world, 'j', _LONG_MS)
-            await asyncio.sleep(0.2)
-            worker.delayed_order_share = 0.0
+            await restartbuilders.submit_unanswered(world, worker, _LONG_MS)
             await asyncio.sleep(0.5)
             world.fleet.crash(worker)
             world.restart_worker(worker)
@@ -144,10 +137,7 @@
             world.fleet.late_s = late_s
             (worker,) = world.fleet.workers_by_id.values()
             await asyncio.sleep(1.0)
-            worker.delayed_order_share = 1.0
-            restartbuilders.submit(world, 'j', _LONG_MS)
-            await asyncio.sleep(0.2)
-            worker.delayed_order_share = 0.0
+            await restartbuilders.submit_unanswered(world, worker, _LONG_MS)
             worker.is_partitioned = True
             world.add_worker(fleetbuilders.build_entry('w9'))
             await asyncio.sleep(0.3)
@@ -190,10 +180,7 @@
             await asyncio.sleep(1.0)
             restartbuilders.submit(world, 'busy', _LONG_MS)
             await asyncio.sleep(0.5)
-            worker.delayed_order_share = 1.0
-            restartbuilders.submit(world, 'j', _LONG_MS)
-            await asyncio.sleep(0.2)
-            worker.delayed_order_share = 0.0
+            await restartbuilders.submit_unanswered(world, worker, _LONG_MS)
             while len(worker.runs) < 2:
                 await asyncio.sleep(0.0005)
             # The next attempt has no place there.
--- a/primroselock/test/testmalformedrows.py
+++ b/primroselock/test/testmalformedrows.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import copy
 import random
 import typing
 import unittest
@@ -24,6 +23,7 @@
 from primroselock.platform import discovery
 from primroselock.store import keys
 from primroselock.store import table
+from primroselock.test import decodercases
 from primroselock.test import fleetbuilders
 from primroselock.test import virtualtime
 
@@ -61,32 +61,13 @@
 )
 
 
-def list_paths(value: typing.Any) -> list[tuple[typing.Any, ...]]:
-    """Return the path to each value within a JSON value, and to itself."""
-    paths: list[tuple[typing.Any, ...]] = [()]
-    items: list[tuple[typing.Any, typing.Any]] = []
-    if isinstance(value, dict):
-        items = list(value.items())
-    elif isinstance(value, list):
-        items = list(enumerate(value))
-    for key, child in items:
-        paths += [(key, *path) for path in list_paths(child)]
-    return paths
-
-
 def replace_one(encoded: bytes, seed: int) -> bytes:
     """Replace one value within a JSON row by an odd one."""
     chosen = random.Random(seed)
-    value = copy.deepcopy(msgspec.json.decode(encoded))
-    path = chosen.choice(list_paths(value))
+    value = msgspec.json.decode(encoded)
+    path = chosen.choice(decodercases.list_paths(value))
     odd = chosen.choice(_ODD_VALUES)
-    if not path:
-        return msgspec.json.encode(odd)
-    inner = value
-    for key in path[:-1]:
-        inner = inner[key]
-    inner[path[-1]] = odd
-    return msgspec.json.encode(value)
+    return msgspec.json.encode(decodercases.replace_at(value, path, odd))
 
 
 def build_rows() -> dict[str, bytes]:
@@ -307,16 +288,7 @@
     'tenants': [{'name': 't', 'api_keys': ['k'], 'guaranteed': {'gpus': 8}}],
     'limits': {'max_body_bytes': 1000},
 }
-_ENTRY: typing.Final[dict[str, typing.Any]] = {
-    'service': 'svc',
-    'address': '10.0.0.1:80',
-    'zone': 'a',
-    'state': 'ready',
-    'capacity': {'cpu': 64000, 'mem_mb': 1000, 'gpus': 8},
-    'labels': ['kind', 'r1-3'],
-    'born': 1700,
-    'seq': 4,
-}
+_ENTRY: typing.Final = {**decodercases.WORKER_ENTRY, 'seq': 4}
 
 
 if __name__ == '__main__':
--- a/primroselock/test/testplatformadapter.py
+++ b/primroselock/test/testplatformadapter.py
@@ -20,6 +20,7 @@
 from primroselock.platform import discovery
 from primroselock.platform import settings
 from primroselock.store import table
+from primroselock.test import decodercases
 from primroselock.test import fleetbuilders
 
 _PACKAGE: typing.Final = pathlib.Path(__file__).resolve().parent.parent
@@ -227,14 +228,8 @@
                 self.assertIsNone(discovery.WorkerRowReader().read_entry(row))
 
 
-_ENTRY: typing.Final[dict[str, typing.Any]] = {
-    'service': 'svc',
-    'address': '10.0.0.1:80',
-    'zone': 'a',
-    'state': 'ready',
-    'capacity': {'cpu': 64000, 'mem_mb': 1000, 'gpus': 8},
-    'labels': ['kind', 'r1-3'],
-    'born': 1700,
+_ENTRY: typing.Final = {
+    **decodercases.WORKER_ENTRY,
     'seq': 4,
     'a_new_field': [1],
 }
--- a/primroselock/test/testshardoffers.py
+++ b/primroselock/test/testshardoffers.py
@@ -46,6 +46,14 @@
         node.configuration_age_s = age_s
 
 
+def set_feeds_unresponsive(
+    world: fleetbuilders.World, is_unresponsive: bool
+) -> None:
+    """Set whether the change feeds answer any node."""
+    for node in world.nodes:
+        node.connectivity.feed_is_unresponsive = is_unresponsive
+
+
 async def fail_listing(
     name: str,
 ) -> result.Result[table.Listing, table.Unavailable]:
@@ -93,14 +101,12 @@
             step = fleetbuilders.build_step(6, 2, 25_000)
             world.submit(fleetbuilders.build_graph('j1', step))
             await world.wait_for('j1', 'running', 3.0)
-            for node in world.nodes:
-                node.connectivity.feed_is_unresponsive = True
+            set_feeds_unresponsive(world, True)
             world.submit(fleetbuilders.build_graph('j2'))
             await asyncio.sleep(20.0)
             self.assertTrue(is_offered(world))
             self.assertEqual(6, world.fleet.starts)
-            for node in world.nodes:
-                node.connectivity.feed_is_unresponsive = False
+            set_feeds_unresponsive(world, False)
             await world.wait_for('j2', 'done', 6.0)
             await world.wait_for('j1', 'done', 10.0)
             self.assertEqual(7, world.fleet.starts)
@@ -122,13 +128,11 @@
                 world.submit(fleetbuilders.build_graph(name, step))
             await asyncio.sleep(1.0)
             self.assertEqual(1, world.fleet.starts)
-            for node in world.nodes:
-                node.connectivity.feed_is_unresponsive = True
+            set_feeds_unresponsive(world, True)
             await asyncio.sleep(15.0)
             self.assertTrue(is_offered(world))
             self.assertEqual(1, world.fleet.starts)
-            for node in world.nodes:
-                node.connectivity.feed_is_unresponsive = False
+            set_feeds_unresponsive(world, False)
             for name in ('j1', 'j2'):
                 await world.wait_for(name, 'done', 15.0)
             self.assertEqual(2, world.fleet.starts)
--- a/primroselock/test/teststepbounds.py
+++ b/primroselock/test/teststepbounds.py
@@ -228,11 +228,8 @@
         """Guards against a start beside a sibling that was seen since."""
 
         async def scenario(world: fleetbuilders.World) -> None:
-            world.fleet.stop_delay_s = _STOP_S
             (worker,) = world.fleet.workers_by_id.values()
-            boundbuilders.submit(world, 'j', 3, 1000, max_per_worker=1)
-            await boundbuilders.wait_until(lambda: bool(world.fleet.done))
-            (done,) = world.fleet.done
+            done = await _wait_for_first_end(world, 3)
             with capacitybuilders.slow_placement(world, _STORE_DELAY_S):
                 # Placed behind it, so that it is sent after the report.
                 await asyncio.sleep(0.2)
@@ -250,11 +247,8 @@
         """Guards against a bound that only the first order keeps."""
 
         async def scenario(world: fleetbuilders.World) -> None:
-            world.fleet.stop_delay_s = _STOP_S
             (worker,) = world.fleet.workers_by_id.values()
-            boundbuilders.submit(world, 'j', 2, 1000, max_per_worker=1)
-            await boundbuilders.wait_until(lambda: bool(world.fleet.done))
-            (done,) = world.fleet.done
+            done = await _wait_for_first_end(world, 2)
             worker.delayed_order_share = 1.0
             with mock.patch.object(
                 world.fleet, 'start', wraps=world.fleet.start
@@ -368,22 +362,27 @@
     return world.fleet.workers_by_id[worker_id]
 
 
+async def _wait_for_first_end(
+    world: fleetbuilders.World, tasks: int
+) -> jobgraph.TaskName:
+    """Submit tasks that run one by one; return the first that has ended."""
+    world.fleet.stop_delay_s = _STOP_S
+    boundbuilders.submit(world, 'j', tasks, 1000, max_per_worker=1)
+    await boundbuilders.wait_until(lambda: bool(world.fleet.done))
+    (done,) = world.fleet.done
+    return done
+
+
 def _move_queue(world: fleetbuilders.World, name: str, service: str) -> None:
     """Publish a version that sends a queue to another service."""
-    current = world.queue_configuration
 
     def change(queue: queues.Queue) -> queues.Queue:
         if queue.name != name:
             return queue
         return dataclasses.replace(queue, service=service)
 
-    world.set_queue_configuration(
-        dataclasses.replace(
-            current,
-            version=current.version + 1,
-            queues=tuple(change(queue) for queue in current.queues),
-        )
-    )
+    changed = tuple(map(change, world.queue_configuration.queues))
+    world.change_queue_configuration(queues=changed)
 
 
 if __name__ == '__main__':
--- a/primroselock/test/testunsentstarts.py
+++ b/primroselock/test/testunsentstarts.py
@@ -67,12 +67,8 @@
         """Guards against starts in a zone that is being evacuated."""
 
         def close_zone(world: fleetbuilders.World) -> None:
-            world.set_queue_configuration(
-                dataclasses.replace(
-                    fleetbuilders.QUEUE_CONFIGURATION,
-                    version=2,
-                    zones_out_of_service=frozenset({'a'}),
-                )
+            world.change_queue_configuration(
+                zones_out_of_service=frozenset({'a'})
             )
 
         self.check(close_zone)
