The crash rule and the failure evidence name causes

Seen: guilty, blame, suspect, excuse, innocent, victims and judge in decisions/crash*.py, evidence.py and their readers.

No log line, setting, metric name or stored value had these words; all keep their letters.

Tests: renamed test_a_suspect_*, test_a_first_crash_beside_a_suspect, test_workers_are_not_blamed, InnocentTest and docstrings; no assertion is changed.

--- a/primroselock/decisions/crashes.py
+++ b/primroselock/decisions/crashes.py
@@ -6,8 +6,8 @@
 the incarnation that is gone counts once an attempt, and is stored with the
 progress of its group, so that neither a takeover nor a second report changes
 the count.  :mod:`primroselock.decisions.crashevidence` tells what the crashes
-prove; until then a suspect gets its next worker for itself, if one is free
-soon.
+prove; until then a group that may have caused one gets its next worker for
+itself, if one is free soon.
 """
 
 from collections import abc
@@ -53,16 +53,16 @@
     listed.update(ended.run for ended in report.ended)
     unlisted = [m for run, m in worker.members.items() if run not in listed]
     sent = lostruns.list_sent(worker, unlisted, now)
-    victims = [
+    crashed = [
         run
         for run in settled + sent
         if 0 < run.boot < report.boot and run.boot != planned_boot
     ]
     is_crash = 0 < worker.boot < report.boot and worker.boot != planned_boot
-    if victims or is_crash:
+    if crashed or is_crash:
         loss = _build_loss(worker, report.boot, now)
-        _record_loss(board, loss, victims, now)
-    return [run.group for run in victims if run in sent]
+        _record_loss(board, loss, crashed, now)
+    return [run.group for run in crashed if run in sent]
 
 
 def record_replaced(
@@ -78,9 +78,9 @@
     settled = lostruns.take(board, worker.id)
     if worker.entry.is_draining:
         return
-    victims = settled + lostruns.list_sent(worker, members, now)
-    if victims:
-        _record_loss(board, _build_loss(worker, 0, now), victims, now)
+    crashed = settled + lostruns.list_sent(worker, members, now)
+    if crashed:
+        _record_loss(board, _build_loss(worker, 0, now), crashed, now)
 
 
 def note_settled(
@@ -100,7 +100,7 @@
 ) -> None:
     """Note the crashes and lost runs that were stored for a group."""
     if group.crashes:
-        board.crashes.add_suspect(group)
+        board.crashes.add_possible_cause(group)
     lostruns.restore(board, group, now)
 
 
@@ -144,32 +144,32 @@
         if lost is None or not lost.is_before(entry.boot):
             continue
         planned_boot = log.planned_boot_by_id.get(lost.id)
-        victims = [
+        crashed = [
             run
             for run in lostruns.take(board, lost.id)
             if run.boot != planned_boot
         ]
-        if victims:
+        if crashed:
             loss = crashlog.Loss(
                 lost.id, entry.zone, entry.rack, now, frozenset(), entry.boot
             )
-            _record_loss(board, loss, victims, now)
+            _record_loss(board, loss, crashed, now)
 
 
 def _record_loss(
     board: fleet.ShardBoard,
     loss: crashlog.Loss,
-    victims: abc.Sequence[crashlog.SentRun],
+    crashed: abc.Sequence[crashlog.SentRun],
     now: float,
 ) -> None:
     """Record the loss of a worker, and a crash under each task on it."""
     board.crashes.forget_old_losses(now)
-    job_ids = frozenset(run.group.job.graph.id for run in victims)
+    job_ids = frozenset(run.group.job.graph.id for run in crashed)
     loss = board.crashes.add_loss(dataclasses.replace(loss, job_ids=job_ids))
     runs_by_attempt: dict[
         tuple[livejobs.Group, int], list[crashlog.SentRun]
     ] = {}
-    for run in victims:
+    for run in crashed:
         if run.group.phase is not livejobs.Phase.DONE and not _is_known(run):
             attempt = (run.group, run.attempt)
             runs_by_attempt.setdefault(attempt, []).append(run)
@@ -197,7 +197,7 @@
     """
     first = runs[0]
     group = first.group
-    evidence = crashevidence.judge(board, loss, first)
+    evidence = crashevidence.classify(board, loss, first)
     board.crashes.crashes += 1
     board.record_decision(
         'worker crashed under a task',
@@ -221,7 +221,7 @@
             tuple(run.task_index for run in runs),
         ),
     )
-    board.crashes.add_suspect(group)
+    board.crashes.add_possible_cause(group)
     board.mark_changed(group.job)
 
 
@@ -240,8 +240,8 @@
     """Return the delay after the attempt that ends; 0 without a crash.
 
     There is none after the first crash: most tasks under which a worker
-    crashes are innocent.  What is known of other losses some time after the
-    second decides whether to give up; later ones decide at once.
+    crashes are not the cause.  What is known of other losses some time after
+    the second decides whether to give up; later ones decide at once.
     """
     is_new = any(crash.attempt == group.attempt for crash in group.crashes)
     if is_new and crashevidence.most_crashes(group) == 2:
@@ -255,7 +255,7 @@
     """Return whether a group may be placed beside the work on a worker.
 
     One under which workers crashed waits a while for a worker without other
-    jobs' work, so that it crashes nothing else and shows who is to blame.
+    jobs' work, so that it crashes nothing else and shows what the cause is.
     """
     if not group.crashes:
         return True
@@ -269,10 +269,10 @@
     )
 
 
-def find_suspects(board: fleet.ShardBoard) -> dict[str, set[str]]:
+def find_possible_causes(board: fleet.ShardBoard) -> dict[str, set[str]]:
     """Return by worker the jobs whose work on it may crash it."""
     job_ids_by_worker_id: dict[str, set[str]] = {}
-    for group in board.crashes.suspects:
+    for group in board.crashes.possible_causes:
         crashes_by_task = crashevidence.group_by_task(group)
         for member in group.remaining_members():
             if member.index not in crashes_by_task:
@@ -285,29 +285,30 @@
 def give_up(board: fleet.ShardBoard, now: float, wall_ms: int) -> None:
     """Fail the jobs with a waiting group that crashes its workers.
 
-    Those with the most crashes go first: they may excuse others.
+    Those with the most crashes go first: they may be the cause of others'.
     """
     lostruns.forget_old(board, now)
-    guilty = []
-    for group in list(board.crashes.suspects):
+    proved = []
+    for group in list(board.crashes.possible_causes):
         if group.job.state.is_final or group.phase in (
             livejobs.Phase.DONE,
             livejobs.Phase.DROPPED,
         ):
-            board.crashes.drop_suspect(group)
+            board.crashes.drop_possible_cause(group)
         elif (
             group.phase is livejobs.Phase.WAITING
             and now >= group.not_before
             and not group.job.is_cancelled
         ):
-            if crashevidence.is_guilty(group):
-                guilty.append(group)
+            if crashevidence.is_proved_cause(group):
+                proved.append(group)
         elif group.phase is livejobs.Phase.RUNNING:
             _clear_if_sound(board, group)
-    guilty.sort(key=crashevidence.most_crashes, reverse=True)
-    for group in guilty:
-        _judge_again(board, group)
-        if crashevidence.is_guilty(group) and not group.job.state.is_final:
+    proved.sort(key=crashevidence.most_crashes, reverse=True)
+    for group in proved:
+        _classify_again(board, group)
+        is_proved = crashevidence.is_proved_cause(group)
+        if is_proved and not group.job.state.is_final:
             _fail(board, group, wall_ms)
 
 
@@ -331,19 +332,19 @@
         attempts=[crash.attempt for crash in group.crashes],
     )
     group.crashes = ()
-    board.crashes.drop_suspect(group)
+    board.crashes.drop_possible_cause(group)
     board.mark_changed(group.job)
 
 
-def _judge_again(board: fleet.ShardBoard, group: livejobs.Group) -> None:
-    """Excuse the latest crashes if the loss turns out to have been wide."""
+def _classify_again(board: fleet.ShardBoard, group: livejobs.Group) -> None:
+    """Record another cause if the latest loss turns out to have been wide."""
     last_attempt = group.crashes[-1].attempt
     wide = [
         crash
         for crash in group.crashes
         if crash.attempt == last_attempt and _was_wide(board, group, crash)
     ]
-    _excuse(board, group, wide)
+    _record_other_cause(board, group, wide)
 
 
 def _was_wide(
@@ -354,38 +355,40 @@
     return loss is not None and crashevidence.is_wide(board, group, loss)
 
 
-def _excuse(
+def _record_other_cause(
     board: fleet.ShardBoard,
     group: livejobs.Group,
-    excused: abc.Collection[jobgraph.Crash],
+    crashes: abc.Collection[jobgraph.Crash],
 ) -> None:
-    """Record that crashes under a group had another cause."""
+    """Record that ``crashes`` under a group had another cause."""
     outside = jobgraph.CrashEvidence.OUTSIDE
-    judged = tuple(
+    classified = tuple(
         msgspec.structs.replace(crash, evidence=outside)
-        if crash in excused
+        if crash in crashes
         else crash
         for crash in group.crashes
     )
-    if judged != group.crashes:
-        group.crashes = judged
+    if classified != group.crashes:
+        group.crashes = classified
         board.mark_changed(group.job)
 
 
-def _excuse_others(board: fleet.ShardBoard, guilty: livejobs.Group) -> None:
-    """Excuse the crashes of other jobs where a guilty task was, too."""
-    places = crashevidence.find_places_of_guilty(guilty)
-    for group in board.crashes.suspects:
-        if group.job is not guilty.job:
+def _record_common_cause(
+    board: fleet.ShardBoard, cause: livejobs.Group
+) -> None:
+    """Record that ``cause`` crashed the workers under other jobs, too."""
+    places = crashevidence.find_proved_places(cause)
+    for group in board.crashes.possible_causes:
+        if group.job is not cause.job:
             shared = [c for c in group.crashes if c.place in places]
-            _excuse(board, group, shared)
+            _record_other_cause(board, group, shared)
 
 
 def _fail(
     board: fleet.ShardBoard, group: livejobs.Group, wall_ms: int
 ) -> None:
     board.crashes.given_up += 1
-    board.crashes.drop_suspect(group)
+    board.crashes.drop_possible_cause(group)
     board.record_decision(
         'job failed: its task crashes workers',
         group.job,
@@ -397,5 +400,5 @@
         evidence=[crash.evidence.value for crash in group.crashes],
     )
     group.job.end(jobs.JobState.FAILED, wall_ms)
-    _excuse_others(board, group)
+    _record_common_cause(board, group)
     board.mark_changed(group.job)
--- a/primroselock/decisions/crashevidence.py
+++ b/primroselock/decisions/crashevidence.py
@@ -1,8 +1,8 @@
 """What proves that a task crashes the workers that start it.
 
 Crashes are counted for each task, so that those under the other members of
-its gang say nothing about it.  One crash blames the tasks on that worker as
-:class:`jobgraph.CrashEvidence` tells:
+its gang say nothing about it.  How far one crash is attributed to the tasks
+on that worker is a :class:`jobgraph.CrashEvidence`:
 
 - OUTSIDE: other workers were lost at about the same time, as many that ran
   nothing as had work of this job, or half of the zone or rack: a loss of
@@ -30,7 +30,7 @@
 
 MAX_CRASHES: typing.Final = 4
 _CLEAR_CRASHES: typing.Final = 2
-_BLAMED_CRASHES: typing.Final = 3
+_ATTRIBUTED_CRASHES: typing.Final = 3
 _CRASHES_BEFORE_LAST_STARTS: typing.Final = 3
 _MAX_LAST_STARTS: typing.Final = 2
 _SAME_CAUSE_S: typing.Final = 3.0
@@ -69,13 +69,13 @@
     return max(map(len, group_by_task(group).values()), default=0)
 
 
-def is_guilty(group: livejobs.Group) -> bool:
+def is_proved_cause(group: livejobs.Group) -> bool:
     """Return whether a task of the group is proved to crash workers."""
     return bool(_list_proofs(group))
 
 
-def find_places_of_guilty(group: livejobs.Group) -> frozenset[jobgraph.Place]:
-    """Return the workers that the guilty tasks of a group have crashed."""
+def find_proved_places(group: livejobs.Group) -> frozenset[jobgraph.Place]:
+    """Return the workers that a group's tasks are proved to have crashed."""
     return frozenset(
         crash.place for proof in _list_proofs(group) for crash in proof
     )
@@ -94,19 +94,19 @@
     group: livejobs.Group, crashes: abc.Sequence[jobgraph.Crash]
 ) -> bool:
     """Return whether the crashes under one task prove that it causes them."""
-    blamed = sum(
+    attributed = sum(
         crash.evidence is not jobgraph.CrashEvidence.OUTSIDE
         for crash in crashes
     )
     if (
         len(crashes) >= MAX_CRASHES
-        or blamed >= _BLAMED_CRASHES
+        or attributed >= _ATTRIBUTED_CRASHES
         or _has_used_its_starts(group, crashes)
     ):
         return True
     is_clear = crashes[-1].evidence is jobgraph.CrashEvidence.CLEAR
     may_be_clear = not group.step.long_running
-    return may_be_clear and is_clear and blamed >= _CLEAR_CRASHES
+    return may_be_clear and is_clear and attributed >= _CLEAR_CRASHES
 
 
 def _has_used_its_starts(
@@ -119,10 +119,10 @@
     return group.attempt - counted.attempt >= _MAX_LAST_STARTS
 
 
-def judge(
+def classify(
     board: fleet.ShardBoard, loss: crashlog.Loss, run: crashlog.SentRun
 ) -> jobgraph.CrashEvidence:
-    """Return how much a loss blames a run that was on the worker."""
+    """Return how far a loss is attributed to a run that was on the worker."""
     if run.had_run_long or is_wide(board, run.group, loss):
         return jobgraph.CrashEvidence.OUTSIDE
     own_id = run.group.job.graph.id
--- a/primroselock/decisions/crashlog.py
+++ b/primroselock/decisions/crashlog.py
@@ -1,7 +1,8 @@
 """What a shard's holder has seen of crashed workers, see ``crashes``.
 
 Only the crashes and the lost runs of each group are stored, with its
-progress; the rest is known to this holder alone, and only excuses or delays.
+progress; the rest is known to this holder alone, and only tells of another
+cause or delays.
 """
 
 import dataclasses
@@ -91,7 +92,7 @@
     lost_ids_by_address: dict[str, str] = dataclasses.field(
         default_factory=dict
     )
-    suspects: dict[livejobs.Group, None] = dataclasses.field(
+    possible_causes: dict[livejobs.Group, None] = dataclasses.field(
         default_factory=dict
     )
     planned_boot_by_id: dict[str, int] = dataclasses.field(
@@ -104,13 +105,13 @@
         """Return the values of ``GAUGES`` since the takeover, by name."""
         return dict(zip(GAUGES, (self.given_up, self.crashes), strict=True))
 
-    def add_suspect(self, group: livejobs.Group) -> None:
+    def add_possible_cause(self, group: livejobs.Group) -> None:
         """Note a group under which a worker has crashed."""
-        self.suspects[group] = None
+        self.possible_causes[group] = None
 
-    def drop_suspect(self, group: livejobs.Group) -> None:
-        """Forget a group that has ended, or that has proved to be sound."""
-        self.suspects.pop(group, None)
+    def drop_possible_cause(self, group: livejobs.Group) -> None:
+        """Forget a group that has ended, or that ran long without a crash."""
+        self.possible_causes.pop(group, None)
 
     def add_loss(self, loss: Loss) -> Loss:
         """Add a loss and return it as it is kept.
--- a/primroselock/decisions/evidence.py
+++ b/primroselock/decisions/evidence.py
@@ -1,7 +1,7 @@
 """Failure evidence that distinguishes faulty workers from faulty jobs.
 
-Failed attempts are counted per pair of worker and job.  A worker is
-suspect when several distinct jobs failed on it, or one job failed there
+Failed attempts are counted per pair of worker and job.  A worker counts as
+faulty when several distinct jobs failed on it, or one job failed there
 repeatedly, without a success in between.  A job that failed on several
 distinct workers is at fault itself and counts against none of them.  One
 success of any task on a worker clears it.
@@ -10,11 +10,11 @@
 import dataclasses
 import typing
 
-MIN_JOBS_TO_SUSPECT_WORKER: typing.Final = 3
-"""Distinct jobs that must fail on a worker to make it suspect."""
+MIN_JOBS_TO_FAULT_WORKER: typing.Final = 3
+"""Distinct jobs that must fail on a worker to be its fault."""
 
-MIN_REPEATS_TO_SUSPECT_WORKER: typing.Final = 2
-"""Failures of one job on a worker that make the worker suspect."""
+MIN_REPEATS_TO_FAULT_WORKER: typing.Final = 2
+"""Failures of one job on a worker that are the worker's fault."""
 
 MIN_WORKERS_TO_FAULT_JOB: typing.Final = 3
 """Distinct workers on which a job must fail to be at fault itself."""
@@ -63,10 +63,10 @@
         self.attempts_by_worker_id.pop(worker_id, None)
         self.quarantines_by_worker_id.pop(worker_id, None)
 
-    def is_suspect(
-        self, worker_id: str, min_jobs: int = MIN_JOBS_TO_SUSPECT_WORKER
+    def is_worker_at_fault(
+        self, worker_id: str, min_jobs: int = MIN_JOBS_TO_FAULT_WORKER
     ) -> bool:
-        """Return whether the failures make the worker suspect.
+        """Return whether the failures show that the worker is faulty.
 
         ``min_jobs`` is the number of distinct jobs that must have failed
         there; repeated failures of one job suffice in any case.  Jobs that
@@ -78,7 +78,7 @@
             for job_id, attempts in by_job.items()
             if not self.is_job_at_fault(job_id)
         ]
-        if any(len(a) >= MIN_REPEATS_TO_SUSPECT_WORKER for a in counted):
+        if any(len(a) >= MIN_REPEATS_TO_FAULT_WORKER for a in counted):
             return True
         return len(counted) >= min_jobs
 
--- a/primroselock/decisions/fitting.py
+++ b/primroselock/decisions/fitting.py
@@ -279,7 +279,7 @@
     left = free_capacity.free_by_id[worker.id].plus(need, -1)
     return (
         float(worker.id in group.avoided_worker_ids),
-        float(free_capacity.runs_suspect(worker.id, group)),
+        float(free_capacity.runs_possible_cause(worker.id, group)),
         float(worker.refusals_in_row > 0),
         float(bool(data_rack) and rack != data_rack),
         free_capacity.speed_class(worker.id, group),
--- a/primroselock/decisions/fleethealth.py
+++ b/primroselock/decisions/fleethealth.py
@@ -4,8 +4,8 @@
 success in between is quarantined: it gets no work for a time that doubles
 with each repetition.  After that it is on probation: the next failure
 quarantines it again, the next success clears it.  Jobs that always fail
-make sound workers suspect, too: no more than a share of the workers of each
-service is quarantined at a time, and never its last one.
+make sound workers look faulty, too: no more than a share of the workers of
+each service is quarantined at a time, and never its last one.
 
 A task is stuck when it runs much longer than others of its step or queue,
 when it is much slower than its siblings (tasks of the same step), or when
@@ -24,7 +24,7 @@
 from primroselock.decisions import fleet
 from primroselock.decisions import livejobs
 
-_MIN_JOBS_TO_SUSPECT: typing.Final = 2
+_MIN_JOBS_TO_FAULT_WORKER: typing.Final = 2
 """Distinct jobs that must fail on a worker before its first quarantine."""
 
 _MIN_JOBS_ON_PROBATION: typing.Final = 1
@@ -54,7 +54,7 @@
 
 
 def quarantine(board: fleet.ShardBoard, now: float) -> None:
-    """Quarantine the workers that the recorded failures make suspect."""
+    """Quarantine the workers that are at fault by the recorded failures."""
     recorded = board.failure_evidence
     if not recorded.attempts_by_worker_id:
         return
@@ -68,9 +68,11 @@
         if last is not None and now < last.until:
             continue
         needed = (
-            _MIN_JOBS_TO_SUSPECT if last is None else _MIN_JOBS_ON_PROBATION
+            _MIN_JOBS_TO_FAULT_WORKER
+            if last is None
+            else _MIN_JOBS_ON_PROBATION
         )
-        if not recorded.is_suspect(worker_id, needed):
+        if not recorded.is_worker_at_fault(worker_id, needed):
             continue
         times = last.times + 1 if last else 1
         length_s = backoff.doubled_s(
--- a/primroselock/decisions/freecapacity.py
+++ b/primroselock/decisions/freecapacity.py
@@ -107,7 +107,9 @@
     ) -> None:
         self.score_worker = score_worker
         self.worker_speeds = board.worker_speeds
-        self._suspects_by_worker_id = crashes.find_suspects(board)
+        self._possible_causes_by_worker_id = crashes.find_possible_causes(
+            board
+        )
         self.free_by_id: dict[str, jobgraph.Resources] = {}
         self.free_accelerators_by_rack: dict[str, int] = {}
         self.unplaceable_shapes: set[Shape] = set()
@@ -204,9 +206,11 @@
         self._too_large.add(size)
         return False
 
-    def runs_suspect(self, worker_id: str, group: livejobs.Group) -> bool:
+    def runs_possible_cause(
+        self, worker_id: str, group: livejobs.Group
+    ) -> bool:
         """Return whether another job's work may crash the worker."""
-        job_ids = self._suspects_by_worker_id.get(worker_id)
+        job_ids = self._possible_causes_by_worker_id.get(worker_id)
         return bool(job_ids and job_ids != {group.job.graph.id})
 
     def speed_class(self, worker_id: str, group: livejobs.Group) -> float:
--- a/primroselock/decisions/workerhealth.py
+++ b/primroselock/decisions/workerhealth.py
@@ -3,7 +3,7 @@
 This controller serves jobs that are placed in cells;
 :mod:`primroselock.decisions.fleethealth` does the same for job graphs.
 
-A suspect worker gets no new work for a time that doubles with each
+A faulty worker gets no new work for a time that doubles with each
 consecutive quarantine.  After that it is on probation: it gets work
 again, one failure renews the quarantine, one success clears the worker.
 Tasks that run on a quarantined worker continue.  The evidence is kept in
@@ -59,7 +59,7 @@
     last = recorded.quarantines_by_worker_id.get(worker_id)
     if last is not None and now < last.until:
         return
-    if last is None and not recorded.is_suspect(worker_id):
+    if last is None and not recorded.is_worker_at_fault(worker_id):
         return
     times = last.times + 1 if last is not None else 1
     duration_s = backoff.doubled_s(
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -194,7 +194,7 @@
 
 
 class CrashEvidence(enum.Enum):
-    """How much the crash of a worker blames the tasks that it ran.
+    """How far the crash of a worker is attributed to the tasks that it ran.
 
     SHARED: another job's work was there, or workers crash that have no work
     of the job.  OUTSIDE: others were lost at the same time, or the tasks had
--- a/primroselock/test/crashbuilders.py
+++ b/primroselock/test/crashbuilders.py
@@ -149,7 +149,7 @@
         which a task, or a gang, failed as often as its queue allows.
         """
         fleet = self._world.fleet
-        excused = fleet.failing_job_ids | self.after_s_by_job_id.keys()
+        explained = fleet.failing_job_ids | self.after_s_by_job_id.keys()
         counts = [
             (task.job_id, failures)
             for task, failures in fleet.failures_by_task.items()
@@ -163,11 +163,12 @@
                 fleet.graphs_by_id[job_id].queue
             )
             if queue is None or failures >= queue.max_attempts:
-                excused = excused | {job_id}
+                explained = explained | {job_id}
         return [
             job_id
             for job_id in fleet.graphs_by_id
-            if job_id not in excused and self._world.state(job_id) == 'failed'
+            if job_id not in explained
+            and self._world.state(job_id) == 'failed'
         ]
 
 
--- a/primroselock/test/testcrashdecisions.py
+++ b/primroselock/test/testcrashdecisions.py
@@ -1,4 +1,4 @@
-"""Which crashes count against a task, and where suspects are placed."""
+"""Which crashes count against a task, and where such tasks are placed."""
 
 import typing
 import unittest
@@ -103,7 +103,7 @@
         self.assertEqual((), group.crashes)
 
     def test_a_planned_restart(self) -> None:
-        """Guards against blame for a worker that drained and left."""
+        """Guards against a crash counted when a worker drains and leaves."""
         worker = self._list(boot=1, is_draining=True)
         group = self._inherit()
         self._report(worker, 1, group.members[0].run)
@@ -112,7 +112,7 @@
         self.assertEqual((), group.crashes)
 
     def test_a_planned_restart_beside_a_crash(self) -> None:
-        """Guards against crashes excused by idle workers that were updated."""
+        """Guards against an updated idle worker taken for a wide loss."""
         for boot, is_draining in ((1, True), (2, False)):
             entry = fleetbuilders.build_entry(
                 'w1', boot=boot, is_draining=is_draining
@@ -129,7 +129,7 @@
         )
 
     def test_expired_leases(self) -> None:
-        """Guards against blame for silence, and a crash shown later."""
+        """Guards against silence taken for a crash, which is shown later."""
         worker = self._list()
         group = self._inherit()
         self._report(worker, 1, group.members[0].run)
@@ -154,7 +154,7 @@
         self.assertEqual({group.job.graph.id}, loss.job_ids)
 
     def test_expired_leases_and_a_planned_restart(self) -> None:
-        """Guards against blame for a worker that was cut off, then updated."""
+        """Guards against a crash counted for a worker cut and updated."""
         worker = self._list()
         group = self._inherit()
         self._report(worker, 1, group.members[0].run)
@@ -165,7 +165,7 @@
         self.assertEqual(((), ()), (group.crashes, group.lost_runs))
 
     def test_a_cut_worker_that_is_back(self) -> None:
-        """Guards against blame for a later restart of a worker cut off."""
+        """Guards against a crash counted for a restart long after a cut."""
         worker = self._list()
         group = self._inherit()
         self._report(worker, 1, group.members[0].run)
@@ -194,7 +194,7 @@
             self.board.record_entry(entry, 101.0)
 
     def test_an_idle_worker_lost_before(self) -> None:
-        """Guards against blame for a loss that took an idle worker too."""
+        """Guards against a cause seen in a loss of an idle worker too."""
         worker = self._list(boot=2)
         group = self._inherit()
         self._lose_idle_worker()
@@ -219,17 +219,17 @@
             jobgraph.CrashEvidence.OUTSIDE, group.crashes[-1].evidence
         )
 
-    def test_a_first_crash_beside_a_suspect(self) -> None:
-        """Guards against blame of a suspect for a new crashing task."""
+    def test_a_first_crash_beside_a_possible_cause(self) -> None:
+        """Guards against an earlier crash that decides about a new cause."""
         worker = self._list(boot=2)
         first = jobgraph.Crash(
             1, jobgraph.CrashEvidence.SHARED, jobgraph.Place('w7', 5)
         )
-        suspect = self._inherit(first)
+        possible_cause = self._inherit(first)
         self._inherit()
         self._report(worker, 2)
-        crashes.give_up(self.board, suspect.not_before, 103_000)
-        self.assertIs(jobs.JobState.RUNNING, suspect.job.state)
+        crashes.give_up(self.board, possible_cause.not_before, 103_000)
+        self.assertIs(jobs.JobState.RUNNING, possible_cause.job.state)
 
     def test_crashes_of_workers_without_work_of_the_job(self) -> None:
         """Guards against a sound job given up where workers crash anyway."""
@@ -247,24 +247,24 @@
         self.assertIs(jobs.JobState.RUNNING, group.job.state)
 
     def test_crashes_of_a_task_that_is_given_up(self) -> None:
-        """Guards against a job given up for the crashes of a guilty one."""
+        """Guards against a job given up for crashes of another cause."""
         worker = self._list(boot=2)
         shared = jobgraph.CrashEvidence.SHARED
         earlier = [
             jobgraph.Crash(n, shared, jobgraph.Place('w7', n)) for n in (1, 2)
         ]
-        guilty = self._inherit(*earlier)
+        cause = self._inherit(*earlier)
         first = jobgraph.Crash(1, shared, earlier[1].place)
         sound = self._inherit(first)
         self._report(worker, 2)
         crashes.give_up(self.board, 110.0, 110_000)
-        self.assertIs(jobs.JobState.FAILED, guilty.job.state)
+        self.assertIs(jobs.JobState.FAILED, cause.job.state)
         outside = jobgraph.CrashEvidence.OUTSIDE
         self.assertEqual(
             [outside, outside], [crash.evidence for crash in sound.crashes]
         )
 
-    def test_workers_are_not_blamed(self) -> None:
+    def test_crashes_are_no_failures_of_workers(self) -> None:
         """Guards against a quarantine of a worker that a task crashed."""
         worker = self._list(boot=2)
         self._inherit()
@@ -275,7 +275,7 @@
     def test_the_last_crash_gives_a_job_up_at_once(self) -> None:
         """Guards against a job that runs nothing and is not shown as failed.
 
-        All its crashes are excused, but no cause lets it go on.
+        All its crashes have another cause, but none lets it go on.
         """
         worker = self._list(boot=3)
         earlier = [
@@ -354,7 +354,7 @@
         return job.groups_by_key[key]
 
     def test_a_crash_names_the_tasks_on_the_worker(self) -> None:
-        """Guards against crashes of a gang that blame all its members."""
+        """Guards against crashes of a gang counted for all its members."""
         worker = self._list(boot=2)
         group = self._inherit_gang(worker_ids=('w1', 'w0', 'w1', 'w0'))
         self._report(worker, 2)
@@ -428,7 +428,7 @@
     def setUp(self) -> None:
         self.site = idlebuilders.Site(2)
 
-    def _submit_suspect(self, job_id: str, crashed: int) -> livejobs.Group:
+    def _submit_crashing(self, job_id: str, crashed: int) -> livejobs.Group:
         step = fleetbuilders.build_step(1, 1, 5000)
         job = self.site.submit(job_id, step, run_s=5.0, queue='batch')
         (group,) = job.groups_by_key.values()
@@ -437,14 +437,14 @@
             jobgraph.Crash(number, outside, jobgraph.Place('x', 1))
             for number in range(crashed)
         )
-        self.site.board.crashes.add_suspect(group)
+        self.site.board.crashes.add_possible_cause(group)
         return group
 
-    def test_a_suspect_prefers_a_worker_for_itself(self) -> None:
-        """Guards against sound work that crashes with a suspect."""
+    def test_a_possible_cause_prefers_a_worker_for_itself(self) -> None:
+        """Guards against sound work that crashes with the cause."""
         step = fleetbuilders.build_step(1, 1, 5000)
         self.site.occupy('n000', 'sound', step, 60.0)
-        group = self._submit_suspect('suspect', 1)
+        group = self._submit_crashing('crashing', 1)
         self.site.run_for(1.0)
         self.assertEqual(['n001'], [m.worker_id for m in group.members])
         other = self.site.submit('j', step, run_s=5.0, queue='batch')
@@ -452,13 +452,13 @@
         (waiting,) = other.groups_by_key.values()
         self.assertEqual(['n000'], [m.worker_id for m in waiting.members])
 
-    def test_a_suspect_does_not_wait_for_ever(self) -> None:
+    def test_a_possible_cause_does_not_wait_for_ever(self) -> None:
         """Guards against accepted work that waits beside free capacity."""
         step = fleetbuilders.build_step(1, 1, 5000)
         for number in range(2):
             self.site.occupy(f'n{number:03}', f'sound{number}', step, 90.0)
         for crashed, limit_s in ((1, 3.0), (2, 11.0), (3, 21.0)):
-            group = self._submit_suspect(f'suspect{crashed}', crashed)
+            group = self._submit_crashing(f'crashing{crashed}', crashed)
             self.site.run_for(limit_s)
             self.assertIs(livejobs.Phase.RUNNING, group.phase)
             self.site.run_for(8.0)
--- a/primroselock/test/testcrashinggangs.py
+++ b/primroselock/test/testcrashinggangs.py
@@ -1,4 +1,4 @@
-"""Gangs whose workers crash: who is to blame is told by task."""
+"""Gangs whose workers crash: the cause is told by task."""
 
 import asyncio
 import unittest
--- a/primroselock/test/testcrashingtasks.py
+++ b/primroselock/test/testcrashingtasks.py
@@ -132,7 +132,7 @@
         crashbuilders.run(scenario)
 
 
-class InnocentTest(unittest.TestCase):
+class SoundTaskTest(unittest.TestCase):
     """Work that crashes nothing is not given up."""
 
     def test_work_beside_a_crashing_task(self) -> None:
@@ -162,7 +162,7 @@
         return scenario
 
     def test_one_worker_for_all(self) -> None:
-        """Guards against a job that always crashes with a guilty one.
+        """Guards against a job that always crashes with the cause.
 
         There is one worker only, and each has to use it.
         """
@@ -236,7 +236,7 @@
         crashbuilders.run(scenario)
 
     def test_a_saturated_holder(self) -> None:
-        """Guards against blame by a holder whose rounds are late."""
+        """Guards against a crash counted by a holder whose rounds are late."""
 
         async def run_all(virtual: virtualtime.VirtualClock) -> None:
             world = fleetbuilders.World(0, 4)
--- a/primroselock/test/testlostruns.py
+++ b/primroselock/test/testlostruns.py
@@ -89,7 +89,7 @@
                     self.assertEqual(1, len(self._group(board).crashes))
 
     def test_a_worker_that_was_cut_off(self) -> None:
-        """Guards against blame for silence, by a later holder."""
+        """Guards against silence taken for a crash by a later holder."""
         entry = fleetbuilders.build_entry('w0')
         board = self._take_over(self._lose(), entry)
         report = orders.RunReport(1.0, 1, (), ())
@@ -106,7 +106,7 @@
         self.assertIn('j', board.changed_ids)
 
     def test_a_worker_that_was_draining(self) -> None:
-        """Guards against blame for a worker that has left as planned."""
+        """Guards against a crash counted when a worker left as planned."""
         (record,) = self._lose(is_draining=True).groups
         self.assertEqual((), record.lost_runs)
 
--- a/primroselock/test/testrunprogress.py
+++ b/primroselock/test/testrunprogress.py
@@ -156,7 +156,9 @@
         self.get_stuck(10.0)
         self.get_stuck(20.0)
         self.get_stuck(40.0)
-        self.assertFalse(self.board.failure_evidence.is_suspect('w0', 2))
+        self.assertFalse(
+            self.board.failure_evidence.is_worker_at_fault('w0', 2)
+        )
         self.assertEqual(0, self.group.failures)
 
     def learn(self, job_id: str) -> None:
--- a/primroselock/test/testsoak.py
+++ b/primroselock/test/testsoak.py
@@ -50,7 +50,7 @@
         self.check_seeds(3, 18)
 
     def test_crashing_seeds_1_to_10(self) -> None:
-        """Guards against tasks that crash workers, and blame of others."""
+        """Guards against tasks that crash workers, and others failed."""
         self.check_seeds(1, 10, '--crashing')
 
     def test_wide_seed_217(self) -> None:
--- a/primroselock/test/testworkerhealth.py
+++ b/primroselock/test/testworkerhealth.py
@@ -169,12 +169,12 @@
         for number, (worker_id, job) in enumerate(failures):
             known.record_failure(worker_id, f'job-{job}', number)
         for worker_id in 'abcd':
-            if not known.is_suspect(worker_id):
+            if not known.is_worker_at_fault(worker_id):
                 continue
             by_job = known.attempts_by_worker_id[worker_id]
             self.assertFalse(all(map(known.is_job_at_fault, by_job)))
             known.record_success(worker_id)
-            self.assertFalse(known.is_suspect(worker_id))
+            self.assertFalse(known.is_worker_at_fault(worker_id))
 
 
 if __name__ == '__main__':
