What decides until when runs are leased has a module of its own

Seen: workerpolling imported runorders, which sends orders, only for lease_deadline and extend_lease. Both are about leases, which starts and polls grant alike.

--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -23,11 +23,11 @@
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import livejobs
-from primroselock.decisions import runleases
 from primroselock.decisions import runs
 from primroselock.decisions import startchecks
 from primroselock.decisions import workerboots
 from primroselock import lateness
+from primroselock import leasegrants
 from primroselock import logs
 from primroselock import metrics
 from primroselock import options
@@ -49,32 +49,6 @@
 """A worker that refuses a start for these reasons would refuse others."""
 
 
-def lease_deadline(
-    settings: options.Settings,
-    lease: shards.ShardLease,
-    worker: fleetworkers.Worker,
-    now: float,
-) -> float:
-    """Return until when a worker's runs may be leased, on this clock.
-
-    At most ``run_lease_s`` after the last time that the store confirmed
-    this holder, so that a successor knows when all leases have expired.
-    """
-    confirmed_at = lease.valid_until - settings.scheduler.shard_lease_s
-    longest_s = settings.fleet.run_lease_s
-    return min(now, confirmed_at) + runleases.lease_s(worker, longest_s)
-
-
-def extend_lease(worker: fleetworkers.Worker, deadline: float) -> float:
-    """Return ``deadline`` on the worker's clock; record it as a lease end.
-
-    ``deadline`` is on this process's clock.
-    """
-    until = runleases.lease_end_on_worker(worker, deadline)
-    worker.lease_end = max(worker.lease_end or 0.0, until)
-    return until
-
-
 class OrderSender:
     """Sends each order in a task of its own."""
 
@@ -274,9 +248,11 @@
         member: livejobs.Member,
         sent_at: float,
     ) -> result.Result[orders.Accepted, orders.OrderError]:
-        deadline = lease_deadline(self._settings, self._lease, worker, sent_at)
+        deadline = leasegrants.lease_deadline(
+            self._settings, self._lease, worker, sent_at
+        )
         group = member.group
-        lease_until = extend_lease(worker, deadline)
+        lease_until = leasegrants.extend_lease(worker, deadline)
         # Each of the orders may be the one that is carried out.
         member.begin_before = max(
             member.begin_before or lease_until, lease_until
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -30,10 +30,10 @@
 from primroselock.decisions import sharing
 from primroselock.decisions import workerboots
 from primroselock import lateness
+from primroselock import leasegrants
 from primroselock import logs
 from primroselock import metrics
 from primroselock import options
-from primroselock import runorders
 from primroselock import shards
 from primroselock.workers import orders
 
@@ -299,10 +299,10 @@
             and not worker.is_doubted
             and not worker.failures_in_row
         ):
-            deadline = runorders.lease_deadline(
+            deadline = leasegrants.lease_deadline(
                 self._settings, self._lease, worker, sent_at
             )
-            lease_until = runorders.extend_lease(worker, deadline)
+            lease_until = leasegrants.extend_lease(worker, deadline)
         wait_s = self._poll_wait_s(worker)
         timeout_s = self._settings.fleet.look_timeout_s
         address = worker.entry.address
