A connection and the pool of connections are two modules

Test: testnotsent patches _LIBRARY_MARGIN_S where it stands now; it failed with an AttributeError until then.

--- a/primroselock/test/testnotsent.py
+++ b/primroselock/test/testnotsent.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from primroselock import httpclient
+from primroselock import httpconnections
 from primroselock.test import testhttpclient
 
 _LONG_TIMEOUT_S: typing.Final = 1.0
@@ -75,7 +76,7 @@
         self.fail(f'no exchange was sent within {_MAX_STEPS} steps')
 
     async def test_a_new_connection(self) -> None:
-        with mock.patch.object(httpclient, '_LIBRARY_MARGIN_S', 0.0):
+        with mock.patch.object(httpconnections, '_LIBRARY_MARGIN_S', 0.0):
             self.assertGreater(await self.count_not_sent(), 0)
 
 
