--- a/primroselock/configapi.py
+++ b/primroselock/configapi.py
@@ -15,6 +15,7 @@
 from primroselock import history
 from primroselock import operatorcalls
 from primroselock import patches
+from primroselock import patchsubmission
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,7 +47,7 @@
     async def submit(self, request: requests.Request) -> responses.Response:
         """Submit a patch; answer 201 with its version, or the refusal."""
         body = await operatorcalls.decode_body(request, PatchBody)
-        submission = patches.Submission(
+        submission = patchsubmission.Submission(
             body.base_version,
             body.text,
             body.comment,
@@ -54,7 +55,7 @@
             operatorcalls.origin_of(request),
             body.submission_id,
         )
-        accepted = await patches.submit(
+        accepted = await patchsubmission.submit(
             self._shared.platform, submission, clock.wall()
         )
         return await self._answer(accepted)
@@ -62,7 +63,7 @@
     async def revert(self, request: requests.Request) -> responses.Response:
         """Submit the patch that restores the content of a version."""
         body = await operatorcalls.decode_body(request, RevertBody)
-        submission = patches.Submission(
+        submission = patchsubmission.Submission(
             body.base_version,
             '',
             body.comment or f'revert to version {body.to_version}',
@@ -78,7 +79,8 @@
     async def _answer(
         self,
         accepted: result.Result[
-            patches.Accepted, patches.SubmitError | history.NoVersion
+            patchsubmission.Accepted,
+            patchsubmission.SubmitError | history.NoVersion,
         ],
     ) -> responses.Response:
         """Answer a submission; first apply an accepted one here."""
@@ -164,21 +166,21 @@
 
 
 def _refusal(
-    error: patches.SubmitError | history.NoVersion,
+    error: patchsubmission.SubmitError | history.NoVersion,
 ) -> responses.Response:
-    if isinstance(error, patches.VersionConflict):
+    if isinstance(error, patchsubmission.VersionConflict):
         return answers.error(
             409,
             'raced',
             'the base version is not the current version, which is '
             f'{error.present_version}',
         )
-    if isinstance(error, patches.Invalid):
+    if isinstance(error, patchsubmission.Invalid):
         lines = tuple(str(problem) for problem in error.problems)
         return answers.error(
             422, 'invalid', 'the patch is invalid', details=lines
         )
-    if isinstance(error, patches.IdReused):
+    if isinstance(error, patchsubmission.IdReused):
         message = (
             'the submission id was already used for the text of version '
             f'{error.version}'
--- a/primroselock/history.py
+++ b/primroselock/history.py
@@ -15,6 +15,7 @@
 from primroselock import decoding
 from primroselock import logs
 from primroselock import patches
+from primroselock import patchsubmission
 from primroselock import rowguard
 from primroselock.store import keys
 from primroselock.store import objects
@@ -89,10 +90,12 @@
 
 async def revert(
     store: objects.Store,
-    submission: patches.Submission,
+    submission: patchsubmission.Submission,
     to_version: int,
     now: float,
-) -> result.Result[patches.Accepted, patches.SubmitError | NoVersion]:
+) -> result.Result[
+    patchsubmission.Accepted, patchsubmission.SubmitError | NoVersion
+]:
     """Submit the patch that restores the content of ``to_version``.
 
     The text is computed from the base version of ``submission``, so a
@@ -103,13 +106,13 @@
         error = found.err_value
         if isinstance(error, NoVersion):
             return result.Err(error)
-        return result.Err(patches.StoreFailed(error.detail))
+        return result.Err(patchsubmission.StoreFailed(error.detail))
     complete = dataclasses.replace(
         submission,
         text=found.ok_value,
         action=f'patch revert to {to_version}',
     )
-    outcome = await patches.submit(store, complete, now)
+    outcome = await patchsubmission.submit(store, complete, now)
     if isinstance(outcome, result.Err):
         return result.Err(outcome.err_value)
     return outcome
--- a/primroselock/test/testmesh.py
+++ b/primroselock/test/testmesh.py
@@ -16,7 +16,7 @@
 from primroselock.mesh import membership
 from primroselock.mesh import messages
 from primroselock.mesh import node
-from primroselock import patches
+from primroselock import patchsubmission
 from primroselock.test import builders
 from primroselock.test import fakestore
 
@@ -137,8 +137,8 @@
         cold = follower.ConfigurationFollower(settings, store)
         for base in range(3):
             text = f'[zone a]\nracks = {base}\n'
-            submission = patches.Submission(base, text, '', 'ann', '')
-            await patches.submit(store, submission, 0.0)
+            submission = patchsubmission.Submission(base, text, '', 'ann', '')
+            await patchsubmission.submit(store, submission, 0.0)
             await ahead.poll()
             if base == 0:
                 await behind.poll()
--- a/primroselock/test/testpatches.py
+++ b/primroselock/test/testpatches.py
@@ -25,6 +25,7 @@
 from primroselock import history
 from primroselock import ini
 from primroselock import patches
+from primroselock import patchsubmission
 from primroselock.store import table
 from primroselock.test import builders
 from primroselock.test import fakestore
@@ -55,9 +56,9 @@
 
 def build_submission(
     base: int, text: str = TEXTS[2], submission_id: str = ''
-) -> patches.Submission:
+) -> patchsubmission.Submission:
     """Return a submission by an operator on ``base``."""
-    return patches.Submission(
+    return patchsubmission.Submission(
         base, text, 'why', 'ann', '10.0.0.9', submission_id
     )
 
@@ -72,11 +73,11 @@
         self.cleanup.enter_context(self.runner)
         for module, name, value in (
             (table, '_RESOLVE_BACKOFF_S', 0.0),
-            (patches, 'SNAPSHOT_INTERVAL', 3),
+            (patchsubmission, 'SNAPSHOT_INTERVAL', 3),
         ):
             self.cleanup.enter_context(mock.patch.object(module, name, value))
         self.store = fakestore.FakeStore()
-        self.sent: list[patches.Submission] = []
+        self.sent: list[patchsubmission.Submission] = []
         self.accepted: dict[str, int] = {}
         self.refused: set[str] = set()
         self.followers = [self._start_follower() for _ in range(2)]
@@ -94,10 +95,14 @@
         return [msgspec.json.decode(r.value, type=patches.Patch) for r in rows]
 
     def _submit(
-        self, submission: patches.Submission, faults: list[fakestore.Fault]
+        self,
+        submission: patchsubmission.Submission,
+        faults: list[fakestore.Fault],
     ) -> None:
         self.store.faults = list(faults)
-        outcome = self.runner.run(patches.submit(self.store, submission, 1.0))
+        outcome = self.runner.run(
+            patchsubmission.submit(self.store, submission, 1.0)
+        )
         self.store.faults = []
         if isinstance(outcome, result.Ok):
             version = outcome.ok_value.version
@@ -105,9 +110,11 @@
             assert known == version == submission.base_version + 1
             return
         error = outcome.err_value
-        if isinstance(error, patches.VersionConflict):
+        if isinstance(error, patchsubmission.VersionConflict):
             assert error.present_version != submission.base_version
-        if isinstance(error, patches.VersionConflict | patches.Invalid):
+        if isinstance(
+            error, patchsubmission.VersionConflict | patchsubmission.Invalid
+        ):
             self.refused.add(submission.id)
 
     @stateful.rule(
@@ -149,7 +156,7 @@
             rival = build_submission(
                 current_version, TEXTS[2], f'r{len(self.sent)}'
             )
-            coroutine = patches.submit(other_store, rival, 1.0)
+            coroutine = patchsubmission.submit(other_store, rival, 1.0)
             try:
                 # Completes in one step: the store never suspends.
                 coroutine.send(None)
@@ -339,10 +346,12 @@
     async def test_cold_process_reads_little(self) -> None:
         """The rows read are bounded by the interval of the snapshots."""
         store = fakestore.FakeStore()
-        versions = 4 * patches.SNAPSHOT_INTERVAL + 7
+        versions = 4 * patchsubmission.SNAPSHOT_INTERVAL + 7
         for version in range(versions):
             submission = build_submission(version)
-            done = await patches.submit(store, submission, float(version))
+            done = await patchsubmission.submit(
+                store, submission, float(version)
+            )
             self.assertEqual(version + 1, done.unwrap().version)
         for load in (
             patches.load_current(store),
@@ -352,14 +361,14 @@
             await load
             self.assertLessEqual(store.reads, 3)
             self.assertLessEqual(
-                store.rows_read, patches.SNAPSHOT_INTERVAL + 1
+                store.rows_read, patchsubmission.SNAPSHOT_INTERVAL + 1
             )
 
     async def test_refused_attempts_are_audited(self) -> None:
         store = fakestore.FakeStore()
-        await patches.submit(store, build_submission(0), 1.0)
-        await patches.submit(store, build_submission(0), 2.0)
-        await patches.submit(store, build_submission(1, '[x'), 3.0)
+        await patchsubmission.submit(store, build_submission(0), 1.0)
+        await patchsubmission.submit(store, build_submission(0), 2.0)
+        await patchsubmission.submit(store, build_submission(1, '[x'), 3.0)
         listed = (await audit.list_entries(store, '', 10)).unwrap()
         outcomes = [(e.author, e.origin, e.outcome) for e in listed]
         self.assertEqual(
--- a/tools/capacity/__main__.py
+++ b/tools/capacity/__main__.py
@@ -8,7 +8,7 @@
 import sys
 import typing
 
-from primroselock import patches
+from primroselock import patchsubmission
 from tools.capacity import model
 from tools.capacity import sizes
 
@@ -229,7 +229,7 @@
         / 1e6,
         'object store: snapshots added, MB a day': content
         * size.patches_per_day
-        / patches.SNAPSHOT_INTERVAL
+        / patchsubmission.SNAPSHOT_INTERVAL
         / 1e6,
         'client: processor time of a command, s': slopes.intercept_of(
             'client.patch_log.cpu'
--- a/tools/slopes/records.py
+++ b/tools/slopes/records.py
@@ -17,6 +17,7 @@
 from primroselock import jobs
 from primroselock import jobstore
 from primroselock import patches
+from primroselock import patchsubmission
 from primroselock.store import table
 from primroselock.store import vmlist
 from tools.slopes import codecs
@@ -220,8 +221,12 @@
         f'[account team-1]\nweight = {n}\n' for n in range(1, 42)
     ]
     for version, text in enumerate(submissions):
-        submission = patches.Submission(version, text, '', 'op', '10.0.0.1')
-        (await patches.submit(store, submission, 1e9 + version)).unwrap()
+        submission = patchsubmission.Submission(
+            version, text, '', 'op', '10.0.0.1'
+        )
+        (
+            await patchsubmission.submit(store, submission, 1e9 + version)
+        ).unwrap()
     for count in _PATCH_COUNTS:
         store.read_calls = store.rows_read = store.bytes_read = 0
         known = patches.Content(42 - count, {})
