The machine of the connection pool has a test module of its own

Seen: testhttpclient.py had 500 lines: a scripted peer, tests of single exchanges, and the stateful machine of the pool; testnotsent imported the peer from it.

Change: scriptedpeer.py has the peer and wait_until, testconnectionpool.py the machine.

--- a/primroselock/test/testhttpclient.py
+++ b/primroselock/test/testhttpclient.py
@@ -13,83 +13,21 @@
 
 import aiosonic
 import aiosonic.pools
-import hypothesis
-from hypothesis import stateful
-from hypothesis import strategies
 import result
 
 from primroselock import httpclient
 from primroselock.test import datacases
+from primroselock.test import scriptedpeer
 
-_LIMIT: typing.Final = 3
-_SHORT_TIMEOUT_S: typing.Final = 0.01
 _LONG_TIMEOUT_S: typing.Final = 20.0
-_SETTLE_ROUNDS: typing.Final = 20
 _MAX_STEPS: typing.Final = 500
 """More steps of the event loop than an exchange takes."""
 
 
-class Peer:
-    """A server that records requests and answers them on demand."""
-
-    def __init__(self) -> None:
-        self.seen: set[str] = set()
-        self.writers_by_path: dict[str, asyncio.StreamWriter] = {}
-        self.open_connections = 0
-        self._server: asyncio.Server | None = None
-
-    async def start(self) -> str:
-        """Listen; return the address as HOST:PORT."""
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        host, port = self._server.sockets[0].getsockname()
-        return f'{host}:{port}'
-
-    async def stop(self) -> None:
-        """Close the listening socket and every connection."""
-        assert self._server is not None
-        self._server.close()
-        for writer in self.writers_by_path.values():
-            writer.close()
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self.open_connections += 1
-        try:
-            while True:
-                head = await reader.readuntil(b'\r\n\r\n')
-                path = head.split()[1].decode()
-                self.seen.add(path)
-                self.writers_by_path[path] = writer
-        except (asyncio.IncompleteReadError, OSError):
-            writer.close()
-        finally:
-            self.open_connections -= 1
-
-    def answer(self, path: str, body: bytes | None = None) -> None:
-        """Answer the request of ``path`` with ``body``, or with its path."""
-        body = path.encode() if body is None else body
-        head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
-        self.writers_by_path[path].write(head.encode() + body)
-
-    def send_raw(self, path: str, data: bytes) -> None:
-        """Send ``data`` on the connection of ``path``, then close it."""
-        writer = self.writers_by_path[path]
-        writer.write(data)
-        writer.close()
-
-
-async def wait_until(condition: abc.Callable[[], bool]) -> None:
-    """Wait until ``condition`` returns true."""
-    async with asyncio.timeout(_LONG_TIMEOUT_S):
-        while not condition():
-            await asyncio.sleep(0.001)
-
-
 _Send = abc.Callable[[str], abc.Coroutine[typing.Any, typing.Any, bytes]]
 
 
-async def body_after_cancelled(peer: Peer, send: _Send) -> bytes:
+async def body_after_cancelled(peer: scriptedpeer.Peer, send: _Send) -> bytes:
     """Cancel a request in flight; return the body of the next one.
 
     The peer answers the first request only after the second one was sent,
@@ -97,15 +35,15 @@
     exchange before, since the fault does not occur on a new one.
     """
     warm = asyncio.create_task(send('/warm'))
-    await wait_until(lambda: '/warm' in peer.seen)
+    await scriptedpeer.wait_until(lambda: '/warm' in peer.seen)
     peer.answer('/warm')
     await warm
     first = asyncio.create_task(send('/first'))
-    await wait_until(lambda: '/first' in peer.seen)
+    await scriptedpeer.wait_until(lambda: '/first' in peer.seen)
     first.cancel()
     await asyncio.gather(first, return_exceptions=True)
     second = asyncio.create_task(send('/second'))
-    await wait_until(lambda: '/second' in peer.seen)
+    await scriptedpeer.wait_until(lambda: '/second' in peer.seen)
     peer.answer('/first')
     peer.answer('/second')
     return await second
@@ -115,7 +53,7 @@
     """aiosonic's client mixes up answers; the connection pool does not."""
 
     async def asyncSetUp(self) -> None:
-        self.peer = Peer()
+        self.peer = scriptedpeer.Peer()
         self.address = await self.peer.start()
         self.addAsyncCleanup(self.peer.stop)
 
@@ -230,7 +168,7 @@
     """Results for truncated, malformed, surplus and missing answers."""
 
     async def asyncSetUp(self) -> None:
-        self.peer = Peer()
+        self.peer = scriptedpeer.Peer()
         self.address = await self.peer.start()
         self.addAsyncCleanup(self.peer.stop)
         self.pool = httpclient.ConnectionPool(
@@ -246,7 +184,7 @@
         task = asyncio.create_task(
             self.pool.exchange(request, _LONG_TIMEOUT_S)
         )
-        await wait_until(lambda: path in self.peer.seen)
+        await scriptedpeer.wait_until(lambda: path in self.peer.seen)
         self.peer.send_raw(path, data)
         return await task
 
@@ -296,7 +234,7 @@
             b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n'
             b'Connection: close\r\n\r\n',
         )
-        await wait_until(lambda: self.peer.open_connections == 0)
+        await scriptedpeer.wait_until(lambda: self.peer.open_connections == 0)
         answer = await self.exchange(
             '/b', b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb'
         )
@@ -309,7 +247,7 @@
                 httpclient.Request('POST', '/a'), _LONG_TIMEOUT_S
             )
         )
-        await wait_until(lambda: '/a' in self.peer.seen)
+        await scriptedpeer.wait_until(lambda: '/a' in self.peer.seen)
         self.peer.answer('/a')
         self.peer.answer('/a', b'surplus')
         self.assertEqual(b'/a', (await task).unwrap().body)
@@ -319,7 +257,7 @@
                 httpclient.Request('POST', '/b'), _LONG_TIMEOUT_S
             )
         )
-        await wait_until(lambda: '/b' in self.peer.seen)
+        await scriptedpeer.wait_until(lambda: '/b' in self.peer.seen)
         self.peer.answer('/b')
         self.assertEqual(b'/b', (await task).unwrap().body)
 
@@ -330,14 +268,14 @@
                 httpclient.Request('POST', '/a'), _LONG_TIMEOUT_S
             )
         )
-        await wait_until(lambda: '/a' in self.peer.seen)
+        await scriptedpeer.wait_until(lambda: '/a' in self.peer.seen)
         self.peer.answer('/a')
         await first
         # The event loop does not run between this and the next exchange.
         self.peer.answer('/a', b'surplus')
 
         async def answer_next() -> None:
-            await wait_until(lambda: '/b' in self.peer.seen)
+            await scriptedpeer.wait_until(lambda: '/b' in self.peer.seen)
             self.peer.answer('/b')
 
         answering = asyncio.create_task(answer_next())
@@ -373,7 +311,7 @@
             httpclient.Request('POST', '/start', b'body'), 0.2
         )
         self.assertIsInstance(answer.unwrap_err(), httpclient.ResponseLost)
-        await wait_until(lambda: bool(read_results))
+        await scriptedpeer.wait_until(lambda: bool(read_results))
         self.assertEqual([ConnectionResetError], read_results)
         server.close()
 
@@ -386,115 +324,5 @@
         self.assertIsInstance(answer.unwrap_err(), httpclient.NotSent)
 
 
-class ConnectionPoolMachine(stateful.RuleBasedStateMachine):
-    """Exchanges, cancellations, answers and truncations in any order."""
-
-    exchanges = stateful.Bundle('exchanges')
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.loop = asyncio.new_event_loop()
-        self.peer = Peer()
-        address = self.loop.run_until_complete(self.peer.start())
-        self.pool = httpclient.ConnectionPool(address, _LIMIT)
-        self.tasks_by_path: dict[str, asyncio.Task[typing.Any]] = {}
-        self.answered: set[str] = set()
-
-    def settle(self) -> None:
-        """Run the event loop until sockets and tasks are idle."""
-
-        async def rounds() -> None:
-            for _ in range(_SETTLE_ROUNDS):
-                await asyncio.sleep(0)
-            await asyncio.sleep(0.001)
-
-        self.loop.run_until_complete(rounds())
-
-    @stateful.rule(target=exchanges, has_long_timeout=strategies.booleans())
-    def start(self, has_long_timeout: bool) -> str:
-        path = f'/{len(self.tasks_by_path)}'
-        timeout_s = _LONG_TIMEOUT_S if has_long_timeout else _SHORT_TIMEOUT_S
-        request = httpclient.Request('POST', path, b'x' * 10)
-        self.tasks_by_path[path] = self.loop.create_task(
-            self.pool.exchange(request, timeout_s)
-        )
-        self.settle()
-        return path
-
-    @stateful.rule(path=exchanges)
-    def cancel(self, path: str) -> None:
-        self.tasks_by_path[path].cancel()
-        self.settle()
-
-    @stateful.rule(path=exchanges)
-    def answer(self, path: str) -> None:
-        """Answer a request; a second time only on an idle connection.
-
-        A surplus answer during another exchange can't be distinguished
-        from that exchange's own: HTTP/1.1 answers carry no number.
-        """
-        writer = self.peer.writers_by_path.get(path)
-        if writer is None or writer.is_closing():
-            return
-        is_busy = any(
-            other is writer and other_path not in self.answered
-            for other_path, other in self.peer.writers_by_path.items()
-        )
-        if path in self.answered and is_busy:
-            return
-        self.peer.answer(path)
-        self.answered.add(path)
-        self.settle()
-
-    @stateful.rule(path=exchanges)
-    def cut_answer(self, path: str) -> None:
-        if path in self.peer.writers_by_path:
-            data = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n/'
-            self.peer.send_raw(path, data)
-            self.settle()
-
-    @stateful.rule()
-    def pass_time(self) -> None:
-        self.loop.run_until_complete(asyncio.sleep(_SHORT_TIMEOUT_S * 1.5))
-        self.settle()
-
-    @stateful.invariant()
-    def connections_stay_within_the_limit(self) -> None:
-        assert self.pool.connection_count <= _LIMIT
-
-    @stateful.invariant()
-    def results_match_what_the_peer_received(self) -> None:
-        for path, task in self.tasks_by_path.items():
-            if not task.done() or task.cancelled():
-                continue
-            outcome = task.result()
-            if isinstance(outcome, result.Ok):
-                assert outcome.ok_value.body == path.encode(), (path, outcome)
-            elif isinstance(outcome.err_value, httpclient.NotSent):
-                assert path not in self.peer.seen, (path, outcome)
-
-    def teardown(self) -> None:
-        self.loop.run_until_complete(self.end())
-        self.loop.close()
-
-    async def end(self) -> None:
-        """Cancel and close everything; no connection may stay open."""
-        for task in self.tasks_by_path.values():
-            task.cancel()
-        await asyncio.gather(
-            *self.tasks_by_path.values(), return_exceptions=True
-        )
-        await self.pool.aclose()
-        await wait_until(lambda: self.pool.connection_count == 0)
-        await self.peer.stop()
-        await wait_until(lambda: self.peer.open_connections == 0)
-
-
-ConnectionPoolMachineTest = ConnectionPoolMachine.TestCase
-ConnectionPoolMachineTest.settings = hypothesis.settings(
-    max_examples=20, stateful_step_count=25, deadline=None
-)
-
-
 if __name__ == '__main__':
     unittest.main()
--- a/primroselock/test/testnotsent.py
+++ b/primroselock/test/testnotsent.py
@@ -8,7 +8,7 @@
 
 from primroselock import httpclient
 from primroselock import httpconnections
-from primroselock.test import testhttpclient
+from primroselock.test import scriptedpeer
 
 _LONG_TIMEOUT_S: typing.Final = 1.0
 _MAX_STEPS: typing.Final = 500
@@ -31,7 +31,7 @@
         gc.collect()
 
     async def asyncSetUp(self) -> None:
-        self.peer = testhttpclient.Peer()
+        self.peer = scriptedpeer.Peer()
         self.address = await self.peer.start()
         self.addAsyncCleanup(self.peer.stop)
 
