--- a/primroselock/test/builders.py
+++ b/primroselock/test/builders.py
@@ -33,6 +33,9 @@
 slots = 8
 """
 
+LOG_METHODS: typing.Final = ('info', 'warning', 'error')
+"""What a log that stands in for a module's own must offer."""
+
 
 def build_settings(text: str = '') -> options.Settings:
     """Return the settings of a process; ``text`` adds keys and sections."""
--- a/primroselock/test/testplatformadapter.py
+++ b/primroselock/test/testplatformadapter.py
@@ -20,6 +20,7 @@
 from primroselock.platform import discovery
 from primroselock.platform import settings
 from primroselock.store import table
+from primroselock.test import builders
 from primroselock.test import decodercases
 from primroselock.test import fleetbuilders
 
@@ -47,7 +48,6 @@
     'repeat_count',
     'PRIMROSELOCK_BOOT',
 )
-_LOG_METHODS: typing.Final = ('info', 'warning', 'error')
 _SHARED_NAMES: typing.Final = frozenset({'data_rack'})
 """Wire names that the product uses for the same thing itself."""
 
@@ -164,7 +164,9 @@
 
     def test_an_older_or_unreadable_version_changes_nothing(self) -> None:
         self._apply('op/config', _config(7))
-        with mock.patch.object(configuration, '_log', spec_set=_LOG_METHODS):
+        with mock.patch.object(
+            configuration, '_log', spec_set=builders.LOG_METHODS
+        ):
             for bad in (_config(6), b'\xff', b'{}', b'[]', {'version': 'x'}):
                 self.assertFalse(self._apply('op/config', bad))
         self.assertEqual(7, self.reader.current.version)
@@ -220,7 +222,9 @@
             {**_ENTRY, 'address': 'nowhere'},
             {**_ENTRY, 'labels': None},
         )
-        with mock.patch.object(discovery, '_log', spec_set=_LOG_METHODS):
+        with mock.patch.object(
+            discovery, '_log', spec_set=builders.LOG_METHODS
+        ):
             for value in bad:
                 if not isinstance(value, bytes):
                     value = msgspec.json.encode(value)
--- a/primroselock/test/testtablefollower.py
+++ b/primroselock/test/testtablefollower.py
@@ -14,14 +14,13 @@
 from primroselock.store import resilience
 from primroselock.store import table
 from primroselock.store import tablefollower
+from primroselock.test import builders
 from primroselock.test import fakefeed
 from primroselock.test import virtualtime
 
 _PAUSE_SEEDS: typing.Final = range(100, 250)
 """With 155 and 202 a call is in flight when the outage ends."""
 
-_LOG_METHODS: typing.Final = ('info', 'warning', 'error')
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Site:
@@ -147,7 +146,9 @@
             self.assertTrue(site.follower.is_reachable)
             self.assertLess(site.follower.age_s(clock.monotonic()), 2.0)
 
-        with mock.patch.object(tablefollower, '_log', spec_set=_LOG_METHODS):
+        with mock.patch.object(
+            tablefollower, '_log', spec_set=builders.LOG_METHODS
+        ):
             run_scenario(scenario)
 
     def test_a_listing_that_a_handler_fails_to_apply(self) -> None:
@@ -172,7 +173,9 @@
             self.assertTrue(follower.loaded.is_set())
             task.cancel()
 
-        with mock.patch.object(tablefollower, '_log', spec_set=_LOG_METHODS):
+        with mock.patch.object(
+            tablefollower, '_log', spec_set=builders.LOG_METHODS
+        ):
             virtualtime.run(scenario)
 
     def test_unchanged_table_stays_confirmed(self) -> None:
