--- a/primroselock/test/testplatformadapter.py
+++ b/primroselock/test/testplatformadapter.py
@@ -20,6 +20,8 @@
 from primroselock.platform import discovery
 from primroselock.platform import settings
 from primroselock.store import table
+from primroselock.test import builders
+from primroselock.test import decodercases
 from primroselock.test import fleetbuilders
 
 _PACKAGE: typing.Final = pathlib.Path(__file__).resolve().parent.parent
@@ -46,7 +48,6 @@
     'repeat_count',
     'PRIMROSELOCK_BOOT',
 )
-_LOG_METHODS: typing.Final = ('info', 'warning', 'error')
 _SHARED_NAMES: typing.Final = frozenset({'data_rack'})
 """Wire names that the product uses for the same thing itself."""
 
@@ -163,7 +164,9 @@
 
     def test_an_older_or_unreadable_version_changes_nothing(self) -> None:
         self._apply('op/config', _config(7))
-        with mock.patch.object(configuration, '_log', spec_set=_LOG_METHODS):
+        with mock.patch.object(
+            configuration, '_log', spec_set=builders.LOG_METHODS
+        ):
             for bad in (_config(6), b'\xff', b'{}', b'[]', {'version': 'x'}):
                 self.assertFalse(self._apply('op/config', bad))
         self.assertEqual(7, self.reader.current.version)
@@ -219,7 +222,9 @@
             {**_ENTRY, 'address': 'nowhere'},
             {**_ENTRY, 'labels': None},
         )
-        with mock.patch.object(discovery, '_log', spec_set=_LOG_METHODS):
+        with mock.patch.object(
+            discovery, '_log', spec_set=builders.LOG_METHODS
+        ):
             for value in bad:
                 if not isinstance(value, bytes):
                     value = msgspec.json.encode(value)
@@ -227,14 +232,8 @@
                 self.assertIsNone(discovery.WorkerRowReader().read_entry(row))
 
 
-_ENTRY: typing.Final[dict[str, typing.Any]] = {
-    'service': 'svc',
-    'address': '10.0.0.1:80',
-    'zone': 'a',
-    'state': 'ready',
-    'capacity': {'cpu': 64000, 'mem_mb': 1000, 'gpus': 8},
-    'labels': ['kind', 'r1-3'],
-    'born': 1700,
+_ENTRY: typing.Final = {
+    **decodercases.WORKER_ENTRY,
     'seq': 4,
     'a_new_field': [1],
 }
