--- a/primroselock/test/virtualtime.py
+++ b/primroselock/test/virtualtime.py
@@ -59,9 +59,13 @@
 
 def run(
     scenario: abc.Callable[[VirtualClock], abc.Coroutine[None, None, _T]],
+    virtual: VirtualClock | None = None,
 ) -> _T:
-    """Run a scenario in virtual time and return its result."""
-    virtual = VirtualClock()
+    """Run a scenario in virtual time and return its result.
+
+    ``virtual`` is the clock to use, if not one that only jumps.
+    """
+    virtual = virtual or VirtualClock()
     loop = _VirtualLoop(virtual)
     with (
         mock.patch.object(clock, 'monotonic', virtual.monotonic),
