--- a/primroselock/decisions/graphs.py
+++ b/primroselock/decisions/graphs.py
@@ -161,10 +161,7 @@
     job.released += 1
     for number, step in enumerate(job.graph.steps):
         for index in range(step.group_count):
-            key = jobgraph.GroupKey(occurrence, number, index)
-            job.groups_by_key[key] = livejobs.Group(
-                job, key, step, livejobs.Phase.BLOCKED, now
-            )
+            job.add_group(jobgraph.GroupKey(occurrence, number, index), now)
 
 
 def _unblock(job: livejobs.LiveJob, occurrence: int, now: float) -> None:
@@ -175,20 +172,13 @@
             group.phase is not livejobs.Phase.BLOCKED for group in groups
         ):
             continue
-        if not all(_is_step_done(job, occurrence, s) for s in step.after):
+        if not all(job.is_step_done(occurrence, s) for s in step.after):
             continue
         for group in groups:
             if group.phase is livejobs.Phase.BLOCKED:
                 group.enter(livejobs.Phase.WAITING, now)
 
 
-def _is_step_done(job: livejobs.LiveJob, occurrence: int, step: int) -> bool:
-    return all(
-        group.phase is livejobs.Phase.DONE
-        for group in job.groups_of_step(occurrence, step)
-    )
-
-
 def complete_group(
     board: fleet.ShardBoard, group: livejobs.Group, now: float, wall_ms: int
 ) -> None:
@@ -197,7 +187,9 @@
     _record_run_time(board, group, now)
     group.end_reason = livejobs.EndReason.DONE
     group.enter(livejobs.Phase.DONE, now)
-    _unblock(job, group.key.occurrence, now)
+    if job.is_step_done(group.key.occurrence, group.key.step):
+        # Nothing else waits for this group alone.
+        _unblock(job, group.key.occurrence, now)
     if not job.state.is_final and _is_all_done(job):
         job.end(jobs.JobState.DONE, wall_ms)
         board.record_decision('job done', job, groups=len(job.groups_by_key))
@@ -216,12 +208,7 @@
 
 
 def _is_all_done(job: livejobs.LiveJob) -> bool:
-    if job.released < job.graph.occurrences:
-        return False
-    return all(
-        group.phase is livejobs.Phase.DONE
-        for group in job.groups_by_key.values()
-    )
+    return job.released >= job.graph.occurrences and not job.open_counts
 
 
 def conclude_attempt(
--- a/primroselock/decisions/livejobs.py
+++ b/primroselock/decisions/livejobs.py
@@ -218,6 +218,9 @@
             self.job.active_groups[self] = None
         else:
             self.job.active_groups.pop(self, None)
+        self.job.count_open(
+            self, (phase is not Phase.DONE) - (self.phase is not Phase.DONE)
+        )
         self.phase = phase
         self.since = now
 
@@ -277,8 +280,9 @@
     progress row, of which there are ``stored_parts``.  ``refusal`` is set
     while the store refuses the job's progress.  ``released`` is the number of
     occurrences whose groups exist, and ``active_groups`` are those in
-    ``ACTIVE_PHASES``.  ``capacity_since`` is since when a waiting
-    group would fit if it preferred nothing, as last seen at
+    ``ACTIVE_PHASES``.  ``open_counts`` holds by occurrence and step how many
+    groups are not done, where any are.  ``capacity_since`` is since when a
+    waiting group would fit if it preferred nothing, as last seen at
     ``capacity_seen_at``.  ``phases`` is the index of the blackboard that holds
     the job.
     """
@@ -293,6 +297,9 @@
         default_factory=dict
     )
     active_groups: dict[Group, None] = dataclasses.field(default_factory=dict)
+    open_counts: dict[tuple[int, int], int] = dataclasses.field(
+        default_factory=dict
+    )
     released: int = 0
     is_cancelled: bool = False
     ended_ms: int = 0
@@ -337,6 +344,27 @@
             for group in self.active_groups
         )
 
+    def add_group(self, key: jobgraph.GroupKey, now: float) -> None:
+        """Add a group, which is blocked for now."""
+        group = Group(
+            self, key, self.graph.steps[key.step], Phase.BLOCKED, now
+        )
+        self.groups_by_key[key] = group
+        self.count_open(group, 1)
+
+    def count_open(self, group: Group, change: int) -> None:
+        """Count a group that is no longer done, or is done by now."""
+        step = (group.key.occurrence, group.key.step)
+        count = self.open_counts.get(step, 0) + change
+        if count:
+            self.open_counts[step] = count
+        else:
+            self.open_counts.pop(step, None)
+
+    def is_step_done(self, occurrence: int, step: int) -> bool:
+        """Return whether all groups of a step of an occurrence are done."""
+        return (occurrence, step) not in self.open_counts
+
     def request_cancel(self) -> None:
         """Record that the job's cancellation was requested."""
         self.is_cancelled = True
--- a/primroselock/test/testlargejobs.py
+++ b/primroselock/test/testlargejobs.py
@@ -1,4 +1,4 @@
-"""Jobs with thousands of tasks that are due: the cost of a round."""
+"""Jobs with thousands of tasks: the cost of rounds, reports and starts."""
 
 import cProfile
 import pstats
@@ -8,10 +8,13 @@
 
 from primroselock.decisions import fleetround
 from primroselock.decisions import graphs
+from primroselock.decisions import livejobs
+from primroselock import jobgraph
 from primroselock.test import fleetbuilders
 from primroselock.test import idlebuilders
 
 _WALL_S = 1_000_000.0
+_SMALL = jobgraph.Resources(1, 1, 0)
 _MAX_GROWTH = 1.3
 """How much more than proportional the cost may grow."""
 
@@ -53,5 +56,36 @@
         self.assertLess(many, 4 * few * _MAX_GROWTH)
 
 
+def _place_tasks(tasks: int) -> tuple[idlebuilders.Site, livejobs.LiveJob]:
+    """Return a site whose only worker holds placed tasks of one step."""
+    site = idlebuilders.Site(1)
+    step = jobgraph.Step(tasks, _SMALL, 5000)
+    job = site.submit('j', step, run_s=5.0, queue='bulk')
+    fleetround.run(site.board, site.settings, site.now, site.now)
+    return site, job
+
+
+def _count_report_calls(tasks: int) -> int:
+    """Return the calls of a step in which all tasks end in one report."""
+    site, job = _place_tasks(tasks)
+    site.step()
+    site.now += 10.0
+    profile = cProfile.Profile()
+    profile.enable()
+    site.step()
+    profile.disable()
+    assert job.state.is_final
+    return int(pstats.Stats(profile).total_calls)  # type: ignore[attr-defined]
+
+
+class OneWorkerTest(unittest.TestCase):
+    """The cost of many tasks on one worker follows their number."""
+
+    def test_ends_in_one_report(self) -> None:
+        """Guards against a look at all tasks of a step for each end."""
+        few, many = (_count_report_calls(count) for count in (250, 1000))
+        self.assertLess(many, 4 * few * _MAX_GROWTH)
+
+
 if __name__ == '__main__':
     unittest.main()
