A start is checked without a look at all members of its worker

Cause: each start added up the needs of all members of its worker that may run by then.

Change: if there is room for all that is placed there, which the worker keeps as a sum, there is room for a part of it: nothing is added up. Where there is not, for a worker that has shrunk, the check is as before.

--- a/primroselock/decisions/fleetworkers.py
+++ b/primroselock/decisions/fleetworkers.py
@@ -254,6 +254,9 @@
 
         It may have shrunk since they were placed.
         """
+        if self.free.can_fit(NO_RESOURCES):
+            # There is room for all that is placed, and so for a part of it.
+            return True
         left = self._capacity_for_members()
         for member in self._list_started(starting):
             left = left.plus(member.group.step.counted_need, -1)
--- a/primroselock/test/testlargejobs.py
+++ b/primroselock/test/testlargejobs.py
@@ -9,6 +9,7 @@
 from primroselock.decisions import fleetround
 from primroselock.decisions import graphs
 from primroselock.decisions import livejobs
+from primroselock.decisions import startchecks
 from primroselock import jobgraph
 from primroselock.test import fleetbuilders
 from primroselock.test import idlebuilders
@@ -78,6 +79,18 @@
     return int(pstats.Stats(profile).total_calls)  # type: ignore[attr-defined]
 
 
+def _count_start_calls(tasks: int) -> int:
+    """Return the calls of the checks before the starts of all tasks."""
+    site, job = _place_tasks(tasks)
+    profile = cProfile.Profile()
+    profile.enable()
+    for group in job.groups_by_key.values():
+        assert not startchecks.find_obstacle(site.board, group.members)
+        group.members[0].state = livejobs.MemberState.ORDERED
+    profile.disable()
+    return int(pstats.Stats(profile).total_calls)  # type: ignore[attr-defined]
+
+
 class OneWorkerTest(unittest.TestCase):
     """The cost of many tasks on one worker follows their number."""
 
@@ -86,6 +99,11 @@
         few, many = (_count_report_calls(count) for count in (250, 1000))
         self.assertLess(many, 4 * few * _MAX_GROWTH)
 
+    def test_starts_on_one_worker(self) -> None:
+        """Guards against a look at all members of a worker for each start."""
+        few, many = (_count_start_calls(count) for count in (250, 1000))
+        self.assertLess(many, 4 * few * _MAX_GROWTH)
+
 
 if __name__ == '__main__':
     unittest.main()
