--- a/primroselock/test/testlargejobs.py
+++ b/primroselock/test/testlargejobs.py
@@ -85,7 +85,9 @@
     profile = cProfile.Profile()
     profile.enable()
     for group in job.groups_by_key.values():
-        assert not startchecks.find_obstacle(site.board, group.members)
+        assert not startchecks.find_obstacle(
+            site.board, group.members, site.now
+        )
         group.members[0].state = livejobs.MemberState.ORDERED
     profile.disable()
     return int(pstats.Stats(profile).total_calls)  # type: ignore[attr-defined]
