--- a/primroselock/decisions/fleethealth.py
+++ b/primroselock/decisions/fleethealth.py
@@ -16,6 +16,7 @@
 """
 
 import dataclasses
+import itertools
 import math
 import typing
 
@@ -36,6 +37,9 @@
 """A group is too slow beyond ``_STUCK_FACTOR`` times its expected run time
 plus this margin."""
 
+CHECKED_AT_ONCE: typing.Final = 200
+"""Groups that one call checks at most."""
+
 _STALL_TIMEOUT_S: typing.Final = 3.0
 """Time without a higher reported share after which a run is stalled."""
 
@@ -133,16 +137,17 @@
 ) -> list[StuckGroup]:
     """Return the running groups that are stuck.
 
-    Only groups whose workers reported progress since the last call are
-    checked, and none while this process is late itself.  ``remote_factor``
-    multiplies the expected run time of a group that runs away from its data
-    rack or across racks.
+    Only groups whose workers reported progress since they were last checked
+    are checked, some at each call, and none while this process is late itself.
+    ``remote_factor`` multiplies the expected run time of a group that runs
+    away from its data rack or across racks.
     """
     if now < board.judge_from:
         return []
-    reported, board.reported_groups = board.reported_groups, {}
+    reported = list(itertools.islice(board.reported_groups, CHECKED_AT_ONCE))
     found = []
     for group in reported:
+        del board.reported_groups[group]
         if group.phase is not livejobs.Phase.RUNNING:
             continue
         why = _why_stuck(board, group, remote_factor, now)
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -15,9 +15,11 @@
 """
 
 from collections import abc
+import dataclasses
 import typing
 
 from primroselock.decisions import claimindex
+from primroselock.decisions import earlierruns
 from primroselock.decisions import eligibility
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
@@ -30,6 +32,7 @@
 from primroselock.decisions import preferences
 from primroselock.decisions import reachability
 from primroselock.decisions import runs
+from primroselock.decisions import slices
 from primroselock.decisions import waiting
 from primroselock import jobgraph
 from primroselock import options
@@ -38,6 +41,9 @@
 _MAX_GROUPS_PER_ROUND: typing.Final = 1000
 """Groups placed in a round: leases must be renewed between rounds."""
 
+_MAX_GROUPS_AT_ONCE: typing.Final = 100
+"""Groups of a step that are placed before the round may be interrupted."""
+
 _CLAIM_TIMEOUT_S: typing.Final = 4.0
 """After this time a capacity claim is dropped."""
 
@@ -52,57 +58,111 @@
 def place_waiting(
     board: fleet.ShardBoard,
     settings: options.FleetSettings,
-    now: float,
-    wall_s: float,
-) -> None:
-    """Place waiting groups, the most urgent first."""
-    _drop_claims(board, now)
+    turn: slices.Turn,
+) -> slices.Slices:
+    """Place waiting groups, the most urgent first.
+
+    The order is that of the beginning.  After a pause only groups are placed
+    that still may be, on what has been free all the while.
+    """
+    _drop_claims(board, turn.now)
     board.entry_cache.limit()
     if not board.phases.waiting_by_step:
         return
+    listed: waiting.Listed = []
     guaranteed_ids = waiting.guaranteed_job_ids(board)
-    sort_key = waiting.orders_by_name[settings.waiting_order]
-    usable = eligibility.list_usable(board, now)
+    usable = eligibility.list_usable(board, turn.now)
     plenty = eligibility.find_plenty(board, usable)
-    steps = waiting.list_waiting(
-        board, guaranteed_ids, sort_key, now, wall_s, plenty
+    sort_key = waiting.orders_by_name[settings.waiting_order]
+    pauses = turn.pauses
+    yield from waiting.collect_waiting(
+        board, listed, guaranteed_ids, sort_key, plenty, turn
     )
-    if not steps:
+    if not listed:
         return
+    if turn.pauses > pauses:
+        usable = eligibility.list_usable(board, turn.now)
+    listed.sort(key=lambda entry: entry[0])
     context = placementround.RoundContext(
         board,
         settings,
         len(usable),
         plenty,
-        _build_free_capacity(board, settings, usable),
-        fleetpreemption.VictimIndex(now),
+        freecapacity.FreeCapacity(
+            board,
+            _list_verified(board, usable),
+            fitting.scores_by_name[settings.placement],
+        ),
+        fleetpreemption.VictimIndex(turn.now),
         claimindex.ClaimIndex(board.claims_by_group),
         guaranteed_ids,
-        now,
-        wall_s,
+        turn.now,
+        turn.wall_s,
     )
+    yield from _place_listed(context, listed, turn, pauses)
+
+
+def _place_listed(
+    context: placementround.RoundContext,
+    listed: waiting.Listed,
+    turn: slices.Turn,
+    listed_in: int,
+) -> slices.Slices:
+    """Place groups in their order; they were listed in pause ``listed_in``."""
+    board = context.board
+    held = earlierruns.list_held(board, turn.now)
+    pauses = turn.pauses
     placed = 0
-    for groups in steps:
-        placed += _place_step(context, groups, _MAX_GROUPS_PER_ROUND - placed)
+    for groups in _divide(listed):
+        yield
+        if turn.pauses > pauses:
+            pauses = turn.pauses
+            held = earlierruns.list_held(board, turn.now)
+            context = _resume(context, turn)
+        if pauses > listed_in:
+            groups = waiting.keep_placeable(groups, held, turn.now)
+        if groups:
+            placed += _place_step(
+                context, groups, _MAX_GROUPS_PER_ROUND - placed
+            )
         if placed >= _MAX_GROUPS_PER_ROUND:
             # The next round starts once these placements are stored.
-            break
+            return
 
 
-def _build_free_capacity(
-    board: fleet.ShardBoard,
-    settings: options.FleetSettings,
-    usable: abc.Iterable[fleetworkers.Worker],
-) -> freecapacity.FreeCapacity:
-    """Return the free capacity of ``usable`` workers that are verified."""
+def _divide(
+    listed: waiting.Listed,
+) -> abc.Iterator[abc.Sequence[livejobs.Group]]:
+    """Return the groups of each step, those of a wide step in parts."""
+    for _, groups in listed:
+        for first in range(0, len(groups), _MAX_GROUPS_AT_ONCE):
+            yield groups[first : first + _MAX_GROUPS_AT_ONCE]
+
+
+def _resume(
+    context: placementround.RoundContext, turn: slices.Turn
+) -> placementround.RoundContext:
+    """Return the inputs to further placements after a pause."""
+    board = context.board
+    usable = eligibility.list_usable(board, turn.now)
+    context.free_capacity.resume(_list_verified(board, usable))
+    return dataclasses.replace(
+        context,
+        usable_count=len(usable),
+        victims=fleetpreemption.VictimIndex(turn.now),
+        now=turn.now,
+        wall_s=turn.wall_s,
+    )
+
+
+def _list_verified(
+    board: fleet.ShardBoard, usable: abc.Iterable[fleetworkers.Worker]
+) -> list[fleetworkers.Worker]:
+    """Return the usable workers that are known to answer."""
     unverified_ids = {
         worker.id for worker in reachability.list_unverified(board)
     }
-    return freecapacity.FreeCapacity(
-        board,
-        [worker for worker in usable if worker.id not in unverified_ids],
-        fitting.scores_by_name[settings.placement],
-    )
+    return [worker for worker in usable if worker.id not in unverified_ids]
 
 
 def _place_step(
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -6,7 +6,8 @@
 drain, that are stuck or whose starts were not answered, give up jobs whose
 tasks crash workers, place waiting groups (with preemption), order stops, and
 report work that waits beside free capacity.  Each controller is a function of
-the blackboard, the settings and the time.
+the blackboard, the settings and the time.  Those that may take long are
+divided, so that a round may be interrupted (see ``slices``).
 """
 
 from collections import abc
@@ -21,6 +22,7 @@
 from primroselock.decisions import runleases
 from primroselock.decisions import runs
 from primroselock.decisions import sharing
+from primroselock.decisions import slices
 from primroselock.decisions import waitreport
 from primroselock import jobs
 from primroselock import options
@@ -28,32 +30,63 @@
 Controller = abc.Callable[
     [fleet.ShardBoard, options.Settings, float, float], None
 ]
-_controllers: typing.Final[list[tuple[int, Controller]]] = []
+DividedController = abc.Callable[
+    [fleet.ShardBoard, options.Settings, slices.Turn], slices.Slices
+]
+_controllers: typing.Final[list[tuple[int, DividedController]]] = []
+
+
+def divided(
+    order: int,
+) -> abc.Callable[[DividedController], DividedController]:
+    """Register the decorated function, which yields where it may pause."""
+
+    def register(decide: DividedController) -> DividedController:
+        _controllers.append((order, decide))
+        _controllers.sort(key=lambda entry: entry[0])
+        return decide
+
+    return register
 
 
 def controller(order: int) -> abc.Callable[[Controller], Controller]:
     """Register the decorated function; lower orders run first."""
 
     def register(decide: Controller) -> Controller:
-        _controllers.append((order, decide))
-        _controllers.sort(key=lambda entry: entry[0])
+        def run_whole(
+            board: fleet.ShardBoard,
+            settings: options.Settings,
+            turn: slices.Turn,
+        ) -> slices.Slices:
+            decide(board, settings, turn.now, turn.wall_s)
+            yield
+
+        divided(order)(run_whole)
         return decide
 
     return register
 
 
+def begin(
+    board: fleet.ShardBoard, settings: options.Settings, turn: slices.Turn
+) -> slices.Slices:
+    """Run every controller once, in ascending order, with interruptions."""
+    for _, decide in _controllers:
+        yield from decide(board, settings, turn)
+
+
 def run(
     board: fleet.ShardBoard,
     settings: options.Settings,
     now: float,
     wall_s: float,
 ) -> None:
-    """Run every controller once, in ascending order.
+    """Run a round without interruptions.
 
     ``now`` is on this process's clock; ``wall_s`` is since the Unix epoch.
     """
-    for _, decide in _controllers:
-        decide(board, settings, now, wall_s)
+    for _ in begin(board, settings, slices.Turn(now, wall_s)):
+        pass
 
 
 @controller(order=10)
@@ -119,17 +152,17 @@
     )
 
 
-@controller(order=30)
+@divided(order=30)
 def release_occurrences(
-    board: fleet.ShardBoard,
-    settings: options.Settings,
-    now: float,
-    wall_s: float,
-) -> None:
+    board: fleet.ShardBoard, settings: options.Settings, turn: slices.Turn
+) -> slices.Slices:
     """Add the occurrences that have become due."""
     for job in list(board.phases.unreleased_jobs):
-        if not job.state.is_final:
-            graphs.release_due(board, job, now, int(wall_s * 1000))
+        is_more_due = True
+        while is_more_due and not job.state.is_final:
+            wall_ms = int(turn.wall_s * 1000)
+            is_more_due = graphs.release_due(board, job, turn.now, wall_ms)
+            yield
 
 
 @controller(order=35)
@@ -196,14 +229,24 @@
     runs.end_group(board, group, end_reason, now, int(wall_s * 1000))
 
 
-@controller(order=38)
+@divided(order=38)
 def stop_stuck_tasks(
+    board: fleet.ShardBoard, settings: options.Settings, turn: slices.Turn
+) -> slices.Slices:
+    """Stop stuck attempts, so that they are retried on other workers."""
+    # What is reported during a pause is left to the next round.
+    calls = -(-len(board.reported_groups) // fleethealth.CHECKED_AT_ONCE)
+    for _ in range(calls):
+        _stop_some_stuck(board, settings, turn.now, turn.wall_s)
+        yield
+
+
+def _stop_some_stuck(
     board: fleet.ShardBoard,
     settings: options.Settings,
     now: float,
     wall_s: float,
 ) -> None:
-    """Stop stuck attempts, so that they are retried on other workers."""
     far_factor = settings.fleet.far_factor
     wall_ms = int(wall_s * 1000)
     for stuck in fleethealth.list_stuck(board, far_factor, now):
@@ -253,17 +296,17 @@
     crashes.give_up(board, now, int(wall_s * 1000))
 
 
-@controller(order=50)
+@divided(order=50)
 def place_waiting(
-    board: fleet.ShardBoard,
-    settings: options.Settings,
-    now: float,
-    wall_s: float,
-) -> None:
+    board: fleet.ShardBoard, settings: options.Settings, turn: slices.Turn
+) -> slices.Slices:
     """Place waiting groups, and preempt for more urgent ones."""
-    if now > board.permit_until:
+    if turn.now > board.permit_until:
         return
-    fleetplacing.place_waiting(board, settings.fleet, now, wall_s)
+    for _ in fleetplacing.place_waiting(board, settings.fleet, turn):
+        yield
+        if turn.now > board.permit_until:
+            return
 
 
 @controller(order=60)
--- a/primroselock/decisions/freecapacity.py
+++ b/primroselock/decisions/freecapacity.py
@@ -113,6 +113,8 @@
         self.unplaceable_shapes: set[Shape] = set()
         self.last_by_step: dict[livejobs.StepName, str] = {}
         self._workers_by_id: dict[str, fleetworkers.Worker] = {}
+        self._entries_by_id: dict[str, fleetworkers.WorkerEntry] = {}
+        self._boots_by_id: dict[str, int] = {}
         self._speed_classes_by_id: dict[str, float] = {}
         self._board = board
         self._with_capacity_by_kind: dict[
@@ -123,6 +125,8 @@
             free = worker.free
             self.free_by_id[worker.id] = free
             self._workers_by_id[worker.id] = worker
+            self._entries_by_id[worker.id] = worker.entry
+            self._boots_by_id[worker.id] = worker.boot
             self._add_to_rack(worker.entry.rack, free.accelerators)
 
     def _add_to_rack(self, rack: str, accelerators: int) -> None:
@@ -130,7 +134,35 @@
         self.free_accelerators_by_rack[rack] = known + accelerators
 
     def _rack_of(self, worker_id: str) -> str:
-        return self._workers_by_id[worker_id].entry.rack
+        return self._entries_by_id[worker_id].rack
+
+    def resume(self, usable: abc.Iterable[fleetworkers.Worker]) -> None:
+        """Go on after a pause in which the workers may have changed.
+
+        Only those of ``usable`` may be used that are what they were before,
+        and no more of them than is free now.  What has become free meanwhile
+        is left to the next round: the most urgent group gets it.
+        """
+        usable_by_id = {worker.id: worker for worker in usable}
+        for worker_id, free in list(self.free_by_id.items()):
+            worker = usable_by_id.get(worker_id)
+            if worker is None or self._has_changed(worker):
+                self.exclude(worker_id)
+                continue
+            least = free.limited_to(worker.free)
+            self.free_by_id[worker_id] = least
+            self._add_to_rack(
+                self._rack_of(worker_id),
+                least.accelerators - free.accelerators,
+            )
+
+    def _has_changed(self, worker: fleetworkers.Worker) -> bool:
+        """Return whether a worker is another one than before the pause."""
+        return (
+            worker is not self._workers_by_id[worker.id]
+            or worker.boot != self._boots_by_id[worker.id]
+            or worker.entry != self._entries_by_id[worker.id]
+        )
 
     def reserve(self, worker_id: str, need: jobgraph.Resources) -> None:
         """Subtract the resources of a placement."""
--- a/primroselock/decisions/graphs.py
+++ b/primroselock/decisions/graphs.py
@@ -22,6 +22,9 @@
 _MIN_REQUEUE_DELAY_S: typing.Final = 0.25
 _MAX_REQUEUE_DELAY_S: typing.Final = 4.0
 
+_MAX_RELEASED: typing.Final = 200
+"""Groups after which no further occurrence is added at once."""
+
 _ROW_PHASES: typing.Final = {
     livejobs.Phase.BLOCKED: jobgraph.GroupPhase.WAITING,
     livejobs.Phase.WAITING: jobgraph.GroupPhase.WAITING,
@@ -144,16 +147,22 @@
 
 def release_due(
     board: fleet.ShardBoard, job: livejobs.LiveJob, now: float, wall_ms: int
-) -> None:
-    """Add the groups of the occurrences that are due."""
+) -> bool:
+    """Add the groups of the occurrences that are due, but not of too many.
+
+    Returns whether more are due.
+    """
     graph = job.graph
+    most = len(job.groups_by_key) + _MAX_RELEASED
     while job.released < graph.occurrences:
-        if graph.due_ms(job.released) > wall_ms:
+        is_due = graph.due_ms(job.released) <= wall_ms
+        if not is_due or len(job.groups_by_key) >= most:
             board.phases.unreleased_jobs[job] = None
-            return
+            return is_due
         _release_occurrence(job, now)
         _unblock(job, job.released - 1, now)
     board.phases.unreleased_jobs.pop(job, None)
+    return False
 
 
 def _release_occurrence(job: livejobs.LiveJob, now: float) -> None:
--- a/primroselock/decisions/waiting.py
+++ b/primroselock/decisions/waiting.py
@@ -14,6 +14,7 @@
 from primroselock.decisions import fleet
 from primroselock.decisions import livejobs
 from primroselock.decisions import objectives
+from primroselock.decisions import slices
 
 SortKey = abc.Callable[[livejobs.Group, float], tuple[float, ...]]
 MayPreempt = abc.Callable[[livejobs.Group, abc.Set[str], float], bool]
@@ -23,6 +24,7 @@
 """The priority of the queues to which guarantees apply."""
 
 _MAX_IDLE_YIELD_S: typing.Final = 2.0
+_STEPS_BETWEEN_PAUSES: typing.Final = 50
 _MIN_SLACK_S: typing.Final = 2.0
 """Preemption frees capacity in about half of this time."""
 
@@ -162,15 +164,19 @@
     return _MAX_IDLE_YIELD_S if plenty.is_idle(job, now) else math.inf
 
 
-def list_waiting(
+Listed = list[tuple[tuple[typing.Any, ...], list[livejobs.Group]]]
+"""Groups by step, each step with its sort key."""
+
+
+def collect_waiting(
     board: fleet.ShardBoard,
+    listed: Listed,
     guaranteed_ids: abc.Set[str],
     sort_key: SortKey,
-    now: float,
-    wall_s: float,
     plenty: eligibility.PlentyServices,
-) -> list[list[livejobs.Group]]:
-    """Return the groups to place, by step, in the order of placement.
+    turn: slices.Turn,
+) -> slices.Slices:
+    """Collect the groups to place, by step, for the order of placement.
 
     Groups of which an earlier attempt is still being stopped are left out.
     Groups that were preempted yield for a time, unless capacity is plenty
@@ -178,36 +184,58 @@
     The groups of a step are equally urgent, so that steps are ordered, not
     groups; a step's groups are in the order of their tasks.
     """
-    waiting: list[list[livejobs.Group]] = []
-    held = earlierruns.list_held(board, now)
-    for groups in board.phases.waiting_by_step.values():
-        job = next(iter(groups)).job
-        if job.is_cancelled or job.state.is_final:
+    held = earlierruns.list_held(board, turn.now)
+    for number, groups in enumerate(
+        list(board.phases.waiting_by_step.values())
+    ):
+        if number % _STEPS_BETWEEN_PAUSES == 0:
+            yield
+        due = _list_due(list(groups), held, plenty, turn.now)
+        if not due:
             continue
-        if not job.may_be_placed(now):
-            continue
-        longest_s = math.inf
-        if any(group.yields_until > now for group in groups):
-            longest_s = _longest_yield_s(plenty, job, now)
-        due = [
-            group
-            for group in groups
-            if group.not_before <= now
-            and group not in held
-            and min(group.yields_until, group.since + longest_s) <= now
-        ]
-        if due:
-            due.sort(key=lambda group: group.key.index)
-            waiting.append(due)
-
-    def urgency(groups: list[livejobs.Group]) -> tuple[typing.Any, ...]:
-        first = groups[0]
-        return (
+        due.sort(key=lambda group: group.key.index)
+        first = due[0]
+        urgency = (
             first.job.graph.id not in guaranteed_ids,
-            *sort_key(first, wall_s),
+            *sort_key(first, turn.wall_s),
             first.job.graph.id,
             first.key,
         )
+        listed.append((urgency, due))
+
+
+def _list_due(
+    groups: abc.Sequence[livejobs.Group],
+    held: abc.Set[livejobs.Group],
+    plenty: eligibility.PlentyServices,
+    now: float,
+) -> list[livejobs.Group]:
+    """Return the groups of a step that may be placed now."""
+    longest_s = math.inf
+    if any(group.yields_until > now for group in groups):
+        longest_s = _longest_yield_s(plenty, groups[0].job, now)
+    return [
+        group
+        for group in keep_placeable(groups, held, now)
+        if min(group.yields_until, group.since + longest_s) <= now
+    ]
 
-    waiting.sort(key=urgency)
-    return waiting
+
+def keep_placeable(
+    groups: abc.Sequence[livejobs.Group],
+    held: abc.Set[livejobs.Group],
+    now: float,
+) -> list[livejobs.Group]:
+    """Return the groups of a step that wait and that nothing holds back."""
+    if not groups:
+        return []
+    job = groups[0].job
+    if job.is_cancelled or job.state.is_final or not job.may_be_placed(now):
+        return []
+    return [
+        group
+        for group in groups
+        if group.phase is livejobs.Phase.WAITING
+        and group.not_before <= now
+        and group not in held
+    ]
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -5,9 +5,9 @@
 decisions and sends the orders.  The decisions themselves are made in
 ``primroselock.decisions``.
 
-Rounds take a bounded share of the time, so that polls, orders and renewals
-go on however much there is to decide; a round that starts late suspends
-the judgements of who is late.
+Rounds take a bounded share of the time and give the event loop back in
+between, so that polls, orders and renewals go on however much there is to
+decide; a round that starts late suspends the judgements of who is late.
 """
 
 import asyncio
@@ -27,6 +27,7 @@
 from primroselock.decisions import graphs
 from primroselock.decisions import placeability
 from primroselock.decisions import runleases
+from primroselock.decisions import slices
 from primroselock import graphrows
 from primroselock import graphwriter
 from primroselock import jobs
@@ -54,6 +55,13 @@
 _MAX_COUNT_AGE_S: typing.Final = 1.0
 """A count of waiting jobs is not published if the last round is older."""
 
+_MAX_SLICE_S: typing.Final = 0.015
+"""After this time a round lets others work; a decision may take longer."""
+
+_TURNS_OF_OTHERS: typing.Final = 3
+"""Iterations of the event loop between two slices: the first one notices
+timers and answers, and the tasks that wait for them go on in later ones."""
+
 _NEVER: typing.Final = float('-inf')
 _MIN_PAUSE_S: typing.Final = 0.001
 _MAX_PAUSE_S: typing.Final = 0.5
@@ -119,6 +127,7 @@
         self._loaded_job_ids = takeover.job_ids
         self._new_rows: list[table.Row] = []
         self._decided_at = clock.monotonic()
+        self._has_decided = asyncio.Event()
         self._submission_follower = tablefollower.TableFollower(
             parts.store, keys.SUBMISSIONS, self._settings.fleet.follow_wait_s
         )
@@ -204,6 +213,7 @@
                 asyncio.create_task(loop)
                 for loop in (
                     self._decide(),
+                    self._send_decided(),
                     self._writer.run(),
                     self._submission_follower.run(),
                     self._worker_follower.run(),
@@ -244,8 +254,7 @@
             self._check_late(
                 now - before - pause_s - _MAX_ROUND_INTERVAL_S, now
             )
-            self._decide_once(now)
-            taken_s = clock.monotonic() - now
+            taken_s = await self._decide_once(now)
             pause_s = min(taken_s * _PAUSE_PER_ROUND, _MAX_PAUSE_S)
 
     def _check_late(self, late_s: float, now: float) -> None:
@@ -259,37 +268,68 @@
         if late_s > _PAUSE_THRESHOLD_S:
             _log.warning('process paused', gap_s=round(late_s, 3))
 
-    def _decide_once(self, now: float) -> None:
-        self._load_new_jobs(now)
+    async def _decide_once(self, now: float) -> float:
+        """Run a round; return how many seconds it took of the processor.
+
+        What other tasks do in the middle of a round does not count.
+        """
+        await self._load_new_jobs(now)
         if not self._lease.has_shard:
-            return
+            return 0.0
         self._decided_at = now
+        turn = slices.Turn(clock.monotonic(), clock.wall())
+        parts = fleetround.begin(self._board, self._settings, turn)
+        self._prepare(turn.now)
+        taken_s = turn.now - now
+        while self._run_slice(parts):
+            taken_s += clock.monotonic() - turn.now
+            for _ in range(_TURNS_OF_OTHERS):
+                await asyncio.sleep(0)
+            if not self._lease.has_shard:
+                # What was decided is stored under this lease or not at all.
+                return taken_s
+            turn.resume(clock.monotonic(), clock.wall())
+            self._prepare(turn.now)
+        self._set_gauges()
+        taken_s += clock.monotonic() - turn.now
+        self._parts.counters.record('decision_round', taken_s)
+        self._advice_requester.ensure_running()
+        self._pollers.ensure_running()
+        return taken_s
+
+    def _prepare(self, now: float) -> None:
+        """Note what permits placements, before a round and after a pause."""
         self._note_permit(now)
         self._board.published_bounds = self._lease.published_bounds
         if runleases.covers_answering_worker(
             self._board, self._board.published_bounds
         ):
             self._parts.renewal_due.set()
-        started = clock.monotonic()
-        fleetround.run(self._board, self._settings, now, clock.wall())
-        self._parts.counters.record(
-            'decision_round', clock.monotonic() - started
-        )
-        self._parts.counters.set_gauge(
-            'idle_waits', float(self._board.idle_waits)
-        )
-        for name, count in self._board.crashes.counts().items():
-            self._parts.counters.set_gauge(name, float(count))
-        self._parts.counters.set_gauge(
-            'unexpected_runs', float(self._board.count_unexpected_runs())
-        )
-        self._send_orders()
-        self._parts.counters.set_gauge(
-            'orders_waiting', float(self._orders.waiting_count)
-        )
+
+    def _run_slice(self, parts: slices.Slices) -> bool:
+        """Decide for a bounded time; return whether the round goes on.
+
+        What was decided is stored and sent meanwhile.
+        """
+        until = clock.monotonic() + _MAX_SLICE_S
+        is_interrupted = False
+        for _ in parts:
+            if clock.monotonic() > until:
+                is_interrupted = True
+                break
+        self._has_decided.set()
         self._writer.wake()
-        self._advice_requester.ensure_running()
-        self._pollers.ensure_running()
+        return is_interrupted
+
+    def _set_gauges(self) -> None:
+        gauges: dict[str, float] = {
+            'idle_waits': self._board.idle_waits,
+            'unexpected_runs': self._board.count_unexpected_runs(),
+            'orders_waiting': self._orders.waiting_count,
+            **self._board.crashes.counts(),
+        }
+        for name, value in gauges.items():
+            self._parts.counters.set_gauge(name, float(value))
 
     def _note_permit(self, now: float) -> None:
         """Record until when starts are permitted; log a change."""
@@ -313,7 +353,7 @@
             self._new_rows.extend(changes.rows)
             self._parts.wake.set()
 
-    def _load_new_jobs(self, now: float) -> None:
+    async def _load_new_jobs(self, now: float) -> None:
         """Load the jobs and cancellations that were reported since then.
 
         A row may be reported twice; a job that was loaded once is on the
@@ -321,8 +361,11 @@
         """
         taken, self._new_rows = tuple(self._new_rows), []
         rows = graphrows.JobRows(self._settings.fleet.shard)
-        rows.apply(taken)
-        for job_id, stored in rows.stored_by_id.items():
+        async for row in waits.take_turns(taken):
+            rows.apply((row,))
+        async for job_id, stored in waits.take_turns(
+            rows.stored_by_id.items()
+        ):
             known = self._board.jobs_by_id.get(job_id)
             if known is not None:
                 if stored.is_cancelled:
@@ -398,21 +441,28 @@
 
     def _on_saved(self) -> None:
         self._pollers.notify_saved()
-        self._send_orders()
+        self._has_decided.set()
         self._parts.wake.set()
 
-    def _send_orders(self) -> None:
-        """Log the blackboard's decisions and send its orders."""
-        for record in self._board.take_decision_records():
-            _log.info(
-                record.event,
-                request=record.job_id,
-                epoch=self._board.epoch,
-                config=self._board.queue_configuration.version,
-                **record.values,
-            )
-        for order in self._board.take_orders():
-            self._orders.send(order)
+    async def _send_decided(self) -> None:
+        """Log the blackboard's decisions and send its orders, in turns."""
+        while True:
+            await self._has_decided.wait()
+            self._has_decided.clear()
+            records = self._board.take_decision_records()
+            async for record in waits.take_turns(records):
+                self._log_decision(record)
+            async for order in waits.take_turns(self._board.take_orders()):
+                self._orders.send(order)
+
+    def _log_decision(self, record: fleet.DecisionRecord) -> None:
+        _log.info(
+            record.event,
+            request=record.job_id,
+            epoch=self._board.epoch,
+            config=self._board.queue_configuration.version,
+            **record.values,
+        )
 
     def _find_permit(self, now: float) -> placeability.Permit:
         """Return until when starts are permitted, and what bounds that.
--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -117,10 +117,17 @@
                 self._stopping_runs.add(order.run)
                 self._tasks.spawn(self._stop(order))
             return
+        group = order.members[0].group
+        if (
+            group.phase is not livejobs.Phase.STARTING
+            or tuple(group.members) != order.members
+        ):
+            # The attempt has ended while the order waited for its turn.
+            return
         now = clock.monotonic()
         obstacle = self._find_obstacle(order.members, now)
         if obstacle:
-            self._cancel_start(order.members[0].group, obstacle, now)
+            self._cancel_start(group, obstacle, now)
             return
         for member in order.members:
             self._tasks.spawn(self._start(member))
--- a/primroselock/test/loadbuilders.py
+++ b/primroselock/test/loadbuilders.py
@@ -17,6 +17,7 @@
 
 from primroselock import clock
 from primroselock.decisions import fleetround
+from primroselock.decisions import slices
 from primroselock import jobgraph
 from primroselock.test import fleetbuilders
 from primroselock.test import idlebuilders
@@ -403,14 +404,14 @@
 ) -> abc.Iterator[list[float]]:
     """Let each round take ``round_s``; yield the times when rounds began."""
     began: list[float] = []
-    run_round = fleetround.run
+    begin_round = fleetround.begin
 
-    def run_slowly(*arguments: typing.Any) -> None:
+    def run_slowly(*arguments: typing.Any) -> slices.Slices:
         began.append(virtual.now)
-        run_round(*arguments)
+        yield from begin_round(*arguments)
         virtual.now += round_s
 
-    with mock.patch.object(fleetround, 'run', run_slowly):
+    with mock.patch.object(fleetround, 'begin', run_slowly):
         yield began
 
 
--- a/primroselock/test/testholderload.py
+++ b/primroselock/test/testholderload.py
@@ -22,6 +22,7 @@
 from primroselock.decisions import livejobs
 from primroselock.decisions import preferences
 from primroselock.decisions import runs
+from primroselock.decisions import slices
 from primroselock import jobgraph
 from primroselock.test import fleetbuilders
 from primroselock.test import idlebuilders
@@ -141,14 +142,14 @@
             await asyncio.sleep(5.0)
             rounds = 0
 
-            def count_round(*arguments: typing.Any) -> None:
+            def count_round(*arguments: typing.Any) -> slices.Slices:
                 nonlocal rounds
                 rounds += 1
-                run_round(*arguments)
+                yield from begin_round(*arguments)
 
-            run_round = fleetround.run
+            begin_round = fleetround.begin
             with (
-                mock.patch.object(fleetround, 'run', count_round),
+                mock.patch.object(fleetround, 'begin', count_round),
                 mock.patch.object(
                     fitting, '_place_single', wraps=fitting._place_single
                 ) as attempt,
--- a/tools/loopstalls.py
+++ b/tools/loopstalls.py
@@ -26,6 +26,7 @@
 from collections import abc
 import contextlib
 import dataclasses
+import gc
 import json
 import math
 import os
@@ -38,6 +39,7 @@
 import msgspec
 
 from primroselock.decisions import fleetround
+from primroselock.decisions import slices
 from primroselock import jobgraph
 from primroselock import logs
 from primroselock.test import fleetbuilders
@@ -52,17 +54,22 @@
 _SIMULATED: typing.Final = ('FakeFleet', 'Scenario')
 """Tasks of these classes are not the node's."""
 
+_OVER: typing.Final = object()
+
 
 @dataclasses.dataclass(slots=True)
 class Recording:
     """The times of the steps of a node's tasks and of its rounds, in ms.
 
-    ``worst`` names the task of the longest step.
+    ``worst`` names the task of the longest step.  ``collection_ms`` is the
+    longest garbage collection, which is part of some step.
     """
 
     longest_ms: float = 0.0
     longest_cpu_ms: float = 0.0
     worst: str = ''
+    collection_ms: float = 0.0
+    collection_began_s: float = 0.0
     rounds_ms: list[float] = dataclasses.field(default_factory=list)
     longest_by_task: dict[str, float] = dataclasses.field(default_factory=dict)
 
@@ -74,6 +81,16 @@
         if cpu_ms > self.longest_cpu_ms:
             self.longest_cpu_ms, self.worst = cpu_ms, task
 
+    def note_collection(
+        self, phase: str, information: dict[str, typing.Any]
+    ) -> None:
+        """Time a collection; to be called before and after it."""
+        if phase == 'start':
+            self.collection_began_s = time.thread_time()
+            return
+        took_ms = (time.thread_time() - self.collection_began_s) * 1000
+        self.collection_ms = max(self.collection_ms, took_ms)
+
 
 class WorkingClock(virtualtime.VirtualClock):
     """A virtual clock that also advances with the process's work."""
@@ -97,7 +114,7 @@
     """Time each step of the node's tasks, and each round."""
     recording = Recording()
     run_step = asyncio.events.Handle._run
-    run_round = fleetround.run
+    begin_round = fleetround.begin
 
     def time_step(handle: asyncio.Handle) -> None:
         task = getattr(handle._callback, '__self__', None)  # type: ignore
@@ -113,16 +130,26 @@
                 (time.thread_time() - cpu_s) * 1000,
             )
 
-    def time_round(*arguments: typing.Any) -> None:
-        cpu_s = time.thread_time()
-        run_round(*arguments)
-        recording.rounds_ms.append((time.thread_time() - cpu_s) * 1000)
+    def time_round(*arguments: typing.Any) -> slices.Slices:
+        parts, round_ms = begin_round(*arguments), 0.0
+        while True:
+            cpu_s = time.thread_time()
+            is_over = next(parts, _OVER) is _OVER
+            round_ms += (time.thread_time() - cpu_s) * 1000
+            if is_over:
+                recording.rounds_ms.append(round_ms)
+                return
+            yield
 
     with (
         mock.patch.object(asyncio.events.Handle, '_run', time_step),
-        mock.patch.object(fleetround, 'run', time_round),
+        mock.patch.object(fleetround, 'begin', time_round),
     ):
-        yield recording
+        gc.callbacks.append(recording.note_collection)
+        try:
+            yield recording
+        finally:
+            gc.callbacks.remove(recording.note_collection)
 
 
 class Scenario:
@@ -256,7 +283,8 @@
     """What was measured in one play; times are in milliseconds.
 
     ``wall_ms`` is the longest step by the real clock, ``longest_ms`` by
-    processor time, and ``round_ms`` the 99th part of the rounds.
+    processor time, ``round_ms`` the 99th part of the rounds, and
+    ``collection_ms`` the longest garbage collection.
     """
 
     case: str
@@ -264,6 +292,7 @@
     size: int
     longest_ms: float
     wall_ms: float
+    collection_ms: float
     round_ms: float
     rounds: int
     worst: str
@@ -290,6 +319,7 @@
         size,
         round(recording.longest_cpu_ms, 1),
         round(recording.longest_ms, 1),
+        round(recording.collection_ms, 1),
         round(_high_part(recording.rounds_ms), 1),
         len(recording.rounds_ms),
         recording.worst,
@@ -330,7 +360,8 @@
         line.append(figures)
         print(
             f'| {name} | {workers} | {size} | {figures.longest_ms} '
-            f'| {figures.wall_ms} | {figures.round_ms} | {figures.rounds} '
+            f'| {figures.wall_ms} | {figures.collection_ms} '
+            f'| {figures.round_ms} | {figures.rounds} '
             f'| {figures.worst} |',
             flush=True,
         )
@@ -366,9 +397,10 @@
             logs.configure('json')
         print(
             '| case | workers | size | longest step ms | by the clock ms '
-            '| 99 of 100 rounds ms | rounds | task of the longest step |'
+            '| longest collection ms | 99 of 100 rounds ms | rounds '
+            '| task of the longest step |'
         )
-        print('|---|---|---|---|---|---|---|---|')
+        print('|---|---|---|---|---|---|---|---|---|')
         figures = [
             one
             for name in arguments.cases
