Few orders are sent at once, as before; many in a task of their own

Cause: not traced.

Change: up to 200 orders and records are sent where they arise, as before the slices; only more than that are left to their own task.

--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -58,9 +58,10 @@
 _MAX_SLICE_S: typing.Final = 0.015
 """After this time a round lets others work; a decision may take longer."""
 
+_MAX_AT_ONCE: typing.Final = 200
 _TURNS_OF_OTHERS: typing.Final = 3
-"""Iterations of the event loop between two slices: the first one notices
-timers and answers, and the tasks that wait for them go on in later ones."""
+"""Iterations of the event loop between two slices: timers and answers are
+noticed in the first, and the tasks that wait for them go on in the next."""
 
 _NEVER: typing.Final = float('-inf')
 _MIN_PAUSE_S: typing.Final = 0.001
@@ -213,7 +214,7 @@
                 asyncio.create_task(loop)
                 for loop in (
                     self._decide(),
-                    self._send_decided(),
+                    self._send_in_turns(),
                     self._writer.run(),
                     self._submission_follower.run(),
                     self._worker_follower.run(),
@@ -269,10 +270,7 @@
             _log.warning('process paused', gap_s=round(late_s, 3))
 
     async def _decide_once(self, now: float) -> float:
-        """Run a round; return how many seconds it took of the processor.
-
-        What other tasks do in the middle of a round does not count.
-        """
+        """Run a round; return its seconds, without those of other tasks."""
         await self._load_new_jobs(now)
         if not self._lease.has_shard:
             return 0.0
@@ -300,10 +298,8 @@
     def _prepare(self, now: float) -> None:
         """Note what permits placements, before a round and after a pause."""
         self._note_permit(now)
-        self._board.published_bounds = self._lease.published_bounds
-        if runleases.covers_answering_worker(
-            self._board, self._board.published_bounds
-        ):
+        bounds = self._board.published_bounds = self._lease.published_bounds
+        if runleases.covers_answering_worker(self._board, bounds):
             self._parts.renewal_due.set()
 
     def _run_slice(self, parts: slices.Slices) -> bool:
@@ -312,23 +308,18 @@
         What was decided is stored and sent meanwhile.
         """
         until = clock.monotonic() + _MAX_SLICE_S
-        is_interrupted = False
-        for _ in parts:
-            if clock.monotonic() > until:
-                is_interrupted = True
-                break
-        self._has_decided.set()
+        is_over = all(clock.monotonic() <= until for _ in parts)
+        self._send_decided()
         self._writer.wake()
-        return is_interrupted
+        return not is_over
 
     def _set_gauges(self) -> None:
-        gauges: dict[str, float] = {
-            'idle_waits': self._board.idle_waits,
-            'unexpected_runs': self._board.count_unexpected_runs(),
-            'orders_waiting': self._orders.waiting_count,
-            **self._board.crashes.counts(),
-        }
-        for name, value in gauges.items():
+        for name, value in (
+            ('idle_waits', self._board.idle_waits),
+            ('unexpected_runs', self._board.count_unexpected_runs()),
+            ('orders_waiting', self._orders.waiting_count),
+            *self._board.crashes.counts().items(),
+        ):
             self._parts.counters.set_gauge(name, float(value))
 
     def _note_permit(self, now: float) -> None:
@@ -441,11 +432,21 @@
 
     def _on_saved(self) -> None:
         self._pollers.notify_saved()
-        self._has_decided.set()
+        self._send_decided()
         self._parts.wake.set()
 
-    async def _send_decided(self) -> None:
-        """Log the blackboard's decisions and send its orders, in turns."""
+    def _send_decided(self) -> None:
+        """Log decisions and send orders; leave many to their own task."""
+        board = self._board
+        if len(board.orders) + len(board.decision_records) > _MAX_AT_ONCE:
+            self._has_decided.set()
+            return
+        for record in board.take_decision_records():
+            self._log_decision(record)
+        for order in board.take_orders():
+            self._orders.send(order)
+
+    async def _send_in_turns(self) -> None:
         while True:
             await self._has_decided.wait()
             self._has_decided.clear()
