--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -337,6 +337,7 @@
         board.record_decision(
             'preempted',
             victim.job,
+            group=[victim.key.occurrence, victim.key.step, victim.key.index],
             attempt=victim.attempt,
             by=group.job.graph.id,
         )
--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -33,7 +33,8 @@
     instance.  Starts that are carried out late end with the process that
     holds them back, unless ``late_starts_outlive`` is set: then they reach
     the incarnation that runs by then.  They are late by ``late_s`` seconds,
-    drawn from this range.
+    drawn from this range; with ``has_late_stops`` stops are as well, else
+    those without an answer are lost.
 
     A run takes the expected time of its step, unless ``work_s_by_job`` gives
     another for its job.  A stopped run ends ``stop_delay_s`` after the order.
@@ -61,6 +62,7 @@
         self.stop_delay_s = 0.1
         self.late_starts_outlive = False
         self.late_s = (2.0, 6.0)
+        self.has_late_stops = False
         self.violations: list[str] = []
         self.starts = 0
         self.refused_starts = 0
@@ -364,18 +366,42 @@
             worker is None
             or self._random.random() < worker.delayed_order_share
         ):
+            if worker is not None and self.has_late_stops:
+                self.spawn(self._stop_late(worker, run, epoch))
             await asyncio.sleep(timeout_s)
             return result.Err(orders.Unanswered('no answer'))
         if await worker.is_left(address):
             return result.Err(orders.Refused(orders.Refusal.BOOT_MISMATCH))
-        if epoch < worker.epoch:
+        if not self._execute_stop(worker, run, epoch):
             return result.Err(orders.Refused(orders.Refusal.STALE_EPOCH))
+        return result.Ok(orders.Accepted(worker.read_clock()))
+
+    async def _stop_late(
+        self,
+        worker: simulatedworker.FakeWorker,
+        run: orders.Run,
+        epoch: int,
+    ) -> None:
+        boot = worker.boot
+        await asyncio.sleep(self._random.uniform(*self.late_s))
+        if worker.boot == boot and not worker.is_down:
+            self._execute_stop(worker, run, epoch)
+
+    def _execute_stop(
+        self,
+        worker: simulatedworker.FakeWorker,
+        run: orders.Run,
+        epoch: int,
+    ) -> bool:
+        """Stop a run; return whether the order is of no lower epoch."""
+        if epoch < worker.epoch:
+            return False
         worker.epoch = epoch
         known = worker.refused.get(run.task, 0)
         worker.refused[run.task] = max(known, run.attempt)
         if run in worker.runs:
             self.spawn(self._finish_stop(worker, run))
-        return result.Ok(orders.Accepted(worker.read_clock()))
+        return True
 
     async def _finish_stop(
         self, worker: simulatedworker.FakeWorker, run: orders.Run
@@ -407,6 +433,10 @@
             return result.Err(orders.Refused(orders.Refusal.STALE_EPOCH))
         worker.epoch = epoch
         boot = worker.boot
+        share = worker.unanswered_poll_share
+        if share and self._random.random() < share:
+            await asyncio.sleep(wait_s + timeout_s)
+            return result.Err(orders.Unanswered('no answer'))
         self._confirm(worker, confirmed_end)
         if lease_until is not None:
             worker.extend_lease(lease_until)
--- a/primroselock/test/simulatedworker.py
+++ b/primroselock/test/simulatedworker.py
@@ -36,7 +36,8 @@
 
     While ``is_partitioned`` it cannot be reached but continues its runs; while
     ``is_down`` its process has ended.  ``delayed_order_share`` is the share of
-    orders that get no answer; starts among these are executed later.  With
+    orders that get no answer; starts among these are executed later, and
+    ``unanswered_poll_share`` that of polls.  With
     ``is_stalled`` its runs make no progress and never end; with
     ``fails_all`` each run fails soon after its start.  The share
     ``refused_start_share`` of its starts is refused for ``refusal``.
@@ -57,6 +58,7 @@
     is_partitioned: bool = False
     is_down: bool = False
     delayed_order_share: float = 0.0
+    unanswered_poll_share: float = 0.0
     refused_start_share: float = 0.0
     refusal: orders.Refusal = orders.Refusal.UNHEALTHY
     fails_all: bool = False
