--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -224,10 +224,8 @@
         ]
         try:
             await asyncio.wait(loops, return_when=asyncio.FIRST_COMPLETED)
-            for task in loops:
-                error = (
-                    backgroundtasks.find_failure(task) if task.done() else None
-                )
+            for task in filter(asyncio.Task.done, loops):
+                error = backgroundtasks.find_failure(task)
                 if error is not None:
                     _log.error(
                         'loop failed; dropping the shard lease', exc_info=error
