Review: script of a job whose progress outgrows a store call

A job of 5,000 tasks loses its zone's power three times; its progress then needs a call of more than 1 MB, the store refuses it, and nothing of the job runs any more.

--- a/review/harness2.py
+++ b/review/harness2.py
@@ -26,13 +26,16 @@
 HOST: typing.Final = 'quotes.example'
 KEY: typing.Final = 'key-of-tenant-a'
 SERVICE: typing.Final = 'order-hub'
+ZONES: typing.Final = ('ga-east-a', 'ga-east-b', 'ga-east-c')
 HELD: typing.Final = 0
 BROKEN: typing.Final = 1
 NOT_RUN: typing.Final = 2
 HEARTBEAT_S: typing.Final = 1.5
 _TX_S: typing.Final = 0.004
 _MAX_LEASE_MS: typing.Final = 10_000
+_MAX_PAGE_BYTES: typing.Final = 1_000_000
 _STOP_S: typing.Final = 0.2
+_COUNT_S: typing.Final = 0.5
 
 Body = dict[str, typing.Any]
 
@@ -142,6 +145,8 @@
         self.record = record
         self.writes = 0
         self.version = 0
+        self.max_call_bytes = 1_048_576
+        self.refused_calls = 0
         self._rows: dict[str, dict[str, Body]] = {}
         self._changes: dict[str, list[Body]] = {}
         self._changed = asyncio.Condition()
@@ -185,6 +190,9 @@
         query = dict(urllib.parse.parse_qsl(text))
         await asyncio.sleep(_TX_S)
         if path == '/rows-tx':
+            if len(request.body) > self.max_call_bytes:
+                self.refused_calls += 1
+                return 413, {}
             return await self.transact(json.loads(request.body))
         if path == '/rows-get':
             return self._get(query)
@@ -224,9 +232,14 @@
         keys = sorted(
             key for key in rows if key >= start and (not end or key < end)
         )
-        page = [rows[key] for key in keys[:limit]]
+        page, size = [], 0
+        for key in keys[:limit]:
+            size += len(rows[key]['value']) + 300
+            if page and size > _MAX_PAGE_BYTES:
+                break
+            page.append(rows[key])
         return self._answer(
-            200, {'rows': page, 'more_pages': len(keys) > limit}
+            200, {'rows': page, 'more_pages': len(keys) > len(page)}
         )
 
     async def _feed(self, query: dict[str, str]) -> tuple[int, Body]:
@@ -294,6 +307,8 @@
         self.ended: float | None = None
         self.how = ''
         self.stop_at: float | None = None
+        self.noted: float | None = None
+        self.was_lapsed = False
 
     @property
     def percent(self) -> int:
@@ -312,6 +327,8 @@
         self.record = record
         self.workers: dict[str, Worker] = {}
         self.runs: list[Run] = []
+        self.is_brief = False
+        self._counts: dict[str, int] = {}
         self.work_s_by_job: dict[str, float] = {}
 
     async def add(self, worker_id: str, kind: str, zone: str) -> 'Worker':
@@ -321,13 +338,31 @@
         await worker.boot()
         return worker
 
+    def note(self, worker: 'Worker', what: str, detail: str) -> None:
+        """Record what happens to a run; only counts if it is brief."""
+        if not self.is_brief:
+            self.record.add(f'{worker.id} {what} {detail}')
+            return
+        text = f'{worker.id} {what}'
+        self._counts[text] = self._counts.get(text, 0) + 1
+
+    def flush(self) -> None:
+        """Record the counts since the last time."""
+        for text, count in self._counts.items():
+            self.record.add(f'{text}: {count} runs')
+        self._counts.clear()
+
     def runs_of(self, job: str) -> list[Run]:
         """Return all runs of a job's tasks."""
         return [run for run in self.runs if run.task.startswith(job + '.')]
 
     async def tick(self) -> None:
         """End runs that are done, stopped or without a lease."""
+        flushed = 0.0
         while True:
+            if time.monotonic() - flushed >= _COUNT_S:
+                flushed = time.monotonic()
+                self.flush()
             for worker in self.workers.values():
                 worker.end_due()
             await asyncio.sleep(0.01)
@@ -357,7 +392,7 @@
         self.born_ms = 0
         self.token = 0
         self.running: dict[str, Run] = {}
-        self.ended: list[list[typing.Any]] = []
+        self.ended: list[tuple[int, Run, str]] = []
         self.lease_until = 0.0
         self._barred: dict[str, int] = {}
         self._count = 0
@@ -390,10 +425,11 @@
         now = time.monotonic()
         for run in self.running.values():
             run.ended, run.how = now, 'crashed'
-            self._fleet.record.add(
-                f'{self.id} crashes under {run.task} run {run.number}'
+            self._fleet.note(
+                self, 'crashes under', f'{run.task} run {run.number}'
             )
         self.running.clear()
+        self._fleet.flush()
         self._fleet.record.add(f'{self.id} is down')
         self._removing = asyncio.create_task(self._remove_entry())
 
@@ -451,6 +487,10 @@
         return status, {'clock_ms': self.clock_ms(), **body}
 
     def _extend(self, until_ms: int) -> None:
+        if time.monotonic() >= self.lease_until:
+            # The lease has lapsed: what ended before is not taken note of.
+            for _, run, _ in self.ended:
+                run.was_lapsed = True
         left_s = min(until_ms - self.clock_ms(), _MAX_LEASE_MS) / 1000
         self.lease_until = max(self.lease_until, time.monotonic() + left_s)
 
@@ -468,8 +508,8 @@
         run = Run(self, body, self._fleet.work_s_by_job.get(job, 1.0))
         self.running[task] = run
         self._fleet.runs.append(run)
-        self._fleet.record.add(
-            f'{self.id} begins {task} run {number}, token {self.token}'
+        self._fleet.note(
+            self, 'begins', f'{task} run {number}, token {self.token}'
         )
         return self._answer(200, {})
 
@@ -479,11 +519,22 @@
         present = self.running.get(task)
         if present is not None and present.number <= number:
             present.stop_at = time.monotonic() + _STOP_S
-        self._fleet.record.add(f'{self.id} is told to stop {task} {number}')
+        self._fleet.note(self, 'is told to stop', f'{task} run {number}')
         return self._answer(200, {})
 
+    def _forget(self, last_seen: int) -> None:
+        now = time.monotonic()
+        kept = []
+        for number, run, how in self.ended:
+            if number > last_seen:
+                kept.append((number, run, how))
+                continue
+            run.noted = now
+            run.was_lapsed = run.was_lapsed or now >= self.lease_until
+        self.ended = kept
+
     async def _hold(self, body: Body) -> tuple[int, Body]:
-        self.ended = [e for e in self.ended if e[0] > body['last_seen']]
+        self._forget(body['last_seen'])
         if 'until_ms' in body:
             self._extend(body['until_ms'])
         if body.get('wait_ms') and not self.ended:
@@ -502,7 +553,10 @@
             200,
             {
                 'running': running,
-                'ended': self.ended[:500],
+                'ended': [
+                    [number, run.task, run.number, how, '']
+                    for number, run, how in self.ended[:500]
+                ],
                 'born': self.born_ms,
             },
         )
@@ -525,10 +579,10 @@
             self._barred.get(run.task, 0), run.number
         )
         self._count += 1
-        self.ended.append([self._count, run.task, run.number, how, ''])
+        self.ended.append((self._count, run, how))
         self._changed.set()
-        self._fleet.record.add(
-            f'{self.id} ends {run.task} run {run.number}: {how}'
+        self._fleet.note(
+            self, f'ends {how}', f'{run.task} run {run.number}'
         )
 
 
@@ -726,11 +780,14 @@
         kinds: abc.Sequence[str],
         nodes: int = 3,
         queues: abc.Sequence[Queue] = (QUEUE,),
+        zones: abc.Sequence[str] = ZONES,
     ) -> None:
-        """Start everything and wait until all nodes are ready."""
+        """Start everything and wait until all nodes are ready.
+
+        ``kinds`` are those of the workers, which stand in ``zones`` by turns.
+        """
         if not (ROOT / 'target' / 'deps' / 'msgspec').exists():
             raise NotRun('target/deps is missing: run the deploy build')
-        zones = ('ga-east-a', 'ga-east-b', 'ga-east-c')
         config = {
             'version': 3,
             'routes': [
@@ -760,10 +817,10 @@
         await self.store.put('op', 'config', config)
         for number, kind in enumerate(kinds):
             zone = zones[number % len(zones)]
-            await self.fleet.add(f'i-{number:02d}', kind, zone)
+            await self.fleet.add(f'i-94e29849{number:02d}', kind, zone)
         self._ticking = asyncio.create_task(self.fleet.tick())
         for number in range(nodes):
-            zone = zones[number % len(zones)]
+            zone = ZONES[number % len(ZONES)]
             node = Node(
                 f'front-{zone}-{number}', zone, self.store, self._scratch
             )
