--- a/review/harness2.py
+++ b/review/harness2.py
@@ -23,6 +23,10 @@
 import urllib.parse
 
 ROOT: typing.Final = pathlib.Path(__file__).resolve().parent.parent
+_PID: typing.Final = os.getpid()
+IP: typing.Final = f'127.{64 + (_PID >> 8 & 63)}.{_PID & 255}.1'
+"""A loopback address of this case's own, so that its ports stay free."""
+
 HOST: typing.Final = 'quotes.example'
 KEY: typing.Final = 'key-of-tenant-a'
 SERVICE: typing.Final = 'order-hub'
@@ -383,7 +387,7 @@
         self.id = worker_id
         self._labels = [kind, f'r-{zone}']
         self._zone = zone
-        self.address = free_address('127.0.0.1')
+        self.address = free_address(IP)
         self._server = Server(self._handle, self.address)
         self._beating: asyncio.Task[None] | None = None
         self._removing: asyncio.Task[None] | None = None
@@ -609,13 +613,13 @@
         self.name = name
         self.gate = Gate()
         self._store = store
-        self._store_address = free_address('127.0.0.1')
+        self._store_address = free_address(IP)
         self._server = Server(
             store.handler_for(self.gate), self._store_address
         )
-        self.front = free_address('127.0.0.1')
-        self._ready = free_address('127.0.0.1')
-        self._inner = free_address('127.0.0.1')[1]
+        self.front = free_address(IP)
+        self._ready = free_address(IP)
+        self._inner = free_address(IP)[1]
         self._settings = folder / f'{name}.conf'
         self._log = folder / f'{name}.log'
         self._zone = zone
@@ -653,7 +657,7 @@
             'role=node',
             'machine_class=front',
             'serves=front',
-            'ip=127.0.0.1',
+            f'ip={IP}',
             f'zone={self._zone}',
             'region=ga-east',
             f'listen.front={front[0]}:{front[1]}',
