--- a/review/harness2.py
+++ b/review/harness2.py
@@ -85,6 +85,8 @@
         self._handler = handler
         self._address = address
         self._server: asyncio.Server | None = None
+        self._healed = asyncio.Event()
+        self._healed.set()
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
@@ -100,6 +102,21 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def cut(self) -> None:
+        """Pass nothing on any more, in either direction and silently."""
+        self._healed.clear()
+
+    def heal(self) -> None:
+        """Let new channels pass; those of during the cut are broken."""
+        self._healed.set()
+
+    async def _is_lost(self) -> bool:
+        """Return whether there is a cut, once it has ended."""
+        if self._healed.is_set():
+            return False
+        await self._healed.wait()
+        return True
+
     async def _converse(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -107,7 +124,11 @@
         try:
             while True:
                 request = await _read_request(reader)
-                answer = await self._handler(request)
+                answer = None
+                if not await self._is_lost():
+                    answer = await self._handler(request)
+                    if await self._is_lost():
+                        answer = None
                 if answer is None or writer.transport.is_closing():
                     writer.transport.abort()
                     return
@@ -236,7 +257,8 @@
         keys = sorted(
             key for key in rows if key >= start and (not end or key < end)
         )
-        page, size = [], 0
+        page: list[Body] = []
+        size = 0
         for key in keys[:limit]:
             size += len(rows[key]['value']) + 300
             if page and size > _MAX_PAGE_BYTES:
@@ -420,14 +442,17 @@
         self._state, self._remaining_ms = 'ready', None
         if self._removing is not None:
             self._removing.cancel()
+        self._begin_life()
+        await self._server.start()
+        self.is_up = True
+        self._beating = asyncio.create_task(self._beat(first_beat_s))
+
+    def _begin_life(self) -> None:
         self._booted = time.monotonic()
         self.born_ms = max(int(time.time() * 1000), self.born_ms + 1)
         self.token = self._count = 0
         self.running, self.ended, self._barred = {}, [], {}
         self.lease_until = 0.0
-        await self._server.start()
-        self.is_up = True
-        self._beating = asyncio.create_task(self._beat(first_beat_s))
         self.fleet.record.add(f'{self.id} starts, born {self.born_ms}')
 
     async def crash(self, what: str = 'crashes under') -> None:
@@ -456,6 +481,30 @@
                 task.cancel()
         await self._server.crash()
 
+    def cut(self) -> None:
+        """Be partitioned from the system's machines, and run on."""
+        self._server.cut()
+        self.fleet.record.add(f'{self.id} is cut off')
+
+    def heal(self) -> None:
+        """End the partition."""
+        self._server.heal()
+        self.fleet.record.add(f'{self.id} is reached again')
+
+    async def restart_behind_cut(self) -> None:
+        """Crash and start again, both unseen by the system's machines."""
+        for run in self.running.values():
+            run.ended, run.how = time.monotonic(), 'crashed'
+            self.fleet.note(
+                self, 'crashes under', f'{run.task} run {run.number}'
+            )
+        if not self.running:
+            self.fleet.record.add(f'{self.id} crashes; nothing runs there')
+        if self._beating is not None:
+            self._beating.cancel()
+        self._begin_life()
+        await self._put_entry(1)
+
     async def drain(self, remaining_ms: int) -> None:
         """Say that it drains, and go on for the time that it says."""
         self._state, self._remaining_ms = 'draining', remaining_ms
