--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -15,8 +15,6 @@
 import dataclasses
 import typing
 
-import result
-
 from primroselock import advicerequests
 from primroselock import backgroundtasks
 from primroselock import boardrows
@@ -36,6 +34,7 @@
 from primroselock import metrics
 from primroselock import options
 from primroselock import queues
+from primroselock import rowsweeper
 from primroselock import runorders
 from primroselock import shards
 from primroselock.store import keys
@@ -67,11 +66,6 @@
 _MIN_PAUSE_S: typing.Final = 0.001
 _MAX_PAUSE_S: typing.Final = 0.5
 _LATE_GRACE_S: typing.Final = 1.0
-_MAX_SWEEP_INTERVAL_S: typing.Final = 20.0
-_DELETION_PAUSE_S: typing.Final = 0.5
-_MAX_DELETED_JOBS: typing.Final = 30
-"""A transaction of the platform has at most 100 entries, three for a job."""
-
 _PAUSE_THRESHOLD_S: typing.Final = 0.8
 """A round that starts this late shows that the process was paused."""
 
@@ -218,7 +212,13 @@
                     self._writer.run(),
                     self._submission_follower.run(),
                     self._worker_follower.run(),
-                    self._delete_old_rows(),
+                    rowsweeper.run(
+                        self._settings,
+                        self._lease,
+                        self._parts.store,
+                        self._board,
+                        self._loaded_job_ids,
+                    ),
                 )
             ),
         ]
@@ -383,52 +383,6 @@
                 counts[queue] = counts.get(queue, 0) + 1
         return counts
 
-    async def _delete_old_rows(self) -> None:
-        """Periodically delete the rows of jobs that ended long ago."""
-        keep_s = self._settings.fleet.keep_ended_s
-        ended_ms_by_id = self._board.ended_ms_by_id
-        pause_s = sweep_s = min(keep_s, _MAX_SWEEP_INTERVAL_S)
-        while self._lease.has_shard:
-            await asyncio.sleep(pause_s)
-            pause_s = sweep_s
-            ended_before_ms = (clock.wall() - keep_s) * 1000
-            old_ids = [
-                job_id
-                for job_id, ended_ms in ended_ms_by_id.items()
-                if ended_ms < ended_before_ms
-            ][:_MAX_DELETED_JOBS]
-            if old_ids and await self._delete_jobs(old_ids):
-                for job_id in old_ids:
-                    del ended_ms_by_id[job_id]
-                self._loaded_job_ids.difference_update(old_ids)
-                if len(old_ids) == _MAX_DELETED_JOBS:
-                    # There may be more of them.
-                    pause_s = _DELETION_PAUSE_S
-
-    async def _delete_jobs(self, job_ids: list[str]) -> bool:
-        """Delete the rows of jobs; return whether they are deleted."""
-        shard = self._lease.shard
-        epoch_row = table.Condition(
-            keys.shard_epoch(shard), self._lease.epoch_row_version
-        )
-        row_keys = [keys.graph, keys.progress, keys.cancellation]
-        deleted = [
-            row_key(shard, job_id)
-            for job_id in job_ids
-            for row_key in row_keys
-        ]
-        outcome = await self._parts.store.transact(
-            table.Transaction((epoch_row,), (), tuple(deleted))
-        )
-        if isinstance(outcome, result.Err):
-            # The rows still exist; the next sweep deletes them.
-            _log.warning(
-                'rows of ended jobs not deleted', why=str(outcome.err_value)
-            )
-            return False
-        _log.info('rows of ended jobs deleted', jobs=len(job_ids))
-        return True
-
     def _on_saved(self) -> None:
         self._pollers.notify_saved()
         self._send_decided()
