A worker that has left as planned is no crash, whoever sees it when (LOST)

That a leave was planned was known from one entry and asked for in four places, each in its own way; no successor knew it at all.

Change: drainlog keeps each drain by its boot and says how a boot ended; all that counts crashes or losses asks it. The row of the lease carries the drains under work, with the version up to which the entries were read; a successor reads the changes since then. A drain that is read late takes the crash back. Where one may have gone unseen, the crash has another cause. So that no crash hides behind a drain (BUDGET), a worker that is back too early has crashed, and one that was not seen to go on for as long as it said may have. Drained workers are no wide loss any more.

Why it works: the ending of a boot follows from what was ever read of that boot, not from the latest entry or the order of events.

--- a/primroselock/boardrows.py
+++ b/primroselock/boardrows.py
@@ -112,3 +112,16 @@
             board.record_entry(entry, now)
         else:
             board.record_unlisted(reader.parse_worker_id(row.key))
+
+
+def note_earlier_entry(
+    board: fleet.ShardBoard,
+    reader: WorkerRowReader,
+    row: table.Row,
+    now: float,
+) -> None:
+    """Note whether a worker drained, from a row that may be outdated."""
+    with rowguard.leave_out(_log, row.key):
+        entry = reader.read_entry(row)
+        if entry is not None:
+            board.drains.note(entry, now)
--- a/primroselock/decisions/crashes.py
+++ b/primroselock/decisions/crashes.py
@@ -2,7 +2,8 @@
 
 Evidence of a crash is only that another incarnation answers: a run report
 of a later boot, or a refusal for the worker's id at its address.  Silence,
-expired leases and late calls are none.  Each task whose start was sent to
+expired leases and late calls are none, and a worker that has left as planned
+has not crashed (see ``drainlog``).  Each task whose start was sent to
 the incarnation that is gone counts once an attempt, and is stored with the
 progress of its group, so that neither a takeover nor a second report changes
 the count.  :mod:`primroselock.decisions.crashevidence` tells what the crashes
@@ -18,6 +19,7 @@
 
 from primroselock.decisions import crashevidence
 from primroselock.decisions import crashlog
+from primroselock.decisions import drainlog
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import livejobs
@@ -48,21 +50,91 @@
     if not report.boot or not report.is_complete:
         return []
     settled = lostruns.take(board, worker.id)
-    planned_boot = board.crashes.planned_boot_by_id.get(worker.id)
     listed = {running.run for running in report.running}
     listed.update(ended.run for ended in report.ended)
     unlisted = [m for run, m in worker.members.items() if run not in listed]
-    sent = lostruns.list_sent(worker, unlisted, now)
+    sent = _list_before(lostruns.list_sent(worker, unlisted, now), report.boot)
     crashed = [
-        run
-        for run in settled + sent
-        if 0 < run.boot < report.boot and run.boot != planned_boot
+        *_list_crashed(
+            board,
+            worker.id,
+            _list_before(settled, report.boot),
+            report.boot,
+            now,
+            now,
+        ),
+        *_list_crashed(
+            board, worker.id, sent, report.boot, worker.boot_seen_at, now
+        ),
     ]
-    is_crash = 0 < worker.boot < report.boot and worker.boot != planned_boot
-    if crashed or is_crash:
+    if crashed or _is_lost(board, worker, report.boot, now):
         loss = _build_loss(worker, report.boot, now)
         _record_loss(board, loss, crashed, now)
-    return [run.group for run in crashed if run in sent]
+    return [run.group for run in sent]
+
+
+def _list_before(
+    runs: abc.Iterable[crashlog.SentRun], boot: int
+) -> list[crashlog.SentRun]:
+    """Return the runs that were sent to a known boot before another."""
+    return [run for run in runs if 0 < run.boot < boot]
+
+
+def _is_lost(
+    board: fleet.ShardBoard,
+    worker: fleetworkers.Worker,
+    next_boot: int,
+    now: float,
+) -> bool:
+    """Return whether the boot that was polled has ended, and not as planned.
+
+    Nothing need have run there.
+    """
+    if not 0 < worker.boot < next_boot:
+        return False
+    ending = board.drains.find_ending(
+        worker.id, worker.boot, next_boot, worker.boot_seen_at, now
+    )
+    return ending is not drainlog.Ending.PLANNED
+
+
+def _list_crashed(
+    board: fleet.ShardBoard,
+    worker_id: str,
+    runs: abc.Sequence[crashlog.SentRun],
+    next_boot: int,
+    seen_at: float,
+    now: float,
+) -> list[crashlog.SentRun]:
+    """Return the runs under which a boot of a worker was lost.
+
+    It is known to have run at ``seen_at``.  ``next_boot`` is 0 if the boot
+    that came after is not known.
+    """
+    crashed = []
+    planned = []
+    for run in runs:
+        ending = board.drains.find_ending(
+            worker_id, run.boot, next_boot, seen_at, now
+        )
+        if ending is drainlog.Ending.PLANNED:
+            planned.append(run)
+        else:
+            may_have_left = ending is drainlog.Ending.UNKNOWN
+            crashed.append(
+                dataclasses.replace(run, may_have_left=may_have_left)
+            )
+    for group in dict.fromkeys(run.group for run in planned):
+        board.record_decision(
+            'worker left as planned under a task',
+            group.job,
+            group=group.key.as_list(),
+            attempt=group.attempt,
+            worker=worker_id,
+            boot=next_boot,
+        )
+    board.crashes.planned_leaves += len(planned)
+    return crashed
 
 
 def record_replaced(
@@ -71,14 +143,13 @@
     members: abc.Sequence[livejobs.Member],
     now: float,
 ) -> None:
-    """Record that another worker answers where ``members`` were to run.
-
-    A worker that was draining has left as planned.
-    """
+    """Record that another worker answers where ``members`` were to run."""
     settled = lostruns.take(board, worker.id)
-    if worker.entry.is_draining:
-        return
-    crashed = settled + lostruns.list_sent(worker, members, now)
+    sent = lostruns.list_sent(worker, members, now)
+    crashed = [
+        *_list_crashed(board, worker.id, settled, 0, now, now),
+        *_list_crashed(board, worker.id, sent, 0, worker.boot_seen_at, now),
+    ]
     if crashed:
         _record_loss(board, _build_loss(worker, 0, now), crashed, now)
 
@@ -88,11 +159,14 @@
 ) -> None:
     """Note the runs of a silent worker that are about to be settled.
 
-    If it is back later as another incarnation, they had crashed with it; one
-    that was draining has left as planned.
+    If it is back later as another incarnation, they had crashed with it,
+    unless it has left as planned.
     """
-    if not worker.entry.is_draining:
-        lostruns.note(board, worker, now)
+    seen_at = worker.boot_seen_at
+    sent = lostruns.list_sent(worker, worker.members.values(), now)
+    lost = _list_crashed(board, worker.id, sent, 0, seen_at, now)
+    lostruns.note(board, worker, lost, now)
+    board.drains.note_silence(worker.id, worker.latest_boot, seen_at)
 
 
 def restore(
@@ -119,13 +193,85 @@
     An idle worker is not polled: only its entry tells that it was lost.
     """
     worker = board.workers_by_id.get(entry.id)
-    if worker is not None and 0 < worker.entry.boot < entry.boot:
-        if worker.entry.is_draining:
-            board.crashes.planned_boot_by_id[worker.id] = worker.entry.boot
-        elif not worker.members:
+    if (
+        worker is not None
+        and not worker.members
+        and 0 < worker.entry.boot < entry.boot
+    ):
+        ending = board.drains.find_ending(
+            worker.id, worker.entry.boot, entry.boot, now, now
+        )
+        if ending is not drainlog.Ending.PLANNED:
             loss = _build_loss(worker, entry.boot, now)
             _record_loss(board, loss, (), now)
     _record_lost(board, entry, now)
+    if entry.is_draining and not board.drains.has_drained(
+        entry.id, entry.boot
+    ):
+        _retract_crashes(board, entry)
+
+
+def _retract_crashes(
+    board: fleet.ShardBoard, entry: fleetworkers.WorkerEntry
+) -> None:
+    """Forget what was recorded of a boot that turns out to have drained.
+
+    Its entry is read late: the next boot has answered before.
+    """
+    board.crashes.drop_losses(entry.id, entry.boot)
+    place = jobgraph.Place(entry.id, entry.boot)
+    for group in list(board.crashes.possible_causes):
+        kept = tuple(crash for crash in group.crashes if crash.place != place)
+        if len(kept) == len(group.crashes):
+            continue
+        group.crashes = kept
+        if not kept:
+            board.crashes.drop_possible_cause(group)
+        board.record_decision(
+            'crash under a task retracted: its worker had left as planned',
+            group.job,
+            group=group.key.as_list(),
+            worker=entry.id,
+            was=entry.boot,
+        )
+        board.mark_changed(group.job)
+
+
+def note_gap(board: fleet.ShardBoard) -> None:
+    """Note that the entries were listed, and changes before were missed.
+
+    Boots that the listing names no more may have drained unseen.
+    """
+    for worker in board.workers_by_id.values():
+        boot = (
+            worker.entry.boot - 1 if worker.is_listed else worker.latest_boot
+        )
+        board.drains.note_gap(worker.id, boot)
+    for lost in board.crashes.lost_by_worker_id.values():
+        if lost.id not in board.workers_by_id:
+            board.drains.note_gap(lost.id, lost.latest_boot)
+
+
+def report_drains(
+    board: fleet.ShardBoard, version: int | None
+) -> drainlog.DrainReport:
+    """Return the drains to publish: those that may end attempts.
+
+    The workers' entries were read up to ``version``.
+    """
+    worker_ids = [
+        worker_id
+        for worker_id in board.drains.drains_by_worker_id
+        if _has_work(board, worker_id)
+    ]
+    return board.drains.report(worker_ids, version)
+
+
+def _has_work(board: fleet.ShardBoard, worker_id: str) -> bool:
+    """Return whether how a worker ends may matter to any work."""
+    worker = board.workers_by_id.get(worker_id)
+    has_members = worker is not None and bool(worker.members)
+    return has_members or worker_id in board.crashes.lost_by_worker_id
 
 
 def _record_lost(
@@ -143,12 +289,9 @@
         lost = log.lost_by_worker_id.get(lost_id or '')
         if lost is None or not lost.is_before(entry.boot):
             continue
-        planned_boot = log.planned_boot_by_id.get(lost.id)
-        crashed = [
-            run
-            for run in lostruns.take(board, lost.id)
-            if run.boot != planned_boot
-        ]
+        next_boot = entry.boot if lost.id == entry.id else 0
+        runs = lostruns.take(board, lost.id)
+        crashed = _list_crashed(board, lost.id, runs, next_boot, now, now)
         if crashed:
             loss = crashlog.Loss(
                 lost.id, entry.zone, entry.rack, now, frozenset(), entry.boot
@@ -209,6 +352,7 @@
         was=first.boot,
         boot=loss.next_boot,
         evidence=evidence.value,
+        may_have_left=first.may_have_left,
         crashes=len(group.crashes),
     )
     if group.step.long_running and first.had_run_long:
@@ -229,10 +373,14 @@
     worker: fleetworkers.Worker, next_boot: int, now: float
 ) -> crashlog.Loss:
     """Return the loss of a worker, before what it ran is known."""
-    lost_at = worker.unresponsive_since if worker.failures_in_row else now
     entry = worker.entry
     return crashlog.Loss(
-        worker.id, entry.zone, entry.rack, lost_at, frozenset(), next_boot
+        worker.id,
+        entry.zone,
+        entry.rack,
+        worker.missed_at(now),
+        frozenset(),
+        next_boot,
     )
 
 
@@ -288,6 +436,7 @@
     Those with the most crashes go first: they may be the cause of others'.
     """
     lostruns.forget_old(board, now)
+    board.drains.forget_old(now, lambda id_: _is_drain_needed(board, id_))
     proved = []
     for group in list(board.crashes.possible_causes):
         if group.job.state.is_final or group.phase in (
@@ -312,6 +461,13 @@
             _fail(board, group, wall_ms)
 
 
+def _is_drain_needed(board: fleet.ShardBoard, worker_id: str) -> bool:
+    """Return whether a drain of a worker may still tell how it ends."""
+    worker = board.workers_by_id.get(worker_id)
+    is_draining = worker is not None and worker.entry.is_draining
+    return is_draining or _has_work(board, worker_id)
+
+
 def _clear_if_sound(board: fleet.ShardBoard, group: livejobs.Group) -> None:
     """Forget the crashes under long-running work that has run for long."""
     if not group.step.long_running:
--- a/primroselock/decisions/crashevidence.py
+++ b/primroselock/decisions/crashevidence.py
@@ -6,7 +6,8 @@
 
 - OUTSIDE: other workers were lost at about the same time, as many that ran
   nothing as had work of this job, or half of the zone or rack: a loss of
-  power, not the work.  Or the attempt had run for long before.
+  power, not the work.  Or the attempt had run for long before, or the worker
+  may have left as planned.
 - SHARED: another job's work was on that worker, or workers that had no work
   of this job were lost lately, or only an earlier holder saw it lost.
 - CLEAR: neither.
@@ -25,6 +26,7 @@
 
 from primroselock.decisions import crashlog
 from primroselock.decisions import fleet
+from primroselock.decisions import fleetworkers
 from primroselock.decisions import livejobs
 from primroselock import jobgraph
 
@@ -123,7 +125,8 @@
     board: fleet.ShardBoard, loss: crashlog.Loss, run: crashlog.SentRun
 ) -> jobgraph.CrashEvidence:
     """Return how far a loss is attributed to a run that was on the worker."""
-    if run.had_run_long or is_wide(board, run.group, loss):
+    is_excused = run.had_run_long or run.may_have_left
+    if is_excused or is_wide(board, run.group, loss):
         return jobgraph.CrashEvidence.OUTSIDE
     own_id = run.group.job.graph.id
     crashes_elsewhere = any(
@@ -176,7 +179,10 @@
 
 
 def _list_silent(board: fleet.ShardBoard) -> list[crashlog.Loss]:
-    """Return the workers that do not answer now, as if they were lost."""
+    """Return the workers that do not answer now, as if they were lost.
+
+    Those that have left as planned are none of them.
+    """
     return [
         crashlog.Loss(
             worker.id,
@@ -186,5 +192,14 @@
             frozenset(m.group.job.graph.id for m in worker.members.values()),
         )
         for worker in board.workers_by_id.values()
-        if worker.failures_in_row and worker.is_listed
+        if worker.failures_in_row
+        and worker.is_listed
+        and not _may_have_left(board, worker)
     ]
+
+
+def _may_have_left(
+    board: fleet.ShardBoard, worker: fleetworkers.Worker
+) -> bool:
+    """Return whether a worker that does not answer may have drained."""
+    return board.drains.has_drained(worker.id, worker.latest_boot)
--- a/primroselock/decisions/crashlog.py
+++ b/primroselock/decisions/crashlog.py
@@ -13,7 +13,7 @@
 _KEPT_S: typing.Final = 60.0
 """For so long losses, and workers whose leases have expired, are kept."""
 
-GAUGES: typing.Final = ('crashing_jobs', 'worker_crashes')
+GAUGES: typing.Final = ('crashing_jobs', 'planned_leaves', 'worker_crashes')
 """Names of the counts of :class:`CrashLog`, as metrics."""
 
 
@@ -38,7 +38,8 @@
     """A task whose start was sent to the incarnation ``boot``.
 
     ``had_run_long`` is as of when its worker was first missed.
-    ``is_inherited`` is set if that was seen by an earlier holder only.
+    ``is_inherited`` is set if that was seen by an earlier holder only, and
+    ``may_have_left`` if that boot may have left as planned.
     """
 
     group: livejobs.Group
@@ -47,6 +48,7 @@
     boot: int
     had_run_long: bool
     is_inherited: bool = False
+    may_have_left: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,12 +68,20 @@
 
     def is_before(self, boot: int) -> bool:
         """Return whether all that it ran was sent to an earlier boot."""
-        return all(
-            0 < lost.place.boot < boot
+        return all(0 < lost_boot < boot for lost_boot in self._list_boots())
+
+    @property
+    def latest_boot(self) -> int:
+        """Return the latest boot that it ran anything on; 0 for none."""
+        return max(self._list_boots(), default=0)
+
+    def _list_boots(self) -> list[int]:
+        return [
+            lost.place.boot
             for group in self.groups
             for lost in group.lost_runs
             if lost.place.worker_id == self.id
-        )
+        ]
 
 
 @dataclasses.dataclass(slots=True)
@@ -80,9 +90,9 @@
 
     ``lost_by_worker_id`` are the workers that were silent until their leases
     had expired, ``lost_ids_by_address`` their ids.
-    ``planned_boot_by_id`` is by worker the incarnation that
-    was draining when it ended.  ``crashes`` and ``given_up`` count the
-    crashes that were recorded and the jobs that were given up.
+    ``crashes`` and ``given_up`` count the crashes that were recorded and the
+    jobs that were given up, ``planned_leaves`` the runs that ended as their
+    worker left as planned.
     """
 
     losses: list[Loss] = dataclasses.field(default_factory=list)
@@ -95,15 +105,14 @@
     possible_causes: dict[livejobs.Group, None] = dataclasses.field(
         default_factory=dict
     )
-    planned_boot_by_id: dict[str, int] = dataclasses.field(
-        default_factory=dict
-    )
     crashes: int = 0
     given_up: int = 0
+    planned_leaves: int = 0
 
     def counts(self) -> dict[str, int]:
         """Return the values of ``GAUGES`` since the takeover, by name."""
-        return dict(zip(GAUGES, (self.given_up, self.crashes), strict=True))
+        counts = (self.given_up, self.planned_leaves, self.crashes)
+        return dict(zip(GAUGES, counts, strict=True))
 
     def add_possible_cause(self, group: livejobs.Group) -> None:
         """Note a group under which a worker has crashed."""
@@ -181,6 +190,14 @@
             if lost.seen_at <= oldest
         ]
 
+    def drop_losses(self, worker_id: str, boot: int) -> None:
+        """Forget the loss of a boot of a worker that had left as planned."""
+        self.losses = [
+            loss
+            for loss in self.losses
+            if loss.worker_id != worker_id or loss.next_boot <= boot
+        ]
+
     def forget_old_losses(self, now: float) -> None:
         """Forget what is too old to be compared with a new loss."""
         oldest = now - _KEPT_S
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -9,6 +9,7 @@
 import typing
 
 from primroselock.decisions import crashlog
+from primroselock.decisions import drainlog
 from primroselock.decisions import evidence
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import learnedtimes
@@ -138,6 +139,7 @@
     the job at ``next_examined``.
     ``late_runs_by_removed_id`` are those of workers that were removed: one may
     be back as another boot while a start is under way.
+    ``drains`` are the workers that leave as planned.
     ``search_retry_at_by_shape`` holds, for shapes (see ``freecapacity``) for
     which neither victims nor workers to claim were found, when to search
     again.
@@ -197,6 +199,9 @@
     crashes: crashlog.CrashLog = dataclasses.field(
         default_factory=crashlog.CrashLog
     )
+    drains: drainlog.DrainLog = dataclasses.field(
+        default_factory=drainlog.DrainLog
+    )
     learned: learnedtimes.LearnedTimes = dataclasses.field(
         default_factory=learnedtimes.LearnedTimes
     )
@@ -247,6 +252,7 @@
         self, entry: fleetworkers.WorkerEntry, now: float
     ) -> None:
         """Record the entry that a worker publishes; add new workers."""
+        self.drains.note(entry, now)
         worker = self.workers_by_id.get(entry.id)
         if worker is None:
             worker = fleetworkers.Worker(entry)
--- a/primroselock/decisions/fleetworkers.py
+++ b/primroselock/decisions/fleetworkers.py
@@ -292,6 +292,10 @@
             or self.confirmed_end < self.listed_end
         )
 
+    def missed_at(self, now: float) -> float:
+        """Return when the worker was first missed; ``now`` if it answers."""
+        return self.unresponsive_since if self.failures_in_row else now
+
     def record_failed_call(self, now: float) -> None:
         """Record that a call to the worker failed."""
         if not self.failures_in_row:
--- a/primroselock/decisions/lostruns.py
+++ b/primroselock/decisions/lostruns.py
@@ -30,14 +30,14 @@
     now: float,
 ) -> list[crashlog.SentRun]:
     """Return the runs of members whose start may have been sent."""
-    lost_at = worker.unresponsive_since if worker.failures_in_row else now
+    missed_at = worker.missed_at(now)
     return [
         crashlog.SentRun(
             member.group,
             member.group.attempt,
             member.index,
             member.boot,
-            crashevidence.had_run_long(member.group.began_at, lost_at),
+            crashevidence.had_run_long(member.group.began_at, missed_at),
         )
         for member in members
         if member.state in _SENT_STATES
@@ -45,12 +45,14 @@
 
 
 def note(
-    board: fleet.ShardBoard, worker: fleetworkers.Worker, now: float
+    board: fleet.ShardBoard,
+    worker: fleetworkers.Worker,
+    lost: abc.Iterable[crashlog.SentRun],
+    now: float,
 ) -> None:
-    """Note what a worker runs whose leases have expired."""
-    sent = list_sent(worker, worker.members.values(), now)
+    """Note runs on a worker whose leases have expired."""
     runs_by_group: dict[livejobs.Group, list[crashlog.SentRun]] = {}
-    for run in sent:
+    for run in lost:
         runs_by_group.setdefault(run.group, []).append(run)
     for group, runs in runs_by_group.items():
         first = runs[0]
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -19,6 +19,7 @@
 from primroselock import backgroundtasks
 from primroselock import boardrows
 from primroselock import clock
+from primroselock.decisions import crashes
 from primroselock.decisions import crashlog
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetround
@@ -194,7 +195,9 @@
     def report(self, now: float) -> shards.HolderReport:
         """Return what to write with a renewal or the release of the lease."""
         return shards.HolderReport(
-            self._count_waiting(now), runleases.bound_leases(self._board, now)
+            self._count_waiting(now),
+            runleases.bound_leases(self._board, now),
+            crashes.report_drains(self._board, self._worker_follower.version),
         )
 
     async def run(self, renewing: asyncio.Task[None]) -> None:
@@ -297,10 +300,15 @@
     def _prepare(self, now: float) -> None:
         """Note what permits placements, before a round and after a pause."""
         self._note_permit(now)
+        self._note_entries_age()
         bounds = self._board.published_bounds = self._lease.published_bounds
         if runleases.covers_answering_worker(self._board, bounds):
             self._parts.renewal_due.set()
 
+    def _note_entries_age(self) -> None:
+        """Note when the copy of the workers' entries was up to date."""
+        self._board.drains.confirmed_at = self._worker_follower.confirmed_at
+
     def _run_slice(self, parts: slices.Slices) -> bool:
         """Decide for a bounded time; return whether the round goes on.
 
@@ -450,4 +458,7 @@
         for key in changes.removed:
             worker_id = reader.parse_worker_id(key)
             self._board.record_unlisted(worker_id)
+        if changes.is_listing:
+            crashes.note_gap(self._board)
+        self._note_entries_age()
         self._parts.wake.set()
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -198,7 +198,8 @@
 
     SHARED: another job's work was there, or workers crash that have no work
     of the job.  OUTSIDE: others were lost at the same time, or the tasks had
-    run for long before, or another job's task is the cause.
+    run for long before, or another job's task is the cause, or the worker may
+    have left as planned.
     """
 
     CLEAR = 'c'
--- a/primroselock/metrics.py
+++ b/primroselock/metrics.py
@@ -23,6 +23,7 @@
     'late_polls': 'Polls of workers given up since this process was late.',
     'looks': 'Polls of workers.',
     'orders_waiting': 'Orders to workers that wait for their turn.',
+    'planned_leaves': 'Runs whose worker left as planned under them.',
     'probes': 'Short polls of workers that may be unreachable.',
     'shards_held': 'Shards whose lease this process holds.',
     'start_order': 'Time until a worker answered a start order.',
--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -17,6 +17,7 @@
 from primroselock import boardrows
 from primroselock import clock
 from primroselock.decisions import crashes
+from primroselock.decisions import drainlog
 from primroselock.decisions import fleet
 from primroselock.decisions import leasebounds
 from primroselock.decisions import placeability
@@ -37,6 +38,11 @@
 _MIN_STANDBY_WAIT_S: typing.Final = 0.1
 _MAX_STANDBY_WAIT_S: typing.Final = 0.5
 _TAKEOVER_RETRY_S: typing.Final = 0.2
+_NEVER: typing.Final = float('-inf')
+_FIRST_EPOCH: typing.Final = 1
+_MAX_CHANGE_CALLS: typing.Final = 10
+"""Calls by which the changes of the entries before a takeover are read."""
+
 _MIN_RENEWAL_PAUSE_S: typing.Final = 0.1
 """Pause after a successful renewal if the next one is wanted at once.
 
@@ -72,6 +78,7 @@
             publisher=self,
         )
         self._inherited_leases = leasebounds.InheritedLeases()
+        self._inherited_drains = drainlog.NO_REPORT
         self._renewal_due = asyncio.Event()
         self._wake = asyncio.Event()
         self._lease_wake = asyncio.Event()
@@ -105,23 +112,29 @@
     ) -> shards.HolderReport:
         """Return what to write with a takeover: no lease is granted yet."""
         self._inherited_leases = leasebounds.InheritedLeases()
+        self._inherited_drains = drainlog.NO_REPORT
         if earlier is not None:
             row = earlier.row
+            if row is not None:
+                self._inherited_drains = row.drains
             self._inherited_leases = leasebounds.inherit(
                 row.lease_bounds if row else leasebounds.NO_BOUNDS,
                 earlier.observed_at,
                 self._settings.fleet.run_lease_s,
             )
-        return shards.HolderReport(
-            lease_bounds=self._inherited_leases.bounds(now)
-        )
+        return self._report_inherited(now)
 
     def report(self, now: float) -> shards.HolderReport:
         """Return what to write with a renewal or the release of the lease."""
         if self._session is not None:
             return self._session.report(now)
+        return self._report_inherited(now)
+
+    def _report_inherited(self, now: float) -> shards.HolderReport:
+        """Return what earlier holders have published, as of now."""
         return shards.HolderReport(
-            lease_bounds=self._inherited_leases.bounds(now)
+            lease_bounds=self._inherited_leases.bounds(now),
+            drains=self._inherited_drains,
         )
 
     async def run(self) -> None:
@@ -280,10 +293,13 @@
             if listings is not None:
                 self._failed_listings = 0
                 submissions, progress, entries = listings
+                entry_changes = await self._read_entry_changes(entries)
                 # All this takes long on a slow VM, and the lease must not
                 # expire.
                 jobs_by_id = await self._read_jobs(submissions, progress)
-                board = await self._build_board(jobs_by_id, entries)
+                board = await self._build_board(
+                    jobs_by_id, entries, entry_changes, sent_at
+                )
                 return holdersession.Takeover(
                     board, submissions, entries, set(jobs_by_id), sent_at
                 )
@@ -313,6 +329,38 @@
             return None
         return submissions.ok_value, progress.ok_value, entries.ok_value
 
+    async def _read_entry_changes(
+        self, entries: table.Listing
+    ) -> list[table.Row] | None:
+        """Return what workers' entries said since the earlier holder read it.
+
+        A worker may have drained and left meanwhile, so that ``entries`` do
+        not show it.  Returns None if the changes are not to be had.
+        """
+        version = self._inherited_drains.version
+        rows: list[table.Row] = []
+        for _ in range(_MAX_CHANGE_CALLS):
+            if version is None or version >= entries.version:
+                break
+            polled = await self._store.changes(
+                self._worker_rows.name, version, 0.0
+            )
+            if isinstance(polled, result.Err):
+                break
+            rows += polled.ok_value.rows
+            if polled.ok_value.version <= version:
+                break
+            version = polled.ok_value.version
+        if version is not None and version >= entries.version:
+            return rows
+        if self.lease.epoch > _FIRST_EPOCH:
+            _log.warning(
+                'drains before the takeover are not known',
+                read_up_to=version,
+                listed=entries.version,
+            )
+        return None
+
     async def _read_jobs(
         self, submissions: table.Listing, progress: table.Listing
     ) -> dict[str, graphrows.StoredJob]:
@@ -325,7 +373,10 @@
         self,
         jobs_by_id: abc.Mapping[str, graphrows.StoredJob],
         entries: table.Listing,
+        entry_changes: abc.Sequence[table.Row] | None,
+        sent_at: float,
     ) -> fleet.ShardBoard:
+        """Return the blackboard; ``entries`` were requested at ``sent_at``."""
         board = fleet.ShardBoard(
             epoch=self.lease.epoch,
             run_lease_s=self._settings.fleet.run_lease_s,
@@ -333,10 +384,18 @@
             queue_configuration=self._queues,
         )
         now = clock.monotonic()
+        # When a drain was reported that is read now is not known.
+        board.drains.confirmed_at = _NEVER
+        board.drains.inherit(self._inherited_drains, now)
+        async for row in waits.take_turns(entry_changes or ()):
+            boardrows.note_earlier_entry(board, self._worker_rows, row, now)
         async for row in waits.take_turns(entries.rows):
             boardrows.apply_entry(board, self._worker_rows, row, now)
         async for job_id, stored in waits.take_turns(jobs_by_id.items()):
             boardrows.load_job(board, job_id, stored, now)
+        if entry_changes is None:
+            crashes.note_gap(board)
+        board.drains.confirmed_at = sent_at
         crashes.review_entries(board, now)
         _log.info(
             'shard takeover complete',
--- a/primroselock/shards.py
+++ b/primroselock/shards.py
@@ -29,6 +29,7 @@
 import result
 import transitions
 
+from primroselock.decisions import drainlog
 from primroselock.decisions import leasebounds
 from primroselock import decoding
 from primroselock import logs
@@ -49,7 +50,8 @@
     ``is_offered`` a standby that can place may take over at once.
     ``waiting_by_queue`` is the number of the shard's jobs that have not
     started, or None where the holder does not know it.  ``lease_bounds``
-    names the workers to which the holder grants no run leases.
+    names the workers to which the holder grants no run leases, ``drains``
+    what it knows of workers that leave.
     """
 
     holder: str
@@ -58,6 +60,7 @@
     waiting_by_queue: dict[str, decoding.Count] | None = None
     lease_bounds: leasebounds.LeaseBounds = leasebounds.NO_BOUNDS
     is_offered: bool = False
+    drains: drainlog.DrainReport = drainlog.NO_REPORT
 
 
 _decode_lease_row: typing.Final = decoding.json_reader(LeaseRow)
@@ -93,6 +96,7 @@
 
     waiting_by_queue: dict[str, int] | None = None
     lease_bounds: leasebounds.LeaseBounds = leasebounds.NO_BOUNDS
+    drains: drainlog.DrainReport = drainlog.NO_REPORT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -228,10 +232,15 @@
         """Release the lease, so that a standby can acquire it at once."""
         if self.state != 'holder':
             return
-        bounds = self._publisher.report(now).lease_bounds
+        report = self._publisher.report(now)
+        bounds = report.lease_bounds
         self.published_bounds = self.published_bounds.merge(bounds)
         row = LeaseRow(
-            self._holder_id, self._renewal, released=True, lease_bounds=bounds
+            self._holder_id,
+            self._renewal,
+            released=True,
+            lease_bounds=bounds,
+            drains=report.drains,
         )
         await self._store.transact(self._lease_write(row))
         self.drop('released')
@@ -249,6 +258,7 @@
             waiting_by_queue=report.waiting_by_queue,
             lease_bounds=report.lease_bounds,
             is_offered=self.offers,
+            drains=report.drains,
         )
         # A renewal without a reply may have been applied.
         self.is_offered |= row.is_offered
@@ -334,6 +344,7 @@
                             0,
                             waiting_by_queue=report.waiting_by_queue,
                             lease_bounds=report.lease_bounds,
+                            drains=report.drains,
                         )
                     ),
                 ),
--- a/primroselock/store/table.py
+++ b/primroselock/store/table.py
@@ -154,12 +154,14 @@
 class Changes:
     """Rows that changed, oldest first, and the version to continue from.
 
-    ``removed`` holds the keys of deleted rows.
+    ``removed`` holds the keys of deleted rows.  With ``is_listing`` these are
+    the differences of a listing: changes in between may be missing.
     """
 
     rows: tuple[Row, ...]
     removed: tuple[str, ...]
     version: int
+    is_listing: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroselock/store/tablefollower.py
+++ b/primroselock/store/tablefollower.py
@@ -76,6 +76,11 @@
         self.confirmed_at = sent_at
         self.loaded.set()
 
+    @property
+    def version(self) -> int | None:
+        """The version up to which changes were applied; None without."""
+        return self._version
+
     def age_s(self, now: float) -> float:
         """Return the time since the copy was known to be up to date."""
         return now - self.confirmed_at
@@ -115,7 +120,7 @@
         )
         removed = tuple(key for key in self.rows_by_key if key not in found)
         version = listing.ok_value.version
-        changes = table.Changes(changed, removed, version)
+        changes = table.Changes(changed, removed, version, is_listing=True)
         if not self._apply(changes, sent_at):
             return False
         self._version = version
--- a/primroselock/test/fakefeed.py
+++ b/primroselock/test/fakefeed.py
@@ -65,7 +65,9 @@
 class FeedStore:
     """The rows and the history of changes, shared by all clients.
 
-    Transactions that put ``rejected_key`` are rejected.
+    Transactions that put ``rejected_key`` are rejected.  With
+    ``reports_each_change`` the feed reports a row as often as it changed, in
+    order; else it reports the rows as they are now.
     """
 
     def __init__(self) -> None:
@@ -76,6 +78,8 @@
         self.late: list[table.Transaction] = []
         self.writes = 0
         self.rejected_key = ''
+        self.reports_each_change = False
+        self._changes: list[tuple[int, str, table.Row | None]] = []
 
     def rejects(self, transaction: table.Transaction) -> bool:
         """Return whether a transaction is refused for good."""
@@ -92,6 +96,8 @@
         keys = [put.key for put in transaction.puts]
         for key in [*keys, *transaction.deletes]:
             self.history.append((self.inner.version, key))
+            row = self.inner.rows.get(key)
+            self._changes.append((self.inner.version, key, row))
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
         return []
@@ -114,6 +120,19 @@
         """Truncate the history: drop all changes so far."""
         self.dropped_before = self.inner.version
         self.history.clear()
+        self._changes.clear()
+
+    def list_each_change(self, name: str, after: int) -> table.Changes:
+        """Return every change of a table past version ``after``, in order."""
+        changes = [
+            (key, row)
+            for version, key, row in self._changes
+            if version > after and key.startswith(f'{name}/')
+        ]
+        rows = tuple(row for _, row in changes if row is not None)
+        latest = dict(changes)
+        removed = tuple(key for key, row in latest.items() if row is None)
+        return table.Changes(rows, removed, self.inner.version)
 
 
 class FeedClient:
@@ -204,6 +223,10 @@
                 continue
 
     def _collect(self, name: str, after: int) -> table.Changes:
+        if self._shared.reports_each_change:
+            changes = self._shared.list_each_change(name, after)
+            self._count_rows(changes.rows)
+            return changes
         inner = self._shared.inner
         keys = {
             key: None
--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -59,6 +59,10 @@
         self.failed_attempts_by_gang: dict[tuple[str, int, int], set[int]] = {}
         """By job, occurrence and step."""
 
+        self.crashes_by_task: dict[jobgraph.TaskName, int] = {}
+        self.leaves_by_task: dict[jobgraph.TaskName, int] = {}
+        """Workers that crashed, or left as planned, under a task."""
+
         self.stop_delay_s = 0.1
         self.late_starts_outlive = False
         self.late_s = (2.0, 6.0)
@@ -162,13 +166,19 @@
                 if _same_gang(run, ended.run):
                     worker.add_end(run, cause)
 
-    def crash(self, worker: simulatedworker.FakeWorker) -> None:
+    def crash(
+        self, worker: simulatedworker.FakeWorker, is_planned: bool = False
+    ) -> None:
         """End a worker's process; its runs and all its state are lost.
 
-        The other members of their gangs cannot go on.
+        The other members of their gangs cannot go on.  With ``is_planned`` it
+        had drained.
         """
         worker.is_down = True
         lost = list(worker.runs.values())
+        counts = self.leaves_by_task if is_planned else self.crashes_by_task
+        for live in lost:
+            counts[live.run.task] = counts.get(live.run.task, 0) + 1
         worker.runs.clear()
         worker.ended.clear()
         worker.refused.clear()
--- a/primroselock/test/faultbuilders.py
+++ b/primroselock/test/faultbuilders.py
@@ -67,6 +67,11 @@
 REBUILD_KINDS: typing.Final = frozenset({'rebuild worker'})
 """Kinds of the series of ``rebuiltworkers``, which are drawn likewise."""
 
+DRAIN_KINDS: typing.Final = frozenset({'drain and return'})
+"""Kinds of the series of ``drainfaults``, which are drawn likewise."""
+
+_SERIES_KINDS: typing.Final = ORDER_KINDS | REBUILD_KINDS | DRAIN_KINDS
+
 Injection = abc.Callable[
     [fleetbuilders.World, Fault], abc.Coroutine[typing.Any, typing.Any, None]
 ]
@@ -85,7 +90,7 @@
 
 def list_kinds(is_wide: bool = False) -> list[str]:
     """Return the kinds of faults, sorted."""
-    kinds = set(_injections_by_kind) - ORDER_KINDS - REBUILD_KINDS
+    kinds = set(_injections_by_kind) - _SERIES_KINDS
     return sorted(kinds if is_wide else kinds - WIDE_KINDS)
 
 
--- a/primroselock/test/soakbuilders.py
+++ b/primroselock/test/soakbuilders.py
@@ -13,6 +13,7 @@
 
 from primroselock import clock
 from primroselock.test import crashbuilders
+from primroselock.test import drainfaults
 from primroselock.test import faultbuilders
 from primroselock.test import fleetbuilders
 from primroselock.test import idlecapacity
@@ -48,6 +49,7 @@
     has_crashing_jobs: bool = False
     has_restarts: bool = False
     has_bounds: bool = False
+    has_drains: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -124,6 +126,14 @@
     )
 
 
+def add_drains(plan: Plan) -> Plan:
+    """Return a plan with series of drains too (see ``drainfaults``)."""
+    added = drainfaults.draw_series(plan.seed, plan.arrival_s)
+    return dataclasses.replace(
+        plan, faults=plan.faults + added, has_drains=True
+    )
+
+
 class Soak:
     """One run; ``world`` can be examined while it goes on."""
 
@@ -173,6 +183,8 @@
         late_ids = await self._wait_for_ends()
         await waits.cancel_tasks(checks)
         given_up = self.crashing.list_given_up() if self.crashing else []
+        if plan.has_drains:
+            given_up += drainfaults.list_failed_without_cause(world)
         await world.close()
         return Outcome(
             plan,
@@ -214,6 +226,7 @@
     has_crashing_jobs: bool = False,
     has_restarts: bool = False,
     has_bounds: bool = False,
+    has_drains: bool = False,
 ) -> Outcome:
     """Run the soak of a seed in virtual time.
 
@@ -228,6 +241,8 @@
             plan = add_restarts(plan)
         if has_bounds:
             plan = add_bounds(plan)
+        if has_drains:
+            plan = add_drains(plan)
         soak = Soak(plan)
         examine(soak)
         return await soak.run()
--- a/primroselock/test/testsoak.py
+++ b/primroselock/test/testsoak.py
@@ -65,9 +65,21 @@
         """Guards against orders that begin before a boot can be told."""
         self.check_seeds(9, 1, '--restarts')
 
-    def test_restarts_seeds_10_to_20(self) -> None:
+    def test_restarts_seeds_10_to_16(self) -> None:
         """Guards against orders that begin on a worker's next boot."""
-        self.check_seeds(10, 11, '--restarts')
+        self.check_seeds(10, 7, '--restarts')
+
+    def test_restarts_seed_17(self) -> None:
+        """Guards against orders that begin before a boot can be told."""
+        self.check_seeds(17, 1, '--restarts')
+
+    def test_restarts_seeds_18_to_20(self) -> None:
+        """Guards against orders that begin on a worker's next boot."""
+        self.check_seeds(18, 3, '--restarts')
+
+    def test_drains_seeds_1_to_6(self) -> None:
+        """Guards against jobs failed since their workers left as planned."""
+        self.check_seeds(1, 6, '--drains')
 
     def test_crashing_seeds_103_105_and_120(self) -> None:
         """Guards against a sound job that is shown as failed."""
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -375,7 +375,20 @@
             for member in worker.members.values()
         ):
             return _SHORT_WAIT_S
-        return self._settings.fleet.longest_wait_s
+        return self._longest_wait_s(worker)
+
+    def _longest_wait_s(self, worker: fleetworkers.Worker) -> float:
+        """Return the wait of a poll that nothing else bounds.
+
+        The answer of a worker that drains shows that it went on for as long
+        as it said: what ends it later is no crash.
+        """
+        longest_s = self._settings.fleet.longest_wait_s
+        leaves_from = self._board.drains.earliest_leave(worker.id, worker.boot)
+        left_s = leaves_from - clock.monotonic()
+        if left_s <= 0.0:
+            return longest_s
+        return min(max(left_s, _SHORT_WAIT_S), longest_s)
 
     def _record_error(
         self,
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -5,10 +5,10 @@
 play.  ``--orders`` adds series of orders that are carried out late beside
 refusals of starts, to the same plays, ``--restarts`` series of workers that
 start again beside such orders, ``--crashing`` jobs that crash the workers
-that start them, and ``--bounds`` workers that come back as others, with a
-bound on each step.  ``--trace`` adds why the holder did not place the job, and
-the faults; ``--log DIRECTORY`` writes the nodes' log of each seed with virtual
-times.
+that start them, ``--bounds`` workers that come back as others, with a
+bound on each step, and ``--drains`` workers that drain, leave and start again.
+``--trace`` adds why the holder did not place the job, and the faults;
+``--log DIRECTORY`` writes the nodes' log of each seed with virtual times.
 """
 
 import argparse
@@ -39,6 +39,7 @@
     parser.add_argument('--crashing', action='store_true')
     parser.add_argument('--restarts', action='store_true')
     parser.add_argument('--bounds', action='store_true')
+    parser.add_argument('--drains', action='store_true')
     parser.add_argument('--log', type=pathlib.Path)
     return parser.parse_args()
 
@@ -88,6 +89,7 @@
         arguments.crashing,
         arguments.restarts,
         arguments.bounds,
+        arguments.drains,
     )
     if arguments.log is None:
         _configure_log(None)
