Recording crashes and what follows from them are two modules

A sent run says itself when its boot was last seen, so that settled and present runs are judged by one call.

--- a/primroselock/decisions/crashes.py
+++ b/primroselock/decisions/crashes.py
@@ -1,4 +1,4 @@
-"""Tasks that crash the workers that start them, and when they are given up.
+"""Crashes of workers under the tasks that run there, as they are recorded.
 
 Evidence of a crash is only that another incarnation answers: a run report
 of a later boot, or a refusal for the worker's id at its address.  Silence,
@@ -6,16 +6,12 @@
 has not crashed (see ``drainlog``).  Each task whose start was sent to
 the incarnation that is gone counts once an attempt, and is stored with the
 progress of its group, so that neither a takeover nor a second report changes
-the count.  :mod:`primroselock.decisions.crashevidence` tells what the crashes
-prove; until then a group that may have caused one gets its next worker for
-itself, if one is free soon.
+the count.  ``crashevidence`` tells what the crashes prove, and ``crashpolicy``
+what follows.
 """
 
 from collections import abc
 import dataclasses
-import typing
-
-import msgspec
 
 from primroselock.decisions import crashevidence
 from primroselock.decisions import crashlog
@@ -25,16 +21,8 @@
 from primroselock.decisions import livejobs
 from primroselock.decisions import lostruns
 from primroselock import jobgraph
-from primroselock import jobs
 from primroselock.workers import orders
 
-_SECOND_CRASH_DELAY_S: typing.Final = 2.0
-_ALONE_WAITS_S: typing.Final = (2.0, 10.0, 20.0)
-"""Wait for a worker without other jobs' work, after one crash and more.
-
-Long-running work, which is due at all times, waits as after the first.
-"""
-
 
 def record_restart(
     board: fleet.ShardBoard,
@@ -54,19 +42,8 @@
     listed.update(ended.run for ended in report.ended)
     unlisted = [m for run, m in worker.members.items() if run not in listed]
     sent = _list_before(lostruns.list_sent(worker, unlisted, now), report.boot)
-    crashed = [
-        *_list_crashed(
-            board,
-            worker.id,
-            _list_before(settled, report.boot),
-            report.boot,
-            now,
-            now,
-        ),
-        *_list_crashed(
-            board, worker.id, sent, report.boot, worker.boot_seen_at, now
-        ),
-    ]
+    ended = _list_before(settled, report.boot) + sent
+    crashed = _list_crashed(board, worker.id, ended, report.boot, now)
     if crashed or _is_lost(board, worker, report.boot, now):
         loss = _build_loss(worker, report.boot, now)
         _record_loss(board, loss, crashed, now)
@@ -103,19 +80,17 @@
     worker_id: str,
     runs: abc.Sequence[crashlog.SentRun],
     next_boot: int,
-    seen_at: float,
     now: float,
 ) -> list[crashlog.SentRun]:
     """Return the runs under which a boot of a worker was lost.
 
-    It is known to have run at ``seen_at``.  ``next_boot`` is 0 if the boot
-    that came after is not known.
+    ``next_boot`` is 0 if the boot that came after is not known.
     """
     crashed = []
     planned = []
     for run in runs:
         ending = board.drains.find_ending(
-            worker_id, run.boot, next_boot, seen_at, now
+            worker_id, run.boot, next_boot, run.seen_at, now
         )
         if ending is drainlog.Ending.PLANNED:
             planned.append(run)
@@ -144,12 +119,9 @@
     now: float,
 ) -> None:
     """Record that another worker answers where ``members`` were to run."""
-    settled = lostruns.take(board, worker.id)
-    sent = lostruns.list_sent(worker, members, now)
-    crashed = [
-        *_list_crashed(board, worker.id, settled, 0, now, now),
-        *_list_crashed(board, worker.id, sent, 0, worker.boot_seen_at, now),
-    ]
+    ended = lostruns.take(board, worker.id)
+    ended += lostruns.list_sent(worker, members, now)
+    crashed = _list_crashed(board, worker.id, ended, 0, now)
     if crashed:
         _record_loss(board, _build_loss(worker, 0, now), crashed, now)
 
@@ -162,11 +134,12 @@
     If it is back later as another incarnation, they had crashed with it,
     unless it has left as planned.
     """
-    seen_at = worker.boot_seen_at
     sent = lostruns.list_sent(worker, worker.members.values(), now)
-    lost = _list_crashed(board, worker.id, sent, 0, seen_at, now)
+    lost = _list_crashed(board, worker.id, sent, 0, now)
     lostruns.note(board, worker, lost, now)
-    board.drains.note_silence(worker.id, worker.latest_boot, seen_at)
+    board.drains.note_silence(
+        worker.id, worker.latest_boot, worker.boot_seen_at
+    )
 
 
 def restore(
@@ -262,12 +235,12 @@
     worker_ids = [
         worker_id
         for worker_id in board.drains.drains_by_worker_id
-        if _has_work(board, worker_id)
+        if has_work(board, worker_id)
     ]
     return board.drains.report(worker_ids, version)
 
 
-def _has_work(board: fleet.ShardBoard, worker_id: str) -> bool:
+def has_work(board: fleet.ShardBoard, worker_id: str) -> bool:
     """Return whether how a worker ends may matter to any work."""
     worker = board.workers_by_id.get(worker_id)
     has_members = worker is not None and bool(worker.members)
@@ -291,7 +264,7 @@
             continue
         next_boot = entry.boot if lost.id == entry.id else 0
         runs = lostruns.take(board, lost.id)
-        crashed = _list_crashed(board, lost.id, runs, next_boot, now, now)
+        crashed = _list_crashed(board, lost.id, runs, next_boot, now)
         if crashed:
             loss = crashlog.Loss(
                 lost.id, entry.zone, entry.rack, now, frozenset(), entry.boot
@@ -382,179 +355,3 @@
         frozenset(),
         next_boot,
     )
-
-
-def retry_delay_s(group: livejobs.Group) -> float:
-    """Return the delay after the attempt that ends; 0 without a crash.
-
-    There is none after the first crash: most tasks under which a worker
-    crashes are not the cause.  What is known of other losses some time after
-    the second decides whether to give up; later ones decide at once.
-    """
-    is_new = any(crash.attempt == group.attempt for crash in group.crashes)
-    if is_new and crashevidence.most_crashes(group) == 2:
-        return _SECOND_CRASH_DELAY_S
-    return 0.0
-
-
-def may_share(
-    group: livejobs.Group, worker: fleetworkers.Worker, now: float
-) -> bool:
-    """Return whether a group may be placed beside the work on a worker.
-
-    One under which workers crashed waits a while for a worker without other
-    jobs' work, so that it crashes nothing else and shows what the cause is.
-    """
-    if not group.crashes:
-        return True
-    waited_s = now - max(group.since, group.not_before)
-    crashed = crashevidence.most_crashes(group)
-    repeats = 0 if group.step.long_running else max(crashed - 1, 0)
-    if waited_s >= _ALONE_WAITS_S[min(repeats, len(_ALONE_WAITS_S) - 1)]:
-        return True
-    return all(
-        member.group.job is group.job for member in worker.members.values()
-    )
-
-
-def find_possible_causes(board: fleet.ShardBoard) -> dict[str, set[str]]:
-    """Return by worker the jobs whose work on it may crash it."""
-    job_ids_by_worker_id: dict[str, set[str]] = {}
-    for group in board.crashes.possible_causes:
-        crashes_by_task = crashevidence.group_by_task(group)
-        for member in group.remaining_members():
-            if member.index not in crashes_by_task:
-                continue
-            job_ids = job_ids_by_worker_id.setdefault(member.worker_id, set())
-            job_ids.add(group.job.graph.id)
-    return job_ids_by_worker_id
-
-
-def give_up(board: fleet.ShardBoard, now: float, wall_ms: int) -> None:
-    """Fail the jobs with a waiting group that crashes its workers.
-
-    Those with the most crashes go first: they may be the cause of others'.
-    """
-    lostruns.forget_old(board, now)
-    board.drains.forget_old(now, lambda id_: _is_drain_needed(board, id_))
-    proved = []
-    for group in list(board.crashes.possible_causes):
-        if group.job.state.is_final or group.phase in (
-            livejobs.Phase.DONE,
-            livejobs.Phase.DROPPED,
-        ):
-            board.crashes.drop_possible_cause(group)
-        elif (
-            group.phase is livejobs.Phase.WAITING
-            and now >= group.not_before
-            and not group.job.is_cancelled
-        ):
-            if crashevidence.is_proved_cause(group):
-                proved.append(group)
-        elif group.phase is livejobs.Phase.RUNNING:
-            _clear_if_sound(board, group)
-    proved.sort(key=crashevidence.most_crashes, reverse=True)
-    for group in proved:
-        _classify_again(board, group)
-        is_proved = crashevidence.is_proved_cause(group)
-        if is_proved and not group.job.state.is_final:
-            _fail(board, group, wall_ms)
-
-
-def _is_drain_needed(board: fleet.ShardBoard, worker_id: str) -> bool:
-    """Return whether a drain of a worker may still tell how it ends."""
-    worker = board.workers_by_id.get(worker_id)
-    is_draining = worker is not None and worker.entry.is_draining
-    return is_draining or _has_work(board, worker_id)
-
-
-def _clear_if_sound(board: fleet.ShardBoard, group: livejobs.Group) -> None:
-    """Forget the crashes under long-running work that has run for long."""
-    if not group.step.long_running:
-        return
-    answered_at = [
-        worker.last_answer_at
-        for member in group.members
-        if (worker := board.workers_by_id.get(member.worker_id)) is not None
-    ]
-    if not answered_at or not crashevidence.had_run_long(
-        group.began_at, min(answered_at)
-    ):
-        return
-    board.record_decision(
-        'task runs without a crash: earlier ones are forgotten',
-        group.job,
-        group=group.key.as_list(),
-        attempts=[crash.attempt for crash in group.crashes],
-    )
-    group.crashes = ()
-    board.crashes.drop_possible_cause(group)
-    board.mark_changed(group.job)
-
-
-def _classify_again(board: fleet.ShardBoard, group: livejobs.Group) -> None:
-    """Record another cause if the latest loss turns out to have been wide."""
-    last_attempt = group.crashes[-1].attempt
-    wide = [
-        crash
-        for crash in group.crashes
-        if crash.attempt == last_attempt and _was_wide(board, group, crash)
-    ]
-    _record_other_cause(board, group, wide)
-
-
-def _was_wide(
-    board: fleet.ShardBoard, group: livejobs.Group, crash: jobgraph.Crash
-) -> bool:
-    job_id = group.job.graph.id
-    loss = board.crashes.find_loss(crash.place.worker_id, job_id)
-    return loss is not None and crashevidence.is_wide(board, group, loss)
-
-
-def _record_other_cause(
-    board: fleet.ShardBoard,
-    group: livejobs.Group,
-    crashes: abc.Collection[jobgraph.Crash],
-) -> None:
-    """Record that ``crashes`` under a group had another cause."""
-    outside = jobgraph.CrashEvidence.OUTSIDE
-    classified = tuple(
-        msgspec.structs.replace(crash, evidence=outside)
-        if crash in crashes
-        else crash
-        for crash in group.crashes
-    )
-    if classified != group.crashes:
-        group.crashes = classified
-        board.mark_changed(group.job)
-
-
-def _record_common_cause(
-    board: fleet.ShardBoard, cause: livejobs.Group
-) -> None:
-    """Record that ``cause`` crashed the workers under other jobs, too."""
-    places = crashevidence.find_proved_places(cause)
-    for group in board.crashes.possible_causes:
-        if group.job is not cause.job:
-            shared = [c for c in group.crashes if c.place in places]
-            _record_other_cause(board, group, shared)
-
-
-def _fail(
-    board: fleet.ShardBoard, group: livejobs.Group, wall_ms: int
-) -> None:
-    board.crashes.given_up += 1
-    board.crashes.drop_possible_cause(group)
-    board.record_decision(
-        'job failed: its task crashes workers',
-        group.job,
-        group=group.key.as_list(),
-        attempts=[crash.attempt for crash in group.crashes],
-        tasks=[list(crash.task_indices) for crash in group.crashes],
-        workers=[crash.place.worker_id for crash in group.crashes],
-        boots=[crash.place.boot for crash in group.crashes],
-        evidence=[crash.evidence.value for crash in group.crashes],
-    )
-    group.job.end(jobs.JobState.FAILED, wall_ms)
-    _record_common_cause(board, group)
-    board.mark_changed(group.job)
--- a/primroselock/decisions/crashlog.py
+++ b/primroselock/decisions/crashlog.py
@@ -37,7 +37,9 @@
 class SentRun:
     """A task whose start was sent to the incarnation ``boot``.
 
-    ``had_run_long`` is as of when its worker was first missed.
+    ``had_run_long`` is as of when its worker was first missed.  That boot is
+    known to have run at ``seen_at``; infinity where its silence was judged
+    when its leases expired.
     ``is_inherited`` is set if that was seen by an earlier holder only, and
     ``may_have_left`` if that boot may have left as planned.
     """
@@ -47,6 +49,7 @@
     task_index: int
     boot: int
     had_run_long: bool
+    seen_at: float = float('inf')
     is_inherited: bool = False
     may_have_left: bool = False
 
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -13,7 +13,7 @@
 from collections import abc
 import typing
 
-from primroselock.decisions import crashes
+from primroselock.decisions import crashpolicy
 from primroselock.decisions import fleet
 from primroselock.decisions import fleethealth
 from primroselock.decisions import fleetplacing
@@ -293,7 +293,7 @@
     wall_s: float,
 ) -> None:
     """Fail jobs whose tasks crash the workers that start them."""
-    crashes.give_up(board, now, int(wall_s * 1000))
+    crashpolicy.give_up(board, now, int(wall_s * 1000))
 
 
 @divided(order=50)
--- a/primroselock/decisions/freecapacity.py
+++ b/primroselock/decisions/freecapacity.py
@@ -10,7 +10,7 @@
 import math
 import typing
 
-from primroselock.decisions import crashes
+from primroselock.decisions import crashpolicy
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import livejobs
@@ -107,7 +107,7 @@
     ) -> None:
         self.score_worker = score_worker
         self.worker_speeds = board.worker_speeds
-        self._possible_causes_by_worker_id = crashes.find_possible_causes(
+        self._possible_causes_by_worker_id = crashpolicy.find_possible_causes(
             board
         )
         self.free_by_id: dict[str, jobgraph.Resources] = {}
--- a/primroselock/decisions/graphs.py
+++ b/primroselock/decisions/graphs.py
@@ -9,6 +9,7 @@
 
 from primroselock import backoff
 from primroselock.decisions import crashes
+from primroselock.decisions import crashpolicy
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import livejobs
@@ -243,7 +244,7 @@
         group.yields_until = now + backoff.doubled_s(
             _MIN_REQUEUE_DELAY_S, group.preemptions, _MAX_REQUEUE_DELAY_S
         )
-    crash_delay_s = crashes.retry_delay_s(group)
+    crash_delay_s = crashpolicy.retry_delay_s(group)
     if crash_delay_s:
         group.not_before = max(group.not_before, now + crash_delay_s)
     group.members = []
--- a/primroselock/decisions/lostruns.py
+++ b/primroselock/decisions/lostruns.py
@@ -38,6 +38,7 @@
             member.index,
             member.boot,
             crashevidence.had_run_long(member.group.began_at, missed_at),
+            worker.boot_seen_at,
         )
         for member in members
         if member.state in _SENT_STATES
@@ -114,7 +115,7 @@
                 index,
                 lost.place.boot,
                 lost.had_run_long,
-                lost_worker.is_inherited,
+                is_inherited=lost_worker.is_inherited,
             )
             for lost in of_worker
             for index in lost.task_indices
--- a/primroselock/decisions/preferences.py
+++ b/primroselock/decisions/preferences.py
@@ -13,7 +13,7 @@
 import typing
 
 from primroselock.decisions import advising
-from primroselock.decisions import crashes
+from primroselock.decisions import crashpolicy
 from primroselock.decisions import fitting
 from primroselock.decisions import fleetpreemption
 from primroselock.decisions import fleetworkers
@@ -217,7 +217,7 @@
     def allow(worker: fleetworkers.Worker) -> bool:
         return (
             worker.id not in group.avoided_worker_ids
-            and crashes.may_share(group, worker, context.now)
+            and crashpolicy.may_share(group, worker, context.now)
             and not context.claims.excludes(worker.id, group, rank)
             and may_run(worker)
         )
--- a/primroselock/test/testcrashdecisions.py
+++ b/primroselock/test/testcrashdecisions.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from primroselock.decisions import crashes
+from primroselock.decisions import crashpolicy
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import graphs
@@ -212,7 +213,7 @@
         group = self._inherit(first)
         self._report(worker, 2)
         self._lose_idle_worker()
-        crashes.give_up(self.board, group.not_before, 103_000)
+        crashpolicy.give_up(self.board, group.not_before, 103_000)
         self.assertIs(jobs.JobState.RUNNING, group.job.state)
         self.assertIs(
             jobgraph.CrashEvidence.OUTSIDE, group.crashes[-1].evidence
@@ -227,7 +228,7 @@
         possible_cause = self._inherit(first)
         self._inherit()
         self._report(worker, 2)
-        crashes.give_up(self.board, possible_cause.not_before, 103_000)
+        crashpolicy.give_up(self.board, possible_cause.not_before, 103_000)
         self.assertIs(jobs.JobState.RUNNING, possible_cause.job.state)
 
     def test_crashes_of_workers_without_work_of_the_job(self) -> None:
@@ -242,7 +243,7 @@
             crashes.note_entry(self.board, entry, 80.0)
             self.board.record_entry(entry, 80.0)
         self._report(worker, 2)
-        crashes.give_up(self.board, group.not_before, 103_000)
+        crashpolicy.give_up(self.board, group.not_before, 103_000)
         self.assertIs(jobs.JobState.RUNNING, group.job.state)
 
     def test_crashes_of_a_task_that_is_given_up(self) -> None:
@@ -256,7 +257,7 @@
         first = jobgraph.Crash(1, shared, earlier[1].place)
         sound = self._inherit(first)
         self._report(worker, 2)
-        crashes.give_up(self.board, 110.0, 110_000)
+        crashpolicy.give_up(self.board, 110.0, 110_000)
         self.assertIs(jobs.JobState.FAILED, cause.job.state)
         outside = jobgraph.CrashEvidence.OUTSIDE
         self.assertEqual(
@@ -287,7 +288,7 @@
         ]
         group = self._inherit(*earlier, boot=2)
         self._report(worker, 3)
-        crashes.give_up(self.board, 101.0, 101_000)
+        crashpolicy.give_up(self.board, 101.0, 101_000)
         self.assertIs(jobs.JobState.FAILED, group.job.state)
 
     def test_the_third_crash_gives_a_job_up_at_once(self) -> None:
@@ -299,7 +300,7 @@
         ]
         group = self._inherit(*earlier)
         self._report(worker, 2)
-        crashes.give_up(self.board, 101.0, 101_000)
+        crashpolicy.give_up(self.board, 101.0, 101_000)
         self.assertIs(jobs.JobState.FAILED, group.job.state)
 
     def test_starts_that_end_without_a_crash(self) -> None:
@@ -316,7 +317,7 @@
         ):
             group.attempt = attempt
             group.enter(livejobs.Phase.WAITING, 100.0)
-            crashes.give_up(self.board, 101.0, 101_000)
+            crashpolicy.give_up(self.board, 101.0, 101_000)
             self.assertIs(state, group.job.state)
 
     def test_the_record_of_a_job_given_up(self) -> None:
@@ -327,9 +328,9 @@
         )
         group = self._inherit(first, boot=2)
         self._report(worker, 3)
-        crashes.give_up(self.board, group.not_before - 0.01, 103_000)
+        crashpolicy.give_up(self.board, group.not_before - 0.01, 103_000)
         self.assertIs(jobs.JobState.RUNNING, group.job.state)
-        crashes.give_up(self.board, group.not_before, 103_000)
+        crashpolicy.give_up(self.board, group.not_before, 103_000)
         self.assertIs(jobs.JobState.FAILED, group.job.state)
         last = self.board.decision_records[-1].values
         self.assertEqual(['w7', 'w0'], last['workers'])
@@ -390,7 +391,7 @@
         group = self._inherit_gang(*earlier, worker_ids=('w0', 'x', 'y', 'z'))
         self._report(worker, 2)
         group.enter(livejobs.Phase.WAITING, 101.0)
-        crashes.give_up(self.board, 110.0, 110_000)
+        crashpolicy.give_up(self.board, 110.0, 110_000)
         self.assertIs(jobs.JobState.RUNNING, group.job.state)
 
     def test_rows_that_name_no_tasks(self) -> None:
@@ -401,7 +402,7 @@
         gang = self._inherit_gang(*read.crashes, worker_ids=('w0', 'x'))
         self._report(worker, 2)
         gang.enter(livejobs.Phase.WAITING, 101.0)
-        crashes.give_up(self.board, 110.0, 110_000)
+        crashpolicy.give_up(self.board, 110.0, 110_000)
         self.assertIs(jobs.JobState.RUNNING, gang.job.state)
 
     def test_rows_of_single_tasks_that_name_none(self) -> None:
@@ -411,7 +412,7 @@
         worker = self._list(boot=2)
         group = self._inherit(*read.crashes)
         self._report(worker, 2)
-        crashes.give_up(self.board, group.not_before, 103_000)
+        crashpolicy.give_up(self.board, group.not_before, 103_000)
         self.assertIs(jobs.JobState.FAILED, group.job.state)
 
     def test_rows_of_builds_that_count_no_crashes(self) -> None:
--- a/primroselock/test/testdraindecisions.py
+++ b/primroselock/test/testdraindecisions.py
@@ -6,6 +6,7 @@
 from primroselock.decisions import crashes
 from primroselock.decisions import crashevidence
 from primroselock.decisions import crashlog
+from primroselock.decisions import crashpolicy
 from primroselock.decisions import drainlog
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
@@ -196,11 +197,11 @@
     def test_a_drain_is_kept_while_it_matters(self) -> None:
         """Guards against a worker that drains for minutes and has crashed."""
         self._drain_for_long(101.0)
-        crashes.give_up(self.board, 400.0, 400_000)
+        crashpolicy.give_up(self.board, 400.0, 400_000)
         self._report(2, 401.0)
         self._check()
         self._read('w0', 402.0, boot=2)
-        crashes.give_up(self.board, 500.0, 500_000)
+        crashpolicy.give_up(self.board, 500.0, 500_000)
         self.assertEqual({}, self.board.drains.drains_by_worker_id)
 
 
--- a/primroselock/test/testlostruns.py
+++ b/primroselock/test/testlostruns.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from primroselock.decisions import crashes
+from primroselock.decisions import crashpolicy
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import graphs
@@ -101,7 +102,7 @@
     def test_a_worker_that_does_not_come_back(self) -> None:
         """Guards against rows that keep lost runs for ever."""
         board = self._take_over(self._lose())
-        crashes.give_up(board, 300.0, 300_000)
+        crashpolicy.give_up(board, 300.0, 300_000)
         self.assertEqual((), self._group(board).lost_runs)
         self.assertIn('j', board.changed_ids)
 
@@ -155,14 +156,14 @@
         group.enter(livejobs.Phase.STARTING, self.now)
         for _ in range(2):
             self._report(member.run)
-            crashes.give_up(self.board, self.now, 0)
+            crashpolicy.give_up(self.board, self.now, 0)
             self.now += run_s / 2
         self._report(member.run)
-        crashes.give_up(self.board, self.now, 0)
+        crashpolicy.give_up(self.board, self.now, 0)
         self.boot += 1
         self._report()
         self.now = max(self.now, group.not_before) + 4.0
-        crashes.give_up(self.board, self.now, 0)
+        crashpolicy.give_up(self.board, self.now, 0)
 
     def test_lasting_work_is_started_again_for_ever(self) -> None:
         """Guards against lasting work given up for crashes in its life."""
