A row that was deleted and is back is there (LOST, EVAC)

What callers would see: a worker that left and is back within one answer of the feed counts as gone until its entry changes again, and gets no work; a zone that is evacuated again in that time counts as taken back.

Cause: the changes of an answer were split into rows and deleted keys, and the deletions applied last, whatever their order.

Change: a key counts as deleted only if its last change is the deletion.

Measured: test_a_feed_reports_rows_that_went_and_are_back failed before ('servers/a', 'servers/b' removed) and passes.

--- a/primroselock/platform/rows.py
+++ b/primroselock/platform/rows.py
@@ -223,9 +223,7 @@
         if isinstance(page, result.Err):
             return page
         body = page.ok_value
-        removed = tuple(
-            f'{row.table}/{row.key}' for row in body.rows if row.removed
-        )
+        removed = _list_removed(body)
         return result.Ok(table.Changes(_build_rows(body), removed, body.ver))
 
     async def transact(
@@ -375,6 +373,19 @@
     )
 
 
+def _list_removed(body: _Rows) -> tuple[str, ...]:
+    """Return the keys of the rows whose last change is their removal.
+
+    A response may report more than one change of a row, oldest first.
+    """
+    is_removed_by_key = {
+        f'{row.table}/{row.key}': row.removed for row in body.rows
+    }
+    return tuple(
+        key for key, is_removed in is_removed_by_key.items() if is_removed
+    )
+
+
 def _build_rows(body: _Rows) -> tuple[table.Row, ...]:
     return tuple(_build_row(row) for row in body.rows if not row.removed)
 
--- a/primroselock/store/table.py
+++ b/primroselock/store/table.py
@@ -154,8 +154,10 @@
 class Changes:
     """Rows that changed, oldest first, and the version to continue from.
 
-    ``removed`` holds the keys of deleted rows.  With ``is_listing`` these are
-    the differences of a listing: changes in between may be missing.
+    A row may have changed more than once.  ``removed`` holds the keys of rows
+    that are deleted now; ``rows`` may have earlier changes of them.  With
+    ``is_listing`` these are the differences of a listing: changes in between
+    may be missing.
     """
 
     rows: tuple[Row, ...]
--- a/primroselock/test/testplatformcalls.py
+++ b/primroselock/test/testplatformcalls.py
@@ -263,6 +263,29 @@
         truncated = await store.changes('op', 3, 0.1)
         self.assertIsInstance(truncated.unwrap_err(), table.HistoryTruncated)
 
+    async def test_a_feed_reports_rows_that_went_and_are_back(self) -> None:
+        """Guards against a worker that is back and counts as gone (LOST).
+
+        Or a zone that is evacuated again and counts as taken back (EVAC).
+        """
+        row = {'table': 'servers', 'value': 'e30='}
+        gone = {'table': 'servers', 'removed': True}
+        body = {
+            'rows': [
+                {**row, 'key': 'a', 'ver': 4},
+                {**gone, 'key': 'a', 'ver': 5},
+                {**gone, 'key': 'b', 'ver': 6},
+                {**row, 'key': 'b', 'ver': 7},
+            ],
+            'ver': 7,
+        }
+        store = self._store(_answer(200, body))
+        changes = (await store.changes('servers', 3, 0.1)).unwrap()
+        self.assertEqual(('servers/a',), changes.removed)
+        self.assertEqual(
+            ['servers/a', 'servers/b'], [row.key for row in changes.rows]
+        )
+
     async def test_an_unreadable_answer_is_an_error(self) -> None:
         for body in (b'\xff', b'[]', b'{"rows": 3}'):
             store = self._store(_answer(200, body), _answer(200, body))
