--- a/primroselock/decisions/crashes.py
+++ b/primroselock/decisions/crashes.py
@@ -12,6 +12,9 @@
 
 from collections import abc
 import dataclasses
+import typing
+
+import msgspec
 
 from primroselock.decisions import crashevidence
 from primroselock.decisions import crashlog
@@ -24,6 +27,11 @@
 from primroselock.workers import orders
 
 
+_DRAINED_ENDINGS: typing.Final = frozenset(
+    {drainlog.Ending.PLANNED, drainlog.Ending.DRAINED}
+)
+
+
 def record_restart(
     board: fleet.ShardBoard,
     worker: fleetworkers.Worker,
@@ -72,7 +80,7 @@
     ending = board.drains.find_ending(
         worker.id, worker.boot, next_boot, worker.boot_seen_at, now
     )
-    return ending is not drainlog.Ending.PLANNED
+    return ending not in _DRAINED_ENDINGS
 
 
 def _list_crashed(
@@ -92,10 +100,12 @@
         ending = board.drains.find_ending(
             worker_id, run.boot, next_boot, run.seen_at, now
         )
-        if ending is drainlog.Ending.PLANNED:
+        if ending is drainlog.Ending.PLANNED or (
+            ending is drainlog.Ending.DRAINED and not _has_crashed(run)
+        ):
             planned.append(run)
         else:
-            may_have_left = ending is drainlog.Ending.UNKNOWN
+            may_have_left = ending is not drainlog.Ending.LOST
             crashed.append(
                 dataclasses.replace(run, may_have_left=may_have_left)
             )
@@ -112,6 +122,15 @@
     return crashed
 
 
+def _has_crashed(run: crashlog.SentRun) -> bool:
+    """Return whether workers have crashed under the task of a run before.
+
+    Then it has not the benefit of the doubt.
+    """
+    crashes_by_task = crashevidence.group_by_task(run.group)
+    return run.task_index in crashes_by_task
+
+
 def record_replaced(
     board: fleet.ShardBoard,
     worker: fleetworkers.Worker,
@@ -174,7 +193,7 @@
         ending = board.drains.find_ending(
             worker.id, worker.entry.boot, entry.boot, now, now
         )
-        if ending is not drainlog.Ending.PLANNED:
+        if ending not in _DRAINED_ENDINGS:
             loss = _build_loss(worker, entry.boot, now)
             _record_loss(board, loss, (), now)
     _record_lost(board, entry, now)
@@ -189,17 +208,18 @@
 ) -> None:
     """Forget what was recorded of a boot that turns out to have drained.
 
-    Its entry is read late: the next boot has answered before.
+    Its entry is read late: the next boot has answered before.  A task under
+    which other workers have crashed has not the benefit of the doubt.
     """
     board.crashes.drop_losses(entry.id, entry.boot)
     place = jobgraph.Place(entry.id, entry.boot)
     for group in list(board.crashes.possible_causes):
-        kept = tuple(crash for crash in group.crashes if crash.place != place)
-        if len(kept) == len(group.crashes):
+        drained = [crash for crash in group.crashes if crash.place == place]
+        if len(drained) < len(group.crashes):
+            record_other_cause(board, group, drained)
             continue
-        group.crashes = kept
-        if not kept:
-            board.crashes.drop_possible_cause(group)
+        group.crashes = ()
+        board.crashes.drop_possible_cause(group)
         board.record_decision(
             'crash under a task retracted: its worker had left as planned',
             group.job,
@@ -210,6 +230,24 @@
         board.mark_changed(group.job)
 
 
+def record_other_cause(
+    board: fleet.ShardBoard,
+    group: livejobs.Group,
+    crashes: abc.Collection[jobgraph.Crash],
+) -> None:
+    """Record that ``crashes`` under a group had another cause."""
+    outside = jobgraph.CrashEvidence.OUTSIDE
+    classified = tuple(
+        msgspec.structs.replace(crash, evidence=outside)
+        if crash in crashes
+        else crash
+        for crash in group.crashes
+    )
+    if classified != group.crashes:
+        group.crashes = classified
+        board.mark_changed(group.job)
+
+
 def note_gap(board: fleet.ShardBoard) -> None:
     """Note that the entries were listed, and changes before were missed.
 
--- a/primroselock/decisions/crashpolicy.py
+++ b/primroselock/decisions/crashpolicy.py
@@ -5,10 +5,8 @@
 crash its workers (see ``crashevidence``); ``crashes`` records what happened.
 """
 
-from collections import abc
 import typing
 
-import msgspec
 
 from primroselock.decisions import crashes
 from primroselock.decisions import crashevidence
@@ -143,7 +141,7 @@
         for crash in group.crashes
         if crash.attempt == last_attempt and _was_wide(board, group, crash)
     ]
-    _record_other_cause(board, group, wide)
+    crashes.record_other_cause(board, group, wide)
 
 
 def _was_wide(
@@ -154,24 +152,6 @@
     return loss is not None and crashevidence.is_wide(board, group, loss)
 
 
-def _record_other_cause(
-    board: fleet.ShardBoard,
-    group: livejobs.Group,
-    crashes: abc.Collection[jobgraph.Crash],
-) -> None:
-    """Record that ``crashes`` under a group had another cause."""
-    outside = jobgraph.CrashEvidence.OUTSIDE
-    classified = tuple(
-        msgspec.structs.replace(crash, evidence=outside)
-        if crash in crashes
-        else crash
-        for crash in group.crashes
-    )
-    if classified != group.crashes:
-        group.crashes = classified
-        board.mark_changed(group.job)
-
-
 def _record_common_cause(
     board: fleet.ShardBoard, cause: livejobs.Group
 ) -> None:
@@ -180,7 +160,7 @@
     for group in board.crashes.possible_causes:
         if group.job is not cause.job:
             shared = [c for c in group.crashes if c.place in places]
-            _record_other_cause(board, group, shared)
+            crashes.record_other_cause(board, group, shared)
 
 
 def _fail(
--- a/primroselock/decisions/drainlog.py
+++ b/primroselock/decisions/drainlog.py
@@ -40,9 +40,13 @@
 
 
 class Ending(enum.Enum):
-    """How a boot of a worker ended."""
+    """How a boot of a worker ended.
+
+    DRAINED: it was draining, and since when is not known.
+    """
 
     PLANNED = 'left as planned'
+    DRAINED = 'had drained'
     LOST = 'lost'
     UNKNOWN = 'not known'
 
@@ -164,6 +168,8 @@
         if drain is not None:
             if now < drain.leaves_from:
                 return Ending.LOST
+            if drain.leaves_from == _NEVER:
+                return Ending.DRAINED
             if drain.has_lasted(seen_at):
                 return Ending.PLANNED
             # It may have crashed, or it was cut off when it left.
