A drain that no entry shows may have fallen into a gap (LOST)

What callers would see: a job failed after its worker was drained twice while the feed was away or the holder was replaced, where the store reports only the last change of a row.

Cause: "It returns the changed `rows` in order" leaves open whether a row that changed twice comes twice; a takeover took the changes for complete, and so did a feed that was back after an outage.

Change: after a takeover, and when the entries are up to date again after more than 1.5 s, a boot that they name no more may have drained: its crash has another cause. Until when a drain lasts counts only if it is read in time to look.

--- a/primroselock/decisions/crashes.py
+++ b/primroselock/decisions/crashes.py
@@ -249,9 +249,9 @@
 
 
 def note_gap(board: fleet.ShardBoard) -> None:
-    """Note that the entries were listed, and changes before were missed.
+    """Note that changes of the workers' entries may have been missed.
 
-    Boots that the listing names no more may have drained unseen.
+    Boots that the entries name no more may have drained unseen.
     """
     for worker in board.workers_by_id.values():
         boot = (
--- a/primroselock/decisions/drainlog.py
+++ b/primroselock/decisions/drainlog.py
@@ -109,6 +109,9 @@
         """
         if not entry.boot:
             return
+        if self.unseen_boot_by_id.get(entry.id, -1) >= entry.boot:
+            # It runs, and what it says is read again.
+            self.unseen_boot_by_id[entry.id] = entry.boot - 1
         known = self._find(entry.id, entry.boot)
         others = tuple(
             drain
@@ -116,7 +119,7 @@
             if drain is not known
         )
         if entry.is_draining:
-            leaves_from = _earliest_leave(entry, min(self.confirmed_at, now))
+            leaves_from = self._earliest_leave(entry, now)
             if known is not None:
                 leaves_from = max(leaves_from, known.leaves_from)
             self._set(entry.id, *others, Drain(entry.boot, leaves_from, now))
@@ -124,6 +127,21 @@
             # It goes on.
             self._set(entry.id, *others)
 
+    def _earliest_leave(
+        self, entry: fleetworkers.WorkerEntry, now: float
+    ) -> float:
+        """Return when a draining worker leaves at the earliest, as planned.
+
+        Minus infinity where that is not known, or is over: nobody can tell
+        any more whether it went on until then.
+        """
+        if entry.remaining_s is None:
+            return _NEVER
+        written_after = min(self.confirmed_at, now)
+        remaining_s = entry.remaining_s / (1 + leasebounds.CLOCK_DRIFT)
+        leaves_from = written_after + remaining_s - _TIMING_MARGIN_S
+        return leaves_from if leaves_from > now else _NEVER
+
     def inherit(self, report: DrainReport, now: float) -> None:
         """Note the drains that an earlier holder has published."""
         for worker_id, boot in report.boots_by_worker_id.items():
@@ -205,6 +223,14 @@
             ),
         )
 
+    def may_have_missed(self, confirmed_at: float) -> bool:
+        """Return whether a drain may have begun and ended unseen.
+
+        The copy of the entries is up to date again as of ``confirmed_at``; the
+        store need not have reported each change since the last time.
+        """
+        return confirmed_at - self.confirmed_at > _MIN_DRAIN_S
+
     def note_gap(self, worker_id: str, boot: int) -> None:
         """Note that a boot, or one before, may have drained unseen."""
         known = self.unseen_boot_by_id.get(worker_id, boot)
@@ -242,13 +268,3 @@
             drains = self.drains_by_worker_id[worker_id]
             boots_by_worker_id[worker_id] = drains[-1].boot
         return DrainReport(boots_by_worker_id, version)
-
-
-def _earliest_leave(
-    entry: fleetworkers.WorkerEntry, written_after: float
-) -> float:
-    """Return when a draining worker leaves at the earliest, as planned."""
-    if entry.remaining_s is None:
-        return _NEVER
-    remaining_s = entry.remaining_s / (1 + leasebounds.CLOCK_DRIFT)
-    return written_after + remaining_s - _TIMING_MARGIN_S
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -307,7 +307,10 @@
 
     def _note_entries_age(self) -> None:
         """Note when the copy of the workers' entries was up to date."""
-        self._board.drains.confirmed_at = self._worker_follower.confirmed_at
+        confirmed_at = self._worker_follower.confirmed_at
+        if self._board.drains.may_have_missed(confirmed_at):
+            crashes.note_gap(self._board)
+        self._board.drains.confirmed_at = confirmed_at
 
     def _run_slice(self, parts: slices.Slices) -> bool:
         """Decide for a bounded time; return whether the round goes on.
@@ -458,7 +461,5 @@
         for key in changes.removed:
             worker_id = reader.parse_worker_id(key)
             self._board.record_unlisted(worker_id)
-        if changes.is_listing:
-            crashes.note_gap(self._board)
         self._note_entries_age()
         self._parts.wake.set()
--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -331,11 +331,11 @@
 
     async def _read_entry_changes(
         self, entries: table.Listing
-    ) -> list[table.Row] | None:
+    ) -> list[table.Row]:
         """Return what workers' entries said since the earlier holder read it.
 
         A worker may have drained and left meanwhile, so that ``entries`` do
-        not show it.  Returns None if the changes are not to be had.
+        not show it.  Some are missing if the changes are not to be had.
         """
         version = self._inherited_drains.version
         rows: list[table.Row] = []
@@ -351,15 +351,14 @@
             if polled.ok_value.version <= version:
                 break
             version = polled.ok_value.version
-        if version is not None and version >= entries.version:
-            return rows
-        if self.lease.epoch > _FIRST_EPOCH:
+        is_complete = version is not None and version >= entries.version
+        if not is_complete and self.lease.epoch > _FIRST_EPOCH:
             _log.warning(
                 'drains before the takeover are not known',
                 read_up_to=version,
                 listed=entries.version,
             )
-        return None
+        return rows
 
     async def _read_jobs(
         self, submissions: table.Listing, progress: table.Listing
@@ -373,7 +372,7 @@
         self,
         jobs_by_id: abc.Mapping[str, graphrows.StoredJob],
         entries: table.Listing,
-        entry_changes: abc.Sequence[table.Row] | None,
+        entry_changes: abc.Sequence[table.Row],
         sent_at: float,
     ) -> fleet.ShardBoard:
         """Return the blackboard; ``entries`` were requested at ``sent_at``."""
@@ -387,14 +386,14 @@
         # When a drain was reported that is read now is not known.
         board.drains.confirmed_at = _NEVER
         board.drains.inherit(self._inherited_drains, now)
-        async for row in waits.take_turns(entry_changes or ()):
+        async for row in waits.take_turns(entry_changes):
             boardrows.note_earlier_entry(board, self._worker_rows, row, now)
         async for row in waits.take_turns(entries.rows):
             boardrows.apply_entry(board, self._worker_rows, row, now)
         async for job_id, stored in waits.take_turns(jobs_by_id.items()):
             boardrows.load_job(board, job_id, stored, now)
-        if entry_changes is None:
-            crashes.note_gap(board)
+        # The store need not report each change.
+        crashes.note_gap(board)
         board.drains.confirmed_at = sent_at
         crashes.review_entries(board, now)
         _log.info(
--- a/primroselock/store/table.py
+++ b/primroselock/store/table.py
@@ -155,15 +155,12 @@
     """Rows that changed, oldest first, and the version to continue from.
 
     A row may have changed more than once.  ``removed`` holds the keys of rows
-    that are deleted now; ``rows`` may have earlier changes of them.  With
-    ``is_listing`` these are the differences of a listing: changes in between
-    may be missing.
+    that are deleted now; ``rows`` may have earlier changes of them.
     """
 
     rows: tuple[Row, ...]
     removed: tuple[str, ...]
     version: int
-    is_listing: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroselock/store/tablefollower.py
+++ b/primroselock/store/tablefollower.py
@@ -120,7 +120,7 @@
         )
         removed = tuple(key for key in self.rows_by_key if key not in found)
         version = listing.ok_value.version
-        changes = table.Changes(changed, removed, version, is_listing=True)
+        changes = table.Changes(changed, removed, version)
         if not self._apply(changes, sent_at):
             return False
         self._version = version
--- a/primroselock/test/drainbuilders.py
+++ b/primroselock/test/drainbuilders.py
@@ -19,7 +19,6 @@
 REMAINING_S: typing.Final = 2.0
 WORK_MS: typing.Final = 9000
 _LEFT_S: typing.Final = 3.5
-_DRAIN_S: typing.Final = 2.1
 
 Disturbance = abc.Callable[
     [fleetbuilders.World], abc.Coroutine[typing.Any, typing.Any, None]
@@ -34,7 +33,8 @@
 class Leave:
     """How a worker leaves and is back.
 
-    It is away for ``away_s``; its first entry comes ``entry_lag_s`` after its
+    It goes on for ``drain_s``, of which it says at most ``REMAINING_S``, and
+    is away for ``away_s``; its first entry comes ``entry_lag_s`` after its
     start.  ``at_drain``, ``at_leave`` and ``at_return`` disturb the world when
     it has said that it drains, has left, and is back without an entry.  It is
     back at another address with ``has_new_address``, or as another worker at
@@ -42,6 +42,7 @@
     has left.
     """
 
+    drain_s: float = 2.1
     away_s: float = 3.0
     entry_lag_s: float = 2.0
     at_drain: Disturbance = _do_nothing
@@ -82,9 +83,9 @@
     """Drain a worker in the middle of its work; return what is back."""
     await wait_for_start(worker)
     await asyncio.sleep(WORK_MS / 1000 - _LEFT_S)
-    say_draining(world, worker)
+    say_draining(world, worker, min(REMAINING_S, how.drain_s))
     await how.at_drain(world)
-    await asyncio.sleep(_DRAIN_S)
+    await asyncio.sleep(how.drain_s)
     world.fleet.crash(worker, is_planned=True)
     if how.entry_stays_s:
         world.fleet.spawn(_remove_later(world, worker.entry, how))
--- a/primroselock/test/testdraindecisions.py
+++ b/primroselock/test/testdraindecisions.py
@@ -217,6 +217,44 @@
         self._report(3, 110.0)
         self._check(_CLEAR)
 
+    def test_the_next_boot_drains(self) -> None:
+        """Guards against a crash excused by the drain of the next boot."""
+        self.worker.record_failed_call(101.0)
+        runleases.expire_workers(self.board, 150.0, 150_000)
+        self._read('w0', 151.0, boot=2, is_draining=True, remaining_s=2.0)
+        self._check(_CLEAR)
+
+    def test_the_next_boot_drains_and_answers(self) -> None:
+        """Guards against a crash excused by the drain of the next boot."""
+        self._read('w0', 101.0, boot=2, is_draining=True, remaining_s=2.0)
+        self._report(2, 103.5)
+        self._check(_CLEAR)
+
+    def test_a_start_that_was_not_answered(self) -> None:
+        """Guards against a start sent again to the next boot (TWICE)."""
+        (member,) = self.group.members
+        self._drain_for_long(101.0)
+        member.state = livejobs.MemberState.ORDERED
+        self.group.enter(livejobs.Phase.STARTING, 104.0)
+        self._report(2, 105.0)
+        self._check()
+        self.assertIs(livejobs.Phase.STOPPING, self.group.phase)
+
+    def test_an_idle_worker_that_drains_for_minutes(self) -> None:
+        """Guards against an updated worker taken for a loss (BUDGET)."""
+        self._read('w1', 101.0, is_draining=True, remaining_s=2.0)
+        crashpolicy.give_up(self.board, 400.0, 400_000)
+        self._read('w1', 401.0, boot=2)
+        self.assertEqual([], self.board.crashes.losses)
+
+    def test_an_entry_that_is_back(self) -> None:
+        """Guards against a crash excused by a gap before its boot's entry."""
+        self.board.record_unlisted('w0')
+        crashes.note_gap(self.board)
+        self._read('w0', 102.0)
+        self._report(2, 104.0)
+        self._check(_CLEAR)
+
     def test_workers_that_left_are_no_loss(self) -> None:
         """Guards against drains elsewhere that excuse a crash (BUDGET)."""
         for number in range(1, 4):
--- a/primroselock/test/testplannedleaves.py
+++ b/primroselock/test/testplannedleaves.py
@@ -24,15 +24,37 @@
     await crashbuilders.kill_holder(world)
 
 
-async def _lose_feed(world: fleetbuilders.World) -> None:
-    """Let the feeds not answer for 7 s, until the worker is long back."""
+async def _replace_holder(world: fleetbuilders.World) -> None:
+    """Kill the node that holds the shard; another of a new name is added.
+
+    A standby takes over once the lease has expired.
+    """
+    node = world.find_shard_holder()
+    world.nodes.remove(node)
+    await node.kill()
+    world.add_node(f'{node.settings.process.vm_id}-next')
+
+
+async def _lose_history(world: fleetbuilders.World) -> None:
+    """Lose the feed, and the history of changes with it."""
+    await _lose_feed(world)
+    world.fleet.spawn(_drop_history(world))
+
+
+async def _drop_history(world: fleetbuilders.World) -> None:
+    await asyncio.sleep(6.5)
+    world.store.drop_history()
+
+
+async def _lose_feed(world: fleetbuilders.World, for_s: float = 7.0) -> None:
+    """Let the feeds not answer for ``for_s`` seconds."""
     for node in world.nodes:
         node.connectivity.feed_is_unresponsive = True
-    world.fleet.spawn(_restore_feed(world))
+    world.fleet.spawn(_restore_feed(world, for_s))
 
 
-async def _restore_feed(world: fleetbuilders.World) -> None:
-    await asyncio.sleep(7.0)
+async def _restore_feed(world: fleetbuilders.World, for_s: float) -> None:
+    await asyncio.sleep(for_s)
     for node in world.nodes:
         node.connectivity.feed_is_unresponsive = False
 
@@ -113,6 +135,53 @@
                 with self.subTest(name, reports_each_change=each):
                     self._check(how, leaves=4, reports_each_change=each)
 
+    def test_a_standby_takes_over(self) -> None:
+        """Guards against a successor that has seen no entry of the boot."""
+        cases = {
+            'as the worker drains': drainbuilders.Leave(
+                at_drain=_replace_holder
+            ),
+            'which lasts': drainbuilders.Leave(
+                drain_s=3.5, at_drain=_replace_holder
+            ),
+            'while it is away': drainbuilders.Leave(at_leave=_replace_holder),
+            'when it is back': drainbuilders.Leave(at_return=_replace_holder),
+        }
+        for name, how in cases.items():
+            for each in (True, False):
+                with self.subTest(name, reports_each_change=each):
+                    self._check(how, leaves=4, reports_each_change=each)
+
+    def test_a_standby_reads_what_the_entry_said_before(self) -> None:
+        """Guards against a drain that began and ended between two holders."""
+        how = drainbuilders.Leave(drain_s=0.5, at_drain=_replace_holder)
+        self._check(how, leaves=4)
+        # Nobody can know of it where the store reports the last change only.
+        self._check(how, 2, crashes=2, reports_each_change=False)
+
+    def test_a_successor_is_replaced_at_once(self) -> None:
+        """Guards against drains that are published once only."""
+
+        async def replace_twice(world: fleetbuilders.World) -> None:
+            await _replace_holder(world)
+            while not any(n.holder.lease.has_shard for n in world.nodes):
+                await asyncio.sleep(0.001)
+            await _replace_holder(world)
+
+        self._check(drainbuilders.Leave(at_leave=replace_twice), leaves=3)
+
+    def test_the_holder_hands_over(self) -> None:
+        """Guards against drains that a release does not publish."""
+
+        async def hand_over(world: fleetbuilders.World) -> None:
+            node = world.find_shard_holder()
+            await node.holder.hand_over()
+            world.nodes.remove(node)
+            await node.kill()
+            world.add_node(f'{node.settings.process.vm_id}-next')
+
+        self._check(drainbuilders.Leave(at_leave=hand_over), leaves=3)
+
     def test_the_feed_is_away(self) -> None:
         """Guards against a crash that stays counted if the drain is read late.
 
@@ -124,6 +193,21 @@
         """Guards against a job failed where nobody can know of the drain."""
         how = drainbuilders.Leave(at_drain=_lose_feed)
         self._check(how, 2, crashes=2, reports_each_change=False)
+        how = drainbuilders.Leave(at_drain=_lose_history, away_s=4.0)
+        self._check(how, 2, crashes=2)
+
+    def test_the_feed_is_back_before_the_worker(self) -> None:
+        """Guards against a drain that fell into a gap of the entries.
+
+        The next boot answers when they are long up to date again.
+        """
+
+        async def lose_feed(world: fleetbuilders.World) -> None:
+            await _lose_feed(world, 3.0)
+
+        how = drainbuilders.Leave(at_drain=lose_feed, away_s=8.0)
+        self._check(how, 2, crashes=2, reports_each_change=False)
+        self._check(how, 4)
 
 
 class SharedWorkerTest(unittest.TestCase):
