--- a/primroselock/test/crashbuilders.py
+++ b/primroselock/test/crashbuilders.py
@@ -150,15 +150,7 @@
         """
         fleet = self._world.fleet
         explained = fleet.failing_job_ids | self.after_s_by_job_id.keys()
-        counts = [
-            (task.job_id, failures)
-            for task, failures in fleet.failures_by_task.items()
-        ]
-        counts += [
-            (gang[0], len(attempts))
-            for gang, attempts in fleet.failed_attempts_by_gang.items()
-        ]
-        for job_id, failures in counts:
+        for job_id, failures in fleet.list_failures():
             queue = self._world.queue_configuration.find_by_name(
                 fleet.graphs_by_id[job_id].queue
             )
--- a/primroselock/test/drainfaults.py
+++ b/primroselock/test/drainfaults.py
@@ -137,16 +137,8 @@
     Jobs that crash workers are left out.
     """
     fleet = world.fleet
-    counts = [
-        (task.job_id, failures)
-        for task, failures in fleet.failures_by_task.items()
-    ]
-    counts += [
-        (gang[0], len(attempts))
-        for gang, attempts in fleet.failed_attempts_by_gang.items()
-    ]
     most_by_job_id: dict[str, int] = {}
-    for job_id, count in counts:
+    for job_id, count in fleet.list_failures():
         most_by_job_id[job_id] = max(count, most_by_job_id.get(job_id, 0))
     crashed_ids = {
         task.job_id
--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -92,6 +92,20 @@
         self.workers_by_id[entry.id] = worker
         return worker
 
+    def list_failures(self) -> list[tuple[str, int]]:
+        """Return how often each task, or gang, has failed, with its job."""
+        of_tasks = [
+            (task.job_id, failures)
+            for task, failures in self.failures_by_task.items()
+        ]
+        of_gangs = [
+            (job_id, len(attempts))
+            for (job_id, _, _), attempts in (
+                self.failed_attempts_by_gang.items()
+            )
+        ]
+        return of_tasks + of_gangs
+
     def spawn(self, coroutine: abc.Coroutine[None, None, None]) -> None:
         """Run ``coroutine`` as a background task."""
         task = asyncio.get_running_loop().create_task(coroutine)
