--- a/primroselock/test/nodesoak.py
+++ b/primroselock/test/nodesoak.py
@@ -273,6 +273,12 @@
         soak.workers.boot(event.target)
 
 
+@action('worker_drain')
+async def _drain_worker(soak: Soak, event: nodesoakplans.Event) -> None:
+    if not soak.workers.by_number[event.target].is_down:
+        await soak.workers.drain(event.target, event.for_s)
+
+
 @action(*rowstore.KINDS)
 async def _disturb_store(soak: Soak, event: nodesoakplans.Event) -> None:
     fault = rowstore.Fault(event.kind, event.nodes)
--- a/primroselock/test/nodesoakplans.py
+++ b/primroselock/test/nodesoakplans.py
@@ -13,6 +13,8 @@
 
 _ORDER_SERIES: typing.Final = 3
 _ORDER_EVENTS: typing.Final = 3
+_DRAINS_PER_WORKER: typing.Final = 2
+_MIN_AWAY_S: typing.Final = 0.3
 _MAX_BURST: typing.Final = 5
 _BURST_S: typing.Final = 1.5
 _MAX_EVENT_S: typing.Final = 6.0
@@ -57,12 +59,14 @@
     length_s: float,
     has_late_orders: bool = False,
     has_crashing_jobs: bool = False,
+    has_drains: bool = False,
 ) -> Plan:
     """Return the plan of a seed; ``nodes`` replaces the number drawn.
 
     With ``has_late_orders`` series of starts that are carried out late or
     refused are added to the same plan; with ``has_crashing_jobs`` one more
-    caller submits jobs that crash workers.
+    caller submits jobs that crash workers; with ``has_drains`` workers drain,
+    leave and are back.
     """
     source = random.Random(seed)
     count = source.randint(3, 6)
@@ -73,6 +77,8 @@
         events += _draw_burst(source, count, workers, length_s)
     if has_late_orders:
         events += _draw_order_series(seed, workers, length_s)
+    if has_drains:
+        events += _draw_drains(seed, workers, length_s)
     ends_at = max(length_s, *(event.at + event.for_s for event in events))
     events += _draw_shrinks(random.Random(f'{seed}/shrink'), workers, length_s)
     callers = max(source.randint(6, 10), count)
@@ -108,6 +114,21 @@
     ]
 
 
+def _draw_drains(seed: int, workers: int, length_s: float) -> list[Event]:
+    """Return drains, some of which overlap; each worker is back."""
+    source = random.Random(f'{seed}/drains')
+    return [
+        Event(
+            source.uniform(_FIRST_EVENT_S, length_s),
+            'worker_drain',
+            source.randrange(workers),
+            source.uniform(_MIN_AWAY_S, _MAX_EVENT_S),
+            frozenset(),
+        )
+        for _ in range(_DRAINS_PER_WORKER * workers)
+    ]
+
+
 def _draw_order_series(
     seed: int, workers: int, length_s: float
 ) -> list[Event]:
--- a/primroselock/test/testnodesoak.py
+++ b/primroselock/test/testnodesoak.py
@@ -45,6 +45,12 @@
             nodesoakplans.draw_plan(2, None, _LENGTH_S, has_crashing_jobs=True)
         )
 
+    def test_seed_3_with_drains(self) -> None:
+        """Guards against jobs failed since their workers left as planned."""
+        self.check_plan(
+            nodesoakplans.draw_plan(3, None, _LENGTH_S, has_drains=True)
+        )
+
 
 class OverloadCheckTest(unittest.TestCase):
     """The check of capacity, on a record without processes."""
--- a/standins/runworkers.py
+++ b/standins/runworkers.py
@@ -35,6 +35,10 @@
 
 _SILENCE_BEFORE_REMOVAL_S: typing.Final = 3.0
 _DOWN_S: typing.Final = (2.0, 4.0)
+_DRAIN_MS: typing.Final = 2000
+_MAX_OVERRUN_S: typing.Final = 1.0
+"""A worker that drains may go on for so much longer than it says."""
+
 _MIN_CLOCK_SPEED: typing.Final = 0.98
 _MAX_ENDS: typing.Final = 500
 _NEVER: typing.Final = float('inf')
@@ -110,6 +114,7 @@
         self.name = name
         self.is_down = False
         self.is_silent = False
+        self.is_draining = False
         self.capacity = dict(_CAPACITY)
         self.delays_starts = False
         self.refuses_starts = False
@@ -149,11 +154,11 @@
                 interval.is_noted = True
         self.ended = [end for end in self.ended if end[0] > last_seen]
 
-    def crash(self, now: float) -> None:
+    def crash(self, now: float, how: str = 'crashed') -> None:
         """End all runs at once; nothing is listed."""
         self.is_down = True
         for interval in self.running.values():
-            interval.ended_at, interval.how = now, 'crashed'
+            interval.ended_at, interval.how = now, how
         self.running.clear()
 
     def bar(self, task: str, run: int) -> None:
@@ -191,17 +196,23 @@
 
     def boot(self, number: int, name: str = '') -> None:
         """Begin a new life of a worker, with a new id unless it has one."""
+        self._put_entry(number, self._begin_life(number, name))
+
+    def _begin_life(self, number: int, name: str) -> Worker:
         self._lives += 1
         speed = self._random.uniform(_MIN_CLOCK_SPEED, 1.0)
         worker = Worker(name or f'w{number}-{self._lives}', speed)
         self.by_number[number] = worker
-        self._put_entry(number, worker)
         now = time.monotonic()
         self.capacities.append(Capacity(worker.name, now, worker.capacity))
+        return worker
 
     def _put_entry(self, number: int, worker: Worker) -> None:
         entry: Body = {'service': SERVICE, 'capacity': worker.capacity}
-        entry.update(address=self._addresses[number], zone='a', state='ready')
+        entry.update(address=self._addresses[number], zone='a')
+        entry.update(state='draining' if worker.is_draining else 'ready')
+        if worker.is_draining:
+            entry.update(remaining_ms=_DRAIN_MS)
         entry.update(labels=['kind', f'r{number // _PER_RACK}'])
         entry.update(born=worker.born_ms, seq=1, version='1', slots=8)
         self._store.put('servers', worker.name, entry)
@@ -226,6 +237,28 @@
         await asyncio.sleep(_SILENCE_BEFORE_REMOVAL_S)
         self._store.put('servers', worker.name, None)
 
+    async def drain(self, number: int, away_s: float) -> None:
+        """Let a worker leave as planned; it is back after ``away_s``.
+
+        It answers for a while before its first entry.
+        """
+        worker = self.by_number[number]
+        worker.is_draining = True
+        self._put_entry(number, worker)
+        overrun_s = self._random.uniform(0.05, _MAX_OVERRUN_S)
+        await asyncio.sleep(_DRAIN_MS / 1000 + overrun_s)
+        if worker.is_down:
+            return
+        worker.crash(time.monotonic(), 'left')
+        self._store.put('servers', worker.name, None)
+        await asyncio.sleep(away_s)
+        if self.by_number[number] is not worker:
+            return
+        following = self._begin_life(number, worker.name)
+        await asyncio.sleep(self._random.uniform(0, _MAX_ENTRY_DELAY_S))
+        if not following.is_down:
+            self._put_entry(number, following)
+
     def _crash_by_task(self, worker: Worker, source: random.Random) -> None:
         """Crash a worker by a task on it; it is back after some seconds."""
         worker.crash(time.monotonic())
