--- a/primroselock/decisions/drainlog.py
+++ b/primroselock/decisions/drainlog.py
@@ -31,8 +31,8 @@
 """A worker reports that it drains at least this long before it leaves."""
 
 _TIMING_MARGIN_S: typing.Final = 0.1
-_UNSEEN_S: typing.Final = 0.3
-"""A worker that ran so shortly before it might leave has left as planned."""
+_MAX_UNSEEN_S: typing.Final = 0.3
+"""A worker that ran so shortly before it might leave has not crashed."""
 
 _MAX_PUBLISHED_BYTES: typing.Final = 16_384
 _BYTES_PER_BOOT: typing.Final = 18
@@ -42,7 +42,7 @@
 class Ending(enum.Enum):
     """How a boot of a worker ended.
 
-    DRAINED: it was draining, and since when is not known.
+    DRAINED: it was draining, and for how much longer is not known.
     """
 
     PLANNED = 'left as planned'
@@ -69,7 +69,7 @@
     def has_lasted(self, seen_at: float) -> bool:
         """Return whether a boot that ran at ``seen_at`` left as planned."""
         return not self.is_doubtful and (
-            seen_at >= self.leaves_from - _UNSEEN_S
+            seen_at >= self.leaves_from - _MAX_UNSEEN_S
         )
 
 
