--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -331,16 +331,34 @@
 
     async def _read_entry_changes(
         self, entries: table.Listing
-    ) -> list[table.Row]:
+    ) -> abc.Sequence[table.Row]:
         """Return what workers' entries said since the earlier holder read it.
 
         A worker may have drained and left meanwhile, so that ``entries`` do
         not show it.  Some are missing if the changes are not to be had.
         """
-        version = self._inherited_drains.version
+        after = self._inherited_drains.version
+        changes = table.Changes((), (), table.ABSENT)
+        if after is not None:
+            changes = await self._list_changes(after, entries.version)
+        is_complete = changes.version >= entries.version
+        if not is_complete and self.lease.epoch > _FIRST_EPOCH:
+            _log.warning(
+                'drains before the takeover are not known',
+                read_up_to=changes.version,
+                listed=entries.version,
+            )
+        return changes.rows
+
+    async def _list_changes(self, after: int, until: int) -> table.Changes:
+        """Return the entries that changed between two versions.
+
+        As far as they can be read; without those that were deleted.
+        """
         rows: list[table.Row] = []
+        version = after
         for _ in range(_MAX_CHANGE_CALLS):
-            if version is None or version >= entries.version:
+            if version >= until:
                 break
             polled = await self._store.changes(
                 self._worker_rows.name, version, 0.0
@@ -348,17 +366,8 @@
             if isinstance(polled, result.Err):
                 break
             rows += polled.ok_value.rows
-            if polled.ok_value.version <= version:
-                break
             version = polled.ok_value.version
-        is_complete = version is not None and version >= entries.version
-        if not is_complete and self.lease.epoch > _FIRST_EPOCH:
-            _log.warning(
-                'drains before the takeover are not known',
-                read_up_to=version,
-                listed=entries.version,
-            )
-        return rows
+        return table.Changes(tuple(rows), (), version)
 
     async def _read_jobs(
         self, submissions: table.Listing, progress: table.Listing
