--- a/primroselock/test/crashbuilders.py
+++ b/primroselock/test/crashbuilders.py
@@ -150,7 +150,7 @@
         """
         fleet = self._world.fleet
         explained = fleet.failing_job_ids | self.after_s_by_job_id.keys()
-        for job_id, failures in fleet.list_failures():
+        for job_id, failures in fleet.record.list_failures():
             queue = self._world.queue_configuration.find_by_name(
                 fleet.graphs_by_id[job_id].queue
             )
--- a/primroselock/test/drainbuilders.py
+++ b/primroselock/test/drainbuilders.py
@@ -35,19 +35,22 @@
 
     It goes on for ``drain_s``, of which it says at most ``REMAINING_S``, and
     is away for ``away_s``; its first entry comes ``entry_lag_s`` after its
-    start.  ``at_drain``, ``at_leave`` and ``at_return`` disturb the world when
-    it has said that it drains, has left, and is back without an entry.  It is
-    back at another address with ``has_new_address``, or as another worker at
-    its address with ``has_new_id``.  Its entry goes ``entry_stays_s`` after it
-    has left.
+    start.  ``at_work``, ``at_drain``, ``at_leave``, ``at_return`` and
+    ``at_entry`` disturb the world before it says that it drains, when it has
+    said so, has left, is back without an entry, and with one.  It is back at
+    another address with ``has_new_address``, or as another worker at its
+    address with ``has_new_id``.  Its entry goes ``entry_stays_s`` after it has
+    left.
     """
 
     drain_s: float = 2.1
     away_s: float = 3.0
     entry_lag_s: float = 2.0
+    at_work: Disturbance = _do_nothing
     at_drain: Disturbance = _do_nothing
     at_leave: Disturbance = _do_nothing
     at_return: Disturbance = _do_nothing
+    at_entry: Disturbance = _do_nothing
     has_new_address: bool = False
     has_new_id: bool = False
     entry_stays_s: float = 0.0
@@ -82,6 +85,7 @@
 ) -> simulatedworker.FakeWorker:
     """Drain a worker in the middle of its work; return what is back."""
     await wait_for_start(worker)
+    await how.at_work(world)
     await asyncio.sleep(WORK_MS / 1000 - _LEFT_S)
     say_draining(world, worker, min(REMAINING_S, how.drain_s))
     await how.at_drain(world)
@@ -102,6 +106,7 @@
     await how.at_return(world)
     await asyncio.sleep(how.entry_lag_s)
     world.write_entry(worker.entry)
+    await how.at_entry(world)
     return worker
 
 
@@ -128,6 +133,7 @@
     await how.at_return(world)
     await asyncio.sleep(how.entry_lag_s)
     world.write_entry(new)
+    await how.at_entry(world)
     return replacing
 
 
@@ -139,6 +145,19 @@
 ) -> None:
     """Run a scenario on a world; fail if a violation was recorded."""
 
+    run_in_time(lambda virtual: scenario, workers, nodes, reports_each_change)
+
+
+def run_in_time(
+    build: abc.Callable[
+        [virtualtime.VirtualClock], fleetbuilders.NodeScenario
+    ],
+    workers: int = 1,
+    nodes: int = 3,
+    reports_each_change: bool = True,
+) -> None:
+    """Run the scenario that is built for a virtual clock, likewise."""
+
     async def run_all(virtual: virtualtime.VirtualClock) -> None:
         world = fleetbuilders.World(0, workers)
         world.store.reports_each_change = reports_each_change
@@ -146,7 +165,7 @@
             world.add_node(f'entry-{number}')
         await asyncio.sleep(2.0)
         try:
-            await scenario(world)
+            await build(virtual)(world)
         finally:
             await world.close()
         if world.fleet.violations:
--- a/primroselock/test/drainfaults.py
+++ b/primroselock/test/drainfaults.py
@@ -82,7 +82,7 @@
         for live in worker.runs.values():
             left_s = live.ends_at - now
             is_hit = _MIN_LEFT_S <= left_s <= _MAX_LEFT_S
-            leaves = world.fleet.leaves_by_task.get(live.run.task, 0)
+            leaves = world.fleet.record.leaves_by_task.get(live.run.task, 0)
             if (is_hit or live.step.long_running) and leaves > most:
                 best, most = worker, leaves
     return best
@@ -138,11 +138,11 @@
     """
     fleet = world.fleet
     most_by_job_id: dict[str, int] = {}
-    for job_id, count in fleet.list_failures():
+    for job_id, count in fleet.record.list_failures():
         most_by_job_id[job_id] = max(count, most_by_job_id.get(job_id, 0))
     crashed_ids = {
         task.job_id
-        for task, count in fleet.crashes_by_task.items()
+        for task, count in fleet.record.crashes_by_task.items()
         if count >= _CRASHES_TO_FAIL
     }
     return [
--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -19,6 +19,7 @@
 from primroselock.test import capacityhistory
 from primroselock.test import fakeadvice
 from primroselock.test import placementchecks
+from primroselock.test import runrecord
 from primroselock.test import simulatedworker
 from primroselock.workers import orders
 
@@ -55,14 +56,7 @@
         self.invalid_job_ids: set[str] = set()
         """Jobs whose starts every worker refuses as not understood."""
 
-        self.failures_by_task: dict[jobgraph.TaskName, int] = {}
-        self.failed_attempts_by_gang: dict[tuple[str, int, int], set[int]] = {}
-        """By job, occurrence and step."""
-
-        self.crashes_by_task: dict[jobgraph.TaskName, int] = {}
-        self.leaves_by_task: dict[jobgraph.TaskName, int] = {}
-        """Workers that crashed, or left as planned, under a task."""
-
+        self.record = runrecord.RunRecord()
         self.stop_delay_s = 0.1
         self.late_starts_outlive = False
         self.late_s = (2.0, 6.0)
@@ -92,20 +86,6 @@
         self.workers_by_id[entry.id] = worker
         return worker
 
-    def list_failures(self) -> list[tuple[str, int]]:
-        """Return how often each task, or gang, has failed, with its job."""
-        of_tasks = [
-            (task.job_id, failures)
-            for task, failures in self.failures_by_task.items()
-        ]
-        of_gangs = [
-            (job_id, len(attempts))
-            for (job_id, _, _), attempts in (
-                self.failed_attempts_by_gang.items()
-            )
-        ]
-        return of_tasks + of_gangs
-
     def spawn(self, coroutine: abc.Coroutine[None, None, None]) -> None:
         """Run ``coroutine`` as a background task."""
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -156,12 +136,7 @@
         if live.cause is orders.EndCause.DONE:
             self.done.add(task)
         elif live.cause is orders.EndCause.FAILED:
-            count = self.failures_by_task.get(task, 0)
-            self.failures_by_task[task] = count + 1
-            if live.step.gang:
-                gang = (task.job_id, task.occurrence, task.step)
-                attempts = self.failed_attempts_by_gang.setdefault(gang, set())
-                attempts.add(live.run.attempt)
+            self.record.add_failure(live)
         if live.step.gang:
             self._end_gang(live)
 
@@ -190,9 +165,7 @@
         """
         worker.is_down = True
         lost = list(worker.runs.values())
-        counts = self.leaves_by_task if is_planned else self.crashes_by_task
-        for live in lost:
-            counts[live.run.task] = counts.get(live.run.task, 0) + 1
+        self.record.add_lost(lost, is_planned)
         worker.runs.clear()
         worker.ended.clear()
         worker.refused.clear()
--- a/primroselock/test/testearlierruns.py
+++ b/primroselock/test/testearlierruns.py
@@ -105,7 +105,7 @@
             world.fleet.failing_job_ids.add('j')
             boundbuilders.submit(world, 'j', 1)
             await boundbuilders.wait_until(
-                lambda: bool(world.fleet.failures_by_task)
+                lambda: bool(world.fleet.record.failures_by_task)
             )
             world.fleet.failing_job_ids.clear()
             with capacitybuilders.slow_placement(world, _STORE_DELAY_S):
--- a/primroselock/test/testfleetnode.py
+++ b/primroselock/test/testfleetnode.py
@@ -91,7 +91,7 @@
                 worker.fails_all = True
             world.submit(fleetbuilders.build_graph('j1'))
             await world.wait_for('j1', 'failed', 20.0)
-            failures = max(world.fleet.failures_by_task.values())
+            failures = max(world.fleet.record.failures_by_task.values())
             self.assertEqual(fleetbuilders.BULK.max_attempts, failures)
 
         run_scenario(scenario)
--- a/primroselock/test/testloadpatterns.py
+++ b/primroselock/test/testloadpatterns.py
@@ -239,7 +239,7 @@
                 await asyncio.sleep(0.3)
             for number in range(20):
                 await world.wait_for(f'b{number}', 'done', 30.0)
-            return float(sum(world.fleet.failures_by_task.values()))
+            return float(sum(world.fleet.record.failures_by_task.values()))
 
         self.assertLess(fleetbuilders.run_scenario(scenario, 4), 7.0)
 
--- a/primroselock/test/testplannedleaves.py
+++ b/primroselock/test/testplannedleaves.py
@@ -8,10 +8,13 @@
 import typing
 import unittest
 
+from primroselock import jobgraph
 from primroselock.test import crashbuilders
 from primroselock.test import drainbuilders
 from primroselock.test import fleetbuilders
+from primroselock.test import loadbuilders
 from primroselock.test import simulatedworker
+from primroselock.test import virtualtime
 
 _LEAVES: typing.Final = 5
 """More than the crashes after which any task is given up."""
@@ -138,6 +141,9 @@
     def test_a_standby_takes_over(self) -> None:
         """Guards against a successor that has seen no entry of the boot."""
         cases = {
+            'before the worker drains': drainbuilders.Leave(
+                at_work=_replace_holder
+            ),
             'as the worker drains': drainbuilders.Leave(
                 at_drain=_replace_holder
             ),
@@ -146,6 +152,9 @@
             ),
             'while it is away': drainbuilders.Leave(at_leave=_replace_holder),
             'when it is back': drainbuilders.Leave(at_return=_replace_holder),
+            'when its entry is back': drainbuilders.Leave(
+                at_entry=_replace_holder
+            ),
         }
         for name, how in cases.items():
             for each in (True, False):
@@ -182,6 +191,37 @@
 
         self._check(drainbuilders.Leave(at_leave=hand_over), leaves=3)
 
+    def test_a_holder_that_is_late_itself(self) -> None:
+        """Guards against a job failed since its holder's rounds are late.
+
+        It cannot tell a leave from a crash then, and counts it with another
+        cause at most.
+        """
+        for round_s in (0.5, 1.5):
+            with self.subTest(round_s=round_s):
+                drainbuilders.run_in_time(
+                    lambda virtual: self._leave_slowly(virtual, round_s)
+                )
+
+    def _leave_slowly(
+        self, virtual: virtualtime.VirtualClock, round_s: float
+    ) -> fleetbuilders.NodeScenario:
+        async def scenario(world: fleetbuilders.World) -> None:
+            (worker,) = world.fleet.workers_by_id.values()
+            step = fleetbuilders.build_step(1, 1, drainbuilders.WORK_MS)
+            world.submit(fleetbuilders.build_graph('j', step))
+            with loadbuilders.slow_rounds(virtual, round_s):
+                for _ in range(2):
+                    await drainbuilders.leave(
+                        world, worker, drainbuilders.Leave()
+                    )
+                await drainbuilders.wait_for_start(worker)
+            for crash in drainbuilders.list_crashes(world, 'j'):
+                self.assertIs(jobgraph.CrashEvidence.OUTSIDE, crash.evidence)
+            await world.wait_for('j', 'done', _END_S)
+
+        return scenario
+
     def test_the_feed_is_away(self) -> None:
         """Guards against a crash that stays counted if the drain is read late.
 
