The soak blames no job for a gang that the workers left cannot hold

What the check said: "v0040 has not ended" and the like, of gangs in one rack of which a worker had left for good after the job was accepted.

Change: at the end of a run a job counts as open only if the listed workers hold each of its gangs when empty.

--- a/primroselock/test/soakbuilders.py
+++ b/primroselock/test/soakbuilders.py
@@ -12,6 +12,8 @@
 import typing
 
 from primroselock import clock
+from primroselock.decisions import fleetworkers
+from primroselock import jobgraph
 from primroselock.test import crashbuilders
 from primroselock.test import drainfaults
 from primroselock.test import faultbuilders
@@ -212,15 +214,44 @@
                 random.Random(f'{self.plan.seed} crashing'),
             )
 
+    def _list_open_jobs(self) -> list[str]:
+        """Return the jobs that have not ended and that workers could run."""
+        graphs_by_id = self.world.fleet.graphs_by_id
+        entries = list(self.world.entries_by_id.values())
+        return [
+            job_id
+            for job_id in self.check.list_open_jobs()
+            if can_hold_gangs(graphs_by_id[job_id], entries)
+        ]
+
     async def _wait_for_ends(self) -> list[str]:
         until = clock.monotonic() + _MAX_DRAIN_S
-        while open_ids := self.check.list_open_jobs():
+        while open_ids := self._list_open_jobs():
             if clock.monotonic() >= until:
                 return open_ids
             await asyncio.sleep(1.0)
         return []
 
 
+def can_hold_gangs(
+    graph: jobgraph.JobGraph, entries: abc.Sequence[fleetworkers.WorkerEntry]
+) -> bool:
+    """Return whether workers, when empty, hold each gang of a job at once.
+
+    Those that have left for good may have been needed.
+    """
+    return all(
+        sum(
+            entry.capacity.fit_count(step.counted_need)
+            for entry in entries
+            if not step.label or step.label in entry.labels
+        )
+        >= step.tasks
+        for step in graph.steps
+        if step.gang
+    )
+
+
 def run(
     seed: int,
     examine: abc.Callable[[Soak], None] = lambda soak: None,
--- a/primroselock/test/testsoak.py
+++ b/primroselock/test/testsoak.py
@@ -11,7 +11,10 @@
 import typing
 import unittest
 
+import msgspec
+
 from primroselock.test import faultbuilders
+from primroselock.test import fleetbuilders
 from primroselock.test import soakbuilders
 
 _ROOT: typing.Final = pathlib.Path(__file__).resolve().parents[2]
@@ -100,6 +103,38 @@
         self.check_seeds(1, 6, '--wide', '--bounds')
 
 
+class OpenJobTest(unittest.TestCase):
+    """Which jobs must have ended at the end of a run."""
+
+    def check_gang(self, is_possible: bool, **changes: typing.Any) -> None:
+        """Judge a gang of 5 halves of workers on three of its rack."""
+        entries = [
+            fleetbuilders.build_entry(f'w{number}', rack)
+            for number, rack in enumerate(('r0', 'r0', 'r0', 'r1'))
+        ]
+        step = fleetbuilders.build_step(
+            5, 4, gang=True, rack_local=True, label='r0'
+        )
+        changed = msgspec.structs.replace(step, **changes)
+        graph = fleetbuilders.build_graph('j', changed)
+        found = soakbuilders.can_hold_gangs(graph, entries)
+        self.assertIs(is_possible, found)
+
+    def test_a_gang_that_just_fits(self) -> None:
+        """Guards against a check that misses a gang that never starts."""
+        self.check_gang(True)
+        self.check_gang(True, tasks=6)
+
+    def test_a_gang_that_the_workers_cannot_hold(self) -> None:
+        """Guards against blame for a gang whose workers left for good."""
+        self.check_gang(False, tasks=7)
+
+    def test_other_steps_must_end(self) -> None:
+        """Guards against a check that leaves out more than gangs."""
+        self.check_gang(True, tasks=7, gang=False)
+        self.check_gang(True, tasks=8, label='')
+
+
 class PlanTest(unittest.TestCase):
     """Plans of a seed."""
 
