--- /dev/null
+++ b/primroselock/decisions/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about the shares and limits of client accounts."""
--- a/primroselock/platform/configuration.py
+++ b/primroselock/platform/configuration.py
@@ -59,12 +59,22 @@
     gpus: decoding.Count = 0
 
 
+class _MaxCount(msgspec.Struct):
+    """What a tenant may have running; 0 means no limit."""
+
+    cpu: decoding.Count = 0
+    mem_mb: decoding.Count = 0
+    gpus: decoding.Count = 0
+
+
 class _Tenant(msgspec.Struct):
     """A client account."""
 
     name: str
     api_keys: list[str] = []
     guaranteed: _Guaranteed | None = None
+    weight: decoding.Amount | None = None
+    max_count: _MaxCount | None = None
 
 
 class _Limits(msgspec.Struct):
@@ -163,5 +173,15 @@
 def _account(tenant: _Tenant) -> queues.QueueAccount:
     guaranteed = tenant.guaranteed.gpus if tenant.guaranteed else 0
     return queues.QueueAccount(
-        tenant.name, frozenset(tenant.api_keys), guaranteed
+        tenant.name,
+        frozenset(tenant.api_keys),
+        guaranteed,
+        _quota(tenant.max_count),
+        tenant.weight or None,
     )
+
+
+def _quota(most: _MaxCount | None) -> queues.Quota:
+    if most is None:
+        return queues.UNLIMITED
+    return queues.Quota(most.cpu, most.mem_mb, most.gpus)
--- a/primroselock/queues.py
+++ b/primroselock/queues.py
@@ -46,16 +46,41 @@
     advice: AdviceLatency | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Quota:
+    """What an account may have running at a time, on all workers together.
+
+    An amount of 0 is no limit.  ``cpu_millis`` is in thousandths of a core,
+    ``memory_mb`` in megabytes.
+    """
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    @property
+    def is_unlimited(self) -> bool:
+        """Whether no resource is limited."""
+        return not (self.cpu_millis or self.memory_mb or self.accelerators)
+
+
+UNLIMITED: typing.Final = Quota()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueueAccount:
-    """A client account, its API keys and its guaranteed accelerators.
+    """A client account, its API keys, its guarantee and its limits.
 
     Guaranteed accelerators that other accounts use are reclaimed on demand.
+    ``weight`` is the account's share, relative to the weights of the others,
+    when work waits for capacity.  None: the configuration gives none.
     """
 
     name: str
     keys: frozenset[str] = frozenset()
     guaranteed_accelerators: int = 0
+    quota: Quota = UNLIMITED
+    weight: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroselock/test/testmalformedrows.py
+++ b/primroselock/test/testmalformedrows.py
@@ -285,7 +285,15 @@
             'advice': {'decide_ms': 1.0, 'each_ms': 0.5},
         }
     ],
-    'tenants': [{'name': 't', 'api_keys': ['k'], 'guaranteed': {'gpus': 8}}],
+    'tenants': [
+        {
+            'name': 't',
+            'api_keys': ['k'],
+            'guaranteed': {'gpus': 8},
+            'weight': 2,
+            'max_count': {'cpu': 1000, 'mem_mb': 2000, 'gpus': 16},
+        }
+    ],
     'limits': {'max_body_bytes': 1000},
 }
 _ENTRY: typing.Final = {**decodercases.WORKER_ENTRY, 'seq': 4}
--- a/primroselock/test/testplatformadapter.py
+++ b/primroselock/test/testplatformadapter.py
@@ -19,6 +19,7 @@
 from primroselock.platform import configuration
 from primroselock.platform import discovery
 from primroselock.platform import settings
+from primroselock import queues
 from primroselock.store import table
 from primroselock.test import builders
 from primroselock.test import decodercases
@@ -200,6 +201,37 @@
     }
 
 
+class AccountTest(unittest.TestCase):
+    """What the configuration says of a client account."""
+
+    def test_weight_and_quota_are_read(self) -> None:
+        account = _read_account(
+            {'weight': 2, 'max_count': {'cpu': 9, 'mem_mb': 8, 'gpus': 7}}
+        )
+        self.assertEqual(2.0, account.weight)
+        self.assertEqual(queues.Quota(9, 8, 7), account.quota)
+
+    def test_what_is_not_given_is_no_limit(self) -> None:
+        for limits in ({}, {'max_count': None}, {'max_count': {'cpu': 0}}):
+            account = _read_account(limits)
+            self.assertTrue(account.quota.is_unlimited)
+            self.assertIsNone(account.weight)
+
+    def test_a_quota_may_limit_one_resource(self) -> None:
+        account = _read_account({'max_count': {'gpus': 3}})
+        self.assertEqual(queues.Quota(accelerators=3), account.quota)
+        self.assertFalse(account.quota.is_unlimited)
+
+
+def _read_account(limits: dict[str, typing.Any]) -> queues.QueueAccount:
+    """Return the account of a configuration whose row has ``limits``."""
+    body = {**_config(1), 'tenants': [{'name': 't', **limits}]}
+    row = table.Row('op/config', msgspec.json.encode(body), 1, '')
+    reader = configuration.ConfigurationReader()
+    reader.apply(table.Changes((row,), (), 1))
+    return reader.current.accounts_by_name['t']
+
+
 class DiscoveryTest(unittest.TestCase):
     """Worker entries, valid and malformed."""
 
