A large answer of the store is read as long as it arrives

Change: the deadline of a read or a poll is that of the response's head. The body may take as long as it arrives, without a pause of the call's bound. The adaptive limit counts the head's time only.

--- a/primroselock/httpclient.py
+++ b/primroselock/httpclient.py
@@ -8,6 +8,10 @@
 :class:`ResponseLost`, since a peer that read the request may have started the
 work.
 
+An exchange ends at its deadline.  One whose response may be large has a bound
+on pauses instead, from the head of the response on: as long as the body
+arrives, reading it from its start again would only take longer.
+
 A :class:`ConnectionPool` keeps the idle connections to one address, newest
 first, and bounds the number of open connections.  A connection that is
 being closed counts against the limit until it is closed.
@@ -44,11 +48,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
-    """One complete HTTP response; header names are in lower case."""
+    """One complete HTTP response; header names are in lower case.
+
+    ``head_s`` is the time from sending the request to the headers' arrival,
+    ``body_s`` how long the body then took, in seconds.
+    """
 
     status: int
     body: bytes
     headers_by_name: abc.Mapping[str, str]
+    head_s: float = 0.0
+    body_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,16 +77,57 @@
     """The request was sent but no complete response was received.
 
     The work may or may not have run.  ``timed_out`` is set when the peer
-    did not respond by the deadline.
+    did not respond by the deadline, or paused for too long.
+    ``received_bytes`` of the response's body had arrived.
     """
 
     detail: str
     timed_out: bool = False
+    received_bytes: int = 0
 
 
 ExchangeError = NotSent | ResponseLost
 
 
+class _Progress:
+    """How far the response of one exchange has arrived.
+
+    ``max_pause_s`` bounds each pause from the headers on; None: only the
+    deadline bounds the exchange.
+    """
+
+    def __init__(
+        self, limit: asyncio.Timeout, max_pause_s: float | None
+    ) -> None:
+        self.received_bytes = 0
+        self.head_s = 0.0
+        self._limit = limit
+        self._max_pause_s = max_pause_s
+        self._sent_at = clock.monotonic()
+
+    def add_head(self) -> None:
+        """Note that the headers have arrived."""
+        self.head_s = clock.monotonic() - self._sent_at
+        self._extend()
+
+    def add(self, count: int) -> None:
+        """Note that ``count`` bytes of the body have arrived."""
+        self.received_bytes += count
+        self._extend()
+
+    def finish(
+        self, status: int, body: bytes, headers: abc.Mapping[str, str]
+    ) -> Response:
+        """Return the complete response."""
+        body_s = clock.monotonic() - self._sent_at - self.head_s
+        return Response(status, body, headers, self.head_s, body_s)
+
+    def _extend(self) -> None:
+        if self._max_pause_s is not None:
+            now = asyncio.get_running_loop().time()
+            self._limit.reschedule(now + self._max_pause_s)
+
+
 class _ResponseTooLarge(Exception):
     """The response body exceeds the limit of the pool."""
 
@@ -131,11 +182,16 @@
             self._discard(self._idle.pop(0))
 
     async def exchange(
-        self, request: Request, timeout_s: float
+        self,
+        request: Request,
+        timeout_s: float,
+        max_pause_s: float | None = None,
     ) -> result.Result[Response, ExchangeError]:
         """Send ``request`` and return the complete response.
 
-        The wait for a free connection counts against ``timeout_s``.
+        The wait for a free connection counts against ``timeout_s``.  With
+        ``max_pause_s``, ``timeout_s`` ends with the headers of the response,
+        and its body may take any time without a pause of ``max_pause_s``.
         """
         deadline = clock.monotonic() + timeout_s
         try:
@@ -148,7 +204,7 @@
         left_s = max(deadline - clock.monotonic(), _MIN_TIMEOUT_S)
         # The library swallows a cancellation that comes with the response.
         return await waits.keep_cancellation(
-            self._exchange_on(pooled, request, left_s)
+            self._exchange_on(pooled, request, left_s, max_pause_s)
         )
 
     async def _exchange_on(
@@ -156,23 +212,31 @@
         pooled: httpconnections.Client,
         request: Request,
         timeout_s: float,
+        max_pause_s: float | None,
     ) -> result.Result[Response, ExchangeError]:
         pooled.start_exchange()
         is_complete = False
+        limit = asyncio.timeout(timeout_s)
+        progress = _Progress(limit, max_pause_s)
         try:
-            async with asyncio.timeout(timeout_s):
-                response = await self._send(pooled, request, timeout_s)
+            async with limit:
+                response = await self._send(
+                    pooled, request, timeout_s, progress
+                )
             is_complete = True
             return result.Ok(response)
         except Exception as error:
             # The library raises many types for a truncated response.
             detail = f'{self.address}: {type(error).__name__}: {error}'
+            received = progress.received_bytes
+            if received:
+                detail += f' after {received} bytes'
             if not pooled.has_written():
                 return result.Err(NotSent(detail))
             timed_out = isinstance(
                 error, (TimeoutError, aiosonic.exceptions.BaseTimeout)
             )
-            return result.Err(ResponseLost(detail, timed_out))
+            return result.Err(ResponseLost(detail, timed_out, received))
         finally:
             if is_complete:
                 self._put_back(pooled)
@@ -184,6 +248,7 @@
         pooled: httpconnections.Client,
         request: Request,
         timeout_s: float,
+        progress: _Progress,
     ) -> Response:
         raw = await pooled.client.request(
             f'http://{self.address}{request.path}',
@@ -194,32 +259,36 @@
             follow=False,
             stream=True,
         )
+        progress.add_head()
         headers = {name.lower(): value for name, value in raw.headers.items()}
         if raw.status_code in _STATUSES_WITHOUT_BODY:
-            return Response(raw.status_code, b'', headers)
-        body = await self._read_body(raw, headers)
+            return progress.finish(raw.status_code, b'', headers)
+        body = await self._read_body(raw, headers, progress)
         if not body and pooled.is_closed_by_peer():
             # The library accepts truncated headers as complete.
             if headers.get('connection', '').lower() != 'close':
                 raise _HeadTruncated
-        return Response(raw.status_code, body, headers)
+        return progress.finish(raw.status_code, body, headers)
 
     async def _read_body(
-        self, raw: typing.Any, headers: abc.Mapping[str, str]
+        self,
+        raw: typing.Any,
+        headers: abc.Mapping[str, str],
+        progress: _Progress,
     ) -> bytes:
         declared = headers.get('content-length')
         if declared is not None:
             if int(declared) > self.max_answer_bytes:
                 raise _ResponseTooLarge(declared)
-            body: bytes = await raw.content()
-            return body
+            if not int(declared) or 'content-encoding' in headers:
+                body: bytes = await raw.content()
+                return body
         parts: list[bytes] = []
-        size = 0
         async for part in raw.read_chunks():
             parts.append(part)
-            size += len(part)
-            if size > self.max_answer_bytes:
-                raise _ResponseTooLarge(str(size))
+            progress.add(len(part))
+            if progress.received_bytes > self.max_answer_bytes:
+                raise _ResponseTooLarge(str(progress.received_bytes))
         return b''.join(parts)
 
     async def _acquire(self) -> httpconnections.Client:
--- a/primroselock/store/resilientclient.py
+++ b/primroselock/store/resilientclient.py
@@ -4,6 +4,10 @@
 While the platform does not respond, calls fail at once, except for
 periodic probes.  A failed idempotent call is retried once within its
 deadline, if the retry budget allows it.
+
+The response to a read or a poll may be large and the link slow.  Its deadline
+is that of the response's head; the body may take as long as it arrives, with
+no pause as long as the call's bound.
 """
 
 import asyncio
@@ -79,8 +83,12 @@
             request,
             self._read_breaker,
             wait_s + self._poll_timeout.current_s(timeout_s),
+            timeout_s,
         )
         late_s = clock.monotonic() - sent_at - wait_s
+        if isinstance(outcome, result.Ok):
+            # How long the body takes says nothing about the next head.
+            late_s -= outcome.ok_value.body_s
         # A response before the end of the wait gives no measurement.
         if late_s >= 0:
             _record_duration(self._poll_timeout, outcome, late_s, timeout_s)
@@ -95,22 +103,30 @@
         """
         deadline = clock.monotonic() + timeout_s
         self._retries.earn()
-        outcome = await self._exchange(request, self._read_breaker, timeout_s)
+        outcome = await self._exchange(
+            request, self._read_breaker, timeout_s, timeout_s
+        )
         if isinstance(outcome, result.Ok) or not self._retries.spend():
             return outcome
         await asyncio.sleep(random.uniform(0, _MAX_RETRY_DELAY_S))
         left_s = deadline - clock.monotonic()
         if left_s <= 0:
             return outcome
-        return await self._exchange(request, self._read_breaker, left_s)
+        return await self._exchange(
+            request, self._read_breaker, left_s, timeout_s
+        )
 
     async def _exchange(
         self,
         request: httpclient.Request,
         breaker: resilience.CircuitBreaker,
         timeout_s: float,
+        max_pause_s: float | None = None,
     ) -> CallResult:
-        """Send one call if the rate limit and the breaker allow it."""
+        """Send one call if the rate limit and the breaker allow it.
+
+        ``max_pause_s`` as in ``httpclient.ConnectionPool.exchange``.
+        """
         now = clock.monotonic()
         wait_s = self._rate.reserve(now)
         if wait_s >= timeout_s:
@@ -129,7 +145,9 @@
             wait_s > timeout_s * _MAX_WAIT_SHARE
             or not self._pool.has_free_connection()
         )
-        outcome = await self._pool.exchange(request, timeout_s - wait_s)
+        outcome = await self._pool.exchange(
+            request, timeout_s - wait_s, max_pause_s
+        )
         answered = isinstance(outcome, result.Ok) and (
             outcome.ok_value.status < _SERVER_ERROR
         )
@@ -148,5 +166,7 @@
     if isinstance(outcome, result.Ok):
         timeout.record_answer(duration_s)
     elif isinstance(outcome.err_value, httpclient.ResponseLost):
-        if outcome.err_value.timed_out:
+        error = outcome.err_value
+        # Once a part of the body is there, the response was not lost.
+        if error.timed_out and not error.received_bytes:
             timeout.record_timeout(bound_s)
--- a/primroselock/test/testcallerload.py
+++ b/primroselock/test/testcallerload.py
@@ -47,7 +47,10 @@
         return not self._connections.locked()
 
     async def exchange(
-        self, request: httpclient.Request, timeout_s: float
+        self,
+        request: httpclient.Request,
+        timeout_s: float,
+        max_pause_s: float | None = None,
     ) -> typing.Any:
         """Answer that there is no row, or that a write was applied."""
         is_sent = False
--- a/primroselock/test/testhttpclient.py
+++ b/primroselock/test/testhttpclient.py
@@ -324,5 +324,60 @@
         self.assertIsInstance(answer.unwrap_err(), httpclient.NotSent)
 
 
+class SlowBodyTest(unittest.IsolatedAsyncioTestCase):
+    """A body that arrives slowly is read to its end, if it may be.
+
+    Guards against a response that is asked for from its start for ever,
+    since it takes longer than the deadline of its head.
+    """
+
+    async def asyncSetUp(self) -> None:
+        self.peer = scriptedpeer.Peer()
+        self.address = await self.peer.start()
+        self.addAsyncCleanup(self.peer.stop)
+        self.pool = httpclient.ConnectionPool(self.address, 1)
+        self.addAsyncCleanup(self.pool.aclose)
+
+    async def exchange(
+        self, max_pause_s: float | None, silence_s: float = 0.0
+    ) -> result.Result[httpclient.Response, httpclient.ExchangeError]:
+        """Exchange a body of 10 pieces, twice as long as the deadline.
+
+        ``silence_s`` before the last piece.
+        """
+        task = asyncio.create_task(
+            self.pool.exchange(
+                httpclient.Request('GET', '/slow'), 0.5, max_pause_s
+            )
+        )
+        await scriptedpeer.wait_until(lambda: '/slow' in self.peer.seen)
+        writer = self.peer.writers_by_path['/slow']
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n')
+        for number in range(10):
+            await asyncio.sleep(0.1)
+            if number == 9:
+                await asyncio.sleep(silence_s)
+            writer.write(b'x')
+        return await task
+
+    async def test_the_deadline_ends_with_the_head(self) -> None:
+        response = (await self.exchange(0.5)).unwrap()
+        self.assertEqual(b'x' * 10, response.body)
+        self.assertGreater(response.body_s, 0.8)
+        self.assertLess(response.head_s, response.body_s)
+
+    async def test_without_a_bound_on_pauses_the_deadline_holds(self) -> None:
+        lost = (await self.exchange(None)).unwrap_err()
+        assert isinstance(lost, httpclient.ResponseLost)
+        self.assertTrue(lost.timed_out)
+        self.assertGreater(lost.received_bytes, 0)
+
+    async def test_a_pause_ends_the_exchange(self) -> None:
+        lost = (await self.exchange(0.5, 1.0)).unwrap_err()
+        assert isinstance(lost, httpclient.ResponseLost)
+        self.assertTrue(lost.timed_out)
+        self.assertEqual(9, lost.received_bytes)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/primroselock/test/testplatformcalls.py
+++ b/primroselock/test/testplatformcalls.py
@@ -42,7 +42,10 @@
         return True
 
     async def exchange(
-        self, request: httpclient.Request, timeout_s: float
+        self,
+        request: httpclient.Request,
+        timeout_s: float,
+        max_pause_s: float | None = None,
     ) -> typing.Any:
         """Record a request and return the next answer."""
         self.sent.append(request)
