Copies on slow links: listings go on, age is told, failures are logged

Cause: what a listing had read was thrown away when it was broken off; a change set that is broken off can only be asked for from its start; after a long answer the next call waited for changes and the copy, old already, grew older; while a newer version was arriving a node served calls by the older one as long as in an outage (4 s), though it knew better and the bound on changes is shorter; after the first failure nothing was logged.

Change: a listing goes on after its last complete page and keeps the age of its first; two broken change sets in a row are followed by a listing; after a long answer the next call does not wait; from the first part of a change set on the copy counts as outdated, and calls are served up to outdated_permit_s (the bound config_apply_ms) only. Long and broken answers and lasting failures are logged and counted.

--- a/primroselock/fleetnode.py
+++ b/primroselock/fleetnode.py
@@ -141,7 +141,9 @@
         if not self._reader.apply(changes):
             return
         current = self._reader.current
-        self.intake.set_queue_configuration(current, self._confirmed_at)
+        self.intake.set_queue_configuration(
+            current, self._confirmed_at, self._is_outdated
+        )
         self._holder.set_queue_configuration(current, self._confirmed_at)
         _log.info(
             'configuration applied',
@@ -152,6 +154,9 @@
     def _confirmed_at(self) -> float:
         return self._operator_follower.confirmed_at
 
+    def _is_outdated(self) -> bool:
+        return self._operator_follower.is_outdated
+
     @property
     def shards_held(self) -> int:
         """The number of shards whose lease this process holds."""
--- a/primroselock/httpclient.py
+++ b/primroselock/httpclient.py
@@ -89,20 +89,32 @@
 ExchangeError = NotSent | ResponseLost
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LargeBody:
+    """How a response is received whose body may be large.
+
+    The deadline of the exchange is that of the headers.  The body may then
+    take any time without a pause of ``max_pause_s``.  ``on_begin`` is called
+    when a first part of it has arrived that is not all.
+    """
+
+    max_pause_s: float
+    on_begin: abc.Callable[[], None] | None = None
+
+
 class _Progress:
     """How far the response of one exchange has arrived.
 
-    ``max_pause_s`` bounds each pause from the headers on; None: only the
-    deadline bounds the exchange.
+    Without ``large`` only the deadline bounds the exchange.
     """
 
     def __init__(
-        self, limit: asyncio.Timeout, max_pause_s: float | None
+        self, limit: asyncio.Timeout, large: LargeBody | None
     ) -> None:
         self.received_bytes = 0
         self.head_s = 0.0
         self._limit = limit
-        self._max_pause_s = max_pause_s
+        self._large = large
         self._sent_at = clock.monotonic()
 
     def add_head(self) -> None:
@@ -110,10 +122,14 @@
         self.head_s = clock.monotonic() - self._sent_at
         self._extend()
 
-    def add(self, count: int) -> None:
-        """Note that ``count`` bytes of the body have arrived."""
+    def add(self, count: int, declared: int | None) -> None:
+        """Note ``count`` more bytes of a body of ``declared``, if known."""
+        is_first = not self.received_bytes
         self.received_bytes += count
         self._extend()
+        is_all = declared is not None and self.received_bytes >= declared
+        if self._large and self._large.on_begin and is_first and not is_all:
+            self._large.on_begin()
 
     def finish(
         self, status: int, body: bytes, headers: abc.Mapping[str, str]
@@ -123,9 +139,9 @@
         return Response(status, body, headers, self.head_s, body_s)
 
     def _extend(self) -> None:
-        if self._max_pause_s is not None:
+        if self._large is not None:
             now = asyncio.get_running_loop().time()
-            self._limit.reschedule(now + self._max_pause_s)
+            self._limit.reschedule(now + self._large.max_pause_s)
 
 
 class _ResponseTooLarge(Exception):
@@ -185,13 +201,11 @@
         self,
         request: Request,
         timeout_s: float,
-        max_pause_s: float | None = None,
+        large: LargeBody | None = None,
     ) -> result.Result[Response, ExchangeError]:
         """Send ``request`` and return the complete response.
 
-        The wait for a free connection counts against ``timeout_s``.  With
-        ``max_pause_s``, ``timeout_s`` ends with the headers of the response,
-        and its body may take any time without a pause of ``max_pause_s``.
+        The wait for a free connection counts against ``timeout_s``.
         """
         deadline = clock.monotonic() + timeout_s
         try:
@@ -204,7 +218,7 @@
         left_s = max(deadline - clock.monotonic(), _MIN_TIMEOUT_S)
         # The library swallows a cancellation that comes with the response.
         return await waits.keep_cancellation(
-            self._exchange_on(pooled, request, left_s, max_pause_s)
+            self._exchange_on(pooled, request, left_s, large)
         )
 
     async def _exchange_on(
@@ -212,12 +226,12 @@
         pooled: httpconnections.Client,
         request: Request,
         timeout_s: float,
-        max_pause_s: float | None,
+        large: LargeBody | None,
     ) -> result.Result[Response, ExchangeError]:
         pooled.start_exchange()
         is_complete = False
         limit = asyncio.timeout(timeout_s)
-        progress = _Progress(limit, max_pause_s)
+        progress = _Progress(limit, large)
         try:
             async with limit:
                 response = await self._send(
@@ -276,17 +290,18 @@
         headers: abc.Mapping[str, str],
         progress: _Progress,
     ) -> bytes:
-        declared = headers.get('content-length')
-        if declared is not None:
-            if int(declared) > self.max_answer_bytes:
-                raise _ResponseTooLarge(declared)
-            if not int(declared) or 'content-encoding' in headers:
+        declared: int | None = None
+        if 'content-length' in headers:
+            declared = int(headers['content-length'])
+            if declared > self.max_answer_bytes:
+                raise _ResponseTooLarge(str(declared))
+            if not declared or 'content-encoding' in headers:
                 body: bytes = await raw.content()
                 return body
         parts: list[bytes] = []
         async for part in raw.read_chunks():
             parts.append(part)
-            progress.add(len(part))
+            progress.add(len(part), declared)
             if progress.received_bytes > self.max_answer_bytes:
                 raise _ResponseTooLarge(str(progress.received_bytes))
         return b''.join(parts)
--- a/primroselock/intake.py
+++ b/primroselock/intake.py
@@ -119,6 +119,7 @@
         self._counts = _PublishedCounts(None, float('-inf'))
         self._queues = queues.EMPTY
         self._confirmed_at: abc.Callable[[], float] = lambda: float('-inf')
+        self._is_outdated: abc.Callable[[], bool] = lambda: False
         shard_follower.add_handler(self._apply_changes)
 
     def _apply_changes(self, changes: table.Changes) -> None:
@@ -132,14 +133,17 @@
         self,
         current: queues.QueueConfiguration,
         confirmed_at: abc.Callable[[], float],
+        is_outdated: abc.Callable[[], bool] = lambda: False,
     ) -> None:
         """Use this version of the queues for all later calls.
 
         ``confirmed_at`` returns when the operators' rows were last known
-        to be up to date, on this process's clock.
+        to be up to date, on this process's clock; ``is_outdated`` whether
+        a newer version of them is on its way.
         """
         self._queues = current
         self._confirmed_at = confirmed_at
+        self._is_outdated = is_outdated
 
     @property
     def max_body_bytes(self) -> int:
@@ -161,14 +165,17 @@
 
         Once the operators' rows are older than the permit, every call is
         refused, since a newer version may have removed the key or the
-        queue.
+        queue; sooner if such a version is known to be on its way.
         """
         age_s = now - self._confirmed_at()
-        if age_s > self._settings.serve_permit_s or not self._queues.version:
+        permit_s = self._settings.serve_permit_s
+        detail = f'age {age_s:.3f} s'
+        if self._is_outdated():
+            permit_s = min(permit_s, self._settings.outdated_permit_s)
+            detail += '; a newer version is on its way'
+        if age_s > permit_s or not self._queues.version:
             return result.Err(
-                Refused(
-                    RefusalReason.STALE, f'age {age_s:.3f} s', _RETRY_AFTER_S
-                )
+                Refused(RefusalReason.STALE, detail, _RETRY_AFTER_S)
             )
         queue = self._queues.find(host, path)
         if queue is None:
--- a/primroselock/metrics.py
+++ b/primroselock/metrics.py
@@ -27,6 +27,8 @@
     'probes': 'Short polls of workers that may be unreachable.',
     'shards_held': 'Shards whose lease this process holds.',
     'start_order': 'Time until a worker answered a start order.',
+    'store_broken_answers': 'Answers of the store that ended midway.',
+    'store_long_answer': 'Duration of the bodies of long store answers.',
     'store_received_bytes': 'Bytes of rows received from the store.',
     'store_sent_bytes': 'Bytes of rows sent to the store.',
     'unexpected_runs': 'Runs on workers that no row asks for.',
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -194,7 +194,9 @@
     operators' rows for starts and for calls, and ``entry_permit_s`` that of
     the workers' entries for starts; beyond ``accept_permit_s`` no
     job is accepted, and beyond ``ready_permit_s`` the node reports to the
-    load balancer that it is not ready.  The store must accept a job within
+    load balancer that it is not ready.  While a newer version of these rows
+    is on its way, calls are served up to ``outdated_permit_s`` only.  The
+    store must accept a job within
     ``accept_timeout_s``.  ``run_lease_s`` is the longest lease of a run;
     ``longest_wait_s`` bounds the wait of one long poll of a worker, whose
     answer may take ``look_timeout_s`` more.  A worker must answer an order
@@ -239,6 +241,7 @@
     start_permit_s: float = ini.key('seconds', 2.5)
     entry_permit_s: float = ini.key('seconds', 2.5)
     serve_permit_s: float = ini.key('seconds', 3.4)
+    outdated_permit_s: float = ini.key('seconds', 3.0)
     accept_permit_s: float = ini.key('seconds', 1.9)
     ready_permit_s: float = ini.key('seconds', 2.0)
     accept_timeout_s: float = ini.key('seconds', 1.2)
--- a/primroselock/platform/rows.py
+++ b/primroselock/platform/rows.py
@@ -18,11 +18,13 @@
 from primroselock import clock
 from primroselock import decoding
 from primroselock import httpclient
+from primroselock import logs
 from primroselock import metrics
 from primroselock import options
 from primroselock.store import resilientclient
 from primroselock.store import table
 
+_log: typing.Final = logs.get('rows')
 _OK: typing.Final = 200
 _GONE: typing.Final = 410
 _CONDITION_FAILED: typing.Final = 412
@@ -42,6 +44,9 @@
 _MAX_FAILED_PAGES: typing.Final = 3
 """Failures in a row after which a listing is given up."""
 
+_LONG_BODY_S: typing.Final = 0.5
+"""Seconds of an answer's body past which it is logged."""
+
 _TOKEN_SEPARATOR: typing.Final = b'\x01'
 """Separates the token from the value in rows that the product writes."""
 
@@ -153,16 +158,16 @@
         return result.Ok(list(_build_rows(page.ok_value)))
 
     async def list_rows(
-        self, name: str
-    ) -> result.Result[table.Listing, table.Unavailable]:
-        """Return all rows of the table ``name``.
+        self, name: str, listed: table.PartialListing | None = None
+    ) -> result.Result[table.Listing, table.Unavailable | table.ListingBroken]:
+        """Return all rows of the table ``name``, after those in ``listed``.
 
         The version is that of the first page: rows that changed while
         later pages were read are reported again by the change feed.
         """
-        rows: list[table.Row] = []
-        start = ''
-        version: int | None = None
+        rows = list(listed.rows) if listed else []
+        start = listed.start if listed else ''
+        version = listed.version if listed else None
         failures = 0
         while True:
             sent_at = clock.monotonic()
@@ -171,7 +176,7 @@
             if isinstance(page, result.Err):
                 failures += 1
                 if failures > _MAX_FAILED_PAGES:
-                    return page
+                    return _break_off(page.err_value, rows, version, start)
                 self._adapt_page(_SLOW_PAGE_S * 2)
                 continue
             failures = 0
@@ -202,20 +207,28 @@
         )
 
     async def changes(
-        self, name: str, after: int, wait_s: float
+        self,
+        name: str,
+        after: int,
+        wait_s: float,
+        on_begin: abc.Callable[[], None] | None = None,
     ) -> result.Result[
         table.Changes, table.Unavailable | table.HistoryTruncated
     ]:
         """Return the changes after version ``after``.
 
         Without any, the store may hold the response for ``wait_s`` seconds.
+        ``on_begin``: see ``table.Feed``.
         """
         query = {'table': name, 'after': after, 'wait_ms': int(wait_s * 1000)}
         answer = await self._calls.poll(
-            _get_request('/rows-feed', query), wait_s, self._timeout_s
+            _get_request('/rows-feed', query),
+            wait_s,
+            self._timeout_s,
+            on_begin,
         )
         if isinstance(answer, result.Err):
-            return result.Err(table.Unavailable(answer.err_value.detail))
+            return result.Err(self._note_lost(name, answer.err_value))
         if answer.ok_value.status == _GONE:
             return result.Err(table.HistoryTruncated())
         self._count_received(name, answer.ok_value)
@@ -300,15 +313,55 @@
             _get_request('/rows-get', query), self._timeout_s
         )
         if isinstance(answer, result.Err):
-            return result.Err(table.Unavailable(answer.err_value.detail))
+            return result.Err(self._note_lost(name, answer.err_value))
         self._count_received(name, answer.ok_value)
         return _decode_page(answer.ok_value)
 
     def _count_received(
         self, name: str, response: httpclient.Response
     ) -> None:
+        received = len(response.body)
         series = metrics.labelled('store_received_bytes', table=name)
-        self._metrics.count(series, len(response.body))
+        self._metrics.count(series, received)
+        if response.body_s > _LONG_BODY_S:
+            self._metrics.record('store_long_answer', response.body_s)
+            _log.info(
+                'long answer received',
+                table=name,
+                bytes=received,
+                took_s=round(response.body_s, 3),
+            )
+
+    def _note_lost(
+        self, name: str, error: httpclient.ExchangeError
+    ) -> table.Unavailable:
+        """Return the product's error; log what had arrived of an answer."""
+        received = 0
+        if isinstance(error, httpclient.ResponseLost):
+            received = error.received_bytes
+        if received:
+            series = metrics.labelled('store_broken_answers', table=name)
+            self._metrics.count(series)
+            _log.info(
+                'answer broken off',
+                table=name,
+                bytes=received,
+                detail=error.detail,
+            )
+        return table.Unavailable(error.detail, is_partial=received > 0)
+
+
+def _break_off(
+    error: table.Unavailable,
+    rows: list[table.Row],
+    version: int | None,
+    start: str,
+) -> result.Err[table.Unavailable | table.ListingBroken]:
+    """Return the error of a listing, with the pages that were read."""
+    if version is None:
+        return result.Err(error)
+    listed = table.PartialListing(tuple(rows), version, start)
+    return result.Err(table.ListingBroken(error.detail, listed))
 
 
 def _get_request(
--- a/primroselock/platform/settings.py
+++ b/primroselock/platform/settings.py
@@ -89,7 +89,9 @@
 
         ``hold_max_ms`` is the longest lease of a run; ``revoke_ms`` is how
         long an API key may still be accepted after it was revoked, also by
-        nodes that are partitioned from the store; ``contact_ms`` is how long
+        nodes that are partitioned from the store; ``config_apply_ms`` is how
+        long a node that reaches the store may serve by an older version;
+        ``contact_ms`` is how long
         a node may still count on capacity that a worker's entry shows no
         more; ``far_x`` is how many times as long a remote task takes.
         """
@@ -124,6 +126,9 @@
                 'run_lease_s': self._seconds('bounds.hold_max_ms', 10000),
                 'far_factor': f'{self._number("bounds.far_x", 3):g}',
                 'serve_permit_s': f'{self._serve_permit_s():g}',
+                'outdated_permit_s': self._seconds(
+                    'bounds.config_apply_ms', 2000
+                ),
                 'entry_permit_s': f'{entry_permit_s:g}',
                 'entry_wait_s': f'{entry_permit_s * _ENTRY_WAIT_SHARE:g}',
             },
--- a/primroselock/store/resilientclient.py
+++ b/primroselock/store/resilientclient.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+from collections import abc
 import random
 import typing
 
@@ -71,19 +72,25 @@
         return outcome
 
     async def poll(
-        self, request: httpclient.Request, wait_s: float, timeout_s: float
+        self,
+        request: httpclient.Request,
+        wait_s: float,
+        timeout_s: float,
+        on_begin: abc.Callable[[], None] | None = None,
     ) -> CallResult:
         """Send an idempotent long poll that the caller repeats.
 
         The store may hold the response for ``wait_s``, and then has up to
-        ``timeout_s`` to send it, or less if responses are typically fast.
+        ``timeout_s`` to send its head, or less if responses are typically
+        fast.  ``on_begin`` is called when a part of the body has arrived and
+        the rest takes longer.
         """
         sent_at = clock.monotonic()
         outcome = await self._exchange(
             request,
             self._read_breaker,
             wait_s + self._poll_timeout.current_s(timeout_s),
-            timeout_s,
+            httpclient.LargeBody(timeout_s, on_begin),
         )
         late_s = clock.monotonic() - sent_at - wait_s
         if isinstance(outcome, result.Ok):
@@ -103,8 +110,9 @@
         """
         deadline = clock.monotonic() + timeout_s
         self._retries.earn()
+        large = httpclient.LargeBody(timeout_s)
         outcome = await self._exchange(
-            request, self._read_breaker, timeout_s, timeout_s
+            request, self._read_breaker, timeout_s, large
         )
         if isinstance(outcome, result.Ok) or not self._retries.spend():
             return outcome
@@ -112,21 +120,16 @@
         left_s = deadline - clock.monotonic()
         if left_s <= 0:
             return outcome
-        return await self._exchange(
-            request, self._read_breaker, left_s, timeout_s
-        )
+        return await self._exchange(request, self._read_breaker, left_s, large)
 
     async def _exchange(
         self,
         request: httpclient.Request,
         breaker: resilience.CircuitBreaker,
         timeout_s: float,
-        max_pause_s: float | None = None,
+        large: httpclient.LargeBody | None = None,
     ) -> CallResult:
-        """Send one call if the rate limit and the breaker allow it.
-
-        ``max_pause_s`` as in ``httpclient.ConnectionPool.exchange``.
-        """
+        """Send one call if the rate limit and the breaker allow it."""
         now = clock.monotonic()
         wait_s = self._rate.reserve(now)
         if wait_s >= timeout_s:
@@ -145,9 +148,7 @@
             wait_s > timeout_s * _MAX_WAIT_SHARE
             or not self._pool.has_free_connection()
         )
-        outcome = await self._pool.exchange(
-            request, timeout_s - wait_s, max_pause_s
-        )
+        outcome = await self._pool.exchange(request, timeout_s - wait_s, large)
         answered = isinstance(outcome, result.Ok) and (
             outcome.ok_value.status < _SERVER_ERROR
         )
--- a/primroselock/store/table.py
+++ b/primroselock/store/table.py
@@ -93,10 +93,12 @@
     Also the error of the object store and of the VM list.
     ``is_throttled`` is set if the platform answered that it takes no more
     calls from this process now, so that it may be serving others.
+    ``is_partial`` is set if a part of the answer had arrived.
     """
 
     detail: str
     is_throttled: bool = False
+    is_partial: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -176,20 +178,50 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartialListing:
+    """The first rows of a table, from which a listing can go on.
+
+    ``version`` is that of the first page; ``start`` the key of the next.
+    """
+
+    rows: tuple[Row, ...]
+    version: int
+    start: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListingBroken:
+    """The platform stopped answering within a listing."""
+
+    detail: str
+    listed: PartialListing
+
+
 class Feed(typing.Protocol):
     """A table with a change feed."""
 
     async def list_rows(
-        self, name: str
-    ) -> result.Result[Listing, Unavailable]:
-        """Return all rows whose key begins with ``name`` and a slash."""
+        self, name: str, listed: PartialListing | None = None
+    ) -> result.Result[Listing, Unavailable | ListingBroken]:
+        """Return all rows whose key begins with ``name`` and a slash.
+
+        ``listed`` is what an earlier listing had read when it was broken
+        off: the listing goes on from there, and has its version.
+        """
 
     async def changes(
-        self, name: str, after: int, wait_s: float
+        self,
+        name: str,
+        after: int,
+        wait_s: float,
+        on_begin: abc.Callable[[], None] | None = None,
     ) -> result.Result[Changes, Unavailable | HistoryTruncated]:
         """Return what changed in the rows of ``name`` after version ``after``.
 
         Without a change the result is empty, after ``wait_s`` seconds.
+        ``on_begin`` is called when a first part of changes has arrived and
+        the rest takes longer.
         """
 
 
--- a/primroselock/store/tablefollower.py
+++ b/primroselock/store/tablefollower.py
@@ -4,10 +4,16 @@
 response brought it up to date.  A call that gets no response ends by its
 timeout.  When the feed no longer retains the needed history, the table is
 listed again completely, and the differences are reported as changes.
+
+A change set may take many seconds on a slow link.  From its first part on the
+copy is known to be outdated, until all of it was applied.  One that is broken
+off can only be asked for from its start; a listing goes on after its last
+complete page, so that after repeated breaks the table is listed instead.
 """
 
 import asyncio
 from collections import abc
+import math
 import random
 import typing
 
@@ -24,6 +30,15 @@
 _FAILURES_TO_UNREACHABLE: typing.Final = 2
 """A single failure may be one lost response or one closed connection."""
 
+_BREAKS_TO_LIST: typing.Final = 2
+"""Change sets in a row that were broken off, after which a table is listed."""
+
+_LONG_CALL_S: typing.Final = 0.5
+"""A call that took this much longer than its wait has left the copy old."""
+
+_REPORT_INTERVAL_S: typing.Final = 5.0
+"""While the store is unreachable this is logged again."""
+
 _NEVER: typing.Final = float('-inf')
 _log: typing.Final = logs.get('following')
 
@@ -34,12 +49,13 @@
     """Follows one table; ``wait_s`` is the long-poll wait of one call.
 
     ``loaded`` is set once the table was listed completely; ``confirmed_at``
-    is on this process's monotonic clock.
+    is on this process's monotonic clock.  ``is_outdated`` is set while
+    changes that are not in the copy are known to be on their way.
     After changes the next call is made ``pause_s`` later, so that
     successive changes are reported together; a caller may set it at any
-    time.  After a failure the feed is polled without a long-poll wait
-    until it responds, so that the copy is confirmed as soon as the store
-    is available again.
+    time.  After a failure or a long call the feed is polled without a
+    long-poll wait until it responds, so that the copy is confirmed as soon
+    as the store is available again.
 
     Changes that a handler fails to apply are not confirmed: they are undone,
     requested again and reported again to every handler, so that handlers must
@@ -54,8 +70,13 @@
         self.confirmed_at = _NEVER
         self.loaded = asyncio.Event()
         self._store = store
+        self.is_outdated = False
         self._version: int | None = None
-        self._is_resumed = False
+        self._listed: table.PartialListing | None = None
+        self._listed_at = _NEVER
+        self._is_due = False
+        self._breaks = 0
+        self._reported_at = _NEVER
         self._handlers: list[Handler] = []
         self._failures = 0
         self._truncations = 0
@@ -70,7 +91,7 @@
         ``sent_at`` is when the listing was requested.  It may have taken
         long, so that the first call after it has no long-poll wait.
         """
-        self._is_resumed = True
+        self._is_due = True
         self.rows_by_key = {row.key: row for row in listing.rows}
         self._version = listing.version
         self.confirmed_at = sent_at
@@ -107,10 +128,16 @@
                 await self._pause()
 
     async def _list(self, sent_at: float) -> bool:
-        listing = await self._store.list_rows(self.name)
+        if self._listed is None:
+            self._listed_at = sent_at
+        listing = await self._store.list_rows(self.name, self._listed)
         if isinstance(listing, result.Err):
-            self._record_failure(listing.err_value.detail)
+            error = listing.err_value
+            if isinstance(error, table.ListingBroken):
+                self._listed = error.listed
+            self._record_failure(error.detail)
             return False
+        self._listed = None
         found = {row.key: row for row in listing.ok_value.rows}
         changed = tuple(
             row
@@ -121,40 +148,69 @@
         removed = tuple(key for key in self.rows_by_key if key not in found)
         version = listing.ok_value.version
         changes = table.Changes(changed, removed, version)
-        if not self._apply(changes, sent_at):
+        if not self._apply(changes, self._listed_at):
             return False
         self._version = version
+        # What changed since the first page was read.
+        self._is_due = True
         self.loaded.set()
+        _log.info(
+            'table listed',
+            table=self.name,
+            rows=len(found),
+            took_s=round(clock.monotonic() - self._listed_at, 3),
+        )
         return True
 
     async def _follow(self, version: int, sent_at: float) -> bool:
-        is_urgent = self._failures or self._is_resumed
+        is_urgent = self._failures or self._is_due
         wait_s = 0.0 if is_urgent else self.wait_s
-        polled = await self._store.changes(self.name, version, wait_s)
+        polled = await self._store.changes(
+            self.name, version, wait_s, self._note_changes
+        )
         if isinstance(polled, result.Err):
-            error = polled.err_value
-            if isinstance(error, table.HistoryTruncated):
-                _log.info(
-                    'feed history truncated; listing the table again',
-                    table=self.name,
-                    version=version,
-                )
-                self._version = None
-                self._truncations += 1
-                # The first time the table is listed again at once.
-                return self._truncations == 1
-            self._record_failure(error.detail)
-            return False
-        self._truncations = 0
+            return self._follow_failed(version, polled.err_value)
+        self._truncations = self._breaks = 0
         changes = polled.ok_value
         if not self._apply(changes, sent_at):
             return False
         self._version = max(version, changes.version)
-        self._is_resumed = False
+        self._is_due = self.age_s(clock.monotonic()) > wait_s + _LONG_CALL_S
         if changes.rows and self.pause_s:
             await asyncio.sleep(self.pause_s)
         return True
 
+    def _follow_failed(
+        self, version: int, error: table.Unavailable | table.HistoryTruncated
+    ) -> bool:
+        """Return whether the next call may be made at once."""
+        if isinstance(error, table.HistoryTruncated):
+            _log.info(
+                'feed history truncated; listing the table again',
+                table=self.name,
+                version=version,
+            )
+            self._version = None
+            self._truncations += 1
+            # The first time the table is listed again at once.
+            return self._truncations == 1
+        self._record_failure(error.detail)
+        self._breaks += error.is_partial
+        if self._breaks >= _BREAKS_TO_LIST:
+            _log.info(
+                'changes broken off; listing the table',
+                table=self.name,
+                version=version,
+                breaks=self._breaks,
+            )
+            self._breaks = 0
+            self._version = None
+        return False
+
+    def _note_changes(self) -> None:
+        """Note that a part of changes has arrived and the rest takes time."""
+        self.is_outdated = True
+
     def _apply(self, changes: table.Changes, sent_at: float) -> bool:
         """Apply changes; return False if a handler failed to apply them."""
         changed_keys = [*(row.key for row in changes.rows), *changes.removed]
@@ -169,9 +225,13 @@
             self.confirmed_at = confirmed_at
             self._failures += 1
             return False
+        self.is_outdated = False
         if self._failures:
-            age_s = round(sent_at - confirmed_at, 3)
-            _log.info('table reachable again', table=self.name, age_s=age_s)
+            _log.info(
+                'table reachable again',
+                table=self.name,
+                age_s=_round_age(sent_at - confirmed_at),
+            )
             self._failures = 0
         return True
 
@@ -201,10 +261,23 @@
 
     def _record_failure(self, detail: str) -> None:
         self._failures += 1
+        now = clock.monotonic()
         if self._failures == 1:
             _log.warning(
                 'table unreachable; retrying', table=self.name, detail=detail
             )
+        elif now - self._reported_at >= _REPORT_INTERVAL_S:
+            _log.warning(
+                'table still unreachable',
+                table=self.name,
+                failures=self._failures,
+                age_s=_round_age(self.age_s(now)),
+                listed=len(self._listed.rows) if self._listed else 0,
+                detail=detail,
+            )
+        else:
+            return
+        self._reported_at = now
 
     async def _pause(self) -> None:
         in_row = max(self._failures, self._truncations)
@@ -212,6 +285,11 @@
         await asyncio.sleep(random.uniform(0, max_pause_s))
 
 
+def _round_age(age_s: float) -> float | None:
+    """Return an age for the log; None if there never was a copy."""
+    return round(age_s, 3) if math.isfinite(age_s) else None
+
+
 class CachedReads:
     """A table whose reads are answered from a followed copy.
 
--- a/primroselock/test/fakefeed.py
+++ b/primroselock/test/fakefeed.py
@@ -186,8 +186,8 @@
         return result.Ok(self._shared.inner.scan(prefix, after, limit))
 
     async def list_rows(
-        self, name: str
-    ) -> result.Result[table.Listing, table.Unavailable]:
+        self, name: str, listed: table.PartialListing | None = None
+    ) -> result.Result[table.Listing, table.Unavailable | table.ListingBroken]:
         """Return all rows of a table."""
         await asyncio.sleep(self.listing_s)
         if not await self._call() or name in self._connectivity.lost_tables:
@@ -198,7 +198,11 @@
         return result.Ok(table.Listing(tuple(rows), inner.version))
 
     async def changes(
-        self, name: str, after: int, wait_s: float
+        self,
+        name: str,
+        after: int,
+        wait_s: float,
+        on_begin: abc.Callable[[], None] | None = None,
     ) -> result.Result[
         table.Changes, table.Unavailable | table.HistoryTruncated
     ]:
--- a/primroselock/test/slowlinks.py
+++ b/primroselock/test/slowlinks.py
@@ -72,7 +72,7 @@
         self,
         request: httpclient.Request,
         timeout_s: float,
-        max_pause_s: float | None = None,
+        large: httpclient.LargeBody | None = None,
     ) -> result.Result[httpclient.Response, httpclient.ExchangeError]:
         """Send a request; see ``httpclient.ConnectionPool.exchange``."""
         self.paths.append(request.path)
@@ -84,11 +84,14 @@
                 status, body = await self._call(request)
                 head_s = loop.time() - sent_at
                 while received < len(body):
-                    if max_pause_s is not None:
-                        limit.reschedule(loop.time() + max_pause_s)
+                    if large is not None:
+                        limit.reschedule(loop.time() + large.max_pause_s)
                     piece = min(_PIECE_BYTES, len(body) - received)
                     await self._link.carry(piece)
                     received += piece
+                    is_first = received == piece < len(body)
+                    if large and large.on_begin and is_first:
+                        large.on_begin()
         except (TimeoutError, ConnectionResetError) as error:
             timed_out = isinstance(error, TimeoutError)
             name = type(error).__name__
--- a/primroselock/test/testcallerload.py
+++ b/primroselock/test/testcallerload.py
@@ -50,7 +50,7 @@
         self,
         request: httpclient.Request,
         timeout_s: float,
-        max_pause_s: float | None = None,
+        large: httpclient.LargeBody | None = None,
     ) -> typing.Any:
         """Answer that there is no row, or that a write was applied."""
         is_sent = False
--- a/primroselock/test/testfleetintake.py
+++ b/primroselock/test/testfleetintake.py
@@ -43,6 +43,38 @@
 
         run_scenario(scenario)
 
+    def test_calls_while_a_newer_version_is_on_its_way(self) -> None:
+        """Guards against calls served by a version known to be outdated.
+
+        The permit is shorter then: the bound on changes, not on outages.
+        """
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            front = world.nodes[0].intake
+            now = clock.monotonic()
+            outdated = False
+            front.set_queue_configuration(
+                fleetbuilders.QUEUE_CONFIGURATION,
+                lambda: confirmed_at,
+                lambda: outdated,
+            )
+            for outdated, age_s, is_admitted in (
+                (False, 3.2, True),
+                (True, 3.2, False),
+                (True, 2.9, True),
+                (False, 3.5, False),
+            ):
+                confirmed_at = now - age_s
+                admitted = front.admit('host', '/bulk/j', 'k1', now)
+                self.assertEqual(is_admitted, admitted.is_ok())
+                if isinstance(admitted, result.Err):
+                    refused = admitted.err_value
+                    self.assertIs(intake.RefusalReason.STALE, refused.why)
+                    told = 'on its way' in refused.detail
+                    self.assertEqual(outdated, told)
+
+        run_scenario(scenario)
+
     def test_a_refusal_means_that_nothing_was_stored(self) -> None:
         """Guards against a job that is refused and runs nevertheless.
 
--- a/primroselock/test/testhttpclient.py
+++ b/primroselock/test/testhttpclient.py
@@ -347,7 +347,9 @@
         """
         task = asyncio.create_task(
             self.pool.exchange(
-                httpclient.Request('GET', '/slow'), 0.5, max_pause_s
+                httpclient.Request('GET', '/slow'),
+                0.5,
+                httpclient.LargeBody(max_pause_s) if max_pause_s else None,
             )
         )
         await scriptedpeer.wait_until(lambda: '/slow' in self.peer.seen)
--- a/primroselock/test/testplatformcalls.py
+++ b/primroselock/test/testplatformcalls.py
@@ -45,7 +45,7 @@
         self,
         request: httpclient.Request,
         timeout_s: float,
-        max_pause_s: float | None = None,
+        large: httpclient.LargeBody | None = None,
     ) -> typing.Any:
         """Record a request and return the next answer."""
         self.sent.append(request)
@@ -251,6 +251,24 @@
         listing = await store.list_rows('t')
         self.assertIsInstance(listing.unwrap_err(), table.Unavailable)
 
+    async def test_a_listing_goes_on_where_it_was_broken_off(self) -> None:
+        """Guards against pages that are read again from the first one."""
+        row = {'table': 't', 'ver': 3, 'value': ''}
+        first = {'rows': [{**row, 'key': 'a'}], 'more_pages': True, 'ver': 7}
+        last = {'rows': [{**row, 'key': 'b'}], 'ver': 9}
+        lost = result.Err(httpclient.ResponseLost('down'))
+        store = self._store(_answer(200, first), *[lost] * 8)
+        broken = (await store.list_rows('t')).unwrap_err()
+        assert isinstance(broken, table.ListingBroken)
+        self.pool.answers = [_answer(200, last)]
+        listing = (await store.list_rows('t', broken.listed)).unwrap()
+        self.assertEqual(['t/a', 't/b'], [row.key for row in listing.rows])
+        self.assertEqual(7, listing.version)
+        query = urllib.parse.parse_qs(
+            self.pool.sent[-1].path.partition('?')[2]
+        )
+        self.assertEqual(['a\0'], query['from'])
+
     async def test_a_feed_returns_changes_and_truncated_history(self) -> None:
         body = {
             'rows': [
--- a/primroselock/test/testtablefollower.py
+++ b/primroselock/test/testtablefollower.py
@@ -104,6 +104,32 @@
 
         run_scenario(scenario)
 
+    def test_a_broken_listing_goes_on_and_keeps_its_age(self) -> None:
+        """The rows of its first page are confirmed as of their request."""
+
+        async def scenario(virtual: virtualtime.VirtualClock) -> None:
+            row = table.Row('t/a', b'', 3, '')
+            listed = table.PartialListing((row,), 7, 'a\0')
+            broken = result.Err(table.ListingBroken('down', listed))
+            whole = result.Ok(table.Listing((row,), 7))
+            client = mock.Mock()
+            client.list_rows = mock.AsyncMock(side_effect=[broken, whole])
+            never = asyncio.Event()
+            client.changes = mock.AsyncMock(side_effect=never.wait)
+            follower = tablefollower.TableFollower(client, 't', 1.0)
+            started_at = clock.monotonic()
+            task = asyncio.create_task(follower.run())
+            await follower.loaded.wait()
+            self.assertGreater(clock.monotonic(), started_at)
+            self.assertEqual(started_at, follower.confirmed_at)
+            self.assertEqual(
+                [mock.call('t', None), mock.call('t', listed)],
+                client.list_rows.call_args_list,
+            )
+            task.cancel()
+
+        virtualtime.run(scenario)
+
     def test_handlers_receive_changes_at_once(self) -> None:
         async def scenario(site: Site) -> None:
             reported: list[table.Changes] = []
