Queues and accounts are found by an index, not by a search through all

Cause: each call of a caller searched all queues and accounts, and each look of the holder at a job's queue all queues by name: 132 and 29 us with 2,840 queues. Ruled out as the cause of the refusals to the end; it is only cost.

Change: a configuration has an index, built once a version (0.34 ms with 2,840 queues).

--- a/primroselock/queues.py
+++ b/primroselock/queues.py
@@ -83,6 +83,28 @@
     weight: float | None = None
 
 
+class _Index:
+    """Queues and accounts by what calls name; the first of equals counts."""
+
+    def __init__(
+        self, queues: abc.Iterable[Queue], accounts: abc.Iterable[QueueAccount]
+    ) -> None:
+        self.by_name: dict[str, Queue] = {}
+        self.by_prefix_by_host: dict[str, dict[str, Queue]] = {}
+        for queue in queues:
+            self.by_name.setdefault(queue.name, queue)
+            by_prefix = self.by_prefix_by_host.setdefault(queue.host, {})
+            by_prefix.setdefault(queue.prefix, queue)
+        self.prefix_lengths_by_host = {
+            host: sorted({len(prefix) for prefix in by_prefix}, reverse=True)
+            for host, by_prefix in self.by_prefix_by_host.items()
+        }
+        self.accounts_by_key: dict[str, QueueAccount] = {}
+        for account in accounts:
+            for key in account.keys:
+                self.accounts_by_key.setdefault(key, account)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueueConfiguration:
     """One version of the queues.
@@ -98,31 +120,30 @@
     )
     zones_out_of_service: frozenset[str] = frozenset()
     max_body_bytes: int = 262144
+    _index: _Index = dataclasses.field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        """Index the queues: each call and each round looks them up."""
+        index = _Index(self.queues, self.accounts_by_name.values())
+        object.__setattr__(self, '_index', index)
 
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue of ``host`` with the longest prefix of ``path``."""
         name = host.partition(':')[0].lower()
-        found: Queue | None = None
-        for queue in self.queues:
-            if queue.host != name or not path.startswith(queue.prefix):
-                continue
-            if found is None or len(queue.prefix) > len(found.prefix):
-                found = queue
-        return found
+        by_prefix = self._index.by_prefix_by_host.get(name, {})
+        for length in self._index.prefix_lengths_by_host.get(name, ()):
+            queue = by_prefix.get(path[:length])
+            if queue is not None:
+                return queue
+        return None
 
     def find_account(self, key: str) -> QueueAccount | None:
         """Return the account that has the API key ``key``."""
-        for account in self.accounts_by_name.values():
-            if key in account.keys:
-                return account
-        return None
+        return self._index.accounts_by_key.get(key)
 
     def find_by_name(self, name: str) -> Queue | None:
         """Return the queue with this name."""
-        for queue in self.queues:
-            if queue.name == name:
-                return queue
-        return None
+        return self._index.by_name.get(name)
 
 
 EMPTY: typing.Final = QueueConfiguration()
