--- a/primroselock/store/tablefollower.py
+++ b/primroselock/store/tablefollower.py
@@ -153,13 +153,15 @@
         self._version = version
         # What changed since the first page was read.
         self._is_due = True
+        took_s = clock.monotonic() - self._listed_at
+        if self.loaded.is_set() or took_s > _LONG_CALL_S:
+            _log.info(
+                'table listed',
+                table=self.name,
+                rows=len(found),
+                took_s=round(took_s, 3),
+            )
         self.loaded.set()
-        _log.info(
-            'table listed',
-            table=self.name,
-            rows=len(found),
-            took_s=round(clock.monotonic() - self._listed_at, 3),
-        )
         return True
 
     async def _follow(self, version: int, sent_at: float) -> bool:
--- a/primroselock/test/fleetbuilders.py
+++ b/primroselock/test/fleetbuilders.py
@@ -222,9 +222,13 @@
     def _confirmed_at(self) -> float:
         return clock.monotonic() - self.configuration_age_s
 
+    def add_task(self, task: asyncio.Task[None]) -> None:
+        """Let ``task`` end with the node."""
+        self._tasks.append(task)
+
     def start(self) -> None:
         """Start the loops of the follower and the holder."""
-        self._tasks = [
+        self._tasks += [
             asyncio.create_task(self.follower.run()),
             asyncio.create_task(self.holder.run()),
         ]
@@ -260,6 +264,14 @@
         self._note_services(QUEUE_CONFIGURATION.queues)
         self.entries_by_id: dict[str, fleetworkers.WorkerEntry] = {}
         self.cancelled_ids: set[str] = set()
+        self.node_hooks: list[abc.Callable[[TestNode], None]] = []
+        """Called with each node that starts."""
+
+        self.write_configuration: (
+            abc.Callable[[queues.QueueConfiguration], None] | None
+        ) = None
+        """Writes versions for nodes that follow them; else they are set."""
+
         for number in range(workers):
             self.add_worker(build_entry(f'w{number}', f'r{number // 4}'))
         self._task = asyncio.create_task(self.fleet.run())
@@ -338,6 +350,9 @@
         """Apply a version of the queue configuration on every node."""
         self._note_services(current.queues)
         self.queue_configuration = current
+        if self.write_configuration is not None:
+            self.write_configuration(current)
+            return
         for node in self.nodes:
             node.set_queue_configuration(current)
 
@@ -365,6 +380,8 @@
         )
         node.set_queue_configuration(self.queue_configuration)
         self.nodes.append(node)
+        for hook in self.node_hooks:
+            hook(node)
         node.start()
         return node
 
--- a/primroselock/test/soakbuilders.py
+++ b/primroselock/test/soakbuilders.py
@@ -2,7 +2,8 @@
 
 Everything follows from a seed: the number of nodes, the jobs, and faults
 that come in series and overlap.  The check of idle capacity runs beside.
-Jobs that crash the workers that start them are added if asked for.
+Jobs that crash the workers that start them, and configurations that are large
+for the nodes' links, are added if asked for.
 """
 
 import asyncio
@@ -14,6 +15,7 @@
 from primroselock import clock
 from primroselock.decisions import fleetworkers
 from primroselock import jobgraph
+from primroselock.test import copyfaults
 from primroselock.test import crashbuilders
 from primroselock.test import drainfaults
 from primroselock.test import faultbuilders
@@ -52,6 +54,7 @@
     has_restarts: bool = False
     has_bounds: bool = False
     has_drains: bool = False
+    has_large_configurations: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -151,6 +154,11 @@
                 self.world, seed=plan.seed, log=self.log
             )
         self.check = idlecapacity.IdleCapacityCheck(self.world, self.log)
+        self.copies: copyfaults.Copies | None = None
+        if plan.has_large_configurations:
+            self.copies = copyfaults.Copies(
+                self.world, plan.seed, plan.arrival_s, self.log
+            )
         self.lasting_check = lastingcapacity.LastingWorkCheck(
             self.world, self.log
         )
@@ -178,6 +186,7 @@
                 for fault in plan.faults
             ),
             self._submit_crashing_jobs(),
+            self._play_large_configurations(),
         )
         world.store.apply_late()
         await asyncio.sleep(_FINAL_WAIT_S)
@@ -199,11 +208,17 @@
                 *(f'{job_id} has not ended' for job_id in late_ids),
                 *(f'{job_id} failed without cause' for job_id in given_up),
                 *world.fleet.violations,
+                *(self.copies.violations if self.copies else ()),
             ],
             len(world.fleet.graphs_by_id),
             world.fleet.starts,
         )
 
+    async def _play_large_configurations(self) -> None:
+        """Let the configuration grow, if the plan says so."""
+        if self.copies is not None:
+            await self.copies.run()
+
     async def _submit_crashing_jobs(self) -> None:
         """Submit jobs that crash their workers, if the plan has any."""
         if self.crashing is not None:
@@ -261,6 +276,7 @@
     has_restarts: bool = False,
     has_bounds: bool = False,
     has_drains: bool = False,
+    has_large_configurations: bool = False,
 ) -> Outcome:
     """Run the soak of a seed in virtual time.
 
@@ -277,6 +293,8 @@
             plan = add_bounds(plan)
         if has_drains:
             plan = add_drains(plan)
+        if has_large_configurations:
+            plan = dataclasses.replace(plan, has_large_configurations=True)
         soak = Soak(plan)
         examine(soak)
         return await soak.run()
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -7,6 +7,8 @@
 start again beside such orders, ``--crashing`` jobs that crash the workers
 that start them, ``--bounds`` workers that come back as others, with a
 bound on each step, and ``--drains`` workers that drain, leave and start again.
+``--configurations`` adds versions of the configuration that are large for the
+nodes' links, beside faults of the store and of the links.
 ``--trace`` adds why the holder did not place the job, and the faults;
 ``--log DIRECTORY`` writes the nodes' log of each seed with virtual times.
 """
@@ -40,6 +42,7 @@
     parser.add_argument('--restarts', action='store_true')
     parser.add_argument('--bounds', action='store_true')
     parser.add_argument('--drains', action='store_true')
+    parser.add_argument('--configurations', action='store_true')
     parser.add_argument('--log', type=pathlib.Path)
     return parser.parse_args()
 
@@ -90,6 +93,7 @@
         arguments.restarts,
         arguments.bounds,
         arguments.drains,
+        arguments.configurations,
     )
     if arguments.log is None:
         _configure_log(None)
