While a newer version arrives, jobs are accepted and the node stays in rotation

While a version of 1.2 to 1.6 MB arrives (2 to 2.8 s at 5 Mbit/s) the store answers all the while, and all nodes with slow links refused jobs.

Change: while a newer version is being received both permits are as long as that for copies known to be outdated (the bound on changes); once it is broken off they are the short ones again.

--- a/primroselock/fleetnode.py
+++ b/primroselock/fleetnode.py
@@ -142,7 +142,7 @@
             return
         current = self._reader.current
         self.intake.set_queue_configuration(
-            current, self._confirmed_at, self._is_outdated
+            current, self._confirmed_at, self._incoming
         )
         self._holder.set_queue_configuration(current, self._confirmed_at)
         _log.info(
@@ -154,8 +154,8 @@
     def _confirmed_at(self) -> float:
         return self._operator_follower.confirmed_at
 
-    def _is_outdated(self) -> bool:
-        return self._operator_follower.is_outdated
+    def _incoming(self) -> tablefollower.Incoming:
+        return self._operator_follower.incoming
 
     @property
     def shards_held(self) -> int:
--- a/primroselock/intake.py
+++ b/primroselock/intake.py
@@ -94,6 +94,11 @@
     seen_at: float
 
 
+def _nothing_incoming() -> tablefollower.Incoming:
+    """Return that no newer version is known."""
+    return tablefollower.Incoming.NONE
+
+
 class Intake:
     """Serves callers on one node."""
 
@@ -119,7 +124,7 @@
         self._counts = _PublishedCounts(None, float('-inf'))
         self._queues = queues.EMPTY
         self._confirmed_at: abc.Callable[[], float] = lambda: float('-inf')
-        self._is_outdated: abc.Callable[[], bool] = lambda: False
+        self._incoming = _nothing_incoming
         shard_follower.add_handler(self._apply_changes)
 
     def _apply_changes(self, changes: table.Changes) -> None:
@@ -133,17 +138,17 @@
         self,
         current: queues.QueueConfiguration,
         confirmed_at: abc.Callable[[], float],
-        is_outdated: abc.Callable[[], bool] = lambda: False,
+        incoming: abc.Callable[[], tablefollower.Incoming] = _nothing_incoming,
     ) -> None:
         """Use this version of the queues for all later calls.
 
         ``confirmed_at`` returns when the operators' rows were last known
-        to be up to date, on this process's clock; ``is_outdated`` whether
+        to be up to date, on this process's clock; ``incoming`` whether
         a newer version of them is on its way.
         """
         self._queues = current
         self._confirmed_at = confirmed_at
-        self._is_outdated = is_outdated
+        self._incoming = incoming
 
     @property
     def max_body_bytes(self) -> int:
@@ -152,7 +157,7 @@
 
     def is_ready(self, now: float) -> bool:
         """Return whether calls can be accepted and answered now."""
-        permit_s = self._settings.ready_permit_s
+        permit_s = self._extend(self._settings.ready_permit_s)
         return (
             now - self._confirmed_at() <= permit_s
             and self._follower.age_s(now) <= self._settings.follow_age_s
@@ -170,7 +175,7 @@
         age_s = now - self._confirmed_at()
         permit_s = self._settings.serve_permit_s
         detail = f'age {age_s:.3f} s'
-        if self._is_outdated():
+        if self._incoming() is not tablefollower.Incoming.NONE:
             permit_s = min(permit_s, self._settings.outdated_permit_s)
             detail += '; a newer version is on its way'
         if age_s > permit_s or not self._queues.version:
@@ -205,12 +210,22 @@
         if known is not None:
             return _check_same_owner(known, graph)
         age_s = clock.monotonic() - self._confirmed_at()
-        if age_s > self._settings.accept_permit_s:
+        if age_s > self._extend(self._settings.accept_permit_s):
             # The store has not answered of late: refuse, and send nothing.
             refused = _store_unavailable(f'age {age_s:.3f} s')
             return result.Err(self.qualify_refusal(graph.id, refused))
         return await self._insert(graph, access.queue, deadline)
 
+    def _extend(self, permit_s: float) -> float:
+        """Return a permit that is short since the store may not answer.
+
+        It answers while a newer version arrives, so that the permit for
+        copies that are known to be outdated applies.
+        """
+        if self._incoming() is not tablefollower.Incoming.RECEIVING:
+            return permit_s
+        return max(permit_s, self._settings.outdated_permit_s)
+
     def qualify_refusal(self, job_id: str, refused: Refused) -> Refused:
         """Return the refusal of a submission, given those before it.
 
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -195,8 +195,9 @@
     the workers' entries for starts; beyond ``accept_permit_s`` no
     job is accepted, and beyond ``ready_permit_s`` the node reports to the
     load balancer that it is not ready.  While a newer version of these rows
-    is on its way, calls are served up to ``outdated_permit_s`` only.  The
-    store must accept a job within
+    is on its way, calls are served up to ``outdated_permit_s`` only, and
+    while it arrives the two shorter permits are as long.  The store must
+    accept a job within
     ``accept_timeout_s``.  ``run_lease_s`` is the longest lease of a run;
     ``longest_wait_s`` bounds the wait of one long poll of a worker, whose
     answer may take ``look_timeout_s`` more.  A worker must answer an order
--- a/primroselock/store/tablefollower.py
+++ b/primroselock/store/tablefollower.py
@@ -13,6 +13,7 @@
 
 import asyncio
 from collections import abc
+import enum
 import math
 import random
 import typing
@@ -45,11 +46,19 @@
 Handler = abc.Callable[[table.Changes], None]
 
 
+class Incoming(enum.Enum):
+    """What is known of changes that are not in a copy."""
+
+    NONE = 'none known'
+    RECEIVING = 'being received'
+    KNOWN = 'known, broken off'
+
+
 class TableFollower:
     """Follows one table; ``wait_s`` is the long-poll wait of one call.
 
     ``loaded`` is set once the table was listed completely; ``confirmed_at``
-    is on this process's monotonic clock.  ``is_outdated`` is set while
+    is on this process's monotonic clock.  ``incoming`` says whether
     changes that are not in the copy are known to be on their way.
     After changes the next call is made ``pause_s`` later, so that
     successive changes are reported together; a caller may set it at any
@@ -70,7 +79,7 @@
         self.confirmed_at = _NEVER
         self.loaded = asyncio.Event()
         self._store = store
-        self.is_outdated = False
+        self.incoming = Incoming.NONE
         self._version: int | None = None
         self._listed: table.PartialListing | None = None
         self._listed_at = _NEVER
@@ -186,6 +195,8 @@
         self, version: int, error: table.Unavailable | table.HistoryTruncated
     ) -> bool:
         """Return whether the next call may be made at once."""
+        if self.incoming is Incoming.RECEIVING:
+            self.incoming = Incoming.KNOWN
         if isinstance(error, table.HistoryTruncated):
             _log.info(
                 'feed history truncated; listing the table again',
@@ -211,7 +222,7 @@
 
     def _note_changes(self) -> None:
         """Note that a part of changes has arrived and the rest takes time."""
-        self.is_outdated = True
+        self.incoming = Incoming.RECEIVING
 
     def _apply(self, changes: table.Changes, sent_at: float) -> bool:
         """Apply changes; return False if a handler failed to apply them."""
@@ -227,7 +238,7 @@
             self.confirmed_at = confirmed_at
             self._failures += 1
             return False
-        self.is_outdated = False
+        self.incoming = Incoming.NONE
         if self._failures:
             _log.info(
                 'table reachable again',
