Quotas of client accounts are kept at each start

Cause: the quotas that the configuration names were decoded and nobody went by them.

Change: a round holds what each account may still start, whole gangs at a time; what does not fit is neither placed, nor preempts others, nor claims workers. It may stop less urgent work of its own account. A start is judged again when it is sent and when it is repeated. What may run is added up from sums that each worker keeps of its members; nothing is counted while no account has a quota.

--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -8,6 +8,7 @@
 import dataclasses
 import typing
 
+from primroselock.decisions.accounts import knownusage
 from primroselock.decisions import crashlog
 from primroselock.decisions import drainlog
 from primroselock.decisions import evidence
@@ -142,7 +143,9 @@
     ``drains`` are the workers that leave as planned.
     ``search_retry_at_by_shape`` holds, for shapes (see ``freecapacity``) for
     which neither victims nor workers to claim were found, when to search
-    again.
+    again; ``quota_retry_at_by_account`` does so by account and rank for work
+    of the account itself that could make room in its quota.
+    ``known_usage`` is what the accounts were last known to have running.
     """
 
     epoch: int = 0
@@ -186,6 +189,12 @@
     search_retry_at_by_shape: dict[typing.Any, float] = dataclasses.field(
         default_factory=dict
     )
+    quota_retry_at_by_account: dict[tuple[str, livejobs.Rank], float] = (
+        dataclasses.field(default_factory=dict)
+    )
+    known_usage: knownusage.KnownUsage = dataclasses.field(
+        default_factory=knownusage.KnownUsage
+    )
     entry_cache: EntryCache = dataclasses.field(default_factory=EntryCache)
     advice_by_step: dict[livejobs.StepName, tickets.StepAdvice] = (
         dataclasses.field(default_factory=dict)
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -8,6 +8,9 @@
 Each group has preferences (see ``preferences``), which it loses when it has
 waited for too long.
 
+What the quota of its account does not allow now is neither placed, nor
+preempts others, nor claims (see ``accounts.quotaholds``).
+
 When more work waits than fits, most groups cannot be placed, and a round
 must not examine each of them: groups of the same shape share the outcome
 of one attempt, with their preferences and without, and a search for victims
@@ -18,6 +21,8 @@
 import dataclasses
 import typing
 
+from primroselock.decisions.accounts import quotaholds
+from primroselock.decisions.accounts import quotas
 from primroselock.decisions import claimindex
 from primroselock.decisions import earlierruns
 from primroselock.decisions import eligibility
@@ -31,7 +36,6 @@
 from primroselock.decisions import placementround
 from primroselock.decisions import preferences
 from primroselock.decisions import reachability
-from primroselock.decisions import runs
 from primroselock.decisions import slices
 from primroselock.decisions import waiting
 from primroselock import jobgraph
@@ -75,13 +79,21 @@
     plenty = eligibility.find_plenty(board, usable)
     sort_key = waiting.orders_by_name[settings.waiting_order]
     pauses = turn.pauses
+    limits = quotas.RoundQuotas(board, turn.now)
     yield from waiting.collect_waiting(
-        board, listed, guaranteed_ids, sort_key, plenty, turn
+        board,
+        listed,
+        guaranteed_ids,
+        sort_key,
+        plenty,
+        quotaholds.build_filter(board, settings, limits, guaranteed_ids),
+        turn,
     )
     if not listed:
         return
     if turn.pauses > pauses:
         usable = eligibility.list_usable(board, turn.now)
+        limits.resume(turn.now)
     listed.sort(key=lambda entry: entry[0])
     context = placementround.RoundContext(
         board,
@@ -93,6 +105,7 @@
             _list_verified(board, usable),
             fitting.scores_by_name[settings.placement],
         ),
+        limits,
         fleetpreemption.VictimIndex(turn.now),
         claimindex.ClaimIndex(board.claims_by_group),
         guaranteed_ids,
@@ -146,6 +159,7 @@
     board = context.board
     usable = eligibility.list_usable(board, turn.now)
     context.free_capacity.resume(_list_verified(board, usable))
+    context.quotas.resume(turn.now)
     return dataclasses.replace(
         context,
         usable_count=len(usable),
@@ -194,6 +208,11 @@
     for group in groups:
         if placed >= limit:
             break
+        if not context.quotas.allows(group):
+            if quotaholds.hold_back(context, group):
+                continue
+            # The others of the step need the same.
+            break
         # A claim or a worker to avoid makes other workers allowed for this
         # group than for the rest of its step.
         is_own = bool(
@@ -224,6 +243,9 @@
             group.may_span_racks = may_span_racks
         if not _free_capacity_for(context, group, queue, own_shape):
             is_exhausted = is_exhausted or not is_own
+        if group in context.board.claims_by_group:
+            # Less urgent work of its account must not use it meanwhile.
+            context.quotas.keep(group)
     return placed
 
 
@@ -327,46 +349,11 @@
     max_lost_s = fleetpreemption.max_lost_work_s(board, group)
     if chosen.cost > max_lost_s and not is_guaranteed:
         return False
-    _claim(context, group, chosen.worker_ids, by_preemption=True)
-    for victim in chosen.victims:
-        context.victims.forget(victim)
-        if victim.phase is livejobs.Phase.STOPPING:
-            continue
-        if fleetpreemption.ends_soon(victim, context.now):
-            continue
-        board.record_decision(
-            'preempted',
-            victim.job,
-            group=[victim.key.occurrence, victim.key.step, victim.key.index],
-            attempt=victim.attempt,
-            by=group.job.graph.id,
-        )
-        runs.end_group(
-            board,
-            victim,
-            livejobs.EndReason.PREEMPTED,
-            context.now,
-            int(context.wall_s * 1000),
-        )
+    placementround.claim(context, group, chosen.worker_ids, by_preemption=True)
+    placementround.stop_victims(context, group, chosen.victims)
     return True
 
 
-def _claim(
-    context: placementround.RoundContext,
-    group: livejobs.Group,
-    worker_ids: frozenset[str],
-    by_preemption: bool,
-) -> None:
-    """Claim workers for a group, from this round on."""
-    rank = context.rank(group)
-    context.claims.put(
-        group,
-        fleet.CapacityClaim(worker_ids, context.now, rank, by_preemption),
-    )
-    for worker_id in worker_ids:
-        context.free_capacity.exclude(worker_id)
-
-
 def _may_claim_soonest(
     context: placementround.RoundContext, group: livejobs.Group
 ) -> bool:
@@ -405,7 +392,9 @@
             workers=sorted(chosen.worker_ids),
             expected_in_s=round(chosen.cost, 3),
         )
-    _claim(context, group, chosen.worker_ids, by_preemption=False)
+    placementround.claim(
+        context, group, chosen.worker_ids, by_preemption=False
+    )
     return True
 
 
@@ -429,3 +418,4 @@
     for shape, retry_at in list(board.search_retry_at_by_shape.items()):
         if now >= retry_at:
             del board.search_retry_at_by_shape[shape]
+    quotaholds.forget_failed(board, now)
--- a/primroselock/decisions/fleetworkers.py
+++ b/primroselock/decisions/fleetworkers.py
@@ -52,12 +52,14 @@
     """A run on a worker that no row asks for; it is stopped.
 
     ``step`` is None where it is not known: the run may take all that its
-    worker has, also once that has changed.
+    worker has, also once that has changed.  ``account`` is the client account
+    of its job; empty where that is not known.
     """
 
     run: orders.Run
     step: jobgraph.Step | None
     stop_sent_at: float
+    account: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,7 +68,7 @@
 
     It was last ordered at ``ordered_at``, from the worker at ``address``;
     ``boot`` is the boot that refuses the order: it has run, ended or stopped
-    the run.
+    the run.  ``account`` is the client account of its job.
     """
 
     ordered_at: float
@@ -74,6 +76,7 @@
     step: jobgraph.Step
     address: str | None
     stop_sent_at: float = _NEVER
+    account: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,6 +113,8 @@
     another boot than the one that it polled may have the worker's id, or None
     once a later poll was answered.  ``boot_seen_at`` is when the boot that was
     polled is known to have run, however late its answer was read.
+    ``used`` is the capacity that the members take, and ``needs_by_account``
+    the need of those of each client account, with that of work that fills.
     """
 
     entry: WorkerEntry
@@ -139,6 +144,9 @@
         default_factory=dict
     )
     used: jobgraph.Resources = NO_RESOURCES
+    needs_by_account: dict[str, jobgraph.Resources] = dataclasses.field(
+        default_factory=dict
+    )
     member_counts_by_step: dict[livejobs.StepName, int] = dataclasses.field(
         default_factory=dict
     )
@@ -221,6 +229,24 @@
             others[run] = unexpected.step
         return others
 
+    def list_other_needs(self) -> list[tuple[str, jobgraph.Resources]]:
+        """Return the account and the need of what may run beside members.
+
+        What is not known to be smaller may take all that members leave.  Runs
+        of unknown accounts are left out.
+        """
+        needs = [
+            (late_run.account, late_run.step.need)
+            for run, late_run in self.late_runs.items()
+            if run not in self.unexpected_runs and self.may_begin(late_run)
+        ]
+        left = self.entry.capacity.plus(self.used, -1).at_least(NO_RESOURCES)
+        needs += [
+            (run.account, left if run.step is None else run.step.need)
+            for run in self.unexpected_runs.values()
+        ]
+        return [(account, need) for account, need in needs if account]
+
     def may_begin(self, late_run: LateRun) -> bool:
         """Return whether a start of a settled run may still begin.
 
@@ -329,6 +355,7 @@
         self.members[member.run] = member
         self.used = self.used.plus(member.group.step.counted_need)
         self._count_member(member, 1)
+        self._count_need(member, 1)
 
     def remove_member(self, member: livejobs.Member) -> None:
         """Remove a member and free the resources that it took."""
@@ -338,6 +365,7 @@
         if self.members.pop(member.run, None) is not None:
             self.used = self.used.plus(member.group.step.counted_need, -1)
             self._count_member(member, -1)
+            self._count_need(member, -1)
 
     def add_late_run(self, member: livejobs.Member, ordered_at: float) -> None:
         """Note that a start of a settled member may be under way.
@@ -345,10 +373,23 @@
         The boot that runs now refuses it.
         """
         self.late_runs[member.run] = LateRun(
-            ordered_at, self.boot, member.group.step, member.address
+            ordered_at,
+            self.boot,
+            member.group.step,
+            member.address,
+            account=member.group.job.graph.account,
         )
         member.group.earlier_worker_ids.add(self.id)
 
+    def _count_need(self, member: livejobs.Member, change: int) -> None:
+        account = member.group.job.graph.account
+        known = self.needs_by_account.get(account, NO_RESOURCES)
+        need = known.plus(member.group.step.need, change)
+        if need == NO_RESOURCES:
+            self.needs_by_account.pop(account, None)
+        else:
+            self.needs_by_account[account] = need
+
     def _count_member(self, member: livejobs.Member, change: int) -> None:
         step_name = member.group.step_name
         count = self.member_counts_by_step.get(step_name, 0) + change
--- a/primroselock/decisions/livejobs.py
+++ b/primroselock/decisions/livejobs.py
@@ -32,6 +32,9 @@
 _MAX_CAPACITY_GAP_S: typing.Final = 1.0
 """Capacity counts as free without a break if it is seen again by then."""
 
+_MAX_QUOTA_GAP_S: typing.Final = 1.0
+"""A quota holds a job back without a break if that is seen again by then."""
+
 _MAX_START_S: typing.Final = 2.0
 """What was placed longer ago than this and does not run may never do so."""
 
@@ -226,6 +229,13 @@
         self.phase = phase
         self.since = now
 
+    def waited_s(self, now: float) -> float:
+        """Return how long the group has waited for capacity, in seconds.
+
+        While the quota of its account held its job back, it did not.
+        """
+        return now - max(self.since, self.job.quota_held_at)
+
     def remaining_members(self) -> list[Member]:
         """Return the members that may still run."""
         return [
@@ -285,8 +295,9 @@
     ``ACTIVE_PHASES``.  ``open_counts`` holds by occurrence and step how many
     groups are not done, where any are.  ``capacity_since`` is since when a
     waiting group would fit if it preferred nothing, as last seen at
-    ``capacity_seen_at``.  ``phases`` is the index of the blackboard that holds
-    the job.
+    ``capacity_seen_at``; ``quota_held_since`` and ``quota_held_at`` say so of
+    a group that the quota of its account held back.  ``phases`` is the index
+    of the blackboard that holds the job.
     """
 
     graph: jobgraph.JobGraph
@@ -310,6 +321,8 @@
     refusal: Refusal | None = None
     capacity_since: float = _NEVER
     capacity_seen_at: float = _NEVER
+    quota_held_since: float = _NEVER
+    quota_held_at: float = _NEVER
     phases: phaseindex.PhaseIndex = dataclasses.field(
         default_factory=phaseindex.PhaseIndex
     )
@@ -339,6 +352,18 @@
             and now - self.capacity_since >= _MAX_IDLE_WAIT_S
         )
 
+    def note_quota_hold(self, now: float) -> bool:
+        """Note that the quota holds a group back; return whether it is new."""
+        is_new = not self.is_held_by_quota(now)
+        if is_new:
+            self.quota_held_since = now
+        self.quota_held_at = now
+        return is_new
+
+    def is_held_by_quota(self, now: float) -> bool:
+        """Return whether the quota holds a group back, or did just now."""
+        return now - self.quota_held_at <= _MAX_QUOTA_GAP_S
+
     def runs_nothing(self, now: float) -> bool:
         """Return whether no group runs, or was placed a short time ago."""
         return not any(
--- a/primroselock/decisions/placementround.py
+++ b/primroselock/decisions/placementround.py
@@ -7,6 +7,7 @@
 from collections import abc
 import dataclasses
 
+from primroselock.decisions.accounts import quotas
 from primroselock.decisions import claimindex
 from primroselock.decisions import eligibility
 from primroselock.decisions import fitting
@@ -14,6 +15,7 @@
 from primroselock.decisions import fleetpreemption
 from primroselock.decisions import freecapacity
 from primroselock.decisions import livejobs
+from primroselock.decisions import runs
 from primroselock.decisions import waiting
 from primroselock import options
 
@@ -32,6 +34,7 @@
     usable_count: int
     plenty: eligibility.PlentyServices
     free_capacity: freecapacity.FreeCapacity
+    quotas: quotas.RoundQuotas
     victims: fleetpreemption.VictimIndex
     claims: claimindex.ClaimIndex
     guaranteed_ids: abc.Set[str]
@@ -68,10 +71,56 @@
     if worker_ids is None:
         return False
     context.claims.drop(group)
+    context.quotas.take(group)
     _commit(board, group, worker_ids, context.now)
     return True
 
 
+def claim(
+    context: RoundContext,
+    group: livejobs.Group,
+    worker_ids: frozenset[str],
+    by_preemption: bool,
+) -> None:
+    """Claim workers for a group, from this round on."""
+    rank = context.rank(group)
+    context.claims.put(
+        group,
+        fleet.CapacityClaim(worker_ids, context.now, rank, by_preemption),
+    )
+    for worker_id in worker_ids:
+        context.free_capacity.exclude(worker_id)
+
+
+def stop_victims(
+    context: RoundContext,
+    group: livejobs.Group,
+    victims: abc.Iterable[livejobs.Group],
+) -> None:
+    """Stop the victims of a group, but those that end about as soon."""
+    board = context.board
+    for victim in victims:
+        context.victims.forget(victim)
+        if victim.phase is livejobs.Phase.STOPPING:
+            continue
+        if fleetpreemption.ends_soon(victim, context.now):
+            continue
+        board.record_decision(
+            'preempted',
+            victim.job,
+            group=[victim.key.occurrence, victim.key.step, victim.key.index],
+            attempt=victim.attempt,
+            by=group.job.graph.id,
+        )
+        runs.end_group(
+            board,
+            victim,
+            livejobs.EndReason.PREEMPTED,
+            context.now,
+            int(context.wall_s * 1000),
+        )
+
+
 def _commit(
     board: fleet.ShardBoard,
     group: livejobs.Group,
--- a/primroselock/decisions/preferences.py
+++ b/primroselock/decisions/preferences.py
@@ -39,9 +39,11 @@
     context: placementround.RoundContext, group: livejobs.Group
 ) -> None:
     """Note whether a group of an idle job would fit without preferences."""
-    if context.plenty.is_idle(
-        group.job, context.now
-    ) and context.free_capacity.fits(group):
+    if (
+        context.plenty.is_idle(group.job, context.now)
+        and context.quotas.allows(group)
+        and context.free_capacity.fits(group)
+    ):
         group.job.note_capacity(context.now)
 
 
@@ -53,7 +55,7 @@
     if step.long_running and step.tail_latency_target_ms:
         # What disturbs it is stopped once that shows.
         return True
-    waited_s = context.now - group.since
+    waited_s = group.waited_s(context.now)
     if waited_s < _PREFERENCE_TIMEOUT_S:
         return False
     prefers = (
@@ -105,7 +107,7 @@
     relaxed: freecapacity.Shape | None,
 ) -> bool:
     """Place a group without its preferences; return whether it was placed."""
-    waited_s = context.now - group.since
+    waited_s = group.waited_s(context.now)
     group.may_span_racks = True
     allow = _build_relaxed_filter(context, group, queue)
 
@@ -143,7 +145,7 @@
     """
     if context.has_plenty(group):
         return False
-    left_s = group.since + _MAX_AVOIDANCE_S - context.now
+    left_s = _MAX_AVOIDANCE_S - group.waited_s(context.now)
     if left_s <= 0:
         return False
     chosen = fleetpreemption.choose_soonest_free(
--- a/primroselock/decisions/startchecks.py
+++ b/primroselock/decisions/startchecks.py
@@ -3,12 +3,14 @@
 A placement waits until it is stored, an order for its turn, and a start
 without an answer is repeated.  Meanwhile the worker may shrink, drain, come
 back as another one or turn out to run more than was known, its zone may be
-taken out of service, and the queue be sent to another service.
+taken out of service, the queue be sent to another service, and the quota of
+the account be lowered.
 """
 
 from collections import abc
 import typing
 
+from primroselock.decisions.accounts import quotas
 from primroselock.decisions import earlierruns
 from primroselock.decisions import eligibility
 from primroselock.decisions import fleet
@@ -43,6 +45,9 @@
     starting_by_id: dict[str, list[livejobs.Member]] = {}
     for member in members:
         starting_by_id.setdefault(member.worker_id, []).append(member)
+    over_quota = quotas.find_start_obstacle(board, members[0].group, now)
+    if over_quota:
+        return over_quota
     for worker_id, starting in starting_by_id.items():
         worker = board.workers_by_id.get(worker_id)
         if worker is None:
--- a/primroselock/decisions/unexpectedruns.py
+++ b/primroselock/decisions/unexpectedruns.py
@@ -28,9 +28,7 @@
     known = worker.unexpected_runs.get(run)
     if known is not None and now - known.stop_sent_at < _STOP_RETRY_S:
         return
-    worker.unexpected_runs[run] = fleetworkers.UnexpectedRun(
-        run, board.find_step(run.task), now
-    )
+    worker.unexpected_runs[run] = _describe(board, worker, run, now)
     board.orders.append(fleet.StopOrder(worker.id, run))
     board.decision_records.append(
         fleet.DecisionRecord(
@@ -46,6 +44,23 @@
     )
 
 
+def _describe(
+    board: fleet.ShardBoard,
+    worker: fleetworkers.Worker,
+    run: orders.Run,
+    now: float,
+) -> fleetworkers.UnexpectedRun:
+    """Return what is known of a run; its job may have been removed."""
+    job = board.jobs_by_id.get(run.task.job_id)
+    step = board.find_step(run.task)
+    if job is not None:
+        return fleetworkers.UnexpectedRun(run, step, now, job.graph.account)
+    known = worker.unexpected_runs.get(run) or worker.late_runs.get(run)
+    if known is not None:
+        return fleetworkers.UnexpectedRun(run, known.step, now, known.account)
+    return fleetworkers.UnexpectedRun(run, None, now)
+
+
 def drop_unlisted(
     worker: fleetworkers.Worker, listed: abc.Container[orders.Run]
 ) -> None:
--- a/primroselock/decisions/waiting.py
+++ b/primroselock/decisions/waiting.py
@@ -168,12 +168,17 @@
 """Groups by step, each step with its sort key."""
 
 
+HeldBack = abc.Callable[[livejobs.Group, slices.Turn], bool]
+"""Tells of a group whether it and the others of its step stay out."""
+
+
 def collect_waiting(
     board: fleet.ShardBoard,
     listed: Listed,
     guaranteed_ids: abc.Set[str],
     sort_key: SortKey,
     plenty: eligibility.PlentyServices,
+    is_held_back: HeldBack,
     turn: slices.Turn,
 ) -> slices.Slices:
     """Collect the groups to place, by step, for the order of placement.
@@ -181,6 +186,7 @@
     Groups of which an earlier attempt is still being stopped are left out.
     Groups that were preempted yield for a time, unless capacity is plenty
     for their job, and not for long if nothing of it runs while much is unused.
+    Steps of which ``is_held_back`` is true of the first group are left out.
     The groups of a step are equally urgent, so that steps are ordered, not
     groups; a step's groups are in the order of their tasks.
     """
@@ -190,6 +196,9 @@
     ):
         if number % _STEPS_BETWEEN_PAUSES == 0:
             yield
+        any_group = next(iter(groups), None)
+        if any_group is None or is_held_back(any_group, turn):
+            continue
         due = _list_due(list(groups), held, plenty, turn.now)
         if not due:
             continue
--- a/primroselock/decisions/waitreport.py
+++ b/primroselock/decisions/waitreport.py
@@ -129,7 +129,7 @@
             group.phase is livejobs.Phase.WAITING
             or group.phase in livejobs.ACTIVE_PHASES
         )
-        if held is None and is_due and now - group.since > _PATIENCE_S:
+        if held is None and is_due and group.waited_s(now) > _PATIENCE_S:
             held = group
     return held
 
@@ -182,6 +182,7 @@
         attempt=group.attempt,
         phase=group.phase.value,
         since_s=round(now - group.since, 3),
+        due_s=round(group.waited_s(now), 3),
         tasks=group.size,
         accelerators=group.step.need.accelerators,
         cpu_millis=group.step.need.cpu_millis,
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -53,6 +53,14 @@
             min(self.accelerators, most.accelerators),
         )
 
+    def at_least(self, least: 'Resources') -> 'Resources':
+        """Return this amount, but no less of each resource than ``least``."""
+        return Resources(
+            max(self.cpu_millis, least.cpu_millis),
+            max(self.memory_mb, least.memory_mb),
+            max(self.accelerators, least.accelerators),
+        )
+
     def can_fit(self, need: 'Resources') -> bool:
         """Return whether ``need`` fits into this amount."""
         return (
--- a/primroselock/test/idlebuilders.py
+++ b/primroselock/test/idlebuilders.py
@@ -99,12 +99,19 @@
         self, job_id: str, *steps: jobgraph.Step, run_s: float, queue: str
     ) -> livejobs.LiveJob:
         """Add a job that is accepted now; its tasks run for ``run_s``."""
-        wall_ms = int(self.now * 1000)
         graph = fleetbuilders.build_graph(
-            job_id, *steps, queue=queue, accepted_ms=wall_ms
+            job_id, *steps, queue=queue, accepted_ms=int(self.now * 1000)
+        )
+        return self.add_job(graph, run_s)
+
+    def add_job(
+        self, graph: jobgraph.JobGraph, run_s: float
+    ) -> livejobs.LiveJob:
+        """Add a job whose tasks run for ``run_s``."""
+        self.run_s_by_job_id[graph.id] = run_s
+        job = graphs.add_job(
+            self.board, graph, None, 0, self.now, graph.accepted_ms
         )
-        self.run_s_by_job_id[job_id] = run_s
-        job = graphs.add_job(self.board, graph, None, 0, self.now, wall_ms)
         assert job is not None
         return job
 
