Operators see usage against quota, and why a job waits

Cause: a job that its account's quota holds back looked like any other that waits, and nobody could see who is at a quota.

--- a/primroselock/fleetnode.py
+++ b/primroselock/fleetnode.py
@@ -20,6 +20,7 @@
 from primroselock import logs
 from primroselock import metrics
 from primroselock import nodesignals
+from primroselock import operatorviews
 from primroselock import options
 from primroselock import queues
 from primroselock import shardholder
@@ -157,6 +158,11 @@
         """The number of shards whose lease this process holds."""
         return int(self._holder.lease.has_shard)
 
+    def _render_metrics(self) -> str:
+        """Return counters and latency percentiles as text."""
+        self.metrics.set_gauge('shards_held', self.shards_held)
+        return self.metrics.render_text()
+
     def is_ready(self, now: float) -> bool:
         """Return whether the load balancer should send calls here."""
         return (
@@ -178,7 +184,11 @@
                 _ReadyApp(self), self._settings.fleet.ready_bind, False
             ),
             _build_server(
-                _MetricsApp(self), self._settings.fleet.metrics_bind, False
+                operatorviews.OperatorViews(
+                    self._holder, self._render_metrics
+                ),
+                self._settings.fleet.metrics_bind,
+                False,
             ),
         ]
         _log.info(
@@ -305,21 +315,6 @@
         await _send(send, 200 if ready else 503, b'', b'text/plain')
 
 
-class _MetricsApp:
-    """Serves counters and latency percentiles as text."""
-
-    def __init__(self, node: Node) -> None:
-        self._node = node
-
-    async def __call__(
-        self, scope: typing.Any, receive: typing.Any, send: typing.Any
-    ) -> None:
-        """Serve one call."""
-        self._node.metrics.set_gauge('shards_held', self._node.shards_held)
-        text = self._node.metrics.render_text()
-        await _send(send, 200, text.encode(), b'text/plain')
-
-
 async def _send(
     send: typing.Any, status: int, body: bytes, content_type: bytes
 ) -> None:
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -15,6 +15,7 @@
 import dataclasses
 import typing
 
+from primroselock import accountviews
 from primroselock import advicerequests
 from primroselock import backgroundtasks
 from primroselock import boardrows
@@ -118,6 +119,7 @@
         self._board = board
         self._settings = parts.settings
         self._lease = parts.lease
+        self._account_gauges = accountviews.AccountGauges(parts.counters)
         self._is_closing = False
         self._is_permitted = True
         self._loaded_job_ids = takeover.job_ids
@@ -188,6 +190,14 @@
         """
         return self._worker_follower.lost_at
 
+    def list_accounts(self, now: float) -> list[accountviews.AccountUsage]:
+        """Return what may run of the accounts, and their quotas."""
+        return accountviews.list_accounts(self._board, now)
+
+    def find_job(self, job_id: str, now: float) -> accountviews.JobView | None:
+        """Return a job that has not ended; None if it is not known."""
+        return accountviews.find_job(self._board, job_id, now)
+
     def use_queues(self, current: queues.QueueConfiguration) -> None:
         """Use this version of the queues for all later decisions."""
         graphs.use_queues(self._board, current)
@@ -237,6 +247,7 @@
         finally:
             for gauge in (*crashlog.GAUGES, *_GAUGES):
                 self._parts.counters.set_gauge(gauge, 0.0)
+            self._account_gauges.clear()
             await self._advice_requester.cancel()
             # Orders may wait for probes, and would begin others.
             await self._orders.cancel()
@@ -331,6 +342,7 @@
             *self._board.crashes.counts().items(),
         ):
             self._parts.counters.set_gauge(name, float(value))
+        self._account_gauges.update(self._board, clock.monotonic())
 
     def _note_permit(self, now: float) -> None:
         """Record until when starts are permitted; log a change."""
--- a/primroselock/metrics.py
+++ b/primroselock/metrics.py
@@ -15,6 +15,8 @@
 
 
 _HELP_BY_NAME: typing.Final = {
+    'account_quota': 'What an account with a quota may have running.',
+    'account_running': 'What may run of an account with a quota.',
     'crashing_jobs': 'Jobs that this holder failed: they crash workers.',
     'decision_round': 'Duration of a decision round of the shard holder.',
     'decision_late': 'Time by which a decision round began late.',
@@ -25,6 +27,7 @@
     'orders_waiting': 'Orders to workers that wait for their turn.',
     'planned_leaves': 'Runs whose worker left as planned under them.',
     'probes': 'Short polls of workers that may be unreachable.',
+    'quota_waits': 'Jobs that the quota of their account holds back.',
     'shards_held': 'Shards whose lease this process holds.',
     'start_order': 'Time until a worker answered a start order.',
     'store_received_bytes': 'Bytes of rows received from the store.',
@@ -36,10 +39,18 @@
 
 def labelled(name: str, **labels: str) -> str:
     """Return the name of a series of the metric ``name`` with labels."""
-    pairs = ','.join(f'{key}="{value}"' for key, value in labels.items())
+    pairs = ','.join(
+        f'{key}="{_escape(value)}"' for key, value in labels.items()
+    )
     return f'{name}{{{pairs}}}'
 
 
+def _escape(text: str) -> str:
+    """Return a label's value as the text format has it."""
+    escaped = text.replace('\\', '\\\\').replace('"', '\\"')
+    return escaped.replace('\n', '\\n')
+
+
 class Metrics:
     """Counters, gauges and histograms, created on first use."""
 
@@ -56,6 +67,12 @@
         """Set a value that may rise and fall."""
         self.gauges_by_name[name] = value
 
+    def drop_gauges(self, name: str) -> None:
+        """Remove all series of a value that rises and falls."""
+        for series in list(self.gauges_by_name):
+            if series.partition('{')[0] == name:
+                del self.gauges_by_name[series]
+
     def record(self, name: str, seconds: float) -> None:
         """Record a duration; one beyond the range is dropped."""
         durations = self._histograms_by_name.get(name)
@@ -89,9 +106,12 @@
                 described.add(name)
                 lines += _describe(name, f'primroselock_{name}_total')
             lines.append(f'primroselock_{name}_total{brace}{labels} {count}')
-        for name, value in sorted(self.gauges_by_name.items()):
-            lines += _describe(name, f'primroselock_{name}', 'gauge')
-            lines.append(f'primroselock_{name} {value:g}')
+        for series, value in sorted(self.gauges_by_name.items()):
+            name, brace, labels = series.partition('{')
+            if name not in described:
+                described.add(name)
+                lines += _describe(name, f'primroselock_{name}', 'gauge')
+            lines.append(f'primroselock_{name}{brace}{labels} {value:g}')
         for name, durations in sorted(self._histograms_by_name.items()):
             lines += _render_summary(name, durations)
         return '\n'.join([*lines, ''])
--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -12,6 +12,7 @@
 
 import result
 
+from primroselock import accountviews
 from primroselock import advicerequests
 from primroselock import backgroundtasks
 from primroselock import boardrows
@@ -107,6 +108,20 @@
             self._session.use_queues(current)
         self._wake.set()
 
+    def list_accounts(
+        self, now: float
+    ) -> list[accountviews.AccountUsage] | None:
+        """Return what may run of the accounts; None if others decide."""
+        if self._session is None:
+            return None
+        return self._session.list_accounts(now)
+
+    def find_job(self, job_id: str, now: float) -> accountviews.JobView | None:
+        """Return a job that has not ended; None if it is not known here."""
+        if self._session is None:
+            return None
+        return self._session.find_job(job_id, now)
+
     def report_takeover(
         self, earlier: shards.EarlierHolder | None, now: float
     ) -> shards.HolderReport:
