Runs of jobs that ended before a takeover count against a quota

Cause: the row of an ended job keeps no steps, so that a successor charged a run of it that a worker still lists to no account.

Change: the account of ended jobs is kept with the time of their end; such a run counts with all that the members on its worker leave.

--- a/primroselock/boardrows.py
+++ b/primroselock/boardrows.py
@@ -47,7 +47,7 @@
         return
     job = board.jobs_by_id.get(graph.id)
     if stored.progress is not None and stored.progress.state.is_final:
-        board.ended_ms_by_id[graph.id] = stored.progress.ended_ms
+        board.note_ended(graph.id, graph.account, stored.progress.ended_ms)
     elif job is None:
         problems = jobgraph.check(graph, _MAX_TASKS)
         if not problems and graph.task_count > _MAX_TASKS:
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import sys
 import typing
 
 from primroselock.decisions.accounts import knownusage
@@ -131,7 +132,8 @@
     The leases of workers were last checked at
     ``expiry_checked_at``.  ``changed_ids`` names the jobs whose rows must
     be written, in the order of their first change, and ``ended_ms_by_id``
-    those that ended, with the Unix time in milliseconds.
+    those that ended, with the Unix time in milliseconds;
+    ``accounts_by_ended_id`` holds their accounts.
     ``orders`` and ``decision_records`` collect the decisions of the
     controllers until they are taken.  ``reported_groups`` are the groups
     whose progress was reported since the last round.
@@ -168,6 +170,9 @@
     ] = dataclasses.field(default_factory=dict)
     changed_ids: dict[str, None] = dataclasses.field(default_factory=dict)
     ended_ms_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
+    accounts_by_ended_id: dict[str, str] = dataclasses.field(
+        default_factory=dict
+    )
     phases: phaseindex.PhaseIndex = dataclasses.field(
         default_factory=phaseindex.PhaseIndex
     )
@@ -218,6 +223,17 @@
         default_factory=speeds.Speeds
     )
 
+    def note_ended(self, job_id: str, account: str, ended_ms: int) -> None:
+        """Note a job that ended at a Unix time in milliseconds."""
+        self.ended_ms_by_id[job_id] = ended_ms
+        # Few accounts have many jobs.
+        self.accounts_by_ended_id[job_id] = sys.intern(account)
+
+    def forget_ended(self, job_id: str) -> None:
+        """Forget a job that ended: its rows are deleted."""
+        del self.ended_ms_by_id[job_id]
+        del self.accounts_by_ended_id[job_id]
+
     def mark_changed(self, job: livejobs.LiveJob) -> None:
         """Mark a job whose row must be written."""
         job.change += 1
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -121,7 +121,7 @@
 
 def _remove_job(board: fleet.ShardBoard, job: livejobs.LiveJob) -> None:
     """Remove a settled job and what is known of its steps."""
-    board.ended_ms_by_id[job.graph.id] = job.ended_ms
+    board.note_ended(job.graph.id, job.graph.account, job.ended_ms)
     del board.jobs_by_id[job.graph.id]
     del board.phases.ending_jobs[job]
     board.phases.unreleased_jobs.pop(job, None)
--- a/primroselock/decisions/unexpectedruns.py
+++ b/primroselock/decisions/unexpectedruns.py
@@ -58,7 +58,9 @@
     known = worker.unexpected_runs.get(run) or worker.late_runs.get(run)
     if known is not None:
         return fleetworkers.UnexpectedRun(run, known.step, now, known.account)
-    return fleetworkers.UnexpectedRun(run, None, now)
+    # Its step is not stored any more.
+    account = board.accounts_by_ended_id.get(run.task.job_id, '')
+    return fleetworkers.UnexpectedRun(run, None, now, account)
 
 
 def drop_unlisted(
--- a/primroselock/rowsweeper.py
+++ b/primroselock/rowsweeper.py
@@ -44,7 +44,7 @@
         old_ids = _list_old(board, (clock.wall() - keep_s) * 1000)
         if old_ids and await _delete_jobs(lease, store, old_ids):
             for job_id in old_ids:
-                del board.ended_ms_by_id[job_id]
+                board.forget_ended(job_id)
             loaded_job_ids.difference_update(old_ids)
             if len(old_ids) == _MAX_DELETED_JOBS:
                 # There may be more of them.
--- a/primroselock/test/testquotastarts.py
+++ b/primroselock/test/testquotastarts.py
@@ -193,6 +193,17 @@
         unexpectedruns.record(self.board, self.worker, runs[0], _NOW + 1.0)
         self.assertEqual(1, self.count())
 
+    def test_a_run_of_a_job_that_ended_before_the_takeover(self) -> None:
+        """Guards against the room of runs whose step is not stored."""
+        self.board.note_ended('gone', 'signs', 0)
+        add_placed(self.board, 'j', 3, account='merch')
+        run = orders.Run(jobgraph.TaskName('gone', 0, 0, 0), 1)
+        unexpectedruns.record(self.board, self.worker, run, _NOW)
+        # It may take all that the members leave.
+        self.assertEqual(5, self.count())
+        self.board.forget_ended('gone')
+        self.assertEqual({}, self.board.ended_ms_by_id)
+
     def test_a_run_that_nobody_knows(self) -> None:
         """Guards against a run that is charged to some account."""
         run = orders.Run(jobgraph.TaskName('gone', 0, 0, 0), 1)
