The soak plays quotas that change, and judges each start

Cause: quotas were tested on single scenes only, not beside faults.

Change: `--quotas` sets, lowers, raises and drops quotas beside the faults of any plan. A start may not bring what the fake workers run of an account over the highest quota in force at the time of its order. Work of an account that uses half of its quota may wait beside free capacity.

--- a/primroselock/test/idlecapacity.py
+++ b/primroselock/test/idlecapacity.py
@@ -69,10 +69,15 @@
         )
 
 
+MayWait = abc.Callable[[jobgraph.JobGraph, jobgraph.Step], bool]
+"""Tells whether a group of a step may wait beside free capacity."""
+
+
 class IdleCapacityCheck:
     """Records in ``violations`` the jobs that wait beside free capacity.
 
     Each wait is recorded once; ``on_violation`` is called with it.
+    ``may_wait`` tells of a job and a step whether it may wait all the same.
     ``faults`` tells since when no fault is active.
     """
 
@@ -81,6 +86,7 @@
     ) -> None:
         self.violations: list[Violation] = []
         self.on_violation: abc.Callable[[Violation], None] = lambda found: None
+        self.may_wait: MayWait = lambda graph, step: False
         self._world = world
         self._faults = faults
         self._ended_ids: set[str] = set()
@@ -206,6 +212,8 @@
                 fit_count = count_fitting(sound, step)
                 if fit_count < _MIN_FIT_FACTOR * step.group_size:
                     continue
+                if self.may_wait(graph, step):
+                    continue
                 found.append(
                     Violation(
                         now,
--- a/primroselock/test/soakbuilders.py
+++ b/primroselock/test/soakbuilders.py
@@ -22,6 +22,7 @@
 from primroselock.test import lastingcapacity
 from primroselock.test import loadbuilders
 from primroselock.test import orderfaults
+from primroselock.test import quotafaults
 from primroselock.test import rebuiltworkers
 from primroselock.test import restartfaults
 from primroselock.test import virtualtime
@@ -52,6 +53,7 @@
     has_restarts: bool = False
     has_bounds: bool = False
     has_drains: bool = False
+    quota_changes: tuple[quotafaults.QuotaChange, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -136,6 +138,12 @@
     )
 
 
+def add_quotas(plan: Plan) -> Plan:
+    """Return a plan with quotas that change (see ``quotafaults``)."""
+    changes = quotafaults.draw_changes(plan.seed, plan.arrival_s)
+    return dataclasses.replace(plan, quota_changes=changes)
+
+
 class Soak:
     """One run; ``world`` can be examined while it goes on."""
 
@@ -154,6 +162,11 @@
         self.lasting_check = lastingcapacity.LastingWorkCheck(
             self.world, self.log
         )
+        self.quotas: quotafaults.QuotaPlay | None = None
+        if plan.quota_changes:
+            self.quotas = quotafaults.QuotaPlay(self.world, plan.quota_changes)
+            self.check.may_wait = self.quotas.may_wait
+            self.lasting_check.may_wait = self.quotas.may_wait
 
     async def run(self) -> Outcome:
         """Run to the end of every job, or until it is too late."""
@@ -178,6 +191,7 @@
                 for fault in plan.faults
             ),
             self._submit_crashing_jobs(),
+            self._change_quotas(),
         )
         world.store.apply_late()
         await asyncio.sleep(_FINAL_WAIT_S)
@@ -204,6 +218,11 @@
             world.fleet.starts,
         )
 
+    async def _change_quotas(self) -> None:
+        """Change the quotas, if the plan has any."""
+        if self.quotas is not None:
+            await self.quotas.run()
+
     async def _submit_crashing_jobs(self) -> None:
         """Submit jobs that crash their workers, if the plan has any."""
         if self.crashing is not None:
@@ -261,6 +280,7 @@
     has_restarts: bool = False,
     has_bounds: bool = False,
     has_drains: bool = False,
+    has_quotas: bool = False,
 ) -> Outcome:
     """Run the soak of a seed in virtual time.
 
@@ -277,6 +297,8 @@
             plan = add_bounds(plan)
         if has_drains:
             plan = add_drains(plan)
+        if has_quotas:
+            plan = add_quotas(plan)
         soak = Soak(plan)
         examine(soak)
         return await soak.run()
--- a/primroselock/test/testsoak.py
+++ b/primroselock/test/testsoak.py
@@ -98,6 +98,10 @@
         """Guards against a refusal taken for an earlier order of a run."""
         self.check_seeds(1, 6, '--orders')
 
+    def test_quotas_seeds_1_to_6(self) -> None:
+        """Guards against starts that bring an account over its quota."""
+        self.check_seeds(1, 6, '--wide', '--quotas')
+
     def test_bounds_seeds_1_to_6(self) -> None:
         """Guards against starts by the entry of an earlier boot (ROUTE)."""
         self.check_seeds(1, 6, '--wide', '--bounds')
