--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -6,8 +6,10 @@
 """
 
 import dataclasses
+import sys
 import typing
 
+from primroselock.decisions.accounts import knownusage
 from primroselock.decisions import crashlog
 from primroselock.decisions import drainlog
 from primroselock.decisions import evidence
@@ -130,7 +132,8 @@
     The leases of workers were last checked at
     ``expiry_checked_at``.  ``changed_ids`` names the jobs whose rows must
     be written, in the order of their first change, and ``ended_ms_by_id``
-    those that ended, with the Unix time in milliseconds.
+    those that ended, with the Unix time in milliseconds;
+    ``accounts_by_ended_id`` holds their accounts.
     ``orders`` and ``decision_records`` collect the decisions of the
     controllers until they are taken.  ``reported_groups`` are the groups
     whose progress was reported since the last round.
@@ -142,7 +145,9 @@
     ``drains`` are the workers that leave as planned.
     ``search_retry_at_by_shape`` holds, for shapes (see ``freecapacity``) for
     which neither victims nor workers to claim were found, when to search
-    again.
+    again; ``quota_retry_at_by_account`` does so by account and rank for work
+    of the account itself that could make room in its quota.
+    ``known_usage`` is what the accounts were last known to have running.
     """
 
     epoch: int = 0
@@ -165,6 +170,9 @@
     ] = dataclasses.field(default_factory=dict)
     changed_ids: dict[str, None] = dataclasses.field(default_factory=dict)
     ended_ms_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
+    accounts_by_ended_id: dict[str, str] = dataclasses.field(
+        default_factory=dict
+    )
     phases: phaseindex.PhaseIndex = dataclasses.field(
         default_factory=phaseindex.PhaseIndex
     )
@@ -186,6 +194,12 @@
     search_retry_at_by_shape: dict[typing.Any, float] = dataclasses.field(
         default_factory=dict
     )
+    quota_retry_at_by_account: dict[tuple[str, livejobs.Rank], float] = (
+        dataclasses.field(default_factory=dict)
+    )
+    known_usage: knownusage.KnownUsage = dataclasses.field(
+        default_factory=knownusage.KnownUsage
+    )
     entry_cache: EntryCache = dataclasses.field(default_factory=EntryCache)
     advice_by_step: dict[livejobs.StepName, tickets.StepAdvice] = (
         dataclasses.field(default_factory=dict)
@@ -209,6 +223,17 @@
         default_factory=speeds.Speeds
     )
 
+    def note_ended(self, job_id: str, account: str, ended_ms: int) -> None:
+        """Note a job that ended at a Unix time in milliseconds."""
+        self.ended_ms_by_id[job_id] = ended_ms
+        # Few accounts have many jobs.
+        self.accounts_by_ended_id[job_id] = sys.intern(account)
+
+    def forget_ended(self, job_id: str) -> None:
+        """Forget a job that ended: its rows are deleted."""
+        del self.ended_ms_by_id[job_id]
+        del self.accounts_by_ended_id[job_id]
+
     def mark_changed(self, job: livejobs.LiveJob) -> None:
         """Mark a job whose row must be written."""
         job.change += 1
--- a/primroselock/test/soakbuilders.py
+++ b/primroselock/test/soakbuilders.py
@@ -24,6 +24,7 @@
 from primroselock.test import lastingcapacity
 from primroselock.test import loadbuilders
 from primroselock.test import orderfaults
+from primroselock.test import quotafaults
 from primroselock.test import rebuiltworkers
 from primroselock.test import restartfaults
 from primroselock.test import virtualtime
@@ -55,6 +56,7 @@
     has_bounds: bool = False
     has_drains: bool = False
     has_large_configurations: bool = False
+    quota_changes: tuple[quotafaults.QuotaChange, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -139,6 +141,12 @@
     )
 
 
+def add_quotas(plan: Plan) -> Plan:
+    """Return a plan with quotas that change (see ``quotafaults``)."""
+    changes = quotafaults.draw_changes(plan.seed, plan.arrival_s)
+    return dataclasses.replace(plan, quota_changes=changes)
+
+
 class Soak:
     """One run; ``world`` can be examined while it goes on."""
 
@@ -162,6 +170,11 @@
         self.lasting_check = lastingcapacity.LastingWorkCheck(
             self.world, self.log
         )
+        self.quotas: quotafaults.QuotaPlay | None = None
+        if plan.quota_changes:
+            self.quotas = quotafaults.QuotaPlay(self.world, plan.quota_changes)
+            self.check.may_wait = self.quotas.may_wait
+            self.lasting_check.may_wait = self.quotas.may_wait
 
     async def run(self) -> Outcome:
         """Run to the end of every job, or until it is too late."""
@@ -187,6 +200,7 @@
             ),
             self._submit_crashing_jobs(),
             self._play_large_configurations(),
+            self._change_quotas(),
         )
         world.store.apply_late()
         await asyncio.sleep(_FINAL_WAIT_S)
@@ -219,6 +233,11 @@
         if self.copies is not None:
             await self.copies.run()
 
+    async def _change_quotas(self) -> None:
+        """Change the quotas, if the plan has any."""
+        if self.quotas is not None:
+            await self.quotas.run()
+
     async def _submit_crashing_jobs(self) -> None:
         """Submit jobs that crash their workers, if the plan has any."""
         if self.crashing is not None:
@@ -277,6 +296,7 @@
     has_bounds: bool = False,
     has_drains: bool = False,
     has_large_configurations: bool = False,
+    has_quotas: bool = False,
 ) -> Outcome:
     """Run the soak of a seed in virtual time.
 
@@ -295,6 +315,8 @@
             plan = add_drains(plan)
         if has_large_configurations:
             plan = dataclasses.replace(plan, has_large_configurations=True)
+        if has_quotas:
+            plan = add_quotas(plan)
         soak = Soak(plan)
         examine(soak)
         return await soak.run()
