Accounts of one urgency share capacity by weight

Change: where the configuration gives weights, work within its account's share goes before equally urgent work beyond; a claim beyond a share holds nobody within one; work beyond a share stops only its own account's work or that of accounts beyond theirs; of victims of about the same cost those of the account furthest over its share go first. Gauges account_share_used and account_groups_behind, and a log line.

--- a/primroselock/decisions/claimindex.py
+++ b/primroselock/decisions/claimindex.py
@@ -10,6 +10,7 @@
 they are free soon, and work was lost for that.
 """
 
+from collections import abc
 import dataclasses
 import math
 import typing
@@ -18,6 +19,21 @@
 from primroselock.decisions import livejobs
 
 
+def update_shares(
+    claims_by_group: dict[livejobs.Group, fleet.CapacityClaim],
+    beyond: abc.Set[livejobs.Group],
+) -> None:
+    """Note which claims are of groups that lie beyond their share now.
+
+    Shares change with the accounts that want something.  Workers that are
+    being freed by preemption stay claimed as they were.
+    """
+    for group, claim in list(claims_by_group.items()):
+        rank = (*claim.rank[:2], group in beyond)
+        if rank != claim.rank and not claim.by_preemption:
+            claims_by_group[group] = dataclasses.replace(claim, rank=rank)
+
+
 class ClaimIndex:
     """Indexes ``claims_by_group`` and keeps both up to date."""
 
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -87,6 +87,23 @@
     number: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class ShareNotes:
+    """What the last round found of the shares of accounts.
+
+    ``used_by_account`` is what an account uses as a multiple of its share,
+    ``behind_by_account`` how many of its groups wait beyond the share; both
+    are empty while shares do not count.  ``reported_at_by_account`` is when
+    the latter was last logged, on this process's clock.
+    """
+
+    used_by_account: dict[str, float] = dataclasses.field(default_factory=dict)
+    behind_by_account: dict[str, int] = dataclasses.field(default_factory=dict)
+    reported_at_by_account: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class EntryCache:
     """What follows from the workers' entries, until a list changes them.
@@ -208,6 +225,7 @@
     worker_speeds: speeds.Speeds = dataclasses.field(
         default_factory=speeds.Speeds
     )
+    share_notes: ShareNotes = dataclasses.field(default_factory=ShareNotes)
 
     def mark_changed(self, job: livejobs.LiveJob) -> None:
         """Mark a job whose row must be written."""
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -18,6 +18,8 @@
 import dataclasses
 import typing
 
+from primroselock.decisions.accounts import sharereport
+from primroselock.decisions.accounts import shares
 from primroselock.decisions import claimindex
 from primroselock.decisions import earlierruns
 from primroselock.decisions import eligibility
@@ -68,21 +70,25 @@
     _drop_claims(board, turn.now)
     board.entry_cache.limit()
     if not board.phases.waiting_by_step:
+        sharereport.clear(board)
         return
     listed: waiting.Listed = []
     guaranteed_ids = waiting.guaranteed_job_ids(board)
     usable = eligibility.list_usable(board, turn.now)
     plenty = eligibility.find_plenty(board, usable)
-    sort_key = waiting.orders_by_name[settings.waiting_order]
+    order = waiting.orders_by_name[settings.waiting_order]
     pauses = turn.pauses
     yield from waiting.collect_waiting(
-        board, listed, guaranteed_ids, sort_key, plenty, turn
+        board, listed, guaranteed_ids, order.sort_key, plenty, turn
     )
     if not listed:
+        sharereport.clear(board)
         return
+    account_shares = shares.find(board, listed, usable, order)
+    listed = yield from shares.arrange(account_shares, listed, order)
     if turn.pauses > pauses:
         usable = eligibility.list_usable(board, turn.now)
-    listed.sort(key=lambda entry: entry[0])
+    claimindex.update_shares(board.claims_by_group, account_shares.beyond)
     context = placementround.RoundContext(
         board,
         settings,
@@ -93,13 +99,25 @@
             _list_verified(board, usable),
             fitting.scores_by_name[settings.placement],
         ),
-        fleetpreemption.VictimIndex(turn.now),
+        _index_victims(account_shares, turn.now),
         claimindex.ClaimIndex(board.claims_by_group),
         guaranteed_ids,
+        account_shares,
         turn.now,
         turn.wall_s,
     )
     yield from _place_listed(context, listed, turn, pauses)
+    sharereport.report(board, account_shares, turn.now)
+
+
+def _index_victims(
+    account_shares: shares.AccountShares, now: float
+) -> fleetpreemption.VictimIndex:
+    """Return an empty index; accounts' shares count where they apply."""
+    if not account_shares.shares_by_account:
+        return fleetpreemption.VictimIndex(now)
+    used_share = account_shares.used_share
+    return fleetpreemption.VictimIndex(now, used_share=used_share)
 
 
 def _place_listed(
@@ -149,7 +167,7 @@
     return dataclasses.replace(
         context,
         usable_count=len(usable),
-        victims=fleetpreemption.VictimIndex(turn.now),
+        victims=_index_victims(context.account_shares, turn.now),
         now=turn.now,
         wall_s=turn.wall_s,
     )
@@ -186,7 +204,7 @@
         shape = freecapacity.shape_of(first, context.rank(first))
     is_exhausted = (
         shape in context.free_capacity.unplaceable_shapes
-        and not _may_search(context, shape)
+        and not _may_search(context, first, shape)
     )
     preferences.note_capacity(context, first)
     placed = 0
@@ -227,13 +245,29 @@
     return placed
 
 
+def _search_key(
+    context: placementround.RoundContext,
+    group: livejobs.Group,
+    shape: freecapacity.Shape,
+) -> tuple[freecapacity.Shape, str]:
+    """Return what groups have in common that may stop the same work.
+
+    Beyond its share an account may stop its own work.
+    """
+    is_beyond = context.account_shares.is_beyond(group)
+    return shape, group.job.graph.account if is_beyond else ''
+
+
 def _may_search(
-    context: placementround.RoundContext, shape: freecapacity.Shape | None
+    context: placementround.RoundContext,
+    group: livejobs.Group,
+    shape: freecapacity.Shape | None,
 ) -> bool:
     """Return whether victims may be searched for a group of this shape."""
     if shape is None:
         return True
-    retry_at = context.board.search_retry_at_by_shape.get(shape)
+    key = _search_key(context, group, shape)
+    retry_at = context.board.search_retry_at_by_shape.get(key)
     return retry_at is None or context.now >= retry_at
 
 
@@ -290,7 +324,7 @@
     if claim is not None and context.now - claim.since <= _CLAIM_REVIEW_S:
         return True
     board = context.board
-    if not _may_search(context, shape):
+    if not _may_search(context, group, shape):
         return False
     allow = preferences.build_victim_filter(context, group, queue)
     may_preempt = waiting.preemption_rules_by_name[context.settings.reclaim]
@@ -301,7 +335,8 @@
     if may_claim and _claim_soonest(context, group, allow):
         return True
     if shape is not None and (is_tried or may_claim):
-        board.search_retry_at_by_shape[shape] = context.now + _SEARCH_RETRY_S
+        key = _search_key(context, group, shape)
+        board.search_retry_at_by_shape[key] = context.now + _SEARCH_RETRY_S
     return False
 
 
@@ -311,10 +346,12 @@
     allow: fitting.WorkerFilter,
 ) -> bool:
     """Preempt for a group; return whether that frees enough capacity."""
-    board, rank = context.board, context.rank(group)
+    board = context.board
 
     def may_stop(other: livejobs.Group) -> bool:
-        return context.rank(other) > rank
+        return context.is_more_urgent(
+            group, other
+        ) and context.account_shares.may_stop(group, other)
 
     chosen = fleetpreemption.choose_victims(
         context.free_capacity, group, allow, may_stop, context.victims
@@ -357,8 +394,14 @@
     worker_ids: frozenset[str],
     by_preemption: bool,
 ) -> None:
-    """Claim workers for a group, from this round on."""
+    """Claim workers for a group, from this round on.
+
+    What is being freed by preemption is kept from all that is not more
+    urgent, whatever the shares: work is lost for that.
+    """
     rank = context.rank(group)
+    if by_preemption:
+        rank = waiting.rank(group, context.guaranteed_ids)
     context.claims.put(
         group,
         fleet.CapacityClaim(worker_ids, context.now, rank, by_preemption),
--- a/primroselock/decisions/fleetpreemption.py
+++ b/primroselock/decisions/fleetpreemption.py
@@ -12,6 +12,7 @@
 
 from collections import abc
 import dataclasses
+import math
 import typing
 
 from primroselock.decisions import fitting
@@ -37,6 +38,9 @@
 _MAX_LOST_WORK_FACTOR: typing.Final = 6.0
 """The most work that may be lost, as a multiple of the group's own work."""
 
+_EQUAL_COSTS: typing.Final = 1.25
+"""Costs are estimates: between those that differ by less shares decide."""
+
 _MS_PER_S: typing.Final = 1000.0
 
 
@@ -66,14 +70,18 @@
     """The groups on each worker that could be stopped, the cheapest first.
 
     The costs are those at ``now``; lists are built when a worker is
-    examined, and kept for a round.
+    examined, and kept for a round.  Of equally cheap groups those go first
+    whose account uses most, as a multiple of its share, of those that are
+    beyond it; ``used_share`` returns this multiple.
     """
 
     def __init__(
         self,
         now: float,
         cost_of: abc.Callable[[livejobs.Group], float] | None = None,
+        used_share: abc.Callable[[str], float] | None = None,
     ) -> None:
+        self._used_share = used_share
         self._cost_of = cost_of or (lambda group: lost_work_s(group, now))
         self._costs_by_group: dict[livejobs.Group, float] = {}
         self._endable_by_worker_id: dict[str, list[_Endable]] = {}
@@ -85,6 +93,22 @@
             known = self._costs_by_group[group] = self._cost_of(group)
         return known
 
+    def preference(
+        self, cost: float, groups: abc.Sequence[livejobs.Group]
+    ) -> tuple[float, ...]:
+        """Return what to choose by; the lowest goes first.
+
+        ``cost`` is that of the ends of ``groups`` together.
+        """
+        if self._used_share is None:
+            return (cost,)
+        used_shares = [
+            self._used_share(group.job.graph.account) for group in groups
+        ]
+        beyond = max(1.0, min(used_shares, default=1.0))
+        step = math.floor(math.log(1.0 + cost, _EQUAL_COSTS))
+        return (step, -beyond, cost)
+
     def endable_on(self, worker: fleetworkers.Worker) -> list[_Endable]:
         """Return the groups on a worker that may be ended, sorted by cost."""
         known = self._endable_by_worker_id.get(worker.id)
@@ -112,7 +136,7 @@
         endable.sort(
             key=lambda item: (
                 item.group.phase is not livejobs.Phase.STOPPING,
-                item.cost,
+                self.preference(item.cost, [item.group]),
             )
         )
         return endable
@@ -192,12 +216,22 @@
     victims: VictimIndex
     total: abc.Callable[[list[float]], float]
 
+    def build_option(
+        self, costs: list[float], victims: abc.Sequence[livejobs.Group]
+    ) -> '_Option':
+        """Return the option to end ``victims``, at ``costs``."""
+        preference = self.victims.preference(self.total(costs), victims)
+        return _Option(preference, tuple(victims))
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Option:
-    """The victims on one worker whose ends free capacity for one task."""
+    """The victims on one worker whose ends free capacity for one task.
 
-    cost: float
+    The option with the lowest ``preference`` is chosen.
+    """
+
+    preference: tuple[float, ...]
     victims: tuple[livejobs.Group, ...]
 
 
@@ -247,7 +281,9 @@
                 options_by_id[worker_id] = option
         if not options_by_id:
             return None
-        best_id = min(options_by_id, key=lambda key: options_by_id[key].cost)
+        best_id = min(
+            options_by_id, key=lambda key: options_by_id[key].preference
+        )
         changed = {best_id: None}
         for victim in options_by_id[best_id].victims:
             chosen[victim] = None
@@ -288,7 +324,7 @@
     need = search.group.step.counted_need
     free = free_by_id[worker.id]
     if free.can_fit(need):
-        return _Option(search.total([]), ())
+        return search.build_option([], [])
     victims: list[livejobs.Group] = []
     costs: list[float] = []
     for endable in search.victims.endable_on(worker):
@@ -298,7 +334,7 @@
         costs.append(endable.cost)
         free = free.plus(endable.freed)
         if free.can_fit(need):
-            return _Option(search.total(costs), tuple(victims))
+            return search.build_option(costs, victims)
     return None
 
 
--- a/primroselock/decisions/livejobs.py
+++ b/primroselock/decisions/livejobs.py
@@ -35,10 +35,10 @@
 _MAX_START_S: typing.Final = 2.0
 """What was placed longer ago than this and does not run may never do so."""
 
-Rank = tuple[bool, int]
-"""The urgency of a group: (is not guaranteed, priority of its queue).
+Rank = tuple[bool, int, bool]
+"""(Is not guaranteed, priority of its queue, is beyond its account's share).
 
-Lower ranks go first.
+Lower ranks go first.  The first two values are the urgency of a group.
 """
 
 
--- a/primroselock/decisions/placementround.py
+++ b/primroselock/decisions/placementround.py
@@ -7,6 +7,7 @@
 from collections import abc
 import dataclasses
 
+from primroselock.decisions.accounts import shares
 from primroselock.decisions import claimindex
 from primroselock.decisions import eligibility
 from primroselock.decisions import fitting
@@ -23,7 +24,8 @@
     """The inputs to the placements of one round.
 
     ``usable_count`` is the number of workers that may get starts.
-    ``guaranteed_ids`` names the jobs within their accounts' guarantees.
+    ``guaranteed_ids`` names the jobs within their accounts' guarantees;
+    ``account_shares`` are those of the accounts at the start of the round.
     ``now`` is on this process's clock; ``wall_s`` is since the Unix epoch.
     """
 
@@ -35,12 +37,22 @@
     victims: fleetpreemption.VictimIndex
     claims: claimindex.ClaimIndex
     guaranteed_ids: abc.Set[str]
+    account_shares: shares.AccountShares
     now: float
     wall_s: float
 
     def rank(self, group: livejobs.Group) -> livejobs.Rank:
-        """Return the urgency of a group; lower ranks go first."""
-        return waiting.rank(group, self.guaranteed_ids)
+        """Return the rank of a group; lower ranks go first."""
+        return waiting.rank(
+            group, self.guaranteed_ids, self.account_shares.is_beyond(group)
+        )
+
+    def is_more_urgent(
+        self, group: livejobs.Group, other: livejobs.Group
+    ) -> bool:
+        """Return whether a group may preempt another; shares don't count."""
+        rank = waiting.rank(group, self.guaranteed_ids)
+        return rank < waiting.rank(other, self.guaranteed_ids)
 
     def has_plenty(self, group: livejobs.Group) -> bool:
         """Return whether capacity is plenty for the group's job."""
--- a/primroselock/decisions/waiting.py
+++ b/primroselock/decisions/waiting.py
@@ -6,6 +6,7 @@
 """
 
 from collections import abc
+import dataclasses
 import math
 import typing
 
@@ -18,7 +19,21 @@
 
 SortKey = abc.Callable[[livejobs.Group, float], tuple[float, ...]]
 MayPreempt = abc.Callable[[livejobs.Group, abc.Set[str], float], bool]
-orders_by_name: typing.Final[dict[str, SortKey]] = {}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """An order of waiting groups; lower values of ``sort_key`` go first.
+
+    The first ``urgency_fields`` values go before the shares of client
+    accounts, the others after them.  None: shares do not count.
+    """
+
+    sort_key: SortKey
+    urgency_fields: int | None = None
+
+
+orders_by_name: typing.Final[dict[str, Order]] = {}
 preemption_rules_by_name: typing.Final[dict[str, MayPreempt]] = {}
 URGENT: typing.Final = 0
 """The priority of the queues to which guarantees apply."""
@@ -29,11 +44,13 @@
 """Preemption frees capacity in about half of this time."""
 
 
-def order(name: str) -> abc.Callable[[SortKey], SortKey]:
-    """Register the decorated order; lower keys go first."""
+def order(
+    name: str, urgency_fields: int | None = None
+) -> abc.Callable[[SortKey], SortKey]:
+    """Register the decorated function as an :class:`Order`."""
 
     def register(sort_key: SortKey) -> SortKey:
-        orders_by_name[name] = sort_key
+        orders_by_name[name] = Order(sort_key, urgency_fields)
         return sort_key
 
     return register
@@ -55,7 +72,7 @@
     return (float(group.job.graph.accepted_ms),)
 
 
-@order('priority')
+@order('priority', urgency_fields=1)
 def sort_by_priority(
     group: livejobs.Group, wall_s: float
 ) -> tuple[float, ...]:
@@ -63,7 +80,7 @@
     return (float(priority(group.job)), float(group.job.graph.accepted_ms))
 
 
-@order('useful')
+@order('useful', urgency_fields=2)
 def sort_by_usefulness(
     group: livejobs.Group, wall_s: float
 ) -> tuple[float, ...]:
@@ -82,9 +99,14 @@
     return job.queue.priority if job.queue else 99
 
 
-def rank(group: livejobs.Group, guaranteed_ids: abc.Set[str]) -> livejobs.Rank:
-    """Return the urgency of a group; lower ranks may preempt higher ones."""
-    return (group.job.graph.id not in guaranteed_ids, priority(group.job))
+def rank(
+    group: livejobs.Group,
+    guaranteed_ids: abc.Set[str],
+    is_beyond_share: bool = False,
+) -> livejobs.Rank:
+    """Return the rank of a group; lower ranks may use each other's claims."""
+    is_guaranteed = group.job.graph.id in guaranteed_ids
+    return (not is_guaranteed, priority(group.job), is_beyond_share)
 
 
 @preemption_rule('urgent')
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -46,6 +46,8 @@
 from primroselock.workers import orders
 
 _log: typing.Final = logs.get('holder')
+_BEHIND_GAUGE: typing.Final = 'account_groups_behind'
+_SHARE_GAUGE: typing.Final = 'account_share_used'
 _GAUGES: typing.Final = ('idle_waits', 'orders_waiting', 'unexpected_runs')
 _MAX_ROUND_INTERVAL_S: typing.Final = 0.25
 _PAUSE_PER_ROUND: typing.Final = 2.0
@@ -237,6 +239,8 @@
         finally:
             for gauge in (*crashlog.GAUGES, *_GAUGES):
                 self._parts.counters.set_gauge(gauge, 0.0)
+            for gauge in (_BEHIND_GAUGE, _SHARE_GAUGE):
+                self._parts.counters.set_gauges(gauge, 'account', {})
             await self._advice_requester.cancel()
             # Orders may wait for probes, and would begin others.
             await self._orders.cancel()
@@ -331,6 +335,10 @@
             *self._board.crashes.counts().items(),
         ):
             self._parts.counters.set_gauge(name, float(value))
+        notes = self._board.share_notes
+        set_gauges = self._parts.counters.set_gauges
+        set_gauges(_BEHIND_GAUGE, 'account', notes.behind_by_account)
+        set_gauges(_SHARE_GAUGE, 'account', notes.used_by_account)
 
     def _note_permit(self, now: float) -> None:
         """Record until when starts are permitted; log a change."""
--- a/primroselock/metrics.py
+++ b/primroselock/metrics.py
@@ -4,6 +4,7 @@
 report percentiles.  The names are those of ``/v1/metrics``.
 """
 
+from collections import abc
 import typing
 
 from hdrh import histogram
@@ -15,6 +16,8 @@
 
 
 _HELP_BY_NAME: typing.Final = {
+    'account_groups_behind': 'Groups that wait beyond an account\'s share.',
+    'account_share_used': 'What an account uses, in multiples of its share.',
     'crashing_jobs': 'Jobs that this holder failed: they crash workers.',
     'decision_round': 'Duration of a decision round of the shard holder.',
     'decision_late': 'Time by which a decision round began late.',
@@ -36,10 +39,18 @@
 
 def labelled(name: str, **labels: str) -> str:
     """Return the name of a series of the metric ``name`` with labels."""
-    pairs = ','.join(f'{key}="{value}"' for key, value in labels.items())
+    pairs = ','.join(
+        f'{key}="{_escape(value)}"' for key, value in labels.items()
+    )
     return f'{name}{{{pairs}}}'
 
 
+def _escape(value: str) -> str:
+    """Return a label's value as the text format wants it."""
+    escaped = value.replace('\\', r'\\').replace('"', r'\"')
+    return escaped.replace('\n', r'\n')
+
+
 class Metrics:
     """Counters, gauges and histograms, created on first use."""
 
@@ -56,6 +67,19 @@
         """Set a value that may rise and fall."""
         self.gauges_by_name[name] = value
 
+    def set_gauges(
+        self, name: str, label: str, values: abc.Mapping[str, float]
+    ) -> None:
+        """Set the series of a gauge by the value of a label.
+
+        A series that is not among ``values`` any more becomes 0.
+        """
+        for series in self.gauges_by_name:
+            if series.startswith(f'{name}{{'):
+                self.gauges_by_name[series] = 0.0
+        for key, value in values.items():
+            self.set_gauge(labelled(name, **{label: key}), float(value))
+
     def record(self, name: str, seconds: float) -> None:
         """Record a duration; one beyond the range is dropped."""
         durations = self._histograms_by_name.get(name)
@@ -89,9 +113,12 @@
                 described.add(name)
                 lines += _describe(name, f'primroselock_{name}_total')
             lines.append(f'primroselock_{name}_total{brace}{labels} {count}')
-        for name, value in sorted(self.gauges_by_name.items()):
-            lines += _describe(name, f'primroselock_{name}', 'gauge')
-            lines.append(f'primroselock_{name} {value:g}')
+        for series, value in sorted(self.gauges_by_name.items()):
+            name = series.partition('{')[0]
+            if name not in described:
+                described.add(name)
+                lines += _describe(name, f'primroselock_{name}', 'gauge')
+            lines.append(f'primroselock_{series} {value:g}')
         for name, durations in sorted(self._histograms_by_name.items()):
             lines += _render_summary(name, durations)
         return '\n'.join([*lines, ''])
--- a/primroselock/test/idlebuilders.py
+++ b/primroselock/test/idlebuilders.py
@@ -96,12 +96,21 @@
         self._report(worker, self.workers_by_id[entry.id])
 
     def submit(
-        self, job_id: str, *steps: jobgraph.Step, run_s: float, queue: str
+        self,
+        job_id: str,
+        *steps: jobgraph.Step,
+        run_s: float,
+        queue: str,
+        account: str = 'signs',
     ) -> livejobs.LiveJob:
         """Add a job that is accepted now; its tasks run for ``run_s``."""
         wall_ms = int(self.now * 1000)
         graph = fleetbuilders.build_graph(
-            job_id, *steps, queue=queue, accepted_ms=wall_ms
+            job_id,
+            *steps,
+            queue=queue,
+            account=account,
+            accepted_ms=wall_ms,
         )
         self.run_s_by_job_id[job_id] = run_s
         job = graphs.add_job(self.board, graph, None, 0, self.now, wall_ms)
--- a/primroselock/test/testclaimorder.py
+++ b/primroselock/test/testclaimorder.py
@@ -20,7 +20,7 @@
 _GANG: typing.Final = 6
 _GANG_NAMES: typing.Final = ('gang-a', 'gang-b', 'gang-c')
 _CLAIMED: typing.Final = _GANG * len(_GANG_NAMES)
-_RANK: typing.Final = (True, 1)
+_RANK: typing.Final = (True, 1, False)
 
 
 class ClaimOrderTest(unittest.TestCase):
@@ -164,8 +164,8 @@
         """Guards against urgent work that waits for claims."""
         self.claim(self.first, 'w0')
         self.claim(self.second, 'w1', by_preemption=True)
-        self.assertEqual([], self.list_excluded('w0', (False, 0)))
-        self.assertEqual([], self.list_excluded('w1', (False, 0)))
+        self.assertEqual([], self.list_excluded('w0', (False, 0, False)))
+        self.assertEqual([], self.list_excluded('w1', (False, 0, False)))
 
 
 if __name__ == '__main__':
--- a/primroselock/test/testmetrics.py
+++ b/primroselock/test/testmetrics.py
@@ -31,6 +31,21 @@
         recorded.count('lost', 2)
         self.assertEqual({'lost': 3}, recorded.snapshot()['counters'])
 
+    def test_series_of_a_gauge_that_are_gone_become_0(self) -> None:
+        recorded = metrics.Metrics()
+        recorded.set_gauges('account_share_used', 'account', {'a': 1.5})
+        recorded.set_gauges('account_share_used', 'account', {'b "1"\n': 2.0})
+        metric = 'primroselock_account_share_used'
+        lines = recorded.render_text().splitlines()
+        self.assertEqual(f'# TYPE {metric} gauge', lines[1])
+        self.assertEqual(
+            [
+                f'{metric}{{account="a"}} 0',
+                f'{metric}{{account="b \\"1\\"\\n"}} 2',
+            ],
+            lines[2:4],
+        )
+
     def test_the_text_describes_each_metric_once(self) -> None:
         recorded = metrics.Metrics()
         for name in ('progress', 'shard'):
--- a/primroselock/test/testwaitreport.py
+++ b/primroselock/test/testwaitreport.py
@@ -79,7 +79,7 @@
         owner = self.submit('owner', 1.0)
         self.board.claims_by_group[owner.groups_of_step(0, 0)[0]] = (
             fleet.CapacityClaim(
-                frozenset(self.board.workers_by_id), 1.0, (True, 0)
+                frozenset(self.board.workers_by_id), 1.0, (True, 0, False)
             )
         )
         owner.queue = None
