--- a/primroselock/test/faultbuilders.py
+++ b/primroselock/test/faultbuilders.py
@@ -70,7 +70,12 @@
 DRAIN_KINDS: typing.Final = frozenset({'drain and return'})
 """Kinds of the series of ``drainfaults``, which are drawn likewise."""
 
-_SERIES_KINDS: typing.Final = ORDER_KINDS | REBUILD_KINDS | DRAIN_KINDS
+ACCOUNT_KINDS: typing.Final = frozenset({'account floods', 'new weights'})
+"""Kinds of the series of ``accountfaults``, which are drawn likewise."""
+
+_SERIES_KINDS: typing.Final = (
+    ORDER_KINDS | REBUILD_KINDS | DRAIN_KINDS | ACCOUNT_KINDS
+)
 
 Injection = abc.Callable[
     [fleetbuilders.World, Fault], abc.Coroutine[typing.Any, typing.Any, None]
--- a/primroselock/test/soakbuilders.py
+++ b/primroselock/test/soakbuilders.py
@@ -14,6 +14,7 @@
 from primroselock import clock
 from primroselock.decisions import fleetworkers
 from primroselock import jobgraph
+from primroselock.test import accountfaults
 from primroselock.test import crashbuilders
 from primroselock.test import drainfaults
 from primroselock.test import faultbuilders
@@ -52,6 +53,7 @@
     has_restarts: bool = False
     has_bounds: bool = False
     has_drains: bool = False
+    has_accounts: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -136,6 +138,14 @@
     )
 
 
+def add_accounts(plan: Plan) -> Plan:
+    """Return a plan with floods of accounts too (see ``accountfaults``)."""
+    added = accountfaults.draw_series(plan.seed, plan.arrival_s)
+    return dataclasses.replace(
+        plan, faults=plan.faults + added, has_accounts=True
+    )
+
+
 class Soak:
     """One run; ``world`` can be examined while it goes on."""
 
@@ -261,6 +271,7 @@
     has_restarts: bool = False,
     has_bounds: bool = False,
     has_drains: bool = False,
+    has_accounts: bool = False,
 ) -> Outcome:
     """Run the soak of a seed in virtual time.
 
@@ -277,6 +288,8 @@
             plan = add_bounds(plan)
         if has_drains:
             plan = add_drains(plan)
+        if has_accounts:
+            plan = add_accounts(plan)
         soak = Soak(plan)
         examine(soak)
         return await soak.run()
--- a/primroselock/test/testsoak.py
+++ b/primroselock/test/testsoak.py
@@ -102,6 +102,10 @@
         """Guards against starts by the entry of an earlier boot (ROUTE)."""
         self.check_seeds(1, 6, '--wide', '--bounds')
 
+    def test_accounts_seeds_1_to_6(self) -> None:
+        """Guards against work that shares of accounts keep from starting."""
+        self.check_seeds(1, 6, '--accounts')
+
 
 class OpenJobTest(unittest.TestCase):
     """Which jobs must have ended at the end of a run."""
