Jobs that only wait behind their own account's work are refused

Cause: an account that sends without end fills the store and the holder with work of which the results come too late; its callers learn that last. Change: the holder sums what waits of an account with work beyond its share, in seconds at its share, by priority, and publishes it with the lease row. A node answers 429 with Retry-After to a job that could no longer end within three times its objective behind that; it first reads whether the id is stored. Off without weights; figures older than count_age_s refuse nothing. Shares now count for a lone account too, so that its backlog is known; its order stays the same.

--- a/primroselock/decisions/accounts/sharereport.py
+++ b/primroselock/decisions/accounts/sharereport.py
@@ -6,15 +6,21 @@
 
 import typing
 
+from primroselock.decisions.accounts import backlogs
 from primroselock.decisions.accounts import shares
 from primroselock.decisions import fleet
 from primroselock.decisions import livejobs
+from primroselock.decisions import slices
+from primroselock.decisions import waiting
 
 _INTERVAL_S: typing.Final = 1.0
 
 
 def report(
-    board: fleet.ShardBoard, found: shares.AccountShares, now: float
+    board: fleet.ShardBoard,
+    found: shares.AccountShares,
+    arranged: waiting.Listed,
+    turn: slices.Turn,
 ) -> None:
     """Note what accounts use of their shares, and what waits beyond them."""
     behind_by_account: dict[str, int] = {}
@@ -28,6 +34,12 @@
         for account in found.shares_by_account
     }
     notes.behind_by_account = behind_by_account
+    notes.backlogs_by_account = {}
+    if behind_by_account:
+        notes.backlogs_by_account = backlogs.find(
+            board, found, arranged, turn.wall_s
+        )
+    now = turn.now
     for account, groups in behind_by_account.items():
         reported_at = notes.reported_at_by_account.get(account)
         if reported_at is not None and 0 <= now - reported_at < _INTERVAL_S:
@@ -42,6 +54,7 @@
                     'groups': groups,
                     'share': round(found.shares_by_account[account], 3),
                     'used_share': round(found.used_share(account), 3),
+                    'backlog_s': notes.backlogs_by_account.get(account, {}),
                 },
             )
         )
@@ -51,3 +64,4 @@
     """Note that nothing waits, so that shares do not count."""
     board.share_notes.used_by_account = {}
     board.share_notes.behind_by_account = {}
+    board.share_notes.backlogs_by_account = {}
--- a/primroselock/decisions/accounts/shares.py
+++ b/primroselock/decisions/accounts/shares.py
@@ -33,15 +33,12 @@
 """Shares count once what runs and what waits need so much of a resource."""
 
 _STEPS_BETWEEN_PAUSES: typing.Final = 50
-_MIN_ACCOUNTS: typing.Final = 2
-"""A single account competes with nobody."""
-
 _WITHIN: typing.Final = 0.0
 
 Amounts = tuple[float, float, float]
 """Cores, memory and accelerators, each as a part of all capacity."""
 
-_NOTHING: typing.Final[Amounts] = (0.0, 0.0, 0.0)
+NOTHING: typing.Final[Amounts] = (0.0, 0.0, 0.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,7 +68,15 @@
         share = self.shares_by_account.get(account)
         if share is None:
             return 0.0
-        return max(self.used_by_account.get(account, _NOTHING)) / share
+        return max(self.used_by_account.get(account, NOTHING)) / share
+
+    def rate(self, account: str) -> float:
+        """Return what part of all capacity an account may count on.
+
+        That is its share, or what it uses if that is more.
+        """
+        used = max(self.used_by_account.get(account, NOTHING))
+        return max(used, self.shares_by_account[account])
 
     def is_beyond(self, group: livejobs.Group) -> bool:
         """Return whether a waiting group lies beyond its account's share."""
@@ -110,7 +115,7 @@
         for name, account in accounts.items()
         if account.weight is not None
     }
-    if len(weights_by_account) < _MIN_ACCOUNTS:
+    if not weights_by_account:
         return AccountShares()
     capacity = taken = fleetworkers.NO_RESOURCES
     for worker in usable:
@@ -131,8 +136,6 @@
         for account, weight in weights_by_account.items()
         if account in active
     }
-    if len(competing) < _MIN_ACCOUNTS:
-        return AccountShares()
     total = sum(competing.values())
     shares_by_account = {
         account: weight / total for account, weight in competing.items()
@@ -181,18 +184,18 @@
         if share is None:
             arranged.append((_insert(key, first_field, _WITHIN), groups))
             continue
-        used = used_by_account.get(account, _NOTHING)
-        need = _need(groups[0], shares.capacity)
+        used = used_by_account.get(account, NOTHING)
+        wanted = need(groups[0], shares.capacity)
         if _is_guaranteed(key):
-            used_by_account[account] = _add(used, need, len(groups))
+            used_by_account[account] = add(used, wanted, len(groups))
             arranged.append((_insert(key, first_field, _WITHIN), groups))
             continue
         left = groups
         while left:
             multiple = max(used) / share
-            count = _count_until_next(used, need, share, multiple)
+            count = _count_until_next(used, wanted, share, multiple)
             part, left = left[:count], left[count:]
-            used = _add(used, need, len(part))
+            used = add(used, wanted, len(part))
             level = _WITHIN if multiple < 1.0 else multiple
             if level:
                 shares.beyond.update(part)
@@ -217,7 +220,7 @@
 
 
 def _count_until_next(
-    used: Amounts, need: Amounts, share: float, multiple: float
+    used: Amounts, wanted: Amounts, share: float, multiple: float
 ) -> int:
     """Return how many groups may be counted before the next division.
 
@@ -226,25 +229,26 @@
     """
     bound = 1.0 if multiple < 1.0 else multiple * _PART_FACTOR
     counts = [
-        math.ceil((bound * share - have) / wanted)
-        for have, wanted in zip(used, need, strict=True)
-        if wanted > 0.0
+        math.ceil((bound * share - have) / part)
+        for have, part in zip(used, wanted, strict=True)
+        if part > 0.0
     ]
     # A group that needs nothing leaves the account's use as it is.
     return max(1, min(counts)) if counts else 1
 
 
-def _need(group: livejobs.Group, capacity: jobgraph.Resources) -> Amounts:
+def need(group: livejobs.Group, capacity: jobgraph.Resources) -> Amounts:
     """Return what a group needs in all, as a part of all capacity."""
-    need = fleetworkers.NO_RESOURCES.plus(group.step.need, group.size)
-    return _amounts(need, capacity)
+    total = fleetworkers.NO_RESOURCES.plus(group.step.need, group.size)
+    return _amounts(total, capacity)
 
 
-def _add(used: Amounts, need: Amounts, times: int) -> Amounts:
+def add(used: Amounts, more: Amounts, times: float) -> Amounts:
+    """Return the sum with ``times`` times ``more``."""
     return (
-        used[0] + need[0] * times,
-        used[1] + need[1] * times,
-        used[2] + need[2] * times,
+        used[0] + more[0] * times,
+        used[1] + more[1] * times,
+        used[2] + more[2] * times,
     )
 
 
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -92,13 +92,18 @@
     """What the last round found of the shares of accounts.
 
     ``used_by_account`` is what an account uses as a multiple of its share,
-    ``behind_by_account`` how many of its groups wait beyond the share; both
-    are empty while shares do not count.  ``reported_at_by_account`` is when
-    the latter was last logged, on this process's clock.
+    ``behind_by_account`` how many of its groups wait beyond the share, and
+    ``backlogs_by_account`` how many seconds its waiting work will take, by
+    priority (see ``backlogs``); all are empty while shares do not count.
+    ``reported_at_by_account`` is when work beyond the share was last logged,
+    on this process's clock.
     """
 
     used_by_account: dict[str, float] = dataclasses.field(default_factory=dict)
     behind_by_account: dict[str, int] = dataclasses.field(default_factory=dict)
+    backlogs_by_account: dict[str, dict[int, int]] = dataclasses.field(
+        default_factory=dict
+    )
     reported_at_by_account: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -107,7 +107,7 @@
         turn.wall_s,
     )
     yield from _place_listed(context, listed, turn, pauses)
-    sharereport.report(board, account_shares, turn.now)
+    sharereport.report(board, account_shares, listed, turn)
 
 
 def _index_victims(
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -200,6 +200,7 @@
             self._count_waiting(now),
             runleases.bound_leases(self._board, now),
             crashes.report_drains(self._board, self._worker_follower.version),
+            self._board.share_notes.backlogs_by_account or None,
         )
 
     async def run(self, renewing: asyncio.Task[None]) -> None:
--- a/primroselock/intake.py
+++ b/primroselock/intake.py
@@ -16,6 +16,7 @@
 from collections import abc
 import dataclasses
 import enum
+import math
 import typing
 
 import msgspec
@@ -30,6 +31,7 @@
 from primroselock import logs
 from primroselock import metrics
 from primroselock import options
+from primroselock import publishedcounts
 from primroselock import queues
 from primroselock import shards
 from primroselock.store import keys
@@ -59,6 +61,7 @@
     TOO_LARGE = 'the job is too large to be stored'
     COUNT_UNKNOWN = 'the number of waiting jobs is not known now'
     STORE_UNAVAILABLE = 'the store does not take the job now'
+    BACKLOG = 'the account\'s earlier work would make the job too late'
     OUTCOME_UNKNOWN = 'the store did not say whether it took the job'
 
 
@@ -83,17 +86,6 @@
     account: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _PublishedCounts:
-    """Waiting jobs by queue, as the holder published them, and when seen.
-
-    ``seen_at`` is on this process's clock.
-    """
-
-    waiting_by_queue: dict[str, int] | None
-    seen_at: float
-
-
 class Intake:
     """Serves callers on one node."""
 
@@ -116,7 +108,7 @@
         self._metrics = counters
         self._lease_key = keys.shard_lease(settings.fleet.shard)
         self._known = knownjobs.KnownJobs()
-        self._counts = _PublishedCounts(None, float('-inf'))
+        self._counts = publishedcounts.PublishedCounts()
         self._queues = queues.EMPTY
         self._confirmed_at: abc.Callable[[], float] = lambda: float('-inf')
         shard_follower.add_handler(self._apply_changes)
@@ -125,8 +117,7 @@
         for row in changes.rows:
             if row.key == self._lease_key:
                 lease = shards.read_lease_row(row)
-                counts = lease.waiting_by_queue if lease else None
-                self._counts = _PublishedCounts(counts, clock.monotonic())
+                self._counts = publishedcounts.read(lease, clock.monotonic())
 
     def set_queue_configuration(
         self,
@@ -202,8 +193,37 @@
             # The store has not answered of late: refuse, and send nothing.
             refused = _store_unavailable(f'age {age_s:.3f} s')
             return result.Err(self.qualify_refusal(graph.id, refused))
+        excess_s = self._counts.excess_s(
+            graph,
+            access.queue,
+            self._queues.accounts_by_name.get(access.account),
+        )
+        age_s = clock.monotonic() - self._counts.seen_at
+        is_known = age_s <= self._settings.count_age_s
+        if is_known and excess_s > 0.0:
+            return await self._refuse_beyond_share(graph, excess_s, deadline)
         return await self._insert(graph, access.queue, deadline)
 
+    async def _refuse_beyond_share(
+        self, graph: jobgraph.JobGraph, excess_s: float, deadline: float
+    ) -> result.Result[None, Refused]:
+        """Refuse a job that would only wait, unless it is stored already.
+
+        Another node may have accepted it, and the caller not have heard so.
+        """
+        key = keys.graph(self._settings.shard, graph.id)
+        read = await self._read_row(key, deadline)
+        if isinstance(read, result.Err):
+            return result.Err(self.qualify_refusal(graph.id, read.err_value))
+        if read.ok_value is not None:
+            return await self._check_stored_owner(key, graph, deadline)
+        refused = Refused(
+            RefusalReason.BACKLOG,
+            f'{excess_s:.1f} s too late',
+            max(_RETRY_AFTER_S, float(math.ceil(excess_s))),
+        )
+        return result.Err(self.qualify_refusal(graph.id, refused))
+
     def qualify_refusal(self, job_id: str, refused: Refused) -> Refused:
         """Return the refusal of a submission, given those before it.
 
--- a/primroselock/platform/clientapi.py
+++ b/primroselock/platform/clientapi.py
@@ -33,6 +33,7 @@
     intake.RefusalReason.TOO_LARGE: 413,
     intake.RefusalReason.STORE_UNAVAILABLE: 503,
     intake.RefusalReason.COUNT_UNKNOWN: 503,
+    intake.RefusalReason.BACKLOG: 429,
     intake.RefusalReason.OUTCOME_UNKNOWN: 504,
 }
 _STATE_NAMES: typing.Final = {
--- a/primroselock/shards.py
+++ b/primroselock/shards.py
@@ -49,7 +49,9 @@
     since the takeover, so that each renewal changes the row.  With
     ``is_offered`` a standby that can place may take over at once.
     ``waiting_by_queue`` is the number of the shard's jobs that have not
-    started, or None where the holder does not know it.  ``lease_bounds``
+    started, or None where the holder does not know it.  ``backlogs`` holds
+    the seconds that waiting work of accounts will take, by account and
+    priority, where work waits beyond an account's share.  ``lease_bounds``
     names the workers to which the holder grants no run leases, ``drains``
     what it knows of workers that leave.
     """
@@ -61,6 +63,7 @@
     lease_bounds: leasebounds.LeaseBounds = leasebounds.NO_BOUNDS
     is_offered: bool = False
     drains: drainlog.DrainReport = drainlog.NO_REPORT
+    backlogs: dict[str, dict[int, decoding.Count]] | None = None
 
 
 _decode_lease_row: typing.Final = decoding.json_reader(LeaseRow)
@@ -97,6 +100,7 @@
     waiting_by_queue: dict[str, int] | None = None
     lease_bounds: leasebounds.LeaseBounds = leasebounds.NO_BOUNDS
     drains: drainlog.DrainReport = drainlog.NO_REPORT
+    backlogs: dict[str, dict[int, int]] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -259,6 +263,7 @@
             lease_bounds=report.lease_bounds,
             is_offered=self.offers,
             drains=report.drains,
+            backlogs=report.backlogs,
         )
         # A renewal without a reply may have been applied.
         self.is_offered |= row.is_offered
--- a/primroselock/test/platformdecoders.py
+++ b/primroselock/test/platformdecoders.py
@@ -313,6 +313,7 @@
         'others_left_s': 2.5,
     },
     'is_offered': False,
+    'backlogs': {'signs': {'1': 12, '2': 40}},
 }
 _ADVICE: typing.Final = {'good': [['w1', 't1']], 'valid_ms': 3000}
 _RUN: typing.Final = orders.Run(jobgraph.TaskName('j', 0, 0, 0), 1)
--- a/primroselock/test/testclientapi.py
+++ b/primroselock/test/testclientapi.py
@@ -94,6 +94,7 @@
             intake.RefusalReason.UNKNOWN_JOB: 410,
             intake.RefusalReason.TOO_LARGE: 413,
             intake.RefusalReason.STORE_UNAVAILABLE: 503,
+            intake.RefusalReason.BACKLOG: 429,
             intake.RefusalReason.OUTCOME_UNKNOWN: 504,
         }
         with mock.patch.object(
