--- a/primroselock/test/testaccountshares.py
+++ b/primroselock/test/testaccountshares.py
@@ -8,6 +8,8 @@
 import unittest
 from unittest import mock
 
+import msgspec
+
 from primroselock.decisions.accounts import shares
 from primroselock.decisions.accounts import usage
 from primroselock.decisions import fleetround
@@ -173,6 +175,46 @@
         self.site.run_for(2.0)
         self.assertEqual(3, _count_running(own))
 
+    def test_late_work_within_a_share_goes_before_a_fresh_flood(self) -> None:
+        """Guards against a flood that is always in time, and so always first.
+
+        The work of the other account is late already, but still of use.
+        """
+        self.submit('bulk-a', 'a', 'bulk', _WORKERS)
+        self.site.run_for(0.5)
+        late = self.submit('late', 'b', 'urgent', 3)
+        late.graph = msgspec.structs.replace(
+            late.graph, accepted_ms=late.graph.accepted_ms - 8_000
+        )
+        flood = self.submit('flood', 'a', 'urgent', 3 * _WORKERS)
+        self.site.run_for(1.5)
+        self.assertEqual(3, _count_running(late))
+        self.assertLess(_count_running(flood), _WORKERS)
+
+    def test_work_too_late_to_be_of_use_goes_last_whatever_the_share(
+        self,
+    ) -> None:
+        self.submit('bulk-a', 'a', 'bulk', _WORKERS)
+        self.site.run_for(0.5)
+        useless = self.submit('useless', 'b', 'bulk', 3)
+        useless.graph = msgspec.structs.replace(
+            useless.graph, accepted_ms=useless.graph.accepted_ms - 900_000
+        )
+        useful = self.submit('useful', 'a', 'bulk', _WORKERS)
+        self.site.run_for(3.2)
+        self.assertEqual(0, _count_running(useless))
+        self.assertEqual(_WORKERS, _count_running(useful))
+
+    def test_first_come_first_served_knows_no_shares(self) -> None:
+        self.site.settings = fleetbuilders.build_node_settings(
+            '[fleet]\nwaiting_order = fifo\n'
+        )
+        first = self.submit('first', 'a', 'bulk', 3 * _WORKERS)
+        self.site.run_for(0.2)
+        self.submit('second', 'b', 'bulk', 3)
+        self.site.run_for(4.0)
+        self.assertEqual(_WORKERS, _count_running(first))
+
     def test_a_step_is_divided_where_it_passes_the_share(self) -> None:
         """Guards against a wide job that is first with all of its tasks."""
         wide = self.submit('wide', 'a', 'bulk', 3 * _WORKERS)
