No backlog is published by a holder that may start nothing

Cause: while starts are not permitted no round looks at what waits, and the last backlogs went on to refuse jobs. Change: the lease row names none then, nor while the counts of waiting jobs are not known.

--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -196,11 +196,12 @@
 
     def report(self, now: float) -> shards.HolderReport:
         """Return what to write with a renewal or the release of the lease."""
+        waiting = self._count_waiting(now)
         return shards.HolderReport(
-            self._count_waiting(now),
+            waiting,
             runleases.bound_leases(self._board, now),
             crashes.report_drains(self._board, self._worker_follower.version),
-            self._board.share_notes.backlogs_by_account or None,
+            None if waiting is None else self._find_backlogs(now),
         )
 
     async def run(self, renewing: asyncio.Task[None]) -> None:
@@ -403,6 +404,15 @@
                 counts[queue] = counts.get(queue, 0) + 1
         return counts
 
+    def _find_backlogs(self, now: float) -> dict[str, dict[int, int]] | None:
+        """Return the backlogs of accounts; None while nothing may start.
+
+        Those of the last round with starts say nothing about later ones.
+        """
+        if now > self._board.permit_until:
+            return None
+        return self._board.share_notes.backlogs_by_account or None
+
     def _on_saved(self) -> None:
         self._pollers.notify_saved()
         self._send_decided()
--- a/primroselock/test/testaccountdoor.py
+++ b/primroselock/test/testaccountdoor.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import typing
 import unittest
 
@@ -176,6 +177,44 @@
 
         self.play(scenario)
 
+    def test_nothing_is_refused_by_old_figures(self) -> None:
+        """Guards against a door that stays shut once the holder is gone."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            await asyncio.gather(
+                self.flood(world, 10.0), self.send_usual(world, 2, 0.0)
+            )
+            self.assertTrue(self.refused)
+            node = world.nodes[0]
+            age_s = node.settings.fleet.count_age_s
+            counts = node.intake._counts
+            node.intake._counts = dataclasses.replace(
+                counts, seen_at=clock.monotonic() - age_s - 0.1
+            )
+            answer = await self.submit(world, _build('later', 'flood'))
+            self.assertIsInstance(answer, result.Ok)
+
+        self.play(scenario)
+
+    def test_a_holder_that_may_start_nothing_publishes_no_backlog(
+        self,
+    ) -> None:
+        """Guards against refusals by what was true some time ago."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            await asyncio.gather(
+                self.flood(world, 10.0), self.send_usual(world, 2, 0.0)
+            )
+            node = world.nodes[0]
+            before = node.holder.report(clock.monotonic())
+            self.assertIsNotNone(before.backlogs)
+            node.configuration_age_s = 60.0
+            await asyncio.sleep(1.0)
+            after = node.holder.report(clock.monotonic())
+            self.assertIsNone(after.backlogs)
+
+        self.play(scenario)
+
     def test_a_refused_job_leaves_no_row(self) -> None:
         async def scenario(world: fleetbuilders.World) -> None:
             await asyncio.gather(
