--- a/primroselock/decisions/accounts/ownvictims.py
+++ b/primroselock/decisions/accounts/ownvictims.py
@@ -42,12 +42,11 @@
     """
     lacking = context.quotas.find_shortage(group)
     candidates = []
-    rank = context.rank(group)
     for other in _list_active(context, group.job.graph.account):
         freed = _freed_by(other)
         if other.phase is livejobs.Phase.STOPPING:
             lacking = _reduce(lacking, freed)
-        elif _may_stop(context, other, rank):
+        elif _may_stop(context, group, other):
             cost = context.victims.cost(other)
             candidates.append(_Candidate(other, cost, freed))
     chosen = _choose(candidates, lacking)
@@ -77,10 +76,12 @@
 
 def _may_stop(
     context: placementround.RoundContext,
+    group: livejobs.Group,
     other: livejobs.Group,
-    rank: livejobs.Rank,
 ) -> bool:
-    return other.step.max_unavailable is None and context.rank(other) > rank
+    return other.step.max_unavailable is None and context.is_more_urgent(
+        group, other
+    )
 
 
 def _freed_by(group: livejobs.Group) -> jobgraph.Resources:
--- a/primroselock/decisions/accounts/quotaholds.py
+++ b/primroselock/decisions/accounts/quotaholds.py
@@ -122,7 +122,7 @@
         and may_preempt(group, context.guaranteed_ids, context.wall_s)
     ):
         return False
-    key = _retry_key(group, context.rank(group))
+    key = _retry_key(group, waiting.rank(group, context.guaranteed_ids))
     if key in board.quota_retry_at_by_account:
         return False
     choice = ownvictims.choose(context, group)
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -47,6 +47,8 @@
 from primroselock.workers import orders
 
 _log: typing.Final = logs.get('holder')
+_BEHIND_GAUGE: typing.Final = 'account_groups_behind'
+_SHARE_GAUGE: typing.Final = 'account_share_used'
 _GAUGES: typing.Final = ('idle_waits', 'orders_waiting', 'unexpected_runs')
 _MAX_ROUND_INTERVAL_S: typing.Final = 0.25
 _PAUSE_PER_ROUND: typing.Final = 2.0
@@ -204,10 +206,12 @@
 
     def report(self, now: float) -> shards.HolderReport:
         """Return what to write with a renewal or the release of the lease."""
+        waiting = self._count_waiting(now)
         return shards.HolderReport(
-            self._count_waiting(now),
+            waiting,
             runleases.bound_leases(self._board, now),
             crashes.report_drains(self._board, self._worker_follower.version),
+            None if waiting is None else self._find_backlogs(now),
         )
 
     async def run(self, renewing: asyncio.Task[None]) -> None:
@@ -248,6 +252,8 @@
             for gauge in (*crashlog.GAUGES, *_GAUGES):
                 self._parts.counters.set_gauge(gauge, 0.0)
             self._account_gauges.clear()
+            for gauge in (_BEHIND_GAUGE, _SHARE_GAUGE):
+                self._parts.counters.set_gauges(gauge, 'account', {})
             await self._advice_requester.cancel()
             # Orders may wait for probes, and would begin others.
             await self._orders.cancel()
@@ -343,6 +349,10 @@
         ):
             self._parts.counters.set_gauge(name, float(value))
         self._account_gauges.update(self._board, clock.monotonic())
+        notes = self._board.share_notes
+        set_gauges = self._parts.counters.set_gauges
+        set_gauges(_BEHIND_GAUGE, 'account', notes.behind_by_account)
+        set_gauges(_SHARE_GAUGE, 'account', notes.used_by_account)
 
     def _note_permit(self, now: float) -> None:
         """Record until when starts are permitted; log a change."""
@@ -406,6 +416,15 @@
                 counts[queue] = counts.get(queue, 0) + 1
         return counts
 
+    def _find_backlogs(self, now: float) -> dict[str, dict[int, int]] | None:
+        """Return the backlogs of accounts; None while nothing may start.
+
+        Those of the last round with starts say nothing about later ones.
+        """
+        if now > self._board.permit_until:
+            return None
+        return self._board.share_notes.backlogs_by_account or None
+
     def _on_saved(self) -> None:
         self._pollers.notify_saved()
         self._send_decided()
--- a/primroselock/metrics.py
+++ b/primroselock/metrics.py
@@ -4,6 +4,7 @@
 report percentiles.  The names are those of ``/v1/metrics``.
 """
 
+from collections import abc
 import typing
 
 from hdrh import histogram
@@ -15,6 +16,8 @@
 
 
 _HELP_BY_NAME: typing.Final = {
+    'account_groups_behind': 'Groups that wait beyond an account\'s share.',
+    'account_share_used': 'What an account uses, in multiples of its share.',
     'account_quota': 'What an account with a quota may have running.',
     'account_running': 'What may run of an account with a quota.',
     'crashing_jobs': 'Jobs that this holder failed: they crash workers.',
@@ -75,6 +78,19 @@
             if series.partition('{')[0] == name:
                 del self.gauges_by_name[series]
 
+    def set_gauges(
+        self, name: str, label: str, values: abc.Mapping[str, float]
+    ) -> None:
+        """Set the series of a gauge by the value of a label.
+
+        A series that is not among ``values`` any more becomes 0.
+        """
+        for series in self.gauges_by_name:
+            if series.startswith(f'{name}{{'):
+                self.gauges_by_name[series] = 0.0
+        for key, value in values.items():
+            self.set_gauge(labelled(name, **{label: key}), float(value))
+
     def record(self, name: str, seconds: float) -> None:
         """Record a duration; one beyond the range is dropped."""
         durations = self._histograms_by_name.get(name)
--- a/primroselock/test/idlebuilders.py
+++ b/primroselock/test/idlebuilders.py
@@ -96,11 +96,20 @@
         self._report(worker, self.workers_by_id[entry.id])
 
     def submit(
-        self, job_id: str, *steps: jobgraph.Step, run_s: float, queue: str
+        self,
+        job_id: str,
+        *steps: jobgraph.Step,
+        run_s: float,
+        queue: str,
+        account: str = 'signs',
     ) -> livejobs.LiveJob:
         """Add a job that is accepted now; its tasks run for ``run_s``."""
         graph = fleetbuilders.build_graph(
-            job_id, *steps, queue=queue, accepted_ms=int(self.now * 1000)
+            job_id,
+            *steps,
+            queue=queue,
+            account=account,
+            accepted_ms=int(self.now * 1000),
         )
         return self.add_job(graph, run_s)
 
--- a/primroselock/test/soakbuilders.py
+++ b/primroselock/test/soakbuilders.py
@@ -15,6 +15,7 @@
 from primroselock import clock
 from primroselock.decisions import fleetworkers
 from primroselock import jobgraph
+from primroselock.test import accountfaults
 from primroselock.test import copyfaults
 from primroselock.test import crashbuilders
 from primroselock.test import drainfaults
@@ -57,6 +58,7 @@
     has_drains: bool = False
     has_large_configurations: bool = False
     quota_changes: tuple[quotafaults.QuotaChange, ...] = ()
+    has_accounts: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -147,6 +149,14 @@
     return dataclasses.replace(plan, quota_changes=changes)
 
 
+def add_accounts(plan: Plan) -> Plan:
+    """Return a plan with floods of accounts too (see ``accountfaults``)."""
+    added = accountfaults.draw_series(plan.seed, plan.arrival_s)
+    return dataclasses.replace(
+        plan, faults=plan.faults + added, has_accounts=True
+    )
+
+
 class Soak:
     """One run; ``world`` can be examined while it goes on."""
 
@@ -297,6 +307,7 @@
     has_drains: bool = False,
     has_large_configurations: bool = False,
     has_quotas: bool = False,
+    has_accounts: bool = False,
 ) -> Outcome:
     """Run the soak of a seed in virtual time.
 
@@ -317,6 +328,8 @@
             plan = dataclasses.replace(plan, has_large_configurations=True)
         if has_quotas:
             plan = add_quotas(plan)
+        if has_accounts:
+            plan = add_accounts(plan)
         soak = Soak(plan)
         examine(soak)
         return await soak.run()
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -7,7 +7,8 @@
 start again beside such orders, ``--crashing`` jobs that crash the workers
 that start them, ``--bounds`` workers that come back as others, with a
 bound on each step, ``--drains`` workers that drain, leave and start again,
-``--quotas`` quotas of the accounts that change, and ``--configurations``
+``--quotas`` quotas of the accounts that change, ``--accounts`` floods of one
+account beside weights that change, and ``--configurations``
 versions of the configuration that are large for the nodes' links, beside
 faults of the store and of the links.
 ``--trace`` adds why the holder did not place the job, and the faults;
@@ -45,6 +46,7 @@
     parser.add_argument('--drains', action='store_true')
     parser.add_argument('--configurations', action='store_true')
     parser.add_argument('--quotas', action='store_true')
+    parser.add_argument('--accounts', action='store_true')
     parser.add_argument('--log', type=pathlib.Path)
     return parser.parse_args()
 
@@ -97,6 +99,7 @@
         arguments.drains,
         arguments.configurations,
         arguments.quotas,
+        arguments.accounts,
     )
     if arguments.log is None:
         _configure_log(None)
