A slow run that ends in time is not stopped as stuck

Cause: tasks on workers that take longer were stopped as slower than their siblings, though their job would have been in time; the work was lost. Change: a run whose reports show progress, and that ends in time for its job, goes on; no progress counts as before. endtimes.needs tells what a job needs.

--- /dev/null
+++ b/primroselock/decisions/endtimes/__init__.py
@@ -0,0 +1,1 @@
+"""Decides by when work would end on the worker that would run it."""
--- a/primroselock/decisions/fleethealth.py
+++ b/primroselock/decisions/fleethealth.py
@@ -21,6 +21,7 @@
 import typing
 
 from primroselock import backoff
+from primroselock.decisions.endtimes import needs
 from primroselock.decisions import evidence
 from primroselock.decisions import fleet
 from primroselock.decisions import livejobs
@@ -40,6 +41,7 @@
 CHECKED_AT_ONCE: typing.Final = 200
 """Groups that one call checks at most."""
 
+_NO_PROGRESS: typing.Final = 'no progress'
 _STALL_TIMEOUT_S: typing.Final = 3.0
 """Time without a higher reported share after which a run is stalled."""
 
@@ -135,14 +137,18 @@
 
 
 def list_stuck(
-    board: fleet.ShardBoard, remote_factor: float, now: float
+    board: fleet.ShardBoard,
+    remote_factor: float,
+    now: float,
+    wall_s: float,
 ) -> list[StuckGroup]:
     """Return the running groups that are stuck.
 
     Only groups whose workers reported progress since they were last checked
     are checked, some at each call, and none while this process is late itself.
     ``remote_factor`` multiplies the expected run time of a group that runs
-    away from its data rack or across racks.
+    away from its data rack or across racks.  What is slow and ends in time
+    all the same, at ``wall_s`` since the Unix epoch, goes on.
     """
     if now < board.judge_from:
         return []
@@ -153,7 +159,9 @@
         if group.phase is not livejobs.Phase.RUNNING:
             continue
         why = _why_stuck(board, group, remote_factor, now)
-        if why:
+        if why == _NO_PROGRESS or (
+            why and not needs.ends_in_time(board, group, now, wall_s)
+        ):
             found.append(StuckGroup(group, why))
     return found
 
@@ -182,7 +190,7 @@
     if any(
         _is_stalled(member, slowest_s, patience) for member in group.members
     ):
-        return 'no progress'
+        return _NO_PROGRESS
     sibling_s = board.learned.longest_sibling_s(step_key, step.group_count)
     if sibling_s is not None and _is_slow(
         group, sibling_s * factor, patience, now
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -249,7 +249,7 @@
 ) -> None:
     far_factor = settings.fleet.far_factor
     wall_ms = int(wall_s * 1000)
-    for stuck in fleethealth.list_stuck(board, far_factor, now):
+    for stuck in fleethealth.list_stuck(board, far_factor, now, wall_s):
         group = stuck.group
         fleethealth.record_stuck(board, group)
         board.record_decision(
--- a/primroselock/test/testholderload.py
+++ b/primroselock/test/testholderload.py
@@ -354,7 +354,7 @@
 
     def list_stuck(self, now: float) -> list[livejobs.Group]:
         """Return the groups that count as stuck."""
-        found = fleethealth.list_stuck(self.board, 3.0, now)
+        found = fleethealth.list_stuck(self.board, 3.0, now, now)
         return [stuck.group for stuck in found]
 
     def test_a_report_that_waited_for_a_paused_process(self) -> None:
--- a/primroselock/test/testrunprogress.py
+++ b/primroselock/test/testrunprogress.py
@@ -81,7 +81,7 @@
 
     def list_stuck(self, now: float) -> list[livejobs.Group]:
         """Return the groups that count as stuck."""
-        found = fleethealth.list_stuck(self.board, _REMOTE_FACTOR, now)
+        found = fleethealth.list_stuck(self.board, _REMOTE_FACTOR, now, now)
         return [stuck.group for stuck in found]
 
     def report(self, share: float, now: float) -> None:
