Speeds of workers are learned from the first runs and first reports

Cause: the first two runs of a step told nothing of their workers, and a run told nothing before its second report, which may be two seconds after the first; estimates were shrunk as if workers hardly differed. Change: the first runs are compared once there are enough others; a run that began with nothing done gives its rate with the first report; less shrinking.

--- a/primroselock/decisions/runprogress.py
+++ b/primroselock/decisions/runprogress.py
@@ -57,6 +57,17 @@
         self.is_rate_taken = True
         return self.rate_per_s
 
+    def take_first_rate(self, began_at: float) -> float | None:
+        """Return the rate of a run that began at ``began_at``, if reliable.
+
+        For the first report of a run that began with nothing done.
+        """
+        passed_s = self.first_at - began_at
+        if not _RELIABLE_GAIN <= self.first_share < 1.0 or passed_s <= 0:
+            return None
+        self.is_rate_taken = True
+        return self.first_share / passed_s
+
     def take_final_rate(self, now: float) -> float | None:
         """Return the rate of a run that has just ended, unless taken.
 
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -283,6 +283,9 @@
     board.reported_groups[group] = None
     if member.progress is None:
         member.progress = runprogress.start(share, reported_at)
+        if group.began_at is not None and not group.is_resumed:
+            rate_per_s = member.progress.take_first_rate(group.began_at)
+            _record_speed(board, member, rate_per_s)
         return
     member.progress.record(share, reported_at)
     _record_speed(board, member, member.progress.take_rate())
--- a/primroselock/decisions/speeds.py
+++ b/primroselock/decisions/speeds.py
@@ -4,7 +4,8 @@
 siblings on other workers indicates a faster worker.  Each run counts once,
 when its rate has become reliable.  The sample for its worker is its rate
 relative to the mean rate of its step, where the rates of the siblings are
-first corrected by the estimated speeds of their workers.
+first corrected by the estimated speeds of their workers.  The first runs of a
+step are compared once there are enough others.
 
 Speeds are kept as logarithms, so that twice as fast and half as fast are
 at the same distance from the usual speed; estimates from few runs are
@@ -19,12 +20,12 @@
 """A job's id and the number of a step."""
 
 _MIN_SIBLINGS: typing.Final = 2
-"""Runs of a step that must be recorded before others are compared to them."""
+"""Runs of a step that must be recorded before another is compared to them."""
 
 _DECAY: typing.Final = 0.9
 """The factor by which each run reduces the weight of earlier ones."""
 
-_PRIOR_RUNS: typing.Final = 0.7
+_PRIOR_RUNS: typing.Final = 0.3
 """The weight of the usual speed in an estimate, as a number of runs."""
 
 _MAX_LOG: typing.Final = math.log(10.0)
@@ -39,23 +40,45 @@
     count: float = 0.0
 
 
+@dataclasses.dataclass(slots=True)
+class _Siblings:
+    """The corrected rates of the runs of a step.
+
+    ``first`` are the runs that were not compared yet: the worker, the rate
+    and the corrected rate of each.
+    """
+
+    mean: _Mean = dataclasses.field(default_factory=_Mean)
+    first: list[tuple[str, float, float]] = dataclasses.field(
+        default_factory=list
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class Speeds:
     """The estimated speeds of workers, relative to the usual speed of 1."""
 
     _by_worker_id: dict[str, _Mean] = dataclasses.field(default_factory=dict)
-    _by_step: dict[StepKey, _Mean] = dataclasses.field(default_factory=dict)
+    _by_step: dict[StepKey, _Siblings] = dataclasses.field(
+        default_factory=dict
+    )
 
     def record(self, step: StepKey, worker_id: str, rate_per_s: float) -> None:
         """Record the rate of one run, as the share done per second."""
         seen = math.log(rate_per_s)
-        siblings = self._by_step.setdefault(step, _Mean())
+        siblings = self._by_step.setdefault(step, _Siblings())
+        usual = siblings.mean
         own = seen - self._log_of(worker_id)
-        if siblings.count >= _MIN_SIBLINGS:
-            usual = siblings.total / siblings.count
-            self._add(worker_id, seen - usual)
-        siblings.total += own
-        siblings.count += 1
+        if usual.count < _MIN_SIBLINGS:
+            siblings.first.append((worker_id, seen, own))
+        else:
+            self._add(worker_id, seen - usual.total / usual.count)
+            for first_id, first_seen, first_own in siblings.first:
+                others = usual.total + own - first_own
+                self._add(first_id, first_seen - others / usual.count)
+            siblings.first.clear()
+        usual.total += own
+        usual.count += 1
 
     def _add(self, worker_id: str, difference: float) -> None:
         difference = max(-_MAX_LOG, min(_MAX_LOG, difference))
