Work goes where it ends in time; stops go by what both sides lose

Cause: urgent gangs were placed on free slow workers, where they end late, and victims were chosen without regard to the worker's speed, to earlier stops of the victim, to what becomes late by the stop, or to whether the claimant is late all the same. What stops, saving and resuming take stood in the code. Change: endtimes/ orders workers by when a job would end there, and has less urgent work stopped on faster workers before a slow one is taken; victims/ weighs a stop. Both are policies by name (speed_order, preemption_cost). The bounds checkpoint_s, restore_ms and stop_ms reach FleetSettings.

--- a/primroselock/decisions/fitting.py
+++ b/primroselock/decisions/fitting.py
@@ -8,6 +8,7 @@
 from collections import abc
 import typing
 
+from primroselock.decisions.endtimes import speedorders
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import freecapacity
@@ -192,7 +193,7 @@
         left -= count
         if left <= 0:
             return speed_class
-    return freecapacity.SLOWEST_CLASS
+    return speedorders.SLOWEST_CLASS
 
 
 def _place_in(
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -21,6 +21,8 @@
 from primroselock.decisions import claimindex
 from primroselock.decisions import earlierruns
 from primroselock.decisions import eligibility
+from primroselock.decisions.endtimes import hurry
+from primroselock.decisions.endtimes import speedorders
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetpreemption
@@ -33,6 +35,7 @@
 from primroselock.decisions import reachability
 from primroselock.decisions import runs
 from primroselock.decisions import slices
+from primroselock.decisions.victims import losses
 from primroselock.decisions import waiting
 from primroselock import jobgraph
 from primroselock import options
@@ -47,13 +50,6 @@
 _CLAIM_TIMEOUT_S: typing.Final = 4.0
 """After this time a capacity claim is dropped."""
 
-_CLAIM_REVIEW_S: typing.Final = 1.0
-"""After this time the workers of a capacity claim are chosen again."""
-
-_SEARCH_RETRY_S: typing.Final = 0.25
-"""Delay before victims or workers to claim are searched again for a shape
-for which none were found."""
-
 
 def place_waiting(
     board: fleet.ShardBoard,
@@ -92,8 +88,10 @@
             board,
             _list_verified(board, usable),
             fitting.scores_by_name[settings.placement],
+            speedorders.orders_by_name[settings.speed_order],
+            turn.wall_s,
         ),
-        fleetpreemption.VictimIndex(turn.now),
+        _index_victims(board, settings, turn),
         claimindex.ClaimIndex(board.claims_by_group),
         guaranteed_ids,
         turn.now,
@@ -102,6 +100,19 @@
     yield from _place_listed(context, listed, turn, pauses)
 
 
+def _index_victims(
+    board: fleet.ShardBoard,
+    settings: options.FleetSettings,
+    turn: slices.Turn,
+) -> fleetpreemption.VictimIndex:
+    """Return the index of what could be stopped, by the configured cost."""
+    rule = losses.costs_by_name[settings.preemption_cost]
+    now, wall_s = turn.now, turn.wall_s
+    return fleetpreemption.VictimIndex(
+        lambda group: rule(board, settings, group, now, wall_s)
+    )
+
+
 def _place_listed(
     context: placementround.RoundContext,
     listed: waiting.Listed,
@@ -149,7 +160,7 @@
     return dataclasses.replace(
         context,
         usable_count=len(usable),
-        victims=fleetpreemption.VictimIndex(turn.now),
+        victims=_index_victims(board, context.settings, turn),
         now=turn.now,
         wall_s=turn.wall_s,
     )
@@ -186,7 +197,7 @@
         shape = freecapacity.shape_of(first, context.rank(first))
     is_exhausted = (
         shape in context.free_capacity.unplaceable_shapes
-        and not _may_search(context, shape)
+        and not context.may_search(shape)
     )
     preferences.note_capacity(context, first)
     placed = 0
@@ -227,16 +238,6 @@
     return placed
 
 
-def _may_search(
-    context: placementround.RoundContext, shape: freecapacity.Shape | None
-) -> bool:
-    """Return whether victims may be searched for a group of this shape."""
-    if shape is None:
-        return True
-    retry_at = context.board.search_retry_at_by_shape.get(shape)
-    return retry_at is None or context.now >= retry_at
-
-
 def _must_span_racks(
     board: fleet.ShardBoard, step: jobgraph.Step, queue: queues.Queue
 ) -> bool:
@@ -270,7 +271,13 @@
     queue: queues.Queue,
     shape: freecapacity.Shape | None,
 ) -> bool:
-    """Place a group on free capacity; return whether it was placed."""
+    """Place a group on free capacity; return whether it was placed.
+
+    Not on slow workers while work is stopped for it on faster ones.
+    """
+    outcome = hurry.place(context, group, queue, shape, _preempt)
+    if outcome is not hurry.Outcome.OPEN:
+        return outcome is hurry.Outcome.PLACED
     allow = preferences.build_worker_filter(context, group, queue)
     return placementround.place_among(context, group, allow, shape)
 
@@ -287,10 +294,10 @@
     one waits for its own claim, or has just got one.
     """
     claim = context.board.claims_by_group.get(group)
-    if claim is not None and context.now - claim.since <= _CLAIM_REVIEW_S:
+    review_s = placementround.CLAIM_REVIEW_S
+    if claim is not None and context.now - claim.since <= review_s:
         return True
-    board = context.board
-    if not _may_search(context, shape):
+    if not context.may_search(shape):
         return False
     allow = preferences.build_victim_filter(context, group, queue)
     may_preempt = waiting.preemption_rules_by_name[context.settings.reclaim]
@@ -300,8 +307,8 @@
     may_claim = _may_claim_soonest(context, group)
     if may_claim and _claim_soonest(context, group, allow):
         return True
-    if shape is not None and (is_tried or may_claim):
-        board.search_retry_at_by_shape[shape] = context.now + _SEARCH_RETRY_S
+    if is_tried or may_claim:
+        context.note_search(shape)
     return False
 
 
@@ -324,15 +331,15 @@
     is_guaranteed = waiting.is_guaranteed(
         group, context.guaranteed_ids, context.wall_s
     )
-    max_lost_s = fleetpreemption.max_lost_work_s(board, group)
+    max_lost_s = losses.max_loss_s(
+        board, context.settings, group, context.wall_s
+    )
     if chosen.cost > max_lost_s and not is_guaranteed:
         return False
     _claim(context, group, chosen.worker_ids, by_preemption=True)
     for victim in chosen.victims:
         context.victims.forget(victim)
-        if victim.phase is livejobs.Phase.STOPPING:
-            continue
-        if fleetpreemption.ends_soon(victim, context.now):
+        if losses.ends_anyway(victim, context.now, context.settings.stop_s):
             continue
         board.record_decision(
             'preempted',
@@ -393,7 +400,12 @@
     """Claim the workers that are free soonest; return whether any are."""
     board = context.board
     chosen = fleetpreemption.choose_soonest_free(
-        board, context.free_capacity, group, allow, context.now
+        board,
+        context.free_capacity,
+        group,
+        allow,
+        context.now,
+        context.settings.stop_s,
     )
     if chosen is None:
         return False
--- a/primroselock/decisions/fleetpreemption.py
+++ b/primroselock/decisions/fleetpreemption.py
@@ -19,24 +19,10 @@
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import freecapacity
 from primroselock.decisions import livejobs
-from primroselock.decisions import waiting
 from primroselock import jobgraph
 
 MayStop = abc.Callable[[livejobs.Group], bool]
 
-_MAX_UNSAVED_WORK_S: typing.Final = 1.0
-"""Checkpointing tasks save their progress this often, and when stopped."""
-
-_RESTART_COST_S: typing.Final = 0.3
-_ENDS_SOON_S: typing.Final = 0.5
-"""About the time that a stop takes: what ends by then is not stopped."""
-
-_URGENT_FACTOR: typing.Final = 6.0
-"""The weight of lost work of the most urgent queues."""
-
-_MAX_LOST_WORK_FACTOR: typing.Final = 6.0
-"""The most work that may be lost, as a multiple of the group's own work."""
-
 _MS_PER_S: typing.Final = 1000.0
 
 
@@ -65,16 +51,12 @@
 class VictimIndex:
     """The groups on each worker that could be stopped, the cheapest first.
 
-    The costs are those at ``now``; lists are built when a worker is
-    examined, and kept for a round.
+    ``cost_of`` returns the cost of the end of a group; lists are built when
+    a worker is examined, and kept for a round.
     """
 
-    def __init__(
-        self,
-        now: float,
-        cost_of: abc.Callable[[livejobs.Group], float] | None = None,
-    ) -> None:
-        self._cost_of = cost_of or (lambda group: lost_work_s(group, now))
+    def __init__(self, cost_of: abc.Callable[[livejobs.Group], float]) -> None:
+        self._cost_of = cost_of
         self._costs_by_group: dict[livejobs.Group, float] = {}
         self._endable_by_worker_id: dict[str, list[_Endable]] = {}
 
@@ -145,16 +127,20 @@
     group: livejobs.Group,
     allow: fitting.WorkerFilter,
     now: float,
+    stop_s: float,
 ) -> Choice | None:
     """Return the workers that become free soonest without preemption.
 
-    Returns None if the group would not fit even then.
+    What is being stopped, or is over its time, counts as free in ``stop_s``
+    seconds.  Returns None if the group would not fit even then.
     """
 
     def may_wait_for(other: livejobs.Group) -> bool:
         return not other.step.long_running
 
-    endings = VictimIndex(now, lambda other: _remaining_s(board, other, now))
+    endings = VictimIndex(
+        lambda other: _remaining_s(board, other, now, stop_s)
+    )
     search = _Search(free_capacity, group, may_wait_for, endings, _latest)
     return _choose(search, allow)
 
@@ -164,18 +150,21 @@
 
 
 def _remaining_s(
-    board: fleet.ShardBoard, group: livejobs.Group, now: float
+    board: fleet.ShardBoard,
+    group: livejobs.Group,
+    now: float,
+    stop_s: float,
 ) -> float:
     """Return the estimated remaining run time of a group in seconds."""
     if group.phase is livejobs.Phase.STOPPING:
-        return _ENDS_SOON_S
+        return stop_s
     remaining_s = group.remaining_s(now)
     if remaining_s is not None:
         return remaining_s
     expected_s = board.learned.expected_s(
         group.job.graph.queue, group.step.expected_ms / _MS_PER_S
     )
-    return max(_ENDS_SOON_S, expected_s - group.worked_s(now))
+    return max(stop_s, expected_s - group.worked_s(now))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -300,44 +289,3 @@
         if free.can_fit(need):
             return _Option(search.total(costs), tuple(victims))
     return None
-
-
-def lost_work_s(group: livejobs.Group, now: float) -> float:
-    """Return the work in core-seconds that is lost if a group is stopped.
-
-    An accelerator counts as eight cores.  Urgent work counts more, since
-    it would be late after a stop.  A group that ends on its own as soon as
-    a stop would end it loses nothing.
-    """
-    if group.phase is livejobs.Phase.STOPPING or ends_soon(group, now):
-        return 0.0
-    worked_s = group.worked_s(now)
-    if group.step.checkpointing:
-        worked_s = min(worked_s, _MAX_UNSAVED_WORK_S)
-    lost_s = _RESTART_COST_S + worked_s
-    is_urgent = waiting.priority(group.job) == waiting.URGENT
-    urgency = _URGENT_FACTOR if is_urgent else 1.0
-    return lost_s * group.size * cores(group.step.need) * urgency
-
-
-def max_lost_work_s(board: fleet.ShardBoard, group: livejobs.Group) -> float:
-    """Return the work in core-seconds that may be lost for a group.
-
-    The limit does not apply to guaranteed work.
-    """
-    expected_s = board.learned.expected_s(
-        group.job.graph.queue, group.step.expected_ms / _MS_PER_S
-    )
-    own_s = expected_s * group.size * cores(group.step.need)
-    return own_s * _MAX_LOST_WORK_FACTOR
-
-
-def ends_soon(group: livejobs.Group, now: float) -> bool:
-    """Return whether a group ends on its own about as soon as by a stop."""
-    remaining_s = group.remaining_s(now)
-    return remaining_s is not None and remaining_s <= _ENDS_SOON_S
-
-
-def cores(need: jobgraph.Resources) -> float:
-    """Return resources in cores; an accelerator counts as eight."""
-    return need.cpu_millis / 1000 + need.accelerators * 8
--- a/primroselock/decisions/freecapacity.py
+++ b/primroselock/decisions/freecapacity.py
@@ -7,24 +7,22 @@
 
 from collections import abc
 import dataclasses
-import math
 import typing
 
 from primroselock.decisions import crashpolicy
+from primroselock.decisions.endtimes import needs
+from primroselock.decisions.endtimes import speedorders
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import livejobs
-from primroselock.decisions import waiting
 from primroselock import jobgraph
 
-_VERY_SLOW_SPEED: typing.Final = 0.5
-"""A worker of this speed or less is used only if no other is free."""
+_USUAL_SPEED: typing.Final = 1.0
+_SPARE_RUNS: typing.Final = 1.0
+"""Work that may be slow keeps the time for one more run."""
 
-SLOWEST_CLASS: typing.Final = 20.0
-"""The speed class of very slow workers, above every other class."""
-
-_CLASS_WIDTH: typing.Final = 0.25
-"""The width of a speed class as a natural logarithm: about a quarter."""
+_SPEED_STEP: typing.Final = 0.05
+"""Limits of speed that differ by less share the outcome of an attempt."""
 
 Score = abc.Callable[
     [fleetworkers.Worker, jobgraph.Resources], tuple[float, ...]
@@ -38,7 +36,7 @@
     ``size`` is the number of its tasks, which run in one rack if
     ``in_one_rack`` is set.  ``is_relaxed`` is set for an attempt without
     the group's preferences, ``ignores_claims`` if the claims of others do
-    not count either.
+    not count either.  Only workers of at least ``lowest_speed`` count.
     """
 
     service: str
@@ -51,6 +49,12 @@
     rank: livejobs.Rank
     is_relaxed: bool = False
     ignores_claims: bool = False
+    lowest_speed: float = 0.0
+
+    def in_time(self, lowest_speed: float) -> 'Shape':
+        """Return the shape of an attempt on workers that are fast enough."""
+        rounded = round(lowest_speed / _SPEED_STEP) * _SPEED_STEP
+        return dataclasses.replace(self, lowest_speed=rounded)
 
     def relaxed(self, ignores_claims: bool) -> 'Shape':
         """Return the shape of an attempt without preferences."""
@@ -104,9 +108,12 @@
         board: fleet.ShardBoard,
         workers: abc.Iterable[fleetworkers.Worker],
         score_worker: Score,
+        speed_order: speedorders.SpeedOrder,
+        wall_s: float,
     ) -> None:
         self.score_worker = score_worker
-        self.worker_speeds = board.worker_speeds
+        self._speed_order = speed_order
+        self._wall_s = wall_s
         self._possible_causes_by_worker_id = crashpolicy.find_possible_causes(
             board
         )
@@ -117,7 +124,9 @@
         self._workers_by_id: dict[str, fleetworkers.Worker] = {}
         self._entries_by_id: dict[str, fleetworkers.WorkerEntry] = {}
         self._boots_by_id: dict[str, int] = {}
-        self._speed_classes_by_id: dict[str, float] = {}
+        self._speeds_by_id: dict[str, float] = {}
+        self._slowest_speed: float | None = None
+        self._needed_by_step: dict[livejobs.StepName, float] = {}
         self._board = board
         self._with_capacity_by_kind: dict[
             _StepKind, list[fleetworkers.Worker]
@@ -245,30 +254,34 @@
         job_ids = self._possible_causes_by_worker_id.get(worker_id)
         return bool(job_ids and job_ids != {group.job.graph.id})
 
+    @property
+    def slowest_speed(self) -> float:
+        """The lowest speed of a worker that may be used; at most usual."""
+        if self._slowest_speed is None:
+            speeds = (self.speed(worker_id) for worker_id in self.free_by_id)
+            self._slowest_speed = min(speeds, default=_USUAL_SPEED)
+        return min(self._slowest_speed, _USUAL_SPEED)
+
+    def speed(self, worker_id: str) -> float:
+        """Return the speed of a worker, relative to the usual speed of 1."""
+        known = self._speeds_by_id.get(worker_id)
+        if known is None:
+            known = self._board.worker_speeds.speed(worker_id)
+            self._speeds_by_id[worker_id] = known
+        return known
+
     def speed_class(self, worker_id: str, group: livejobs.Group) -> float:
-        """Return the worker's speed class for a group.
+        """Return the worker's speed class for a group; lower ones go first.
 
-        Lower classes are faster; 0 is fast enough.  A gang is as slow as
-        its slowest member, and urgent work has little slack: both go to
-        fast workers first.  Other work only avoids workers that are much
-        slower than usual.
+        What a job needs is determined once a round.
         """
-        fine_class = self._speed_classes_by_id.get(worker_id)
-        if fine_class is None:
-            fine_class = _speed_class(self.worker_speeds.speed(worker_id))
-            self._speed_classes_by_id[worker_id] = fine_class
-        if fine_class == SLOWEST_CLASS:
-            return SLOWEST_CLASS
-        if group.size > 1 or waiting.priority(group.job) == waiting.URGENT:
-            return fine_class
-        return 0.0
-
-
-def _speed_class(speed: float) -> float:
-    """Return the class of a speed relative to the usual speed of 1."""
-    if speed <= _VERY_SLOW_SPEED:
-        return SLOWEST_CLASS
-    return float(round(-math.log(speed) / _CLASS_WIDTH))
+        needed = self._needed_by_step.get(group.step_name)
+        if needed is None:
+            needed = needs.needed_speed(
+                self._board, group, self._wall_s, _SPARE_RUNS
+            )
+            self._needed_by_step[group.step_name] = needed
+        return self._speed_order(group, self.speed(worker_id), needed)
 
 
 def fits_when_empty(worker: fleetworkers.Worker, step: jobgraph.Step) -> bool:
--- a/primroselock/decisions/placementround.py
+++ b/primroselock/decisions/placementround.py
@@ -6,6 +6,7 @@
 
 from collections import abc
 import dataclasses
+import typing
 
 from primroselock.decisions import claimindex
 from primroselock.decisions import eligibility
@@ -17,6 +18,13 @@
 from primroselock.decisions import waiting
 from primroselock import options
 
+CLAIM_REVIEW_S: typing.Final = 1.0
+"""After this time the workers of a capacity claim are chosen again."""
+
+_SEARCH_RETRY_S: typing.Final = 0.25
+"""Delay before victims or workers to claim are searched again for a shape
+for which none were found."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoundContext:
@@ -46,6 +54,29 @@
         """Return whether capacity is plenty for the group's job."""
         return self.plenty.has_plenty(group.job, self.now)
 
+    def awaits_stops(self, group: livejobs.Group) -> bool:
+        """Return whether work was stopped for a group a short time ago."""
+        claim = self.board.claims_by_group.get(group)
+        return (
+            claim is not None
+            and claim.by_preemption
+            and self.now - claim.since <= CLAIM_REVIEW_S
+        )
+
+    def may_search(self, shape: freecapacity.Shape | None) -> bool:
+        """Return whether victims may be searched for a group of a shape."""
+        if shape is None:
+            return True
+        retry_at = self.board.search_retry_at_by_shape.get(shape)
+        return retry_at is None or self.now >= retry_at
+
+    def note_search(self, shape: freecapacity.Shape | None) -> None:
+        """Note that a search for a group of a shape has found nothing."""
+        if shape is not None:
+            self.board.search_retry_at_by_shape[shape] = (
+                self.now + _SEARCH_RETRY_S
+            )
+
     def may_drop_claims(self, group: livejobs.Group) -> bool:
         """Return whether a group need not wait for claimed workers.
 
--- a/primroselock/decisions/preferences.py
+++ b/primroselock/decisions/preferences.py
@@ -147,7 +147,12 @@
     if left_s <= 0:
         return False
     chosen = fleetpreemption.choose_soonest_free(
-        context.board, context.free_capacity, group, allow, context.now
+        context.board,
+        context.free_capacity,
+        group,
+        allow,
+        context.now,
+        context.settings.stop_s,
     )
     return chosen is not None and chosen.cost <= left_s
 
--- /dev/null
+++ b/primroselock/decisions/victims/__init__.py
@@ -0,0 +1,1 @@
+"""Decides what is stopped for whom, by what both sides lose."""
--- /dev/null
+++ b/primroselock/decisions/victims/losses.py
@@ -0,0 +1,173 @@
+"""What is lost if a group is stopped, and what may be lost for another.
+
+Costs are in core-seconds of work, where an accelerator counts as eight
+cores.  Rules are registered by name; the settings choose one.
+"""
+
+from collections import abc
+import typing
+
+from primroselock.decisions.endtimes import needs
+from primroselock.decisions import fleet
+from primroselock.decisions import livejobs
+from primroselock.decisions import objectives
+from primroselock.decisions import waiting
+from primroselock import jobgraph
+from primroselock import options
+
+CostRule = abc.Callable[
+    [
+        fleet.ShardBoard,
+        options.FleetSettings,
+        livejobs.Group,
+        float,
+        float,
+    ],
+    float,
+]
+"""Returns the cost of a stop.
+
+The arguments are the board, the settings, the group, the time on this
+process's clock and the time in seconds since the Unix epoch.
+"""
+
+costs_by_name: typing.Final[dict[str, CostRule]] = {}
+
+_URGENT_FACTOR: typing.Final = 6.0
+"""The weight of lost work of the most urgent queues."""
+
+_MAX_LOST_WORK_FACTOR: typing.Final = 6.0
+"""The most work that may be lost for a group that then ends in time, as a
+multiple of the group's own work."""
+
+_MAX_LOST_IF_LATE_FACTOR: typing.Final = 1.0
+"""The same for a group that ends late all the same."""
+
+_STOP_FACTOR: typing.Final = 4.0
+"""The factor by which a stop makes the next of the group more costly."""
+
+_MAX_COUNTED_STOPS: typing.Final = 4
+"""Earlier stops of a group that make another more costly."""
+
+
+def cost(name: str) -> abc.Callable[[CostRule], CostRule]:
+    """Register the decorated rule."""
+
+    def register(rule: CostRule) -> CostRule:
+        costs_by_name[name] = rule
+        return rule
+
+    return register
+
+
+@cost('lost_work')
+def lost_work_s(
+    board: fleet.ShardBoard,
+    settings: options.FleetSettings,
+    group: livejobs.Group,
+    now: float,
+    wall_s: float,
+) -> float:
+    """Return the work that is lost if a group is stopped.
+
+    Urgent work counts more, since it would be late after a stop.  A group
+    that ends on its own as soon as a stop would end it loses nothing.
+    """
+    if ends_anyway(group, now, settings.stop_s):
+        return 0.0
+    worked_s = group.worked_s(now)
+    if group.step.checkpointing:
+        worked_s = min(worked_s, settings.checkpoint_s)
+    lost_s = settings.restore_s + worked_s
+    return lost_s * weight(group) * _urgency(group)
+
+
+@cost('both_sides')
+def loss_s(
+    board: fleet.ShardBoard,
+    settings: options.FleetSettings,
+    group: livejobs.Group,
+    now: float,
+    wall_s: float,
+) -> float:
+    """Return the work that a stop loses, and what that does to its job.
+
+    If the stop makes the job late, or too late to be useful, the group's
+    whole work counts once more.  Each earlier stop of the group makes another
+    four times as costly, so that the same group is not stopped again and
+    again though it has always done the least.
+    """
+    if ends_anyway(group, now, settings.stop_s):
+        return 0.0
+    worked_s = group.worked_s(now)
+    if group.step.checkpointing:
+        # A stop saves what is done: a later run only restores that.
+        worked_s = min(worked_s, settings.checkpoint_s)
+    lost_s = settings.restore_s + worked_s
+    if _makes_late(board, settings, group, now, wall_s):
+        lost_s += needs.expected_s(board, group)
+    stops = min(group.preemptions, _MAX_COUNTED_STOPS)
+    return lost_s * weight(group) * _urgency(group) * _STOP_FACTOR**stops
+
+
+def _makes_late(
+    board: fleet.ShardBoard,
+    settings: options.FleetSettings,
+    group: livejobs.Group,
+    now: float,
+    wall_s: float,
+) -> bool:
+    """Return whether a stop makes a job late that would be in time."""
+    run_s = needs.expected_s(board, group)
+    remaining_s = group.remaining_s(now)
+    if remaining_s is None:
+        remaining_s = max(0.0, run_s - group.worked_s(now))
+    again_s = settings.stop_s + run_s
+    if group.step.checkpointing:
+        again_s = settings.stop_s + settings.restore_s + remaining_s
+    for factor in (1.0, objectives.LATE_FACTOR):
+        # Of the run time, that of the rest of the run is still to come.
+        left_s = objectives.slack_s(group, wall_s, factor) + run_s
+        if remaining_s <= left_s < again_s:
+            return True
+    return False
+
+
+def max_loss_s(
+    board: fleet.ShardBoard,
+    settings: options.FleetSettings,
+    group: livejobs.Group,
+    wall_s: float,
+) -> float:
+    """Return the work that may be lost for a group.
+
+    The limit does not apply to guaranteed work.
+    """
+    slack_s = objectives.slack_s(group, wall_s + settings.stop_s)
+    factor = _MAX_LOST_WORK_FACTOR
+    if slack_s < 0 and settings.preemption_cost != 'lost_work':
+        factor = _MAX_LOST_IF_LATE_FACTOR
+    return needs.expected_s(board, group) * weight(group) * factor
+
+
+def ends_anyway(group: livejobs.Group, now: float, stop_s: float) -> bool:
+    """Return whether a group ends about as soon as by a stop."""
+    if group.phase is livejobs.Phase.STOPPING:
+        return True
+    remaining_s = group.remaining_s(now)
+    return remaining_s is not None and remaining_s <= stop_s
+
+
+def weight(group: livejobs.Group) -> float:
+    """Return the cores that a group takes while it runs."""
+    return group.size * cores(group.step.need)
+
+
+def cores(need: jobgraph.Resources) -> float:
+    """Return resources in cores; an accelerator counts as eight."""
+    return need.cpu_millis / 1000 + need.accelerators * 8
+
+
+def _urgency(group: livejobs.Group) -> float:
+    is_urgent = waiting.priority(group.job) == waiting.URGENT
+    return _URGENT_FACTOR if is_urgent else 1.0
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -220,6 +220,10 @@
 
     Capacity claims of waiting gangs may exclude other work from up to
     ``claim_share`` of the workers.
+
+    Checkpointing work saves its progress after each ``checkpoint_s`` of work
+    and when it is stopped, and resumes from that within ``restore_s``.  A
+    stop takes at most ``stop_s``.
     """
 
     shard: str = ini.key('name', 'fleet')
@@ -231,6 +235,8 @@
     placement: str = ini.key('name', 'best_fit')
     reclaim: str = ini.key('name', 'urgent')
     claim_share: float = ini.key('share', 0.5)
+    speed_order: str = ini.key('name', 'in_time')
+    preemption_cost: str = ini.key('name', 'both_sides')
     run_lease_s: float = ini.key('seconds', 10.0)
     longest_wait_s: float = ini.key('seconds', 2.0)
     order_timeout_s: float = ini.key('seconds', 0.4)
@@ -254,6 +260,9 @@
     max_tasks: int = ini.key('positive', 1000)
     max_job_tasks: int = ini.key('positive', 5000)
     keep_ended_s: float = ini.key('seconds', 900.0)
+    checkpoint_s: float = ini.key('seconds', 1.0)
+    restore_s: float = ini.key('seconds', 0.3)
+    stop_s: float = ini.key('seconds', 0.5)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroselock/platform/settings.py
+++ b/primroselock/platform/settings.py
@@ -92,6 +92,8 @@
         nodes that are partitioned from the store; ``contact_ms`` is how long
         a node may still count on capacity that a worker's entry shows no
         more; ``far_x`` is how many times as long a remote task takes.
+        ``checkpoint_s``, ``restore_ms`` and ``stop_ms`` are what saving,
+        resuming and stopping work take.
         """
         entry_permit_s = self._entry_permit_s()
         writes = self._number('platform.writes_per_s', 600)
@@ -126,6 +128,9 @@
                 'serve_permit_s': f'{self._serve_permit_s():g}',
                 'entry_permit_s': f'{entry_permit_s:g}',
                 'entry_wait_s': f'{entry_permit_s * _ENTRY_WAIT_SHARE:g}',
+                'checkpoint_s': f'{self._number("bounds.checkpoint_s", 1):g}',
+                'restore_s': self._seconds('bounds.restore_ms', 300),
+                'stop_s': self._seconds('bounds.stop_ms', 500),
             },
         }
 
--- a/primroselock/test/testplatformadapter.py
+++ b/primroselock/test/testplatformadapter.py
@@ -88,6 +88,21 @@
         self.assertEqual(10.0, read.fleet.run_lease_s)
         self.assertEqual('127.0.0.1:7000', read.fleet.metrics_bind)
 
+    def test_what_a_stop_takes_follows_the_bounds(self) -> None:
+        """Costs of stops differ between deployments."""
+        bounds = 'bounds.checkpoint_s=2\nbounds.restore_ms=600\n'
+        text = f'{fleetbuilders.BOOT_TEXT}{bounds}bounds.stop_ms=900\n'
+        read = settings.parse(text, 'boot').unwrap().fleet
+        self.assertEqual(
+            (2.0, 0.6, 0.9), (read.checkpoint_s, read.restore_s, read.stop_s)
+        )
+        default = settings.parse(fleetbuilders.BOOT_TEXT, 'boot').unwrap()
+        self.assertEqual(0.3, default.fleet.restore_s)
+        wrong = settings.parse(
+            f'{fleetbuilders.BOOT_TEXT}bounds.stop_ms=0\n', 'boot'
+        )
+        self.assertIsInstance(wrong, result.Err)
+
     def test_serve_permit_follows_the_bound_on_revoked_keys(self) -> None:
         """The permit is 1 s shorter than the bound, and at least 0.5 s."""
         for bound_ms, permit_s in ((5000, 4.0), (2000, 1.0), (100, 0.5)):
