--- a/primroselock/test/faultbuilders.py
+++ b/primroselock/test/faultbuilders.py
@@ -460,6 +460,6 @@
 @injection('worker slow')
 async def _slow_worker(world: fleetbuilders.World, fault: Fault) -> None:
     worker = _target(world, fault)
-    worker.slowdown_factor = 5.0
+    worker.slowdown_factor = 5.0 * worker.usual_factor
     await asyncio.sleep(fault.for_s)
-    worker.slowdown_factor = 1.0
+    worker.slowdown_factor = worker.usual_factor
--- a/primroselock/test/simulatedworker.py
+++ b/primroselock/test/simulatedworker.py
@@ -49,7 +49,8 @@
     monotonic clock by ``clock_offset_s``, and ``lease_end`` is on its own.
     ``last_number`` numbers the ends of runs within an incarnation; of those up
     to ``lapsed_number`` nobody could know before its lease lapsed.  Run
-    times are multiplied by ``slowdown_factor``.  Another instance answers at
+    times are multiplied by ``slowdown_factor``, which is ``usual_factor``
+    while no fault slows the worker down.  Another instance answers at
     an address that the worker has left, after ``misdirected_delay_s``.
     """
 
@@ -64,6 +65,7 @@
     fails_all: bool = False
     is_stalled: bool = False
     slowdown_factor: float = 1.0
+    usual_factor: float = 1.0
     misdirected_delay_s: float = 0.0
     epoch: int = 0
     clock_offset_s: float = 0.0
@@ -93,7 +95,7 @@
             or self.is_stalled
             or self.delayed_order_share
             or self.refused_start_share
-            or self.slowdown_factor != 1.0
+            or self.slowdown_factor != self.usual_factor
         )
 
     def read_clock(self) -> float:
--- a/primroselock/test/soakbuilders.py
+++ b/primroselock/test/soakbuilders.py
@@ -24,6 +24,7 @@
 from primroselock.test import orderfaults
 from primroselock.test import rebuiltworkers
 from primroselock.test import restartfaults
+from primroselock.test import unevenworkers
 from primroselock.test import virtualtime
 from primroselock import waits
 
@@ -52,6 +53,7 @@
     has_restarts: bool = False
     has_bounds: bool = False
     has_drains: bool = False
+    is_uneven: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -145,6 +147,8 @@
         self.world = fleetbuilders.World(plan.seed, 0)
         self.world.fleet.late_starts_outlive = plan.has_restarts
         loadbuilders.add_workers(self.world, _WORKERS)
+        if plan.is_uneven:
+            unevenworkers.set_speeds(self.world, plan.seed)
         self.crashing: crashbuilders.CrashingTasks | None = None
         if plan.has_crashing_jobs:
             self.crashing = crashbuilders.CrashingTasks(
@@ -178,6 +182,7 @@
                 for fault in plan.faults
             ),
             self._submit_crashing_jobs(),
+            self._submit_bursts(),
         )
         world.store.apply_late()
         await asyncio.sleep(_FINAL_WAIT_S)
@@ -214,6 +219,13 @@
                 random.Random(f'{self.plan.seed} crashing'),
             )
 
+    async def _submit_bursts(self) -> None:
+        """Submit bursts of urgent gangs, if the plan has any."""
+        if self.plan.is_uneven:
+            await unevenworkers.submit_bursts(
+                self.world, self.plan.arrival_s, self.plan.seed
+            )
+
     def _list_open_jobs(self) -> list[str]:
         """Return the jobs that have not ended and that workers could run."""
         graphs_by_id = self.world.fleet.graphs_by_id
@@ -261,6 +273,7 @@
     has_restarts: bool = False,
     has_bounds: bool = False,
     has_drains: bool = False,
+    is_uneven: bool = False,
 ) -> Outcome:
     """Run the soak of a seed in virtual time.
 
@@ -277,6 +290,8 @@
             plan = add_bounds(plan)
         if has_drains:
             plan = add_drains(plan)
+        if is_uneven:
+            plan = dataclasses.replace(plan, is_uneven=True)
         soak = Soak(plan)
         examine(soak)
         return await soak.run()
--- a/primroselock/test/testsoak.py
+++ b/primroselock/test/testsoak.py
@@ -98,6 +98,10 @@
         """Guards against a refusal taken for an earlier order of a run."""
         self.check_seeds(1, 6, '--orders')
 
+    def test_uneven_seeds_1_to_4(self) -> None:
+        """Guards against claims for fast workers that hold others up."""
+        self.check_seeds(1, 4, '--drains', '--uneven')
+
     def test_bounds_seeds_1_to_6(self) -> None:
         """Guards against starts by the entry of an earlier boot (ROUTE)."""
         self.check_seeds(1, 6, '--wide', '--bounds')
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -6,7 +6,8 @@
 refusals of starts, to the same plays, ``--restarts`` series of workers that
 start again beside such orders, ``--crashing`` jobs that crash the workers
 that start them, ``--bounds`` workers that come back as others, with a
-bound on each step, and ``--drains`` workers that drain, leave and start again.
+bound on each step, ``--drains`` workers that drain, leave and start again, and
+``--uneven`` workers of different speeds and bursts of urgent gangs.
 ``--trace`` adds why the holder did not place the job, and the faults;
 ``--log DIRECTORY`` writes the nodes' log of each seed with virtual times.
 """
@@ -40,6 +41,7 @@
     parser.add_argument('--restarts', action='store_true')
     parser.add_argument('--bounds', action='store_true')
     parser.add_argument('--drains', action='store_true')
+    parser.add_argument('--uneven', action='store_true')
     parser.add_argument('--log', type=pathlib.Path)
     return parser.parse_args()
 
@@ -90,6 +92,7 @@
         arguments.restarts,
         arguments.bounds,
         arguments.drains,
+        arguments.uneven,
     )
     if arguments.log is None:
         _configure_log(None)
