A new holder knows the speeds of workers

Cause: each takeover lost what was learned. Change: estimates are kept in rows of their own (speeds/SHARD/N), written at most once a second, only where they changed, under the epoch; a new holder reads them beside its work and uses those of the incarnation that answers. Gauge known_speeds; a line in the log where a group waits for faster workers. Ruled out: a takeover that waits for this listing.

--- a/primroselock/decisions/endtimes/hurry.py
+++ b/primroselock/decisions/endtimes/hurry.py
@@ -74,6 +74,12 @@
         may_use = preferences.build_victim_filter(context, group, queue)
         allow = _build_speed_filter(context, may_use, limits.after_stop)
         if preempt(context, group, allow):
+            context.board.record_decision(
+                'waits for faster workers',
+                group.job,
+                attempt=group.attempt,
+                needed_speed=round(limits.after_stop, 3),
+            )
             return Outcome.AWAITED
         context.note_search(own_shape)
     return Outcome.OPEN
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -63,6 +63,7 @@
             worker, report, board.run_lease_s
         )
     worker.boot = report.boot or worker.entry.boot
+    board.worker_speeds.confirm(worker.id, worker.boot)
     workerboots.record_answer(worker, report, sent_at)
     worker.polled_at = max(worker.polled_at, sent_at)
     is_compared = worker.clock_delta_s is not None
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -38,6 +38,7 @@
 from primroselock import rowsweeper
 from primroselock import runorders
 from primroselock import shards
+from primroselock import speedkeeper
 from primroselock.store import keys
 from primroselock.store import table
 from primroselock.store import tablefollower
@@ -46,7 +47,12 @@
 from primroselock.workers import orders
 
 _log: typing.Final = logs.get('holder')
-_GAUGES: typing.Final = ('idle_waits', 'orders_waiting', 'unexpected_runs')
+_GAUGES: typing.Final = (
+    'idle_waits',
+    'known_speeds',
+    'orders_waiting',
+    'unexpected_runs',
+)
 _MAX_ROUND_INTERVAL_S: typing.Final = 0.25
 _PAUSE_PER_ROUND: typing.Final = 2.0
 """Time between rounds as a multiple of a round's duration: polls, orders and
@@ -146,6 +152,9 @@
             clock.monotonic,
             self._settings.platform.max_row_bytes,
         )
+        self._speeds = speedkeeper.SpeedKeeper(
+            self._settings, self._lease, parts.store, board
+        )
         self._pollers = workerpolling.WorkerPollers(
             self._settings,
             self._lease,
@@ -213,6 +222,7 @@
                     self._decide(),
                     self._send_in_turns(),
                     self._writer.run(),
+                    self._speeds.run(),
                     self._submission_follower.run(),
                     self._worker_follower.run(),
                     rowsweeper.run(
@@ -326,6 +336,7 @@
     def _set_gauges(self) -> None:
         for name, value in (
             ('idle_waits', self._board.idle_waits),
+            ('known_speeds', self._board.worker_speeds.known_count),
             ('unexpected_runs', self._board.count_unexpected_runs()),
             ('orders_waiting', self._orders.waiting_count),
             *self._board.crashes.counts().items(),
--- a/primroselock/metrics.py
+++ b/primroselock/metrics.py
@@ -19,6 +19,7 @@
     'decision_round': 'Duration of a decision round of the shard holder.',
     'decision_late': 'Time by which a decision round began late.',
     'idle_waits': 'Jobs that wait although capacity is free.',
+    'known_speeds': 'Workers whose speed is estimated from runs.',
     'late_orders': 'Orders to workers given up since this process was late.',
     'late_polls': 'Polls of workers given up since this process was late.',
     'looks': 'Polls of workers.',
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -223,7 +223,8 @@
 
     Checkpointing work saves its progress after each ``checkpoint_s`` of work
     and when it is stopped, and resumes from that within ``restore_s``.  A
-    stop takes at most ``stop_s``.
+    stop takes at most ``stop_s``.  What was learned of the workers' speeds
+    is stored each ``speed_save_s``, if it has changed.
     """
 
     shard: str = ini.key('name', 'fleet')
@@ -263,6 +264,7 @@
     checkpoint_s: float = ini.key('seconds', 1.0)
     restore_s: float = ini.key('seconds', 0.3)
     stop_s: float = ini.key('seconds', 0.5)
+    speed_save_s: float = ini.key('seconds', 1.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroselock/store/keys.py
+++ b/primroselock/store/keys.py
@@ -72,6 +72,10 @@
 start and each end, and most nodes need a row only when a caller asks."""
 
 
+SPEEDS: typing.Final = 'speeds'
+"""The table of the estimated speeds of workers, read at a takeover."""
+
+
 def graph(shard: str, job_id: str) -> str:
     """Return the key of a job's graph, written at acceptance only."""
     return f'{SUBMISSIONS}/{shard}/graph/{job_id}'
@@ -89,3 +93,9 @@
     """
     key = f'{PROGRESS}/{shard}/{job_id}'
     return f'{key}/{part}' if part else key
+
+
+def worker_speeds(shard: str, row: int | None = None) -> str:
+    """Return the key of a row of workers' speeds, or their prefix."""
+    prefix = f'{SPEEDS}/{shard}/'
+    return prefix if row is None else f'{prefix}{row}'
