Merge victims by what both sides lose, and workers by when work ends there

Conflicts: the index of victims takes its costs from the settings' rule and the accounts' shares beside it; the delay of searches is the round context's, by shape and by the account of work beyond its share; what a quota's own victims may cost goes by the same rule; options of the soak.

--- a/primroselock/decisions/accounts/quotaholds.py
+++ b/primroselock/decisions/accounts/quotaholds.py
@@ -15,11 +15,11 @@
 from primroselock.decisions.accounts import ownvictims
 from primroselock.decisions.accounts import quotas
 from primroselock.decisions import fleet
-from primroselock.decisions import fleetpreemption
 from primroselock.decisions import livejobs
 from primroselock.decisions import objectives
 from primroselock.decisions import placementround
 from primroselock.decisions import slices
+from primroselock.decisions.victims import losses
 from primroselock.decisions import waiting
 from primroselock import options
 
@@ -150,7 +150,10 @@
 ) -> bool:
     if waiting.is_guaranteed(group, context.guaranteed_ids, context.wall_s):
         return False
-    return choice.cost > fleetpreemption.max_lost_work_s(context.board, group)
+    max_lost_s = losses.max_loss_s(
+        context.board, context.settings, group, context.wall_s
+    )
+    return choice.cost > max_lost_s
 
 
 def _keeps_room(
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -28,6 +28,8 @@
 from primroselock.decisions import claimindex
 from primroselock.decisions import earlierruns
 from primroselock.decisions import eligibility
+from primroselock.decisions.endtimes import hurry
+from primroselock.decisions.endtimes import speedorders
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetpreemption
@@ -39,6 +41,7 @@
 from primroselock.decisions import preferences
 from primroselock.decisions import reachability
 from primroselock.decisions import slices
+from primroselock.decisions.victims import losses
 from primroselock.decisions import waiting
 from primroselock import jobgraph
 from primroselock import options
@@ -53,13 +56,6 @@
 _CLAIM_TIMEOUT_S: typing.Final = 4.0
 """After this time a capacity claim is dropped."""
 
-_CLAIM_REVIEW_S: typing.Final = 1.0
-"""After this time the workers of a capacity claim are chosen again."""
-
-_SEARCH_RETRY_S: typing.Final = 0.25
-"""Delay before victims or workers to claim are searched again for a shape
-for which none were found."""
-
 
 def place_waiting(
     board: fleet.ShardBoard,
@@ -110,9 +106,11 @@
             board,
             _list_verified(board, usable),
             fitting.scores_by_name[settings.placement],
+            speedorders.orders_by_name[settings.speed_order],
+            turn.wall_s,
         ),
         limits,
-        _index_victims(account_shares, turn.now),
+        _index_victims(board, settings, account_shares, turn),
         claimindex.ClaimIndex(board.claims_by_group),
         guaranteed_ids,
         account_shares,
@@ -124,13 +122,22 @@
 
 
 def _index_victims(
-    account_shares: shares.AccountShares, now: float
+    board: fleet.ShardBoard,
+    settings: options.FleetSettings,
+    account_shares: shares.AccountShares,
+    turn: slices.Turn,
 ) -> fleetpreemption.VictimIndex:
-    """Return an empty index; accounts' shares count where they apply."""
-    if not account_shares.shares_by_account:
-        return fleetpreemption.VictimIndex(now)
-    used_share = account_shares.used_share
-    return fleetpreemption.VictimIndex(now, used_share=used_share)
+    """Return the index of what could be stopped, by the configured cost.
+
+    Accounts' shares count where they apply.
+    """
+    rule = losses.costs_by_name[settings.preemption_cost]
+    now, wall_s = turn.now, turn.wall_s
+    has_shares = bool(account_shares.shares_by_account)
+    return fleetpreemption.VictimIndex(
+        lambda group: rule(board, settings, group, now, wall_s),
+        account_shares.used_share if has_shares else None,
+    )
 
 
 def _place_listed(
@@ -181,7 +188,9 @@
     return dataclasses.replace(
         context,
         usable_count=len(usable),
-        victims=_index_victims(context.account_shares, turn.now),
+        victims=_index_victims(
+            board, context.settings, context.account_shares, turn
+        ),
         now=turn.now,
         wall_s=turn.wall_s,
     )
@@ -218,7 +227,7 @@
         shape = freecapacity.shape_of(first, context.rank(first))
     is_exhausted = (
         shape in context.free_capacity.unplaceable_shapes
-        and not _may_search(context, first, shape)
+        and not context.may_search(first, shape)
     )
     preferences.note_capacity(context, first)
     placed = 0
@@ -267,32 +276,6 @@
     return placed
 
 
-def _search_key(
-    context: placementround.RoundContext,
-    group: livejobs.Group,
-    shape: freecapacity.Shape,
-) -> tuple[freecapacity.Shape, str]:
-    """Return what groups have in common that may stop the same work.
-
-    Beyond its share an account may stop its own work.
-    """
-    is_beyond = context.account_shares.is_beyond(group)
-    return shape, group.job.graph.account if is_beyond else ''
-
-
-def _may_search(
-    context: placementround.RoundContext,
-    group: livejobs.Group,
-    shape: freecapacity.Shape | None,
-) -> bool:
-    """Return whether victims may be searched for a group of this shape."""
-    if shape is None:
-        return True
-    key = _search_key(context, group, shape)
-    retry_at = context.board.search_retry_at_by_shape.get(key)
-    return retry_at is None or context.now >= retry_at
-
-
 def _must_span_racks(
     board: fleet.ShardBoard, step: jobgraph.Step, queue: queues.Queue
 ) -> bool:
@@ -326,7 +309,13 @@
     queue: queues.Queue,
     shape: freecapacity.Shape | None,
 ) -> bool:
-    """Place a group on free capacity; return whether it was placed."""
+    """Place a group on free capacity; return whether it was placed.
+
+    Not on slow workers while work is stopped for it on faster ones.
+    """
+    outcome = hurry.place(context, group, queue, shape, _preempt)
+    if outcome is not hurry.Outcome.OPEN:
+        return outcome is hurry.Outcome.PLACED
     allow = preferences.build_worker_filter(context, group, queue)
     return placementround.place_among(context, group, allow, shape)
 
@@ -343,10 +332,10 @@
     one waits for its own claim, or has just got one.
     """
     claim = context.board.claims_by_group.get(group)
-    if claim is not None and context.now - claim.since <= _CLAIM_REVIEW_S:
+    review_s = placementround.CLAIM_REVIEW_S
+    if claim is not None and context.now - claim.since <= review_s:
         return True
-    board = context.board
-    if not _may_search(context, group, shape):
+    if not context.may_search(group, shape):
         return False
     allow = preferences.build_victim_filter(context, group, queue)
     may_preempt = waiting.preemption_rules_by_name[context.settings.reclaim]
@@ -356,9 +345,8 @@
     may_claim = _may_claim_soonest(context, group)
     if may_claim and _claim_soonest(context, group, allow):
         return True
-    if shape is not None and (is_tried or may_claim):
-        key = _search_key(context, group, shape)
-        board.search_retry_at_by_shape[key] = context.now + _SEARCH_RETRY_S
+    if is_tried or may_claim:
+        context.note_search(group, shape)
     return False
 
 
@@ -383,7 +371,9 @@
     is_guaranteed = waiting.is_guaranteed(
         group, context.guaranteed_ids, context.wall_s
     )
-    max_lost_s = fleetpreemption.max_lost_work_s(board, group)
+    max_lost_s = losses.max_loss_s(
+        board, context.settings, group, context.wall_s
+    )
     if chosen.cost > max_lost_s and not is_guaranteed:
         return False
     placementround.claim(context, group, chosen.worker_ids, by_preemption=True)
@@ -417,7 +407,12 @@
     """Claim the workers that are free soonest; return whether any are."""
     board = context.board
     chosen = fleetpreemption.choose_soonest_free(
-        board, context.free_capacity, group, allow, context.now
+        board,
+        context.free_capacity,
+        group,
+        allow,
+        context.now,
+        context.settings.stop_s,
     )
     if chosen is None:
         return False
--- a/primroselock/decisions/placementround.py
+++ b/primroselock/decisions/placementround.py
@@ -6,6 +6,7 @@
 
 from collections import abc
 import dataclasses
+import typing
 
 from primroselock.decisions.accounts import quotas
 from primroselock.decisions.accounts import shares
@@ -17,9 +18,17 @@
 from primroselock.decisions import freecapacity
 from primroselock.decisions import livejobs
 from primroselock.decisions import runs
+from primroselock.decisions.victims import losses
 from primroselock.decisions import waiting
 from primroselock import options
 
+CLAIM_REVIEW_S: typing.Final = 1.0
+"""After this time the workers of a capacity claim are chosen again."""
+
+_SEARCH_RETRY_S: typing.Final = 0.25
+"""Delay before victims or workers to claim are searched again for a shape
+for which none were found."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoundContext:
@@ -61,6 +70,44 @@
         """Return whether capacity is plenty for the group's job."""
         return self.plenty.has_plenty(group.job, self.now)
 
+    def awaits_stops(self, group: livejobs.Group) -> bool:
+        """Return whether work was stopped for a group a short time ago."""
+        claim = self.board.claims_by_group.get(group)
+        return (
+            claim is not None
+            and claim.by_preemption
+            and self.now - claim.since <= CLAIM_REVIEW_S
+        )
+
+    def may_search(
+        self, group: livejobs.Group, shape: freecapacity.Shape | None
+    ) -> bool:
+        """Return whether victims may be searched for a group of a shape."""
+        if shape is None:
+            return True
+        key = self._search_key(group, shape)
+        retry_at = self.board.search_retry_at_by_shape.get(key)
+        return retry_at is None or self.now >= retry_at
+
+    def note_search(
+        self, group: livejobs.Group, shape: freecapacity.Shape | None
+    ) -> None:
+        """Note that a search for a group of a shape has found nothing."""
+        if shape is not None:
+            key = self._search_key(group, shape)
+            retry_at = self.now + _SEARCH_RETRY_S
+            self.board.search_retry_at_by_shape[key] = retry_at
+
+    def _search_key(
+        self, group: livejobs.Group, shape: freecapacity.Shape
+    ) -> tuple[freecapacity.Shape, str]:
+        """Return what groups have in common that may stop the same work.
+
+        Beyond its share an account may stop its own work.
+        """
+        is_beyond = self.account_shares.is_beyond(group)
+        return shape, group.job.graph.account if is_beyond else ''
+
     def may_drop_claims(self, group: livejobs.Group) -> bool:
         """Return whether a group need not wait for claimed workers.
 
@@ -121,7 +168,7 @@
         context.victims.forget(victim)
         if victim.phase is livejobs.Phase.STOPPING:
             continue
-        if fleetpreemption.ends_soon(victim, context.now):
+        if losses.ends_anyway(victim, context.now, context.settings.stop_s):
             continue
         board.record_decision(
             'preempted',
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -63,6 +63,7 @@
             worker, report, board.run_lease_s
         )
     worker.boot = report.boot or worker.entry.boot
+    board.worker_speeds.confirm(worker.id, worker.boot)
     workerboots.record_answer(worker, report, sent_at)
     worker.polled_at = max(worker.polled_at, sent_at)
     is_compared = worker.clock_delta_s is not None
@@ -283,6 +284,9 @@
     board.reported_groups[group] = None
     if member.progress is None:
         member.progress = runprogress.start(share, reported_at)
+        if group.began_at is not None and not group.is_resumed:
+            rate_per_s = member.progress.take_first_rate(group.began_at)
+            _record_speed(board, member, rate_per_s)
         return
     member.progress.record(share, reported_at)
     _record_speed(board, member, member.progress.take_rate())
--- a/primroselock/test/soakbuilders.py
+++ b/primroselock/test/soakbuilders.py
@@ -28,6 +28,7 @@
 from primroselock.test import quotafaults
 from primroselock.test import rebuiltworkers
 from primroselock.test import restartfaults
+from primroselock.test import unevenworkers
 from primroselock.test import virtualtime
 from primroselock import waits
 
@@ -59,6 +60,7 @@
     has_large_configurations: bool = False
     quota_changes: tuple[quotafaults.QuotaChange, ...] = ()
     has_accounts: bool = False
+    is_uneven: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -166,6 +168,8 @@
         self.world = fleetbuilders.World(plan.seed, 0)
         self.world.fleet.late_starts_outlive = plan.has_restarts
         loadbuilders.add_workers(self.world, _WORKERS)
+        if plan.is_uneven:
+            unevenworkers.set_speeds(self.world, plan.seed)
         self.crashing: crashbuilders.CrashingTasks | None = None
         if plan.has_crashing_jobs:
             self.crashing = crashbuilders.CrashingTasks(
@@ -211,6 +215,7 @@
             self._submit_crashing_jobs(),
             self._play_large_configurations(),
             self._change_quotas(),
+            self._submit_bursts(),
         )
         world.store.apply_late()
         await asyncio.sleep(_FINAL_WAIT_S)
@@ -258,6 +263,13 @@
                 random.Random(f'{self.plan.seed} crashing'),
             )
 
+    async def _submit_bursts(self) -> None:
+        """Submit bursts of urgent gangs, if the plan has any."""
+        if self.plan.is_uneven:
+            await unevenworkers.submit_bursts(
+                self.world, self.plan.arrival_s, self.plan.seed
+            )
+
     def _list_open_jobs(self) -> list[str]:
         """Return the jobs that have not ended and that workers could run."""
         graphs_by_id = self.world.fleet.graphs_by_id
@@ -308,6 +320,7 @@
     has_large_configurations: bool = False,
     has_quotas: bool = False,
     has_accounts: bool = False,
+    is_uneven: bool = False,
 ) -> Outcome:
     """Run the soak of a seed in virtual time.
 
@@ -330,6 +343,8 @@
             plan = add_quotas(plan)
         if has_accounts:
             plan = add_accounts(plan)
+        if is_uneven:
+            plan = dataclasses.replace(plan, is_uneven=True)
         soak = Soak(plan)
         examine(soak)
         return await soak.run()
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -8,7 +8,8 @@
 that start them, ``--bounds`` workers that come back as others, with a
 bound on each step, ``--drains`` workers that drain, leave and start again,
 ``--quotas`` quotas of the accounts that change, ``--accounts`` floods of one
-account beside weights that change, and ``--configurations``
+account beside weights that change, ``--uneven`` workers of different speeds
+and bursts of urgent gangs, and ``--configurations``
 versions of the configuration that are large for the nodes' links, beside
 faults of the store and of the links.
 ``--trace`` adds why the holder did not place the job, and the faults;
@@ -47,6 +48,7 @@
     parser.add_argument('--configurations', action='store_true')
     parser.add_argument('--quotas', action='store_true')
     parser.add_argument('--accounts', action='store_true')
+    parser.add_argument('--uneven', action='store_true')
     parser.add_argument('--log', type=pathlib.Path)
     return parser.parse_args()
 
@@ -100,6 +102,7 @@
         arguments.configurations,
         arguments.quotas,
         arguments.accounts,
+        arguments.uneven,
     )
     if arguments.log is None:
         _configure_log(None)
