After a short listing the feed is polled as before; fakes take what was listed

Change: only a listing that took long is followed by a poll without a wait, which is what it was for. The fakes of list_rows have its second parameter.

--- a/primroselock/store/tablefollower.py
+++ b/primroselock/store/tablefollower.py
@@ -160,9 +160,8 @@
         if not self._apply(changes, self._listed_at):
             return False
         self._version = version
-        # What changed since the first page was read.
-        self._is_due = True
         took_s = clock.monotonic() - self._listed_at
+        self._is_due = took_s > _LONG_CALL_S
         if self.loaded.is_set() or took_s > _LONG_CALL_S:
             _log.info(
                 'table listed',
--- a/primroselock/test/testentrycopies.py
+++ b/primroselock/test/testentrycopies.py
@@ -142,8 +142,10 @@
             node = world.add_node('entry-2')
             list_rows = node.client.list_rows
 
-            async def list_before_removal(name: str) -> typing.Any:
-                listing = await list_rows(name)
+            async def list_before_removal(
+                name: str, *arguments: typing.Any
+            ) -> typing.Any:
+                listing = await list_rows(name, *arguments)
                 if name == 'servers' and 'w0' in world.entries_by_id:
                     world.delete_entry('w0')
                 return listing
--- a/primroselock/test/testshardoffers.py
+++ b/primroselock/test/testshardoffers.py
@@ -55,7 +55,7 @@
 
 
 async def fail_listing(
-    name: str,
+    name: str, listed: table.PartialListing | None = None
 ) -> result.Result[table.Listing, table.Unavailable]:
     """Fail as a listing whose pages get no answer."""
     await asyncio.sleep(1.0)
--- a/primroselock/test/testtakeoverwaits.py
+++ b/primroselock/test/testtakeoverwaits.py
@@ -246,7 +246,7 @@
         """
 
         async def fail_listing(
-            name: str,
+            name: str, listed: table.PartialListing | None = None
         ) -> result.Result[table.Listing, table.Unavailable]:
             await asyncio.sleep(1.0)
             return result.Err(table.Unavailable('timed out'))
