A wait for the quota is taken off the wait for capacity

Cause: each moment at which the quota held a job back began its wait for capacity anew, so that a rack-local gang of an account that is at its quota now and then would never have given up its preferences; and a job that had waited for capacity before was reported beside free capacity while its quota held it.

Change: the time is summed up per job and taken off.

--- a/primroselock/decisions/livejobs.py
+++ b/primroselock/decisions/livejobs.py
@@ -35,6 +35,9 @@
 _MAX_QUOTA_GAP_S: typing.Final = 1.0
 """A quota holds a job back without a break if that is seen again by then."""
 
+_MAX_HOLD_GAP_S: typing.Final = 0.5
+"""Between two rounds that see a job held back it was so all the while."""
+
 _MAX_START_S: typing.Final = 2.0
 """What was placed longer ago than this and does not run may never do so."""
 
@@ -160,6 +163,8 @@
     ``earlier_worker_ids`` are the workers where an earlier attempt was seen or
     may have begun late.  ``crashes`` are those of workers under its attempts,
     see ``crashes``, and ``lost_runs`` may turn out to be some.
+    ``held_before_s`` is for how long a quota had held back its job at
+    ``since``.
     """
 
     job: 'LiveJob'
@@ -185,6 +190,7 @@
     earlier_worker_ids: set[str] = dataclasses.field(default_factory=set)
     crashes: tuple[jobgraph.Crash, ...] = ()
     lost_runs: tuple[jobgraph.LostRun, ...] = ()
+    held_before_s: float = 0.0
     step_name: StepName = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
@@ -228,13 +234,15 @@
         )
         self.phase = phase
         self.since = now
+        self.held_before_s = self.job.quota_held_s
 
     def waited_s(self, now: float) -> float:
         """Return how long the group has waited for capacity, in seconds.
 
         While the quota of its account held its job back, it did not.
         """
-        return now - max(self.since, self.job.quota_held_at)
+        held_s = self.job.quota_held_s - self.held_before_s
+        return now - self.since - held_s
 
     def remaining_members(self) -> list[Member]:
         """Return the members that may still run."""
@@ -296,7 +304,8 @@
     groups are not done, where any are.  ``capacity_since`` is since when a
     waiting group would fit if it preferred nothing, as last seen at
     ``capacity_seen_at``; ``quota_held_since`` and ``quota_held_at`` say so of
-    a group that the quota of its account held back.  ``phases`` is the index
+    a group that the quota of its account held back, for ``quota_held_s`` in
+    all.  ``phases`` is the index
     of the blackboard that holds the job.
     """
 
@@ -323,6 +332,7 @@
     capacity_seen_at: float = _NEVER
     quota_held_since: float = _NEVER
     quota_held_at: float = _NEVER
+    quota_held_s: float = 0.0
     phases: phaseindex.PhaseIndex = dataclasses.field(
         default_factory=phaseindex.PhaseIndex
     )
@@ -357,6 +367,8 @@
         is_new = not self.is_held_by_quota(now)
         if is_new:
             self.quota_held_since = now
+        elif now - self.quota_held_at <= _MAX_HOLD_GAP_S:
+            self.quota_held_s += now - self.quota_held_at
         self.quota_held_at = now
         return is_new
 
--- a/primroselock/decisions/waitreport.py
+++ b/primroselock/decisions/waitreport.py
@@ -115,8 +115,11 @@
 def _find_held_group(
     job: livejobs.LiveJob, now: float
 ) -> livejobs.Group | None:
-    """Return a due group of a job of which nothing runs, or None."""
-    if job.is_cancelled or job.state.is_final:
+    """Return a due group of a job of which nothing runs, or None.
+
+    A job that its account's quota holds back has none.
+    """
+    if job.is_cancelled or job.state.is_final or job.is_held_by_quota(now):
         return None
     held: livejobs.Group | None = None
     for group in job.groups_by_key.values():
--- a/primroselock/test/testquotas.py
+++ b/primroselock/test/testquotas.py
@@ -342,6 +342,20 @@
         site.run_for(1.0)
         self.assertIs(livejobs.Phase.WAITING, group.phase)
 
+    def test_waits_for_capacity_add_up_between_holds(self) -> None:
+        """Guards against an account at its quota that never gives in."""
+        step = fleetbuilders.build_step(1, 1)
+        (group,) = self.submit('j', step).groups_by_key.values()
+        job, now = group.job, group.since
+        for second in range(8):
+            # Rounds see it held back for 0.3 s of each second.
+            for part in range(4):
+                job.note_quota_hold(now + second + 0.1 * part)
+        self.assertAlmostEqual(8.0 - 8 * 0.3, group.waited_s(now + 8.0))
+        self.assertEqual(now, job.quota_held_since)
+        group.enter(livejobs.Phase.WAITING, now + 8.0)
+        self.assertAlmostEqual(1.0, group.waited_s(now + 9.0))
+
     def test_held_work_costs_no_scan_of_its_groups(self) -> None:
         """Guards against rounds that visit each group over a quota."""
         self.submit('j', fleetbuilders.build_step(500, 1, 60_000))
