--- a/primroselock/decisions/accounts/backlogs.py
+++ b/primroselock/decisions/accounts/backlogs.py
@@ -28,18 +28,14 @@
     board: fleet.ShardBoard,
     found: shares.AccountShares,
     arranged: waiting.Listed,
+    accounts: abc.Container[str],
     wall_s: float,
 ) -> dict[str, SecondsByPriority]:
-    """Return the backlogs of accounts with work beyond their share.
+    """Return the backlogs of ``accounts``, which have a share.
 
     Whole seconds, by account and priority.  ``wall_s`` is since the Unix
     epoch.
     """
-    accounts = {
-        group.job.graph.account
-        for group in found.beyond
-        if group.phase is livejobs.Phase.WAITING
-    }
     work_by_priority: dict[str, dict[int, shares.Amounts]] = {}
     for _, groups in arranged:
         account = groups[0].job.graph.account
--- a/primroselock/decisions/accounts/sharereport.py
+++ b/primroselock/decisions/accounts/sharereport.py
@@ -37,7 +37,7 @@
     notes.backlogs_by_account = {}
     if behind_by_account:
         notes.backlogs_by_account = backlogs.find(
-            board, found, arranged, turn.wall_s
+            board, found, arranged, behind_by_account, turn.wall_s
         )
     now = turn.now
     for account, groups in behind_by_account.items():
