Less urgent work of an account does not hold back its more urgent work

Change: for waiting work only what its account runs of the same or a higher urgency counts. The victims' side and the gauges go by all that runs. Result: tests of shares pass, one of them new.

--- a/primroselock/decisions/accounts/shares.py
+++ b/primroselock/decisions/accounts/shares.py
@@ -19,6 +19,7 @@
 import math
 import typing
 
+from primroselock.decisions.accounts import urgencies
 from primroselock.decisions.accounts import usage
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
@@ -47,7 +48,8 @@
 
     ``shares_by_account`` holds the accounts that have a weight and run or
     want something; the shares add up to 1.  It is empty if shares do not
-    apply.  ``used_by_account`` holds all accounts that run something.
+    apply.  ``used_by_account`` holds all accounts that run something,
+    ``used_by_urgency`` what they run of a priority and of more urgent ones.
     ``beyond`` are the waiting groups that lie beyond their account's share.
     """
 
@@ -58,6 +60,9 @@
     used_by_account: abc.Mapping[str, Amounts] = dataclasses.field(
         default_factory=dict
     )
+    used_by_urgency: abc.Mapping[tuple[str, int], Amounts] = dataclasses.field(
+        default_factory=dict
+    )
     beyond: set[livejobs.Group] = dataclasses.field(default_factory=set)
 
     def used_share(self, account: str) -> float:
@@ -123,14 +128,9 @@
         taken = taken.plus(worker.taken)
     if not _is_scarce(listed, taken, capacity):
         return AccountShares()
-    used_by_account = {
-        account: _amounts(used, capacity)
-        for account, used in usage.by_account(board).items()
-    }
+    totals_by_account = usage.by_account(board)
     wanting = {groups[0].job.graph.account for _, groups in listed}
-    active = wanting | {
-        account for account, used in used_by_account.items() if any(used)
-    }
+    active = wanting | set(totals_by_account)
     competing = {
         account: weight
         for account, weight in weights_by_account.items()
@@ -140,7 +140,23 @@
     shares_by_account = {
         account: weight / total for account, weight in competing.items()
     }
-    return AccountShares(capacity, shares_by_account, used_by_account)
+    used_by_account = {
+        account: _amounts(used, capacity)
+        for account, used in totals_by_account.items()
+    }
+    priorities = {waiting.priority(job) for job in board.jobs_by_id.values()}
+    used_by_urgency = {
+        (account, priority): _amounts(
+            urgencies.up_to(totals_by_account[account], used, priority),
+            capacity,
+        )
+        for account, used in urgencies.by_account(board).items()
+        if account in totals_by_account
+        for priority in priorities
+    }
+    return AccountShares(
+        capacity, shares_by_account, used_by_account, used_by_urgency
+    )
 
 
 def _is_scarce(
@@ -165,16 +181,16 @@
 
     The shares decide between steps of equal urgency.  Each account's work is
     counted in the order given, as if all of it were placed, so that its later
-    work lies further beyond its share; a wide step is divided where it passes
-    the share, and again beyond.  What is guaranteed is counted, but never
-    lies beyond.
+    work lies further beyond its share; what it runs of less urgent work is
+    not counted.  A wide step is divided where it passes the share, and again
+    beyond.  What is guaranteed is counted, but never lies beyond.
     """
     listed.sort(key=_by_key)
     if not shares.shares_by_account:
         return listed
     # The first field of a key tells whether the step is guaranteed.
     first_field = 1 + (order.urgency_fields or 0)
-    used_by_account = dict(shares.used_by_account)
+    counted_by_account: dict[str, Amounts] = {}
     arranged: waiting.Listed = []
     for number, (key, groups) in enumerate(listed):
         if number % _STEPS_BETWEEN_PAUSES == 0:
@@ -184,12 +200,15 @@
         if share is None:
             arranged.append((_insert(key, first_field, _WITHIN), groups))
             continue
-        used = used_by_account.get(account, NOTHING)
+        counted = counted_by_account.get(account, NOTHING)
         wanted = need(groups[0], shares.capacity)
+        counted_by_account[account] = add(counted, wanted, len(groups))
         if _is_guaranteed(key):
-            used_by_account[account] = add(used, wanted, len(groups))
             arranged.append((_insert(key, first_field, _WITHIN), groups))
             continue
+        priority = waiting.priority(groups[0].job)
+        running = shares.used_by_urgency.get((account, priority), NOTHING)
+        used = add(running, counted, 1.0)
         left = groups
         while left:
             multiple = max(used) / share
@@ -200,7 +219,6 @@
             if level:
                 shares.beyond.update(part)
             arranged.append((_insert(key, first_field, level), part))
-        used_by_account[account] = used
     arranged.sort(key=_by_key)
     return arranged
 
--- a/primroselock/test/testaccountshares.py
+++ b/primroselock/test/testaccountshares.py
@@ -356,6 +356,16 @@
         self.assertEqual(3, _count_running(urgent))
         self.assertEqual(3, _count_running(within))
 
+    def test_less_urgent_work_does_not_hold_back_more_urgent(self) -> None:
+        """An account's bulk work is far over its share, its urgent is not."""
+        self.occupy('bulk', 'a', 7)
+        self.site.run_for(20.0)
+        cheap = self.occupy('cheap', 'b', 3)
+        urgent = self.submit_urgent('urgent', 'a', 3)
+        self.site.run_for(2.0)
+        self.assertEqual(3, _count_running(urgent))
+        self.assertEqual(0, _count_running(cheap))
+
     def test_each_account_beyond_its_share_stops_its_own_work(self) -> None:
         """Guards against a search without victims that counts for others."""
         self.occupy('within', 'c', 3)
