Shares decide only while work of one urgency is short of room

Change: work lies beyond a share only while what runs and what waits of its urgency and of higher ones needs half of a resource or more.

--- a/primroselock/decisions/accounts/shares.py
+++ b/primroselock/decisions/accounts/shares.py
@@ -16,6 +16,7 @@
 
 from collections import abc
 import dataclasses
+import itertools
 import math
 import typing
 
@@ -190,25 +191,74 @@
         return listed
     # The first field of a key tells whether the step is guaranteed.
     first_field = 1 + (order.urgency_fields or 0)
-    counted_by_account: dict[str, Amounts] = {}
+    counts = _Counts(shares, first_field)
     arranged: waiting.Listed = []
-    for number, (key, groups) in enumerate(listed):
-        if number % _STEPS_BETWEEN_PAUSES == 0:
-            yield
+    number = 0
+    for _, entries in itertools.groupby(
+        listed, lambda entry: entry[0][:first_field]
+    ):
+        equals = list(entries)
+        is_scarce = counts.begin(equals)
+        for key, groups in equals:
+            if number % _STEPS_BETWEEN_PAUSES == 0:
+                yield
+            number += 1
+            arranged += counts.divide(key, groups, is_scarce)
+    arranged.sort(key=_by_key)
+    return arranged
+
+
+@dataclasses.dataclass(slots=True)
+class _Counts:
+    """What has been counted of the waiting steps, in their order.
+
+    ``first_field`` is the place of the used share in the sort keys.
+    """
+
+    shares: AccountShares
+    first_field: int
+    total: Amounts = NOTHING
+    by_account: dict[str, Amounts] = dataclasses.field(default_factory=dict)
+
+    def begin(self, equals: waiting.Listed) -> bool:
+        """Count steps of equal urgency; return whether shares apply to them.
+
+        They do if what runs and waits of that urgency, and of higher ones,
+        needs much of a resource: else there is room for all of it, once what
+        is less urgent has given way.
+        """
+        for _, groups in equals:
+            wanted = need(groups[0], self.shares.capacity)
+            self.total = add(self.total, wanted, len(groups))
+        priority = waiting.priority(equals[0][1][0].job)
+        demand = self.total
+        for (_, known), used in self.shares.used_by_urgency.items():
+            if known == priority:
+                demand = add(demand, used, 1.0)
+        return max(demand) >= _SCARCE_PART
+
+    def divide(
+        self,
+        key: tuple[typing.Any, ...],
+        groups: list[livejobs.Group],
+        is_scarce: bool,
+    ) -> waiting.Listed:
+        """Return a step with its sort key, in parts beyond the share."""
+        shares = self.shares
         account = groups[0].job.graph.account
         share = shares.shares_by_account.get(account)
+        within = [(_insert(key, self.first_field, _WITHIN), groups)]
         if share is None:
-            arranged.append((_insert(key, first_field, _WITHIN), groups))
-            continue
-        counted = counted_by_account.get(account, NOTHING)
+            return within
+        counted = self.by_account.get(account, NOTHING)
         wanted = need(groups[0], shares.capacity)
-        counted_by_account[account] = add(counted, wanted, len(groups))
-        if _is_guaranteed(key):
-            arranged.append((_insert(key, first_field, _WITHIN), groups))
-            continue
+        self.by_account[account] = add(counted, wanted, len(groups))
+        if _is_guaranteed(key) or not is_scarce:
+            return within
         priority = waiting.priority(groups[0].job)
         running = shares.used_by_urgency.get((account, priority), NOTHING)
         used = add(running, counted, 1.0)
+        parts: waiting.Listed = []
         left = groups
         while left:
             multiple = max(used) / share
@@ -218,9 +268,8 @@
             level = _WITHIN if multiple < 1.0 else multiple
             if level:
                 shares.beyond.update(part)
-            arranged.append((_insert(key, first_field, level), part))
-    arranged.sort(key=_by_key)
-    return arranged
+            parts.append((_insert(key, self.first_field, level), part))
+        return parts
 
 
 def _by_key(entry: tuple[typing.Any, ...]) -> typing.Any:
--- a/primroselock/test/testaccountshares.py
+++ b/primroselock/test/testaccountshares.py
@@ -366,6 +366,17 @@
         self.assertEqual(3, _count_running(urgent))
         self.assertEqual(0, _count_running(cheap))
 
+    def test_urgent_work_that_has_room_is_not_held_to_a_share(self) -> None:
+        """A burst over the share stops less urgent work as without shares."""
+        self.site.board.queue_configuration = sharebuilders.configure(
+            {'a': 1.0, 'b': 6.0, 'c': 5.0}
+        )
+        self.occupy('within-b', 'b', 5)
+        self.occupy('within-c', 'c', 4)
+        burst = self.submit_urgent('burst', 'a', 3)
+        self.site.run_for(3.0)
+        self.assertEqual(3, _count_running(burst))
+
     def test_each_account_beyond_its_share_stops_its_own_work(self) -> None:
         """Guards against a search without victims that counts for others."""
         self.occupy('within', 'c', 3)
