--- a/primroselock/decisions/accounts/shares.py
+++ b/primroselock/decisions/accounts/shares.py
@@ -16,9 +16,11 @@
 
 from collections import abc
 import dataclasses
+import itertools
 import math
 import typing
 
+from primroselock.decisions.accounts import urgencies
 from primroselock.decisions.accounts import usage
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
@@ -47,7 +49,8 @@
 
     ``shares_by_account`` holds the accounts that have a weight and run or
     want something; the shares add up to 1.  It is empty if shares do not
-    apply.  ``used_by_account`` holds all accounts that run something.
+    apply.  ``used_by_account`` holds all accounts that run something,
+    ``used_by_urgency`` what they run of a priority and of more urgent ones.
     ``beyond`` are the waiting groups that lie beyond their account's share.
     """
 
@@ -58,6 +61,9 @@
     used_by_account: abc.Mapping[str, Amounts] = dataclasses.field(
         default_factory=dict
     )
+    used_by_urgency: abc.Mapping[tuple[str, int], Amounts] = dataclasses.field(
+        default_factory=dict
+    )
     beyond: set[livejobs.Group] = dataclasses.field(default_factory=set)
 
     def used_share(self, account: str) -> float:
@@ -123,14 +129,9 @@
         taken = taken.plus(worker.taken)
     if not _is_scarce(listed, taken, capacity):
         return AccountShares()
-    used_by_account = {
-        account: _amounts(used, capacity)
-        for account, used in usage.by_account(board).items()
-    }
+    totals_by_account = usage.by_account(board)
     wanting = {groups[0].job.graph.account for _, groups in listed}
-    active = wanting | {
-        account for account, used in used_by_account.items() if any(used)
-    }
+    active = wanting | set(totals_by_account)
     competing = {
         account: weight
         for account, weight in weights_by_account.items()
@@ -140,7 +141,23 @@
     shares_by_account = {
         account: weight / total for account, weight in competing.items()
     }
-    return AccountShares(capacity, shares_by_account, used_by_account)
+    used_by_account = {
+        account: _amounts(used, capacity)
+        for account, used in totals_by_account.items()
+    }
+    priorities = {waiting.priority(job) for job in board.jobs_by_id.values()}
+    used_by_urgency = {
+        (account, priority): _amounts(
+            urgencies.up_to(totals_by_account[account], used, priority),
+            capacity,
+        )
+        for account, used in urgencies.by_account(board).items()
+        if account in totals_by_account
+        for priority in priorities
+    }
+    return AccountShares(
+        capacity, shares_by_account, used_by_account, used_by_urgency
+    )
 
 
 def _is_scarce(
@@ -165,31 +182,83 @@
 
     The shares decide between steps of equal urgency.  Each account's work is
     counted in the order given, as if all of it were placed, so that its later
-    work lies further beyond its share; a wide step is divided where it passes
-    the share, and again beyond.  What is guaranteed is counted, but never
-    lies beyond.
+    work lies further beyond its share; what it runs of less urgent work is
+    not counted.  A wide step is divided where it passes the share, and again
+    beyond.  What is guaranteed is counted, but never lies beyond.
     """
     listed.sort(key=_by_key)
     if not shares.shares_by_account:
         return listed
     # The first field of a key tells whether the step is guaranteed.
     first_field = 1 + (order.urgency_fields or 0)
-    used_by_account = dict(shares.used_by_account)
+    counts = _Counts(shares, first_field)
     arranged: waiting.Listed = []
-    for number, (key, groups) in enumerate(listed):
-        if number % _STEPS_BETWEEN_PAUSES == 0:
-            yield
+    number = 0
+    for _, entries in itertools.groupby(
+        listed, lambda entry: entry[0][:first_field]
+    ):
+        equals = list(entries)
+        is_scarce = counts.begin(equals)
+        for key, groups in equals:
+            if number % _STEPS_BETWEEN_PAUSES == 0:
+                yield
+            number += 1
+            arranged += counts.divide(key, groups, is_scarce)
+    arranged.sort(key=_by_key)
+    return arranged
+
+
+@dataclasses.dataclass(slots=True)
+class _Counts:
+    """What has been counted of the waiting steps, in their order.
+
+    ``first_field`` is the place of the used share in the sort keys.
+    """
+
+    shares: AccountShares
+    first_field: int
+    total: Amounts = NOTHING
+    by_account: dict[str, Amounts] = dataclasses.field(default_factory=dict)
+
+    def begin(self, equals: waiting.Listed) -> bool:
+        """Count steps of equal urgency; return whether shares apply to them.
+
+        They do if what runs and waits of that urgency, and of higher ones,
+        needs much of a resource: else there is room for all of it, once what
+        is less urgent has given way.
+        """
+        for _, groups in equals:
+            wanted = need(groups[0], self.shares.capacity)
+            self.total = add(self.total, wanted, len(groups))
+        priority = waiting.priority(equals[0][1][0].job)
+        demand = self.total
+        for (_, known), used in self.shares.used_by_urgency.items():
+            if known == priority:
+                demand = add(demand, used, 1.0)
+        return max(demand) >= _SCARCE_PART
+
+    def divide(
+        self,
+        key: tuple[typing.Any, ...],
+        groups: list[livejobs.Group],
+        is_scarce: bool,
+    ) -> waiting.Listed:
+        """Return a step with its sort key, in parts beyond the share."""
+        shares = self.shares
         account = groups[0].job.graph.account
         share = shares.shares_by_account.get(account)
+        within = [(_insert(key, self.first_field, _WITHIN), groups)]
         if share is None:
-            arranged.append((_insert(key, first_field, _WITHIN), groups))
-            continue
-        used = used_by_account.get(account, NOTHING)
+            return within
+        counted = self.by_account.get(account, NOTHING)
         wanted = need(groups[0], shares.capacity)
-        if _is_guaranteed(key):
-            used_by_account[account] = add(used, wanted, len(groups))
-            arranged.append((_insert(key, first_field, _WITHIN), groups))
-            continue
+        self.by_account[account] = add(counted, wanted, len(groups))
+        if _is_guaranteed(key) or not is_scarce:
+            return within
+        priority = waiting.priority(groups[0].job)
+        running = shares.used_by_urgency.get((account, priority), NOTHING)
+        used = add(running, counted, 1.0)
+        parts: waiting.Listed = []
         left = groups
         while left:
             multiple = max(used) / share
@@ -199,10 +268,8 @@
             level = _WITHIN if multiple < 1.0 else multiple
             if level:
                 shares.beyond.update(part)
-            arranged.append((_insert(key, first_field, level), part))
-        used_by_account[account] = used
-    arranged.sort(key=_by_key)
-    return arranged
+            parts.append((_insert(key, self.first_field, level), part))
+        return parts
 
 
 def _by_key(entry: tuple[typing.Any, ...]) -> typing.Any:
