Stops that a group has had are kept; what they cost does not limit urgent work

Change: the row of a group counts its stops; the share that is done, or half of the run before the first report, stands for a run time that is not known. Earlier stops weigh in the choice of victims, and no more in the limit of what may be lost. The end of an attempt is logged with the work it had done. A free worker is taken if the job is likely to be in time there; others are stopped only where it is more than likely.

--- a/primroselock/decisions/endtimes/hurry.py
+++ b/primroselock/decisions/endtimes/hurry.py
@@ -40,7 +40,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Limits:
-    """The lowest speeds that are enough now, and after a stop of others."""
+    """The lowest speeds that are enough now, and after a stop of others.
+
+    What is free is taken if it is likely to do; for others to be stopped it
+    must be more than that.
+    """
 
     now: float
     after_stop: float
@@ -90,7 +94,7 @@
 ) -> _Limits:
     board, wall_s = context.board, context.wall_s
     return _Limits(
-        needs.needed_speed(board, group, wall_s),
+        needs.needed_speed(board, group, wall_s, margin=0.0),
         needs.needed_speed(board, group, wall_s + context.settings.stop_s),
     )
 
--- a/primroselock/decisions/endtimes/needs.py
+++ b/primroselock/decisions/endtimes/needs.py
@@ -15,7 +15,7 @@
 _START_S: typing.Final = 0.1
 """From a placement until its run begins: a write and an order."""
 
-_RUN_MARGIN: typing.Final = 0.1
+RUN_MARGIN: typing.Final = 0.1
 """The share by which a run may take longer than the worker's speed says."""
 
 _MS_PER_S: typing.Final = 1000.0
@@ -51,12 +51,14 @@
     group: livejobs.Group,
     wall_s: float,
     spare_runs: float = 0.0,
+    margin: float = RUN_MARGIN,
 ) -> float:
     """Return the lowest speed at which the group's job ends in time.
 
     The group is placed at ``wall_s``, in seconds since the Unix epoch, and
-    ``spare_runs`` times its run time must be left at the end.  Infinite if
-    no speed is enough, 0 if the job has no objective.
+    ``spare_runs`` times its run time must be left at the end.  ``margin`` is
+    the share by which the run may take longer than expected.  Infinite if no
+    speed is enough, 0 if the job has no objective.
     """
     if group.job.queue is None or not group.job.critical_paths_s:
         return 0.0
@@ -65,4 +67,4 @@
     left_s -= _START_S + spare_runs * run_s
     if left_s <= 0:
         return math.inf
-    return run_s * (1 + _RUN_MARGIN) / left_s
+    return run_s * (1 + margin) / left_s
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -334,7 +334,13 @@
     max_lost_s = losses.max_loss_s(
         board, context.settings, group, context.wall_s
     )
-    if chosen.cost > max_lost_s and not is_guaranteed:
+    lost_s = sum(
+        losses.losses_by_name[context.settings.preemption_cost](
+            board, context.settings, victim, context.now, context.wall_s
+        )
+        for victim in chosen.victims
+    )
+    if lost_s > max_lost_s and not is_guaranteed:
         return False
     _claim(context, group, chosen.worker_ids, by_preemption=True)
     for victim in chosen.victims:
--- a/primroselock/decisions/graphs.py
+++ b/primroselock/decisions/graphs.py
@@ -14,6 +14,7 @@
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import livejobs
 from primroselock.decisions import objectives
+from primroselock.decisions.victims import weights
 from primroselock import jobgraph
 from primroselock import jobs
 from primroselock import queues
@@ -21,6 +22,9 @@
 _MIN_RETRY_DELAY_S: typing.Final = 0.05
 _MAX_RETRY_DELAY_S: typing.Final = 1.0
 _MIN_REQUEUE_DELAY_S: typing.Final = 0.25
+_MAX_PREEMPTIONS: typing.Final = 1000
+"""More preemptions than a group has; a row may say anything."""
+
 _MAX_REQUEUE_DELAY_S: typing.Final = 4.0
 
 _MAX_RELEASED: typing.Final = 200
@@ -102,6 +106,7 @@
         group.failed_attempt = record.failed_attempt
         group.crashes = record.crashes
         group.lost_runs = record.lost_runs
+        group.preemptions = max(0, min(record.preemptions, _MAX_PREEMPTIONS))
         crashes.restore(board, group, now)
         group.checkpoint = record.checkpoint
         group.is_resumed = True
@@ -247,6 +252,7 @@
     crash_delay_s = crashpolicy.retry_delay_s(group)
     if crash_delay_s:
         group.not_before = max(group.not_before, now + crash_delay_s)
+    worked_core_s = group.worked_s(now) * weights.weight(group)
     group.members = []
     group.end_reason = None
     group.began_at = None
@@ -265,6 +271,8 @@
         attempt=group.attempt,
         ending=end_reason.value,
         failures=group.failures,
+        worked_core_s=round(worked_core_s, 1),
+        saves=group.step.checkpointing,
     )
     board.mark_changed(job)
 
@@ -352,4 +360,5 @@
         group.failed_attempt,
         group.crashes,
         group.lost_runs,
+        group.preemptions,
     )
--- a/primroselock/decisions/victims/losses.py
+++ b/primroselock/decisions/victims/losses.py
@@ -11,8 +11,8 @@
 from primroselock.decisions import fleet
 from primroselock.decisions import livejobs
 from primroselock.decisions import objectives
+from primroselock.decisions.victims import weights
 from primroselock.decisions import waiting
-from primroselock import jobgraph
 from primroselock import options
 
 CostRule = abc.Callable[
@@ -32,6 +32,10 @@
 """
 
 costs_by_name: typing.Final[dict[str, CostRule]] = {}
+"""The rules by which victims are chosen."""
+
+losses_by_name: typing.Final[dict[str, CostRule]] = {}
+"""What counts against the limit of what may be lost, by the same names."""
 
 _URGENT_FACTOR: typing.Final = 6.0
 """The weight of lost work of the most urgent queues."""
@@ -46,12 +50,26 @@
 _STOP_FACTOR: typing.Final = 4.0
 """The factor by which a stop makes the next of the group more costly."""
 
+_UNKNOWN_SHARE: typing.Final = 0.5
+"""The share that an earlier holder's run has done, before it is reported."""
+
 _MAX_COUNTED_STOPS: typing.Final = 4
 """Earlier stops of a group that make another more costly."""
 
 
+def loss(name: str) -> abc.Callable[[CostRule], CostRule]:
+    """Register the decorated rule for the limit, and for the choice."""
+
+    def register(rule: CostRule) -> CostRule:
+        losses_by_name[name] = rule
+        costs_by_name[name] = rule
+        return rule
+
+    return register
+
+
 def cost(name: str) -> abc.Callable[[CostRule], CostRule]:
-    """Register the decorated rule."""
+    """Register the decorated rule for the choice only."""
 
     def register(rule: CostRule) -> CostRule:
         costs_by_name[name] = rule
@@ -60,7 +78,7 @@
     return register
 
 
-@cost('lost_work')
+@loss('lost_work')
 def lost_work_s(
     board: fleet.ShardBoard,
     settings: options.FleetSettings,
@@ -79,10 +97,10 @@
     if group.step.checkpointing:
         worked_s = min(worked_s, settings.checkpoint_s)
     lost_s = settings.restore_s + worked_s
-    return lost_s * weight(group) * _urgency(group)
+    return lost_s * weights.weight(group) * _urgency(group)
 
 
-@cost('both_sides')
+@loss('both_sides')
 def loss_s(
     board: fleet.ShardBoard,
     settings: options.FleetSettings,
@@ -93,21 +111,51 @@
     """Return the work that a stop loses, and what that does to its job.
 
     If the stop makes the job late, or too late to be useful, the group's
-    whole work counts once more.  Each earlier stop of the group makes another
-    four times as costly, so that the same group is not stopped again and
-    again though it has always done the least.
+    whole work counts once more.
     """
     if ends_anyway(group, now, settings.stop_s):
         return 0.0
-    worked_s = group.worked_s(now)
+    worked_s = _worked_s(board, group, now)
     if group.step.checkpointing:
         # A stop saves what is done: a later run only restores that.
         worked_s = min(worked_s, settings.checkpoint_s)
     lost_s = settings.restore_s + worked_s
     if _makes_late(board, settings, group, now, wall_s):
         lost_s += needs.expected_s(board, group)
+    return lost_s * weights.weight(group) * _urgency(group)
+
+
+@cost('both_sides')
+def cost_s(
+    board: fleet.ShardBoard,
+    settings: options.FleetSettings,
+    group: livejobs.Group,
+    now: float,
+    wall_s: float,
+) -> float:
+    """Return what a stop loses, and more for a group that was stopped before.
+
+    So that the same group is not stopped again and again, though it has
+    always done the least.
+    """
     stops = min(group.preemptions, _MAX_COUNTED_STOPS)
-    return lost_s * weight(group) * _urgency(group) * _STOP_FACTOR**stops
+    return loss_s(board, settings, group, now, wall_s) * _STOP_FACTOR**stops
+
+
+def _worked_s(
+    board: fleet.ShardBoard, group: livejobs.Group, now: float
+) -> float:
+    """Return the run time so far, as far as it is known or likely.
+
+    A holder that took over knows no more at first than the share that is
+    done, and before the first report nothing.
+    """
+    shares = [m.progress.share for m in group.members if m.progress]
+    if shares:
+        share = max(shares)
+    else:
+        share = _UNKNOWN_SHARE if group.is_resumed else 0.0
+    return max(group.worked_s(now), share * needs.expected_s(board, group))
 
 
 def _makes_late(
@@ -147,7 +195,7 @@
     factor = _MAX_LOST_WORK_FACTOR
     if slack_s < 0 and settings.preemption_cost != 'lost_work':
         factor = _MAX_LOST_IF_LATE_FACTOR
-    return needs.expected_s(board, group) * weight(group) * factor
+    return needs.expected_s(board, group) * weights.weight(group) * factor
 
 
 def ends_anyway(group: livejobs.Group, now: float, stop_s: float) -> bool:
@@ -158,16 +206,6 @@
     return remaining_s is not None and remaining_s <= stop_s
 
 
-def weight(group: livejobs.Group) -> float:
-    """Return the cores that a group takes while it runs."""
-    return group.size * cores(group.step.need)
-
-
-def cores(need: jobgraph.Resources) -> float:
-    """Return resources in cores; an accelerator counts as eight."""
-    return need.cpu_millis / 1000 + need.accelerators * 8
-
-
 def _urgency(group: livejobs.Group) -> float:
     is_urgent = waiting.priority(group.job) == waiting.URGENT
     return _URGENT_FACTOR if is_urgent else 1.0
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -243,7 +243,8 @@
     that an end that is reported again is not counted twice; ``checkpoint``
     is the saved state from which the next attempt may resume.  ``crashes``
     has one entry for each worker that crashed under an attempt, and
-    ``lost_runs`` one for each of which that is not known yet.
+    ``lost_runs`` one for each of which that is not known yet.  Other work was
+    preferred to it ``preemptions`` times.
     """
 
     key: GroupKey
@@ -255,6 +256,7 @@
     failed_attempt: decoding.Integer = 0
     crashes: tuple[Crash, ...] = ()
     lost_runs: tuple[LostRun, ...] = ()
+    preemptions: decoding.Integer = 0
 
 
 class JobProgress(msgspec.Struct, frozen=True, array_like=True):
--- a/primroselock/test/endtimebuilders.py
+++ b/primroselock/test/endtimebuilders.py
@@ -66,6 +66,7 @@
     )
     accepted_ms = int((now - running.accepted_s) * 1000)
     group = add_group(board, step, running.queue, accepted_ms)
+    group.attempt = 1 + running.stops
     group.preemptions = running.stops
     group.began_at = now - running.worked_s
     group.enter(livejobs.Phase.RUNNING, group.began_at)
--- a/primroselock/test/testvictims.py
+++ b/primroselock/test/testvictims.py
@@ -7,6 +7,7 @@
 import typing
 import unittest
 
+from primroselock.decisions import graphs
 from primroselock.decisions import livejobs
 from primroselock.decisions.victims import losses
 from primroselock import jobgraph
@@ -26,7 +27,7 @@
 
     def loss(self, group: livejobs.Group) -> float:
         """Return the cost of a stop of ``group``."""
-        return losses.loss_s(self.board, _SETTINGS, group, _NOW, _NOW)
+        return losses.cost_s(self.board, _SETTINGS, group, _NOW, _NOW)
 
     def loss_of(
         self,
@@ -47,11 +48,42 @@
         self.assertAlmostEqual((_SETTINGS.restore_s + 1.0) * 9, never)
         self.assertAlmostEqual(never * 16, twice)
 
+    def test_earlier_stops_do_not_count_against_the_limit(self) -> None:
+        """They choose between victims: urgent work must not wait for them."""
+        group = endtimebuilders.run_group(
+            self.board, _NOW, endtimebuilders.Running(stops=2)
+        )
+        counted = losses.losses_by_name['both_sides']
+        lost_s = counted(self.board, _SETTINGS, group, _NOW, _NOW)
+        self.assertAlmostEqual(self.loss(group), lost_s * 16)
+
     def test_work_that_ends_before_a_stop_would(self) -> None:
         """A burst that stops what is about to be free."""
         running = endtimebuilders.Running(worked_s=9.7, share=0.97)
         self.assertEqual(0.0, self.loss_of(running))
 
+    def test_work_of_an_earlier_holder(self) -> None:
+        """A burst right after a takeover: when runs began is not known."""
+        for share, expected_s in ((0.8, 8.0), (None, 5.0)):
+            with self.subTest(share=share):
+                running = endtimebuilders.Running(worked_s=0.0, share=share)
+                group = endtimebuilders.run_group(self.board, _NOW, running)
+                group.began_at, group.is_resumed = None, True
+                lost_s = expected_s + _SETTINGS.restore_s
+                self.assertAlmostEqual(lost_s * 9, self.loss(group))
+
+    def test_a_successor_knows_what_was_stopped(self) -> None:
+        """A takeover in the middle of a burst."""
+        running = endtimebuilders.Running(stops=2)
+        group = endtimebuilders.run_group(self.board, _NOW, running)
+        progress = graphs.build_progress(group.job)
+        successor = endtimebuilders.build_board()
+        job = graphs.add_job(
+            successor, group.job.graph, progress, 0, _NOW, int(_NOW * 1000)
+        )
+        assert job is not None
+        self.assertEqual(2, job.groups_by_key[group.key].preemptions)
+
     def test_work_that_is_saved(self) -> None:
         """Stops lose little of work that saves its progress."""
         running = endtimebuilders.Running(worked_s=8.0, accepted_s=8.0)
