Gangs that need not lie in one rack go into one zone

Change: a gang is placed in the zone that has room on workers of about the same speed, and spans zones only where none has.

--- a/primroselock/decisions/fitting.py
+++ b/primroselock/decisions/fitting.py
@@ -3,6 +3,7 @@
 A single task goes to the worker that it fills best, so that whole workers
 stay free for large tasks.  The members of a rack-local gang, which are
 slow when apart, go into one rack, if some rack could hold them when empty.
+Other gangs go into one zone if that has room.
 """
 
 from collections import abc
@@ -18,6 +19,9 @@
 WorkerFilter = abc.Callable[[fleetworkers.Worker], bool]
 """Tells whether a worker that a step can use is allowed now."""
 
+_SPEED_TOLERANCE: typing.Final = 1.0
+"""Speed classes by which workers of one zone may be slower than others."""
+
 scores_by_name: typing.Final[dict[str, freecapacity.Score]] = {}
 
 
@@ -136,17 +140,62 @@
 ) -> list[str] | None:
     candidates = _candidates(free_capacity, group, allow)
     if not group.step.rack_local:
-        return _place_in(free_capacity, group, candidates)
+        return _place_in_zone(free_capacity, group, candidates)
     racks = group_by_rack(candidates)
     for rack in _sort_racks(free_capacity, group, racks):
         placed = _place_in(free_capacity, group, racks[rack])
         if placed is not None:
             return placed
     if group.may_span_racks:
-        return _place_in(free_capacity, group, candidates)
+        return _place_in_zone(free_capacity, group, candidates)
     return None
 
 
+def _place_in_zone(
+    free_capacity: freecapacity.FreeCapacity,
+    group: livejobs.Group,
+    candidates: abc.Sequence[fleetworkers.Worker],
+) -> list[str] | None:
+    """Place a gang in one zone, if that has room on workers as fast.
+
+    The whole gang is lost with any zone where it has a member.
+    """
+    by_zone: dict[str, list[fleetworkers.Worker]] = {}
+    for worker in candidates:
+        by_zone.setdefault(worker.entry.zone, []).append(worker)
+    if len(by_zone) > 1:
+        slowest, _ = _rate(free_capacity, group, candidates)
+        ratings = {
+            zone: _rate(free_capacity, group, members)
+            for zone, members in by_zone.items()
+        }
+        for zone in sorted(ratings, key=lambda name: (ratings[name], name)):
+            if ratings[zone][0] > slowest + _SPEED_TOLERANCE:
+                break
+            placed = _place_in(free_capacity, group, by_zone[zone])
+            if placed is not None:
+                return placed
+    return _place_in(free_capacity, group, candidates)
+
+
+def _rate(
+    free_capacity: freecapacity.FreeCapacity,
+    group: livejobs.Group,
+    workers: abc.Iterable[fleetworkers.Worker],
+) -> tuple[float, int]:
+    """Return the speed class that a gang gets, and how many tasks fit."""
+    need = group.step.counted_need
+    fit_counts = sorted(
+        (
+            free_capacity.speed_class(worker.id, group),
+            free_capacity.free_by_id[worker.id].fit_count(need),
+        )
+        for worker in workers
+    )
+    fit_total = sum(count for _, count in fit_counts)
+    return _slowest_used(fit_counts, group.size), fit_total
+
+
 def group_by_rack(
     workers: abc.Iterable[fleetworkers.Worker],
 ) -> dict[str, list[fleetworkers.Worker]]:
@@ -163,18 +212,9 @@
     racks: abc.Mapping[str, list[fleetworkers.Worker]],
 ) -> list[str]:
     """Return racks: the data's rack first, then by speed and fullness."""
-    need = group.step.counted_need
 
     def sort_key(rack: str) -> tuple[bool, float, int]:
-        fit_counts = sorted(
-            (
-                free_capacity.speed_class(worker.id, group),
-                free_capacity.free_by_id[worker.id].fit_count(need),
-            )
-            for worker in racks[rack]
-        )
-        fit_total = sum(count for _, count in fit_counts)
-        slowest = _slowest_used(fit_counts, group.size)
+        slowest, fit_total = _rate(free_capacity, group, racks[rack])
         return (rack != group.step.data_rack, slowest, fit_total)
 
     return sorted(racks, key=sort_key)
