One learner of run times, by queue and account, corrected by worker speed

Cause: two learners, neither corrected by the speed of the worker, both lost at a takeover; the node's used medians of a queue across accounts. Change: decisions/runtimes: a decayed regression from estimates to run times by queue, a factor by account, the spread as decayed quantiles; what stopped and resumed runs tell by their rates; a bounded record in the store that a successor reads. The older daemons' estimates use it too.

--- a/primroselock/decisions/blackboard.py
+++ b/primroselock/decisions/blackboard.py
@@ -21,6 +21,7 @@
 from primroselock.decisions import changes
 from primroselock.decisions import evidence
 from primroselock.decisions import footprints
+from primroselock.decisions.runtimes import learner
 from primroselock.decisions import shapes
 from primroselock.decisions import tokenbucket
 from primroselock import jobs
@@ -33,6 +34,9 @@
 RETRIES_PER_S: typing.Final = 5.0
 MAX_RETRY_TOKENS: typing.Final = 50.0
 
+_MAX_NAMES: typing.Final = 2_000
+"""Limit of the pairs of account and job name with learned run times."""
+
 
 def _new_retry_budget() -> tokenbucket.TokenBucket:
     return tokenbucket.TokenBucket(
@@ -223,8 +227,8 @@
 
     ``footprints_by_job_id``, ``claim_footprints_by_job_id`` and
     ``locations_by_worker_id`` cache the accelerators of attempts and
-    claims.  ``run_times`` maps account and job name to the mean of the
-    observed run times in seconds and its weight.
+    claims.  ``run_times`` holds what was learned of run times, by account
+    and job name.
     ``running_since_by_job_id`` is when an attempt entered RUNNING;
     ``first_seen_by_job_id`` is when a waiting job was first considered.
     ``shapes_by_job_id`` are the shapes of waiting jobs under ``share``;
@@ -240,8 +244,10 @@
     locations_by_worker_id: dict[str, tuple[str, int]] = dataclasses.field(
         default_factory=dict
     )
-    run_times: dict[tuple[str, str], tuple[float, float]] = dataclasses.field(
-        default_factory=dict
+    run_times: learner.RunTimes = dataclasses.field(
+        default_factory=lambda: learner.RunTimes(
+            max_queues=_MAX_NAMES, max_kinds=_MAX_NAMES
+        )
     )
     running_since_by_job_id: dict[str, float] = dataclasses.field(
         default_factory=dict
--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -12,10 +12,10 @@
 from primroselock.decisions import drainlog
 from primroselock.decisions import evidence
 from primroselock.decisions import fleetworkers
-from primroselock.decisions import learnedtimes
 from primroselock.decisions import leasebounds
 from primroselock.decisions import livejobs
 from primroselock.decisions import phaseindex
+from primroselock.decisions.runtimes import learner
 from primroselock.decisions import speeds
 from primroselock.decisions import tickets
 from primroselock import jobgraph
@@ -202,8 +202,8 @@
     drains: drainlog.DrainLog = dataclasses.field(
         default_factory=drainlog.DrainLog
     )
-    learned: learnedtimes.LearnedTimes = dataclasses.field(
-        default_factory=learnedtimes.LearnedTimes
+    learned: learner.RunTimes = dataclasses.field(
+        default_factory=learner.RunTimes
     )
     worker_speeds: speeds.Speeds = dataclasses.field(
         default_factory=speeds.Speeds
--- a/primroselock/decisions/fleethealth.py
+++ b/primroselock/decisions/fleethealth.py
@@ -24,6 +24,7 @@
 from primroselock.decisions import evidence
 from primroselock.decisions import fleet
 from primroselock.decisions import livejobs
+from primroselock.decisions.runtimes import observations
 
 _MIN_JOBS_TO_FAULT_WORKER: typing.Final = 2
 """Distinct jobs that must fail on a worker before its first quarantine."""
@@ -171,8 +172,10 @@
     patience = 2.0 ** min(group.times_stuck, _MAX_DOUBLINGS)
     factor = remote_factor if _is_remote(board, group) else 1.0
     step_key = (group.job.graph.id, group.key.step)
+    # What is known is of workers of usual speed.
+    factor /= observations.slowest_speed(board, group)
     expected_s = board.learned.longest_s(
-        group.job.graph.queue,
+        observations.kind_of(group),
         step_key,
         step.group_count,
         step.expected_ms / _MS_PER_S,
@@ -307,7 +310,4 @@
         return now + remaining_s
     if group.began_at is None or group.is_resumed or step.long_running:
         return None
-    expected_s = board.learned.expected_s(
-        group.job.graph.queue, step.expected_ms / _MS_PER_S
-    )
-    return group.began_at + expected_s
+    return group.began_at + observations.expected_here_s(board, group)
--- a/primroselock/decisions/fleetpreemption.py
+++ b/primroselock/decisions/fleetpreemption.py
@@ -19,6 +19,7 @@
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import freecapacity
 from primroselock.decisions import livejobs
+from primroselock.decisions.runtimes import observations
 from primroselock.decisions import waiting
 from primroselock import jobgraph
 
@@ -37,8 +38,6 @@
 _MAX_LOST_WORK_FACTOR: typing.Final = 6.0
 """The most work that may be lost, as a multiple of the group's own work."""
 
-_MS_PER_S: typing.Final = 1000.0
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
@@ -172,9 +171,7 @@
     remaining_s = group.remaining_s(now)
     if remaining_s is not None:
         return remaining_s
-    expected_s = board.learned.expected_s(
-        group.job.graph.queue, group.step.expected_ms / _MS_PER_S
-    )
+    expected_s = observations.expected_here_s(board, group)
     return max(_ENDS_SOON_S, expected_s - group.worked_s(now))
 
 
@@ -325,9 +322,7 @@
 
     The limit does not apply to guaranteed work.
     """
-    expected_s = board.learned.expected_s(
-        group.job.graph.queue, group.step.expected_ms / _MS_PER_S
-    )
+    expected_s = observations.expected_s(board, group)
     own_s = expected_s * group.size * cores(group.step.need)
     return own_s * _MAX_LOST_WORK_FACTOR
 
--- a/primroselock/decisions/graphs.py
+++ b/primroselock/decisions/graphs.py
@@ -14,6 +14,7 @@
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import livejobs
 from primroselock.decisions import objectives
+from primroselock.decisions.runtimes import observations
 from primroselock import jobgraph
 from primroselock import jobs
 from primroselock import queues
@@ -194,7 +195,7 @@
 ) -> None:
     """Record that a group is done, and the job if it was the last one."""
     job = group.job
-    _record_run_time(board, group, now)
+    observations.record_done(board, group, now)
     group.end_reason = livejobs.EndReason.DONE
     group.enter(livejobs.Phase.DONE, now)
     if job.is_step_done(group.key.occurrence, group.key.step):
@@ -206,17 +207,6 @@
     board.mark_changed(job)
 
 
-def _record_run_time(
-    board: fleet.ShardBoard, group: livejobs.Group, now: float
-) -> None:
-    """Record the run time of a group that ran from its beginning."""
-    if group.began_at is None or group.is_resumed:
-        return
-    graph = group.job.graph
-    step = (graph.id, group.key.step)
-    board.learned.record(graph.queue, step, now - group.began_at)
-
-
 def _is_all_done(job: livejobs.LiveJob) -> bool:
     return job.released >= job.graph.occurrences and not job.open_counts
 
@@ -230,6 +220,7 @@
     queue allows, is dropped instead.
     """
     end_reason = group.end_reason or livejobs.EndReason.LOST
+    observations.record_unfinished(board, group, end_reason, now)
     if end_reason is livejobs.EndReason.FAILED:
         group.not_before = now + _retry_delay_s(group.failures)
     elif end_reason is livejobs.EndReason.REFUSED:
--- a/primroselock/decisions/objectives.py
+++ b/primroselock/decisions/objectives.py
@@ -8,8 +8,8 @@
 import enum
 import typing
 
-from primroselock.decisions import learnedtimes
 from primroselock.decisions import livejobs
+from primroselock.decisions.runtimes import learner
 from primroselock import jobgraph
 
 LATE_FACTOR: typing.Final = 3.0
@@ -28,12 +28,13 @@
 
 
 def critical_paths_s(
-    graph: jobgraph.JobGraph, learned: learnedtimes.LearnedTimes
+    graph: jobgraph.JobGraph, learned: learner.RunTimes
 ) -> tuple[float, ...]:
     """Return the critical path from each step, itself included, in seconds."""
     steps = graph.steps
+    kind = learner.Kind(graph.queue, graph.account)
     expected = [
-        learned.expected_s(graph.queue, step.expected_ms / _MS_PER_S)
+        learned.expected_s(kind, step.expected_ms / _MS_PER_S)
         for step in steps
     ]
     paths_s = list(expected)
--- a/primroselock/decisions/runprogress.py
+++ b/primroselock/decisions/runprogress.py
@@ -49,6 +49,13 @@
             return None
         return gain / passed_s
 
+    @property
+    def reliable_rate_per_s(self) -> float | None:
+        """Return the share done per second; None until it is reliable."""
+        if self.share - self.first_share < _RELIABLE_GAIN:
+            return None
+        return self.rate_per_s
+
     def take_rate(self) -> float | None:
         """Return the share done per second, once, when it is reliable."""
         gain = self.share - self.first_share
--- a/primroselock/decisions/runtimeestimates.py
+++ b/primroselock/decisions/runtimeestimates.py
@@ -1,8 +1,7 @@
-"""Run-time estimates per client account and job name.
+"""Expected run times of the jobs of the schedulers, from earlier ones.
 
-Callers' estimates are often far off, and jobs of one name tend to have
-similar run times.  The mean of the observed run times is combined with
-the caller's estimate, which counts as one more observation.
+Callers' estimates are often far off, and jobs of one name of a client account
+tend to have similar run times (see :mod:`runtimes.learner`).
 """
 
 import typing
@@ -10,30 +9,19 @@
 from primroselock.decisions import blackboard
 from primroselock.decisions import commands
 from primroselock.decisions import registry
+from primroselock.decisions.runtimes import learner
 from primroselock import jobs
 from primroselock import options
 
-_MAX_WEIGHT: typing.Final = 20.0
-"""Maximum weight of the mean, in observations.
-
-Beyond it each new observation counts 1 / ``_MAX_WEIGHT`` of the mean, so
-that the mean follows recent ones.
-"""
-
-_MAX_NAMES: typing.Final = 20_000
-"""Limit of the pairs of account and job name for which a mean is kept."""
-
 _MIN_REMAINING_SHARE: typing.Final = 0.05
 """Minimum of the remaining run time, as a share of the expected one."""
 
 
 def expected_run_time_s(board: blackboard.Blackboard, job: jobs.Job) -> float:
     """Return the expected run time of the job from its start, in seconds."""
-    learned = board.soft_state.run_times.get((job.account, job.spec.name))
-    if learned is None:
-        return job.spec.run_time_s
-    mean_s, weight = learned
-    return (mean_s * weight + job.spec.run_time_s) / (weight + 1)
+    return board.soft_state.run_times.expected_s(
+        _kind_of(job), job.spec.run_time_s
+    )
 
 
 def expected_remaining_s(
@@ -80,11 +68,11 @@
         return
     job = job_view.job
     observed_s = progress_s(board, view, view.phase_since)
-    learned = board.soft_state.run_times
-    mean_s, weight = learned.pop((job.account, job.spec.name), (0.0, 0.0))
-    weight = min(weight, _MAX_WEIGHT - 1) + 1
-    mean_s += (observed_s - mean_s) / weight
-    # Inserted last, so that the pair not updated for longest is evicted.
-    learned[(job.account, job.spec.name)] = (mean_s, weight)
-    if len(learned) > _MAX_NAMES:
-        del learned[next(iter(learned))]
+    board.soft_state.run_times.record(
+        _kind_of(job), job.spec.run_time_s, observed_s
+    )
+
+
+def _kind_of(job: jobs.Job) -> learner.Kind:
+    """Return what jobs of one name have in common, in their account only."""
+    return learner.Kind(f'{job.account}/{job.spec.name}', job.account)
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -31,6 +31,7 @@
 from primroselock import graphwriter
 from primroselock import jobs
 from primroselock import lateness
+from primroselock import learnedrows
 from primroselock import logs
 from primroselock import metrics
 from primroselock import options
@@ -215,6 +216,12 @@
                     self._writer.run(),
                     self._submission_follower.run(),
                     self._worker_follower.run(),
+                    learnedrows.run(
+                        self._settings,
+                        self._lease,
+                        self._parts.store,
+                        self._board,
+                    ),
                     rowsweeper.run(
                         self._settings,
                         self._lease,
--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -21,8 +21,10 @@
 from primroselock.decisions import fleet
 from primroselock.decisions import leasebounds
 from primroselock.decisions import placeability
+from primroselock.decisions.runtimes import learner
 from primroselock import graphrows
 from primroselock import holdersession
+from primroselock import learnedrows
 from primroselock import logs
 from primroselock import metrics
 from primroselock import options
@@ -297,8 +299,9 @@
                 # All this takes long on a slow VM, and the lease must not
                 # expire.
                 jobs_by_id = await self._read_jobs(submissions, progress)
+                learned = await learnedrows.load(self._settings, self._store)
                 board = await self._build_board(
-                    jobs_by_id, entries, entry_changes, sent_at
+                    jobs_by_id, learned, entries, entry_changes, sent_at
                 )
                 return holdersession.Takeover(
                     board, submissions, entries, set(jobs_by_id), sent_at
@@ -380,6 +383,7 @@
     async def _build_board(
         self,
         jobs_by_id: abc.Mapping[str, graphrows.StoredJob],
+        learned: learner.RunTimes,
         entries: table.Listing,
         entry_changes: abc.Sequence[table.Row],
         sent_at: float,
@@ -390,6 +394,7 @@
             run_lease_s=self._settings.fleet.run_lease_s,
             inherited_leases=self._inherited_leases,
             queue_configuration=self._queues,
+            learned=learned,
         )
         now = clock.monotonic()
         # When a drain was reported that is read now is not known.
--- a/primroselock/store/keys.py
+++ b/primroselock/store/keys.py
@@ -82,6 +82,15 @@
     return f'{SUBMISSIONS}/{shard}/cancel/{job_id}'
 
 
+LEARNED: typing.Final = 'learned'
+"""The table of what a holder learned, which its successor reads."""
+
+
+def learned(shard: str) -> str:
+    """Return the key of the learned run times of a shard."""
+    return f'{LEARNED}/{shard}'
+
+
 def progress(shard: str, job_id: str, part: int = 0) -> str:
     """Return the key of a job's progress, written by the lease holder only.
 
--- a/primroselock/test/testrunprogress.py
+++ b/primroselock/test/testrunprogress.py
@@ -12,6 +12,7 @@
 from primroselock.decisions import graphs
 from primroselock.decisions import livejobs
 from primroselock.decisions import runprogress
+from primroselock.decisions.runtimes import learner
 from primroselock import jobgraph
 from primroselock.test import fleetbuilders
 
@@ -164,7 +165,8 @@
     def learn(self, job_id: str) -> None:
         """Record that eight tasks of a job took two seconds each."""
         for _ in range(8):
-            self.board.learned.record('bulk', (job_id, 0), 2.0)
+            self.board.learned.record(learner.Kind('bulk', 'a'), 2.0, 2.0)
+            self.board.learned.record_sibling((job_id, 0), 2.0)
 
     def test_a_slow_worker_is_found_by_its_siblings_rate(self) -> None:
         """A run much slower than other tasks of its step counts as stuck.
