--- a/primroselock/decisions/runtimes/learner.py
+++ b/primroselock/decisions/runtimes/learner.py
@@ -17,15 +17,17 @@
 import math
 import typing
 
+from primroselock.decisions.runtimes import quantiles
 from primroselock.decisions.runtimes import regression
-from primroselock.decisions.runtimes import spread
 
 _MAX_QUEUES: typing.Final = 64
 _MAX_KINDS: typing.Final = 512
 """Default limits of what is kept; a kind is a pair of queue and account."""
 
-_MIN_RUNS: typing.Final = 8.0
-"""Runs of a queue that must be known before its quantiles are used."""
+_SETTLED_WEIGHT: typing.Final = 3.5
+"""Weight of the runs of a queue from which its line predicts: how far
+earlier runs were off tells nothing.  About four runs, and the same number of
+predictions must be known before their quantiles are used."""
 
 _MIN_SIBLINGS: typing.Final = 3
 _MIN_ENDED_SHARE: typing.Final = 0.5
@@ -62,11 +64,11 @@
     total: float = 0.0
     weight: float = 0.0
 
-    def record(self, log_ratio: float) -> None:
+    def record(self, log_ratio: float, weight: float) -> None:
         """Record the logarithm of a ratio to what its queue predicts."""
-        self.scale(regression.DECAY)
-        self.total += log_ratio
-        self.weight += 1.0
+        self.scale(regression.DECAY**weight)
+        self.total += log_ratio * weight
+        self.weight += weight
 
     def scale(self, factor: float) -> None:
         """Multiply the weight of all runs by ``factor``."""
@@ -86,7 +88,9 @@
     line: regression.Regression = dataclasses.field(
         default_factory=regression.Regression
     )
-    spread: spread.Spread = dataclasses.field(default_factory=spread.Spread)
+    spread: quantiles.Spread = dataclasses.field(
+        default_factory=quantiles.Spread
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -108,19 +112,31 @@
     max_kinds: int = _MAX_KINDS
     changes: int = 0
 
-    def record(self, kind: Kind, estimate_s: float, took_s: float) -> None:
-        """Record a run time in seconds, as on a worker of usual speed."""
+    def record(
+        self,
+        kind: Kind,
+        estimate_s: float,
+        took_s: float,
+        weight: float = 1.0,
+    ) -> None:
+        """Record a run time in seconds, as on a worker of usual speed.
+
+        The tasks of a step are alike, so that each has the ``weight`` of its
+        share of the step: one wide step must not stand for its account.
+        """
         times = self.by_queue.pop(kind.queue, None) or QueueTimes()
         own = self.deviations_by_kind.pop(kind, None) or Deviation()
         estimate_s = _usable(estimate_s, times)
         took_s = max(took_s, MIN_TIME_S)
         off = math.log(took_s) - times.line.predict_log(estimate_s)
         off = max(-_MAX_LOG_RATIO, min(_MAX_LOG_RATIO, off))
-        times.spread.record(off - own.log_factor)
-        own.record(off)
+        if times.line.weight >= _SETTLED_WEIGHT:
+            times.spread.record(off - own.log_factor, weight)
+        own.record(off, weight)
         times.line.record(
             estimate_s,
             math.exp(times.line.predict_log(estimate_s) + off),
+            weight,
         )
         # Inserted last, so that what was not seen for longest is dropped.
         self.by_queue[kind.queue] = times
@@ -130,14 +146,18 @@
         _drop_oldest(self.deviations_by_kind, self.max_kinds)
 
     def record_unfinished(
-        self, kind: Kind, estimate_s: float, worked_s: float
+        self,
+        kind: Kind,
+        estimate_s: float,
+        worked_s: float,
+        weight: float = 1.0,
     ) -> None:
         """Record that a task would have run for longer than ``worked_s``.
 
         In seconds at the usual speed.  Less than is expected tells nothing.
         """
         if worked_s > self.expected_s(kind, estimate_s):
-            self.record(kind, estimate_s, worked_s)
+            self.record(kind, estimate_s, worked_s, weight)
 
     def record_sibling(self, step: StepKey, took_s: float) -> None:
         """Record the run time of a group of a step, at the usual speed."""
@@ -170,7 +190,7 @@
         In seconds, on a worker of usual speed.  None if too few are known.
         """
         times = self.by_queue.get(kind.queue)
-        if times is None or times.spread.weight < _MIN_RUNS:
+        if times is None or times.spread.weight < _SETTLED_WEIGHT:
             return None
         ratio = times.spread.quantile(share)
         return self.expected_s(kind, estimate_s) * ratio
--- a/primroselock/decisions/runtimes/observations.py
+++ b/primroselock/decisions/runtimes/observations.py
@@ -41,6 +41,11 @@
     return group.step.expected_ms / _MS_PER_S
 
 
+def _weight(group: livejobs.Group) -> float:
+    """Return the share of a group in its step, whose groups are alike."""
+    return 1.0 / group.step.group_count
+
+
 def expected_s(board: fleet.ShardBoard, group: livejobs.Group) -> float:
     """Return the expected run time on workers of usual speed, in seconds."""
     return board.learned.expected_s(kind_of(group), estimate_s(group))
@@ -77,7 +82,9 @@
     if took_s is None:
         return
     usual_s = took_s * slowest_speed(board, group)
-    board.learned.record(kind_of(group), estimate_s(group), usual_s)
+    board.learned.record(
+        kind_of(group), estimate_s(group), usual_s, _weight(group)
+    )
     step = (group.job.graph.id, group.key.step)
     board.learned.record_sibling(step, usual_s)
 
@@ -95,11 +102,13 @@
     kind, estimate = kind_of(group), estimate_s(group)
     full_s = _seen_full_s(group)
     if full_s is not None:
-        board.learned.record(kind, estimate, full_s * speed)
+        board.learned.record(kind, estimate, full_s * speed, _weight(group))
     elif group.began_at is not None and not group.is_resumed:
         # Progress was last seen before the stop was ordered.
         worked_s = _last_seen_at(group, now) - group.began_at
-        board.learned.record_unfinished(kind, estimate, worked_s * speed)
+        board.learned.record_unfinished(
+            kind, estimate, worked_s * speed, _weight(group)
+        )
 
 
 def _seen_full_s(group: livejobs.Group) -> float | None:
--- a/primroselock/decisions/runtimes/spread.py
+++ b/primroselock/decisions/runtimes/quantiles.py
@@ -15,7 +15,7 @@
 """The width of a bin, as a difference of logarithms: about a tenth."""
 
 _LOWEST: typing.Final = -2.4
-"""The lower edge of the first bin; beyond the last one, run times are forty
+"""The middle of the first bin; beyond the last one, run times are forty
 times as long as expected."""
 
 
@@ -28,12 +28,12 @@
     )
     weight: float = 0.0
 
-    def record(self, log_ratio: float) -> None:
+    def record(self, log_ratio: float, weight: float = 1.0) -> None:
         """Record the logarithm of the ratio of one run."""
-        self.scale(regression.DECAY)
-        number = math.floor((log_ratio - _LOWEST) / _WIDTH)
-        self.counts[min(BINS - 1, max(0, number))] += 1.0
-        self.weight += 1.0
+        self.scale(regression.DECAY**weight)
+        number = round((log_ratio - _LOWEST) / _WIDTH)
+        self.counts[min(BINS - 1, max(0, number))] += weight
+        self.weight += weight
 
     def scale(self, factor: float) -> None:
         """Multiply the weight of all runs by ``factor``."""
@@ -43,7 +43,7 @@
     def quantile(self, share: float) -> float:
         """Return the ratio that ``share`` of the runs do not exceed.
 
-        It is the upper edge of a bin; 1 while nothing was recorded.
+        It is the middle of a bin; 1 while nothing was recorded.
         """
         left = self.weight * share
         if left <= 0:
@@ -51,5 +51,5 @@
         for number, count in enumerate(self.counts):
             left -= count
             if left <= 0:
-                return math.exp(_LOWEST + (number + 1) * _WIDTH)
-        return math.exp(_LOWEST + BINS * _WIDTH)
+                return math.exp(_LOWEST + number * _WIDTH)
+        return math.exp(_LOWEST + (BINS - 1) * _WIDTH)
--- a/primroselock/decisions/runtimes/regression.py
+++ b/primroselock/decisions/runtimes/regression.py
@@ -10,14 +10,16 @@
 import math
 import typing
 
-DECAY: typing.Final = 0.98
-"""The factor by which each run reduces the weight of earlier ones.
+DECAY: typing.Final = 0.95
+"""The factor by which each run of weight 1 reduces that of earlier ones.
 
-What is predicted follows work that has changed within some fifty runs.
+What is predicted follows work that has changed within some twenty runs.
 """
 
-_PRIOR_RUNS: typing.Final = 4.0
-"""Runs by which a line is pulled to the estimates, until more are known."""
+_PRIOR_LEVEL_RUNS: typing.Final = 1.0
+_PRIOR_SLOPE_RUNS: typing.Final = 4.0
+"""Runs by which level and slope are pulled to those of estimates that are
+right: a level is known sooner than a slope."""
 
 _PRIOR_VARIANCE: typing.Final = 0.25
 """Variance of the logarithms of the estimates of these runs."""
@@ -27,7 +29,7 @@
 class Regression:
     """Weighted sums over the logarithms of estimates and of run times.
 
-    ``weight`` is the number of runs, each decayed by those after it.
+    ``weight`` is that of all runs, each decayed by those after it.
     """
 
     weight: float = 0.0
@@ -36,15 +38,17 @@
     estimates_squared: float = 0.0
     products: float = 0.0
 
-    def record(self, estimate_s: float, took_s: float) -> None:
+    def record(
+        self, estimate_s: float, took_s: float, weight: float = 1.0
+    ) -> None:
         """Record the run time of a task and the estimate of its caller."""
         x, y = math.log(estimate_s), math.log(took_s)
-        self.scale(DECAY)
-        self.weight += 1.0
-        self.estimates += x
-        self.times += y
-        self.estimates_squared += x * x
-        self.products += x * y
+        self.scale(DECAY**weight)
+        self.weight += weight
+        self.estimates += x * weight
+        self.times += y * weight
+        self.estimates_squared += x * x * weight
+        self.products += x * y * weight
 
     def scale(self, factor: float) -> None:
         """Multiply the weight of all runs by ``factor``."""
@@ -67,13 +71,13 @@
         mean_x = self.estimates / self.weight
         mean_y = self.times / self.weight
         # The prior runs lie on the line of estimates that are right.
-        pull = self.weight / (self.weight + _PRIOR_RUNS)
+        pull = self.weight / (self.weight + _PRIOR_LEVEL_RUNS)
         level = mean_x + (mean_y - mean_x) * pull
         return level + self._slope(mean_x, mean_y) * (x - mean_x)
 
     def _slope(self, mean_x: float, mean_y: float) -> float:
         """Return how much of a difference of estimates is one of times."""
-        prior = _PRIOR_RUNS * _PRIOR_VARIANCE
+        prior = _PRIOR_SLOPE_RUNS * _PRIOR_VARIANCE
         spread = self.estimates_squared - self.weight * mean_x * mean_x
         common = self.products - self.weight * mean_x * mean_y
         slope = (common + prior) / (max(0.0, spread) + prior)
--- a/primroselock/decisions/runtimes/stored.py
+++ b/primroselock/decisions/runtimes/stored.py
@@ -14,8 +14,8 @@
 import result
 
 from primroselock.decisions.runtimes import learner
+from primroselock.decisions.runtimes import quantiles
 from primroselock.decisions.runtimes import regression
-from primroselock.decisions.runtimes import spread
 from primroselock import decoding
 
 _HALF_LIFE_S: typing.Final = 6 * 3600.0
@@ -146,7 +146,7 @@
     bins = [number for number, _ in queue.counts]
     return all(
         _MIN_MEAN_LOG <= mean <= _MAX_MEAN_LOG for mean in means
-    ) and all(number < spread.BINS for number in bins)
+    ) and all(number < quantiles.BINS for number in bins)
 
 
 def _restore_queue(queue: _Queue, factor: float) -> learner.QueueTimes:
--- a/primroselock/test/testrunprogress.py
+++ b/primroselock/test/testrunprogress.py
@@ -165,7 +165,7 @@
     def learn(self, job_id: str) -> None:
         """Record that eight tasks of a job took two seconds each."""
         for _ in range(8):
-            self.board.learned.record(learner.Kind('bulk', 'a'), 2.0, 2.0)
+            self.board.learned.record(learner.Kind('bulk', 'a'), 1.0, 2.0)
             self.board.learned.record_sibling((job_id, 0), 2.0)
 
     def test_a_slow_worker_is_found_by_its_siblings_rate(self) -> None:
