--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -6,8 +6,10 @@
 """
 
 import dataclasses
+import sys
 import typing
 
+from primroselock.decisions.accounts import knownusage
 from primroselock.decisions import crashlog
 from primroselock.decisions import drainlog
 from primroselock.decisions import evidence
@@ -87,6 +89,28 @@
     number: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class ShareNotes:
+    """What the last round found of the shares of accounts.
+
+    ``used_by_account`` is what an account uses as a multiple of its share,
+    ``behind_by_account`` how many of its groups wait beyond the share, and
+    ``backlogs_by_account`` how many seconds its waiting work will take, by
+    priority (see ``backlogs``); all are empty while shares do not count.
+    ``reported_at_by_account`` is when work beyond the share was last logged,
+    on this process's clock.
+    """
+
+    used_by_account: dict[str, float] = dataclasses.field(default_factory=dict)
+    behind_by_account: dict[str, int] = dataclasses.field(default_factory=dict)
+    backlogs_by_account: dict[str, dict[int, int]] = dataclasses.field(
+        default_factory=dict
+    )
+    reported_at_by_account: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class EntryCache:
     """What follows from the workers' entries, until a list changes them.
@@ -130,7 +154,8 @@
     The leases of workers were last checked at
     ``expiry_checked_at``.  ``changed_ids`` names the jobs whose rows must
     be written, in the order of their first change, and ``ended_ms_by_id``
-    those that ended, with the Unix time in milliseconds.
+    those that ended, with the Unix time in milliseconds;
+    ``accounts_by_ended_id`` holds their accounts.
     ``orders`` and ``decision_records`` collect the decisions of the
     controllers until they are taken.  ``reported_groups`` are the groups
     whose progress was reported since the last round.
@@ -142,7 +167,9 @@
     ``drains`` are the workers that leave as planned.
     ``search_retry_at_by_shape`` holds, for shapes (see ``freecapacity``) for
     which neither victims nor workers to claim were found, when to search
-    again.
+    again; ``quota_retry_at_by_account`` does so by account and rank for work
+    of the account itself that could make room in its quota.
+    ``known_usage`` is what the accounts were last known to have running.
     """
 
     epoch: int = 0
@@ -165,6 +192,9 @@
     ] = dataclasses.field(default_factory=dict)
     changed_ids: dict[str, None] = dataclasses.field(default_factory=dict)
     ended_ms_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
+    accounts_by_ended_id: dict[str, str] = dataclasses.field(
+        default_factory=dict
+    )
     phases: phaseindex.PhaseIndex = dataclasses.field(
         default_factory=phaseindex.PhaseIndex
     )
@@ -186,6 +216,12 @@
     search_retry_at_by_shape: dict[typing.Any, float] = dataclasses.field(
         default_factory=dict
     )
+    quota_retry_at_by_account: dict[tuple[str, livejobs.Rank], float] = (
+        dataclasses.field(default_factory=dict)
+    )
+    known_usage: knownusage.KnownUsage = dataclasses.field(
+        default_factory=knownusage.KnownUsage
+    )
     entry_cache: EntryCache = dataclasses.field(default_factory=EntryCache)
     advice_by_step: dict[livejobs.StepName, tickets.StepAdvice] = (
         dataclasses.field(default_factory=dict)
@@ -208,6 +244,18 @@
     worker_speeds: speeds.Speeds = dataclasses.field(
         default_factory=speeds.Speeds
     )
+    share_notes: ShareNotes = dataclasses.field(default_factory=ShareNotes)
+
+    def note_ended(self, job_id: str, account: str, ended_ms: int) -> None:
+        """Note a job that ended at a Unix time in milliseconds."""
+        self.ended_ms_by_id[job_id] = ended_ms
+        # Few accounts have many jobs.
+        self.accounts_by_ended_id[job_id] = sys.intern(account)
+
+    def forget_ended(self, job_id: str) -> None:
+        """Forget a job that ended: its rows are deleted."""
+        del self.ended_ms_by_id[job_id]
+        del self.accounts_by_ended_id[job_id]
 
     def mark_changed(self, job: livejobs.LiveJob) -> None:
         """Mark a job whose row must be written."""
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -8,6 +8,9 @@
 Each group has preferences (see ``preferences``), which it loses when it has
 waited for too long.
 
+What the quota of its account does not allow now is neither placed, nor
+preempts others, nor claims (see ``accounts.quotaholds``).
+
 When more work waits than fits, most groups cannot be placed, and a round
 must not examine each of them: groups of the same shape share the outcome
 of one attempt, with their preferences and without, and a search for victims
@@ -18,9 +21,15 @@
 import dataclasses
 import typing
 
+from primroselock.decisions.accounts import quotaholds
+from primroselock.decisions.accounts import quotas
+from primroselock.decisions.accounts import sharereport
+from primroselock.decisions.accounts import shares
 from primroselock.decisions import claimindex
 from primroselock.decisions import earlierruns
 from primroselock.decisions import eligibility
+from primroselock.decisions.endtimes import hurry
+from primroselock.decisions.endtimes import speedorders
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetpreemption
@@ -31,8 +40,8 @@
 from primroselock.decisions import placementround
 from primroselock.decisions import preferences
 from primroselock.decisions import reachability
-from primroselock.decisions import runs
 from primroselock.decisions import slices
+from primroselock.decisions.victims import losses
 from primroselock.decisions import waiting
 from primroselock import jobgraph
 from primroselock import options
@@ -47,13 +56,6 @@
 _CLAIM_TIMEOUT_S: typing.Final = 4.0
 """After this time a capacity claim is dropped."""
 
-_CLAIM_REVIEW_S: typing.Final = 1.0
-"""After this time the workers of a capacity claim are chosen again."""
-
-_SEARCH_RETRY_S: typing.Final = 0.25
-"""Delay before victims or workers to claim are searched again for a shape
-for which none were found."""
-
 
 def place_waiting(
     board: fleet.ShardBoard,
@@ -68,21 +70,33 @@
     _drop_claims(board, turn.now)
     board.entry_cache.limit()
     if not board.phases.waiting_by_step:
+        sharereport.clear(board)
         return
     listed: waiting.Listed = []
     guaranteed_ids = waiting.guaranteed_job_ids(board)
     usable = eligibility.list_usable(board, turn.now)
     plenty = eligibility.find_plenty(board, usable)
-    sort_key = waiting.orders_by_name[settings.waiting_order]
+    order = waiting.orders_by_name[settings.waiting_order]
     pauses = turn.pauses
+    limits = quotas.RoundQuotas(board, turn.now)
     yield from waiting.collect_waiting(
-        board, listed, guaranteed_ids, sort_key, plenty, turn
+        board,
+        listed,
+        guaranteed_ids,
+        order.sort_key,
+        plenty,
+        quotaholds.build_filter(board, settings, limits, guaranteed_ids),
+        turn,
     )
     if not listed:
+        sharereport.clear(board)
         return
+    account_shares = shares.find(board, listed, usable, order)
+    listed = yield from shares.arrange(account_shares, listed, order)
     if turn.pauses > pauses:
         usable = eligibility.list_usable(board, turn.now)
-    listed.sort(key=lambda entry: entry[0])
+        limits.resume(turn.now)
+    claimindex.update_shares(board.claims_by_group, account_shares.beyond)
     context = placementround.RoundContext(
         board,
         settings,
@@ -92,14 +106,38 @@
             board,
             _list_verified(board, usable),
             fitting.scores_by_name[settings.placement],
+            speedorders.orders_by_name[settings.speed_order],
+            turn.wall_s,
         ),
-        fleetpreemption.VictimIndex(turn.now),
+        limits,
+        _index_victims(board, settings, account_shares, turn),
         claimindex.ClaimIndex(board.claims_by_group),
         guaranteed_ids,
+        account_shares,
         turn.now,
         turn.wall_s,
     )
     yield from _place_listed(context, listed, turn, pauses)
+    sharereport.report(board, account_shares, listed, turn)
+
+
+def _index_victims(
+    board: fleet.ShardBoard,
+    settings: options.FleetSettings,
+    account_shares: shares.AccountShares,
+    turn: slices.Turn,
+) -> fleetpreemption.VictimIndex:
+    """Return the index of what could be stopped, by the configured cost.
+
+    Accounts' shares count where they apply.
+    """
+    rule = losses.costs_by_name[settings.preemption_cost]
+    now, wall_s = turn.now, turn.wall_s
+    has_shares = bool(account_shares.shares_by_account)
+    return fleetpreemption.VictimIndex(
+        lambda group: rule(board, settings, group, now, wall_s),
+        account_shares.used_share if has_shares else None,
+    )
 
 
 def _place_listed(
@@ -146,10 +184,13 @@
     board = context.board
     usable = eligibility.list_usable(board, turn.now)
     context.free_capacity.resume(_list_verified(board, usable))
+    context.quotas.resume(turn.now)
     return dataclasses.replace(
         context,
         usable_count=len(usable),
-        victims=fleetpreemption.VictimIndex(turn.now),
+        victims=_index_victims(
+            board, context.settings, context.account_shares, turn
+        ),
         now=turn.now,
         wall_s=turn.wall_s,
     )
@@ -186,7 +227,7 @@
         shape = freecapacity.shape_of(first, context.rank(first))
     is_exhausted = (
         shape in context.free_capacity.unplaceable_shapes
-        and not _may_search(context, shape)
+        and not context.may_search(first, shape)
     )
     preferences.note_capacity(context, first)
     placed = 0
@@ -194,6 +235,11 @@
     for group in groups:
         if placed >= limit:
             break
+        if not context.quotas.allows(group):
+            if quotaholds.hold_back(context, group):
+                continue
+            # The others of the step need the same.
+            break
         # A claim or a worker to avoid makes other workers allowed for this
         # group than for the rest of its step.
         is_own = bool(
@@ -224,19 +270,12 @@
             group.may_span_racks = may_span_racks
         if not _free_capacity_for(context, group, queue, own_shape):
             is_exhausted = is_exhausted or not is_own
+        if group in context.board.claims_by_group:
+            # Less urgent work of its account must not use it meanwhile.
+            context.quotas.keep(group)
     return placed
 
 
-def _may_search(
-    context: placementround.RoundContext, shape: freecapacity.Shape | None
-) -> bool:
-    """Return whether victims may be searched for a group of this shape."""
-    if shape is None:
-        return True
-    retry_at = context.board.search_retry_at_by_shape.get(shape)
-    return retry_at is None or context.now >= retry_at
-
-
 def _must_span_racks(
     board: fleet.ShardBoard, step: jobgraph.Step, queue: queues.Queue
 ) -> bool:
@@ -270,7 +309,13 @@
     queue: queues.Queue,
     shape: freecapacity.Shape | None,
 ) -> bool:
-    """Place a group on free capacity; return whether it was placed."""
+    """Place a group on free capacity; return whether it was placed.
+
+    Not on slow workers while work is stopped for it on faster ones.
+    """
+    outcome = hurry.place(context, group, queue, shape, _preempt)
+    if outcome is not hurry.Outcome.OPEN:
+        return outcome is hurry.Outcome.PLACED
     allow = preferences.build_worker_filter(context, group, queue)
     return placementround.place_among(context, group, allow, shape)
 
@@ -287,10 +332,10 @@
     one waits for its own claim, or has just got one.
     """
     claim = context.board.claims_by_group.get(group)
-    if claim is not None and context.now - claim.since <= _CLAIM_REVIEW_S:
+    review_s = placementround.CLAIM_REVIEW_S
+    if claim is not None and context.now - claim.since <= review_s:
         return True
-    board = context.board
-    if not _may_search(context, shape):
+    if not context.may_search(group, shape):
         return False
     allow = preferences.build_victim_filter(context, group, queue)
     may_preempt = waiting.preemption_rules_by_name[context.settings.reclaim]
@@ -300,8 +345,8 @@
     may_claim = _may_claim_soonest(context, group)
     if may_claim and _claim_soonest(context, group, allow):
         return True
-    if shape is not None and (is_tried or may_claim):
-        board.search_retry_at_by_shape[shape] = context.now + _SEARCH_RETRY_S
+    if is_tried or may_claim:
+        context.note_search(group, shape)
     return False
 
 
@@ -311,10 +356,12 @@
     allow: fitting.WorkerFilter,
 ) -> bool:
     """Preempt for a group; return whether that frees enough capacity."""
-    board, rank = context.board, context.rank(group)
+    board = context.board
 
     def may_stop(other: livejobs.Group) -> bool:
-        return context.rank(other) > rank
+        return context.is_more_urgent(
+            group, other
+        ) and context.account_shares.may_stop(group, other)
 
     chosen = fleetpreemption.choose_victims(
         context.free_capacity, group, allow, may_stop, context.victims
@@ -324,49 +371,16 @@
     is_guaranteed = waiting.is_guaranteed(
         group, context.guaranteed_ids, context.wall_s
     )
-    max_lost_s = fleetpreemption.max_lost_work_s(board, group)
+    max_lost_s = losses.max_loss_s(
+        board, context.settings, group, context.wall_s
+    )
     if chosen.cost > max_lost_s and not is_guaranteed:
         return False
-    _claim(context, group, chosen.worker_ids, by_preemption=True)
-    for victim in chosen.victims:
-        context.victims.forget(victim)
-        if victim.phase is livejobs.Phase.STOPPING:
-            continue
-        if fleetpreemption.ends_soon(victim, context.now):
-            continue
-        board.record_decision(
-            'preempted',
-            victim.job,
-            group=[victim.key.occurrence, victim.key.step, victim.key.index],
-            attempt=victim.attempt,
-            by=group.job.graph.id,
-        )
-        runs.end_group(
-            board,
-            victim,
-            livejobs.EndReason.PREEMPTED,
-            context.now,
-            int(context.wall_s * 1000),
-        )
+    placementround.claim(context, group, chosen.worker_ids, by_preemption=True)
+    placementround.stop_victims(context, group, chosen.victims)
     return True
 
 
-def _claim(
-    context: placementround.RoundContext,
-    group: livejobs.Group,
-    worker_ids: frozenset[str],
-    by_preemption: bool,
-) -> None:
-    """Claim workers for a group, from this round on."""
-    rank = context.rank(group)
-    context.claims.put(
-        group,
-        fleet.CapacityClaim(worker_ids, context.now, rank, by_preemption),
-    )
-    for worker_id in worker_ids:
-        context.free_capacity.exclude(worker_id)
-
-
 def _may_claim_soonest(
     context: placementround.RoundContext, group: livejobs.Group
 ) -> bool:
@@ -393,7 +407,12 @@
     """Claim the workers that are free soonest; return whether any are."""
     board = context.board
     chosen = fleetpreemption.choose_soonest_free(
-        board, context.free_capacity, group, allow, context.now
+        board,
+        context.free_capacity,
+        group,
+        allow,
+        context.now,
+        context.settings.stop_s,
     )
     if chosen is None:
         return False
@@ -405,7 +424,9 @@
             workers=sorted(chosen.worker_ids),
             expected_in_s=round(chosen.cost, 3),
         )
-    _claim(context, group, chosen.worker_ids, by_preemption=False)
+    placementround.claim(
+        context, group, chosen.worker_ids, by_preemption=False
+    )
     return True
 
 
@@ -429,3 +450,4 @@
     for shape, retry_at in list(board.search_retry_at_by_shape.items()):
         if now >= retry_at:
             del board.search_retry_at_by_shape[shape]
+    quotaholds.forget_failed(board, now)
--- a/primroselock/decisions/fleetpreemption.py
+++ b/primroselock/decisions/fleetpreemption.py
@@ -12,6 +12,7 @@
 
 from collections import abc
 import dataclasses
+import math
 import typing
 
 from primroselock.decisions import fitting
@@ -20,23 +21,12 @@
 from primroselock.decisions import freecapacity
 from primroselock.decisions import livejobs
 from primroselock.decisions.runtimes import observations
-from primroselock.decisions import waiting
 from primroselock import jobgraph
 
 MayStop = abc.Callable[[livejobs.Group], bool]
 
-_MAX_UNSAVED_WORK_S: typing.Final = 1.0
-"""Checkpointing tasks save their progress this often, and when stopped."""
-
-_RESTART_COST_S: typing.Final = 0.3
-_ENDS_SOON_S: typing.Final = 0.5
-"""About the time that a stop takes: what ends by then is not stopped."""
-
-_URGENT_FACTOR: typing.Final = 6.0
-"""The weight of lost work of the most urgent queues."""
-
-_MAX_LOST_WORK_FACTOR: typing.Final = 6.0
-"""The most work that may be lost, as a multiple of the group's own work."""
+_EQUAL_COSTS: typing.Final = 1.25
+"""Costs are estimates: between those that differ by less shares decide."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,16 +54,19 @@
 class VictimIndex:
     """The groups on each worker that could be stopped, the cheapest first.
 
-    The costs are those at ``now``; lists are built when a worker is
-    examined, and kept for a round.
+    ``cost_of`` returns the cost of the end of a group; lists are built when
+    a worker is examined, and kept for a round.  Of equally cheap groups those
+    go first whose account uses most, as a multiple of its share, of those that
+    are beyond it; ``used_share`` returns this multiple.
     """
 
     def __init__(
         self,
-        now: float,
-        cost_of: abc.Callable[[livejobs.Group], float] | None = None,
+        cost_of: abc.Callable[[livejobs.Group], float],
+        used_share: abc.Callable[[str], float] | None = None,
     ) -> None:
-        self._cost_of = cost_of or (lambda group: lost_work_s(group, now))
+        self._used_share = used_share
+        self._cost_of = cost_of
         self._costs_by_group: dict[livejobs.Group, float] = {}
         self._endable_by_worker_id: dict[str, list[_Endable]] = {}
 
@@ -84,6 +77,22 @@
             known = self._costs_by_group[group] = self._cost_of(group)
         return known
 
+    def preference(
+        self, cost: float, groups: abc.Sequence[livejobs.Group]
+    ) -> tuple[float, ...]:
+        """Return what to choose by; the lowest goes first.
+
+        ``cost`` is that of the ends of ``groups`` together.
+        """
+        if self._used_share is None:
+            return (cost,)
+        used_shares = [
+            self._used_share(group.job.graph.account) for group in groups
+        ]
+        beyond = max(1.0, min(used_shares, default=1.0))
+        step = math.floor(math.log(1.0 + cost, _EQUAL_COSTS))
+        return (step, -beyond, cost)
+
     def endable_on(self, worker: fleetworkers.Worker) -> list[_Endable]:
         """Return the groups on a worker that may be ended, sorted by cost."""
         known = self._endable_by_worker_id.get(worker.id)
@@ -111,7 +120,7 @@
         endable.sort(
             key=lambda item: (
                 item.group.phase is not livejobs.Phase.STOPPING,
-                item.cost,
+                self.preference(item.cost, [item.group]),
             )
         )
         return endable
@@ -144,16 +153,20 @@
     group: livejobs.Group,
     allow: fitting.WorkerFilter,
     now: float,
+    stop_s: float,
 ) -> Choice | None:
     """Return the workers that become free soonest without preemption.
 
-    Returns None if the group would not fit even then.
+    What is being stopped, or is over its time, counts as free in ``stop_s``
+    seconds.  Returns None if the group would not fit even then.
     """
 
     def may_wait_for(other: livejobs.Group) -> bool:
         return not other.step.long_running
 
-    endings = VictimIndex(now, lambda other: _remaining_s(board, other, now))
+    endings = VictimIndex(
+        lambda other: _remaining_s(board, other, now, stop_s)
+    )
     search = _Search(free_capacity, group, may_wait_for, endings, _latest)
     return _choose(search, allow)
 
@@ -163,16 +176,19 @@
 
 
 def _remaining_s(
-    board: fleet.ShardBoard, group: livejobs.Group, now: float
+    board: fleet.ShardBoard,
+    group: livejobs.Group,
+    now: float,
+    stop_s: float,
 ) -> float:
     """Return the estimated remaining run time of a group in seconds."""
     if group.phase is livejobs.Phase.STOPPING:
-        return _ENDS_SOON_S
+        return stop_s
     remaining_s = group.remaining_s(now)
     if remaining_s is not None:
         return remaining_s
     expected_s = observations.expected_here_s(board, group)
-    return max(_ENDS_SOON_S, expected_s - group.worked_s(now))
+    return max(stop_s, expected_s - group.worked_s(now))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -189,12 +205,22 @@
     victims: VictimIndex
     total: abc.Callable[[list[float]], float]
 
+    def build_option(
+        self, costs: list[float], victims: abc.Sequence[livejobs.Group]
+    ) -> '_Option':
+        """Return the option to end ``victims``, at ``costs``."""
+        preference = self.victims.preference(self.total(costs), victims)
+        return _Option(preference, tuple(victims))
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Option:
-    """The victims on one worker whose ends free capacity for one task."""
+    """The victims on one worker whose ends free capacity for one task.
 
-    cost: float
+    The option with the lowest ``preference`` is chosen.
+    """
+
+    preference: tuple[float, ...]
     victims: tuple[livejobs.Group, ...]
 
 
@@ -244,7 +270,9 @@
                 options_by_id[worker_id] = option
         if not options_by_id:
             return None
-        best_id = min(options_by_id, key=lambda key: options_by_id[key].cost)
+        best_id = min(
+            options_by_id, key=lambda key: options_by_id[key].preference
+        )
         changed = {best_id: None}
         for victim in options_by_id[best_id].victims:
             chosen[victim] = None
@@ -285,7 +313,7 @@
     need = search.group.step.counted_need
     free = free_by_id[worker.id]
     if free.can_fit(need):
-        return _Option(search.total([]), ())
+        return search.build_option([], [])
     victims: list[livejobs.Group] = []
     costs: list[float] = []
     for endable in search.victims.endable_on(worker):
@@ -295,44 +323,5 @@
         costs.append(endable.cost)
         free = free.plus(endable.freed)
         if free.can_fit(need):
-            return _Option(search.total(costs), tuple(victims))
+            return search.build_option(costs, victims)
     return None
-
-
-def lost_work_s(group: livejobs.Group, now: float) -> float:
-    """Return the work in core-seconds that is lost if a group is stopped.
-
-    An accelerator counts as eight cores.  Urgent work counts more, since
-    it would be late after a stop.  A group that ends on its own as soon as
-    a stop would end it loses nothing.
-    """
-    if group.phase is livejobs.Phase.STOPPING or ends_soon(group, now):
-        return 0.0
-    worked_s = group.worked_s(now)
-    if group.step.checkpointing:
-        worked_s = min(worked_s, _MAX_UNSAVED_WORK_S)
-    lost_s = _RESTART_COST_S + worked_s
-    is_urgent = waiting.priority(group.job) == waiting.URGENT
-    urgency = _URGENT_FACTOR if is_urgent else 1.0
-    return lost_s * group.size * cores(group.step.need) * urgency
-
-
-def max_lost_work_s(board: fleet.ShardBoard, group: livejobs.Group) -> float:
-    """Return the work in core-seconds that may be lost for a group.
-
-    The limit does not apply to guaranteed work.
-    """
-    expected_s = observations.expected_s(board, group)
-    own_s = expected_s * group.size * cores(group.step.need)
-    return own_s * _MAX_LOST_WORK_FACTOR
-
-
-def ends_soon(group: livejobs.Group, now: float) -> bool:
-    """Return whether a group ends on its own about as soon as by a stop."""
-    remaining_s = group.remaining_s(now)
-    return remaining_s is not None and remaining_s <= _ENDS_SOON_S
-
-
-def cores(need: jobgraph.Resources) -> float:
-    """Return resources in cores; an accelerator counts as eight."""
-    return need.cpu_millis / 1000 + need.accelerators * 8
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -121,7 +121,7 @@
 
 def _remove_job(board: fleet.ShardBoard, job: livejobs.LiveJob) -> None:
     """Remove a settled job and what is known of its steps."""
-    board.ended_ms_by_id[job.graph.id] = job.ended_ms
+    board.note_ended(job.graph.id, job.graph.account, job.ended_ms)
     del board.jobs_by_id[job.graph.id]
     del board.phases.ending_jobs[job]
     board.phases.unreleased_jobs.pop(job, None)
@@ -249,7 +249,7 @@
 ) -> None:
     far_factor = settings.fleet.far_factor
     wall_ms = int(wall_s * 1000)
-    for stuck in fleethealth.list_stuck(board, far_factor, now):
+    for stuck in fleethealth.list_stuck(board, far_factor, now, wall_s):
         group = stuck.group
         fleethealth.record_stuck(board, group)
         board.record_decision(
--- a/primroselock/decisions/waiting.py
+++ b/primroselock/decisions/waiting.py
@@ -6,6 +6,7 @@
 """
 
 from collections import abc
+import dataclasses
 import math
 import typing
 
@@ -18,7 +19,21 @@
 
 SortKey = abc.Callable[[livejobs.Group, float], tuple[float, ...]]
 MayPreempt = abc.Callable[[livejobs.Group, abc.Set[str], float], bool]
-orders_by_name: typing.Final[dict[str, SortKey]] = {}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """An order of waiting groups; lower values of ``sort_key`` go first.
+
+    The first ``urgency_fields`` values go before the shares of client
+    accounts, the others after them.  None: shares do not count.
+    """
+
+    sort_key: SortKey
+    urgency_fields: int | None = None
+
+
+orders_by_name: typing.Final[dict[str, Order]] = {}
 preemption_rules_by_name: typing.Final[dict[str, MayPreempt]] = {}
 URGENT: typing.Final = 0
 """The priority of the queues to which guarantees apply."""
@@ -29,11 +44,13 @@
 """Preemption frees capacity in about half of this time."""
 
 
-def order(name: str) -> abc.Callable[[SortKey], SortKey]:
-    """Register the decorated order; lower keys go first."""
+def order(
+    name: str, urgency_fields: int | None = None
+) -> abc.Callable[[SortKey], SortKey]:
+    """Register the decorated function as an :class:`Order`."""
 
     def register(sort_key: SortKey) -> SortKey:
-        orders_by_name[name] = sort_key
+        orders_by_name[name] = Order(sort_key, urgency_fields)
         return sort_key
 
     return register
@@ -55,7 +72,7 @@
     return (float(group.job.graph.accepted_ms),)
 
 
-@order('priority')
+@order('priority', urgency_fields=1)
 def sort_by_priority(
     group: livejobs.Group, wall_s: float
 ) -> tuple[float, ...]:
@@ -63,7 +80,7 @@
     return (float(priority(group.job)), float(group.job.graph.accepted_ms))
 
 
-@order('useful')
+@order('useful', urgency_fields=2)
 def sort_by_usefulness(
     group: livejobs.Group, wall_s: float
 ) -> tuple[float, ...]:
@@ -82,9 +99,14 @@
     return job.queue.priority if job.queue else 99
 
 
-def rank(group: livejobs.Group, guaranteed_ids: abc.Set[str]) -> livejobs.Rank:
-    """Return the urgency of a group; lower ranks may preempt higher ones."""
-    return (group.job.graph.id not in guaranteed_ids, priority(group.job))
+def rank(
+    group: livejobs.Group,
+    guaranteed_ids: abc.Set[str],
+    is_beyond_share: bool = False,
+) -> livejobs.Rank:
+    """Return the rank of a group; lower ranks may use each other's claims."""
+    is_guaranteed = group.job.graph.id in guaranteed_ids
+    return (not is_guaranteed, priority(group.job), is_beyond_share)
 
 
 @preemption_rule('urgent')
@@ -168,12 +190,17 @@
 """Groups by step, each step with its sort key."""
 
 
+HeldBack = abc.Callable[[livejobs.Group, slices.Turn], bool]
+"""Tells of a group whether it and the others of its step stay out."""
+
+
 def collect_waiting(
     board: fleet.ShardBoard,
     listed: Listed,
     guaranteed_ids: abc.Set[str],
     sort_key: SortKey,
     plenty: eligibility.PlentyServices,
+    is_held_back: HeldBack,
     turn: slices.Turn,
 ) -> slices.Slices:
     """Collect the groups to place, by step, for the order of placement.
@@ -181,6 +208,7 @@
     Groups of which an earlier attempt is still being stopped are left out.
     Groups that were preempted yield for a time, unless capacity is plenty
     for their job, and not for long if nothing of it runs while much is unused.
+    Steps of which ``is_held_back`` is true of the first group are left out.
     The groups of a step are equally urgent, so that steps are ordered, not
     groups; a step's groups are in the order of their tasks.
     """
@@ -190,6 +218,9 @@
     ):
         if number % _STEPS_BETWEEN_PAUSES == 0:
             yield
+        any_group = next(iter(groups), None)
+        if any_group is None or is_held_back(any_group, turn):
+            continue
         due = _list_due(list(groups), held, plenty, turn.now)
         if not due:
             continue
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -15,6 +15,7 @@
 import dataclasses
 import typing
 
+from primroselock import accountviews
 from primroselock import advicerequests
 from primroselock import backgroundtasks
 from primroselock import boardrows
@@ -39,6 +40,7 @@
 from primroselock import rowsweeper
 from primroselock import runorders
 from primroselock import shards
+from primroselock import speedkeeper
 from primroselock.store import keys
 from primroselock.store import table
 from primroselock.store import tablefollower
@@ -47,7 +49,14 @@
 from primroselock.workers import orders
 
 _log: typing.Final = logs.get('holder')
-_GAUGES: typing.Final = ('idle_waits', 'orders_waiting', 'unexpected_runs')
+_BEHIND_GAUGE: typing.Final = 'account_groups_behind'
+_SHARE_GAUGE: typing.Final = 'account_share_used'
+_GAUGES: typing.Final = (
+    'idle_waits',
+    'known_speeds',
+    'orders_waiting',
+    'unexpected_runs',
+)
 _MAX_ROUND_INTERVAL_S: typing.Final = 0.25
 _PAUSE_PER_ROUND: typing.Final = 2.0
 """Time between rounds as a multiple of a round's duration: polls, orders and
@@ -119,6 +128,7 @@
         self._board = board
         self._settings = parts.settings
         self._lease = parts.lease
+        self._account_gauges = accountviews.AccountGauges(parts.counters)
         self._is_closing = False
         self._is_permitted = True
         self._loaded_job_ids = takeover.job_ids
@@ -147,6 +157,9 @@
             clock.monotonic,
             self._settings.platform.max_row_bytes,
         )
+        self._speeds = speedkeeper.SpeedKeeper(
+            self._settings, self._lease, parts.store, board
+        )
         self._pollers = workerpolling.WorkerPollers(
             self._settings,
             self._lease,
@@ -189,16 +202,26 @@
         """
         return self._worker_follower.lost_at
 
+    def list_accounts(self, now: float) -> list[accountviews.AccountUsage]:
+        """Return what may run of the accounts, and their quotas."""
+        return accountviews.list_accounts(self._board, now)
+
+    def find_job(self, job_id: str, now: float) -> accountviews.JobView | None:
+        """Return a job that has not ended; None if it is not known."""
+        return accountviews.find_job(self._board, job_id, now)
+
     def use_queues(self, current: queues.QueueConfiguration) -> None:
         """Use this version of the queues for all later decisions."""
         graphs.use_queues(self._board, current)
 
     def report(self, now: float) -> shards.HolderReport:
         """Return what to write with a renewal or the release of the lease."""
+        waiting = self._count_waiting(now)
         return shards.HolderReport(
-            self._count_waiting(now),
+            waiting,
             runleases.bound_leases(self._board, now),
             crashes.report_drains(self._board, self._worker_follower.version),
+            None if waiting is None else self._find_backlogs(now),
         )
 
     async def run(self, renewing: asyncio.Task[None]) -> None:
@@ -214,6 +237,7 @@
                     self._decide(),
                     self._send_in_turns(),
                     self._writer.run(),
+                    self._speeds.run(),
                     self._submission_follower.run(),
                     self._worker_follower.run(),
                     learnedrows.run(
@@ -244,6 +268,9 @@
         finally:
             for gauge in (*crashlog.GAUGES, *_GAUGES):
                 self._parts.counters.set_gauge(gauge, 0.0)
+            self._account_gauges.clear()
+            for gauge in (_BEHIND_GAUGE, _SHARE_GAUGE):
+                self._parts.counters.set_gauges(gauge, 'account', {})
             await self._advice_requester.cancel()
             # Orders may wait for probes, and would begin others.
             await self._orders.cancel()
@@ -333,11 +360,17 @@
     def _set_gauges(self) -> None:
         for name, value in (
             ('idle_waits', self._board.idle_waits),
+            ('known_speeds', self._board.worker_speeds.known_count),
             ('unexpected_runs', self._board.count_unexpected_runs()),
             ('orders_waiting', self._orders.waiting_count),
             *self._board.crashes.counts().items(),
         ):
             self._parts.counters.set_gauge(name, float(value))
+        self._account_gauges.update(self._board, clock.monotonic())
+        notes = self._board.share_notes
+        set_gauges = self._parts.counters.set_gauges
+        set_gauges(_BEHIND_GAUGE, 'account', notes.behind_by_account)
+        set_gauges(_SHARE_GAUGE, 'account', notes.used_by_account)
 
     def _note_permit(self, now: float) -> None:
         """Record until when starts are permitted; log a change."""
@@ -401,6 +434,15 @@
                 counts[queue] = counts.get(queue, 0) + 1
         return counts
 
+    def _find_backlogs(self, now: float) -> dict[str, dict[int, int]] | None:
+        """Return the backlogs of accounts; None while nothing may start.
+
+        Those of the last round with starts say nothing about later ones.
+        """
+        if now > self._board.permit_until:
+            return None
+        return self._board.share_notes.backlogs_by_account or None
+
     def _on_saved(self) -> None:
         self._pollers.notify_saved()
         self._send_decided()
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -194,7 +194,10 @@
     operators' rows for starts and for calls, and ``entry_permit_s`` that of
     the workers' entries for starts; beyond ``accept_permit_s`` no
     job is accepted, and beyond ``ready_permit_s`` the node reports to the
-    load balancer that it is not ready.  The store must accept a job within
+    load balancer that it is not ready.  While a newer version of these rows
+    is on its way, calls are served up to ``outdated_permit_s`` only, and
+    while it arrives the two shorter permits are as long.  The store must
+    accept a job within
     ``accept_timeout_s``.  ``run_lease_s`` is the longest lease of a run;
     ``longest_wait_s`` bounds the wait of one long poll of a worker, whose
     answer may take ``look_timeout_s`` more.  A worker must answer an order
@@ -221,6 +224,11 @@
 
     Capacity claims of waiting gangs may exclude other work from up to
     ``claim_share`` of the workers.
+
+    Checkpointing work saves its progress after each ``checkpoint_s`` of work
+    and when it is stopped, and resumes from that within ``restore_s``.  A
+    stop takes at most ``stop_s``.  What was learned of the workers' speeds
+    is stored each ``speed_save_s``, if it has changed.
     """
 
     shard: str = ini.key('name', 'fleet')
@@ -232,6 +240,8 @@
     placement: str = ini.key('name', 'best_fit')
     reclaim: str = ini.key('name', 'urgent')
     claim_share: float = ini.key('share', 0.5)
+    speed_order: str = ini.key('name', 'in_time')
+    preemption_cost: str = ini.key('name', 'both_sides')
     run_lease_s: float = ini.key('seconds', 10.0)
     longest_wait_s: float = ini.key('seconds', 2.0)
     order_timeout_s: float = ini.key('seconds', 0.4)
@@ -240,6 +250,7 @@
     start_permit_s: float = ini.key('seconds', 2.5)
     entry_permit_s: float = ini.key('seconds', 2.5)
     serve_permit_s: float = ini.key('seconds', 3.4)
+    outdated_permit_s: float = ini.key('seconds', 3.0)
     accept_permit_s: float = ini.key('seconds', 1.9)
     ready_permit_s: float = ini.key('seconds', 2.0)
     accept_timeout_s: float = ini.key('seconds', 1.2)
@@ -256,6 +267,10 @@
     max_job_tasks: int = ini.key('positive', 5000)
     keep_ended_s: float = ini.key('seconds', 900.0)
     learned_interval_s: float = ini.key('seconds', 15.0)
+    checkpoint_s: float = ini.key('seconds', 1.0)
+    restore_s: float = ini.key('seconds', 0.3)
+    stop_s: float = ini.key('seconds', 0.5)
+    speed_save_s: float = ini.key('seconds', 1.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroselock/test/soakbuilders.py
+++ b/primroselock/test/soakbuilders.py
@@ -2,7 +2,8 @@
 
 Everything follows from a seed: the number of nodes, the jobs, and faults
 that come in series and overlap.  The check of idle capacity runs beside.
-Jobs that crash the workers that start them are added if asked for.
+Jobs that crash the workers that start them, and configurations that are large
+for the nodes' links, are added if asked for.
 """
 
 import asyncio
@@ -14,6 +15,8 @@
 from primroselock import clock
 from primroselock.decisions import fleetworkers
 from primroselock import jobgraph
+from primroselock.test import accountfaults
+from primroselock.test import copyfaults
 from primroselock.test import crashbuilders
 from primroselock.test import drainfaults
 from primroselock.test import faultbuilders
@@ -22,8 +25,10 @@
 from primroselock.test import lastingcapacity
 from primroselock.test import loadbuilders
 from primroselock.test import orderfaults
+from primroselock.test import quotafaults
 from primroselock.test import rebuiltworkers
 from primroselock.test import restartfaults
+from primroselock.test import unevenworkers
 from primroselock.test import virtualtime
 from primroselock import waits
 
@@ -52,6 +57,10 @@
     has_restarts: bool = False
     has_bounds: bool = False
     has_drains: bool = False
+    has_large_configurations: bool = False
+    quota_changes: tuple[quotafaults.QuotaChange, ...] = ()
+    has_accounts: bool = False
+    is_uneven: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -136,6 +145,20 @@
     )
 
 
+def add_quotas(plan: Plan) -> Plan:
+    """Return a plan with quotas that change (see ``quotafaults``)."""
+    changes = quotafaults.draw_changes(plan.seed, plan.arrival_s)
+    return dataclasses.replace(plan, quota_changes=changes)
+
+
+def add_accounts(plan: Plan) -> Plan:
+    """Return a plan with floods of accounts too (see ``accountfaults``)."""
+    added = accountfaults.draw_series(plan.seed, plan.arrival_s)
+    return dataclasses.replace(
+        plan, faults=plan.faults + added, has_accounts=True
+    )
+
+
 class Soak:
     """One run; ``world`` can be examined while it goes on."""
 
@@ -145,15 +168,27 @@
         self.world = fleetbuilders.World(plan.seed, 0)
         self.world.fleet.late_starts_outlive = plan.has_restarts
         loadbuilders.add_workers(self.world, _WORKERS)
+        if plan.is_uneven:
+            unevenworkers.set_speeds(self.world, plan.seed)
         self.crashing: crashbuilders.CrashingTasks | None = None
         if plan.has_crashing_jobs:
             self.crashing = crashbuilders.CrashingTasks(
                 self.world, seed=plan.seed, log=self.log
             )
         self.check = idlecapacity.IdleCapacityCheck(self.world, self.log)
+        self.copies: copyfaults.Copies | None = None
+        if plan.has_large_configurations:
+            self.copies = copyfaults.Copies(
+                self.world, plan.seed, plan.arrival_s, self.log
+            )
         self.lasting_check = lastingcapacity.LastingWorkCheck(
             self.world, self.log
         )
+        self.quotas: quotafaults.QuotaPlay | None = None
+        if plan.quota_changes:
+            self.quotas = quotafaults.QuotaPlay(self.world, plan.quota_changes)
+            self.check.may_wait = self.quotas.may_wait
+            self.lasting_check.may_wait = self.quotas.may_wait
 
     async def run(self) -> Outcome:
         """Run to the end of every job, or until it is too late."""
@@ -178,6 +213,9 @@
                 for fault in plan.faults
             ),
             self._submit_crashing_jobs(),
+            self._play_large_configurations(),
+            self._change_quotas(),
+            self._submit_bursts(),
         )
         world.store.apply_late()
         await asyncio.sleep(_FINAL_WAIT_S)
@@ -199,11 +237,22 @@
                 *(f'{job_id} has not ended' for job_id in late_ids),
                 *(f'{job_id} failed without cause' for job_id in given_up),
                 *world.fleet.violations,
+                *(self.copies.violations if self.copies else ()),
             ],
             len(world.fleet.graphs_by_id),
             world.fleet.starts,
         )
 
+    async def _play_large_configurations(self) -> None:
+        """Let the configuration grow, if the plan says so."""
+        if self.copies is not None:
+            await self.copies.run()
+
+    async def _change_quotas(self) -> None:
+        """Change the quotas, if the plan has any."""
+        if self.quotas is not None:
+            await self.quotas.run()
+
     async def _submit_crashing_jobs(self) -> None:
         """Submit jobs that crash their workers, if the plan has any."""
         if self.crashing is not None:
@@ -214,6 +263,13 @@
                 random.Random(f'{self.plan.seed} crashing'),
             )
 
+    async def _submit_bursts(self) -> None:
+        """Submit bursts of urgent gangs, if the plan has any."""
+        if self.plan.is_uneven:
+            await unevenworkers.submit_bursts(
+                self.world, self.plan.arrival_s, self.plan.seed
+            )
+
     def _list_open_jobs(self) -> list[str]:
         """Return the jobs that have not ended and that workers could run."""
         graphs_by_id = self.world.fleet.graphs_by_id
@@ -261,6 +317,10 @@
     has_restarts: bool = False,
     has_bounds: bool = False,
     has_drains: bool = False,
+    has_large_configurations: bool = False,
+    has_quotas: bool = False,
+    has_accounts: bool = False,
+    is_uneven: bool = False,
 ) -> Outcome:
     """Run the soak of a seed in virtual time.
 
@@ -277,6 +337,14 @@
             plan = add_bounds(plan)
         if has_drains:
             plan = add_drains(plan)
+        if has_large_configurations:
+            plan = dataclasses.replace(plan, has_large_configurations=True)
+        if has_quotas:
+            plan = add_quotas(plan)
+        if has_accounts:
+            plan = add_accounts(plan)
+        if is_uneven:
+            plan = dataclasses.replace(plan, is_uneven=True)
         soak = Soak(plan)
         examine(soak)
         return await soak.run()
--- a/primroselock/test/testsoak.py
+++ b/primroselock/test/testsoak.py
@@ -98,10 +98,26 @@
         """Guards against a refusal taken for an earlier order of a run."""
         self.check_seeds(1, 6, '--orders')
 
+    def test_configurations_seeds_1_to_4(self) -> None:
+        """Guards against nodes that never have a large configuration."""
+        self.check_seeds(1, 4, '--configurations')
+
+    def test_quotas_seeds_1_to_6(self) -> None:
+        """Guards against starts that bring an account over its quota."""
+        self.check_seeds(1, 6, '--wide', '--quotas')
+
+    def test_uneven_seeds_1_to_4(self) -> None:
+        """Guards against claims for fast workers that hold others up."""
+        self.check_seeds(1, 4, '--drains', '--uneven')
+
     def test_bounds_seeds_1_to_6(self) -> None:
         """Guards against starts by the entry of an earlier boot (ROUTE)."""
         self.check_seeds(1, 6, '--wide', '--bounds')
 
+    def test_accounts_seeds_1_to_6(self) -> None:
+        """Guards against work that shares of accounts keep from starting."""
+        self.check_seeds(1, 6, '--accounts')
+
 
 class OpenJobTest(unittest.TestCase):
     """Which jobs must have ended at the end of a run."""
