--- a/primroselock/decisions/accounts/backlogs.py
+++ b/primroselock/decisions/accounts/backlogs.py
@@ -12,9 +12,10 @@
 
 from primroselock.decisions.accounts import shares
 from primroselock.decisions import fleet
-from primroselock.decisions import learnedtimes
 from primroselock.decisions import livejobs
 from primroselock.decisions import objectives
+from primroselock.decisions.runtimes import learner
+from primroselock.decisions.runtimes import observations
 from primroselock.decisions import waiting
 from primroselock import jobgraph
 from primroselock import queues
@@ -50,7 +51,7 @@
         known[priority] = shares.add(
             work,
             shares.need(left[0], found.capacity),
-            len(left) * _expected_s(board, left[0]),
+            len(left) * observations.expected_s(board, left[0]),
         )
     return {
         account: _cumulate(known, found.rate(account))
@@ -63,12 +64,6 @@
     return use is objectives.Usefulness.TOO_LATE
 
 
-def _expected_s(board: fleet.ShardBoard, group: livejobs.Group) -> float:
-    return board.learned.expected_s(
-        group.job.graph.queue, group.step.expected_ms / _MS_PER_S
-    )
-
-
 def _cumulate(
     work_by_priority: abc.Mapping[int, shares.Amounts], rate: float
 ) -> SecondsByPriority:
@@ -101,7 +96,7 @@
     ]
     if not ahead:
         return 0.0
-    paths_s = objectives.critical_paths_s(graph, learnedtimes.LearnedTimes())
+    paths_s = objectives.critical_paths_s(graph, learner.RunTimes())
     path_s = max(paths_s, default=0.0)
     objective_s = queue.stretch * path_s + queue.latency_target_s
     return max(ahead) - (objectives.LATE_FACTOR * objective_s - path_s)
--- a/primroselock/decisions/endtimes/needs.py
+++ b/primroselock/decisions/endtimes/needs.py
@@ -11,6 +11,7 @@
 from primroselock.decisions import fleet
 from primroselock.decisions import livejobs
 from primroselock.decisions import objectives
+from primroselock.decisions.runtimes import observations
 
 _START_S: typing.Final = 0.1
 """From a placement until its run begins: a write and an order."""
@@ -18,15 +19,6 @@
 RUN_MARGIN: typing.Final = 0.1
 """The share by which a run may take longer than the worker's speed says."""
 
-_MS_PER_S: typing.Final = 1000.0
-
-
-def expected_s(board: fleet.ShardBoard, group: livejobs.Group) -> float:
-    """Return the expected run time of a group at the usual speed."""
-    return board.learned.expected_s(
-        group.job.graph.queue, group.step.expected_ms / _MS_PER_S
-    )
-
 
 def ends_in_time(
     board: fleet.ShardBoard,
@@ -42,7 +34,9 @@
     remaining_s = group.remaining_s(now)
     if remaining_s is None or not group.job.critical_paths_s:
         return False
-    left_s = objectives.slack_s(group, wall_s) + expected_s(board, group)
+    left_s = objectives.slack_s(group, wall_s) + observations.expected_s(
+        board, group
+    )
     return remaining_s <= left_s
 
 
@@ -62,7 +56,7 @@
     """
     if group.job.queue is None or not group.job.critical_paths_s:
         return 0.0
-    run_s = expected_s(board, group)
+    run_s = observations.expected_s(board, group)
     left_s = objectives.slack_s(group, wall_s) + run_s
     left_s -= _START_S + spare_runs * run_s
     if left_s <= 0:
--- a/primroselock/decisions/fleetpreemption.py
+++ b/primroselock/decisions/fleetpreemption.py
@@ -20,6 +20,7 @@
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import freecapacity
 from primroselock.decisions import livejobs
+from primroselock.decisions.runtimes import observations
 from primroselock import jobgraph
 
 MayStop = abc.Callable[[livejobs.Group], bool]
@@ -27,8 +28,6 @@
 _EQUAL_COSTS: typing.Final = 1.25
 """Costs are estimates: between those that differ by less shares decide."""
 
-_MS_PER_S: typing.Final = 1000.0
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
@@ -188,9 +187,7 @@
     remaining_s = group.remaining_s(now)
     if remaining_s is not None:
         return remaining_s
-    expected_s = board.learned.expected_s(
-        group.job.graph.queue, group.step.expected_ms / _MS_PER_S
-    )
+    expected_s = observations.expected_here_s(board, group)
     return max(stop_s, expected_s - group.worked_s(now))
 
 
--- a/primroselock/decisions/victims/losses.py
+++ b/primroselock/decisions/victims/losses.py
@@ -7,10 +7,10 @@
 from collections import abc
 import typing
 
-from primroselock.decisions.endtimes import needs
 from primroselock.decisions import fleet
 from primroselock.decisions import livejobs
 from primroselock.decisions import objectives
+from primroselock.decisions.runtimes import observations
 from primroselock.decisions.victims import weights
 from primroselock.decisions import waiting
 from primroselock import options
@@ -118,7 +118,7 @@
         worked_s = min(worked_s, settings.checkpoint_s)
     lost_s = settings.restore_s + worked_s
     if _makes_late(board, settings, group, now, wall_s):
-        lost_s += needs.expected_s(board, group)
+        lost_s += observations.expected_s(board, group)
     return lost_s * weights.weight(group) * _urgency(group)
 
 
@@ -147,7 +147,7 @@
     wall_s: float,
 ) -> bool:
     """Return whether a stop makes a job late that would be in time."""
-    run_s = needs.expected_s(board, group)
+    run_s = observations.expected_s(board, group)
     remaining_s = group.remaining_s(now)
     if remaining_s is None:
         remaining_s = max(0.0, run_s - group.worked_s(now))
@@ -176,7 +176,9 @@
     factor = _MAX_LOST_WORK_FACTOR
     if slack_s < 0 and settings.preemption_cost != 'lost_work':
         factor = _MAX_LOST_IF_LATE_FACTOR
-    return needs.expected_s(board, group) * weights.weight(group) * factor
+    return (
+        observations.expected_s(board, group) * weights.weight(group) * factor
+    )
 
 
 def ends_anyway(group: livejobs.Group, now: float, stop_s: float) -> bool:
