--- a/primroselock/decisions/victims/losses.py
+++ b/primroselock/decisions/victims/losses.py
@@ -50,6 +50,9 @@
 _STOP_FACTOR: typing.Final = 4.0
 """The factor by which a stop makes the next of the group more costly."""
 
+_UNKNOWN_SHARE: typing.Final = 0.5
+"""The share that an earlier holder's run has done, before it is reported."""
+
 _MAX_COUNTED_STOPS: typing.Final = 4
 """Earlier stops of a group that make another more costly."""
 
@@ -112,7 +115,7 @@
     """
     if ends_anyway(group, now, settings.stop_s):
         return 0.0
-    worked_s = group.worked_s(now)
+    worked_s = _worked_s(board, group, now)
     if group.step.checkpointing:
         # A stop saves what is done: a later run only restores that.
         worked_s = min(worked_s, settings.checkpoint_s)
@@ -139,6 +142,22 @@
     return loss_s(board, settings, group, now, wall_s) * _STOP_FACTOR**stops
 
 
+def _worked_s(
+    board: fleet.ShardBoard, group: livejobs.Group, now: float
+) -> float:
+    """Return the run time so far, as far as it is known or likely.
+
+    A holder that took over knows no more at first than the share that is
+    done, and before the first report nothing.
+    """
+    shares = [m.progress.share for m in group.members if m.progress]
+    if shares:
+        share = max(shares)
+    else:
+        share = _UNKNOWN_SHARE if group.is_resumed else 0.0
+    return max(group.worked_s(now), share * needs.expected_s(board, group))
+
+
 def _makes_late(
     board: fleet.ShardBoard,
     settings: options.FleetSettings,
--- a/primroselock/test/testvictims.py
+++ b/primroselock/test/testvictims.py
@@ -62,6 +62,16 @@
         running = endtimebuilders.Running(worked_s=9.7, share=0.97)
         self.assertEqual(0.0, self.loss_of(running))
 
+    def test_work_of_an_earlier_holder(self) -> None:
+        """A burst right after a takeover: when runs began is not known."""
+        for share, expected_s in ((0.8, 8.0), (None, 5.0)):
+            with self.subTest(share=share):
+                running = endtimebuilders.Running(worked_s=0.0, share=share)
+                group = endtimebuilders.run_group(self.board, _NOW, running)
+                group.began_at, group.is_resumed = None, True
+                lost_s = expected_s + _SETTINGS.restore_s
+                self.assertAlmostEqual(lost_s * 9, self.loss(group))
+
     def test_a_successor_knows_what_was_stopped(self) -> None:
         """A takeover in the middle of a burst."""
         running = endtimebuilders.Running(stops=2)
