--- a/primroselock/decisions/victims/losses.py
+++ b/primroselock/decisions/victims/losses.py
@@ -155,7 +155,9 @@
         share = max(shares)
     else:
         share = _UNKNOWN_SHARE if group.is_resumed else 0.0
-    return max(group.worked_s(now), share * needs.expected_s(board, group))
+    return max(
+        group.worked_s(now), share * observations.expected_s(board, group)
+    )
 
 
 def _makes_late(
