--- a/standins/nodes.py
+++ b/standins/nodes.py
@@ -82,12 +82,20 @@
 
 
 class Node:
-    """A node; its address stays the same over restarts."""
+    """A node; its address stays the same over restarts.
+
+    ``limits`` are further lines of its settings file.
+    """
 
     def __init__(
-        self, number: int, store_address: str, folder: pathlib.Path
+        self,
+        number: int,
+        store_address: str,
+        folder: pathlib.Path,
+        limits: tuple[str, ...] = (),
     ) -> None:
         self.number = number
+        self._limits = limits
         self.lives: list[Life] = []
         self.is_started = False
         self._misses = _MAX_MISSES
@@ -95,6 +103,8 @@
         run = os.getpid() % (1 << 14)
         self._ip = f'127.{64 + (run >> 8)}.{run & 255}.{number + 1}'
         self.address = f'{self._ip}:{_PORT}'
+        self.ready_address = f'{self._ip}:{_READY_PORT}'
+        self.metrics_address = f'{self._ip}:{_INTERNAL_PORT}'
         self._store_address = store_address
         self._settings = folder / f'node-{number}.conf'
         self._log = folder / f'node-{number}.log'
@@ -114,6 +124,7 @@
             f'grace_s={GRACE_S:.0f}',
             'bounds.hold_max_ms=10000',
             f'bounds.revoke_ms={revoke_ms}',
+            *self._limits,
         )
         self._settings.write_text('\n'.join(lines), encoding='utf-8')
 
