HTTP connections are bounded before the library keeps what they send

Cause: uvicorn's parser protocol keeps heads and trailers of any length, makes objects of every request of a read at once, and knows no limit of connections.

Change: boundedhttp.Connection, a subclass of the library's protocol, is used by every server of the product. It keeps a head as raw bytes until it is whole, parses one request at a time and lets the bytes behind it wait with reading paused, in turns of one a round of the event loop; feeds chunks line by line; drops trailers. connectionlimits.Guard, one for each address, counts connections and held bytes, closes what has waited longest or is largest, and counts and logs each cut. [http] has the limits, checked; a node derives them from limits.memory_mb and limits.max_fds. A caller that leaves within its body is no error of the application any more.

Ruled out: a limit on the number of fields (a head of 3,000 is inside the platform's limits), refusing new connections at the limit (whoever came first keeps the rest out); see docs/design/callers-without-end.md.

--- a/primroselock/fleetnode.py
+++ b/primroselock/fleetnode.py
@@ -8,12 +8,14 @@
 from collections import abc
 import dataclasses
 import signal
+import socket
 import typing
 
 from primroselock import advicerequests
 from primroselock import backgroundtasks
 from primroselock import boardrows
 from primroselock import clock
+from primroselock import connectionlimits
 from primroselock import errors
 from primroselock import httpserver
 from primroselock import intake
@@ -172,15 +174,7 @@
             loop.add_signal_handler(number, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         nodesignals.deliver()
-        servers = [
-            _build_server(self._client_api, self._settings.fleet.bind),
-            _build_server(
-                _ReadyApp(self), self._settings.fleet.ready_bind, False
-            ),
-            _build_server(
-                _MetricsApp(self), self._settings.fleet.metrics_bind, False
-            ),
-        ]
+        servers = self._build_servers()
         _log.info(
             'listening',
             front=self._settings.fleet.bind,
@@ -209,6 +203,20 @@
                 )
         await self._shut_down(servers, loops)
 
+    def _build_servers(
+        self,
+    ) -> list[tuple[httpserver.Server, socket.socket]]:
+        """Return the servers, each with the socket on which it listens."""
+        http, fleet = self._settings.http, self._settings.fleet
+        front = httpserver.guard_callers('front', http, self.metrics)
+        ready = httpserver.guard_probes('ready', http, self.metrics)
+        own = httpserver.guard_probes('metrics', http, self.metrics)
+        return [
+            _build_server(self._client_api, fleet.bind, front),
+            _build_server(_ReadyApp(self), fleet.ready_bind, ready, False),
+            _build_server(_MetricsApp(self), fleet.metrics_bind, own, False),
+        ]
+
     def reload(self) -> None:
         """Reread the settings file and log what changed.
 
@@ -284,10 +292,13 @@
 
 
 def _build_server(
-    app: typing.Any, address: str, date_header: bool = True
-) -> tuple[httpserver.Server, typing.Any]:
+    app: typing.Any,
+    address: str,
+    guard: connectionlimits.Guard,
+    date_header: bool = True,
+) -> tuple[httpserver.Server, socket.socket]:
     """Return a server of ``app`` and the socket on which it will listen."""
-    server = httpserver.build(app, grace_s=2.0, date_header=date_header)
+    server = httpserver.build(app, 2.0, guard, date_header=date_header)
     return server, sockets.open_listener(address)
 
 
--- a/primroselock/gateway.py
+++ b/primroselock/gateway.py
@@ -238,6 +238,7 @@
     server = httpserver.build(
         app,
         settings.gateway.shutdown_grace_s,
+        httpserver.guard_callers('gateway', settings.http, shared.metrics),
         settings.gateway.tls_certificate,
         settings.gateway.tls_key,
     )
--- a/primroselock/metrics.py
+++ b/primroselock/metrics.py
@@ -15,6 +15,7 @@
 
 
 _HELP_BY_NAME: typing.Final = {
+    'connections_cut': 'Connections refused or cut at a limit, by address.',
     'crashing_jobs': 'Jobs that this holder failed: they crash workers.',
     'decision_round': 'Duration of a decision round of the shard holder.',
     'decision_late': 'Time by which a decision round began late.',
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -13,6 +13,7 @@
 import result
 
 from primroselock import errors
+from primroselock import httpsettings
 from primroselock import ini
 
 
@@ -267,6 +268,7 @@
     gateway: GatewaySettings
     scheduler: SchedulerSettings
     fleet: FleetSettings
+    http: httpsettings.HttpSettings
 
 
 _CLASSES_BY_SECTION: typing.Final[dict[str, type[typing.Any]]] = {
@@ -277,6 +279,7 @@
     'gateway': GatewaySettings,
     'scheduler': SchedulerSettings,
     'fleet': FleetSettings,
+    'http': httpsettings.HttpSettings,
 }
 
 
@@ -328,6 +331,7 @@
     problems = _check_mesh(built['mesh'], source)
     problems += _check_fleet(built['fleet'], source)
     gateway: GatewaySettings = built['gateway']
+    problems += _check_http(built['http'], gateway, source)
     if gateway.claim_ttl_s < gateway.max_timeout_s * 2:
         problems.append(
             ini.Problem(
@@ -416,6 +420,20 @@
     ]
 
 
+def _check_http(
+    http: httpsettings.HttpSettings, gateway: GatewaySettings, source: str
+) -> list[ini.Problem]:
+    rules = (
+        ('max_head_bytes', http.max_head_bytes, gateway.max_header_bytes),
+        ('max_held_bytes', http.max_held_bytes, gateway.max_body_bytes * 2),
+    )
+    return [
+        ini.Problem(source, 'http', key, str(value), f'at least {least}')
+        for key, value, least in rules
+        if value < least
+    ]
+
+
 def _check_mesh(mesh: MeshSettings, source: str) -> list[ini.Problem]:
     problems: list[ini.Problem] = []
     if mesh.beacon_interval_s * 3 > mesh.peer_expiry_s:
--- a/primroselock/platform/settings.py
+++ b/primroselock/platform/settings.py
@@ -38,6 +38,21 @@
 _CALL_RATE_SHARE: typing.Final = 0.25
 """Call limit of one connection pool as a share of the platform's writes."""
 
+_BYTES_PER_MB: typing.Final = 1024 * 1024
+_RESERVED_DESCRIPTORS: typing.Final = 200
+"""Descriptors that the platform keeps for files."""
+
+_CALLER_SOCKETS_SHARE: typing.Final = 2 / 3
+"""The rest is for the store, the workers and the load balancer."""
+
+_CONNECTIONS_MEMORY_SHARE: typing.Final = 1 / 4
+_CONNECTION_BYTES: typing.Final = 32 * 1024
+"""The most that a connection takes beside its request."""
+
+_HELD_MEMORY_SHARE: typing.Final = 1 / 8
+_MIN_HELD_BYTES: typing.Final = 8 * _BYTES_PER_MB
+_BODY_TIMEOUT_S: typing.Final = 30.0
+
 
 def load(
     environment: abc.Mapping[str, str] = os.environ,
@@ -127,6 +142,22 @@
                 'entry_permit_s': f'{entry_permit_s:g}',
                 'entry_wait_s': f'{entry_permit_s * _ENTRY_WAIT_SHARE:g}',
             },
+            'http': self._http_section(),
+        }
+
+    def _http_section(self) -> dict[str, str]:
+        """Return what callers may take of the VM's memory and sockets."""
+        memory = self._number('limits.memory_mb', 256) * _BYTES_PER_MB
+        sockets = self._number('limits.max_fds', 1024) - _RESERVED_DESCRIPTORS
+        connections = min(
+            sockets * _CALLER_SOCKETS_SHARE,
+            memory * _CONNECTIONS_MEMORY_SHARE / _CONNECTION_BYTES,
+        )
+        held_bytes = max(_MIN_HELD_BYTES, memory * _HELD_MEMORY_SHARE)
+        return {
+            'max_connections': str(max(1, int(connections))),
+            'max_held_bytes': str(int(held_bytes)),
+            'body_timeout_s': f'{_BODY_TIMEOUT_S:g}',
         }
 
     def _required(self, name: str) -> str:
--- a/primroselock/scheduler.py
+++ b/primroselock/scheduler.py
@@ -329,7 +329,11 @@
     shared.install_signals()
     runner = ShardRunner(shared, settings.process.zone)
     port = statusport.StatusPort(shared, runner.describe)
-    server = httpserver.build(port.build_app(), _STATUS_GRACE_S)
+    server = httpserver.build(
+        port.build_app(),
+        _STATUS_GRACE_S,
+        httpserver.guard_probes('status', settings.http, shared.metrics),
+    )
     _log.info(
         'listening',
         role='scheduler',
--- a/primroselock/test/testplatformadapter.py
+++ b/primroselock/test/testplatformadapter.py
@@ -107,6 +107,22 @@
             self.assertEqual(permit_s, read.fleet.entry_permit_s)
             self.assertEqual(wait_s, read.fleet.entry_wait_s)
 
+    def test_limits_of_callers_follow_the_vm(self) -> None:
+        """Two thirds of the sockets, or a quarter of the memory."""
+        cases = (
+            (160, 1638, 958, 20 << 20),
+            (300, 4100, 2400, 300 << 17),
+            (32, 400, 133, 8 << 20),
+        )
+        for memory_mb, descriptors, connections, held_bytes in cases:
+            text = (
+                f'{fleetbuilders.BOOT_TEXT}limits.memory_mb={memory_mb}\n'
+                f'limits.max_fds={descriptors}\n'
+            )
+            http = settings.parse(text, 'boot').unwrap().http
+            self.assertEqual(connections, http.max_connections)
+            self.assertEqual(held_bytes, http.max_held_bytes)
+
     def test_a_wrong_value_names_field_value_and_expectation(self) -> None:
         cases = {
             'platform.address=127.0.0.1:8524': 'platform.address=nowhere',
