--- a/primroselock/metrics.py
+++ b/primroselock/metrics.py
@@ -20,6 +20,7 @@
     'account_share_used': 'What an account uses, in multiples of its share.',
     'account_quota': 'What an account with a quota may have running.',
     'account_running': 'What may run of an account with a quota.',
+    'connections_cut': 'Connections refused or cut at a limit, by address.',
     'crashing_jobs': 'Jobs that this holder failed: they crash workers.',
     'decision_round': 'Duration of a decision round of the shard holder.',
     'decision_late': 'Time by which a decision round began late.',
