--- a/primroselock/decisions/runtimes/observations.py
+++ b/primroselock/decisions/runtimes/observations.py
@@ -105,7 +105,7 @@
         board.learned.record(kind, estimate, full_s * speed, _weight(group))
     elif group.began_at is not None and not group.is_resumed:
         # Progress was last seen before the stop was ordered.
-        worked_s = _last_seen_at(group, now) - group.began_at
+        worked_s = _reported_until(group, now) - group.began_at
         board.learned.record_unfinished(
             kind, estimate, worked_s * speed, _weight(group)
         )
@@ -126,7 +126,7 @@
     return max(full_s, default=None)
 
 
-def _last_seen_at(group: livejobs.Group, now: float) -> float:
+def _reported_until(group: livejobs.Group, now: float) -> float:
     """Return when a report last listed a group, at most ``now``."""
     seen = [
         member.progress.seen_at
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -21,7 +21,6 @@
 from primroselock import boardrows
 from primroselock import clock
 from primroselock.decisions import crashes
-from primroselock.decisions import crashlog
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetround
 from primroselock.decisions import graphs
@@ -30,6 +29,7 @@
 from primroselock.decisions import slices
 from primroselock import graphrows
 from primroselock import graphwriter
+from primroselock import holdergauges
 from primroselock import jobs
 from primroselock import lateness
 from primroselock import learnedrows
@@ -49,14 +49,6 @@
 from primroselock.workers import orders
 
 _log: typing.Final = logs.get('holder')
-_BEHIND_GAUGE: typing.Final = 'account_groups_behind'
-_SHARE_GAUGE: typing.Final = 'account_share_used'
-_GAUGES: typing.Final = (
-    'idle_waits',
-    'known_speeds',
-    'orders_waiting',
-    'unexpected_runs',
-)
 _MAX_ROUND_INTERVAL_S: typing.Final = 0.25
 _PAUSE_PER_ROUND: typing.Final = 2.0
 """Time between rounds as a multiple of a round's duration: polls, orders and
@@ -128,7 +120,7 @@
         self._board = board
         self._settings = parts.settings
         self._lease = parts.lease
-        self._account_gauges = accountviews.AccountGauges(parts.counters)
+        self._gauges = holdergauges.HolderGauges(parts.counters)
         self._is_closing = False
         self._is_permitted = True
         self._loaded_job_ids = takeover.job_ids
@@ -266,11 +258,7 @@
                     )
                     self._lease.drop('a loop failed')
         finally:
-            for gauge in (*crashlog.GAUGES, *_GAUGES):
-                self._parts.counters.set_gauge(gauge, 0.0)
-            self._account_gauges.clear()
-            for gauge in (_BEHIND_GAUGE, _SHARE_GAUGE):
-                self._parts.counters.set_gauges(gauge, 'account', {})
+            self._gauges.clear()
             await self._advice_requester.cancel()
             # Orders may wait for probes, and would begin others.
             await self._orders.cancel()
@@ -324,7 +312,9 @@
                 return taken_s
             turn.resume(clock.monotonic(), clock.wall())
             self._prepare(turn.now)
-        self._set_gauges()
+        self._gauges.update(
+            self._board, self._orders.waiting_count, clock.monotonic()
+        )
         taken_s += clock.monotonic() - turn.now
         self._parts.counters.record('decision_round', taken_s)
         self._advice_requester.ensure_running()
@@ -357,21 +347,6 @@
         self._writer.wake()
         return not is_over
 
-    def _set_gauges(self) -> None:
-        for name, value in (
-            ('idle_waits', self._board.idle_waits),
-            ('known_speeds', self._board.worker_speeds.known_count),
-            ('unexpected_runs', self._board.count_unexpected_runs()),
-            ('orders_waiting', self._orders.waiting_count),
-            *self._board.crashes.counts().items(),
-        ):
-            self._parts.counters.set_gauge(name, float(value))
-        self._account_gauges.update(self._board, clock.monotonic())
-        notes = self._board.share_notes
-        set_gauges = self._parts.counters.set_gauges
-        set_gauges(_BEHIND_GAUGE, 'account', notes.behind_by_account)
-        set_gauges(_SHARE_GAUGE, 'account', notes.used_by_account)
-
     def _note_permit(self, now: float) -> None:
         """Record until when starts are permitted; log a change."""
         permit = self._find_permit(now)
