--- a/primroselock/decisions/victims/losses.py
+++ b/primroselock/decisions/victims/losses.py
@@ -93,10 +93,7 @@
     """
     if ends_anyway(group, now, settings.stop_s):
         return 0.0
-    worked_s = group.worked_s(now)
-    if group.step.checkpointing:
-        worked_s = min(worked_s, settings.checkpoint_s)
-    lost_s = settings.restore_s + worked_s
+    lost_s = _redone_s(settings, group, group.worked_s(now))
     return lost_s * weights.weight(group) * _urgency(group)
 
 
@@ -115,11 +112,7 @@
     """
     if ends_anyway(group, now, settings.stop_s):
         return 0.0
-    worked_s = _worked_s(board, group, now)
-    if group.step.checkpointing:
-        # A stop saves what is done: a later run only restores that.
-        worked_s = min(worked_s, settings.checkpoint_s)
-    lost_s = settings.restore_s + worked_s
+    lost_s = _redone_s(settings, group, _worked_s(board, group, now))
     if _makes_late(board, settings, group, now, wall_s):
         lost_s += observations.expected_s(board, group)
     return lost_s * weights.weight(group) * _urgency(group)
@@ -142,6 +135,16 @@
     return loss_s(board, settings, group, now, wall_s) * _STOP_FACTOR**stops
 
 
+def _redone_s(
+    settings: options.FleetSettings, group: livejobs.Group, worked_s: float
+) -> float:
+    """Return the time that a later run needs to be as far again."""
+    if group.step.checkpointing:
+        # A stop saves what is done: a later run only restores that.
+        worked_s = min(worked_s, settings.checkpoint_s)
+    return settings.restore_s + worked_s
+
+
 def _worked_s(
     board: fleet.ShardBoard, group: livejobs.Group, now: float
 ) -> float:
