--- a/primroselock/decisions/runtimes/learner.py
+++ b/primroselock/decisions/runtimes/learner.py
@@ -97,7 +97,9 @@
 class RunTimes:
     """Observed run times at the usual speed, by queue, account and step.
 
-    At most ``max_queues`` queues and ``max_kinds`` kinds are kept.
+    At most ``max_queues`` queues and ``max_kinds`` kinds are kept.  An
+    estimate within a factor of ``trusted_ratio`` of what is expected is used
+    as it is; 1 trusts none.
     ``changes`` counts the runs recorded.
     """
 
@@ -110,6 +112,7 @@
     )
     max_queues: int = _MAX_QUEUES
     max_kinds: int = _MAX_KINDS
+    trusted_ratio: float = 1.0
     changes: int = 0
 
     def record(
@@ -177,10 +180,22 @@
         times = self.by_queue.get(kind.queue)
         if times is None:
             return estimate_s
-        estimate_s = _usable(estimate_s, times)
+        expected_s = self._predict_s(times, kind, estimate_s)
+        is_trusted = (
+            expected_s / self.trusted_ratio
+            <= estimate_s
+            <= expected_s * self.trusted_ratio
+        )
+        return estimate_s if is_trusted else expected_s
+
+    def _predict_s(
+        self, times: QueueTimes, kind: Kind, estimate_s: float
+    ) -> float:
+        """Return what the queue's line and the account's factor predict."""
         own = self.deviations_by_kind.get(kind)
         log_factor = own.log_factor if own is not None else 0.0
-        return math.exp(times.line.predict_log(estimate_s) + log_factor)
+        log_s = times.line.predict_log(_usable(estimate_s, times))
+        return math.exp(log_s + log_factor)
 
     def upper_s(
         self, kind: Kind, estimate_s: float, share: float = _UPPER_SHARE
@@ -193,7 +208,7 @@
         if times is None or times.spread.weight < _SETTLED_WEIGHT:
             return None
         ratio = times.spread.quantile(share)
-        return self.expected_s(kind, estimate_s) * ratio
+        return self._predict_s(times, kind, estimate_s) * ratio
 
     def longest_sibling_s(self, step: StepKey, groups: int) -> float | None:
         """Return the longest run time of a step, in seconds.
--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -411,6 +411,9 @@
             queue_configuration=self._queues,
             learned=learned,
         )
+        board.learned.trusted_ratio = (
+            self._settings.fleet.trusted_estimate_ratio
+        )
         now = clock.monotonic()
         # When a drain was reported that is read now is not known.
         board.drains.confirmed_at = _NEVER
