Expected run times are measured with the speeds that reports tell

Cause: the benchmark learned the speed of a worker at the ends of its runs, so that slow workers were known last; the holder learns it from the reports of runs under way. The 95th part on uneven workers looked worse than the estimates'. Ruled out beside it: that the reports of gangs tell nothing of a member's worker.

--- a/tools/runtimes.py
+++ b/tools/runtimes.py
@@ -1,9 +1,10 @@
 """Measures how far expected run times are off, on recorded runs.
 
 The runs of ``test-data/run-times`` are replayed in the order of their starts:
-what is expected of a run follows from the runs that had ended by then.  It
-prints the median and the 95th percentile of the error, as the factor between
-the expected and the observed time, for each predictor::
+what is expected of a run follows from the runs that had ended by then, and
+from the reports of those that had not.  It prints the median and the 95th
+percentile of the error, as the factor between the expected and the observed
+time, for each predictor::
 
     python -m tools.runtimes
     python -m tools.runtimes --output json
@@ -30,6 +31,11 @@
 _MIN_HISTORY: typing.Final = 8
 _MAX_ESTIMATE_RATIO: typing.Final = 3.0
 _UPPER_SHARE: typing.Final = 0.95
+_REPORT_INTERVAL_S: typing.Final = 2.0
+"""Workers report their runs at least so often."""
+
+_RELIABLE_SHARE: typing.Final = 0.15
+"""The part of a run that must be done for its rate to be reliable."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,6 +60,12 @@
         """Return when the run began."""
         return self.ended_s - self.took_s
 
+    @property
+    def reported_s(self) -> float:
+        """Return when a report first gave a reliable rate, or its end did."""
+        reports = math.ceil(self.took_s * _RELIABLE_SHARE / _REPORT_INTERVAL_S)
+        return self.started_s + min(reports * _REPORT_INTERVAL_S, self.took_s)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Error:
@@ -91,6 +103,9 @@
 class Predictor(typing.Protocol):
     """Predicts run times from the runs that have ended."""
 
+    def report(self, run: RecordedRun) -> None:
+        """Record the rate of a run that may not have ended yet."""
+
     def record(self, run: RecordedRun) -> None:
         """Record a run that has ended."""
 
@@ -115,6 +130,9 @@
 class Estimate:
     """The caller's estimate."""
 
+    def report(self, run: RecordedRun) -> None:
+        """Learn nothing."""
+
     def record(self, run: RecordedRun) -> None:
         """Learn nothing."""
 
@@ -130,6 +148,9 @@
     def __init__(self) -> None:
         self._recent_by_queue: dict[str, collections.deque[float]] = {}
 
+    def report(self, run: RecordedRun) -> None:
+        """Learn nothing before the end."""
+
     def record(self, run: RecordedRun) -> None:
         """Keep the run time among the last of its queue."""
         recent = self._recent_by_queue.setdefault(
@@ -155,6 +176,9 @@
     def __init__(self) -> None:
         self._times = learner.RunTimes()
 
+    def report(self, run: RecordedRun) -> None:
+        """Learn nothing before the end."""
+
     def record(self, run: RecordedRun) -> None:
         """Record the run time as it was."""
         self._times.record(run.kind, run.estimate_s, run.took_s, run.weight)
@@ -172,10 +196,20 @@
         self._times = learner.RunTimes()
         self._speeds = speeds.Speeds()
 
+    def report(self, run: RecordedRun) -> None:
+        """Learn nothing before the end."""
+
     def record(self, run: RecordedRun) -> None:
         """Record the run time as on a worker of usual speed."""
+        self._record_speed(run)
+        self._record_time(run)
+
+    def _record_speed(self, run: RecordedRun) -> None:
+        # What is recorded of a gang is the time of its slowest member.
         if not run.is_gang:
             self._speeds.record(run.step, run.workers[0], 1 / run.took_s)
+
+    def _record_time(self, run: RecordedRun) -> None:
         usual_s = run.took_s * self._slowest(run)
         self._times.record(run.kind, run.estimate_s, usual_s, run.weight)
 
@@ -188,16 +222,36 @@
         return min(self._speeds.speed(worker) for worker in run.workers)
 
 
+@predictor('learned, by reported speed')
+class LearnedByReports(LearnedBySpeed):
+    """The same, where the rates of runs count from their reports on.
+
+    As the holder does it: a slow worker is known long before its runs end.
+    """
+
+    def report(self, run: RecordedRun) -> None:
+        """Record the rate of a run."""
+        self._record_speed(run)
+
+    def record(self, run: RecordedRun) -> None:
+        """Record the run time as on a worker of usual speed."""
+        self._record_time(run)
+
+
 def measure(runs: abc.Sequence[RecordedRun], known: Predictor) -> Error:
     """Return how far a predictor is off, run by run."""
-    ended = sorted(runs, key=lambda run: run.ended_s)
-    ends = iter(ended)
-    following = next(ends, None)
+    events = [
+        *((run.reported_s, known.report, run) for run in runs),
+        *((run.ended_s, known.record, run) for run in runs),
+    ]
+    events.sort(key=lambda event: event[0])
+    position = 0
     errors = []
     for run in sorted(runs, key=lambda run: run.started_s):
-        while following is not None and following.ended_s <= run.started_s:
-            known.record(following)
-            following = next(ends, None)
+        while position < len(events) and events[position][0] <= run.started_s:
+            _, learn, seen = events[position]
+            learn(seen)
+            position += 1
         errors.append(abs(math.log(known.expected_s(run) / run.took_s)))
     errors.sort()
     return Error(
@@ -239,7 +293,7 @@
     for name, errors in errors_by_file.items():
         print(name)
         for key, error in errors.items():
-            print(f'  {key:20} {error.median:6.2f} {error.upper:6.2f}')
+            print(f'  {key:28} {error.median:6.2f} {error.upper:6.2f}')
 
 
 if __name__ == '__main__':
