--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -164,8 +164,6 @@
     the job at ``next_examined``.
     ``late_runs_by_removed_id`` are those of workers that were removed: one may
     be back as another boot while a start is under way.
-    A worker was last seen to have started again under its id at
-    ``restarted_at``.
     ``drains`` are the workers that leave as planned.
     ``search_retry_at_by_shape`` holds, for shapes (see ``freecapacity``) for
     which neither victims nor workers to claim were found, when to search
@@ -209,7 +207,6 @@
     )
     judge_from: float = _NEVER
     expiry_checked_at: float = _NEVER
-    restarted_at: float = _NEVER
     waits_reported_at: float = _NEVER
     idle_waits: int = 0
     next_examined: int = 0
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -56,7 +56,6 @@
     lost_groups = crashes.record_restart(board, worker, report, now)
     has_unknown_leases = workerboots.may_hold_unknown_leases(worker, report)
     if workerboots.is_restarted(worker, report):
-        board.restarted_at = now
         _reset_restarted(board, worker, report)
         _await_late_starts(board, worker, report, now, wall_ms)
     if has_unknown_leases:
--- a/primroselock/decisions/workerboots.py
+++ b/primroselock/decisions/workerboots.py
@@ -168,21 +168,6 @@
             del worker.late_runs[run]
 
 
-def latest_late_start(worker: fleetworkers.Worker, now: float) -> float | None:
-    """Return when a settled run that may yet begin was last ordered.
-
-    None if no order of one can be under way.
-    """
-    return max(
-        (
-            late_run.ordered_at
-            for late_run in worker.late_runs.values()
-            if now - late_run.ordered_at < _LATE_START_S
-        ),
-        default=None,
-    )
-
-
 def list_uncertain(
     worker: fleetworkers.Worker, run_lease_s: float, now: float
 ) -> list[orders.Run]:
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -21,7 +21,6 @@
 from primroselock import backoff
 from primroselock import callslots
 from primroselock import clock
-from primroselock.decisions import bootwatch
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import livejobs
@@ -91,9 +90,7 @@
             self._tasks_by_worker_id[worker.id] = self._tasks.spawn(
                 self._run(worker)
             )
-        unsure = reachability.list_unverified(self._board)
-        unsure += bootwatch.list_watched(self._board, clock.monotonic())
-        for worker in unsure:
+        for worker in reachability.list_unverified(self._board):
             if worker.entry.address:
                 self._ensure_probe(worker)
 
@@ -162,7 +159,7 @@
         await self._tasks.cancel()
 
     async def _probe(self, worker: fleetworkers.Worker) -> None:
-        """Check whether a worker answers, as the boot that was polled.
+        """Check whether a worker that may be unreachable answers.
 
         A long poll of the same worker may be open.  Only the polls, which
         run one after another, apply what an answer reports; a probe only
