The soak says whether a forbidden start was ordered before its worker's boot

Change: the fake workers add to such a violation ", ordered before boot N, which answered nothing" (the known fault) or "something" (another one, to be traced). No violation is left out; a second run beside two attempts on one worker counts twice now.

--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -188,7 +188,7 @@
         in which it differs from the incarnation before, if any.
         """
         worker.is_down = False
-        worker.boot += 1
+        worker.begin_boot()
         worker.clock_offset_s = clock_s - clock.monotonic()
         if 'capacity' in changes:
             # An earlier capacity is no excuse for starts on this one.
@@ -302,10 +302,11 @@
             cause = orders.EndCause.FAILED
         work_s *= worker.slowdown_factor
         self.starts += 1
-        self._check_start(worker, run, step, graph)
+        note = worker.describe_late(ordered_at)
         live = simulatedworker.LiveRun(
-            run, step, now + work_s, now, cause, ordered_at
+            run, step, now + work_s, now, cause, ordered_at, note
         )
+        self._check_start(worker, live, graph)
         worker.runs[run] = live
         for hook in self.begin_hooks:
             hook(worker, live)
@@ -313,26 +314,28 @@
     def _check_start(
         self,
         worker: simulatedworker.FakeWorker,
-        run: orders.Run,
-        step: jobgraph.Step,
+        live: simulatedworker.LiveRun,
         graph: jobgraph.JobGraph,
     ) -> None:
-        task = run.task
-        self.violations += placementchecks.list_violations(
+        task, step = live.run.task, live.step
+        misplaced = placementchecks.list_violations(
             worker,
-            run,
+            live.run,
             graph,
             self.services_by_queue.get(graph.queue, frozenset()),
         )
+        self.violations += [problem + live.late_note for problem in misplaced]
         if task in self.confirmed_done:
             self.violations.append(
-                f'{task} started after its end was confirmed'
+                f'{task} started after its end was confirmed{live.late_note}'
             )
         for other in self.workers_by_id.values():
             if other.is_down:
                 continue
-            if any(live.task == task for live in other.runs):
-                self.violations.append(f'{task} runs twice')
+            for beside in other.runs.values():
+                if beside.run.task == task:
+                    note = live.late_note or beside.late_note
+                    self.violations.append(f'{task} runs twice{note}')
         for earlier in step.after:
             for index in range(graph.steps[earlier].tasks):
                 name = jobgraph.TaskName(
@@ -454,6 +457,7 @@
             # The process that held the poll open is out of reach, or ended.
             await asyncio.sleep(timeout_s)
             return result.Err(orders.Unanswered('no answer'))
+        worker.has_answered = True
         now = clock.monotonic()
         running = tuple(
             orders.Running(run, '', worker.find_share(live, now))
--- a/primroselock/test/simulatedworker.py
+++ b/primroselock/test/simulatedworker.py
@@ -23,7 +23,8 @@
 class LiveRun:
     """A run in progress on a worker; it ends at ``ends_at``.
 
-    Its order may have arrived, at ``ordered_at``, long before the start.
+    Its order may have arrived, at ``ordered_at``, long before the start;
+    ``late_note`` tells if it was meant for an earlier boot.
     """
 
     run: orders.Run
@@ -32,6 +33,7 @@
     started_at: float
     cause: orders.EndCause = orders.EndCause.DONE
     ordered_at: float = math.inf
+    late_note: str = ''
 
 
 @dataclasses.dataclass
@@ -49,7 +51,8 @@
     ``refused`` is by task the latest attempt that ended or was stopped;
     neither it nor an earlier one may start again.
 
-    ``boot`` is the number of the incarnation; its own clock is ahead of the
+    ``boot`` is the number of the incarnation, which began at ``booted_at`` and
+    ``has_answered`` a poll or a stop; its own clock is ahead of the
     monotonic clock by ``clock_offset_s``, and ``lease_end`` is on its own.
     ``last_number`` numbers the ends of runs within an incarnation; of those up
     to ``lapsed_number`` nobody could know before its lease lapsed.  Run
@@ -60,6 +63,8 @@
 
     entry: fleetworkers.WorkerEntry
     boot: int = 1
+    booted_at: float = NEVER
+    has_answered: bool = False
     is_partitioned: bool = False
     is_down: bool = False
     delayed_order_share: float = 0.0
@@ -102,6 +107,23 @@
             or self.slowdown_factor != self.usual_factor
         )
 
+    def begin_boot(self) -> None:
+        """Begin the next incarnation."""
+        self.boot += 1
+        self.booted_at = clock.monotonic()
+        self.has_answered = False
+
+    def describe_late(self, ordered_at: float) -> str:
+        """Return what tells of a start that the boot before was to get.
+
+        Empty for other starts.  Before it has answered, nothing can be known
+        of a boot, nor refused by it.
+        """
+        if ordered_at >= self.booted_at:
+            return ''
+        answered = 'something' if self.has_answered else 'nothing'
+        return f', ordered before boot {self.boot}, which answered {answered}'
+
     def read_clock(self) -> float:
         """Return the time on the worker's own clock, in seconds."""
         return clock.monotonic() + self.clock_offset_s
