--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 from collections import abc
 import dataclasses
 import random
@@ -48,7 +49,7 @@
         self.advice_client = fakeadvice.FakeAdviceClient()
         self.tickets: list[str] = []
         self.graphs_by_id: dict[str, jobgraph.JobGraph] = {}
-        self.services_by_queue: dict[str, set[str]] = {}
+        self.services_by_queue = collections.defaultdict[str, set[str]](set)
         """The services to which any configuration has sent a queue."""
 
         self.work_s_by_job: dict[str, float] = {}
@@ -281,7 +282,9 @@
             self.tickets.append(order.ticket)
         worker.extend_lease(order.lease_until)
         self._begin(worker, order.run, now, ordered_at)
-        self._check_capacity(worker, ordered_at)
+        overload = placementchecks.find_overload(worker, ordered_at)
+        if overload:
+            self.violations.append(overload)
         return None
 
     def _begin(
@@ -302,9 +305,8 @@
             cause = orders.EndCause.FAILED
         work_s *= worker.slowdown_factor
         self.starts += 1
-        note = worker.describe_late(ordered_at)
         live = simulatedworker.LiveRun(
-            run, step, now + work_s, now, cause, ordered_at, note
+            run, step, now + work_s, now, cause, ordered_at
         )
         self._check_start(worker, live, graph)
         worker.runs[run] = live
@@ -318,24 +320,22 @@
         graph: jobgraph.JobGraph,
     ) -> None:
         task, step = live.run.task, live.step
+        note = worker.describe_late(live.ordered_at)
         misplaced = placementchecks.list_violations(
-            worker,
-            live.run,
-            graph,
-            self.services_by_queue.get(graph.queue, frozenset()),
+            worker, live.run, graph, self.services_by_queue[graph.queue]
         )
-        self.violations += [problem + live.late_note for problem in misplaced]
+        self.violations += [problem + note for problem in misplaced]
         if task in self.confirmed_done:
             self.violations.append(
-                f'{task} started after its end was confirmed{live.late_note}'
+                f'{task} started after its end was confirmed{note}'
             )
         for other in self.workers_by_id.values():
             if other.is_down:
                 continue
             for beside in other.runs.values():
                 if beside.run.task == task:
-                    note = live.late_note or beside.late_note
-                    self.violations.append(f'{task} runs twice{note}')
+                    late = note or other.describe_late(beside.ordered_at)
+                    self.violations.append(f'{task} runs twice{late}')
         for earlier in step.after:
             for index in range(graph.steps[earlier].tasks):
                 name = jobgraph.TaskName(
@@ -345,18 +345,6 @@
                 if name not in self.done and not is_gang:
                     self.violations.append(f'{task} started before {name}')
 
-    def _check_capacity(
-        self, worker: simulatedworker.FakeWorker, ordered_at: float
-    ) -> None:
-        used = jobgraph.Resources()
-        for live in worker.runs.values():
-            used = used.plus(live.step.counted_need)
-        current = worker.entry.capacity
-        if not worker.capacity_history.allows(used, current, ordered_at):
-            self.violations.append(
-                f'{worker.entry.id} exceeds its capacity: {used}'
-            )
-
     async def stop(
         self,
         worker_id: str,
--- a/primroselock/test/placementchecks.py
+++ b/primroselock/test/placementchecks.py
@@ -49,6 +49,37 @@
     ]
 
 
+def find_overload(
+    worker: simulatedworker.FakeWorker, ordered_at: float
+) -> str:
+    """Return what is wrong with all that a worker runs after a start.
+
+    It was ordered at ``ordered_at``.  Where the worker would have room but for
+    runs that an earlier boot was to get, this is told.
+    """
+    notes = [worker.describe_late(r.ordered_at) for r in worker.runs.values()]
+    used = _sum_needs(worker.runs.values())
+    if worker.allows(used, ordered_at):
+        return ''
+    others = [
+        live
+        for live, note in zip(worker.runs.values(), notes, strict=True)
+        if not note
+    ]
+    explains = worker.allows(_sum_needs(others), ordered_at)
+    note = max(notes) if explains else ''
+    return f'{worker.entry.id} exceeds its capacity: {used}{note}'
+
+
+def _sum_needs(
+    runs: abc.Iterable[simulatedworker.LiveRun],
+) -> jobgraph.Resources:
+    used = jobgraph.Resources()
+    for live in runs:
+        used = used.plus(live.step.counted_need)
+    return used
+
+
 @check
 def _check_service(
     worker: simulatedworker.FakeWorker,
--- a/primroselock/test/simulatedworker.py
+++ b/primroselock/test/simulatedworker.py
@@ -23,8 +23,7 @@
 class LiveRun:
     """A run in progress on a worker; it ends at ``ends_at``.
 
-    Its order may have arrived, at ``ordered_at``, long before the start;
-    ``late_note`` tells if it was meant for an earlier boot.
+    Its order may have arrived, at ``ordered_at``, long before the start.
     """
 
     run: orders.Run
@@ -33,7 +32,6 @@
     started_at: float
     cause: orders.EndCause = orders.EndCause.DONE
     ordered_at: float = math.inf
-    late_note: str = ''
 
 
 @dataclasses.dataclass
@@ -124,6 +122,11 @@
         answered = 'something' if self.has_answered else 'nothing'
         return f', ordered before boot {self.boot}, which answered {answered}'
 
+    def allows(self, used: jobgraph.Resources, ordered_at: float) -> bool:
+        """Return whether a start ordered at ``ordered_at`` may lead to it."""
+        current = self.entry.capacity
+        return self.capacity_history.allows(used, current, ordered_at)
+
     def read_clock(self) -> float:
         """Return the time on the worker's own clock, in seconds."""
         return clock.monotonic() + self.clock_offset_s
--- a/primroselock/test/testlatenotes.py
+++ b/primroselock/test/testlatenotes.py
@@ -12,6 +12,9 @@
 from primroselock.workers import orders
 
 _LEASE_S: typing.Final = 8.0
+_ALL: typing.Final = 8
+"""The accelerators of a worker."""
+
 _RUN: typing.Final = orders.Run(jobgraph.TaskName('j', 0, 0, 0), 1)
 
 
@@ -102,6 +105,38 @@
         ]
         self.assertEqual(expected, self.fleet.violations)
 
+    def overload(self, tasks: int, has_late_run: bool) -> str:
+        """Return the violation by starts that each take all of a worker."""
+
+        async def run(virtual: virtualtime.VirtualClock) -> None:
+            step = fleetbuilders.build_step(tasks, _ALL)
+            graph = fleetbuilders.build_graph('all', step)
+            self.fleet.graphs_by_id['all'] = graph
+            ordered_at = self.restart()
+            if has_late_run:
+                self.start(self.worker, ordered_at)
+            for index in range(tasks):
+                task = jobgraph.TaskName('all', 0, 0, index)
+                order = orders.Start(orders.Run(task, 1), '', _LEASE_S, 1)
+                now = clock.monotonic()
+                self.fleet._execute_start(self.worker, order, now)
+
+        virtualtime.run(run)
+        violation = self.fleet.violations[-1]
+        self.assertTrue(violation.startswith('w0 exceeds its capacity: '))
+        return violation
+
+    def test_a_run_that_takes_more_than_a_late_one_leaves(self) -> None:
+        """Guards against a worker's overload without its reason."""
+        violation = self.overload(1, has_late_run=True)
+        self.assertTrue(violation.endswith(', which answered nothing'))
+
+    def test_an_overload_with_another_reason(self) -> None:
+        """Guards against a fault that hides behind a late run."""
+        for has_late_run in (False, True):
+            violation = self.overload(2, has_late_run)
+            self.assertNotIn('ordered before', violation)
+
 
 if __name__ == '__main__':
     unittest.main()
