--- a/primroselock/test/testsoak.py
+++ b/primroselock/test/testsoak.py
@@ -21,7 +21,7 @@
 _TIMEOUT_S: typing.Final = 600
 
 
-class SoakTest(unittest.TestCase):
+class _SeedsCase(unittest.TestCase):
     """The soak in a process of its own, where the order of sets is fixed."""
 
     def check_seeds(self, first: int, seeds: int, *options: str) -> None:
@@ -42,6 +42,10 @@
         )
         self.assertEqual(0, ended.returncode, ended.stdout + ended.stderr)
 
+
+class SoakTest(_SeedsCase):
+    """A few seeds of each form."""
+
     def test_seed_1(self) -> None:
         self.check_seeds(1, 1)
 
@@ -60,26 +64,6 @@
         """Long-running work waits for claims or one rack under load."""
         self.check_seeds(217, 1, '--wide')
 
-    def test_restarts_seeds_1_to_8(self) -> None:
-        """Guards against orders that begin on a worker's next boot."""
-        self.check_seeds(1, 8, '--restarts')
-
-    def test_restarts_seed_9(self) -> None:
-        """Guards against orders that begin before a boot can be told."""
-        self.check_seeds(9, 1, '--restarts')
-
-    def test_restarts_seeds_10_to_16(self) -> None:
-        """Guards against orders that begin on a worker's next boot."""
-        self.check_seeds(10, 7, '--restarts')
-
-    def test_restarts_seed_17(self) -> None:
-        """Guards against orders that begin before a boot can be told."""
-        self.check_seeds(17, 1, '--restarts')
-
-    def test_restarts_seeds_18_to_20(self) -> None:
-        """Guards against orders that begin on a worker's next boot."""
-        self.check_seeds(18, 3, '--restarts')
-
     def test_drains_seeds_1_to_6(self) -> None:
         """Guards against jobs failed since their workers left as planned."""
         self.check_seeds(1, 6, '--drains')
@@ -89,9 +73,12 @@
         for seed in (103, 105, 120):
             self.check_seeds(seed, 1, '--crashing')
 
-    def test_orders_and_restarts_seeds_57_and_65(self) -> None:
+    def test_orders_and_restarts_seed_57(self) -> None:
         """Guards against orders that begin before a boot can be told."""
         self.check_seeds(57, 1, '--orders', '--restarts')
+
+    def test_orders_and_restarts_seed_65(self) -> None:
+        """Guards against orders that begin before a boot can be told."""
         self.check_seeds(65, 1, '--orders', '--restarts')
 
     def test_orders_seeds_1_to_6(self) -> None:
@@ -119,6 +106,78 @@
         self.check_seeds(1, 6, '--accounts')
 
 
+class RestartsTest(_SeedsCase):
+    """Guards against orders that begin on a worker's next boot.
+
+    Some begin before that boot can be told: a known fault, which each change
+    of the plays moves to other seeds (KNOWN-RED.txt).  So each seed is a test.
+    """
+
+    def check_seed(self, seed: int) -> None:
+        """Run a seed with restarts of workers."""
+        self.check_seeds(seed, 1, '--restarts')
+
+    def test_seed_1(self) -> None:
+        self.check_seed(1)
+
+    def test_seed_2(self) -> None:
+        self.check_seed(2)
+
+    def test_seed_3(self) -> None:
+        self.check_seed(3)
+
+    def test_seed_4(self) -> None:
+        self.check_seed(4)
+
+    def test_seed_5(self) -> None:
+        self.check_seed(5)
+
+    def test_seed_6(self) -> None:
+        self.check_seed(6)
+
+    def test_seed_7(self) -> None:
+        self.check_seed(7)
+
+    def test_seed_8(self) -> None:
+        self.check_seed(8)
+
+    def test_seed_9(self) -> None:
+        self.check_seed(9)
+
+    def test_seed_10(self) -> None:
+        self.check_seed(10)
+
+    def test_seed_11(self) -> None:
+        self.check_seed(11)
+
+    def test_seed_12(self) -> None:
+        self.check_seed(12)
+
+    def test_seed_13(self) -> None:
+        self.check_seed(13)
+
+    def test_seed_14(self) -> None:
+        self.check_seed(14)
+
+    def test_seed_15(self) -> None:
+        self.check_seed(15)
+
+    def test_seed_16(self) -> None:
+        self.check_seed(16)
+
+    def test_seed_17(self) -> None:
+        self.check_seed(17)
+
+    def test_seed_18(self) -> None:
+        self.check_seed(18)
+
+    def test_seed_19(self) -> None:
+        self.check_seed(19)
+
+    def test_seed_20(self) -> None:
+        self.check_seed(20)
+
+
 class OpenJobTest(unittest.TestCase):
     """Which jobs must have ended at the end of a run."""
 
