--- a/primroselock/test/fakefleet.py
+++ b/primroselock/test/fakefleet.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 from collections import abc
 import dataclasses
 import random
@@ -48,7 +49,7 @@
         self.advice_client = fakeadvice.FakeAdviceClient()
         self.tickets: list[str] = []
         self.graphs_by_id: dict[str, jobgraph.JobGraph] = {}
-        self.services_by_queue: dict[str, set[str]] = {}
+        self.services_by_queue = collections.defaultdict[str, set[str]](set)
         """The services to which any configuration has sent a queue."""
 
         self.work_s_by_job: dict[str, float] = {}
@@ -188,7 +189,7 @@
         in which it differs from the incarnation before, if any.
         """
         worker.is_down = False
-        worker.boot += 1
+        worker.begin_boot()
         worker.clock_offset_s = clock_s - clock.monotonic()
         if 'capacity' in changes:
             # An earlier capacity is no excuse for starts on this one.
@@ -281,7 +282,9 @@
             self.tickets.append(order.ticket)
         worker.extend_lease(order.lease_until)
         self._begin(worker, order.run, now, ordered_at)
-        self._check_capacity(worker, ordered_at)
+        overload = placementchecks.find_overload(worker, ordered_at)
+        if overload:
+            self.violations.append(overload)
         return None
 
     def _begin(
@@ -302,10 +305,10 @@
             cause = orders.EndCause.FAILED
         work_s *= worker.slowdown_factor
         self.starts += 1
-        self._check_start(worker, run, step, graph)
         live = simulatedworker.LiveRun(
             run, step, now + work_s, now, cause, ordered_at
         )
+        self._check_start(worker, live, graph)
         worker.runs[run] = live
         for hook in self.begin_hooks:
             hook(worker, live)
@@ -313,26 +316,26 @@
     def _check_start(
         self,
         worker: simulatedworker.FakeWorker,
-        run: orders.Run,
-        step: jobgraph.Step,
+        live: simulatedworker.LiveRun,
         graph: jobgraph.JobGraph,
     ) -> None:
-        task = run.task
-        self.violations += placementchecks.list_violations(
-            worker,
-            run,
-            graph,
-            self.services_by_queue.get(graph.queue, frozenset()),
+        task, step = live.run.task, live.step
+        note = worker.describe_late(live.ordered_at)
+        misplaced = placementchecks.list_violations(
+            worker, live.run, graph, self.services_by_queue[graph.queue]
         )
+        self.violations += [problem + note for problem in misplaced]
         if task in self.confirmed_done:
             self.violations.append(
-                f'{task} started after its end was confirmed'
+                f'{task} started after its end was confirmed{note}'
             )
         for other in self.workers_by_id.values():
             if other.is_down:
                 continue
-            if any(live.task == task for live in other.runs):
-                self.violations.append(f'{task} runs twice')
+            for beside in other.runs.values():
+                if beside.run.task == task:
+                    late = note or other.describe_late(beside.ordered_at)
+                    self.violations.append(f'{task} runs twice{late}')
         for earlier in step.after:
             for index in range(graph.steps[earlier].tasks):
                 name = jobgraph.TaskName(
@@ -342,18 +345,6 @@
                 if name not in self.done and not is_gang:
                     self.violations.append(f'{task} started before {name}')
 
-    def _check_capacity(
-        self, worker: simulatedworker.FakeWorker, ordered_at: float
-    ) -> None:
-        used = jobgraph.Resources()
-        for live in worker.runs.values():
-            used = used.plus(live.step.counted_need)
-        current = worker.entry.capacity
-        if not worker.capacity_history.allows(used, current, ordered_at):
-            self.violations.append(
-                f'{worker.entry.id} exceeds its capacity: {used}'
-            )
-
     async def stop(
         self,
         worker_id: str,
@@ -454,6 +445,7 @@
             # The process that held the poll open is out of reach, or ended.
             await asyncio.sleep(timeout_s)
             return result.Err(orders.Unanswered('no answer'))
+        worker.has_answered = True
         now = clock.monotonic()
         running = tuple(
             orders.Running(run, '', worker.find_share(live, now))
