A standby counts a shard lease on through an outage of the store

Cause: a standby that could not read the lease restarted its count, so that after an outage a dead holder's shard stayed free for a whole lease. Runs on leases of 6 s all lapsed in an outage of 4.2 s in which the holder was killed.

--- a/primroselock/leasegrants.py
+++ b/primroselock/leasegrants.py
@@ -22,9 +22,8 @@
     At most ``run_lease_s`` after the last time that the store confirmed
     this holder, so that a successor knows when all leases have expired.
     """
-    confirmed_at = lease.valid_until - settings.scheduler.shard_lease_s
     longest_s = settings.fleet.run_lease_s
-    return min(now, confirmed_at) + runleases.lease_s(worker, longest_s)
+    return min(now, lease.confirmed_at) + runleases.lease_s(worker, longest_s)
 
 
 def extend_lease(worker: fleetworkers.Worker, deadline: float) -> float:
--- a/primroselock/scheduler.py
+++ b/primroselock/scheduler.py
@@ -117,13 +117,12 @@
         await self.lease.release(clock.monotonic())
 
     async def _follow_lease(self) -> None:
-        interval_s = self.settings.scheduler.shard_renew_interval_s
         while not self.shared.stopping.is_set():
             await self.lease.step(clock.monotonic())
             if self.lease.has_shard and not self._may_decide():
                 # After a takeover the jobs are loaded at once.
                 self._jobs_due.set()
-            await asyncio.sleep(interval_s)
+            await asyncio.sleep(self.lease.step_pause_s)
 
     async def _follow_jobs(self) -> None:
         while True:
--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -243,7 +243,7 @@
             await self.lease.step(now)
             if self.lease.valid_until == valid_until:
                 # The store does not confirm it: do not press it.
-                await asyncio.sleep(interval_s)
+                await asyncio.sleep(self.lease.step_pause_s)
                 continue
             await asyncio.sleep(_MIN_RENEWAL_PAUSE_S)
             await waits.wait_event(
--- a/primroselock/shards.py
+++ b/primroselock/shards.py
@@ -12,8 +12,9 @@
 has seen a newer epoch.  While the table is unavailable it continues to
 renew the leases of running tasks; but once the table answers that it takes
 no calls of this process, which others may reach, an expired lease ends its
-time as the holder.  A standby that cannot read the table restarts its count
-of the lease's duration, so that the old holder can renew first.  Slow VMs
+time as the holder.  A standby that could not read the table counts the
+lease's duration on from when it first saw the row, and then leaves the old
+holder one interval of renewals, so that it can renew first.  Slow VMs
 wait a little longer than others before they take over.
 
 A holder that cannot place offers its lease by its renewals: it stays the
@@ -39,6 +40,9 @@
 from primroselock.store import table
 
 _log: typing.Final = logs.get('shards')
+_NEVER: typing.Final = float('-inf')
+_RETRIES_PER_INTERVAL: typing.Final = 2
+"""Attempts to renew in an interval while the store confirms none."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -150,6 +154,8 @@
     in seconds on this process's monotonic clock.  ``published_bounds`` cover
     the workers that a lease row which may be stored covers.  A standby may
     acquire the lease from ``acquirable_at`` on, if its row does not change.
+    ``is_confirmed`` says whether the last write of the lease succeeded, and
+    ``unreadable_until`` when a standby could read its row again.
 
     With ``offers`` each renewal offers the lease; ``is_offered`` remains set
     until a renewal without an offer is confirmed.  A standby acquires an
@@ -178,11 +184,14 @@
         self.offers = False
         self.is_offered = False
         self.takes_offers = False
+        self.is_confirmed = False
         # Version of the lease row as this standby observed it, and since
         # when; -1 while none was observed.
         self._observed_version = -1
         self._observed_since = 0.0
         self._offered_since: float | None = None
+        self.unreadable_until = _NEVER
+        self._is_unreadable = False
         self.acquirable_at = 0.0
         self._lease_row_version = table.ABSENT
         self._machine = transitions.Machine(
@@ -209,6 +218,25 @@
         """
         return self.state == 'holder'
 
+    @property
+    def confirmed_at(self) -> float:
+        """When the last write of the lease was sent that succeeded.
+
+        Only the holder has written one.
+        """
+        return self.valid_until - self._settings.shard_lease_s
+
+    @property
+    def step_pause_s(self) -> float:
+        """The time until the next step, in seconds.
+
+        A holder that could not renew is back before a standby may take over.
+        """
+        interval_s = self._settings.shard_renew_interval_s
+        if self.has_shard and not self.is_confirmed:
+            return interval_s / _RETRIES_PER_INTERVAL
+        return interval_s
+
     def drop(self, why: str) -> None:
         """Become a standby without writing to the table."""
         if self.state != 'holder':
@@ -270,6 +298,7 @@
         outcome = await table.transact_resolved(
             self._store, self._lease_write(row)
         )
+        self.is_confirmed = isinstance(outcome, result.Ok)
         if isinstance(outcome, result.Ok):
             self._lease_row_version = outcome.ok_value.version
             self.valid_until = now + self._settings.shard_lease_s
@@ -314,9 +343,12 @@
         epoch_key = keys.shard_epoch(self.shard)
         read = await self._store.read([lease_key, epoch_key])
         if isinstance(read, result.Err):
-            self._observed_version = -1
+            self._is_unreadable = True
             self._offered_since = None
             return
+        if self._is_unreadable:
+            self._is_unreadable = False
+            self.unreadable_until = now
         lease_row = read.ok_value.get(lease_key)
         epoch_row = read.ok_value.get(epoch_key)
         if not self._may_acquire(lease_row, now):
@@ -366,6 +398,7 @@
         self.epoch_row_version = outcome.ok_value.version
         self._lease_row_version = outcome.ok_value.version
         self.valid_until = now + self._settings.shard_lease_s
+        self.is_confirmed = True
         _log.info('shard lease acquired', shard=self.shard, epoch=epoch)
         self.trigger('gain')
 
@@ -383,15 +416,17 @@
             self._observed_version = version
             self._observed_since = now
         lease = read_lease_row(lease_row) if lease_row else None
-        delay_s = self._settings.takeover_delay_s
-        free_since = self._observed_since
+        free_at = self._observed_since
         offered_since = self._find_offered_since(lease, now)
         if offered_since is not None and self.takes_offers:
             # Each renewal of an offer changes the row.
-            free_since = offered_since
+            free_at = offered_since
         elif lease_row is not None and not (lease and lease.released):
-            delay_s += self._settings.shard_lease_s
-        self.acquirable_at = free_since + delay_s
+            free_at += self._settings.shard_lease_s
+            # After an outage the holder may be about to renew.
+            interval_s = self._settings.shard_renew_interval_s
+            free_at = max(free_at, self.unreadable_until + interval_s)
+        self.acquirable_at = free_at + self._settings.takeover_delay_s
         if lease is not None and lease.holder == self._holder_id:
             # The row was written by an earlier process of this VM, which
             # has ended.
