A run whose lease lapsed is logged and counted with its cause

Cause: 'run ended' with the cause lapsed did not tell whether the store, a takeover or the worker was the reason, and nothing counted them. Change: decisions/lapses finds the cause; it is the 'why' of 'run ended', and the gauge runs_lapsed of the holder counts by cause. No decision reads it.

--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -14,6 +14,7 @@
 from primroselock.decisions import drainlog
 from primroselock.decisions import evidence
 from primroselock.decisions import fleetworkers
+from primroselock.decisions import lapses
 from primroselock.decisions import leasebounds
 from primroselock.decisions import livejobs
 from primroselock.decisions import phaseindex
@@ -245,6 +246,9 @@
         default_factory=speeds.Speeds
     )
     share_notes: ShareNotes = dataclasses.field(default_factory=ShareNotes)
+    lease_lapses: lapses.LapseLog = dataclasses.field(
+        default_factory=lapses.LapseLog
+    )
 
     def note_ended(self, job_id: str, account: str, ended_ms: int) -> None:
         """Note a job that ended at a Unix time in milliseconds."""
--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -175,13 +175,16 @@
         return
     group = member.group
     _note_started(board, group.job)
+    values = {'cause': ended.cause.value, 'worker': worker.id}
+    if ended.cause is orders.EndCause.LEASE_EXPIRED:
+        lapse = board.lease_lapses.record(worker, board.run_lease_s, now)
+        values['why'] = lapse.value
     board.record_decision(
         'run ended',
         group.job,
         task=str(ended.run.task),
         attempt=ended.run.attempt,
-        cause=ended.cause.value,
-        worker=worker.id,
+        **values,
     )
     board.mark_terminated(member)
     _record_checkpoint(group, ended.checkpoint)
--- a/primroselock/holdergauges.py
+++ b/primroselock/holdergauges.py
@@ -15,6 +15,7 @@
 )
 _BEHIND_GAUGE: typing.Final = 'account_groups_behind'
 _SHARE_GAUGE: typing.Final = 'account_share_used'
+_LAPSE_GAUGE: typing.Final = 'runs_lapsed'
 
 
 class HolderGauges:
@@ -41,6 +42,12 @@
         set_gauges = self._metrics.set_gauges
         set_gauges(_BEHIND_GAUGE, 'account', notes.behind_by_account)
         set_gauges(_SHARE_GAUGE, 'account', notes.used_by_account)
+        lapsed = board.lease_lapses.counts_by_cause.items()
+        set_gauges(
+            _LAPSE_GAUGE,
+            'cause',
+            {cause.value: count for cause, count in lapsed},
+        )
 
     def clear(self) -> None:
         """Take the values back: this process holds the shard no more."""
@@ -49,3 +56,4 @@
         self._accounts.clear()
         for gauge in (_BEHIND_GAUGE, _SHARE_GAUGE):
             self._metrics.set_gauges(gauge, 'account', {})
+        self._metrics.set_gauges(_LAPSE_GAUGE, 'cause', {})
--- a/primroselock/metrics.py
+++ b/primroselock/metrics.py
@@ -33,6 +33,7 @@
     'planned_leaves': 'Runs whose worker left as planned under them.',
     'probes': 'Short polls of workers that may be unreachable.',
     'quota_waits': 'Jobs that the quota of their account holds back.',
+    'runs_lapsed': 'Runs whose lease lapsed, as this holder saw, by cause.',
     'shards_held': 'Shards whose lease this process holds.',
     'start_order': 'Time until a worker answered a start order.',
     'store_broken_answers': 'Answers of the store that ended midway.',
--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -414,6 +414,7 @@
         board.learned.trusted_ratio = (
             self._settings.fleet.trusted_estimate_ratio
         )
+        board.lease_lapses.unconfirmed_at = self.lease.unreadable_until
         now = clock.monotonic()
         # When a drain was reported that is read now is not known.
         board.drains.confirmed_at = _NEVER
