Leases of runs are extended beside the polls where these come too late

Cause: leases end a fixed time after the store confirmed the holder last, and were extended only as open polls ended, up to 2 s later. So runs lapsed in an outage of 4.2 s that their holder lived through, and a holder killed in it left leases shorter than they might be. Change: decisions/extensions says whose leases to extend at once: all that gain, once the store is in doubt (to the last confirmation, never beyond), and short ones after a new confirmation or a takeover; leasekeeper makes the calls. Busy workers are polled first after a takeover. In calm: no call more.

--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -33,6 +33,7 @@
 from primroselock import jobs
 from primroselock import lateness
 from primroselock import learnedrows
+from primroselock import leasekeeper
 from primroselock import logs
 from primroselock import metrics
 from primroselock import options
@@ -160,6 +161,9 @@
             parts.wake.set,
             parts.counters,
         )
+        self._lease_keeper = leasekeeper.LeaseKeeper(
+            self._settings, self._lease, board, self._pollers
+        )
         self._orders = runorders.OrderSender(
             self._settings,
             self._lease,
@@ -230,6 +234,7 @@
                     self._send_in_turns(),
                     self._writer.run(),
                     self._speeds.run(),
+                    self._lease_keeper.run(),
                     self._submission_follower.run(),
                     self._worker_follower.run(),
                     learnedrows.run(
--- /dev/null
+++ b/primroselock/leasekeeper.py
@@ -0,0 +1,118 @@
+"""Extends leases of runs at once where the open polls would be too late.
+
+See ``extensions`` for which.  While the store confirms the holder and nothing
+is due the workers are not looked at.
+"""
+
+import asyncio
+import typing
+
+from primroselock import backgroundtasks
+from primroselock import clock
+from primroselock.decisions import extensions
+from primroselock.decisions import fleet
+from primroselock.decisions import fleetworkers
+from primroselock import logs
+from primroselock import options
+from primroselock import shards
+from primroselock import workerpolling
+
+_log: typing.Final = logs.get('leases')
+_CHECK_INTERVAL_S: typing.Final = 0.1
+_PAUSE_PER_CHECK: typing.Final = 20.0
+"""Time between checks as a multiple of the time that one takes."""
+
+
+class LeaseKeeper:
+    """Checks the leases of one session; ``run`` is one of its loops."""
+
+    def __init__(
+        self,
+        settings: options.Settings,
+        lease: shards.ShardLease,
+        board: fleet.ShardBoard,
+        pollers: workerpolling.WorkerPollers,
+    ) -> None:
+        self._renew_interval_s = settings.scheduler.shard_renew_interval_s
+        self._lease = lease
+        self._board = board
+        self._pollers = pollers
+        self._is_in_doubt = False
+        self._is_settled = False
+        self._tasks = backgroundtasks.BackgroundTasks('lease extension')
+        self._tasks_by_worker_id: dict[str, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Extend what is due until the shard lease is lost or cancelled."""
+        try:
+            while self._lease.has_shard:
+                began = clock.monotonic()
+                self._check(began)
+                taken_s = clock.monotonic() - began
+                await asyncio.sleep(
+                    max(_CHECK_INTERVAL_S, taken_s * _PAUSE_PER_CHECK)
+                )
+        finally:
+            await self._tasks.cancel()
+
+    def find_standing(self) -> extensions.Standing:
+        """Return what the store says of this holder."""
+        return extensions.Standing(
+            self._lease.confirmed_at,
+            self._lease.is_confirmed,
+            self._renew_interval_s,
+            self._lease.published_bounds,
+        )
+
+    def _check(self, now: float) -> None:
+        standing = self.find_standing()
+        self._note_doubt(standing.is_in_doubt(now), now)
+        if self._is_settled:
+            return
+        due = extensions.list_due(self._board, standing, now)
+        for worker in due:
+            if worker.id not in self._tasks_by_worker_id:
+                self._extend(worker)
+        self._is_settled = not (
+            due or self._is_in_doubt or self._has_unextended()
+        )
+
+    def _note_doubt(self, is_in_doubt: bool, now: float) -> None:
+        """Log when the store begins or ceases to confirm this holder."""
+        if is_in_doubt:
+            self._is_settled = False
+            self._board.lease_lapses.unconfirmed_at = now
+        if is_in_doubt == self._is_in_doubt:
+            return
+        self._is_in_doubt = is_in_doubt
+        _log.warning(
+            'run leases extended to the last confirmation'
+            if is_in_doubt
+            else 'run leases extended on a new confirmation',
+            epoch=self._board.epoch,
+            unconfirmed_s=round(now - self._lease.confirmed_at, 3),
+        )
+
+    def _has_unextended(self) -> bool:
+        """Return whether leases of an earlier holder are still to extend."""
+        return any(
+            worker.members
+            and worker.lease_end is None
+            and not worker.failures_in_row
+            for worker in self._board.workers_by_id.values()
+        )
+
+    def _extend(self, worker: fleetworkers.Worker) -> None:
+        """Extend a worker's leases in a task of its own."""
+        task = self._tasks.spawn(self._pollers.extend(worker, self._is_due))
+        self._tasks_by_worker_id[worker.id] = task
+        task.add_done_callback(
+            lambda _: self._tasks_by_worker_id.pop(worker.id, None)
+        )
+
+    def _is_due(self, worker: fleetworkers.Worker, now: float) -> bool:
+        return self._board.workers_by_id.get(
+            worker.id
+        ) is worker and extensions.is_due(
+            self._board, worker, self.find_standing(), now
+        )
--- a/primroselock/metrics.py
+++ b/primroselock/metrics.py
@@ -28,6 +28,7 @@
     'known_speeds': 'Workers whose speed is estimated from runs.',
     'late_orders': 'Orders to workers given up since this process was late.',
     'late_polls': 'Polls of workers given up since this process was late.',
+    'lease_extensions': 'Calls that only extend the leases of a worker.',
     'looks': 'Polls of workers.',
     'orders_waiting': 'Orders to workers that wait for their turn.',
     'planned_leaves': 'Runs whose worker left as planned under them.',
--- a/primroselock/test/fakefeed.py
+++ b/primroselock/test/fakefeed.py
@@ -145,6 +145,7 @@
         """Additional seconds that a listing takes."""
 
         self.rows_received_by_table: dict[str, int] = {}
+        self.calls = 0
 
     def _count_rows(self, rows: abc.Iterable[table.Row]) -> None:
         for row in rows:
@@ -154,6 +155,7 @@
 
     async def _call(self) -> bool:
         """Wait for the duration of a call; return whether it succeeds."""
+        self.calls += 1
         await asyncio.sleep(CALL_DURATION_S)
         if self._connectivity.is_unresponsive:
             await asyncio.sleep(1.0)
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -21,6 +21,7 @@
 from primroselock import backoff
 from primroselock import callslots
 from primroselock import clock
+from primroselock.decisions import extensions
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
 from primroselock.decisions import livejobs
@@ -85,7 +86,7 @@
             if self._needs_polling(worker) and not self._is_polled(worker)
         ]
         self._give_up_polls()
-        missing.sort(key=_mixed_order)
+        missing.sort(key=_polling_order)
         for worker in missing:
             self._tasks_by_worker_id[worker.id] = self._tasks.spawn(
                 self._run(worker)
@@ -159,30 +160,56 @@
         await self._tasks.cancel()
 
     async def _probe(self, worker: fleetworkers.Worker) -> None:
-        """Check whether a worker that may be unreachable answers.
-
-        A long poll of the same worker may be open.  Only the polls, which
-        run one after another, apply what an answer reports; a probe only
-        records that an answer was received.
-        """
+        """Check whether a worker that may be unreachable answers."""
         due_at = clock.monotonic()
         async with self._slots.hold(worker.id):
             if worker.boot_seen_at >= due_at or worker.failures_in_row:
                 # A poll was answered, or has failed, in the meantime.
                 return
-            sent_at = clock.monotonic()
+            self._metrics.count('probes')
             timeout_s = self._settings.fleet.order_timeout_s
-            address = worker.entry.address
-            answer = await self._run_client.poll_runs(
-                worker.id,
-                address,
-                self._board.epoch,
-                0,
-                None,
-                0.0,
-                timeout_s,
+            await self._call_briefly(
+                worker, clock.monotonic(), None, timeout_s
             )
-        self._metrics.count('probes')
+
+    async def extend(
+        self,
+        worker: fleetworkers.Worker,
+        is_due: abc.Callable[[fleetworkers.Worker, float], bool],
+    ) -> None:
+        """Extend a worker's leases beside its poll, if still due then."""
+        async with self._slots.hold(worker.id):
+            sent_at = clock.monotonic()
+            if not self._lease.has_shard or not is_due(worker, sent_at):
+                return
+            self._metrics.count('lease_extensions')
+            lease_until = self._extend_lease(worker, sent_at)
+            timeout_s = self._settings.fleet.look_timeout_s
+            await self._call_briefly(worker, sent_at, lease_until, timeout_s)
+
+    async def _call_briefly(
+        self,
+        worker: fleetworkers.Worker,
+        sent_at: float,
+        lease_until: float | None,
+        timeout_s: float,
+    ) -> None:
+        """Call a worker without a wait, maybe to extend its leases.
+
+        A long poll of the same worker may be open.  Only the polls, which
+        run one after another, apply what an answer reports; this call only
+        records that an answer was received.
+        """
+        address = worker.entry.address
+        answer = await self._run_client.poll_runs(
+            worker.id,
+            address,
+            self._board.epoch,
+            0,
+            lease_until,
+            0.0,
+            timeout_s,
+        )
         self._record_duration(answer, sent_at)
         if isinstance(answer, result.Err):
             if worker.last_answer_at >= sent_at or self._was_late(
@@ -288,21 +315,8 @@
         boot = worker.boot
         sent_at = clock.monotonic()
         lease_until = None
-        # The lease of a worker that does not answer is not extended, so
-        # that its end is known: the worker may apply an unanswered
-        # extension later.  That of a boot that was not polled yet would name
-        # a time of another clock.
-        if (
-            self._may_extend(worker)
-            and worker.is_polled
-            and worker.members
-            and not worker.is_doubted
-            and not worker.failures_in_row
-        ):
-            deadline = leasegrants.lease_deadline(
-                self._settings, self._lease, worker, sent_at
-            )
-            lease_until = leasegrants.extend_lease(worker, deadline)
+        if extensions.may_extend(worker, self._lease.published_bounds):
+            lease_until = self._extend_lease(worker, sent_at)
         wait_s = self._poll_wait_s(worker)
         timeout_s = self._settings.fleet.look_timeout_s
         address = worker.entry.address
@@ -358,6 +372,15 @@
         self._metrics.count('late_polls')
         return True
 
+    def _extend_lease(
+        self, worker: fleetworkers.Worker, sent_at: float
+    ) -> float:
+        """Return the end of a worker's leases, to be sent at ``sent_at``."""
+        deadline = leasegrants.lease_deadline(
+            self._settings, self._lease, worker, sent_at
+        )
+        return leasegrants.extend_lease(worker, deadline)
+
     def _may_extend(self, worker: fleetworkers.Worker) -> bool:
         return not self._lease.published_bounds.covers(worker.id)
 
@@ -425,10 +448,11 @@
             self._wake()
 
 
-def _mixed_order(worker: fleetworkers.Worker) -> int:
-    """Return a key that mixes zones and racks.
+def _polling_order(worker: fleetworkers.Worker) -> tuple[bool, int]:
+    """Return a key that puts first what has members, else mixes zones.
 
+    After a takeover leases run out while all workers are due at once.
     Workers that do not answer are often neighbours in the order of ids; the
     first calls should not all wait for them.
     """
-    return zlib.crc32(worker.id.encode())
+    return not worker.members, zlib.crc32(worker.id.encode())
