--- a/primroselock/decisions/extensions.py
+++ b/primroselock/decisions/extensions.py
@@ -111,6 +111,19 @@
     )
 
 
+def has_inherited_leases(board: fleet.ShardBoard) -> bool:
+    """Return whether this holder has leases of earlier ones to extend.
+
+    Those on workers that do not answer run out.
+    """
+    return any(
+        worker.members
+        and worker.lease_end is None
+        and not worker.failures_in_row
+        for worker in board.workers_by_id.values()
+    )
+
+
 def _left_s(worker: fleetworkers.Worker, now: float) -> float:
     """Return for how long the runs of a worker are leased by this holder.
 
--- a/primroselock/leasekeeper.py
+++ b/primroselock/leasekeeper.py
@@ -55,17 +55,9 @@
         finally:
             await self._tasks.cancel()
 
-    def find_standing(self) -> extensions.Standing:
-        """Return what the store says of this holder."""
-        return extensions.Standing(
-            self._lease.confirmed_at,
-            self._lease.is_confirmed,
-            self._renew_interval_s,
-            self._lease.published_bounds,
-        )
-
     def _check(self, now: float) -> None:
-        standing = self.find_standing()
+        """Extend what is due, and judge whether more may be soon."""
+        standing = self._find_standing()
         self._note_doubt(standing.is_in_doubt(now), now)
         if self._is_settled:
             return
@@ -74,33 +66,38 @@
             if worker.id not in self._tasks_by_worker_id:
                 self._extend(worker)
         self._is_settled = not (
-            due or self._is_in_doubt or self._has_unextended()
+            due
+            or self._is_in_doubt
+            or extensions.has_inherited_leases(self._board)
+        )
+
+    def _find_standing(self) -> extensions.Standing:
+        """Return what the store says of this holder."""
+        return extensions.Standing(
+            self._lease.confirmed_at,
+            self._lease.is_confirmed,
+            self._renew_interval_s,
+            self._lease.published_bounds,
         )
 
     def _note_doubt(self, is_in_doubt: bool, now: float) -> None:
-        """Log when the store begins or ceases to confirm this holder."""
+        """Note whether the store confirms this holder; log a change."""
         if is_in_doubt:
             self._is_settled = False
             self._board.lease_lapses.unconfirmed_at = now
         if is_in_doubt == self._is_in_doubt:
             return
         self._is_in_doubt = is_in_doubt
-        _log.warning(
-            'run leases extended to the last confirmation'
-            if is_in_doubt
-            else 'run leases extended on a new confirmation',
-            epoch=self._board.epoch,
-            unconfirmed_s=round(now - self._lease.confirmed_at, 3),
-        )
-
-    def _has_unextended(self) -> bool:
-        """Return whether leases of an earlier holder are still to extend."""
-        return any(
-            worker.members
-            and worker.lease_end is None
-            and not worker.failures_in_row
-            for worker in self._board.workers_by_id.values()
-        )
+        values = {
+            'epoch': self._board.epoch,
+            'unconfirmed_s': round(now - self._lease.confirmed_at, 3),
+        }
+        if is_in_doubt:
+            _log.warning(
+                'run leases extended to the last confirmation', **values
+            )
+        else:
+            _log.info('run leases extended on a new confirmation', **values)
 
     def _extend(self, worker: fleetworkers.Worker) -> None:
         """Extend a worker's leases in a task of its own."""
@@ -111,8 +108,8 @@
         )
 
     def _is_due(self, worker: fleetworkers.Worker, now: float) -> bool:
-        return self._board.workers_by_id.get(
-            worker.id
-        ) is worker and extensions.is_due(
-            self._board, worker, self.find_standing(), now
-        )
+        """Return whether a worker whose turn has come is still due."""
+        if self._board.workers_by_id.get(worker.id) is not worker:
+            return False
+        standing = self._find_standing()
+        return extensions.is_due(self._board, worker, standing, now)
--- a/primroselock/test/faultbuilders.py
+++ b/primroselock/test/faultbuilders.py
@@ -73,8 +73,11 @@
 ACCOUNT_KINDS: typing.Final = frozenset({'account floods', 'new weights'})
 """Kinds of the series of ``accountfaults``, which are drawn likewise."""
 
+OUTAGE_KINDS: typing.Final = frozenset({'store outage'})
+"""Kinds of the series of ``outagefaults``, which are drawn likewise."""
+
 _SERIES_KINDS: typing.Final = (
-    ORDER_KINDS | REBUILD_KINDS | DRAIN_KINDS | ACCOUNT_KINDS
+    ORDER_KINDS | REBUILD_KINDS | DRAIN_KINDS | ACCOUNT_KINDS | OUTAGE_KINDS
 )
 
 Injection = abc.Callable[
--- a/primroselock/test/fleetbuilders.py
+++ b/primroselock/test/fleetbuilders.py
@@ -245,7 +245,8 @@
 
     ``entries_by_id`` holds the entries of the workers that are listed.
     With ``worker_rows`` the nodes read the workers' entries as on the
-    platform, and they are written so.
+    platform, and they are written so.  ``settings_text`` is that of nodes
+    that start without one of their own.
     """
 
     __test__ = False
@@ -260,6 +261,7 @@
         self.store = fakefeed.FeedStore()
         self.fleet = fakefleet.FakeFleet(seed)
         self.nodes: list[TestNode] = []
+        self.settings_text = ''
         self.queue_configuration = QUEUE_CONFIGURATION
         self._note_services(QUEUE_CONFIGURATION.queues)
         self.entries_by_id: dict[str, fleetworkers.WorkerEntry] = {}
@@ -376,7 +378,11 @@
     def add_node(self, name: str, settings_text: str = '') -> TestNode:
         """Start a node; ``settings_text`` adds sections in INI syntax."""
         node = TestNode(
-            name, self.store, self.fleet, settings_text, self._worker_rows
+            name,
+            self.store,
+            self.fleet,
+            settings_text or self.settings_text,
+            self._worker_rows,
         )
         node.set_queue_configuration(self.queue_configuration)
         self.nodes.append(node)
--- a/primroselock/test/soakbuilders.py
+++ b/primroselock/test/soakbuilders.py
@@ -25,12 +25,14 @@
 from primroselock.test import lastingcapacity
 from primroselock.test import loadbuilders
 from primroselock.test import orderfaults
+from primroselock.test import outagefaults
 from primroselock.test import quotafaults
 from primroselock.test import rebuiltworkers
 from primroselock.test import restartfaults
 from primroselock.test import unevenworkers
 from primroselock.test import virtualtime
 from primroselock import waits
+from primroselock.workers import orders
 
 _WORKERS: typing.Final = 60
 _SERIES: typing.Final = 4
@@ -39,6 +41,9 @@
 _FINAL_WAIT_S: typing.Final = 14.0
 """Time after the last submission or fault until the last check."""
 
+_SHORT_LEASES: typing.Final = '[fleet]\nrun_lease_s = 6\n'
+"""Settings of nodes in plans with outages: more runs are at stake."""
+
 _MAX_DRAIN_S: typing.Final = 120.0
 """Time after the last check by which every job must have ended."""
 
@@ -61,6 +66,7 @@
     quota_changes: tuple[quotafaults.QuotaChange, ...] = ()
     has_accounts: bool = False
     is_uneven: bool = False
+    has_outages: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -71,6 +77,7 @@
     problems: list[str] = dataclasses.field(default_factory=list)
     jobs: int = 0
     starts: int = 0
+    lapsed: int = 0
 
 
 def draw_plan(
@@ -159,6 +166,14 @@
     )
 
 
+def add_outages(plan: Plan) -> Plan:
+    """Return a plan with outages of the store too (see ``outagefaults``)."""
+    added = outagefaults.draw_series(plan.seed, plan.arrival_s)
+    return dataclasses.replace(
+        plan, faults=plan.faults + added, has_outages=True
+    )
+
+
 class Soak:
     """One run; ``world`` can be examined while it goes on."""
 
@@ -168,6 +183,8 @@
         self.world = fleetbuilders.World(plan.seed, 0)
         self.world.fleet.late_starts_outlive = plan.has_restarts
         loadbuilders.add_workers(self.world, _WORKERS)
+        if plan.has_outages:
+            self.world.settings_text = _SHORT_LEASES
         if plan.is_uneven:
             unevenworkers.set_speeds(self.world, plan.seed)
         self.crashing: crashbuilders.CrashingTasks | None = None
@@ -241,6 +258,7 @@
             ],
             len(world.fleet.graphs_by_id),
             world.fleet.starts,
+            world.fleet.end_counts.get(orders.EndCause.LEASE_EXPIRED, 0),
         )
 
     async def _play_large_configurations(self) -> None:
@@ -321,6 +339,7 @@
     has_quotas: bool = False,
     has_accounts: bool = False,
     is_uneven: bool = False,
+    has_outages: bool = False,
 ) -> Outcome:
     """Run the soak of a seed in virtual time.
 
@@ -345,6 +364,8 @@
             plan = add_accounts(plan)
         if is_uneven:
             plan = dataclasses.replace(plan, is_uneven=True)
+        if has_outages:
+            plan = add_outages(plan)
         soak = Soak(plan)
         examine(soak)
         return await soak.run()
--- a/primroselock/test/testextensions.py
+++ b/primroselock/test/testextensions.py
@@ -55,6 +55,13 @@
         """Guards against a successor that waits for its open polls."""
         self.check(leasebuilders.build_board(None), build_standing(), 'w0')
 
+    def test_inherited_leases_are_looked_for(self) -> None:
+        """Guards against a check that ends before a worker has answered."""
+        board = leasebuilders.build_board(_NOW + 3.0, None)
+        self.assertTrue(extensions.has_inherited_leases(board))
+        board.workers_by_id['w1'].record_failed_call(_NOW)
+        self.assertFalse(extensions.has_inherited_leases(board))
+
     def test_in_doubt_leases_reach_to_the_last_confirmation(self) -> None:
         """Guards against a kill in an outage that finds short leases."""
         board = leasebuilders.build_board(_NOW + 3.6, _NOW + 4.9)
--- a/primroselock/test/testsoak.py
+++ b/primroselock/test/testsoak.py
@@ -114,6 +114,10 @@
         """Guards against starts by the entry of an earlier boot (ROUTE)."""
         self.check_seeds(1, 6, '--wide', '--bounds')
 
+    def test_outages_seeds_1_to_4(self) -> None:
+        """Guards against work that waits, or runs twice, after outages."""
+        self.check_seeds(1, 4, '--outages')
+
     def test_accounts_seeds_1_to_6(self) -> None:
         """Guards against work that shares of accounts keep from starting."""
         self.check_seeds(1, 6, '--accounts')
@@ -165,6 +169,17 @@
             later = {fault.kind for fault in added[len(plan.faults) :]}
             self.assertEqual(faultbuilders.ORDER_KINDS, later)
 
+    def test_outages_are_added_to_the_same_plan(self) -> None:
+        """Guards against a form that changes the plays of the others."""
+        for seed in range(1, 20):
+            plan = soakbuilders.draw_plan(seed, True)
+            added = soakbuilders.add_outages(plan).faults
+            kinds = {fault.kind for fault in plan.faults}
+            self.assertFalse(faultbuilders.OUTAGE_KINDS & kinds)
+            self.assertEqual(plan.faults, added[: len(plan.faults)])
+            later = {fault.kind for fault in added[len(plan.faults) :]}
+            self.assertLessEqual(faultbuilders.OUTAGE_KINDS, later)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -9,7 +9,8 @@
 bound on each step, ``--drains`` workers that drain, leave and start again,
 ``--quotas`` quotas of the accounts that change, ``--accounts`` floods of one
 account beside weights that change, ``--uneven`` workers of different speeds
-and bursts of urgent gangs, and ``--configurations``
+and bursts of urgent gangs, ``--outages`` outages of the store in which
+holders are killed, and ``--configurations``
 versions of the configuration that are large for the nodes' links, beside
 faults of the store and of the links.
 ``--trace`` adds why the holder did not place the job, and the faults;
@@ -49,6 +50,7 @@
     parser.add_argument('--quotas', action='store_true')
     parser.add_argument('--accounts', action='store_true')
     parser.add_argument('--uneven', action='store_true')
+    parser.add_argument('--outages', action='store_true')
     parser.add_argument('--log', type=pathlib.Path)
     return parser.parse_args()
 
@@ -103,6 +105,7 @@
         arguments.quotas,
         arguments.accounts,
         arguments.uneven,
+        arguments.outages,
     )
     if arguments.log is None:
         _configure_log(None)
@@ -121,12 +124,15 @@
         environment = {**os.environ, 'PYTHONHASHSEED': _HASH_SEED}
         command = [sys.executable, '-m', 'tools.soak', *sys.argv[1:]]
         os.execve(sys.executable, command, environment)
-    broken = 0
+    broken = lapsed = 0
     for seed in range(arguments.first, arguments.first + arguments.seeds):
         outcome = _run(seed, arguments)
         broken += bool(outcome.problems)
+        lapsed += outcome.lapsed
         for problem in outcome.problems:
             print(f'seed {seed}: {problem}', flush=True)
+    if arguments.outages:
+        print(f'{lapsed} runs lapsed')
     print(f'{arguments.seeds} seeds, {broken} with problems')
     return 1 if broken else 0
 
