--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -243,7 +243,7 @@
             await self.lease.step(now)
             if self.lease.valid_until == valid_until:
                 # The store does not confirm it: do not press it.
-                await asyncio.sleep(interval_s)
+                await asyncio.sleep(self.lease.step_pause_s)
                 continue
             await asyncio.sleep(_MIN_RENEWAL_PAUSE_S)
             await waits.wait_event(
@@ -414,6 +414,7 @@
         board.learned.trusted_ratio = (
             self._settings.fleet.trusted_estimate_ratio
         )
+        board.lease_lapses.unconfirmed_at = self.lease.unreadable_until
         now = clock.monotonic()
         # When a drain was reported that is read now is not known.
         board.drains.confirmed_at = _NEVER
