A removed worker whose late starts were all refused fails no round

A removed worker's late runs are shared with the calls to it that are still under way. One of them may empty them, since another worker answers at its address; the next round then took the maximum of nothing, the loop failed and the holder gave up the shard.

--- a/primroselock/decisions/workerboots.py
+++ b/primroselock/decisions/workerboots.py
@@ -132,9 +132,16 @@
     late_runs_by_id: dict[str, dict[orders.Run, fleetworkers.LateRun]],
     now: float,
 ) -> None:
-    """Forget the workers none of whose late runs may begin any more."""
+    """Forget the workers none of whose late runs may begin any more.
+
+    An answer to a call that was under way when a worker was removed may have
+    told of all of them.
+    """
     for worker_id, late_runs in list(late_runs_by_id.items()):
-        latest = max(late_run.ordered_at for late_run in late_runs.values())
+        latest = max(
+            (late_run.ordered_at for late_run in late_runs.values()),
+            default=_NEVER,
+        )
         if now - latest > _FORGET_LATE_S:
             del late_runs_by_id[worker_id]
 
