Workers with running work are polled ahead of idle ones

After a takeover all workers are due for a poll, and leases are extended by the second poll of a busy worker, which stood behind the first polls of all idle ones: with 3,000 workers at half a core that takes about as long as a lease. Polls of idle workers now let the others go first; a few of them stand in the line, so that they do not starve.

--- a/primroselock/callslots.py
+++ b/primroselock/callslots.py
@@ -5,7 +5,8 @@
 before its time-out; each is then sent again, and the process stays busy with
 calls of which none succeeds.  So calls wait here for their turn: they are
 sent in the order in which they were decided, few at a time to one worker, so
-that one connection serves several, and a bounded number in total.
+that one connection serves several, and a bounded number in total.  Calls that
+lose nothing by waiting let the others go first.
 
 The bound follows from how soon calls are answered: one that is answered late
 takes a slot away; one that is answered soon gives it back.  A call that
@@ -29,6 +30,9 @@
 """Workers that do not answer must not hold up the others for long."""
 
 _MAX_CALLS_PER_WORKER: typing.Final = 2
+_MAX_PATIENT_IN_LINE: typing.Final = 8
+"""They must not starve either: workers that were not polled get no work."""
+
 _FAST_ANSWER_S: typing.Final = 0.1
 _SLOW_ANSWER_S: typing.Final = 0.2
 """Half of the time-out of an order."""
@@ -40,6 +44,7 @@
 _MAX_HANGING_S: typing.Final = 0.4
 _FIRST_USUAL_S: typing.Final = 0.05
 _SMOOTHING_FACTOR: typing.Final = 0.1
+_NO_LINE: typing.Final = contextlib.nullcontext()
 
 
 class CallSlots:
@@ -56,10 +61,17 @@
         self._slots = asyncio.Semaphore(_FIRST_SLOTS)
         self._withheld = _MAX_SLOTS - _FIRST_SLOTS
         self._slots_by_worker_id: dict[str, asyncio.Semaphore] = {}
+        self._patient_line = asyncio.Semaphore(_MAX_PATIENT_IN_LINE)
 
     @contextlib.asynccontextmanager
-    async def hold(self, worker_id: str) -> abc.AsyncIterator[None]:
-        """Hold a slot for a call to a worker."""
+    async def hold(
+        self, worker_id: str, can_wait: bool = False
+    ) -> abc.AsyncIterator[None]:
+        """Hold a slot for a call to a worker.
+
+        Of the calls that ``can_wait`` few at a time stand in the line for
+        the slots in total: others go ahead of all the rest of them.
+        """
         worker_slots = self._slots_by_worker_id.setdefault(
             worker_id, asyncio.Semaphore(_MAX_CALLS_PER_WORKER)
         )
@@ -67,7 +79,8 @@
             self.waiting_count += 1
             try:
                 await stack.enter_async_context(worker_slots)
-                await self._slots.acquire()
+                async with self._patient_line if can_wait else _NO_LINE:
+                    await self._slots.acquire()
             finally:
                 self.waiting_count -= 1
             slot = _Slot(self._release, self._hanging_after_s())
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -7,7 +7,9 @@
 Polls are often due for all workers at once, as after a takeover, and probes
 for all workers of a zone.  They wait for their turn, see ``callslots``: if a
 slow process sends all of them at the same time, it receives no answer before
-their time-out.  A long poll leaves its slot soon after it was sent.
+their time-out.  A long poll leaves its slot soon after it was sent.  Workers
+on which nothing runs are polled after the others, which lose their work when
+their leases expire.
 """
 
 import asyncio
@@ -222,7 +224,9 @@
     async def _poll_while_needed(self, worker: fleetworkers.Worker) -> None:
         while self._lease.has_shard and self._needs_polling(worker):
             await self._wait_for_saved_ends(worker)
-            async with self._slots.hold(worker.id):
+            # Leases are extended, and ends are known, by polls of the others.
+            can_wait = not worker.is_busy
+            async with self._slots.hold(worker.id, can_wait):
                 if not self._needs_polling(worker):
                     break
                 is_answered = await self._poll_guarded(worker)
