A successor does not wait again for leases that have expired

Cause: the lease row named a silent worker only while it had members. Once its leases had expired and they were settled, a successor that still read them in the row of a gang, which is written at its end, waited for the longest lease again, at each takeover for another member. Change: such a worker stays in the row, with nothing left, for 30 s or until it answers. testleasebounds.ExpiredLeasesTest fails before.

--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -153,7 +153,8 @@
     workers that ``published_bounds`` covers get no lease.  Nobody is blamed
     for being late before ``judge_from``, since this process was late itself.
     The leases of workers were last checked at
-    ``expiry_checked_at``.  ``changed_ids`` names the jobs whose rows must
+    ``expiry_checked_at``; ``expired_at_by_worker_id`` is when all of a silent
+    worker were over.  ``changed_ids`` names the jobs whose rows must
     be written, in the order of their first change, and ``ended_ms_by_id``
     those that ended, with the Unix time in milliseconds;
     ``accounts_by_ended_id`` holds their accounts.
@@ -208,6 +209,9 @@
     )
     judge_from: float = _NEVER
     expiry_checked_at: float = _NEVER
+    expired_at_by_worker_id: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
     waits_reported_at: float = _NEVER
     idle_waits: int = 0
     next_examined: int = 0
--- a/primroselock/decisions/runleases.py
+++ b/primroselock/decisions/runleases.py
@@ -25,6 +25,9 @@
 _SILENT_AFTER_S: typing.Final = 1.0
 """A lease is published as bounded once calls have failed for this long."""
 
+_EXPIRED_KEPT_S: typing.Final = 30.0
+"""For so long a worker on which every lease has expired is published."""
+
 _MAX_BOUNDS_BYTES: typing.Final = 32_768
 _BYTES_PER_BOUND: typing.Final = 12
 """Length of a bound in a row, without the id of the worker."""
@@ -42,6 +45,7 @@
         if not _may_run_any(worker) or not _is_expired(board, worker, now):
             continue
         crashes.note_settled(board, worker, now)
+        board.expired_at_by_worker_id[worker.id] = now
         settle_lost_worker(
             board, worker, 'every lease has expired', now, wall_ms
         )
@@ -187,23 +191,36 @@
 ) -> leasebounds.LeaseBounds:
     """Return the bounds to publish: no lease is extended on these workers.
 
-    They are the workers on which something may run and that do not answer.
+    They are the workers on which something may run and that do not answer,
+    and those on which every lease has expired lately: a successor may read
+    rows in which their members are not settled.
     The row has a limit, so that not all may find a place in it.
     """
-    left_s_by_worker_id: dict[str, float] = {}
-    bytes_left = _MAX_BOUNDS_BYTES
+    _forget_expired(board, now)
+    left_s_by_worker_id = dict.fromkeys(board.expired_at_by_worker_id, 0.0)
     for worker in board.workers_by_id.values():
-        if not worker.members or not _is_silent(worker, now):
-            continue
-        bytes_left -= len(worker.id) + _BYTES_PER_BOUND
+        if worker.members and _is_silent(worker, now):
+            left_s_by_worker_id[worker.id] = leasebounds.seconds_left(
+                _all_leases_until(board, worker), now
+            )
+    bytes_left = _MAX_BOUNDS_BYTES
+    for worker_id in list(left_s_by_worker_id):
+        bytes_left -= len(worker_id) + _BYTES_PER_BOUND
         if bytes_left < 0:
-            break
-        left_s_by_worker_id[worker.id] = leasebounds.seconds_left(
-            _all_leases_until(board, worker), now
-        )
+            del left_s_by_worker_id[worker_id]
     return leasebounds.LeaseBounds(left_s_by_worker_id)
 
 
+def _forget_expired(board: fleet.ShardBoard, now: float) -> None:
+    """Forget the workers that answer again, or were lost long ago."""
+    for worker_id, expired_at in list(board.expired_at_by_worker_id.items()):
+        worker = board.workers_by_id.get(worker_id)
+        if now - expired_at > _EXPIRED_KEPT_S or (
+            worker is not None and not _is_silent(worker, now)
+        ):
+            del board.expired_at_by_worker_id[worker_id]
+
+
 def covers_answering_worker(
     board: fleet.ShardBoard, bounds: leasebounds.LeaseBounds
 ) -> bool:
--- a/primroselock/test/testleasebounds.py
+++ b/primroselock/test/testleasebounds.py
@@ -105,6 +105,40 @@
         self.assertGreater(len(bounds.left_s_by_worker_id), 300)
 
 
+class ExpiredLeasesTest(unittest.TestCase):
+    """What is published of a worker on which every lease has expired.
+
+    The pattern: two members of a gang are lost at different times, and
+    holders change meanwhile; the row of the gang is written at its end only.
+    """
+
+    def setUp(self) -> None:
+        self.board = build_board('w0')
+        self.worker = self.board.workers_by_id['w0']
+        self.board.inherited_leases = leasebounds.InheritedLeases(8.0)
+        runleases.expire_workers(self.board, 8.5, 0)
+
+    def find_bounds(self, now: float) -> dict[str, float]:
+        """Return the bounds that are published at ``now``."""
+        return runleases.bound_leases(self.board, now).left_s_by_worker_id
+
+    def test_a_successor_need_not_wait_for_it_again(self) -> None:
+        """Guards against a wait that each takeover starts again."""
+        self.assertEqual({}, self.worker.members)
+        self.assertEqual({'w0': 0.0}, self.find_bounds(9.0))
+        self.board.remove_worker('w0')
+        self.assertEqual({'w0': 0.0}, self.find_bounds(9.0))
+
+    def test_a_worker_that_answers_may_have_leases(self) -> None:
+        """Guards against a worker that is kept from leases for no reason."""
+        self.worker.polled_at = 9.0
+        self.assertEqual({}, self.find_bounds(9.1))
+
+    def test_it_is_forgotten(self) -> None:
+        """Guards against a row that grows with each worker that is lost."""
+        self.assertEqual({}, self.find_bounds(60.0))
+
+
 class _Publisher:
     """Publishes the bounds that a test sets."""
 
