--- a/primroselock/decisions/endtimes/hurry.py
+++ b/primroselock/decisions/endtimes/hurry.py
@@ -39,7 +39,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Limits:
+class Limits:
     """The lowest speeds that are enough now, and after a stop of others.
 
     What is free is taken if it is likely to do; for others to be stopped it
@@ -61,11 +61,8 @@
 
     ``preempt`` is called for a group that may have others stopped.
     """
-    if context.settings.speed_order != 'in_time':
-        return Outcome.OPEN
-    limits = _find_limits(context, group)
-    slowest = context.free_capacity.slowest_speed
-    if limits.now <= slowest or math.isinf(limits.now):
+    limits = find_limits(context, group)
+    if limits is None:
         return Outcome.OPEN
     own_shape = shape.in_time(limits.now) if shape is not None else None
     may_use = preferences.build_worker_filter(context, group, queue)
@@ -89,14 +86,24 @@
     return Outcome.OPEN
 
 
-def _find_limits(
+def find_limits(
     context: placementround.RoundContext, group: livejobs.Group
-) -> _Limits:
+) -> Limits | None:
+    """Return how fast the workers of a group must be; None if any will do.
+
+    That is also so where no worker is fast enough for its job.
+    """
+    if context.settings.speed_order != 'in_time':
+        return None
     board, wall_s = context.board, context.wall_s
-    return _Limits(
+    limits = Limits(
         needs.needed_speed(board, group, wall_s, margin=0.0),
         needs.needed_speed(board, group, wall_s + context.settings.stop_s),
     )
+    slowest = context.free_capacity.slowest_speed
+    if limits.now <= slowest or math.isinf(limits.now):
+        return None
+    return limits
 
 
 def _may_stop_others(
--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -29,17 +29,15 @@
 from primroselock.decisions import earlierruns
 from primroselock.decisions import eligibility
 from primroselock.decisions.endtimes import hurry
-from primroselock.decisions.endtimes import speedorders
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetpreemption
-from primroselock.decisions import fleetworkers
 from primroselock.decisions import freecapacity
 from primroselock.decisions import livejobs
 from primroselock.decisions import objectives
 from primroselock.decisions import placementround
 from primroselock.decisions import preferences
-from primroselock.decisions import reachability
+from primroselock.decisions import roundcontexts
 from primroselock.decisions import slices
 from primroselock.decisions.victims import losses
 from primroselock.decisions import waiting
@@ -61,11 +59,13 @@
     board: fleet.ShardBoard,
     settings: options.FleetSettings,
     turn: slices.Turn,
+    observe: placementround.Observe | None = None,
 ) -> slices.Slices:
     """Place waiting groups, the most urgent first.
 
     The order is that of the beginning.  After a pause only groups are placed
-    that still may be, on what has been free all the while.
+    that still may be, on what has been free all the while.  ``observe`` is
+    told of each group before it is placed.
     """
     _drop_claims(board, turn.now)
     board.entry_cache.limit()
@@ -97,49 +97,21 @@
         usable = eligibility.list_usable(board, turn.now)
         limits.resume(turn.now)
     claimindex.update_shares(board.claims_by_group, account_shares.beyond)
-    context = placementround.RoundContext(
+    context = roundcontexts.build(
         board,
         settings,
-        len(usable),
+        turn,
+        usable,
         plenty,
-        freecapacity.FreeCapacity(
-            board,
-            _list_verified(board, usable),
-            fitting.scores_by_name[settings.placement],
-            speedorders.orders_by_name[settings.speed_order],
-            turn.wall_s,
-        ),
         limits,
-        _index_victims(board, settings, account_shares, turn),
-        claimindex.ClaimIndex(board.claims_by_group),
         guaranteed_ids,
         account_shares,
-        turn.now,
-        turn.wall_s,
+        observe,
     )
     yield from _place_listed(context, listed, turn, pauses)
     sharereport.report(board, account_shares, listed, turn)
 
 
-def _index_victims(
-    board: fleet.ShardBoard,
-    settings: options.FleetSettings,
-    account_shares: shares.AccountShares,
-    turn: slices.Turn,
-) -> fleetpreemption.VictimIndex:
-    """Return the index of what could be stopped, by the configured cost.
-
-    Accounts' shares count where they apply.
-    """
-    rule = losses.costs_by_name[settings.preemption_cost]
-    now, wall_s = turn.now, turn.wall_s
-    has_shares = bool(account_shares.shares_by_account)
-    return fleetpreemption.VictimIndex(
-        lambda group: rule(board, settings, group, now, wall_s),
-        account_shares.used_share if has_shares else None,
-    )
-
-
 def _place_listed(
     context: placementround.RoundContext,
     listed: waiting.Listed,
@@ -183,12 +155,12 @@
     """Return the inputs to further placements after a pause."""
     board = context.board
     usable = eligibility.list_usable(board, turn.now)
-    context.free_capacity.resume(_list_verified(board, usable))
+    context.free_capacity.resume(roundcontexts.list_verified(board, usable))
     context.quotas.resume(turn.now)
     return dataclasses.replace(
         context,
         usable_count=len(usable),
-        victims=_index_victims(
+        victims=roundcontexts.index_victims(
             board, context.settings, context.account_shares, turn
         ),
         now=turn.now,
@@ -196,16 +168,6 @@
     )
 
 
-def _list_verified(
-    board: fleet.ShardBoard, usable: abc.Iterable[fleetworkers.Worker]
-) -> list[fleetworkers.Worker]:
-    """Return the usable workers that are known to answer."""
-    unverified_ids = {
-        worker.id for worker in reachability.list_unverified(board)
-    }
-    return [worker for worker in usable if worker.id not in unverified_ids]
-
-
 def _place_step(
     context: placementround.RoundContext,
     groups: abc.Sequence[livejobs.Group],
@@ -235,6 +197,8 @@
     for group in groups:
         if placed >= limit:
             break
+        if context.observe is not None:
+            context.observe(context, group)
         if not context.quotas.allows(group):
             if quotaholds.hold_back(context, group):
                 continue
--- a/primroselock/decisions/fleetpreemption.py
+++ b/primroselock/decisions/fleetpreemption.py
@@ -164,9 +164,7 @@
     def may_wait_for(other: livejobs.Group) -> bool:
         return not other.step.long_running
 
-    endings = VictimIndex(
-        lambda other: _remaining_s(board, other, now, stop_s)
-    )
+    endings = VictimIndex(lambda other: remaining_s(board, other, now, stop_s))
     search = _Search(free_capacity, group, may_wait_for, endings, _latest)
     return _choose(search, allow)
 
@@ -175,7 +173,7 @@
     return max(times_s, default=0.0)
 
 
-def _remaining_s(
+def remaining_s(
     board: fleet.ShardBoard,
     group: livejobs.Group,
     now: float,
--- a/primroselock/decisions/freecapacity.py
+++ b/primroselock/decisions/freecapacity.py
@@ -286,6 +286,11 @@
 
 def fits_when_empty(worker: fleetworkers.Worker, step: jobgraph.Step) -> bool:
     """Return whether the worker could hold a task of the step when empty."""
-    if step.label and step.label not in worker.entry.labels:
+    if not has_label(worker, step):
         return False
     return worker.entry.capacity.can_fit(step.counted_need)
+
+
+def has_label(worker: fleetworkers.Worker, step: jobgraph.Step) -> bool:
+    """Return whether the worker has the label that the step asks for."""
+    return not step.label or step.label in worker.entry.labels
--- a/primroselock/decisions/placementround.py
+++ b/primroselock/decisions/placementround.py
@@ -25,6 +25,9 @@
 CLAIM_REVIEW_S: typing.Final = 1.0
 """After this time the workers of a capacity claim are chosen again."""
 
+PREEMPTED: typing.Final = 'preempted'
+"""The event of a decision to stop a group ``by`` another job."""
+
 _SEARCH_RETRY_S: typing.Final = 0.25
 """Delay before victims or workers to claim are searched again for a shape
 for which none were found."""
@@ -38,6 +41,7 @@
     ``guaranteed_ids`` names the jobs within their accounts' guarantees;
     ``account_shares`` are those of the accounts at the start of the round.
     ``now`` is on this process's clock; ``wall_s`` is since the Unix epoch.
+    ``observe`` is set while a round is rehearsed.
     """
 
     board: fleet.ShardBoard
@@ -52,6 +56,7 @@
     account_shares: shares.AccountShares
     now: float
     wall_s: float
+    observe: 'Observe | None' = None
 
     def rank(self, group: livejobs.Group) -> livejobs.Rank:
         """Return the rank of a group; lower ranks go first."""
@@ -116,6 +121,10 @@
         return group.step.long_running or self.has_plenty(group)
 
 
+Observe = abc.Callable[[RoundContext, livejobs.Group], None]
+"""Told of a group before a round places it."""
+
+
 def place_among(
     context: RoundContext,
     group: livejobs.Group,
@@ -171,9 +180,9 @@
         if losses.ends_anyway(victim, context.now, context.settings.stop_s):
             continue
         board.record_decision(
-            'preempted',
+            PREEMPTED,
             victim.job,
-            group=[victim.key.occurrence, victim.key.step, victim.key.index],
+            group=victim.key.as_list(),
             attempt=victim.attempt,
             by=group.job.graph.id,
         )
--- a/primroselock/decisions/preferences.py
+++ b/primroselock/decisions/preferences.py
@@ -10,6 +10,8 @@
 be free for it soon.
 """
 
+from collections import abc
+import enum
 import typing
 
 from primroselock.decisions import advising
@@ -35,6 +37,19 @@
 expected to be free by then, while capacity is scarce."""
 
 
+class Obstacle(enum.Enum):
+    """Why a usable worker is not used for a group, though it has room."""
+
+    DISTURBS = 'its tasks and those of the group would disturb each other'
+    AVOIDED = 'the group was stuck there, or disturbed others'
+    CRASH_RISK = 'the group may crash workers, and others have work there'
+    CLAIMED = 'claimed for other groups'
+    NOT_ADVISED = 'no ticket of the advice service for it'
+
+
+FindObstacle = abc.Callable[[fleetworkers.Worker], Obstacle | None]
+
+
 def note_capacity(
     context: placementround.RoundContext, group: livejobs.Group
 ) -> None:
@@ -201,10 +216,10 @@
     queue: queues.Queue,
 ) -> fitting.WorkerFilter:
     """Return a filter for the usable workers that a group prefers."""
-    may_use = build_victim_filter(context, group, queue)
+    find = build_obstacle_finder(context, group, queue)
 
     def allow(worker: fleetworkers.Worker) -> bool:
-        return sharing.are_apart(worker, group.step) and may_use(worker)
+        return sharing.are_apart(worker, group.step) and find(worker) is None
 
     return allow
 
@@ -218,15 +233,35 @@
 
     What disturbs it there, or would be disturbed, may be what is stopped.
     """
-    rank = context.rank(group)
-    may_run = _build_basic_filter(context, group, queue)
+    find = build_obstacle_finder(context, group, queue)
 
     def allow(worker: fleetworkers.Worker) -> bool:
-        return (
-            worker.id not in group.avoided_worker_ids
-            and crashpolicy.may_share(group, worker, context.now)
-            and not context.claims.excludes(worker.id, group, rank)
-            and may_run(worker)
-        )
+        return find(worker) is None
 
     return allow
+
+
+def build_obstacle_finder(
+    context: placementround.RoundContext,
+    group: livejobs.Group,
+    queue: queues.Queue,
+) -> FindObstacle:
+    """Return what tells why a worker is none where a group may make room.
+
+    ``DISTURBS`` is no such reason.
+    """
+    rank = context.rank(group)
+    may_run = _build_basic_filter(context, group, queue)
+
+    def find(worker: fleetworkers.Worker) -> Obstacle | None:
+        if worker.id in group.avoided_worker_ids:
+            return Obstacle.AVOIDED
+        if not crashpolicy.may_share(group, worker, context.now):
+            return Obstacle.CRASH_RISK
+        if context.claims.excludes(worker.id, group, rank):
+            return Obstacle.CLAIMED
+        if not may_run(worker):
+            return Obstacle.NOT_ADVISED
+        return None
+
+    return find
--- a/primroselock/decisions/runtimes/observations.py
+++ b/primroselock/decisions/runtimes/observations.py
@@ -51,6 +51,11 @@
     return board.learned.expected_s(kind_of(group), estimate_s(group))
 
 
+def is_learned(board: fleet.ShardBoard, group: livejobs.Group) -> bool:
+    """Return whether the expected run time is other than the estimate."""
+    return expected_s(board, group) != estimate_s(group)
+
+
 def expected_here_s(board: fleet.ShardBoard, group: livejobs.Group) -> float:
     """Return the expected run time on the workers of a group, in seconds."""
     return expected_s(board, group) / slowest_speed(board, group)
