Command explain for a short request: upstreams judged by the router's own rules

Cause: nobody could say where a request would go, or why an upstream gets none. Change: Router.judge names what excludes each upstream with the function that choose goes by; Dispatcher.foresee tells sent, waits or refused by the checks of a real request. An operators' call of the gateway returns both; it takes no slot, draws nothing and counts nothing.

--- a/primroselock/decisions/explaining/records.py
+++ b/primroselock/decisions/explaining/records.py
@@ -156,13 +156,14 @@
 class Knowledge:
     """Who answers, and how old is what the answer rests on.
 
-    ``node`` is the VM id of who decides.  ``ages_s`` holds, in seconds, the
+    ``node`` is the VM id of who decides, ``epoch`` that of its shard, if it
+    holds one.  ``ages_s`` holds, in seconds, the
     ages of its copies of the ``configuration``, of what it knows of the
     ``workers`` and of the ``jobs``, and of its last ``round``.
     """
 
     node: str
-    epoch: int
+    epoch: int | None
     configuration_version: int
     ages_s: dict[str, float]
 
--- a/primroselock/dispatch.py
+++ b/primroselock/dispatch.py
@@ -31,6 +31,7 @@
 _UPSTREAM_SHUTTING_DOWN: typing.Final = 'leaving'
 """Value of the header when the upstream is shutting down."""
 
+_TOO_LATE: typing.Final = 'too-late'
 _MAX_ATTEMPTS: typing.Final = 3
 _REFRESH_INTERVAL_S: typing.Final = 0.02
 _RETRY_AFTER_S: typing.Final = 1.0
@@ -89,6 +90,21 @@
     deadline: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Foreseen:
+    """What would become of a request that is sent now.
+
+    ``upstreams`` are those of its service, each with what excludes it.  It
+    would wait for ``wait_s``, and the answer then takes ``mean_exchange_s``
+    (0 if none was received yet), or be refused.
+    """
+
+    upstreams: list[tuple[routing.Upstream, routing.Exclusion | None]]
+    wait_s: float
+    mean_exchange_s: float
+    refusal: NotRun | None
+
+
 @dataclasses.dataclass(eq=False, slots=True)
 class _Waiter:
     """A queued request.
@@ -197,15 +213,57 @@
             if upstream is not None:
                 self._reserve(state, upstream)
                 return upstream
-        if not self._router.has_available_upstream(pending.service, now):
-            return NotRun('no-upstream', 'no upstream of the service is live')
         wait_s = state.expected_wait_s(pending.account)
-        if now + wait_s + state.mean_exchange_s > pending.deadline:
-            self._metrics.count('refused_deadline')
-            message = f'the expected wait is {wait_s:.3f} s'
-            return NotRun('too-late', message, wait_s)
+        refusal = self._find_refusal(
+            state, pending.service, wait_s, pending.deadline, now
+        )
+        if refusal is not None:
+            if refusal.code == _TOO_LATE:
+                self._metrics.count('refused_deadline')
+            return refusal
         return await self._wait_for_slot(state, pending, excluded, wait_s)
 
+    def _find_refusal(
+        self,
+        state: _ServiceState,
+        service: configuration.Service,
+        wait_s: float,
+        deadline: float,
+        now: float,
+    ) -> NotRun | None:
+        """Return why a request without a free slot need not wait, or None."""
+        if not self._router.has_available_upstream(service, now):
+            return NotRun('no-upstream', 'no upstream of the service is live')
+        if now + wait_s + state.mean_exchange_s > deadline:
+            message = f'the expected wait is {wait_s:.3f} s'
+            return NotRun(_TOO_LATE, message, wait_s)
+        return None
+
+    def foresee(
+        self,
+        service: configuration.Service,
+        account: configuration.Account,
+        timeout_s: float,
+        now: float,
+    ) -> Foreseen:
+        """Return what would become of a request; change nothing."""
+        state = self._states_by_service.get(service.name) or _ServiceState()
+        verdicts = self._router.judge(service, now)
+        mean_s = state.mean_exchange_s
+        has_candidate = any(why is None for _, why in verdicts)
+        if has_candidate and not len(state.queue):
+            return Foreseen(verdicts, 0.0, mean_s, None)
+        wait_s = state.expected_wait_s(account)
+        refusal = self._find_refusal(
+            state, service, wait_s, now + timeout_s, now
+        )
+        is_admitted = state.queue.admits(
+            account.name, account.weight, service.queue
+        )
+        if refusal is None and not is_admitted:
+            refusal = _queue_full(wait_s)
+        return Foreseen(verdicts, wait_s, mean_s, refusal)
+
     async def _wait_for_slot(
         self,
         state: _ServiceState,
@@ -221,9 +279,7 @@
         )
         if displaced is not None:
             self._metrics.count('refused_queue_full')
-            displaced.granted.set_result(
-                NotRun('queue-full', 'the queue is full', wait_s, 429)
-            )
+            displaced.granted.set_result(_queue_full(wait_s))
         try:
             async with asyncio.timeout(pending.deadline - clock.monotonic()):
                 return await asyncio.shield(waiter.granted)
@@ -345,5 +401,9 @@
         return True
 
 
+def _queue_full(wait_s: float) -> NotRun:
+    return NotRun('queue-full', 'the queue is full', wait_s, 429)
+
+
 def _expired() -> NotRun:
-    return NotRun('too-late', 'the deadline passed before a slot was free')
+    return NotRun(_TOO_LATE, 'the deadline passed before a slot was free')
--- a/primroselock/explaincommands.py
+++ b/primroselock/explaincommands.py
@@ -207,8 +207,11 @@
     ages = ', '.join(
         f'{name} {age_s} s' for name, age_s in known['ages_s'].items()
     )
+    epoch = ''
+    if known['epoch'] is not None:
+        epoch = f'epoch {known["epoch"]}, '
     return (
-        f'answered by {known["node"]}, epoch {known["epoch"]}, '
+        f'answered by {known["node"]}, {epoch}'
         f'configuration {known["configuration_version"]}; ages: {ages}'
     )
 
--- a/primroselock/fairqueue.py
+++ b/primroselock/fairqueue.py
@@ -59,6 +59,13 @@
         self._size += 1
         return displaced
 
+    def admits(self, account: str, weight: int, limit: int) -> bool:
+        """Return whether a push would add an item, maybe for another one."""
+        return (
+            self._size < limit
+            or self._find_victim(account, weight) is not None
+        )
+
     def peek(self) -> _Item | None:
         """Return the next item without taking it."""
         queue = self._next_queue()
--- a/primroselock/gateway.py
+++ b/primroselock/gateway.py
@@ -24,6 +24,7 @@
 from primroselock import operatorcalls
 from primroselock import operatorsapi
 from primroselock import options
+from primroselock import requestexplanations
 from primroselock import routing
 from primroselock import servicesapi
 from primroselock import sockets
@@ -84,7 +85,9 @@
 
 
 def build_app(
-    shared: daemon.Daemon, services: servicesapi.ServicesApi
+    shared: daemon.Daemon,
+    services: servicesapi.ServicesApi,
+    request_explanations: requestexplanations.RequestExplanations,
 ) -> applications.Starlette:
     """Return the ASGI application with all its routes."""
     jobs_api = jobsapi.JobsApi(shared)
@@ -113,6 +116,11 @@
         ('GET', '/v1/operators/accounts', operators_api.list_accounts),
         ('GET', '/v1/operators/jobs', operators_api.list_jobs),
         ('GET', '/v1/operators/workers', operators_api.list_workers),
+        (
+            'GET',
+            '/v1/operators/explain/requests',
+            request_explanations.explain,
+        ),
     ]
     for method, path, handler in operator_routes:
         checked = operatorcalls.require_operator(shared.settings, handler)
@@ -234,7 +242,12 @@
     services = servicesapi.ServicesApi(
         shared, service_requests.dispatcher, service_requests.keyed
     )
-    app = _CloseConnectionHeader(build_app(shared, services), shared.stopping)
+    explanations = requestexplanations.RequestExplanations(
+        shared, service_requests.router, service_requests.dispatcher
+    )
+    app = _CloseConnectionHeader(
+        build_app(shared, services, explanations), shared.stopping
+    )
     server = httpserver.build(
         app,
         settings.gateway.shutdown_grace_s,
--- a/primroselock/routing.py
+++ b/primroselock/routing.py
@@ -10,6 +10,7 @@
 
 from collections import abc
 import dataclasses
+import enum
 import random
 import typing
 
@@ -30,6 +31,17 @@
 _MAX_EJECTED_FRACTION: typing.Final = 0.5
 
 
+class Exclusion(enum.Enum):
+    """Why an upstream gets no request now."""
+
+    LEAVING = 'shuts down'
+    PAUSED = 'refused a request just now'
+    EJECTED = 'failed lately'
+    PROBED = 'failed lately, and another request probes it'
+    FULL = 'no slot is free for this gateway'
+    OTHER_ZONE = 'upstreams of the own zone go first'
+
+
 @dataclasses.dataclass(slots=True)
 class Upstream:
     """An upstream, its connections and its requests from this gateway.
@@ -201,14 +213,48 @@
             upstream
             for upstream in listed
             if upstream.vm.id not in excluded
-            and self._is_usable(upstream, service, now, ejections_apply)
+            and self._find_exclusion(upstream, service, now, ejections_apply)
+            is None
         ]
-        own_zone = [up for up in usable if up.vm.zone == self._zone]
-        candidates = own_zone or usable
+        candidates = self._prefer_own_zone(usable)
         if not candidates:
             return None
         return self._policy(candidates, self._generator)
 
+    def _prefer_own_zone(self, usable: list[Upstream]) -> list[Upstream]:
+        own_zone = [up for up in usable if up.vm.zone == self._zone]
+        return own_zone or usable
+
+    def judge(
+        self, service: configuration.Service, now: float
+    ) -> list[tuple[Upstream, Exclusion | None]]:
+        """Return the upstreams of a service, and what excludes each now.
+
+        The policy chooses among those that nothing excludes.  No slot is
+        taken and nothing is drawn.
+        """
+        listed = self._upstreams_of(service.name)
+        ejections_apply = self._ejections_apply(listed, now)
+        found = [
+            (
+                upstream,
+                self._find_exclusion(upstream, service, now, ejections_apply),
+            )
+            for upstream in listed
+        ]
+        candidates = self._prefer_own_zone(
+            [upstream for upstream, why in found if why is None]
+        )
+        return [
+            (
+                upstream,
+                Exclusion.OTHER_ZONE
+                if why is None and upstream not in candidates
+                else why,
+            )
+            for upstream, why in found
+        ]
+
     def has_available_upstream(
         self, service: configuration.Service, now: float
     ) -> bool:
@@ -244,27 +290,38 @@
         )
         return ejected <= len(listed) * _MAX_EJECTED_FRACTION
 
-    def _is_usable(
+    def _find_exclusion(
         self,
         upstream: Upstream,
         service: configuration.Service,
         now: float,
         ejections_apply: bool,
-    ) -> bool:
-        if upstream.vm.leaving or now < upstream.paused_until:
-            return False
+    ) -> Exclusion | None:
+        """Return what excludes an upstream, whatever its zone, or None."""
+        if upstream.vm.leaving:
+            return Exclusion.LEAVING
+        if now < upstream.paused_until:
+            return Exclusion.PAUSED
         if _is_ejected(upstream, now, ejections_apply):
-            return False
+            return Exclusion.EJECTED
         health = upstream.health
         if health.is_on_probation(now) and upstream.running > 0:
-            return False
+            return Exclusion.PROBED
+        if upstream.running < self.slot_limit(upstream, service):
+            return None
+        return Exclusion.FULL
+
+    def slot_limit(
+        self, upstream: Upstream, service: configuration.Service
+    ) -> int:
+        """Return how many slots of an upstream this gateway may use."""
         view = shares.View(
             upstream.vm.zone == self._zone,
             self._zones_of_gateways.count(upstream.vm.zone),
             len(self._zones_of_gateways),
             upstream.used_by_others,
         )
-        return upstream.running < shares.slot_limit(service, view)
+        return shares.slot_limit(service, view)
 
     def reserve(self, upstream: Upstream) -> None:
         """Count a slot of ``upstream`` as used by this gateway."""
