--- a/primroselock/test/testexplainrequests.py
+++ b/primroselock/test/testexplainrequests.py
@@ -76,6 +76,7 @@
             running, [up.running for up in router.upstreams_by_id.values()]
         )
         candidates = [upstream for upstream, why in judged if why is None]
+        self.assertLessEqual(len({up.vm.zone for up in candidates}), 1)
         chosen = router.choose(_SERVICE, _NOW)
         if chosen is None:
             self.assertEqual([], candidates)
