Command explain against the older daemons: jobs in cells

Cause: explain answered at nodes of a platform and for requests only. Change: cellexplanation carries the scheduler's placement out on a copy of its blackboard; is_usable and the explanation share find_exclusion. A scheduler answers at its status address, with an operator's token, and names the address in its beacon (a field at the end). A gateway finds the job's shard and asks the schedulers of its zone, the holder first.

--- a/primroselock/daemon.py
+++ b/primroselock/daemon.py
@@ -65,6 +65,7 @@
         self.members = membership.Members(settings)
         self.slots_by_upstream: dict[str, int] = {}
         self.loads_by_shard: dict[str, messages.ShardLoad] = {}
+        self.status_address = ''
         self._vm_handlers: list[VmHandler] = []
         self._sequence = 0
         self.mesh.add_handler(self._record_beacon)
@@ -195,6 +196,7 @@
             dict(self.slots_by_upstream),
             self.mesh.advertised_address,
             dict(self.loads_by_shard),
+            self.status_address,
         )
 
     def confirmations(
--- a/primroselock/decisions/capacity.py
+++ b/primroselock/decisions/capacity.py
@@ -23,6 +23,7 @@
 
 from collections import abc
 import dataclasses
+import enum
 
 from primroselock.decisions import blackboard
 from primroselock.decisions import cells
@@ -37,6 +38,15 @@
 )
 
 
+class Exclusion(enum.Enum):
+    """Why no new work is placed on a worker, whatever its free cells."""
+
+    NOT_HEARD = 'has not reported yet'
+    LEAVING = 'leaves'
+    QUARANTINED = 'quarantined'
+    SILENT = 'its last report is old'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Shortfall:
     """Guaranteed cells of ``size`` that cannot be reclaimed now."""
@@ -172,16 +182,30 @@
     settings: options.Settings,
     now: float,
 ) -> bool:
-    """Return whether new work may be placed on the worker.
+    """Return whether new work may be placed on the worker."""
+    return find_exclusion(board, worker, settings, now) is None
+
+
+def find_exclusion(
+    board: blackboard.Blackboard,
+    worker: blackboard.WorkerView,
+    settings: options.Settings,
+    now: float,
+) -> Exclusion | None:
+    """Return why no new work may be placed on the worker, or None.
 
     Its last report must not be older than two heartbeat intervals.
     """
-    if worker.report is None or worker.vm.leaving:
-        return False
+    if worker.report is None:
+        return Exclusion.NOT_HEARD
+    if worker.vm.leaving:
+        return Exclusion.LEAVING
     if worker.vm.id in board.quarantined_worker_ids:
-        return False
+        return Exclusion.QUARANTINED
     report_age_s = now - worker.received_at
-    return report_age_s <= settings.scheduler.heartbeat_interval_s * 2
+    if report_age_s > settings.scheduler.heartbeat_interval_s * 2:
+        return Exclusion.SILENT
+    return None
 
 
 def compute(
--- a/primroselock/explaincalls.py
+++ b/primroselock/explaincalls.py
@@ -11,6 +11,7 @@
 
 from primroselock import answers
 from primroselock.decisions.explaining import records
+from primroselock import forwarding
 from primroselock import holderexplanations
 from primroselock import httpclient
 from primroselock import jobgraph
@@ -20,9 +21,6 @@
 
 PATH: typing.Final = '/v1/operators/explain/jobs'
 _FORWARDED_HEADER: typing.Final = 'Primroselock-Forwarded'
-_FORWARD_TIMEOUT_S: typing.Final = 8.0
-"""The client waits for longer than this."""
-
 _MAX_BODY_BYTES: typing.Final = 256 * 1024
 _RETRY_AFTER_S: typing.Final = 1.0
 _log: typing.Final = logs.get('operators')
@@ -124,35 +122,19 @@
         target = request.url.path
         if request.url.query:
             target = f'{target}?{request.url.query}'
-        pool = httpclient.ConnectionPool(known.address, limit=1)
-        try:
-            exchanged = await pool.exchange(
-                httpclient.Request(
-                    request.method, target, body, ((_FORWARDED_HEADER, '1'),)
-                ),
-                _FORWARD_TIMEOUT_S,
-            )
-        finally:
-            await pool.aclose()
-        if isinstance(exchanged, result.Err):
-            detail = exchanged.err_value.detail
-            _log.warning('holder not reached', holder=known.holder, why=detail)
-            return _unavailable(
-                'holder', f'{known.holder} holds the shard: {detail}'
-            )
-        return _hand_back(exchanged.ok_value)
-
-
-def _hand_back(response: httpclient.Response) -> responses.Response:
-    """Return the holder's answer as this node's."""
-    kept = {
-        name: value
-        for name in (answers.OUTCOME_HEADER, 'Retry-After')
-        if (value := response.headers_by_name.get(name.lower())) is not None
-    }
-    return responses.Response(
-        response.body, response.status, kept, media_type='application/json'
-    )
+        answered = await forwarding.hand_on(
+            known.address,
+            httpclient.Request(
+                request.method, target, body, ((_FORWARDED_HEADER, '1'),)
+            ),
+        )
+        if isinstance(answered, result.Ok):
+            return answered.ok_value
+        detail = answered.err_value
+        _log.warning('holder not reached', holder=known.holder, why=detail)
+        return _unavailable(
+            'holder', f'{known.holder} holds the shard: {detail}'
+        )
 
 
 def _unavailable(code: str, message: str) -> responses.Response:
--- a/primroselock/gateway.py
+++ b/primroselock/gateway.py
@@ -18,6 +18,7 @@
 from primroselock import dispatch
 from primroselock import groupcommit
 from primroselock import httpserver
+from primroselock import jobexplanations
 from primroselock import jobsapi
 from primroselock import keyedrequests
 from primroselock import logs
@@ -93,6 +94,7 @@
     jobs_api = jobsapi.JobsApi(shared)
     config_api = configapi.ConfigApi(shared)
     operators_api = operatorsapi.OperatorsApi(shared)
+    job_explanations = jobexplanations.JobExplanations(shared)
     status_api = StatusApi(shared)
     routes: list[tuple[str, str, operatorcalls.Handler]] = [
         ('POST', '/v1/services/{service}/{path:path}', services.handle),
@@ -121,6 +123,12 @@
             '/v1/operators/explain/requests',
             request_explanations.explain,
         ),
+        (
+            'GET',
+            '/v1/operators/explain/jobs/{job_id}',
+            job_explanations.show,
+        ),
+        ('POST', '/v1/operators/explain/jobs', job_explanations.ask),
     ]
     for method, path, handler in operator_routes:
         checked = operatorcalls.require_operator(shared.settings, handler)
--- a/primroselock/mesh/messages.py
+++ b/primroselock/mesh/messages.py
@@ -32,7 +32,8 @@
     negative if it never was.  ``address`` is where the process receives
     messages; ``loads_by_shard`` describes the shards that it holds.
     ``leaving`` is True while it shuts down; ``slots_by_upstream`` counts
-    the slots that a gateway uses, by VM id of the upstream.
+    the slots that a gateway uses, by VM id of the upstream.  At
+    ``status_address`` a scheduler answers operators' calls; empty for others.
     """
 
     vm_id: str
@@ -46,6 +47,7 @@
     slots_by_upstream: dict[str, decoding.Integer] = {}
     address: str = ''
     loads_by_shard: dict[str, ShardLoad] = {}
+    status_address: str = ''
 
 
 class JobHint(msgspec.Struct, frozen=True, tag='j', array_like=True):
--- a/primroselock/scheduler.py
+++ b/primroselock/scheduler.py
@@ -19,14 +19,18 @@
 from primroselock.decisions import blackboard
 from primroselock.decisions import commands
 from primroselock.decisions import controllers
+from primroselock.decisions.explaining import cellexplanation
+from primroselock.decisions.explaining import records
 from primroselock.decisions import registry
 from primroselock import httpserver
 from primroselock import jobfeed
+from primroselock import jobs
 from primroselock import jobstore
 from primroselock import jobwriter
 from primroselock import logs
 from primroselock.mesh import messages
 from primroselock import options
+from primroselock import schedulerexplanations
 from primroselock import shards
 from primroselock import sockets
 from primroselock import statusport
@@ -112,6 +116,38 @@
             'waiting_jobs': len(waiting),
         }
 
+    def explain(
+        self, job: str | jobs.Job, now: float
+    ) -> result.Result[records.Answer, schedulerexplanations.Problem]:
+        """Explain a job, by its id, or one that is not sent."""
+        if not self.lease.has_shard:
+            return result.Err(schedulerexplanations.Problem.NOT_HOLDER)
+        if not self._may_decide():
+            return result.Err(schedulerexplanations.Problem.READING)
+        explained = cellexplanation.explain(
+            self.board, self.settings, job, now
+        )
+        if explained is None:
+            return result.Err(schedulerexplanations.Problem.NOT_KNOWN)
+        heard_at = [
+            view.received_at
+            for view in self.board.workers_by_id.values()
+            if view.report is not None
+        ]
+        ages_s = {
+            'configuration': round(self.shared.follower.age_s(now), 3),
+            'round': round(now - self._last_tick, 3),
+        }
+        if heard_at:
+            ages_s['workers'] = round(now - min(heard_at), 3)
+        knowledge = records.Knowledge(
+            self.settings.process.vm_id,
+            self.lease.epoch,
+            self.shared.follower.current.version,
+            ages_s,
+        )
+        return result.Ok(records.Answer(explained, '', knowledge))
+
     async def hand_over(self) -> None:
         """Release the shard, so that a standby need not await the expiry."""
         await self.lease.release(clock.monotonic())
@@ -328,7 +364,12 @@
     shared = daemon.Daemon(settings, 'scheduler')
     shared.install_signals()
     runner = ShardRunner(shared, settings.process.zone)
-    port = statusport.StatusPort(shared, runner.describe)
+    shared.status_address = sockets.bound_address(listener)
+    port = statusport.StatusPort(
+        shared,
+        runner.describe,
+        schedulerexplanations.SchedulerExplanations(shared, runner),
+    )
     server = httpserver.build(
         port.build_app(),
         _STATUS_GRACE_S,
--- a/primroselock/statusport.py
+++ b/primroselock/statusport.py
@@ -2,6 +2,7 @@
 
 Beacons cannot carry the status, since their size is bounded; a port has
 no cost while it receives no requests.  It is read-only and exposes no secrets.
+Explanations of jobs want an operator's token.
 """
 
 from collections import abc
@@ -14,6 +15,7 @@
 
 from primroselock import answers
 from primroselock import daemon
+from primroselock import schedulerexplanations
 
 Describe = abc.Callable[[], dict[str, typing.Any]]
 """Returns the JSON object of ``/v1/status``."""
@@ -22,9 +24,15 @@
 class StatusPort:
     """Serves the result of ``describe`` and the daemon's metrics."""
 
-    def __init__(self, shared: daemon.Daemon, describe: Describe) -> None:
+    def __init__(
+        self,
+        shared: daemon.Daemon,
+        describe: Describe,
+        explanations: schedulerexplanations.SchedulerExplanations,
+    ) -> None:
         self._shared = shared
         self._describe = describe
+        self._explanations = explanations
 
     def build_app(self) -> applications.Starlette:
         """Return the application of the port."""
@@ -33,6 +41,7 @@
                 paths.Route('/healthz', self._health),
                 paths.Route('/v1/status', self._status),
                 paths.Route('/v1/metrics', self._metrics),
+                *self._explanations.build_routes(),
             ]
         )
 
--- a/primroselock/test/explainbuilders.py
+++ b/primroselock/test/explainbuilders.py
@@ -147,7 +147,7 @@
     return Decided(outcome, tuple(sorted(claim.worker_ids)))
 
 
-def dump(board: fleet.ShardBoard) -> list[str]:
+def dump(board: object) -> list[str]:
     """Return all that a board holds, one line for each object.
 
     Two dumps are equal if no object has changed or was replaced, and if what
