--- a/primroselock/decisions/explaining/boardcopy.py
+++ b/primroselock/decisions/explaining/boardcopy.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import functools
 import typing
 
 from primroselock.decisions import fleet
@@ -14,13 +15,13 @@
 from primroselock.decisions import phaseindex
 from primroselock.decisions.runtimes import learner
 
-MAX_GROUPS: typing.Final = 50_000
+MAX_GROUPS: typing.Final = 10_000
 """Groups of a board that is copied: it is copied without a pause."""
 
 _SHARED_PHASES: typing.Final = frozenset(
     {livejobs.Phase.BLOCKED, livejobs.Phase.DONE, livejobs.Phase.DROPPED}
 )
-_CONTAINERS: typing.Final = (dict, list, set)
+_CONTAINERS: typing.Final = frozenset({dict, list, set})
 _Record = typing.TypeVar('_Record')
 
 
@@ -54,15 +55,21 @@
 
 def _copy_fields(record: _Record) -> _Record:
     """Return a copy of a data class, with copies of its containers."""
-    copied = object.__new__(type(record))
-    for field in dataclasses.fields(record):  # type: ignore[arg-type]
-        value = getattr(record, field.name)
-        if isinstance(value, _CONTAINERS):
+    cls = type(record)
+    copied = object.__new__(cls)
+    for name in _list_names(cls):
+        value = getattr(record, name)
+        if type(value) in _CONTAINERS:
             value = value.copy()
-        setattr(copied, field.name, value)
+        setattr(copied, name, value)
     return copied
 
 
+@functools.cache
+def _list_names(cls: type[typing.Any]) -> tuple[str, ...]:
+    return tuple(field.name for field in dataclasses.fields(cls))
+
+
 class _Copier:
     """Copies one board; each record is copied once."""
 
