--- a/primroselock/test/crowds.py
+++ b/primroselock/test/crowds.py
@@ -40,7 +40,7 @@
 MAX_BODY_BYTES: typing.Final = 262_144
 """The platform's limits for clients."""
 
-_BLOCK_BYTES: typing.Final = 65_536
+BLOCK_BYTES: typing.Final = 65_536
 _BLOCKED_S: typing.Final = 2.0
 _START_S: typing.Final = 30.0
 _ANSWER_S: typing.Final = 20.0
@@ -94,6 +94,50 @@
     return head('POST', job_path(), 'Transfer-Encoding: chunked', *lines)
 
 
+def read_peak_kb(pid: int) -> int:
+    """Return the highest resident memory of a process so far."""
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    return int(status.partition('VmHWM:')[2].split()[0])
+
+
+def count_sockets_of(pid: int) -> int:
+    """Return the number of sockets that a process has open."""
+    count = 0
+    for path in pathlib.Path(f'/proc/{pid}/fd').iterdir():
+        try:
+            count += str(path.readlink()).startswith('socket:')
+        except FileNotFoundError:
+            # It was closed in the meantime.
+            pass
+    return count
+
+
+async def ask_until_served(ask: abc.Callable[[], abc.Awaitable[int]]) -> int:
+    """Ask again while a process says that it cannot serve now.
+
+    Return the last status; 0 if a connection ended without an answer.
+    """
+    until = time.monotonic() + _ANSWER_S
+    status = 0
+    while status != 200 and time.monotonic() < until:
+        try:
+            status = await ask()
+        except OSError:
+            status = 0
+        await asyncio.sleep(_POLL_INTERVAL_S)
+    return status
+
+
+async def wait_until(holds: abc.Callable[[], bool]) -> None:
+    """Wait until something holds.
+
+    Raises :class:`TimeoutError` if it does not within the time of an answer.
+    """
+    async with asyncio.timeout(_ANSWER_S):
+        while not holds():
+            await asyncio.sleep(_POLL_INTERVAL_S)
+
+
 class NodeProcess:
     """A node with the stand-in of the store, both on loopback."""
 
@@ -146,21 +190,11 @@
 
     def peak_kb(self) -> int:
         """Return the highest resident memory of the process so far."""
-        life = self.node.lives[0]
-        status = pathlib.Path(f'/proc/{life.pid}/status').read_text()
-        return int(status.partition('VmHWM:')[2].split()[0])
+        return read_peak_kb(self.node.lives[0].pid)
 
     def count_sockets(self) -> int:
         """Return the number of sockets that the process has open."""
-        folder = pathlib.Path(f'/proc/{self.node.lives[0].pid}/fd')
-        count = 0
-        for path in folder.iterdir():
-            try:
-                count += str(path.readlink()).startswith('socket:')
-            except FileNotFoundError:
-                # It was closed in the meantime.
-                pass
-        return count
+        return count_sockets_of(self.node.lives[0].pid)
 
     async def ask(self) -> int:
         """Return the status of an ordinary request on a new connection."""
@@ -182,15 +216,7 @@
 
         Return the last status; 0 if a connection ended without an answer.
         """
-        until = time.monotonic() + _ANSWER_S
-        status = 0
-        while status != 200 and time.monotonic() < until:
-            try:
-                status = await self.ask()
-            except OSError:
-                status = 0
-            await asyncio.sleep(_POLL_INTERVAL_S)
-        return status
+        return await ask_until_served(self.ask)
 
     async def talk(self, data: bytes, answers: int) -> list[int]:
         """Send ``data`` on one connection; return so many statuses."""
@@ -214,40 +240,47 @@
     """A crowd whose connections stay open until it is closed."""
 
     def __init__(self, crowd: Crowd, address: str) -> None:
-        self._crowd = crowd
+        self.crowd = crowd
         self._host, _, port = address.rpartition(':')
         self._port = int(port)
         self._writers: list[asyncio.StreamWriter] = []
 
     async def send(self) -> list[Sent]:
         """Send at the same time; return what became of each."""
-        each = (self._send_one() for _ in range(self._crowd.clients))
+        each = (self._send_one() for _ in range(self.crowd.clients))
         return list(await asyncio.gather(*each))
 
     async def _send_one(self) -> Sent:
         sent = 0
         try:
-            _, writer = await asyncio.open_connection(
+            reader, writer = await asyncio.open_connection(
                 self._host, self._port, limit=1
             )
             self._writers.append(writer)
-            for block in self._blocks():
+            await self.begin(reader, writer)
+            for block in self.blocks():
                 writer.write(block)
                 async with asyncio.timeout(_BLOCKED_S):
                     await writer.drain()
                 sent += len(block)
         except TimeoutError:
             return Sent(sent, was_cut=False)
-        except OSError:
+        except (OSError, asyncio.IncompleteReadError):
             return Sent(sent, was_cut=True)
         return Sent(sent, was_cut=writer.is_closing())
 
-    def _blocks(self) -> abc.Iterator[bytes]:
-        crowd = self._crowd
+    async def begin(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Do what comes before the first block."""
+
+    def blocks(self) -> abc.Iterator[bytes]:
+        """Return what each sends."""
+        crowd = self.crowd
         yield crowd.start
         if not crowd.more:
             return
-        block = crowd.more * max(1, _BLOCK_BYTES // len(crowd.more))
+        block = crowd.more * max(1, BLOCK_BYTES // len(crowd.more))
         for _ in range(crowd.most_bytes // len(block)):
             yield block
 
