Daemons bound what others make them keep between one another

Beacons of ever new VMs stayed, and a flood left the event loop no turn. Wire format and keys are as before. Limits in [mesh]; refusals in connections_cut and mesh_* counters. The crowd's check now also fails with the log of a process that has ended.

--- a/primroselock/connectionlimits.py
+++ b/primroselock/connectionlimits.py
@@ -33,6 +33,7 @@
     MALFORMED = 'malformed'
     BODY_MALFORMED = 'body malformed'
     FRAMING_TOO_LARGE = 'chunk framing or trailers too large'
+    MESSAGE_TOO_LARGE = 'message too large'
     HEAD_LATE = 'head late'
     IDLE = 'no request'
     BODY_LATE = 'body late'
--- a/primroselock/daemon.py
+++ b/primroselock/daemon.py
@@ -55,7 +55,7 @@
         self.follower = follower.ConfigurationFollower(
             settings, self.control_platform
         )
-        self.mesh = node.MeshNode(settings)
+        self.mesh = node.MeshNode(settings, self.metrics)
         self.stopping = asyncio.Event()
         self.vms: list[vmlist.Vm] = []
         self._daemon_vms: list[vmlist.Vm] = []
@@ -206,5 +206,15 @@
         )
 
     def _record_beacon(self, message: messages.Message) -> None:
-        if isinstance(message, messages.Beacon):
-            self.members.record(message, clock.monotonic())
+        if not isinstance(message, messages.Beacon):
+            return
+        size = self.mesh.message_bytes
+        now = clock.monotonic()
+        if not self.members.has_room(message, size):
+            # Removes those that have been silent for long.
+            self.members.list_live(now)
+        if self.members.has_room(message, size):
+            self.members.record(message, now, size)
+            return
+        self.metrics.count('mesh_beacons_refused')
+        _log.warning('beacon left out: too many processes', vm=message.vm_id)
--- a/primroselock/mesh/membership.py
+++ b/primroselock/mesh/membership.py
@@ -23,6 +23,9 @@
 from primroselock import options
 
 PEER_RETENTION_S: typing.Final = 60.0
+_BYTES_PER_ENTRY: typing.Final = 300
+"""What the objects of an entry of a beacon take beside its text."""
+
 
 ProcessKey = tuple[str, str]
 
@@ -32,12 +35,14 @@
     """The newest beacon of a process and when it was received.
 
     ``received_at`` is on the monotonic clock.  ``retired`` is the
-    incarnation that this one replaced, if any.
+    incarnation that this one replaced, if any; ``size`` is about what the
+    beacon takes, in bytes.
     """
 
     beacon: messages.Beacon
     received_at: float
     retired: str = ''
+    size: int = 0
 
     def config_age_s(self, now: float) -> float:
         """Return a lower bound of the confirmation's age, for display.
@@ -54,10 +59,30 @@
 
     def __init__(self, settings: options.Settings) -> None:
         self._expiry_s = settings.mesh.peer_expiry_s
+        self._max_members = settings.mesh.max_members
+        self._max_bytes = settings.mesh.max_held_bytes
+        self._held_bytes = 0
         self.peers_by_process: dict[ProcessKey, PeerState] = {}
 
-    def record(self, beacon: messages.Beacon, now: float) -> bool:
-        """Record a beacon; return False if it is outdated."""
+    def has_room(self, beacon: messages.Beacon, received_bytes: int) -> bool:
+        """Return whether a beacon of so many bytes can be kept.
+
+        Without keys whoever reaches the process can name ever new VMs;
+        those that are known go first.
+        """
+        known = self.peers_by_process.get((beacon.vm_id, beacon.role))
+        if known is None and len(self.peers_by_process) >= self._max_members:
+            return False
+        held = self._held_bytes - (known.size if known is not None else 0)
+        return held + _size_of(beacon, received_bytes) <= self._max_bytes
+
+    def record(
+        self, beacon: messages.Beacon, now: float, received_bytes: int = 0
+    ) -> bool:
+        """Record a beacon; return False if it is outdated.
+
+        It arrived in a message of ``received_bytes``.
+        """
         key = (beacon.vm_id, beacon.role)
         known = self.peers_by_process.get(key)
         retired = ''
@@ -73,7 +98,9 @@
                 ):
                     return False
                 retired = known.beacon.incarnation
-        self.peers_by_process[key] = PeerState(beacon, now, retired)
+        size = _size_of(beacon, received_bytes)
+        self._held_bytes += size - (known.size if known is not None else 0)
+        self.peers_by_process[key] = PeerState(beacon, now, retired, size)
         return True
 
     def is_live(self, peer: PeerState, now: float) -> bool:
@@ -84,6 +111,7 @@
         """Return the live processes; remove those past retention."""
         for key, peer in list(self.peers_by_process.items()):
             if now - peer.received_at > PEER_RETENTION_S:
+                self._held_bytes -= peer.size
                 del self.peers_by_process[key]
         return [
             peer
@@ -92,6 +120,12 @@
         ]
 
 
+def _size_of(beacon: messages.Beacon, received_bytes: int) -> int:
+    """Return about what a beacon takes as objects, in bytes."""
+    entries = len(beacon.slots_by_upstream) + len(beacon.loads_by_shard)
+    return received_bytes + (entries + 1) * _BYTES_PER_ENTRY
+
+
 def choose_peers(
     own_address: str,
     zones_by_address: abc.Mapping[str, str],
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -15,6 +15,7 @@
 from primroselock import errors
 from primroselock import httpsettings
 from primroselock import ini
+from primroselock import meshsettings
 
 
 HEARTBEATS_PER_WINDOW: typing.Final = 3
@@ -49,19 +50,6 @@
     vm_list_interval_s: float = ini.key('seconds', 1.0)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MeshSettings:
-    """Addresses, intervals and keys of the mesh of peers."""
-
-    bind: str = ini.key('address', '127.0.0.1:0')
-    peers: tuple[str, ...] = ini.key('addresses', ())
-    beacon_interval_s: float = ini.key('seconds', 0.5)
-    peer_expiry_s: float = ini.key('seconds', 2.5)
-    max_peers: int = ini.key('positive', 16)
-    public_key: str = ini.key('curve_key', '')
-    secret_key: str = ini.key('curve_key', '')
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigurationSettings:
     """Intervals of reading the configuration, and its start permit.
@@ -282,7 +270,7 @@
 
     process: ProcessSettings
     platform: PlatformSettings
-    mesh: MeshSettings
+    mesh: meshsettings.MeshSettings
     configuration: ConfigurationSettings
     gateway: GatewaySettings
     scheduler: SchedulerSettings
@@ -293,7 +281,7 @@
 _CLASSES_BY_SECTION: typing.Final[dict[str, type[typing.Any]]] = {
     'process': ProcessSettings,
     'platform': PlatformSettings,
-    'mesh': MeshSettings,
+    'mesh': meshsettings.MeshSettings,
     'configuration': ConfigurationSettings,
     'gateway': GatewaySettings,
     'scheduler': SchedulerSettings,
@@ -347,7 +335,7 @@
 ) -> list[ini.Problem]:
     """Check the rules that relate several keys."""
     scheduler: SchedulerSettings = built['scheduler']
-    problems = _check_mesh(built['mesh'], source)
+    problems = meshsettings.check(built['mesh'], source)
     problems += _check_fleet(built['fleet'], source)
     gateway: GatewaySettings = built['gateway']
     problems += _check_http(built['http'], gateway, source)
@@ -453,34 +441,6 @@
     ]
 
 
-def _check_mesh(mesh: MeshSettings, source: str) -> list[ini.Problem]:
-    problems: list[ini.Problem] = []
-    if mesh.beacon_interval_s * 3 > mesh.peer_expiry_s:
-        problems.append(
-            ini.Problem(
-                source,
-                'mesh',
-                'beacon_interval_s',
-                str(mesh.beacon_interval_s),
-                'at most a third of peer_expiry_s',
-            )
-        )
-    public_key = ''
-    if mesh.secret_key:
-        # Nodes without a mesh do not load the library.
-        import zmq
-
-        public_key = zmq.curve_public(mesh.secret_key.encode()).decode()
-    if mesh.public_key != public_key:
-        expected = 'the public key of secret_key, or neither key'
-        problems.append(
-            ini.Problem(
-                source, 'mesh', 'public_key', mesh.public_key, expected
-            )
-        )
-    return problems
-
-
 Parse = abc.Callable[[str, str], result.Result[Settings, list[ini.Problem]]]
 
 
--- a/primroselock/scheduler.py
+++ b/primroselock/scheduler.py
@@ -41,6 +41,10 @@
 _MIN_ROUND_INTERVAL_S: typing.Final = 0.01
 """Limits the rate of rounds when many events arrive."""
 
+_MAX_PEER_SHARDS: typing.Final = 1_024
+_MAX_SHARD_LENGTH: typing.Final = 200
+"""What is kept of the shards that beacons name."""
+
 _STATUS_GRACE_S: typing.Final = 1.0
 """How long status requests in progress may take at shutdown."""
 
@@ -208,9 +212,13 @@
 
     def _record_beacon(self, beacon: messages.Beacon) -> None:
         """Record the loads that other shards report."""
+        peers_by_shard = self.board.peers_by_shard
         for shard, load in beacon.loads_by_shard.items():
-            if shard != self.lease.shard:
-                self.board.peers_by_shard[shard] = blackboard.PeerLoad(
+            is_known = shard in peers_by_shard
+            if not is_known and len(peers_by_shard) >= _MAX_PEER_SHARDS:
+                continue
+            if shard != self.lease.shard and len(shard) <= _MAX_SHARD_LENGTH:
+                peers_by_shard[shard] = blackboard.PeerLoad(
                     load.free_accelerators,
                     load.waiting_accelerators,
                     load.largest_free,
--- a/primroselock/test/crowds.py
+++ b/primroselock/test/crowds.py
@@ -218,12 +218,19 @@
         """
         return await ask_until_served(self.ask)
 
-    async def talk(self, data: bytes, answers: int) -> list[int]:
-        """Send ``data`` on one connection; return so many statuses."""
+    async def talk(
+        self, data: bytes, answers: int, closes: bool = False
+    ) -> list[int]:
+        """Send ``data`` on one connection; return so many statuses.
+
+        Fewer if the node closes; ``closes``: nothing is sent afterwards.
+        """
         host, _, port = self.node.address.rpartition(':')
         reader, writer = await asyncio.open_connection(host, int(port))
         try:
             writer.write(data)
+            if closes:
+                writer.write_eof()
             statuses: list[int] = []
             async with asyncio.timeout(_ANSWER_S):
                 while len(statuses) < answers:
--- a/primroselock/test/meshcrowds.py
+++ b/primroselock/test/meshcrowds.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from collections import abc
-import dataclasses
 import time
 import typing
 
@@ -14,7 +13,6 @@
 
 from primroselock.mesh import messages
 from primroselock.mesh import node
-from primroselock import options
 from primroselock.test import builders
 from primroselock.test import crowds
 from standins import launch
@@ -97,13 +95,11 @@
     def __init__(self, keys: abc.Mapping[str, str]) -> None:
         """Start both; ``keys`` are settings of the section ``mesh``."""
         self._keys = dict(keys)
-        known = {f.name for f in dataclasses.fields(options.MeshSettings)}
-        lowered = {k: v for k, v in _LOWERED.items() if k in known}
         self.cluster = launch.Cluster(['a'])
         try:
             self.cluster.start_platform()
             self.process = self.cluster.start_daemon(
-                NAME, 'gateway', 'a', {'mesh': {**self._keys, **lowered}}
+                NAME, 'gateway', 'a', {'mesh': {**self._keys, **_LOWERED}}
             )
         except BaseException:
             self.cluster.close()
--- a/primroselock/test/testmesh.py
+++ b/primroselock/test/testmesh.py
@@ -13,6 +13,7 @@
 import zmq
 
 from primroselock import follower
+from primroselock.mesh import links
 from primroselock.mesh import membership
 from primroselock.mesh import messages
 from primroselock.mesh import node
@@ -62,6 +63,27 @@
         members.list_live(membership.PEER_RETENTION_S + 0.1)
         self.assertEqual({}, members.peers_by_process)
 
+    def test_members_in_excess_are_left_out(self) -> None:
+        """Without keys, whoever reaches a daemon can name ever new VMs."""
+        settings = builders.build_settings(
+            '[mesh]\nmax_members = 2\nmax_message_bytes = 2000\n'
+            'max_held_bytes = 4000\n'
+        )
+        members = membership.Members(settings)
+        for vm_id in ('vm-1', 'vm-2'):
+            beacon = build_beacon(vm_id=vm_id)
+            self.assertTrue(members.has_room(beacon, 100))
+            members.record(beacon, 0.0, 100)
+        third = build_beacon(vm_id='vm-3')
+        self.assertFalse(members.has_room(third, 100))
+        later = build_beacon(sequence=2)
+        self.assertTrue(members.has_room(later, 3000))
+        self.assertFalse(members.has_room(later, 3400))
+        members.record(later, membership.PEER_RETENTION_S, 3000)
+        members.list_live(membership.PEER_RETENTION_S + 0.1)
+        self.assertFalse(members.has_room(third, 500))
+        self.assertTrue(members.has_room(third, 100))
+
 
 class PeersTest(unittest.TestCase):
     """Each process has at most ``limit`` peers.
@@ -191,6 +213,57 @@
             await each.aclose()
 
 
+class SizesTest(unittest.IsolatedAsyncioTestCase):
+    """Messages of the largest sizes, and where a peer comes and goes."""
+
+    async def test_the_largest_messages_arrive(self) -> None:
+        receiver = node.MeshNode(builders.build_settings())
+        sender = node.MeshNode(builders.build_settings())
+        sections = {'zone a': {'racks': 'x' * (links.MAX_REPLY_BYTES - 100)}}
+        beacon = build_beacon(vm_id='x' * (1024 * 1024 - 100))
+        received: list[messages.Message] = []
+        replies: list[messages.Message] = []
+        receiver.add_handler(received.append)
+        receiver.set_responder(
+            lambda query: messages.ConfigReply(1, 1, 0.0, sections=sections)
+        )
+        sender.add_handler(replies.append)
+        running = asyncio.create_task(receiver.run())
+        sender.set_peers([receiver.address])
+        async with asyncio.timeout(20):
+            while not received or not replies:
+                await sender.publish(beacon)
+                query = messages.ConfigQuery(1, 0)
+                await sender.send_query(receiver.address, query)
+                await asyncio.sleep(0.05)
+        self.assertEqual(beacon, received[0])
+        self.assertIsInstance(replies[0], messages.ConfigReply)
+        running.cancel()
+        for each in (receiver, sender):
+            await each.aclose()
+
+    async def test_a_peer_that_starts_later_and_again(self) -> None:
+        settings = builders.build_settings()
+        first = node.MeshNode(settings)
+        address = first.address
+        await first.aclose()
+        sender = node.MeshNode(settings)
+        sender.set_peers([address])
+        again = builders.build_settings(f'[mesh]\nbind = {address}')
+        for _ in range(2):
+            receiver = node.MeshNode(again)
+            received: list[messages.Message] = []
+            receiver.add_handler(received.append)
+            running = asyncio.create_task(receiver.run())
+            async with asyncio.timeout(20):
+                while not received:
+                    await sender.publish(build_beacon())
+                    await asyncio.sleep(0.02)
+            running.cancel()
+            await receiver.aclose()
+        await sender.aclose()
+
+
 class HandlersTest(unittest.IsolatedAsyncioTestCase):
     """Messages that a handler fails to apply, or that nobody could send."""
 
--- a/primroselock/test/testmeshcrowds.py
+++ b/primroselock/test/testmeshcrowds.py
@@ -13,6 +13,7 @@
 from primroselock.test import meshcrowds
 
 _BIG = 3 * 1024 * 1024
+_ROUNDS = 600
 
 
 class MeshCrowdCase(unittest.IsolatedAsyncioTestCase):
@@ -48,6 +49,8 @@
         """Check memory, sockets, and that everybody is still served."""
         after = await self.ask_until_served()
         is_answering = await self.gateway.is_answering_peers()
+        if self.gateway.process.find_exit_code() is not None:
+            self.fail(f'it has ended: {self.gateway.process.describe()}')
         growth_kb = self.gateway.peak_kb() - before_kb
         rules = (
             (growth_kb <= crowds.GROWTH_KB, f'grew by {growth_kb} KB'),
@@ -141,6 +144,16 @@
     async def test_small_messages_without_end(self) -> None:
         await self.play_peers(b'', meshcrowds.frame(b'\xc1'))
 
+    async def test_connections_that_end_amid_their_messages(self) -> None:
+        """Guards against an assertion of the library, which ends a process."""
+        crowd = crowds.Crowd(b'', meshcrowds.frame(b'\xc1'), 12, 300_000)
+        for _ in range(_ROUNDS):
+            clients = meshcrowds.Peers(crowd, self.gateway.mesh_address)
+            await clients.send()
+            clients.close()
+        self.assertIsNone(self.gateway.process.find_exit_code())
+        await self.play_peers(b'', meshcrowds.frame(b'\xc1'))
+
     async def test_beacons_of_one_vm_without_end(self) -> None:
         await self.play_peers(b'', meshcrowds.beacon('vm'))
 
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -175,6 +175,10 @@
         )
         return found
 
+    def find_exit_code(self) -> int | None:
+        """Return the exit code, or minus a signal; None while it runs."""
+        return self._popen.poll()
+
     def describe(self) -> str:
         """Return how the process ended, what was sent to it and its log."""
         code = self._popen.poll()
