--- a/primroselock/decisions/fleetplacing.py
+++ b/primroselock/decisions/fleetplacing.py
@@ -50,7 +50,7 @@
 _MAX_GROUPS_PER_ROUND: typing.Final = 1000
 """Groups placed in a round: leases must be renewed between rounds."""
 
-_MAX_GROUPS_AT_ONCE: typing.Final = 100
+_MAX_GROUPS_AT_ONCE: typing.Final = 25
 """Groups of a step that are placed before the round may be interrupted."""
 
 _CLAIM_TIMEOUT_S: typing.Final = 4.0
--- a/primroselock/test/testroundcost.py
+++ b/primroselock/test/testroundcost.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import itertools
 import typing
 import unittest
 from unittest import mock
@@ -12,7 +13,9 @@
 from primroselock.decisions import fitting
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetplacing
+from primroselock.decisions import fleetround
 from primroselock.decisions import fleetworkers
+from primroselock.decisions import slices
 from primroselock import jobgraph
 from primroselock.test import fleetbuilders
 from primroselock.test import idlebuilders
@@ -20,6 +23,7 @@
 from primroselock.workers import orders
 
 _WORKERS: typing.Final = 24
+_WIDTH: typing.Final = 100
 _JOBS: typing.Final = 40
 _RESUME_S: typing.Final = 0.03
 """Longer than a slice of a round."""
@@ -66,6 +70,27 @@
             score.call_count, _WORKERS - idlebuilders.RACK_SIZE
         )
 
+    def test_a_wide_step_is_placed_in_parts(self) -> None:
+        """Guards against a long time in which nothing else is done.
+
+        Each task that fills a worker takes a look at all the others.
+        """
+        site = idlebuilders.Site(_WIDTH)
+        step = fleetbuilders.build_step(_WIDTH, 8)
+        site.submit('j', step, run_s=600.0, queue='bulk')
+        turn = slices.Turn(site.now, site.now)
+        placed = [0]
+        for _ in fleetround.begin(site.board, site.settings, turn):
+            placed.append(
+                sum(
+                    len(worker.members)
+                    for worker in site.board.workers_by_id.values()
+                )
+            )
+        self.assertEqual(_WIDTH, placed[-1])
+        most = max(b - a for a, b in itertools.pairwise(placed))
+        self.assertLessEqual(most, _WIDTH / 4)
+
     def test_a_slice_does_more_than_read_all_workers_again(self) -> None:
         """Guards against rounds that hardly go on from slice to slice.
 
