Idle workers are polled by few tasks at a time

Those of idle workers are now started as others leave the line. Probes of idle workers of a zone where one fell silent let other calls go first, too.

--- a/primroselock/test/testpollorder.py
+++ b/primroselock/test/testpollorder.py
@@ -23,6 +23,9 @@
 _MOST_IDLE: typing.Final = 40
 """Idle workers that may be polled meanwhile: about two for each slot."""
 
+_MOST_TASKS: typing.Final = 120
+"""Those in the line, and those whose calls are under way."""
+
 Report = result.Result[orders.RunReport, orders.OrderError]
 
 
@@ -114,6 +117,38 @@
 
         virtualtime.run(run_all)
 
+    def test_idle_workers_are_polled_by_few_tasks_at_a_time(self) -> None:
+        """Guards against a task for each worker, all begun at once.
+
+        Each begins, and waits for its turn, in the same step of the event
+        loop, which answers nobody meanwhile.
+        """
+
+        async def run_all(virtual: virtualtime.VirtualClock) -> None:
+            world = fleetbuilders.World(0, _WORKERS)
+            polls = _Polls(world)
+            most = 0
+            with mock.patch.object(world.fleet, 'poll_runs', polls.poll_runs):
+                node = world.add_node('entry-1')
+                for _ in range(1000):
+                    await asyncio.sleep(0.01)
+                    most = max(most, _count_poll_tasks(node))
+            self.assertLessEqual(most, _MOST_TASKS)
+            polled_ids = {worker_id for worker_id, _ in polls.calls}
+            self.assertEqual(_WORKERS, len(polled_ids))
+            await world.close()
+
+        virtualtime.run(run_all)
+
+
+def _count_poll_tasks(node: fleetbuilders.TestNode) -> int:
+    """Return how many workers a holder polls, or is about to."""
+    session = node.holder._session
+    if session is None:
+        return 0
+    tasks = session._pollers._tasks_by_worker_id.values()
+    return sum(not task.done() for task in tasks)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -13,6 +13,7 @@
 """
 
 import asyncio
+import collections
 from collections import abc
 import typing
 import zlib
@@ -48,6 +49,9 @@
 """Calls of which the answer may be missing, since this process was late."""
 
 _MAX_UNSAVED_WAIT_S: typing.Final = 1.0
+_MAX_IDLE_IN_LINE: typing.Final = 32
+"""Idle workers whose first polls wait for their turn at the same time."""
+
 _INITIAL_BACKOFF_S: typing.Final = 0.1
 _MAX_BACKOFF_S: typing.Final = 1.0
 
@@ -74,6 +78,10 @@
         self._saved = asyncio.Event()
         self._tasks = backgroundtasks.BackgroundTasks('poll of a worker')
         self._tasks_by_worker_id: dict[str, asyncio.Task[None]] = {}
+        self._idle_due: collections.deque[fleetworkers.Worker] = (
+            collections.deque()
+        )
+        self._idle_ids: set[str] = set()
         self._sent_at_by_worker_id: dict[str, float] = {}
         self._held_open_ids: set[str] = set()
         self._poll_ended_by_worker_id: dict[str, asyncio.Event] = {}
@@ -88,19 +96,47 @@
         ]
         self._give_up_polls()
         missing.sort(key=_mixed_order)
+        self._idle_due.clear()
         for worker in missing:
-            self._tasks_by_worker_id[worker.id] = self._tasks.spawn(
-                self._run(worker)
-            )
+            if worker.is_busy:
+                self._start_polling(worker)
+            else:
+                self._idle_due.append(worker)
+        self._start_idle()
         for worker in reachability.list_unverified(self._board):
             if worker.entry.address:
-                self._ensure_probe(worker)
+                self._ensure_probe(worker, can_wait=True)
 
-    def _ensure_probe(self, worker: fleetworkers.Worker) -> asyncio.Task[None]:
+    def _start_polling(self, worker: fleetworkers.Worker) -> None:
+        self._tasks_by_worker_id[worker.id] = self._tasks.spawn(
+            self._run(worker)
+        )
+
+    def _start_idle(self) -> None:
+        """Start the polls of idle workers that are due, few at a time.
+
+        A task for each of many workers, that would only wait for its turn,
+        would hold up everything else as it starts.
+        """
+        while self._idle_due and len(self._idle_ids) < _MAX_IDLE_IN_LINE:
+            worker = self._idle_due.popleft()
+            if self._needs_polling(worker) and not self._is_polled(worker):
+                self._idle_ids.add(worker.id)
+                self._start_polling(worker)
+
+    def _leave_line(self, worker: fleetworkers.Worker) -> None:
+        """Let the next idle worker take the place of one in the line."""
+        if worker.id in self._idle_ids:
+            self._idle_ids.discard(worker.id)
+            self._start_idle()
+
+    def _ensure_probe(
+        self, worker: fleetworkers.Worker, can_wait: bool = False
+    ) -> asyncio.Task[None]:
         """Return the probe of a worker that is under way, or begin one."""
         probe = self._probes_by_worker_id.get(worker.id)
         if probe is None or probe.done():
-            probe = self._tasks.spawn(self._probe(worker))
+            probe = self._tasks.spawn(self._probe(worker, can_wait))
             self._probes_by_worker_id[worker.id] = probe
         return probe
 
@@ -158,9 +194,12 @@
 
     async def cancel(self) -> None:
         """Cancel all polls and probes."""
+        self._idle_due.clear()
         await self._tasks.cancel()
 
-    async def _probe(self, worker: fleetworkers.Worker) -> None:
+    async def _probe(
+        self, worker: fleetworkers.Worker, can_wait: bool
+    ) -> None:
         """Check whether a worker that may be unreachable answers.
 
         A long poll of the same worker may be open.  Only the polls, which
@@ -168,7 +207,7 @@
         records that an answer was received.
         """
         due_at = clock.monotonic()
-        async with self._slots.hold(worker.id):
+        async with self._slots.hold(worker.id, can_wait):
             if worker.boot_seen_at >= due_at or worker.failures_in_row:
                 # A poll was answered, or has failed, in the meantime.
                 return
@@ -220,6 +259,7 @@
             await self._poll_while_needed(worker)
         finally:
             self._notify_poll_ended(worker.id)
+            self._leave_line(worker)
 
     async def _poll_while_needed(self, worker: fleetworkers.Worker) -> None:
         while self._lease.has_shard and self._needs_polling(worker):
@@ -227,6 +267,7 @@
             # Leases are extended, and ends are known, by polls of the others.
             can_wait = not worker.is_busy
             async with self._slots.hold(worker.id, can_wait):
+                self._leave_line(worker)
                 if not self._needs_polling(worker):
                     break
                 is_answered = await self._poll_guarded(worker)
