Reports of waits look at a bounded number of workers

Each of up to ten reports a second looked at every worker, in one piece of a round. On a shard with more than 300 workers fewer are made a second. The test fails on the code as found (15,000 looks, at most 3,000).

--- a/primroselock/decisions/waitreport.py
+++ b/primroselock/decisions/waitreport.py
@@ -30,6 +30,9 @@
 """Work that waits for less time than this is not reported."""
 
 _MAX_REPORTS: typing.Final = 10
+_MAX_LOOKS: typing.Final = 3000
+"""Workers that the reports of a round look at, once for each report."""
+
 _MAX_EXAMINED_JOBS: typing.Final = 500
 _SPARE_FACTOR: typing.Final = 2
 """Capacity counts as free for a group that would fit this many times."""
@@ -70,7 +73,8 @@
         claimindex.ClaimIndex(board.claims_by_group),
         waiting.guaranteed_job_ids(board),
     )
-    for group in held[:_MAX_REPORTS]:
+    affordable = _MAX_LOOKS // max(1, len(board.workers_by_id))
+    for group in held[: max(1, min(_MAX_REPORTS, affordable))]:
         _report(board, group, obstacles, now)
 
 
--- a/primroselock/test/testroundcost.py
+++ b/primroselock/test/testroundcost.py
@@ -15,7 +15,9 @@
 from primroselock.decisions import fleetplacing
 from primroselock.decisions import fleetround
 from primroselock.decisions import fleetworkers
+from primroselock.decisions import graphs
 from primroselock.decisions import slices
+from primroselock.decisions import waitreport
 from primroselock import jobgraph
 from primroselock.test import fleetbuilders
 from primroselock.test import idlebuilders
@@ -23,6 +25,8 @@
 from primroselock.workers import orders
 
 _WORKERS: typing.Final = 24
+_MANY_WORKERS: typing.Final = 1500
+_MOST_LOOKS: typing.Final = 3000
 _WIDTH: typing.Final = 100
 _JOBS: typing.Final = 40
 _RESUME_S: typing.Final = 0.03
@@ -70,6 +74,26 @@
             score.call_count, _WORKERS - idlebuilders.RACK_SIZE
         )
 
+    def test_reports_of_waits_look_at_a_bounded_number_of_workers(
+        self,
+    ) -> None:
+        """Guards against ten looks at each of many workers, in one piece."""
+        board = fleet.ShardBoard(
+            queue_configuration=fleetbuilders.QUEUE_CONFIGURATION
+        )
+        for number in range(_MANY_WORKERS):
+            board.record_entry(fleetbuilders.build_entry(f'w{number}'), 0.0)
+        for number in range(_JOBS):
+            graph = fleetbuilders.build_graph(f'j{number}')
+            graphs.add_job(board, graph, None, 0, 0.0, 0)
+        with mock.patch.object(
+            waitreport, '_count_workers', wraps=waitreport._count_workers
+        ) as look:
+            waitreport.report_idle_waits(board, 10.0)
+        self.assertEqual(_JOBS, board.idle_waits)
+        self.assertGreater(look.call_count, 0)
+        self.assertLessEqual(look.call_count * _MANY_WORKERS, _MOST_LOOKS)
+
     def test_a_wide_step_is_placed_in_parts(self) -> None:
         """Guards against a long time in which nothing else is done.
 
