Placing asks less of each worker

A single task needs no count of how often it fits, a group that avoids nothing no check of what is avoided and claimed. The decisions stay the same.

--- a/primroselock/decisions/claimindex.py
+++ b/primroselock/decisions/claimindex.py
@@ -78,6 +78,11 @@
             if not owners:
                 del self._owners_by_worker_id[worker_id]
 
+    @property
+    def has_any(self) -> bool:
+        """Return whether any worker is claimed."""
+        return bool(self._owners_by_worker_id)
+
     def excludes(
         self, worker_id: str, group: livejobs.Group, rank: livejobs.Rank
     ) -> bool:
--- a/primroselock/decisions/fitting.py
+++ b/primroselock/decisions/fitting.py
@@ -245,6 +245,15 @@
     """Return a candidate for every task, or None if not all fit."""
     need = group.step.counted_need
     limit = group.step.max_per_worker
+    if group.size == 1 and not limit:
+        fitting_workers = [
+            worker
+            for worker in candidates
+            if free_capacity.free_by_id[worker.id].can_fit(need)
+        ]
+        if not fitting_workers:
+            return None
+        return _take_best(free_capacity, group, fitting_workers, {})
     counts = count_tasks(group, candidates)
     fit_total = 0
     fitting_workers = []
--- a/primroselock/decisions/preferences.py
+++ b/primroselock/decisions/preferences.py
@@ -202,6 +202,8 @@
 ) -> fitting.WorkerFilter:
     """Return a filter for the usable workers that a group prefers."""
     may_use = build_victim_filter(context, group, queue)
+    if not sharing.prefers_other_workers(group.step):
+        return may_use
 
     def allow(worker: fleetworkers.Worker) -> bool:
         return sharing.are_apart(worker, group.step) and may_use(worker)
@@ -220,6 +222,11 @@
     """
     rank = context.rank(group)
     may_run = _build_basic_filter(context, group, queue)
+    is_any_in_question = bool(
+        group.avoided_worker_ids or group.crashes or context.claims.has_any
+    )
+    if not is_any_in_question:
+        return may_run
 
     def allow(worker: fleetworkers.Worker) -> bool:
         return (
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -74,16 +74,17 @@
 
         Returns 0 for a ``need`` of nothing.
         """
-        counts = [
-            have // wanted
-            for have, wanted in (
-                (self.cpu_millis, need.cpu_millis),
-                (self.memory_mb, need.memory_mb),
-                (self.accelerators, need.accelerators),
-            )
-            if wanted > 0
-        ]
-        return max(0, min(counts, default=0))
+        # It is asked for each worker: no collections are made here.
+        count: int | None = None
+        if need.cpu_millis > 0:
+            count = self.cpu_millis // need.cpu_millis
+        if need.memory_mb > 0:
+            fits = self.memory_mb // need.memory_mb
+            count = fits if count is None or fits < count else count
+        if need.accelerators > 0:
+            fits = self.accelerators // need.accelerators
+            count = fits if count is None or fits < count else count
+        return max(0, count or 0)
 
 
 class Step(msgspec.Struct, frozen=True, array_like=True):
