--- a/primroselock/decisions/preferences.py
+++ b/primroselock/decisions/preferences.py
@@ -216,10 +216,12 @@
     queue: queues.Queue,
 ) -> fitting.WorkerFilter:
     """Return a filter for the usable workers that a group prefers."""
-    find = build_obstacle_finder(context, group, queue)
+    may_use = build_victim_filter(context, group, queue)
+    if not sharing.prefers_other_workers(group.step):
+        return may_use
 
     def allow(worker: fleetworkers.Worker) -> bool:
-        return sharing.are_apart(worker, group.step) and find(worker) is None
+        return sharing.are_apart(worker, group.step) and may_use(worker)
 
     return allow
 
@@ -233,6 +235,11 @@
 
     What disturbs it there, or would be disturbed, may be what is stopped.
     """
+    is_any_in_question = bool(
+        group.avoided_worker_ids or group.crashes or context.claims.has_any
+    )
+    if not is_any_in_question:
+        return _build_basic_filter(context, group, queue)
     find = build_obstacle_finder(context, group, queue)
 
     def allow(worker: fleetworkers.Worker) -> bool:
