--- a/primroselock/decisions/explaining/boardcopy.py
+++ b/primroselock/decisions/explaining/boardcopy.py
@@ -56,7 +56,7 @@
 def _copy_fields(record: _Record) -> _Record:
     """Return a copy of a data class, with copies of its containers."""
     cls: typing.Any = type(record)
-    copied = object.__new__(cls)
+    copied: _Record = object.__new__(cls)
     for name in _list_names(cls):
         value = getattr(record, name)
         if type(value) in _CONTAINERS:
--- a/primroselock/decisions/explaining/explanation.py
+++ b/primroselock/decisions/explaining/explanation.py
@@ -4,6 +4,8 @@
 import dataclasses
 import typing
 
+import msgspec
+
 from primroselock.decisions.explaining import boardcopy
 from primroselock.decisions.explaining import records
 from primroselock.decisions.explaining import rehearsal
@@ -19,7 +21,6 @@
 
 _MAX_VERDICTS: typing.Final = 200
 _MAX_VICTIMS: typing.Final = 100
-_MS_PER_S: typing.Final = 1000
 _UNSENT_ID: typing.Final = 'not-sent'
 _RUN_TIME_PHASES: typing.Final = frozenset(
     {livejobs.Phase.RUNNING, livejobs.Phase.STARTING}
@@ -105,17 +106,7 @@
     job_id = _UNSENT_ID
     while job_id in copied.jobs_by_id:
         job_id += '-'
-    unsent = jobgraph.JobGraph(
-        job_id,
-        graph.account,
-        graph.queue,
-        graph.payload,
-        graph.steps,
-        graph.accepted_ms,
-        graph.occurrences,
-        graph.first_due_ms,
-        graph.period_ms,
-    )
+    unsent = msgspec.structs.replace(graph, id=job_id)
     graphs.add_job(copied, unsent, None, 0, now, graph.accepted_ms)
     return job_id
 
