A boot is told at once of what it must refuse, whenever the one before was (TWICE)

Cause: a worker answers a poll, its settled runs are stopped, and it starts again within 0.5 s. The stops of the next boot waited for the pause that counts from those of the boot before, and a start without an answer began there meanwhile, after its run had ended done.

--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -122,6 +122,7 @@
     worker.confirmed_end = 0
     worker.unsaved_ends.clear()
     worker.clock_delta_s = None
+    workerboots.forget_stops(worker)
     board.decision_records.append(
         fleet.DecisionRecord(
             'worker restarted',
--- a/primroselock/decisions/workerboots.py
+++ b/primroselock/decisions/workerboots.py
@@ -161,6 +161,17 @@
     return due
 
 
+def forget_stops(worker: fleetworkers.Worker) -> None:
+    """Forget when settled runs were stopped on an earlier boot.
+
+    Another one must be told at once.
+    """
+    for run, late_run in list(worker.late_runs.items()):
+        worker.late_runs[run] = dataclasses.replace(
+            late_run, stop_sent_at=_NEVER
+        )
+
+
 def forget_late(worker: fleetworkers.Worker, now: float) -> None:
     """Forget the settled runs of which no order can be under way any more."""
     for run, late_run in list(worker.late_runs.items()):
