--- a/primroselock/runorders.py
+++ b/primroselock/runorders.py
@@ -72,7 +72,7 @@
         self._confirm_boot = confirm_boot
         self._metrics = counters
         self._slots = callslots.CallSlots()
-        self._stopping_runs: set[orders.Run] = set()
+        self._stopping_runs: set[tuple[orders.Run, int]] = set()
         self._tasks = backgroundtasks.BackgroundTasks('order')
 
     @property
@@ -87,9 +87,7 @@
     def send(self, order: fleet.Order) -> None:
         """Send one order; a start order needs a valid start permit."""
         if isinstance(order, fleet.StopOrder):
-            if order.run not in self._stopping_runs:
-                self._stopping_runs.add(order.run)
-                self._tasks.spawn(self._stop(order))
+            self._spawn_stop(order)
             return
         group = order.members[0].group
         if (
@@ -106,6 +104,16 @@
         for member in order.members:
             self._tasks.spawn(self._start(member))
 
+    def _spawn_stop(self, order: fleet.StopOrder) -> None:
+        """Send a stop, unless one to the same boot is under way."""
+        worker = self._board.workers_by_id.get(order.worker_id)
+        if worker is None:
+            return
+        stopping = (order.run, worker.boot)
+        if stopping not in self._stopping_runs:
+            self._stopping_runs.add(stopping)
+            self._tasks.spawn(self._stop(order, worker, stopping))
+
     def _find_obstacle(
         self, members: abc.Sequence[livejobs.Member], now: float
     ) -> str:
@@ -375,16 +383,20 @@
             self._board.mark_terminated(member)
         self._end_refused(group, now)
 
-    async def _stop(self, order: fleet.StopOrder) -> None:
+    async def _stop(
+        self,
+        order: fleet.StopOrder,
+        worker: fleetworkers.Worker,
+        stopping: tuple[orders.Run, int],
+    ) -> None:
         try:
-            worker = self._board.workers_by_id.get(order.worker_id)
-            if worker is None or not worker.entry.address:
+            if not worker.entry.address:
                 return
             async with self._slots.hold(worker.id):
                 if _is_stop_due(order, worker):
                     await self._send_stop(worker, order)
         finally:
-            self._stopping_runs.discard(order.run)
+            self._stopping_runs.discard(stopping)
 
     async def _send_stop(
         self, worker: fleetworkers.Worker, order: fleet.StopOrder
