Wide jobs are encoded few at a time for a write

A batch now has at most 1,000 groups, or one job. The test fails on the code as found (3,000 in one piece).

--- a/primroselock/graphwriter.py
+++ b/primroselock/graphwriter.py
@@ -35,6 +35,9 @@
 from primroselock.store import table
 
 _RETRY_PAUSE_S: typing.Final = 0.1
+_MAX_GROUPS_PER_BATCH: typing.Final = 1000
+"""All groups of a job are encoded when any of them has changed."""
+
 _LOG_INTERVAL_S: typing.Final = 1.0
 """Refused writes are logged at most once in this time."""
 
@@ -173,9 +176,14 @@
         # One condition is on the epoch row.
         entries_left = table.MAX_ENTRIES - 1
         bytes_left = table.MAX_VALUE_BYTES
+        groups_left = _MAX_GROUPS_PER_BATCH
         for job_id in list(changed_ids):
             if job_id in self._suspect_ids:
                 continue
+            job = self._board.jobs_by_id.get(job_id)
+            groups_left -= len(job.groups_by_key) if job is not None else 0
+            if snapshots and groups_left < 0:
+                break
             snapshot = self._take_unsaved(job_id)
             if snapshot is not None:
                 entries_left -= snapshot.entries
--- a/primroselock/test/testrefusedwrites.py
+++ b/primroselock/test/testrefusedwrites.py
@@ -21,6 +21,9 @@
 from primroselock.test import virtualtime
 
 _JOBS: typing.Final = 200
+_WIDE_JOBS: typing.Final = 12
+_WIDTH: typing.Final = 250
+_MOST_GROUPS: typing.Final = 1000
 _CHANGED_PER_CALL: typing.Final = 3
 _CALL_S: typing.Final = 0.005
 _REFUSED_KEY: typing.Final = keys.progress('fleet', 'refused')
@@ -116,6 +119,28 @@
         waiting = virtualtime.run(scenario)
         self.assertLessEqual(waiting, 2 * _CHANGED_PER_CALL)
 
+    def test_wide_jobs_are_encoded_few_at_a_time(self) -> None:
+        """Guards against a long time in which nothing else is done."""
+
+        async def scenario(virtual: virtualtime.VirtualClock) -> list[int]:
+            board = fleet.ShardBoard(
+                epoch=1, queue_configuration=fleetbuilders.QUEUE_CONFIGURATION
+            )
+            for number in range(_WIDE_JOBS):
+                graph = fleetbuilders.build_graph(
+                    f'wide-{number}', fleetbuilders.build_step(_WIDTH)
+                )
+                job = graphs.add_job(board, graph, None, table.ABSENT, 0.0, 0)
+                assert job is not None
+                board.mark_changed(job)
+            store = _LoadedStore(board, frozenset())
+            await _write_for(_build_writer(store, board), 0.5)
+            return store.jobs_by_call
+
+        jobs_by_call = virtualtime.run(scenario)
+        self.assertGreaterEqual(sum(jobs_by_call), _WIDE_JOBS)
+        self.assertLessEqual(max(jobs_by_call) * _WIDTH, _MOST_GROUPS)
+
 
 class GroupCommitTest(unittest.TestCase):
     """Group commits stay below the limits of a transaction."""
