--- a/primroselock/decisions/freecapacity.py
+++ b/primroselock/decisions/freecapacity.py
@@ -270,16 +270,13 @@
             self._speeds_by_id[worker_id] = known
         return known
 
-    def speed_class(self, worker_id: str, group: livejobs.Group) -> float:
-        """Return the worker's speed class for a group; lower ones go first."""
-        return self.speed_classes(group)(worker_id)
-
     def speed_classes(
         self, group: livejobs.Group
     ) -> abc.Callable[[str], float]:
-        """Return the function from a worker's id to its class for a group.
+        """Return the function from a worker's id to its speed class.
 
-        Many workers are equally fast, and are rated once.
+        Workers of a lower class go first for the group.  Many workers are
+        equally fast, and are rated once.
         """
         needed = self._needed_speed(group)
         class_by_speed: dict[float, float] = {}
