Tests: a crowd that must be cut goes on until it is; calm clients

Cause of the flaky test_trailers_without_end: a client counted as uncut when its write had waited for 2 s, though all that it had sent was still in the kernel and the node had had no time to read (1 of 10 beside two busy processes at a load of 26: 3,997,819 bytes sent, none looked at). Crowd and bounds stay. Change: such clients go on sending until they are cut, for up to 8 s, which no timeout of a node is shorter than.

--- a/primroselock/test/crowds.py
+++ b/primroselock/test/crowds.py
@@ -42,6 +42,9 @@
 
 BLOCK_BYTES: typing.Final = 65_536
 _BLOCKED_S: typing.Final = 2.0
+_CUT_S: typing.Final = 8.0
+"""When a connection counts as left open; no timeout of a node is shorter."""
+
 _START_S: typing.Final = 30.0
 _ANSWER_S: typing.Final = 20.0
 _POLL_INTERVAL_S: typing.Final = 0.05
@@ -252,13 +255,17 @@
         self._port = int(port)
         self._writers: list[asyncio.StreamWriter] = []
 
-    async def send(self) -> list[Sent]:
-        """Send at the same time; return what became of each."""
-        each = (self._send_one() for _ in range(self.crowd.clients))
+    async def send(self, until_cut: bool = False) -> list[Sent]:
+        """Send at the same time; return what became of each.
+
+        ``until_cut``: all go on for as long as they are let.
+        """
+        each = (self._send_one(until_cut) for _ in range(self.crowd.clients))
         return list(await asyncio.gather(*each))
 
-    async def _send_one(self) -> Sent:
+    async def _send_one(self, until_cut: bool) -> Sent:
         sent = 0
+        blocked_s = _CUT_S if until_cut else _BLOCKED_S
         try:
             reader, writer = await asyncio.open_connection(
                 self._host, self._port, limit=1
@@ -267,15 +274,29 @@
             await self.begin(reader, writer)
             for block in self.blocks():
                 writer.write(block)
-                async with asyncio.timeout(_BLOCKED_S):
+                async with asyncio.timeout(blocked_s):
                     await writer.drain()
                 sent += len(block)
+            if until_cut:
+                async with asyncio.timeout(_CUT_S):
+                    await self._send_on(writer)
         except TimeoutError:
             return Sent(sent, was_cut=False)
         except (OSError, asyncio.IncompleteReadError):
             return Sent(sent, was_cut=True)
         return Sent(sent, was_cut=writer.is_closing())
 
+    async def _send_on(self, writer: asyncio.StreamWriter) -> None:
+        """Send a little more at a time until the connection has ended.
+
+        What was sent so far may still wait in the kernel for a process that
+        has had no time.
+        """
+        while not writer.is_closing():
+            writer.write(self.crowd.more)
+            await writer.drain()
+            await asyncio.sleep(_POLL_INTERVAL_S)
+
     async def begin(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/primroselock/test/testcrowds.py
+++ b/primroselock/test/testcrowds.py
@@ -29,13 +29,16 @@
         await self.process.start()
 
     async def play(
-        self, crowd: crowds.Crowd, address: str = ''
+        self,
+        crowd: crowds.Crowd,
+        address: str = '',
+        until_cut: bool = False,
     ) -> list[crowds.Sent]:
         """Let a crowd send to the front, or to ``address``; check."""
         before_kb = self.process.peak_kb()
         clients = crowds.Clients(crowd, address or self.process.node.address)
         try:
-            sent = await clients.send()
+            sent = await clients.send(until_cut)
             self.assertTrue(self.process.is_alive)
             # Its answer shows that the node has accepted the crowd.
             during = await self.process.ask_until_served()
@@ -56,7 +59,7 @@
 
     async def play_until_cut(self, crowd: crowds.Crowd) -> None:
         """Check that no client can go on for as long as it likes."""
-        sent = await self.play(crowd)
+        sent = await self.play(crowd, until_cut=True)
         uncut = [client for client in sent if not client.was_cut]
         self.assertEqual([], uncut)
 
@@ -198,6 +201,47 @@
             length = answer.lower().partition(b'content-length: ')[2]
             await reader.readexactly(int(length.partition(b'\r\n')[0]))
 
+    async def test_a_client_that_closes_its_side_after_the_request(
+        self,
+    ) -> None:
+        """Also behind requests that were sent ahead."""
+        for data, statuses in ((_GET, [200]), (_GET + _POST, [200, 400])):
+            answered = await self.process.talk(data, len(statuses) + 1, True)
+            self.assertEqual(statuses, answered)
+
+    async def test_an_upgrade_with_a_body(self) -> None:
+        """Clients that offer a newer protocol send such requests."""
+        lines = ('Connection: Upgrade', 'Upgrade: h2c', 'Content-Length: 2')
+        data = crowds.head('POST', crowds.job_path(), *lines) + b'{}'
+        self.assertEqual([400], await self.process.talk(data, 1))
+
+    async def test_a_body_that_is_sent_once_it_is_asked_for(self) -> None:
+        lines = ('Expect: 100-continue', 'Content-Length: 2')
+        data = crowds.head('POST', crowds.job_path(), *lines)
+        host, _, port = self.process.node.address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        writer.write(data)
+        answer = await reader.readuntil(b'\r\n\r\n')
+        self.assertIn(b' 100 ', answer)
+        writer.write(b'{}')
+        answer = await reader.readuntil(b'\r\n\r\n')
+        self.assertIn(b' 400 ', answer)
+
+    async def test_a_refusal_reaches_a_client_that_still_sends(self) -> None:
+        """Of the largest body, on a connection that ends with the answer."""
+        size = f'Content-Length: {crowds.MAX_BODY_BYTES}'
+        for path in (crowds.job_path(), '/nowhere/0123456789abcdef'):
+            head = (
+                f'POST {path} HTTP/1.1\r\nHost: {operatorrows.HOST}\r\n'
+                f'Authorization: Token unknown\r\n{size}\r\n'
+                'Connection: close\r\n\r\n'
+            )
+            for _ in range(5):
+                data = head.encode() + b' ' * crowds.MAX_BODY_BYTES
+                answered = await self.process.talk(data, 1)
+                self.assertIn(answered, ([401], [404]))
+
 
 if __name__ == '__main__':
     unittest.main()
