A client that ends its side after its requests is answered

Cause: the end of what a client sends closed the connection, so a request whose answer takes a while got none, though it may have run. Change: the connection stays while whole requests are owed an answer, and closes behind the last one; with TLS both sides end as before.

--- a/primroselock/boundedhttp.py
+++ b/primroselock/boundedhttp.py
@@ -77,6 +77,7 @@
         self._has_queued = False
         self._is_watched = False
         self._waits_for_body = False
+        self._has_ended = False
 
     # What the transport calls.
 
@@ -117,6 +118,15 @@
             data = self._unseen + data
         self._look_at(data)
 
+    def eof_received(self) -> bool:  # type: ignore[override]
+        """Keep the connection while whole requests are owed an answer.
+
+        A client may end its own side once it has sent them.  TLS ends both.
+        """
+        self._has_ended = True
+        has_tls = self.transport.get_extra_info('sslcontext') is not None
+        return self._is_owed() and not has_tls
+
     def pause_writing(self) -> None:
         """Check from now on whether the peer reads."""
         super().pause_writing()
@@ -130,6 +140,7 @@
         if self._is_whole:
             self._unwatch()
         self._queue_turn()
+        self._close_if_ended()
 
     # What the guard asks.
 
@@ -193,6 +204,19 @@
         """Return whether an answer is still to be made."""
         return self.cycle is not None and not self.cycle.response_complete
 
+    def _is_owed(self) -> bool:
+        """Return whether answers to whole requests may still follow."""
+        return self._is_whole and (
+            self._is_answering()
+            or self.flow.write_paused
+            or bool(self._unseen)
+        )
+
+    def _close_if_ended(self) -> None:
+        """Close, if the client sends nothing more and all is answered."""
+        if self._has_ended and not self._is_owed():
+            self.transport.close()
+
     def _look_at(self, data: bytes) -> None:
         while data and not self.transport.is_closing():
             if not self._is_whole:
@@ -225,6 +249,7 @@
         self._look_at(self._unseen)
         if not self._unseen:
             self.flow.resume_reading()
+        self._close_if_ended()
 
     def _take_head(self, data: bytes) -> bytes:
         """Take a head or a part of it; return what is behind it."""
@@ -414,6 +439,7 @@
         self._clear()
         if self._unseen and not self.transport.is_closing():
             self._queue_turn()
+        self._close_if_ended()
 
     # Ends.
 
--- a/primroselock/test/connectionbuilders.py
+++ b/primroselock/test/connectionbuilders.py
@@ -199,6 +199,11 @@
             await settle()
         await settle()
 
+    def finish(self) -> None:
+        """Send nothing more, but read on, as asyncio tells a protocol."""
+        if not self.connection.eof_received():
+            self.transport.close()
+
     @property
     def statuses(self) -> list[int]:
         """The statuses of the answers so far."""
--- a/primroselock/test/testboundedhttp.py
+++ b/primroselock/test/testboundedhttp.py
@@ -304,6 +304,57 @@
         self.play(scenario)
 
 
+class EndTest(ConnectionCase):
+    """A client that sends nothing more after its requests, and reads on."""
+
+    def test_whole_requests_are_answered(self) -> None:
+        async def scenario() -> None:
+            for data, statuses in (
+                (_WAIT, [200]),
+                (_WAIT + _GET, [200, 200]),
+                (_post(2, '/wait') + b'{}' + _GET + _GET[:9], [200, 200]),
+                (_WAIT + _post(9) + b'{', [200]),
+                (_WAIT + b'odd\r\n\r\n', [200, 400]),
+            ):
+                self.application.may_answer.clear()
+                peer = self.server.connect()
+                await peer.send_all(data)
+                peer.finish()
+                await connectionbuilders.settle()
+                self.assertEqual([], peer.statuses)
+                self.application.may_answer.set()
+                await connectionbuilders.settle()
+                self.assertEqual(statuses, peer.statuses)
+                self.assertTrue(peer.transport.is_closing())
+
+        self.play(scenario)
+
+    def test_what_is_not_whole_ends_at_once(self) -> None:
+        async def scenario() -> None:
+            for data in (b'', _GET[:9], _post(9) + b'{', _GET, b'\r\n'):
+                peer = self.server.connect()
+                await peer.send_all(data)
+                peer.finish()
+                await connectionbuilders.settle()
+                self.assertTrue(peer.transport.is_closing())
+
+        self.play(scenario)
+
+    def test_an_answer_that_is_not_read_yet(self) -> None:
+        async def scenario() -> None:
+            peer = self.server.connect()
+            peer.transport.is_stuck = True
+            peer.send(_GET + _GET)
+            await connectionbuilders.settle()
+            peer.finish()
+            peer.transport.read_answers()
+            await connectionbuilders.settle()
+            self.assertEqual([200, 200], peer.statuses)
+            self.assertTrue(peer.transport.is_closing())
+
+        self.play(scenario)
+
+
 class GuardTest(ConnectionCase):
     """Connections and bytes in excess."""
 
