--- a/primroselock/test/crowds.py
+++ b/primroselock/test/crowds.py
@@ -144,8 +144,11 @@
 class NodeProcess:
     """A node with the stand-in of the store, both on loopback."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(
+        self, folder: pathlib.Path, limits: tuple[str, ...] = LIMITS
+    ) -> None:
         self._folder = folder
+        self._limits = limits
         self._servers: list[asyncio.Server] = []
         self._running: asyncio.Task[None] | None = None
         self.node: nodes.Node
@@ -163,7 +166,7 @@
                 return None
 
         address = await httpmessages.serve(handle, self._servers)
-        self.node = nodes.Node(0, address, self._folder, LIMITS)
+        self.node = nodes.Node(0, address, self._folder, self._limits)
         self._running = asyncio.create_task(self.node.run_once())
         until = time.monotonic() + _START_S
         while time.monotonic() < until:
