A job with more steps than it may have tasks is refused before it is built

A refusal's log line named every problem. Change: steps are counted as raw JSON first (413, as before for so many tasks); at most ten problems are named.

--- a/primroselock/intake.py
+++ b/primroselock/intake.py
@@ -40,6 +40,9 @@
 
 _log: typing.Final = logs.get('intake')
 _COMMIT_INTERVAL_S: typing.Final = 0.005
+_SHOWN_PROBLEMS: typing.Final = 10
+"""Problems of a job that a refusal names, of perhaps thousands."""
+
 _MAX_WRITES_PER_COMMIT: typing.Final = 50
 """A transaction of the platform has at most 100 entries, two for a write."""
 
@@ -190,9 +193,8 @@
         """
         problems = jobgraph.check(graph, self._settings.max_tasks)
         if problems:
-            return result.Err(
-                Refused(RefusalReason.INVALID, '; '.join(problems))
-            )
+            shown = '; '.join(problems[:_SHOWN_PROBLEMS])
+            return result.Err(Refused(RefusalReason.INVALID, shown))
         if graph.task_count > self._settings.max_job_tasks:
             return result.Err(
                 Refused(RefusalReason.TOO_LARGE, f'{graph.task_count} tasks')
--- a/primroselock/platform/clientapi.py
+++ b/primroselock/platform/clientapi.py
@@ -89,7 +89,14 @@
     period_ms: decoding.Count = 0
 
 
+class _Outline(msgspec.Struct):
+    """A job whose steps are not looked into."""
+
+    phases: list[msgspec.Raw]
+
+
 _decode_body: typing.Final = decoding.json_reader(_Body)
+_decode_outline: typing.Final = decoding.json_reader(_Outline)
 
 
 class _State(msgspec.Struct):
@@ -186,14 +193,9 @@
             return responses.Response(
                 status_code=413, headers={'Connection': 'close'}
             )
-        decoded = _decode_body(body.ok_value)
+        decoded = _read_job(body.ok_value, self._settings.max_job_tasks)
         if isinstance(decoded, result.Err):
-            return _refuse(
-                request,
-                intake.Refused(
-                    intake.RefusalReason.INVALID, decoded.err_value
-                ),
-            )
+            return _refuse(request, decoded.err_value)
         if not job_id or '/' in job_id or '.' in job_id:
             return _refuse(
                 request,
@@ -250,6 +252,33 @@
     return key.strip() if scheme.lower() == _AUTH_SCHEME else ''
 
 
+def _read_job(
+    body: bytes, max_steps: int
+) -> result.Result[_Body, intake.Refused]:
+    """Return the job in a body, or why it is refused.
+
+    Each step has a task or more, so one with more steps than a job may have
+    tasks is refused before they become objects, which take many times the
+    body and keep the event loop from other callers.
+    """
+    if body.count(b'{') > max_steps:
+        outline = _decode_outline(body)
+        if isinstance(outline, result.Err):
+            return result.Err(_invalid(outline.err_value))
+        steps = len(outline.ok_value.phases)
+        if steps > max_steps:
+            return result.Err(
+                intake.Refused(
+                    intake.RefusalReason.TOO_LARGE, f'{steps} steps'
+                )
+            )
+    return _decode_body(body).map_err(_invalid)
+
+
+def _invalid(detail: str) -> intake.Refused:
+    return intake.Refused(intake.RefusalReason.INVALID, detail)
+
+
 def _build_graph(
     body: _Body, access: intake.Access, job_id: str
 ) -> jobgraph.JobGraph:
--- a/primroselock/test/testclientapi.py
+++ b/primroselock/test/testclientapi.py
@@ -86,6 +86,26 @@
             self.assertEqual(413, await self._call('POST', '/bulk/a', long))
         self.intake.submit.assert_not_called()
 
+    async def test_more_steps_than_a_job_may_have_tasks(self) -> None:
+        """They are refused before they become objects."""
+        settings = fleetbuilders.build_node_settings()
+        most = settings.fleet.max_job_tasks
+        self.intake.max_body_bytes = 262_144
+        braces = '{' * 4000
+        with mock.patch.object(
+            clientapi, '_log', spec_set=builders.LOG_METHODS
+        ):
+            for steps, end, expected in (
+                (most, ']}', 200),
+                (most + 1, ']}', 413),
+                (most + 1, ']', 400),
+            ):
+                phases = ','.join(['{}'] * steps)
+                body = f'{{"spec":"{braces}","phases":[{phases}{end}'.encode()
+                status = await self._call('POST', '/bulk/0a', body)
+                self.assertEqual(expected, status)
+        self.intake.submit.assert_called_once()
+
     async def test_each_refusal_has_its_status(self) -> None:
         expected = {
             intake.RefusalReason.STALE: 503,
