--- a/primroselock/intake.py
+++ b/primroselock/intake.py
@@ -40,6 +40,9 @@
 
 _log: typing.Final = logs.get('intake')
 _COMMIT_INTERVAL_S: typing.Final = 0.005
+_SHOWN_PROBLEMS: typing.Final = 10
+"""Problems of a job that a refusal names, of perhaps thousands."""
+
 _MAX_WRITES_PER_COMMIT: typing.Final = 50
 """A transaction of the platform has at most 100 entries, two for a write."""
 
@@ -465,7 +468,8 @@
     """Return why a job is refused whatever its queue, or None."""
     problems = jobgraph.check(graph, settings.max_tasks)
     if problems:
-        return Refused(RefusalReason.INVALID, '; '.join(problems))
+        shown = '; '.join(problems[:_SHOWN_PROBLEMS])
+        return Refused(RefusalReason.INVALID, shown)
     if graph.task_count > settings.max_job_tasks:
         return Refused(RefusalReason.TOO_LARGE, f'{graph.task_count} tasks')
     return None
