A holder that is late itself is not in doubt, and its leases cost no round

Cause: testplannedleaves.LeaveTest.test_a_holder_that_is_late_itself failed since: a process blocked for 1.5 s a round took its own late renewals for an outage, and its extensions of leases kept it from placing in the time between two takeovers. Change: in doubt is a holder whose renewal failed, or is under way for two intervals. Leases are checked after renewals and rounds, without a loop of their own, and an extension starts no round.

--- a/primroselock/decisions/extensions.py
+++ b/primroselock/decisions/extensions.py
@@ -20,8 +20,8 @@
 from primroselock.decisions import leasebounds
 from primroselock.decisions import runleases
 
-_DOUBT_INTERVALS: typing.Final = 3.0
-"""Intervals of renewals without a confirmation that mean an outage."""
+_DOUBT_INTERVALS: typing.Final = 2.0
+"""A renewal that takes longer than this many intervals means an outage."""
 
 _SHORT_SHARE: typing.Final = 0.5
 """A lease of which less than this share is left is extended at once."""
@@ -37,21 +37,28 @@
 
     It confirmed the holder at ``confirmed_at`` last, on this process's clock;
     ``is_confirmed`` says whether the last renewal succeeded, one of which is
-    sent every ``renew_interval_s``.  To the workers that ``bounds`` cover no
-    leases are granted.
+    sent every ``renew_interval_s``; one without an outcome so far was sent at
+    ``renewing_since``.  To the workers that ``bounds`` cover no leases are
+    granted.
     """
 
     confirmed_at: float
     is_confirmed: bool
     renew_interval_s: float
+    renewing_since: float | None = None
     bounds: leasebounds.LeaseBounds = leasebounds.NO_BOUNDS
 
     def is_in_doubt(self, now: float) -> bool:
-        """Return whether the store may be in an outage for this process."""
-        unconfirmed_s = now - self.confirmed_at
+        """Return whether the store may be in an outage for this process.
+
+        That this process renews late itself is none.
+        """
+        if self.renewing_since is None:
+            return not self.is_confirmed
+        renewing_s = now - self.renewing_since
         return (
             not self.is_confirmed
-            or unconfirmed_s > self.renew_interval_s * _DOUBT_INTERVALS
+            or renewing_s > self.renew_interval_s * _DOUBT_INTERVALS
         )
 
 
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -210,6 +210,10 @@
         """Use this version of the queues for all later decisions."""
         graphs.use_queues(self._board, current)
 
+    def extend_leases(self, now: float) -> None:
+        """Extend the leases of runs that are due, see ``leasekeeper``."""
+        self._lease_keeper.check(now)
+
     def report(self, now: float) -> shards.HolderReport:
         """Return what to write with a renewal or the release of the lease."""
         waiting = self._count_waiting(now)
@@ -234,7 +238,6 @@
                     self._send_in_turns(),
                     self._writer.run(),
                     self._speeds.run(),
-                    self._lease_keeper.run(),
                     self._submission_follower.run(),
                     self._worker_follower.run(),
                     learnedrows.run(
@@ -267,6 +270,7 @@
             await self._advice_requester.cancel()
             # Orders may wait for probes, and would begin others.
             await self._orders.cancel()
+            await self._lease_keeper.cancel()
             await self._pollers.cancel()
             await waits.cancel_tasks(loops)
 
@@ -324,6 +328,7 @@
         self._parts.counters.record('decision_round', taken_s)
         self._advice_requester.ensure_running()
         self._pollers.ensure_running()
+        self.extend_leases(clock.monotonic())
         return taken_s
 
     def _prepare(self, now: float) -> None:
--- a/primroselock/leasekeeper.py
+++ b/primroselock/leasekeeper.py
@@ -8,7 +8,6 @@
 import typing
 
 from primroselock import backgroundtasks
-from primroselock import clock
 from primroselock.decisions import extensions
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
@@ -19,12 +18,11 @@
 
 _log: typing.Final = logs.get('leases')
 _CHECK_INTERVAL_S: typing.Final = 0.1
-_PAUSE_PER_CHECK: typing.Final = 20.0
-"""Time between checks as a multiple of the time that one takes."""
+_NEVER: typing.Final = float('-inf')
 
 
 class LeaseKeeper:
-    """Checks the leases of one session; ``run`` is one of its loops."""
+    """Checks and extends the leases of one session."""
 
     def __init__(
         self,
@@ -37,23 +35,25 @@
         self._lease = lease
         self._board = board
         self._pollers = pollers
+        self._checked_at = _NEVER
         self._is_in_doubt = False
         self._is_settled = False
         self._tasks = backgroundtasks.BackgroundTasks('lease extension')
         self._tasks_by_worker_id: dict[str, asyncio.Task[None]] = {}
 
-    async def run(self) -> None:
-        """Extend what is due until the shard lease is lost or cancelled."""
-        try:
-            while self._lease.has_shard:
-                began = clock.monotonic()
-                self._check(began)
-                taken_s = clock.monotonic() - began
-                await asyncio.sleep(
-                    max(_CHECK_INTERVAL_S, taken_s * _PAUSE_PER_CHECK)
-                )
-        finally:
-            await self._tasks.cancel()
+    async def cancel(self) -> None:
+        """Cancel all extensions that are under way."""
+        await self._tasks.cancel()
+
+    def check(self, now: float) -> None:
+        """Extend what is due, unless that was checked just now.
+
+        To be called after each renewal of the shard lease and each round.
+        """
+        if 0 <= now - self._checked_at < _CHECK_INTERVAL_S:
+            return
+        self._checked_at = now
+        self._check(now)
 
     def _check(self, now: float) -> None:
         """Extend what is due, and judge whether more may be soon."""
@@ -77,6 +77,7 @@
             self._lease.confirmed_at,
             self._lease.is_confirmed,
             self._renew_interval_s,
+            self._lease.renewing_since,
             self._lease.published_bounds,
         )
 
--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -241,6 +241,8 @@
             now = clock.monotonic()
             self._judge_reads(now)
             await self.lease.step(now)
+            if self._session is not None:
+                self._session.extend_leases(clock.monotonic())
             if self.lease.valid_until == valid_until:
                 # The store does not confirm it: do not press it.
                 await asyncio.sleep(self.lease.step_pause_s)
--- a/primroselock/shards.py
+++ b/primroselock/shards.py
@@ -154,7 +154,8 @@
     in seconds on this process's monotonic clock.  ``published_bounds`` cover
     the workers that a lease row which may be stored covers.  A standby may
     acquire the lease from ``acquirable_at`` on, if its row does not change.
-    ``is_confirmed`` says whether the last write of the lease succeeded, and
+    ``is_confirmed`` says whether the last write of the lease succeeded,
+    ``renewing_since`` when one was sent that has no outcome so far, and
     ``unreadable_until`` when a standby could read its row again.
 
     With ``offers`` each renewal offers the lease; ``is_offered`` remains set
@@ -185,6 +186,7 @@
         self.is_offered = False
         self.takes_offers = False
         self.is_confirmed = False
+        self.renewing_since: float | None = None
         # Version of the lease row as this standby observed it, and since
         # when; -1 while none was observed.
         self._observed_version = -1
@@ -295,9 +297,11 @@
         )
         # A renewal without a reply may have been applied.
         self.is_offered |= row.is_offered
+        self.renewing_since = now
         outcome = await table.transact_resolved(
             self._store, self._lease_write(row)
         )
+        self.renewing_since = None
         self.is_confirmed = isinstance(outcome, result.Ok)
         if isinstance(outcome, result.Ok):
             self._lease_row_version = outcome.ok_value.version
@@ -399,6 +403,7 @@
         self._lease_row_version = outcome.ok_value.version
         self.valid_until = now + self._settings.shard_lease_s
         self.is_confirmed = True
+        self.renewing_since = None
         _log.info('shard lease acquired', shard=self.shard, epoch=epoch)
         self.trigger('gain')
 
--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -168,9 +168,10 @@
                 return
             self._metrics.count('probes')
             timeout_s = self._settings.fleet.order_timeout_s
-            await self._call_briefly(
+            if await self._call_briefly(
                 worker, clock.monotonic(), None, timeout_s
-            )
+            ):
+                self._wake()
 
     async def extend(
         self,
@@ -193,12 +194,13 @@
         sent_at: float,
         lease_until: float | None,
         timeout_s: float,
-    ) -> None:
-        """Call a worker without a wait, maybe to extend its leases.
+    ) -> bool:
+        """Call a worker without a wait; return whether it answered.
 
         A long poll of the same worker may be open.  Only the polls, which
         run one after another, apply what an answer reports; this call only
-        records that an answer was received.
+        records that an answer was received.  Its leases are extended to
+        ``lease_until`` on its clock, if given.
         """
         address = worker.entry.address
         answer = await self._run_client.poll_runs(
@@ -215,13 +217,13 @@
             if worker.last_answer_at >= sent_at or self._was_late(
                 answer.err_value, sent_at + timeout_s
             ):
-                return
+                return False
             self._record_error(worker, answer.err_value, address, sent_at)
-            return
+            return False
         now = clock.monotonic()
         worker.last_answer_at = now
         workerboots.record_boot(worker, answer.ok_value.boot, sent_at, now)
-        self._wake()
+        return True
 
     def _is_polled(self, worker: fleetworkers.Worker) -> bool:
         task = self._tasks_by_worker_id.get(worker.id)
