Mesh: each place of a handshake that may name a connection counts

Cause: only the first match of the property was looked at; an empty one, or its bytes in the value of another property, hid a real name after it. The library keeps, unread and without a bound, what a second connection of the same name sends. Change: all matches are looked at; any that isn't empty is refused. Result: two new cases of testmeshframing, failed before, pass.

--- a/primroselock/mesh/framing.py
+++ b/primroselock/mesh/framing.py
@@ -168,6 +168,13 @@
 
 def _has_name(ready: bytes) -> bool:
     """Return whether the sender of a command names its connection."""
-    at = ready.lower().find(_IDENTITY)
-    size_at = at + len(_IDENTITY)
-    return at >= 0 and ready[size_at : size_at + len(_NO_SIZE)] != _NO_SIZE
+    known = ready.lower()
+    at = known.find(_IDENTITY)
+    while at >= 0:
+        # Any place counts: it may stand in the value of another property,
+        # or be named again.
+        size_at = at + len(_IDENTITY)
+        if known[size_at : size_at + len(_NO_SIZE)] != _NO_SIZE:
+            return True
+        at = known.find(_IDENTITY, at + 1)
+    return False
--- a/primroselock/test/testmeshframing.py
+++ b/primroselock/test/testmeshframing.py
@@ -47,12 +47,15 @@
         most = _MOST + framing.FRAME_OVERHEAD_BYTES
         greeting = meshcrowds.greeting()
         named = b'\x08Identity\x00\x00\x00\x01x'
+        hiding = b'\x01A\x00\x00\x00\x0d\x08identity' + bytes(4)
         cases: tuple[tuple[bytes, _Cause], ...] = (
             (b'GET / HTTP/1.1\r\n', _Cause.MALFORMED),
             (b'\xff' + bytes(9), _Cause.MALFORMED),
             (greeting[:10] + b'\x02', _Cause.MALFORMED),
             (greeting + meshcrowds.frame(b'early'), _Cause.MALFORMED),
             (_ready(named), _Cause.MALFORMED),
+            (_ready(b'\x08Identity' + bytes(4) + named), _Cause.MALFORMED),
+            (_ready(hiding + named), _Cause.MALFORMED),
             (
                 greeting + meshcrowds.start_of_command(2**40),
                 _Cause.HEAD_TOO_LARGE,
