Scheduler: old loads of other shards make room for new ones

Cause: what beacons said of other shards was kept until the restart, so 1,024 invented names locked real new shards out. Change: where a beacon could exceed the bound, loads older than moves use are dropped first, once a beacon. Names that are sent again within 5 s still fill the table.

--- a/primroselock/decisions/moving.py
+++ b/primroselock/decisions/moving.py
@@ -160,6 +160,13 @@
     return load is not None and now - load.received_at <= _MAX_BEACON_AGE_S
 
 
+def drop_old_loads(board: blackboard.Blackboard, now: float) -> None:
+    """Drop the published loads that are too old to be used."""
+    for shard in list(board.peers_by_shard):
+        if not _is_fresh(board, shard, now):
+            del board.peers_by_shard[shard]
+
+
 def fits_on_another_shard(
     board: blackboard.Blackboard, shape: shapes.Shape, now: float
 ) -> bool:
--- a/primroselock/scheduler.py
+++ b/primroselock/scheduler.py
@@ -21,6 +21,7 @@
 from primroselock.decisions import controllers
 from primroselock.decisions.explaining import cellexplanation
 from primroselock.decisions.explaining import records
+from primroselock.decisions import moving
 from primroselock.decisions import registry
 from primroselock import httpserver
 from primroselock import jobfeed
@@ -248,6 +249,9 @@
     def _record_beacon(self, beacon: messages.Beacon) -> None:
         """Record the loads that other shards report."""
         peers_by_shard = self.board.peers_by_shard
+        now = clock.monotonic()
+        if len(peers_by_shard) + len(beacon.loads_by_shard) > _MAX_PEER_SHARDS:
+            moving.drop_old_loads(self.board, now)
         for shard, load in beacon.loads_by_shard.items():
             is_known = shard in peers_by_shard
             if not is_known and len(peers_by_shard) >= _MAX_PEER_SHARDS:
@@ -257,7 +261,7 @@
                     load.free_accelerators,
                     load.waiting_accelerators,
                     load.largest_free,
-                    clock.monotonic(),
+                    now,
                 )
 
     def _record_jobs(self, stored: list[jobstore.StoredJob]) -> None:
