Daemon: a beacon that is left out costs little

Cause: each was logged with its VM id, of up to 1 MiB, and scanned all members; the text blamed the processes also where bytes had run out. Change: members are scanned for it at most once a second, 64 characters of the id are logged (the rate of lines is limited by logs), the text says no room.

--- a/primroselock/daemon.py
+++ b/primroselock/daemon.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import abc
+import math
 import os
 import signal
 import typing
@@ -32,6 +33,9 @@
 
 _log: typing.Final = logs.get('daemon')
 _INCARNATION_DIGITS: typing.Final = 12
+_MAKE_ROOM_INTERVAL_S: typing.Final = 1.0
+_LOGGED_CHARACTERS: typing.Final = 64
+"""What is logged of the VM id in a beacon that is left out."""
 
 VmHandler = abc.Callable[[list[vmlist.Vm]], None]
 
@@ -63,6 +67,7 @@
         # was sent.
         self.vms_read_at: float | None = None
         self.members = membership.Members(settings)
+        self._made_room_at = -math.inf
         self.slots_by_upstream: dict[str, int] = {}
         self.loads_by_shard: dict[str, messages.ShardLoad] = {}
         self.status_address = ''
@@ -212,11 +217,14 @@
             return
         size = self.mesh.message_bytes
         now = clock.monotonic()
-        if not self.members.has_room(message, size):
+        has_room = self.members.has_room(message, size)
+        if not has_room and now - self._made_room_at >= _MAKE_ROOM_INTERVAL_S:
+            self._made_room_at = now
             # Removes those that have been silent for long.
             self.members.list_live(now)
         if self.members.has_room(message, size):
             self.members.record(message, now, size)
             return
         self.metrics.count('mesh_beacons_refused')
-        _log.warning('beacon left out: too many processes', vm=message.vm_id)
+        vm_id = message.vm_id[:_LOGGED_CHARACTERS]
+        _log.warning('beacon left out: no room', vm=vm_id)
--- a/primroselock/test/testmeshbounds.py
+++ b/primroselock/test/testmeshbounds.py
@@ -5,9 +5,14 @@
 import unittest
 from unittest import mock
 
+from structlog import testing
+
+from primroselock import daemon
 from primroselock.decisions import blackboard
+from primroselock.mesh import membership
 from primroselock.mesh import messages
 from primroselock import scheduler
+from primroselock.test import builders
 
 _CLOCK: typing.Final = 'primroselock.clock.monotonic'
 
@@ -42,5 +47,48 @@
         self.assertEqual({'b'}, board.peers_by_shard.keys())
 
 
+class RefusedBeaconsTest(unittest.IsolatedAsyncioTestCase):
+    """Beacons for which a daemon has no room."""
+
+    async def test_they_cost_little(self) -> None:
+        settings = builders.build_settings('[mesh]\nmax_members = 1\n')
+        shared = daemon.Daemon(settings, 'gateway')
+        shared._record_beacon(_beacon('vm-1'))
+        with (
+            testing.capture_logs() as lines,
+            mock.patch.object(
+                shared.members,
+                'list_live',
+                autospec=True,
+                side_effect=shared.members.list_live,
+            ) as scan,
+            mock.patch(_CLOCK, autospec=True) as clock,
+        ):
+            for at_ms in range(0, 2_000, 10):
+                clock.return_value = 1e6 + at_ms / 1_000
+                shared._record_beacon(_beacon(f'{at_ms}' + 'x' * 10_000))
+        await shared.aclose()
+        self.assertLessEqual(scan.call_count, 2)
+        self.assertLessEqual(max(len(line['vm']) for line in lines), 64)
+        self.assertNotIn('processes', lines[0]['event'])
+        self.assertLessEqual(len(shared.members.peers_by_process), 1)
+
+    async def test_room_of_the_silent_is_used(self) -> None:
+        settings = builders.build_settings('[mesh]\nmax_members = 1\n')
+        shared = daemon.Daemon(settings, 'gateway')
+        retention_s = membership.PEER_RETENTION_S
+        with mock.patch(_CLOCK, autospec=True) as clock:
+            for at_s, vm_id in (
+                (0.0, 'vm-1'),
+                (retention_s - 0.5, 'vm-2'),
+                (retention_s + 0.6, 'vm-3'),
+            ):
+                clock.return_value = 1e6 + at_s
+                shared._record_beacon(_beacon(vm_id))
+        await shared.aclose()
+        kept = {vm_id for vm_id, _ in shared.members.peers_by_process}
+        self.assertEqual({'vm-3'}, kept)
+
+
 if __name__ == '__main__':
     unittest.main()
