Mesh: a handshake ends also where the peer was ready first

Cause: whether it had ended was judged only as bytes arrived; where this side's half left last, a sound link waited for a first byte, and was cut with a short handshake_timeout_s. Change: it is judged as bytes leave too, but not amid a frame that arrives.

--- a/primroselock/mesh/framing.py
+++ b/primroselock/mesh/framing.py
@@ -84,9 +84,20 @@
                 at, cause = self._read_header(data, at)
             if cause is not None:
                 return cause
-        self.is_open = self.is_open or self._may_open()
+        self._judge()
         return None
 
+    def note_other_side(self) -> None:
+        """Judge whether the handshake has ended by what the other sent.
+
+        A frame that has begun is read by the rules under which it began.
+        """
+        if not self._left:
+            self._judge()
+
+    def _judge(self) -> None:
+        self.is_open = self.is_open or self._may_open()
+
     def _is_greeting_sound(self) -> bool:
         known = self._greeting
         return (
@@ -127,7 +138,7 @@
         return cause
 
     def _check_size(self) -> Cause | None:
-        self.is_open = self.is_open or self._may_open()
+        self._judge()
         if self._is_command and not self.is_open:
             self._handshake_bytes += self._left + _SHORT_HEADER_BYTES
             is_large = self._handshake_bytes > MAX_HANDSHAKE_BYTES
--- a/primroselock/mesh/relay.py
+++ b/primroselock/mesh/relay.py
@@ -276,6 +276,8 @@
     def _take_inner(self, data: bytes) -> None:
         if not self._arriving.is_open:
             self._leaving.read(data)
+            # Where the peer was ready first, nothing more need arrive.
+            self._arriving.note_other_side()
         self.on_sent(len(data))
         self.outer.write(data)
 
--- a/primroselock/test/testmeshbounds.py
+++ b/primroselock/test/testmeshbounds.py
@@ -9,10 +9,14 @@
 
 from primroselock import daemon
 from primroselock.decisions import blackboard
+from primroselock.mesh import links
 from primroselock.mesh import membership
 from primroselock.mesh import messages
+from primroselock.mesh import relay
+from primroselock import metrics
 from primroselock import scheduler
 from primroselock.test import builders
+from primroselock.test import meshcrowds
 
 _CLOCK: typing.Final = 'primroselock.clock.monotonic'
 
@@ -90,5 +94,30 @@
         self.assertEqual({'vm-3'}, kept)
 
 
+class HandshakeTest(unittest.IsolatedAsyncioTestCase):
+    """A handshake whose two halves come in either order."""
+
+    async def test_it_ends_with_either_half(self) -> None:
+        half = meshcrowds.greeting() + meshcrowds.ready(b'DEALER')
+        settings = builders.build_settings().mesh
+        for is_caller in (False, True):
+            for is_arriving_first in (False, True):
+                with self.subTest(
+                    is_caller=is_caller, is_arriving_first=is_arriving_first
+                ):
+                    guard = links.build_guard(
+                        'mesh', settings, 10, metrics.Metrics()
+                    )
+                    inbox = relay.Counted(mock.Mock(), relay.Budget(1_000))
+                    joined = relay.Relay(guard, inbox, 1_000, is_caller)
+                    joined._inner.transport = mock.Mock()
+                    joined.outer.transport = mock.Mock()
+                    sides = [joined.outer, joined._inner]
+                    for side in sides if is_arriving_first else sides[::-1]:
+                        self.assertFalse(joined.is_open)
+                        joined.take(side, half)
+                    self.assertTrue(joined.is_open)
+
+
 if __name__ == '__main__':
     unittest.main()
