Mesh: a peer's address is an IP address and a port, or is left out

Cause: only a missing host and a port that is no number were refused. Port 99999 and a host label that is too long ended the link's task for good, and a name made the daemon look it up; VM lists and beacons may name any. Change: judged as the addresses in settings are, which allow no names.

--- a/primroselock/mesh/links.py
+++ b/primroselock/mesh/links.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import ipaddress
 import socket
 import typing
 
@@ -24,6 +25,7 @@
 _RECONNECT_S: typing.Final = 0.1
 _MAX_RECONNECT_S: typing.Final = 2.0
 _REST_S: typing.Final = 1.0
+_MAX_PORT: typing.Final = 65_535
 _LEAST_PIECE_BYTES: typing.Final = 1_024
 """Smaller pieces are heartbeats and handshakes, or no answers that count."""
 
@@ -146,9 +148,10 @@
         Raises :class:`ValueError` if it is none.
         """
         host, _, port = address.rpartition(':')
-        self._host = host.strip('[]')
+        # A name would be looked up by the daemon, and may not be encodable.
+        self._host = str(ipaddress.ip_address(host.strip('[]')))
         self._port = int(port)
-        if not self._host:
+        if not 0 <= self._port <= _MAX_PORT:
             raise ValueError(address)
         self._inbox = inbox
         self._guard = guard
--- a/primroselock/test/testmeshbounds.py
+++ b/primroselock/test/testmeshbounds.py
@@ -19,6 +19,15 @@
 from primroselock.test import meshcrowds
 
 _CLOCK: typing.Final = 'primroselock.clock.monotonic'
+_SOUND_ADDRESSES: typing.Final = ('127.0.0.1:1', '[::1]:65535')
+_ODD_ADDRESSES: typing.Final = (
+    ':1',
+    '127.0.0.1:x',
+    '127.0.0.1:99999',
+    '127.0.0.1:-1',
+    f'{"x" * 64}.test:1',
+    'localhost:1',
+)
 
 
 def _beacon(
@@ -119,5 +128,18 @@
                     self.assertTrue(joined.is_open)
 
 
+class LinkAddressTest(unittest.TestCase):
+    """Addresses that a VM list names."""
+
+    def test_only_ip_addresses_and_ports(self) -> None:
+        inbox: typing.Any = None
+        guard: typing.Any = None
+        for address in _SOUND_ADDRESSES:
+            links.Link(address, inbox, guard)
+        for address in _ODD_ADDRESSES:
+            with self.subTest(address), self.assertRaises(ValueError):
+                links.Link(address, inbox, guard)
+
+
 if __name__ == '__main__':
     unittest.main()
