Mesh: heartbeats free no room for answers

Cause: pieces under 1,024 bytes, such as heartbeats and handshakes, lowered what counts as not sent, so more than max_held_bytes could wait. Change: only pieces of at least that size lower it; the rest is freed once the library is at rest, as before. Result: the new test of testmeshbounds, failed before, passes.

--- a/primroselock/mesh/links.py
+++ b/primroselock/mesh/links.py
@@ -27,7 +27,11 @@
 _REST_S: typing.Final = 1.0
 _MAX_PORT: typing.Final = 65_535
 _LEAST_PIECE_BYTES: typing.Final = 1_024
-"""Smaller pieces are heartbeats and handshakes, or no answers that count."""
+"""Smaller pieces are heartbeats and handshakes, or no answers that count.
+
+They free no room for answers; what small answers took is free once the
+library is at rest.
+"""
 
 _LINKS_PER_PEER: typing.Final = 2
 """A link that ends may overlap with the next one."""
@@ -121,8 +125,8 @@
 
     def _note_sent(self, size: int) -> None:
         """Note that bytes have left the library."""
-        self._unsent_bytes = max(0, self._unsent_bytes - size)
         if size >= _LEAST_PIECE_BYTES:
+            self._unsent_bytes = max(0, self._unsent_bytes - size)
             self._sent_at = clock.monotonic()
 
     def close(self) -> None:
--- a/primroselock/test/testmeshbounds.py
+++ b/primroselock/test/testmeshbounds.py
@@ -141,5 +141,20 @@
                 links.Link(address, inbox, guard)
 
 
+class UnsentTest(unittest.TestCase):
+    """The answers that have not left the library."""
+
+    def test_heartbeats_free_no_room(self) -> None:
+        settings = builders.build_settings().mesh
+        door = links.Door(settings, mock.Mock(), metrics.Metrics())
+        with mock.patch(_CLOCK, autospec=True, return_value=100.0):
+            self.assertTrue(door.may_send(settings.max_held_bytes))
+            for _ in range(10):
+                door._note_sent(links._LEAST_PIECE_BYTES - 1)
+            self.assertFalse(door.may_send(2_000))
+            door._note_sent(2_000)
+            self.assertTrue(door.may_send(2_000))
+
+
 if __name__ == '__main__':
     unittest.main()
