--- a/primroselock/mesh/framing.py
+++ b/primroselock/mesh/framing.py
@@ -84,9 +84,20 @@
                 at, cause = self._read_header(data, at)
             if cause is not None:
                 return cause
-        self.is_open = self.is_open or self._may_open()
+        self._judge()
         return None
 
+    def note_other_side(self) -> None:
+        """Judge whether the handshake has ended by what the other sent.
+
+        A frame that has begun is read by the rules under which it began.
+        """
+        if not self._left:
+            self._judge()
+
+    def _judge(self) -> None:
+        self.is_open = self.is_open or self._may_open()
+
     def _is_greeting_sound(self) -> bool:
         known = self._greeting
         return (
@@ -127,7 +138,7 @@
         return cause
 
     def _check_size(self) -> Cause | None:
-        self.is_open = self.is_open or self._may_open()
+        self._judge()
         if self._is_command and not self.is_open:
             self._handshake_bytes += self._left + _SHORT_HEADER_BYTES
             is_large = self._handshake_bytes > MAX_HANDSHAKE_BYTES
@@ -168,6 +179,13 @@
 
 def _has_name(ready: bytes) -> bool:
     """Return whether the sender of a command names its connection."""
-    at = ready.lower().find(_IDENTITY)
-    size_at = at + len(_IDENTITY)
-    return at >= 0 and ready[size_at : size_at + len(_NO_SIZE)] != _NO_SIZE
+    known = ready.lower()
+    at = known.find(_IDENTITY)
+    while at >= 0:
+        # Any place counts: it may stand in the value of another property,
+        # or be named again.
+        size_at = at + len(_IDENTITY)
+        if known[size_at : size_at + len(_NO_SIZE)] != _NO_SIZE:
+            return True
+        at = known.find(_IDENTITY, at + 1)
+    return False
--- a/primroselock/mesh/links.py
+++ b/primroselock/mesh/links.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import ipaddress
 import socket
 import typing
 
@@ -24,8 +25,13 @@
 _RECONNECT_S: typing.Final = 0.1
 _MAX_RECONNECT_S: typing.Final = 2.0
 _REST_S: typing.Final = 1.0
+_MAX_PORT: typing.Final = 65_535
 _LEAST_PIECE_BYTES: typing.Final = 1_024
-"""Smaller pieces are heartbeats and handshakes, or no answers that count."""
+"""Smaller pieces are heartbeats and handshakes, or no answers that count.
+
+They free no room for answers; what small answers took is free once the
+library is at rest.
+"""
 
 _LINKS_PER_PEER: typing.Final = 2
 """A link that ends may overlap with the next one."""
@@ -119,8 +125,8 @@
 
     def _note_sent(self, size: int) -> None:
         """Note that bytes have left the library."""
-        self._unsent_bytes = max(0, self._unsent_bytes - size)
         if size >= _LEAST_PIECE_BYTES:
+            self._unsent_bytes = max(0, self._unsent_bytes - size)
             self._sent_at = clock.monotonic()
 
     def close(self) -> None:
@@ -146,9 +152,10 @@
         Raises :class:`ValueError` if it is none.
         """
         host, _, port = address.rpartition(':')
-        self._host = host.strip('[]')
+        # A name would be looked up by the daemon, and may not be encodable.
+        self._host = str(ipaddress.ip_address(host.strip('[]')))
         self._port = int(port)
-        if not self._host:
+        if not 0 <= self._port <= _MAX_PORT:
             raise ValueError(address)
         self._inbox = inbox
         self._guard = guard
