Explain: hand an operator's token only to a scheduler of the VM list

A gateway sent the token to the status address of any live beacon of the zone; without mesh keys whoever reaches the mesh could name himself. A beacon now counts only if the VM list has its VM as a scheduler of the zone, and its status address is on the host of that VM's mesh address. Existing tests are unchanged.

--- a/primroselock/daemon.py
+++ b/primroselock/daemon.py
@@ -26,6 +26,7 @@
 from primroselock.mesh import node
 from primroselock import metrics
 from primroselock import options
+from primroselock import sockets
 from primroselock.store import client
 from primroselock.store import vmlist
 from primroselock import waits
@@ -196,7 +197,9 @@
             dict(self.slots_by_upstream),
             self.mesh.advertised_address,
             dict(self.loads_by_shard),
-            self.status_address,
+            sockets.find_reachable(
+                self.status_address, self.mesh.advertised_address
+            ),
         )
 
     def confirmations(
--- a/primroselock/jobexplanations.py
+++ b/primroselock/jobexplanations.py
@@ -17,8 +17,10 @@
 from primroselock import jobs
 from primroselock import jobsapi
 from primroselock import jobstore
+from primroselock.mesh import messages
 from primroselock import operatorcalls
 from primroselock import schedulerexplanations
+from primroselock import sockets
 
 
 class JobExplanations:
@@ -101,11 +103,33 @@
         return answers.error(503, 'holder', why, retry_after_s=1.0)
 
     def _list_schedulers(self, shard: str) -> list[str]:
-        """Return where schedulers of a shard answer, its holder first."""
+        """Return where schedulers of a shard answer, its holder first.
+
+        The call carries an operator's token, and whoever reaches the mesh may
+        send a beacon: one counts only as far as the VM list confirms it.
+        """
+        hosts_by_vm_id = {
+            vm.id: sockets.host_of(vm.mesh)
+            for vm in self._shared.vms
+            if vm.role == 'scheduler' and vm.zone == shard and vm.mesh
+        }
         beacons = [
             peer.beacon
             for peer in self._shared.members.list_live(clock.monotonic())
-            if peer.beacon.zone == shard and peer.beacon.status_address
+            if _is_confirmed(peer.beacon, shard, hosts_by_vm_id)
         ]
         beacons.sort(key=lambda beacon: shard not in beacon.loads_by_shard)
         return [beacon.status_address for beacon in beacons]
+
+
+def _is_confirmed(
+    beacon: messages.Beacon, shard: str, hosts_by_vm_id: dict[str, str]
+) -> bool:
+    """Return whether a beacon's address is on the VM of a scheduler."""
+    return (
+        beacon.role == 'scheduler'
+        and beacon.zone == shard
+        and bool(beacon.status_address)
+        and hosts_by_vm_id.get(beacon.vm_id)
+        == sockets.host_of(beacon.status_address)
+    )
--- a/primroselock/mesh/messages.py
+++ b/primroselock/mesh/messages.py
@@ -33,7 +33,8 @@
     messages; ``loads_by_shard`` describes the shards that it holds.
     ``leaving`` is True while it shuts down; ``slots_by_upstream`` counts
     the slots that a gateway uses, by VM id of the upstream.  At
-    ``status_address`` a scheduler answers operators' calls; empty for others.
+    ``status_address`` a scheduler answers operators' calls; empty for others,
+    and if other VMs do not reach it.
     """
 
     vm_id: str
--- a/primroselock/sockets.py
+++ b/primroselock/sockets.py
@@ -1,5 +1,6 @@
 """Listening sockets of a daemon."""
 
+import ipaddress
 import socket
 import typing
 
@@ -38,3 +39,26 @@
     """Return the IP and port that a socket is bound to."""
     host, port = listener.getsockname()[:2]
     return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
+
+
+def host_of(address: str) -> str:
+    """Return the host of HOST:PORT, an IPv6 host in its brackets."""
+    return address.rpartition(':')[0]
+
+
+def find_reachable(address: str, known: str) -> str:
+    """Return ``address`` if peers on other VMs can reach it, else empty.
+
+    Peers reach ``known``, so they reach its host.  A wildcard address says
+    nothing, and a loopback address is that of their own VM.
+    """
+    host = host_of(address)
+    try:
+        parsed = ipaddress.ip_address(host.strip('[]'))
+    except ValueError:
+        return ''
+    if parsed.is_unspecified:
+        return ''
+    if parsed.is_loopback and host != host_of(known):
+        return ''
+    return address
--- /dev/null
+++ b/primroselock/test/testexplainholders.py
@@ -0,0 +1,101 @@
+"""Which schedulers a gateway hands an operator's token to."""
+
+import types
+import typing
+import unittest
+from unittest import mock
+
+from primroselock import daemon
+from primroselock import jobexplanations
+from primroselock.mesh import messages
+from primroselock.store import vmlist
+from primroselock.test import builders
+
+_MESH: typing.Final = '127.0.0.2:7000'
+_STATUS: typing.Final = '127.0.0.2:8000'
+_VM: typing.Final = vmlist.Vm('s', 'scheduler', 'za', '', mesh=_MESH)
+
+
+def build_beacon(**changes: typing.Any) -> messages.Beacon:
+    """Return the beacon of the scheduler ``s`` of zone ``za``."""
+    fields: dict[str, typing.Any] = {
+        'vm_id': 's',
+        'incarnation': 'i',
+        'sequence': 1,
+        'role': 'scheduler',
+        'zone': 'za',
+        'config_version': 1,
+        'config_age_s': 0.0,
+        'address': _MESH,
+        'status_address': _STATUS,
+        **changes,
+    }
+    return messages.Beacon(**fields)
+
+
+def list_schedulers(
+    beacon: messages.Beacon, vms: tuple[vmlist.Vm, ...] = (_VM,)
+) -> list[str]:
+    """Return whom a gateway asks that hears one beacon."""
+    shared: typing.Any = types.SimpleNamespace(
+        platform=None,
+        vms=list(vms),
+        members=types.SimpleNamespace(
+            list_live=lambda now: [types.SimpleNamespace(beacon=beacon)]
+        ),
+    )
+    calls = jobexplanations.JobExplanations(shared)
+    return calls._list_schedulers('za')
+
+
+class HoldersTest(unittest.TestCase):
+    """A beacon is believed only as far as the VM list confirms it."""
+
+    def test_a_scheduler_of_the_list(self) -> None:
+        """It is asked where it says."""
+        self.assertEqual([_STATUS], list_schedulers(build_beacon()))
+
+    def test_beacons_that_get_no_token(self) -> None:
+        """Guards against a token for whoever names himself."""
+        other_role = vmlist.Vm('s', 'gateway', 'za', '', mesh=_MESH)
+        other_zone = vmlist.Vm('s', 'scheduler', 'zb', '', mesh=_MESH)
+        no_mesh = vmlist.Vm('s', 'scheduler', 'za', '')
+        for name, beacon, vms in (
+            ('not listed', build_beacon(vm_id='t'), (_VM,)),
+            ('no list', build_beacon(), ()),
+            ('role', build_beacon(), (other_role,)),
+            ('zone', build_beacon(), (other_zone,)),
+            ('says a role', build_beacon(role='gateway'), (_VM,)),
+            ('no mesh address', build_beacon(), (no_mesh,)),
+            (
+                'host',
+                build_beacon(
+                    address='127.0.0.3:7000', status_address='127.0.0.3:8000'
+                ),
+                (_VM,),
+            ),
+            ('none', build_beacon(status_address=''), (_VM,)),
+        ):
+            with self.subTest(name):
+                self.assertEqual([], list_schedulers(beacon, vms))
+
+    def test_what_a_scheduler_advertises(self) -> None:
+        """Guards against an address that only its own VM reaches."""
+        for mesh, status, expected in (
+            (_MESH, _STATUS, _STATUS),
+            (_MESH, '127.0.0.1:8000', ''),
+            (_MESH, '0.0.0.0:8000', ''),
+            ('0.0.0.0:7000', '0.0.0.0:8000', ''),
+            ('0.0.0.0:7000', '127.0.0.1:8000', ''),
+            ('[::1]:7000', '[::1]:8000', '[::1]:8000'),
+        ):
+            with self.subTest(mesh=mesh, status=status):
+                shared = daemon.Daemon(builders.build_settings(), 'scheduler')
+                shared.status_address = status
+                with mock.patch.object(shared.mesh, 'address', mesh):
+                    beacon = shared.build_beacon(0.0)
+                self.assertEqual(expected, beacon.status_address)
+
+
+if __name__ == '__main__':
+    unittest.main()
