Explain: a node bounds the steps of a job that is asked about

A body of 256 KiB at the metrics address was decoded without the limit that callers' jobs have, and before the answer `busy`: each made up to 87,000 objects. ReadJob takes the maximum number of steps, and a busy holder reads no job. The stub of testexplaincalls has the new signature; it checks as before. BodiesTest: 2 of 2 failed before, testexplaincalls 11 of 11 pass now.

--- a/primroselock/explaincalls.py
+++ b/primroselock/explaincalls.py
@@ -36,6 +36,9 @@
 class Source(typing.Protocol):
     """The holder of the shard, or a standby that knows who holds it."""
 
+    def find_busy(self) -> holderexplanations.Unexplained | None:
+        """Return why nothing is explained now; None if something may be."""
+
     async def explain(
         self, job: str | jobgraph.JobGraph
     ) -> result.Result[
@@ -58,6 +61,7 @@
         read_job: holderexplanations.ReadJob,
     ) -> None:
         self._own_address = settings.fleet.metrics_bind
+        self._max_steps = settings.fleet.max_job_tasks
         self._source = source
         self._read_job = read_job
 
@@ -72,10 +76,15 @@
             if isinstance(read, result.Err):
                 return answers.error(413, 'bad-job', 'the job is too large')
             body = read.ok_value
+            # A body takes time to read, too.
+            busy = self._source.find_busy()
+            if busy is not None:
+                return _refuse(busy)
             parsed = self._read_job(
                 body,
                 request.query_params.get('account', ''),
                 request.query_params.get('queue', ''),
+                self._max_steps,
             )
             if isinstance(parsed, result.Err):
                 return answers.error(400, 'bad-job', parsed.err_value)
@@ -88,12 +97,7 @@
         problem = explained.err_value
         if isinstance(problem, holderexplanations.NotHolder):
             return await self._ask_holder(request, body, problem)
-        return answers.error(
-            _STATUS_BY_PROBLEM[problem.why],
-            problem.why.value,
-            problem.detail,
-            retry_after_s=problem.retry_after_s,
-        )
+        return _refuse(problem)
 
     async def _ask_holder(
         self,
@@ -137,5 +141,14 @@
         )
 
 
+def _refuse(problem: holderexplanations.Unexplained) -> responses.Response:
+    return answers.error(
+        _STATUS_BY_PROBLEM[problem.why],
+        problem.why.value,
+        problem.detail,
+        retry_after_s=problem.retry_after_s,
+    )
+
+
 def _unavailable(code: str, message: str) -> responses.Response:
     return answers.error(503, code, message, retry_after_s=_RETRY_AFTER_S)
--- a/primroselock/holderexplanations.py
+++ b/primroselock/holderexplanations.py
@@ -29,9 +29,12 @@
 """Time until the next explanation as a multiple of the last one's."""
 
 ReadJob = abc.Callable[
-    [bytes, str, str], result.Result[jobgraph.JobGraph, str]
+    [bytes, str, str, int], result.Result[jobgraph.JobGraph, str]
 ]
-"""Reads a job as callers send it, for an account and a queue."""
+"""Reads a job as callers send it, for an account and a queue.
+
+The last argument is the maximum number of its steps.
+"""
 
 
 class Problem(enum.Enum):
@@ -99,16 +102,21 @@
         self._is_busy = False
         self._next_at = float('-inf')
 
+    def find_busy(self) -> Unexplained | None:
+        """Return why nothing is explained now; None if something may be."""
+        now = clock.monotonic()
+        if not self._is_busy and now >= self._next_at:
+            return None
+        left_s = max(1.0, self._next_at - now)
+        return Unexplained(Problem.BUSY, 'explains another job', left_s)
+
     async def explain(
         self, job: str | jobgraph.JobGraph
     ) -> result.Result[records.Answer, Unexplained]:
         """Explain a job, by its id, or one that is not sent."""
-        now = clock.monotonic()
-        if self._is_busy or now < self._next_at:
-            left_s = max(1.0, self._next_at - now)
-            return result.Err(
-                Unexplained(Problem.BUSY, 'explains another job', left_s)
-            )
+        busy = self.find_busy()
+        if busy is not None:
+            return result.Err(busy)
         if isinstance(job, jobgraph.JobGraph):
             problem = self._find_problem(job)
             if problem:
--- a/primroselock/platform/clientapi.py
+++ b/primroselock/platform/clientapi.py
@@ -255,11 +255,13 @@
 
 
 def read_job(
-    body: bytes, account: str, queue: str
+    body: bytes, account: str, queue: str, max_steps: int
 ) -> result.Result[jobgraph.JobGraph, str]:
     """Return the job in a body, without an id, or why it cannot be read."""
-    return _decode_body(body).map(
-        lambda decoded: _build_graph(decoded, account, queue, '')
+    return (
+        _decode_job(body, max_steps)
+        .map(lambda decoded: _build_graph(decoded, account, queue, ''))
+        .map_err(lambda refused: f'{refused.why.value}: {refused.detail}')
     )
 
 
--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -129,6 +129,12 @@
             return None
         return self._session.find_job(job_id, now)
 
+    def find_busy(self) -> holderexplanations.Unexplained | None:
+        """Return why the holder explains nothing now."""
+        if self._session is None:
+            return None
+        return self._session.explanations.find_busy()
+
     async def explain(
         self, job: str | jobgraph.JobGraph
     ) -> result.Result[
--- a/primroselock/test/testexplaincalls.py
+++ b/primroselock/test/testexplaincalls.py
@@ -13,6 +13,7 @@
 from primroselock import explaincalls
 from primroselock import holderexplanations
 from primroselock import jobgraph
+from primroselock.platform import clientapi
 from primroselock.test import boundbuilders
 from primroselock.test import fleetbuilders
 
@@ -29,8 +30,13 @@
         problem: holderexplanations.Unexplained | holderexplanations.NotHolder,
     ) -> None:
         self.problem = problem
+        self.busy: holderexplanations.Unexplained | None = None
         self.asked: list[str | jobgraph.JobGraph] = []
 
+    def find_busy(self) -> holderexplanations.Unexplained | None:
+        """Return the problem that is set."""
+        return self.busy
+
     async def explain(
         self, job: str | jobgraph.JobGraph
     ) -> result.Result[
@@ -43,7 +49,7 @@
 
 
 def read_nothing(
-    body: bytes, account: str, queue: str
+    body: bytes, account: str, queue: str, max_steps: int
 ) -> result.Result[jobgraph.JobGraph, str]:
     """Refuse each job."""
     return result.Err('expected something else')
@@ -145,6 +151,48 @@
         self.assertEqual(413, status)
 
 
+class BodiesTest(unittest.IsolatedAsyncioTestCase):
+    """What a body may cost a node that has other work."""
+
+    def setUp(self) -> None:
+        self.settings = fleetbuilders.build_node_settings()
+        self.source = FixedSource(_OTHER)
+        self.read_job = mock.Mock(wraps=clientapi.read_job)
+
+    async def ask(self, body: bytes) -> tuple[int, str, str]:
+        """Return status, code and message of the answer to a job."""
+        calls = explaincalls.ExplainCalls(
+            self.settings, self.source, self.read_job
+        )
+        request = build_request('POST', '', body=body)
+        answer = await calls.answer(request)
+        error = json.loads(bytes(answer.body))['error']
+        return answer.status_code, error['code'], error['message']
+
+    async def test_more_steps_than_a_job_may_have_tasks(self) -> None:
+        """Guards against a small body that becomes many objects."""
+        steps = self.settings.fleet.max_job_tasks + 1
+        phases = ','.join(['{}'] * steps)
+        body = f'{{"spec":"s","phases":[{phases}]}}'.encode()
+        with mock.patch.object(
+            clientapi, '_decode_body', wraps=clientapi._decode_body
+        ) as decode:
+            status, code, message = await self.ask(body)
+            self.assertEqual((400, 'bad-job'), (status, code))
+            self.assertIn(f'{steps} steps', message)
+            decode.assert_not_called()
+        self.assertEqual([], self.source.asked)
+
+    async def test_a_busy_holder_reads_no_job(self) -> None:
+        """Guards against bodies that are read beside an explanation."""
+        self.source.busy = holderexplanations.Unexplained(
+            holderexplanations.Problem.BUSY, 'd', 2.0
+        )
+        found = await self.ask(b'{"spec":"s","phases":[{}]}')
+        self.assertEqual((503, 'busy', 'd'), found)
+        self.read_job.assert_not_called()
+
+
 class HolderTest(unittest.TestCase):
     """Nodes on fakes: the holder explains, a standby names it."""
 
