Explain: job ids with `?`, `#` and other escaped characters

Starlette escapes some characters of request.url.path, so a node looked up the escaped id; a gateway handed the id on unescaped. Both read the decoded id and forward it quoted; what only begins like the path gets the metrics again.

--- a/primroselock/explaincalls.py
+++ b/primroselock/explaincalls.py
@@ -4,6 +4,7 @@
 """
 
 import typing
+import urllib.parse
 
 import result
 from starlette import requests
@@ -68,9 +69,7 @@
     async def answer(self, request: requests.Request) -> responses.Response:
         """Answer a call, or hand it on to the holder."""
         body = b''
-        job: str | jobgraph.JobGraph = request.url.path.removeprefix(
-            f'{PATH}/'
-        )
+        job: str | jobgraph.JobGraph = _read_job_id(request)
         if request.method == 'POST':
             read = await requestbodies.read(request, _MAX_BODY_BYTES)
             if isinstance(read, result.Err):
@@ -123,7 +122,10 @@
                 'this node does not hold the shard; last known to hold it: '
                 f'{holder}',
             )
-        target = request.url.path
+        target = PATH
+        if request.method == 'GET':
+            quoted = urllib.parse.quote(_read_job_id(request), safe='')
+            target = f'{PATH}/{quoted}'
         if request.url.query:
             target = f'{target}?{request.url.query}'
         answered = await forwarding.hand_on(
@@ -141,6 +143,12 @@
         )
 
 
+def _read_job_id(request: requests.Request) -> str:
+    """Return the id in the path; that of the URL has characters escaped."""
+    path: str = request.scope['path']
+    return path.removeprefix(f'{PATH}/')
+
+
 def _refuse(problem: holderexplanations.Unexplained) -> responses.Response:
     return answers.error(
         _STATUS_BY_PROBLEM[problem.why],
--- a/primroselock/jobexplanations.py
+++ b/primroselock/jobexplanations.py
@@ -4,6 +4,8 @@
 that publishes the load of the shard first: it holds it.
 """
 
+import urllib.parse
+
 import msgspec
 import result
 from starlette import requests
@@ -44,7 +46,8 @@
         stored = read.ok_value
         if stored is None or stored.job.state.is_final:
             return answers.error(404, 'job', 'no job that has not ended')
-        path = f'{schedulerexplanations.PATH}/{job_id}'
+        quoted = urllib.parse.quote(job_id, safe='')
+        path = f'{schedulerexplanations.PATH}/{quoted}'
         return await self._ask_holder(request, stored.job.shard, 'GET', path)
 
     async def ask(self, request: requests.Request) -> responses.Response:
--- a/primroselock/operatorviews.py
+++ b/primroselock/operatorviews.py
@@ -51,7 +51,7 @@
     ) -> None:
         """Serve one call."""
         path = scope.get('path', '')
-        if self._explain_calls and path.startswith(explaincalls.PATH):
+        if self._explain_calls and _is_explanation(path):
             request = requests.Request(scope, receive)
             response = await self._explain_calls.answer(request)
         else:
@@ -80,6 +80,12 @@
         return answers.json_response(job)
 
 
+def _is_explanation(path: str) -> bool:
+    return path == explaincalls.PATH or path.startswith(
+        f'{explaincalls.PATH}/'
+    )
+
+
 def _not_holder() -> responses.Response:
     return answers.error(
         503, 'holder', 'this node does not hold the shard; ask the others'
--- a/primroselock/test/testexplaincalls.py
+++ b/primroselock/test/testexplaincalls.py
@@ -11,8 +11,10 @@
 
 from primroselock.decisions.explaining import records
 from primroselock import explaincalls
+from primroselock import forwarding
 from primroselock import holderexplanations
 from primroselock import jobgraph
+from primroselock import operatorviews
 from primroselock.platform import clientapi
 from primroselock.test import boundbuilders
 from primroselock.test import fleetbuilders
@@ -151,6 +153,54 @@
         self.assertEqual(413, status)
 
 
+class PathsTest(unittest.IsolatedAsyncioTestCase):
+    """Ids with characters that mean something in a URL."""
+
+    def setUp(self) -> None:
+        self.source = FixedSource(_OTHER)
+        self.calls = explaincalls.ExplainCalls(
+            fleetbuilders.build_node_settings(), self.source, read_nothing
+        )
+
+    async def test_ids_are_kept(self) -> None:
+        """Guards against an id that is asked for in its escaped form."""
+        for job_id, target in (
+            ('a?b', '/a%3Fb'),
+            ('a#b', '/a%23b'),
+            ('a b%', '/a%20b%25'),
+            ('a/b', '/a%2Fb'),
+            ('é', '/%C3%A9'),
+        ):
+            with (
+                self.subTest(job_id),
+                mock.patch.object(
+                    forwarding,
+                    'hand_on',
+                    autospec=True,
+                    return_value=result.Err('none'),
+                ) as hand_on,
+            ):
+                await self.calls.answer(build_request(path=f'/{job_id}'))
+                self.assertEqual(job_id, self.source.asked[-1])
+                self.assertEqual(
+                    f'{explaincalls.PATH}{target}',
+                    hand_on.call_args.args[1].path,
+                )
+
+    async def test_what_is_below_the_path(self) -> None:
+        """Guards against another path that begins in the same way."""
+        views: typing.Any = operatorviews.OperatorViews(
+            mock.Mock(), lambda: 'metrics', self.calls
+        )
+        for path, is_asked in (('/j', True), ('x', False), ('x/j', False)):
+            with self.subTest(path):
+                self.source.asked.clear()
+                request = build_request(path=path)
+                send = mock.AsyncMock()
+                await views(request.scope, request.receive, send)
+                self.assertEqual(is_asked, bool(self.source.asked))
+
+
 class BodiesTest(unittest.IsolatedAsyncioTestCase):
     """What a body may cost a node that has other work."""
 
