Explain: one deadline for all schedulers that a gateway asks

Each scheduler of a zone was given 8 s in turn, while the client waits 15 s: with two silent ones it had gone. All share 8 s now, each its part of what is left; hand_on takes the deadline.

--- a/primroselock/explaincalls.py
+++ b/primroselock/explaincalls.py
@@ -11,6 +11,7 @@
 from starlette import responses
 
 from primroselock import answers
+from primroselock import clock
 from primroselock.decisions.explaining import records
 from primroselock import forwarding
 from primroselock import holderexplanations
@@ -133,6 +134,7 @@
             httpclient.Request(
                 request.method, target, body, ((_FORWARDED_HEADER, '1'),)
             ),
+            clock.monotonic() + forwarding.TIMEOUT_S,
         )
         if isinstance(answered, result.Ok):
             return answered.ok_value
--- a/primroselock/forwarding.py
+++ b/primroselock/forwarding.py
@@ -6,19 +6,24 @@
 from starlette import responses
 
 from primroselock import answers
+from primroselock import clock
 from primroselock import httpclient
 
-_TIMEOUT_S: typing.Final = 8.0
-"""The client waits for longer than this."""
+TIMEOUT_S: typing.Final = 8.0
+"""For all that are asked for one call; the client waits for longer."""
 
 
 async def hand_on(
-    address: str, request: httpclient.Request
+    address: str, request: httpclient.Request, deadline: float
 ) -> result.Result[responses.Response, str]:
-    """Return the answer at ``address`` as one's own, or why there is none."""
+    """Return the answer at ``address`` as one's own, or why there is none.
+
+    ``deadline`` is on this process's clock.
+    """
     pool = httpclient.ConnectionPool(address, limit=1)
     try:
-        exchanged = await pool.exchange(request, _TIMEOUT_S)
+        left_s = max(deadline - clock.monotonic(), 0.0)
+        exchanged = await pool.exchange(request, left_s)
     finally:
         await pool.aclose()
     if isinstance(exchanged, result.Err):
--- a/primroselock/jobexplanations.py
+++ b/primroselock/jobexplanations.py
@@ -90,12 +90,22 @@
         path: str,
         body: bytes = b'',
     ) -> responses.Response:
-        """Ask the schedulers of a shard until one answers as its holder."""
+        """Ask the schedulers of a shard until one answers as its holder.
+
+        Each may take its share of the time that is left, so that one that is
+        silent leaves time for the others.
+        """
         why = f'no scheduler of shard {shard} is known'
         headers = (('Authorization', request.headers['authorization']),)
-        for address in self._list_schedulers(shard):
+        addresses = self._list_schedulers(shard)
+        deadline = clock.monotonic() + forwarding.TIMEOUT_S
+        for number, address in enumerate(addresses):
+            now = clock.monotonic()
+            share_s = (deadline - now) / (len(addresses) - number)
             answered = await forwarding.hand_on(
-                address, httpclient.Request(method, path, body, headers)
+                address,
+                httpclient.Request(method, path, body, headers),
+                now + share_s,
             )
             if isinstance(answered, result.Err):
                 why = f'scheduler at {address}: {answered.err_value}'
--- a/primroselock/test/testexplainholders.py
+++ b/primroselock/test/testexplainholders.py
@@ -1,17 +1,24 @@
 """Which schedulers a gateway hands an operator's token to."""
 
+import asyncio
 import types
 import typing
 import unittest
 from unittest import mock
 
+import result
+
+from primroselock import clock
 from primroselock import daemon
+from primroselock import httpclient
 from primroselock import jobexplanations
 from primroselock.mesh import messages
 from primroselock.store import vmlist
 from primroselock.test import builders
+from primroselock.test import virtualtime
 
 _MESH: typing.Final = '127.0.0.2:7000'
+_HAND_ON_S: typing.Final = 8.0
 _STATUS: typing.Final = '127.0.0.2:8000'
 _VM: typing.Final = vmlist.Vm('s', 'scheduler', 'za', '', mesh=_MESH)
 
@@ -48,6 +55,49 @@
     return calls._list_schedulers('za')
 
 
+class DeadlineTest(unittest.TestCase):
+    """Schedulers that do not answer, in virtual time."""
+
+    def test_schedulers_that_are_silent(self) -> None:
+        """Guards against a client that has gone when it is answered."""
+
+        async def scenario(virtual: virtualtime.VirtualClock) -> None:
+            for addresses in (['a:1'], ['a:1', 'b:1', 'c:1', 'd:1']):
+                asked: list[str] = []
+                started = clock.monotonic()
+
+                async def exchange(
+                    pool: httpclient.ConnectionPool,
+                    request: httpclient.Request,
+                    timeout_s: float,
+                    asked: list[str] = asked,
+                ) -> typing.Any:
+                    asked.append(pool.address)
+                    await asyncio.sleep(timeout_s)
+                    return result.Err(httpclient.NotSent('silent'))
+
+                calls = jobexplanations.JobExplanations(mock.Mock())
+                request = mock.Mock(headers={'authorization': 'x'})
+                with (
+                    mock.patch.object(
+                        httpclient.ConnectionPool, 'exchange', exchange
+                    ),
+                    mock.patch.object(
+                        calls,
+                        '_list_schedulers',
+                        autospec=True,
+                        return_value=addresses,
+                    ),
+                ):
+                    answer = await calls._ask_holder(request, 'z', 'GET', '/')
+                self.assertEqual(503, answer.status_code)
+                self.assertEqual(addresses, asked)
+                taken_s = clock.monotonic() - started
+                self.assertAlmostEqual(_HAND_ON_S, taken_s, 3)
+
+        virtualtime.run(scenario)
+
+
 class HoldersTest(unittest.TestCase):
     """A beacon is believed only as far as the VM list confirms it."""
 
