Explain: a scheduler answers busy, as the nodes do

A scheduler explained each call at once, with no share of its time. It pauses for nine times what the last explanation took (503 busy); the gateway hands busy back instead of taking the scheduler for no holder.

--- a/primroselock/holderexplanations.py
+++ b/primroselock/holderexplanations.py
@@ -25,7 +25,7 @@
 _MAX_SLICE_S: typing.Final = 0.015
 """After this time an explanation lets others work."""
 
-_PAUSE_PER_EXPLANATION: typing.Final = 9.0
+PAUSE_PER_EXPLANATION: typing.Final = 9.0
 """Time until the next explanation as a multiple of the last one's."""
 
 ReadJob = abc.Callable[
@@ -155,7 +155,7 @@
                 resumed = clock.monotonic()
         ended = clock.monotonic()
         taken_s += ended - resumed
-        self._next_at = ended + taken_s * _PAUSE_PER_EXPLANATION
+        self._next_at = ended + taken_s * PAUSE_PER_EXPLANATION
         return self._answer(job, explainer.answer, knowledge)
 
     def _describe_knowledge(self, now: float) -> records.Knowledge:
--- a/primroselock/jobexplanations.py
+++ b/primroselock/jobexplanations.py
@@ -109,7 +109,7 @@
             )
             if isinstance(answered, result.Err):
                 why = f'scheduler at {address}: {answered.err_value}'
-            elif answered.ok_value.status_code != 503:
+            elif _is_final(answered.ok_value):
                 return answered.ok_value
             else:
                 why = f'scheduler at {address} does not hold the shard yet'
@@ -146,3 +146,11 @@
         and hosts_by_vm_id.get(beacon.vm_id)
         == sockets.host_of(beacon.status_address)
     )
+
+
+def _is_final(answered: responses.Response) -> bool:
+    """Return whether no other scheduler need be asked: the holder answered."""
+    code = schedulerexplanations.Problem.BUSY.value[0]
+    return answered.status_code != 503 or f'"{code}"'.encode() in bytes(
+        answered.body
+    )
--- a/primroselock/scheduler.py
+++ b/primroselock/scheduler.py
@@ -22,6 +22,7 @@
 from primroselock.decisions.explaining import cellexplanation
 from primroselock.decisions.explaining import records
 from primroselock.decisions import registry
+from primroselock import holderexplanations
 from primroselock import httpserver
 from primroselock import jobfeed
 from primroselock import jobs
@@ -76,6 +77,7 @@
         self._jobs_due = asyncio.Event()
         self._round_due = asyncio.Event()
         self._last_tick = clock.monotonic()
+        self._explain_at = float('-inf')
         shared.add_vm_handler(self._record_vms)
         shared.mesh.add_handler(self._record_message)
 
@@ -128,9 +130,15 @@
             return result.Err(schedulerexplanations.Problem.NOT_HOLDER)
         if not self._may_decide():
             return result.Err(schedulerexplanations.Problem.READING)
+        if now < self._explain_at:
+            return result.Err(schedulerexplanations.Problem.BUSY)
+        started = clock.monotonic()
         explained = cellexplanation.explain(
             self.board, self.settings, job, now
         )
+        ended = clock.monotonic()
+        pause_s = (ended - started) * holderexplanations.PAUSE_PER_EXPLANATION
+        self._explain_at = ended + pause_s
         if explained is None:
             return result.Err(schedulerexplanations.Problem.NOT_KNOWN)
         heard_at = [
--- a/primroselock/schedulerexplanations.py
+++ b/primroselock/schedulerexplanations.py
@@ -27,6 +27,7 @@
 
     NOT_HOLDER = ('holder', 'this scheduler does not hold the shard')
     READING = ('reading', 'this scheduler still reads the jobs of the shard')
+    BUSY = ('busy', 'explains another job, or did so just now')
     NOT_KNOWN = ('job', 'no job that has not ended')
 
 
--- a/primroselock/test/testexplainholders.py
+++ b/primroselock/test/testexplainholders.py
@@ -1,6 +1,7 @@
 """Which schedulers a gateway hands an operator's token to."""
 
 import asyncio
+import json
 import types
 import typing
 import unittest
@@ -8,11 +9,16 @@
 
 import result
 
+from primroselock import answers
 from primroselock import clock
 from primroselock import daemon
+from primroselock.decisions.explaining import cellexplanation
+from primroselock import forwarding
 from primroselock import httpclient
 from primroselock import jobexplanations
 from primroselock.mesh import messages
+from primroselock import scheduler
+from primroselock import schedulerexplanations
 from primroselock.store import vmlist
 from primroselock.test import builders
 from primroselock.test import virtualtime
@@ -98,6 +104,69 @@
         virtualtime.run(scenario)
 
 
+class BusyTest(unittest.TestCase):
+    """A scheduler that is asked again and again."""
+
+    def test_explanations_take_a_tenth_of_the_time(self) -> None:
+        """Guards against operators who keep a scheduler from deciding."""
+        shared = daemon.Daemon(builders.build_settings(), 'scheduler')
+        runner = scheduler.ShardRunner(shared, 'za')
+        runner.lease = mock.Mock(has_shard=True, epoch=1)
+        now = 100.0
+
+        def explain(*arguments: typing.Any) -> None:
+            nonlocal now
+            now += 0.5
+
+        with (
+            mock.patch.object(runner, '_may_decide', lambda: True),
+            mock.patch.object(cellexplanation, 'explain', explain),
+            mock.patch.object(clock, 'monotonic', lambda: now),
+        ):
+            problems = schedulerexplanations.Problem
+            for after_s, expected in (
+                (0.0, problems.NOT_KNOWN),
+                (4.4, problems.BUSY),
+                (0.2, problems.NOT_KNOWN),
+            ):
+                now += after_s
+                found = runner.explain('j', now).unwrap_err()
+                self.assertIs(expected, found)
+
+
+class AnswersTest(unittest.IsolatedAsyncioTestCase):
+    """Answers with 503: another scheduler may hold the shard, or not."""
+
+    async def test_a_busy_holder_is_believed(self) -> None:
+        """Guards against a busy holder that is said to be none."""
+        for code, expected, asked in (
+            ('busy', 'busy', 1),
+            ('holder', 'holder', 2),
+            ('reading', 'holder', 2),
+        ):
+            calls = jobexplanations.JobExplanations(mock.Mock())
+            request = mock.Mock(headers={'authorization': 'x'})
+            with (
+                self.subTest(code),
+                mock.patch.object(
+                    forwarding,
+                    'hand_on',
+                    autospec=True,
+                    return_value=result.Ok(answers.error(503, code, 'm')),
+                ) as hand_on,
+                mock.patch.object(
+                    calls,
+                    '_list_schedulers',
+                    autospec=True,
+                    return_value=['a:1', 'b:1'],
+                ),
+            ):
+                answer = await calls._ask_holder(request, 'z', 'GET', '/')
+                error = json.loads(bytes(answer.body))['error']
+                self.assertEqual(expected, error['code'])
+                self.assertEqual(asked, hand_on.call_count)
+
+
 class HoldersTest(unittest.TestCase):
     """A beacon is believed only as far as the VM list confirms it."""
 
