Explain: test the share of time, and say busy right

In virtual time an explanation takes 0 s, so the rule of a tenth was untested. ShareTest advances the clock in a slice and expects busy, retry_after_s and the end of the pause; it fails with a pause of 0.

--- a/primroselock/holderexplanations.py
+++ b/primroselock/holderexplanations.py
@@ -108,7 +108,9 @@
         if not self._is_busy and now >= self._next_at:
             return None
         left_s = max(1.0, self._next_at - now)
-        return Unexplained(Problem.BUSY, 'explains another job', left_s)
+        return Unexplained(
+            Problem.BUSY, 'explains another job, or did so just now', left_s
+        )
 
     async def explain(
         self, job: str | jobgraph.JobGraph
--- a/primroselock/test/testexplaincalls.py
+++ b/primroselock/test/testexplaincalls.py
@@ -1,6 +1,7 @@
 """Calls that ask a node for an explanation: who answers, and when nobody."""
 
 import asyncio
+from collections import abc
 import json
 import typing
 import unittest
@@ -9,6 +10,8 @@
 import result
 from starlette import requests
 
+from primroselock import clock
+from primroselock.decisions.explaining import explanation
 from primroselock.decisions.explaining import records
 from primroselock import explaincalls
 from primroselock import forwarding
@@ -290,5 +293,47 @@
         fleetbuilders.run_with_node(scenario)
 
 
+class ShareTest(unittest.TestCase):
+    """Explanations that take time, on a clock that a slice advances."""
+
+    def test_they_take_a_tenth_of_the_time(self) -> None:
+        """Guards against a pause that does not follow from the time taken."""
+
+        async def scenario(world: fleetbuilders.World) -> None:
+            boundbuilders.submit(world, 'j', 2)
+            await asyncio.sleep(1.0)
+            holder = world.find_shard_holder().holder
+            taken_s = 0.0
+            monotonic = clock.monotonic
+            run = explanation.Explainer.run
+
+            def run_slowly(
+                explainer: explanation.Explainer,
+            ) -> abc.Iterator[None]:
+                nonlocal taken_s
+                taken_s += 0.5
+                yield from run(explainer)
+
+            with (
+                mock.patch.object(explanation.Explainer, 'run', run_slowly),
+                mock.patch.object(
+                    clock, 'monotonic', lambda: monotonic() + taken_s
+                ),
+            ):
+                self.assertTrue((await holder.explain('j')).is_ok())
+                busy = (await holder.explain('j')).unwrap_err()
+                assert isinstance(busy, holderexplanations.Unexplained)
+                self.assertIs(holderexplanations.Problem.BUSY, busy.why)
+                self.assertIn('did so just now', busy.detail)
+                assert busy.retry_after_s is not None
+                self.assertAlmostEqual(4.5, busy.retry_after_s, 2)
+                await asyncio.sleep(4.4)
+                self.assertTrue((await holder.explain('j')).is_err())
+                await asyncio.sleep(0.2)
+                self.assertTrue((await holder.explain('j')).is_ok())
+
+        fleetbuilders.run_with_node(scenario)
+
+
 if __name__ == '__main__':
     unittest.main()
