--- a/primroselock/requestexplanations.py
+++ b/primroselock/requestexplanations.py
@@ -159,7 +159,11 @@
         ages_s = {'configuration': round(shared.follower.age_s(now), 3)}
         if shared.vms_read_at is not None:
             ages_s['upstreams'] = round(now - shared.vms_read_at, 3)
-        heard_at = [peer.received_at for peer in shared.members.list_live(now)]
+        heard_at = [
+            peer.received_at
+            for peer in shared.members.list_live(now)
+            if peer.beacon.role == 'gateway'
+        ]
         if heard_at:
             ages_s['other gateways'] = round(now - min(heard_at), 3)
         return records.Knowledge(
--- a/primroselock/test/testexplainrequests.py
+++ b/primroselock/test/testexplainrequests.py
@@ -15,6 +15,7 @@
 from primroselock import ejection
 from primroselock import errors
 from primroselock import metrics
+from primroselock import requestexplanations
 from primroselock import routing
 from primroselock.store import vmlist
 from primroselock.test import builders
@@ -147,6 +148,28 @@
         self.assertNotIn('refused_deadline', self.metrics.render_text())
 
 
+class KnowledgeTest(unittest.TestCase):
+    """How old what a gateway knows is."""
+
+    def test_the_age_of_other_gateways(self) -> None:
+        """Guards against the age of a scheduler in its place."""
+        for roles, expected in (
+            (('gateway', 'scheduler'), 1.0),
+            (('scheduler', 'scheduler'), None),
+        ):
+            shared = mock.Mock(vms_read_at=None)
+            shared.follower.age_s.return_value = 0.0
+            shared.members.list_live.return_value = [
+                mock.Mock(beacon=mock.Mock(role=role), received_at=_NOW - age)
+                for role, age in zip(roles, (1.0, 3.0), strict=True)
+            ]
+            explanations = requestexplanations.RequestExplanations(
+                shared, mock.Mock(), mock.Mock()
+            )
+            known = explanations._describe_knowledge(_NOW)
+            self.assertEqual(expected, known.ages_s.get('other gateways'))
+
+
 class GatewayTest(requestbuilders.RequestsCase):
     """The command against a gateway: two upstreams near, one far away."""
 
