--- a/primroselock/explaincalls.py
+++ b/primroselock/explaincalls.py
@@ -4,12 +4,14 @@
 """
 
 import typing
+import urllib.parse
 
 import result
 from starlette import requests
 from starlette import responses
 
 from primroselock import answers
+from primroselock import clock
 from primroselock.decisions.explaining import records
 from primroselock import forwarding
 from primroselock import holderexplanations
@@ -36,6 +38,9 @@
 class Source(typing.Protocol):
     """The holder of the shard, or a standby that knows who holds it."""
 
+    def find_busy(self) -> holderexplanations.Unexplained | None:
+        """Return why nothing is explained now; None if something may be."""
+
     async def explain(
         self, job: str | jobgraph.JobGraph
     ) -> result.Result[
@@ -58,24 +63,28 @@
         read_job: holderexplanations.ReadJob,
     ) -> None:
         self._own_address = settings.fleet.metrics_bind
+        self._max_steps = settings.fleet.max_job_tasks
         self._source = source
         self._read_job = read_job
 
     async def answer(self, request: requests.Request) -> responses.Response:
         """Answer a call, or hand it on to the holder."""
         body = b''
-        job: str | jobgraph.JobGraph = request.url.path.removeprefix(
-            f'{PATH}/'
-        )
+        job: str | jobgraph.JobGraph = _read_job_id(request)
         if request.method == 'POST':
             read = await requestbodies.read(request, _MAX_BODY_BYTES)
             if isinstance(read, result.Err):
                 return answers.error(413, 'bad-job', 'the job is too large')
             body = read.ok_value
+            # A body takes time to read, too.
+            busy = self._source.find_busy()
+            if busy is not None:
+                return _refuse(busy)
             parsed = self._read_job(
                 body,
                 request.query_params.get('account', ''),
                 request.query_params.get('queue', ''),
+                self._max_steps,
             )
             if isinstance(parsed, result.Err):
                 return answers.error(400, 'bad-job', parsed.err_value)
@@ -88,12 +97,7 @@
         problem = explained.err_value
         if isinstance(problem, holderexplanations.NotHolder):
             return await self._ask_holder(request, body, problem)
-        return answers.error(
-            _STATUS_BY_PROBLEM[problem.why],
-            problem.why.value,
-            problem.detail,
-            retry_after_s=problem.retry_after_s,
-        )
+        return _refuse(problem)
 
     async def _ask_holder(
         self,
@@ -119,7 +123,10 @@
                 'this node does not hold the shard; last known to hold it: '
                 f'{holder}',
             )
-        target = request.url.path
+        target = PATH
+        if request.method == 'GET':
+            quoted = urllib.parse.quote(_read_job_id(request), safe='')
+            target = f'{PATH}/{quoted}'
         if request.url.query:
             target = f'{target}?{request.url.query}'
         answered = await forwarding.hand_on(
@@ -127,6 +134,7 @@
             httpclient.Request(
                 request.method, target, body, ((_FORWARDED_HEADER, '1'),)
             ),
+            clock.monotonic() + forwarding.TIMEOUT_S,
         )
         if isinstance(answered, result.Ok):
             return answered.ok_value
@@ -137,5 +145,20 @@
         )
 
 
+def _read_job_id(request: requests.Request) -> str:
+    """Return the id in the path; that of the URL has characters escaped."""
+    path: str = request.scope['path']
+    return path.removeprefix(f'{PATH}/')
+
+
+def _refuse(problem: holderexplanations.Unexplained) -> responses.Response:
+    return answers.error(
+        _STATUS_BY_PROBLEM[problem.why],
+        problem.why.value,
+        problem.detail,
+        retry_after_s=problem.retry_after_s,
+    )
+
+
 def _unavailable(code: str, message: str) -> responses.Response:
     return answers.error(503, code, message, retry_after_s=_RETRY_AFTER_S)
--- a/primroselock/jobexplanations.py
+++ b/primroselock/jobexplanations.py
@@ -4,6 +4,8 @@
 that publishes the load of the shard first: it holds it.
 """
 
+import urllib.parse
+
 import msgspec
 import result
 from starlette import requests
@@ -17,8 +19,10 @@
 from primroselock import jobs
 from primroselock import jobsapi
 from primroselock import jobstore
+from primroselock.mesh import messages
 from primroselock import operatorcalls
 from primroselock import schedulerexplanations
+from primroselock import sockets
 
 
 class JobExplanations:
@@ -42,7 +46,8 @@
         stored = read.ok_value
         if stored is None or stored.job.state.is_final:
             return answers.error(404, 'job', 'no job that has not ended')
-        path = f'{schedulerexplanations.PATH}/{job_id}'
+        quoted = urllib.parse.quote(job_id, safe='')
+        path = f'{schedulerexplanations.PATH}/{quoted}'
         return await self._ask_holder(request, stored.job.shard, 'GET', path)
 
     async def ask(self, request: requests.Request) -> responses.Response:
@@ -85,27 +90,67 @@
         path: str,
         body: bytes = b'',
     ) -> responses.Response:
-        """Ask the schedulers of a shard until one answers as its holder."""
+        """Ask the schedulers of a shard until one answers as its holder.
+
+        Each may take its share of the time that is left, so that one that is
+        silent leaves time for the others.
+        """
         why = f'no scheduler of shard {shard} is known'
         headers = (('Authorization', request.headers['authorization']),)
-        for address in self._list_schedulers(shard):
+        addresses = self._list_schedulers(shard)
+        deadline = clock.monotonic() + forwarding.TIMEOUT_S
+        for number, address in enumerate(addresses):
+            now = clock.monotonic()
+            share_s = (deadline - now) / (len(addresses) - number)
             answered = await forwarding.hand_on(
-                address, httpclient.Request(method, path, body, headers)
+                address,
+                httpclient.Request(method, path, body, headers),
+                now + share_s,
             )
             if isinstance(answered, result.Err):
                 why = f'scheduler at {address}: {answered.err_value}'
-            elif answered.ok_value.status_code != 503:
+            elif _is_final(answered.ok_value):
                 return answered.ok_value
             else:
                 why = f'scheduler at {address} does not hold the shard yet'
         return answers.error(503, 'holder', why, retry_after_s=1.0)
 
     def _list_schedulers(self, shard: str) -> list[str]:
-        """Return where schedulers of a shard answer, its holder first."""
+        """Return where schedulers of a shard answer, its holder first.
+
+        The call carries an operator's token, and whoever reaches the mesh may
+        send a beacon: one counts only as far as the VM list confirms it.
+        """
+        hosts_by_vm_id = {
+            vm.id: sockets.host_of(vm.mesh)
+            for vm in self._shared.vms
+            if vm.role == 'scheduler' and vm.zone == shard and vm.mesh
+        }
         beacons = [
             peer.beacon
             for peer in self._shared.members.list_live(clock.monotonic())
-            if peer.beacon.zone == shard and peer.beacon.status_address
+            if _is_confirmed(peer.beacon, shard, hosts_by_vm_id)
         ]
         beacons.sort(key=lambda beacon: shard not in beacon.loads_by_shard)
         return [beacon.status_address for beacon in beacons]
+
+
+def _is_confirmed(
+    beacon: messages.Beacon, shard: str, hosts_by_vm_id: dict[str, str]
+) -> bool:
+    """Return whether a beacon's address is on the VM of a scheduler."""
+    return (
+        beacon.role == 'scheduler'
+        and beacon.zone == shard
+        and bool(beacon.status_address)
+        and hosts_by_vm_id.get(beacon.vm_id)
+        == sockets.host_of(beacon.status_address)
+    )
+
+
+def _is_final(answered: responses.Response) -> bool:
+    """Return whether no other scheduler need be asked: the holder answered."""
+    code = schedulerexplanations.Problem.BUSY.value[0]
+    return answered.status_code != 503 or f'"{code}"'.encode() in bytes(
+        answered.body
+    )
