--- a/primroselock/test/testexplainholders.py
+++ b/primroselock/test/testexplainholders.py
@@ -104,12 +104,13 @@
         virtualtime.run(scenario)
 
 
-class BusyTest(unittest.TestCase):
+class BusyTest(unittest.IsolatedAsyncioTestCase):
     """A scheduler that is asked again and again."""
 
-    def test_explanations_take_a_tenth_of_the_time(self) -> None:
+    async def test_explanations_take_a_tenth_of_the_time(self) -> None:
         """Guards against operators who keep a scheduler from deciding."""
         shared = daemon.Daemon(builders.build_settings(), 'scheduler')
+        self.addAsyncCleanup(shared.aclose)
         runner = scheduler.ShardRunner(shared, 'za')
         runner.lease = mock.Mock(has_shard=True, epoch=1)
         now = 100.0
@@ -167,7 +168,7 @@
                 self.assertEqual(asked, hand_on.call_count)
 
 
-class HoldersTest(unittest.TestCase):
+class HoldersTest(unittest.IsolatedAsyncioTestCase):
     """A beacon is believed only as far as the VM list confirms it."""
 
     def test_a_scheduler_of_the_list(self) -> None:
@@ -198,7 +199,7 @@
             with self.subTest(name):
                 self.assertEqual([], list_schedulers(beacon, vms))
 
-    def test_what_a_scheduler_advertises(self) -> None:
+    async def test_what_a_scheduler_advertises(self) -> None:
         """Guards against an address that only its own VM reaches."""
         for mesh, status, expected in (
             (_MESH, _STATUS, _STATUS),
@@ -210,6 +211,7 @@
         ):
             with self.subTest(mesh=mesh, status=status):
                 shared = daemon.Daemon(builders.build_settings(), 'scheduler')
+                self.addAsyncCleanup(shared.aclose)
                 shared.status_address = status
                 with mock.patch.object(shared.mesh, 'address', mesh):
                     beacon = shared.build_beacon(0.0)
