--- a/review/harness3.py
+++ b/review/harness3.py
@@ -167,6 +167,7 @@
         queue: int = 0,
         limit_s: float = 3.0,
         is_noted: bool = True,
+        key: str = operatorrows.key(0),
     ) -> Answer:
         """Make a call of a client on a connection of its own."""
         answer = Answer(0, b'')
@@ -174,7 +175,7 @@
         try:
             async with asyncio.timeout(limit_s):
                 answer = await self._exchange(
-                    method, job_id, body, node, queue, limit_s
+                    method, job_id, body, node, queue, limit_s, key
                 )
         except (TimeoutError, OSError) as error:
             answer = Answer(0, type(error).__name__.encode())
@@ -195,13 +196,14 @@
         node: int,
         queue: int,
         limit_s: float,
+        key: str,
     ) -> Answer:
         host, _, port = self.nodes[node].address.rpartition(':')
         reader, writer = await asyncio.open_connection(host, int(port))
         try:
             headers = (
                 f'Host: {operatorrows.HOST}\r\n'
-                f'Authorization: Token {operatorrows.key(0)}\r\n'
+                f'Authorization: Token {key}\r\n'
                 f'X-Deadline-Ms: {limit_s * 1000:.0f}\r\n'
                 'Content-Type: application/json\r\n'
             )
