--- a/review/harness3.py
+++ b/review/harness3.py
@@ -29,6 +29,8 @@
 from standins import runworkers
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+# As on the site of the cases.
+runworkers._MAX_STOP_S = 0.2
 LIMITS: typing.Final = (
     'region=r',
     'zones.a=r',
@@ -38,7 +40,7 @@
     'limits.max_fds=4100',
     'bounds.config_apply_ms=2000',
     'bounds.contact_ms=3000',
-    'bounds.stop_ms=900',
+    'bounds.stop_ms=200',
     'bounds.cancel_ms=3000',
     'bounds.visible_ms=3000',
     'platform.row_bytes=65536',
@@ -209,9 +211,7 @@
             )
             path = f'{operatorrows.prefix(queue)}{job_id}'
             writer.write(
-                httpmessages.encode(
-                    f'{method} {path} HTTP/1.1', headers, body
-                )
+                httpmessages.encode(f'{method} {path} HTTP/1.1', headers, body)
             )
             message = await httpmessages.read(reader)
             if message is None:
@@ -264,9 +264,12 @@
         self._temporary.cleanup()
 
 
-def job(
-    steps: list[tuple[int, int]], **fields: typing.Any
-) -> bytes:
+def source(seed: int) -> random.Random:
+    """Return a source of random numbers."""
+    return random.Random(seed)
+
+
+def job(steps: list[tuple[int, int]], **fields: typing.Any) -> bytes:
     """Return a job of steps one after another: (tasks, milliseconds)."""
     phases = [
         {
@@ -296,7 +299,9 @@
         try:
             await deployment.start()
             broken = await case(deployment)
-            deployment.note(f'rule broken: {broken}' if broken else 'rule held')
+            deployment.note(
+                f'rule broken: {broken}' if broken else 'rule held'
+            )
             return BROKEN if broken else HELD
         except NotRun as error:
             deployment.note(f'not run: {error}')
