--- a/review/harness3.py
+++ b/review/harness3.py
@@ -295,6 +295,12 @@
     """Play a case; exit with 1 if it returns how the rule was broken."""
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        # The processes that were started are ended in any case.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
         deployment = build(folder)
         try:
             await deployment.start()
@@ -306,6 +312,9 @@
         except NotRun as error:
             deployment.note(f'not run: {error}')
             return NOT_RUN
+        except asyncio.CancelledError:
+            deployment.note('not run: terminated')
+            return NOT_RUN
         except Exception:
             deployment.note(f'not run: {traceback.format_exc()}')
             return NOT_RUN
