Holder: report members that may still run long after their attempt

Cause: none yet; this shows one.

Change: the gauge unsettled_members, and one line for each member of an attempt that has ended 15 s ago: its state, the phase of its group, the boots and the clock that its proof of absence is compared with.

--- a/primroselock/decisions/fleet.py
+++ b/primroselock/decisions/fleet.py
@@ -158,6 +158,8 @@
     be written, in the order of their first change, and ``ended_ms_by_id``
     those that ended, with the Unix time in milliseconds;
     ``accounts_by_ended_id`` holds their accounts.
+    ``unsettled_members`` is how many may still run although their attempt
+    has ended some time ago.
     ``orders`` and ``decision_records`` collect the decisions of the
     controllers until they are taken.  ``reported_groups`` are the groups
     whose progress was reported since the last round.
@@ -214,6 +216,7 @@
     )
     waits_reported_at: float = _NEVER
     idle_waits: int = 0
+    unsettled_members: int = 0
     next_examined: int = 0
     claims_by_group: dict[livejobs.Group, CapacityClaim] = dataclasses.field(
         default_factory=dict
@@ -303,6 +306,7 @@
         worker = self.workers_by_id.get(member.worker_id)
         if worker is not None:
             worker.remove_member(member)
+        member.group.job.phases.note_terminated(member.group)
 
     def record_entry(
         self, entry: fleetworkers.WorkerEntry, now: float
--- a/primroselock/decisions/fleetround.py
+++ b/primroselock/decisions/fleetround.py
@@ -23,6 +23,7 @@
 from primroselock.decisions import runs
 from primroselock.decisions import sharing
 from primroselock.decisions import slices
+from primroselock.decisions import unsettledmembers
 from primroselock.decisions import waitreport
 from primroselock import jobs
 from primroselock import options
@@ -320,6 +321,17 @@
     runs.order_stops(board, now)
 
 
+@controller(order=65)
+def report_unsettled_members(
+    board: fleet.ShardBoard,
+    settings: options.Settings,
+    now: float,
+    wall_s: float,
+) -> None:
+    """Report members that keep capacity long after their attempt."""
+    unsettledmembers.report(board, now)
+
+
 @controller(order=70)
 def report_idle_waits(
     board: fleet.ShardBoard,
--- a/primroselock/decisions/livejobs.py
+++ b/primroselock/decisions/livejobs.py
@@ -118,6 +118,8 @@
     ``address`` is where the worker was when the last start order was sent,
     or None if this holder sent none.
     ``progress`` is None until a run report has listed the run.
+    ``is_logged`` is set once it was logged that the attempt has ended while
+    the member may still run.
     """
 
     group: 'Group'
@@ -134,6 +136,7 @@
     unanswered_at: float = _NEVER
     address: str | None = None
     is_done: bool = False
+    is_logged: bool = False
     progress: runprogress.Progress | None = None
 
     @property
@@ -225,6 +228,8 @@
             index.starting[self] = None
         elif phase is Phase.STOPPING:
             index.stopping[self] = None
+        elif phase is Phase.DONE and self.remaining_members():
+            index.unsettled[self] = None
         if phase in ACTIVE_PHASES:
             self.job.active_groups[self] = None
         else:
--- a/primroselock/decisions/phaseindex.py
+++ b/primroselock/decisions/phaseindex.py
@@ -17,6 +17,8 @@
 class PhaseIndex:
     """The groups that wait, by step, and those that start or stop.
 
+    ``unsettled`` are the groups that are done while a member of theirs may
+    still run, as far as is known.
     ``ending_jobs`` are the jobs that have ended or are cancelled and are
     still on the blackboard; ``unreleased_jobs`` are those with occurrences
     that are not due yet.
@@ -31,6 +33,9 @@
     stopping: dict['livejobs.Group', None] = dataclasses.field(
         default_factory=dict
     )
+    unsettled: dict['livejobs.Group', None] = dataclasses.field(
+        default_factory=dict
+    )
     ending_jobs: dict['livejobs.LiveJob', None] = dataclasses.field(
         default_factory=dict
     )
@@ -56,7 +61,13 @@
                 del self.waiting_by_step[group.step_name]
         self.starting.pop(group, None)
         self.stopping.pop(group, None)
+        self.unsettled.pop(group, None)
 
     def add_waiting(self, group: 'livejobs.Group') -> None:
         """Add a group that waits for capacity."""
         self.waiting_by_step.setdefault(group.step_name, {})[group] = None
+
+    def note_terminated(self, group: 'livejobs.Group') -> None:
+        """Note that a member of a group cannot run any more."""
+        if group in self.unsettled and not group.remaining_members():
+            del self.unsettled[group]
--- a/primroselock/holdergauges.py
+++ b/primroselock/holdergauges.py
@@ -12,6 +12,7 @@
     'known_speeds',
     'orders_waiting',
     'unexpected_runs',
+    'unsettled_members',
 )
 _BEHIND_GAUGE: typing.Final = 'account_groups_behind'
 _SHARE_GAUGE: typing.Final = 'account_share_used'
@@ -33,6 +34,7 @@
             ('idle_waits', board.idle_waits),
             ('known_speeds', board.worker_speeds.known_count),
             ('unexpected_runs', board.count_unexpected_runs()),
+            ('unsettled_members', board.unsettled_members),
             ('orders_waiting', orders_waiting),
             *board.crashes.counts().items(),
         ):
