--- a/primroselock/decisions/runs.py
+++ b/primroselock/decisions/runs.py
@@ -32,6 +32,9 @@
 _GANG_STOP_GRACE_S: typing.Final = 0.25
 """Workers stop the remaining members of a broken gang within this time."""
 
+_GANG_DONE_GRACE_S: typing.Final = 2.0
+"""Workers have reported the other ends of a gang that is done by then."""
+
 _MIN_WORK_S: typing.Final = 3.0
 """A faulty worker fails what it starts sooner."""
 
@@ -150,11 +153,7 @@
     for member in workerboots.list_late(worker):
         has_run = member.state is livejobs.MemberState.PRESENT
         workerboots.forget_answers(member)
-        if member.run in listed or not has_run:
-            continue
-        if member.group.phase is livejobs.Phase.DONE:
-            board.mark_terminated(member)
-        else:
+        if has_run and member.run not in listed:
             end_group(
                 board, member.group, livejobs.EndReason.LOST, now, wall_ms
             )
@@ -418,10 +417,11 @@
     """Order the stops of members, and repeat them while they have no effect.
 
     A worker that does not answer gets none: what it runs is known, and
-    stopped where necessary, once it answers a poll.
+    stopped where necessary, once it answers a poll.  The members of a gang
+    that is done end on their own; those that are not known to get a stop, too:
+    on a boot that has never had the run nothing else proves that it is absent.
     """
-    # The remaining members of a gang that is done end on their own.
-    for group in board.phases.stopping:
+    for group in (*board.phases.stopping, *board.phases.unsettled):
         for member in group.remaining_members():
             worker = board.workers_by_id.get(member.worker_id)
             if worker is not None and worker.failures_in_row:
@@ -448,7 +448,9 @@
         for other in group.members
     )
     if stops_on_its_own and member.state is livejobs.MemberState.PRESENT:
-        return now - group.since >= _GANG_STOP_GRACE_S
+        is_done = group.phase is livejobs.Phase.DONE
+        grace_s = _GANG_DONE_GRACE_S if is_done else _GANG_STOP_GRACE_S
+        return now - group.since >= grace_s
     return True
 
 
--- a/primroselock/test/testmemberends.py
+++ b/primroselock/test/testmemberends.py
@@ -4,6 +4,7 @@
 import typing
 import unittest
 
+from primroselock.decisions import fleet
 from primroselock.decisions import fleetround
 from primroselock.decisions import livejobs
 from primroselock.decisions import runs
@@ -34,6 +35,58 @@
         self.assertIs(livejobs.Phase.RUNNING, group.phase)
 
 
+class DoneGangTest(unittest.TestCase):
+    """A gang of which one member has ended done, and another is listed."""
+
+    def test_a_member_that_goes_on_is_stopped(self) -> None:
+        """Guards against a run that keeps its worker full for good."""
+        site = idlebuilders.Site(2)
+        step = fleetbuilders.build_step(2, 8, 60_000, gang=True)
+        job = site.submit('j', step, run_s=_LONG_S, queue='batch')
+        site.run_for(1.0)
+        (group,) = job.groups_by_key.values()
+        first, other = group.members
+        worker = site.workers_by_id[first.worker_id]
+        worker.runs[first.run].run_s = 0.0
+        site.run_for(1.5)
+        self.assertIs(livejobs.Phase.DONE, group.phase)
+        self.assertIs(livejobs.MemberState.PRESENT, other.state)
+        site.run_for(2.0)
+        self.assertIs(livejobs.MemberState.TERMINATED, other.state)
+        self.assertEqual({}, site.board.workers_by_id[other.worker_id].members)
+
+    def test_each_member_is_logged_once(self) -> None:
+        """Guards against a worker that is full with no word for what."""
+        site = idlebuilders.Site(2)
+        step = fleetbuilders.build_step(1, 8, 60_000)
+        job = site.occupy('n000', 'j', step, _LONG_S)
+        (group,) = job.groups_by_key.values()
+        site.workers_by_id['n000'].ignored_stops = 1000
+        runs.end_group(
+            site.board, group, livejobs.EndReason.PREEMPTED, site.now, 1000
+        )
+        site.run_for(14.0)
+        self.assertEqual(0, site.board.unsettled_members)
+        self.assertEqual([], _list_unsettled(site))
+        site.run_for(3.0)
+        self.assertEqual(1, site.board.unsettled_members)
+        (logged,) = _list_unsettled(site)
+        self.assertEqual('stopping', logged.values['phase'])
+        self.assertEqual('present', logged.values['state'])
+        site.workers_by_id['n000'].ignored_stops = 0
+        site.run_for(3.0)
+        self.assertEqual(0, site.board.unsettled_members)
+
+
+def _list_unsettled(site: idlebuilders.Site) -> list[fleet.DecisionRecord]:
+    """Return the records of members that may run after their attempt."""
+    return [
+        record
+        for record in site.board.decision_records
+        if record.event == 'attempt has ended, and a member may still run'
+    ]
+
+
 class UnsentStartTest(unittest.TestCase):
     """Attempts that end before any of their starts was sent."""
 
