--- a/primroselock/holderexplanations.py
+++ b/primroselock/holderexplanations.py
@@ -20,6 +20,7 @@
 from primroselock import jobgraph
 from primroselock import options
 from primroselock import publishedcounts
+from primroselock import refusals
 from primroselock.store import tablefollower
 
 _MAX_SLICE_S: typing.Final = 0.015
@@ -204,6 +205,4 @@
         excess_s = counts.excess_s(graph, queue, account)
         if excess_s <= 0:
             return ''
-        return (
-            f'{intake.RefusalReason.BACKLOG.value}: {excess_s:.1f} s too late'
-        )
+        return f'{refusals.Reason.BACKLOG.value}: {excess_s:.1f} s too late'
--- a/primroselock/intake.py
+++ b/primroselock/intake.py
@@ -15,7 +15,6 @@
 import asyncio
 from collections import abc
 import dataclasses
-import enum
 import math
 import typing
 
@@ -33,6 +32,7 @@
 from primroselock import options
 from primroselock import publishedcounts
 from primroselock import queues
+from primroselock import refusals
 from primroselock import shards
 from primroselock.store import keys
 from primroselock.store import table
@@ -53,34 +53,6 @@
 _MIN_READ_TIMEOUT_S: typing.Final = 0.05
 
 
-class RefusalReason(enum.Enum):
-    """Reasons to refuse a call; the values go to logs and to callers."""
-
-    STALE = 'the operators\' rows are not confirmed here'
-    UNKNOWN_QUEUE = 'no such queue'
-    UNKNOWN_KEY = 'unknown key'
-    UNKNOWN_JOB = 'no such job'
-    INVALID = 'the job cannot be read'
-    TOO_LARGE = 'the job is too large to be stored'
-    COUNT_UNKNOWN = 'the number of waiting jobs is not known now'
-    STORE_UNAVAILABLE = 'the store does not take the job now'
-    BACKLOG = 'the account\'s earlier work would make the job too late'
-    OUTCOME_UNKNOWN = 'the store did not say whether it took the job'
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refused:
-    """A refused call.
-
-    ``retry_after_s`` is set if the call certainly had no effect and may
-    succeed later.
-    """
-
-    why: RefusalReason
-    detail: str = ''
-    retry_after_s: float | None = None
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Access:
     """The queue of a call and the account that makes it."""
@@ -159,7 +131,7 @@
 
     def admit(
         self, host: str, path: str, key: str, now: float
-    ) -> result.Result[Access, Refused]:
+    ) -> result.Result[Access, refusals.Refused]:
         """Return the queue and the account of a call.
 
         Once the operators' rows are older than the permit, every call is
@@ -174,19 +146,19 @@
             detail += '; a newer version is on its way'
         if age_s > permit_s or not self._queues.version:
             return result.Err(
-                Refused(RefusalReason.STALE, detail, _RETRY_AFTER_S)
+                refusals.Refused(refusals.Reason.STALE, detail, _RETRY_AFTER_S)
             )
         queue = self._queues.find(host, path)
         if queue is None:
-            return result.Err(Refused(RefusalReason.UNKNOWN_QUEUE))
+            return result.Err(refusals.Refused(refusals.Reason.UNKNOWN_QUEUE))
         account = self._queues.find_account(key)
         if account is None and not queue.is_public:
-            return result.Err(Refused(RefusalReason.UNKNOWN_KEY))
+            return result.Err(refusals.Refused(refusals.Reason.UNKNOWN_KEY))
         return result.Ok(Access(queue, account.name if account else ''))
 
     async def submit(
         self, access: Access, graph: jobgraph.JobGraph, deadline: float
-    ) -> result.Result[None, Refused]:
+    ) -> result.Result[None, refusals.Refused]:
         """Store a job; succeed as well if it is stored already.
 
         ``deadline`` is on this process's clock.
@@ -224,7 +196,7 @@
 
     async def _refuse_beyond_share(
         self, graph: jobgraph.JobGraph, excess_s: float, deadline: float
-    ) -> result.Result[None, Refused]:
+    ) -> result.Result[None, refusals.Refused]:
         """Refuse a job that would only wait, unless it is stored already.
 
         Another node may have accepted it, and the caller not have heard so.
@@ -235,14 +207,16 @@
             return result.Err(self.qualify_refusal(graph.id, read.err_value))
         if read.ok_value is not None:
             return await self._check_stored_owner(key, graph, deadline)
-        refused = Refused(
-            RefusalReason.BACKLOG,
+        refused = refusals.Refused(
+            refusals.Reason.BACKLOG,
             f'{excess_s:.1f} s too late',
             max(_RETRY_AFTER_S, float(math.ceil(excess_s))),
         )
         return result.Err(self.qualify_refusal(graph.id, refused))
 
-    def qualify_refusal(self, job_id: str, refused: Refused) -> Refused:
+    def qualify_refusal(
+        self, job_id: str, refused: refusals.Refused
+    ) -> refusals.Refused:
         """Return the refusal of a submission, given those before it.
 
         It becomes an unknown outcome if it would say that the job certainly
@@ -252,18 +226,22 @@
             self._known.may_be_stored(job_id)
         ):
             return refused
-        return Refused(RefusalReason.OUTCOME_UNKNOWN, refused.detail)
+        return refusals.Refused(
+            refusals.Reason.OUTCOME_UNKNOWN, refused.detail
+        )
 
     async def _insert(
         self, graph: jobgraph.JobGraph, queue: queues.Queue, deadline: float
-    ) -> result.Result[None, Refused]:
+    ) -> result.Result[None, refusals.Refused]:
         key = keys.graph(self._settings.shard, graph.id)
         value = graphrows.encode(
             msgspec.structs.replace(graph, accepted_queue=queue)
         )
         if len(value) > self._max_value_bytes:
             return result.Err(
-                Refused(RefusalReason.TOO_LARGE, f'{len(value)} bytes')
+                refusals.Refused(
+                    refusals.Reason.TOO_LARGE, f'{len(value)} bytes'
+                )
             )
         write = groupcommit.Write(key, table.ABSENT, value)
         is_first = not self._known.may_be_stored(graph.id)
@@ -281,7 +259,9 @@
         elif is_first:
             self._known.record_not_stored(graph.id)
         if isinstance(error, table.Rejected):
-            return result.Err(Refused(RefusalReason.TOO_LARGE, error.detail))
+            return result.Err(
+                refusals.Refused(refusals.Reason.TOO_LARGE, error.detail)
+            )
         refused = _refuse_uncommitted(error)
         return result.Err(self.qualify_refusal(graph.id, refused))
 
@@ -309,30 +289,36 @@
 
     async def _check_stored_owner(
         self, key: str, graph: jobgraph.JobGraph, deadline: float
-    ) -> result.Result[None, Refused]:
+    ) -> result.Result[None, refusals.Refused]:
         """Compare the owner of the stored job with that of ``graph``."""
         read = await self._read_until(key, deadline)
         if isinstance(read, result.Err):
             return result.Err(
-                Refused(RefusalReason.OUTCOME_UNKNOWN, read.err_value.detail)
+                refusals.Refused(
+                    refusals.Reason.OUTCOME_UNKNOWN,
+                    read.err_value.detail,
+                )
             )
         row = read.ok_value
         if row is None:
             return result.Err(
-                Refused(RefusalReason.OUTCOME_UNKNOWN, 'job row not found')
+                refusals.Refused(
+                    refusals.Reason.OUTCOME_UNKNOWN, 'job row not found'
+                )
             )
         stored = graphrows.read_graph(row)
         if stored is None:
             return result.Err(
-                Refused(
-                    RefusalReason.OUTCOME_UNKNOWN, 'job row cannot be decoded'
+                refusals.Refused(
+                    refusals.Reason.OUTCOME_UNKNOWN,
+                    'job row cannot be decoded',
                 )
             )
         return _check_same_owner(self._known.record_stored(stored), graph)
 
     async def cancel(
         self, access: Access, job_id: str, deadline: float
-    ) -> result.Result[None, Refused]:
+    ) -> result.Result[None, refusals.Refused]:
         """Store a cancellation request; a job that ended does not change.
 
         Succeeds for a job that has ended or is cancelled already.
@@ -353,7 +339,7 @@
 
     async def state(
         self, access: Access, job_id: str, deadline: float
-    ) -> result.Result[jobs.JobState, Refused]:
+    ) -> result.Result[jobs.JobState, refusals.Refused]:
         """Return the state of a job, as the store has it now.
 
         ``deadline`` is on this process's clock.
@@ -380,7 +366,7 @@
 
     async def _state_without_progress(
         self, job_id: str, deadline: float
-    ) -> result.Result[jobs.JobState, Refused]:
+    ) -> result.Result[jobs.JobState, refusals.Refused]:
         """Return that a job waits, or refuse one whose rows were deleted."""
         read = await self._read_row(
             keys.graph(self._settings.shard, job_id), deadline
@@ -389,12 +375,12 @@
             return read
         if read.ok_value is None:
             self._known.forget_stored(job_id)
-            return result.Err(Refused(RefusalReason.UNKNOWN_JOB))
+            return result.Err(refusals.Refused(refusals.Reason.UNKNOWN_JOB))
         return result.Ok(jobs.JobState.WAITING)
 
     async def _check_owner(
         self, access: Access, job_id: str, deadline: float
-    ) -> result.Result[None, Refused]:
+    ) -> result.Result[None, refusals.Refused]:
         """Refuse a job that does not exist or that others submitted."""
         owner = self._known.find_owner(job_id)
         if owner is None:
@@ -404,7 +390,9 @@
             if isinstance(read, result.Err):
                 return read
             if read.ok_value is None:
-                return result.Err(Refused(RefusalReason.UNKNOWN_JOB))
+                return result.Err(
+                    refusals.Refused(refusals.Reason.UNKNOWN_JOB)
+                )
             graph = graphrows.read_graph(read.ok_value)
             if graph is None:
                 return result.Err(
@@ -414,12 +402,12 @@
         # Callers without a key, which a public queue admits, have no account.
         is_own = owner.account == access.account or not access.account
         if not is_own or owner.queue != access.queue.name:
-            return result.Err(Refused(RefusalReason.UNKNOWN_JOB))
+            return result.Err(refusals.Refused(refusals.Reason.UNKNOWN_JOB))
         return result.Ok(None)
 
     async def _read_row(
         self, key: str, deadline: float
-    ) -> result.Result[table.Row | None, Refused]:
+    ) -> result.Result[table.Row | None, refusals.Refused]:
         """Read a row, until ``deadline``; refuse the call without it."""
         read = await self._read_until(key, deadline)
         if isinstance(read, result.Err):
@@ -442,7 +430,7 @@
 
     def count_waiting(
         self, access: Access, now: float
-    ) -> result.Result[int, Refused]:
+    ) -> result.Result[int, refusals.Refused]:
         """Return how many accepted jobs of a queue have not started.
 
         Refused if the shard's holder has published no count of late: a
@@ -453,8 +441,8 @@
         is_old = age_s > self._settings.count_age_s
         if counts.waiting_by_queue is None or is_old:
             return result.Err(
-                Refused(
-                    RefusalReason.COUNT_UNKNOWN,
+                refusals.Refused(
+                    refusals.Reason.COUNT_UNKNOWN,
                     f'last count {age_s:.3f} s old',
                     _RETRY_AFTER_S,
                 )
@@ -464,39 +452,43 @@
 
 def check_graph(
     graph: jobgraph.JobGraph, settings: options.FleetSettings
-) -> Refused | None:
+) -> refusals.Refused | None:
     """Return why a job is refused whatever its queue, or None."""
     problems = jobgraph.check(graph, settings.max_tasks)
     if problems:
         shown = '; '.join(problems[:_SHOWN_PROBLEMS])
-        return Refused(RefusalReason.INVALID, shown)
+        return refusals.Refused(refusals.Reason.INVALID, shown)
     if graph.task_count > settings.max_job_tasks:
-        return Refused(RefusalReason.TOO_LARGE, f'{graph.task_count} tasks')
+        return refusals.Refused(
+            refusals.Reason.TOO_LARGE, f'{graph.task_count} tasks'
+        )
     return None
 
 
-def _store_unavailable(detail: str) -> Refused:
+def _store_unavailable(detail: str) -> refusals.Refused:
     """Return the refusal of a call that the store certainly did not apply."""
-    return Refused(RefusalReason.STORE_UNAVAILABLE, detail, _RETRY_AFTER_S)
+    return refusals.Refused(
+        refusals.Reason.STORE_UNAVAILABLE, detail, _RETRY_AFTER_S
+    )
 
 
 def _refuse_uncommitted(
     error: table.Rejected | table.Unavailable | table.OutcomeUnknown,
-) -> Refused:
+) -> refusals.Refused:
     """Return the refusal of a call whose write was not confirmed."""
     if isinstance(error, table.Unavailable):
         return _store_unavailable(error.detail)
-    return Refused(RefusalReason.OUTCOME_UNKNOWN, error.detail)
+    return refusals.Refused(refusals.Reason.OUTCOME_UNKNOWN, error.detail)
 
 
 def _check_same_owner(
     stored: knownjobs.Owner, graph: jobgraph.JobGraph
-) -> result.Result[None, Refused]:
+) -> result.Result[None, refusals.Refused]:
     """Refuse a submission whose id another account or queue uses."""
     if stored.account != graph.account or stored.queue != graph.queue:
         return result.Err(
-            Refused(
-                RefusalReason.UNKNOWN_QUEUE,
+            refusals.Refused(
+                refusals.Reason.UNKNOWN_QUEUE,
                 'job id used by another account or queue',
             )
         )
--- a/primroselock/platform/clientapi.py
+++ b/primroselock/platform/clientapi.py
@@ -16,6 +16,7 @@
 from primroselock import logs
 from primroselock import metrics
 from primroselock import options
+from primroselock import refusals
 from primroselock import requestbodies
 
 _log: typing.Final = logs.get('front')
@@ -25,16 +26,16 @@
 """Time reserved for sending the response before the caller's deadline."""
 
 _STATUS_BY_REASON: typing.Final = {
-    intake.RefusalReason.STALE: 503,
-    intake.RefusalReason.UNKNOWN_QUEUE: 404,
-    intake.RefusalReason.UNKNOWN_KEY: 401,
-    intake.RefusalReason.UNKNOWN_JOB: 410,
-    intake.RefusalReason.INVALID: 400,
-    intake.RefusalReason.TOO_LARGE: 413,
-    intake.RefusalReason.STORE_UNAVAILABLE: 503,
-    intake.RefusalReason.COUNT_UNKNOWN: 503,
-    intake.RefusalReason.BACKLOG: 429,
-    intake.RefusalReason.OUTCOME_UNKNOWN: 504,
+    refusals.Reason.STALE: 503,
+    refusals.Reason.UNKNOWN_QUEUE: 404,
+    refusals.Reason.UNKNOWN_KEY: 401,
+    refusals.Reason.UNKNOWN_JOB: 410,
+    refusals.Reason.INVALID: 400,
+    refusals.Reason.TOO_LARGE: 413,
+    refusals.Reason.STORE_UNAVAILABLE: 503,
+    refusals.Reason.COUNT_UNKNOWN: 503,
+    refusals.Reason.BACKLOG: 429,
+    refusals.Reason.OUTCOME_UNKNOWN: 504,
 }
 _STATE_NAMES: typing.Final = {
     jobs.JobState.WAITING: 'queued',
@@ -199,7 +200,7 @@
         if not job_id or '/' in job_id or '.' in job_id:
             return _refuse(
                 request,
-                intake.Refused(intake.RefusalReason.INVALID, 'invalid job id'),
+                refusals.Refused(refusals.Reason.INVALID, 'invalid job id'),
             )
         graph = _build_graph(
             decoded.ok_value, access.account, access.queue.name, job_id
@@ -267,7 +268,7 @@
 
 def _decode_job(
     body: bytes, max_steps: int
-) -> result.Result[_Body, intake.Refused]:
+) -> result.Result[_Body, refusals.Refused]:
     """Return the job in a body, or why it is refused.
 
     Each step has a task or more, so one with more steps than a job may have
@@ -281,15 +282,13 @@
         steps = len(outline.ok_value.phases)
         if steps > max_steps:
             return result.Err(
-                intake.Refused(
-                    intake.RefusalReason.TOO_LARGE, f'{steps} steps'
-                )
+                refusals.Refused(refusals.Reason.TOO_LARGE, f'{steps} steps')
             )
     return _decode_body(body).map_err(_invalid)
 
 
-def _invalid(detail: str) -> intake.Refused:
-    return intake.Refused(intake.RefusalReason.INVALID, detail)
+def _invalid(detail: str) -> refusals.Refused:
+    return refusals.Refused(refusals.Reason.INVALID, detail)
 
 
 def _build_graph(
@@ -335,7 +334,7 @@
 
 
 def _refuse(
-    request: requests.Request, refused: intake.Refused
+    request: requests.Request, refused: refusals.Refused
 ) -> responses.Response:
     status = _STATUS_BY_REASON[refused.why]
     _log.info(
--- a/primroselock/test/platformdecoders.py
+++ b/primroselock/test/platformdecoders.py
@@ -25,6 +25,7 @@
 from primroselock.platform import rows
 from primroselock.platform import settings
 from primroselock.platform import workers
+from primroselock import refusals
 from primroselock import shards
 from primroselock.store import table
 from primroselock.test import decodercases
@@ -114,26 +115,24 @@
 
     def admit(
         self, host: str, path: str, key: str, now: float
-    ) -> result.Result[intake.Access, intake.Refused]:
+    ) -> result.Result[intake.Access, refusals.Refused]:
         """Return the queue and the account of a call."""
         current = fleetbuilders.QUEUE_CONFIGURATION
         queue = current.find(host, path)
         account = current.find_account(key)
         if queue is None or account is None:
-            return result.Err(
-                intake.Refused(intake.RefusalReason.UNKNOWN_QUEUE)
-            )
+            return result.Err(refusals.Refused(refusals.Reason.UNKNOWN_QUEUE))
         return result.Ok(intake.Access(queue, account.name))
 
     def qualify_refusal(
-        self, job_id: str, refused: intake.Refused
-    ) -> intake.Refused:
+        self, job_id: str, refused: refusals.Refused
+    ) -> refusals.Refused:
         """Return the refusal: no submission before it is unknown."""
         return refused
 
     async def submit(
         self, access: intake.Access, graph: jobgraph.JobGraph, deadline: float
-    ) -> result.Result[None, intake.Refused]:
+    ) -> result.Result[None, refusals.Refused]:
         """Accept a job."""
         self.graph = graph
         return result.Ok(None)
--- a/primroselock/test/testaccountdoor.py
+++ b/primroselock/test/testaccountdoor.py
@@ -16,6 +16,7 @@
 from primroselock.decisions.accounts import backlogs
 from primroselock import intake
 from primroselock import jobgraph
+from primroselock import refusals
 from primroselock.store import keys
 from primroselock.test import fleetbuilders
 from primroselock.test import sharebuilders
@@ -32,7 +33,7 @@
 _BULK: typing.Final = fleetbuilders.BULK
 _ACCOUNTS: typing.Final = {'flood': 1.0, 'usual': 1.0}
 
-Answer = result.Result[None, intake.Refused]
+Answer = result.Result[None, refusals.Refused]
 
 
 def _build(name: str, account: str, queue: str = 'bulk') -> jobgraph.JobGraph:
@@ -76,7 +77,7 @@
 
     def setUp(self) -> None:
         self.accepted: list[str] = []
-        self.refused: list[intake.Refused] = []
+        self.refused: list[refusals.Refused] = []
 
     async def submit(
         self, world: fleetbuilders.World, graph: jobgraph.JobGraph
@@ -138,7 +139,7 @@
             )
             self.assertGreater(len(self.refused), 200)
             for refused in self.refused:
-                self.assertIs(intake.RefusalReason.BACKLOG, refused.why)
+                self.assertIs(refusals.Reason.BACKLOG, refused.why)
                 self.assertGreaterEqual(refused.retry_after_s or 0.0, 1.0)
             await asyncio.sleep(_USEFUL_S + _RUN_S)
             answer = await self.submit(world, _build('later', 'flood'))
--- a/primroselock/test/testcallerload.py
+++ b/primroselock/test/testcallerload.py
@@ -21,6 +21,7 @@
 from primroselock import metrics
 from primroselock.platform import adapter
 from primroselock.platform import settings
+from primroselock import refusals
 from primroselock.store import resilience
 from primroselock.store import table
 from primroselock.store import tablefollower
@@ -151,7 +152,7 @@
         for second in range(2, 8):
             self.assertGreaterEqual(accepted_by_second.get(second, 0), 60)
         # A caller is told that its job was not stored, and can repeat it.
-        self.assertNotIn(intake.RefusalReason.OUTCOME_UNKNOWN, why)
+        self.assertNotIn(refusals.Reason.OUTCOME_UNKNOWN, why)
 
     def test_a_repeat_of_a_write_under_way_is_not_turned_away(self) -> None:
         """Guards against a refusal of a job that is about to be stored."""
@@ -177,10 +178,10 @@
 
     def submit_for(
         self, seconds: int
-    ) -> tuple[dict[int, int], set[intake.RefusalReason]]:
+    ) -> tuple[dict[int, int], set[refusals.Reason]]:
         """Return accepted jobs by second of arrival, and refusals."""
         accepted_by_second: dict[int, int] = {}
-        why: set[intake.RefusalReason] = set()
+        why: set[refusals.Reason] = set()
 
         async def run_all(virtual: virtualtime.VirtualClock) -> None:
             client = fakefeed.FeedClient(
--- a/primroselock/test/testclientapi.py
+++ b/primroselock/test/testclientapi.py
@@ -11,6 +11,7 @@
 from primroselock import intake
 from primroselock import metrics
 from primroselock.platform import clientapi
+from primroselock import refusals
 from primroselock.test import builders
 from primroselock.test import fleetbuilders
 
@@ -108,30 +109,30 @@
 
     async def test_each_refusal_has_its_status(self) -> None:
         expected = {
-            intake.RefusalReason.STALE: 503,
-            intake.RefusalReason.UNKNOWN_QUEUE: 404,
-            intake.RefusalReason.UNKNOWN_KEY: 401,
-            intake.RefusalReason.UNKNOWN_JOB: 410,
-            intake.RefusalReason.TOO_LARGE: 413,
-            intake.RefusalReason.STORE_UNAVAILABLE: 503,
-            intake.RefusalReason.BACKLOG: 429,
-            intake.RefusalReason.OUTCOME_UNKNOWN: 504,
+            refusals.Reason.STALE: 503,
+            refusals.Reason.UNKNOWN_QUEUE: 404,
+            refusals.Reason.UNKNOWN_KEY: 401,
+            refusals.Reason.UNKNOWN_JOB: 410,
+            refusals.Reason.TOO_LARGE: 413,
+            refusals.Reason.STORE_UNAVAILABLE: 503,
+            refusals.Reason.BACKLOG: 429,
+            refusals.Reason.OUTCOME_UNKNOWN: 504,
         }
         with mock.patch.object(
             clientapi, '_log', spec_set=builders.LOG_METHODS
         ):
             for reason, status in expected.items():
-                refused = result.Err(intake.Refused(reason, '', 1.0))
+                refused = result.Err(refusals.Refused(reason, '', 1.0))
                 self.intake.admit.return_value = refused
                 self.assertEqual(status, await self._call('GET', '/bulk/0a'))
                 self.assertEqual(b'1', self.headers[b'retry-after'])
 
     async def test_a_refused_submission_may_be_stored_already(self) -> None:
         """Guards against a 503 for an id that may be stored from before."""
-        reasons = intake.RefusalReason
-        stale = intake.Refused(reasons.STALE, '', 1.0)
+        reasons = refusals.Reason
+        stale = refusals.Refused(reasons.STALE, '', 1.0)
         self.intake.admit.return_value = result.Err(stale)
-        self.intake.qualify_refusal.return_value = intake.Refused(
+        self.intake.qualify_refusal.return_value = refusals.Refused(
             reasons.OUTCOME_UNKNOWN
         )
         with mock.patch.object(
--- a/primroselock/test/testfleetintake.py
+++ b/primroselock/test/testfleetintake.py
@@ -9,6 +9,7 @@
 
 from primroselock import clock
 from primroselock import intake
+from primroselock import refusals
 from primroselock.store import table
 from primroselock.store import tablefollower
 from primroselock.test import fakestore
@@ -75,7 +76,7 @@
                 self.assertEqual(is_admitted, admitted.is_ok())
                 if isinstance(admitted, result.Err):
                     refused = admitted.err_value
-                    self.assertIs(intake.RefusalReason.STALE, refused.why)
+                    self.assertIs(refusals.Reason.STALE, refused.why)
                     told = 'on its way' in refused.detail
                     self.assertEqual(incoming is not kinds.NONE, told)
             for incoming, is_accepted in (
@@ -113,10 +114,7 @@
                     continue
                 world.store.apply_late()
                 stored = any(graph.id in key for key in world.store.inner.rows)
-                if (
-                    answer.err_value.why
-                    is not intake.RefusalReason.OUTCOME_UNKNOWN
-                ):
+                if answer.err_value.why is not refusals.Reason.OUTCOME_UNKNOWN:
                     self.assertFalse(stored, fault)
 
         async def without_starts(world: fleetbuilders.World) -> None:
@@ -140,7 +138,7 @@
             fault = fakestore.Fault
             await asyncio.sleep(1.0)
 
-            async def submit(job_id: str) -> intake.RefusalReason | None:
+            async def submit(job_id: str) -> refusals.Reason | None:
                 answer = await node.intake.submit(
                     access,
                     fleetbuilders.build_graph(job_id),
@@ -150,8 +148,8 @@
                     return None
                 return answer.err_value.why
 
-            unknown = intake.RefusalReason.OUTCOME_UNKNOWN
-            unavailable = intake.RefusalReason.STORE_UNAVAILABLE
+            unknown = refusals.Reason.OUTCOME_UNKNOWN
+            unavailable = refusals.Reason.STORE_UNAVAILABLE
             node.connectivity.faults = [fault.LATE] + [fault.UNAVAILABLE] * 3
             self.assertIs(unknown, await submit('j1'))
             node.connectivity.faults = [fault.UNAVAILABLE] * 2
@@ -159,7 +157,7 @@
             self.assertIs(unavailable, await submit('other'))
             node.configuration_age_s = 2.0
             self.assertIs(unknown, await submit('j1'))
-            stale = intake.Refused(intake.RefusalReason.STALE, '', 1.0)
+            stale = refusals.Refused(refusals.Reason.STALE, '', 1.0)
             self.assertIs(
                 unknown, node.intake.qualify_refusal('j1', stale).why
             )
@@ -190,14 +188,14 @@
             answer = await node.intake.submit(access, graph, started + 3.0)
             assert isinstance(answer, result.Err)
             self.assertIs(
-                intake.RefusalReason.OUTCOME_UNKNOWN, answer.err_value.why
+                refusals.Reason.OUTCOME_UNKNOWN, answer.err_value.why
             )
             self.assertLess(clock.monotonic() - started, 1.5)
             node.configuration_age_s = 2.0
             # What became of the first submission stays unknown.
             for job_id, why in (
-                ('j1', intake.RefusalReason.OUTCOME_UNKNOWN),
-                ('j2', intake.RefusalReason.STORE_UNAVAILABLE),
+                ('j1', refusals.Reason.OUTCOME_UNKNOWN),
+                ('j2', refusals.Reason.STORE_UNAVAILABLE),
             ):
                 started = clock.monotonic()
                 graph = fleetbuilders.build_graph(job_id)
@@ -227,7 +225,7 @@
                 answer = await other.intake.submit(access, graph, deadline)
             assert isinstance(answer, result.Err)
             self.assertIs(
-                intake.RefusalReason.OUTCOME_UNKNOWN, answer.err_value.why
+                refusals.Reason.OUTCOME_UNKNOWN, answer.err_value.why
             )
             self.assertLess(clock.monotonic(), deadline + 0.1)
 
@@ -243,7 +241,7 @@
             node.configuration_age_s = 3.5
             refused = node.intake.admit('host', '/bulk/x', 'k1', now)
             assert isinstance(refused, result.Err)
-            self.assertIs(intake.RefusalReason.STALE, refused.err_value.why)
+            self.assertIs(refusals.Reason.STALE, refused.err_value.why)
             self.assertFalse(node.intake.is_ready(now))
 
         run_scenario(scenario)
@@ -253,13 +251,21 @@
             admit = world.nodes[0].intake.admit
             now = clock.monotonic()
             cases = {
-                ('other', '/bulk/x', 'k1'): intake.RefusalReason.UNKNOWN_QUEUE,
+                (
+                    'other',
+                    '/bulk/x',
+                    'k1',
+                ): refusals.Reason.UNKNOWN_QUEUE,
                 (
                     'host',
                     '/nothing/x',
                     'k1',
-                ): intake.RefusalReason.UNKNOWN_QUEUE,
-                ('host', '/bulk/x', 'wrong'): intake.RefusalReason.UNKNOWN_KEY,
+                ): refusals.Reason.UNKNOWN_QUEUE,
+                (
+                    'host',
+                    '/bulk/x',
+                    'wrong',
+                ): refusals.Reason.UNKNOWN_KEY,
             }
             for (host, path, key), why in cases.items():
                 refused = admit(host, path, key, now)
@@ -325,9 +331,7 @@
             self.assertEqual('running', state.value)
             unknown = await node.intake.state(access, 'j9', now + 1.0)
             assert isinstance(unknown, result.Err)
-            self.assertIs(
-                intake.RefusalReason.UNKNOWN_JOB, unknown.err_value.why
-            )
+            self.assertIs(refusals.Reason.UNKNOWN_JOB, unknown.err_value.why)
             foreign = intake.Access(fleetbuilders.BULK, 'merch')
             hidden = await node.intake.state(foreign, 'j1', now + 1.0)
             self.assertIsInstance(hidden, result.Err)
--- a/primroselock/test/testplatformcalls.py
+++ b/primroselock/test/testplatformcalls.py
@@ -19,6 +19,7 @@
 from primroselock.platform import rows
 from primroselock.platform import settings
 from primroselock.platform import workers
+from primroselock import refusals
 from primroselock.store import table
 from primroselock.store import tablefollower
 from primroselock.test import builders
@@ -156,8 +157,8 @@
     async def test_a_forbidden_submission_may_be_repeated(self) -> None:
         """Guards against a final refusal of a job that could be stored."""
         cases = (
-            (403, intake.RefusalReason.STORE_UNAVAILABLE, True),
-            (413, intake.RefusalReason.TOO_LARGE, False),
+            (403, refusals.Reason.STORE_UNAVAILABLE, True),
+            (413, refusals.Reason.TOO_LARGE, False),
         )
         for status, why, may_repeat in cases:
             store = self._store(_answer(status, b''))
--- a/primroselock/test/testrowlimits.py
+++ b/primroselock/test/testrowlimits.py
@@ -12,6 +12,7 @@
 from primroselock import intake
 from primroselock import jobgraph
 from primroselock import jobs
+from primroselock import refusals
 from primroselock.store import keys
 from primroselock.store import table
 from primroselock.test import fakefeed
@@ -163,7 +164,7 @@
                 key = keys.graph('fleet', graph.id)
                 self.assertEqual(is_accepted, key in world.store.inner.rows)
             self.assertEqual(
-                intake.RefusalReason.TOO_LARGE, answers[2].unwrap_err().why
+                refusals.Reason.TOO_LARGE, answers[2].unwrap_err().why
             )
             return 0.0
 
@@ -183,7 +184,7 @@
                     access, graph, clock.monotonic() + 2.0
                 )
                 self.assertEqual(
-                    intake.RefusalReason.TOO_LARGE, answer.unwrap_err().why
+                    refusals.Reason.TOO_LARGE, answer.unwrap_err().why
                 )
                 self.assertEqual(writes, world.store.writes)
             return 0.0
--- a/primroselock/test/teststandby.py
+++ b/primroselock/test/teststandby.py
@@ -12,6 +12,7 @@
 
 from primroselock import clock
 from primroselock import intake
+from primroselock import refusals
 from primroselock.store import keys
 from primroselock.test import fleetbuilders
 from primroselock.test import loadbuilders
@@ -52,7 +53,7 @@
             found = await node.intake.state(_ACCESS, 'j', virtual.now + 1.0)
             assert isinstance(found, result.Err)
             self.assertIs(
-                intake.RefusalReason.STORE_UNAVAILABLE, found.err_value.why
+                refusals.Reason.STORE_UNAVAILABLE, found.err_value.why
             )
             await world.close()
 
@@ -98,13 +99,11 @@
                     node.intake.count_waiting(_ACCESS, now) for node in others
                 ]
             counts = [a.ok_value for a in answers if isinstance(a, result.Ok)]
-            refusals = [
+            reasons = [
                 a.err_value.why for a in answers if isinstance(a, result.Err)
             ]
             self.assertEqual({10}, set(counts))
-            self.assertEqual(
-                {intake.RefusalReason.COUNT_UNKNOWN}, set(refusals)
-            )
+            self.assertEqual({refusals.Reason.COUNT_UNKNOWN}, set(reasons))
             await world.close()
 
         virtualtime.run(run_all)
@@ -144,9 +143,7 @@
             await asyncio.sleep(6.0)
             found = await node.intake.state(_ACCESS, 'old', virtual.now + 1.0)
             assert isinstance(found, result.Err)
-            self.assertIs(
-                intake.RefusalReason.UNKNOWN_JOB, found.err_value.why
-            )
+            self.assertIs(refusals.Reason.UNKNOWN_JOB, found.err_value.why)
             await world.close()
 
         virtualtime.run(run_all)
