--- a/primroselock/decisions/tokenbucket.py
+++ b/primroselock/decisions/tokenbucket.py
@@ -16,6 +16,13 @@
     tokens: float
     refilled_at: float = 0.0
 
+    def wait_s(self, now: float) -> float:
+        """Return the seconds until a token is available; take none."""
+        passed_s = max(0.0, now - self.refilled_at)
+        filled = self.tokens + passed_s * self.rate_per_s
+        missing = 1.0 - min(self.limit, filled)
+        return max(0.0, missing / self.rate_per_s)
+
     def spend(self, now: float) -> float:
         """Take one token; return the seconds until it is available."""
         passed_s = max(0.0, now - self.refilled_at)
--- a/primroselock/graphrows.py
+++ b/primroselock/graphrows.py
@@ -5,6 +5,9 @@
 never conflicts with the holder of the shard.  Each is one row, but for the
 progress of a job of many tasks, which may be larger than a row: its groups
 are spread over several, which are always written together.
+
+A job that was cancelled before it was stored has a tombstone at the key of
+its graph: a write of the graph that the store performs late finds it there.
 """
 
 import dataclasses
@@ -15,13 +18,27 @@
 
 from primroselock import decoding
 from primroselock import jobgraph
+from primroselock import knownjobs
 from primroselock import logs
 from primroselock import rowguard
 from primroselock.store import keys
 from primroselock.store import table
 
 _log: typing.Final = logs.get('graphrows')
+
+
+class Tombstone(msgspec.Struct, frozen=True):
+    """What stands in place of a job that was cancelled before it was stored.
+
+    Each of the ``owners`` has cancelled the id.  The job of another one may
+    replace the tombstone; theirs is refused while it stands.
+    """
+
+    owners: tuple[knownjobs.Owner, ...]
+
+
 _decode_graph: typing.Final = decoding.json_reader(jobgraph.JobGraph)
+_decode_tombstone: typing.Final = decoding.json_reader(Tombstone)
 _decode_progress: typing.Final = decoding.json_reader(jobgraph.JobProgress)
 encode: typing.Final = msgspec.json.Encoder().encode
 _MAX_PARTS: typing.Final = 10_000
@@ -32,6 +49,7 @@
 class StoredJob:
     """The decoded rows of one job.
 
+    ``graph_version`` is that of the graph's row.
     ``progress_version`` is the version of the first progress row, which is
     rewritten with each change; ``groups_by_part`` holds what the others add.
     ``unreadable_parts`` are the progress rows that cannot be decoded, 0 for
@@ -39,6 +57,7 @@
     """
 
     graph: jobgraph.JobGraph | None = None
+    graph_version: int = table.ABSENT
     first_progress: jobgraph.JobProgress | None = None
     progress_version: int = table.ABSENT
     is_cancelled: bool = False
@@ -111,8 +130,16 @@
     )
 
 
-def read_graph(row: table.Row) -> jobgraph.JobGraph | None:
-    """Return the graph in a row, or None if it cannot be decoded."""
+def read_submitted(
+    row: table.Row,
+) -> jobgraph.JobGraph | Tombstone | None:
+    """Return the graph or the tombstone in a row.
+
+    Returns None if it cannot be decoded.
+    """
+    # A graph is encoded as an array, a tombstone as an object.
+    if row.value.startswith(b'{'):
+        return rowguard.decode(_decode_tombstone, row, _log)
     return rowguard.decode(_decode_graph, row, _log)
 
 
@@ -122,13 +149,18 @@
 
 
 class JobRows:
-    """Collects the rows of a shard's jobs by the job's id."""
+    """Collects the rows of a shard's jobs by the job's id.
+
+    ``tombstone_versions_by_id`` holds the versions of the rows of tombstones,
+    which are no jobs.
+    """
 
     def __init__(self, shard: str) -> None:
         self._graph_prefix = keys.graph(shard, '')
         self._cancel_prefix = keys.cancellation(shard, '')
         self._progress_prefix = keys.progress(shard, '')
         self.stored_by_id: dict[str, StoredJob] = {}
+        self.tombstone_versions_by_id: dict[str, int] = {}
 
     def apply(self, rows: tuple[table.Row, ...]) -> None:
         """Add rows; rows of other shards or kinds are ignored."""
@@ -138,14 +170,23 @@
 
     def _apply_row(self, row: table.Row) -> None:
         if row.key.startswith(self._graph_prefix):
-            stored = self._stored(row.key, self._graph_prefix)
-            stored.graph = read_graph(row)
+            self._apply_submitted(row)
         elif row.key.startswith(self._cancel_prefix):
             stored = self._stored(row.key, self._cancel_prefix)
             stored.is_cancelled = True
         elif row.key.startswith(self._progress_prefix):
             self._apply_progress(row)
 
+    def _apply_submitted(self, row: table.Row) -> None:
+        submitted = read_submitted(row)
+        job_id = row.key.removeprefix(self._graph_prefix)
+        if isinstance(submitted, Tombstone):
+            self.tombstone_versions_by_id[job_id] = row.version
+            return
+        self.tombstone_versions_by_id.pop(job_id, None)
+        stored = self._stored(row.key, self._graph_prefix)
+        stored.graph, stored.graph_version = submitted, row.version
+
     def _apply_progress(self, row: table.Row) -> None:
         name = row.key.removeprefix(self._progress_prefix)
         job_id, _, part = name.partition('/')
--- a/primroselock/groupcommit.py
+++ b/primroselock/groupcommit.py
@@ -22,6 +22,10 @@
 from primroselock.store import table
 
 _MAX_WRITES_PER_TRANSACTION: typing.Final = 256
+_MAX_QUEUED_S: typing.Final = 20.0
+_MAX_TRANSACTION_S: typing.Final = 20.0
+"""A process that was stopped for longer does not send what it was about to:
+others rely on it that a write comes soon or never."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,6 +51,7 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class _PendingWrite:
     write: Write
+    submitted_at: float
     future: asyncio.Future[WriteResult]
 
 
@@ -90,7 +95,7 @@
         The write continues if the caller is cancelled.
         """
         loop = asyncio.get_running_loop()
-        pending = _PendingWrite(write, loop.create_future())
+        pending = _PendingWrite(write, clock.monotonic(), loop.create_future())
         self._pending.append(pending)
         if self._task is None or self._task.done():
             self._task = backgroundtasks.start(self._run(), 'group commit')
@@ -105,6 +110,7 @@
         while self._pending:
             pause = asyncio.create_task(asyncio.sleep(self._interval_s))
             began = clock.monotonic()
+            self._drop_old(began)
             self._batch = self._take_batch()
             await self._commit(self._batch)
             self._batch = []
@@ -112,6 +118,13 @@
             # Limits the store's load to one transaction per interval.
             await pause
 
+    def _drop_old(self, now: float) -> None:
+        """Drop the writes that have waited for too long; none was sent."""
+        oldest = now - _MAX_QUEUED_S
+        old = [p for p in self._pending if p.submitted_at < oldest]
+        self._pending = [p for p in self._pending if p.submitted_at >= oldest]
+        _resolve(old, result.Err(table.Unavailable('waited too long')))
+
     def _take_batch(self) -> list[_PendingWrite]:
         batch: dict[str, _PendingWrite] = {}
         remaining: list[_PendingWrite] = []
@@ -157,7 +170,8 @@
             tuple(item.key for item in writes if item.value is None),
         )
         try:
-            return await table.transact_resolved(self._store, transaction)
+            async with asyncio.timeout(_MAX_TRANSACTION_S):
+                return await table.transact_resolved(self._store, transaction)
         except Exception as error:
             # Without a valid answer the outcome is unknown.
             return result.Err(table.OutcomeUnknown(f'{type(error).__name__}'))
--- a/primroselock/holdergauges.py
+++ b/primroselock/holdergauges.py
@@ -11,6 +11,7 @@
     'idle_waits',
     'known_speeds',
     'orders_waiting',
+    'tombstones',
     'unexpected_runs',
     'unsettled_members',
 )
@@ -27,7 +28,11 @@
         self._accounts = accountviews.AccountGauges(counters)
 
     def update(
-        self, board: fleet.ShardBoard, orders_waiting: int, now: float
+        self,
+        board: fleet.ShardBoard,
+        orders_waiting: int,
+        tombstones: int,
+        now: float,
     ) -> None:
         """Set the gauges after a round; ``now`` is this process's clock."""
         for name, value in (
@@ -36,6 +41,7 @@
             ('unexpected_runs', board.count_unexpected_runs()),
             ('unsettled_members', board.unsettled_members),
             ('orders_waiting', orders_waiting),
+            ('tombstones', tombstones),
             *board.crashes.counts().items(),
         ):
             self._metrics.set_gauge(name, float(value))
--- a/primroselock/holdersession.py
+++ b/primroselock/holdersession.py
@@ -27,7 +27,6 @@
 from primroselock.decisions import placeability
 from primroselock.decisions import runleases
 from primroselock.decisions import slices
-from primroselock import graphrows
 from primroselock import graphwriter
 from primroselock import holderexplanations
 from primroselock import holdergauges
@@ -46,6 +45,7 @@
 from primroselock.store import keys
 from primroselock.store import table
 from primroselock.store import tablefollower
+from primroselock import submissions
 from primroselock import waits
 from primroselock import workerpolling
 from primroselock.workers import orders
@@ -101,15 +101,15 @@
 class Takeover:
     """What a new holder has read from the store.
 
-    ``submissions`` is the listing from which to follow what callers ask
-    for, and ``entries`` that of the workers, both requested at ``sent_at`` or
-    later; ``job_ids`` are the jobs that ``submissions`` names.
+    ``listing`` is that from which to follow what callers ask for, and
+    ``entries`` that of the workers, both requested at ``sent_at`` or later;
+    ``submitted`` is what was loaded from ``listing``.
     """
 
     board: fleet.ShardBoard
-    submissions: table.Listing
+    listing: table.Listing
     entries: table.Listing
-    job_ids: set[str]
+    submitted: submissions.Submissions
     sent_at: float
 
 
@@ -125,16 +125,13 @@
         self._gauges = holdergauges.HolderGauges(parts.counters)
         self._is_closing = False
         self._is_permitted = True
-        self._loaded_job_ids = takeover.job_ids
-        self._new_rows: list[table.Row] = []
+        self._submitted = takeover.submitted
         self._decided_at = clock.monotonic()
         self._has_decided = asyncio.Event()
         self._submission_follower = tablefollower.TableFollower(
             parts.store, keys.SUBMISSIONS, self._settings.fleet.follow_wait_s
         )
-        self._submission_follower.resume(
-            takeover.submissions, takeover.sent_at
-        )
+        self._submission_follower.resume(takeover.listing, takeover.sent_at)
         self._submission_follower.add_handler(self._apply_submissions)
         self._worker_follower = tablefollower.TableFollower(
             parts.store,
@@ -260,7 +257,7 @@
                         self._lease,
                         self._parts.store,
                         self._board,
-                        self._loaded_job_ids,
+                        self._submitted,
                     ),
                 )
             ),
@@ -313,7 +310,7 @@
 
     async def _decide_once(self, now: float) -> float:
         """Run a round; return its seconds, without those of other tasks."""
-        await self._load_new_jobs(now)
+        await self._submitted.load_new(self._board, now)
         if not self._lease.has_shard:
             return 0.0
         self._decided_at = now
@@ -331,7 +328,10 @@
             turn.resume(clock.monotonic(), clock.wall())
             self._prepare(turn.now)
         self._gauges.update(
-            self._board, self._orders.waiting_count, clock.monotonic()
+            self._board,
+            self._orders.waiting_count,
+            len(self._submitted.tombstones),
+            clock.monotonic(),
         )
         taken_s += clock.monotonic() - turn.now
         self._parts.counters.record('decision_round', taken_s)
@@ -394,30 +394,9 @@
 
     def _apply_submissions(self, changes: table.Changes) -> None:
         if changes.rows:
-            self._new_rows.extend(changes.rows)
+            self._submitted.add(changes.rows)
             self._parts.wake.set()
 
-    async def _load_new_jobs(self, now: float) -> None:
-        """Load the jobs and cancellations that were reported since then.
-
-        A row may be reported twice; a job that was loaded once is on the
-        blackboard or has ended.
-        """
-        taken, self._new_rows = tuple(self._new_rows), []
-        rows = graphrows.JobRows(self._settings.fleet.shard)
-        async for row in waits.take_turns(taken):
-            rows.apply((row,))
-        async for job_id, stored in waits.take_turns(
-            rows.stored_by_id.items()
-        ):
-            known = self._board.jobs_by_id.get(job_id)
-            if known is not None:
-                if stored.is_cancelled:
-                    known.request_cancel()
-            elif stored.graph and job_id not in self._loaded_job_ids:
-                self._loaded_job_ids.add(job_id)
-                boardrows.load_job(self._board, job_id, stored, now)
-
     def _count_waiting(self, now: float) -> dict[str, int] | None:
         """Return the number of jobs that have not started, by queue.
 
--- a/primroselock/intake.py
+++ b/primroselock/intake.py
@@ -24,6 +24,7 @@
 from primroselock import clock
 from primroselock import graphrows
 from primroselock import groupcommit
+from primroselock import jobcancellation
 from primroselock import jobgraph
 from primroselock import jobs
 from primroselock import knownjobs
@@ -37,20 +38,16 @@
 from primroselock.store import keys
 from primroselock.store import table
 from primroselock.store import tablefollower
+from primroselock import storedjobs
 
 _log: typing.Final = logs.get('intake')
-_COMMIT_INTERVAL_S: typing.Final = 0.005
+_MAX_INSERTS: typing.Final = 3
+"""Attempts to write a job where others cancel its id meanwhile."""
+
 _SHOWN_PROBLEMS: typing.Final = 10
 """Problems of a job that a refusal names, of perhaps thousands."""
 
-_MAX_WRITES_PER_COMMIT: typing.Final = 50
-"""A transaction of the platform has at most 100 entries, two for a write."""
-
 _RETRY_AFTER_S: typing.Final = 1.0
-_MIN_COMMIT_TIMEOUT_S: typing.Final = 0.05
-"""A commit takes a few milliseconds, so one can succeed near a deadline."""
-
-_MIN_READ_TIMEOUT_S: typing.Final = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,17 +74,12 @@
         counters: metrics.Metrics,
     ) -> None:
         self._settings = settings.fleet
-        self._max_value_bytes = (
-            settings.platform.max_row_bytes - table.TOKEN_BYTES
-        )
-        self._store = store
         self._follower = shard_follower
-        self._committer = groupcommit.GroupCommitter(
-            store, _COMMIT_INTERVAL_S, _MAX_WRITES_PER_COMMIT
-        )
         self._metrics = counters
         self._lease_key = keys.shard_lease(settings.fleet.shard)
-        self._known = knownjobs.KnownJobs()
+        self._jobs = storedjobs.StoredJobs(settings, store)
+        self._known = self._jobs.known
+        self._canceller = jobcancellation.JobCanceller(settings, self._jobs)
         self._counts = publishedcounts.PublishedCounts()
         self._queues = queues.EMPTY
         self._confirmed_at: abc.Callable[[], float] = lambda: float('-inf')
@@ -171,7 +163,7 @@
         age_s = clock.monotonic() - self._confirmed_at()
         if age_s > self._extend(self._settings.accept_permit_s):
             # The store has not answered of late: refuse, and send nothing.
-            refused = _store_unavailable(f'age {age_s:.3f} s')
+            refused = storedjobs.refuse_unavailable(f'age {age_s:.3f} s')
             return result.Err(self.qualify_refusal(graph.id, refused))
         excess_s = self._counts.excess_s(
             graph,
@@ -201,12 +193,12 @@
 
         Another node may have accepted it, and the caller not have heard so.
         """
-        key = keys.graph(self._settings.shard, graph.id)
-        read = await self._read_row(key, deadline)
+        read = await self._jobs.read_submitted(graph.id, deadline)
         if isinstance(read, result.Err):
             return result.Err(self.qualify_refusal(graph.id, read.err_value))
-        if read.ok_value is not None:
-            return await self._check_stored_owner(key, graph, deadline)
+        decided = self._check_submitted(read.ok_value, graph)
+        if decided is not None:
+            return decided
         refused = refusals.Refused(
             refusals.Reason.BACKLOG,
             f'{excess_s:.1f} s too late',
@@ -233,27 +225,55 @@
     async def _insert(
         self, graph: jobgraph.JobGraph, queue: queues.Queue, deadline: float
     ) -> result.Result[None, refusals.Refused]:
-        key = keys.graph(self._settings.shard, graph.id)
         value = graphrows.encode(
             msgspec.structs.replace(graph, accepted_queue=queue)
         )
-        if len(value) > self._max_value_bytes:
+        if len(value) > self._jobs.max_value_bytes:
             return result.Err(
                 refusals.Refused(
                     refusals.Reason.TOO_LARGE, f'{len(value)} bytes'
                 )
             )
-        write = groupcommit.Write(key, table.ABSENT, value)
+        version = table.ABSENT
+        for _ in range(_MAX_INSERTS):
+            outcome = await self._write(graph, version, value, deadline)
+            if outcome is not None:
+                return outcome
+            read = await self._jobs.read_submitted(graph.id, deadline)
+            if isinstance(read, result.Err):
+                return result.Err(
+                    storedjobs.refuse_unknown(read.err_value.detail)
+                )
+            decided = self._check_submitted(read.ok_value, graph)
+            if decided is not None:
+                return decided
+            # Only others have cancelled the id.
+            version = read.ok_value.version
+        return result.Err(storedjobs.refuse_unknown('job row keeps changing'))
+
+    async def _write(
+        self,
+        graph: jobgraph.JobGraph,
+        version: int,
+        value: bytes,
+        deadline: float,
+    ) -> result.Result[None, refusals.Refused] | None:
+        """Write the row of a job, which must be at ``version``.
+
+        Returns None if it is at another version.
+        """
+        key = keys.graph(self._settings.shard, graph.id)
+        write = groupcommit.Write(key, version, value)
         is_first = not self._known.may_be_stored(graph.id)
         # Also if the caller breaks off, the write goes on.
         self._known.record_unknown(graph.id)
-        outcome = await self._commit(write, deadline)
+        outcome = await self._jobs.commit(write, deadline)
         if isinstance(outcome, result.Ok):
             self._known.record_stored(graph)
             return result.Ok(None)
         error = outcome.err_value
         if isinstance(error, table.Conflict):
-            return await self._check_stored_owner(key, graph, deadline)
+            return None
         if isinstance(error, table.OutcomeUnknown):
             self._known.record_unknown(graph.id)
         elif is_first:
@@ -262,80 +282,35 @@
             return result.Err(
                 refusals.Refused(refusals.Reason.TOO_LARGE, error.detail)
             )
-        refused = _refuse_uncommitted(error)
+        refused = storedjobs.refuse_uncommitted(error)
         return result.Err(self.qualify_refusal(graph.id, refused))
 
-    async def _commit(
-        self, write: groupcommit.Write, deadline: float
-    ) -> groupcommit.WriteResult:
-        timeout_s = min(
-            max(_MIN_COMMIT_TIMEOUT_S, deadline - clock.monotonic()),
-            self._settings.accept_timeout_s,
-        )
-        expected_s = self._committer.expected_wait_s(write.key)
-        if expected_s > timeout_s:
-            # It would be stored after its caller has given up, and so would
-            # all that follow.
-            return result.Err(
-                table.Unavailable(f'expected wait {expected_s:.3f} s')
-            )
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await self._committer.submit(write)
-        except TimeoutError:
-            return result.Err(
-                table.OutcomeUnknown('store did not answer in time')
-            )
+    def _check_submitted(
+        self, submitted: storedjobs.Submitted, graph: jobgraph.JobGraph
+    ) -> result.Result[None, refusals.Refused] | None:
+        """Return what a submission gets for what stands at its key.
 
-    async def _check_stored_owner(
-        self, key: str, graph: jobgraph.JobGraph, deadline: float
-    ) -> result.Result[None, refusals.Refused]:
-        """Compare the owner of the stored job with that of ``graph``."""
-        read = await self._read_until(key, deadline)
-        if isinstance(read, result.Err):
-            return result.Err(
-                refusals.Refused(
-                    refusals.Reason.OUTCOME_UNKNOWN,
-                    read.err_value.detail,
-                )
-            )
-        row = read.ok_value
-        if row is None:
-            return result.Err(
-                refusals.Refused(
-                    refusals.Reason.OUTCOME_UNKNOWN, 'job row not found'
-                )
-            )
-        stored = graphrows.read_graph(row)
-        if stored is None:
-            return result.Err(
-                refusals.Refused(
-                    refusals.Reason.OUTCOME_UNKNOWN,
-                    'job row cannot be decoded',
-                )
-            )
-        return _check_same_owner(self._known.record_stored(stored), graph)
+        None if it may be written there.
+        """
+        content = submitted.content
+        if isinstance(content, jobgraph.JobGraph):
+            return _check_same_owner(self._known.record_stored(content), graph)
+        owner = knownjobs.Owner(graph.account, graph.queue)
+        if submitted.is_cancelled_for(owner):
+            return result.Err(refusals.Refused(refusals.Reason.CANCELLED))
+        return None
 
     async def cancel(
         self, access: Access, job_id: str, deadline: float
     ) -> result.Result[None, refusals.Refused]:
-        """Store a cancellation request; a job that ended does not change.
+        """Cancel a job; one that has ended does not change.
 
-        Succeeds for a job that has ended or is cancelled already.
+        Succeeds for a job that has ended or is cancelled already.  That there
+        is no such job means that none will be: see ``jobcancellation``.
         ``deadline`` is on this process's clock.
         """
-        owned = await self._check_owner(access, job_id, deadline)
-        if isinstance(owned, result.Err):
-            return owned
-        key = keys.cancellation(self._settings.shard, job_id)
-        write = groupcommit.Write(key, table.ABSENT, access.account.encode())
-        outcome = await self._commit(write, deadline)
-        if isinstance(outcome, result.Ok):
-            return result.Ok(None)
-        error = outcome.err_value
-        if isinstance(error, table.Conflict):
-            return result.Ok(None)
-        return result.Err(_refuse_uncommitted(error))
+        caller = knownjobs.Owner(access.account, access.queue.name)
+        return await self._canceller.cancel(caller, job_id, deadline)
 
     async def state(
         self, access: Access, job_id: str, deadline: float
@@ -344,9 +319,11 @@
 
         ``deadline`` is on this process's clock.
         """
+        if not jobgraph.is_valid_id(job_id):
+            return result.Err(refusals.Refused(refusals.Reason.UNKNOWN_JOB))
         owned, read = await asyncio.gather(
             self._check_owner(access, job_id, deadline),
-            self._read_row(
+            self._jobs.read_row(
                 keys.progress(self._settings.shard, job_id), deadline
             ),
         )
@@ -360,7 +337,7 @@
         progress = graphrows.read_progress(row)
         if progress is None:
             return result.Err(
-                _store_unavailable('progress row cannot be decoded')
+                storedjobs.refuse_unavailable('progress row cannot be decoded')
             )
         return result.Ok(progress.state)
 
@@ -368,12 +345,10 @@
         self, job_id: str, deadline: float
     ) -> result.Result[jobs.JobState, refusals.Refused]:
         """Return that a job waits, or refuse one whose rows were deleted."""
-        read = await self._read_row(
-            keys.graph(self._settings.shard, job_id), deadline
-        )
+        read = await self._jobs.read_submitted(job_id, deadline)
         if isinstance(read, result.Err):
             return read
-        if read.ok_value is None:
+        if not isinstance(read.ok_value.content, jobgraph.JobGraph):
             self._known.forget_stored(job_id)
             return result.Err(refusals.Refused(refusals.Reason.UNKNOWN_JOB))
         return result.Ok(jobs.JobState.WAITING)
@@ -382,52 +357,15 @@
         self, access: Access, job_id: str, deadline: float
     ) -> result.Result[None, refusals.Refused]:
         """Refuse a job that does not exist or that others submitted."""
-        owner = self._known.find_owner(job_id)
-        if owner is None:
-            read = await self._read_row(
-                keys.graph(self._settings.shard, job_id), deadline
-            )
-            if isinstance(read, result.Err):
-                return read
-            if read.ok_value is None:
-                return result.Err(
-                    refusals.Refused(refusals.Reason.UNKNOWN_JOB)
-                )
-            graph = graphrows.read_graph(read.ok_value)
-            if graph is None:
-                return result.Err(
-                    _store_unavailable('job row cannot be decoded')
-                )
-            owner = self._known.record_stored(graph)
-        # Callers without a key, which a public queue admits, have no account.
-        is_own = owner.account == access.account or not access.account
-        if not is_own or owner.queue != access.queue.name:
+        found = await self._jobs.find_owner(job_id, deadline)
+        if isinstance(found, result.Err):
+            return found
+        caller = knownjobs.Owner(access.account, access.queue.name)
+        owner = found.ok_value
+        if owner is None or not knownjobs.may_access(caller, owner):
             return result.Err(refusals.Refused(refusals.Reason.UNKNOWN_JOB))
         return result.Ok(None)
 
-    async def _read_row(
-        self, key: str, deadline: float
-    ) -> result.Result[table.Row | None, refusals.Refused]:
-        """Read a row, until ``deadline``; refuse the call without it."""
-        read = await self._read_until(key, deadline)
-        if isinstance(read, result.Err):
-            return result.Err(_store_unavailable(read.err_value.detail))
-        return result.Ok(read.ok_value)
-
-    async def _read_until(
-        self, key: str, deadline: float
-    ) -> result.Result[table.Row | None, table.Unavailable]:
-        """Read a row, until ``deadline``; None if it does not exist."""
-        left_s = max(_MIN_READ_TIMEOUT_S, deadline - clock.monotonic())
-        try:
-            async with asyncio.timeout(left_s):
-                read = await self._store.read([key])
-        except TimeoutError:
-            return result.Err(table.Unavailable('no answer in time'))
-        if isinstance(read, result.Err):
-            return read
-        return result.Ok(read.ok_value.get(key))
-
     def count_waiting(
         self, access: Access, now: float
     ) -> result.Result[int, refusals.Refused]:
@@ -465,22 +403,6 @@
     return None
 
 
-def _store_unavailable(detail: str) -> refusals.Refused:
-    """Return the refusal of a call that the store certainly did not apply."""
-    return refusals.Refused(
-        refusals.Reason.STORE_UNAVAILABLE, detail, _RETRY_AFTER_S
-    )
-
-
-def _refuse_uncommitted(
-    error: table.Rejected | table.Unavailable | table.OutcomeUnknown,
-) -> refusals.Refused:
-    """Return the refusal of a call whose write was not confirmed."""
-    if isinstance(error, table.Unavailable):
-        return _store_unavailable(error.detail)
-    return refusals.Refused(refusals.Reason.OUTCOME_UNKNOWN, error.detail)
-
-
 def _check_same_owner(
     stored: knownjobs.Owner, graph: jobgraph.JobGraph
 ) -> result.Result[None, refusals.Refused]:
--- a/primroselock/jobgraph.py
+++ b/primroselock/jobgraph.py
@@ -24,6 +24,10 @@
 from primroselock import queues
 
 
+_MAX_ID_BYTES: typing.Final = 128
+"""The store limits keys to 200 bytes."""
+
+_SEPARATORS: typing.Final = frozenset('/.')
 _TASK_NAME_PARTS: typing.Final = 4
 
 
@@ -311,6 +315,12 @@
     return TaskName(parts[0], occurrence, step, index)
 
 
+def is_valid_id(job_id: str) -> bool:
+    """Return whether a job may have this id: names of tasks contain it."""
+    is_short = len(job_id.encode()) <= _MAX_ID_BYTES
+    return bool(job_id) and is_short and not _SEPARATORS & set(job_id)
+
+
 def check(job: JobGraph, max_tasks: float = math.inf) -> list[str]:
     """Return the problems of ``job``, one line for each."""
     problems = []
--- a/primroselock/knownjobs.py
+++ b/primroselock/knownjobs.py
@@ -59,3 +59,12 @@
     def record_not_stored(self, job_id: str) -> None:
         """Forget a job of which no write was or will be applied."""
         self._unknown_ids.pop(job_id, None)
+
+
+def may_access(caller: Owner, owner: Owner) -> bool:
+    """Return whether the job of ``owner`` is shown to ``caller``.
+
+    Callers without a key, which a public queue admits, have no account.
+    """
+    is_own = caller.account in (owner.account, '')
+    return is_own and caller.queue == owner.queue
--- a/primroselock/options.py
+++ b/primroselock/options.py
@@ -201,9 +201,11 @@
     ``standby_pause_s``.  The number of waiting jobs is refused once the
     holder's last count is older than ``count_age_s``.  Remote from its data
     or rack a task takes ``far_factor`` times as long.  Rows of ended jobs
-    are deleted after ``keep_ended_s``.  Learned run times are stored every
-    ``learned_interval_s``, if there are new ones; they replace callers'
-    estimates that are off by more than ``trusted_estimate_ratio``.
+    are deleted after ``keep_ended_s``, tombstones of jobs that were cancelled
+    before they were stored after ``keep_tombstones_s``.  Learned run times
+    are stored every ``learned_interval_s``, if there are new ones; they
+    replace callers' estimates that are off by more than
+    ``trusted_estimate_ratio``.
 
     At a shutdown the hand-over of the shard takes at most ``leaving_s``;
     the node then serves for ``leaving_s`` until callers use other nodes,
@@ -256,6 +258,7 @@
     max_tasks: int = ini.key('positive', 1000)
     max_job_tasks: int = ini.key('positive', 5000)
     keep_ended_s: float = ini.key('seconds', 900.0)
+    keep_tombstones_s: float = ini.key('seconds', 120.0)
     learned_interval_s: float = ini.key('seconds', 15.0)
     trusted_estimate_ratio: float = ini.key('factor', 3.0)
     checkpoint_s: float = ini.key('seconds', 1.0)
--- a/primroselock/platform/clientapi.py
+++ b/primroselock/platform/clientapi.py
@@ -30,6 +30,8 @@
     refusals.Reason.UNKNOWN_QUEUE: 404,
     refusals.Reason.UNKNOWN_KEY: 401,
     refusals.Reason.UNKNOWN_JOB: 410,
+    refusals.Reason.CANCELLED: 410,
+    refusals.Reason.TOO_MANY_CANCELLED: 429,
     refusals.Reason.INVALID: 400,
     refusals.Reason.TOO_LARGE: 413,
     refusals.Reason.STORE_UNAVAILABLE: 503,
@@ -197,7 +199,7 @@
         decoded = _decode_job(body.ok_value, self._settings.max_job_tasks)
         if isinstance(decoded, result.Err):
             return _refuse(request, decoded.err_value)
-        if not job_id or '/' in job_id or '.' in job_id:
+        if not jobgraph.is_valid_id(job_id):
             return _refuse(
                 request,
                 refusals.Refused(refusals.Reason.INVALID, 'invalid job id'),
--- a/primroselock/refusals.py
+++ b/primroselock/refusals.py
@@ -11,6 +11,8 @@
     UNKNOWN_QUEUE = 'no such queue'
     UNKNOWN_KEY = 'unknown key'
     UNKNOWN_JOB = 'no such job'
+    CANCELLED = 'the job was cancelled before it was stored'
+    TOO_MANY_CANCELLED = 'too many unknown jobs were cancelled of late'
     INVALID = 'the job cannot be read'
     TOO_LARGE = 'the job is too large to be stored'
     COUNT_UNKNOWN = 'the number of waiting jobs is not known now'
--- a/primroselock/shardholder.py
+++ b/primroselock/shardholder.py
@@ -38,6 +38,7 @@
 from primroselock.store import keys
 from primroselock.store import table
 from primroselock.store import tablefollower
+from primroselock import submissions
 from primroselock import waits
 from primroselock.workers import orders
 
@@ -343,17 +344,21 @@
             listings = await self._list_tables()
             if listings is not None:
                 self._failed_listings = 0
-                submissions, progress, entries = listings
+                listing, progress, entries = listings
                 entry_changes = await self._read_entry_changes(entries)
                 # All this takes long on a slow VM, and the lease must not
                 # expire.
-                jobs_by_id = await self._read_jobs(submissions, progress)
+                submitted = submissions.Submissions(self._settings.fleet.shard)
+                jobs_by_id = await submitted.read(
+                    listing.rows + progress.rows, clock.monotonic()
+                )
+                submitted.note_loaded(jobs_by_id)
                 learned = await learnedrows.load(self._settings, self._store)
                 board = await self._build_board(
                     jobs_by_id, learned, entries, entry_changes, sent_at
                 )
                 return holdersession.Takeover(
-                    board, submissions, entries, set(jobs_by_id), sent_at
+                    board, listing, entries, submitted, sent_at
                 )
             self._failed_listings += 1
             _log.warning(
@@ -421,14 +426,6 @@
             version = polled.ok_value.version
         return table.Changes(tuple(rows), (), version)
 
-    async def _read_jobs(
-        self, submissions: table.Listing, progress: table.Listing
-    ) -> dict[str, graphrows.StoredJob]:
-        rows = graphrows.JobRows(self._settings.fleet.shard)
-        async for row in waits.take_turns(submissions.rows + progress.rows):
-            rows.apply((row,))
-        return rows.stored_by_id
-
     async def _build_board(
         self,
         jobs_by_id: abc.Mapping[str, graphrows.StoredJob],
--- a/primroselock/test/platformdecoders.py
+++ b/primroselock/test/platformdecoders.py
@@ -342,9 +342,14 @@
     decodercases.Case('job of a caller', _read_job, _JOB),
     decodercases.Case(
         'stored job',
-        decodercases.row_reader(graphrows.read_graph),
+        decodercases.row_reader(graphrows.read_submitted),
         _STORED_JOB,
     ),
+    decodercases.Case(
+        'tombstone of a job',
+        decodercases.row_reader(graphrows.read_submitted),
+        {'owners': [{'account': 'signs', 'queue': 'bulk'}]},
+    ),
     decodercases.Case(
         'stored progress',
         decodercases.row_reader(graphrows.read_progress),
--- a/primroselock/test/testholderchange.py
+++ b/primroselock/test/testholderchange.py
@@ -15,6 +15,7 @@
 from primroselock import boardrows
 from primroselock import graphrows
 from primroselock import intake
+from primroselock import jobgraph
 from primroselock.store import keys
 from primroselock.test import fleetbuilders
 from primroselock.test import virtualtime
@@ -107,8 +108,8 @@
             world.submit(graph)
             await world.wait_for('j', 'done', 10.0)
             row = world.store.inner.rows[keys.graph('fleet', 'j')]
-            stored = graphrows.read_graph(row)
-            assert stored is not None
+            stored = graphrows.read_submitted(row)
+            assert isinstance(stored, jobgraph.JobGraph)
             self.assertEqual((), stored.steps)
             # A second node remembers nothing.
             other = world.add_node('entry-2')
--- a/primroselock/test/testlatewrites.py
+++ b/primroselock/test/testlatewrites.py
@@ -17,6 +17,10 @@
 from primroselock.test import virtualtime
 
 _FAULTS_IN_ROW: typing.Final = 4
+_HANGS_S: typing.Final = 300.0
+_SENT_WITHIN_S: typing.Final = 45.0
+"""Well below the time for which a tombstone is kept."""
+
 _Outcome = result.Result[table.Committed, table.TransactError]
 _Series = tuple[int, tuple[fakestore.Fault, ...]]
 
@@ -100,5 +104,51 @@
         virtualtime.run(run)
 
 
+class _HangingStore(fakestore.FakeStore):
+    """Does not answer for a long time, as a process that is stopped sees it.
+
+    ``sent_at`` is when each transaction was sent.
+    """
+
+    def __init__(self, virtual: virtualtime.VirtualClock) -> None:
+        super().__init__()
+        self.sent_at: list[float] = []
+        self._virtual = virtual
+
+    async def transact(
+        self, transaction: table.Transaction
+    ) -> result.Result[table.Committed, table.TransactError]:
+        """Record when a transaction is sent; answer nothing of use."""
+        self.sent_at.append(self._virtual.now)
+        await asyncio.sleep(_HANGS_S)
+        return result.Err(table.OutcomeUnknown('no answer'))
+
+
+class StoppedProcessTest(unittest.TestCase):
+    """Writes of a process that was stopped for long."""
+
+    def test_they_are_sent_soon_or_never(self) -> None:
+        """Guards against a job stored after its tombstone was deleted."""
+
+        async def run(virtual: virtualtime.VirtualClock) -> None:
+            store = _HangingStore(virtual)
+            committer = groupcommit.GroupCommitter(store, 0.0, 1)
+            began = virtual.now
+            outcomes = await asyncio.gather(
+                *(
+                    committer.submit(
+                        groupcommit.Write(key, table.ABSENT, b'own')
+                    )
+                    for key in ('t/a', 't/b', 't/c', 't/d')
+                )
+            )
+            self.assertLess(max(store.sent_at) - began, _SENT_WITHIN_S)
+            errors = [outcome.unwrap_err() for outcome in outcomes]
+            self.assertIsInstance(errors[0], table.OutcomeUnknown)
+            self.assertIsInstance(errors[-1], table.Unavailable)
+
+        virtualtime.run(run)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/primroselock/test/testmalformedrows.py
+++ b/primroselock/test/testmalformedrows.py
@@ -98,8 +98,8 @@
         world.store.put(key, value)
     graph_key = keys.graph('fleet', 'odd')
     encoded = {**rows_before, **rows_later}.get(graph_key, b'')
-    graph = graphrows.read_graph(table.Row(graph_key, encoded, 1, ''))
-    if graph is not None:
+    graph = graphrows.read_submitted(table.Row(graph_key, encoded, 1, ''))
+    if isinstance(graph, jobgraph.JobGraph):
         # The fake workers know what each job runs.
         world.fleet.graphs_by_id['odd'] = graph
     node = world.add_node('entry-1')
