--- a/primroselock/test/nodesoak.py
+++ b/primroselock/test/nodesoak.py
@@ -31,6 +31,7 @@
 
 _KILL_AFTER_S: typing.Final = 2 * nodes.GRACE_S
 _START_TIMEOUT_S: typing.Final = 60.0
+_ABANDONING_CALLERS: typing.Final = 3
 _POLL_INTERVAL_S: typing.Final = 0.05
 
 
@@ -81,6 +82,13 @@
         if plan.has_crashing_jobs:
             source = random.Random(f'{plan.seed}/crashing')
             self._callers.append(jobcallers.CrashingCaller(source, self._pick))
+        if plan.has_abandoned_jobs:
+            self._callers += [
+                jobcallers.AbandoningCaller(
+                    random.Random(f'{plan.seed}/abandoning/{n}'), self._pick
+                )
+                for n in range(_ABANDONING_CALLERS)
+            ]
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[typing.Any]] = []
 
--- a/primroselock/test/nodesoakchecks.py
+++ b/primroselock/test/nodesoakchecks.py
@@ -23,6 +23,7 @@
 _MAX_STARTS_AFTER: typing.Final = 2
 """The users' rule: starts of a task after so many workers crashed under it."""
 
+_GONE: typing.Final = 410
 _NEVER: typing.Final = float('inf')
 
 Check = abc.Callable[[nodesoak.Record], abc.Iterator[str]]
@@ -199,6 +200,19 @@
             yield f'{interval.task} runs, but its job was refused'
 
 
+@check
+def _find_runs_after_gone(record: nodesoak.Record) -> abc.Iterator[str]:
+    """What a DELETE has called unknown never runs."""
+    gone_ids = {
+        job.id
+        for job in record.jobs
+        if any(made.status == _GONE for made in job.list_attempts('DELETE'))
+    }
+    for interval in record.intervals:
+        if interval.task.partition('.')[0] in gone_ids:
+            yield f'{interval.task} runs, and DELETE was answered {_GONE}'
+
+
 @check
 def _find_bad_exits(record: nodesoak.Record) -> abc.Iterator[str]:
     """A process ends only when told, after SIGTERM in its grace time."""
--- a/primroselock/test/nodesoakplans.py
+++ b/primroselock/test/nodesoakplans.py
@@ -14,6 +14,7 @@
 _ORDER_SERIES: typing.Final = 3
 _ORDER_EVENTS: typing.Final = 3
 _DRAINS_PER_WORKER: typing.Final = 2
+_LOST_SERIES: typing.Final = 6
 _MIN_AWAY_S: typing.Final = 0.3
 _MAX_BURST: typing.Final = 5
 _BURST_S: typing.Final = 1.5
@@ -51,6 +52,7 @@
     events: tuple[Event, ...]
     ends_at: float
     has_crashing_jobs: bool = False
+    has_abandoned_jobs: bool = False
 
 
 def draw_plan(
@@ -60,13 +62,15 @@
     has_late_orders: bool = False,
     has_crashing_jobs: bool = False,
     has_drains: bool = False,
+    has_abandoned_jobs: bool = False,
 ) -> Plan:
     """Return the plan of a seed; ``nodes`` replaces the number drawn.
 
     With ``has_late_orders`` series of starts that are carried out late or
     refused are added to the same plan; with ``has_crashing_jobs`` one more
     caller submits jobs that crash workers; with ``has_drains`` workers drain,
-    leave and are back.
+    leave and are back; with ``has_abandoned_jobs`` more callers give up jobs
+    whose submission has no clear outcome, and the store loses more answers.
     """
     source = random.Random(seed)
     count = source.randint(3, 6)
@@ -79,6 +83,8 @@
         events += _draw_order_series(seed, workers, length_s)
     if has_drains:
         events += _draw_drains(seed, workers, length_s)
+    if has_abandoned_jobs:
+        events += _draw_lost_answers(seed, count, length_s)
     ends_at = max(length_s, *(event.at + event.for_s for event in events))
     events += _draw_shrinks(random.Random(f'{seed}/shrink'), workers, length_s)
     callers = max(source.randint(6, 10), count)
@@ -90,6 +96,7 @@
         tuple(events),
         ends_at,
         has_crashing_jobs,
+        has_abandoned_jobs,
     )
 
 
@@ -129,6 +136,24 @@
     ]
 
 
+def _draw_lost_answers(seed: int, nodes: int, length_s: float) -> list[Event]:
+    """Return times in which writes of some nodes get no answer.
+
+    Some of these writes are performed late.
+    """
+    source = random.Random(f'{seed}/lost')
+    return [
+        Event(
+            source.uniform(_FIRST_EVENT_S, length_s),
+            'lost',
+            0,
+            source.uniform(_BURST_S, _MAX_EVENT_S),
+            frozenset(source.sample(range(nodes), max(1, nodes // 2))),
+        )
+        for _ in range(_LOST_SERIES)
+    ]
+
+
 def _draw_order_series(
     seed: int, workers: int, length_s: float
 ) -> list[Event]:
--- a/primroselock/test/testnodesoak.py
+++ b/primroselock/test/testnodesoak.py
@@ -51,6 +51,14 @@
             nodesoakplans.draw_plan(3, None, _LENGTH_S, has_drains=True)
         )
 
+    def test_seed_4_with_abandoned_jobs(self) -> None:
+        """Guards against a job that runs after its 410 (review/14)."""
+        self.check_plan(
+            nodesoakplans.draw_plan(
+                4, None, _LENGTH_S, has_abandoned_jobs=True
+            )
+        )
+
 
 class OverloadCheckTest(unittest.TestCase):
     """The check of capacity, on a record without processes."""
--- a/standins/jobcallers.py
+++ b/standins/jobcallers.py
@@ -24,6 +24,8 @@
 _ASK_INTERVAL_S: typing.Final = 0.3
 _REMEMBERED_JOBS: typing.Final = 20
 _REFUSED: typing.Final = frozenset({400, 401, 404, 413, 429, 503})
+_CANCELLED: typing.Final = frozenset({200, 410})
+_REPEATED_SHARE: typing.Final = 0.5
 _ENDED_STATES: typing.Final = frozenset({'completed', 'failed', 'cancelled'})
 
 Pick = abc.Callable[[], tuple[int, str]]
@@ -243,3 +245,32 @@
             while time.monotonic() < min(asked_until, until):
                 await asyncio.sleep(_ASK_INTERVAL_S)
                 await self.call('GET', self.jobs[-1])
+
+
+class AbandoningCaller(Caller):
+    """A caller that gives up each job whose submission has no clear outcome.
+
+    It cancels the job at any node until that is acknowledged, and at times
+    hands it in again.
+    """
+
+    async def run(self, until: float) -> None:
+        """Submit and cancel until the time ``until``."""
+        while time.monotonic() < until:
+            await asyncio.sleep(self._random.uniform(0, _ASK_INTERVAL_S))
+            job = self._draw_job(self._random)
+            self.jobs.append(job)
+            status = (await self.call('POST', job)).status
+            if status != 200 and status not in _REFUSED:
+                await self._give_up(job)
+
+    async def _give_up(self, job: Job) -> None:
+        for _ in range(_MAX_TRIES):
+            # The next connection may be to another node.
+            self.close()
+            if (await self.call('DELETE', job)).status in _CANCELLED:
+                break
+            await asyncio.sleep(self._random.uniform(0, _ASK_INTERVAL_S))
+        if self._random.random() < _REPEATED_SHARE:
+            self.close()
+            await self.call('POST', job)
--- a/tools/nodesoak.py
+++ b/tools/nodesoak.py
@@ -5,7 +5,8 @@
 number of node processes, which is otherwise drawn from the seed.  ``--orders``
 adds starts that are carried out late beside refusals of starts, ``--crashing``
 jobs that crash the workers that start them, ``--drains`` workers that drain,
-leave and start again.
+leave and start again, ``--abandoned`` callers that give up jobs whose
+submission has no clear outcome.
 """
 
 import argparse
@@ -29,6 +30,7 @@
     parser.add_argument('--seconds', type=float, default=25.0)
     parser.add_argument('--crashing', action='store_true')
     parser.add_argument('--drains', action='store_true')
+    parser.add_argument('--abandoned', action='store_true')
     parser.add_argument('--log', type=pathlib.Path)
     return parser.parse_args()
 
@@ -63,6 +65,7 @@
             arguments.orders,
             arguments.crashing,
             arguments.drains,
+            arguments.abandoned,
         )
         problems = _run(plan, folder)
         for problem in problems:
