Intake: a refused write beside another's tombstone is certain

Cause: a submission that finds another account's tombstone is written again in its place; that its first write failed on its condition, and is certainly not stored, was not noted, so that a refusal of the second became an unknown outcome (504 in place of 503). Found by reading.

Change: a conflict is noted as not stored, like every other certain failure.

Measured: testcancelledids passes, with a test of both refusals.

--- a/primroselock/intake.py
+++ b/primroselock/intake.py
@@ -236,7 +236,7 @@
             )
         version = table.ABSENT
         for _ in range(_MAX_INSERTS):
-            outcome = await self._write(graph, version, value, deadline)
+            outcome = await self._write_graph(graph, version, value, deadline)
             if outcome is not None:
                 return outcome
             read = await self._jobs.read_submitted(graph.id, deadline)
@@ -251,7 +251,7 @@
             version = read.ok_value.version
         return result.Err(storedjobs.refuse_unknown('job row keeps changing'))
 
-    async def _write(
+    async def _write_graph(
         self,
         graph: jobgraph.JobGraph,
         version: int,
@@ -272,12 +272,12 @@
             self._known.record_stored(graph)
             return result.Ok(None)
         error = outcome.err_value
-        if isinstance(error, table.Conflict):
-            return None
         if isinstance(error, table.OutcomeUnknown):
             self._known.record_unknown(graph.id)
         elif is_first:
             self._known.record_not_stored(graph.id)
+        if isinstance(error, table.Conflict):
+            return None
         if isinstance(error, table.Rejected):
             return result.Err(
                 refusals.Refused(refusals.Reason.TOO_LARGE, error.detail)
--- a/primroselock/test/testcancelledids.py
+++ b/primroselock/test/testcancelledids.py
@@ -303,6 +303,24 @@
 
         _run(scenario)
 
+    def test_a_refusal_beside_anothers_tombstone_is_certain(self) -> None:
+        """Guards against 504 for what was certainly not written."""
+
+        async def scenario(nodes: _Nodes) -> None:
+            await _cancel(nodes.third, access=_OTHER)
+            for fault, expected in (
+                (fakestore.Fault.UNAVAILABLE, _Reason.STORE_UNAVAILABLE),
+                (fakestore.Fault.REQUEST_LOST, _Reason.OUTCOME_UNKNOWN),
+            ):
+                nodes.taker.connectivity.faults = [
+                    fakestore.Fault.NONE,
+                    *([fault] * _ATTEMPTS),
+                ]
+                self.assertIs(expected, await _submit(nodes.taker))
+            nodes.taker.connectivity.faults = []
+
+        _run(scenario)
+
     def test_no_answer_tells_of_a_tombstone(self) -> None:
         """Guards against an answer that shows what others have cancelled."""
 
