Polls: how long one is held open is decided in a module of its own

The functions take the time, the bounds and the longest wait now. No change of behaviour but that the wait counts from when the poll is sent; the tests of restarts, planned leaves, poll order, confirmed starts, sharing and whole nodes pass.

--- a/primroselock/workerpolling.py
+++ b/primroselock/workerpolling.py
@@ -27,11 +27,10 @@
 from primroselock.decisions import extensions
 from primroselock.decisions import fleet
 from primroselock.decisions import fleetworkers
-from primroselock.decisions import livejobs
+from primroselock.decisions import pollwaits
 from primroselock.decisions import reachability
 from primroselock.decisions import runleases
 from primroselock.decisions import runs
-from primroselock.decisions import sharing
 from primroselock.decisions import workerboots
 from primroselock import lateness
 from primroselock import leasegrants
@@ -42,10 +41,6 @@
 from primroselock.workers import orders
 
 _log: typing.Final = logs.get('lookers')
-_SHORT_WAIT_S: typing.Final = 0.2
-"""Wait of a poll while the outcome of an order is unknown, or while the next
-poll may extend the worker's lease and this one may not."""
-
 _MAX_CONFIRMATIONS: typing.Final = 3
 """Calls of which the answer may be missing, since this process was late."""
 
@@ -364,11 +359,17 @@
         lease_until = None
         if extensions.may_extend(worker, self._lease.published_bounds):
             lease_until = self._extend_lease(worker, sent_at)
-        wait_s = self._poll_wait_s(worker)
+        wait_s = pollwaits.find_wait_s(
+            self._board,
+            worker,
+            self._lease.published_bounds,
+            self._settings.fleet.longest_wait_s,
+            sent_at,
+        )
         timeout_s = self._settings.fleet.look_timeout_s
         address = worker.entry.address
         self._sent_at_by_worker_id[worker.id] = sent_at
-        if wait_s > _SHORT_WAIT_S:
+        if wait_s > pollwaits.SHORT_WAIT_S:
             self._held_open_ids.add(worker.id)
         try:
             answer = await self._run_client.poll_runs(
@@ -428,35 +429,6 @@
         )
         return leasegrants.extend_lease(worker, deadline)
 
-    def _poll_wait_s(self, worker: fleetworkers.Worker) -> float:
-        if not worker.is_polled or worker.is_doubted or worker.unsaved_ends:
-            return 0.0
-        if not worker.is_boot_known(clock.monotonic()):
-            # Nothing has run there lately, and starts wait for its report.
-            return 0.0
-        if workerboots.has_open_stops(worker) or sharing.may_disturb(worker):
-            return _SHORT_WAIT_S
-        if self._lease.published_bounds.covers(worker.id) or any(
-            member.state is not livejobs.MemberState.PRESENT
-            or member.group.phase is livejobs.Phase.STOPPING
-            for member in worker.members.values()
-        ):
-            return _SHORT_WAIT_S
-        return self._longest_wait_s(worker)
-
-    def _longest_wait_s(self, worker: fleetworkers.Worker) -> float:
-        """Return the wait of a poll that nothing else bounds.
-
-        The answer of a worker that drains shows that it went on for as long
-        as it said: what ends it later is no crash.
-        """
-        longest_s = self._settings.fleet.longest_wait_s
-        leaves_from = self._board.drains.earliest_leave(worker.id, worker.boot)
-        left_s = leaves_from - clock.monotonic()
-        if left_s <= 0.0:
-            return longest_s
-        return min(max(left_s, _SHORT_WAIT_S), longest_s)
-
     def _record_error(
         self,
         worker: fleetworkers.Worker,
