Tests of cancelled ids: calls of the store, and callers without a key

A DELETE of a stored job takes the calls of the store that it took before (one write, and one read where its owner is not remembered); of an id without a job one write more, and none the second time. What a caller without a key cancels keeps nobody else's job from running.

--- a/primroselock/test/testcancelledids.py
+++ b/primroselock/test/testcancelledids.py
@@ -9,6 +9,7 @@
 import itertools
 import typing
 import unittest
+from unittest import mock
 
 import result
 
@@ -26,6 +27,9 @@
 _OWN: typing.Final = intake.Access(fleetbuilders.BULK, 'signs')
 _OTHER: typing.Final = intake.Access(fleetbuilders.BULK, 'merch')
 _OTHER_QUEUE: typing.Final = intake.Access(fleetbuilders.BATCH, 'signs')
+_KEYLESS: typing.Final = intake.Access(fleetbuilders.BULK, '')
+"""A caller without a key, which a public queue admits."""
+
 _DEADLINE_S: typing.Final = 2.0
 _LATE: typing.Final = fakestore.Fault.LATE
 _ATTEMPTS: typing.Final = 4
@@ -248,6 +252,36 @@
         return scenario
 
 
+class CallsTest(unittest.TestCase):
+    """The calls of the store that a cancellation takes."""
+
+    def test_of_stored_and_unknown_jobs(self) -> None:
+        """Guards against a cancellation that takes longer than before."""
+
+        async def scenario(nodes: _Nodes) -> None:
+            self.assertIsNone(await _submit(nodes.taker))
+            for node, job_id, reads, writes, expected in (
+                (nodes.taker, 'j', 0, 1, None),
+                (nodes.third, 'j', 1, 1, None),
+                (nodes.third, 'k', 1, 1, _Reason.UNKNOWN_JOB),
+                (nodes.third, 'k', 1, 0, _Reason.UNKNOWN_JOB),
+            ):
+                with (
+                    mock.patch.object(
+                        node.client, 'read', wraps=node.client.read
+                    ) as read,
+                    mock.patch.object(
+                        node.client, 'transact', wraps=node.client.transact
+                    ) as transact,
+                ):
+                    self.assertIs(expected, await _cancel(node, job_id))
+                self.assertEqual(
+                    (reads, writes), (read.call_count, transact.call_count)
+                )
+
+        _run(scenario)
+
+
 class OwnerTest(unittest.TestCase):
     """Whose cancellation it is."""
 
@@ -255,7 +289,7 @@
         """Guards against an account that keeps another's job from running."""
 
         async def scenario(nodes: _Nodes) -> None:
-            for access in (_OTHER, _OTHER_QUEUE):
+            for access in (_OTHER, _OTHER_QUEUE, _KEYLESS):
                 answer = await _cancel(nodes.third, access=access)
                 self.assertIs(_Reason.UNKNOWN_JOB, answer)
             self.assertIsNone(await _submit(nodes.taker))
@@ -266,6 +300,17 @@
 
         _run(scenario)
 
+    def test_callers_without_a_key(self) -> None:
+        """Guards against a promise that only accounts with a key get."""
+
+        async def scenario(nodes: _Nodes) -> None:
+            answer = await _cancel(nodes.third, access=_KEYLESS)
+            self.assertIs(_Reason.UNKNOWN_JOB, answer)
+            answer = await _submit(nodes.taker, access=_KEYLESS)
+            self.assertIs(_Reason.CANCELLED, answer)
+
+        _run(scenario)
+
     def test_each_of_several_owners_is_refused(self) -> None:
         """Guards against a cancellation that another's replaces."""
 
