--- a/primroselock/test/testcancelledids.py
+++ b/primroselock/test/testcancelledids.py
@@ -21,6 +21,7 @@
 from primroselock.store import keys
 from primroselock.test import fakestore
 from primroselock.test import fleetbuilders
+from primroselock import tombstones
 
 run_scenario: typing.Final = fleetbuilders.run_with_node
 
@@ -503,6 +504,37 @@
         _run(scenario)
 
 
+class TombstoneLogTest(unittest.TestCase):
+    """What a holder knows of the tombstones, in any order of news."""
+
+    def test_a_rewritten_one_is_kept_for_longer(self) -> None:
+        """Guards against a sweep of what was cancelled just now."""
+        log = tombstones.TombstoneLog()
+        for job_id, version, now in (
+            ('a', 1, 10.0),
+            ('b', 2, 11.0),
+            ('a', 3, 12.0),
+            ('b', 2, 13.0),
+        ):
+            log.note(job_id, version, now)
+        self.assertEqual({'b': 2}, log.list_old(11.0, 9))
+        self.assertEqual({'b': 2, 'a': 3}, log.list_old(12.0, 9))
+        self.assertEqual({'b': 2}, log.list_old(12.0, 1))
+
+    def test_news_of_an_earlier_version(self) -> None:
+        """Guards against a tombstone that is forgotten, and never deleted.
+
+        It was written after the one whose deletion is answered now.
+        """
+        log = tombstones.TombstoneLog()
+        log.note('a', 5, 10.0)
+        log.forget('a', 4)
+        self.assertEqual(1, len(log))
+        log.forget('a', 5)
+        log.forget('a', 5)
+        self.assertEqual(0, len(log))
+
+
 _FLOOD: typing.Final = 300
 _KEEP_S: typing.Final = 120.0
 _SWEEP_S: typing.Final = 20.0
--- a/primroselock/test/testmemberends.py
+++ b/primroselock/test/testmemberends.py
@@ -51,9 +51,11 @@
         site.run_for(1.5)
         self.assertIs(livejobs.Phase.DONE, group.phase)
         self.assertIs(livejobs.MemberState.PRESENT, other.state)
+        self.assertEqual([group], list(site.board.phases.unsettled))
         site.run_for(2.0)
         self.assertIs(livejobs.MemberState.TERMINATED, other.state)
         self.assertEqual({}, site.board.workers_by_id[other.worker_id].members)
+        self.assertEqual({}, site.board.phases.unsettled)
 
     def test_each_member_is_logged_once(self) -> None:
         """Guards against a worker that is full with no word for what."""
