--- a/primroselock/jobcancellation.py
+++ b/primroselock/jobcancellation.py
@@ -107,7 +107,9 @@
                 )
             if read.ok_value.is_cancelled_for(caller):
                 return _refuse_unknown_job()
-            refused = await self._bury(caller, job_id, read.ok_value, deadline)
+            refused = await self._write_tombstone(
+                caller, job_id, read.ok_value, deadline
+            )
             if refused is not None:
                 return result.Err(refused)
         return result.Err(
@@ -134,7 +136,7 @@
             return result.Ok(None)
         return result.Err(storedjobs.refuse_uncommitted(error))
 
-    async def _bury(
+    async def _write_tombstone(
         self,
         caller: knownjobs.Owner,
         job_id: str,
--- a/primroselock/test/testcancelledids.py
+++ b/primroselock/test/testcancelledids.py
@@ -392,15 +392,15 @@
                 await _cancel(nodes.third, f'u{number}')
                 for number in range(_FLOOD)
             ]
-            buried = answers.count(_Reason.UNKNOWN_JOB)
+            written = answers.count(_Reason.UNKNOWN_JOB)
             self.assertEqual(
                 {_Reason.UNKNOWN_JOB, _Reason.TOO_MANY_CANCELLED}, set(answers)
             )
             rows = nodes.world.store.inner.scan(
                 keys.graph('fleet', 'u'), '', 2 * _FLOOD
             )
-            self.assertEqual(buried, len(rows))
-            self.assertLess(buried, _FLOOD)
+            self.assertEqual(written, len(rows))
+            self.assertLess(written, _FLOOD)
             # Another account, and a job that is stored, are not held up.
             answer = await _cancel(nodes.third, 'other', _OTHER)
             self.assertIs(_Reason.UNKNOWN_JOB, answer)
